Lay down the package, typed messages and interfaces between parts

Cause: an empty repository; parts are to be built side by side. Ruled out: HTTP between nodes (a second parser on each message; the internal protocol is JSON lines by the house style).

--- /dev/null
+++ b/src/quaymill/__init__.py
@@ -0,0 +1,1 @@
+"""Serves online and batch inference from one fleet of machines."""
--- /dev/null
+++ b/src/quaymill/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection or one peer."""
--- /dev/null
+++ b/src/quaymill/connection/endpoint.py
@@ -0,0 +1,46 @@
+"""Addresses of processes, and the switch that cuts links between them."""
+
+from __future__ import annotations
+
+import threading
+
+import msgspec
+
+
+class Endpoint(msgspec.Struct, frozen=True, order=True):
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> Endpoint:
+        """Read ``host:port``; raises ``ValueError`` with the remedy if it is not that."""
+        host, _, port = text.rpartition(":")
+        if not host or not port.isdigit():
+            raise ValueError(f"{text!r} is not HOST:PORT; write for example 127.0.0.1:7001")
+        return cls(host=host, port=int(port))
+
+
+class LinkFilter:
+    """The endpoints to which this process must not send: a fault switch for tests.
+
+    Every client of this process asks ``blocks`` before it opens a connection or sends.
+    A filter blocks the outgoing direction only, so that one-way cuts can be brought about.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._blocked: frozenset[Endpoint] = frozenset()
+
+    def set_blocked(self, endpoints: frozenset[Endpoint]) -> None:
+        """Replace the set of blocked endpoints."""
+        with self._lock:
+            self._blocked = endpoints
+
+    def blocks(self, endpoint: Endpoint) -> bool:
+        """Return whether sending to ``endpoint`` is cut."""
+        return endpoint in self._blocked
--- /dev/null
+++ b/src/quaymill/connection/job_messages.py
@@ -0,0 +1,381 @@
+"""Messages of the job store: files, jobs, leases, completions and at-most-once calls.
+
+Every node may receive them; a node that does not lead the group answers ``NotLeader``.
+An answer other than ``NotLeader``, ``StoreUnavailable`` or a refusal is committed on a
+majority of the group's disks before it is sent.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.peer_link import PeerMessage
+
+
+class JobState(enum.StrEnum):
+    """States of a batch job, named as in OpenAI's batch API.
+
+    IN_PROGRESS -> COMPLETED when every item has ended;
+    IN_PROGRESS -> CANCELLED when the tenant cancels; both ends are final.
+    """
+
+    IN_PROGRESS = "in_progress"
+    COMPLETED = "completed"
+    CANCELLED = "cancelled"
+
+
+class CompletionVerdict(enum.StrEnum):
+    """What became of a reported completion."""
+
+    RECORDED = "recorded"
+    ALREADY_COMPLETE = "already_complete"
+    JOB_CANCELLED = "job_cancelled"
+    RETRY_LATER = "retry_later"
+    NO_SUCH_ITEM = "no_such_item"
+
+
+class NotLeader(PeerMessage, frozen=True):
+    """The answering node does not lead the group; ``leader`` may."""
+
+    leader: Endpoint | None = None
+
+
+class StoreUnavailable(PeerMessage, frozen=True):
+    """The group cannot say whether the change was committed; ask again with the same ids."""
+
+    reason: str
+
+
+class StoreConflict(PeerMessage, frozen=True):
+    """The request contradicts what is stored; nothing was changed."""
+
+    reason: str
+    remedy: str
+
+
+class Accepted(PeerMessage, frozen=True):
+    """The change is committed; ``id`` names the file or job, which may have existed before."""
+
+    id: str = ""
+
+
+class Item(msgspec.Struct, frozen=True):
+    """One batch item: a line of the input file, with its body kept as it came."""
+
+    index: int
+    custom_id: str
+    url: str
+    body: msgspec.Raw
+
+
+class CreateFile(PeerMessage, frozen=True):
+    """Begin a file. A resend with the same ``idempotency_key`` finds the file that exists."""
+
+    group: int
+    file_id: str
+    tenant: str
+    name: str
+    idempotency_key: str = ""
+
+
+class AppendItems(PeerMessage, frozen=True):
+    """Add one chunk of items; a chunk that is already there is accepted and ignored."""
+
+    group: int
+    file_id: str
+    chunk_index: int
+    items: tuple[Item, ...]
+
+
+class CommitFile(PeerMessage, frozen=True):
+    """Seal a file; refused with a conflict if chunks are missing.
+
+    ``digest`` (xxh128 of the raw bytes, hexadecimal) tells a resend from other content under
+    the same idempotency key.
+    """
+
+    group: int
+    file_id: str
+    chunk_count: int
+    item_count: int
+    byte_count: int
+    digest: str
+
+
+class CreateJob(PeerMessage, frozen=True):
+    """Start a job over a sealed file of the same group.
+
+    Attributes
+    ----------
+    service
+        Model or application that the items are for.
+    deadline_unix_s
+        When the tenant needs the results; orders jobs of one tenant.
+    """
+
+    group: int
+    job_id: str
+    file_id: str
+    tenant: str
+    endpoint: str
+    service: str
+    created_unix_s: float
+    deadline_unix_s: float
+    idempotency_key: str = ""
+    metadata: dict[str, str] = {}
+
+
+class GetJob(PeerMessage, frozen=True):
+    """Ask for one job, confirmed by a majority."""
+
+    group: int
+    job_id: str
+
+
+class ListJobs(PeerMessage, frozen=True):
+    """Ask for the jobs of a tenant, newest first."""
+
+    group: int
+    tenant: str
+    limit: int = 100
+
+
+class JobRecord(PeerMessage, frozen=True):
+    """One job as stored. ``failed`` counts items that ended with an error."""
+
+    job_id: str
+    file_id: str
+    tenant: str
+    endpoint: str
+    service: str
+    state: JobState
+    created_unix_s: float
+    deadline_unix_s: float
+    total: int
+    completed: int
+    failed: int
+    ended_unix_s: float | None = None
+    metadata: dict[str, str] = {}
+
+
+class JobList(PeerMessage, frozen=True):
+    """Answer to ``ListJobs``."""
+
+    jobs: tuple[JobRecord, ...]
+
+
+class FileRecord(PeerMessage, frozen=True):
+    """Answer to ``GetFile``."""
+
+    file_id: str
+    tenant: str
+    name: str
+    sealed: bool
+    item_count: int
+    byte_count: int
+    created_unix_s: float
+
+
+class GetFile(PeerMessage, frozen=True):
+    """Ask for one file, confirmed by a majority."""
+
+    group: int
+    file_id: str
+
+
+class CancelJob(PeerMessage, frozen=True):
+    """Stop a job; a job that has already ended stays as it is. Answered by ``JobRecord``."""
+
+    group: int
+    job_id: str
+
+
+class LeaseItems(PeerMessage, frozen=True):
+    """Ask for up to ``count`` items of a service for ``worker``."""
+
+    group: int
+    worker: str
+    service: str
+    count: int
+    lease_s: float
+
+
+class LeasedItem(msgspec.Struct, frozen=True):
+    """An item with the attempt that its worker may report."""
+
+    job_id: str
+    tenant: str
+    attempt: int
+    item: Item
+
+
+class LeasedItems(PeerMessage, frozen=True):
+    """Answer to ``LeaseItems``; empty when there is no work."""
+
+    items: tuple[LeasedItem, ...]
+
+
+class ItemRef(msgspec.Struct, frozen=True):
+    """Names one attempt at one item."""
+
+    job_id: str
+    index: int
+    attempt: int
+
+
+class RenewLeases(PeerMessage, frozen=True):
+    """Keep leases for another ``lease_s``; also tells which items are no longer wanted."""
+
+    group: int
+    worker: str
+    lease_s: float
+    items: tuple[ItemRef, ...]
+
+
+class RenewedLeases(PeerMessage, frozen=True):
+    """Items to stop at once: their job was cancelled, or they are complete or leased anew."""
+
+    stop: tuple[ItemRef, ...]
+
+
+class ReturnItems(PeerMessage, frozen=True):
+    """Give leases back unfinished, without counting a failed attempt."""
+
+    group: int
+    worker: str
+    items: tuple[ItemRef, ...]
+
+
+class ItemCompletion(msgspec.Struct, frozen=True):
+    """The end of one attempt.
+
+    Attributes
+    ----------
+    status
+        HTTP status of the back end's answer; 0 if there was none.
+    response
+        The answer's JSON body, kept as it came.
+    retryable
+        Whether another attempt may succeed; counts towards the most attempts of an item.
+    """
+
+    ref: ItemRef
+    status: int
+    response: msgspec.Raw
+    retryable: bool = False
+
+
+class CompleteItems(PeerMessage, frozen=True):
+    """Report ends of attempts, in bulk."""
+
+    group: int
+    worker: str
+    completions: tuple[ItemCompletion, ...]
+
+
+class CompletedItems(PeerMessage, frozen=True):
+    """One verdict for each completion, in the order of the request."""
+
+    verdicts: tuple[CompletionVerdict, ...]
+
+
+class ReadResults(PeerMessage, frozen=True):
+    """Ask for results of a job with index above ``after_index``, in the order of indexes."""
+
+    group: int
+    job_id: str
+    after_index: int
+    limit: int
+    failed: bool = False
+
+
+class ItemResult(msgspec.Struct, frozen=True):
+    """The recorded end of one item."""
+
+    index: int
+    custom_id: str
+    status: int
+    response: msgspec.Raw
+
+
+class ResultPage(PeerMessage, frozen=True):
+    """Answer to ``ReadResults``; ``more`` tells whether a further page may hold results."""
+
+    results: tuple[ItemResult, ...]
+    more: bool
+
+
+class CallState(enum.StrEnum):
+    """States of an at-most-once call.
+
+    BEGUN -> FINISHED when the answer is stored; a call that is begun for the first time is
+    answered with NEW, and only then may its attempt send.
+    """
+
+    NEW = "new"
+    BEGUN = "begun"
+    FINISHED = "finished"
+
+
+class BeginCall(PeerMessage, frozen=True):
+    """Claim a call before any byte goes to the application.
+
+    Attributes
+    ----------
+    attempt
+        Random id of the one attempt that may send; a resend of this message with the same
+        attempt, after a lost answer, is answered with NEW again.
+    digest
+        xxh128 of method, path and body; the same key with another digest is a conflict.
+    node
+        Name of the node that runs the attempt.
+    """
+
+    group: int
+    tenant: str
+    service: str
+    key: str
+    attempt: str
+    digest: str
+    node: str
+
+
+class StoredAnswer(msgspec.Struct, frozen=True):
+    """The application's whole answer; ``body`` is base64."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class CallRecord(PeerMessage, frozen=True):
+    """What the store knows of a call. ``node`` and ``attempt`` are those that began it."""
+
+    state: CallState
+    attempt: str
+    node: str
+    answer: StoredAnswer | None = None
+
+
+class FinishCall(PeerMessage, frozen=True):
+    """Store the answer of a call; answered by ``Accepted``."""
+
+    group: int
+    tenant: str
+    service: str
+    key: str
+    attempt: str
+    answer: StoredAnswer
+
+
+class AbandonCall(PeerMessage, frozen=True):
+    """Forget a begun call of which provably no byte left; answered by ``Accepted``."""
+
+    group: int
+    tenant: str
+    service: str
+    key: str
+    attempt: str
--- /dev/null
+++ b/src/quaymill/connection/load_messages.py
@@ -0,0 +1,58 @@
+"""Messages about replicas: load reports and notices of online work."""
+
+from __future__ import annotations
+
+import msgspec
+
+from quaymill.connection.peer_link import PeerMessage
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """What one replica last said about its load, with the age of that statement.
+
+    Attributes
+    ----------
+    age_s
+        Seconds since the replica measured it, as far as the sender knows.
+    running, waiting
+        Requests in the running batch and in the queue, online and batch together.
+    batch_running
+        Batch items among ``running``.
+    slots
+        Most requests the replica runs at once.
+    draining
+        Whether the replica says that it is leaving.
+    reachable
+        Whether the last poll was answered.
+    """
+
+    replica: str
+    age_s: float
+    running: int = 0
+    waiting: int = 0
+    batch_running: int = 0
+    slots: int = 0
+    draining: bool = False
+    reachable: bool = True
+
+
+class GetLoad(PeerMessage, frozen=True):
+    """Ask a node for the reports of the replicas that it polls."""
+
+    zone: str = ""
+
+
+class LoadReports(PeerMessage, frozen=True):
+    """Answer to ``GetLoad``."""
+
+    reports: tuple[LoadReport, ...]
+
+
+class OnlineStarts(PeerMessage, frozen=True):
+    """Online work goes to these replicas now: their batch streams must give way."""
+
+    replicas: tuple[str, ...]
+
+
+class Noted(PeerMessage, frozen=True):
+    """Answer to a notice."""
--- /dev/null
+++ b/src/quaymill/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for the whole process."""
--- /dev/null
+++ b/src/quaymill/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request."""
--- /dev/null
+++ b/src/quaymill/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version of the serving configuration."""
--- /dev/null
+++ b/src/quaymill/version/configuration.py
@@ -0,0 +1,115 @@
+"""The serving configuration: the operators' table as one versioned document.
+
+Rows are services by zone group (routes), tenants, and settings. A cell is named by a path
+such as ``routes/drafting/old-site/weight``. The document is stored as the ``spec`` of one
+object of the platform and changed only by compare-and-swap.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class ServiceKind(enum.StrEnum):
+    """What answers a service."""
+
+    MODEL = "model"
+    APPLICATION = "application"
+
+
+class ZoneGroup(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A named set of zones that takes a share of a service's traffic, such as one site."""
+
+    zones: tuple[str, ...]
+
+
+class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A model or an application.
+
+    Attributes
+    ----------
+    idempotent
+        Whether a request may be repeated; if not, each call runs at most once.
+    """
+
+    kind: ServiceKind
+    idempotent: bool = True
+
+
+class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The cells of one service in one zone group.
+
+    Attributes
+    ----------
+    weight
+        Share of the online traffic, relative to the other zone groups; 0 takes none.
+    online_limit
+        Most online requests in service at one replica.
+    batch_limit
+        Most batch items in service at one replica (batch concurrency).
+    """
+
+    weight: float = 1.0
+    online_limit: int = 64
+    batch_limit: int = 16
+
+
+class Tenant(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A caller: its keys and limits; a limit of 0 means none is set.
+
+    Attributes
+    ----------
+    key_hashes
+        SHA-256 of each bearer key, in hexadecimal.
+    """
+
+    key_hashes: tuple[str, ...] = ()
+    requests_per_s: float = 0.0
+    tokens_per_s: float = 0.0
+    concurrency: int = 0
+
+
+class Tuning(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Cells that hold for the whole fleet.
+
+    Attributes
+    ----------
+    batch_reserve
+        Engine slots a batch scheduler leaves free at each replica for online bursts.
+    result_retention_s
+        How long results of a finished job stay readable.
+    item_max_attempts
+        Failed attempts after which an item ends as failed.
+    """
+
+    batch_reserve: int = 1
+    result_retention_s: float = 30 * 24 * 3600.0
+    item_max_attempts: int = 5
+
+
+class ServingConfiguration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One committed version of the table.
+
+    Attributes
+    ----------
+    generation
+        Raised by one with each accepted edit; the highest one seen is in force.
+    routes
+        Service name -> zone group name -> cells.
+    recent_edits
+        Ids of the latest accepted edits, newest last, so that an edit whose answer was
+        lost is found to have happened.
+    """
+
+    generation: int = 0
+    zone_groups: dict[str, ZoneGroup] = {}
+    services: dict[str, Service] = {}
+    routes: dict[str, dict[str, Route]] = {}
+    tenants: dict[str, Tenant] = {}
+    tuning: Tuning = Tuning()
+    recent_edits: tuple[str, ...] = ()
+
+
+EMPTY_CONFIGURATION = ServingConfiguration()
--- /dev/null
+++ b/src/quaymill_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, experiments, fault schedules and reports."""
--- /dev/null
+++ b/src/quaymill_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems: platform, engine and application."""
