--- a/src/quaymill/connection/job_messages.py
+++ b/src/quaymill/connection/job_messages.py
@@ -44,9 +44,16 @@
 
 
 class StoreUnavailable(PeerMessage, frozen=True):
-    """The group cannot say whether the change was committed; ask again with the same ids."""
+    """The group cannot say whether the change was committed; ask again with the same ids.
+
+    Attributes
+    ----------
+    proposed
+        Whether the change may be in the log; ``False`` says that it certainly is not.
+    """
 
     reason: str
+    proposed: bool = True
 
 
 class StoreConflict(PeerMessage, frozen=True):
@@ -194,13 +201,21 @@
 
 
 class LeaseItems(PeerMessage, frozen=True):
-    """Ask for up to ``count`` items of a service for ``worker``."""
+    """Ask for up to ``count`` items of a service for ``worker``.
+
+    Attributes
+    ----------
+    request_id
+        Random id of this request: a resend after a lost answer gets the same items. Filled
+        in by the job store's client if it is empty.
+    """
 
     group: int
     worker: str
     service: str
     count: int
     lease_s: float
+    request_id: str = ""
 
 
 class LeasedItem(msgspec.Struct, frozen=True):
