--- a/src/quaymill/process/job_store/election.py
+++ b/src/quaymill/process/job_store/election.py
@@ -13,13 +13,15 @@
 import time
 from collections.abc import Callable
 
+from eliot import log_message
+
 from quaymill.connection.log_messages import ReplicaAddress, RequestVote, Vote
 from quaymill.connection.peer_link import PeerClient
 from quaymill.process.job_store.replica import Replica, Role
 
 TICK_S = 0.03
 LONGEST_WAIT_ELECTION_TIMEOUTS = 1.5
-RETRY_WAIT_S = (0.03, 0.15)
+FIRST_RETRY_WAIT_S = 0.05
 VOTE_TIMEOUT_ELECTION_TIMEOUTS = 0.5
 THREAD_STOP_TIMEOUT_S = 5.0
 
@@ -40,6 +42,7 @@
         self._random = random.Random(replica.identity)
         self._wait_s = self._random_wait()
         self._not_before_s = 0.0
+        self._retry_wait_s = FIRST_RETRY_WAIT_S
         self._asked_term = 0
         self._stand_now = threading.Event()
         self._stopping = threading.Event()
@@ -75,6 +78,8 @@
                 self._on_tick()
             except sqlite3.Error as error:
                 self._replica.stop_for_fault(error)
+            except Exception as error:  # A bug in one turn must not leave the group unwatched.
+                log_message("store:election_error", error=repr(error))
 
     def _is_time_to_stand(self) -> bool:
         replica = self._replica
@@ -84,7 +89,10 @@
             if replica.membership is None or not replica.membership.is_voter(replica.identity):
                 return False
             now = time.monotonic()
-            return now >= max(replica.leader_contact_s + self._wait_s, self._not_before_s)
+            if now < replica.leader_contact_s + self._wait_s:
+                self._retry_wait_s = FIRST_RETRY_WAIT_S
+                return False
+            return now >= self._not_before_s
 
     def _has_lost_majority(self) -> bool:
         with self._replica.lock:
@@ -101,7 +109,15 @@
         won = self._collect_votes(pre_vote=True, hand_over=False) if not hand_over else True
         if won and self._begin_term(hand_over) and self._collect_votes(False, hand_over):
             self._take_office()
-        self._not_before_s = time.monotonic() + self._random.uniform(*RETRY_WAIT_S)
+        if self._replica.role is Role.LEADER:
+            self._retry_wait_s = FIRST_RETRY_WAIT_S
+            return
+        # Random, so that candidates do not meet again; longer each time, so that a replica
+        # that was removed from its group troubles nobody.
+        wait_s = self._retry_wait_s * self._random.uniform(1, 3)
+        self._not_before_s = time.monotonic() + wait_s
+        longest_s = self._replica.settings.election_timeout_s
+        self._retry_wait_s = min(2 * self._retry_wait_s, longest_s)
 
     def _begin_term(self, hand_over: bool) -> bool:
         """Raise the term and vote for itself, unless a leader has appeared meanwhile."""
--- a/src/quaymill/process/job_store/formation.py
+++ b/src/quaymill/process/job_store/formation.py
@@ -36,6 +36,7 @@
 STORE_GROUPS = "storegroups"
 RETRY_INTERVAL_S = 0.3
 IDLE_INTERVAL_S = 1.0
+NOT_NEEDED_INTERVAL_S = 5.0
 PEER_TIMEOUT_S = 1.0
 JOIN_TIMEOUT_S = 6.0
 WAIT_FOR_THREE_ZONES_S = 5.0
@@ -122,7 +123,7 @@
             if self._replica.membership is None and self._formation.is_voter(self._local.identity):
                 self._take_place(self._formation)
             elif self._join() is JoinState.NOT_NEEDED:
-                wait_s = IDLE_INTERVAL_S
+                wait_s = NOT_NEEDED_INTERVAL_S
 
     def _is_settled(self) -> bool:
         """Return whether this replica is in its group as far as it can tell."""
--- a/src/quaymill/process/job_store/group.py
+++ b/src/quaymill/process/job_store/group.py
@@ -43,8 +43,7 @@
 HAND_OVER_TIMEOUT_S = 3.0
 RETENTION_INTERVAL_S = 5.0
 PURGE_ROWS = 2000
-KEPT_LOG_ENTRIES = 2000
-COMPACTED_AT_ONCE = 500
+COMPACTED_AT_ONCE = 200
 THREAD_STOP_TIMEOUT_S = 1.0
 
 
@@ -214,6 +213,7 @@
             new_term = leads and replica.term != self._led_term
             if new_term:
                 self._led_term = replica.term
+        self._compact()
         self._adjust_replicators(leads)
         if new_term:
             self._commits.propose(Noop())
@@ -224,7 +224,7 @@
         if expired:
             self._commits.propose(ExpireLeases(expired))
         self.changer.review()
-        self._compact_and_purge()
+        self._purge()
 
     def _adjust_replicators(self, leads: bool) -> None:
         """Run one replicator for each peer of the present term, and no other."""
@@ -246,7 +246,17 @@
                     self._replicators[identity] = PeerReplicator(replica, peer, self._client)
                     self._replicators[identity].start()
 
-    def _compact_and_purge(self) -> None:
+    def _compact(self) -> None:
+        """Forget old entries, a few at a time so that commits go on in between."""
+        storage = self._storage
+        if storage.log_bytes <= self.replica.settings.kept_bytes:
+            return
+        with storage.lock:
+            with self.replica.lock:
+                needed = min(self.replica.kept_for_snapshots.values(), default=storage.last_index)
+            storage.compact(needed, COMPACTED_AT_ONCE)
+
+    def _purge(self) -> None:
         now = time.monotonic()
         if now < self._next_retention_s:
             return
--- a/src/quaymill/process/job_store/group_commit.py
+++ b/src/quaymill/process/job_store/group_commit.py
@@ -15,6 +15,7 @@
 from concurrent.futures import Future
 
 import msgspec
+from eliot import log_message
 
 from quaymill.connection.job_messages import NotLeader, StoreUnavailable
 from quaymill.connection.log_messages import LogEntry
@@ -175,14 +176,17 @@
         """Give the answer of an applied entry to whoever proposed it here."""
         if self._replica.role is not Role.LEADER:
             return
-        self._on_applied(logged, result)
         with self._replica.lock:
             proposal = self._pending.pop(entry.index, None)
-        if proposal is None:
-            return
-        if isinstance(result, Grants):
-            result = self._replica.state.leased_items(result)
-        _give(proposal.answer, result)
+        try:
+            self._on_applied(logged, result)
+            if proposal and isinstance(result, Grants):
+                result = self._replica.state.leased_items(result)
+        except Exception as error:  # The entry is committed: a bug here must not undo that.
+            log_message("store:answer_failed", error=repr(error))
+            result = StoreUnavailable(f"internal error: {error!r}")
+        if proposal:
+            _give(proposal.answer, result)
 
     def _fail_if_not_leader(self) -> None:
         if self._replica.role is not Role.LEADER:
--- a/src/quaymill/process/job_store/log_storage.py
+++ b/src/quaymill/process/job_store/log_storage.py
@@ -36,6 +36,8 @@
         The only connection that writes; the state machine uses it under ``lock``.
     last_index, last_term
         The end of the log, which may not be durable yet.
+    log_bytes
+        About how many bytes the log's entries hold.
     applied_index
         Last entry whose effect is in the state tables.
     """
@@ -93,12 +95,14 @@
         )
         for entry in entries:
             self.tail.append(entry)
+            self.log_bytes += len(bytes(entry.command))
         self.last_index = entries[-1].index
         self.last_term = entries[-1].term
 
     def truncate_from(self, index: int) -> None:
         """Remove entries from ``index`` on, which contradict the leader's log."""
         self.begin()
+        self.log_bytes -= self._bytes_of("log_index >= ?", index)
         self.connection.execute("DELETE FROM log WHERE log_index >= ?", (index,))
         self.connection.execute("DELETE FROM memberships WHERE log_index >= ?", (index,))
         self.tail.truncate_from(index)
@@ -158,6 +162,7 @@
             return
         term = self.term_at(last)
         self.begin()
+        self.log_bytes -= self._bytes_of("log_index <= ?", last)
         self.connection.execute("DELETE FROM log WHERE log_index <= ?", (last,))
         self.connection.execute(
             "DELETE FROM memberships WHERE log_index < "
@@ -172,6 +177,7 @@
         self.connection.execute("DELETE FROM log")
         self.connection.execute("DELETE FROM memberships")
         self.tail.clear()
+        self.log_bytes = 0
         self._save_snapshot_position(last_index, last_term)
         self.save_membership(last_index, membership)
         self.last_index = last_index
@@ -190,6 +196,12 @@
                 self._in_transaction = False
             self.connection.close()
 
+    def _bytes_of(self, condition: str, index: int) -> int:
+        row = self.connection.execute(
+            f"SELECT TOTAL(LENGTH(command)) FROM log WHERE {condition}", (index,)
+        ).fetchone()
+        return int(row[0])
+
     def _save_snapshot_position(self, index: int, term: int) -> None:
         self.connection.execute(
             "UPDATE replica SET snapshot_index = ?, snapshot_term = ? WHERE one = 1",
@@ -244,6 +256,7 @@
             "SELECT log_index, term FROM log ORDER BY log_index DESC LIMIT 1"
         ).fetchone()
         self.last_index, self.last_term = row or (self.snapshot_index, self.snapshot_term)
+        self.log_bytes = self._bytes_of("log_index >= ?", 0)
 
 
 def _connect(path: Path) -> sqlite3.Connection:
--- a/src/quaymill/process/job_store/membership_change.py
+++ b/src/quaymill/process/job_store/membership_change.py
@@ -59,6 +59,8 @@
                 return JoinAnswer(JoinState.VOTER)
             if membership.find(newcomer.identity):
                 return JoinAnswer(JoinState.LEARNER)
+            if self._old_replica_answered_lately(newcomer, membership):
+                return StoreUnavailable("the node's old replica answered", proposed=False)
             if not self._is_needed(newcomer, membership):
                 return JoinAnswer(JoinState.NOT_NEEDED)
             # A learner of the same node lost its disk as well; the newcomer takes its place.
@@ -92,6 +94,17 @@
                     self._change(self._promotion(learner, membership))
                     return
 
+    def _old_replica_answered_lately(
+        self, newcomer: ReplicaAddress, membership: GroupMembership
+    ) -> bool:
+        """Return whether two replicas claim one node, or one was lost a moment ago."""
+        limit_s = 2 * self._replica.settings.election_timeout_s
+        return any(
+            voter.node == newcomer.node
+            and time.monotonic() - self._replica.peer_contact_s.get(voter.identity, 0.0) < limit_s
+            for voter in membership.voters
+        )
+
     def _is_needed(self, newcomer: ReplicaAddress, membership: GroupMembership) -> bool:
         return (
             len(membership.voters) < GROUP_SIZE
--- a/src/quaymill/process/job_store/replica.py
+++ b/src/quaymill/process/job_store/replica.py
@@ -71,6 +71,8 @@
         On the leader: monotonic time at which the last answered request to a peer was sent.
     match_index
         On the leader: last index known to be on each peer's disk.
+    kept_for_snapshots
+        On the leader: last index of each snapshot under way; what follows must stay.
     read_wanted_s
         On the leader: monotonic time of the latest read that waits to be confirmed.
     term_start_index
@@ -103,6 +105,7 @@
         self.peer_contact_s: dict[str, float] = {}
         self.term_start_index = 0
         self.read_wanted_s = 0.0
+        self.kept_for_snapshots: dict[str, int] = {}
         self.on_role_change: Callable[[], None] = lambda: None
 
     @property
--- a/src/quaymill/process/job_store/snapshots.py
+++ b/src/quaymill/process/job_store/snapshots.py
@@ -60,6 +60,8 @@
         try:
             reader.execute("BEGIN")
             position = _read_position(reader)
+            with self._replica.lock:
+                self._replica.kept_for_snapshots[self._peer.identity] = position.last_index
             for table in STATE_TABLES:
                 for rows in _parts(reader, table):
                     if stopping() or not self._send_part(position, table.name, rows, False):
@@ -69,6 +71,8 @@
             return position.last_index
         finally:
             reader.close()
+            with self._replica.lock:
+                self._replica.kept_for_snapshots.pop(self._peer.identity, None)
 
     def _send_part(
         self, position: _Position, table: str, rows: tuple[Row, ...], last_part: bool
@@ -132,7 +136,7 @@
 
     def _take(self, message: InstallSnapshot) -> SnapshotReceived:
         replica = self._replica
-        if message.term < replica.term:
+        if message.term < replica.term or message.last_index < replica.commit_index:
             return SnapshotReceived(replica.identity, replica.term, accepted=False)
         replica.step_down(message.term, message.leader)
         storage = replica.storage
--- a/src/quaymill/process/settings.py
+++ b/src/quaymill/process/settings.py
@@ -10,6 +10,7 @@
 from quaymill.connection.endpoint import Endpoint
 
 MIN_HTTP_THREADS = 8
+MIN_KEPT_LOG_BYTES = 1024 * 1024
 
 
 class SettingsError(msgspec.Struct, frozen=True):
@@ -59,11 +60,19 @@
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Timing of the replicated log, in seconds."""
+    """Groups, timing in seconds and size of the replicated log.
+
+    Attributes
+    ----------
+    kept_bytes
+        Applied entries that each replica keeps, so that a replica which was away catches up
+        from the log; one that was away for longer is sent the whole state.
+    """
 
     groups: int = 1
     heartbeat_s: float = 0.1
     election_timeout_s: float = 0.8
+    kept_bytes: int = 128 * 1024 * 1024
 
 
 class BatchSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -180,6 +189,15 @@
     for key, seconds in timings.items():
         if seconds <= 0:
             return SettingsError(file, key, f"is {seconds}", "use seconds above 0")
+    if settings.log.groups < 1:
+        return SettingsError(file, "log.groups", f"is {settings.log.groups}", "use 1 or more")
+    if settings.log.kept_bytes < MIN_KEPT_LOG_BYTES:
+        return SettingsError(
+            file,
+            "log.kept_bytes",
+            f"is {settings.log.kept_bytes}",
+            f"use {MIN_KEPT_LOG_BYTES} or more",
+        )
     if settings.log.election_timeout_s < 3 * settings.log.heartbeat_s:
         return SettingsError(
             file,
