Test the store under dying replicas, cuts, lost disks and by the log's rules

Cause: none of the promises under faults had a proof. Found by the tests: closing the database after a full disk failed, as SQLite had ended the transaction by itself; the database's own state is now asked.

--- a/src/quaymill/process/job_store/formation.py
+++ b/src/quaymill/process/job_store/formation.py
@@ -34,7 +34,8 @@
 from quaymill.process.job_store.replica import Replica, Role
 
 STORE_GROUPS = "storegroups"
-RETRY_INTERVAL_S = 0.3
+FIRST_RETRY_S = 0.05
+LONGEST_RETRY_S = 1.0
 IDLE_INTERVAL_S = 1.0
 NOT_NEEDED_INTERVAL_S = 5.0
 PEER_TIMEOUT_S = 1.0
@@ -111,20 +112,28 @@
 
     def _run(self) -> None:
         wait_s = 0.0
+        retry_s = FIRST_RETRY_S
         while not self._stopping.wait(wait_s):
             if self._is_settled():
                 wait_s = IDLE_INTERVAL_S
+                retry_s = FIRST_RETRY_S
                 continue
-            wait_s = RETRY_INTERVAL_S
-            if self._formation is None:
-                self._formation = self._find_or_make_formation()
-            if self._formation is None:
-                continue
-            if self._replica.membership is None and self._formation.is_voter(self._local.identity):
-                self._take_place(self._formation)
-            elif self._join() is JoinState.NOT_NEEDED:
+            wait_s = retry_s
+            retry_s = min(2 * retry_s, LONGEST_RETRY_S)
+            if self._try_to_enter() is JoinState.NOT_NEEDED:
                 wait_s = NOT_NEEDED_INTERVAL_S
 
+    def _try_to_enter(self) -> JoinState | None:
+        if self._formation is None:
+            self._formation = self._find_or_make_formation()
+        if self._formation is None:
+            return None
+        founder = self._formation.is_voter(self._local.identity)
+        if founder and self._replica.membership is None:
+            self._take_place(self._formation)
+            return JoinState.VOTER
+        return self._join()
+
     def _is_settled(self) -> bool:
         """Return whether this replica is in its group as far as it can tell."""
         replica = self._replica
--- a/src/quaymill/process/job_store/log_storage.py
+++ b/src/quaymill/process/job_store/log_storage.py
@@ -47,30 +47,22 @@
         self.lock = FairLock()
         self.connection = _connect(path)
         self.tail = LogTail()
-        self._in_transaction = False
         self._create_tables()
         self._load()
 
-    @property
-    def dirty(self) -> bool:
-        """Whether there are writes that are not durable yet."""
-        return self._in_transaction
-
     def begin(self) -> None:
         """Open a transaction unless one is open."""
-        if not self._in_transaction:
+        if not self.connection.in_transaction:
             self.connection.execute("BEGIN IMMEDIATE")
-            self._in_transaction = True
 
     def commit(self) -> None:
         """Make all writes durable; returns after the fsync."""
-        if not self._in_transaction:
+        if not self.connection.in_transaction:
             return
         self.connection.execute(
             "UPDATE replica SET applied_index = ? WHERE one = 1", (self.applied_index,)
         )
         self.connection.execute("COMMIT")
-        self._in_transaction = False
         self.tail.mark_durable(self.last_index)
 
     def save_vote(self, term: int, voted_for: str) -> None:
@@ -191,9 +183,6 @@
     def close(self) -> None:
         """Close the database; what is not durable is dropped and applied again later."""
         with self.lock:
-            if self._in_transaction:
-                self.connection.execute("ROLLBACK")
-                self._in_transaction = False
             self.connection.close()
 
     def _bytes_of(self, condition: str, index: int) -> int:
@@ -238,7 +227,6 @@
             "INSERT OR IGNORE INTO replica VALUES (1, ?, 0, '', 0, 0, 0)", (new_identity(),)
         )
         self.connection.execute("COMMIT")
-        self._in_transaction = False
 
     def _load(self) -> None:
         (
--- a/src/quaymill/process/job_store/snapshots.py
+++ b/src/quaymill/process/job_store/snapshots.py
@@ -113,7 +113,7 @@
     def __init__(self, replica: Replica) -> None:
         self._replica = replica
         self._snapshot = ""
-        self._next_part = 0
+        self.next_part = 0
 
     def handle(self, message: InstallSnapshot) -> SnapshotReceived | PeerRefusal:
         """Take one part; what it brings is on disk before this is answered."""
@@ -144,10 +144,10 @@
             storage.begin()
             self._create_incoming_tables()
             self._snapshot = message.snapshot
-            self._next_part = 0
-        if message.snapshot != self._snapshot or message.part != self._next_part:
+            self.next_part = 0
+        if message.snapshot != self._snapshot or message.part != self.next_part:
             return SnapshotReceived(replica.identity, replica.term, accepted=False)
-        self._next_part += 1
+        self.next_part += 1
         storage.begin()
         if message.rows:
             self._insert(message)
--- a/tests/job_store_cluster.py
+++ b/tests/job_store_cluster.py
@@ -5,6 +5,7 @@
 import shutil
 import tempfile
 import time
+import unittest
 import uuid
 from collections.abc import Callable
 from pathlib import Path
@@ -25,9 +26,12 @@
     ItemCompletion,
     ItemRef,
     JobRecord,
+    JobState,
     LeasedItem,
     LeasedItems,
     LeaseItems,
+    ReadResults,
+    ResultPage,
 )
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient, PeerServer
@@ -39,6 +43,7 @@
 from quaymill.version.configuration import Tuning
 
 DEADLINE_S = 15.0
+TEST_TIMING = LogSettings(heartbeat_s=0.04, election_timeout_s=0.3)
 SERVICE = "drafting"
 
 
@@ -157,13 +162,22 @@
 class Cluster:
     """Nodes a, b and c in three zones, with shorter timings than in production."""
 
-    def __init__(self, names: str = "abc") -> None:
+    def __init__(
+        self,
+        names: str = "abc",
+        zones: str = "xyz",
+        log_settings: LogSettings = TEST_TIMING,
+        platform_down: bool = False,
+    ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="job-store-"))
-        self.log_settings = LogSettings(heartbeat_s=0.04, election_timeout_s=0.3)
+        self.log_settings = log_settings
         self.platform = FakePlatform()
+        self.platform.down = platform_down
         self.membership = FakeMembership()
         self.tuning = Tuning()
-        self.nodes = {name: ClusterNode(self, name, f"zone-{name}") for name in names}
+        self.nodes = {
+            name: ClusterNode(self, name, zone) for name, zone in zip(names, zones, strict=True)
+        }
         self.client = self.new_client()
 
     def new_client(self) -> JobStoreClient:
@@ -267,3 +281,21 @@
         created_unix_s=1.0,
         **fields,
     )
+
+
+class ClusterCase(unittest.TestCase):
+    """A new cluster for each test."""
+
+    def setUp(self):
+        self.cluster = Cluster()
+        self.addCleanup(self.cluster.close)
+        self.caller = Caller(self.cluster.client)
+
+    def finish(self, job_id, total):
+        """Run a job to its end and check that each item ended once."""
+        while leased := self.caller.lease(20):
+            self.caller.complete(leased)
+        record = self.caller.record(job_id)
+        self.assertEqual((JobState.COMPLETED, total), (record.state, record.completed))
+        page = self.caller.ask(ReadResults(0, job_id, -1, 1000), ResultPage)
+        self.assertEqual(list(range(total)), [result.index for result in page.results])
