Give a repeated lease request its items though no others are left

Cause: a worker whose answer was lost sends its request again under the same id. When it had got the last items, the shortcut for 'there is no work' answered first, and the items stood still until their leases lapsed. A new leader could take the same shortcut before it had applied its log. Ruled out: loss of the lease entry (every later verdict was 'recorded'). Change: the shortcut asks whether the request is known, and asks again after the leader is confirmed. A client starts no try in its last 0.1 s, whose silence made a plain 'not run' into 'unknown'. A hand-over asks again when the heir does not win, and the old leader does not stand for 5 s. Votes are awaited for a whole election timeout.

--- a/src/quaymill/process/job_store/client.py
+++ b/src/quaymill/process/job_store/client.py
@@ -40,6 +40,7 @@
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 
 TRY_TIMEOUT_S = 2.0
+SHORTEST_TRY_S = 0.1
 PAUSE_S = (0.02, 0.06)
 RETRY_AFTER_S = 2.0
 SERVICE_UNAVAILABLE = 503
@@ -95,7 +96,7 @@
         while True:
             for endpoint in self._candidates(message.group):
                 remaining_s = deadline_s - time.monotonic()
-                if remaining_s <= 0:
+                if remaining_s < min(SHORTEST_TRY_S, timeout_s / 2):
                     return call.give_up(timeout_s)
                 answer = self._try(call, endpoint, min(remaining_s, TRY_TIMEOUT_S))
                 if answer is not None:
--- a/src/quaymill/process/job_store/election.py
+++ b/src/quaymill/process/job_store/election.py
@@ -22,7 +22,6 @@
 TICK_S = 0.03
 LONGEST_WAIT_ELECTION_TIMEOUTS = 1.5
 FIRST_RETRY_WAIT_S = 0.05
-VOTE_TIMEOUT_ELECTION_TIMEOUTS = 0.5
 THREAD_STOP_TIMEOUT_S = 5.0
 
 
@@ -64,6 +63,10 @@
         """Stand at once, as the leader hands over to this replica."""
         self._stand_now.set()
 
+    def refrain(self, duration_s: float) -> None:
+        """Do not stand for a time, after this replica has handed its leadership over."""
+        self._not_before_s = time.monotonic() + duration_s
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             hand_over = self._stand_now.wait(TICK_S)
@@ -180,7 +183,7 @@
         self, voter: ReplicaAddress, message: RequestVote, votes: queue.SimpleQueue[Vote | None]
     ) -> None:
         replica = self._replica
-        timeout_s = replica.settings.election_timeout_s * VOTE_TIMEOUT_ELECTION_TIMEOUTS
+        timeout_s = replica.settings.election_timeout_s
         reply = self._client.call(replica.address(voter), message, Vote, timeout_s)
         known = isinstance(reply, Vote) and reply.voter == voter.identity
         votes.put(reply if known else None)
--- a/src/quaymill/process/job_store/group.py
+++ b/src/quaymill/process/job_store/group.py
@@ -41,6 +41,7 @@
 
 ANSWER_TIMEOUT_S = 10.0
 HAND_OVER_TIMEOUT_S = 3.0
+REFRAIN_S = 5.0
 RETENTION_INTERVAL_S = 5.0
 PURGE_ROWS = 2000
 COMPACTED_AT_ONCE = 200
@@ -120,9 +121,13 @@
 
     def lease(self, message: LeaseItems) -> PeerMessage:
         """Lease items; that there is no work is answered without an entry in the log."""
-        if self.replica.role is Role.LEADER and not self._has_work(message.service):
+        if self.replica.role is Role.LEADER and self._has_nothing_for(message):
             refusal = self._confirm()
-            return refusal or LeasedItems(items=())
+            if refusal:
+                return refusal
+            # Only now the state surely holds all jobs; a new leader may not have had them.
+            if self._has_nothing_for(message):
+                return LeasedItems(items=())
         return self.write(message)
 
     def renew(self, message: RenewLeases) -> PeerMessage:
@@ -161,34 +166,40 @@
     # Inside
 
     def _hand_over_to_best_peer(self) -> bool:
+        """Ask the best peer to stand, again if it does not win, until the time is over."""
         replica = self.replica
         deadline_s = time.monotonic() + HAND_OVER_TIMEOUT_S
-        with replica.lock:
-            peers = [v for v in replica.membership.voters if v.identity != replica.identity]
-            caught_up = replica.lock.wait_for(
-                lambda: (
-                    replica.role is not Role.LEADER
-                    or any(
-                        replica.match_index.get(peer.identity, 0) >= replica.last_index
-                        for peer in peers
-                    )
-                ),
-                HAND_OVER_TIMEOUT_S,
-            )
-            if replica.role is not Role.LEADER:
+        while time.monotonic() < deadline_s:
+            heir = self._wait_for_heir(deadline_s)
+            if heir is not None:
+                message = TimeoutNow(replica.group, heir.identity, replica.term)
+                timeout_s = replica.settings.election_timeout_s
+                self._client.call(replica.address(heir), message, HandOverTaken, timeout_s)
+            with replica.lock:
+                gone = replica.lock.wait_for(
+                    lambda: replica.role is not Role.LEADER, replica.settings.election_timeout_s
+                )
+            if gone:
+                self._elector.refrain(REFRAIN_S)
                 return True
-            if not caught_up:
-                return False
-            heir = max(peers, key=lambda peer: replica.match_index.get(peer.identity, 0))
-            term = replica.term
-        message = TimeoutNow(replica.group, heir.identity, term)
-        self._client.call(
-            replica.address(heir), message, HandOverTaken, deadline_s - time.monotonic()
-        )
+        return False
+
+    def _wait_for_heir(self, deadline_s: float) -> ReplicaAddress | None:
+        """Wait for a voter that has the whole log; return it."""
+        replica = self.replica
+
+        def best() -> ReplicaAddress | None:
+            for voter in replica.membership.voters:
+                matched = replica.match_index.get(voter.identity, 0)
+                if voter.identity != replica.identity and matched >= replica.last_index:
+                    return voter
+            return None
+
         with replica.lock:
-            return replica.lock.wait_for(
-                lambda: replica.role is not Role.LEADER, deadline_s - time.monotonic()
+            replica.lock.wait_for(
+                lambda: replica.role is not Role.LEADER or best(), deadline_s - time.monotonic()
             )
+            return best() if replica.role is Role.LEADER else None
 
     def _confirm(self) -> PeerMessage | None:
         refusal = confirm_leadership(self.replica)
@@ -196,9 +207,11 @@
             return NotLeader(self.entry.leader_hint())
         return refusal
 
-    def _has_work(self, service: str) -> bool:
+    def _has_nothing_for(self, message: LeaseItems) -> bool:
+        """Return whether there is no work, and none was given to this same request before."""
         with self._storage.lock:
-            return self.replica.state.jobs.has_work(service)
+            state = self.replica.state
+            return not state.jobs.has_work(message.service) and not state.items.knows(message)
 
     def _follow(self, logged: LoggedCommand, result: Result) -> None:
         if isinstance(logged.command, Noop):
--- a/src/quaymill/process/job_store/item_state.py
+++ b/src/quaymill/process/job_store/item_state.py
@@ -82,6 +82,10 @@
             )
         return grants
 
+    def knows(self, message: LeaseItems) -> bool:
+        """Return whether this same request was served before."""
+        return bool(message.request_id) and self._earlier_grants(message) is not None
+
     def is_leased(self, ref: ItemRef) -> bool:
         """Return whether the attempt is the one that holds the item."""
         return (
--- a/tests/test_job_store_clients.py
+++ b/tests/test_job_store_clients.py
@@ -36,6 +36,13 @@
             self.assertEqual((), self.caller.ask(renew, m.RenewedLeases).stop)
             self.assertEqual([], self.caller.lease(1))
 
+    def test_repeated_lease_request_gets_its_items_though_no_others_are_left(self):
+        self.caller.job(4)
+        request = m.LeaseItems(0, "w", SERVICE, 4, 30.0, request_id="r")
+        leased = self.caller.ask(request, m.LeasedItems)
+        self.assertEqual(4, len(leased.items))
+        self.assertEqual(leased, self.caller.ask(request, m.LeasedItems))
+
     def test_client_resends_at_once_to_another_node(self):
         """Two clients upload the same file and start the same job at the same moment."""
         results = []
--- a/tests/test_job_store_membership.py
+++ b/tests/test_job_store_membership.py
@@ -9,12 +9,19 @@
 
 from nose2.tools import params
 
-from job_store_cluster import Caller, Cluster, ClusterCase, ClusterNode, wait_until
+from job_store_cluster import (
+    Caller,
+    Cluster,
+    ClusterCase,
+    ClusterNode,
+    state_of,
+    wait_for_same_state,
+    wait_until,
+)
 from quaymill.connection import job_messages as m
 from quaymill.connection.log_messages import RequestVote
 from quaymill.process.job_store import formation, log_tail, membership_change, snapshots
 from quaymill.process.job_store.replica import Role
-from quaymill.process.job_store.schema import STATE_TABLES
 from quaymill.process.settings import LogSettings
 from quaymill.request.outcome import NotRun
 
@@ -23,30 +30,6 @@
     return {voter.identity for voter in cluster.leader().group.replica.membership.voters}
 
 
-def state_of(node):
-    """Return the rows of all state tables of a node."""
-    storage = node.group.replica.storage
-    with storage.lock:
-        return {
-            table.name: storage.connection.execute(
-                f"SELECT * FROM {table.name} ORDER BY 1, 2"
-            ).fetchall()
-            for table in STATE_TABLES
-        }
-
-
-def wait_for_same_state(test, cluster):
-    leader = cluster.leader()
-    for node in cluster.followers():
-        wait_until(
-            lambda node=node: (
-                node.group.replica.applied_index == leader.group.replica.applied_index
-            ),
-            "every replica applies all entries",
-        )
-        test.assertEqual(state_of(leader), state_of(node))
-
-
 class LostDiskTest(ClusterCase):
     """A data folder is lost after its replica has acknowledged entries."""
 
--- a/tests/test_log_rules.py
+++ b/tests/test_log_rules.py
@@ -15,6 +15,7 @@
 from quaymill.connection.log_messages import (
     AppendEntries,
     GroupMembership,
+    InstallSnapshot,
     LogEntry,
     ReplicaAddress,
     RequestVote,
@@ -24,6 +25,7 @@
 from quaymill.process.job_store.fair_lock import FairLock
 from quaymill.process.job_store.log_storage import LogStorage
 from quaymill.process.job_store.replica import Replica, Role
+from quaymill.process.job_store.snapshots import SnapshotReceiver
 from quaymill.process.settings import LogSettings
 
 COMMAND = msgspec.Raw(msgspec.json.encode(LoggedCommand(0.0, 5, Noop())))
@@ -185,6 +187,54 @@
             self.assertIs(Role.LEADER, replica.role)
 
 
+class SnapshotPartsTest(ReplicaCase):
+    """Which parts of a snapshot are taken."""
+
+    def setUp(self):
+        super().setUp()
+        self.receiver = SnapshotReceiver(self.replica)
+
+    def take(self, part, last_part=False, snapshot="s", term=3, last_index=9, table=""):
+        membership = self.replica.membership
+        rows = (("service", "tenant"),) if table else ()
+        message = InstallSnapshot(
+            group=0,
+            recipient=self.replica.identity,
+            leader="b",
+            term=term,
+            snapshot=snapshot,
+            part=part,
+            last_index=last_index,
+            last_term=3,
+            membership=membership,
+            table=table,
+            rows=rows,
+            last_part=last_part,
+        )
+        return self.receiver.handle(message).accepted
+
+    def turns(self):
+        return self.replica.storage.connection.execute("SELECT * FROM turns").fetchall()
+
+    def test_parts_in_order_replace_state_and_log(self):
+        self.assertTrue(self.take(0, table="turns"))
+        self.assertEqual(([], 4), (self.turns(), self.replica.last_index))
+        self.assertTrue(self.take(1, last_part=True))
+        self.assertEqual(([("service", "tenant")], 9), (self.turns(), self.replica.last_index))
+        self.assertEqual(9, self.replica.commit_index)
+
+    @params(
+        ("part left out", {"part": 2, "last_part": True}),
+        ("part of another transfer", {"part": 1, "last_part": True, "snapshot": "t"}),
+        ("old leader", {"part": 1, "last_part": True, "term": 2}),
+        ("state older than what is committed", {"part": 0, "last_index": 1}),
+    )
+    def test_part_that_is_not_taken(self, _, fields):
+        self.assertTrue(self.take(0, table="turns"))
+        self.assertFalse(self.take(**fields))
+        self.assertEqual(([], 4), (self.turns(), self.replica.last_index))
+
+
 class FairLockTest(unittest.TestCase):
     """The storage's lock."""
 
