--- a/src/quaymill_standins/engine.py
+++ b/src/quaymill_standins/engine.py
@@ -141,7 +141,8 @@
         answer_format = AnswerFormat(body, request.path, answer_id)
         stream = None
         if body.stream and not faults.lose_answer:
-            cut_after = int(body.token_limit * faults.cut_at) if faults.truncate else None
+            tokens_left = body.token_limit - len(body.resume_token_ids)
+            cut_after = int(tokens_left * faults.cut_at) if faults.truncate else None
             stream = TokenStream(request.connection, answer_format, cut_after)
         source = token_source(body, answered_prompt)
         run = Run(body, prompt, request_id, request.connection, source, stream)
--- a/src/quaymill_standins/main.py
+++ b/src/quaymill_standins/main.py
@@ -1,4 +1,7 @@
-"""Command line of the stand-ins: ``quaymill-standin platform | engine | application``."""
+"""Command line of the stand-ins: ``quaymill-standin platform | engine | application``.
+
+``quaymill-standin check-engine`` measures a running engine.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +17,9 @@
 from quaymill_standins.engine import Engine, EngineSettings
 from quaymill_standins.faults import Faults
 from quaymill_standins.platform import Platform, PlatformSettings
+from quaymill_standins.self_check import measure_engine
+
+MIN_SPEED_SHARE = 0.9
 
 
 class Standin(Protocol):
@@ -181,9 +187,41 @@
     _serve(Application(settings), address)
 
 
+def check_engine(
+    *,
+    port: int,
+    address: str = "127.0.0.1",
+    model: str = "model",
+    streams: int = 32,
+    tokens: int = 400,
+    step_ms: float = 5.0,
+) -> None:
+    """Measure whether a running engine is as fast as it is set to; prints one JSON line.
+
+    Parameters
+    ----------
+    port
+        Port of the engine.
+    address
+        IP address of the engine.
+    model
+        Model it serves.
+    streams
+        Streams read at once; the engine needs as many slots.
+    tokens
+        Tokens of each stream.
+    step_ms
+        Duration of a step that the engine is set to, in milliseconds.
+    """
+    measurement = measure_engine(address, port, model, streams, tokens, step_ms)
+    print(msgspec.json.encode(measurement).decode())
+    is_fast = measurement.tokens_per_s >= MIN_SPEED_SHARE * measurement.expected_tokens_per_s
+    sys.exit(0 if is_fast and measurement.whole_streams == streams else 1)
+
+
 def main() -> None:
     """Run the command line."""
-    defopt.run([platform, engine, application], short={})
+    defopt.run([platform, engine, application, check_engine], short={})
 
 
 def _read_faults(content: str) -> Faults:
--- a/src/quaymill_standins/platform.py
+++ b/src/quaymill_standins/platform.py
@@ -34,6 +34,7 @@
 DEFAULT_WATCH_TIMEOUT_S = 60.0
 WATCH_CHECK_INTERVAL_S = 0.05
 DEFAULT_SNAPSHOT = "latest"
+BAD_SNAPSHOT_NAME = error_response(400, 'the body is not {"name": ".."}', "invalid_request_error")
 
 
 class PlatformSettings(msgspec.Struct, frozen=True):
@@ -63,6 +64,13 @@
     name: str = DEFAULT_SNAPSHOT
 
 
+class WatchQuery(msgspec.Struct, frozen=True):
+    """What a watch asks for; version 0 asks for the objects as they are first."""
+
+    version: int
+    timeout_s: float
+
+
 class Platform:
     """A running platform stand-in."""
 
@@ -140,35 +148,30 @@
     def _watch(self, request: Request, plural: str, faults: RequestFaults) -> Answer:
         """Stream the changes after a version, or refuse a version that is gone."""
         epoch = self._store.epoch()
-        version_text = request.query.get("resourceVersion", "")
+        query = _read_watch_query(request.query)
+        if isinstance(query, Refusal):
+            return _status(query)
         initial: list[bytes] = []
-        if version_text in ("", "0"):
+        version = query.version
+        if version == 0:
             listing = self._store.list_objects(plural)
             initial = [_event("ADDED", found) for found in listing.objects.values()]
             version = listing.version
-        elif version_text.isdigit():
-            version = int(version_text)
-        else:
-            message = f"resourceVersion {version_text!r} is not a number"
-            return _status(Refusal(400, "BadRequest", message))
         first = self._store.changes_after(plural, version, epoch, 0.0)
         if isinstance(first, Refusal):
             return _status(first)
-        timeout_s = float(request.query.get("timeoutSeconds", DEFAULT_WATCH_TIMEOUT_S))
         if faults.truncate:
             self.switches.count("truncate")
 
         def produce(connection: ClientConnection) -> None:
-            with self._lock:
-                self._open_watches += 1
+            stream = _WatchStream(connection, cut=faults.truncate)
+            self._count_watches(1)
             try:
-                stream = _WatchStream(connection, cut=faults.truncate)
                 for line in initial:
                     stream.send(line)
-                self._stream_changes(stream, plural, version, epoch, timeout_s)
+                self._stream_changes(stream, plural, version, epoch, query.timeout_s)
             finally:
-                with self._lock:
-                    self._open_watches -= 1
+                self._count_watches(-1)
 
         return StreamedResponse(200, (("Content-Type", "application/json"),), produce)
 
@@ -202,6 +205,10 @@
         faults = self.switches.current()
         return faults.watch_silent or faults.freeze
 
+    def _count_watches(self, change: int) -> None:
+        with self._lock:
+            self._open_watches += change
+
     def _count(self, verb: str, plural: str) -> None:
         with self._lock:
             self._requests[f"{verb} {plural}"] += 1
@@ -232,12 +239,16 @@
         return json_response(200, content)
 
     def _snapshot(self, request: Request) -> Response:
-        name = msgspec.json.decode(request.body or b"{}", type=SnapshotName).name
+        name = _snapshot_name(request)
+        if name is None:
+            return BAD_SNAPSHOT_NAME
         self._snapshots[name] = self._store.snapshot()
         return json_response(200, {"snapshot": name})
 
     def _restore(self, request: Request) -> Response:
-        name = msgspec.json.decode(request.body or b"{}", type=SnapshotName).name
+        name = _snapshot_name(request)
+        if name is None:
+            return BAD_SNAPSHOT_NAME
         saved = self._snapshots.get(name)
         if saved is None:
             message = f"no snapshot {name!r}; take it by POST /standin/snapshot"
@@ -270,6 +281,24 @@
             self._connection.send(line)
 
 
+def _read_watch_query(query: dict[str, str]) -> WatchQuery | Refusal:
+    try:
+        return WatchQuery(
+            version=int(query.get("resourceVersion", "0")),
+            timeout_s=float(query.get("timeoutSeconds", DEFAULT_WATCH_TIMEOUT_S)),
+        )
+    except ValueError as error:
+        return Refusal(400, "BadRequest", f"resourceVersion or timeoutSeconds: {error}")
+
+
+def _snapshot_name(request: Request) -> str | None:
+    """Return the name in the body, or ``None`` if the body is malformed."""
+    try:
+        return msgspec.json.decode(request.body or b"{}", type=SnapshotName).name
+    except msgspec.DecodeError:
+        return None
+
+
 def _decode_object(body: bytes, name: str) -> Object | Refusal:
     """Read an object and check that it has a name, and the one in the path if any."""
     try:
--- a/src/quaymill_standins/run.py
+++ b/src/quaymill_standins/run.py
@@ -18,6 +18,7 @@
 CANCELLED = "cancelled"
 PREEMPTED = "preempted"
 RUNNING = "running"
+MAX_WRITE_BYTES = 65536
 
 
 class JournalEntry(msgspec.Struct):
@@ -136,7 +137,7 @@
         self._cut_after_tokens = cut_after_tokens
         self._sent_tokens = 0
         self._headers_sent = False
-        self._pending = b""
+        self._pending = bytearray()
 
     def open(self) -> None:
         """Let tokens through; called by the thread of the request after the headers."""
@@ -167,21 +168,26 @@
 
     def _flush(self) -> None:
         if self._pending:
-            self._connection.send_raw(self._pending)
+            self._connection.send_raw(bytes(self._pending))
 
     def _write(self, data: bytes) -> bool:
-        if self._pending:
-            data = self._pending + data
+        """Write what the socket takes at once; keep the rest in order."""
         if not self._headers_sent:
-            self._pending = data
+            self._pending += data
             return True
+        if self._pending:
+            self._pending += data
+            data = self._pending[:MAX_WRITE_BYTES]
         try:
             written = os.write(self._descriptor, data)
         except BlockingIOError:
             written = 0
         except OSError:
             return False
-        self._pending = data[written:]
+        if self._pending:
+            del self._pending[:written]
+        elif written < len(data):
+            self._pending += data[written:]
         return True
 
 
--- a/src/quaymill_standins/step_scheduler.py
+++ b/src/quaymill_standins/step_scheduler.py
@@ -16,6 +16,7 @@
 
 PREFILL_TOKENS_PER_STEP = 512
 MAX_STEPS_BEHIND = 10
+MAX_SLEEP_S = 0.05
 FROZEN_CHECK_INTERVAL_S = 0.02
 
 
@@ -110,18 +111,24 @@
             if faults.freeze:
                 time.sleep(FROZEN_CHECK_INTERVAL_S)
                 continue
-            step_s = self._step_s * faults.slow_factor
-            next_step_s = self._sleep_until(next_step_s + step_s, step_s)
+            next_step_s = self._wait_for_step_end(next_step_s)
             self._step()
 
-    def _sleep_until(self, deadline_s: float, step_s: float) -> float:
-        """Sleep until the end of a step; a step far behind does not hurry the next ones."""
-        remaining_s = deadline_s - time.monotonic()
-        if remaining_s > 0.0:
-            time.sleep(remaining_s)
-        elif remaining_s < -MAX_STEPS_BEHIND * step_s:
+    def _wait_for_step_end(self, started_s: float) -> float:
+        """Wait until the end of a step and return that time.
+
+        The wait is cut into slices so that a stop or another ``slow_factor`` is noticed
+        during a long step. A step far behind does not hurry the next ones.
+        """
+        while True:
+            step_s = self._step_s * self._switches.current().slow_factor
+            remaining_s = started_s + step_s - time.monotonic()
+            if remaining_s <= 0.0 or self._stopping:
+                break
+            time.sleep(min(remaining_s, MAX_SLEEP_S))
+        if remaining_s < -MAX_STEPS_BEHIND * step_s:
             return time.monotonic()
-        return deadline_s
+        return started_s + step_s
 
     def _step(self) -> None:
         """Advance every running request by one token or one part of its prefill."""
