--- a/src/quaymill_standins/http_support.py
+++ b/src/quaymill_standins/http_support.py
@@ -145,6 +145,17 @@
 
     keep_alive_conn_limit = LISTEN_BACKLOG
 
+    @staticmethod
+    def bind_socket(socket_: socket.socket, bind_addr: tuple[str, int]) -> socket.socket:
+        """Bind, and let a successor bind the port while old connections linger.
+
+        Cheroot leaves ``SO_REUSEADDR`` off for port 0, because the system might then choose
+        a port in use; set after ``bind`` it has no part in that choice.
+        """
+        socket_.bind(bind_addr)
+        socket_.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return socket_
+
     def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
         if level >= logging.ERROR:
             super().error_log(msg, level, traceback)
--- a/src/quaymill_standins/main.py
+++ b/src/quaymill_standins/main.py
@@ -237,7 +237,10 @@
     stop_requested = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop_requested.set())
-    standin.start()
+    try:
+        standin.start()
+    except OSError as error:
+        sys.exit(f"cannot listen on {address}: {error}; use another --port or --address")
     print(f"ready {address}:{standin.port}", flush=True)
     stop_requested.wait()
     standin.stop()
