Close the gaps that mutated guards showed in the stand-ins' tests

Cause: of 16 guards taken out one by one on a scratch copy, the tests missed three: a watch from before a restore, tokens overtaking the headers, and a stale load report held from the moment of the switch. Before: those three mutants passed; the other 13 failed as they should. Change: a test for each; the server looks for a stop every 0.2 s.

--- a/src/quaymill_standins/http_support.py
+++ b/src/quaymill_standins/http_support.py
@@ -28,6 +28,7 @@
 LISTEN_BACKLOG = 1024
 KEEP_ALIVE_TIMEOUT_S = 10.0
 STOP_TIMEOUT_S = 2.0
+STOP_CHECK_INTERVAL_S = 0.2
 RETRY_AFTER_S = 1
 JSON_CONTENT = ("Content-Type", "application/json")
 NOT_RUN_HEADERS = (("Quaymill-Outcome", "not-run"), ("Retry-After", str(RETRY_AFTER_S)))
@@ -144,6 +145,7 @@
     """Cheroot's server, quiet about connections that end early."""
 
     keep_alive_conn_limit = LISTEN_BACKLOG
+    expiration_interval = STOP_CHECK_INTERVAL_S
 
     @staticmethod
     def bind_socket(socket_: socket.socket, bind_addr: tuple[str, int]) -> socket.socket:
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -12,6 +12,7 @@
 
 from quaymill_standins.completion_format import AnswerFormat, CompletionBody
 from quaymill_standins.engine import Engine, EngineSettings
+from quaymill_standins.lagged import LaggedValue
 from quaymill_standins.prefix_cache import CacheEventLog, PrefixCache, prefix_blocks
 from quaymill_standins.run import Run, TokenStream, token_source
 from quaymill_standins.text import digest, expected_text, expected_tokens, tokens_text
@@ -199,6 +200,11 @@
         connection = _FakeConnection(ours)
         stream = TokenStream(connection, AnswerFormat(body, COMPLETIONS, "slow"))
         run = Run(body, "p", "slow", connection, token_source(body, "p"), stream)
+        run.advance()
+        theirs.setblocking(False)
+        with self.assertRaises(BlockingIOError, msg="no token may overtake the headers"):
+            theirs.recv(1)
+        theirs.setblocking(True)
         stream.open()
         while not run.advance():
             pass
@@ -290,6 +296,15 @@
 class LoadTest(EngineCase):
     """The load report and its lies."""
 
+    settings = EngineSettings(model=MODEL, slots=SLOTS, step_ms=2.0, load_lag_s=0.0)
+
+    def test_reads_are_late(self) -> None:
+        value = LaggedValue(0, lag_s=0.3)
+        value.write(1)
+        value.write(2)
+        self.assertEqual(value.read(), 0)
+        wait_until(lambda: value.read() == 2, "the latest value is seen")
+
     @params(("", 2), ("stale", 0), ("zero", 0))
     def test_reports_and_lies(self, lie: str, reported: int) -> None:
         wait_until(lambda: self.client.get("/load")["running"] == 0, "idle is reported")
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -10,6 +10,7 @@
 import urllib3
 from nose2.tools import params
 
+from quaymill_standins.object_store import ObjectStore, Refusal
 from quaymill_standins.platform import Platform, PlatformSettings
 from standin_support import StandinClient, read_raw, wait_until
 
@@ -178,6 +179,17 @@
         self.assertEqual(self.client.get(SERVING)["spec"], {"generation": 1})
         self.assertEqual(self.client.request("POST", "/standin/restore", {"name": "?"}).status, 404)
 
+    def test_a_watch_from_before_a_restore_never_sees_the_new_history(self) -> None:
+        store = ObjectStore(HISTORY_LIMIT, lags_s={})
+        epoch = store.epoch()
+        saved = store.snapshot()
+        for _ in range(2):
+            store.restore(saved)
+            store.create("servingconfigurations", configuration(1))
+        seen = store.changes_after("servingconfigurations", 0, epoch, timeout_s=0.0)
+        self.assertIsInstance(seen, Refusal)
+        self.assertEqual(seen.code, 410)
+
     def test_a_watcher_that_leaves_is_noticed(self) -> None:
         response = self.client.open("GET", f"{CONFIGURATIONS}?watch=true")
         wait_until(lambda: self.client.get("/standin/state")["open_watches"] == 1, "it is open")
