Split the engine's completion handler; time the cache's effect

Cause: one method chose ids, stream, source and answer; and no test showed that a cache hit shortens the prefill, only that the cache counts hits. Change: the stream is made by a method of its own; a prompt of 50 prefill steps is sent twice and timed.

--- a/src/quaymill_standins/engine.py
+++ b/src/quaymill_standins/engine.py
@@ -133,28 +133,37 @@
         """Submit a run, and stream it or wait for it."""
         request_id = request.header(REQUEST_ID_HEADER) or f"cmpl-{uuid.uuid4().hex}"
         prompt = prompt_of(body, request.path)
-        answer_id, answered_prompt = request_id, prompt
-        if faults.cross:
+        crossed = CROSSED_PREFIX if faults.cross else ""
+        if crossed:
             self.switches.count("cross")
-            answer_id = CROSSED_PREFIX + request_id
-            answered_prompt = CROSSED_PREFIX + prompt
-        answer_format = AnswerFormat(body, request.path, answer_id)
-        stream = None
-        if body.stream and not faults.lose_answer:
-            tokens_left = body.token_limit - len(body.resume_token_ids)
-            cut_after = int(tokens_left * faults.cut_at) if faults.truncate else None
-            stream = TokenStream(request.connection, answer_format, cut_after)
-        source = token_source(body, answered_prompt)
+        answer_format = AnswerFormat(body, request.path, crossed + request_id)
+        source = token_source(body, crossed + prompt)
+        stream = self._token_stream(request, body, answer_format, faults)
         run = Run(body, prompt, request_id, request.connection, source, stream)
         refusal = self._scheduler.submit(run)
         if refusal:
             return not_run_response(refusal)
-        headers = ((REQUEST_ID_HEADER, answer_id),)
+        headers = ((REQUEST_ID_HEADER, crossed + request_id),)
         if stream is None:
             return self._whole(run, answer_format, headers)
+        return self._streamed(run, stream, headers)
+
+    def _token_stream(
+        self,
+        request: Request,
+        body: CompletionBody,
+        answer_format: AnswerFormat,
+        faults: RequestFaults,
+    ) -> TokenStream | None:
+        """Return the stream of an answer; none if it is sent whole or is to be lost."""
+        if not body.stream or faults.lose_answer:
+            return None
+        cut_after_tokens = None
         if faults.truncate:
             self.switches.count("truncate")
-        return self._streamed(run, stream, headers)
+            tokens_left = body.token_limit - len(body.resume_token_ids)
+            cut_after_tokens = int(tokens_left * faults.cut_at)
+        return TokenStream(request.connection, answer_format, cut_after_tokens)
 
     def _streamed(
         self, run: Run, stream: TokenStream, headers: tuple[tuple[str, str], ...]
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+import time
 import unittest
 
 import openai
@@ -15,7 +16,14 @@
 from quaymill_standins.lagged import LaggedValue
 from quaymill_standins.prefix_cache import CacheEventLog, PrefixCache, prefix_blocks
 from quaymill_standins.run import Run, TokenStream, token_source
-from quaymill_standins.text import digest, expected_text, expected_tokens, tokens_text
+from quaymill_standins.step_scheduler import PREFILL_TOKENS_PER_STEP
+from quaymill_standins.text import (
+    PROMPT_CHARACTERS_PER_TOKEN,
+    digest,
+    expected_text,
+    expected_tokens,
+    tokens_text,
+)
 from standin_support import StandinClient, read_raw, sse_events, wait_until
 
 MODEL = "drafting"
@@ -271,12 +279,26 @@
         self.assertEqual(tuple(events[1]["blocks"]), prefix_blocks(prompt))
 
     def test_a_cache_hit_shortens_the_prefill(self) -> None:
+        engine = Engine(EngineSettings(model=MODEL, step_ms=10.0))
+        engine.start()
+        self.addCleanup(engine.stop)
+        client = StandinClient(engine.port)
+        self.addCleanup(client.close)
+        steps = 50
+        prompt = "c" * (steps * PREFILL_TOKENS_PER_STEP * PROMPT_CHARACTERS_PER_TOKEN)
+        durations_s = []
+        for _ in range(2):
+            started_s = time.monotonic()
+            client.request("POST", COMPLETIONS, completion(prompt, 1))
+            durations_s.append(time.monotonic() - started_s)
+        self.assertGreaterEqual(durations_s[0], steps * 0.01)
+        self.assertLess(durations_s[1], steps * 0.01)
+
+    def test_only_the_common_prefix_is_cached(self) -> None:
         cache = PrefixCache(100, CacheEventLog(0.0, 0.0))
-        blocks = prefix_blocks("c" * 6400)
-        self.assertEqual(cache.cached_characters(blocks), 0)
-        cache.store(blocks)
-        self.assertEqual(cache.cached_characters(blocks), 6400)
+        cache.store(prefix_blocks("c" * 6400))
         self.assertEqual(cache.cached_characters(prefix_blocks("c" * 128 + "d" * 128)), 128)
+        self.assertEqual(cache.cached_characters(prefix_blocks("d" * 128 + "c" * 128)), 0)
 
     def test_lost_events_leave_gaps(self) -> None:
         log = CacheEventLog(0.0, 0.3)
