--- /dev/null
+++ b/tests/test_peer_link.py
@@ -0,0 +1,113 @@
+"""Contract of the internal protocol: whole replies, and failures that tell what was sent."""
+
+import socket
+import threading
+import unittest
+
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.peer_link import (
+    PeerClient,
+    PeerMessage,
+    PeerNoReply,
+    PeerRefusal,
+    PeerServer,
+    PeerUnreachable,
+)
+
+LOOPBACK = Endpoint("127.0.0.1", 0)
+TIMEOUT_S = 2.0
+SHORT_TIMEOUT_S = 0.1
+
+
+class Echo(PeerMessage, frozen=True):
+    """Ask for the same text."""
+
+    text: str
+
+
+class Echoed(PeerMessage, frozen=True):
+    """Answer to ``Echo``."""
+
+    text: str
+
+
+class Unhandled(PeerMessage, frozen=True):
+    """A message without a handler."""
+
+
+class PeerLinkTest(unittest.TestCase):
+    """A server with an echo handler and one client."""
+
+    def setUp(self):
+        self.release = threading.Event()
+        self.link_filter = LinkFilter()
+        self.client = PeerClient(self.link_filter)
+        self.server = PeerServer(LOOPBACK)
+        self.server.register(Echo, self._echo)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.addCleanup(self.client.close)
+        self.addCleanup(self.release.set)
+
+    def _echo(self, message: Echo) -> Echoed:
+        if message.text == "wait":
+            self.release.wait(TIMEOUT_S)
+        if message.text == "bug":
+            raise RuntimeError("handler bug")
+        return Echoed(message.text)
+
+    def _call(self, text: str, timeout_s: float = TIMEOUT_S):
+        return self.client.call(self.server.endpoint, Echo(text), Echoed, timeout_s)
+
+    def test_reply_is_whole(self):
+        text = "x" * 1_000_000
+        self.assertEqual(self._call(text), Echoed(text))
+
+    def test_late_reply_never_answers_the_next_request(self):
+        self.assertIsInstance(self._call("wait", SHORT_TIMEOUT_S), PeerNoReply)
+        self.release.set()
+        for number in range(20):
+            self.assertEqual(self._call(str(number)), Echoed(str(number)))
+
+    def test_concurrent_calls_do_not_cross(self):
+        results: dict[str, object] = {}
+
+        def call_many(prefix: str) -> None:
+            for number in range(50):
+                text = f"{prefix}-{number}"
+                results[text] = self._call(text)
+
+        threads = [threading.Thread(target=call_many, args=(str(n),)) for n in range(8)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(len(results), 400)
+        for text, reply in results.items():
+            self.assertEqual(reply, Echoed(text))
+
+    def test_refusals_say_that_nothing_was_done(self):
+        self.assertIsInstance(self._call("bug"), PeerRefusal)
+        reply = self.client.call(self.server.endpoint, Unhandled(), Echoed, TIMEOUT_S)
+        self.assertIsInstance(reply, PeerRefusal)
+
+    def test_refused_connection_is_unreachable(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+        reply = self.client.call(Endpoint("127.0.0.1", port), Echo("a"), Echoed, TIMEOUT_S)
+        self.assertIsInstance(reply, PeerUnreachable)
+
+    def test_idle_connection_closed_by_the_peer_is_replaced(self):
+        self.assertEqual(self._call("first"), Echoed("first"))
+        endpoint = self.server.endpoint
+        self.server.stop()
+        self.server = PeerServer(endpoint)
+        self.server.register(Echo, self._echo)
+        self.server.start()
+        self.assertEqual(self._call("second"), Echoed("second"))
+
+    def test_cut_link_is_unreachable_and_heals(self):
+        self.link_filter.set_blocked(frozenset({self.server.endpoint}))
+        self.assertIsInstance(self._call("a", SHORT_TIMEOUT_S), PeerUnreachable)
+        self.link_filter.set_blocked(frozenset())
+        self.assertEqual(self._call("a"), Echoed("a"))
