--- /dev/null
+++ b/src/quaymill/connection/platform_client.py
@@ -0,0 +1,388 @@
+"""Client of the platform's object API: typed results, compare-and-swap and watches.
+
+A result says what is known of the request. ``PlatformUnavailable`` with ``may_have_acted``
+means that a change may have taken effect although no answer came; the caller has to read
+the object back before it decides anything.
+"""
+
+from __future__ import annotations
+
+import http.client
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+import urllib3
+
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+
+API_PATH = "/apis/quaymill.io/v1"
+API_VERSION = "quaymill.io/v1"
+CONNECT_TIMEOUT_S = 1.0
+REQUEST_TIMEOUT_S = 3.0
+WATCH_READ_MARGIN_S = 1.0
+MAX_CONNECTIONS = 8
+
+CONFIGURATIONS = "servingconfigurations"
+CONFIGURATION_NAME = "serving"
+STATUSES = "servingstatuses"
+STATUS_NAME = "serving"
+STATUS_LEASES = "statusleases"
+STATUS_LEASE_NAME = "writer"
+STORE_GROUPS = "storegroups"
+MACHINES = "machines"
+
+KINDS = {
+    CONFIGURATIONS: "ServingConfiguration",
+    STATUSES: "ServingStatus",
+    STATUS_LEASES: "StatusLease",
+    STORE_GROUPS: "StoreGroup",
+    MACHINES: "Machine",
+}
+
+
+class PlatformObject(msgspec.Struct, frozen=True):
+    """One object as stored; ``spec`` is decoded by the caller."""
+
+    name: str
+    resource_version: str
+    spec: msgspec.Raw
+
+
+class ObjectList(msgspec.Struct, frozen=True):
+    """All objects of one plural at one resource version."""
+
+    resource_version: str
+    items: tuple[PlatformObject, ...]
+
+
+class NotFound(msgspec.Struct, frozen=True):
+    """There is no object of that name; nothing was changed."""
+
+    name: str
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """The object has another resource version by now; nothing was changed."""
+
+    name: str
+    message: str
+
+
+class AlreadyExists(msgspec.Struct, frozen=True):
+    """An object of that name exists; nothing was changed."""
+
+    name: str
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """The platform understood the request and refused it; nothing was changed."""
+
+    status: int
+    reason: str
+
+
+class PlatformUnavailable(msgspec.Struct, frozen=True):
+    """No usable answer came.
+
+    Attributes
+    ----------
+    may_have_acted
+        Whether the request may have taken effect; ``False`` if it never left.
+    """
+
+    reason: str
+    may_have_acted: bool
+
+    @property
+    def remedy(self) -> str:
+        """What an operator can do."""
+        if self.may_have_acted:
+            return "read the object back: the change may have taken effect"
+        return "nothing was changed; try again when the platform answers"
+
+
+class Gone(msgspec.Struct, frozen=True):
+    """The resource version to watch from is gone: list again."""
+
+
+class WatchEnded(msgspec.Struct, frozen=True):
+    """The watch ended.
+
+    Attributes
+    ----------
+    silent
+        Whether it ended by a read timeout, so that events may have been missed.
+    """
+
+    reason: str
+    silent: bool
+
+
+class ObjectChanged(msgspec.Struct, frozen=True):
+    """An object was added or modified."""
+
+    object: PlatformObject
+
+
+class ObjectDeleted(msgspec.Struct, frozen=True):
+    """An object was deleted."""
+
+    object: PlatformObject
+
+
+class Bookmark(msgspec.Struct, frozen=True):
+    """No change, but the watch is alive and has reached ``resource_version``."""
+
+    resource_version: str
+
+
+WatchEvent = ObjectChanged | ObjectDeleted | Bookmark | Gone | WatchEnded
+GetResult = PlatformObject | NotFound | Refused | PlatformUnavailable
+ListResult = ObjectList | Refused | PlatformUnavailable
+CreateResult = PlatformObject | AlreadyExists | Refused | PlatformUnavailable
+ReplaceResult = PlatformObject | Conflict | NotFound | Refused | PlatformUnavailable
+
+
+class _Metadata(msgspec.Struct):
+    name: str = ""
+    resourceVersion: str = ""  # noqa: N815 - the platform's spelling
+
+
+class _Document(msgspec.Struct):
+    metadata: _Metadata = msgspec.field(default_factory=_Metadata)
+    spec: msgspec.Raw = msgspec.Raw(b"{}")
+    reason: str = ""
+    message: str = ""
+    code: int = 0
+
+    def as_object(self) -> PlatformObject:
+        return PlatformObject(
+            self.metadata.name, self.metadata.resourceVersion, msgspec.Raw(bytes(self.spec))
+        )
+
+
+class _ListDocument(msgspec.Struct):
+    metadata: _Metadata = msgspec.field(default_factory=_Metadata)
+    items: list[_Document] = []
+
+
+class _WatchLine(msgspec.Struct):
+    type: str
+    object: _Document = msgspec.field(default_factory=_Document)
+
+
+class _Answer(msgspec.Struct):
+    status: int
+    body: bytes
+
+
+class PlatformClient:
+    """Reads, writes and watches objects of the platform over a few kept connections.
+
+    Parameters
+    ----------
+    endpoint
+        Where the platform listens.
+    link_filter
+        Fault switch: a blocked endpoint counts as one that cannot be reached.
+    """
+
+    def __init__(self, endpoint: Endpoint, link_filter: LinkFilter | None = None) -> None:
+        self.endpoint = endpoint
+        self._link_filter = link_filter or LinkFilter()
+        self._pool = urllib3.HTTPConnectionPool(
+            endpoint.host, endpoint.port, maxsize=MAX_CONNECTIONS, retries=False
+        )
+
+    def get(self, plural: str, name: str, timeout_s: float = REQUEST_TIMEOUT_S) -> GetResult:
+        """Read one object."""
+        answer = self._request("GET", f"/{plural}/{name}", None, timeout_s)
+        if isinstance(answer, PlatformUnavailable):
+            return answer
+        if answer.status == http.HTTPStatus.NOT_FOUND:
+            return NotFound(name)
+        return _object_or_refusal(answer)
+
+    def list_objects(self, plural: str, timeout_s: float = REQUEST_TIMEOUT_S) -> ListResult:
+        """Read all objects of a plural with the version to watch from."""
+        answer = self._request("GET", f"/{plural}", None, timeout_s)
+        if isinstance(answer, PlatformUnavailable):
+            return answer
+        if answer.status != http.HTTPStatus.OK:
+            return _refusal(answer)
+        try:
+            document = msgspec.json.decode(answer.body, type=_ListDocument)
+        except msgspec.MsgspecError as error:
+            return PlatformUnavailable(f"answer not understood: {error}", may_have_acted=False)
+        return ObjectList(
+            document.metadata.resourceVersion, tuple(item.as_object() for item in document.items)
+        )
+
+    def create(
+        self, plural: str, name: str, spec: Any, timeout_s: float = REQUEST_TIMEOUT_S
+    ) -> CreateResult:
+        """Create an object unless one of that name exists."""
+        body = _encode(plural, name, "", spec)
+        answer = self._request("POST", f"/{plural}", body, timeout_s)
+        if isinstance(answer, PlatformUnavailable):
+            return answer
+        if answer.status == http.HTTPStatus.CONFLICT:
+            return AlreadyExists(name)
+        return _object_or_refusal(answer)
+
+    def replace(
+        self,
+        plural: str,
+        name: str,
+        spec: Any,
+        resource_version: str,
+        timeout_s: float = REQUEST_TIMEOUT_S,
+    ) -> ReplaceResult:
+        """Replace an object if ``resource_version`` is still the current one."""
+        body = _encode(plural, name, resource_version, spec)
+        answer = self._request("PUT", f"/{plural}/{name}", body, timeout_s)
+        if isinstance(answer, PlatformUnavailable):
+            return answer
+        if answer.status == http.HTTPStatus.NOT_FOUND:
+            return NotFound(name)
+        if answer.status == http.HTTPStatus.CONFLICT:
+            return Conflict(name, _decode(answer).message)
+        return _object_or_refusal(answer)
+
+    def watch(
+        self, plural: str, resource_version: str, timeout_s: float = 30.0
+    ) -> Iterator[WatchEvent]:
+        """Yield changes after ``resource_version``; the last event is ``Gone`` or ``WatchEnded``.
+
+        The platform is asked to end the watch after ``timeout_s``. A watch that says nothing
+        for longer than that is dead and ends as ``silent``; the caller then lists again.
+        """
+        if self._link_filter.blocks(self.endpoint):
+            yield WatchEnded("the link to the platform is cut by the fault switch", silent=True)
+            return
+        try:
+            response = self._pool.request(
+                "GET",
+                f"{API_PATH}/{plural}?watch=true&resourceVersion={resource_version}"
+                f"&timeoutSeconds={max(int(timeout_s), 1)}",
+                preload_content=False,
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_S, read=timeout_s + WATCH_READ_MARGIN_S
+                ),
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            yield WatchEnded(f"cannot watch: {error}", silent=True)
+            return
+        try:
+            yield from self._read_watch(response)
+        finally:
+            response.close()  # A watch is never pooled: its connection may hold unread events.
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self._pool.close()
+
+    def _read_watch(self, response: urllib3.BaseHTTPResponse) -> Iterator[WatchEvent]:
+        if response.status == http.HTTPStatus.GONE:
+            yield Gone()
+            return
+        if response.status != http.HTTPStatus.OK:
+            yield WatchEnded(f"the platform answered {response.status}", silent=True)
+            return
+        try:
+            for line in _lines(response):
+                if self._link_filter.blocks(self.endpoint):
+                    yield WatchEnded("the link to the platform was cut", silent=True)
+                    return
+                event = _watch_event(msgspec.json.decode(line, type=_WatchLine))
+                yield event
+                if isinstance(event, Gone | WatchEnded):
+                    return
+        except (urllib3.exceptions.HTTPError, OSError, msgspec.MsgspecError) as error:
+            yield WatchEnded(f"watch broke off: {error}", silent=True)
+            return
+        yield WatchEnded("the platform ended the watch", silent=False)
+
+    def _request(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> _Answer | PlatformUnavailable:
+        if self._link_filter.blocks(self.endpoint):
+            time.sleep(min(timeout_s, CONNECT_TIMEOUT_S))
+            return PlatformUnavailable("the link is cut by the fault switch", may_have_acted=False)
+        try:
+            response = self._pool.request(
+                method,
+                API_PATH + path,
+                body=body,
+                headers={"Content-Type": "application/json"},
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return PlatformUnavailable(f"cannot connect: {error}", may_have_acted=False)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return PlatformUnavailable(f"no answer: {error}", may_have_acted=method != "GET")
+        if response.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            return PlatformUnavailable(
+                f"the platform answered {response.status}", may_have_acted=method != "GET"
+            )
+        return _Answer(response.status, response.data)
+
+
+def _encode(plural: str, name: str, resource_version: str, spec: Any) -> bytes:
+    metadata = {"name": name}
+    if resource_version:
+        metadata["resourceVersion"] = resource_version
+    return msgspec.json.encode(
+        {
+            "apiVersion": API_VERSION,
+            "kind": KINDS.get(plural, plural),
+            "metadata": metadata,
+            "spec": spec,
+        }
+    )
+
+
+def _decode(answer: _Answer) -> _Document:
+    try:
+        return msgspec.json.decode(answer.body, type=_Document)
+    except msgspec.MsgspecError:
+        return _Document(message=answer.body[:200].decode(errors="replace"))
+
+
+def _refusal(answer: _Answer) -> Refused:
+    return Refused(answer.status, _decode(answer).message)
+
+
+def _object_or_refusal(answer: _Answer) -> PlatformObject | Refused | PlatformUnavailable:
+    if answer.status not in (http.HTTPStatus.OK, http.HTTPStatus.CREATED):
+        return _refusal(answer)
+    try:
+        return msgspec.json.decode(answer.body, type=_Document).as_object()
+    except msgspec.MsgspecError as error:
+        return PlatformUnavailable(f"answer not understood: {error}", may_have_acted=True)
+
+
+def _watch_event(line: _WatchLine) -> WatchEvent:
+    match line.type:
+        case "ADDED" | "MODIFIED":
+            return ObjectChanged(line.object.as_object())
+        case "DELETED":
+            return ObjectDeleted(line.object.as_object())
+        case "BOOKMARK":
+            return Bookmark(line.object.metadata.resourceVersion)
+        case "ERROR" if line.object.code == http.HTTPStatus.GONE:
+            return Gone()
+    return WatchEnded(f"{line.type}: {line.object.message}", silent=True)
+
+
+def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Split the body into lines as they arrive."""
+    rest = b""
+    while chunk := response.read1():
+        *lines, rest = (rest + chunk).split(b"\n")
+        yield from (line for line in lines if line.strip())
--- /dev/null
+++ b/src/quaymill/process/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The serving configuration in this process: editing it and keeping it current."""
--- /dev/null
+++ b/src/quaymill/version/cells.py
@@ -0,0 +1,238 @@
+"""Cells of the serving configuration: their paths, their types, reading and replacing.
+
+A path is ``TABLE/ROW/COLUMN``; a route's row has two names, the service and the zone group,
+and ``tuning`` has a single row without a name. A cell of a row that does not exist reads as
+``None``, and a row whose cells are all set to ``None`` in one edit is removed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import Any, get_type_hints
+
+import msgspec
+
+from quaymill.version.configuration import (
+    CellValue,
+    Route,
+    Service,
+    ServingConfiguration,
+    Tenant,
+    Tuning,
+    ZoneGroup,
+)
+
+ROW_TYPES: dict[str, type] = {
+    "zone_groups": ZoneGroup,
+    "services": Service,
+    "routes": Route,
+    "tenants": Tenant,
+    "tuning": Tuning,
+}
+NAMES_IN_ROW = {"zone_groups": 1, "services": 1, "routes": 2, "tenants": 1, "tuning": 0}
+FORBIDDEN_IN_NAMES = frozenset(' /=,"')
+
+
+class CellProblem(msgspec.Struct, frozen=True):
+    """What is wrong with one cell and how to mend it."""
+
+    cell: str
+    reason: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"{self.cell}: {self.reason}; {self.remedy}"
+
+
+class CellPath(msgspec.Struct, frozen=True, order=True):
+    """Where a cell stands; ``names`` are the names of its row."""
+
+    table: str
+    names: tuple[str, ...]
+    column: str
+
+    def __str__(self) -> str:
+        return "/".join((self.table, *self.names, self.column))
+
+    @property
+    def row(self) -> str:
+        """Path of the row that the cell belongs to."""
+        return "/".join((self.table, *self.names))
+
+    @classmethod
+    def parse(cls, text: str) -> CellPath | CellProblem:
+        """Read a path such as ``routes/drafting/old-site/weight``."""
+        table, *rest = text.split("/")
+        if table not in ROW_TYPES:
+            return CellProblem(text, "names no table", f"use one of {', '.join(ROW_TYPES)}")
+        if len(rest) != NAMES_IN_ROW[table] + 1:
+            return CellProblem(text, "is not the path of a cell", f"use {path_pattern(table)}")
+        *names, column = rest
+        columns = ROW_TYPES[table].__struct_fields__
+        if column not in columns:
+            return CellProblem(text, "names no column", f"use one of {', '.join(columns)}")
+        if not all(is_valid_name(name) for name in names):
+            return CellProblem(
+                text, "has an empty or malformed name", "use names without space, '/', '=', ','"
+            )
+        return cls(table, tuple(names), column)
+
+
+class CellChange(msgspec.Struct, frozen=True):
+    """A cell and the value to put there."""
+
+    cell: str
+    value: CellValue
+
+
+def path_pattern(table: str) -> str:
+    """Return the shape of the paths of a table, for a person."""
+    names = {0: "", 1: "NAME/", 2: "SERVICE/ZONE_GROUP/"}[NAMES_IN_ROW[table]]
+    return f"{table}/{names}COLUMN"
+
+
+def is_valid_name(name: str) -> bool:
+    """Return whether a row may bear ``name``."""
+    return bool(name) and name.isprintable() and not FORBIDDEN_IN_NAMES & set(name)
+
+
+def cell_type(path: CellPath) -> Any:
+    """Return the type of the values of a cell."""
+    return get_type_hints(ROW_TYPES[path.table])[path.column]
+
+
+def parse_value(path: CellPath, text: str) -> CellValue | CellProblem:
+    """Read a value as an operator writes it; a list is separated by commas."""
+    expected = cell_type(path)
+    raw: Any = text.strip()
+    if expected == tuple[str, ...]:
+        raw = [part.strip() for part in raw.split(",") if part.strip()]
+    try:
+        value = msgspec.convert(raw, expected, strict=False)
+    except msgspec.ValidationError as error:
+        return CellProblem(str(path), f"cannot be {text!r}: {error}", "write a value of that kind")
+    return _plain(value)
+
+
+def format_value(value: CellValue) -> str:
+    """Write a value as ``parse_value`` reads it; ``None`` becomes the empty text."""
+    if value is None:
+        return ""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, tuple):
+        return ",".join(value)
+    if isinstance(value, float) and value.is_integer():
+        return str(int(value))
+    return str(value)
+
+
+def read_cell(configuration: ServingConfiguration, path: CellPath) -> CellValue:
+    """Return the value of a cell, ``None`` if its row does not exist."""
+    row = read_row(configuration, path.table, path.names)
+    return None if row is None else _plain(getattr(row, path.column))
+
+
+def read_row(configuration: ServingConfiguration, table: str, names: tuple[str, ...]) -> Any:
+    """Return a row, ``None`` if it does not exist."""
+    place = getattr(configuration, table)
+    for name in names:
+        place = place.get(name)
+        if place is None:
+            return None
+    return place
+
+
+def rows_of(configuration: ServingConfiguration, table: str) -> Iterator[tuple[tuple, Any]]:
+    """Yield the names and the cells of every row of a table."""
+    place = getattr(configuration, table)
+    if table == "tuning":
+        yield (), place
+    elif table == "routes":
+        for service, groups in place.items():
+            for group, route in groups.items():
+                yield (service, group), route
+    else:
+        for name, row in place.items():
+            yield (name,), row
+
+
+def cells_of_row(table: str, names: tuple[str, ...], row: Any) -> Iterator[tuple[CellPath, Any]]:
+    """Yield path and value of every cell of a row."""
+    for column in ROW_TYPES[table].__struct_fields__:
+        value = None if row is None else _plain(getattr(row, column))
+        yield CellPath(table, names, column), value
+
+
+def apply_changes(
+    configuration: ServingConfiguration, changes: Iterable[CellChange]
+) -> ServingConfiguration | CellProblem:
+    """Return ``configuration`` with all changes made, or the first that cannot be made."""
+    by_row: dict[tuple[str, tuple[str, ...]], dict[str, CellValue]] = {}
+    for change in changes:
+        path = CellPath.parse(change.cell)
+        if isinstance(path, CellProblem):
+            return path
+        by_row.setdefault((path.table, path.names), {})[path.column] = change.value
+    tables: dict[str, Any] = {}
+    for (table, names), columns in by_row.items():
+        row = _changed_row(read_row(configuration, table, names), table, names, columns)
+        if isinstance(row, CellProblem):
+            return row
+        _put_row(configuration, tables, table, names, row)
+    return msgspec.structs.replace(configuration, **tables)
+
+
+def _changed_row(
+    row: Any, table: str, names: tuple[str, ...], columns: dict[str, CellValue]
+) -> Any | CellProblem:
+    """Return the row with its changed cells, ``None`` if it is removed."""
+    row_type = ROW_TYPES[table]
+    removed = all(value is None for value in columns.values())
+    if removed and len(columns) == len(row_type.__struct_fields__) and names:
+        return None
+    cells = {} if row is None else msgspec.to_builtins(row)
+    for column, value in columns.items():
+        if value is None:
+            cells.pop(column, None)  # An unset cell goes back to its default.
+        else:
+            cells[column] = value
+    try:
+        return msgspec.convert(cells, row_type)
+    except msgspec.ValidationError as error:
+        cell = "/".join((table, *names))
+        return CellProblem(cell, str(error).replace("`$", "`"), "give the cell a fitting value")
+
+
+def _put_row(
+    configuration: ServingConfiguration,
+    tables: dict[str, Any],
+    table: str,
+    names: tuple[str, ...],
+    row: Any,
+) -> None:
+    """Put a row into the copies of the tables, which are made when first needed."""
+    if table == "tuning":
+        tables[table] = row
+        return
+    place = tables.setdefault(table, dict(getattr(configuration, table)))
+    if table == "routes":
+        service, name = names
+        groups = dict(place.get(service, {}))
+        place[service] = groups
+        _put_name(groups, name, row)
+        if not groups:
+            del place[service]
+    else:
+        _put_name(place, names[0], row)
+
+
+def _put_name(place: dict[str, Any], name: str, row: Any) -> None:
+    if row is None:
+        place.pop(name, None)
+    else:
+        place[name] = row
+
+
+def _plain(value: Any) -> CellValue:
+    return msgspec.convert(msgspec.to_builtins(value), CellValue)
--- a/src/quaymill/version/configuration.py
+++ b/src/quaymill/version/configuration.py
@@ -12,6 +12,9 @@
 import msgspec
 
 
+CellValue = bool | int | float | str | tuple[str, ...] | None
+
+
 class ServiceKind(enum.StrEnum):
     """What answers a service."""
 
@@ -89,6 +92,33 @@
     item_max_attempts: int = 5
 
 
+class RecordedChange(msgspec.Struct, frozen=True):
+    """One cell that an edit changed; ``None`` stands for a cell of a row that did not exist."""
+
+    cell: str
+    before: CellValue
+    after: CellValue
+
+
+class EditRecord(msgspec.Struct, frozen=True):
+    """One accepted edit, kept for a while to name the author of a cell's latest value.
+
+    Attributes
+    ----------
+    generation
+        The generation that the edit made.
+    changes
+        What it changed; empty and ``truncated`` if that was too much to keep.
+    """
+
+    id: str
+    author: str
+    generation: int
+    committed_unix_s: float
+    changes: tuple[RecordedChange, ...]
+    truncated: bool = False
+
+
 class ServingConfiguration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One committed version of the table.
 
@@ -101,6 +131,8 @@
     recent_edits
         Ids of the latest accepted edits, newest last, so that an edit whose answer was
         lost is found to have happened.
+    edit_records
+        What the latest of these edits changed, newest last.
     """
 
     generation: int = 0
@@ -110,6 +142,7 @@
     tenants: dict[str, Tenant] = {}
     tuning: Tuning = Tuning()
     recent_edits: tuple[str, ...] = ()
+    edit_records: tuple[EditRecord, ...] = ()
 
 
 EMPTY_CONFIGURATION = ServingConfiguration()
--- /dev/null
+++ b/src/quaymill/version/edits.py
@@ -0,0 +1,183 @@
+"""Edits of the serving configuration: merge, conflict and repetition.
+
+An edit names cells, the values that the operator saw in them and the values to put there.
+It merges with edits to other cells, conflicts with another edit to one of its cells, and is
+recognised by its id when it is submitted again after a lost answer.
+"""
+
+from __future__ import annotations
+
+import secrets
+
+import msgspec
+
+from quaymill.version.cells import (
+    CellChange,
+    CellPath,
+    CellProblem,
+    apply_changes,
+    format_value,
+    read_cell,
+)
+from quaymill.version.checks import check_configuration
+from quaymill.version.configuration import (
+    CellValue,
+    EditRecord,
+    RecordedChange,
+    ServingConfiguration,
+)
+
+EDIT_ID_BYTES = 6
+MAX_RECENT_EDITS = 256
+MAX_EDIT_RECORDS = 64
+MAX_RECORDED_CHANGES = 200
+
+
+class EditedCell(msgspec.Struct, frozen=True):
+    """One cell of an edit; ``expected`` is the value that the operator saw."""
+
+    cell: str
+    expected: CellValue
+    value: CellValue
+
+
+class Edit(msgspec.Struct, frozen=True):
+    """Cells to change as a whole or not at all."""
+
+    id: str
+    author: str
+    cells: tuple[EditedCell, ...]
+
+
+class EditConflict(msgspec.Struct, frozen=True):
+    """Another edit changed a cell after the operator saw it; nothing was changed.
+
+    Attributes
+    ----------
+    found
+        The value that stands in the cell now.
+    author
+        Who put it there; empty if the record of that edit is no longer kept.
+    """
+
+    cell: str
+    expected: CellValue
+    found: CellValue
+    author: str
+    generation: int
+
+    def __str__(self) -> str:
+        author = f" by {self.author}" if self.author else ""
+        return (
+            f"{self.cell}: was changed{author} to {_shown(self.found)} while you saw "
+            f"{_shown(self.expected)} (generation {self.generation}); "
+            "look at the new value and edit again"
+        )
+
+
+class EditInvalid(msgspec.Struct, frozen=True):
+    """The edit would make a configuration that may not be put in force; nothing was changed."""
+
+    problems: tuple[CellProblem, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(str(problem) for problem in self.problems)
+
+
+class EditAlreadyApplied(msgspec.Struct, frozen=True):
+    """The edit of this id is in the configuration already."""
+
+    generation: int
+
+
+EditOutcome = ServingConfiguration | EditConflict | EditInvalid | EditAlreadyApplied
+
+
+def new_edit_id() -> str:
+    """Return a random id for one edit."""
+    return secrets.token_hex(EDIT_ID_BYTES)
+
+
+def apply_edit(configuration: ServingConfiguration, edit: Edit, now_unix_s: float) -> EditOutcome:
+    """Return the next generation with ``edit`` made, or why it is not made."""
+    if edit.id in configuration.recent_edits:
+        return EditAlreadyApplied(_generation_of(configuration, edit.id))
+    paths = [CellPath.parse(cell.cell) for cell in edit.cells]
+    problems = tuple(path for path in paths if isinstance(path, CellProblem))
+    if problems:
+        return EditInvalid(problems)
+    for path, cell in zip(paths, edit.cells, strict=True):
+        found = read_cell(configuration, path)
+        if found not in (cell.expected, cell.value):
+            return EditConflict(
+                cell.cell,
+                cell.expected,
+                found,
+                _author_of(configuration, cell.cell),
+                configuration.generation,
+            )
+    changed = apply_changes(
+        configuration, tuple(CellChange(cell.cell, cell.value) for cell in edit.cells)
+    )
+    if isinstance(changed, CellProblem):
+        return EditInvalid((changed,))
+    problems = check_configuration(changed)
+    if problems:
+        return EditInvalid(problems)
+    return _committed(configuration, changed, edit, now_unix_s)
+
+
+def undo_records(
+    configuration: ServingConfiguration, generation: int
+) -> ServingConfiguration | None:
+    """Return the table as it stood at an earlier generation; ``None`` if the records end before."""
+    records = [record for record in configuration.edit_records if record.generation > generation]
+    if len(records) != configuration.generation - generation:
+        return None
+    if any(record.truncated for record in records):
+        return None
+    earlier = configuration
+    for record in reversed(records):
+        undone = apply_changes(
+            earlier, tuple(CellChange(change.cell, change.before) for change in record.changes)
+        )
+        if isinstance(undone, CellProblem):
+            return None
+        earlier = undone
+    return earlier
+
+
+def _committed(
+    before: ServingConfiguration, changed: ServingConfiguration, edit: Edit, now_unix_s: float
+) -> ServingConfiguration:
+    generation = before.generation + 1
+    truncated = len(edit.cells) > MAX_RECORDED_CHANGES
+    changes = tuple(RecordedChange(cell.cell, cell.expected, cell.value) for cell in edit.cells)
+    record = EditRecord(
+        edit.id, edit.author, generation, now_unix_s, () if truncated else changes, truncated
+    )
+    return msgspec.structs.replace(
+        changed,
+        generation=generation,
+        recent_edits=(*before.recent_edits, edit.id)[-MAX_RECENT_EDITS:],
+        edit_records=(*before.edit_records, record)[-MAX_EDIT_RECORDS:],
+    )
+
+
+def _author_of(configuration: ServingConfiguration, cell: str) -> str:
+    for record in reversed(configuration.edit_records):
+        if any(change.cell == cell for change in record.changes):
+            return record.author
+    return ""
+
+
+def _generation_of(configuration: ServingConfiguration, edit_id: str) -> int:
+    """Return the generation an edit made; the current one if its record is no longer kept."""
+    for record in configuration.edit_records:
+        if record.id == edit_id:
+            return record.generation
+    return configuration.generation
+
+
+def _shown(value: CellValue) -> str:
+    return "unset" if value is None else format_value(value) or "an empty list"
