--- a/src/quaymill/connection/member.py
+++ b/src/quaymill/connection/member.py
@@ -15,6 +15,7 @@
     ALIVE -> SUSPECT when probes fail; SUSPECT -> DEAD when nobody refutes it in time;
     SUSPECT or DEAD -> ALIVE when the node answers with a higher incarnation;
     any -> DRAINING when the node announces a planned stop; DRAINING -> DEAD when it is gone.
+    A node that is suspected while it drains keeps its mark ``Member.draining``.
     """
 
     ALIVE = "alive"
@@ -36,6 +37,8 @@
         Version of the platform's machine list that the node holds.
     has_disk
         Whether the node carries replicas of the log.
+    draining
+        Whether the node has announced a planned stop, whatever its state is now.
     """
 
     name: str
@@ -48,6 +51,7 @@
     configuration_generation: int = 0
     machine_list_version: int = 0
     has_disk: bool = False
+    draining: bool = False
 
 
 class MachineRole(enum.StrEnum):
--- a/src/quaymill/connection/platform_client.py
+++ b/src/quaymill/connection/platform_client.py
@@ -24,6 +24,9 @@
 WATCH_READ_MARGIN_S = 1.0
 MAX_CONNECTIONS = 8
 
+# A platform that does not know this form answers with the whole object, which does as well.
+METADATA_ONLY = "application/json;as=PartialObjectMetadata;g=meta.k8s.io;v=v1,application/json"
+
 CONFIGURATIONS = "servingconfigurations"
 CONFIGURATION_NAME = "serving"
 STATUSES = "servingstatuses"
@@ -205,6 +208,18 @@
             return NotFound(name)
         return _object_or_refusal(answer)
 
+    def get_version(
+        self, plural: str, name: str, timeout_s: float = REQUEST_TIMEOUT_S
+    ) -> str | NotFound | Refused | PlatformUnavailable:
+        """Read the resource version of one object, without its content where that can be had."""
+        answer = self._request("GET", f"/{plural}/{name}", None, timeout_s, METADATA_ONLY)
+        if isinstance(answer, PlatformUnavailable):
+            return answer
+        if answer.status == http.HTTPStatus.NOT_FOUND:
+            return NotFound(name)
+        result = _object_or_refusal(answer)
+        return result.resource_version if isinstance(result, PlatformObject) else result
+
     def list_objects(self, plural: str, timeout_s: float = REQUEST_TIMEOUT_S) -> ListResult:
         """Read all objects of a plural with the version to watch from."""
         answer = self._request("GET", f"/{plural}", None, timeout_s)
@@ -306,7 +321,12 @@
         yield WatchEnded("the platform ended the watch", silent=False)
 
     def _request(
-        self, method: str, path: str, body: bytes | None, timeout_s: float
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_s: float,
+        accept: str = "application/json",
     ) -> _Answer | PlatformUnavailable:
         if self._link_filter.blocks(self.endpoint):
             time.sleep(min(timeout_s, CONNECT_TIMEOUT_S))
@@ -316,7 +336,7 @@
                 method,
                 API_PATH + path,
                 body=body,
-                headers={"Content-Type": "application/json"},
+                headers={"Content-Type": "application/json", "Accept": accept},
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
             )
         except (
--- /dev/null
+++ b/src/quaymill/process/configuration/platform_watch.py
@@ -0,0 +1,133 @@
+"""Follows the objects of one plural of the platform while this node is a reader of its zone."""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from quaymill.connection.platform_client import (
+    Bookmark,
+    Gone,
+    ObjectChanged,
+    ObjectDeleted,
+    ObjectList,
+    PlatformClient,
+    PlatformObject,
+    PlatformUnavailable,
+    Refused,
+    WatchEnded,
+)
+
+IDLE_INTERVAL_S = 0.5
+MIN_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 4.0
+
+
+class ObjectFollower(Protocol):
+    """What is done with the objects that are followed."""
+
+    def on_list(self, listed: ObjectList) -> None:
+        """Take the whole list."""
+
+    def on_change(self, changed: PlatformObject) -> None:
+        """Take an added or modified object."""
+
+    def on_delete(self, deleted: PlatformObject) -> None:
+        """Take the deletion of an object."""
+
+    def is_current(self) -> bool:
+        """Confirm, after a watch without events, that nothing was missed; ``False`` lists anew."""
+
+
+class WatchSettings(msgspec.Struct, frozen=True):
+    """Which plural to follow, and how long one watch lasts."""
+
+    plural: str
+    watch_s: float
+
+
+class PlatformWatch:
+    """One thread that lists and watches while ``is_reader`` says so.
+
+    A watch lasts a few seconds. One that breaks off or stays silent past its end leads to a new
+    list; one that ended in order is resumed from the last version it showed.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        settings: WatchSettings,
+        follower: ObjectFollower,
+        is_reader: Callable[[], bool],
+        report: Callable[[str], None],
+    ) -> None:
+        self._platform = platform
+        self._settings = settings
+        self._follower = follower
+        self._is_reader = is_reader
+        self._report = report
+        self._stopping = threading.Event()
+        self._thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Begin to follow; the thread exists only while it is needed."""
+        self._thread = threading.Thread(
+            target=self._follow, name=f"watch-{self._settings.plural}", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End at the next event or the end of the watch; the thread is not waited for."""
+        self._stopping.set()
+
+    def _follow(self) -> None:
+        backoff_s = MIN_BACKOFF_S
+        while not self._stopping.is_set():
+            if not self._is_reader():
+                self._stopping.wait(IDLE_INTERVAL_S)
+                continue
+            listed = self._platform.list_objects(self._settings.plural)
+            if isinstance(listed, PlatformUnavailable | Refused):
+                self._report(listed.reason)
+                self._stopping.wait(backoff_s * random.uniform(0.5, 1.0))
+                backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
+                continue
+            self._report("")
+            backoff_s = MIN_BACKOFF_S
+            self._follower.on_list(listed)
+            self._watch_from(listed.resource_version)
+
+    def _watch_from(self, version: str) -> None:
+        """Watch, again and again, until something calls for a new list."""
+        while not self._stopping.is_set() and self._is_reader():
+            reached = self._watch_once(version)
+            if reached is None:
+                self._stopping.wait(MIN_BACKOFF_S * random.uniform(0.5, 1.0))
+                return
+            if reached == version and not self._follower.is_current():
+                return
+            version = reached
+
+    def _watch_once(self, version: str) -> str | None:
+        """Return the version that one watch reached, ``None`` if events may have been missed."""
+        for event in self._platform.watch(self._settings.plural, version, self._settings.watch_s):
+            match event:
+                case ObjectChanged():
+                    self._follower.on_change(event.object)
+                    version = event.object.resource_version
+                case ObjectDeleted():
+                    self._follower.on_delete(event.object)
+                    version = event.object.resource_version
+                case Bookmark():
+                    version = event.resource_version
+                case Gone():
+                    return None
+                case WatchEnded():
+                    return None if event.silent else version
+            if self._stopping.is_set():
+                return None
+        return version
--- /dev/null
+++ b/src/quaymill/process/configuration/reader.py
@@ -0,0 +1,143 @@
+"""What readers do with the objects they see: check them, and offer them to the holders."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+import msgspec
+
+from quaymill.connection.member import Machine
+from quaymill.connection.platform_client import (
+    CONFIGURATION_NAME,
+    CONFIGURATIONS,
+    ObjectList,
+    PlatformClient,
+    PlatformObject,
+)
+from quaymill.process.configuration.problems import ProblemLog
+from quaymill.process.configuration_holder import ConfigurationHolder
+from quaymill.process.machine_list import MachineList, MachineListHolder
+from quaymill.version.checks import InvalidConfiguration, decode_configuration
+
+CONFIGURATION_OBJECT = f"{CONFIGURATIONS}/{CONFIGURATION_NAME}"
+
+
+class ConfigurationFollower:
+    """Puts each newer valid document in force, and reports one that is not."""
+
+    def __init__(
+        self, platform: PlatformClient, holder: ConfigurationHolder, problems: ProblemLog
+    ) -> None:
+        self._platform = platform
+        self._holder = holder
+        self._problems = problems
+        self._seen_version = ""
+
+    def on_list(self, listed: ObjectList) -> None:
+        """Take the one object that matters."""
+        for item in listed.items:
+            if item.name == CONFIGURATION_NAME:
+                self.on_change(item)
+
+    def on_change(self, changed: PlatformObject) -> None:
+        """Check a document and offer it."""
+        if changed.name != CONFIGURATION_NAME or changed.resource_version == self._seen_version:
+            return
+        self._seen_version = changed.resource_version
+        decoded = decode_configuration(bytes(changed.spec))
+        self._problems.clear(CONFIGURATION_OBJECT)
+        if isinstance(decoded, InvalidConfiguration):
+            self._report_invalid(decoded)
+            return
+        held = self._holder.current().generation
+        if decoded.generation < held:
+            self._problems.report(
+                CONFIGURATION_OBJECT,
+                f"holds generation {decoded.generation}, older than {held}, which stays in force",
+                "the platform was set back: run `quaymill config restore` to store the table "
+                "in force again",
+            )
+            return
+        self._holder.offer(decoded)
+
+    def on_delete(self, deleted: PlatformObject) -> None:
+        """Keep what is in force when the object is gone."""
+        if deleted.name == CONFIGURATION_NAME:
+            self._seen_version = ""
+            self._problems.report(
+                CONFIGURATION_OBJECT,
+                f"was deleted; generation {self._holder.current().generation} stays in force",
+                "run `quaymill config restore` to store the table in force again",
+            )
+
+    def is_current(self) -> bool:
+        """Compare the stored version with the one seen last."""
+        return self._platform.get_version(CONFIGURATIONS, CONFIGURATION_NAME) in (
+            self._seen_version,
+            "",
+        )
+
+    def _report_invalid(self, invalid: InvalidConfiguration) -> None:
+        held = self._holder.current().generation
+        for problem in invalid.problems:
+            self._problems.report(
+                f"{CONFIGURATION_OBJECT}: {problem.cell}",
+                f"{problem.reason}; generation {held} stays in force",
+                problem.remedy,
+                group=CONFIGURATION_OBJECT,
+            )
+
+
+class MachineListFollower:
+    """Keeps the machine list of the platform, one offer for each change."""
+
+    def __init__(self, holder: MachineListHolder, problems: ProblemLog) -> None:
+        self._holder = holder
+        self._problems = problems
+        self._lock = threading.Lock()
+
+    def on_list(self, listed: ObjectList) -> None:
+        """Take the whole list."""
+        machines = [machine for item in listed.items if (machine := self._decode(item))]
+        self._offer(
+            listed.resource_version, lambda _: {machine.name: machine for machine in machines}
+        )
+
+    def on_change(self, changed: PlatformObject) -> None:
+        """Put one machine in."""
+        machine = self._decode(changed)
+        if machine is not None:
+            self._offer(changed.resource_version, lambda held: held | {machine.name: machine})
+
+    def on_delete(self, deleted: PlatformObject) -> None:
+        """Take one machine out."""
+        self._offer(
+            deleted.resource_version,
+            lambda held: {name: machine for name, machine in held.items() if name != deleted.name},
+        )
+
+    def is_current(self) -> bool:
+        """Trust a watch that ended in order: the list lags in any case."""
+        return True
+
+    def _offer(
+        self,
+        resource_version: str,
+        change: Callable[[dict[str, Machine]], dict[str, Machine]],
+    ) -> None:
+        if not resource_version.isdigit():
+            return
+        held = {machine.name: machine for machine in self._holder.current().machines}
+        machines = change(held)
+        self._holder.offer(MachineList(int(resource_version), tuple(machines.values())))
+
+    def _decode(self, item: PlatformObject) -> Machine | None:
+        subject = f"machines/{item.name}"
+        try:
+            machine = msgspec.json.decode(bytes(item.spec), type=Machine)
+        except msgspec.MsgspecError as error:
+            self._problems.report(subject, f"is not a machine: {error}", "mend the object")
+            return None
+        self._problems.clear(subject)
+        return machine
--- /dev/null
+++ b/src/quaymill/process/configuration/service.py
@@ -0,0 +1,270 @@
+"""Keeps configuration and machine list of this node current, from the platform or from peers.
+
+Two nodes of each zone watch the platform. Everyone tells its versions on the membership's
+datagrams, and who is behind pulls the difference from a peer that is ahead. A node with a
+data folder keeps the configuration on disk, for a start while the platform is down.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+from pathlib import Path
+
+from quaymill.connection.configuration_messages import (
+    ConfigurationDifferences,
+    ConfigurationReport,
+    GetConfigurationReport,
+    HeldGeneration,
+    MachineListChanges,
+    PullConfiguration,
+    PullMachineList,
+    WholeConfiguration,
+)
+from quaymill.connection.member import MachineRole, Member, MemberState
+from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.platform_client import CONFIGURATIONS, MACHINES, PlatformClient
+from quaymill.process.configuration.disk_copy import load_copy, store_copy
+from quaymill.process.configuration.platform_watch import PlatformWatch, WatchSettings
+from quaymill.process.configuration.problems import ProblemLog
+from quaymill.process.configuration.reader import ConfigurationFollower, MachineListFollower
+from quaymill.process.configuration_holder import ConfigurationHolder
+from quaymill.process.machine_list import MachineList, MachineListHolder
+from quaymill.process.machine_list_changes import MachineListLog, apply_machine_changes
+from quaymill.process.membership.membership import Membership
+from quaymill.process.membership.ranking import reader_nodes
+from quaymill.process.settings import NodeSettings
+from quaymill.version.checks import check_configuration
+from quaymill.version.configuration import EMPTY_CONFIGURATION, ServingConfiguration
+from quaymill.version.differences import DifferenceLog, apply_difference, find_difference
+
+CONFIGURATION_WATCH_S = 5.0
+MACHINES_WATCH_S = 30.0
+PULL_TIMEOUT_S = 2.0
+PULL_CHECK_INTERVAL_S = 1.0
+PULL_RETRY_INTERVAL_S = 0.2
+
+
+class ConfigurationService:
+    """Feeds the two holders of this node and answers peers that are behind.
+
+    Parameters
+    ----------
+    settings
+        Zone and data folder of this node.
+    holder, machine_list
+        What is kept current; other parts subscribe to them.
+    membership
+        Tells who is ahead, and is told what this node holds.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        holder: ConfigurationHolder,
+        machine_list: MachineListHolder,
+        membership: Membership,
+        platform_client: PlatformClient,
+        peer_client: PeerClient,
+        peer_server: PeerServer,
+    ) -> None:
+        self._settings = settings
+        self._holder = holder
+        self._machine_list = machine_list
+        self._membership = membership
+        self._peer_client = peer_client
+        self.problems = ProblemLog()
+        self._differences = DifferenceLog()
+        self._machine_changes = MachineListLog()
+        self._last = EMPTY_CONFIGURATION
+        self._wake = threading.Event()
+        self._stopping = threading.Event()
+        self._watches = (
+            PlatformWatch(
+                platform_client,
+                WatchSettings(CONFIGURATIONS, CONFIGURATION_WATCH_S),
+                ConfigurationFollower(platform_client, holder, self.problems),
+                self.is_reader,
+                self._report_platform,
+            ),
+            PlatformWatch(
+                platform_client,
+                WatchSettings(MACHINES, MACHINES_WATCH_S),
+                MachineListFollower(machine_list, self.problems),
+                self.is_reader,
+                self._report_platform,
+            ),
+        )
+        peer_server.register(PullConfiguration, self._answer_pull)
+        peer_server.register(PullMachineList, self._answer_machines)
+        peer_server.register(GetConfigurationReport, lambda _: self.report())
+
+    def start(self) -> None:
+        """Load the copy on disk, then begin to watch and to pull."""
+        if self._settings.data_folder:
+            self._load_copy(Path(self._settings.data_folder))
+        self._holder.subscribe(self._on_configuration)
+        self._machine_list.subscribe(self._on_machine_list)
+        self._membership.subscribe(self._on_members)
+        threading.Thread(target=self._pull_loop, name="configuration-pull", daemon=True).start()
+        for watch in self._watches:
+            watch.start()
+
+    def stop(self) -> None:
+        """End all threads."""
+        self._stopping.set()
+        self._wake.set()
+        for watch in self._watches:
+            watch.stop()
+
+    def is_reader(self) -> bool:
+        """Return whether this node watches the platform for its zone."""
+        local = self._membership.local()
+        readers = reader_nodes(self._membership.live(), local.zone)
+        return local.name in {member.name for member in readers}
+
+    def report(self) -> ConfigurationReport:
+        """Return what this node holds, refused, and has heard of its zone."""
+        local = self._membership.local()
+        return ConfigurationReport(
+            local.name,
+            local.zone,
+            self._holder.current().generation,
+            tuple(
+                HeldGeneration(member.name, member.configuration_generation)
+                for member in self._membership.members()
+                if member.zone == local.zone and member.state is not MemberState.DEAD
+            ),
+            self.problems.all(),
+        )
+
+    # What changed here.
+
+    def _on_configuration(self, configuration: ServingConfiguration) -> None:
+        if configuration.generation <= self._last.generation:
+            return
+        self._differences.add(find_difference(self._last, configuration))
+        self._last = configuration
+        self._membership.publish(configuration_generation=configuration.generation)
+        if self._settings.data_folder:
+            store_copy(Path(self._settings.data_folder), configuration, self.problems)
+
+    def _on_machine_list(self, machine_list: MachineList) -> None:
+        if not machine_list.version:
+            return
+        self._machine_changes.add(machine_list)
+        self._membership.publish(machine_list_version=machine_list.version)
+        self._membership.add_seeds(
+            machine.endpoint
+            for machine in machine_list.machines
+            if machine.role is MachineRole.NODE
+        )
+
+    def _on_members(self) -> None:
+        if self._peer_ahead() is not None:
+            self._wake.set()
+
+    # Pulling.
+
+    def _pull_loop(self) -> None:
+        while not self._stopping.is_set():
+            self._wake.wait(PULL_CHECK_INTERVAL_S)
+            self._wake.clear()
+            while not self._stopping.is_set() and (peer := self._peer_ahead()) is not None:
+                if not self._pull_from(peer):
+                    self._stopping.wait(PULL_RETRY_INTERVAL_S)
+
+    def _peer_ahead(self) -> Member | None:
+        """Return a random peer with something newer than this node, nearest first."""
+        generation = self._holder.current().generation
+        version = self._machine_list.current().version
+        local = self._membership.local()
+        ahead = [
+            member
+            for member in self._membership.members()
+            if member.state is not MemberState.DEAD
+            and member.name != local.name
+            and (
+                member.configuration_generation > generation
+                or member.machine_list_version > version
+            )
+        ]
+        near = [member for member in ahead if member.zone == local.zone]
+        return random.choice(near or ahead) if ahead else None
+
+    def _pull_from(self, peer: Member) -> bool:
+        """Take what a peer has; return whether anything came of it."""
+        progressed = False
+        if peer.configuration_generation > self._holder.current().generation:
+            progressed = self._pull_configuration(peer)
+        if peer.machine_list_version > self._machine_list.current().version:
+            progressed = self._pull_machines(peer) or progressed
+        return progressed
+
+    def _pull_configuration(self, peer: Member) -> bool:
+        held = self._holder.current()
+        reply = self._peer_client.call(
+            peer.peer,
+            PullConfiguration(held.generation),
+            ConfigurationDifferences | WholeConfiguration,
+            PULL_TIMEOUT_S,
+        )
+        match reply:
+            case WholeConfiguration():
+                return self._offer(reply.configuration)
+            case ConfigurationDifferences():
+                for difference in reply.differences:
+                    held = apply_difference(held, difference)
+                    if held is None:
+                        return self._pull_whole(peer)
+                return self._offer(held)
+        return False
+
+    def _pull_whole(self, peer: Member) -> bool:
+        reply = self._peer_client.call(
+            peer.peer, PullConfiguration(-1), WholeConfiguration, PULL_TIMEOUT_S
+        )
+        return isinstance(reply, WholeConfiguration) and self._offer(reply.configuration)
+
+    def _offer(self, configuration: ServingConfiguration) -> bool:
+        problems = check_configuration(configuration)
+        for problem in problems:
+            self.problems.report(f"peer: {problem.cell}", problem.reason, problem.remedy)
+        return not problems and self._holder.offer(configuration)
+
+    def _pull_machines(self, peer: Member) -> bool:
+        held = self._machine_list.current()
+        reply = self._peer_client.call(
+            peer.peer, PullMachineList(held.version), MachineListChanges, PULL_TIMEOUT_S
+        )
+        if not isinstance(reply, MachineListChanges):
+            return False
+        changed = apply_machine_changes(held, reply)
+        return changed is not None and self._machine_list.offer(changed)
+
+    # Answering.
+
+    def _answer_pull(
+        self, message: PullConfiguration
+    ) -> ConfigurationDifferences | WholeConfiguration:
+        current = self._holder.current()
+        if message.held_generation >= current.generation:
+            return ConfigurationDifferences()
+        differences = self._differences.since(message.held_generation)
+        if differences is None:
+            return WholeConfiguration(current)
+        return ConfigurationDifferences(differences)
+
+    def _answer_machines(self, message: PullMachineList) -> MachineListChanges:
+        return self._machine_changes.since(message.held_version, self._machine_list.current())
+
+    def _report_platform(self, reason: str) -> None:
+        if reason:
+            self.problems.report("platform", reason, "bring the platform's object API back")
+        else:
+            self.problems.clear("platform")
+
+    def _load_copy(self, folder: Path) -> None:
+        configuration = load_copy(folder, self.problems)
+        if configuration is not None:
+            self._holder.offer(configuration)
--- /dev/null
+++ b/src/quaymill/process/machine_list_changes.py
@@ -0,0 +1,70 @@
+"""Differences between versions of the machine list."""
+
+from __future__ import annotations
+
+import threading
+from collections import deque
+
+from quaymill.connection.configuration_messages import MachineListChanges
+from quaymill.process.machine_list import MachineList
+
+MAX_KEPT_CHANGES = 256
+
+
+def find_machine_changes(base: MachineList, target: MachineList) -> MachineListChanges:
+    """Return what leads from ``base`` to ``target``."""
+    held = {machine.name: machine for machine in base.machines}
+    names = {machine.name for machine in target.machines}
+    return MachineListChanges(
+        base.version,
+        target.version,
+        tuple(machine for machine in target.machines if held.get(machine.name) != machine),
+        tuple(name for name in held if name not in names),
+    )
+
+
+def apply_machine_changes(base: MachineList, changes: MachineListChanges) -> MachineList | None:
+    """Return the later list, ``None`` if the changes do not start from ``base``."""
+    if changes.base_version not in (0, base.version):
+        return None
+    machines = {}
+    if changes.base_version:
+        machines = {machine.name: machine for machine in base.machines}
+    for name in changes.removed:
+        machines.pop(name, None)
+    machines.update({machine.name: machine for machine in changes.changed})
+    return MachineList(changes.version, tuple(machines.values()))
+
+
+class MachineListLog:
+    """The latest changes of the list that this node holds, for peers that are behind."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._last = MachineList()
+        self._kept: deque[MachineListChanges] = deque(maxlen=MAX_KEPT_CHANGES)
+
+    def add(self, machine_list: MachineList) -> None:
+        """Keep what led to the list that is held now."""
+        with self._lock:
+            self._kept.append(find_machine_changes(self._last, machine_list))
+            self._last = machine_list
+
+    def since(self, version: int, current: MachineList) -> MachineListChanges:
+        """Return what leads on from a version; the whole list if the changes are not kept."""
+        with self._lock:
+            later = [kept for kept in self._kept if kept.base_version >= version]
+        if not version or not later or later[0].base_version != version:
+            return find_machine_changes(MachineList(), current)
+        changed: dict = {}
+        removed: dict[str, None] = {}
+        for changes in later:
+            for name in changes.removed:
+                changed.pop(name, None)
+                removed[name] = None
+            for machine in changes.changed:
+                removed.pop(machine.name, None)
+                changed[machine.name] = machine
+        return MachineListChanges(
+            version, later[-1].version, tuple(changed.values()), tuple(removed)
+        )
--- /dev/null
+++ b/src/quaymill/process/membership/dissemination.py
@@ -0,0 +1,54 @@
+"""News of members on its way: each record rides on a bounded number of datagrams."""
+
+from __future__ import annotations
+
+import math
+import threading
+
+import msgspec
+
+from quaymill.connection.member import Member
+from quaymill.process.membership.messages import encoded_size
+
+TRANSMISSIONS_FACTOR = 3
+
+
+class _News(msgspec.Struct):
+    record: Member
+    size: int
+    sent: int = 0
+
+
+class Dissemination:
+    """Hands out the records that were sent least often, the newest first.
+
+    A record is dropped after ``TRANSMISSIONS_FACTOR * log2(members)`` transmissions, which is
+    enough for an epidemic to reach all; the periodic synchronisation finds those it missed.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._news: dict[str, _News] = {}
+
+    def add(self, record: Member) -> None:
+        """Start to spread a record; it takes the place of an older one of that member."""
+        with self._lock:
+            self._news.pop(record.name, None)
+            self._news[record.name] = _News(record, encoded_size(record))
+
+    def take(self, budget_bytes: int, members: int) -> list[Member]:
+        """Return records for one datagram, at most ``budget_bytes`` of them."""
+        if not self._news:
+            return []
+        limit = TRANSMISSIONS_FACTOR * max(math.ceil(math.log2(members + 1)), 1)
+        taken = []
+        with self._lock:
+            for news in sorted(reversed(self._news.values()), key=lambda news: news.sent):
+                if news.size > budget_bytes:
+                    break
+                budget_bytes -= news.size
+                taken.append(news.record)
+                news.sent += 1
+                if news.sent >= limit:
+                    del self._news[news.record.name]
+        return taken
--- /dev/null
+++ b/src/quaymill/process/membership/messages.py
@@ -0,0 +1,105 @@
+"""Datagrams of the membership: one JSON line each, at most ``MAX_DATAGRAM_BYTES``.
+
+Every datagram tells its sender's incarnation, generation and machine list version, so that
+news of a new configuration costs no message of its own, and carries records of members
+that changed lately.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.member import Member
+
+MAX_DATAGRAM_BYTES = 1300
+
+
+class Datagram(msgspec.Struct, tag_field="kind", tag=True, omit_defaults=True):
+    """Base of the datagrams.
+
+    Attributes
+    ----------
+    records
+        Members as the sender sees them, the newest changes first.
+    """
+
+    sender: str
+    incarnation: int
+    generation: int = 0
+    machines: int = 0
+    records: tuple[Member, ...] = ()
+
+
+class Probe(Datagram):
+    """Asks for a ``ProbeReply`` with the same sequence number."""
+
+    sequence: int = 0
+
+
+class ProbeReply(Datagram):
+    """Says that ``subject`` answered the probe of this sequence number."""
+
+    sequence: int = 0
+    subject: str = ""
+
+
+class ProbeRequest(Datagram):
+    """Asks the receiver to probe ``target`` and to pass its reply on."""
+
+    sequence: int = 0
+    target: Endpoint = Endpoint("", 0)
+
+
+class Notice(Datagram):
+    """Carries news and asks for nothing."""
+
+
+class Sync(Datagram):
+    """Compares what two nodes hold.
+
+    Attributes
+    ----------
+    digests
+        One digest for each bucket of names, of the members not known as dead.
+    """
+
+    digests: tuple[int, ...] = ()
+
+
+class SyncAnswer(Datagram):
+    """Carries records of the buckets that differ.
+
+    Attributes
+    ----------
+    wanted
+        Buckets whose records the receiver of this answer is asked to send back.
+    """
+
+    wanted: tuple[int, ...] = ()
+
+
+AnyDatagram = Probe | ProbeReply | ProbeRequest | Notice | Sync | SyncAnswer
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(AnyDatagram)
+
+
+def encode_datagram(datagram: Datagram) -> bytes:
+    """Return the line to send."""
+    return _ENCODER.encode(datagram) + b"\n"
+
+
+def decode_datagram(line: bytes) -> Any | None:
+    """Return the message of a line, ``None`` if it is not one."""
+    try:
+        return _DECODER.decode(line)
+    except msgspec.MsgspecError:
+        return None
+
+
+def encoded_size(member: Member) -> int:
+    """Return how many bytes a record takes in a datagram."""
+    return len(_ENCODER.encode(member)) + 1
--- a/src/quaymill/version/configuration.py
+++ b/src/quaymill/version/configuration.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-
 CellValue = bool | int | float | str | tuple[str, ...] | None
 
 
--- a/src/quaymill/version/edits.py
+++ b/src/quaymill/version/edits.py
@@ -124,7 +124,11 @@
     problems = check_configuration(changed)
     if problems:
         return EditInvalid(problems)
-    return _committed(configuration, changed, edit, now_unix_s)
+    changes = tuple(
+        RecordedChange(cell.cell, read_cell(configuration, path), cell.value)
+        for path, cell in zip(paths, edit.cells, strict=True)
+    )
+    return _committed(configuration, changed, edit, changes, now_unix_s)
 
 
 def undo_records(
@@ -148,11 +152,14 @@
 
 
 def _committed(
-    before: ServingConfiguration, changed: ServingConfiguration, edit: Edit, now_unix_s: float
+    before: ServingConfiguration,
+    changed: ServingConfiguration,
+    edit: Edit,
+    changes: tuple[RecordedChange, ...],
+    now_unix_s: float,
 ) -> ServingConfiguration:
     generation = before.generation + 1
-    truncated = len(edit.cells) > MAX_RECORDED_CHANGES
-    changes = tuple(RecordedChange(cell.cell, cell.expected, cell.value) for cell in edit.cells)
+    truncated = len(changes) > MAX_RECORDED_CHANGES
     record = EditRecord(
         edit.id, edit.author, generation, now_unix_s, () if truncated else changes, truncated
     )
