--- /dev/null
+++ b/src/quaymill/process/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP interface."""
