Add batch schedulers, lease book and OpenAI's files and batches API

Cause: batch items had no way from a tenant's file to an engine. Change: a lease book (one thread for each log group), a scheduler for each replica, item streams that are cancelled and resumed from their tokens, at-most-once application items, file upload in chunks of bounded memory, jobs in OpenAI's format. The files API is not yet tested against a store.

--- a/src/quaymill/connection/job_messages.py
+++ b/src/quaymill/connection/job_messages.py
@@ -168,7 +168,14 @@
 
 
 class FileRecord(PeerMessage, frozen=True):
-    """Answer to ``GetFile``."""
+    """Answer to ``GetFile``.
+
+    Attributes
+    ----------
+    first_item
+        The first item of a sealed file. The gateway has checked that all items of a file are
+        for the same service.
+    """
 
     file_id: str
     tenant: str
@@ -177,6 +184,7 @@
     item_count: int
     byte_count: int
     created_unix_s: float
+    first_item: Item | None = None
 
 
 class GetFile(PeerMessage, frozen=True):
--- /dev/null
+++ b/src/quaymill/process/batch/lease_book.py
@@ -0,0 +1,288 @@
+"""The leases this node holds: fetched by demand, renewed, completed in bulk, given back.
+
+One thread for each log group talks to that group. Schedulers state their demand and take
+items without waiting for the store. A group that cannot be reached delays only its own
+items: their results are kept and reported again until the store has answered.
+"""
+
+from __future__ import annotations
+
+import itertools
+import secrets
+import threading
+import time
+from collections import deque
+
+import msgspec
+from eliot import log_message
+
+from quaymill.connection.job_messages import (
+    Accepted,
+    CompletedItems,
+    CompleteItems,
+    ItemCompletion,
+    ItemRef,
+    LeasedItem,
+    LeasedItems,
+    LeaseItems,
+    RenewedLeases,
+    RenewLeases,
+    ReturnItems,
+)
+from quaymill.connection.peer_link import PeerMessage
+from quaymill.process.batch.job_store import JobStore
+from quaymill.process.batch.work_item import WorkItem
+from quaymill.process.settings import BatchSettings
+
+STORE_TIMEOUT_S = 2.0
+RETRY_INTERVAL_S = 0.5
+RENEWALS_PER_LEASE = 4
+IDLE_HOLD_S = 3.0
+MAX_POLL_BACKOFF = 8
+MAX_ITEMS_PER_CALL = 256
+
+
+class _Poll(msgspec.Struct):
+    """When a group may be asked again for items of a service; it backs off while empty."""
+
+    interval_s: float = 0.0
+    next_s: float = 0.0
+
+
+class _Group:
+    """What the thread of one group has to do."""
+
+    def __init__(self, lock: threading.Lock) -> None:
+        self.changed = threading.Condition(lock)
+        self.completions: deque[ItemCompletion] = deque()
+        self.returns: deque[ItemRef] = deque()
+        self.next_renewal_s = 0.0
+        self.retry_s = 0.0
+        self.polls: dict[str, _Poll] = {}
+
+
+class LeaseBook:
+    """Leases of this node, shared by its schedulers.
+
+    Parameters
+    ----------
+    group_count
+        Number of log groups.
+    """
+
+    def __init__(
+        self, node_name: str, settings: BatchSettings, job_store: JobStore, group_count: int
+    ) -> None:
+        # A restarted node is another worker: it knows nothing of its earlier leases.
+        self.worker = f"{node_name}/{secrets.token_hex(4)}"
+        self._settings = settings
+        self._job_store = job_store
+        self._lock = threading.Lock()
+        self._stopping = False
+        self._held: dict[ItemRef, WorkItem] = {}
+        self._idle: dict[str, deque[WorkItem]] = {}
+        self._demand: dict[str, dict[str, int]] = {}
+        self._asked: dict[str, int] = {}
+        self._groups = [_Group(self._lock) for _ in range(group_count)]
+        self._threads: list[threading.Thread] = []
+        # Empty polls of all groups together stay at one for each interval.
+        self._max_poll_interval_s = settings.poll_interval_s * min(group_count, MAX_POLL_BACKOFF)
+
+    def start(self) -> None:
+        """Start one thread for each group."""
+        for number in range(len(self._groups)):
+            thread = threading.Thread(
+                target=self._serve_group, args=(number,), name=f"leases-{number}", daemon=True
+            )
+            thread.start()
+            self._threads.append(thread)
+
+    def stop(self, timeout_s: float) -> None:
+        """Report what is finished, give back what is not, and end the threads."""
+        with self._lock:
+            self._stopping = True
+            for work in list(self._held.values()):
+                self._forget(work, give_back=True)
+            for group in self._groups:
+                group.changed.notify()
+        deadline = time.monotonic() + timeout_s
+        for thread in self._threads:
+            thread.join(max(0.0, deadline - time.monotonic()))
+
+    def set_demand(self, replica: str, service: str, count: int) -> None:
+        """Say how many items of ``service`` the replica can start now or very soon."""
+        with self._lock:
+            demand = self._demand.setdefault(service, {})
+            raised = count > demand.get(replica, 0)
+            demand[replica] = count
+            if raised:
+                self._wake_groups()
+
+    def take(self, service: str) -> WorkItem | None:
+        """Return an item to run, those that gave way first; never waits."""
+        with self._lock:
+            idle = self._idle.get(service)
+            if not idle:
+                return None
+            work = idle.popleft()
+            self._wake_groups()
+            return work
+
+    def put_back(self, work: WorkItem) -> None:
+        """Keep an item that gave way or did not start, to run it again from this node."""
+        with self._lock:
+            if self._stopping or work.unwanted:
+                self._forget(work, give_back=not work.unwanted)
+                return
+            work.idle_since_s = time.monotonic()
+            self._idle.setdefault(work.service, deque()).appendleft(work)
+
+    def complete(
+        self, work: WorkItem, status: int, response: msgspec.Raw, retryable: bool = False
+    ) -> None:
+        """Report the end of the attempt, also when the lease has lapsed: the store decides."""
+        with self._lock:
+            self._held.pop(work.ref, None)
+            group = self._group_of(work.ref)
+            group.completions.append(ItemCompletion(work.ref, status, response, retryable))
+            group.changed.notify()
+
+    def held(self) -> int:
+        """Return how many leases this node holds."""
+        return len(self._held)
+
+    def _serve_group(self, number: int) -> None:
+        group = self._groups[number]
+        while True:
+            with self._lock:
+                self._return_idle_items(number)
+                message, reply_type = self._next_message(number, group)
+                if message is None:
+                    if self._stopping:
+                        return
+                    group.changed.wait(self._settings.poll_interval_s)
+                    continue
+            reply = self._job_store.call(message, reply_type, STORE_TIMEOUT_S)
+            with self._lock:
+                self._take_reply(group, message, reply)
+                if self._stopping and group.retry_s > time.monotonic():
+                    return  # The store is out of reach; the leases lapse by themselves.
+
+    def _next_message(
+        self, number: int, group: _Group
+    ) -> tuple[PeerMessage, type] | tuple[None, None]:
+        """Return what to tell the group now: results first, new work last."""
+        now_s = time.monotonic()
+        if now_s < group.retry_s and not self._stopping:
+            return None, None
+        if group.completions:
+            completions = tuple(itertools.islice(group.completions, MAX_ITEMS_PER_CALL))
+            return CompleteItems(number, self.worker, completions), CompletedItems
+        if group.returns:
+            refs = tuple(itertools.islice(group.returns, MAX_ITEMS_PER_CALL))
+            return ReturnItems(number, self.worker, refs), Accepted
+        if self._stopping:
+            return None, None
+        lease_s = self._settings.lease_s
+        if now_s >= group.next_renewal_s:
+            group.next_renewal_s = now_s + lease_s / RENEWALS_PER_LEASE
+            refs = tuple(ref for ref in self._held if group_number(ref.job_id) == number)
+            if refs:
+                return RenewLeases(number, self.worker, lease_s, refs), RenewedLeases
+        for service in self._demand:
+            count = min(self._shortage(service), MAX_ITEMS_PER_CALL)
+            poll = group.polls.setdefault(service, _Poll())
+            if count > 0 and now_s >= poll.next_s:
+                self._asked[service] = self._asked.get(service, 0) + count
+                return LeaseItems(number, self.worker, service, count, lease_s), LeasedItems
+        return None, None
+
+    def _shortage(self, service: str) -> int:
+        """Return how many items are wanted beyond those here and those asked for."""
+        wanted = sum(self._demand[service].values())
+        return wanted - len(self._idle.get(service, ())) - self._asked.get(service, 0)
+
+    def _take_reply(self, group: _Group, message: PeerMessage, reply: object) -> None:
+        if isinstance(message, LeaseItems):
+            self._asked[message.service] -= message.count
+        match reply:
+            case LeasedItems(items=items):
+                self._hold(group, message, items)
+            case RenewedLeases(stop=stop):
+                for ref in stop:
+                    self._stop_item(ref)
+            case CompletedItems():
+                for _ in message.completions:
+                    group.completions.popleft()
+            case Accepted():
+                for _ in message.items:
+                    group.returns.popleft()
+            case failure:
+                # The same message goes again later; the store takes each attempt once.
+                group.retry_s = time.monotonic() + RETRY_INTERVAL_S
+                log_message(
+                    "batch:store_failure", sent=type(message).__name__, failure=repr(failure)
+                )
+
+    def _hold(self, group: _Group, message: LeaseItems, items: tuple[LeasedItem, ...]) -> None:
+        now_s = time.monotonic()
+        poll = group.polls[message.service]
+        if items:
+            poll.interval_s = 0.0
+        else:
+            interval_s = max(2 * poll.interval_s, self._settings.poll_interval_s)
+            poll.interval_s = min(interval_s, self._max_poll_interval_s)
+        poll.next_s = now_s + poll.interval_s
+        idle = self._idle.setdefault(message.service, deque())
+        for leased in items:
+            work = WorkItem(message.service, leased, now_s)
+            self._held[work.ref] = work
+            if self._stopping:
+                self._forget(work, give_back=True)
+            else:
+                idle.append(work)
+
+    def _stop_item(self, ref: ItemRef) -> None:
+        work = self._held.get(ref)
+        if work is None:
+            return
+        self._forget(work, give_back=False)
+        work.stop()
+
+    def _return_idle_items(self, number: int) -> None:
+        """Give back items that wait here for too long: another replica may have room."""
+        oldest_s = time.monotonic() - IDLE_HOLD_S
+        for idle in self._idle.values():
+            for work in [work for work in idle if work.idle_since_s < oldest_s]:
+                if group_number(work.leased.job_id) == number:
+                    self._forget(work, give_back=True)
+
+    def _forget(self, work: WorkItem, give_back: bool) -> None:
+        if self._held.pop(work.ref, None) is not None and give_back:
+            self._group_of(work.ref).returns.append(work.ref)
+        idle = self._idle.get(work.service)
+        if idle is not None and work in idle:
+            idle.remove(work)
+
+    def _group_of(self, ref: ItemRef) -> _Group:
+        return self._groups[group_number(ref.job_id)]
+
+    def _wake_groups(self) -> None:
+        now_s = time.monotonic()
+        for group in self._groups:
+            if any(now_s >= poll.next_s for poll in group.polls.values()) or not group.polls:
+                group.changed.notify()
+
+
+def group_number(identifier: str) -> int:
+    """Return the log group in the id of a job (``batch_{group}_..``) or file (``file-{group}-..``).
+
+    Raises
+    ------
+    ValueError
+        If ``identifier`` is not such an id.
+    """
+    parts = identifier.replace("-", "_").split("_")
+    if len(parts) < 3 or not parts[1].isdigit():
+        raise ValueError(f"{identifier!r} does not name its log group")
+    return int(parts[1])
--- /dev/null
+++ b/src/quaymill/process/batch/room.py
@@ -0,0 +1,111 @@
+"""How many batch items may run at one replica: pure arithmetic, without clocks or threads.
+
+Batch concurrency shrinks at once and comes back slowly (additive return). A notice of
+online work counts until a load report that was measured after it has arrived; from then on
+the report speaks for itself.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+
+import msgspec
+
+from quaymill.connection.load_messages import LoadReport
+
+REPORT_MAX_AGE_S = 3.0
+RETURN_INTERVAL_S = 0.1
+RETURN_FRACTION = 0.125
+UNKNOWN_LOAD_CONCURRENCY = 1
+
+
+class RoomLimits(msgspec.Struct, frozen=True):
+    """The cells that bound batch work at one replica.
+
+    Attributes
+    ----------
+    batch_limit
+        Most batch items in service at once.
+    reserve
+        Slots left free for the next online requests.
+    """
+
+    batch_limit: int
+    reserve: int
+
+
+class LoadSample(msgspec.Struct, frozen=True):
+    """A load report with the monotonic time in seconds at which the replica measured it."""
+
+    report: LoadReport
+    measured_s: float
+
+
+def online_in_service(report: LoadReport, own_running: int) -> int:
+    """Return the online requests that a report shows, running and waiting.
+
+    Batch streams of this scheduler that the replica does not run yet wait in its queue;
+    they are not taken for online ones.
+    """
+    own_waiting = max(0, own_running - report.batch_running)
+    waiting = max(0, report.waiting - own_waiting)
+    return max(0, report.running - report.batch_running) + waiting
+
+
+class Room:
+    """The batch concurrency allowed at one replica. Not safe for use by several threads."""
+
+    def __init__(self) -> None:
+        self._allowed = 0
+        self._last_return_s = -math.inf
+        self._notices_s: deque[float] = deque()
+
+    @property
+    def allowed(self) -> int:
+        """Batch concurrency allowed by the last update."""
+        return self._allowed
+
+    def notice(self, now_s: float) -> None:
+        """Count one online request that starts now."""
+        self._notices_s.append(now_s)
+
+    def preempted(self, running: int, now_s: float) -> None:
+        """Take note that the engine preempted a stream; ``running`` are left."""
+        self._allowed = min(self._allowed, running)
+        self._last_return_s = now_s
+
+    def update(
+        self, sample: LoadSample | None, limits: RoomLimits, own_running: int, now_s: float
+    ) -> int:
+        """Work out the allowed concurrency and return it.
+
+        Parameters
+        ----------
+        sample
+            The latest report; ``None`` or an old one means that the load is unknown.
+        own_running
+            Batch streams that this scheduler has open at the replica.
+        """
+        target = self._target(sample, limits, own_running, now_s)
+        if target <= self._allowed:
+            self._allowed = target
+            self._last_return_s = now_s
+        elif now_s - self._last_return_s >= RETURN_INTERVAL_S:
+            step = max(1, math.ceil(limits.batch_limit * RETURN_FRACTION))
+            self._allowed = min(target, self._allowed + step)
+            self._last_return_s = now_s
+        return self._allowed
+
+    def _target(
+        self, sample: LoadSample | None, limits: RoomLimits, own_running: int, now_s: float
+    ) -> int:
+        if sample is None or now_s - sample.measured_s > REPORT_MAX_AGE_S:
+            # An old report says nothing about idle slots; one item at a time keeps batch
+            # work moving, and the engine's priorities protect online work from it.
+            return max(0, min(limits.batch_limit, UNKNOWN_LOAD_CONCURRENCY))
+        while self._notices_s and self._notices_s[0] < sample.measured_s:
+            self._notices_s.popleft()
+        online = online_in_service(sample.report, own_running) + len(self._notices_s)
+        free = sample.report.slots - limits.reserve - online
+        return max(0, min(limits.batch_limit, free))
--- /dev/null
+++ b/src/quaymill/process/batch/scheduler.py
@@ -0,0 +1,302 @@
+"""Batch schedulers: one thread for each replica whose batch work this node sends.
+
+A scheduler starts items while there is room, and gives room up at once when online work
+starts: by a gateway's notice, by the load report when the notice was lost, or because the
+engine preempted a stream. Items that gave way are resumed from the tokens they hold.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import Counter
+
+import msgspec
+from eliot import log_message
+
+from quaymill.connection.endpoint import LinkFilter
+from quaymill.connection.engine_client import EngineClient
+from quaymill.connection.load_messages import Noted, OnlineStarts
+from quaymill.connection.peer_link import PeerServer
+from quaymill.connection.replica_connection import ReplicaConnections
+from quaymill.process.batch.application_item import ApplicationItem, CallParts
+from quaymill.process.batch.item_outcome import (
+    ItemBroken,
+    ItemFinished,
+    ItemGaveWay,
+    ItemNotStarted,
+    ItemOutcome,
+    error_body,
+)
+from quaymill.process.batch.item_stream import ItemStream
+from quaymill.process.batch.lease_book import LeaseBook
+from quaymill.process.batch.replica_health import ReplicaHealth
+from quaymill.process.batch.room import LoadSample, Room, RoomLimits
+from quaymill.process.batch.work_item import WorkItem
+from quaymill.process.configuration_holder import ConfigurationHolder
+from quaymill.process.settings import NodeSettings
+from quaymill.version.configuration import Service, ServiceKind, ServingConfiguration
+
+STEP_INTERVAL_S = 0.05
+MAX_BROKEN_STREAMS = 3
+STOP_TIMEOUT_S = 5.0
+NO_STATUS = 0
+
+
+class SchedulerParts(msgspec.Struct, frozen=True):
+    """What every scheduler of this node uses."""
+
+    settings: NodeSettings
+    holder: ConfigurationHolder
+    book: LeaseBook
+    engine_client: EngineClient
+    call_parts: CallParts
+
+
+class BatchSchedulers:
+    """Keeps one scheduler for each replica that this node schedules."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        holder: ConfigurationHolder,
+        load_view,
+        job_store_client,
+        peer_server: PeerServer,
+        link_filter: LinkFilter,
+        membership,
+    ) -> None:
+        book = LeaseBook(settings.name, settings.batch, job_store_client, settings.log.groups)
+        connections = ReplicaConnections(link_filter)
+        self._load_view = load_view
+        self._parts = SchedulerParts(
+            settings=settings,
+            holder=holder,
+            book=book,
+            engine_client=EngineClient(link_filter),
+            call_parts=CallParts(settings, job_store_client, connections, membership),
+        )
+        self._schedulers: dict[str, ReplicaScheduler] = {}
+        self._stopping = threading.Event()
+        self._supervisor = threading.Thread(
+            target=self._supervise, name="batch-schedulers", daemon=True
+        )
+        peer_server.register(OnlineStarts, self._online_starts)
+
+    def start(self) -> None:
+        """Begin to lease and run items."""
+        self._parts.book.start()
+        self._supervisor.start()
+
+    def stop(self) -> None:
+        """Cancel the streams, let application calls end, and give the leases back."""
+        self._stopping.set()
+        self._supervisor.join()
+        for scheduler in self._schedulers.values():
+            scheduler.retire()
+        deadline = time.monotonic() + self._parts.settings.drain_timeout_s
+        for scheduler in self._schedulers.values():
+            scheduler.wait_until_idle(deadline)
+        self._parts.book.stop(STOP_TIMEOUT_S)
+
+    def running(self) -> dict[str, int]:
+        """Return the batch items in service by replica."""
+        return {name: scheduler.running() for name, scheduler in self._schedulers.items()}
+
+    def _supervise(self) -> None:
+        while not self._stopping.is_set():
+            views = {view.machine.name: view for view in self._load_view.scheduled_here()}
+            schedulers = dict(self._schedulers)
+            for name in schedulers.keys() - views.keys():
+                schedulers.pop(name).retire()
+            for name, view in views.items():
+                if name not in schedulers:
+                    schedulers[name] = ReplicaScheduler(view, self._parts)
+                    schedulers[name].start()
+                schedulers[name].observe(view)
+            self._schedulers = schedulers
+            self._stopping.wait(STEP_INTERVAL_S)
+
+    def _online_starts(self, message: OnlineStarts) -> Noted:
+        for name, count in Counter(message.replicas).items():
+            scheduler = self._schedulers.get(name)
+            if scheduler is not None:
+                scheduler.online_starts(count)
+        return Noted()
+
+
+class _Running(msgspec.Struct, eq=False):
+    """One item in service."""
+
+    work: WorkItem
+    run: ItemStream | ApplicationItem
+    started_s: float
+    giving_way: bool = False
+
+
+class ReplicaScheduler:
+    """Sends batch items to one replica."""
+
+    def __init__(self, view, parts: SchedulerParts) -> None:
+        self._name = view.machine.name
+        self._service = view.machine.service
+        self._parts = parts
+        self._changed = threading.Condition()
+        self._view = view
+        self._sample: LoadSample | None = None
+        self._room = Room()
+        self._health = ReplicaHealth()
+        self._running: set[_Running] = set()
+        self._retired = False
+        self._thread = threading.Thread(target=self._run, name=f"batch-{self._name}", daemon=True)
+
+    def start(self) -> None:
+        """Begin to run items."""
+        self._thread.start()
+
+    def observe(self, view) -> None:
+        """Take in the latest view of the replica."""
+        report = view.report()
+        with self._changed:
+            self._view = view
+            if report is None or not report.reachable:
+                self._sample = None
+            else:
+                self._sample = LoadSample(report, time.monotonic() - report.age_s)
+
+    def online_starts(self, count: int) -> None:
+        """Make room now for ``count`` online requests; streams are closed before it returns."""
+        with self._changed:
+            now_s = time.monotonic()
+            for _ in range(count):
+                self._room.notice(now_s)
+            self._make_room(now_s)
+
+    def retire(self) -> None:
+        """Start nothing more and cancel the streams; application calls run to their end."""
+        with self._changed:
+            self._retired = True
+            self._cancel_streams(len(self._running))
+            self._changed.notify_all()
+        self._parts.book.set_demand(self._name, self._service, 0)
+
+    def wait_until_idle(self, deadline_s: float) -> None:
+        """Wait until no item is in service, at most until the monotonic time given."""
+        with self._changed:
+            self._changed.wait_for(
+                lambda: not self._running, max(0.0, deadline_s - time.monotonic())
+            )
+
+    def running(self) -> int:
+        """Return how many items are in service."""
+        return len(self._running)
+
+    def _run(self) -> None:
+        with self._changed:
+            while not self._retired:
+                self._step()
+                self._changed.wait(STEP_INTERVAL_S)
+
+    def _step(self) -> None:
+        """Work out the room, close what exceeds it, start what fits."""
+        now_s = time.monotonic()
+        allowed = self._make_room(now_s)
+        if self._view.draining or self._view.ejected:
+            allowed = 0
+        allowed = self._health.limit(allowed, now_s)
+        while len(self._running) < allowed:
+            work = self._parts.book.take(self._service)
+            if work is None:
+                break
+            self._start_item(work, now_s)
+        free = max(0, allowed - len(self._running))
+        prefetched = (allowed + 1) // 2
+        self._parts.book.set_demand(self._name, self._service, free + prefetched)
+
+    def _make_room(self, now_s: float) -> int:
+        configuration = self._parts.holder.current()
+        limits = _limits(configuration, self._service, self._view.machine.zone)
+        staying = sum(1 for running in self._running if not running.giving_way)
+        allowed = self._room.update(self._sample, limits, staying, now_s)
+        if staying > allowed:
+            self._cancel_streams(staying - allowed)
+        return allowed
+
+    def _cancel_streams(self, count: int) -> None:
+        """Close the youngest streams, which hold the fewest tokens to be read anew."""
+        staying = [running for running in self._running if not running.giving_way]
+        staying.sort(key=lambda running: running.started_s, reverse=True)
+        for running in staying[:count]:
+            running.giving_way = True
+            running.run.cancel()
+
+    def _start_item(self, work: WorkItem, now_s: float) -> None:
+        run = self._new_run(work)
+        running = _Running(work, run, now_s)
+        self._running.add(running)
+        work.on_unwanted(run.cancel)
+        threading.Thread(
+            target=self._run_item, args=(running,), name=f"item-{self._name}", daemon=True
+        ).start()
+
+    def _new_run(self, work: WorkItem) -> ItemStream | ApplicationItem:
+        parts = self._parts
+        endpoint = self._view.machine.endpoint
+        service = parts.holder.current().services.get(self._service, Service(ServiceKind.MODEL))
+        if service.kind == ServiceKind.APPLICATION:
+            return ApplicationItem(work, endpoint, service.idempotent, parts.call_parts)
+        return ItemStream(work, endpoint, parts.engine_client, parts.settings.batch)
+
+    def _run_item(self, running: _Running) -> None:
+        try:
+            outcome = running.run.run()
+        except Exception as error:  # A bug must not leave the item held for ever.
+            log_message("batch:item_bug", item=repr(running.work.ref), error=repr(error))
+            outcome = ItemBroken(f"internal error: {error!r}")
+        running.work.on_unwanted(None)
+        with self._changed:
+            self._running.discard(running)
+            self._settle(running.work, outcome)
+            self._changed.notify_all()
+
+    def _settle(self, work: WorkItem, outcome: ItemOutcome) -> None:
+        """Report, keep or give back the item, and learn about the replica from it."""
+        now_s = time.monotonic()
+        book = self._parts.book
+        match outcome:
+            case ItemFinished(status=status, response=response, retryable=retryable):
+                self._health.record(not retryable, now_s)
+                book.complete(work, status, response, retryable)
+            case ItemGaveWay(by_engine=by_engine):
+                if by_engine:
+                    self._room.preempted(len(self._running), now_s)
+                book.put_back(work)
+            case ItemNotStarted(reason=reason):
+                self._health.record(False, now_s)
+                log_message("batch:not_started", item=repr(work.ref), reason=reason)
+                book.put_back(work)
+            case ItemBroken(reason=reason):
+                self._health.record(False, now_s)
+                log_message("batch:stream_broken", item=repr(work.ref), reason=reason)
+                self._settle_broken(work, reason)
+
+    def _settle_broken(self, work: WorkItem, reason: str) -> None:
+        """Resume from the tokens held a few times; then report a failed attempt."""
+        work.broken_streams += 1
+        resumable = work.partial.resumable and work.partial.token_ids
+        if resumable and work.broken_streams < MAX_BROKEN_STREAMS:
+            self._parts.book.put_back(work)
+            return
+        self._parts.book.complete(
+            work, NO_STATUS, error_body(reason, "replica_failed"), retryable=True
+        )
+
+
+def _limits(configuration: ServingConfiguration, service: str, zone: str) -> RoomLimits:
+    """Return the cells for a replica; without a route for its zone it takes no batch work."""
+    reserve = configuration.tuning.batch_reserve
+    for group_name, route in configuration.routes.get(service, {}).items():
+        group = configuration.zone_groups.get(group_name)
+        if group is not None and zone in group.zones:
+            return RoomLimits(route.batch_limit, reserve)
+    return RoomLimits(0, reserve)
--- a/src/quaymill/process/settings.py
+++ b/src/quaymill/process/settings.py
@@ -67,10 +67,27 @@
 
 
 class BatchSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Timing of the batch schedulers, in seconds."""
+    """Timing of the batch schedulers, in seconds.
+
+    Attributes
+    ----------
+    lease_s
+        How long an item stays with this node without a renewal.
+    poll_interval_s
+        Wait after the job store had no items.
+    first_byte_timeout_s
+        Longest wait for the first byte of an engine's answer.
+    token_gap_timeout_s
+        Longest silence between two tokens of a stream.
+    application_timeout_s
+        Longest wait for an application's whole answer.
+    """
 
     lease_s: float = 10.0
     poll_interval_s: float = 0.25
+    first_byte_timeout_s: float = 20.0
+    token_gap_timeout_s: float = 5.0
+    application_timeout_s: float = 60.0
 
 
 class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -176,6 +193,9 @@
         "log.election_timeout_s": settings.log.election_timeout_s,
         "batch.lease_s": settings.batch.lease_s,
         "batch.poll_interval_s": settings.batch.poll_interval_s,
+        "batch.first_byte_timeout_s": settings.batch.first_byte_timeout_s,
+        "batch.token_gap_timeout_s": settings.batch.token_gap_timeout_s,
+        "batch.application_timeout_s": settings.batch.application_timeout_s,
     }
     for key, seconds in timings.items():
         if seconds <= 0:
