--- a/src/quaymill_bench/journals.py
+++ b/src/quaymill_bench/journals.py
@@ -8,7 +8,7 @@
 
 from quaymill_bench.caller import Answer, read_json_lines
 from quaymill_bench.cluster_members import StandIn
-from quaymill_standins.text import expected_text, prompt_digest
+from quaymill_standins.text import digest, expected_text
 
 FINISHED = "finished"
 
@@ -23,7 +23,7 @@
     @property
     def digest(self) -> str:
         """Digest under which engines journal the prompt."""
-        return prompt_digest(self.text)
+        return digest(self.text)
 
     @property
     def expected(self) -> str:
--- /dev/null
+++ b/src/quaymill_bench/main.py
@@ -0,0 +1,136 @@
+"""``quaymill-bench``: load, experiments, random faults and scale."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+from pathlib import Path
+
+import defopt
+import msgspec
+
+from quaymill_bench.load import run_load
+from quaymill_bench.load_plan import LoadPlan, Phase
+
+EXPERIMENTS = ("interference", "overhead", "routing", "store", "propagation")
+
+
+def load(
+    *,
+    url: list[str],
+    key: str,
+    model: str,
+    rate: float = 10.0,
+    duration_s: float = 10.0,
+    max_tokens: int = 32,
+    seed: int = 1,
+    processes: int = 1,
+    report: Path | None = None,
+) -> int:
+    """Send an open-loop load of streamed completions and print a JSON report.
+
+    Parameters
+    ----------
+    url
+        Base addresses such as http://127.0.0.1:8080, taken in turn.
+    key
+        The tenant's bearer key.
+    model
+        Model to ask.
+    rate
+        Requests a second, with Poisson arrivals.
+    duration_s
+        Seconds of arrivals.
+    max_tokens
+        Tokens of each answer.
+    seed
+        Seed of arrivals and prompts.
+    processes
+        Processes that share the load.
+    report
+        File for the report; standard output if not given.
+    """
+    plan = LoadPlan(
+        base_urls=tuple(url),
+        key=key,
+        model=model,
+        phases=(Phase(duration_s, rate),),
+        seed=seed,
+        max_tokens=max_tokens,
+    )
+    result = run_load(plan, processes)
+    document = msgspec.json.format(msgspec.json.encode(result), indent=2).decode()
+    if report is None:
+        print(document)
+    else:
+        report.write_text(document + "\n")
+    return 0 if result.counts.whole == result.counts.sent else 1
+
+
+def experiment(name: str, *, out: Path | None = None, seed: int = 1) -> int:
+    """Run one experiment: one JSON line on standard output, and a plot.
+
+    Parameters
+    ----------
+    name
+        One of interference, overhead, routing, store, propagation.
+    out
+        File for the plot (PNG).
+    seed
+        Seed of all that is random.
+    """
+    if name not in EXPERIMENTS:
+        print(f"no experiment {name!r}; use one of {', '.join(EXPERIMENTS)}", file=sys.stderr)
+        return 2
+    module = importlib.import_module(f"quaymill_bench.{name}_experiment")
+    result = module.run(out=out, seed=seed)
+    print(msgspec.json.encode(result).decode(), flush=True)
+    return 0
+
+
+def faults(*, seed: int = 1, rounds: int = 10, only: int | None = None, keep: Path = None) -> int:
+    """Run random faults against real processes and check what was promised.
+
+    Parameters
+    ----------
+    seed
+        Seed of all schedules.
+    rounds
+        Number of rounds.
+    only
+        Replay just this round of the seed, counted from 0.
+    keep
+        Folder for the history of each round; a temporary one if not given.
+    """
+    from quaymill_bench.faults import run_rounds
+
+    return run_rounds(seed=seed, rounds=rounds, only=only, keep=keep)
+
+
+def scale(*, nodes: int, replicas: int, out: Path | None = None, seed: int = 1) -> int:
+    """Measure the cost of control with hollow nodes beside real ones.
+
+    Parameters
+    ----------
+    nodes
+        Number of nodes, hollow and real together.
+    replicas
+        Number of replicas in the machine list.
+    out
+        File for the plot (PNG).
+    seed
+        Seed of all that is random.
+    """
+    from quaymill_bench.scale_experiment import run
+
+    print(msgspec.json.encode(run(nodes=nodes, replicas=replicas, out=out, seed=seed)).decode())
+    return 0
+
+
+def main() -> None:
+    """Run the command named on the command line."""
+    sys.exit(defopt.run([load, experiment, faults, scale]))
+
+
+if __name__ == "__main__":
+    main()
