--- /dev/null
+++ b/src/quaymill/connection/engine_client.py
@@ -0,0 +1,217 @@
+"""Calls model engines: OpenAI's protocol with the extra fields of docs/INTERFACES.md.
+
+An answer counts only if it echoes the attempt's id, and a stream is whole only with its
+terminator. What the relay needs for each token is checked on the raw bytes; nothing is parsed.
+"""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
+from quaymill.request.outcome import NOT_RUN, OUTCOME_HEADER, Failed, NotRun, OutcomeUnknown
+
+MAX_WHOLE_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_ERROR_BYTES = 64 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
+ERROR_BODY_TIMEOUT_S = 1.0
+HEAD_TIMEOUT_S = 5.0
+STREAM_STALL_TIMEOUT_S = 5.0
+STREAM_END_TIMEOUT_S = 0.5
+RETRY_AFTER_DRAINING_S = 1.0
+
+EVENT_END = b"\n\n"
+TERMINATOR = b"data: [DONE]" + EVENT_END
+_PREEMPTED = b'"preempted"'
+_COMMENT = b":"
+
+
+class _EngineErrorBody(msgspec.Struct, frozen=True):
+    message: str = ""
+
+
+class _EngineError(msgspec.Struct):
+    error: _EngineErrorBody = _EngineErrorBody()
+
+
+class _ChunkChoice(msgspec.Struct):
+    token_ids: list[int] = []
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_ChunkChoice] = []
+
+
+class EngineStream:
+    """The events of one streamed answer.
+
+    ``next_events`` is called until ``complete`` is true or it returns a failure; then
+    ``finish`` after a complete stream, ``abandon`` otherwise.
+    """
+
+    def __init__(self, exchange: Exchange, attempt_id: str) -> None:
+        self.complete = False
+        self._exchange = exchange
+        self._own_id = f'"{attempt_id}"'.encode()
+        self._rest = b""
+
+    def set_stall_timeout(self, timeout_s: float) -> None:
+        """Bound the wait for each of the next events."""
+        self._exchange.set_read_timeout(timeout_s)
+
+    def next_events(self) -> bytes | OutcomeUnknown:
+        """Wait for whole events and return them; a part of an event is held back."""
+        while True:
+            block = self._exchange.read_block()
+            if isinstance(block, OutcomeUnknown):
+                return block
+            if not block:
+                return self._broken("the stream ended without its terminator")
+            if self._rest:
+                block = self._rest + block
+            end = block.rfind(EVENT_END) + len(EVENT_END)
+            if end < len(EVENT_END):
+                if len(block) > MAX_EVENT_BYTES:
+                    return self._broken(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+                self._rest = block
+                continue
+            self._rest = block[end:]
+            events = block[:end] if self._rest else block
+            return self._checked(events)
+
+    def finish(self) -> None:
+        """Read the end of the body after the terminator, and give the connection back."""
+        self._exchange.set_read_timeout(STREAM_END_TIMEOUT_S)
+        if self._exchange.read_block() == b"":
+            self._exchange.release()
+        else:
+            self._exchange.abandon()
+
+    def abandon(self) -> None:
+        """Close the connection, which cancels the request at the engine."""
+        self._exchange.abandon()
+
+    def _checked(self, events: bytes) -> bytes | OutcomeUnknown:
+        """Return the events if each is this attempt's own."""
+        self.complete = events.endswith(TERMINATOR)
+        if _PREEMPTED in events and _finish_reason(events) == "preempted":
+            self.complete = False
+            return self._broken("the engine gave the request up for another one")
+        own = events[: -len(TERMINATOR)] if self.complete else events
+        if own.count(EVENT_END) > 1:
+            foreign = any(not self._is_own(event) for event in own.split(EVENT_END)[:-1])
+        else:
+            foreign = bool(own) and not self._is_own(own)
+        if foreign:
+            self.complete = False
+            return self._broken("the stream holds an event of another request, or an error")
+        return events
+
+    def _is_own(self, event: bytes) -> bool:
+        return self._own_id in event or event.startswith(_COMMENT)
+
+    def _broken(self, reason: str) -> OutcomeUnknown:
+        self._exchange.abandon()
+        return _broken_answer(self._exchange.endpoint, reason)
+
+
+class EngineClient:
+    """Sends requests to engines over kept connections."""
+
+    def __init__(self, link_filter: LinkFilter) -> None:
+        self._connections = ReplicaConnections(link_filter)
+
+    def send(
+        self, endpoint: Endpoint, path: str, body: bytes, attempt_id: str
+    ) -> Exchange | NotRun | OutcomeUnknown:
+        """Send a request; the answer is read by ``read_stream`` or ``read_whole``."""
+        headers = {"Content-Type": "application/json", "X-Request-Id": attempt_id}
+        return self._connections.send(endpoint, ReplicaRequest("POST", path, headers, body))
+
+    def read_stream(
+        self, exchange: Exchange, attempt_id: str
+    ) -> EngineStream | NotRun | OutcomeUnknown | Failed:
+        """Read the head of a streamed answer; call when the exchange is readable."""
+        failure = self._read_head(exchange, attempt_id)
+        return EngineStream(exchange, attempt_id) if failure is None else failure
+
+    def read_whole(
+        self, exchange: Exchange, attempt_id: str, timeout_s: float
+    ) -> bytes | NotRun | OutcomeUnknown | Failed:
+        """Read a whole answer; call when the exchange is readable."""
+        failure = self._read_head(exchange, attempt_id)
+        if failure is not None:
+            return failure
+        body = exchange.read_body(MAX_WHOLE_ANSWER_BYTES, time.monotonic() + timeout_s)
+        if isinstance(body, OutcomeUnknown):
+            return body
+        if f'"{attempt_id}"'.encode() not in body:
+            exchange.abandon()
+            return _broken_answer(exchange.endpoint, "the answer is to another request")
+        exchange.release()
+        return body
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._connections.close()
+
+    def _read_head(
+        self, exchange: Exchange, attempt_id: str
+    ) -> NotRun | OutcomeUnknown | Failed | None:
+        no_answer = exchange.read_head(HEAD_TIMEOUT_S)
+        if no_answer is not None:
+            return no_answer
+        echoed_id = exchange.header("X-Request-Id")
+        # A refusal may come without an id; an answer may not, and nothing with a foreign one.
+        if echoed_id != attempt_id and (echoed_id or exchange.status == 200):
+            exchange.abandon()
+            return _broken_answer(exchange.endpoint, "the answer is to another request")
+        return None if exchange.status == 200 else _read_refusal(exchange)
+
+
+def token_ids(events: bytes) -> list[int]:
+    """Return the tokens that whole events carry, in order."""
+    return [token for choice in _choices(events) for token in choice.token_ids]
+
+
+def _finish_reason(events: bytes) -> str | None:
+    reasons = [choice.finish_reason for choice in _choices(events)]
+    return next((reason for reason in reasons if reason is not None), None)
+
+
+def _choices(events: bytes) -> list[_ChunkChoice]:
+    choices: list[_ChunkChoice] = []
+    for event in events.split(EVENT_END):
+        if event.startswith(b"data: {"):
+            choices += msgspec.json.decode(event[len(b"data: ") :], type=_Chunk).choices
+    return choices
+
+
+def _read_refusal(exchange: Exchange) -> NotRun | Failed:
+    """Turn an error status into a failure of the kind that the replica states."""
+    status = exchange.status
+    not_run = exchange.header(OUTCOME_HEADER) == NOT_RUN
+    body = exchange.read_body(MAX_ERROR_BYTES, time.monotonic() + ERROR_BODY_TIMEOUT_S)
+    message = ""
+    if isinstance(body, bytes):
+        exchange.release()
+        try:
+            message = msgspec.json.decode(body, type=_EngineError).error.message
+        except msgspec.MsgspecError:
+            message = body[:200].decode(errors="replace")
+    reason = f"{exchange.endpoint} answered {status}: {message}"
+    if not_run:
+        return NotRun(status, reason, "send the request again", RETRY_AFTER_DRAINING_S, True)
+    if 400 <= status < 500 and status != 429:
+        return Failed(status, message or reason, "mend the request")
+    return Failed(status, reason, "send the request again, or see the replica's log", 1.0)
+
+
+def _broken_answer(endpoint: Endpoint, reason: str) -> OutcomeUnknown:
+    return OutcomeUnknown(
+        502, f"the answer of {endpoint} is no good: {reason}", "send the request again", 1.0
+    )
--- /dev/null
+++ b/src/quaymill/connection/replica_connection.py
@@ -0,0 +1,252 @@
+"""HTTP connections to replicas: one request at a time on each, with exact failure kinds.
+
+``NotRun`` is returned only when no byte of the request left: the link is cut, or the
+connection could not be made. Once a byte may have left, the failure is ``OutcomeUnknown``.
+A connection that is given up in the middle of an answer is closed and never used again, so
+a late answer cannot reach another request.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+import threading
+import time
+from http.client import HTTPException
+
+import msgspec
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.response import BaseHTTPResponse
+
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.request.outcome import NotRun, OutcomeUnknown
+
+CONNECT_TIMEOUT_S = 1.0
+SEND_TIMEOUT_S = 5.0
+IDLE_CONNECTION_LIFETIME_S = 20.0
+MAX_IDLE_CONNECTIONS_PER_REPLICA = 64
+READ_BLOCK_BYTES = 64 * 1024
+RETRY_AFTER_UNREACHABLE_S = 1.0
+
+_READ_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
+
+
+class ReplicaRequest(msgspec.Struct, frozen=True):
+    """What is sent to a replica."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes = b""
+
+
+class Exchange:
+    """One request that has been sent, and the answer to it.
+
+    The states are sent -> answered (``read_head``) -> ended (``release`` after the whole
+    body, or ``abandon`` at any time). ``reused`` tells that the connection had carried an
+    earlier request, so that the replica may have closed it just as this one went out.
+    """
+
+    def __init__(
+        self,
+        pool: ReplicaConnections,
+        endpoint: Endpoint,
+        connection: HTTPConnection,
+        reused: bool,
+    ) -> None:
+        self.endpoint = endpoint
+        self.reused = reused
+        self._pool = pool
+        self._connection = connection
+        self._socket = connection.sock
+        self._response: BaseHTTPResponse | None = None
+
+    @property
+    def status(self) -> int:
+        """Status code of the answer."""
+        return self._response.status
+
+    def header(self, name: str) -> str:
+        """Return a header of the answer; empty if it is not there."""
+        return self._response.headers.get(name, "")
+
+    def wait_readable(self, timeout_s: float) -> bool:
+        """Return whether the replica has sent something, or closed, within the timeout."""
+        return bool(select.select([self._socket], [], [], max(timeout_s, 0.0))[0])
+
+    def read_head(self, timeout_s: float) -> OutcomeUnknown | None:
+        """Read the status line and the headers of the answer."""
+        self._socket.settimeout(max(timeout_s, 0.001))
+        try:
+            self._response = self._connection.getresponse()
+        except _READ_ERRORS as error:
+            self.abandon()
+            return self._no_answer(error)
+        return None
+
+    def set_read_timeout(self, timeout_s: float) -> None:
+        """Bound the wait of each later read."""
+        # A socket whose answer has been read to its end may be closed already.
+        with contextlib.suppress(OSError):
+            self._socket.settimeout(max(timeout_s, 0.001))
+
+    def read_block(self) -> bytes | OutcomeUnknown:
+        """Read what has arrived of the body; empty at its proper end."""
+        if self._pool.link_filter.blocks(self.endpoint):
+            self.abandon()
+            return self._no_answer("the link was cut")
+        try:
+            return self._response.read1(READ_BLOCK_BYTES, decode_content=False)
+        except _READ_ERRORS as error:
+            self.abandon()
+            return self._no_answer(error)
+
+    def read_body(self, limit_bytes: int, deadline: float) -> bytes | OutcomeUnknown:
+        """Read the whole body; a body cut short or over the limit is no answer."""
+        blocks: list[bytes] = []
+        total_bytes = 0
+        while True:
+            self.set_read_timeout(deadline - time.monotonic())
+            block = self.read_block()
+            if isinstance(block, OutcomeUnknown):
+                return block
+            if not block:
+                return b"".join(blocks)
+            blocks.append(block)
+            total_bytes += len(block)
+            if total_bytes > limit_bytes:
+                self.abandon()
+                return self._no_answer(f"the answer is longer than {limit_bytes} bytes")
+
+    def release(self) -> None:
+        """Give the connection back for other requests; the body has been read to its end."""
+        self._response.close()
+        if self._connection.sock is not None:
+            self._pool.keep(self.endpoint, self._connection)
+
+    def cancel(self) -> None:
+        """End the connection from another thread; a read that waits fails at once."""
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+
+    def abandon(self) -> None:
+        """Close the connection; the replica sees that its answer is not wanted any more."""
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+        if self._response is not None:
+            with contextlib.suppress(*_READ_ERRORS):
+                self._response.close()
+        self._connection.close()
+        with contextlib.suppress(OSError):
+            self._socket.close()
+
+    def _no_answer(self, error: object) -> OutcomeUnknown:
+        return OutcomeUnknown(
+            502,
+            f"no whole answer came from {self.endpoint}: {error}",
+            "look up the request before you send it again, unless it may be repeated",
+        )
+
+
+class _IdleConnection(msgspec.Struct):
+    connection: HTTPConnection
+    idle_since: float
+
+
+class ReplicaConnections:
+    """Sends requests to replicas and keeps idle connections to them."""
+
+    def __init__(self, link_filter: LinkFilter) -> None:
+        self.link_filter = link_filter
+        self._lock = threading.Lock()
+        self._idle: dict[Endpoint, list[_IdleConnection]] = {}
+
+    def send(
+        self, endpoint: Endpoint, request: ReplicaRequest, *, fresh: bool = False
+    ) -> Exchange | NotRun | OutcomeUnknown:
+        """Send one request.
+
+        Parameters
+        ----------
+        fresh
+            Use a new connection. Needed where a repeat is not allowed: on an idle one the
+            replica may close just as the request goes out.
+
+        Returns
+        -------
+        The exchange; ``NotRun`` if nothing was sent; ``OutcomeUnknown`` if a part was.
+        """
+        if self.link_filter.blocks(endpoint):
+            time.sleep(CONNECT_TIMEOUT_S)
+            return _unreachable(endpoint, "the link is cut by the fault switch")
+        connection = None if fresh else self._take_idle(endpoint)
+        reused = connection is not None
+        if connection is None:
+            connection = HTTPConnection(endpoint.host, endpoint.port, timeout=CONNECT_TIMEOUT_S)
+            try:
+                connection.connect()
+            except (HTTPError, OSError) as error:
+                connection.close()
+                return _unreachable(endpoint, str(error))
+        connection.timeout = SEND_TIMEOUT_S
+        connection.sock.settimeout(SEND_TIMEOUT_S)
+        exchange = Exchange(self, endpoint, connection, reused)
+        try:
+            connection.request(
+                request.method,
+                request.path,
+                body=request.body,
+                headers=request.headers,
+                preload_content=False,
+                decode_content=False,
+            )
+        except (HTTPError, OSError) as error:
+            exchange.abandon()
+            return OutcomeUnknown(
+                502,
+                f"the connection to {endpoint} broke while the request was sent: {error}",
+                "look up the request before you send it again, unless it may be repeated",
+            )
+        return exchange
+
+    def keep(self, endpoint: Endpoint, connection: HTTPConnection) -> None:
+        """Put a connection aside for the next request."""
+        with self._lock:
+            pool = self._idle.setdefault(endpoint, [])
+            if len(pool) < MAX_IDLE_CONNECTIONS_PER_REPLICA:
+                pool.append(_IdleConnection(connection, time.monotonic()))
+                return
+        connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            pools, self._idle = self._idle, {}
+        for pool in pools.values():
+            for idle in pool:
+                idle.connection.close()
+
+    def _take_idle(self, endpoint: Endpoint) -> HTTPConnection | None:
+        while True:
+            with self._lock:
+                pool = self._idle.get(endpoint)
+                idle = pool.pop() if pool else None
+            if idle is None:
+                return None
+            expired = time.monotonic() - idle.idle_since > IDLE_CONNECTION_LIFETIME_S
+            # A readable idle connection holds an end of stream: the replica has closed it.
+            if not expired and idle.connection.is_connected:
+                return idle.connection
+            idle.connection.close()
+
+
+def _unreachable(endpoint: Endpoint, reason: str) -> NotRun:
+    return NotRun(
+        503,
+        f"{endpoint} cannot be reached: {reason}",
+        "send the request again",
+        RETRY_AFTER_UNREACHABLE_S,
+    )
--- a/src/quaymill/process/gateway/http.py
+++ b/src/quaymill/process/gateway/http.py
@@ -9,8 +9,6 @@
 
 import math
 import re
-import select
-import socket
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any, BinaryIO
@@ -18,12 +16,14 @@
 import msgspec
 
 from quaymill.request.outcome import FAILED, NOT_RUN, OUTCOME_HEADER, UNKNOWN, Failure, NotRun
+from quaymill.request.presence import CallerPresence
 
 REQUEST_ID_HEADER = "X-Request-Id"
 RETRY_AFTER_HEADER = "Retry-After"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 JSON_CONTENT_TYPE = "application/json"
 READ_BLOCK_BYTES = 64 * 1024
+MAX_DISCARDED_BYTES = 32 * 1024 * 1024
 
 _OUTCOME_BY_TAG = {"not-run": NOT_RUN, "unknown": UNKNOWN, "failed": FAILED}
 _ERROR_TYPE_BY_STATUS = {
@@ -57,6 +57,8 @@
         Identifies the request in logs and towards replicas.
     tenant
         Name of the authenticated tenant; empty on open routes.
+    presence
+        Whether the caller still waits.
     parameters
         Values of the ``{name}`` parts of the route's pattern.
     """
@@ -70,7 +72,7 @@
         content_length: int | None = 0,
         query: str = "",
         request_id: str = "",
-        connection: socket.socket | None = None,
+        presence: CallerPresence | None = None,
     ) -> None:
         self.method = method
         self.path = path
@@ -81,12 +83,13 @@
         self.request_id = request_id
         self.tenant = ""
         self.parameters: dict[str, str] = {}
-        self._connection = connection
+        self.presence = presence or CallerPresence()
 
     def read_body(self, limit_bytes: int) -> bytes | NotRun:
         """Read the whole body, or refuse it with status 413 if it is longer than the limit."""
         if self.content_length is not None:
             if self.content_length > limit_bytes:
+                self._discard(self.content_length)
                 return _body_too_large(limit_bytes)
             return self.body.read(self.content_length)
         blocks: list[bytes] = []
@@ -98,16 +101,14 @@
             blocks.append(block)
         return b"".join(blocks)
 
-    def caller_is_gone(self) -> bool:
-        """Return whether the caller has closed its connection."""
-        if self._connection is None:
-            return False
-        try:
-            if not select.select([self._connection], [], [], 0)[0]:
-                return False
-            return self._connection.recv(1, socket.MSG_PEEK) == b""
-        except (OSError, ValueError):
-            return True
+    def _discard(self, size_bytes: int) -> None:
+        """Read a body that is not wanted, so that its sender comes to read the refusal."""
+        left_bytes = min(size_bytes, MAX_DISCARDED_BYTES)
+        while left_bytes > 0:
+            block = self.body.read(min(READ_BLOCK_BYTES, left_bytes))
+            if not block:
+                return
+            left_bytes -= len(block)
 
 
 class Response(msgspec.Struct):
--- /dev/null
+++ b/src/quaymill/process/limits/__init__.py
@@ -0,0 +1,1 @@
+"""What each tenant may send."""
--- /dev/null
+++ b/src/quaymill/process/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes there are, found and watched by probes between them."""
--- /dev/null
+++ b/src/quaymill/request/attempt.py
@@ -0,0 +1,182 @@
+"""Attempts of one request at replicas, one after the other, and what they add up to.
+
+The kinds of failure of several attempts are merged so that none is lost: ``NotRun`` remains
+only if every attempt was ``NotRun``.
+"""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+from eliot import start_action
+
+from quaymill.connection.member import Machine
+from quaymill.request.deadline import Deadline
+from quaymill.request.outcome import Failed, Failure, NotRun, OutcomeUnknown
+from quaymill.request.presence import CallerGoneError, CallerPresence
+from quaymill.request.retry_budget import RetryBudget
+
+MAX_ATTEMPTS = 4
+ATTEMPT_ID_BYTES = 6
+
+
+class Replica(Protocol):
+    """What an attempt needs of a replica view."""
+
+    @property
+    def name(self) -> str: ...  # noqa: D102
+    @property
+    def machine(self) -> Machine: ...  # noqa: D102
+    def begin(self) -> int: ...  # noqa: D102
+    def end(self, ticket: int) -> None: ...  # noqa: D102
+
+
+class Chooser(Protocol):
+    """What attempts need of the router."""
+
+    def choose(  # noqa: D102
+        self, service: str, prefix_key: str = "", exclude: frozenset[str] = frozenset()
+    ) -> Replica | NotRun: ...
+    def record_success(self, replica: Replica) -> None: ...  # noqa: D102
+    def record_failure(self, replica: Replica, failure: Failure) -> None: ...  # noqa: D102
+
+
+Answer = TypeVar("Answer")
+SendOnce = Callable[[Replica, str], Answer | Failure]
+
+
+class RequestAttempts:
+    """The attempts of one request.
+
+    Parameters
+    ----------
+    request_id
+        The attempt ids begin with it, so that one search finds all of them.
+    repeatable
+        Whether a new attempt may follow one that may have run.
+    """
+
+    def __init__(
+        self,
+        chooser: Chooser,
+        budget: RetryBudget,
+        deadline: Deadline,
+        service: str,
+        request_id: str,
+        presence: CallerPresence,
+        prefix_key: str = "",
+        repeatable: bool = True,
+    ) -> None:
+        self.deadline = deadline
+        self.presence = presence
+        self._chooser = chooser
+        self._budget = budget
+        self._service = service
+        self._request_id = request_id
+        self._prefix_key = prefix_key
+        self._repeatable = repeatable
+        self._excluded: frozenset[str] = frozenset()
+        self._made = 0
+        self._failure: Failure | None = None
+
+    def run(self, send_once: SendOnce[Answer], *, progressed: bool = False) -> Answer | Failure:
+        """Try replicas until one answers, or no further attempt is allowed.
+
+        Parameters
+        ----------
+        send_once
+            Makes one attempt; is given the replica and the attempt's id.
+        progressed
+            The attempt before brought part of the answer, so that the next one is a
+            continuation, which the retry budget does not pay for.
+
+        Raises
+        ------
+        CallerGoneError
+            The caller has left; no further attempt is made.
+        """
+        free_retry = progressed
+        while self._made < MAX_ATTEMPTS:
+            if self._made > 0 and not free_retry and not self._budget.take_retry():
+                break
+            free_retry = False
+            if self.deadline.passed():
+                self._note(_deadline_passed())
+                break
+            replica = self._chooser.choose(self._service, self._prefix_key, self._excluded)
+            if isinstance(replica, NotRun):
+                self._note(replica)
+                break
+            result = self._attempt(replica, send_once)
+            if not isinstance(result, NotRun | OutcomeUnknown | Failed):
+                return result
+            if self.presence.gone:
+                raise CallerGoneError
+            if not self._may_follow(result):
+                break
+        return self._failure
+
+    def note_cut(self, replica: Replica, failure: OutcomeUnknown) -> None:
+        """Note that the answer of an attempt broke off after it had begun."""
+        if self.presence.gone:
+            return
+        self._chooser.record_failure(replica, failure)
+        self._excluded |= {replica.name}
+        self._note(failure)
+
+    def _attempt(self, replica: Replica, send_once: SendOnce[Answer]) -> Answer | Failure:
+        self._made += 1
+        attempt_id = f"{self._request_id}.{secrets.token_hex(ATTEMPT_ID_BYTES)}"
+        with start_action(
+            action_type="request:attempt",
+            request_id=self._request_id,
+            attempt_id=attempt_id,
+            replica=replica.name,
+        ) as action:
+            result = send_once(replica, attempt_id)
+            if self.presence.gone:
+                action.add_success_fields(outcome="caller gone")
+            elif isinstance(result, NotRun | OutcomeUnknown | Failed):
+                action.add_success_fields(
+                    outcome=type(result).__name__, status=result.status, reason=result.reason
+                )
+                self._chooser.record_failure(replica, result)
+                self._excluded |= {replica.name}
+                self._note(result)
+            else:
+                self._chooser.record_success(replica)
+        return result
+
+    def _may_follow(self, failure: Failure) -> bool:
+        if isinstance(failure, NotRun):
+            return True
+        if isinstance(failure, Failed) and failure.status < 500 and failure.status != 429:
+            return False
+        return self._repeatable
+
+    def _note(self, failure: Failure) -> None:
+        self._failure = merge_failures(self._failure, failure)
+
+
+def merge_failures(earlier: Failure | None, later: Failure) -> Failure:
+    """Return what two attempts that failed add up to; the less certain kind prevails."""
+    if earlier is None:
+        return later
+    if isinstance(later, NotRun) and not isinstance(earlier, NotRun):
+        return type(earlier)(
+            earlier.status,
+            f"{earlier.reason}; then: {later.reason}",
+            earlier.remedy,
+            later.retry_after_s or earlier.retry_after_s,
+        )
+    if isinstance(earlier, OutcomeUnknown) and isinstance(later, Failed):
+        return OutcomeUnknown(
+            later.status, f"{later.reason}; before: {earlier.reason}", later.remedy
+        )
+    return later
+
+
+def _deadline_passed() -> NotRun:
+    return NotRun(504, "the deadline of the request has passed", "allow more time")
--- /dev/null
+++ b/src/quaymill/request/deadline.py
@@ -0,0 +1,49 @@
+"""The time by which a request must have ended."""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+
+from quaymill.request.outcome import NotRun
+
+TIMEOUT_HEADER = "quaymill-timeout-s"
+DEFAULT_TIMEOUT_S = 600.0
+MAX_TIMEOUT_S = 3600.0
+
+
+class Deadline(msgspec.Struct, frozen=True):
+    """A point on this process's monotonic clock."""
+
+    at_s: float
+
+    @classmethod
+    def after(cls, seconds: float) -> Deadline:
+        """Return the deadline that lies ``seconds`` from now."""
+        return cls(time.monotonic() + seconds)
+
+    def remaining_s(self) -> float:
+        """Seconds left; never below 0."""
+        return max(0.0, self.at_s - time.monotonic())
+
+    def passed(self) -> bool:
+        """Return whether the deadline lies in the past."""
+        return time.monotonic() >= self.at_s
+
+
+def deadline_from_header(value: str | None) -> Deadline | NotRun:
+    """Read the caller's header ``Quaymill-Timeout-S``; a refusal names what is wrong."""
+    if value is None:
+        return Deadline.after(DEFAULT_TIMEOUT_S)
+    try:
+        seconds = float(value)
+    except ValueError:
+        seconds = 0.0
+    if not 0.0 < seconds <= MAX_TIMEOUT_S:
+        return NotRun(
+            400,
+            f"the header Quaymill-Timeout-S is {value!r}",
+            f"send seconds above 0 and up to {MAX_TIMEOUT_S:.0f}",
+        )
+    return Deadline.after(seconds)
--- /dev/null
+++ b/src/quaymill/request/patience.py
@@ -0,0 +1,67 @@
+"""How long an attempt waits for the first byte of a replica's answer."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+
+from quaymill.connection.replica_connection import Exchange
+from quaymill.request.deadline import Deadline
+from quaymill.request.outcome import OutcomeUnknown
+
+WAIT_SLICE_S = 0.25
+FIRST_BYTE_PATIENCE_S = 2.0
+FIRST_BYTE_PATIENCE_BUSY_S = 10.0
+
+
+class WaitedReplica(Protocol):
+    """What the wait needs of a replica view."""
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the last poll was answered."""
+
+    def is_busy_since(self, sent_at: float) -> bool:
+        """Return whether a report after ``sent_at`` explains a late first byte."""
+
+
+def wait_for_first_byte(
+    exchange: Exchange, replica: WaitedReplica, deadline: Deadline, *, whole: bool = False
+) -> OutcomeUnknown | None:
+    """Wait until the replica sends something; a frozen one is given up and abandoned.
+
+    Parameters
+    ----------
+    whole
+        The first byte may rightly take as long as the whole answer; such a replica is given
+        up only when its polls are not answered either.
+    """
+    sent_at = time.monotonic()
+    while not exchange.wait_readable(min(WAIT_SLICE_S, deadline.remaining_s())):
+        waited_s = time.monotonic() - sent_at
+        if deadline.passed():
+            exchange.abandon()
+            return OutcomeUnknown(
+                504,
+                "the deadline passed before the replica answered",
+                "allow more time in the header Quaymill-Timeout-S",
+            )
+        if _is_frozen(replica, sent_at, waited_s, whole):
+            exchange.abandon()
+            return OutcomeUnknown(
+                504,
+                f"{exchange.endpoint} sent nothing for {waited_s:.1f} s",
+                "send the request again",
+                1.0,
+            )
+    return None
+
+
+def _is_frozen(replica: WaitedReplica, sent_at: float, waited_s: float, whole: bool) -> bool:
+    if waited_s < FIRST_BYTE_PATIENCE_S:
+        return False
+    if not replica.reachable:
+        return True
+    if whole:
+        return False
+    return waited_s >= FIRST_BYTE_PATIENCE_BUSY_S or not replica.is_busy_since(sent_at)
--- /dev/null
+++ b/src/quaymill/request/relay.py
@@ -0,0 +1,123 @@
+"""Relays a streamed answer to its caller, whole or ended by an explicit error event.
+
+A stream that breaks off is resumed on another replica from the tokens already relayed. The
+events relayed are kept as bytes and parsed only when a resume needs their tokens.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Generator, Iterator
+
+import msgspec
+
+from quaymill.connection.engine_client import EngineStream, token_ids
+from quaymill.request.outcome import Failed, Failure, NotRun, OutcomeUnknown
+from quaymill.request.presence import CallerPresence
+
+
+class OpenStream(msgspec.Struct):
+    """A stream that has begun.
+
+    Attributes
+    ----------
+    first_events
+        What has been read of it.
+    ended
+        Ends the attempt's accounting; is given the failure, if there was one.
+    """
+
+    stream: EngineStream
+    attempt_id: str
+    first_events: bytes
+    ended: Callable[[OutcomeUnknown | None], None] = lambda failure: None
+
+
+Resume = Callable[[list[int]], OpenStream | Failure]
+FormatError = Callable[[Failure], bytes]
+
+
+class StreamRelay:
+    """Iterates over blocks of whole events for the caller.
+
+    Parameters
+    ----------
+    first
+        The stream that has been opened.
+    resume
+        Opens a stream that continues after the given tokens; ``None`` if this request
+        cannot be resumed.
+    format_error
+        Makes the event that ends a stream which cannot be completed.
+    """
+
+    def __init__(
+        self,
+        first: OpenStream,
+        resume: Resume | None,
+        format_error: FormatError,
+        presence: CallerPresence,
+    ) -> None:
+        self._presence = presence
+        self._current: OpenStream | None = first
+        self._first_id = first.attempt_id.encode()
+        self._resume = resume
+        self._format_error = format_error
+        self._relayed: list[bytes] = []
+        self.failure: Failure | None = None
+
+    @property
+    def event_count(self) -> int:
+        """Blocks relayed so far; about one for each token."""
+        return len(self._relayed)
+
+    def __iter__(self) -> Iterator[bytes]:
+        while self._current is not None:
+            current = self._current
+            yield self._for_caller(current.first_events, current)
+            failure: Failure | None = yield from self._relay_rest(current)
+            self._end_current(failure)
+            if failure is None or self._presence.gone:
+                return
+            failure = self._reopen(failure)
+            if failure is not None:
+                self.failure = failure
+                yield self._format_error(failure)
+
+    def close(self) -> None:
+        """Cancel what still runs: the caller has left, or the stream has ended."""
+        if self._current is not None:
+            self._current.stream.abandon()
+            self._end_current(None)
+
+    def _relay_rest(self, current: OpenStream) -> Generator[bytes, None, OutcomeUnknown | None]:
+        stream = current.stream
+        while not stream.complete:
+            events = stream.next_events()
+            if isinstance(events, OutcomeUnknown):
+                return events
+            yield self._for_caller(events, current)
+        stream.finish()
+        return None
+
+    def _for_caller(self, events: bytes, current: OpenStream) -> bytes:
+        """Remember events, and give those of a later attempt the id of the first."""
+        attempt_id = current.attempt_id.encode()
+        if attempt_id != self._first_id:
+            events = events.replace(attempt_id, self._first_id)
+        self._relayed.append(events)
+        return events
+
+    def _reopen(self, failure: OutcomeUnknown) -> Failure | None:
+        """Continue on another replica; return the failure if that cannot be."""
+        if self._resume is None:
+            return failure
+        tokens = [token for events in self._relayed for token in token_ids(events)]
+        reopened = self._resume(tokens)
+        if isinstance(reopened, NotRun | OutcomeUnknown | Failed):
+            return reopened
+        self._current = reopened
+        return None
+
+    def _end_current(self, failure: OutcomeUnknown | None) -> None:
+        current, self._current = self._current, None
+        current.ended(failure)
--- /dev/null
+++ b/src/quaymill/request/retry_budget.py
@@ -0,0 +1,48 @@
+"""Bounds the retries of a process to a share of its traffic."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+RETRY_SHARE = 0.1
+BURST_RETRIES = 50.0
+FLOOR_RETRIES_PER_S = 0.5
+
+
+class RetryBudget:
+    """A balance that each request adds to and each retry draws from.
+
+    When every replica is down, retries add at most the share to the load, after a first
+    burst. The small floor lets a process with little traffic retry at all.
+    """
+
+    def __init__(
+        self,
+        share: float = RETRY_SHARE,
+        burst: float = BURST_RETRIES,
+        floor_per_s: float = FLOOR_RETRIES_PER_S,
+    ) -> None:
+        self._share = share
+        self._burst = burst
+        self._floor_per_s = floor_per_s
+        self._balance = burst
+        self._refilled_at = time.monotonic()
+        self._lock = threading.Lock()
+
+    def record_request(self) -> None:
+        """Add the share of one request."""
+        with self._lock:
+            self._balance = min(self._burst, self._balance + self._share)
+
+    def take_retry(self) -> bool:
+        """Draw one retry; ``False`` if the budget is spent."""
+        with self._lock:
+            now = time.monotonic()
+            refill = (now - self._refilled_at) * self._floor_per_s
+            self._refilled_at = now
+            self._balance = min(self._burst, self._balance + refill)
+            if self._balance < 1.0:
+                return False
+            self._balance -= 1.0
+            return True
