--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -89,7 +89,9 @@
 
     def set_read_timeout(self, timeout_s: float) -> None:
         """Bound the wait of each later read."""
-        self._socket.settimeout(max(timeout_s, 0.001))
+        # A socket whose answer has been read to its end may be closed already.
+        with contextlib.suppress(OSError):
+            self._socket.settimeout(max(timeout_s, 0.001))
 
     def read_block(self) -> bytes | OutcomeUnknown:
         """Read what has arrived of the body; empty at its proper end."""
--- a/tests/test_job_store_faults.py
+++ b/tests/test_job_store_faults.py
@@ -55,8 +55,10 @@
         self.finish(job_id, 40)
         node.start()
         wait_until(
-            lambda: node.group.replica.applied_index
-            >= self.cluster.leader().group.replica.applied_index,
+            lambda: (
+                node.group.replica.applied_index
+                >= self.cluster.leader().group.replica.applied_index
+            ),
             "the replica that was away catches up",
         )
 
@@ -263,7 +265,9 @@
             job_id = self.caller.job(8)
             leased = self.caller.lease(8)
             verdicts = []
-            worker = threading.Thread(target=lambda x=leased: verdicts.extend(self.caller.complete(x)))
+            worker = threading.Thread(
+                target=lambda x=leased: verdicts.extend(self.caller.complete(x))
+            )
             worker.start()
             cancelled = self.caller.ask(m.CancelJob(0, job_id), m.JobRecord)
             worker.join()
