--- a/src/quaymill/process/commands/main.py
+++ b/src/quaymill/process/commands/main.py
@@ -49,3 +49,7 @@
 
         commands["batch"] = batch.COMMANDS
     sys.exit(defopt.run(commands, no_negated_flags=True))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/quaymill_standins/main.py
+++ b/src/quaymill_standins/main.py
@@ -203,3 +203,7 @@
     print(f"ready {address}:{standin.port}", flush=True)
     stop_requested.wait()
     standin.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_job_store_faults.py
+++ b/tests/test_job_store_faults.py
@@ -6,6 +6,8 @@
 import unittest
 import uuid
 
+from nose2.tools import params
+
 from job_store_cluster import (
     SERVICE,
     Caller,
@@ -15,10 +17,7 @@
     ref,
     wait_until,
 )
-from nose2.tools import params
-
 from quaymill.connection import job_messages as m
-from quaymill.process.job_store.client import JobStoreClient
 from quaymill.process.job_store.reads import confirm_leadership
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 
