--- a/src/quaymill/process/job_store/file_state.py
+++ b/src/quaymill/process/job_store/file_state.py
@@ -146,8 +146,9 @@
         if row is None:
             return StoreConflict(f"there is no file {message.file_id}", "check the file id")
         file_id, tenant, name, sealed, item_count, byte_count, created_unix_s = row
+        first_item = self.item(file_id, 0) if sealed and item_count else None
         return FileRecord(
-            file_id, tenant, name, bool(sealed), item_count, byte_count, created_unix_s
+            file_id, tenant, name, bool(sealed), item_count, byte_count, created_unix_s, first_item
         )
 
     def get(self, file_id: str, tenant: str) -> bool:
