Hold tenants' limits over all gateways by lent credits; queue for replicas at their limit

Cause: limits held on each gateway alone, and a full set of replicas was refused at once with a fixed time to come back. Change: a granting node per region lends requests, tokens and slots; without it a gateway admits limit / live gateways. A bounded waiting room per service; its refusals tell the time that the rate of late gives.

--- /dev/null
+++ b/src/quaymill/connection/limit_messages.py
@@ -0,0 +1,58 @@
+"""Messages between gateways and the node that grants a tenant's credits."""
+
+from __future__ import annotations
+
+from quaymill.connection.peer_link import PeerMessage
+
+
+class BorrowCredits(PeerMessage, frozen=True):
+    """Ask for credits of a tenant.
+
+    Attributes
+    ----------
+    gateway
+        Name of the node that will use them.
+    requests
+        Requests wanted; fewer may be lent.
+    tokens
+        Tokens that the request at hand may generate; lent whole or not at all.
+    slots
+        Requests in service at once that the gateway needs in all, not in addition.
+    """
+
+    tenant: str
+    gateway: str
+    requests: int
+    tokens: int
+    slots: int
+
+
+class LentCredits(PeerMessage, frozen=True):
+    """Answer to ``BorrowCredits``.
+
+    Attributes
+    ----------
+    refused_by
+        Name of the limit that stands against the request at hand; empty if none does. Then
+        no tokens were taken.
+    retry_after_s
+        When that limit allows a request again, as far as is known.
+    """
+
+    requests: int = 0
+    slots: int = 0
+    refused_by: str = ""
+    retry_after_s: float = 0.0
+
+
+class ReturnCredits(PeerMessage, frozen=True):
+    """Give back tokens that were not used, and tell the slots still needed."""
+
+    tenant: str
+    gateway: str
+    tokens: int
+    slots: int
+
+
+class ReturnedCredits(PeerMessage, frozen=True):
+    """Answer to ``ReturnCredits``."""
--- a/src/quaymill/process/gateway/application_calls.py
+++ b/src/quaymill/process/gateway/application_calls.py
@@ -44,4 +44,4 @@
             )
         finally:
             self.attempts.presence.detach()
-            replica.end(ticket)
+            self.attempts.end(replica, ticket)
--- a/src/quaymill/process/gateway/completions.py
+++ b/src/quaymill/process/gateway/completions.py
@@ -41,6 +41,7 @@
 )
 from quaymill.request.relay import OpenStream, StreamRelay
 from quaymill.request.retry_budget import RetryBudget
+from quaymill.request.waiting_room import WaitingRooms
 from quaymill.version.configuration import ServiceKind
 
 CHAT_PATH = "/v1/chat/completions"
@@ -75,6 +76,7 @@
         engine_client: EngineClient,
         notifier: PreemptionNotifier,
         budget: RetryBudget,
+        waiting_rooms: WaitingRooms,
         max_body_bytes: int,
     ) -> None:
         self._holder = holder
@@ -83,6 +85,7 @@
         self._engine_client = engine_client
         self._notifier = notifier
         self._budget = budget
+        self._waiting_rooms = waiting_rooms
         self._max_body_bytes = max_body_bytes
 
     def register_routes(self, routes: RouteTable) -> None:
@@ -123,15 +126,19 @@
             model,
             request.request_id,
             request.presence,
+            self._waiting_rooms.of(model),
             prefix_key=completion.prefix_key,
         )
         call = _EngineCall(self._engine_client, self._notifier, attempts, request, path, completion)
         if completion.checked.stream:
             return self._answer_stream(request, call, reserved)
+        used = 0
         try:
-            return call.whole()
+            response = call.whole()
+            used = used_tokens(response.body) if response.status == 200 else 0
+            return response
         finally:
-            self._limiter.release(request.tenant, reserved, reserved)
+            self._limiter.release(request.tenant, reserved, used)
 
     def _answer_stream(self, request: Request, call: _EngineCall, reserved: int) -> Response:
         def ended(used_tokens: int) -> None:
@@ -159,6 +166,22 @@
         return json_response(Model(name)) if self._is_model(name) else _unknown_model(name)
 
 
+class _Usage(msgspec.Struct, frozen=True):
+    completion_tokens: int = 0
+
+
+class _WholeAnswer(msgspec.Struct):
+    usage: _Usage = _Usage()
+
+
+def used_tokens(body: bytes) -> int:
+    """Return the tokens that a whole answer says it has generated; 0 if it does not say."""
+    try:
+        return msgspec.json.decode(body, type=_WholeAnswer).usage.completion_tokens
+    except msgspec.MsgspecError:
+        return 0
+
+
 class _AccountedRelay:
     """A relay that settles the tenant's tokens when it ends."""
 
@@ -229,13 +252,13 @@
             opened = self._read_first_events(replica, body, attempt_id)
         finally:
             if not isinstance(opened, OpenStream):
-                replica.end(ticket)
+                self._attempts.end(replica, ticket)
         if not isinstance(opened, OpenStream):
             return opened
 
         def ended(failure: OutcomeUnknown | None) -> None:
             self._attempts.presence.detach()
-            replica.end(ticket)
+            self._attempts.end(replica, ticket)
             if failure is not None:
                 self._attempts.note_cut(replica, failure)
 
@@ -271,7 +294,7 @@
             return self._engine_client.read_whole(exchange, attempt_id, remaining_s)
         finally:
             self._attempts.presence.detach()
-            replica.end(ticket)
+            self._attempts.end(replica, ticket)
 
     def _send(
         self, replica: ReplicaView, body: bytes, attempt_id: str, *, whole: bool
--- a/src/quaymill/process/gateway/gateway.py
+++ b/src/quaymill/process/gateway/gateway.py
@@ -42,6 +42,7 @@
 from quaymill.request.outcome import Failed, NotRun
 from quaymill.request.presence import CallerGoneError, CallerPresence
 from quaymill.request.retry_budget import RetryBudget
+from quaymill.request.waiting_room import WaitingRooms
 
 if TYPE_CHECKING:
     from quaymill.process.job_store.client import JobStoreClient
@@ -83,6 +84,7 @@
         links = link_filter or LinkFilter()
         max_body_bytes = settings.gateway.max_body_bytes
         budget = RetryBudget()
+        waiting_rooms = WaitingRooms(settings.gateway.queue_limit)
         self.routes = RouteTable()
         self.metrics = GatewayMetrics()
         self.admission = Admission(settings.gateway.admission_limit)
@@ -102,6 +104,7 @@
             self._engine_client,
             self._notifier,
             budget,
+            waiting_rooms,
             max_body_bytes,
         ).register_routes(self.routes)
         Services(
@@ -111,6 +114,7 @@
             self._application_client,
             at_most_once,
             budget,
+            waiting_rooms,
             max_body_bytes,
         ).register_routes(self.routes)
         Health(
--- a/src/quaymill/process/gateway/services.py
+++ b/src/quaymill/process/gateway/services.py
@@ -22,6 +22,7 @@
 from quaymill.request.deadline import TIMEOUT_HEADER, deadline_from_header
 from quaymill.request.outcome import FAILED, OUTCOME_HEADER, Failure, NotRun
 from quaymill.request.retry_budget import RetryBudget
+from quaymill.request.waiting_room import WaitingRooms
 from quaymill.version.configuration import Service, ServiceKind
 
 MAX_KEY_CHARACTERS = 255
@@ -39,6 +40,7 @@
         application_client: ApplicationClient,
         at_most_once: AtMostOnceCalls,
         budget: RetryBudget,
+        waiting_rooms: WaitingRooms,
         max_body_bytes: int,
     ) -> None:
         self._holder = holder
@@ -47,6 +49,7 @@
         self._application_client = application_client
         self._at_most_once = at_most_once
         self._budget = budget
+        self._waiting_rooms = waiting_rooms
         self._max_body_bytes = max_body_bytes
 
     def register_routes(self, routes: RouteTable) -> None:
@@ -86,6 +89,7 @@
             name,
             request.request_id,
             request.presence,
+            self._waiting_rooms.of(name),
             repeatable=service.idempotent,
         )
         outgoing = _outgoing(request, body)
--- a/src/quaymill/process/replicas/router.py
+++ b/src/quaymill/process/replicas/router.py
@@ -85,11 +85,18 @@
         if not groups:
             return _no_replica(service)
         routes = configuration.routes.get(service, {})
-        weights = {name: routes[name].weight for name in groups if name in routes}
+        weights = {name: routes[name].weight for name in groups}
         with self._lock:
             turns = self._turns.setdefault(service, _SmoothWeights())
-            group = turns.pick(weights) if weights else next(iter(groups))
-            return self._choose_in_group(service, groups[group], routes.get(group), prefix_key)
+            chosen: ReplicaView | NotRun = _no_replica(service)
+            # A group whose replicas are all at their limit passes its turn on to the others.
+            while weights:
+                group = turns.pick(weights)
+                chosen = self._choose_in_group(service, groups[group], routes[group], prefix_key)
+                if not isinstance(chosen, NotRun):
+                    return chosen
+                del weights[group]
+            return chosen
 
     def record_success(self, replica: ReplicaView) -> None:
         """Note that a replica answered."""
@@ -133,11 +140,10 @@
         return healthy or groups
 
     def _choose_in_group(
-        self, service: str, replicas: list[ReplicaView], route: Route | None, prefix_key: str
+        self, service: str, replicas: list[ReplicaView], route: Route, prefix_key: str
     ) -> ReplicaView | NotRun:
-        limit = route.online_limit if route is not None else float("inf")
         candidates = _with_loads(replicas)
-        open_ones = [candidate for candidate in candidates if candidate.load < limit]
+        open_ones = [candidate for candidate in candidates if candidate.load < route.online_limit]
         if not open_ones:
             return _full(service)
         own_zone = [one for one in open_ones if one.replica.machine.zone == self._zone]
--- a/src/quaymill/process/settings.py
+++ b/src/quaymill/process/settings.py
@@ -41,12 +41,15 @@
     admission_limit
         Requests in service at once; must stay below ``threads`` so that health checks and
         refusals always find a free thread.
+    queue_limit
+        Requests of one service that may wait for a replica below its online limit.
     max_body_bytes
         Largest request body, file uploads apart.
     """
 
     threads: int = 256
     admission_limit: int = 224
+    queue_limit: int = 64
     max_body_bytes: int = 4 * 1024 * 1024
 
 
@@ -151,6 +154,10 @@
             f"is {gateway.admission_limit}, not between 1 and gateway.threads",
             f"use a number below {gateway.threads}",
         )
+    if gateway.queue_limit < 0:
+        return SettingsError(
+            file, "gateway.queue_limit", f"is {gateway.queue_limit}", "use 0 or more"
+        )
     for key in ("http_port", "peer_port"):
         port = getattr(settings, key)
         if not 0 < port < 65536:
--- a/src/quaymill/request/attempt.py
+++ b/src/quaymill/request/attempt.py
@@ -17,6 +17,7 @@
 from quaymill.request.outcome import Failed, Failure, NotRun, OutcomeUnknown
 from quaymill.request.presence import CallerGoneError, CallerPresence
 from quaymill.request.retry_budget import RetryBudget
+from quaymill.request.waiting_room import WaitingRoom
 
 MAX_ATTEMPTS = 4
 ATTEMPT_ID_BYTES = 6
@@ -66,11 +67,13 @@
         service: str,
         request_id: str,
         presence: CallerPresence,
+        waiting_room: WaitingRoom,
         prefix_key: str = "",
         repeatable: bool = True,
     ) -> None:
         self.deadline = deadline
         self.presence = presence
+        self._waiting_room = waiting_room
         self._chooser = chooser
         self._budget = budget
         self._service = service
@@ -105,7 +108,11 @@
             if self.deadline.passed():
                 self._note(_deadline_passed())
                 break
-            replica = self._chooser.choose(self._service, self._prefix_key, self._excluded)
+            replica = self._choose()
+            if isinstance(replica, NotRun) and replica.status == 429:
+                replica = self._waiting_room.wait_for_room(
+                    self._choose, self.deadline, self.presence
+                )
             if isinstance(replica, NotRun):
                 self._note(replica)
                 break
@@ -126,6 +133,14 @@
         self._excluded |= {replica.name}
         self._note(failure)
 
+    def end(self, replica: Replica, ticket: int) -> None:
+        """Stop counting an attempt at its replica; one that waits may take its place."""
+        replica.end(ticket)
+        self._waiting_room.record_end()
+
+    def _choose(self) -> Replica | NotRun:
+        return self._chooser.choose(self._service, self._prefix_key, self._excluded)
+
     def _attempt(self, replica: Replica, send_once: SendOnce[Answer]) -> Answer | Failure:
         self._made += 1
         attempt_id = f"{self._request_id}.{secrets.token_hex(ATTEMPT_ID_BYTES)}"
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -192,7 +192,9 @@
             self.links,
         )
         self.router = Router(self.load_view, self.holder, self.settings, seed=1)
-        self.limiter = TenantLimiter(self.holder)
+        self.limiter = TenantLimiter(
+            self.settings, self.holder, self.membership, self.peer_client, self.peer_server
+        )
         self.gateway = Gateway(
             self.settings,
             self.holder,
@@ -207,6 +209,7 @@
         )
         self.peer_server.start()
         self.load_view.start()
+        self.limiter.start()
         self.gateway.start()
         wait_until(lambda: all(one.report() for one in self.load_view.all_replicas()))
         return self
@@ -232,6 +235,7 @@
     def stop(self) -> None:
         """Stop all parts and stand-ins."""
         self.gateway.stop()
+        self.limiter.stop()
         self.load_view.stop()
         self.peer_server.stop()
         self.peer_client.close()
