--- a/src/quaymill/connection/engine_client.py
+++ b/src/quaymill/connection/engine_client.py
@@ -55,6 +55,7 @@
 
     def __init__(self, exchange: Exchange, attempt_id: str) -> None:
         self.complete = False
+        self.preempted = False
         self._exchange = exchange
         self._own_id = f'"{attempt_id}"'.encode()
         self._rest = b""
@@ -100,6 +101,7 @@
         self.complete = events.endswith(TERMINATOR)
         if _PREEMPTED in events and _finish_reason(events) == "preempted":
             self.complete = False
+            self.preempted = True
             return self._broken("the engine gave the request up for another one")
         own = events[: -len(TERMINATOR)] if self.complete else events
         if own.count(EVENT_END) > 1:
--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -143,6 +143,15 @@
         with contextlib.suppress(OSError):
             self._socket.close()
 
+    def shut_down(self) -> None:
+        """End the exchange from another thread: the reader wakes up and abandons it.
+
+        The socket itself is left to the reader: closing it here could hand its number to a
+        new connection while the reader still waits on it.
+        """
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+
     def _no_answer(self, error: object) -> OutcomeUnknown:
         return OutcomeUnknown(
             502,
