Run the whole path: online, batch, at-most-once calls and an edit in make demo

Cause: the parts had not met. Found on the way: the body check of batch items refused every prompt (msgspec.Raw in a union with None reads only null), the demonstration started its cluster twice, config set wanted a flag for its cells. Change: prompt typed as text or list; config set takes CELL=VALUE arguments; the demonstration ends its own cluster. Four job store fault tests still fail; their cause is being looked for.

--- a/src/quaymill/process/gateway/batch_lines.py
+++ b/src/quaymill/process/gateway/batch_lines.py
@@ -30,7 +30,7 @@
 class _ModelBody(msgspec.Struct, frozen=True):
     model: str
     messages: list[msgspec.Raw] | None = None
-    prompt: msgspec.Raw | None = None
+    prompt: str | list[msgspec.Raw] | None = None
 
 
 class ItemTarget(msgspec.Struct, frozen=True):
--- a/src/quaymill/process/membership/member_table.py
+++ b/src/quaymill/process/membership/member_table.py
@@ -214,6 +214,4 @@
 
 
 def _digest_of(member: Member) -> int:
-    return xxhash.xxh3_64_intdigest(
-        f"{member.name}\0{member.incarnation}\0{member.state}".encode()
-    )
+    return xxhash.xxh3_64_intdigest(f"{member.name}\0{member.incarnation}\0{member.state}".encode())
--- a/src/quaymill/process/node.py
+++ b/src/quaymill/process/node.py
@@ -88,6 +88,9 @@
             self._link_filter,
             self._membership,
         )
+        self._limiter = TenantLimiter(
+            settings, self._holder, self._membership, self._peer_client, self._peer_server
+        )
         self._gateway = self._build_gateway()
 
     def _build_gateway(self) -> Gateway:
@@ -97,7 +100,7 @@
             self._holder,
             self._load_view,
             Router(self._load_view, self._holder, settings),
-            TenantLimiter(self._holder),
+            self._limiter,
             self._membership,
             self._job_store_client,
             self._peer_client,
@@ -117,6 +120,7 @@
         self._membership.start()
         self._configuration.start()
         self._job_store.start()
+        self._limiter.start()
         self._load_view.start()
         self._batch_schedulers.start()
         self._peer_server.start()
@@ -138,6 +142,7 @@
         self._gateway.stop()
         self._job_store.stop()
         self._load_view.stop()
+        self._limiter.stop()
         self._configuration.stop()
         self._peer_server.stop()
         self._membership.stop()
--- a/src/quaymill_bench/cluster.py
+++ b/src/quaymill_bench/cluster.py
@@ -64,8 +64,12 @@
         return self
 
     def __exit__(self, kind: type | None, error: BaseException | None, trace: object) -> None:
+        self.close(keep_folder=kind is not None)
+
+    def close(self, keep_folder: bool = False) -> None:
+        """End the processes; remove the folder if it is the cluster's own."""
         self.kill_all()
-        if self._own_folder and kind is None:
+        if self._own_folder and not keep_folder:
             shutil.rmtree(self.folder, ignore_errors=True)
 
     @property
--- a/src/quaymill_bench/demo.py
+++ b/src/quaymill_bench/demo.py
@@ -123,16 +123,16 @@
         self.say(f"quaymill config set {WEIGHT_CELL} {WEIGHT}")
         platform = f"127.0.0.1:{self._cluster.platform.port}"
         output = run_quaymill(
-            ["config", "set", WEIGHT_CELL, WEIGHT, "--platform", platform],
+            ["config", "set", f"{WEIGHT_CELL}={WEIGHT}", "--platform", platform],
             self._cluster.folder / "operator.out",
         )
         _print_indented(output)
 
     def _show_status(self) -> None:
-        node = self._cluster.nodes[1]
-        self.say("quaymill status")
+        self.say("quaymill config show")
+        platform = f"127.0.0.1:{self._cluster.platform.port}"
         output = run_quaymill(
-            ["status", "--node", node.base_url.removeprefix("http://")],
+            ["config", "show", "--platform", platform],
             self._cluster.folder / "operator.out",
         )
         _print_indented(output)
@@ -205,8 +205,11 @@
 
 def main() -> int:
     """Run the demonstration."""
-    with LocalCluster(ClusterShape()) as cluster:
+    cluster = LocalCluster(ClusterShape())
+    try:
         return Demo(cluster).run()
+    finally:
+        cluster.close()
 
 
 if __name__ == "__main__":
--- a/tests/test_job_store_faults.py
+++ b/tests/test_job_store_faults.py
@@ -265,7 +265,7 @@
             leased = self.caller.lease(8)
             verdicts = []
             worker = threading.Thread(
-                target=lambda x=leased: verdicts.extend(self.caller.complete(x))
+                target=lambda x=leased, verdicts=verdicts: verdicts.extend(self.caller.complete(x))
             )
             worker.start()
             cancelled = self.caller.ask(m.CancelJob(0, job_id), m.JobRecord)
