--- a/src/quaymill/process/commands/config.py
+++ b/src/quaymill/process/commands/config.py
@@ -62,8 +62,7 @@
 
 
 def set_cells(
-    assignments: list[str],
-    *,
+    *assignments: str,
     expect: list[str] | None = None,
     platform: str = "",
     author: str = "",
--- a/src/quaymill/process/membership/member_table.py
+++ b/src/quaymill/process/membership/member_table.py
@@ -210,8 +210,9 @@
 
 
 def _bucket_of(name: str) -> int:
-    return xxhash.xxh3_64_intdigest(name) % BUCKETS
+    return xxhash.xxh3_64_intdigest(name.encode()) % BUCKETS
 
 
 def _digest_of(member: Member) -> int:
-    return xxhash.xxh3_64_intdigest(f"{member.name}\0{member.incarnation}\0{member.state}")
+    identity = f"{member.name}\0{member.incarnation}\0{member.state}"
+    return xxhash.xxh3_64_intdigest(identity.encode())
--- a/src/quaymill/process/membership/ranking.py
+++ b/src/quaymill/process/membership/ranking.py
@@ -21,7 +21,7 @@
             members,
             key=lambda member: (
                 bool(zone) and member.zone != zone,
-                -xxhash.xxh3_64_intdigest(f"{key}\0{member.name}"),
+                -xxhash.xxh3_64_intdigest(f"{key}\0{member.name}".encode()),
             ),
         )
     )
