--- /dev/null
+++ b/src/quaymill/process/status/__init__.py
@@ -0,0 +1,1 @@
+"""The status that the system writes beside the operators' cells."""
--- /dev/null
+++ b/src/quaymill/process/status/writer_lease.py
@@ -0,0 +1,133 @@
+"""The lease of the status writer: one object of the platform, taken by compare-and-swap.
+
+A holder is valid for ``duration_s`` after it began its last successful renewal, by its own
+monotonic clock. Another node takes the lease when it has seen it unchanged for that long, by
+its own clock; clocks are never compared. Each new holder raises the fencing token.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from quaymill.connection.platform_client import (
+    STATUS_LEASE_NAME,
+    STATUS_LEASES,
+    NotFound,
+    PlatformClient,
+    PlatformObject,
+)
+
+LEASE_DURATION_S = 15.0
+RENEWALS_PER_LEASE = 3
+
+
+class LeaseRecord(msgspec.Struct, frozen=True):
+    """The stored lease; ``expires_unix_s`` is for people, no node decides by it."""
+
+    holder: str
+    token: int
+    expires_unix_s: float
+
+
+class _Seen(msgspec.Struct, frozen=True):
+    """The lease as read last, and when this node first saw that version."""
+
+    resource_version: str
+    record: LeaseRecord
+    since: float
+
+
+class WriterLease:
+    """One node's side of the lease; used by one thread.
+
+    Parameters
+    ----------
+    holder
+        Name of this node.
+    clock
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        holder: str,
+        duration_s: float = LEASE_DURATION_S,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._platform = platform
+        self._holder = holder
+        self._duration_s = duration_s
+        self._clock = clock
+        self._seen: _Seen | None = None
+        self._token: int | None = None
+        self._valid_until = 0.0
+
+    def token(self) -> int | None:
+        """Return the fencing token while the lease is held, else ``None``."""
+        if self._token is not None and self._clock() >= self._valid_until:
+            self._token = None  # Renewals failed for too long; another node may hold it now.
+        return self._token
+
+    def hold(self) -> int | None:
+        """Take or renew the lease if that is due; return the token while it is held."""
+        token = self.token()
+        if token is not None:
+            renewal_due = self._valid_until - self._duration_s * (1 - 1 / RENEWALS_PER_LEASE)
+            if self._clock() >= renewal_due:
+                self._write(token)
+            return self.token()
+        self._read()
+        if self._seen is None:
+            return None
+        if self._may_take(self._seen):
+            self._write(self._seen.record.token + 1)
+        return self.token()
+
+    def release(self) -> None:
+        """Stop to renew; the next holder waits until the lease has lapsed."""
+        self._token = None
+
+    def _may_take(self, seen: _Seen) -> bool:
+        # A lease under this node's own name is left from before a restart.
+        if not seen.resource_version or seen.record.holder == self._holder:
+            return True
+        return self._clock() - seen.since >= self._duration_s
+
+    def _read(self) -> None:
+        result = self._platform.get(STATUS_LEASES, STATUS_LEASE_NAME)
+        if isinstance(result, NotFound):
+            self._seen = _Seen("", LeaseRecord("", 0, 0.0), self._clock())
+        elif isinstance(result, PlatformObject):
+            self._note(result)
+        else:
+            self._seen = None
+
+    def _note(self, stored: PlatformObject) -> None:
+        if self._seen is not None and self._seen.resource_version == stored.resource_version:
+            return
+        try:
+            record = msgspec.json.decode(bytes(stored.spec), type=LeaseRecord)
+        except msgspec.MsgspecError:
+            record = LeaseRecord("", 0, 0.0)
+        self._seen = _Seen(stored.resource_version, record, self._clock())
+
+    def _write(self, token: int) -> None:
+        """Store the lease under this node's name if nobody was faster."""
+        began = self._clock()
+        record = LeaseRecord(self._holder, token, time.time() + self._duration_s)
+        version = self._seen.resource_version if self._seen else ""
+        if version:
+            result = self._platform.replace(STATUS_LEASES, STATUS_LEASE_NAME, record, version)
+        else:
+            result = self._platform.create(STATUS_LEASES, STATUS_LEASE_NAME, record)
+        if isinstance(result, PlatformObject):
+            self._note(result)
+            self._token = token
+            self._valid_until = began + self._duration_s
+        else:
+            # After a lost answer the lease is read again, under this name, and taken anew.
+            self._token = None
