--- a/src/quaymill/process/membership/member_table.py
+++ b/src/quaymill/process/membership/member_table.py
@@ -214,4 +214,5 @@
 
 
 def _digest_of(member: Member) -> int:
-    return xxhash.xxh3_64_intdigest(f"{member.name}\0{member.incarnation}\0{member.state}".encode())
+    identity = f"{member.name}\0{member.incarnation}\0{member.state}"
+    return xxhash.xxh3_64_intdigest(identity.encode())
