--- a/src/quaymill/process/node.py
+++ b/src/quaymill/process/node.py
@@ -91,6 +91,9 @@
         self._limiter = TenantLimiter(
             settings, self._holder, self._membership, self._peer_client, self._peer_server
         )
+        self._limiter = TenantLimiter(
+            settings, self._holder, self._membership, self._peer_client, self._peer_server
+        )
         self._gateway = self._build_gateway()
 
     def _build_gateway(self) -> Gateway:
@@ -122,6 +125,7 @@
         self._job_store.start()
         self._limiter.start()
         self._load_view.start()
+        self._limiter.start()
         self._batch_schedulers.start()
         self._peer_server.start()
         self._gateway.start()
