--- a/src/quaymill_bench/cluster.py
+++ b/src/quaymill_bench/cluster.py
@@ -148,20 +148,19 @@
         node.process.start()
 
     def cut_zone(self, zone: str, one_way: bool = False) -> None:
-        """Cut the nodes of ``zone`` from those of the others, outgoing only if ``one_way``."""
+        """Cut the nodes of ``zone`` from those of the others, outgoing only if ``one_way``.
+
+        Nodes that are down or frozen at the moment keep their links.
+        """
         inside = [node for node in self.nodes if node.zone == zone]
         outside = [node for node in self.nodes if node.zone != zone]
-        for node in inside:
-            node.block_links([peer.peer_address for peer in outside])
+        _block_links(inside, outside)
         if not one_way:
-            for node in outside:
-                node.block_links([peer.peer_address for peer in inside])
+            _block_links(outside, inside)
 
     def heal_links(self) -> None:
         """Restore every link of the nodes that run."""
-        for node in self.nodes:
-            if node.process.is_running() and not node.process.frozen:
-                node.block_links([])
+        _block_links(self.nodes, [])
 
     def _stop(self, process: ManagedProcess) -> int:
         process.terminate()
@@ -205,7 +204,7 @@
     ) -> StandIn:
         port = free_port()
         command = [
-            *_script("quaymill_standins.main"),
+            _script("quaymill-standin"),
             kind,
             "--address",
             HOST,
@@ -221,7 +220,7 @@
         for zone in self.shape.zones:
             for number in range(self.shape.engines_per_zone):
                 name = f"engine-{zone}-{number}"
-                flags = ["--name", name, "--model", MODEL, *self.shape.engine_flags]
+                flags = ["--name", name, "--zone", zone, "--model", MODEL, *self.shape.engine_flags]
                 engines.append(self._stand_in("engine", name, flags, zone, MODEL))
         return engines
 
@@ -230,7 +229,7 @@
         for number in range(self.shape.applications):
             zone = self.shape.zones[number % len(self.shape.zones)]
             name = f"application-{number}"
-            flags = ["--name", name]
+            flags = ["--name", name, "--zone", zone, "--service", APPLICATION]
             applications.append(self._stand_in("application", name, flags, zone, APPLICATION))
         return applications
 
@@ -268,7 +267,7 @@
             (folder / "data").mkdir(exist_ok=True)
         settings.update(self.shape.node_settings)
         command = [
-            *_script("quaymill.process.commands.main"),
+            _script("quaymill"),
             "node",
             "--settings",
             str(folder / "settings.toml"),
@@ -284,7 +283,7 @@
     RuntimeError
         If it does not exit with 0.
     """
-    command = [*_script("quaymill.process.commands.main"), *arguments]
+    command = [_script("quaymill"), *arguments]
     process = ManagedProcess(f"quaymill {arguments[0]}", command, output_path)
     offset = output_path.stat().st_size if output_path.exists() else 0
     process.start()
@@ -298,5 +297,14 @@
     return output
 
 
-def _script(module: str) -> list[str]:
-    return [sys.executable, "-m", module]
+def _block_links(nodes: list[Node], peers: list[Node]) -> None:
+    """Cut the links from each of ``nodes`` to ``peers``, as far as the nodes can be told."""
+    addresses = [peer.peer_address for peer in peers]
+    for node in nodes:
+        if node.process.is_running() and not node.process.frozen:
+            node.block_links(addresses)
+
+
+def _script(name: str) -> str:
+    """Return the path of a console script of the environment that runs the bench."""
+    return str(Path(sys.executable).parent / name)
--- a/src/quaymill_bench/fault_schedule.py
+++ b/src/quaymill_bench/fault_schedule.py
@@ -105,7 +105,9 @@
     kind = kinds[int(generator.choice(len(kinds), p=weights / weights.sum()))]
     start_s = float(generator.uniform(EARLIEST_START_S, ROUND_ACTIVE_S))
     duration_s = float(generator.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S))
-    return FaultEvent(kind, round(start_s, 3), round(duration_s, 3), int(generator.integers(targets)))
+    return FaultEvent(
+        kind, round(start_s, 3), round(duration_s, 3), int(generator.integers(targets))
+    )
 
 
 def _excludes(event: FaultEvent, other: FaultEvent) -> bool:
--- a/src/quaymill_bench/load.py
+++ b/src/quaymill_bench/load.py
@@ -12,6 +12,7 @@
 import threading
 import time
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
 
 import msgspec
 
@@ -141,9 +142,9 @@
         return _report([_run_part(plan, time.time() + START_DELAY_S)])
     begin_unix_s = time.time() + PROCESS_START_DELAY_S
     context = multiprocessing.get_context("spawn")
-    with context.Pool(processes) as pool:
-        arguments = [(part, begin_unix_s) for part in split_plan(plan, processes)]
-        return _report(pool.starmap(_run_part, arguments))
+    with ProcessPoolExecutor(processes, mp_context=context) as pool:
+        parts = split_plan(plan, processes)
+        return _report(list(pool.map(_run_part, parts, [begin_unix_s] * processes)))
 
 
 def send_open_loop(
