Show the replicas beside the cells in the status

Cause: the status service had no rows of replicas and the node did not run it. Change: replica_rows as a provider; node.py composes StatusService.

--- a/src/quaymill/process/node.py
+++ b/src/quaymill/process/node.py
@@ -26,7 +26,9 @@
 from quaymill.process.membership.membership import Membership
 from quaymill.process.replicas.load_view import LoadView
 from quaymill.process.replicas.router import Router
+from quaymill.process.replicas.status_rows import replica_rows
 from quaymill.process.settings import NodeSettings
+from quaymill.process.status.service import StatusService
 
 MAX_FAULT_SWITCH_BYTES = 65536
 
@@ -91,9 +93,10 @@
         self._limiter = TenantLimiter(
             settings, self._holder, self._membership, self._peer_client, self._peer_server
         )
-        self._limiter = TenantLimiter(
-            settings, self._holder, self._membership, self._peer_client, self._peer_server
+        self._status = StatusService(
+            self._membership, platform, self._peer_client, self._configuration.report
         )
+        self._status.add_provider(lambda: replica_rows(self._load_view, self._holder.current()))
         self._gateway = self._build_gateway()
 
     def _build_gateway(self) -> Gateway:
@@ -109,6 +112,7 @@
             self._peer_client,
             self._peer_server,
             self._link_filter,
+            self._status.document,
         )
         max_body_bytes = settings.gateway.max_body_bytes
         FilesApi(self._job_store_client, self._holder, max_body_bytes).add_routes(gateway.routes)
@@ -123,9 +127,9 @@
         self._membership.start()
         self._configuration.start()
         self._job_store.start()
-        self._limiter.start()
         self._load_view.start()
         self._limiter.start()
+        self._status.start()
         self._batch_schedulers.start()
         self._peer_server.start()
         self._gateway.start()
@@ -145,8 +149,9 @@
         self._job_store.hand_over_leadership()
         self._gateway.stop()
         self._job_store.stop()
-        self._load_view.stop()
+        self._status.stop()
         self._limiter.stop()
+        self._load_view.stop()
         self._configuration.stop()
         self._peer_server.stop()
         self._membership.stop()
--- a/src/quaymill_bench/demo.py
+++ b/src/quaymill_bench/demo.py
@@ -129,10 +129,10 @@
         _print_indented(output)
 
     def _show_status(self) -> None:
-        self.say("quaymill config show")
+        self.say("quaymill status")
         platform = f"127.0.0.1:{self._cluster.platform.port}"
         output = run_quaymill(
-            ["config", "show", "--platform", platform],
+            ["status", "--platform", platform],
             self._cluster.folder / "operator.out",
         )
         _print_indented(output)
