--- a/src/quaymill_bench/load.py
+++ b/src/quaymill_bench/load.py
@@ -83,6 +83,13 @@
     histograms: dict[str, bytes]
 
 
+class LoadResult(msgspec.Struct, frozen=True):
+    """A report, with the histograms that its percentiles come from."""
+
+    report: LoadReport
+    histograms: dict[str, LatencyHistogram]
+
+
 class LoadRecorder:
     """Collects answers of many threads."""
 
@@ -130,7 +137,7 @@
     return "whole" if answer.text == expected else "truncated"
 
 
-def run_load(plan: LoadPlan, processes: int = 1) -> LoadReport:
+def run_load(plan: LoadPlan, processes: int = 1) -> LoadResult:
     """Run a load and wait for its last answer.
 
     Parameters
@@ -139,12 +146,12 @@
         Processes that share the load, when one cannot keep up with the rate.
     """
     if processes == 1:
-        return _report([_run_part(plan, time.time() + START_DELAY_S)])
+        return _merge([_run_part(plan, time.time() + START_DELAY_S)])
     begin_unix_s = time.time() + PROCESS_START_DELAY_S
     context = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(processes, mp_context=context) as pool:
         parts = split_plan(plan, processes)
-        return _report(list(pool.map(_run_part, parts, [begin_unix_s] * processes)))
+        return _merge(list(pool.map(_run_part, parts, [begin_unix_s] * processes)))
 
 
 def send_open_loop(
@@ -194,7 +201,7 @@
     return _PartialResult(recorder.counts, recorder.tokens, duration_s, encoded)
 
 
-def _report(parts: list[_PartialResult]) -> LoadReport:
+def _merge(parts: list[_PartialResult]) -> LoadResult:
     counts = LoadCounts()
     histograms = {name: LatencyHistogram() for name in LoadRecorder.NAMES}
     for part in parts:
@@ -203,10 +210,11 @@
             histograms[name].add(LatencyHistogram.decode(encoded))
     duration_s = max(part.duration_s for part in parts)
     summaries = {name: histogram.summary() for name, histogram in histograms.items()}
-    return LoadReport(
+    report = LoadReport(
         counts=counts,
         duration_s=round(duration_s, 3),
         requests_per_s=round(counts.whole / duration_s, 2),
         tokens_per_s=round(sum(part.tokens for part in parts) / duration_s, 1),
         **summaries,
     )
+    return LoadResult(report, histograms)
--- a/src/quaymill_bench/main.py
+++ b/src/quaymill_bench/main.py
@@ -58,7 +58,7 @@
         seed=seed,
         max_tokens=max_tokens,
     )
-    result = run_load(plan, processes)
+    result = run_load(plan, processes).report
     document = msgspec.json.format(msgspec.json.encode(result), indent=2).decode()
     if report is None:
         print(document)
