--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -79,7 +79,8 @@
 
     def read_head(self, timeout_s: float) -> OutcomeUnknown | None:
         """Read the status line and the headers of the answer."""
-        self._socket.settimeout(max(timeout_s, 0.001))
+        # The library sets the socket's timeout anew from the connection's.
+        self._connection.timeout = max(timeout_s, 0.001)
         try:
             self._response = self._connection.getresponse()
         except _READ_ERRORS as error:
@@ -143,15 +144,6 @@
         with contextlib.suppress(OSError):
             self._socket.close()
 
-    def shut_down(self) -> None:
-        """End the exchange from another thread: the reader wakes up and abandons it.
-
-        The socket itself is left to the reader: closing it here could hand its number to a
-        new connection while the reader still waits on it.
-        """
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_RDWR)
-
     def _no_answer(self, error: object) -> OutcomeUnknown:
         return OutcomeUnknown(
             502,
--- a/src/quaymill/process/batch/application_item.py
+++ b/src/quaymill/process/batch/application_item.py
@@ -17,6 +17,7 @@
 import msgspec
 import xxhash
 
+from quaymill.connection.application_client import ApplicationAnswer, ApplicationClient
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.job_messages import (
     AbandonCall,
@@ -28,7 +29,7 @@
     StoreConflict,
     StoredAnswer,
 )
-from quaymill.connection.replica_connection import ReplicaConnections, ReplicaRequest
+from quaymill.connection.replica_connection import Exchange, ReplicaRequest
 from quaymill.process.batch.item_outcome import (
     ItemBroken,
     ItemFinished,
@@ -41,12 +42,12 @@
 from quaymill.process.batch.lease_book import group_number
 from quaymill.process.batch.work_item import WorkItem
 from quaymill.process.settings import NodeSettings
-from quaymill.request.outcome import NOT_RUN, OUTCOME_HEADER, NotRun, OutcomeUnknown
+from quaymill.request.deadline import Deadline
+from quaymill.request.outcome import NotRun, OutcomeUnknown
 
 STORE_TIMEOUT_S = 2.0
 STORE_RETRY_INTERVAL_S = 0.5
 OTHER_NODE_POLL_INTERVAL_S = 1.0
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
 CONFLICT_STATUS = 409
 UNKNOWN_STATUS = 502
 _SERVER_ERROR = 500
@@ -58,7 +59,7 @@
 
     settings: NodeSettings
     job_store: JobStore
-    connections: ReplicaConnections
+    application_client: ApplicationClient
     membership: Any
 
 
@@ -99,8 +100,9 @@
             return ItemNotStarted(answer.reason)
         if isinstance(answer, OutcomeUnknown):
             return _unknown(answer.reason)
-        self._tell_store(self._finish_message(answer))
-        return _finished(answer)
+        stored = StoredAnswer(answer.status, answer.content_type, answer.body)
+        self._tell_store(self._finish_message(stored))
+        return _finished(stored)
 
     def _begin(self) -> CallRecord | ItemOutcome:
         """Claim the call, or find out who has; asks again until the store has answered."""
@@ -129,38 +131,31 @@
             return False
         return any(member.name == record.node for member in self._parts.membership.live())
 
-    def _send(self) -> StoredAnswer | NotRun | OutcomeUnknown:
-        settings = self._parts.settings.batch
+    def _send(self) -> ApplicationAnswer | NotRun | OutcomeUnknown:
         item = self._work.leased.item
-        request = ReplicaRequest(
-            "POST",
-            _application_path(item.url),
-            {
-                "Content-Type": _JSON_CONTENT_TYPE,
-                "Idempotency-Key": self._key,
-                "X-Request-Id": f"{self._key}/{self._attempt}",
-            },
-            bytes(item.body),
+        headers = {"Content-Type": _JSON_CONTENT_TYPE, "Idempotency-Key": self._key}
+        path = _application_path(item.url)
+        deadline = Deadline.after(self._parts.settings.batch.application_timeout_s)
+
+        def wait(exchange: Exchange) -> OutcomeUnknown | None:
+            if exchange.wait_readable(deadline.remaining_s()):
+                return None
+            exchange.abandon()
+            reason = f"no answer from {self._endpoint} in time"
+            return OutcomeUnknown(UNKNOWN_STATUS, reason, "look the call up at the application")
+
+        return self._parts.application_client.call(
+            self._endpoint,
+            ReplicaRequest("POST", path, headers, bytes(item.body)),
+            f"{self._key}/{self._attempt}",
+            deadline,
+            wait,
+            repeatable=self._idempotent,
         )
-        # A new connection: an idle one may be closed by the application as the call goes out.
-        exchange = self._parts.connections.send(self._endpoint, request, fresh=True)
-        if isinstance(exchange, NotRun | OutcomeUnknown):
-            return exchange
-        deadline_s = time.monotonic() + settings.application_timeout_s
-        failure = exchange.read_head(settings.application_timeout_s)
-        if failure is not None:
-            return failure
-        body = exchange.read_body(MAX_ANSWER_BYTES, deadline_s)
-        if isinstance(body, OutcomeUnknown):
-            return body
-        answer = StoredAnswer(exchange.status, exchange.header("Content-Type"), body)
-        outcome = exchange.header(OUTCOME_HEADER)
-        exchange.release()
-        if outcome == NOT_RUN:
-            return NotRun(answer.status, "the application refused the call before it ran", "")
-        return answer
-
-    def _repeatable_outcome(self, answer: StoredAnswer | NotRun | OutcomeUnknown) -> ItemOutcome:
+
+    def _repeatable_outcome(
+        self, answer: ApplicationAnswer | NotRun | OutcomeUnknown
+    ) -> ItemOutcome:
         if isinstance(answer, NotRun):
             return ItemNotStarted(answer.reason)
         if isinstance(answer, OutcomeUnknown):
@@ -215,7 +210,7 @@
     return "/" + (parts[3] if len(parts) > 3 else "")
 
 
-def _finished(answer: StoredAnswer) -> ItemFinished:
+def _finished(answer: StoredAnswer | ApplicationAnswer) -> ItemFinished:
     """Return an answer as an item's result; a body that is not JSON is kept as text."""
     try:
         value = msgspec.json.decode(answer.body)
--- a/src/quaymill/process/batch/item_stream.py
+++ b/src/quaymill/process/batch/item_stream.py
@@ -57,7 +57,7 @@
         with self._lock:
             self._cancelled = True
             if self._exchange is not None:
-                self._exchange.shut_down()
+                self._exchange.cancel()
 
     def run(self) -> ItemOutcome:
         """Stream the item to its end."""
@@ -79,7 +79,7 @@
         with self._lock:
             self._exchange = exchange
             if self._cancelled:
-                exchange.shut_down()
+                exchange.cancel()
         if not exchange.wait_readable(self._settings.first_byte_timeout_s):
             exchange.abandon()
             return ItemBroken(f"no answer within {self._settings.first_byte_timeout_s} s")
@@ -91,7 +91,7 @@
                 return ItemBroken(reason)
             case Failed():
                 return _failed(stream)
-        exchange.set_read_timeout(self._settings.token_gap_timeout_s)
+        stream.set_stall_timeout(self._settings.token_gap_timeout_s)
         return self._read(stream, partial)
 
     def _read(self, stream: EngineStream, partial: PartialAnswer) -> ItemOutcome:
--- a/src/quaymill/process/batch/scheduler.py
+++ b/src/quaymill/process/batch/scheduler.py
@@ -14,11 +14,11 @@
 import msgspec
 from eliot import log_message
 
+from quaymill.connection.application_client import ApplicationClient
 from quaymill.connection.endpoint import LinkFilter
 from quaymill.connection.engine_client import EngineClient
 from quaymill.connection.load_messages import Noted, OnlineStarts
 from quaymill.connection.peer_link import PeerServer
-from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.process.batch.application_item import ApplicationItem, CallParts
 from quaymill.process.batch.item_outcome import (
     ItemBroken,
@@ -67,14 +67,14 @@
         membership,
     ) -> None:
         book = LeaseBook(settings.name, settings.batch, job_store_client, settings.log.groups)
-        connections = ReplicaConnections(link_filter)
+        application_client = ApplicationClient(link_filter)
         self._load_view = load_view
         self._parts = SchedulerParts(
             settings=settings,
             holder=holder,
             book=book,
             engine_client=EngineClient(link_filter),
-            call_parts=CallParts(settings, job_store_client, connections, membership),
+            call_parts=CallParts(settings, job_store_client, application_client, membership),
         )
         self._schedulers: dict[str, ReplicaScheduler] = {}
         self._stopping = threading.Event()
--- a/src/quaymill/process/gateway/batch_lines.py
+++ b/src/quaymill/process/gateway/batch_lines.py
@@ -87,7 +87,7 @@
         if fault:
             return refused_line(number, fault)
         item = Item(self.item_count, parsed.custom_id, parsed.url, parsed.body)
-        self._id_hashes.append(xxhash.xxh3_64_intdigest(parsed.custom_id))
+        self._id_hashes.append(xxhash.xxh3_64_intdigest(parsed.custom_id.encode()))
         self._line_numbers.append(number)
         return item
 
