--- a/src/quaymill/process/node.py
+++ b/src/quaymill/process/node.py
@@ -26,7 +26,9 @@
 from quaymill.process.membership.membership import Membership
 from quaymill.process.replicas.load_view import LoadView
 from quaymill.process.replicas.router import Router
+from quaymill.process.replicas.status_rows import replica_rows
 from quaymill.process.settings import NodeSettings
+from quaymill.process.status.service import StatusService
 
 MAX_FAULT_SWITCH_BYTES = 65536
 
@@ -88,6 +90,13 @@
             self._link_filter,
             self._membership,
         )
+        self._limiter = TenantLimiter(
+            settings, self._holder, self._membership, self._peer_client, self._peer_server
+        )
+        self._status = StatusService(
+            self._membership, platform, self._peer_client, self._configuration.report
+        )
+        self._status.add_provider(lambda: replica_rows(self._load_view, self._holder.current()))
         self._gateway = self._build_gateway()
 
     def _build_gateway(self) -> Gateway:
@@ -97,12 +106,13 @@
             self._holder,
             self._load_view,
             Router(self._load_view, self._holder, settings),
-            TenantLimiter(self._holder),
+            self._limiter,
             self._membership,
             self._job_store_client,
             self._peer_client,
             self._peer_server,
             self._link_filter,
+            self._status.document,
         )
         max_body_bytes = settings.gateway.max_body_bytes
         FilesApi(self._job_store_client, self._holder, max_body_bytes).add_routes(gateway.routes)
@@ -118,6 +128,8 @@
         self._configuration.start()
         self._job_store.start()
         self._load_view.start()
+        self._limiter.start()
+        self._status.start()
         self._batch_schedulers.start()
         self._peer_server.start()
         self._gateway.start()
@@ -137,6 +149,8 @@
         self._job_store.hand_over_leadership()
         self._gateway.stop()
         self._job_store.stop()
+        self._status.stop()
+        self._limiter.stop()
         self._load_view.stop()
         self._configuration.stop()
         self._peer_server.stop()
