--- a/src/quaymill/process/commands/config.py
+++ b/src/quaymill/process/commands/config.py
@@ -4,8 +4,13 @@
 
 import getpass
 import sys
+import time
 from pathlib import Path
 
+from quaymill.connection.configuration_messages import PullConfiguration, WholeConfiguration
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.platform_client import PlatformClient
 from quaymill.process.commands.platform_option import (
     EXIT_OK,
     EXIT_REFUSED,
@@ -13,9 +18,11 @@
     connect_platform,
     fail,
 )
+from quaymill.process.commands.status import read_status
 from quaymill.process.configuration.editor import (
     ConfigurationEditor,
     EditAccepted,
+    EditResult,
     EditUnknown,
     StoredTable,
 )
@@ -30,6 +37,10 @@
     render_configuration,
 )
 
+DEFAULT_WAIT_S = 10.0
+STATUS_INTERVAL_S = 0.25
+PULL_TIMEOUT_S = 5.0
+
 
 def show(*, platform: str = "") -> int:
     """Show the stored configuration as tables.
@@ -67,6 +78,7 @@
     platform: str = "",
     author: str = "",
     edit_id: str = "",
+    wait: float = DEFAULT_WAIT_S,
 ) -> int:
     """Set cells, all of them or none.
 
@@ -83,6 +95,8 @@
         Who makes the edit; your user name if it is not given.
     edit_id
         Id of an earlier try whose fate is unknown; it is then done at most once.
+    wait
+        Seconds to wait until the status says that the edit is in force on all nodes.
     """
     editor = _editor(platform)
     current = _read(editor).configuration
@@ -92,10 +106,17 @@
         _edited_cell(current, assignment, expect[index] if expect else None)
         for index, assignment in enumerate(assignments)
     )
-    return _submit(editor, Edit(edit_id or new_edit_id(), author or getpass.getuser(), cells))
+    return _submit(editor, Edit(edit_id or new_edit_id(), author or getpass.getuser(), cells), wait)
 
 
-def import_table(file: Path, *, platform: str = "", author: str = "", edit_id: str = "") -> int:
+def import_table(
+    file: Path,
+    *,
+    platform: str = "",
+    author: str = "",
+    edit_id: str = "",
+    wait: float = DEFAULT_WAIT_S,
+) -> int:
     """Apply the cells of an edited CSV file as one edit.
 
     Cells that others changed since the export and that the file leaves as they were stay
@@ -111,6 +132,8 @@
         Who makes the edit; your user name if it is not given.
     edit_id
         Id of an earlier try whose fate is unknown; it is then done at most once.
+    wait
+        Seconds to wait until the status says that the edit is in force on all nodes.
     """
     imported = import_csv(file.read_text())
     if not isinstance(imported, ImportedTable):
@@ -127,9 +150,40 @@
     if not cells:
         print("no cell differs")
         return EXIT_OK
-    return _submit(
-        editor, Edit(edit_id or new_edit_id(), author or getpass.getuser(), tuple(cells))
+    edit = Edit(edit_id or new_edit_id(), author or getpass.getuser(), tuple(cells))
+    return _submit(editor, edit, wait)
+
+
+def restore(
+    *, node: str, platform: str = "", author: str = "", wait: float = DEFAULT_WAIT_S
+) -> int:
+    """Store the table that a node has in force over one set back, deleted or made invalid.
+
+    Parameters
+    ----------
+    node
+        HOST:PORT of the peer port of a node that holds the highest generation.
+    platform
+        HOST:PORT of the platform's object API.
+    author
+        Who restores; your user name if it is not given.
+    wait
+        Seconds to wait until the status says that the table is in force on all nodes.
+    """
+    client = connect_platform(platform)
+    try:
+        endpoint = Endpoint.parse(node)
+    except ValueError as error:
+        fail(f"--node: {error}")
+    reply = PeerClient(LinkFilter()).call(
+        endpoint, PullConfiguration(-1), WholeConfiguration, PULL_TIMEOUT_S
     )
+    if not isinstance(reply, WholeConfiguration):
+        fail(f"--node: {endpoint} gives no configuration: {reply.reason}; name another node")
+    result = ConfigurationEditor(client).restore(
+        reply.configuration, new_edit_id(), author or getpass.getuser()
+    )
+    return _report(client, result, wait)
 
 
 def _editor(platform: str) -> ConfigurationEditor:
@@ -139,7 +193,10 @@
 def _read(editor: ConfigurationEditor) -> StoredTable:
     stored = editor.read()
     if isinstance(stored, InvalidConfiguration):
-        fail(f"the stored configuration is invalid: {stored}")
+        fail(
+            f"the stored configuration is invalid: {stored}; or run `quaymill config restore "
+            "--node HOST:PORT` to store the one in force again"
+        )
     if not isinstance(stored, StoredTable):
         fail(f"the configuration cannot be read: {stored.reason}; try again later")
     return stored
@@ -165,13 +222,40 @@
     return value
 
 
-def _submit(editor: ConfigurationEditor, edit: Edit) -> int:
+def _submit(editor: ConfigurationEditor, edit: Edit, wait_s: float) -> int:
     result = editor.submit(edit)
+    if isinstance(result, EditAccepted):
+        for cell in edit.cells:
+            print(f"{cell.cell}: {format_value(cell.expected)} -> {format_value(cell.value)}")
+    return _report(editor.platform, result, wait_s)
+
+
+def _report(client: PlatformClient, result: EditResult, wait_s: float) -> int:
     if isinstance(result, EditUnknown):
         fail(result, EXIT_UNKNOWN)
     if not isinstance(result, EditAccepted):
         fail(result, EXIT_REFUSED)
-    for cell in edit.cells:
-        print(f"{cell.cell}: {format_value(cell.expected)} -> {format_value(cell.value)}")
-    print(f"accepted as generation {result.generation}")
+    print(f"accepted as generation {result.generation}", flush=True)
+    if wait_s > 0:
+        _wait_until_in_force(client, result.generation, wait_s)
     return EXIT_OK
+
+
+def _wait_until_in_force(client: PlatformClient, generation: int, wait_s: float) -> None:
+    """Say when the status shows a generation in force everywhere, or what it shows in the end."""
+    deadline = time.monotonic() + wait_s
+    while True:
+        written = read_status(client)
+        if isinstance(written, str):
+            print(f"not known where it is in force: {written}")
+            return
+        live = sum(zone.live for zone in written.zones)
+        current = sum(zone.current for zone in written.zones)
+        if written.generation >= generation and current == live:
+            print(f"in force on {current} of {live} nodes")
+            return
+        if time.monotonic() >= deadline:
+            break
+        time.sleep(STATUS_INTERVAL_S)
+    holders = current if written.generation >= generation else 0
+    print(f"after {wait_s:g} s in force on {holders} of {live} nodes; see `quaymill status`")
--- a/src/quaymill/process/commands/main.py
+++ b/src/quaymill/process/commands/main.py
@@ -31,8 +31,8 @@
     return run_node(loaded)
 
 
-def main() -> None:
-    """Run the subcommand named on the command line."""
+def run(arguments: list[str]) -> int:
+    """Run the subcommand that ``arguments`` name and return its exit status."""
     commands = {
         "node": node,
         "check": check,
@@ -42,10 +42,16 @@
             "set": config.set_cells,
             "export": config.export,
             "import": config.import_table,
+            "restore": config.restore,
         },
     }
-    if sys.argv[1:2] == ["batch"]:
+    if arguments[:1] == ["batch"]:
         from quaymill.process.commands import batch
 
         commands["batch"] = batch.COMMANDS
-    sys.exit(defopt.run(commands, no_negated_flags=True))
+    return defopt.run(commands, no_negated_flags=True, argv=arguments)
+
+
+def main() -> None:
+    """Run the command line of this process."""
+    sys.exit(run(sys.argv[1:]))
--- a/src/quaymill/process/configuration/editor.py
+++ b/src/quaymill/process/configuration/editor.py
@@ -10,6 +10,8 @@
 from quaymill.connection.platform_client import (
     CONFIGURATION_NAME,
     CONFIGURATIONS,
+    STATUS_NAME,
+    STATUSES,
     AlreadyExists,
     Conflict,
     NotFound,
@@ -26,7 +28,9 @@
     EditConflict,
     EditInvalid,
     apply_edit,
+    restored_edit,
 )
+from quaymill.version.status import ServingStatus
 
 RETRY_INTERVAL_S = 0.1
 DEFAULT_TIMEOUT_S = 15.0
@@ -67,9 +71,43 @@
         return f"nothing was changed: {self.reason}; try again when the platform answers"
 
 
+class TableSetBack(msgspec.Struct, frozen=True):
+    """The stored table is older than the one in force; an edit to it would never be in force."""
+
+    stored_generation: int
+    generation_in_force: int
+
+    def __str__(self) -> str:
+        return (
+            f"the platform holds generation {self.stored_generation}, but "
+            f"{self.generation_in_force} is in force: its object was set back to an old copy; "
+            "store the table in force again by `quaymill config restore --node HOST:PORT`, then edit"
+        )
+
+
+class NothingToRestore(msgspec.Struct, frozen=True):
+    """The stored table is valid and no older than the one to restore; nothing was changed."""
+
+    stored_generation: int
+
+    def __str__(self) -> str:
+        return (
+            f"the stored table is valid and at generation {self.stored_generation}, not older "
+            "than the one to restore; change it by `quaymill config set`"
+        )
+
+
 EditResult = (
-    EditAccepted | EditConflict | EditInvalid | EditUnknown | EditNotSent | InvalidConfiguration
+    EditAccepted
+    | EditConflict
+    | EditInvalid
+    | EditUnknown
+    | EditNotSent
+    | InvalidConfiguration
+    | TableSetBack
+    | NothingToRestore
 )
+Write = PlatformObject | Conflict | Refused | PlatformUnavailable
 
 
 class ConfigurationEditor:
@@ -78,14 +116,14 @@
     def __init__(
         self, platform_client: PlatformClient, clock: Callable[[], float] = time.time
     ) -> None:
-        self._platform = platform_client
+        self.platform = platform_client
         self._clock = clock
 
     def read(
         self,
     ) -> StoredTable | InvalidConfiguration | Refused | PlatformUnavailable:
         """Return the stored configuration; the empty one if the platform holds none."""
-        result = self._platform.get(CONFIGURATIONS, CONFIGURATION_NAME)
+        result = self.platform.get(CONFIGURATIONS, CONFIGURATION_NAME)
         if isinstance(result, NotFound):
             return StoredTable(EMPTY_CONFIGURATION)
         if not isinstance(result, PlatformObject):
@@ -101,47 +139,98 @@
         A conflict of versions is resolved by reading again and merging. When an answer is lost,
         the id of the edit in the document read back tells whether it was committed.
         """
+        return self._retry(edit.id, lambda: self._try_edit(edit), timeout_s)
+
+    def restore(
+        self, held: ServingConfiguration, edit_id: str, author: str, timeout_s: float = 15.0
+    ) -> EditResult:
+        """Store the table in force over one that was set back, deleted or made invalid.
+
+        The new generation is higher than both, so that it goes in force everywhere.
+        """
+        return self._retry(edit_id, lambda: self._try_restore(held, edit_id, author), timeout_s)
+
+    def _retry(
+        self, edit_id: str, attempt: Callable[[], EditResult | Write], timeout_s: float
+    ) -> EditResult:
+        """Make attempts until one is decided or the time is over."""
         deadline = time.monotonic() + timeout_s
         may_have_acted = False
         while True:
-            stored = self.read()
-            if isinstance(stored, InvalidConfiguration):
-                return stored
-            if isinstance(stored, StoredTable):
-                outcome = apply_edit(stored.configuration, edit, self._clock())
-                if isinstance(outcome, EditAlreadyApplied):
-                    return EditAccepted(outcome.generation)
-                if not isinstance(outcome, ServingConfiguration):
-                    return outcome
-                written = self._write(stored, outcome)
-                if isinstance(written, PlatformObject):
-                    return EditAccepted(outcome.generation)
-                failure = written
-            else:
-                failure = stored
-            if isinstance(failure, PlatformUnavailable):
-                may_have_acted = may_have_acted or failure.may_have_acted
-            if time.monotonic() >= deadline or isinstance(failure, Refused):
-                return _given_up(edit, failure, may_have_acted)
-            if not isinstance(failure, Conflict):
+            result = attempt()
+            if not isinstance(result, Conflict | Refused | PlatformUnavailable):
+                return result
+            if isinstance(result, PlatformUnavailable):
+                may_have_acted = may_have_acted or result.may_have_acted
+            if time.monotonic() >= deadline or isinstance(result, Refused):
+                return _given_up(edit_id, result, may_have_acted)
+            if isinstance(result, PlatformUnavailable):
                 time.sleep(RETRY_INTERVAL_S)
 
+    def _try_edit(self, edit: Edit) -> EditResult | Write:
+        # The status is read first: a table read later cannot be older unless it was set back.
+        in_force = self._generation_in_force()
+        stored = self.read()
+        if not isinstance(stored, StoredTable):
+            return stored
+        if stored.configuration.generation < in_force:
+            return TableSetBack(stored.configuration.generation, in_force)
+        outcome = apply_edit(stored.configuration, edit, self._clock())
+        if isinstance(outcome, EditAlreadyApplied):
+            return EditAccepted(outcome.generation)
+        if not isinstance(outcome, ServingConfiguration):
+            return outcome
+        return self._write(stored.resource_version, outcome)
+
+    def _try_restore(
+        self, held: ServingConfiguration, edit_id: str, author: str
+    ) -> EditResult | Write:
+        stored = self.platform.get(CONFIGURATIONS, CONFIGURATION_NAME)
+        generation, version = 0, ""
+        if isinstance(stored, PlatformObject):
+            version = stored.resource_version
+            decoded = decode_configuration(bytes(stored.spec))
+            generation = decoded.generation
+            if isinstance(decoded, ServingConfiguration):
+                if edit_id in decoded.recent_edits:
+                    return EditAccepted(decoded.generation)
+                if generation >= held.generation:
+                    return NothingToRestore(generation)
+        elif not isinstance(stored, NotFound):
+            return stored
+        return self._write(
+            version,
+            restored_edit(held, max(generation, held.generation), edit_id, author, self._clock()),
+        )
+
+    def _generation_in_force(self) -> int:
+        """Return the highest generation the nodes have reported; 0 if that cannot be read."""
+        stored = self.platform.get(STATUSES, STATUS_NAME)
+        if not isinstance(stored, PlatformObject):
+            return 0
+        try:
+            return msgspec.json.decode(bytes(stored.spec), type=ServingStatus).generation
+        except msgspec.MsgspecError:
+            return 0
+
     def _write(
-        self, stored: StoredTable, configuration: ServingConfiguration
-    ) -> PlatformObject | Conflict | Refused | PlatformUnavailable:
-        if stored.resource_version:
-            result = self._platform.replace(
-                CONFIGURATIONS, CONFIGURATION_NAME, configuration, stored.resource_version
+        self, resource_version: str, configuration: ServingConfiguration
+    ) -> EditAccepted | Write:
+        if resource_version:
+            result = self.platform.replace(
+                CONFIGURATIONS, CONFIGURATION_NAME, configuration, resource_version
             )
         else:
-            result = self._platform.create(CONFIGURATIONS, CONFIGURATION_NAME, configuration)
+            result = self.platform.create(CONFIGURATIONS, CONFIGURATION_NAME, configuration)
         if isinstance(result, AlreadyExists | NotFound):
             return Conflict(CONFIGURATION_NAME, "the object was created or removed meanwhile")
+        if isinstance(result, PlatformObject):
+            return EditAccepted(configuration.generation)
         return result
 
 
 def _given_up(
-    edit: Edit, failure: Conflict | Refused | PlatformUnavailable, may_have_acted: bool
+    edit_id: str, failure: Conflict | Refused | PlatformUnavailable, may_have_acted: bool
 ) -> EditUnknown | EditNotSent:
     match failure:
         case Conflict():
@@ -151,5 +240,5 @@
         case _:
             reason = failure.reason
     if may_have_acted:
-        return EditUnknown(edit.id, reason)
+        return EditUnknown(edit_id, reason)
     return EditNotSent(reason)
--- a/src/quaymill/version/cells.py
+++ b/src/quaymill/version/cells.py
@@ -101,14 +101,18 @@
     return get_type_hints(ROW_TYPES[path.table])[path.column]
 
 
+def is_list(path: CellPath) -> bool:
+    """Return whether a cell holds a list of texts."""
+    return cell_type(path) == tuple[str, ...]
+
+
 def parse_value(path: CellPath, text: str) -> CellValue | CellProblem:
     """Read a value as an operator writes it; a list is separated by commas."""
-    expected = cell_type(path)
     raw: Any = text.strip()
-    if expected == tuple[str, ...]:
+    if is_list(path):
         raw = [part.strip() for part in raw.split(",") if part.strip()]
     try:
-        value = msgspec.convert(raw, expected, strict=False)
+        value = msgspec.convert(raw, cell_type(path), strict=False)
     except msgspec.ValidationError as error:
         return CellProblem(str(path), f"cannot be {text!r}: {error}", "write a value of that kind")
     return _plain(value)
--- a/src/quaymill/version/edits.py
+++ b/src/quaymill/version/edits.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import secrets
+from collections.abc import Iterator
 
 import msgspec
 
@@ -16,8 +17,10 @@
     CellPath,
     CellProblem,
     apply_changes,
+    cells_of_row,
     format_value,
     read_cell,
+    read_row,
 )
 from quaymill.version.checks import check_configuration
 from quaymill.version.configuration import (
@@ -124,13 +127,18 @@
     problems = check_configuration(changed)
     if problems:
         return EditInvalid(problems)
-    changes = tuple(
-        RecordedChange(cell.cell, read_cell(configuration, path), cell.value)
-        for path, cell in zip(paths, edit.cells, strict=True)
-    )
+    changes = tuple(_recorded_changes(configuration, changed, paths))
     return _committed(configuration, changed, edit, changes, now_unix_s)
 
 
+def restored_edit(
+    held: ServingConfiguration, generation: int, edit_id: str, author: str, now_unix_s: float
+) -> ServingConfiguration:
+    """Return ``held`` as the generation after ``generation``; earlier edits cannot be undone."""
+    record = EditRecord(edit_id, author, generation + 1, now_unix_s, (), truncated=True)
+    return _with_record(held, record)
+
+
 def undo_records(
     configuration: ServingConfiguration, generation: int
 ) -> ServingConfiguration | None:
@@ -163,14 +171,30 @@
     record = EditRecord(
         edit.id, edit.author, generation, now_unix_s, () if truncated else changes, truncated
     )
+    return _with_record(changed, record)
+
+
+def _with_record(configuration: ServingConfiguration, record: EditRecord) -> ServingConfiguration:
     return msgspec.structs.replace(
-        changed,
-        generation=generation,
-        recent_edits=(*before.recent_edits, edit.id)[-MAX_RECENT_EDITS:],
-        edit_records=(*before.edit_records, record)[-MAX_EDIT_RECORDS:],
+        configuration,
+        generation=record.generation,
+        recent_edits=(*configuration.recent_edits, record.id)[-MAX_RECENT_EDITS:],
+        edit_records=(*configuration.edit_records, record)[-MAX_EDIT_RECORDS:],
     )
 
 
+def _recorded_changes(
+    before: ServingConfiguration, after: ServingConfiguration, paths: list[CellPath]
+) -> Iterator[RecordedChange]:
+    """Yield what changed in the rows of an edit; all the cells of a row that is new or gone."""
+    for table, names in dict.fromkeys((path.table, path.names) for path in paths):
+        old_cells = cells_of_row(table, names, read_row(before, table, names))
+        new_cells = cells_of_row(table, names, read_row(after, table, names))
+        for (path, old), (_, new) in zip(old_cells, new_cells, strict=True):
+            if old != new:
+                yield RecordedChange(str(path), old, new)
+
+
 def _author_of(configuration: ServingConfiguration, cell: str) -> str:
     for record in reversed(configuration.edit_records):
         if any(change.cell == cell for change in record.changes):
--- a/src/quaymill/version/table.py
+++ b/src/quaymill/version/table.py
@@ -19,6 +19,7 @@
     CellProblem,
     cells_of_row,
     format_value,
+    is_list,
     parse_value,
     rows_of,
 )
@@ -143,7 +144,8 @@
         path = CellPath.parse("/".join((table, *names, column)))
         if isinstance(path, CellProblem):
             return path
-        value = parse_value(path, text)
+        # An empty cell is an empty list, or for any other kind a cell that is not set.
+        value = parse_value(path, text) if text.strip() or is_list(path) else None
         if isinstance(value, CellProblem):
             return value
         cells[str(path)] = value
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import urllib3
+
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.peer_link import PeerClient, PeerServer
 from quaymill.connection.platform_client import PlatformClient
@@ -54,6 +56,12 @@
     platform.switches.replace(Faults(**faults))
 
 
+def control(platform: Platform, action: str) -> None:
+    """Carry out ``snapshot``, ``restore`` or ``forget-history`` on the stand-in."""
+    answer = urllib3.request("POST", f"http://127.0.0.1:{platform.port}/standin/{action}")
+    assert answer.status == 200, answer.data
+
+
 def settings_for(
     name: str, zone: str, platform_port: int, seeds: tuple[Endpoint, ...] = (), **fields: object
 ) -> NodeSettings:
--- /dev/null
+++ b/tests/test_configuration_editor.py
@@ -0,0 +1,236 @@
+"""Edits against the platform: its faults, and two operators at once."""
+
+from __future__ import annotations
+
+import threading
+import unittest
+
+import msgspec
+from fleet_support import control, set_faults, start_platform
+from nose2.tools import params
+
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.platform_client import (
+    CONFIGURATION_NAME,
+    CONFIGURATIONS,
+    STATUS_NAME,
+    STATUSES,
+    AlreadyExists,
+    Conflict,
+    NotFound,
+    ObjectChanged,
+    PlatformClient,
+    PlatformObject,
+    PlatformUnavailable,
+    WatchEnded,
+)
+from quaymill.process.configuration.editor import (
+    ConfigurationEditor,
+    EditAccepted,
+    EditNotSent,
+    EditUnknown,
+    NothingToRestore,
+    TableSetBack,
+)
+from quaymill.version.checks import InvalidConfiguration
+from quaymill.version.configuration import ServingConfiguration
+from quaymill.version.edits import Edit, EditConflict, EditedCell, EditInvalid, new_edit_id
+from quaymill.version.status import ServingStatus
+
+RESERVE = "tuning/batch_reserve"
+
+
+def edit(cell: str, expected: object, value: object, author: str = "ana") -> Edit:
+    return Edit(new_edit_id(), author, (EditedCell(cell, expected, value),))
+
+
+class PlatformCase(unittest.TestCase):
+    """One platform stand-in for the tests of a class, empty at the start of each."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.platform = start_platform()
+        cls.addClassCleanup(cls.platform.stop)
+        control(cls.platform, "snapshot")
+
+    def setUp(self):
+        set_faults(self.platform)
+        control(self.platform, "restore")
+        self.links = LinkFilter()
+        self.client = PlatformClient(Endpoint("127.0.0.1", self.platform.port), self.links)
+        self.addCleanup(self.client.close)
+        self.editor = ConfigurationEditor(self.client)
+
+    def stored(self) -> ServingConfiguration:
+        return self.editor.read().configuration
+
+
+class PlatformClientTest(PlatformCase):
+    """Each answer of the platform has its type."""
+
+    def test_objects_are_created_replaced_and_listed(self):
+        self.assertEqual(self.client.get("machines", "m"), NotFound("m"))
+        self.assertEqual(self.client.replace("machines", "m", {}, "1"), NotFound("m"))
+        created = self.client.create("storegroups", "g", {"a": 1})
+        self.assertIsInstance(created, PlatformObject)
+        self.assertEqual(self.client.create("storegroups", "g", {}), AlreadyExists("g"))
+        replaced = self.client.replace("storegroups", "g", {"a": 2}, created.resource_version)
+        self.assertEqual(msgspec.json.decode(replaced.spec), {"a": 2})
+        late = self.client.replace("storegroups", "g", {"a": 3}, created.resource_version)
+        self.assertIsInstance(late, Conflict)
+        self.assertEqual(self.client.list_objects("storegroups").items, (replaced,))
+        self.assertEqual(self.client.get_version("storegroups", "g"), replaced.resource_version)
+
+    @params(
+        ({"down": True}, True),
+        ({"error_probability": 1.0}, True),
+        ({"drop_probability": 1.0}, True),
+        ({"lose_answer_probability": 1.0}, True),
+        ({"delay_s": 1.0}, True),
+        ({"truncate_probability": 1.0}, True),
+    )
+    def test_fault_of_a_write_leaves_its_fate_open(self, faults, may_have_acted):
+        set_faults(self.platform, **faults)
+        result = self.client.create("storegroups", "g", {"a": 1}, timeout_s=0.3)
+        self.assertIsInstance(result, PlatformUnavailable, result)
+        self.assertEqual(result.may_have_acted, may_have_acted)
+        self.assertIsInstance(self.client.get("storegroups", "g", 0.3), PlatformUnavailable)
+
+    def test_unreachable_platform_was_sent_nothing(self):
+        self.links.set_blocked(frozenset((self.client.endpoint,)))
+        blocked = self.client.create("storegroups", "g", {}, timeout_s=0.1)
+        nobody = PlatformClient(Endpoint("127.0.0.1", 1))
+        refused = nobody.create("storegroups", "g", {})
+        for result in (blocked, refused):
+            self.assertIsInstance(result, PlatformUnavailable)
+            self.assertFalse(result.may_have_acted)
+
+    def test_silent_watch_ends_as_silent_and_an_ordered_one_does_not(self):
+        watch = self.client.watch("storegroups", "0", timeout_s=1)
+        self.assertEqual(list(watch)[-1], WatchEnded("the platform ended the watch", silent=False))
+        set_faults(self.platform, watch_silent=True)
+        last = list(self.client.watch("storegroups", "0", timeout_s=1))[-1]
+        self.assertTrue(last.silent, last)
+
+    def test_watch_shows_changes_as_they_come(self):
+        watch = self.client.watch("storegroups", "0", timeout_s=5)
+        created = self.client.create("storegroups", "g", {"a": 1})
+        self.assertEqual(next(watch), ObjectChanged(created))
+        watch.close()
+
+
+class EditorFaultTest(PlatformCase):
+    """An edit is committed once, or not at all, and the operator is told which."""
+
+    @params(
+        {"lose_answer_probability": 0.6, "seed": 3},
+        {"error_probability": 0.6, "seed": 3},
+        {"drop_probability": 0.6, "seed": 3},
+        {"truncate_probability": 0.6, "seed": 3},
+        {"delay_s": 0.2, "delay_probability": 0.5, "seed": 3},
+    )
+    def test_edit_happens_exactly_once_under_faults(self, faults):
+        set_faults(self.platform, **faults)
+        accepted = [self.editor.submit(edit(RESERVE, n + 1, n + 2)) for n in range(4)]
+        set_faults(self.platform)
+        self.assertEqual(accepted, [EditAccepted(n) for n in range(1, 5)])
+        self.assertEqual((self.stored().generation, self.stored().tuning.batch_reserve), (4, 5))
+
+    def test_platform_down_before_the_edit_says_that_nothing_was_changed(self):
+        set_faults(self.platform, down=True)
+        self.assertIsInstance(self.editor.submit(edit(RESERVE, 1, 2), 0.3), EditNotSent)
+        set_faults(self.platform)
+        self.assertEqual(self.stored().generation, 0)
+
+    def test_lost_answer_and_then_an_outage_is_unknown_and_may_be_repeated(self):
+        class DownAfterWrite(PlatformClient):
+            """Loses the answer of the first write, and the platform with it."""
+
+            def create(client, *arguments, **options):  # noqa: N805
+                super().create(*arguments, **options)
+                set_faults(self.platform, down=True)
+                return PlatformUnavailable("answer lost", may_have_acted=True)
+
+        editor = ConfigurationEditor(DownAfterWrite(self.client.endpoint))
+        lost = edit(RESERVE, 1, 2)
+        unknown = editor.submit(lost, 0.3)
+        self.assertIsInstance(unknown, EditUnknown)
+        self.assertIn(lost.id, str(unknown))
+        set_faults(self.platform)
+        self.editor.submit(edit(RESERVE, 2, 7, "bo"))
+        self.assertEqual(self.editor.submit(lost), EditAccepted(1))
+        self.assertEqual(self.stored().tuning.batch_reserve, 7, "the repetition changed nothing")
+
+    def test_two_operators_on_one_cell(self):
+        results = self._at_once(edit(RESERVE, 1, 2, "ana"), edit(RESERVE, 1, 3, "bo"))
+        self.assertEqual({type(result) for result in results}, {EditAccepted, EditConflict})
+        conflict = next(result for result in results if isinstance(result, EditConflict))
+        winner = {2: "ana", 3: "bo"}[self.stored().tuning.batch_reserve]
+        self.assertEqual((conflict.found, conflict.author), ({"ana": 2, "bo": 3}[winner], winner))
+
+    def test_many_operators_on_cells_of_a_row_all_merge(self):
+        columns = ("requests_per_s", "tokens_per_s", "concurrency")
+        edits = [edit("tenants/a/concurrency", None, 1)]
+        self.editor.submit(edits[0])
+        results = self._at_once(
+            *(
+                edit(f"tenants/a/{column}", n and 0.0, 5)
+                for n, column in enumerate(columns, 1)
+                if n < 3
+            )
+        )
+        self.assertEqual([type(result) for result in results], [EditAccepted] * 2)
+        row = self.stored().tenants["a"]
+        self.assertEqual((row.requests_per_s, row.tokens_per_s, row.concurrency), (5, 5, 1))
+
+    def test_invalid_edit_is_refused_and_changes_nothing(self):
+        self.assertIsInstance(self.editor.submit(edit(RESERVE, 1, -2)), EditInvalid)
+        self.assertEqual(self.stored().generation, 0)
+
+    def _at_once(self, *edits: Edit) -> list:
+        results: list = [None] * len(edits)
+
+        def submit(index: int) -> None:
+            results[index] = self.editor.submit(edits[index])
+
+        threads = [threading.Thread(target=submit, args=(n,)) for n in range(len(edits))]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return results
+
+
+class RestoreTest(PlatformCase):
+    """A stored table that was set back is never edited as if it were in force."""
+
+    def setUp(self):
+        super().setUp()
+        for value in (2, 3, 4):
+            self.editor.submit(edit(RESERVE, value - 1, value))
+        self.held = self.stored()
+        self.client.create(STATUSES, STATUS_NAME, ServingStatus(generation=3))
+
+    def put(self, document: object) -> None:
+        version = self.client.get_version(CONFIGURATIONS, CONFIGURATION_NAME)
+        self.client.replace(CONFIGURATIONS, CONFIGURATION_NAME, document, version)
+
+    def test_edit_of_a_table_that_was_set_back_is_refused(self):
+        self.put(msgspec.structs.replace(self.held, generation=1))
+        self.assertEqual(self.editor.submit(edit(RESERVE, 4, 5)), TableSetBack(1, 3))
+
+    @params(({"generation": 1},), ({"generation": 9, "tuning": {"batch_reserve": "x"}},), ("no",))
+    def test_table_in_force_is_restored_above_both_generations(self, document):
+        self.put(document)
+        higher = max(3, document["generation"] if isinstance(document, dict) else 0) + 1
+        restored = self.editor.restore(self.held, "r1", "ana")
+        self.assertEqual(restored, EditAccepted(higher))
+        self.assertEqual(self.stored().tuning, self.held.tuning)
+        self.assertEqual(self.editor.restore(self.held, "r1", "ana"), EditAccepted(higher))
+        self.assertEqual(self.editor.restore(self.held, "r2", "bo"), NothingToRestore(higher))
+
+    def test_invalid_stored_table_is_not_edited(self):
+        self.put({"generation": 4, "tuning": {"batch_reserve": -1}})
+        refused = self.editor.submit(edit(RESERVE, 4, 5))
+        self.assertIsInstance(refused, InvalidConfiguration)
+        self.assertEqual(refused.problems[0].cell, RESERVE)
