--- a/src/quaymill/process/commands/main.py
+++ b/src/quaymill/process/commands/main.py
@@ -55,3 +55,7 @@
 def main() -> None:
     """Run the command line of this process."""
     sys.exit(run(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_configuration_editor.py
+++ b/tests/test_configuration_editor.py
@@ -6,9 +6,9 @@
 import unittest
 
 import msgspec
-from fleet_support import control, set_faults, start_platform
 from nose2.tools import params
 
+from fleet_support import control, set_faults, start_platform
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.platform_client import (
     CONFIGURATION_NAME,
