--- a/src/quaymill/process/settings.py
+++ b/src/quaymill/process/settings.py
@@ -10,6 +10,7 @@
 from quaymill.connection.endpoint import Endpoint
 
 MIN_HTTP_THREADS = 8
+MIN_KEPT_LOG_BYTES = 1024 * 1024
 
 
 class SettingsError(msgspec.Struct, frozen=True):
@@ -41,12 +42,15 @@
     admission_limit
         Requests in service at once; must stay below ``threads`` so that health checks and
         refusals always find a free thread.
+    queue_limit
+        Requests of one service that may wait for a replica below its online limit.
     max_body_bytes
         Largest request body, file uploads apart.
     """
 
     threads: int = 256
     admission_limit: int = 224
+    queue_limit: int = 64
     max_body_bytes: int = 4 * 1024 * 1024
 
 
@@ -59,18 +63,43 @@
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Timing of the replicated log, in seconds."""
+    """Groups, timing in seconds and size of the replicated log.
+
+    Attributes
+    ----------
+    kept_bytes
+        Applied entries that each replica keeps, so that a replica which was away catches up
+        from the log; one that was away for longer is sent the whole state.
+    """
 
     groups: int = 1
     heartbeat_s: float = 0.1
     election_timeout_s: float = 0.8
+    kept_bytes: int = 128 * 1024 * 1024
 
 
 class BatchSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Timing of the batch schedulers, in seconds."""
+    """Timing of the batch schedulers, in seconds.
+
+    Attributes
+    ----------
+    lease_s
+        How long an item stays with this node without a renewal.
+    poll_interval_s
+        Wait after the job store had no items.
+    first_byte_timeout_s
+        Longest wait for the first byte of an engine's answer.
+    token_gap_timeout_s
+        Longest silence between two tokens of a stream.
+    application_timeout_s
+        Longest wait for an application's whole answer.
+    """
 
     lease_s: float = 10.0
     poll_interval_s: float = 0.25
+    first_byte_timeout_s: float = 20.0
+    token_gap_timeout_s: float = 5.0
+    application_timeout_s: float = 60.0
 
 
 class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -151,6 +180,10 @@
             f"is {gateway.admission_limit}, not between 1 and gateway.threads",
             f"use a number below {gateway.threads}",
         )
+    if gateway.queue_limit < 0:
+        return SettingsError(
+            file, "gateway.queue_limit", f"is {gateway.queue_limit}", "use 0 or more"
+        )
     for key in ("http_port", "peer_port"):
         port = getattr(settings, key)
         if not 0 < port < 65536:
@@ -176,10 +209,22 @@
         "log.election_timeout_s": settings.log.election_timeout_s,
         "batch.lease_s": settings.batch.lease_s,
         "batch.poll_interval_s": settings.batch.poll_interval_s,
+        "batch.first_byte_timeout_s": settings.batch.first_byte_timeout_s,
+        "batch.token_gap_timeout_s": settings.batch.token_gap_timeout_s,
+        "batch.application_timeout_s": settings.batch.application_timeout_s,
     }
     for key, seconds in timings.items():
         if seconds <= 0:
             return SettingsError(file, key, f"is {seconds}", "use seconds above 0")
+    if settings.log.groups < 1:
+        return SettingsError(file, "log.groups", f"is {settings.log.groups}", "use 1 or more")
+    if settings.log.kept_bytes < MIN_KEPT_LOG_BYTES:
+        return SettingsError(
+            file,
+            "log.kept_bytes",
+            f"is {settings.log.kept_bytes}",
+            f"use {MIN_KEPT_LOG_BYTES} or more",
+        )
     if settings.log.election_timeout_s < 3 * settings.log.heartbeat_s:
         return SettingsError(
             file,
