--- a/src/quaymill/process/configuration/editor.py
+++ b/src/quaymill/process/configuration/editor.py
@@ -80,8 +80,9 @@
     def __str__(self) -> str:
         return (
             f"the platform holds generation {self.stored_generation}, but "
-            f"{self.generation_in_force} is in force: its object was set back to an old copy; store "
-            "the table in force again by `quaymill config restore --node HOST:PORT`, then edit"
+            f"{self.generation_in_force} is in force: its object was set back to an old copy; "
+            "store the table in force again by `quaymill config restore --node HOST:PORT`, "
+            "then edit"
         )
 
 
--- a/src/quaymill/process/configuration/service.py
+++ b/src/quaymill/process/configuration/service.py
@@ -11,6 +11,8 @@
 import threading
 from pathlib import Path
 
+import msgspec
+
 from quaymill.connection.configuration_messages import (
     ConfigurationDifferences,
     ConfigurationReport,
@@ -38,13 +40,25 @@
 from quaymill.version.configuration import EMPTY_CONFIGURATION, ServingConfiguration
 from quaymill.version.differences import DifferenceLog, apply_difference, find_difference
 
-CONFIGURATION_WATCH_S = 5.0
-MACHINES_WATCH_S = 30.0
 PULL_TIMEOUT_S = 2.0
 PULL_CHECK_INTERVAL_S = 1.0
 PULL_RETRY_INTERVAL_S = 0.2
 
 
+class ConfigurationTiming(msgspec.Struct, frozen=True):
+    """How long one watch of the platform lasts, in seconds.
+
+    A watch that has died silently is found when it should have ended, so the configuration's
+    bounds how late an edit can be in force.
+    """
+
+    configuration_watch_s: float = 5.0
+    machines_watch_s: float = 30.0
+
+
+DEFAULT_TIMING = ConfigurationTiming()
+
+
 class ConfigurationService:
     """Feeds the two holders of this node and answers peers that are behind.
 
@@ -67,6 +81,7 @@
         platform_client: PlatformClient,
         peer_client: PeerClient,
         peer_server: PeerServer,
+        timing: ConfigurationTiming = DEFAULT_TIMING,
     ) -> None:
         self._settings = settings
         self._holder = holder
@@ -82,14 +97,14 @@
         self._watches = (
             PlatformWatch(
                 platform_client,
-                WatchSettings(CONFIGURATIONS, CONFIGURATION_WATCH_S),
+                WatchSettings(CONFIGURATIONS, timing.configuration_watch_s),
                 ConfigurationFollower(platform_client, holder, self.problems),
                 self.is_reader,
                 self._report_platform,
             ),
             PlatformWatch(
                 platform_client,
-                WatchSettings(MACHINES, MACHINES_WATCH_S),
+                WatchSettings(MACHINES, timing.machines_watch_s),
                 MachineListFollower(machine_list, self.problems),
                 self.is_reader,
                 self._report_platform,
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -4,6 +4,7 @@
 
 import socket
 import time
+import unittest
 from collections.abc import Callable
 from pathlib import Path
 
@@ -12,7 +13,7 @@
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.peer_link import PeerClient, PeerServer
 from quaymill.connection.platform_client import PlatformClient
-from quaymill.process.configuration.service import ConfigurationService
+from quaymill.process.configuration.service import ConfigurationService, ConfigurationTiming
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.process.machine_list import MachineListHolder
 from quaymill.process.membership.membership import Membership
@@ -56,12 +57,31 @@
     platform.switches.replace(Faults(**faults))
 
 
-def control(platform: Platform, action: str) -> None:
+def control(platform: Platform, action: str, name: str = "empty") -> None:
     """Carry out ``snapshot``, ``restore`` or ``forget-history`` on the stand-in."""
-    answer = urllib3.request("POST", f"http://127.0.0.1:{platform.port}/standin/{action}")
+    answer = urllib3.request(
+        "POST", f"http://127.0.0.1:{platform.port}/standin/{action}", json={"name": name}
+    )
     assert answer.status == 200, answer.data
 
 
+class PlatformCase(unittest.TestCase):
+    """One platform stand-in for the tests of a class, empty at the start of each."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.platform = start_platform()
+        cls.addClassCleanup(cls.platform.stop)
+        control(cls.platform, "snapshot")
+
+    def setUp(self):
+        set_faults(self.platform)
+        control(self.platform, "restore")
+        self.links = LinkFilter()
+        self.client = PlatformClient(Endpoint("127.0.0.1", self.platform.port), self.links)
+        self.addCleanup(self.client.close)
+
+
 def settings_for(
     name: str, zone: str, platform_port: int, seeds: tuple[Endpoint, ...] = (), **fields: object
 ) -> NodeSettings:
@@ -100,6 +120,7 @@
             self.platform,
             self.peer_client,
             self.peer_server,
+            ConfigurationTiming(configuration_watch_s=1.0, machines_watch_s=1.0),
         )
 
     @property
@@ -145,6 +166,25 @@
             why="all nodes know each other",
         )
 
+    def in_zone(self, zone: str) -> list[HollowNode]:
+        """Return the nodes of a zone."""
+        return [node for node in self.nodes if node.settings.zone == zone]
+
+    def cut(self, nodes: list[HollowNode], with_platform: bool = True) -> None:
+        """Cut some nodes off from all others, in both directions, and from the platform."""
+        others = [node for node in self.nodes if node not in nodes]
+        for here, there in ((nodes, others), (others, nodes)):
+            blocked = {node.settings.peer_endpoint for node in there}
+            if with_platform and here is nodes:
+                blocked.add(here[0].platform.endpoint)
+            for node in here:
+                node.links.set_blocked(frozenset(blocked))
+
+    def heal(self) -> None:
+        """Restore all links."""
+        for node in self.nodes:
+            node.links.set_blocked(frozenset())
+
     def restart(self, index: int) -> HollowNode:
         """Replace a stopped node by a new process of the same name and address."""
         self.nodes[index] = HollowNode(self.nodes[index].settings)
--- a/tests/test_configuration_editor.py
+++ b/tests/test_configuration_editor.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import threading
-import unittest
 
 import msgspec
 from nose2.tools import params
 
-from fleet_support import control, set_faults, start_platform
-from quaymill.connection.endpoint import Endpoint, LinkFilter
+from fleet_support import PlatformCase, set_faults
+from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.platform_client import (
     CONFIGURATION_NAME,
     CONFIGURATIONS,
@@ -44,28 +43,18 @@
     return Edit(new_edit_id(), author, (EditedCell(cell, expected, value),))
 
 
-class PlatformCase(unittest.TestCase):
-    """One platform stand-in for the tests of a class, empty at the start of each."""
-
-    @classmethod
-    def setUpClass(cls):
-        cls.platform = start_platform()
-        cls.addClassCleanup(cls.platform.stop)
-        control(cls.platform, "snapshot")
+class EditorCase(PlatformCase):
+    """An editor over the platform of the class."""
 
     def setUp(self):
-        set_faults(self.platform)
-        control(self.platform, "restore")
-        self.links = LinkFilter()
-        self.client = PlatformClient(Endpoint("127.0.0.1", self.platform.port), self.links)
-        self.addCleanup(self.client.close)
+        super().setUp()
         self.editor = ConfigurationEditor(self.client)
 
     def stored(self) -> ServingConfiguration:
         return self.editor.read().configuration
 
 
-class PlatformClientTest(PlatformCase):
+class PlatformClientTest(EditorCase):
     """Each answer of the platform has its type."""
 
     def test_objects_are_created_replaced_and_listed(self):
@@ -119,7 +108,7 @@
         watch.close()
 
 
-class EditorFaultTest(PlatformCase):
+class EditorFaultTest(EditorCase):
     """An edit is committed once, or not at all, and the operator is told which."""
 
     @params(
@@ -201,7 +190,7 @@
         return results
 
 
-class RestoreTest(PlatformCase):
+class RestoreTest(EditorCase):
     """A stored table that was set back is never edited as if it were in force."""
 
     def setUp(self):
--- /dev/null
+++ b/tests/test_configuration_faults.py
@@ -0,0 +1,246 @@
+"""An accepted configuration is in force everywhere and never reverts, whatever fails."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+import msgspec
+from nose2.tools import params
+
+from fleet_support import Fleet, HollowNode, PlatformCase, control, eventually, set_faults
+from quaymill.connection.configuration_messages import ConfigurationProblem
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.member import Machine, MachineRole
+from quaymill.connection.platform_client import CONFIGURATION_NAME, CONFIGURATIONS
+from quaymill.process.configuration.disk_copy import COPY_NAME, load_copy
+from quaymill.process.configuration.editor import ConfigurationEditor, EditAccepted
+from quaymill.process.configuration.problems import ProblemLog
+from quaymill.process.membership.ranking import reader_nodes
+from quaymill.version.configuration import ServingConfiguration
+from quaymill.version.edits import Edit, EditedCell, new_edit_id
+
+ZONES = ("a", "a", "a", "b", "b", "b")
+
+
+class FleetCase(PlatformCase):
+    """Six nodes in two zones, the first of each with a disk, at generation 1."""
+
+    def setUp(self):
+        super().setUp()
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.fleet = Fleet(self.platform, ZONES, (folder / "0",))
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+        self.generation = 0
+        self.edit()
+        self.expect_in_force()
+
+    def edit(self) -> None:
+        """Have an edit accepted."""
+        cell = EditedCell("tuning/batch_reserve", self.generation + 1, self.generation + 2)
+        result = ConfigurationEditor(self.client).submit(Edit(new_edit_id(), "ana", (cell,)))
+        self.generation += 1
+        self.assertEqual(result, EditAccepted(self.generation))
+
+    def expect_in_force(self, nodes: list[HollowNode] | None = None) -> None:
+        """Wait until the latest edit is in force on all nodes, with the same content."""
+        nodes = self.fleet.nodes if nodes is None else nodes
+        eventually(
+            lambda: all(node.generation == self.generation for node in nodes),
+            why=f"generation {self.generation}: {[node.generation for node in nodes]}",
+        )
+        self.assertEqual(len({msgspec.json.encode(node.holder.current()) for node in nodes}), 1)
+
+    def readers(self, zone: str) -> list[HollowNode]:
+        live = self.fleet.nodes[0].membership.live()
+        names = [member.name for member in reader_nodes(live, zone)]
+        return [node for node in self.fleet.nodes if node.settings.name in names]
+
+    def problems(self) -> list[ConfigurationProblem]:
+        return [problem for node in self.fleet.nodes for problem in node.service.report().problems]
+
+    def put(self, document: object) -> None:
+        version = self.client.get_version(CONFIGURATIONS, CONFIGURATION_NAME)
+        self.client.replace(CONFIGURATIONS, CONFIGURATION_NAME, document, version)
+
+
+class PlatformFaultTest(FleetCase):
+    """The platform fails in every way it can."""
+
+    @params(
+        {"delay_s": 0.5},
+        {"error_probability": 0.5, "seed": 1},
+        {"drop_probability": 0.5, "seed": 1},
+        {"truncate_probability": 0.5, "seed": 1},
+        {"watch_silent": True},
+    )
+    def test_edit_is_in_force_although_the_platform_fails(self, faults):
+        set_faults(self.platform, **faults)
+        self.edit()
+        self.expect_in_force()
+
+    def test_outage_keeps_what_is_in_force_and_is_reported(self):
+        set_faults(self.platform, down=True)
+        eventually(lambda: any(problem.subject == "platform" for problem in self.problems()))
+        self.assertTrue(self.fleet.all_hold(1))
+        set_faults(self.platform)
+        self.edit()
+        self.expect_in_force()
+        eventually(lambda: not self.problems(), why=str(self.problems()))
+
+    def test_version_that_is_gone_is_listed_anew(self):
+        set_faults(self.platform, watch_silent=True)
+        self.edit()
+        control(self.platform, "forget-history")
+        set_faults(self.platform)
+        self.expect_in_force()
+        self.edit()
+        self.expect_in_force()
+
+    def test_history_set_back_is_refused_reported_and_restored(self):
+        control(self.platform, "snapshot", "old")
+        self.edit()
+        self.edit()
+        self.expect_in_force()
+        control(self.platform, "restore", "old")
+        eventually(lambda: any("older than 3" in problem.reason for problem in self.problems()))
+        self.assertTrue(self.fleet.all_hold(3))
+        held = self.fleet.nodes[0].holder.current()
+        restored = ConfigurationEditor(self.client).restore(held, "r", "ana")
+        self.assertEqual(restored, EditAccepted(4))
+        self.generation = 4
+        self.expect_in_force()
+        eventually(lambda: not self.problems(), why=str(self.problems()))
+        self.assertEqual(self.fleet.nodes[0].holder.current().tuning, held.tuning)
+
+    @params(
+        ({"generation": 2, "tuning": {"batch_reserve": -1}}, "tuning/batch_reserve"),
+        ({"generation": 2, "routes": {"x": {"y": {"weight": "z"}}}}, "routes/x/y/weight"),
+        ("no table at all", "document"),
+    )
+    def test_invalid_object_leaves_the_last_valid_one_in_force(self, document, cell):
+        self.put(document)
+        eventually(lambda: any(cell in problem.subject for problem in self.problems()))
+        self.assertTrue(all(problem.remedy for problem in self.problems()))
+        self.assertTrue(self.fleet.all_hold(1))
+        self.put(ServingConfiguration(generation=2))
+        self.generation = 2
+        self.expect_in_force()
+        eventually(lambda: not self.problems(), why=str(self.problems()))
+
+    def test_every_node_restarted_while_the_platform_is_down(self):
+        set_faults(self.platform, down=True)
+        for node in self.fleet.nodes:
+            node.stop()
+        for index in range(len(ZONES)):
+            self.fleet.restart(index)
+        self.expect_in_force()
+        set_faults(self.platform)
+        self.edit()
+        self.expect_in_force()
+
+
+class NodeFaultTest(FleetCase):
+    """Nodes and links fail."""
+
+    def test_both_readers_of_a_zone_killed(self):
+        readers = self.readers("a")
+        rest = [node for node in self.fleet.nodes if node not in readers]
+        for reader in readers:
+            reader.stop()
+        self.edit()
+        self.expect_in_force(rest)
+        eventually(lambda: any(node.service.is_reader() for node in rest[:1]))
+
+    def test_readers_cut_off_from_the_platform_get_it_from_peers(self):
+        for reader in self.readers("a"):
+            reader.links.set_blocked(frozenset((reader.platform.endpoint,)))
+        self.edit()
+        self.expect_in_force()
+
+    def test_zone_cut_off_from_peers_reads_the_platform_itself(self):
+        self.fleet.cut(self.fleet.in_zone("b"), with_platform=False)
+        self.edit()
+        self.expect_in_force()
+
+    def test_zone_cut_off_from_all_keeps_its_generation_and_catches_up(self):
+        cut = self.fleet.in_zone("b")
+        self.fleet.cut(cut)
+        eventually(
+            lambda: len(cut[0].membership.live()) == 3, why="the other zone is held for dead"
+        )
+        for _ in range(3):
+            self.edit()
+        self.expect_in_force(self.fleet.in_zone("a"))
+        self.assertEqual({node.generation for node in cut}, {1})
+        self.fleet.heal()
+        self.expect_in_force()
+        eventually(lambda: all(len(node.membership.live()) == 6 for node in self.fleet.nodes))
+
+    def test_node_that_missed_many_generations_takes_the_whole(self):
+        cut = self.fleet.nodes[5]
+        self.fleet.cut([cut])
+        for _ in range(3):
+            self.edit()
+        for node in self.fleet.nodes[:5]:
+            node.service._differences._kept.clear()
+        self.fleet.heal()
+        self.expect_in_force()
+
+    def test_restarted_node_gets_the_configuration_from_peers(self):
+        self.fleet.nodes[4].stop()
+        set_faults(self.platform, down=True)
+        self.fleet.restart(4)
+        self.expect_in_force()
+
+    @params(b"", b'{"generation":9,"tuning":{"batch_reserve":-1}}', b'{"generation":')
+    def test_spoilt_copy_on_disk_is_reported_and_not_put_in_force(self, content):
+        node = self.fleet.nodes[0]
+        node.stop()
+        copy = Path(node.settings.data_folder) / COPY_NAME
+        self.assertEqual(msgspec.json.decode(copy.read_bytes())["generation"], 1)
+        copy.write_bytes(content)
+        problems = ProblemLog()
+        self.assertIsNone(load_copy(copy.parent, problems))
+        self.assertEqual([problem.subject for problem in problems.all()], [str(copy)])
+        restarted = self.fleet.restart(0)
+        self.expect_in_force()
+        eventually(lambda: not restarted.service.report().problems)
+        self.assertEqual(msgspec.json.decode(copy.read_bytes())["generation"], 1)
+
+
+class MachineListTest(FleetCase):
+    """The machine list spreads as the configuration does, and decides nothing about members."""
+
+    def machine(self, name: str, port: int, **fields: object) -> Machine:
+        return Machine(name, MachineRole.NODE, "a", Endpoint("127.0.0.1", port), **fields)
+
+    def names_everywhere(self, *names: str) -> bool:
+        return all(
+            sorted(machine.name for machine in node.machines.current().machines) == sorted(names)
+            for node in self.fleet.nodes
+        )
+
+    def test_changes_reach_every_node(self):
+        first = self.client.create("machines", "m1", self.machine("m1", 1))
+        self.client.create("machines", "m2", self.machine("m2", 2))
+        eventually(lambda: self.names_everywhere("m1", "m2"))
+        draining = self.machine("m1", 1, draining=True)
+        self.client.replace("machines", "m1", draining, first.resource_version)
+        eventually(
+            lambda: all(draining in node.machines.current().machines for node in self.fleet.nodes)
+        )
+
+    def test_list_that_names_dead_nodes_and_misses_live_ones_changes_no_member(self):
+        self.client.create("machines", "ghost", self.machine("ghost", 1))
+        self.client.create("machines", "node-0", self.machine("node-0", 1, draining=True))
+        eventually(lambda: self.names_everywhere("ghost", "node-0"))
+        names = {member.name for member in self.fleet.nodes[3].membership.live()}
+        self.assertEqual(names, {node.settings.name for node in self.fleet.nodes})
+
+    def test_entry_that_is_no_machine_is_reported_and_the_rest_holds(self):
+        self.client.create("machines", "m1", self.machine("m1", 1))
+        self.client.create("machines", "odd", {"role": "toaster"})
+        eventually(lambda: self.names_everywhere("m1"))
+        eventually(lambda: any(p.subject == "machines/odd" for p in self.problems()))
