--- /dev/null
+++ b/src/quaymill/process/membership/member_socket.py
@@ -0,0 +1,93 @@
+"""The UDP socket of the membership: datagrams out, datagrams in, and what they cost."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable
+
+import msgspec
+from eliot import log_message
+
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.process.membership.messages import Datagram, decode_datagram, encode_datagram
+
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+LARGEST_DATAGRAM_BYTES = 65536
+STOP_TIMEOUT_S = 5.0
+
+Receiver = Callable[[Datagram, Endpoint], None]
+
+
+class Traffic(msgspec.Struct):
+    """What a node has sent and received, without the headers of UDP and IP."""
+
+    sent_datagrams: int = 0
+    sent_bytes: int = 0
+    received_datagrams: int = 0
+    received_bytes: int = 0
+
+
+class MemberSocket:
+    """Sends from any thread; receives on one thread of its own.
+
+    Parameters
+    ----------
+    endpoint
+        Where to listen, which is also the source address of what is sent.
+    link_filter
+        Fault switch: nothing is sent to a blocked endpoint.
+    """
+
+    def __init__(self, endpoint: Endpoint, link_filter: LinkFilter) -> None:
+        self._link_filter = link_filter
+        self._stopping = False
+        self._thread: threading.Thread | None = None
+        self.traffic = Traffic()
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._socket.bind((endpoint.host, endpoint.port))
+
+    def start(self, receiver: Receiver) -> None:
+        """Begin to hand datagrams to ``receiver``."""
+        self._thread = threading.Thread(
+            target=self._receive, args=(receiver,), name="member-receive", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the receiving thread and close the socket."""
+        self._stopping = True
+        with contextlib.suppress(OSError):
+            # A datagram to itself wakes the receiving thread from its wait.
+            self._socket.sendto(b"\n", self._socket.getsockname())
+        if self._thread is not None:
+            self._thread.join(STOP_TIMEOUT_S)
+        self._socket.close()
+
+    def send(self, target: Endpoint, datagram: Datagram) -> None:
+        """Send a datagram; whether it arrives is for the protocol to find out."""
+        if self._link_filter.blocks(target):
+            return
+        line = encode_datagram(datagram)
+        with contextlib.suppress(OSError):
+            self._socket.sendto(line, (target.host, target.port))
+            self.traffic.sent_datagrams += 1
+            self.traffic.sent_bytes += len(line)
+
+    def _receive(self, receiver: Receiver) -> None:
+        while not self._stopping:
+            try:
+                line, address = self._socket.recvfrom(LARGEST_DATAGRAM_BYTES)
+            except OSError:
+                continue  # A peer that is gone shows as an error on the socket now and then.
+            datagram = decode_datagram(line)
+            if datagram is None:
+                continue
+            self.traffic.received_datagrams += 1
+            self.traffic.received_bytes += len(line)
+            try:
+                receiver(datagram, Endpoint(*address))
+            except Exception as error:  # One strange datagram must not end the membership.
+                log_message("membership:handler_error", error=repr(error))
--- /dev/null
+++ b/src/quaymill/process/membership/synchronisation.py
@@ -0,0 +1,80 @@
+"""Comparison of two nodes' tables by digests, and exchange of the records that differ."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.member import Member
+from quaymill.process.membership.member_socket import MemberSocket
+from quaymill.process.membership.member_table import MemberTable
+from quaymill.process.membership.messages import (
+    MAX_DATAGRAM_BYTES,
+    Sync,
+    SyncAnswer,
+    encode_datagram,
+    encoded_size,
+)
+
+MAX_SYNC_DATAGRAMS = 24
+
+
+class Synchronisation:
+    """One node's side of the exchange: ``Sync`` -> ``SyncAnswer`` -> ``SyncAnswer``.
+
+    A lost datagram costs nothing but time: the next comparison finds what still differs.
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        member_socket: MemberSocket,
+        head: Callable[[], dict[str, str | int]],
+        chance: random.Random,
+    ) -> None:
+        self._table = table
+        self._socket = member_socket
+        self._head = head
+        self._random = chance
+
+    def begin(self, target: Endpoint) -> None:
+        """Show another node the digests of this one's table, and who this one is."""
+        sync = Sync(**self._head(), digests=self._table.digests())
+        sync.records = (self._table.local(),)
+        self._socket.send(target, sync)
+
+    def answer(self, sync: Sync, source: Endpoint) -> None:
+        """Send the records of the buckets that differ, and ask for the other side's."""
+        pairs = zip(self._table.digests(), sync.digests, strict=False)
+        differing = tuple(bucket for bucket, (own, other) in enumerate(pairs) if own != other)
+        if differing:
+            self.send_records(source, frozenset(differing), wanted=differing)
+
+    def send_records(
+        self, target: Endpoint, buckets: frozenset[int], wanted: tuple[int, ...] = ()
+    ) -> None:
+        """Send the records of some buckets, with the wish for the other side's on the last."""
+        batches = self._batches(buckets, wanted)[:MAX_SYNC_DATAGRAMS]
+        for index, batch in enumerate(batches):
+            last = index == len(batches) - 1
+            answer = SyncAnswer(**self._head(), wanted=wanted if last else ())
+            answer.records = tuple(batch)
+            self._socket.send(target, answer)
+
+    def _batches(self, buckets: frozenset[int], wanted: tuple[int, ...]) -> list[list[Member]]:
+        """Share records out over datagrams."""
+        members = self._table.in_buckets(buckets)
+        self._random.shuffle(members)  # What does not fit now comes with a later exchange.
+        empty = SyncAnswer(**self._head(), wanted=wanted)
+        capacity = MAX_DATAGRAM_BYTES - len(encode_datagram(empty))
+        batches: list[list[Member]] = [[]]
+        room = capacity
+        for member in members:
+            size = encoded_size(member)
+            if size > room:
+                batches.append([])
+                room = capacity
+            batches[-1].append(member)
+            room -= size
+        return batches
