Prove whole answers and at-most-once calls under faults of the replicas

Cause: a frozen replica was found by its first byte only for streams; a whole answer from a half frozen one (polls answered, requests not) waited until its deadline. Change: engines are always asked for streams; a whole answer is put together from one, so that it is resumed like one. A stop cancels what is still in service, since cheroot waits for its threads without end.

--- a/src/quaymill/connection/engine_client.py
+++ b/src/quaymill/connection/engine_client.py
@@ -14,7 +14,6 @@
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
 from quaymill.request.outcome import NOT_RUN, OUTCOME_HEADER, Failed, NotRun, OutcomeUnknown
 
-MAX_WHOLE_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_ERROR_BYTES = 64 * 1024
 MAX_EVENT_BYTES = 1024 * 1024
 ERROR_BODY_TIMEOUT_S = 1.0
@@ -130,7 +129,7 @@
     def send(
         self, endpoint: Endpoint, path: str, body: bytes, attempt_id: str
     ) -> Exchange | NotRun | OutcomeUnknown:
-        """Send a request; the answer is read by ``read_stream`` or ``read_whole``."""
+        """Send a request; the answer is read by ``read_stream``."""
         headers = {"Content-Type": "application/json", "X-Request-Id": attempt_id}
         return self._connections.send(endpoint, ReplicaRequest("POST", path, headers, body))
 
@@ -141,22 +140,6 @@
         failure = self._read_head(exchange, attempt_id)
         return EngineStream(exchange, attempt_id) if failure is None else failure
 
-    def read_whole(
-        self, exchange: Exchange, attempt_id: str, timeout_s: float
-    ) -> bytes | NotRun | OutcomeUnknown | Failed:
-        """Read a whole answer; call when the exchange is readable."""
-        failure = self._read_head(exchange, attempt_id)
-        if failure is not None:
-            return failure
-        body = exchange.read_body(MAX_WHOLE_ANSWER_BYTES, time.monotonic() + timeout_s)
-        if isinstance(body, OutcomeUnknown):
-            return body
-        if f'"{attempt_id}"'.encode() not in body:
-            exchange.abandon()
-            return _broken_answer(exchange.endpoint, "the answer is to another request")
-        exchange.release()
-        return body
-
     def close(self) -> None:
         """Close all idle connections."""
         self._connections.close()
--- a/src/quaymill/process/gateway/completion_body.py
+++ b/src/quaymill/process/gateway/completion_body.py
@@ -67,6 +67,11 @@
         self.checked = checked
         self._fields = fields
 
+    @property
+    def wants_token_ids(self) -> bool:
+        """Whether the caller asked for token ids itself."""
+        return bytes(self._fields.get("return_token_ids", b"")) == b"true"
+
     @property
     def prefix_key(self) -> str:
         """Beginning of the prompt: requests that share it gain from the same replica's cache."""
@@ -74,12 +79,14 @@
         return bytes(prompt)[:PREFIX_KEY_BYTES].hex() if prompt is not None else ""
 
     def engine_body(self, resume_token_ids: list[int] | None = None) -> bytes:
-        """Return the body for the engine, at online priority."""
+        """Return the body for the engine: streamed, with token ids, at online priority."""
         fields: dict[str, Any] = dict(self._fields)
         fields["priority"] = ONLINE_PRIORITY
         fields.pop("resume_token_ids", None)
-        if self.checked.stream:
-            fields["return_token_ids"] = True
+        fields["return_token_ids"] = True
+        if not self.checked.stream:
+            fields["stream"] = True
+            fields["stream_options"] = {"include_usage": True}
         if resume_token_ids:
             fields["resume_token_ids"] = resume_token_ids
         return msgspec.json.encode(fields)
--- a/src/quaymill/process/gateway/completions.py
+++ b/src/quaymill/process/gateway/completions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterator
+
 import msgspec
 
 from quaymill.connection.engine_client import (
@@ -33,19 +35,23 @@
 from quaymill.process.replicas.router import Router
 from quaymill.request.attempt import RequestAttempts
 from quaymill.request.deadline import TIMEOUT_HEADER, deadline_from_header
-from quaymill.request.outcome import Failed, Failure, NotRun, OutcomeUnknown
+from quaymill.request.outcome import Failure, NotRun, OutcomeUnknown
 from quaymill.request.patience import (
     FIRST_BYTE_PATIENCE_BUSY_S,
     FIRST_BYTE_PATIENCE_S,
     wait_for_first_byte,
 )
+from quaymill.request.presence import CallerGoneError
 from quaymill.request.relay import OpenStream, StreamRelay
 from quaymill.request.retry_budget import RetryBudget
 from quaymill.request.waiting_room import WaitingRooms
+from quaymill.request.whole_answer import assemble
 from quaymill.version.configuration import ServiceKind
 
 CHAT_PATH = "/v1/chat/completions"
 TEXT_PATH = "/v1/completions"
+Ended = Callable[[int], None]
+"""Ends the accounting of a request; is given the tokens generated."""
 EVENT_STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
 
 
@@ -130,27 +136,11 @@
             prefix_key=completion.prefix_key,
         )
         call = _EngineCall(self._engine_client, self._notifier, attempts, request, path, completion)
-        if completion.checked.stream:
-            return self._answer_stream(request, call, reserved)
-        used = 0
-        try:
-            response = call.whole()
-            used = used_tokens(response.body) if response.status == 200 else 0
-            return response
-        finally:
-            self._limiter.release(request.tenant, reserved, used)
 
-    def _answer_stream(self, request: Request, call: _EngineCall, reserved: int) -> Response:
         def ended(used_tokens: int) -> None:
             self._limiter.release(request.tenant, reserved, used_tokens)
 
-        response: Response | None = None
-        try:
-            response = call.streamed(ended)
-            return response
-        finally:
-            if response is None or isinstance(response.body, bytes):
-                ended(0)
+        return _once(ended, call.streamed if completion.checked.stream else call.whole)
 
     def _is_model(self, name: str) -> bool:
         service = self._holder.current().services.get(name)
@@ -166,35 +156,36 @@
         return json_response(Model(name)) if self._is_model(name) else _unknown_model(name)
 
 
-class _Usage(msgspec.Struct, frozen=True):
-    completion_tokens: int = 0
+def _once(ended: Ended, answer: Callable[[Ended], Response]) -> Response:
+    """Make an answer; if that fails with an exception, the request's accounting still ends."""
+    done = False
 
+    def end_once(used_tokens: int) -> None:
+        nonlocal done
+        if not done:
+            done = True
+            ended(used_tokens)
 
-class _WholeAnswer(msgspec.Struct):
-    usage: _Usage = _Usage()
-
-
-def used_tokens(body: bytes) -> int:
-    """Return the tokens that a whole answer says it has generated; 0 if it does not say."""
     try:
-        return msgspec.json.decode(body, type=_WholeAnswer).usage.completion_tokens
-    except msgspec.MsgspecError:
-        return 0
+        return answer(end_once)
+    except BaseException:
+        end_once(0)
+        raise
 
 
 class _AccountedRelay:
     """A relay that settles the tenant's tokens when it ends."""
 
-    def __init__(self, relay: StreamRelay, ended) -> None:
+    def __init__(self, relay: StreamRelay, ended: Ended) -> None:
         self._relay = relay
         self._ended = ended
 
-    def __iter__(self):
+    def __iter__(self) -> Iterator[bytes]:
         return iter(self._relay)
 
     def close(self) -> None:
         self._relay.close()
-        self._ended(self._relay.event_count)
+        self._ended(self._relay.token_count)
 
 
 class _EngineCall:
@@ -216,21 +207,37 @@
         self._path = path
         self._completion = completion
 
-    def whole(self) -> Response:
-        """Answer with the engine's whole answer."""
-        answer = self._attempts.run(self._whole_once)
-        if isinstance(answer, NotRun | OutcomeUnknown | Failed):
-            return failure_response(answer)
-        return Response(headers={"Content-Type": "application/json"}, body=answer)
-
-    def streamed(self, ended) -> Response:
+    def whole(self, ended: Ended) -> Response:
+        """Answer with the whole answer, put together from an engine's stream."""
+        relay = self._relay()
+        if not isinstance(relay, StreamRelay):
+            ended(0)
+            return failure_response(relay)
+        try:
+            blocks = list(relay)
+        finally:
+            relay.close()
+            ended(relay.token_count)
+        if self._attempts.presence.gone:
+            raise CallerGoneError
+        if relay.failure is not None:
+            return failure_response(relay.failure)
+        return json_response(assemble(blocks, keep_token_ids=self._completion.wants_token_ids))
+
+    def streamed(self, ended: Ended) -> Response:
         """Answer with a relay, once an engine has begun to answer."""
+        relay = self._relay()
+        if not isinstance(relay, StreamRelay):
+            ended(0)
+            return failure_response(relay)
+        return Response(headers=dict(EVENT_STREAM_HEADERS), body=_AccountedRelay(relay, ended))
+
+    def _relay(self) -> StreamRelay | Failure:
         first = self._open([], progressed=False)
-        if isinstance(first, NotRun | OutcomeUnknown | Failed):
-            return failure_response(first)
+        if not isinstance(first, OpenStream):
+            return first
         resume = self._resume if (self._completion.checked.n or 1) == 1 else None
-        relay = StreamRelay(first, resume, _error_event, self._attempts.presence)
-        return Response(headers=dict(EVENT_STREAM_HEADERS), body=_AccountedRelay(relay, ended))
+        return StreamRelay(first, resume, _error_event, self._attempts.presence)
 
     def _resume(self, tokens: list[int]) -> OpenStream | Failure:
         return self._open(tokens, progressed=bool(tokens))
@@ -268,7 +275,7 @@
     def _read_first_events(
         self, replica: ReplicaView, body: bytes, attempt_id: str
     ) -> OpenStream | Failure:
-        exchange = self._send(replica, body, attempt_id, whole=False)
+        exchange = self._send(replica, body, attempt_id)
         if not isinstance(exchange, Exchange):
             return exchange
         stream = self._engine_client.read_stream(exchange, attempt_id)
@@ -284,29 +291,14 @@
         stream.set_stall_timeout(STREAM_STALL_TIMEOUT_S)
         return OpenStream(stream, attempt_id, events)
 
-    def _whole_once(self, replica: ReplicaView, attempt_id: str) -> bytes | Failure:
-        ticket = replica.begin()
-        try:
-            exchange = self._send(replica, self._completion.engine_body(), attempt_id, whole=True)
-            if not isinstance(exchange, Exchange):
-                return exchange
-            remaining_s = self._attempts.deadline.remaining_s()
-            return self._engine_client.read_whole(exchange, attempt_id, remaining_s)
-        finally:
-            self._attempts.presence.detach()
-            self._attempts.end(replica, ticket)
-
-    def _send(
-        self, replica: ReplicaView, body: bytes, attempt_id: str, *, whole: bool
-    ) -> Exchange | Failure:
+    def _send(self, replica: ReplicaView, body: bytes, attempt_id: str) -> Exchange | Failure:
         """Send a request and wait until the engine begins to answer."""
         self._notifier.notify(replica)
         exchange = self._engine_client.send(replica.machine.endpoint, self._path, body, attempt_id)
         if not isinstance(exchange, Exchange):
             return exchange
         self._attempts.presence.attach(exchange.cancel)
-        deadline = self._attempts.deadline
-        failure = wait_for_first_byte(exchange, replica, deadline, whole=whole)
+        failure = wait_for_first_byte(exchange, replica, self._attempts.deadline)
         return exchange if failure is None else failure
 
 
--- a/src/quaymill/process/gateway/gateway.py
+++ b/src/quaymill/process/gateway/gateway.py
@@ -151,8 +151,9 @@
     def stop(self) -> None:
         """Close the listener and all connections; call ``drain`` before, to cut nothing."""
         self._draining = True
-        self._server.stop()
+        # The server waits for its threads, so what they wait for is cancelled first.
         self._watch.stop()
+        self._server.stop()
         self._notifier.stop()
         self._engine_client.close()
         self._application_client.close()
--- a/src/quaymill/process/replicas/ejection.py
+++ b/src/quaymill/process/replicas/ejection.py
@@ -63,3 +63,8 @@
             replica.ejected_until = time.monotonic() + record.ejection_s
             record.ejection_s = min(MAX_EJECTION_S, 2 * record.ejection_s)
             return True
+
+    def forget(self) -> None:
+        """Forget all failures."""
+        with self._lock:
+            self._records.clear()
--- a/src/quaymill/process/replicas/replica.py
+++ b/src/quaymill/process/replicas/replica.py
@@ -96,6 +96,11 @@
         """Note that the replica itself refused new work because it is leaving."""
         self._said_draining_at = time.monotonic()
 
+    def forget_failures(self) -> None:
+        """Forget this node's own bad experience."""
+        self.ejected_until = 0.0
+        self._said_draining_at = None
+
     @property
     def draining(self) -> bool:
         """Whether the machine list, the report or the replica's own answer says it leaves."""
--- a/src/quaymill/process/replicas/router.py
+++ b/src/quaymill/process/replicas/router.py
@@ -113,6 +113,12 @@
         same_service = self._load_view.replicas(replica.machine.service)
         self._ejector.record_failure(replica, same_service, certain=certain)
 
+    def forget_failures(self) -> None:
+        """Take all ejected replicas back at once; for operators who know better."""
+        for replica in self._load_view.all_replicas():
+            replica.forget_failures()
+        self._ejector.forget()
+
     def _usable_groups(
         self, configuration: ServingConfiguration, service: str, exclude: Collection[str]
     ) -> dict[str, list[ReplicaView]]:
--- a/src/quaymill/request/relay.py
+++ b/src/quaymill/request/relay.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from quaymill.connection.engine_client import EngineStream, token_ids
+from quaymill.connection.engine_client import EVENT_END, EngineStream, token_ids
 from quaymill.request.outcome import Failed, Failure, NotRun, OutcomeUnknown
 from quaymill.request.presence import CallerPresence
 
@@ -66,9 +66,9 @@
         self.failure: Failure | None = None
 
     @property
-    def event_count(self) -> int:
-        """Blocks relayed so far; about one for each token."""
-        return len(self._relayed)
+    def token_count(self) -> int:
+        """Events relayed so far; an engine sends one for each token, and one or two more."""
+        return sum(events.count(EVENT_END) for events in self._relayed)
 
     def __iter__(self) -> Iterator[bytes]:
         while self._current is not None:
--- /dev/null
+++ b/src/quaymill/request/whole_answer.py
@@ -0,0 +1,80 @@
+"""Puts the chunks of a streamed completion together to the whole answer.
+
+The gateway asks engines for streams also when its caller wants a whole answer: only so are
+a frozen replica and a broken answer noticed early, and resumed from the tokens that came.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from quaymill.connection.engine_client import EVENT_END
+
+_DATA = b"data: "
+_WHOLE_OBJECTS = {"chat.completion.chunk": "chat.completion"}
+_KEPT_KEYS = frozenset({"index", "role", "type", "id"})
+"""Fields whose later values replace the earlier ones; other texts are joined."""
+_DROPPED_KEYS = frozenset({"token_ids"})
+
+
+def assemble(blocks: Iterable[bytes], *, keep_token_ids: bool = False) -> dict[str, Any]:
+    """Return the whole answer that the events in ``blocks`` make up."""
+    answer: dict[str, Any] = {}
+    choices: dict[int, dict[str, Any]] = {}
+    for chunk in _chunks(blocks):
+        for choice in chunk.pop("choices", ()):
+            _add_choice(choices.setdefault(choice.get("index", 0), {}), choice, keep_token_ids)
+        usage = chunk.pop("usage", None)
+        for name, value in chunk.items():
+            answer.setdefault(name, value)
+        if usage is not None:
+            answer["usage"] = usage
+    answer["object"] = _WHOLE_OBJECTS.get(answer.get("object"), answer.get("object"))
+    answer["choices"] = [choices[index] for index in sorted(choices)]
+    return answer
+
+
+def _chunks(blocks: Iterable[bytes]) -> Iterable[dict[str, Any]]:
+    for block in blocks:
+        for event in block.split(EVENT_END):
+            if event.startswith(_DATA + b"{"):
+                yield msgspec.json.decode(event[len(_DATA) :])
+
+
+def _add_choice(whole: dict[str, Any], choice: dict[str, Any], keep_token_ids: bool) -> None:
+    delta = choice.pop("delta", None)
+    if delta is not None:
+        _merge(whole.setdefault("message", {}), delta)
+    dropped = frozenset() if keep_token_ids else _DROPPED_KEYS
+    _merge(whole, {name: value for name, value in choice.items() if name not in dropped})
+
+
+def _merge(whole: dict[str, Any], part: dict[str, Any]) -> None:
+    """Add the fields of a chunk: texts and lists grow, objects are merged field by field."""
+    for name, value in part.items():
+        held = whole.get(name)
+        if held is None or name in _KEPT_KEYS:
+            whole[name] = value
+        elif value is None:
+            continue
+        elif isinstance(held, str) and isinstance(value, str) and name != "finish_reason":
+            whole[name] = held + value
+        elif isinstance(held, dict) and isinstance(value, dict):
+            _merge(held, value)
+        elif isinstance(held, list) and isinstance(value, list):
+            _merge_list(held, value)
+        else:
+            whole[name] = value
+
+
+def _merge_list(held: list[Any], value: list[Any]) -> None:
+    """Append elements; those with an ``index`` (tool calls) are merged with their like."""
+    by_index = {one["index"]: one for one in held if isinstance(one, dict) and "index" in one}
+    for one in value:
+        if isinstance(one, dict) and one.get("index") in by_index:
+            _merge(by_index[one["index"]], one)
+        else:
+            held.append(one)
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -28,6 +28,7 @@
 from quaymill.process.limits.limiter import TenantLimiter
 from quaymill.process.machine_list import MachineList, MachineListHolder
 from quaymill.process.replicas.load_view import LoadView
+from quaymill.process.replicas.replica import ReplicaView
 from quaymill.process.replicas.router import Router
 from quaymill.process.settings import GatewaySettings, NodeSettings
 from quaymill.request.outcome import NotRun, OutcomeUnknown
@@ -211,7 +212,7 @@
         self.load_view.start()
         self.limiter.start()
         self.gateway.start()
-        wait_until(lambda: all(one.report() for one in self.load_view.all_replicas()))
+        wait_until(lambda: all(one.report() for one in self._replicas()))
         return self
 
     def configure(self, weights: dict[str, float], **route_fields) -> None:
@@ -232,6 +233,24 @@
             )
         )
 
+    def heal(self) -> None:
+        """Switch all faults off and forget what was learnt of them."""
+        self.links.set_blocked(frozenset())
+        for standin in (*self.engines.values(), *self.applications.values()):
+            standin.switches.replace(Faults())
+        self.router.forget_failures()
+        healed_at = time.monotonic()
+        wait_until(lambda: all(self._is_healed(one, healed_at) for one in self._replicas()))
+
+    def _replicas(self) -> tuple[ReplicaView, ...]:
+        return self.load_view.all_replicas()
+
+    @staticmethod
+    def _is_healed(replica: ReplicaView, healed_at: float) -> bool:
+        report = replica.report()
+        age_s = time.monotonic() - healed_at
+        return report is not None and report.reachable and report.age_s < age_s
+
     def stop(self) -> None:
         """Stop all parts and stand-ins."""
         self.gateway.stop()
