--- a/src/quaymill/process/replicas/ejection.py
+++ b/src/quaymill/process/replicas/ejection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import statistics
 import threading
 import time
 from collections.abc import Iterable
@@ -11,35 +12,55 @@
 CONSECUTIVE_FAILURES = 2
 FIRST_EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
+SLOW_FACTOR = 4.0
+SLOW_FIRST_BYTE_S = 0.25
+SLOW_MIN_ANSWERS = 5
+SMOOTHING = 0.2
 
 
 class _Record:
     def __init__(self) -> None:
         self.failures = 0
         self.ejection_s = FIRST_EJECTION_S
+        self.answers = 0
+        self.first_byte_s = 0.0
+
+    def add_answer(self, first_byte_s: float) -> None:
+        self.failures = 0
+        self.answers += 1
+        weight = max(SMOOTHING, 1.0 / self.answers)
+        self.first_byte_s += weight * (first_byte_s - self.first_byte_s)
 
 
 class Ejector:
-    """Counts failures in a row for each replica.
+    """Counts failures in a row, and the time to the first byte, of each replica.
 
-    A replica is ejected after ``CONSECUTIVE_FAILURES``; after its time it takes requests
-    again, and the next failure ejects it for twice as long. A success clears its record.
+    A replica is ejected after ``CONSECUTIVE_FAILURES``, or when its first bytes come much
+    later than those of the others. After its time it takes requests again, and the next
+    failure ejects it for twice as long. A timely answer clears its record.
     """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._records: dict[str, _Record] = {}
 
-    def record_success(self, replica: ReplicaView) -> None:
-        """Note that the replica answered."""
+    def record_success(
+        self, replica: ReplicaView, same_service: Iterable[ReplicaView], first_byte_s: float
+    ) -> None:
+        """Note that the replica answered, and when its first byte came."""
         with self._lock:
-            self._records.pop(replica.name, None)
-        replica.ejected_until = 0.0
+            record = self._records.setdefault(replica.name, _Record())
+            record.add_answer(first_byte_s)
+            if self._is_slow(replica, record, same_service):
+                self._eject(replica, record, same_service)
+                record.answers = 0
+            elif not replica.ejected:
+                record.ejection_s = FIRST_EJECTION_S
 
     def record_failure(
         self, replica: ReplicaView, same_service: Iterable[ReplicaView], *, certain: bool = False
-    ) -> bool:
-        """Note a failure; return whether the replica is ejected now.
+    ) -> None:
+        """Note a failure.
 
         Parameters
         ----------
@@ -52,17 +73,32 @@
         with self._lock:
             record = self._records.setdefault(replica.name, _Record())
             record.failures += 1
-            if record.failures < CONSECUTIVE_FAILURES and not certain:
-                return False
-            if replica.ejected:
-                return True
-            replicas = list(same_service)
-            ejected = sum(1 for other in replicas if other.ejected)
-            if (ejected + 1) * 2 > len(replicas):
-                return False
-            replica.ejected_until = time.monotonic() + record.ejection_s
-            record.ejection_s = min(MAX_EJECTION_S, 2 * record.ejection_s)
-            return True
+            if certain or record.failures >= CONSECUTIVE_FAILURES:
+                self._eject(replica, record, same_service)
+
+    def _eject(
+        self, replica: ReplicaView, record: _Record, same_service: Iterable[ReplicaView]
+    ) -> None:
+        if replica.ejected:
+            return
+        replicas = list(same_service)
+        ejected = sum(1 for other in replicas if other.ejected)
+        if (ejected + 1) * 2 > len(replicas):
+            return
+        replica.ejected_until = time.monotonic() + record.ejection_s
+        record.ejection_s = min(MAX_EJECTION_S, 2 * record.ejection_s)
+
+    def _is_slow(
+        self, replica: ReplicaView, record: _Record, same_service: Iterable[ReplicaView]
+    ) -> bool:
+        if record.answers < SLOW_MIN_ANSWERS or record.first_byte_s < SLOW_FIRST_BYTE_S:
+            return False
+        others = [
+            self._records[other.name].first_byte_s
+            for other in same_service
+            if other is not replica and other.name in self._records
+        ]
+        return bool(others) and record.first_byte_s > SLOW_FACTOR * statistics.median(others)
 
     def forget(self) -> None:
         """Forget all failures."""
--- a/src/quaymill/process/replicas/replica.py
+++ b/src/quaymill/process/replicas/replica.py
@@ -90,7 +90,12 @@
     @property
     def ejected(self) -> bool:
         """Whether this node's own experience speaks against the replica for now."""
-        return time.monotonic() < self.ejected_until
+        return self.ejection_left_s > 0.0
+
+    @property
+    def ejection_left_s(self) -> float:
+        """Seconds until an ejected replica takes requests again."""
+        return max(0.0, self.ejected_until - time.monotonic())
 
     def record_draining_answer(self) -> None:
         """Note that the replica itself refused new work because it is leaving."""
--- a/src/quaymill/process/replicas/router.py
+++ b/src/quaymill/process/replicas/router.py
@@ -98,9 +98,10 @@
                 del weights[group]
             return chosen
 
-    def record_success(self, replica: ReplicaView) -> None:
-        """Note that a replica answered."""
-        self._ejector.record_success(replica)
+    def record_success(self, replica: ReplicaView, first_byte_s: float) -> None:
+        """Note that a replica answered, and when its first byte came."""
+        same_service = self._load_view.replicas(replica.machine.service)
+        self._ejector.record_success(replica, same_service, first_byte_s)
 
     def record_failure(self, replica: ReplicaView, failure: Failure) -> None:
         """Note what a failed attempt says about its replica."""
--- a/src/quaymill/request/attempt.py
+++ b/src/quaymill/request/attempt.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import secrets
+import time
 from collections.abc import Callable
 from typing import Protocol, TypeVar
 
@@ -40,7 +41,7 @@
     def choose(  # noqa: D102
         self, service: str, prefix_key: str = "", exclude: frozenset[str] = frozenset()
     ) -> Replica | NotRun: ...
-    def record_success(self, replica: Replica) -> None: ...  # noqa: D102
+    def record_success(self, replica: Replica, first_byte_s: float) -> None: ...  # noqa: D102
     def record_failure(self, replica: Replica, failure: Failure) -> None: ...  # noqa: D102
 
 
@@ -150,6 +151,7 @@
             attempt_id=attempt_id,
             replica=replica.name,
         ) as action:
+            sent_at = time.monotonic()
             result = send_once(replica, attempt_id)
             if self.presence.gone:
                 action.add_success_fields(outcome="caller gone")
@@ -161,7 +163,7 @@
                 self._excluded |= {replica.name}
                 self._note(result)
             else:
-                self._chooser.record_success(replica)
+                self._chooser.record_success(replica, time.monotonic() - sent_at)
         return result
 
     def _may_follow(self, failure: Failure) -> bool:
