--- a/src/quaymill/process/replicas/replica.py
+++ b/src/quaymill/process/replicas/replica.py
@@ -90,12 +90,22 @@
     @property
     def ejected(self) -> bool:
         """Whether this node's own experience speaks against the replica for now."""
-        return time.monotonic() < self.ejected_until
+        return self.ejection_left_s > 0.0
+
+    @property
+    def ejection_left_s(self) -> float:
+        """Seconds until an ejected replica takes requests again."""
+        return max(0.0, self.ejected_until - time.monotonic())
 
     def record_draining_answer(self) -> None:
         """Note that the replica itself refused new work because it is leaving."""
         self._said_draining_at = time.monotonic()
 
+    def forget_failures(self) -> None:
+        """Forget this node's own bad experience."""
+        self.ejected_until = 0.0
+        self._said_draining_at = None
+
     @property
     def draining(self) -> bool:
         """Whether the machine list, the report or the replica's own answer says it leaves."""
