--- a/src/quaymill/process/batch/lease_book.py
+++ b/src/quaymill/process/batch/lease_book.py
@@ -1,8 +1,9 @@
 """The leases this node holds: fetched by demand, renewed, completed in bulk, given back.
 
-One thread for each log group talks to that group. Schedulers state their demand and take
-items without waiting for the store. A group that cannot be reached delays only its own
-items: their results are kept and reported again until the store has answered.
+Two threads for each log group talk to that group: one leases, one reports results, returns
+and renewals, so that a wait for new work never delays a result. Schedulers state their
+demand and take items without waiting for the store. A group that cannot be reached delays
+only its own items: their results are kept and reported again until the store has answered.
 """
 
 from __future__ import annotations
@@ -40,6 +41,7 @@
 IDLE_HOLD_S = 3.0
 MAX_POLL_BACKOFF = 8
 MAX_ITEMS_PER_CALL = 256
+LATENCY_SMOOTHING = 0.2
 
 
 class _Poll(msgspec.Struct):
@@ -50,15 +52,17 @@
 
 
 class _Group:
-    """What the thread of one group has to do."""
+    """What the two threads of one group have to do."""
 
     def __init__(self, lock: threading.Lock) -> None:
-        self.changed = threading.Condition(lock)
+        self.work_wanted = threading.Condition(lock)
+        self.polls: dict[str, _Poll] = {}
+        self.lease_retry_s = 0.0
+        self.report_wanted = threading.Condition(lock)
         self.completions: deque[ItemCompletion] = deque()
         self.returns: deque[ItemRef] = deque()
         self.next_renewal_s = 0.0
-        self.retry_s = 0.0
-        self.polls: dict[str, _Poll] = {}
+        self.report_retry_s = 0.0
 
 
 class LeaseBook:
@@ -68,6 +72,11 @@
     ----------
     group_count
         Number of log groups.
+
+    Attributes
+    ----------
+    lease_latency_s
+        How long the store takes to lease items, smoothed.
     """
 
     def __init__(
@@ -77,6 +86,7 @@
         self.worker = f"{node_name}/{secrets.token_hex(4)}"
         self._settings = settings
         self._job_store = job_store
+        self.lease_latency_s = 0.0
         self._lock = threading.Lock()
         self._stopping = False
         self._held: dict[ItemRef, WorkItem] = {}
@@ -89,13 +99,14 @@
         self._max_poll_interval_s = settings.poll_interval_s * min(group_count, MAX_POLL_BACKOFF)
 
     def start(self) -> None:
-        """Start one thread for each group."""
+        """Start the threads of each group."""
         for number in range(len(self._groups)):
-            thread = threading.Thread(
-                target=self._serve_group, args=(number,), name=f"leases-{number}", daemon=True
-            )
-            thread.start()
-            self._threads.append(thread)
+            for name, serve in (("lease", self._keep_leasing), ("report", self._keep_reporting)):
+                thread = threading.Thread(
+                    target=serve, args=(number,), name=f"{name}-{number}", daemon=True
+                )
+                thread.start()
+                self._threads.append(thread)
 
     def stop(self, timeout_s: float) -> None:
         """Report what is finished, give back what is not, and end the threads."""
@@ -104,7 +115,8 @@
             for work in list(self._held.values()):
                 self._forget(work, give_back=True)
             for group in self._groups:
-                group.changed.notify()
+                group.work_wanted.notify()
+                group.report_wanted.notify()
         deadline = time.monotonic() + timeout_s
         for thread in self._threads:
             thread.join(max(0.0, deadline - time.monotonic()))
@@ -145,57 +157,84 @@
             self._held.pop(work.ref, None)
             group = self._group_of(work.ref)
             group.completions.append(ItemCompletion(work.ref, status, response, retryable))
-            group.changed.notify()
+            group.report_wanted.notify()
 
     def held(self) -> int:
         """Return how many leases this node holds."""
         return len(self._held)
 
-    def _serve_group(self, number: int) -> None:
+    def _keep_leasing(self, number: int) -> None:
+        group = self._groups[number]
+        while True:
+            with self._lock:
+                message = self._next_lease(number, group)
+                while message is None:
+                    if self._stopping:
+                        return
+                    group.work_wanted.wait(self._settings.poll_interval_s)
+                    message = self._next_lease(number, group)
+            asked_s = time.monotonic()
+            reply = self._job_store.call(message, LeasedItems, STORE_TIMEOUT_S)
+            with self._lock:
+                self._asked[message.service] -= message.count
+                if isinstance(reply, LeasedItems):
+                    self._note_latency(time.monotonic() - asked_s)
+                    self._hold(group, message, reply.items)
+                else:
+                    group.lease_retry_s = time.monotonic() + RETRY_INTERVAL_S
+                    _log_failure(message, reply)
+
+    def _next_lease(self, number: int, group: _Group) -> LeaseItems | None:
+        """Return the next request for items; ``None`` if there is no need or not yet."""
+        now_s = time.monotonic()
+        if self._stopping or now_s < group.lease_retry_s:
+            return None
+        for service in self._demand:
+            count = min(self._shortage(service), MAX_ITEMS_PER_CALL)
+            poll = group.polls.setdefault(service, _Poll())
+            if count > 0 and now_s >= poll.next_s:
+                self._asked[service] = self._asked.get(service, 0) + count
+                return LeaseItems(number, self.worker, service, count, self._settings.lease_s)
+        return None
+
+    def _keep_reporting(self, number: int) -> None:
         group = self._groups[number]
         while True:
             with self._lock:
-                self._return_idle_items(number)
-                message, reply_type = self._next_message(number, group)
-                if message is None:
+                message, reply_type = self._next_report(number, group)
+                while message is None:
                     if self._stopping:
                         return
-                    group.changed.wait(self._settings.poll_interval_s)
-                    continue
+                    group.report_wanted.wait(self._settings.poll_interval_s)
+                    message, reply_type = self._next_report(number, group)
             reply = self._job_store.call(message, reply_type, STORE_TIMEOUT_S)
             with self._lock:
                 self._take_reply(group, message, reply)
-                if self._stopping and group.retry_s > time.monotonic():
+                if self._stopping and group.report_retry_s > time.monotonic():
                     return  # The store is out of reach; the leases lapse by themselves.
 
-    def _next_message(
+    def _next_report(
         self, number: int, group: _Group
     ) -> tuple[PeerMessage, type] | tuple[None, None]:
-        """Return what to tell the group now: results first, new work last."""
+        """Return what to tell the group now, results first."""
         now_s = time.monotonic()
-        if now_s < group.retry_s and not self._stopping:
+        if now_s < group.report_retry_s and not self._stopping:
             return None, None
+        self._return_idle_items(number)
         if group.completions:
             completions = tuple(itertools.islice(group.completions, MAX_ITEMS_PER_CALL))
             return CompleteItems(number, self.worker, completions), CompletedItems
         if group.returns:
             refs = tuple(itertools.islice(group.returns, MAX_ITEMS_PER_CALL))
             return ReturnItems(number, self.worker, refs), Accepted
-        if self._stopping:
+        if self._stopping or now_s < group.next_renewal_s:
             return None, None
         lease_s = self._settings.lease_s
-        if now_s >= group.next_renewal_s:
-            group.next_renewal_s = now_s + lease_s / RENEWALS_PER_LEASE
-            refs = tuple(ref for ref in self._held if group_number(ref.job_id) == number)
-            if refs:
-                return RenewLeases(number, self.worker, lease_s, refs), RenewedLeases
-        for service in self._demand:
-            count = min(self._shortage(service), MAX_ITEMS_PER_CALL)
-            poll = group.polls.setdefault(service, _Poll())
-            if count > 0 and now_s >= poll.next_s:
-                self._asked[service] = self._asked.get(service, 0) + count
-                return LeaseItems(number, self.worker, service, count, lease_s), LeasedItems
-        return None, None
+        group.next_renewal_s = now_s + lease_s / RENEWALS_PER_LEASE
+        refs = tuple(ref for ref in self._held if group_number(ref.job_id) == number)
+        if not refs:
+            return None, None
+        return RenewLeases(number, self.worker, lease_s, refs), RenewedLeases
 
     def _shortage(self, service: str) -> int:
         """Return how many items are wanted beyond those here and those asked for."""
@@ -203,11 +242,7 @@
         return wanted - len(self._idle.get(service, ())) - self._asked.get(service, 0)
 
     def _take_reply(self, group: _Group, message: PeerMessage, reply: object) -> None:
-        if isinstance(message, LeaseItems):
-            self._asked[message.service] -= message.count
         match reply:
-            case LeasedItems(items=items):
-                self._hold(group, message, items)
             case RenewedLeases(stop=stop):
                 for ref in stop:
                     self._stop_item(ref)
@@ -219,10 +254,11 @@
                     group.returns.popleft()
             case failure:
                 # The same message goes again later; the store takes each attempt once.
-                group.retry_s = time.monotonic() + RETRY_INTERVAL_S
-                log_message(
-                    "batch:store_failure", sent=type(message).__name__, failure=repr(failure)
-                )
+                group.report_retry_s = time.monotonic() + RETRY_INTERVAL_S
+                _log_failure(message, failure)
+
+    def _note_latency(self, latency_s: float) -> None:
+        self.lease_latency_s += LATENCY_SMOOTHING * (latency_s - self.lease_latency_s)
 
     def _hold(self, group: _Group, message: LeaseItems, items: tuple[LeasedItem, ...]) -> None:
         now_s = time.monotonic()
@@ -271,7 +307,11 @@
         now_s = time.monotonic()
         for group in self._groups:
             if any(now_s >= poll.next_s for poll in group.polls.values()) or not group.polls:
-                group.changed.notify()
+                group.work_wanted.notify()
+
+
+def _log_failure(message: PeerMessage, failure: object) -> None:
+    log_message("batch:store_failure", sent=type(message).__name__, failure=repr(failure))
 
 
 def group_number(identifier: str) -> int:
--- a/src/quaymill/process/batch/room.py
+++ b/src/quaymill/process/batch/room.py
@@ -18,6 +18,7 @@
 RETURN_INTERVAL_S = 0.1
 RETURN_FRACTION = 0.125
 UNKNOWN_LOAD_CONCURRENCY = 1
+MAX_PREFETCH_PER_SLOT = 4
 
 
 class RoomLimits(msgspec.Struct, frozen=True):
@@ -53,6 +54,16 @@
     return max(0, report.running - report.batch_running) + waiting
 
 
+def prefetch_count(allowed: int, items_per_s: float, lease_latency_s: float) -> int:
+    """Return how many items to hold ready beside those that run.
+
+    Enough for the items that end while the store is asked twice, and at least half of what
+    runs; bounded, since another replica may have room sooner.
+    """
+    ending = math.ceil(2 * items_per_s * lease_latency_s)
+    return min(max((allowed + 1) // 2, ending), MAX_PREFETCH_PER_SLOT * allowed)
+
+
 class Room:
     """The batch concurrency allowed at one replica. Not safe for use by several threads."""
 
--- a/src/quaymill/process/batch/scheduler.py
+++ b/src/quaymill/process/batch/scheduler.py
@@ -9,7 +9,7 @@
 
 import threading
 import time
-from collections import Counter
+from collections import Counter, deque
 
 import msgspec
 from eliot import log_message
@@ -31,13 +31,14 @@
 from quaymill.process.batch.item_stream import ItemStream
 from quaymill.process.batch.lease_book import LeaseBook
 from quaymill.process.batch.replica_health import ReplicaHealth
-from quaymill.process.batch.room import LoadSample, Room, RoomLimits
+from quaymill.process.batch.room import LoadSample, Room, RoomLimits, prefetch_count
 from quaymill.process.batch.work_item import WorkItem
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.process.settings import NodeSettings
-from quaymill.version.configuration import Service, ServiceKind, ServingConfiguration
+from quaymill.version.configuration import ServiceKind, ServingConfiguration
 
 STEP_INTERVAL_S = 0.05
+RATE_WINDOW_S = 1.0
 MAX_BROKEN_STREAMS = 3
 STOP_TIMEOUT_S = 5.0
 NO_STATUS = 0
@@ -147,6 +148,7 @@
         self._room = Room()
         self._health = ReplicaHealth()
         self._running: set[_Running] = set()
+        self._ends_s: deque[float] = deque()
         self._retired = False
         self._thread = threading.Thread(target=self._run, name=f"batch-{self._name}", daemon=True)
 
@@ -157,11 +159,16 @@
     def observe(self, view) -> None:
         """Take in the latest view of the replica."""
         report = view.report()
+        application = self._is_application()
         with self._changed:
             self._view = view
             if report is None or not report.reachable:
                 self._sample = None
             else:
+                if application:
+                    # An application does not tell batch calls from others.
+                    own = min(report.running, len(self._running))
+                    report = msgspec.structs.replace(report, batch_running=own)
                 self._sample = LoadSample(report, time.monotonic() - report.age_s)
 
     def online_starts(self, count: int) -> None:
@@ -210,9 +217,16 @@
                 break
             self._start_item(work, now_s)
         free = max(0, allowed - len(self._running))
-        prefetched = (allowed + 1) // 2
+        prefetched = prefetch_count(
+            allowed, self._items_per_s(now_s), self._parts.book.lease_latency_s
+        )
         self._parts.book.set_demand(self._name, self._service, free + prefetched)
 
+    def _items_per_s(self, now_s: float) -> float:
+        while self._ends_s and self._ends_s[0] < now_s - RATE_WINDOW_S:
+            self._ends_s.popleft()
+        return len(self._ends_s) / RATE_WINDOW_S
+
     def _make_room(self, now_s: float) -> int:
         configuration = self._parts.holder.current()
         limits = _limits(configuration, self._service, self._view.machine.zone)
@@ -242,11 +256,15 @@
     def _new_run(self, work: WorkItem) -> ItemStream | ApplicationItem:
         parts = self._parts
         endpoint = self._view.machine.endpoint
-        service = parts.holder.current().services.get(self._service, Service(ServiceKind.MODEL))
-        if service.kind == ServiceKind.APPLICATION:
-            return ApplicationItem(work, endpoint, service.idempotent, parts.call_parts)
+        if self._is_application():
+            idempotent = parts.holder.current().services[self._service].idempotent
+            return ApplicationItem(work, endpoint, idempotent, parts.call_parts)
         return ItemStream(work, endpoint, parts.engine_client, parts.settings.batch)
 
+    def _is_application(self) -> bool:
+        service = self._parts.holder.current().services.get(self._service)
+        return service is not None and service.kind == ServiceKind.APPLICATION
+
     def _run_item(self, running: _Running) -> None:
         try:
             outcome = running.run.run()
@@ -256,6 +274,7 @@
         running.work.on_unwanted(None)
         with self._changed:
             self._running.discard(running)
+            self._ends_s.append(time.monotonic())
             self._settle(running.work, outcome)
             self._changed.notify_all()
 
--- a/src/quaymill/process/gateway/files.py
+++ b/src/quaymill/process/gateway/files.py
@@ -187,9 +187,8 @@
 def find_file(job_store, tenant: str, file_id: str) -> FileRecord | Failure:
     """Return a sealed file of the tenant; another tenant's file does not exist for it."""
     missing = NotRun(404, f"there is no file {file_id}", "check the file id")
-    try:
-        group = group_number(file_id)
-    except ValueError:
+    group = _group_in(job_store, file_id)
+    if group is None:
         return missing
     record = job_store.call(GetFile(group, file_id), FileRecord, READ_TIMEOUT_S)
     if isinstance(record, StoreConflict):
@@ -202,9 +201,8 @@
 def find_job(job_store, tenant: str, job_id: str) -> JobRecord | Failure:
     """Return a job of the tenant; another tenant's job does not exist for it."""
     missing = NotRun(404, f"there is no batch {job_id}", "check the batch id")
-    try:
-        group = group_number(job_id)
-    except ValueError:
+    group = _group_in(job_store, job_id)
+    if group is None:
         return missing
     record = job_store.call(GetJob(group, job_id), JobRecord, READ_TIMEOUT_S)
     if isinstance(record, StoreConflict):
@@ -214,6 +212,15 @@
     return record
 
 
+def _group_in(job_store, identifier: str) -> int | None:
+    """Return the log group that an id names; ``None`` if there is no such group."""
+    try:
+        group = group_number(identifier)
+    except ValueError:
+        return None
+    return group if group < job_store.group_count else None
+
+
 def _blocks(request: Request) -> Iterator[bytes]:
     """Yield the body in blocks; of a refused file the rest is read too.
 
--- a/src/quaymill/process/job_store/client.py
+++ b/src/quaymill/process/job_store/client.py
@@ -66,6 +66,11 @@
         self._lock = threading.Lock()
         self._leaders: dict[int, Endpoint] = {}
 
+    @property
+    def group_count(self) -> int:
+        """Number of log groups."""
+        return self._groups
+
     def group_of(self, key: str) -> int:
         """Return the group in which a key's files, jobs or calls are kept."""
         return xxhash.xxh64_intdigest(key.encode()) % self._groups
