--- a/src/quaymill_bench/main.py
+++ b/src/quaymill_bench/main.py
@@ -88,7 +88,9 @@
     return 0
 
 
-def faults(*, seed: int = 1, rounds: int = 10, only: int | None = None, keep: Path = None) -> int:
+def faults(
+    *, seed: int = 1, rounds: int = 10, only: int | None = None, keep: Path | None = None
+) -> int:
     """Run random faults against real processes and check what was promised.
 
     Parameters
@@ -104,7 +106,9 @@
     """
     from quaymill_bench.faults import run_rounds
 
-    return run_rounds(seed=seed, rounds=rounds, only=only, keep=keep)
+    result = run_rounds(seed=seed, rounds=rounds, only=only, keep=keep)
+    print(msgspec.json.encode(result).decode(), flush=True)
+    return 1 if result.failed_rounds else 0
 
 
 def scale(*, nodes: int, replicas: int, out: Path | None = None, seed: int = 1) -> int:
