--- a/src/quaymill_bench/fault_workload.py
+++ b/src/quaymill_bench/fault_workload.py
@@ -21,7 +21,7 @@
 from quaymill_bench.fault_schedule import ROUND_ACTIVE_S
 from quaymill_bench.history import History
 from quaymill_bench.journals import Prompt
-from quaymill_bench.load import send_open_loop
+from quaymill_bench.load import OUTCOME_UNKNOWN, send_open_loop
 from quaymill_bench.load_plan import LoadPlan, Phase, PlannedRequest, planned_requests
 from quaymill_standins.text import digest
 
@@ -34,6 +34,7 @@
 RESEND_PROBABILITY = 0.6
 TWICE_AT_ONCE_PROBABILITY = 0.3
 RETRY_PAUSE_S = 0.25
+IN_PROGRESS = 409
 LATEST_JOB_START_S = 2.0
 MODEL_JOBS = 2
 MODEL_ITEMS = 50
@@ -171,10 +172,16 @@
             self._spawn(self._send_call, record, choices.choice(self._nodes), 100)
         for number in itertools.count():
             send = self._send_call(record, choices.choice(self._nodes), number)
-            if send.status == 200 or not resends or time.monotonic() > self._give_up_at:
+            if send.status == 200 or not resends or self._is_final(send):
                 return
             time.sleep(RETRY_PAUSE_S)
 
+    def _is_final(self, send: CallSend) -> bool:
+        """Return whether a resend can change nothing any more, now that all is healed."""
+        healed = self._give_up_at < float("inf")
+        lost_answer = healed and send.outcome == OUTCOME_UNKNOWN and send.status != IN_PROGRESS
+        return lost_answer or time.monotonic() > self._give_up_at
+
     def _send_call(self, record: CallRecord, node: Node, number: int) -> CallSend:
         request_id = f"{record.key}-{number}"
         headers = {"Idempotency-Key": record.key, "X-Request-Id": request_id}
