Reserve ports by blocks, one for each bench process

Two clusters started within the same second had drawn the same random port: each probed it free before either bound it. Ruled out: a killed node's old socket (SO_REUSEADDR is set) and ephemeral ports (they begin at 32768). Change: quaymill_bench/ports.py claims blocks of ports by a bound socket that lives as long as the process; the tests use it in place of their own two versions.

--- a/src/quaymill_bench/cluster.py
+++ b/src/quaymill_bench/cluster.py
@@ -23,10 +23,10 @@
     ClusterShape,
     first_configuration,
 )
+from quaymill_bench.ports import free_port
 from quaymill_bench.processes import (
     ConditionNotMetError,
     ManagedProcess,
-    free_port,
     wait_until,
 )
 
--- a/src/quaymill_bench/processes.py
+++ b/src/quaymill_bench/processes.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import random
 import signal
-import socket
 import subprocess
 import time
 from collections.abc import Callable
@@ -12,31 +10,14 @@
 
 import psutil
 
-# Below Linux's range of ephemeral ports, so that an outgoing connection cannot take the port
-# of a process that is down and about to come back.
-FIRST_PORT = 10_000
-LAST_PORT = 32_000
 POLL_INTERVAL_S = 0.02
 KILL_TIMEOUT_S = 10.0
 
-_port_random = random.Random()
-_ports_given: set[int] = set()
-
 
 class ConditionNotMetError(Exception):
     """A condition that the bench waited for did not come about in time."""
 
 
-def free_port() -> int:
-    """Return a port that is free for TCP and UDP on loopback and was not given before."""
-    while True:
-        port = _port_random.randrange(FIRST_PORT, LAST_PORT)
-        if port in _ports_given or not _is_free(port):
-            continue
-        _ports_given.add(port)
-        return port
-
-
 def wait_until(
     condition: Callable[[], bool], timeout_s: float, description: str, interval_s: float = 0.05
 ) -> float:
@@ -149,13 +130,3 @@
     def _signal(self, number: signal.Signals) -> None:
         if self.is_running():
             self._child.send_signal(number)
-
-
-def _is_free(port: int) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                return False
-    return True
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 import time
 import unittest
 from collections.abc import Callable
@@ -18,24 +17,13 @@
 from quaymill.process.machine_list import MachineListHolder
 from quaymill.process.membership.membership import Membership
 from quaymill.process.settings import MembershipSettings, NodeSettings
+from quaymill_bench.ports import free_port
 from quaymill_standins.faults import Faults
 from quaymill_standins.platform import Platform, PlatformSettings
 
 FAST = MembershipSettings(probe_interval_s=0.1, probe_timeout_s=0.05, suspicion_s=0.5)
 
 
-def free_port() -> int:
-    """Return a port that is free for TCP and UDP."""
-    while True:
-        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
-            stream.bind(("127.0.0.1", 0))
-            try:
-                datagram.bind(stream.getsockname())
-            except OSError:
-                continue
-            return stream.getsockname()[1]
-
-
 def eventually(condition: Callable[[], object], timeout_s: float = 10.0, why: str = "") -> None:
     """Wait until a condition holds; fail at the deadline."""
     deadline = time.monotonic() + timeout_s
--- a/tests/test_job_store_frozen.py
+++ b/tests/test_job_store_frozen.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import contextlib
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -19,17 +17,11 @@
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.peer_link import PeerClient, PeerRefusal
 from quaymill.process.job_store.client import JobStoreClient
+from quaymill_bench.ports import free_ports
 
 PROGRAM = Path(__file__).with_name("job_store_process.py")
 
 
-def free_ports(count):
-    with contextlib.ExitStack() as stack:
-        listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-        sockets = [stack.enter_context(listener) for listener in listeners]
-        return [found.getsockname()[1] for found in sockets]
-
-
 class FrozenProcessTest(unittest.TestCase):
     """Three processes; the leader of the moment is the one to freeze."""
 
