Bring the platform back to empty between tests instead of starting anew

Cause: 37 platforms of 256 threads each made the platform's tests the slowest file, and short lags could be outrun on a busy machine.

--- a/tests/test_standin_application.py
+++ b/tests/test_standin_application.py
@@ -102,7 +102,7 @@
         self.assertEqual((answered, len(self.client.runs(key=name))), (status, runs))
         self.assertEqual(self.client.injected()[name], before + 1)
 
-    @params({"delay_s": 0.3}, {"freeze": True})
+    @params({"delay_s": 1.0}, {"freeze": True})
     def test_a_late_call_runs_after_its_caller_left(self, faults: dict) -> None:
         key = f"late-{'-'.join(faults)}"
         self.client.set_faults(**faults)
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -260,7 +260,7 @@
         model=MODEL,
         cache_blocks=4,
         step_ms=2.0,
-        cache_event_lag_s=0.2,
+        cache_event_lag_s=1.0,
         cache_event_gap_probability=0,
     )
 
@@ -321,7 +321,7 @@
     settings = EngineSettings(model=MODEL, slots=SLOTS, step_ms=2.0, load_lag_s=0.0)
 
     def test_reads_are_late(self) -> None:
-        value = LaggedValue(0, lag_s=0.3)
+        value = LaggedValue(0, lag_s=0.5)
         value.write(1)
         value.write(2)
         self.assertEqual(value.read(), 0)
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -19,7 +19,7 @@
 SERVING = f"{CONFIGURATIONS}/serving"
 MACHINES = f"{ROOT}/machines"
 HISTORY_LIMIT = 20
-MACHINE_LAG_S = 0.3
+MACHINE_LAG_S = 1.0
 BOOKMARK_INTERVAL_S = 0.2
 
 
@@ -33,19 +33,26 @@
 
 
 class PlatformCase(unittest.TestCase):
-    """A new platform for each test."""
+    """One platform for a class of tests, brought back to empty before each."""
 
-    def setUp(self) -> None:
+    @classmethod
+    def setUpClass(cls) -> None:
         settings = PlatformSettings(
             machine_lag_s=MACHINE_LAG_S,
             history_limit=HISTORY_LIMIT,
             bookmark_interval_s=BOOKMARK_INTERVAL_S,
         )
-        self.platform = Platform(settings)
-        self.platform.start()
-        self.addCleanup(self.platform.stop)
-        self.client = StandinClient(self.platform.port)
-        self.addCleanup(self.client.close)
+        cls.platform = Platform(settings)
+        cls.platform.start()
+        cls.addClassCleanup(cls.platform.stop)
+        cls.client = StandinClient(cls.platform.port)
+        cls.addClassCleanup(cls.client.close)
+        cls.client.request("POST", "/standin/snapshot", {"name": "empty"})
+
+    def setUp(self) -> None:
+        self.client.set_faults()
+        self.client.request("POST", "/standin/restore", {"name": "empty"})
+        wait_until(lambda: self.client.get("/standin/state")["open_watches"] == 0, "none is open")
 
     def create(self, path: str, content: dict) -> str:
         answer = self.client.request("POST", path, content)
@@ -233,13 +240,14 @@
     )
     def test_replace(self, name: str, faults: dict, status: int | None, effect: bool) -> None:
         version = self.create(CONFIGURATIONS, configuration(1))
+        injected_before = self.client.injected().get(name, 0)
         self.client.set_faults(**faults)
         try:
             answered = self.put(2, version).status
         except urllib3.exceptions.HTTPError:
             answered = None
         self.assertEqual(answered, status)
-        self.assertEqual(self.client.injected(), {name: 1})
+        self.assertEqual(self.client.injected()[name], injected_before + 1)
         self.assertEqual(self.generations(), [2 if effect else 1])
         self.client.set_faults()
         self.assertEqual(self.put(3, version).status, 409 if effect else 200)
