--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 import time
 import unittest
@@ -21,19 +22,30 @@
 from quaymill_standins.faults import Faults
 from quaymill_standins.platform import Platform, PlatformSettings
 
+PORT_RANGE = (10_000, 32_000)
+_RANDOM = random.SystemRandom()
+_returned_ports: set[int] = set()
+
 FAST = MembershipSettings(probe_interval_s=0.1, probe_timeout_s=0.05, suspicion_s=0.5)
 
 
 def free_port() -> int:
-    """Return a port that is free for TCP and UDP."""
+    """Return a port that is free for TCP and UDP, and was not returned before.
+
+    It lies below the range from which the system takes the ports of outgoing connections.
+    """
     while True:
+        port = _RANDOM.randrange(*PORT_RANGE)
+        if port in _returned_ports:
+            continue
         with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
-            stream.bind(("127.0.0.1", 0))
             try:
-                datagram.bind(stream.getsockname())
+                stream.bind(("127.0.0.1", port))
+                datagram.bind(("127.0.0.1", port))
             except OSError:
                 continue
-            return stream.getsockname()[1]
+        _returned_ports.add(port)
+        return port
 
 
 def eventually(condition: Callable[[], object], timeout_s: float = 10.0, why: str = "") -> None:
--- /dev/null
+++ b/tests/hollow_node_process.py
@@ -0,0 +1,17 @@
+"""Program: one hollow node as a process of its own, so that it can be frozen and killed."""
+
+from __future__ import annotations
+
+import sys
+import threading
+
+import msgspec
+
+from fleet_support import HollowNode
+from quaymill.process.settings import NodeSettings
+
+if __name__ == "__main__":
+    node = HollowNode(msgspec.json.decode(sys.argv[1], type=NodeSettings))
+    node.start()
+    print("ready", flush=True)
+    threading.Event().wait()
