--- a/src/quaymill/process/commands/config.py
+++ b/src/quaymill/process/commands/config.py
@@ -141,7 +141,10 @@
     editor = _editor(platform)
     base = undo_records(_read(editor).configuration, imported.generation)
     if base is None:
-        fail(f"{file}: generation {imported.generation} is too old to compare with; export again")
+        fail(
+            f"{file}: generation {imported.generation} cannot be compared with the stored table: "
+            "the records do not reach back to it; export again"
+        )
     cells = []
     for cell, value in imported.cells.items():
         seen = read_cell(base, CellPath.parse(cell))
