--- a/src/quaymill/connection/member.py
+++ b/src/quaymill/connection/member.py
@@ -67,6 +67,8 @@
 
     Attributes
     ----------
+    endpoint
+        Where the machine serves; of a node, where its peers reach it.
     service
         Model served by an engine, or name of the application; empty for a node.
     draining
--- a/src/quaymill_bench/cluster.py
+++ b/src/quaymill_bench/cluster.py
@@ -117,7 +117,7 @@
     def register_machines(self) -> None:
         """Put every machine into the platform's list."""
         for node in self.nodes:
-            self._register(node.name, "node", node.zone, node.settings["http_port"], "")
+            self._register(node.name, "node", node.zone, node.settings["peer_port"], "")
         for engine in self.engines:
             self._register(engine.name, "engine", engine.zone, engine.port, MODEL)
         for application in self.applications:
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import random
-import socket
 import time
 import unittest
 from collections.abc import Callable
@@ -12,40 +10,15 @@
 import urllib3
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
-from quaymill.connection.peer_link import PeerClient, PeerServer
 from quaymill.connection.platform_client import PlatformClient
-from quaymill.process.configuration.service import ConfigurationService, ConfigurationTiming
-from quaymill.process.configuration_holder import ConfigurationHolder
-from quaymill.process.machine_list import MachineListHolder
-from quaymill.process.membership.membership import Membership
+from quaymill.process.configuration.service import ConfigurationTiming
 from quaymill.process.settings import MembershipSettings, NodeSettings
+from quaymill_bench.hollow import HollowNode, HollowOptions, hollow_settings
 from quaymill_standins.faults import Faults
 from quaymill_standins.platform import Platform, PlatformSettings
 
-PORT_RANGE = (10_000, 32_000)
-_RANDOM = random.SystemRandom()
-_returned_ports: set[int] = set()
-
 FAST = MembershipSettings(probe_interval_s=0.1, probe_timeout_s=0.05, suspicion_s=0.5)
-
-
-def free_port() -> int:
-    """Return a port that is free for TCP and UDP, and was not returned before.
-
-    It lies below the range from which the system takes the ports of outgoing connections.
-    """
-    while True:
-        port = _RANDOM.randrange(*PORT_RANGE)
-        if port in _returned_ports:
-            continue
-        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
-            try:
-                stream.bind(("127.0.0.1", port))
-                datagram.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _returned_ports.add(port)
-        return port
+OPTIONS = HollowOptions(ConfigurationTiming(configuration_watch_s=1.0, machines_watch_s=1.0))
 
 
 def eventually(condition: Callable[[], object], timeout_s: float = 10.0, why: str = "") -> None:
@@ -97,62 +70,15 @@
 def settings_for(
     name: str, zone: str, platform_port: int, seeds: tuple[Endpoint, ...] = (), **fields: object
 ) -> NodeSettings:
-    """Return settings of a node on free ports."""
-    values = {
-        "name": name,
-        "zone": zone,
-        "region": "region",
-        "address": "127.0.0.1",
-        "http_port": 1,
-        "peer_port": free_port(),
-        "platform": f"127.0.0.1:{platform_port}",
-        "seeds": tuple(str(seed) for seed in seeds),
-        "membership": FAST,
-    }
-    return NodeSettings(**{**values, **fields})
-
-
-class HollowNode:
-    """One node without gateway, scheduler and store."""
-
-    def __init__(self, settings: NodeSettings) -> None:
-        self.settings = settings
-        self.links = LinkFilter()
-        self.holder = ConfigurationHolder()
-        self.machines = MachineListHolder()
-        self.membership = Membership(settings, self.links)
-        self.platform = PlatformClient(Endpoint.parse(settings.platform), self.links)
-        self.peer_client = PeerClient(self.links)
-        self.peer_server = PeerServer(settings.peer_endpoint)
-        self.service = ConfigurationService(
-            settings,
-            self.holder,
-            self.machines,
-            self.membership,
-            self.platform,
-            self.peer_client,
-            self.peer_server,
-            ConfigurationTiming(configuration_watch_s=1.0, machines_watch_s=1.0),
-        )
-
-    @property
-    def generation(self) -> int:
-        """The generation in force."""
-        return self.holder.current().generation
+    """Return settings of a node on free ports, with fast probes."""
+    return hollow_settings(name, zone, platform_port, seeds, membership=FAST, **fields)
 
-    def start(self) -> None:
-        """Start all parts."""
-        self.peer_server.start()
-        self.membership.start()
-        self.service.start()
 
-    def stop(self) -> None:
-        """Stop all parts, without a word to the others."""
-        self.service.stop()
-        self.membership.stop()
-        self.peer_server.stop()
-        self.peer_client.close()
-        self.platform.close()
+def start_node(settings: NodeSettings) -> HollowNode:
+    """Start a hollow node with short watches."""
+    node = HollowNode(settings, OPTIONS)
+    node.start()
+    return node
 
 
 class Fleet:
@@ -166,7 +92,7 @@
         for index, zone in enumerate(zones):
             folder = str(data_folders[index]) if index < len(data_folders) else ""
             settings = settings_for(f"node-{index}", zone, platform.port, seeds, data_folder=folder)
-            self.nodes.append(HollowNode(settings))
+            self.nodes.append(HollowNode(settings, OPTIONS))
             seeds = seeds or (settings.peer_endpoint,)
 
     def start(self) -> None:
@@ -199,8 +125,7 @@
 
     def restart(self, index: int) -> HollowNode:
         """Replace a stopped node by a new process of the same name and address."""
-        self.nodes[index] = HollowNode(self.nodes[index].settings)
-        self.nodes[index].start()
+        self.nodes[index] = start_node(self.nodes[index].settings)
         return self.nodes[index]
 
     def all_hold(self, generation: int) -> bool:
--- a/tests/hollow_node_process.py
+++ b/tests/hollow_node_process.py
@@ -7,11 +7,10 @@
 
 import msgspec
 
-from fleet_support import HollowNode
+from fleet_support import start_node
 from quaymill.process.settings import NodeSettings
 
 if __name__ == "__main__":
-    node = HollowNode(msgspec.json.decode(sys.argv[1], type=NodeSettings))
-    node.start()
+    start_node(msgspec.json.decode(sys.argv[1], type=NodeSettings))
     print("ready", flush=True)
     threading.Event().wait()
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -197,8 +197,9 @@
     @params(b"", b'{"generation":9,"tuning":{"batch_reserve":-1}}', b'{"generation":')
     def test_spoilt_copy_on_disk_is_reported_and_not_put_in_force(self, content):
         node = self.fleet.nodes[0]
-        node.stop()
         copy = Path(node.settings.data_folder) / COPY_NAME
+        eventually(copy.exists)
+        node.stop()
         self.assertEqual(msgspec.json.decode(copy.read_bytes())["generation"], 1)
         copy.write_bytes(content)
         problems = ProblemLog()
