Refuse malformed requests cleanly; bound what slow readers and unread bodies cost

Cause, found by 10,000 malformed requests: a body cut short was taken as whole (a call with half its body could have run); a badly framed chunked body, a negative length, a header block that begins with a continuation line and some targets gave 500; after a bad chunk the rest of the body was taken for the next request; cheroot read the unread rest of any body into memory; a load report answered with 503 counted as an idle replica.

--- a/src/quaymill/process/gateway/gateway.py
+++ b/src/quaymill/process/gateway/gateway.py
@@ -19,6 +19,7 @@
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.process.gateway.at_most_once import AtMostOnceCalls
 from quaymill.process.gateway.authentication import Authenticator
+from quaymill.process.gateway.body import BrokenBodyError, RequestBody
 from quaymill.process.gateway.caller_watch import CallerWatch
 from quaymill.process.gateway.completions import Completions
 from quaymill.process.gateway.health import Health
@@ -31,7 +32,7 @@
     failure_response,
 )
 from quaymill.process.gateway.metrics import GatewayMetrics
-from quaymill.process.gateway.server import CONNECTION_KEY, HttpServer
+from quaymill.process.gateway.server import HTTP_REQUEST_KEY, HttpServer
 from quaymill.process.gateway.services import Services
 from quaymill.process.limits.limiter import TenantLimiter
 from quaymill.process.replicas.load_view import LoadView
@@ -161,28 +162,36 @@
     def _answer(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request; the WSGI application."""
         arrived_at = time.monotonic()
-        connection = environ[CONNECTION_KEY]
+        http_request = environ[HTTP_REQUEST_KEY]
+        connection = http_request.conn.socket
         request = _request(environ, self._watch.watch(connection))
-        try:
-            answer = self._route(request, arrived_at)
-        except CallerGoneError:
-            answer = _Answer(Response(CALLER_GONE_STATUS), lambda: None, "gone")
-        except Exception as error:  # A bug in one handler must not end the server's thread.
-            log_message("gateway:handler_error", request_id=request.request_id, error=repr(error))
-            answer = _Answer(failure_response(_internal_error()), lambda: None, "error")
+        answer = self._route_safely(request, arrived_at)
         response = answer.response
+        keep = not self._draining and response.status != CALLER_GONE_STATUS
+        if not keep or not request.body.discard_rest():
+            http_request.close_connection = True
         self.metrics.requests.labels(answer.route, str(response.status)).inc()
         if response.status in (429, 503):
             self.metrics.refusals.labels(str(response.status)).inc()
         headers = {**response.headers, REQUEST_ID_HEADER: request.request_id}
-        if self._draining or response.status == CALLER_GONE_STATUS:
-            headers["Connection"] = "close"
         if isinstance(response.body, bytes):
             headers["Content-Length"] = str(len(response.body))
         start_response(response.status_line, list(headers.items()))
         self.metrics.first_byte_s.labels(answer.route).observe(time.monotonic() - arrived_at)
         return _Body(answer, self._watch, connection)
 
+    def _route_safely(self, request: Request, arrived_at: float) -> _Answer:
+        try:
+            return self._route(request, arrived_at)
+        except CallerGoneError:
+            return _Answer(Response(CALLER_GONE_STATUS), lambda: None, "gone")
+        except BrokenBodyError as error:
+            refusal = NotRun(400, f"the body is not whole: {error}", "send the request again")
+            return _Answer(failure_response(refusal), lambda: None, "broken")
+        except Exception as error:  # A bug in one handler must not end the server's thread.
+            log_message("gateway:handler_error", request_id=request.request_id, error=repr(error))
+            return _Answer(failure_response(_internal_error()), lambda: None, "error")
+
     def _route(self, request: Request, arrived_at: float) -> _Answer:
         found = self.routes.find(request.method, request.path)
         if isinstance(found, NotRun):
@@ -256,7 +265,7 @@
         if key.startswith("HTTP_")
     }
     headers["content-type"] = environ.get("CONTENT_TYPE", "")
-    chunked = environ["wsgi.input_terminated"]
+    length = None if environ["wsgi.input_terminated"] else int(environ.get("CONTENT_LENGTH") or 0)
     given_id = headers.get(REQUEST_ID_HEADER.lower(), "")
     if not _VALID_REQUEST_ID.fullmatch(given_id):
         given_id = f"req-{secrets.token_hex(REQUEST_ID_BYTES)}"
@@ -264,8 +273,8 @@
         method=environ["REQUEST_METHOD"],
         path=environ["PATH_INFO"],
         headers=headers,
-        body=environ["wsgi.input"],
-        content_length=None if chunked else int(environ.get("CONTENT_LENGTH") or 0),
+        body=RequestBody(environ["wsgi.input"], length),
+        content_length=length,
         query=environ["QUERY_STRING"],
         request_id=given_id,
         presence=presence,
--- a/src/quaymill/process/gateway/http.py
+++ b/src/quaymill/process/gateway/http.py
@@ -11,10 +11,11 @@
 import re
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
-from typing import Any, BinaryIO
+from typing import Any, Protocol
 
 import msgspec
 
+from quaymill.process.gateway.body import READ_BLOCK_BYTES
 from quaymill.request.outcome import FAILED, NOT_RUN, OUTCOME_HEADER, UNKNOWN, Failure, NotRun
 from quaymill.request.presence import CallerPresence
 
@@ -22,8 +23,6 @@
 RETRY_AFTER_HEADER = "Retry-After"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 JSON_CONTENT_TYPE = "application/json"
-READ_BLOCK_BYTES = 64 * 1024
-MAX_DISCARDED_BYTES = 32 * 1024 * 1024
 
 _OUTCOME_BY_TAG = {"not-run": NOT_RUN, "unknown": UNKNOWN, "failed": FAILED}
 _ERROR_TYPE_BY_STATUS = {
@@ -38,6 +37,12 @@
 _PARAMETER = re.compile(r"\{(\w+)\}")
 
 
+class Readable(Protocol):
+    """What a body offers: up to so many bytes, and nothing at its end."""
+
+    def read(self, size: int, /) -> bytes: ...  # noqa: D102
+
+
 class Request:
     """One HTTP request of a caller.
 
@@ -68,7 +73,7 @@
         method: str,
         path: str,
         headers: dict[str, str],
-        body: BinaryIO,
+        body: Readable,
         content_length: int | None = 0,
         query: str = "",
         request_id: str = "",
@@ -86,12 +91,15 @@
         self.presence = presence or CallerPresence()
 
     def read_body(self, limit_bytes: int) -> bytes | NotRun:
-        """Read the whole body, or refuse it with status 413 if it is longer than the limit."""
-        if self.content_length is not None:
-            if self.content_length > limit_bytes:
-                self._discard(self.content_length)
-                return _body_too_large(limit_bytes)
-            return self.body.read(self.content_length)
+        """Read the whole body, or refuse it with status 413 if it is longer than the limit.
+
+        Raises
+        ------
+        BrokenBodyError
+            The body is not whole; the gateway answers with 400.
+        """
+        if self.content_length is not None and self.content_length > limit_bytes:
+            return _body_too_large(limit_bytes)
         blocks: list[bytes] = []
         total_bytes = 0
         while block := self.body.read(READ_BLOCK_BYTES):
@@ -101,15 +109,6 @@
             blocks.append(block)
         return b"".join(blocks)
 
-    def _discard(self, size_bytes: int) -> None:
-        """Read a body that is not wanted, so that its sender comes to read the refusal."""
-        left_bytes = min(size_bytes, MAX_DISCARDED_BYTES)
-        while left_bytes > 0:
-            block = self.body.read(min(READ_BLOCK_BYTES, left_bytes))
-            if not block:
-                return
-            left_bytes -= len(block)
-
 
 class Response(msgspec.Struct):
     """One HTTP response.
--- a/src/quaymill/process/replicas/load_view.py
+++ b/src/quaymill/process/replicas/load_view.py
@@ -186,10 +186,16 @@
             view = self._replicas.get(name)
             if view is None or name not in self._scheduled_here:
                 break
-            view.offer_report(self._poll_once(view))
+            report = self._poll_once(view)
+            if report is not None:
+                view.offer_report(report)
         self._polled.discard(name)
 
-    def _poll_once(self, view: ReplicaView) -> LoadReport:
+    def _poll_once(self, view: ReplicaView) -> LoadReport | None:
+        """Ask a replica once; ``None`` if it answers, but does not tell its load.
+
+        Then the report held grows old, and the load counts as unknown.
+        """
         deadline = time.monotonic() + POLL_TIMEOUT_S
         unreachable = LoadReport(replica=view.name, age_s=0.0, reachable=False)
         request = ReplicaRequest("GET", "/load", {})
@@ -208,7 +214,9 @@
         try:
             document = msgspec.json.decode(body, type=_LoadDocument)
         except msgspec.MsgspecError:
-            return unreachable
+            return None
+        if exchange.status != 200:
+            return None
         return LoadReport(
             replica=view.name,
             age_s=max(0.0, document.age_s),
--- a/src/quaymill/request/relay.py
+++ b/src/quaymill/request/relay.py
@@ -1,11 +1,13 @@
 """Relays a streamed answer to its caller, whole or ended by an explicit error event.
 
 A stream that breaks off is resumed on another replica from the tokens already relayed. The
-events relayed are kept as bytes and parsed only when a resume needs their tokens.
+events relayed are kept as bytes, so that short answers are parsed only when a resume needs
+their tokens.
 """
 
 from __future__ import annotations
 
+from array import array
 from collections.abc import Callable, Generator, Iterator
 
 import msgspec
@@ -14,6 +16,9 @@
 from quaymill.request.outcome import Failed, Failure, NotRun, OutcomeUnknown
 from quaymill.request.presence import CallerPresence
 
+MAX_UNPARSED_BLOCKS = 1024
+"""Most blocks of one stream kept as bytes; bounds the memory of a long answer."""
+
 
 class OpenStream(msgspec.Struct):
     """A stream that has begun.
@@ -32,6 +37,30 @@
     ended: Callable[[OutcomeUnknown | None], None] = lambda failure: None
 
 
+class _RelayedTokens:
+    """The tokens of the events relayed so far, parsed late and kept in four bytes each."""
+
+    def __init__(self) -> None:
+        self.event_count = 0
+        self._unparsed: list[bytes] = []
+        self._tokens = array("L")
+
+    def add(self, events: bytes) -> None:
+        self.event_count += events.count(EVENT_END)
+        self._unparsed.append(events)
+        if len(self._unparsed) >= MAX_UNPARSED_BLOCKS:
+            self._parse()
+
+    def tokens(self) -> list[int]:
+        self._parse()
+        return self._tokens.tolist()
+
+    def _parse(self) -> None:
+        for events in self._unparsed:
+            self._tokens.extend(token_ids(events))
+        self._unparsed.clear()
+
+
 Resume = Callable[[list[int]], OpenStream | Failure]
 FormatError = Callable[[Failure], bytes]
 
@@ -62,13 +91,13 @@
         self._first_id = first.attempt_id.encode()
         self._resume = resume
         self._format_error = format_error
-        self._relayed: list[bytes] = []
+        self._relayed = _RelayedTokens()
         self.failure: Failure | None = None
 
     @property
     def token_count(self) -> int:
         """Events relayed so far; an engine sends one for each token, and one or two more."""
-        return sum(events.count(EVENT_END) for events in self._relayed)
+        return self._relayed.event_count
 
     def __iter__(self) -> Iterator[bytes]:
         while self._current is not None:
@@ -104,15 +133,14 @@
         attempt_id = current.attempt_id.encode()
         if attempt_id != self._first_id:
             events = events.replace(attempt_id, self._first_id)
-        self._relayed.append(events)
+        self._relayed.add(events)
         return events
 
     def _reopen(self, failure: OutcomeUnknown) -> Failure | None:
         """Continue on another replica; return the failure if that cannot be."""
         if self._resume is None:
             return failure
-        tokens = [token for events in self._relayed for token in token_ids(events)]
-        reopened = self._resume(tokens)
+        reopened = self._resume(self._relayed.tokens())
         if isinstance(reopened, NotRun | OutcomeUnknown | Failed):
             return reopened
         self._current = reopened
