--- a/src/quaymill/process/gateway/caller_watch.py
+++ b/src/quaymill/process/gateway/caller_watch.py
@@ -31,12 +31,12 @@
         threading.Thread(target=self._serve, name="caller-watch", daemon=True).start()
 
     def stop(self) -> None:
-        """End the watch; requests still in service are cancelled as if their callers left."""
+        """End the watch; requests still in service are interrupted."""
         self._stopping = True
         with self._lock:
             watched = list(self._watched.values())
         for presence in watched:
-            presence.leave()
+            presence.interrupt()
 
     def watch(self, connection: socket.socket) -> CallerPresence:
         """Return the presence of the caller at the other end of ``connection``."""
--- a/src/quaymill/request/attempt.py
+++ b/src/quaymill/request/attempt.py
@@ -106,6 +106,9 @@
             if self._made > 0 and not free_retry and not self._budget.take_retry():
                 break
             free_retry = False
+            if self.presence.interrupted:
+                self._note(_node_stops())
+                break
             if self.deadline.passed():
                 self._note(_deadline_passed())
                 break
@@ -195,5 +198,9 @@
     return later
 
 
+def _node_stops() -> NotRun:
+    return NotRun(503, "the node stops", "send the request to another node", 1.0)
+
+
 def _deadline_passed() -> NotRun:
     return NotRun(504, "the deadline of the request has passed", "allow more time")
--- a/src/quaymill/request/presence.py
+++ b/src/quaymill/request/presence.py
@@ -13,6 +13,9 @@
 class CallerPresence:
     """Present until ``leave`` is called, by the watch of the caller's connection.
 
+    ``interrupt`` is called when the node stops before the request has ended: its attempt is
+    cancelled, no other follows, and the caller, who still waits, is told.
+
     A request attaches what cancels its present attempt. ``leave`` may come from another
     thread at any moment; what is attached later is cancelled at once.
     """
@@ -21,6 +24,12 @@
         self._lock = threading.Lock()
         self._cancel: Callable[[], None] | None = None
         self._gone = False
+        self._interrupted = False
+
+    @property
+    def interrupted(self) -> bool:
+        """Whether the node stops, so that no further attempt may be made."""
+        return self._interrupted
 
     @property
     def gone(self) -> bool:
@@ -31,8 +40,8 @@
         """Call ``cancel`` when the caller leaves, instead of what was attached before."""
         with self._lock:
             self._cancel = cancel
-            gone = self._gone
-        if gone:
+            ended = self._gone or self._interrupted
+        if ended:
             cancel()
 
     def detach(self) -> None:
@@ -42,8 +51,16 @@
 
     def leave(self) -> None:
         """Note that the caller has left, and cancel what is attached."""
+        self._gone = True
+        self._cancel_attached()
+
+    def interrupt(self) -> None:
+        """Cancel what is attached, because the node stops."""
+        self._interrupted = True
+        self._cancel_attached()
+
+    def _cancel_attached(self) -> None:
         with self._lock:
-            self._gone = True
             cancel = self._cancel
         if cancel is not None:
             cancel()
--- a/src/quaymill/request/waiting_room.py
+++ b/src/quaymill/request/waiting_room.py
@@ -87,6 +87,8 @@
         while not patience.passed():
             if presence.gone:
                 raise CallerGoneError
+            if presence.interrupted:
+                break
             if self._waiting[0] is ticket:
                 choice = choose()
                 if not (isinstance(choice, NotRun) and choice.status == 429):
