--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import socket
 import time
+import unittest
 from collections.abc import Callable
 from pathlib import Path
 
@@ -12,29 +12,18 @@
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.peer_link import PeerClient, PeerServer
 from quaymill.connection.platform_client import PlatformClient
-from quaymill.process.configuration.service import ConfigurationService
+from quaymill.process.configuration.service import ConfigurationService, ConfigurationTiming
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.process.machine_list import MachineListHolder
 from quaymill.process.membership.membership import Membership
 from quaymill.process.settings import MembershipSettings, NodeSettings
+from quaymill_bench.ports import free_port
 from quaymill_standins.faults import Faults
 from quaymill_standins.platform import Platform, PlatformSettings
 
 FAST = MembershipSettings(probe_interval_s=0.1, probe_timeout_s=0.05, suspicion_s=0.5)
 
 
-def free_port() -> int:
-    """Return a port that is free for TCP and UDP."""
-    while True:
-        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
-            stream.bind(("127.0.0.1", 0))
-            try:
-                datagram.bind(stream.getsockname())
-            except OSError:
-                continue
-            return stream.getsockname()[1]
-
-
 def eventually(condition: Callable[[], object], timeout_s: float = 10.0, why: str = "") -> None:
     """Wait until a condition holds; fail at the deadline."""
     deadline = time.monotonic() + timeout_s
@@ -56,12 +45,31 @@
     platform.switches.replace(Faults(**faults))
 
 
-def control(platform: Platform, action: str) -> None:
+def control(platform: Platform, action: str, name: str = "empty") -> None:
     """Carry out ``snapshot``, ``restore`` or ``forget-history`` on the stand-in."""
-    answer = urllib3.request("POST", f"http://127.0.0.1:{platform.port}/standin/{action}")
+    answer = urllib3.request(
+        "POST", f"http://127.0.0.1:{platform.port}/standin/{action}", json={"name": name}
+    )
     assert answer.status == 200, answer.data
 
 
+class PlatformCase(unittest.TestCase):
+    """One platform stand-in for the tests of a class, empty at the start of each."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.platform = start_platform()
+        cls.addClassCleanup(cls.platform.stop)
+        control(cls.platform, "snapshot")
+
+    def setUp(self):
+        set_faults(self.platform)
+        control(self.platform, "restore")
+        self.links = LinkFilter()
+        self.client = PlatformClient(Endpoint("127.0.0.1", self.platform.port), self.links)
+        self.addCleanup(self.client.close)
+
+
 def settings_for(
     name: str, zone: str, platform_port: int, seeds: tuple[Endpoint, ...] = (), **fields: object
 ) -> NodeSettings:
@@ -100,6 +108,7 @@
             self.platform,
             self.peer_client,
             self.peer_server,
+            ConfigurationTiming(configuration_watch_s=1.0, machines_watch_s=1.0),
         )
 
     @property
@@ -145,6 +154,25 @@
             why="all nodes know each other",
         )
 
+    def in_zone(self, zone: str) -> list[HollowNode]:
+        """Return the nodes of a zone."""
+        return [node for node in self.nodes if node.settings.zone == zone]
+
+    def cut(self, nodes: list[HollowNode], with_platform: bool = True) -> None:
+        """Cut some nodes off from all others, in both directions, and from the platform."""
+        others = [node for node in self.nodes if node not in nodes]
+        for here, there in ((nodes, others), (others, nodes)):
+            blocked = {node.settings.peer_endpoint for node in there}
+            if with_platform and here is nodes:
+                blocked.add(here[0].platform.endpoint)
+            for node in here:
+                node.links.set_blocked(frozenset(blocked))
+
+    def heal(self) -> None:
+        """Restore all links."""
+        for node in self.nodes:
+            node.links.set_blocked(frozenset())
+
     def restart(self, index: int) -> HollowNode:
         """Replace a stopped node by a new process of the same name and address."""
         self.nodes[index] = HollowNode(self.nodes[index].settings)
