--- a/src/quaymill/connection/load_messages.py
+++ b/src/quaymill/connection/load_messages.py
@@ -49,7 +49,10 @@
 
 
 class OnlineStarts(PeerMessage, frozen=True):
-    """Online work goes to these replicas now: their batch streams must give way."""
+    """Online work goes to these replicas now: their batch streams must give way.
+
+    A replica is named once for each request that starts there.
+    """
 
     replicas: tuple[str, ...]
 
--- a/src/quaymill/process/replicas/notifier.py
+++ b/src/quaymill/process/replicas/notifier.py
@@ -24,7 +24,7 @@
         self._load_view = load_view
         self._peer_client = peer_client
         self._changed = threading.Condition()
-        self._waiting: dict[Endpoint, set[str]] = {}
+        self._waiting: dict[Endpoint, list[str]] = {}
         self._stopping = False
 
     def notify(self, replica: ReplicaView) -> None:
@@ -34,14 +34,14 @@
             return
         with self._changed:
             if scheduler.peer not in self._waiting:
-                self._waiting[scheduler.peer] = set()
+                self._waiting[scheduler.peer] = []
                 threading.Thread(
                     target=self._serve_peer,
                     args=(scheduler.peer,),
                     name=f"notice-{scheduler.name}",
                     daemon=True,
                 ).start()
-            self._waiting[scheduler.peer].add(replica.name)
+            self._waiting[scheduler.peer].append(replica.name)
             self._changed.notify_all()
 
     def stop(self) -> None:
@@ -57,5 +57,5 @@
                 if self._stopping:
                     return
                 replicas = tuple(self._waiting[peer])
-                self._waiting[peer] = set()
+                self._waiting[peer] = []
             self._peer_client.call(peer, OnlineStarts(replicas), Noted, NOTICE_TIMEOUT_S)
