--- a/tests/batch_support.py
+++ b/tests/batch_support.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+import unittest
 from collections.abc import Callable
 
 import msgspec
@@ -29,9 +30,9 @@
     RenewLeases,
     ReturnItems,
 )
-from quaymill.connection.load_messages import LoadReport
+from quaymill.connection.load_messages import LoadReport, Noted, OnlineStarts
 from quaymill.connection.member import Machine, MachineRole
-from quaymill.connection.peer_link import PeerServer
+from quaymill.connection.peer_link import PeerClient, PeerServer
 from quaymill.process.batch.scheduler import BatchSchedulers
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.process.settings import BatchSettings, NodeSettings
@@ -44,7 +45,12 @@
     Tuning,
     ZoneGroup,
 )
+from quaymill_standins import text
+from quaymill_standins.engine import Engine, EngineSettings
 
+STEP_MS = 4.0
+ITEMS = 24
+TOKENS = 20
 JOB_ID = "batch_0_test"
 MODEL = "model"
 APPLICATION = "filing"
@@ -329,3 +335,55 @@
     def group_of(self, key: str) -> int:
         """Return the only group."""
         return 0
+
+
+class SchedulerCase(unittest.TestCase):
+    """Starts engines and nodes, and checks results against the texts that engines must give."""
+
+    def start_engine(self, **settings) -> Engine:
+        settings = {"step_ms": STEP_MS, "load_lag_s": 0.05, "slots": 8, **settings}
+        engine = Engine(EngineSettings(**settings))
+        engine.start()
+        self.addCleanup(engine.stop)
+        return engine
+
+    def start_node(self, store, engine: Engine, holder=None, **batch) -> Node:
+        node = Node(store, [view_of("engine", engine.port)], holder or configuration(), **batch)
+        node.__enter__()
+        self.addCleanup(node.__exit__)
+        return node
+
+    def assert_all_whole(self, store: MemoryJobStore, tokens: int = TOKENS) -> None:
+        self.assertEqual(len(store.results), len(store.items))
+        for index, completion in sorted(store.results.items()):
+            self.assertEqual(completion.status, 200)
+            answer = msgspec.json.decode(completion.response)
+            expected = text.expected_text(MODEL, f"prompt {index}", tokens)
+            self.assertEqual(answer["choices"][0]["text"], expected)
+            self.assertEqual(answer["choices"][0]["finish_reason"], "length")
+            self.assertEqual(answer["usage"]["completion_tokens"], tokens)
+
+
+def runs(engine: Engine) -> list:
+    return engine._scheduler.journal()
+
+
+def outcomes(engine: Engine) -> list[str]:
+    return [run.outcome for run in runs(engine)]
+
+
+def batch_running(engine: Engine) -> int:
+    return sum(run.outcome == "running" and run.priority > 0 for run in runs(engine))
+
+
+def notify(node: Node, replicas: list[str]):
+    client = PeerClient(LinkFilter())
+    try:
+        return client.call(node.peer_server.endpoint, OnlineStarts(tuple(replicas)), Noted, 2.0)
+    finally:
+        client.close()
+
+
+def ask_online(engine: Engine, tokens: int) -> None:
+    body = {"model": MODEL, "prompt": "online", "max_tokens": tokens, "priority": 0}
+    urllib3.request("POST", f"http://127.0.0.1:{engine.port}/v1/completions", json=body)
