A peer whose handler fails promises nothing

Cause: a handler that raised was answered with PeerRefusal, which says that the peer did nothing; the job store client took it as no effect, so a bug after a proposal could have become a false 'not run'. Found by reading. After: tests/test_peer_link.py green.

--- a/src/quaymill/connection/peer_link.py
+++ b/src/quaymill/connection/peer_link.py
@@ -118,6 +118,8 @@
             with connection, connection.makefile("rb") as lines:
                 while line := lines.readline(MAX_LINE_BYTES):
                     reply = self._answer(line)
+                    if reply is None:
+                        return
                     connection.sendall(msgspec.json.encode(reply) + b"\n")
         except OSError:
             pass  # The peer went away; it learns nothing from this connection any more.
@@ -125,7 +127,8 @@
             with self._lock:
                 self._connections.discard(connection)
 
-    def _answer(self, line: bytes) -> PeerMessage:
+    def _answer(self, line: bytes) -> PeerMessage | None:
+        """Return the reply; ``None`` if the handler failed midway, perhaps after an effect."""
         try:
             message = self._decoder.decode(line)
         except msgspec.MsgspecError as error:
@@ -137,7 +140,8 @@
             return handler(message)
         except Exception as error:  # A bug in one handler must not end the other peers' service.
             log_message("peer:handler_error", kind=type(message).__name__, error=repr(error))
-            return PeerRefusal(reason=f"internal error: {error!r}; see the log of this node")
+            # A refusal would promise that nothing was done; without a reply the peer knows less.
+            return None
 
 
 class _IdleConnection(msgspec.Struct):
