Wait for the stop signal on any thread; print stacks on SIGUSR1

Ruled out: the drain itself (it had not begun). Possible, and shown by a test: a signal that another thread receives did not wake the main thread out of Event.wait(). The fault rounds print the stacks of a node that does not stop, so that another cause would show.

--- a/src/quaymill/process/node.py
+++ b/src/quaymill/process/node.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import faulthandler
 import signal
-import threading
 
 import msgspec
 from eliot import log_message
@@ -29,6 +29,7 @@
 from quaymill.process.replicas.status_rows import replica_rows
 from quaymill.process.settings import NodeSettings
 from quaymill.process.status.service import StatusService
+from quaymill.process.stop_signal import StopSignal
 
 MAX_FAULT_SWITCH_BYTES = 65536
 
@@ -169,12 +170,12 @@
 def run_node(settings: NodeSettings) -> int:
     """Run a node until SIGTERM or SIGINT; return the exit code."""
     start_logs(settings.name, settings.log_file)
-    stop_requested = threading.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda _signal, _frame: stop_requested.set())
+    # SIGUSR1 prints the stacks of all threads: a node that hangs can be looked into.
+    faulthandler.register(signal.SIGUSR1)
+    stop_signal = StopSignal()
     node = Node(settings)
     node.start()
     print(f"ready {settings.http_endpoint}", flush=True)
-    stop_requested.wait()
+    stop_signal.wait()
     node.stop()
     return 0
--- a/src/quaymill_bench/cluster.py
+++ b/src/quaymill_bench/cluster.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import shutil
 import sys
 import tempfile
@@ -154,17 +155,17 @@
     def cut_zone(self, zone: str, one_way: bool = False) -> None:
         """Cut the nodes of ``zone`` from those of the others, outgoing only if ``one_way``.
 
-        Nodes that are down or frozen at the moment keep their links.
+        Nodes that are down, starting or frozen at the moment keep their links.
         """
         inside = [node for node in self.nodes if node.zone == zone]
         outside = [node for node in self.nodes if node.zone != zone]
-        _block_links(inside, outside)
+        _tell_blocked(inside, outside)
         if not one_way:
-            _block_links(outside, inside)
+            _tell_blocked(outside, inside)
 
     def heal_links(self) -> None:
-        """Restore every link of the nodes that run."""
-        _block_links(self.nodes, [])
+        """Restore every link, as far as the nodes can be told."""
+        _tell_blocked(self.nodes, [])
 
     def _stop(self, process: ManagedProcess) -> int:
         process.terminate()
@@ -301,12 +302,14 @@
     return output
 
 
-def _block_links(nodes: list[Node], peers: list[Node]) -> None:
+def _tell_blocked(nodes: list[Node], peers: list[Node]) -> None:
     """Cut the links from each of ``nodes`` to ``peers``, as far as the nodes can be told."""
     addresses = [peer.peer_address for peer in peers]
     for node in nodes:
         if node.process.is_running() and not node.process.frozen:
-            node.block_links(addresses)
+            # A node that is just starting does not answer yet; it keeps its links.
+            with contextlib.suppress(RuntimeError):
+                node.block_links(addresses)
 
 
 def _script(name: str) -> str:
--- a/src/quaymill_bench/fault_injection.py
+++ b/src/quaymill_bench/fault_injection.py
@@ -6,11 +6,14 @@
 import time
 from collections.abc import Callable
 
-from quaymill_bench.cluster import STOP_TIMEOUT_S, LocalCluster
+from quaymill_bench.cluster import LocalCluster
 from quaymill_bench.cluster_members import Node, StandIn
 from quaymill_bench.fault_schedule import FaultEvent, FaultKind, RoundSchedule
 from quaymill_bench.history import History
-from quaymill_bench.processes import ConditionNotMetError
+from quaymill_bench.processes import ConditionNotMetError, ManagedProcess
+
+STOP_TIMEOUT_S = 20.0
+STACKS_DELAY_S = 0.5
 
 SWITCHES = {
     FaultKind.ENGINE_LOST_ANSWERS: {"lose_answer_probability": 0.5},
@@ -101,8 +104,7 @@
             process.thaw()
             return
         if event.kind == FaultKind.NODE_STOPPED:
-            process.terminate()
-            process.wait(STOP_TIMEOUT_S)
+            self._stop_in_order(process)
         else:
             process.kill()
         if event.kind == FaultKind.NODE_WIPED:
@@ -110,6 +112,17 @@
         time.sleep(event.duration_s)
         process.start()
 
+    def _stop_in_order(self, process: ManagedProcess) -> None:
+        process.terminate()
+        try:
+            process.wait(STOP_TIMEOUT_S)
+        except ConditionNotMetError:
+            process.print_stacks()
+            time.sleep(STACKS_DELAY_S)
+            process.kill()
+            process.start()
+            raise
+
     def _cut_zone(self, event: FaultEvent) -> None:
         zones = self._cluster.shape.zones
         zone = zones[event.target % len(zones)]
--- a/src/quaymill_bench/healing.py
+++ b/src/quaymill_bench/healing.py
@@ -42,7 +42,7 @@
         stand_in.set_faults()
     for node in cluster.nodes:
         cluster.wait_for_node(node, HEAL_TIMEOUT_S)
-    cluster.heal_links()
+        node.block_links([])
     wait_for_voters(cluster, HEAL_TIMEOUT_S)
     return time.monotonic() - started_at
 
--- a/src/quaymill_bench/processes.py
+++ b/src/quaymill_bench/processes.py
@@ -130,6 +130,10 @@
         except subprocess.TimeoutExpired as error:
             raise ConditionNotMetError(f"{self.name} still runs after {timeout_s} s") from error
 
+    def print_stacks(self) -> None:
+        """Let a node print the stacks of its threads into its output (SIGUSR1)."""
+        self._signal(signal.SIGUSR1)
+
     def cpu_seconds(self) -> float:
         """Return the processor time used so far, user and system together."""
         times = psutil.Process(self.pid).cpu_times()
--- /dev/null
+++ b/tests/test_stop_signal.py
@@ -0,0 +1,49 @@
+"""A node stops on SIGTERM, whichever of its threads receives it."""
+
+import ctypes
+import platform
+import signal
+import subprocess
+import sys
+import unittest
+
+from nose2.tools import params
+
+PROGRAM = """
+import threading
+from quaymill.process.stop_signal import StopSignal
+
+stop_signal = StopSignal()
+other = threading.Thread(target=threading.Event().wait, daemon=True)
+other.start()
+print(other.native_id, flush=True)
+stop_signal.wait()
+"""
+STOP_TIMEOUT_S = 5.0
+TGKILL_NUMBERS = {"x86_64": 234, "aarch64": 131}
+
+
+class StopSignalTest(unittest.TestCase):
+    """Contract of ``StopSignal``, in a process of its own."""
+
+    def setUp(self):
+        self.process = subprocess.Popen(
+            [sys.executable, "-c", PROGRAM], stdout=subprocess.PIPE, text=True
+        )
+        self.addCleanup(self.process.stdout.close)
+        self.addCleanup(self.process.wait)
+        self.addCleanup(self.process.kill)
+        self.other_thread = int(self.process.stdout.readline())
+
+    @params(signal.SIGTERM, signal.SIGINT)
+    def test_a_signal_to_the_process_is_noted(self, number):
+        self.process.send_signal(number)
+        self.assertEqual(self.process.wait(STOP_TIMEOUT_S), 0)
+
+    def test_a_signal_that_another_thread_receives_is_noted(self):
+        tgkill = TGKILL_NUMBERS[platform.machine()]
+        result = ctypes.CDLL(None).syscall(
+            tgkill, self.process.pid, self.other_thread, int(signal.SIGTERM)
+        )
+        self.assertEqual(result, 0)
+        self.assertEqual(self.process.wait(STOP_TIMEOUT_S), 0)
