--- /dev/null
+++ b/src/quaymill/process/membership/membership.py
@@ -0,0 +1,266 @@
+"""SWIM-style membership over UDP: who lives, who drains, and what versions they hold.
+
+Each node probes one other node a period, in a shuffled order that reaches all. A node that
+answers neither directly nor through others is SUSPECT; unless it refutes that in time it is
+DEAD. News rides on the probes, and a periodic comparison with a random node, sometimes one
+held for dead, brings everything that was missed, also after a partition has healed.
+
+Two threads serve a node: one receives, one probes.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from eliot import log_message
+
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.member import Member, MemberState
+from quaymill.process.membership.dissemination import Dissemination
+from quaymill.process.membership.failure_detector import FailureDetector
+from quaymill.process.membership.member_socket import MemberSocket, Traffic
+from quaymill.process.membership.member_table import MemberTable
+from quaymill.process.membership.messages import (
+    MAX_DATAGRAM_BYTES,
+    Datagram,
+    Notice,
+    Probe,
+    ProbeReply,
+    ProbeRequest,
+    Sync,
+    SyncAnswer,
+    encode_datagram,
+)
+from quaymill.process.membership.ranking import reader_nodes
+from quaymill.process.membership.synchronisation import Synchronisation
+from quaymill.process.settings import NodeSettings
+
+NOTICE_FANOUT = 4
+DRAINING_FANOUT = 8
+SYNC_INTERVAL_S = 10.0
+REJOIN_INTERVAL_S = 3.0
+STOP_TIMEOUT_S = 5.0
+
+Listener = Callable[[], None]
+
+
+class Membership:
+    """One node's part in the membership.
+
+    Parameters
+    ----------
+    settings
+        Name, zone, addresses, seeds and timing of this node.
+    link_filter
+        Fault switch: nothing is sent to a blocked endpoint.
+    """
+
+    def __init__(self, settings: NodeSettings, link_filter: LinkFilter | None = None) -> None:
+        self._timing = settings.membership
+        self._random = random.Random(f"{settings.name}/{time.time_ns()}")
+        self._table = MemberTable(_local_member(settings))
+        self._news = Dissemination()
+        self._seeds_lock = threading.Lock()
+        self._seeds = {Endpoint.parse(seed) for seed in settings.seeds}
+        self._seeds.discard(settings.peer_endpoint)
+        self._listeners: list[Listener] = []
+        self._stopping = threading.Event()
+        self._prober: threading.Thread | None = None
+        self._socket = MemberSocket(settings.peer_endpoint, link_filter or LinkFilter())
+        self._detector = FailureDetector(
+            self._table, self._timing, self._send, self._head, self._random
+        )
+        self._synchronisation = Synchronisation(self._table, self._socket, self._head, self._random)
+
+    @property
+    def traffic(self) -> Traffic:
+        """What this node's membership has sent and received."""
+        return self._socket.traffic
+
+    def start(self) -> None:
+        """Begin to answer and to probe."""
+        self._socket.start(self._handle)
+        self._prober = threading.Thread(target=self._probe_loop, name="member-probe", daemon=True)
+        self._prober.start()
+
+    def stop(self) -> None:
+        """Stop without a word; peers find the node dead. Announce draining first if planned."""
+        self._stopping.set()
+        if self._prober is not None:
+            self._prober.join(STOP_TIMEOUT_S)
+        self._socket.stop()
+
+    def members(self) -> tuple[Member, ...]:
+        """Return every member known, this node and the dead included."""
+        return self._table.all()
+
+    def live(self) -> tuple[Member, ...]:
+        """Return the members that may be given work: alive or suspect, and not draining."""
+        return tuple(
+            member
+            for member in self._table.all()
+            if member.state in (MemberState.ALIVE, MemberState.SUSPECT) and not member.draining
+        )
+
+    def local(self) -> Member:
+        """Return the record of this node."""
+        return self._table.local()
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener`` after news of members or of versions; it must not block."""
+        self._listeners.append(listener)
+
+    def add_seeds(self, endpoints: Iterable[Endpoint]) -> None:
+        """Add nodes to join through, such as those of the machine list."""
+        with self._seeds_lock:
+            self._seeds.update(endpoints)
+            self._seeds.discard(self.local().peer)
+
+    def announce_draining(self) -> None:
+        """Tell all nodes that this one is about to stop; they give it no new work."""
+        local = self._table.update_local(
+            state=MemberState.DRAINING, draining=True, incarnation=self.local().incarnation + 1
+        )
+        self._news.add(local)
+        self._notify(DRAINING_FANOUT)
+        self._tell_listeners()
+
+    def publish(
+        self, configuration_generation: int | None = None, machine_list_version: int | None = None
+    ) -> None:
+        """Tell what this node holds now; some peers hear of it at once, all with the probes."""
+        fields = {}
+        if configuration_generation is not None:
+            fields["configuration_generation"] = configuration_generation
+        if machine_list_version is not None:
+            fields["machine_list_version"] = machine_list_version
+        self._table.update_local(**fields)
+        self._notify(NOTICE_FANOUT)
+
+    def _handle(self, datagram: Datagram, source: Endpoint) -> None:
+        """Take one datagram; runs on the receiving thread."""
+        revision = self._table.revision
+        for record in datagram.records:
+            news = self._table.merge(record)
+            if news is not None:
+                self._news.add(news)
+        self._table.heard_from(
+            datagram.sender, datagram.incarnation, datagram.generation, datagram.machines
+        )
+        match datagram:
+            case Probe():
+                name = self.local().name
+                reply = ProbeReply(**self._head(), sequence=datagram.sequence, subject=name)
+                self._send(source, reply)
+            case ProbeReply():
+                self._detector.on_reply(datagram)
+            case ProbeRequest():
+                self._detector.relay(datagram, source)
+            case Sync():
+                self._synchronisation.answer(datagram, source)
+            case SyncAnswer() if datagram.wanted:
+                self._synchronisation.send_records(source, frozenset(datagram.wanted))
+        self._correct_sender(datagram, source)
+        if self._table.revision != revision:
+            self._tell_listeners()
+
+    def _correct_sender(self, datagram: Datagram, source: Endpoint) -> None:
+        """Introduce this node to a stranger, and tell a node that it is held for dead."""
+        if isinstance(datagram, SyncAnswer):
+            return
+        held = self._table.get(datagram.sender)
+        if held is None:
+            self._synchronisation.begin(source)
+        elif held.state is MemberState.DEAD:
+            self._send(source, Notice(**self._head()), shown=(held,))
+
+    def _probe_loop(self) -> None:
+        interval_s = self._timing.probe_interval_s
+        next_probe = time.monotonic()
+        next_sync = next_probe
+        next_rejoin = next_probe
+        while not self._stopping.is_set():
+            now = time.monotonic()
+            if now >= next_rejoin:
+                self._rejoin()
+                next_rejoin = now + REJOIN_INTERVAL_S * self._random.uniform(0.8, 1.2)
+            if now >= next_sync:
+                self._sync_with_one()
+                next_sync = now + SYNC_INTERVAL_S * self._random.uniform(0.8, 1.2)
+            self._probe_once()
+            next_probe = max(next_probe + interval_s, time.monotonic() - interval_s)
+            self._stopping.wait(max(next_probe - time.monotonic(), 0.0))
+
+    def _probe_once(self) -> None:
+        suspect = self._detector.probe_next()
+        buried = self._detector.bury_suspects()
+        self._table.forget_dead()
+        for record in buried:
+            log_message("membership:dead", node=record.name, zone=record.zone)
+        changed = [*buried] if suspect is None else [suspect, *buried]
+        for record in changed:
+            self._news.add(record)
+        if changed:
+            self._tell_listeners()
+
+    def _rejoin(self) -> None:
+        """Greet a seed that is not a member, or a dead member: it may be back, or reachable."""
+        known = {member.peer for member in self._table.peers()}
+        with self._seeds_lock:
+            strangers = {seed for seed in self._seeds if seed not in known}
+        strangers.update(member.peer for member in self._table.dead())
+        if strangers:
+            self._synchronisation.begin(self._random.choice(sorted(strangers)))
+
+    def _sync_with_one(self) -> None:
+        peers = self._table.peers()
+        if peers:
+            self._synchronisation.begin(self._random.choice(peers).peer)
+
+    def _notify(self, fanout: int) -> None:
+        """Send news at once to some random peers and to the readers of this zone."""
+        peers = self._table.peers()
+        chosen = {member.name: member for member in reader_nodes(peers, self.local().zone)}
+        for member in self._random.sample(peers, min(fanout, len(peers))):
+            chosen[member.name] = member
+        for member in chosen.values():
+            self._send(member.peer, Notice(**self._head()))
+
+    def _head(self) -> dict[str, str | int]:
+        local = self._table.local()
+        return {
+            "sender": local.name,
+            "incarnation": local.incarnation,
+            "generation": local.configuration_generation,
+            "machines": local.machine_list_version,
+        }
+
+    def _send(self, target: Endpoint, datagram: Datagram, shown: tuple[Member, ...] = ()) -> None:
+        """Send a datagram with the records ``shown``, filled with news as far as there is room."""
+        datagram.records = shown
+        room = MAX_DATAGRAM_BYTES - len(encode_datagram(datagram))
+        names = {record.name for record in shown}
+        news = self._news.take(room, len(self._table.all()))
+        datagram.records = shown + tuple(record for record in news if record.name not in names)
+        self._socket.send(target, datagram)
+
+    def _tell_listeners(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+
+def _local_member(settings: NodeSettings) -> Member:
+    return Member(
+        name=settings.name,
+        zone=settings.zone,
+        region=settings.region,
+        peer=settings.peer_endpoint,
+        http=settings.http_endpoint,
+        # A restarted node starts above the incarnation that its peers remember; if its
+        # clock went back, refutation raises the number further.
+        incarnation=int(time.time() * 1000),
+        has_disk=bool(settings.data_folder),
+    )
