--- a/tests/job_store_process.py
+++ b/src/quaymill_bench/store_node.py
@@ -1,7 +1,7 @@
-"""One disk node of the job store as a process of its own, for tests that freeze or kill it.
+"""A disk node with the job store alone, as a process that may be frozen or killed.
 
 Arguments: name, folder shared by the cluster, then ``name:port`` of every node. The platform
-is the shared folder, where a file is created once.
+is the shared folder, where a file is created once; all nodes are members, always.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient, PeerServer
 from quaymill.process.job_store.service import JobStoreService
-from quaymill.process.settings import LogSettings, NodeSettings
+from quaymill.process.settings import NodeSettings
 
 
 class StoredObject(msgspec.Struct):
@@ -33,11 +33,13 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
 
-    def get(self, plural, name):
+    def get(self, plural: str, name: str) -> StoredObject | None:
+        """Return an object, or ``None`` if there is none."""
         path = self._folder / name
         return StoredObject(msgspec.Raw(path.read_bytes())) if path.exists() else None
 
-    def create(self, plural, name, spec):
+    def create(self, plural: str, name: str, spec: msgspec.Struct) -> None:
+        """Create an object unless there is one."""
         draft = self._folder / f"{name}.{os.getpid()}"
         draft.write_bytes(msgspec.json.encode(spec))
         with contextlib.suppress(FileExistsError):
@@ -53,13 +55,15 @@
             for name, endpoint in ((n, Endpoint("127.0.0.1", p)) for n, p in ports.items())
         )
 
-    def live(self):
+    def live(self) -> tuple[Member, ...]:
+        """Return all nodes."""
         return self._members
 
     members = live
 
 
 def node_settings(name: str, port: int, folder: Path) -> NodeSettings:
+    """Return the settings of one node, with the timing of production."""
     return NodeSettings(
         name=name,
         zone=f"zone-{name}",
@@ -69,11 +73,11 @@
         peer_port=port,
         platform="127.0.0.1:1",
         data_folder=str(folder / name),
-        log=LogSettings(heartbeat_s=0.05, election_timeout_s=0.4),
     )
 
 
 def main() -> None:
+    """Run one node until the process is ended."""
     name, folder, *nodes = sys.argv[1:]
     ports = {node: int(port) for node, _, port in (x.partition(":") for x in nodes)}
     settings = node_settings(name, ports[name], Path(folder))
--- a/tests/test_job_store_frozen.py
+++ b/tests/test_job_store_frozen.py
@@ -12,14 +12,12 @@
 from pathlib import Path
 
 from job_store_cluster import Caller, wait_until
-from job_store_process import StaticMembership, node_settings
 from quaymill.connection import job_messages as m
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.peer_link import PeerClient, PeerRefusal
 from quaymill.process.job_store.client import JobStoreClient
 from quaymill_bench.ports import free_ports
-
-PROGRAM = Path(__file__).with_name("job_store_process.py")
+from quaymill_bench.store_node import StaticMembership, node_settings
 
 
 class FrozenProcessTest(unittest.TestCase):
@@ -41,7 +39,14 @@
 
     def start_process(self, name):
         nodes = [f"{node}:{port}" for node, port in self.ports.items()]
-        command = [sys.executable, str(PROGRAM), name, str(self.folder), *nodes]
+        command = [
+            sys.executable,
+            "-m",
+            "quaymill_bench.store_node",
+            name,
+            str(self.folder),
+            *nodes,
+        ]
         self.processes[name] = subprocess.Popen(command)
 
     def end_processes(self):
