Apply commands in bulk, and acknowledge entries before they are applied

A follower applied before it answered, so the leader waited for that as well. One condition woke every thread. Change: one integer key for items and results, one statement for many rows, verdicts in memory; followers answer after the fsync and apply afterwards; conditions of their own for those who send and those who commit.

--- a/src/quaymill/process/job_store/group.py
+++ b/src/quaymill/process/job_store/group.py
@@ -93,7 +93,7 @@
         self._commits.stop()
         with self.replica.storage.lock, self.replica.lock:
             self.replica.role = Role.STOPPED
-            self.replica.lock.notify_all()
+            self.replica.wake_all()
         for replicator in self._replicators.values():
             replicator.join(THREAD_STOP_TIMEOUT_S)
         self._storage.close()
@@ -136,7 +136,7 @@
         if refusal:
             return refusal
         with self._storage.lock:
-            stop = self.replica.state.no_longer_leased(message.items)
+            stop = self.replica.state.items.no_longer_leased(message.items)
         lost = set(stop)
         self._leases.start((ref for ref in message.items if ref not in lost), message.lease_s)
         return RenewedLeases(stop=stop)
--- a/src/quaymill/process/job_store/group_commit.py
+++ b/src/quaymill/process/job_store/group_commit.py
@@ -72,7 +72,7 @@
         """End the thread; proposals that are not answered yet get ``StoreUnavailable``."""
         with self._replica.lock:
             self._stopping = True
-            self._replica.lock.notify_all()
+            self._replica.to_commit.notify()
         self._thread.join(THREAD_STOP_TIMEOUT_S)
         self._fail_all()
 
@@ -91,7 +91,7 @@
             refusal = self._refusal()
             if refusal is None:
                 self._queue.append(proposal)
-                replica.lock.notify_all()
+                replica.to_commit.notify()
                 return proposal.answer
         proposal.answer.set_result(refusal)
         return proposal.answer
@@ -132,7 +132,7 @@
 
     def _wait_for_work(self) -> list[_Proposal]:
         with self._replica.lock:
-            self._replica.lock.wait_for(self._has_work, IDLE_COMMIT_S)
+            self._replica.to_commit.wait_for(self._has_work, IDLE_COMMIT_S)
             batch: list[_Proposal] = []
             size_bytes = 0
             while self._queue and size_bytes < MAX_BATCH_BYTES:
@@ -166,7 +166,7 @@
         replica.write_entries(entries)
         with replica.lock:
             replica.last_index = replica.storage.last_index
-            replica.lock.notify_all()
+            replica.to_send.notify_all()
         replica.storage.commit()
         with replica.lock:
             replica.match_index[replica.identity] = replica.last_index
--- a/src/quaymill/process/job_store/item_state.py
+++ b/src/quaymill/process/job_store/item_state.py
@@ -12,24 +12,15 @@
 from __future__ import annotations
 
 import sqlite3
-from collections import Counter
+from collections import defaultdict
 from collections.abc import Iterable
 
 import msgspec
 
-from quaymill.connection.job_messages import (
-    Accepted,
-    CompletedItems,
-    CompleteItems,
-    CompletionVerdict,
-    ItemCompletion,
-    ItemRef,
-    JobState,
-    LeaseItems,
-)
-from quaymill.process.job_store.job_state import JobProgress, JobStateTable, JobWithWork
-
-HTTP_SUCCESS = range(200, 300)
+from quaymill.connection.job_messages import Accepted, ItemRef, LeaseItems
+from quaymill.process.job_store.bulk import json_list
+from quaymill.process.job_store.job_state import JobStateTable, JobWithWork
+from quaymill.process.job_store.schema import item_index, item_key
 
 
 class LeaseGrant(msgspec.Struct, frozen=True, array_like=True):
@@ -45,15 +36,8 @@
 _GRANTS_DECODER = msgspec.json.Decoder(tuple[LeaseGrant, ...])
 
 
-class _ItemRow(msgspec.Struct, frozen=True):
-    leased: int
-    attempt: int
-    failures: int
-    last_failed_attempt: int
-
-
 class ItemState:
-    """The tables ``items``, ``results`` and ``lease_requests``."""
+    """The tables ``items`` and ``lease_requests``."""
 
     def __init__(self, connection: sqlite3.Connection, jobs: JobStateTable) -> None:
         self._connection = connection
@@ -67,7 +51,8 @@
         if message.request_id:
             earlier = self._earlier_grants(message)
             if earlier is not None:
-                return tuple(grant for grant in earlier if self.is_leased(_ref(grant)))
+                lost = set(self.no_longer_leased(tuple(_ref(grant) for grant in earlier)))
+                return tuple(grant for grant in earlier if _ref(grant) not in lost)
         grants = self._take_by_turns(message)
         if message.request_id:
             self._connection.execute(
@@ -86,62 +71,55 @@
         """Return whether this same request was served before."""
         return bool(message.request_id) and self._earlier_grants(message) is not None
 
-    def is_leased(self, ref: ItemRef) -> bool:
-        """Return whether the attempt is the one that holds the item."""
-        return (
+    def no_longer_leased(self, refs: tuple[ItemRef, ...]) -> tuple[ItemRef, ...]:
+        """Return those attempts that do not hold their items."""
+        numbers = self._job_numbers(refs)
+        keys = [item_key(numbers[ref.job_id], ref.index) for ref in refs if ref.job_id in numbers]
+        holders = dict(
             self._connection.execute(
-                "SELECT 1 FROM items WHERE job_id = ? AND item_index = ? "
-                "AND attempt = ? AND leased = 1",
-                (ref.job_id, ref.index, ref.attempt),
-            ).fetchone()
-            is not None
+                "SELECT item_key, attempt FROM items WHERE leased = 1 AND item_key IN "
+                "(SELECT value FROM json_each(?))",
+                (json_list(keys),),
+            ).fetchall()
         )
 
+        def holds(ref: ItemRef) -> bool:
+            number = numbers.get(ref.job_id)
+            return number is not None and holders.get(item_key(number, ref.index)) == ref.attempt
+
+        return tuple(ref for ref in refs if not holds(ref))
+
     def release(self, refs: Iterable[ItemRef]) -> Accepted:
         """Make items available again whose lease lapsed or was returned."""
-        released: Counter[str] = Counter()
+        refs = tuple(refs)
+        numbers = self._job_numbers(refs)
+        by_job: dict[str, list[ItemRef]] = defaultdict(list)
         for ref in refs:
-            changed = self._connection.execute(
-                "UPDATE items SET leased = 0 WHERE job_id = ? AND item_index = ? "
-                "AND attempt = ? AND leased = 1",
-                (ref.job_id, ref.index, ref.attempt),
+            if ref.job_id in numbers:
+                by_job[ref.job_id].append(ref)
+        for job_id, of_job in by_job.items():
+            changed = self._connection.executemany(
+                "UPDATE items SET leased = 0 WHERE item_key = ? AND attempt = ? AND leased = 1",
+                [(item_key(numbers[job_id], ref.index), ref.attempt) for ref in of_job],
             )
-            released[ref.job_id] += changed.rowcount
-        for job_id, count in released.items():
-            self._jobs.add_available(job_id, count)
+            self._jobs.add_available(job_id, changed.rowcount)
         return Accepted()
 
-    def complete(
-        self, message: CompleteItems, max_attempts: int, at_unix_s: float
-    ) -> CompletedItems:
-        """Record ends of attempts; the first recorded end of an item is the one that stays."""
-        progress: dict[str, JobProgress | None] = {}
-        completed: Counter[str] = Counter()
-        failed: Counter[str] = Counter()
-        verdicts = []
-        for completion in message.completions:
-            job_id = completion.ref.job_id
-            if job_id not in progress:
-                progress[job_id] = self._jobs.progress(job_id)
-            verdict = self._verdict(completion, progress[job_id], max_attempts)
-            if verdict is None:
-                verdict = CompletionVerdict.RECORDED
-                counter = completed if completion.status in HTTP_SUCCESS else failed
-                counter[job_id] += 1
-            verdicts.append(verdict)
-        for job_id in completed | failed:
-            self._jobs.count_ended(job_id, completed[job_id], failed[job_id], at_unix_s)
-        return CompletedItems(verdicts=tuple(verdicts))
-
     def leased_refs(self) -> list[tuple[ItemRef, float]]:
         """Return all leases with their terms in seconds, for a leader that starts its clock."""
         return [
-            (ItemRef(job_id, index, attempt), lease_s)
-            for job_id, index, attempt, lease_s in self._connection.execute(
-                "SELECT job_id, item_index, attempt, lease_s FROM items WHERE leased = 1"
+            (ItemRef(job_id, item_index(key), attempt), lease_s)
+            for job_id, key, attempt, lease_s in self._connection.execute(
+                "SELECT job_id, item_key, attempt, lease_s FROM items "
+                "JOIN jobs ON job_number = item_key >> 32 WHERE leased = 1"
             )
         ]
 
+    def _job_numbers(self, refs: Iterable[ItemRef]) -> dict[str, int]:
+        """Return the numbers of the jobs that exist."""
+        progress = {job_id: self._jobs.progress(job_id) for job_id in {x.job_id for x in refs}}
+        return {job_id: job.job_number for job_id, job in progress.items() if job}
+
     def _earlier_grants(self, message: LeaseItems) -> tuple[LeaseGrant, ...] | None:
         row = self._connection.execute(
             "SELECT items FROM lease_requests WHERE worker = ? AND service = ? AND request_id = ?",
@@ -189,94 +167,38 @@
             LeaseGrant(job.job_id, job.file_id, tenant, job.next_index + offset, 1)
             for offset in range(new_count)
         ]
-        self._connection.executemany(
-            "INSERT INTO items VALUES (?, ?, 1, 1, ?, ?, 0, 0)",
-            [(job.job_id, grant.index, message.worker, message.lease_s) for grant in grants],
+        self._connection.execute(
+            "INSERT INTO items SELECT value, 1, 1, ?, ?, 0, 0 FROM json_each(?)",
+            (
+                message.worker,
+                message.lease_s,
+                json_list(item_key(job.job_number, grant.index) for grant in grants),
+            ),
         )
-        returned = self._connection.execute(
-            "SELECT item_index, attempt FROM items WHERE job_id = ? AND leased = 0 "
-            "ORDER BY item_index LIMIT ?",
-            (job.job_id, wanted - new_count),
-        ).fetchall()
-        for index, attempt in returned:
+        returned = self._lease_returned(message, job, wanted - new_count)
+        for key, attempt in returned:
+            index = item_index(key)
             grants.append(LeaseGrant(job.job_id, job.file_id, tenant, index, attempt + 1))
-        self._connection.executemany(
-            "UPDATE items SET leased = 1, attempt = ?, worker = ?, lease_s = ? "
-            "WHERE job_id = ? AND item_index = ?",
-            [
-                (attempt + 1, message.worker, message.lease_s, job.job_id, index)
-                for index, attempt in returned
-            ],
-        )
         self._jobs.take_items(job.job_id, new_count, len(returned))
         return grants
 
-    def _verdict(
-        self, completion: ItemCompletion, job: JobProgress | None, max_attempts: int
-    ) -> CompletionVerdict | None:
-        """Judge one completion; ``None`` means that it was recorded now."""
-        ref = completion.ref
-        if job is None:
-            return CompletionVerdict.NO_SUCH_ITEM
-        ended = self._connection.execute(
-            "SELECT attempt FROM results WHERE job_id = ? AND item_index = ?",
-            (ref.job_id, ref.index),
-        ).fetchone()
-        if ended:
-            # The same attempt again is a resend whose answer was lost.
-            same = ended[0] == ref.attempt
-            return CompletionVerdict.RECORDED if same else CompletionVerdict.ALREADY_COMPLETE
-        if job.state is JobState.CANCELLED:
-            return CompletionVerdict.JOB_CANCELLED
-        row = self._item_row(ref)
-        if row is None or not 0 < ref.attempt <= row.attempt:
-            return CompletionVerdict.NO_SUCH_ITEM
-        if completion.retryable and self._may_retry(ref, row, max_attempts):
-            return CompletionVerdict.RETRY_LATER
-        self._record(completion, row)
-        return None
-
-    def _item_row(self, ref: ItemRef) -> _ItemRow | None:
-        row = self._connection.execute(
-            "SELECT leased, attempt, failures, last_failed_attempt FROM items "
-            "WHERE job_id = ? AND item_index = ?",
-            (ref.job_id, ref.index),
-        ).fetchone()
-        return _ItemRow(*row) if row else None
-
-    def _may_retry(self, ref: ItemRef, row: _ItemRow, max_attempts: int) -> bool:
-        """Count a failed attempt, each attempt once; return whether another may follow."""
-        if ref.attempt <= row.last_failed_attempt:
-            return True
-        if row.failures + 1 >= max_attempts:
-            return False
-        self._connection.execute(
-            "UPDATE items SET failures = failures + 1, last_failed_attempt = ? "
-            "WHERE job_id = ? AND item_index = ?",
-            (ref.attempt, ref.job_id, ref.index),
-        )
-        self.release((ref,))
-        return True
-
-    def _record(self, completion: ItemCompletion, row: _ItemRow) -> None:
-        ref = completion.ref
-        self._connection.execute(
-            "DELETE FROM items WHERE job_id = ? AND item_index = ?", (ref.job_id, ref.index)
-        )
+    def _lease_returned(
+        self, message: LeaseItems, job: JobWithWork, wanted: int
+    ) -> list[tuple[int, int]]:
+        """Lease items that were leased before; return their keys and last attempts."""
+        if not wanted:
+            return []
+        returned = self._connection.execute(
+            "SELECT item_key, attempt FROM items WHERE leased = 0 "
+            "AND item_key BETWEEN ? AND ? ORDER BY item_key LIMIT ?",
+            (item_key(job.job_number, 0), item_key(job.job_number + 1, 0) - 1, wanted),
+        ).fetchall()
         self._connection.execute(
-            "INSERT INTO results VALUES (?, ?, ?, ?, ?, ?)",
-            (
-                ref.job_id,
-                ref.index,
-                ref.attempt,
-                int(completion.status not in HTTP_SUCCESS),
-                completion.status,
-                bytes(completion.response),
-            ),
+            "UPDATE items SET leased = 1, attempt = attempt + 1, worker = ?, lease_s = ? "
+            "WHERE item_key IN (SELECT value FROM json_each(?))",
+            (message.worker, message.lease_s, json_list(key for key, _ in returned)),
         )
-        if not row.leased:
-            # The item was available again; a late end takes it out of what can be leased.
-            self._jobs.add_available(ref.job_id, -1)
+        return returned
 
 
 def _ref(grant: LeaseGrant) -> ItemRef:
--- a/src/quaymill/process/job_store/job_state.py
+++ b/src/quaymill/process/job_store/job_state.py
@@ -14,6 +14,7 @@
     JobState,
     StoreConflict,
 )
+from quaymill.process.job_store.schema import item_key
 
 _RECORD_COLUMNS = (
     "job_id, file_id, tenant, endpoint, service, state, created_unix_s, deadline_unix_s, "
@@ -26,6 +27,7 @@
     """A job that has items to lease."""
 
     job_id: str
+    job_number: int
     file_id: str
     next_index: int
     total: int
@@ -35,9 +37,8 @@
 class JobProgress(msgspec.Struct, frozen=True):
     """What the verdict on a completion depends on."""
 
+    job_number: int
     state: JobState
-    total: int
-    next_index: int
 
 
 class JobStateTable:
@@ -89,15 +90,19 @@
             (JobState.CANCELLED.value, at_unix_s, message.job_id, JobState.IN_PROGRESS.value),
         )
         if changed.rowcount:
-            self._connection.execute("DELETE FROM items WHERE job_id = ?", (message.job_id,))
+            number = self.progress(message.job_id).job_number
+            self._connection.execute(
+                "DELETE FROM items WHERE item_key BETWEEN ? AND ?",
+                (item_key(number, 0), item_key(number + 1, 0) - 1),
+            )
         return self.get(message.job_id)
 
     def progress(self, job_id: str) -> JobProgress | None:
         """Return a job's state and cursor; ``None`` if there is no such job."""
         row = self._connection.execute(
-            "SELECT state, total, next_index FROM jobs WHERE job_id = ?", (job_id,)
+            "SELECT job_number, state FROM jobs WHERE job_id = ?", (job_id,)
         ).fetchone()
-        return JobProgress(JobState(row[0]), row[1], row[2]) if row else None
+        return JobProgress(row[0], JobState(row[1])) if row else None
 
     def has_work(self, service: str) -> bool:
         """Return whether any item of the service can be leased."""
@@ -131,7 +136,7 @@
     def first_with_work(self, service: str, tenant: str) -> JobWithWork | None:
         """Return the tenant's job with the nearest deadline that has items to lease."""
         row = self._connection.execute(
-            "SELECT job_id, file_id, next_index, total, available FROM jobs "
+            "SELECT job_id, job_number, file_id, next_index, total, available FROM jobs "
             "WHERE service = ? AND tenant = ? AND available > 0 "
             "ORDER BY deadline_unix_s, job_id LIMIT 1",
             (service, tenant),
@@ -203,11 +208,13 @@
 
     def _insert(self, message: CreateJob, item_count: int) -> None:
         empty = item_count == 0
+        highest = self._connection.execute("SELECT MAX(job_number) FROM jobs").fetchone()[0]
         state = JobState.COMPLETED if empty else JobState.IN_PROGRESS
         self._connection.execute(
-            "INSERT INTO jobs VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, 0, 0, 0, ?)",
+            "INSERT INTO jobs VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, 0, 0, 0, ?)",
             (
                 message.job_id,
+                (highest or 0) + 1,
                 message.file_id,
                 message.tenant,
                 message.endpoint,
--- a/src/quaymill/process/job_store/reads.py
+++ b/src/quaymill/process/job_store/reads.py
@@ -35,7 +35,7 @@
         )
         began_s = time.monotonic()
         replica.read_wanted_s = began_s
-        replica.lock.notify_all()
+        replica.to_send.notify_all()
         read_index = replica.commit_index
 
         def confirmed() -> bool:
--- a/src/quaymill/process/job_store/replica.py
+++ b/src/quaymill/process/job_store/replica.py
@@ -65,6 +65,9 @@
     ----------
     lock
         Guards the fields below; notified whenever one of them changes.
+    to_send, to_commit
+        Conditions on the same lock: there is something for the peers, or for the thread that
+        commits and applies. Apart, so that a message does not wake every thread.
     leader_contact_s
         Monotonic time at which the leader was last heard, or an election was last held.
     peer_contact_s
@@ -91,7 +94,10 @@
         self.settings = settings
         self.state = StateMachine(storage.connection)
         self.address = address
-        self.lock = threading.Condition(threading.RLock())
+        self._mutex = threading.RLock()
+        self.lock = threading.Condition(self._mutex)
+        self.to_send = threading.Condition(self._mutex)
+        self.to_commit = threading.Condition(self._mutex)
         self.role = Role.FOLLOWER
         self.term = storage.term
         self.leader = ""
@@ -113,6 +119,11 @@
         """The random id of this replica."""
         return self.storage.identity
 
+    def wake_all(self) -> None:
+        """Let every thread of the replica look at what has changed; ``lock`` is held."""
+        for condition in (self.lock, self.to_send, self.to_commit):
+            condition.notify_all()
+
     # Role and term
 
     def step_down(self, term: int, leader: str = "") -> None:
@@ -126,7 +137,7 @@
                 self.role = Role.FOLLOWER
             self.leader = leader
             self.leader_contact_s = time.monotonic()
-            self.lock.notify_all()
+            self.wake_all()
         if was_leader:
             log_message("store:leader_steps_down", group=self.group, term=term)
             self.on_role_change()
@@ -150,7 +161,7 @@
         with self.lock:
             self.role = Role.STOPPED
             self.leader = ""
-            self.lock.notify_all()
+            self.wake_all()
         self.on_role_change()
 
     def become_leader(self) -> None:
@@ -161,7 +172,7 @@
         self.match_index = {}
         now = time.monotonic()
         self.peer_contact_s = {replica.identity: now for replica in self.membership.replicas()}
-        self.lock.notify_all()
+        self.wake_all()
         log_message("store:leader_elected", group=self.group, term=self.term)
 
     def leader_endpoint(self) -> Endpoint | None:
@@ -241,7 +252,11 @@
     # Entries from the leader
 
     def handle_append(self, message: AppendEntries) -> Appended | PeerRefusal:
-        """Take entries from the leader; they are on disk before this is answered."""
+        """Take entries from the leader; they are on disk before this is answered.
+
+        They are applied afterwards, by the thread that commits, so that the leader does not
+        wait for it.
+        """
         refusal = self.refusal_for(message.recipient)
         if refusal:
             return refusal
@@ -286,12 +301,12 @@
         end = message.previous_index + len(message.entries)
         with self.lock:
             self.commit_index = max(self.commit_index, min(message.commit_index, end))
-        self.apply_committed()
         if written:
             self.storage.commit()
         with self.lock:
             self.last_index = self.storage.last_index
             self.lock.notify_all()
+            self.to_commit.notify()
         return self._appended(True, end)
 
     def _matches(self, message: AppendEntries) -> bool:
@@ -328,7 +343,7 @@
         """Put a membership in force."""
         with self.lock:
             self.membership = membership
-            self.lock.notify_all()
+            self.wake_all()
         self.on_role_change()
 
     def _appended(self, matched: bool, last_index: int) -> Appended:
@@ -350,6 +365,7 @@
             if index >= self.term_start_index and index > self.commit_index:
                 self.commit_index = index
                 self.lock.notify_all()
+                self.to_commit.notify()
 
     def apply_committed(
         self, on_result: Callable[[LogEntry, LoggedCommand, Result], None] | None = None
--- a/src/quaymill/process/job_store/replication.py
+++ b/src/quaymill/process/job_store/replication.py
@@ -48,7 +48,7 @@
         """End the thread after its present message."""
         with self._replica.lock:
             self._stopping = True
-            self._replica.lock.notify_all()
+            self._replica.to_send.notify_all()
 
     def join(self, timeout_s: float) -> None:
         """Wait for the thread's end."""
@@ -75,7 +75,7 @@
                 due_in_s = self._last_sent_s + replica.settings.heartbeat_s - time.monotonic()
                 if due_in_s <= 0 or (not self._failed and self._has_news()):
                     return True
-                replica.lock.wait(due_in_s)
+                replica.to_send.wait(due_in_s)
         return False
 
     def _has_news(self) -> bool:
--- a/src/quaymill/process/job_store/retention.py
+++ b/src/quaymill/process/job_store/retention.py
@@ -6,6 +6,7 @@
 
 from quaymill.connection.job_messages import Accepted
 from quaymill.process.job_store.commands import PurgeExpired
+from quaymill.process.job_store.schema import item_key
 
 
 def anything_to_purge(connection: sqlite3.Connection, before_unix_s: float) -> bool:
@@ -37,19 +38,19 @@
 
 def _purge_jobs(connection: sqlite3.Connection, message: PurgeExpired) -> None:
     job = connection.execute(
-        "SELECT job_id FROM jobs WHERE ended_unix_s < ? AND ended_unix_s IS NOT NULL "
+        "SELECT job_number FROM jobs WHERE ended_unix_s < ? AND ended_unix_s IS NOT NULL "
         "ORDER BY ended_unix_s, job_id LIMIT 1",
         (message.before_unix_s,),
     ).fetchone()
     if job is None:
         return
     removed = connection.execute(
-        "DELETE FROM results WHERE job_id = ? AND item_index IN "
-        "(SELECT item_index FROM results WHERE job_id = ? ORDER BY item_index LIMIT ?)",
-        (job[0], job[0], message.limit),
+        "DELETE FROM results WHERE item_key IN (SELECT item_key FROM results "
+        "WHERE item_key BETWEEN ? AND ? ORDER BY item_key LIMIT ?)",
+        (item_key(job[0], 0), item_key(job[0] + 1, 0) - 1, message.limit),
     )
     if removed.rowcount < message.limit:
-        connection.execute("DELETE FROM jobs WHERE job_id = ?", job)
+        connection.execute("DELETE FROM jobs WHERE job_number = ?", job)
 
 
 def _purge_files(connection: sqlite3.Connection, message: PurgeExpired) -> None:
--- a/src/quaymill/process/job_store/schema.py
+++ b/src/quaymill/process/job_store/schema.py
@@ -2,12 +2,27 @@
 
 The state tables are filled by the state machine alone; a snapshot consists of their rows.
 Log and replica tables belong to this replica and are never sent.
+
+Items and results are keyed by one integer, the job's number and the item's index, which
+keeps their trees small and lets a job's rows lie side by side.
 """
 
 from __future__ import annotations
 
 import msgspec
 
+INDEX_BITS = 32
+
+
+def item_key(job_number: int, index: int) -> int:
+    """Return the key of an item; the keys of a job's items follow one another."""
+    return (job_number << INDEX_BITS) | index
+
+
+def item_index(key: int) -> int:
+    """Return the item's index within its job."""
+    return key & ((1 << INDEX_BITS) - 1)
+
 
 class StateTable(msgspec.Struct, frozen=True):
     """One state table.
@@ -83,6 +98,7 @@
     name="jobs",
     columns=(
         ("job_id", "TEXT"),
+        ("job_number", "INTEGER"),
         ("file_id", "TEXT"),
         ("tenant", "TEXT"),
         ("endpoint", "TEXT"),
@@ -102,6 +118,7 @@
     constraint="PRIMARY KEY (job_id)",
     options="WITHOUT ROWID",
     indexes=(
+        ("jobs_by_number", "(job_number)"),
         ("jobs_by_key", "(tenant, idempotency_key) WHERE idempotency_key <> ''"),
         ("jobs_by_tenant", "(tenant, created_unix_s)"),
         ("jobs_by_file", "(file_id)"),
@@ -113,8 +130,7 @@
 ITEMS = StateTable(
     name="items",
     columns=(
-        ("job_id", "TEXT"),
-        ("item_index", "INTEGER"),
+        ("item_key", "INTEGER"),
         ("leased", "INTEGER"),
         ("attempt", "INTEGER"),
         ("worker", "TEXT"),
@@ -122,23 +138,21 @@
         ("failures", "INTEGER"),
         ("last_failed_attempt", "INTEGER"),
     ),
-    constraint="PRIMARY KEY (job_id, item_index)",
-    options="WITHOUT ROWID",
-    indexes=(("items_returned", "(job_id, item_index) WHERE leased = 0"),),
+    constraint="PRIMARY KEY (item_key)",
+    indexes=(("items_returned", "(item_key) WHERE leased = 0"),),
 )
 
 RESULTS = StateTable(
     name="results",
     columns=(
-        ("job_id", "TEXT"),
-        ("item_index", "INTEGER"),
+        ("item_key", "INTEGER"),
         ("attempt", "INTEGER"),
         ("failed", "INTEGER"),
         ("status", "INTEGER"),
         ("response", "BLOB"),
     ),
-    constraint="PRIMARY KEY (job_id, item_index)",
-    indexes=(("results_failed", "(job_id, item_index) WHERE failed = 1"),),
+    constraint="PRIMARY KEY (item_key)",
+    indexes=(("results_failed", "(item_key) WHERE failed = 1"),),
 )
 
 CALLS = StateTable(
--- a/src/quaymill/process/job_store/state_machine.py
+++ b/src/quaymill/process/job_store/state_machine.py
@@ -25,7 +25,6 @@
     FinishCall,
     GetFile,
     GetJob,
-    ItemRef,
     JobList,
     LeasedItem,
     LeasedItems,
@@ -44,6 +43,7 @@
     Noop,
     PurgeExpired,
 )
+from quaymill.process.job_store.completions import CompletionReport
 from quaymill.process.job_store.file_state import FileState
 from quaymill.process.job_store.item_state import ItemState, LeaseGrant
 from quaymill.process.job_store.job_state import JobStateTable
@@ -87,9 +87,9 @@
             CreateJob: lambda message, logged: self.jobs.create(message),
             CancelJob: lambda message, logged: self.jobs.cancel(message, logged.at_unix_s),
             LeaseItems: lambda message, logged: Grants(self.items.lease(message, logged.at_unix_s)),
-            CompleteItems: lambda message, logged: self.items.complete(
-                message, logged.item_max_attempts, logged.at_unix_s
-            ),
+            CompleteItems: lambda message, logged: CompletionReport(
+                connection, self.jobs, message, logged.item_max_attempts
+            ).apply(logged.at_unix_s),
             BeginCall: lambda message, logged: self.calls.begin(message, logged.at_unix_s),
             FinishCall: lambda message, logged: self.calls.finish(message),
             AbandonCall: lambda message, logged: self.calls.abandon(message),
@@ -146,7 +146,3 @@
             case ReadResults():
                 return read_results(self._connection, self.files, message)
         raise TypeError(f"{type(message).__name__} is not a read")
-
-    def no_longer_leased(self, refs: tuple[ItemRef, ...]) -> tuple[ItemRef, ...]:
-        """Return those attempts that do not hold their items any more."""
-        return tuple(ref for ref in refs if not self.items.is_leased(ref))
--- a/tests/test_job_store_state.py
+++ b/tests/test_job_store_state.py
@@ -160,7 +160,7 @@
         anew = self.lease()[0]
         for release in (ExpireLeases, lambda refs: m.ReturnItems(0, "w", refs)):
             self.apply(release((ref(old),)))
-        self.assertEqual((ref(old),), self.machine.no_longer_leased((ref(old), ref(anew))))
+        self.assertEqual((ref(old),), self.machine.items.no_longer_leased((ref(old), ref(anew))))
         self.assertEqual([], self.lease())
 
     def test_repeated_lease_request_gets_the_same_items(self):
@@ -191,7 +191,7 @@
             (m.JobState.CANCELLED, 7.0, 1), (record.state, record.ended_unix_s, record.completed)
         )
         self.assertEqual([], self.lease(9))
-        self.assertEqual((ref(leased[1]),), self.machine.no_longer_leased((ref(leased[1]),)))
+        self.assertEqual((ref(leased[1]),), self.machine.items.no_longer_leased((ref(leased[1]),)))
         self.assertEqual(record, self.apply(m.CancelJob(0, "j"), at=8.0))
 
     def test_job_without_items_is_complete_at_once(self):
@@ -341,6 +341,6 @@
         broken = m.ItemCompletion(ref(leased[1]), 200, None)
         answer = self.apply(m.CompleteItems(0, "w", (completion(leased[0]), broken)))
         self.assertIsInstance(answer, m.StoreConflict)
-        self.assertEqual((), self.machine.no_longer_leased(tuple(ref(x) for x in leased)))
+        self.assertEqual((), self.machine.items.no_longer_leased(tuple(ref(x) for x in leased)))
         self.assertEqual([], list(self.machine.read(m.ReadResults(0, "j", -1, 9)).results))
         self.assertEqual(before, self.record())
