Take a batch of proposals only when the disk is free

Cause: proposals that came while the writer waited for the storage's lock missed its batch. Tried and dropped: letting the proposing thread write, and the replicating thread apply, when nobody else holds the storage, to save two changes of threads.

--- a/src/quaymill/process/job_store/group_commit.py
+++ b/src/quaymill/process/job_store/group_commit.py
@@ -108,38 +108,41 @@
 
     def _run(self) -> None:
         while True:
-            batch = self._wait_for_work()
-            if self._stopping:
-                for proposal in batch:
-                    proposal.answer.set_result(NotLeader())
-                return
-            try:
-                with self._replica.storage.lock:
-                    self._replica.apply_committed(self._resolve)
-                    if batch:
-                        self._write(batch)
-                    elif not self._has_work():
-                        self._replica.storage.commit()
-            except sqlite3.Error as error:
-                self._replica.stop_for_fault(error)
-                for proposal in batch:
-                    _give(proposal.answer, StoreUnavailable(f"the disk failed: {error}"))
-                return
+            with self._replica.lock:
+                self._replica.to_commit.wait_for(self._has_work, IDLE_COMMIT_S)
+                if self._stopping or self._replica.role is Role.STOPPED:
+                    return
+            with self._replica.storage.lock:
+                # Taken only now, as more proposals have come while this thread waited.
+                batch = self._take_batch()
+                try:
+                    self._serve(batch)
+                except sqlite3.Error as error:
+                    self._replica.stop_for_fault(error)
+                    for proposal in batch:
+                        _give(proposal.answer, StoreUnavailable(f"the disk failed: {error}"))
 
     def _has_work(self) -> bool:
         replica = self._replica
         return bool(self._queue) or replica.applied_index < replica.commit_index or self._stopping
 
-    def _wait_for_work(self) -> list[_Proposal]:
+    def _take_batch(self) -> list[_Proposal]:
+        batch: list[_Proposal] = []
+        size_bytes = 0
         with self._replica.lock:
-            self._replica.to_commit.wait_for(self._has_work, IDLE_COMMIT_S)
-            batch: list[_Proposal] = []
-            size_bytes = 0
             while self._queue and size_bytes < MAX_BATCH_BYTES:
                 proposal = self._queue.popleft()
                 size_bytes += len(proposal.encoded)
                 batch.append(proposal)
-            return batch
+        return batch
+
+    def _serve(self, batch: list[_Proposal]) -> None:
+        self._replica.apply_committed(self._resolve)
+        if batch:
+            self._write(batch)
+        elif not self._has_work():
+            # No entries come that the applied state could go with.
+            self._replica.storage.commit()
 
     def _write(self, batch: list[_Proposal]) -> None:
         """Write a batch; the peers receive it while this replica waits for its own disk."""
