--- a/src/quaymill/process/replicas/router.py
+++ b/src/quaymill/process/replicas/router.py
@@ -98,9 +98,10 @@
                 del weights[group]
             return chosen
 
-    def record_success(self, replica: ReplicaView) -> None:
-        """Note that a replica answered."""
-        self._ejector.record_success(replica)
+    def record_success(self, replica: ReplicaView, first_byte_s: float) -> None:
+        """Note that a replica answered, and when its first byte came."""
+        same_service = self._load_view.replicas(replica.machine.service)
+        self._ejector.record_success(replica, same_service, first_byte_s)
 
     def record_failure(self, replica: ReplicaView, failure: Failure) -> None:
         """Note what a failed attempt says about its replica."""
@@ -113,6 +114,12 @@
         same_service = self._load_view.replicas(replica.machine.service)
         self._ejector.record_failure(replica, same_service, certain=certain)
 
+    def forget_failures(self) -> None:
+        """Take all ejected replicas back at once; for operators who know better."""
+        for replica in self._load_view.all_replicas():
+            replica.forget_failures()
+        self._ejector.forget()
+
     def _usable_groups(
         self, configuration: ServingConfiguration, service: str, exclude: Collection[str]
     ) -> dict[str, list[ReplicaView]]:
