--- a/src/quaymill/process/configuration/service.py
+++ b/src/quaymill/process/configuration/service.py
@@ -40,7 +40,12 @@
 from quaymill.process.settings import NodeSettings
 from quaymill.version.checks import check_configuration
 from quaymill.version.configuration import EMPTY_CONFIGURATION, ServingConfiguration
-from quaymill.version.differences import DifferenceLog, apply_difference, find_difference
+from quaymill.version.differences import (
+    ConfigurationDifference,
+    DifferenceLog,
+    apply_difference,
+    find_difference,
+)
 
 PULL_TIMEOUT_S = 2.0
 PULL_CHECK_INTERVAL_S = 1.0
@@ -96,6 +101,7 @@
         self._differences = DifferenceLog()
         self._machine_changes = MachineListLog()
         self._last = EMPTY_CONFIGURATION
+        self._pulled: tuple[ConfigurationDifference, ...] = ()
         self._wake = threading.Event()
         self._stopping = threading.Event()
         follower = ConfigurationFollower(platform_client, holder, self._watch_problems)
@@ -178,12 +184,25 @@
     def _on_configuration(self, configuration: ServingConfiguration) -> None:
         if configuration.generation <= self._last.generation:
             return
-        self._differences.add(find_difference(self._last, configuration))
+        self._differences.add(self._differences_to(configuration))
         self._last = configuration
         self._membership.publish(configuration_generation=configuration.generation)
         if self._settings.data_folder:
             store_copy(Path(self._settings.data_folder), configuration, self._problems)
 
+    def _differences_to(
+        self, configuration: ServingConfiguration
+    ) -> tuple[ConfigurationDifference, ...]:
+        """Return what led to ``configuration``: as it was pulled, else by comparison."""
+        pulled = self._pulled
+        if (
+            pulled
+            and pulled[0].base_generation == self._last.generation
+            and pulled[-1].generation == configuration.generation
+        ):
+            return pulled
+        return (find_difference(self._last, configuration),)
+
     def _on_machine_list(self, machine_list: MachineList) -> None:
         if not machine_list.version:
             return
@@ -252,6 +271,7 @@
                     held = apply_difference(held, difference)
                     if held is None:
                         return self._pull_whole(peer)
+                self._pulled = reply.differences
                 return self._offer(held)
         return False
 
--- a/src/quaymill/process/membership/membership.py
+++ b/src/quaymill/process/membership/membership.py
@@ -145,7 +145,11 @@
         revision = self._table.revision
         for record in datagram.records:
             news = self._table.merge(record)
-            if news is not None:
+            # What a comparison brings is passed on by comparisons; only what its own member
+            # says, and what a probe found, is worth a datagram of each node.
+            if news is not None and (
+                not isinstance(datagram, SyncAnswer) or news.name == self.local().name
+            ):
                 self._news.add(news)
         self._table.heard_from(
             datagram.sender, datagram.incarnation, datagram.generation, datagram.machines
--- a/src/quaymill/version/cells.py
+++ b/src/quaymill/version/cells.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable, Iterator
 from typing import Any, get_type_hints
 
@@ -30,7 +31,7 @@
     "tuning": Tuning,
 }
 NAMES_IN_ROW = {"zone_groups": 1, "services": 1, "routes": 2, "tenants": 1, "tuning": 0}
-FORBIDDEN_IN_NAMES = frozenset(' /=,"')
+VALID_NAME = re.compile(r'[^\s/=,"]+')
 
 
 class CellProblem(msgspec.Struct, frozen=True):
@@ -93,7 +94,7 @@
 
 def is_valid_name(name: str) -> bool:
     """Return whether a row may bear ``name``."""
-    return bool(name) and name.isprintable() and not FORBIDDEN_IN_NAMES & set(name)
+    return name.isprintable() and VALID_NAME.fullmatch(name) is not None
 
 
 def cell_type(path: CellPath) -> Any:
--- a/src/quaymill/version/checks.py
+++ b/src/quaymill/version/checks.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-import math
 import re
+import sys
 from collections.abc import Iterator
 from typing import Any
 
@@ -26,6 +26,25 @@
 KEY_HASH = re.compile(r"[0-9a-f]{64}")
 MAX_LIMIT = 1_000_000
 MAX_NAME_LENGTH = 100
+LARGEST_FLOAT = sys.float_info.max
+
+Ranges = dict[str, tuple[float, float]]
+
+ROUTE_RANGES: Ranges = {
+    "weight": (0, MAX_LIMIT),
+    "online_limit": (0, MAX_LIMIT),
+    "batch_limit": (0, MAX_LIMIT),
+}
+TENANT_RANGES: Ranges = {
+    "requests_per_s": (0, LARGEST_FLOAT),
+    "tokens_per_s": (0, LARGEST_FLOAT),
+    "concurrency": (0, MAX_LIMIT),
+}
+TUNING_RANGES: Ranges = {
+    "batch_reserve": (0, MAX_LIMIT),
+    "result_retention_s": (60, LARGEST_FLOAT),
+    "item_max_attempts": (1, 1000),
+}
 
 
 class InvalidConfiguration(msgspec.Struct, frozen=True):
@@ -77,7 +96,7 @@
     for table in ROW_TYPES:
         for names, _ in rows_of(configuration, table):
             for name in names:
-                if not is_valid_name(name) or len(name) > MAX_NAME_LENGTH:
+                if len(name) > MAX_NAME_LENGTH or not is_valid_name(name):
                     yield CellProblem(
                         "/".join((table, *names)),
                         f"{name!r} cannot be a name",
@@ -108,9 +127,7 @@
             yield CellProblem(
                 row, f"there is no zone group {group}", f"set zone_groups/{group}/zones"
             )
-        yield from _check_number(f"{row}/weight", route.weight, 0, MAX_LIMIT)
-        yield from _check_number(f"{row}/online_limit", route.online_limit, 0, MAX_LIMIT)
-        yield from _check_number(f"{row}/batch_limit", route.batch_limit, 0, MAX_LIMIT)
+        yield from _check_numbers(row, route, ROUTE_RANGES)
 
 
 def _check_tenants(configuration: ServingConfiguration) -> Iterator[CellProblem]:
@@ -129,22 +146,24 @@
                 yield CellProblem(
                     f"{row}/key_hashes", f"holds a key of tenant {other}", "give it its own key"
                 )
-        yield from _check_number(f"{row}/requests_per_s", tenant.requests_per_s, 0, math.inf)
-        yield from _check_number(f"{row}/tokens_per_s", tenant.tokens_per_s, 0, math.inf)
-        yield from _check_number(f"{row}/concurrency", tenant.concurrency, 0, MAX_LIMIT)
+        yield from _check_numbers(row, tenant, TENANT_RANGES)
 
 
 def _check_tuning(configuration: ServingConfiguration) -> Iterator[CellProblem]:
-    tuning = configuration.tuning
-    yield from _check_number("tuning/batch_reserve", tuning.batch_reserve, 0, MAX_LIMIT)
-    yield from _check_number("tuning/result_retention_s", tuning.result_retention_s, 60, math.inf)
-    yield from _check_number("tuning/item_max_attempts", tuning.item_max_attempts, 1, 1000)
-
-
-def _check_number(cell: str, value: float, lowest: float, highest: float) -> Iterator[CellProblem]:
-    if not (math.isfinite(value) and lowest <= value <= highest):
-        upper = "" if math.isinf(highest) else f" to {highest}"
-        yield CellProblem(cell, f"is {value}", f"use a number from {lowest}{upper}")
+    yield from _check_numbers("tuning", configuration.tuning, TUNING_RANGES)
+
+
+def _check_numbers(row: str, cells: Any, ranges: Ranges) -> tuple[CellProblem, ...]:
+    """Check the numbers of one row; a table has thousands of rows, nearly all of them good."""
+    problems = ()
+    for column, (lowest, highest) in ranges.items():
+        value = getattr(cells, column)
+        # The comparison fails for what is not a number, too.
+        if not lowest <= value <= highest:
+            upper = "" if highest == LARGEST_FLOAT else f" to {highest}"
+            remedy = f"use a number from {lowest}{upper}"
+            problems = (*problems, CellProblem(f"{row}/{column}", f"is {value}", remedy))
+    return problems
 
 
 def _locate_problems(tree: Any) -> Iterator[CellProblem]:
--- a/src/quaymill/version/differences.py
+++ b/src/quaymill/version/differences.py
@@ -4,6 +4,7 @@
 
 import threading
 from collections import deque
+from collections.abc import Iterable
 
 import msgspec
 import xxhash
@@ -84,10 +85,10 @@
         self._lock = threading.Lock()
         self._kept: deque[ConfigurationDifference] = deque(maxlen=MAX_KEPT_DIFFERENCES)
 
-    def add(self, difference: ConfigurationDifference) -> None:
-        """Keep the difference that has just been put in force."""
+    def add(self, differences: Iterable[ConfigurationDifference]) -> None:
+        """Keep the differences that have just been put in force, in their order."""
         with self._lock:
-            self._kept.append(difference)
+            self._kept.extend(differences)
 
     def since(self, generation: int) -> tuple[ConfigurationDifference, ...] | None:
         """Return the differences that lead on from a generation; ``None`` if not all are kept."""
@@ -101,6 +102,8 @@
 def _changed_cells(base: ServingConfiguration, target: ServingConfiguration) -> list[CellChange]:
     changes = []
     for table in ROW_TYPES:
+        if getattr(base, table) == getattr(target, table):
+            continue  # Most edits touch one table; comparing rows costs much more.
         before = dict(rows_of(base, table))
         after = dict(rows_of(target, table))
         for names in [*after, *(names for names in before if names not in after)]:
--- a/tests/test_configuration_edits.py
+++ b/tests/test_configuration_edits.py
@@ -221,7 +221,7 @@
         for number in range(150):
             changed = apply_edit(configuration, _random_edit(chance, configuration, number), 0.0)
             self.assertIsInstance(changed, ServingConfiguration, changed)
-            log.add(find_difference(configuration, changed))
+            log.add([find_difference(configuration, changed)])
             configuration = changed
             if chance.random() < 0.2:
                 for difference in log.since(follower.generation):
