--- a/src/quaymill_bench/hollow.py
+++ b/src/quaymill_bench/hollow.py
@@ -19,7 +19,7 @@
 from quaymill.process.replicas.status_rows import replica_rows
 from quaymill.process.settings import NodeSettings
 from quaymill.process.status.service import StatusService, StatusTiming
-from quaymill_bench.processes import free_port
+from quaymill_bench.ports import free_port
 
 HOST = "127.0.0.1"
 UNUSED_PORT = 1
