--- a/src/quaymill_bench/cluster.py
+++ b/src/quaymill_bench/cluster.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from quaymill.connection.endpoint import Endpoint
 from quaymill_bench.caller import Caller
 from quaymill_bench.cluster_members import CONTROL_TIMEOUT_S, HOST, Node, StandIn, expect_status
 from quaymill_bench.cluster_shape import (
@@ -302,6 +303,11 @@
     return output
 
 
+def endpoint_of(stand_in: StandIn) -> Endpoint:
+    """Return where a stand-in listens."""
+    return Endpoint(HOST, stand_in.port)
+
+
 def _tell_blocked(nodes: list[Node], peers: list[Node]) -> None:
     """Cut the links from each of ``nodes`` to ``peers``, as far as the nodes can be told."""
     addresses = [peer.peer_address for peer in peers]
