--- a/src/quaymill_bench/fault_checks.py
+++ b/src/quaymill_bench/fault_checks.py
@@ -15,6 +15,7 @@
 
 NOT_RUN = "not-run"
 RUNNING = "running"
+KILLED = "killed"
 CANCELLED = "cancelled"
 
 
@@ -65,8 +66,11 @@
         self._saved: dict[str, dict[str, dict]] = {}
 
     def save(self, engine: StandIn) -> None:
-        """Keep the journal of an engine that is about to be killed."""
+        """Keep the journal of an engine; what it runs ends if it is killed now."""
         runs = self._saved.setdefault(engine.name, {})
+        for run in runs.values():
+            if run["outcome"] == RUNNING:
+                run["outcome"] = KILLED
         for run in engine.journal():
             runs[run["request_id"]] = run
 
--- a/tests/test_bench_faults.py
+++ b/tests/test_bench_faults.py
@@ -9,7 +9,7 @@
 from nose2.tools import params
 
 from quaymill_bench.caller import Answer
-from quaymill_bench.fault_checks import RoundCheck, Violations
+from quaymill_bench.fault_checks import Journals, RoundCheck, Violations
 from quaymill_bench.fault_jobs import JobClient, JobOutcome, JobPlan
 from quaymill_bench.fault_schedule import FaultKind, draw_schedule
 from quaymill_bench.fault_workload import CallRecord, CallSend, OnlineRecord
@@ -181,3 +181,25 @@
         self.assertEqual(
             self.violations(engine_runs=[run], online=[record]), Violations(**expected)
         )
+
+
+class JournalsTest(unittest.TestCase):
+    """Runs that died with their engine do not count as still running."""
+
+    def test_a_run_of_a_killed_engine_is_not_running(self):
+        runs = [{"request_id": "r1", "outcome": "running"}]
+        engine = SimpleNamespace(name="engine", journal=lambda: list(runs))
+        journals = Journals()
+        journals.save(engine)
+        runs.clear()
+        cluster = SimpleNamespace(engines=[engine])
+        self.assertEqual([run["outcome"] for run in journals.engine_runs(cluster)], ["killed"])
+
+    def test_a_run_that_goes_on_is_running(self):
+        runs = [{"request_id": "r1", "outcome": "running"}]
+        engine = SimpleNamespace(name="engine", journal=lambda: [dict(run) for run in runs])
+        journals = Journals()
+        cluster = SimpleNamespace(engines=[engine])
+        for _ in range(2):
+            outcomes = [run["outcome"] for run in journals.engine_runs(cluster)]
+        self.assertEqual(outcomes, ["running"])
