Say why batch stands still, in the status and the metrics

Cause: nothing told an operator why a replica runs no batch items. Change: each scheduler names what bounds it (cell, online work and reserve, old load report, draining, ejection, back-off with its failure, no items, a silent log group) as a status note; gauges of running, allowed and leased items and a counter of ended runs.

--- a/src/quaymill/process/batch/lease_book.py
+++ b/src/quaymill/process/batch/lease_book.py
@@ -58,6 +58,7 @@
         self.work_wanted = threading.Condition(lock)
         self.polls: dict[str, _Poll] = {}
         self.lease_retry_s = 0.0
+        self.lease_failure = ""
         self.report_wanted = threading.Condition(lock)
         self.completions: deque[ItemCompletion] = deque()
         self.returns: deque[ItemRef] = deque()
@@ -159,6 +160,14 @@
             group.completions.append(ItemCompletion(work.ref, status, response, retryable))
             group.report_wanted.notify()
 
+    def shortage_reason(self, service: str) -> str:
+        """Return why no item of a service is here, for a person."""
+        with self._lock:
+            for number, group in enumerate(self._groups):
+                if group.lease_failure:
+                    return f"log group {number} gives no leases: {group.lease_failure}"
+        return f"no item of {service} waits in the job store"
+
     def held(self) -> int:
         """Return how many leases this node holds."""
         return len(self._held)
@@ -180,8 +189,10 @@
                 if isinstance(reply, LeasedItems):
                     self._note_latency(time.monotonic() - asked_s)
                     self._hold(group, message, reply.items)
+                    group.lease_failure = ""
                 else:
                     group.lease_retry_s = time.monotonic() + RETRY_INTERVAL_S
+                    group.lease_failure = reply.reason
                     _log_failure(message, reply)
 
     def _next_lease(self, number: int, group: _Group) -> LeaseItems | None:
--- /dev/null
+++ b/src/quaymill/process/batch/report.py
@@ -0,0 +1,77 @@
+"""What operators see of batch work: status notes and metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import TYPE_CHECKING
+
+import msgspec
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+from quaymill.version.status import StatusNote, StatusRows
+
+if TYPE_CHECKING:
+    from quaymill.process.batch.scheduler import BatchSchedulers
+
+
+class ReplicaBatch(msgspec.Struct, frozen=True):
+    """Batch work at one replica.
+
+    Attributes
+    ----------
+    running, allowed
+        Items in service, and how many may be.
+    reason
+        What bounds them now, for a person.
+    ended
+        Items by how their run ended: finished, gave-way, not-started, broken.
+    """
+
+    replica: str
+    service: str
+    running: int
+    allowed: int
+    reason: str
+    ended: dict[str, int]
+
+
+def status_rows(replicas: Iterable[ReplicaBatch]) -> StatusRows:
+    """Return one note for each replica that this node schedules."""
+    return StatusRows(
+        notes=tuple(
+            StatusNote(
+                f"batch/{one.service}/{one.replica}",
+                f"{one.running} running, {one.allowed} allowed: {one.reason}",
+            )
+            for one in replicas
+        )
+    )
+
+
+class BatchCollector(Collector):
+    """Metrics of the batch schedulers, read when they are asked for."""
+
+    def __init__(self, schedulers: BatchSchedulers) -> None:
+        self._schedulers = schedulers
+
+    def collect(self) -> Iterator[GaugeMetricFamily | CounterMetricFamily]:
+        """Yield the metrics of this moment."""
+        labels = ("replica", "service")
+        running = GaugeMetricFamily(
+            "quaymill_batch_running", "Batch items in service", labels=labels
+        )
+        allowed = GaugeMetricFamily(
+            "quaymill_batch_allowed", "Batch items that may be in service", labels=labels
+        )
+        ended = CounterMetricFamily(
+            "quaymill_batch_runs", "Ended runs of batch items", labels=(*labels, "outcome")
+        )
+        for one in self._schedulers.replicas():
+            running.add_metric((one.replica, one.service), one.running)
+            allowed.add_metric((one.replica, one.service), one.allowed)
+            for outcome, count in one.ended.items():
+                ended.add_metric((one.replica, one.service, outcome), count)
+        held = GaugeMetricFamily("quaymill_batch_leases", "Leases held by this node")
+        held.add_metric((), self._schedulers.leases_held())
+        yield from (running, allowed, ended, held)
--- a/src/quaymill/process/batch/room.py
+++ b/src/quaymill/process/batch/room.py
@@ -71,11 +71,18 @@
 
 
 class Room:
-    """The batch concurrency allowed at one replica. Not safe for use by several threads."""
+    """The batch concurrency allowed at one replica. Not safe for use by several threads.
+
+    Attributes
+    ----------
+    reason
+        What bounds the concurrency, for a person.
+    """
 
     def __init__(self) -> None:
         self._allowed = 0
         self._last_return_s = -math.inf
+        self.reason = "the room has not been worked out yet"
         self._notices_s: deque[float] = deque()
 
     @property
@@ -113,6 +120,8 @@
             step = max(1, math.ceil(limits.batch_limit * RETURN_FRACTION))
             self._allowed = min(target, self._allowed + step)
             self._last_return_s = now_s
+        if self._allowed < target:
+            self.reason = f"coming back slowly to {target} after online work"
         return self._allowed
 
     def _target(
@@ -121,10 +130,18 @@
         if sample is None or now_s - sample.measured_s > REPORT_MAX_AGE_S:
             # Nothing is known of idle slots: what runs goes on under the engine's priorities
             # and is not replaced, down to one item at a time that keeps batch work moving.
+            self.reason = "the replica's load report is missing or old"
             running = min(self._allowed, own_running)
             return max(0, min(limits.batch_limit, max(running, UNKNOWN_LOAD_CONCURRENCY)))
         while self._notices_s and self._notices_s[0] < sample.measured_s:
             self._notices_s.popleft()
         online = online_in_service(sample.report, own_running) + len(self._notices_s)
-        free = sample.report.slots - limits.reserve - online
-        return max(0, min(limits.batch_limit, free))
+        free = max(0, sample.report.slots - limits.reserve - online)
+        if limits.batch_limit <= free:
+            self.reason = f"the cell batch_limit is {limits.batch_limit}"
+            return limits.batch_limit
+        self.reason = (
+            f"{online} online requests and the reserve of {limits.reserve} "
+            f"leave {free} of {sample.report.slots} slots"
+        )
+        return free
--- a/src/quaymill/process/batch/scheduler.py
+++ b/src/quaymill/process/batch/scheduler.py
@@ -31,6 +31,7 @@
 from quaymill.process.batch.item_stream import ItemStream
 from quaymill.process.batch.lease_book import LeaseBook
 from quaymill.process.batch.replica_health import ReplicaHealth
+from quaymill.process.batch.report import ReplicaBatch
 from quaymill.process.batch.room import LoadSample, Room, RoomLimits, prefetch_count
 from quaymill.process.batch.work_item import WorkItem
 from quaymill.process.configuration_holder import ConfigurationHolder
@@ -101,9 +102,13 @@
             scheduler.wait_until_idle(deadline)
         self._parts.book.stop(STOP_TIMEOUT_S)
 
-    def running(self) -> dict[str, int]:
-        """Return the batch items in service by replica."""
-        return {name: scheduler.running() for name, scheduler in self._schedulers.items()}
+    def replicas(self) -> tuple[ReplicaBatch, ...]:
+        """Return what each scheduler does now."""
+        return tuple(scheduler.report() for scheduler in self._schedulers.values())
+
+    def leases_held(self) -> int:
+        """Return how many leases this node holds."""
+        return self._parts.book.held()
 
     def _supervise(self) -> None:
         while not self._stopping.is_set():
@@ -150,6 +155,7 @@
         self._health = ReplicaHealth()
         self._running: set[_Running] = set()
         self._ends_s: deque[float] = deque()
+        self._ended: Counter[str] = Counter()
         self._retired = False
         self._thread = threading.Thread(target=self._run, name=f"batch-{self._name}", daemon=True)
 
@@ -195,9 +201,18 @@
                 lambda: not self._running, max(0.0, deadline_s - time.monotonic())
             )
 
-    def running(self) -> int:
-        """Return how many items are in service."""
-        return len(self._running)
+    def report(self) -> ReplicaBatch:
+        """Return what is in service and what bounds it."""
+        with self._changed:
+            allowed = self._allowed(time.monotonic())
+            return ReplicaBatch(
+                replica=self._name,
+                service=self._service,
+                running=len(self._running),
+                allowed=allowed,
+                reason=self._reason(allowed),
+                ended=dict(self._ended),
+            )
 
     def _run(self) -> None:
         with self._changed:
@@ -234,6 +249,17 @@
             self._ends_s.popleft()
         return len(self._ends_s) / RATE_WINDOW_S
 
+    def _reason(self, allowed: int) -> str:
+        if self._view.draining:
+            return "the replica is draining"
+        if self._view.ejected:
+            return "the replica is ejected after failures"
+        if self._health.failing:
+            return f"backing off after a failure: {self._health.last_failure}"
+        if len(self._running) < allowed:
+            return self._parts.book.shortage_reason(self._service)
+        return self._room.reason
+
     def _make_room(self, now_s: float) -> None:
         """Work out the allowed concurrency and close the streams beyond it."""
         configuration = self._parts.holder.current()
@@ -303,18 +329,25 @@
         book = self._parts.book
         match outcome:
             case ItemFinished(status=status, response=response, retryable=retryable):
-                self._health.record(not retryable, now_s)
+                self._ended["finished"] += 1
+                if retryable:
+                    self._health.failed(f"status {status}", now_s)
+                else:
+                    self._health.succeeded()
                 book.complete(work, status, response, retryable)
             case ItemGaveWay(by_engine=by_engine):
+                self._ended["gave-way"] += 1
                 if by_engine:
                     self._room.preempted(len(self._running), now_s)
                 book.put_back(work)
             case ItemNotStarted(reason=reason):
-                self._health.record(False, now_s)
+                self._ended["not-started"] += 1
+                self._health.failed(reason, now_s)
                 log_message("batch:not_started", item=repr(work.ref), reason=reason)
                 book.put_back(work)
             case ItemBroken(reason=reason):
-                self._health.record(False, now_s)
+                self._ended["broken"] += 1
+                self._health.failed(reason, now_s)
                 log_message("batch:stream_broken", item=repr(work.ref), reason=reason)
                 self._settle_broken(work, reason)
 
--- a/src/quaymill/process/node.py
+++ b/src/quaymill/process/node.py
@@ -11,6 +11,7 @@
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.peer_link import PeerClient, PeerServer
 from quaymill.connection.platform_client import PlatformClient
+from quaymill.process.batch.report import BatchCollector, status_rows
 from quaymill.process.batch.scheduler import BatchSchedulers
 from quaymill.process.configuration.service import ConfigurationService
 from quaymill.process.configuration_holder import ConfigurationHolder
@@ -99,6 +100,8 @@
             self._link_filter,
             self._gateway.at_most_once,
         )
+        self._gateway.metrics.registry.register(BatchCollector(self._batch_schedulers))
+        self._status.add_provider(lambda: status_rows(self._batch_schedulers.replicas()))
 
     def _build_gateway(self) -> Gateway:
         settings = self._settings
--- a/tests/test_batch_room.py
+++ b/tests/test_batch_room.py
@@ -112,18 +112,18 @@
     def test_pauses_then_probes_then_recovers(self) -> None:
         health = ReplicaHealth()
         self.assertEqual(health.limit(8, 0.0), 8)
-        health.record(False, 1.0)
+        health.failed("down", 1.0)
         self.assertEqual(health.limit(8, 1.1), 0)
         self.assertEqual(health.limit(8, 1.3), 1)
-        health.record(True, 1.4)
+        health.succeeded()
         self.assertEqual(health.limit(8, 1.4), 8)
 
     def test_pause_doubles_and_failures_together_count_once(self) -> None:
         health = ReplicaHealth()
         for _ in range(5):
-            health.record(False, 1.0)
+            health.failed("down", 1.0)
         self.assertEqual(health.limit(8, 1.3), 1)
-        health.record(False, 2.0)
+        health.failed("down", 2.0)
         self.assertEqual(health.limit(8, 2.4), 0)
         self.assertEqual(health.limit(8, 2.6), 1)
 
--- a/tests/test_batch_scheduler.py
+++ b/tests/test_batch_scheduler.py
@@ -75,7 +75,7 @@
         wait_until(lambda: batch_running(engine) > 0)
         store.cancelled = True
         wait_until(lambda: batch_running(engine) == 0)
-        wait_until(lambda: sum(node.schedulers.running().values()) == 0)
+        wait_until(lambda: node.schedulers.replicas()[0].running == 0)
         self.assertEqual(store.results, {})
         self.assertNotIn("finished", outcomes(engine))
 
