--- a/tests/test_files_api.py
+++ b/tests/test_files_api.py
@@ -1,11 +1,14 @@
 """OpenAI's files and batches API over a real job store, by the official client and by hand."""
 
+import contextlib
 import hashlib
 import io
 import json
+import tempfile
 import threading
 import tracemalloc
 import unittest
+from pathlib import Path
 from unittest import mock
 
 import msgspec
@@ -25,6 +28,7 @@
 )
 from quaymill.connection.peer_link import PeerServer
 from quaymill.process.batch.scheduler import BatchSchedulers
+from quaymill.process.commands import batch
 from quaymill.process.gateway import files
 from quaymill.process.gateway.batch_lines import LineChecker
 from quaymill.process.gateway.batches import BatchesApi
@@ -63,6 +67,27 @@
         return self.client.group_count
 
 
+def line(number: int, question: str = "question", custom_id: str = "", **body) -> bytes:
+    """Return one line of an input file."""
+    messages = [{"role": "user", "content": f"{question} {number}"}]
+    request = {"model": MODEL, "messages": messages, "max_tokens": TOKENS, **body}
+    document = {
+        "custom_id": custom_id or f"id-{number}",
+        "method": "POST",
+        "url": "/v1/chat/completions",
+        "body": request,
+    }
+    return json.dumps(document).encode() + b"\n"
+
+
+def lines(count: int, question: str = "question", tokens: int = TOKENS) -> bytes:
+    """Return an input file."""
+    file = io.BytesIO()
+    for number in range(count):
+        file.write(line(number, question, max_tokens=tokens))
+    return file.getvalue()
+
+
 class FilesApiTest(unittest.TestCase):
     """Two gateways over one store."""
 
@@ -323,6 +348,44 @@
         self.assertEqual(raised.exception.response.headers["Quaymill-Outcome"], "not-run")
         self.assertIn("Retry-After", raised.exception.response.headers)
 
+    def run_command(self, command, *arguments, **options) -> tuple[int, str]:
+        """Run a command of ``quaymill batch``; return its exit code and output."""
+        output = io.StringIO()
+        gateway = str(self.rigs[0].gateway.endpoint)
+        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
+            code = command(*arguments, gateway=gateway, key=KEY, **options)
+        return code, output.getvalue()
+
+    def test_command_line(self) -> None:
+        self.start_schedulers()
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        source, output, errors = (folder / name for name in ("in", "out", "errors"))
+        source.write_bytes(lines(20) + line(20, max_tokens="many"))
+        code, printed = self.run_command(batch.submit, source, wait=True, idempotency_key="cli")
+        self.assertEqual(code, 1, printed)
+        job_id, summary = printed.splitlines()
+        self.assertEqual(summary, f"{job_id} completed: 20 completed, 1 failed, 21 in all")
+        again = self.run_command(batch.submit, source, idempotency_key="cli")
+        self.assertEqual(again, (0, f"{job_id}\n"))
+        code, _ = self.run_command(batch.results, job_id, output=output, errors=errors)
+        self.assertEqual(code, 0)
+        self.assertEqual(len(output.read_bytes().splitlines()), 20)
+        self.assertEqual(len(errors.read_bytes().splitlines()), 1)
+        self.assertEqual(self.run_command(batch.cancel, job_id), (0, f"{summary}\n"))
+        self.assertEqual(self.run_command(batch.show, job_id), (0, f"{summary}\n"))
+
+    @params(
+        ("no such file", None, "has no usable url"),
+        ("bad line", line(0) + b"{}\n", "line 2"),
+    )
+    def test_command_line_says_what_is_wrong(self, name: str, content, words: str) -> None:
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "in"
+        if content is not None:
+            path.write_bytes(content)
+        code, printed = self.run_command(batch.submit, path)
+        self.assertEqual(code, 1)
+        self.assertIn(words, printed)
+
     def test_download_that_fails_part_way_is_not_taken_for_whole(self) -> None:
         self.start_schedulers()
         job = self.create(self.upload(lines(30, tokens=1)).id)
@@ -373,26 +436,5 @@
         self.assertLess(peak_bytes, 3_000_000)
 
 
-def line(number: int, question: str = "question", custom_id: str = "", **body) -> bytes:
-    """Return one line of an input file."""
-    messages = [{"role": "user", "content": f"{question} {number}"}]
-    request = {"model": MODEL, "messages": messages, "max_tokens": TOKENS, **body}
-    document = {
-        "custom_id": custom_id or f"id-{number}",
-        "method": "POST",
-        "url": "/v1/chat/completions",
-        "body": request,
-    }
-    return json.dumps(document).encode() + b"\n"
-
-
-def lines(count: int, question: str = "question", tokens: int = TOKENS) -> bytes:
-    """Return an input file."""
-    file = io.BytesIO()
-    for number in range(count):
-        file.write(line(number, question, max_tokens=tokens))
-    return file.getvalue()
-
-
 if __name__ == "__main__":
     unittest.main()
