--- a/src/quaymill/process/batch/lease_book.py
+++ b/src/quaymill/process/batch/lease_book.py
@@ -41,6 +41,7 @@
 IDLE_HOLD_S = 3.0
 MAX_POLL_BACKOFF = 8
 MAX_ITEMS_PER_CALL = 256
+MAX_REPORT_BYTES = 8 * 1024 * 1024
 LATENCY_SMOOTHING = 0.2
 
 
@@ -233,8 +234,7 @@
             return None, None
         self._return_idle_items(number)
         if group.completions:
-            completions = tuple(itertools.islice(group.completions, MAX_ITEMS_PER_CALL))
-            return CompleteItems(number, self.worker, completions), CompletedItems
+            return CompleteItems(number, self.worker, _first(group.completions)), CompletedItems
         if group.returns:
             refs = tuple(itertools.islice(group.returns, MAX_ITEMS_PER_CALL))
             return ReturnItems(number, self.worker, refs), Accepted
@@ -321,6 +321,18 @@
                 group.work_wanted.notify()
 
 
+def _first(completions: deque[ItemCompletion]) -> tuple[ItemCompletion, ...]:
+    """Return as many as fit into one message, at least one."""
+    taken: list[ItemCompletion] = []
+    size_bytes = 0
+    for completion in itertools.islice(completions, MAX_ITEMS_PER_CALL):
+        size_bytes += len(bytes(completion.response))
+        if taken and size_bytes > MAX_REPORT_BYTES:
+            break
+        taken.append(completion)
+    return tuple(taken)
+
+
 def _log_failure(message: PeerMessage, failure: object) -> None:
     log_message("batch:store_failure", sent=type(message).__name__, failure=repr(failure))
 
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -3,10 +3,13 @@
 import threading
 import unittest
 
+import msgspec
 from nose2.tools import params
 
 from batch_support import (
     ITEMS,
+    JOB_ID,
+    MODEL,
     TOKENS,
     CutStore,
     MemoryJobStore,
@@ -16,9 +19,13 @@
     configuration,
     model_items,
     outcomes,
+    settings,
     view_of,
     wait_until,
 )
+from quaymill.connection.job_messages import CompleteItems, LeasedItem
+from quaymill.process.batch.lease_book import MAX_REPORT_BYTES, LeaseBook
+from quaymill.process.batch.work_item import WorkItem
 from quaymill_standins.engine import Engine
 from quaymill_standins.faults import Faults
 
@@ -96,6 +103,21 @@
         wait_until(lambda: len(store.results) == 4)
         self.assert_all_whole(store, 150)
 
+    def test_large_results_are_reported_in_parts(self) -> None:
+        """A message to the store stays far below the longest line that peers accept."""
+        store = MemoryJobStore(model_items(4))
+        store.down = True
+        book = LeaseBook("node", settings().batch, store, 1)
+        self.addCleanup(book.stop, 1.0)
+        large = msgspec.Raw(b'"' + b"x" * (MAX_REPORT_BYTES * 2 // 3) + b'"')
+        for item in store.items:
+            work = WorkItem(MODEL, LeasedItem(JOB_ID, "tenant", 1, item), 0.0)
+            book.complete(work, 200, large)
+        book.start()
+        store.down = False
+        wait_until(lambda: len(store.results) == 4)
+        self.assertEqual(store.messages.count(CompleteItems), 4)
+
     def test_store_down_for_a_while(self) -> None:
         engine = self.start_engine()
         store = MemoryJobStore(model_items(ITEMS, TOKENS))
--- a/tests/test_files_api.py
+++ b/tests/test_files_api.py
@@ -36,8 +36,9 @@
 from quaymill.process.gateway.files import FilesApi
 from quaymill.process.settings import LogSettings
 from quaymill.request.outcome import NotRun
-from quaymill.version.configuration import Tenant
+from quaymill.version.configuration import Tenant, Tuning
 from quaymill_standins import text
+from quaymill_standins.faults import Faults
 
 OTHER_KEY = "key-of-another-office"
 TOKENS = 6
@@ -192,6 +193,22 @@
         self.assertEqual(failed["response"]["status_code"], 400)
         self.assertTrue(failed["error"]["message"])
 
+    def test_item_that_always_fails_ends_as_failed(self) -> None:
+        """The attempts are bounded, and the error file says why."""
+        self.cluster.tuning = Tuning(item_max_attempts=2)
+        engine = self.rigs[0].engines["engine-1"]
+        engine.switches.replace(Faults(error_probability=1.0))
+        self.addCleanup(engine.switches.replace, Faults())
+        self.start_schedulers()
+        job = self.create(self.upload(lines(2)).id)
+        client = self.client()
+        wait_until(lambda: client.batches.retrieve(job.id).status == "completed", 20.0)
+        job = client.batches.retrieve(job.id)
+        self.assertEqual((job.request_counts.failed, job.output_file_id), (2, None))
+        failed = json.loads(client.files.content(job.error_file_id).text.splitlines()[0])
+        self.assertEqual(failed["response"]["status_code"], 500)
+        self.assertIn("injected error", failed["error"]["message"])
+
     def test_resend_to_another_node_finds_the_same(self) -> None:
         first = self.upload(lines(600), 0, "file-key-1")
         second = self.upload(lines(600), 1, "file-key-1")
