--- a/src/quaymill/process/batch/lease_book.py
+++ b/src/quaymill/process/batch/lease_book.py
@@ -17,6 +17,7 @@
 import msgspec
 from eliot import log_message
 
+from quaymill.connection.identifiers import group_number
 from quaymill.connection.job_messages import (
     Accepted,
     CompletedItems,
@@ -335,17 +336,3 @@
 
 def _log_failure(message: PeerMessage, failure: object) -> None:
     log_message("batch:store_failure", sent=type(message).__name__, failure=repr(failure))
-
-
-def group_number(identifier: str) -> int:
-    """Return the log group in the id of a job (``batch_{group}_..``) or file (``file-{group}-..``).
-
-    Raises
-    ------
-    ValueError
-        If ``identifier`` is not such an id.
-    """
-    parts = identifier.replace("-", "_").split("_")
-    if len(parts) < 3 or not parts[1].isdigit():
-        raise ValueError(f"{identifier!r} does not name its log group")
-    return int(parts[1])
--- a/src/quaymill/process/gateway/batches.py
+++ b/src/quaymill/process/gateway/batches.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from quaymill.connection.identifiers import group_number
 from quaymill.connection.job_messages import (
     Accepted,
     CancelJob,
@@ -20,7 +21,6 @@
     ListJobs,
     StoreConflict,
 )
-from quaymill.process.batch.lease_book import group_number
 from quaymill.process.gateway.batch_lines import target_of
 from quaymill.process.gateway.files import (
     ERRORS_PREFIX,
--- a/src/quaymill/process/gateway/files.py
+++ b/src/quaymill/process/gateway/files.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from quaymill.connection.identifiers import group_number
 from quaymill.connection.job_messages import (
     CreateFile,
     FileRecord,
@@ -18,7 +19,6 @@
     ResultPage,
     StoreConflict,
 )
-from quaymill.process.batch.lease_book import group_number
 from quaymill.process.gateway.batch_lines import LineChecker
 from quaymill.process.gateway.file_upload import FileUpload, UploadedFile
 from quaymill.process.gateway.http import (
