--- a/tests/test_files_api.py
+++ b/tests/test_files_api.py
@@ -1,11 +1,14 @@
 """OpenAI's files and batches API over a real job store, by the official client and by hand."""
 
+import contextlib
 import hashlib
 import io
 import json
+import tempfile
 import threading
 import tracemalloc
 import unittest
+from pathlib import Path
 from unittest import mock
 
 import msgspec
@@ -25,6 +28,7 @@
 )
 from quaymill.connection.peer_link import PeerServer
 from quaymill.process.batch.scheduler import BatchSchedulers
+from quaymill.process.commands import batch
 from quaymill.process.gateway import files
 from quaymill.process.gateway.batch_lines import LineChecker
 from quaymill.process.gateway.batches import BatchesApi
@@ -32,8 +36,9 @@
 from quaymill.process.gateway.files import FilesApi
 from quaymill.process.settings import LogSettings
 from quaymill.request.outcome import NotRun
-from quaymill.version.configuration import Tenant
+from quaymill.version.configuration import Tenant, Tuning
 from quaymill_standins import text
+from quaymill_standins.faults import Faults
 
 OTHER_KEY = "key-of-another-office"
 TOKENS = 6
@@ -63,6 +68,27 @@
         return self.client.group_count
 
 
+def line(number: int, question: str = "question", custom_id: str = "", **body) -> bytes:
+    """Return one line of an input file."""
+    messages = [{"role": "user", "content": f"{question} {number}"}]
+    request = {"model": MODEL, "messages": messages, "max_tokens": TOKENS, **body}
+    document = {
+        "custom_id": custom_id or f"id-{number}",
+        "method": "POST",
+        "url": "/v1/chat/completions",
+        "body": request,
+    }
+    return json.dumps(document).encode() + b"\n"
+
+
+def lines(count: int, question: str = "question", tokens: int = TOKENS) -> bytes:
+    """Return an input file."""
+    file = io.BytesIO()
+    for number in range(count):
+        file.write(line(number, question, max_tokens=tokens))
+    return file.getvalue()
+
+
 class FilesApiTest(unittest.TestCase):
     """Two gateways over one store."""
 
@@ -167,6 +193,22 @@
         self.assertEqual(failed["response"]["status_code"], 400)
         self.assertTrue(failed["error"]["message"])
 
+    def test_item_that_always_fails_ends_as_failed(self) -> None:
+        """The attempts are bounded, and the error file says why."""
+        self.cluster.tuning = Tuning(item_max_attempts=2)
+        engine = self.rigs[0].engines["engine-1"]
+        engine.switches.replace(Faults(error_probability=1.0))
+        self.addCleanup(engine.switches.replace, Faults())
+        self.start_schedulers()
+        job = self.create(self.upload(lines(2)).id)
+        client = self.client()
+        wait_until(lambda: client.batches.retrieve(job.id).status == "completed", 20.0)
+        job = client.batches.retrieve(job.id)
+        self.assertEqual((job.request_counts.failed, job.output_file_id), (2, None))
+        failed = json.loads(client.files.content(job.error_file_id).text.splitlines()[0])
+        self.assertEqual(failed["response"]["status_code"], 500)
+        self.assertIn("injected error", failed["error"]["message"])
+
     def test_resend_to_another_node_finds_the_same(self) -> None:
         first = self.upload(lines(600), 0, "file-key-1")
         second = self.upload(lines(600), 1, "file-key-1")
@@ -323,6 +365,44 @@
         self.assertEqual(raised.exception.response.headers["Quaymill-Outcome"], "not-run")
         self.assertIn("Retry-After", raised.exception.response.headers)
 
+    def run_command(self, command, *arguments, **options) -> tuple[int, str]:
+        """Run a command of ``quaymill batch``; return its exit code and output."""
+        output = io.StringIO()
+        gateway = str(self.rigs[0].gateway.endpoint)
+        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
+            code = command(*arguments, gateway=gateway, key=KEY, **options)
+        return code, output.getvalue()
+
+    def test_command_line(self) -> None:
+        self.start_schedulers()
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        source, output, errors = (folder / name for name in ("in", "out", "errors"))
+        source.write_bytes(lines(20) + line(20, max_tokens="many"))
+        code, printed = self.run_command(batch.submit, source, wait=True, idempotency_key="cli")
+        self.assertEqual(code, 1, printed)
+        job_id, summary = printed.splitlines()
+        self.assertEqual(summary, f"{job_id} completed: 20 completed, 1 failed, 21 in all")
+        again = self.run_command(batch.submit, source, idempotency_key="cli")
+        self.assertEqual(again, (0, f"{job_id}\n"))
+        code, _ = self.run_command(batch.results, job_id, output=output, errors=errors)
+        self.assertEqual(code, 0)
+        self.assertEqual(len(output.read_bytes().splitlines()), 20)
+        self.assertEqual(len(errors.read_bytes().splitlines()), 1)
+        self.assertEqual(self.run_command(batch.cancel, job_id), (0, f"{summary}\n"))
+        self.assertEqual(self.run_command(batch.show, job_id), (0, f"{summary}\n"))
+
+    @params(
+        ("no such file", None, "has no usable url"),
+        ("bad line", line(0) + b"{}\n", "line 2"),
+    )
+    def test_command_line_says_what_is_wrong(self, name: str, content, words: str) -> None:
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "in"
+        if content is not None:
+            path.write_bytes(content)
+        code, printed = self.run_command(batch.submit, path)
+        self.assertEqual(code, 1)
+        self.assertIn(words, printed)
+
     def test_download_that_fails_part_way_is_not_taken_for_whole(self) -> None:
         self.start_schedulers()
         job = self.create(self.upload(lines(30, tokens=1)).id)
@@ -373,26 +453,5 @@
         self.assertLess(peak_bytes, 3_000_000)
 
 
-def line(number: int, question: str = "question", custom_id: str = "", **body) -> bytes:
-    """Return one line of an input file."""
-    messages = [{"role": "user", "content": f"{question} {number}"}]
-    request = {"model": MODEL, "messages": messages, "max_tokens": TOKENS, **body}
-    document = {
-        "custom_id": custom_id or f"id-{number}",
-        "method": "POST",
-        "url": "/v1/chat/completions",
-        "body": request,
-    }
-    return json.dumps(document).encode() + b"\n"
-
-
-def lines(count: int, question: str = "question", tokens: int = TOKENS) -> bytes:
-    """Return an input file."""
-    file = io.BytesIO()
-    for number in range(count):
-        file.write(line(number, question, max_tokens=tokens))
-    return file.getvalue()
-
-
 if __name__ == "__main__":
     unittest.main()
