--- a/src/quaymill/process/configuration/service.py
+++ b/src/quaymill/process/configuration/service.py
@@ -60,7 +60,7 @@
     """
 
     version_check_s: float = 1.5
-    configuration_watch_s: float = 5.0
+    configuration_watch_s: float = 8.0
     machines_watch_s: float = 30.0
 
 
--- a/src/quaymill_bench/hollow_fleet.py
+++ b/src/quaymill_bench/hollow_fleet.py
@@ -26,7 +26,7 @@
 
 SEEDS = 3
 UDP_HEADER_BYTES = 28
-JOIN_TIMEOUT_S = 180.0
+JOIN_TIMEOUT_S = 60.0
 DEATH_TIMEOUT_S = 60.0
 UNUSED_ENDPOINT = Endpoint(HOST, 1)
 
--- a/src/quaymill_standins/platform.py
+++ b/src/quaymill_standins/platform.py
@@ -33,6 +33,7 @@
 API_ROOT = "/apis/quaymill.io/v1/"
 DEFAULT_WATCH_TIMEOUT_S = 60.0
 WATCH_CHECK_INTERVAL_S = 0.05
+METADATA_ONLY = "as=PartialObjectMetadata;"
 DEFAULT_SNAPSHOT = "latest"
 BAD_SNAPSHOT_NAME = error_response(400, 'the body is not {"name": ".."}', "invalid_request_error")
 
@@ -115,12 +116,15 @@
         if watching:
             return self._watch(request, plural, faults)
         if request.method == "GET":
-            return self._read(plural, name)
+            return self._read(plural, name, METADATA_ONLY in request.header("Accept"))
         return self._write(request, plural, name)
 
-    def _read(self, plural: str, name: str) -> Response:
+    def _read(self, plural: str, name: str, metadata_only: bool) -> Response:
         if name:
-            return _answer(200, self._store.get(plural, name))
+            found = self._store.get(plural, name)
+            if metadata_only and not isinstance(found, Refusal):
+                found = {"kind": "PartialObjectMetadata", "metadata": found["metadata"]}
+            return _answer(200, found)
         listing = self._store.list_objects(plural)
         content = {
             "kind": "List",
--- a/tests/test_configuration_editor.py
+++ b/tests/test_configuration_editor.py
@@ -69,6 +69,7 @@
         self.assertIsInstance(late, Conflict)
         self.assertEqual(self.client.list_objects("storegroups").items, (replaced,))
         self.assertEqual(self.client.get_version("storegroups", "g"), replaced.resource_version)
+        self.assertEqual(self.client.get_version("storegroups", "h"), NotFound("h"))
 
     @params(
         ({"down": True}, True),
