--- a/src/quaymill/process/configuration/service.py
+++ b/src/quaymill/process/configuration/service.py
@@ -197,7 +197,7 @@
         pulled = self._pulled
         if (
             pulled
-            and pulled[0].base_generation == self._last.generation
+            and pulled[0].base_generation <= self._last.generation
             and pulled[-1].generation == configuration.generation
         ):
             return pulled
--- a/src/quaymill/process/membership/membership.py
+++ b/src/quaymill/process/membership/membership.py
@@ -26,6 +26,7 @@
 from quaymill.process.membership.messages import (
     MAX_DATAGRAM_BYTES,
     Datagram,
+    MemberRecord,
     Notice,
     Probe,
     ProbeReply,
@@ -144,7 +145,7 @@
         """Take one datagram; runs on the receiving thread."""
         revision = self._table.revision
         for record in datagram.records:
-            news = self._table.merge(record)
+            news = self._table.merge(record.member())
             # What a comparison brings is passed on by comparisons; only what its own member
             # says, and what a probe found, is worth a datagram of each node.
             if news is not None and (
@@ -244,11 +245,13 @@
 
     def _send(self, target: Endpoint, datagram: Datagram, shown: tuple[Member, ...] = ()) -> None:
         """Send a datagram with the records ``shown``, filled with news as far as there is room."""
-        datagram.records = shown
+        datagram.records = tuple(MemberRecord.of(record) for record in shown)
         room = MAX_DATAGRAM_BYTES - len(encode_datagram(datagram))
         names = {record.name for record in shown}
         news = self._news.take(room, len(self._table.all()))
-        datagram.records = shown + tuple(record for record in news if record.name not in names)
+        datagram.records += tuple(
+            MemberRecord.of(record) for record in news if record.name not in names
+        )
         self._socket.send(target, datagram)
 
     def _tell_listeners(self) -> None:
--- a/src/quaymill/process/membership/messages.py
+++ b/src/quaymill/process/membership/messages.py
@@ -12,9 +12,67 @@
 import msgspec
 
 from quaymill.connection.endpoint import Endpoint
-from quaymill.connection.member import Member
+from quaymill.connection.member import Member, MemberState
 
-MAX_DATAGRAM_BYTES = 1300
+# Also bounds what news can cost: a node sends and receives about four datagrams a second.
+MAX_DATAGRAM_BYTES = 900
+
+
+class MemberRecord(msgspec.Struct, array_like=True, frozen=True):
+    """A ``Member`` on the wire: an array, since records are most of what is sent.
+
+    A later version may add fields at the end only, with defaults, so that nodes of both
+    versions understand each other.
+    """
+
+    name: str
+    zone: str
+    region: str
+    peer_host: str
+    peer_port: int
+    http_host: str
+    http_port: int
+    state: MemberState
+    incarnation: int
+    generation: int
+    machines: int
+    has_disk: bool
+    draining: bool
+
+    @classmethod
+    def of(cls, member: Member) -> MemberRecord:
+        """Return the record of a member."""
+        return cls(
+            member.name,
+            member.zone,
+            member.region,
+            member.peer.host,
+            member.peer.port,
+            member.http.host,
+            member.http.port,
+            member.state,
+            member.incarnation,
+            member.configuration_generation,
+            member.machine_list_version,
+            member.has_disk,
+            member.draining,
+        )
+
+    def member(self) -> Member:
+        """Return the member of a record."""
+        return Member(
+            self.name,
+            self.zone,
+            self.region,
+            Endpoint(self.peer_host, self.peer_port),
+            Endpoint(self.http_host, self.http_port),
+            self.state,
+            self.incarnation,
+            self.generation,
+            self.machines,
+            self.has_disk,
+            self.draining,
+        )
 
 
 class Datagram(msgspec.Struct, tag_field="kind", tag=True, omit_defaults=True):
@@ -30,7 +88,7 @@
     incarnation: int
     generation: int = 0
     machines: int = 0
-    records: tuple[Member, ...] = ()
+    records: tuple[MemberRecord, ...] = ()
 
 
 class Probe(Datagram):
@@ -102,4 +160,4 @@
 
 def encoded_size(member: Member) -> int:
     """Return how many bytes a record takes in a datagram."""
-    return len(_ENCODER.encode(member)) + 1
+    return len(_ENCODER.encode(MemberRecord.of(member))) + 1
--- a/src/quaymill/process/membership/synchronisation.py
+++ b/src/quaymill/process/membership/synchronisation.py
@@ -11,13 +11,14 @@
 from quaymill.process.membership.member_table import MemberTable
 from quaymill.process.membership.messages import (
     MAX_DATAGRAM_BYTES,
+    MemberRecord,
     Sync,
     SyncAnswer,
     encode_datagram,
     encoded_size,
 )
 
-MAX_SYNC_DATAGRAMS = 24
+MAX_SYNC_DATAGRAMS = 48
 
 
 class Synchronisation:
@@ -41,7 +42,7 @@
     def begin(self, target: Endpoint) -> None:
         """Show another node the digests of this one's table, and who this one is."""
         sync = Sync(**self._head(), digests=self._table.digests())
-        sync.records = (self._table.local(),)
+        sync.records = (MemberRecord.of(self._table.local()),)
         self._socket.send(target, sync)
 
     def answer(self, sync: Sync, source: Endpoint) -> None:
@@ -59,7 +60,7 @@
         for index, batch in enumerate(batches):
             last = index == len(batches) - 1
             answer = SyncAnswer(**self._head(), wanted=wanted if last else ())
-            answer.records = tuple(batch)
+            answer.records = tuple(MemberRecord.of(member) for member in batch)
             self._socket.send(target, answer)
 
     def _batches(self, buckets: frozenset[int], wanted: tuple[int, ...]) -> list[list[Member]]:
--- a/src/quaymill/version/differences.py
+++ b/src/quaymill/version/differences.py
@@ -63,17 +63,25 @@
 def apply_difference(
     base: ServingConfiguration, difference: ConfigurationDifference
 ) -> ServingConfiguration | None:
-    """Return the later configuration, ``None`` if the difference does not fit ``base``."""
-    if base.generation != difference.base_generation:
+    """Return the later configuration, ``None`` if the difference does not fit ``base``.
+
+    ``base`` may lie between the two generations: cells are given as they are in the end, and
+    the digest tells whether that was enough.
+    """
+    if not difference.base_generation <= base.generation < difference.generation:
         return None
+    new_edits = tuple(edit for edit in difference.new_edits if edit not in base.recent_edits)
+    new_records = tuple(
+        record for record in difference.new_records if record.generation > base.generation
+    )
     changed = apply_changes(base, difference.changes)
     if isinstance(changed, CellProblem):
         return None
     target = msgspec.structs.replace(
         changed,
         generation=difference.generation,
-        recent_edits=(*base.recent_edits, *difference.new_edits)[-MAX_RECENT_EDITS:],
-        edit_records=(*base.edit_records, *difference.new_records)[-MAX_EDIT_RECORDS:],
+        recent_edits=(*base.recent_edits, *new_edits)[-MAX_RECENT_EDITS:],
+        edit_records=(*base.edit_records, *new_records)[-MAX_EDIT_RECORDS:],
     )
     return target if digest_of(target) == difference.digest else None
 
@@ -93,8 +101,8 @@
     def since(self, generation: int) -> tuple[ConfigurationDifference, ...] | None:
         """Return the differences that lead on from a generation; ``None`` if not all are kept."""
         with self._lock:
-            later = [kept for kept in self._kept if kept.base_generation >= generation]
-        if not later or later[0].base_generation != generation:
+            later = [kept for kept in self._kept if kept.generation > generation]
+        if not later or later[0].base_generation > generation:
             return None
         return tuple(later)
 
--- a/src/quaymill_bench/hollow.py
+++ b/src/quaymill_bench/hollow.py
@@ -34,7 +34,7 @@
 
 
 class CountingPeerClient(PeerClient):
-    """A peer client that counts what its calls carry, by message type."""
+    """A peer client that counts what its calls carry, by type of the reply."""
 
     def __init__(self, link_filter: LinkFilter) -> None:
         super().__init__(link_filter)
@@ -45,7 +45,7 @@
     ) -> PeerMessage | PeerFailure:
         """Send one message and wait for its reply, as ``PeerClient`` does."""
         reply = super().call(endpoint, message, reply_type, timeout_s)
-        traffic = self.traffic.setdefault(type(message).__name__, CallTraffic())
+        traffic = self.traffic.setdefault(type(reply).__name__, CallTraffic())
         traffic.calls += 1
         traffic.sent_bytes += len(msgspec.json.encode(message)) + 1
         traffic.received_bytes += len(msgspec.json.encode(reply)) + 1
--- a/src/quaymill_bench/hollow_worker.py
+++ b/src/quaymill_bench/hollow_worker.py
@@ -65,7 +65,7 @@
     udp_bytes
         Sent and received, with the headers of UDP and IP.
     call_bytes
-        Sent and received by callers of peers, by message type; they pass at the peer, too.
+        Sent and received by callers of peers, by type of reply; they pass at the peer, too.
     fewest_live
         The smallest number of live members that a node sees.
     lowest_generation, fewest_machines
--- a/src/quaymill_bench/scale_experiment.py
+++ b/src/quaymill_bench/scale_experiment.py
@@ -28,6 +28,7 @@
 from quaymill_bench.cluster_shape import ClusterShape
 from quaymill_bench.hollow_fleet import HollowFleet
 from quaymill_bench.hollow_worker import Report
+from quaymill_bench.plots import plot_slopes
 from quaymill_bench.scale_sizes import (
     USER_NODES,
     USER_REPLICAS,
@@ -38,7 +39,9 @@
 from quaymill_bench.slopes import Slope, fit_slope
 
 REAL_NODES = 3
-SETTLE_S = 15.0
+SETTLE_TIMEOUT_S = 240.0
+SETTLE_STEP_S = 5.0
+SETTLED_BYTES_PER_DATAGRAM = 260.0
 QUIET_S = 20.0
 EDITS = 6
 EDIT_INTERVAL_S = 3.0
@@ -46,6 +49,8 @@
 IN_FORCE_TIMEOUT_S = 60.0
 NODE_FRACTIONS = (0.25, 0.5, 0.75, 1.0)
 REPLICA_FRACTIONS = (0.25, 0.5)
+LOAD_VIEW_FRACTIONS = ((0.125, 0.25), (0.25, 0.25), (0.375, 0.25), (0.25, 0.125))
+UNUSED_ENDPOINT = Endpoint(HOST, 1)
 LARGEST_MEMORY_SHARE = 0.5
 CELL = "tuning/batch_reserve"
 
@@ -89,10 +94,21 @@
     real_memory_mb: float
 
 
+class LoadViewPoint(msgspec.Struct, frozen=True):
+    """What the load view costs a hollow node beyond the rest, sent and received."""
+
+    nodes: int
+    replicas: int
+    load_view_bytes_per_s: float
+    load_view_calls_per_s: float
+    load_view_cpu_share: float
+
+
 class ScaleResult(msgspec.Struct, frozen=True):
     """All points, the planes through them, and their values at the users' size."""
 
     points: tuple[ScalePoint, ...]
+    load_view_points: tuple[LoadViewPoint, ...]
     slopes: tuple[Slope, ...]
     at_user_size: dict[str, float]
 
@@ -105,6 +121,7 @@
     resident_bytes: int
     udp_datagrams: int
     udp_bytes: int
+    calls: int
     call_bytes: int
     reads: int
     writes: int
@@ -114,16 +131,15 @@
 def run(nodes: int, replicas: int, out: Path | None = None, seed: int = 1) -> ScaleResult:
     """Measure several sizes up to ``nodes`` and ``replicas``; the seed is not used."""
     points = [_measure(*size) for size in _sizes(nodes, replicas)]
-    slopes = tuple(_slopes(points))
+    load_view_points = [_measure_load_view(*size) for size in _load_view_sizes(nodes, replicas)]
+    slopes = (*_slopes(points), *_slopes(load_view_points))
     result = ScaleResult(
         tuple(points),
+        tuple(load_view_points),
         slopes,
         {slope.quantity: slope.at(USER_NODES, USER_REPLICAS) for slope in slopes},
     )
-    if out is not None:
-        from quaymill_bench.plots import plot_points
-
-        plot_points(out, points)
+    plot_slopes(out, points)
     return result
 
 
@@ -134,25 +150,69 @@
     return sizes
 
 
+def _load_view_sizes(nodes: int, replicas: int) -> list[tuple[int, int]]:
+    """Return small sizes: each node of a load view asks every other one."""
+    return [
+        (max(int(nodes * part), REAL_NODES + 1), max(int(replicas * share), 1))
+        for part, share in LOAD_VIEW_FRACTIONS
+    ]
+
+
 def _measure(nodes: int, replicas: int) -> ScalePoint:
     """Run one fleet and measure it in quiet, under edits and under kills."""
-    zones = tuple(zone_name(index) for index in range(REAL_NODES))
-    shape = ClusterShape(zones=zones, engines_per_zone=0, applications=0)
-    with LocalCluster(shape) as cluster:
+    with _cluster() as cluster:
         platform = PlatformClient(Endpoint(HOST, cluster.platform.port))
-        _fill(platform, replicas)
+        _fill(platform, replicas, UNUSED_ENDPOINT)
         seeds = tuple(Endpoint.parse(node.peer_address) for node in cluster.nodes)
         with HollowFleet(nodes - REAL_NODES, cluster.platform.port, seeds) as fleet:
             join_s = fleet.start(nodes, 2, replicas + REAL_NODES)
             return _measure_fleet(cluster, fleet, platform, join_s, nodes, replicas)
 
 
-def _fill(platform: PlatformClient, replicas: int) -> None:
+def _measure_load_view(nodes: int, replicas: int) -> LoadViewPoint:
+    """Run one fleet without and with the load view, and return the difference."""
+    without = _load_view_rates(nodes, replicas, load_view=False)
+    having = _load_view_rates(nodes, replicas, load_view=True)
+    return LoadViewPoint(
+        nodes,
+        replicas,
+        *(max(cost - base, 0.0) for cost, base in zip(having, without, strict=True)),
+    )
+
+
+def _load_view_rates(nodes: int, replicas: int, load_view: bool) -> tuple[float, float, float]:
+    """Return bytes/s, calls/s and share of a core of one hollow node, all replicas answering."""
+    with _cluster(engines_per_zone=1) as cluster:
+        platform = PlatformClient(Endpoint(HOST, cluster.platform.port))
+        _fill(platform, replicas, Endpoint(HOST, cluster.engines[0].port))
+        seeds = tuple(Endpoint.parse(node.peer_address) for node in cluster.nodes)
+        hollow = nodes - REAL_NODES
+        with HollowFleet(hollow, cluster.platform.port, seeds, load_view) as fleet:
+            fleet.start(nodes, 2, replicas + 2 * REAL_NODES)
+            before = _settle(cluster, fleet)
+            time.sleep(QUIET_S)
+            after = _sample(cluster, fleet)
+            quiet_s = (after.at - before.at) * hollow
+            return (
+                _control_bytes(before, after) / quiet_s,
+                (after.calls - before.calls) / quiet_s,
+                (after.cpu_s - before.cpu_s) / quiet_s,
+            )
+
+
+def _cluster(engines_per_zone: int = 0) -> LocalCluster:
+    zones = tuple(zone_name(index) for index in range(REAL_NODES))
+    return LocalCluster(
+        ClusterShape(zones=zones, engines_per_zone=engines_per_zone, applications=0)
+    )
+
+
+def _fill(platform: PlatformClient, replicas: int, endpoint: Endpoint) -> None:
     """Put the users' table, and the machine list, into the platform."""
     table = msgspec.structs.replace(user_configuration(), generation=2)
     version = platform.get_version(CONFIGURATIONS, CONFIGURATION_NAME)
     platform.replace(CONFIGURATIONS, CONFIGURATION_NAME, table, version)
-    for machine in replica_machines(replicas, Endpoint(HOST, 1)):
+    for machine in replica_machines(replicas, endpoint):
         platform.create(MACHINES, machine.name, machine)
 
 
@@ -164,8 +224,7 @@
     nodes: int,
     replicas: int,
 ) -> ScalePoint:
-    time.sleep(SETTLE_S)  # The news of all the joins has to ebb away.
-    before = _sample(cluster, fleet)
+    before = _settle(cluster, fleet)
     time.sleep(QUIET_S)
     quiet = _sample(cluster, fleet)
     latencies = _edit(fleet, platform)
@@ -202,6 +261,19 @@
     )
 
 
+def _settle(cluster: LocalCluster, fleet: HollowFleet) -> _Sample:
+    """Wait until the news of all the joins has ebbed away; return the counters then."""
+    deadline = time.monotonic() + SETTLE_TIMEOUT_S
+    sample = _sample(cluster, fleet)
+    while time.monotonic() < deadline:
+        time.sleep(SETTLE_STEP_S)
+        last, sample = sample, _sample(cluster, fleet)
+        datagrams = sample.udp_datagrams - last.udp_datagrams
+        if (sample.udp_bytes - last.udp_bytes) / max(datagrams, 1) < SETTLED_BYTES_PER_DATAGRAM:
+            break
+    return sample
+
+
 def _edit(fleet: HollowFleet, platform: PlatformClient) -> list[float]:
     """Make some edits; return the seconds from commit to in force on the last hollow node."""
     editor = ConfigurationEditor(platform)
@@ -233,6 +305,7 @@
         resident_bytes=sum(report.resident_bytes for report in reports),
         udp_datagrams=sum(report.udp_datagrams for report in reports),
         udp_bytes=sum(report.udp_bytes for report in reports),
+        calls=sum(sum(report.calls.values()) for report in reports),
         call_bytes=sum(sum(report.call_bytes.values()) for report in reports),
         reads=reads,
         writes=writes,
--- a/tests/test_configuration_edits.py
+++ b/tests/test_configuration_edits.py
@@ -229,6 +229,16 @@
                 self.assertEqual(follower, configuration)
         self.assertIsNone(log.since(7), "the log is bounded")
 
+    def test_follower_between_two_kept_generations_is_served(self):
+        first = apply_edit(sample(), edit("tuning/batch_reserve", 1, 9), 0.0)
+        second = apply_edit(first, edit("tenants/b/concurrency", None, 1), 0.0)
+        log = DifferenceLog()
+        log.add([find_difference(sample(), second)])
+        self.assertEqual(apply_difference(first, log.since(8)[0]), second)
+        undone = apply_edit(first, edit("tuning/batch_reserve", 9, 1, id="back"), 0.0)
+        leap = find_difference(sample(), undone)
+        self.assertIsNone(apply_difference(first, leap), "the digest does not fit")
+
     def test_difference_from_another_history_is_refused(self):
         other = apply_edit(sample(), edit("tuning/batch_reserve", 1, 9), 0.0)
         ours = apply_edit(sample(), edit("tuning/item_max_attempts", 5, 9), 0.0)
--- a/tests/test_membership_table.py
+++ b/tests/test_membership_table.py
@@ -12,6 +12,7 @@
 from quaymill.process.membership.member_table import MemberTable
 from quaymill.process.membership.messages import (
     MAX_DATAGRAM_BYTES,
+    MemberRecord,
     Notice,
     decode_datagram,
     encode_datagram,
@@ -127,7 +128,9 @@
         for number in range(300):
             news.add(member(f"node-{number}"))
         head = Notice("node-1", 5)
-        head.records = tuple(news.take(MAX_DATAGRAM_BYTES - len(encode_datagram(head)), 300))
+        taken = news.take(MAX_DATAGRAM_BYTES - len(encode_datagram(head)), 300)
+        head.records = tuple(MemberRecord.of(record) for record in taken)
+        self.assertEqual([record.member() for record in head.records], taken)
         self.assertGreater(len(head.records), 2)
         self.assertLessEqual(len(encode_datagram(head)), MAX_DATAGRAM_BYTES)
         self.assertEqual(decode_datagram(encode_datagram(head)), head)
