--- a/src/quaymill_bench/demo.py
+++ b/src/quaymill_bench/demo.py
@@ -25,7 +25,7 @@
     tally_calls,
     tally_prompts,
 )
-from quaymill_bench.processes import wait_until
+from quaymill_bench.processes import exit_on_sigterm, wait_until
 
 ONLINE_REQUESTS = 12
 ONLINE_TOKENS = 24
@@ -205,6 +205,7 @@
 
 def main() -> int:
     """Run the demonstration."""
+    exit_on_sigterm()
     cluster = LocalCluster(ClusterShape())
     try:
         return Demo(cluster).run()
--- a/src/quaymill_bench/main.py
+++ b/src/quaymill_bench/main.py
@@ -11,6 +11,7 @@
 
 from quaymill_bench.load import run_load
 from quaymill_bench.load_plan import LoadPlan, Phase
+from quaymill_bench.processes import exit_on_sigterm
 
 EXPERIMENTS = ("interference", "overhead", "routing", "store", "propagation", "batch")
 
@@ -133,6 +134,7 @@
 
 def main() -> None:
     """Run the command named on the command line."""
+    exit_on_sigterm()
     sys.exit(defopt.run([load, experiment, faults, scale]))
 
 
--- a/src/quaymill_bench/processes.py
+++ b/src/quaymill_bench/processes.py
@@ -4,6 +4,7 @@
 
 import signal
 import subprocess
+import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -36,6 +37,11 @@
     return time.monotonic() - start
 
 
+def exit_on_sigterm() -> None:
+    """Let SIGTERM raise ``SystemExit``, so that a command ends the processes it started."""
+    signal.signal(signal.SIGTERM, lambda number, _frame: sys.exit(128 + number))
+
+
 class ManagedProcess:
     """One child process with its output in a file.
 
