--- a/src/quaymill_bench/interference_experiment.py
+++ b/src/quaymill_bench/interference_experiment.py
@@ -26,6 +26,7 @@
 from quaymill_bench.load import LoadCounts, run_load
 from quaymill_bench.load_plan import LoadPlan, Phase
 from quaymill_bench.plots import plot_percentiles
+from quaymill_bench.processes import load_average
 
 ROUNDS = 3
 STEP_MS = 20.0
@@ -53,6 +54,8 @@
         Batch on less batch off, in engine steps: the time from a burst to freed slots.
     batch_share
         Tokens a second of the batch alone, divided by those of engines fed directly.
+    load_average
+        Of the machine, at the end.
     """
 
     first_token_p99_ratio: float
@@ -71,6 +74,7 @@
     direct_tokens_per_s: float
     online_requests: int
     not_whole: int
+    load_average: float
 
 
 class _Online:
@@ -156,6 +160,7 @@
             direct_tokens_per_s=round(sum(self.direct_rates) / len(self.direct_rates), 1),
             online_requests=on.counts.sent,
             not_whole=sum(counts.sent - counts.whole for counts in both),
+            load_average=load_average(),
         )
 
 
--- a/src/quaymill_bench/overhead_experiment.py
+++ b/src/quaymill_bench/overhead_experiment.py
@@ -17,6 +17,7 @@
 from quaymill_bench.load import LoadCounts, LoadResult, run_load
 from quaymill_bench.load_plan import LoadPlan, Phase
 from quaymill_bench.plots import plot_percentiles
+from quaymill_bench.processes import load_average
 
 RUNS = 6
 RUN_S = 5.0
@@ -39,6 +40,8 @@
         Requests a second that one core of the nodes bears, from their processor time.
     tokens_per_s_per_core
         The same for streamed tokens.
+    load_average
+        Of the machine, at the end.
     """
 
     added_p50_ms: float
@@ -52,6 +55,7 @@
     tokens_per_s_per_core: float
     requests: int
     not_whole: int
+    load_average: float
 
 
 class _Side:
@@ -110,6 +114,7 @@
         tokens_per_s_per_core=round(gateway.counts.whole * MAX_TOKENS / node_cpu_s, 1),
         requests=gateway.counts.sent,
         not_whole=sum(counts.sent - counts.whole for counts in both),
+        load_average=load_average(),
     )
 
 
--- a/src/quaymill_bench/processes.py
+++ b/src/quaymill_bench/processes.py
@@ -37,6 +37,11 @@
     return time.monotonic() - start
 
 
+def load_average() -> float:
+    """Return the machine's load of the last minute, which says how far to trust timings."""
+    return round(os.getloadavg()[0], 1)
+
+
 def exit_on_sigterm() -> None:
     """Let SIGTERM raise ``SystemExit``, so that a command ends the processes it started."""
     signal.signal(signal.SIGTERM, lambda number, _frame: sys.exit(128 + number))
--- a/src/quaymill_bench/routing_experiment.py
+++ b/src/quaymill_bench/routing_experiment.py
@@ -27,6 +27,7 @@
 from quaymill_bench.load import send_open_loop
 from quaymill_bench.load_plan import LoadPlan, Phase, PlannedRequest, planned_requests
 from quaymill_bench.plots import plot_percentiles
+from quaymill_bench.processes import load_average
 from quaymill_bench.routing_policies import GatewayView, Policy, ReportPoller, policy_makers
 
 ROUNDS = 3
@@ -63,6 +64,7 @@
     policies: dict[str, PolicyResult]
     requests_per_policy: int
     requests_per_s: float
+    load_average: float
 
 
 class _PolicyRun:
@@ -123,6 +125,7 @@
         policies={name: sums.result() for name, sums in runs.items()},
         requests_per_policy=runs["chosen"].requests,
         requests_per_s=REQUESTS_PER_S,
+        load_average=load_average(),
     )
 
 
