--- a/src/quaymill_bench/processes.py
+++ b/src/quaymill_bench/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import subprocess
 import sys
