Bound what the load view costs a node; count all tokens of a resumed answer

Cause: each node asked every other node for reports twice a second, 650 calls a second at 330 nodes by count; a node with 8 replicas polled them 34 times a second. Change: of another zone one node answers for all; the time between polls and between questions follows from a budget of polls and bytes; reports travel without field names. The usage of a resumed stream counted only the tokens of its last attempt. Ruled out: asking at the time of the request (a round trip in each first token).

--- a/src/quaymill/connection/engine_client.py
+++ b/src/quaymill/connection/engine_client.py
@@ -24,6 +24,8 @@
 
 EVENT_END = b"\n\n"
 TERMINATOR = b"data: [DONE]" + EVENT_END
+_DATA = b"data: "
+_USAGE = b'"usage":{'
 _PREEMPTED = b'"preempted"'
 _COMMENT = b":"
 
@@ -163,6 +165,29 @@
     return [token for choice in _choices(events) for token in choice.token_ids]
 
 
+def with_resumed_usage(events: bytes, resumed_tokens: int) -> bytes:
+    """Add the tokens of earlier attempts to the usage that a resumed stream reports.
+
+    The engine counts only what it generated itself.
+    """
+    if _USAGE not in events:
+        return events
+    return EVENT_END.join(
+        _with_resumed_usage(event, resumed_tokens) for event in events.split(EVENT_END)
+    )
+
+
+def _with_resumed_usage(event: bytes, resumed_tokens: int) -> bytes:
+    if not event.startswith(_DATA) or _USAGE not in event:
+        return event
+    chunk = msgspec.json.decode(event[len(_DATA) :])
+    usage = chunk.get("usage")
+    if usage:
+        for field in ("completion_tokens", "total_tokens"):
+            usage[field] = usage.get(field, 0) + resumed_tokens
+    return _DATA + msgspec.json.encode(chunk)
+
+
 def _finish_reason(events: bytes) -> str | None:
     reasons = [choice.finish_reason for choice in _choices(events)]
     return next((reason for reason in reasons if reason is not None), None)
@@ -171,8 +196,8 @@
 def _choices(events: bytes) -> list[_ChunkChoice]:
     choices: list[_ChunkChoice] = []
     for event in events.split(EVENT_END):
-        if event.startswith(b"data: {"):
-            choices += msgspec.json.decode(event[len(b"data: ") :], type=_Chunk).choices
+        if event.startswith(_DATA + b"{"):
+            choices += msgspec.json.decode(event[len(_DATA) :], type=_Chunk).choices
     return choices
 
 
--- a/src/quaymill/connection/load_messages.py
+++ b/src/quaymill/connection/load_messages.py
@@ -7,9 +7,12 @@
 from quaymill.connection.peer_link import PeerMessage
 
 
-class LoadReport(msgspec.Struct, frozen=True):
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
     """What one replica last said about its load, with the age of that statement.
 
+    It is sent as an array without field names, since reports are most of what nodes tell one
+    another about replicas.
+
     Attributes
     ----------
     age_s
@@ -37,7 +40,13 @@
 
 
 class GetLoad(PeerMessage, frozen=True):
-    """Ask a node for the reports of the replicas that it polls."""
+    """Ask a node for reports: of the replicas that it polls, or of all that it knows of a zone.
+
+    Attributes
+    ----------
+    zone
+        Whose replicas; empty for those that the node polls itself.
+    """
 
     zone: str = ""
 
--- a/src/quaymill/process/replicas/load_view.py
+++ b/src/quaymill/process/replicas/load_view.py
@@ -1,50 +1,46 @@
 """The load of all replicas: polled here or heard from the node that polls them.
 
 A replica is polled by one node, the one that ranks first for its name in its zone; that node
-also runs its batch scheduler. Other nodes ask for the reports. When the polling node dies,
-reports grow old and count as unknown until membership names the next node.
+also runs its batch scheduler. Of the own zone, each polling node is asked for its reports; of
+another zone, one of its nodes for all that it knows. When a polling node dies, its reports
+grow old and count as unknown until membership names the next node.
+
+What this costs a node is bounded: polls by their number, reports of others by their bytes.
+Where the fleet is larger than the budget, reports come less often, never in greater amount.
 """
 
 from __future__ import annotations
 
 import threading
-import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from quaymill.connection.endpoint import Endpoint, LinkFilter
-from quaymill.connection.load_messages import GetLoad, LoadReport, LoadReports
+from quaymill.connection.load_messages import GetLoad, LoadReports
 from quaymill.connection.member import Machine, MachineRole, Member
 from quaymill.connection.peer_link import PeerClient, PeerServer
-from quaymill.connection.replica_connection import ReplicaConnections, ReplicaRequest
+from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.process.machine_list import MachineList, MachineListHolder
 from quaymill.process.membership.ranking import rank_nodes
 from quaymill.process.replicas.replica import ReplicaView
+from quaymill.process.replicas.replica_poller import poll_replica
 from quaymill.process.settings import NodeSettings
-from quaymill.request.outcome import NotRun, OutcomeUnknown
 
 if TYPE_CHECKING:
     from quaymill.process.membership.membership import Membership
 
 POLL_INTERVAL_S = 0.25
-POLL_TIMEOUT_S = 1.0
+POLLS_PER_S = 10.0
 PULL_INTERVAL_S = 0.5
 PULL_TIMEOUT_S = 1.0
-REASSIGN_INTERVAL_S = 0.25
-MAX_LOAD_DOCUMENT_BYTES = 64 * 1024
+OWN_ZONE_BYTES_PER_S = 2_500.0
+OTHER_ZONES_BYTES_PER_S = 1_000.0
+REPORT_BYTES = 45.0
+"""About what one report takes in a message."""
+ASSIGN_INTERVAL_S = 0.25
 REPLICA_ROLES = (MachineRole.ENGINE, MachineRole.APPLICATION)
 
 
-class _LoadDocument(msgspec.Struct):
-    running: int = 0
-    waiting: int = 0
-    batch_running: int = 0
-    slots: int = 0
-    draining: bool = False
-    age_s: float = 0.0
-
-
 class LoadView:
     """Keeps a ``ReplicaView`` for each replica in the machine list.
 
@@ -68,22 +64,22 @@
         self._membership = membership
         self._peer_client = peer_client
         self._connections = ReplicaConnections(link_filter or LinkFilter())
-        self._lock = threading.Lock()
         self._replicas: dict[str, ReplicaView] = {}
         self._by_service: dict[str, tuple[ReplicaView, ...]] = {}
+        self._by_zone: dict[str, tuple[ReplicaView, ...]] = {}
         self._scheduled_here: frozenset[str] = frozenset()
         self._schedulers: dict[str, Member] = {}
-        self._ranked_for: tuple[int, frozenset[tuple[str, Endpoint]]] | None = None
-        self._pulled_peers: set[Endpoint] = set()
+        self._assigned_for: tuple[int, frozenset[tuple[str, Endpoint]]] | None = None
         self._polled: set[str] = set()
+        self._pulled: dict[Endpoint, str] = {}
+        self._pulling: set[Endpoint] = set()
         self._stopping = threading.Event()
         peer_server.register(GetLoad, self._answer_get_load)
 
     def start(self) -> None:
         """Begin to poll, and to ask the other nodes."""
         self._machine_list.subscribe(self._take_machine_list)
-        self._assign()
-        threading.Thread(target=self._keep_assigned, name="load-view", daemon=True).start()
+        _start_thread("load-view", self._keep_assigned)
 
     def stop(self) -> None:
         """Stop polling and asking."""
@@ -119,13 +115,11 @@
 
     def _take_machine_list(self, machine_list: MachineList) -> None:
         listed = [machine for machine in machine_list.machines if machine.role in REPLICA_ROLES]
-        with self._lock:
-            replicas = {machine.name: self._view_of(machine) for machine in listed}
-            by_service: dict[str, list[ReplicaView]] = {}
-            for view in replicas.values():
-                by_service.setdefault(view.machine.service, []).append(view)
-            self._replicas = replicas
-            self._by_service = {service: tuple(views) for service, views in by_service.items()}
+        replicas = {machine.name: self._view_of(machine) for machine in listed}
+        views = tuple(replicas.values())
+        self._replicas = replicas
+        self._by_service = _grouped(views, lambda view: view.machine.service)
+        self._by_zone = _grouped(views, lambda view: view.machine.zone)
 
     def _view_of(self, machine: Machine) -> ReplicaView:
         view = self._replicas.get(machine.name)
@@ -135,111 +129,118 @@
         return view
 
     def _keep_assigned(self) -> None:
-        while not self._stopping.wait(REASSIGN_INTERVAL_S):
+        while True:
             self._assign()
+            self._start_missing_threads()
+            if self._stopping.wait(ASSIGN_INTERVAL_S):
+                return
 
     def _assign(self) -> None:
-        """Rank the nodes anew if the machines or the live nodes changed, and follow it."""
+        """Rank the nodes anew if the machines or the live nodes have changed."""
         live = self._membership.live()
-        replicas = self._replicas
         version = self._machine_list.current().version
-        ranked_for = (version, frozenset((member.name, member.peer) for member in live))
-        if ranked_for == self._ranked_for:
-            return
-        self._ranked_for = ranked_for
-        self._schedulers = {}
+        assigned_for = (version, frozenset((member.name, member.peer) for member in live))
+        if assigned_for != self._assigned_for:
+            self._assigned_for = assigned_for
+            self._schedulers = {}
+            self._scheduled_here = frozenset(self._rank_own(live))
+            self._pulled = self._peers_to_pull(live)
+
+    def _start_missing_threads(self) -> None:
+        """Give each replica to poll and each node to ask a thread; they end by themselves."""
+        for name in self._scheduled_here - self._polled:
+            self._polled.add(name)
+            _start_thread(f"poll-{name}", self._poll, name)
+        for peer in self._pulled.keys() - self._pulling:
+            self._pulling.add(peer)
+            _start_thread(f"pull-{peer}", self._pull, peer)
+
+    def _rank_own(self, live: tuple[Member, ...]) -> set[str]:
+        """Return the replicas for which this node ranks first."""
         live_zones = {member.zone for member in live}
         here: set[str] = set()
-        for name, view in replicas.items():
+        for name, view in self._replicas.items():
             zone = view.machine.zone
             # A replica whose zone has live nodes is never scheduled from another zone.
             if zone in live_zones and zone != self._settings.zone:
                 continue
             if rank_nodes(name, live, zone)[0].name == self._settings.name:
                 here.add(name)
-        self._scheduled_here = frozenset(here)
-        self._start_pollers()
-        self._start_pullers(live)
-
-    def _start_pollers(self) -> None:
-        for name in self._scheduled_here:
-            if name not in self._polled:
-                self._polled.add(name)
-                threading.Thread(
-                    target=self._poll_replica, args=(name,), name=f"poll-{name}", daemon=True
-                ).start()
-
-    def _start_pullers(self, live: tuple[Member, ...]) -> None:
-        for member in live:
-            if member.name != self._settings.name and member.peer not in self._pulled_peers:
-                self._pulled_peers.add(member.peer)
-                threading.Thread(
-                    target=self._pull_peer,
-                    args=(member.peer,),
-                    name=f"pull-{member.name}",
-                    daemon=True,
-                ).start()
-
-    def _poll_replica(self, name: str) -> None:
+        return here
+
+    def _peers_to_pull(self, live: tuple[Member, ...]) -> dict[Endpoint, str]:
+        """Return whom to ask, with the zone to ask for (empty for what the peer polls)."""
+        peers: dict[Endpoint, str] = {}
+        for zone, views in self._by_zone.items():
+            if zone == self._settings.zone:
+                schedulers = [self.scheduler_of(view) for view in views]
+                peers |= {member.peer: "" for member in schedulers if member is not None}
+                continue
+            of_zone = [member for member in live if member.zone == zone]
+            if of_zone:
+                # Each asker has its own answerer, so that the zone's nodes share the work.
+                answerer = rank_nodes(f"load/{zone}/{self._settings.name}", of_zone)[0]
+                peers[answerer.peer] = zone
+            else:
+                schedulers = [self.scheduler_of(view) for view in views]
+                peers |= {member.peer: "" for member in schedulers if member is not None}
+        peers.pop(self._membership.local().peer, None)
+        return peers
+
+    def _poll(self, name: str) -> None:
         """Poll one replica until another node becomes its scheduler."""
-        while not self._stopping.wait(POLL_INTERVAL_S):
+        while not self._stopping.wait(self._poll_interval_s()):
             view = self._replicas.get(name)
             if view is None or name not in self._scheduled_here:
                 break
-            report = self._poll_once(view)
+            report = poll_replica(self._connections, view)
             if report is not None:
                 view.offer_report(report)
         self._polled.discard(name)
 
-    def _poll_once(self, view: ReplicaView) -> LoadReport | None:
-        """Ask a replica once; ``None`` if it answers, but does not tell its load.
-
-        Then the report held grows old, and the load counts as unknown.
-        """
-        deadline = time.monotonic() + POLL_TIMEOUT_S
-        unreachable = LoadReport(replica=view.name, age_s=0.0, reachable=False)
-        request = ReplicaRequest("GET", "/load", {})
-        exchange = self._connections.send(view.machine.endpoint, request)
-        if isinstance(exchange, NotRun | OutcomeUnknown):
-            return unreachable
-        if not exchange.wait_readable(POLL_TIMEOUT_S):
-            exchange.abandon()
-            return unreachable
-        if exchange.read_head(POLL_TIMEOUT_S) is not None:
-            return unreachable
-        body = exchange.read_body(MAX_LOAD_DOCUMENT_BYTES, deadline)
-        if isinstance(body, OutcomeUnknown):
-            return unreachable
-        exchange.release()
-        try:
-            document = msgspec.json.decode(body, type=_LoadDocument)
-        except msgspec.MsgspecError:
-            return None
-        if exchange.status != 200:
-            return None
-        return LoadReport(
-            replica=view.name,
-            age_s=max(0.0, document.age_s),
-            running=document.running,
-            waiting=document.waiting,
-            batch_running=document.batch_running,
-            slots=document.slots,
-            draining=document.draining,
-        )
-
-    def _pull_peer(self, peer: Endpoint) -> None:
-        """Ask one node for its reports while it is live."""
-        while not self._stopping.wait(PULL_INTERVAL_S):
-            if all(member.peer != peer for member in self._membership.live()):
+    def _poll_interval_s(self) -> float:
+        return max(POLL_INTERVAL_S, len(self._scheduled_here) / POLLS_PER_S)
+
+    def _pull(self, peer: Endpoint) -> None:
+        """Ask one node for reports for as long as it is the one to ask."""
+        zone = self._pulled.get(peer, "")
+        while not self._stopping.wait(self._pull_interval_s(zone)):
+            if peer not in self._pulled:
                 break
-            reply = self._peer_client.call(peer, GetLoad(), LoadReports, PULL_TIMEOUT_S)
+            zone = self._pulled[peer]
+            reply = self._peer_client.call(peer, GetLoad(zone), LoadReports, PULL_TIMEOUT_S)
             if isinstance(reply, LoadReports):
-                for report in reply.reports:
-                    view = self._replicas.get(report.replica)
-                    if view is not None:
-                        view.offer_report(report)
-        self._pulled_peers.discard(peer)
+                self._take_reports(reply)
+        self._pulling.discard(peer)
+
+    def _pull_interval_s(self, zone: str) -> float:
+        """Return the time between questions that keeps their answers within the budget."""
+        own_zone = len(self._by_zone.get(self._settings.zone, ()))
+        if zone:
+            answer_bytes = (len(self._replicas) - own_zone) * REPORT_BYTES
+            return max(PULL_INTERVAL_S, answer_bytes / OTHER_ZONES_BYTES_PER_S)
+        return max(PULL_INTERVAL_S, own_zone * REPORT_BYTES / OWN_ZONE_BYTES_PER_S)
+
+    def _take_reports(self, reply: LoadReports) -> None:
+        for report in reply.reports:
+            view = self._replicas.get(report.replica)
+            if view is not None:
+                view.offer_report(report)
 
     def _answer_get_load(self, message: GetLoad) -> LoadReports:
-        reports = [view.report() for view in self.scheduled_here()]
+        views = self._by_zone.get(message.zone, ()) if message.zone else self.scheduled_here()
+        reports = [view.report() for view in views]
         return LoadReports(tuple(report for report in reports if report is not None))
+
+
+def _grouped(
+    views: tuple[ReplicaView, ...], key: Callable[[ReplicaView], str]
+) -> dict[str, tuple[ReplicaView, ...]]:
+    groups: dict[str, list[ReplicaView]] = {}
+    for view in views:
+        groups.setdefault(key(view), []).append(view)
+    return {name: tuple(members) for name, members in groups.items()}
+
+
+def _start_thread(name: str, target: Callable[..., None], *arguments: object) -> None:
+    threading.Thread(target=target, args=arguments, name=name, daemon=True).start()
--- a/src/quaymill/process/replicas/notifier.py
+++ b/src/quaymill/process/replicas/notifier.py
@@ -17,45 +17,67 @@
 NOTICE_TIMEOUT_S = 1.0
 
 
+class _Mailbox:
+    """Notices that wait for one scheduler node."""
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._replicas: set[str] = set()
+        self._closed = False
+
+    def put(self, replica: str) -> None:
+        with self._changed:
+            self._replicas.add(replica)
+            self._changed.notify()
+
+    def take_all(self) -> tuple[str, ...]:
+        """Wait for notices and return them; nothing after ``close``."""
+        with self._changed:
+            self._changed.wait_for(lambda: self._closed or self._replicas)
+            replicas, self._replicas = self._replicas, set()
+            return () if self._closed else tuple(replicas)
+
+    def close(self) -> None:
+        with self._changed:
+            self._closed = True
+            self._changed.notify()
+
+
 class PreemptionNotifier:
     """One thread for each scheduler node; notices that wait for it go out as one."""
 
     def __init__(self, load_view: LoadView, peer_client: PeerClient) -> None:
         self._load_view = load_view
         self._peer_client = peer_client
-        self._changed = threading.Condition()
-        self._waiting: dict[Endpoint, list[str]] = {}
-        self._stopping = False
+        self._lock = threading.Lock()
+        self._mailboxes: dict[Endpoint, _Mailbox] = {}
 
     def notify(self, replica: ReplicaView) -> None:
         """Send a notice for one replica, without waiting for it."""
         scheduler = self._load_view.scheduler_of(replica)
-        if scheduler is None:
-            return
-        with self._changed:
-            if scheduler.peer not in self._waiting:
-                self._waiting[scheduler.peer] = []
+        if scheduler is not None:
+            self._mailbox_of(scheduler.peer).put(replica.name)
+
+    def stop(self) -> None:
+        """Drop what waits and end the threads."""
+        with self._lock:
+            for mailbox in self._mailboxes.values():
+                mailbox.close()
+
+    def _mailbox_of(self, peer: Endpoint) -> _Mailbox:
+        with self._lock:
+            mailbox = self._mailboxes.get(peer)
+            if mailbox is None:
+                mailbox = _Mailbox()
+                self._mailboxes[peer] = mailbox
                 threading.Thread(
                     target=self._serve_peer,
-                    args=(scheduler.peer,),
-                    name=f"notice-{scheduler.name}",
+                    args=(peer, mailbox),
+                    name=f"notice-{peer}",
                     daemon=True,
                 ).start()
-            self._waiting[scheduler.peer].append(replica.name)
-            self._changed.notify_all()
+        return mailbox
 
-    def stop(self) -> None:
-        """Drop what waits and end the threads."""
-        with self._changed:
-            self._stopping = True
-            self._changed.notify_all()
-
-    def _serve_peer(self, peer: Endpoint) -> None:
-        while True:
-            with self._changed:
-                self._changed.wait_for(lambda: self._stopping or self._waiting[peer])
-                if self._stopping:
-                    return
-                replicas = tuple(self._waiting[peer])
-                self._waiting[peer] = []
+    def _serve_peer(self, peer: Endpoint, mailbox: _Mailbox) -> None:
+        while replicas := mailbox.take_all():
             self._peer_client.call(peer, OnlineStarts(replicas), Noted, NOTICE_TIMEOUT_S)
--- a/src/quaymill/process/replicas/replica.py
+++ b/src/quaymill/process/replicas/replica.py
@@ -5,10 +5,12 @@
 import threading
 import time
 
+import msgspec
+
 from quaymill.connection.load_messages import LoadReport
 from quaymill.connection.member import Machine
 
-REPORT_LIFETIME_S = 3.0
+REPORT_LIFETIME_S = 4.0
 DRAINING_ANSWER_LIFETIME_S = 10.0
 
 
@@ -59,16 +61,7 @@
                 return None
             report = self._report
             age_s = time.monotonic() - self._measured_at
-        return LoadReport(
-            replica=report.replica,
-            age_s=age_s,
-            running=report.running,
-            waiting=report.waiting,
-            batch_running=report.batch_running,
-            slots=report.slots,
-            draining=report.draining,
-            reachable=report.reachable,
-        )
+        return msgspec.structs.replace(report, age_s=round(age_s, 3))
 
     def begin(self) -> int:
         """Count a request that is being sent; return the ticket for ``end``."""
--- a/src/quaymill/request/relay.py
+++ b/src/quaymill/request/relay.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from quaymill.connection.engine_client import EVENT_END, EngineStream, token_ids
+from quaymill.connection.engine_client import EVENT_END, EngineStream, token_ids, with_resumed_usage
 from quaymill.request.outcome import Failed, Failure, NotRun, OutcomeUnknown
 from quaymill.request.presence import CallerPresence
 
@@ -92,6 +92,7 @@
         self._resume = resume
         self._format_error = format_error
         self._relayed = _RelayedTokens()
+        self._resumed_tokens = 0
         self.failure: Failure | None = None
 
     @property
@@ -129,10 +130,11 @@
         return None
 
     def _for_caller(self, events: bytes, current: OpenStream) -> bytes:
-        """Remember events, and give those of a later attempt the id of the first."""
+        """Remember events; make those of a later attempt look like those of the first."""
         attempt_id = current.attempt_id.encode()
         if attempt_id != self._first_id:
             events = events.replace(attempt_id, self._first_id)
+            events = with_resumed_usage(events, self._resumed_tokens)
         self._relayed.add(events)
         return events
 
@@ -140,10 +142,12 @@
         """Continue on another replica; return the failure if that cannot be."""
         if self._resume is None:
             return failure
-        reopened = self._resume(self._relayed.tokens())
+        tokens = self._relayed.tokens()
+        reopened = self._resume(tokens)
         if isinstance(reopened, NotRun | OutcomeUnknown | Failed):
             return reopened
         self._current = reopened
+        self._resumed_tokens = len(tokens)
         return None
 
     def _end_current(self, failure: OutcomeUnknown | None) -> None:
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -64,8 +64,12 @@
 class FakeMembership:
     """Holds the members that a test names."""
 
-    def __init__(self, *members: Member) -> None:
-        self.members_now = members
+    def __init__(self, local: Member) -> None:
+        self.members_now = (local,)
+        self._local = local
+
+    def local(self) -> Member:
+        return self._local
 
     def live(self) -> tuple[Member, ...]:
         return self.members_now
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -1,11 +1,12 @@
 """Calls that may not be repeated run at most once, and "not run" is true."""
 
+import socket
 import threading
 import unittest
 
 from nose2.tools import params
 
-from gateway_rig import FakeStore, GatewayRig, Reply, begin, wait_until
+from gateway_rig import HOST, KEY, FakeStore, GatewayRig, Reply, begin, wait_until
 from quaymill.connection.job_messages import CallState
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 from quaymill_standins.faults import Faults
@@ -115,6 +116,16 @@
         wait_until(lambda: stored["office", "filing", "left"][1].state is CallState.FINISHED)
         self.assertEqual((self.call("left").status, self.runs("left")), (200, 1))
 
+    def test_call_whose_body_is_cut_short_does_not_run(self):
+        with socket.create_connection((HOST, self.rig.gateway.endpoint.port), 5.0) as caller:
+            head = f"POST {PATH} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
+            caller.sendall(f"{head}Idempotency-Key: half\r\nContent-Length: 9\r\n\r\nhalf".encode())
+            caller.shutdown(socket.SHUT_WR)
+            answer = caller.recv(65536)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 400 "), answer)
+        self.assertIn(b"Quaymill-Outcome: not-run", answer)
+        self.assertEqual(self.runs("half"), 0)
+
     def test_resends_at_once_run_once(self):
         self.application.switches.replace(Faults(delay_s=0.2))
         replies = []
--- a/tests/test_relay_faults.py
+++ b/tests/test_relay_faults.py
@@ -111,6 +111,16 @@
             ids = {part.split(b'"')[0] for part in reply.body.split(b'"id":"')[1:]}
             self.assertEqual(len(ids), 1)
 
+    def test_usage_of_a_resumed_answer_counts_all_its_tokens(self):
+        self.bad.switches.replace(Faults(truncate_probability=1.0, seed=1))
+        options = {"stream_options": {"include_usage": True}}
+        for number in range(4):
+            whole = self.rig.request("POST", PATH, chat(f"w{number}", TOKENS))
+            self.assertEqual(whole.json()["usage"]["completion_tokens"], TOKENS)
+            body = chat(f"s{number}", TOKENS, stream=True) | options
+            streamed = self.rig.request("POST", PATH, body)
+            self.assertIn(b'"completion_tokens":%d' % TOKENS, streamed.body)
+
 
 class AllReplicasBadTest(unittest.TestCase):
     """Nothing is left to try: the caller is told at once, and truly, and when to come back."""
