--- a/src/quaymill_bench/role_configuration.py
+++ b/src/quaymill_bench/role_configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+import tracemalloc
 from collections.abc import Callable
 
 import msgspec
@@ -26,7 +27,13 @@
 
 
 class ConfigurationSlopes(msgspec.Struct, frozen=True):
-    """Costs by tenants and routes, and the document at the users' size."""
+    """Costs by tenants and routes, and the document at the users' size.
+
+    Attributes
+    ----------
+    held_bytes
+        Memory of the decoded document at the users' size.
+    """
 
     bytes_by: dict[str, Slope]
     decode_by: dict[str, Slope]
@@ -37,6 +44,7 @@
     full_check_ms: float
     full_apply_difference_ms: float
     difference_bytes: int
+    held_bytes: int
 
 
 class _Point(msgspec.Struct):
@@ -71,6 +79,9 @@
         full_check_ms=round(full.check_s * 1000, 2),
         full_apply_difference_ms=round(full.apply_s * 1000, 2),
         difference_bytes=full.difference_bytes,
+        held_bytes=_held_bytes(
+            msgspec.json.encode(build_configuration(max(TENANT_POINTS), 26, 21))
+        ),
     )
 
 
@@ -114,6 +125,15 @@
     )
 
 
+def _held_bytes(document: bytes) -> int:
+    tracemalloc.start()
+    decoded = decode_configuration(document)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert isinstance(decoded, ServingConfiguration)
+    return size
+
+
 def _cpu_of(work: Callable[[], object]) -> float:
     """Return the least processor time of some repeats, so that a cold cache does not count."""
     times = []
