--- a/src/quaymill_bench/role_slopes_experiment.py
+++ b/src/quaymill_bench/role_slopes_experiment.py
@@ -20,7 +20,8 @@
 from quaymill_bench.role_load_reports import LoadReportSlopes, measure_load_reports
 from quaymill_bench.role_log import LogMeasurement, LogSlopes
 from quaymill_bench.role_scheduler import SchedulerSlopes, measure_scheduler
-from quaymill_bench.role_size import SizeRow, size_rows
+from quaymill_bench.role_size import SizeRow
+from quaymill_bench.role_size_rows import size_rows
 from quaymill_bench.role_tables import render_size, render_slopes
 
 
