--- a/src/quaymill_bench/role_size_load.py
+++ b/src/quaymill_bench/role_size_load.py
@@ -66,7 +66,8 @@
     slopes: RoleSlopes, poll_core: float, replicas: float, cost: tuple[float, float]
 ) -> list[SizeRow]:
     report = LoadReport("engine-zone-a-0001", 0.21875, 24, 2, 12, 32)
-    compact = encoded_bytes(msgspec.structs.astuple(report))
+    # A replica is named by its place in the machine list.
+    compact = encoded_bytes((1234, *msgspec.structs.astuple(report)[1:]))
     notices = requests_per_node_s()
     return [
         SizeRow(
--- a/src/quaymill_bench/role_size_rows.py
+++ b/src/quaymill_bench/role_size_rows.py
@@ -30,6 +30,24 @@
 if TYPE_CHECKING:
     from quaymill_bench.role_slopes_experiment import RoleSlopes
 
+CONTROL_AS_BUILT = (
+    "gateway: notices to schedulers",
+    "gateway's limits",
+    "credit granter",
+    "configuration, at a reader node: the platform's watch",
+    "load view: polls of engines",
+    "load view: reports pulled from all other nodes",
+    "load view: answers to the other nodes",
+)
+CONTROL_CHANGED = (
+    "gateway: notices to schedulers",
+    "gateway's limits, and returns on the next borrowing, arrays",
+    "credit granter, and returns on the next borrowing, arrays",
+    "configuration, at a reader node, in 32 objects",
+    "load view: an engine polled once in 2 s",
+    "load view: reports come with the answer to a notice",
+)
+
 
 def size_rows(slopes: RoleSlopes) -> tuple[SizeRow, ...]:
     """Return the rows of all parts that are measured."""
@@ -46,7 +64,31 @@
         rows += _configuration_rows(slopes)
     if slopes.load_reports is not None:
         rows += load_rows(slopes)
-    return tuple(rows)
+    return (*rows, *_sum_rows(rows))
+
+
+def _sum_rows(rows: list[SizeRow]) -> list[SizeRow]:
+    """Return what a node without a disk spends on control, as built and as it might be."""
+    sums = []
+    for name, kind, parts in (
+        ("sum of control, as built", "control", CONTROL_AS_BUILT),
+        ("sum of control, changed", "change", CONTROL_CHANGED),
+    ):
+        chosen = [row for row in rows if row.role in parts]
+        if len(chosen) < len(parts):
+            continue
+        sums.append(
+            SizeRow(
+                f"{name}, a reader node without a disk",
+                kind,
+                sum(row.messages_per_s or 0.0 for row in chosen),
+                sum(row.bytes_per_s or 0.0 for row in chosen),
+                sum(row.core_share or 0.0 for row in chosen),
+                None,
+                "without membership, status and leases; both directions of all bytes",
+            )
+        )
+    return sums
 
 
 def _gateway_rows(slopes: RoleSlopes) -> list[SizeRow]:
@@ -116,13 +158,14 @@
         + granters / 10 * limits.return_bytes
         + streams_per_node() / 10 * 30
     )
-    # And with the return of a request on the next message to the same granter.
+    # And with the return of a request on the next borrowing, and arrays for objects.
     lean = requests + granters / 10
-    lean_size = (
-        requests * (limits.borrow_bytes + 30)
-        + granters / 10 * limits.return_bytes
-        + streams_per_node() / 10 * 30
+    borrow = encoded_bytes(("tenant-00001", "node-zone-a-0", 1, 320, 1, 160)) + encoded_bytes(
+        (1, 1)
     )
+    renewal = encoded_bytes(("node-zone-a-0", ())) + encoded_bytes(())
+    one_tenant = encoded_bytes(("tenant-00001", 1))
+    lean_size = requests * borrow + granters / 10 * renewal + streams_per_node() / 10 * one_tenant
     roles = (("gateway's limits", limits.gateway_by), ("credit granter", limits.granter_by))
     rows = []
     for role, cpu in roles:
@@ -141,13 +184,13 @@
         )
         rows.append(
             SizeRow(
-                f"{role}, and returns carried by the next borrowing",
+                f"{role}, and returns on the next borrowing, arrays",
                 "change",
                 lean,
                 lean_size,
                 lean * cost,
                 None,
-                "30 bytes a return",
+                f"{borrow} bytes a borrowing, {one_tenant} a tenant renewed",
             )
         )
     return rows
