--- a/src/quaymill_bench/main.py
+++ b/src/quaymill_bench/main.py
@@ -12,8 +12,7 @@
 from quaymill_bench.load import run_load
 from quaymill_bench.load_plan import LoadPlan, Phase
 
-EXPERIMENTS = ("interference", "overhead", "routing", "store", "propagation", "roles")
-
+EXPERIMENTS = ("interference", "overhead", "routing", "store", "propagation", "batch", "roles")
 MODULES = {"roles": "role_slopes"}
 
 
@@ -75,7 +74,7 @@
     Parameters
     ----------
     name
-        One of interference, overhead, routing, store, propagation, roles.
+        One of interference, overhead, routing, store, propagation, batch, roles.
     out
         File for the plot (PNG); for roles, for the tables (Markdown).
     seed
--- a/src/quaymill_bench/role_configuration.py
+++ b/src/quaymill_bench/role_configuration.py
@@ -19,7 +19,7 @@
 )
 from quaymill.version.differences import apply_difference, find_difference
 from quaymill_bench.cluster_shape import hash_key
-from quaymill_bench.slopes import MICRO, Slope, fit_slopes
+from quaymill_bench.role_fit import MICRO, Slope, fit_slopes
 
 TENANT_POINTS = (0, 100, 800, 1600, 3100)
 ROUTE_POINTS = ((26, 3), (26, 6), (26, 12), (26, 21))
--- a/src/quaymill_bench/role_gateway.py
+++ b/src/quaymill_bench/role_gateway.py
@@ -12,7 +12,7 @@
 from quaymill_bench.load import run_load
 from quaymill_bench.load_plan import LoadPlan, Phase
 from quaymill_bench.role_cluster import RoleCluster
-from quaymill_bench.slopes import MICRO, Sample, Slope, fit_slopes, measure_window, resident_bytes
+from quaymill_bench.role_fit import MICRO, Sample, Slope, fit_slopes, measure_window, resident_bytes
 
 RATE_POINTS = ((0, 0), (8, 16), (20, 16), (40, 16), (20, 48), (20, 96), (8, 96))
 """Requests a second, and tokens of each answer."""
--- a/src/quaymill_bench/role_limits.py
+++ b/src/quaymill_bench/role_limits.py
@@ -19,7 +19,7 @@
 from quaymill.process.limits.limiter import TenantLimiter
 from quaymill.version.configuration import ServingConfiguration, Tenant
 from quaymill_bench.hollow import HOST, CountingPeerClient, hollow_settings
-from quaymill_bench.slopes import MICRO, Sample, Slope, fit_slopes, measure_window
+from quaymill_bench.role_fit import MICRO, Sample, Slope, fit_slopes, measure_window
 
 GATEWAYS = 4
 POINTS = ((10, 0), (10, 500), (10, 1500), (200, 1000), (200, 2000), (800, 1600), (800, 3200))
--- a/src/quaymill_bench/role_load_reports.py
+++ b/src/quaymill_bench/role_load_reports.py
@@ -25,7 +25,7 @@
 from quaymill_bench.hollow import HOST, CountingPeerClient, hollow_settings
 from quaymill_bench.ports import free_port
 from quaymill_bench.processes import ManagedProcess, wait_until
-from quaymill_bench.slopes import MICRO, Sample, Slope, fit_slopes, measure_window
+from quaymill_bench.role_fit import MICRO, Sample, Slope, fit_slopes, measure_window
 
 POLLED_POINTS = (0, 4, 8, 16, 32)
 PULL_POINTS = ((0, 0), (10, 8), (20, 8), (40, 8), (20, 1), (20, 32))
--- a/src/quaymill_bench/role_log.py
+++ b/src/quaymill_bench/role_log.py
@@ -29,7 +29,7 @@
 from quaymill.connection.peer_link import PeerMessage
 from quaymill.process.job_store.client import JobStoreClient
 from quaymill_bench.role_cluster import LogRoles, RoleCluster
-from quaymill_bench.slopes import MICRO, Sample, Slope, fit_slopes, measure_window, resident_bytes
+from quaymill_bench.role_fit import MICRO, Sample, Slope, fit_slopes, measure_window, resident_bytes
 
 SERVICE = "slopes"
 TENANT = "office"
--- a/src/quaymill_bench/role_scheduler.py
+++ b/src/quaymill_bench/role_scheduler.py
@@ -10,7 +10,7 @@
 from quaymill_bench.cluster_members import Node
 from quaymill_bench.processes import wait_until
 from quaymill_bench.role_cluster import BATCH_LIMIT, RoleCluster
-from quaymill_bench.slopes import MICRO, Sample, Slope, fit_slopes, measure_window, resident_bytes
+from quaymill_bench.role_fit import MICRO, Sample, Slope, fit_slopes, measure_window, resident_bytes
 
 TOKEN_POINTS = (2, 8, 32, 96, 4)
 """Tokens of each item of a job."""
--- a/src/quaymill_bench/role_size_log.py
+++ b/src/quaymill_bench/role_size_log.py
@@ -19,9 +19,9 @@
 )
 
 if TYPE_CHECKING:
+    from quaymill_bench.role_fit import Slope
     from quaymill_bench.role_log import LogSlopes
     from quaymill_bench.role_slopes_experiment import RoleSlopes
-    from quaymill_bench.slopes import Slope
 
 
 SERVICES_PER_NODE = 8
--- a/src/quaymill_bench/role_tables.py
+++ b/src/quaymill_bench/role_tables.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from quaymill_bench.slopes import Slope
+from quaymill_bench.role_fit import Slope
 
 if TYPE_CHECKING:
     from quaymill_bench.role_size import SizeRow
--- a/src/quaymill_bench/slopes.py
+++ b/src/quaymill_bench/slopes.py
@@ -1,89 +1,65 @@
-"""Least squares over measured points: what one unit of work costs, and how sure that is."""
+"""Straight lines through measured points, with the spread of each slope."""
 
 from __future__ import annotations
 
-import os
-import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Sequence
 
 import msgspec
 import numpy
-import psutil
-
-MIN_FREE_POINTS = 1
-MICRO = 1e6
 
 
 class Slope(msgspec.Struct, frozen=True):
-    """Cost of one unit with its standard error, in ``unit``."""
-
-    value: float
-    error: float
-    unit: str
-    points: int
-
-
-class Sample(msgspec.Struct, frozen=True):
-    """What a window of work used: processor seconds by process, and wall seconds."""
-
-    cpu_s: dict[str, float]
-    wall_s: float
+    """How one quantity grows with the size of the fleet: ``base + by * size``.
 
-
-def fit_slopes(
-    columns: Mapping[str, Sequence[float]],
-    values: Sequence[float],
-    unit: str,
-    scale: float = 1.0,
-) -> dict[str, Slope]:
-    """Fit ``values`` as a sum of a cost for each unit of each column.
-
-    Parameters
+    Attributes
     ----------
-    columns
-        Units of work by name, one number for each point. There is no constant beside them; a
-        column of ones adds it.
-    scale
-        Factor of the slopes, such as 1e6 from seconds to microseconds.
-
-    Raises
-    ------
-    ValueError
-        If there are too few points to tell an error.
+    base, per_node, per_replica
+        Least squares over all points.
+    per_node_spread, per_replica_spread
+        Standard errors of the slopes; 0 if there are too few points to tell.
     """
-    matrix = numpy.array(list(columns.values()), dtype=float).T
-    target = numpy.array(values, dtype=float)
-    free_points = len(target) - len(columns)
-    if free_points < MIN_FREE_POINTS:
-        raise ValueError(f"{len(target)} points are too few for {len(columns)} slopes")
-    found, _, _, _ = numpy.linalg.lstsq(matrix, target, rcond=None)
-    residual = target - matrix @ found
-    variance = float(residual @ residual) / free_points
-    errors = numpy.sqrt(variance * numpy.diag(numpy.linalg.inv(matrix.T @ matrix)))
-    return {
-        name: Slope(
-            round(float(value) * scale, 3), round(float(error) * scale, 3), unit, len(target)
-        )
-        for name, value, error in zip(columns, found, errors, strict=True)
-    }
 
+    quantity: str
+    base: float
+    per_node: float
+    per_node_spread: float
+    per_replica: float
+    per_replica_spread: float
 
-def measure_window(pids: Mapping[str, int], work: Callable[[], object]) -> Sample:
-    """Run ``work`` and return what the processes used meanwhile."""
-    before = {name: cpu_seconds(pid) for name, pid in pids.items()}
-    began_s = time.monotonic()
-    work()
-    wall_s = time.monotonic() - began_s
-    after = {name: cpu_seconds(pid) for name, pid in pids.items()}
-    return Sample({name: after[name] - before[name] for name in pids}, wall_s)
+    def at(self, nodes: int, replicas: int) -> float:
+        """Return the value on the line."""
+        return self.base + self.per_node * nodes + self.per_replica * replicas
 
 
-def cpu_seconds(pid: int | None = None) -> float:
-    """Return user and system time of a process, of this one without ``pid``."""
-    times = psutil.Process(pid or os.getpid()).cpu_times()
-    return times.user + times.system
+def fit_slope(quantity: str, sizes: Sequence[tuple[int, int]], values: Sequence[float]) -> Slope:
+    """Fit a plane over (nodes, replicas) by least squares.
 
-
-def resident_bytes(pid: int) -> int:
-    """Return the resident memory of a process."""
-    return psutil.Process(pid).memory_info().rss
+    A size that does not vary over the points has slope 0.
+    """
+    columns = [numpy.ones(len(sizes))]
+    varying = []
+    for index in range(2):
+        column = numpy.array([size[index] for size in sizes], dtype=float)
+        if numpy.ptp(column) > 0:
+            columns.append(column)
+            varying.append(index)
+    design = numpy.column_stack(columns)
+    observed = numpy.array(values, dtype=float)
+    coefficients, *_ = numpy.linalg.lstsq(design, observed, rcond=None)
+    spreads = _standard_errors(design, observed, coefficients)
+    slopes, errors = [0.0, 0.0], [0.0, 0.0]
+    for position, index in enumerate(varying, 1):
+        slopes[index] = float(coefficients[position])
+        errors[index] = float(spreads[position])
+    return Slope(quantity, float(coefficients[0]), slopes[0], errors[0], slopes[1], errors[1])
+
+
+def _standard_errors(
+    design: numpy.ndarray, observed: numpy.ndarray, coefficients: numpy.ndarray
+) -> numpy.ndarray:
+    freedom = len(observed) - design.shape[1]
+    if freedom <= 0:
+        return numpy.zeros(design.shape[1])
+    residuals = observed - design @ coefficients
+    variance = float(residuals @ residuals) / freedom
+    return numpy.sqrt(variance * numpy.diag(numpy.linalg.pinv(design.T @ design)))
--- a/tests/test_role_slopes.py
+++ b/tests/test_role_slopes.py
@@ -7,11 +7,11 @@
 from nose2.tools import params
 
 from quaymill_bench.role_configuration import ConfigurationSlopes
+from quaymill_bench.role_fit import Slope, fit_slopes
 from quaymill_bench.role_size import SizeRow
 from quaymill_bench.role_size_rows import size_rows
 from quaymill_bench.role_slopes_experiment import RoleSlopes
 from quaymill_bench.role_tables import render_size, render_slopes
-from quaymill_bench.slopes import Slope, fit_slopes
 
 SLOPE = Slope(2.0, 0.5, "us", 4)
 
