--- a/src/quaymill/process/batch/lease_book.py
+++ b/src/quaymill/process/batch/lease_book.py
@@ -17,6 +17,7 @@
 import msgspec
 from eliot import log_message
 
+from quaymill.connection.identifiers import group_number
 from quaymill.connection.job_messages import (
     Accepted,
     CompletedItems,
@@ -41,6 +42,7 @@
 IDLE_HOLD_S = 3.0
 MAX_POLL_BACKOFF = 8
 MAX_ITEMS_PER_CALL = 256
+MAX_REPORT_BYTES = 8 * 1024 * 1024
 LATENCY_SMOOTHING = 0.2
 
 
@@ -58,6 +60,7 @@
         self.work_wanted = threading.Condition(lock)
         self.polls: dict[str, _Poll] = {}
         self.lease_retry_s = 0.0
+        self.lease_failure = ""
         self.report_wanted = threading.Condition(lock)
         self.completions: deque[ItemCompletion] = deque()
         self.returns: deque[ItemRef] = deque()
@@ -159,6 +162,14 @@
             group.completions.append(ItemCompletion(work.ref, status, response, retryable))
             group.report_wanted.notify()
 
+    def shortage_reason(self, service: str) -> str:
+        """Return why no item of a service is here, for a person."""
+        with self._lock:
+            for number, group in enumerate(self._groups):
+                if group.lease_failure:
+                    return f"log group {number} gives no leases: {group.lease_failure}"
+        return f"no item of {service} waits in the job store"
+
     def held(self) -> int:
         """Return how many leases this node holds."""
         return len(self._held)
@@ -180,8 +191,10 @@
                 if isinstance(reply, LeasedItems):
                     self._note_latency(time.monotonic() - asked_s)
                     self._hold(group, message, reply.items)
+                    group.lease_failure = ""
                 else:
                     group.lease_retry_s = time.monotonic() + RETRY_INTERVAL_S
+                    group.lease_failure = reply.reason
                     _log_failure(message, reply)
 
     def _next_lease(self, number: int, group: _Group) -> LeaseItems | None:
@@ -222,8 +235,7 @@
             return None, None
         self._return_idle_items(number)
         if group.completions:
-            completions = tuple(itertools.islice(group.completions, MAX_ITEMS_PER_CALL))
-            return CompleteItems(number, self.worker, completions), CompletedItems
+            return CompleteItems(number, self.worker, _first(group.completions)), CompletedItems
         if group.returns:
             refs = tuple(itertools.islice(group.returns, MAX_ITEMS_PER_CALL))
             return ReturnItems(number, self.worker, refs), Accepted
@@ -310,19 +322,17 @@
                 group.work_wanted.notify()
 
 
-def _log_failure(message: PeerMessage, failure: object) -> None:
-    log_message("batch:store_failure", sent=type(message).__name__, failure=repr(failure))
-
+def _first(completions: deque[ItemCompletion]) -> tuple[ItemCompletion, ...]:
+    """Return as many as fit into one message, at least one."""
+    taken: list[ItemCompletion] = []
+    size_bytes = 0
+    for completion in itertools.islice(completions, MAX_ITEMS_PER_CALL):
+        size_bytes += len(bytes(completion.response))
+        if taken and size_bytes > MAX_REPORT_BYTES:
+            break
+        taken.append(completion)
+    return tuple(taken)
 
-def group_number(identifier: str) -> int:
-    """Return the log group in the id of a job (``batch_{group}_..``) or file (``file-{group}-..``).
 
-    Raises
-    ------
-    ValueError
-        If ``identifier`` is not such an id.
-    """
-    parts = identifier.replace("-", "_").split("_")
-    if len(parts) < 3 or not parts[1].isdigit():
-        raise ValueError(f"{identifier!r} does not name its log group")
-    return int(parts[1])
+def _log_failure(message: PeerMessage, failure: object) -> None:
+    log_message("batch:store_failure", sent=type(message).__name__, failure=repr(failure))
--- a/src/quaymill/version/differences.py
+++ b/src/quaymill/version/differences.py
@@ -4,6 +4,7 @@
 
 import threading
 from collections import deque
+from collections.abc import Iterable
 
 import msgspec
 import xxhash
@@ -62,17 +63,25 @@
 def apply_difference(
     base: ServingConfiguration, difference: ConfigurationDifference
 ) -> ServingConfiguration | None:
-    """Return the later configuration, ``None`` if the difference does not fit ``base``."""
-    if base.generation != difference.base_generation:
+    """Return the later configuration, ``None`` if the difference does not fit ``base``.
+
+    ``base`` may lie between the two generations: cells are given as they are in the end, and
+    the digest tells whether that was enough.
+    """
+    if not difference.base_generation <= base.generation < difference.generation:
         return None
+    new_edits = tuple(edit for edit in difference.new_edits if edit not in base.recent_edits)
+    new_records = tuple(
+        record for record in difference.new_records if record.generation > base.generation
+    )
     changed = apply_changes(base, difference.changes)
     if isinstance(changed, CellProblem):
         return None
     target = msgspec.structs.replace(
         changed,
         generation=difference.generation,
-        recent_edits=(*base.recent_edits, *difference.new_edits)[-MAX_RECENT_EDITS:],
-        edit_records=(*base.edit_records, *difference.new_records)[-MAX_EDIT_RECORDS:],
+        recent_edits=(*base.recent_edits, *new_edits)[-MAX_RECENT_EDITS:],
+        edit_records=(*base.edit_records, *new_records)[-MAX_EDIT_RECORDS:],
     )
     return target if digest_of(target) == difference.digest else None
 
@@ -84,16 +93,16 @@
         self._lock = threading.Lock()
         self._kept: deque[ConfigurationDifference] = deque(maxlen=MAX_KEPT_DIFFERENCES)
 
-    def add(self, difference: ConfigurationDifference) -> None:
-        """Keep the difference that has just been put in force."""
+    def add(self, differences: Iterable[ConfigurationDifference]) -> None:
+        """Keep the differences that have just been put in force, in their order."""
         with self._lock:
-            self._kept.append(difference)
+            self._kept.extend(differences)
 
     def since(self, generation: int) -> tuple[ConfigurationDifference, ...] | None:
         """Return the differences that lead on from a generation; ``None`` if not all are kept."""
         with self._lock:
-            later = [kept for kept in self._kept if kept.base_generation >= generation]
-        if not later or later[0].base_generation != generation:
+            later = [kept for kept in self._kept if kept.generation > generation]
+        if not later or later[0].base_generation > generation:
             return None
         return tuple(later)
 
@@ -101,6 +110,8 @@
 def _changed_cells(base: ServingConfiguration, target: ServingConfiguration) -> list[CellChange]:
     changes = []
     for table in ROW_TYPES:
+        if getattr(base, table) == getattr(target, table):
+            continue  # Most edits touch one table; comparing rows costs much more.
         before = dict(rows_of(base, table))
         after = dict(rows_of(target, table))
         for names in [*after, *(names for names in before if names not in after)]:
