Let idle replicas sleep

Cause: each replica woke 20 times a second to commit nothing and 33 times to see that no election was due. Change: the writer wakes by itself only while applied state waits for its commit; the elector sleeps until an election can be due, at most 0.2 s, and 0.1 s on a leader. Before and after (three idle processes with the job store alone, 10 s each): leader 1.8% of a core, then 1.2%; followers 1.2%, then 0.3 to 0.5%.

--- a/src/quaymill/process/job_store/election.py
+++ b/src/quaymill/process/job_store/election.py
@@ -19,7 +19,9 @@
 from quaymill.connection.peer_link import PeerClient
 from quaymill.process.job_store.replica import Replica, Role
 
-TICK_S = 0.03
+SHORTEST_PAUSE_S = 0.01
+LONGEST_PAUSE_S = 0.2
+LEADER_PAUSE_S = 0.1
 LONGEST_WAIT_ELECTION_TIMEOUTS = 1.5
 FIRST_RETRY_WAIT_S = 0.05
 THREAD_STOP_TIMEOUT_S = 5.0
@@ -69,7 +71,7 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            hand_over = self._stand_now.wait(TICK_S)
+            hand_over = self._stand_now.wait(self._pause_s())
             self._stand_now.clear()
             if self._stopping.is_set():
                 return
@@ -84,12 +86,27 @@
             except Exception as error:  # A bug in one turn must not leave the group unwatched.
                 log_message("store:election_error", error=repr(error))
 
+    def _pause_s(self) -> float:
+        """Return how long nothing can be due, unless the leader hands over."""
+        replica = self._replica
+        with replica.lock:
+            if replica.role is Role.LEADER:
+                return LEADER_PAUSE_S
+            if not self._may_stand():
+                return LONGEST_PAUSE_S
+            due_s = max(replica.leader_contact_s + self._wait_s, self._not_before_s)
+        return min(max(due_s - time.monotonic(), SHORTEST_PAUSE_S), LONGEST_PAUSE_S)
+
+    def _may_stand(self) -> bool:
+        replica = self._replica
+        if replica.role not in (Role.FOLLOWER, Role.CANDIDATE) or replica.membership is None:
+            return False
+        return replica.membership.is_voter(replica.identity)
+
     def _is_time_to_stand(self) -> bool:
         replica = self._replica
         with replica.lock:
-            if replica.role not in (Role.FOLLOWER, Role.CANDIDATE) or replica.busy_with_leader:
-                return False
-            if replica.membership is None or not replica.membership.is_voter(replica.identity):
+            if replica.busy_with_leader or not self._may_stand():
                 return False
             now = time.monotonic()
             if now < replica.leader_contact_s + self._wait_s:
--- a/src/quaymill/process/job_store/group.py
+++ b/src/quaymill/process/job_store/group.py
@@ -268,6 +268,7 @@
             with self.replica.lock:
                 needed = min(self.replica.kept_for_snapshots.values(), default=storage.last_index)
             storage.compact(needed, COMPACTED_AT_ONCE)
+            storage.commit()
 
     def _purge(self) -> None:
         now = time.monotonic()
--- a/src/quaymill/process/job_store/group_commit.py
+++ b/src/quaymill/process/job_store/group_commit.py
@@ -109,7 +109,9 @@
     def _run(self) -> None:
         while True:
             with self._replica.lock:
-                self._replica.to_commit.wait_for(self._has_work, IDLE_COMMIT_S)
+                # Without applied state to make durable, there is nothing to wake up for.
+                unsaved = self._replica.storage.has_unsaved_writes
+                self._replica.to_commit.wait_for(self._has_work, IDLE_COMMIT_S if unsaved else None)
                 if self._stopping or self._replica.role is Role.STOPPED:
                     return
             with self._replica.storage.lock:
--- a/src/quaymill/process/job_store/log_storage.py
+++ b/src/quaymill/process/job_store/log_storage.py
@@ -50,6 +50,11 @@
         self._create_tables()
         self._load()
 
+    @property
+    def has_unsaved_writes(self) -> bool:
+        """Whether there are writes that are not durable yet."""
+        return self.connection.in_transaction
+
     def begin(self) -> None:
         """Open a transaction unless one is open."""
         if not self.connection.in_transaction:
