Let a disk node carry only its own groups

Cause: each disk node opened every group, also those that it is not of: threads, files and questions for nothing, and with many groups on many nodes more than the budget of control. Weighed: placement in the platform's objects (few readers), invitations by the leader (no leader at the first start), ranking by rendezvous hashing, which every node does alike without messages; chosen. Nothing is opened until the disk nodes have stayed the same for two election timeouts, as a node that starts knows only a few and would take all groups; a replica that turns out needless is closed and removed.

--- a/tests/job_store_cluster.py
+++ b/tests/job_store_cluster.py
@@ -9,6 +9,7 @@
 import uuid
 from collections.abc import Callable
 from pathlib import Path
+from unittest import mock
 
 import msgspec
 
@@ -36,6 +37,7 @@
 )
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.process.job_store import service
 from quaymill.process.job_store.client import JobStoreClient
 from quaymill.process.job_store.group import Group
 from quaymill.process.job_store.replica import Role
@@ -154,11 +156,12 @@
 
     @property
     def group(self) -> Group:
-        return self.service.groups[0]
+        return wait_until(lambda: self.service.groups.get(0), "the node carries group 0")
 
     @property
     def leads(self) -> bool:
-        return self.running and self.group.replica.role is Role.LEADER
+        group = self.service.groups.get(0) if self.running else None
+        return group is not None and group.replica.role is Role.LEADER
 
 
 class Cluster:
@@ -171,6 +174,9 @@
         log_settings: LogSettings = TEST_TIMING,
         platform_down: bool = False,
     ) -> None:
+        # The nodes come up together, so their views settle sooner than in production.
+        self._settle = mock.patch.object(service, "SETTLE_ELECTION_TIMEOUTS", 0.3)
+        self._settle.start()
         self.folder = Path(tempfile.mkdtemp(prefix="job-store-"))
         self.log_settings = log_settings
         self.platform = FakePlatform()
@@ -189,6 +195,7 @@
     def close(self) -> None:
         for node in self.nodes.values():
             node.stop()
+        self._settle.stop()
         shutil.rmtree(self.folder)
 
     def leader(self) -> ClusterNode:
@@ -285,6 +292,11 @@
     )
 
 
+def voters(cluster):
+    """Return the identities of the voters, as the leader knows them."""
+    return {voter.identity for voter in cluster.leader().group.replica.membership.voters}
+
+
 def state_of(node):
     """Return the rows of all state tables of a node."""
     storage = node.group.replica.storage
