--- /dev/null
+++ b/tests/test_load_view.py
@@ -0,0 +1,162 @@
+"""Who polls a replica, how its reports travel, and what that costs."""
+
+import unittest
+from collections import Counter
+
+from gateway_rig import HOST, FakeMembership, wait_until
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.load_messages import GetLoad
+from quaymill.connection.member import Machine, MachineRole, Member
+from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.process.machine_list import MachineList, MachineListHolder
+from quaymill.process.replicas.load_view import LoadView
+from quaymill.process.settings import NodeSettings
+from quaymill_standins.engine import Engine, EngineSettings
+from quaymill_standins.faults import Faults
+
+MODEL = "drafting"
+ZONES = {"node-1": "a", "node-2": "a", "node-3": "b"}
+
+
+class CountingPeerClient(PeerClient):
+    """Counts questions by the peer asked."""
+
+    def __init__(self, links: LinkFilter) -> None:
+        super().__init__(links)
+        self.asked: Counter[Endpoint] = Counter()
+
+    def call(self, endpoint, message, reply_type, timeout_s):
+        if isinstance(message, GetLoad):
+            self.asked[endpoint] += 1
+        return super().call(endpoint, message, reply_type, timeout_s)
+
+
+class Fleet:
+    """Load views of three nodes in two zones over real engines and peer links."""
+
+    def __init__(self) -> None:
+        self.machine_list = MachineListHolder()
+        self.engines = {f"engine-{zone}": self._engine(zone) for zone in ("a", "b")}
+        self.servers = {name: PeerServer(Endpoint(HOST, 0)) for name in ZONES}
+        self.links = {name: LinkFilter() for name in ZONES}
+        self.clients = {name: CountingPeerClient(self.links[name]) for name in ZONES}
+        self.members = {
+            name: Member(name, zone, "r", self.servers[name].endpoint, Endpoint(HOST, 1))
+            for name, zone in ZONES.items()
+        }
+        self.memberships = {name: FakeMembership(member) for name, member in self.members.items()}
+        self.see(*ZONES)
+        machines = [
+            Machine(name, MachineRole.ENGINE, name[-1], Endpoint(HOST, engine.port), MODEL)
+            for name, engine in self.engines.items()
+        ]
+        self.machine_list.offer(MachineList(1, tuple(machines)))
+        self.views = {name: self._view(name) for name in ZONES}
+        for name, view in self.views.items():
+            self.servers[name].start()
+            view.start()
+
+    def _engine(self, zone: str) -> Engine:
+        settings = EngineSettings(f"engine-{zone}", zone, MODEL, load_lag_s=0.0)
+        engine = Engine(settings)
+        engine.start()
+        return engine
+
+    def _view(self, name: str) -> LoadView:
+        settings = NodeSettings(name, ZONES[name], "r", HOST, 1, 1, f"{HOST}:1")
+        return LoadView(
+            settings,
+            self.machine_list,
+            self.memberships[name],
+            self.clients[name],
+            self.servers[name],
+            self.links[name],
+        )
+
+    def see(self, *names: str) -> None:
+        """Let every node see these nodes as live."""
+        for membership in self.memberships.values():
+            membership.members_now = tuple(self.members[name] for name in names)
+
+    def report(self, node: str, engine: str):
+        views = {view.name: view for view in self.views[node].replicas(MODEL)}
+        return views[engine].report()
+
+    def pollers(self, engine: str) -> list[str]:
+        return [
+            name
+            for name, view in self.views.items()
+            if engine in [replica.name for replica in view.scheduled_here()]
+        ]
+
+    def stop(self) -> None:
+        for name, view in self.views.items():
+            view.stop()
+            self.servers[name].stop()
+            self.clients[name].close()
+        for engine in self.engines.values():
+            engine.stop()
+
+
+class LoadViewTest(unittest.TestCase):
+    """Three nodes, two zones, an engine in each zone."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Fleet()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.fleet.stop()
+
+    def setUp(self):
+        self.fleet.see(*ZONES)
+        for engine in self.fleet.engines.values():
+            engine.switches.replace(Faults())
+        for links in self.fleet.links.values():
+            links.set_blocked(frozenset())
+        wait_until(lambda: all(len(self.fleet.pollers(one)) == 1 for one in self.fleet.engines))
+
+    def test_each_replica_is_polled_by_one_node_of_its_zone(self):
+        for engine in self.fleet.engines:
+            zone = ZONES[self.fleet.pollers(engine)[0]]
+            self.assertEqual(zone, engine[-1])
+
+    def test_reports_reach_every_node(self):
+        for node in ZONES:
+            for engine in self.fleet.engines:
+                wait_until(lambda n=node, e=engine: self.fleet.report(n, e) is not None)
+                wait_until(lambda n=node, e=engine: self.fleet.report(n, e).age_s < 1.5)
+
+    def test_one_node_answers_for_its_zone(self):
+        before = Counter(self.fleet.clients["node-3"].asked)
+        peers = {self.fleet.members[name].peer for name in ("node-1", "node-2")}
+        asked = self.fleet.clients["node-3"].asked
+        wait_until(lambda: sum((asked - before)[peer] for peer in peers) >= 3)
+        self.assertEqual(len([peer for peer in peers if asked[peer] > before[peer]]), 1)
+
+    def test_next_node_polls_when_the_polling_one_is_dead(self):
+        first = self.fleet.pollers("engine-a")[0]
+        self.fleet.see(*[name for name in ZONES if name != first])
+        wait_until(lambda: first not in self.fleet.pollers("engine-a"))
+        poller = self.fleet.pollers("engine-a")[0]
+        self.assertEqual(ZONES[poller], "a")
+        self.fleet.see("node-3")
+        wait_until(lambda: self.fleet.pollers("engine-a") == ["node-3"])
+
+    def test_replica_that_does_not_tell_its_load_counts_as_unknown_not_as_idle(self):
+        node = self.fleet.pollers("engine-a")[0]
+        view = next(one for one in self.fleet.views[node].replicas(MODEL) if one.name == "engine-a")
+        wait_until(lambda: view.load() is not None)
+        self.fleet.engines["engine-a"].switches.replace(Faults(load_lies="none"))
+        wait_until(lambda: view.load() is None)
+        self.assertTrue(view.reachable)
+
+    def test_replica_behind_a_cut_link_is_not_reachable(self):
+        node = self.fleet.pollers("engine-b")[0]
+        port = self.fleet.engines["engine-b"].port
+        self.fleet.links[node].set_blocked(frozenset({Endpoint(HOST, port)}))
+        for name in ZONES:
+            wait_until(lambda n=name: not self.fleet.report(n, "engine-b").reachable)
+        self.fleet.links[node].set_blocked(frozenset())
+        wait_until(lambda: self.fleet.report("node-1", "engine-b").reachable)
