--- a/src/quaymill/process/node.py
+++ b/src/quaymill/process/node.py
@@ -172,7 +172,7 @@
 
 def run_node(settings: NodeSettings) -> int:
     """Run a node until SIGTERM or SIGINT; return the exit code."""
-    start_logs(settings.name, settings.log_file)
+    logs = start_logs(settings.name, settings.log_file)
     # SIGUSR1 prints the stacks of all threads: a node that hangs can be looked into.
     faulthandler.register(signal.SIGUSR1)
     stop_signal = StopSignal()
@@ -181,4 +181,5 @@
     print(f"ready {settings.http_endpoint}", flush=True)
     stop_signal.wait()
     node.stop()
+    logs.stop()
     return 0
