--- a/tests/batch_support.py
+++ b/tests/batch_support.py
@@ -33,9 +33,11 @@
 from quaymill.connection.load_messages import LoadReport, Noted, OnlineStarts
 from quaymill.connection.member import Machine, MachineRole
 from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.process.batch.scheduler import BatchSchedulers
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.process.gateway.at_most_once import AtMostOnceCalls
+from quaymill.process.replicas.replica_poller import poll_replica
 from quaymill.process.settings import BatchSettings, NodeSettings
 from quaymill.request.outcome import NotRun
 from quaymill.version.configuration import (
@@ -56,7 +58,7 @@
 MODEL = "model"
 APPLICATION = "filing"
 ZONE = "zone-a"
-_http = urllib3.PoolManager()
+_connections = ReplicaConnections(LinkFilter())
 
 
 def wait_until(condition: Callable[[], object], timeout_s: float = 15.0) -> None:
@@ -219,20 +221,14 @@
 
     def __init__(self, machine: Machine) -> None:
         self.machine = machine
+        self.name = machine.name
         self.draining = False
         self.ejected = False
 
     def report(self) -> LoadReport | None:
         """Return what the replica says now; ``None`` if it says nothing."""
-        try:
-            answer = _http.request(
-                "GET", f"http://{self.machine.endpoint}/load", timeout=0.5, retries=False
-            )
-        except urllib3.exceptions.HTTPError:
-            return None
-        if answer.status != 200:
-            return None
-        return msgspec.json.decode(answer.data, type=LoadReport)
+        report = poll_replica(_connections, self)
+        return report if report is not None and report.reachable else None
 
 
 class FixedLoadView:
