--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -85,14 +85,18 @@
     """Some nodes, spread over zones in turn, that know the first one as their seed."""
 
     def __init__(
-        self, platform: Platform, zones: tuple[str, ...], data_folders: tuple[Path, ...] = ()
+        self,
+        platform: Platform,
+        zones: tuple[str, ...],
+        data_folders: tuple[Path, ...] = (),
+        options: HollowOptions = OPTIONS,
     ) -> None:
         self.nodes: list[HollowNode] = []
         seeds: tuple[Endpoint, ...] = ()
         for index, zone in enumerate(zones):
             folder = str(data_folders[index]) if index < len(data_folders) else ""
             settings = settings_for(f"node-{index}", zone, platform.port, seeds, data_folder=folder)
-            self.nodes.append(HollowNode(settings, OPTIONS))
+            self.nodes.append(HollowNode(settings, options))
             seeds = seeds or (settings.peer_endpoint,)
 
     def start(self) -> None:
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -9,7 +9,7 @@
 import urllib3
 from nose2.tools import params
 
-from fleet_support import Fleet, HollowNode, PlatformCase, control, eventually, set_faults
+from fleet_support import OPTIONS, Fleet, HollowNode, PlatformCase, control, eventually, set_faults
 from quaymill.connection.configuration_messages import ConfigurationProblem
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Machine, MachineRole
@@ -17,20 +17,24 @@
 from quaymill.process.configuration.disk_copy import COPY_NAME, load_copy
 from quaymill.process.configuration.editor import ConfigurationEditor, EditAccepted
 from quaymill.process.configuration.problems import ProblemLog
+from quaymill.process.configuration.service import ConfigurationTiming
 from quaymill.process.membership.ranking import reader_nodes
 from quaymill.version.configuration import ServingConfiguration
 from quaymill.version.edits import Edit, EditedCell, new_edit_id
+from quaymill_bench.hollow import HollowOptions
 
 ZONES = ("a", "a", "a", "b", "b", "b")
 
 
 class FleetCase(PlatformCase):
-    """Six nodes in two zones, the first of each with a disk, at generation 1."""
+    """Six nodes in two zones, the first one with a disk, at generation 1."""
+
+    options = OPTIONS
 
     def setUp(self):
         super().setUp()
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
-        self.fleet = Fleet(self.platform, ZONES, (folder / "0",))
+        self.fleet = Fleet(self.platform, ZONES, (folder / "0",), self.options)
         self.addCleanup(self.fleet.stop)
         self.fleet.start()
         self.generation = 0
@@ -153,6 +157,17 @@
         self.expect_in_force()
 
 
+class SilentWatchTest(FleetCase):
+    """Watches that last long die without a sign."""
+
+    options = HollowOptions(ConfigurationTiming(0.3, 60.0, 60.0))
+
+    def test_check_of_the_version_finds_what_the_watches_miss(self):
+        set_faults(self.platform, watch_silent=True)
+        self.edit()
+        self.expect_in_force()
+
+
 class NodeFaultTest(FleetCase):
     """Nodes and links fail."""
 
--- a/tests/test_membership_faults.py
+++ b/tests/test_membership_faults.py
@@ -13,9 +13,15 @@
 
 from fleet_support import eventually, settings_for
 from quaymill.connection.endpoint import Endpoint, LinkFilter
-from quaymill.connection.member import MemberState
+from quaymill.connection.member import Member, MemberState
 from quaymill.process.membership.membership import Membership
-from quaymill.process.membership.messages import MAX_DATAGRAM_BYTES, Notice, encode_datagram
+from quaymill.process.membership.messages import (
+    MAX_DATAGRAM_BYTES,
+    MemberRecord,
+    Notice,
+    decode_datagram,
+    encode_datagram,
+)
 
 PROGRAM = Path(__file__).with_name("hollow_node_process.py")
 
@@ -120,7 +126,8 @@
     """Links are cut, in one direction or both."""
 
     def stays_live(self) -> None:
-        """Expect that nobody is held for dead during several suspicion times."""
+        """Expect that nobody is suspected or held for dead during several suspicion times."""
+        incarnations = [member.local().incarnation for member in self.members]
         probed = [member.traffic.sent_datagrams for member in self.members]
         eventually(
             lambda: all(
@@ -131,6 +138,8 @@
         )
         for index in range(5):
             self.assertEqual(self.live_of(index), {f"n{number}" for number in range(5)})
+        refuted = [member.local().incarnation for member in self.members]
+        self.assertEqual(refuted, incarnations, "nobody had to refute a suspicion")
 
     def test_one_way_cut_kills_nobody(self):
         self.block(0, 1, 2)
@@ -173,6 +182,24 @@
         self.expect_live((0, 2, 3, 4))
 
 
+class DeadSenderTest(MemberCase):
+    """A node that is held for dead and sends again is told so, and can refute it."""
+
+    def test_dead_sender_is_shown_its_record(self):
+        first = self.settings[0].peer_endpoint
+        with socket.socket(type=socket.SOCK_DGRAM) as thawed:
+            thawed.bind(("127.0.0.1", 0))
+            thawed.settimeout(5.0)
+            endpoint = Endpoint(*thawed.getsockname())
+            dead = Member("n9", "a", "r", endpoint, endpoint, MemberState.DEAD, incarnation=5)
+            told = Notice("n1", self.members[1].local().incarnation)
+            told.records = (MemberRecord.of(dead),)
+            thawed.sendto(encode_datagram(told), (first.host, first.port))
+            thawed.sendto(encode_datagram(Notice("n9", 5)), (first.host, first.port))
+            answer = decode_datagram(thawed.recv(65536))
+        self.assertIn(MemberRecord.of(dead), answer.records)
+
+
 class CrowdTest(unittest.TestCase):
     """Forty members in one process."""
 
