--- a/src/quaymill/process/configuration/reader.py
+++ b/src/quaymill/process/configuration/reader.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import threading
+import time
 from collections.abc import Callable
 
 import msgspec
@@ -11,6 +11,7 @@
 from quaymill.connection.platform_client import (
     CONFIGURATION_NAME,
     CONFIGURATIONS,
+    MACHINES,
     ObjectList,
     PlatformClient,
     PlatformObject,
@@ -21,6 +22,8 @@
 from quaymill.version.checks import InvalidConfiguration, decode_configuration
 
 CONFIGURATION_OBJECT = f"{CONFIGURATIONS}/{CONFIGURATION_NAME}"
+VERSIONS_PER_EPOCH = 2**40
+SET_BACK_S = 30.0
 
 
 class ConfigurationFollower:
@@ -96,19 +99,44 @@
 
 
 class MachineListFollower:
-    """Keeps the machine list of the platform, one offer for each change."""
+    """Keeps the machine list of the platform, one offer for each change.
 
-    def __init__(self, holder: MachineListHolder, problems: ProblemLog) -> None:
+    Versions of the list are the platform's, above an epoch. When the platform goes on for
+    ``SET_BACK_S`` with versions below the one that is held, it was set back to an old copy; a
+    reader then begins the next epoch, so that nodes follow the list again. A list that is
+    older for a shorter time comes from a late read, and is not taken.
+
+    Parameters
+    ----------
+    clock
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        holder: MachineListHolder,
+        problems: ProblemLog,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._holder = holder
         self._problems = problems
-        self._lock = threading.Lock()
+        self._clock = clock
+        self._older_since: float | None = None
 
     def on_list(self, listed: ObjectList) -> None:
-        """Take the whole list."""
-        machines = [machine for item in listed.items if (machine := self._decode(item))]
-        self._offer(
-            listed.resource_version, lambda _: {machine.name: machine for machine in machines}
-        )
+        """Take the whole list, unless it is older than the one held."""
+        if not listed.resource_version.isdigit():
+            return
+        version = int(listed.resource_version)
+        epoch, held_version = divmod(self._holder.current().version, VERSIONS_PER_EPOCH)
+        if version < held_version:
+            if not self._is_set_back(version, held_version):
+                return
+            epoch += 1
+        self._older_since = None
+        self._problems.clear(MACHINES)
+        machines = tuple(machine for item in listed.items if (machine := self._decode(item)))
+        self._holder.offer(MachineList(epoch * VERSIONS_PER_EPOCH + version, machines))
 
     def on_change(self, changed: PlatformObject) -> None:
         """Put one machine in."""
@@ -124,19 +152,33 @@
         )
 
     def is_current(self) -> bool:
-        """Trust a watch that ended in order: the list lags in any case."""
-        return True
+        """Trust a watch that ended in order, unless the list was older than the one held."""
+        return self._older_since is None
+
+    def _is_set_back(self, version: int, held_version: int) -> bool:
+        """Return whether the list has been older for so long that it is no late read."""
+        now = self._clock()
+        if self._older_since is None:
+            self._older_since = now
+        self._problems.report(
+            MACHINES,
+            f"are listed at version {version}, older than {held_version}, which is kept",
+            f"wait {SET_BACK_S:.0f} s: if the platform was set back, its list is taken then",
+        )
+        return now - self._older_since >= SET_BACK_S
 
     def _offer(
         self,
         resource_version: str,
         change: Callable[[dict[str, Machine]], dict[str, Machine]],
     ) -> None:
-        if not resource_version.isdigit():
+        held = self._holder.current()
+        epoch, held_version = divmod(held.version, VERSIONS_PER_EPOCH)
+        if not resource_version.isdigit() or int(resource_version) <= held_version:
             return
-        held = {machine.name: machine for machine in self._holder.current().machines}
-        machines = change(held)
-        self._holder.offer(MachineList(int(resource_version), tuple(machines.values())))
+        machines = change({machine.name: machine for machine in held.machines})
+        version = epoch * VERSIONS_PER_EPOCH + int(resource_version)
+        self._holder.offer(MachineList(version, tuple(machines.values())))
 
     def _decode(self, item: PlatformObject) -> Machine | None:
         subject = f"machines/{item.name}"
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tempfile
+import unittest
 from pathlib import Path
 
 import msgspec
@@ -13,11 +14,18 @@
 from quaymill.connection.configuration_messages import ConfigurationProblem
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Machine, MachineRole
-from quaymill.connection.platform_client import CONFIGURATION_NAME, CONFIGURATIONS
+from quaymill.connection.platform_client import (
+    CONFIGURATION_NAME,
+    CONFIGURATIONS,
+    ObjectList,
+    PlatformObject,
+)
 from quaymill.process.configuration.disk_copy import COPY_NAME, load_copy
 from quaymill.process.configuration.editor import ConfigurationEditor, EditAccepted
 from quaymill.process.configuration.problems import ProblemLog
+from quaymill.process.configuration.reader import SET_BACK_S, MachineListFollower
 from quaymill.process.configuration.service import ConfigurationTiming
+from quaymill.process.machine_list import MachineListHolder
 from quaymill.process.membership.ranking import reader_nodes
 from quaymill.version.configuration import ServingConfiguration
 from quaymill.version.edits import Edit, EditedCell, new_edit_id
@@ -272,3 +280,44 @@
         self.client.create("machines", "odd", {"role": "toaster"})
         eventually(lambda: self.names_everywhere("m1"))
         eventually(lambda: any(p.subject == "machines/odd" for p in self.problems()))
+
+
+class MachineListVersionTest(unittest.TestCase):
+    """Late reads are not taken; a platform that was set back is followed after a while."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.holder = MachineListHolder()
+        self.problems = ProblemLog()
+        self.follower = MachineListFollower(self.holder, self.problems, lambda: self.now)
+        self.follower.on_list(self.listed(9, "a", "b"))
+
+    def listed(self, version: int, *names: str) -> ObjectList:
+        return ObjectList(str(version), tuple(self.item(version, name) for name in names))
+
+    def item(self, version: int, name: str) -> PlatformObject:
+        machine = Machine(name, MachineRole.ENGINE, "a", Endpoint("127.0.0.1", 1))
+        return PlatformObject(name, str(version), msgspec.Raw(msgspec.json.encode(machine)))
+
+    def names(self) -> list[str]:
+        return [machine.name for machine in self.holder.current().machines]
+
+    def test_late_read_changes_nothing(self):
+        self.follower.on_list(self.listed(7, "a"))
+        self.follower.on_change(self.item(8, "c"))
+        self.assertEqual(self.names(), ["a", "b"])
+        self.assertFalse(self.follower.is_current())
+        self.assertIn("older than 9", self.problems.all()[0].reason)
+        self.follower.on_list(self.listed(9, "a", "b"))
+        self.assertTrue(self.follower.is_current())
+        self.assertEqual(self.problems.all(), ())
+
+    def test_list_that_stays_older_begins_a_new_epoch(self):
+        before = self.holder.current().version
+        self.follower.on_list(self.listed(5, "a"))
+        self.now = SET_BACK_S
+        self.follower.on_list(self.listed(6, "c"))
+        self.assertEqual(self.names(), ["c"])
+        self.assertGreater(self.holder.current().version, before)
+        self.follower.on_change(self.item(7, "d"))
+        self.assertEqual(self.names(), ["c", "d"])
