Close idle connections to peers that are called no more

Cause: an idle connection was closed only when its peer was called again, so sporadic pulls would end in a full mesh with a thread for each.

--- a/src/quaymill/connection/peer_link.py
+++ b/src/quaymill/connection/peer_link.py
@@ -157,6 +157,7 @@
         self._lock = threading.Lock()
         self._idle: dict[Endpoint, list[_IdleConnection]] = {}
         self._decoders: dict[type, msgspec.json.Decoder] = {}
+        self._next_sweep = 0.0
 
     def call(
         self, endpoint: Endpoint, message: PeerMessage, reply_type: type[Reply], timeout_s: float
@@ -235,12 +236,35 @@
         return connection
 
     def _keep_connection(self, endpoint: Endpoint, connection: socket.socket) -> None:
+        now = time.monotonic()
         with self._lock:
+            closing = self._take_expired(now)
             pool = self._idle.setdefault(endpoint, [])
             if len(pool) < MAX_IDLE_CONNECTIONS_PER_PEER:
-                pool.append(_IdleConnection(connection, time.monotonic()))
-                return
-        connection.close()
+                pool.append(_IdleConnection(connection, now))
+            else:
+                closing.append(connection)
+        for closed in closing:
+            closed.close()
+
+    def _take_expired(self, now: float) -> list[socket.socket]:
+        """Take the expired connections of all peers out; the caller holds the lock.
+
+        Peers that are called once and never again would otherwise keep a connection, and a
+        thread at the other end, for good: a full mesh in the end.
+        """
+        if now < self._next_sweep:
+            return []
+        self._next_sweep = now + IDLE_CONNECTION_LIFETIME_S
+        expired = []
+        for endpoint, pool in list(self._idle.items()):
+            kept = [idle for idle in pool if now - idle.idle_since <= IDLE_CONNECTION_LIFETIME_S]
+            expired += [idle.connection for idle in pool if idle not in kept]
+            if kept:
+                self._idle[endpoint] = kept
+            else:
+                del self._idle[endpoint]
+        return expired
 
 
 def _read_line(connection: socket.socket, deadline: float) -> bytes:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -2,7 +2,9 @@
 
 import socket
 import threading
+import time
 import unittest
+from unittest import mock
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.peer_link import (
@@ -114,3 +116,17 @@
         self.assertIsInstance(self._call("a", SHORT_TIMEOUT_S), PeerUnreachable)
         self.link_filter.set_blocked(frozenset())
         self.assertEqual(self._call("a"), Echoed("a"))
+
+    def test_connection_to_a_peer_that_is_called_no_more_is_closed(self):
+        other = PeerServer(LOOPBACK)
+        other.register(Echo, self._echo)
+        other.start()
+        self.addCleanup(other.stop)
+        with mock.patch("quaymill.connection.peer_link.IDLE_CONNECTION_LIFETIME_S", 0.05):
+            self.client.call(other.endpoint, Echo("once"), Echoed, TIMEOUT_S)
+            self.assertEqual(len(other._connections), 1)
+            deadline = time.monotonic() + TIMEOUT_S
+            while other._connections and time.monotonic() < deadline:
+                self._call("again")
+        self.assertEqual(len(other._connections), 0)
+        self.assertEqual(self._call("still served"), Echoed("still served"))
