Count each online request in a notice again

Cause: the notifier's mailbox, written with the bounds of the load view, kept the waiting replicas in a set, so requests that started together counted as one and the scheduler freed too few slots. Found by the whole suite in a fresh clone: 799 tests, this one red, in three of three runs alone. Ruled out: a slow machine. Change: a list, named once for each request, as the message says. After: test_replica_connection green in three of three runs, test_gateway_callers green.

--- a/src/quaymill/process/replicas/notifier.py
+++ b/src/quaymill/process/replicas/notifier.py
@@ -22,19 +22,19 @@
 
     def __init__(self) -> None:
         self._changed = threading.Condition()
-        self._replicas: set[str] = set()
+        self._replicas: list[str] = []
         self._closed = False
 
     def put(self, replica: str) -> None:
         with self._changed:
-            self._replicas.add(replica)
+            self._replicas.append(replica)
             self._changed.notify()
 
     def take_all(self) -> tuple[str, ...]:
         """Wait for notices and return them; nothing after ``close``."""
         with self._changed:
             self._changed.wait_for(lambda: self._closed or self._replicas)
-            replicas, self._replicas = self._replicas, set()
+            replicas, self._replicas = self._replicas, []
             return () if self._closed else tuple(replicas)
 
     def close(self) -> None:
