--- /dev/null
+++ b/src/quaymill/connection/control_messages.py
@@ -0,0 +1,52 @@
+"""Messages by which gateways give each other the configuration and the list of replicas."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from quaymill.connection.peer_link import PeerMessage
+
+
+class PullControl(PeerMessage, frozen=True):
+    """Ask for what is newer than what the asker holds.
+
+    Attributes
+    ----------
+    configuration_version
+        Version of the configuration in force at the asker.
+    replicas_revision
+        Revision up to which the asker's list of replicas is current.
+    """
+
+    configuration_version: int
+    replicas_revision: int
+
+
+class ReplicaRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One replica's entry."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    draining: bool
+    cold_left_s: float
+
+
+class ControlState(PeerMessage, frozen=True):
+    """What the asked gateway has that is newer.
+
+    Attributes
+    ----------
+    configuration
+        The operator's document as the platform holds it; ``None`` if it is not newer.
+    replicas
+        All listed replicas; ``None`` if the list is not newer.
+    """
+
+    configuration: Any | None = None
+    replicas: tuple[ReplicaRecord, ...] | None = None
+    replicas_revision: int = 0
--- /dev/null
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -0,0 +1,297 @@
+"""Messages about batch jobs between gateways and storage nodes."""
+
+from __future__ import annotations
+
+import msgspec
+
+from quaymill.connection.job_document import Job, JobResult
+from quaymill.connection.peer_link import PeerMessage
+
+# Gateway to storage node.
+
+
+class StoreJob(PeerMessage, frozen=True):
+    """Keep a job; answered by ``JobStored`` once it is on the disk."""
+
+    job: Job
+    coordinator: str
+
+
+class JobStored(PeerMessage, frozen=True):
+    """The job is on the disk.
+
+    Attributes
+    ----------
+    coordinator
+        Who runs the job, as this node knows it: the sender itself unless another was first.
+    """
+
+    coordinator: str
+    ended: bool = False
+
+
+class ResultKey(msgspec.Struct, frozen=True, array_like=True):
+    """Names the content of one item's result."""
+
+    index: int
+    digest: str
+
+
+class KeyedResult(msgspec.Struct, frozen=True, array_like=True):
+    """A result with its key."""
+
+    key: ResultKey
+    result: JobResult
+
+
+class StoreResults(PeerMessage, frozen=True):
+    """Keep contents of results; answered by ``ResultsStored`` once they are on the disk."""
+
+    job_id: str
+    results: tuple[KeyedResult, ...]
+
+
+class ResultsStored(PeerMessage, frozen=True):
+    """The contents are on the disk."""
+
+
+class FetchResults(PeerMessage, frozen=True):
+    """Ask for contents of results."""
+
+    job_id: str
+    keys: tuple[ResultKey, ...]
+
+
+class FetchedResults(PeerMessage, frozen=True):
+    """Those of the contents that the node has."""
+
+    results: tuple[KeyedResult, ...]
+
+
+class FindJob(PeerMessage, frozen=True):
+    """Ask for a job.
+
+    Attributes
+    ----------
+    whole
+        Whether its items are wanted too.
+    """
+
+    job_id: str
+    whole: bool = False
+
+
+class JobFound(PeerMessage, frozen=True):
+    """The node has the job.
+
+    Attributes
+    ----------
+    total
+        Number of items.
+    job
+        The job, if it was asked for whole.
+    """
+
+    coordinator: str
+    ended: bool
+    total: int
+    job: Job | None = None
+
+
+class JobUnknown(PeerMessage, frozen=True):
+    """The node does not have the job."""
+
+
+class FetchBody(PeerMessage, frozen=True):
+    """Ask for the body of one item."""
+
+    job_id: str
+    item_id: str
+
+
+class FetchedBody(PeerMessage, frozen=True):
+    """The body; ``None`` if the job has no such item."""
+
+    body: bytes | None
+
+
+class EndJob(PeerMessage, frozen=True):
+    """Mark a job as ended; answered by ``JobEnded`` once that is on the disk."""
+
+    job_id: str
+
+
+class JobEnded(PeerMessage, frozen=True):
+    """The mark is on the disk."""
+
+    coordinator: str
+
+
+class RenewJobs(PeerMessage, frozen=True):
+    """Renew the leases of a coordinator.
+
+    Attributes
+    ----------
+    open_jobs
+        Jobs that it runs.
+    complete_jobs
+        Jobs all of whose items are listed.
+    released_jobs
+        Jobs that it gives up; others may adopt them at once.
+    """
+
+    coordinator: str
+    open_jobs: tuple[str, ...]
+    complete_jobs: tuple[str, ...] = ()
+    released_jobs: tuple[str, ...] = ()
+
+
+class JobsRenewed(PeerMessage, frozen=True):
+    """What the coordinator must know.
+
+    Attributes
+    ----------
+    ended_jobs
+        Those of its jobs that were ended.
+    """
+
+    ended_jobs: tuple[str, ...] = ()
+
+
+# Storage node to gateway.
+
+
+class AdoptJob(PeerMessage, frozen=True):
+    """Run a job whose coordinator is gone."""
+
+    job: Job
+
+
+class JobAdopted(PeerMessage, frozen=True):
+    """Whether the gateway runs the job now, and under which name."""
+
+    coordinator: str
+
+
+# Gateway to gateway.
+
+
+class ItemProgress(msgspec.Struct, frozen=True, array_like=True):
+    """What is known of an item that is not finished.
+
+    Attributes
+    ----------
+    last_event_id, texts
+        The last event that came, and the data of all that came.
+    failures, impossible_answers
+        Runs that the replica answered with an error, and with "cannot be done".
+    """
+
+    index: int
+    last_event_id: str | None
+    texts: tuple[str, ...]
+    failures: int = 0
+
+
+class HandOverJob(PeerMessage, frozen=True):
+    """Take over a job from a coordinator that stops."""
+
+    job: Job
+    progress: tuple[ItemProgress, ...]
+    unlisted: tuple[KeyedResult, ...] = ()
+
+
+class ReadResults(PeerMessage, frozen=True):
+    """Ask the coordinator for results from a position on."""
+
+    job_id: str
+    since: int
+    wait_s: float
+
+
+class ResultsPage(PeerMessage, frozen=True):
+    """Results from the position asked for.
+
+    Attributes
+    ----------
+    following
+        Position after them.
+    """
+
+    total: int
+    results: tuple[JobResult, ...]
+    following: int
+
+
+class NotCoordinator(PeerMessage, frozen=True):
+    """The gateway does not run the job."""
+
+
+class StopJob(PeerMessage, frozen=True):
+    """Tell the coordinator that a job was ended."""
+
+    job_id: str
+
+
+class JobStopped(PeerMessage, frozen=True):
+    """The coordinator starts nothing more of the job."""
+
+
+# Storage node to storage node.
+
+
+class CompareJobs(PeerMessage, frozen=True):
+    """Ask what a storage node holds; ``digest`` is what the asker saw there last."""
+
+    digest: str
+
+
+class JobSummary(msgspec.Struct, frozen=True, array_like=True):
+    """What a node holds of one job.
+
+    Attributes
+    ----------
+    results_digest
+        Stands for the set of contents of results; 0 for none.
+    lease_left_s
+        How long the coordinator's lease still runs here.
+    """
+
+    job_id: str
+    results_digest: int
+    ended: bool
+    complete: bool
+    coordinator: str
+    lease_left_s: float
+
+
+class JobSummaries(PeerMessage, frozen=True):
+    """All jobs of a node; none if the digest is still the same."""
+
+    digest: str
+    jobs: tuple[JobSummary, ...]
+    unchanged: bool = False
+
+
+class FetchResultKeys(PeerMessage, frozen=True):
+    """Ask which contents of results a node holds for a job."""
+
+    job_id: str
+
+
+class ResultKeys(PeerMessage, frozen=True):
+    """The keys."""
+
+    keys: tuple[ResultKey, ...]
+
+
+class FetchLeases(PeerMessage, frozen=True):
+    """Ask how long the leases of jobs still run."""
+
+    job_ids: tuple[str, ...]
+
+
+class Leases(PeerMessage, frozen=True):
+    """The time left of each, in seconds, in the order asked; 0 if there is none."""
+
+    left_s: tuple[float, ...]
--- a/src/quaymill/connection/member.py
+++ b/src/quaymill/connection/member.py
@@ -39,6 +39,8 @@
         Whether the node carries replicas of the log.
     draining
         Whether the node has announced a planned stop, whatever its state is now.
+    process_id
+        Drawn at each start: tells a restarted node from the one before.
     """
 
     name: str
@@ -52,6 +54,7 @@
     machine_list_version: int = 0
     has_disk: bool = False
     draining: bool = False
+    process_id: str = ""
 
 
 class MachineRole(enum.StrEnum):
--- /dev/null
+++ b/src/quaymill/connection/object_store.py
@@ -0,0 +1,122 @@
+"""The platform's object store as the product sees it: typed calls, results and failures.
+
+The calls themselves are made by an adapter. Failures are of two kinds that are never mixed:
+``StoreRefused`` says that nothing was done, ``StoreUnanswered`` that the call may have been
+done, or may yet be done while its condition holds.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import Any, Protocol
+
+import attrs
+
+
+class ObjectKind(enum.Enum):
+    """Kinds of objects that the product reads or writes."""
+
+    CONFIGURATION = enum.auto()
+    REPLICAS = enum.auto()
+    RETIREMENTS = enum.auto()
+    NODES = enum.auto()
+    JOB_LISTINGS = enum.auto()
+
+
+@attrs.frozen
+class StoredObject:
+    """One object, at one revision; ``spec`` and ``status`` are plain JSON values."""
+
+    name: str
+    revision: int
+    spec: Any
+    status: Any = None
+    deleting: bool = False
+
+
+@attrs.frozen
+class ObjectChange:
+    """One event of a watch."""
+
+    object: StoredObject
+    gone: bool
+
+
+@attrs.frozen
+class Listing:
+    """All objects of a kind, at one revision of the store."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+
+
+@attrs.frozen
+class Changes:
+    """What a watch brought; it goes on from ``revision``."""
+
+    changes: tuple[ObjectChange, ...]
+    revision: int
+
+
+@attrs.frozen
+class HistoryGone:
+    """The store no longer knows what happened since the revision asked for."""
+
+
+@attrs.frozen
+class ObjectMissing:
+    """There is no such object."""
+
+
+@attrs.frozen
+class RevisionConflict:
+    """The condition of a write did not hold; ``object`` is what stands now, if told."""
+
+    object: StoredObject | None = None
+
+
+@attrs.frozen
+class StoreRefused:
+    """Nothing was done: the store was not reached, or it turned the call away."""
+
+    reason: str
+
+
+@attrs.frozen
+class StoreUnanswered:
+    """The call was sent and not answered; it may have been done, or may yet be."""
+
+    reason: str
+
+
+StoreFailure = StoreRefused | StoreUnanswered
+WriteResult = StoredObject | RevisionConflict | ObjectMissing | StoreRefused | StoreUnanswered
+
+
+class ObjectStore(Protocol):
+    """Calls of the store; each is bounded in time by the adapter."""
+
+    def list(self, kind: ObjectKind) -> Listing | StoreFailure:
+        """Return all objects of a kind."""
+
+    def get(self, kind: ObjectKind, name: str) -> StoredObject | ObjectMissing | StoreFailure:
+        """Return one object, never an old one."""
+
+    def watch(
+        self, kind: ObjectKind, revision: int, wait_s: float
+    ) -> Changes | HistoryGone | StoreFailure:
+        """Wait up to ``wait_s`` for changes after ``revision``."""
+
+    def create(self, kind: ObjectKind, name: str, spec: Any) -> WriteResult:
+        """Make an object; a conflict if it exists."""
+
+    def replace(self, kind: ObjectKind, name: str, spec: Any, revision: int) -> WriteResult:
+        """Replace an object's ``spec`` if ``revision`` is still the object's."""
+
+    def replace_status(
+        self, kind: ObjectKind, name: str, status: Any, revision: int
+    ) -> WriteResult:
+        """Replace an object's ``status`` if ``revision`` is still the object's."""
+
+    def delete(self, kind: ObjectKind, name: str) -> WriteResult:
+        """Remove an object."""
--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -16,6 +16,7 @@
 from http.client import HTTPException
 
 import msgspec
+from urllib3._collections import HTTPHeaderDict
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.response import BaseHTTPResponse
@@ -38,7 +39,7 @@
 
     method: str
     path: str
-    headers: dict[str, str]
+    headers: dict[str, str] | HTTPHeaderDict
     body: bytes = b""
 
 
@@ -69,6 +70,16 @@
         """Status code of the answer."""
         return self._response.status
 
+    @property
+    def reason(self) -> str:
+        """Reason phrase of the answer."""
+        return self._response.reason or ""
+
+    @property
+    def headers(self) -> HTTPHeaderDict:
+        """Headers of the answer, repeated ones kept apart."""
+        return self._response.headers
+
     def header(self, name: str) -> str:
         """Return a header of the answer; empty if it is not there."""
         return self._response.headers.get(name, "")
@@ -122,11 +133,17 @@
                 self.abandon()
                 return self._no_answer(f"the answer is longer than {limit_bytes} bytes")
 
-    def release(self) -> None:
-        """Give the connection back for other requests; the body has been read to its end."""
+    def release(self, keep_s: float = IDLE_CONNECTION_LIFETIME_S) -> None:
+        """Give the connection back for other requests; the body has been read to its end.
+
+        Parameters
+        ----------
+        keep_s
+            How long the connection may lie idle; the other end may have told.
+        """
         self._response.close()
         if self._connection.sock is not None:
-            self._pool.keep(self.endpoint, self._connection)
+            self._pool.keep(self.endpoint, self._connection, keep_s)
 
     def cancel(self) -> None:
         """End the connection from another thread; a read that waits fails at once."""
@@ -155,18 +172,40 @@
 class _IdleConnection(msgspec.Struct):
     connection: HTTPConnection
     idle_since: float
+    keep_s: float
 
 
 class ReplicaConnections:
-    """Sends requests to replicas and keeps idle connections to them."""
+    """Sends requests to replicas and keeps idle connections to them.
+
+    Parameters
+    ----------
+    connect_timeout_s
+        Longest wait for a new connection to come up.
+    socket_options
+        Set on each new connection, beside the library's own.
+    """
 
-    def __init__(self, link_filter: LinkFilter) -> None:
+    def __init__(
+        self,
+        link_filter: LinkFilter,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        socket_options: tuple[tuple[int, int, int], ...] = (),
+    ) -> None:
         self.link_filter = link_filter
+        self.opened = 0
+        self._connect_timeout_s = connect_timeout_s
+        self._socket_options = [*HTTPConnection.default_socket_options, *socket_options]
         self._lock = threading.Lock()
         self._idle: dict[Endpoint, list[_IdleConnection]] = {}
 
     def send(
-        self, endpoint: Endpoint, request: ReplicaRequest, *, fresh: bool = False
+        self,
+        endpoint: Endpoint,
+        request: ReplicaRequest,
+        *,
+        fresh: bool = False,
+        max_idle_s: float = IDLE_CONNECTION_LIFETIME_S,
     ) -> Exchange | NotRun | OutcomeUnknown:
         """Send one request.
 
@@ -175,6 +214,8 @@
         fresh
             Use a new connection. Needed where a repeat is not allowed: on an idle one the
             replica may close just as the request goes out.
+        max_idle_s
+            Use no connection that has been idle for longer.
 
         Returns
         -------
@@ -183,15 +224,16 @@
         if self.link_filter.blocks(endpoint):
             time.sleep(CONNECT_TIMEOUT_S)
             return _unreachable(endpoint, "the link is cut by the fault switch")
-        connection = None if fresh else self._take_idle(endpoint)
+        connection = None if fresh else self._take_idle(endpoint, max_idle_s)
         reused = connection is not None
         if connection is None:
-            connection = HTTPConnection(endpoint.host, endpoint.port, timeout=CONNECT_TIMEOUT_S)
+            connection = self._new_connection(endpoint)
             try:
                 connection.connect()
             except (HTTPError, OSError) as error:
                 connection.close()
                 return _unreachable(endpoint, str(error))
+            self.opened += 1
         connection.timeout = SEND_TIMEOUT_S
         connection.sock.settimeout(SEND_TIMEOUT_S)
         exchange = Exchange(self, endpoint, connection, reused)
@@ -213,15 +255,30 @@
             )
         return exchange
 
-    def keep(self, endpoint: Endpoint, connection: HTTPConnection) -> None:
+    def _new_connection(self, endpoint: Endpoint) -> HTTPConnection:
+        return HTTPConnection(
+            endpoint.host,
+            endpoint.port,
+            timeout=self._connect_timeout_s,
+            socket_options=self._socket_options,
+        )
+
+    def keep(self, endpoint: Endpoint, connection: HTTPConnection, keep_s: float) -> None:
         """Put a connection aside for the next request."""
         with self._lock:
             pool = self._idle.setdefault(endpoint, [])
             if len(pool) < MAX_IDLE_CONNECTIONS_PER_REPLICA:
-                pool.append(_IdleConnection(connection, time.monotonic()))
+                pool.append(_IdleConnection(connection, time.monotonic(), keep_s))
                 return
         connection.close()
 
+    def forget(self, endpoint: Endpoint) -> None:
+        """Close the idle connections to an endpoint whose replica is gone."""
+        with self._lock:
+            pool = self._idle.pop(endpoint, [])
+        for idle in pool:
+            idle.connection.close()
+
     def close(self) -> None:
         """Close all idle connections."""
         with self._lock:
@@ -230,14 +287,14 @@
             for idle in pool:
                 idle.connection.close()
 
-    def _take_idle(self, endpoint: Endpoint) -> HTTPConnection | None:
+    def _take_idle(self, endpoint: Endpoint, max_idle_s: float) -> HTTPConnection | None:
         while True:
             with self._lock:
                 pool = self._idle.get(endpoint)
                 idle = pool.pop() if pool else None
             if idle is None:
                 return None
-            expired = time.monotonic() - idle.idle_since > IDLE_CONNECTION_LIFETIME_S
+            expired = time.monotonic() - idle.idle_since > min(idle.keep_s, max_idle_s)
             # A readable idle connection holds an end of stream: the replica has closed it.
             if not expired and idle.connection.is_connected:
                 return idle.connection
--- /dev/null
+++ b/src/quaymill/platform/caller_calls.py
@@ -0,0 +1,175 @@
+"""Callers' requests and calls about jobs, in the platform's form."""
+
+from __future__ import annotations
+
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+
+from quaymill.connection.job_document import JobDocument, JobItem, JobResult, ResultState
+from quaymill.platform import names
+from quaymill.process.front.caller_protocol import (
+    CallerProtocol,
+    CallerRequest,
+    JobCall,
+    JobOperation,
+    Malformed,
+)
+from quaymill.process.front.http_server import FrontRequest
+from quaymill.request.prompt import NO_PROMPT, Prompt, PromptPart
+
+MS_PER_S = 1000.0
+MAX_ITEMS = 200
+MAX_REQUEST_ID_LENGTH = 200
+
+RESULT_STATES = {
+    ResultState.SUCCEEDED: names.ITEM_SUCCEEDED,
+    ResultState.DEAD: names.ITEM_DEAD,
+}
+
+
+class _Item(msgspec.Struct):
+    id: str
+    path: str
+    headers: dict[str, str] = {}
+    body: bytes = b""
+    tokens: int = 0
+
+
+class _Submission(msgspec.Struct):
+    items: list[_Item]
+
+
+class _Result(msgspec.Struct):
+    id: str
+    state: str
+    message: str
+
+
+class _Page(msgspec.Struct):
+    total: int
+    next_token: int
+    results: list[_Result]
+
+
+def read_request(request: FrontRequest) -> CallerRequest | Malformed:
+    """Read the headers that decide how an opaque request is served."""
+    request_id = request.header(names.REQUEST_ID) or ""
+    if len(request_id) > MAX_REQUEST_ID_LENGTH:
+        return Malformed("the request's id is too long", "send a shorter id")
+    patience_s = None
+    text = request.header(names.DEADLINE_MS)
+    if text is not None:
+        try:
+            patience_s = float(text) / MS_PER_S
+        except ValueError:
+            return Malformed(f"{names.DEADLINE_MS} is {text!r}", "send milliseconds")
+    return CallerRequest(
+        id=request_id,
+        patience_s=patience_s,
+        prompt=read_prompt(
+            request.header(names.MODEL),
+            request.header(names.TOKEN_COUNT),
+            request.header(names.PROMPT_PREFIX),
+        ),
+        last_event_id=request.header(names.LAST_EVENT_ID),
+    )
+
+
+def read_prompt(model: str | None, token_count: str | None, parts: str | None) -> Prompt:
+    """Read what a request tells of its prompt; what is not understood is left out."""
+    if not token_count and not parts:
+        return NO_PROMPT
+    counts = [int(part) for part in (token_count or "").split(",") if part.strip().isdigit()]
+    counts += [0] * (2 - len(counts))
+    found = []
+    for text in (parts or "").split(","):
+        part_id, _, tokens = text.strip().partition(":")
+        if part_id and tokens.isdigit():
+            found.append(PromptPart(part_id, int(tokens)))
+    return Prompt(tuple(found), model or "", counts[0], counts[1])
+
+
+def find_job_call(request: FrontRequest) -> JobCall | Malformed | None:
+    """Recognise reading results, reading an item's body, and ending a job."""
+    path = request.path
+    if path.startswith(names.JOBS_PATH):
+        job_id = unquote(path[len(names.JOBS_PATH) :])
+        if request.method == "GET":
+            return _read_results(request, job_id)
+        if request.method == "DELETE":
+            return JobCall(JobOperation.END, job_id)
+        return None
+    if path.startswith(names.ITEM_BODIES_PATH) and request.method == "GET":
+        item_ids = parse_qs(request.query).get("id", [""])
+        job_id = unquote(path[len(names.ITEM_BODIES_PATH) :])
+        return JobCall(JobOperation.READ_BODY, job_id, item_id=item_ids[0])
+    return None
+
+
+def read_job(body: bytes) -> JobDocument | Malformed:
+    """Read a submitted job."""
+    try:
+        submission = msgspec.json.decode(body, type=_Submission)
+    except msgspec.MsgspecError as error:
+        return Malformed(f"the job cannot be read: {error}", "mend the body")
+    if len(submission.items) > MAX_ITEMS:
+        return Malformed(f"the job has {len(submission.items)} items", f"send {MAX_ITEMS} at most")
+    if len({item.id for item in submission.items}) != len(submission.items):
+        return Malformed("two items have the same id", "give each item its own id")
+    return JobDocument(
+        tuple(
+            JobItem(item.id, item.path, item.headers, item.body, item.tokens)
+            for item in submission.items
+        )
+    )
+
+
+def write_results(total: int, results: tuple[JobResult, ...], following: int) -> bytes:
+    """Put a page of results."""
+    page = _Page(
+        total=total,
+        next_token=following,
+        results=[
+            _Result(result.item_id, RESULT_STATES[result.state], result.text) for result in results
+        ],
+    )
+    return msgspec.json.encode(page)
+
+
+def item_prompt(item: JobItem) -> Prompt:
+    """Return what an item's headers tell of its prompt."""
+    headers = {name.lower(): value for name, value in item.headers.items()}
+    return read_prompt(
+        headers.get(names.MODEL.lower()),
+        headers.get(names.TOKEN_COUNT.lower()),
+        headers.get(names.PROMPT_PREFIX.lower()),
+    )
+
+
+def item_headers(item: JobItem, host: str) -> tuple[tuple[str, str], ...]:
+    """Return the headers with which an item is sent to a replica."""
+    own = tuple(
+        (name, value)
+        for name, value in item.headers.items()
+        if name.lower() not in ("host", names.REQUEST_ID.lower())
+    )
+    return (("Host", host), (names.REQUEST_ID, item.id), *own)
+
+
+def _read_results(request: FrontRequest, job_id: str) -> JobCall | Malformed:
+    since = parse_qs(request.query).get("since_rev", ["0"])[0]
+    wait_ms = request.header(names.WAIT_MS) or "0"
+    if not since.isdigit() or not wait_ms.isdigit():
+        return Malformed("the position or the wait is not a whole number", "send whole numbers")
+    return JobCall(
+        JobOperation.READ_RESULTS, job_id, since=int(since), wait_s=int(wait_ms) / MS_PER_S
+    )
+
+
+CALLER_PROTOCOL = CallerProtocol(
+    read_request=read_request,
+    find_job_call=find_job_call,
+    read_job=read_job,
+    write_results=write_results,
+)
--- /dev/null
+++ b/src/quaymill/platform/configuration.py
@@ -0,0 +1,161 @@
+"""Decodes the operator's configuration, the replicas' entries and our own registrations."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import msgspec
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.object_store import StoredObject
+from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.platform.names import REPLICA_DRAINING, ROUTE_KINDS
+from quaymill.version.request_routes import (
+    EngineProperties,
+    RequestLimits,
+    RequestRoute,
+    RequestRoutes,
+    ServiceProperties,
+    WeightedService,
+)
+
+MS_PER_S = 1000.0
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = 0.0
+    slo_ms: float = 0.0
+    priority: int = 0
+    service: str = ""
+    split: list[_Part] = []
+    max_attempts: int = 1
+    sticky: bool = False
+    resumable: bool = False
+    gap_aim_ms: float | None = None
+    due_ms: float = 0.0
+    max_wait_s: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 0
+    kv_capacity_tokens: int = 0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = ""
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 0
+    state: str = ""
+    cold_left_ms: float = 0.0
+
+
+@attrs.frozen
+class UnreadableObject:
+    """An object that is not of the form expected."""
+
+    name: str
+    reason: str
+
+
+def decode_configuration(spec: Any) -> RequestRoutes | UnreadableObject:
+    """Return the configuration in an object's ``spec``."""
+    try:
+        document = msgspec.convert(spec, _Configuration)
+        return RequestRoutes(
+            version=document.version,
+            routes=tuple(_route(route) for route in document.routes),
+            services={service.name: _service(service) for service in document.services},
+            limits=_limits(document.limits),
+        )
+    except (msgspec.ValidationError, KeyError) as error:
+        return UnreadableObject("configuration", str(error))
+
+
+def decode_replica(stored: StoredObject) -> ReplicaEntry | UnreadableObject:
+    """Return what a replica says of itself in its entry."""
+    try:
+        server = msgspec.convert(stored.spec, _Server)
+        address = Endpoint.parse(server.address)
+    except (msgspec.ValidationError, ValueError) as error:
+        return UnreadableObject(stored.name, str(error))
+    return ReplicaEntry(
+        id=stored.name,
+        service=server.service,
+        address=address,
+        zone=server.zone,
+        slots=server.slots,
+        draining=server.state == REPLICA_DRAINING,
+        cold_left_s=server.cold_left_ms / MS_PER_S,
+    )
+
+
+def _route(route: _Route) -> RequestRoute:
+    parts = [WeightedService(part.service, part.weight) for part in route.split]
+    gap_s = None if route.gap_aim_ms is None else route.gap_aim_ms / MS_PER_S
+    return RequestRoute(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=ROUTE_KINDS[route.kind],
+        services=tuple(parts) or (WeightedService(route.service, 1.0),),
+        timeout_s=route.timeout_ms / MS_PER_S,
+        objective_s=route.slo_ms / MS_PER_S,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        sticky=route.sticky,
+        resumable=route.resumable,
+        gap_objective_s=gap_s,
+        due_s=route.due_ms / MS_PER_S,
+        max_wait_s=route.max_wait_s,
+    )
+
+
+def _service(service: _Service) -> ServiceProperties:
+    engine = service.engine
+    return ServiceProperties(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.max_conns,
+        engine=engine and EngineProperties(engine.slots, engine.kv_capacity_tokens),
+    )
+
+
+def _limits(limits: _Limits) -> RequestLimits:
+    return RequestLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        header_timeout_s=limits.header_timeout_ms / MS_PER_S,
+        idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/src/quaymill/platform/names.py
@@ -0,0 +1,48 @@
+"""Names that the platform gives to headers, paths, kinds and fields."""
+
+from __future__ import annotations
+
+from quaymill.connection.object_store import ObjectKind
+from quaymill.version.request_routes import RouteKind
+
+SETTINGS_VARIABLE = "QUAYMILL_BOOT"
+
+REQUEST_ID = "Request-Id"
+DEADLINE_MS = "Deadline-Ms"
+EXPECT_INSTANCE = "Expect-Instance"
+LAST_EVENT_ID = "Last-Event-Id"
+LOAD = "Server-Load"
+NOT_EXECUTED = "Not-Executed"
+PROMPT_PREFIX = "Prompt-Prefix"
+MODEL = "Model"
+TOKEN_COUNT = "Token-Count"
+WAIT_MS = "Wait-Ms"
+
+READY_PATH = "/v1/ready"
+REPORT_PATH = "/v1/report"
+JOBS_PATH = "/v1/lots/"
+ITEM_BODIES_PATH = "/v1/items/"
+OBJECTS_PATH = "/v1/objects/"
+
+CONFIGURATION_NAME = "main"
+
+KIND_NAMES = {
+    ObjectKind.CONFIGURATION: "config",
+    ObjectKind.REPLICAS: "servers",
+    ObjectKind.RETIREMENTS: "retirements",
+    ObjectKind.NODES: "quaymill-nodes",
+    ObjectKind.JOB_LISTINGS: "quaymill-job-listings",
+}
+
+ROUTE_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAMING,
+    "batch": RouteKind.BATCH,
+}
+
+REPLICA_DRAINING = "draining"
+RETIREMENT_ACTIVE = "active"
+RETIREMENT_SUCCEEDED = "succeeded"
+ITEM_SUCCEEDED = "succeeded"
+ITEM_DEAD = "dead_letter"
--- /dev/null
+++ b/src/quaymill/platform/object_store.py
@@ -0,0 +1,242 @@
+"""Calls of the platform's object store, translated to the product's ``ObjectStore``."""
+
+from __future__ import annotations
+
+import socket
+import time
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.object_store import (
+    Changes,
+    HistoryGone,
+    Listing,
+    ObjectChange,
+    ObjectKind,
+    ObjectMissing,
+    RevisionConflict,
+    StoredObject,
+    StoreFailure,
+    StoreRefused,
+    StoreUnanswered,
+    WriteResult,
+)
+from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
+from quaymill.platform.names import KIND_NAMES, OBJECTS_PATH
+from quaymill.request.outcome import NotRun, OutcomeUnknown
+
+CONNECT_TIMEOUT_S = 0.5
+CALL_TIMEOUT_S = 1.5
+WATCH_MARGIN_S = 1.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_IDLE_S = 5.0
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+)
+"""A cut that says nothing is found by the probes; a watch would else wait on it for long."""
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    revision: int = 0
+    deleting: bool = False
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: Any = None
+    status: Any = None
+
+
+class _ListAnswer(msgspec.Struct):
+    items: list[_Object]
+    more: bool = False
+    at: int = 0
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    gone: bool = False
+
+
+class _WatchAnswer(msgspec.Struct):
+    events: list[_Event]
+    at: int
+
+
+class _Answer(msgspec.Struct):
+    status: int
+    body: bytes
+
+
+class PlatformObjectStore:
+    """The store at one address; safe to use from any thread."""
+
+    def __init__(self, address: Endpoint) -> None:
+        self._address = address
+        self._connections = ReplicaConnections(LinkFilter(), CONNECT_TIMEOUT_S, SOCKET_OPTIONS)
+        self.calls = 0
+
+    def list(self, kind: ObjectKind) -> Listing | StoreFailure:
+        """Return all objects of a kind, page after page."""
+        objects: list[StoredObject] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            query = {"since_rev": after} if after else {}
+            answer = self._read(_path(kind, query=query))
+            if isinstance(answer, StoreRefused | StoreUnanswered):
+                return answer
+            page = _decode(answer, _ListAnswer)
+            if isinstance(page, StoreUnanswered):
+                return page
+            objects += [_stored(item) for item in page.items]
+            # Later pages may show later states; a watch from the first page's revision
+            # repeats what happened since, and loses nothing.
+            revision = page.at if revision is None else min(revision, page.at)
+            if not page.more or not page.items:
+                return Listing(tuple(objects), revision)
+            after = page.items[-1].metadata.name
+
+    def get(self, kind: ObjectKind, name: str) -> StoredObject | ObjectMissing | StoreFailure:
+        """Return one object, never an old one."""
+        answer = self._read(_path(kind, name))
+        if isinstance(answer, StoreRefused | StoreUnanswered):
+            return answer
+        if answer.status == 404:
+            return ObjectMissing()
+        found = _decode(answer, _Object)
+        return found if isinstance(found, StoreUnanswered) else _stored(found)
+
+    def watch(
+        self, kind: ObjectKind, revision: int, wait_s: float
+    ) -> Changes | HistoryGone | StoreFailure:
+        """Wait up to ``wait_s`` for changes after ``revision``."""
+        query = {"watch": revision, "wait_ms": int(wait_s * 1000)}
+        answer = self._read(_path(kind, query=query), wait_s + WATCH_MARGIN_S)
+        if isinstance(answer, StoreRefused | StoreUnanswered):
+            return answer
+        if answer.status == 410:
+            return HistoryGone()
+        page = _decode(answer, _WatchAnswer)
+        if isinstance(page, StoreUnanswered):
+            return page
+        changes = tuple(ObjectChange(_stored(event.object), event.gone) for event in page.events)
+        return Changes(changes, page.at)
+
+    def create(self, kind: ObjectKind, name: str, spec: Any) -> WriteResult:
+        """Make an object; a conflict if it exists."""
+        return self._write("POST", _path(kind), {"metadata": {"name": name}, "spec": spec})
+
+    def replace(self, kind: ObjectKind, name: str, spec: Any, revision: int) -> WriteResult:
+        """Replace an object's ``spec`` if ``revision`` is still the object's."""
+        document = {"metadata": {"name": name, "revision": revision}, "spec": spec}
+        return self._write("PUT", _path(kind, name), document)
+
+    def replace_status(
+        self, kind: ObjectKind, name: str, status: Any, revision: int
+    ) -> WriteResult:
+        """Replace an object's ``status`` if ``revision`` is still the object's."""
+        document = {"metadata": {"name": name, "revision": revision}, "status": status}
+        return self._write("PUT", f"{_path(kind, name)}/status", document)
+
+    def delete(self, kind: ObjectKind, name: str) -> WriteResult:
+        """Remove an object."""
+        return self._write("DELETE", _path(kind, name), None)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._connections.close()
+
+    def _read(
+        self, path: str, timeout_s: float = CALL_TIMEOUT_S
+    ) -> _Answer | StoreRefused | StoreUnanswered:
+        request = ReplicaRequest("GET", path, {})
+        answer, reused = self._call(request, timeout_s)
+        if isinstance(answer, StoreUnanswered) and reused:
+            # The store had closed the idle connection; a read may be repeated.
+            answer, _ = self._call(request, timeout_s, fresh=True)
+        return answer
+
+    def _write(self, method: str, path: str, document: Any) -> WriteResult:
+        body = b"" if document is None else msgspec.json.encode(document)
+        request = ReplicaRequest(method, path, dict(JSON_HEADERS), body)
+        answer, _ = self._call(request, CALL_TIMEOUT_S)
+        if isinstance(answer, StoreRefused | StoreUnanswered):
+            return answer
+        if answer.status == 404:
+            return ObjectMissing()
+        written = _decode_written(answer)
+        return RevisionConflict(written) if answer.status == 409 else _written_or_failure(written)
+
+    def _call(
+        self, request: ReplicaRequest, timeout_s: float, *, fresh: bool = False
+    ) -> tuple[_Answer | StoreRefused | StoreUnanswered, bool]:
+        """Make one call; the second value tells whether it went out on a kept connection."""
+        self.calls += 1
+        deadline = time.monotonic() + timeout_s
+        exchange = self._connections.send(
+            self._address, request, fresh=fresh, max_idle_s=MAX_IDLE_S
+        )
+        if isinstance(exchange, NotRun):
+            return StoreRefused(exchange.reason), False
+        if isinstance(exchange, OutcomeUnknown):
+            return StoreUnanswered(exchange.reason), True
+        return _read_answer(exchange, deadline), exchange.reused
+
+
+def _read_answer(exchange: Exchange, deadline: float) -> _Answer | StoreRefused | StoreUnanswered:
+    failure = exchange.read_head(deadline - time.monotonic())
+    if failure is not None:
+        return StoreUnanswered(failure.reason)
+    body = exchange.read_body(MAX_ANSWER_BYTES, deadline)
+    if isinstance(body, OutcomeUnknown):
+        return StoreUnanswered(body.reason)
+    exchange.release()
+    status = exchange.status
+    if status in (200, 201, 404, 409, 410):
+        return _Answer(status, body)
+    reason = f"the store answered {status}: {body[:200].decode(errors='replace')}"
+    if status < 500 or status == 503:
+        return StoreRefused(reason)
+    return StoreUnanswered(reason)
+
+
+def _path(kind: ObjectKind, name: str = "", query: dict[str, Any] | None = None) -> str:
+    path = OBJECTS_PATH + KIND_NAMES[kind]
+    if name:
+        path += "/" + quote(name, safe="")
+    return f"{path}?{urlencode(query)}" if query else path
+
+
+def _decode(answer: _Answer, form: type) -> Any | StoreUnanswered:
+    try:
+        return msgspec.json.decode(answer.body, type=form)
+    except msgspec.MsgspecError as error:
+        return StoreUnanswered(f"the store's answer {answer.status} was not understood: {error}")
+
+
+def _decode_written(answer: _Answer) -> StoredObject | None:
+    decoded = _decode(answer, _Object)
+    return None if isinstance(decoded, StoreUnanswered) else _stored(decoded)
+
+
+def _written_or_failure(written: StoredObject | None) -> StoredObject | StoreUnanswered:
+    return written or StoreUnanswered("the store's answer to a write was not understood")
+
+
+def _stored(item: _Object) -> StoredObject:
+    metadata = item.metadata
+    return StoredObject(metadata.name, metadata.revision, item.spec, item.status, metadata.deleting)
--- /dev/null
+++ b/src/quaymill/platform/replica_calls.py
@@ -0,0 +1,130 @@
+"""Requests to replicas and the heads of their answers, in the platform's form."""
+
+from __future__ import annotations
+
+import msgspec
+from urllib3._collections import HTTPHeaderDict
+from urllib3.util import SKIP_HEADER
+
+from quaymill.connection.engine_report import EngineReport
+from quaymill.connection.replica_answer import AnswerHead
+from quaymill.connection.replica_connection import Exchange, ReplicaRequest
+from quaymill.connection.replica_entry import ReportedLoad
+from quaymill.platform import names
+from quaymill.request.forwarded_request import ForwardedRequest
+
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+OWN_HEADERS = frozenset(
+    name.lower()
+    for name in (names.DEADLINE_MS, names.EXPECT_INSTANCE, names.LAST_EVENT_ID, "Content-Length")
+)
+LIBRARY_HEADERS = ("User-Agent", "Accept-Encoding")
+"""The HTTP library would add these of its own accord."""
+MISDIRECTED_STATUS = 421
+DEFAULT_KEEP_S = 4.0
+KEEP_MARGIN_S = 1.0
+
+
+class _Report(msgspec.Struct):
+    running: int = 0
+    waiting: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
+
+
+def build_request(
+    request: ForwardedRequest,
+    replica_id: str,
+    remaining_s: float,
+    last_event_id: str | None = None,
+) -> ReplicaRequest:
+    """Return the request as one replica gets it."""
+    headers = HTTPHeaderDict()
+    dropped = CONNECTION_HEADERS | OWN_HEADERS | _named_by_connection(request.headers)
+    for name, value in request.headers:
+        if name.lower() not in dropped:
+            headers.add(name, value)
+    headers[names.DEADLINE_MS] = str(max(1, int(remaining_s * 1000)))
+    headers[names.EXPECT_INSTANCE] = replica_id
+    if names.REQUEST_ID not in headers:
+        headers[names.REQUEST_ID] = request.id
+    if last_event_id is not None:
+        headers[names.LAST_EVENT_ID] = last_event_id
+    for name in LIBRARY_HEADERS:
+        if name not in headers:
+            headers[name] = SKIP_HEADER
+    return ReplicaRequest(request.method, request.target, headers, request.body)
+
+
+def read_answer_head(exchange: Exchange) -> AnswerHead:
+    """Return the head of the answer in ``exchange``, whose head has been read."""
+    headers = exchange.headers
+    dropped = CONNECTION_HEADERS | {"content-length"} | _named_by_connection(headers.items())
+    length = headers.get("Content-Length")
+    status = exchange.status
+    return AnswerHead(
+        status=status,
+        reason=exchange.reason,
+        headers=tuple(
+            (name, value) for name, value in headers.items() if name.lower() not in dropped
+        ),
+        request_id=headers.get(names.REQUEST_ID, ""),
+        not_executed=names.NOT_EXECUTED in headers or status == MISDIRECTED_STATUS,
+        misdirected=status == MISDIRECTED_STATUS,
+        load=_reported_load(headers.get(names.LOAD, "")),
+        length=int(length) if length is not None and length.isdigit() else None,
+        keep_s=_keep_s(headers),
+    )
+
+
+def report_request() -> ReplicaRequest:
+    """Return the request for an engine's report."""
+    return ReplicaRequest("GET", names.REPORT_PATH, {})
+
+
+def read_report(body: bytes) -> EngineReport | None:
+    """Return an engine's report; ``None`` if it is not understood."""
+    try:
+        report = msgspec.json.decode(body, type=_Report)
+    except msgspec.MsgspecError:
+        return None
+    return EngineReport(report.running, report.waiting, report.kv_used, report.kv_total)
+
+
+def _named_by_connection(headers) -> frozenset[str]:
+    """Return the headers that a ``Connection`` header says concern one connection only."""
+    named = [value for name, value in headers if name.lower() == "connection"]
+    return frozenset(token.strip().lower() for value in named for token in value.split(","))
+
+
+def _reported_load(text: str) -> ReportedLoad | None:
+    parts = text.split(",")
+    if len(parts) != 3:
+        return None
+    try:
+        running, waiting, slots = (int(part) for part in parts)
+    except ValueError:
+        return None
+    return ReportedLoad(running, waiting, slots)
+
+
+def _keep_s(headers: HTTPHeaderDict) -> float:
+    if "close" in headers.get("Connection", "").lower():
+        return 0.0
+    for parameter in headers.get("Keep-Alive", "").split(","):
+        name, _, value = parameter.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return max(0.0, int(value) - KEEP_MARGIN_S)
+    return DEFAULT_KEEP_S
--- /dev/null
+++ b/src/quaymill/process/control/follower.py
@@ -0,0 +1,107 @@
+"""Follows all objects of one kind in the platform's store: a list, then one watch after another.
+
+States: listing -> watching; watching -> listing when the store has forgotten the history
+since the last change seen. A store that does not answer is asked again after a pause, with
+what is known left in force.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections.abc import Callable
+
+from eliot import log_message
+
+from quaymill.connection.object_store import (
+    Changes,
+    HistoryGone,
+    Listing,
+    ObjectKind,
+    ObjectStore,
+    StoreRefused,
+    StoreUnanswered,
+)
+
+FIRST_PAUSE_S = 0.15
+MAX_PAUSE_S = 1.0
+
+
+class Follower:
+    """One thread that keeps a view of one kind current.
+
+    Parameters
+    ----------
+    wait_s
+        Longest time one watch waits; bounds how long one that died silently goes unnoticed.
+    on_listing, on_changes
+        Take what the store tells; they must not block.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        kind: ObjectKind,
+        wait_s: float,
+        on_listing: Callable[[Listing], None],
+        on_changes: Callable[[Changes], None],
+    ) -> None:
+        self._store = store
+        self._kind = kind
+        self._wait_s = wait_s
+        self._on_listing = on_listing
+        self._on_changes = on_changes
+        self._stopping = threading.Event()
+        self._pause_s = FIRST_PAUSE_S
+        self._lost = False
+        self.heard_at = 0.0
+        """Monotonic time when the store last told what there is."""
+
+    def start(self) -> None:
+        """Begin to follow."""
+        name = f"follow-{self._kind.name.lower()}"
+        threading.Thread(target=self._run, name=name, daemon=True).start()
+
+    def stop(self) -> None:
+        """Follow no more."""
+        self._stopping.set()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            listing = self._store.list(self._kind)
+            if isinstance(listing, StoreRefused | StoreUnanswered):
+                self._note_failure(listing.reason)
+                continue
+            self._note_success()
+            self._on_listing(listing)
+            self._watch_from(listing.revision)
+
+    def _watch_from(self, revision: int) -> None:
+        """Watch until the history is gone, or the process stops."""
+        while not self._stopping.is_set():
+            changes = self._store.watch(self._kind, revision, self._wait_s)
+            if isinstance(changes, HistoryGone):
+                log_message("control:history_gone", kind=self._kind.name, revision=revision)
+                return
+            if isinstance(changes, StoreRefused | StoreUnanswered):
+                self._note_failure(changes.reason)
+                continue
+            self._note_success()
+            revision = max(revision, changes.revision)
+            if changes.changes:
+                self._on_changes(changes)
+
+    def _note_failure(self, reason: str) -> None:
+        if not self._lost:
+            self._lost = True
+            log_message("control:store_lost", kind=self._kind.name, reason=reason)
+        self._stopping.wait(self._pause_s * random.uniform(0.7, 1.3))
+        self._pause_s = min(MAX_PAUSE_S, 1.5 * self._pause_s)
+
+    def _note_success(self) -> None:
+        self.heard_at = time.monotonic()
+        self._pause_s = FIRST_PAUSE_S
+        if self._lost:
+            self._lost = False
+            log_message("control:store_regained", kind=self._kind.name)
--- /dev/null
+++ b/src/quaymill/process/front/__init__.py
@@ -0,0 +1,1 @@
+"""The interface towards callers of opaque requests and batch jobs."""
--- /dev/null
+++ b/src/quaymill/process/front/http_server.py
@@ -0,0 +1,300 @@
+"""The HTTP server towards callers: cheroot without WSGI, so that requests stay as they were sent.
+
+Target, headers and body reach the handler as received. A handler writes its answer through an
+``AnswerWriter``; an answer that cannot be completed is broken off so that the caller sees it
+as incomplete.
+"""
+
+from __future__ import annotations
+
+import logging
+import socket
+import threading
+from collections.abc import Callable
+from http import HTTPStatus
+
+from cheroot import errors, server
+from eliot import log_message
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.request.forwarded_request import Headers
+from quaymill.request.presence import CallerPresence
+
+LISTEN_BACKLOG = 512
+SEND_BUFFER_BYTES = 128 * 1024
+STOP_TIMEOUT_S = 0.5
+MAX_KEPT_CONNECTIONS = 2000
+IDLE_CHECK_MARGIN_S = 10.0
+"""Idle connections are timed by the time of day, which may jump; callers close earlier."""
+READ_BLOCK_BYTES = 256 * 1024
+SERVER_NAME = "quaymill"
+
+
+class BrokenBodyError(Exception):
+    """The caller's body ended early or is malformed."""
+
+
+class BodyTooLargeError(Exception):
+    """The caller's body is longer than the limit."""
+
+
+class _LineRecorder:
+    """Passes lines through and keeps them."""
+
+    def __init__(self, rfile) -> None:
+        self._rfile = rfile
+        self.lines: list[bytes] = []
+
+    def readline(self, size=None) -> bytes:
+        line = self._rfile.readline(size)
+        self.lines.append(line)
+        return line
+
+
+class _HeaderReader(server.HeaderReader):
+    """Keeps the headers as sent beside cheroot's own folded view of them."""
+
+    def __call__(self, rfile, hdict=None):
+        recorder = _LineRecorder(rfile)
+        try:
+            folded = super().__call__(recorder, hdict)
+        except UnboundLocalError as error:
+            raise ValueError("Illegal continuation line.") from error
+        folded[b":lines"] = recorder.lines
+        return folded
+
+
+class _HttpRequest(server.HTTPRequest):
+    header_reader = _HeaderReader()
+
+    def read_request_line(self) -> bool:
+        """Refuse a target that is no URL; cheroot fails at some of them."""
+        try:
+            return super().read_request_line()
+        except ValueError:
+            self.simple_response("400 Bad Request", "Malformed Request-URI")
+            return False
+
+    def read_request_headers(self) -> bool:
+        """Refuse requests whose end could be read in two ways."""
+        if not super().read_request_headers():
+            return False
+        lengths = [value for name, value in self.header_pairs() if name.lower() == "content-length"]
+        if len(lengths) > 1 or (lengths and self.chunked_read):
+            self.simple_response("400 Bad Request", "Ambiguous length of the body")
+            return False
+        return True
+
+    def header_pairs(self) -> Headers:
+        """Return names and values as sent."""
+        pairs = []
+        for line in self.inheaders.get(b":lines", ()):
+            name, colon, value = line.decode("latin-1").partition(":")
+            if colon and name and not name[0].isspace():
+                pairs.append((name, value.strip()))
+        return tuple(pairs)
+
+
+class _HttpConnection(server.HTTPConnection):
+    RequestHandlerClass = _HttpRequest
+
+
+class FrontRequest:
+    """One request of a caller.
+
+    Attributes
+    ----------
+    target
+        Path and query as sent.
+    path, query
+        The two parts of the target, not unquoted.
+    presence
+        Whether the caller still waits.
+    body_was_read
+        Whether the whole body has been read, so that another request may follow.
+    """
+
+    def __init__(self, request: _HttpRequest, presence: CallerPresence) -> None:
+        self._request = request
+        self.presence = presence
+        self.method = request.method.decode("latin-1")
+        self.target = request.uri.decode("latin-1")
+        self.path, _, self.query = self.target.partition("?")
+        self.headers = request.header_pairs()
+        self._by_name = {name.lower(): value for name, value in self.headers}
+        announced = self._by_name.get("content-length", "0")
+        self.body_was_read = announced == "0" and not request.chunked_read
+
+    def header(self, name: str) -> str | None:
+        """Return a header; the last one if it is repeated."""
+        return self._by_name.get(name.lower())
+
+    @property
+    def host(self) -> str:
+        """The ``Host`` header without a port, in lower case."""
+        return (self.header("Host") or "").partition(":")[0].lower()
+
+    def read_body(self, limit_bytes: int) -> bytes:
+        """Read the whole body.
+
+        Raises
+        ------
+        BrokenBodyError, BodyTooLargeError
+            It is not whole, or longer than the limit; the connection must be closed.
+        """
+        announced = self.header("Content-Length")
+        if announced is not None and int(announced) > limit_bytes:
+            raise BodyTooLargeError
+        blocks: list[bytes] = []
+        total_bytes = 0
+        try:
+            while block := self._request.rfile.read(READ_BLOCK_BYTES):
+                total_bytes += len(block)
+                if total_bytes > limit_bytes:
+                    raise BodyTooLargeError
+                blocks.append(block)
+            if self._request.chunked_read:
+                # What follows the last chunk belongs to this request, not to the next one.
+                list(self._request.rfile.read_trailer_lines())
+        except (OSError, ValueError, errors.MaxSizeExceeded) as error:
+            raise BrokenBodyError(str(error)) from error
+        if announced is not None and total_bytes != int(announced):
+            raise BrokenBodyError(f"{total_bytes} of {announced} bytes came")
+        self.body_was_read = True
+        return b"".join(blocks)
+
+
+class AnswerWriter:
+    """Writes one answer.
+
+    Attributes
+    ----------
+    started
+        Whether the head has been sent.
+    status
+        Status code sent; 0 before.
+    """
+
+    def __init__(self, request: _HttpRequest) -> None:
+        self._request = request
+        self.started = False
+        self.status = 0
+
+    def start(self, status: int, reason: str, headers: Headers, length: int | None = None) -> None:
+        """Send the head; without ``length`` the body's end is marked by its last chunk."""
+        self.started = True
+        self.status = status
+        text = reason or _reason_of(status)
+        self._request.status = f"{status} {text}".encode("latin-1")
+        pairs = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+        if length is not None:
+            pairs.append((b"Content-Length", str(length).encode()))
+        self._request.outheaders = pairs
+        self._request.ensure_headers_sent()
+
+    def write(self, block: bytes) -> None:
+        """Send a part of the body; raises ``OSError`` when the caller is gone."""
+        if block:
+            self._request.write(block)
+
+    def answer(self, status: int, headers: Headers, body: bytes, reason: str = "") -> None:
+        """Send a whole answer."""
+        self.start(status, reason, headers, len(body))
+        if self._request.method != b"HEAD":
+            self.write(body)
+
+    def break_off(self) -> None:
+        """End the connection; an answer that was begun is seen to be incomplete."""
+        self._request.chunked_write = False
+        self._request.sent_headers = True
+        self._request.close_connection = True
+
+    def close_after(self) -> None:
+        """Close the connection once the answer has been sent; call before ``start``."""
+        self._request.close_connection = True
+
+
+Handler = Callable[[FrontRequest, AnswerWriter], None]
+"""Answers one request; what it raises ends the connection."""
+
+
+class HttpServer(server.HTTPServer):
+    """Serves a handler; errors go to the log as one line each.
+
+    Parameters
+    ----------
+    watch
+        Returns the presence of the caller on a connection; ``unwatch`` ends that.
+    """
+
+    ConnectionClass = _HttpConnection
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        handler: Handler,
+        threads: int,
+        watch: Callable[[socket.socket], CallerPresence] = lambda connection: CallerPresence(),
+        unwatch: Callable[[socket.socket], None] = lambda connection: None,
+    ) -> None:
+        super().__init__(
+            (endpoint.host, endpoint.port),
+            _gateway(handler, watch, unwatch),
+            minthreads=threads,
+            maxthreads=threads,
+            server_name=SERVER_NAME,
+        )
+        self.request_queue_size = LISTEN_BACKLOG
+        self.shutdown_timeout = STOP_TIMEOUT_S
+        self.keep_alive_conn_limit = MAX_KEPT_CONNECTIONS
+        self.max_request_header_size = 64 * 1024
+        self.idle_timeout_s = 15.0
+        self._thread: threading.Thread | None = None
+
+    @property
+    def idle_timeout_s(self) -> float:
+        """How long a connection may lie idle, and a read or write may take."""
+        return self.timeout - IDLE_CHECK_MARGIN_S
+
+    @idle_timeout_s.setter
+    def idle_timeout_s(self, seconds: float) -> None:
+        self.timeout = seconds + IDLE_CHECK_MARGIN_S
+
+    def start_serving(self) -> None:
+        """Listen, then serve on threads of its own."""
+        self.prepare()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        self._thread = threading.Thread(target=self.serve, name="front", daemon=True)
+        self._thread.start()
+
+    def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
+        """Log what the server could not handle."""
+        log_message("front:http_error", message=msg, level=logging.getLevelName(level))
+
+
+def _gateway(handler: Handler, watch, unwatch) -> type[server.Gateway]:
+    """Return the class by which cheroot hands requests to ``handler``."""
+
+    class FrontGateway(server.Gateway):
+        def respond(self) -> None:
+            connection = self.req.conn.socket
+            presence = watch(connection)
+            writer = AnswerWriter(self.req)
+            try:
+                handler(FrontRequest(self.req, presence), writer)
+            except OSError:
+                writer.break_off()  # The caller is gone, or its connection broke.
+            except Exception as error:  # A bug must end one request, not the server's thread.
+                log_message("front:handler_error", error=repr(error))
+                writer.break_off()
+            finally:
+                unwatch(connection)
+
+    return FrontGateway
+
+
+def _reason_of(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
--- /dev/null
+++ b/src/quaymill/process/gateway_node.py
@@ -0,0 +1,222 @@
+"""A gateway process: builds its parts, starts them, and stops them in order."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+
+import attrs
+from eliot import log_message
+from prometheus_client import CollectorRegistry, Gauge
+
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.object_store import ObjectStore
+from quaymill.connection.replica_connection import ReplicaConnections
+from quaymill.process.control.state import ControlPlaneView, ControlProtocol
+from quaymill.process.front.caller_protocol import CallerProtocol
+from quaymill.process.front.front_service import FrontService
+from quaymill.process.front.http_server import HttpServer
+from quaymill.process.front.metrics import FrontMetrics
+from quaymill.process.front.plain_pages import MetricsServer, ReadinessServer
+from quaymill.process.gateway.caller_watch import CallerWatch
+from quaymill.process.jobs.coordinator import CoordinatorParts, JobCoordinator
+from quaymill.process.jobs.engine_loads import EngineLoads, ReportProtocol
+from quaymill.process.jobs.item_run import ItemProtocol
+from quaymill.process.jobs.listing import JobListings
+from quaymill.process.jobs.service import JobService
+from quaymill.process.jobs.storage_client import JobStorageClient
+from quaymill.process.node_registry import NodeRegistry
+from quaymill.process.peer_network import PeerNetwork
+from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.router import Router
+from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.process.serving_settings import ServingSettings
+from quaymill.request.forwarding import Forwarder, ReplicaProtocol
+from quaymill.version.request_routes import RequestRoutes
+
+CONNECT_TIMEOUT_S = 0.3
+THREADS = 96
+ADMISSION_LIMIT = 88
+NOT_READY_S = 2.6
+"""After this time without a ready answer no new connections are brought here."""
+STOP_MARGIN_S = 0.7
+
+
+@attrs.frozen
+class GatewayProtocol:
+    """What an adapter brings for a gateway."""
+
+    callers: CallerProtocol
+    replicas: ReplicaProtocol
+    reports: ReportProtocol
+    items: ItemProtocol
+    control: ControlProtocol
+    ready_path: str
+
+
+class GatewayNode:
+    """All parts of one gateway.
+
+    States: starting, ready (``start`` was called and configuration and replicas are known),
+    draining (``stop``: not ready, requests in flight end), stopped.
+    """
+
+    def __init__(
+        self,
+        settings: ServingSettings,
+        store: ObjectStore,
+        protocol: GatewayProtocol,
+        metrics_endpoint: Endpoint | None,
+    ) -> None:
+        self._settings = settings
+        self._network = PeerNetwork.from_settings(settings)
+        self._connections = ReplicaConnections(LinkFilter(), CONNECT_TIMEOUT_S)
+        self._table = ReplicaTable(self._forget_replica)
+        self._control = ControlPlaneView(
+            store,
+            protocol.control,
+            self._table,
+            self._network.membership,
+            self._network.client,
+            self._network.server,
+            settings.watch_s,
+        )
+        listings = JobListings(store)
+        storage = JobStorageClient(
+            self._network.client,
+            self._network.storage_nodes,
+            self._network.known_storage_nodes,
+            settings.disks_lost_at_once + 1,
+            settings.zone,
+        )
+        self._loads = EngineLoads(
+            self._table, self._connections, protocol.reports, lambda: self._coordinator.wake()
+        )
+        self._coordinator = JobCoordinator(
+            CoordinatorParts(
+                name=self._network.process_name,
+                zone=settings.zone,
+                routes=lambda: self._control.routes,
+                table=self._table,
+                connections=self._connections,
+                loads=self._loads,
+                storage=storage,
+                listings=listings,
+                protocol=protocol.items,
+                is_live=lambda name: self._network.process(name) is not None,
+            )
+        )
+        self._jobs = JobService(
+            self._coordinator,
+            storage,
+            listings,
+            self._network.client,
+            self._network.server,
+            self._network.process,
+            self._network.other_gateways,
+        )
+        self._registry = NodeRegistry(store, self._network.membership, self._lacks_peers)
+        self._metrics = FrontMetrics(CollectorRegistry())
+        self._add_gauges()
+        self._front = self._build_front(protocol)
+        self._watch = CallerWatch()
+        self._server = HttpServer(
+            Endpoint.parse(settings.listen.callers),
+            self._front.handle,
+            THREADS,
+            self._watch.watch,
+            self._watch.unwatch,
+        )
+        self._readiness = ReadinessServer(
+            Endpoint.parse(settings.listen.readiness), protocol.ready_path, self._is_ready
+        )
+        self._metrics_server = (
+            MetricsServer(metrics_endpoint, self._metrics.registry) if metrics_endpoint else None
+        )
+
+    def _build_front(self, protocol: GatewayProtocol) -> FrontService:
+        router = Router(self._table, self._settings.zone, self._settings.name)
+        forwarder = Forwarder(router, self._connections, protocol.replicas)
+        return FrontService(
+            protocol.callers,
+            lambda: self._control.routes,
+            forwarder,
+            self._jobs,
+            self._metrics,
+            ADMISSION_LIMIT,
+        )
+
+    def _add_gauges(self) -> None:
+        gauges: dict[str, tuple[str, Callable[[], float]]] = {
+            "configuration_version": (
+                "Version of the configuration in force.",
+                lambda: self._control.routes.version,
+            ),
+            "requests_in_service": (
+                "Requests of callers in service.",
+                lambda: self._front.in_service,
+            ),
+            "batch_items_running": ("Batch items in service.", self._coordinator.running_items),
+            "batch_jobs_open": (
+                "Batch jobs coordinated here.",
+                lambda: len(self._coordinator.open_jobs()),
+            ),
+            "replica_connections_opened": (
+                "Connections opened to replicas since the start.",
+                lambda: self._connections.opened,
+            ),
+        }
+        for name, (text, read) in gauges.items():
+            gauge = Gauge(f"quaymill_{name}", text, registry=self._metrics.registry)
+            gauge.set_function(read)
+
+    def start(self) -> None:
+        """Start the parts; each finds those it uses already running."""
+        self._network.start()
+        self._control.subscribe(self._apply_limits)
+        self._control.start()
+        self._coordinator.start()
+        self._watch.start()
+        self._server.start_serving()
+        self._readiness.start_serving()
+        if self._metrics_server is not None:
+            self._metrics_server.start_serving()
+        self._registry.start()
+        log_message(
+            "node:started",
+            name=self._settings.name,
+            zone=self._settings.zone,
+            process=self._network.process_name,
+        )
+
+    def stop(self) -> None:
+        """Leave in order, so that no request is cut: peers and callers are told first."""
+        began = time.monotonic()
+        deadline = began + self._settings.bounds.grace_s - STOP_MARGIN_S
+        log_message("node:draining", in_service=self._front.in_service)
+        self._front.draining = True
+        self._network.membership.announce_draining()
+        handing_over = threading.Thread(target=self._jobs.hand_over_all, daemon=True)
+        handing_over.start()
+        # Callers whose connections were brought here before the platform noticed still send.
+        time.sleep(NOT_READY_S)
+        idle = self._front.wait_until_idle(max(0.0, deadline - time.monotonic()))
+        handing_over.join(max(0.0, deadline - time.monotonic()))
+        log_message("node:stopped", idle=idle, took_s=round(time.monotonic() - began, 2))
+        self._control.stop()
+        self._registry.stop()
+        self._loads.stop()
+        self._network.stop()
+
+    def _is_ready(self) -> bool:
+        return self._control.ready and not self._front.draining
+
+    def _lacks_peers(self) -> bool:
+        return not self._network.storage_nodes() or not self._network.other_gateways()
+
+    def _apply_limits(self, routes: RequestRoutes) -> None:
+        self._server.idle_timeout_s = routes.limits.idle_timeout_s
+
+    def _forget_replica(self, replica: Replica) -> None:
+        self._connections.forget(replica.entry.address)
--- /dev/null
+++ b/src/quaymill/process/job_storage/database.py
@@ -0,0 +1,278 @@
+"""Jobs and contents of results in SQLite; a write returns once it is on the disk.
+
+Rows are written once and never changed, apart from two flags of a job that are only raised.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import functools
+import operator
+import sqlite3
+import threading
+import time
+from collections.abc import Iterable
+from pathlib import Path
+
+import attrs
+import msgspec
+import xxhash
+
+from quaymill.connection.job_document import Job, JobDocument, JobResult, ResultState
+from quaymill.connection.job_storage_messages import KeyedResult, ResultKey
+
+FILE_NAME = "jobs.sqlite3"
+SCHEMA = """
+CREATE TABLE IF NOT EXISTS jobs (
+    id TEXT PRIMARY KEY,
+    host TEXT NOT NULL,
+    path TEXT NOT NULL,
+    document BLOB NOT NULL,
+    total INTEGER NOT NULL,
+    coordinator TEXT NOT NULL,
+    sent_at REAL NOT NULL,
+    ended INTEGER NOT NULL DEFAULT 0,
+    complete INTEGER NOT NULL DEFAULT 0
+) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS results (
+    job_id TEXT NOT NULL,
+    item_index INTEGER NOT NULL,
+    digest TEXT NOT NULL,
+    item_id TEXT NOT NULL,
+    state TEXT NOT NULL,
+    text TEXT NOT NULL,
+    PRIMARY KEY (job_id, item_index, digest)
+) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS early_ends (job_id TEXT PRIMARY KEY) WITHOUT ROWID;
+"""
+PAGE_CACHE_KIB = 2048
+
+
+@attrs.define
+class JobRecord:
+    """What is kept in memory of each job.
+
+    Attributes
+    ----------
+    sent_at
+        Monotonic time when the job was first sent, as well as it is known.
+    results_digest
+        Stands for the set of contents of results that are here; 0 for none.
+    """
+
+    id: str
+    total: int
+    coordinator: str
+    sent_at: float
+    ended: bool
+    complete: bool
+    results_digest: int = 0
+
+
+class JobDatabase:
+    """The jobs of one storage node; safe to use from any thread.
+
+    Parameters
+    ----------
+    folder
+        Where the database lies; made if it is not there.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self._lock = threading.Lock()
+        self._connection = _connect(folder / FILE_NAME)
+        self._connection.execute("PRAGMA journal_mode = WAL")
+        self._connection.execute("PRAGMA synchronous = FULL")
+        self._connection.executescript(SCHEMA)
+        # Reads have a connection of their own: they go on while a write waits for the disk.
+        self._read_lock = threading.Lock()
+        self._reader = _connect(folder / FILE_NAME)
+        self.by_id: dict[str, JobRecord] = {}
+        self._load()
+
+    def store_job(self, job: Job, coordinator: str, ended: bool = False) -> JobRecord:
+        """Keep a job, unless it is here already; return its record."""
+        with self._lock:
+            record = self.by_id.get(job.id)
+            if record is not None:
+                return record
+            document = msgspec.json.encode(job.document)
+            sent_at = time.time() - job.age_s
+            total = len(job.document.items)
+            with self._transaction():
+                early = self._connection.execute(
+                    "SELECT 1 FROM early_ends WHERE job_id = ?", (job.id,)
+                ).fetchone()
+                ended = ended or early is not None
+                self._connection.execute(
+                    "INSERT INTO jobs VALUES (?, ?, ?, ?, ?, ?, ?, ?, 0)",
+                    (job.id, job.host, job.path, document, total, coordinator, sent_at, ended),
+                )
+            record = JobRecord(
+                job.id, total, coordinator, time.monotonic() - job.age_s, ended, False
+            )
+            self.by_id[job.id] = record
+            return record
+
+    def store_results(self, job_id: str, results: Iterable[KeyedResult]) -> None:
+        """Keep contents of results; those that are here already stay as they are."""
+        rows = [
+            (
+                job_id,
+                one.key.index,
+                one.key.digest,
+                one.result.item_id,
+                one.result.state.value,
+                one.result.text,
+            )
+            for one in results
+        ]
+        with self._lock:
+            with self._transaction():
+                self._connection.executemany(
+                    "INSERT OR IGNORE INTO results VALUES (?, ?, ?, ?, ?, ?)", rows
+                )
+            self._digest_results(job_id)
+
+    def end_job(self, job_id: str) -> JobRecord | None:
+        """Mark a job as ended, also one that is not here yet; return its record."""
+        with self._lock:
+            record = self.by_id.get(job_id)
+            if record is not None and record.ended:
+                return record
+            with self._transaction():
+                if record is None:
+                    self._connection.execute(
+                        "INSERT OR IGNORE INTO early_ends VALUES (?)", (job_id,)
+                    )
+                else:
+                    self._connection.execute("UPDATE jobs SET ended = 1 WHERE id = ?", (job_id,))
+            if record is not None:
+                record.ended = True
+            return record
+
+    def complete_job(self, job_id: str) -> None:
+        """Note that all items of a job are listed."""
+        with self._lock:
+            record = self.by_id.get(job_id)
+            if record is None or record.complete:
+                return
+            with self._transaction():
+                self._connection.execute("UPDATE jobs SET complete = 1 WHERE id = ?", (job_id,))
+            record.complete = True
+
+    def job(self, job_id: str) -> Job | None:
+        """Return a whole job."""
+        record = self.by_id.get(job_id)
+        with self._read_lock:
+            row = self._reader.execute(
+                "SELECT host, path, document FROM jobs WHERE id = ?", (job_id,)
+            ).fetchone()
+        if row is None or record is None:
+            return None
+        host, path, document = row
+        return Job(
+            id=job_id,
+            host=host,
+            path=path,
+            document=msgspec.json.decode(document, type=JobDocument),
+            age_s=time.monotonic() - record.sent_at,
+        )
+
+    def results(self, job_id: str, keys: Iterable[ResultKey]) -> tuple[KeyedResult, ...]:
+        """Return those of the contents asked for that are here."""
+        found = []
+        with self._read_lock:
+            for key in keys:
+                row = self._reader.execute(
+                    "SELECT item_id, state, text FROM results"
+                    " WHERE job_id = ? AND item_index = ? AND digest = ?",
+                    (job_id, key.index, key.digest),
+                ).fetchone()
+                if row is not None:
+                    item_id, state, text = row
+                    found.append(KeyedResult(key, JobResult(item_id, ResultState(state), text)))
+        return tuple(found)
+
+    def result_keys(self, job_id: str) -> tuple[ResultKey, ...]:
+        """Return the keys of all contents of a job that are here."""
+        with self._read_lock:
+            rows = self._reader.execute(
+                "SELECT item_index, digest FROM results WHERE job_id = ?", (job_id,)
+            ).fetchall()
+        return tuple(ResultKey(index, digest) for index, digest in rows)
+
+    def forget(self, job_id: str) -> None:
+        """Remove a job and its results."""
+        with self._lock, self._transaction():
+            self._connection.execute("DELETE FROM jobs WHERE id = ?", (job_id,))
+            self._connection.execute("DELETE FROM results WHERE job_id = ?", (job_id,))
+            self._connection.execute("DELETE FROM early_ends WHERE job_id = ?", (job_id,))
+            self.by_id.pop(job_id, None)
+
+    def close(self) -> None:
+        """Close the database."""
+        with self._lock, self._read_lock:
+            self._connection.close()
+            self._reader.close()
+
+    def _load(self) -> None:
+        now = time.time()
+        rows = self._connection.execute(
+            "SELECT id, total, coordinator, sent_at, ended, complete FROM jobs"
+        ).fetchall()
+        for job_id, total, coordinator, sent_at, ended, complete in rows:
+            # The time of day may have jumped: a job is never taken for younger than new.
+            age_s = max(0.0, now - sent_at)
+            self.by_id[job_id] = JobRecord(
+                job_id,
+                total,
+                coordinator,
+                time.monotonic() - age_s,
+                bool(ended),
+                bool(complete),
+            )
+        for job_id in self.by_id:
+            self._digest_results(job_id)
+
+    def _digest_results(self, job_id: str) -> None:
+        record = self.by_id.get(job_id)
+        if record is None:
+            return
+        rows = self._connection.execute(
+            "SELECT item_index, digest FROM results WHERE job_id = ?", (job_id,)
+        )
+        hashes = (xxhash.xxh3_64_intdigest(f"{index}/{digest}".encode()) for index, digest in rows)
+        record.results_digest = functools.reduce(operator.xor, hashes, 0)
+
+    def _transaction(self) -> _Transaction:
+        return _Transaction(self._connection)
+
+
+class _Transaction:
+    """Begins a write, and commits it or takes it back."""
+
+    def __init__(self, connection: sqlite3.Connection) -> None:
+        self._connection = connection
+
+    def __enter__(self) -> None:
+        self._connection.execute("BEGIN IMMEDIATE")
+
+    def __exit__(self, kind, error, traceback) -> None:
+        if kind is not None:
+            self._connection.execute("ROLLBACK")
+            return
+        try:
+            self._connection.execute("COMMIT")
+        except sqlite3.Error:
+            # The disk failed; without this no later write could begin.
+            with contextlib.suppress(sqlite3.Error):
+                self._connection.execute("ROLLBACK")
+            raise
+
+
+def _connect(path: Path) -> sqlite3.Connection:
+    connection = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
+    connection.execute(f"PRAGMA cache_size = -{PAGE_CACHE_KIB}")
+    return connection
--- /dev/null
+++ b/src/quaymill/process/job_storage/leases.py
@@ -0,0 +1,57 @@
+"""The leases of coordinators on this storage node, on the monotonic clock.
+
+A lease says that somebody runs a job. It is kept in memory only: after a start every job
+counts as leased for one full term, so that its coordinator has time to renew.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Iterable
+
+LEASE_S = 2.5
+
+
+class Leases:
+    """When the lease of each job runs out, and who holds it."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._expires_by_job: dict[str, float] = {}
+        self._holder_by_job: dict[str, str] = {}
+        self._first_expiry = time.monotonic() + LEASE_S
+
+    def renew(self, job_ids: Iterable[str], holder: str) -> None:
+        """Start a full term of each job's lease."""
+        expires = time.monotonic() + LEASE_S
+        with self._lock:
+            for job_id in job_ids:
+                self._expires_by_job[job_id] = expires
+                self._holder_by_job[job_id] = holder
+
+    def extend(self, job_id: str, left_s: float) -> None:
+        """Note that the lease still runs elsewhere."""
+        with self._lock:
+            self._expires_by_job[job_id] = time.monotonic() + left_s
+
+    def release(self, job_id: str, holder: str) -> None:
+        """End a lease at once, if ``holder`` has it."""
+        with self._lock:
+            if self._holder_by_job.get(job_id, holder) == holder:
+                self._expires_by_job[job_id] = 0.0
+
+    def forget(self, job_id: str) -> None:
+        """Drop what is known of a job."""
+        with self._lock:
+            self._expires_by_job.pop(job_id, None)
+            self._holder_by_job.pop(job_id, None)
+
+    def holder(self, job_id: str) -> str:
+        """Return who renewed last; empty if nobody did since the start."""
+        return self._holder_by_job.get(job_id, "")
+
+    def left_s(self, job_id: str) -> float:
+        """Return the time left, in seconds; 0 if there is none."""
+        expires = self._expires_by_job.get(job_id, self._first_expiry)
+        return max(0.0, expires - time.monotonic())
--- /dev/null
+++ b/src/quaymill/process/job_storage/orphans.py
@@ -0,0 +1,119 @@
+"""Finds jobs that nobody runs, and gives each to a gateway.
+
+Of the storage nodes the one that ranks first for a job acts, and only when no other has
+heard from the coordinator either.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+from eliot import log_message
+
+from quaymill.connection.job_storage_messages import (
+    AdoptJob,
+    FetchLeases,
+    JobAdopted,
+)
+from quaymill.connection.job_storage_messages import Leases as LeasesMessage
+from quaymill.connection.member import Member
+from quaymill.connection.peer_link import PeerClient
+from quaymill.process.job_storage.database import JobDatabase, JobRecord
+from quaymill.process.job_storage.leases import LEASE_S, Leases
+from quaymill.process.membership.ranking import rank_nodes
+
+CHECK_INTERVAL_S = 0.5
+ASK_TIMEOUT_S = 0.7
+ADOPT_TIMEOUT_S = 1.0
+
+
+class OrphanWatch:
+    """Looks for jobs whose lease has run out.
+
+    Parameters
+    ----------
+    storage_nodes, gateways
+        Return the live nodes of each kind, none that is leaving.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        database: JobDatabase,
+        leases: Leases,
+        peer_client: PeerClient,
+        storage_nodes: Callable[[], tuple[Member, ...]],
+        gateways: Callable[[], tuple[Member, ...]],
+    ) -> None:
+        self._name = name
+        self._database = database
+        self._leases = leases
+        self._peer_client = peer_client
+        self._storage_nodes = storage_nodes
+        self._gateways = gateways
+        self._stopping = threading.Event()
+
+    def start(self) -> None:
+        """Begin to look."""
+        threading.Thread(target=self._watch, name="orphans", daemon=True).start()
+
+    def stop(self) -> None:
+        """Look no more."""
+        self._stopping.set()
+
+    def _watch(self) -> None:
+        while not self._stopping.wait(CHECK_INTERVAL_S):
+            self.check()
+
+    def check(self) -> None:
+        """Give away the jobs that nobody runs."""
+        orphans = [
+            record
+            for record in list(self._database.by_id.values())
+            if not record.complete
+            and not record.ended
+            and self._leases.left_s(record.id) == 0.0
+            and self._acts_for(record.id)
+        ]
+        for record in self._without_lease_elsewhere(orphans):
+            self._give_away(record)
+
+    def _acts_for(self, job_id: str) -> bool:
+        ranked = rank_nodes(job_id, self._storage_nodes())
+        return bool(ranked) and ranked[0].name == self._name
+
+    def _without_lease_elsewhere(self, orphans: list[JobRecord]) -> list[JobRecord]:
+        if not orphans:
+            return []
+        job_ids = tuple(record.id for record in orphans)
+        for member in self._storage_nodes():
+            if member.name == self._name:
+                continue
+            reply = self._peer_client.call(
+                member.peer, FetchLeases(job_ids), LeasesMessage, ASK_TIMEOUT_S
+            )
+            if isinstance(reply, LeasesMessage):
+                for job_id, left_s in zip(job_ids, reply.left_s, strict=True):
+                    if left_s > 0:
+                        self._leases.extend(job_id, min(left_s, LEASE_S))
+        return [record for record in orphans if self._leases.left_s(record.id) == 0.0]
+
+    def _give_away(self, record: JobRecord) -> None:
+        job = self._database.job(record.id)
+        ranked = rank_nodes(record.id, self._gateways())
+        if job is None or not ranked:
+            return
+        # The first may be dead without anybody knowing yet; one try at each of two a round.
+        for member in ranked[:2]:
+            reply = self._peer_client.call(member.peer, AdoptJob(job), JobAdopted, ADOPT_TIMEOUT_S)
+            log_message(
+                "job:given_away",
+                job=record.id,
+                gateway=member.name,
+                before=self._leases.holder(record.id) or record.coordinator,
+                outcome=type(reply).__name__,
+            )
+            if isinstance(reply, JobAdopted):
+                self._leases.renew([record.id], reply.coordinator)
+                return
--- /dev/null
+++ b/src/quaymill/process/job_storage/retirement.py
@@ -0,0 +1,140 @@
+"""Empties this storage node when the operator asks for it."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+from eliot import log_message
+
+from quaymill.connection.job_storage_messages import CompareJobs, JobSummaries, JobSummary
+from quaymill.connection.member import Member
+from quaymill.connection.object_store import (
+    ObjectKind,
+    ObjectMissing,
+    ObjectStore,
+    StoredObject,
+    StoreRefused,
+    StoreUnanswered,
+)
+from quaymill.connection.peer_link import PeerClient
+from quaymill.process.job_storage.database import JobDatabase
+from quaymill.process.job_storage.repair import CopyRules
+from quaymill.process.job_storage.service import JobStorageService
+
+CHECK_INTERVAL_S = 0.3
+CALL_TIMEOUT_S = 1.0
+
+
+class Retirement:
+    """Carries out a request to empty this node; it may be called again for the same request.
+
+    States of the request: asked for -> active (``begin``: nothing new is taken) -> succeeded
+    (all that is here stands on enough other nodes; told to the platform).
+
+    Parameters
+    ----------
+    storage_nodes, known_storage_nodes
+        Return the live storage nodes that are not leaving, and all that are not known to have
+        left for good.
+    announce
+        Tells the other nodes that this one is leaving, so that its copies are made elsewhere.
+    active_status, succeeded_status
+        What the platform is told.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        store: ObjectStore,
+        database: JobDatabase,
+        service: JobStorageService,
+        peer_client: PeerClient,
+        storage_nodes: Callable[[], tuple[Member, ...]],
+        known_storage_nodes: Callable[[], tuple[Member, ...]],
+        rules: CopyRules,
+        announce: Callable[[], None],
+        active_status: object,
+        succeeded_status: object,
+    ) -> None:
+        self._name = name
+        self._store = store
+        self._database = database
+        self._service = service
+        self._peer_client = peer_client
+        self._storage_nodes = storage_nodes
+        self._known_storage_nodes = known_storage_nodes
+        self._rules = rules
+        self._announce = announce
+        self._active_status = active_status
+        self._succeeded_status = succeeded_status
+        self._stopping = threading.Event()
+        self._thread: threading.Thread | None = None
+
+    def begin(self) -> None:
+        """Start to empty the node, unless that is under way."""
+        if self._thread is not None:
+            return
+        log_message("retirement:begun", node=self._name, jobs=len(self._database.by_id))
+        self._service.retiring.set()
+        self._announce()
+        self._thread = threading.Thread(target=self._run, name="retirement", daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop with the process."""
+        self._stopping.set()
+
+    def _run(self) -> None:
+        self._tell(self._active_status)
+        while not self._stopping.wait(CHECK_INTERVAL_S):
+            missing = self._missing_copies()
+            if missing is None or missing:
+                continue
+            if self._tell(self._succeeded_status):
+                log_message("retirement:succeeded", node=self._name)
+                return
+
+    def _missing_copies(self) -> int | None:
+        """Return how many jobs do not stand on enough other nodes; ``None`` if unknown."""
+        others = [member for member in self._storage_nodes() if member.name != self._name]
+        # A node that is down for a moment still counts: its absence must not lower the bar.
+        known = [one for one in self._known_storage_nodes() if one.name != self._name]
+        needed = min(self._rules.needed, len(known))
+        if needed == 0:
+            return None
+        summaries: list[dict[str, JobSummary]] = []
+        for member in others:
+            reply = self._peer_client.call(
+                member.peer, CompareJobs(""), JobSummaries, CALL_TIMEOUT_S
+            )
+            if isinstance(reply, JobSummaries):
+                summaries.append({summary.job_id: summary for summary in reply.jobs})
+        missing = 0
+        for record in list(self._database.by_id.values()):
+            copies = 0
+            for by_id in summaries:
+                summary = by_id.get(record.id)
+                if summary is not None and summary.results_digest == record.results_digest:
+                    copies += not record.ended or summary.ended
+            missing += copies < needed
+        return missing
+
+    def _tell(self, status: object) -> bool:
+        """Write the status beside the request; return whether it is certain to stand there."""
+        while not self._stopping.is_set():
+            held = self._store.get(ObjectKind.RETIREMENTS, self._name)
+            if isinstance(held, ObjectMissing):
+                return True
+            if isinstance(held, StoredObject):
+                if held.status == status:
+                    return True
+                written = self._store.replace_status(
+                    ObjectKind.RETIREMENTS, self._name, status, held.revision
+                )
+                if isinstance(written, StoredObject):
+                    return True
+                if not isinstance(written, StoreRefused | StoreUnanswered):
+                    continue
+            self._stopping.wait(CHECK_INTERVAL_S)
+        return False
--- /dev/null
+++ b/src/quaymill/process/job_storage/service.py
@@ -0,0 +1,180 @@
+"""Answers the messages about jobs that reach a storage node."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+import xxhash
+from eliot import log_message
+
+from quaymill.connection.job_storage_messages import (
+    CompareJobs,
+    EndJob,
+    FetchBody,
+    FetchedBody,
+    FetchedResults,
+    FetchLeases,
+    FetchResultKeys,
+    FetchResults,
+    FindJob,
+    JobEnded,
+    JobFound,
+    JobsRenewed,
+    JobStored,
+    JobSummaries,
+    JobSummary,
+    JobUnknown,
+    Leases,
+    RenewJobs,
+    ResultKeys,
+    ResultsStored,
+    StoreJob,
+    StoreResults,
+)
+from quaymill.connection.peer_link import PeerMessage, PeerRefusal, PeerServer
+from quaymill.process.job_storage.database import JobDatabase
+from quaymill.process.job_storage.leases import Leases as LeaseTable
+
+
+class JobStorageService:
+    """The handlers of one storage node.
+
+    Attributes
+    ----------
+    retiring
+        Whether the node is being emptied, so that it takes nothing new.
+    """
+
+    def __init__(self, database: JobDatabase, leases: LeaseTable, peer_server: PeerServer) -> None:
+        self._database = database
+        self._leases = leases
+        self.retiring = threading.Event()
+        handlers = {
+            StoreJob: self._store_job,
+            StoreResults: self._store_results,
+            FetchResults: self._fetch_results,
+            FindJob: self._find_job,
+            FetchBody: self._fetch_body,
+            EndJob: self._end_job,
+            RenewJobs: self._renew_jobs,
+            CompareJobs: self._compare_jobs,
+            FetchResultKeys: self._fetch_result_keys,
+            FetchLeases: self._fetch_leases,
+        }
+        for message_type, handler in handlers.items():
+            peer_server.register(message_type, handler)
+
+    def _store_job(self, message: StoreJob) -> PeerMessage:
+        if self.retiring.is_set():
+            return PeerRefusal("this node is being emptied")
+        known = message.job.id in self._database.by_id
+        record = self._database.store_job(message.job, message.coordinator)
+        if not known:
+            self._leases.renew([message.job.id], message.coordinator)
+            log_message(
+                "job:stored",
+                job=message.job.id,
+                items=record.total,
+                coordinator=message.coordinator,
+            )
+        holder = self._leases.holder(message.job.id) or record.coordinator
+        return JobStored(holder, record.ended)
+
+    def _store_results(self, message: StoreResults) -> PeerMessage:
+        if self.retiring.is_set():
+            return PeerRefusal("this node is being emptied")
+        self._database.store_results(message.job_id, message.results)
+        return ResultsStored()
+
+    def _fetch_results(self, message: FetchResults) -> FetchedResults:
+        return FetchedResults(self._database.results(message.job_id, message.keys))
+
+    def _find_job(self, message: FindJob) -> JobFound | JobUnknown:
+        record = self._database.by_id.get(message.job_id)
+        if record is None:
+            return JobUnknown()
+        job = self._database.job(message.job_id) if message.whole else None
+        coordinator = self._leases.holder(message.job_id) or record.coordinator
+        return JobFound(coordinator, record.ended, record.total, job)
+
+    def _fetch_body(self, message: FetchBody) -> FetchedBody | JobUnknown:
+        job = self._database.job(message.job_id)
+        if job is None:
+            return JobUnknown()
+        items = (item for item in job.document.items if item.id == message.item_id)
+        item = next(items, None)
+        return FetchedBody(None if item is None else item.body)
+
+    def _end_job(self, message: EndJob) -> JobEnded:
+        record = self._database.end_job(message.job_id)
+        log_message("job:ended", job=message.job_id, known=record is not None)
+        holder = self._leases.holder(message.job_id)
+        return JobEnded(holder or ("" if record is None else record.coordinator))
+
+    def _renew_jobs(self, message: RenewJobs) -> JobsRenewed:
+        self._leases.renew(message.open_jobs, message.coordinator)
+        for job_id in message.complete_jobs:
+            self._database.complete_job(job_id)
+        for job_id in message.released_jobs:
+            self._leases.release(job_id, message.coordinator)
+        ended = []
+        for job_id in message.open_jobs:
+            record = self._database.by_id.get(job_id)
+            if record is not None and record.ended:
+                ended.append(job_id)
+        return JobsRenewed(tuple(ended))
+
+    def _compare_jobs(self, message: CompareJobs) -> JobSummaries:
+        records = list(self._database.by_id.values())
+        text = "".join(
+            f"{record.id}/{record.results_digest}/{record.ended:d}{record.complete:d};"
+            for record in sorted(records, key=lambda record: record.id)
+        )
+        digest = xxhash.xxh3_64_hexdigest(text.encode())
+        if digest == message.digest:
+            return JobSummaries(digest, (), unchanged=True)
+        return JobSummaries(
+            digest,
+            tuple(
+                JobSummary(
+                    record.id,
+                    record.results_digest,
+                    record.ended,
+                    record.complete,
+                    self._leases.holder(record.id) or record.coordinator,
+                    round(self._leases.left_s(record.id), 3),
+                )
+                for record in records
+            ),
+        )
+
+    def _fetch_result_keys(self, message: FetchResultKeys) -> ResultKeys:
+        return ResultKeys(self._database.result_keys(message.job_id))
+
+    def _fetch_leases(self, message: FetchLeases) -> Leases:
+        return Leases(tuple(self._leases.left_s(job_id) for job_id in message.job_ids))
+
+
+class Retention:
+    """Forgets jobs whose results need not be readable any more.
+
+    Parameters
+    ----------
+    retention_s
+        How long results stay readable after the job was first sent.
+    """
+
+    def __init__(self, database: JobDatabase, leases: LeaseTable, retention_s: float) -> None:
+        self._database = database
+        self._leases = leases
+        self._retention_s = retention_s
+
+    def sweep(self) -> None:
+        """Forget the jobs that are over and past their time."""
+        horizon = time.monotonic() - self._retention_s
+        for record in list(self._database.by_id.values()):
+            if record.sent_at < horizon and (record.complete or record.ended):
+                self._database.forget(record.id)
+                self._leases.forget(record.id)
+                log_message("job:forgotten", job=record.id)
--- /dev/null
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -0,0 +1,285 @@
+"""One job that this gateway coordinates: which items wait, run, are finished and are listed."""
+
+from __future__ import annotations
+
+import enum
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+import xxhash
+
+from quaymill.connection.job_document import Job, JobItem, JobResult, ResultState
+from quaymill.connection.job_storage_messages import (
+    ItemProgress,
+    KeyedResult,
+    ResultKey,
+    ResultsPage,
+)
+from quaymill.process.jobs.listing import ListedResult, Listing, ListingDocument
+from quaymill.version.request_routes import RequestRoute
+
+MAX_PAGE_BYTES = 1024 * 1024
+"""Most text on one page of results; one result is on it whatever its size."""
+
+
+class ItemState(enum.Enum):
+    """States of an item here.
+
+    WAITING -> RUNNING -> FINISHED -> LISTED; RUNNING -> WAITING when a run was cut or refused.
+    """
+
+    WAITING = enum.auto()
+    RUNNING = enum.auto()
+    FINISHED = enum.auto()
+    LISTED = enum.auto()
+
+
+class RunningItem:
+    """One item, with what its runs have brought so far.
+
+    Attributes
+    ----------
+    last_event_id, texts
+        The last whole event that came, and the data of all of them.
+    failures
+        Runs that a replica answered with an error.
+    not_before
+        Monotonic time before which it is not tried again.
+    cancel
+        Ends the present run; ``None`` if there is none.
+    """
+
+    def __init__(self, index: int, item: JobItem) -> None:
+        self.index = index
+        self.item = item
+        self.state = ItemState.WAITING
+        self.last_event_id: str | None = None
+        self.texts: list[str] = []
+        self.failures = 0
+        self.not_before = 0.0
+        self.started_at = 0.0
+        self.replica_id = ""
+        self.cancel: Callable[[], None] | None = None
+        self.giving_way = False
+
+    def progress(self) -> ItemProgress:
+        """Return what another coordinator needs to go on."""
+        return ItemProgress(self.index, self.last_event_id, tuple(self.texts), self.failures)
+
+    def resume_from(self, progress: ItemProgress) -> None:
+        """Go on from what another coordinator had."""
+        self.last_event_id = progress.last_event_id
+        self.texts = list(progress.texts)
+        self.failures = progress.failures
+
+
+class CoordinatedJob:
+    """State of one job; safe to use from any thread.
+
+    Attributes
+    ----------
+    route
+        The route it came by; ``None`` once that was removed.
+    routed_at
+        Monotonic time when the configuration last had a route for it.
+    sent_at
+        Monotonic time when it was first sent.
+    coordinator
+        Who runs it: this process, until another has taken it over.
+    """
+
+    def __init__(self, job: Job, route: RequestRoute | None, coordinator: str) -> None:
+        self.job = job
+        self.route = route
+        self.coordinator = coordinator
+        self.routed_at = time.monotonic()
+        self.sent_at = time.monotonic() - job.age_s
+        self.items = [RunningItem(index, item) for index, item in enumerate(job.document.items)]
+        self.changed = threading.Condition()
+        self.ended = False
+        self.abandoned = False
+        self.yielded = False
+        self.listing = Listing(ListingDocument("", len(self.items)))
+        self._finished: dict[int, KeyedResult] = {}
+        self._contents: dict[ResultKey, JobResult] = {}
+
+    @property
+    def id(self) -> str:
+        """The job's id."""
+        return self.job.id
+
+    @property
+    def total(self) -> int:
+        """Number of items."""
+        return len(self.items)
+
+    @property
+    def complete(self) -> bool:
+        """Whether every item is listed."""
+        return len(self.listing.document.results) >= self.total
+
+    @property
+    def stopped(self) -> bool:
+        """Whether nothing of the job is to be started any more."""
+        return self.ended or self.abandoned or self.yielded or self.complete
+
+    @property
+    def over(self) -> bool:
+        """Whether nothing of the job is left to do here."""
+        if self.ended or self.abandoned or self.complete:
+            return True
+        return self.yielded and not self._finished
+
+    def has_work(self) -> bool:
+        """Return whether any item waits or runs."""
+        return any(item.state in (ItemState.WAITING, ItemState.RUNNING) for item in self.items)
+
+    def due_at(self) -> float:
+        """Return the monotonic time when all results are due."""
+        return self.sent_at + (self.route.due_s if self.route else 0.0)
+
+    def waiting(self) -> list[RunningItem]:
+        """Return the items that may be started now."""
+        if self.stopped:
+            return []
+        now = time.monotonic()
+        return [
+            item
+            for item in self.items
+            if item.state is ItemState.WAITING and item.not_before <= now
+        ]
+
+    def running(self) -> list[RunningItem]:
+        """Return the items in service."""
+        return [item for item in self.items if item.state is ItemState.RUNNING]
+
+    def finish(self, item: RunningItem, state: ResultState, text: str) -> None:
+        """Take the result of an item."""
+        result = JobResult(item.item.id, state, text)
+        key = ResultKey(item.index, _digest(result))
+        with self.changed:
+            if item.state is ItemState.LISTED:
+                return
+            item.state = ItemState.FINISHED
+            item.texts = []
+            self._finished[item.index] = KeyedResult(key, result)
+            self.changed.notify_all()
+
+    def put_back(self, item: RunningItem, pause_s: float = 0.0) -> None:
+        """Let an item wait again after a run that brought no result."""
+        with self.changed:
+            if item.state is ItemState.RUNNING:
+                item.state = ItemState.WAITING
+                item.not_before = time.monotonic() + pause_s
+            self.changed.notify_all()
+
+    def add_finished(self, results: Iterable[KeyedResult]) -> None:
+        """Take results that another coordinator had not listed yet."""
+        with self.changed:
+            for one in results:
+                item = self.items[one.key.index]
+                if item.state is not ItemState.LISTED:
+                    item.state = ItemState.FINISHED
+                    self._finished[one.key.index] = one
+            self.changed.notify_all()
+
+    def unlisted(self) -> tuple[KeyedResult, ...]:
+        """Return the results that are not listed yet."""
+        with self.changed:
+            return tuple(self._finished.values())
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take the listing that stands in the store."""
+        with self.changed:
+            if len(listing.document.results) < len(self.listing.document.results):
+                return
+            self.listing = listing
+            for listed in listing.document.results:
+                item = self.items[listed.index]
+                item.state = ItemState.LISTED
+                item.texts = []
+                finished = self._finished.pop(listed.index, None)
+                if finished is not None and finished.key == listed.key:
+                    self._contents[listed.key] = finished.result
+                if item.cancel is not None:
+                    item.cancel()
+            self.changed.notify_all()
+
+    def add_contents(self, contents: dict[ResultKey, JobResult]) -> None:
+        """Take contents that were fetched from storage nodes."""
+        with self.changed:
+            self._contents |= contents
+            self.changed.notify_all()
+
+    def missing_contents(self) -> tuple[ResultKey, ...]:
+        """Return the keys of listed contents that are not here."""
+        with self.changed:
+            return tuple(
+                listed.key
+                for listed in self.listing.document.results
+                if listed.key not in self._contents
+            )
+
+    def stop(self, *, ended: bool) -> None:
+        """Start nothing more and cancel what runs."""
+        with self.changed:
+            self.ended = self.ended or ended
+            self.abandoned = self.abandoned or not ended
+            running = self.running()
+            self.changed.notify_all()
+        for item in running:
+            if item.cancel is not None:
+                item.cancel()
+
+    def yield_to(self, coordinator: str) -> None:
+        """Leave the job to another coordinator; what is finished here is still listed."""
+        self.coordinator = coordinator
+        self.yielded = True
+        for item in self.running():
+            if item.cancel is not None:
+                item.cancel()
+
+    def page(self, since: int, wait_s: float) -> ResultsPage:
+        """Return results from a position on; wait for one if there is none yet."""
+        deadline = time.monotonic() + wait_s
+        with self.changed:
+            while not self._has_position(since) and not self._all_told(since):
+                remaining_s = deadline - time.monotonic()
+                if remaining_s <= 0:
+                    break
+                self.changed.wait(remaining_s)
+            return make_page(self.listing.document, self._contents, since)
+
+    def _has_position(self, position: int) -> bool:
+        listed = self.listing.document.results
+        return position < len(listed) and listed[position].key in self._contents
+
+    def _all_told(self, position: int) -> bool:
+        return self.ended or self.abandoned or self.yielded or position >= self.total
+
+
+def make_page(
+    document: ListingDocument, contents: dict[ResultKey, JobResult], since: int
+) -> ResultsPage:
+    """Return as many results from ``since`` on as are known and fit on a page."""
+    results = []
+    size = 0
+    for listed in document.results[since:]:
+        result = contents.get(listed.key)
+        if result is None:
+            break
+        size += len(result.text)
+        if results and size > MAX_PAGE_BYTES:
+            break
+        results.append(result)
+    return ResultsPage(document.total, tuple(results), since + len(results))
+
+
+def listed_result(result: KeyedResult) -> ListedResult:
+    """Return the position that a result takes."""
+    return ListedResult(result.key.index, result.key.digest, result.result.state)
+
+
+def _digest(result: JobResult) -> str:
+    return xxhash.xxh3_64_hexdigest(f"{result.state}\n{result.text}".encode())
--- /dev/null
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -0,0 +1,180 @@
+"""Polls the engines' reports while batch work wants room, and tells how much there is.
+
+Online work goes first: batch items take only slots that are free beyond a reserve, and give
+some back when requests wait at the engine. Nothing is polled while there is no batch work.
+"""
+
+from __future__ import annotations
+
+import math
+import threading
+import time
+from collections.abc import Callable
+
+import attrs
+
+from quaymill.connection.engine_report import EngineReport
+from quaymill.connection.replica_connection import ReplicaConnections, ReplicaRequest
+from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.request.outcome import NotRun, OutcomeUnknown
+
+POLL_INTERVAL_S = 0.25
+POLL_TIMEOUT_S = 0.5
+REPORT_MAX_AGE_S = 1.0
+REPORT_LAG_S = 0.15
+KEEP_S = 3.0
+MAX_REPORT_BYTES = 256 * 1024
+RESERVE_SHARE = 0.15
+MIN_RESERVE = 2
+KV_RESERVE_SHARE = 0.1
+GIVE_BACK_SHARE = 0.5
+"""Part of an excess that one coordinator gives back at once: others may hold the rest."""
+
+
+@attrs.frozen
+class ReportProtocol:
+    """How an engine is asked for its report."""
+
+    request: Callable[[], ReplicaRequest]
+    read: Callable[[bytes], EngineReport | None]
+
+
+@attrs.define
+class _Poll:
+    """What is known of one engine.
+
+    Attributes
+    ----------
+    starts
+        When this process started items that the report may not show yet, and their tokens.
+    """
+
+    report: EngineReport | None = None
+    taken_at: float = 0.0
+    starts: list[tuple[float, int]] = attrs.field(factory=list)
+
+    def forget_shown_starts(self) -> None:
+        """Drop the starts that the report shows."""
+        shown_until = self.taken_at - REPORT_LAG_S
+        self.starts = [start for start in self.starts if start[0] > shown_until]
+
+
+class EngineLoads:
+    """Reports of the engines of the services that batch work waits for."""
+
+    def __init__(
+        self,
+        table: ReplicaTable,
+        connections: ReplicaConnections,
+        protocol: ReportProtocol,
+        on_report: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._table = table
+        self._connections = connections
+        self._protocol = protocol
+        self._on_report = on_report
+        self._lock = threading.Lock()
+        self._polls_by_replica: dict[str, _Poll] = {}
+        self._polled: set[str] = set()
+        self._wanted: frozenset[str] = frozenset()
+        self._stopping = threading.Event()
+        self.polls = 0
+
+    def stop(self) -> None:
+        """Poll no more."""
+        self._stopping.set()
+
+    def want(self, services: frozenset[str]) -> None:
+        """Poll the engines of these services from now on, and no others."""
+        self._wanted = services
+        for service in services:
+            for replica in self._table.of_service(service):
+                if replica.id not in self._polled and not replica.leaving:
+                    self._polled.add(replica.id)
+                    threading.Thread(
+                        target=self._poll, args=(replica,), name="engine-poll", daemon=True
+                    ).start()
+
+    def room(self, replica: Replica, tokens: int) -> int:
+        """Return how many items more the replica may get now, of ``tokens`` each."""
+        with self._lock:
+            poll = self._polls_by_replica.get(replica.id)
+            if poll is None or poll.report is None or replica.leaving or replica.ejected:
+                return 0
+            if time.monotonic() - poll.taken_at > REPORT_MAX_AGE_S:
+                return 0
+            report = poll.report
+            busy = report.running + report.waiting + len(poll.starts)
+            free_slots = replica.slots - reserve_of(replica) - busy
+            if not report.kv_total_tokens or not tokens:
+                return max(0, free_slots)
+            kv_room = report.kv_total_tokens * (1 - KV_RESERVE_SHARE)
+            kv_free = kv_room - report.kv_used_tokens - sum(start[1] for start in poll.starts)
+            return max(0, min(free_slots, int(kv_free // tokens)))
+
+    def excess(self, replica: Replica) -> int:
+        """Return how many batch items should give way at the replica."""
+        with self._lock:
+            poll = self._polls_by_replica.get(replica.id)
+            if poll is None or poll.report is None:
+                return 0
+            if time.monotonic() - poll.taken_at > REPORT_MAX_AGE_S:
+                return 0
+            report = poll.report
+            over = report.running + report.waiting - replica.slots + 1
+            return max(0, math.ceil(over * GIVE_BACK_SHARE))
+
+    def started(self, replica: Replica, tokens: int) -> None:
+        """Count an item that is being started, until the next report shows it."""
+        with self._lock:
+            poll = self._polls_by_replica.get(replica.id)
+            if poll is not None:
+                poll.starts.append((time.monotonic(), tokens))
+
+    def gave_way(self, replica: Replica) -> None:
+        """Wait for the next report before more gives way at the replica."""
+        with self._lock:
+            poll = self._polls_by_replica.get(replica.id)
+            if poll is not None:
+                poll.report = None
+
+    def _poll(self, replica: Replica) -> None:
+        """Poll one engine until its service is not wanted any more, or it is gone."""
+        while (
+            not self._stopping.is_set()
+            and replica.entry.service in self._wanted
+            and replica.departed_at is None
+        ):
+            report = self._ask(replica)
+            with self._lock:
+                poll = self._polls_by_replica.setdefault(replica.id, _Poll())
+                if report is not None:
+                    poll.report = report
+                    poll.taken_at = time.monotonic()
+                    poll.forget_shown_starts()
+            if report is not None:
+                self._on_report()
+            self._stopping.wait(POLL_INTERVAL_S)
+        with self._lock:
+            self._polls_by_replica.pop(replica.id, None)
+        self._polled.discard(replica.id)
+
+    def _ask(self, replica: Replica) -> EngineReport | None:
+        self.polls += 1
+        deadline = time.monotonic() + POLL_TIMEOUT_S
+        exchange = self._connections.send(replica.entry.address, self._protocol.request())
+        if isinstance(exchange, NotRun | OutcomeUnknown):
+            return None
+        if exchange.read_head(POLL_TIMEOUT_S) is not None:
+            return None
+        body = exchange.read_body(MAX_REPORT_BYTES, deadline)
+        if isinstance(body, OutcomeUnknown):
+            return None
+        exchange.release(KEEP_S)
+        return self._protocol.read(body) if exchange.status == 200 else None
+
+
+def reserve_of(replica: Replica) -> int:
+    """Return the slots that batch items leave free for online requests."""
+    return max(MIN_RESERVE, round(replica.slots * RESERVE_SHARE))
--- /dev/null
+++ b/src/quaymill/process/jobs/item_run.py
@@ -0,0 +1,162 @@
+"""One run of a batch item at a replica; what came of a cut run is kept and gone on from."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import attrs
+
+from quaymill.connection.job_document import JobItem
+from quaymill.connection.replica_connection import Exchange, ReplicaConnections
+from quaymill.process.jobs.coordinated_job import RunningItem
+from quaymill.process.replica_set.replica import Replica
+from quaymill.request.deadline import Deadline
+from quaymill.request.event_stream import EventFramer, data_of_events
+from quaymill.request.forwarded_request import ForwardedRequest, Headers
+from quaymill.request.forwarding import ReplicaProtocol
+from quaymill.request.outcome import NotRun, OutcomeUnknown
+
+FIRST_EVENT_TIMEOUT_S = 6.0
+EVENT_GAP_TIMEOUT_S = 3.0
+RUN_TIMEOUT_S = 60.0
+METHOD = "POST"
+IMPOSSIBLE_STATUS = 422
+
+
+@attrs.frozen
+class ItemDone:
+    """The whole output has come; it is in the item's texts."""
+
+
+@attrs.frozen
+class ItemImpossible:
+    """The replica says that the item can never be done."""
+
+    reason: str
+
+
+@attrs.frozen
+class ItemFailed:
+    """The replica ran the item and answered with an error."""
+
+    reason: str
+
+
+@attrs.frozen
+class ItemCut:
+    """The run brought no whole answer.
+
+    Attributes
+    ----------
+    blames_replica
+        Whether it says something about the replica.
+    """
+
+    reason: str
+    blames_replica: bool = True
+
+
+ItemOutcome = ItemDone | ItemImpossible | ItemFailed | ItemCut
+
+
+@attrs.frozen
+class ItemProtocol:
+    """How items become requests to replicas."""
+
+    replica: ReplicaProtocol
+    item_headers: Callable[[JobItem, str], Headers]
+
+
+def run_item(
+    item: RunningItem,
+    host: str,
+    replica: Replica,
+    connections: ReplicaConnections,
+    protocol: ItemProtocol,
+) -> ItemOutcome:
+    """Run an item once, from the event after the last one that came."""
+    request = ForwardedRequest(
+        id=item.item.id,
+        method=METHOD,
+        target=item.item.path,
+        headers=protocol.item_headers(item.item, host),
+        body=item.item.body,
+        deadline=Deadline.after(RUN_TIMEOUT_S),
+        last_event_id=item.last_event_id,
+    )
+    message = protocol.replica.build_request(request, replica.id, RUN_TIMEOUT_S, item.last_event_id)
+    exchange = connections.send(replica.entry.address, message)
+    if isinstance(exchange, NotRun):
+        replica.record_failure(2.0)
+        return ItemCut(exchange.reason)
+    if isinstance(exchange, OutcomeUnknown):
+        return ItemCut(exchange.reason)
+    item.cancel = exchange.cancel
+    try:
+        if item.giving_way:
+            exchange.abandon()
+            return ItemCut("gave way before it began", blames_replica=False)
+        return _read_answer(item, request, replica, exchange, protocol.replica)
+    finally:
+        item.cancel = None
+
+
+def _read_answer(
+    item: RunningItem,
+    request: ForwardedRequest,
+    replica: Replica,
+    exchange: Exchange,
+    protocol: ReplicaProtocol,
+) -> ItemOutcome:
+    began = time.monotonic()
+    failure = exchange.read_head(FIRST_EVENT_TIMEOUT_S)
+    if failure is not None:
+        return ItemCut(failure.reason)
+    head = protocol.read_answer_head(exchange)
+    if head.load is not None:
+        replica.take_report(head.load)
+    if head.not_executed:
+        if head.misdirected:
+            replica.misdirected = True
+        exchange.abandon()
+        return ItemCut(f"the replica answered {head.status}, not run", blames_replica=False)
+    if head.request_id != request.id:
+        exchange.abandon()
+        return ItemCut(f"the answer belongs to request {head.request_id or 'without an id'}")
+    if head.status != 200:
+        exchange.abandon()
+        return _error_outcome(head.status)
+    replica.record_success(time.monotonic() - began)
+    return _read_events(item, exchange, head.keep_s)
+
+
+def _error_outcome(status: int) -> ItemOutcome:
+    if status == IMPOSSIBLE_STATUS:
+        return ItemImpossible(f"the replica answered {status}")
+    if status == 500:
+        return ItemFailed(f"the replica answered {status}")
+    return ItemCut(f"the replica answered {status}")
+
+
+def _read_events(item: RunningItem, exchange: Exchange, keep_s: float) -> ItemOutcome:
+    framer = EventFramer(item.last_event_id)
+    exchange.set_read_timeout(EVENT_GAP_TIMEOUT_S)
+    while True:
+        block = exchange.read_block()
+        if isinstance(block, OutcomeUnknown):
+            return ItemCut(block.reason, blames_replica=not item.giving_way)
+        if not block:
+            break
+        events = framer.take(block)
+        if events:
+            item.texts += data_of_events(events)
+            item.last_event_id = framer.last_id
+    if framer.rest:
+        exchange.abandon()
+        return ItemCut("the stream ended in the middle of an event")
+    if keep_s > 0:
+        exchange.release(keep_s)
+    else:
+        exchange.abandon()
+    return ItemDone()
--- /dev/null
+++ b/src/quaymill/process/jobs/service.py
@@ -0,0 +1,281 @@
+"""Answers callers' requests about batch jobs at any gateway."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+import attrs
+from eliot import log_message
+
+from quaymill.connection.job_document import Job, JobDocument
+from quaymill.connection.job_storage_messages import (
+    AdoptJob,
+    HandOverJob,
+    JobAdopted,
+    JobStopped,
+    NotCoordinator,
+    ReadResults,
+    RenewJobs,
+    ResultsPage,
+    StopJob,
+)
+from quaymill.connection.member import Member
+from quaymill.connection.peer_link import PeerClient, PeerRefusal, PeerServer
+from quaymill.process.jobs.coordinated_job import make_page
+from quaymill.process.jobs.coordinator import JobCoordinator
+from quaymill.process.jobs.listing import JobListings, ListingDocument, ListingUnknown
+from quaymill.process.jobs.storage_client import JobStorageClient, NotFound, NotKept
+from quaymill.process.membership.ranking import rank_nodes
+
+READ_TIMEOUT_S = 1.0
+STOP_TIMEOUT_S = 0.5
+HAND_OVER_TIMEOUT_S = 1.5
+MAX_HELD_READS = 24
+KNOWN_COORDINATORS = 2000
+
+
+@attrs.frozen
+class Accepted:
+    """The system keeps the whole job from now on."""
+
+
+@attrs.frozen
+class NotAccepted:
+    """The job is not accepted.
+
+    Attributes
+    ----------
+    may_run
+        Whether a part of it may run all the same.
+    """
+
+    reason: str
+    may_run: bool
+
+
+@attrs.frozen
+class Unsure:
+    """This gateway cannot tell now."""
+
+    reason: str
+
+
+@attrs.frozen
+class NoSuchJob:
+    """No storage node has the job."""
+
+
+@attrs.frozen
+class NoSuchItem:
+    """The job has no such item."""
+
+
+@attrs.frozen
+class Ended:
+    """The job is ended."""
+
+
+class JobService:
+    """Submits, reads and ends jobs.
+
+    Parameters
+    ----------
+    gateway_of
+        Returns the live gateway on which a coordinator runs; ``None`` if there is none.
+    gateways
+        Returns the other live gateways.
+    """
+
+    def __init__(
+        self,
+        coordinator: JobCoordinator,
+        storage: JobStorageClient,
+        listings: JobListings,
+        peer_client: PeerClient,
+        peer_server: PeerServer,
+        gateway_of: Callable[[str], Member | None],
+        gateways: Callable[[], tuple[Member, ...]],
+    ) -> None:
+        self._coordinator = coordinator
+        self._storage = storage
+        self._listings = listings
+        self._peer_client = peer_client
+        self._gateway_of = gateway_of
+        self._gateways = gateways
+        self._held_reads = threading.Semaphore(MAX_HELD_READS)
+        self._coordinators_by_job: dict[str, str] = {}
+        peer_server.register(AdoptJob, self._answer_adopt)
+        peer_server.register(HandOverJob, self._answer_hand_over)
+        peer_server.register(ReadResults, self._answer_read)
+        peer_server.register(StopJob, self._answer_stop)
+
+    # Calls of callers.
+
+    def submit(
+        self, job_id: str, host: str, path: str, document: JobDocument
+    ) -> Accepted | NotAccepted:
+        """Keep a job and see that it runs; a job that is known already is accepted again."""
+        if self._coordinator.get(job_id) is not None:
+            return Accepted()
+        job = Job(job_id, host, path, document)
+        kept = self._storage.store_job(job, self._coordinator.name)
+        if isinstance(kept, NotKept):
+            log_message("job:not_kept", job=job_id, reason=kept.reason, may_run=kept.maybe)
+            return NotAccepted(kept.reason, may_run=kept.maybe)
+        log_message(
+            "job:accepted",
+            job=job_id,
+            items=len(document.items),
+            coordinator=kept.coordinator,
+            ended=kept.ended,
+        )
+        if kept.coordinator == self._coordinator.name and not kept.ended:
+            self._coordinator.accept(job)
+        return Accepted()
+
+    def read(self, job_id: str, since: int, wait_s: float) -> ResultsPage | NoSuchJob | Unsure:
+        """Return results from a position on, wherever the job is coordinated."""
+        wait_s = min(wait_s, READ_TIMEOUT_S)
+        held = self._coordinator.get(job_id)
+        if held is not None:
+            return self._page(job_id, since, wait_s)
+        coordinator = self._coordinators_by_job.get(job_id)
+        page = self._ask_coordinator(job_id, since, wait_s, coordinator)
+        if page is not None:
+            return page
+        found = self._storage.find_job(job_id)
+        if isinstance(found, NotFound):
+            return NoSuchJob() if found.certain else Unsure("not all storage nodes answered")
+        if found.coordinator != coordinator:
+            page = self._ask_coordinator(job_id, since, wait_s, found.coordinator)
+            if page is not None:
+                self._remember_coordinator(job_id, found.coordinator)
+                return page
+        return self._read_directly(job_id, since, found.total)
+
+    def read_body(self, job_id: str, item_id: str) -> bytes | NoSuchJob | NoSuchItem | Unsure:
+        """Return the body of an item."""
+        held = self._coordinator.get(job_id)
+        if held is not None:
+            bodies = (item.body for item in held.job.document.items if item.id == item_id)
+            return next(bodies, None) or NoSuchItem()
+        body = self._storage.fetch_body(job_id, item_id)
+        if isinstance(body, NotFound):
+            return NoSuchJob() if body.certain else Unsure("not all storage nodes answered")
+        return NoSuchItem() if body is None else body
+
+    def end(self, job_id: str) -> Ended | NoSuchJob | Unsure:
+        """End a job; repeated calls are answered alike."""
+        found = self._storage.find_job(job_id)
+        if isinstance(found, NotFound):
+            return NoSuchJob() if found.certain else Unsure("not all storage nodes answered")
+        kept, coordinators = self._storage.end_job(job_id)
+        if not kept:
+            return Unsure("too few storage nodes have noted the end")
+        if not self._coordinator.end(job_id):
+            for name in coordinators | {found.coordinator}:
+                self._stop_elsewhere(job_id, name)
+        return Ended()
+
+    def hand_over_all(self) -> None:
+        """Give every open job to another gateway, with what its runs have brought."""
+        orders = self._coordinator.stop()
+        released = []
+        for order in orders:
+            ranked = rank_nodes(order.job.id, self._gateways())
+            adopted = any(self._hand_over(order, member) for member in ranked[:2])
+            if not adopted:
+                released.append(order.job.id)
+        if released:
+            self._storage.renew(
+                RenewJobs(self._coordinator.name, (), released_jobs=tuple(released))
+            )
+
+    # Helpers.
+
+    def _page(self, job_id: str, since: int, wait_s: float) -> ResultsPage | Unsure:
+        held = self._coordinator.get(job_id)
+        if held is None:
+            return Unsure("the job has just moved")
+        # Reads that are held take threads; beyond a bound they are answered at once.
+        may_wait = wait_s > 0 and self._held_reads.acquire(blocking=False)
+        try:
+            return held.page(since, wait_s if may_wait else 0.0)
+        finally:
+            if may_wait:
+                self._held_reads.release()
+
+    def _ask_coordinator(
+        self, job_id: str, since: int, wait_s: float, coordinator: str | None
+    ) -> ResultsPage | None:
+        if not coordinator:
+            return None
+        if coordinator == self._coordinator.name:
+            return None
+        member = self._gateway_of(coordinator)
+        if member is None:
+            return None
+        reply = self._peer_client.call(
+            member.peer,
+            ReadResults(job_id, since, wait_s),
+            ResultsPage | NotCoordinator,
+            wait_s + READ_TIMEOUT_S,
+        )
+        return reply if isinstance(reply, ResultsPage) else None
+
+    def _remember_coordinator(self, job_id: str, coordinator: str) -> None:
+        if len(self._coordinators_by_job) >= KNOWN_COORDINATORS:
+            self._coordinators_by_job.clear()
+        self._coordinators_by_job[job_id] = coordinator
+
+    def _read_directly(self, job_id: str, since: int, total: int) -> ResultsPage | Unsure:
+        """Read the order from the platform and the contents from storage nodes."""
+        listing = self._listings.read(job_id)
+        if isinstance(listing, ListingUnknown):
+            return Unsure(f"the order of the results cannot be read: {listing.reason}")
+        document = ListingDocument("", total) if listing is None else listing.document
+        keys = tuple(listed.key for listed in document.results[since:])
+        contents = self._storage.fetch_results(job_id, keys) if keys else {}
+        if len(contents) < len(set(keys)):
+            return Unsure("not all results can be read")
+        return make_page(document, contents, since)
+
+    def _stop_elsewhere(self, job_id: str, coordinator: str) -> None:
+        member = self._gateway_of(coordinator)
+        if member is not None:
+            self._peer_client.call(member.peer, StopJob(job_id), JobStopped, STOP_TIMEOUT_S)
+
+    def _hand_over(self, order: HandOverJob, member: Member) -> bool:
+        reply = self._peer_client.call(member.peer, order, JobAdopted, HAND_OVER_TIMEOUT_S)
+        log_message(
+            "job:handed_over",
+            job=order.job.id,
+            gateway=member.name,
+            outcome=type(reply).__name__,
+        )
+        return isinstance(reply, JobAdopted)
+
+    # Calls of peers.
+
+    def _answer_adopt(self, message: AdoptJob) -> JobAdopted | PeerRefusal:
+        return self._adopted(self._coordinator.adopt(message.job))
+
+    def _answer_hand_over(self, message: HandOverJob) -> JobAdopted | PeerRefusal:
+        taken = self._coordinator.adopt(message.job, message.progress, message.unlisted)
+        return self._adopted(taken)
+
+    def _adopted(self, taken: bool) -> JobAdopted | PeerRefusal:
+        if taken:
+            return JobAdopted(self._coordinator.name)
+        return PeerRefusal("this gateway is stopping")
+
+    def _answer_read(self, message: ReadResults) -> ResultsPage | NotCoordinator:
+        if self._coordinator.get(message.job_id) is None:
+            return NotCoordinator()
+        page = self._page(message.job_id, message.since, message.wait_s)
+        return page if isinstance(page, ResultsPage) else NotCoordinator()
+
+    def _answer_stop(self, message: StopJob) -> JobStopped:
+        self._coordinator.end(message.job_id)
+        return JobStopped()
--- /dev/null
+++ b/src/quaymill/process/jobs/storage_client.py
@@ -0,0 +1,229 @@
+"""Calls from a gateway to the storage nodes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from quaymill.connection.job_document import Job, JobResult
+from quaymill.connection.job_storage_messages import (
+    EndJob,
+    FetchBody,
+    FetchedBody,
+    FetchedResults,
+    FetchResults,
+    FindJob,
+    JobEnded,
+    JobFound,
+    JobsRenewed,
+    JobStored,
+    JobUnknown,
+    KeyedResult,
+    RenewJobs,
+    ResultKey,
+    ResultsStored,
+    StoreJob,
+    StoreResults,
+)
+from quaymill.connection.member import Member
+from quaymill.connection.peer_link import PeerClient
+from quaymill.process.jobs.parallel_calls import call_members
+from quaymill.process.membership.ranking import rank_nodes
+
+STORE_TIMEOUT_S = 2.5
+FIND_TIMEOUT_S = 1.0
+END_TIMEOUT_S = 2.5
+FETCH_TIMEOUT_S = 1.5
+RENEW_TIMEOUT_S = 0.6
+
+
+@attrs.frozen
+class Kept:
+    """Enough storage nodes have the job on their disks."""
+
+    coordinator: str
+    ended: bool = False
+
+
+@attrs.frozen
+class NotKept:
+    """Too few storage nodes have acknowledged.
+
+    Attributes
+    ----------
+    maybe
+        Whether some may have it all the same, so that it may yet be run.
+    """
+
+    reason: str
+    maybe: bool
+
+
+@attrs.frozen
+class NotFound:
+    """No storage node told of the job.
+
+    Attributes
+    ----------
+    certain
+        Whether all of them said that they do not have it.
+    """
+
+    certain: bool
+
+
+class JobStorageClient:
+    """What a gateway asks of the storage nodes.
+
+    Parameters
+    ----------
+    storage_nodes
+        Returns the live storage nodes, none that is leaving.
+    known_storage_nodes
+        Returns all that may hold something, also those that do not answer.
+    copies
+        Disks that must have something before it is acknowledged.
+    """
+
+    def __init__(
+        self,
+        peer_client: PeerClient,
+        storage_nodes: Callable[[], tuple[Member, ...]],
+        known_storage_nodes: Callable[[], tuple[Member, ...]],
+        copies: int,
+        zone: str,
+    ) -> None:
+        self._peer_client = peer_client
+        self._storage_nodes = storage_nodes
+        self._known_storage_nodes = known_storage_nodes
+        self._copies = copies
+        self._zone = zone
+
+    def store_job(self, job: Job, coordinator: str) -> Kept | NotKept:
+        """Put a job on enough disks."""
+        outcome = call_members(
+            self._peer_client,
+            rank_nodes(job.id, self._storage_nodes()),
+            StoreJob(job, coordinator),
+            JobStored,
+            needed=self._copies,
+            timeout_s=STORE_TIMEOUT_S,
+            at_once=self._copies + 1,
+        )
+        if len(outcome.replies) < self._copies:
+            return NotKept(
+                f"{len(outcome.replies)} of {self._copies} storage nodes have the job",
+                maybe=outcome.maybe_acted or bool(outcome.replies),
+            )
+        others = [reply.coordinator for _, reply in outcome.replies]
+        elsewhere = [name for name in others if name != coordinator]
+        ended = any(reply.ended for _, reply in outcome.replies)
+        return Kept(elsewhere[0] if elsewhere else coordinator, ended)
+
+    def store_results(self, job_id: str, results: Iterable[KeyedResult]) -> bool:
+        """Put contents of results on enough disks; return whether they are."""
+        outcome = call_members(
+            self._peer_client,
+            rank_nodes(job_id, self._storage_nodes()),
+            StoreResults(job_id, tuple(results)),
+            ResultsStored,
+            needed=self._copies,
+            timeout_s=STORE_TIMEOUT_S,
+        )
+        return len(outcome.replies) >= self._copies
+
+    def find_job(self, job_id: str, *, whole: bool = False) -> JobFound | NotFound:
+        """Return what the storage nodes know of a job."""
+        known = self._known_storage_nodes()
+        unsure = not known
+        waiting = list(self._nearest_first(job_id, known))
+        while waiting:
+            asked, waiting = waiting[: self._copies + 1], waiting[self._copies + 1 :]
+            outcome = call_members(
+                self._peer_client,
+                asked,
+                FindJob(job_id, whole),
+                JobFound | JobUnknown,
+                needed=len(asked) if not whole else 1,
+                timeout_s=FIND_TIMEOUT_S,
+            )
+            found = [reply for _, reply in outcome.replies if isinstance(reply, JobFound)]
+            if found:
+                return _merged(found)
+            unsure = unsure or len(outcome.replies) < len(asked)
+        return NotFound(certain=not unsure)
+
+    def end_job(self, job_id: str) -> tuple[bool, frozenset[str]]:
+        """Mark a job as ended on enough disks; return whether it is, and who may run it."""
+        outcome = call_members(
+            self._peer_client,
+            rank_nodes(job_id, self._storage_nodes()),
+            EndJob(job_id),
+            JobEnded,
+            needed=self._copies,
+            timeout_s=END_TIMEOUT_S,
+            at_once=self._copies + 1,
+        )
+        coordinators = frozenset(reply.coordinator for _, reply in outcome.replies)
+        return len(outcome.replies) >= self._copies, coordinators - {""}
+
+    def fetch_results(self, job_id: str, keys: Iterable[ResultKey]) -> dict[ResultKey, JobResult]:
+        """Return contents of results, as many as can be found."""
+        found: dict[ResultKey, JobResult] = {}
+        wanted = tuple(keys)
+        for member in self._nearest_first(job_id, self._known_storage_nodes()):
+            missing = tuple(key for key in wanted if key not in found)
+            if not missing:
+                break
+            reply = self._peer_client.call(
+                member.peer, FetchResults(job_id, missing), FetchedResults, FETCH_TIMEOUT_S
+            )
+            if isinstance(reply, FetchedResults):
+                found |= {one.key: one.result for one in reply.results}
+        return found
+
+    def fetch_body(self, job_id: str, item_id: str) -> bytes | None | NotFound:
+        """Return the body of an item; ``None`` if the job has no such item."""
+        unsure = False
+        known = self._known_storage_nodes()
+        for member in self._nearest_first(job_id, known):
+            reply = self._peer_client.call(
+                member.peer,
+                FetchBody(job_id, item_id),
+                FetchedBody | JobUnknown,
+                FETCH_TIMEOUT_S,
+            )
+            if isinstance(reply, FetchedBody):
+                return reply.body
+            unsure = unsure or not isinstance(reply, JobUnknown)
+        return NotFound(certain=bool(known) and not unsure)
+
+    def renew(self, message: RenewJobs) -> frozenset[str]:
+        """Renew leases with every storage node; return the jobs that were ended."""
+        members = self._storage_nodes()
+        outcome = call_members(
+            self._peer_client,
+            members,
+            message,
+            JobsRenewed,
+            needed=len(members),
+            timeout_s=RENEW_TIMEOUT_S,
+        )
+        return frozenset(job_id for _, reply in outcome.replies for job_id in reply.ended_jobs)
+
+    def _nearest_first(self, job_id: str, members: tuple[Member, ...]) -> list[Member]:
+        """Return members by rank, of those that rank first the ones in this zone first."""
+        ranked = rank_nodes(job_id, members)
+        holders, others = list(ranked[: self._copies + 1]), list(ranked[self._copies + 1 :])
+        random.shuffle(holders)
+        holders.sort(key=lambda member: member.zone != self._zone)
+        return holders + others
+
+
+def _merged(found: list[JobFound]) -> JobFound:
+    """Return what several nodes know together: an end that one knows of holds."""
+    ended = any(one.ended for one in found)
+    first = found[0]
+    return JobFound(first.coordinator, ended, first.total, first.job)
--- a/src/quaymill/process/logs.py
+++ b/src/quaymill/process/logs.py
@@ -78,16 +78,20 @@
         self._writer.stop()
 
 
-def start_logs(node_name: str, log_file: str) -> Logs:
-    """Send every log message of this process to ``log_file``, or to standard error if empty.
+def start_logs(node_name: str, log_file: str = "", stream: BinaryIO | None = None) -> Logs:
+    """Send every log message of this process to a file or a stream.
 
     Parameters
     ----------
     node_name
         Written into each message, so that logs of many nodes can be read together.
+    log_file
+        Where the lines go; to ``stream`` if empty, and to standard error without that.
     """
     add_global_fields(node=node_name)
-    stream = open(log_file, "ab") if log_file else sys.stderr.buffer  # noqa: SIM115
+    if log_file:
+        stream = open(log_file, "ab")  # noqa: SIM115
+    stream = stream or sys.stderr.buffer
     writer = LogWriter(stream)
     add_destinations(writer)
     return Logs(writer)
--- a/src/quaymill/process/membership/membership.py
+++ b/src/quaymill/process/membership/membership.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import random
+import secrets
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -42,8 +43,8 @@
 NOTICE_FANOUT = 4
 DRAINING_FANOUT = 8
 SYNC_INTERVAL_S = 10.0
-REJOIN_INTERVAL_S = 3.0
 STOP_TIMEOUT_S = 5.0
+PROCESS_ID_BYTES = 4
 
 Listener = Callable[[], None]
 
@@ -191,7 +192,7 @@
             now = time.monotonic()
             if now >= next_rejoin:
                 self._rejoin()
-                next_rejoin = now + REJOIN_INTERVAL_S * self._random.uniform(0.8, 1.2)
+                next_rejoin = now + self._timing.rejoin_interval_s * self._random.uniform(0.8, 1.2)
             if now >= next_sync:
                 self._sync_with_one()
                 next_sync = now + SYNC_INTERVAL_S * self._random.uniform(0.8, 1.2)
@@ -270,4 +271,5 @@
         # clock went back, refutation raises the number further.
         incarnation=int(time.time() * 1000),
         has_disk=bool(settings.data_folder),
+        process_id=secrets.token_hex(PROCESS_ID_BYTES),
     )
--- a/src/quaymill/process/membership/messages.py
+++ b/src/quaymill/process/membership/messages.py
@@ -38,6 +38,7 @@
     machines: int
     has_disk: bool
     draining: bool
+    process_id: str = ""
 
     @classmethod
     def of(cls, member: Member) -> MemberRecord:
@@ -56,6 +57,7 @@
             member.machine_list_version,
             member.has_disk,
             member.draining,
+            member.process_id,
         )
 
     def member(self) -> Member:
@@ -72,6 +74,7 @@
             self.machines,
             self.has_disk,
             self.draining,
+            self.process_id,
         )
 
 
--- /dev/null
+++ b/src/quaymill/process/peer_network.py
@@ -0,0 +1,94 @@
+"""A process's place among its peers: membership, and the internal protocol in both directions."""
+
+from __future__ import annotations
+
+import attrs
+
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.member import Member, MemberState
+from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.process.membership.membership import Membership
+from quaymill.process.serving_settings import ServingSettings
+from quaymill.process.settings import MembershipSettings, NodeSettings
+
+TIMING = MembershipSettings(
+    probe_interval_s=0.5, probe_timeout_s=0.25, suspicion_s=1.0, rejoin_interval_s=0.7
+)
+COORDINATOR_SEPARATOR = "#"
+
+
+@attrs.frozen
+class PeerNetwork:
+    """The peers as one process sees them."""
+
+    membership: Membership
+    server: PeerServer
+    client: PeerClient
+
+    @classmethod
+    def from_settings(cls, settings: ServingSettings) -> PeerNetwork:
+        """Bind the sockets; nothing is answered before ``start``."""
+        node_settings = NodeSettings(
+            name=settings.name,
+            zone=settings.zone,
+            region=settings.region,
+            address=settings.address,
+            http_port=settings.peer_port,
+            peer_port=settings.peer_port,
+            platform=settings.store,
+            seeds=tuple(str(seed) for seed in settings.seed_endpoints),
+            data_folder=settings.data_folder,
+            membership=TIMING,
+        )
+        link_filter = LinkFilter()
+        return cls(
+            Membership(node_settings, link_filter),
+            PeerServer(Endpoint(settings.address, settings.peer_port)),
+            PeerClient(link_filter),
+        )
+
+    def start(self) -> None:
+        """Answer peers; every handler must be registered."""
+        self.server.start()
+        self.membership.start()
+
+    def stop(self) -> None:
+        """Leave without a word; peers find out."""
+        self.server.stop()
+        self.membership.stop()
+        self.client.close()
+
+    @property
+    def process_name(self) -> str:
+        """Names this process; another after a restart."""
+        return process_name(self.membership.local())
+
+    def storage_nodes(self) -> tuple[Member, ...]:
+        """Return the live storage nodes, none that is leaving."""
+        return tuple(member for member in self.membership.live() if member.has_disk)
+
+    def known_storage_nodes(self) -> tuple[Member, ...]:
+        """Return the storage nodes that may hold something, those that do not answer included."""
+        return tuple(member for member in self.membership.members() if member.has_disk)
+
+    def gateways(self) -> tuple[Member, ...]:
+        """Return the live gateways, none that is leaving."""
+        return tuple(member for member in self.membership.live() if not member.has_disk)
+
+    def other_gateways(self) -> tuple[Member, ...]:
+        """Return the live gateways apart from this process."""
+        name = self.membership.local().name
+        return tuple(member for member in self.gateways() if member.name != name)
+
+    def process(self, name: str) -> Member | None:
+        """Return the node on which a process of that name runs; ``None`` if it is gone."""
+        node_name, _, _ = name.rpartition(COORDINATOR_SEPARATOR)
+        for member in self.membership.members():
+            if member.name == node_name and process_name(member) == name:
+                return None if member.state is MemberState.DEAD else member
+        return None
+
+
+def process_name(member: Member) -> str:
+    """Return the name of the process that a member's record is of."""
+    return f"{member.name}{COORDINATOR_SEPARATOR}{member.process_id}"
--- /dev/null
+++ b/src/quaymill/process/replica_set/replica.py
@@ -0,0 +1,116 @@
+"""One replica as this process sees it: its entry, its load and its recent failures."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad
+
+REPORT_HALF_LIFE_S = 1.0
+FAILURE_HALF_LIFE_S = 2.0
+EJECTION_PENALTY = 1.5
+"""Failures, weighted by their age, from which on a replica counts as ejected."""
+DEFAULT_SLOTS = 8
+LATENCY_WEIGHT = 0.2
+
+
+class Replica:
+    """Load and health of one incarnation; safe to use from any thread.
+
+    Attributes
+    ----------
+    in_flight
+        Requests of this process that the replica has now.
+    departed_at
+        Monotonic time since when the platform lists the replica no more.
+    """
+
+    def __init__(self, entry: ReplicaEntry) -> None:
+        self.entry = entry
+        self.in_flight = 0
+        self.departed_at: float | None = None
+        self.misdirected = False
+        self.connected_at = 0.0
+        self._lock = threading.Lock()
+        self._others = 0.0
+        self._reported_at = 0.0
+        self._penalty = 0.0
+        self._penalty_at = 0.0
+        self._first_byte_s = 0.0
+
+    @property
+    def id(self) -> str:
+        """Identity of this incarnation."""
+        return self.entry.id
+
+    @property
+    def slots(self) -> int:
+        """Requests that the replica works on at once."""
+        return self.entry.slots or DEFAULT_SLOTS
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the replica must get no new work."""
+        return self.entry.draining or self.misdirected or self.departed_at is not None
+
+    def begin(self) -> None:
+        """Count a request that is being sent."""
+        with self._lock:
+            self.in_flight += 1
+
+    def end(self) -> None:
+        """Stop counting a request."""
+        with self._lock:
+            self.in_flight -= 1
+
+    def take_report(self, load: ReportedLoad) -> None:
+        """Take what the replica told; it includes this process's own requests."""
+        with self._lock:
+            self._others = max(0.0, load.running + load.waiting - self.in_flight)
+            self._reported_at = time.monotonic()
+
+    def load(self) -> float:
+        """Return the estimated number of requests at the replica.
+
+        Requests of other processes are known from the last report only, and count for less
+        the older it is: without news the estimate falls back to this process's own.
+        """
+        age_s = time.monotonic() - self._reported_at
+        return self.in_flight + self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+
+    def report_age_s(self) -> float:
+        """Return the age of the last report in seconds."""
+        return time.monotonic() - self._reported_at
+
+    def record_success(self, first_byte_s: float) -> None:
+        """Note a timely answer."""
+        with self._lock:
+            self._penalty = self._present_penalty() / 2
+            self._penalty_at = time.monotonic()
+            self._first_byte_s += LATENCY_WEIGHT * (first_byte_s - self._first_byte_s)
+
+    def record_failure(self, weight: float = 1.0) -> None:
+        """Note a failure; ``weight`` says how much it tells of the replica."""
+        with self._lock:
+            self._penalty = self._present_penalty() + weight
+            self._penalty_at = time.monotonic()
+
+    @property
+    def ejected(self) -> bool:
+        """Whether recent failures keep the replica from being chosen while others are sound."""
+        return self._present_penalty() >= EJECTION_PENALTY
+
+    @property
+    def penalty(self) -> float:
+        """Recent failures, weighted by their age."""
+        return self._present_penalty()
+
+    @property
+    def first_byte_s(self) -> float:
+        """Smoothed time to the first byte of an answer, in seconds; 0 if unknown."""
+        return self._first_byte_s
+
+    def _present_penalty(self) -> float:
+        age_s = time.monotonic() - self._penalty_at
+        return self._penalty * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
--- /dev/null
+++ b/src/quaymill/process/replica_set/router.py
@@ -0,0 +1,128 @@
+"""Chooses the replica that gets a request.
+
+Among the replicas that may take work the one with the least estimated load is taken, with
+two corrections: a replica of another zone counts as a little busier, and one that is likely
+to hold a large shared part of the prompt counts as less busy by what reading it would cost.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.request.prompt import NO_PROMPT, Prompt
+from quaymill.version.request_routes import RequestRoute, WeightedService
+
+OTHER_ZONE_LOAD = 0.75
+"""Requests by which a replica of another zone counts as busier."""
+AFFINITY_MIN_TOKENS = 1000
+AFFINITY_TOKENS_PER_REQUEST = 2000.0
+"""Shared tokens that are worth as much as one request less at the replica."""
+SECOND_HOME_SHARE = 0.5
+PENALTY_LOAD = 2.0
+LAST_RESORT_DEPARTED_S = 1.0
+
+
+@attrs.frozen
+class NoReplica:
+    """No replica of the service may take a request now."""
+
+    service: str
+    reason: str
+
+
+class Router:
+    """Chooses among the replicas in a table.
+
+    Parameters
+    ----------
+    zone
+        Where this process runs.
+    """
+
+    def __init__(self, table: ReplicaTable, zone: str, seed: str) -> None:
+        self._table = table
+        self._zone = zone
+        self._random = random.Random(seed)
+        self._served: dict[tuple[str, tuple[WeightedService, ...]], dict[str, int]] = {}
+
+    def choose_service(self, route: RequestRoute) -> str:
+        """Return the service of a route whose share is furthest behind its weight."""
+        if len(route.services) == 1:
+            return route.services[0].service
+        weighted = [part for part in route.services if part.weight > 0] or list(route.services)
+        # A change of the weights starts the counts anew: the new shares hold from then on.
+        counts = self._served.setdefault((route.name, route.services), {})
+        chosen = min(
+            weighted, key=lambda part: (counts.get(part.service, 0) + 1) / (part.weight or 1)
+        )
+        counts[chosen.service] = counts.get(chosen.service, 0) + 1
+        return chosen.service
+
+    def choose(
+        self,
+        service: str,
+        prompt: Prompt = NO_PROMPT,
+        excluded: Iterable[str] = (),
+    ) -> Replica | NoReplica:
+        """Return the best replica, leaving out those whose identity is in ``excluded``."""
+        replicas = self._table.of_service(service)
+        candidates = [
+            replica for replica in replicas if not replica.leaving and replica.id not in excluded
+        ]
+        if not candidates:
+            candidates = [
+                replica
+                for replica in replicas
+                if replica.id not in excluded and _departed_just_now(replica)
+            ]
+        if not candidates:
+            return NoReplica(service, "no replica of the service is listed and untried")
+        sound = [replica for replica in candidates if not replica.ejected]
+        return self._least_costly(sound or candidates, prompt)
+
+    def _least_costly(self, candidates: list[Replica], prompt: Prompt) -> Replica:
+        homes = self._homes(candidates, prompt)
+        return min(
+            candidates,
+            key=lambda replica: (
+                self._cost(replica) - homes.get(replica.id, 0.0),
+                self._random.random(),
+            ),
+        )
+
+    def _cost(self, replica: Replica) -> float:
+        load = replica.load() + PENALTY_LOAD * replica.penalty
+        if replica.entry.zone != self._zone:
+            load += OTHER_ZONE_LOAD
+        return load
+
+    def _homes(self, candidates: list[Replica], prompt: Prompt) -> dict[str, float]:
+        """Return the bonus of the replicas that a large shared part of the prompt hashes to."""
+        part = prompt.largest_shared_part()
+        if part is None or part.tokens < AFFINITY_MIN_TOKENS:
+            return {}
+        bonus = part.tokens / AFFINITY_TOKENS_PER_REQUEST
+        ranked = sorted(candidates, key=lambda replica: _rank(part.id, replica.id))[:2]
+        shares = (1.0, SECOND_HOME_SHARE)
+        return {replica.id: bonus * share for replica, share in zip(ranked, shares, strict=False)}
+
+
+def _departed_just_now(replica: Replica) -> bool:
+    """Tell whether a replica may still serve: entries also vanish while the store is down."""
+    return (
+        replica.departed_at is not None
+        and not replica.misdirected
+        and not replica.entry.draining
+        and time.monotonic() - replica.departed_at < LAST_RESORT_DEPARTED_S
+    )
+
+
+def _rank(key: str, replica_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}\0{replica_id}".encode())
--- /dev/null
+++ b/src/quaymill/process/replica_set/table.py
@@ -0,0 +1,105 @@
+"""The replicas by identity and by service, kept as the platform lists them."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from eliot import log_message
+
+from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.process.replica_set.replica import Replica
+
+DEPARTED_RETENTION_S = 30.0
+
+
+class ReplicaTable:
+    """Replicas that are listed, and for a while those that were.
+
+    Parameters
+    ----------
+    on_departed
+        Called with each replica that is listed no more.
+    """
+
+    def __init__(self, on_departed: Callable[[Replica], None] = lambda replica: None) -> None:
+        self._on_departed = on_departed
+        self._lock = threading.Lock()
+        self._by_id: dict[str, Replica] = {}
+        self._by_service: dict[str, tuple[Replica, ...]] = {}
+        self.revision = 0
+        """Revision of the platform's store up to which the table is current."""
+
+    def of_service(self, service: str) -> tuple[Replica, ...]:
+        """Return the replicas of a service, departed ones included."""
+        return self._by_service.get(service, ())
+
+    def get(self, replica_id: str) -> Replica | None:
+        """Return a replica by its identity."""
+        return self._by_id.get(replica_id)
+
+    def entries(self) -> tuple[ReplicaEntry, ...]:
+        """Return the entries of all listed replicas."""
+        return tuple(
+            replica.entry for replica in self._by_id.values() if replica.departed_at is None
+        )
+
+    def replace_all(self, entries: Iterable[ReplicaEntry], revision: int) -> None:
+        """Take a whole list; an older one than the table's is ignored."""
+        with self._lock:
+            if revision < self.revision:
+                return
+            listed = {entry.id: entry for entry in entries}
+            for entry in listed.values():
+                self._put(entry)
+            for replica in list(self._by_id.values()):
+                if replica.id not in listed:
+                    self._depart(replica)
+            self._finish(revision)
+
+    def apply(self, changed: Iterable[ReplicaEntry], gone: Iterable[str], revision: int) -> None:
+        """Take changes that lead to ``revision``; older ones are ignored."""
+        with self._lock:
+            if revision <= self.revision:
+                return
+            for entry in changed:
+                self._put(entry)
+            for replica_id in gone:
+                replica = self._by_id.get(replica_id)
+                if replica is not None:
+                    self._depart(replica)
+            self._finish(revision)
+
+    def _put(self, entry: ReplicaEntry) -> None:
+        replica = self._by_id.get(entry.id)
+        if replica is None:
+            self._by_id[entry.id] = Replica(entry)
+            log_message("replica:listed", replica=entry.id, service=entry.service, zone=entry.zone)
+            return
+        if entry.draining and not replica.entry.draining:
+            log_message("replica:draining", replica=entry.id, service=entry.service)
+        if replica.departed_at is not None:
+            log_message("replica:listed_again", replica=entry.id, service=entry.service)
+        replica.entry = entry
+        replica.departed_at = None
+
+    def _depart(self, replica: Replica) -> None:
+        if replica.departed_at is not None:
+            return
+        replica.departed_at = time.monotonic()
+        log_message("replica:departed", replica=replica.id, service=replica.entry.service)
+        self._on_departed(replica)
+
+    def _finish(self, revision: int) -> None:
+        self.revision = revision
+        horizon = time.monotonic() - DEPARTED_RETENTION_S
+        self._by_id = {
+            replica_id: replica
+            for replica_id, replica in self._by_id.items()
+            if replica.departed_at is None or replica.departed_at > horizon
+        }
+        by_service: dict[str, list[Replica]] = {}
+        for replica in self._by_id.values():
+            by_service.setdefault(replica.entry.service, []).append(replica)
+        self._by_service = {service: tuple(found) for service, found in by_service.items()}
--- /dev/null
+++ b/src/quaymill/process/serving_settings.py
@@ -0,0 +1,167 @@
+"""Settings of a process on a platform that describes the machine to it, checked as a whole.
+
+The file is TOML. Names and units are the product's own; the platform fills a template of ours.
+"""
+
+from __future__ import annotations
+
+import enum
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.process.settings import SettingsError
+
+MS_PER_S = 1000.0
+LEAST_PORTS = 1
+
+
+class ServingRole(enum.StrEnum):
+    """What a process does."""
+
+    GATEWAY = "gateway"
+    JOB_STORAGE = "job-storage"
+
+
+class Listeners(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """``IP:PORT`` of what is served to others than peers; empty where it is not served."""
+
+    callers: str = ""
+    readiness: str = ""
+
+
+class Machine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the process may use; 0 where it is not told."""
+
+    memory_mb: float = 0.0
+    descriptors: int = 0
+    disk_mb: float = 0.0
+
+
+class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Times that the operator relies on, in milliseconds or seconds as their names say.
+
+    Attributes
+    ----------
+    contact_ms
+        How long a process must have been undisturbed before the other bounds hold for it.
+    configuration_ms
+        Time within which an accepted configuration is in force.
+    drain_ms
+        Time after which a leaving replica must get nothing more.
+    grace_s
+        Time between the order to stop and the end of the process.
+    job_retention_s
+        How long results of a job stay readable after it was sent.
+    """
+
+    contact_ms: float = 3000.0
+    configuration_ms: float = 2000.0
+    drain_ms: float = 2000.0
+    grace_s: float = 8.0
+    job_retention_s: float = 120.0
+
+
+class ServingSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Everything that a gateway or storage node learns before it starts.
+
+    Attributes
+    ----------
+    peer_ports
+        First and last port for peers, ``"7660,7675"``; the first one is used.
+    store
+        ``IP:PORT`` of the platform's object store.
+    seeds
+        ``IP:PORT`` of nodes to join through, joined by commas; only their addresses count,
+        as every node listens to peers on the same port.
+    data_folder
+        Folder on a disk; empty on a machine that keeps nothing.
+    disks_lost_at_once
+        How many disks may be lost at once without losing anything acknowledged.
+    """
+
+    name: str
+    zone: str
+    region: str
+    address: str
+    peer_ports: str
+    store: str
+    seeds: str = ""
+    data_folder: str = ""
+    disks_lost_at_once: int = 1
+    listen: Listeners = Listeners()
+    machine: Machine = Machine()
+    bounds: Bounds = Bounds()
+
+    @property
+    def peer_port(self) -> int:
+        """TCP and UDP port for peers."""
+        return int(self.peer_ports.split(",")[0])
+
+    @property
+    def store_endpoint(self) -> Endpoint:
+        """Where the platform's store answers."""
+        return Endpoint.parse(self.store)
+
+    @property
+    def seed_endpoints(self) -> tuple[Endpoint, ...]:
+        """Where the seeds listen to peers."""
+        seeds = [Endpoint.parse(text) for text in self.seeds.split(",") if text]
+        return tuple(Endpoint(seed.host, self.peer_port) for seed in seeds)
+
+    @property
+    def watch_s(self) -> float:
+        """Longest time a watch of the store waits, so that a dead one is found in time."""
+        return (self.bounds.contact_ms + self.bounds.configuration_ms) / MS_PER_S
+
+
+def load_serving_settings(path: Path, role: ServingRole) -> ServingSettings | SettingsError:
+    """Read and check a settings file; a fault is returned, not raised."""
+    file = str(path)
+    try:
+        document = tomllib.loads(path.read_text())
+    except OSError as error:
+        return SettingsError(file, "", f"cannot be read: {error.strerror}", "check the path")
+    except tomllib.TOMLDecodeError as error:
+        return SettingsError(file, "", f"is not TOML: {error}", "mend the line named")
+    try:
+        settings = msgspec.convert(document, ServingSettings)
+    except msgspec.ValidationError as error:
+        reason, _, place = str(error).partition(" - at `$")
+        key = place.rstrip("`").lstrip(".")
+        return SettingsError(file, key, reason, "see docs/OPERATIONS.md for the keys")
+    for key, value, remedy in _faults(settings, role):
+        return SettingsError(file, key, f"is {value!r}", remedy)
+    return settings
+
+
+def _faults(settings: ServingSettings, role: ServingRole) -> list[tuple[str, Any, str]]:
+    """Return the keys at fault, with their values and what to write instead."""
+    faults: list[tuple[str, Any, str]] = []
+    for key in ("name", "zone", "region", "address"):
+        if not getattr(settings, key):
+            faults.append((key, "", "give it a value"))
+    if not settings.peer_ports.split(",")[0].isdigit():
+        faults.append(("peer_ports", settings.peer_ports, "write FIRST,LAST"))
+    endpoints = {"store": settings.store}
+    endpoints |= {"seeds": seed for seed in settings.seeds.split(",") if seed}
+    if role is ServingRole.GATEWAY:
+        endpoints["listen.callers"] = settings.listen.callers
+        endpoints["listen.readiness"] = settings.listen.readiness
+    elif not settings.data_folder:
+        faults.append(("data_folder", "", "name a folder on the machine's disk"))
+    for key, text in endpoints.items():
+        try:
+            Endpoint.parse(text)
+        except ValueError:
+            faults.append((key, text, "write IP:PORT"))
+    if settings.disks_lost_at_once < 0:
+        faults.append(("disks_lost_at_once", settings.disks_lost_at_once, "use 0 or more"))
+    for key in Bounds.__struct_fields__:
+        value = getattr(settings.bounds, key)
+        if value <= 0:
+            faults.append((f"bounds.{key}", value, "use a number above 0"))
+    return faults
--- a/src/quaymill/process/settings.py
+++ b/src/quaymill/process/settings.py
@@ -60,6 +60,7 @@
     probe_interval_s: float = 1.0
     probe_timeout_s: float = 0.5
     suspicion_s: float = 3.0
+    rejoin_interval_s: float = 3.0
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/src/quaymill/process/storage_node.py
@@ -0,0 +1,129 @@
+"""A storage node process: builds its parts, starts them, and stops them in order."""
+
+from __future__ import annotations
+
+import threading
+from pathlib import Path
+
+import attrs
+from eliot import log_message
+
+from quaymill.connection.object_store import Changes, Listing, ObjectKind, ObjectStore
+from quaymill.process.control.follower import Follower
+from quaymill.process.job_storage.database import JobDatabase
+from quaymill.process.job_storage.leases import Leases
+from quaymill.process.job_storage.orphans import OrphanWatch
+from quaymill.process.job_storage.repair import CopyRules, Repair
+from quaymill.process.job_storage.retirement import Retirement
+from quaymill.process.job_storage.service import JobStorageService, Retention
+from quaymill.process.node_registry import NodeRegistry
+from quaymill.process.peer_network import PeerNetwork
+from quaymill.process.serving_settings import ServingSettings
+
+SWEEP_INTERVAL_S = 5.0
+RETENTION_MARGIN_S = 30.0
+JOBS_FOLDER = "jobs"
+
+
+@attrs.frozen
+class StorageProtocol:
+    """What an adapter brings for a storage node: statuses of a request to empty it."""
+
+    retirement_active: object
+    retirement_succeeded: object
+
+
+class StorageNode:
+    """All parts of one storage node."""
+
+    def __init__(
+        self, settings: ServingSettings, store: ObjectStore, protocol: StorageProtocol
+    ) -> None:
+        self._settings = settings
+        self._stopping = threading.Event()
+        self._network = PeerNetwork.from_settings(settings)
+        network = self._network
+        rules = CopyRules(settings.disks_lost_at_once + 1)
+        self._database = JobDatabase(Path(settings.data_folder) / JOBS_FOLDER)
+        leases = Leases()
+        self._service = JobStorageService(self._database, leases, network.server)
+        self._repair = Repair(
+            settings.name, self._database, leases, network.client, network.storage_nodes, rules
+        )
+        self._orphans = OrphanWatch(
+            settings.name,
+            self._database,
+            leases,
+            network.client,
+            network.storage_nodes,
+            network.gateways,
+        )
+        self._retention = Retention(
+            self._database, leases, settings.bounds.job_retention_s + RETENTION_MARGIN_S
+        )
+        self._retirement = Retirement(
+            settings.name,
+            store,
+            self._database,
+            self._service,
+            network.client,
+            network.storage_nodes,
+            network.known_storage_nodes,
+            rules,
+            network.membership.announce_draining,
+            protocol.retirement_active,
+            protocol.retirement_succeeded,
+        )
+        self._requests = Follower(
+            store,
+            ObjectKind.RETIREMENTS,
+            settings.watch_s,
+            self._take_requests,
+            self._take_request_changes,
+        )
+        self._registry = NodeRegistry(store, network.membership, self._lacks_peers)
+
+    def start(self) -> None:
+        """Start the parts; each finds those it uses already running."""
+        self._network.start()
+        self._repair.start()
+        self._orphans.start()
+        self._requests.start()
+        self._registry.start()
+        threading.Thread(target=self._sweep, name="retention", daemon=True).start()
+        log_message(
+            "node:started",
+            name=self._settings.name,
+            zone=self._settings.zone,
+            process=self._network.process_name,
+            jobs=len(self._database.by_id),
+        )
+
+    def stop(self) -> None:
+        """Stop; what is on the disk stays there."""
+        self._stopping.set()
+        self._network.membership.announce_draining()
+        self._requests.stop()
+        self._registry.stop()
+        self._retirement.stop()
+        self._orphans.stop()
+        self._repair.stop()
+        self._network.stop()
+        self._database.close()
+        log_message("node:stopped")
+
+    def _sweep(self) -> None:
+        while not self._stopping.wait(SWEEP_INTERVAL_S):
+            self._retention.sweep()
+
+    def _take_requests(self, listing: Listing) -> None:
+        if any(stored.name == self._settings.name for stored in listing.objects):
+            self._retirement.begin()
+
+    def _take_request_changes(self, changes: Changes) -> None:
+        for change in changes.changes:
+            if change.object.name == self._settings.name and not change.gone:
+                self._retirement.begin()
+
+    def _lacks_peers(self) -> bool:
+        return not self._network.gateways()
--- /dev/null
+++ b/src/quaymill/request/event_stream.py
@@ -0,0 +1,73 @@
+"""Framing of event streams: whole events only, and the id of the last one."""
+
+from __future__ import annotations
+
+import re
+
+EVENT_END = b"\n\n"
+MAX_EVENT_BYTES = 1024 * 1024
+_ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+_DATA_LINE = re.compile(rb"^data:[ ]?([^\r\n]*)", re.MULTILINE)
+
+
+class EventFramer:
+    """Cuts a stream of bytes into whole events.
+
+    Attributes
+    ----------
+    last_id
+        Id of the last whole event handed out; ``None`` before the first one with an id.
+    rest
+        Bytes of an event that is not whole yet.
+    """
+
+    def __init__(self, last_id: str | None = None) -> None:
+        self.last_id = last_id
+        self.rest = b""
+
+    def take(self, block: bytes) -> bytes:
+        """Add a block; return the events that are whole now, leaving out repeated ones."""
+        data = self.rest + block if self.rest else block
+        end = data.rfind(EVENT_END) + len(EVENT_END)
+        if end < len(EVENT_END):
+            self.rest = data
+            return b""
+        self.rest = data[end:]
+        return self._without_repeated(data[:end])
+
+    def _without_repeated(self, events: bytes) -> bytes:
+        ids = _ID_LINE.findall(events)
+        if not ids:
+            return events
+        if self.last_id is not None and not is_later(ids[0].decode(), self.last_id):
+            events = self._later_events(events)
+            ids = _ID_LINE.findall(events)
+        if ids:
+            self.last_id = ids[-1].decode()
+        return events
+
+    def _later_events(self, events: bytes) -> bytes:
+        kept = []
+        for event in events.split(EVENT_END)[:-1]:
+            found = _ID_LINE.search(event)
+            if found is None or is_later(found[1].decode(), self.last_id or ""):
+                kept.append(event + EVENT_END)
+        return b"".join(kept)
+
+
+def is_later(event_id: str, other_id: str) -> bool:
+    """Return whether an event id follows another; numbers are compared as numbers."""
+    try:
+        return int(event_id) > int(other_id)
+    except ValueError:
+        return event_id != other_id
+
+
+def data_of_events(events: bytes) -> list[str]:
+    """Return the data of each event; the lines of one event are joined by line feeds."""
+    data = []
+    for event in events.split(EVENT_END)[:-1]:
+        lines = [line.decode() for line in _DATA_LINE.findall(event)]
+        if lines:
+            data.append("\n".join(lines))
+    return data
--- /dev/null
+++ b/src/quaymill/request/forwarded_request.py
@@ -0,0 +1,37 @@
+"""A caller's request on its way to a replica, whatever the interface it came by."""
+
+from __future__ import annotations
+
+import attrs
+
+from quaymill.request.deadline import Deadline
+from quaymill.request.prompt import NO_PROMPT, Prompt
+
+Headers = tuple[tuple[str, str], ...]
+"""Names and values in the order received, repeated names kept."""
+
+
+@attrs.frozen
+class ForwardedRequest:
+    """An opaque request: it reaches a replica with method, target and body unchanged.
+
+    Attributes
+    ----------
+    id
+        The caller's id for this sending; replicas echo it.
+    target
+        Path and query as sent.
+    deadline
+        When the caller stops waiting, or the route's timeout ends, whichever comes first.
+    last_event_id
+        The event after which the answer is to go on; ``None`` from the beginning.
+    """
+
+    id: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    deadline: Deadline
+    prompt: Prompt = NO_PROMPT
+    last_event_id: str | None = None
--- /dev/null
+++ b/src/quaymill/request/forwarding.py
@@ -0,0 +1,378 @@
+"""Sends one opaque request to replicas until one has answered, and relays the answer.
+
+A refusal that says "not executed", and a connection that could not be made, lead to another
+replica. Anything else does so only if the route may be repeated, and never on more replicas
+than the route allows. The caller's connection is ended without the end mark when an answer
+that was begun cannot be completed.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+from eliot import log_message
+
+from quaymill.connection.replica_answer import AnswerHead
+from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
+from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.router import NoReplica, Router
+from quaymill.request.event_stream import EventFramer
+from quaymill.request.forwarded_request import ForwardedRequest, Headers
+from quaymill.request.outcome import NotRun, OutcomeUnknown
+from quaymill.request.presence import CallerPresence
+from quaymill.version.request_routes import RequestRoute, RouteKind
+
+MAX_REFUSALS = 8
+"""Replicas that may say "not executed" before the caller is told to come back."""
+MAX_BUFFERED_BYTES = 256 * 1024
+IDLE_LIMIT_NOT_REPEATABLE_S = 5.0
+"""An idle connection may be closed just as a request goes out, which then cannot be repeated."""
+IDLE_LIMIT_S = 20.0
+FIRST_EVENT_PATIENCE_S = 2.0
+EVENT_GAP_PATIENCE_S = 1.0
+ANSWER_PATIENCE_FACTOR = 8.0
+MIN_ANSWER_PATIENCE_S = 0.5
+RETRY_AFTER_S = 0.3
+EVENT_STREAM = "text/event-stream"
+
+
+class AnswerWriter(Protocol):
+    """Where the answer for the caller goes."""
+
+    started: bool
+
+    def start(self, status: int, reason: str, headers: Headers, length: int | None = None) -> None:
+        """Send the head."""
+
+    def write(self, block: bytes) -> None:
+        """Send a part of the body."""
+
+    def break_off(self) -> None:
+        """End the connection without completing the answer."""
+
+
+@attrs.frozen
+class ReplicaProtocol:
+    """How requests are put to replicas, and the heads of their answers are read."""
+
+    build_request: Callable[[ForwardedRequest, str, float, str | None], ReplicaRequest]
+    read_answer_head: Callable[[Exchange], AnswerHead]
+
+
+@attrs.frozen
+class Delivered:
+    """The caller got a replica's whole answer."""
+
+    status: int
+    replica_id: str
+
+
+@attrs.frozen
+class CallerLeft:
+    """The caller left before the answer was whole."""
+
+
+@attrs.frozen
+class GivenUp:
+    """No replica's answer can be delivered.
+
+    Attributes
+    ----------
+    may_have_run
+        Whether a replica may have run the request.
+    timed_out
+        Whether the time of the request ran out.
+    """
+
+    reason: str
+    may_have_run: bool
+    timed_out: bool = False
+
+
+ForwardingResult = Delivered | CallerLeft | GivenUp
+
+
+@attrs.frozen
+class _Refused:
+    """The attempt did not run at the replica."""
+
+    reason: str
+
+
+@attrs.frozen
+class _Broken:
+    """The attempt may have run, and its answer is no good."""
+
+    reason: str
+
+
+_AttemptResult = Delivered | CallerLeft | _Refused | _Broken
+
+
+class Forwarder:
+    """Forwards requests for one process."""
+
+    def __init__(
+        self, router: Router, connections: ReplicaConnections, protocol: ReplicaProtocol
+    ) -> None:
+        self.router = router
+        self.connections = connections
+        self.protocol = protocol
+
+    def forward(
+        self,
+        request: ForwardedRequest,
+        route: RequestRoute,
+        answer: AnswerWriter,
+        presence: CallerPresence,
+    ) -> ForwardingResult:
+        """Forward one request; the caller has its answer, or none was begun, on return.
+
+        Raises
+        ------
+        OSError
+            The caller's connection broke while the answer was written.
+        """
+        return _Forwarding(self, request, route, answer, presence).run()
+
+
+class _Forwarding:
+    """The state of one request on its way."""
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        request: ForwardedRequest,
+        route: RequestRoute,
+        answer: AnswerWriter,
+        presence: CallerPresence,
+    ) -> None:
+        self._router = forwarder.router
+        self._connections = forwarder.connections
+        self._protocol = forwarder.protocol
+        self._request = request
+        self._route = route
+        self._answer = answer
+        self._presence = presence
+        self._service = self._router.choose_service(route)
+        self._framer = EventFramer(request.last_event_id)
+        self._tried: set[str] = set()
+        self._refusals = 0
+        self._runs = 0
+
+    def run(self) -> ForwardingResult:
+        while True:
+            if self._presence.gone:
+                return CallerLeft()
+            if self._request.deadline.passed():
+                return self._given_up("the time of the request ran out", timed_out=True)
+            replica = self._router.choose(self._service, self._request.prompt, self._tried)
+            if isinstance(replica, NoReplica):
+                return self._given_up(replica.reason)
+            result = self._attempt(replica)
+            if isinstance(result, Delivered | CallerLeft):
+                return result
+            self._tried.add(replica.id)
+            if isinstance(result, _Refused):
+                self._refusals += 1
+                if self._refusals >= MAX_REFUSALS:
+                    return self._given_up(result.reason)
+                continue
+            self._runs += 1
+            if self._request.deadline.passed():
+                return self._given_up(result.reason, timed_out=True)
+            if not self._route.repeatable or self._runs >= self._route.max_attempts:
+                return self._given_up(result.reason)
+
+    def _given_up(self, reason: str, timed_out: bool = False) -> GivenUp:
+        if self._answer.started:
+            self._answer.break_off()
+        return GivenUp(reason, may_have_run=self._runs > 0, timed_out=timed_out)
+
+    def _attempt(self, replica: Replica) -> _AttemptResult:
+        load = replica.load()
+        report_age_s = replica.report_age_s()
+        began = time.monotonic()
+        replica.begin()
+        try:
+            result = self._send(replica, began)
+        finally:
+            self._presence.detach()
+            replica.end()
+        if self._presence.gone and not isinstance(result, Delivered):
+            result = CallerLeft()
+        self._judge(replica, result)
+        log_message(
+            "request:attempt",
+            request_id=self._request.id,
+            replica=replica.id,
+            service=self._service,
+            load=round(load, 1),
+            load_age_s=round(min(report_age_s, 999.0), 2),
+            took_s=round(time.monotonic() - began, 3),
+            outcome=type(result).__name__.strip("_"),
+            reason=getattr(result, "reason", ""),
+        )
+        return result
+
+    def _judge(self, replica: Replica, result: _AttemptResult) -> None:
+        """Let the replica's record know how the attempt ended."""
+        if isinstance(result, _Broken):
+            replica.record_failure()
+
+    def _send(self, replica: Replica, began: float) -> _AttemptResult:
+        remaining_s = self._request.deadline.remaining_s()
+        message = self._protocol.build_request(
+            self._request, replica.id, remaining_s, self._framer.last_id
+        )
+        repeatable = self._route.repeatable
+        exchange = self._connections.send(
+            replica.entry.address,
+            message,
+            max_idle_s=IDLE_LIMIT_S if repeatable else IDLE_LIMIT_NOT_REPEATABLE_S,
+        )
+        if isinstance(exchange, NotRun):
+            replica.record_failure(2.0)
+            return _Refused(exchange.reason)
+        if isinstance(exchange, OutcomeUnknown):
+            return _Broken(exchange.reason)
+        self._presence.attach(exchange.cancel)
+        broken = self._wait_for_answer(exchange, replica, began)
+        if broken is not None:
+            return broken
+        failure = exchange.read_head(max(0.05, self._request.deadline.remaining_s()))
+        if failure is not None:
+            return _Broken(failure.reason)
+        head = self._protocol.read_answer_head(exchange)
+        return self._take_answer(exchange, replica, head, began)
+
+    def _wait_for_answer(
+        self, exchange: Exchange, replica: Replica, began: float
+    ) -> _Broken | None:
+        """Wait for the first byte; a replica that stays silent is given up if that may help."""
+        patience_s = self._request.deadline.remaining_s()
+        if self._may_try_another():
+            patience_s = min(patience_s, self._answer_patience_s(replica))
+        if exchange.wait_readable(patience_s):
+            return None
+        exchange.abandon()
+        return _Broken(f"nothing came for {time.monotonic() - began:.2f} s")
+
+    def _may_try_another(self) -> bool:
+        return self._route.repeatable and self._runs + 1 < self._route.max_attempts
+
+    def _answer_patience_s(self, replica: Replica) -> float:
+        if self._route.kind is RouteKind.STREAMING:
+            return FIRST_EVENT_PATIENCE_S
+        usual_s = max(replica.first_byte_s, self._route.objective_s / 2)
+        return max(MIN_ANSWER_PATIENCE_S, ANSWER_PATIENCE_FACTOR * usual_s)
+
+    def _take_answer(
+        self, exchange: Exchange, replica: Replica, head: AnswerHead, began: float
+    ) -> _AttemptResult:
+        if head.load is not None:
+            replica.take_report(head.load)
+        if head.not_executed:
+            return self._take_refusal(exchange, replica, head)
+        if head.request_id != self._request.id:
+            exchange.abandon()
+            return _Broken(f"the answer belongs to request {head.request_id or 'without an id'}")
+        if head.status >= 500 and self._may_try_another():
+            exchange.abandon()
+            return _Broken(f"the replica answered {head.status}")
+        if head.status < 500:
+            replica.record_success(time.monotonic() - began)
+        return self._relay(exchange, replica, head)
+
+    def _take_refusal(
+        self, exchange: Exchange, replica: Replica, head: AnswerHead
+    ) -> _AttemptResult:
+        if head.misdirected:
+            replica.misdirected = True
+            log_message("replica:misdirected", replica=replica.id)
+        exchange.abandon()
+        return _Refused(f"the replica answered {head.status} and did not run the request")
+
+    def _relay(self, exchange: Exchange, replica: Replica, head: AnswerHead) -> _AttemptResult:
+        is_stream = self._is_stream(head)
+        if self._answer.started and not is_stream:
+            exchange.abandon()
+            return _Broken(f"the replica answered {head.status} instead of going on")
+        relay = self._relay_events if is_stream else self._relay_whole
+        try:
+            return relay(exchange, replica, head)
+        except OSError:
+            exchange.abandon()
+            raise
+
+    def _is_stream(self, head: AnswerHead) -> bool:
+        if head.status != 200:
+            return False
+        names = {name.lower(): value for name, value in head.headers}
+        return names.get("content-type", "").startswith(EVENT_STREAM)
+
+    def _relay_whole(
+        self, exchange: Exchange, replica: Replica, head: AnswerHead
+    ) -> _AttemptResult:
+        """Read the answer before any of it is sent, unless it is long."""
+        blocks: list[bytes] = []
+        buffered_bytes = 0
+        while True:
+            exchange.set_read_timeout(self._request.deadline.remaining_s())
+            block = exchange.read_block()
+            if isinstance(block, OutcomeUnknown):
+                return _Broken(block.reason)
+            if not block:
+                break
+            blocks.append(block)
+            buffered_bytes += len(block)
+            if buffered_bytes > MAX_BUFFERED_BYTES:
+                if not self._answer.started:
+                    self._answer.start(head.status, head.reason, head.headers, head.length)
+                self._answer.write(b"".join(blocks))
+                blocks.clear()
+                buffered_bytes = 0
+        self._release(exchange, head)
+        body = b"".join(blocks)
+        if not self._answer.started:
+            self._answer.start(head.status, head.reason, head.headers, len(body))
+        self._answer.write(body)
+        return Delivered(head.status, replica.id)
+
+    def _relay_events(
+        self, exchange: Exchange, replica: Replica, head: AnswerHead
+    ) -> _AttemptResult:
+        """Pass events on as they come; of a resumable stream only whole ones."""
+        resumable = self._route.resumable
+        self._framer.rest = b""
+        while True:
+            exchange.set_read_timeout(self._gap_patience_s())
+            block = exchange.read_block()
+            if isinstance(block, OutcomeUnknown):
+                return _Broken(block.reason)
+            if not block:
+                break
+            events = self._framer.take(block) if resumable else block
+            if not self._answer.started:
+                self._answer.start(head.status, head.reason, head.headers)
+            self._answer.write(events)
+        if resumable and self._framer.rest:
+            exchange.abandon()
+            return _Broken("the stream ended in the middle of an event")
+        self._release(exchange, head)
+        if not self._answer.started:
+            self._answer.start(head.status, head.reason, head.headers)
+        return Delivered(head.status, replica.id)
+
+    def _gap_patience_s(self) -> float:
+        remaining_s = self._request.deadline.remaining_s()
+        return min(remaining_s, EVENT_GAP_PATIENCE_S) if self._may_try_another() else remaining_s
+
+    def _release(self, exchange: Exchange, head: AnswerHead) -> None:
+        if head.keep_s > 0:
+            exchange.release(head.keep_s)
+        else:
+            exchange.abandon()
--- /dev/null
+++ b/src/quaymill/version/request_routes.py
@@ -0,0 +1,137 @@
+"""One version of the routes by which callers' requests reach services.
+
+A version is taken whole or not at all; ``RequestRoutes`` is immutable and answers lookups.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class RouteKind(enum.StrEnum):
+    """What may be done with a request of a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAMING = "streaming"
+    BATCH = "batch"
+
+
+@attrs.frozen
+class WeightedService:
+    """A service that takes a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class RequestRoute:
+    """A host and path prefix, and how its requests are served.
+
+    Attributes
+    ----------
+    timeout_s
+        Longest time a request may be held.
+    objective_s
+        Time within which an answer (or the first event of a stream) is worth most.
+    priority
+        Rank among routes; 0 goes first.
+    max_attempts
+        Most replicas to which one request may be sent.
+    resumable
+        Whether a stream may be continued after its last event by another replica.
+    gap_objective_s
+        Longest pause between two events that is still in time; ``None`` if unbounded.
+    due_s, max_wait_s
+        Of batch routes: when all results are due after the job was first sent, and how long
+        after that sending an item may be given up.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    services: tuple[WeightedService, ...]
+    timeout_s: float
+    objective_s: float
+    priority: int = 0
+    max_attempts: int = 1
+    sticky: bool = False
+    resumable: bool = False
+    gap_objective_s: float | None = None
+    due_s: float = 0.0
+    max_wait_s: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request that may have run may be sent again."""
+        if self.kind is RouteKind.STREAMING:
+            return self.resumable
+        return self.kind in (RouteKind.IDEMPOTENT, RouteKind.BATCH)
+
+
+@attrs.frozen
+class EngineProperties:
+    """What a service's model engines are built for; ``None`` on applications."""
+
+    slots: int
+    kv_capacity_tokens: int
+
+
+@attrs.frozen
+class ServiceProperties:
+    """What the operator says of a service's replicas."""
+
+    name: str
+    health_path: str = ""
+    max_connections: int = 0
+    engine: EngineProperties | None = None
+
+
+@attrs.frozen
+class RequestLimits:
+    """Bounds on what a caller may send and how long it may idle."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@attrs.frozen
+class RequestRoutes:
+    """All routes and services of one configuration version."""
+
+    version: int
+    routes: tuple[RequestRoute, ...] = ()
+    services: dict[str, ServiceProperties] = attrs.field(factory=dict)
+    limits: RequestLimits = RequestLimits()
+    _by_host: dict[str, tuple[RequestRoute, ...]] = attrs.field(init=False, repr=False, eq=False)
+
+    def __attrs_post_init__(self) -> None:
+        by_host: dict[str, list[RequestRoute]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, []).append(route)
+        longest_first = {
+            host: tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
+            for host, routes in by_host.items()
+        }
+        object.__setattr__(self, "_by_host", longest_first)
+
+    def find(self, host: str, path: str) -> RequestRoute | None:
+        """Return the route of ``host`` with the longest prefix of ``path``."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def by_name(self, name: str) -> RequestRoute | None:
+        """Return the route of that name."""
+        return next((route for route in self.routes if route.name == name), None)
+
+
+NO_ROUTES = RequestRoutes(version=0)
+"""Stands for: no configuration is known yet."""
