--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -267,6 +267,13 @@
         self._thread = threading.Thread(target=self.serve, name="front", daemon=True)
         self._thread.start()
 
+    def stop_accepting(self) -> None:
+        """Take no more connections and close idle ones; requests in service go on."""
+        self.ready = False
+        self._connections.stop()
+        self.socket.close()
+        self._connections.close()
+
     def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
         """Log what the server could not handle."""
         log_message("front:http_error", message=msg, level=logging.getLevelName(level))
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -201,6 +201,7 @@
         handing_over.start()
         # Callers whose connections were brought here before the platform noticed still send.
         time.sleep(NOT_READY_S)
+        self._server.stop_accepting()
         idle = self._front.wait_until_idle(max(0.0, deadline - time.monotonic()))
         handing_over.join(max(0.0, deadline - time.monotonic()))
         log_message("node:stopped", idle=idle, took_s=round(time.monotonic() - began, 2))
