--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -29,6 +29,7 @@
 from quaymill.connection.peer_link import PeerClient, PeerServer
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.process.control.follower import Follower
+from quaymill.process.control.version_check import VersionCheck
 from quaymill.process.membership.membership import Membership
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.version.request_routes import NO_ROUTES, RequestRoutes
@@ -74,6 +75,7 @@
         peer_client: PeerClient,
         peer_server: PeerServer,
         watch_s: float,
+        check_s: float,
     ) -> None:
         self.routes = NO_ROUTES
         self._protocol = protocol
@@ -101,6 +103,9 @@
                 self._take_replica_changes,
             ),
         )
+        self._check = VersionCheck(
+            membership, check_s, lambda: self._check_store(store)
+        )
         peer_server.register(PullControl, self._answer_pull)
 
     @property
@@ -117,6 +122,7 @@
         self._membership.subscribe(self._wake.set)
         for follower in self._followers:
             follower.start()
+        self._check.start()
         threading.Thread(target=self._pull_loop, name="control-pull", daemon=True).start()
 
     def stop(self) -> None:
@@ -125,6 +131,7 @@
         self._wake.set()
         for follower in self._followers:
             follower.stop()
+        self._check.stop()
 
     def heard_from_store_s(self) -> float:
         """Return how long ago the store was last heard, in seconds."""
@@ -145,6 +152,15 @@
         if stored.name == self._protocol.configuration_name:
             self._offer_configuration(stored.spec, "store")
 
+    def _check_store(self, store: ObjectStore) -> None:
+        """Read what a watch may have missed."""
+        stored = store.get(ObjectKind.CONFIGURATION, self._protocol.configuration_name)
+        if isinstance(stored, StoredObject):
+            self._take_configuration_object(stored)
+        listing = store.list(ObjectKind.REPLICAS)
+        if isinstance(listing, Listing):
+            self._take_replicas(listing)
+
     def _take_replicas(self, listing: Listing) -> None:
         self._table.replace_all(self._read_replicas(listing.objects), listing.revision)
         self._tell_versions()
--- a/src/quaymill/process/front/front_service.py
+++ b/src/quaymill/process/front/front_service.py
@@ -86,7 +86,7 @@
         self._jobs = jobs
         self._metrics = metrics
         self._admission_limit = admission_limit
-        self._lock = threading.Condition()
+        self._lock = threading.Lock()
         self._in_service = 0
         self.draining = False
 
@@ -95,11 +95,6 @@
         """Requests in service now."""
         return self._in_service
 
-    def wait_until_idle(self, timeout_s: float) -> bool:
-        """Wait until no request is in service; return whether that came true."""
-        with self._lock:
-            return self._lock.wait_for(lambda: self._in_service == 0, timeout_s)
-
     def handle(self, request: FrontRequest, writer: AnswerWriter) -> None:
         """Answer one request."""
         with self._lock:
@@ -117,7 +112,6 @@
         finally:
             with self._lock:
                 self._in_service -= 1
-                self._lock.notify_all()
 
     def _answer(self, request: FrontRequest, writer: AnswerWriter) -> None:
         routes = self._routes()
--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -267,6 +267,12 @@
         self._thread = threading.Thread(target=self.serve, name="front", daemon=True)
         self._thread.start()
 
+    @property
+    def busy(self) -> bool:
+        """Whether a connection is being read or answered, or waits for that."""
+        pool = self.requests
+        return pool.idle < pool.min or pool.qsize > 0
+
     def stop_accepting(self) -> None:
         """Take no more connections and close idle ones; requests in service go on."""
         self.ready = False
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -41,6 +41,8 @@
 NOT_READY_S = 2.6
 """After this time without a ready answer no new connections are brought here."""
 STOP_MARGIN_S = 0.7
+IDLE_BEFORE_EXIT_S = 0.4
+IDLE_CHECK_INTERVAL_S = 0.05
 
 
 @attrs.frozen
@@ -81,6 +83,7 @@
             self._network.client,
             self._network.server,
             settings.watch_s,
+            settings.check_s,
         )
         listings = JobListings(store)
         storage = JobStorageClient(
@@ -202,7 +205,7 @@
         # Callers whose connections were brought here before the platform noticed still send.
         time.sleep(NOT_READY_S)
         self._server.stop_accepting()
-        idle = self._front.wait_until_idle(max(0.0, deadline - time.monotonic()))
+        idle = self._wait_until_idle(deadline)
         handing_over.join(max(0.0, deadline - time.monotonic()))
         log_message("node:stopped", idle=idle, took_s=round(time.monotonic() - began, 2))
         self._control.stop()
@@ -210,6 +213,21 @@
         self._loads.stop()
         self._network.stop()
 
+    def _wait_until_idle(self, deadline: float) -> bool:
+        """Wait until nothing has been in service for a while; return whether that came true.
+
+        A request that is still being read counts as none yet, so a moment without any is not
+        enough.
+        """
+        idle_since = time.monotonic()
+        while time.monotonic() < deadline:
+            if self._front.in_service or self._server.busy:
+                idle_since = time.monotonic()
+            elif time.monotonic() - idle_since >= IDLE_BEFORE_EXIT_S:
+                return True
+            time.sleep(IDLE_CHECK_INTERVAL_S)
+        return False
+
     def _is_ready(self) -> bool:
         return self._control.ready and not self._front.draining
 
--- a/src/quaymill/process/serving_settings.py
+++ b/src/quaymill/process/serving_settings.py
@@ -16,7 +16,7 @@
 from quaymill.process.settings import SettingsError
 
 MS_PER_S = 1000.0
-LEAST_PORTS = 1
+CHECK_SHARE = 0.6
 
 
 class ServingRole(enum.StrEnum):
@@ -117,6 +117,12 @@
         """Longest time a watch of the store waits, so that a dead one is found in time."""
         return (self.bounds.contact_ms + self.bounds.configuration_ms) / MS_PER_S
 
+    @property
+    def check_s(self) -> float:
+        """Time between two reads of the store by which missed changes are found."""
+        shortest_ms = min(self.bounds.configuration_ms, self.bounds.drain_ms)
+        return CHECK_SHARE * shortest_ms / MS_PER_S
+
 
 def load_serving_settings(path: Path, role: ServingRole) -> ServingSettings | SettingsError:
     """Read and check a settings file; a fault is returned, not raised."""
