--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -103,9 +103,7 @@
                 self._take_replica_changes,
             ),
         )
-        self._check = VersionCheck(
-            membership, check_s, lambda: self._check_store(store)
-        )
+        self._check = VersionCheck(membership, check_s, lambda: self._check_store(store))
         peer_server.register(PullControl, self._answer_pull)
 
     @property
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -38,8 +38,6 @@
 CONNECT_TIMEOUT_S = 0.3
 THREADS = 96
 ADMISSION_LIMIT = 88
-NOT_READY_S = 2.6
-"""After this time without a ready answer no new connections are brought here."""
 STOP_MARGIN_S = 0.7
 IDLE_BEFORE_EXIT_S = 0.4
 IDLE_CHECK_INTERVAL_S = 0.05
@@ -72,24 +70,24 @@
         metrics_endpoint: Endpoint | None,
     ) -> None:
         self._settings = settings
-        self._network = PeerNetwork.from_settings(settings)
+        self.network = PeerNetwork.from_settings(settings)
         self._connections = ReplicaConnections(LinkFilter(), CONNECT_TIMEOUT_S)
         self._table = ReplicaTable(self._forget_replica)
         self._control = ControlPlaneView(
             store,
             protocol.control,
             self._table,
-            self._network.membership,
-            self._network.client,
-            self._network.server,
+            self.network.membership,
+            self.network.client,
+            self.network.server,
             settings.watch_s,
             settings.check_s,
         )
         listings = JobListings(store)
         storage = JobStorageClient(
-            self._network.client,
-            self._network.storage_nodes,
-            self._network.known_storage_nodes,
+            self.network.client,
+            self.network.storage_nodes,
+            self.network.known_storage_nodes,
             settings.disks_lost_at_once + 1,
             settings.zone,
         )
@@ -98,7 +96,7 @@
         )
         self._coordinator = JobCoordinator(
             CoordinatorParts(
-                name=self._network.process_name,
+                name=self.network.process_name,
                 zone=settings.zone,
                 routes=lambda: self._control.routes,
                 table=self._table,
@@ -107,19 +105,19 @@
                 storage=storage,
                 listings=listings,
                 protocol=protocol.items,
-                is_live=lambda name: self._network.process(name) is not None,
+                is_live=lambda name: self.network.process(name) is not None,
             )
         )
         self._jobs = JobService(
             self._coordinator,
             storage,
             listings,
-            self._network.client,
-            self._network.server,
-            self._network.process,
-            self._network.other_gateways,
+            self.network.client,
+            self.network.server,
+            self.network.process,
+            self.network.other_gateways,
         )
-        self._registry = NodeRegistry(store, self._network.membership, self._lacks_peers)
+        self._registry = NodeRegistry(store, self.network.membership, self._lacks_peers)
         self._metrics = FrontMetrics(CollectorRegistry())
         self._add_gauges()
         self._front = self._build_front(protocol)
@@ -176,7 +174,7 @@
 
     def start(self) -> None:
         """Start the parts; each finds those it uses already running."""
-        self._network.start()
+        self.network.start()
         self._control.subscribe(self._apply_limits)
         self._control.start()
         self._coordinator.start()
@@ -190,7 +188,7 @@
             "node:started",
             name=self._settings.name,
             zone=self._settings.zone,
-            process=self._network.process_name,
+            process=self.network.process_name,
         )
 
     def stop(self) -> None:
@@ -199,11 +197,11 @@
         deadline = began + self._settings.bounds.grace_s - STOP_MARGIN_S
         log_message("node:draining", in_service=self._front.in_service)
         self._front.draining = True
-        self._network.membership.announce_draining()
+        self.network.membership.announce_draining()
         handing_over = threading.Thread(target=self._jobs.hand_over_all, daemon=True)
         handing_over.start()
         # Callers whose connections were brought here before the platform noticed still send.
-        time.sleep(NOT_READY_S)
+        time.sleep(self._settings.bounds.leave_s)
         self._server.stop_accepting()
         idle = self._wait_until_idle(deadline)
         handing_over.join(max(0.0, deadline - time.monotonic()))
@@ -211,7 +209,7 @@
         self._control.stop()
         self._registry.stop()
         self._loads.stop()
-        self._network.stop()
+        self.network.stop()
 
     def _wait_until_idle(self, deadline: float) -> bool:
         """Wait until nothing has been in service for a while; return whether that came true.
@@ -231,8 +229,18 @@
     def _is_ready(self) -> bool:
         return self._control.ready and not self._front.draining
 
+    def kill(self) -> None:
+        """Stop as a process that dies does: peers and callers are told nothing."""
+        self._control.stop()
+        self._registry.stop()
+        self._loads.stop()
+        self.network.stop()
+        self._coordinator.stop()
+        self._server.stop()
+        self._readiness.stop()
+
     def _lacks_peers(self) -> bool:
-        return not self._network.storage_nodes() or not self._network.other_gateways()
+        return not self.network.storage_nodes() or not self.network.other_gateways()
 
     def _apply_limits(self, routes: RequestRoutes) -> None:
         self._server.idle_timeout_s = routes.limits.idle_timeout_s
--- a/src/quaymill/process/job_storage/repair.py
+++ b/src/quaymill/process/job_storage/repair.py
@@ -44,15 +44,15 @@
     Attributes
     ----------
     needed
-        Copies on disks before anything is acknowledged.
-    kept
-        Copies that repair keeps up, one more than needed where there are nodes enough.
+        Copies on disks before anything is acknowledged; repair keeps up one more where there
+        are nodes enough.
     """
 
     needed: int
 
     @property
     def kept(self) -> int:
+        """Copies that repair keeps up."""
         return self.needed + 1
 
 
--- a/src/quaymill/process/jobs/listing.py
+++ b/src/quaymill/process/jobs/listing.py
@@ -1,9 +1,8 @@
-"""The order of a job's results: one object of the platform's store, appended to by
-compare-and-swap.
+"""The order of a job's results, agreed on by compare-and-swap in the platform's store.
 
-This is the only agreement about a job. Whoever appends does so to the listing that it has
-read; an append that was overtaken is made again on the newer listing, without what is listed
-already. What an unanswered write became is found by reading.
+There is one object for each job. This is the only agreement about a job. Whoever appends does
+so to the listing that it has read; an append that was overtaken is made again on the newer
+listing, without what is listed already. What an unanswered write became is found by reading.
 """
 
 from __future__ import annotations
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -56,7 +56,7 @@
 
 @attrs.frozen
 class Unsure:
-    """This gateway cannot tell now."""
+    """The gateway asked cannot tell now."""
 
     reason: str
 
--- a/src/quaymill/process/serving_settings.py
+++ b/src/quaymill/process/serving_settings.py
@@ -56,6 +56,8 @@
         Time between the order to stop and the end of the process.
     job_retention_s
         How long results of a job stay readable after it was sent.
+    leave_s
+        Time after which a gateway that is not ready is brought no new connections.
     """
 
     contact_ms: float = 3000.0
@@ -63,6 +65,7 @@
     drain_ms: float = 2000.0
     grace_s: float = 8.0
     job_retention_s: float = 120.0
+    leave_s: float = 2.6
 
 
 class ServingSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -152,18 +155,9 @@
             faults.append((key, "", "give it a value"))
     if not settings.peer_ports.split(",")[0].isdigit():
         faults.append(("peer_ports", settings.peer_ports, "write FIRST,LAST"))
-    endpoints = {"store": settings.store}
-    endpoints |= {"seeds": seed for seed in settings.seeds.split(",") if seed}
-    if role is ServingRole.GATEWAY:
-        endpoints["listen.callers"] = settings.listen.callers
-        endpoints["listen.readiness"] = settings.listen.readiness
-    elif not settings.data_folder:
+    if role is ServingRole.JOB_STORAGE and not settings.data_folder:
         faults.append(("data_folder", "", "name a folder on the machine's disk"))
-    for key, text in endpoints.items():
-        try:
-            Endpoint.parse(text)
-        except ValueError:
-            faults.append((key, text, "write IP:PORT"))
+    faults += _endpoint_faults(settings, role)
     if settings.disks_lost_at_once < 0:
         faults.append(("disks_lost_at_once", settings.disks_lost_at_once, "use 0 or more"))
     for key in Bounds.__struct_fields__:
@@ -171,3 +165,18 @@
         if value <= 0:
             faults.append((f"bounds.{key}", value, "use a number above 0"))
     return faults
+
+
+def _endpoint_faults(settings: ServingSettings, role: ServingRole) -> list[tuple[str, Any, str]]:
+    endpoints = [("store", settings.store)]
+    endpoints += [("seeds", seed) for seed in settings.seeds.split(",") if seed]
+    if role is ServingRole.GATEWAY:
+        endpoints.append(("listen.callers", settings.listen.callers))
+        endpoints.append(("listen.readiness", settings.listen.readiness))
+    faults: list[tuple[str, Any, str]] = []
+    for key, text in endpoints:
+        try:
+            Endpoint.parse(text)
+        except ValueError:
+            faults.append((key, text, "write IP:PORT"))
+    return faults
--- a/src/quaymill/process/storage_node.py
+++ b/src/quaymill/process/storage_node.py
@@ -41,8 +41,8 @@
     ) -> None:
         self._settings = settings
         self._stopping = threading.Event()
-        self._network = PeerNetwork.from_settings(settings)
-        network = self._network
+        self.network = PeerNetwork.from_settings(settings)
+        network = self.network
         rules = CopyRules(settings.disks_lost_at_once + 1)
         self._database = JobDatabase(Path(settings.data_folder) / JOBS_FOLDER)
         leases = Leases()
@@ -85,7 +85,7 @@
 
     def start(self) -> None:
         """Start the parts; each finds those it uses already running."""
-        self._network.start()
+        self.network.start()
         self._repair.start()
         self._orphans.start()
         self._requests.start()
@@ -95,20 +95,20 @@
             "node:started",
             name=self._settings.name,
             zone=self._settings.zone,
-            process=self._network.process_name,
+            process=self.network.process_name,
             jobs=len(self._database.by_id),
         )
 
     def stop(self) -> None:
         """Stop; what is on the disk stays there."""
         self._stopping.set()
-        self._network.membership.announce_draining()
+        self.network.membership.announce_draining()
         self._requests.stop()
         self._registry.stop()
         self._retirement.stop()
         self._orphans.stop()
         self._repair.stop()
-        self._network.stop()
+        self.network.stop()
         self._database.close()
         log_message("node:stopped")
 
@@ -126,4 +126,4 @@
                 self._retirement.begin()
 
     def _lacks_peers(self) -> bool:
-        return not self._network.gateways()
+        return not self.network.gateways()
--- /dev/null
+++ b/src/quaymill_standins/fleet_replica.py
@@ -0,0 +1,277 @@
+"""Stand-in for one replica of the users' platform: answers opaque requests, keeps a journal.
+
+A request for tokens is answered by a stream of numbered events whose data depends on the
+request's id alone, so that a stream taken up by another replica goes on with the same text.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from quaymill_standins.faults import Faults, FaultSwitches, RequestFaults
+from quaymill_standins.http_support import (
+    CLOSED,
+    Answer,
+    ClientConnection,
+    Request,
+    Response,
+    StandinServer,
+    StreamedResponse,
+    json_response,
+)
+
+THREADS = 96
+WAIT_STEP_S = 0.005
+
+
+class ReplicaBehaviour(msgspec.Struct, frozen=True):
+    """How the replica serves.
+
+    Attributes
+    ----------
+    events, event_s
+        Length of a stream, and the time each event takes.
+    answer_s
+        Time that a whole answer takes.
+    shed
+        Everything is refused as not executed.
+    cut_at_event
+        The connection is closed in the middle of this event.
+    stall_at_event
+        Nothing comes from this event on.
+    break_off
+        The connection is closed before any answer.
+    foreign_id
+        The answer carries another request's id.
+    status
+        Answered instead of 200, by the end of the request's path.
+    waiting
+        What the report says of requests that wait, beside the true ones.
+    """
+
+    events: int = 3
+    event_s: float = 0.01
+    answer_s: float = 0.0
+    shed: bool = False
+    cut_at_event: int = 0
+    stall_at_event: int = 0
+    break_off: bool = False
+    foreign_id: bool = False
+    status_by_suffix: dict[str, int] = {}
+    waiting: int = 0
+
+
+class ReplicaRun(msgspec.Struct):
+    """One request that was run.
+
+    Attributes
+    ----------
+    finished
+        Whether it ran to its end; false while it runs and when it was cut.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    started_s: float
+    after_event: int = 0
+    events_made: int = 0
+    finished: bool = False
+    cancelled: bool = False
+
+
+class FleetReplica:
+    """A running replica.
+
+    Attributes
+    ----------
+    runs
+        Everything that was run, in order.
+    """
+
+    def __init__(
+        self, replica_id: str, service: str, zone: str, slots: int = 4, address: str = "127.0.0.1"
+    ) -> None:
+        self.id = replica_id
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.address = address
+        self.behaviour = ReplicaBehaviour()
+        self.runs: list[ReplicaRun] = []
+        self.probes = 0
+        self._running = 0
+        self._lock = threading.Lock()
+        self._stopping = False
+        self._server = StandinServer(
+            address,
+            0,
+            FaultSwitches(Faults()),
+            handle_data=self._handle,
+            handle_control=lambda request: Response(404),
+            is_control=lambda path: False,
+            threads=THREADS,
+        )
+
+    @property
+    def port(self) -> int:
+        """The port in use."""
+        return self._server.port
+
+    @property
+    def running(self) -> int:
+        """Requests in service."""
+        return self._running
+
+    def start(self) -> None:
+        """Start to serve."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """End what runs, and stop."""
+        self._stopping = True
+        self._server.stop()
+
+    def entry(self, state: str = "ready", seq: int = 1) -> dict[str, object]:
+        """Return what the replica writes into the platform's store."""
+        return {
+            "service": self.service,
+            "address": f"{self.address}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "cold_left_ms": 0,
+            "seq": seq,
+        }
+
+    def runs_of(self, request_id: str) -> list[ReplicaRun]:
+        """Return the runs of one request."""
+        return [run for run in self.runs if run.request_id == request_id]
+
+    def _handle(self, request: Request, faults: RequestFaults) -> Answer:
+        if request.path == "/v1/report":
+            self.probes += 1
+            report = {"waiting": self.behaviour.waiting, "running": self._running}
+            return json_response(200, report | {"kv_used": 0, "kv_total": 100_000})
+        if request.header("Expect-Instance") not in ("", self.id):
+            return Response(421, b"", (("Instance-Id", self.id),))
+        if self.behaviour.shed:
+            return Response(503, b"", (("Not-Executed", "1"),))
+        return self._run(request)
+
+    def _run(self, request: Request) -> Answer:
+        behaviour = self.behaviour
+        run = ReplicaRun(
+            request.header("Request-Id"),
+            request.method,
+            _target(request),
+            _headers(request),
+            request.body,
+            time.monotonic(),
+            int(request.header("Last-Event-Id") or 0),
+        )
+        with self._lock:
+            self.runs.append(run)
+        if behaviour.break_off:
+            return CLOSED
+        for suffix, status in behaviour.status_by_suffix.items():
+            if request.path.endswith(suffix):
+                run.finished = True
+                return Response(status, b"no", self._head(run))
+        if not request.header("Token-Count"):
+            return self._whole(run, request)
+        return StreamedResponse(
+            200,
+            (*self._head(run), ("Content-Type", "text/event-stream")),
+            lambda connection: self._stream(run, connection, behaviour),
+        )
+
+    def _whole(self, run: ReplicaRun, request: Request) -> Answer:
+        self._count(1)
+        try:
+            if not self._pause(self.behaviour.answer_s, request.connection.is_closed_by_peer):
+                run.cancelled = True
+                return CLOSED
+        finally:
+            self._count(-1)
+        run.finished = True
+        return Response(200, b"answer to " + run.request_id.encode(), self._head(run))
+
+    def _stream(
+        self, run: ReplicaRun, connection: ClientConnection, behaviour: ReplicaBehaviour
+    ) -> None:
+        self._count(1)
+        try:
+            for number in range(run.after_event + 1, behaviour.events + 1):
+                pause_s = behaviour.event_s
+                if number == behaviour.stall_at_event:
+                    pause_s = 3600.0
+                if not self._pause(pause_s, connection.is_closed_by_peer):
+                    run.cancelled = True
+                    connection.abort()
+                    return
+                event = event_bytes(run.request_id, number)
+                if number == behaviour.cut_at_event:
+                    connection.send(event[: len(event) // 2])
+                    connection.abort()
+                    return
+                connection.send(event)
+                run.events_made = number
+            run.finished = True
+        except OSError:
+            run.cancelled = True
+            connection.abort()
+        finally:
+            self._count(-1)
+
+    def _head(self, run: ReplicaRun) -> tuple[tuple[str, str], ...]:
+        request_id = "another-request" if self.behaviour.foreign_id else run.request_id
+        return (
+            ("Request-Id", request_id),
+            ("Response-Seal", f"seal-{self.id}"),
+            ("Server-Load", f"{self._running},0,{self.slots}"),
+        )
+
+    def _count(self, change: int) -> None:
+        with self._lock:
+            self._running += change
+
+    def _pause(self, seconds: float, gone: Callable[[], bool]) -> bool:
+        """Wait; return false as soon as the caller is gone or the replica stops."""
+        deadline = time.monotonic() + seconds
+        while not self._stopping and not gone():
+            remaining_s = deadline - time.monotonic()
+            if remaining_s <= 0:
+                return True
+            time.sleep(min(WAIT_STEP_S, remaining_s))
+        return False
+
+
+def event_bytes(request_id: str, number: int) -> bytes:
+    """Return one event of a request's stream."""
+    return f"id: {number}\ndata: {event_data(request_id, number)}\n\n".encode()
+
+
+def event_data(request_id: str, number: int) -> str:
+    """Return the data of one event."""
+    return f"{request_id}-{number}"
+
+
+def _target(request: Request) -> str:
+    query = str(request.environ.get("QUERY_STRING", ""))
+    return f"{request.path}?{query}" if query else request.path
+
+
+def _headers(request: Request) -> dict[str, str]:
+    return {
+        key[5:].replace("_", "-").lower(): str(value)
+        for key, value in request.environ.items()
+        if key.startswith("HTTP_")
+    }
--- /dev/null
+++ b/tests/fleet_rig.py
@@ -0,0 +1,327 @@
+"""A small fleet on the users' platform: gateways and storage nodes of this code, in process.
+
+The platform's store and the replicas are stand-ins. Every node has a loopback address of its
+own, as every node of the platform listens on the same port.
+"""
+
+from __future__ import annotations
+
+import base64
+import itertools
+import json
+import shutil
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+from quaymill.platform.main import GATEWAY_PROTOCOL, STORAGE_PROTOCOL
+from quaymill.platform.object_store import PlatformObjectStore
+from quaymill.process.gateway_node import GatewayNode
+from quaymill.process.serving_settings import Bounds, Listeners, ServingSettings
+from quaymill.process.storage_node import StorageNode
+from quaymill_bench.ports import free_port
+from quaymill_standins.fleet_replica import FleetReplica, event_data
+from quaymill_standins.fleet_store import FleetStore
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+HOST = "shop.example"
+WAIT_TIMEOUT_S = 20.0
+POLL_INTERVAL_S = 0.02
+HEARTBEAT_S = 0.5
+_addresses = itertools.count(10)
+
+
+def wait_until(condition: Callable[[], Any], what: str, timeout_s: float = WAIT_TIMEOUT_S) -> Any:
+    """Poll until ``condition`` returns something true, and return that."""
+    deadline = time.monotonic() + timeout_s
+    while True:
+        found = condition()
+        if found:
+            return found
+        if time.monotonic() > deadline:
+            raise AssertionError(f"not within {timeout_s} s: {what}")
+        time.sleep(POLL_INTERVAL_S)
+
+
+def route(name: str, prefix: str, kind: str, **fields: Any) -> dict[str, Any]:
+    """Return a route of the operator's configuration."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 8000,
+        "slo_ms": 500,
+        "priority": 0,
+        "service": "engine",
+        "max_attempts": 2,
+        "sticky": False,
+        "resumable": False,
+    } | fields
+
+
+ROUTES = (
+    route("stream", "/stream/", "streaming", max_attempts=1),
+    route("resumable", "/resumable/", "streaming", resumable=True, gap_aim_ms=500),
+    route("read", "/read/", "idempotent", service="application"),
+    route("write", "/write/", "non_idempotent", service="application"),
+    route(
+        "jobs",
+        "/jobs/",
+        "batch",
+        slo_ms=400,
+        due_ms=20000,
+        max_wait_s=60,
+        max_attempts=3,
+        timeout_ms=30000,
+    ),
+)
+
+
+def configuration(version: int, routes: tuple[dict[str, Any], ...] = ROUTES) -> dict[str, Any]:
+    """Return an operator's configuration."""
+    engine = {"slots": 4, "kv_capacity_tokens": 100_000}
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": [
+            {"name": "engine", "health_path": "/health", "max_conns": 100, "engine": engine},
+            {"name": "application", "health_path": "/health", "max_conns": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4 * 1024 * 1024,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+    }
+
+
+class FleetRig:
+    """Builds, disturbs and stops a fleet."""
+
+    def __init__(self, gateways: int = 2, storage: int = 3, engines: int = 2) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix="quaymill-fleet-"))
+        self.peer_port = free_port()
+        self.store = FleetStore()
+        self.replicas: dict[str, FleetReplica] = {}
+        self.gateways: dict[str, GatewayNode] = {}
+        self.storage: dict[str, StorageNode] = {}
+        self.settings: dict[str, ServingSettings] = {}
+        self._beating = threading.Event()
+        self._planned = (gateways, storage, engines)
+        self._pool = urllib3.PoolManager(retries=False, num_pools=50, maxsize=20, block=False)
+
+    def start(self, version: int = 1) -> FleetRig:
+        """Start everything, and wait until the gateways are ready and know each other."""
+        gateways, storage, engines = self._planned
+        self.store.start()
+        self.store.put("config", "main", configuration(version))
+        for index in range(engines):
+            self.add_replica("engine", ZONES[index % len(ZONES)])
+        self.add_replica("application", ZONES[0])
+        self.add_replica("application", ZONES[1])
+        for index in range(storage):
+            self.start_storage(f"storage-{index}", ZONES[index % len(ZONES)])
+        for index in range(gateways):
+            self.start_gateway(f"gateway-{index}", ZONES[index % len(ZONES)])
+        self.wait_ready()
+        return self
+
+    def stop(self) -> None:
+        """Stop everything at once."""
+        for gateway in self.gateways.values():
+            gateway.kill()
+        for node in self.storage.values():
+            node.stop()
+        for replica in self.replicas.values():
+            replica.stop()
+        self.store.stop()
+        self._pool.clear()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    # Parts.
+
+    def add_replica(self, service: str, zone: str, slots: int = 4) -> FleetReplica:
+        """Start a replica and list it in the store."""
+        replica = FleetReplica(f"{service}-{len(self.replicas)}", service, zone, slots)
+        replica.start()
+        self.replicas[replica.id] = replica
+        self.store.put("servers", replica.id, replica.entry())
+        return replica
+
+    def of_service(self, service: str) -> list[FleetReplica]:
+        """Return the replicas of a service."""
+        return [replica for replica in self.replicas.values() if replica.service == service]
+
+    def start_gateway(self, name: str, zone: str) -> GatewayNode:
+        """Start a gateway; one of the same name takes the address of the former."""
+        settings = self._settings_of(name, zone)
+        gateway = GatewayNode(
+            settings, PlatformObjectStore(settings.store_endpoint), GATEWAY_PROTOCOL, None
+        )
+        gateway.start()
+        self.gateways[name] = gateway
+        return gateway
+
+    def start_storage(self, name: str, zone: str) -> StorageNode:
+        """Start a storage node on the folder of its name."""
+        settings = self._settings_of(name, zone, str(self.folder / name))
+        node = StorageNode(settings, PlatformObjectStore(settings.store_endpoint), STORAGE_PROTOCOL)
+        node.start()
+        self.storage[name] = node
+        return node
+
+    def wipe(self, name: str) -> None:
+        """Remove what a stopped storage node has on its disk."""
+        shutil.rmtree(self.folder / name)
+
+    def wait_ready(self) -> None:
+        """Wait until every gateway is ready and knows all storage nodes and gateways."""
+        for name, gateway in self.gateways.items():
+            wait_until(
+                lambda name=name, gateway=gateway: self._is_settled(name, gateway),
+                f"{name} is ready and knows the others",
+            )
+
+    def _is_settled(self, name: str, gateway: GatewayNode) -> bool:
+        network = gateway.network
+        return (
+            self.get(name, "/v1/ready", port=self.ports(name)[1]).status == 200
+            and len(network.storage_nodes()) == len(self.storage)
+            and len(network.gateways()) == len(self.gateways)
+        )
+
+    def ports(self, name: str) -> tuple[int, int]:
+        """Return a gateway's ports for callers and for readiness."""
+        listen = self.settings[name].listen
+        return int(listen.callers.split(":")[1]), int(listen.readiness.split(":")[1])
+
+    def _settings_of(self, name: str, zone: str, data_folder: str = "") -> ServingSettings:
+        held = self.settings.get(name)
+        if held is not None:
+            return held
+        address = f"127.0.0.{next(_addresses)}"
+        others = [one.address for one in self.settings.values()][:3]
+        listen = Listeners(f"{address}:{free_port()}", f"{address}:{free_port()}")
+        settings = ServingSettings(
+            name=name,
+            zone=zone,
+            region="region",
+            address=address,
+            peer_ports=f"{self.peer_port},{self.peer_port}",
+            store=f"127.0.0.1:{self.store.port}",
+            seeds=",".join(f"{other}:1" for other in others),
+            data_folder=data_folder,
+            disks_lost_at_once=1,
+            listen=Listeners() if data_folder else listen,
+            bounds=Bounds(leave_s=0.3, grace_s=6.0),
+        )
+        self.settings[name] = settings
+        return settings
+
+    # Callers.
+
+    def call(
+        self,
+        gateway: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        port: int | None = None,
+        preload: bool = True,
+        timeout_s: float = 15.0,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request to a gateway."""
+        settings = self.settings[gateway]
+        port = port or self.ports(gateway)[0]
+        return self._pool.request(
+            method,
+            f"http://{settings.address}:{port}{path}",
+            body=body,
+            headers={"Host": HOST} | (headers or {}),
+            preload_content=preload,
+            timeout=timeout_s,
+        )
+
+    def get(self, gateway: str, path: str, **fields: Any) -> urllib3.BaseHTTPResponse:
+        """Send a GET to a gateway."""
+        return self.call(gateway, "GET", path, **fields)
+
+    def ask(
+        self,
+        gateway: str,
+        path: str,
+        request_id: str,
+        body: bytes = b"",
+        tokens: bool = False,
+        deadline_ms: int = 8000,
+        **fields: Any,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send an opaque request; ``tokens`` asks for a stream."""
+        headers = {"Request-Id": request_id, "Deadline-Ms": str(deadline_ms)}
+        if tokens:
+            headers["Token-Count"] = "100,10"
+        return self.call(gateway, "POST", path, body, headers | fields.pop("headers", {}), **fields)
+
+    def submit(
+        self, gateway: str, job_id: str, items: int = 3, path_suffix: str = "ok"
+    ) -> urllib3.BaseHTTPResponse:
+        """Submit a batch job."""
+        return self.call(
+            gateway, "POST", "/jobs/x", job_body(job_id, items, path_suffix), {"Request-Id": job_id}
+        )
+
+    def read_results(
+        self, gateway: str, job_id: str, since: int = 0, wait_ms: int = 0
+    ) -> urllib3.BaseHTTPResponse:
+        """Read results of a job."""
+        return self.get(
+            gateway, f"/v1/lots/{job_id}?since_rev={since}", headers={"Wait-Ms": str(wait_ms)}
+        )
+
+    def wait_results(self, gateway: str, job_id: str, count: int) -> list[dict[str, Any]]:
+        """Wait until a job has ``count`` results, and return them."""
+
+        def results() -> list[dict[str, Any]] | None:
+            answer = self.read_results(gateway, job_id)
+            if answer.status != 200:
+                return None
+            page = json.loads(answer.data)["results"]
+            return page if len(page) >= count else None
+
+        return wait_until(results, f"{count} results of {job_id} at {gateway}")
+
+
+def job_body(job_id: str, items: int, path_suffix: str = "ok") -> bytes:
+    """Return a submission of ``items`` items."""
+    return json.dumps(
+        {
+            "items": [
+                {
+                    "id": item_id(job_id, index),
+                    "path": f"/jobs/{index}/{path_suffix}",
+                    "headers": {"Token-Count": "50,10", "Model": "m"},
+                    "body": base64.b64encode(f"body {index}".encode()).decode(),
+                    "tokens": 60,
+                }
+                for index in range(items)
+            ]
+        }
+    ).encode()
+
+
+def item_id(job_id: str, index: int) -> str:
+    """Return the id of a job's item."""
+    return f"{job_id}-item-{index}"
+
+
+def whole_text(request_id: str, events: int = 3) -> str:
+    """Return the text that a whole run of an item brings."""
+    return "\n".join(event_data(request_id, number) for number in range(1, events + 1))
