--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -250,6 +250,7 @@
         self.max_request_header_size = 64 * 1024
         self.idle_timeout_s = 15.0
         self._thread: threading.Thread | None = None
+        self._prepare_error: OSError | None = None
 
     @property
     def idle_timeout_s(self) -> float:
@@ -261,12 +262,29 @@
         self.timeout = seconds + IDLE_CHECK_MARGIN_S
 
     def start_serving(self) -> None:
-        """Listen, then serve on threads of its own."""
-        self.prepare()
+        """Listen, then serve on threads of its own.
+
+        Raises
+        ------
+        OSError
+            The address cannot be listened on.
+        """
+        # Worker threads inherit from the thread that makes them that they hold up no exit.
+        preparing = threading.Thread(target=self._prepare, name="front-prepare", daemon=True)
+        preparing.start()
+        preparing.join()
+        if self._prepare_error is not None:
+            raise self._prepare_error
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self._thread = threading.Thread(target=self.serve, name="front", daemon=True)
         self._thread.start()
 
+    def _prepare(self) -> None:
+        try:
+            self.prepare()
+        except OSError as error:
+            self._prepare_error = error
+
     @property
     def busy(self) -> bool:
         """Whether a connection is being read or answered, or waits for that."""
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -73,7 +73,7 @@
         self.network = PeerNetwork.from_settings(settings)
         self._connections = ReplicaConnections(LinkFilter(), CONNECT_TIMEOUT_S)
         self._table = ReplicaTable(self._forget_replica)
-        self._control = ControlPlaneView(
+        self.control = ControlPlaneView(
             store,
             protocol.control,
             self._table,
@@ -92,13 +92,13 @@
             settings.zone,
         )
         self._loads = EngineLoads(
-            self._table, self._connections, protocol.reports, lambda: self._coordinator.wake()
+            self._table, self._connections, protocol.reports, lambda: self.coordinator.wake()
         )
-        self._coordinator = JobCoordinator(
+        self.coordinator = JobCoordinator(
             CoordinatorParts(
                 name=self.network.process_name,
                 zone=settings.zone,
-                routes=lambda: self._control.routes,
+                routes=lambda: self.control.routes,
                 table=self._table,
                 connections=self._connections,
                 loads=self._loads,
@@ -109,7 +109,7 @@
             )
         )
         self._jobs = JobService(
-            self._coordinator,
+            self.coordinator,
             storage,
             listings,
             self.network.client,
@@ -141,7 +141,7 @@
         forwarder = Forwarder(router, self._connections, protocol.replicas)
         return FrontService(
             protocol.callers,
-            lambda: self._control.routes,
+            lambda: self.control.routes,
             forwarder,
             self._jobs,
             self._metrics,
@@ -152,16 +152,16 @@
         gauges: dict[str, tuple[str, Callable[[], float]]] = {
             "configuration_version": (
                 "Version of the configuration in force.",
-                lambda: self._control.routes.version,
+                lambda: self.control.routes.version,
             ),
             "requests_in_service": (
                 "Requests of callers in service.",
                 lambda: self._front.in_service,
             ),
-            "batch_items_running": ("Batch items in service.", self._coordinator.running_items),
+            "batch_items_running": ("Batch items in service.", self.coordinator.running_items),
             "batch_jobs_open": (
                 "Batch jobs coordinated here.",
-                lambda: len(self._coordinator.open_jobs()),
+                lambda: len(self.coordinator.open_jobs()),
             ),
             "replica_connections_opened": (
                 "Connections opened to replicas since the start.",
@@ -175,9 +175,9 @@
     def start(self) -> None:
         """Start the parts; each finds those it uses already running."""
         self.network.start()
-        self._control.subscribe(self._apply_limits)
-        self._control.start()
-        self._coordinator.start()
+        self.control.subscribe(self._apply_limits)
+        self.control.start()
+        self.coordinator.start()
         self._watch.start()
         self._server.start_serving()
         self._readiness.start_serving()
@@ -206,7 +206,7 @@
         idle = self._wait_until_idle(deadline)
         handing_over.join(max(0.0, deadline - time.monotonic()))
         log_message("node:stopped", idle=idle, took_s=round(time.monotonic() - began, 2))
-        self._control.stop()
+        self.control.stop()
         self._registry.stop()
         self._loads.stop()
         self.network.stop()
@@ -227,15 +227,15 @@
         return False
 
     def _is_ready(self) -> bool:
-        return self._control.ready and not self._front.draining
+        return self.control.ready and not self._front.draining
 
     def kill(self) -> None:
         """Stop as a process that dies does: peers and callers are told nothing."""
-        self._control.stop()
+        self.control.stop()
         self._registry.stop()
         self._loads.stop()
         self.network.stop()
-        self._coordinator.stop()
+        self.coordinator.stop()
         self._server.stop()
         self._readiness.stop()
 
