A node is ready only when it knows the machine list

The case 'configuration from its disk, no machine list yet' failed before (200) and passes now. test_drain and test_gateway_completions green in one run (38 s).

--- a/src/quaymill/process/gateway/gateway.py
+++ b/src/quaymill/process/gateway/gateway.py
@@ -119,7 +119,11 @@
             max_body_bytes,
         ).register_routes(self.routes)
         Health(
-            holder, self.metrics, lambda: self._draining, status_document or dict
+            holder,
+            self.metrics,
+            lambda: self._draining,
+            status_document or dict,
+            lambda: load_view.machines_known,
         ).register_routes(self.routes)
         self._server = HttpServer(settings.http_endpoint, self._answer, settings.gateway.threads)
         self._thread: threading.Thread | None = None
--- a/src/quaymill/process/gateway/health.py
+++ b/src/quaymill/process/gateway/health.py
@@ -22,7 +22,13 @@
 
 
 class Health:
-    """Handlers for those who watch the node; they need no key and no admission."""
+    """Handlers for those who watch the node; they need no key and no admission.
+
+    Parameters
+    ----------
+    machines_known
+        Whether the machine list has been seen: without it no request finds a replica.
+    """
 
     def __init__(
         self,
@@ -30,8 +36,10 @@
         metrics: GatewayMetrics,
         is_draining: Callable[[], bool],
         status_document: StatusDocument,
+        machines_known: Callable[[], bool],
     ) -> None:
         self._holder = holder
+        self._machines_known = machines_known
         self._metrics = metrics
         self._is_draining = is_draining
         self._status_document = status_document
@@ -58,6 +66,10 @@
             return failure_response(
                 NotRun(503, "the node has no configuration yet", "wait, or check the platform")
             )
+        if not self._machines_known():
+            return failure_response(
+                NotRun(503, "the node has no machine list yet", "wait, or check the platform")
+            )
         return Response(headers={"Content-Type": "text/plain"}, body=b"ready\n")
 
     def _show_metrics(self, request: Request) -> Response:
--- a/src/quaymill/process/replicas/load_view.py
+++ b/src/quaymill/process/replicas/load_view.py
@@ -86,6 +86,11 @@
         self._stopping.set()
         self._connections.close()
 
+    @property
+    def machines_known(self) -> bool:
+        """Whether a machine list has been seen."""
+        return self._machine_list.current().version > 0
+
     def replicas(self, service: str) -> tuple[ReplicaView, ...]:
         """Return the replicas of a service, live views all of them."""
         return self._by_service.get(service, ())
