--- a/src/quaymill/process/commands/explain.py
+++ b/src/quaymill/process/commands/explain.py
@@ -23,6 +23,7 @@
     "job:over": "job:accepted",
 }
 """Kinds of lines of one job, and the kind that must come before them."""
+LEAST_STEP_S = 0.001
 STORY_MARKS = frozenset({"log:dropped", "node:started", "node:stopped", "node:draining"})
 """Lines of a process that bear on every story it took part in."""
 
@@ -116,7 +117,7 @@
             and line.fields.get("job") == effect.fields.get("job")
         ]
         for cause in causes[:1]:
-            late_s = cause.time_s + offsets_by_node[cause.node] - effect.time_s
+            late_s = cause.time_s + offsets_by_node[cause.node] + LEAST_STEP_S - effect.time_s
             if late_s > offsets_by_node[effect.node]:
                 offsets_by_node[effect.node] = late_s
     return offsets_by_node
--- /dev/null
+++ b/src/quaymill_bench/fleet_processes.py
@@ -0,0 +1,243 @@
+"""A fleet of real processes on loopback, before stand-ins of the platform's store and replicas.
+
+Every gateway reaches the store through a proxy of its own, and every replica is listed with a
+proxy's address, so that links can be disturbed from outside. Processes are stopped, paused and
+killed by signals; only processes started here are touched, by their ids.
+"""
+
+from __future__ import annotations
+
+import itertools
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import attrs
+import urllib3
+
+from quaymill_bench.fleet_world import HOST, ZONES, configuration, job_body
+from quaymill_bench.loopback_proxy import LoopbackProxy
+from quaymill_bench.ports import free_port
+from quaymill_standins.fleet_replica import FleetReplica
+from quaymill_standins.fleet_store import FleetStore
+
+START_TIMEOUT_S = 30.0
+POLL_INTERVAL_S = 0.05
+REQUEST_TIMEOUT_S = 12.0
+SETTINGS_VARIABLE = "QUAYMILL_BOOT"
+GRACE_S = 6.0
+LEAVE_S = 0.5
+
+_addresses = itertools.count(100)
+
+
+def wait_until(condition: Callable[[], Any], what: str, timeout_s: float = START_TIMEOUT_S) -> Any:
+    """Poll until ``condition`` returns something true, and return that."""
+    deadline = time.monotonic() + timeout_s
+    while True:
+        found = condition()
+        if found:
+            return found
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"not within {timeout_s} s: {what}")
+        time.sleep(POLL_INTERVAL_S)
+
+
+@attrs.define
+class FleetProcess:
+    """One gateway or storage node.
+
+    Attributes
+    ----------
+    role
+        ``gateway`` or ``job-storage``.
+    process
+        What runs now; ``None`` while it is down.
+    """
+
+    name: str
+    role: str
+    address: str
+    settings_file: Path
+    log_file: Path
+    callers_port: int = 0
+    readiness_port: int = 0
+    store_proxy: LoopbackProxy | None = None
+    process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        with self.log_file.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "quaymill.platform.main", self.role],
+                env=os.environ | {SETTINGS_VARIABLE: str(self.settings_file)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+    def terminate(self) -> int:
+        """Stop the process in order; return its exit code."""
+        self.send(signal.SIGTERM)
+        return self.process.wait(GRACE_S + 5.0)
+
+
+class LocalFleet:
+    """Builds, disturbs and stops a fleet of processes."""
+
+    def __init__(self, folder: Path, gateways: int = 3, storage: int = 3, engines: int = 3) -> None:
+        self.folder = folder
+        self.store = FleetStore()
+        self.replicas: dict[str, FleetReplica] = {}
+        self.replica_proxies: dict[str, LoopbackProxy] = {}
+        self.processes: dict[str, FleetProcess] = {}
+        self._peer_port = free_port()
+        self._planned = (gateways, storage, engines)
+        self.pool = urllib3.PoolManager(retries=False, num_pools=20, maxsize=30)
+
+    @property
+    def gateways(self) -> list[FleetProcess]:
+        """The gateways, those that are down included."""
+        return [one for one in self.processes.values() if one.role == "gateway"]
+
+    @property
+    def storage_nodes(self) -> list[FleetProcess]:
+        """The storage nodes, those that are down included."""
+        return [one for one in self.processes.values() if one.role == "job-storage"]
+
+    def start(self) -> LocalFleet:
+        """Start everything, and wait until every gateway is ready."""
+        gateways, storage, engines = self._planned
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.store.start()
+        self.store.put("config", "main", configuration(1))
+        for index in range(engines):
+            self.add_replica("engine", ZONES[index % len(ZONES)])
+        for index in range(2):
+            self.add_replica("application", ZONES[index])
+        for index in range(storage):
+            self._add_process("job-storage", f"storage-{index}", ZONES[index % len(ZONES)])
+        for index in range(gateways):
+            self._add_process("gateway", f"gateway-{index}", ZONES[index % len(ZONES)])
+        for process in self.processes.values():
+            process.start()
+        self.wait_ready()
+        return self
+
+    def stop(self) -> None:
+        """End everything that was started here."""
+        for process in self.processes.values():
+            process.send(signal.SIGCONT)
+            process.kill()
+            if process.store_proxy is not None:
+                process.store_proxy.stop()
+        for proxy in self.replica_proxies.values():
+            proxy.stop()
+        for replica in self.replicas.values():
+            replica.stop()
+        self.store.stop()
+
+    def wait_ready(self) -> None:
+        """Wait until every gateway calls itself ready."""
+        for gateway in self.gateways:
+            wait_until(lambda g=gateway: self._is_ready(g), f"{gateway.name} is ready")
+
+    def add_replica(self, service: str, zone: str) -> FleetReplica:
+        """Start a replica behind a proxy, and list it."""
+        replica = FleetReplica(f"{service}-{len(self.replicas)}", service, zone)
+        replica.start()
+        proxy = LoopbackProxy(("127.0.0.1", replica.port))
+        self.replicas[replica.id] = replica
+        self.replica_proxies[replica.id] = proxy
+        self.list_replica(replica, "ready")
+        return replica
+
+    def list_replica(self, replica: FleetReplica, state: str) -> None:
+        """Write a replica's entry into the store."""
+        port = self.replica_proxies[replica.id].port
+        entry = replica.entry(state) | {"address": f"127.0.0.1:{port}"}
+        self.store.put("servers", replica.id, entry)
+
+    def wipe(self, process: FleetProcess) -> None:
+        """Remove what a storage node that is down has on its disk."""
+        shutil.rmtree(self.folder / process.name)
+
+    def call(
+        self,
+        gateway: FleetProcess,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request to a gateway; raises ``urllib3.exceptions.HTTPError``."""
+        return self.pool.request(
+            method,
+            f"http://{gateway.address}:{gateway.callers_port}{path}",
+            body=body,
+            headers={"Host": HOST} | (headers or {}),
+            timeout=REQUEST_TIMEOUT_S,
+        )
+
+    def submit(self, gateway: FleetProcess, job_id: str, items: int) -> urllib3.BaseHTTPResponse:
+        """Submit a batch job."""
+        body = job_body(job_id, items)
+        return self.call(gateway, "POST", "/jobs/x", body, {"Request-Id": job_id})
+
+    def _is_ready(self, gateway: FleetProcess) -> bool:
+        url = f"http://{gateway.address}:{gateway.readiness_port}/v1/ready"
+        try:
+            return self.pool.request("GET", url, timeout=1.0).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def _add_process(self, role: str, name: str, zone: str) -> None:
+        address = f"127.0.0.{next(_addresses)}"
+        proxy = LoopbackProxy(("127.0.0.1", self.store.port))
+        seeds = [one.address for one in self.processes.values()][:3]
+        process = FleetProcess(
+            name,
+            role,
+            address,
+            self.folder / f"{name}.toml",
+            self.folder / f"{name}.log",
+            free_port(),
+            free_port(),
+            proxy,
+        )
+        lines = [
+            f'name = "{name}"',
+            f'zone = "{zone}"',
+            'region = "region"',
+            f'address = "{address}"',
+            f'peer_ports = "{self._peer_port},{self._peer_port}"',
+            f'store = "127.0.0.1:{proxy.port}"',
+            f'seeds = "{",".join(f"{seed}:1" for seed in seeds)}"',
+        ]
+        if role == "job-storage":
+            lines.append(f'data_folder = "{self.folder / name}"')
+        else:
+            lines += [
+                "[listen]",
+                f'callers = "{address}:{process.callers_port}"',
+                f'readiness = "{address}:{process.readiness_port}"',
+            ]
+        lines += ["[bounds]", f"grace_s = {GRACE_S}", f"leave_s = {LEAVE_S}"]
+        process.settings_file.write_text("\n".join(lines) + "\n")
+        self.processes[name] = process
--- /dev/null
+++ b/src/quaymill_bench/fleet_world.py
@@ -0,0 +1,95 @@
+"""What tests and the soak put before a fleet: a configuration, jobs, and expected texts."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+
+from quaymill_standins.fleet_replica import event_data
+
+HOST = "shop.example"
+ZONES = ("zone-a", "zone-b", "zone-c")
+EVENTS = 3
+
+
+def route(name: str, prefix: str, kind: str, **fields: Any) -> dict[str, Any]:
+    """Return a route of the operator's configuration."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 8000,
+        "slo_ms": 500,
+        "priority": 0,
+        "service": "engine",
+        "max_attempts": 2,
+        "sticky": False,
+        "resumable": False,
+    } | fields
+
+
+ROUTES = (
+    route("stream", "/stream/", "streaming", max_attempts=1),
+    route("resumable", "/resumable/", "streaming", resumable=True, gap_aim_ms=500),
+    route("read", "/read/", "idempotent", service="application"),
+    route("write", "/write/", "non_idempotent", service="application"),
+    route(
+        "jobs",
+        "/jobs/",
+        "batch",
+        slo_ms=400,
+        due_ms=20000,
+        max_wait_s=60,
+        max_attempts=3,
+        timeout_ms=30000,
+    ),
+)
+
+
+def configuration(version: int, routes: tuple[dict[str, Any], ...] = ROUTES) -> dict[str, Any]:
+    """Return an operator's configuration."""
+    engine = {"slots": 4, "kv_capacity_tokens": 100_000}
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": [
+            {"name": "engine", "health_path": "/health", "max_conns": 100, "engine": engine},
+            {"name": "application", "health_path": "/health", "max_conns": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4 * 1024 * 1024,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+    }
+
+
+def job_body(job_id: str, items: int, path_suffix: str = "ok") -> bytes:
+    """Return a submission of ``items`` items."""
+    return json.dumps(
+        {
+            "items": [
+                {
+                    "id": item_id(job_id, index),
+                    "path": f"/jobs/{index}/{path_suffix}",
+                    "headers": {"Token-Count": "50,10", "Model": "m"},
+                    "body": base64.b64encode(f"body {index}".encode()).decode(),
+                    "tokens": 60,
+                }
+                for index in range(items)
+            ]
+        }
+    ).encode()
+
+
+def item_id(job_id: str, index: int) -> str:
+    """Return the id of a job's item."""
+    return f"{job_id}-item-{index}"
+
+
+def whole_text(request_id: str, events: int = EVENTS) -> str:
+    """Return the text that a whole run of an item brings."""
+    return "\n".join(event_data(request_id, number) for number in range(1, events + 1))
--- a/src/quaymill_bench/main.py
+++ b/src/quaymill_bench/main.py
@@ -114,6 +114,32 @@
     return 1 if result.failed_rounds else 0
 
 
+def soak(
+    *, seed: int = 1, rounds: int = 10, only: int | None = None, keep: Path = Path("run/soak")
+) -> int:
+    """Run gateways and storage nodes as processes under random faults, and check the promises.
+
+    Parameters
+    ----------
+    seed
+        Seed of all schedules.
+    rounds
+        Number of rounds.
+    only
+        Play just this round of the seed, counted from 0.
+    keep
+        Folder for the processes' files and for the logs of failed rounds.
+    """
+    from quaymill_bench.soak import run_soak
+
+    result = run_soak(keep.resolve(), seed, rounds, only, lambda text: print(text, flush=True))
+    print(f"{result.rounds} rounds, {result.requests} requests, {result.jobs} jobs")
+    for number, found in result.findings.items():
+        for text in found:
+            print(f"round {number}: {text}")
+    return 1 if result.findings else 0
+
+
 def scale(*, nodes: int, replicas: int, out: Path | None = None, seed: int = 1) -> int:
     """Measure the cost of control with hollow nodes beside real ones.
 
@@ -137,7 +163,7 @@
 def main() -> None:
     """Run the command named on the command line."""
     exit_on_sigterm()
-    sys.exit(defopt.run([load, experiment, faults, scale]))
+    sys.exit(defopt.run([load, experiment, faults, soak, scale]))
 
 
 if __name__ == "__main__":
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -12,17 +12,9 @@
 import urllib3
 from nose2.tools import params
 
-from fleet_rig import (
-    HOST,
-    ROUTES,
-    FleetRig,
-    configuration,
-    item_id,
-    route,
-    wait_until,
-    whole_text,
-)
+from fleet_rig import FleetRig, wait_until
 from quaymill.connection.object_store import StoreRefused
+from quaymill_bench.fleet_world import HOST, ROUTES, configuration, item_id, route, whole_text
 from quaymill_standins.fleet_replica import ReplicaBehaviour, event_bytes
 from quaymill_standins.fleet_store import FleetStoreFaults
 
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -6,15 +6,14 @@
 import threading
 import unittest
 
-from fleet_rig import (
+from fleet_rig import FleetRig, wait_until
+from quaymill_bench.fleet_world import (
     HOST,
     ROUTES,
-    FleetRig,
     configuration,
     item_id,
     job_body,
     route,
-    wait_until,
     whole_text,
 )
 from quaymill_standins.fleet_replica import ReplicaBehaviour, event_bytes
