A gateway that has just started is ready once it has found storage nodes, or 3 s later

Cause: test_explain now and then got 503 for a job at a gateway that had called itself ready before it knew a storage node.

--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -41,6 +41,7 @@
 STOP_MARGIN_S = 0.7
 IDLE_BEFORE_EXIT_S = 0.4
 IDLE_CHECK_INTERVAL_S = 0.05
+JOIN_PATIENCE_S = 3.0
 
 
 @attrs.frozen
@@ -70,6 +71,7 @@
         metrics_endpoint: Endpoint | None,
     ) -> None:
         self._settings = settings
+        self._started_at = time.monotonic()
         self.network = PeerNetwork.from_settings(settings)
         self._connections = ReplicaConnections(LinkFilter(), CONNECT_TIMEOUT_S)
         self._table = ReplicaTable(self._forget_replica)
@@ -226,7 +228,17 @@
         return False
 
     def _is_ready(self) -> bool:
-        return self.control.ready and not self._front.draining
+        return self.control.ready and self._has_joined() and not self._front.draining
+
+    def _has_joined(self) -> bool:
+        """Return whether jobs can be kept, or the storage nodes have had time to be found.
+
+        A gateway that has just started would else be brought jobs which it must refuse.
+        Without storage nodes it still serves online requests.
+        """
+        if len(self.network.storage_nodes()) > self._settings.disks_lost_at_once:
+            return True
+        return time.monotonic() - self._started_at > JOIN_PATIENCE_S
 
     def kill(self) -> None:
         """Stop as a process that dies does: peers and callers are told nothing."""
