--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -10,10 +10,12 @@
 import logging
 import socket
 import threading
+import time
 from collections.abc import Callable
 from http import HTTPStatus
 
 from cheroot import errors, server
+from cheroot.workers.threadpool import ThreadPool
 from eliot import log_message
 
 from quaymill.connection.endpoint import Endpoint
@@ -23,6 +25,8 @@
 LISTEN_BACKLOG = 512
 SEND_BUFFER_BYTES = 128 * 1024
 STOP_TIMEOUT_S = 0.5
+MIN_THREADS = 4
+IDLE_WORKERS_INTERVAL_S = 10.0
 MAX_KEPT_CONNECTIONS = 2000
 IDLE_CHECK_MARGIN_S = 10.0
 """Idle connections are timed by the time of day, which may jump; callers close earlier."""
@@ -218,11 +222,37 @@
 """Answers one request; what it raises ends the connection."""
 
 
+class _ElasticThreadPool(ThreadPool):
+    """Starts a worker when a connection finds none idle, and ends some that stay idle.
+
+    The library's own pool has as many threads as it is given, whether there is work or not.
+    """
+
+    def put(self, obj) -> None:
+        """Queue a connection; the worker that takes it may be a new one."""
+        if self.idle <= self.qsize and len(self._threads) < self.max:
+            self._threads.append(self._spawn_worker())
+        super().put(obj)
+
+    def end_idle(self) -> None:
+        """End workers beyond those that are busy and a few in reserve."""
+        spare = self.idle - self.min
+        if spare > 0:
+            self.shrink(spare)
+
+    @property
+    def busy(self) -> bool:
+        """Whether a worker has a connection, or one waits for a worker."""
+        return self.qsize > 0 or any(worker.conn is not None for worker in self._threads)
+
+
 class HttpServer(server.HTTPServer):
     """Serves a handler; errors go to the log as one line each.
 
     Parameters
     ----------
+    threads
+        Most workers, and so most requests being read or answered at once.
     watch
         Returns the presence of the caller on a connection; ``unwatch`` ends that.
     """
@@ -240,16 +270,14 @@
         super().__init__(
             (endpoint.host, endpoint.port),
             _gateway(handler, watch, unwatch),
-            minthreads=threads,
-            maxthreads=threads,
             server_name=SERVER_NAME,
         )
+        self.requests = _ElasticThreadPool(self, min=min(MIN_THREADS, threads), max=threads)
         self.request_queue_size = LISTEN_BACKLOG
         self.shutdown_timeout = STOP_TIMEOUT_S
         self.keep_alive_conn_limit = MAX_KEPT_CONNECTIONS
         self.max_request_header_size = 64 * 1024
         self.idle_timeout_s = 15.0
-        self._thread: threading.Thread | None = None
         self._prepare_error: OSError | None = None
 
     @property
@@ -276,8 +304,13 @@
         if self._prepare_error is not None:
             raise self._prepare_error
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-        self._thread = threading.Thread(target=self.serve, name="front", daemon=True)
-        self._thread.start()
+        for name, target in (("front", self.serve), ("front-workers", self._end_idle_workers)):
+            threading.Thread(target=target, name=name, daemon=True).start()
+
+    def _end_idle_workers(self) -> None:
+        while self.ready:
+            time.sleep(IDLE_WORKERS_INTERVAL_S)
+            self.requests.end_idle()
 
     def _prepare(self) -> None:
         try:
@@ -288,8 +321,7 @@
     @property
     def busy(self) -> bool:
         """Whether a connection is being read or answered, or waits for that."""
-        pool = self.requests
-        return pool.idle < pool.min or pool.qsize > 0
+        return self.requests.busy
 
     def stop_accepting(self) -> None:
         """Take no more connections and close idle ones; requests in service go on."""
--- a/src/quaymill/process/front/plain_pages.py
+++ b/src/quaymill/process/front/plain_pages.py
@@ -9,7 +9,7 @@
 from quaymill.connection.endpoint import Endpoint
 from quaymill.process.front.http_server import AnswerWriter, FrontRequest, HttpServer
 
-THREADS = 3
+THREADS = 4
 METRICS_PATH = "/metrics"
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -36,8 +36,8 @@
 from quaymill.version.request_routes import RequestRoutes
 
 CONNECT_TIMEOUT_S = 0.3
-THREADS = 96
-ADMISSION_LIMIT = 88
+THREADS = 160
+ADMISSION_LIMIT = 144
 STOP_MARGIN_S = 0.7
 IDLE_BEFORE_EXIT_S = 0.4
 IDLE_CHECK_INTERVAL_S = 0.05
--- a/src/quaymill/process/jobs/coordinator.py
+++ b/src/quaymill/process/jobs/coordinator.py
@@ -51,6 +51,9 @@
 RENEW_INTERVAL_S = 0.6
 RETRY_PAUSE_S = 0.3
 MAX_RUNNING_ITEMS = 96
+RESERVE_SHARES = ((0.6, 0.35), (0.3, 0.25), (0.0, 0.15))
+"""Part of a job's time that is left, and the part of the slots that its items then leave free:
+a job with time to spare keeps well out of the way of online requests."""
 GIVE_UP_MARGIN_S = 5.0
 """The time since a job was sent is known only so well after its coordinator has changed."""
 ROUTE_GONE_S = 6.0
@@ -237,10 +240,11 @@
             for item in waiting:
                 job.finish(item, ResultState.DEAD, reason)
             return
+        reserve_share = _reserve_share(job)
         for item in waiting:
             if self._running_items >= MAX_RUNNING_ITEMS:
                 return
-            replica = self._replica_with_room(services, item)
+            replica = self._replica_with_room(services, item, reserve_share)
             if replica is None:
                 return
             self._start_item(job, item, replica)
@@ -256,13 +260,15 @@
             return "not done in time"
         return ""
 
-    def _replica_with_room(self, services: tuple[str, ...], item: RunningItem) -> Replica | None:
+    def _replica_with_room(
+        self, services: tuple[str, ...], item: RunningItem, reserve_share: float
+    ) -> Replica | None:
         """Return the replica with the most room, one of the own zone where they are close."""
         best: Replica | None = None
         best_room = 0.0
         for service in services:
             for replica in self._parts.table.of_service(service):
-                room = float(self._parts.loads.room(replica, item.item.tokens))
+                room = float(self._parts.loads.room(replica, item.item.tokens, reserve_share))
                 if room < 1:
                     continue
                 if replica.entry.zone == self._parts.zone:
@@ -432,3 +438,9 @@
             message = RenewJobs(self._parts.name, open_jobs, complete)
             for job_id in self._parts.storage.renew(message):
                 self.end(job_id)
+
+
+def _reserve_share(job: CoordinatedJob) -> float:
+    due_s = job.route.due_s if job.route else 0.0
+    left = (job.due_at() - time.monotonic()) / due_s if due_s else 0.0
+    return next((share for least, share in RESERVE_SHARES if left >= least), RESERVE_SHARES[-1][1])
--- a/src/quaymill/process/jobs/engine_loads.py
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 import threading
 import time
 from collections.abc import Callable
@@ -20,16 +19,16 @@
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 
 POLL_INTERVAL_S = 0.25
+BUSY_POLL_INTERVAL_S = 0.1
+BUSY_MARGIN = 2
+"""Free slots up to which an engine counts as busy and is polled more often."""
 POLL_TIMEOUT_S = 0.5
 REPORT_MAX_AGE_S = 1.0
 REPORT_LAG_S = 0.15
 KEEP_S = 3.0
 MAX_REPORT_BYTES = 256 * 1024
-RESERVE_SHARE = 0.15
 MIN_RESERVE = 2
 KV_RESERVE_SHARE = 0.1
-GIVE_BACK_SHARE = 0.5
-"""Part of an excess that one coordinator gives back at once: others may hold the rest."""
 
 
 @attrs.frozen
@@ -96,8 +95,16 @@
                         target=self._poll, args=(replica,), name="engine-poll", daemon=True
                     ).start()
 
-    def room(self, replica: Replica, tokens: int) -> int:
-        """Return how many items more the replica may get now, of ``tokens`` each."""
+    def room(self, replica: Replica, tokens: int, reserve_share: float) -> int:
+        """Return how many items more the replica may get now.
+
+        Parameters
+        ----------
+        tokens
+            Memory that each of them takes.
+        reserve_share
+            Part of the slots that is left to online requests.
+        """
         with self._lock:
             poll = self._polls_by_replica.get(replica.id)
             if poll is None or poll.report is None or replica.leaving or replica.ejected:
@@ -105,8 +112,8 @@
             if time.monotonic() - poll.taken_at > REPORT_MAX_AGE_S:
                 return 0
             report = poll.report
-            busy = report.running + report.waiting + len(poll.starts)
-            free_slots = replica.slots - reserve_of(replica) - busy
+            busy = _requests_at(replica, poll) + len(poll.starts)
+            free_slots = replica.slots - reserve_of(replica, reserve_share) - busy
             if not report.kv_total_tokens or not tokens:
                 return max(0, free_slots)
             kv_room = report.kv_total_tokens * (1 - KV_RESERVE_SHARE)
@@ -121,9 +128,7 @@
                 return 0
             if time.monotonic() - poll.taken_at > REPORT_MAX_AGE_S:
                 return 0
-            report = poll.report
-            over = report.running + report.waiting - replica.slots + 1
-            return max(0, math.ceil(over * GIVE_BACK_SHARE))
+            return max(0, _requests_at(replica, poll) - replica.slots + 1)
 
     def started(self, replica: Replica, tokens: int) -> None:
         """Count an item that is being started, until the next report shows it."""
@@ -155,7 +160,7 @@
                     poll.forget_shown_starts()
             if report is not None:
                 self._on_report()
-            self._stopping.wait(POLL_INTERVAL_S)
+            self._stopping.wait(_poll_interval_s(replica, report))
         with self._lock:
             self._polls_by_replica.pop(replica.id, None)
         self._polled.discard(replica.id)
@@ -175,6 +180,21 @@
         return self._protocol.read(body) if exchange.status == 200 else None
 
 
-def reserve_of(replica: Replica) -> int:
+def reserve_of(replica: Replica, share: float) -> int:
     """Return the slots that batch items leave free for online requests."""
-    return max(MIN_RESERVE, round(replica.slots * RESERVE_SHARE))
+    return max(MIN_RESERVE, round(replica.slots * share))
+
+
+def _requests_at(replica: Replica, poll: _Poll) -> int:
+    """Return the requests at a replica by the newer of its report and its latest answer."""
+    reported, reported_at = replica.reported()
+    if reported is not None and reported_at > poll.taken_at:
+        return reported.running + reported.waiting
+    return poll.report.running + poll.report.waiting
+
+
+def _poll_interval_s(replica: Replica, report: EngineReport | None) -> float:
+    if report is None:
+        return POLL_INTERVAL_S
+    free = replica.slots - report.running - report.waiting
+    return BUSY_POLL_INTERVAL_S if free <= BUSY_MARGIN else POLL_INTERVAL_S
--- a/src/quaymill/process/jobs/storage_client.py
+++ b/src/quaymill/process/jobs/storage_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import threading
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -201,17 +202,39 @@
         return NotFound(certain=bool(known) and not unsure)
 
     def renew(self, message: RenewJobs) -> frozenset[str]:
-        """Renew leases with every storage node; return the jobs that were ended."""
+        """Renew leases with the storage nodes that hold the jobs; return those that were ended."""
+        ended: set[str] = set()
+        threads = []
+        for member, part in self._parts_by_holder(message):
+            threads.append(
+                threading.Thread(target=self._renew_at, args=(member, part, ended), daemon=True)
+            )
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(RENEW_TIMEOUT_S)
+        return frozenset(ended)
+
+    def _renew_at(self, member: Member, message: RenewJobs, ended: set[str]) -> None:
+        reply = self._peer_client.call(member.peer, message, JobsRenewed, RENEW_TIMEOUT_S)
+        if isinstance(reply, JobsRenewed):
+            ended.update(reply.ended_jobs)
+
+    def _parts_by_holder(self, message: RenewJobs) -> list[tuple[Member, RenewJobs]]:
+        """Split a renewal into what each storage node holds by its rank."""
         members = self._storage_nodes()
-        outcome = call_members(
-            self._peer_client,
-            members,
-            message,
-            JobsRenewed,
-            needed=len(members),
-            timeout_s=RENEW_TIMEOUT_S,
-        )
-        return frozenset(job_id for _, reply in outcome.replies for job_id in reply.ended_jobs)
+        fields = ("open_jobs", "complete_jobs", "released_jobs")
+        parts: dict[str, dict[str, list[str]]] = {}
+        for field in fields:
+            for job_id in getattr(message, field):
+                for member in rank_nodes(job_id, members)[: self._copies + 1]:
+                    part = parts.setdefault(member.name, {name: [] for name in fields})
+                    part[field].append(job_id)
+        return [
+            (member, RenewJobs(message.coordinator, *map(tuple, parts[member.name].values())))
+            for member in members
+            if member.name in parts
+        ]
 
     def _nearest_first(self, job_id: str, members: tuple[Member, ...]) -> list[Member]:
         """Return members by rank, of those that rank first the ones in this zone first."""
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -35,6 +35,7 @@
         self.misdirected = False
         self.connected_at = 0.0
         self._lock = threading.Lock()
+        self._reported: ReportedLoad | None = None
         self._others = 0.0
         self._reported_at = 0.0
         self._penalty = 0.0
@@ -70,6 +71,7 @@
     def take_report(self, load: ReportedLoad) -> None:
         """Take what the replica told; it includes this process's own requests."""
         with self._lock:
+            self._reported = load
             self._others = max(0.0, load.running + load.waiting - self.in_flight)
             self._reported_at = time.monotonic()
 
@@ -82,6 +84,11 @@
         age_s = time.monotonic() - self._reported_at
         return self.in_flight + self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
 
+    def reported(self) -> tuple[ReportedLoad | None, float]:
+        """Return what the replica told last with an answer, and when (monotonic)."""
+        with self._lock:
+            return self._reported, self._reported_at
+
     def report_age_s(self) -> float:
         """Return the age of the last report in seconds."""
         return time.monotonic() - self._reported_at
