--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint demo
+.PHONY: setup test lint demo demo-platform
 
 setup: $(STAMP)
 
@@ -21,3 +21,6 @@
 
 demo: setup
 	$(VENV)/bin/python -m quaymill_bench.demo
+
+demo-platform: setup
+	$(VENV)/bin/python -m quaymill_bench.fleet_demo
--- a/src/quaymill/platform/main.py
+++ b/src/quaymill/platform/main.py
@@ -50,7 +50,9 @@
     if role is ServingRole.JOB_STORAGE:
         return StorageNode(settings, store, STORAGE_PROTOCOL)
     metrics = Endpoint(settings.address, METRICS_PORT)
-    return GatewayNode(settings, store, GATEWAY_PROTOCOL, metrics)
+    return GatewayNode(
+        settings, store, GATEWAY_PROTOCOL, metrics, lambda: store.calls, log_lines_dropped
+    )
 
 
 def main() -> int:
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -42,6 +42,11 @@
 IDLE_BEFORE_EXIT_S = 0.4
 IDLE_CHECK_INTERVAL_S = 0.05
 JOIN_PATIENCE_S = 3.0
+REPLICA_STATES: dict[str, Callable[[Replica], bool]] = {
+    "listed": lambda replica: replica.departed_at is None,
+    "leaving": lambda replica: replica.departed_at is None and replica.leaving,
+    "ejected": lambda replica: replica.departed_at is None and replica.ejected,
+}
 
 
 @attrs.frozen
@@ -69,8 +74,12 @@
         store: ObjectStore,
         protocol: GatewayProtocol,
         metrics_endpoint: Endpoint | None,
+        store_calls: Callable[[], int] = lambda: 0,
+        log_lines_dropped: Callable[[], int] = lambda: 0,
     ) -> None:
         self._settings = settings
+        self._store_calls = store_calls
+        self._log_lines_dropped = log_lines_dropped
         self._started_at = time.monotonic()
         self.network = PeerNetwork.from_settings(settings)
         self._connections = ReplicaConnections(LinkFilter(), CONNECT_TIMEOUT_S)
@@ -155,6 +164,10 @@
                 "Version of the configuration in force.",
                 lambda: self.control.routes.version,
             ),
+            "control_age_seconds": (
+                "How long ago configuration and replicas were known to be the newest.",
+                self.network.membership.confirmed_age_s,
+            ),
             "requests_in_service": (
                 "Requests of callers in service.",
                 lambda: self._front.in_service,
@@ -164,14 +177,23 @@
                 "Batch jobs coordinated here.",
                 lambda: len(self.coordinator.open_jobs()),
             ),
+            "storage_nodes": ("Live storage nodes.", lambda: len(self.network.storage_nodes())),
+            "gateways": ("Live gateways.", lambda: len(self.network.gateways())),
             "replica_connections_opened": (
                 "Connections opened to replicas since the start.",
                 lambda: self._connections.opened,
             ),
+            "store_calls": ("Calls of the platform's store since the start.", self._store_calls),
+            "log_lines_dropped": ("Log lines left out since the start.", self._log_lines_dropped),
         }
+        registry = self._metrics.registry
         for name, (text, read) in gauges.items():
-            gauge = Gauge(f"quaymill_{name}", text, registry=self._metrics.registry)
-            gauge.set_function(read)
+            Gauge(f"quaymill_{name}", text, registry=registry).set_function(read)
+        replicas = Gauge("quaymill_replicas", "Replicas by state.", ("state",), registry=registry)
+        for state, is_in_state in REPLICA_STATES.items():
+            replicas.labels(state).set_function(
+                lambda wanted=is_in_state: self._table.count(wanted)
+            )
 
     def start(self) -> None:
         """Start the parts; each finds those it uses already running."""
--- /dev/null
+++ b/tests/test_platform_names.py
@@ -0,0 +1,85 @@
+"""The platform's names stand in one folder only, and that folder decides nothing."""
+
+from __future__ import annotations
+
+import ast
+import unittest
+from pathlib import Path
+
+SOURCES = Path(__file__).parent.parent / "src" / "quaymill"
+ADAPTER = SOURCES / "platform"
+NAMES = (
+    '"Request-Id"',
+    "Deadline-Ms",
+    "Expect-Instance",
+    "Last-Event-Id",
+    "Server-Load",
+    "Not-Executed",
+    "Prompt-Prefix",
+    "Token-Count",
+    "Response-Seal",
+    "Wait-Ms",
+    "Kv-",
+    "/v1/ready",
+    "/v1/report",
+    "/v1/lots",
+    "/v1/items",
+    "/v1/objects",
+    '"servers"',
+    '"retirements"',
+    "since_rev",
+    "next_token",
+    "wait_ms",
+    "dead_letter",
+    "slo_ms",
+    "max_conns",
+    "QUAYMILL_BOOT",
+    "cold_left_ms",
+)
+MAX_ADAPTER_LINES = 1200
+TIMING_MODULES = {"threading", "random", "select", "queue", "sched", "asyncio"}
+"""What decisions need: waiting, choosing and doing several things at once."""
+
+
+def adapter_files() -> list[Path]:
+    return sorted(ADAPTER.rglob("*.py"))
+
+
+class PlatformNamesTest(unittest.TestCase):
+    """Where the names stand."""
+
+    def test_no_other_folder_knows_the_platforms_names(self) -> None:
+        found = [
+            f"{path.relative_to(SOURCES)}: {name}"
+            for path in sorted(SOURCES.rglob("*.py"))
+            if ADAPTER not in path.parents
+            for name in NAMES
+            if name in path.read_text()
+        ]
+        self.assertEqual([], found)
+
+    def test_nothing_but_the_entry_imports_the_adapter(self) -> None:
+        found = [
+            str(path.relative_to(SOURCES))
+            for path in sorted(SOURCES.rglob("*.py"))
+            if ADAPTER not in path.parents and "quaymill.platform" in path.read_text()
+        ]
+        self.assertEqual([], found)
+
+
+class SmallFolderTest(unittest.TestCase):
+    """The adapter translates and stays small."""
+
+    def test_it_stays_small(self) -> None:
+        lines = sum(len(path.read_text().splitlines()) for path in adapter_files())
+        self.assertLessEqual(lines, MAX_ADAPTER_LINES)
+
+    def test_it_has_no_threads_timers_or_choices(self) -> None:
+        for path in adapter_files():
+            imported = set()
+            for node in ast.walk(ast.parse(path.read_text())):
+                if isinstance(node, ast.Import):
+                    imported |= {name.name.split(".")[0] for name in node.names}
+                elif isinstance(node, ast.ImportFrom) and node.module:
+                    imported.add(node.module.split(".")[0])
+            self.assertEqual(set(), imported & TIMING_MODULES, path.name)
