Avoid replicas from which nothing at all comes

Silence on all connections for 0.5 s (or six usual times to the first byte) now makes the router avoid it, and ends waits that may go elsewhere.

--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -128,7 +128,7 @@
         exchange.abandon()
         return _error_outcome(head.status)
     replica.record_success(time.monotonic() - began)
-    return _read_events(item, exchange, head.keep_s)
+    return _read_events(item, replica, exchange, head.keep_s)
 
 
 def _error_outcome(status: int) -> ItemOutcome:
@@ -139,13 +139,16 @@
     return ItemCut(f"the replica answered {status}")
 
 
-def _read_events(item: RunningItem, exchange: Exchange, keep_s: float) -> ItemOutcome:
+def _read_events(
+    item: RunningItem, replica: Replica, exchange: Exchange, keep_s: float
+) -> ItemOutcome:
     framer = EventFramer(item.last_event_id)
     exchange.set_read_timeout(EVENT_GAP_TIMEOUT_S)
     while True:
         block = exchange.read_block()
         if isinstance(block, OutcomeUnknown):
             return ItemCut(block.reason, blames_replica=not item.giving_way)
+        replica.hear()
         if not block:
             break
         events = framer.take(block)
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -15,6 +15,9 @@
 """Failures, weighted by their age, from which on a replica counts as ejected."""
 DEFAULT_SLOTS = 8
 LATENCY_WEIGHT = 0.2
+LEAST_SILENCE_S = 0.5
+SILENCE_FACTOR = 6.0
+"""Silence, in usual times to the first byte, from which on a replica counts as silent."""
 
 
 class Replica:
@@ -42,6 +45,7 @@
         self._penalty_at = 0.0
         self._first_byte_s = 0.0
         self._told_ejected = False
+        self._quiet_since = 0.0
 
     @property
     def id(self) -> str:
@@ -61,8 +65,26 @@
     def begin(self) -> None:
         """Count a request that is being sent."""
         with self._lock:
+            if not self.in_flight:
+                self._quiet_since = time.monotonic()
             self.in_flight += 1
 
+    def hear(self) -> None:
+        """Note that something came from the replica, whatever it was."""
+        self._quiet_since = time.monotonic()
+
+    @property
+    def silent(self) -> bool:
+        """Whether the replica owes this process answers and nothing at all comes.
+
+        One that is dark or frozen ceases to send on all connections at once, which shows long
+        before any single request has waited for long.
+        """
+        if not self.in_flight:
+            return False
+        usual_s = SILENCE_FACTOR * self._first_byte_s
+        return time.monotonic() - self._quiet_since > max(LEAST_SILENCE_S, usual_s)
+
     def end(self) -> None:
         """Stop counting a request."""
         with self._lock:
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -11,12 +11,12 @@
 import time
 from collections.abc import Iterable
 
-import attrs
 import xxhash
 
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.prompt import NO_PROMPT, Prompt
+from quaymill.request.replica_choice import NoReplica
 from quaymill.version.request_routes import RequestRoute, WeightedService
 
 OTHER_ZONE_LOAD = 0.75
@@ -29,14 +29,6 @@
 LAST_RESORT_DEPARTED_S = 1.0
 
 
-@attrs.frozen
-class NoReplica:
-    """No replica of the service may take a request now."""
-
-    service: str
-    reason: str
-
-
 class Router:
     """Chooses among the replicas in a table.
 
@@ -84,7 +76,7 @@
             ]
         if not candidates:
             return NoReplica(service, "no replica of the service is listed and untried")
-        sound = [replica for replica in candidates if not replica.ejected]
+        sound = [replica for replica in candidates if not replica.ejected and not replica.silent]
         return self._least_costly(sound or candidates, prompt)
 
     def _least_costly(self, candidates: list[Replica], prompt: Prompt) -> Replica:
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -17,12 +17,11 @@
 
 from quaymill.connection.replica_answer import AnswerHead
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
-from quaymill.process.replica_set.replica import Replica
-from quaymill.process.replica_set.router import NoReplica, Router
 from quaymill.request.event_stream import EventFramer
 from quaymill.request.forwarded_request import ForwardedRequest, Headers
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 from quaymill.request.presence import CallerPresence
+from quaymill.request.replica_choice import ChosenReplica, NoReplica, ReplicaChooser
 from quaymill.version.request_routes import RequestRoute, RouteKind
 
 MAX_REFUSALS = 8
@@ -32,6 +31,9 @@
 """An idle connection may be closed just as a request goes out, which then cannot be repeated."""
 IDLE_LIMIT_S = 20.0
 FIRST_EVENT_PATIENCE_S = 2.0
+SILENCE_PATIENCE_S = 0.6
+"""Wait at a replica from which nothing at all comes, if another may be tried."""
+SILENCE_CHECK_S = 0.1
 EVENT_GAP_PATIENCE_S = 1.0
 ANSWER_PATIENCE_FACTOR = 8.0
 MIN_ANSWER_PATIENCE_S = 0.5
@@ -116,7 +118,7 @@
     """Forwards requests for one process."""
 
     def __init__(
-        self, router: Router, connections: ReplicaConnections, protocol: ReplicaProtocol
+        self, router: ReplicaChooser, connections: ReplicaConnections, protocol: ReplicaProtocol
     ) -> None:
         self.router = router
         self.connections = connections
@@ -192,7 +194,7 @@
             self._answer.break_off()
         return GivenUp(reason, may_have_run=self._runs > 0, timed_out=timed_out)
 
-    def _attempt(self, replica: Replica) -> _AttemptResult:
+    def _attempt(self, replica: ChosenReplica) -> _AttemptResult:
         load = replica.load()
         report_age_s = replica.report_age_s()
         began = time.monotonic()
@@ -218,12 +220,12 @@
         )
         return result
 
-    def _judge(self, replica: Replica, result: _AttemptResult) -> None:
+    def _judge(self, replica: ChosenReplica, result: _AttemptResult) -> None:
         """Let the replica's record know how the attempt ended."""
         if isinstance(result, _Broken):
             replica.record_failure()
 
-    def _send(self, replica: Replica, began: float) -> _AttemptResult:
+    def _send(self, replica: ChosenReplica, began: float) -> _AttemptResult:
         remaining_s = self._request.deadline.remaining_s()
         message = self._protocol.build_request(
             self._request, replica.id, remaining_s, self._framer.last_id
@@ -250,28 +252,34 @@
         return self._take_answer(exchange, replica, head, began)
 
     def _wait_for_answer(
-        self, exchange: Exchange, replica: Replica, began: float
+        self, exchange: Exchange, replica: ChosenReplica, began: float
     ) -> _Broken | None:
         """Wait for the first byte; a replica that stays silent is given up if that may help."""
+        may_try_another = self._may_try_another()
         patience_s = self._request.deadline.remaining_s()
-        if self._may_try_another():
+        if may_try_another:
             patience_s = min(patience_s, self._answer_patience_s(replica))
-        if exchange.wait_readable(patience_s):
-            return None
+        until = time.monotonic() + patience_s
+        while (left_s := until - time.monotonic()) > 0:
+            if exchange.wait_readable(min(left_s, SILENCE_CHECK_S)):
+                replica.hear()
+                return None
+            if may_try_another and replica.silent and time.monotonic() - began > SILENCE_PATIENCE_S:
+                break
         exchange.abandon()
         return _Broken(f"nothing came for {time.monotonic() - began:.2f} s")
 
     def _may_try_another(self) -> bool:
         return self._route.repeatable and self._runs + 1 < self._route.max_attempts
 
-    def _answer_patience_s(self, replica: Replica) -> float:
+    def _answer_patience_s(self, replica: ChosenReplica) -> float:
         if self._route.kind is RouteKind.STREAMING:
             return FIRST_EVENT_PATIENCE_S
         usual_s = max(replica.first_byte_s, self._route.objective_s / 2)
         return max(MIN_ANSWER_PATIENCE_S, ANSWER_PATIENCE_FACTOR * usual_s)
 
     def _take_answer(
-        self, exchange: Exchange, replica: Replica, head: AnswerHead, began: float
+        self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead, began: float
     ) -> _AttemptResult:
         if head.load is not None:
             replica.take_report(head.load)
@@ -288,7 +296,7 @@
         return self._relay(exchange, replica, head)
 
     def _take_refusal(
-        self, exchange: Exchange, replica: Replica, head: AnswerHead
+        self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
     ) -> _AttemptResult:
         if head.misdirected:
             replica.misdirected = True
@@ -296,7 +304,9 @@
         exchange.abandon()
         return _Refused(f"the replica answered {head.status} and did not run the request")
 
-    def _relay(self, exchange: Exchange, replica: Replica, head: AnswerHead) -> _AttemptResult:
+    def _relay(
+        self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
+    ) -> _AttemptResult:
         is_stream = self._is_stream(head)
         if self._answer.started and not is_stream:
             exchange.abandon()
@@ -315,7 +325,7 @@
         return names.get("content-type", "").startswith(EVENT_STREAM)
 
     def _relay_whole(
-        self, exchange: Exchange, replica: Replica, head: AnswerHead
+        self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
     ) -> _AttemptResult:
         """Read the answer before any of it is sent, unless it is long."""
         blocks: list[bytes] = []
@@ -343,7 +353,7 @@
         return Delivered(head.status, replica.id)
 
     def _relay_events(
-        self, exchange: Exchange, replica: Replica, head: AnswerHead
+        self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
     ) -> _AttemptResult:
         """Pass events on as they come; of a resumable stream only whole ones."""
         resumable = self._route.resumable
@@ -353,6 +363,7 @@
             block = exchange.read_block()
             if isinstance(block, OutcomeUnknown):
                 return _Broken(block.reason)
+            replica.hear()
             if not block:
                 break
             events = self._framer.take(block) if resumable else block
--- /dev/null
+++ b/src/quaymill/request/replica_choice.py
@@ -0,0 +1,78 @@
+"""What a request needs of the replicas: one to go to, and a place to note how that went."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Protocol
+
+import attrs
+
+from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad
+from quaymill.request.prompt import Prompt
+from quaymill.version.request_routes import RequestRoute
+
+
+@attrs.frozen
+class NoReplica:
+    """No replica of the service may take a request now."""
+
+    service: str
+    reason: str
+
+
+class ChosenReplica(Protocol):
+    """One replica, as a request sees it."""
+
+    misdirected: bool
+
+    @property
+    def id(self) -> str:
+        """Identity of this incarnation."""
+
+    @property
+    def entry(self) -> ReplicaEntry:
+        """What the replica says of itself."""
+
+    @property
+    def first_byte_s(self) -> float:
+        """Smoothed time to the first byte of an answer, in seconds; 0 if unknown."""
+
+    @property
+    def silent(self) -> bool:
+        """Whether the replica owes answers and nothing at all comes from it."""
+
+    def hear(self) -> None:
+        """Note that something came from the replica."""
+
+    def begin(self) -> None:
+        """Count a request that is being sent."""
+
+    def end(self) -> None:
+        """Stop counting a request."""
+
+    def load(self) -> float:
+        """Return the estimated number of requests at the replica."""
+
+    def report_age_s(self) -> float:
+        """Return the age of the last report in seconds."""
+
+    def take_report(self, load: ReportedLoad) -> None:
+        """Take what the replica told of its load."""
+
+    def record_success(self, first_byte_s: float) -> None:
+        """Note a timely answer."""
+
+    def record_failure(self, weight: float = 1.0) -> None:
+        """Note a failure."""
+
+
+class ReplicaChooser(Protocol):
+    """Chooses where a request goes."""
+
+    def choose_service(self, route: RequestRoute) -> str:
+        """Return the service that takes this request of a route."""
+
+    def choose(
+        self, service: str, prompt: Prompt, excluded: Iterable[str]
+    ) -> ChosenReplica | NoReplica:
+        """Return the best replica, leaving out those whose identity is in ``excluded``."""
--- /dev/null
+++ b/tests/test_replica_choice.py
@@ -0,0 +1,147 @@
+"""Which replica is chosen: load, zone, prompt, failures, silence."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from unittest import mock
+
+from nose2.tools import params
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad
+from quaymill.process.replica_set import replica as replica_module
+from quaymill.process.replica_set.router import Router
+from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.request.prompt import NO_PROMPT, Prompt, PromptPart
+from quaymill.request.replica_choice import NoReplica
+from quaymill.version.request_routes import RequestRoute, RouteKind, WeightedService
+
+SERVICE = "engine"
+
+
+def entry(name: str, zone: str = "here", draining: bool = False) -> ReplicaEntry:
+    return ReplicaEntry(name, SERVICE, Endpoint("127.0.0.1", 1), zone, 8, draining)
+
+
+class ChoiceCase(unittest.TestCase):
+    """A router over a table."""
+
+    def setUp(self) -> None:
+        self.table = ReplicaTable()
+        self.router = Router(self.table, "here", "seed")
+
+    def list(self, *entries: ReplicaEntry) -> None:
+        self.table.replace_all(entries, self.table.revision + 1)
+
+    def choices(self, count: int = 20, prompt: Prompt = NO_PROMPT, excluded=()) -> set[str]:
+        return {self.router.choose(SERVICE, prompt, excluded).id for _ in range(count)}
+
+
+class RouterTest(ChoiceCase):
+    """One service."""
+
+    def test_less_loaded_one(self) -> None:
+        self.list(entry("a"), entry("b"))
+        self.table.get("a").take_report(ReportedLoad(5, 2, 8))
+        self.assertEqual({"b"}, self.choices())
+
+    def test_own_requests_count_at_once(self) -> None:
+        self.list(entry("a"), entry("b"))
+        self.table.get("a").begin()
+        self.assertEqual({"b"}, self.choices())
+
+    def test_own_zone_unless_it_is_busier(self) -> None:
+        self.list(entry("near"), entry("far", zone="there"))
+        self.assertEqual({"near"}, self.choices())
+        for _ in range(3):
+            self.table.get("near").begin()
+        self.assertEqual({"far"}, self.choices())
+
+    def test_large_shared_part_has_a_home(self) -> None:
+        names = [f"r{number}" for number in range(6)]
+        self.list(*map(entry, names))
+        prompt = Prompt((PromptPart("shared", 12_000), PromptPart("own", 500)))
+        home = self.choices(prompt=prompt)
+        self.assertEqual(1, len(home))
+        replica = self.table.get(home.pop())
+        for _ in range(20):
+            replica.begin()
+        self.assertNotIn(replica.id, self.choices(prompt=prompt))
+
+    @params("draining", "departed", "misdirected", "ejected", "silent")
+    def test_replica_that_is_avoided(self, how) -> None:
+        self.list(entry("bad"), entry("good"))
+        bad = self.table.get("bad")
+        if how == "draining":
+            self.list(entry("bad", draining=True), entry("good"))
+        elif how == "departed":
+            self.list(entry("good"))
+        elif how == "misdirected":
+            bad.misdirected = True
+        elif how == "ejected":
+            bad.record_failure(2.0)
+        else:
+            bad.begin()
+            bad._quiet_since = time.monotonic() - 5.0
+            # Load alone must not be what decides.
+            for _ in range(5):
+                self.table.get("good").begin()
+            self.table.get("good").hear()
+        self.assertEqual({"good"}, self.choices())
+
+    def test_answers_of_other_requests_end_the_silence(self) -> None:
+        self.list(entry("a"))
+        replica = self.table.get("a")
+        replica.begin()
+        replica._quiet_since = time.monotonic() - 5.0
+        self.assertTrue(replica.silent)
+        replica.hear()
+        self.assertFalse(replica.silent)
+
+    def test_all_bad_is_better_than_none(self) -> None:
+        self.list(entry("a"), entry("b"))
+        for name in ("a", "b"):
+            self.table.get(name).record_failure(3.0)
+        self.assertLessEqual(self.choices(60), {"a", "b"})
+
+    def test_only_leaving_ones_is_none(self) -> None:
+        self.list(entry("a", draining=True))
+        self.assertIsInstance(self.router.choose(SERVICE), NoReplica)
+
+    def test_entry_that_lapsed_just_now_is_a_last_resort(self) -> None:
+        self.list(entry("a"))
+        self.list()
+        self.assertEqual({"a"}, self.choices())
+        self.table.get("a").departed_at -= 5.0
+        self.assertIsInstance(self.router.choose(SERVICE), NoReplica)
+
+    def test_old_reports_fade(self) -> None:
+        self.list(entry("a"))
+        replica = self.table.get("a")
+        replica.take_report(ReportedLoad(8, 8, 8))
+        at = time.monotonic()
+        with mock.patch.object(replica_module.time, "monotonic", lambda: at + 10.0):
+            self.assertLess(replica.load(), 0.1)
+
+
+class WeightsTest(ChoiceCase):
+    """Routes that are split over services."""
+
+    def route(self, **weights: float) -> RequestRoute:
+        parts = tuple(WeightedService(name, weight) for name, weight in weights.items())
+        return RequestRoute("r", "h", "/", RouteKind.IDEMPOTENT, parts, 1.0, 1.0)
+
+    def shares(self, route: RequestRoute, count: int = 200) -> dict[str, int]:
+        chosen = [self.router.choose_service(route) for _ in range(count)]
+        return {name: chosen.count(name) for name in set(chosen)}
+
+    def test_shares_follow_the_weights(self) -> None:
+        self.assertEqual({"a": 180, "b": 20}, self.shares(self.route(a=90, b=10)))
+
+    def test_changed_weights_hold_at_once(self) -> None:
+        self.shares(self.route(a=90, b=10))
+        self.assertEqual({"a": 100, "b": 100}, self.shares(self.route(a=50, b=50)))
+
+    def test_weight_of_nothing_gets_nothing(self) -> None:
+        self.assertEqual({"b": 50}, self.shares(self.route(a=0, b=1), 50))
