--- a/src/quaymill/process/membership/membership.py
+++ b/src/quaymill/process/membership/membership.py
@@ -5,7 +5,7 @@
 DEAD. News rides on the probes, and a periodic comparison with a random node, sometimes one
 held for dead, brings everything that was missed, also after a partition has healed.
 
-Two threads serve a node: one receives, one probes.
+Two threads serve a node: one receives, one probes; a third one looks for the others at the start.
 """
 
 from __future__ import annotations
@@ -43,6 +43,7 @@
 NOTICE_FANOUT = 4
 DRAINING_FANOUT = 8
 SYNC_INTERVAL_S = 10.0
+JOIN_INTERVAL_S = 0.2
 STOP_TIMEOUT_S = 5.0
 PROCESS_ID_BYTES = 4
 
@@ -95,6 +96,8 @@
         self._socket.start(self._handle)
         self._prober = threading.Thread(target=self._probe_loop, name="member-probe", daemon=True)
         self._prober.start()
+        if self._timing.join_period_s:
+            threading.Thread(target=self._join, name="member-join", daemon=True).start()
 
     def stop(self) -> None:
         """Stop without a word; peers find the node dead. Announce draining first if planned."""
@@ -258,11 +261,27 @@
                     process=member.process_id,
                 )
 
-    def _rejoin(self) -> None:
-        """Greet a seed that is not a member, or a dead member: it may be back, or reachable."""
+    def _join(self) -> None:
+        """Look for the others often while this node is new.
+
+        When many nodes start together, a seed may not listen yet at the first greeting, and
+        who comes a moment later would be heard of only with the slow spread of news.
+        """
+        until = time.monotonic() + self._timing.join_period_s
+        while time.monotonic() < until and not self._stopping.wait(JOIN_INTERVAL_S):
+            for seed in self._strange_seeds():
+                self._synchronisation.begin(seed)
+            self._sync_with_one()
+
+    def _strange_seeds(self) -> set[Endpoint]:
+        """Return the seeds that are no members here."""
         known = {member.peer for member in self._table.peers()}
         with self._seeds_lock:
-            strangers = {seed for seed in self._seeds if seed not in known}
+            return {seed for seed in self._seeds if seed not in known}
+
+    def _rejoin(self) -> None:
+        """Greet a seed that is not a member, or a dead member: it may be back, or reachable."""
+        strangers = self._strange_seeds()
         strangers.update(member.peer for member in self._table.dead())
         if strangers:
             self._synchronisation.begin(self._random.choice(sorted(strangers)))
--- a/src/quaymill/process/peer_network.py
+++ b/src/quaymill/process/peer_network.py
@@ -12,7 +12,11 @@
 from quaymill.process.settings import MembershipSettings, NodeSettings
 
 TIMING = MembershipSettings(
-    probe_interval_s=0.5, probe_timeout_s=0.25, suspicion_s=1.0, rejoin_interval_s=0.7
+    probe_interval_s=0.5,
+    probe_timeout_s=0.25,
+    suspicion_s=1.0,
+    rejoin_interval_s=0.7,
+    join_period_s=4.0,
 )
 COORDINATOR_SEPARATOR = "#"
 
--- a/src/quaymill/process/settings.py
+++ b/src/quaymill/process/settings.py
@@ -55,12 +55,20 @@
 
 
 class MembershipSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Timing of failure detection, in seconds."""
+    """Timing of failure detection, in seconds.
+
+    Attributes
+    ----------
+    join_period_s
+        How long after its start a node looks for the others many times a second; 0 for not
+        at all.
+    """
 
     probe_interval_s: float = 1.0
     probe_timeout_s: float = 0.5
     suspicion_s: float = 3.0
     rejoin_interval_s: float = 3.0
+    join_period_s: float = 0.0
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
