--- a/src/quaymill/connection/job_storage_messages.py
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -127,6 +127,13 @@
     coordinator: str
 
 
+class HandedOverJob(msgspec.Struct, frozen=True, array_like=True):
+    """A job, and who runs it from now on."""
+
+    job_id: str
+    successor: str
+
+
 class RenewJobs(PeerMessage, frozen=True):
     """Renew the leases of a coordinator.
 
@@ -138,12 +145,15 @@
         Jobs all of whose items are listed.
     released_jobs
         Jobs that it gives up; others may adopt them at once.
+    handed_over_jobs
+        Jobs that it has given to another coordinator.
     """
 
     coordinator: str
     open_jobs: tuple[str, ...]
     complete_jobs: tuple[str, ...] = ()
     released_jobs: tuple[str, ...] = ()
+    handed_over_jobs: tuple[HandedOverJob, ...] = ()
 
 
 class JobsRenewed(PeerMessage, frozen=True):
@@ -153,9 +163,12 @@
     ----------
     ended_jobs
         Those of its jobs that were ended.
+    taken_jobs
+        Those of its jobs whose lease another coordinator has.
     """
 
     ended_jobs: tuple[str, ...] = ()
+    taken_jobs: tuple[str, ...] = ()
 
 
 # Storage node to gateway.
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -27,7 +27,7 @@
     ObjectStore,
     StoredObject,
 )
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient, PeerRefusal, PeerServer
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.process.control.store_reader import StoreReader
 from quaymill.process.membership.membership import Membership
@@ -37,6 +37,8 @@
 PULL_CHECK_INTERVAL_S = 0.5
 PULL_TIMEOUT_S = 0.8
 PULL_RETRY_S = 0.1
+MAX_PULLS_AT_ONCE = 4
+"""Gateways answered at the same time: a large configuration spreads as from hand to hand."""
 
 
 @attrs.frozen
@@ -82,6 +84,8 @@
         self._peer_client = peer_client
         self._lock = threading.Lock()
         self._document: Any = None
+        self._read_revision = 0
+        self._pulls = threading.Semaphore(MAX_PULLS_AT_ONCE)
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._listeners: list[Callable[[RequestRoutes], None]] = []
@@ -126,7 +130,9 @@
         listing = self._store.list(ObjectKind.REPLICAS)
         if not isinstance(listing, Listing):
             return listing.reason
-        self._offer_configuration(stored.spec, "store")
+        if stored.revision != self._read_revision:
+            self._offer_configuration(stored.spec, "store")
+            self._read_revision = stored.revision
         self._table.replace_all(self._read_replicas(listing.objects), listing.revision)
         self._tell_versions()
         self._membership.confirm(began)
@@ -230,7 +236,16 @@
             self._tell_versions()
         return True
 
-    def _answer_pull(self, message: PullControl) -> ControlState:
+    def _answer_pull(self, message: PullControl) -> ControlState | PeerRefusal:
+        """Give what is newer; who finds this gateway busy asks another that has it by then."""
+        if not self._pulls.acquire(blocking=False):
+            return PeerRefusal("others are being answered")
+        try:
+            return self._newer_than(message)
+        finally:
+            self._pulls.release()
+
+    def _newer_than(self, message: PullControl) -> ControlState:
         with self._lock:
             newer = self.routes.version > message.configuration_version
             document = self._document if newer else None
--- /dev/null
+++ b/src/quaymill/process/control/store_sharing.py
@@ -0,0 +1,136 @@
+"""Calls of the platform's store by way of other gateways, while it turns this one away.
+
+Only single objects of jobs' listings go this way. A write is bound to a revision, so that one
+which was done although its answer was lost does no harm when it is made again by another.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from eliot import log_message
+
+from quaymill.connection.member import Member
+from quaymill.connection.object_store import (
+    Changes,
+    HistoryGone,
+    Listing,
+    ObjectKind,
+    ObjectMissing,
+    ObjectStore,
+    RevisionConflict,
+    StoredObject,
+    StoreFailure,
+    StoreRefused,
+    StoreUnanswered,
+    WriteResult,
+)
+from quaymill.connection.peer_link import PeerClient, PeerRefusal, PeerServer
+from quaymill.connection.store_messages import SharedObject, StoreAnswer, StoreCall
+
+SHARED_KINDS = frozenset({ObjectKind.JOB_LISTINGS})
+HELPERS = 2
+HELP_TIMEOUT_S = 2.0
+
+
+class SharingStore:
+    """An ``ObjectStore`` that asks other gateways when its own calls fail.
+
+    Parameters
+    ----------
+    helpers
+        Returns the gateways that may be asked.
+    """
+
+    def __init__(
+        self,
+        own: ObjectStore,
+        peer_client: PeerClient,
+        peer_server: PeerServer,
+        helpers: Callable[[], tuple[Member, ...]],
+    ) -> None:
+        self._own = own
+        self._peer_client = peer_client
+        self._helpers = helpers
+        peer_server.register(StoreCall, self._answer)
+
+    def list(self, kind: ObjectKind) -> Listing | StoreFailure:
+        """Return all objects of a kind."""
+        return self._own.list(kind)
+
+    def watch(
+        self, kind: ObjectKind, revision: int, wait_s: float
+    ) -> Changes | HistoryGone | StoreFailure:
+        """Wait for changes."""
+        return self._own.watch(kind, revision, wait_s)
+
+    def get(self, kind: ObjectKind, name: str) -> StoredObject | ObjectMissing | StoreFailure:
+        """Return one object, never an old one."""
+        result = self._own.get(kind, name)
+        return self._or_by_others(result, StoreCall(kind.name, name))
+
+    def create(self, kind: ObjectKind, name: str, spec: Any) -> WriteResult:
+        """Make an object; a conflict if it exists."""
+        result = self._own.create(kind, name, spec)
+        return self._or_by_others(result, StoreCall(kind.name, name, spec))
+
+    def replace(self, kind: ObjectKind, name: str, spec: Any, revision: int) -> WriteResult:
+        """Replace an object's ``spec`` if ``revision`` is still the object's."""
+        result = self._own.replace(kind, name, spec, revision)
+        return self._or_by_others(result, StoreCall(kind.name, name, spec, revision))
+
+    def replace_status(
+        self, kind: ObjectKind, name: str, status: Any, revision: int
+    ) -> WriteResult:
+        """Replace an object's ``status``."""
+        return self._own.replace_status(kind, name, status, revision)
+
+    def delete(self, kind: ObjectKind, name: str) -> WriteResult:
+        """Remove an object."""
+        return self._own.delete(kind, name)
+
+    def _or_by_others(self, result: Any, call: StoreCall) -> Any:
+        if not isinstance(result, StoreRefused | StoreUnanswered):
+            return result
+        if ObjectKind[call.object_kind] not in SHARED_KINDS:
+            return result
+        helpers = list(self._helpers())
+        for member in random.sample(helpers, min(HELPERS, len(helpers))):
+            reply = self._peer_client.call(member.peer, call, StoreAnswer, HELP_TIMEOUT_S)
+            if isinstance(reply, StoreAnswer):
+                log_message("control:store_call_shared", name=call.name, peer=member.name)
+                return _result(reply)
+        return result
+
+    def _answer(self, call: StoreCall) -> StoreAnswer | PeerRefusal:
+        """Make a call for another gateway; with no help of a third one."""
+        kind = ObjectKind[call.object_kind]
+        if kind not in SHARED_KINDS:
+            return PeerRefusal(f"calls about {call.object_kind} are not made for others")
+        if call.spec is None:
+            result = self._own.get(kind, call.name)
+        elif call.revision:
+            result = self._own.replace(kind, call.name, call.spec, call.revision)
+        else:
+            result = self._own.create(kind, call.name, call.spec)
+        if isinstance(result, StoreRefused | StoreUnanswered):
+            return PeerRefusal(result.reason)
+        if isinstance(result, ObjectMissing):
+            return StoreAnswer(missing=True)
+        if isinstance(result, RevisionConflict):
+            return StoreAnswer(_shared(result.object), conflict=True)
+        return StoreAnswer(_shared(result))
+
+
+def _shared(stored: StoredObject | None) -> SharedObject | None:
+    return None if stored is None else SharedObject(stored.name, stored.revision, stored.spec)
+
+
+def _result(answer: StoreAnswer) -> StoredObject | RevisionConflict | ObjectMissing:
+    if answer.missing:
+        return ObjectMissing()
+    held = answer.object
+    stored = None if held is None else StoredObject(held.name, held.revision, held.spec)
+    return RevisionConflict(stored) if answer.conflict or stored is None else stored
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -14,6 +14,7 @@
 from quaymill.connection.object_store import ObjectStore
 from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.process.control.state import ControlPlaneView, ControlProtocol
+from quaymill.process.control.store_sharing import SharingStore
 from quaymill.process.front.caller_protocol import CallerProtocol
 from quaymill.process.front.front_service import FrontService
 from quaymill.process.front.http_server import HttpServer
@@ -23,6 +24,7 @@
 from quaymill.process.jobs.coordinator import CoordinatorParts, JobCoordinator
 from quaymill.process.jobs.engine_loads import EngineLoads, ReportProtocol
 from quaymill.process.jobs.item_run import ItemProtocol
+from quaymill.process.jobs.lease_renewal import LeaseRenewal
 from quaymill.process.jobs.listing import JobListings
 from quaymill.process.jobs.service import JobService
 from quaymill.process.jobs.storage_client import JobStorageClient
@@ -93,7 +95,11 @@
             self.network.server,
             settings.read_interval_s,
         )
-        listings = JobListings(store)
+        listings = JobListings(
+            SharingStore(
+                store, self.network.client, self.network.server, self.network.other_gateways
+            )
+        )
         storage = JobStorageClient(
             self.network.client,
             self.network.storage_nodes,
@@ -101,6 +107,9 @@
             settings.disks_lost_at_once + 1,
             settings.zone,
         )
+        leases = LeaseRenewal(
+            self.network.client, self.network.storage_nodes, settings.disks_lost_at_once + 2
+        )
         self._loads = EngineLoads(
             self._table, self._connections, protocol.reports, lambda: self.coordinator.wake()
         )
@@ -113,14 +122,16 @@
                 connections=self._connections,
                 loads=self._loads,
                 storage=storage,
+                leases=leases,
                 listings=listings,
                 protocol=protocol.items,
                 is_live=lambda name: self.network.process(name) is not None,
             )
         )
-        self._jobs = JobService(
+        self.jobs = JobService(
             self.coordinator,
             storage,
+            leases,
             listings,
             self.network.client,
             self.network.server,
@@ -153,7 +164,7 @@
             protocol.callers,
             lambda: self.control.routes,
             forwarder,
-            self._jobs,
+            self.jobs,
             self._metrics,
             ADMISSION_LIMIT,
         )
@@ -221,7 +232,7 @@
         log_message("node:draining", in_service=self._front.in_service)
         self._front.draining = True
         self.network.membership.announce_draining()
-        handing_over = threading.Thread(target=self._jobs.hand_over_all, daemon=True)
+        handing_over = threading.Thread(target=self.jobs.hand_over_all, daemon=True)
         handing_over.start()
         # Callers whose connections were brought here before the platform noticed still send.
         time.sleep(self._settings.bounds.leave_s)
--- a/src/quaymill/process/job_storage/database.py
+++ b/src/quaymill/process/job_storage/database.py
@@ -203,6 +203,13 @@
             ).fetchall()
         return tuple(ResultKey(index, digest) for index, digest in rows)
 
+    def size_bytes(self) -> int:
+        """Return the space that the database takes on the disk, without its log."""
+        with self._read_lock:
+            (pages,) = self._reader.execute("PRAGMA page_count").fetchone()
+            (page_bytes,) = self._reader.execute("PRAGMA page_size").fetchone()
+        return pages * page_bytes
+
     def forget(self, job_id: str) -> None:
         """Remove a job and its results."""
         with self._lock, self._transaction():
--- a/src/quaymill/process/job_storage/leases.py
+++ b/src/quaymill/process/job_storage/leases.py
@@ -22,13 +22,26 @@
         self._holder_by_job: dict[str, str] = {}
         self._first_expiry = time.monotonic() + LEASE_S
 
-    def renew(self, job_ids: Iterable[str], holder: str) -> None:
-        """Start a full term of each job's lease."""
-        expires = time.monotonic() + LEASE_S
+    def renew(self, job_ids: Iterable[str], holder: str) -> list[str]:
+        """Start a full term of each job's lease; return the jobs whose lease another has."""
+        now = time.monotonic()
+        refused = []
         with self._lock:
             for job_id in job_ids:
-                self._expires_by_job[job_id] = expires
+                other = self._holder_by_job.get(job_id, holder) != holder
+                if other and self._expires_by_job.get(job_id, 0.0) > now:
+                    refused.append(job_id)
+                    continue
+                self._expires_by_job[job_id] = now + LEASE_S
                 self._holder_by_job[job_id] = holder
+        return refused
+
+    def hand_over(self, job_id: str, holder: str, successor: str) -> None:
+        """Give a lease that ``holder`` has to its successor, for a full term."""
+        with self._lock:
+            if self._holder_by_job.get(job_id, holder) == holder:
+                self._expires_by_job[job_id] = time.monotonic() + LEASE_S
+                self._holder_by_job[job_id] = successor
 
     def extend(self, job_id: str, left_s: float) -> None:
         """Note that the lease still runs elsewhere."""
--- a/src/quaymill/process/job_storage/service.py
+++ b/src/quaymill/process/job_storage/service.py
@@ -36,18 +36,33 @@
 from quaymill.process.job_storage.database import JobDatabase
 from quaymill.process.job_storage.leases import Leases as LeaseTable
 
+FULL_SHARE = 0.7
+"""Part of the disk from which on no new jobs are taken: results and the log need room."""
+
 
 class JobStorageService:
     """The handlers of one storage node.
 
+    Parameters
+    ----------
+    disk_bytes
+        Size of the disk; 0 if it is not known.
+
     Attributes
     ----------
     retiring
         Whether the node is being emptied, so that it takes nothing new.
     """
 
-    def __init__(self, database: JobDatabase, leases: LeaseTable, peer_server: PeerServer) -> None:
+    def __init__(
+        self,
+        database: JobDatabase,
+        leases: LeaseTable,
+        peer_server: PeerServer,
+        disk_bytes: float = 0.0,
+    ) -> None:
         self._database = database
+        self._disk_bytes = disk_bytes
         self._leases = leases
         self.retiring = threading.Event()
         handlers = {
@@ -68,6 +83,8 @@
     def _store_job(self, message: StoreJob) -> PeerMessage:
         if self.retiring.is_set():
             return PeerRefusal("this node is being emptied")
+        if self._disk_bytes and self._database.size_bytes() > FULL_SHARE * self._disk_bytes:
+            return PeerRefusal("the disk is nearly full")
         known = message.job.id in self._database.by_id
         record = self._database.store_job(message.job, message.coordinator)
         if not known:
@@ -113,7 +130,9 @@
         return JobEnded(holder or ("" if record is None else record.coordinator))
 
     def _renew_jobs(self, message: RenewJobs) -> JobsRenewed:
-        self._leases.renew(message.open_jobs, message.coordinator)
+        taken = self._leases.renew(message.open_jobs, message.coordinator)
+        for handed in message.handed_over_jobs:
+            self._leases.hand_over(handed.job_id, message.coordinator, handed.successor)
         for job_id in message.complete_jobs:
             self._database.complete_job(job_id)
         for job_id in message.released_jobs:
@@ -123,7 +142,7 @@
             record = self._database.by_id.get(job_id)
             if record is not None and record.ended:
                 ended.append(job_id)
-        return JobsRenewed(tuple(ended))
+        return JobsRenewed(tuple(ended), tuple(taken))
 
     def _compare_jobs(self, message: CompareJobs) -> JobSummaries:
         records = list(self._database.by_id.values())
--- a/src/quaymill/process/jobs/coordinator.py
+++ b/src/quaymill/process/jobs/coordinator.py
@@ -38,6 +38,7 @@
     ItemProtocol,
     run_item,
 )
+from quaymill.process.jobs.lease_renewal import LeaseRenewal
 from quaymill.process.jobs.listing import JobListings, Listing, ListingDocument, ListingUnknown
 from quaymill.process.jobs.storage_client import JobStorageClient
 from quaymill.process.replica_set.replica import Replica
@@ -72,6 +73,7 @@
     connections: ReplicaConnections
     loads: EngineLoads
     storage: JobStorageClient
+    leases: LeaseRenewal
     listings: JobListings
     protocol: ItemProtocol
     is_live: Callable[[str], bool]
@@ -435,9 +437,22 @@
                 complete, self._newly_complete = tuple(self._newly_complete), []
             if not open_jobs and not complete:
                 continue
-            message = RenewJobs(self._parts.name, open_jobs, complete)
-            for job_id in self._parts.storage.renew(message):
+            outcome = self._parts.leases.renew(RenewJobs(self._parts.name, open_jobs, complete))
+            for job_id in outcome.ended:
                 self.end(job_id)
+            for job_id in outcome.taken:
+                self._check_taken(job_id)
+
+    def _check_taken(self, job_id: str) -> None:
+        """Leave a job to another coordinator if that one also stands in the listing."""
+        job = self.get(job_id)
+        if job is None:
+            return
+        listing = self._parts.listings.read(job_id)
+        if isinstance(listing, Listing):
+            job.take_listing(listing)
+            if listing.document.coordinator not in ("", self._parts.name):
+                self._meet_other(job, listing)
 
 
 def _reserve_share(job: CoordinatedJob) -> float:
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable
 
 import attrs
@@ -11,6 +12,7 @@
 from quaymill.connection.job_document import Job, JobDocument
 from quaymill.connection.job_storage_messages import (
     AdoptJob,
+    HandedOverJob,
     HandOverJob,
     JobAdopted,
     JobStopped,
@@ -24,6 +26,7 @@
 from quaymill.connection.peer_link import PeerClient, PeerRefusal, PeerServer
 from quaymill.process.jobs.coordinated_job import make_page
 from quaymill.process.jobs.coordinator import JobCoordinator
+from quaymill.process.jobs.lease_renewal import LeaseRenewal
 from quaymill.process.jobs.listing import JobListings, ListingDocument, ListingUnknown
 from quaymill.process.jobs.storage_client import JobStorageClient, NotFound, NotKept
 from quaymill.process.membership.ranking import rank_nodes
@@ -33,6 +36,8 @@
 HAND_OVER_TIMEOUT_S = 1.5
 MAX_HELD_READS = 24
 KNOWN_COORDINATORS = 2000
+CERTAIN_AFTER_S = 6.0
+"""Time after which a gateway knows all storage nodes that it can reach."""
 
 
 @attrs.frozen
@@ -91,6 +96,7 @@
         self,
         coordinator: JobCoordinator,
         storage: JobStorageClient,
+        leases: LeaseRenewal,
         listings: JobListings,
         peer_client: PeerClient,
         peer_server: PeerServer,
@@ -99,12 +105,14 @@
     ) -> None:
         self._coordinator = coordinator
         self._storage = storage
+        self._leases = leases
         self._listings = listings
         self._peer_client = peer_client
         self._gateway_of = gateway_of
         self._gateways = gateways
         self._held_reads = threading.Semaphore(MAX_HELD_READS)
         self._coordinators_by_job: dict[str, str] = {}
+        self._started_at = time.monotonic()
         peer_server.register(AdoptJob, self._answer_adopt)
         peer_server.register(HandOverJob, self._answer_hand_over)
         peer_server.register(ReadResults, self._answer_read)
@@ -146,7 +154,7 @@
             return page
         found = self._storage.find_job(job_id)
         if isinstance(found, NotFound):
-            return NoSuchJob() if found.certain else Unsure("not all storage nodes answered")
+            return self._unknown(job_id, found)
         if found.coordinator != coordinator:
             page = self._ask_coordinator(job_id, since, wait_s, found.coordinator)
             if page is not None:
@@ -162,14 +170,14 @@
             return next(bodies, None) or NoSuchItem()
         body = self._storage.fetch_body(job_id, item_id)
         if isinstance(body, NotFound):
-            return NoSuchJob() if body.certain else Unsure("not all storage nodes answered")
+            return self._unknown(job_id, body)
         return NoSuchItem() if body is None else body
 
     def end(self, job_id: str) -> Ended | NoSuchJob | Unsure:
         """End a job; repeated calls are answered alike."""
         found = self._storage.find_job(job_id)
         if isinstance(found, NotFound):
-            return NoSuchJob() if found.certain else Unsure("not all storage nodes answered")
+            return self._unknown(job_id, found)
         kept, coordinators = self._storage.end_job(job_id)
         if not kept:
             return Unsure("too few storage nodes have noted the end")
@@ -180,20 +188,32 @@
 
     def hand_over_all(self) -> None:
         """Give every open job to another gateway, with what its runs have brought."""
-        orders = self._coordinator.stop()
-        released = []
-        for order in orders:
+        for order in self._coordinator.stop():
             ranked = rank_nodes(order.job.id, self._gateways())
-            adopted = any(self._hand_over(order, member) for member in ranked[:2])
-            if not adopted:
-                released.append(order.job.id)
-        if released:
-            self._storage.renew(
-                RenewJobs(self._coordinator.name, (), released_jobs=tuple(released))
-            )
+            successors = (self._hand_over(order, member) for member in ranked[:2])
+            successor = next(filter(None, successors), "")
+            handed = (HandedOverJob(order.job.id, successor),) if successor else ()
+            released = () if successor else (order.job.id,)
+            # At once: the successor cannot renew a lease that this coordinator still has.
+            self._leases.renew(RenewJobs(self._coordinator.name, (), (), released, handed))
 
     # Helpers.
 
+    def _unknown(self, job_id: str, found: NotFound) -> NoSuchJob | Unsure:
+        """Say that there is no such job only where that is certain.
+
+        A gateway that is new may not know all storage nodes yet, and one of those that it knows
+        may have lost its disk just now; a job that has results has a listing besides.
+        """
+        if not found.certain:
+            return Unsure("not all storage nodes answered")
+        if time.monotonic() - self._started_at < CERTAIN_AFTER_S:
+            return Unsure("this gateway may not know all storage nodes yet")
+        listing = self._listings.read(job_id)
+        if listing is not None:
+            return Unsure("the job's order is known, but no storage node tells of the job")
+        return NoSuchJob()
+
     def _page(self, job_id: str, since: int, wait_s: float) -> ResultsPage | Unsure:
         held = self._coordinator.get(job_id)
         if held is None:
@@ -246,7 +266,8 @@
         if member is not None:
             self._peer_client.call(member.peer, StopJob(job_id), JobStopped, STOP_TIMEOUT_S)
 
-    def _hand_over(self, order: HandOverJob, member: Member) -> bool:
+    def _hand_over(self, order: HandOverJob, member: Member) -> str:
+        """Offer a job to a gateway; return the name of the coordinator that took it."""
         reply = self._peer_client.call(member.peer, order, JobAdopted, HAND_OVER_TIMEOUT_S)
         log_message(
             "job:handed_over",
@@ -254,7 +275,7 @@
             gateway=member.name,
             outcome=type(reply).__name__,
         )
-        return isinstance(reply, JobAdopted)
+        return reply.coordinator if isinstance(reply, JobAdopted) else ""
 
     # Calls of peers.
 
--- a/src/quaymill/process/jobs/storage_client.py
+++ b/src/quaymill/process/jobs/storage_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import threading
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -18,11 +17,9 @@
     FindJob,
     JobEnded,
     JobFound,
-    JobsRenewed,
     JobStored,
     JobUnknown,
     KeyedResult,
-    RenewJobs,
     ResultKey,
     ResultsStored,
     StoreJob,
@@ -37,7 +34,6 @@
 FIND_TIMEOUT_S = 1.0
 END_TIMEOUT_S = 2.5
 FETCH_TIMEOUT_S = 1.5
-RENEW_TIMEOUT_S = 0.6
 
 
 @attrs.frozen
@@ -201,41 +197,6 @@
             unsure = unsure or not isinstance(reply, JobUnknown)
         return NotFound(certain=bool(known) and not unsure)
 
-    def renew(self, message: RenewJobs) -> frozenset[str]:
-        """Renew leases with the storage nodes that hold the jobs; return those that were ended."""
-        ended: set[str] = set()
-        threads = []
-        for member, part in self._parts_by_holder(message):
-            threads.append(
-                threading.Thread(target=self._renew_at, args=(member, part, ended), daemon=True)
-            )
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join(RENEW_TIMEOUT_S)
-        return frozenset(ended)
-
-    def _renew_at(self, member: Member, message: RenewJobs, ended: set[str]) -> None:
-        reply = self._peer_client.call(member.peer, message, JobsRenewed, RENEW_TIMEOUT_S)
-        if isinstance(reply, JobsRenewed):
-            ended.update(reply.ended_jobs)
-
-    def _parts_by_holder(self, message: RenewJobs) -> list[tuple[Member, RenewJobs]]:
-        """Split a renewal into what each storage node holds by its rank."""
-        members = self._storage_nodes()
-        fields = ("open_jobs", "complete_jobs", "released_jobs")
-        parts: dict[str, dict[str, list[str]]] = {}
-        for field in fields:
-            for job_id in getattr(message, field):
-                for member in rank_nodes(job_id, members)[: self._copies + 1]:
-                    part = parts.setdefault(member.name, {name: [] for name in fields})
-                    part[field].append(job_id)
-        return [
-            (member, RenewJobs(message.coordinator, *map(tuple, parts[member.name].values())))
-            for member in members
-            if member.name in parts
-        ]
-
     def _nearest_first(self, job_id: str, members: tuple[Member, ...]) -> list[Member]:
         """Return members by rank, of those that rank first the ones in this zone first."""
         ranked = rank_nodes(job_id, members)
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -103,6 +103,9 @@
     "control:store_regained": LogEvent(
         "the platform's store answers again", ("kind", "failures: tries in between")
     ),
+    "control:store_call_shared": LogEvent(
+        "another gateway made a call of the store for this one", ("name", "peer")
+    ),
     "control:history_gone": LogEvent("a watch has to begin anew", ("kind", "revision")),
     "membership:member": LogEvent(
         "this node's view of another one has changed",
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -26,7 +26,8 @@
 """Shared tokens that are worth as much as one request less at the replica."""
 SECOND_HOME_SHARE = 0.5
 PENALTY_LOAD = 2.0
-LAST_RESORT_DEPARTED_S = 1.0
+LAST_RESORT_DEPARTED_S = 0.5
+"""With the time until a departure is read, this stays below what a leaving replica allows."""
 
 
 class Router:
--- a/src/quaymill/process/storage_node.py
+++ b/src/quaymill/process/storage_node.py
@@ -25,6 +25,7 @@
 WATCH_S = 5.0
 """Longest time a watch waits, so that one that died silently is found."""
 JOBS_FOLDER = "jobs"
+BYTES_PER_MB = 1024 * 1024
 
 
 @attrs.frozen
@@ -48,7 +49,9 @@
         rules = CopyRules(settings.disks_lost_at_once + 1)
         self._database = JobDatabase(Path(settings.data_folder) / JOBS_FOLDER)
         leases = Leases()
-        self._service = JobStorageService(self._database, leases, network.server)
+        self._service = JobStorageService(
+            self._database, leases, network.server, settings.machine.disk_mb * BYTES_PER_MB
+        )
         self._repair = Repair(
             settings.name, self._database, leases, network.client, network.storage_nodes, rules
         )
--- a/src/quaymill/version/request_routes.py
+++ b/src/quaymill/version/request_routes.py
@@ -109,22 +109,22 @@
     routes: tuple[RequestRoute, ...] = ()
     services: dict[str, ServiceProperties] = attrs.field(factory=dict)
     limits: RequestLimits = RequestLimits()
-    _by_host: dict[str, tuple[RequestRoute, ...]] = attrs.field(init=False, repr=False, eq=False)
+    _by_prefix: dict[tuple[str, str], RequestRoute] = attrs.field(init=False, repr=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
-        by_host: dict[str, list[RequestRoute]] = {}
-        for route in self.routes:
-            by_host.setdefault(route.host, []).append(route)
-        longest_first = {
-            host: tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
-            for host, routes in by_host.items()
-        }
-        object.__setattr__(self, "_by_host", longest_first)
+        by_prefix = {(route.host, route.path_prefix): route for route in self.routes}
+        object.__setattr__(self, "_by_prefix", by_prefix)
 
     def find(self, host: str, path: str) -> RequestRoute | None:
-        """Return the route of ``host`` with the longest prefix of ``path``."""
-        for route in self._by_host.get(host, ()):
-            if path.startswith(route.path_prefix):
+        """Return the route of ``host`` with the longest prefix of ``path``.
+
+        Every prefix ends with a slash, so only the path's slashes are looked at: the time does
+        not grow with the number of routes.
+        """
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._by_prefix.get((host, path[: end + 1]))
+            if route is not None:
                 return route
         return None
 
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -230,6 +230,15 @@
         )
         self.assertTrue(self.is_served("gateway-1", prefix))
 
+    def test_results_are_listed_by_way_of_another_gateway(self) -> None:
+        listings = self.rig.gateways["gateway-0"].coordinator._parts.listings
+        listings._store._own = _RefusingStore()
+        self.assertEqual(202, self.rig.submit("gateway-0", "job", 4).status)
+        results = self.rig.wait_results("gateway-1", "job", 4)
+        self.assertEqual(4, len({result["id"] for result in results}))
+        for index in range(4):
+            self.assertEqual(1, len(self.runs(item_id("job", index))))
+
 
 class GatewayFaultTest(FaultCase):
     """Gateways stop, die and come back."""
@@ -245,6 +254,22 @@
             {result["message"] for result in results},
         )
 
+    def test_coordinator_that_stood_still_leaves_its_job_to_the_other(self) -> None:
+        self.slow_engines(0.3, 30)
+        self.rig.submit("gateway-0", "job", 6)
+        self.wait_for_running_item("job")
+        frozen = self.rig.gateways["gateway-0"].coordinator
+        # As a process does that stands still: it renews nothing for longer than a lease.
+        frozen._parts.leases._storage_nodes = lambda: ()
+        frozen.adopt = lambda *arguments: False
+        other = self.rig.gateways["gateway-1"].coordinator
+        wait_until(lambda: other.get("job"), "the job is adopted")
+        frozen._parts.leases._storage_nodes = self.rig.gateways["gateway-0"].network.storage_nodes
+        wait_until(lambda: frozen.get("job") is None, "the former coordinator leaves it", 5.0)
+        self.slow_engines(0.01, 30)
+        results = self.rig.wait_results("gateway-0", "job", 6)
+        self.assertEqual(6, len({result["id"] for result in results}))
+
     def test_listed_results_stay_when_the_coordinator_dies(self) -> None:
         self.slow_engines(0.05)
         self.rig.submit("gateway-0", "job", 12)
@@ -331,6 +356,19 @@
         self.assertEqual(503, answer.status)
         self.assertGreater(float(answer.headers["Retry-After"]), 0)
 
+    def test_new_gateway_is_not_sure_that_there_is_no_such_job(self) -> None:
+        late = self.rig.start_gateway("gateway-5", "zone-a")
+        wait_until(lambda: late.network.storage_nodes() and late.control.ready, "it has joined")
+        self.assertEqual(503, self.rig.read_results("gateway-5", "none").status)
+        late.jobs._started_at -= 60.0
+        wait_until(lambda: len(late.network.storage_nodes()) == 3, "it knows all")
+        self.assertEqual(404, self.rig.read_results("gateway-5", "none").status)
+
+    def test_nearly_full_disk_takes_no_new_jobs(self) -> None:
+        for node in self.rig.storage.values():
+            node._service._disk_bytes = 1000
+        self.assertEqual(503, self.rig.submit("gateway-0", "job", 1).status)
+
     def test_lost_disk_is_filled_again(self) -> None:
         self.rig.submit("gateway-0", "job", 3)
         self.rig.wait_results("gateway-1", "job", 3)
@@ -428,6 +466,12 @@
     def list(self, kind):
         return StoreRefused("turned away")
 
+    def create(self, kind, name, spec):
+        return StoreRefused("turned away")
+
+    def replace(self, kind, name, spec, revision):
+        return StoreRefused("turned away")
+
 
 def _read_all(connection: socket.socket) -> bytes:
     received = b""
--- /dev/null
+++ b/tests/test_job_leases.py
@@ -0,0 +1,48 @@
+"""Leases of coordinators on a storage node."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from quaymill.process.job_storage import leases as leases_module
+from quaymill.process.job_storage.leases import LEASE_S, Leases
+
+
+class LeasesTest(unittest.TestCase):
+    """Time is the test's own."""
+
+    def setUp(self) -> None:
+        self.now = 1000.0
+        patch = mock.patch.object(leases_module.time, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.leases = Leases()
+
+    def test_every_job_counts_as_leased_for_a_term_after_the_start(self) -> None:
+        self.assertEqual(LEASE_S, self.leases.left_s("job"))
+        self.now += LEASE_S
+        self.assertEqual(0.0, self.leases.left_s("job"))
+
+    def test_renewal_by_another_is_refused_until_the_lease_lapses(self) -> None:
+        self.assertEqual([], self.leases.renew(["job"], "a"))
+        self.now += LEASE_S / 2
+        self.assertEqual(["job"], self.leases.renew(["job"], "b"))
+        self.assertEqual("a", self.leases.holder("job"))
+        self.now += LEASE_S / 2
+        self.assertEqual([], self.leases.renew(["job"], "b"))
+        self.assertEqual(["job"], self.leases.renew(["job"], "a"))
+
+    def test_hand_over_counts_only_by_the_holder(self) -> None:
+        self.leases.renew(["job"], "a")
+        self.leases.hand_over("job", "x", "y")
+        self.assertEqual("a", self.leases.holder("job"))
+        self.leases.hand_over("job", "a", "b")
+        self.assertEqual([], self.leases.renew(["job"], "b"))
+
+    def test_release_ends_it_at_once(self) -> None:
+        self.leases.renew(["job"], "a")
+        self.leases.release("job", "b")
+        self.assertGreater(self.leases.left_s("job"), 0.0)
+        self.leases.release("job", "a")
+        self.assertEqual(0.0, self.leases.left_s("job"))
