--- a/src/quaymill/process/jobs/lease_renewal.py
+++ b/src/quaymill/process/jobs/lease_renewal.py
@@ -24,7 +24,8 @@
     ended
         Jobs that were ended.
     taken
-        Jobs whose lease another coordinator has at every storage node that answered.
+        Jobs whose lease another coordinator has at some storage node; which of the two is to
+        leave the job, its listing tells.
     """
 
     ended: frozenset[str]
@@ -54,7 +55,7 @@
 
     def renew(self, message: RenewJobs) -> RenewalOutcome:
         """Renew, complete, release and hand over what a message names."""
-        answers: list[tuple[RenewJobs, JobsRenewed]] = []
+        answers: list[JobsRenewed] = []
         threads = [
             threading.Thread(target=self._renew_at, args=(member, part, answers), daemon=True)
             for member, part in self._parts(message)
@@ -65,12 +66,10 @@
             thread.join(RENEW_TIMEOUT_S)
         return _merged(list(answers))
 
-    def _renew_at(
-        self, member: Member, part: RenewJobs, answers: list[tuple[RenewJobs, JobsRenewed]]
-    ) -> None:
+    def _renew_at(self, member: Member, part: RenewJobs, answers: list[JobsRenewed]) -> None:
         reply = self._peer_client.call(member.peer, part, JobsRenewed, RENEW_TIMEOUT_S)
         if isinstance(reply, JobsRenewed):
-            answers.append((part, reply))
+            answers.append(reply)
 
     def _parts(self, message: RenewJobs) -> Iterator[tuple[Member, RenewJobs]]:
         """Yield what concerns each storage node."""
@@ -92,13 +91,7 @@
                 yield member, part
 
 
-def _merged(answers: list[tuple[RenewJobs, JobsRenewed]]) -> RenewalOutcome:
-    ended = {job_id for _, reply in answers for job_id in reply.ended_jobs}
-    taken = {job_id for _, reply in answers for job_id in reply.taken_jobs}
-    granted = {
-        job_id
-        for part, reply in answers
-        for job_id in part.open_jobs
-        if job_id not in reply.taken_jobs
-    }
-    return RenewalOutcome(frozenset(ended), frozenset(taken - granted))
+def _merged(answers: list[JobsRenewed]) -> RenewalOutcome:
+    ended = {job_id for reply in answers for job_id in reply.ended_jobs}
+    taken = {job_id for reply in answers for job_id in reply.taken_jobs}
+    return RenewalOutcome(frozenset(ended), frozenset(taken))
