Never tell a listed position to be empty

Contents are fetched at the read; what cannot be read is 503. test_listed_position_is_never_told_to_be_empty fails without the change and passes with it.

--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -212,12 +212,12 @@
             self._contents |= contents
             self.changed.notify_all()
 
-    def missing_contents(self) -> tuple[ResultKey, ...]:
-        """Return the keys of listed contents that are not here."""
+    def missing_contents(self, since: int = 0) -> tuple[ResultKey, ...]:
+        """Return the keys of contents listed from a position on that are not here."""
         with self.changed:
             return tuple(
                 listed.key
-                for listed in self.listing.document.results
+                for listed in self.listing.document.results[since:]
                 if listed.key not in self._contents
             )
 
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -24,7 +24,7 @@
 )
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient, PeerRefusal, PeerServer
-from quaymill.process.jobs.coordinated_job import make_page
+from quaymill.process.jobs.coordinated_job import CoordinatedJob, make_page
 from quaymill.process.jobs.coordinator import JobCoordinator
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
 from quaymill.process.jobs.listing import JobListings, ListingDocument, ListingUnknown
@@ -221,10 +221,24 @@
         # Reads that are held take threads; beyond a bound they are answered at once.
         may_wait = wait_s > 0 and self._held_reads.acquire(blocking=False)
         try:
-            return held.page(since, wait_s if may_wait else 0.0)
+            page = held.page(since, wait_s if may_wait else 0.0)
         finally:
             if may_wait:
                 self._held_reads.release()
+        return page if page.results else self._page_with_contents(held, since)
+
+    def _page_with_contents(self, held: CoordinatedJob, since: int) -> ResultsPage | Unsure:
+        """Make a page again after fetching contents that an adopted job may lack.
+
+        A position that is listed may have been read already: it is never told to be empty.
+        """
+        missing = held.missing_contents(since)
+        if missing:
+            held.add_contents(self._storage.fetch_results(held.id, missing))
+        page = held.page(since, 0.0)
+        if not page.results and since < len(held.listing.document.results):
+            return Unsure("a listed result cannot be read now")
+        return page
 
     def _ask_coordinator(
         self, job_id: str, since: int, wait_s: float, coordinator: str | None
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -437,6 +437,22 @@
             self.assertEqual(2, len(self.rig.wait_results("gateway-1", f"job-{number}", 2)))
 
 
+class MissingContentsTest(FaultCase):
+    """A gateway adopts a job whose contents it could not fetch at once."""
+
+    def test_listed_position_is_never_told_to_be_empty(self) -> None:
+        self.rig.submit("gateway-0", "job", 4)
+        results = self.rig.wait_results("gateway-0", "job", 4)
+        held = self.rig.gateways["gateway-0"].coordinator.get("job")
+        held._contents.clear()
+        page = json.loads(self.rig.read_results("gateway-1", "job", since=3).data)
+        self.assertEqual(results[3:], page["results"])
+        held._contents.clear()
+        for name in list(self.rig.storage):
+            self.rig.storage.pop(name).stop()
+        self.assertEqual(503, self.rig.read_results("gateway-0", "job", since=3).status)
+
+
 class ListingTest(unittest.TestCase):
     """Two coordinators of one job: nothing is listed twice, nothing moves."""
 
