--- a/src/quaymill/process/jobs/coordinator.py
+++ b/src/quaymill/process/jobs/coordinator.py
@@ -9,6 +9,7 @@
 import itertools
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -22,13 +23,13 @@
     RenewJobs,
 )
 from quaymill.connection.replica_connection import ReplicaConnections
+from quaymill.connection.room_messages import ClaimRoom, ItemsAt, WantedItems
 from quaymill.process.jobs.coordinated_job import (
     CoordinatedJob,
     ItemState,
     RunningItem,
     listed_result,
 )
-from quaymill.process.jobs.engine_loads import EngineLoads
 from quaymill.process.jobs.item_run import (
     ItemCut,
     ItemDone,
@@ -40,12 +41,15 @@
 )
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
 from quaymill.process.jobs.listing import JobListings, Listing, ListingDocument, ListingUnknown
+from quaymill.process.jobs.room_keeper import Claim
 from quaymill.process.jobs.storage_client import JobStorageClient
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.version.request_routes import RequestRoute, RequestRoutes
 
-DISPATCH_INTERVAL_S = 0.1
+DISPATCH_INTERVAL_S = 0.2
+CLAIM_PAUSE_S = 0.05
+"""Least time between two claims: items that end close together share one."""
 PUBLISH_INTERVAL_S = 0.4
 """Least time between two appends to a listing: results that end close together share one."""
 PUBLISH_RETRY_S = 0.5
@@ -69,9 +73,10 @@
     name: str
     zone: str
     routes: Callable[[], RequestRoutes]
+    choose_service: Callable[[RequestRoute], str]
     table: ReplicaTable
     connections: ReplicaConnections
-    loads: EngineLoads
+    claim_room: Claim
     storage: JobStorageClient
     leases: LeaseRenewal
     listings: JobListings
@@ -213,15 +218,57 @@
                 self._dispatch_once(jobs)
             except Exception as error:  # A bug must not end all batch work of this gateway.
                 log_message("batch:dispatch_error", error=repr(error))
+            self._stopping.wait(CLAIM_PAUSE_S)
             self._wake.wait(DISPATCH_INTERVAL_S if jobs else None)
             self._wake.clear()
 
     def _dispatch_once(self, jobs: list[CoordinatedJob]) -> None:
-        services = (self._services_of(job) for job in jobs if job.has_work())
-        self._parts.loads.want(frozenset(itertools.chain.from_iterable(services)))
-        self._give_way(jobs)
+        jobs_by_service: dict[str, list[CoordinatedJob]] = {}
         for job in jobs:
-            self._start_items(job)
+            services = self._services_of(job)
+            self._give_up_late(job)
+            if services and job.has_work():
+                # Items of a route that is split go to the service whose turn it is.
+                service = self._parts.choose_service(job.route)
+                jobs_by_service.setdefault(service, []).append(job)
+        for service, claiming in jobs_by_service.items():
+            self._claim(service, claiming)
+
+    def _claim(self, service: str, jobs: list[CoordinatedJob]) -> None:
+        """Ask for room for the waiting items of some jobs, and do as the answer says."""
+        wanted = tuple(one for one in map(_wanted, jobs) if one.items)
+        running = Counter(item.replica_id for item in self._running_items_of(service))
+        if self._running_items >= MAX_RUNNING_ITEMS:
+            wanted = ()
+        granted = self._parts.claim_room(
+            ClaimRoom(
+                self._parts.name,
+                self._parts.zone,
+                service,
+                tuple(ItemsAt(replica_id, items) for replica_id, items in running.items()),
+                wanted,
+            )
+        )
+        if granted is None:
+            return
+        for at in granted.give_back:
+            self._give_way(service, at)
+        waiting = iter([(job, item) for job in jobs for item in job.waiting()])
+        for at in granted.starts:
+            replica = self._parts.table.get(at.replica_id)
+            if replica is None or replica.leaving:
+                continue
+            for job, item in itertools.islice(waiting, at.items):
+                self._start_item(job, item, replica)
+
+    def _running_items_of(self, service: str) -> list[RunningItem]:
+        replica_ids = {replica.id for replica in self._parts.table.of_service(service)}
+        return [
+            item
+            for job in self.open_jobs()
+            for item in job.running()
+            if item.replica_id in replica_ids and not item.giving_way
+        ]
 
     def _services_of(self, job: CoordinatedJob) -> tuple[str, ...]:
         """Return the services that may run a job's items by the configuration in force."""
@@ -232,24 +279,11 @@
         job.routed_at = time.monotonic()
         return tuple(part.service for part in route.services)
 
-    def _start_items(self, job: CoordinatedJob) -> None:
-        waiting = job.waiting()
-        if not waiting:
-            return
-        services = self._services_of(job)
+    def _give_up_late(self, job: CoordinatedJob) -> None:
         reason = self._reason_to_give_up(job)
         if reason:
-            for item in waiting:
+            for item in job.waiting():
                 job.finish(item, ResultState.DEAD, reason)
-            return
-        reserve_share = _reserve_share(job)
-        for item in waiting:
-            if self._running_items >= MAX_RUNNING_ITEMS:
-                return
-            replica = self._replica_with_room(services, item, reserve_share)
-            if replica is None:
-                return
-            self._start_item(job, item, replica)
 
     def _reason_to_give_up(self, job: CoordinatedJob) -> str:
         """Return why the rest of a job will never be done; empty if it may be."""
@@ -262,29 +296,11 @@
             return "not done in time"
         return ""
 
-    def _replica_with_room(
-        self, services: tuple[str, ...], item: RunningItem, reserve_share: float
-    ) -> Replica | None:
-        """Return the replica with the most room, one of the own zone where they are close."""
-        best: Replica | None = None
-        best_room = 0.0
-        for service in services:
-            for replica in self._parts.table.of_service(service):
-                room = float(self._parts.loads.room(replica, item.item.tokens, reserve_share))
-                if room < 1:
-                    continue
-                if replica.entry.zone == self._parts.zone:
-                    room += 1.0
-                if room > best_room:
-                    best, best_room = replica, room
-        return best
-
     def _start_item(self, job: CoordinatedJob, item: RunningItem, replica: Replica) -> None:
         item.state = ItemState.RUNNING
         item.replica_id = replica.id
         item.started_at = time.monotonic()
         item.giving_way = False
-        self._parts.loads.started(replica, item.item.tokens)
         with self._lock:
             self._running_items += 1
         threading.Thread(
@@ -338,24 +354,16 @@
     def _max_attempts(self, job: CoordinatedJob) -> int:
         return max(1, job.route.max_attempts) if job.route else 1
 
-    def _give_way(self, jobs: list[CoordinatedJob]) -> None:
-        """Cut the youngest items at replicas where requests wait or slots run out."""
-        running_by_replica: dict[str, list[RunningItem]] = {}
-        for job in jobs:
-            for item in job.running():
-                if not item.giving_way:
-                    running_by_replica.setdefault(item.replica_id, []).append(item)
-        for replica_id, items in running_by_replica.items():
-            replica = self._parts.table.get(replica_id)
-            excess = self._parts.loads.excess(replica) if replica is not None else 0
-            if not excess:
-                continue
-            self._parts.loads.gave_way(replica)
-            items.sort(key=lambda item: item.started_at, reverse=True)
-            for item in items[:excess]:
-                item.giving_way = True
-                if item.cancel is not None:
-                    item.cancel()
+    def _give_way(self, service: str, at: ItemsAt) -> None:
+        """Cut the youngest items at a replica, which hold the least."""
+        items = [
+            item for item in self._running_items_of(service) if item.replica_id == at.replica_id
+        ]
+        items.sort(key=lambda item: item.started_at, reverse=True)
+        for item in items[: at.items]:
+            item.giving_way = True
+            if item.cancel is not None:
+                item.cancel()
 
     # Listing results.
 
@@ -455,7 +463,13 @@
                 self._meet_other(job, listing)
 
 
-def _reserve_share(job: CoordinatedJob) -> float:
+def _wanted(job: CoordinatedJob) -> WantedItems:
+    waiting = job.waiting()
     due_s = job.route.due_s if job.route else 0.0
     left = (job.due_at() - time.monotonic()) / due_s if due_s else 0.0
-    return next((share for least, share in RESERVE_SHARES if left >= least), RESERVE_SHARES[-1][1])
+    shares = (share for least, share in RESERVE_SHARES if left >= least)
+    return WantedItems(
+        next(shares, RESERVE_SHARES[-1][1]),
+        len(waiting),
+        max((item.item.tokens for item in waiting), default=0),
+    )
--- a/src/quaymill/process/jobs/engine_loads.py
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -67,12 +67,10 @@
         table: ReplicaTable,
         connections: ReplicaConnections,
         protocol: ReportProtocol,
-        on_report: Callable[[], None] = lambda: None,
     ) -> None:
         self._table = table
         self._connections = connections
         self._protocol = protocol
-        self._on_report = on_report
         self._lock = threading.Lock()
         self._polls_by_replica: dict[str, _Poll] = {}
         self._polled: set[str] = set()
@@ -158,8 +156,6 @@
                     poll.report = report
                     poll.taken_at = time.monotonic()
                     poll.forget_shown_starts()
-            if report is not None:
-                self._on_report()
             self._stopping.wait(_poll_interval_s(replica, report))
         with self._lock:
             self._polls_by_replica.pop(replica.id, None)
