Tell a page to be empty only from the newest order; split the coordinator; keepers have stand-ins

Change: an empty page needs leases renewed at all storage nodes that may hold the job within 0.8 of a term, else the listing is read first; what cannot be read is 503.

--- a/src/quaymill/connection/job_storage_messages.py
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -10,6 +10,10 @@
 # Gateway to storage node.
 
 
+LEASE_S = 2.5
+"""How long a storage node takes a coordinator for alive after it has renewed."""
+
+
 class StoreJob(PeerMessage, frozen=True):
     """Keep a job; answered by ``JobStored`` once it is on the disk."""
 
--- a/src/quaymill/connection/room_messages.py
+++ b/src/quaymill/connection/room_messages.py
@@ -39,6 +39,8 @@
         Items of this coordinator in service now.
     wanted
         Items that wait, the most urgent first.
+    avoided
+        Replicas that fail for this coordinator: it may be cut off from them alone.
     """
 
     coordinator: str
@@ -46,6 +48,7 @@
     service: str
     running: tuple[ItemsAt, ...]
     wanted: tuple[WantedItems, ...]
+    avoided: tuple[str, ...] = ()
 
 
 class RoomGranted(PeerMessage, frozen=True):
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -13,7 +13,6 @@
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.object_store import ObjectStore
 from quaymill.connection.replica_connection import ReplicaConnections
-from quaymill.connection.room_messages import ClaimRoom, RoomGranted
 from quaymill.process.control.state import ControlPlaneView, ControlProtocol
 from quaymill.process.control.store_sharing import SharingStore
 from quaymill.process.front.caller_protocol import CallerProtocol
@@ -22,15 +21,17 @@
 from quaymill.process.front.metrics import FrontMetrics
 from quaymill.process.front.plain_pages import MetricsServer, ReadinessServer
 from quaymill.process.gateway.caller_watch import CallerWatch
-from quaymill.process.jobs.coordinator import CoordinatorParts, JobCoordinator
+from quaymill.process.jobs.coordinator import JobCoordinator
 from quaymill.process.jobs.engine_loads import EngineLoads, ReportProtocol
+from quaymill.process.jobs.item_dispatcher import DispatcherParts
 from quaymill.process.jobs.item_run import ItemProtocol
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
 from quaymill.process.jobs.listing import JobListings
+from quaymill.process.jobs.result_publisher import PublisherParts
+from quaymill.process.jobs.room_claims import RoomClaims
 from quaymill.process.jobs.room_keeper import RoomKeeper
 from quaymill.process.jobs.service import JobService
 from quaymill.process.jobs.storage_client import JobStorageClient
-from quaymill.process.membership.ranking import rank_nodes
 from quaymill.process.node_registry import NodeRegistry
 from quaymill.process.peer_network import PeerNetwork
 from quaymill.process.replica_set.replica import Replica
@@ -47,7 +48,6 @@
 IDLE_BEFORE_EXIT_S = 0.4
 IDLE_CHECK_INTERVAL_S = 0.05
 JOIN_PATIENCE_S = 3.0
-CLAIM_TIMEOUT_S = 0.5
 REPLICA_STATES: dict[str, Callable[[Replica], bool]] = {
     "listed": lambda replica: replica.departed_at is None,
     "leaving": lambda replica: replica.departed_at is None and replica.leaving,
@@ -112,26 +112,33 @@
             settings.zone,
         )
         leases = LeaseRenewal(
-            self.network.client, self.network.storage_nodes, settings.disks_lost_at_once + 2
+            self.network.client,
+            self.network.storage_nodes,
+            self.network.known_storage_nodes,
+            settings.disks_lost_at_once + 2,
         )
         self._router = Router(self._table, settings.zone, settings.name)
         self._loads = EngineLoads(self._table, self._connections, protocol.reports)
-        self._keeper = RoomKeeper(self._table, self._loads, self.network.server)
+        keeper = RoomKeeper(self._table, self._loads, self.network.server)
+        claims = RoomClaims(settings.name, keeper, self.network.client, self.network.gateways)
         self.coordinator = JobCoordinator(
-            CoordinatorParts(
+            DispatcherParts(
                 name=self.network.process_name,
                 zone=settings.zone,
                 routes=lambda: self.control.routes,
                 choose_service=self._router.choose_service,
                 table=self._table,
                 connections=self._connections,
-                claim_room=self._claim_room,
+                claim_room=claims.claim,
+                protocol=protocol.items,
+            ),
+            PublisherParts(
+                name=self.network.process_name,
                 storage=storage,
-                leases=leases,
                 listings=listings,
-                protocol=protocol.items,
                 is_live=lambda name: self.network.process(name) is not None,
-            )
+            ),
+            leases,
         )
         self.jobs = JobService(
             self.coordinator,
@@ -287,14 +294,6 @@
         self._server.stop()
         self._readiness.stop()
 
-    def _claim_room(self, claim: ClaimRoom) -> RoomGranted | None:
-        """Put a claim to the gateway that ranks first for its service."""
-        ranked = rank_nodes(f"room/{claim.service}", self.network.gateways())
-        if not ranked or ranked[0].name == self._settings.name:
-            return self._keeper.claim(claim)
-        reply = self.network.client.call(ranked[0].peer, claim, RoomGranted, CLAIM_TIMEOUT_S)
-        return reply if isinstance(reply, RoomGranted) else None
-
     def _lacks_peers(self) -> bool:
         return not self.network.storage_nodes() or not self.network.other_gateways()
 
--- a/src/quaymill/process/job_storage/leases.py
+++ b/src/quaymill/process/job_storage/leases.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Iterable
 
-LEASE_S = 2.5
+from quaymill.connection.job_storage_messages import LEASE_S
 
 
 class Leases:
--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -11,6 +12,7 @@
 
 from quaymill.connection.job_document import Job, JobItem, JobResult, ResultState
 from quaymill.connection.job_storage_messages import (
+    LEASE_S,
     ItemProgress,
     KeyedResult,
     ResultKey,
@@ -19,6 +21,8 @@
 from quaymill.process.jobs.listing import ListedResult, Listing, ListingDocument
 from quaymill.version.request_routes import RequestRoute
 
+ORDER_TERM_S = 0.8 * LEASE_S
+"""How long after its leases were renewed nobody else lists a job's results, with a margin."""
 MAX_PAGE_BYTES = 1024 * 1024
 """Most text on one page of results; one result is on it whatever its size."""
 
@@ -87,9 +91,16 @@
         Monotonic time when it was first sent.
     coordinator
         Who runs it: this process, until another has taken it over.
+
+    Parameters
+    ----------
+    adopted
+        Whether another ran it before: its order is in the store then, not here.
     """
 
-    def __init__(self, job: Job, route: RequestRoute | None, coordinator: str) -> None:
+    def __init__(
+        self, job: Job, route: RequestRoute | None, coordinator: str, *, adopted: bool = False
+    ) -> None:
         self.job = job
         self.route = route
         self.coordinator = coordinator
@@ -100,6 +111,7 @@
         self.ended = False
         self.abandoned = False
         self.yielded = False
+        self._order_confirmed_at = -math.inf if adopted else time.monotonic()
         self.listing = Listing(ListingDocument("", len(self.items)))
         self._finished: dict[int, KeyedResult] = {}
         self._contents: dict[ResultKey, JobResult] = {}
@@ -206,6 +218,14 @@
                     item.cancel()
             self.changed.notify_all()
 
+    def confirm_order(self, at: float) -> None:
+        """Note that nobody else listed results at a (monotonic) time, nor does for a term."""
+        self._order_confirmed_at = max(at, self._order_confirmed_at)
+
+    def order_is_certain(self) -> bool:
+        """Return whether the order held here is known to be the newest."""
+        return self.complete or time.monotonic() - self._order_confirmed_at < ORDER_TERM_S
+
     def add_contents(self, contents: dict[ResultKey, JobResult]) -> None:
         """Take contents that were fetched from storage nodes."""
         with self.changed:
--- /dev/null
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -0,0 +1,279 @@
+"""Runs the items of jobs: claims room for them, starts them, and settles what comes of it.
+
+Threads: one that claims for all jobs, and one for each running item.
+"""
+
+from __future__ import annotations
+
+import itertools
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+
+import attrs
+from eliot import log_message
+
+from quaymill.connection.job_document import Job, ResultState
+from quaymill.connection.replica_connection import ReplicaConnections
+from quaymill.connection.room_messages import ClaimRoom, ItemsAt, WantedItems
+from quaymill.process.jobs.coordinated_job import CoordinatedJob, ItemState, RunningItem
+from quaymill.process.jobs.item_run import (
+    ItemCut,
+    ItemDone,
+    ItemFailed,
+    ItemImpossible,
+    ItemOutcome,
+    ItemProtocol,
+    run_item,
+)
+from quaymill.process.jobs.room_claims import ClaimRoomCall
+from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.version.request_routes import RequestRoute, RequestRoutes
+
+DISPATCH_INTERVAL_S = 0.2
+CLAIM_PAUSE_S = 0.05
+"""Least time between two claims: items that end close together share one."""
+RETRY_PAUSE_S = 0.3
+MAX_RUNNING_ITEMS = 96
+RESERVE_SHARES = ((0.6, 0.35), (0.3, 0.25), (0.0, 0.15))
+"""Part of a job's time that is left, and the part of the slots that its items then leave free:
+a job with time to spare keeps well out of the way of online requests."""
+GIVE_UP_MARGIN_S = 5.0
+"""The time since a job was sent is known only so well after its coordinator has changed."""
+ROUTE_GONE_S = 6.0
+"""How long a job's route must be missing before its items are given up."""
+
+
+@attrs.frozen
+class DispatcherParts:
+    """What a dispatcher uses.
+
+    Attributes
+    ----------
+    name, zone
+        Of the coordinator whose items it runs.
+    """
+
+    name: str
+    zone: str
+    routes: Callable[[], RequestRoutes]
+    choose_service: Callable[[RequestRoute], str]
+    table: ReplicaTable
+    connections: ReplicaConnections
+    claim_room: ClaimRoomCall
+    protocol: ItemProtocol
+
+
+class ItemDispatcher:
+    """Runs items in the room that is granted; safe to use from any thread.
+
+    Parameters
+    ----------
+    open_jobs
+        Returns the jobs that are not over.
+    """
+
+    def __init__(
+        self, parts: DispatcherParts, open_jobs: Callable[[], list[CoordinatedJob]]
+    ) -> None:
+        self._parts = parts
+        self._open_jobs = open_jobs
+        self._lock = threading.Lock()
+        self._wake = threading.Event()
+        self._stopping = threading.Event()
+        self._running_items = 0
+
+    def start(self) -> None:
+        """Begin to run items."""
+        threading.Thread(target=self._dispatch, name="batch-dispatch", daemon=True).start()
+
+    def stop(self) -> None:
+        """Start nothing more."""
+        self._stopping.set()
+        self._wake.set()
+
+    def wake(self) -> None:
+        """Look at once whether items can be started."""
+        self._wake.set()
+
+    def running_items(self) -> int:
+        """Return how many items are in service."""
+        return self._running_items
+
+    def route_of(self, job: Job) -> RequestRoute | None:
+        """Return the route by which a job came, by the configuration in force."""
+        return self._parts.routes().find(job.host, job.path)
+
+    def _dispatch(self) -> None:
+        while not self._stopping.is_set():
+            jobs = sorted(self._open_jobs(), key=CoordinatedJob.due_at)
+            try:
+                self._dispatch_once(jobs)
+            except Exception as error:  # A bug must not end all batch work of this gateway.
+                log_message("batch:dispatch_error", error=repr(error))
+            self._stopping.wait(CLAIM_PAUSE_S)
+            self._wake.wait(DISPATCH_INTERVAL_S if jobs else None)
+            self._wake.clear()
+
+    def _dispatch_once(self, jobs: list[CoordinatedJob]) -> None:
+        jobs_by_service: dict[str, list[CoordinatedJob]] = {}
+        for job in jobs:
+            services = self._services_of(job)
+            self._give_up_late(job)
+            if services and job.has_work():
+                # Items of a route that is split go to the service whose turn it is.
+                service = self._parts.choose_service(job.route)
+                jobs_by_service.setdefault(service, []).append(job)
+        for service, claiming in jobs_by_service.items():
+            self._claim(service, claiming)
+
+    def _claim(self, service: str, jobs: list[CoordinatedJob]) -> None:
+        """Ask for room for the waiting items of some jobs, and do as the answer says."""
+        wanted = tuple(one for one in map(_wanted, jobs) if one.items)
+        running = Counter(item.replica_id for item in self._running_items_of(service))
+        if self._running_items >= MAX_RUNNING_ITEMS:
+            wanted = ()
+        granted = self._parts.claim_room(
+            ClaimRoom(
+                self._parts.name,
+                self._parts.zone,
+                service,
+                tuple(ItemsAt(replica_id, items) for replica_id, items in running.items()),
+                wanted,
+                self._avoided(service),
+            )
+        )
+        if granted is None:
+            return
+        for at in granted.give_back:
+            self._give_way(service, at)
+        waiting = iter([(job, item) for job in jobs for item in job.waiting()])
+        for at in granted.starts:
+            replica = self._parts.table.get(at.replica_id)
+            if replica is None or replica.leaving:
+                continue
+            for job, item in itertools.islice(waiting, at.items):
+                self._start_item(job, item, replica)
+
+    def _avoided(self, service: str) -> tuple[str, ...]:
+        """Return the replicas that fail for this process, whatever others see of them."""
+        replicas = self._parts.table.of_service(service)
+        return tuple(replica.id for replica in replicas if replica.ejected)
+
+    def _running_items_of(self, service: str) -> list[RunningItem]:
+        replica_ids = {replica.id for replica in self._parts.table.of_service(service)}
+        return [
+            item
+            for job in self._open_jobs()
+            for item in job.running()
+            if item.replica_id in replica_ids and not item.giving_way
+        ]
+
+    def _services_of(self, job: CoordinatedJob) -> tuple[str, ...]:
+        """Return the services that may run a job's items by the configuration in force."""
+        route = self.route_of(job.job)
+        if route is None:
+            return ()
+        job.route = route
+        job.routed_at = time.monotonic()
+        return tuple(part.service for part in route.services)
+
+    def _give_up_late(self, job: CoordinatedJob) -> None:
+        reason = self._reason_to_give_up(job)
+        if reason:
+            for item in job.waiting():
+                job.finish(item, ResultState.DEAD, reason)
+
+    def _reason_to_give_up(self, job: CoordinatedJob) -> str:
+        """Return why the rest of a job will never be done; empty if it may be."""
+        now = time.monotonic()
+        if self._parts.routes().version and now > job.routed_at + ROUTE_GONE_S:
+            return "the job's route was removed"
+        if job.route is None or not job.route.max_wait_s:
+            return ""
+        if now > job.sent_at + job.route.max_wait_s + GIVE_UP_MARGIN_S:
+            return "not done in time"
+        return ""
+
+    def _start_item(self, job: CoordinatedJob, item: RunningItem, replica: Replica) -> None:
+        item.state = ItemState.RUNNING
+        item.replica_id = replica.id
+        item.started_at = time.monotonic()
+        item.giving_way = False
+        with self._lock:
+            self._running_items += 1
+        threading.Thread(
+            target=self._run_item, args=(job, item, replica), name="item", daemon=True
+        ).start()
+
+    def _run_item(self, job: CoordinatedJob, item: RunningItem, replica: Replica) -> None:
+        replica.begin()
+        outcome: ItemOutcome = ItemCut("the run failed")
+        try:
+            outcome = run_item(
+                item, job.job.host, replica, self._parts.connections, self._parts.protocol
+            )
+        finally:
+            replica.end()
+            with self._lock:
+                self._running_items -= 1
+            self._settle(job, item, replica, outcome)
+            self._wake.set()
+
+    def _settle(
+        self, job: CoordinatedJob, item: RunningItem, replica: Replica, outcome: ItemOutcome
+    ) -> None:
+        log_message(
+            "item:run",
+            job=job.id,
+            request_id=item.item.id,
+            replica=replica.id,
+            events_until=item.last_event_id,
+            took_s=round(time.monotonic() - item.started_at, 3),
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+            giving_way=item.giving_way,
+        )
+        match outcome:
+            case ItemDone():
+                job.finish(item, ResultState.SUCCEEDED, "\n".join(item.texts))
+            case ItemImpossible(reason=reason):
+                job.finish(item, ResultState.DEAD, reason)
+            case ItemFailed(reason=reason):
+                item.failures += 1
+                if item.failures >= self._max_attempts(job):
+                    job.finish(item, ResultState.DEAD, reason)
+                else:
+                    job.put_back(item, RETRY_PAUSE_S)
+            case ItemCut(blames_replica=blames_replica):
+                if blames_replica and not job.stopped:
+                    replica.record_failure()
+                job.put_back(item, 0.0 if item.giving_way else RETRY_PAUSE_S)
+
+    def _max_attempts(self, job: CoordinatedJob) -> int:
+        return max(1, job.route.max_attempts) if job.route else 1
+
+    def _give_way(self, service: str, at: ItemsAt) -> None:
+        """Cut the youngest items at a replica, which hold the least."""
+        items = [
+            item for item in self._running_items_of(service) if item.replica_id == at.replica_id
+        ]
+        items.sort(key=lambda item: item.started_at, reverse=True)
+        for item in items[: at.items]:
+            item.giving_way = True
+            if item.cancel is not None:
+                item.cancel()
+
+
+def _wanted(job: CoordinatedJob) -> WantedItems:
+    waiting = job.waiting()
+    due_s = job.route.due_s if job.route else 0.0
+    left = (job.due_at() - time.monotonic()) / due_s if due_s else 0.0
+    shares = (share for least, share in RESERVE_SHARES if left >= least)
+    return WantedItems(
+        next(shares, RESERVE_SHARES[-1][1]),
+        len(waiting),
+        max((item.item.tokens for item in waiting), default=0),
+    )
--- a/src/quaymill/process/jobs/lease_renewal.py
+++ b/src/quaymill/process/jobs/lease_renewal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections import Counter
 from collections.abc import Callable, Iterator
 
 import attrs
@@ -26,10 +27,22 @@
     taken
         Jobs whose lease another coordinator has at some storage node; which of the two is to
         leave the job, its listing tells.
+    confirmed
+        Jobs renewed at all storage nodes that may hold them: nobody else runs them until the
+        lease runs out, counted from before the renewal.
     """
 
     ended: frozenset[str]
     taken: frozenset[str]
+    confirmed: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class _Answer:
+    """What one storage node said to its part of a renewal."""
+
+    part: RenewJobs
+    reply: JobsRenewed
 
 
 class LeaseRenewal:
@@ -39,41 +52,52 @@
     ----------
     storage_nodes
         Returns the live storage nodes, none that is leaving.
+    known_storage_nodes
+        Returns also those that do not answer now: they may have given a job away.
     holders
-        How many of those that rank first for a job hold it.
+        How many of the live ones that rank first for a job hold it.
     """
 
     def __init__(
         self,
         peer_client: PeerClient,
         storage_nodes: Callable[[], tuple[Member, ...]],
+        known_storage_nodes: Callable[[], tuple[Member, ...]],
         holders: int,
     ) -> None:
         self._peer_client = peer_client
         self._storage_nodes = storage_nodes
+        self._known_storage_nodes = known_storage_nodes
         self._holders = holders
 
     def renew(self, message: RenewJobs) -> RenewalOutcome:
         """Renew, complete, release and hand over what a message names."""
-        answers: list[JobsRenewed] = []
+        members = self._storage_nodes()
+        all_live = {member.name for member in self._known_storage_nodes()} <= {
+            member.name for member in members
+        }
+        parts = list(self._parts(message, members))
+        answers: list[_Answer] = []
         threads = [
             threading.Thread(target=self._renew_at, args=(member, part, answers), daemon=True)
-            for member, part in self._parts(message)
+            for member, part in parts
         ]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join(RENEW_TIMEOUT_S)
-        return _merged(list(answers))
+        outcome = _merged(list(answers), [part for _, part in parts])
+        return outcome if all_live else attrs.evolve(outcome, confirmed=frozenset())
 
-    def _renew_at(self, member: Member, part: RenewJobs, answers: list[JobsRenewed]) -> None:
+    def _renew_at(self, member: Member, part: RenewJobs, answers: list[_Answer]) -> None:
         reply = self._peer_client.call(member.peer, part, JobsRenewed, RENEW_TIMEOUT_S)
         if isinstance(reply, JobsRenewed):
-            answers.append(reply)
+            answers.append(_Answer(part, reply))
 
-    def _parts(self, message: RenewJobs) -> Iterator[tuple[Member, RenewJobs]]:
+    def _parts(
+        self, message: RenewJobs, members: tuple[Member, ...]
+    ) -> Iterator[tuple[Member, RenewJobs]]:
         """Yield what concerns each storage node."""
-        members = self._storage_nodes()
         for member in members:
 
             def is_held(job: str | HandedOverJob, member: Member = member) -> bool:
@@ -91,7 +115,14 @@
                 yield member, part
 
 
-def _merged(answers: list[JobsRenewed]) -> RenewalOutcome:
-    ended = {job_id for reply in answers for job_id in reply.ended_jobs}
-    taken = {job_id for reply in answers for job_id in reply.taken_jobs}
-    return RenewalOutcome(frozenset(ended), frozenset(taken))
+def _merged(answers: list[_Answer], asked: list[RenewJobs]) -> RenewalOutcome:
+    ended = {job_id for answer in answers for job_id in answer.reply.ended_jobs}
+    taken = {job_id for answer in answers for job_id in answer.reply.taken_jobs}
+    times_asked = Counter(job_id for part in asked for job_id in part.open_jobs)
+    times_renewed = Counter(job_id for answer in answers for job_id in answer.part.open_jobs)
+    confirmed = {
+        job_id
+        for job_id, times in times_asked.items()
+        if times_renewed[job_id] == times and job_id not in taken
+    }
+    return RenewalOutcome(frozenset(ended), frozenset(taken), frozenset(confirmed))
--- /dev/null
+++ b/src/quaymill/process/jobs/result_publisher.py
@@ -0,0 +1,147 @@
+"""Puts the results of jobs on disks and into their listings.
+
+Threads: one for each job that is not over.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+
+import attrs
+from eliot import log_message
+
+from quaymill.connection.job_storage_messages import KeyedResult
+from quaymill.process.jobs.coordinated_job import CoordinatedJob, listed_result
+from quaymill.process.jobs.listing import JobListings, Listing, ListingDocument, ListingUnknown
+from quaymill.process.jobs.storage_client import JobStorageClient
+
+PUBLISH_INTERVAL_S = 0.4
+"""Least time between two appends to a listing: results that end close together share one."""
+PUBLISH_RETRY_S = 0.5
+
+
+@attrs.frozen
+class PublisherParts:
+    """What a publisher uses.
+
+    Attributes
+    ----------
+    name
+        Of the coordinator whose results it lists.
+    is_live
+        Whether a coordinator of that name is known to live.
+    """
+
+    name: str
+    storage: JobStorageClient
+    listings: JobListings
+    is_live: Callable[[str], bool]
+
+
+class ResultPublisher:
+    """Lists results in the order in which they end, until a job is over.
+
+    Parameters
+    ----------
+    begin_items
+        Called when a job's items may be run.
+    complete
+        Called with the id of a job whose last result was listed.
+    """
+
+    def __init__(
+        self,
+        parts: PublisherParts,
+        begin_items: Callable[[], None],
+        complete: Callable[[str], None],
+    ) -> None:
+        self._parts = parts
+        self._begin_items = begin_items
+        self._complete = complete
+        self._stopping = threading.Event()
+
+    def stop(self) -> None:
+        """Wait no more between two appends."""
+        self._stopping.set()
+
+    def follow(self, job: CoordinatedJob, *, adopted: bool) -> None:
+        """Follow a job to its end, in a thread of its own."""
+        threading.Thread(target=self._publish, args=(job, adopted), name="job", daemon=True).start()
+
+    def settle_with_other(self, job: CoordinatedJob) -> None:
+        """Leave a job to another coordinator if that one stands in the listing and lives."""
+        listing = self._parts.listings.read(job.id)
+        if isinstance(listing, Listing):
+            job.take_listing(listing)
+            if listing.document.coordinator not in ("", self._parts.name):
+                self._meet_other(job, listing)
+
+    def _publish(self, job: CoordinatedJob, adopted: bool) -> None:
+        """Follow one job to its end."""
+        if adopted:
+            self._take_over(job)
+        self._begin_items()
+        while not job.over:
+            with job.changed:
+                job.changed.wait_for(lambda: job.over or job.unlisted(), PUBLISH_RETRY_S)
+            results = job.unlisted()
+            if results and not job.over:
+                listed = self._list(job, results)
+                self._stopping.wait(PUBLISH_INTERVAL_S if listed else PUBLISH_RETRY_S)
+        log_message(
+            "job:over",
+            job=job.id,
+            complete=job.complete,
+            ended=job.ended,
+            handed_over=job.abandoned,
+            listed=len(job.listing.document.results),
+            total=job.total,
+            took_s=round(time.monotonic() - job.sent_at, 2),
+        )
+        if job.complete:
+            self._complete(job.id)
+
+    def _take_over(self, job: CoordinatedJob) -> None:
+        """Enter this coordinator into the listing, so that a former one finds out."""
+        listing = self._parts.listings.read(job.id)
+        if isinstance(listing, ListingUnknown):
+            log_message("job:listing_unknown", job=job.id, reason=listing.reason)
+            return
+        standing = listing or Listing(ListingDocument("", job.total))
+        job.take_listing(standing)
+        written = self._parts.listings.write(job.id, standing.with_results((), job.coordinator))
+        if isinstance(written, Listing):
+            job.take_listing(written)
+        self._fetch_contents(job)
+
+    def _list(self, job: CoordinatedJob, results: tuple[KeyedResult, ...]) -> bool:
+        """Put results on disks, then into the listing; return whether they stand there."""
+        if not self._parts.storage.store_results(job.id, results):
+            log_message("job:results_not_stored", job=job.id, results=len(results))
+            return False
+        wanted = job.listing.with_results(map(listed_result, results), job.coordinator)
+        standing = self._parts.listings.write(job.id, wanted)
+        if isinstance(standing, ListingUnknown):
+            log_message("job:listing_unknown", job=job.id, reason=standing.reason)
+            return False
+        job.take_listing(standing)
+        if standing.document != wanted.document:
+            self._meet_other(job, standing)
+            return False
+        log_message("job:listed", job=job.id, results=len(results), revision=standing.revision)
+        return True
+
+    def _meet_other(self, job: CoordinatedJob, standing: Listing) -> None:
+        """Another coordinator wrote in between: leave the job to it if it lives."""
+        other = standing.document.coordinator
+        log_message("job:overtaken", job=job.id, other=other, revision=standing.revision)
+        self._fetch_contents(job)
+        if other != self._parts.name and self._parts.is_live(other):
+            job.yield_to(other)
+
+    def _fetch_contents(self, job: CoordinatedJob) -> None:
+        missing = job.missing_contents()
+        if missing:
+            job.add_contents(self._parts.storage.fetch_results(job.id, missing))
--- /dev/null
+++ b/src/quaymill/process/jobs/room_claims.py
@@ -0,0 +1,67 @@
+"""Puts claims for room to whichever gateway keeps it for a service."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from eliot import log_message
+
+from quaymill.connection.member import Member
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.room_messages import ClaimRoom, RoomGranted
+from quaymill.process.jobs.room_keeper import RoomKeeper
+from quaymill.process.membership.ranking import rank_nodes
+
+CLAIM_TIMEOUT_S = 0.5
+AVOID_KEEPER_S = 2.0
+"""How long a gateway that did not answer a claim is passed over: by then membership knows."""
+
+ClaimRoomCall = Callable[[ClaimRoom], RoomGranted | None]
+"""Puts a claim to who keeps room for its service; ``None`` if that did not answer."""
+
+
+class RoomClaims:
+    """Claims of one gateway; used by its dispatcher's thread only.
+
+    A keeper that does not answer is passed over for a while, in favour of the next in rank.
+    Two keepers of a service at once only start more items than there is room for: engines
+    refuse them, and they wait again.
+
+    Parameters
+    ----------
+    gateways
+        Returns the live gateways, this one included.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        keeper: RoomKeeper,
+        client: PeerClient,
+        gateways: Callable[[], tuple[Member, ...]],
+    ) -> None:
+        self._own_name = own_name
+        self._keeper = keeper
+        self._client = client
+        self._gateways = gateways
+        self._avoided_until_by_name: dict[str, float] = {}
+
+    def claim(self, claim: ClaimRoom) -> RoomGranted | None:
+        """Put a claim to the gateway that ranks first for its service."""
+        member = self._keeper_of(claim.service)
+        if member is None or member.name == self._own_name:
+            return self._keeper.claim(claim)
+        reply = self._client.call(member.peer, claim, RoomGranted, CLAIM_TIMEOUT_S)
+        if isinstance(reply, RoomGranted):
+            return reply
+        log_message("batch:keeper_silent", service=claim.service, keeper=member.name)
+        self._avoided_until_by_name[member.name] = time.monotonic() + AVOID_KEEPER_S
+        return None
+
+    def _keeper_of(self, service: str) -> Member | None:
+        now = time.monotonic()
+        for member in rank_nodes(f"room/{service}", self._gateways()):
+            if self._avoided_until_by_name.get(member.name, 0.0) <= now:
+                return member
+        return None
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -11,7 +11,6 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
 
 import attrs
 
@@ -69,7 +68,8 @@
             ]
             self._share_out_excess(message.service, replicas)
             give_back = self._owed_by_coordinator.pop(message.coordinator, Counter())
-            starts = self._grant(message, replicas)
+            reachable = [replica for replica in replicas if replica.id not in message.avoided]
+            starts = self._grant(message, reachable)
         return RoomGranted(_items_at(starts), _items_at(give_back))
 
     def _take(self, message: ClaimRoom) -> None:
@@ -139,7 +139,3 @@
 
 def _items_at(counts: Counter[str]) -> tuple[ItemsAt, ...]:
     return tuple(ItemsAt(replica_id, items) for replica_id, items in counts.items() if items)
-
-
-Claim = Callable[[ClaimRoom], RoomGranted | None]
-"""Puts a claim to whoever keeps room for its service; ``None`` if that does not answer."""
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -225,7 +225,22 @@
         finally:
             if may_wait:
                 self._held_reads.release()
-        return page if page.results else self._page_with_contents(held, since)
+        return page if page.results else self._certain_page(held, since)
+
+    def _certain_page(self, held: CoordinatedJob, since: int) -> ResultsPage | Unsure:
+        """Make an empty page again from the newest order.
+
+        Another coordinator may have listed this position, and it may have been read: the one
+        before, when the job was adopted a moment ago, or one that took it while this process
+        stood still.
+        """
+        if not held.order_is_certain():
+            listing = self._listings.read(held.id)
+            if isinstance(listing, ListingUnknown):
+                return Unsure(f"the order of the results cannot be read: {listing.reason}")
+            if listing is not None:
+                held.take_listing(listing)
+        return self._page_with_contents(held, since)
 
     def _page_with_contents(self, held: CoordinatedJob, since: int) -> ResultsPage | Unsure:
         """Make a page again after fetching contents that an adopted job may lack.
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -168,6 +168,10 @@
         ),
         ordinary_outcome="ItemDone",
     ),
+    "batch:keeper_silent": LogEvent(
+        "the gateway that keeps room for a service did not answer a claim",
+        ("service", "keeper: passed over for a while"),
+    ),
     "batch:dispatch_error": LogEvent("starting items met a bug", ("error",)),
     "retirement:begun": LogEvent("this node is being emptied", ("node", "jobs: held now")),
     "retirement:succeeded": LogEvent("all that was here stands elsewhere", ("node",)),
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+import math
 import socket
 import threading
 import time
 import unittest
+from unittest import mock
 
 import msgspec
 import urllib3
@@ -14,6 +16,8 @@
 
 from fleet_rig import FleetRig, wait_until
 from quaymill.connection.object_store import StoreRefused
+from quaymill.process.jobs.listing import Listing
+from quaymill.process.jobs.result_publisher import ResultPublisher
 from quaymill_bench.fleet_world import HOST, ROUTES, configuration, item_id, route, whole_text
 from quaymill_standins.fleet_replica import ReplicaBehaviour, event_bytes
 from quaymill_standins.fleet_store import FleetStoreFaults
@@ -231,7 +235,7 @@
         self.assertTrue(self.is_served("gateway-1", prefix))
 
     def test_results_are_listed_by_way_of_another_gateway(self) -> None:
-        listings = self.rig.gateways["gateway-0"].coordinator._parts.listings
+        listings = self.rig.gateways["gateway-0"].jobs._listings
         listings._store._own = _RefusingStore()
         self.assertEqual(202, self.rig.submit("gateway-0", "job", 4).status)
         results = self.rig.wait_results("gateway-1", "job", 4)
@@ -260,11 +264,11 @@
         self.wait_for_running_item("job")
         frozen = self.rig.gateways["gateway-0"].coordinator
         # As a process does that stands still: it renews nothing for longer than a lease.
-        frozen._parts.leases._storage_nodes = lambda: ()
+        frozen._leases._storage_nodes = lambda: ()
         frozen.adopt = lambda *arguments: False
         other = self.rig.gateways["gateway-1"].coordinator
         wait_until(lambda: other.get("job"), "the job is adopted")
-        frozen._parts.leases._storage_nodes = self.rig.gateways["gateway-0"].network.storage_nodes
+        frozen._leases._storage_nodes = self.rig.gateways["gateway-0"].network.storage_nodes
         wait_until(lambda: frozen.get("job") is None, "the former coordinator leaves it", 5.0)
         self.slow_engines(0.01, 30)
         results = self.rig.wait_results("gateway-0", "job", 6)
@@ -453,6 +457,41 @@
         self.assertEqual(503, self.rig.read_results("gateway-0", "job", since=3).status)
 
 
+class OrderUnknownTest(FaultCase):
+    """A gateway coordinates a job whose newest order it does not know."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.slow_engines(0.05)
+        self.rig.submit("gateway-0", "job", 12)
+        self.rig.wait_results("gateway-0", "job", 2)
+        self.job = wait_until(lambda: self.rig.storage["storage-0"]._database.job("job"), "it")
+        self.other = self.rig.gateways["gateway-1"]
+
+    def test_adopted_job_is_never_told_to_have_no_results(self) -> None:
+        # The time between adoption and the first answer of the store, made long.
+        with mock.patch.object(ResultPublisher, "follow"):
+            self.other.coordinator.adopt(self.job)
+            self.assertTrue(json.loads(self.rig.read_results("gateway-1", "job").data)["results"])
+
+    def test_adopted_job_is_unknown_while_the_store_cannot_be_read(self) -> None:
+        self.other.jobs._listings._store._own = _RefusingStore()
+        self.other.jobs._listings._store._helpers = lambda: ()
+        with mock.patch.object(ResultPublisher, "follow"):
+            self.other.coordinator.adopt(self.job)
+            self.assertEqual(503, self.rig.read_results("gateway-1", "job").status)
+
+    def test_coordinator_that_stood_still_tells_no_listed_position_to_be_empty(self) -> None:
+        held = self.rig.gateways["gateway-0"].coordinator.get("job")
+        results = self.rig.wait_results("gateway-0", "job", 12)
+        document = held.listing.document
+        # As it was before another coordinator took the job and listed the rest.
+        held.listing = Listing(msgspec.structs.replace(document, results=document.results[:2]), 1)
+        held._order_confirmed_at = -math.inf
+        page = json.loads(self.rig.read_results("gateway-0", "job", since=2).data)
+        self.assertEqual(results[2:], page["results"])
+
+
 class ListingTest(unittest.TestCase):
     """Two coordinators of one job: nothing is listed twice, nothing moves."""
 
--- /dev/null
+++ b/tests/test_job_room.py
@@ -0,0 +1,190 @@
+"""Room for batch items: how one gateway shares the engines' slots among coordinators."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+from unittest import mock
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.member import Member
+from quaymill.connection.peer_link import PeerNoReply
+from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.connection.room_messages import ClaimRoom, ItemsAt, RoomGranted, WantedItems
+from quaymill.process.jobs import room_claims as room_claims_module
+from quaymill.process.jobs import room_keeper as room_keeper_module
+from quaymill.process.jobs.room_claims import AVOID_KEEPER_S, RoomClaims
+from quaymill.process.jobs.room_keeper import CLAIM_LIFETIME_S, RoomKeeper
+from quaymill.process.replica_set.table import ReplicaTable
+
+SERVICE = "engine"
+EVERY_ITEM = WantedItems(reserve_share=0.0, items=100, tokens=10)
+
+
+class FixedLoads:
+    """Engines with as many free slots as a test says, less what was started."""
+
+    def __init__(self, **free_by_replica: int) -> None:
+        self.free_by_replica = Counter(free_by_replica)
+        self.excess_by_replica: Counter[str] = Counter()
+        self.wanted: frozenset[str] = frozenset()
+
+    def want(self, services):
+        self.wanted = services
+
+    def room(self, replica, tokens, reserve_share):
+        return max(0, self.free_by_replica[replica.id])
+
+    def excess(self, replica):
+        return self.excess_by_replica[replica.id]
+
+    def started(self, replica, tokens):
+        self.free_by_replica[replica.id] -= 1
+
+    def gave_way(self, replica):
+        self.excess_by_replica[replica.id] = 0
+
+
+def claim(coordinator, *wanted, zone="x", running=(), avoided=(), service=SERVICE):
+    at = tuple(ItemsAt(*one) for one in running)
+    return ClaimRoom(coordinator, zone, service, at, wanted, avoided)
+
+
+def items(granted_at) -> dict[str, int]:
+    return {at.replica_id: at.items for at in granted_at}
+
+
+class RoomKeeperTest(unittest.TestCase):
+    """Time is the test's own."""
+
+    def setUp(self) -> None:
+        self.now = 1000.0
+        patch = mock.patch.object(room_keeper_module.time, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def keeper(self, **free_by_replica: int) -> RoomKeeper:
+        table = ReplicaTable()
+        entries = [
+            ReplicaEntry(name, SERVICE, Endpoint("127.0.0.1", 1), name[0], 8)
+            for name in free_by_replica
+        ]
+        table.replace_all(entries, 1)
+        self.loads = FixedLoads(**free_by_replica)
+        return RoomKeeper(table, self.loads)
+
+    def test_alone_a_coordinator_gets_all_that_is_free(self) -> None:
+        granted = self.keeper(x1=3, y1=2).claim(claim("a", EVERY_ITEM))
+        self.assertEqual({"x1": 3, "y1": 2}, items(granted.starts))
+
+    def test_no_more_is_granted_than_is_wanted(self) -> None:
+        granted = self.keeper(x1=3).claim(claim("a", WantedItems(0.0, 2, 10)))
+        self.assertEqual({"x1": 2}, items(granted.starts))
+
+    def test_what_is_free_is_shared_among_those_that_wait(self) -> None:
+        keeper = self.keeper(x1=0)
+        for name in ("a", "b", "c"):
+            keeper.claim(claim(name, EVERY_ITEM))
+        self.loads.free_by_replica["x1"] = 9
+        granted = [keeper.claim(claim(name, EVERY_ITEM)) for name in ("a", "b", "c")]
+        # A third of nine, then a third of six, then of four: no one is left without.
+        self.assertEqual([3, 2, 2], [items(one.starts)["x1"] for one in granted])
+
+    def test_coordinators_that_claim_no_more_get_no_part(self) -> None:
+        keeper = self.keeper(x1=0)
+        keeper.claim(claim("a", EVERY_ITEM))
+        keeper.claim(claim("b", EVERY_ITEM))
+        self.now += CLAIM_LIFETIME_S
+        self.loads.free_by_replica["x1"] = 4
+        self.assertEqual({"x1": 4}, items(keeper.claim(claim("b", EVERY_ITEM)).starts))
+
+    def test_engines_are_polled_only_while_someone_claims(self) -> None:
+        keeper = self.keeper(x1=0)
+        keeper.claim(claim("a", EVERY_ITEM))
+        keeper.claim(claim("b", EVERY_ITEM, service="other"))
+        self.assertEqual({SERVICE, "other"}, self.loads.wanted)
+        self.now += CLAIM_LIFETIME_S
+        keeper.claim(claim("b", EVERY_ITEM, service="other"))
+        self.assertEqual({"other"}, self.loads.wanted)
+
+    def test_excess_is_owed_by_those_with_most_items_there_and_only_once(self) -> None:
+        keeper = self.keeper(x1=0)
+        keeper.claim(claim("a", running=[("x1", 5)]))
+        keeper.claim(claim("b", running=[("x1", 2)]))
+        self.loads.excess_by_replica["x1"] = 6
+        granted = keeper.claim(claim("b", running=[("x1", 2)]))
+        self.assertEqual({"x1": 1}, items(granted.give_back))
+        granted = keeper.claim(claim("a", running=[("x1", 5)]))
+        self.assertEqual({"x1": 5}, items(granted.give_back))
+        self.assertEqual({}, items(keeper.claim(claim("a", running=[("x1", 5)])).give_back))
+
+    def test_replicas_of_the_zone_come_first_among_those_as_free(self) -> None:
+        granted = self.keeper(x1=2, y1=2).claim(claim("a", WantedItems(0.0, 1, 10), zone="y"))
+        self.assertEqual({"y1": 1}, items(granted.starts))
+
+    def test_replica_that_fails_for_a_coordinator_is_not_granted_to_it(self) -> None:
+        keeper = self.keeper(x1=5, y1=2)
+        granted = keeper.claim(claim("a", EVERY_ITEM, avoided=("x1",)))
+        self.assertEqual({"y1": 2}, items(granted.starts))
+        granted = keeper.claim(claim("a", EVERY_ITEM))
+        self.assertEqual({"x1": 5}, items(granted.starts))
+
+
+def member(name: str, port: int) -> Member:
+    endpoint = Endpoint("127.0.0.1", port)
+    return Member(name, "x", "r", endpoint, endpoint)
+
+
+class RoomClaimsTest(unittest.TestCase):
+    """To whom a claim goes, while keepers come and go."""
+
+    def setUp(self) -> None:
+        self.now = 1000.0
+        patch = mock.patch.object(room_claims_module.time, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.members = tuple(map(member, ("a", "b", "c"), (1, 2, 3)))
+        self.asked: list[str] = []
+        self.silent: set[str] = set()
+        self.keeper = mock.Mock()
+        self.keeper.claim.side_effect = lambda message: self.answer("own")
+
+    def answer(self, name: str) -> RoomGranted | PeerNoReply:
+        self.asked.append(name)
+        return PeerNoReply(self.members[0].peer, "silent") if name in self.silent else RoomGranted()
+
+    def claims(self, own_name: str) -> RoomClaims:
+        client = mock.Mock()
+        client.call.side_effect = lambda peer, *_: self.answer(self.name_of(peer))
+        return RoomClaims(own_name, self.keeper, client, lambda: self.members)
+
+    def name_of(self, peer: Endpoint) -> str:
+        return next(one.name for one in self.members if one.peer == peer)
+
+    def test_all_gateways_claim_of_the_same_one(self) -> None:
+        for own_name in ("a", "b", "c"):
+            self.claims(own_name).claim(claim(own_name))
+        keeper = next(name for name in self.asked if name != "own")
+        self.assertEqual(2, self.asked.count(keeper))
+        self.assertEqual(1, self.asked.count("own"))
+
+    def test_next_in_rank_is_asked_while_the_keeper_is_silent(self) -> None:
+        claims = self.claims("elsewhere")
+        claims.claim(claim("elsewhere"))
+        first = self.asked[-1]
+        self.silent = {first}
+        self.assertIsNone(claims.claim(claim("elsewhere")))
+        self.assertIsNotNone(claims.claim(claim("elsewhere")))
+        self.assertNotEqual(first, self.asked[-1])
+        self.silent = set()
+        self.now += AVOID_KEEPER_S
+        claims.claim(claim("elsewhere"))
+        self.assertEqual(first, self.asked[-1])
+
+    def test_without_an_answer_of_any_it_keeps_room_itself(self) -> None:
+        claims = self.claims("elsewhere")
+        self.silent = {"a", "b", "c"}
+        for _ in range(4):
+            claims.claim(claim("elsewhere"))
+        self.assertEqual({"a", "b", "c"}, set(self.asked[:3]))
+        self.assertEqual("own", self.asked[3])
