Undo the circles of imports, and check that there are none

Cause: type-checking imports back to the owner (batch schedulers and their metrics; slopes of roles and the tables made from them). The collector takes two functions, the slopes have a module of their own. CircleTest fails without the change and passes with it. No change of behaviour; not measured.

--- a/src/quaymill/process/batch/report.py
+++ b/src/quaymill/process/batch/report.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable, Iterator
 
 import msgspec
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
@@ -11,9 +10,6 @@
 
 from quaymill.version.status import StatusNote, StatusRows
 
-if TYPE_CHECKING:
-    from quaymill.process.batch.scheduler import BatchSchedulers
-
 
 class ReplicaBatch(msgspec.Struct, frozen=True):
     """Batch work at one replica.
@@ -50,10 +46,23 @@
 
 
 class BatchCollector(Collector):
-    """Metrics of the batch schedulers, read when they are asked for."""
+    """Metrics of the batch schedulers, read when they are asked for.
+
+    Parameters
+    ----------
+    replicas
+        Returns what each scheduler does now.
+    leases_held
+        Returns how many leases this node holds.
+    """
 
-    def __init__(self, schedulers: BatchSchedulers) -> None:
-        self._schedulers = schedulers
+    def __init__(
+        self,
+        replicas: Callable[[], Iterable[ReplicaBatch]],
+        leases_held: Callable[[], int],
+    ) -> None:
+        self._replicas = replicas
+        self._leases_held = leases_held
 
     def collect(self) -> Iterator[GaugeMetricFamily | CounterMetricFamily]:
         """Yield the metrics of this moment."""
@@ -67,11 +76,11 @@
         ended = CounterMetricFamily(
             "quaymill_batch_runs", "Ended runs of batch items", labels=(*labels, "outcome")
         )
-        for one in self._schedulers.replicas():
+        for one in self._replicas():
             running.add_metric((one.replica, one.service), one.running)
             allowed.add_metric((one.replica, one.service), one.allowed)
             for outcome, count in one.ended.items():
                 ended.add_metric((one.replica, one.service, outcome), count)
         held = GaugeMetricFamily("quaymill_batch_leases", "Leases held by this node")
-        held.add_metric((), self._schedulers.leases_held())
+        held.add_metric((), self._leases_held())
         yield from (running, allowed, ended, held)
--- a/src/quaymill/process/node.py
+++ b/src/quaymill/process/node.py
@@ -100,7 +100,9 @@
             self._link_filter,
             self._gateway.at_most_once,
         )
-        self._gateway.metrics.registry.register(BatchCollector(self._batch_schedulers))
+        self._gateway.metrics.registry.register(
+            BatchCollector(self._batch_schedulers.replicas, self._batch_schedulers.leases_held)
+        )
         self._status.add_provider(lambda: status_rows(self._batch_schedulers.replicas()))
 
     def _build_gateway(self) -> Gateway:
--- a/src/quaymill_bench/role_size_load.py
+++ b/src/quaymill_bench/role_size_load.py
@@ -18,7 +18,7 @@
 )
 
 if TYPE_CHECKING:
-    from quaymill_bench.role_slopes_experiment import RoleSlopes
+    from quaymill_bench.role_slopes import RoleSlopes
 
 
 def load_rows(slopes: RoleSlopes) -> list[SizeRow]:
--- a/src/quaymill_bench/role_size_log.py
+++ b/src/quaymill_bench/role_size_log.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from quaymill_bench.role_fit import Slope
     from quaymill_bench.role_log import LogSlopes
-    from quaymill_bench.role_slopes_experiment import RoleSlopes
+    from quaymill_bench.role_slopes import RoleSlopes
 
 
 SERVICES_PER_NODE = 8
--- a/src/quaymill_bench/role_size_rows.py
+++ b/src/quaymill_bench/role_size_rows.py
@@ -28,7 +28,7 @@
 from quaymill_bench.role_size_log import log_rows
 
 if TYPE_CHECKING:
-    from quaymill_bench.role_slopes_experiment import RoleSlopes
+    from quaymill_bench.role_slopes import RoleSlopes
 
 CONTROL_AS_BUILT = (
     "gateway: notices to schedulers",
--- a/src/quaymill_bench/role_slopes_experiment.py
+++ b/src/quaymill_bench/role_slopes_experiment.py
@@ -14,28 +14,18 @@
 import msgspec
 
 from quaymill_bench.role_cluster import RoleCluster
-from quaymill_bench.role_configuration import ConfigurationSlopes, measure_configuration
+from quaymill_bench.role_configuration import measure_configuration
 from quaymill_bench.role_gateway import GatewaySlopes, measure_gateway
-from quaymill_bench.role_limits import LimitSlopes, measure_limits
-from quaymill_bench.role_load_reports import LoadReportSlopes, measure_load_reports
+from quaymill_bench.role_limits import measure_limits
+from quaymill_bench.role_load_reports import measure_load_reports
 from quaymill_bench.role_log import LogMeasurement, LogSlopes
 from quaymill_bench.role_scheduler import SchedulerSlopes, measure_scheduler
 from quaymill_bench.role_size import SizeRow
 from quaymill_bench.role_size_rows import size_rows
+from quaymill_bench.role_slopes import RoleSlopes
 from quaymill_bench.role_tables import render_size, render_slopes
 
 
-class RoleSlopes(msgspec.Struct, kw_only=True):
-    """Slopes of all parts measured so far."""
-
-    configuration: ConfigurationSlopes | None = None
-    limits: LimitSlopes | None = None
-    load_reports: LoadReportSlopes | None = None
-    log: LogSlopes | None = None
-    gateway: GatewaySlopes | None = None
-    scheduler: SchedulerSlopes | None = None
-
-
 class RoleResult(msgspec.Struct, frozen=True):
     """The slopes, and what follows from them at the users' size."""
 
--- a/src/quaymill_bench/role_tables.py
+++ b/src/quaymill_bench/role_tables.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from quaymill_bench.role_size import SizeRow
-    from quaymill_bench.role_slopes_experiment import RoleSlopes
+    from quaymill_bench.role_slopes import RoleSlopes
 
 SIZE_COLUMNS = ("role", "kind", "messages/s", "bytes/s", "of a core", "MB", "basis", "fits alone")
 
--- a/tests/test_batch_report.py
+++ b/tests/test_batch_report.py
@@ -50,7 +50,7 @@
         store = MemoryJobStore(model_items(5, 10))
         registry = CollectorRegistry()
         with Node(store, [view_of("engine", engine.port)], configuration()) as node:
-            registry.register(BatchCollector(node.schedulers))
+            registry.register(BatchCollector(node.schedulers.replicas, node.schedulers.leases_held))
             wait_until(lambda: len(store.results) == 5)
             text = generate_latest(registry).decode()
         labels = 'replica="engine",service="model"'
--- a/tests/test_import_directions.py
+++ b/tests/test_import_directions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import graphlib
 import unittest
 from pathlib import Path
 
@@ -34,3 +35,30 @@
                 for other in sorted(imported_parts(path) - allowed):
                     wrong.append(f"{path.relative_to(SOURCES)} imports {other}")
         self.assertEqual([], wrong)
+
+
+def imported_modules(path: Path, names: set[str]) -> set[str]:
+    """Return those of ``names`` that a module imports, also for type checking only."""
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            found.add(node.module)
+            found |= {f"{node.module}.{alias.name}" for alias in node.names}
+    return found & names
+
+
+class CircleTest(unittest.TestCase):
+    """No module imports itself by way of others."""
+
+    def test_imports_run_in_no_circle(self) -> None:
+        root = SOURCES.parent
+        paths_by_name = {
+            ".".join(path.relative_to(root).with_suffix("").parts): path
+            for path in root.rglob("*.py")
+            if path.name != "__init__.py"
+        }
+        names = set(paths_by_name)
+        graph = {
+            name: imported_modules(path, names) - {name} for name, path in paths_by_name.items()
+        }
+        graphlib.TopologicalSorter(graph).prepare()
--- a/tests/test_role_slopes.py
+++ b/tests/test_role_slopes.py
@@ -12,7 +12,7 @@
 from quaymill_bench.role_fit import Slope, fit_slopes
 from quaymill_bench.role_size import SizeRow
 from quaymill_bench.role_size_rows import size_rows
-from quaymill_bench.role_slopes_experiment import RoleSlopes
+from quaymill_bench.role_slopes import RoleSlopes
 from quaymill_bench.role_tables import render_size, render_slopes
 
 DOCS = Path(__file__).parent.parent / "docs"
