--- a/src/quaymill/process/commands/status.py
+++ b/src/quaymill/process/commands/status.py
@@ -6,13 +6,8 @@
 
 import msgspec
 
-from quaymill.connection.platform_client import (
-    STATUS_NAME,
-    STATUSES,
-    NotFound,
-    PlatformClient,
-    PlatformObject,
-)
+from quaymill.connection.platform_client import STATUS_NAME, STATUSES, PlatformClient
+from quaymill.connection.platform_objects import NotFound, PlatformObject
 from quaymill.process.commands.platform_option import EXIT_OK, connect_platform, fail
 from quaymill.process.configuration.editor import ConfigurationEditor, StoredTable
 from quaymill.version.cells import format_value, rows_of
--- a/src/quaymill/process/configuration/editor.py
+++ b/src/quaymill/process/configuration/editor.py
@@ -12,10 +12,12 @@
     CONFIGURATIONS,
     STATUS_NAME,
     STATUSES,
+    PlatformClient,
+)
+from quaymill.connection.platform_objects import (
     AlreadyExists,
     Conflict,
     NotFound,
-    PlatformClient,
     PlatformObject,
     PlatformUnavailable,
     Refused,
--- a/src/quaymill/process/configuration/platform_watch.py
+++ b/src/quaymill/process/configuration/platform_watch.py
@@ -9,13 +9,13 @@
 
 import msgspec
 
-from quaymill.connection.platform_client import (
+from quaymill.connection.platform_client import PlatformClient
+from quaymill.connection.platform_objects import (
     Bookmark,
     Gone,
     ObjectChanged,
     ObjectDeleted,
     ObjectList,
-    PlatformClient,
     PlatformObject,
     PlatformUnavailable,
     Refused,
--- a/src/quaymill/process/configuration/reader.py
+++ b/src/quaymill/process/configuration/reader.py
@@ -12,10 +12,9 @@
     CONFIGURATION_NAME,
     CONFIGURATIONS,
     MACHINES,
-    ObjectList,
     PlatformClient,
-    PlatformObject,
 )
+from quaymill.connection.platform_objects import ObjectList, PlatformObject
 from quaymill.process.configuration.problems import ProblemLog
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.process.machine_list import MachineList, MachineListHolder
--- a/src/quaymill/process/configuration/version_check.py
+++ b/src/quaymill/process/configuration/version_check.py
@@ -9,12 +9,8 @@
 import threading
 from collections.abc import Callable
 
-from quaymill.connection.platform_client import (
-    CONFIGURATION_NAME,
-    CONFIGURATIONS,
-    PlatformClient,
-    PlatformObject,
-)
+from quaymill.connection.platform_client import CONFIGURATION_NAME, CONFIGURATIONS, PlatformClient
+from quaymill.connection.platform_objects import PlatformObject
 from quaymill.process.configuration.reader import ConfigurationFollower
 
 
--- a/src/quaymill/process/gateway/at_most_once.py
+++ b/src/quaymill/process/gateway/at_most_once.py
@@ -18,16 +18,15 @@
 
 from quaymill.connection.application_client import ApplicationAnswer
 from quaymill.connection.call_messages import AttemptState, GetAttempt
-from quaymill.connection.job_messages import (
+from quaymill.connection.call_record_messages import (
     AbandonCall,
-    Accepted,
     BeginCall,
     CallRecord,
     CallState,
     FinishCall,
-    StoreConflict,
     StoredAnswer,
 )
+from quaymill.connection.job_messages import Accepted, StoreConflict
 from quaymill.connection.peer_link import PeerClient, PeerServer
 from quaymill.request.outcome import Failed, Failure, NotRun, OutcomeUnknown
 
--- a/src/quaymill/process/job_store/call_state.py
+++ b/src/quaymill/process/job_store/call_state.py
@@ -4,16 +4,15 @@
 
 import sqlite3
 
-from quaymill.connection.job_messages import (
+from quaymill.connection.call_record_messages import (
     AbandonCall,
-    Accepted,
     BeginCall,
     CallRecord,
     CallState,
     FinishCall,
-    StoreConflict,
     StoredAnswer,
 )
+from quaymill.connection.job_messages import Accepted, StoreConflict
 
 ABANDONED = "abandoned"
 
--- a/src/quaymill/process/job_store/commands.py
+++ b/src/quaymill/process/job_store/commands.py
@@ -8,16 +8,14 @@
 
 import msgspec
 
+from quaymill.connection.call_record_messages import AbandonCall, BeginCall, FinishCall
 from quaymill.connection.job_messages import (
-    AbandonCall,
     AppendItems,
-    BeginCall,
     CancelJob,
     CommitFile,
     CompleteItems,
     CreateFile,
     CreateJob,
-    FinishCall,
     ItemRef,
     LeaseItems,
     ReturnItems,
--- a/src/quaymill/process/job_store/results.py
+++ b/src/quaymill/process/job_store/results.py
@@ -6,12 +6,7 @@
 
 import msgspec
 
-from quaymill.connection.job_messages import (
-    ItemResult,
-    ReadResults,
-    ResultPage,
-    StoreConflict,
-)
+from quaymill.connection.job_messages import ItemResult, ReadResults, ResultPage, StoreConflict
 from quaymill.process.job_store.file_state import FileState
 from quaymill.process.job_store.schema import item_index, item_key
 
--- a/src/quaymill/process/job_store/service.py
+++ b/src/quaymill/process/job_store/service.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from quaymill.connection import job_messages, log_messages
+from quaymill.connection import call_record_messages, job_messages, log_messages
 from quaymill.connection.job_messages import NotLeader
 from quaymill.connection.peer_link import PeerClient, PeerMessage, PeerRefusal, PeerServer
 from quaymill.process.job_store.formation import MembershipView, Platform
@@ -22,9 +22,9 @@
     job_messages.CancelJob,
     job_messages.ReturnItems,
     job_messages.CompleteItems,
-    job_messages.BeginCall,
-    job_messages.FinishCall,
-    job_messages.AbandonCall,
+    call_record_messages.BeginCall,
+    call_record_messages.FinishCall,
+    call_record_messages.AbandonCall,
 )
 READS = (
     job_messages.GetJob,
--- a/src/quaymill/process/job_store/state_machine.py
+++ b/src/quaymill/process/job_store/state_machine.py
@@ -12,17 +12,15 @@
 import msgspec
 from eliot import log_message
 
+from quaymill.connection.call_record_messages import AbandonCall, BeginCall, FinishCall
 from quaymill.connection.job_messages import (
-    AbandonCall,
     Accepted,
     AppendItems,
-    BeginCall,
     CancelJob,
     CommitFile,
     CompleteItems,
     CreateFile,
     CreateJob,
-    FinishCall,
     GetFile,
     GetJob,
     JobList,
--- a/src/quaymill/process/status/status_writer.py
+++ b/src/quaymill/process/status/status_writer.py
@@ -4,15 +4,8 @@
 
 import msgspec
 
-from quaymill.connection.platform_client import (
-    STATUS_NAME,
-    STATUSES,
-    AlreadyExists,
-    Conflict,
-    NotFound,
-    PlatformClient,
-    PlatformObject,
-)
+from quaymill.connection.platform_client import STATUS_NAME, STATUSES, PlatformClient
+from quaymill.connection.platform_objects import AlreadyExists, Conflict, NotFound, PlatformObject
 from quaymill.version.status import ServingStatus
 
 MAX_TRIES = 3
--- a/src/quaymill/process/status/writer_lease.py
+++ b/src/quaymill/process/status/writer_lease.py
@@ -12,13 +12,8 @@
 
 import msgspec
 
-from quaymill.connection.platform_client import (
-    STATUS_LEASE_NAME,
-    STATUS_LEASES,
-    NotFound,
-    PlatformClient,
-    PlatformObject,
-)
+from quaymill.connection.platform_client import STATUS_LEASE_NAME, STATUS_LEASES, PlatformClient
+from quaymill.connection.platform_objects import NotFound, PlatformObject
 
 LEASE_DURATION_S = 15.0
 RENEWALS_PER_LEASE = 3
--- a/tests/batch_support.py
+++ b/tests/batch_support.py
@@ -10,17 +10,19 @@
 import msgspec
 import urllib3
 
-from quaymill.connection.endpoint import Endpoint, LinkFilter
-from quaymill.connection.job_messages import (
+from quaymill.connection.call_record_messages import (
     AbandonCall,
-    Accepted,
     BeginCall,
     CallRecord,
     CallState,
+    FinishCall,
+)
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.job_messages import (
+    Accepted,
     CompletedItems,
     CompleteItems,
     CompletionVerdict,
-    FinishCall,
     Item,
     ItemCompletion,
     LeasedItem,
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -10,16 +10,15 @@
 
 import msgspec
 
-from quaymill.connection.endpoint import Endpoint, LinkFilter
-from quaymill.connection.job_messages import (
+from quaymill.connection.call_record_messages import (
     AbandonCall,
-    Accepted,
     BeginCall,
     CallRecord,
     CallState,
     FinishCall,
-    StoreConflict,
 )
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.job_messages import Accepted, StoreConflict
 from quaymill.connection.load_messages import Noted, OnlineStarts
 from quaymill.connection.member import Machine, MachineRole, Member
 from quaymill.connection.peer_link import PeerClient, PeerServer
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,7 +7,7 @@
 from nose2.tools import params
 
 from gateway_rig import HOST, KEY, FakeStore, GatewayRig, Reply, begin, wait_until
-from quaymill.connection.job_messages import CallState
+from quaymill.connection.call_record_messages import CallState
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 from quaymill_standins.faults import Faults
 
--- a/tests/test_batch_applications.py
+++ b/tests/test_batch_applications.py
@@ -16,14 +16,14 @@
     view_of,
     wait_until,
 )
-from quaymill.connection.job_messages import (
+from quaymill.connection.call_record_messages import (
     BeginCall,
     CallRecord,
     CallState,
-    CompleteItems,
     FinishCall,
     StoredAnswer,
 )
+from quaymill.connection.job_messages import CompleteItems
 from quaymill.connection.member import MachineRole
 from quaymill_standins.application import Application, ApplicationSettings
 from quaymill_standins.faults import Faults
--- a/tests/test_configuration_editor.py
+++ b/tests/test_configuration_editor.py
@@ -14,11 +14,13 @@
     CONFIGURATIONS,
     STATUS_NAME,
     STATUSES,
+    PlatformClient,
+)
+from quaymill.connection.platform_objects import (
     AlreadyExists,
     Conflict,
     NotFound,
     ObjectChanged,
-    PlatformClient,
     PlatformObject,
     PlatformUnavailable,
     WatchEnded,
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -14,12 +14,8 @@
 from quaymill.connection.configuration_messages import ConfigurationProblem
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Machine, MachineRole
-from quaymill.connection.platform_client import (
-    CONFIGURATION_NAME,
-    CONFIGURATIONS,
-    ObjectList,
-    PlatformObject,
-)
+from quaymill.connection.platform_client import CONFIGURATION_NAME, CONFIGURATIONS
+from quaymill.connection.platform_objects import ObjectList, PlatformObject
 from quaymill.process.configuration.disk_copy import COPY_NAME, load_copy
 from quaymill.process.configuration.editor import ConfigurationEditor, EditAccepted
 from quaymill.process.configuration.problems import ProblemLog
--- a/tests/test_job_store_faults.py
+++ b/tests/test_job_store_faults.py
@@ -10,6 +10,7 @@
 from nose2.tools import params
 
 from job_store_cluster import Caller, ClusterCase, wait_for_same_state, wait_until
+from quaymill.connection import call_record_messages
 from quaymill.connection import job_messages as m
 from quaymill.connection.peer_link import PeerRefusal
 from quaymill.process.job_store.reads import confirm_leadership
@@ -62,13 +63,18 @@
         self.assertEqual(10, self.caller.record(job_id).completed)
 
     def test_lost_answer_of_begin_still_lets_its_attempt_run(self):
-        begin = m.BeginCall(0, "t", "s", "k", "attempt-1", "d", "n")
-        self.caller.ask(begin, m.CallRecord)
+        begin = call_record_messages.BeginCall(0, "t", "s", "k", "attempt-1", "d", "n")
+        self.caller.ask(begin, call_record_messages.CallRecord)
         self.cluster.leader().stop()
-        self.assertIs(m.CallState.NEW, self.caller.ask(begin, m.CallRecord).state)
-        other = m.BeginCall(0, "t", "s", "k", "attempt-2", "d", "n")
-        record = self.caller.ask(other, m.CallRecord)
-        self.assertEqual((m.CallState.BEGUN, "attempt-1"), (record.state, record.attempt))
+        self.assertIs(
+            call_record_messages.CallState.NEW,
+            self.caller.ask(begin, call_record_messages.CallRecord).state,
+        )
+        other = call_record_messages.BeginCall(0, "t", "s", "k", "attempt-2", "d", "n")
+        record = self.caller.ask(other, call_record_messages.CallRecord)
+        self.assertEqual(
+            (call_record_messages.CallState.BEGUN, "attempt-1"), (record.state, record.attempt)
+        )
 
     def test_all_replicas_restart_while_the_platform_is_down(self):
         job_id = self.caller.job(20)
--- a/tests/test_job_store_membership.py
+++ b/tests/test_job_store_membership.py
@@ -18,6 +18,7 @@
     wait_for_same_state,
     wait_until,
 )
+from quaymill.connection import call_record_messages
 from quaymill.connection import job_messages as m
 from quaymill.connection.log_messages import RequestVote
 from quaymill.process.job_store import formation, log_tail, membership_change, snapshots
@@ -167,10 +168,10 @@
         self.caller.job(400)
         self.caller.complete(self.caller.lease(300))
         self.caller.lease(20)
-        call = m.BeginCall(0, "t", "s", "k", "a", "d", "n")
-        self.caller.ask(call, m.CallRecord)
-        answer = m.StoredAnswer(200, "text/plain", b"\x00\xff")
-        self.caller.ask(m.FinishCall(0, "t", "s", "k", "a", answer), m.Accepted)
+        call = call_record_messages.BeginCall(0, "t", "s", "k", "a", "d", "n")
+        self.caller.ask(call, call_record_messages.CallRecord)
+        answer = call_record_messages.StoredAnswer(200, "text/plain", b"\x00\xff")
+        self.caller.ask(call_record_messages.FinishCall(0, "t", "s", "k", "a", answer), m.Accepted)
         for _ in range(30):
             self.caller.upload(50)
         storage = self.cluster.leader().group.replica.storage
--- a/tests/test_job_store_path.py
+++ b/tests/test_job_store_path.py
@@ -5,12 +5,7 @@
 import unittest
 
 from job_store_cluster import Caller, Cluster
-from quaymill.connection.job_messages import (
-    CompletionVerdict,
-    JobState,
-    ReadResults,
-    ResultPage,
-)
+from quaymill.connection.job_messages import CompletionVerdict, JobState, ReadResults, ResultPage
 
 
 class JobPathTest(unittest.TestCase):
--- a/tests/test_job_store_state.py
+++ b/tests/test_job_store_state.py
@@ -10,13 +10,14 @@
 from nose2.tools import params
 
 from job_store_cluster import SERVICE, completion, create_job, item, ref
+from quaymill.connection import call_record_messages
 from quaymill.connection import job_messages as m
 from quaymill.process.job_store.commands import ExpireLeases, LoggedCommand, PurgeExpired
 from quaymill.process.job_store.log_storage import LogStorage
 from quaymill.process.job_store.schema import STATE_TABLES
 from quaymill.process.job_store.state_machine import Grants, StateMachine
 
-ANSWER = m.StoredAnswer(200, "application/json", b"{}")
+ANSWER = call_record_messages.StoredAnswer(200, "application/json", b"{}")
 MAX_ATTEMPTS = 3
 
 
@@ -263,20 +264,25 @@
     """At-most-once calls."""
 
     def begin(self, attempt="a", digest="d", key="k"):
-        return self.apply(m.BeginCall(0, "t", "s", key, attempt, digest, "node-1"))
+        return self.apply(
+            call_record_messages.BeginCall(0, "t", "s", key, attempt, digest, "node-1")
+        )
 
     def finish(self, attempt="a"):
-        return self.apply(m.FinishCall(0, "t", "s", "k", attempt, ANSWER))
+        return self.apply(call_record_messages.FinishCall(0, "t", "s", "k", attempt, ANSWER))
 
     def abandon(self, attempt="a"):
-        return self.apply(m.AbandonCall(0, "t", "s", "k", attempt))
+        return self.apply(call_record_messages.AbandonCall(0, "t", "s", "k", attempt))
 
     def test_only_the_first_attempt_may_send(self):
-        self.assertEqual(m.CallState.NEW, self.begin().state)
-        self.assertEqual(m.CallState.NEW, self.begin().state)  # Its answer was lost.
+        self.assertEqual(call_record_messages.CallState.NEW, self.begin().state)
+        self.assertEqual(
+            call_record_messages.CallState.NEW, self.begin().state
+        )  # Its answer was lost.
         second = self.begin(attempt="b")
         self.assertEqual(
-            (m.CallState.BEGUN, "a", "node-1"), (second.state, second.attempt, second.node)
+            (call_record_messages.CallState.BEGUN, "a", "node-1"),
+            (second.state, second.attempt, second.node),
         )
         self.assertIsInstance(self.begin(attempt="b", digest="e"), m.StoreConflict)
         self.assertIsInstance(self.finish(attempt="b"), m.StoreConflict)
@@ -284,7 +290,9 @@
         self.assertIsInstance(self.finish(), m.Accepted)
         for attempt in ("a", "b"):
             record = self.begin(attempt=attempt)
-            self.assertEqual((m.CallState.FINISHED, ANSWER), (record.state, record.answer))
+            self.assertEqual(
+                (call_record_messages.CallState.FINISHED, ANSWER), (record.state, record.answer)
+            )
         self.assertIsInstance(self.abandon(), m.StoreConflict)
 
     def test_abandoned_call_is_free_for_another_attempt_only(self):
@@ -292,9 +300,9 @@
         self.abandon()
         self.assertIsInstance(self.begin(), m.StoreConflict)  # A late copy of the message.
         self.assertIsInstance(self.finish(), m.StoreConflict)
-        self.assertEqual(m.CallState.NEW, self.begin(attempt="b").state)
+        self.assertEqual(call_record_messages.CallState.NEW, self.begin(attempt="b").state)
         self.abandon()  # A late copy does not touch the new attempt.
-        self.assertEqual(m.CallState.BEGUN, self.begin(attempt="c").state)
+        self.assertEqual(call_record_messages.CallState.BEGUN, self.begin(attempt="c").state)
 
 
 class RetentionAndDeterminismTest(StateMachineCase):
@@ -305,8 +313,8 @@
         self.complete(*[completion(x) for x in self.lease(5)])
         self.job("running", count=5)
         self.complete(*[completion(x) for x in self.lease(2)])
-        self.apply(m.BeginCall(0, "t", "s", "old", "a", "d", "n"), at=1.0)
-        self.apply(m.BeginCall(0, "t", "s", "new", "a", "d", "n"), at=100.0)
+        self.apply(call_record_messages.BeginCall(0, "t", "s", "old", "a", "d", "n"), at=1.0)
+        self.apply(call_record_messages.BeginCall(0, "t", "s", "new", "a", "d", "n"), at=100.0)
 
     def test_purge_removes_what_ended_long_ago_a_few_rows_at_a_time(self):
         self.fill()
--- a/tests/test_status_writer.py
+++ b/tests/test_status_writer.py
@@ -11,12 +11,8 @@
 from fleet_support import Fleet, PlatformCase, eventually, set_faults
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import MemberState
-from quaymill.connection.platform_client import (
-    STATUS_NAME,
-    STATUSES,
-    PlatformClient,
-    PlatformUnavailable,
-)
+from quaymill.connection.platform_client import STATUS_NAME, STATUSES, PlatformClient
+from quaymill.connection.platform_objects import PlatformUnavailable
 from quaymill.process.configuration.editor import ConfigurationEditor
 from quaymill.process.status.collector import _listed
 from quaymill.process.status.service import StatusService, StatusTiming
