Pools of engines, poll() for high descriptors, warnings between gateways

Shown by test_readable on a descriptor of 1,500 (ValueError before, passes now). Change: poll(); a service is split into pools of at most 48 replicas, each with its own keeper.

--- a/src/quaymill/connection/peer_link.py
+++ b/src/quaymill/connection/peer_link.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import contextlib
-import select
 import socket
 import threading
 import time
@@ -21,6 +20,7 @@
 from eliot import log_message
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.readable import is_readable
 
 MAX_LINE_BYTES = 64 * 1024 * 1024
 MAX_IDLE_CONNECTIONS_PER_PEER = 8
@@ -226,7 +226,7 @@
                 break
             expired = time.monotonic() - idle.idle_since > IDLE_CONNECTION_LIFETIME_S
             # A readable idle connection holds an end of stream: the peer has closed it.
-            if not expired and not select.select([idle.connection], [], [], 0)[0]:
+            if not expired and not is_readable(idle.connection, 0.0):
                 return idle.connection
             idle.connection.close()
         connection = socket.create_connection(
--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import contextlib
-import select
 import socket
 import threading
 import time
@@ -22,6 +21,7 @@
 from urllib3.response import BaseHTTPResponse
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.readable import is_readable
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 
 CONNECT_TIMEOUT_S = 1.0
@@ -86,7 +86,7 @@
 
     def wait_readable(self, timeout_s: float) -> bool:
         """Return whether the replica has sent something, or closed, within the timeout."""
-        return bool(select.select([self._socket], [], [], max(timeout_s, 0.0))[0])
+        return is_readable(self._socket, timeout_s)
 
     def read_head(self, timeout_s: float) -> OutcomeUnknown | None:
         """Read the status line and the headers of the answer."""
--- a/src/quaymill/connection/room_messages.py
+++ b/src/quaymill/connection/room_messages.py
@@ -31,10 +31,12 @@
 
 
 class ClaimRoom(PeerMessage, frozen=True):
-    """Ask for room at the engines of a service; answered by ``RoomGranted``.
+    """Ask for room at a pool of engines; answered by ``RoomGranted``.
 
     Attributes
     ----------
+    pool, pools
+        Which part of the service's engines, and of how many.
     running
         Items of this coordinator in service now.
     wanted
@@ -49,6 +51,8 @@
     running: tuple[ItemsAt, ...]
     wanted: tuple[WantedItems, ...]
     avoided: tuple[str, ...] = ()
+    pool: int = 0
+    pools: int = 1
 
 
 class RoomGranted(PeerMessage, frozen=True):
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -37,6 +37,7 @@
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.router import Router
 from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.process.replica_set.warnings import ReplicaWarnings
 from quaymill.process.serving_settings import ServingSettings
 from quaymill.request.forwarding import Forwarder, ReplicaProtocol
 from quaymill.version.request_routes import RequestRoutes
@@ -117,6 +118,14 @@
             self.network.known_storage_nodes,
             settings.disks_lost_at_once + 2,
         )
+        self._warnings = ReplicaWarnings(
+            settings.name,
+            settings.zone,
+            self._table,
+            self.network.client,
+            self.network.server,
+            self.network.other_gateways,
+        )
         self._router = Router(self._table, settings.zone, settings.name)
         self._loads = EngineLoads(self._table, self._connections, protocol.reports)
         keeper = RoomKeeper(self._table, self._loads, self.network.server)
@@ -222,6 +231,7 @@
         self.network.start()
         self.control.subscribe(self._apply_limits)
         self.control.start()
+        self._warnings.start()
         self.coordinator.start()
         self._watch.start()
         self._server.start_serving()
@@ -254,6 +264,7 @@
         self.control.stop()
         self._registry.stop()
         self._loads.stop()
+        self._warnings.stop()
         self.network.stop()
 
     def _wait_until_idle(self, deadline: float) -> bool:
@@ -289,6 +300,7 @@
         self.control.stop()
         self._registry.stop()
         self._loads.stop()
+        self._warnings.stop()
         self.network.stop()
         self.coordinator.stop()
         self._server.stop()
--- a/src/quaymill/process/jobs/engine_loads.py
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -8,7 +8,7 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -82,16 +82,16 @@
         """Poll no more."""
         self._stopping.set()
 
-    def want(self, services: frozenset[str]) -> None:
-        """Poll the engines of these services from now on, and no others."""
-        self._wanted = services
-        for service in services:
-            for replica in self._table.of_service(service):
-                if replica.id not in self._polled and not replica.leaving:
-                    self._polled.add(replica.id)
-                    threading.Thread(
-                        target=self._poll, args=(replica,), name="engine-poll", daemon=True
-                    ).start()
+    def want(self, replicas: Iterable[Replica]) -> None:
+        """Poll these engines from now on, and no others."""
+        wanted = tuple(replicas)
+        self._wanted = frozenset(replica.id for replica in wanted)
+        for replica in wanted:
+            if replica.id not in self._polled:
+                self._polled.add(replica.id)
+                threading.Thread(
+                    target=self._poll, args=(replica,), name="engine-poll", daemon=True
+                ).start()
 
     def room(self, replica: Replica, tokens: int, reserve_share: float) -> int:
         """Return how many items more the replica may get now.
@@ -105,7 +105,7 @@
         """
         with self._lock:
             poll = self._polls_by_replica.get(replica.id)
-            if poll is None or poll.report is None or replica.leaving or replica.ejected:
+            if poll is None or poll.report is None or replica.leaving or replica.avoided:
                 return 0
             if time.monotonic() - poll.taken_at > REPORT_MAX_AGE_S:
                 return 0
@@ -143,10 +143,10 @@
                 poll.report = None
 
     def _poll(self, replica: Replica) -> None:
-        """Poll one engine until its service is not wanted any more, or it is gone."""
+        """Poll one engine until its report is not wanted any more, or it is gone."""
         while (
             not self._stopping.is_set()
-            and replica.entry.service in self._wanted
+            and replica.id in self._wanted
             and replica.departed_at is None
         ):
             report = self._ask(replica)
--- /dev/null
+++ b/src/quaymill/process/jobs/engine_pool.py
@@ -0,0 +1,51 @@
+"""Pools of engines: the parts of a service whose free slots one gateway shares out."""
+
+from __future__ import annotations
+
+import attrs
+
+from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.table import ReplicaTable
+
+MAX_POOL_REPLICAS = 48
+"""Above this a service is split: one gateway could not poll thousands of engines."""
+
+
+@attrs.frozen
+class EnginePool:
+    """One part of a service.
+
+    Attributes
+    ----------
+    index, pools
+        Which part, and of how many.
+    """
+
+    service: str
+    index: int = 0
+    pools: int = 1
+
+    def holds(self, replica: Replica) -> bool:
+        """Return whether a replica belongs to this part."""
+        if replica.entry.service != self.service:
+            return False
+        return replica.id_hash % self.pools == self.index
+
+    def members(self, table: ReplicaTable) -> list[Replica]:
+        """Return the replicas of this part that may get work."""
+        return [
+            replica
+            for replica in table.of_service(self.service)
+            if not replica.leaving and self.holds(replica)
+        ]
+
+
+def pools_of(service: str, table: ReplicaTable) -> list[EnginePool]:
+    """Return the parts of a service by the number of its replicas now.
+
+    Gateways that count differently for a moment share the same slots twice: engines then refuse
+    what is too much, and it waits again.
+    """
+    listed = sum(1 for replica in table.of_service(service) if not replica.leaving)
+    pools = max(1, -(-listed // MAX_POOL_REPLICAS))
+    return [EnginePool(service, index, pools) for index in range(pools)]
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -12,12 +12,14 @@
 from collections.abc import Callable
 
 import attrs
+import xxhash
 from eliot import log_message
 
 from quaymill.connection.job_document import Job, ResultState
 from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.connection.room_messages import ClaimRoom, ItemsAt, WantedItems
 from quaymill.process.jobs.coordinated_job import CoordinatedJob, ItemState, RunningItem
+from quaymill.process.jobs.engine_pool import EnginePool, pools_of
 from quaymill.process.jobs.item_run import (
     ItemCut,
     ItemDone,
@@ -37,6 +39,8 @@
 """Least time between two claims: items that end close together share one."""
 RETRY_PAUSE_S = 0.3
 MAX_RUNNING_ITEMS = 96
+MAX_POOLS_ASKED = 3
+"""Pools of engines that are asked for room in one round, one call each."""
 RESERVE_SHARES = ((0.6, 0.35), (0.3, 0.25), (0.0, 0.15))
 """Part of a job's time that is left, and the part of the slots that its items then leave free:
 a job with time to spare keeps well out of the way of online requests."""
@@ -84,6 +88,7 @@
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._running_items = 0
+        self._first_pool = xxhash.xxh3_64_intdigest(parts.name.encode())
 
     def start(self) -> None:
         """Begin to run items."""
@@ -130,25 +135,55 @@
             self._claim(service, claiming)
 
     def _claim(self, service: str, jobs: list[CoordinatedJob]) -> None:
-        """Ask for room for the waiting items of some jobs, and do as the answer says."""
-        wanted = tuple(one for one in map(_wanted, jobs) if one.items)
-        running = Counter(item.replica_id for item in self._running_items_of(service))
+        """Ask for room for the waiting items of some jobs, one pool of engines after the other.
+
+        Each coordinator begins with a pool of its own choice, so that all are used.
+        """
+        pools = pools_of(service, self._parts.table)
+        start = self._first_pool % len(pools)
+        avoided = self._avoided(service)
+        asked = 0
+        for pool in pools[start:] + pools[:start]:
+            running = self._running_items_in(pool)
+            wanted = self._wanted_of(jobs) if asked < MAX_POOLS_ASKED else ()
+            if not wanted and not running:
+                continue
+            asked += bool(wanted)
+            self._claim_in(pool, jobs, running, wanted, avoided)
+        if self._wanted_of(jobs):
+            self._first_pool += MAX_POOLS_ASKED
+
+    def _wanted_of(self, jobs: list[CoordinatedJob]) -> tuple[WantedItems, ...]:
         if self._running_items >= MAX_RUNNING_ITEMS:
-            wanted = ()
+            return ()
+        return tuple(one for one in map(_wanted, jobs) if one.items)
+
+    def _claim_in(
+        self,
+        pool: EnginePool,
+        jobs: list[CoordinatedJob],
+        running: list[RunningItem],
+        wanted: tuple[WantedItems, ...],
+        avoided: tuple[str, ...],
+    ) -> None:
+        """Claim room in one pool, and do as the answer says."""
+        counts = Counter(item.replica_id for item in running)
         granted = self._parts.claim_room(
             ClaimRoom(
                 self._parts.name,
                 self._parts.zone,
-                service,
-                tuple(ItemsAt(replica_id, items) for replica_id, items in running.items()),
+                pool.service,
+                tuple(ItemsAt(replica_id, items) for replica_id, items in counts.items()),
                 wanted,
-                self._avoided(service),
+                avoided,
+                pool.index,
+                pool.pools,
             )
         )
         if granted is None:
             return
         for at in granted.give_back:
-            self._give_way(service, at)
+            self._give_way(running, at)
         waiting = iter([(job, item) for job in jobs for item in job.waiting()])
         for at in granted.starts:
             replica = self._parts.table.get(at.replica_id)
@@ -160,16 +195,15 @@
     def _avoided(self, service: str) -> tuple[str, ...]:
         """Return the replicas that fail for this process, whatever others see of them."""
         replicas = self._parts.table.of_service(service)
-        return tuple(replica.id for replica in replicas if replica.ejected)
+        return tuple(replica.id for replica in replicas if replica.avoided)
+
+    def _running_items_in(self, pool: EnginePool) -> list[RunningItem]:
+        running = [item for job in self._open_jobs() for item in job.running()]
+        return [item for item in running if not item.giving_way and self._is_in(pool, item)]
 
-    def _running_items_of(self, service: str) -> list[RunningItem]:
-        replica_ids = {replica.id for replica in self._parts.table.of_service(service)}
-        return [
-            item
-            for job in self._open_jobs()
-            for item in job.running()
-            if item.replica_id in replica_ids and not item.giving_way
-        ]
+    def _is_in(self, pool: EnginePool, item: RunningItem) -> bool:
+        replica = self._parts.table.get(item.replica_id)
+        return replica is not None and pool.holds(replica)
 
     def _services_of(self, job: CoordinatedJob) -> tuple[str, ...]:
         """Return the services that may run a job's items by the configuration in force."""
@@ -255,11 +289,9 @@
     def _max_attempts(self, job: CoordinatedJob) -> int:
         return max(1, job.route.max_attempts) if job.route else 1
 
-    def _give_way(self, service: str, at: ItemsAt) -> None:
+    def _give_way(self, running: list[RunningItem], at: ItemsAt) -> None:
         """Cut the youngest items at a replica, which hold the least."""
-        items = [
-            item for item in self._running_items_of(service) if item.replica_id == at.replica_id
-        ]
+        items = [item for item in running if item.replica_id == at.replica_id]
         items.sort(key=lambda item: item.started_at, reverse=True)
         for item in items[: at.items]:
             item.giving_way = True
--- a/src/quaymill/process/jobs/room_claims.py
+++ b/src/quaymill/process/jobs/room_claims.py
@@ -1,4 +1,4 @@
-"""Puts claims for room to whichever gateway keeps it for a service."""
+"""Puts claims for room to whichever gateway keeps it for a pool of engines."""
 
 from __future__ import annotations
 
@@ -18,14 +18,14 @@
 """How long a gateway that did not answer a claim is passed over: by then membership knows."""
 
 ClaimRoomCall = Callable[[ClaimRoom], RoomGranted | None]
-"""Puts a claim to who keeps room for its service; ``None`` if that did not answer."""
+"""Puts a claim to who keeps room for its pool; ``None`` if that did not answer."""
 
 
 class RoomClaims:
     """Claims of one gateway; used by its dispatcher's thread only.
 
     A keeper that does not answer is passed over for a while, in favour of the next in rank.
-    Two keepers of a service at once only start more items than there is room for: engines
+    Two keepers of a pool at once only start more items than there is room for: engines
     refuse them, and they wait again.
 
     Parameters
@@ -48,8 +48,8 @@
         self._avoided_until_by_name: dict[str, float] = {}
 
     def claim(self, claim: ClaimRoom) -> RoomGranted | None:
-        """Put a claim to the gateway that ranks first for its service."""
-        member = self._keeper_of(claim.service)
+        """Put a claim to the gateway that ranks first for its pool."""
+        member = self._keeper_of(f"room/{claim.service}/{claim.pool}")
         if member is None or member.name == self._own_name:
             return self._keeper.claim(claim)
         reply = self._client.call(member.peer, claim, RoomGranted, CLAIM_TIMEOUT_S)
@@ -59,9 +59,9 @@
         self._avoided_until_by_name[member.name] = time.monotonic() + AVOID_KEEPER_S
         return None
 
-    def _keeper_of(self, service: str) -> Member | None:
+    def _keeper_of(self, key: str) -> Member | None:
         now = time.monotonic()
-        for member in rank_nodes(f"room/{service}", self._gateways()):
+        for member in rank_nodes(key, self._gateways()):
             if self._avoided_until_by_name.get(member.name, 0.0) <= now:
                 return member
         return None
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -168,6 +168,10 @@
         ),
         ordinary_outcome="ItemDone",
     ),
+    "replica:warned": LogEvent(
+        "other gateways are told of replicas that fail here",
+        ("replicas", "gateways: how many are told"),
+    ),
     "batch:keeper_silent": LogEvent(
         "the gateway that keeps room for a service did not answer a claim",
         ("service", "keeper: passed over for a while"),
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import threading
 import time
 
+import attrs
+import xxhash
 from eliot import log_message
 
 from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad
@@ -16,10 +19,30 @@
 DEFAULT_SLOTS = 8
 LATENCY_WEIGHT = 0.2
 LEAST_SILENCE_S = 0.5
+OWN_FAILURE_S = 1.0
+"""How long a failure of this process's own counts as one that happens now."""
+WARNING_LIFETIME_S = 2.0
+MIN_WARNINGS = 2
 SILENCE_FACTOR = 6.0
 """Silence, in usual times to the first byte, from which on a replica counts as silent."""
 
 
+@attrs.frozen
+class _Warning:
+    """What another gateway said of a replica.
+
+    Attributes
+    ----------
+    zone
+        Where that gateway runs.
+    at
+        Monotonic time when it came.
+    """
+
+    zone: str
+    at: float
+
+
 class Replica:
     """Load and health of one incarnation; safe to use from any thread.
 
@@ -27,12 +50,15 @@
     ----------
     in_flight
         Requests of this process that the replica has now.
+    id_hash
+        Spreads replicas over parts of a service, alike in every process.
     departed_at
         Monotonic time since when the platform lists the replica no more.
     """
 
     def __init__(self, entry: ReplicaEntry) -> None:
         self.entry = entry
+        self.id_hash = xxhash.xxh3_64_intdigest(entry.id.encode())
         self.in_flight = 0
         self.departed_at: float | None = None
         self.misdirected = False
@@ -46,6 +72,8 @@
         self._first_byte_s = 0.0
         self._told_ejected = False
         self._quiet_since = 0.0
+        self._failed_at = -math.inf
+        self._warnings: dict[str, _Warning] = {}
 
     @property
     def id(self) -> str:
@@ -124,8 +152,31 @@
     def record_failure(self, weight: float = 1.0) -> None:
         """Note a failure; ``weight`` says how much it tells of the replica."""
         with self._lock:
+            self._failed_at = time.monotonic()
             self._set_penalty(self._present_penalty() + weight)
 
+    def take_warning(self, gateway: str, zone: str) -> None:
+        """Note that the replica fails for another gateway."""
+        with self._lock:
+            self._warnings[gateway] = _Warning(zone, time.monotonic())
+            if self._is_warned_of():
+                # So that it is tried again by few at first, once the warnings lapse.
+                self._set_penalty(max(EJECTION_PENALTY, self._present_penalty()))
+
+    @property
+    def fails_here(self) -> bool:
+        """Whether it fails for this process now, whatever others say."""
+        failed_just_now = time.monotonic() - self._failed_at < OWN_FAILURE_S
+        return self.silent or (failed_just_now and self.ejected)
+
+    @property
+    def avoided(self) -> bool:
+        """Whether it gets nothing new while others are sound."""
+        if self.ejected or self.silent:
+            return True
+        with self._lock:
+            return self._is_warned_of()
+
     @property
     def ejected(self) -> bool:
         """Whether recent failures keep the replica from being chosen while others are sound."""
@@ -141,6 +192,20 @@
         """Smoothed time to the first byte of an answer, in seconds; 0 if unknown."""
         return self._first_byte_s
 
+    def _is_warned_of(self) -> bool:
+        """Return whether enough gateways warn of it; the lock is held.
+
+        Gateways of one other zone are not enough: their link to this zone may be cut.
+        """
+        if not self._warnings:
+            return False
+        oldest = time.monotonic() - WARNING_LIFETIME_S
+        self._warnings = {
+            gateway: warning for gateway, warning in self._warnings.items() if warning.at > oldest
+        }
+        zones = {warning.zone for warning in self._warnings.values()}
+        return len(self._warnings) >= MIN_WARNINGS and (len(zones) > 1 or self.entry.zone in zones)
+
     def _set_penalty(self, penalty: float) -> None:
         """Store a penalty, and tell when it begins or ceases to eject; the lock is held."""
         self._penalty = penalty
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -77,7 +77,7 @@
             ]
         if not candidates:
             return NoReplica(service, "no replica of the service is listed and untried")
-        sound = [replica for replica in candidates if not replica.ejected and not replica.silent]
+        sound = [replica for replica in candidates if not replica.avoided]
         return self._least_costly(sound or candidates, prompt)
 
     def _least_costly(self, candidates: list[Replica], prompt: Prompt) -> Replica:
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -40,6 +40,10 @@
         """Return a replica by its identity."""
         return self._by_id.get(replica_id)
 
+    def replicas(self) -> tuple[Replica, ...]:
+        """Return all replicas, departed ones included."""
+        return tuple(self._by_id.values())
+
     def count(self, wanted: Callable[[Replica], bool]) -> int:
         """Return how many replicas are as ``wanted`` says."""
         return sum(1 for replica in list(self._by_id.values()) if wanted(replica))
--- a/tests/test_job_room.py
+++ b/tests/test_job_room.py
@@ -6,6 +6,9 @@
 from collections import Counter
 from unittest import mock
 
+import msgspec
+from nose2.tools import params
+
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerNoReply
@@ -13,6 +16,7 @@
 from quaymill.connection.room_messages import ClaimRoom, ItemsAt, RoomGranted, WantedItems
 from quaymill.process.jobs import room_claims as room_claims_module
 from quaymill.process.jobs import room_keeper as room_keeper_module
+from quaymill.process.jobs.engine_pool import pools_of
 from quaymill.process.jobs.room_claims import AVOID_KEEPER_S, RoomClaims
 from quaymill.process.jobs.room_keeper import CLAIM_LIFETIME_S, RoomKeeper
 from quaymill.process.replica_set.table import ReplicaTable
@@ -29,8 +33,8 @@
         self.excess_by_replica: Counter[str] = Counter()
         self.wanted: frozenset[str] = frozenset()
 
-    def want(self, services):
-        self.wanted = services
+    def want(self, replicas):
+        self.wanted = frozenset(replica.entry.service for replica in replicas)
 
     def room(self, replica, tokens, reserve_share):
         return max(0, self.free_by_replica[replica.id])
@@ -69,6 +73,7 @@
             ReplicaEntry(name, SERVICE, Endpoint("127.0.0.1", 1), name[0], 8)
             for name in free_by_replica
         ]
+        entries.append(ReplicaEntry("o1", "other", Endpoint("127.0.0.1", 1), "o", 8))
         table.replace_all(entries, 1)
         self.loads = FixedLoads(**free_by_replica)
         return RoomKeeper(table, self.loads)
@@ -135,6 +140,45 @@
     return Member(name, "x", "r", endpoint, endpoint)
 
 
+class EnginePoolTest(unittest.TestCase):
+    """Services with many replicas are split among several keepers."""
+
+    def table(self, replicas: int) -> ReplicaTable:
+        table = ReplicaTable()
+        table.replace_all(
+            [
+                ReplicaEntry(f"r{index}", SERVICE, Endpoint("127.0.0.1", 1), "x", 8)
+                for index in range(replicas)
+            ],
+            1,
+        )
+        return table
+
+    @params((0, 1), (1, 1), (48, 1), (49, 2), (2800, 59))
+    def test_number_of_pools(self, replicas, pools) -> None:
+        self.assertEqual(pools, len(pools_of(SERVICE, self.table(replicas))))
+
+    def test_every_replica_is_in_one_pool(self) -> None:
+        table = self.table(500)
+        members = [
+            replica.id for pool in pools_of(SERVICE, table) for replica in pool.members(table)
+        ]
+        self.assertEqual(500, len(members))
+        self.assertEqual(500, len(set(members)))
+
+    def test_keeper_grants_and_polls_its_pool_only(self) -> None:
+        table = self.table(100)
+        loads = FixedLoads(**{replica.id: 1 for replica in table.replicas()})
+        wanted = []
+        loads.want = wanted.extend
+        pool = pools_of(SERVICE, table)[1]
+        message = msgspec.structs.replace(claim("a", EVERY_ITEM), pool=pool.index, pools=pool.pools)
+        granted = RoomKeeper(table, loads).claim(message)
+        members = {replica.id for replica in pool.members(table)}
+        self.assertEqual(members, set(items(granted.starts)))
+        self.assertEqual(members, {replica.id for replica in wanted})
+
+
 class RoomClaimsTest(unittest.TestCase):
     """To whom a claim goes, while keepers come and go."""
 
--- /dev/null
+++ b/tests/test_readable.py
@@ -0,0 +1,48 @@
+"""Sockets whose descriptors are above what ``select.select`` takes."""
+
+from __future__ import annotations
+
+import fcntl
+import resource
+import socket
+import unittest
+
+from quaymill.connection.readable import is_readable
+from quaymill.connection.replica_connection import Exchange
+
+HIGH_DESCRIPTOR = 1500
+
+
+class HighDescriptorTest(unittest.TestCase):
+    """As in a gateway with more than a thousand connections."""
+
+    def setUp(self) -> None:
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if soft != resource.RLIM_INFINITY and soft <= HIGH_DESCRIPTOR:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (HIGH_DESCRIPTOR + 64, hard))
+            self.addCleanup(resource.setrlimit, resource.RLIMIT_NOFILE, (soft, hard))
+        low, self.other = socket.socketpair()
+        self.addCleanup(self.other.close)
+        with low:
+            descriptor = fcntl.fcntl(low.fileno(), fcntl.F_DUPFD, HIGH_DESCRIPTOR)
+        self.connection = socket.socket(fileno=descriptor)
+        self.addCleanup(self.connection.close)
+
+    def test_waits_for_what_comes(self) -> None:
+        self.assertFalse(is_readable(self.connection, 0.01))
+        self.other.sendall(b"x")
+        self.assertTrue(is_readable(self.connection, 1.0))
+
+    def test_end_counts_as_readable(self) -> None:
+        self.other.close()
+        self.assertTrue(is_readable(self.connection, 1.0))
+
+    def test_closed_here_counts_as_readable(self) -> None:
+        self.connection.close()
+        self.assertTrue(is_readable(self.connection, 0.0))
+
+    def test_exchange_waits_on_a_high_descriptor(self) -> None:
+        exchange = Exchange.__new__(Exchange)
+        exchange._socket = self.connection
+        self.other.sendall(b"HTTP/1.1 200 OK")
+        self.assertTrue(exchange.wait_readable(1.0))
--- /dev/null
+++ b/tests/test_replica_warnings.py
@@ -0,0 +1,124 @@
+"""Gateways warn each other of replicas that fail."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from nose2.tools import params
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.member import Member
+from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.connection.replica_warnings import WarnOfReplicas
+from quaymill.process.replica_set import replica as replica_module
+from quaymill.process.replica_set import warnings as warnings_module
+from quaymill.process.replica_set.replica import EJECTION_PENALTY, WARNING_LIFETIME_S
+from quaymill.process.replica_set.router import Router
+from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.process.replica_set.warnings import REPEAT_AFTER_S, ReplicaWarnings
+
+SERVICE = "engine"
+HOME = "x"
+
+
+class WarningsCase(unittest.TestCase):
+    """Time is the test's own."""
+
+    def setUp(self) -> None:
+        self.now = 1000.0
+        for module in (replica_module, warnings_module):
+            patch = mock.patch.object(module.time, "monotonic", lambda: self.now)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.table = ReplicaTable()
+        entries = [
+            ReplicaEntry(f"r{index}", SERVICE, Endpoint("127.0.0.1", index + 1), HOME, 8)
+            for index in range(8)
+        ]
+        self.table.replace_all(entries, 1)
+        self.first = self.table.get("r0")
+
+
+class TakenWarningsTest(WarningsCase):
+    """What warnings of others do to a replica."""
+
+    @params(
+        ("one gateway alone", [("a", HOME)], False),
+        ("one gateway twice", [("a", HOME), ("a", HOME)], False),
+        ("two of the replica's zone", [("a", HOME), ("b", HOME)], True),
+        ("two of two zones", [("a", "y"), ("b", "z")], True),
+        ("two of one other zone, whose link may be cut", [("a", "y"), ("b", "y")], False),
+    )
+    def test_avoided_after(self, _, warnings, avoided) -> None:
+        for gateway, zone in warnings:
+            self.first.take_warning(gateway, zone)
+        self.assertEqual(avoided, self.first.avoided)
+
+    def test_replica_that_answers_nobody_draws_no_request_of_a_gateway_that_never_met_it(
+        self,
+    ) -> None:
+        router = Router(self.table, HOME, "seed")
+        for replica in self.table.replicas()[1:]:
+            replica.begin()
+        self.assertEqual("r0", router.choose(SERVICE).id)
+        self.first.take_warning("a", HOME)
+        self.first.take_warning("b", HOME)
+        self.assertNotEqual("r0", router.choose(SERVICE).id)
+
+    def test_warnings_lapse_and_leave_some_reluctance(self) -> None:
+        self.first.take_warning("a", HOME)
+        self.first.take_warning("b", HOME)
+        self.now += WARNING_LIFETIME_S
+        self.assertFalse(self.first.avoided)
+        self.assertGreater(self.first.penalty, 0.0)
+
+    def test_warnings_of_others_are_not_passed_on(self) -> None:
+        self.first.take_warning("a", HOME)
+        self.first.take_warning("b", HOME)
+        self.assertFalse(self.first.fails_here)
+
+
+class SentWarningsTest(WarningsCase):
+    """When a gateway warns others."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        endpoint = Endpoint("127.0.0.1", 1)
+        others = (Member("b", HOME, "r", endpoint, endpoint),)
+        self.client = mock.Mock()
+        self.warnings = ReplicaWarnings(
+            "a", HOME, self.table, self.client, mock.Mock(), lambda: others
+        )
+
+    def fail(self, *replica_ids: str) -> None:
+        for replica_id in replica_ids:
+            self.table.get(replica_id).record_failure(EJECTION_PENALTY)
+
+    def test_failing_replica_is_told_of_once_a_while(self) -> None:
+        self.fail("r0")
+        self.assertEqual(("r0",), self.warnings._due())
+        self.assertEqual((), self.warnings._due())
+        self.now += REPEAT_AFTER_S / 2
+        self.fail("r0")
+        self.assertEqual((), self.warnings._due())
+        self.now += REPEAT_AFTER_S / 2
+        self.assertEqual(("r0",), self.warnings._due())
+
+    def test_silent_replica_is_told_of(self) -> None:
+        self.first.begin()
+        self.now += 0.6
+        self.assertEqual(("r0",), self.warnings._due())
+
+    def test_gateway_for_which_many_fail_keeps_still(self) -> None:
+        self.fail("r0", "r1", "r2")
+        self.assertEqual((), self.warnings._due())
+
+    def test_warning_reaches_the_other_gateway(self) -> None:
+        self.warnings._warn(("r0",))
+        (_, message, *_), _ = self.client.call.call_args
+        self.assertEqual(WarnOfReplicas("a", HOME, ("r0",)), message)
+        other = ReplicaWarnings("b", HOME, self.table, mock.Mock(), mock.Mock(), lambda: ())
+        other.take(message)
+        other.take(WarnOfReplicas("c", HOME, ("r0", "unknown")))
+        self.assertTrue(self.first.avoided)
