A peer's list with the same content is asked for once

Cause, found by reading while looking for what goes between zones: a replica that goes and comes back between two pulls leaves the content as it was here, the revision stayed behind, and the gateway asked for the whole list every 0.5 s and was not confirmed until the next change. Change: the revision rises with a list taken from a peer. test_same_content_of_a_peer_that_is_ahead_is_asked_for_once needs it.

--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -231,7 +231,7 @@
             self._offer_configuration(reply.configuration, f"peer {peer.name}")
         if reply.replicas is not None and reply.replicas_revision > self._table.revision:
             entries = [_entry(record) for record in reply.replicas]
-            self._table.replace_all(entries, reply.replicas_revision)
+            self._table.take_from_peer(entries, reply.replicas_revision)
             log_message("control:replicas_pulled", peer=peer.name, revision=reply.replicas_revision)
             self._tell_versions()
         return True
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -78,6 +78,16 @@
                     self._depart(replica)
             self._finish(revision)
 
+    def take_from_peer(self, entries: Iterable[ReplicaEntry], revision: int) -> None:
+        """Take the list of a gateway that is ahead.
+
+        A replica that went and came back meanwhile leaves the content as it was here; the
+        revision rises nevertheless, or the same list would be asked for again and again.
+        """
+        self.replace_all(entries, revision)
+        with self._lock:
+            self.revision = max(self.revision, revision)
+
     def _put(self, entry: ReplicaEntry) -> None:
         replica = self._by_id.get(entry.id)
         if replica is None:
--- a/tests/test_replica_table.py
+++ b/tests/test_replica_table.py
@@ -44,6 +44,13 @@
         self.assertEqual({"a", "b"}, {one.id for one in table.entries()})
         self.assertEqual(30, table.revision)
 
+    def test_same_content_of_a_peer_that_is_ahead_is_asked_for_once(self):
+        table = ReplicaTable()
+        table.replace_all((A, B), 10)
+        table.take_from_peer((B, A), 20)
+        self.assertEqual({"a", "b"}, {one.id for one in table.entries()})
+        self.assertEqual(20, table.revision)
+
     def test_entry_that_comes_back_keeps_its_load(self):
         table = ReplicaTable()
         table.replace_all((A,), 10)
