--- a/src/quaymill_standins/application.py
+++ b/src/quaymill_standins/application.py
@@ -18,6 +18,7 @@
     Request,
     Response,
     StandinServer,
+    dispatch,
     error_response,
     json_response,
     not_run_response,
@@ -159,11 +160,7 @@
             ("POST", "/drain"): self._drain,
             ("GET", "/standin/journal"): self._list_journal,
         }
-        handler = handlers.get((request.method, request.path))
-        if handler is None:
-            message = f"no {request.method} {request.path} here; see docs/INTERFACES.md"
-            return error_response(404, message, "invalid_request_error")
-        return handler(request)
+        return dispatch(handlers, request)
 
     def _load(self, _request: Request) -> Response:
         report = self._reporter.report()
--- a/src/quaymill_standins/engine.py
+++ b/src/quaymill_standins/engine.py
@@ -26,6 +26,7 @@
     Response,
     StandinServer,
     StreamedResponse,
+    dispatch,
     error_response,
     json_response,
     not_run_response,
@@ -200,11 +201,7 @@
             ("GET", "/cache-events"): self._list_cache_events,
             ("GET", "/standin/journal"): self._journal,
         }
-        handler = handlers.get((request.method, request.path))
-        if handler is None:
-            message = f"no {request.method} {request.path} here; see docs/INTERFACES.md"
-            return error_response(404, message, "invalid_request_error")
-        return handler(request)
+        return dispatch(handlers, request)
 
     def _load(self, _request: Request) -> Response:
         report = self._reporter.report()
--- a/src/quaymill_standins/http_support.py
+++ b/src/quaymill_standins/http_support.py
@@ -12,7 +12,7 @@
 import select
 import socket
 import threading
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from http import HTTPStatus
 from urllib.parse import parse_qsl
 
@@ -127,6 +127,17 @@
     return json_response(status, content, headers)
 
 
+def dispatch(
+    handlers: Mapping[tuple[str, str], Callable[[Request], Response]], request: Request
+) -> Response:
+    """Answer by the handler of a method and a path; 404 if there is none."""
+    handler = handlers.get((request.method, request.path))
+    if handler is None:
+        message = f"no {request.method} {request.path} here; see docs/INTERFACES.md"
+        return error_response(404, message, "invalid_request_error")
+    return handler(request)
+
+
 def not_run_response(reason: str) -> Response:
     """Return a refusal that promises that nothing was executed."""
     return error_response(503, reason, "not_run", NOT_RUN_HEADERS)
--- a/src/quaymill_standins/platform.py
+++ b/src/quaymill_standins/platform.py
@@ -18,6 +18,7 @@
     Response,
     StandinServer,
     StreamedResponse,
+    dispatch,
     error_response,
     json_response,
 )
@@ -225,11 +226,7 @@
             ("POST", "/standin/restore"): self._restore,
             ("POST", "/standin/forget-history"): self._forget_history,
         }
-        handler = handlers.get((request.method, request.path))
-        if handler is None:
-            message = f"no {request.method} {request.path} here; see docs/INTERFACES.md"
-            return error_response(404, message, "invalid_request_error")
-        return handler(request)
+        return dispatch(handlers, request)
 
     def _state(self, _request: Request) -> Response:
         with self._lock:
