--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -13,6 +13,7 @@
 import threading
 import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
@@ -79,13 +80,14 @@
 
     def stop(self) -> None:
         """Stop everything at once."""
-        for gateway in self.gateways.values():
-            gateway.kill()
-        for node in self.storage.values():
-            node.stop()
-        for replica in self.replicas.values():
-            replica.stop()
-        self.store.stop()
+        stops = [gateway.kill for gateway in self.gateways.values()]
+        stops += [node.stop for node in self.storage.values()]
+        stops += [replica.stop for replica in self.replicas.values()]
+        stops.append(self.store.stop)
+        # Each waits for threads of its own that look up a few times a second.
+        with ThreadPoolExecutor(len(stops)) as executor:
+            for stopped in [executor.submit(stop) for stop in stops]:
+                stopped.result()
         self._pool.clear()
         shutil.rmtree(self.folder, ignore_errors=True)
 
