--- a/src/quaymill_bench/fleet_processes.py
+++ b/src/quaymill_bench/fleet_processes.py
@@ -72,7 +72,9 @@
     process: subprocess.Popen | None = None
 
     def start(self) -> None:
-        """Start the process."""
+        """Start the process, unless it runs: two faults may have ended it, and both start it."""
+        if self.process is not None and self.process.poll() is None:
+            return
         with self.log_file.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "quaymill.platform.main", self.role],
