--- a/src/quaymill_bench/fleet_processes.py
+++ b/src/quaymill_bench/fleet_processes.py
@@ -105,6 +105,8 @@
 
     def __init__(self, folder: Path, gateways: int = 3, storage: int = 3, engines: int = 3) -> None:
         self.folder = folder
+        # Disks of an earlier fleet hold jobs of the same names, whose retention has run out.
+        shutil.rmtree(folder, ignore_errors=True)
         self.store = FleetStore()
         self.replicas: dict[str, FleetReplica] = {}
         self.replica_proxies: dict[str, LoopbackProxy] = {}
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from unittest import mock
 
-from quaymill_bench.fleet_processes import FleetProcess
+from quaymill_bench.fleet_processes import FleetProcess, LocalFleet
 
 
 class FleetProcessTest(unittest.TestCase):
@@ -24,3 +24,14 @@
             started.return_value.poll.return_value = -9
             process.start()
             self.assertEqual(2, started.call_count)
+
+
+class LocalFleetTest(unittest.TestCase):
+    """A fleet begins on empty disks."""
+
+    def test_disks_of_an_earlier_fleet_are_removed(self) -> None:
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory())) / "fleet"
+        folder.mkdir()
+        (folder / "jobs.sqlite3").touch()
+        LocalFleet(folder)
+        self.assertFalse((folder / "jobs.sqlite3").exists())
