Remove what nothing uses

item_prompt, Replica.connected_at, Follower.heard_at, and the table that EngineLoads no longer reads. No change of behaviour. Checked: ruff, and 56 tests (room, replica table, warnings, imports, platform names, metrics, explain, adoption, listing).

--- a/src/quaymill/platform/caller_calls.py
+++ b/src/quaymill/platform/caller_calls.py
@@ -137,16 +137,6 @@
     return msgspec.json.encode(page)
 
 
-def item_prompt(item: JobItem) -> Prompt:
-    """Return what an item's headers tell of its prompt."""
-    headers = {name.lower(): value for name, value in item.headers.items()}
-    return read_prompt(
-        headers.get(names.MODEL.lower()),
-        headers.get(names.TOKEN_COUNT.lower()),
-        headers.get(names.PROMPT_PREFIX.lower()),
-    )
-
-
 def item_headers(item: JobItem, host: str) -> tuple[tuple[str, str], ...]:
     """Return the headers with which an item is sent to a replica."""
     own = tuple(
--- a/src/quaymill/process/control/follower.py
+++ b/src/quaymill/process/control/follower.py
@@ -9,7 +9,6 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable
 
 from eliot import log_message
@@ -55,8 +54,6 @@
         self._stopping = threading.Event()
         self._pause_s = FIRST_PAUSE_S
         self._lost = False
-        self.heard_at = 0.0
-        """Monotonic time when the store last told what there is."""
 
     def start(self) -> None:
         """Begin to follow."""
@@ -100,7 +97,6 @@
         self._pause_s = min(MAX_PAUSE_S, 1.5 * self._pause_s)
 
     def _note_success(self) -> None:
-        self.heard_at = time.monotonic()
         self._pause_s = FIRST_PAUSE_S
         if self._lost:
             self._lost = False
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -127,7 +127,7 @@
             self.network.other_gateways,
         )
         self._router = Router(self._table, settings.zone, settings.name)
-        self._loads = EngineLoads(self._table, self._connections, protocol.reports)
+        self._loads = EngineLoads(self._connections, protocol.reports)
         keeper = RoomKeeper(self._table, self._loads, self.network.server)
         claims = RoomClaims(settings.name, keeper, self.network.client, self.network.gateways)
         self.coordinator = JobCoordinator(
--- a/src/quaymill/process/jobs/engine_loads.py
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -15,7 +15,6 @@
 from quaymill.connection.engine_report import EngineReport
 from quaymill.connection.replica_connection import ReplicaConnections, ReplicaRequest
 from quaymill.process.replica_set.replica import Replica
-from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 
 POLL_INTERVAL_S = 0.25
@@ -64,11 +63,9 @@
 
     def __init__(
         self,
-        table: ReplicaTable,
         connections: ReplicaConnections,
         protocol: ReportProtocol,
     ) -> None:
-        self._table = table
         self._connections = connections
         self._protocol = protocol
         self._lock = threading.Lock()
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -62,7 +62,6 @@
         self.in_flight = 0
         self.departed_at: float | None = None
         self.misdirected = False
-        self.connected_at = 0.0
         self._lock = threading.Lock()
         self._reported: ReportedLoad | None = None
         self._others = 0.0
