Batch routes keep within their quota of waiting tokens, over all gateways

Cause: max_queued_tokens of a batch route was never read. Change: a ledger for each route in the platform's store, changed by compare-and-swap; allowances bridge outages; what dead gateways leave is swept.

--- a/src/quaymill/connection/job_document.py
+++ b/src/quaymill/connection/job_document.py
@@ -30,6 +30,11 @@
 
     items: tuple[JobItem, ...]
 
+    @property
+    def tokens(self) -> int:
+        """Tokens of all items."""
+        return sum(item.tokens for item in self.items)
+
 
 class Job(msgspec.Struct, frozen=True):
     """An accepted job.
--- a/src/quaymill/connection/object_store.py
+++ b/src/quaymill/connection/object_store.py
@@ -21,6 +21,7 @@
     RETIREMENTS = enum.auto()
     NODES = enum.auto()
     JOB_LISTINGS = enum.auto()
+    QUOTA_LEDGERS = enum.auto()
 
 
 @attrs.frozen
--- a/src/quaymill/platform/configuration.py
+++ b/src/quaymill/platform/configuration.py
@@ -44,6 +44,9 @@
     gap_aim_ms: float | None = None
     due_ms: float = 0.0
     max_wait_s: float = 0.0
+    max_queued_tokens: int = 0
+    """Of a batch route: tokens of items that wait or run. An engine's field of the same name
+    bounds something else (calls that follow its cache), and is not read."""
 
 
 class _Engine(msgspec.Struct):
@@ -139,6 +142,7 @@
         gap_objective_s=gap_s,
         due_s=route.due_ms / MS_PER_S,
         max_wait_s=route.max_wait_s,
+        max_unfinished_tokens=route.max_queued_tokens,
     )
 
 
--- a/src/quaymill/platform/names.py
+++ b/src/quaymill/platform/names.py
@@ -32,6 +32,7 @@
     ObjectKind.RETIREMENTS: "retirements",
     ObjectKind.NODES: "quaymill-nodes",
     ObjectKind.JOB_LISTINGS: "quaymill-job-listings",
+    ObjectKind.QUOTA_LEDGERS: "quaymill-quota-ledgers",
 }
 
 ROUTE_KINDS = {
--- a/src/quaymill/process/control/store_sharing.py
+++ b/src/quaymill/process/control/store_sharing.py
@@ -1,7 +1,8 @@
 """Calls of the platform's store by way of other gateways, while it turns this one away.
 
-Only single objects of jobs' listings go this way. A write is bound to a revision, so that one
-which was done although its answer was lost does no harm when it is made again by another.
+Only single objects go this way: listings of jobs, and ledgers of quotas. A write is bound to a
+revision, so that one which was done although its answer was lost does no harm when it is made
+again by another.
 """
 
 from __future__ import annotations
@@ -30,7 +31,7 @@
 from quaymill.connection.peer_link import PeerClient, PeerRefusal, PeerServer
 from quaymill.connection.store_messages import SharedObject, StoreAnswer, StoreCall
 
-SHARED_KINDS = frozenset({ObjectKind.JOB_LISTINGS})
+SHARED_KINDS = frozenset({ObjectKind.JOB_LISTINGS, ObjectKind.QUOTA_LEDGERS})
 HELPERS = 2
 HELP_TIMEOUT_S = 2.0
 
--- a/src/quaymill/process/front/front_service.py
+++ b/src/quaymill/process/front/front_service.py
@@ -22,13 +22,13 @@
     FrontRequest,
 )
 from quaymill.process.front.metrics import FrontMetrics
+from quaymill.process.jobs.batch_quota import OverQuota
 from quaymill.process.jobs.service import (
     Accepted,
     Ended,
     JobService,
     NoSuchItem,
     NoSuchJob,
-    NotAccepted,
     Unsure,
 )
 from quaymill.request.deadline import Deadline
@@ -205,13 +205,15 @@
         if not read.id:
             self._refuse(request, writer, Refusal(400, "the job has no id"))
             return
-        result = self._jobs.submit(read.id, request.host, request.path, document)
+        result = self._jobs.submit(read.id, request.host, request.path, document, route)
         outcome = type(result).__name__
         self._metrics.requests.labels(route.name, outcome).inc()
         self._metrics.answer_s.labels(route.name).observe(time.monotonic() - began)
         if isinstance(result, Accepted):
             writer.answer(202, (), b"")
-        elif isinstance(result, NotAccepted) and result.may_run:
+        elif isinstance(result, OverQuota):
+            self._refuse(request, writer, _over_quota(result), read.id)
+        elif result.may_run:
             self._refuse(request, writer, Refusal(504, result.reason))
         else:
             self._refuse(request, writer, Refusal(503, result.reason, SHORT_RETRY_AFTER_S))
@@ -283,6 +285,14 @@
     return Refusal(503, result.reason, SHORT_RETRY_AFTER_S)
 
 
+def _over_quota(result: OverQuota) -> Refusal:
+    message = (
+        f"the route's batch jobs hold {result.held_tokens} of {result.quota} tokens;"
+        " send the job again once items have ended"
+    )
+    return Refusal(429, message, round(result.retry_after_s, 2))
+
+
 def _job_refusal(result: NoSuchJob | Unsure) -> Refusal:
     if isinstance(result, NoSuchJob):
         return Refusal(404, "there is no such job")
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -21,17 +21,22 @@
 from quaymill.process.front.metrics import FrontMetrics
 from quaymill.process.front.plain_pages import MetricsServer, ReadinessServer
 from quaymill.process.gateway.caller_watch import CallerWatch
+from quaymill.process.jobs.batch_quota import BatchQuota
 from quaymill.process.jobs.coordinator import JobCoordinator
 from quaymill.process.jobs.engine_loads import EngineLoads, ReportProtocol
 from quaymill.process.jobs.item_dispatcher import DispatcherParts
 from quaymill.process.jobs.item_run import ItemProtocol
+from quaymill.process.jobs.job_lookup import JobLookup
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
 from quaymill.process.jobs.listing import JobListings
+from quaymill.process.jobs.quota_ledger import QuotaLedgers
+from quaymill.process.jobs.quota_sweep import LedgerSweep
 from quaymill.process.jobs.result_publisher import PublisherParts
 from quaymill.process.jobs.room_claims import RoomClaims
 from quaymill.process.jobs.room_keeper import RoomKeeper
 from quaymill.process.jobs.service import JobService
 from quaymill.process.jobs.storage_client import JobStorageClient
+from quaymill.process.membership.ranking import rank_nodes
 from quaymill.process.node_registry import NodeRegistry
 from quaymill.process.peer_network import PeerNetwork
 from quaymill.process.replica_set.replica import Replica
@@ -100,11 +105,10 @@
             self.network.server,
             settings.read_interval_s,
         )
-        listings = JobListings(
-            SharingStore(
-                store, self.network.client, self.network.server, self.network.other_gateways
-            )
+        shared_store = SharingStore(
+            store, self.network.client, self.network.server, self.network.other_gateways
         )
+        listings = JobListings(shared_store)
         storage = JobStorageClient(
             self.network.client,
             self.network.storage_nodes,
@@ -149,10 +153,12 @@
             ),
             leases,
         )
+        self.quota = self._build_quota(QuotaLedgers(shared_store), JobLookup(storage, listings))
         self.jobs = JobService(
             self.coordinator,
             storage,
             leases,
+            self.quota,
             listings,
             self.network.client,
             self.network.server,
@@ -178,6 +184,23 @@
             MetricsServer(metrics_endpoint, self._metrics.registry) if metrics_endpoint else None
         )
 
+    def _build_quota(self, ledgers: QuotaLedgers, lookup: JobLookup) -> BatchQuota:
+        sweep = LedgerSweep(ledgers, self._ranks_first_for, lookup.is_over)
+        return BatchQuota(
+            self._settings.name,
+            ledgers,
+            lambda: self.control.routes,
+            self.coordinator.jobs,
+            lambda: len(self.network.gateways()),
+            lookup.is_known,
+            self._settings.bounds.quota_overrun_share,
+            sweep,
+        )
+
+    def _ranks_first_for(self, route: str) -> bool:
+        ranked = rank_nodes(f"quota/{route}", self.network.gateways())
+        return bool(ranked) and ranked[0].name == self._settings.name
+
     def _build_front(self, protocol: GatewayProtocol) -> FrontService:
         forwarder = Forwarder(self._router, self._connections, protocol.replicas)
         return FrontService(
@@ -233,6 +256,7 @@
         self.control.start()
         self._warnings.start()
         self.coordinator.start()
+        self.quota.start()
         self._watch.start()
         self._server.start_serving()
         self._readiness.start_serving()
@@ -260,6 +284,7 @@
         self._server.stop_accepting()
         idle = self._wait_until_idle(deadline)
         handing_over.join(max(0.0, deadline - time.monotonic()))
+        self.quota.stop()
         log_message("node:stopped", idle=idle, took_s=round(time.monotonic() - began, 2))
         self.control.stop()
         self._registry.stop()
@@ -303,6 +328,7 @@
         self._warnings.stop()
         self.network.stop()
         self.coordinator.stop()
+        self.quota.stop()
         self._server.stop()
         self._readiness.stop()
 
--- /dev/null
+++ b/src/quaymill/process/jobs/batch_quota.py
@@ -0,0 +1,386 @@
+"""Keeps batch routes within their quota of tokens that wait, over all gateways.
+
+A new job is counted before it is kept anywhere: under this gateway's allowance if it has one
+with room, else in the route's ledger (``quota_ledger``). A thread enters what was counted under
+the allowance, corrects jobs by what is left of them, and renews the allowance; at one gateway
+for each route it also removes what nobody cares for any more.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+import attrs
+from eliot import log_message
+
+from quaymill.process.jobs.coordinated_job import CoordinatedJob
+from quaymill.process.jobs.quota_ledger import (
+    Ledger,
+    LedgerDocument,
+    LedgerUnknown,
+    QuotaLedgers,
+    allowance_for,
+    fits,
+)
+from quaymill.process.jobs.quota_sweep import LedgerSweep
+from quaymill.version.request_routes import RequestRoute, RequestRoutes
+
+SETTLE_INTERVAL_S = 0.4
+"""Time between two looks at what has changed; a count is to follow within a second."""
+ALLOWANCE_RENEWAL_S = 10.0
+"""Time between two renewals of an allowance that nothing was taken from."""
+ALLOWANCE_TERM_S = 30.0
+"""Time after its last renewal until which an allowance may be used: longer than outages of the
+store that are ridden out, and half of what it takes until others take it back."""
+FIRST_ALLOWANCE_S = 5.0
+"""Time after the start until which none is taken: a former process of this gateway may have
+given from its own, and those jobs are entered by whoever adopts them within this time."""
+SMALL_CHANGE_SHARE = 0.02
+"""A job's entry is corrected while it runs once this part of the quota has become free."""
+TIGHT_SHARE = 0.5
+"""From this part of the quota on every change is entered at once."""
+DEFAULT_OVERRUN_SHARE = 0.1
+"""Overrun of a quota that is tolerated where the settings do not tell."""
+MIN_RETRY_AFTER_S = 0.3
+MAX_RETRY_AFTER_S = 5.0
+"""Bounds of the time after which a caller is told to come back: within a caller's patience."""
+ADMISSION_BUDGET_S = 1.5
+"""Time that counting a new job may take in all; the store's own timeout is as long."""
+
+
+@attrs.frozen
+class Admitted:
+    """The job's tokens are counted.
+
+    Attributes
+    ----------
+    by
+        What counted them: ``allowance``, ``ledger``, or ``no-quota``.
+    """
+
+    by: str
+
+
+@attrs.frozen
+class OverQuota:
+    """The job does not fit now.
+
+    Attributes
+    ----------
+    retry_after_s
+        When it may fit, by the rate at which tokens have become free.
+    """
+
+    held_tokens: int
+    quota: int
+    retry_after_s: float
+
+
+@attrs.frozen
+class QuotaUnknown:
+    """Whether the job fits cannot be told now."""
+
+    reason: str
+
+
+QuotaDecision = Admitted | OverQuota | QuotaUnknown
+
+
+class _RouteQuota:
+    """What this gateway knows of one route's ledger; guarded by ``BatchQuota``'s lock.
+
+    Attributes
+    ----------
+    quota
+        The bound when the allowance was renewed last.
+    charged
+        Tokens by job that were counted under the allowance and are not entered yet.
+    left
+        What is left of the allowance.
+    renewed_at
+        Monotonic time before the last successful renewal began.
+    entered
+        Tokens by job that stand in the ledger by what this gateway has written or seen.
+    """
+
+    def __init__(self) -> None:
+        self.ledger = Ledger()
+        self.quota = 0
+        self.charged: dict[str, int] = {}
+        self.left = 0
+        self.renewed_at = 0.0
+        self.entered: dict[str, int] = {}
+        self.withdrawn: set[str] = set()
+        self.freed_tokens = 0
+        self.freed_since = time.monotonic()
+
+
+class BatchQuota:
+    """Counts the tokens of jobs; safe to use from any thread.
+
+    Parameters
+    ----------
+    name
+        Of this gateway; the same after a restart.
+    routes
+        Returns the routes in force.
+    coordinated_jobs
+        Returns the jobs of this gateway, those that are over included.
+    gateways
+        Returns how many gateways live, this one included.
+    is_known
+        Whether storage nodes have a job; ``None`` if they cannot tell.
+    overrun_share
+        Part of a quota by which it may be overrun.
+    sweep
+        Removes entries that nobody cares for, where this gateway does that for a route.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        ledgers: QuotaLedgers,
+        routes: Callable[[], RequestRoutes],
+        coordinated_jobs: Callable[[], Iterable[CoordinatedJob]],
+        gateways: Callable[[], int],
+        is_known: Callable[[str], bool | None],
+        overrun_share: float = DEFAULT_OVERRUN_SHARE,
+        sweep: LedgerSweep | None = None,
+    ) -> None:
+        self._name = name
+        self._ledgers = ledgers
+        self._routes = routes
+        self._coordinated_jobs = coordinated_jobs
+        self._gateways = gateways
+        self._is_known = is_known
+        self._overrun_share = overrun_share
+        self._sweep = sweep
+        self._lock = threading.Lock()
+        self._by_route: dict[str, _RouteQuota] = {}
+        self._stopping = threading.Event()
+        self._started_at = time.monotonic()
+        self.decisions: Counter[str] = Counter()
+
+    def start(self) -> None:
+        """Begin to enter changes and to renew allowances."""
+        threading.Thread(target=self._settle_again_and_again, name="quota", daemon=True).start()
+
+    def stop(self) -> None:
+        """Enter nothing more."""
+        self._stopping.set()
+
+    def admit(self, job_id: str, route: RequestRoute, tokens: int) -> QuotaDecision:
+        """Count a new job; one that was accepted before is counted once."""
+        quota = route.max_unfinished_tokens
+        if not quota:
+            return Admitted("no-quota")
+        began = time.monotonic()
+        decision = self._charge(job_id, route, tokens) or self._enter(job_id, route, tokens)
+        if isinstance(decision, OverQuota):
+            decision = self._unless_known(job_id, decision)
+        self.decisions[type(decision).__name__] += 1
+        held = self._of(route.name).ledger
+        log_message(
+            "quota:decided",
+            job=job_id,
+            route=route.name,
+            tokens=tokens,
+            quota=quota,
+            held=held.document.job_tokens,
+            allowances=held.document.allowance_tokens,
+            revision=held.revision,
+            outcome=type(decision).__name__,
+            by=getattr(decision, "by", ""),
+            reason=getattr(decision, "reason", ""),
+            took_s=round(time.monotonic() - began, 3),
+        )
+        return decision
+
+    def withdraw(self, job_id: str, route: RequestRoute) -> None:
+        """Take back the count of a job that was certainly not kept."""
+        if not route.max_unfinished_tokens:
+            return
+        state = self._of(route.name)
+        with self._lock:
+            charged = state.charged.pop(job_id, None)
+            if charged is not None:
+                state.left += charged
+            else:
+                state.withdrawn.add(job_id)
+
+    # Admission.
+
+    def _charge(self, job_id: str, route: RequestRoute, tokens: int) -> Admitted | None:
+        """Count a job under the allowance, if that may be used and has room."""
+        state = self._of(route.name)
+        with self._lock:
+            if job_id in state.charged:
+                return Admitted("allowance")
+            age_s = time.monotonic() - state.renewed_at
+            usable = state.quota <= route.max_unfinished_tokens and age_s < ALLOWANCE_TERM_S
+            if not usable or tokens > state.left:
+                return None
+            state.left -= tokens
+            state.charged[job_id] = tokens
+            return Admitted("allowance")
+
+    def _enter(self, job_id: str, route: RequestRoute, tokens: int) -> QuotaDecision:
+        """Count a job in the ledger, if it fits there."""
+        quota = route.max_unfinished_tokens
+        state = self._of(route.name)
+
+        def enter(document: LedgerDocument) -> LedgerDocument:
+            known = document.jobs.get(job_id)
+            if known is not None:
+                # Written again, so that it is not removed as one that nobody cares for.
+                return document.with_job(job_id, known.tokens)
+            if not fits(document, tokens, quota, self._overrun_share):
+                return document
+            return document.with_job(job_id, tokens)
+
+        standing: Ledger | LedgerUnknown = state.ledger
+        if not standing.revision or enter(standing.document) is standing.document:
+            standing = self._ledgers.read(route.name)
+        if isinstance(standing, Ledger):
+            standing = self._ledgers.change(route.name, standing, enter)
+        if isinstance(standing, LedgerUnknown):
+            return QuotaUnknown(f"the ledger of the quota cannot be changed: {standing.reason}")
+        self._take(state, standing)
+        if job_id not in standing.document.jobs:
+            held = standing.document.job_tokens
+            return OverQuota(held, quota, self._retry_after_s(state, held + tokens - quota))
+        with self._lock:
+            state.withdrawn.discard(job_id)
+            state.entered[job_id] = standing.document.jobs[job_id].tokens
+        return Admitted("ledger")
+
+    def _unless_known(self, job_id: str, over_quota: OverQuota) -> QuotaDecision:
+        """Admit a job that was accepted before and is not entered in the ledger yet."""
+        known = self._is_known(job_id)
+        if known is None:
+            return QuotaUnknown("the storage nodes cannot tell whether the job was accepted before")
+        return Admitted("accepted-before") if known else over_quota
+
+    def _retry_after_s(self, state: _RouteQuota, missing_tokens: int) -> float:
+        """Return when a job may fit, by the rate at which tokens became free here of late."""
+        elapsed_s = max(1.0, time.monotonic() - state.freed_since)
+        rate = state.freed_tokens / elapsed_s
+        wait_s = missing_tokens / rate if rate > 0 else MAX_RETRY_AFTER_S
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+
+    # Settling.
+
+    def _settle_again_and_again(self) -> None:
+        while not self._stopping.wait(SETTLE_INTERVAL_S):
+            try:
+                self.settle()
+            except Exception as error:  # A bug must not end the counting of this gateway.
+                log_message("quota:settle_error", error=repr(error))
+
+    def settle(self) -> None:
+        """Enter what has changed since the last time, for every route with a quota."""
+        jobs_by_route: dict[str, list[CoordinatedJob]] = {}
+        for job in self._coordinated_jobs():
+            if job.route is not None:
+                jobs_by_route.setdefault(job.route.name, []).append(job)
+        for route in self._routes().routes:
+            if route.max_unfinished_tokens:
+                self._settle_route(route, jobs_by_route.get(route.name, []))
+
+    def _settle_route(self, route: RequestRoute, jobs: list[CoordinatedJob]) -> None:
+        state = self._of(route.name)
+        outstanding = {job.id: job.unfinished_tokens() for job in jobs if not job.handed_away}
+        self._forget_jobs_over(state, outstanding)
+        if self._is_due(state, route, outstanding):
+            self._write(state, route, outstanding)
+        if self._sweep is not None:
+            self._sweep.look(route.name, frozenset(outstanding))
+
+    def _forget_jobs_over(self, state: _RouteQuota, outstanding: dict[str, int]) -> None:
+        with self._lock:
+            for job_id in [one for one in state.entered if one not in outstanding]:
+                del state.entered[job_id]
+
+    def _is_due(self, state: _RouteQuota, route: RequestRoute, outstanding: dict[str, int]) -> bool:
+        """Return whether there is something to write that cannot wait."""
+        quota = route.max_unfinished_tokens
+        tight = state.ledger.document.job_tokens > TIGHT_SHARE * quota
+        least = 1 if tight else SMALL_CHANGE_SHARE * quota
+        with self._lock:
+            if state.charged or state.withdrawn or state.quota > quota:
+                return True
+            for job_id, tokens in outstanding.items():
+                entered = state.entered.get(job_id)
+                if entered is None or abs(entered - tokens) >= least:
+                    return True
+                if entered and not tokens:
+                    return True
+        now = time.monotonic()
+        may_take_first = now - self._started_at >= FIRST_ALLOWANCE_S
+        return may_take_first and now - state.renewed_at >= ALLOWANCE_RENEWAL_S
+
+    def _write(self, state: _RouteQuota, route: RequestRoute, outstanding: dict[str, int]) -> None:
+        """Write what this gateway knows of its jobs, and its allowance, in one change."""
+        quota = route.max_unfinished_tokens
+        began = time.monotonic()
+        may_take = began - self._started_at >= FIRST_ALLOWANCE_S
+        with self._lock:
+            charged = dict(state.charged)
+            withdrawn = frozenset(state.withdrawn)
+        granted = 0
+
+        def enter_all(document: LedgerDocument) -> LedgerDocument:
+            nonlocal granted
+            for job_id in withdrawn - outstanding.keys() - charged.keys():
+                document = document.with_job(job_id, 0)
+            for job_id, tokens in (charged | outstanding).items():
+                known = document.jobs.get(job_id)
+                if known is None or known.tokens != tokens:
+                    document = document.with_job(job_id, tokens)
+            granted = self._next_allowance(state, document, quota) if may_take else 0
+            return document.with_allowance(self._name, granted)
+
+        known = state.ledger if state.ledger.revision else self._ledgers.read(route.name)
+        if isinstance(known, Ledger):
+            known = self._ledgers.change(route.name, known, enter_all)
+        if isinstance(known, LedgerUnknown):
+            log_message("quota:not_entered", route=route.name, reason=known.reason)
+            return
+        self._take(state, known)
+        with self._lock:
+            state.withdrawn -= withdrawn
+            for job_id in charged:
+                state.charged.pop(job_id, None)
+            for job_id, tokens in (charged | outstanding).items():
+                self._note_freed(state, state.entered.get(job_id, tokens) - tokens)
+                state.entered[job_id] = tokens
+            state.left = max(0, granted - sum(state.charged.values()))
+            state.quota = quota
+            state.renewed_at = began
+
+    def _next_allowance(self, state: _RouteQuota, document: LedgerDocument, quota: int) -> int:
+        """Return the allowance to write; nothing more is given from one that shrinks.
+
+        Jobs that are counted while the write is under way must lie within the old allowance
+        and within the new one.
+        """
+        granted = allowance_for(document, self._name, self._gateways(), quota)
+        with self._lock:
+            state.left = min(state.left, granted)
+        return granted
+
+    def _note_freed(self, state: _RouteQuota, tokens: int) -> None:
+        if tokens > 0:
+            state.freed_tokens += tokens
+
+    def _take(self, state: _RouteQuota, ledger: Ledger) -> None:
+        with self._lock:
+            if ledger.revision > state.ledger.revision:
+                state.ledger = ledger
+
+    def _of(self, route: str) -> _RouteQuota:
+        with self._lock:
+            return self._by_route.setdefault(route, _RouteQuota())
--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -143,6 +143,18 @@
             return True
         return self.yielded and not self._finished
 
+    @property
+    def handed_away(self) -> bool:
+        """Whether another gateway runs it now."""
+        return self.abandoned or self.yielded
+
+    def unfinished_tokens(self) -> int:
+        """Return the tokens of the items that no replica has finished; 0 once the job is over."""
+        if self.ended or self.complete:
+            return 0
+        unfinished = (ItemState.WAITING, ItemState.RUNNING)
+        return sum(item.item.tokens for item in self.items if item.state in unfinished)
+
     def has_work(self) -> bool:
         """Return whether any item waits or runs."""
         return any(item.state in (ItemState.WAITING, ItemState.RUNNING) for item in self.items)
--- a/src/quaymill/process/jobs/coordinator.py
+++ b/src/quaymill/process/jobs/coordinator.py
@@ -61,6 +61,10 @@
         """Return the jobs that are not over."""
         return [job for job in list(self._jobs_by_id.values()) if not job.stopped]
 
+    def jobs(self) -> list[CoordinatedJob]:
+        """Return all jobs that are held here, those that are over included."""
+        return list(self._jobs_by_id.values())
+
     def running_items(self) -> int:
         """Return how many items are in service."""
         return self._dispatcher.running_items()
--- /dev/null
+++ b/src/quaymill/process/jobs/quota_ledger.py
@@ -0,0 +1,211 @@
+"""The ledger of a batch route's quota: which jobs hold how many waiting tokens.
+
+There is one object for each route in the platform's store, changed by compare-and-swap only, so
+that two gateways that do not see each other never promise the same room. Beside the jobs it
+holds allowances: room that a gateway may give to new jobs by itself, without asking the store.
+The functions here decide; ``BatchQuota`` keeps the state.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import attrs
+import msgspec
+
+from quaymill.connection.object_store import (
+    ObjectKind,
+    ObjectMissing,
+    ObjectStore,
+    RevisionConflict,
+    StoredObject,
+    StoreRefused,
+    StoreUnanswered,
+)
+
+ALLOWANCES_SHARE = 0.25
+"""Part of the quota that all allowances take at most; taken only while jobs hold as little."""
+FREE_GATEWAYS = 2
+"""Allowances kept free for gateways that come: so many parts more than there are gateways."""
+MIN_ALLOWANCE_TOKENS = 4096
+"""A smaller allowance holds hardly a job, and is not worth the calls that renew it."""
+OVERRUN_USED_SHARE = 0.8
+"""Part of the tolerated overrun that allowances may fill; the rest covers late counts."""
+MAX_CONFLICTS = 8
+"""Changes that are tried again on a newer ledger before it is given up as too busy."""
+
+
+class JobTokens(msgspec.Struct, frozen=True, array_like=True):
+    """What one job holds.
+
+    Attributes
+    ----------
+    tokens
+        Tokens of its items that no replica has finished.
+    changes
+        Rises with each change, so that an entry that nobody cares for is told by standing still.
+    """
+
+    tokens: int
+    changes: int = 0
+
+
+class Allowance(msgspec.Struct, frozen=True, array_like=True):
+    """Room that one gateway may give to new jobs by itself.
+
+    Attributes
+    ----------
+    renewals
+        Rises with each renewal; one that stands still is taken back.
+    """
+
+    tokens: int
+    renewals: int = 0
+
+
+class LedgerDocument(msgspec.Struct, frozen=True):
+    """What is stored; jobs by their id, allowances by the gateway's name."""
+
+    jobs: dict[str, JobTokens] = {}
+    allowances: dict[str, Allowance] = {}
+
+    @property
+    def job_tokens(self) -> int:
+        """Tokens that jobs hold."""
+        return sum(entry.tokens for entry in self.jobs.values())
+
+    @property
+    def allowance_tokens(self) -> int:
+        """Tokens in all allowances."""
+        return sum(allowance.tokens for allowance in self.allowances.values())
+
+    def with_job(self, job_id: str, tokens: int) -> LedgerDocument:
+        """Return the ledger with what a job holds now; without it if that is nothing."""
+        jobs = dict(self.jobs)
+        known = jobs.pop(job_id, JobTokens(0))
+        if tokens:
+            jobs[job_id] = JobTokens(tokens, known.changes + 1)
+        return LedgerDocument(jobs, self.allowances)
+
+    def with_allowance(self, gateway: str, tokens: int) -> LedgerDocument:
+        """Return the ledger with a gateway's allowance renewed; without it if it is nothing."""
+        allowances = dict(self.allowances)
+        known = allowances.pop(gateway, Allowance(0))
+        if tokens:
+            allowances[gateway] = Allowance(tokens, known.renewals + 1)
+        return LedgerDocument(self.jobs, allowances)
+
+
+@attrs.frozen
+class Ledger:
+    """A ledger at one revision; revision 0 if it is not stored yet."""
+
+    document: LedgerDocument = LedgerDocument()
+    revision: int = 0
+
+
+@attrs.frozen
+class LedgerUnknown:
+    """The store could not be asked, or did not tell what became of a change."""
+
+    reason: str
+
+
+def fits(document: LedgerDocument, tokens: int, quota: int, overrun_share: float) -> bool:
+    """Return whether a new job's tokens fit beside what is held.
+
+    Parameters
+    ----------
+    overrun_share
+        Part of the quota by which a rare overrun is tolerated: allowances may lie in it.
+    """
+    overrun = quota * overrun_share * OVERRUN_USED_SHARE
+    allowances = max(0.0, document.allowance_tokens - overrun)
+    return document.job_tokens + allowances + tokens <= quota
+
+
+def allowance_for(document: LedgerDocument, gateway: str, gateways: int, quota: int) -> int:
+    """Return the allowance that a gateway may hold by the ledger as it stands.
+
+    Parameters
+    ----------
+    gateways
+        How many live gateways there are, this one included.
+    """
+    most = quota * ALLOWANCES_SHARE
+    if document.job_tokens > most:
+        return 0
+    own = document.allowances.get(gateway, Allowance(0)).tokens
+    others = document.allowance_tokens - own
+    part = min(most / (gateways + FREE_GATEWAYS), most - others)
+    return math.floor(part) if part >= MIN_ALLOWANCE_TOKENS else 0
+
+
+class QuotaLedgers:
+    """Reads and changes ledgers by route."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    def read(self, route: str) -> Ledger | LedgerUnknown:
+        """Return a route's ledger as it stands."""
+        found = self._store.get(ObjectKind.QUOTA_LEDGERS, route)
+        if isinstance(found, ObjectMissing):
+            return Ledger()
+        if isinstance(found, StoreRefused | StoreUnanswered):
+            return LedgerUnknown(found.reason)
+        return _ledger(found)
+
+    def change(
+        self,
+        route: str,
+        known: Ledger,
+        change: Callable[[LedgerDocument], LedgerDocument],
+    ) -> Ledger | LedgerUnknown:
+        """Change a ledger, on top of whatever others have changed meanwhile.
+
+        Parameters
+        ----------
+        known
+            The ledger that is tried first.
+        change
+            Returns the new document; returns the one given if nothing is to be written.
+
+        Returns
+        -------
+        The ledger that stands, with the change in it. Its ``document`` is the newest one even
+        where nothing had to be written, unless ``known`` was given and left as it is.
+        """
+        standing = known
+        for _ in range(MAX_CONFLICTS):
+            document = change(standing.document)
+            if document is standing.document or document == standing.document:
+                return standing
+            written = self._write(route, document, standing.revision)
+            if isinstance(written, StoredObject):
+                return _ledger(written)
+            if isinstance(written, RevisionConflict) and written.object is not None:
+                standing = _ledger(written.object)
+                continue
+            if isinstance(written, StoreRefused):
+                return LedgerUnknown(written.reason)
+            # Not answered, or no word of what stands: only reading tells. A write under way is
+            # bound to the old revision, and is lost once anything else is written.
+            found = self.read(route)
+            if isinstance(found, LedgerUnknown):
+                return found
+            if found.document == document:
+                return found
+            standing = found
+        return LedgerUnknown("too many others change the ledger")
+
+    def _write(self, route: str, document: LedgerDocument, revision: int) -> object:
+        spec = msgspec.to_builtins(document)
+        if revision:
+            return self._store.replace(ObjectKind.QUOTA_LEDGERS, route, spec, revision)
+        return self._store.create(ObjectKind.QUOTA_LEDGERS, route, spec)
+
+
+def _ledger(stored: StoredObject) -> Ledger:
+    return Ledger(msgspec.convert(stored.spec, LedgerDocument), stored.revision)
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -24,12 +24,14 @@
 )
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient, PeerRefusal, PeerServer
+from quaymill.process.jobs.batch_quota import Admitted, BatchQuota, OverQuota, QuotaUnknown
 from quaymill.process.jobs.coordinated_job import CoordinatedJob, make_page
 from quaymill.process.jobs.coordinator import JobCoordinator
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
 from quaymill.process.jobs.listing import JobListings, ListingDocument, ListingUnknown
 from quaymill.process.jobs.storage_client import JobStorageClient, NotFound, NotKept
 from quaymill.process.membership.ranking import rank_nodes
+from quaymill.version.request_routes import RequestRoute
 
 READ_TIMEOUT_S = 1.0
 STOP_TIMEOUT_S = 0.5
@@ -97,6 +99,7 @@
         coordinator: JobCoordinator,
         storage: JobStorageClient,
         leases: LeaseRenewal,
+        quota: BatchQuota,
         listings: JobListings,
         peer_client: PeerClient,
         peer_server: PeerServer,
@@ -106,6 +109,7 @@
         self._coordinator = coordinator
         self._storage = storage
         self._leases = leases
+        self._quota = quota
         self._listings = listings
         self._peer_client = peer_client
         self._gateway_of = gateway_of
@@ -121,14 +125,22 @@
     # Calls of callers.
 
     def submit(
-        self, job_id: str, host: str, path: str, document: JobDocument
-    ) -> Accepted | NotAccepted:
+        self, job_id: str, host: str, path: str, document: JobDocument, route: RequestRoute
+    ) -> Accepted | NotAccepted | OverQuota:
         """Keep a job and see that it runs; a job that is known already is accepted again."""
         if self._coordinator.get(job_id) is not None:
             return Accepted()
         job = Job(job_id, host, path, document)
+        # Counted before it is kept anywhere: a job over the quota must never run.
+        decision = self._quota.admit(job_id, route, document.tokens)
+        if isinstance(decision, QuotaUnknown):
+            return NotAccepted(decision.reason, may_run=False)
+        if not isinstance(decision, Admitted):
+            return decision
         kept = self._storage.store_job(job, self._coordinator.name)
         if isinstance(kept, NotKept):
+            if not kept.maybe:
+                self._quota.withdraw(job_id, route)
             log_message("job:not_kept", job=job_id, reason=kept.reason, may_run=kept.maybe)
             return NotAccepted(kept.reason, may_run=kept.maybe)
         log_message(
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -154,6 +154,26 @@
     ),
     "job:copied": LogEvent("a job was copied to this node", (JOB, "source: from which node")),
     "job:forgotten": LogEvent("a job past its time was removed", (JOB,)),
+    "quota:decided": LogEvent(
+        "a new job was counted against its route's quota, or refused",
+        (
+            JOB,
+            "route: name of the route",
+            "tokens, quota: of the job, and of the route",
+            "held, allowances, revision: tokens in the ledger as this gateway knew it",
+            "outcome: Admitted, OverQuota (429), QuotaUnknown (503)",
+            "by: allowance, ledger, accepted-before",
+            REASON,
+            TOOK,
+        ),
+    ),
+    "quota:not_entered": LogEvent(
+        "the ledger of a quota could not be changed; tried again", ("route", REASON)
+    ),
+    "quota:swept": LogEvent(
+        "entries that nobody cares for were removed from a ledger", ("route", "jobs, allowances")
+    ),
+    "quota:settle_error": LogEvent("counting against a quota met a bug", ("error",)),
     "item:run": LogEvent(
         "a run of an item has ended",
         (
--- a/src/quaymill/process/serving_settings.py
+++ b/src/quaymill/process/serving_settings.py
@@ -43,7 +43,7 @@
 
 
 class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Times that the operator relies on, in milliseconds or seconds as their names say.
+    """What the operator relies on; times in milliseconds or seconds as their names say.
 
     Attributes
     ----------
@@ -59,6 +59,8 @@
         How long results of a job stay readable after it was sent.
     leave_s
         Time after which a gateway that is not ready is brought no new connections.
+    quota_overrun_share
+        Part of a batch route's quota of tokens by which it may be overrun.
     """
 
     contact_ms: float = 3000.0
@@ -67,6 +69,7 @@
     grace_s: float = 8.0
     job_retention_s: float = 120.0
     leave_s: float = 2.6
+    quota_overrun_share: float = 0.1
 
 
 class ServingSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/quaymill/version/request_routes.py
+++ b/src/quaymill/version/request_routes.py
@@ -48,6 +48,9 @@
     due_s, max_wait_s
         Of batch routes: when all results are due after the job was first sent, and how long
         after that sending an item may be given up.
+    max_unfinished_tokens
+        Of batch routes: tokens that items accepted and not finished may hold, over all gateways;
+        0 for no bound.
     """
 
     name: str
@@ -64,6 +67,7 @@
     gap_objective_s: float | None = None
     due_s: float = 0.0
     max_wait_s: float = 0.0
+    max_unfinished_tokens: int = 0
 
     @property
     def repeatable(self) -> bool:
--- /dev/null
+++ b/tests/test_batch_quota.py
@@ -0,0 +1,372 @@
+"""The quota of a batch route: two gateways, one store, and what goes wrong between them."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+from unittest import mock
+
+from nose2.tools import params
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.job_document import Job, JobDocument, JobItem, ResultState
+from quaymill.connection.object_store import ObjectKind
+from quaymill.platform.configuration import decode_configuration
+from quaymill.platform.object_store import PlatformObjectStore
+from quaymill.process.jobs import batch_quota as batch_quota_module
+from quaymill.process.jobs import quota_sweep as quota_sweep_module
+from quaymill.process.jobs.batch_quota import (
+    ALLOWANCE_RENEWAL_S,
+    ALLOWANCE_TERM_S,
+    FIRST_ALLOWANCE_S,
+    Admitted,
+    BatchQuota,
+    OverQuota,
+    QuotaUnknown,
+)
+from quaymill.process.jobs.coordinated_job import CoordinatedJob, ItemState
+from quaymill.process.jobs.quota_ledger import (
+    Allowance,
+    JobTokens,
+    LedgerDocument,
+    QuotaLedgers,
+    allowance_for,
+    fits,
+)
+from quaymill.process.jobs.quota_sweep import (
+    ALLOWANCE_LOST_AFTER_S,
+    SWEEP_INTERVAL_S,
+    UNCARED_AFTER_S,
+    LedgerSweep,
+)
+from quaymill.version.request_routes import RequestRoute, RequestRoutes, RouteKind, WeightedService
+from quaymill_standins.fleet_store import FleetStore, FleetStoreFaults
+
+ITEM_TOKENS = 100
+SMALL = 1000
+LARGE = 1_000_000
+
+
+def batch_route(quota: int) -> RequestRoute:
+    services = (WeightedService("engine", 1.0),)
+    return RequestRoute(
+        "jobs", "h", "/jobs/", RouteKind.BATCH, services, 15.0, 0.4, max_unfinished_tokens=quota
+    )
+
+
+def coordinated(job_id: str, items: int, route: RequestRoute) -> CoordinatedJob:
+    document = JobDocument(
+        tuple(JobItem(f"{job_id}-{n}", "/x", {}, b"", ITEM_TOKENS) for n in range(items))
+    )
+    return CoordinatedJob(Job(job_id, "h", "/jobs/x", document), route, "me")
+
+
+class Gateway:
+    """One gateway's counting, with jobs and storage nodes as the test says."""
+
+    def __init__(self, case: QuotaCase, name: str, sweeps: bool = False) -> None:
+        self.case = case
+        self.jobs: dict[str, CoordinatedJob] = {}
+        self.known: bool | None = False
+        self.over = True
+        ledgers = QuotaLedgers(PlatformObjectStore(Endpoint("127.0.0.1", case.store.port)))
+        self.quota = BatchQuota(
+            name,
+            ledgers,
+            lambda: RequestRoutes(1, (case.route,)),
+            lambda: list(self.jobs.values()),
+            lambda: 2,
+            lambda job_id: self.known,
+            sweep=LedgerSweep(ledgers, lambda route: sweeps, lambda job_id: self.over),
+        )
+
+    def admit(self, job_id: str, items: int = 5):
+        """Count a job; one that is admitted runs here."""
+        decision = self.quota.admit(job_id, self.case.route, items * ITEM_TOKENS)
+        if isinstance(decision, Admitted):
+            self.jobs[job_id] = coordinated(job_id, items, self.case.route)
+        return decision
+
+    def take_allowance(self) -> None:
+        self.case.now += max(FIRST_ALLOWANCE_S, ALLOWANCE_RENEWAL_S)
+        self.quota.settle()
+
+
+class QuotaCase(unittest.TestCase):
+    """Time is the test's own."""
+
+    quota = SMALL
+
+    def setUp(self) -> None:
+        self.now = 1000.0
+        for module in (batch_quota_module, quota_sweep_module):
+            patch = mock.patch.object(module.time, "monotonic", lambda: self.now)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.store = FleetStore()
+        self.store.start()
+        self.addCleanup(self.store.stop)
+        self.route = batch_route(self.quota)
+        self.one = Gateway(self, "one")
+        self.two = Gateway(self, "two")
+
+    def held(self) -> dict[str, int]:
+        ledger = QuotaLedgers(PlatformObjectStore(Endpoint("127.0.0.1", self.store.port)))
+        document = ledger.read(self.route.name).document
+        return {job_id: entry.tokens for job_id, entry in document.jobs.items()}
+
+
+class LedgerTest(QuotaCase):
+    """Jobs that are counted one by one, in the store."""
+
+    def test_two_gateways_do_not_both_promise_the_last_room(self) -> None:
+        self.assertIsInstance(self.one.admit("a", 6), Admitted)
+        self.assertIsInstance(self.two.admit("b", 4), Admitted)
+        for gateway in (self.one, self.two):
+            decision = gateway.admit("c", 1)
+            self.assertIsInstance(decision, OverQuota)
+            self.assertGreater(decision.retry_after_s, 0)
+        self.assertEqual({"a": 600, "b": 400}, self.held())
+
+    def test_room_follows_items_that_end(self) -> None:
+        self.one.admit("a", 10)
+        job = self.one.jobs["a"]
+        self.assertIsInstance(self.two.admit("b", 3), OverQuota)
+        for item in job.items[:3]:
+            job.finish(item, ResultState.SUCCEEDED, "")
+        self.one.quota.settle()
+        self.assertIsInstance(self.two.admit("b", 3), Admitted)
+
+    @params("ended", "dead")
+    def test_a_job_that_is_over_holds_nothing(self, how: str) -> None:
+        self.one.admit("a", 10)
+        job = self.one.jobs["a"]
+        if how == "ended":
+            job.stop(ended=True)
+        else:
+            for item in job.items:
+                job.finish(item, ResultState.DEAD, "not done in time")
+        self.one.quota.settle()
+        self.assertEqual({}, self.held())
+
+    def test_a_job_sent_again_counts_once(self) -> None:
+        self.one.admit("a", 6)
+        self.assertIsInstance(self.two.admit("a", 6), Admitted)
+        self.assertEqual({"a": 600}, self.held())
+
+    @params((True, Admitted), (None, QuotaUnknown), (False, OverQuota))
+    def test_a_job_that_storage_nodes_have_is_never_refused(self, known, expected) -> None:
+        self.one.admit("a", 10)
+        self.two.known = known
+        self.assertIsInstance(self.two.admit("b", 1), expected)
+
+    def test_a_job_that_was_not_kept_is_withdrawn(self) -> None:
+        self.one.admit("a", 10)
+        del self.one.jobs["a"]
+        self.one.quota.withdraw("a", self.route)
+        self.one.quota.settle()
+        self.assertEqual({}, self.held())
+
+    def test_a_lowered_quota_holds_at_once(self) -> None:
+        self.one.admit("a", 6)
+        self.route = batch_route(500)
+        self.assertIsInstance(self.one.admit("b", 1), OverQuota)
+
+    def test_no_quota_means_no_call_of_the_store(self) -> None:
+        self.route = batch_route(0)
+        self.assertIsInstance(self.one.admit("a", 1000), Admitted)
+        self.one.quota.settle()
+        self.assertEqual(0, sum(self.store.calls.values()))
+
+    def test_an_adopted_job_is_entered_and_then_followed(self) -> None:
+        self.two.jobs["a"] = coordinated("a", 12, self.route)
+        self.two.quota.settle()
+        # It was accepted once: it counts even where it does not fit.
+        self.assertEqual({"a": 1200}, self.held())
+
+    def test_a_job_handed_over_is_left_to_who_took_it(self) -> None:
+        self.one.admit("a", 6)
+        self.one.jobs["a"].stop(ended=False)
+        self.one.quota.settle()
+        self.assertEqual({"a": 600}, self.held())
+
+    def test_store_that_is_down_decides_nothing(self) -> None:
+        self.store.faults = FleetStoreFaults(down=True)
+        self.assertIsInstance(self.one.admit("a", 1), QuotaUnknown)
+        self.store.faults = FleetStoreFaults()
+        self.assertEqual({}, self.held())
+
+    def test_an_answer_that_is_lost_counts_the_job_once(self) -> None:
+        self.one.admit("first", 1)
+        self.store.faults = FleetStoreFaults(lose_writes=True)
+        with mock.patch("quaymill.platform.object_store.CALL_TIMEOUT_S", 0.2):
+            decision = self.one.admit("a", 5)
+        self.assertIsInstance(decision, Admitted)
+        self.assertEqual({"first": 100, "a": 500}, self.held())
+
+    def test_changes_of_many_gateways_at_once_are_all_kept(self) -> None:
+        gateways = [Gateway(self, f"g{n}") for n in range(4)]
+        for gateway in gateways:
+            gateway.admit(f"warm-{gateway.quota._name}", 1)
+        # Each knows an older ledger by now, and writes on top of what stands.
+        for gateway in gateways:
+            gateway.admit(f"job-{gateway.quota._name}", 1)
+        self.assertEqual(8, len(self.held()))
+
+
+class AllowanceTest(QuotaCase):
+    """Jobs that are counted without asking the store."""
+
+    quota = LARGE
+
+    def test_an_allowance_bridges_an_outage(self) -> None:
+        self.one.take_allowance()
+        self.store.faults = FleetStoreFaults(down=True)
+        self.assertEqual(Admitted("allowance"), self.one.admit("a", 100))
+        self.store.faults = FleetStoreFaults()
+        self.one.quota.settle()
+        self.assertEqual({"a": 10_000}, self.held())
+
+    def test_an_allowance_gives_no_more_than_it_has(self) -> None:
+        self.one.take_allowance()
+        self.store.faults = FleetStoreFaults(down=True)
+        decisions = [self.one.admit(f"job-{n}", 300) for n in range(10)]
+        allowed = allowance_for(LedgerDocument(), "one", 2, LARGE)
+        self.assertEqual(allowed // 30_000, sum(isinstance(one, Admitted) for one in decisions))
+
+    def test_an_old_allowance_is_not_used(self) -> None:
+        self.one.take_allowance()
+        self.store.faults = FleetStoreFaults(down=True)
+        self.now += ALLOWANCE_TERM_S
+        self.assertIsInstance(self.one.admit("a", 1), QuotaUnknown)
+
+    def test_an_allowance_under_a_larger_quota_is_not_used(self) -> None:
+        self.one.take_allowance()
+        self.store.faults = FleetStoreFaults(down=True)
+        self.route = batch_route(LARGE // 2)
+        self.assertIsInstance(self.one.admit("a", 1), QuotaUnknown)
+
+    def test_none_is_taken_right_after_the_start(self) -> None:
+        self.one.quota.settle()
+        self.store.faults = FleetStoreFaults(down=True)
+        self.assertIsInstance(self.one.admit("a", 1), QuotaUnknown)
+
+    def test_a_job_of_a_dead_gateway_is_entered_by_who_adopts_it(self) -> None:
+        self.one.take_allowance()
+        self.one.admit("a", 100)
+        self.two.jobs["a"] = self.one.jobs["a"]
+        self.two.quota.settle()
+        self.assertEqual({"a": 10_000}, self.held())
+
+    def test_all_gateways_together_stay_within_the_quota(self) -> None:
+        gateways = [Gateway(self, f"g{n}") for n in range(5)]
+        for gateway in gateways:
+            gateway.take_allowance()
+        accepted = 0
+        for number, gateway in itertools.product(range(120), gateways):
+            if isinstance(gateway.admit(f"{number}-{gateway.quota._name}", 30), Admitted):
+                accepted += 30 * ITEM_TOKENS
+            if number % 7 == 0:
+                gateway.quota.settle()
+        self.assertLessEqual(accepted, LARGE * 1.1)
+        self.assertGreater(accepted, LARGE * 0.7)
+
+
+class SweepTest(QuotaCase):
+    """What dead gateways leave behind."""
+
+    quota = LARGE
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.sweeper = Gateway(self, "sweeper", sweeps=True)
+
+    def look_for(self, time_s: float) -> None:
+        until = self.now + time_s
+        while self.now < until:
+            self.now += SWEEP_INTERVAL_S
+            self.sweeper.quota.settle()
+
+    def test_an_entry_that_nobody_cares_for_goes_once_its_job_is_over(self) -> None:
+        self.one.admit("a", 5)
+        self.look_for(UNCARED_AFTER_S / 2)
+        self.assertEqual({"a": 500}, self.held())
+        self.look_for(2 * UNCARED_AFTER_S)
+        self.assertEqual({}, self.held())
+
+    def test_an_entry_of_a_job_that_may_run_stays(self) -> None:
+        self.one.admit("a", 5)
+        self.sweeper.over = False
+        self.look_for(5 * UNCARED_AFTER_S)
+        self.assertEqual({"a": 500}, self.held())
+
+    def test_a_lost_allowance_is_taken_back_long_after_its_term(self) -> None:
+        self.one.take_allowance()
+        self.look_for(ALLOWANCE_TERM_S + UNCARED_AFTER_S)
+        self.assertIn("one", self._allowances())
+        self.look_for(ALLOWANCE_LOST_AFTER_S)
+        self.assertNotIn("one", self._allowances())
+
+    def _allowances(self) -> dict[str, Allowance]:
+        ledgers = QuotaLedgers(PlatformObjectStore(Endpoint("127.0.0.1", self.store.port)))
+        return ledgers.read(self.route.name).document.allowances
+
+
+class LedgerRulesTest(unittest.TestCase):
+    """The rules by which room is given."""
+
+    @params((1000, True), (1001, False))
+    def test_a_job_fits_up_to_the_quota(self, tokens: int, expected: bool) -> None:
+        self.assertEqual(expected, fits(LedgerDocument(), tokens, 1000, 0.1))
+
+    def test_allowances_lie_in_the_tolerated_overrun_first(self) -> None:
+        document = LedgerDocument({}, {"one": Allowance(80)})
+        self.assertTrue(fits(document, 1000, 1000, 0.1))
+        self.assertFalse(fits(document.with_allowance("two", 1), 1000, 1000, 0.1))
+
+    def test_allowances_take_a_bounded_part(self) -> None:
+        document = LedgerDocument()
+        for name in "abcdefgh":
+            document = document.with_allowance(name, allowance_for(document, name, 2, LARGE))
+        self.assertLessEqual(document.allowance_tokens, 0.25 * LARGE)
+
+    def test_no_allowance_while_jobs_hold_much(self) -> None:
+        document = LedgerDocument({"a": JobTokens(LARGE // 3)})
+        self.assertEqual(0, allowance_for(document, "one", 2, LARGE))
+
+    def test_an_item_that_runs_counts_until_it_is_finished(self) -> None:
+        job = coordinated("a", 3, batch_route(SMALL))
+        job.items[0].state = ItemState.RUNNING
+        self.assertEqual(300, job.unfinished_tokens())
+        job.finish(job.items[0], ResultState.SUCCEEDED, "")
+        self.assertEqual(200, job.unfinished_tokens())
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Where the platform's configuration tells the quota."""
+
+    def test_the_routes_field_counts_and_not_the_engines(self) -> None:
+        route = {
+            "name": "jobs",
+            "host": "h",
+            "path_prefix": "/jobs/",
+            "kind": "batch",
+            "service": "engine",
+            "max_queued_tokens": 1200,
+        }
+        engine = {"slots": 8, "kv_capacity_tokens": 1, "max_queued_tokens": 12}
+        decoded = decode_configuration(
+            {
+                "version": 1,
+                "routes": [route, route | {"name": "open", "max_queued_tokens": 0}],
+                "services": [{"name": "engine", "engine": engine}],
+            }
+        )
+        self.assertEqual([1200, 0], [one.max_unfinished_tokens for one in decoded.routes])
+
+    def test_ledgers_are_a_kind_of_the_systems_own(self) -> None:
+        self.assertIn(ObjectKind.QUOTA_LEDGERS, ObjectKind)
+
+
+if __name__ == "__main__":
+    unittest.main()
