--- a/src/quaymill/connection/job_storage_messages.py
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -303,9 +303,16 @@
 
 
 class FetchLeases(PeerMessage, frozen=True):
-    """Ask how long the leases of jobs still run."""
+    """Ask how long the leases of jobs still run.
+
+    Attributes
+    ----------
+    dead_coordinators
+        Processes known to have ended: their leases do not count.
+    """
 
     job_ids: tuple[str, ...]
+    dead_coordinators: tuple[str, ...] = ()
 
 
 class Leases(PeerMessage, frozen=True):
--- a/src/quaymill/connection/room_messages.py
+++ b/src/quaymill/connection/room_messages.py
@@ -1,4 +1,4 @@
-"""Messages by which coordinators share the engines' free slots."""
+"""Messages by which coordinators share the engines' free slots, and give way to online work."""
 
 from __future__ import annotations
 
@@ -68,3 +68,42 @@
 
     starts: tuple[ItemsAt, ...] = ()
     give_back: tuple[ItemsAt, ...] = ()
+
+
+class OnlineInFlight(PeerMessage, frozen=True):
+    """Tell who keeps room what online requests a gateway has at a pool's engines now.
+
+    Answered by ``PoolLoads``. It arrives before an engine's report shows the requests, so that
+    batch items give way before an online request has waited. The counts are absolute: one
+    that is lost is made good by the next.
+    """
+
+    gateway: str
+    service: str
+    in_flight: tuple[ItemsAt, ...]
+    pool: int = 0
+    pools: int = 1
+
+
+class ReplicaLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Requests of all gateways at one replica."""
+
+    replica_id: str
+    online: int
+    batch: int
+
+
+class PoolLoads(PeerMessage, frozen=True):
+    """The replicas of a pool as their keeper knows them now."""
+
+    loads: tuple[ReplicaLoad, ...]
+
+
+class GiveBack(PeerMessage, frozen=True):
+    """Ask a coordinator to cut items at once; answered by ``GivenBack``."""
+
+    items: tuple[ItemsAt, ...]
+
+
+class GivenBack(PeerMessage, frozen=True):
+    """The items are being cut, as far as they still ran."""
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -29,11 +29,13 @@
 from quaymill.process.jobs.job_lookup import JobLookup
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
 from quaymill.process.jobs.listing import JobListings
+from quaymill.process.jobs.online_notices import OnlineNotices
 from quaymill.process.jobs.quota_ledger import QuotaLedgers
 from quaymill.process.jobs.quota_sweep import LedgerSweep
 from quaymill.process.jobs.result_publisher import PublisherParts
 from quaymill.process.jobs.room_claims import RoomClaims
 from quaymill.process.jobs.room_keeper import RoomKeeper
+from quaymill.process.jobs.room_orders import RoomOrders
 from quaymill.process.jobs.service import JobService
 from quaymill.process.jobs.storage_client import JobStorageClient
 from quaymill.process.membership.ranking import rank_nodes
@@ -132,7 +134,22 @@
         )
         self._router = Router(self._table, settings.zone, settings.name)
         self._loads = EngineLoads(self._connections, protocol.reports)
-        keeper = RoomKeeper(self._table, self._loads, self.network.server)
+        orders = RoomOrders(
+            self.network.process_name,
+            lambda items: self.coordinator.give_back(items),
+            self.network.client,
+            self.network.server,
+            self.network.process,
+        )
+        keeper = RoomKeeper(self._table, self._loads, self.network.server, orders.send)
+        self._notices = OnlineNotices(
+            settings.name,
+            self._table,
+            keeper,
+            self.network.client,
+            self.network.gateways,
+            lambda service: service in self.control.routes.batch_services,
+        )
         claims = RoomClaims(settings.name, keeper, self.network.client, self.network.gateways)
         self.coordinator = JobCoordinator(
             DispatcherParts(
@@ -202,7 +219,7 @@
         return bool(ranked) and ranked[0].name == self._settings.name
 
     def _build_front(self, protocol: GatewayProtocol) -> FrontService:
-        forwarder = Forwarder(self._router, self._connections, protocol.replicas)
+        forwarder = Forwarder(self._router, self._connections, protocol.replicas, self._notices)
         return FrontService(
             protocol.callers,
             lambda: self.control.routes,
@@ -257,6 +274,7 @@
         self._warnings.start()
         self.coordinator.start()
         self.quota.start()
+        self._notices.start()
         self._watch.start()
         self._server.start_serving()
         self._readiness.start_serving()
@@ -290,6 +308,7 @@
         self._registry.stop()
         self._loads.stop()
         self._warnings.stop()
+        self._notices.stop()
         self.network.stop()
 
     def _wait_until_idle(self, deadline: float) -> bool:
@@ -329,6 +348,7 @@
         self.network.stop()
         self.coordinator.stop()
         self.quota.stop()
+        self._notices.stop()
         self._server.stop()
         self._readiness.stop()
 
--- a/src/quaymill/process/job_storage/database.py
+++ b/src/quaymill/process/job_storage/database.py
@@ -1,6 +1,7 @@
 """Jobs and contents of results in SQLite; a write returns once it is on the disk.
 
-Rows are written once and never changed, apart from two flags of a job that are only raised.
+Rows are written once and never changed, apart from two flags of a job that are only raised, and
+the name of who runs it.
 """
 
 from __future__ import annotations
@@ -152,6 +153,18 @@
                 record.ended = True
             return record
 
+    def set_coordinator(self, job_id: str, coordinator: str) -> None:
+        """Note who runs a job now: after a start it tells whose end to look for."""
+        with self._lock:
+            record = self.by_id.get(job_id)
+            if record is None or record.coordinator == coordinator:
+                return
+            with self._transaction():
+                self._connection.execute(
+                    "UPDATE jobs SET coordinator = ? WHERE id = ?", (coordinator, job_id)
+                )
+            record.coordinator = coordinator
+
     def complete_job(self, job_id: str) -> None:
         """Note that all items of a job are listed."""
         with self._lock:
--- a/src/quaymill/process/job_storage/leases.py
+++ b/src/quaymill/process/job_storage/leases.py
@@ -20,6 +20,7 @@
         self._lock = threading.Lock()
         self._expires_by_job: dict[str, float] = {}
         self._holder_by_job: dict[str, str] = {}
+        self._renewed_at_by_job: dict[str, float] = {}
         self._first_expiry = time.monotonic() + LEASE_S
 
     def renew(self, job_ids: Iterable[str], holder: str) -> list[str]:
@@ -34,6 +35,7 @@
                     continue
                 self._expires_by_job[job_id] = now + LEASE_S
                 self._holder_by_job[job_id] = holder
+                self._renewed_at_by_job[job_id] = now
         return refused
 
     def hand_over(self, job_id: str, holder: str, successor: str) -> None:
@@ -59,11 +61,16 @@
         with self._lock:
             self._expires_by_job.pop(job_id, None)
             self._holder_by_job.pop(job_id, None)
+            self._renewed_at_by_job.pop(job_id, None)
 
     def holder(self, job_id: str) -> str:
         """Return who renewed last; empty if nobody did since the start."""
         return self._holder_by_job.get(job_id, "")
 
+    def renewed_at(self, job_id: str) -> float:
+        """Return when a lease was renewed last (monotonic); 0 if it was not since the start."""
+        return self._renewed_at_by_job.get(job_id, 0.0)
+
     def left_s(self, job_id: str) -> float:
         """Return the time left, in seconds; 0 if there is none."""
         expires = self._expires_by_job.get(job_id, self._first_expiry)
--- a/src/quaymill/process/job_storage/orphans.py
+++ b/src/quaymill/process/job_storage/orphans.py
@@ -1,12 +1,14 @@
 """Finds jobs that nobody runs, and gives each to a gateway.
 
 Of the storage nodes the one that ranks first for a job acts, and only when no other has
-heard from the coordinator either.
+heard from the coordinator either. A lease need not run out where the process that had it is known
+to have ended: its node runs another process now.
 """
 
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable
 
 from eliot import log_message
@@ -23,7 +25,9 @@
 from quaymill.process.job_storage.leases import LEASE_S, Leases
 from quaymill.process.membership.ranking import rank_nodes
 
-CHECK_INTERVAL_S = 0.5
+CHECK_INTERVAL_S = 0.2
+REPLACED_FOR_S = 0.3
+"""How long a node must have been seen with another process: gossip of a former one is over."""
 ASK_TIMEOUT_S = 0.7
 ADOPT_TIMEOUT_S = 1.0
 
@@ -35,6 +39,8 @@
     ----------
     storage_nodes, gateways
         Return the live nodes of each kind, none that is leaving.
+    is_replaced
+        Whether the node of a process is known to run another process now.
     """
 
     def __init__(
@@ -45,6 +51,7 @@
         peer_client: PeerClient,
         storage_nodes: Callable[[], tuple[Member, ...]],
         gateways: Callable[[], tuple[Member, ...]],
+        is_replaced: Callable[[str], bool],
     ) -> None:
         self._name = name
         self._database = database
@@ -52,6 +59,8 @@
         self._peer_client = peer_client
         self._storage_nodes = storage_nodes
         self._gateways = gateways
+        self._is_replaced = is_replaced
+        self._replaced_since: dict[str, float] = {}
         self._stopping = threading.Event()
 
     def start(self) -> None:
@@ -68,17 +77,45 @@
 
     def check(self) -> None:
         """Give away the jobs that nobody runs."""
-        orphans = [
+        open_jobs = [
             record
             for record in list(self._database.by_id.values())
-            if not record.complete
-            and not record.ended
-            and self._leases.left_s(record.id) == 0.0
-            and self._acts_for(record.id)
+            if not record.complete and not record.ended
+        ]
+        self._note_replaced({self._holder(record) for record in open_jobs})
+        orphans = [
+            record
+            for record in open_jobs
+            if self._has_no_lease(record) and self._acts_for(record.id)
         ]
         for record in self._without_lease_elsewhere(orphans):
             self._give_away(record)
 
+    def _holder(self, record: JobRecord) -> str:
+        return self._leases.holder(record.id) or record.coordinator
+
+    def _note_replaced(self, coordinators: set[str]) -> None:
+        """Note since when each coordinator's node has been seen with another process."""
+        now = time.monotonic()
+        self._replaced_since = {
+            name: self._replaced_since.get(name, now)
+            for name in coordinators
+            if self._is_replaced(name)
+        }
+
+    def _has_no_lease(self, record: JobRecord) -> bool:
+        return self._leases.left_s(record.id) == 0.0 or self._has_ended(record)
+
+    def _has_ended(self, record: JobRecord) -> bool:
+        """Return whether the process that runs a job is known to have ended.
+
+        One that has renewed since its node was seen with another process is the newer one.
+        """
+        since = self._replaced_since.get(self._holder(record))
+        if since is None or self._leases.renewed_at(record.id) > since:
+            return False
+        return time.monotonic() - since >= REPLACED_FOR_S
+
     def _acts_for(self, job_id: str) -> bool:
         ranked = rank_nodes(job_id, self._storage_nodes())
         return bool(ranked) and ranked[0].name == self._name
@@ -87,17 +124,20 @@
         if not orphans:
             return []
         job_ids = tuple(record.id for record in orphans)
+        dead = tuple({self._holder(record) for record in orphans if self._has_ended(record)})
+        others: set[str] = set()
         for member in self._storage_nodes():
             if member.name == self._name:
                 continue
             reply = self._peer_client.call(
-                member.peer, FetchLeases(job_ids), LeasesMessage, ASK_TIMEOUT_S
+                member.peer, FetchLeases(job_ids, dead), LeasesMessage, ASK_TIMEOUT_S
             )
             if isinstance(reply, LeasesMessage):
                 for job_id, left_s in zip(job_ids, reply.left_s, strict=True):
                     if left_s > 0:
+                        others.add(job_id)
                         self._leases.extend(job_id, min(left_s, LEASE_S))
-        return [record for record in orphans if self._leases.left_s(record.id) == 0.0]
+        return [record for record in orphans if record.id not in others]
 
     def _give_away(self, record: JobRecord) -> None:
         job = self._database.job(record.id)
@@ -115,5 +155,7 @@
                 outcome=type(reply).__name__,
             )
             if isinstance(reply, JobAdopted):
+                self._leases.release(record.id, self._leases.holder(record.id))
                 self._leases.renew([record.id], reply.coordinator)
+                self._database.set_coordinator(record.id, reply.coordinator)
                 return
--- a/src/quaymill/process/job_storage/service.py
+++ b/src/quaymill/process/job_storage/service.py
@@ -131,8 +131,11 @@
 
     def _renew_jobs(self, message: RenewJobs) -> JobsRenewed:
         taken = self._leases.renew(message.open_jobs, message.coordinator)
+        for job_id in set(message.open_jobs) - set(taken):
+            self._database.set_coordinator(job_id, message.coordinator)
         for handed in message.handed_over_jobs:
             self._leases.hand_over(handed.job_id, message.coordinator, handed.successor)
+            self._database.set_coordinator(handed.job_id, handed.successor)
         for job_id in message.complete_jobs:
             self._database.complete_job(job_id)
         for job_id in message.released_jobs:
@@ -172,7 +175,18 @@
         return ResultKeys(self._database.result_keys(message.job_id))
 
     def _fetch_leases(self, message: FetchLeases) -> Leases:
-        return Leases(tuple(self._leases.left_s(job_id) for job_id in message.job_ids))
+        dead = message.dead_coordinators
+        return Leases(
+            tuple(
+                0.0 if self._holder(job_id) in dead else self._leases.left_s(job_id)
+                for job_id in message.job_ids
+            )
+        )
+
+    def _holder(self, job_id: str) -> str:
+        """Return who runs a job by what is known here; empty if the job is not."""
+        record = self._database.by_id.get(job_id)
+        return self._leases.holder(job_id) or ("" if record is None else record.coordinator)
 
 
 class Retention:
--- a/src/quaymill/process/jobs/coordinator.py
+++ b/src/quaymill/process/jobs/coordinator.py
@@ -18,6 +18,7 @@
     KeyedResult,
     RenewJobs,
 )
+from quaymill.connection.room_messages import ItemsAt
 from quaymill.process.jobs.coordinated_job import CoordinatedJob, ItemState
 from quaymill.process.jobs.item_dispatcher import DispatcherParts, ItemDispatcher
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
@@ -65,6 +66,10 @@
         """Return all jobs that are held here, those that are over included."""
         return list(self._jobs_by_id.values())
 
+    def give_back(self, items: tuple[ItemsAt, ...]) -> None:
+        """Cut items at once, because online requests wait at their replicas."""
+        self._dispatcher.give_back(items)
+
     def running_items(self) -> int:
         """Return how many items are in service."""
         return self._dispatcher.running_items()
--- a/src/quaymill/process/jobs/engine_loads.py
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -24,9 +24,11 @@
 POLL_TIMEOUT_S = 0.5
 REPORT_MAX_AGE_S = 1.0
 REPORT_LAG_S = 0.15
+"""How old a report may be when it comes: the engines tell how they stood some hundred ms ago."""
 KEEP_S = 3.0
 MAX_REPORT_BYTES = 256 * 1024
-MIN_RESERVE = 2
+MIN_RESERVE = 1
+"""Slots: an online request that finds one free waits for nobody to give way."""
 KV_RESERVE_SHARE = 0.1
 
 
@@ -46,10 +48,13 @@
     ----------
     starts
         When this process started items that the report may not show yet, and their tokens.
+    gave_way_at
+        When items were cut last that the report may still show.
     """
 
     report: EngineReport | None = None
     taken_at: float = 0.0
+    gave_way_at: float = 0.0
     starts: list[tuple[float, int]] = attrs.field(factory=list)
 
     def forget_shown_starts(self) -> None:
@@ -90,40 +95,40 @@
                     target=self._poll, args=(replica,), name="engine-poll", daemon=True
                 ).start()
 
-    def room(self, replica: Replica, tokens: int, reserve_share: float) -> int:
-        """Return how many items more the replica may get now.
+    def room(self, replica: Replica, tokens: int) -> int:
+        """Return how many items more the replica's state and memory allow now.
+
+        Its slots are the keeper's to count: a report is older than the gateways' own counts.
 
         Parameters
         ----------
         tokens
             Memory that each of them takes.
-        reserve_share
-            Part of the slots that is left to online requests.
         """
         with self._lock:
             poll = self._polls_by_replica.get(replica.id)
             if poll is None or poll.report is None or replica.leaving or replica.avoided:
                 return 0
-            if time.monotonic() - poll.taken_at > REPORT_MAX_AGE_S:
+            if time.monotonic() - poll.taken_at > REPORT_MAX_AGE_S or poll.report.waiting:
                 return 0
             report = poll.report
-            busy = _requests_at(replica, poll) + len(poll.starts)
-            free_slots = replica.slots - reserve_of(replica, reserve_share) - busy
             if not report.kv_total_tokens or not tokens:
-                return max(0, free_slots)
+                return replica.slots
             kv_room = report.kv_total_tokens * (1 - KV_RESERVE_SHARE)
             kv_free = kv_room - report.kv_used_tokens - sum(start[1] for start in poll.starts)
-            return max(0, min(free_slots, int(kv_free // tokens)))
+            return max(0, min(replica.slots, int(kv_free // tokens)))
 
     def excess(self, replica: Replica) -> int:
-        """Return how many batch items should give way at the replica."""
+        """Return how many batch items should give way: one for each request that waits."""
         with self._lock:
             poll = self._polls_by_replica.get(replica.id)
             if poll is None or poll.report is None:
                 return 0
             if time.monotonic() - poll.taken_at > REPORT_MAX_AGE_S:
                 return 0
-            return max(0, _requests_at(replica, poll) - replica.slots + 1)
+            if poll.taken_at - REPORT_LAG_S <= poll.gave_way_at:
+                return 0  # What was cut may still be in the report.
+            return max(0, poll.report.running + poll.report.waiting - replica.slots)
 
     def started(self, replica: Replica, tokens: int) -> None:
         """Count an item that is being started, until the next report shows it."""
@@ -133,11 +138,11 @@
                 poll.starts.append((time.monotonic(), tokens))
 
     def gave_way(self, replica: Replica) -> None:
-        """Wait for the next report before more gives way at the replica."""
+        """Note that items are being cut, which the next reports may still show."""
         with self._lock:
             poll = self._polls_by_replica.get(replica.id)
             if poll is not None:
-                poll.report = None
+                poll.gave_way_at = time.monotonic()
 
     def _poll(self, replica: Replica) -> None:
         """Poll one engine until its report is not wanted any more, or it is gone."""
@@ -178,14 +183,6 @@
     return max(MIN_RESERVE, round(replica.slots * share))
 
 
-def _requests_at(replica: Replica, poll: _Poll) -> int:
-    """Return the requests at a replica by the newer of its report and its latest answer."""
-    reported, reported_at = replica.reported()
-    if reported is not None and reported_at > poll.taken_at:
-        return reported.running + reported.waiting
-    return poll.report.running + poll.report.waiting
-
-
 def _poll_interval_s(replica: Replica, report: EngineReport | None) -> float:
     if report is None:
         return POLL_INTERVAL_S
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -41,7 +41,7 @@
 MAX_RUNNING_ITEMS = 96
 MAX_POOLS_ASKED = 3
 """Pools of engines that are asked for room in one round, one call each."""
-RESERVE_SHARES = ((0.6, 0.35), (0.3, 0.25), (0.0, 0.15))
+RESERVE_SHARES = ((0.3, 0.15), (0.0, 0.0))
 """Part of a job's time that is left, and the part of the slots that its items then leave free:
 a job with time to spare keeps well out of the way of online requests."""
 GIVE_UP_MARGIN_S = 5.0
@@ -103,6 +103,13 @@
         """Look at once whether items can be started."""
         self._wake.set()
 
+    def give_back(self, items: tuple[ItemsAt, ...]) -> None:
+        """Cut items at once, because online requests wait at their replicas."""
+        running = [item for job in self._open_jobs() for item in job.running()]
+        still = [item for item in running if not item.giving_way]
+        for at in items:
+            self._give_way(still, at)
+
     def running_items(self) -> int:
         """Return how many items are in service."""
         return self._running_items
@@ -243,14 +250,14 @@
         ).start()
 
     def _run_item(self, job: CoordinatedJob, item: RunningItem, replica: Replica) -> None:
-        replica.begin()
+        replica.begin_item()
         outcome: ItemOutcome = ItemCut("the run failed")
         try:
             outcome = run_item(
                 item, job.job.host, replica, self._parts.connections, self._parts.protocol
             )
         finally:
-            replica.end()
+            replica.end_item()
             with self._lock:
                 self._running_items -= 1
             self._settle(job, item, replica, outcome)
--- /dev/null
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -0,0 +1,152 @@
+"""Tells who keeps room for batch items what online requests this gateway has in flight.
+
+An engine takes requests in the order in which they come: an online request that meets only batch
+items waits until one of them ends or is cut. The keeper of room learns of it from the engine's
+report, which is old by then. A notice, sent beside the request, comes within a millisecond or
+two. Its answer tells what all gateways have at each engine, by which the next one is chosen.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+
+from eliot import log_message
+
+from quaymill.connection.member import Member
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.room_messages import ItemsAt, OnlineInFlight, PoolLoads
+from quaymill.process.jobs.engine_pool import EnginePool, pools_of
+from quaymill.process.jobs.room_claims import KeeperChoice
+from quaymill.process.jobs.room_keeper import RoomKeeper
+from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.request.replica_choice import ChosenReplica
+
+NOTICE_TIMEOUT_S = 0.2
+"""Later than this the engine's own report has told the keeper."""
+ENDS_INTERVAL_S = 0.05
+"""Ends of requests may wait so long for a start that they can go out with."""
+REPEAT_INTERVAL_S = 0.25
+"""Time after which counts are told again though nothing has changed: they are believed for
+four times as long, and the loads that come back for twice as long."""
+
+
+class OnlineNotices:
+    """Notices of one gateway; ``note`` is safe to use from any thread.
+
+    Parameters
+    ----------
+    has_batch
+        Whether batch routes lead to a service, by the configuration in force.
+    gateways
+        Returns the live gateways, this one included.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        table: ReplicaTable,
+        keeper: RoomKeeper,
+        client: PeerClient,
+        gateways: Callable[[], tuple[Member, ...]],
+        has_batch: Callable[[str], bool],
+    ) -> None:
+        self._own_name = own_name
+        self._table = table
+        self._keeper = keeper
+        self._client = client
+        self._keepers = KeeperChoice(gateways)
+        self._has_batch = has_batch
+        self._lock = threading.Lock()
+        self._in_flight: Counter[str] = Counter()
+        self._changed = False
+        self._told_at = 0.0
+        self._told_by_pool: dict[EnginePool, dict[str, int]] = {}
+        self._news = threading.Event()
+        self._stopping = threading.Event()
+
+    def start(self) -> None:
+        """Begin to send notices."""
+        threading.Thread(target=self._run, name="online-notices", daemon=True).start()
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        self._stopping.set()
+        self._news.set()
+
+    def began(self, replica: ChosenReplica) -> None:
+        """Note that an online request is being sent to a replica."""
+        self._count(replica, 1)
+        self._news.set()
+
+    def ended(self, replica: ChosenReplica) -> None:
+        """Note that an online request at a replica has ended."""
+        self._count(replica, -1)
+
+    def _count(self, replica: ChosenReplica, change: int) -> None:
+        if self._has_batch(replica.entry.service):
+            with self._lock:
+                self._in_flight[replica.id] += change
+                self._changed = True
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            # Ends alone go out when the wait is over; a gateway without requests sends nothing.
+            self._news.wait(ENDS_INTERVAL_S)
+            self._news.clear()
+            in_flight = self._due()
+            if in_flight is None:
+                continue
+            try:
+                self._tell(in_flight)
+            except Exception as error:  # A bug here must not end the notices of this gateway.
+                log_message("batch:notice_error", error=repr(error))
+
+    def _due(self) -> dict[str, int] | None:
+        """Return what is to be told now; ``None`` if that is nothing."""
+        now = time.monotonic()
+        with self._lock:
+            self._in_flight = +self._in_flight
+            repeat = self._in_flight and now - self._told_at >= REPEAT_INTERVAL_S
+            if not self._changed and not repeat:
+                return None
+            self._changed = False
+            self._told_at = now
+            return dict(self._in_flight)
+
+    def _tell(self, in_flight: dict[str, int]) -> None:
+        for service in self._services():
+            for pool in pools_of(service, self._table):
+                members = {replica.id for replica in pool.members(self._table)}
+                counts = {one: in_flight[one] for one in in_flight.keys() & members}
+                # A pool without requests of ours is told once, when the last of them has ended.
+                if counts or self._told_by_pool.get(pool):
+                    self._told_by_pool[pool] = counts
+                    self._tell_keeper(pool, counts)
+
+    def _services(self) -> set[str]:
+        services = {replica.entry.service for replica in self._table.replicas()}
+        return {service for service in services if self._has_batch(service)}
+
+    def _tell_keeper(self, pool: EnginePool, counts: dict[str, int]) -> None:
+        told = tuple(ItemsAt(replica_id, requests) for replica_id, requests in counts.items())
+        message = OnlineInFlight(self._own_name, pool.service, told, pool.index, pool.pools)
+        loads = self._call_keeper(message)
+        if loads is None:
+            return
+        for load in loads.loads:
+            replica = self._table.get(load.replica_id)
+            if replica is not None:
+                replica.take_pool_view(load.online - counts.get(replica.id, 0), load.batch)
+
+    def _call_keeper(self, message: OnlineInFlight) -> PoolLoads | None:
+        member = self._keepers.keeper_of(message.service, message.pool)
+        if member is None or member.name == self._own_name:
+            return self._keeper.note_online(message)
+        reply = self._client.call(member.peer, message, PoolLoads, NOTICE_TIMEOUT_S)
+        if isinstance(reply, PoolLoads):
+            return reply
+        self._keepers.avoid(message.service, member)
+        return None
--- a/src/quaymill/process/jobs/room_claims.py
+++ b/src/quaymill/process/jobs/room_claims.py
@@ -21,6 +21,33 @@
 """Puts a claim to who keeps room for its pool; ``None`` if that did not answer."""
 
 
+class KeeperChoice:
+    """Finds who keeps room; used by one thread only.
+
+    Parameters
+    ----------
+    gateways
+        Returns the live gateways, this one included.
+    """
+
+    def __init__(self, gateways: Callable[[], tuple[Member, ...]]) -> None:
+        self._gateways = gateways
+        self._avoided_until_by_name: dict[str, float] = {}
+
+    def keeper_of(self, service: str, pool: int) -> Member | None:
+        """Return the gateway that keeps room for a pool; ``None`` if none is known."""
+        now = time.monotonic()
+        for member in rank_nodes(f"room/{service}/{pool}", self._gateways()):
+            if self._avoided_until_by_name.get(member.name, 0.0) <= now:
+                return member
+        return None
+
+    def avoid(self, service: str, member: Member) -> None:
+        """Pass over a gateway that did not answer, in favour of the next in rank."""
+        log_message("batch:keeper_silent", service=service, keeper=member.name)
+        self._avoided_until_by_name[member.name] = time.monotonic() + AVOID_KEEPER_S
+
+
 class RoomClaims:
     """Claims of one gateway; used by its dispatcher's thread only.
 
@@ -44,24 +71,15 @@
         self._own_name = own_name
         self._keeper = keeper
         self._client = client
-        self._gateways = gateways
-        self._avoided_until_by_name: dict[str, float] = {}
+        self._keepers = KeeperChoice(gateways)
 
     def claim(self, claim: ClaimRoom) -> RoomGranted | None:
         """Put a claim to the gateway that ranks first for its pool."""
-        member = self._keeper_of(f"room/{claim.service}/{claim.pool}")
+        member = self._keepers.keeper_of(claim.service, claim.pool)
         if member is None or member.name == self._own_name:
             return self._keeper.claim(claim)
         reply = self._client.call(member.peer, claim, RoomGranted, CLAIM_TIMEOUT_S)
         if isinstance(reply, RoomGranted):
             return reply
-        log_message("batch:keeper_silent", service=claim.service, keeper=member.name)
-        self._avoided_until_by_name[member.name] = time.monotonic() + AVOID_KEEPER_S
-        return None
-
-    def _keeper_of(self, key: str) -> Member | None:
-        now = time.monotonic()
-        for member in rank_nodes(key, self._gateways()):
-            if self._avoided_until_by_name.get(member.name, 0.0) <= now:
-                return member
+        self._keepers.avoid(claim.service, member)
         return None
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -196,6 +196,10 @@
         "the gateway that keeps room for a service did not answer a claim",
         ("service", "keeper: passed over for a while"),
     ),
+    "batch:order_unanswered": LogEvent(
+        "a coordinator did not answer an order to give way", ("coordinator",)
+    ),
+    "batch:notice_error": LogEvent("telling of online requests met a bug", ("error",)),
     "batch:dispatch_error": LogEvent("starting items met a bug", ("error",)),
     "retirement:begun": LogEvent("this node is being emptied", ("node", "jobs: held now")),
     "retirement:succeeded": LogEvent("all that was here stands elsewhere", ("node",)),
--- a/src/quaymill/process/peer_network.py
+++ b/src/quaymill/process/peer_network.py
@@ -92,6 +92,14 @@
                 return None if member.state is MemberState.DEAD else member
         return None
 
+    def is_replaced(self, name: str) -> bool:
+        """Return whether the node of a process runs another process now, which is alive."""
+        node_name, _, _ = name.rpartition(COORDINATOR_SEPARATOR)
+        for member in self.membership.live():
+            if member.name == node_name:
+                return process_name(member) != name
+        return False
+
 
 def process_name(member: Member) -> str:
     """Return the name of the process that a member's record is of."""
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -13,6 +13,10 @@
 from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad
 
 REPORT_HALF_LIFE_S = 1.0
+POOL_VIEW_LIFETIME_S = 0.6
+"""How long the keeper's word of a replica counts; a gateway with requests asks twice as often."""
+BATCH_ITEM_LOAD = 0.25
+"""Part of a request that a batch item counts for: it gives way at once, but that has a price."""
 FAILURE_HALF_LIFE_S = 2.0
 EJECTION_PENALTY = 1.5
 """Failures, weighted by their age, from which on a replica counts as ejected."""
@@ -43,13 +47,34 @@
     at: float
 
 
+@attrs.frozen
+class _PoolView:
+    """What the keeper of room told of the replica.
+
+    Attributes
+    ----------
+    online_elsewhere
+        Online requests of other gateways.
+    batch
+        Batch items of all gateways.
+    at
+        Monotonic time when it came.
+    """
+
+    online_elsewhere: int
+    batch: int
+    at: float
+
+
 class Replica:
     """Load and health of one incarnation; safe to use from any thread.
 
     Attributes
     ----------
     in_flight
-        Requests of this process that the replica has now.
+        Requests of this process that the replica has now, batch items included.
+    items_in_flight
+        Those of them that are batch items.
     id_hash
         Spreads replicas over parts of a service, alike in every process.
     departed_at
@@ -60,6 +85,7 @@
         self.entry = entry
         self.id_hash = xxhash.xxh3_64_intdigest(entry.id.encode())
         self.in_flight = 0
+        self.items_in_flight = 0
         self.departed_at: float | None = None
         self.misdirected = False
         self._lock = threading.Lock()
@@ -73,6 +99,7 @@
         self._quiet_since = 0.0
         self._failed_at = -math.inf
         self._warnings: dict[str, _Warning] = {}
+        self._pool_view: _PoolView | None = None
 
     @property
     def id(self) -> str:
@@ -117,6 +144,22 @@
         with self._lock:
             self.in_flight -= 1
 
+    def begin_item(self) -> None:
+        """Count a batch item that is being sent."""
+        with self._lock:
+            self.items_in_flight += 1
+        self.begin()
+
+    def end_item(self) -> None:
+        """Stop counting a batch item."""
+        self.end()
+        with self._lock:
+            self.items_in_flight -= 1
+
+    def take_pool_view(self, online_elsewhere: int, batch: int) -> None:
+        """Take what the keeper of room knows of all gateways' requests at the replica."""
+        self._pool_view = _PoolView(online_elsewhere, batch, time.monotonic())
+
     def take_report(self, load: ReportedLoad) -> None:
         """Take what the replica told; it includes this process's own requests."""
         with self._lock:
@@ -125,11 +168,17 @@
             self._reported_at = time.monotonic()
 
     def load(self) -> float:
-        """Return the estimated number of requests at the replica.
+        """Return the estimated number of requests at the replica, as an online request counts.
 
-        Requests of other processes are known from the last report only, and count for less
-        the older it is: without news the estimate falls back to this process's own.
+        The keeper's word goes first while it is new: it knows the requests of all gateways, and
+        which of them are batch items that give way. Else requests of other processes are known
+        from the last report only, and count for less the older it is: without news the
+        estimate falls back to this process's own.
         """
+        view = self._pool_view
+        if view is not None and time.monotonic() - view.at < POOL_VIEW_LIFETIME_S:
+            own = self.in_flight - self.items_in_flight
+            return own + view.online_elsewhere + BATCH_ITEM_LOAD * view.batch
         age_s = time.monotonic() - self._reported_at
         return self.in_flight + self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
 
--- a/src/quaymill/process/storage_node.py
+++ b/src/quaymill/process/storage_node.py
@@ -62,6 +62,7 @@
             network.client,
             network.storage_nodes,
             network.gateways,
+            network.is_replaced,
         )
         self._retention = Retention(
             self._database, leases, settings.bounds.job_retention_s + RETENTION_MARGIN_S
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -21,7 +21,13 @@
 from quaymill.request.forwarded_request import ForwardedRequest, Headers
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 from quaymill.request.presence import CallerPresence
-from quaymill.request.replica_choice import ChosenReplica, NoReplica, ReplicaChooser
+from quaymill.request.replica_choice import (
+    ChosenReplica,
+    NoObserver,
+    NoReplica,
+    ReplicaChooser,
+    RequestObserver,
+)
 from quaymill.version.request_routes import RequestRoute, RouteKind
 
 MAX_REFUSALS = 8
@@ -118,11 +124,16 @@
     """Forwards requests for one process."""
 
     def __init__(
-        self, router: ReplicaChooser, connections: ReplicaConnections, protocol: ReplicaProtocol
+        self,
+        router: ReplicaChooser,
+        connections: ReplicaConnections,
+        protocol: ReplicaProtocol,
+        observer: RequestObserver | None = None,
     ) -> None:
         self.router = router
         self.connections = connections
         self.protocol = protocol
+        self.observer = observer or NoObserver()
 
     def forward(
         self,
@@ -155,6 +166,7 @@
         self._router = forwarder.router
         self._connections = forwarder.connections
         self._protocol = forwarder.protocol
+        self._observer = forwarder.observer
         self._request = request
         self._route = route
         self._answer = answer
@@ -199,11 +211,13 @@
         report_age_s = replica.report_age_s()
         began = time.monotonic()
         replica.begin()
+        self._observer.began(replica)
         try:
             result = self._send(replica, began)
         finally:
             self._presence.detach()
             replica.end()
+            self._observer.ended(replica)
         if self._presence.gone and not isinstance(result, Delivered):
             result = CallerLeft()
         self._judge(replica, result)
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -76,3 +76,23 @@
         self, service: str, prompt: Prompt, excluded: Iterable[str]
     ) -> ChosenReplica | NoReplica:
         """Return the best replica, leaving out those whose identity is in ``excluded``."""
+
+
+class RequestObserver(Protocol):
+    """Hears of every request that goes to a replica."""
+
+    def began(self, replica: ChosenReplica) -> None:
+        """Take note before the request is sent."""
+
+    def ended(self, replica: ChosenReplica) -> None:
+        """Take note once the replica has nothing more to do for it."""
+
+
+class NoObserver:
+    """Stands for: nobody wants to hear."""
+
+    def began(self, replica: ChosenReplica) -> None:
+        """Do nothing."""
+
+    def ended(self, replica: ChosenReplica) -> None:
+        """Do nothing."""
--- a/src/quaymill/version/request_routes.py
+++ b/src/quaymill/version/request_routes.py
@@ -113,11 +113,20 @@
     routes: tuple[RequestRoute, ...] = ()
     services: dict[str, ServiceProperties] = attrs.field(factory=dict)
     limits: RequestLimits = RequestLimits()
+    batch_services: frozenset[str] = attrs.field(init=False, repr=False, eq=False)
+    """Services to which batch routes lead."""
     _by_prefix: dict[tuple[str, str], RequestRoute] = attrs.field(init=False, repr=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
         by_prefix = {(route.host, route.path_prefix): route for route in self.routes}
         object.__setattr__(self, "_by_prefix", by_prefix)
+        batch_services = (
+            part.service
+            for route in self.routes
+            if route.kind is RouteKind.BATCH
+            for part in route.services
+        )
+        object.__setattr__(self, "batch_services", frozenset(batch_services))
 
     def find(self, host: str, path: str) -> RequestRoute | None:
         """Return the route of ``host`` with the longest prefix of ``path``.
