Batch items that are due first go first over all coordinators, hopeless ones last

A job of 24 items sent at 9.0 s had 11 late, while smaller ones sent up to 3.6 s later were done with half of their time left; and items that could not be in time any more ran before those that could. Change: claims tell until when items are due; a keeper leaves free what is due earlier elsewhere, cuts what is due last, and tells a coordinator of room that has come free. An item that cannot be done by its time, by the pace that its coordinator has observed, goes after all others.

--- a/src/quaymill/connection/room_messages.py
+++ b/src/quaymill/connection/room_messages.py
@@ -14,6 +14,20 @@
     items: int
 
 
+class RunningAt(msgspec.Struct, frozen=True, array_like=True):
+    """Items in service at one replica that are due at the same time.
+
+    Attributes
+    ----------
+    due_in_s
+        Time until they are due; very long for those that cannot be done by then.
+    """
+
+    replica_id: str
+    items: int
+    due_in_s: float = 0.0
+
+
 class WantedItems(msgspec.Struct, frozen=True, array_like=True):
     """Items that wait, and how much of the engines they leave to online requests.
 
@@ -23,11 +37,14 @@
         Part of the slots that these items leave free; less for what is nearly due.
     tokens
         Memory that the largest of them takes.
+    due_in_s
+        Time until they are due; very long for those that cannot be done by then.
     """
 
     reserve_share: float
     items: int
     tokens: int
+    due_in_s: float = 0.0
 
 
 class ClaimRoom(PeerMessage, frozen=True):
@@ -48,7 +65,7 @@
     coordinator: str
     zone: str
     service: str
-    running: tuple[ItemsAt, ...]
+    running: tuple[RunningAt, ...]
     wanted: tuple[WantedItems, ...]
     avoided: tuple[str, ...] = ()
     pool: int = 0
@@ -107,3 +124,11 @@
 
 class GivenBack(PeerMessage, frozen=True):
     """The items are being cut, as far as they still ran."""
+
+
+class RoomFreed(PeerMessage, frozen=True):
+    """Tell a coordinator that there is room for its items; answered by ``RoomFreedNoted``."""
+
+
+class RoomFreedNoted(PeerMessage, frozen=True):
+    """The coordinator claims room at once."""
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -137,11 +137,12 @@
         orders = RoomOrders(
             self.network.process_name,
             lambda items: self.coordinator.give_back(items),
+            lambda: self.coordinator.wake(),
             self.network.client,
             self.network.server,
             self.network.process,
         )
-        keeper = RoomKeeper(self._table, self._loads, self.network.server, orders.send)
+        keeper = RoomKeeper(self._table, self._loads, self.network.server, orders.send, orders.wake)
         self._notices = OnlineNotices(
             settings.name,
             self._table,
--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -48,6 +48,8 @@
         The last whole event that came, and the data of all of them.
     failures
         Runs that a replica answered with an error.
+    started_at, events_at_start
+        Monotonic time when the present run began, and the events that had come before.
     not_before
         Monotonic time before which it is not tried again.
     cancel
@@ -63,6 +65,7 @@
         self.failures = 0
         self.not_before = 0.0
         self.started_at = 0.0
+        self.events_at_start = 0
         self.replica_id = ""
         self.cancel: Callable[[], None] | None = None
         self.giving_way = False
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -17,7 +17,7 @@
 
 from quaymill.connection.job_document import Job, ResultState
 from quaymill.connection.replica_connection import ReplicaConnections
-from quaymill.connection.room_messages import ClaimRoom, ItemsAt, WantedItems
+from quaymill.connection.room_messages import ClaimRoom, ItemsAt, RunningAt, WantedItems
 from quaymill.process.jobs.coordinated_job import CoordinatedJob, ItemState, RunningItem
 from quaymill.process.jobs.engine_pool import EnginePool, pools_of
 from quaymill.process.jobs.item_run import (
@@ -29,6 +29,7 @@
     ItemProtocol,
     run_item,
 )
+from quaymill.process.jobs.item_urgency import HOPELESS_DUE_S, RunPace, time_left_s
 from quaymill.process.jobs.room_claims import ClaimRoomCall
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.table import ReplicaTable
@@ -70,6 +71,23 @@
     protocol: ItemProtocol
 
 
+@attrs.frozen
+class _Waiting:
+    """An item that waits, and the time until it is due."""
+
+    left_s: float
+    job: CoordinatedJob
+    item: RunningItem
+
+
+@attrs.frozen
+class _Running:
+    """An item in service."""
+
+    job: CoordinatedJob
+    item: RunningItem
+
+
 class ItemDispatcher:
     """Runs items in the room that is granted; safe to use from any thread.
 
@@ -88,6 +106,7 @@
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._running_items = 0
+        self._pace = RunPace()
         self._first_pool = xxhash.xxh3_64_intdigest(parts.name.encode())
 
     def start(self) -> None:
@@ -105,10 +124,9 @@
 
     def give_back(self, items: tuple[ItemsAt, ...]) -> None:
         """Cut items at once, because online requests wait at their replicas."""
-        running = [item for job in self._open_jobs() for item in job.running()]
-        still = [item for item in running if not item.giving_way]
+        running = self._running()
         for at in items:
-            self._give_way(still, at)
+            self._give_way(running, at)
 
     def running_items(self) -> int:
         """Return how many items are in service."""
@@ -161,26 +179,39 @@
             self._first_pool += MAX_POOLS_ASKED
 
     def _wanted_of(self, jobs: list[CoordinatedJob]) -> tuple[WantedItems, ...]:
+        """Return what waits, by the time when it is due, the first first."""
         if self._running_items >= MAX_RUNNING_ITEMS:
             return ()
-        return tuple(one for one in map(_wanted, jobs) if one.items)
+        by_due: dict[float, list[_Waiting]] = {}
+        for waiting in self._waiting(jobs):
+            by_due.setdefault(round(waiting.left_s, 1), []).append(waiting)
+        return tuple(_wanted(left_s, items) for left_s, items in by_due.items())
+
+    def _waiting(self, jobs: list[CoordinatedJob]) -> list[_Waiting]:
+        """Return the items that wait, the most urgent first, of those alike the nearest done."""
+        now = time.monotonic()
+        waiting = [
+            _Waiting(time_left_s(job, item, now, self._pace), job, item)
+            for job in jobs
+            for item in job.waiting()
+        ]
+        return sorted(waiting, key=lambda one: (one.left_s, -len(one.item.texts)))
 
     def _claim_in(
         self,
         pool: EnginePool,
         jobs: list[CoordinatedJob],
-        running: list[RunningItem],
+        running: list[_Running],
         wanted: tuple[WantedItems, ...],
         avoided: tuple[str, ...],
     ) -> None:
         """Claim room in one pool, and do as the answer says."""
-        counts = Counter(item.replica_id for item in running)
         granted = self._parts.claim_room(
             ClaimRoom(
                 self._parts.name,
                 self._parts.zone,
                 pool.service,
-                tuple(ItemsAt(replica_id, items) for replica_id, items in counts.items()),
+                self._running_at(running),
                 wanted,
                 avoided,
                 pool.index,
@@ -191,22 +222,40 @@
             return
         for at in granted.give_back:
             self._give_way(running, at)
-        waiting = iter([(job, item) for job in jobs for item in job.waiting()])
+        waiting = iter(self._waiting(jobs))
         for at in granted.starts:
             replica = self._parts.table.get(at.replica_id)
             if replica is None or replica.leaving:
                 continue
-            for job, item in itertools.islice(waiting, at.items):
-                self._start_item(job, item, replica)
+            for one in itertools.islice(waiting, at.items):
+                self._start_item(one.job, one.item, replica)
+
+    def _running_at(self, running: list[_Running]) -> tuple[RunningAt, ...]:
+        now = time.monotonic()
+        counts = Counter(
+            (one.item.replica_id, round(time_left_s(one.job, one.item, now, self._pace), 1))
+            for one in running
+        )
+        return tuple(
+            RunningAt(replica_id, items, left_s) for (replica_id, left_s), items in counts.items()
+        )
 
     def _avoided(self, service: str) -> tuple[str, ...]:
         """Return the replicas that fail for this process, whatever others see of them."""
         replicas = self._parts.table.of_service(service)
         return tuple(replica.id for replica in replicas if replica.avoided)
 
-    def _running_items_in(self, pool: EnginePool) -> list[RunningItem]:
-        running = [item for job in self._open_jobs() for item in job.running()]
-        return [item for item in running if not item.giving_way and self._is_in(pool, item)]
+    def _running_items_in(self, pool: EnginePool) -> list[_Running]:
+        return [one for one in self._running() if self._is_in(pool, one.item)]
+
+    def _running(self) -> list[_Running]:
+        """Return the items in service, apart from those that are being cut."""
+        return [
+            _Running(job, item)
+            for job in self._open_jobs()
+            for item in job.running()
+            if not item.giving_way
+        ]
 
     def _is_in(self, pool: EnginePool, item: RunningItem) -> bool:
         replica = self._parts.table.get(item.replica_id)
@@ -242,6 +291,7 @@
         item.state = ItemState.RUNNING
         item.replica_id = replica.id
         item.started_at = time.monotonic()
+        item.events_at_start = len(item.texts)
         item.giving_way = False
         with self._lock:
             self._running_items += 1
@@ -279,6 +329,9 @@
         )
         match outcome:
             case ItemDone():
+                events = len(item.texts)
+                run_s = time.monotonic() - item.started_at
+                self._pace.record(events, events - item.events_at_start, run_s)
                 job.finish(item, ResultState.SUCCEEDED, "\n".join(item.texts))
             case ItemImpossible(reason=reason):
                 job.finish(item, ResultState.DEAD, reason)
@@ -296,23 +349,31 @@
     def _max_attempts(self, job: CoordinatedJob) -> int:
         return max(1, job.route.max_attempts) if job.route else 1
 
-    def _give_way(self, running: list[RunningItem], at: ItemsAt) -> None:
-        """Cut the youngest items at a replica, which hold the least."""
-        items = [item for item in running if item.replica_id == at.replica_id]
-        items.sort(key=lambda item: item.started_at, reverse=True)
-        for item in items[: at.items]:
-            item.giving_way = True
-            if item.cancel is not None:
-                item.cancel()
-
-
-def _wanted(job: CoordinatedJob) -> WantedItems:
-    waiting = job.waiting()
-    due_s = job.route.due_s if job.route else 0.0
-    left = (job.due_at() - time.monotonic()) / due_s if due_s else 0.0
-    shares = (share for least, share in RESERVE_SHARES if left >= least)
+    def _give_way(self, running: list[_Running], at: ItemsAt) -> None:
+        """Cut the least urgent items at a replica, of those alike the one with least done."""
+        now = time.monotonic()
+        here = [one for one in running if one.item.replica_id == at.replica_id]
+        here.sort(
+            key=lambda one: (
+                -time_left_s(one.job, one.item, now, self._pace),
+                len(one.item.texts),
+            )
+        )
+        for one in here[: at.items]:
+            one.item.giving_way = True
+            if one.item.cancel is not None:
+                one.item.cancel()
+
+
+def _wanted(left_s: float, waiting: list[_Waiting]) -> WantedItems:
+    """Return one group of items that are due at the same time."""
+    route = waiting[0].job.route
+    due_s = route.due_s if route else 0.0
+    left_share = min(1.0, left_s / due_s) if due_s and left_s < HOPELESS_DUE_S else 0.0
+    shares = (share for least, share in RESERVE_SHARES if left_share >= least)
     return WantedItems(
         next(shares, RESERVE_SHARES[-1][1]),
         len(waiting),
-        max((item.item.tokens for item in waiting), default=0),
+        max(one.item.item.tokens for one in waiting),
+        left_s,
     )
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -33,10 +33,43 @@
 CLAIM_LIFETIME_S = 1.0
 ONLINE_LIFETIME_S = 1.0
 """How long a gateway's word of its online requests counts: four times what it repeats it in."""
+SAME_DUE_S = 0.5
+"""Difference of due times that does not count: they are known no better after a hand-over."""
+WAKE_INTERVAL_S = 0.05
+"""Least time between two words of free room to a coordinator: it claims no more often."""
 OWN_ZONE_BONUS = 1.0
 """Free slots by which a replica of the coordinator's zone counts as emptier."""
 
 
+@attrs.define
+class _Running:
+    """Items of a coordinator at a replica, what was granted or cut since its claim included.
+
+    Attributes
+    ----------
+    due_at
+        Monotonic time when they are due.
+    """
+
+    replica_id: str
+    items: int
+    due_at: float
+
+
+@attrs.frozen
+class _Waiting:
+    """Items of a coordinator that wait.
+
+    Attributes
+    ----------
+    due_at
+        Monotonic time when they are due.
+    """
+
+    items: int
+    due_at: float
+
+
 @attrs.frozen
 class _Claim:
     """What a coordinator said last.
@@ -45,14 +78,25 @@
     ----------
     at
         Monotonic time when it came.
-    waits
-        Whether it has items that wait.
     """
 
-    running_by_replica: dict[str, int]
-    waits: bool
+    running: list[_Running]
+    waiting: list[_Waiting]
     at: float
 
+    @classmethod
+    def from_message(cls, message: ClaimRoom, now: float) -> _Claim:
+        """Note what a claim says, with times on this process's clock."""
+        return cls(
+            [_Running(one.replica_id, one.items, now + one.due_in_s) for one in message.running],
+            [_Waiting(one.items, now + one.due_in_s) for one in message.wanted],
+            now,
+        )
+
+    def items_at(self, replica_id: str) -> int:
+        """Return the items at a replica."""
+        return sum(one.items for one in self.running if one.replica_id == replica_id)
+
 
 @attrs.frozen
 class _Online:
@@ -82,6 +126,8 @@
     order_back
         How coordinators are asked to give way at once; without it they hear of it with their
         next claim.
+    wake
+        Tells a coordinator that there is room for its items.
     """
 
     def __init__(
@@ -90,10 +136,13 @@
         loads: EngineLoads,
         peer_server: PeerServer | None = None,
         order_back: OrderBack | None = None,
+        wake: Callable[[str], None] = lambda coordinator: None,
     ) -> None:
         self._table = table
         self._loads = loads
         self._order_back = order_back
+        self._wake = wake
+        self._woken_at: dict[str, float] = {}
         self._lock = threading.Lock()
         self._claims_by_pool: dict[EnginePool, dict[str, _Claim]] = {}
         self._owed_by_coordinator: dict[str, Counter[str]] = {}
@@ -114,7 +163,10 @@
             reachable = [replica for replica in replicas if replica.id not in message.avoided]
             starts = self._grant(pool, message, reachable)
             orders = self._take_orders()
+            to_wake = self._first_to_wake(pool, replicas)
         self._send_orders(orders)
+        if to_wake and to_wake != message.coordinator:
+            self._wake(to_wake)
         return RoomGranted(_items_at(starts), _items_at(give_back))
 
     def note_online(self, message: OnlineInFlight) -> PoolLoads:
@@ -133,7 +185,10 @@
                 ReplicaLoad(one.id, self._online_at(pool, one), self._batch_at(pool, one))
                 for one in replicas
             )
+            to_wake = self._first_to_wake(pool, replicas)
         self._send_orders(orders)
+        if to_wake:
+            self._wake(to_wake)
         return PoolLoads(loads)
 
     def _online_at(self, pool: EnginePool, replica: Replica) -> int:
@@ -145,11 +200,35 @@
     def _batch_at(self, pool: EnginePool, replica: Replica) -> int:
         """Return the items at a replica, those granted or cut since the claims included."""
         claims = self._claims_by_pool.get(pool, {}).values()
-        return sum(claim.running_by_replica.get(replica.id, 0) for claim in claims)
+        return sum(claim.items_at(replica.id) for claim in claims)
 
     def _requests_at(self, pool: EnginePool, replica: Replica) -> int:
         return self._online_at(pool, replica) + self._batch_at(pool, replica)
 
+    def _first_to_wake(self, pool: EnginePool, replicas: list[Replica]) -> str:
+        """Return who should claim at once: whose items are due first, if there is room."""
+        now = time.monotonic()
+        claims = self._claims_by_pool.get(pool, {})
+        first = min(
+            (
+                (waiting.due_at, name)
+                for name, claim in claims.items()
+                for waiting in claim.waiting
+                if now - self._woken_at.get(name, 0.0) >= WAKE_INTERVAL_S
+                and now - claim.at >= WAKE_INTERVAL_S
+            ),
+            default=None,
+        )
+        if first is None or not any(self._has_room(pool, replica) for replica in replicas):
+            return ""
+        self._woken_at = {name: at for name, at in self._woken_at.items() if name in claims}
+        self._woken_at[first[1]] = now
+        return first[1]
+
+    def _has_room(self, pool: EnginePool, replica: Replica) -> bool:
+        taken = self._requests_at(pool, replica) + reserve_of(replica, 0.0)
+        return taken < replica.slots and not replica.avoided
+
     def _take_orders(self) -> dict[str, Counter[str]]:
         """Take what coordinators owe, if they can be asked at once; the lock is held."""
         if self._order_back is None:
@@ -169,8 +248,7 @@
         """Remember a claim, and forget those of coordinators that claim no more."""
         now = time.monotonic()
         claims = self._claims_by_pool.setdefault(pool, {})
-        running = {at.replica_id: at.items for at in message.running}
-        claims[message.coordinator] = _Claim(running, bool(message.wanted), now)
+        claims[message.coordinator] = _Claim.from_message(message, now)
         for other, known in list(self._claims_by_pool.items()):
             kept = {
                 name: claim for name, claim in known.items() if now - claim.at < CLAIM_LIFETIME_S
@@ -185,38 +263,55 @@
         for replica in replicas:
             counted = self._requests_at(pool, replica) - replica.slots
             excess = max(counted, self._loads.excess(replica))
-            holders = sorted(
-                claims, key=lambda name: -claims[name].running_by_replica.get(replica.id, 0)
-            )
-            for name in holders:
-                running = claims[name].running_by_replica
-                share = min(excess, running.get(replica.id, 0))
+            for name, running in _least_urgent_first(claims, replica):
+                share = min(excess, running.items)
                 if share <= 0:
                     break
                 self._owed_by_coordinator.setdefault(name, Counter())[replica.id] += share
-                running[replica.id] -= share
+                running.items -= share
                 excess -= share
                 self._loads.gave_way(replica)
 
     def _grant(self, pool: EnginePool, message: ClaimRoom, replicas: list[Replica]) -> Counter[str]:
-        """Grant starts, the most urgent first, no more than a fair part of what is free."""
+        """Grant starts, what is due first before all else, whoever coordinates it."""
         starts: Counter[str] = Counter()
-        running = self._claims_by_pool[pool][message.coordinator].running_by_replica
+        now = time.monotonic()
+        claim = self._claims_by_pool[pool][message.coordinator]
         for wanted in message.wanted:
-            fair = self._fair_part(pool, replicas, wanted)
-            for _ in range(min(wanted.items, fair)):
+            due_at = now + wanted.due_in_s
+            for _ in range(min(wanted.items, self._part(pool, message, replicas, wanted))):
                 replica = self._emptiest(pool, message.zone, replicas, wanted)
                 if replica is None:
                     break
                 self._loads.started(replica, wanted.tokens)
-                running[replica.id] = running.get(replica.id, 0) + 1
+                claim.running.append(_Running(replica.id, 1, due_at))
                 starts[replica.id] += 1
         return starts
 
-    def _fair_part(self, pool: EnginePool, replicas: list[Replica], wanted: WantedItems) -> int:
+    def _part(
+        self, pool: EnginePool, message: ClaimRoom, replicas: list[Replica], wanted: WantedItems
+    ) -> int:
+        """Return what is free beyond what items of others want that are due clearly earlier.
+
+        Those that are due at about the same time share evenly.
+        """
         free = sum(self._room(pool, replica, wanted) for replica in replicas)
-        waiting = sum(1 for claim in self._claims_by_pool[pool].values() if claim.waits)
-        return -(-free // max(1, waiting))
+        due_at = time.monotonic() + wanted.due_in_s
+        others = [
+            claim
+            for name, claim in self._claims_by_pool[pool].items()
+            if name != message.coordinator
+        ]
+        earlier = sum(
+            one.items
+            for claim in others
+            for one in claim.waiting
+            if one.due_at < due_at - SAME_DUE_S
+        )
+        alike = sum(
+            any(abs(one.due_at - due_at) <= SAME_DUE_S for one in claim.waiting) for claim in others
+        )
+        return -(-max(0, free - earlier) // (1 + alike))
 
     def _emptiest(
         self, pool: EnginePool, zone: str, replicas: list[Replica], wanted: WantedItems
@@ -238,5 +333,16 @@
         return max(0, min(counted, self._loads.room(replica, wanted.tokens)))
 
 
+def _least_urgent_first(claims: dict[str, _Claim], replica: Replica) -> list[tuple[str, _Running]]:
+    """Return what runs at a replica, with its coordinators' names, in the order of giving way."""
+    found = [
+        (name, running)
+        for name, claim in claims.items()
+        for running in claim.running
+        if running.replica_id == replica.id and running.items
+    ]
+    return sorted(found, key=lambda pair: -pair[1].due_at)
+
+
 def _items_at(counts: Counter[str]) -> tuple[ItemsAt, ...]:
     return tuple(ItemsAt(replica_id, items) for replica_id, items in counts.items() if items)
--- a/src/quaymill/process/jobs/room_orders.py
+++ b/src/quaymill/process/jobs/room_orders.py
@@ -1,4 +1,4 @@
-"""Carries orders to give way from who keeps room to the coordinators whose items run there."""
+"""Carries word from who keeps room to the coordinators: to give way, or that there is room."""
 
 from __future__ import annotations
 
@@ -8,7 +8,13 @@
 
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient, PeerServer
-from quaymill.connection.room_messages import GiveBack, GivenBack, ItemsAt
+from quaymill.connection.room_messages import (
+    GiveBack,
+    GivenBack,
+    ItemsAt,
+    RoomFreed,
+    RoomFreedNoted,
+)
 
 ORDER_TIMEOUT_S = 0.2
 """A coordinator that takes longer hears of it with its next claim: the engine still shows it."""
@@ -23,6 +29,8 @@
         Of this process's coordinator.
     give_back
         Cuts items of this process's coordinator.
+    claim_room
+        Makes this process's coordinator claim room at once.
     process
         Returns where a process runs; ``None`` if it is gone.
     """
@@ -31,15 +39,18 @@
         self,
         process_name: str,
         give_back: Callable[[tuple[ItemsAt, ...]], None],
+        claim_room: Callable[[], None],
         client: PeerClient,
         server: PeerServer,
         process: Callable[[str], Member | None],
     ) -> None:
         self._process_name = process_name
         self._give_back = give_back
+        self._claim_room = claim_room
         self._client = client
         self._process = process
         server.register(GiveBack, self._answer)
+        server.register(RoomFreed, self._answer_room_freed)
 
     def send(self, coordinator: str, items: tuple[ItemsAt, ...]) -> None:
         """Ask a coordinator to cut items at once."""
@@ -53,6 +64,19 @@
         if not isinstance(reply, GivenBack):
             log_message("batch:order_unanswered", coordinator=coordinator)
 
+    def wake(self, coordinator: str) -> None:
+        """Tell a coordinator that there is room; if it does not hear, it claims soon anyway."""
+        if coordinator == self._process_name:
+            self._claim_room()
+            return
+        member = self._process(coordinator)
+        if member is not None:
+            self._client.call(member.peer, RoomFreed(), RoomFreedNoted, ORDER_TIMEOUT_S)
+
+    def _answer_room_freed(self, message: RoomFreed) -> RoomFreedNoted:
+        self._claim_room()
+        return RoomFreedNoted()
+
     def _answer(self, message: GiveBack) -> GivenBack:
         self._give_back(message.items)
         return GivenBack()
--- a/tests/test_job_room.py
+++ b/tests/test_job_room.py
@@ -10,6 +10,7 @@
 from nose2.tools import params
 
 from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.job_document import Job, JobDocument, JobItem
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerNoReply
 from quaymill.connection.replica_entry import ReplicaEntry
@@ -19,14 +20,23 @@
     OnlineInFlight,
     PoolLoads,
     RoomGranted,
+    RunningAt,
     WantedItems,
 )
 from quaymill.process.jobs import room_claims as room_claims_module
 from quaymill.process.jobs import room_keeper as room_keeper_module
+from quaymill.process.jobs.coordinated_job import CoordinatedJob
 from quaymill.process.jobs.engine_pool import pools_of
+from quaymill.process.jobs.item_urgency import HOPELESS_DUE_S, RunPace, time_left_s
 from quaymill.process.jobs.room_claims import AVOID_KEEPER_S, RoomClaims
-from quaymill.process.jobs.room_keeper import CLAIM_LIFETIME_S, ONLINE_LIFETIME_S, RoomKeeper
+from quaymill.process.jobs.room_keeper import (
+    CLAIM_LIFETIME_S,
+    ONLINE_LIFETIME_S,
+    WAKE_INTERVAL_S,
+    RoomKeeper,
+)
 from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.version.request_routes import RequestRoute, RouteKind, WeightedService
 
 SERVICE = "engine"
 EVERY_ITEM = WantedItems(reserve_share=0.0, items=100, tokens=10)
@@ -57,7 +67,7 @@
 
 
 def claim(coordinator, *wanted, zone="x", running=(), avoided=(), service=SERVICE):
-    at = tuple(ItemsAt(*one) for one in running)
+    at = tuple(RunningAt(*one) for one in running)
     return ClaimRoom(coordinator, zone, service, at, wanted, avoided)
 
 
@@ -206,6 +216,94 @@
         self.assertEqual({"x1": 3}, items(keeper.claim(claim("a", EVERY_ITEM)).starts))
 
 
+class UrgencyTest(KeeperCase):
+    """What is due first goes first, whoever coordinates it."""
+
+    slots = 8
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.woken: list[str] = []
+        self.orders: list[tuple[str, dict[str, int]]] = []
+
+    def keeper(self, **free_by_replica: int) -> RoomKeeper:
+        keeper = super().keeper(**free_by_replica)
+        keeper._wake = self.woken.append
+        keeper._order_back = lambda name, at: self.orders.append((name, items(at)))
+        return keeper
+
+    @staticmethod
+    def due(due_in_s: float, count: int = 100) -> WantedItems:
+        return WantedItems(0.0, count, 10, due_in_s)
+
+    def test_what_others_want_earlier_is_left_to_them(self) -> None:
+        keeper = self.keeper(x1=0)
+        keeper.claim(claim("early", self.due(5.0, 4)))
+        self.loads.free_by_replica["x1"] = 8
+        granted = keeper.claim(claim("late", self.due(15.0)))
+        self.assertEqual(3, items(granted.starts)["x1"])
+        granted = keeper.claim(claim("early", self.due(5.0, 4)))
+        self.assertEqual(4, items(granted.starts)["x1"])
+
+    def test_what_is_due_alike_is_shared(self) -> None:
+        keeper = self.keeper(x1=0)
+        keeper.claim(claim("a", self.due(5.0)))
+        self.loads.free_by_replica["x1"] = 8
+        granted = keeper.claim(claim("b", self.due(5.2)))
+        self.assertEqual(4, items(granted.starts)["x1"])
+
+    def test_what_is_due_last_gives_way_first(self) -> None:
+        keeper = self.keeper(x1=0)
+        keeper.claim(claim("a", running=[("x1", 2, 3.0), ("x1", 1, HOPELESS_DUE_S)]))
+        keeper.claim(claim("b", running=[("x1", 4, 9.0)]))
+        keeper.note_online(OnlineInFlight("g", SERVICE, (ItemsAt("x1", 4),)))
+        self.assertEqual([("a", {"x1": 1}), ("b", {"x1": 2})], sorted(self.orders))
+
+    def test_who_waits_longest_due_hears_of_room_when_online_requests_end(self) -> None:
+        keeper = self.keeper(x1=0)
+        keeper.note_online(OnlineInFlight("g", SERVICE, (ItemsAt("x1", 8),)))
+        keeper.claim(claim("late", self.due(15.0)))
+        keeper.claim(claim("early", self.due(5.0)))
+        self.now += 2 * WAKE_INTERVAL_S
+        self.assertEqual([], self.woken)
+        keeper.note_online(OnlineInFlight("g", SERVICE, (ItemsAt("x1", 5),)))
+        self.assertEqual(["early"], self.woken)
+
+
+class PaceTest(unittest.TestCase):
+    """Which items are taken for hopeless."""
+
+    def setUp(self) -> None:
+        route = RequestRoute(
+            "jobs", "h", "/", RouteKind.BATCH, (WeightedService(SERVICE, 1.0),), 9.0, 0.4, due_s=18
+        )
+        document = JobDocument((JobItem("i", "/x", {}, b"", 10),))
+        self.job = CoordinatedJob(Job("j", "h", "/", document), route, "me")
+        self.item = self.job.items[0]
+        self.pace = RunPace()
+
+    def left_s(self, after_s: float) -> float:
+        return time_left_s(self.job, self.item, self.job.sent_at + after_s, self.pace)
+
+    def test_nothing_is_hopeless_before_it_is_due_while_no_pace_is_known(self) -> None:
+        self.assertAlmostEqual(0.5, self.left_s(17.5))
+        self.assertEqual(HOPELESS_DUE_S, self.left_s(18.1))
+
+    @params((13.0, 0, False), (15.5, 0, True), (15.5, 150, False))
+    def test_what_cannot_be_done_in_time_is_hopeless(self, after_s, events, expected) -> None:
+        # Two hundred events at 25 ms: five seconds for a whole item.
+        self.pace.record(200, 100, 2.5)
+        self.item.take_events(["x"] * events, str(events))
+        self.assertEqual(expected, self.left_s(after_s) == HOPELESS_DUE_S)
+
+    def test_averages_follow_the_items(self) -> None:
+        self.pace.record(200, 200, 5.0)
+        for _ in range(60):
+            self.pace.record(100, 100, 5.0)
+        self.assertAlmostEqual(100, self.pace.events_per_item, delta=1)
+        self.assertAlmostEqual(0.05, self.pace.s_per_event, delta=0.001)
+
+
 def member(name: str, port: int) -> Member:
     endpoint = Endpoint("127.0.0.1", port)
     return Member(name, "x", "r", endpoint, endpoint)
