Late online requests wait for free slots, and a started gateway is asked to wait, not refused

Change: a request goes to an engine while it can be in time, by the loads that the keeper tells and the service time observed; one that is late already, by what is left of its caller's patience against that of fresh callers, waits for a free slot, and is let go in any case while it can still be served. Requests wait up to 1 s for the first configuration, and it is read 0.05 to 0.25 s after a start.

--- a/src/quaymill/process/control/store_reader.py
+++ b/src/quaymill/process/control/store_reader.py
@@ -19,8 +19,10 @@
 STAGGER_S = 0.1
 MAX_STAGGERED = 8
 LAST_JITTER_S = 0.5
-FIRST_WAIT_S = 0.3
-FIRST_JITTER_S = 0.7
+FIRST_WAIT_S = 0.05
+"""Time after the start before the first read: peers that run already bring everything sooner."""
+FIRST_JITTER_S = 0.2
+"""Spread of the first reads: after a kill of all gateways those that read first tell the others."""
 FIRST_PAUSE_S = 0.3
 MAX_PAUSE_S = 1.5
 
--- a/src/quaymill/process/front/front_service.py
+++ b/src/quaymill/process/front/front_service.py
@@ -42,6 +42,10 @@
 RETRY_AFTER = "Retry-After"
 SHORT_RETRY_AFTER_S = 0.3
 STARTING_RETRY_AFTER_S = 0.5
+STARTING_PATIENCE_S = 1.0
+"""How long a request waits for the first configuration: a read of the store takes a tenth of it."""
+STARTING_CHECK_S = 0.02
+"""Time between two looks for it."""
 DEFAULT_PATIENCE_S = 60.0
 
 
@@ -114,7 +118,7 @@
                 self._in_service -= 1
 
     def _answer(self, request: FrontRequest, writer: AnswerWriter) -> None:
-        routes = self._routes()
+        routes = self._wait_for_routes()
         if not routes.version:
             refusal = Refusal(503, "no configuration is known yet", STARTING_RETRY_AFTER_S)
             self._refuse(request, writer, refusal)
@@ -145,6 +149,16 @@
         else:
             self._forward(request, route, body, writer)
 
+    def _wait_for_routes(self) -> RequestRoutes:
+        """Return the routes in force; a gateway that has just started knows them in a moment.
+
+        To wait is better than to refuse: a caller who is told to come back may do so once only.
+        """
+        until = time.monotonic() + STARTING_PATIENCE_S
+        while not (routes := self._routes()).version and time.monotonic() < until:
+            time.sleep(STARTING_CHECK_S)
+        return routes
+
     # Opaque requests.
 
     def _forward(
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -41,13 +41,14 @@
 from quaymill.process.membership.ranking import rank_nodes
 from quaymill.process.node_registry import NodeRegistry
 from quaymill.process.peer_network import PeerNetwork
+from quaymill.process.replica_set.online_queue import OnlineQueue
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.router import Router
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.process.replica_set.warnings import ReplicaWarnings
 from quaymill.process.serving_settings import ServingSettings
 from quaymill.request.forwarding import Forwarder, ReplicaProtocol
-from quaymill.version.request_routes import RequestRoutes
+from quaymill.version.request_routes import NO_ROUTES, RequestRoutes
 
 CONNECT_TIMEOUT_S = 0.3
 THREADS = 160
@@ -134,6 +135,7 @@
         )
         self._router = Router(self._table, settings.zone, settings.name)
         self._loads = EngineLoads(self._connections, protocol.reports)
+        self._queue = OnlineQueue(self._table)
         orders = RoomOrders(
             self.network.process_name,
             lambda items: self.coordinator.give_back(items),
@@ -150,6 +152,7 @@
             self.network.client,
             self.network.gateways,
             lambda service: service in self.control.routes.batch_services,
+            self._queue.look_again,
         )
         claims = RoomClaims(settings.name, keeper, self.network.client, self.network.gateways)
         self.coordinator = JobCoordinator(
@@ -220,10 +223,12 @@
         return bool(ranked) and ranked[0].name == self._settings.name
 
     def _build_front(self, protocol: GatewayProtocol) -> FrontService:
-        forwarder = Forwarder(self._router, self._connections, protocol.replicas, self._notices)
+        forwarder = Forwarder(
+            self._router, self._connections, protocol.replicas, self._notices, self._queue
+        )
         return FrontService(
             protocol.callers,
-            lambda: self.control.routes,
+            lambda: self.control.routes if self.control.ready else NO_ROUTES,
             forwarder,
             self.jobs,
             self._metrics,
@@ -244,6 +249,10 @@
                 "Requests of callers in service.",
                 lambda: self._front.in_service,
             ),
+            "requests_held": (
+                "Requests that wait for a free slot of an engine.",
+                lambda: self._queue.held,
+            ),
             "batch_items_running": ("Batch items in service.", self.coordinator.running_items),
             "batch_jobs_open": (
                 "Batch jobs coordinated here.",
--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -42,6 +42,8 @@
         Whether batch routes lead to a service, by the configuration in force.
     gateways
         Returns the live gateways, this one included.
+    loads_changed
+        Called when a keeper has told the loads of a pool.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         client: PeerClient,
         gateways: Callable[[], tuple[Member, ...]],
         has_batch: Callable[[str], bool],
+        loads_changed: Callable[[], None] = lambda: None,
     ) -> None:
         self._own_name = own_name
         self._table = table
@@ -59,6 +62,7 @@
         self._client = client
         self._keepers = KeeperChoice(gateways)
         self._has_batch = has_batch
+        self._loads_changed = loads_changed
         self._lock = threading.Lock()
         self._in_flight: Counter[str] = Counter()
         self._changed = False
@@ -140,6 +144,7 @@
             replica = self._table.get(load.replica_id)
             if replica is not None:
                 replica.take_pool_view(load.online - counts.get(replica.id, 0), load.batch)
+        self._loads_changed()
 
     def _call_keeper(self, message: OnlineInFlight) -> PoolLoads | None:
         member = self._keepers.keeper_of(message.service, message.pool)
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -51,6 +51,17 @@
         ),
         ordinary_outcome="Delivered",
     ),
+    "request:held": LogEvent(
+        "a request was held until an engine had room for it",
+        (
+            REQUEST,
+            "service",
+            "held_s: for how long",
+            "late: whether it was past its objective when it was let go",
+            "waiting: others that were held then",
+            "service_s: how long the service has served a request of late",
+        ),
+    ),
     "request:ended": LogEvent(
         "a request was answered or given up",
         (
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -160,6 +160,12 @@
         """Take what the keeper of room knows of all gateways' requests at the replica."""
         self._pool_view = _PoolView(online_elsewhere, batch, time.monotonic())
 
+    @property
+    def has_pool_view(self) -> bool:
+        """Whether the keeper's word of the replica is new enough to count."""
+        view = self._pool_view
+        return view is not None and time.monotonic() - view.at < POOL_VIEW_LIFETIME_S
+
     def take_report(self, load: ReportedLoad) -> None:
         """Take what the replica told; it includes this process's own requests."""
         with self._lock:
@@ -176,7 +182,7 @@
         estimate falls back to this process's own.
         """
         view = self._pool_view
-        if view is not None and time.monotonic() - view.at < POOL_VIEW_LIFETIME_S:
+        if self.has_pool_view:
             own = self.in_flight - self.items_in_flight
             return own + view.online_elsewhere + BATCH_ITEM_LOAD * view.batch
         age_s = time.monotonic() - self._reported_at
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -25,8 +25,10 @@
     ChosenReplica,
     NoObserver,
     NoReplica,
+    NoTurns,
     ReplicaChooser,
     RequestObserver,
+    TurnTaker,
 )
 from quaymill.version.request_routes import RequestRoute, RouteKind
 
@@ -129,11 +131,13 @@
         connections: ReplicaConnections,
         protocol: ReplicaProtocol,
         observer: RequestObserver | None = None,
+        turns: TurnTaker | None = None,
     ) -> None:
         self.router = router
         self.connections = connections
         self.protocol = protocol
         self.observer = observer or NoObserver()
+        self.turns = turns or NoTurns()
 
     def forward(
         self,
@@ -167,6 +171,7 @@
         self._connections = forwarder.connections
         self._protocol = forwarder.protocol
         self._observer = forwarder.observer
+        self._turns = forwarder.turns
         self._request = request
         self._route = route
         self._answer = answer
@@ -178,6 +183,7 @@
         self._runs = 0
 
     def run(self) -> ForwardingResult:
+        self._turns.wait_turn(self._service, self._route, self._request, self._presence)
         while True:
             if self._presence.gone:
                 return CallerLeft()
@@ -220,7 +226,8 @@
             self._observer.ended(replica)
         if self._presence.gone and not isinstance(result, Delivered):
             result = CallerLeft()
-        self._judge(replica, result)
+        took_s = time.monotonic() - began
+        self._judge(replica, result, took_s)
         log_message(
             "request:attempt",
             request_id=self._request.id,
@@ -228,16 +235,18 @@
             service=self._service,
             load=round(load, 1),
             load_age_s=round(min(report_age_s, 999.0), 2),
-            took_s=round(time.monotonic() - began, 3),
+            took_s=round(took_s, 3),
             outcome=type(result).__name__.strip("_"),
             reason=getattr(result, "reason", ""),
         )
         return result
 
-    def _judge(self, replica: ChosenReplica, result: _AttemptResult) -> None:
-        """Let the replica's record know how the attempt ended."""
+    def _judge(self, replica: ChosenReplica, result: _AttemptResult, took_s: float) -> None:
+        """Let the records know how the attempt ended."""
         if isinstance(result, _Broken):
             replica.record_failure()
+        elif isinstance(result, Delivered):
+            self._turns.record(self._service, took_s, replica.first_byte_s)
 
     def _send(self, replica: ChosenReplica, began: float) -> _AttemptResult:
         remaining_s = self._request.deadline.remaining_s()
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -8,6 +8,8 @@
 import attrs
 
 from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad
+from quaymill.request.forwarded_request import ForwardedRequest
+from quaymill.request.presence import CallerPresence
 from quaymill.request.prompt import Prompt
 from quaymill.version.request_routes import RequestRoute
 
@@ -96,3 +98,35 @@
 
     def ended(self, replica: ChosenReplica) -> None:
         """Do nothing."""
+
+
+class TurnTaker(Protocol):
+    """Says when a request may go to a replica."""
+
+    def wait_turn(
+        self,
+        service: str,
+        route: RequestRoute,
+        request: ForwardedRequest,
+        presence: CallerPresence,
+    ) -> None:
+        """Return when a request may go, or its caller has left."""
+
+    def record(self, service: str, took_s: float, first_byte_s: float) -> None:
+        """Note how long a replica served a request, in seconds."""
+
+
+class NoTurns:
+    """Stands for: every request may go at once."""
+
+    def wait_turn(
+        self,
+        service: str,
+        route: RequestRoute,
+        request: ForwardedRequest,
+        presence: CallerPresence,
+    ) -> None:
+        """Return at once."""
+
+    def record(self, service: str, took_s: float, first_byte_s: float) -> None:
+        """Do nothing."""
