--- a/src/quaymill/connection/job_storage_messages.py
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -248,6 +248,26 @@
     unlisted: tuple[KeyedResult, ...] = ()
 
 
+class SubmitJob(PeerMessage, frozen=True):
+    """Accept a job for a gateway that storage nodes do not answer; answered by ``JobSubmitted``."""
+
+    job: Job
+
+
+class JobSubmitted(PeerMessage, frozen=True):
+    """Whether the job is accepted.
+
+    Attributes
+    ----------
+    may_run
+        Whether a part of it may run although it is not accepted.
+    """
+
+    accepted: bool
+    reason: str = ""
+    may_run: bool = False
+
+
 class ReadResults(PeerMessage, frozen=True):
     """Ask the coordinator for results from a position on."""
 
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -38,6 +38,7 @@
 from quaymill.process.jobs.room_orders import RoomOrders
 from quaymill.process.jobs.service import JobService
 from quaymill.process.jobs.storage_client import JobStorageClient
+from quaymill.process.jobs.submission_relay import SubmissionRelay
 from quaymill.process.membership.ranking import rank_nodes
 from quaymill.process.node_registry import NodeRegistry
 from quaymill.process.peer_network import PeerNetwork
@@ -180,6 +181,9 @@
             storage,
             leases,
             self.quota,
+            SubmissionRelay(
+                settings.name, self.network.client, self.network.other_gateways, self._can_store
+            ),
             listings,
             self.network.client,
             self.network.server,
@@ -339,13 +343,16 @@
     def _is_ready(self) -> bool:
         return self.control.ready and self._has_joined() and not self._front.draining
 
+    def _can_store(self) -> bool:
+        return len(self.network.storage_nodes()) > self._settings.disks_lost_at_once
+
     def _has_joined(self) -> bool:
         """Return whether jobs can be kept, or the storage nodes have had time to be found.
 
         A gateway that has just started would else be brought jobs which it must refuse.
         Without storage nodes it still serves online requests.
         """
-        if len(self.network.storage_nodes()) > self._settings.disks_lost_at_once:
+        if self._can_store():
             return True
         return time.monotonic() - self._started_at > JOIN_PATIENCE_S
 
--- a/src/quaymill/process/jobs/coordinator.py
+++ b/src/quaymill/process/jobs/coordinator.py
@@ -24,6 +24,7 @@
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
 from quaymill.process.jobs.progress_saver import ProgressSaver
 from quaymill.process.jobs.result_publisher import PublisherParts, ResultPublisher
+from quaymill.version.request_routes import RequestRoute
 
 RENEW_INTERVAL_S = 0.6
 RETAINED_JOBS = 200
@@ -65,6 +66,10 @@
         """Return the jobs that are not over."""
         return [job for job in list(self._jobs_by_id.values()) if not job.stopped]
 
+    def route_of(self, job: Job) -> RequestRoute | None:
+        """Return the route by which a job came, by the configuration in force."""
+        return self._dispatcher.route_of(job)
+
     def jobs(self) -> list[CoordinatedJob]:
         """Return all jobs that are held here, those that are over included."""
         return list(self._jobs_by_id.values())
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -16,11 +16,13 @@
     HandOverJob,
     JobAdopted,
     JobStopped,
+    JobSubmitted,
     NotCoordinator,
     ReadResults,
     RenewJobs,
     ResultsPage,
     StopJob,
+    SubmitJob,
 )
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient, PeerRefusal, PeerServer
@@ -30,6 +32,7 @@
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
 from quaymill.process.jobs.listing import JobListings, ListingDocument, ListingUnknown
 from quaymill.process.jobs.storage_client import JobStorageClient, NotFound, NotKept
+from quaymill.process.jobs.submission_relay import SubmissionRelay, Submitted
 from quaymill.process.membership.ranking import rank_nodes
 from quaymill.version.request_routes import RequestRoute
 
@@ -100,6 +103,7 @@
         storage: JobStorageClient,
         leases: LeaseRenewal,
         quota: BatchQuota,
+        relay: SubmissionRelay,
         listings: JobListings,
         peer_client: PeerClient,
         peer_server: PeerServer,
@@ -110,6 +114,7 @@
         self._storage = storage
         self._leases = leases
         self._quota = quota
+        self._relay = relay
         self._listings = listings
         self._peer_client = peer_client
         self._gateway_of = gateway_of
@@ -117,6 +122,7 @@
         self._held_reads = threading.Semaphore(MAX_HELD_READS)
         self._coordinators_by_job: dict[str, str] = {}
         self._started_at = time.monotonic()
+        peer_server.register(SubmitJob, self._answer_submit)
         peer_server.register(AdoptJob, self._answer_adopt)
         peer_server.register(HandOverJob, self._answer_hand_over)
         peer_server.register(ReadResults, self._answer_read)
@@ -137,22 +143,29 @@
             return NotAccepted(decision.reason, may_run=False)
         if not isinstance(decision, Admitted):
             return decision
+        submitted = self._relay.submit(job, lambda: self._store(job))
+        if submitted.accepted:
+            return Accepted()
+        if not submitted.may_run:
+            self._quota.withdraw(job_id, route)
+        return NotAccepted(submitted.reason, submitted.may_run)
+
+    def _store(self, job: Job) -> Submitted:
+        """Keep a job on storage nodes, and coordinate it unless another gateway does."""
         kept = self._storage.store_job(job, self._coordinator.name)
         if isinstance(kept, NotKept):
-            if not kept.maybe:
-                self._quota.withdraw(job_id, route)
-            log_message("job:not_kept", job=job_id, reason=kept.reason, may_run=kept.maybe)
-            return NotAccepted(kept.reason, may_run=kept.maybe)
+            log_message("job:not_kept", job=job.id, reason=kept.reason, may_run=kept.maybe)
+            return Submitted(False, kept.reason, kept.maybe)
         log_message(
             "job:accepted",
-            job=job_id,
-            items=len(document.items),
+            job=job.id,
+            items=len(job.document.items),
             coordinator=kept.coordinator,
             ended=kept.ended,
         )
         if kept.coordinator == self._coordinator.name and not kept.ended:
             self._coordinator.accept(job)
-        return Accepted()
+        return Submitted(True)
 
     def read(self, job_id: str, since: int, wait_s: float) -> ResultsPage | NoSuchJob | Unsure:
         """Return results from a position on, wherever the job is coordinated."""
@@ -320,6 +333,20 @@
 
     # Calls of peers.
 
+    def _answer_submit(self, message: SubmitJob) -> JobSubmitted:
+        """Accept a job for another gateway; it is not handed on a second time."""
+        job = message.job
+        route = self._coordinator.route_of(job)
+        if route is None:
+            return JobSubmitted(False, "this gateway knows no route for the job")
+        decision = self._quota.admit(job.id, route, job.document.tokens)
+        if not isinstance(decision, Admitted):
+            return JobSubmitted(False, "the job cannot be counted against its quota here")
+        outcome = self._store(job)
+        if not outcome.accepted and not outcome.may_run:
+            self._quota.withdraw(job.id, route)
+        return JobSubmitted(outcome.accepted, outcome.reason, outcome.may_run)
+
     def _answer_adopt(self, message: AdoptJob) -> JobAdopted | PeerRefusal:
         return self._adopted(self._coordinator.adopt(message.job, message.progress))
 
--- a/src/quaymill/process/jobs/storage_client.py
+++ b/src/quaymill/process/jobs/storage_client.py
@@ -119,10 +119,10 @@
                 f"{len(outcome.replies)} of {self._copies} storage nodes have the job",
                 maybe=outcome.maybe_acted or bool(outcome.replies),
             )
-        others = [reply.coordinator for _, reply in outcome.replies]
-        elsewhere = [name for name in others if name != coordinator]
         ended = any(reply.ended for _, reply in outcome.replies)
-        return Kept(elsewhere[0] if elsewhere else coordinator, ended)
+        # Two gateways may store a job at the same moment, and each find both names: both then
+        # take the same one, so that neither leaves it to the other.
+        return Kept(min(reply.coordinator for _, reply in outcome.replies), ended)
 
     def store_results(self, job_id: str, results: Iterable[KeyedResult]) -> bool:
         """Put contents of results on enough disks; return whether they are."""
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -134,6 +134,10 @@
     "job:not_kept": LogEvent(
         "a job was not accepted", (JOB, REASON, "may_run: whether a part may run all the same")
     ),
+    "job:relayed": LogEvent(
+        "storage nodes did not answer in time: another gateway was asked to accept a job",
+        (JOB, "gateway", "outcome: JobSubmitted or a failure", "accepted"),
+    ),
     "job:adopted": LogEvent(
         "this gateway runs a job that another ran before",
         (JOB, "items", "events: known of its unfinished items; they are not run again"),
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -89,6 +89,11 @@
             if engine in [replica.name for replica in view.scheduled_here()]
         ]
 
+    def first_poller(self, engine: str) -> str:
+        """Return who polls an engine; members see each other a moment after the start."""
+        wait_until(lambda: self.pollers(engine))
+        return self.pollers(engine)[0]
+
     def stop(self) -> None:
         for name, view in self.views.items():
             view.stop()
@@ -136,16 +141,16 @@
         self.assertEqual(len([peer for peer in peers if asked[peer] > before[peer]]), 1)
 
     def test_next_node_polls_when_the_polling_one_is_dead(self):
-        first = self.fleet.pollers("engine-a")[0]
+        first = self.fleet.first_poller("engine-a")
         self.fleet.see(*[name for name in ZONES if name != first])
         wait_until(lambda: first not in self.fleet.pollers("engine-a"))
-        poller = self.fleet.pollers("engine-a")[0]
+        poller = self.fleet.first_poller("engine-a")
         self.assertEqual(ZONES[poller], "a")
         self.fleet.see("node-3")
         wait_until(lambda: self.fleet.pollers("engine-a") == ["node-3"])
 
     def test_replica_that_does_not_tell_its_load_counts_as_unknown_not_as_idle(self):
-        node = self.fleet.pollers("engine-a")[0]
+        node = self.fleet.first_poller("engine-a")
         view = next(one for one in self.fleet.views[node].replicas(MODEL) if one.name == "engine-a")
         wait_until(lambda: view.load() is not None)
         self.fleet.engines["engine-a"].switches.replace(Faults(load_lies="none"))
@@ -153,7 +158,7 @@
         self.assertTrue(view.reachable)
 
     def test_replica_behind_a_cut_link_is_not_reachable(self):
-        node = self.fleet.pollers("engine-b")[0]
+        node = self.fleet.first_poller("engine-b")
         port = self.fleet.engines["engine-b"].port
         self.fleet.links[node].set_blocked(frozenset({Endpoint(HOST, port)}))
         for name in ZONES:
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -74,7 +74,6 @@
 
     def test_stream_that_nobody_reads_holds_nobody_up(self) -> None:
         reader, writer_end = os.pipe()
-        self.addCleanup(os.close, reader)
         stream = os.fdopen(writer_end, "wb")
         writer = LogWriter(stream, LineBudget(lines_per_s=1e9, burst=1e9))
         message = SERVED | {"filler": "x" * 200}
@@ -84,8 +83,12 @@
         self.assertLess(time.monotonic() - began, 10.0)
         self.assertGreater(writer.dropped, 30_000)
         # The queue is bounded, so memory is; the reader's return lets the thread go on.
-        threading.Thread(target=_drain, args=(reader,), daemon=True).start()
+        draining = threading.Thread(target=_drain, args=(reader,))
+        draining.start()
         writer.stop()
+        stream.close()
+        draining.join()
+        os.close(reader)
 
 
 def _drain(descriptor: int) -> None:
--- /dev/null
+++ b/tests/test_submission_relay.py
@@ -0,0 +1,91 @@
+"""Ways by which a job is accepted: the own one, and by another gateway."""
+
+from __future__ import annotations
+
+import threading
+import unittest
+
+from nose2.tools import params
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.job_document import Job, JobDocument
+from quaymill.connection.job_storage_messages import JobSubmitted
+from quaymill.connection.member import Member
+from quaymill.connection.peer_link import PeerNoReply, PeerUnreachable
+from quaymill.process.jobs.submission_relay import RELAYS, SubmissionRelay, Submitted
+
+JOB = Job("job", "h", "/jobs/x", JobDocument(()))
+SOMEWHERE = Endpoint("127.0.0.1", 1)
+ACCEPTED = Submitted(True)
+NOT_RUN = Submitted(False, "too few storage nodes")
+MAY_RUN = Submitted(False, "one storage node has it", may_run=True)
+PEER_ACCEPTS = JobSubmitted(True)
+PEER_REFUSES = JobSubmitted(False, "no room")
+UNREACHABLE = PeerUnreachable(SOMEWHERE, "cut")
+NO_REPLY = PeerNoReply(SOMEWHERE, "cut")
+
+
+class FixedGateways:
+    """Answers of other gateways, in the order in which they are asked."""
+
+    def __init__(self, *replies) -> None:
+        self.replies = list(replies)
+        self.asked = 0
+
+    def call(self, endpoint, message, reply_type, timeout_s):
+        self.asked += 1
+        return self.replies.pop(0)
+
+
+class RelayTest(unittest.TestCase):
+    """The own way is told to last until the test lets it end."""
+
+    def setUp(self) -> None:
+        self.own_may_end = threading.Event()
+        self.addCleanup(self.own_may_end.set)
+
+    def submit(self, gateways: FixedGateways, own: Submitted, can_store: bool = True) -> Submitted:
+        def store() -> Submitted:
+            self.own_may_end.wait(5.0)
+            return own
+
+        members = tuple(Member(f"g{n}", "z", "r", SOMEWHERE, SOMEWHERE) for n in range(5))
+        relay = SubmissionRelay("me", gateways, lambda: members, lambda: can_store)
+        return relay.submit(JOB, store)
+
+    @params(ACCEPTED, NOT_RUN, MAY_RUN)
+    def test_nobody_else_is_asked_while_the_own_way_is_quick(self, own) -> None:
+        self.own_may_end.set()
+        gateways = FixedGateways()
+        self.assertEqual(own, self.submit(gateways, own))
+        self.assertEqual(0, gateways.asked)
+
+    def test_another_gateway_accepts_while_the_own_way_hangs(self) -> None:
+        self.assertTrue(self.submit(FixedGateways(PEER_ACCEPTS), NOT_RUN).accepted)
+        self.assertFalse(self.own_may_end.is_set())
+
+    def test_a_second_gateway_is_asked_when_the_first_is_cut_off_or_refuses(self) -> None:
+        for first in (UNREACHABLE, PEER_REFUSES, NO_REPLY):
+            with self.subTest(first=first):
+                self.assertTrue(self.submit(FixedGateways(first, PEER_ACCEPTS), NOT_RUN).accepted)
+
+    def test_without_storage_nodes_the_others_are_asked_at_once(self) -> None:
+        gateways = FixedGateways(*[UNREACHABLE] * RELAYS)
+        outcome = self.submit(gateways, ACCEPTED, can_store=False)
+        self.assertEqual((False, False), (outcome.accepted, outcome.may_run))
+        self.assertEqual(RELAYS, gateways.asked)
+
+    @params(
+        (NOT_RUN, PEER_REFUSES, False),
+        (MAY_RUN, PEER_REFUSES, True),
+        (NOT_RUN, NO_REPLY, True),
+        (NOT_RUN, JobSubmitted(False, "x", may_run=True), True),
+    )
+    def test_what_may_run_by_any_way_is_never_told_not_run(self, own, reply, may_run) -> None:
+        threading.Timer(0.4, self.own_may_end.set).start()
+        outcome = self.submit(FixedGateways(reply, PEER_REFUSES), own)
+        self.assertEqual((False, may_run), (outcome.accepted, outcome.may_run))
+
+
+if __name__ == "__main__":
+    unittest.main()
