--- a/src/quaymill/process/jobs/storage_client.py
+++ b/src/quaymill/process/jobs/storage_client.py
@@ -120,9 +120,7 @@
                 maybe=outcome.maybe_acted or bool(outcome.replies),
             )
         ended = any(reply.ended for _, reply in outcome.replies)
-        # Two gateways may store a job at the same moment, and each find both names: both then
-        # take the same one, so that neither leaves it to the other.
-        return Kept(min(reply.coordinator for _, reply in outcome.replies), ended)
+        return Kept(_agreed_coordinator([reply.coordinator for _, reply in outcome.replies]), ended)
 
     def store_results(self, job_id: str, results: Iterable[KeyedResult]) -> bool:
         """Put contents of results on enough disks; return whether they are."""
@@ -230,6 +228,15 @@
         return holders + others
 
 
+def _agreed_coordinator(named: list[str]) -> str:
+    """Return the coordinator that most storage nodes name, of those alike the first by name.
+
+    Two gateways may store a job at the same moment, and each find both names: both then take
+    the same one, so that neither leaves the job to the other.
+    """
+    return min(named, key=lambda name: (-named.count(name), name))
+
+
 def _merged(found: list[JobFound]) -> JobFound:
     """Return what several nodes know together: an end that one knows of holds."""
     ended = any(one.ended for one in found)
--- a/tests/test_submission_relay.py
+++ b/tests/test_submission_relay.py
@@ -12,6 +12,7 @@
 from quaymill.connection.job_storage_messages import JobSubmitted
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerNoReply, PeerUnreachable
+from quaymill.process.jobs.storage_client import _agreed_coordinator
 from quaymill.process.jobs.submission_relay import RELAYS, SubmissionRelay, Submitted
 
 JOB = Job("job", "h", "/jobs/x", JobDocument(()))
@@ -87,5 +88,13 @@
         self.assertEqual((False, may_run), (outcome.accepted, outcome.may_run))
 
 
+class AgreedCoordinatorTest(unittest.TestCase):
+    """Who runs a job that several gateways have stored."""
+
+    @params((["a", "a"], "a"), (["b", "a"], "a"), (["a", "b"], "a"), (["b", "a", "b"], "b"))
+    def test_most_named_then_the_first_by_name(self, named, expected) -> None:
+        self.assertEqual(expected, _agreed_coordinator(named))
+
+
 if __name__ == "__main__":
     unittest.main()
