--- a/src/quaymill/process/front/front_service.py
+++ b/src/quaymill/process/front/front_service.py
@@ -33,7 +33,8 @@
 )
 from quaymill.request.deadline import Deadline
 from quaymill.request.forwarded_request import ForwardedRequest, Headers
-from quaymill.request.forwarding import CallerLeft, Delivered, Forwarder, GivenUp
+from quaymill.request.forwarding import Forwarder
+from quaymill.request.forwarding_result import CallerLeft, Delivered, GivenUp
 from quaymill.version.request_routes import RequestRoute, RequestRoutes, RouteKind
 
 TEXT: Headers = (("Content-Type", "text/plain; charset=utf-8"),)
--- a/src/quaymill/process/jobs/engine_loads.py
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -1,7 +1,8 @@
 """Polls the engines' reports while batch work wants room, and tells how much there is.
 
-Online work goes first: batch items take only slots that are free beyond a reserve, and give
-some back when requests wait at the engine. Nothing is polled while there is no batch work.
+Slots are counted by the keeper of room, from what gateways and coordinators tell. A report tells
+what they cannot: the memory that is left, whether the engine answers, and requests that wait although
+the counts show a free slot. Nothing is polled while there is no batch work.
 """
 
 from __future__ import annotations
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -1,9 +1,11 @@
 """Shares the free slots of engines among the coordinators of batch jobs.
 
-For each pool of engines one gateway keeps room: the one that ranks first for it. It alone polls the
-engines, so that a poll is paid once, and it knows what it has granted, so that coordinators
-do not all start items in the same free slots. Who keeps room holds nothing that must last: when
-it dies, coordinators ask the next in rank, and go on with what runs meanwhile.
+For each pool of engines one gateway keeps room: the one that ranks first for it. Gateways tell it
+of their online requests in flight, and coordinators of the items that run and wait, so that it
+counts what every engine has. It grants free slots to what is due first, and has what is due last
+cut when an online request would wait. It alone polls the engines, for their memory and as a check.
+Who keeps room holds nothing that must last: when it dies, coordinators ask the next in rank, and
+go on with what runs meanwhile.
 """
 
 from __future__ import annotations
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -19,6 +19,15 @@
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
 from quaymill.request.event_stream import EventFramer
 from quaymill.request.forwarded_request import ForwardedRequest, Headers
+from quaymill.request.forwarding_result import (
+    AttemptResult,
+    Broken,
+    CallerLeft,
+    Delivered,
+    ForwardingResult,
+    GivenUp,
+    Refused,
+)
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 from quaymill.request.presence import CallerPresence
 from quaymill.request.replica_choice import (
@@ -45,7 +54,6 @@
 EVENT_GAP_PATIENCE_S = 1.0
 ANSWER_PATIENCE_FACTOR = 8.0
 MIN_ANSWER_PATIENCE_S = 0.5
-RETRY_AFTER_S = 0.3
 EVENT_STREAM = "text/event-stream"
 
 
@@ -72,56 +80,6 @@
     read_answer_head: Callable[[Exchange], AnswerHead]
 
 
-@attrs.frozen
-class Delivered:
-    """The caller got a replica's whole answer."""
-
-    status: int
-    replica_id: str
-
-
-@attrs.frozen
-class CallerLeft:
-    """The caller left before the answer was whole."""
-
-
-@attrs.frozen
-class GivenUp:
-    """No replica's answer can be delivered.
-
-    Attributes
-    ----------
-    may_have_run
-        Whether a replica may have run the request.
-    timed_out
-        Whether the time of the request ran out.
-    """
-
-    reason: str
-    may_have_run: bool
-    timed_out: bool = False
-
-
-ForwardingResult = Delivered | CallerLeft | GivenUp
-
-
-@attrs.frozen
-class _Refused:
-    """The attempt did not run at the replica."""
-
-    reason: str
-
-
-@attrs.frozen
-class _Broken:
-    """The attempt may have run, and its answer is no good."""
-
-    reason: str
-
-
-_AttemptResult = Delivered | CallerLeft | _Refused | _Broken
-
-
 class Forwarder:
     """Forwards requests for one process."""
 
@@ -196,7 +154,7 @@
             if isinstance(result, Delivered | CallerLeft):
                 return result
             self._tried.add(replica.id)
-            if isinstance(result, _Refused):
+            if isinstance(result, Refused):
                 self._refusals += 1
                 if self._refusals >= MAX_REFUSALS:
                     return self._given_up(result.reason)
@@ -212,7 +170,7 @@
             self._answer.break_off()
         return GivenUp(reason, may_have_run=self._runs > 0, timed_out=timed_out)
 
-    def _attempt(self, replica: ChosenReplica) -> _AttemptResult:
+    def _attempt(self, replica: ChosenReplica) -> AttemptResult:
         load = replica.load()
         report_age_s = replica.report_age_s()
         began = time.monotonic()
@@ -236,19 +194,19 @@
             load=round(load, 1),
             load_age_s=round(min(report_age_s, 999.0), 2),
             took_s=round(took_s, 3),
-            outcome=type(result).__name__.strip("_"),
+            outcome=type(result).__name__,
             reason=getattr(result, "reason", ""),
         )
         return result
 
-    def _judge(self, replica: ChosenReplica, result: _AttemptResult, took_s: float) -> None:
+    def _judge(self, replica: ChosenReplica, result: AttemptResult, took_s: float) -> None:
         """Let the records know how the attempt ended."""
-        if isinstance(result, _Broken):
+        if isinstance(result, Broken):
             replica.record_failure()
         elif isinstance(result, Delivered):
             self._turns.record(self._service, took_s, replica.first_byte_s)
 
-    def _send(self, replica: ChosenReplica, began: float) -> _AttemptResult:
+    def _send(self, replica: ChosenReplica, began: float) -> AttemptResult:
         remaining_s = self._request.deadline.remaining_s()
         message = self._protocol.build_request(
             self._request, replica.id, remaining_s, self._framer.last_id
@@ -261,22 +219,22 @@
         )
         if isinstance(exchange, NotRun):
             replica.record_failure(2.0)
-            return _Refused(exchange.reason)
+            return Refused(exchange.reason)
         if isinstance(exchange, OutcomeUnknown):
-            return _Broken(exchange.reason)
+            return Broken(exchange.reason)
         self._presence.attach(exchange.cancel)
         broken = self._wait_for_answer(exchange, replica, began)
         if broken is not None:
             return broken
         failure = exchange.read_head(max(0.05, self._request.deadline.remaining_s()))
         if failure is not None:
-            return _Broken(failure.reason)
+            return Broken(failure.reason)
         head = self._protocol.read_answer_head(exchange)
         return self._take_answer(exchange, replica, head, began)
 
     def _wait_for_answer(
         self, exchange: Exchange, replica: ChosenReplica, began: float
-    ) -> _Broken | None:
+    ) -> Broken | None:
         """Wait for the first byte; a replica that stays silent is given up if that may help."""
         may_try_another = self._may_try_another()
         patience_s = self._request.deadline.remaining_s()
@@ -290,7 +248,7 @@
             if may_try_another and replica.silent and time.monotonic() - began > SILENCE_PATIENCE_S:
                 break
         exchange.abandon()
-        return _Broken(f"nothing came for {time.monotonic() - began:.2f} s")
+        return Broken(f"nothing came for {time.monotonic() - began:.2f} s")
 
     def _may_try_another(self) -> bool:
         return self._route.repeatable and self._runs + 1 < self._route.max_attempts
@@ -303,37 +261,35 @@
 
     def _take_answer(
         self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead, began: float
-    ) -> _AttemptResult:
+    ) -> AttemptResult:
         if head.load is not None:
             replica.take_report(head.load)
         if head.not_executed:
             return self._take_refusal(exchange, replica, head)
         if head.request_id != self._request.id:
             exchange.abandon()
-            return _Broken(f"the answer belongs to request {head.request_id or 'without an id'}")
+            return Broken(f"the answer belongs to request {head.request_id or 'without an id'}")
         if head.status >= 500 and self._may_try_another():
             exchange.abandon()
-            return _Broken(f"the replica answered {head.status}")
+            return Broken(f"the replica answered {head.status}")
         if head.status < 500:
             replica.record_success(time.monotonic() - began)
         return self._relay(exchange, replica, head)
 
     def _take_refusal(
         self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
-    ) -> _AttemptResult:
+    ) -> AttemptResult:
         if head.misdirected:
             replica.misdirected = True
             log_message("replica:misdirected", replica=replica.id)
         exchange.abandon()
-        return _Refused(f"the replica answered {head.status} and did not run the request")
+        return Refused(f"the replica answered {head.status} and did not run the request")
 
-    def _relay(
-        self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
-    ) -> _AttemptResult:
+    def _relay(self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead) -> AttemptResult:
         is_stream = self._is_stream(head)
         if self._answer.started and not is_stream:
             exchange.abandon()
-            return _Broken(f"the replica answered {head.status} instead of going on")
+            return Broken(f"the replica answered {head.status} instead of going on")
         relay = self._relay_events if is_stream else self._relay_whole
         try:
             return relay(exchange, replica, head)
@@ -349,7 +305,7 @@
 
     def _relay_whole(
         self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
-    ) -> _AttemptResult:
+    ) -> AttemptResult:
         """Read the answer before any of it is sent, unless it is long."""
         blocks: list[bytes] = []
         buffered_bytes = 0
@@ -357,7 +313,7 @@
             exchange.set_read_timeout(self._request.deadline.remaining_s())
             block = exchange.read_block()
             if isinstance(block, OutcomeUnknown):
-                return _Broken(block.reason)
+                return Broken(block.reason)
             if not block:
                 break
             blocks.append(block)
@@ -377,7 +333,7 @@
 
     def _relay_events(
         self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
-    ) -> _AttemptResult:
+    ) -> AttemptResult:
         """Pass events on as they come; of a resumable stream only whole ones."""
         resumable = self._route.resumable
         self._framer.rest = b""
@@ -385,7 +341,7 @@
             exchange.set_read_timeout(self._gap_patience_s())
             block = exchange.read_block()
             if isinstance(block, OutcomeUnknown):
-                return _Broken(block.reason)
+                return Broken(block.reason)
             replica.hear()
             if not block:
                 break
@@ -395,7 +351,7 @@
             self._answer.write(events)
         if resumable and self._framer.rest:
             exchange.abandon()
-            return _Broken("the stream ended in the middle of an event")
+            return Broken("the stream ended in the middle of an event")
         self._release(exchange, head)
         if not self._answer.started:
             self._answer.start(head.status, head.reason, head.headers)
--- /dev/null
+++ b/src/quaymill/request/forwarding_result.py
@@ -0,0 +1,55 @@
+"""What came of forwarding a request, and of each attempt at a replica."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class Delivered:
+    """The caller got a replica's whole answer."""
+
+    status: int
+    replica_id: str
+
+
+@attrs.frozen
+class CallerLeft:
+    """The caller left before the answer was whole."""
+
+
+@attrs.frozen
+class GivenUp:
+    """No replica's answer can be delivered.
+
+    Attributes
+    ----------
+    may_have_run
+        Whether a replica may have run the request.
+    timed_out
+        Whether the time of the request ran out.
+    """
+
+    reason: str
+    may_have_run: bool
+    timed_out: bool = False
+
+
+ForwardingResult = Delivered | CallerLeft | GivenUp
+
+
+@attrs.frozen
+class Refused:
+    """The attempt did not run at the replica."""
+
+    reason: str
+
+
+@attrs.frozen
+class Broken:
+    """The attempt may have run, and its answer is no good."""
+
+    reason: str
+
+
+AttemptResult = Delivered | CallerLeft | Refused | Broken
