--- a/src/quaymill/process/jobs/engine_loads.py
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -1,7 +1,7 @@
 """Polls the engines' reports while batch work wants room, and tells how much there is.
 
 Slots are counted by the keeper of room, from what gateways and coordinators tell. A report tells
-what they cannot: the memory that is left, whether the engine answers, and requests that wait although
+what they cannot: the memory left, whether the engine answers, and requests that wait although
 the counts show a free slot. Nothing is polled while there is no batch work.
 """
 
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -43,7 +43,7 @@
 MAX_POOLS_ASKED = 3
 """Pools of engines that are asked for room in one round, one call each."""
 RESERVE_SHARES = ((0.3, 0.15), (0.0, 0.0))
-"""Part of a job's time that is left, and the part of the slots that its items then leave free. Below
+"""Part of a job's time left, and the part of the slots that its items then leave free. Below
 the least reserve it tells nothing: only on engines of many slots. From docs/POLICIES.md."""
 GIVE_UP_MARGIN_S = 5.0
 """The time since a job was sent is known only so well after its coordinator has changed."""
