--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -13,7 +13,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -95,10 +95,6 @@
             now,
         )
 
-    def items_at(self, replica_id: str) -> int:
-        """Return the items at a replica."""
-        return sum(one.items for one in self.running if one.replica_id == replica_id)
-
 
 @attrs.frozen
 class _Online:
@@ -116,6 +112,29 @@
     at: float
 
 
+class _PoolCounts:
+    """Requests at each replica of a pool, counted once for each call of the keeper.
+
+    Attributes
+    ----------
+    online, batch
+        Requests by replica; ``batch`` follows what is granted and cut during the call.
+    """
+
+    def __init__(self, online: Iterable[_Online], claims: Iterable[_Claim]) -> None:
+        self.online: Counter[str] = Counter()
+        self.batch: Counter[str] = Counter()
+        for known in online:
+            self.online.update(known.counts)
+        for claim in claims:
+            for running in claim.running:
+                self.batch[running.replica_id] += running.items
+
+    def at(self, replica: Replica) -> int:
+        """Return all requests at a replica."""
+        return self.online[replica.id] + self.batch[replica.id]
+
+
 OrderBack = Callable[[str, tuple[ItemsAt, ...]], None]
 """Asks a coordinator to cut items at once; called without any lock."""
 
@@ -160,12 +179,13 @@
             self._take(pool, message)
             self._want_reports()
             replicas = pool.members(self._table)
-            self._share_out_excess(pool, replicas)
+            counts = self._counts(pool)
+            self._share_out_excess(pool, counts, replicas)
             give_back = self._owed_by_coordinator.pop(message.coordinator, Counter())
             reachable = [replica for replica in replicas if replica.id not in message.avoided]
-            starts = self._grant(pool, message, reachable)
+            starts = self._grant(pool, counts, message, reachable)
             orders = self._take_orders()
-            to_wake = self._first_to_wake(pool, replicas)
+            to_wake = self._first_to_wake(pool, counts, replicas)
         self._send_orders(orders)
         if to_wake and to_wake != message.coordinator:
             self._wake(to_wake)
@@ -174,40 +194,36 @@
     def note_online(self, message: OnlineInFlight) -> PoolLoads:
         """Count online requests, let batch items give way to them, and tell the pool's loads."""
         pool = EnginePool(message.service, message.pool, message.pools)
-        counts = {at.replica_id: at.items for at in message.in_flight}
+        in_flight = {at.replica_id: at.items for at in message.in_flight}
         with self._lock:
-            now = time.monotonic()
-            known = self._online_by_pool.get(pool, {})
-            fresh = {name: one for name, one in known.items() if now - one.at < ONLINE_LIFETIME_S}
-            self._online_by_pool[pool] = fresh | {message.gateway: _Online(counts, now)}
+            self._online_by_pool.setdefault(pool, {})[message.gateway] = _Online(
+                in_flight, time.monotonic()
+            )
             replicas = pool.members(self._table)
-            self._share_out_excess(pool, [one for one in replicas if one.id in counts])
+            counts = self._counts(pool)
+            self._share_out_excess(pool, counts, [one for one in replicas if one.id in in_flight])
             orders = self._take_orders()
             loads = tuple(
-                ReplicaLoad(one.id, self._online_at(pool, one), self._batch_at(pool, one))
-                for one in replicas
+                ReplicaLoad(one.id, counts.online[one.id], counts.batch[one.id]) for one in replicas
             )
-            to_wake = self._first_to_wake(pool, replicas)
+            to_wake = self._first_to_wake(pool, counts, replicas)
         self._send_orders(orders)
         if to_wake:
             self._wake(to_wake)
         return PoolLoads(loads)
 
-    def _online_at(self, pool: EnginePool, replica: Replica) -> int:
-        """Return the online requests at a replica, as the gateways tell of them."""
+    def _counts(self, pool: EnginePool) -> _PoolCounts:
+        """Count a pool's requests by what gateways told of late, and by the claims."""
         oldest = time.monotonic() - ONLINE_LIFETIME_S
-        gateways = self._online_by_pool.get(pool, {}).values()
-        return sum(known.counts.get(replica.id, 0) for known in gateways if known.at > oldest)
-
-    def _batch_at(self, pool: EnginePool, replica: Replica) -> int:
-        """Return the items at a replica, those granted or cut since the claims included."""
-        claims = self._claims_by_pool.get(pool, {}).values()
-        return sum(claim.items_at(replica.id) for claim in claims)
-
-    def _requests_at(self, pool: EnginePool, replica: Replica) -> int:
-        return self._online_at(pool, replica) + self._batch_at(pool, replica)
-
-    def _first_to_wake(self, pool: EnginePool, replicas: list[Replica]) -> str:
+        known = self._online_by_pool.get(pool, {})
+        online = {name: one for name, one in known.items() if one.at > oldest}
+        if online:
+            self._online_by_pool[pool] = online
+        else:
+            self._online_by_pool.pop(pool, None)
+        return _PoolCounts(online.values(), self._claims_by_pool.get(pool, {}).values())
+
+    def _first_to_wake(self, pool: EnginePool, counts: _PoolCounts, replicas: list[Replica]) -> str:
         """Return who should claim at once: whose items are due first, if there is room."""
         now = time.monotonic()
         claims = self._claims_by_pool.get(pool, {})
@@ -221,16 +237,12 @@
             ),
             default=None,
         )
-        if first is None or not any(self._has_room(pool, replica) for replica in replicas):
+        if first is None or not any(_has_room(counts, replica) for replica in replicas):
             return ""
         self._woken_at = {name: at for name, at in self._woken_at.items() if name in claims}
         self._woken_at[first[1]] = now
         return first[1]
 
-    def _has_room(self, pool: EnginePool, replica: Replica) -> bool:
-        taken = self._requests_at(pool, replica) + reserve_of(replica, 0.0)
-        return taken < replica.slots and not replica.avoided
-
     def _take_orders(self) -> dict[str, Counter[str]]:
         """Take what coordinators owe, if they can be asked at once; the lock is held."""
         if self._order_back is None:
@@ -259,50 +271,57 @@
             if not kept:
                 del self._claims_by_pool[other]
 
-    def _share_out_excess(self, pool: EnginePool, replicas: list[Replica]) -> None:
+    def _share_out_excess(
+        self, pool: EnginePool, counts: _PoolCounts, replicas: list[Replica]
+    ) -> None:
         """Note what each coordinator owes where requests wait, by the counts or the report."""
         claims = self._claims_by_pool.get(pool, {})
         for replica in replicas:
-            counted = self._requests_at(pool, replica) - replica.slots
-            excess = max(counted, self._loads.excess(replica))
+            excess = max(counts.at(replica) - replica.slots, self._loads.excess(replica))
+            if excess <= 0 or not counts.batch[replica.id]:
+                continue
             for name, running in _least_urgent_first(claims, replica):
                 share = min(excess, running.items)
                 if share <= 0:
                     break
                 self._owed_by_coordinator.setdefault(name, Counter())[replica.id] += share
                 running.items -= share
+                counts.batch[replica.id] -= share
                 excess -= share
                 self._loads.gave_way(replica)
 
-    def _grant(self, pool: EnginePool, message: ClaimRoom, replicas: list[Replica]) -> Counter[str]:
+    def _grant(
+        self,
+        pool: EnginePool,
+        counts: _PoolCounts,
+        message: ClaimRoom,
+        replicas: list[Replica],
+    ) -> Counter[str]:
         """Grant starts, what is due first before all else, whoever coordinates it."""
         starts: Counter[str] = Counter()
         now = time.monotonic()
         claim = self._claims_by_pool[pool][message.coordinator]
         for wanted in message.wanted:
             due_at = now + wanted.due_in_s
-            for _ in range(min(wanted.items, self._part(pool, message, replicas, wanted))):
-                replica = self._emptiest(pool, message.zone, replicas, wanted)
+            free = sum(self._room(counts, replica, wanted) for replica in replicas)
+            part = self._part(pool, message.coordinator, free, due_at)
+            for _ in range(min(wanted.items, part)):
+                replica = self._emptiest(counts, message.zone, replicas, wanted)
                 if replica is None:
                     break
                 self._loads.started(replica, wanted.tokens)
                 claim.running.append(_Running(replica.id, 1, due_at))
+                counts.batch[replica.id] += 1
                 starts[replica.id] += 1
         return starts
 
-    def _part(
-        self, pool: EnginePool, message: ClaimRoom, replicas: list[Replica], wanted: WantedItems
-    ) -> int:
+    def _part(self, pool: EnginePool, coordinator: str, free: int, due_at: float) -> int:
         """Return what is free beyond what items of others want that are due clearly earlier.
 
         Those that are due at about the same time share evenly.
         """
-        free = sum(self._room(pool, replica, wanted) for replica in replicas)
-        due_at = time.monotonic() + wanted.due_in_s
         others = [
-            claim
-            for name, claim in self._claims_by_pool[pool].items()
-            if name != message.coordinator
+            claim for name, claim in self._claims_by_pool[pool].items() if name != coordinator
         ]
         earlier = sum(
             one.items
@@ -316,23 +335,29 @@
         return -(-max(0, free - earlier) // (1 + alike))
 
     def _emptiest(
-        self, pool: EnginePool, zone: str, replicas: list[Replica], wanted: WantedItems
+        self, counts: _PoolCounts, zone: str, replicas: list[Replica], wanted: WantedItems
     ) -> Replica | None:
         best: Replica | None = None
         best_room = 0.0
         for replica in replicas:
-            room = float(self._room(pool, replica, wanted))
+            room = float(self._room(counts, replica, wanted))
             if room >= 1 and replica.entry.zone == zone:
                 room += OWN_ZONE_BONUS
             if room > best_room:
                 best, best_room = replica, room
         return best
 
-    def _room(self, pool: EnginePool, replica: Replica, wanted: WantedItems) -> int:
+    def _room(self, counts: _PoolCounts, replica: Replica, wanted: WantedItems) -> int:
         """Return the items that may be started at a replica, by the counts and its report."""
-        reserve = reserve_of(replica, wanted.reserve_share)
-        counted = replica.slots - reserve - self._requests_at(pool, replica)
-        return max(0, min(counted, self._loads.room(replica, wanted.tokens)))
+        counted = replica.slots - reserve_of(replica, wanted.reserve_share) - counts.at(replica)
+        if counted <= 0:
+            return 0
+        return min(counted, self._loads.room(replica, wanted.tokens))
+
+
+def _has_room(counts: _PoolCounts, replica: Replica) -> bool:
+    taken = counts.at(replica) + reserve_of(replica, 0.0)
+    return taken < replica.slots and not replica.avoided
 
 
 def _least_urgent_first(claims: dict[str, _Claim], replica: Replica) -> list[tuple[str, _Running]]:
