--- a/src/quaymill/process/jobs/batch_quota.py
+++ b/src/quaymill/process/jobs/batch_quota.py
@@ -10,7 +10,7 @@
 
 import threading
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -47,8 +47,8 @@
 MIN_RETRY_AFTER_S = 0.3
 MAX_RETRY_AFTER_S = 5.0
 """Bounds of the time after which a caller is told to come back: within a caller's patience."""
-ADMISSION_BUDGET_S = 1.5
-"""Time that counting a new job may take in all; the store's own timeout is as long."""
+FREED_WINDOW_S = 10.0
+"""Time over which the rate at which tokens become free is taken: a few items' runs."""
 
 
 @attrs.frozen
@@ -104,6 +104,10 @@
         Monotonic time before the last successful renewal began.
     entered
         Tokens by job that stand in the ledger by what this gateway has written or seen.
+    withdrawn
+        Jobs that were counted in the ledger and certainly not kept.
+    freed
+        When tokens were seen to become free (monotonic), and how many.
     """
 
     def __init__(self) -> None:
@@ -114,8 +118,7 @@
         self.renewed_at = 0.0
         self.entered: dict[str, int] = {}
         self.withdrawn: set[str] = set()
-        self.freed_tokens = 0
-        self.freed_since = time.monotonic()
+        self.freed: deque[tuple[float, int]] = deque()
 
 
 class BatchQuota:
@@ -265,9 +268,12 @@
         return Admitted("accepted-before") if known else over_quota
 
     def _retry_after_s(self, state: _RouteQuota, missing_tokens: int) -> float:
-        """Return when a job may fit, by the rate at which tokens became free here of late."""
-        elapsed_s = max(1.0, time.monotonic() - state.freed_since)
-        rate = state.freed_tokens / elapsed_s
+        """Return when a job may fit, by the rate at which tokens became free of late."""
+        oldest = time.monotonic() - FREED_WINDOW_S
+        with self._lock:
+            while state.freed and state.freed[0][0] < oldest:
+                state.freed.popleft()
+            rate = sum(tokens for _, tokens in state.freed) / FREED_WINDOW_S
         wait_s = missing_tokens / rate if rate > 0 else MAX_RETRY_AFTER_S
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
@@ -355,7 +361,6 @@
             for job_id in charged:
                 state.charged.pop(job_id, None)
             for job_id, tokens in (charged | outstanding).items():
-                self._note_freed(state, state.entered.get(job_id, tokens) - tokens)
                 state.entered[job_id] = tokens
             state.left = max(0, granted - sum(state.charged.values()))
             state.quota = quota
@@ -372,14 +377,19 @@
             state.left = min(state.left, granted)
         return granted
 
-    def _note_freed(self, state: _RouteQuota, tokens: int) -> None:
-        if tokens > 0:
-            state.freed_tokens += tokens
-
     def _take(self, state: _RouteQuota, ledger: Ledger) -> None:
+        """Take a newer ledger, and note what has become free since the one before."""
         with self._lock:
-            if ledger.revision > state.ledger.revision:
-                state.ledger = ledger
+            if ledger.revision <= state.ledger.revision:
+                return
+            jobs = ledger.document.jobs
+            freed = sum(
+                max(0, entry.tokens - jobs[job_id].tokens if job_id in jobs else entry.tokens)
+                for job_id, entry in state.ledger.document.jobs.items()
+            )
+            if freed:
+                state.freed.append((time.monotonic(), freed))
+            state.ledger = ledger
 
     def _of(self, route: str) -> _RouteQuota:
         with self._lock:
--- a/tests/test_batch_quota.py
+++ b/tests/test_batch_quota.py
@@ -19,6 +19,7 @@
     ALLOWANCE_RENEWAL_S,
     ALLOWANCE_TERM_S,
     FIRST_ALLOWANCE_S,
+    MAX_RETRY_AFTER_S,
     Admitted,
     BatchQuota,
     OverQuota,
@@ -137,6 +138,21 @@
         self.one.quota.settle()
         self.assertIsInstance(self.two.admit("b", 3), Admitted)
 
+    def test_the_time_to_come_back_follows_what_has_become_free(self) -> None:
+        self.one.admit("a", 10)
+        slow = self.one.admit("b", 3).retry_after_s
+        job = self.one.jobs["a"]
+        for item in job.items[:2]:
+            job.finish(item, ResultState.SUCCEEDED, "")
+        self.one.quota.settle()
+        # Two items in ten seconds, and one is missing: half of that time, within the bounds.
+        self.assertEqual(MAX_RETRY_AFTER_S, slow)
+        self.assertAlmostEqual(MAX_RETRY_AFTER_S, self.one.admit("b", 3).retry_after_s)
+        for item in job.items[2:9]:
+            job.finish(item, ResultState.SUCCEEDED, "")
+        self.one.quota.settle()
+        self.assertAlmostEqual(100 / 90, self.one.admit("c", 10).retry_after_s, places=2)
+
     @params("ended", "dead")
     def test_a_job_that_is_over_holds_nothing(self, how: str) -> None:
         self.one.admit("a", 10)
