--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -312,8 +312,9 @@
     def test_planned_stop_hands_over_what_streams_have_brought(self) -> None:
         self.slow_engines(0.3, 10)
         self.rig.submit("gateway-0", "job", 2)
-        self.wait_for_running_item("job", 0)
-        self.wait_for_running_item("job", 1)
+        items = self.rig.gateways["gateway-0"].coordinator.get("job").items
+        # What a replica has made may still be on its way to the gateway.
+        wait_until(lambda: all(item.last_event_id for item in items), "events at the gateway")
         self.rig.gateways.pop("gateway-0").stop()
         results = self.rig.wait_results("gateway-1", "job", 2)
         for result in results:
