Only progress of one lineage is joined

Cause: parts of an item's progress saved by two coordinators were joined where they overlapped. Each had resumed at an event of its own, so that the second one's run was not asked to continue where the first one's text ended. Change: parts carry a lineage, drawn anew for each coordinator, adoption and storage node, and only parts of one follow each other; the longest counts.

--- a/src/quaymill/connection/job_storage_messages.py
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -92,14 +92,10 @@
     first: int = 0
 
     def extended_by(self, later: ItemProgress) -> ItemProgress:
-        """Return this progress with a later part of it; unchanged if events between are missing.
-
-        Parts may overlap, where two coordinators ran the item: its output is the same.
-        """
-        known = self.first + len(self.texts)
-        if later.first > known or later.first + len(later.texts) <= known:
+        """Return this progress with the next part of it; unchanged if that does not follow it."""
+        if later.first != self.first + len(self.texts):
             return self
-        texts = self.texts + later.texts[known - later.first :]
+        texts = self.texts + later.texts
         failures = max(self.failures, later.failures)
         return ItemProgress(self.index, later.last_event_id, texts, failures, self.first)
 
@@ -108,9 +104,16 @@
     """Keep what runs of a job's items have brought so far; answered by ``ProgressStored``.
 
     It is kept at one storage node only: whoever adopts the job goes on from it if it is there.
+
+    Attributes
+    ----------
+    lineage
+        Names the texts that these parts belong to. Only parts of one lineage may be joined: a run
+        continues exactly where it was asked to, and two coordinators asked at different events.
     """
 
     job_id: str
+    lineage: str
     progress: tuple[ItemProgress, ...]
 
 
--- a/src/quaymill/process/job_storage/database.py
+++ b/src/quaymill/process/job_storage/database.py
@@ -47,11 +47,12 @@
 CREATE TABLE IF NOT EXISTS progress (
     job_id TEXT NOT NULL,
     item_index INTEGER NOT NULL,
+    lineage TEXT NOT NULL,
     first INTEGER NOT NULL,
     last_event_id TEXT,
     texts BLOB NOT NULL,
     failures INTEGER NOT NULL,
-    PRIMARY KEY (job_id, item_index, first)
+    PRIMARY KEY (job_id, item_index, lineage, first)
 ) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS early_ends (job_id TEXT PRIMARY KEY) WITHOUT ROWID;
 """
@@ -149,7 +150,7 @@
                 )
             self._digest_results(job_id)
 
-    def store_progress(self, job_id: str, progress: Iterable[ItemProgress]) -> None:
+    def store_progress(self, job_id: str, lineage: str, progress: Iterable[ItemProgress]) -> None:
         """Keep what runs have brought so far, unless the job is over or not here."""
         record = self.by_id.get(job_id)
         if record is None or record.ended or record.complete:
@@ -158,6 +159,7 @@
             (
                 job_id,
                 one.index,
+                lineage,
                 one.first,
                 one.last_event_id,
                 msgspec.json.encode(one.texts),
@@ -167,25 +169,28 @@
         ]
         with self._lock, self._transaction():
             self._connection.executemany(
-                "INSERT OR REPLACE INTO progress VALUES (?, ?, ?, ?, ?, ?)", rows
+                "INSERT OR REPLACE INTO progress VALUES (?, ?, ?, ?, ?, ?, ?)", rows
             )
 
     def progress(self, job_id: str) -> tuple[ItemProgress, ...]:
-        """Return what is known of a job's unfinished items, each from its first event on."""
+        """Return what is known of a job's unfinished items: of each its longest lineage."""
         with self._read_lock:
             rows = self._reader.execute(
-                "SELECT item_index, first, last_event_id, texts, failures FROM progress"
-                " WHERE job_id = ? ORDER BY item_index, first",
+                "SELECT item_index, lineage, first, last_event_id, texts, failures FROM progress"
+                " WHERE job_id = ? ORDER BY item_index, lineage, first",
                 (job_id,),
             ).fetchall()
-        by_index: dict[int, ItemProgress] = {}
-        for index, first, last_event_id, texts, failures in rows:
-            part = ItemProgress(
-                index, last_event_id, msgspec.json.decode(texts, type=tuple), failures, first
-            )
-            known = by_index.get(index, ItemProgress(index, None, ()))
-            by_index[index] = known.extended_by(part)
-        return tuple(by_index.values())
+        by_lineage: dict[tuple[int, str], ItemProgress] = {}
+        for index, lineage, first, last_event_id, texts, failures in rows:
+            decoded = msgspec.json.decode(texts, type=tuple[str, ...])
+            part = ItemProgress(index, last_event_id, decoded, failures, first)
+            known = by_lineage.get((index, lineage), ItemProgress(index, None, ()))
+            by_lineage[index, lineage] = known.extended_by(part)
+        longest: dict[int, ItemProgress] = {}
+        for (index, _), known in by_lineage.items():
+            if index not in longest or len(known.texts) > len(longest[index].texts):
+                longest[index] = known
+        return tuple(longest.values())
 
     def end_job(self, job_id: str) -> JobRecord | None:
         """Mark a job as ended, also one that is not here yet; return its record."""
--- a/src/quaymill/process/job_storage/service.py
+++ b/src/quaymill/process/job_storage/service.py
@@ -110,7 +110,7 @@
     def _store_progress(self, message: StoreProgress) -> PeerMessage:
         if self.retiring.is_set():
             return PeerRefusal("this node is being emptied")
-        self._database.store_progress(message.job_id, message.progress)
+        self._database.store_progress(message.job_id, message.lineage, message.progress)
         return ProgressStored()
 
     def _fetch_results(self, message: FetchResults) -> FetchedResults:
--- a/src/quaymill/process/jobs/progress_saver.py
+++ b/src/quaymill/process/jobs/progress_saver.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import secrets
 import threading
 from collections.abc import Callable
 
@@ -19,6 +20,9 @@
 SAVE_INTERVAL_S = 1.0
 """Work that may be lost with a coordinator; a write to one disk a job and interval."""
 
+LINEAGE_BYTES = 4
+"""Enough to tell the few coordinators of one job apart."""
+
 
 class ProgressSaver:
     """Saves the progress of one gateway's jobs.
@@ -64,25 +68,34 @@
     def _save_job(self, job: CoordinatedJob) -> None:
         node = self._storage.progress_node(job.id)
         saved = self._saved_by_job.get(job.id)
-        if saved is None or saved.node != node:
-            # Another node gives the job away now; it is told everything.
-            saved = self._saved_by_job[job.id] = _Saved(node)
-        new = tuple(saved.new_progress(job))
-        if new and node and self._storage.store_progress(job.id, new, node):
+        if saved is None or saved.job is not job or saved.node != node:
+            # Another node gives the job away now, or the job was adopted anew, with other texts:
+            # everything is told.
+            saved = self._saved_by_job[job.id] = _Saved(job, node)
+        new = tuple(saved.new_progress())
+        if new and node and self._storage.store_progress(job.id, saved.lineage, new, node):
             saved.take(new)
 
 
 class _Saved:
-    """What one storage node has of a job's items, in events by item."""
+    """What one storage node has of a job's items, in events by item.
+
+    Attributes
+    ----------
+    lineage
+        Names the texts that this process has of the job; drawn anew where all is told again.
+    """
 
-    def __init__(self, node: str) -> None:
+    def __init__(self, job: CoordinatedJob, node: str) -> None:
+        self.job = job
         self.node = node
+        self.lineage = secrets.token_hex(LINEAGE_BYTES)
         self._events_by_index: dict[int, int] = {}
 
-    def new_progress(self, job: CoordinatedJob) -> list[ItemProgress]:
+    def new_progress(self) -> list[ItemProgress]:
         """Return what the node lacks."""
         unfinished = [
-            item for item in job.items if item.state in (ItemState.WAITING, ItemState.RUNNING)
+            item for item in self.job.items if item.state in (ItemState.WAITING, ItemState.RUNNING)
         ]
         parts = [item.progress(self._events_by_index.get(item.index, 0)) for item in unfinished]
         return [part for part in parts if part.texts]
--- a/src/quaymill/process/jobs/storage_client.py
+++ b/src/quaymill/process/jobs/storage_client.py
@@ -134,11 +134,13 @@
         )
         return len(outcome.replies) >= self._copies
 
-    def store_progress(self, job_id: str, progress: tuple[ItemProgress, ...], node: str) -> bool:
+    def store_progress(
+        self, job_id: str, lineage: str, progress: tuple[ItemProgress, ...], node: str
+    ) -> bool:
         """Keep the progress of items at one storage node; return whether it is on its disk."""
         for member in self._storage_nodes():
             if member.name == node:
-                message = StoreProgress(job_id, progress)
+                message = StoreProgress(job_id, lineage, progress)
                 reply = self._peer_client.call(
                     member.peer, message, ProgressStored, PROGRESS_TIMEOUT_S
                 )
