Online requests are counted whatever their service's routes are meanwhile

Found reading the diff: a service that lost its batch routes while a request ran left that request counted for good, and a slot with it. The new test fails before ({'x1': 1}).

--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -90,10 +90,10 @@
         self._count(replica, -1)
 
     def _count(self, replica: ChosenReplica, change: int) -> None:
-        if self._has_batch(replica.entry.service):
-            with self._lock:
-                self._in_flight[replica.id] += change
-                self._changed = True
+        # Counted whatever the service: it may gain or lose its batch routes before the end.
+        with self._lock:
+            self._in_flight[replica.id] += change
+            self._changed = True
 
     def _run(self) -> None:
         while not self._stopping.is_set():
--- a/tests/test_job_room.py
+++ b/tests/test_job_room.py
@@ -28,6 +28,7 @@
 from quaymill.process.jobs.coordinated_job import CoordinatedJob
 from quaymill.process.jobs.engine_pool import pools_of
 from quaymill.process.jobs.item_urgency import HOPELESS_DUE_S, RunPace, time_left_s
+from quaymill.process.jobs.online_notices import OnlineNotices
 from quaymill.process.jobs.room_claims import AVOID_KEEPER_S, RoomClaims
 from quaymill.process.jobs.room_keeper import (
     CLAIM_LIFETIME_S,
@@ -216,6 +217,52 @@
         self.assertEqual({"x1": 3}, items(keeper.claim(claim("a", EVERY_ITEM)).starts))
 
 
+class NoticesTest(KeeperCase):
+    """What a gateway tells of its own requests; it keeps room itself here."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.room = self.keeper(x1=0, y1=0)
+        self.batch_services = {SERVICE}
+        own = member("me", 1)
+        self.notices = OnlineNotices(
+            "me",
+            self.room._table,
+            self.room,
+            mock.Mock(),
+            lambda: (own,),
+            lambda service: service in self.batch_services,
+        )
+
+    def tell(self) -> dict[str, int]:
+        due = self.notices._due()
+        if due is not None:
+            self.notices._tell(due)
+        known = self.room._online_by_pool.get(pools_of(SERVICE, self.room._table)[0], {})
+        return known["me"].counts if "me" in known else {}
+
+    def test_requests_in_flight_are_told_and_their_end_once(self) -> None:
+        replica = self.room._table.get("x1")
+        self.notices.began(replica)
+        self.notices.began(replica)
+        self.assertEqual({"x1": 2}, self.tell())
+        self.assertTrue(replica.has_pool_view)
+        self.notices.ended(replica)
+        self.assertEqual({"x1": 1}, self.tell())
+        self.notices.ended(replica)
+        self.assertEqual({}, self.tell())
+        self.assertIsNone(self.notices._due())
+
+    def test_a_service_that_loses_its_batch_routes_leaves_no_count_behind(self) -> None:
+        replica = self.room._table.get("x1")
+        self.notices.began(replica)
+        self.tell()
+        self.batch_services.clear()
+        self.notices.ended(replica)
+        self.batch_services.add(SERVICE)
+        self.assertEqual({}, self.tell())
+
+
 class UrgencyTest(KeeperCase):
     """What is due first goes first, whoever coordinates it."""
 
