A storage node that is to be emptied goes on until others enough live

Cause: two of three storage nodes were asked to be emptied, one after the other. The second took nothing new from then on, although one other was left where two copies are needed. Change: it goes on as before until others enough live, its status stays active.

--- a/src/quaymill/process/job_storage/retirement.py
+++ b/src/quaymill/process/job_storage/retirement.py
@@ -29,8 +29,9 @@
 class Retirement:
     """Carries out a request to empty this node; it may be called again for the same request.
 
-    States of the request: asked for -> active (``begin``: nothing new is taken) -> succeeded
-    (all that is here stands on enough other nodes; told to the platform).
+    States of the request: asked for -> active (``begin``) -> leaving (enough others live: nothing
+    new is taken) -> succeeded (all that is here stands on enough others; told to the platform).
+    Without enough others the node goes on as before: nothing could be kept without it.
 
     Parameters
     ----------
@@ -76,8 +77,6 @@
         if self._thread is not None:
             return
         log_message("retirement:begun", node=self._name, jobs=len(self._database.by_id))
-        self._service.retiring.set()
-        self._announce()
         self._thread = threading.Thread(target=self._run, name="retirement", daemon=True)
         self._thread.start()
 
@@ -88,6 +87,8 @@
     def _run(self) -> None:
         self._tell(self._active_status)
         while not self._stopping.wait(CHECK_INTERVAL_S):
+            if not self._service.retiring.is_set() and not self._leave():
+                continue
             missing = self._missing_copies()
             if missing is None or missing:
                 continue
@@ -95,6 +96,15 @@
                 log_message("retirement:succeeded", node=self._name)
                 return
 
+    def _leave(self) -> bool:
+        """Take nothing new from now on, if others enough live; return whether that is so."""
+        others = [member for member in self._storage_nodes() if member.name != self._name]
+        if len(others) < self._rules.needed:
+            return False
+        self._service.retiring.set()
+        self._announce()
+        return True
+
     def _missing_copies(self) -> int | None:
         """Return how many jobs do not stand on enough other nodes; ``None`` if unknown."""
         others = [member for member in self._storage_nodes() if member.name != self._name]
