--- a/src/quaymill/process/jobs/batch_quota.py
+++ b/src/quaymill/process/jobs/batch_quota.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import random
 import threading
 import time
 from collections import Counter, deque
@@ -30,14 +31,16 @@
 
 SETTLE_INTERVAL_S = 0.4
 """Time between two looks at what has changed; a count is to follow within a second."""
-ALLOWANCE_RENEWAL_S = 10.0
-"""Time between two renewals of an allowance that nothing was taken from."""
+ALLOWANCE_RENEWAL_S = 20.0
+"""Time between two renewals of an allowance: two thirds of its term, as each costs two calls."""
 ALLOWANCE_TERM_S = 30.0
 """Time after its last renewal until which an allowance may be used: longer than outages of the
 store that are ridden out, and half of what it takes until others take it back."""
 FIRST_ALLOWANCE_S = 5.0
 """Time after the start until which none is taken: a former process of this gateway may have
 given from its own, and those jobs are entered by whoever adopts them within this time."""
+FIRST_ALLOWANCE_SPREAD_S = 10.0
+"""Gateways that start together take theirs spread over so long: all change one object."""
 SMALL_CHANGE_SHARE = 0.02
 """A job's entry is corrected while it runs once this part of the quota has become free."""
 TIGHT_SHARE = 0.5
@@ -164,7 +167,9 @@
         self._lock = threading.Lock()
         self._by_route: dict[str, _RouteQuota] = {}
         self._stopping = threading.Event()
-        self._started_at = time.monotonic()
+        self._first_allowance_at = (
+            time.monotonic() + FIRST_ALLOWANCE_S + random.uniform(0.0, FIRST_ALLOWANCE_SPREAD_S)
+        )
         self.decisions: Counter[str] = Counter()
 
     def start(self) -> None:
@@ -325,14 +330,14 @@
                 if entered and not tokens:
                     return True
         now = time.monotonic()
-        may_take_first = now - self._started_at >= FIRST_ALLOWANCE_S
+        may_take_first = now >= self._first_allowance_at
         return may_take_first and now - state.renewed_at >= ALLOWANCE_RENEWAL_S
 
     def _write(self, state: _RouteQuota, route: RequestRoute, outstanding: dict[str, int]) -> None:
         """Write what this gateway knows of its jobs, and its allowance, in one change."""
         quota = route.max_unfinished_tokens
         began = time.monotonic()
-        may_take = began - self._started_at >= FIRST_ALLOWANCE_S
+        may_take = began >= self._first_allowance_at
         with self._lock:
             charged = dict(state.charged)
             withdrawn = frozenset(state.withdrawn)
