--- a/src/quaymill/process/jobs/batch_quota.py
+++ b/src/quaymill/process/jobs/batch_quota.py
@@ -11,7 +11,7 @@
 import random
 import threading
 import time
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -170,7 +170,6 @@
         self._first_allowance_at = (
             time.monotonic() + FIRST_ALLOWANCE_S + random.uniform(0.0, FIRST_ALLOWANCE_SPREAD_S)
         )
-        self.decisions: Counter[str] = Counter()
 
     def start(self) -> None:
         """Begin to enter changes and to renew allowances."""
@@ -189,7 +188,6 @@
         decision = self._charge(job_id, route, tokens) or self._enter(job_id, route, tokens)
         if isinstance(decision, OverQuota):
             decision = self._unless_known(job_id, decision)
-        self.decisions[type(decision).__name__] += 1
         held = self._of(route.name).ledger
         log_message(
             "quota:decided",
