--- a/src/quaymill_standins/engine.py
+++ b/src/quaymill_standins/engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import uuid
 
 import msgspec
@@ -178,7 +179,8 @@
                 stream.finish(run)
 
         content = ("Content-Type", "text/event-stream; charset=utf-8")
-        return StreamedResponse(200, (content, *headers), produce)
+        abandon = functools.partial(self._scheduler.cancel, run)
+        return StreamedResponse(200, (content, *headers), produce, abandon)
 
     def _whole(
         self, run: Run, answer_format: AnswerFormat, headers: tuple[tuple[str, str], ...]
--- a/src/quaymill_standins/http_support.py
+++ b/src/quaymill_standins/http_support.py
@@ -99,12 +99,26 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
+def _nothing_to_abandon() -> None:
+    """Do nothing: no work goes on behind the answer."""
+
+
 class StreamedResponse(msgspec.Struct, frozen=True):
-    """An answer in pieces; ``produce`` runs on the thread of the request, headers are sent."""
+    """An answer in pieces, sent by the thread of the request.
+
+    Attributes
+    ----------
+    produce
+        Sends the body; the headers are sent.
+    abandon
+        Called in place of ``produce`` if the client is gone before the headers are sent; it
+        returns once nothing uses the connection any more.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     produce: Callable[[ClientConnection], None]
+    abandon: Callable[[], None] = _nothing_to_abandon
 
 
 Answer = Response | StreamedResponse | Sentinel
@@ -336,7 +350,11 @@
         yield answer.body
         return
     start_response(_status_line(answer.status), list(answer.headers))
-    request.connection.send_headers()
+    try:
+        request.connection.send_headers()
+    except OSError:
+        answer.abandon()
+        raise
     answer.produce(request.connection)
 
 
--- a/src/quaymill_standins/run.py
+++ b/src/quaymill_standins/run.py
@@ -51,6 +51,12 @@
     ----------
     source
         Where the tokens come from; of another prompt if the answer is to be crossed.
+
+    Attributes
+    ----------
+    descriptor
+        File descriptor of the connection at admission. The connection may be closed
+        before the run ends, and the descriptor then belongs to another one.
     """
 
     def __init__(
@@ -64,6 +70,7 @@
     ) -> None:
         self.body = body
         self.connection = connection
+        self.descriptor = connection.fileno()
         self.stream = stream
         self.done = threading.Event()
         self.token_ids: list[int] = []
--- a/src/quaymill_standins/step_scheduler.py
+++ b/src/quaymill_standins/step_scheduler.py
@@ -88,12 +88,31 @@
             self._changed.notify_all()
         return ""
 
+    def cancel(self, run: Run) -> None:
+        """Cancel a run whose client is gone, and wait until it has ended."""
+        with self._changed:
+            run.cancel_requested = True
+            if run in self._waiting:
+                self._waiting.remove(run)
+                self._remove([run])
+            self._changed.notify_all()
+        run.done.wait()
+
     def journal(self) -> list[JournalEntry]:
         """Return the entries of all runs since the start, in order of acceptance."""
         with self._changed:
             return list(self._journal)
 
     def _serve(self) -> None:
+        """Step until the stop; whatever ends the thread releases all requests."""
+        try:
+            self._step_until_stop()
+        finally:
+            with self._changed:
+                self._stopping = True
+                self._cancel_all()
+
+    def _step_until_stop(self) -> None:
         """Step while there is work, and wait otherwise."""
         next_step_s = time.monotonic()
         while True:
@@ -102,7 +121,6 @@
                     self._changed.wait_for(lambda: self._waiting or self._stopping)
                     next_step_s = time.monotonic()
                 if self._stopping:
-                    self._cancel_all()
                     return
                 self._cancel_disconnected()
                 faults = self._switches.current()
@@ -175,7 +193,9 @@
         run.prefill_steps_left = tokens // PREFILL_TOKENS_PER_STEP
 
     def _watch_connection(self, run: Run) -> None:
-        descriptor = run.connection.fileno()
+        descriptor = run.descriptor
+        # The former owner of a reused descriptor may still run; its connection is closed,
+        # so that the kernel no longer watches it.
         self._runs_by_descriptor[descriptor] = run
         self._disconnects.register(descriptor, select.EPOLLRDHUP)
 
@@ -198,10 +218,11 @@
 
     def _end(self, run: Run, outcome: str) -> None:
         """Stop watching the connection, then release the thread that owns it."""
-        descriptor = run.connection.fileno()
-        self._runs_by_descriptor.pop(descriptor, None)
-        with contextlib.suppress(OSError):
-            self._disconnects.unregister(descriptor)
+        if self._runs_by_descriptor.get(run.descriptor) is run:
+            del self._runs_by_descriptor[run.descriptor]
+            # The thread of the request may have closed the connection, which unregisters it.
+            with contextlib.suppress(OSError):
+                self._disconnects.unregister(run.descriptor)
         run.end(outcome)
 
     def _report(self) -> None:
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -6,6 +6,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 import openai
 import urllib3
@@ -225,6 +226,36 @@
         theirs.close()
         self.assertEqual(received.count(b'"finish_reason":null'), 20_000)
 
+    def test_a_connection_closed_by_its_request_ends_no_other_run(self) -> None:
+        """The closed descriptor is taken by the next connection, whose run goes on."""
+        scheduler = self.engine._scheduler
+        gone, far_end = socket.socketpair()
+        self.addCleanup(far_end.close)
+        closed_run = _whole_run("closed", gone, tokens=100_000)
+        scheduler.submit(closed_run)
+        gone.close()
+        next_one, next_far_end = socket.socketpair()
+        self.addCleanup(next_one.close)
+        self.addCleanup(next_far_end.close)
+        next_run = _whole_run("next", next_one, tokens=100_000)
+        self.assertEqual(next_run.descriptor, closed_run.descriptor)
+        scheduler.submit(next_run)
+        scheduler.cancel(closed_run)
+        self.assertEqual(closed_run.journal.outcome, "cancelled")
+        self.assertEqual(next_run.journal.outcome, "running")
+        next_far_end.close()
+        self.wait_for_outcome("next", "cancelled")
+
+    def test_requests_are_released_when_the_step_thread_fails(self) -> None:
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        run = _whole_run("unlucky", ours, tokens=100_000)
+        run.advance = _fail
+        with mock.patch("threading.excepthook"):
+            self.engine._scheduler.submit(run)
+            wait_until(run.done.is_set, "the request is released")
+
     def test_draining_refuses_new_work_and_finishes_old(self) -> None:
         old = self.stream("old", 60)
         self.client.request("POST", "/drain", {"draining": True})
@@ -237,6 +268,17 @@
         wait_until(lambda: self.client.get("/load")["draining"], "the load says draining")
 
 
+def _whole_run(request_id: str, sock: socket.socket, tokens: int) -> Run:
+    """Return a run whose answer is sent whole."""
+    body = CompletionBody(model=MODEL, prompt=request_id, max_tokens=tokens)
+    source = token_source(body, request_id)
+    return Run(body, request_id, request_id, _FakeConnection(sock), source, None)
+
+
+def _fail() -> bool:
+    raise RuntimeError("a fault of the stand-in")
+
+
 class _FakeConnection:
     """A connection over a socket pair."""
 
