An item that is cut to give way never counts against its replica

An item cut before the head of its answer came (35 to 66 ms after its start) blamed the engine; two such cuts eject it at that gateway, which warns the others. Change: whatever part of an answer is missing, a run that this process has cut blames nobody. Test: tests/test_item_run.py; the case without a head fails before.

--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -97,9 +97,13 @@
         if item.giving_way:
             exchange.abandon()
             return ItemCut("gave way before it began", blames_replica=False)
-        return _read_answer(item, request, replica, exchange, protocol.replica)
+        outcome = _read_answer(item, request, replica, exchange, protocol.replica)
     finally:
         item.cancel = None
+    if isinstance(outcome, ItemCut) and item.giving_way:
+        # The connection was closed from here, at whatever point of the answer.
+        return attrs.evolve(outcome, blames_replica=False)
+    return outcome
 
 
 def _read_answer(
@@ -147,7 +151,7 @@
     while True:
         block = exchange.read_block()
         if isinstance(block, OutcomeUnknown):
-            return ItemCut(block.reason, blames_replica=not item.giving_way)
+            return ItemCut(block.reason)
         replica.hear()
         if not block:
             break
--- /dev/null
+++ b/tests/test_item_run.py
@@ -0,0 +1,78 @@
+"""One run of a batch item: who is to blame when no whole answer comes."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import unittest
+
+from nose2.tools import params
+
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.job_document import JobItem
+from quaymill.connection.replica_connection import ReplicaConnections
+from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.platform.main import GATEWAY_PROTOCOL
+from quaymill.process.jobs.coordinated_job import RunningItem
+from quaymill.process.jobs.item_run import ItemCut, run_item
+from quaymill.process.replica_set.replica import Replica
+from standin_support import wait_until
+
+REQUEST_ID = "00000000000000aa"
+NO_HEAD = b""
+HEAD_ONLY = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: " + REQUEST_ID.encode() + b"\r\n"
+    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+HALF_AN_EVENT = HEAD_ONLY + b"8\r\nid: 1\nda\r\n"
+JOIN_TIMEOUT_S = 10.0
+
+
+class ItemRunTest(unittest.TestCase):
+    """A replica that says only so much, and then nothing or the end of the connection."""
+
+    def setUp(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.settimeout(JOIN_TIMEOUT_S)
+        self.addCleanup(self.listener.close)
+        address = Endpoint("127.0.0.1", self.listener.getsockname()[1])
+        self.replica = Replica(ReplicaEntry("engine-1", "engine", address, "x", slots=4))
+        self.connections = ReplicaConnections(LinkFilter())
+        self.addCleanup(self.connections.close)
+        self.item = RunningItem(0, JobItem(REQUEST_ID, "/r/1", {}, b"", 10))
+        self.outcomes: list[object] = []
+
+    def run_until_answered(self, answer: bytes) -> tuple[threading.Thread, socket.socket]:
+        """Start the run, and return once the replica has the request and has said its part."""
+        thread = threading.Thread(target=self._run, daemon=True)
+        thread.start()
+        connection, _ = self.listener.accept()
+        self.addCleanup(connection.close)
+        connection.recv(4096)
+        connection.sendall(answer)
+        wait_until(lambda: self.item.cancel is not None, "the item can be cut")
+        return thread, connection
+
+    def _run(self) -> None:
+        protocol = GATEWAY_PROTOCOL.items
+        outcome = run_item(self.item, "host", self.replica, self.connections, protocol)
+        self.outcomes.append(outcome)
+
+    def outcome_of(self, thread: threading.Thread) -> ItemCut:
+        thread.join(JOIN_TIMEOUT_S)
+        (outcome,) = self.outcomes
+        self.assertIsInstance(outcome, ItemCut)
+        return outcome
+
+    @params(NO_HEAD, HEAD_ONLY, HALF_AN_EVENT)
+    def test_an_item_that_gives_way_blames_no_replica(self, answer: bytes) -> None:
+        thread, _ = self.run_until_answered(answer)
+        self.item.giving_way = True
+        self.item.cancel()
+        self.assertFalse(self.outcome_of(thread).blames_replica)
+
+    @params(NO_HEAD, HEAD_ONLY, HALF_AN_EVENT)
+    def test_a_replica_that_breaks_off_is_blamed(self, answer: bytes) -> None:
+        thread, connection = self.run_until_answered(answer)
+        connection.close()
+        self.assertTrue(self.outcome_of(thread).blames_replica)
