--- a/src/quaymill/connection/room_messages.py
+++ b/src/quaymill/connection/room_messages.py
@@ -116,6 +116,58 @@
     loads: tuple[ReplicaLoad, ...]
 
 
+class LoadOffset(msgspec.Struct, frozen=True, array_like=True):
+    """What a gateway adds to the load of one replica when it compares them.
+
+    Attributes
+    ----------
+    requests
+        Negative where the replica is likely to hold a part of the prompt, positive where it
+        has failed of late.
+    """
+
+    replica_id: str
+    requests: float
+
+
+class PlaceOnline(PeerMessage, frozen=True):
+    """Ask who keeps room where an online request should go; answered by ``OnlinePlaced``.
+
+    Attributes
+    ----------
+    in_flight
+        Online requests that the gateway has at the pool's engines, without this one.
+    excluded
+        Replicas that have been tried, or fail for this gateway.
+    offsets
+        Of the replicas for which there are any.
+    """
+
+    gateway: str
+    zone: str
+    service: str
+    in_flight: tuple[ItemsAt, ...]
+    excluded: tuple[str, ...] = ()
+    offsets: tuple[LoadOffset, ...] = ()
+    pool: int = 0
+    pools: int = 1
+
+
+class OnlinePlaced(PeerMessage, frozen=True):
+    """The replica for an online request, which is counted there already.
+
+    Attributes
+    ----------
+    replica_id
+        Empty if every replica of the pool is excluded.
+    loads
+        As the keeper knows them now, this request included.
+    """
+
+    replica_id: str
+    loads: tuple[ReplicaLoad, ...]
+
+
 class GiveBack(PeerMessage, frozen=True):
     """Ask a coordinator to cut items at once; answered by ``GivenBack``."""
 
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -134,7 +134,12 @@
             self.network.server,
             self.network.other_gateways,
         )
-        self._router = Router(self._table, settings.zone, settings.name)
+        self._router = Router(
+            self._table,
+            settings.zone,
+            settings.name,
+            lambda first, wishes: self._notices.place(first, wishes),
+        )
         self._loads = EngineLoads(self._connections, protocol.reports)
         self._queue = OnlineQueue(self._table)
         orders = RoomOrders(
@@ -148,11 +153,12 @@
         keeper = RoomKeeper(self._table, self._loads, self.network.server, orders.send, orders.wake)
         self._notices = OnlineNotices(
             settings.name,
+            settings.zone,
             self._table,
             keeper,
             self.network.client,
             self.network.gateways,
-            lambda service: service in self.control.routes.batch_services,
+            lambda: self.control.routes.batch_services,
             self._queue.look_again,
         )
         claims = RoomClaims(settings.name, keeper, self.network.client, self.network.gateways)
--- a/src/quaymill/process/jobs/engine_pool.py
+++ b/src/quaymill/process/jobs/engine_pool.py
@@ -46,6 +46,17 @@
     Gateways that count differently for a moment share the same slots twice: engines then refuse
     what is too much, and it waits again.
     """
-    listed = sum(1 for replica in table.of_service(service) if not replica.leaving)
-    pools = max(1, -(-listed // MAX_POOL_REPLICAS))
+    pools = _number_of_pools(service, table)
     return [EnginePool(service, index, pools) for index in range(pools)]
+
+
+def pool_of(replica: Replica, table: ReplicaTable) -> EnginePool:
+    """Return the part of its service that a replica belongs to."""
+    service = replica.entry.service
+    pools = _number_of_pools(service, table)
+    return EnginePool(service, replica.id_hash % pools, pools)
+
+
+def _number_of_pools(service: str, table: ReplicaTable) -> int:
+    listed = sum(1 for replica in table.of_service(service) if not replica.leaving)
+    return max(1, -(-listed // MAX_POOL_REPLICAS))
--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -3,7 +3,10 @@
 An engine takes requests in the order in which they come: an online request that meets only batch
 items waits until one of them ends or is cut. The keeper of room learns of it from the engine's
 report, which is old by then. A notice, sent beside the request, comes within a millisecond or
-two. Its answer tells what all gateways have at each engine, by which the next one is chosen.
+two. Its answer tells what all gateways have at each engine.
+
+A request is placed by the keeper itself where that answers at once, since it alone knows what
+others have placed in the last few milliseconds.
 """
 
 from __future__ import annotations
@@ -11,21 +14,37 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from eliot import log_message
 
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient
-from quaymill.connection.room_messages import ItemsAt, OnlineInFlight, PoolLoads
-from quaymill.process.jobs.engine_pool import EnginePool, pools_of
+from quaymill.connection.room_messages import (
+    ItemsAt,
+    LoadOffset,
+    OnlineInFlight,
+    OnlinePlaced,
+    PlaceOnline,
+    PoolLoads,
+    ReplicaLoad,
+)
+from quaymill.process.jobs.engine_pool import EnginePool, pool_of, pools_of
 from quaymill.process.jobs.room_claims import KeeperChoice
 from quaymill.process.jobs.room_keeper import RoomKeeper
+from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.router import PlacementWishes
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.replica_choice import ChosenReplica
 
 NOTICE_TIMEOUT_S = 0.2
 """Later than this the engine's own report has told the keeper."""
+PLACE_TIMEOUT_S = 0.05
+"""A tenth of a peak's rise, and a sixth of the shortest objective of a stream that was met; a
+keeper answers within 2 to 5 ms (docs/POLICIES.md)."""
+PLACE_PAUSE_S = 0.25
+"""How long this gateway chooses by itself after a keeper did not answer in time: by then a
+notice has told whether it lives, and who is next in rank."""
 ENDS_INTERVAL_S = 0.05
 """Ends of requests may wait so long for a start that they can go out with."""
 REPEAT_INTERVAL_S = 0.25
@@ -38,8 +57,10 @@
 
     Parameters
     ----------
-    has_batch
-        Whether batch routes lead to a service, by the configuration in force.
+    zone
+        Where this gateway runs.
+    batch_services
+        Returns the services that batch routes lead to, by the configuration in force.
     gateways
         Returns the live gateways, this one included.
     loads_changed
@@ -49,22 +70,26 @@
     def __init__(
         self,
         own_name: str,
+        zone: str,
         table: ReplicaTable,
         keeper: RoomKeeper,
         client: PeerClient,
         gateways: Callable[[], tuple[Member, ...]],
-        has_batch: Callable[[str], bool],
+        batch_services: Callable[[], Collection[str]],
         loads_changed: Callable[[], None] = lambda: None,
     ) -> None:
         self._own_name = own_name
+        self._zone = zone
         self._table = table
         self._keeper = keeper
         self._client = client
         self._keepers = KeeperChoice(gateways)
-        self._has_batch = has_batch
+        self._batch_services = batch_services
         self._loads_changed = loads_changed
         self._lock = threading.Lock()
         self._in_flight: Counter[str] = Counter()
+        self._placed: Counter[str] = Counter()
+        self._place_again_at = 0.0
         self._changed = False
         self._told_at = 0.0
         self._told_by_pool: dict[EnginePool, dict[str, int]] = {}
@@ -80,10 +105,60 @@
         self._stopping.set()
         self._news.set()
 
+    def place(self, first: Replica, wishes: PlacementWishes) -> Replica | None:
+        """Ask the keeper for a place in a replica's pool; ``None`` if there is no answer at once.
+
+        The request is counted at the place by the keeper, and by ``began`` here.
+        """
+        now = time.monotonic()
+        if now < self._place_again_at or first.entry.service not in self._batch_services():
+            return None
+        pool = pool_of(first, self._table)
+        with self._lock:
+            counts = self._counts_in(pool, self._in_flight)
+        placed = self._call_to_place(pool, counts, wishes)
+        if placed is None:
+            self._place_again_at = now + PLACE_PAUSE_S
+            return None
+        chosen = self._table.get(placed.replica_id)
+        if chosen is not None:
+            counts[chosen.id] = counts.get(chosen.id, 0) + 1
+            with self._lock:
+                self._placed[chosen.id] += 1
+        self._take_loads(placed.loads, counts)
+        return chosen
+
+    def _call_to_place(
+        self, pool: EnginePool, counts: dict[str, int], wishes: PlacementWishes
+    ) -> OnlinePlaced | None:
+        message = PlaceOnline(
+            self._own_name,
+            self._zone,
+            pool.service,
+            _items_at(counts),
+            tuple(wishes.excluded),
+            tuple(LoadOffset(name, offset) for name, offset in wishes.offsets.items()),
+            pool.index,
+            pool.pools,
+        )
+        member = self._keepers.keeper_of(pool.service, pool.index)
+        if member is None or member.name == self._own_name:
+            return self._keeper.place_online(message)
+        reply = self._client.call(member.peer, message, OnlinePlaced, PLACE_TIMEOUT_S)
+        if isinstance(reply, OnlinePlaced):
+            return reply
+        log_message("request:not_placed", service=pool.service, keeper=member.name)
+        return None
+
     def began(self, replica: ChosenReplica) -> None:
         """Note that an online request is being sent to a replica."""
         self._count(replica, 1)
-        self._news.set()
+        with self._lock:
+            told = self._placed[replica.id] > 0
+            if told:
+                self._placed[replica.id] -= 1
+        if not told:
+            self._news.set()
 
     def ended(self, replica: ChosenReplica) -> None:
         """Note that an online request at a replica has ended."""
@@ -121,29 +196,37 @@
             return dict(self._in_flight)
 
     def _tell(self, in_flight: dict[str, int]) -> None:
-        for service in self._services():
+        for service in self._batch_services():
             for pool in pools_of(service, self._table):
-                members = {replica.id for replica in pool.members(self._table)}
-                counts = {one: in_flight[one] for one in in_flight.keys() & members}
+                counts = self._counts_in(pool, in_flight)
                 # A pool without requests of ours is told once, when the last of them has ended.
                 if counts or self._told_by_pool.get(pool):
                     self._told_by_pool[pool] = counts
                     self._tell_keeper(pool, counts)
 
-    def _services(self) -> set[str]:
-        services = {replica.entry.service for replica in self._table.replicas()}
-        return {service for service in services if self._has_batch(service)}
+    def _counts_in(self, pool: EnginePool, in_flight: Mapping[str, int]) -> dict[str, int]:
+        """Return the requests at the replicas of a pool."""
+        replicas = ((self._table.get(name), count) for name, count in in_flight.items() if count)
+        return {
+            replica.id: count
+            for replica, count in replicas
+            if replica is not None and not replica.leaving and pool.holds(replica)
+        }
 
     def _tell_keeper(self, pool: EnginePool, counts: dict[str, int]) -> None:
-        told = tuple(ItemsAt(replica_id, requests) for replica_id, requests in counts.items())
-        message = OnlineInFlight(self._own_name, pool.service, told, pool.index, pool.pools)
+        message = OnlineInFlight(
+            self._own_name, pool.service, _items_at(counts), pool.index, pool.pools
+        )
         loads = self._call_keeper(message)
-        if loads is None:
-            return
-        for load in loads.loads:
+        if loads is not None:
+            self._take_loads(loads.loads, counts)
+
+    def _take_loads(self, loads: Iterable[ReplicaLoad], told: dict[str, int]) -> None:
+        """Take what the keeper knows; ``told`` is the part of it that it has from here."""
+        for load in loads:
             replica = self._table.get(load.replica_id)
             if replica is not None:
-                replica.take_pool_view(load.online - counts.get(replica.id, 0), load.batch)
+                replica.take_pool_view(load.online - told.get(replica.id, 0), load.batch)
         self._loads_changed()
 
     def _call_keeper(self, message: OnlineInFlight) -> PoolLoads | None:
@@ -155,3 +238,7 @@
             return reply
         self._keepers.avoid(message.service, member)
         return None
+
+
+def _items_at(counts: Mapping[str, int]) -> tuple[ItemsAt, ...]:
+    return tuple(ItemsAt(replica_id, requests) for replica_id, requests in counts.items())
--- a/src/quaymill/process/jobs/room_claims.py
+++ b/src/quaymill/process/jobs/room_claims.py
@@ -22,7 +22,7 @@
 
 
 class KeeperChoice:
-    """Finds who keeps room; used by one thread only.
+    """Finds who keeps room; safe to use from any thread.
 
     Parameters
     ----------
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -10,26 +10,33 @@
 
 from __future__ import annotations
 
+import random
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Iterable
-
-import attrs
+from collections.abc import Callable
 
 from quaymill.connection.peer_link import PeerServer
 from quaymill.connection.room_messages import (
     ClaimRoom,
     ItemsAt,
     OnlineInFlight,
+    OnlinePlaced,
+    PlaceOnline,
     PoolLoads,
-    ReplicaLoad,
     RoomGranted,
     WantedItems,
 )
 from quaymill.process.jobs.engine_loads import EngineLoads, reserve_of
 from quaymill.process.jobs.engine_pool import EnginePool
+from quaymill.process.jobs.pool_counts import (
+    Claim,
+    OnlineCounts,
+    PoolCounts,
+    RunningItems,
+)
 from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.replica_cost import least_costly
 from quaymill.process.replica_set.table import ReplicaTable
 
 CLAIM_LIFETIME_S = 1.0
@@ -43,98 +50,6 @@
 """Free slots by which a replica of the coordinator's zone counts as emptier."""
 
 
-@attrs.define
-class _Running:
-    """Items of a coordinator at a replica, what was granted or cut since its claim included.
-
-    Attributes
-    ----------
-    due_at
-        Monotonic time when they are due.
-    """
-
-    replica_id: str
-    items: int
-    due_at: float
-
-
-@attrs.frozen
-class _Waiting:
-    """Items of a coordinator that wait.
-
-    Attributes
-    ----------
-    due_at
-        Monotonic time when they are due.
-    """
-
-    items: int
-    due_at: float
-
-
-@attrs.frozen
-class _Claim:
-    """What a coordinator said last.
-
-    Attributes
-    ----------
-    at
-        Monotonic time when it came.
-    """
-
-    running: list[_Running]
-    waiting: list[_Waiting]
-    at: float
-
-    @classmethod
-    def from_message(cls, message: ClaimRoom, now: float) -> _Claim:
-        """Note what a claim says, with times on this process's clock."""
-        return cls(
-            [_Running(one.replica_id, one.items, now + one.due_in_s) for one in message.running],
-            [_Waiting(one.items, now + one.due_in_s) for one in message.wanted],
-            now,
-        )
-
-
-@attrs.frozen
-class _Online:
-    """What a gateway said last of its online requests.
-
-    Attributes
-    ----------
-    counts
-        Requests by replica.
-    at
-        Monotonic time when it came.
-    """
-
-    counts: dict[str, int]
-    at: float
-
-
-class _PoolCounts:
-    """Requests at each replica of a pool, counted once for each call of the keeper.
-
-    Attributes
-    ----------
-    online, batch
-        Requests by replica; ``batch`` follows what is granted and cut during the call.
-    """
-
-    def __init__(self, online: Iterable[_Online], claims: Iterable[_Claim]) -> None:
-        self.online: Counter[str] = Counter()
-        self.batch: Counter[str] = Counter()
-        for known in online:
-            self.online.update(known.counts)
-        for claim in claims:
-            for running in claim.running:
-                self.batch[running.replica_id] += running.items
-
-    def at(self, replica: Replica) -> int:
-        """Return all requests at a replica."""
-        return self.online[replica.id] + self.batch[replica.id]
-
-
 OrderBack = Callable[[str, tuple[ItemsAt, ...]], None]
 """Asks a coordinator to cut items at once; called without any lock."""
 
@@ -164,13 +79,15 @@
         self._order_back = order_back
         self._wake = wake
         self._woken_at: dict[str, float] = {}
+        self._random = random.Random()
         self._lock = threading.Lock()
-        self._claims_by_pool: dict[EnginePool, dict[str, _Claim]] = {}
+        self._claims_by_pool: dict[EnginePool, dict[str, Claim]] = {}
         self._owed_by_coordinator: dict[str, Counter[str]] = {}
-        self._online_by_pool: dict[EnginePool, dict[str, _Online]] = {}
+        self._online_by_pool: dict[EnginePool, dict[str, OnlineCounts]] = {}
         if peer_server is not None:
             peer_server.register(ClaimRoom, self.claim)
             peer_server.register(OnlineInFlight, self.note_online)
+            peer_server.register(PlaceOnline, self.place_online)
 
     def claim(self, message: ClaimRoom) -> RoomGranted:
         """Take a claim, and tell what may be started and what is to be given back."""
@@ -194,25 +111,52 @@
     def note_online(self, message: OnlineInFlight) -> PoolLoads:
         """Count online requests, let batch items give way to them, and tell the pool's loads."""
         pool = EnginePool(message.service, message.pool, message.pools)
-        in_flight = {at.replica_id: at.items for at in message.in_flight}
         with self._lock:
-            self._online_by_pool.setdefault(pool, {})[message.gateway] = _Online(
-                in_flight, time.monotonic()
-            )
+            in_flight = self._take_online(pool, message.gateway, message.in_flight)
             replicas = pool.members(self._table)
             counts = self._counts(pool)
             self._share_out_excess(pool, counts, [one for one in replicas if one.id in in_flight])
             orders = self._take_orders()
-            loads = tuple(
-                ReplicaLoad(one.id, counts.online[one.id], counts.batch[one.id]) for one in replicas
-            )
+            loads = counts.loads(replicas)
             to_wake = self._first_to_wake(pool, counts, replicas)
         self._send_orders(orders)
         if to_wake:
             self._wake(to_wake)
         return PoolLoads(loads)
 
-    def _counts(self, pool: EnginePool) -> _PoolCounts:
+    def place_online(self, message: PlaceOnline) -> OnlinePlaced:
+        """Choose the replica of an online request, and let batch items give way to it there.
+
+        The next request is placed by counts that hold this one, whoever asks: gateways that
+        chose by themselves would all take the replica that was least busy a moment ago.
+        """
+        pool = EnginePool(message.service, message.pool, message.pools)
+        with self._lock:
+            in_flight = self._take_online(pool, message.gateway, message.in_flight)
+            replicas = pool.members(self._table)
+            counts = self._counts(pool)
+            allowed = [one for one in replicas if one.id not in message.excluded]
+            sound = [one for one in allowed if not one.avoided] or allowed
+            if not sound:
+                return OnlinePlaced("", counts.loads(replicas))
+            offsets = {offset.replica_id: offset.requests for offset in message.offsets}
+            chosen = least_costly(sound, counts.online_load, message.zone, offsets, self._random)
+            in_flight[chosen.id] += 1
+            counts.online[chosen.id] += 1
+            self._share_out_excess(pool, counts, [chosen])
+            orders = self._take_orders()
+        self._send_orders(orders)
+        return OnlinePlaced(chosen.id, counts.loads(replicas))
+
+    def _take_online(
+        self, pool: EnginePool, gateway: str, in_flight: tuple[ItemsAt, ...]
+    ) -> Counter[str]:
+        """Remember what a gateway has in flight; the lock is held."""
+        counts = Counter({at.replica_id: at.items for at in in_flight})
+        self._online_by_pool.setdefault(pool, {})[gateway] = OnlineCounts(counts, time.monotonic())
+        return counts
+
+    def _counts(self, pool: EnginePool) -> PoolCounts:
         """Count a pool's requests by what gateways told of late, and by the claims."""
         oldest = time.monotonic() - ONLINE_LIFETIME_S
         known = self._online_by_pool.get(pool, {})
@@ -221,9 +165,9 @@
             self._online_by_pool[pool] = online
         else:
             self._online_by_pool.pop(pool, None)
-        return _PoolCounts(online.values(), self._claims_by_pool.get(pool, {}).values())
+        return PoolCounts(online.values(), self._claims_by_pool.get(pool, {}).values())
 
-    def _first_to_wake(self, pool: EnginePool, counts: _PoolCounts, replicas: list[Replica]) -> str:
+    def _first_to_wake(self, pool: EnginePool, counts: PoolCounts, replicas: list[Replica]) -> str:
         """Return who should claim at once: whose items are due first, if there is room."""
         now = time.monotonic()
         claims = self._claims_by_pool.get(pool, {})
@@ -262,7 +206,7 @@
         """Remember a claim, and forget those of coordinators that claim no more."""
         now = time.monotonic()
         claims = self._claims_by_pool.setdefault(pool, {})
-        claims[message.coordinator] = _Claim.from_message(message, now)
+        claims[message.coordinator] = Claim.from_message(message, now)
         for other, known in list(self._claims_by_pool.items()):
             kept = {
                 name: claim for name, claim in known.items() if now - claim.at < CLAIM_LIFETIME_S
@@ -272,7 +216,7 @@
                 del self._claims_by_pool[other]
 
     def _share_out_excess(
-        self, pool: EnginePool, counts: _PoolCounts, replicas: list[Replica]
+        self, pool: EnginePool, counts: PoolCounts, replicas: list[Replica]
     ) -> None:
         """Note what each coordinator owes where requests wait, by the counts or the report."""
         claims = self._claims_by_pool.get(pool, {})
@@ -293,7 +237,7 @@
     def _grant(
         self,
         pool: EnginePool,
-        counts: _PoolCounts,
+        counts: PoolCounts,
         message: ClaimRoom,
         replicas: list[Replica],
     ) -> Counter[str]:
@@ -310,7 +254,7 @@
                 if replica is None:
                     break
                 self._loads.started(replica, wanted.tokens)
-                claim.running.append(_Running(replica.id, 1, due_at))
+                claim.running.append(RunningItems(replica.id, 1, due_at))
                 counts.batch[replica.id] += 1
                 starts[replica.id] += 1
         return starts
@@ -335,7 +279,7 @@
         return -(-max(0, free - earlier) // (1 + alike))
 
     def _emptiest(
-        self, counts: _PoolCounts, zone: str, replicas: list[Replica], wanted: WantedItems
+        self, counts: PoolCounts, zone: str, replicas: list[Replica], wanted: WantedItems
     ) -> Replica | None:
         best: Replica | None = None
         best_room = 0.0
@@ -347,7 +291,7 @@
                 best, best_room = replica, room
         return best
 
-    def _room(self, counts: _PoolCounts, replica: Replica, wanted: WantedItems) -> int:
+    def _room(self, counts: PoolCounts, replica: Replica, wanted: WantedItems) -> int:
         """Return the items that may be started at a replica, by the counts and its report."""
         counted = replica.slots - reserve_of(replica, wanted.reserve_share) - counts.at(replica)
         if counted <= 0:
@@ -355,12 +299,14 @@
         return min(counted, self._loads.room(replica, wanted.tokens))
 
 
-def _has_room(counts: _PoolCounts, replica: Replica) -> bool:
+def _has_room(counts: PoolCounts, replica: Replica) -> bool:
     taken = counts.at(replica) + reserve_of(replica, 0.0)
     return taken < replica.slots and not replica.avoided
 
 
-def _least_urgent_first(claims: dict[str, _Claim], replica: Replica) -> list[tuple[str, _Running]]:
+def _least_urgent_first(
+    claims: dict[str, Claim], replica: Replica
+) -> list[tuple[str, RunningItems]]:
     """Return what runs at a replica, with its coordinators' names, in the order of giving way."""
     found = [
         (name, running)
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -62,6 +62,10 @@
             "service_s: how long the service has served a request of late",
         ),
     ),
+    "request:not_placed": LogEvent(
+        "the keeper of room did not say in time where a request should go; the gateway chooses",
+        ("service", "keeper: the gateway that was asked"),
+    ),
     "request:ended": LogEvent(
         "a request was answered or given up",
         (
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -184,7 +184,7 @@
         view = self._pool_view
         if self.has_pool_view:
             own = self.in_flight - self.items_in_flight
-            return own + view.online_elsewhere + BATCH_ITEM_LOAD * view.batch
+            return online_load(own + view.online_elsewhere, view.batch)
         age_s = time.monotonic() - self._reported_at
         return self.in_flight + self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
 
@@ -277,3 +277,8 @@
     def _present_penalty(self) -> float:
         age_s = time.monotonic() - self._penalty_at
         return self._penalty * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
+
+def online_load(online: int, batch: int) -> float:
+    """Return how many requests a replica's work counts as for an online request."""
+    return online + BATCH_ITEM_LOAD * batch
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -3,33 +3,58 @@
 Among the replicas that may take work the one with the least estimated load is taken, with
 two corrections: a replica of another zone counts as a little busier, and one that is likely
 to hold a large shared part of the prompt counts as less busy by what reading it would cost.
+What is known of the load here is older than a peak of requests takes to build up, so who keeps
+room for the replica's pool is asked first, and its choice goes before that made here.
 """
 
 from __future__ import annotations
 
 import random
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 
+import attrs
 import xxhash
 
 from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.replica_cost import least_costly
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.prompt import NO_PROMPT, Prompt
 from quaymill.request.replica_choice import NoReplica
 from quaymill.version.request_routes import RequestRoute, WeightedService
 
-OTHER_ZONE_LOAD = 0.75
-"""Requests by which a replica of another zone counts as busier."""
 AFFINITY_MIN_TOKENS = 1000
 AFFINITY_TOKENS_PER_REQUEST = 2000.0
 """Shared tokens that are worth as much as one request less at the replica."""
 SECOND_HOME_SHARE = 0.5
 PENALTY_LOAD = 2.0
+"""Requests that one failure just now counts for: two thirds of what ejects a replica."""
+MIN_OFFSET = 0.1
+"""Requests; less does not change a choice, and is not worth being told."""
 LAST_RESORT_DEPARTED_S = 0.5
 """With the time until a departure is read, this stays below what a leaving replica allows."""
 
 
+@attrs.frozen
+class PlacementWishes:
+    """What a gateway wants its request's place to be chosen by.
+
+    Attributes
+    ----------
+    excluded
+        Replicas that have been tried, or fail for this gateway.
+    offsets
+        Requests that are added to the load, by replica.
+    """
+
+    excluded: frozenset[str]
+    offsets: Mapping[str, float]
+
+
+PlaceCall = Callable[[Replica, PlacementWishes], Replica | None]
+"""Asks who keeps room for a replica's pool for a place in that pool; ``None`` if it cannot tell."""
+
+
 class Router:
     """Chooses among the replicas in a table.
 
@@ -37,11 +62,20 @@
     ----------
     zone
         Where this process runs.
+    place
+        Whom to ask for a better choice than can be made here.
     """
 
-    def __init__(self, table: ReplicaTable, zone: str, seed: str) -> None:
+    def __init__(
+        self,
+        table: ReplicaTable,
+        zone: str,
+        seed: str,
+        place: PlaceCall = lambda replica, wishes: None,
+    ) -> None:
         self._table = table
         self._zone = zone
+        self._place = place
         self._random = random.Random(seed)
         self._served: dict[tuple[str, tuple[WeightedService, ...]], dict[str, int]] = {}
 
@@ -78,23 +112,26 @@
         if not candidates:
             return NoReplica(service, "no replica of the service is listed and untried")
         sound = [replica for replica in candidates if not replica.avoided]
-        return self._least_costly(sound or candidates, prompt)
-
-    def _least_costly(self, candidates: list[Replica], prompt: Prompt) -> Replica:
+        if not sound:
+            return self._least_costly(candidates, self._offsets(candidates, prompt))
+        offsets = self._offsets(sound, prompt)
+        first = self._least_costly(sound, offsets)
+        unsound = {replica.id for replica in candidates} - {replica.id for replica in sound}
+        wishes = PlacementWishes(frozenset(excluded) | unsound, offsets)
+        placed = self._place(first, wishes)
+        return placed if placed is not None and not placed.leaving else first
+
+    def _least_costly(self, candidates: list[Replica], offsets: Mapping[str, float]) -> Replica:
+        return least_costly(candidates, Replica.load, self._zone, offsets, self._random)
+
+    def _offsets(self, candidates: list[Replica], prompt: Prompt) -> dict[str, float]:
+        """Return what recent failures and kept parts of the prompt add to the loads."""
         homes = self._homes(candidates, prompt)
-        return min(
-            candidates,
-            key=lambda replica: (
-                self._cost(replica) - homes.get(replica.id, 0.0),
-                self._random.random(),
-            ),
-        )
-
-    def _cost(self, replica: Replica) -> float:
-        load = replica.load() + PENALTY_LOAD * replica.penalty
-        if replica.entry.zone != self._zone:
-            load += OTHER_ZONE_LOAD
-        return load
+        offsets = {
+            replica.id: PENALTY_LOAD * replica.penalty - homes.get(replica.id, 0.0)
+            for replica in candidates
+        }
+        return {name: offset for name, offset in offsets.items() if abs(offset) >= MIN_OFFSET}
 
     def _homes(self, candidates: list[Replica], prompt: Prompt) -> dict[str, float]:
         """Return the bonus of the replicas that a large shared part of the prompt hashes to."""
--- a/tests/test_job_room.py
+++ b/tests/test_job_room.py
@@ -17,7 +17,10 @@
 from quaymill.connection.room_messages import (
     ClaimRoom,
     ItemsAt,
+    LoadOffset,
     OnlineInFlight,
+    OnlinePlaced,
+    PlaceOnline,
     PoolLoads,
     RoomGranted,
     RunningAt,
@@ -28,18 +31,20 @@
 from quaymill.process.jobs.coordinated_job import CoordinatedJob
 from quaymill.process.jobs.engine_pool import pools_of
 from quaymill.process.jobs.item_urgency import HOPELESS_DUE_S, RunPace, time_left_s
-from quaymill.process.jobs.online_notices import OnlineNotices
-from quaymill.process.jobs.room_claims import AVOID_KEEPER_S, RoomClaims
+from quaymill.process.jobs.online_notices import PLACE_PAUSE_S, OnlineNotices
+from quaymill.process.jobs.room_claims import AVOID_KEEPER_S, KeeperChoice, RoomClaims
 from quaymill.process.jobs.room_keeper import (
     CLAIM_LIFETIME_S,
     ONLINE_LIFETIME_S,
     WAKE_INTERVAL_S,
     RoomKeeper,
 )
+from quaymill.process.replica_set.router import PlacementWishes
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.version.request_routes import RequestRoute, RouteKind, WeightedService
 
 SERVICE = "engine"
+NO_WISHES = PlacementWishes(frozenset(), {})
 EVERY_ITEM = WantedItems(reserve_share=0.0, items=100, tokens=10)
 
 
@@ -203,6 +208,40 @@
         self.assertEqual((4, 0), (loads["x1"].online, loads["x1"].batch))
         self.assertEqual((0, 2), (loads["y1"].online, loads["y1"].batch))
 
+    def place(self, keeper: RoomKeeper, gateway: str, **fields) -> OnlinePlaced:
+        return keeper.place_online(PlaceOnline(gateway, "x", SERVICE, **fields))
+
+    def test_requests_of_many_gateways_are_placed_evenly(self) -> None:
+        keeper = self.keeper(x1=0, x2=0, x3=0)
+        placed = Counter(self.place(keeper, f"g{n}", in_flight=()).replica_id for n in range(9))
+        self.assertEqual({"x1": 3, "x2": 3, "x3": 3}, placed)
+
+    def test_a_placed_request_counts_until_its_gateway_tells_again(self) -> None:
+        keeper = self.keeper(x1=0)
+        placed = self.place(keeper, "g", in_flight=(ItemsAt("x1", 2),))
+        self.assertEqual([3], [one.online for one in placed.loads])
+        self.assertEqual([3], [one.online for one in self.tell(keeper, "h").loads])
+        self.assertEqual([1], [one.online for one in self.tell(keeper, "g", x1=1).loads])
+
+    @params(
+        ("less busy", {"in_flight": (ItemsAt("x1", 1),)}, "x2"),
+        ("own zone", {"in_flight": ()}, "x1 x2"),
+        ("busy zone", {"in_flight": (ItemsAt("x1", 1), ItemsAt("x2", 1))}, "y1"),
+        ("tried", {"in_flight": (), "excluded": ("x1", "y1")}, "x2"),
+        ("kept prompt", {"in_flight": (), "offsets": (LoadOffset("y1", -1.0),)}, "y1"),
+        ("has failed", {"in_flight": (), "offsets": (LoadOffset("x1", 1.0),)}, "x2"),
+        ("all tried", {"in_flight": (), "excluded": ("x1", "x2", "y1")}, ""),
+    )
+    def test_where_a_request_is_placed(self, _name, fields, expected) -> None:
+        placed = self.place(self.keeper(x1=0, x2=0, y1=0), "g", **fields)
+        self.assertIn(placed.replica_id, expected.split() or [""])
+
+    def test_batch_items_give_way_to_a_placed_request(self) -> None:
+        keeper = self.keeper(x1=0)
+        keeper.claim(claim("a", running=[("x1", 7)]))
+        self.place(keeper, "g", in_flight=(ItemsAt("x1", 1),))
+        self.assertEqual([("a", {"x1": 1})], self.orders)
+
     def test_word_of_a_gateway_that_is_gone_lapses(self) -> None:
         keeper = self.keeper(x1=0)
         self.tell(keeper, "g", x1=3)
@@ -227,11 +266,12 @@
         own = member("me", 1)
         self.notices = OnlineNotices(
             "me",
+            "x",
             self.room._table,
             self.room,
             mock.Mock(),
             lambda: (own,),
-            lambda service: service in self.batch_services,
+            lambda: self.batch_services,
         )
 
     def tell(self) -> dict[str, int]:
@@ -253,6 +293,30 @@
         self.assertEqual({}, self.tell())
         self.assertIsNone(self.notices._due())
 
+    def test_a_placed_request_is_told_with_the_next_notice_only(self) -> None:
+        first = self.room._table.get("x1")
+        chosen = self.notices.place(first, NO_WISHES)
+        self.notices.began(chosen)
+        self.assertFalse(self.notices._news.is_set())
+        self.assertEqual({chosen.id: 1}, self.tell())
+        self.notices.began(chosen)
+        self.assertTrue(self.notices._news.is_set())
+
+    def test_no_place_is_asked_for_where_there_is_no_batch_work(self) -> None:
+        self.batch_services.clear()
+        self.assertIsNone(self.notices.place(self.room._table.get("x1"), NO_WISHES))
+
+    def test_a_keeper_that_is_silent_is_not_asked_again_at_once(self) -> None:
+        other = member("other", 2)
+        self.notices._keepers = KeeperChoice(lambda: (other,))
+        self.notices._client.call.return_value = PeerNoReply(other.peer, "silent")
+        for _ in range(2):
+            self.assertIsNone(self.notices.place(self.room._table.get("x1"), NO_WISHES))
+        self.assertEqual(1, self.notices._client.call.call_count)
+        self.now += PLACE_PAUSE_S
+        self.assertIsNone(self.notices.place(self.room._table.get("x1"), NO_WISHES))
+        self.assertEqual(2, self.notices._client.call.call_count)
+
     def test_a_service_that_loses_its_batch_routes_leaves_no_count_behind(self) -> None:
         replica = self.room._table.get("x1")
         self.notices.began(replica)
