--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -132,7 +132,11 @@
         exchange.abandon()
         return _error_outcome(head.status)
     replica.record_success(time.monotonic() - began)
-    return _read_events(item, replica, exchange, head.keep_s)
+    replica.begin_answer()
+    try:
+        return _read_events(item, replica, exchange, head.keep_s)
+    finally:
+        replica.end_answer()
 
 
 def _error_outcome(status: int) -> ItemOutcome:
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -29,6 +29,11 @@
 MIN_WARNINGS = 2
 SILENCE_FACTOR = 6.0
 """Silence, in usual times to the first byte, from which on a replica counts as silent."""
+QUEUED_SILENCE_S = 2.0
+"""The same where all requests from here may still wait for a slot: as long as a stream waits for
+its first event before another replica is tried."""
+REPORT_SHOWS_QUEUE_S = 1.0
+"""How long a replica's own word that its slots are taken counts: a few requests' service times."""
 
 
 @attrs.frozen
@@ -86,6 +91,7 @@
         self.id_hash = xxhash.xxh3_64_intdigest(entry.id.encode())
         self.in_flight = 0
         self.items_in_flight = 0
+        self._answering = 0
         self.departed_at: float | None = None
         self.misdirected = False
         self._lock = threading.Lock()
@@ -127,17 +133,42 @@
         """Note that something came from the replica, whatever it was."""
         self._quiet_since = time.monotonic()
 
+    def begin_answer(self) -> None:
+        """Count a request whose answer has begun to come."""
+        self.hear()
+        with self._lock:
+            self._answering += 1
+
+    def end_answer(self) -> None:
+        """Stop counting a request whose answer had begun."""
+        with self._lock:
+            self._answering -= 1
+
     @property
     def silent(self) -> bool:
         """Whether the replica owes this process answers and nothing at all comes.
 
         One that is dark or frozen ceases to send on all connections at once, which shows long
-        before any single request has waited for long.
+        before any single request has waited for long. Where no answer has begun and the slots
+        are taken, the requests from here wait for a slot, and say nothing of the replica.
         """
         if not self.in_flight:
             return False
-        usual_s = SILENCE_FACTOR * self._first_byte_s
-        return time.monotonic() - self._quiet_since > max(LEAST_SILENCE_S, usual_s)
+        quiet_s = time.monotonic() - self._quiet_since
+        if quiet_s <= max(LEAST_SILENCE_S, SILENCE_FACTOR * self._first_byte_s):
+            return False
+        return self._answering > 0 or quiet_s > QUEUED_SILENCE_S or not self._is_full()
+
+    def _is_full(self) -> bool:
+        """Return whether all slots are taken, as far as is known here."""
+        view = self._pool_view
+        if self.has_pool_view:
+            own = self.in_flight - self.items_in_flight
+            return own + view.online_elsewhere + view.batch >= self.slots
+        reported, at = self.reported()
+        if reported is None or time.monotonic() - at > REPORT_SHOWS_QUEUE_S:
+            return False
+        return reported.running + reported.waiting >= self.slots
 
     def end(self) -> None:
         """Stop counting a request."""
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -226,6 +226,15 @@
         broken = self._wait_for_answer(exchange, replica, began)
         if broken is not None:
             return broken
+        replica.begin_answer()
+        try:
+            return self._read_answer(exchange, replica, began)
+        finally:
+            replica.end_answer()
+
+    def _read_answer(
+        self, exchange: Exchange, replica: ChosenReplica, began: float
+    ) -> AttemptResult:
         failure = exchange.read_head(max(0.05, self._request.deadline.remaining_s()))
         if failure is not None:
             return Broken(failure.reason)
@@ -243,7 +252,6 @@
         until = time.monotonic() + patience_s
         while (left_s := until - time.monotonic()) > 0:
             if exchange.wait_readable(min(left_s, SILENCE_CHECK_S)):
-                replica.hear()
                 return None
             if may_try_another and replica.silent and time.monotonic() - began > SILENCE_PATIENCE_S:
                 break
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -46,6 +46,12 @@
     def hear(self) -> None:
         """Note that something came from the replica."""
 
+    def begin_answer(self) -> None:
+        """Count a request whose answer has begun to come."""
+
+    def end_answer(self) -> None:
+        """Stop counting a request whose answer had begun."""
+
     def begin(self) -> None:
         """Count a request that is being sent."""
 
--- a/tests/test_replica_warnings.py
+++ b/tests/test_replica_warnings.py
@@ -9,11 +9,15 @@
 
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member
-from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad
 from quaymill.connection.replica_warnings import WarnOfReplicas
 from quaymill.process.replica_set import replica as replica_module
 from quaymill.process.replica_set import warnings as warnings_module
-from quaymill.process.replica_set.replica import EJECTION_PENALTY, WARNING_LIFETIME_S
+from quaymill.process.replica_set.replica import (
+    EJECTION_PENALTY,
+    QUEUED_SILENCE_S,
+    WARNING_LIFETIME_S,
+)
 from quaymill.process.replica_set.router import Router
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.process.replica_set.warnings import REPEAT_AFTER_S, ReplicaWarnings
@@ -40,6 +44,50 @@
         self.first = self.table.get("r0")
 
 
+class SilenceTest(WarningsCase):
+    """When a replica that sends nothing counts as silent; it has 8 slots."""
+
+    def full(self) -> None:
+        self.first.take_pool_view(online_elsewhere=3, batch=4)
+
+    def some_free(self) -> None:
+        self.first.take_pool_view(online_elsewhere=3, batch=3)
+
+    def told_full(self) -> None:
+        self.first.take_report(ReportedLoad(running=8, waiting=0, slots=8))
+
+    def unknown(self) -> None:
+        pass
+
+    @params(
+        ("a stream has begun", "full", True, 0.55, True),
+        ("for a moment", "full", True, 0.45, False),
+        ("waits for a slot", "full", False, 0.55, False),
+        ("waits though one is free", "some_free", False, 0.55, True),
+        ("waits behind what the replica told", "told_full", False, 0.55, False),
+        ("nothing is known of its slots", "unknown", False, 0.55, True),
+        ("waits for very long", "full", False, QUEUED_SILENCE_S + 0.1, True),
+    )
+    def test_silent_after(self, _, slots, answer_begun, quiet_s, silent) -> None:
+        self.first.begin()
+        if answer_begun:
+            self.first.begin_answer()
+            self.first.begin()
+        self.now += quiet_s
+        getattr(self, slots)()
+        self.assertEqual(silent, self.first.silent)
+
+    def test_ended_answers_leave_those_that_wait(self) -> None:
+        self.first.begin()
+        self.first.begin_answer()
+        self.first.begin()
+        self.first.end_answer()
+        self.first.end()
+        self.now += 0.55
+        self.full()
+        self.assertFalse(self.first.silent)
+
+
 class TakenWarningsTest(WarningsCase):
     """What warnings of others do to a replica."""
 
