A storage node that has just started does not hold up jobs of processes that have ended

The storage node that acts knew that the coordinators had ended, but asked the others first; those that never had the job answered with the term that counts after a start (2.5 s). Change: the question names for each job the process that has ended, and only a renewal by another one counts against that. Tests: test_job_leases (new cases fail before); test_job_progress asks the same of the renamed field.

--- a/src/quaymill/connection/job_storage_messages.py
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -360,12 +360,12 @@
 
     Attributes
     ----------
-    dead_coordinators
-        Processes known to have ended: their leases do not count.
+    ended_holders
+        For each job the process that had it, if that is known to have ended; else empty.
     """
 
     job_ids: tuple[str, ...]
-    dead_coordinators: tuple[str, ...] = ()
+    ended_holders: tuple[str, ...]
 
 
 class Leases(PeerMessage, frozen=True):
--- a/src/quaymill/process/job_storage/leases.py
+++ b/src/quaymill/process/job_storage/leases.py
@@ -71,7 +71,16 @@
         """Return when a lease was renewed last (monotonic); 0 if it was not since the start."""
         return self._renewed_at_by_job.get(job_id, 0.0)
 
-    def left_s(self, job_id: str) -> float:
-        """Return the time left, in seconds; 0 if there is none."""
+    def left_s(self, job_id: str, ended_holder: str = "") -> float:
+        """Return the time left, in seconds; 0 if there is none.
+
+        Parameters
+        ----------
+        ended_holder
+            Process that had the lease and is known to have ended. Its lease does not count, nor
+            does the term after a start, which only waits for it to renew.
+        """
+        if ended_holder and self.holder(job_id) in ("", ended_holder):
+            return 0.0
         expires = self._expires_by_job.get(job_id, self._first_expiry)
         return max(0.0, expires - time.monotonic())
--- a/src/quaymill/process/job_storage/orphans.py
+++ b/src/quaymill/process/job_storage/orphans.py
@@ -124,13 +124,13 @@
         if not orphans:
             return []
         job_ids = tuple(record.id for record in orphans)
-        dead = tuple({self._holder(record) for record in orphans if self._has_ended(record)})
+        ended = tuple(self._holder(record) if self._has_ended(record) else "" for record in orphans)
         others: set[str] = set()
         for member in self._storage_nodes():
             if member.name == self._name:
                 continue
             reply = self._peer_client.call(
-                member.peer, FetchLeases(job_ids, dead), LeasesMessage, ASK_TIMEOUT_S
+                member.peer, FetchLeases(job_ids, ended), LeasesMessage, ASK_TIMEOUT_S
             )
             if isinstance(reply, LeasesMessage):
                 for job_id, left_s in zip(job_ids, reply.left_s, strict=True):
--- a/src/quaymill/process/job_storage/service.py
+++ b/src/quaymill/process/job_storage/service.py
@@ -184,18 +184,8 @@
         return ResultKeys(self._database.result_keys(message.job_id))
 
     def _fetch_leases(self, message: FetchLeases) -> Leases:
-        dead = message.dead_coordinators
-        return Leases(
-            tuple(
-                0.0 if self._holder(job_id) in dead else self._leases.left_s(job_id)
-                for job_id in message.job_ids
-            )
-        )
-
-    def _holder(self, job_id: str) -> str:
-        """Return who runs a job by what is known here; empty if the job is not."""
-        record = self._database.by_id.get(job_id)
-        return self._leases.holder(job_id) or ("" if record is None else record.coordinator)
+        asked = zip(message.job_ids, message.ended_holders, strict=True)
+        return Leases(tuple(self._leases.left_s(job_id, ended) for job_id, ended in asked))
 
 
 class Retention:
--- a/tests/test_job_leases.py
+++ b/tests/test_job_leases.py
@@ -46,3 +46,12 @@
         self.assertGreater(self.leases.left_s("job"), 0.0)
         self.leases.release("job", "a")
         self.assertEqual(0.0, self.leases.left_s("job"))
+
+    def test_a_process_known_to_have_ended_is_not_waited_for_after_a_start(self) -> None:
+        """Nodes that never had the job answer alike: else one of them holds its adoption up."""
+        self.assertEqual(0.0, self.leases.left_s("job", ended_holder="a"))
+
+    def test_a_process_known_to_have_ended_does_not_hide_a_newer_holder(self) -> None:
+        self.leases.renew(["job"], "b")
+        self.assertEqual(LEASE_S, self.leases.left_s("job", ended_holder="a"))
+        self.assertEqual(0.0, self.leases.left_s("job", ended_holder="b"))
--- a/tests/test_job_progress.py
+++ b/tests/test_job_progress.py
@@ -231,7 +231,7 @@
         self.replaced.add("g#1")
         self.assertFalse(self.check_after(0.1))
         self.assertTrue(self.check_after(REPLACED_FOR_S + 0.05))
-        self.assertEqual(("g#1",), self.peers.asked[0].dead_coordinators)
+        self.assertEqual(("g#1",), self.peers.asked[0].ended_holders)
         self.assertEqual((part(0, "ab"),), self.peers.adopted[0].progress)
         self.assertEqual("g#2", self.leases.holder(JOB))
         self.assertEqual("g#2", self.open().by_id[JOB].coordinator)
