After a start the backlog waits at the gateways too, and a fresh request passes it at once

A request that came while late ones were held waited for the next look (up to 0.25 s), though it might go first. Change: until an answer is measured, a service time of twice the objective is assumed; whoever is queued is looked at right away. Tests: test_online_queue, two cases that fail before.

--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -30,6 +30,10 @@
 """A fresh caller's patience among all: retries have less, and few callers have more."""
 SERVICE_TIME_WEIGHT = 0.05
 """Weight of the newest request in the average: about twenty requests decide."""
+UNKNOWN_SERVICE_OBJECTIVES = 2.0
+"""Service time, in objectives of the route, while none has been measured: what streams took at
+full engines (0.5 to 0.8 s, docs/POLICIES.md) by their objective (0.3 s). The first answer replaces
+it; without it a gateway that starts after an outage lets the whole backlog go to the engines."""
 LAST_CALL_FACTOR = 2.0
 """A request is let go at the latest when this many usual service times are left of its time."""
 LAST_CALL_MARGIN_S = 0.5
@@ -66,8 +70,14 @@
     def __init__(self) -> None:
         self.held: list[_Held] = []
         self.service_s = 0.0
+        self.assumed_service_s = 0.0
         self.first_byte_s = 0.0
 
+    @property
+    def usual_service_s(self) -> float:
+        """How long a request is served: measured, or assumed before the first answer."""
+        return self.service_s or self.assumed_service_s
+
 
 class OnlineQueue:
     """The queues of one gateway; safe to use from any thread.
@@ -97,10 +107,14 @@
         now = time.monotonic()
         with self._lock:
             queue = self._by_service.setdefault(service, _ServiceQueue())
+            if not queue.service_s:
+                queue.assumed_service_s = UNKNOWN_SERVICE_OBJECTIVES * route.objective_s
             held = self._enter(queue, route, request, now)
             if not queue.held and self._may_go(service, queue, held, now, 0):
                 return
             queue.held.append(held)
+            # It may go before those that are held: they may all be late already.
+            self._release(service, queue, now)
         presence.attach(held.released.set)
         try:
             while not held.released.wait(HELD_CHECK_S) and not presence.gone:
@@ -119,7 +133,7 @@
                 held_s=round(held_s, 3),
                 late=time.monotonic() > held.aim_at,
                 waiting=len(queue.held),
-                service_s=round(queue.service_s, 3),
+                service_s=round(queue.usual_service_s, 3),
             )
 
     def record(self, service: str, took_s: float, first_byte_s: float) -> None:
@@ -153,7 +167,7 @@
         self, service: str, queue: _ServiceQueue, held: _Held, now: float, going: int
     ) -> bool:
         """Return whether a request may go, with ``going`` others let go just now."""
-        if now >= held.last_call_at or not queue.service_s:
+        if now >= held.last_call_at:
             return True
         best = self._least_loaded(service)
         if best is None:
@@ -161,7 +175,7 @@
         load = best.load() + going
         if load < best.slots:
             return True
-        wait_s = (load - best.slots + 1) / best.slots * queue.service_s
+        wait_s = (load - best.slots + 1) / best.slots * queue.usual_service_s
         return now + wait_s + queue.first_byte_s <= held.aim_at
 
     def _least_loaded(self, service: str) -> Replica | None:
@@ -190,7 +204,7 @@
         if len(samples) >= MIN_PATIENCE_SAMPLES:
             fresh_s = sorted(samples)[int(FRESH_QUANTILE * (len(samples) - 1))]
             age_s = max(0.0, fresh_s - left_s)
-        needs_s = LAST_CALL_FACTOR * queue.service_s + LAST_CALL_MARGIN_S
+        needs_s = LAST_CALL_FACTOR * queue.usual_service_s + LAST_CALL_MARGIN_S
         return _Held(now, now + route.objective_s - age_s, now + left_s - needs_s)
 
 
--- a/tests/test_online_queue.py
+++ b/tests/test_online_queue.py
@@ -5,11 +5,13 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.process.replica_set import online_queue as online_queue_module
 from quaymill.process.replica_set.online_queue import MIN_PATIENCE_SAMPLES, OnlineQueue
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.deadline import Deadline
@@ -134,6 +136,30 @@
         self.online = SLOTS - 1
         self.wait_gone(2)
 
+    def test_late_requests_wait_also_before_any_has_been_served(self) -> None:
+        """After an outage of everything a backlog comes before the first answer."""
+        self.queue = OnlineQueue(self.table)
+        self.know_patience()
+        self.keep_loaded(SLOTS)
+        self.send("late", age_s=3.0)
+        self.wait_held(1)
+        self.send("fresh")
+        self.wait_gone(1)
+        self.assertEqual(["fresh"], self.gone)
+
+    def test_a_fresh_request_passes_late_ones_at_once(self) -> None:
+        self.know_patience()
+        self.load(SLOTS)
+        self.send("late", age_s=3.0)
+        self.wait_held(1)
+        with mock.patch.object(online_queue_module, "HELD_CHECK_S", WAIT_S):
+            self.load(SLOTS)
+            began = time.monotonic()
+            self.send("fresh")
+            self.wait_gone(1)
+        self.assertEqual(["fresh"], self.gone)
+        self.assertLess(time.monotonic() - began, WAIT_S / 2)
+
     def test_nothing_is_held_until_its_caller_gives_up(self) -> None:
         self.know_patience()
         self.keep_loaded(10 * SLOTS)
