--- a/src/quaymill/process/job_storage/leases.py
+++ b/src/quaymill/process/job_storage/leases.py
@@ -63,9 +63,9 @@
             self._holder_by_job.pop(job_id, None)
             self._renewed_at_by_job.pop(job_id, None)
 
-    def holder(self, job_id: str) -> str:
-        """Return who renewed last; empty if nobody did since the start."""
-        return self._holder_by_job.get(job_id, "")
+    def holder(self, job_id: str, recorded: str = "") -> str:
+        """Return who renewed last; ``recorded`` if nobody did since the start."""
+        return self._holder_by_job.get(job_id, recorded)
 
     def renewed_at(self, job_id: str) -> float:
         """Return when a lease was renewed last (monotonic); 0 if it was not since the start."""
--- a/src/quaymill/process/job_storage/orphans.py
+++ b/src/quaymill/process/job_storage/orphans.py
@@ -92,7 +92,7 @@
             self._give_away(record)
 
     def _holder(self, record: JobRecord) -> str:
-        return self._leases.holder(record.id) or record.coordinator
+        return self._leases.holder(record.id, record.coordinator)
 
     def _note_replaced(self, coordinators: set[str]) -> None:
         """Note since when each coordinator's node has been seen with another process."""
@@ -152,7 +152,7 @@
                 "job:given_away",
                 job=record.id,
                 gateway=member.name,
-                before=self._leases.holder(record.id) or record.coordinator,
+                before=self._holder(record),
                 outcome=type(reply).__name__,
             )
             if isinstance(reply, JobAdopted):
--- a/src/quaymill/process/job_storage/service.py
+++ b/src/quaymill/process/job_storage/service.py
@@ -98,7 +98,7 @@
                 items=record.total,
                 coordinator=message.coordinator,
             )
-        holder = self._leases.holder(message.job.id) or record.coordinator
+        holder = self._leases.holder(message.job.id, record.coordinator)
         return JobStored(holder, record.ended)
 
     def _store_results(self, message: StoreResults) -> PeerMessage:
@@ -121,7 +121,7 @@
         if record is None:
             return JobUnknown()
         job = self._database.job(message.job_id) if message.whole else None
-        coordinator = self._leases.holder(message.job_id) or record.coordinator
+        coordinator = self._leases.holder(message.job_id, record.coordinator)
         return JobFound(coordinator, record.ended, record.total, job)
 
     def _fetch_body(self, message: FetchBody) -> FetchedBody | JobUnknown:
@@ -173,7 +173,7 @@
                     record.results_digest,
                     record.ended,
                     record.complete,
-                    self._leases.holder(record.id) or record.coordinator,
+                    self._leases.holder(record.id, record.coordinator),
                     round(self._leases.left_s(record.id), 3),
                 )
                 for record in records
