The end of a placed request is told to the keeper

A gateway whose requests were all placed by the keeper had never sent a notice with counts, so that the end of its last one was not told either: the keeper counted it until the gateway's word lapsed (1 s), and kept a slot from batch items. A place that turns out unusable was counted likewise. Change: what a placement tells counts as told; a place that cannot be used is corrected with the next notice. Tests: test_job_room, two cases that fail before.

--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -130,13 +130,19 @@
             with self._lock:
                 self._changed = True
             return None
+        if placed.replica_id:
+            counts[placed.replica_id] = counts.get(placed.replica_id, 0) + 1
+        self._told_by_pool[pool] = counts
+        self._take_loads(placed.loads, counts)
         chosen = self._table.get(placed.replica_id)
-        if chosen is not None:
-            counts[chosen.id] = counts.get(chosen.id, 0) + 1
-            with self._lock:
+        usable = chosen is not None and not chosen.leaving
+        with self._lock:
+            if usable:
                 self._placed[chosen.id] += 1
-        self._take_loads(placed.loads, counts)
-        return chosen
+            else:
+                # The keeper counts a request that goes elsewhere: the next notice corrects it.
+                self._changed = True
+        return chosen if usable else None
 
     def _call_to_place(
         self, pool: EnginePool, counts: dict[str, int], wishes: PlacementWishes
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -118,8 +118,7 @@
         first = self._least_costly(sound, offsets)
         unsound = {replica.id for replica in candidates} - {replica.id for replica in sound}
         wishes = PlacementWishes(frozenset(excluded) | unsound, offsets)
-        placed = self._place(first, wishes)
-        return placed if placed is not None and not placed.leaving else first
+        return self._place(first, wishes) or first
 
     def _least_costly(self, candidates: list[Replica], offsets: Mapping[str, float]) -> Replica:
         return least_costly(candidates, Replica.load, self._zone, offsets, self._random)
--- a/tests/test_job_room.py
+++ b/tests/test_job_room.py
@@ -302,6 +302,18 @@
         self.notices.began(chosen)
         self.assertTrue(self.notices._news.is_set())
 
+    def test_the_end_of_a_placed_request_is_told(self) -> None:
+        """Else the keeper counts it until its gateway's word lapses, and keeps the slot free."""
+        chosen = self.notices.place(self.room._table.get("x1"), NO_WISHES)
+        self.notices.began(chosen)
+        self.notices.ended(chosen)
+        self.assertEqual({}, self.tell())
+
+    def test_a_place_that_cannot_be_used_is_taken_back(self) -> None:
+        with mock.patch.object(self.room._table, "get", return_value=None):
+            self.assertIsNone(self.notices.place(self.room._table.replicas()[0], NO_WISHES))
+        self.assertEqual({}, self.tell())
+
     def test_no_place_is_asked_for_where_there_is_no_batch_work(self) -> None:
         self.batch_services.clear()
         self.assertIsNone(self.notices.place(self.room._table.get("x1"), NO_WISHES))
