--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -40,8 +40,8 @@
 NOTICE_TIMEOUT_S = 0.2
 """Later than this the engine's own report has told the keeper."""
 PLACE_TIMEOUT_S = 0.05
-"""A tenth of a peak's rise, and a sixth of the shortest objective of a stream that was met; a
-keeper answers within 2 to 5 ms (docs/POLICIES.md)."""
+"""A sixth of the shortest objective of a stream on the deployments measured (0.3 s): a request
+that has waited so long for the keeper is better placed by its own gateway."""
 PLACE_PAUSE_S = 0.25
 """How long this gateway chooses by itself after a keeper did not answer in time: by then a
 notice has told whether it lives, and who is next in rank."""
