A line for each position told to be empty: by whom, from which order, how old

Cause: the incident's logs could not tell the three hypotheses apart: an empty page left no line, nor did a read that went past its coordinator, nor the time an append waited for its answer. Change: job:read_empty (at the gateway asked), job:order_told (at the coordinator: positions, revision, age of the order), job:coordinator_unsure (why the order was read from the store), took_s in job:listed and job:listing_unknown. The first two are ordinary lines, which give way first under the bound of lines a second. No change of logic.

--- a/src/quaymill/connection/job_storage_messages.py
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -294,7 +294,9 @@
 
 
 class NotCoordinator(PeerMessage, frozen=True):
-    """The gateway does not run the job."""
+    """The gateway does not run the job, or cannot tell the results now."""
+
+    reason: str = ""
 
 
 class StopJob(PeerMessage, frozen=True):
--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -251,6 +251,10 @@
         """Return whether the order held here is known to be the newest."""
         return self.complete or time.monotonic() - self._order_confirmed_at < ORDER_TERM_S
 
+    def order_age_s(self) -> float:
+        """Return how long ago the order held here was last known to be the newest."""
+        return time.monotonic() - self._order_confirmed_at
+
     def add_contents(self, contents: dict[ResultKey, JobResult]) -> None:
         """Take contents that were fetched from storage nodes."""
         with self.changed:
--- a/src/quaymill/process/jobs/result_publisher.py
+++ b/src/quaymill/process/jobs/result_publisher.py
@@ -122,15 +122,23 @@
             log_message("job:results_not_stored", job=job.id, results=len(results))
             return False
         wanted = job.listing.with_results(map(listed_result, results), job.coordinator)
+        began = time.monotonic()
         standing = self._parts.listings.write(job.id, wanted)
+        took_s = round(time.monotonic() - began, 3)
         if isinstance(standing, ListingUnknown):
-            log_message("job:listing_unknown", job=job.id, reason=standing.reason)
+            log_message("job:listing_unknown", job=job.id, reason=standing.reason, took_s=took_s)
             return False
         job.take_listing(standing)
         if standing.document != wanted.document:
             self._meet_other(job, standing)
             return False
-        log_message("job:listed", job=job.id, results=len(results), revision=standing.revision)
+        log_message(
+            "job:listed",
+            job=job.id,
+            results=len(results),
+            revision=standing.revision,
+            took_s=took_s,
+        )
         return True
 
     def _meet_other(self, job: CoordinatedJob, standing: Listing) -> None:
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -176,23 +176,31 @@
 
     def read(self, job_id: str, since: int, wait_s: float) -> ResultsPage | NoSuchJob | Unsure:
         """Return results from a position on, wherever the job is coordinated."""
-        wait_s = min(wait_s, READ_TIMEOUT_S)
+        page, source = self._read(job_id, since, min(wait_s, READ_TIMEOUT_S))
+        if isinstance(page, ResultsPage) and not page.results:
+            log_message("job:read_empty", job=job_id, since=since, source=source, outcome="empty")
+        return page
+
+    def _read(
+        self, job_id: str, since: int, wait_s: float
+    ) -> tuple[ResultsPage | NoSuchJob | Unsure, str]:
+        """Return results, and the name of who told them; empty for the store's own order."""
         held = self._coordinator.get(job_id)
         if held is not None:
-            return self._page(job_id, since, wait_s)
+            return self._page(job_id, since, wait_s), self._coordinator.name
         coordinator = self._coordinators_by_job.get(job_id)
         page = self._ask_coordinator(job_id, since, wait_s, coordinator)
         if page is not None:
-            return page
+            return page, coordinator or ""
         found = self._storage.find_job(job_id)
         if isinstance(found, NotFound):
-            return self._unknown(job_id, found)
+            return self._unknown(job_id, found), ""
         if found.coordinator != coordinator:
             page = self._ask_coordinator(job_id, since, wait_s, found.coordinator)
             if page is not None:
                 self._remember_coordinator(job_id, found.coordinator)
-                return page
-        return self._read_directly(job_id, since, found.total)
+                return page, found.coordinator
+        return self._read_directly(job_id, since, found.total), ""
 
     def read_body(self, job_id: str, item_id: str) -> bytes | NoSuchJob | NoSuchItem | Unsure:
         """Return the body of an item."""
@@ -283,8 +291,20 @@
         if missing:
             held.add_contents(self._storage.fetch_results(held.id, missing))
         page = held.page(since, 0.0)
-        if not page.results and since < len(held.listing.document.results):
+        if page.results:
+            return page
+        listed = len(held.listing.document.results)
+        if since < listed:
             return Unsure("a listed result cannot be read now")
+        log_message(
+            "job:order_told",
+            job=held.id,
+            since=since,
+            listed=listed,
+            revision=held.listing.revision,
+            age_s=round(held.order_age_s(), 3),
+            outcome="empty",
+        )
         return page
 
     def _ask_coordinator(
@@ -303,7 +323,16 @@
             ResultsPage | NotCoordinator,
             wait_s + READ_TIMEOUT_S,
         )
-        return reply if isinstance(reply, ResultsPage) else None
+        if isinstance(reply, ResultsPage):
+            return reply
+        log_message(
+            "job:coordinator_unsure",
+            job=job_id,
+            coordinator=coordinator,
+            outcome=type(reply).__name__,
+            reason=reply.reason,
+        )
+        return None
 
     def _remember_coordinator(self, job_id: str, coordinator: str) -> None:
         if len(self._coordinators_by_job) >= KNOWN_COORDINATORS:
@@ -363,9 +392,9 @@
 
     def _answer_read(self, message: ReadResults) -> ResultsPage | NotCoordinator:
         if self._coordinator.get(message.job_id) is None:
-            return NotCoordinator()
+            return NotCoordinator("the gateway does not run the job")
         page = self._page(message.job_id, message.since, message.wait_s)
-        return page if isinstance(page, ResultsPage) else NotCoordinator()
+        return page if isinstance(page, ResultsPage) else NotCoordinator(page.reason)
 
     def _answer_stop(self, message: StopJob) -> JobStopped:
         self._coordinator.end(message.job_id)
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -155,9 +155,42 @@
         (JOB, "items", "events: known of its unfinished items; they are not run again"),
     ),
     "job:listed": LogEvent(
-        "results are in the order for good", (JOB, "results: how many", "revision: of the listing")
+        "results are in the order for good",
+        (
+            JOB,
+            "results: how many",
+            "revision: of the listing",
+            "took_s: seconds that the store took; others may read the results meanwhile",
+        ),
+    ),
+    "job:listing_unknown": LogEvent(
+        "the order could not be written or read", (JOB, REASON, "took_s: seconds until then")
+    ),
+    "job:read_empty": LogEvent(
+        "a caller was told that nothing stands at a position yet",
+        (
+            JOB,
+            "since: the position",
+            "source: the coordinator that told it; empty where the order was read from the store",
+            "outcome: empty",
+        ),
+        ordinary_outcome="empty",
+    ),
+    "job:order_told": LogEvent(
+        "a coordinator told that nothing stands at a position yet, from the order as it knows it",
+        (
+            JOB,
+            "since: the position",
+            "listed, revision: positions in that order, and its revision in the store",
+            "age_s: seconds since it was last known to be the newest",
+            "outcome: empty",
+        ),
+        ordinary_outcome="empty",
+    ),
+    "job:coordinator_unsure": LogEvent(
+        "a coordinator did not tell results: they are read from the store and from storage nodes",
+        (JOB, "coordinator", "outcome: NotCoordinator or a failure", REASON),
     ),
-    "job:listing_unknown": LogEvent("the order could not be written or read", (JOB, REASON)),
     "job:results_not_stored": LogEvent(
         "too few storage nodes took results; tried again", (JOB, "results")
     ),
