--- a/src/quaymill/process/front/front_service.py
+++ b/src/quaymill/process/front/front_service.py
@@ -22,15 +22,9 @@
     FrontRequest,
 )
 from quaymill.process.front.metrics import FrontMetrics
+from quaymill.process.jobs.result_reader import NoSuchJob, Unsure
 from quaymill.process.jobs.route_quota import OverQuota
-from quaymill.process.jobs.service import (
-    Accepted,
-    Ended,
-    JobService,
-    NoSuchItem,
-    NoSuchJob,
-    Unsure,
-)
+from quaymill.process.jobs.service import Accepted, Ended, JobService, NoSuchItem
 from quaymill.request.deadline import Deadline
 from quaymill.request.forwarded_request import ForwardedRequest, Headers
 from quaymill.request.forwarding import Forwarder
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -33,6 +33,7 @@
 from quaymill.process.jobs.quota_ledger import QuotaLedgers
 from quaymill.process.jobs.quota_sweep import LedgerSweep
 from quaymill.process.jobs.result_publisher import PublisherParts
+from quaymill.process.jobs.result_reader import ResultReader
 from quaymill.process.jobs.room_claims import RoomClaims
 from quaymill.process.jobs.room_keeper import RoomKeeper
 from quaymill.process.jobs.room_orders import RoomOrders
@@ -190,7 +191,14 @@
             SubmissionRelay(
                 settings.name, self.network.client, self.network.other_gateways, self._can_store
             ),
-            listings,
+            ResultReader(
+                self.coordinator,
+                storage,
+                listings,
+                self.network.client,
+                self.network.server,
+                self.network.process,
+            ),
             self.network.client,
             self.network.server,
             self.network.process,
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import threading
-import time
 from collections.abc import Callable
 
 import attrs
@@ -17,8 +15,6 @@
     JobAdopted,
     JobStopped,
     JobSubmitted,
-    NotCoordinator,
-    ReadResults,
     RenewJobs,
     ResultsPage,
     StopJob,
@@ -27,23 +23,17 @@
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient, PeerRefusal, PeerServer
 from quaymill.process.jobs.batch_quota import BatchQuota
-from quaymill.process.jobs.coordinated_job import CoordinatedJob, make_page
 from quaymill.process.jobs.coordinator import JobCoordinator
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
-from quaymill.process.jobs.listing import JobListings, ListingDocument, ListingUnknown
+from quaymill.process.jobs.result_reader import NoSuchJob, ResultReader, Unsure
 from quaymill.process.jobs.route_quota import OverQuota, QuotaUnknown
 from quaymill.process.jobs.storage_client import JobStorageClient, NotFound, NotKept
 from quaymill.process.jobs.submission_relay import SubmissionRelay, Submitted
 from quaymill.process.membership.ranking import rank_nodes
 from quaymill.version.request_routes import RequestRoute
 
-READ_TIMEOUT_S = 1.0
 STOP_TIMEOUT_S = 0.5
 HAND_OVER_TIMEOUT_S = 1.5
-MAX_HELD_READS = 24
-KNOWN_COORDINATORS = 2000
-CERTAIN_AFTER_S = 6.0
-"""Time after which a gateway knows all storage nodes that it can reach."""
 
 
 @attrs.frozen
@@ -65,18 +55,6 @@
     may_run: bool
 
 
-@attrs.frozen
-class Unsure:
-    """The gateway asked cannot tell now."""
-
-    reason: str
-
-
-@attrs.frozen
-class NoSuchJob:
-    """No storage node has the job."""
-
-
 @attrs.frozen
 class NoSuchItem:
     """The job has no such item."""
@@ -92,6 +70,8 @@
 
     Parameters
     ----------
+    reader
+        Reads results, wherever a job is coordinated.
     gateway_of
         Returns the live gateway on which a coordinator runs; ``None`` if there is none.
     gateways
@@ -105,7 +85,7 @@
         leases: LeaseRenewal,
         quota: BatchQuota,
         relay: SubmissionRelay,
-        listings: JobListings,
+        reader: ResultReader,
         peer_client: PeerClient,
         peer_server: PeerServer,
         gateway_of: Callable[[str], Member | None],
@@ -116,17 +96,13 @@
         self._leases = leases
         self._quota = quota
         self._relay = relay
-        self._listings = listings
         self._peer_client = peer_client
         self._gateway_of = gateway_of
         self._gateways = gateways
-        self._held_reads = threading.Semaphore(MAX_HELD_READS)
-        self._coordinators_by_job: dict[str, str] = {}
-        self._started_at = time.monotonic()
+        self._reader = reader
         peer_server.register(SubmitJob, self._answer_submit)
         peer_server.register(AdoptJob, self._answer_adopt)
         peer_server.register(HandOverJob, self._answer_hand_over)
-        peer_server.register(ReadResults, self._answer_read)
         peer_server.register(StopJob, self._answer_stop)
 
     # Calls of callers.
@@ -176,31 +152,7 @@
 
     def read(self, job_id: str, since: int, wait_s: float) -> ResultsPage | NoSuchJob | Unsure:
         """Return results from a position on, wherever the job is coordinated."""
-        page, source = self._read(job_id, since, min(wait_s, READ_TIMEOUT_S))
-        if isinstance(page, ResultsPage) and not page.results:
-            log_message("job:read_empty", job=job_id, since=since, source=source, outcome="empty")
-        return page
-
-    def _read(
-        self, job_id: str, since: int, wait_s: float
-    ) -> tuple[ResultsPage | NoSuchJob | Unsure, str]:
-        """Return results, and the name of who told them; empty for the store's own order."""
-        held = self._coordinator.get(job_id)
-        if held is not None:
-            return self._page(job_id, since, wait_s), self._coordinator.name
-        coordinator = self._coordinators_by_job.get(job_id)
-        page = self._ask_coordinator(job_id, since, wait_s, coordinator)
-        if page is not None:
-            return page, coordinator or ""
-        found = self._storage.find_job(job_id)
-        if isinstance(found, NotFound):
-            return self._unknown(job_id, found), ""
-        if found.coordinator != coordinator:
-            page = self._ask_coordinator(job_id, since, wait_s, found.coordinator)
-            if page is not None:
-                self._remember_coordinator(job_id, found.coordinator)
-                return page, found.coordinator
-        return self._read_directly(job_id, since, found.total), ""
+        return self._reader.read(job_id, since, wait_s)
 
     def read_body(self, job_id: str, item_id: str) -> bytes | NoSuchJob | NoSuchItem | Unsure:
         """Return the body of an item."""
@@ -210,14 +162,14 @@
             return next(bodies, None) or NoSuchItem()
         body = self._storage.fetch_body(job_id, item_id)
         if isinstance(body, NotFound):
-            return self._unknown(job_id, body)
+            return self._reader.absence(job_id, body)
         return NoSuchItem() if body is None else body
 
     def end(self, job_id: str) -> Ended | NoSuchJob | Unsure:
         """End a job; repeated calls are answered alike."""
         found = self._storage.find_job(job_id)
         if isinstance(found, NotFound):
-            return self._unknown(job_id, found)
+            return self._reader.absence(job_id, found)
         kept, coordinators = self._storage.end_job(job_id)
         if not kept:
             return Unsure("too few storage nodes have noted the end")
@@ -239,118 +191,6 @@
 
     # Helpers.
 
-    def _unknown(self, job_id: str, found: NotFound) -> NoSuchJob | Unsure:
-        """Say that there is no such job only where that is certain.
-
-        A gateway that is new may not know all storage nodes yet, and one of those that it knows
-        may have lost its disk just now; a job that has results has a listing besides.
-        """
-        if not found.certain:
-            return Unsure("not all storage nodes answered")
-        if time.monotonic() - self._started_at < CERTAIN_AFTER_S:
-            return Unsure("this gateway may not know all storage nodes yet")
-        listing = self._listings.read(job_id)
-        if listing is not None:
-            return Unsure("the job's order is known, but no storage node tells of the job")
-        return NoSuchJob()
-
-    def _page(self, job_id: str, since: int, wait_s: float) -> ResultsPage | Unsure:
-        held = self._coordinator.get(job_id)
-        if held is None:
-            return Unsure("the job has just moved")
-        # Reads that are held take threads; beyond a bound they are answered at once.
-        may_wait = wait_s > 0 and self._held_reads.acquire(blocking=False)
-        try:
-            page = held.page(since, wait_s if may_wait else 0.0)
-        finally:
-            if may_wait:
-                self._held_reads.release()
-        return page if page.results else self._certain_page(held, since)
-
-    def _certain_page(self, held: CoordinatedJob, since: int) -> ResultsPage | Unsure:
-        """Make an empty page again from the newest order.
-
-        Another coordinator may have listed this position, and it may have been read: the one
-        before, when the job was adopted a moment ago, or one that took it while this process
-        stood still.
-        """
-        if not held.order_is_certain():
-            listing = self._listings.read(held.id)
-            if isinstance(listing, ListingUnknown):
-                return Unsure(f"the order of the results cannot be read: {listing.reason}")
-            if listing is not None:
-                held.take_listing(listing)
-        return self._page_with_contents(held, since)
-
-    def _page_with_contents(self, held: CoordinatedJob, since: int) -> ResultsPage | Unsure:
-        """Make a page again after fetching contents that an adopted job may lack.
-
-        A position that is listed may have been read already: it is never told to be empty.
-        """
-        missing = held.missing_contents(since)
-        if missing:
-            held.add_contents(self._storage.fetch_results(held.id, missing))
-        page = held.page(since, 0.0)
-        if page.results:
-            return page
-        listed = len(held.listing.document.results)
-        if since < listed:
-            return Unsure("a listed result cannot be read now")
-        log_message(
-            "job:order_told",
-            job=held.id,
-            since=since,
-            listed=listed,
-            revision=held.listing.revision,
-            age_s=round(held.order_age_s(), 3),
-            outcome="empty",
-        )
-        return page
-
-    def _ask_coordinator(
-        self, job_id: str, since: int, wait_s: float, coordinator: str | None
-    ) -> ResultsPage | None:
-        if not coordinator:
-            return None
-        if coordinator == self._coordinator.name:
-            return None
-        member = self._gateway_of(coordinator)
-        if member is None:
-            return None
-        reply = self._peer_client.call(
-            member.peer,
-            ReadResults(job_id, since, wait_s),
-            ResultsPage | NotCoordinator,
-            wait_s + READ_TIMEOUT_S,
-        )
-        if isinstance(reply, ResultsPage):
-            return reply
-        log_message(
-            "job:coordinator_unsure",
-            job=job_id,
-            coordinator=coordinator,
-            outcome=type(reply).__name__,
-            reason=reply.reason,
-        )
-        return None
-
-    def _remember_coordinator(self, job_id: str, coordinator: str) -> None:
-        if len(self._coordinators_by_job) >= KNOWN_COORDINATORS:
-            self._coordinators_by_job.clear()
-        self._coordinators_by_job[job_id] = coordinator
-
-    def _read_directly(self, job_id: str, since: int, total: int) -> ResultsPage | Unsure:
-        """Read the order from the platform and the contents from storage nodes."""
-        listing = self._listings.read(job_id)
-        if isinstance(listing, ListingUnknown):
-            return Unsure(f"the order of the results cannot be read: {listing.reason}")
-        document = ListingDocument("", total) if listing is None else listing.document
-        keys = tuple(listed.key for listed in document.results[since:])
-        contents = self._storage.fetch_results(job_id, keys) if keys else {}
-        if len(contents) < len(set(keys)):
-            return Unsure("not all results can be read")
-        return make_page(document, contents, since)
-
     def _stop_elsewhere(self, job_id: str, coordinator: str) -> None:
         member = self._gateway_of(coordinator)
         if member is not None:
@@ -390,12 +230,6 @@
             return JobAdopted(self._coordinator.name)
         return PeerRefusal("this gateway is stopping")
 
-    def _answer_read(self, message: ReadResults) -> ResultsPage | NotCoordinator:
-        if self._coordinator.get(message.job_id) is None:
-            return NotCoordinator("the gateway does not run the job")
-        page = self._page(message.job_id, message.since, message.wait_s)
-        return page if isinstance(page, ResultsPage) else NotCoordinator(page.reason)
-
     def _answer_stop(self, message: StopJob) -> JobStopped:
         self._coordinator.end(message.job_id)
         return JobStopped()
--- a/tests/test_empty_pages.py
+++ b/tests/test_empty_pages.py
@@ -99,7 +99,7 @@
 
     def replace_store(self, gateway: Any, make: Callable[[Any], Any]) -> Any:
         """Put another store under the jobs of one gateway; others do not help it."""
-        shared = gateway.jobs._listings._store
+        shared = gateway.jobs._reader._listings._store
         shared._own = make(shared._own)
         shared._helpers = lambda: ()
         return shared._own
@@ -139,7 +139,7 @@
         self.rig.submit("gateway-0", "job", 12)
         before = self.rig.wait_results("gateway-1", "job", 2)
         self.slow_engines(30.0)
-        shared = self.second.jobs._listings._store
+        shared = self.second.jobs._reader._listings._store
         own = shared._own
         self.replace_store(self.second, lambda _: _SilentStore())
         self.rig.gateways.pop("gateway-0").kill()
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -261,7 +261,7 @@
         self.assertTrue(self.is_served("gateway-1", prefix))
 
     def test_results_are_listed_by_way_of_another_gateway(self) -> None:
-        listings = self.rig.gateways["gateway-0"].jobs._listings
+        listings = self.rig.gateways["gateway-0"].jobs._reader._listings
         listings._store._own = _RefusingStore()
         self.assertEqual(202, self.rig.submit("gateway-0", "job", 4).status)
         results = self.rig.wait_results("gateway-1", "job", 4)
@@ -391,7 +391,7 @@
         late = self.rig.start_gateway("gateway-5", "zone-a")
         wait_until(lambda: late.network.storage_nodes() and late.control.ready, "it has joined")
         self.assertEqual(503, self.rig.read_results("gateway-5", "none").status)
-        late.jobs._started_at -= 60.0
+        late.jobs._reader._started_at -= 60.0
         wait_until(lambda: len(late.network.storage_nodes()) == 3, "it knows all")
         self.assertEqual(404, self.rig.read_results("gateway-5", "none").status)
 
@@ -502,8 +502,8 @@
             self.assertTrue(json.loads(self.rig.read_results("gateway-1", "job").data)["results"])
 
     def test_adopted_job_is_unknown_while_the_store_cannot_be_read(self) -> None:
-        self.other.jobs._listings._store._own = _RefusingStore()
-        self.other.jobs._listings._store._helpers = lambda: ()
+        self.other.jobs._reader._listings._store._own = _RefusingStore()
+        self.other.jobs._reader._listings._store._helpers = lambda: ()
         with mock.patch.object(ResultPublisher, "follow"):
             self.other.coordinator.adopt(self.job)
             self.assertEqual(503, self.rig.read_results("gateway-1", "job").status)
