An empty page is told from an order that the storage nodes or the store confirm, not from leases

Cause: a coordinator took its copy of the order for the newest while its leases were renewed everywhere. A lease tells who runs a job; the order is changed by whoever appends to the store: this process itself before the answer comes, the coordinator before, or a second one. Four tests (test_empty_pages) showed a read position as empty on the code before. Change: the content of a result is on storage nodes before the result is listed. So renewals carry which items the coordinator knows to be listed, to every live storage node, and an order is confirmed only if each of them has no result beyond it (any that is known and does not answer: not confirmed). A confirmation holds for 0.9 of the time after which a read position must be there for everybody (bounds.settle_ms), counted from before it was asked; so does any answer of the store. Nothing is taken for confirmed at acceptance. A result beyond the order in two renewals in a row makes the coordinator read the order, so that a second coordinator is found before the next append. Storage nodes keep the digest of a job's results as they come, no longer by reading all of them at each write. Also: an item's empty body was answered 404 by its coordinator (test_empty_pages: EmptyBodyTest, failing before by reading the line: b'' is false).

--- a/src/quaymill/connection/job_storage_messages.py
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -187,8 +187,21 @@
     successor: str
 
 
+class KnownOrder(msgspec.Struct, frozen=True, array_like=True):
+    """Which items of a job its coordinator knows to be listed.
+
+    Attributes
+    ----------
+    listed
+        Bit mask over the indexes of the items, in hexadecimal: 25 bytes for 100 items.
+    """
+
+    job_id: str
+    listed: str
+
+
 class RenewJobs(PeerMessage, frozen=True):
-    """Renew the leases of a coordinator.
+    """Renew the leases of a coordinator, and compare what it knows of the jobs' orders.
 
     Attributes
     ----------
@@ -200,6 +213,8 @@
         Jobs that it gives up; others may adopt them at once.
     handed_over_jobs
         Jobs that it has given to another coordinator.
+    orders
+        Of every open job, also of those whose lease the node does not keep.
     """
 
     coordinator: str
@@ -207,6 +222,7 @@
     complete_jobs: tuple[str, ...] = ()
     released_jobs: tuple[str, ...] = ()
     handed_over_jobs: tuple[HandedOverJob, ...] = ()
+    orders: tuple[KnownOrder, ...] = ()
 
 
 class JobsRenewed(PeerMessage, frozen=True):
@@ -218,10 +234,14 @@
         Those of its jobs that were ended.
     taken_jobs
         Those of its jobs whose lease another coordinator has.
+    confirmed_jobs
+        Those of its jobs of which the node has no result beyond the order that was told. Of the
+        others somebody may have listed more.
     """
 
     ended_jobs: tuple[str, ...] = ()
     taken_jobs: tuple[str, ...] = ()
+    confirmed_jobs: tuple[str, ...] = ()
 
 
 # Storage node to gateway.
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -22,6 +22,7 @@
 from quaymill.process.front.plain_pages import MetricsServer, ReadinessServer
 from quaymill.process.gateway.caller_watch import CallerWatch
 from quaymill.process.jobs.batch_quota import BatchQuota
+from quaymill.process.jobs.coordinated_job import ORDER_TERM_SHARE
 from quaymill.process.jobs.coordinator import JobCoordinator
 from quaymill.process.jobs.engine_loads import EngineLoads, ReportProtocol
 from quaymill.process.jobs.item_dispatcher import DispatcherParts
@@ -48,7 +49,7 @@
 from quaymill.process.replica_set.router import Router
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.process.replica_set.warnings import ReplicaWarnings
-from quaymill.process.serving_settings import ServingSettings
+from quaymill.process.serving_settings import MS_PER_S, ServingSettings
 from quaymill.request.forwarding import Forwarder, ReplicaProtocol
 from quaymill.version.request_routes import NO_ROUTES, RequestRoutes
 
@@ -181,6 +182,7 @@
                 is_live=lambda name: self.network.process(name) is not None,
             ),
             leases,
+            ORDER_TERM_SHARE * settings.bounds.settle_ms / MS_PER_S,
         )
         self.quota = self._build_quota(QuotaLedgers(shared_store), JobLookup(storage, listings))
         self.jobs = JobService(
--- a/src/quaymill/process/job_storage/database.py
+++ b/src/quaymill/process/job_storage/database.py
@@ -7,11 +7,10 @@
 from __future__ import annotations
 
 import contextlib
-import functools
-import operator
 import sqlite3
 import threading
 import time
+from collections import defaultdict
 from collections.abc import Iterable
 from pathlib import Path
 
@@ -59,6 +58,27 @@
 PAGE_CACHE_KIB = 2048
 
 
+@attrs.define
+class HeldResults:
+    """Which contents of results of one job are here, also where the job itself is not.
+
+    Attributes
+    ----------
+    items
+        Bit mask over the indexes of the items.
+    digest
+        Stands for the set of contents; 0 for none.
+    """
+
+    items: int = 0
+    digest: int = 0
+
+    def add(self, index: int, digest: str) -> None:
+        """Count a content that was not here before."""
+        self.items |= 1 << index
+        self.digest ^= xxhash.xxh3_64_intdigest(f"{index}/{digest}".encode())
+
+
 @attrs.define
 class JobRecord:
     """What is kept in memory of each job.
@@ -67,8 +87,8 @@
     ----------
     sent_at
         Monotonic time when the job was first sent, as well as it is known.
-    results_digest
-        Stands for the set of contents of results that are here; 0 for none.
+    results
+        Which contents of results are here.
     """
 
     id: str
@@ -77,7 +97,7 @@
     sent_at: float
     ended: bool
     complete: bool
-    results_digest: int = 0
+    results: HeldResults
 
 
 class JobDatabase:
@@ -100,6 +120,7 @@
         self._read_lock = threading.Lock()
         self._reader = _connect(folder / FILE_NAME)
         self.by_id: dict[str, JobRecord] = {}
+        self._results_by_job: defaultdict[str, HeldResults] = defaultdict(HeldResults)
         self._load()
 
     def store_job(self, job: Job, coordinator: str, ended: bool = False) -> JobRecord:
@@ -121,7 +142,13 @@
                     (job.id, job.host, job.path, document, total, coordinator, sent_at, ended),
                 )
             record = JobRecord(
-                job.id, total, coordinator, time.monotonic() - job.age_s, ended, False
+                job.id,
+                total,
+                coordinator,
+                time.monotonic() - job.age_s,
+                ended,
+                False,
+                self._results_by_job[job.id],
             )
             self.by_id[job.id] = record
             return record
@@ -141,14 +168,18 @@
         ]
         with self._lock:
             with self._transaction():
-                self._connection.executemany(
-                    "INSERT OR IGNORE INTO results VALUES (?, ?, ?, ?, ?, ?)", rows
-                )
+                added = [row for row in rows if self._insert_result(row)]
                 self._connection.executemany(
                     "DELETE FROM progress WHERE job_id = ? AND item_index = ?",
                     [(job_id, row[1]) for row in rows],
                 )
-            self._digest_results(job_id)
+            for _, index, digest, *_ in added:
+                self._results_by_job[job_id].add(index, digest)
+
+    def has_results_beyond(self, job_id: str, items: int) -> bool:
+        """Return whether a result of an item is here that a bit mask of items lacks."""
+        held = self._results_by_job.get(job_id)
+        return held is not None and bool(held.items & ~items)
 
     def store_progress(self, job_id: str, lineage: str, progress: Iterable[ItemProgress]) -> None:
         """Keep what runs have brought so far, unless the job is over or not here."""
@@ -288,6 +319,7 @@
             self._connection.execute("DELETE FROM progress WHERE job_id = ?", (job_id,))
             self._connection.execute("DELETE FROM early_ends WHERE job_id = ?", (job_id,))
             self.by_id.pop(job_id, None)
+            self._results_by_job.pop(job_id, None)
 
     def close(self) -> None:
         """Close the database."""
@@ -310,19 +342,18 @@
                 time.monotonic() - age_s,
                 bool(ended),
                 bool(complete),
+                self._results_by_job[job_id],
             )
-        for job_id in self.by_id:
-            self._digest_results(job_id)
-
-    def _digest_results(self, job_id: str) -> None:
-        record = self.by_id.get(job_id)
-        if record is None:
-            return
-        rows = self._connection.execute(
-            "SELECT item_index, digest FROM results WHERE job_id = ?", (job_id,)
+        keys = self._connection.execute("SELECT job_id, item_index, digest FROM results")
+        for job_id, index, digest in keys:
+            self._results_by_job[job_id].add(index, digest)
+
+    def _insert_result(self, row: tuple[str, int, str, str, str, str]) -> bool:
+        """Insert a result in the transaction under way; return whether it was not here before."""
+        cursor = self._connection.execute(
+            "INSERT OR IGNORE INTO results VALUES (?, ?, ?, ?, ?, ?)", row
         )
-        hashes = (xxhash.xxh3_64_intdigest(f"{index}/{digest}".encode()) for index, digest in rows)
-        record.results_digest = functools.reduce(operator.xor, hashes, 0)
+        return cursor.rowcount == 1
 
     def _transaction(self) -> _Transaction:
         return _Transaction(self._connection)
--- a/src/quaymill/process/job_storage/repair.py
+++ b/src/quaymill/process/job_storage/repair.py
@@ -142,7 +142,7 @@
             self._database.end_job(summary.job_id)
         if summary.complete and not record.complete:
             self._database.complete_job(summary.job_id)
-        if summary.results_digest not in (0, record.results_digest):
+        if summary.results_digest not in (0, record.results.digest):
             return self._fetch_results(member, summary.job_id)
         return True
 
--- a/src/quaymill/process/job_storage/retirement.py
+++ b/src/quaymill/process/job_storage/retirement.py
@@ -125,7 +125,7 @@
             copies = 0
             for by_id in summaries:
                 summary = by_id.get(record.id)
-                if summary is not None and summary.results_digest == record.results_digest:
+                if summary is not None and summary.results_digest == record.results.digest:
                     copies += not record.ended or summary.ended
             missing += copies < needed
         return missing
--- a/src/quaymill/process/job_storage/service.py
+++ b/src/quaymill/process/job_storage/service.py
@@ -25,6 +25,7 @@
     JobSummaries,
     JobSummary,
     JobUnknown,
+    KnownOrder,
     Leases,
     ProgressStored,
     RenewJobs,
@@ -154,12 +155,20 @@
             record = self._database.by_id.get(job_id)
             if record is not None and record.ended:
                 ended.append(job_id)
-        return JobsRenewed(tuple(ended), tuple(taken))
+        return JobsRenewed(tuple(ended), tuple(taken), self._confirmed(message.orders))
+
+    def _confirmed(self, orders: tuple[KnownOrder, ...]) -> tuple[str, ...]:
+        """Return the jobs of which no result is here that the coordinator does not know listed."""
+        return tuple(
+            order.job_id
+            for order in orders
+            if not self._database.has_results_beyond(order.job_id, int(order.listed, 16))
+        )
 
     def _compare_jobs(self, message: CompareJobs) -> JobSummaries:
         records = list(self._database.by_id.values())
         text = "".join(
-            f"{record.id}/{record.results_digest}/{record.ended:d}{record.complete:d};"
+            f"{record.id}/{record.results.digest}/{record.ended:d}{record.complete:d};"
             for record in sorted(records, key=lambda record: record.id)
         )
         digest = xxhash.xxh3_64_hexdigest(text.encode())
@@ -170,7 +179,7 @@
             tuple(
                 JobSummary(
                     record.id,
-                    record.results_digest,
+                    record.results.digest,
                     record.ended,
                     record.complete,
                     self._leases.holder(record.id, record.coordinator),
--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -12,17 +12,19 @@
 
 from quaymill.connection.job_document import Job, JobItem, JobResult, ResultState
 from quaymill.connection.job_storage_messages import (
-    LEASE_S,
     ItemProgress,
     KeyedResult,
+    KnownOrder,
     ResultKey,
     ResultsPage,
 )
 from quaymill.process.jobs.listing import ListedResult, Listing, ListingDocument
 from quaymill.version.request_routes import RequestRoute
 
-ORDER_TERM_S = 0.8 * LEASE_S
-"""How long after its leases were renewed nobody else lists a job's results, with a margin."""
+ORDER_TERM_SHARE = 0.9
+"""Part of the time after which a read position must be there, for which an order is told."""
+DEFAULT_ORDER_TERM_S = ORDER_TERM_SHARE * 1.0
+"""For positions that must be there one second after they were read."""
 MAX_PAGE_BYTES = 1024 * 1024
 """Most text on one page of results; one result is on it whatever its size."""
 
@@ -107,12 +109,18 @@
 
     Parameters
     ----------
-    adopted
-        Whether another ran it before: its order is in the store then, not here.
+    order_term_s
+        For how long an order that was the newest is told as such. Less than the time after which
+        a position that was read must be there for every reader: what another lists meanwhile
+        need not be told yet.
     """
 
     def __init__(
-        self, job: Job, route: RequestRoute | None, coordinator: str, *, adopted: bool = False
+        self,
+        job: Job,
+        route: RequestRoute | None,
+        coordinator: str,
+        order_term_s: float = DEFAULT_ORDER_TERM_S,
     ) -> None:
         self.job = job
         self.route = route
@@ -124,7 +132,9 @@
         self.ended = False
         self.abandoned = False
         self.yielded = False
-        self._order_confirmed_at = -math.inf if adopted else time.monotonic()
+        # Also a job that was just accepted may have been listed by another that accepted it.
+        self._order_confirmed_at = -math.inf
+        self._order_term_s = order_term_s
         self.listing = Listing(ListingDocument("", len(self.items)))
         self._finished: dict[int, KeyedResult] = {}
         self._contents: dict[ResultKey, JobResult] = {}
@@ -226,12 +236,20 @@
         with self.changed:
             return tuple(self._finished.values())
 
-    def take_listing(self, listing: Listing) -> None:
-        """Take the listing that stands in the store."""
+    def take_listing(self, listing: Listing, as_of: float) -> None:
+        """Take the listing that stands in the store.
+
+        Parameters
+        ----------
+        as_of
+            Monotonic time when the call that brought it began: all that was listed by then is
+            in it.
+        """
         with self.changed:
             if len(listing.document.results) < len(self.listing.document.results):
                 return
             self.listing = listing
+            self.confirm_order(as_of)
             for listed in listing.document.results:
                 item = self.items[listed.index]
                 item.state = ItemState.LISTED
@@ -244,12 +262,19 @@
             self.changed.notify_all()
 
     def confirm_order(self, at: float) -> None:
-        """Note that nobody else listed results at a (monotonic) time, nor does for a term."""
+        """Note that the order held here was the newest at a (monotonic) time."""
         self._order_confirmed_at = max(at, self._order_confirmed_at)
 
     def order_is_certain(self) -> bool:
-        """Return whether the order held here is known to be the newest."""
-        return self.complete or time.monotonic() - self._order_confirmed_at < ORDER_TERM_S
+        """Return whether a position beyond the order held here may be told to be empty."""
+        return self.complete or self.order_age_s() < self._order_term_s
+
+    def known_order(self) -> KnownOrder:
+        """Return which items are known here to be listed."""
+        listed = 0
+        for result in self.listing.document.results:
+            listed |= 1 << result.index
+        return KnownOrder(self.id, f"{listed:x}")
 
     def order_age_s(self) -> float:
         """Return how long ago the order held here was last known to be the newest."""
--- a/src/quaymill/process/jobs/coordinator.py
+++ b/src/quaymill/process/jobs/coordinator.py
@@ -34,11 +34,16 @@
     """Coordinates jobs until all is listed; safe to use from any thread."""
 
     def __init__(
-        self, dispatcher: DispatcherParts, publisher: PublisherParts, leases: LeaseRenewal
+        self,
+        dispatcher: DispatcherParts,
+        publisher: PublisherParts,
+        leases: LeaseRenewal,
+        order_term_s: float,
     ) -> None:
         self.name = publisher.name
         """How storage nodes and gateways know this coordinator; another after a restart."""
         self._leases = leases
+        self._order_term_s = order_term_s
         self._lock = threading.Lock()
         self._jobs_by_id: dict[str, CoordinatedJob] = {}
         self._stopping = threading.Event()
@@ -139,7 +144,7 @@
             if held is not None and not held.abandoned and not held.yielded:
                 return
             coordinated = CoordinatedJob(
-                job, self._dispatcher.route_of(job), self.name, adopted=adopted
+                job, self._dispatcher.route_of(job), self.name, self._order_term_s
             )
             for one in progress:
                 coordinated.items[one.index].resume_from(one)
@@ -159,21 +164,26 @@
             del self._jobs_by_id[job.id]
 
     def _renew(self) -> None:
+        beyond: frozenset[str] = frozenset()
         while not self._stopping.wait(RENEW_INTERVAL_S):
-            open_jobs = tuple(job.id for job in self.open_jobs())
+            jobs = self.open_jobs()
+            open_jobs = tuple(job.id for job in jobs)
             with self._lock:
                 complete, self._newly_complete = tuple(self._newly_complete), []
             if not open_jobs and not complete:
                 continue
             began = time.monotonic()
-            outcome = self._leases.renew(RenewJobs(self.name, open_jobs, complete))
+            orders = tuple(job.known_order() for job in jobs)
+            outcome = self._leases.renew(RenewJobs(self.name, open_jobs, complete, orders=orders))
             for job_id in outcome.ended:
                 self.end(job_id)
             self._confirm(outcome.confirmed, began)
-            for job_id in outcome.taken:
+            # An append of our own explains a result beyond the order, but not for two renewals.
+            for job_id in outcome.taken | (outcome.unlisted & beyond):
                 job = self.get(job_id)
                 if job is not None:
                     self._publisher.settle_with_other(job)
+            beyond = outcome.unlisted
 
     def _confirm(self, job_ids: Iterable[str], at: float) -> None:
         for job_id in job_ids:
--- a/src/quaymill/process/jobs/lease_renewal.py
+++ b/src/quaymill/process/jobs/lease_renewal.py
@@ -1,9 +1,13 @@
-"""Renews a coordinator's leases with the storage nodes that hold its jobs."""
+"""Renews a coordinator's leases with storage nodes, and compares the orders of its jobs.
+
+A lease tells who runs a job, and nothing of its order. What tells of the order is that the
+content of a result is on storage nodes before the result is listed: as long as none of them has
+a content that the coordinator does not know to be listed, nobody has listed more.
+"""
 
 from __future__ import annotations
 
 import threading
-from collections import Counter
 from collections.abc import Callable, Iterator
 
 import attrs
@@ -27,13 +31,16 @@
     taken
         Jobs whose lease another coordinator has at some storage node; which of the two is to
         leave the job, its listing tells.
+    unlisted
+        Jobs of which a storage node has a result beyond the order as it was told.
     confirmed
-        Jobs renewed at all storage nodes that may hold them: nobody else runs them until the
-        lease runs out, counted from before the renewal.
+        Jobs whose order, as it was told, was the newest when the renewal began: every storage
+        node that may have a result beyond it has answered that it has none.
     """
 
     ended: frozenset[str]
     taken: frozenset[str]
+    unlisted: frozenset[str] = frozenset()
     confirmed: frozenset[str] = frozenset()
 
 
@@ -86,7 +93,7 @@
             thread.start()
         for thread in threads:
             thread.join(RENEW_TIMEOUT_S)
-        outcome = _merged(list(answers), [part for _, part in parts])
+        outcome = _merged(list(answers), len(parts))
         return outcome if all_live else attrs.evolve(outcome, confirmed=frozenset())
 
     def _renew_at(self, member: Member, part: RenewJobs, answers: list[_Answer]) -> None:
@@ -110,19 +117,24 @@
                 tuple(filter(is_held, message.complete_jobs)),
                 tuple(filter(is_held, message.released_jobs)),
                 tuple(filter(is_held, message.handed_over_jobs)),
+                message.orders,
             )
             if part != RenewJobs(message.coordinator, ()):
                 yield member, part
 
 
-def _merged(answers: list[_Answer], asked: list[RenewJobs]) -> RenewalOutcome:
+def _merged(answers: list[_Answer], asked: int) -> RenewalOutcome:
     ended = {job_id for answer in answers for job_id in answer.reply.ended_jobs}
     taken = {job_id for answer in answers for job_id in answer.reply.taken_jobs}
-    times_asked = Counter(job_id for part in asked for job_id in part.open_jobs)
-    times_renewed = Counter(job_id for answer in answers for job_id in answer.part.open_jobs)
-    confirmed = {
-        job_id
-        for job_id, times in times_asked.items()
-        if times_renewed[job_id] == times and job_id not in taken
+    unlisted = {
+        order.job_id
+        for answer in answers
+        for order in answer.part.orders
+        if order.job_id not in answer.reply.confirmed_jobs
     }
-    return RenewalOutcome(frozenset(ended), frozenset(taken), frozenset(confirmed))
+    confirmed = set()
+    if answers and len(answers) == asked:
+        confirmed = {order.job_id for order in answers[0].part.orders} - unlisted
+    return RenewalOutcome(
+        frozenset(ended), frozenset(taken), frozenset(unlisted), frozenset(confirmed)
+    )
--- a/src/quaymill/process/jobs/result_publisher.py
+++ b/src/quaymill/process/jobs/result_publisher.py
@@ -72,9 +72,10 @@
 
     def settle_with_other(self, job: CoordinatedJob) -> None:
         """Leave a job to another coordinator if that one stands in the listing and lives."""
+        began = time.monotonic()
         listing = self._parts.listings.read(job.id)
         if isinstance(listing, Listing):
-            job.take_listing(listing)
+            job.take_listing(listing, began)
             if listing.document.coordinator not in ("", self._parts.name):
                 self._meet_other(job, listing)
 
@@ -105,15 +106,17 @@
 
     def _take_over(self, job: CoordinatedJob) -> None:
         """Enter this coordinator into the listing, so that a former one finds out."""
+        began = time.monotonic()
         listing = self._parts.listings.read(job.id)
         if isinstance(listing, ListingUnknown):
             log_message("job:listing_unknown", job=job.id, reason=listing.reason)
             return
         standing = listing or Listing(ListingDocument("", job.total))
-        job.take_listing(standing)
+        job.take_listing(standing, began)
+        began = time.monotonic()
         written = self._parts.listings.write(job.id, standing.with_results((), job.coordinator))
         if isinstance(written, Listing):
-            job.take_listing(written)
+            job.take_listing(written, began)
         self._fetch_contents(job)
 
     def _list(self, job: CoordinatedJob, results: tuple[KeyedResult, ...]) -> bool:
@@ -128,7 +131,7 @@
         if isinstance(standing, ListingUnknown):
             log_message("job:listing_unknown", job=job.id, reason=standing.reason, took_s=took_s)
             return False
-        job.take_listing(standing)
+        job.take_listing(standing, began)
         if standing.document != wanted.document:
             self._meet_other(job, standing)
             return False
--- a/src/quaymill/process/jobs/result_reader.py
+++ b/src/quaymill/process/jobs/result_reader.py
@@ -14,7 +14,12 @@
 from quaymill.connection.peer_link import PeerClient, PeerServer
 from quaymill.process.jobs.coordinated_job import CoordinatedJob, make_page
 from quaymill.process.jobs.coordinator import JobCoordinator
-from quaymill.process.jobs.listing import JobListings, ListingDocument, ListingUnknown
+from quaymill.process.jobs.listing import (
+    JobListings,
+    Listing,
+    ListingDocument,
+    ListingUnknown,
+)
 from quaymill.process.jobs.storage_client import JobStorageClient, NotFound
 
 READ_TIMEOUT_S = 1.0
@@ -121,18 +126,18 @@
         return page if page.results else self._certain_page(held, since)
 
     def _certain_page(self, held: CoordinatedJob, since: int) -> ResultsPage | Unsure:
-        """Make an empty page again from the newest order.
+        """Make an empty page again from an order that is new enough.
 
-        Another coordinator may have listed this position, and it may have been read: the one
-        before, when the job was adopted a moment ago, or one that took it while this process
-        stood still.
+        The position may be listed in the store and have been read there: by an append of this
+        process that is not answered yet, by the coordinator before, or by a second one. Leases
+        do not tell; only the store does, or that no storage node has a result beyond the order.
         """
         if not held.order_is_certain():
+            began = time.monotonic()
             listing = self._listings.read(held.id)
             if isinstance(listing, ListingUnknown):
                 return Unsure(f"the order of the results cannot be read: {listing.reason}")
-            if listing is not None:
-                held.take_listing(listing)
+            held.take_listing(listing or Listing(ListingDocument("", held.total)), began)
         return self._page_with_contents(held, since)
 
     def _page_with_contents(self, held: CoordinatedJob, since: int) -> ResultsPage | Unsure:
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -159,7 +159,9 @@
         held = self._coordinator.get(job_id)
         if held is not None:
             bodies = (item.body for item in held.job.document.items if item.id == item_id)
-            return next(bodies, None) or NoSuchItem()
+            body = next(bodies, None)
+            # An empty body is one, too.
+            return NoSuchItem() if body is None else body
         body = self._storage.fetch_body(job_id, item_id)
         if isinstance(body, NotFound):
             return self._reader.absence(job_id, body)
--- a/src/quaymill/process/serving_settings.py
+++ b/src/quaymill/process/serving_settings.py
@@ -76,6 +76,8 @@
         Time after which a gateway that is not ready is brought no new connections.
     quota_overrun_share
         Part of a batch route's quota of tokens by which it may be overrun.
+    settle_ms
+        Time after which a result that was read must be there for every reader.
     """
 
     contact_ms: float = 3000.0
@@ -85,6 +87,7 @@
     job_retention_s: float = 120.0
     leave_s: float = 2.6
     quota_overrun_share: float = 0.1
+    settle_ms: float = 1000.0
 
 
 class ServingSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/test_empty_pages.py
+++ b/tests/test_empty_pages.py
@@ -33,6 +33,7 @@
 from fleet_rig import wait_until
 from quaymill.connection.job_storage_messages import LEASE_S
 from quaymill.connection.object_store import StoreUnanswered
+from quaymill_bench.fleet_world import item_id, job_body
 from test_fleet_faults import FaultCase
 
 SETTLE_S = 1.0
@@ -174,3 +175,18 @@
         self.slow_engines(30.0)
         self.second.coordinator.accept(job)
         self.assertNotEqual([], self.read("gateway-1", 0), "a read position is told empty")
+
+
+class EmptyBodyTest(FaultCase):
+    """An item whose body has no bytes has a body, at every gateway."""
+
+    def test_empty_body_is_not_missing(self) -> None:
+        self.slow_engines(30.0)
+        name = item_id("job", 0)
+        submission = json.loads(job_body("job", 1))
+        submission["items"][0]["body"] = ""
+        body = json.dumps(submission).encode()
+        self.rig.call("gateway-0", "POST", "/jobs/x", body, {"Request-Id": "job"})
+        for gateway in self.rig.gateways:
+            answer = self.rig.get(gateway, f"/v1/items/job?id={name}")
+            self.assertEqual((200, b""), (answer.status, answer.data))
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -407,9 +407,9 @@
         self.rig.wipe("storage-0")
         fresh = self.rig.start_storage("storage-0", "zone-a")
         wait_until(lambda: "job" in fresh._database.by_id, "the job is copied", 4.0)
-        digests = {node._database.by_id["job"].results_digest for node in self.rig.storage.values()}
+        digests = {node._database.by_id["job"].results.digest for node in self.rig.storage.values()}
         wait_until(
-            lambda: fresh._database.by_id["job"].results_digest in digests - {0}, "the results"
+            lambda: fresh._database.by_id["job"].results.digest in digests - {0}, "the results"
         )
 
     def test_every_process_dies_and_one_disk_is_lost(self) -> None:
--- /dev/null
+++ b/tests/test_job_orders.py
@@ -0,0 +1,135 @@
+"""What proves that a job's order is the newest: no storage node has a result beyond it."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from nose2.tools import params
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.job_document import Job, JobDocument, JobItem, JobResult, ResultState
+from quaymill.connection.job_storage_messages import (
+    JobsRenewed,
+    KeyedResult,
+    KnownOrder,
+    RenewJobs,
+    ResultKey,
+)
+from quaymill.connection.member import Member
+from quaymill.connection.peer_link import PeerNoReply
+from quaymill.process.job_storage.database import JobDatabase
+from quaymill.process.jobs.coordinated_job import CoordinatedJob
+from quaymill.process.jobs.lease_renewal import LeaseRenewal
+from quaymill.process.jobs.listing import ListedResult, Listing, ListingDocument
+
+RESULT = JobResult("item", ResultState.SUCCEEDED, "text")
+
+
+def keyed(index: int, digest: str = "d") -> KeyedResult:
+    return KeyedResult(ResultKey(index, digest), RESULT)
+
+
+def job(items: int = 3) -> Job:
+    document = JobDocument(tuple(JobItem(str(index), "/x", {}, b"") for index in range(items)))
+    return Job("job", "host", "/jobs/x", document)
+
+
+class HeldResultsTest(unittest.TestCase):
+    """What a storage node has beyond an order."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.database = JobDatabase(self.folder)
+        self.addCleanup(lambda: self.database.close())
+
+    @params(
+        ("nothing is here", (), 0b000, False),
+        ("all that is here is listed", (0, 2), 0b101, False),
+        ("less is here than is listed", (0,), 0b111, False),
+        ("one more is here", (0, 2), 0b001, True),
+        ("another one is here", (1,), 0b101, True),
+    )
+    def test_results_beyond_an_order(self, _, here, listed, beyond) -> None:
+        self.database.store_job(job(), "g#1")
+        self.database.store_results("job", [keyed(index) for index in here])
+        self.assertEqual(beyond, self.database.has_results_beyond("job", listed))
+
+    def test_results_count_also_before_the_job_is_here(self) -> None:
+        self.database.store_results("job", [keyed(1)])
+        self.assertTrue(self.database.has_results_beyond("job", 0))
+        record = self.database.store_job(job(), "g#1")
+        self.assertNotEqual(0, record.results.digest)
+
+    def test_results_count_after_a_start(self) -> None:
+        record = self.database.store_job(job(), "g#1")
+        self.database.store_results("job", [keyed(1), keyed(2)])
+        self.database.store_results("job", [keyed(2), keyed(1)])
+        before = record.results.digest
+        self.database.close()
+        self.database = JobDatabase(self.folder)
+        self.assertEqual(before, self.database.by_id["job"].results.digest)
+        self.assertTrue(self.database.has_results_beyond("job", 0b010))
+        self.assertFalse(self.database.has_results_beyond("job", 0b110))
+
+
+class _Answers:
+    """Peers of which each answers as the test says."""
+
+    def __init__(self, replies: dict[str, object]) -> None:
+        self._replies = replies
+
+    def call(self, endpoint, message, reply_type, timeout_s):
+        return self._replies[endpoint.host]
+
+
+CONFIRMED = JobsRenewed(confirmed_jobs=("job",))
+BEYOND = JobsRenewed()
+TAKEN = JobsRenewed(taken_jobs=("job",), confirmed_jobs=("job",))
+SILENT = PeerNoReply(Endpoint("host", 1), "nothing came")
+
+
+class ConfirmedOrderTest(unittest.TestCase):
+    """An order is confirmed by every storage node that may have more, or not at all."""
+
+    @params(
+        ("all have nothing beyond", (CONFIRMED,) * 4, 4, True),
+        ("one has something beyond", (CONFIRMED, BEYOND, CONFIRMED, CONFIRMED), 4, False),
+        ("one that keeps no lease has", (CONFIRMED, CONFIRMED, CONFIRMED, BEYOND), 4, False),
+        ("one does not answer", (CONFIRMED, CONFIRMED, SILENT, CONFIRMED), 4, False),
+        ("one is known and not live", (CONFIRMED,) * 4, 5, False),
+        ("another has the lease", (CONFIRMED, TAKEN, CONFIRMED, CONFIRMED), 4, True),
+        ("there is no storage node", (), 0, False),
+    )
+    def test_confirmed(self, _, replies, known, confirmed) -> None:
+        members = [
+            Member(f"s{index}", "zone", "region", place, place, has_disk=True)
+            for index, place in enumerate(Endpoint(f"s{index}", 1) for index in range(known))
+        ]
+        live = tuple(members[: len(replies)])
+        peers = _Answers({f"s{index}": reply for index, reply in enumerate(replies)})
+        renewal = LeaseRenewal(peers, lambda: live, lambda: tuple(members), holders=3)
+        outcome = renewal.renew(RenewJobs("g#1", ("job",), orders=(KnownOrder("job", "0"),)))
+        self.assertEqual({"job"} if confirmed else set(), outcome.confirmed)
+
+
+class CoordinatedOrderTest(unittest.TestCase):
+    """What a coordinator takes for the newest order."""
+
+    def test_a_new_job_is_not_known_to_have_no_results(self) -> None:
+        self.assertFalse(CoordinatedJob(job(), None, "g#1").order_is_certain())
+
+    def test_an_order_is_as_old_as_the_call_that_brought_it(self) -> None:
+        held = CoordinatedJob(job(), None, "g#1", order_term_s=1000.0)
+        listing = Listing(ListingDocument("g#1", 3), 1)
+        held.take_listing(listing, as_of=-1e9)
+        self.assertFalse(held.order_is_certain())
+
+    def test_known_order_names_the_listed_items(self) -> None:
+        held = CoordinatedJob(job(), None, "g#1")
+        results = tuple(ListedResult(index, "d", ResultState.SUCCEEDED) for index in (2, 0))
+        held.take_listing(Listing(ListingDocument("g#1", 3, results), 1), as_of=0.0)
+        self.assertEqual(KnownOrder("job", "5"), held.known_order())
