Every answer that a job is not there rests on the same certainty

Cause: a read answered 404 only where all known storage nodes said so, the gateway was 6 s old and the store had no order of the job. The quota asked less: a resent job that did not fit was refused with 429 on the word of the storage nodes known to a gateway that had just started, and the count of such a job was removed alike. Change: JobLookup.absence decides for all three; what is not certain is 503 there, and the count stays. Table test (test_job_lookup) with a row for each reason; before, the rows 'has just started', 'has an order' and 'cannot be read' gave known=False, over=True.

--- a/src/quaymill/process/front/front_service.py
+++ b/src/quaymill/process/front/front_service.py
@@ -22,7 +22,7 @@
     FrontRequest,
 )
 from quaymill.process.front.metrics import FrontMetrics
-from quaymill.process.jobs.result_reader import NoSuchJob, Unsure
+from quaymill.process.jobs.job_lookup import NoSuchJob, Unsure
 from quaymill.process.jobs.route_quota import OverQuota
 from quaymill.process.jobs.service import Accepted, Ended, JobService, NoSuchItem
 from quaymill.request.deadline import Deadline
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -184,7 +184,8 @@
             leases,
             ORDER_TERM_SHARE * settings.bounds.settle_ms / MS_PER_S,
         )
-        self.quota = self._build_quota(QuotaLedgers(shared_store), JobLookup(storage, listings))
+        lookup = JobLookup(storage, listings)
+        self.quota = self._build_quota(QuotaLedgers(shared_store), lookup)
         self.jobs = JobService(
             self.coordinator,
             storage,
@@ -197,10 +198,12 @@
                 self.coordinator,
                 storage,
                 listings,
+                lookup,
                 self.network.client,
                 self.network.server,
                 self.network.process,
             ),
+            lookup,
             self.network.client,
             self.network.server,
             self.network.process,
--- a/src/quaymill/process/jobs/result_reader.py
+++ b/src/quaymill/process/jobs/result_reader.py
@@ -6,7 +6,6 @@
 import time
 from collections.abc import Callable
 
-import attrs
 from eliot import log_message
 
 from quaymill.connection.job_storage_messages import NotCoordinator, ReadResults, ResultsPage
@@ -14,6 +13,7 @@
 from quaymill.connection.peer_link import PeerClient, PeerServer
 from quaymill.process.jobs.coordinated_job import CoordinatedJob, make_page
 from quaymill.process.jobs.coordinator import JobCoordinator
+from quaymill.process.jobs.job_lookup import JobLookup, NoSuchJob, Unsure
 from quaymill.process.jobs.listing import (
     JobListings,
     Listing,
@@ -25,20 +25,6 @@
 READ_TIMEOUT_S = 1.0
 MAX_HELD_READS = 24
 KNOWN_COORDINATORS = 2000
-CERTAIN_AFTER_S = 6.0
-"""Time after which a gateway knows all storage nodes that it can reach."""
-
-
-@attrs.frozen
-class Unsure:
-    """The gateway asked cannot tell now."""
-
-    reason: str
-
-
-@attrs.frozen
-class NoSuchJob:
-    """No storage node has the job."""
 
 
 class ResultReader:
@@ -55,6 +41,7 @@
         coordinator: JobCoordinator,
         storage: JobStorageClient,
         listings: JobListings,
+        lookup: JobLookup,
         peer_client: PeerClient,
         peer_server: PeerServer,
         gateway_of: Callable[[str], Member | None],
@@ -62,11 +49,11 @@
         self._coordinator = coordinator
         self._storage = storage
         self._listings = listings
+        self._lookup = lookup
         self._peer_client = peer_client
         self._gateway_of = gateway_of
         self._held_reads = threading.Semaphore(MAX_HELD_READS)
         self._coordinators_by_job: dict[str, str] = {}
-        self._started_at = time.monotonic()
         peer_server.register(ReadResults, self._answer)
 
     def read(self, job_id: str, since: int, wait_s: float) -> ResultsPage | NoSuchJob | Unsure:
@@ -89,7 +76,7 @@
             return page, coordinator or ""
         found = self._storage.find_job(job_id)
         if isinstance(found, NotFound):
-            return self.absence(job_id, found), ""
+            return self._lookup.absence(job_id, found), ""
         if found.coordinator != coordinator:
             page = self._ask_coordinator(job_id, since, wait_s, found.coordinator)
             if page is not None:
@@ -97,21 +84,6 @@
                 return page, found.coordinator
         return self._read_directly(job_id, since, found.total), ""
 
-    def absence(self, job_id: str, found: NotFound) -> NoSuchJob | Unsure:
-        """Say that there is no such job only where that is certain.
-
-        A gateway that is new may not know all storage nodes yet, and one of those that it knows
-        may have lost its disk just now; a job that has results has a listing besides.
-        """
-        if not found.certain:
-            return Unsure("not all storage nodes answered")
-        if time.monotonic() - self._started_at < CERTAIN_AFTER_S:
-            return Unsure("this gateway may not know all storage nodes yet")
-        listing = self._listings.read(job_id)
-        if listing is not None:
-            return Unsure("the job's order is known, but no storage node tells of the job")
-        return NoSuchJob()
-
     def _page(self, job_id: str, since: int, wait_s: float) -> ResultsPage | Unsure:
         held = self._coordinator.get(job_id)
         if held is None:
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -24,8 +24,9 @@
 from quaymill.connection.peer_link import PeerClient, PeerRefusal, PeerServer
 from quaymill.process.jobs.batch_quota import BatchQuota
 from quaymill.process.jobs.coordinator import JobCoordinator
+from quaymill.process.jobs.job_lookup import JobLookup, NoSuchJob, Unsure
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
-from quaymill.process.jobs.result_reader import NoSuchJob, ResultReader, Unsure
+from quaymill.process.jobs.result_reader import ResultReader
 from quaymill.process.jobs.route_quota import OverQuota, QuotaUnknown
 from quaymill.process.jobs.storage_client import JobStorageClient, NotFound, NotKept
 from quaymill.process.jobs.submission_relay import SubmissionRelay, Submitted
@@ -86,6 +87,7 @@
         quota: BatchQuota,
         relay: SubmissionRelay,
         reader: ResultReader,
+        lookup: JobLookup,
         peer_client: PeerClient,
         peer_server: PeerServer,
         gateway_of: Callable[[str], Member | None],
@@ -100,6 +102,7 @@
         self._gateway_of = gateway_of
         self._gateways = gateways
         self._reader = reader
+        self._lookup = lookup
         peer_server.register(SubmitJob, self._answer_submit)
         peer_server.register(AdoptJob, self._answer_adopt)
         peer_server.register(HandOverJob, self._answer_hand_over)
@@ -164,14 +167,14 @@
             return NoSuchItem() if body is None else body
         body = self._storage.fetch_body(job_id, item_id)
         if isinstance(body, NotFound):
-            return self._reader.absence(job_id, body)
+            return self._lookup.absence(job_id, body)
         return NoSuchItem() if body is None else body
 
     def end(self, job_id: str) -> Ended | NoSuchJob | Unsure:
         """End a job; repeated calls are answered alike."""
         found = self._storage.find_job(job_id)
         if isinstance(found, NotFound):
-            return self._reader.absence(job_id, found)
+            return self._lookup.absence(job_id, found)
         kept, coordinators = self._storage.end_job(job_id)
         if not kept:
             return Unsure("too few storage nodes have noted the end")
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -391,7 +391,7 @@
         late = self.rig.start_gateway("gateway-5", "zone-a")
         wait_until(lambda: late.network.storage_nodes() and late.control.ready, "it has joined")
         self.assertEqual(503, self.rig.read_results("gateway-5", "none").status)
-        late.jobs._reader._started_at -= 60.0
+        late.jobs._lookup._started_at -= 60.0
         wait_until(lambda: len(late.network.storage_nodes()) == 3, "it knows all")
         self.assertEqual(404, self.rig.read_results("gateway-5", "none").status)
 
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -168,7 +168,7 @@
         self.assertEqual(runs, after)
 
     def test_unknown_job_is_404(self) -> None:
-        self.rig.gateways["gateway-0"].jobs._reader._started_at -= 60.0
+        self.rig.gateways["gateway-0"].jobs._lookup._started_at -= 60.0
         self.assertEqual(404, self.rig.read_results("gateway-0", "none").status)
         self.assertEqual(404, self.rig.call("gateway-0", "DELETE", "/v1/lots/none").status)
 
--- /dev/null
+++ b/tests/test_job_lookup.py
@@ -0,0 +1,60 @@
+"""Every answer that a job is not there rests on the same certainty."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from quaymill.connection.job_storage_messages import JobFound
+from quaymill.process.jobs.job_lookup import CERTAIN_AFTER_S, JobLookup, NoSuchJob
+from quaymill.process.jobs.listing import Listing, ListingDocument, ListingUnknown
+from quaymill.process.jobs.storage_client import NotFound
+
+OLD_S = CERTAIN_AFTER_S + 1.0
+ALL_SAY_NO = NotFound(certain=True)
+SOME_SILENT = NotFound(certain=False)
+FOUND = JobFound("g#1", False, 3, None)
+ORDER = Listing(ListingDocument("g#1", 3), 1)
+UNREAD = ListingUnknown("the store is silent")
+
+
+class _Fixed:
+    """Storage nodes and a store that always answer alike."""
+
+    def __init__(self, found, listing) -> None:
+        self._found = found
+        self._listing = listing
+
+    def find_job(self, job_id):
+        return self._found
+
+    def read(self, job_id):
+        return self._listing
+
+
+def lookup_of(found, listing, age_s: float) -> JobLookup:
+    fixed = _Fixed(found, listing)
+    lookup = JobLookup(fixed, fixed)
+    lookup._started_at -= age_s
+    return lookup
+
+
+class AbsenceTest(unittest.TestCase):
+    """404 for a job, a job that is refused as over the quota, a count that is removed."""
+
+    @params(
+        ("nobody has it", ALL_SAY_NO, None, OLD_S, False, True),
+        ("a storage node is silent", SOME_SILENT, None, OLD_S, None, False),
+        ("the gateway has just started", ALL_SAY_NO, None, 0.0, None, False),
+        ("it has an order in the store", ALL_SAY_NO, ORDER, OLD_S, None, False),
+        ("the store cannot be read", ALL_SAY_NO, UNREAD, OLD_S, None, False),
+        ("it is there", FOUND, None, OLD_S, True, False),
+    )
+    def test_absence(self, _, found, listing, age_s, known, over) -> None:
+        lookup = lookup_of(found, listing, age_s)
+        self.assertIs(known, lookup.is_known("job"))
+        self.assertIs(over, lookup.is_over("job"))
+        if isinstance(found, NotFound):
+            absent = isinstance(lookup.absence("job", found), NoSuchJob)
+            self.assertIs(known is False, absent)
