--- a/src/quaymill_bench/fleet_processes.py
+++ b/src/quaymill_bench/fleet_processes.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import itertools
 import os
 import shutil
 import signal
@@ -23,7 +22,7 @@
 
 from quaymill_bench.fleet_world import HOST, ZONES, configuration, job_body
 from quaymill_bench.loopback_proxy import LoopbackProxy
-from quaymill_bench.ports import free_port
+from quaymill_bench.ports import free_port, loopback_address
 from quaymill_standins.fleet_replica import FleetReplica
 from quaymill_standins.fleet_store import FleetStore
 
@@ -34,8 +33,6 @@
 GRACE_S = 6.0
 LEAVE_S = 0.5
 
-_addresses = itertools.count(100)
-
 
 def wait_until(condition: Callable[[], Any], what: str, timeout_s: float = START_TIMEOUT_S) -> Any:
     """Poll until ``condition`` returns something true, and return that."""
@@ -212,7 +209,7 @@
             return False
 
     def _add_process(self, role: str, name: str, zone: str) -> None:
-        address = f"127.0.0.{next(_addresses)}"
+        address = loopback_address()
         proxy = LoopbackProxy(("127.0.0.1", self.store.port))
         seeds = [one.address for one in self.processes.values()][:3]
         process = FleetProcess(
--- a/src/quaymill_bench/ports.py
+++ b/src/quaymill_bench/ports.py
@@ -1,8 +1,12 @@
-"""Ports on loopback for processes that come and go, so that no two users get the same one.
+"""Ports and addresses on loopback for processes that come and go: no two users get the same one.
 
 Each process that asks takes whole blocks of ports. It keeps a socket bound to the first port
 of a block while it lives, so that another process asking at the same moment takes another
 block; the rest of the block is then free also for a process that is down and will be back.
+
+Addresses of 127.0.0.0/8 follow from the blocks, one network of addresses for each: nodes that
+listen on a port which is the same everywhere (that of their metrics) do not meet those of
+another run on the same machine.
 """
 
 from __future__ import annotations
@@ -17,6 +21,8 @@
 LAST_PORT = 32_000
 BLOCK_SIZE = 50
 LOOPBACK = "127.0.0.1"
+NETWORKS_A_BYTE = 250
+HOSTS_A_NETWORK = 250
 
 
 class _PortBlocks:
@@ -27,6 +33,13 @@
         self._random = random.Random()
         self._claims: list[socket.socket] = []
         self._unused: list[int] = []
+        self._unused_addresses: list[str] = []
+
+    def take_address(self) -> str:
+        with self._lock:
+            if not self._unused_addresses:
+                self._claim_block()
+            return self._unused_addresses.pop(0)
 
     def take(self) -> int:
         with self._lock:
@@ -48,6 +61,9 @@
                 continue
             self._claims.append(claim)
             self._unused = list(range(first + 1, first + BLOCK_SIZE))
+            high, low = divmod(first // BLOCK_SIZE, NETWORKS_A_BYTE)
+            network = f"127.{high + 1}.{low + 1}"
+            self._unused_addresses = [f"{network}.{n + 1}" for n in range(HOSTS_A_NETWORK)]
             return
 
 
@@ -59,6 +75,11 @@
     return _blocks.take()
 
 
+def loopback_address() -> str:
+    """Return an address that no other process which asks here was given while it lives."""
+    return _blocks.take_address()
+
+
 def free_ports(count: int) -> list[int]:
     """Return ``count`` different free ports."""
     return [free_port() for _ in range(count)]
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import itertools
 import json
 import shutil
 import tempfile
@@ -25,14 +24,13 @@
 from quaymill.process.serving_settings import Bounds, Listeners, ServingSettings
 from quaymill.process.storage_node import StorageNode
 from quaymill_bench.fleet_world import HOST, ZONES, configuration, job_body
-from quaymill_bench.ports import free_port
+from quaymill_bench.ports import free_port, loopback_address
 from quaymill_standins.fleet_replica import FleetReplica
 from quaymill_standins.fleet_store import FleetStore
 
 WAIT_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.02
 HEARTBEAT_S = 0.5
-_addresses = itertools.count(10)
 
 
 def wait_until(condition: Callable[[], Any], what: str, timeout_s: float = WAIT_TIMEOUT_S) -> Any:
@@ -152,7 +150,7 @@
         held = self.settings.get(name)
         if held is not None:
             return held
-        address = f"127.0.0.{next(_addresses)}"
+        address = loopback_address()
         others = [one.address for one in self.settings.values()][:3]
         listen = Listeners(f"{address}:{free_port()}", f"{address}:{free_port()}")
         settings = ServingSettings(
