The soak checks every promise on jobs, and its faults overlap

Cause: the soak could not have seen the incident: an empty page at a position that was read was no finding, each job had one reader, nobody asked for bodies or sent anything again, a round had one or two faults healed together, and links between processes could not be disturbed. Change: each job has a reader at every gateway, from any position, with and without a wait; bodies, resent jobs and repeated ends are checked (a row in test_soak_checks for each broken promise).

--- a/src/quaymill_bench/fleet_processes.py
+++ b/src/quaymill_bench/fleet_processes.py
@@ -1,12 +1,14 @@
 """A fleet of real processes on loopback, before stand-ins of the platform's store and replicas.
 
-Every gateway reaches the store through a proxy of its own, and every replica is listed with a
-proxy's address, so that links can be disturbed from outside. Processes are stopped, paused and
+Every process reaches the store through a proxy of its own, every replica is listed with a
+proxy's address, and each pair of processes may have a proxy in each direction, so that links can
+be disturbed from outside. Processes are stopped, paused and
 killed by signals; only processes started here are touched, by their ids.
 """
 
 from __future__ import annotations
 
+import json
 import os
 import shutil
 import signal
@@ -23,6 +25,7 @@
 from quaymill_bench.fleet_world import HOST, ZONES, configuration, job_body
 from quaymill_bench.loopback_proxy import LoopbackProxy
 from quaymill_bench.ports import free_port, loopback_address
+from quaymill_bench.routed_process import ROUTES_VARIABLE
 from quaymill_standins.fleet_replica import FleetReplica
 from quaymill_standins.fleet_store import FleetStore
 
@@ -30,6 +33,7 @@
 POLL_INTERVAL_S = 0.05
 REQUEST_TIMEOUT_S = 12.0
 SETTINGS_VARIABLE = "QUAYMILL_BOOT"
+MAIN_MODULE = "quaymill.platform.main"
 GRACE_S = 6.0
 LEAVE_S = 0.5
 
@@ -54,6 +58,8 @@
     ----------
     role
         ``gateway`` or ``job-storage``.
+    links_by_target
+        Proxies of its connections to other processes, by their names; empty where it has none.
     process
         What runs now; ``None`` while it is down.
     """
@@ -66,16 +72,27 @@
     callers_port: int = 0
     readiness_port: int = 0
     store_proxy: LoopbackProxy | None = None
+    links_by_target: dict[str, LoopbackProxy] = attrs.field(factory=dict)
     process: subprocess.Popen | None = None
 
+    @property
+    def routes_file(self) -> Path:
+        """Table of the proxies that its connections to peers lead through."""
+        return self.settings_file.with_suffix(".routes.json")
+
     def start(self) -> None:
         """Start the process, unless it runs: two faults may have ended it, and both start it."""
         if self.process is not None and self.process.poll() is None:
             return
+        module = "quaymill_bench.routed_process" if self.links_by_target else MAIN_MODULE
+        variables = {
+            SETTINGS_VARIABLE: str(self.settings_file),
+            ROUTES_VARIABLE: str(self.routes_file),
+        }
         with self.log_file.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "quaymill.platform.main", self.role],
-                env=os.environ | {SETTINGS_VARIABLE: str(self.settings_file)},
+                [sys.executable, "-m", module, self.role],
+                env=os.environ | variables,
                 stdout=log,
                 stderr=log,
             )
@@ -96,11 +113,32 @@
         self.send(signal.SIGTERM)
         return self.process.wait(GRACE_S + 5.0)
 
+    def wait_ended(self) -> None:
+        """Wait until a process that was told to stop has ended; end one that does not."""
+        try:
+            self.process.wait(GRACE_S + 5.0)
+        except subprocess.TimeoutExpired:
+            self.kill()
+
 
 class LocalFleet:
-    """Builds, disturbs and stops a fleet of processes."""
+    """Builds, disturbs and stops a fleet of processes.
 
-    def __init__(self, folder: Path, gateways: int = 3, storage: int = 3, engines: int = 3) -> None:
+    Parameters
+    ----------
+    linked
+        Whether each pair of processes has a proxy in each direction.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        gateways: int = 3,
+        storage: int = 3,
+        engines: int = 3,
+        *,
+        linked: bool = False,
+    ) -> None:
         self.folder = folder
         # Disks of an earlier fleet hold jobs of the same names, whose retention has run out.
         shutil.rmtree(folder, ignore_errors=True)
@@ -110,6 +148,7 @@
         self.processes: dict[str, FleetProcess] = {}
         self._peer_port = free_port()
         self._planned = (gateways, storage, engines)
+        self._linked = linked
         self.pool = urllib3.PoolManager(retries=False, num_pools=20, maxsize=30)
 
     @property
@@ -136,11 +175,24 @@
             self._add_process("job-storage", f"storage-{index}", ZONES[index % len(ZONES)])
         for index in range(gateways):
             self._add_process("gateway", f"gateway-{index}", ZONES[index % len(ZONES)])
+        if self._linked:
+            self._link()
         for process in self.processes.values():
             process.start()
         self.wait_ready()
         return self
 
+    def _link(self) -> None:
+        """Put a proxy into each direction between two processes."""
+        for source in self.processes.values():
+            routes = {}
+            for target in self.processes.values():
+                if target is not source:
+                    proxy = LoopbackProxy((target.address, self._peer_port))
+                    source.links_by_target[target.name] = proxy
+                    routes[f"{target.address}:{self._peer_port}"] = ("127.0.0.1", proxy.port)
+            source.routes_file.write_text(json.dumps(routes))
+
     def stop(self) -> None:
         """End everything that was started here."""
         for process in self.processes.values():
@@ -148,6 +200,8 @@
             process.kill()
             if process.store_proxy is not None:
                 process.store_proxy.stop()
+            for proxy in process.links_by_target.values():
+                proxy.stop()
         for proxy in self.replica_proxies.values():
             proxy.stop()
         for replica in self.replicas.values():
--- a/src/quaymill_bench/loopback_proxy.py
+++ b/src/quaymill_bench/loopback_proxy.py
@@ -20,6 +20,7 @@
     DELAYED = enum.auto()
     RESET = enum.auto()
     SILENT = enum.auto()
+    ANSWERS_LATE = enum.auto()
     ANSWERS_LOST = enum.auto()
 
 
@@ -27,8 +28,9 @@
     """Forwards connections to one target.
 
     States may be changed at any time: DELAYED holds each block back, RESET ends all
-    connections and new ones at once, SILENT passes nothing on, ANSWERS_LOST passes on only
-    what clients send.
+    connections and new ones at once, SILENT passes nothing on, ANSWERS_LATE holds only answers
+    back, ANSWERS_LOST passes on only what clients send. ``silence_open`` makes those that are
+    open silent for good, without a reset, while new ones work.
     """
 
     def __init__(self, target: tuple[str, int], address: str = "127.0.0.1") -> None:
@@ -38,6 +40,7 @@
         self._delay_s = 0.0
         self._lock = threading.Lock()
         self._sockets: set[socket.socket] = set()
+        self._silenced: set[socket.socket] = set()
         self._stopping = False
         self.port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, name="proxy", daemon=True).start()
@@ -49,6 +52,11 @@
         if state is LinkState.RESET:
             self._reset_all()
 
+    def silence_open(self) -> None:
+        """Pass nothing on any more of the connections that are open now, in either direction."""
+        with self._lock:
+            self._silenced |= self._sockets
+
     def stop(self) -> None:
         """Close everything."""
         self._stopping = True
@@ -89,16 +97,20 @@
     def _pump(self, source: socket.socket, sink: socket.socket, is_answer: bool) -> None:
         try:
             while block := source.recv(BLOCK_BYTES):
-                if not self._wait_to_pass(is_answer):
-                    continue
-                sink.sendall(block)
-            with contextlib.suppress(OSError):
-                sink.shutdown(socket.SHUT_WR)
+                passes = self._wait_to_pass(is_answer)
+                if passes and source not in self._silenced:
+                    sink.sendall(block)
+            # Nobody learns of the end of a connection that is silent.
+            if source not in self._silenced:
+                with contextlib.suppress(OSError):
+                    sink.shutdown(socket.SHUT_WR)
         except OSError:
-            _reset(sink)
+            if source not in self._silenced:
+                _reset(sink)
         finally:
             with self._lock:
                 self._sockets.discard(source)
+                self._silenced.discard(source)
             if is_answer:
                 source.close()
 
@@ -106,7 +118,9 @@
         """Hold a block back as the state says; return whether it is passed on at all."""
         if self._state is LinkState.ANSWERS_LOST and is_answer:
             return False
-        if self._state is LinkState.DELAYED:
+        if self._state is LinkState.DELAYED or (
+            self._state is LinkState.ANSWERS_LATE and is_answer
+        ):
             time.sleep(self._delay_s)
         while self._state is LinkState.SILENT and not self._stopping:
             time.sleep(POLL_S)
--- a/src/quaymill_bench/main.py
+++ b/src/quaymill_bench/main.py
@@ -113,7 +113,14 @@
 
 
 def soak(
-    *, seed: int = 1, rounds: int = 10, only: int | None = None, keep: Path = Path("run/soak")
+    *,
+    seed: int = 1,
+    rounds: int = 10,
+    only: int | None = None,
+    gateways: int = 3,
+    storage: int = 3,
+    engines: int = 3,
+    keep: Path = Path("run/soak"),
 ) -> int:
     """Run gateways and storage nodes as processes under random faults, and check the promises.
 
@@ -125,12 +132,15 @@
         Number of rounds.
     only
         Play just this round of the seed, counted from 0.
+    gateways, storage, engines
+        How many there are; each pair of processes has two proxies.
     keep
         Folder for the processes' files and for the logs of failed rounds.
     """
-    from quaymill_bench.soak import run_soak
+    from quaymill_bench.soak import SoakPlan, run_soak
 
-    result = run_soak(keep.resolve(), seed, rounds, only, lambda text: print(text, flush=True))
+    plan = SoakPlan(keep.resolve(), seed, rounds, only, gateways, storage, engines)
+    result = run_soak(plan, lambda text: print(text, flush=True))
     print(f"{result.rounds} rounds, {result.requests} requests, {result.jobs} jobs")
     for number, found in result.findings.items():
         for text in found:
--- a/src/quaymill_bench/soak_checks.py
+++ b/src/quaymill_bench/soak_checks.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import threading
+import time
 from typing import Any
 
 import attrs
@@ -11,6 +13,25 @@
 from quaymill_standins.fleet_replica import FleetReplica
 
 REFUSED = frozenset({408, 421, 429, 503})
+GONE = frozenset({404, 410})
+SETTLE_S = 1.0
+"""Time after which what was accepted or read must be there at every gateway."""
+RESEND_REFUSALS = 3
+"""Refusals of an accepted job that is sent again from which on they break a promise."""
+
+
+@attrs.frozen
+class JobCall:
+    """One call about a job: at which gateway, and the monotonic time when it was sent."""
+
+    gateway: str
+    sent_at: float
+
+    def __str__(self) -> str:
+        return f"{self.gateway}, sent at {self.sent_at:.3f}"
+
+
+OWN_CALL = JobCall("reader", 0.0)
 
 
 @attrs.frozen
@@ -41,14 +62,23 @@
     ----------
     statuses
         Answers to its submissions; 0 for none.
+    accepted_at
+        Monotonic time of the first 202.
     positions
         Results read, by position.
+    read_at
+        Monotonic time when each position was first read.
+    resend_refusals
+        How often the accepted job was refused with a 4xx when it was sent again.
     """
 
     id: str
     items: int
     statuses: list[int] = attrs.field(factory=list)
     positions: dict[int, dict[str, Any]] = attrs.field(factory=dict)
+    accepted_at: float = math.inf
+    read_at: dict[int, float] = attrs.field(factory=dict)
+    resend_refusals: int = 0
     ended_at: float | None = None
     findings: list[str] = attrs.field(factory=list)
 
@@ -76,13 +106,52 @@
         with self._lock:
             return self.jobs.setdefault(job_id, JobHistory(job_id, items))
 
-    def read_page(self, job: JobHistory, since: int, results: list[dict[str, Any]]) -> None:
+    def read_page(
+        self, job: JobHistory, since: int, results: list[dict[str, Any]], call: JobCall = OWN_CALL
+    ) -> None:
         """Take results that were read, and compare them with what was read before."""
+        now = time.monotonic()
         with self._lock:
+            known_since = job.read_at.get(since, math.inf)
+            if not results and known_since < call.sent_at - SETTLE_S:
+                job.findings.append(
+                    f"{call}: nothing at position {since}, read {call.sent_at - known_since:.2f} s"
+                    " before the read was sent"
+                )
             for offset, result in enumerate(results):
                 held = job.positions.setdefault(since + offset, result)
+                job.read_at.setdefault(since + offset, now)
                 if held != result:
-                    job.findings.append(f"position {since + offset} has changed")
+                    job.findings.append(f"{call}: position {since + offset} has changed")
+
+    def read_refused(self, job: JobHistory, call: JobCall, status: int) -> None:
+        """Take a read that was answered with another status than 200."""
+        if status in GONE and job.accepted_at < call.sent_at - SETTLE_S:
+            job.findings.append(f"{call}: a read is answered {status}")
+
+    def read_body(
+        self, job: JobHistory, call: JobCall, item: str, status: int, body: bytes, expected: bytes
+    ) -> None:
+        """Take what came of asking for an item's body."""
+        with self._lock:
+            listed = any(result["id"] == item for result in job.positions.values())
+        settled = job.accepted_at < call.sent_at - SETTLE_S
+        if status in GONE and settled and not listed and job.ended_at is None:
+            job.findings.append(f"{call}: the body of {item} is answered {status}")
+        if status == 200 and body != expected:
+            job.findings.append(f"{call}: the body of {item} is not the one that was sent")
+
+    def sent_again(self, job: JobHistory, call: JobCall, status: int) -> None:
+        """Take the answer to an accepted job that was sent again."""
+        if 400 <= status < 500 and job.accepted_at < call.sent_at - SETTLE_S:
+            job.resend_refusals += 1
+            if job.resend_refusals == RESEND_REFUSALS:
+                job.findings.append(f"{call}: an accepted job is refused with {status} again")
+
+    def ended_again(self, job: JobHistory, call: JobCall, status: int) -> None:
+        """Take the answer to a repeated end."""
+        if 400 <= status < 500 and job.accepted_at < call.sent_at - SETTLE_S:
+            job.findings.append(f"{call}: a repeated end is answered {status}")
 
 
 def check_round(history: History, replicas: list[FleetReplica], cancel_s: float) -> list[str]:
--- /dev/null
+++ b/src/quaymill_bench/soak_faults.py
@@ -0,0 +1,303 @@
+"""The faults of the soak: drawn from a seed, in series that overlap, each healed after a time."""
+
+from __future__ import annotations
+
+import random
+import signal
+import threading
+import time
+from collections.abc import Callable
+
+import attrs
+import msgspec
+
+from quaymill_bench.fleet_processes import FleetProcess, LocalFleet
+from quaymill_bench.fleet_world import ROUTES, configuration
+from quaymill_bench.loopback_proxy import LinkState, LoopbackProxy
+from quaymill_bench.soak_timeline import Timeline
+from quaymill_standins.fleet_replica import ReplicaBehaviour
+from quaymill_standins.fleet_store import FleetStoreFaults
+
+FIRST_AFTER_S = 0.5
+MOST_FOR_S = 5.0
+LATE_ANSWER_S = 2.0
+"""Longer than a call of the store waits for its answer."""
+WHOLE_AFTER_S = 4.0
+"""Time after its start in which a storage node without a disk becomes whole again."""
+LINK_STATES = (
+    LinkState.DELAYED,
+    LinkState.RESET,
+    LinkState.SILENT,
+    LinkState.ANSWERS_LATE,
+    LinkState.ANSWERS_LOST,
+)
+EVENT_TIMES_S = (0.01, 0.2, 0.6)
+"""Times of an event: an item of three of them is over at once, or outlasts other coordinators."""
+DELAY_BY_STATE_S = {LinkState.DELAYED: 0.2, LinkState.ANSWERS_LATE: LATE_ANSWER_S}
+
+Heal = Callable[[], None]
+
+
+@attrs.frozen
+class PlannedFault:
+    """One fault: when it begins, in seconds of the round, and how long it lasts."""
+
+    at_s: float
+    for_s: float
+    name: str
+
+
+class SoakFaults:
+    """Draws the faults of one round, and brings them about."""
+
+    def __init__(self, fleet: LocalFleet, seed: str, timeline: Timeline) -> None:
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._timeline = timeline
+        self._storage_lock = threading.Lock()
+        self._version = int(time.time())
+        self._sound = ReplicaBehaviour(event_s=self._random.choice(EVENT_TIMES_S))
+        for replica in fleet.replicas.values():
+            replica.behaviour = self._sound
+        self._faults: dict[str, Callable[[], Heal | None]] = {
+            "kill a gateway": self._kill_gateway,
+            "stop a gateway": self._stop_gateway,
+            "freeze a process": self._freeze,
+            "tell a process to read its settings": self._hang_up,
+            "kill a storage node": self._kill_storage,
+            "take a storage node's disk": self._wipe_storage,
+            "disturb the store": self._disturb_store,
+            "disturb a path to the store": self._disturb_store_link,
+            "disturb a path to a replica": self._disturb_replica_link,
+            "disturb a path between two processes": self._disturb_peer_link,
+            "silence open connections": self._silence_connections,
+            "have a replica fail": self._fail_replica,
+            "have a replica leave": self._drain_replica,
+            "change the configuration": self._change_configuration,
+        }
+
+    def plan(self, load_s: float) -> list[PlannedFault]:
+        """Draw the faults of a round, by the time when they begin."""
+        latest_s = load_s - 1.0
+        planned = [
+            PlannedFault(
+                self._random.uniform(FIRST_AFTER_S, latest_s),
+                self._random.uniform(0.3, MOST_FOR_S),
+                self._random.choice(tuple(self._faults)),
+            )
+            for _ in range(self._random.choice((2, 3, 4, 5, 6)))
+        ]
+        return sorted(planned, key=lambda one: one.at_s)
+
+    def play(self, planned: list[PlannedFault], until_s: float) -> None:
+        """Bring the faults about at their times, and heal what is left at the end."""
+        began = time.monotonic()
+        heals: list[tuple[float, str, Heal]] = []
+        for fault in planned:
+            heals = self._wait(began + fault.at_s, heals)
+            heal = self._faults[fault.name]()
+            if heal is not None:
+                heals.append((time.monotonic() + fault.for_s, fault.name, heal))
+        heals = self._wait(began + until_s, heals)
+        self._heal(heals)
+
+    def end_everything(self) -> None:
+        """Kill all processes at the same moment, and start them again."""
+        self._timeline.note("fault: every process is killed")
+        for process in self._fleet.processes.values():
+            process.send(signal.SIGKILL)
+        for process in self._fleet.processes.values():
+            process.kill()
+            process.start()
+        self._timeline.note("fault: every process is started again")
+
+    def _wait(
+        self, until: float, heals: list[tuple[float, str, Heal]]
+    ) -> list[tuple[float, str, Heal]]:
+        """Wait, and heal what has lasted its time meanwhile; return what is left to heal."""
+        while time.monotonic() < until:
+            due = [one for one in heals if one[0] <= time.monotonic()]
+            heals = [one for one in heals if one not in due]
+            self._heal(due)
+            time.sleep(0.02)
+        return heals
+
+    def _heal(self, heals: list[tuple[float, str, Heal]]) -> None:
+        for _, name, heal in heals:
+            heal()
+            self._timeline.note(f"healed: {name}")
+
+    def _note(self, text: str) -> None:
+        self._timeline.note(f"fault: {text}")
+
+    # Processes.
+
+    def _kill_gateway(self) -> Heal:
+        process = self._random.choice(self._fleet.gateways)
+        self._note(f"SIGKILL to {process.name}")
+        process.kill()
+        return process.start
+
+    def _stop_gateway(self) -> Heal:
+        process = self._random.choice(self._fleet.gateways)
+        self._note(f"SIGTERM to {process.name}")
+        process.send(signal.SIGTERM)
+
+        def heal() -> None:
+            process.wait_ended()
+            process.start()
+
+        return heal
+
+    def _freeze(self) -> Heal | None:
+        process = self._random.choice(list(self._fleet.processes.values()))
+        if not self._may_lose(process):
+            return None
+        self._note(f"SIGSTOP to {process.name}")
+        process.send(signal.SIGSTOP)
+
+        def heal() -> None:
+            process.send(signal.SIGCONT)
+            self._gives_back(process)
+
+        return heal
+
+    def _hang_up(self) -> None:
+        process = self._random.choice(list(self._fleet.processes.values()))
+        self._note(f"SIGHUP to {process.name}")
+        process.send(signal.SIGHUP)
+
+    def _kill_storage(self) -> Heal | None:
+        process = self._random.choice(self._fleet.storage_nodes)
+        if not self._may_lose(process):
+            return None
+        self._note(f"SIGKILL to {process.name}")
+        process.kill()
+
+        def heal() -> None:
+            process.start()
+            self._gives_back(process)
+
+        return heal
+
+    def _wipe_storage(self) -> Heal | None:
+        process = self._random.choice(self._fleet.storage_nodes)
+        if not self._may_lose(process):
+            return None
+        self._note(f"{process.name} loses its disk")
+        process.kill()
+        self._fleet.wipe(process)
+
+        def heal() -> None:
+            process.start()
+            self._gives_back(process)
+
+        return heal
+
+    def _may_lose(self, process: FleetProcess) -> bool:
+        """Return whether a process may be lost now: of the storage nodes one at a time."""
+        if process.role != "job-storage":
+            return True
+        return self._storage_lock.acquire(blocking=False)
+
+    def _gives_back(self, process: FleetProcess) -> None:
+        """Let the next storage node be lost once this one is whole again."""
+        if process.role == "job-storage":
+            threading.Timer(WHOLE_AFTER_S, self._storage_lock.release).start()
+
+    # Links.
+
+    def _disturb_store(self) -> Heal:
+        name, value = self._random.choice(
+            (
+                ("down", True),
+                ("silent", True),
+                ("lose_writes", True),
+                ("late_writes_s", LATE_ANSWER_S),
+            )
+        )
+        self._note(f"the store: {name}")
+        self._fleet.store.faults = FleetStoreFaults(**{name: value})
+
+        def heal() -> None:
+            self._fleet.store.faults = FleetStoreFaults()
+
+        return heal
+
+    def _disturb_store_link(self) -> Heal:
+        process = self._random.choice(self._fleet.gateways)
+        return self._disturb_link(process.store_proxy, f"{process.name} to the store")
+
+    def _disturb_replica_link(self) -> Heal:
+        replica_id, proxy = self._random.choice(list(self._fleet.replica_proxies.items()))
+        return self._disturb_link(proxy, f"all to {replica_id}")
+
+    def _disturb_peer_link(self) -> Heal | None:
+        source = self._random.choice(list(self._fleet.processes.values()))
+        if not source.links_by_target:
+            return None
+        target, proxy = self._random.choice(list(source.links_by_target.items()))
+        return self._disturb_link(proxy, f"{source.name} to {target}")
+
+    def _disturb_link(self, proxy: LoopbackProxy, path: str) -> Heal:
+        state = self._random.choice(LINK_STATES)
+        self._note(f"{path}: {state.name}")
+        proxy.set_state(state, DELAY_BY_STATE_S.get(state, 0.0))
+
+        def heal() -> None:
+            # What was held back is not let through late: the connections end.
+            proxy.set_state(LinkState.RESET)
+            proxy.set_state(LinkState.OPEN)
+
+        return heal
+
+    def _silence_connections(self) -> None:
+        """Make open connections silent for good: of one process, or everywhere."""
+        if self._random.random() < 0.5:
+            self._note("all open connections go silent for good")
+            proxies = self._proxies(list(self._fleet.processes.values()))
+            proxies += self._fleet.replica_proxies.values()
+        else:
+            process = self._random.choice(list(self._fleet.processes.values()))
+            self._note(f"the open connections of {process.name} go silent for good")
+            proxies = self._proxies([process])
+        for proxy in proxies:
+            proxy.silence_open()
+
+    def _proxies(self, processes: list[FleetProcess]) -> list[LoopbackProxy]:
+        links = [link for one in processes for link in one.links_by_target.values()]
+        return links + [one.store_proxy for one in processes]
+
+    # Replicas and the operator.
+
+    def _fail_replica(self) -> Heal:
+        replica = self._random.choice(list(self._fleet.replicas.values()))
+        name, value = self._random.choice(
+            (
+                ("break_off", True),
+                ("cut_at_event", 2),
+                ("foreign_id", True),
+                ("shed", True),
+                ("stall_at_event", 2),
+            )
+        )
+        self._note(f"{replica.id}: {name}")
+        replica.behaviour = msgspec.structs.replace(self._sound, **{name: value})
+
+        def heal() -> None:
+            replica.behaviour = self._sound
+
+        return heal
+
+    def _drain_replica(self) -> Heal:
+        replica = self._random.choice(list(self._fleet.replicas.values()))
+        self._note(f"{replica.id} leaves")
+        self._fleet.list_replica(replica, "draining")
+        return lambda: self._fleet.list_replica(replica, "ready")
+
+    def _change_configuration(self) -> None:
+        self._version += 1
+        timeout_ms = self._random.choice((7000, 8000, 9000))
+        routes = tuple(route | {"timeout_ms": timeout_ms} for route in ROUTES)
+        self._note(f"configuration {self._version}")
+        self._fleet.store.put("config", "main", configuration(self._version, routes))
--- /dev/null
+++ b/src/quaymill_bench/soak_load.py
@@ -0,0 +1,201 @@
+"""The load of the soak: requests, jobs, and readers of every job at every gateway.
+
+Callers keep the connections that they have, also to a process that is about to stop. Jobs are
+read all the time from any position, bodies are asked for, and what was accepted or ended is sent
+again, as the users' own clients do.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import threading
+import time
+
+import urllib3
+
+from quaymill_bench.fleet_processes import FleetProcess, LocalFleet
+from quaymill_bench.fleet_world import item_id
+from quaymill_bench.soak_checks import History, JobCall, JobHistory, Sending
+from quaymill_bench.soak_timeline import Timeline
+
+CALLERS = 4
+JOBS = 4
+JOB_ITEMS = 10
+READ_PAUSE_S = 0.15
+RESEND_WITHIN_S = 4.0
+"""An accepted job is sent again only while its acceptance is this young."""
+CANCEL_S = 3.0
+REQUEST_KINDS = ("read", "write", "stream", "resumable")
+
+
+class SoakLoad:
+    """Callers, senders and readers of one round."""
+
+    def __init__(
+        self, fleet: LocalFleet, name: str, history: History, timeline: Timeline, load_s: float
+    ) -> None:
+        self._fleet = fleet
+        self._name = name
+        self._history = history
+        self._timeline = timeline
+        self._load_s = load_s
+        self._stopping = threading.Event()
+        self._threads: list[threading.Thread] = []
+
+    def start(self) -> None:
+        """Begin to send."""
+        for index in range(CALLERS):
+            self._start(self._call, index)
+        for index in range(JOBS):
+            self._start(self._follow_job, index)
+
+    def stop(self, timeout_s: float) -> None:
+        """Send no more requests, and wait until the jobs have ended."""
+        self._stopping.set()
+        deadline = time.monotonic() + timeout_s
+        for thread in list(self._threads):
+            thread.join(max(0.0, deadline - time.monotonic()))
+
+    def _start(self, target, *arguments) -> None:
+        thread = threading.Thread(target=target, args=arguments, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    # Requests.
+
+    def _call(self, index: int) -> None:
+        chance = random.Random(f"{self._name}/{index}")
+        number = 0
+        while not self._stopping.is_set():
+            number += 1
+            kind = chance.choice(REQUEST_KINDS)
+            gateway = chance.choice(self._fleet.gateways)
+            self._send(kind, gateway, f"{kind}-{self._name}-{index}-{number}")
+            time.sleep(chance.uniform(0.0, 0.05))
+
+    def _send(self, kind: str, gateway: FleetProcess, request_id: str) -> None:
+        headers = {"Request-Id": request_id, "Deadline-Ms": "6000"}
+        if kind in ("stream", "resumable"):
+            headers["Token-Count"] = "50,10"
+        answer = self._try_call(gateway, "POST", f"/{kind}/x", b"", headers)
+        status, body = (0, b"") if answer is None else (answer.status, answer.data)
+        whole = answer is not None
+        self._history.add(Sending(request_id, kind, gateway.name, status, body, whole=whole))
+
+    def _try_call(
+        self, gateway: FleetProcess, method: str, path: str, body: bytes = b"", headers=None
+    ) -> urllib3.BaseHTTPResponse | None:
+        """Send one request; ``None`` if no whole answer came."""
+        try:
+            return self._fleet.call(gateway, method, path, body, headers)
+        except urllib3.exceptions.HTTPError:
+            return None
+
+    # Jobs.
+
+    def _follow_job(self, index: int) -> None:
+        """Send a job until it is accepted, then have it read until all is listed."""
+        chance = random.Random(f"{self._name}/job/{index}")
+        job = self._history.job(f"job-{self._name}-{index}", JOB_ITEMS)
+        time.sleep(chance.uniform(0.0, self._load_s / 2))
+        deadline = time.monotonic() + self._load_s + 40.0
+        while not job.accepted and time.monotonic() < deadline:
+            self._submit(job, chance)
+        if not job.accepted:
+            return
+        over = threading.Event()
+        readers = [
+            threading.Thread(target=self._read, args=(job, number, over), daemon=True)
+            for number in range(len(self._fleet.gateways))
+        ]
+        for reader in readers:
+            reader.start()
+        will_end = chance.random() < 0.25
+        while time.monotonic() < deadline and not self._is_over(job):
+            if will_end and job.positions and job.ended_at is None:
+                self._end(job, chance.choice(self._fleet.gateways))
+            time.sleep(0.05)
+        # What was read must be there at the end, too.
+        time.sleep(1.0)
+        over.set()
+        for reader in readers:
+            reader.join()
+
+    def _is_over(self, job: JobHistory) -> bool:
+        if job.ended_at is not None:
+            return time.monotonic() > job.ended_at + CANCEL_S + 1.0
+        return len(job.positions) >= job.items
+
+    def _submit(self, job: JobHistory, chance: random.Random) -> None:
+        gateway = chance.choice(self._fleet.gateways)
+        try:
+            status = self._fleet.submit(gateway, job.id, job.items).status
+        except urllib3.exceptions.HTTPError:
+            status = 0
+        job.statuses.append(status)
+        self._timeline.note(f"client: sent to {gateway.name}, answered {status}", job.id)
+        if status == 202:
+            job.accepted_at = time.monotonic()
+        else:
+            time.sleep(0.2)
+
+    def _read(self, job: JobHistory, number: int, over: threading.Event) -> None:
+        """Read a job at one gateway until it is over, and do now and then what else clients do."""
+        chance = random.Random(f"{self._name}/{job.id}/{number}")
+        gateway = self._fleet.gateways[number]
+        actions = (self._read_page,) * 8 + (self._read_body, self._send_again, self._end_again)
+        while not over.is_set():
+            chance.choice(actions)(job, gateway, chance)
+            over.wait(chance.uniform(0.0, 2 * READ_PAUSE_S))
+
+    def _read_page(self, job: JobHistory, gateway: FleetProcess, chance: random.Random) -> None:
+        since = chance.randint(0, len(job.positions))
+        headers = {"Wait-Ms": str(chance.choice((0, 0, 300, 1000)))}
+        call = JobCall(gateway.name, time.monotonic())
+        path = f"/v1/lots/{job.id}?since_rev={since}"
+        answer = self._try_call(gateway, "GET", path, headers=headers)
+        if answer is None:
+            return
+        if answer.status != 200:
+            self._history.read_refused(job, call, answer.status)
+            return
+        results = json.loads(answer.data)["results"]
+        self._timeline.note(
+            f"client: {len(results)} results from {since} on at {gateway.name}", job.id
+        )
+        self._history.read_page(job, since, results, call)
+
+    def _read_body(self, job: JobHistory, gateway: FleetProcess, chance: random.Random) -> None:
+        index = chance.randrange(job.items)
+        item = item_id(job.id, index)
+        call = JobCall(gateway.name, time.monotonic())
+        answer = self._try_call(gateway, "GET", f"/v1/items/{job.id}?id={item}")
+        if answer is not None:
+            expected = f"body {index}".encode()
+            self._history.read_body(job, call, item, answer.status, answer.data, expected)
+
+    def _send_again(self, job: JobHistory, gateway: FleetProcess, chance: random.Random) -> None:
+        if time.monotonic() > job.accepted_at + RESEND_WITHIN_S:
+            return
+        call = JobCall(gateway.name, time.monotonic())
+        try:
+            answer = self._fleet.submit(gateway, job.id, job.items)
+        except urllib3.exceptions.HTTPError:
+            return
+        self._timeline.note(f"client: sent again to {gateway.name}: {answer.status}", job.id)
+        self._history.sent_again(job, call, answer.status)
+
+    def _end(self, job: JobHistory, gateway: FleetProcess) -> None:
+        answer = self._try_call(gateway, "DELETE", f"/v1/lots/{job.id}")
+        if answer is not None and answer.status == 200:
+            job.ended_at = time.monotonic()
+            self._timeline.note(f"client: ended at {gateway.name}", job.id)
+
+    def _end_again(self, job: JobHistory, gateway: FleetProcess, chance: random.Random) -> None:
+        if job.ended_at is None:
+            return
+        call = JobCall(gateway.name, time.monotonic())
+        answer = self._try_call(gateway, "DELETE", f"/v1/lots/{job.id}")
+        if answer is not None:
+            self._history.ended_again(job, call, answer.status)
--- a/src/quaymill_standins/fleet_store.py
+++ b/src/quaymill_standins/fleet_store.py
@@ -40,6 +40,8 @@
         Calls are taken and never answered.
     lose_writes
         Writes are done and not answered.
+    late_writes_s
+        Writes are done at once, and answered after this time.
     deaf_watches
         Watches hear nothing of changes until they end.
     refused_clients
@@ -49,6 +51,7 @@
     down: bool = False
     silent: bool = False
     lose_writes: bool = False
+    late_writes_s: float = 0.0
     deaf_watches: bool = False
     refused_clients: frozenset[str] = frozenset()
 
@@ -144,6 +147,7 @@
         if request.method == "GET":
             return self._read_call(kind, name, request.query)
         answer = self._write_call(kind, name, part, request)
+        time.sleep(self.faults.late_writes_s)
         return CLOSED if self.faults.lose_writes else answer
 
     def _read_call(self, kind: str, name: str, query: dict[str, str]) -> Response:
--- /dev/null
+++ b/tests/test_loopback_proxy.py
@@ -0,0 +1,68 @@
+"""The proxy of the soak does to connections what its states say."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import time
+import unittest
+
+from quaymill_bench.loopback_proxy import LinkState, LoopbackProxy
+
+SHORT_S = 0.3
+DELAY_S = 0.5
+
+
+class LoopbackProxyTest(unittest.TestCase):
+    """Before a server that sends back what it gets."""
+
+    def setUp(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        threading.Thread(target=self._echo_all, daemon=True).start()
+        self.proxy = LoopbackProxy(("127.0.0.1", self.listener.getsockname()[1]))
+        self.addCleanup(self.proxy.stop)
+
+    def _echo_all(self) -> None:
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._echo, args=(connection,), daemon=True).start()
+
+    def _echo(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while block := connection.recv(1024):
+                connection.sendall(block)
+
+    def connect(self) -> socket.socket:
+        connection = socket.create_connection(("127.0.0.1", self.proxy.port), timeout=5.0)
+        self.addCleanup(connection.close)
+        return connection
+
+    def ask(self, connection: socket.socket, timeout_s: float = 5.0) -> bytes:
+        """Send a word and return what comes back; empty if nothing does in time."""
+        connection.settimeout(timeout_s)
+        connection.sendall(b"word")
+        try:
+            return connection.recv(1024)
+        except TimeoutError:
+            return b""
+
+    def test_open_connections_go_silent_and_new_ones_work(self) -> None:
+        old = self.connect()
+        self.assertEqual(b"word", self.ask(old))
+        self.proxy.silence_open()
+        self.assertEqual(b"", self.ask(old, SHORT_S))
+        self.assertEqual(b"word", self.ask(self.connect()))
+        self.assertEqual(b"", self.ask(old, SHORT_S), "silent for good")
+
+    def test_only_answers_are_late(self) -> None:
+        connection = self.connect()
+        self.assertEqual(b"word", self.ask(connection))
+        self.proxy.set_state(LinkState.ANSWERS_LATE, DELAY_S)
+        began = time.monotonic()
+        self.assertEqual(b"word", self.ask(connection))
+        self.assertGreaterEqual(time.monotonic() - began, DELAY_S)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 
 from nose2.tools import params
 
 from quaymill_bench.fleet_world import item_id, whole_text
-from quaymill_bench.soak_checks import History, JobHistory, Sending, check_round
+from quaymill_bench.soak_checks import (
+    RESEND_REFUSALS,
+    SETTLE_S,
+    History,
+    JobCall,
+    JobHistory,
+    Sending,
+    check_round,
+)
 from quaymill_standins.fleet_replica import FleetReplica, ReplicaRun, event_bytes
 
 CANCEL_S = 3.0
@@ -92,3 +101,72 @@
         history.read_page(job, 0, [succeeded("j", 0)])
         history.read_page(job, 0, [succeeded("j", 0) | {"message": "other"}])
         self.assertIn("position 0 has changed", check_round(history, [], CANCEL_S)[0])
+
+
+LATER_S = SETTLE_S + 0.5
+SOONER_S = SETTLE_S - 0.5
+
+
+class ReadTest(unittest.TestCase):
+    """What was accepted or read must be there, from a while after that on."""
+
+    def setUp(self) -> None:
+        self.history = History()
+        self.job = self.history.job("j", 2)
+        self.job.statuses.append(202)
+        self.now = time.monotonic()
+        self.job.accepted_at = self.now
+
+    def call(self, after_s: float) -> JobCall:
+        return JobCall("gateway", self.now + after_s)
+
+    def check(self, finding: str | None) -> None:
+        found = self.job.findings
+        self.assertEqual(finding is not None, bool(found), found)
+        if finding is not None:
+            self.assertIn(finding, found[0])
+
+    @params(
+        ("there", 0, [succeeded("j", 0)], LATER_S, None),
+        ("gone again", 0, [], LATER_S, "nothing at position 0"),
+        ("gone for a moment", 0, [], SOONER_S, None),
+        ("nothing beyond what was read", 1, [], LATER_S, None),
+        ("another content", 0, [succeeded("j", 1)], LATER_S, "has changed"),
+    )
+    def test_position(self, _, since, results, after_s, finding) -> None:
+        self.history.read_page(self.job, 0, [succeeded("j", 0)])
+        self.history.read_page(self.job, since, results, self.call(after_s))
+        self.check(finding)
+
+    @params((404, LATER_S, True), (410, LATER_S, True), (404, SOONER_S, False), (503, 9.0, False))
+    def test_refused_read(self, status, after_s, broken) -> None:
+        self.history.read_refused(self.job, self.call(after_s), status)
+        self.check(f"a read is answered {status}" if broken else None)
+
+    @params(
+        ("the one sent", 200, b"body 0", LATER_S, None),
+        ("another", 200, b"body 1", LATER_S, "is not the one that was sent"),
+        ("gone", 404, b"", LATER_S, "is answered 404"),
+        ("not there yet", 404, b"", SOONER_S, None),
+        ("not sure", 503, b"", LATER_S, None),
+    )
+    def test_body(self, _, status, body, after_s, finding) -> None:
+        item = item_id("j", 0)
+        self.history.read_body(self.job, self.call(after_s), item, status, body, b"body 0")
+        self.check(finding)
+
+    def test_body_of_a_listed_item_may_be_gone(self) -> None:
+        self.history.read_page(self.job, 0, [succeeded("j", 0)])
+        self.history.read_body(self.job, self.call(LATER_S), item_id("j", 0), 404, b"", b"")
+        self.check(None)
+
+    @params((429, RESEND_REFUSALS, True), (429, RESEND_REFUSALS - 1, False), (503, 9, False))
+    def test_sent_again(self, status, times, broken) -> None:
+        for _ in range(times):
+            self.history.sent_again(self.job, self.call(LATER_S), status)
+        self.check(f"refused with {status} again" if broken else None)
+
+    @params((404, True), (200, False), (503, False))
+    def test_ended_again(self, status, broken) -> None:
+        self.history.ended_again(self.job, self.call(LATER_S), status)
+        self.check(f"a repeated end is answered {status}" if broken else None)
