A kept connection that went silent costs one call at the most

Cause: connections to a peer and to a replica are kept and the newest is used first. When they go silent without a reset, each call waits for its whole time-out on the next of them: up to 8 calls in a row to a sound peer. Renewals of a lease (0.6 s each, lease 2.5 s) then lapse and the job is given to a second gateway; what is concluded (suspect, not confirmed) is wrong. The server's threads of such connections stayed for good. A wait in vain on a kept connection closes all that lie idle to the endpoint. Messages that may be repeated wait half of their time on a kept connection, the rest is for a new one. A served connection on which nothing came for 60 s is closed. A line tells of it (peer:kept_connection_failed). Figures (test_silent_connections, 8 kept connections, all silent): calls to a peer that failed in a row 8 of 8 before; now 0 of 8 where a repeat is safe, 1 where it is not; requests to a replica after the first lost one: lost before, served now. Not done: keep-alive probes; every wait has a time-out of its own.

--- /dev/null
+++ b/src/quaymill/connection/idle_connections.py
@@ -0,0 +1,118 @@
+"""Connections that lie idle until the next request to the same endpoint.
+
+A connection may go silent for good without a reset, and then all of an endpoint usually do, while
+new ones work. Nothing shows it but a request that waits in vain: ``drop`` then closes all that lie
+idle, so that the request after it goes out on a new one. With eight kept connections, calls in a
+row to a sound peer would else each wait for their whole time-out, eight times.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+import attrs
+
+from quaymill.connection.endpoint import Endpoint
+
+Connection = TypeVar("Connection")
+
+
+@attrs.frozen
+class _Idle(Generic[Connection]):
+    connection: Connection
+    since: float
+    keep_s: float
+
+    def is_expired(self, now: float) -> bool:
+        return now - self.since > self.keep_s
+
+
+class IdleConnections(Generic[Connection]):
+    """Idle connections by endpoint; safe to use from any thread.
+
+    Parameters
+    ----------
+    most_per_endpoint
+        Beyond these a connection is closed instead of kept.
+    is_open
+        Whether the other end has not closed a connection.
+    close
+        Closes one.
+    """
+
+    def __init__(
+        self,
+        most_per_endpoint: int,
+        is_open: Callable[[Connection], bool],
+        close: Callable[[Connection], None],
+    ) -> None:
+        self._most_per_endpoint = most_per_endpoint
+        self._is_open = is_open
+        self._close = close
+        self._lock = threading.Lock()
+        self._by_endpoint: dict[Endpoint, list[_Idle[Connection]]] = {}
+        self._next_sweep = 0.0
+
+    def take(self, endpoint: Endpoint, max_idle_s: float) -> Connection | None:
+        """Return the connection used last that is good and was used within a time, if any."""
+        while True:
+            with self._lock:
+                pool = self._by_endpoint.get(endpoint)
+                idle = pool.pop() if pool else None
+            if idle is None:
+                return None
+            now = time.monotonic()
+            fresh = now - idle.since <= max_idle_s and not idle.is_expired(now)
+            if fresh and self._is_open(idle.connection):
+                return idle.connection
+            self._close(idle.connection)
+
+    def put(self, endpoint: Endpoint, connection: Connection, keep_s: float) -> None:
+        """Keep a connection for at most ``keep_s``."""
+        now = time.monotonic()
+        with self._lock:
+            closing = self._take_expired(now, keep_s)
+            pool = self._by_endpoint.setdefault(endpoint, [])
+            if len(pool) < self._most_per_endpoint:
+                pool.append(_Idle(connection, now, keep_s))
+            else:
+                closing.append(connection)
+        for closed in closing:
+            self._close(closed)
+
+    def drop(self, endpoint: Endpoint) -> None:
+        """Close all that are idle to one endpoint."""
+        with self._lock:
+            pool = self._by_endpoint.pop(endpoint, [])
+        for idle in pool:
+            self._close(idle.connection)
+
+    def close(self) -> None:
+        """Close all."""
+        with self._lock:
+            pools, self._by_endpoint = self._by_endpoint, {}
+        for pool in pools.values():
+            for idle in pool:
+                self._close(idle.connection)
+
+    def _take_expired(self, now: float, pause_s: float) -> list[Connection]:
+        """Take out what has lain too long, at all endpoints; the caller holds the lock.
+
+        To an endpoint that is called no more a connection would else stay for good, and with it a
+        thread at the other end.
+        """
+        if now < self._next_sweep:
+            return []
+        self._next_sweep = now + pause_s
+        expired = []
+        for endpoint, pool in list(self._by_endpoint.items()):
+            kept = [idle for idle in pool if not idle.is_expired(now)]
+            expired += [idle.connection for idle in pool if idle.is_expired(now)]
+            if kept:
+                self._by_endpoint[endpoint] = kept
+            else:
+                del self._by_endpoint[endpoint]
+        return expired
--- a/src/quaymill/connection/job_storage_messages.py
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 import msgspec
 
 from quaymill.connection.job_document import Job, JobResult
@@ -17,6 +19,8 @@
 class StoreJob(PeerMessage, frozen=True):
     """Keep a job; answered by ``JobStored`` once it is on the disk."""
 
+    repeatable: ClassVar[bool] = True
+
     job: Job
     coordinator: str
 
@@ -51,6 +55,8 @@
 class StoreResults(PeerMessage, frozen=True):
     """Keep contents of results; answered by ``ResultsStored`` once they are on the disk."""
 
+    repeatable: ClassVar[bool] = True
+
     job_id: str
     results: tuple[KeyedResult, ...]
 
@@ -62,6 +68,8 @@
 class FetchResults(PeerMessage, frozen=True):
     """Ask for contents of results."""
 
+    repeatable: ClassVar[bool] = True
+
     job_id: str
     keys: tuple[ResultKey, ...]
 
@@ -112,6 +120,8 @@
         continues exactly where it was asked to, and two coordinators asked at different events.
     """
 
+    repeatable: ClassVar[bool] = True
+
     job_id: str
     lineage: str
     progress: tuple[ItemProgress, ...]
@@ -130,6 +140,8 @@
         Whether its items are wanted too.
     """
 
+    repeatable: ClassVar[bool] = True
+
     job_id: str
     whole: bool = False
 
@@ -158,6 +170,8 @@
 class FetchBody(PeerMessage, frozen=True):
     """Ask for the body of one item."""
 
+    repeatable: ClassVar[bool] = True
+
     job_id: str
     item_id: str
 
@@ -171,6 +185,8 @@
 class EndJob(PeerMessage, frozen=True):
     """Mark a job as ended; answered by ``JobEnded`` once that is on the disk."""
 
+    repeatable: ClassVar[bool] = True
+
     job_id: str
 
 
@@ -217,6 +233,8 @@
         Of every open job, also of those whose lease the node does not keep.
     """
 
+    repeatable: ClassVar[bool] = True
+
     coordinator: str
     open_jobs: tuple[str, ...]
     complete_jobs: tuple[str, ...] = ()
@@ -250,6 +268,8 @@
 class AdoptJob(PeerMessage, frozen=True):
     """Run a job whose coordinator is gone, from what is known of its progress."""
 
+    repeatable: ClassVar[bool] = True
+
     job: Job
     progress: tuple[ItemProgress, ...] = ()
 
@@ -266,6 +286,8 @@
 class HandOverJob(PeerMessage, frozen=True):
     """Take over a job from a coordinator that stops."""
 
+    repeatable: ClassVar[bool] = True
+
     job: Job
     progress: tuple[ItemProgress, ...]
     unlisted: tuple[KeyedResult, ...] = ()
@@ -274,6 +296,8 @@
 class SubmitJob(PeerMessage, frozen=True):
     """Accept a job for a gateway that storage nodes do not answer; answered by ``JobSubmitted``."""
 
+    repeatable: ClassVar[bool] = True
+
     job: Job
 
 
@@ -322,6 +346,8 @@
 class StopJob(PeerMessage, frozen=True):
     """Tell the coordinator that a job was ended."""
 
+    repeatable: ClassVar[bool] = True
+
     job_id: str
 
 
@@ -335,6 +361,8 @@
 class CompareJobs(PeerMessage, frozen=True):
     """Ask what a storage node holds; ``digest`` is what the asker saw there last."""
 
+    repeatable: ClassVar[bool] = True
+
     digest: str
 
 
@@ -368,6 +396,8 @@
 class FetchResultKeys(PeerMessage, frozen=True):
     """Ask which contents of results a node holds for a job."""
 
+    repeatable: ClassVar[bool] = True
+
     job_id: str
 
 
@@ -386,6 +416,8 @@
         For each job the process that had it, if that is known to have ended; else empty.
     """
 
+    repeatable: ClassVar[bool] = True
+
     job_ids: tuple[str, ...]
     ended_holders: tuple[str, ...]
 
--- a/src/quaymill/connection/peer_link.py
+++ b/src/quaymill/connection/peer_link.py
@@ -14,23 +14,37 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import Any, TypeVar, Union
+from typing import Any, ClassVar, TypeVar, Union
 
 import msgspec
 from eliot import log_message
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.idle_connections import IdleConnections
 from quaymill.connection.readable import is_readable
 
 MAX_LINE_BYTES = 64 * 1024 * 1024
 MAX_IDLE_CONNECTIONS_PER_PEER = 8
 IDLE_CONNECTION_LIFETIME_S = 30.0
+SERVED_CONNECTION_LIFETIME_S = 2 * IDLE_CONNECTION_LIFETIME_S
+"""After this a served connection on which nothing came is closed: its peer has dropped it."""
+KEPT_CONNECTION_SHARE = 0.5
+"""Part of its time that a message which may be repeated waits on a kept connection."""
+MIN_TIMEOUT_S = 0.001
 CONNECT_TIMEOUT_S = 1.0
 ACCEPT_BACKLOG = 128
 
 
 class PeerMessage(msgspec.Struct, tag_field="kind", tag=True, frozen=True):
-    """Base of every message between the processes of the system."""
+    """Base of every message between the processes of the system.
+
+    Attributes
+    ----------
+    repeatable
+        Of a type of message: whether it does no harm that a peer receives one twice.
+    """
+
+    repeatable: ClassVar[bool] = False
 
 
 class PeerRefusal(PeerMessage, frozen=True):
@@ -107,6 +121,7 @@
             except OSError:
                 return
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection.settimeout(SERVED_CONNECTION_LIFETIME_S)
             with self._lock:
                 self._connections.add(connection)
             threading.Thread(
@@ -144,20 +159,18 @@
             return None
 
 
-class _IdleConnection(msgspec.Struct):
-    connection: socket.socket
-    idle_since: float
-
-
 class PeerClient:
     """Sends messages to peers over a small pool of connections for each of them."""
 
     def __init__(self, link_filter: LinkFilter) -> None:
         self._link_filter = link_filter
-        self._lock = threading.Lock()
-        self._idle: dict[Endpoint, list[_IdleConnection]] = {}
+        # A readable idle connection holds an end of stream: the peer has closed it.
+        self._idle = IdleConnections[socket.socket](
+            MAX_IDLE_CONNECTIONS_PER_PEER,
+            lambda connection: not is_readable(connection, 0.0),
+            lambda connection: connection.close(),
+        )
         self._decoders: dict[type, msgspec.json.Decoder] = {}
-        self._next_sweep = 0.0
 
     def call(
         self, endpoint: Endpoint, message: PeerMessage, reply_type: type[Reply], timeout_s: float
@@ -173,98 +186,87 @@
         if self._link_filter.blocks(endpoint):
             time.sleep(min(timeout_s, CONNECT_TIMEOUT_S))
             return PeerUnreachable(endpoint, "the link is cut by the fault switch")
+        reply_line = self._exchange(endpoint, message, timeout_s, deadline)
+        if not isinstance(reply_line, bytes):
+            return reply_line
+        return self._decode(endpoint, reply_line, reply_type)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._idle.close()
+
+    def _exchange(
+        self, endpoint: Endpoint, message: PeerMessage, timeout_s: float, deadline: float
+    ) -> bytes | PeerFailure:
+        """Send a message and return the line that comes back.
+
+        On a kept connection, which may have gone silent, a message that may be repeated waits for
+        a part of its time only; the rest is for a new one.
+        """
         line = msgspec.json.encode(message) + b"\n"
+        kept = self._idle.take(endpoint, IDLE_CONNECTION_LIFETIME_S)
+        if kept is not None:
+            may_repeat = type(message).repeatable
+            patience_s = timeout_s * (KEPT_CONNECTION_SHARE if may_repeat else 1.0)
+            reply = self._send(endpoint, kept, line, time.monotonic() + patience_s)
+            if isinstance(reply, bytes):
+                return reply
+            # What else lies idle to this peer has probably gone silent or ended with it.
+            self._idle.drop(endpoint)
+            log_message(
+                "peer:kept_connection_failed",
+                peer=str(endpoint),
+                kind=type(message).__name__,
+                reason=reply.reason,
+            )
+            if not may_repeat:
+                return reply
         try:
-            connection = self._take_connection(endpoint, timeout_s)
+            connection = self._connect(endpoint, deadline - time.monotonic())
         except OSError as error:
+            if kept is not None:
+                return PeerNoReply(endpoint, f"no reply, and cannot connect again: {error}")
             return PeerUnreachable(endpoint, f"cannot connect: {error}")
+        return self._send(endpoint, connection, line, deadline)
+
+    def _send(
+        self, endpoint: Endpoint, connection: socket.socket, line: bytes, until: float
+    ) -> bytes | PeerNoReply:
+        """Send a line on a connection and wait for one; keep the connection if it came."""
+        began = time.monotonic()
         try:
-            connection.settimeout(max(deadline - time.monotonic(), 0.001))
+            connection.settimeout(max(until - began, MIN_TIMEOUT_S))
             connection.sendall(line)
-            reply_line = _read_line(connection, deadline)
+            reply = _read_line(connection, until)
         except OSError as error:
             connection.close()
-            return PeerNoReply(endpoint, f"no reply within {timeout_s} s: {error}")
+            waited_s = time.monotonic() - began
+            return PeerNoReply(endpoint, f"no reply within {waited_s:.2f} s: {error}")
         if self._link_filter.blocks(endpoint):
             connection.close()
             return PeerNoReply(endpoint, "the link was cut while the request was under way")
-        return self._decode(endpoint, connection, reply_line, reply_type)
+        self._idle.put(endpoint, connection, IDLE_CONNECTION_LIFETIME_S)
+        return reply
 
-    def close(self) -> None:
-        """Close all idle connections."""
-        with self._lock:
-            pools, self._idle = self._idle, {}
-        for pool in pools.values():
-            for idle in pool:
-                idle.connection.close()
+    def _connect(self, endpoint: Endpoint, timeout_s: float) -> socket.socket:
+        connection = socket.create_connection(
+            (endpoint.host, endpoint.port),
+            timeout=max(min(timeout_s, CONNECT_TIMEOUT_S), MIN_TIMEOUT_S),
+        )
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return connection
 
     def _decode(
-        self,
-        endpoint: Endpoint,
-        connection: socket.socket,
-        line: bytes,
-        reply_type: type[Reply],
+        self, endpoint: Endpoint, line: bytes, reply_type: type[Reply]
     ) -> Reply | PeerFailure:
         decoder = self._decoders.get(reply_type)
         if decoder is None:
             decoder = msgspec.json.Decoder(Union[reply_type, PeerRefusal])  # noqa: UP007
             self._decoders[reply_type] = decoder
         try:
-            reply = decoder.decode(line)
+            return decoder.decode(line)
         except msgspec.MsgspecError as error:
-            connection.close()
             return PeerNoReply(endpoint, f"reply not understood: {error}")
-        self._keep_connection(endpoint, connection)
-        return reply
-
-    def _take_connection(self, endpoint: Endpoint, timeout_s: float) -> socket.socket:
-        while True:
-            with self._lock:
-                pool = self._idle.get(endpoint)
-                idle = pool.pop() if pool else None
-            if idle is None:
-                break
-            expired = time.monotonic() - idle.idle_since > IDLE_CONNECTION_LIFETIME_S
-            # A readable idle connection holds an end of stream: the peer has closed it.
-            if not expired and not is_readable(idle.connection, 0.0):
-                return idle.connection
-            idle.connection.close()
-        connection = socket.create_connection(
-            (endpoint.host, endpoint.port), timeout=min(timeout_s, CONNECT_TIMEOUT_S)
-        )
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return connection
-
-    def _keep_connection(self, endpoint: Endpoint, connection: socket.socket) -> None:
-        now = time.monotonic()
-        with self._lock:
-            closing = self._take_expired(now)
-            pool = self._idle.setdefault(endpoint, [])
-            if len(pool) < MAX_IDLE_CONNECTIONS_PER_PEER:
-                pool.append(_IdleConnection(connection, now))
-            else:
-                closing.append(connection)
-        for closed in closing:
-            closed.close()
-
-    def _take_expired(self, now: float) -> list[socket.socket]:
-        """Take the expired connections of all peers out; the caller holds the lock.
-
-        Peers that are called once and never again would otherwise keep a connection, and a
-        thread at the other end, for good: a full mesh in the end.
-        """
-        if now < self._next_sweep:
-            return []
-        self._next_sweep = now + IDLE_CONNECTION_LIFETIME_S
-        expired = []
-        for endpoint, pool in list(self._idle.items()):
-            kept = [idle for idle in pool if now - idle.idle_since <= IDLE_CONNECTION_LIFETIME_S]
-            expired += [idle.connection for idle in pool if idle not in kept]
-            if kept:
-                self._idle[endpoint] = kept
-            else:
-                del self._idle[endpoint]
-        return expired
 
 
 def _read_line(connection: socket.socket, deadline: float) -> bytes:
--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -10,7 +10,6 @@
 
 import contextlib
 import socket
-import threading
 import time
 from http.client import HTTPException
 
@@ -21,6 +20,7 @@
 from urllib3.response import BaseHTTPResponse
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.idle_connections import IdleConnections
 from quaymill.connection.readable import is_readable
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 
@@ -94,6 +94,9 @@
         self._connection.timeout = max(timeout_s, 0.001)
         try:
             self._response = self._connection.getresponse()
+        except TimeoutError as error:
+            self.give_up()
+            return self._no_answer(error)
         except _READ_ERRORS as error:
             self.abandon()
             return self._no_answer(error)
@@ -161,6 +164,16 @@
         with contextlib.suppress(OSError):
             self._socket.close()
 
+    def give_up(self) -> None:
+        """Close the connection after nothing came for long; it may have gone silent for good.
+
+        A connection that carried a request before is then no proof against the replica. What
+        lies idle to the same endpoint is closed with it: the next request takes a new one.
+        """
+        self.abandon()
+        if self.reused:
+            self._pool.forget(self.endpoint)
+
     def _no_answer(self, error: object) -> OutcomeUnknown:
         return OutcomeUnknown(
             502,
@@ -169,12 +182,6 @@
         )
 
 
-class _IdleConnection(msgspec.Struct):
-    connection: HTTPConnection
-    idle_since: float
-    keep_s: float
-
-
 class ReplicaConnections:
     """Sends requests to replicas and keeps idle connections to them.
 
@@ -196,8 +203,12 @@
         self.opened = 0
         self._connect_timeout_s = connect_timeout_s
         self._socket_options = [*HTTPConnection.default_socket_options, *socket_options]
-        self._lock = threading.Lock()
-        self._idle: dict[Endpoint, list[_IdleConnection]] = {}
+        # A connection that holds an end of stream is not connected: the replica has closed it.
+        self._idle = IdleConnections[HTTPConnection](
+            MAX_IDLE_CONNECTIONS_PER_REPLICA,
+            lambda connection: connection.is_connected,
+            lambda connection: connection.close(),
+        )
 
     def send(
         self,
@@ -224,7 +235,7 @@
         if self.link_filter.blocks(endpoint):
             time.sleep(CONNECT_TIMEOUT_S)
             return _unreachable(endpoint, "the link is cut by the fault switch")
-        connection = None if fresh else self._take_idle(endpoint, max_idle_s)
+        connection = None if fresh else self._idle.take(endpoint, max_idle_s)
         reused = connection is not None
         if connection is None:
             connection = self._new_connection(endpoint)
@@ -265,40 +276,15 @@
 
     def keep(self, endpoint: Endpoint, connection: HTTPConnection, keep_s: float) -> None:
         """Put a connection aside for the next request."""
-        with self._lock:
-            pool = self._idle.setdefault(endpoint, [])
-            if len(pool) < MAX_IDLE_CONNECTIONS_PER_REPLICA:
-                pool.append(_IdleConnection(connection, time.monotonic(), keep_s))
-                return
-        connection.close()
+        self._idle.put(endpoint, connection, keep_s)
 
     def forget(self, endpoint: Endpoint) -> None:
-        """Close the idle connections to an endpoint whose replica is gone."""
-        with self._lock:
-            pool = self._idle.pop(endpoint, [])
-        for idle in pool:
-            idle.connection.close()
+        """Close the idle connections to an endpoint: its replica is gone, or they are silent."""
+        self._idle.drop(endpoint)
 
     def close(self) -> None:
         """Close all idle connections."""
-        with self._lock:
-            pools, self._idle = self._idle, {}
-        for pool in pools.values():
-            for idle in pool:
-                idle.connection.close()
-
-    def _take_idle(self, endpoint: Endpoint, max_idle_s: float) -> HTTPConnection | None:
-        while True:
-            with self._lock:
-                pool = self._idle.get(endpoint)
-                idle = pool.pop() if pool else None
-            if idle is None:
-                return None
-            expired = time.monotonic() - idle.idle_since > min(idle.keep_s, max_idle_s)
-            # A readable idle connection holds an end of stream: the replica has closed it.
-            if not expired and idle.connection.is_connected:
-                return idle.connection
-            idle.connection.close()
+        self._idle.close()
 
 
 def _unreachable(endpoint: Endpoint, reason: str) -> NotRun:
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -133,6 +133,10 @@
     "membership:dead": LogEvent("this node has found another one dead", ("node, zone: who",)),
     "membership:handler_error": LogEvent("a datagram met a bug", ("error",)),
     "peer:handler_error": LogEvent("a peer's message met a bug", ("kind: the message", "error")),
+    "peer:kept_connection_failed": LogEvent(
+        "nothing came on a kept connection to a peer: all that lay idle to it are closed",
+        ("peer: its address", "kind: of the message", REASON),
+    ),
     "registry:looked": LogEvent("peers were looked up in the store", ("found: entries",)),
     "registry:entry_unread": LogEvent("an entry was not understood", ("name", REASON)),
     "job:stored": LogEvent("a job is on this node's disk", (JOB, "items", "coordinator")),
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -255,7 +255,7 @@
                 return None
             if may_try_another and replica.silent and time.monotonic() - began > SILENCE_PATIENCE_S:
                 break
-        exchange.abandon()
+        exchange.give_up()
         return Broken(f"nothing came for {time.monotonic() - began:.2f} s")
 
     def _may_try_another(self) -> bool:
--- /dev/null
+++ b/tests/test_silent_connections.py
@@ -0,0 +1,109 @@
+"""Kept connections that went silent for good, without a reset, while new ones work.
+
+Nothing shows it but a request that waits in vain. With eight kept connections to a peer, eight
+calls in a row waited for their whole time-out each; a lease of 2.5 s lapsed meanwhile, and a job
+was given to a second gateway.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+import unittest
+from typing import ClassVar
+
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.peer_link import PeerClient, PeerMessage, PeerServer
+from quaymill.connection.replica_connection import ReplicaConnections, ReplicaRequest
+from quaymill.request.outcome import OutcomeUnknown
+from quaymill_bench.loopback_proxy import LoopbackProxy
+from quaymill_standins.fleet_replica import FleetReplica
+
+KEPT = 8
+TIMEOUT_S = 0.4
+LONG_S = 5.0
+
+
+class Once(PeerMessage, frozen=True):
+    """A message that must not be received twice."""
+
+
+class Again(PeerMessage, frozen=True):
+    """A message that may be received twice."""
+
+    repeatable: ClassVar[bool] = True
+
+
+class Done(PeerMessage, frozen=True):
+    """Answer to both."""
+
+
+class PeerTest(unittest.TestCase):
+    """Eight kept connections to a sound peer, all silent."""
+
+    def setUp(self) -> None:
+        self.all_are_here = threading.Barrier(KEPT)
+        self.together = True
+        server = PeerServer(Endpoint("127.0.0.1", 0))
+        server.register(Once, self._answer)
+        server.register(Again, self._answer)
+        server.start()
+        self.addCleanup(server.stop)
+        self.proxy = LoopbackProxy(("127.0.0.1", server.endpoint.port))
+        self.addCleanup(self.proxy.stop)
+        self.endpoint = Endpoint("127.0.0.1", self.proxy.port)
+        self.client = PeerClient(LinkFilter())
+        self.addCleanup(self.client.close)
+        threads = [threading.Thread(target=self.call, args=(Once(), LONG_S)) for _ in range(KEPT)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.together = False
+        self.proxy.silence_open()
+
+    def _answer(self, message: PeerMessage) -> Done:
+        if self.together:
+            self.all_are_here.wait(LONG_S)
+        return Done()
+
+    def call(self, message: PeerMessage, timeout_s: float = TIMEOUT_S) -> bool:
+        reply = self.client.call(self.endpoint, message, Done, timeout_s)
+        return isinstance(reply, Done)
+
+    def test_one_call_is_lost_where_it_must_not_be_repeated(self) -> None:
+        began = time.monotonic()
+        self.assertEqual([False, True], [self.call(Once()) for _ in range(2)])
+        self.assertLess(time.monotonic() - began, 2 * TIMEOUT_S)
+
+    def test_none_is_lost_where_it_may_be_repeated(self) -> None:
+        self.assertEqual([True] * KEPT, [self.call(Again()) for _ in range(KEPT)])
+
+
+class ReplicaTest(unittest.TestCase):
+    """Eight kept connections to a sound replica, all silent."""
+
+    def setUp(self) -> None:
+        replica = FleetReplica("application-0", "application", "zone", slots=KEPT)
+        replica.start()
+        self.addCleanup(replica.stop)
+        self.proxy = LoopbackProxy(("127.0.0.1", replica.port))
+        self.addCleanup(self.proxy.stop)
+        self.endpoint = Endpoint("127.0.0.1", self.proxy.port)
+        self.connections = ReplicaConnections(LinkFilter())
+        self.addCleanup(self.connections.close)
+        exchanges = [self.send(str(number)) for number in range(KEPT)]
+        for exchange in exchanges:
+            self.assertIsNone(exchange.read_head(LONG_S))
+            exchange.read_body(1024, time.monotonic() + LONG_S)
+            exchange.release()
+        self.proxy.silence_open()
+
+    def send(self, name: str):
+        headers = {"Request-Id": name, "Expect-Instance": "application-0"}
+        return self.connections.send(self.endpoint, ReplicaRequest("POST", "/x", headers))
+
+    def test_one_request_is_lost(self) -> None:
+        failure = self.send("lost").read_head(TIMEOUT_S)
+        self.assertIsInstance(failure, OutcomeUnknown)
+        self.assertIsNone(self.send("after it").read_head(LONG_S))
