Slow senders hold no worker, and who left before being read reaches no replica

And the watch that finds callers who have left runs in a thread of its own: a request read after its caller had closed was taken for one whose caller waits. Change: connections wait for a whole head outside the workers (head_watch.py; nothing is read before, the head is looked at in the socket's buffer), for header_timeout_ms from its first byte and the idle time before; the watch of callers looks once at its beginning. A line tells how many were given up. Open: a slow sender of a body still holds a worker.

--- /dev/null
+++ b/src/quaymill/process/front/head_watch.py
@@ -0,0 +1,162 @@
+"""Keeps connections from the workers until the head of a request has come whole.
+
+A worker that reads a head waits for its sender. As many slow senders as there are workers would
+else keep a process that calls itself ready from taking anybody else's request. One thread looks at
+all such connections; nothing is read from them before a worker takes them.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+import threading
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+from eliot import log_message
+
+from quaymill.connection.readable import is_readable
+
+HEAD_ENDS = (b"\r\n\r\n", b"\n\n")
+MAX_PEEK_BYTES = 64 * 1024
+"""A head that is longer goes to a worker, which refuses it."""
+POLL_TIMEOUT_S = 0.5
+"""Time between two looks for connections that take too long."""
+EMPTY_POLL_TIMEOUT_S = 5.0
+"""The same while there were none at the last look: waking up costs processor time."""
+_EVENTS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLET
+
+
+class Connection(Protocol):
+    """What is needed of a caller's connection."""
+
+    socket: socket.socket
+
+    def close(self) -> None:
+        """Close it."""
+
+
+@attrs.define
+class _Waiting:
+    """A connection whose head is not whole.
+
+    Attributes
+    ----------
+    began
+        Whether some of the head has come.
+    until
+        Monotonic time at which it is closed.
+    """
+
+    connection: Connection
+    began: bool
+    until: float
+
+
+class HeadWatch:
+    """Hands connections on once the head of a request is there.
+
+    Parameters
+    ----------
+    hand_on
+        Called with a connection whose head is whole, too long, or will never be whole.
+    header_timeout_s, idle_timeout_s
+        Return how long a head may take from its first byte, and how long the first byte may take.
+    """
+
+    def __init__(
+        self,
+        hand_on: Callable[[Connection], None],
+        header_timeout_s: Callable[[], float],
+        idle_timeout_s: Callable[[], float],
+    ) -> None:
+        self._hand_on = hand_on
+        self._header_timeout_s = header_timeout_s
+        self._idle_timeout_s = idle_timeout_s
+        self._lock = threading.Lock()
+        self._poll = select.epoll()
+        self._waiting: dict[int, _Waiting] = {}
+
+    @property
+    def busy(self) -> bool:
+        """Whether a head is being sent."""
+        with self._lock:
+            return any(one.began for one in self._waiting.values())
+
+    def start(self) -> None:
+        """Begin to watch."""
+        threading.Thread(target=self._watch, name="front-heads", daemon=True).start()
+
+    def stop(self) -> None:
+        """Close the connections on which nothing has come; heads that have begun may end."""
+        with self._lock:
+            idle = [fd for fd, one in self._waiting.items() if not one.began]
+            closing = [self._forget(fd) for fd in idle]
+        for connection in closing:
+            connection.close()
+
+    def take(self, connection: Connection) -> None:
+        """Hand a connection on now, or once its head is whole."""
+        if _head_is_whole(connection.socket):
+            self._hand_on(connection)
+            return
+        descriptor = connection.socket.fileno()
+        waiting = _Waiting(connection, False, time.monotonic() + self._idle_timeout_s())
+        with self._lock:
+            self._waiting[descriptor] = waiting
+            # What has come since the look above is told at once.
+            self._poll.register(descriptor, _EVENTS)
+
+    def _watch(self) -> None:
+        next_look = 0.0
+        while True:
+            timeout_s = POLL_TIMEOUT_S if self._waiting else EMPTY_POLL_TIMEOUT_S
+            for descriptor, _ in self._poll.poll(timeout_s):
+                self._look_at(descriptor)
+            now = time.monotonic()
+            if now >= next_look:
+                next_look = now + POLL_TIMEOUT_S
+                self._close_late(now)
+
+    def _look_at(self, descriptor: int) -> None:
+        with self._lock:
+            waiting = self._waiting.get(descriptor)
+            if waiting is None:
+                return
+            if not _head_is_whole(waiting.connection.socket):
+                if not waiting.began:
+                    waiting.began = True
+                    waiting.until = time.monotonic() + self._header_timeout_s()
+                return
+            connection = self._forget(descriptor)
+        self._hand_on(connection)
+
+    def _close_late(self, now: float) -> None:
+        with self._lock:
+            late = [fd for fd, one in self._waiting.items() if one.until <= now]
+            closing = [self._forget(fd) for fd in late]
+        for connection in closing:
+            connection.close()
+        if closing:
+            log_message("front:heads_given_up", connections=len(closing))
+
+    def _forget(self, descriptor: int) -> Connection:
+        """Stop watching a connection; the caller holds the lock."""
+        self._poll.unregister(descriptor)
+        return self._waiting.pop(descriptor).connection
+
+
+def _head_is_whole(connection: socket.socket) -> bool:
+    """Return whether a worker would not have to wait for the head, or for its end."""
+    if not is_readable(connection, 0.0):
+        return False
+    try:
+        seen = connection.recv(MAX_PEEK_BYTES, socket.MSG_PEEK)
+    except OSError:
+        # Reset: the worker finds that out and closes it.
+        return True
+    if not seen or len(seen) == MAX_PEEK_BYTES:
+        return True
+    return any(end in seen for end in HEAD_ENDS)
--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -19,6 +19,7 @@
 from eliot import log_message
 
 from quaymill.connection.endpoint import Endpoint
+from quaymill.process.front.head_watch import HeadWatch
 from quaymill.request.forwarded_request import Headers
 from quaymill.request.presence import CallerPresence
 
@@ -32,6 +33,8 @@
 """Idle connections are timed by the time of day, which may jump; callers close earlier."""
 READ_BLOCK_BYTES = 256 * 1024
 SERVER_NAME = "quaymill"
+DEFAULT_HEADER_TIMEOUT_S = 3.0
+"""Until a configuration tells how long a head may take."""
 
 
 class BrokenBodyError(Exception):
@@ -278,6 +281,10 @@
         self.keep_alive_conn_limit = MAX_KEPT_CONNECTIONS
         self.max_request_header_size = 64 * 1024
         self.idle_timeout_s = 15.0
+        self.header_timeout_s = DEFAULT_HEADER_TIMEOUT_S
+        self._heads = HeadWatch(
+            super().process_conn, lambda: self.header_timeout_s, lambda: self.idle_timeout_s
+        )
         self._prepare_error: OSError | None = None
 
     @property
@@ -304,9 +311,17 @@
         if self._prepare_error is not None:
             raise self._prepare_error
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        self._heads.start()
         for name, target in (("front", self.serve), ("front-workers", self._end_idle_workers)):
             threading.Thread(target=target, name=name, daemon=True).start()
 
+    def process_conn(self, conn: server.HTTPConnection) -> None:
+        """Give a connection to a worker, once the head of a request is there."""
+        if conn.rfile.has_data():
+            super().process_conn(conn)
+        else:
+            self._heads.take(conn)
+
     def _end_idle_workers(self) -> None:
         while self.ready:
             time.sleep(IDLE_WORKERS_INTERVAL_S)
@@ -321,7 +336,7 @@
     @property
     def busy(self) -> bool:
         """Whether a connection is being read or answered, or waits for that."""
-        return self.requests.busy
+        return self.requests.busy or self._heads.busy
 
     def stop_accepting(self) -> None:
         """Take no more connections and close idle ones; requests in service go on."""
@@ -329,6 +344,7 @@
         self._connections.stop()
         self.socket.close()
         self._connections.close()
+        self._heads.stop()
 
     def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
         """Log what the server could not handle."""
--- a/src/quaymill/process/gateway/caller_watch.py
+++ b/src/quaymill/process/gateway/caller_watch.py
@@ -45,6 +45,10 @@
         with self._lock, contextlib.suppress(OSError, ValueError):
             self._watched[descriptor] = presence
             self._poll.register(descriptor, select.EPOLLRDHUP | select.EPOLLONESHOT)
+        # Who left before the request was read has left now, not when the watch gets round to it:
+        # the request would else reach a replica.
+        if _has_left(connection):
+            presence.leave()
         return presence
 
     def unwatch(self, connection: socket.socket) -> None:
@@ -63,3 +67,9 @@
                 if presence is not None and event & _GONE:
                     presence.leave()
         self._poll.close()
+
+
+def _has_left(connection: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(connection, select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -393,6 +393,7 @@
 
     def _apply_limits(self, routes: RequestRoutes) -> None:
         self._server.idle_timeout_s = routes.limits.idle_timeout_s
+        self._server.header_timeout_s = routes.limits.header_timeout_s
 
     def _forget_replica(self, replica: Replica) -> None:
         self._connections.forget(replica.entry.address)
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -90,6 +90,10 @@
         ),
     ),
     "front:handler_error": LogEvent("a request met a bug", ("error: the exception",)),
+    "front:heads_given_up": LogEvent(
+        "callers' connections were closed, as no whole head of a request came in time",
+        ("connections: how many",),
+    ),
     "front:http_error": LogEvent(
         "the HTTP server could not go on with a connection", ("message, level: what it says",)
     ),
