--- a/src/quaymill_bench/fleet_processes.py
+++ b/src/quaymill_bench/fleet_processes.py
@@ -62,6 +62,10 @@
         Proxies of its connections to other processes, by their names; empty where it has none.
     process
         What runs now; ``None`` while it is down.
+    started_at
+        Monotonic time of its last start.
+    ended_on_purpose
+        Whether it was told to end since.
     """
 
     name: str
@@ -74,6 +78,8 @@
     store_proxy: LoopbackProxy | None = None
     links_by_target: dict[str, LoopbackProxy] = attrs.field(factory=dict)
     process: subprocess.Popen | None = None
+    started_at: float = 0.0
+    ended_on_purpose: bool = True
 
     @property
     def routes_file(self) -> Path:
@@ -84,6 +90,8 @@
         """Start the process, unless it runs: two faults may have ended it, and both start it."""
         if self.process is not None and self.process.poll() is None:
             return
+        self.started_at = time.monotonic()
+        self.ended_on_purpose = False
         module = "quaymill_bench.routed_process" if self.links_by_target else MAIN_MODULE
         variables = {
             SETTINGS_VARIABLE: str(self.settings_file),
@@ -99,9 +107,20 @@
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self.ended_on_purpose = True
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def age_s(self) -> float:
+        """Return the time since its last start."""
+        return time.monotonic() - self.started_at
+
+    @property
+    def ended_by_itself(self) -> bool:
+        """Whether it has ended though nobody told it to."""
+        return not self.ended_on_purpose and self.process.poll() is not None
+
     def kill(self) -> None:
         """End the process at once."""
         self.send(signal.SIGKILL)
--- a/src/quaymill_bench/routed_process.py
+++ b/src/quaymill_bench/routed_process.py
@@ -9,6 +9,7 @@
 
 import json
 import os
+import signal
 import socket
 import sys
 from pathlib import Path
@@ -32,6 +33,7 @@
 
 def run() -> int:
     """Run the role named on the command line with the routes of its file."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Who only wants the name of the variable loads no role.
     from quaymill.platform.main import main
 
--- a/src/quaymill_bench/soak_faults.py
+++ b/src/quaymill_bench/soak_faults.py
@@ -22,6 +22,8 @@
 MOST_FOR_S = 5.0
 LATE_ANSWER_S = 2.0
 """Longer than a call of the store waits for its answer."""
+INTERPRETER_START_S = 0.5
+"""Until then a process may run no code of its own yet, and the signal ends any."""
 WHOLE_AFTER_S = 4.0
 """Time after its start in which a storage node without a disk becomes whole again."""
 LINK_STATES = (
@@ -164,6 +166,8 @@
 
     def _hang_up(self) -> None:
         process = self._random.choice(list(self._fleet.processes.values()))
+        if process.age_s() < INTERPRETER_START_S:
+            return
         self._note(f"SIGHUP to {process.name}")
         process.send(signal.SIGHUP)
 
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -18,8 +18,8 @@
 
 import urllib3
 
-from quaymill.platform.main import GATEWAY_PROTOCOL, STORAGE_PROTOCOL
 from quaymill.platform.object_store import PlatformObjectStore
+from quaymill.platform.roles import GATEWAY_PROTOCOL, STORAGE_PROTOCOL
 from quaymill.process.gateway_node import GatewayNode
 from quaymill.process.serving_settings import Bounds, Listeners, ServingSettings
 from quaymill.process.storage_node import StorageNode
--- a/tests/test_stop_signal.py
+++ b/tests/test_stop_signal.py
@@ -47,3 +47,21 @@
         )
         self.assertEqual(result, 0)
         self.assertEqual(self.process.wait(STOP_TIMEOUT_S), 0)
+
+
+class EarlySignalTest(unittest.TestCase):
+    """A signal that says "the settings have changed" may come while a process is loading."""
+
+    def test_early_hang_up_does_not_end_the_process(self):
+        # In the place of the role stands one that gets the signal before it has a handler.
+        program = (
+            "import os, signal, sys, types\n"
+            "roles = types.ModuleType('quaymill.platform.roles')\n"
+            "roles.run_role = lambda name: os.kill(os.getpid(), signal.SIGHUP) or 0\n"
+            "sys.modules['quaymill.platform.roles'] = roles\n"
+            "sys.argv = ['main', 'gateway']\n"
+            "from quaymill.platform.main import main\n"
+            "sys.exit(main())\n"
+        )
+        result = subprocess.run([sys.executable, "-c", program], timeout=STOP_TIMEOUT_S)
+        self.assertEqual(result.returncode, 0)
