A write of the store by way of another gateway is refused only where nobody has done it

Cause, found by looking for answers that say that nothing is there or was done: a gateway whose own call of the store was refused asked two others; where one of these got no answer, or gave none, the first still said 'refused', which promises that nothing was done. The listing and the ledger then took the state before for the present one until they read again.

--- a/src/quaymill/connection/store_messages.py
+++ b/src/quaymill/connection/store_messages.py
@@ -45,8 +45,11 @@
         The object read or written, or the one in the way.
     conflict, missing
         Whether the condition did not hold, or there is no such object.
+    unanswered
+        Why it is not known whether the call was done; empty where it is.
     """
 
     object: SharedObject | None = None
     conflict: bool = False
     missing: bool = False
+    unanswered: str = ""
--- a/src/quaymill/process/control/store_sharing.py
+++ b/src/quaymill/process/control/store_sharing.py
@@ -28,7 +28,7 @@
     StoreUnanswered,
     WriteResult,
 )
-from quaymill.connection.peer_link import PeerClient, PeerRefusal, PeerServer
+from quaymill.connection.peer_link import PeerClient, PeerNoReply, PeerRefusal, PeerServer
 from quaymill.connection.store_messages import SharedObject, StoreAnswer, StoreCall
 
 SHARED_KINDS = frozenset({ObjectKind.JOB_LISTINGS, ObjectKind.QUOTA_LEDGERS})
@@ -104,7 +104,12 @@
         helpers = list(self._helpers())
         for member in random.sample(helpers, min(HELPERS, len(helpers))):
             reply = self._peer_client.call(member.peer, call, StoreAnswer, HELP_TIMEOUT_S)
-            if isinstance(reply, StoreAnswer):
+            if isinstance(reply, StoreAnswer) and reply.unanswered:
+                result = StoreUnanswered(reply.unanswered)
+            elif isinstance(reply, PeerNoReply):
+                # The other gateway may have made the call: "refused" would say that nobody did.
+                result = StoreUnanswered(reply.reason)
+            elif isinstance(reply, StoreAnswer):
                 log_message("control:store_call_shared", name=call.name, peer=member.name)
                 return _result(reply)
         return result
@@ -120,8 +125,10 @@
             result = self._own.replace(kind, call.name, call.spec, call.revision)
         else:
             result = self._own.create(kind, call.name, call.spec)
-        if isinstance(result, StoreRefused | StoreUnanswered):
+        if isinstance(result, StoreRefused):
             return PeerRefusal(result.reason)
+        if isinstance(result, StoreUnanswered):
+            return StoreAnswer(unanswered=result.reason)
         if isinstance(result, ObjectMissing):
             return StoreAnswer(missing=True)
         if isinstance(result, RevisionConflict):
