--- a/src/quaymill_bench/soak_checks.py
+++ b/src/quaymill_bench/soak_checks.py
@@ -160,7 +160,8 @@
     for sending in history.sendings:
         findings += _check_sending(sending, replicas)
     for job in history.jobs.values():
-        findings += job.findings + _check_job(job, replicas, cancel_s)
+        findings += [f"job {job.id}: {text}" for text in job.findings]
+        findings += _check_job(job, replicas, cancel_s)
     return findings
 
 
