--- a/src/quaymill_bench/main.py
+++ b/src/quaymill_bench/main.py
@@ -133,7 +133,7 @@
     only
         Play just this round of the seed, counted from 0.
     gateways, storage, engines
-        How many there are; each pair of processes has two proxies.
+        How many there are; up to 12 processes each pair has proxies of its own.
     keep
         Folder for the processes' files and for the logs of failed rounds.
     """
--- a/src/quaymill_bench/soak.py
+++ b/src/quaymill_bench/soak.py
@@ -25,6 +25,8 @@
 LOAD_S = 12.0
 HEAL_TIMEOUT_S = 60.0
 SETTLE_S = 0.5
+MOST_LINKED_PROCESSES = 12
+"""Each pair of processes has two proxies: each is a thread and a listener of the soak itself."""
 END_ALL_CHANCE = 0.2
 """Part of the rounds at whose end every process is killed at once."""
 WORK_NAME = re.compile(r"(?:job|read|write|stream|resumable)-[\w-]+")
@@ -92,7 +94,11 @@
 def run_soak(plan: SoakPlan, tell: Callable[[str], None]) -> SoakResult:
     """Run rounds on one fleet; logs of failed rounds are kept in the plan's folder."""
     fleet = LocalFleet(
-        plan.folder / "fleet", plan.gateways, plan.storage, plan.engines, linked=True
+        plan.folder / "fleet",
+        plan.gateways,
+        plan.storage,
+        plan.engines,
+        linked=plan.gateways + plan.storage <= MOST_LINKED_PROCESSES,
     ).start()
     findings: dict[int, list[str]] = {}
     requests = jobs = 0
