Orders are confirmed soon after acceptance, while a node leaves, and after one is gone

Cause: an empty page of an order that is not confirmed costs a call of the store. A new job was confirmed up to 0.6 s late, none while a storage node was leaving, and none for 30 minutes after one had been replaced at another address (it stays known as dead). Change: acceptance and adoption wake the renewals (jobs of one heap together, 50 ms); nodes that are leaving are asked, too; one that has been dead for 10 s is not waited for, since repair has made up for its copies.

--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -125,7 +125,7 @@
         leases = LeaseRenewal(
             self.network.client,
             self.network.storage_nodes,
-            self.network.known_storage_nodes,
+            self.network.result_holders,
             settings.disks_lost_at_once + 2,
         )
         self._warnings = ReplicaWarnings(
--- a/src/quaymill/process/jobs/coordinator.py
+++ b/src/quaymill/process/jobs/coordinator.py
@@ -27,6 +27,8 @@
 from quaymill.version.request_routes import RequestRoute
 
 RENEW_INTERVAL_S = 0.6
+RENEW_GATHER_S = 0.05
+"""Pause before each renewal."""
 RETAINED_JOBS = 200
 
 
@@ -48,6 +50,7 @@
         self._jobs_by_id: dict[str, CoordinatedJob] = {}
         self._stopping = threading.Event()
         self._newly_complete: list[str] = []
+        self._renew_soon = threading.Event()
         self._dispatcher = ItemDispatcher(dispatcher, self.open_jobs)
         self._publisher = ResultPublisher(publisher, self._dispatcher.wake, self._note_complete)
         self._progress = ProgressSaver(publisher.storage, self.open_jobs)
@@ -123,6 +126,7 @@
     def stop(self) -> list[HandOverJob]:
         """Start nothing more, cut the runs, and return what others need to go on."""
         self._stopping.set()
+        self._renew_soon.set()
         self._dispatcher.stop()
         self._publisher.stop()
         self._progress.stop()
@@ -151,6 +155,9 @@
             coordinated.add_finished(unlisted)
             self._jobs_by_id[job.id] = coordinated
             self._forget_old_jobs()
+        # Its order is confirmed with the first renewal: until then each empty page of it costs a
+        # call of the store.
+        self._renew_soon.set()
         self._publisher.follow(coordinated, adopted=adopted)
 
     def _note_complete(self, job_id: str) -> None:
@@ -165,7 +172,12 @@
 
     def _renew(self) -> None:
         beyond: frozenset[str] = frozenset()
-        while not self._stopping.wait(RENEW_INTERVAL_S):
+        while True:
+            self._renew_soon.wait(RENEW_INTERVAL_S)
+            # Jobs come in heaps: those of one heap go together.
+            if self._stopping.wait(RENEW_GATHER_S):
+                return
+            self._renew_soon.clear()
             jobs = self.open_jobs()
             open_jobs = tuple(job.id for job in jobs)
             with self._lock:
--- a/src/quaymill/process/jobs/lease_renewal.py
+++ b/src/quaymill/process/jobs/lease_renewal.py
@@ -13,7 +13,7 @@
 import attrs
 
 from quaymill.connection.job_storage_messages import HandedOverJob, JobsRenewed, RenewJobs
-from quaymill.connection.member import Member
+from quaymill.connection.member import Member, MemberState
 from quaymill.connection.peer_link import PeerClient
 from quaymill.process.membership.ranking import rank_nodes
 
@@ -59,8 +59,9 @@
     ----------
     storage_nodes
         Returns the live storage nodes, none that is leaving.
-    known_storage_nodes
-        Returns also those that do not answer now: they may have given a job away.
+    result_holders
+        Returns all that may be the only ones to hold a result, also those that are leaving or do
+        not answer now.
     holders
         How many of the live ones that rank first for a job hold it.
     """
@@ -69,21 +70,19 @@
         self,
         peer_client: PeerClient,
         storage_nodes: Callable[[], tuple[Member, ...]],
-        known_storage_nodes: Callable[[], tuple[Member, ...]],
+        result_holders: Callable[[], tuple[Member, ...]],
         holders: int,
     ) -> None:
         self._peer_client = peer_client
         self._storage_nodes = storage_nodes
-        self._known_storage_nodes = known_storage_nodes
+        self._result_holders = result_holders
         self._holders = holders
 
     def renew(self, message: RenewJobs) -> RenewalOutcome:
         """Renew, complete, release and hand over what a message names."""
-        members = self._storage_nodes()
-        all_live = {member.name for member in self._known_storage_nodes()} <= {
-            member.name for member in members
-        }
-        parts = list(self._parts(message, members))
+        holders = self._result_holders()
+        asked = tuple(member for member in holders if member.state is not MemberState.DEAD)
+        parts = list(self._parts(message, self._storage_nodes(), asked))
         answers: list[_Answer] = []
         threads = [
             threading.Thread(target=self._renew_at, args=(member, part, answers), daemon=True)
@@ -94,7 +93,8 @@
         for thread in threads:
             thread.join(RENEW_TIMEOUT_S)
         outcome = _merged(list(answers), len(parts))
-        return outcome if all_live else attrs.evolve(outcome, confirmed=frozenset())
+        all_asked = bool(holders) and len(asked) == len(holders)
+        return outcome if all_asked else attrs.evolve(outcome, confirmed=frozenset())
 
     def _renew_at(self, member: Member, part: RenewJobs, answers: list[_Answer]) -> None:
         reply = self._peer_client.call(member.peer, part, JobsRenewed, RENEW_TIMEOUT_S)
@@ -102,14 +102,14 @@
             answers.append(_Answer(part, reply))
 
     def _parts(
-        self, message: RenewJobs, members: tuple[Member, ...]
+        self, message: RenewJobs, live: tuple[Member, ...], asked: tuple[Member, ...]
     ) -> Iterator[tuple[Member, RenewJobs]]:
-        """Yield what concerns each storage node."""
-        for member in members:
+        """Yield what concerns each storage node: leases that it keeps, and the orders."""
+        for member in asked:
 
             def is_held(job: str | HandedOverJob, member: Member = member) -> bool:
                 job_id = job.job_id if isinstance(job, HandedOverJob) else job
-                return member in rank_nodes(job_id, members)[: self._holders]
+                return member in rank_nodes(job_id, live)[: self._holders]
 
             part = RenewJobs(
                 message.coordinator,
--- a/src/quaymill/process/membership/member_table.py
+++ b/src/quaymill/process/membership/member_table.py
@@ -65,6 +65,12 @@
             if member.name != self._local_name and member.state is not MemberState.DEAD
         )
 
+    def dead_for_s(self, name: str) -> float:
+        """Return how long ago a member was marked as dead; 0 if it is not."""
+        with self._lock:
+            since = self._dead_since.get(name)
+        return 0.0 if since is None else time.monotonic() - since
+
     def dead(self) -> tuple[Member, ...]:
         """Return the members known as dead."""
         return tuple(member for member in self.all() if member.state is MemberState.DEAD)
--- a/src/quaymill/process/membership/membership.py
+++ b/src/quaymill/process/membership/membership.py
@@ -110,6 +110,10 @@
         """Return every member known, this node and the dead included."""
         return self._table.all()
 
+    def dead_for_s(self, name: str) -> float:
+        """Return how long ago a member was marked as dead; 0 if it is not."""
+        return self._table.dead_for_s(name)
+
     def live(self) -> tuple[Member, ...]:
         """Return the members that may be given work: alive or suspect, and not draining."""
         return tuple(
--- a/src/quaymill/process/peer_network.py
+++ b/src/quaymill/process/peer_network.py
@@ -19,6 +19,9 @@
     join_period_s=4.0,
 )
 COORDINATOR_SEPARATOR = "#"
+MADE_UP_FOR_AFTER_S = 10.0
+"""Time after which copies of all that a dead storage node held stand elsewhere: twice the 4.8 s
+within which the users' sheets count a machine as made up for."""
 
 
 @attrs.frozen
@@ -76,6 +79,17 @@
         """Return the storage nodes that may hold something, those that do not answer included."""
         return tuple(member for member in self.membership.members() if member.has_disk)
 
+    def result_holders(self) -> tuple[Member, ...]:
+        """Return the storage nodes that may be the only ones to hold a result.
+
+        Not those that have been dead for long: others have made up for what they held.
+        """
+        return tuple(
+            member
+            for member in self.known_storage_nodes()
+            if self.membership.dead_for_s(member.name) < MADE_UP_FOR_AFTER_S
+        )
+
     def gateways(self) -> tuple[Member, ...]:
         """Return the live gateways, none that is leaving."""
         return tuple(member for member in self.membership.live() if not member.has_disk)
