A gateway that is stopped ends the threads that watch its callers

It counts the allocations of the whole process. Gateways of earlier tests had left threads: three for each, two of them new (the watch of heads) and one old (the watch of callers, never told to stop). With test_empty_pages before it 30 such threads lived and the peak was 1,249,951 bytes; alone it is 881,991. Change: both watches end with the server or the gateway; what a gateway stops on both ways is one function.

--- a/src/quaymill/process/front/head_watch.py
+++ b/src/quaymill/process/front/head_watch.py
@@ -78,6 +78,7 @@
         self._lock = threading.Lock()
         self._poll = select.epoll()
         self._waiting: dict[int, _Waiting] = {}
+        self._stopping = False
 
     @property
     def busy(self) -> bool:
@@ -91,6 +92,7 @@
 
     def stop(self) -> None:
         """Close the connections on which nothing has come; heads that have begun may end."""
+        self._stopping = True
         with self._lock:
             idle = [fd for fd, one in self._waiting.items() if not one.began]
             closing = [self._forget(fd) for fd in idle]
@@ -111,7 +113,7 @@
 
     def _watch(self) -> None:
         next_look = 0.0
-        while True:
+        while self._waiting or not self._stopping:
             timeout_s = POLL_TIMEOUT_S if self._waiting else EMPTY_POLL_TIMEOUT_S
             for descriptor, _ in self._poll.poll(timeout_s):
                 self._look_at(descriptor)
--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -346,6 +346,11 @@
         self._connections.close()
         self._heads.stop()
 
+    def stop(self) -> None:
+        """Close everything at once."""
+        self._heads.stop()
+        super().stop()
+
     def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
         """Log what the server could not handle."""
         log_message("front:http_error", message=msg, level=logging.getLevelName(level))
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -337,12 +337,7 @@
         handing_over.join(max(0.0, deadline - time.monotonic()))
         self.quota.stop()
         log_message("node:stopped", idle=idle, took_s=round(time.monotonic() - began, 2))
-        self.control.stop()
-        self._registry.stop()
-        self._loads.stop()
-        self._warnings.stop()
-        self._notices.stop()
-        self.network.stop()
+        self._stop_talking()
 
     def _wait_until_idle(self, deadline: float) -> bool:
         """Wait until nothing has been in service for a while; return whether that came true.
@@ -377,16 +372,21 @@
 
     def kill(self) -> None:
         """Stop as a process that dies does: peers and callers are told nothing."""
+        self._stop_talking()
+        self.coordinator.stop()
+        self.quota.stop()
+        self._watch.stop()
+        self._server.stop()
+        self._readiness.stop()
+
+    def _stop_talking(self) -> None:
+        """Stop the parts that speak to peers, to the store and to replicas of their own accord."""
         self.control.stop()
         self._registry.stop()
         self._loads.stop()
         self._warnings.stop()
-        self.network.stop()
-        self.coordinator.stop()
-        self.quota.stop()
         self._notices.stop()
-        self._server.stop()
-        self._readiness.stop()
+        self.network.stop()
 
     def _lacks_peers(self) -> bool:
         return not self.network.storage_nodes() or not self.network.other_gateways()
