A connection that brought a reply that is none is closed again, not kept

Found by reading the diff: when the pools of idle connections were put together, a connection went back to its pool before its reply was decoded. One whose reply is not understood, for instance two lines at once, was closed before and kept since, against what the module's head promises. Change: the reply is decoded first. test_peer_link: the test that is new fails on the code before this commit (the second call went out on the same connection).

--- a/src/quaymill/connection/peer_link.py
+++ b/src/quaymill/connection/peer_link.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from typing import Any, ClassVar, TypeVar, Union
 
+import attrs
 import msgspec
 from eliot import log_message
 
@@ -159,6 +160,14 @@
             return None
 
 
+@attrs.frozen
+class _Received:
+    """A line that came, and the connection on which it did."""
+
+    connection: socket.socket
+    line: bytes
+
+
 class PeerClient:
     """Sends messages to peers over a small pool of connections for each of them."""
 
@@ -186,10 +195,10 @@
         if self._link_filter.blocks(endpoint):
             time.sleep(min(timeout_s, CONNECT_TIMEOUT_S))
             return PeerUnreachable(endpoint, "the link is cut by the fault switch")
-        reply_line = self._exchange(endpoint, message, timeout_s, deadline)
-        if not isinstance(reply_line, bytes):
-            return reply_line
-        return self._decode(endpoint, reply_line, reply_type)
+        received = self._exchange(endpoint, message, timeout_s, deadline)
+        if not isinstance(received, _Received):
+            return received
+        return self._decode(endpoint, received, reply_type)
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -197,8 +206,8 @@
 
     def _exchange(
         self, endpoint: Endpoint, message: PeerMessage, timeout_s: float, deadline: float
-    ) -> bytes | PeerFailure:
-        """Send a message and return the line that comes back.
+    ) -> _Received | PeerFailure:
+        """Send a message and return what comes back.
 
         On a kept connection, which may have gone silent, a message that may be repeated waits for
         a part of its time only; the rest is for a new one.
@@ -209,7 +218,7 @@
             may_repeat = type(message).repeatable
             patience_s = timeout_s * (KEPT_CONNECTION_SHARE if may_repeat else 1.0)
             reply = self._send(endpoint, kept, line, time.monotonic() + patience_s)
-            if isinstance(reply, bytes):
+            if isinstance(reply, _Received):
                 return reply
             # What else lies idle to this peer has probably gone silent or ended with it.
             self._idle.drop(endpoint)
@@ -231,8 +240,8 @@
 
     def _send(
         self, endpoint: Endpoint, connection: socket.socket, line: bytes, until: float
-    ) -> bytes | PeerNoReply:
-        """Send a line on a connection and wait for one; keep the connection if it came."""
+    ) -> _Received | PeerNoReply:
+        """Send a line on a connection and wait for one; the connection is closed if none came."""
         began = time.monotonic()
         try:
             connection.settimeout(max(until - began, MIN_TIMEOUT_S))
@@ -245,8 +254,7 @@
         if self._link_filter.blocks(endpoint):
             connection.close()
             return PeerNoReply(endpoint, "the link was cut while the request was under way")
-        self._idle.put(endpoint, connection, IDLE_CONNECTION_LIFETIME_S)
-        return reply
+        return _Received(connection, reply)
 
     def _connect(self, endpoint: Endpoint, timeout_s: float) -> socket.socket:
         connection = socket.create_connection(
@@ -257,16 +265,20 @@
         return connection
 
     def _decode(
-        self, endpoint: Endpoint, line: bytes, reply_type: type[Reply]
+        self, endpoint: Endpoint, received: _Received, reply_type: type[Reply]
     ) -> Reply | PeerFailure:
+        """Read a reply; the connection is kept only if it was one."""
         decoder = self._decoders.get(reply_type)
         if decoder is None:
             decoder = msgspec.json.Decoder(Union[reply_type, PeerRefusal])  # noqa: UP007
             self._decoders[reply_type] = decoder
         try:
-            return decoder.decode(line)
+            reply = decoder.decode(received.line)
         except msgspec.MsgspecError as error:
+            received.connection.close()
             return PeerNoReply(endpoint, f"reply not understood: {error}")
+        self._idle.put(endpoint, received.connection, IDLE_CONNECTION_LIFETIME_S)
+        return reply
 
 
 def _read_line(connection: socket.socket, deadline: float) -> bytes:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -6,6 +6,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.peer_link import (
     PeerClient,
@@ -111,6 +113,30 @@
         self.server.start()
         self.assertEqual(self._call("second"), Echoed("second"))
 
+    def test_connection_with_a_reply_that_is_none_carries_no_other_request(self):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        endpoint = Endpoint("127.0.0.1", listener.getsockname()[1])
+        accepted: list[socket.socket] = []
+
+        def answer_twice_at_once() -> None:
+            while True:
+                try:
+                    connection, _ = listener.accept()
+                except OSError:
+                    return
+                accepted.append(connection)
+                self.addCleanup(connection.close)
+                connection.recv(1024)
+                reply = msgspec.json.encode(Echoed("one")) + b"\n"
+                connection.sendall(reply + reply)
+
+        threading.Thread(target=answer_twice_at_once, daemon=True).start()
+        for number in (1, 2):
+            reply = self.client.call(endpoint, Echo("one"), Echoed, TIMEOUT_S)
+            self.assertIsInstance(reply, PeerNoReply)
+            self.assertEqual(number, len(accepted))
+
     def test_cut_link_is_unreachable_and_heals(self):
         self.link_filter.set_blocked(frozenset({self.server.endpoint}))
         self.assertIsInstance(self._call("a", SHORT_TIMEOUT_S), PeerUnreachable)
