Holders of a job are ranked once a renewal; the soak's launcher ignores no signal twice

Found by reading the diff: renewals go to every storage node now, and each part ranked the holders of every job anew; the launcher repeated what main() does. No change of behaviour: test_job_orders, test_silent_connections, test_peer_link green.

--- a/src/quaymill/process/jobs/lease_renewal.py
+++ b/src/quaymill/process/jobs/lease_renewal.py
@@ -105,11 +105,19 @@
         self, message: RenewJobs, live: tuple[Member, ...], asked: tuple[Member, ...]
     ) -> Iterator[tuple[Member, RenewJobs]]:
         """Yield what concerns each storage node: leases that it keeps, and the orders."""
+        handed_over = [job.job_id for job in message.handed_over_jobs]
+        job_ids = {
+            *message.open_jobs,
+            *message.complete_jobs,
+            *message.released_jobs,
+            *handed_over,
+        }
+        holders_by_job = {job_id: rank_nodes(job_id, live)[: self._holders] for job_id in job_ids}
         for member in asked:
 
             def is_held(job: str | HandedOverJob, member: Member = member) -> bool:
                 job_id = job.job_id if isinstance(job, HandedOverJob) else job
-                return member in rank_nodes(job_id, live)[: self._holders]
+                return member in holders_by_job[job_id]
 
             part = RenewJobs(
                 message.coordinator,
--- a/src/quaymill_bench/routed_process.py
+++ b/src/quaymill_bench/routed_process.py
@@ -9,12 +9,13 @@
 
 import json
 import os
-import signal
 import socket
 import sys
 from pathlib import Path
 from typing import Any
 
+from quaymill.platform.main import main
+
 ROUTES_VARIABLE = "QUAYMILL_SOAK_ROUTES"
 """Names a JSON file: ``{"ADDRESS:PORT": [ADDRESS, PORT]}``."""
 
@@ -33,10 +34,6 @@
 
 def run() -> int:
     """Run the role named on the command line with the routes of its file."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # Who only wants the name of the variable loads no role.
-    from quaymill.platform.main import main
-
     route_connections(json.loads(Path(os.environ[ROUTES_VARIABLE]).read_text()))
     return main()
 
