A server of peers has threads for the messages it answers, not for the peers it knows

Cause: a thread for each connection; each storage node kept one for each gateway that ever called and each other storage node, the keeper of room one for each gateway. 195 nodes held 15,900 threads; storage nodes 170 to 211. Change: resting connections lie in one poll set; whoever waits there takes one, reads, answers, puts it back (no hand-over between threads). Lines that come in pieces hold no thread. Test: 300 peers cost at most three threads (300 before); messages that wait hold nobody up; pieces, long lines, stop.

--- a/src/quaymill/connection/peer_link.py
+++ b/src/quaymill/connection/peer_link.py
@@ -1,20 +1,17 @@
 """The internal protocol: one JSON document a line over TCP, one reply for each request.
 
 A connection carries one request at a time, so answers cannot cross. A connection whose
-reply did not arrive in time is closed and never used again. The server runs one thread
-for each connection, and the client keeps a few idle connections to each peer.
+reply did not arrive in time is closed and never used again. The client keeps a few idle
+connections to each peer; the server's side is in ``peer_server``.
 
 Every message is a tagged ``msgspec.Struct``; the tag field is ``kind``.
 """
 
 from __future__ import annotations
 
-import contextlib
 import socket
-import threading
 import time
-from collections.abc import Callable
-from typing import Any, ClassVar, TypeVar, Union
+from typing import ClassVar, TypeVar, Union
 
 import attrs
 import msgspec
@@ -27,13 +24,10 @@
 MAX_LINE_BYTES = 64 * 1024 * 1024
 MAX_IDLE_CONNECTIONS_PER_PEER = 8
 IDLE_CONNECTION_LIFETIME_S = 30.0
-SERVED_CONNECTION_LIFETIME_S = 2 * IDLE_CONNECTION_LIFETIME_S
-"""After this a served connection on which nothing came is closed: its peer has dropped it."""
 KEPT_CONNECTION_SHARE = 0.5
 """Part of its time that a message which may be repeated waits on a kept connection."""
 MIN_TIMEOUT_S = 0.001
 CONNECT_TIMEOUT_S = 1.0
-ACCEPT_BACKLOG = 128
 
 
 class PeerMessage(msgspec.Struct, tag_field="kind", tag=True, frozen=True):
@@ -70,94 +64,6 @@
 
 PeerFailure = PeerUnreachable | PeerNoReply | PeerRefusal
 Reply = TypeVar("Reply", bound=PeerMessage)
-Handler = Callable[[Any], PeerMessage]
-
-
-class PeerServer:
-    """Accepts peers on a TCP port and hands each message to the handler of its type.
-
-    Parameters
-    ----------
-    endpoint
-        Where to listen; port 0 takes a free port, read back from ``endpoint``.
-    """
-
-    def __init__(self, endpoint: Endpoint) -> None:
-        self._listener = socket.create_server(
-            (endpoint.host, endpoint.port), backlog=ACCEPT_BACKLOG, reuse_port=False
-        )
-        self.endpoint = Endpoint(endpoint.host, self._listener.getsockname()[1])
-        self._handlers: dict[type, Handler] = {}
-        self._decoder: msgspec.json.Decoder | None = None
-        self._connections: set[socket.socket] = set()
-        self._lock = threading.Lock()
-        self._stopping = False
-
-    def register(self, message_type: type[PeerMessage], handler: Handler) -> None:
-        """Answer messages of ``message_type`` with ``handler``; call before ``start``."""
-        self._handlers[message_type] = handler
-
-    def start(self) -> None:
-        """Begin to accept peers."""
-        # A union with one member is the member itself; the padding keeps the tag decoding on.
-        self._decoder = msgspec.json.Decoder(Union[tuple([*self._handlers, PeerRefusal])])  # noqa: UP007
-        threading.Thread(target=self._accept_peers, name="peer-accept", daemon=True).start()
-
-    def stop(self) -> None:
-        """Close the listener and every connection."""
-        self._stopping = True
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        with self._lock:
-            connections = list(self._connections)
-        for connection in connections:
-            with contextlib.suppress(OSError):
-                connection.shutdown(socket.SHUT_RDWR)
-
-    def _accept_peers(self) -> None:
-        while not self._stopping:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection.settimeout(SERVED_CONNECTION_LIFETIME_S)
-            with self._lock:
-                self._connections.add(connection)
-            threading.Thread(
-                target=self._serve_connection, args=(connection,), name="peer", daemon=True
-            ).start()
-
-    def _serve_connection(self, connection: socket.socket) -> None:
-        try:
-            with connection, connection.makefile("rb") as lines:
-                while line := lines.readline(MAX_LINE_BYTES):
-                    reply = self._answer(line)
-                    if reply is None:
-                        return
-                    connection.sendall(msgspec.json.encode(reply) + b"\n")
-        except OSError:
-            pass  # The peer went away; it learns nothing from this connection any more.
-        finally:
-            with self._lock:
-                self._connections.discard(connection)
-
-    def _answer(self, line: bytes) -> PeerMessage | None:
-        """Return the reply; ``None`` if the handler failed midway, perhaps after an effect."""
-        try:
-            message = self._decoder.decode(line)
-        except msgspec.MsgspecError as error:
-            return PeerRefusal(reason=f"message not understood: {error}")
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            return PeerRefusal(reason=f"no handler for {type(message).__name__} on this node")
-        try:
-            return handler(message)
-        except Exception as error:  # A bug in one handler must not end the other peers' service.
-            log_message("peer:handler_error", kind=type(message).__name__, error=repr(error))
-            # A refusal would promise that nothing was done; without a reply the peer knows less.
-            return None
 
 
 @attrs.frozen
--- a/src/quaymill/process/batch/scheduler.py
+++ b/src/quaymill/process/batch/scheduler.py
@@ -11,7 +11,7 @@
 from quaymill.connection.endpoint import LinkFilter
 from quaymill.connection.engine_client import EngineClient
 from quaymill.connection.load_messages import Noted, OnlineStarts
-from quaymill.connection.peer_link import PeerServer
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.batch.application_item import CallParts
 from quaymill.process.batch.job_store import JobStore
 from quaymill.process.batch.lease_book import LeaseBook
--- a/src/quaymill/process/configuration/service.py
+++ b/src/quaymill/process/configuration/service.py
@@ -25,7 +25,8 @@
     WholeConfiguration,
 )
 from quaymill.connection.member import MachineRole, Member, MemberState
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.platform_client import CONFIGURATIONS, MACHINES, PlatformClient
 from quaymill.process.configuration.disk_copy import load_copy, store_copy
 from quaymill.process.configuration.platform_watch import PlatformWatch, WatchSettings
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -27,7 +27,8 @@
     ObjectStore,
     StoredObject,
 )
-from quaymill.connection.peer_link import PeerClient, PeerRefusal, PeerServer
+from quaymill.connection.peer_link import PeerClient, PeerRefusal
+from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.process.control.store_reader import StoreReader
 from quaymill.process.membership.membership import Membership
--- a/src/quaymill/process/control/store_sharing.py
+++ b/src/quaymill/process/control/store_sharing.py
@@ -28,7 +28,8 @@
     StoreUnanswered,
     WriteResult,
 )
-from quaymill.connection.peer_link import PeerClient, PeerNoReply, PeerRefusal, PeerServer
+from quaymill.connection.peer_link import PeerClient, PeerNoReply, PeerRefusal
+from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.store_messages import SharedObject, StoreAnswer, StoreCall
 
 SHARED_KINDS = frozenset({ObjectKind.JOB_LISTINGS, ObjectKind.QUOTA_LEDGERS})
--- a/src/quaymill/process/gateway/at_most_once.py
+++ b/src/quaymill/process/gateway/at_most_once.py
@@ -27,7 +27,8 @@
     StoredAnswer,
 )
 from quaymill.connection.job_messages import Accepted, StoreConflict
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.request.outcome import Failed, Failure, NotRun, OutcomeUnknown
 
 if TYPE_CHECKING:
--- a/src/quaymill/process/gateway/gateway.py
+++ b/src/quaymill/process/gateway/gateway.py
@@ -15,7 +15,8 @@
 from quaymill.connection.application_client import ApplicationClient
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.engine_client import EngineClient
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.process.gateway.at_most_once import AtMostOnceCalls
 from quaymill.process.gateway.authentication import Authenticator
--- a/src/quaymill/process/job_storage/service.py
+++ b/src/quaymill/process/job_storage/service.py
@@ -35,7 +35,8 @@
     StoreProgress,
     StoreResults,
 )
-from quaymill.connection.peer_link import PeerMessage, PeerRefusal, PeerServer
+from quaymill.connection.peer_link import PeerMessage, PeerRefusal
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.job_storage.database import JobDatabase
 from quaymill.process.job_storage.leases import Leases as LeaseTable
 
--- a/src/quaymill/process/job_store/service.py
+++ b/src/quaymill/process/job_store/service.py
@@ -7,7 +7,8 @@
 
 from quaymill.connection import call_record_messages, job_messages, log_messages
 from quaymill.connection.job_messages import NotLeader
-from quaymill.connection.peer_link import PeerClient, PeerMessage, PeerRefusal, PeerServer
+from quaymill.connection.peer_link import PeerClient, PeerMessage, PeerRefusal
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.job_store.formation import MembershipView, Platform
 from quaymill.process.job_store.group import Group
 from quaymill.process.job_store.identity import FolderLock
--- a/src/quaymill/process/jobs/result_reader.py
+++ b/src/quaymill/process/jobs/result_reader.py
@@ -10,7 +10,8 @@
 
 from quaymill.connection.job_storage_messages import NotCoordinator, ReadResults, ResultsPage
 from quaymill.connection.member import Member
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.jobs.coordinated_job import CoordinatedJob, make_page
 from quaymill.process.jobs.coordinator import JobCoordinator
 from quaymill.process.jobs.job_lookup import JobLookup, NoSuchJob, Unsure
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -16,7 +16,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-from quaymill.connection.peer_link import PeerServer
+from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.room_messages import (
     ClaimRoom,
     ItemsAt,
--- a/src/quaymill/process/jobs/room_orders.py
+++ b/src/quaymill/process/jobs/room_orders.py
@@ -7,7 +7,8 @@
 from eliot import log_message
 
 from quaymill.connection.member import Member
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.room_messages import (
     GiveBack,
     GivenBack,
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -21,7 +21,8 @@
     SubmitJob,
 )
 from quaymill.connection.member import Member
-from quaymill.connection.peer_link import PeerClient, PeerRefusal, PeerServer
+from quaymill.connection.peer_link import PeerClient, PeerRefusal
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.jobs.batch_quota import BatchQuota
 from quaymill.process.jobs.coordinator import JobCoordinator
 from quaymill.process.jobs.job_lookup import JobLookup, NoSuchJob, Unsure
--- a/src/quaymill/process/limits/limiter.py
+++ b/src/quaymill/process/limits/limiter.py
@@ -19,7 +19,8 @@
     ReturnedCredits,
 )
 from quaymill.connection.member import Member
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.process.limits.granter import SLOT_LEASE_S, CreditGranter
 from quaymill.process.membership.ranking import rank_nodes
--- a/src/quaymill/process/node.py
+++ b/src/quaymill/process/node.py
@@ -9,7 +9,8 @@
 from eliot import log_message
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.platform_client import PlatformClient
 from quaymill.process.batch.report import BatchCollector, status_rows
 from quaymill.process.batch.scheduler import BatchSchedulers
--- a/src/quaymill/process/peer_network.py
+++ b/src/quaymill/process/peer_network.py
@@ -6,7 +6,8 @@
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.member import Member, MemberState
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.membership.membership import Membership
 from quaymill.process.serving_settings import ServingSettings
 from quaymill.process.settings import MembershipSettings, NodeSettings
--- a/src/quaymill/process/replica_set/warnings.py
+++ b/src/quaymill/process/replica_set/warnings.py
@@ -15,7 +15,8 @@
 from eliot import log_message
 
 from quaymill.connection.member import Member
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.replica_warnings import Warned, WarnOfReplicas
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.table import ReplicaTable
--- a/src/quaymill/process/replicas/load_view.py
+++ b/src/quaymill/process/replicas/load_view.py
@@ -18,7 +18,8 @@
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.load_messages import GetLoad, LoadReports
 from quaymill.connection.member import Machine, MachineRole, Member
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.process.machine_list import MachineList, MachineListHolder
 from quaymill.process.membership.ranking import rank_nodes
--- a/src/quaymill_bench/store_node.py
+++ b/src/quaymill_bench/store_node.py
@@ -16,7 +16,8 @@
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.member import Member
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.job_store.service import JobStoreService
 from quaymill.process.settings import NodeSettings
 
--- a/tests/batch_support.py
+++ b/tests/batch_support.py
@@ -34,7 +34,8 @@
 )
 from quaymill.connection.load_messages import LoadReport, Noted, OnlineStarts
 from quaymill.connection.member import Machine, MachineRole
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.process.batch.scheduler import BatchSchedulers
 from quaymill.process.configuration_holder import ConfigurationHolder
--- a/tests/control_node.py
+++ b/tests/control_node.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.platform_client import PlatformClient
 from quaymill.process.configuration.service import ConfigurationService, ConfigurationTiming
 from quaymill.process.configuration_holder import ConfigurationHolder
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -21,7 +21,8 @@
 from quaymill.connection.job_messages import Accepted, StoreConflict
 from quaymill.connection.load_messages import Noted, OnlineStarts
 from quaymill.connection.member import Machine, MachineRole, Member
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.process.gateway.gateway import Gateway
 from quaymill.process.limits.limiter import TenantLimiter
--- a/tests/job_store_cluster.py
+++ b/tests/job_store_cluster.py
@@ -35,7 +35,8 @@
     ResultPage,
 )
 from quaymill.connection.member import Member
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.job_store.client import JobStoreClient
 from quaymill.process.job_store.group import Group
 from quaymill.process.job_store.replica import Role
--- a/tests/test_files_api.py
+++ b/tests/test_files_api.py
@@ -26,7 +26,7 @@
     CreateFile,
     ReadResults,
 )
-from quaymill.connection.peer_link import PeerServer
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.batch.scheduler import BatchSchedulers
 from quaymill.process.commands import batch
 from quaymill.process.gateway import files
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,7 +8,8 @@
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.member import Member
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.process.limits.limiter import TenantLimiter
 from quaymill.process.membership.ranking import rank_nodes
--- a/tests/test_load_view.py
+++ b/tests/test_load_view.py
@@ -7,7 +7,8 @@
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.load_messages import GetLoad
 from quaymill.connection.member import Machine, MachineRole, Member
-from quaymill.connection.peer_link import PeerClient, PeerServer
+from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.machine_list import MachineList, MachineListHolder
 from quaymill.process.replicas.load_view import LoadView
 from quaymill.process.settings import NodeSettings
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -14,9 +14,9 @@
     PeerMessage,
     PeerNoReply,
     PeerRefusal,
-    PeerServer,
     PeerUnreachable,
 )
+from quaymill.connection.peer_server import PeerServer
 
 LOOPBACK = Endpoint("127.0.0.1", 0)
 TIMEOUT_S = 2.0
--- /dev/null
+++ b/tests/test_peer_server.py
@@ -0,0 +1,142 @@
+"""A server of peers costs threads by the messages it answers, not by the peers that know it."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import unittest
+from unittest import mock
+
+import msgspec
+
+from fleet_support import eventually
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.peer_link import PeerMessage
+from quaymill.connection.peer_server import SPARE_WORKERS, PeerServer
+
+LOOPBACK = Endpoint("127.0.0.1", 0)
+TIMEOUT_S = 10.0
+PEERS = 300
+"""About as many as the users' plan has nodes (330)."""
+
+
+class Ask(PeerMessage, frozen=True):
+    """Asks for its text."""
+
+    text: str
+
+
+class Block(PeerMessage, frozen=True):
+    """Is answered once the test says so."""
+
+
+class Told(PeerMessage, frozen=True):
+    """The answer to both."""
+
+    text: str
+
+
+class PeerServerCase(unittest.TestCase):
+    """One server, and connections to it."""
+
+    def setUp(self):
+        self.go_on = threading.Event()
+        self.addCleanup(self.go_on.set)
+        self.server = PeerServer(LOOPBACK)
+        self.server.register(Ask, lambda message: Told(message.text))
+        self.server.register(Block, self._block)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+
+    def _block(self, message: Block) -> Told:
+        self.go_on.wait(TIMEOUT_S)
+        return Told("late")
+
+    def connect(self) -> socket.socket:
+        address = (self.server.endpoint.host, self.server.endpoint.port)
+        connection = socket.create_connection(address, TIMEOUT_S)
+        self.addCleanup(connection.close)
+        return connection
+
+    def ask(self, connection: socket.socket, text: str) -> str:
+        connection.sendall(msgspec.json.encode(Ask(text)) + b"\n")
+        return self.read(connection)
+
+    def read(self, connection: socket.socket) -> str:
+        with connection.makefile("rb") as lines:
+            return msgspec.json.decode(lines.readline(), type=Told).text
+
+    def threads(self) -> int:
+        return sum(thread.name == "peer" for thread in threading.enumerate())
+
+
+class ManyPeersTest(PeerServerCase):
+    """Three hundred peers keep a connection each."""
+
+    def test_peers_that_rest_cost_no_threads(self):
+        """A thread for each connection was 300 here, and 15,900 in a fleet of 195 nodes."""
+        before = self.threads()
+        connections = [self.connect() for _ in range(PEERS)]
+        for index, connection in enumerate(connections):
+            self.assertEqual(self.ask(connection, f"first {index}"), f"first {index}")
+        for index, connection in enumerate(reversed(connections)):
+            self.assertEqual(self.ask(connection, f"second {index}"), f"second {index}")
+        self.assertLessEqual(self.threads() - before, SPARE_WORKERS + 1)
+
+    def test_messages_that_wait_hold_nobody_else_up(self):
+        blocked = [self.connect() for _ in range(20)]
+        for connection in blocked:
+            connection.sendall(msgspec.json.encode(Block()) + b"\n")
+        self.assertEqual(self.ask(self.connect(), "quick"), "quick")
+        self.go_on.set()
+        self.assertEqual([self.read(connection) for connection in blocked], ["late"] * 20)
+
+    def test_threads_that_are_not_needed_any_more_end(self):
+        with mock.patch("quaymill.connection.peer_server.POLL_TIMEOUT_S", 0.05):
+            before = self.threads()
+            blocked = [self.connect() for _ in range(20)]
+            for connection in blocked:
+                connection.sendall(msgspec.json.encode(Block()) + b"\n")
+            eventually(lambda: self.threads() - before >= 20, TIMEOUT_S)
+            self.go_on.set()
+            eventually(lambda: self.threads() <= before + SPARE_WORKERS, 2 * TIMEOUT_S)
+
+
+class LinesTest(PeerServerCase):
+    """Lines that come in pieces, several at once, too early or never."""
+
+    def test_line_that_comes_in_pieces_is_answered_once_it_is_whole(self):
+        connection = self.connect()
+        line = msgspec.json.encode(Ask("in pieces")) + b"\n"
+        for begin in range(0, len(line), 5):
+            connection.sendall(line[begin : begin + 5])
+            self.assertEqual(self.ask(self.connect(), "another"), "another")
+        self.assertEqual(self.read(connection), "in pieces")
+
+    def test_long_lines_go_both_ways(self):
+        text = "x" * 3_000_000
+        self.assertEqual(self.ask(self.connect(), text), text)
+
+    def test_lines_that_come_together_are_answered_in_their_order(self):
+        connection = self.connect()
+        connection.sendall(b"".join(msgspec.json.encode(Ask(text)) + b"\n" for text in "abc"))
+        with connection.makefile("rb") as lines:
+            answers = [msgspec.json.decode(lines.readline(), type=Told).text for _ in "abc"]
+        self.assertEqual(answers, ["a", "b", "c"])
+
+    def test_peer_that_goes_away_midway_is_forgotten(self):
+        connection = self.connect()
+        connection.sendall(b'{"kind":')
+        eventually(lambda: len(self.server._connections) == 1, TIMEOUT_S)
+        connection.close()
+        eventually(lambda: not self.server._connections, TIMEOUT_S)
+
+    def test_stop_closes_connections_that_rest(self):
+        connection = self.connect()
+        self.ask(connection, "once")
+        self.server.stop()
+        self.assertEqual(connection.recv(1), b"")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_retirement.py
+++ b/tests/test_retirement.py
@@ -12,7 +12,7 @@
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member
 from quaymill.connection.object_store import ObjectMissing
-from quaymill.connection.peer_link import PeerServer
+from quaymill.connection.peer_server import PeerServer
 from quaymill.process.job_storage import retirement as retirement_module
 from quaymill.process.job_storage.database import JobDatabase
 from quaymill.process.job_storage.leases import Leases
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -13,7 +13,8 @@
 from typing import ClassVar
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
-from quaymill.connection.peer_link import PeerClient, PeerMessage, PeerServer
+from quaymill.connection.peer_link import PeerClient, PeerMessage
+from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.replica_connection import ReplicaConnections, ReplicaRequest
 from quaymill.request.outcome import OutcomeUnknown
 from quaymill_bench.loopback_proxy import LoopbackProxy
