A role loads only its own modules; idle gateways look less often

Cause: 195 processes start with 0.7 s of processor time each, a storage node with the gateway's modules too; the reader of the store woke 20 times a second, and warnings counted all replicas five times a second though none failed. Change: roles are loaded by themselves; the reader waits until a read can be due; nothing is counted while no replica fails.

--- /dev/null
+++ b/src/quaymill/platform/gateway_role.py
@@ -0,0 +1,38 @@
+"""A gateway on the platform: its parts, with what speaks the platform's language."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.platform import caller_calls, configuration, names, replica_calls
+from quaymill.platform.object_store import PlatformObjectStore
+from quaymill.process.control.state import ControlProtocol
+from quaymill.process.gateway_node import GatewayNode, GatewayProtocol
+from quaymill.process.jobs.engine_loads import ReportProtocol
+from quaymill.process.jobs.item_run import ItemProtocol
+from quaymill.process.serving_settings import ServingSettings
+from quaymill.request.forwarding import ReplicaProtocol
+
+METRICS_PORT = 9464
+
+REPLICA_PROTOCOL = ReplicaProtocol(replica_calls.build_request, replica_calls.read_answer_head)
+GATEWAY_PROTOCOL = GatewayProtocol(
+    callers=caller_calls.CALLER_PROTOCOL,
+    replicas=REPLICA_PROTOCOL,
+    reports=ReportProtocol(replica_calls.report_request, replica_calls.read_report),
+    items=ItemProtocol(REPLICA_PROTOCOL, caller_calls.item_headers),
+    control=ControlProtocol(
+        names.CONFIGURATION_NAME, configuration.decode_configuration, configuration.decode_replica
+    ),
+    ready_path=names.READY_PATH,
+)
+
+
+def build_gateway(settings: ServingSettings, log_lines_dropped: Callable[[], int]) -> GatewayNode:
+    """Return a gateway's parts, not started yet."""
+    store = PlatformObjectStore(settings.store_endpoint)
+    metrics = Endpoint(settings.address, METRICS_PORT)
+    return GatewayNode(
+        settings, store, GATEWAY_PROTOCOL, metrics, lambda: store.calls, log_lines_dropped
+    )
--- a/src/quaymill/platform/roles.py
+++ b/src/quaymill/platform/roles.py
@@ -1,4 +1,8 @@
-"""The roles on the platform: their parts, with what speaks its language, and their run."""
+"""Runs a role on the platform from its settings until it is told to stop.
+
+A role loads only its own modules: a storage node starts with 0.59 s of processor time instead of
+the 0.78 s that those of both roles take (medians of five starts beside other work).
+"""
 
 from __future__ import annotations
 
@@ -7,52 +11,47 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from typing import Protocol
 
 from eliot import log_message
 
-from quaymill.connection.endpoint import Endpoint
-from quaymill.platform import caller_calls, configuration, names, replica_calls
-from quaymill.platform.object_store import PlatformObjectStore
-from quaymill.process.control.state import ControlProtocol
-from quaymill.process.gateway_node import GatewayNode, GatewayProtocol
-from quaymill.process.jobs.engine_loads import ReportProtocol
-from quaymill.process.jobs.item_run import ItemProtocol
+from quaymill.platform import names
 from quaymill.process.logs import LineBudget, start_logs
 from quaymill.process.serving_settings import ServingRole, ServingSettings, load_serving_settings
 from quaymill.process.settings import SettingsError
 from quaymill.process.stop_signal import StopSignal
-from quaymill.process.storage_node import StorageNode, StorageProtocol
-from quaymill.request.forwarding import ReplicaProtocol
-
-METRICS_PORT = 9464
-
-REPLICA_PROTOCOL = ReplicaProtocol(replica_calls.build_request, replica_calls.read_answer_head)
-GATEWAY_PROTOCOL = GatewayProtocol(
-    callers=caller_calls.CALLER_PROTOCOL,
-    replicas=REPLICA_PROTOCOL,
-    reports=ReportProtocol(replica_calls.report_request, replica_calls.read_report),
-    items=ItemProtocol(REPLICA_PROTOCOL, caller_calls.item_headers),
-    control=ControlProtocol(
-        names.CONFIGURATION_NAME, configuration.decode_configuration, configuration.decode_replica
-    ),
-    ready_path=names.READY_PATH,
-)
-STORAGE_PROTOCOL = StorageProtocol(
-    {"state": names.RETIREMENT_ACTIVE}, {"state": names.RETIREMENT_SUCCEEDED}
-)
-
-
-def build_node(
-    role: ServingRole, settings: ServingSettings, log_lines_dropped: Callable[[], int]
-) -> GatewayNode | StorageNode:
-    """Return the process's parts, not started yet."""
-    store = PlatformObjectStore(settings.store_endpoint)
-    if role is ServingRole.JOB_STORAGE:
-        return StorageNode(settings, store, STORAGE_PROTOCOL)
-    metrics = Endpoint(settings.address, METRICS_PORT)
-    return GatewayNode(
-        settings, store, GATEWAY_PROTOCOL, metrics, lambda: store.calls, log_lines_dropped
-    )
+
+
+class Node(Protocol):
+    """The parts of a process."""
+
+    def start(self) -> None:
+        """Start them; each finds those it uses already running."""
+
+    def stop(self) -> None:
+        """Leave in order."""
+
+
+BuildNode = Callable[[ServingSettings, Callable[[], int]], Node]
+"""Builds the parts from the settings, and from a count of the log lines left out."""
+
+
+def _load_gateway() -> BuildNode:
+    from quaymill.platform.gateway_role import build_gateway
+
+    return build_gateway
+
+
+def _load_storage_node() -> BuildNode:
+    from quaymill.platform.storage_role import build_storage_node
+
+    return build_storage_node
+
+
+LOADERS: dict[ServingRole, Callable[[], BuildNode]] = {
+    ServingRole.GATEWAY: _load_gateway,
+    ServingRole.JOB_STORAGE: _load_storage_node,
+}
 
 
 def run_role(name: str) -> int:
@@ -66,7 +65,7 @@
     logs = start_logs(settings.name, stream=sys.stdout.buffer, budget=LineBudget())
     stop_signal = StopSignal()
     signal.signal(signal.SIGHUP, lambda number, frame: _check_again(path, role))
-    node = build_node(role, settings, lambda: logs.dropped)
+    node = LOADERS[role]()(settings, lambda: logs.dropped)
     node.start()
     stop_signal.wait()
     node.stop()
--- /dev/null
+++ b/src/quaymill/platform/storage_role.py
@@ -0,0 +1,22 @@
+"""A storage node on the platform: its parts, with what speaks the platform's language."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from quaymill.platform import names
+from quaymill.platform.object_store import PlatformObjectStore
+from quaymill.process.serving_settings import ServingSettings
+from quaymill.process.storage_node import StorageNode, StorageProtocol
+
+STORAGE_PROTOCOL = StorageProtocol(
+    {"state": names.RETIREMENT_ACTIVE}, {"state": names.RETIREMENT_SUCCEEDED}
+)
+
+
+def build_storage_node(
+    settings: ServingSettings, log_lines_dropped: Callable[[], int]
+) -> StorageNode:
+    """Return a storage node's parts, not started yet; it serves no metrics of its own."""
+    del log_lines_dropped
+    return StorageNode(settings, PlatformObjectStore(settings.store_endpoint), STORAGE_PROTOCOL)
--- a/src/quaymill/process/control/store_reader.py
+++ b/src/quaymill/process/control/store_reader.py
@@ -68,10 +68,8 @@
 
     def _run(self) -> None:
         jitter_s = random.uniform(0.0, LAST_JITTER_S)
-        while not self._stopping.wait(TICK_S):
+        while not self._stopping.wait(self._next_look_s()):
             if self._confirmed_age_s() <= self._interval_s:
-                # A rank is a hash of each gateway's name: at every tick it took 5.75 thousandths
-                # of a core in a fleet of 60 gateways, and more with each one.
                 continue
             rank = self._rank()
             limit_s = self._interval_s + STAGGER_S * min(rank, MAX_STAGGERED)
@@ -80,6 +78,14 @@
             if self._confirmed_age_s() > limit_s and time.monotonic() >= self._not_before:
                 self._read_once()
 
+    def _next_look_s(self) -> float:
+        """Return the time until nobody may have confirmed for so long that a read is due.
+
+        Twenty looks a second with a rank each, which is a hash of every gateway's name, took 5.75
+        thousandths of a core in a fleet of 60 gateways.
+        """
+        return max(TICK_S, self._interval_s - self._confirmed_age_s())
+
     def _read_once(self) -> None:
         reason = self._read()
         if not reason:
--- a/src/quaymill/process/replica_set/warnings.py
+++ b/src/quaymill/process/replica_set/warnings.py
@@ -80,8 +80,10 @@
     def _due(self) -> tuple[str, ...]:
         """Return the replicas to warn of now."""
         replicas = [replica for replica in self._table.replicas() if not replica.leaving]
-        listed = Counter(replica.entry.service for replica in replicas)
         failing = [replica for replica in replicas if replica.fails_here]
+        if not failing:
+            return ()
+        listed = Counter(replica.entry.service for replica in replicas)
         failing_by_service = Counter(replica.entry.service for replica in failing)
         now = time.monotonic()
         due = [
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -18,8 +18,9 @@
 
 import urllib3
 
+from quaymill.platform.gateway_role import GATEWAY_PROTOCOL
 from quaymill.platform.object_store import PlatformObjectStore
-from quaymill.platform.roles import GATEWAY_PROTOCOL, STORAGE_PROTOCOL
+from quaymill.platform.storage_role import STORAGE_PROTOCOL
 from quaymill.process.gateway_node import GatewayNode
 from quaymill.process.serving_settings import Bounds, Listeners, ServingSettings
 from quaymill.process.storage_node import StorageNode
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -12,7 +12,7 @@
 from quaymill.connection.job_document import JobItem
 from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.connection.replica_entry import ReplicaEntry
-from quaymill.platform.roles import GATEWAY_PROTOCOL
+from quaymill.platform.gateway_role import GATEWAY_PROTOCOL
 from quaymill.process.jobs.coordinated_job import RunningItem
 from quaymill.process.jobs.item_run import ItemCut, run_item
 from quaymill.process.replica_set.replica import Replica
