--- a/src/quaymill/process/jobs/room_claims.py
+++ b/src/quaymill/process/jobs/room_claims.py
@@ -11,7 +11,7 @@
 from quaymill.connection.peer_link import PeerClient
 from quaymill.connection.room_messages import ClaimRoom, RoomGranted
 from quaymill.process.jobs.room_keeper import RoomKeeper
-from quaymill.process.membership.ranking import rank_nodes, stronger_half
+from quaymill.process.membership.ranking import rank_nodes, strongest
 
 CLAIM_TIMEOUT_S = 0.5
 AVOID_KEEPER_S = 2.0
@@ -35,12 +35,17 @@
         self._avoided_until_by_name: dict[str, float] = {}
 
     def keeper_of(self, service: str, pool: int) -> Member | None:
-        """Return the gateway that keeps room for a pool; ``None`` if none is known."""
+        """Return the gateway that keeps room for a pool; ``None`` if none is known.
+
+        It is one of the strongest; the others follow while none of these answers.
+        """
         now = time.monotonic()
-        candidates = stronger_half(self._gateways())
-        for member in rank_nodes(f"room/{service}/{pool}", candidates):
-            if self._avoided_until_by_name.get(member.name, 0.0) <= now:
-                return member
+        gateways = self._gateways()
+        strong = strongest(gateways)
+        for group in (strong, gateways):
+            for member in rank_nodes(f"room/{service}/{pool}", group):
+                if self._avoided_until_by_name.get(member.name, 0.0) <= now:
+                    return member
         return None
 
     def avoid(self, service: str, member: Member) -> None:
--- a/src/quaymill/process/membership/ranking.py
+++ b/src/quaymill/process/membership/ranking.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import statistics
 from collections.abc import Iterable
 
@@ -10,6 +11,12 @@
 from quaymill.connection.member import Member
 
 READERS_PER_ZONE = 2
+MIN_STRONGEST = 3
+"""Strong nodes among which work for all others is shared out at least: two may be lost at once."""
+STRONGEST_SHARE = 1 / 16
+"""Part of the nodes that are strong enough for such work at least. Of 165 gateways 15 had 2.15
+cores and the others 0.52; one of these kept room for all, and 193 of its answers to gateways came
+later than the 0.05 s that they wait, all in the bursts of 18 s of a day with trouble."""
 
 
 def rank_nodes(key: str, members: Iterable[Member], zone: str = "") -> tuple[Member, ...]:
@@ -28,17 +35,20 @@
     )
 
 
-def stronger_half(members: Iterable[Member]) -> tuple[Member, ...]:
-    """Return the members that have at least the median of processor time.
+def strongest(members: Iterable[Member]) -> tuple[Member, ...]:
+    """Return the members with the most processor time, those that have as much included.
 
     Work that one node does for all others would hold a weak one up; where all have the same, or
-    none was told what it has, these are all.
+    none was told what it has, these are all. At least the median is asked for, so that in a small
+    fleet one strong node does not get all such work.
     """
     members = tuple(members)
     if not members:
         return ()
-    median = statistics.median(member.cores for member in members)
-    return tuple(member for member in members if member.cores >= median)
+    by_cores = sorted((member.cores for member in members), reverse=True)
+    few = max(MIN_STRONGEST, math.ceil(STRONGEST_SHARE * len(members)))
+    least = max(statistics.median(by_cores), by_cores[min(few, len(members)) - 1])
+    return tuple(member for member in members if member.cores >= least)
 
 
 def reader_nodes(members: Iterable[Member], zone: str) -> tuple[Member, ...]:
--- a/tests/test_job_room.py
+++ b/tests/test_job_room.py
@@ -39,7 +39,7 @@
     WAKE_INTERVAL_S,
     RoomKeeper,
 )
-from quaymill.process.membership.ranking import stronger_half
+from quaymill.process.membership.ranking import strongest
 from quaymill.process.replica_set.router import PlacementWishes
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.version.request_routes import RequestRoute, RouteKind, WeightedService
@@ -504,6 +504,14 @@
         keepers = {choice.keeper_of(f"service-{n}", 0).name for n in range(50)}
         self.assertEqual({"b", "c"}, keepers)
 
+    def test_the_others_keep_room_while_no_strong_one_answers(self) -> None:
+        members = [msgspec.structs.replace(one, cores=0.5) for one in self.members]
+        members[1:] = [msgspec.structs.replace(one, cores=2.0) for one in members[1:]]
+        choice = KeeperChoice(lambda: tuple(members))
+        for one in members[1:]:
+            choice.avoid(SERVICE, one)
+        self.assertEqual("a", choice.keeper_of(SERVICE, 0).name)
+
     @params(
         ("all alike", [1.0, 1.0, 1.0], 3),
         ("none told", [0.0, 0.0, 0.0], 3),
@@ -511,13 +519,16 @@
         ("one strong", [0.5, 0.5, 2.0], 3),
         ("each different", [0.5, 1.0, 2.0], 2),
         ("nobody", [], 0),
+        ("few strong ones among many", [0.5] * 150 + [2.0] * 15, 15),
+        ("too few strong ones among many", [0.5] * 150 + [2.0] * 5, 155),
+        ("three strong ones", [0.5] * 10 + [2.0] * 3, 3),
     )
-    def test_stronger_half(self, _name, cores, expected) -> None:
+    def test_strongest(self, _name, cores, expected) -> None:
         members = [
             msgspec.structs.replace(member(f"g{n}", n + 1), cores=one)
             for n, one in enumerate(cores)
         ]
-        self.assertEqual(expected, len(stronger_half(members)))
+        self.assertEqual(expected, len(strongest(members)))
 
     def test_all_gateways_claim_of_the_same_one(self) -> None:
         for own_name in ("a", "b", "c"):
