--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -137,6 +137,9 @@
     "membership:dead": LogEvent("this node has found another one dead", ("node, zone: who",)),
     "membership:handler_error": LogEvent("a datagram met a bug", ("error",)),
     "peer:handler_error": LogEvent("a peer's message met a bug", ("kind: the message", "error")),
+    "peer:line_too_long": LogEvent(
+        "a peer sent a line without an end: its connection is closed", ("received_bytes",)
+    ),
     "peer:kept_connection_failed": LogEvent(
         "nothing came on a kept connection to a peer: all that lay idle to it are closed",
         ("peer: its address", "kind: of the message", REASON),
@@ -271,6 +274,9 @@
     "batch:order_unanswered": LogEvent(
         "a coordinator did not answer an order to give way", ("coordinator",)
     ),
+    "batch:order_error": LogEvent(
+        "sending an order to give way, or word of room, met a bug", ("coordinator", "error")
+    ),
     "batch:notice_error": LogEvent("telling of online requests met a bug", ("error",)),
     "batch:dispatch_error": LogEvent("starting items met a bug", ("error",)),
     "retirement:begun": LogEvent("this node is being emptied", ("node", "jobs: held now")),
