A replica's error is passed on when the try after it fails

Change: the error is read whole (64 KiB, 0.1 s for each part) and delivered if no try does better. Test, failing before (502): test_fleet_faults, ten requests of which one replica answers 500 and the other breaks off.

--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -2,7 +2,8 @@
 
 A refusal that says "not executed", and a connection that could not be made, lead to another
 replica. Anything else does so only if the route may be repeated, and never on more replicas
-than the route allows. The caller's connection is ended without the end mark when an answer
+than the route allows. An error that a replica made goes to the caller if no other replica does
+better. The caller's connection is ended without the end mark when an answer
 that was begun cannot be completed.
 """
 
@@ -44,6 +45,11 @@
 MAX_REFUSALS = 8
 """Replicas that may say "not executed" before the caller is told to come back."""
 MAX_BUFFERED_BYTES = 256 * 1024
+MAX_ERROR_BYTES = 64 * 1024
+"""Longest answer with an error that is kept while another replica is tried."""
+ERROR_BODY_PATIENCE_S = 0.1
+"""Wait for each part of such an answer: it follows its head at once, and the caller waits for the
+other replica meanwhile."""
 IDLE_LIMIT_NOT_REPEATABLE_S = 5.0
 """An idle connection may be closed just as a request goes out, which then cannot be repeated."""
 IDLE_LIMIT_S = 20.0
@@ -114,6 +120,15 @@
         return _Forwarding(self, request, route, answer, presence).run()
 
 
+@attrs.frozen
+class _ReplicaError:
+    """A whole answer with an error, kept while another replica is tried."""
+
+    head: AnswerHead
+    body: bytes
+    replica_id: str
+
+
 class _Forwarding:
     """The state of one request on its way."""
 
@@ -139,6 +154,7 @@
         self._tried: set[str] = set()
         self._refusals = 0
         self._runs = 0
+        self._error: _ReplicaError | None = None
 
     def run(self) -> ForwardingResult:
         self._turns.wait_turn(self._service, self._route, self._request, self._presence)
@@ -165,9 +181,17 @@
             if not self._route.repeatable or self._runs >= self._route.max_attempts:
                 return self._given_up(result.reason)
 
-    def _given_up(self, reason: str, timed_out: bool = False) -> GivenUp:
+    def _given_up(self, reason: str, timed_out: bool = False) -> GivenUp | Delivered:
+        """End without a success: with an error that a replica made if there is one."""
         if self._answer.started:
             self._answer.break_off()
+        elif self._error is not None:
+            error = self._error
+            self._answer.start(
+                error.head.status, error.head.reason, error.head.headers, len(error.body)
+            )
+            self._answer.write(error.body)
+            return Delivered(error.head.status, error.replica_id)
         return GivenUp(reason, may_have_run=self._runs > 0, timed_out=timed_out)
 
     def _attempt(self, replica: ChosenReplica) -> AttemptResult:
@@ -278,12 +302,27 @@
             exchange.abandon()
             return Broken(f"the answer belongs to request {head.request_id or 'without an id'}")
         if head.status >= 500 and self._may_try_another():
-            exchange.abandon()
+            self._keep_error(exchange, replica, head)
             return Broken(f"the replica answered {head.status}")
         if head.status < 500:
             replica.record_success(time.monotonic() - began)
         return self._relay(exchange, replica, head)
 
+    def _keep_error(self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead) -> None:
+        """Read an error whole, for the caller, should another replica fail as well."""
+        exchange.set_read_timeout(min(ERROR_BODY_PATIENCE_S, self._request.deadline.remaining_s()))
+        body = bytearray()
+        while len(body) <= MAX_ERROR_BYTES:
+            block = exchange.read_block()
+            if isinstance(block, OutcomeUnknown):
+                break
+            if not block:
+                self._error = _ReplicaError(head, bytes(body), replica.id)
+                self._release(exchange, head)
+                return
+            body += block
+        exchange.abandon()
+
     def _take_refusal(
         self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
     ) -> AttemptResult:
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -97,6 +97,18 @@
             break
         self.assertTrue(seen_bad)
 
+    def test_an_error_that_a_replica_made_is_not_replaced_by_a_failure(self) -> None:
+        """Another replica is tried after a 500; when that fails too, the caller gets the 500."""
+        first, second = self.rig.of_service("application")
+        for number in range(10):
+            request_id = f"error-{number}-500"
+            first.behaviour = ReplicaBehaviour(status_by_suffix={"500": 500})
+            second.behaviour = ReplicaBehaviour(break_off=True)
+            answer = self.rig.ask("gateway-0", "/read/500", request_id)
+            self.assertEqual(500, answer.status)
+            self.assertEqual(2, len(self.runs(request_id)))
+            first, second = second, first
+
     @params(
         ("cut in the middle of an event", ReplicaBehaviour(events=6, cut_at_event=3)),
         ("silent in the middle", ReplicaBehaviour(events=6, stall_at_event=3)),
