Coordinators learn from the keeper of room how long items of a route take

Cause: each gateway knew only its own items' pace, and none until one of them had ended; with 165 gateways and a third as many jobs most coordinators took every item for doable until it was due. Paces also mixed routes. Change: claims tell what was done since the last one, answers tell the averages over all coordinators, by route. Tests: a coordinator that has seen no item end judges by the others' pace; routes are apart; means weigh as items do one by one.

--- a/src/quaymill/connection/room_messages.py
+++ b/src/quaymill/connection/room_messages.py
@@ -47,6 +47,21 @@
     due_in_s: float = 0.0
 
 
+class RoutePace(msgspec.Struct, frozen=True, array_like=True):
+    """How long items of a route run.
+
+    Attributes
+    ----------
+    items
+        Done items of which these are the means.
+    """
+
+    route: str
+    events_per_item: float
+    s_per_event: float
+    items: int
+
+
 class ClaimRoom(PeerMessage, frozen=True):
     """Ask for room at a pool of engines; answered by ``RoomGranted``.
 
@@ -60,6 +75,8 @@
         Items that wait, the most urgent first.
     avoided
         Replicas that fail for this coordinator: it may be cut off from them alone.
+    done
+        Items that were done since the last claim.
     """
 
     coordinator: str
@@ -70,6 +87,7 @@
     avoided: tuple[str, ...] = ()
     pool: int = 0
     pools: int = 1
+    done: tuple[RoutePace, ...] = ()
 
 
 class RoomGranted(PeerMessage, frozen=True):
@@ -81,10 +99,13 @@
         Items that may be started now, for the most urgent ones first.
     give_back
         Items to be cut, because online requests wait or slots run out.
+    paces
+        How long items have run of late, over all coordinators.
     """
 
     starts: tuple[ItemsAt, ...] = ()
     give_back: tuple[ItemsAt, ...] = ()
+    paces: tuple[RoutePace, ...] = ()
 
 
 class OnlineInFlight(PeerMessage, frozen=True):
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -29,7 +29,7 @@
     ItemProtocol,
     run_item,
 )
-from quaymill.process.jobs.item_urgency import HOPELESS_DUE_S, RunPace, time_left_s
+from quaymill.process.jobs.item_urgency import HOPELESS_DUE_S, RoutePaces, time_left_s
 from quaymill.process.jobs.room_claims import ClaimRoomCall
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.table import ReplicaTable
@@ -106,7 +106,7 @@
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._running_items = 0
-        self._pace = RunPace()
+        self._paces = RoutePaces()
         self._first_pool = xxhash.xxh3_64_intdigest(parts.name.encode())
 
     def start(self) -> None:
@@ -191,7 +191,7 @@
         """Return the items that wait, the most urgent first, of those alike the nearest done."""
         now = time.monotonic()
         waiting = [
-            _Waiting(time_left_s(job, item, now, self._pace), job, item)
+            _Waiting(self._left_s(job, item, now), job, item)
             for job in jobs
             for item in job.waiting()
         ]
@@ -216,10 +216,12 @@
                 avoided,
                 pool.index,
                 pool.pools,
+                self._paces.take_untold(),
             )
         )
         if granted is None:
             return
+        self._paces.adopt(granted.paces)
         for at in granted.give_back:
             self._give_way(running, at)
         waiting = iter(self._waiting(jobs))
@@ -230,11 +232,14 @@
             for one in itertools.islice(waiting, at.items):
                 self._start_item(one.job, one.item, replica)
 
+    def _left_s(self, job: CoordinatedJob, item: RunningItem, now: float) -> float:
+        """Return the time until an item is due, by the pace of its route."""
+        return time_left_s(job, item, now, self._paces.of(_route_name(job)))
+
     def _running_at(self, running: list[_Running]) -> tuple[RunningAt, ...]:
         now = time.monotonic()
         counts = Counter(
-            (one.item.replica_id, round(time_left_s(one.job, one.item, now, self._pace), 1))
-            for one in running
+            (one.item.replica_id, round(self._left_s(one.job, one.item, now), 1)) for one in running
         )
         return tuple(
             RunningAt(replica_id, items, left_s) for (replica_id, left_s), items in counts.items()
@@ -331,7 +336,7 @@
             case ItemDone():
                 events = len(item.texts)
                 run_s = time.monotonic() - item.started_at
-                self._pace.record(events, events - item.events_at_start, run_s)
+                self._paces.record(_route_name(job), events, events - item.events_at_start, run_s)
                 job.finish(item, ResultState.SUCCEEDED, "\n".join(item.texts))
             case ItemImpossible(reason=reason):
                 job.finish(item, ResultState.DEAD, reason)
@@ -355,7 +360,7 @@
         here = [one for one in running if one.item.replica_id == at.replica_id]
         here.sort(
             key=lambda one: (
-                -time_left_s(one.job, one.item, now, self._pace),
+                -self._left_s(one.job, one.item, now),
                 len(one.item.texts),
             )
         )
@@ -365,6 +370,10 @@
                 one.item.cancel()
 
 
+def _route_name(job: CoordinatedJob) -> str:
+    return job.route.name if job.route else ""
+
+
 def _wanted(left_s: float, waiting: list[_Waiting]) -> WantedItems:
     """Return one group of items that are due at the same time."""
     route = waiting[0].job.route
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -29,6 +29,7 @@
 )
 from quaymill.process.jobs.engine_loads import EngineLoads, reserve_of
 from quaymill.process.jobs.engine_pool import EnginePool
+from quaymill.process.jobs.item_urgency import RoutePaces
 from quaymill.process.jobs.pool_counts import Claim, PoolCounts, RunningItems
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.replica_cost import least_costly
@@ -80,6 +81,7 @@
         self._lock = threading.Lock()
         self._counts_by_pool: dict[EnginePool, PoolCounts] = {}
         self._owed_by_coordinator: dict[str, Counter[str]] = {}
+        self._paces = RoutePaces()
         self._forget_at = 0.0
         if peer_server is not None:
             peer_server.register(ClaimRoom, self.claim)
@@ -89,6 +91,7 @@
     def claim(self, message: ClaimRoom) -> RoomGranted:
         """Take a claim, and tell what may be started and what is to be given back."""
         pool = EnginePool(message.service, message.pool, message.pools)
+        self._paces.add_all(message.done)
         with self._lock:
             counts = self._counts(pool)
             counts.take_claim(message.coordinator, Claim.from_message(message, time.monotonic()))
@@ -103,7 +106,7 @@
         self._send_orders(orders)
         if to_wake and to_wake != message.coordinator:
             self._wake(to_wake)
-        return RoomGranted(_items_at(starts), _items_at(give_back))
+        return RoomGranted(_items_at(starts), _items_at(give_back), self._paces.told())
 
     def note_online(self, message: OnlineInFlight) -> PoolLoads:
         """Count online requests, let batch items give way to them, and tell the pool's loads."""
--- a/tests/load_player.py
+++ b/tests/load_player.py
@@ -136,7 +136,8 @@
 
     def _note_done(self, item: _Item, now: float) -> None:
         events_in_run = int(item.events - item.events_at_start)
-        self._pace.record(item.events, events_in_run, now - item.started_at)
+        if events_in_run > 0:
+            self._pace.add(item.events, (now - item.started_at) / events_in_run, 1)
         if now <= item.job.due_at():
             self.outcome.in_time += 1
         else:
--- a/tests/test_job_room.py
+++ b/tests/test_job_room.py
@@ -23,6 +23,7 @@
     PlaceOnline,
     PoolLoads,
     RoomGranted,
+    RoutePace,
     RunningAt,
     WantedItems,
 )
@@ -30,7 +31,12 @@
 from quaymill.process.jobs import room_keeper as room_keeper_module
 from quaymill.process.jobs.coordinated_job import CoordinatedJob
 from quaymill.process.jobs.engine_pool import pools_of
-from quaymill.process.jobs.item_urgency import HOPELESS_DUE_S, RunPace, time_left_s
+from quaymill.process.jobs.item_urgency import (
+    HOPELESS_DUE_S,
+    RoutePaces,
+    RunPace,
+    time_left_s,
+)
 from quaymill.process.jobs.online_notices import PLACE_PAUSE_S, OnlineNotices
 from quaymill.process.jobs.room_claims import AVOID_KEEPER_S, KeeperChoice, RoomClaims
 from quaymill.process.jobs.room_keeper import (
@@ -403,7 +409,14 @@
         document = JobDocument((JobItem("i", "/x", {}, b"", 10),))
         self.job = CoordinatedJob(Job("j", "h", "/", document), route, "me")
         self.item = self.job.items[0]
-        self.pace = RunPace()
+        self.paces = RoutePaces()
+
+    @property
+    def pace(self) -> RunPace:
+        return self.paces.of("jobs")
+
+    def record(self, events: int, events_in_run: int, run_s: float) -> None:
+        self.paces.record("jobs", events, events_in_run, run_s)
 
     def left_s(self, after_s: float) -> float:
         return time_left_s(self.job, self.item, self.job.sent_at + after_s, self.pace)
@@ -415,17 +428,41 @@
     @params((11.9, 0, False), (12.1, 0, True), (13.0, 0, True), (15.5, 0, True), (15.5, 150, False))
     def test_what_cannot_be_done_in_time_is_hopeless(self, after_s, events, expected) -> None:
         # Two hundred events at 25 ms: five seconds for a whole item, six with the margin.
-        self.pace.record(200, 100, 2.5)
+        self.record(200, 100, 2.5)
         self.item.take_events(["x"] * events, str(events))
         self.assertEqual(expected, self.left_s(after_s) == HOPELESS_DUE_S)
 
     def test_averages_follow_the_items(self) -> None:
-        self.pace.record(200, 200, 5.0)
+        self.record(200, 200, 5.0)
         for _ in range(60):
-            self.pace.record(100, 100, 5.0)
+            self.record(100, 100, 5.0)
         self.assertAlmostEqual(100, self.pace.events_per_item, delta=1)
         self.assertAlmostEqual(0.05, self.pace.s_per_event, delta=0.001)
 
+    def test_a_coordinator_learns_the_pace_of_others_from_the_keeper(self) -> None:
+        """With more gateways than jobs most have seen no item end; all seemed doable to them."""
+        keeper = RoomKeeper(ReplicaTable(), FixedLoads())
+        quick, other = RoutePaces(), RoutePaces()
+        for _ in range(30):
+            quick.record("jobs", 200, 200, 5.0)
+        keeper.claim(msgspec.structs.replace(claim("a"), done=quick.take_untold()))
+        self.assertEqual((), quick.take_untold())
+        self.assertEqual(1.0, self.left_s(17.0))
+        other.adopt(keeper.claim(claim("b")).paces)
+        self.paces = other
+        self.assertEqual(HOPELESS_DUE_S, self.left_s(17.0))
+        self.assertAlmostEqual(5.0, self.pace.remaining_s(0), delta=0.1)
+
+    def test_routes_have_paces_of_their_own(self) -> None:
+        self.paces.record("others", 20, 20, 1.0)
+        self.assertEqual(0.0, self.pace.remaining_s(0))
+        self.assertAlmostEqual(1.0, self.paces.of("others").remaining_s(0))
+
+    def test_means_of_many_items_weigh_as_they_would_one_by_one(self) -> None:
+        self.record(200, 200, 5.0)
+        self.paces.add_all([RoutePace("jobs", 100.0, 0.05, 60)])
+        self.assertAlmostEqual(100, self.pace.events_per_item, delta=1)
+
 
 def member(name: str, port: int) -> Member:
     endpoint = Endpoint("127.0.0.1", port)
