A bug while comparing holdings or replying to a peer ends neither the copies nor the thread; tests of reader, comparisons and roles

Cause, found by reading: workers are few now, and one that an exception ends is gone for good; before it was the thread of one node or connection. Tests: more failures than workers, then served; the reader's next look; pauses by the number of nodes; a storage role loads nothing of a gateway.

--- a/src/quaymill/connection/peer_server.py
+++ b/src/quaymill/connection/peer_server.py
@@ -233,6 +233,9 @@
             stays_open = self._answer_lines(served)
         except OSError:
             stays_open = False  # The peer went away; it learns nothing from this connection.
+        except Exception as error:  # A reply that cannot be sent must not end this thread.
+            log_message("peer:reply_error", error=repr(error))
+            stays_open = False
         if stays_open:
             self._put_to_rest(served)
         else:
--- a/src/quaymill/process/job_storage/repair.py
+++ b/src/quaymill/process/job_storage/repair.py
@@ -145,6 +145,10 @@
         while (comparison := self._due.get()) is not None and not self._stopping.is_set():
             try:
                 self._compare(comparison)
+            except Exception as error:  # A bug with one node must not end the copies of all.
+                log_message(
+                    "job:comparison_error", source=comparison.member.name, error=repr(error)
+                )
             finally:
                 self._put_back(comparison)
 
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -137,6 +137,9 @@
     "membership:dead": LogEvent("this node has found another one dead", ("node, zone: who",)),
     "membership:handler_error": LogEvent("a datagram met a bug", ("error",)),
     "peer:handler_error": LogEvent("a peer's message met a bug", ("kind: the message", "error")),
+    "peer:reply_error": LogEvent(
+        "a reply to a peer could not be made or sent: its connection is closed", ("error",)
+    ),
     "peer:line_too_long": LogEvent(
         "a peer sent a line without an end: its connection is closed", ("received_bytes",)
     ),
@@ -227,6 +230,10 @@
         "a storage node gave a job that nobody ran to a gateway",
         (JOB, "gateway", "before: the former coordinator", "outcome"),
     ),
+    "job:comparison_error": LogEvent(
+        "comparing holdings with another storage node met a bug",
+        ("source: the other node", "error"),
+    ),
     "job:copied": LogEvent("a job was copied to this node", (JOB, "source: from which node")),
     "job:forgotten": LogEvent("a job past its time was removed", (JOB,)),
     "quota:decided": LogEvent(
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -36,6 +36,10 @@
     text: str
 
 
+class Odd(PeerMessage, frozen=True):
+    """Is answered with something that has no form on the wire."""
+
+
 class PeerServerCase(unittest.TestCase):
     """One server, and connections to it."""
 
@@ -45,6 +49,7 @@
         self.server = PeerServer(LOOPBACK)
         self.server.register(Ask, lambda message: Told(message.text))
         self.server.register(Block, self._block)
+        self.server.register(Odd, lambda message: object())
         self.server.start()
         self.addCleanup(self.server.stop)
 
@@ -131,6 +136,13 @@
         connection.close()
         eventually(lambda: not self.server._connections, TIMEOUT_S)
 
+    def test_replies_that_cannot_be_sent_end_their_connections_only(self):
+        for _ in range(SPARE_WORKERS + 2):
+            connection = self.connect()
+            connection.sendall(msgspec.json.encode(Odd()) + b"\n")
+            self.assertEqual(connection.recv(1), b"")
+        self.assertEqual(self.ask(self.connect(), "still served"), "still served")
+
     def test_stop_closes_connections_that_rest(self):
         connection = self.connect()
         self.ask(connection, "once")
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import ast
+import subprocess
+import sys
 import unittest
 from pathlib import Path
 
@@ -83,3 +85,18 @@
                 elif isinstance(node, ast.ImportFrom) and node.module:
                     imported.add(node.module.split(".")[0])
             self.assertEqual(set(), imported & TIMING_MODULES, path.name)
+
+
+class RoleModulesTest(unittest.TestCase):
+    """A role loads its own modules only: a start takes processor time that callers wait for."""
+
+    def test_a_storage_node_loads_nothing_of_a_gateway(self) -> None:
+        program = (
+            "import sys; from quaymill.platform import roles; "
+            "roles.LOADERS[roles.ServingRole.JOB_STORAGE](); "
+            "print(*(name for name in sys.modules if 'gateway' in name or 'cheroot' in name))"
+        )
+        run = subprocess.run(
+            [sys.executable, "-c", program], capture_output=True, text=True, check=True
+        )
+        self.assertEqual("", run.stdout.strip())
--- /dev/null
+++ b/tests/test_repair.py
@@ -0,0 +1,103 @@
+"""When storage nodes compare what they hold, however many there are."""
+
+from __future__ import annotations
+
+import threading
+import time
+import unittest
+from collections import Counter
+from unittest import mock
+
+from fleet_support import eventually
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.job_storage_messages import CompareJobs, JobSummaries
+from quaymill.connection.member import Member
+from quaymill.connection.peer_link import PeerNoReply
+from quaymill.process.job_storage import repair as repair_module
+from quaymill.process.job_storage.repair import COMPARE_INTERVAL_S, WORKERS, CopyRules, Repair
+
+TIMEOUT_S = 10.0
+
+
+def node(number: int) -> Member:
+    endpoint = Endpoint(f"node-{number}", 1)
+    return Member(f"node-{number}", "z", "r", endpoint, endpoint, has_disk=True)
+
+
+class Peers:
+    """Answers comparisons; some nodes are silent until the test ends."""
+
+    def __init__(self) -> None:
+        self.asked: Counter[str] = Counter()
+        self.digests: dict[str, list[str]] = {}
+        self.silent: set[str] = set()
+        self.broken: set[str] = set()
+        self.release = threading.Event()
+
+    def call(self, endpoint, message: CompareJobs, reply_type, timeout_s):
+        self.asked[endpoint.host] += 1
+        self.digests.setdefault(endpoint.host, []).append(message.digest)
+        if endpoint.host in self.broken:
+            raise RuntimeError("a bug")
+        if endpoint.host in self.silent:
+            self.release.wait(TIMEOUT_S)
+            return PeerNoReply(endpoint, "silent")
+        return JobSummaries("d1", (), unchanged=message.digest == "d1")
+
+
+class RepairTest(unittest.TestCase):
+    """One node beside others that hold nothing."""
+
+    def setUp(self):
+        self.nodes = [node(number) for number in range(4)]
+        self.peers = Peers()
+        self.addCleanup(self.peers.release.set)
+        self.repair = Repair(
+            "node-0", mock.Mock(), mock.Mock(), self.peers, lambda: tuple(self.nodes), CopyRules(2)
+        )
+        self.addCleanup(self.repair.stop)
+
+    def test_each_other_node_is_compared_with_again_and_again(self):
+        self.repair.start()
+        eventually(lambda: all(self.peers.asked[f"node-{n}"] >= 3 for n in (1, 2, 3)), TIMEOUT_S)
+        self.assertEqual(0, self.peers.asked["node-0"])
+        self.assertEqual(["", "d1", "d1"], self.peers.digests["node-1"][:3])
+
+    def test_with_many_nodes_each_has_its_turn_less_often(self):
+        """Thirty nodes, each with each other twice a second, were 1,740 comparisons a second."""
+        self.nodes = [node(number) for number in range(30)]
+        self.repair._note_nodes()
+        one = self.repair._take_due()[0]
+        self.repair._put_back(one)
+        pause_s = one.due_at - time.monotonic()
+        self.assertAlmostEqual(29 / repair_module.COMPARISONS_PER_S, pause_s, delta=0.1)
+        self.nodes = self.nodes[:4]
+        self.repair._note_nodes()
+        one = self.repair._by_node["node-1"]
+        self.repair._put_back(one)
+        self.assertAlmostEqual(COMPARE_INTERVAL_S, one.due_at - time.monotonic(), delta=0.1)
+
+    def test_node_that_comes_makes_all_due_at_once_from_the_beginning(self):
+        self.repair.start()
+        eventually(lambda: self.peers.asked["node-1"] >= 2, TIMEOUT_S)
+        self.nodes = [*self.nodes, node(4)]
+        eventually(lambda: self.peers.digests["node-1"][1:].count("") == 1, TIMEOUT_S)
+        eventually(lambda: self.peers.asked["node-4"] >= 1, TIMEOUT_S)
+
+    def test_bugs_do_not_end_the_comparisons(self):
+        self.peers.broken = {"node-1"}
+        self.repair.start()
+        # More often than there are workers.
+        eventually(lambda: self.peers.asked["node-1"] > WORKERS, TIMEOUT_S)
+        eventually(lambda: self.peers.asked["node-2"] > WORKERS, TIMEOUT_S)
+
+    def test_silent_nodes_do_not_hold_up_the_others(self):
+        self.nodes = [node(number) for number in range(8)]
+        self.peers.silent = {f"node-{number}" for number in range(1, WORKERS)}
+        self.repair.start()
+        eventually(lambda: all(self.peers.asked[f"node-{n}"] >= 3 for n in (5, 6, 7)), TIMEOUT_S)
+        self.assertEqual({1}, {self.peers.asked[name] for name in self.peers.silent})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_store_reader.py
@@ -0,0 +1,62 @@
+"""Who reads the platform's store, and how little it costs those who need not."""
+
+from __future__ import annotations
+
+import time
+import unittest
+
+from fleet_support import eventually
+from quaymill.process.control.store_reader import TICK_S, StoreReader
+
+INTERVAL_S = 0.3
+TIMEOUT_S = 5.0
+
+
+class StoreReaderTest(unittest.TestCase):
+    """One gateway's reader; what others read confirms it as well."""
+
+    def setUp(self):
+        self.confirmed_at = time.monotonic()
+        self.reads: list[float] = []
+        self.ranks = 0
+        self.reader = StoreReader(self._read, self._age_s, self._rank, INTERVAL_S)
+        self.addCleanup(self.reader.stop)
+
+    def _read(self) -> str:
+        self.reads.append(time.monotonic())
+        self.confirmed_at = time.monotonic()
+        return ""
+
+    def _age_s(self) -> float:
+        return time.monotonic() - self.confirmed_at
+
+    def _rank(self) -> int:
+        self.ranks += 1
+        return 0
+
+    def test_reads_again_once_nobody_has_confirmed_for_the_interval(self):
+        self.reader.start()
+        eventually(lambda: len(self.reads) >= 3, TIMEOUT_S)
+        pauses = [late - early for early, late in zip(self.reads, self.reads[1:], strict=False)]
+        self.assertGreaterEqual(min(pauses), INTERVAL_S)
+
+    def test_no_rank_is_worked_out_while_others_confirm(self):
+        """A rank hashes every gateway's name; it was worked out 20 times a second."""
+        self.reader.start()
+        until = time.monotonic() + 5 * INTERVAL_S
+        while time.monotonic() < until:
+            self.confirmed_at = time.monotonic()
+            time.sleep(INTERVAL_S / 30)
+        self.assertEqual([], self.reads)
+        # One if this machine kept the test from confirming for as long as the interval.
+        self.assertLessEqual(self.ranks, 1)
+
+    def test_the_next_look_is_when_a_read_can_be_due(self):
+        self.confirmed_at = time.monotonic() - INTERVAL_S / 3
+        self.assertAlmostEqual(INTERVAL_S * 2 / 3, self.reader._next_look_s(), delta=0.05)
+        self.confirmed_at = float("-inf")
+        self.assertEqual(TICK_S, self.reader._next_look_s())
+
+
+if __name__ == "__main__":
+    unittest.main()
