--- a/src/quaymill/connection/peer_server.py
+++ b/src/quaymill/connection/peer_server.py
@@ -120,8 +120,8 @@
         self._handlers: dict[type, Handler] = {}
         self._decoder: msgspec.json.Decoder | None = None
         self._poll = select.epoll()
-        self._bell, self._ring = socket.socketpair()
-        self._poll.register(self._bell, select.EPOLLIN)
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._poll.register(self._wake_reader, select.EPOLLIN)
         self._lock = threading.Lock()
         self._connections: set[_Served] = set()
         self._resting_by_fd: dict[int, _Served] = {}
@@ -149,7 +149,7 @@
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
-        self._ring.close()
+        self._wake_writer.close()
         for served in resting.values():
             self._close(served)
         for served in in_service:
--- a/src/quaymill/process/jobs/item_urgency.py
+++ b/src/quaymill/process/jobs/item_urgency.py
@@ -14,7 +14,7 @@
 
 HOPELESS_DUE_S = 1e6
 """Stands for the time left of a hopeless item: after every other one."""
-SAFE_SHARE = 1.2
+SAFE_FACTOR = 1.2
 """By how much the time left must exceed the time that an item is expected to need yet, or it is
 hopeless. Sizes differ by a quarter among the items of a route, and runs are cut: one that would
 only just be in time mostly is not, and where more comes than engines can do every item would be
@@ -91,7 +91,7 @@
             for one in done:
                 self._add(one)
 
-    def told(self) -> tuple[RoutePace, ...]:
+    def averages(self) -> tuple[RoutePace, ...]:
         """Return the averages of all routes."""
         with self._lock:
             return tuple(
@@ -120,7 +120,7 @@
         Monotonic time.
     """
     left_s = job.due_at() - now
-    if left_s <= SAFE_SHARE * pace.remaining_s(len(item.texts)):
+    if left_s <= SAFE_FACTOR * pace.remaining_s(len(item.texts)):
         return HOPELESS_DUE_S
     return left_s
 
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -106,7 +106,7 @@
         self._send_orders(orders)
         if to_wake and to_wake != message.coordinator:
             self._wake(to_wake)
-        return RoomGranted(_items_at(starts), _items_at(give_back), self._paces.told())
+        return RoomGranted(_items_at(starts), _items_at(give_back), self._paces.averages())
 
     def note_online(self, message: OnlineInFlight) -> PoolLoads:
         """Count online requests, let batch items give way to them, and tell the pool's loads."""
--- a/src/quaymill/process/jobs/room_orders.py
+++ b/src/quaymill/process/jobs/room_orders.py
@@ -1,8 +1,8 @@
-"""Carries word from who keeps room to the coordinators: to give way, or that there is room.
+"""Tells coordinators, for the gateway that keeps room, to cut items or that there is room.
 
-Word for other processes is sent by a few threads beside the keeper's answers, so that a coordinator
-that is slow or silent holds up no placement. What is meant for the same coordinator while a call
-to it is under way goes out together with the next one.
+Other processes are told by a few threads beside the keeper's answers, so that a coordinator that
+is slow or silent holds up no placement. What is meant for the same coordinator while a call to it
+is under way goes out together with the next one.
 """
 
 from __future__ import annotations
@@ -36,7 +36,7 @@
 
 
 @attrs.define
-class _Word:
+class _Pending:
     """What is to be told to one coordinator."""
 
     owed: Counter[str] = attrs.field(factory=Counter)
@@ -73,7 +73,7 @@
         self._client = client
         self._process = process
         self._changed = threading.Condition()
-        self._waiting: dict[str, _Word] = {}
+        self._waiting: dict[str, _Pending] = {}
         self._being_told: set[str] = set()
         self._senders = 0
         self._idle_senders = 0
@@ -93,7 +93,7 @@
             self._give_back(items)
             return
         with self._changed:
-            owed = self._waiting.setdefault(coordinator, _Word()).owed
+            owed = self._waiting.setdefault(coordinator, _Pending()).owed
             owed.update({one.replica_id: one.items for one in items})
             self._call_sender()
 
@@ -103,7 +103,7 @@
             self._claim_room()
             return
         with self._changed:
-            self._waiting.setdefault(coordinator, _Word()).room_is_free = True
+            self._waiting.setdefault(coordinator, _Pending()).room_is_free = True
             self._call_sender()
 
     def _call_sender(self) -> None:
@@ -112,21 +112,21 @@
         to_tell = sum(name not in self._being_told for name in self._waiting)
         if to_tell > self._idle_senders and self._senders < SENDERS and not self._stopping:
             self._senders += 1
-            threading.Thread(target=self._send_words, name="room-orders", daemon=True).start()
+            threading.Thread(target=self._send_pending, name="room-orders", daemon=True).start()
 
-    def _send_words(self) -> None:
-        while (taken := self._take_word()) is not None:
-            coordinator, word = taken
+    def _send_pending(self) -> None:
+        while (taken := self._take_next()) is not None:
+            coordinator, pending = taken
             try:
-                self._tell(coordinator, word)
+                self._tell(coordinator, pending)
             except Exception as error:  # A bug here must not end the orders of this keeper.
                 log_message("batch:order_error", coordinator=coordinator, error=repr(error))
             finally:
                 with self._changed:
                     self._being_told.discard(coordinator)
 
-    def _take_word(self) -> tuple[str, _Word] | None:
-        """Wait for word to a coordinator to which no call is under way.
+    def _take_next(self) -> tuple[str, _Pending] | None:
+        """Wait until there is something to tell a coordinator to which no call is under way.
 
         Returns ``None`` if this thread is to end: at the stop, or since nothing came for long.
         """
@@ -148,17 +148,17 @@
     def _next_to_tell(self) -> str | None:
         return next((name for name in self._waiting if name not in self._being_told), None)
 
-    def _tell(self, coordinator: str, word: _Word) -> None:
+    def _tell(self, coordinator: str, pending: _Pending) -> None:
         member = self._process(coordinator)
         if member is None:
             return
-        if word.owed:
-            # A coordinator that cuts items claims again by itself: it needs no other word.
-            items = tuple(ItemsAt(replica_id, count) for replica_id, count in word.owed.items())
+        if pending.owed:
+            # A coordinator that cuts items claims again by itself: it need not be woken.
+            items = tuple(ItemsAt(replica_id, count) for replica_id, count in pending.owed.items())
             reply = self._client.call(member.peer, GiveBack(items), GivenBack, ORDER_TIMEOUT_S)
             if not isinstance(reply, GivenBack):
                 log_message("batch:order_unanswered", coordinator=coordinator)
-        elif word.room_is_free:
+        elif pending.room_is_free:
             self._client.call(member.peer, RoomFreed(), RoomFreedNoted, ORDER_TIMEOUT_S)
 
     def _answer_room_freed(self, message: RoomFreed) -> RoomFreedNoted:
