A replica's error is read by the reader of whole bodies; the crowd of the membership tests is built in one place

Exchange.read_body does what _keep_error did again by hand. One edge differs: the body must be there within 0.1 s, not each part of it. The whole suite was not run on it.

--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -48,7 +48,7 @@
 MAX_ERROR_BYTES = 64 * 1024
 """Longest answer with an error that is kept while another replica is tried."""
 ERROR_BODY_PATIENCE_S = 0.1
-"""Wait for each part of such an answer: it follows its head at once, and the caller waits for the
+"""Wait for the body of such an answer: it follows its head at once, and the caller waits for the
 other replica meanwhile."""
 IDLE_LIMIT_NOT_REPEATABLE_S = 5.0
 """An idle connection may be closed just as a request goes out, which then cannot be repeated."""
@@ -310,18 +310,12 @@
 
     def _keep_error(self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead) -> None:
         """Read an error whole, for the caller, should another replica fail as well."""
-        exchange.set_read_timeout(min(ERROR_BODY_PATIENCE_S, self._request.deadline.remaining_s()))
-        body = bytearray()
-        while len(body) <= MAX_ERROR_BYTES:
-            block = exchange.read_block()
-            if isinstance(block, OutcomeUnknown):
-                break
-            if not block:
-                self._error = _ReplicaError(head, bytes(body), replica.id)
-                self._release(exchange, head)
-                return
-            body += block
-        exchange.abandon()
+        wait_s = min(ERROR_BODY_PATIENCE_S, self._request.deadline.remaining_s())
+        body = exchange.read_body(MAX_ERROR_BYTES, time.monotonic() + wait_s)
+        if isinstance(body, OutcomeUnknown):
+            return
+        self._error = _ReplicaError(head, body, replica.id)
+        self._release(exchange, head)
 
     def _take_refusal(
         self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
--- a/tests/test_membership_faults.py
+++ b/tests/test_membership_faults.py
@@ -61,6 +61,16 @@
     )
 
 
+def crowd() -> list[Membership]:
+    """Return forty members in four zones, not started, that know the first one as their seed."""
+    seed = settings_for("m0", "a", 1)
+    settings = [seed] + [
+        settings_for(f"m{index}", "abcd"[index % 4], 1, (seed.peer_endpoint,))
+        for index in range(1, 40)
+    ]
+    return [Membership(each) for each in settings]
+
+
 class MemberCase(unittest.TestCase):
     """Five members that have found each other through the first."""
 
@@ -246,12 +256,7 @@
     """
 
     def test_members_that_are_slow_to_answer_are_not_held_for_dead_for_good(self):
-        seed = settings_for("m0", "a", 1)
-        settings = [seed] + [
-            settings_for(f"m{index}", "abcd"[index % 4], 1, (seed.peer_endpoint,))
-            for index in range(1, 40)
-        ]
-        members = [Membership(each) for each in settings]
+        members = crowd()
         with mock.patch.object(MemberSocket, "start", _start_slowly):
             for membership in members:
                 self.addCleanup(membership.stop)
@@ -338,12 +343,7 @@
     """Forty members in one process."""
 
     def test_all_find_each_other_with_small_datagrams(self):
-        seed = settings_for("m0", "a", 1)
-        settings = [seed] + [
-            settings_for(f"m{index}", "abcd"[index % 4], 1, (seed.peer_endpoint,))
-            for index in range(1, 40)
-        ]
-        members = [Membership(each) for each in settings]
+        members = crowd()
         for membership in members:
             self.addCleanup(membership.stop)
             membership.start()
