--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -16,7 +16,7 @@
 import msgspec
 from urllib3._collections import HTTPHeaderDict
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.response import BaseHTTPResponse
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
@@ -99,7 +99,7 @@
             return self._no_answer(error)
         except _READ_ERRORS as error:
             self.abandon()
-            return self._no_answer(error)
+            return self._no_answer(error, connection_closed=True)
         return None
 
     def set_read_timeout(self, timeout_s: float) -> None:
@@ -117,7 +117,8 @@
             return self._response.read1(READ_BLOCK_BYTES, decode_content=False)
         except _READ_ERRORS as error:
             self.abandon()
-            return self._no_answer(error)
+            timed_out = isinstance(error, TimeoutError | ReadTimeoutError)
+            return self._no_answer(error, connection_closed=not timed_out)
 
     def read_body(self, limit_bytes: int, deadline: float) -> bytes | OutcomeUnknown:
         """Read the whole body; a body cut short or over the limit is no answer."""
@@ -174,11 +175,12 @@
         if self.reused:
             self._pool.forget(self.endpoint)
 
-    def _no_answer(self, error: object) -> OutcomeUnknown:
+    def _no_answer(self, error: object, *, connection_closed: bool = False) -> OutcomeUnknown:
         return OutcomeUnknown(
             502,
             f"no whole answer came from {self.endpoint}: {error}",
             "look up the request before you send it again, unless it may be repeated",
+            connection_closed=connection_closed,
         )
 
 
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -331,6 +331,7 @@
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", ""),
             giving_way=item.giving_way,
+            connection_closed=getattr(outcome, "connection_closed", False),
         )
         match outcome:
             case ItemDone():
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -51,10 +51,13 @@
     ----------
     blames_replica
         Whether it says something about the replica.
+    connection_closed
+        Whether the replica's side closed the connection before the answer was whole.
     """
 
     reason: str
     blames_replica: bool = True
+    connection_closed: bool = False
 
 
 ItemOutcome = ItemDone | ItemImpossible | ItemFailed | ItemCut
@@ -91,7 +94,7 @@
         replica.record_failure(2.0)
         return ItemCut(exchange.reason)
     if isinstance(exchange, OutcomeUnknown):
-        return ItemCut(exchange.reason)
+        return _cut(exchange)
     item.cancel = exchange.cancel
     try:
         if item.giving_way:
@@ -102,7 +105,7 @@
         item.cancel = None
     if isinstance(outcome, ItemCut) and item.giving_way:
         # The connection was closed from here, at whatever point of the answer.
-        return attrs.evolve(outcome, blames_replica=False)
+        return attrs.evolve(outcome, blames_replica=False, connection_closed=False)
     return outcome
 
 
@@ -116,7 +119,7 @@
     began = time.monotonic()
     failure = exchange.read_head(FIRST_EVENT_TIMEOUT_S)
     if failure is not None:
-        return ItemCut(failure.reason)
+        return _cut(failure)
     head = protocol.read_answer_head(exchange)
     if head.load is not None:
         replica.take_report(head.load)
@@ -139,6 +142,10 @@
         replica.end_answer()
 
 
+def _cut(failure: OutcomeUnknown) -> ItemCut:
+    return ItemCut(failure.reason, connection_closed=failure.connection_closed)
+
+
 def _error_outcome(status: int) -> ItemOutcome:
     if status == IMPOSSIBLE_STATUS:
         return ItemImpossible(f"the replica answered {status}")
@@ -155,7 +162,7 @@
     while True:
         block = exchange.read_block()
         if isinstance(block, OutcomeUnknown):
-            return ItemCut(block.reason)
+            return _cut(block)
         replica.hear()
         if not block:
             break
@@ -164,7 +171,7 @@
             item.take_events(data_of_events(events), framer.last_id)
     if framer.rest:
         exchange.abandon()
-        return ItemCut("the stream ended in the middle of an event")
+        return ItemCut("the stream ended in the middle of an event", connection_closed=True)
     if keep_s > 0:
         exchange.release(keep_s)
     else:
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -13,6 +13,8 @@
 
 REQUEST = "request_id: the caller's id; of batch items, the item's id"
 JOB = "job: the batch job's id"
+CONTENT = "content: digest of host, method, target and body: the same for each sending"
+CLOSED = "connection_closed: whether the replica's side closed the connection too early"
 REPLICA = "replica: the replica's incarnation"
 REASON = "reason: what decided it, for a person"
 TOOK = "took_s: seconds since it began"
@@ -42,12 +44,14 @@
         "a request was sent to a replica, and how that ended",
         (
             REQUEST,
+            CONTENT,
             REPLICA,
             "service: the service chosen by the route's weights",
             "load, load_age_s: the load that the choice went by, and the age of its report",
             TOOK,
             "outcome: Delivered, CallerLeft, Refused (not run), Broken (may have run)",
             REASON,
+            CLOSED,
         ),
         ordinary_outcome="Delivered",
     ),
@@ -267,6 +271,7 @@
             "outcome: ItemDone, ItemImpossible, ItemFailed, ItemCut",
             REASON,
             "giving_way: whether it was cut for online work",
+            CLOSED,
         ),
         ordinary_outcome="ItemDone",
     ),
--- a/src/quaymill/request/forwarded_request.py
+++ b/src/quaymill/request/forwarded_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import xxhash
 
 from quaymill.request.deadline import Deadline
 from quaymill.request.prompt import NO_PROMPT, Prompt
@@ -35,3 +36,20 @@
     deadline: Deadline
     prompt: Prompt = NO_PROMPT
     last_event_id: str | None = None
+
+    @property
+    def content(self) -> str:
+        """Names what is asked for: the same for each sending, whatever its id."""
+        return content_of(self.host, self.method, self.target, self.body)
+
+    @property
+    def host(self) -> str:
+        """The ``Host`` header as sent; empty without one."""
+        return next((value for name, value in self.headers if name.lower() == "host"), "")
+
+
+def content_of(host: str, method: str, target: str, body: bytes) -> str:
+    """Return a digest of what a request asks for; two that ask for the same have the same."""
+    digest = xxhash.xxh3_128(f"{host.lower()}\0{method}\0{target}\0".encode())
+    digest.update(body)
+    return digest.hexdigest()
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -213,6 +213,7 @@
         log_message(
             "request:attempt",
             request_id=self._request.id,
+            content=self._request.content,
             replica=replica.id,
             service=self._service,
             load=round(load, 1),
@@ -220,6 +221,7 @@
             took_s=round(took_s, 3),
             outcome=type(result).__name__,
             reason=getattr(result, "reason", ""),
+            connection_closed=getattr(result, "connection_closed", False),
         )
         return result
 
@@ -245,7 +247,7 @@
             replica.record_failure(2.0)
             return Refused(exchange.reason)
         if isinstance(exchange, OutcomeUnknown):
-            return Broken(exchange.reason)
+            return _broken(exchange)
         self._presence.attach(exchange.cancel)
         broken = self._wait_for_answer(exchange, replica, began)
         if broken is not None:
@@ -261,7 +263,7 @@
     ) -> AttemptResult:
         failure = exchange.read_head(max(0.05, self._request.deadline.remaining_s()))
         if failure is not None:
-            return Broken(failure.reason)
+            return _broken(failure)
         head = self._protocol.read_answer_head(exchange)
         return self._take_answer(exchange, replica, head, began)
 
@@ -354,7 +356,7 @@
             exchange.set_read_timeout(self._request.deadline.remaining_s())
             block = exchange.read_block()
             if isinstance(block, OutcomeUnknown):
-                return Broken(block.reason)
+                return _broken(block)
             if not block:
                 break
             blocks.append(block)
@@ -382,7 +384,7 @@
             exchange.set_read_timeout(self._gap_patience_s())
             block = exchange.read_block()
             if isinstance(block, OutcomeUnknown):
-                return Broken(block.reason)
+                return _broken(block)
             replica.hear()
             if not block:
                 break
@@ -392,7 +394,7 @@
             self._answer.write(events)
         if resumable and self._framer.rest:
             exchange.abandon()
-            return Broken("the stream ended in the middle of an event")
+            return Broken("the stream ended in the middle of an event", connection_closed=True)
         self._release(exchange, head)
         if not self._answer.started:
             self._answer.start(head.status, head.reason, head.headers)
@@ -407,3 +409,7 @@
             exchange.release(head.keep_s)
         else:
             exchange.abandon()
+
+
+def _broken(failure: OutcomeUnknown) -> Broken:
+    return Broken(failure.reason, failure.connection_closed)
--- a/src/quaymill/request/forwarding_result.py
+++ b/src/quaymill/request/forwarding_result.py
@@ -47,9 +47,16 @@
 
 @attrs.frozen
 class Broken:
-    """The attempt may have run, and its answer is no good."""
+    """The attempt may have run, and its answer is no good.
+
+    Attributes
+    ----------
+    connection_closed
+        Whether the replica's side closed the connection before the answer was whole.
+    """
 
     reason: str
+    connection_closed: bool = False
 
 
 AttemptResult = Delivered | CallerLeft | Refused | Broken
--- a/src/quaymill/request/outcome.py
+++ b/src/quaymill/request/outcome.py
@@ -41,12 +41,19 @@
 
 
 class OutcomeUnknown(msgspec.Struct, frozen=True, tag="unknown"):
-    """The request may have been executed; no whole answer came back."""
+    """The request may have been executed; no whole answer came back.
+
+    Attributes
+    ----------
+    connection_closed
+        Whether the back end's side closed the connection, and not a time-out here.
+    """
 
     status: int
     reason: str
     remedy: str
     retry_after_s: float | None = None
+    connection_closed: bool = False
 
 
 class Failed(msgspec.Struct, frozen=True, tag="failed"):
