--- a/src/quaymill_standins/fleet_replica.py
+++ b/src/quaymill_standins/fleet_replica.py
@@ -51,6 +51,8 @@
         Answered instead of 200, by the end of the request's path.
     waiting
         What the report says of requests that wait, beside the true ones.
+    crash_suffix
+        The replica ends as it begins to run a request whose path ends so; none if empty.
     """
 
     events: int = 3
@@ -63,6 +65,7 @@
     foreign_id: bool = False
     status_by_suffix: dict[str, int] = {}
     waiting: int = 0
+    crash_suffix: str = ""
 
 
 class ReplicaRun(msgspec.Struct):
@@ -93,10 +96,23 @@
     ----------
     runs
         Everything that was run, in order.
+    crashed
+        Whether a request has ended it.
+
+    Parameters
+    ----------
+    on_crash
+        Called with the replica once it has ended.
     """
 
     def __init__(
-        self, replica_id: str, service: str, zone: str, slots: int = 4, address: str = "127.0.0.1"
+        self,
+        replica_id: str,
+        service: str,
+        zone: str,
+        slots: int = 4,
+        address: str = "127.0.0.1",
+        on_crash: Callable[[FleetReplica], None] = lambda replica: None,
     ) -> None:
         self.id = replica_id
         self.service = service
@@ -106,6 +122,8 @@
         self.behaviour = ReplicaBehaviour()
         self.runs: list[ReplicaRun] = []
         self.probes = 0
+        self.crashed = False
+        self._on_crash = on_crash
         self._running = 0
         self._lock = threading.Lock()
         self._stopping = False
@@ -181,6 +199,8 @@
             self.runs.append(run)
         if behaviour.break_off:
             return CLOSED
+        if behaviour.crash_suffix and request.path.endswith(behaviour.crash_suffix):
+            return self._crash_at(run, request)
         for suffix, status in behaviour.status_by_suffix.items():
             if request.path.endswith(suffix):
                 run.finished = True
@@ -193,6 +213,24 @@
             lambda connection: self._stream(run, connection, behaviour),
         )
 
+    def _crash_at(self, run: ReplicaRun, request: Request) -> Answer:
+        """End as a run begins: of a stream the head goes out, and nothing else."""
+        if not request.header("Token-Count"):
+            self.crash()
+            return CLOSED
+        headers = (*self._head(run), ("Content-Type", "text/event-stream"))
+        return StreamedResponse(200, headers, lambda connection: self.crash())
+
+    def crash(self) -> None:
+        """End at once, as a process that is killed."""
+        with self._lock:
+            if self.crashed:
+                return
+            self.crashed = True
+        self._stopping = True
+        self._server.crash()
+        self._on_crash(self)
+
     def _whole(self, run: ReplicaRun, request: Request) -> Answer:
         self._count(1)
         try:
--- a/src/quaymill_standins/http_support.py
+++ b/src/quaymill_standins/http_support.py
@@ -247,6 +247,17 @@
         self._server.stop()
         self._thread.join()
 
+    def crash(self) -> None:
+        """Refuse connections from now on and break all there are, as when the process ends.
+
+        Returns at once; may be called by a handler.
+        """
+        # A listening socket that is shut down refuses; closing it takes the server's own thread.
+        with contextlib.suppress(OSError):
+            self._server.socket.shutdown(socket.SHUT_RDWR)
+        self._abort_in_service()
+        threading.Thread(target=self.stop, name="crash", daemon=True).start()
+
     def _application(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request, as a WSGI application."""
         request = Request(
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,205 @@
+"""A request that ends each replica that begins to run it is not run on and on.
+
+What users saw: within a second all replicas of a model ended, again and again, for a minute and
+more; a third of the questions at the counter failed meanwhile. One caller sent one request again
+and again, to whatever gateway. At each replica it got the head of an answer, and the replica
+ended with all that it was running; the gateway answered 502, and the next gateway ran the request
+as if it had never been seen.
+
+Cause: what a failure taught was kept with the replica, never with the request. The lines of
+attempts showed it: one content, a new request id each time, an attempt at each of the replicas
+that ended, and no line by which a gateway had decided anything about the content.
+"""
+
+from __future__ import annotations
+
+import itertools
+import threading
+import time
+import unittest
+
+from nose2.tools import params
+
+from fleet_rig import FleetRig, wait_until
+from quaymill_bench.fleet_world import item_id, whole_text
+from quaymill_standins.fleet_replica import FleetReplica, ReplicaBehaviour, ReplicaRun
+
+CRASHES_ALLOWED = 3
+"""Replicas that a request may end before it is run no more."""
+RETRIES_ALLOWED = 3
+"""Runs that may follow later than a gateway has had time to learn of the third crash."""
+CONTACT_S = 3.0
+"""That time: as in the operators' bounds."""
+BACK_AFTER_S = 0.3
+SENDINGS = 10
+SUFFIX = "crash"
+CRASHING = ReplicaBehaviour(crash_suffix=SUFFIX)
+
+
+class CrashRig(FleetRig):
+    """A fleet whose replicas are replaced, under new ids, a moment after they ended."""
+
+    def __init__(self, gateways: int = 3, storage: int = 0, engines: int = 5) -> None:
+        super().__init__(gateways, storage, engines)
+        self.stopping = False
+        self._numbers = itertools.count()
+
+    def add_replica(self, service: str, zone: str, slots: int = 4) -> FleetReplica:
+        """Start a replica that ends at certain requests, and list it."""
+        name = f"{service}-{next(self._numbers)}"
+        replica = FleetReplica(name, service, zone, slots, on_crash=self._replace)
+        replica.behaviour = CRASHING
+        replica.start()
+        self.replicas[replica.id] = replica
+        self.store.put("servers", replica.id, replica.entry())
+        return replica
+
+    def stop(self) -> None:
+        """Stop everything, and replace nothing more."""
+        self.stopping = True
+        super().stop()
+
+    def crashes(self) -> int:
+        """Return how many replicas have ended."""
+        return sum(replica.crashed for replica in list(self.replicas.values()))
+
+    def crashing_runs(self) -> list[ReplicaRun]:
+        """Return the runs of the requests that end replicas, in the order of their start."""
+        runs = [run for replica in list(self.replicas.values()) for run in replica.runs]
+        crashing = [run for run in runs if run.target.endswith(SUFFIX)]
+        return sorted(crashing, key=lambda run: run.started_s)
+
+    def late_runs(self) -> list[ReplicaRun]:
+        """Return those that began when every gateway had had time to learn of three crashes."""
+        runs = self.crashing_runs()
+        if len(runs) < CRASHES_ALLOWED:
+            return []
+        third_at = runs[CRASHES_ALLOWED - 1].started_s
+        return [run for run in runs if run.started_s > third_at + CONTACT_S]
+
+    def live(self, service: str) -> int:
+        """Return how many replicas of a service serve."""
+        return sum(not replica.crashed for replica in self.of_service(service))
+
+    def _replace(self, replica: FleetReplica) -> None:
+        def replace() -> None:
+            self.store.remove("servers", replica.id)
+            time.sleep(BACK_AFTER_S)
+            if not self.stopping:
+                self.add_replica(replica.service, replica.zone, replica.slots)
+
+        threading.Thread(target=replace, daemon=True).start()
+
+
+class CrashCase(unittest.TestCase):
+    """A fleet for each test."""
+
+    GATEWAYS = 3
+    STORAGE = 0
+    ENGINES = 5
+
+    def setUp(self) -> None:
+        self.rig = CrashRig(self.GATEWAYS, self.STORAGE, self.ENGINES).start()
+        self.addCleanup(self.rig.stop)
+
+    def send(self, path: str, number: int, gateway: str = "") -> int:
+        """Send the crashing request once more; return the status."""
+        service = "engine" if "stream" in path or "resumable" in path else "application"
+        listed = {"engine": self.ENGINES, "application": 2}[service]
+        wait_until(lambda: self.rig.live(service) >= listed, f"all replicas of {service} serve")
+        gateway = gateway or f"gateway-{number % self.GATEWAYS}"
+        wait_until(lambda: self.knows_live(gateway, service), f"{gateway} lists {service}")
+        request_id = f"{path}-{number}"
+        tokens = service == "engine"
+        answer = self.rig.ask(gateway, f"{path}{SUFFIX}", request_id, b"one body", tokens=tokens)
+        return answer.status
+
+    def knows_live(self, gateway: str, service: str) -> bool:
+        """Return whether a gateway lists a replica that serves."""
+        table = self.rig.gateways[gateway].control._table
+        listed = {replica.id for replica in table.of_service(service) if not replica.leaving}
+        return any(
+            replica.id in listed and not replica.crashed for replica in self.rig.of_service(service)
+        )
+
+    def send_until_barred(self, path: str) -> int:
+        """Send until the request has crashed three replicas and time to learn it has passed."""
+        number = 0
+        while self.rig.crashes() < CRASHES_ALLOWED:
+            number += 1
+            self.assertLess(number, 2 * SENDINGS, "the request is not run at all")
+            self.send(path, number)
+        time.sleep(CONTACT_S)
+        return number
+
+
+class SentAgainTest(CrashCase):
+    """The same request comes again, under new ids, at every gateway."""
+
+    @params("/stream/", "/resumable/", "/read/", "/write/")
+    def test_three_crashes_are_remembered_by_every_gateway(self, path: str) -> None:
+        sent = self.send_until_barred(path)
+        for number in range(sent + 1, sent + 1 + SENDINGS):
+            self.send(path, number)
+        self.assertLessEqual(len(self.rig.late_runs()), RETRIES_ALLOWED)
+
+    def test_what_is_not_run_is_refused_at_once_and_truly(self) -> None:
+        sent = self.send_until_barred("/write/")
+        before = len(self.rig.crashing_runs())
+        began = time.monotonic()
+        status = self.rig.ask("gateway-0", f"/write/{SUFFIX}", f"late-{sent}", b"one body").status
+        self.assertEqual(503, status)
+        self.assertLess(time.monotonic() - began, 1.0)
+        self.assertEqual(before, len(self.rig.crashing_runs()))
+
+    def test_a_gateway_that_starts_later_knows_it(self) -> None:
+        sent = self.send_until_barred("/stream/")
+        self.rig.start_gateway("gateway-new", "zone-a")
+        self.rig.wait_ready()
+        time.sleep(CONTACT_S)
+        for number in range(sent + 1, sent + 1 + SENDINGS):
+            self.send("/stream/", number, "gateway-new")
+        self.assertLessEqual(len(self.rig.late_runs()), RETRIES_ALLOWED)
+
+    def test_it_is_known_after_all_gateways_were_killed(self) -> None:
+        sent = self.send_until_barred("/stream/")
+        for name in list(self.rig.gateways):
+            self.rig.gateways[name].kill()
+        for name in list(self.rig.gateways):
+            self.rig.start_gateway(name, self.rig.settings[name].zone)
+        self.rig.wait_ready()
+        time.sleep(CONTACT_S)
+        for number in range(sent + 1, sent + 1 + SENDINGS):
+            self.send("/stream/", number)
+        self.assertLessEqual(len(self.rig.late_runs()), RETRIES_ALLOWED)
+
+    def test_others_that_ran_beside_it_are_served_afterwards(self) -> None:
+        """Another request of the same path and caller, and the same path at another body."""
+        self.send_until_barred("/stream/")
+        for number in range(SENDINGS):
+            body = f"another body {number}".encode()
+            answer = self.rig.ask(
+                f"gateway-{number % 3}", "/stream/other", f"other-{number}", body, tokens=True
+            )
+            self.assertEqual(200, answer.status)
+
+
+class ItemTest(CrashCase):
+    """An item of a job ends each engine that begins to run it."""
+
+    STORAGE = 3
+
+    def test_an_item_is_run_no_more_and_the_others_are_done(self) -> None:
+        accepted = self.rig.submit("gateway-0", "job-crash", items=4, path_suffix="ok")
+        self.assertEqual(202, accepted.status)
+        accepted = self.rig.submit("gateway-0", "job-bad", items=1, path_suffix=SUFFIX)
+        self.assertEqual(202, accepted.status)
+        wait_until(lambda: self.rig.crashes() >= CRASHES_ALLOWED, "three engines have ended")
+        results = self.rig.wait_results("gateway-1", "job-crash", 4)
+        expected = {item_id("job-crash", index) for index in range(4)}
+        self.assertEqual(expected, {result["id"] for result in results})
+        self.assertEqual(
+            {whole_text(name) for name in expected}, {result["message"] for result in results}
+        )
+        time.sleep(CONTACT_S + 3.0)
+        self.assertLessEqual(len(self.rig.late_runs()), RETRIES_ALLOWED)
