--- a/src/quaymill/connection/object_store.py
+++ b/src/quaymill/connection/object_store.py
@@ -22,6 +22,7 @@
     NODES = enum.auto()
     JOB_LISTINGS = enum.auto()
     QUOTA_LEDGERS = enum.auto()
+    BARRED_REQUESTS = enum.auto()
 
 
 @attrs.frozen
--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -30,6 +30,11 @@
 MAX_IDLE_CONNECTIONS_PER_REPLICA = 64
 READ_BLOCK_BYTES = 64 * 1024
 RETRY_AFTER_UNREACHABLE_S = 1.0
+PROBE_CONNECT_TIMEOUT_S = 0.1
+"""A process that has ended is known by a reset, which comes within a round trip of some
+milliseconds; nothing at all for so long tells of a lost packet or a full queue instead."""
+PROBE_STAYS_OPEN_S = 0.02
+"""A connection that something in between took for a process that has ended is closed sooner."""
 
 _READ_ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 
@@ -268,6 +273,21 @@
             )
         return exchange
 
+    def takes_connection(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint may be in service: it does not refuse a new connection.
+
+        No answer at all counts as in service: a lost packet looks the same.
+        """
+        try:
+            address = (endpoint.host, endpoint.port)
+            probe = socket.create_connection(address, timeout=PROBE_CONNECT_TIMEOUT_S)
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
+        with contextlib.closing(probe):
+            return not is_readable(probe, PROBE_STAYS_OPEN_S)
+
     def _new_connection(self, endpoint: Endpoint) -> HTTPConnection:
         return HTTPConnection(
             endpoint.host,
--- a/src/quaymill/platform/names.py
+++ b/src/quaymill/platform/names.py
@@ -33,6 +33,7 @@
     ObjectKind.NODES: "quaymill-nodes",
     ObjectKind.JOB_LISTINGS: "quaymill-job-listings",
     ObjectKind.QUOTA_LEDGERS: "quaymill-quota-ledgers",
+    ObjectKind.BARRED_REQUESTS: "quaymill-barred-requests",
 }
 
 ROUTE_KINDS = {
--- a/src/quaymill/process/control/store_sharing.py
+++ b/src/quaymill/process/control/store_sharing.py
@@ -1,8 +1,8 @@
 """Calls of the platform's store by way of other gateways, while it turns this one away.
 
-Only single objects go this way: listings of jobs, and ledgers of quotas. A write is bound to a
-revision, so that one which was done although its answer was lost does no harm when it is made
-again by another.
+Only single objects go this way: listings of jobs, ledgers of quotas, barred requests. A write is
+bound to a revision, so that one which was done although its answer was lost does no harm when it
+is made again by another.
 """
 
 from __future__ import annotations
@@ -32,7 +32,9 @@
 from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.store_messages import SharedObject, StoreAnswer, StoreCall
 
-SHARED_KINDS = frozenset({ObjectKind.JOB_LISTINGS, ObjectKind.QUOTA_LEDGERS})
+SHARED_KINDS = frozenset(
+    {ObjectKind.JOB_LISTINGS, ObjectKind.QUOTA_LEDGERS, ObjectKind.BARRED_REQUESTS}
+)
 HELPERS = 2
 HELP_TIMEOUT_S = 2.0
 
--- a/src/quaymill/process/front/front_service.py
+++ b/src/quaymill/process/front/front_service.py
@@ -291,6 +291,8 @@
 def _give_up(result: GivenUp) -> Refusal:
     if result.may_have_run:
         return Refusal(504 if result.timed_out else 502, result.reason)
+    if result.retry_after_s is not None:
+        return Refusal(503, result.reason, round(result.retry_after_s, 1))
     return Refusal(503, result.reason, SHORT_RETRY_AFTER_S)
 
 
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -44,6 +44,9 @@
 from quaymill.process.membership.ranking import rank_nodes
 from quaymill.process.node_registry import NodeRegistry
 from quaymill.process.peer_network import PeerNetwork
+from quaymill.process.poison.barred_store import BarredStore
+from quaymill.process.poison.guard import CrashGuard
+from quaymill.process.poison.sharing import CrashSharing
 from quaymill.process.replica_set.online_queue import OnlineQueue
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.router import Router
@@ -51,6 +54,7 @@
 from quaymill.process.replica_set.warnings import ReplicaWarnings
 from quaymill.process.serving_settings import MS_PER_S, ServingSettings
 from quaymill.request.forwarding import Forwarder, ReplicaProtocol
+from quaymill.request.poison import PoisonRecords
 from quaymill.version.request_routes import NO_ROUTES, RequestRoutes
 
 CONNECT_TIMEOUT_S = 0.3
@@ -128,6 +132,18 @@
             self.network.result_holders,
             settings.disks_lost_at_once + 2,
         )
+        poison_records = PoisonRecords()
+        self._crash_sharing = CrashSharing(
+            poison_records,
+            BarredStore(shared_store),
+            self.network.membership,
+            self.network.client,
+            self.network.server,
+            self.network.other_gateways,
+            self.network.gateways,
+        )
+        self._guard = CrashGuard(poison_records, self._connections, self._crash_sharing.tell)
+        self._poison_records = poison_records
         self._warnings = ReplicaWarnings(
             settings.name,
             settings.zone,
@@ -176,6 +192,7 @@
                 connections=self._connections,
                 claim_room=claims.claim,
                 protocol=protocol.items,
+                guard=self._guard,
             ),
             PublisherParts(
                 name=self.network.process_name,
@@ -249,7 +266,12 @@
 
     def _build_front(self, protocol: GatewayProtocol) -> FrontService:
         forwarder = Forwarder(
-            self._router, self._connections, protocol.replicas, self._notices, self._queue
+            self._router,
+            self._connections,
+            protocol.replicas,
+            self._notices,
+            self._queue,
+            self._guard,
         )
         return FrontService(
             protocol.callers,
@@ -283,6 +305,14 @@
                 "Batch jobs coordinated here.",
                 lambda: len(self.coordinator.open_jobs()),
             ),
+            "requests_barred": (
+                "Requests that are refused, since replicas crashed under them.",
+                lambda: self._poison_records.count(barred=True),
+            ),
+            "requests_suspected": (
+                "Requests under which fewer replicas crashed.",
+                lambda: self._poison_records.count(barred=False),
+            ),
             "storage_nodes": ("Live storage nodes.", lambda: len(self.network.storage_nodes())),
             "gateways": ("Live gateways.", lambda: len(self.network.gateways())),
             "replica_connections_opened": (
@@ -307,6 +337,7 @@
         self.control.subscribe(self._apply_limits)
         self.control.start()
         self._warnings.start()
+        self._crash_sharing.start()
         self.coordinator.start()
         self.quota.start()
         self._notices.start()
@@ -387,6 +418,7 @@
         self._registry.stop()
         self._loads.stop()
         self._warnings.stop()
+        self._crash_sharing.stop()
         self._notices.stop()
         self._orders.stop()
         self.network.stop()
--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -197,6 +197,12 @@
             if item.state is ItemState.WAITING and item.not_before <= now
         ]
 
+    def unstarted(self) -> list[RunningItem]:
+        """Return the items that wait, those that may not be started yet included."""
+        if self.stopped:
+            return []
+        return [item for item in self.items if item.state is ItemState.WAITING]
+
     def running(self) -> list[RunningItem]:
         """Return the items in service."""
         return [item for item in self.items if item.state is ItemState.RUNNING]
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -21,18 +21,21 @@
 from quaymill.process.jobs.coordinated_job import CoordinatedJob, ItemState, RunningItem
 from quaymill.process.jobs.engine_pool import EnginePool, pools_of
 from quaymill.process.jobs.item_run import (
+    ItemBarred,
     ItemCut,
     ItemDone,
     ItemFailed,
     ItemImpossible,
     ItemOutcome,
     ItemProtocol,
+    content_of_item,
     run_item,
 )
 from quaymill.process.jobs.item_urgency import HOPELESS_DUE_S, RoutePaces, time_left_s
 from quaymill.process.jobs.room_claims import ClaimRoomCall
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.request.poison import NoGuard, PoisonGuard
 from quaymill.version.request_routes import RequestRoute, RequestRoutes
 
 DISPATCH_INTERVAL_S = 0.2
@@ -69,6 +72,7 @@
     connections: ReplicaConnections
     claim_room: ClaimRoomCall
     protocol: ItemProtocol
+    guard: PoisonGuard = attrs.field(factory=NoGuard)
 
 
 @attrs.frozen
@@ -278,7 +282,7 @@
     def _give_up_late(self, job: CoordinatedJob) -> None:
         reason = self._reason_to_give_up(job)
         if reason:
-            for item in job.waiting():
+            for item in job.unstarted():
                 job.finish(item, ResultState.DEAD, reason)
 
     def _reason_to_give_up(self, job: CoordinatedJob) -> str:
@@ -308,9 +312,7 @@
         replica.begin_item()
         outcome: ItemOutcome = ItemCut("the run failed")
         try:
-            outcome = run_item(
-                item, job.job.host, replica, self._parts.connections, self._parts.protocol
-            )
+            outcome = self._run_unless_barred(job, item, replica)
         finally:
             replica.end_item()
             with self._lock:
@@ -318,6 +320,23 @@
             self._settle(job, item, replica, outcome)
             self._wake.set()
 
+    def _run_unless_barred(
+        self, job: CoordinatedJob, item: RunningItem, replica: Replica
+    ) -> ItemOutcome:
+        """Run an item, and note what that tells of its content."""
+        guard = self._parts.guard
+        content = content_of_item(item, job.job.host)
+        if (barred_s := guard.barred_for_s(content)) > 0:
+            return ItemBarred(barred_s)
+        outcome = run_item(
+            item, job.job.host, replica, self._parts.connections, self._parts.protocol
+        )
+        if isinstance(outcome, ItemDone):
+            guard.note_served(content)
+        elif isinstance(outcome, ItemCut) and outcome.connection_closed and not job.stopped:
+            guard.note_closed(content, replica.id, replica.entry.address)
+        return outcome
+
     def _settle(
         self, job: CoordinatedJob, item: RunningItem, replica: Replica, outcome: ItemOutcome
     ) -> None:
@@ -325,6 +344,7 @@
             "item:run",
             job=job.id,
             request_id=item.item.id,
+            content=content_of_item(item, job.job.host),
             replica=replica.id,
             events_until=item.last_event_id,
             took_s=round(time.monotonic() - item.started_at, 3),
@@ -347,6 +367,8 @@
                     job.finish(item, ResultState.DEAD, reason)
                 else:
                     job.put_back(item, RETRY_PAUSE_S)
+            case ItemBarred(left_s=left_s):
+                job.put_back(item, left_s)
             case ItemCut(blames_replica=blames_replica):
                 if blames_replica and not job.stopped:
                     replica.record_failure()
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -13,7 +13,7 @@
 from quaymill.process.replica_set.replica import Replica
 from quaymill.request.deadline import Deadline
 from quaymill.request.event_stream import EventFramer, data_of_events
-from quaymill.request.forwarded_request import ForwardedRequest, Headers
+from quaymill.request.forwarded_request import ForwardedRequest, Headers, content_of
 from quaymill.request.forwarding import ReplicaProtocol
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 
@@ -60,7 +60,20 @@
     connection_closed: bool = False
 
 
-ItemOutcome = ItemDone | ItemImpossible | ItemFailed | ItemCut
+@attrs.frozen
+class ItemBarred:
+    """The item was not run, since replicas crash under it.
+
+    Attributes
+    ----------
+    left_s
+        For how long it must not be run.
+    """
+
+    left_s: float
+
+
+ItemOutcome = ItemDone | ItemImpossible | ItemFailed | ItemCut | ItemBarred
 
 
 @attrs.frozen
@@ -71,6 +84,11 @@
     item_headers: Callable[[JobItem, str], Headers]
 
 
+def content_of_item(item: RunningItem, host: str) -> str:
+    """Return the digest of what an item asks for."""
+    return content_of(host, METHOD, item.item.path, item.item.body)
+
+
 def run_item(
     item: RunningItem,
     host: str,
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -265,16 +265,49 @@
         (
             JOB,
             REQUEST,
+            CONTENT,
             REPLICA,
             "events_until: last whole event that came",
             TOOK,
-            "outcome: ItemDone, ItemImpossible, ItemFailed, ItemCut",
+            "outcome: ItemDone, ItemImpossible, ItemFailed, ItemCut, ItemBarred",
             REASON,
             "giving_way: whether it was cut for online work",
             CLOSED,
         ),
         ordinary_outcome="ItemDone",
     ),
+    "request:crashed_replica": LogEvent(
+        "a replica has crashed while it ran a request or a batch item of this content",
+        (
+            CONTENT,
+            REPLICA,
+            "crashes: replicas known to have crashed so",
+            "barred: whether the content is run no more",
+        ),
+    ),
+    "request:crashes_told": LogEvent(
+        "other gateways were told of crashes seen here",
+        ("records: contents", "gateways: how many were told", "answered: how many of them"),
+    ),
+    "request:crashes_learned": LogEvent(
+        "other gateways or the store told of crashes that were not known here",
+        (
+            "source: told (another gateway told), the gateway that was asked, or store",
+            "records: contents that stand otherwise now",
+            "barred: those of them that are run no more",
+        ),
+    ),
+    "request:not_kept_barred": LogEvent(
+        "the store did not take a content that is run no more; it is tried again",
+        (CONTENT, REASON),
+    ),
+    "request:barred_unread": LogEvent(
+        "an object of the store that should name a barred content cannot be read",
+        (CONTENT, REASON),
+    ),
+    "request:crash_sharing_error": LogEvent(
+        "a bug while crashes were shared", ("error: the exception",)
+    ),
     "replica:warned": LogEvent(
         "other gateways are told of replicas that fail here",
         ("replicas", "gateways: how many are told"),
--- a/src/quaymill/process/membership/membership.py
+++ b/src/quaymill/process/membership/membership.py
@@ -53,6 +53,8 @@
 Listener = Callable[[], None]
 ConfirmationListener = Callable[[int, int, float], None]
 """Takes generation, machine list version, and when they were known to be the newest."""
+CrashListener = Callable[[str, int], None]
+"""Takes a node's name and its digest of crashes."""
 
 
 class Membership:
@@ -77,6 +79,8 @@
         self._listeners: list[Listener] = []
         self._confirmation_listener: ConfirmationListener | None = None
         self._confirmed_at: float | None = None
+        self._crash_digest = 0
+        self._crash_listener: CrashListener | None = None
         self._corrected_at_by_name: dict[str, float] = {}
         self._told_lock = threading.Lock()
         self._told_states: dict[str, tuple[MemberState, str]] = {}
@@ -136,6 +140,14 @@
         """Call ``listener`` with what others know to be the platform's newest versions."""
         self._confirmation_listener = listener
 
+    def on_crash_digest(self, listener: CrashListener) -> None:
+        """Call ``listener`` with each digest of crashes that another node tells, and its name."""
+        self._crash_listener = listener
+
+    def tell_crash_digest(self, digest: int) -> None:
+        """Tell others with each datagram the digest of the crashes known here."""
+        self._crash_digest = digest
+
     def confirm(self, at: float) -> None:
         """Note that the versions published were the platform's newest at a monotonic time."""
         if self._confirmed_at is None or at > self._confirmed_at:
@@ -192,9 +204,7 @@
         self._table.heard_from(
             datagram.sender, datagram.incarnation, datagram.generation, datagram.machines
         )
-        if datagram.confirmed_ms_ago >= 0 and self._confirmation_listener is not None:
-            at = time.monotonic() - datagram.confirmed_ms_ago / 1000
-            self._confirmation_listener(datagram.generation, datagram.machines, at)
+        self._take_head(datagram)
         match datagram:
             case Probe():
                 name = self.local().name
@@ -212,6 +222,14 @@
         if self._table.revision != revision:
             self._tell_listeners()
 
+    def _take_head(self, datagram: Datagram) -> None:
+        """Pass on what every datagram tells of its sender."""
+        if datagram.confirmed_ms_ago >= 0 and self._confirmation_listener is not None:
+            at = time.monotonic() - datagram.confirmed_ms_ago / 1000
+            self._confirmation_listener(datagram.generation, datagram.machines, at)
+        if self._crash_listener is not None and datagram.crashes != self._crash_digest:
+            self._crash_listener(datagram.sender, datagram.crashes)
+
     def _correct_sender(self, datagram: Datagram, source: Endpoint) -> None:
         """Introduce this node to a stranger, and tell a node that it is held for dead."""
         if isinstance(datagram, SyncAnswer):
@@ -325,6 +343,7 @@
             "generation": local.configuration_generation,
             "machines": local.machine_list_version,
             "confirmed_ms_ago": int(age_s * 1000) if age_s < MAX_CONFIRMED_AGE_S else -1,
+            "crashes": self._crash_digest,
         }
 
     def _send(self, target: Endpoint, datagram: Datagram, shown: tuple[Member, ...] = ()) -> None:
--- a/src/quaymill/process/membership/messages.py
+++ b/src/quaymill/process/membership/messages.py
@@ -89,6 +89,8 @@
     confirmed_ms_ago
         How long ago the versions told here were known to be the platform's newest; -1 if that
         is not known.
+    crashes
+        Digest of the crashes that the sender knows of; 0 if none.
     records
         Members as the sender sees them, the newest changes first.
     """
@@ -98,6 +100,7 @@
     generation: int = 0
     machines: int = 0
     confirmed_ms_ago: int = -1
+    crashes: int = 0
     records: tuple[MemberRecord, ...] = ()
 
 
--- /dev/null
+++ b/src/quaymill/process/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash replicas: finds out about crashes, shares them and keeps them."""
--- /dev/null
+++ b/src/quaymill/process/poison/barred_store.py
@@ -0,0 +1,89 @@
+"""The requests that must not be run, as the platform's store keeps them.
+
+Gateways have no disk: when all of them end at once, the store alone still knows.
+"""
+
+from __future__ import annotations
+
+import time
+
+import attrs
+import msgspec
+from eliot import log_message
+
+from quaymill.connection.crash_messages import CrashRecord
+from quaymill.connection.object_store import (
+    Listing,
+    ObjectKind,
+    ObjectStore,
+    StoredObject,
+    StoreRefused,
+    StoreUnanswered,
+)
+from quaymill.request.poison import BARRED_S
+
+MS_PER_S = 1000
+
+
+class _Barred(msgspec.Struct, frozen=True):
+    """What is stored; the name of the object is the content.
+
+    Attributes
+    ----------
+    crashed_at_ms
+        Time of day of the last crash, in Unix milliseconds.
+    """
+
+    replica_ids: tuple[str, ...]
+    crashed_at_ms: int
+
+
+@attrs.frozen
+class StoreUnread:
+    """The store could not be asked."""
+
+    reason: str
+
+
+class BarredStore:
+    """Writes and reads barred requests."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    def write(self, record: CrashRecord) -> bool:
+        """Keep a record; return whether the store has it now."""
+        crashed_at_ms = int((time.time() - record.age_s) * MS_PER_S)
+        spec = msgspec.to_builtins(_Barred(record.replica_ids, crashed_at_ms))
+        written = self._store.create(ObjectKind.BARRED_REQUESTS, record.content, spec)
+        if isinstance(written, StoreRefused | StoreUnanswered):
+            log_message("request:not_kept_barred", content=record.content, reason=written.reason)
+            return False
+        # It may be there already: the same request is barred by any of the records.
+        return True
+
+    def read(self) -> tuple[CrashRecord, ...] | StoreUnread:
+        """Return the records that still count; objects past their time are removed."""
+        listing = self._store.list(ObjectKind.BARRED_REQUESTS)
+        if not isinstance(listing, Listing):
+            return StoreUnread(listing.reason)
+        records = []
+        for stored in listing.objects:
+            record = _record(stored)
+            if record is None:
+                continue
+            if record.age_s > BARRED_S:
+                self._store.delete(ObjectKind.BARRED_REQUESTS, stored.name)
+            else:
+                records.append(record)
+        return tuple(records)
+
+
+def _record(stored: StoredObject) -> CrashRecord | None:
+    try:
+        barred = msgspec.convert(stored.spec, _Barred)
+    except msgspec.ValidationError as error:
+        log_message("request:barred_unread", content=stored.name, reason=str(error))
+        return None
+    age_s = max(0.0, time.time() - barred.crashed_at_ms / MS_PER_S)
+    return CrashRecord(stored.name, barred.replica_ids, age_s)
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -30,6 +30,7 @@
     Refused,
 )
 from quaymill.request.outcome import NotRun, OutcomeUnknown
+from quaymill.request.poison import NoGuard, PoisonGuard
 from quaymill.request.presence import CallerPresence
 from quaymill.request.replica_choice import (
     ChosenReplica,
@@ -96,12 +97,14 @@
         protocol: ReplicaProtocol,
         observer: RequestObserver | None = None,
         turns: TurnTaker | None = None,
+        guard: PoisonGuard | None = None,
     ) -> None:
         self.router = router
         self.connections = connections
         self.protocol = protocol
         self.observer = observer or NoObserver()
         self.turns = turns or NoTurns()
+        self.guard = guard or NoGuard()
 
     def forward(
         self,
@@ -145,7 +148,9 @@
         self._protocol = forwarder.protocol
         self._observer = forwarder.observer
         self._turns = forwarder.turns
+        self._guard = forwarder.guard
         self._request = request
+        self._content = request.content
         self._route = route
         self._answer = answer
         self._presence = presence
@@ -157,12 +162,12 @@
         self._error: _ReplicaError | None = None
 
     def run(self) -> ForwardingResult:
+        if (ended := self._reason_to_end()) is not None:
+            return ended
         self._turns.wait_turn(self._service, self._route, self._request, self._presence)
         while True:
-            if self._presence.gone:
-                return CallerLeft()
-            if self._request.deadline.passed():
-                return self._given_up("the time of the request ran out", timed_out=True)
+            if (ended := self._reason_to_end()) is not None:
+                return ended
             replica = self._router.choose(self._service, self._request.prompt, self._tried)
             if isinstance(replica, NoReplica):
                 return self._given_up(replica.reason)
@@ -181,7 +186,20 @@
             if not self._route.repeatable or self._runs >= self._route.max_attempts:
                 return self._given_up(result.reason)
 
-    def _given_up(self, reason: str, timed_out: bool = False) -> GivenUp | Delivered:
+    def _reason_to_end(self) -> ForwardingResult | None:
+        """Return how the request ends if no attempt must follow."""
+        if self._presence.gone:
+            return CallerLeft()
+        if self._request.deadline.passed():
+            return self._given_up("the time of the request ran out", timed_out=True)
+        barred_s = self._guard.barred_for_s(self._content)
+        if barred_s > 0:
+            return self._given_up("replicas crashed under this request", retry_after_s=barred_s)
+        return None
+
+    def _given_up(
+        self, reason: str, timed_out: bool = False, retry_after_s: float | None = None
+    ) -> GivenUp | Delivered:
         """End without a success: with an error that a replica made if there is one."""
         if self._answer.started:
             self._answer.break_off()
@@ -192,7 +210,7 @@
             )
             self._answer.write(error.body)
             return Delivered(error.head.status, error.replica_id)
-        return GivenUp(reason, may_have_run=self._runs > 0, timed_out=timed_out)
+        return GivenUp(reason, self._runs > 0, timed_out, retry_after_s)
 
     def _attempt(self, replica: ChosenReplica) -> AttemptResult:
         load = replica.load()
@@ -213,7 +231,7 @@
         log_message(
             "request:attempt",
             request_id=self._request.id,
-            content=self._request.content,
+            content=self._content,
             replica=replica.id,
             service=self._service,
             load=round(load, 1),
@@ -229,8 +247,12 @@
         """Let the records know how the attempt ended."""
         if isinstance(result, Broken):
             replica.record_failure()
+            if result.connection_closed:
+                self._guard.note_closed(self._content, replica.id, replica.entry.address)
         elif isinstance(result, Delivered):
             self._turns.record(self._service, took_s, replica.first_byte_s)
+            if result.status < 500:
+                self._guard.note_served(self._content)
 
     def _send(self, replica: ChosenReplica, began: float) -> AttemptResult:
         remaining_s = self._request.deadline.remaining_s()
--- a/src/quaymill/request/forwarding_result.py
+++ b/src/quaymill/request/forwarding_result.py
@@ -28,11 +28,14 @@
         Whether a replica may have run the request.
     timed_out
         Whether the time of the request ran out.
+    retry_after_s
+        Time until it may be served; ``None`` if that is not known.
     """
 
     reason: str
     may_have_run: bool
     timed_out: bool = False
+    retry_after_s: float | None = None
 
 
 ForwardingResult = Delivered | CallerLeft | GivenUp
--- a/src/quaymill_standins/http_support.py
+++ b/src/quaymill_standins/http_support.py
@@ -171,6 +171,8 @@
 
     keep_alive_conn_limit = LISTEN_BACKLOG
     expiration_interval = STOP_CHECK_INTERVAL_S
+    crashed = False
+    """Whether the listening socket was shut down; accepting fails until the server has ended."""
 
     @staticmethod
     def bind_socket(socket_: socket.socket, bind_addr: tuple[str, int]) -> socket.socket:
@@ -184,7 +186,7 @@
         return socket_
 
     def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
-        if level >= logging.ERROR:
+        if level >= logging.ERROR and not self.crashed:
             super().error_log(msg, level, traceback)
 
 
@@ -252,6 +254,7 @@
 
         Returns at once; may be called by a handler.
         """
+        self._server.crashed = True
         # A listening socket that is shut down refuses; closing it takes the server's own thread.
         with contextlib.suppress(OSError):
             self._server.socket.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/tests/test_crash_guard.py
@@ -0,0 +1,165 @@
+"""Whether a replica has crashed is asked of the replica; what is known reaches every gateway."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import unittest
+from collections.abc import Iterator
+
+from fleet_rig import FleetRig, wait_until
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.replica_connection import ReplicaConnections
+from quaymill.process.poison.guard import CrashGuard
+from quaymill.request.poison import MAX_CRASHES, PoisonRecords
+from quaymill_bench.ports import free_port
+from quaymill_standins.fleet_replica import ReplicaBehaviour
+from quaymill_standins.fleet_store import FleetStoreFaults
+
+OLD_CRASH_MS = 1_000_000
+
+
+@contextlib.contextmanager
+def listener(*, closes: bool) -> Iterator[Endpoint]:
+    """Take connections, and close each at once if asked to."""
+    server = socket.create_server(("127.0.0.1", 0))
+    taken = []
+
+    def accept() -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = server.accept()
+                if closes:
+                    connection.close()
+                else:
+                    taken.append(connection)
+
+    threading.Thread(target=accept, daemon=True).start()
+    try:
+        yield Endpoint("127.0.0.1", server.getsockname()[1])
+    finally:
+        server.shutdown(socket.SHUT_RDWR)
+        server.close()
+        for connection in taken:
+            connection.close()
+
+
+class GuardTest(unittest.TestCase):
+    """A closed connection counts only where the replica takes no other."""
+
+    def setUp(self) -> None:
+        self.records = PoisonRecords()
+        self.told = []
+        connections = ReplicaConnections(LinkFilter())
+        self.addCleanup(connections.close)
+        self.guard = CrashGuard(self.records, connections, self.told.append)
+
+    def test_a_replica_that_refuses_connections_has_crashed(self) -> None:
+        self.guard.note_closed("a", "replica", Endpoint("127.0.0.1", free_port()))
+        self.assertEqual(1, self.records.crashes_of("a"))
+        self.assertEqual(["a"], [record.content for record in self.told])
+
+    def test_a_replica_that_takes_connections_has_not(self) -> None:
+        with listener(closes=False) as endpoint:
+            self.guard.note_closed("a", "replica", endpoint)
+        self.assertEqual(0, self.records.crashes_of("a"))
+        self.assertEqual([], self.told)
+
+    def test_one_whose_connections_are_closed_at_once_has(self) -> None:
+        with listener(closes=True) as endpoint:
+            self.guard.note_closed("a", "replica", endpoint)
+        self.assertEqual(1, self.records.crashes_of("a"))
+
+    def test_a_content_is_barred_after_enough_crashes(self) -> None:
+        for number in range(MAX_CRASHES):
+            self.assertEqual(0.0, self.guard.barred_for_s("a"))
+            self.guard.note_closed("a", f"replica-{number}", Endpoint("127.0.0.1", free_port()))
+        self.assertGreater(self.guard.barred_for_s("a"), 0.0)
+
+
+class SharingTest(unittest.TestCase):
+    """Crashes seen at one gateway, and the others."""
+
+    def setUp(self) -> None:
+        self.rig = FleetRig(gateways=3, storage=0, engines=1).start()
+        self.addCleanup(self.rig.stop)
+
+    def crash(self, gateway: str, content: str, crashes: int = MAX_CRASHES) -> None:
+        for number in range(crashes):
+            endpoint = Endpoint("127.0.0.1", free_port())
+            self.rig.gateways[gateway]._guard.note_closed(content, f"r-{number}", endpoint)
+
+    def bars(self, gateway: str, content: str) -> bool:
+        return self.rig.gateways[gateway]._guard.barred_for_s(content) > 0
+
+    def cut(self, name: str, peers: bool) -> None:
+        """Cut a gateway off from the others in both directions, or let it back."""
+        cut_off = self.rig.gateways[name].network
+        for other, gateway in self.rig.gateways.items():
+            if other != name:
+                blocked = {cut_off.membership.local().peer} if peers else set()
+                gateway.network.client._link_filter.set_blocked(frozenset(blocked))
+        others = {g.network.membership.local().peer for n, g in self.rig.gateways.items()}
+        cut_off.client._link_filter.set_blocked(frozenset(others if peers else ()))
+
+    def test_all_gateways_learn_at_once(self) -> None:
+        self.crash("gateway-0", "a")
+        for name in self.rig.gateways:
+            wait_until(lambda name=name: self.bars(name, "a"), f"{name} bars it", 1.0)
+
+    def test_crashes_that_different_gateways_saw_add_up(self) -> None:
+        for number, name in enumerate(self.rig.gateways):
+            endpoint = Endpoint("127.0.0.1", free_port())
+            self.rig.gateways[name]._guard.note_closed("a", f"r-{number}", endpoint)
+        for name in self.rig.gateways:
+            wait_until(lambda name=name: self.bars(name, "a"), f"{name} bars it", 1.0)
+        wait_until(lambda: self.rig.store.read("quaymill-barred-requests", "a"), "the store has it")
+
+    def test_a_gateway_that_was_cut_off_learns_when_it_is_back(self) -> None:
+        self.cut("gateway-2", peers=True)
+        self.crash("gateway-0", "a")
+        wait_until(lambda: self.bars("gateway-1", "a"), "gateway-1 bars it")
+        self.assertFalse(self.bars("gateway-2", "a"))
+        self.cut("gateway-2", peers=False)
+        wait_until(lambda: self.bars("gateway-2", "a"), "gateway-2 bars it", 3.0)
+
+    def test_the_store_is_told_once_it_answers_again(self) -> None:
+        self.rig.store.faults = FleetStoreFaults(down=True)
+        self.crash("gateway-0", "a")
+        wait_until(lambda: self.bars("gateway-1", "a"), "gateway-1 bars it")
+        self.rig.store.faults = FleetStoreFaults()
+        wait_until(lambda: self.rig.store.read("quaymill-barred-requests", "a"), "the store has it")
+
+    def test_objects_past_their_time_are_removed_and_foreign_ones_are_left_out(self) -> None:
+        spec = {"replica_ids": ["r"] * MAX_CRASHES, "crashed_at_ms": OLD_CRASH_MS}
+        self.rig.store.put("quaymill-barred-requests", "old", spec)
+        self.rig.store.put("quaymill-barred-requests", "foreign", {"replica_ids": 7})
+        for name in list(self.rig.gateways):
+            self.rig.gateways[name].kill()
+        for name in list(self.rig.gateways):
+            self.rig.start_gateway(name, self.rig.settings[name].zone)
+        wait_until(
+            lambda: self.rig.store.read("quaymill-barred-requests", "old") is None,
+            "the old object is removed",
+        )
+        for name in self.rig.gateways:
+            wait_until(lambda n=name: self.rig.gateways[n]._crash_sharing._settled, "settled")
+            self.assertFalse(self.bars(name, "old") or self.bars(name, "foreign"))
+
+
+class BrokenOffTest(unittest.TestCase):
+    """Answers that a living replica breaks off tell nothing of the request."""
+
+    def test_a_request_is_tried_on_although_its_answers_are_broken_off(self) -> None:
+        rig = FleetRig(gateways=1, storage=0, engines=1).start()
+        self.addCleanup(rig.stop)
+        for replica in rig.of_service("application"):
+            replica.behaviour = ReplicaBehaviour(break_off=True)
+        for number in range(2 * MAX_CRASHES):
+            answer = rig.ask("gateway-0", "/write/x", f"broken-{number}", b"body")
+            self.assertEqual(502, answer.status)
+        for replica in rig.of_service("application"):
+            replica.behaviour = ReplicaBehaviour()
+        answer = rig.ask("gateway-0", "/write/x", "sound", b"body")
+        self.assertEqual(200, answer.status)
--- a/tests/test_empty_pages.py
+++ b/tests/test_empty_pages.py
@@ -49,6 +49,9 @@
         self._store = store
         self.answer = threading.Event()
 
+    def list(self, kind):
+        return self._store.list(kind)
+
     def get(self, kind, name, *, may_be_old=False):
         return self._store.get(kind, name, may_be_old=may_be_old)
 
@@ -66,6 +69,9 @@
 class _SilentStore:
     """A store that answers nothing."""
 
+    def list(self, kind):
+        return StoreUnanswered("nothing came")
+
     def get(self, kind, name, *, may_be_old=False):
         return StoreUnanswered("nothing came")
 
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -23,6 +23,7 @@
     "process/control",
     "process/replica_set",
     "process/membership",
+    "process/poison",
     "process/gateway_node.py",
     "process/storage_node.py",
     "process/node_registry.py",
--- /dev/null
+++ b/tests/test_poison_records.py
@@ -0,0 +1,122 @@
+"""What is remembered of requests under which replicas crashed, with time as a parameter."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from quaymill.connection.crash_messages import CrashRecord
+from quaymill.request.forwarded_request import content_of
+from quaymill.request.poison import (
+    BARRED_S,
+    MAX_CRASHES,
+    MAX_RECORDS,
+    SUSPECT_S,
+    PoisonRecords,
+)
+
+REPLICAS = tuple(f"replica-{number}" for number in range(2 * MAX_CRASHES))
+
+
+def records_with(content: str, crashes: int, now: float = 0.0) -> PoisonRecords:
+    """Return records that know some crashes under a content."""
+    records = PoisonRecords()
+    for replica_id in REPLICAS[:crashes]:
+        records.add(content, replica_id, now)
+    return records
+
+
+class BarTest(unittest.TestCase):
+    """When a content is refused, and for how long."""
+
+    @params(*range(2 * MAX_CRASHES))
+    def test_it_is_refused_from_some_crashes_on(self, crashes: int) -> None:
+        records = records_with("a", crashes)
+        self.assertEqual(crashes >= MAX_CRASHES, records.barred_for_s("a", 0.0) > 0)
+
+    def test_other_contents_are_not_refused(self) -> None:
+        self.assertEqual(0, records_with("a", MAX_CRASHES).barred_for_s("b", 0.0))
+
+    def test_a_crash_that_several_requests_saw_counts_once_for_each(self) -> None:
+        records = PoisonRecords()
+        for _ in range(MAX_CRASHES):
+            records.add("a", REPLICAS[0], 0.0)
+        self.assertEqual(1, records.crashes_of("a"))
+
+    def test_the_time_left_is_told_and_ends(self) -> None:
+        records = records_with("a", MAX_CRASHES, now=100.0)
+        self.assertEqual(BARRED_S - 50.0, records.barred_for_s("a", 150.0))
+        self.assertEqual(0.0, records.barred_for_s("a", 100.0 + BARRED_S))
+
+    def test_fewer_crashes_are_forgotten_sooner(self) -> None:
+        records = records_with("a", MAX_CRASHES - 1)
+        records.add("a", REPLICAS[MAX_CRASHES], SUSPECT_S + 1.0)
+        self.assertEqual(0.0, records.barred_for_s("a", SUSPECT_S + 1.0))
+
+    def test_a_content_that_was_served_is_excused_of_the_crashes_before(self) -> None:
+        records = records_with("a", MAX_CRASHES - 1)
+        records.excuse("a")
+        records.add("a", REPLICAS[MAX_CRASHES], 1.0)
+        self.assertEqual(1, records.crashes_of("a"))
+
+    def test_what_is_refused_is_forgotten_last(self) -> None:
+        records = records_with("a", MAX_CRASHES)
+        for number in range(2 * MAX_RECORDS):
+            records.add(f"other-{number}", REPLICAS[0], 1.0)
+        self.assertLessEqual(len(records.records(1.0)), MAX_RECORDS)
+        self.assertGreater(records.barred_for_s("a", 1.0), 0)
+
+
+class MergeTest(unittest.TestCase):
+    """Records of several gateways come out alike, whatever the order."""
+
+    def test_crashes_that_several_gateways_saw_add_up(self) -> None:
+        records = records_with("a", 1)
+        changed = records.merge([CrashRecord("a", REPLICAS[1:MAX_CRASHES], 2.0)], 5.0)
+        self.assertEqual(["a"], [record.content for record in changed])
+        self.assertEqual(BARRED_S - 2.0, records.barred_for_s("a", 5.0))
+
+    def test_what_is_known_changes_nothing(self) -> None:
+        records = records_with("a", 2)
+        self.assertEqual([], records.merge(records.records(1.0), 1.0))
+        self.assertIsNone(records.add("a", REPLICAS[0], 1.0))
+
+    def test_what_is_too_old_is_not_taken(self) -> None:
+        records = PoisonRecords()
+        self.assertEqual([], records.merge([CrashRecord("a", REPLICAS[:1], SUSPECT_S + 1)], 0.0))
+        self.assertEqual(0, records.digest(0.0))
+
+    @params(1, 2, 3, 4, 5)
+    def test_two_orders_give_the_same_digest(self, seed: int) -> None:
+        chance = random.Random(seed)
+        news = [
+            CrashRecord(chance.choice("abc"), (chance.choice(REPLICAS),), 0.0) for _ in range(20)
+        ]
+        digests = set()
+        for _ in range(4):
+            chance.shuffle(news)
+            records = PoisonRecords()
+            for record in news:
+                records.merge([record], 0.0)
+            digests.add(records.digest(0.0))
+        self.assertEqual(1, len(digests))
+        self.assertNotEqual({0}, digests)
+
+
+class ContentTest(unittest.TestCase):
+    """What makes two sendings the same request."""
+
+    @params(
+        ("a", "POST", "/x/1", b"body"),
+        ("h", "PUT", "/x/1", b"body"),
+        ("h", "POST", "/x/2", b"body"),
+        ("h", "POST", "/x/1", b"body "),
+        ("h", "POST", "/x/1b", b"ody"),
+    )
+    def test_what_differs_is_another_content(self, *request) -> None:
+        self.assertNotEqual(content_of("h", "POST", "/x/1", b"body"), content_of(*request))
+
+    def test_the_host_is_the_same_in_any_case(self) -> None:
+        self.assertEqual(content_of("h", "GET", "/", b""), content_of("H", "GET", "/", b""))
