--- a/tests/test_poison_load.py
+++ b/tests/test_poison_load.py
@@ -2,8 +2,9 @@
 
 In virtual time: streams at a steady rate on a few replicas, and one request, sent again and again,
 that ends the replica it comes to, or replicas that end for other reasons. A crash cuts all that
-ran there; each caller that was cut sends again, as often as it may. The player takes replicas at random among those that serve, and has a crashed one back
-after some seconds. Whether a request may run is the product's decision.
+ran there; each caller that was cut sends again, as often as it may. The player takes replicas at
+random among those that serve, and has a crashed one back after some seconds. Whether a request
+may run is the product's decision.
 """
 
 from __future__ import annotations
