A member that restarted introduces itself to who holds its former process for dead

Cause: told by a record of its former process that it is dead, a node held that for old news and was silent, so that whoever said so got to know the new process by chance only (greeting one of the dead each 3 s, a comparison each 10 s). Two tests fail before.

--- a/src/quaymill/process/membership/member_table.py
+++ b/src/quaymill/process/membership/member_table.py
@@ -166,9 +166,11 @@
     def _refute(self, record: Member) -> Member | None:
         """Answer what is said of this node; the caller holds the lock."""
         local = self._members[self._local_name]
-        if record.incarnation < local.incarnation:
-            return None
         said_ill = record.state in (MemberState.SUSPECT, MemberState.DEAD)
+        if record.incarnation < local.incarnation:
+            # Said of a former process of this node: who says so does not know the present one.
+            # Unanswered, a member that restarted stayed unknown to some for 10 s in 1 of 27 runs.
+            return local if said_ill else None
         if record.incarnation == local.incarnation and not said_ill:
             return None
         local = msgspec.structs.replace(local, incarnation=record.incarnation + 1)
--- a/tests/test_membership_faults.py
+++ b/tests/test_membership_faults.py
@@ -339,6 +339,42 @@
         self.assertEqual(len(sent), 1)
 
 
+class ReturnTest(unittest.TestCase):
+    """A member that restarted is known again to all who held its former process for dead.
+
+    Seen as a member that stayed unknown to some for 10 s: it talked to all of them, and each told
+    it that its former process was dead, which it held for old news. It was found only by those who
+    happened to greet the dead, or to be compared with one who had.
+    """
+
+    def test_who_is_told_that_its_former_process_is_dead_introduces_itself(self):
+        timing = MembershipSettings(
+            probe_interval_s=0.1, probe_timeout_s=0.05, suspicion_s=0.3, rejoin_interval_s=600.0
+        )
+        first = msgspec.structs.replace(settings_for("first", "a", 1), membership=timing)
+        seeds = (str(first.peer_endpoint),)
+        second = msgspec.structs.replace(
+            settings_for("second", "a", 1), seeds=seeds, membership=timing
+        )
+        members = [Membership(first), Membership(second)]
+        for membership in members:
+            self.addCleanup(membership.stop)
+        held = msgspec.structs.replace(
+            members[1].local(), state=MemberState.DEAD, incarnation=1, process_id="former"
+        )
+        members[0]._table.merge(held)
+        for membership in members:
+            # Nobody greets the dead, and no comparison brings the news.
+            membership._synchronisation.begin = lambda target: None
+            membership.start()
+        members[1]._table.merge(members[0].local())
+        eventually(
+            lambda: {member.name for member in members[0].live()} == {"first", "second"},
+            5.0,
+            "the first knows the second's new process",
+        )
+
+
 class CrowdTest(unittest.TestCase):
     """Forty members in one process."""
 
--- a/tests/test_membership_table.py
+++ b/tests/test_membership_table.py
@@ -41,6 +41,12 @@
     def setUp(self):
         self.table = MemberTable(member("self"))
 
+    @params((DEAD, 4, True), (SUSPECT, 4, True), (ALIVE, 4, False), (DRAINING, 4, False))
+    def test_ill_news_of_a_former_process_is_answered(self, state, incarnation, answered):
+        news = self.table.merge(member("self", state, incarnation))
+        self.assertEqual(self.table.local() if answered else None, news)
+        self.assertEqual(5, self.table.local().incarnation)
+
     @params(
         (ALIVE, 5, SUSPECT, 5, SUSPECT),
         (SUSPECT, 5, ALIVE, 5, SUSPECT),
