--- a/src/quaymill/connection/application_client.py
+++ b/src/quaymill/connection/application_client.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import msgspec
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
 from quaymill.request.deadline import Deadline
@@ -70,7 +70,7 @@
                 f"{endpoint} answered another request",
                 "look up the request before you send it again, unless it may be repeated",
             )
-        body = exchange.read_body(MAX_ANSWER_BYTES, time.monotonic() + deadline.remaining_s())
+        body = exchange.read_body(MAX_ANSWER_BYTES, boot_clock.now() + deadline.remaining_s())
         if isinstance(body, OutcomeUnknown):
             return body
         exchange.release()
--- a/src/quaymill/connection/engine_client.py
+++ b/src/quaymill/connection/engine_client.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-import time
-
 import msgspec
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
 from quaymill.request.outcome import NOT_RUN, OUTCOME_HEADER, Failed, NotRun, OutcomeUnknown
@@ -205,7 +204,7 @@
     """Turn an error status into a failure of the kind that the replica states."""
     status = exchange.status
     not_run = exchange.header(OUTCOME_HEADER) == NOT_RUN
-    body = exchange.read_body(MAX_ERROR_BYTES, time.monotonic() + ERROR_BODY_TIMEOUT_S)
+    body = exchange.read_body(MAX_ERROR_BYTES, boot_clock.now() + ERROR_BODY_TIMEOUT_S)
     message = ""
     if isinstance(body, bytes):
         exchange.release()
--- a/src/quaymill/connection/idle_connections.py
+++ b/src/quaymill/connection/idle_connections.py
@@ -9,12 +9,12 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
 import attrs
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 
 Connection = TypeVar("Connection")
@@ -64,7 +64,7 @@
                 idle = pool.pop() if pool else None
             if idle is None:
                 return None
-            now = time.monotonic()
+            now = boot_clock.now()
             fresh = now - idle.since <= max_idle_s and not idle.is_expired(now)
             if fresh and self._is_open(idle.connection):
                 return idle.connection
@@ -72,7 +72,7 @@
 
     def put(self, endpoint: Endpoint, connection: Connection, keep_s: float) -> None:
         """Keep a connection for at most ``keep_s``."""
-        now = time.monotonic()
+        now = boot_clock.now()
         with self._lock:
             closing = self._take_expired(now, keep_s)
             pool = self._by_endpoint.setdefault(endpoint, [])
--- a/src/quaymill/connection/peer_link.py
+++ b/src/quaymill/connection/peer_link.py
@@ -17,6 +17,7 @@
 import msgspec
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.idle_connections import IdleConnections
 from quaymill.connection.readable import is_readable
@@ -97,7 +98,7 @@
         The reply, or a failure: ``PeerUnreachable`` if nothing was sent, ``PeerRefusal`` if
         the peer did nothing, ``PeerNoReply`` if the peer may have acted.
         """
-        deadline = time.monotonic() + timeout_s
+        deadline = boot_clock.now() + timeout_s
         if self._link_filter.blocks(endpoint):
             time.sleep(min(timeout_s, CONNECT_TIMEOUT_S))
             return PeerUnreachable(endpoint, "the link is cut by the fault switch")
@@ -123,7 +124,7 @@
         if kept is not None:
             may_repeat = type(message).repeatable
             patience_s = timeout_s * (KEPT_CONNECTION_SHARE if may_repeat else 1.0)
-            reply = self._send(endpoint, kept, line, time.monotonic() + patience_s)
+            reply = self._send(endpoint, kept, line, boot_clock.now() + patience_s)
             if isinstance(reply, _Received):
                 return reply
             # What else lies idle to this peer has probably gone silent or ended with it.
@@ -137,7 +138,7 @@
             if not may_repeat:
                 return reply
         try:
-            connection = self._connect(endpoint, deadline - time.monotonic())
+            connection = self._connect(endpoint, deadline - boot_clock.now())
         except OSError as error:
             if kept is not None:
                 return PeerNoReply(endpoint, f"no reply, and cannot connect again: {error}")
@@ -148,14 +149,14 @@
         self, endpoint: Endpoint, connection: socket.socket, line: bytes, until: float
     ) -> _Received | PeerNoReply:
         """Send a line on a connection and wait for one; the connection is closed if none came."""
-        began = time.monotonic()
+        began = boot_clock.now()
         try:
             connection.settimeout(max(until - began, MIN_TIMEOUT_S))
             connection.sendall(line)
             reply = _read_line(connection, until)
         except OSError as error:
             connection.close()
-            waited_s = time.monotonic() - began
+            waited_s = boot_clock.now() - began
             return PeerNoReply(endpoint, f"no reply within {waited_s:.2f} s: {error}")
         if self._link_filter.blocks(endpoint):
             connection.close()
@@ -191,7 +192,7 @@
     """Read up to the newline; raises ``OSError`` at the deadline or the end of the stream."""
     chunks: list[bytes] = []
     while True:
-        remaining_s = deadline - time.monotonic()
+        remaining_s = deadline - boot_clock.now()
         if remaining_s <= 0:
             raise TimeoutError("deadline passed")
         connection.settimeout(remaining_s)
--- a/src/quaymill/connection/peer_server.py
+++ b/src/quaymill/connection/peer_server.py
@@ -15,7 +15,6 @@
 import select
 import socket
 import threading
-import time
 from collections.abc import Callable
 from typing import Any, Union
 
@@ -23,6 +22,7 @@
 import msgspec
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.peer_link import (
     IDLE_CONNECTION_LIFETIME_S,
@@ -174,7 +174,7 @@
         """Let the next thread that polls have a connection once something comes on it."""
         with self._lock:
             if not self._stopping:
-                served.quiet_since = time.monotonic()
+                served.quiet_since = boot_clock.now()
                 descriptor = served.connection.fileno()
                 self._resting_by_fd[descriptor] = served
                 self._poll.modify(descriptor, _EVENTS)
@@ -216,7 +216,7 @@
 
     def _close_quiet(self) -> None:
         """Close the connections on which nothing has come for long."""
-        horizon = time.monotonic() - SERVED_CONNECTION_LIFETIME_S
+        horizon = boot_clock.now() - SERVED_CONNECTION_LIFETIME_S
         with self._lock:
             quiet = [
                 descriptor
--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -19,6 +19,7 @@
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.response import BaseHTTPResponse
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.idle_connections import IdleConnections
 from quaymill.connection.readable import is_readable
@@ -130,7 +131,7 @@
         blocks: list[bytes] = []
         total_bytes = 0
         while True:
-            self.set_read_timeout(deadline - time.monotonic())
+            self.set_read_timeout(deadline - boot_clock.now())
             block = self.read_block()
             if isinstance(block, OutcomeUnknown):
                 return block
--- a/src/quaymill/platform/object_store.py
+++ b/src/quaymill/platform/object_store.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import socket
-import time
 from typing import Any
 from urllib.parse import quote, urlencode
 
 import msgspec
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.object_store import (
     Changes,
@@ -190,7 +190,7 @@
     ) -> tuple[_Answer | StoreRefused | StoreUnanswered, bool]:
         """Make one call; the second value tells whether it went out on a kept connection."""
         self.calls += 1
-        deadline = time.monotonic() + timeout_s
+        deadline = boot_clock.now() + timeout_s
         exchange = self._connections.send(
             self._address, request, fresh=fresh, max_idle_s=MAX_IDLE_S
         )
@@ -202,7 +202,7 @@
 
 
 def _read_answer(exchange: Exchange, deadline: float) -> _Answer | StoreRefused | StoreUnanswered:
-    failure = exchange.read_head(deadline - time.monotonic())
+    failure = exchange.read_head(deadline - boot_clock.now())
     if failure is not None:
         return StoreUnanswered(failure.reason)
     body = exchange.read_body(MAX_ANSWER_BYTES, deadline)
--- a/src/quaymill/process/batch/item_stream.py
+++ b/src/quaymill/process/batch/item_stream.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.engine_client import EngineClient, EngineStream
 from quaymill.connection.replica_connection import Exchange
@@ -142,7 +143,7 @@
         """Return the seconds to wait before the next read, with ``tokens`` read so far."""
         if tokens < self._next_level_tokens or not tokens:
             return 0.0
-        now_s = time.monotonic()
+        now_s = boot_clock.now()
         previous_tokens, previous_s = self._level_tokens, self._level_s
         self._level_tokens, self._level_s = tokens, now_s
         if previous_tokens < 0 or tokens <= previous_tokens:
--- a/src/quaymill/process/batch/lease_book.py
+++ b/src/quaymill/process/batch/lease_book.py
@@ -11,12 +11,12 @@
 import itertools
 import secrets
 import threading
-import time
 from collections import deque
 
 import msgspec
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.identifiers import group_number
 from quaymill.connection.job_messages import (
     Accepted,
@@ -120,9 +120,9 @@
             for group in self._groups:
                 group.work_wanted.notify()
                 group.report_wanted.notify()
-        deadline = time.monotonic() + timeout_s
+        deadline = boot_clock.now() + timeout_s
         for thread in self._threads:
-            thread.join(max(0.0, deadline - time.monotonic()))
+            thread.join(max(0.0, deadline - boot_clock.now()))
 
     def set_demand(self, replica: str, service: str, count: int) -> None:
         """Say how many items of ``service`` the replica can start now or very soon."""
@@ -149,7 +149,7 @@
             if self._stopping or work.unwanted:
                 self._forget(work, give_back=not work.unwanted)
                 return
-            work.idle_since_s = time.monotonic()
+            work.idle_since_s = boot_clock.now()
             self._idle.setdefault(work.service, deque()).appendleft(work)
 
     def complete(
@@ -184,22 +184,22 @@
                         return
                     group.work_wanted.wait(self._settings.poll_interval_s)
                     message = self._next_lease(number, group)
-            asked_s = time.monotonic()
+            asked_s = boot_clock.now()
             reply = self._job_store.call(message, LeasedItems, STORE_TIMEOUT_S)
             with self._lock:
                 self._asked[message.service] -= message.count
                 if isinstance(reply, LeasedItems):
-                    self._note_latency(time.monotonic() - asked_s)
+                    self._note_latency(boot_clock.now() - asked_s)
                     self._hold(group, message, reply.items)
                     group.lease_failure = ""
                 else:
-                    group.lease_retry_s = time.monotonic() + RETRY_INTERVAL_S
+                    group.lease_retry_s = boot_clock.now() + RETRY_INTERVAL_S
                     group.lease_failure = reply.reason
                     _log_failure(message, reply)
 
     def _next_lease(self, number: int, group: _Group) -> LeaseItems | None:
         """Return the next request for items; ``None`` if there is no need or not yet."""
-        now_s = time.monotonic()
+        now_s = boot_clock.now()
         if self._stopping or now_s < group.lease_retry_s:
             return None
         for service in self._demand:
@@ -223,14 +223,14 @@
             reply = self._job_store.call(message, reply_type, STORE_TIMEOUT_S)
             with self._lock:
                 self._take_reply(group, message, reply)
-                if self._stopping and group.report_retry_s > time.monotonic():
+                if self._stopping and group.report_retry_s > boot_clock.now():
                     return  # The store is out of reach; the leases lapse by themselves.
 
     def _next_report(
         self, number: int, group: _Group
     ) -> tuple[PeerMessage, type] | tuple[None, None]:
         """Return what to tell the group now, results first."""
-        now_s = time.monotonic()
+        now_s = boot_clock.now()
         if now_s < group.report_retry_s and not self._stopping:
             return None, None
         self._return_idle_items(number)
@@ -266,14 +266,14 @@
                     group.returns.popleft()
             case failure:
                 # The same message goes again later; the store takes each attempt once.
-                group.report_retry_s = time.monotonic() + RETRY_INTERVAL_S
+                group.report_retry_s = boot_clock.now() + RETRY_INTERVAL_S
                 _log_failure(message, failure)
 
     def _note_latency(self, latency_s: float) -> None:
         self.lease_latency_s += LATENCY_SMOOTHING * (latency_s - self.lease_latency_s)
 
     def _hold(self, group: _Group, message: LeaseItems, items: tuple[LeasedItem, ...]) -> None:
-        now_s = time.monotonic()
+        now_s = boot_clock.now()
         poll = group.polls[message.service]
         if items:
             poll.interval_s = 0.0
@@ -299,7 +299,7 @@
 
     def _return_idle_items(self, number: int) -> None:
         """Give back items that wait here for too long: another replica may have room."""
-        oldest_s = time.monotonic() - IDLE_HOLD_S
+        oldest_s = boot_clock.now() - IDLE_HOLD_S
         for idle in self._idle.values():
             for work in [work for work in idle if work.idle_since_s < oldest_s]:
                 if group_number(work.leased.job_id) == number:
@@ -316,7 +316,7 @@
         return self._groups[group_number(ref.job_id)]
 
     def _wake_groups(self) -> None:
-        now_s = time.monotonic()
+        now_s = boot_clock.now()
         for group in self._groups:
             if any(now_s >= poll.next_s for poll in group.polls.values()) or not group.polls:
                 group.work_wanted.notify()
--- a/src/quaymill/process/batch/replica_scheduler.py
+++ b/src/quaymill/process/batch/replica_scheduler.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections import Counter, deque
 from typing import TYPE_CHECKING
 
 import msgspec
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.engine_client import EngineClient
 from quaymill.process.batch.application_item import ApplicationItem, CallParts
 from quaymill.process.batch.item_outcome import (
@@ -98,12 +98,12 @@
                     # An application does not tell batch calls from others.
                     own = min(report.running, len(self._running))
                     report = msgspec.structs.replace(report, batch_running=own)
-                self._sample = LoadSample(report, time.monotonic() - report.age_s)
+                self._sample = LoadSample(report, boot_clock.now() - report.age_s)
 
     def online_starts(self, count: int) -> None:
         """Make room now for ``count`` online requests; streams are closed before it returns."""
         with self._changed:
-            now_s = time.monotonic()
+            now_s = boot_clock.now()
             for _ in range(count):
                 self._room.notice(now_s)
             self._make_room(now_s)
@@ -120,13 +120,13 @@
         """Wait until no item is in service, at most until the monotonic time given."""
         with self._changed:
             self._changed.wait_for(
-                lambda: not self._running, max(0.0, deadline_s - time.monotonic())
+                lambda: not self._running, max(0.0, deadline_s - boot_clock.now())
             )
 
     def report(self) -> ReplicaBatch:
         """Return what is in service and what bounds it."""
         with self._changed:
-            allowed = self._allowed(time.monotonic())
+            allowed = self._allowed(boot_clock.now())
             return ReplicaBatch(
                 replica=self._name,
                 service=self._service,
@@ -144,7 +144,7 @@
 
     def _step(self) -> None:
         """Work out the room, close what exceeds it, start what fits."""
-        now_s = time.monotonic()
+        now_s = boot_clock.now()
         self._make_room(now_s)
         while (running := self._take_next(now_s)) is not None:
             threading.Thread(
@@ -230,7 +230,7 @@
             outcome = self._run_item(running)
             running.work.on_unwanted(None)
             with self._changed:
-                now_s = time.monotonic()
+                now_s = boot_clock.now()
                 self._running.discard(running)
                 self._ends_s.append(now_s)
                 self._settle(running.work, outcome)
@@ -247,7 +247,7 @@
 
     def _settle(self, work: WorkItem, outcome: ItemOutcome) -> None:
         """Report, keep or give back the item, and learn about the replica from it."""
-        now_s = time.monotonic()
+        now_s = boot_clock.now()
         book = self._parts.book
         match outcome:
             case ItemFinished(status=status, response=response, retryable=retryable):
--- a/src/quaymill/process/batch/scheduler.py
+++ b/src/quaymill/process/batch/scheduler.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from quaymill import boot_clock
 from quaymill.connection.application_client import ApplicationClient
 from quaymill.connection.endpoint import LinkFilter
 from quaymill.connection.engine_client import EngineClient
@@ -69,7 +69,7 @@
         self._supervisor.join()
         for scheduler in self._schedulers.values():
             scheduler.retire()
-        deadline = time.monotonic() + self._parts.settings.drain_timeout_s
+        deadline = boot_clock.now() + self._parts.settings.drain_timeout_s
         for scheduler in self._schedulers.values():
             scheduler.wait_until_idle(deadline)
         self._parts.book.stop(STOP_TIMEOUT_S)
--- a/src/quaymill/process/commands/config.py
+++ b/src/quaymill/process/commands/config.py
@@ -7,6 +7,7 @@
 import time
 from pathlib import Path
 
+from quaymill import boot_clock
 from quaymill.connection.configuration_messages import PullConfiguration, WholeConfiguration
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.peer_link import PeerClient
@@ -246,7 +247,7 @@
 
 def _wait_until_in_force(client: PlatformClient, generation: int, wait_s: float) -> None:
     """Say when the status shows a generation in force everywhere, or what it shows in the end."""
-    deadline = time.monotonic() + wait_s
+    deadline = boot_clock.now() + wait_s
     while True:
         written = read_status(client)
         if isinstance(written, str):
@@ -257,7 +258,7 @@
         if written.generation >= generation and current == live:
             print(f"in force on {current} of {live} nodes")
             return
-        if time.monotonic() >= deadline:
+        if boot_clock.now() >= deadline:
             break
         time.sleep(STATUS_INTERVAL_S)
     holders = current if written.generation >= generation else 0
--- a/src/quaymill/process/configuration/editor.py
+++ b/src/quaymill/process/configuration/editor.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from quaymill import boot_clock
 from quaymill.connection.platform_client import (
     CONFIGURATION_NAME,
     CONFIGURATIONS,
@@ -157,7 +158,7 @@
         self, edit_id: str, attempt: Callable[[], EditResult | Write], timeout_s: float
     ) -> EditResult:
         """Make attempts until one is decided or the time is over."""
-        deadline = time.monotonic() + timeout_s
+        deadline = boot_clock.now() + timeout_s
         may_have_acted = False
         while True:
             result = attempt()
@@ -165,7 +166,7 @@
                 return result
             if isinstance(result, PlatformUnavailable):
                 may_have_acted = may_have_acted or result.may_have_acted
-            if time.monotonic() >= deadline or isinstance(result, Refused):
+            if boot_clock.now() >= deadline or isinstance(result, Refused):
                 return _given_up(edit_id, result, may_have_acted)
             if isinstance(result, PlatformUnavailable):
                 time.sleep(RETRY_INTERVAL_S)
--- a/src/quaymill/process/configuration/reader.py
+++ b/src/quaymill/process/configuration/reader.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import msgspec
 
+from quaymill import boot_clock
 from quaymill.connection.member import Machine
 from quaymill.connection.platform_client import (
     CONFIGURATION_NAME,
@@ -115,7 +115,7 @@
         self,
         holder: MachineListHolder,
         problems: ProblemLog,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_clock.now,
     ) -> None:
         self._holder = holder
         self._problems = problems
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -9,7 +9,6 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -17,6 +16,7 @@
 import xxhash
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.control_messages import ControlState, PullControl, ReplicaRecord
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member, MemberState
@@ -131,7 +131,7 @@
 
     def _read_store(self) -> str:
         """Read everything; return why that failed, or an empty text."""
-        began = time.monotonic()
+        began = boot_clock.now()
         unconfirmed_s = self._membership.confirmed_age_s()
         stored = self._store.get(ObjectKind.CONFIGURATION, self._protocol.configuration_name)
         if isinstance(stored, ObjectMissing):
@@ -156,7 +156,7 @@
         Entries lapse while replicas cannot write them, and are back soon after the store is. Who
         pulls the list from this gateway gets those that are kept with it.
         """
-        now = time.monotonic()
+        now = boot_clock.now()
         if unconfirmed_s > OUTAGE_S:
             self._lapsed_until = now + LAPSED_ENTRIES_S
         kept = self._table.replace_all(
--- a/src/quaymill/process/control/store_reader.py
+++ b/src/quaymill/process/control/store_reader.py
@@ -10,11 +10,12 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable
 
 from eliot import log_message
 
+from quaymill import boot_clock
+
 TICK_S = 0.05
 STAGGER_S = 0.1
 MAX_STAGGERED = 8
@@ -56,7 +57,7 @@
         self._stopping = threading.Event()
         self._failures = 0
         # Peers that run already bring everything sooner than a read of the own.
-        self._not_before = time.monotonic() + FIRST_WAIT_S + random.uniform(0.0, FIRST_JITTER_S)
+        self._not_before = boot_clock.now() + FIRST_WAIT_S + random.uniform(0.0, FIRST_JITTER_S)
 
     def start(self) -> None:
         """Begin to read."""
@@ -75,7 +76,7 @@
             limit_s = self._interval_s + STAGGER_S * min(rank, MAX_STAGGERED)
             if rank > MAX_STAGGERED:
                 limit_s += jitter_s
-            if self._confirmed_age_s() > limit_s and time.monotonic() >= self._not_before:
+            if self._confirmed_age_s() > limit_s and boot_clock.now() >= self._not_before:
                 self._read_once()
 
     def _next_look_s(self) -> float:
@@ -97,4 +98,4 @@
             log_message("control:store_lost", reason=reason)
         self._failures += 1
         pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
-        self._not_before = time.monotonic() + pause_s * random.uniform(0.7, 1.3)
+        self._not_before = boot_clock.now() + pause_s * random.uniform(0.7, 1.3)
--- a/src/quaymill/process/front/front_service.py
+++ b/src/quaymill/process/front/front_service.py
@@ -9,6 +9,7 @@
 import attrs
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.process.front.caller_protocol import (
     CallerProtocol,
     JobCall,
@@ -149,8 +150,8 @@
 
         To wait is better than to refuse: a caller who is told to come back may do so once only.
         """
-        until = time.monotonic() + STARTING_PATIENCE_S
-        while not (routes := self._routes()).version and time.monotonic() < until:
+        until = boot_clock.now() + STARTING_PATIENCE_S
+        while not (routes := self._routes()).version and boot_clock.now() < until:
             time.sleep(STARTING_CHECK_S)
         return routes
 
@@ -159,7 +160,7 @@
     def _forward(
         self, request: FrontRequest, route: RequestRoute, body: bytes, writer: AnswerWriter
     ) -> None:
-        began = time.monotonic()
+        began = boot_clock.now()
         read = self._protocol.read_request(request)
         if isinstance(read, Malformed):
             self._refuse(request, writer, _malformed(read))
@@ -182,7 +183,7 @@
             self._refuse(request, writer, _give_up(result), read.id)
         elif isinstance(result, GivenUp | CallerLeft):
             writer.break_off()
-        took_s = time.monotonic() - began
+        took_s = boot_clock.now() - began
         outcome = _outcome_name(result)
         self._metrics.requests.labels(route.name, outcome).inc()
         self._metrics.answer_s.labels(route.name).observe(took_s)
@@ -202,7 +203,7 @@
     def _submit(
         self, request: FrontRequest, route: RequestRoute, body: bytes, writer: AnswerWriter
     ) -> None:
-        began = time.monotonic()
+        began = boot_clock.now()
         read = self._protocol.read_request(request)
         document = self._protocol.read_job(body)
         if isinstance(read, Malformed):
@@ -217,7 +218,7 @@
         result = self._jobs.submit(read.id, request.host, request.path, document, route)
         outcome = type(result).__name__
         self._metrics.requests.labels(route.name, outcome).inc()
-        self._metrics.answer_s.labels(route.name).observe(time.monotonic() - began)
+        self._metrics.answer_s.labels(route.name).observe(boot_clock.now() - began)
         if isinstance(result, Accepted):
             writer.answer(202, (), b"")
         elif isinstance(result, OverQuota):
--- a/src/quaymill/process/front/head_watch.py
+++ b/src/quaymill/process/front/head_watch.py
@@ -10,13 +10,13 @@
 import select
 import socket
 import threading
-import time
 from collections.abc import Callable
 from typing import Protocol
 
 import attrs
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.readable import is_readable
 
 HEAD_ENDS = (b"\r\n\r\n", b"\n\n")
@@ -105,7 +105,7 @@
             self._hand_on(connection)
             return
         descriptor = connection.socket.fileno()
-        waiting = _Waiting(connection, False, time.monotonic() + self._idle_timeout_s())
+        waiting = _Waiting(connection, False, boot_clock.now() + self._idle_timeout_s())
         with self._lock:
             self._waiting[descriptor] = waiting
             # What has come since the look above is told at once.
@@ -117,7 +117,7 @@
             timeout_s = POLL_TIMEOUT_S if self._waiting else EMPTY_POLL_TIMEOUT_S
             for descriptor, _ in self._poll.poll(timeout_s):
                 self._look_at(descriptor)
-            now = time.monotonic()
+            now = boot_clock.now()
             if now >= next_look:
                 next_look = now + POLL_TIMEOUT_S
                 self._close_late(now)
@@ -130,7 +130,7 @@
             if not _head_is_whole(waiting.connection.socket):
                 if not waiting.began:
                     waiting.began = True
-                    waiting.until = time.monotonic() + self._header_timeout_s()
+                    waiting.until = boot_clock.now() + self._header_timeout_s()
                 return
             connection = self._forget(descriptor)
         self._hand_on(connection)
--- a/src/quaymill/process/gateway/gateway.py
+++ b/src/quaymill/process/gateway/gateway.py
@@ -12,6 +12,7 @@
 
 from eliot import log_message, start_action
 
+from quaymill import boot_clock
 from quaymill.connection.application_client import ApplicationClient
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.engine_client import EngineClient
@@ -149,10 +150,10 @@
     def drain(self, timeout_s: float) -> bool:
         """Wait until no request is in service; return whether that came true in time."""
         self.begin_drain()
-        deadline = time.monotonic() + timeout_s
+        deadline = boot_clock.now() + timeout_s
         # Callers that have just read a ready answer may still send; they are let in first.
         time.sleep(min(DRAIN_GRACE_S, timeout_s))
-        return self.admission.wait_until_idle(max(0.0, deadline - time.monotonic()))
+        return self.admission.wait_until_idle(max(0.0, deadline - boot_clock.now()))
 
     def stop(self) -> None:
         """Close the listener and all connections; call ``drain`` before, to cut nothing."""
@@ -166,7 +167,7 @@
 
     def _answer(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request; the WSGI application."""
-        arrived_at = time.monotonic()
+        arrived_at = boot_clock.now()
         http_request = environ[HTTP_REQUEST_KEY]
         connection = http_request.conn.socket
         request = _request(environ, self._watch.watch(connection))
@@ -182,7 +183,7 @@
         if isinstance(response.body, bytes):
             headers["Content-Length"] = str(len(response.body))
         start_response(response.status_line, list(headers.items()))
-        self.metrics.first_byte_s.labels(answer.route).observe(time.monotonic() - arrived_at)
+        self.metrics.first_byte_s.labels(answer.route).observe(boot_clock.now() - arrived_at)
         return _Body(answer, self._watch, connection)
 
     def _route_safely(self, request: Request, arrived_at: float) -> _Answer:
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 from prometheus_client import CollectorRegistry, Gauge
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.object_store import ObjectStore
 from quaymill.connection.replica_connection import ReplicaConnections
@@ -102,7 +103,7 @@
         self._settings = settings
         self._store_calls = store_calls
         self._log_lines_dropped = log_lines_dropped
-        self._started_at = time.monotonic()
+        self._started_at = boot_clock.now()
         self.network = PeerNetwork.from_settings(settings)
         self._connections = ReplicaConnections(LinkFilter(), CONNECT_TIMEOUT_S)
         self._table = ReplicaTable(self._forget_replica)
@@ -356,7 +357,7 @@
 
     def stop(self) -> None:
         """Leave in order, so that no request is cut: peers and callers are told first."""
-        began = time.monotonic()
+        began = boot_clock.now()
         deadline = began + self._settings.bounds.grace_s - STOP_MARGIN_S
         log_message("node:draining", in_service=self._front.in_service)
         self._front.draining = True
@@ -367,9 +368,9 @@
         time.sleep(self._settings.bounds.leave_s)
         self._server.stop_accepting()
         idle = self._wait_until_idle(deadline)
-        handing_over.join(max(0.0, deadline - time.monotonic()))
+        handing_over.join(max(0.0, deadline - boot_clock.now()))
         self.quota.stop()
-        log_message("node:stopped", idle=idle, took_s=round(time.monotonic() - began, 2))
+        log_message("node:stopped", idle=idle, took_s=round(boot_clock.now() - began, 2))
         self._stop_talking()
 
     def _wait_until_idle(self, deadline: float) -> bool:
@@ -378,11 +379,11 @@
         A request that is still being read counts as none yet, so a moment without any is not
         enough.
         """
-        idle_since = time.monotonic()
-        while time.monotonic() < deadline:
+        idle_since = boot_clock.now()
+        while boot_clock.now() < deadline:
             if self._front.in_service or self._server.busy:
-                idle_since = time.monotonic()
-            elif time.monotonic() - idle_since >= IDLE_BEFORE_EXIT_S:
+                idle_since = boot_clock.now()
+            elif boot_clock.now() - idle_since >= IDLE_BEFORE_EXIT_S:
                 return True
             time.sleep(IDLE_CHECK_INTERVAL_S)
         return False
@@ -401,7 +402,7 @@
         """
         if self._can_store():
             return True
-        return time.monotonic() - self._started_at > JOIN_PATIENCE_S
+        return boot_clock.now() - self._started_at > JOIN_PATIENCE_S
 
     def kill(self) -> None:
         """Stop as a process that dies does: peers and callers are told nothing."""
--- a/src/quaymill/process/job_storage/database.py
+++ b/src/quaymill/process/job_storage/database.py
@@ -18,6 +18,7 @@
 import msgspec
 import xxhash
 
+from quaymill import boot_clock
 from quaymill.connection.job_document import Job, JobDocument, JobResult, ResultState
 from quaymill.connection.job_storage_messages import ItemProgress, KeyedResult, ResultKey
 
@@ -145,7 +146,7 @@
                 job.id,
                 total,
                 coordinator,
-                time.monotonic() - job.age_s,
+                boot_clock.now() - job.age_s,
                 ended,
                 False,
                 self._results_by_job[job.id],
@@ -278,7 +279,7 @@
             host=host,
             path=path,
             document=msgspec.json.decode(document, type=JobDocument),
-            age_s=time.monotonic() - record.sent_at,
+            age_s=boot_clock.now() - record.sent_at,
         )
 
     def results(self, job_id: str, keys: Iterable[ResultKey]) -> tuple[KeyedResult, ...]:
@@ -339,7 +340,7 @@
                 job_id,
                 total,
                 coordinator,
-                time.monotonic() - age_s,
+                boot_clock.now() - age_s,
                 bool(ended),
                 bool(complete),
                 self._results_by_job[job_id],
--- a/src/quaymill/process/job_storage/leases.py
+++ b/src/quaymill/process/job_storage/leases.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Iterable
 
+from quaymill import boot_clock
 from quaymill.connection.job_storage_messages import LEASE_S
 
 
@@ -21,11 +21,11 @@
         self._expires_by_job: dict[str, float] = {}
         self._holder_by_job: dict[str, str] = {}
         self._renewed_at_by_job: dict[str, float] = {}
-        self._first_expiry = time.monotonic() + LEASE_S
+        self._first_expiry = boot_clock.now() + LEASE_S
 
     def renew(self, job_ids: Iterable[str], holder: str) -> list[str]:
         """Start a full term of each job's lease; return the jobs whose lease another has."""
-        now = time.monotonic()
+        now = boot_clock.now()
         refused = []
         with self._lock:
             for job_id in job_ids:
@@ -42,13 +42,13 @@
         """Give a lease that ``holder`` has to its successor, for a full term."""
         with self._lock:
             if self._holder_by_job.get(job_id, holder) == holder:
-                self._expires_by_job[job_id] = time.monotonic() + LEASE_S
+                self._expires_by_job[job_id] = boot_clock.now() + LEASE_S
                 self._holder_by_job[job_id] = successor
 
     def extend(self, job_id: str, left_s: float) -> None:
         """Note that the lease still runs elsewhere."""
         with self._lock:
-            self._expires_by_job[job_id] = time.monotonic() + left_s
+            self._expires_by_job[job_id] = boot_clock.now() + left_s
 
     def release(self, job_id: str, holder: str) -> None:
         """End a lease at once, if ``holder`` has it."""
@@ -83,4 +83,4 @@
         if ended_holder and self.holder(job_id) in ("", ended_holder):
             return 0.0
         expires = self._expires_by_job.get(job_id, self._first_expiry)
-        return max(0.0, expires - time.monotonic())
+        return max(0.0, expires - boot_clock.now())
--- a/src/quaymill/process/job_storage/orphans.py
+++ b/src/quaymill/process/job_storage/orphans.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.job_storage_messages import (
     AdoptJob,
     FetchLeases,
@@ -96,7 +96,7 @@
 
     def _note_replaced(self, coordinators: set[str]) -> None:
         """Note since when each coordinator's node has been seen with another process."""
-        now = time.monotonic()
+        now = boot_clock.now()
         self._replaced_since = {
             name: self._replaced_since.get(name, now)
             for name in coordinators
@@ -114,7 +114,7 @@
         since = self._replaced_since.get(self._holder(record))
         if since is None or self._leases.renewed_at(record.id) > since:
             return False
-        return time.monotonic() - since >= REPLACED_FOR_S
+        return boot_clock.now() - since >= REPLACED_FOR_S
 
     def _acts_for(self, job_id: str) -> bool:
         ranked = rank_nodes(job_id, self._storage_nodes())
--- a/src/quaymill/process/job_storage/repair.py
+++ b/src/quaymill/process/job_storage/repair.py
@@ -10,12 +10,12 @@
 import math
 import queue
 import threading
-import time
 from collections.abc import Callable
 
 import attrs
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.job_storage_messages import (
     CompareJobs,
     FetchedResults,
@@ -156,12 +156,12 @@
         """Return the time until a comparison is due, or the next look at the nodes."""
         with self._lock:
             resting = (one.due_at for one in self._by_node.values() if not one.running)
-            pause_s = min(resting, default=math.inf) - time.monotonic()
+            pause_s = min(resting, default=math.inf) - boot_clock.now()
         return min(LOOK_INTERVAL_S, max(MIN_PAUSE_S, pause_s))
 
     def _take_due(self) -> list[_Comparison]:
         """Return the comparisons that are due, the first first, marked as running."""
-        now = time.monotonic()
+        now = boot_clock.now()
         with self._lock:
             if now >= self._next_look:
                 self._next_look = now + LOOK_INTERVAL_S
@@ -187,7 +187,7 @@
     def _put_back(self, comparison: _Comparison) -> None:
         with self._lock:
             pause_s = max(COMPARE_INTERVAL_S, len(self._by_node) / COMPARISONS_PER_S)
-            comparison.due_at = time.monotonic() + pause_s
+            comparison.due_at = boot_clock.now() + pause_s
             comparison.running = False
 
     def _compare(self, comparison: _Comparison) -> None:
--- a/src/quaymill/process/job_storage/service.py
+++ b/src/quaymill/process/job_storage/service.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import threading
-import time
 
 import xxhash
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.job_storage_messages import (
     CompareJobs,
     EndJob,
@@ -214,7 +214,7 @@
 
     def sweep(self) -> None:
         """Forget the jobs that are over and past their time."""
-        horizon = time.monotonic() - self._retention_s
+        horizon = boot_clock.now() - self._retention_s
         for record in list(self._database.by_id.values()):
             if record.sent_at < horizon and (record.complete or record.ended):
                 self._database.forget(record.id)
--- a/src/quaymill/process/job_store/client.py
+++ b/src/quaymill/process/job_store/client.py
@@ -16,6 +16,7 @@
 import msgspec
 import xxhash
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.job_messages import (
     GetFile,
@@ -96,11 +97,11 @@
         """
         if isinstance(message, LeaseItems) and not message.request_id:
             message = msgspec.structs.replace(message, request_id=uuid.uuid4().hex)
-        deadline_s = time.monotonic() + timeout_s
+        deadline_s = boot_clock.now() + timeout_s
         call = _Call(message, reply_type | NotLeader | StoreUnavailable | StoreConflict)
         while True:
             for endpoint in self._candidates(message.group):
-                remaining_s = deadline_s - time.monotonic()
+                remaining_s = deadline_s - boot_clock.now()
                 if remaining_s < min(SHORTEST_TRY_S, timeout_s / 2):
                     return call.give_up(timeout_s)
                 answer = self._try(call, endpoint, min(remaining_s, TRY_TIMEOUT_S))
@@ -108,7 +109,7 @@
                     return answer
                 if self._leaders.get(message.group) not in (None, endpoint):
                     break  # A hint came; follow it before asking the others.
-            if time.monotonic() >= deadline_s:
+            if boot_clock.now() >= deadline_s:
                 return call.give_up(timeout_s)
             time.sleep(random.uniform(*PAUSE_S))
 
--- a/src/quaymill/process/job_store/election.py
+++ b/src/quaymill/process/job_store/election.py
@@ -10,11 +10,11 @@
 import random
 import sqlite3
 import threading
-import time
 from collections.abc import Callable
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.log_messages import ReplicaAddress, RequestVote, Vote
 from quaymill.connection.peer_link import PeerClient
 from quaymill.process.job_store.replica import Replica, Role
@@ -67,7 +67,7 @@
 
     def refrain(self, duration_s: float) -> None:
         """Do not stand for a time, after this replica has handed its leadership over."""
-        self._not_before_s = time.monotonic() + duration_s
+        self._not_before_s = boot_clock.now() + duration_s
 
     def _run(self) -> None:
         while not self._stopping.is_set():
@@ -95,7 +95,7 @@
             if not self._may_stand():
                 return LONGEST_PAUSE_S
             due_s = max(replica.leader_contact_s + self._wait_s, self._not_before_s)
-        return min(max(due_s - time.monotonic(), SHORTEST_PAUSE_S), LONGEST_PAUSE_S)
+        return min(max(due_s - boot_clock.now(), SHORTEST_PAUSE_S), LONGEST_PAUSE_S)
 
     def _may_stand(self) -> bool:
         replica = self._replica
@@ -108,7 +108,7 @@
         with replica.lock:
             if replica.busy_with_leader or not self._may_stand():
                 return False
-            now = time.monotonic()
+            now = boot_clock.now()
             if now < replica.leader_contact_s + self._wait_s:
                 self._retry_wait_s = FIRST_RETRY_WAIT_S
                 return False
@@ -135,7 +135,7 @@
         # Random, so that candidates do not meet again; longer each time, so that a replica
         # that was removed from its group troubles nobody.
         wait_s = self._retry_wait_s * self._random.uniform(1, 3)
-        self._not_before_s = time.monotonic() + wait_s
+        self._not_before_s = boot_clock.now() + wait_s
         longest_s = self._replica.settings.election_timeout_s
         self._retry_wait_s = min(2 * self._retry_wait_s, longest_s)
 
--- a/src/quaymill/process/job_store/formation.py
+++ b/src/quaymill/process/job_store/formation.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Iterable
 from typing import Any, Protocol
 
@@ -17,6 +16,7 @@
 import xxhash
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.job_messages import NotLeader, StoreUnavailable
 from quaymill.connection.log_messages import (
@@ -85,7 +85,7 @@
         self._platform = platform
         self._membership = membership
         self._formation = replica.storage.membership(0)
-        self._first_try_s = time.monotonic()
+        self._first_try_s = boot_clock.now()
         self._leader_hint: Endpoint | None = None
         self._stopping = threading.Event()
         self._thread = threading.Thread(
@@ -142,7 +142,7 @@
                 return True
             if replica.membership is None:
                 return False
-            silent_s = time.monotonic() - replica.leader_contact_s
+            silent_s = boot_clock.now() - replica.leader_contact_s
             limit_s = SILENT_LEADER_ELECTION_TIMEOUTS * replica.settings.election_timeout_s
             return replica.role is Role.LEADER or silent_s < limit_s
 
@@ -210,7 +210,7 @@
         for candidate in ranked:
             if all(candidate.zone != other.zone for other in chosen):
                 chosen.append(candidate)
-        waited_s = time.monotonic() - self._first_try_s
+        waited_s = boot_clock.now() - self._first_try_s
         if len(chosen) < GROUP_SIZE and waited_s >= WAIT_FOR_THREE_ZONES_S:
             chosen += [candidate for candidate in ranked if candidate not in chosen]
         return tuple(chosen[:GROUP_SIZE]) if len(chosen) >= GROUP_SIZE else None
--- a/src/quaymill/process/job_store/group.py
+++ b/src/quaymill/process/job_store/group.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.job_messages import (
     LeasedItems,
@@ -168,8 +169,8 @@
     def _hand_over_to_best_peer(self) -> bool:
         """Ask the best peer to stand, again if it does not win, until the time is over."""
         replica = self.replica
-        deadline_s = time.monotonic() + HAND_OVER_TIMEOUT_S
-        while time.monotonic() < deadline_s:
+        deadline_s = boot_clock.now() + HAND_OVER_TIMEOUT_S
+        while boot_clock.now() < deadline_s:
             heir = self._wait_for_heir(deadline_s)
             if heir is not None:
                 message = TimeoutNow(replica.group, heir.identity, replica.term)
@@ -197,7 +198,7 @@
 
         with replica.lock:
             replica.lock.wait_for(
-                lambda: replica.role is not Role.LEADER or best(), deadline_s - time.monotonic()
+                lambda: replica.role is not Role.LEADER or best(), deadline_s - boot_clock.now()
             )
             return best() if replica.role is Role.LEADER else None
 
@@ -271,7 +272,7 @@
             storage.commit()
 
     def _purge(self) -> None:
-        now = time.monotonic()
+        now = boot_clock.now()
         if now < self._next_retention_s:
             return
         self._next_retention_s = now + RETENTION_INTERVAL_S
--- a/src/quaymill/process/job_store/lease_clock.py
+++ b/src/quaymill/process/job_store/lease_clock.py
@@ -8,9 +8,9 @@
 
 import heapq
 import threading
-import time
 from collections.abc import Iterable
 
+from quaymill import boot_clock
 from quaymill.connection.job_messages import CompleteItems, ItemRef, LeaseItems, ReturnItems
 from quaymill.process.job_store.commands import ExpireLeases, LoggedCommand
 from quaymill.process.job_store.item_state import ItemState
@@ -30,7 +30,7 @@
 
     def restart(self, items: ItemState) -> None:
         """Begin the term of every lease in the state anew, at the start of a leadership."""
-        now = time.monotonic()
+        now = boot_clock.now()
         leases = items.leased_refs()
         with self._lock:
             self._ends_s = {ref: now + lease_s for ref, lease_s in leases}
@@ -55,7 +55,7 @@
 
     def start(self, refs: Iterable[ItemRef], lease_s: float) -> None:
         """Begin terms of ``lease_s`` seconds, or begin them anew."""
-        end_s = time.monotonic() + lease_s
+        end_s = boot_clock.now() + lease_s
         with self._lock:
             for ref in refs:
                 self._ends_s[ref] = end_s
@@ -65,7 +65,7 @@
 
     def take_expired(self) -> tuple[ItemRef, ...]:
         """Return lapsed leases; they are returned again later unless they are ended."""
-        now = time.monotonic()
+        now = boot_clock.now()
         expired: list[ItemRef] = []
         with self._lock:
             while self._heap and self._heap[0][0] <= now and len(expired) < MAX_EXPIRED_AT_ONCE:
--- a/src/quaymill/process/job_store/membership_change.py
+++ b/src/quaymill/process/job_store/membership_change.py
@@ -8,12 +8,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from concurrent.futures import Future
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.job_messages import NotLeader, StoreUnavailable
 from quaymill.connection.log_messages import (
     GroupMembership,
@@ -80,7 +80,7 @@
 
     def review(self) -> None:
         """Promote a learner that has caught up; called regularly on the leader."""
-        now = time.monotonic()
+        now = boot_clock.now()
         if now < self._next_review_s:
             return
         self._next_review_s = now + REVIEW_INTERVAL_S
@@ -101,7 +101,7 @@
         limit_s = 2 * self._replica.settings.election_timeout_s
         return any(
             voter.node == newcomer.node
-            and time.monotonic() - self._replica.peer_contact_s.get(voter.identity, 0.0) < limit_s
+            and boot_clock.now() - self._replica.peer_contact_s.get(voter.identity, 0.0) < limit_s
             for voter in membership.voters
         )
 
@@ -122,7 +122,7 @@
         for voter in membership.voters:
             if voter.node == newcomer.node:
                 return voter
-        oldest_s = time.monotonic() - REPLACE_ABSENT_AFTER_S
+        oldest_s = boot_clock.now() - REPLACE_ABSENT_AFTER_S
         for voter in membership.voters:
             if voter.identity == self._replica.identity:
                 continue
--- a/src/quaymill/process/job_store/reads.py
+++ b/src/quaymill/process/job_store/reads.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-import time
-
+from quaymill import boot_clock
 from quaymill.connection.job_messages import NotLeader, StoreUnavailable
 from quaymill.process.job_store.replica import Replica, Role
 
@@ -19,7 +18,7 @@
 
     After ``None`` the state holds all that was acknowledged before this call.
     """
-    deadline_s = time.monotonic() + READ_TIMEOUT_S
+    deadline_s = boot_clock.now() + READ_TIMEOUT_S
     with replica.lock:
         if replica.role is not Role.LEADER:
             return NotLeader(replica.leader_endpoint())
@@ -31,9 +30,9 @@
         # Until its own first entry is committed, a new leader does not know what was.
         replica.lock.wait_for(
             lambda: over() or replica.commit_index >= replica.term_start_index,
-            deadline_s - time.monotonic(),
+            deadline_s - boot_clock.now(),
         )
-        began_s = time.monotonic()
+        began_s = boot_clock.now()
         replica.read_wanted_s = began_s
         replica.to_send.notify_all()
         read_index = replica.commit_index
@@ -45,7 +44,7 @@
                 and _majority_answered_since(replica, began_s)
             )
 
-        replica.lock.wait_for(lambda: over() or confirmed(), deadline_s - time.monotonic())
+        replica.lock.wait_for(lambda: over() or confirmed(), deadline_s - boot_clock.now())
         if over():
             return NotLeader(replica.leader_endpoint())
         if not confirmed():
--- a/src/quaymill/process/job_store/replica.py
+++ b/src/quaymill/process/job_store/replica.py
@@ -15,11 +15,11 @@
 import enum
 import sqlite3
 import threading
-import time
 from collections.abc import Callable
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.log_messages import (
     Appended,
@@ -101,7 +101,7 @@
         self.role = Role.FOLLOWER
         self.term = storage.term
         self.leader = ""
-        self.leader_contact_s = time.monotonic()
+        self.leader_contact_s = boot_clock.now()
         self.busy_with_leader = 0
         self.commit_index = storage.applied_index
         self.applied_index = storage.applied_index
@@ -136,7 +136,7 @@
             if self.role is not Role.STOPPED:
                 self.role = Role.FOLLOWER
             self.leader = leader
-            self.leader_contact_s = time.monotonic()
+            self.leader_contact_s = boot_clock.now()
             self.wake_all()
         if was_leader:
             log_message("store:leader_steps_down", group=self.group, term=term)
@@ -170,7 +170,7 @@
         self.leader = self.identity
         self.term_start_index = self.last_index + 1
         self.match_index = {}
-        now = time.monotonic()
+        now = boot_clock.now()
         self.peer_contact_s = {replica.identity: now for replica in self.membership.replicas()}
         self.wake_all()
         log_message("store:leader_elected", group=self.group, term=self.term)
@@ -186,7 +186,7 @@
     def has_quorum_contact(self) -> bool:
         """Return whether a majority answered this leader lately; ``lock`` is held."""
         limit_s = self.settings.election_timeout_s * QUORUM_CONTACT_ELECTION_TIMEOUTS
-        oldest = time.monotonic() - limit_s
+        oldest = boot_clock.now() - limit_s
         in_contact = sum(
             1
             for voter in self.membership.voters
@@ -201,7 +201,7 @@
             return self.has_quorum_contact()
         if not self.leader:
             return False
-        silent_s = time.monotonic() - self.leader_contact_s
+        silent_s = boot_clock.now() - self.leader_contact_s
         return bool(self.busy_with_leader) or silent_s < self.settings.election_timeout_s
 
     def refusal_for(self, recipient: str) -> PeerRefusal | None:
@@ -225,7 +225,7 @@
             if message.term > self.term:
                 self.step_down(message.term)
             self.storage.save_vote(message.term, message.candidate)
-            self.leader_contact_s = time.monotonic()
+            self.leader_contact_s = boot_clock.now()
             return Vote(self.identity, self.term, granted=True)
 
     def _vote_refusal(self, message: RequestVote) -> str:
@@ -262,7 +262,7 @@
             return refusal
         with self.lock:
             if message.term == self.term and self.role is Role.FOLLOWER:
-                self.leader_contact_s = time.monotonic()
+                self.leader_contact_s = boot_clock.now()
                 if self._is_quiet_heartbeat(message):
                     return self._appended(True, message.previous_index)
             self.busy_with_leader += 1
@@ -275,7 +275,7 @@
         finally:
             with self.lock:
                 self.busy_with_leader -= 1
-                self.leader_contact_s = time.monotonic()
+                self.leader_contact_s = boot_clock.now()
 
     def _is_quiet_heartbeat(self, message: AppendEntries) -> bool:
         """Return whether nothing is to be written or applied for this message."""
--- a/src/quaymill/process/job_store/replication.py
+++ b/src/quaymill/process/job_store/replication.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 import threading
-import time
 
+from quaymill import boot_clock
 from quaymill.connection.log_messages import (
     Appended,
     AppendEntries,
@@ -72,7 +72,7 @@
         replica = self._replica
         with replica.lock:
             while not self.is_over():
-                due_in_s = self._last_sent_s + replica.settings.heartbeat_s - time.monotonic()
+                due_in_s = self._last_sent_s + replica.settings.heartbeat_s - boot_clock.now()
                 if due_in_s <= 0 or (not self._failed and self._has_news()):
                     return True
                 replica.to_send.wait(due_in_s)
@@ -112,7 +112,7 @@
     def _send(self, message: AppendEntries) -> None:
         replica = self._replica
         timeout_s = ENTRIES_TIMEOUT_S if message.entries else replica.settings.election_timeout_s
-        sent_s = time.monotonic()
+        sent_s = boot_clock.now()
         self._last_sent_s = sent_s
         endpoint = replica.address(self.peer)
         reply = self._client.call(endpoint, message, Appended, timeout_s)
@@ -147,7 +147,7 @@
         """Send the whole state; a peer that dies meanwhile gets it anew when it is back."""
         sender = SnapshotSender(self._replica, self.peer, self.term, self._client)
         last_index = sender.send(lambda: self._stopping)
-        self._last_sent_s = time.monotonic()
+        self._last_sent_s = boot_clock.now()
         self._failed = last_index is None
         if last_index is None:
             return
--- a/src/quaymill/process/job_store/snapshots.py
+++ b/src/quaymill/process/job_store/snapshots.py
@@ -9,12 +9,12 @@
 
 import base64
 import sqlite3
-import time
 import uuid
 from collections.abc import Callable, Iterator
 
 import msgspec
 
+from quaymill import boot_clock
 from quaymill.connection.log_messages import (
     GroupMembership,
     InstallSnapshot,
@@ -93,7 +93,7 @@
             last_part=last_part,
         )
         self._part += 1
-        sent_s = time.monotonic()
+        sent_s = boot_clock.now()
         reply = self._client.call(
             replica.address(self._peer), message, SnapshotReceived, PART_TIMEOUT_S
         )
@@ -132,7 +132,7 @@
         finally:
             with replica.lock:
                 replica.busy_with_leader -= 1
-                replica.leader_contact_s = time.monotonic()
+                replica.leader_contact_s = boot_clock.now()
 
     def _take(self, message: InstallSnapshot) -> SnapshotReceived:
         replica = self._replica
--- a/src/quaymill/process/jobs/batch_quota.py
+++ b/src/quaymill/process/jobs/batch_quota.py
@@ -10,11 +10,11 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable, Iterable
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.process.jobs.coordinated_job import CoordinatedJob
 from quaymill.process.jobs.quota_ledger import (
     Ledger,
@@ -107,7 +107,7 @@
         self._by_route: dict[str, RouteQuota] = {}
         self._stopping = threading.Event()
         self._first_allowance_at = (
-            time.monotonic() + FIRST_ALLOWANCE_S + random.uniform(0.0, FIRST_ALLOWANCE_SPREAD_S)
+            boot_clock.now() + FIRST_ALLOWANCE_S + random.uniform(0.0, FIRST_ALLOWANCE_SPREAD_S)
         )
 
     def start(self) -> None:
@@ -123,7 +123,7 @@
         quota = route.max_unfinished_tokens
         if not quota:
             return Admitted("no-quota")
-        began = time.monotonic()
+        began = boot_clock.now()
         decision = self._charge(job_id, route, tokens) or self._enter(job_id, route, tokens)
         if isinstance(decision, OverQuota):
             decision = self._unless_known(job_id, decision)
@@ -140,7 +140,7 @@
             outcome=type(decision).__name__,
             by=getattr(decision, "by", ""),
             reason=getattr(decision, "reason", ""),
-            took_s=round(time.monotonic() - began, 3),
+            took_s=round(boot_clock.now() - began, 3),
         )
         return decision
 
@@ -163,7 +163,7 @@
         with self._lock:
             if job_id in state.charged:
                 return Admitted("allowance")
-            age_s = time.monotonic() - state.renewed_at
+            age_s = boot_clock.now() - state.renewed_at
             usable = state.quota <= route.max_unfinished_tokens and age_s < ALLOWANCE_TERM_S
             if not usable or tokens > state.left:
                 return None
@@ -214,7 +214,7 @@
 
     def _retry_after_s(self, state: RouteQuota, missing_tokens: int) -> float:
         """Return when a job may fit, by the rate at which tokens became free of late."""
-        oldest = time.monotonic() - FREED_WINDOW_S
+        oldest = boot_clock.now() - FREED_WINDOW_S
         with self._lock:
             while state.freed and state.freed[0][0] < oldest:
                 state.freed.popleft()
@@ -275,14 +275,14 @@
                     return True
                 if entered and not tokens:
                     return True
-        now = time.monotonic()
+        now = boot_clock.now()
         may_take_first = now >= self._first_allowance_at
         return may_take_first and now - state.renewed_at >= ALLOWANCE_RENEWAL_S
 
     def _write(self, state: RouteQuota, route: RequestRoute, outstanding: dict[str, int]) -> None:
         """Write what this gateway knows of its jobs, and its allowance, in one change."""
         quota = route.max_unfinished_tokens
-        began = time.monotonic()
+        began = boot_clock.now()
         may_take = began >= self._first_allowance_at
         with self._lock:
             pending = PendingEntries(dict(state.charged), dict(state.withdrawn))
@@ -308,7 +308,7 @@
 
     def _newer(self, route: str, state: RouteQuota) -> Ledger:
         """Return the ledger to change: the one known if it is fresh, else one from a cheap read."""
-        if time.monotonic() - state.ledger_at < LEDGER_FRESH_S:
+        if boot_clock.now() - state.ledger_at < LEDGER_FRESH_S:
             return state.ledger
         return self._ledgers.newer(route, state.ledger)
 
@@ -334,9 +334,9 @@
                 for job_id, entry in state.ledger.document.jobs.items()
             )
             if freed:
-                state.freed.append((time.monotonic(), freed))
+                state.freed.append((boot_clock.now(), freed))
             state.ledger = ledger
-            state.ledger_at = time.monotonic()
+            state.ledger_at = boot_clock.now()
 
     def _of(self, route: str) -> RouteQuota:
         with self._lock:
--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -5,11 +5,11 @@
 import enum
 import math
 import threading
-import time
 from collections.abc import Callable, Iterable
 
 import xxhash
 
+from quaymill import boot_clock
 from quaymill.connection.job_document import Job, JobItem, JobResult, ResultState
 from quaymill.connection.job_storage_messages import (
     ItemProgress,
@@ -125,8 +125,8 @@
         self.job = job
         self.route = route
         self.coordinator = coordinator
-        self.routed_at = time.monotonic()
-        self.sent_at = time.monotonic() - job.age_s
+        self.routed_at = boot_clock.now()
+        self.sent_at = boot_clock.now() - job.age_s
         self.items = [RunningItem(index, item) for index, item in enumerate(job.document.items)]
         self.changed = threading.Condition()
         self.ended = False
@@ -190,7 +190,7 @@
         """Return the items that may be started now."""
         if self.stopped:
             return []
-        now = time.monotonic()
+        now = boot_clock.now()
         return [
             item
             for item in self.items
@@ -224,7 +224,7 @@
         with self.changed:
             if item.state is ItemState.RUNNING:
                 item.state = ItemState.WAITING
-                item.not_before = time.monotonic() + pause_s
+                item.not_before = boot_clock.now() + pause_s
             self.changed.notify_all()
 
     def add_finished(self, results: Iterable[KeyedResult]) -> None:
@@ -284,7 +284,7 @@
 
     def order_age_s(self) -> float:
         """Return how long ago the order held here was last known to be the newest."""
-        return time.monotonic() - self._order_confirmed_at
+        return boot_clock.now() - self._order_confirmed_at
 
     def add_contents(self, contents: dict[ResultKey, JobResult]) -> None:
         """Take contents that were fetched from storage nodes."""
@@ -322,10 +322,10 @@
 
     def page(self, since: int, wait_s: float) -> ResultsPage:
         """Return results from a position on; wait for one if there is none yet."""
-        deadline = time.monotonic() + wait_s
+        deadline = boot_clock.now() + wait_s
         with self.changed:
             while not self._has_position(since) and not self._all_told(since):
-                remaining_s = deadline - time.monotonic()
+                remaining_s = deadline - boot_clock.now()
                 if remaining_s <= 0:
                     break
                 self.changed.wait(remaining_s)
--- a/src/quaymill/process/jobs/coordinator.py
+++ b/src/quaymill/process/jobs/coordinator.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Iterable
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.job_document import Job
 from quaymill.connection.job_storage_messages import (
     HandOverJob,
@@ -184,7 +184,7 @@
                 complete, self._newly_complete = tuple(self._newly_complete), []
             if not open_jobs and not complete:
                 continue
-            began = time.monotonic()
+            began = boot_clock.now()
             orders = tuple(job.known_order() for job in jobs)
             outcome = self._leases.renew(RenewJobs(self.name, open_jobs, complete, orders=orders))
             for job_id in outcome.ended:
@@ -206,7 +206,7 @@
 
 def _hand_over_order(job: CoordinatedJob) -> HandOverJob:
     """Return what another coordinator needs to go on with a job."""
-    age_s = time.monotonic() - job.sent_at
+    age_s = boot_clock.now() - job.sent_at
     progress = tuple(
         item.progress()
         for item in job.items
--- a/src/quaymill/process/jobs/engine_loads.py
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable, Iterable
 
 import attrs
 
+from quaymill import boot_clock
 from quaymill.connection.engine_report import EngineReport
 from quaymill.connection.replica_connection import ReplicaConnections, ReplicaRequest
 from quaymill.process.replica_set.replica import Replica
@@ -110,7 +110,7 @@
             poll = self._polls_by_replica.get(replica.id)
             if poll is None or poll.report is None or replica.leaving or replica.avoided:
                 return 0
-            if time.monotonic() - poll.taken_at > REPORT_MAX_AGE_S or poll.report.waiting:
+            if boot_clock.now() - poll.taken_at > REPORT_MAX_AGE_S or poll.report.waiting:
                 return 0
             report = poll.report
             if not report.kv_total_tokens or not tokens:
@@ -125,7 +125,7 @@
             poll = self._polls_by_replica.get(replica.id)
             if poll is None or poll.report is None:
                 return 0
-            if time.monotonic() - poll.taken_at > REPORT_MAX_AGE_S:
+            if boot_clock.now() - poll.taken_at > REPORT_MAX_AGE_S:
                 return 0
             if poll.taken_at - REPORT_LAG_S <= poll.gave_way_at:
                 return 0  # What was cut may still be in the report.
@@ -136,14 +136,14 @@
         with self._lock:
             poll = self._polls_by_replica.get(replica.id)
             if poll is not None:
-                poll.starts.append((time.monotonic(), tokens))
+                poll.starts.append((boot_clock.now(), tokens))
 
     def gave_way(self, replica: Replica) -> None:
         """Note that items are being cut, which the next reports may still show."""
         with self._lock:
             poll = self._polls_by_replica.get(replica.id)
             if poll is not None:
-                poll.gave_way_at = time.monotonic()
+                poll.gave_way_at = boot_clock.now()
 
     def _poll(self, replica: Replica) -> None:
         """Poll one engine until its report is not wanted any more, or it is gone."""
@@ -157,7 +157,7 @@
                 poll = self._polls_by_replica.setdefault(replica.id, _Poll())
                 if report is not None:
                     poll.report = report
-                    poll.taken_at = time.monotonic()
+                    poll.taken_at = boot_clock.now()
                     poll.forget_shown_starts()
             self._stopping.wait(_poll_interval_s(replica, report))
         with self._lock:
@@ -166,7 +166,7 @@
 
     def _ask(self, replica: Replica) -> EngineReport | None:
         self.polls += 1
-        deadline = time.monotonic() + POLL_TIMEOUT_S
+        deadline = boot_clock.now() + POLL_TIMEOUT_S
         exchange = self._connections.send(replica.entry.address, self._protocol.request())
         if isinstance(exchange, NotRun | OutcomeUnknown):
             return None
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -7,7 +7,6 @@
 
 import itertools
 import threading
-import time
 from collections import Counter
 from collections.abc import Callable
 
@@ -15,6 +14,7 @@
 import xxhash
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.job_document import Job, ResultState
 from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.connection.room_messages import ClaimRoom, ItemsAt, RunningAt, WantedItems
@@ -193,7 +193,7 @@
 
     def _waiting(self, jobs: list[CoordinatedJob]) -> list[_Waiting]:
         """Return the items that wait, the most urgent first, of those alike the nearest done."""
-        now = time.monotonic()
+        now = boot_clock.now()
         waiting = [
             _Waiting(self._left_s(job, item, now), job, item)
             for job in jobs
@@ -241,7 +241,7 @@
         return time_left_s(job, item, now, self._paces.of(_route_name(job)))
 
     def _running_at(self, running: list[_Running]) -> tuple[RunningAt, ...]:
-        now = time.monotonic()
+        now = boot_clock.now()
         counts = Counter(
             (one.item.replica_id, round(self._left_s(one.job, one.item, now), 1)) for one in running
         )
@@ -276,7 +276,7 @@
         if route is None:
             return ()
         job.route = route
-        job.routed_at = time.monotonic()
+        job.routed_at = boot_clock.now()
         return tuple(part.service for part in route.services)
 
     def _give_up_late(self, job: CoordinatedJob) -> None:
@@ -287,7 +287,7 @@
 
     def _reason_to_give_up(self, job: CoordinatedJob) -> str:
         """Return why the rest of a job will never be done; empty if it may be."""
-        now = time.monotonic()
+        now = boot_clock.now()
         if self._parts.routes().version and now > job.routed_at + ROUTE_GONE_S:
             return "the job's route was removed"
         if job.route is None or not job.route.max_wait_s:
@@ -299,7 +299,7 @@
     def _start_item(self, job: CoordinatedJob, item: RunningItem, replica: Replica) -> None:
         item.state = ItemState.RUNNING
         item.replica_id = replica.id
-        item.started_at = time.monotonic()
+        item.started_at = boot_clock.now()
         item.events_at_start = len(item.texts)
         item.giving_way = False
         with self._lock:
@@ -347,7 +347,7 @@
             content=content_of_item(item, job.job.host),
             replica=replica.id,
             events_until=item.last_event_id,
-            took_s=round(time.monotonic() - item.started_at, 3),
+            took_s=round(boot_clock.now() - item.started_at, 3),
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", ""),
             giving_way=item.giving_way,
@@ -356,7 +356,7 @@
         match outcome:
             case ItemDone():
                 events = len(item.texts)
-                run_s = time.monotonic() - item.started_at
+                run_s = boot_clock.now() - item.started_at
                 self._paces.record(_route_name(job), events, events - item.events_at_start, run_s)
                 job.finish(item, ResultState.SUCCEEDED, "\n".join(item.texts))
             case ItemImpossible(reason=reason):
@@ -379,7 +379,7 @@
 
     def _give_way(self, running: list[_Running], at: ItemsAt) -> None:
         """Cut the least urgent items at a replica, of those alike the one with least done."""
-        now = time.monotonic()
+        now = boot_clock.now()
         here = [one for one in running if one.item.replica_id == at.replica_id]
         here.sort(
             key=lambda one: (
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import attrs
 
+from quaymill import boot_clock
 from quaymill.connection.job_document import JobItem
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections
 from quaymill.process.jobs.coordinated_job import RunningItem
@@ -134,7 +134,7 @@
     exchange: Exchange,
     protocol: ReplicaProtocol,
 ) -> ItemOutcome:
-    began = time.monotonic()
+    began = boot_clock.now()
     failure = exchange.read_head(FIRST_EVENT_TIMEOUT_S)
     if failure is not None:
         return _cut(failure)
@@ -152,7 +152,7 @@
     if head.status != 200:
         exchange.abandon()
         return _error_outcome(head.status)
-    replica.record_success(time.monotonic() - began)
+    replica.record_success(boot_clock.now() - began)
     replica.begin_answer()
     try:
         return _read_events(item, replica, exchange, head.keep_s)
--- a/src/quaymill/process/jobs/job_lookup.py
+++ b/src/quaymill/process/jobs/job_lookup.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import time
-
 import attrs
 
+from quaymill import boot_clock
 from quaymill.process.jobs.listing import JobListings, Listing
 from quaymill.process.jobs.storage_client import JobStorageClient, NotFound
 
@@ -31,7 +30,7 @@
     def __init__(self, storage: JobStorageClient, listings: JobListings) -> None:
         self._storage = storage
         self._listings = listings
-        self._started_at = time.monotonic()
+        self._started_at = boot_clock.now()
 
     def absence(self, job_id: str, found: NotFound) -> NoSuchJob | Unsure:
         """Say that there is no such job only where that is certain.
@@ -41,7 +40,7 @@
         """
         if not found.certain:
             return Unsure("not all storage nodes answered")
-        if time.monotonic() - self._started_at < CERTAIN_AFTER_S:
+        if boot_clock.now() - self._started_at < CERTAIN_AFTER_S:
             return Unsure("this gateway may not know all storage nodes yet")
         listing = self._listings.read(job_id)
         if listing is not None:
--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -12,12 +12,12 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient
 from quaymill.connection.room_messages import (
@@ -114,7 +114,7 @@
 
         The request is counted at the place by the keeper, and by ``began`` here.
         """
-        now = time.monotonic()
+        now = boot_clock.now()
         if now < self._place_again_at or first.entry.service not in self._batch_services():
             return None
         pool = pool_of(first, self._table)
@@ -201,7 +201,7 @@
 
     def _due(self) -> dict[str, int] | None:
         """Return what is to be told now; ``None`` if that is nothing."""
-        now = time.monotonic()
+        now = boot_clock.now()
         with self._lock:
             self._in_flight = +self._in_flight
             repeat = self._in_flight and now - self._told_at >= REPEAT_INTERVAL_S
--- a/src/quaymill/process/jobs/parallel_calls.py
+++ b/src/quaymill/process/jobs/parallel_calls.py
@@ -4,12 +4,12 @@
 
 import queue
 import threading
-import time
 from collections.abc import Sequence
 from typing import Any
 
 import attrs
 
+from quaymill import boot_clock
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import (
     PeerClient,
@@ -73,7 +73,7 @@
         self._waiting = list(members)
         self._message = message
         self._reply_type = reply_type
-        self._deadline = time.monotonic() + timeout_s
+        self._deadline = boot_clock.now() + timeout_s
         self._answers: queue.SimpleQueue[tuple[Member, Any]] = queue.SimpleQueue()
         self._in_flight = 0
 
@@ -83,7 +83,7 @@
         for _ in range(at_once):
             self._start_next()
         while len(replies) < needed and (self._in_flight or self._start_next()):
-            remaining_s = self._deadline - time.monotonic()
+            remaining_s = self._deadline - boot_clock.now()
             if remaining_s <= 0:
                 break
             try:
@@ -108,6 +108,6 @@
         return True
 
     def _call(self, member: Member) -> None:
-        timeout_s = max(0.05, self._deadline - time.monotonic())
+        timeout_s = max(0.05, self._deadline - boot_clock.now())
         answer = self._peer_client.call(member.peer, self._message, self._reply_type, timeout_s)
         self._answers.put((member, answer))
--- a/src/quaymill/process/jobs/quota_sweep.py
+++ b/src/quaymill/process/jobs/quota_sweep.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import attrs
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.process.jobs.quota_ledger import Ledger, LedgerDocument, QuotaLedgers
 
 SWEEP_INTERVAL_S = 5.0
@@ -65,7 +65,7 @@
         own_jobs
             Jobs that this gateway runs: it corrects their entries itself.
         """
-        now = time.monotonic()
+        now = boot_clock.now()
         if not self._is_mine(route):
             self._forget(route)
             return
--- a/src/quaymill/process/jobs/result_publisher.py
+++ b/src/quaymill/process/jobs/result_publisher.py
@@ -6,12 +6,12 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 
 import attrs
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.job_storage_messages import KeyedResult
 from quaymill.process.jobs.coordinated_job import CoordinatedJob, listed_result
 from quaymill.process.jobs.listing import JobListings, Listing, ListingDocument, ListingUnknown
@@ -72,7 +72,7 @@
 
     def settle_with_other(self, job: CoordinatedJob) -> None:
         """Leave a job to another coordinator if that one stands in the listing and lives."""
-        began = time.monotonic()
+        began = boot_clock.now()
         listing = self._parts.listings.read(job.id)
         if isinstance(listing, Listing):
             job.take_listing(listing, began)
@@ -99,21 +99,21 @@
             handed_over=job.abandoned,
             listed=len(job.listing.document.results),
             total=job.total,
-            took_s=round(time.monotonic() - job.sent_at, 2),
+            took_s=round(boot_clock.now() - job.sent_at, 2),
         )
         if job.complete:
             self._complete(job.id)
 
     def _take_over(self, job: CoordinatedJob) -> None:
         """Enter this coordinator into the listing, so that a former one finds out."""
-        began = time.monotonic()
+        began = boot_clock.now()
         listing = self._parts.listings.read(job.id)
         if isinstance(listing, ListingUnknown):
             log_message("job:listing_unknown", job=job.id, reason=listing.reason)
             return
         standing = listing or Listing(ListingDocument("", job.total))
         job.take_listing(standing, began)
-        began = time.monotonic()
+        began = boot_clock.now()
         written = self._parts.listings.write(job.id, standing.with_results((), job.coordinator))
         if isinstance(written, Listing):
             job.take_listing(written, began)
@@ -125,9 +125,9 @@
             log_message("job:results_not_stored", job=job.id, results=len(results))
             return False
         wanted = job.listing.with_results(map(listed_result, results), job.coordinator)
-        began = time.monotonic()
+        began = boot_clock.now()
         standing = self._parts.listings.write(job.id, wanted)
-        took_s = round(time.monotonic() - began, 3)
+        took_s = round(boot_clock.now() - began, 3)
         if isinstance(standing, ListingUnknown):
             log_message("job:listing_unknown", job=job.id, reason=standing.reason, took_s=took_s)
             return False
--- a/src/quaymill/process/jobs/result_reader.py
+++ b/src/quaymill/process/jobs/result_reader.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.job_storage_messages import NotCoordinator, ReadResults, ResultsPage
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient
@@ -106,7 +106,7 @@
         do not tell; only the store does, or that no storage node has a result beyond the order.
         """
         if not held.order_is_certain():
-            began = time.monotonic()
+            began = boot_clock.now()
             listing = self._listings.read(held.id)
             if isinstance(listing, ListingUnknown):
                 return Unsure(f"the order of the results cannot be read: {listing.reason}")
--- a/src/quaymill/process/jobs/room_claims.py
+++ b/src/quaymill/process/jobs/room_claims.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient
 from quaymill.connection.room_messages import ClaimRoom, RoomGranted
@@ -39,7 +39,7 @@
 
         It is one of the strongest; the others follow while none of these answers.
         """
-        now = time.monotonic()
+        now = boot_clock.now()
         gateways = self._gateways()
         strong = strongest(gateways)
         for group in (strong, gateways):
@@ -51,7 +51,7 @@
     def avoid(self, service: str, member: Member) -> None:
         """Pass over a gateway that did not answer, in favour of the next in rank."""
         log_message("batch:keeper_silent", service=service, keeper=member.name)
-        self._avoided_until_by_name[member.name] = time.monotonic() + AVOID_KEEPER_S
+        self._avoided_until_by_name[member.name] = boot_clock.now() + AVOID_KEEPER_S
 
 
 class RoomClaims:
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -12,10 +12,10 @@
 
 import random
 import threading
-import time
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+from quaymill import boot_clock
 from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.room_messages import (
     ClaimRoom,
@@ -94,7 +94,7 @@
         self._paces.add_all(message.done)
         with self._lock:
             counts = self._counts(pool)
-            counts.take_claim(message.coordinator, Claim.from_message(message, time.monotonic()))
+            counts.take_claim(message.coordinator, Claim.from_message(message, boot_clock.now()))
             self._want_reports()
             replicas = pool.members(self._table)
             self._share_out_excess(counts, replicas)
@@ -114,7 +114,7 @@
         with self._lock:
             counts = self._counts(pool)
             in_flight = _by_replica(message.in_flight)
-            counts.take_online(message.gateway, in_flight, time.monotonic())
+            counts.take_online(message.gateway, in_flight, boot_clock.now())
             replicas = pool.members(self._table)
             self._share_out_excess(counts, [one for one in replicas if one.id in in_flight])
             orders = self._take_orders()
@@ -134,7 +134,7 @@
         pool = EnginePool(message.service, message.pool, message.pools)
         with self._lock:
             counts = self._counts(pool)
-            counts.take_online(message.gateway, _by_replica(message.in_flight), time.monotonic())
+            counts.take_online(message.gateway, _by_replica(message.in_flight), boot_clock.now())
             replicas = pool.members(self._table)
             allowed = [one for one in replicas if one.id not in message.excluded]
             sound = [one for one in allowed if not one.avoided] or allowed
@@ -150,7 +150,7 @@
 
     def _counts(self, pool: EnginePool) -> PoolCounts:
         """Return a pool's counts, without words that are too old; the lock is held."""
-        now = time.monotonic()
+        now = boot_clock.now()
         if now >= self._forget_at:
             self._forget_at = now + FORGET_INTERVAL_S
             self._forget(now)
@@ -164,7 +164,7 @@
 
     def _first_to_wake(self, counts: PoolCounts, replicas: list[Replica]) -> str:
         """Return who should claim at once: whose items are due first, if there is room."""
-        now = time.monotonic()
+        now = boot_clock.now()
         claims = counts.claims
         first = min(
             (
@@ -224,7 +224,7 @@
     ) -> Counter[str]:
         """Grant starts, what is due first before all else, whoever coordinates it."""
         starts: Counter[str] = Counter()
-        now = time.monotonic()
+        now = boot_clock.now()
         for wanted in message.wanted:
             due_at = now + wanted.due_in_s
             free = sum(self._room(counts, replica, wanted) for replica in replicas)
--- a/src/quaymill/process/limits/bucket.py
+++ b/src/quaymill/process/limits/bucket.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import time
+from quaymill import boot_clock
 
 BURST_S = 1.0
 
@@ -18,7 +18,7 @@
         self._rate_per_s = rate_per_s
         self._most = max(1.0, rate_per_s * burst_s)
         self._balance = self._most
-        self._refilled_at = time.monotonic()
+        self._refilled_at = boot_clock.now()
 
     @property
     def rate_per_s(self) -> float:
@@ -50,7 +50,7 @@
         return max(0.0, (level - self._balance) / self._rate_per_s)
 
     def _refill(self) -> None:
-        now = time.monotonic()
+        now = boot_clock.now()
         gained = (now - self._refilled_at) * self._rate_per_s
         self._refilled_at = now
         self._balance = min(self._most, self._balance + gained)
--- a/src/quaymill/process/limits/granter.py
+++ b/src/quaymill/process/limits/granter.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 import threading
-import time
 
+from quaymill import boot_clock
 from quaymill.connection.limit_messages import (
     BorrowCredits,
     LentCredits,
@@ -27,7 +27,7 @@
 class _SlotLease:
     def __init__(self, slots: int) -> None:
         self.slots = slots
-        self.until = time.monotonic() + SLOT_LEASE_S
+        self.until = boot_clock.now() + SLOT_LEASE_S
 
 
 class _TenantCredits:
@@ -61,7 +61,7 @@
     def _lend_slots(self, gateway: str, wanted: int) -> int:
         if not self.limits.concurrency:
             return wanted
-        now = time.monotonic()
+        now = boot_clock.now()
         self.leases = {name: one for name, one in self.leases.items() if one.until > now}
         others = sum(one.slots for name, one in self.leases.items() if name != gateway)
         # Slots that a gateway already uses are never taken away, only not renewed.
--- a/src/quaymill/process/limits/limiter.py
+++ b/src/quaymill/process/limits/limiter.py
@@ -9,9 +9,9 @@
 
 import queue
 import threading
-import time
 from typing import TYPE_CHECKING
 
+from quaymill import boot_clock
 from quaymill.connection.limit_messages import (
     BorrowCredits,
     LentCredits,
@@ -47,16 +47,16 @@
         self.requests_lapse_at = 0.0
         self.slots = 0
         self.in_service = 0
-        self.admitted_since = time.monotonic()
+        self.admitted_since = boot_clock.now()
         self.admitted = 0
         self.fallback: CreditGranter | None = None
         self.fallback_until = 0.0
 
     def wanted_requests(self) -> int:
         """Return the requests to borrow: what the demand of late uses in ``STOCK_S``."""
-        elapsed_s = max(STOCK_S, time.monotonic() - self.admitted_since)
+        elapsed_s = max(STOCK_S, boot_clock.now() - self.admitted_since)
         rate_per_s = self.admitted / elapsed_s
-        self.admitted_since = time.monotonic()
+        self.admitted_since = boot_clock.now()
         self.admitted = 0
         return max(1, int(rate_per_s * STOCK_S))
 
@@ -132,7 +132,7 @@
             return
         unused = reserved_tokens - used_tokens if limits.tokens_per_s else 0
         message = ReturnCredits(tenant, self._settings.name, unused, slots)
-        if time.monotonic() < stock.fallback_until:
+        if boot_clock.now() < stock.fallback_until:
             self._fallback_of(stock).take_back(message)
         self._returns.put(message)
 
@@ -140,7 +140,7 @@
         """Admit without a word to the granter, if what is held suffices."""
         if limits.tokens_per_s or limits.concurrency:
             return False
-        if stock.requests < 1 or time.monotonic() > stock.requests_lapse_at:
+        if stock.requests < 1 or boot_clock.now() > stock.requests_lapse_at:
             return False
         stock.requests -= 1
         stock.admitted += 1
@@ -156,7 +156,7 @@
                 stock.in_service -= 1
                 return _refusal(message.tenant, limits, lent)
             if limits.requests_per_s:
-                now = time.monotonic()
+                now = boot_clock.now()
                 held = stock.requests if now < stock.requests_lapse_at else 0
                 stock.requests = held + lent.requests - 1
                 stock.requests_lapse_at = now + 2 * STOCK_S
@@ -164,12 +164,12 @@
         return None
 
     def _borrow(self, stock: _TenantStock, limits: Tenant, message: BorrowCredits) -> LentCredits:
-        if time.monotonic() >= stock.fallback_until:
+        if boot_clock.now() >= stock.fallback_until:
             lent = self._ask_granter(message)
             if lent is not None:
                 return lent
             # Only one request in each FALLBACK_S waits for a granter that does not answer.
-            stock.fallback_until = time.monotonic() + FALLBACK_S
+            stock.fallback_until = boot_clock.now() + FALLBACK_S
         return self._fallback_of(stock).lend(message)
 
     def _fallback_of(self, stock: _TenantStock) -> CreditGranter:
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -327,6 +327,10 @@
     "retirement:begun": LogEvent("this node is being emptied", ("node", "jobs: held now")),
     "retirement:succeeded": LogEvent("all that was here stands elsewhere", ("node",)),
     "node:started": LogEvent("the process has started", ("name, zone, process", "jobs: on disk")),
+    "node:suspended": LogEvent(
+        "the machine stood still; what others gave away meanwhile has run out here too",
+        ("for_s: for how long",),
+    ),
     "node:draining": LogEvent("the order to stop has come", ("in_service",)),
     "node:stopped": LogEvent("the process ends", ("idle: whether nothing was cut", "took_s")),
     "node:settings_read_again": LogEvent(
--- a/src/quaymill/process/logs.py
+++ b/src/quaymill/process/logs.py
@@ -17,6 +17,7 @@
 import msgspec
 from eliot import add_destinations, add_global_fields, remove_destination
 
+from quaymill import boot_clock
 from quaymill.process.log_events import is_ordinary
 
 WRITE_INTERVAL_S = 0.1
@@ -36,13 +37,13 @@
         self._lines_per_s = lines_per_s
         self._burst = burst
         self._left = burst
-        self._filled_at = time.monotonic()
+        self._filled_at = boot_clock.now()
         self._lock = threading.Lock()
 
     def take(self, ordinary: bool) -> bool:
         """Take one line from the budget; return whether there was one."""
         with self._lock:
-            now = time.monotonic()
+            now = boot_clock.now()
             added = (now - self._filled_at) * self._lines_per_s
             self._filled_at = now
             self._left = min(self._burst, self._left + added)
--- a/src/quaymill/process/membership/failure_detector.py
+++ b/src/quaymill/process/membership/failure_detector.py
@@ -4,12 +4,12 @@
 
 import random
 import threading
-import time
 from collections import deque
 from collections.abc import Callable
 
 import msgspec
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member, MemberState
 from quaymill.process.membership.member_table import MemberTable
@@ -82,7 +82,7 @@
         self._relayed: dict[int, _RelayedProbe] = {}
         self._sequence = 0
         self._sequence_lock = threading.Lock()
-        self._last_round = time.monotonic()
+        self._last_round = boot_clock.now()
 
     @property
     def patience(self) -> float:
@@ -94,17 +94,17 @@
         target = self._next_target()
         if target is None:
             return None
-        began = time.monotonic()
+        began = boot_clock.now()
         if self._is_answered(target):
             return None
-        took_s = time.monotonic() - began
+        took_s = boot_clock.now() - began
         if took_s > self._longest_round_s() + PAUSE_THRESHOLD_S:
             return None  # This process was paused; the reply may wait unread in its socket.
         return self._table.suspect(target.name)
 
     def bury_suspects(self) -> list[Member]:
         """Mark as dead who did not refute in time; return their records."""
-        now = time.monotonic()
+        now = boot_clock.now()
         pause_s = now - self._last_round - self._longest_round_s()
         self._last_round = now
         if pause_s > PAUSE_THRESHOLD_S:
@@ -127,7 +127,7 @@
 
     def relay(self, request: ProbeRequest, asker: Endpoint) -> None:
         """Probe a node that ``asker`` does not reach."""
-        now = time.monotonic()
+        now = boot_clock.now()
         if len(self._relayed) >= MAX_RELAYED_PROBES:
             self._relayed = {
                 sequence: relayed
--- a/src/quaymill/process/membership/member_table.py
+++ b/src/quaymill/process/membership/member_table.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import threading
-import time
 
 import msgspec
 import xxhash
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member, MemberState
 
@@ -69,7 +69,7 @@
         """Return how long ago a member was marked as dead; 0 if it is not."""
         with self._lock:
             since = self._dead_since.get(name)
-        return 0.0 if since is None else time.monotonic() - since
+        return 0.0 if since is None else boot_clock.now() - since
 
     def dead(self) -> tuple[Member, ...]:
         """Return the members known as dead."""
@@ -122,7 +122,7 @@
 
     def bury_suspects(self, suspicion_s: float) -> list[Member]:
         """Mark as dead who has been suspect for ``suspicion_s``; return their records."""
-        deadline = time.monotonic() - suspicion_s
+        deadline = boot_clock.now() - suspicion_s
         with self._lock:
             names = [name for name, since in self._suspect_since.items() if since <= deadline]
             buried = []
@@ -140,7 +140,7 @@
 
     def forget_dead(self) -> None:
         """Drop members that have been dead for long."""
-        deadline = time.monotonic() - DEAD_MEMBER_RETENTION_S
+        deadline = boot_clock.now() - DEAD_MEMBER_RETENTION_S
         with self._lock:
             for name in [name for name, since in self._dead_since.items() if since <= deadline]:
                 del self._dead_since[name]
@@ -187,7 +187,7 @@
 
     def _put(self, record: Member) -> None:
         """Store a record and its times; the caller holds the lock."""
-        now = time.monotonic()
+        now = boot_clock.now()
         self._members[record.name] = record
         self.revision += 1
         if record.state is MemberState.SUSPECT:
--- a/src/quaymill/process/membership/membership.py
+++ b/src/quaymill/process/membership/membership.py
@@ -19,6 +19,7 @@
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.member import Member, MemberState
 from quaymill.process.membership.dissemination import Dissemination
@@ -49,6 +50,8 @@
 PROCESS_ID_BYTES = 4
 
 MAX_CONFIRMED_AGE_S = 60.0
+TOLD_SUSPENSION_S = 0.2
+"""A suspension from which on a line is written; below it nothing runs out that others rely on."""
 
 Listener = Callable[[], None]
 ConfirmationListener = Callable[[int, int, float], None]
@@ -84,6 +87,7 @@
         self._corrected_at_by_name: dict[str, float] = {}
         self._told_lock = threading.Lock()
         self._told_states: dict[str, tuple[MemberState, str]] = {}
+        self._suspended_s = boot_clock.suspended_s()
         self._stopping = threading.Event()
         self._prober: threading.Thread | None = None
         self._socket = MemberSocket(settings.peer_endpoint, link_filter or LinkFilter())
@@ -156,7 +160,7 @@
     def confirmed_age_s(self) -> float:
         """Return how long ago the versions published were known to be the newest."""
         at = self._confirmed_at
-        return float("inf") if at is None else time.monotonic() - at
+        return float("inf") if at is None else boot_clock.now() - at
 
     def tell(self, members: Iterable[Member]) -> None:
         """Send a notice to these members at once."""
@@ -225,7 +229,7 @@
     def _take_head(self, datagram: Datagram) -> None:
         """Pass on what every datagram tells of its sender."""
         if datagram.confirmed_ms_ago >= 0 and self._confirmation_listener is not None:
-            at = time.monotonic() - datagram.confirmed_ms_ago / 1000
+            at = boot_clock.now() - datagram.confirmed_ms_ago / 1000
             self._confirmation_listener(datagram.generation, datagram.machines, at)
         if self._crash_listener is not None and datagram.crashes != self._crash_digest:
             self._crash_listener(datagram.sender, datagram.crashes)
@@ -238,7 +242,7 @@
         if held is not None and held.state is not MemberState.DEAD:
             return
         # Two nodes that hold each other for dead would else answer each notice with another.
-        now = time.monotonic()
+        now = boot_clock.now()
         if (
             now - self._corrected_at_by_name.get(datagram.sender, -math.inf)
             < self._timing.probe_interval_s
@@ -252,11 +256,12 @@
 
     def _probe_loop(self) -> None:
         interval_s = self._timing.probe_interval_s
-        next_probe = time.monotonic()
+        next_probe = boot_clock.now()
         next_sync = next_probe
         next_rejoin = next_probe
         while not self._stopping.is_set():
-            now = time.monotonic()
+            now = boot_clock.now()
+            self._note_suspension()
             if now >= next_rejoin:
                 self._rejoin()
                 next_rejoin = now + self._timing.rejoin_interval_s * self._random.uniform(0.8, 1.2)
@@ -265,8 +270,20 @@
                 next_sync = now + SYNC_INTERVAL_S * self._random.uniform(0.8, 1.2)
             self._probe_once()
             pause_s = interval_s * self._detector.patience
-            next_probe = max(next_probe + pause_s, time.monotonic() - interval_s)
-            self._stopping.wait(max(next_probe - time.monotonic(), 0.0))
+            next_probe = max(next_probe + pause_s, boot_clock.now() - interval_s)
+            self._stopping.wait(max(next_probe - boot_clock.now(), 0.0))
+
+    def _note_suspension(self) -> None:
+        """Write a line if the machine was suspended since the last look.
+
+        Nothing else is to be done: whatever may have run out meanwhile is measured by the clock
+        that ran on.
+        """
+        suspended_s = boot_clock.suspended_s()
+        for_s = suspended_s - self._suspended_s
+        if for_s >= TOLD_SUSPENSION_S:
+            self._suspended_s = suspended_s
+            log_message("node:suspended", for_s=round(for_s, 3))
 
     def _probe_once(self) -> None:
         suspect = self._detector.probe_next()
@@ -302,8 +319,8 @@
         When many nodes start together, a seed may not listen yet at the first greeting, and
         who comes a moment later would be heard of only with the slow spread of news.
         """
-        until = time.monotonic() + self._timing.join_period_s
-        while time.monotonic() < until and not self._stopping.wait(JOIN_INTERVAL_S):
+        until = boot_clock.now() + self._timing.join_period_s
+        while boot_clock.now() < until and not self._stopping.wait(JOIN_INTERVAL_S):
             for seed in self._strange_seeds():
                 self._synchronisation.begin(seed)
             self._sync_with_one()
--- a/src/quaymill/process/poison/guard.py
+++ b/src/quaymill/process/poison/guard.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 
 import attrs
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.crash_messages import CrashRecord
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.replica_connection import ReplicaConnections
@@ -54,13 +54,13 @@
 
     def barred_for_s(self, content: str) -> float:
         """Return for how long a content must not be run; 0 if it may be."""
-        return self._records.barred_for_s(content, time.monotonic())
+        return self._records.barred_for_s(content, boot_clock.now())
 
     def note_closed(self, content: str, replica_id: str, address: Endpoint) -> None:
         """Note that a replica closed the connection before the answer to a content was whole."""
         if self._is_alive(address):
             return
-        record = self._records.add(content, replica_id, time.monotonic())
+        record = self._records.add(content, replica_id, boot_clock.now())
         if record is None:
             return
         crashes = self._records.crashes_of(content)
@@ -78,12 +78,12 @@
         self._records.excuse(content)
 
     def _is_alive(self, address: Endpoint) -> bool:
-        now = time.monotonic()
+        now = boot_clock.now()
         with self._lock:
             known = self._probes_by_endpoint.get(address)
         if known is not None and now - known.at < PROBE_LIFETIME_S:
             return known.alive
-        probe = _Probe(self._connections.takes_connection(address), time.monotonic())
+        probe = _Probe(self._connections.takes_connection(address), boot_clock.now())
         with self._lock:
             self._probes_by_endpoint = {
                 endpoint: one
--- a/src/quaymill/process/poison/sharing.py
+++ b/src/quaymill/process/poison/sharing.py
@@ -13,11 +13,11 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.crash_messages import CrashRecord, KnownCrashes, ShareCrashes
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient
@@ -78,7 +78,7 @@
         self._differing: set[str] = set()
         self._exchange_at = 0.0
         self._settled = False
-        self._started_at = time.monotonic()
+        self._started_at = boot_clock.now()
         self._wake = threading.Event()
         self._stopping = threading.Event()
         server.register(ShareCrashes, self._answer)
@@ -105,14 +105,14 @@
 
     def _answer(self, message: ShareCrashes) -> KnownCrashes:
         self._merge(message.records, "told")
-        records = self._records.records(time.monotonic()) if message.wants_all else ()
+        records = self._records.records(boot_clock.now()) if message.wants_all else ()
         return KnownCrashes(records, self._settled)
 
     def _tell_digest(self) -> None:
-        self._membership.tell_crash_digest(self._records.digest(time.monotonic()))
+        self._membership.tell_crash_digest(self._records.digest(boot_clock.now()))
 
     def _merge(self, records: tuple[CrashRecord, ...], source: str) -> None:
-        changed = self._records.merge(records, time.monotonic())
+        changed = self._records.merge(records, boot_clock.now())
         self._tell_digest()
         if not changed:
             return
@@ -153,7 +153,7 @@
         """Learn what was known before this gateway started, unless it has."""
         if self._settled:
             return
-        alone = time.monotonic() - self._started_at > ALONE_AFTER_S
+        alone = boot_clock.now() - self._started_at > ALONE_AFTER_S
         self._settled = self._ask_others() or (alone and self._read_store())
 
     def _ask_others(self) -> bool:
@@ -203,7 +203,7 @@
 
         Those that still differ afterwards say so again with their next datagrams.
         """
-        now = time.monotonic()
+        now = boot_clock.now()
         if not self._differing or now < self._exchange_at:
             return
         self._exchange_at = now + EXCHANGE_INTERVAL_S
@@ -214,7 +214,7 @@
 
     def _exchange(self, member: Member) -> bool:
         """Exchange all records with a gateway; return whether it is settled."""
-        records = self._records.records(time.monotonic())
+        records = self._records.records(boot_clock.now())
         message = ShareCrashes(records, wants_all=True)
         reply = self._client.call(member.peer, message, KnownCrashes, CALL_TIMEOUT_S)
         if not isinstance(reply, KnownCrashes):
@@ -239,11 +239,11 @@
             unkept = set(self._unkept)
         if not unkept:
             return
-        records = {one.content: one for one in self._records.records(time.monotonic())}
+        records = {one.content: one for one in self._records.records(boot_clock.now())}
         for content in unkept:
             if content not in records or self._store.write(records[content]):
                 with self._lock:
                     self._unkept.discard(content)
 
     def _is_barred(self, content: str) -> bool:
-        return self._records.barred_for_s(content, time.monotonic()) > 0
+        return self._records.barred_for_s(content, boot_clock.now()) > 0
--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -10,12 +10,12 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections import deque
 
 import attrs
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.forwarded_request import ForwardedRequest
@@ -104,7 +104,7 @@
         presence: CallerPresence,
     ) -> None:
         """Return when a request may go to a replica, or its caller has left."""
-        now = time.monotonic()
+        now = boot_clock.now()
         with self._lock:
             queue = self._by_service.setdefault(service, _ServiceQueue())
             if not queue.service_s:
@@ -124,14 +124,14 @@
             with self._lock:
                 if held in queue.held:
                     queue.held.remove(held)
-        held_s = time.monotonic() - now
+        held_s = boot_clock.now() - now
         if held_s >= TOLD_HELD_S:
             log_message(
                 "request:held",
                 request_id=request.id,
                 service=service,
                 held_s=round(held_s, 3),
-                late=time.monotonic() > held.aim_at,
+                late=boot_clock.now() > held.aim_at,
                 waiting=len(queue.held),
                 service_s=round(queue.usual_service_s, 3),
             )
@@ -146,7 +146,7 @@
 
     def look_again(self) -> None:
         """Let go whoever may go now: loads have changed, or time has passed."""
-        now = time.monotonic()
+        now = boot_clock.now()
         with self._lock:
             for service, queue in self._by_service.items():
                 if queue.held:
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -4,12 +4,12 @@
 
 import math
 import threading
-import time
 
 import attrs
 import xxhash
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad
 
 REPORT_HALF_LIFE_S = 1.0
@@ -126,12 +126,12 @@
         """Count a request that is being sent."""
         with self._lock:
             if not self.in_flight:
-                self._quiet_since = time.monotonic()
+                self._quiet_since = boot_clock.now()
             self.in_flight += 1
 
     def hear(self) -> None:
         """Note that something came from the replica, whatever it was."""
-        self._quiet_since = time.monotonic()
+        self._quiet_since = boot_clock.now()
 
     def begin_answer(self) -> None:
         """Count a request whose answer has begun to come."""
@@ -154,7 +154,7 @@
         """
         if not self.in_flight:
             return False
-        quiet_s = time.monotonic() - self._quiet_since
+        quiet_s = boot_clock.now() - self._quiet_since
         if quiet_s <= max(LEAST_SILENCE_S, SILENCE_FACTOR * self._first_byte_s):
             return False
         return self._answering > 0 or quiet_s > QUEUED_SILENCE_S or not self._is_full()
@@ -166,7 +166,7 @@
             own = self.in_flight - self.items_in_flight
             return own + view.online_elsewhere + view.batch >= self.slots
         reported, at = self.reported()
-        if reported is None or time.monotonic() - at > REPORT_SHOWS_QUEUE_S:
+        if reported is None or boot_clock.now() - at > REPORT_SHOWS_QUEUE_S:
             return False
         return reported.running + reported.waiting >= self.slots
 
@@ -189,20 +189,20 @@
 
     def take_pool_view(self, online_elsewhere: int, batch: int) -> None:
         """Take what the keeper of room knows of all gateways' requests at the replica."""
-        self._pool_view = _PoolView(online_elsewhere, batch, time.monotonic())
+        self._pool_view = _PoolView(online_elsewhere, batch, boot_clock.now())
 
     @property
     def has_pool_view(self) -> bool:
         """Whether the keeper's word of the replica is new enough to count."""
         view = self._pool_view
-        return view is not None and time.monotonic() - view.at < POOL_VIEW_LIFETIME_S
+        return view is not None and boot_clock.now() - view.at < POOL_VIEW_LIFETIME_S
 
     def take_report(self, load: ReportedLoad) -> None:
         """Take what the replica told; it includes this process's own requests."""
         with self._lock:
             self._reported = load
             self._others = max(0.0, load.running + load.waiting - self.in_flight)
-            self._reported_at = time.monotonic()
+            self._reported_at = boot_clock.now()
 
     def load(self) -> float:
         """Return the estimated number of requests at the replica, as an online request counts.
@@ -216,7 +216,7 @@
         if self.has_pool_view:
             own = self.in_flight - self.items_in_flight
             return online_load(own + view.online_elsewhere, view.batch)
-        age_s = time.monotonic() - self._reported_at
+        age_s = boot_clock.now() - self._reported_at
         return self.in_flight + self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
 
     def reported(self) -> tuple[ReportedLoad | None, float]:
@@ -226,7 +226,7 @@
 
     def report_age_s(self) -> float:
         """Return the age of the last report in seconds."""
-        return time.monotonic() - self._reported_at
+        return boot_clock.now() - self._reported_at
 
     def record_success(self, first_byte_s: float) -> None:
         """Note a timely answer."""
@@ -237,13 +237,13 @@
     def record_failure(self, weight: float = 1.0) -> None:
         """Note a failure; ``weight`` says how much it tells of the replica."""
         with self._lock:
-            self._failed_at = time.monotonic()
+            self._failed_at = boot_clock.now()
             self._set_penalty(self._present_penalty() + weight)
 
     def take_warning(self, gateway: str, zone: str) -> None:
         """Note that the replica fails for another gateway."""
         with self._lock:
-            self._warnings[gateway] = _Warning(zone, time.monotonic())
+            self._warnings[gateway] = _Warning(zone, boot_clock.now())
             if self._is_warned_of():
                 # So that it is tried again by few at first, once the warnings lapse.
                 self._set_penalty(max(EJECTION_PENALTY, self._present_penalty()))
@@ -251,7 +251,7 @@
     @property
     def fails_here(self) -> bool:
         """Whether it fails for this process now, whatever others say."""
-        failed_just_now = time.monotonic() - self._failed_at < OWN_FAILURE_S
+        failed_just_now = boot_clock.now() - self._failed_at < OWN_FAILURE_S
         return self.silent or (failed_just_now and self.ejected)
 
     @property
@@ -286,7 +286,7 @@
         """
         if not self._warnings:
             return False
-        oldest = time.monotonic() - WARNING_LIFETIME_S
+        oldest = boot_clock.now() - WARNING_LIFETIME_S
         self._warnings = {
             gateway: warning for gateway, warning in self._warnings.items() if warning.at > oldest
         }
@@ -296,7 +296,7 @@
     def _set_penalty(self, penalty: float) -> None:
         """Store a penalty, and tell when it begins or ceases to eject; the lock is held."""
         self._penalty = penalty
-        self._penalty_at = time.monotonic()
+        self._penalty_at = boot_clock.now()
         ejected = penalty >= EJECTION_PENALTY
         if ejected != self._told_ejected:
             self._told_ejected = ejected
@@ -310,7 +310,7 @@
     def _present_penalty(self) -> float:
         if not self._penalty:
             return 0.0
-        age_s = time.monotonic() - self._penalty_at
+        age_s = boot_clock.now() - self._penalty_at
         return self._penalty * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
 
 
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -10,12 +10,12 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 import xxhash
 
+from quaymill import boot_clock
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.replica_cost import least_costly
 from quaymill.process.replica_set.table import ReplicaTable
@@ -149,7 +149,7 @@
         replica.departed_at is not None
         and not replica.misdirected
         and not replica.entry.draining
-        and time.monotonic() - replica.departed_at < LAST_RESORT_DEPARTED_S
+        and boot_clock.now() - replica.departed_at < LAST_RESORT_DEPARTED_S
     )
 
 
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable, Iterable
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.process.replica_set.replica import Replica
 
@@ -116,13 +116,13 @@
     def _depart(self, replica: Replica) -> None:
         if replica.departed_at is not None:
             return
-        replica.departed_at = time.monotonic()
+        replica.departed_at = boot_clock.now()
         log_message("replica:departed", replica=replica.id, service=replica.entry.service)
         self._on_departed(replica)
 
     def _finish(self, revision: int) -> None:
         self.revision = revision
-        horizon = time.monotonic() - DEPARTED_RETENTION_S
+        horizon = boot_clock.now() - DEPARTED_RETENTION_S
         self._by_id = {
             replica_id: replica
             for replica_id, replica in self._by_id.items()
--- a/src/quaymill/process/replica_set/warnings.py
+++ b/src/quaymill/process/replica_set/warnings.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections import Counter
 from collections.abc import Callable
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient
 from quaymill.connection.peer_server import PeerServer
@@ -85,7 +85,7 @@
             return ()
         listed = Counter(replica.entry.service for replica in replicas)
         failing_by_service = Counter(replica.entry.service for replica in failing)
-        now = time.monotonic()
+        now = boot_clock.now()
         due = [
             replica.id
             for replica in failing
--- a/src/quaymill/process/replicas/ejection.py
+++ b/src/quaymill/process/replicas/ejection.py
@@ -4,9 +4,9 @@
 
 import statistics
 import threading
-import time
 from collections.abc import Iterable
 
+from quaymill import boot_clock
 from quaymill.process.replicas.replica import ReplicaView
 
 CONSECUTIVE_FAILURES = 2
@@ -85,7 +85,7 @@
         ejected = sum(1 for other in replicas if other.ejected)
         if (ejected + 1) * 2 > len(replicas):
             return
-        replica.ejected_until = time.monotonic() + record.ejection_s
+        replica.ejected_until = boot_clock.now() + record.ejection_s
         record.ejection_s = min(MAX_EJECTION_S, 2 * record.ejection_s)
 
     def _is_slow(
--- a/src/quaymill/process/replicas/replica.py
+++ b/src/quaymill/process/replicas/replica.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import threading
-import time
 
 import msgspec
 
+from quaymill import boot_clock
 from quaymill.connection.load_messages import LoadReport
 from quaymill.connection.member import Machine
 
@@ -46,7 +46,7 @@
 
     def offer_report(self, report: LoadReport) -> bool:
         """Keep a report if it was measured after the one held; return whether it was."""
-        measured_at = time.monotonic() - report.age_s
+        measured_at = boot_clock.now() - report.age_s
         with self._lock:
             if self._report is not None and measured_at <= self._measured_at:
                 return False
@@ -60,14 +60,14 @@
             if self._report is None:
                 return None
             report = self._report
-            age_s = time.monotonic() - self._measured_at
+            age_s = boot_clock.now() - self._measured_at
         return msgspec.structs.replace(report, age_s=round(age_s, 3))
 
     def begin(self) -> int:
         """Count a request that is being sent; return the ticket for ``end``."""
         with self._lock:
             self._next_ticket += 1
-            self._started_at[self._next_ticket] = time.monotonic()
+            self._started_at[self._next_ticket] = boot_clock.now()
             return self._next_ticket
 
     def end(self, ticket: int) -> None:
@@ -88,11 +88,11 @@
     @property
     def ejection_left_s(self) -> float:
         """Seconds until an ejected replica takes requests again."""
-        return max(0.0, self.ejected_until - time.monotonic())
+        return max(0.0, self.ejected_until - boot_clock.now())
 
     def record_draining_answer(self) -> None:
         """Note that the replica itself refused new work because it is leaving."""
-        self._said_draining_at = time.monotonic()
+        self._said_draining_at = boot_clock.now()
 
     def forget_failures(self) -> None:
         """Forget this node's own bad experience."""
@@ -110,7 +110,7 @@
         said_at = self._said_draining_at
         if said_at is None or self._measured_at > said_at:
             return False
-        return time.monotonic() - said_at < DRAINING_ANSWER_LIFETIME_S
+        return boot_clock.now() - said_at < DRAINING_ANSWER_LIFETIME_S
 
     @property
     def reachable(self) -> bool:
@@ -137,7 +137,7 @@
         """
         with self._lock:
             report = self._report
-            if report is None or time.monotonic() - self._measured_at > REPORT_LIFETIME_S:
+            if report is None or boot_clock.now() - self._measured_at > REPORT_LIFETIME_S:
                 return None
             measured_at = self._measured_at
             since = sum(1 for started_at in self._started_at.values() if started_at > measured_at)
--- a/src/quaymill/process/replicas/replica_poller.py
+++ b/src/quaymill/process/replicas/replica_poller.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import time
-
 import msgspec
 
+from quaymill import boot_clock
 from quaymill.connection.load_messages import LoadReport
 from quaymill.connection.replica_connection import ReplicaConnections, ReplicaRequest
 from quaymill.process.replicas.replica import ReplicaView
@@ -32,7 +31,7 @@
     Then the report held grows old, and the load counts as unknown. A replica that does not
     answer at all is reported as not reachable.
     """
-    deadline = time.monotonic() + POLL_TIMEOUT_S
+    deadline = boot_clock.now() + POLL_TIMEOUT_S
     unreachable = LoadReport(replica=view.name, age_s=0.0, reachable=False)
     exchange = connections.send(view.machine.endpoint, ReplicaRequest("GET", "/load", {}))
     if isinstance(exchange, NotRun | OutcomeUnknown):
--- a/src/quaymill/process/status/service.py
+++ b/src/quaymill/process/status/service.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 
 import msgspec
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.configuration_messages import ConfigurationReport
 from quaymill.connection.peer_link import PeerClient
 from quaymill.connection.platform_client import PlatformClient
@@ -110,7 +110,7 @@
         )
         news = without_load(status) != without_load(self._written)
         interval_s = self._timing.news_interval_s if news else self._timing.load_interval_s
-        now = time.monotonic()
+        now = boot_clock.now()
         if now - self._written_at < interval_s or self._lease.token() != token:
             return
         self._written_at = now
@@ -126,7 +126,7 @@
     def _collect_if_due(self) -> None:
         lagging = any(zone.current < zone.live for zone in self._collector.compose().zones)
         interval_s = self._timing.news_interval_s if lagging else self._timing.collect_interval_s
-        now = time.monotonic()
+        now = boot_clock.now()
         if now - self._collected_at >= interval_s:
             self._collected_at = now
             self._collector.collect()
--- a/src/quaymill/process/status/writer_lease.py
+++ b/src/quaymill/process/status/writer_lease.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from quaymill import boot_clock
 from quaymill.connection.platform_client import STATUS_LEASE_NAME, STATUS_LEASES, PlatformClient
 from quaymill.connection.platform_objects import NotFound, PlatformObject
 
@@ -53,7 +54,7 @@
         platform: PlatformClient,
         holder: str,
         duration_s: float = LEASE_DURATION_S,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_clock.now,
     ) -> None:
         self._platform = platform
         self._holder = holder
--- a/src/quaymill/request/admission.py
+++ b/src/quaymill/request/admission.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import threading
-import time
 
+from quaymill import boot_clock
 from quaymill.request.outcome import NotRun
 
 SMOOTHING = 0.1
@@ -48,7 +48,7 @@
 
     def leave(self, started_at: float) -> None:
         """Give a place back; ``started_at`` is the monotonic time of ``enter``."""
-        service_s = time.monotonic() - started_at
+        service_s = boot_clock.now() - started_at
         with self._changed:
             self._in_service -= 1
             self._mean_service_s += SMOOTHING * (service_s - self._mean_service_s)
--- a/src/quaymill/request/attempt.py
+++ b/src/quaymill/request/attempt.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import secrets
-import time
 from collections.abc import Callable
 from typing import Protocol, TypeVar
 
 from eliot import start_action
 
+from quaymill import boot_clock
 from quaymill.connection.member import Machine
 from quaymill.request.deadline import Deadline
 from quaymill.request.outcome import Failed, Failure, NotRun, OutcomeUnknown
@@ -154,7 +154,7 @@
             attempt_id=attempt_id,
             replica=replica.name,
         ) as action:
-            sent_at = time.monotonic()
+            sent_at = boot_clock.now()
             result = send_once(replica, attempt_id)
             if self.presence.gone:
                 action.add_success_fields(outcome="caller gone")
@@ -166,7 +166,7 @@
                 self._excluded |= {replica.name}
                 self._note(result)
             else:
-                self._chooser.record_success(replica, time.monotonic() - sent_at)
+                self._chooser.record_success(replica, boot_clock.now() - sent_at)
         return result
 
     def _may_follow(self, failure: Failure) -> bool:
--- a/src/quaymill/request/deadline.py
+++ b/src/quaymill/request/deadline.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import time
-
 import msgspec
 
+from quaymill import boot_clock
 from quaymill.request.outcome import NotRun
 
 TIMEOUT_HEADER = "quaymill-timeout-s"
@@ -21,15 +20,15 @@
     @classmethod
     def after(cls, seconds: float) -> Deadline:
         """Return the deadline that lies ``seconds`` from now."""
-        return cls(time.monotonic() + seconds)
+        return cls(boot_clock.now() + seconds)
 
     def remaining_s(self) -> float:
         """Seconds left; never below 0."""
-        return max(0.0, self.at_s - time.monotonic())
+        return max(0.0, self.at_s - boot_clock.now())
 
     def passed(self) -> bool:
         """Return whether the deadline lies in the past."""
-        return time.monotonic() >= self.at_s
+        return boot_clock.now() >= self.at_s
 
 
 def deadline_from_header(value: str | None) -> Deadline | NotRun:
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -9,13 +9,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from typing import Protocol
 
 import attrs
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.replica_answer import AnswerHead
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
 from quaymill.request.event_stream import EventFramer
@@ -215,7 +215,7 @@
     def _attempt(self, replica: ChosenReplica) -> AttemptResult:
         load = replica.load()
         report_age_s = replica.report_age_s()
-        began = time.monotonic()
+        began = boot_clock.now()
         replica.begin()
         self._observer.began(replica)
         try:
@@ -226,7 +226,7 @@
             self._observer.ended(replica)
         if self._presence.gone and not isinstance(result, Delivered):
             result = CallerLeft()
-        took_s = time.monotonic() - began
+        took_s = boot_clock.now() - began
         self._judge(replica, result, took_s)
         log_message(
             "request:attempt",
@@ -297,14 +297,14 @@
         patience_s = self._request.deadline.remaining_s()
         if may_try_another:
             patience_s = min(patience_s, self._answer_patience_s(replica))
-        until = time.monotonic() + patience_s
-        while (left_s := until - time.monotonic()) > 0:
+        until = boot_clock.now() + patience_s
+        while (left_s := until - boot_clock.now()) > 0:
             if exchange.wait_readable(min(left_s, SILENCE_CHECK_S)):
                 return None
-            if may_try_another and replica.silent and time.monotonic() - began > SILENCE_PATIENCE_S:
+            if may_try_another and replica.silent and boot_clock.now() - began > SILENCE_PATIENCE_S:
                 break
         exchange.give_up()
-        return Broken(f"nothing came for {time.monotonic() - began:.2f} s")
+        return Broken(f"nothing came for {boot_clock.now() - began:.2f} s")
 
     def _may_try_another(self) -> bool:
         return self._route.repeatable and self._runs + 1 < self._route.max_attempts
@@ -329,13 +329,13 @@
             self._keep_error(exchange, replica, head)
             return Broken(f"the replica answered {head.status}")
         if head.status < 500:
-            replica.record_success(time.monotonic() - began)
+            replica.record_success(boot_clock.now() - began)
         return self._relay(exchange, replica, head)
 
     def _keep_error(self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead) -> None:
         """Read an error whole, for the caller, should another replica fail as well."""
         wait_s = min(ERROR_BODY_PATIENCE_S, self._request.deadline.remaining_s())
-        body = exchange.read_body(MAX_ERROR_BYTES, time.monotonic() + wait_s)
+        body = exchange.read_body(MAX_ERROR_BYTES, boot_clock.now() + wait_s)
         if isinstance(body, OutcomeUnknown):
             return
         self._error = _ReplicaError(head, body, replica.id)
--- a/src/quaymill/request/patience.py
+++ b/src/quaymill/request/patience.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import Protocol
 
+from quaymill import boot_clock
 from quaymill.connection.replica_connection import Exchange
 from quaymill.request.deadline import Deadline
 from quaymill.request.outcome import OutcomeUnknown
@@ -36,9 +36,9 @@
         The first byte may rightly take as long as the whole answer; such a replica is given
         up only when its polls are not answered either.
     """
-    sent_at = time.monotonic()
+    sent_at = boot_clock.now()
     while not exchange.wait_readable(min(WAIT_SLICE_S, deadline.remaining_s())):
-        waited_s = time.monotonic() - sent_at
+        waited_s = boot_clock.now() - sent_at
         if deadline.passed():
             exchange.abandon()
             return OutcomeUnknown(
--- a/src/quaymill/request/retry_budget.py
+++ b/src/quaymill/request/retry_budget.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import threading
-import time
+
+from quaymill import boot_clock
 
 RETRY_SHARE = 0.1
 BURST_RETRIES = 50.0
@@ -27,7 +28,7 @@
         self._burst = burst
         self._floor_per_s = floor_per_s
         self._balance = burst
-        self._refilled_at = time.monotonic()
+        self._refilled_at = boot_clock.now()
         self._lock = threading.Lock()
 
     def record_request(self) -> None:
@@ -38,7 +39,7 @@
     def take_retry(self) -> bool:
         """Draw one retry; ``False`` if the budget is spent."""
         with self._lock:
-            now = time.monotonic()
+            now = boot_clock.now()
             refill = (now - self._refilled_at) * self._floor_per_s
             self._refilled_at = now
             self._balance = min(self._burst, self._balance + refill)
--- a/src/quaymill/request/waiting_room.py
+++ b/src/quaymill/request/waiting_room.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections import deque
 from collections.abc import Callable
 from typing import TypeVar
 
+from quaymill import boot_clock
 from quaymill.request.deadline import Deadline
 from quaymill.request.outcome import NotRun
 from quaymill.request.presence import CallerGoneError, CallerPresence
@@ -44,7 +44,7 @@
     def record_end(self) -> None:
         """Note that a request of the service has ended, so that there may be room."""
         with self._changed:
-            self._ended_at.append(time.monotonic())
+            self._ended_at.append(boot_clock.now())
             self._forget_old_ends()
             self._changed.notify_all()
 
@@ -127,7 +127,7 @@
         return (len(self._waiting) + 1) / ended_per_s
 
     def _forget_old_ends(self) -> None:
-        horizon = time.monotonic() - RATE_WINDOW_S
+        horizon = boot_clock.now() - RATE_WINDOW_S
         while self._ended_at and self._ended_at[0] < horizon:
             self._ended_at.popleft()
 
--- a/tests/test_batch_quota.py
+++ b/tests/test_batch_quota.py
@@ -8,13 +8,12 @@
 
 from nose2.tools import params
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.job_document import Job, JobDocument, JobItem, ResultState
 from quaymill.connection.object_store import ObjectKind
 from quaymill.platform.configuration import decode_configuration
 from quaymill.platform.object_store import PlatformObjectStore
-from quaymill.process.jobs import batch_quota as batch_quota_module
-from quaymill.process.jobs import quota_sweep as quota_sweep_module
 from quaymill.process.jobs.batch_quota import (
     ALLOWANCE_RENEWAL_S,
     ALLOWANCE_TERM_S,
@@ -103,10 +102,9 @@
 
     def setUp(self) -> None:
         self.now = 1000.0
-        for module in (batch_quota_module, quota_sweep_module):
-            patch = mock.patch.object(module.time, "monotonic", lambda: self.now)
-            patch.start()
-            self.addCleanup(patch.stop)
+        patch = mock.patch.object(boot_clock, "now", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
         self.store = FleetStore()
         self.store.start()
         self.addCleanup(self.store.stop)
--- a/tests/test_job_leases.py
+++ b/tests/test_job_leases.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from quaymill.process.job_storage import leases as leases_module
+from quaymill import boot_clock
 from quaymill.process.job_storage.leases import LEASE_S, Leases
 
 
@@ -14,7 +14,7 @@
 
     def setUp(self) -> None:
         self.now = 1000.0
-        patch = mock.patch.object(leases_module.time, "monotonic", lambda: self.now)
+        patch = mock.patch.object(boot_clock, "now", lambda: self.now)
         patch.start()
         self.addCleanup(patch.stop)
         self.leases = Leases()
--- a/tests/test_job_progress.py
+++ b/tests/test_job_progress.py
@@ -9,6 +9,7 @@
 
 from nose2.tools import params
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.job_document import Job, JobDocument, JobItem, JobResult, ResultState
 from quaymill.connection.job_storage_messages import (
@@ -22,8 +23,6 @@
     ResultKey,
 )
 from quaymill.connection.member import Member
-from quaymill.process.job_storage import leases as leases_module
-from quaymill.process.job_storage import orphans as orphans_module
 from quaymill.process.job_storage.database import JobDatabase
 from quaymill.process.job_storage.leases import Leases as LeaseTable
 from quaymill.process.job_storage.orphans import REPLACED_FOR_S, OrphanWatch
@@ -195,10 +194,9 @@
     def setUp(self) -> None:
         super().setUp()
         self.now = 1000.0
-        for module in (orphans_module, leases_module):
-            patch = mock.patch.object(module.time, "monotonic", lambda: self.now)
-            patch.start()
-            self.addCleanup(patch.stop)
+        patch = mock.patch.object(boot_clock, "now", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
         self.replaced: set[str] = set()
         self.peers = FixedPeers()
         self.leases = LeaseTable()
--- a/tests/test_job_room.py
+++ b/tests/test_job_room.py
@@ -9,6 +9,7 @@
 import msgspec
 from nose2.tools import params
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.job_document import Job, JobDocument, JobItem
 from quaymill.connection.member import Member
@@ -27,8 +28,6 @@
     RunningAt,
     WantedItems,
 )
-from quaymill.process.jobs import room_claims as room_claims_module
-from quaymill.process.jobs import room_keeper as room_keeper_module
 from quaymill.process.jobs.coordinated_job import CoordinatedJob
 from quaymill.process.jobs.engine_pool import pools_of
 from quaymill.process.jobs.item_urgency import (
@@ -95,7 +94,7 @@
 
     def setUp(self) -> None:
         self.now = 1000.0
-        patch = mock.patch.object(room_keeper_module.time, "monotonic", lambda: self.now)
+        patch = mock.patch.object(boot_clock, "now", lambda: self.now)
         patch.start()
         self.addCleanup(patch.stop)
 
@@ -513,7 +512,7 @@
 
     def setUp(self) -> None:
         self.now = 1000.0
-        patch = mock.patch.object(room_claims_module.time, "monotonic", lambda: self.now)
+        patch = mock.patch.object(boot_clock, "now", lambda: self.now)
         patch.start()
         self.addCleanup(patch.stop)
         self.members = tuple(map(member, ("a", "b", "c"), (1, 2, 3)))
--- a/tests/test_replica_choice.py
+++ b/tests/test_replica_choice.py
@@ -8,9 +8,9 @@
 
 from nose2.tools import params
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad
-from quaymill.process.replica_set import replica as replica_module
 from quaymill.process.replica_set.router import Router
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.prompt import NO_PROMPT, Prompt, PromptPart
@@ -121,7 +121,7 @@
         replica = self.table.get("a")
         replica.take_report(ReportedLoad(8, 8, 8))
         at = time.monotonic()
-        with mock.patch.object(replica_module.time, "monotonic", lambda: at + 10.0):
+        with mock.patch.object(boot_clock, "now", lambda: at + 10.0):
             self.assertLess(replica.load(), 0.1)
 
 
--- a/tests/test_replica_warnings.py
+++ b/tests/test_replica_warnings.py
@@ -7,12 +7,11 @@
 
 from nose2.tools import params
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member
 from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad
 from quaymill.connection.replica_warnings import WarnOfReplicas
-from quaymill.process.replica_set import replica as replica_module
-from quaymill.process.replica_set import warnings as warnings_module
 from quaymill.process.replica_set.replica import (
     EJECTION_PENALTY,
     QUEUED_SILENCE_S,
@@ -31,10 +30,9 @@
 
     def setUp(self) -> None:
         self.now = 1000.0
-        for module in (replica_module, warnings_module):
-            patch = mock.patch.object(module.time, "monotonic", lambda: self.now)
-            patch.start()
-            self.addCleanup(patch.stop)
+        patch = mock.patch.object(boot_clock, "now", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
         self.table = ReplicaTable()
         entries = [
             ReplicaEntry(f"r{index}", SERVICE, Endpoint("127.0.0.1", index + 1), HOME, 8)
