Entries of another writer are left out one by one, and a replica's start counts, not its id

Change: pages are cut into entries; what cannot be read is left out, named once in the log and counted. An entry needs service, address, zone, slots and a known state. Another born is another start: load, failures, connections and crashes begin anew, reports of the earlier start count for nothing. Unreadable configuration, listing, ledger: the earlier holds, or is unknown; nothing raises.

--- a/src/quaymill/connection/control_messages.py
+++ b/src/quaymill/connection/control_messages.py
@@ -34,6 +34,7 @@
     slots: int
     draining: bool
     cold_left_s: float
+    born_ms: int = 0
 
 
 class ControlState(PeerMessage, frozen=True):
--- a/src/quaymill/connection/endpoint.py
+++ b/src/quaymill/connection/endpoint.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 
 import msgspec
 
+MAX_PORT = 65535
+
 
 class Endpoint(msgspec.Struct, frozen=True, order=True):
     """An IP address and a port."""
@@ -24,6 +27,18 @@
             raise ValueError(f"{text!r} is not HOST:PORT; write for example 127.0.0.1:7001")
         return cls(host=host, port=int(port))
 
+    @classmethod
+    def parse_address(cls, text: str) -> Endpoint:
+        """Read ``IP:PORT`` of something that can be connected to; raises ``ValueError``."""
+        endpoint = cls.parse(text)
+        if not 0 < endpoint.port <= MAX_PORT:
+            raise ValueError(f"{text!r} has no port from 1 to {MAX_PORT}")
+        try:
+            socket.inet_pton(socket.AF_INET, endpoint.host)
+        except OSError as error:
+            raise ValueError(f"{text!r} does not begin with an IPv4 address") from error
+        return endpoint
+
 
 class LinkFilter:
     """The endpoints to which this process must not send: a fault switch for tests.
--- a/src/quaymill/connection/object_store.py
+++ b/src/quaymill/connection/object_store.py
@@ -36,6 +36,20 @@
     deleting: bool = False
 
 
+@attrs.frozen
+class UnreadObject:
+    """An object that is not of a form in which anything is stored here.
+
+    Attributes
+    ----------
+    name
+        Empty if not even that can be read.
+    """
+
+    name: str
+    reason: str
+
+
 @attrs.frozen
 class ObjectChange:
     """One event of a watch."""
@@ -46,18 +60,32 @@
 
 @attrs.frozen
 class Listing:
-    """All objects of a kind, at one revision of the store."""
+    """All objects of a kind, at one revision of the store.
+
+    Attributes
+    ----------
+    unread
+        Those that were left out.
+    """
 
     objects: tuple[StoredObject, ...]
     revision: int
+    unread: tuple[UnreadObject, ...] = ()
 
 
 @attrs.frozen
 class Changes:
-    """What a watch brought; it goes on from ``revision``."""
+    """What a watch brought; it goes on from ``revision``.
+
+    Attributes
+    ----------
+    unread
+        Objects that have changed and were left out.
+    """
 
     changes: tuple[ObjectChange, ...]
     revision: int
+    unread: tuple[UnreadObject, ...] = ()
 
 
 @attrs.frozen
@@ -91,6 +119,11 @@
     reason: str
 
 
+@attrs.frozen
+class ObjectUnreadable(StoreUnanswered):
+    """The object is there, and cannot be read: nobody knows what it should say."""
+
+
 StoreFailure = StoreRefused | StoreUnanswered
 WriteResult = StoredObject | RevisionConflict | ObjectMissing | StoreRefused | StoreUnanswered
 
--- a/src/quaymill/connection/replica_entry.py
+++ b/src/quaymill/connection/replica_entry.py
@@ -14,11 +14,13 @@
     Attributes
     ----------
     id
-        Names this incarnation; a restarted replica has another.
+        Names the replica; one that starts again may keep it.
     slots
         Requests that the replica works on at once.
     cold_left_s
         How much longer it stays slow after its start.
+    born_ms
+        When it started, in Unix milliseconds by its own clock; 0 if it does not say.
     """
 
     id: str
@@ -28,6 +30,12 @@
     slots: int
     draining: bool = False
     cold_left_s: float = attrs.field(default=0.0, eq=False)
+    born_ms: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Names this start of the replica."""
+        return f"{self.id}@{self.born_ms}" if self.born_ms else self.id
 
 
 @attrs.frozen
--- a/src/quaymill/platform/configuration.py
+++ b/src/quaymill/platform/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any, Literal
 
 import attrs
 import msgspec
@@ -21,6 +21,10 @@
 )
 
 MS_PER_S = 1000.0
+MAX_SLOTS = 100_000
+"""No replica works on so many requests at once: an entry that says so is not a replica's own."""
+MAX_COLD_LEFT_MS = 24 * 3600 * MS_PER_S
+"""Nor is any slow from its start for longer than a day."""
 
 
 class _Part(msgspec.Struct):
@@ -76,12 +80,13 @@
 
 
 class _Server(msgspec.Struct):
-    service: str
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
-    zone: str = ""
-    slots: int = 0
-    state: str = ""
-    cold_left_ms: float = 0.0
+    zone: str
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+    state: Literal["ready", "draining"]
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_LEFT_MS)] = 0.0
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 @attrs.frozen
@@ -102,7 +107,7 @@
             services={service.name: _service(service) for service in document.services},
             limits=_limits(document.limits),
         )
-    except (msgspec.ValidationError, KeyError) as error:
+    except (msgspec.ValidationError, KeyError, OverflowError) as error:
         return UnreadableObject("configuration", str(error))
 
 
@@ -110,7 +115,7 @@
     """Return what a replica says of itself in its entry."""
     try:
         server = msgspec.convert(stored.spec, _Server)
-        address = Endpoint.parse(server.address)
+        address = Endpoint.parse_address(server.address)
     except (msgspec.ValidationError, ValueError) as error:
         return UnreadableObject(stored.name, str(error))
     return ReplicaEntry(
@@ -121,6 +126,7 @@
         slots=server.slots,
         draining=server.state == REPLICA_DRAINING,
         cold_left_s=server.cold_left_ms / MS_PER_S,
+        born_ms=server.born,
     )
 
 
--- a/src/quaymill/platform/object_store.py
+++ b/src/quaymill/platform/object_store.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Iterable
 from typing import Any
 from urllib.parse import quote, urlencode
 
+import attrs
 import msgspec
+from eliot import log_message
 
 from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint, LinkFilter
@@ -14,18 +17,25 @@
     Changes,
     HistoryGone,
     Listing,
-    ObjectChange,
     ObjectKind,
     ObjectMissing,
+    ObjectUnreadable,
     RevisionConflict,
     StoredObject,
     StoreFailure,
     StoreRefused,
     StoreUnanswered,
+    UnreadObject,
     WriteResult,
 )
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
 from quaymill.platform.names import KIND_NAMES, OBJECTS_PATH
+from quaymill.platform.store_pages import (
+    NotAPage,
+    read_list_page,
+    read_object,
+    read_watch_page,
+)
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 
 CONNECT_TIMEOUT_S = 0.5
@@ -50,34 +60,6 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
-class _Metadata(msgspec.Struct):
-    name: str
-    revision: int = 0
-    deleting: bool = False
-
-
-class _Object(msgspec.Struct):
-    metadata: _Metadata
-    spec: Any = None
-    status: Any = None
-
-
-class _ListAnswer(msgspec.Struct):
-    items: list[_Object]
-    more: bool = False
-    at: int = 0
-
-
-class _Event(msgspec.Struct):
-    object: _Object
-    gone: bool = False
-
-
-class _WatchAnswer(msgspec.Struct):
-    events: list[_Event]
-    at: int
-
-
 class _Answer(msgspec.Struct):
     status: int
     body: bytes
@@ -90,10 +72,14 @@
         self._address = address
         self._connections = ReplicaConnections(LinkFilter(), CONNECT_TIMEOUT_S, SOCKET_OPTIONS)
         self.calls = 0
+        self.unread = 0
+        """Objects that were left out, each of them once in a row."""
+        self._told_unread: dict[ObjectKind, frozenset[UnreadObject]] = {}
 
     def list(self, kind: ObjectKind) -> Listing | StoreFailure:
         """Return all objects of a kind, page after page."""
         objects: list[StoredObject] = []
+        unread: list[UnreadObject] = []
         revision: int | None = None
         after = ""
         while True:
@@ -101,16 +87,18 @@
             answer = self._read(_path(kind, query=query))
             if isinstance(answer, StoreRefused | StoreUnanswered):
                 return answer
-            page = _decode(answer, _ListAnswer)
-            if isinstance(page, StoreUnanswered):
-                return page
-            objects += [_stored(item) for item in page.items]
+            page = read_list_page(answer.body)
+            if isinstance(page, NotAPage):
+                return StoreUnanswered(f"the store's list was not understood: {page.reason}")
+            objects += page.objects
+            unread += page.unread
             # Later pages may show later states; a watch from the first page's revision
             # repeats what happened since, and loses nothing.
-            revision = page.at if revision is None else min(revision, page.at)
-            if not page.more or not page.items:
-                return Listing(tuple(objects), revision)
-            after = page.items[-1].metadata.name
+            revision = page.revision if revision is None else min(revision, page.revision)
+            if not page.more or page.last_name in ("", after):
+                self._tell_unread(kind, unread)
+                return Listing(tuple(objects), revision, tuple(unread))
+            after = page.last_name
 
     def get(
         self, kind: ObjectKind, name: str, *, may_be_old: bool = False
@@ -121,8 +109,11 @@
             return answer
         if answer.status == 404:
             return ObjectMissing()
-        found = _decode(answer, _Object)
-        return found if isinstance(found, StoreUnanswered) else _stored(found)
+        found = read_object(answer.body)
+        if isinstance(found, StoredObject):
+            return found
+        self._tell_unread(kind, [attrs.evolve(found, name=name)])
+        return ObjectUnreadable(f"{name} cannot be read: {found.reason}")
 
     def watch(
         self, kind: ObjectKind, revision: int, wait_s: float
@@ -134,11 +125,11 @@
             return answer
         if answer.status == 410:
             return HistoryGone()
-        page = _decode(answer, _WatchAnswer)
-        if isinstance(page, StoreUnanswered):
-            return page
-        changes = tuple(ObjectChange(_stored(event.object), event.gone) for event in page.events)
-        return Changes(changes, page.at)
+        page = read_watch_page(answer.body)
+        if isinstance(page, NotAPage):
+            return StoreUnanswered(f"the store's events were not understood: {page.reason}")
+        self._tell_unread(kind, page.unread)
+        return Changes(page.changes, page.revision, page.unread)
 
     def create(self, kind: ObjectKind, name: str, spec: Any) -> WriteResult:
         """Make an object; a conflict if it exists."""
@@ -164,6 +155,14 @@
         """Close idle connections."""
         self._connections.close()
 
+    def _tell_unread(self, kind: ObjectKind, unread: Iterable[UnreadObject]) -> None:
+        """Write a line for each object left out, unless it was left out the last time as well."""
+        found = frozenset(unread)
+        for one in found - self._told_unread.get(kind, frozenset()):
+            self.unread += 1
+            log_message("store:unread", object_kind=kind.name, name=one.name, reason=one.reason)
+        self._told_unread[kind] = found
+
     def _read(
         self, path: str, timeout_s: float = CALL_TIMEOUT_S
     ) -> _Answer | StoreRefused | StoreUnanswered:
@@ -225,22 +224,10 @@
     return f"{path}?{urlencode(query)}" if query else path
 
 
-def _decode(answer: _Answer, form: type) -> Any | StoreUnanswered:
-    try:
-        return msgspec.json.decode(answer.body, type=form)
-    except msgspec.MsgspecError as error:
-        return StoreUnanswered(f"the store's answer {answer.status} was not understood: {error}")
-
-
 def _decode_written(answer: _Answer) -> StoredObject | None:
-    decoded = _decode(answer, _Object)
-    return None if isinstance(decoded, StoreUnanswered) else _stored(decoded)
+    found = read_object(answer.body)
+    return found if isinstance(found, StoredObject) else None
 
 
 def _written_or_failure(written: StoredObject | None) -> StoredObject | StoreUnanswered:
     return written or StoreUnanswered("the store's answer to a write was not understood")
-
-
-def _stored(item: _Object) -> StoredObject:
-    metadata = item.metadata
-    return StoredObject(metadata.name, metadata.revision, item.spec, item.status, metadata.deleting)
--- a/src/quaymill/platform/replica_calls.py
+++ b/src/quaymill/platform/replica_calls.py
@@ -42,6 +42,7 @@
     waiting: int = 0
     kv_used: int = 0
     kv_total: int = 0
+    born: int = 0
 
 
 def build_request(
@@ -100,7 +101,9 @@
         report = msgspec.json.decode(body, type=_Report)
     except msgspec.MsgspecError:
         return None
-    return EngineReport(report.running, report.waiting, report.kv_used, report.kv_total)
+    return EngineReport(
+        report.running, report.waiting, report.kv_used, report.kv_total, report.born
+    )
 
 
 def _named_by_connection(headers) -> frozenset[str]:
--- /dev/null
+++ b/src/quaymill/platform/store_pages.py
@@ -0,0 +1,248 @@
+"""Reads pages of the platform's store entry by entry, so that no entry can spoil the others.
+
+An object may have been written by anybody: with fields missing or of another type, nested
+without an end, or not even in readable bytes. Such an entry is left out and named; it is never
+taken for what it is not. A page that ends too early is no page, since what follows is not known.
+
+A page is cut into entries by the library where it is JSON as a whole. Else it is cut at the
+brackets outside of strings; and where these do not match, at the beginnings of objects as the
+store writes them.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import msgspec
+
+from quaymill.connection.object_store import ObjectChange, StoredObject, UnreadObject
+
+_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]', re.DOTALL)
+"""A string, or a bracket: what decides where an entry ends."""
+_ENTRY_START = re.compile(rb'\{\s*"(?:metadata|object|gone)"\s*:')
+"""How the store begins an object, or an event of a watch."""
+_PAGE_END = re.compile(rb'\]\s*(?:,\s*"(?:more|at)"\s*:\s*[a-z0-9]+\s*)*\}\s*$')
+"""How the store ends a page."""
+_AFTER_ENTRY = re.compile(rb"\s*[,\]]")
+_SEPARATORS = b", \t\r\n"
+_NAME = re.compile(rb'"name"\s*:\s*"([^"\\]{1,200})"')
+_NUMBER_AT = re.compile(rb'"at"\s*:\s*(\d{1,18})')
+_MORE = re.compile(rb'"more"\s*:\s*true')
+_OPENING = b"{["
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    revision: int = 0
+    deleting: bool = False
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: Any = None
+    status: Any = None
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    gone: bool = False
+
+
+class _ListPage(msgspec.Struct):
+    items: list[msgspec.Raw]
+    more: bool = False
+    at: int = 0
+
+
+class _WatchPage(msgspec.Struct):
+    events: list[msgspec.Raw]
+    at: int
+
+
+@attrs.frozen
+class ListPage:
+    """One page of a list.
+
+    Attributes
+    ----------
+    last_name
+        Name of the last entry that has one; the next page follows it.
+    """
+
+    objects: tuple[StoredObject, ...]
+    unread: tuple[UnreadObject, ...]
+    more: bool
+    revision: int
+    last_name: str
+
+
+@attrs.frozen
+class WatchPage:
+    """What a watch brought."""
+
+    changes: tuple[ObjectChange, ...]
+    unread: tuple[UnreadObject, ...]
+    revision: int
+
+
+@attrs.frozen
+class NotAPage:
+    """The bytes are no page of the store, or not a whole one."""
+
+    reason: str
+
+
+@attrs.frozen
+class _Cut:
+    """A page in pieces."""
+
+    entries: tuple[bytes, ...]
+    more: bool
+    revision: int
+
+
+def read_list_page(body: bytes) -> ListPage | NotAPage:
+    """Read one page of a list; of two entries of one name the later revision counts."""
+    cut = _cut(body, _ListPage, b'"items"')
+    if isinstance(cut, NotAPage):
+        return cut
+    by_name: dict[str, StoredObject] = {}
+    unread = []
+    last_name = ""
+    for entry in cut.entries:
+        found = read_object(entry)
+        last_name = found.name or last_name
+        if isinstance(found, UnreadObject):
+            unread.append(found)
+        elif found.name not in by_name or by_name[found.name].revision <= found.revision:
+            by_name[found.name] = found
+    return ListPage(tuple(by_name.values()), tuple(unread), cut.more, cut.revision, last_name)
+
+
+def read_watch_page(body: bytes) -> WatchPage | NotAPage:
+    """Read the answer to a watch."""
+    cut = _cut(body, _WatchPage, b'"events"')
+    if isinstance(cut, NotAPage):
+        return cut
+    changes = []
+    unread = []
+    for entry in cut.entries:
+        event = _decode(entry, _Event)
+        if isinstance(event, _Event) and event.object.metadata.name:
+            changes.append(ObjectChange(_stored(event.object), event.gone))
+        else:
+            unread.append(_unread(entry, event))
+    return WatchPage(tuple(changes), tuple(unread), cut.revision)
+
+
+def read_object(entry: bytes) -> StoredObject | UnreadObject:
+    """Read one object."""
+    found = _decode(entry, _Object)
+    if isinstance(found, _Object) and found.metadata.name:
+        return _stored(found)
+    return _unread(entry, found)
+
+
+def _decode(entry: bytes, form: type) -> Any | str:
+    """Return an entry decoded, or why it cannot be."""
+    try:
+        return msgspec.json.decode(entry, type=form)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        return str(error)
+
+
+def _stored(item: _Object) -> StoredObject:
+    metadata = item.metadata
+    return StoredObject(metadata.name, metadata.revision, item.spec, item.status, metadata.deleting)
+
+
+def _unread(entry: bytes, found: object) -> UnreadObject:
+    name = _NAME.search(entry)
+    reason = found if isinstance(found, str) else "it has no name"
+    return UnreadObject(name.group(1).decode(errors="replace") if name else "", reason)
+
+
+def _cut(body: bytes, form: type, key: bytes) -> _Cut | NotAPage:
+    """Cut a page into the bytes of its entries."""
+    try:
+        page = msgspec.json.decode(body, type=form)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        return _cut_by_brackets(body, key, str(error))
+    entries = page.items if form is _ListPage else page.events
+    more = form is _ListPage and page.more
+    return _Cut(tuple(bytes(entry) for entry in entries), more, page.at)
+
+
+def _cut_by_brackets(body: bytes, key: bytes, reason: str) -> _Cut | NotAPage:
+    """Cut a page that is no JSON as a whole, since an entry is none."""
+    begin = _array_start(body, key)
+    if begin is None:
+        return NotAPage(reason)
+    entries = []
+    at = begin
+    while (start := _next_entry(body, at)) is not None:
+        end = _matching_end(body, start)
+        if end is None or not _AFTER_ENTRY.match(body, end):
+            # Its brackets do not match: it goes up to where the store goes on.
+            following = _ENTRY_START.search(body, start + 1) or _PAGE_END.search(body, start)
+            if following is None:
+                return NotAPage(f"the page ends within an entry: {reason}")
+            end = following.start()
+        entries.append(body[start:end].strip(_SEPARATORS))
+        at = end
+    revision = _NUMBER_AT.search(body, at) or _NUMBER_AT.search(body, 0, begin)
+    if revision is None or not body.rstrip().endswith(b"}"):
+        return NotAPage(f"the page has no end: {reason}")
+    more = bool(_MORE.search(body, at) or _MORE.search(body, 0, begin))
+    return _Cut(tuple(entries), more, int(revision.group(1)))
+
+
+def _array_start(body: bytes, key: bytes) -> int | None:
+    """Return where the entries of the page's array begin."""
+    depth = 0
+    key_seen = False
+    for token in _TOKEN.finditer(body):
+        text = token.group()
+        if text in (b"{", b"["):
+            if key_seen and text == b"[":
+                return token.end()
+            depth += 1
+        elif text in (b"}", b"]"):
+            depth -= 1
+        else:
+            key_seen = depth == 1 and text == key
+    return None
+
+
+def _next_entry(body: bytes, at: int) -> int | None:
+    """Return where the next entry of the array begins; ``None`` at the array's end."""
+    for position in _positions(body, at):
+        if body[position] in _OPENING:
+            return position
+        if body[position] == ord("]"):
+            return None
+    return None
+
+
+def _positions(body: bytes, at: int) -> Iterator[int]:
+    for token in _TOKEN.finditer(body, at):
+        yield token.start()
+
+
+def _matching_end(body: bytes, start: int) -> int | None:
+    """Return the end of the entry that begins at ``start``; ``None`` if it has none."""
+    open_brackets = bytearray()
+    closing = {ord("{"): ord("}"), ord("["): ord("]")}
+    for token in _TOKEN.finditer(body, start):
+        bracket = token.group()[0]
+        if bracket in closing:
+            open_brackets.append(closing[bracket])
+        elif bracket in (ord("}"), ord("]")):
+            if open_brackets.pop() != bracket:
+                return None
+            if not open_brackets:
+                return token.end()
+    return None
--- a/src/quaymill/process/jobs/engine_loads.py
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -176,7 +176,8 @@
         if isinstance(body, OutcomeUnknown):
             return None
         exchange.release(KEEP_S)
-        return self._protocol.read(body) if exchange.status == 200 else None
+        report = self._protocol.read(body) if exchange.status == 200 else None
+        return report if report is not None and _is_of_this_start(report, replica) else None
 
 
 def reserve_of(replica: Replica, share: float) -> int:
@@ -184,6 +185,12 @@
     return max(MIN_RESERVE, round(replica.slots * share))
 
 
+def _is_of_this_start(report: EngineReport, replica: Replica) -> bool:
+    """Return whether a report is of the start that is listed, as far as both say."""
+    born_ms = replica.entry.born_ms
+    return not report.born_ms or not born_ms or report.born_ms == born_ms
+
+
 def _poll_interval_s(replica: Replica, report: EngineReport | None) -> float:
     if report is None:
         return POLL_INTERVAL_S
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -334,7 +334,7 @@
         if isinstance(outcome, ItemDone):
             guard.note_served(content)
         elif isinstance(outcome, ItemCut) and outcome.connection_closed and not job.stopped:
-            guard.note_closed(content, replica.id, replica.entry.address)
+            guard.note_closed(content, replica.entry.incarnation, replica.entry.address)
         return outcome
 
     def _settle(
--- a/src/quaymill/process/jobs/listing.py
+++ b/src/quaymill/process/jobs/listing.py
@@ -11,6 +11,7 @@
 
 import attrs
 import msgspec
+from eliot import log_message
 
 from quaymill.connection.job_document import ResultState
 from quaymill.connection.job_storage_messages import ResultKey
@@ -124,5 +125,11 @@
         self._store.delete(ObjectKind.JOB_LISTINGS, job_id)
 
 
-def _listing(stored: StoredObject) -> Listing:
-    return Listing(msgspec.convert(stored.spec, ListingDocument), stored.revision)
+def _listing(stored: StoredObject) -> Listing | ListingUnknown:
+    """Return a stored listing; what another writer left in its place tells nothing of the order."""
+    try:
+        document = msgspec.convert(stored.spec, ListingDocument)
+    except msgspec.ValidationError as error:
+        log_message("store:unread", object_kind="JOB_LISTINGS", name=stored.name, reason=str(error))
+        return ListingUnknown(f"the listing cannot be read: {error}")
+    return Listing(document, stored.revision)
--- a/src/quaymill/process/jobs/quota_ledger.py
+++ b/src/quaymill/process/jobs/quota_ledger.py
@@ -13,6 +13,7 @@
 
 import attrs
 import msgspec
+from eliot import log_message
 
 from quaymill.connection.object_store import (
     ObjectKind,
@@ -164,7 +165,8 @@
         """
         found = self._store.get(ObjectKind.QUOTA_LEDGERS, route, may_be_old=True)
         if isinstance(found, StoredObject) and found.revision > known.revision:
-            return _ledger(found)
+            ledger = _ledger(found)
+            return ledger if isinstance(ledger, Ledger) else known
         return known
 
     def change(
@@ -196,7 +198,10 @@
             if isinstance(written, StoredObject):
                 return _ledger(written)
             if isinstance(written, RevisionConflict) and written.object is not None:
-                standing = _ledger(written.object)
+                ledger = _ledger(written.object)
+                if isinstance(ledger, LedgerUnknown):
+                    return ledger
+                standing = ledger
                 continue
             if isinstance(written, StoreRefused):
                 return LedgerUnknown(written.reason)
@@ -217,5 +222,13 @@
         return self._store.create(ObjectKind.QUOTA_LEDGERS, route, spec)
 
 
-def _ledger(stored: StoredObject) -> Ledger:
-    return Ledger(msgspec.convert(stored.spec, LedgerDocument), stored.revision)
+def _ledger(stored: StoredObject) -> Ledger | LedgerUnknown:
+    """Return a stored ledger; what another writer left in its place tells nothing of the quota."""
+    try:
+        document = msgspec.convert(stored.spec, LedgerDocument)
+    except msgspec.ValidationError as error:
+        log_message(
+            "store:unread", object_kind="QUOTA_LEDGERS", name=stored.name, reason=str(error)
+        )
+        return LedgerUnknown(f"the ledger cannot be read: {error}")
+    return Ledger(document, stored.revision)
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -308,6 +308,14 @@
     "request:crash_sharing_error": LogEvent(
         "a bug while crashes were shared", ("error: the exception",)
     ),
+    "replica:started_again": LogEvent(
+        "a replica has started anew under its id; nothing that was known of it counts",
+        ("replica: the replica's id", "service"),
+    ),
+    "store:unread": LogEvent(
+        "an object of the store was left out, since it is of no form known here",
+        ("object_kind", "name: empty if not even that can be read", REASON),
+    ),
     "replica:warned": LogEvent(
         "other gateways are told of replicas that fail here",
         ("replicas", "gateways: how many are told"),
--- a/src/quaymill/process/node_registry.py
+++ b/src/quaymill/process/node_registry.py
@@ -92,8 +92,9 @@
         found = []
         for stored in listing.objects:
             try:
-                found.append(msgspec.convert(stored.spec, _Entry).peer)
-            except msgspec.ValidationError as error:
+                peer = msgspec.convert(stored.spec, _Entry).peer
+                found.append(Endpoint.parse_address(str(peer)))
+            except (msgspec.ValidationError, ValueError) as error:
                 log_message("registry:entry_unread", name=stored.name, reason=str(error))
         log_message("registry:looked", found=len(found))
         self._membership.add_seeds(found)
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -72,7 +72,7 @@
 
 
 class Replica:
-    """Load and health of one incarnation; safe to use from any thread.
+    """Load and health of one start of a replica; safe to use from any thread.
 
     Attributes
     ----------
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -40,6 +40,11 @@
         """Return a replica by its identity."""
         return self._by_id.get(replica_id)
 
+    def listed_entry(self, replica_id: str) -> ReplicaEntry | None:
+        """Return what a listed replica last said of itself; ``None`` if it is not listed."""
+        replica = self._by_id.get(replica_id)
+        return None if replica is None or replica.departed_at is not None else replica.entry
+
     def replicas(self) -> tuple[Replica, ...]:
         """Return all replicas, departed ones included."""
         return tuple(self._by_id.values())
@@ -106,6 +111,13 @@
             self._by_id[entry.id] = Replica(entry)
             log_message("replica:listed", replica=entry.id, service=entry.service, zone=entry.zone)
             return
+        if entry.born_ms != replica.entry.born_ms:
+            # The order of starts is the store's: a replica's own clock may have been set back.
+            log_message("replica:started_again", replica=entry.id, service=entry.service)
+            replica.departed_at = boot_clock.now()
+            self._on_departed(replica)
+            self._by_id[entry.id] = Replica(entry)
+            return
         if entry.draining and not replica.entry.draining:
             log_message("replica:draining", replica=entry.id, service=entry.service)
         if replica.departed_at is not None:
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -248,12 +248,16 @@
         if isinstance(result, Broken):
             replica.record_failure()
             if result.connection_closed:
-                self._guard.note_closed(self._content, replica.id, replica.entry.address)
+                self._note_closed(replica)
         elif isinstance(result, Delivered):
             self._turns.record(self._service, took_s, replica.first_byte_s)
             if result.status < 500:
                 self._guard.note_served(self._content)
 
+    def _note_closed(self, replica: ChosenReplica) -> None:
+        entry = replica.entry
+        self._guard.note_closed(self._content, entry.incarnation, entry.address)
+
     def _send(self, replica: ChosenReplica, began: float) -> AttemptResult:
         remaining_s = self._request.deadline.remaining_s()
         message = self._protocol.build_request(
--- a/src/quaymill_standins/fleet_replica.py
+++ b/src/quaymill_standins/fleet_replica.py
@@ -103,6 +103,8 @@
     ----------
     on_crash
         Called with the replica once it has ended.
+    port
+        Where to listen; 0 for any free one.
     """
 
     def __init__(
@@ -113,8 +115,10 @@
         slots: int = 4,
         address: str = "127.0.0.1",
         on_crash: Callable[[FleetReplica], None] = lambda replica: None,
+        port: int = 0,
     ) -> None:
         self.id = replica_id
+        self.born_ms = time.time_ns() // 1_000_000
         self.service = service
         self.zone = zone
         self.slots = slots
@@ -129,7 +133,7 @@
         self._stopping = False
         self._server = StandinServer(
             address,
-            0,
+            port,
             FaultSwitches(Faults()),
             handle_data=self._handle,
             handle_control=lambda request: Response(404),
@@ -167,6 +171,7 @@
             "state": state,
             "cold_left_ms": 0,
             "seq": seq,
+            "born": self.born_ms,
         }
 
     def runs_of(self, request_id: str) -> list[ReplicaRun]:
@@ -177,7 +182,8 @@
         if request.path == "/v1/report":
             self.probes += 1
             report = {"waiting": self.behaviour.waiting, "running": self._running}
-            return json_response(200, report | {"kv_used": 0, "kv_total": 100_000})
+            memory = {"kv_used": 0, "kv_total": 100_000}
+            return json_response(200, report | memory | {"born": self.born_ms})
         if request.header("Expect-Instance") not in ("", self.id):
             return Response(421, b"", (("Instance-Id", self.id),))
         if self.behaviour.shed:
@@ -231,6 +237,10 @@
         self._server.crash()
         self._on_crash(self)
 
+    def has_ended(self) -> bool:
+        """Return whether a crash has freed the port."""
+        return self._server.has_ended()
+
     def _whole(self, run: ReplicaRun, request: Request) -> Answer:
         self._count(1)
         try:
--- a/src/quaymill_standins/http_support.py
+++ b/src/quaymill_standins/http_support.py
@@ -231,6 +231,7 @@
         self._server.gateway = _Gateway
         switches.subscribe(self._close_if_down)
         self._thread = threading.Thread(target=self._server.serve, name="accept", daemon=True)
+        self._crashing: threading.Thread | None = None
 
     @property
     def port(self) -> int:
@@ -259,7 +260,12 @@
         with contextlib.suppress(OSError):
             self._server.socket.shutdown(socket.SHUT_RDWR)
         self._abort_in_service()
-        threading.Thread(target=self.stop, name="crash", daemon=True).start()
+        self._crashing = threading.Thread(target=self.stop, name="crash", daemon=True)
+        self._crashing.start()
+
+    def has_ended(self) -> bool:
+        """Return whether a crash has freed the port."""
+        return self._crashing is not None and not self._crashing.is_alive()
 
     def _application(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one request, as a WSGI application."""
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,123 @@
+"""A fleet beside entries of another writer, and replicas that start again under their id."""
+
+from __future__ import annotations
+
+import time
+import unittest
+
+from nose2.tools import params
+
+from fleet_rig import FleetRig, wait_until
+from quaymill.process.control.state import UNREAD_KEPT_S
+from quaymill.request.poison import MAX_CRASHES
+from quaymill_bench.fleet_world import ROUTES, configuration, route
+from quaymill_standins.fleet_replica import FleetReplica, ReplicaBehaviour
+
+FOREIGN = (7, "text", [], {}, {"service": 1}, {"service": "application", "state": "resting"})
+LATER_MS = 60_000
+
+
+class FleetCase(unittest.TestCase):
+    """Two gateways, two applications, one engine."""
+
+    def setUp(self) -> None:
+        self.rig = FleetRig(gateways=2, storage=0, engines=1).start()
+        self.addCleanup(self.rig.stop)
+
+    def listed(self, gateway: str) -> set[str]:
+        table = self.rig.gateways[gateway].control._table
+        return {entry.id for entry in table.entries()}
+
+    def is_served(self, gateway: str, path: str = "/read/x") -> bool:
+        return self.rig.ask(gateway, path, f"probe-{time.monotonic()}").status == 200
+
+
+class ForeignEntryTest(FleetCase):
+    """Objects that no replica has written."""
+
+    @params(*enumerate(FOREIGN))
+    def test_they_name_no_replica_and_hide_none(self, number: int, spec: object) -> None:
+        self.rig.store.put("servers", f"a-foreign-{number}", spec)
+        added = self.rig.add_replica("application", "zone-c")
+        for name in self.rig.gateways:
+            wait_until(lambda name=name: added.id in self.listed(name), f"{name} lists the new one")
+            self.assertEqual(set(self.rig.replicas), self.listed(name))
+        self.rig.gateways.pop("gateway-1").kill()
+        self.rig.start_gateway("gateway-1", "zone-b")
+        wait_until(
+            lambda: self.listed("gateway-1") == set(self.rig.replicas), "a new one lists all"
+        )
+
+    def test_under_a_replicas_name_its_last_good_word_holds_for_a_while(self) -> None:
+        replica = self.rig.of_service("application")[0]
+        self.rig.store.put("servers", replica.id, {"service": 7})
+        added = self.rig.add_replica("application", "zone-c")
+        wait_until(lambda: added.id in self.listed("gateway-0"), "the list was read")
+        self.assertIn(replica.id, self.listed("gateway-0"))
+        gone = lambda: replica.id not in self.listed("gateway-0")  # noqa: E731
+        wait_until(gone, "it is gone as one that writes nothing", UNREAD_KEPT_S + 5.0)
+        self.rig.store.put("servers", replica.id, replica.entry(seq=9))
+        wait_until(lambda: replica.id in self.listed("gateway-0"), "it is back with its own word")
+
+    def test_a_configuration_that_cannot_be_read_leaves_the_earlier_one(self) -> None:
+        self.rig.store.put("config", "main", {"version": "x"})
+        added = self.rig.add_replica("application", "zone-c")
+        wait_until(lambda: added.id in self.listed("gateway-0"), "replicas are read on")
+        self.assertTrue(self.is_served("gateway-0"))
+        more = route("added", "/added/", "idempotent", service="application")
+        self.rig.store.put("config", "main", configuration(5, (*ROUTES, more)))
+        wait_until(lambda: self.is_served("gateway-1", "/added/x"), "the next one is in force")
+
+    @params("quaymill-nodes", "quaymill-job-listings", "quaymill-quota-ledgers")
+    def test_under_kinds_of_our_own(self, kind: str) -> None:
+        for number, spec in enumerate(FOREIGN):
+            self.rig.store.put(kind, f"foreign-{number}", spec)
+        answer = self.rig.read_results("gateway-0", "foreign-1")
+        self.assertIn(answer.status, (404, 503))
+        self.rig.start_gateway("gateway-2", "zone-c")
+        wait_until(lambda: self.is_served("gateway-2"), "a new gateway serves")
+
+
+class SameIdTest(FleetCase):
+    """A replica that starts again under its id, at the address that it had."""
+
+    def start_again(self, replica: FleetReplica) -> FleetReplica:
+        replica.crash()
+        wait_until(replica.has_ended, "its port is free")
+        again = FleetReplica(replica.id, replica.service, replica.zone, port=replica.port)
+        again.behaviour = replica.behaviour
+        again.born_ms = replica.born_ms + LATER_MS
+        again.start()
+        self.rig.replicas[replica.id] = again
+        self.rig.store.put("servers", again.id, again.entry(seq=0))
+        for name in self.rig.gateways:
+            wait_until(
+                lambda name=name: self.born(name, again.id) == again.born_ms,
+                f"{name} knows the new start",
+            )
+        return again
+
+    def born(self, gateway: str, replica_id: str) -> int:
+        return self.rig.gateways[gateway].control._table.get(replica_id).entry.born_ms
+
+    def test_it_is_served_by_at_once_whatever_was_known(self) -> None:
+        engine = self.rig.of_service("engine")[0]
+        for name in self.rig.gateways:
+            self.rig.gateways[name].control._table.get(engine.id).record_failure(9.0)
+        again = self.start_again(engine)
+        for name in self.rig.gateways:
+            self.assertFalse(self.rig.gateways[name].control._table.get(engine.id).avoided)
+            answer = self.rig.ask(name, "/stream/x", f"again-{name}", tokens=True)
+            self.assertEqual(200, answer.status)
+            self.assertEqual(1, len(again.runs_of(f"again-{name}")))
+
+    def test_each_start_that_crashes_counts(self) -> None:
+        engine = self.rig.of_service("engine")[0]
+        engine.behaviour = ReplicaBehaviour(crash_suffix="crash")
+        for number in range(MAX_CRASHES):
+            self.rig.ask("gateway-0", "/stream/crash", f"crash-{number}", tokens=True)
+            self.assertTrue(engine.crashed)
+            engine = self.start_again(engine)
+        answer = self.rig.ask("gateway-1", "/stream/crash", "crash-late", tokens=True)
+        self.assertEqual(503, answer.status)
+        self.assertEqual([], engine.runs)
--- /dev/null
+++ b/tests/test_store_pages.py
@@ -0,0 +1,288 @@
+"""Entries that another writer has left in the store: each is left out alone, the others hold.
+
+Each form stands in a list, in an object that is read and in an event of a watch, between two sound
+entries.
+"""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from quaymill.connection.object_store import Listing, StoredObject, UnreadObject
+from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.platform.configuration import decode_configuration, decode_replica
+from quaymill.platform.store_pages import (
+    ListPage,
+    NotAPage,
+    WatchPage,
+    read_list_page,
+    read_object,
+    read_watch_page,
+)
+from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.version.request_routes import RequestRoutes
+from quaymill_bench.fleet_world import configuration
+
+SOUND = {
+    "service": "engine",
+    "address": "10.0.0.1:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 1,
+}
+REVISION = 530
+
+
+def item(name: str, spec: object = None, revision: object = 7) -> bytes:
+    """Return an object as the store sends it."""
+    spec = SOUND if spec is None else spec
+    return json.dumps({"metadata": {"name": name, "revision": revision}, "spec": spec}).encode()
+
+
+def spec_bytes(text: bytes) -> bytes:
+    """Return an object whose ``spec`` is some bytes."""
+    return b'{"metadata":{"name":"bad","revision":7},"spec":' + text + b"}"
+
+
+def changed(**fields: object) -> bytes:
+    """Return an object of a replica with some fields replaced."""
+    return item("bad", SOUND | fields)
+
+
+def without(field: str) -> bytes:
+    """Return an object of a replica with a field missing."""
+    return item("bad", {key: value for key, value in SOUND.items() if key != field})
+
+
+UNREADABLE = {
+    "no metadata": json.dumps({"spec": SOUND}).encode(),
+    "metadata is null": b'{"metadata":null,"spec":{}}',
+    "metadata is a list": b'{"metadata":["bad"],"spec":{}}',
+    "the name is a number": b'{"metadata":{"name":7,"revision":1},"spec":{}}',
+    "the name is missing": b'{"metadata":{"revision":1},"spec":{}}',
+    "the name is empty": item(""),
+    "the revision is a text": item("bad", revision="seven"),
+    "the revision is negative text": item("bad", revision="-1"),
+    "wrong UTF-8 in a value": spec_bytes(b'{"service":"\xff\xfe"}'),
+    "wrong UTF-8 in a key": spec_bytes(b'{"\xc3\x28":1}'),
+    "not a number": spec_bytes(b'{"slots":NaN}'),
+    "infinity": spec_bytes(b'{"slots":-Infinity}'),
+    "no value": spec_bytes(b""),
+    "a truncated value": spec_bytes(b'{"slots":1'),
+    "a truncated text": spec_bytes(b'{"service":"eng'),
+    "a closing bracket too many": spec_bytes(b"{}}"),
+    "brackets that do not match": spec_bytes(b"[{]}"),
+    "nested without an end": spec_bytes(b"[" * 10_000 + b"]" * 10_000),
+    "not JSON at all": spec_bytes(b"\x00\x01\x02\xfe"),
+    "a text": b'"bad"',
+    "a list": b"[1,2]",
+}
+"""Entries that are no objects of the store."""
+FOREIGN_REPLICAS = {
+    "the spec is null": item("bad", [None]),
+    "the spec is a text": item("bad", "engine"),
+    "the service is missing": without("service"),
+    "the service is empty": changed(service=""),
+    "the service is a number": changed(service=7),
+    "the address is missing": without("address"),
+    "the address has no port": changed(address="10.0.0.1"),
+    "the address is a name": changed(address="engine.example:80"),
+    "the port is huge": changed(address="10.0.0.1:99999999"),
+    "the port is 0": changed(address="10.0.0.1:0"),
+    "the zone is missing": without("zone"),
+    "the zone is a list": changed(zone=["a"]),
+    "the slots are a text": changed(slots="4"),
+    "the slots are negative": changed(slots=-4),
+    "the slots are huge": changed(slots=10**30),
+    "the state is missing": without("state"),
+    "the state is unknown": changed(state="resting"),
+    "the state is null": changed(state=None),
+    "the warm-up is negative": changed(cold_left_ms=-1),
+    "the warm-up is huge": changed(cold_left_ms=1e300),
+    "the start is a text": changed(born="today"),
+    "the start is a fraction": changed(born=1.5),
+}
+"""Objects that name no replica to use."""
+
+
+def list_of(*entries: bytes) -> bytes:
+    """Return a page of a list."""
+    return b'{"items":[' + b",".join(entries) + b'],"more":false,"at":%d}' % REVISION
+
+
+def events_of(*entries: bytes) -> bytes:
+    """Return the answer to a watch."""
+    events = b",".join(b'{"gone":false,"object":' + entry + b"}" for entry in entries)
+    return b'{"events":[' + events + b'],"at":%d}' % REVISION
+
+
+class UnreadableTest(unittest.TestCase):
+    """An entry that is no object."""
+
+    @params(*UNREADABLE)
+    def test_in_a_list(self, form: str) -> None:
+        page = read_list_page(list_of(item("first"), UNREADABLE[form], item("last")))
+        self.assertIsInstance(page, ListPage)
+        self.assertEqual(["first", "last"], [found.name for found in page.objects])
+        self.assertEqual((REVISION, "last", False), (page.revision, page.last_name, page.more))
+
+    @params(*UNREADABLE)
+    def test_as_an_event(self, form: str) -> None:
+        page = read_watch_page(events_of(item("first"), UNREADABLE[form], item("last")))
+        self.assertIsInstance(page, WatchPage)
+        self.assertEqual(["first", "last"], [change.object.name for change in page.changes])
+        self.assertEqual(REVISION, page.revision)
+
+    @params(*UNREADABLE)
+    def test_alone(self, form: str) -> None:
+        self.assertIsInstance(read_object(UNREADABLE[form]), UnreadObject)
+
+    @params(*UNREADABLE)
+    def test_as_the_last_one(self, form: str) -> None:
+        page = read_list_page(list_of(item("first"), UNREADABLE[form]))
+        self.assertIsInstance(page, ListPage)
+        self.assertEqual(["first"], [found.name for found in page.objects])
+        self.assertEqual(REVISION, page.revision)
+
+    def test_it_is_named_where_it_can_be(self) -> None:
+        page = read_list_page(list_of(UNREADABLE["not a number"], item("last")))
+        self.assertEqual(["bad"], [found.name for found in page.unread])
+
+    @params(1, 40, 200)
+    def test_a_page_cut_short_is_no_page(self, missing: int) -> None:
+        page = list_of(item("first"), item("last"))
+        self.assertIsInstance(read_list_page(page[:-missing]), NotAPage)
+
+    def test_of_two_of_one_name_the_later_counts(self) -> None:
+        page = read_list_page(list_of(item("x", revision=8), item("x", {}, revision=7)))
+        self.assertEqual([8], [found.revision for found in page.objects])
+
+
+class ForeignReplicaTest(unittest.TestCase):
+    """An object under the replicas' kind that is no replica's word."""
+
+    @params(*FOREIGN_REPLICAS)
+    def test_it_names_no_replica(self, form: str) -> None:
+        page = read_list_page(list_of(item("first"), FOREIGN_REPLICAS[form], item("last")))
+        read = {found.name: decode_replica(found) for found in page.objects}
+        sound = [name for name, entry in read.items() if isinstance(entry, ReplicaEntry)]
+        self.assertEqual(["first", "last"], sound)
+
+    def test_fields_that_are_not_known_do_no_harm(self) -> None:
+        stored = StoredObject("x", 1, SOUND | {"colour": "red", "models": [{"name": 1}]})
+        self.assertIsInstance(decode_replica(stored), ReplicaEntry)
+
+    def test_a_zone_that_is_not_known_is_a_zone(self) -> None:
+        self.assertEqual(
+            "moon", decode_replica(StoredObject("x", 1, SOUND | {"zone": "moon"})).zone
+        )
+
+
+class StartTest(unittest.TestCase):
+    """A replica that starts again under its id."""
+
+    def setUp(self) -> None:
+        self.departed = []
+        self.table = ReplicaTable(self.departed.append)
+
+    def list(self, revision: int, **fields: object) -> None:
+        self.table.replace_all([decode_replica(StoredObject("x", 1, SOUND | fields))], revision)
+
+    @params((1000, 2000), (2000, 1000), (0, 1000), (1000, 9_999_999_999_999))
+    def test_nothing_of_before_counts(self, before: int, after: int) -> None:
+        """Also where its clock was set back: the store tells which word is the later one."""
+        self.list(1, born=before)
+        former = self.table.get("x")
+        former.record_failure(9.0)
+        former.begin()
+        self.list(2, born=after, seq=1)
+        present = self.table.get("x")
+        self.assertFalse(present.ejected)
+        self.assertEqual(0, present.in_flight)
+        self.assertTrue(former.leaving)
+        self.assertEqual([former], self.departed)
+        self.assertNotEqual(former.entry.incarnation, present.entry.incarnation)
+
+    def test_an_older_list_changes_nothing(self) -> None:
+        self.list(2, born=2000)
+        present = self.table.get("x")
+        self.list(1, born=1000)
+        self.assertIs(present, self.table.get("x"))
+
+    def test_the_same_start_is_the_same_replica(self) -> None:
+        self.list(1, born=1000, seq=5)
+        present = self.table.get("x")
+        self.list(2, born=1000, seq=6, slots=5)
+        self.assertIs(present, self.table.get("x"))
+        self.assertEqual(5, present.slots)
+
+
+class ConfigurationTest(unittest.TestCase):
+    """A configuration that cannot be read is none."""
+
+    @params(None, 7, "text", [], {}, {"version": "x"}, {"version": 1, "routes": 3})
+    def test_it_is_not_taken(self, document: object) -> None:
+        self.assertNotIsInstance(decode_configuration(document), RequestRoutes)
+
+    @params(
+        {"kind": "unheard"},
+        {"timeout_ms": "1"},
+        {"host": None},
+        {"path_prefix": 7},
+        {"split": [{"service": 1}]},
+        {"max_attempts": 1.5},
+    )
+    def test_nor_with_one_route_that_cannot(self, fields: dict[str, object]) -> None:
+        document = configuration(3)
+        document["routes"][0] = document["routes"][0] | fields
+        self.assertNotIsInstance(decode_configuration(document), RequestRoutes)
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda values: (
+        st.lists(values, max_size=4) | st.dictionaries(st.text(max_size=8), values, max_size=4)
+    ),
+    max_leaves=12,
+)
+FOREIGN_BYTES = st.one_of(
+    st.binary(max_size=60),
+    JSON_VALUES.map(lambda value: json.dumps(value).encode()),
+    JSON_VALUES.map(lambda value: spec_bytes(json.dumps(value).encode())),
+    st.binary(max_size=30).map(spec_bytes),
+)
+
+
+class FuzzTest(unittest.TestCase):
+    """Whole pages with anything at all between sound entries: nothing raises."""
+
+    @seed(20261203)
+    @settings(max_examples=400, deadline=None, database=None)
+    @given(st.lists(FOREIGN_BYTES, max_size=4))
+    def test_reading_never_raises(self, entries: list[bytes]) -> None:
+        page = read_list_page(list_of(item("first"), *entries, item("last")))
+        watched = read_watch_page(events_of(item("first"), *entries, item("last")))
+        self.assertIsInstance(page, ListPage | NotAPage)
+        self.assertIsInstance(watched, WatchPage | NotAPage)
+        for found in getattr(page, "objects", ()):
+            decode_replica(found)
+            decode_configuration(found.spec)
+
+    @seed(20261203)
+    @settings(max_examples=400, deadline=None, database=None)
+    @given(st.lists(JSON_VALUES, max_size=4))
+    def test_the_sound_ones_come_through(self, specs: list[object]) -> None:
+        entries = [spec_bytes(json.dumps(spec).encode()) for spec in specs]
+        page = read_list_page(list_of(item("first"), *entries, item("last")))
+        self.assertIsInstance(page, ListPage)
+        names = {found.name for found in page.objects}
+        self.assertLessEqual({"first", "last"}, names)
+        self.assertIsInstance(Listing(page.objects, page.revision, page.unread), Listing)
