Soak: crashing requests, replicas that start again under their id, foreign entries, suspended processes

Each with its check or the checks there are; a row for each case of late runs in test_soak_checks. A suspended process is stopped with its boot clock moved on by the rig.

--- a/src/quaymill_bench/fleet_processes.py
+++ b/src/quaymill_bench/fleet_processes.py
@@ -14,6 +14,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -25,7 +26,7 @@
 from quaymill_bench.fleet_world import HOST, ZONES, configuration, job_body
 from quaymill_bench.loopback_proxy import LoopbackProxy
 from quaymill_bench.ports import free_port, loopback_address
-from quaymill_bench.routed_process import ROUTES_VARIABLE
+from quaymill_bench.routed_process import CLOCK_VARIABLE, ROUTES_VARIABLE, write_clock_lead
 from quaymill_standins.fleet_replica import FleetReplica
 from quaymill_standins.fleet_store import FleetStore
 
@@ -34,6 +35,8 @@
 REQUEST_TIMEOUT_S = 12.0
 SETTINGS_VARIABLE = "QUAYMILL_BOOT"
 MAIN_MODULE = "quaymill.platform.main"
+REPLICA_DOWN_S = 1.0
+"""Time between the crash of a replica and its next start."""
 GRACE_S = 6.0
 LEAVE_S = 0.5
 
@@ -64,6 +67,8 @@
         What runs now; ``None`` while it is down.
     started_at
         Monotonic time of its last start.
+    clock_lead_s
+        How far its boot clock has moved ahead of the steady one.
     ended_on_purpose
         Whether it was told to end since.
     """
@@ -80,12 +85,23 @@
     process: subprocess.Popen | None = None
     started_at: float = 0.0
     ended_on_purpose: bool = True
+    clock_lead_s: float = 0.0
 
     @property
     def routes_file(self) -> Path:
         """Table of the proxies that its connections to peers lead through."""
         return self.settings_file.with_suffix(".routes.json")
 
+    @property
+    def clock_file(self) -> Path:
+        """Holds how far its boot clock is ahead of the machine's."""
+        return self.settings_file.with_suffix(".clock")
+
+    def move_boot_clock(self, seconds: float) -> None:
+        """Let its boot clock run ahead of its steady clock, as a suspension does."""
+        self.clock_lead_s += seconds
+        write_clock_lead(self.clock_file, self.clock_lead_s)
+
     def start(self) -> None:
         """Start the process, unless it runs: two faults may have ended it, and both start it."""
         if self.process is not None and self.process.poll() is None:
@@ -96,7 +112,9 @@
         variables = {
             SETTINGS_VARIABLE: str(self.settings_file),
             ROUTES_VARIABLE: str(self.routes_file),
+            CLOCK_VARIABLE: str(self.clock_file),
         }
+        write_clock_lead(self.clock_file, self.clock_lead_s)
         with self.log_file.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", module, self.role],
@@ -168,6 +186,7 @@
         self._peer_port = free_port()
         self._planned = (gateways, storage, engines)
         self._linked = linked
+        self.stopping = False
         self.pool = urllib3.PoolManager(retries=False, num_pools=20, maxsize=30)
 
     @property
@@ -214,6 +233,7 @@
 
     def stop(self) -> None:
         """End everything that was started here."""
+        self.stopping = True
         for process in self.processes.values():
             process.send(signal.SIGCONT)
             process.kill()
@@ -233,8 +253,13 @@
             wait_until(lambda g=gateway: self._is_ready(g), f"{gateway.name} is ready")
 
     def add_replica(self, service: str, zone: str) -> FleetReplica:
-        """Start a replica behind a proxy, and list it."""
-        replica = FleetReplica(f"{service}-{len(self.replicas)}", service, zone)
+        """Start a replica behind a proxy, and list it.
+
+        One that crashes is started again a moment later, under its id and at its address.
+        """
+        replica = FleetReplica(
+            f"{service}-{len(self.replicas)}", service, zone, on_crash=self._start_again_later
+        )
         replica.start()
         proxy = LoopbackProxy(("127.0.0.1", replica.port))
         self.replicas[replica.id] = replica
@@ -242,6 +267,28 @@
         self.list_replica(replica, "ready")
         return replica
 
+    def _start_again_later(self, crashed: FleetReplica) -> None:
+        threading.Thread(target=self._start_again, args=(crashed,), daemon=True).start()
+
+    def _start_again(self, crashed: FleetReplica) -> None:
+        time.sleep(REPLICA_DOWN_S)
+        wait_until(crashed.has_ended, f"the port of {crashed.id} is free")
+        if self.stopping:
+            return
+        again = FleetReplica(
+            crashed.id,
+            crashed.service,
+            crashed.zone,
+            on_crash=self._start_again_later,
+            port=crashed.port,
+        )
+        again.behaviour = crashed.behaviour
+        # What was run before is still to be checked.
+        again.runs = crashed.runs
+        again.start()
+        self.replicas[again.id] = again
+        self.list_replica(again, "ready")
+
     def list_replica(self, replica: FleetReplica, state: str) -> None:
         """Write a replica's entry into the store."""
         port = self.replica_proxies[replica.id].port
--- a/src/quaymill_bench/soak_checks.py
+++ b/src/quaymill_bench/soak_checks.py
@@ -31,6 +31,10 @@
         return f"{self.gateway}, sent at {self.sent_at:.3f}"
 
 
+MAX_CRASHES = 3
+CONTACT_S = 3.0
+"""Time after the third crash within which gateways may not know of it yet."""
+MAX_LATE_RUNS = 3
 OWN_CALL = JobCall("reader", 0.0)
 
 
@@ -159,12 +163,30 @@
     findings: list[str] = []
     for sending in history.sendings:
         findings += _check_sending(sending, replicas)
+    findings += _check_crashing(replicas)
     for job in history.jobs.values():
         findings += [f"job {job.id}: {text}" for text in job.findings]
         findings += _check_job(job, replicas, cancel_s)
     return findings
 
 
+def _check_crashing(replicas: list[FleetReplica]) -> list[str]:
+    """Check that a request that crashes replicas is soon run no more, whoever sends it."""
+    runs_by_body: dict[bytes, list[float]] = {}
+    for replica in replicas:
+        for run in replica.runs:
+            if run.crashed:
+                runs_by_body.setdefault(run.body, []).append(run.started_s)
+    findings = []
+    for body, starts in runs_by_body.items():
+        starts.sort()
+        late = [at for at in starts if at > starts[min(2, len(starts) - 1)] + CONTACT_S]
+        if len(starts) > MAX_CRASHES and len(late) > MAX_LATE_RUNS:
+            name = body.decode(errors="replace")
+            findings.append(f"{name}: crashed {len(starts)} replicas, {len(late)} of them late")
+    return findings
+
+
 def _check_sending(sending: Sending, replicas: list[FleetReplica]) -> list[str]:
     runs = [run for replica in replicas for run in replica.runs_of(sending.request_id)]
     where = f"{sending.kind} {sending.request_id} at {sending.gateway}"
--- a/src/quaymill_bench/soak_faults.py
+++ b/src/quaymill_bench/soak_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import signal
 import threading
@@ -10,6 +11,7 @@
 
 import attrs
 import msgspec
+import urllib3
 
 from quaymill_bench.fleet_processes import FleetProcess, LocalFleet
 from quaymill_bench.fleet_world import ROUTES, configuration
@@ -35,6 +37,30 @@
 )
 EVENT_TIMES_S = (0.01, 0.2, 0.6)
 """Times of an event: an item of three of them is over at once, or outlasts other coordinators."""
+SUSPENDED_S = (1.0, 6.0)
+"""Suspensions: shorter and longer than a lease of a job."""
+CRASH_SUFFIX = "crash"
+"""A request whose path ends so crashes the replica that begins to run it."""
+CRASHING_KINDS = ("read", "write", "stream", "resumable")
+CRASHING_PAUSE_S = (0.05, 0.4)
+FOREIGN_KINDS = (
+    "servers",
+    "quaymill-nodes",
+    "quaymill-job-listings",
+    "quaymill-quota-ledgers",
+    "quaymill-barred-requests",
+)
+FOREIGN_SPECS = (
+    7,
+    "text",
+    [],
+    {},
+    {"service": 1},
+    {"service": "engine", "address": "127.0.0.1:99999999", "zone": "zone-a", "slots": 1},
+    {"service": "engine", "address": "127.0.0.1:9", "zone": "zone-a", "slots": 4, "state": "new"},
+    {"crashed_at_ms": "x", "replica_ids": [1]},
+    {"peer": {"host": "nowhere", "port": -1}},
+)
 DELAY_BY_STATE_S = {LinkState.DELAYED: 0.2, LinkState.ANSWERS_LATE: LATE_ANSWER_S}
 
 Heal = Callable[[], None]
@@ -54,11 +80,14 @@
 
     def __init__(self, fleet: LocalFleet, seed: str, timeline: Timeline) -> None:
         self._fleet = fleet
+        self._seed = seed
         self._random = random.Random(seed)
         self._timeline = timeline
         self._storage_lock = threading.Lock()
         self._version = int(time.time())
-        self._sound = ReplicaBehaviour(event_s=self._random.choice(EVENT_TIMES_S))
+        self._sound = ReplicaBehaviour(
+            event_s=self._random.choice(EVENT_TIMES_S), crash_suffix=CRASH_SUFFIX
+        )
         for replica in fleet.replicas.values():
             replica.behaviour = self._sound
         self._faults: dict[str, Callable[[], Heal | None]] = {
@@ -75,6 +104,10 @@
             "silence open connections": self._silence_connections,
             "have a replica fail": self._fail_replica,
             "have a replica leave": self._drain_replica,
+            "have a replica start again": self._start_replica_again,
+            "send a request that crashes replicas": self._send_crashing,
+            "leave entries of another writer": self._leave_foreign_entries,
+            "suspend a process": self._suspend,
             "change the configuration": self._change_configuration,
         }
 
@@ -164,6 +197,22 @@
 
         return heal
 
+    def _suspend(self) -> Heal | None:
+        """Stop a process, with its boot clock moved on and its steady clock left behind."""
+        process = self._random.choice(list(self._fleet.processes.values()))
+        if not process.links_by_target or not self._may_lose(process):
+            return None
+        lead_s = self._random.uniform(*SUSPENDED_S)
+        self._note(f"{process.name} is suspended for {lead_s:.1f} s")
+        process.send(signal.SIGSTOP)
+        process.move_boot_clock(lead_s)
+
+        def heal() -> None:
+            process.send(signal.SIGCONT)
+            self._gives_back(process)
+
+        return heal
+
     def _hang_up(self) -> None:
         process = self._random.choice(list(self._fleet.processes.values()))
         if process.age_s() < INTERPRETER_START_S:
@@ -289,7 +338,8 @@
         replica.behaviour = msgspec.structs.replace(self._sound, **{name: value})
 
         def heal() -> None:
-            replica.behaviour = self._sound
+            # It may have started again meanwhile.
+            self._fleet.replicas[replica.id].behaviour = self._sound
 
         return heal
 
@@ -297,7 +347,64 @@
         replica = self._random.choice(list(self._fleet.replicas.values()))
         self._note(f"{replica.id} leaves")
         self._fleet.list_replica(replica, "draining")
-        return lambda: self._fleet.list_replica(replica, "ready")
+        return lambda: self._fleet.list_replica(self._fleet.replicas[replica.id], "ready")
+
+    def _start_replica_again(self) -> None:
+        """End a replica; the fleet starts it again under its id."""
+        replica = self._random.choice(list(self._fleet.replicas.values()))
+        self._note(f"{replica.id} crashes, and starts again under its id")
+        replica.crash()
+
+    def _send_crashing(self) -> Heal:
+        """Have one request come again and again, at any gateway, that crashes its replica."""
+        kind = self._random.choice(CRASHING_KINDS)
+        name = f"{kind}-crash-{self._seed}-{self._random.randrange(1000)}"
+        self._note(f"{name} crashes the replicas that run it")
+        stopping = threading.Event()
+        chance = random.Random(name)
+        thread = threading.Thread(
+            target=self._send_again_and_again, args=(kind, name, chance, stopping), daemon=True
+        )
+        thread.start()
+
+        def heal() -> None:
+            stopping.set()
+            thread.join()
+
+        return heal
+
+    def _send_again_and_again(
+        self, kind: str, name: str, chance: random.Random, stopping: threading.Event
+    ) -> None:
+        number = 0
+        while not stopping.wait(chance.uniform(*CRASHING_PAUSE_S)):
+            number += 1
+            headers = {"Request-Id": f"{name}-{number}", "Deadline-Ms": "3000"}
+            if kind in ("stream", "resumable"):
+                headers["Token-Count"] = "50,10"
+            gateway = chance.choice(self._fleet.gateways)
+            path = f"/{kind}/{CRASH_SUFFIX}"
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                answer = self._fleet.call(gateway, "POST", path, name.encode(), headers)
+                self._timeline.note(f"client: {name} at {gateway.name}: {answer.status}")
+
+    def _leave_foreign_entries(self) -> Heal:
+        """Write objects that no process of ours writes, also over those of replicas."""
+        names = [f"foreign-{index}" for index in range(len(FOREIGN_SPECS))]
+        over = self._random.choice(list(self._fleet.replicas.values()))
+        self._note(f"entries of another writer, also in place of that of {over.id}")
+        for kind in FOREIGN_KINDS:
+            for name, spec in zip(names, FOREIGN_SPECS, strict=True):
+                self._fleet.store.put(kind, name, spec)
+        self._fleet.store.put("servers", over.id, self._random.choice(FOREIGN_SPECS))
+
+        def heal() -> None:
+            for kind in FOREIGN_KINDS:
+                for name in names:
+                    self._fleet.store.remove(kind, name)
+            self._fleet.list_replica(self._fleet.replicas[over.id], "ready")
+
+        return heal
 
     def _change_configuration(self) -> None:
         self._version += 1
--- a/src/quaymill_standins/fleet_replica.py
+++ b/src/quaymill_standins/fleet_replica.py
@@ -75,6 +75,8 @@
     ----------
     finished
         Whether it ran to its end; false while it runs and when it was cut.
+    crashed
+        Whether the replica ended at it.
     """
 
     request_id: str
@@ -87,6 +89,7 @@
     events_made: int = 0
     finished: bool = False
     cancelled: bool = False
+    crashed: bool = False
 
 
 class FleetReplica:
@@ -221,6 +224,7 @@
 
     def _crash_at(self, run: ReplicaRun, request: Request) -> Answer:
         """End as a run begins: of a stream the head goes out, and nothing else."""
+        run.crashed = True
         if not request.header("Token-Count"):
             self.crash()
             return CLOSED
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -5,8 +5,6 @@
 import time
 import unittest
 
-from nose2.tools import params
-
 from fleet_rig import FleetRig, wait_until
 from quaymill.process.control.state import UNREAD_KEPT_S
 from quaymill.request.poison import MAX_CRASHES
@@ -14,6 +12,12 @@
 from quaymill_standins.fleet_replica import FleetReplica, ReplicaBehaviour
 
 FOREIGN = (7, "text", [], {}, {"service": 1}, {"service": "application", "state": "resting"})
+OWN_KINDS = (
+    "quaymill-nodes",
+    "quaymill-job-listings",
+    "quaymill-quota-ledgers",
+    "quaymill-barred-requests",
+)
 LATER_MS = 60_000
 
 
@@ -35,9 +39,9 @@
 class ForeignEntryTest(FleetCase):
     """Objects that no replica has written."""
 
-    @params(*enumerate(FOREIGN))
-    def test_they_name_no_replica_and_hide_none(self, number: int, spec: object) -> None:
-        self.rig.store.put("servers", f"a-foreign-{number}", spec)
+    def test_they_name_no_replica_and_hide_none(self) -> None:
+        for number, spec in enumerate(FOREIGN):
+            self.rig.store.put("servers", f"a-foreign-{number}", spec)
         added = self.rig.add_replica("application", "zone-c")
         for name in self.rig.gateways:
             wait_until(lambda name=name: added.id in self.listed(name), f"{name} lists the new one")
@@ -68,10 +72,10 @@
         self.rig.store.put("config", "main", configuration(5, (*ROUTES, more)))
         wait_until(lambda: self.is_served("gateway-1", "/added/x"), "the next one is in force")
 
-    @params("quaymill-nodes", "quaymill-job-listings", "quaymill-quota-ledgers")
-    def test_under_kinds_of_our_own(self, kind: str) -> None:
-        for number, spec in enumerate(FOREIGN):
-            self.rig.store.put(kind, f"foreign-{number}", spec)
+    def test_under_kinds_of_our_own(self) -> None:
+        for kind in OWN_KINDS:
+            for number, spec in enumerate(FOREIGN):
+                self.rig.store.put(kind, f"foreign-{number}", spec)
         answer = self.rig.read_results("gateway-0", "foreign-1")
         self.assertIn(answer.status, (404, 503))
         self.rig.start_gateway("gateway-2", "zone-c")
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -58,6 +58,26 @@
             self.assertIn(finding, found[0])
 
 
+class CrashTest(unittest.TestCase):
+    """Requests that crash the replicas that run them."""
+
+    @params(
+        ("three at once", (0.0, 0.1, 0.2), False),
+        ("others before it could be known", (0.0, 0.1, 0.2, 1.0, 2.0, 3.0, 3.1), False),
+        ("three late runs", (0.0, 0.1, 0.2, 4.0, 5.0, 6.0), False),
+        ("four late runs", (0.0, 0.1, 0.2, 4.0, 5.0, 6.0, 7.0), True),
+        ("two crashes only", (0.0, 9.0), False),
+    )
+    def test_late_runs(self, _, starts, broken):
+        replicas = []
+        for at in starts:
+            replica = FleetReplica("replica", "engine", "zone")
+            replica.runs.append(ReplicaRun("r", "POST", "/", {}, b"bad", at, crashed=True))
+            replicas.append(replica)
+        found = check_round(History(), replicas, CANCEL_S)
+        self.assertEqual(["bad: crashed 7 replicas, 4 of them late"] if broken else [], found)
+
+
 class JobTest(unittest.TestCase):
     """Jobs."""
 
