--- a/src/quaymill/connection/crash_messages.py
+++ b/src/quaymill/connection/crash_messages.py
@@ -14,14 +14,14 @@
     ----------
     content
         Digest of what the request asks for.
-    replica_ids
-        Incarnations that crashed while they ran it.
+    incarnations
+        Starts of replicas that crashed while they ran it.
     age_s
         Time since the last of these crashes.
     """
 
     content: str
-    replica_ids: tuple[str, ...]
+    incarnations: tuple[str, ...]
     age_s: float
 
 
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -31,6 +31,7 @@
 from quaymill.connection.peer_link import PeerClient, PeerRefusal
 from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.process.control.entries import EntryReader
 from quaymill.process.control.store_reader import StoreReader
 from quaymill.process.membership.membership import Membership
 from quaymill.process.replica_set.table import ReplicaTable
@@ -67,10 +68,6 @@
 """How long after an outage replicas that the list lacks are kept: by the platform's word their
 entries are back within about two seconds."""
 
-UNREAD_KEPT_S = 3.6
-"""How long a replica is kept whose entry has become unreadable: as long as one that writes no
-entry, three heartbeats of about 1.2 s."""
-
 
 class ControlPlaneView:
     """What this gateway knows; safe to read from any thread.
@@ -100,8 +97,7 @@
         self._document: Any = None
         self._read_revision = 0
         self._lapsed_until = 0.0
-        self._read_at_by_id: dict[str, float] = {}
-        self._told_unread: dict[str, tuple[int, str]] = {}
+        self._entries = EntryReader(protocol.read_replica, table.listed_entry)
         self._pulls = threading.Semaphore(MAX_PULLS_AT_ONCE)
         self._wake = threading.Event()
         self._stopping = threading.Event()
@@ -168,7 +164,7 @@
         if unconfirmed_s > OUTAGE_S:
             self._lapsed_until = now + LAPSED_ENTRIES_S
         kept = self._table.replace_all(
-            self._read_replicas(listing, now),
+            self._entries.read(listing, now),
             listing.revision,
             keep_missing=now < self._lapsed_until,
         )
@@ -193,33 +189,6 @@
         else:
             self._wake.set()
 
-    def _read_replicas(self, listing: Listing, now: float) -> list[ReplicaEntry]:
-        """Return the replicas of a list, for those whose entry is unreadable the last good word.
-
-        A replica that lives writes its entry again within a heartbeat, over whatever another
-        writer has left there.
-        """
-        unread = [one.name for one in listing.unread]
-        entries = []
-        for stored in listing.objects:
-            entry = self._protocol.read_replica(stored)
-            if isinstance(entry, ReplicaEntry):
-                entries.append(entry)
-                continue
-            unread.append(stored.name)
-            told = (stored.revision, entry.reason)
-            if self._told_unread.get(stored.name) != told:
-                self._told_unread[stored.name] = told
-                log_message("control:replica_unread", replica=stored.name, reason=entry.reason)
-        self._read_at_by_id |= dict.fromkeys((entry.id for entry in entries), now)
-        oldest = now - UNREAD_KEPT_S
-        self._read_at_by_id = {name: at for name, at in self._read_at_by_id.items() if at >= oldest}
-        self._told_unread = {
-            name: told for name, told in self._told_unread.items() if name in unread
-        }
-        kept = (self._table.listed_entry(name) for name in unread if name in self._read_at_by_id)
-        return entries + [entry for entry in kept if entry is not None]
-
     def _offer_configuration(self, document: Any, source: str) -> None:
         routes = self._protocol.read_configuration(document)
         if not isinstance(routes, RequestRoutes):
--- a/src/quaymill/process/poison/barred_store.py
+++ b/src/quaymill/process/poison/barred_store.py
@@ -34,7 +34,7 @@
         Time of day of the last crash, in Unix milliseconds.
     """
 
-    replica_ids: tuple[str, ...]
+    incarnations: tuple[str, ...]
     crashed_at_ms: int
 
 
@@ -54,7 +54,7 @@
     def write(self, record: CrashRecord) -> bool:
         """Keep a record; return whether the store has it now."""
         crashed_at_ms = int((time.time() - record.age_s) * MS_PER_S)
-        spec = msgspec.to_builtins(_Barred(record.replica_ids, crashed_at_ms))
+        spec = msgspec.to_builtins(_Barred(record.incarnations, crashed_at_ms))
         written = self._store.create(ObjectKind.BARRED_REQUESTS, record.content, spec)
         if isinstance(written, StoreRefused | StoreUnanswered):
             log_message("request:not_kept_barred", content=record.content, reason=written.reason)
@@ -86,4 +86,4 @@
         log_message("request:barred_unread", content=stored.name, reason=str(error))
         return None
     age_s = max(0.0, time.time() - barred.crashed_at_ms / MS_PER_S)
-    return CrashRecord(stored.name, barred.replica_ids, age_s)
+    return CrashRecord(stored.name, barred.incarnations, age_s)
--- a/src/quaymill/process/poison/guard.py
+++ b/src/quaymill/process/poison/guard.py
@@ -56,18 +56,18 @@
         """Return for how long a content must not be run; 0 if it may be."""
         return self._records.barred_for_s(content, boot_clock.now())
 
-    def note_closed(self, content: str, replica_id: str, address: Endpoint) -> None:
+    def note_closed(self, content: str, incarnation: str, address: Endpoint) -> None:
         """Note that a replica closed the connection before the answer to a content was whole."""
         if self._is_alive(address):
             return
-        record = self._records.add(content, replica_id, boot_clock.now())
+        record = self._records.add(content, incarnation, boot_clock.now())
         if record is None:
             return
         crashes = self._records.crashes_of(content)
         log_message(
             "request:crashed_replica",
             content=content,
-            replica=replica_id,
+            replica=incarnation,
             crashes=crashes,
             barred=crashes >= MAX_CRASHES,
         )
--- a/src/quaymill/request/poison.py
+++ b/src/quaymill/request/poison.py
@@ -18,6 +18,7 @@
 import xxhash
 
 from quaymill.connection.crash_messages import CrashRecord
+from quaymill.connection.endpoint import Endpoint
 
 MAX_CRASHES = 3
 """Replicas that may crash under one request: the operators' figure, who allow three runs more for
@@ -41,7 +42,7 @@
     def barred_for_s(self, content: str) -> float:
         """Return for how long a content must not be run; 0 if it may be."""
 
-    def note_closed(self, content: str, replica_id: str, address: object) -> None:
+    def note_closed(self, content: str, incarnation: str, address: Endpoint) -> None:
         """Note that a replica closed the connection before the answer to a content was whole."""
 
     def note_served(self, content: str) -> None:
@@ -55,7 +56,7 @@
         """Return 0."""
         return 0.0
 
-    def note_closed(self, content: str, replica_id: str, address: object) -> None:
+    def note_closed(self, content: str, incarnation: str, address: Endpoint) -> None:
         """Do nothing."""
 
     def note_served(self, content: str) -> None:
@@ -69,7 +70,7 @@
     Attributes
     ----------
     replicas
-        Incarnations that crashed while they ran it.
+        Starts of replicas that crashed while they ran it.
     excused
         Those of them after which it was served here: they crashed of something else.
     last_at
@@ -109,9 +110,9 @@
             return 0.0
         return max(0.0, self._left_s(crashes, now))
 
-    def add(self, content: str, replica_id: str, now: float) -> CrashRecord | None:
+    def add(self, content: str, incarnation: str, now: float) -> CrashRecord | None:
         """Note a crash; return the record, or ``None`` if it was known."""
-        changed = self.merge([CrashRecord(content, (replica_id,), 0.0)], now)
+        changed = self.merge([CrashRecord(content, (incarnation,), 0.0)], now)
         return changed[0] if changed else None
 
     def excuse(self, content: str) -> None:
@@ -173,7 +174,7 @@
         known = self._by_content.get(record.content)
         before = known.replicas if known else frozenset()
         taken = _Crashes(
-            before | frozenset(record.replica_ids),
+            before | frozenset(record.incarnations),
             known.excused if known else frozenset(),
             max(now - max(0.0, record.age_s), known.last_at if known else -BARRED_S),
         )
--- a/src/quaymill_bench/soak_faults.py
+++ b/src/quaymill_bench/soak_faults.py
@@ -58,7 +58,7 @@
     {"service": 1},
     {"service": "engine", "address": "127.0.0.1:99999999", "zone": "zone-a", "slots": 1},
     {"service": "engine", "address": "127.0.0.1:9", "zone": "zone-a", "slots": 4, "state": "new"},
-    {"crashed_at_ms": "x", "replica_ids": [1]},
+    {"crashed_at_ms": "x", "incarnations": [1]},
     {"peer": {"host": "nowhere", "port": -1}},
 )
 DELAY_BY_STATE_S = {LinkState.DELAYED: 0.2, LinkState.ANSWERS_LATE: LATE_ANSWER_S}
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -132,9 +132,9 @@
         wait_until(lambda: self.rig.store.read("quaymill-barred-requests", "a"), "the store has it")
 
     def test_objects_past_their_time_are_removed_and_foreign_ones_are_left_out(self) -> None:
-        spec = {"replica_ids": ["r"] * MAX_CRASHES, "crashed_at_ms": OLD_CRASH_MS}
+        spec = {"incarnations": ["r"] * MAX_CRASHES, "crashed_at_ms": OLD_CRASH_MS}
         self.rig.store.put("quaymill-barred-requests", "old", spec)
-        self.rig.store.put("quaymill-barred-requests", "foreign", {"replica_ids": 7})
+        self.rig.store.put("quaymill-barred-requests", "foreign", {"incarnations": 7})
         for name in list(self.rig.gateways):
             self.rig.gateways[name].kill()
         for name in list(self.rig.gateways):
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -6,7 +6,7 @@
 import unittest
 
 from fleet_rig import FleetRig, wait_until
-from quaymill.process.control.state import UNREAD_KEPT_S
+from quaymill.process.control.entries import UNREAD_KEPT_S
 from quaymill.request.poison import MAX_CRASHES
 from quaymill_bench.fleet_world import ROUTES, configuration, route
 from quaymill_standins.fleet_replica import FleetReplica, ReplicaBehaviour
