--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -4,11 +4,12 @@
 
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from fleet_rig import FleetRig, wait_until
 from quaymill.process.control.entries import UNREAD_KEPT_S
 from quaymill.request.poison import MAX_CRASHES
-from quaymill_bench.fleet_world import ROUTES, configuration, route
+from quaymill_bench.fleet_world import ROUTES, configuration, item_id, route, whole_text
 from quaymill_standins.fleet_replica import FleetReplica, ReplicaBehaviour
 
 FOREIGN = (7, "text", [], {}, {"service": 1}, {"service": "application", "state": "resting"})
@@ -24,8 +25,10 @@
 class FleetCase(unittest.TestCase):
     """Two gateways, two applications, one engine."""
 
+    STORAGE = 0
+
     def setUp(self) -> None:
-        self.rig = FleetRig(gateways=2, storage=0, engines=1).start()
+        self.rig = FleetRig(gateways=2, storage=self.STORAGE, engines=1).start()
         self.addCleanup(self.rig.stop)
 
     def listed(self, gateway: str) -> set[str]:
@@ -82,7 +85,7 @@
         wait_until(lambda: self.is_served("gateway-2"), "a new gateway serves")
 
 
-class SameIdTest(FleetCase):
+class SameIdCase(FleetCase):
     """A replica that starts again under its id, at the address that it had."""
 
     def start_again(self, replica: FleetReplica) -> FleetReplica:
@@ -104,6 +107,10 @@
     def born(self, gateway: str, replica_id: str) -> int:
         return self.rig.gateways[gateway].control._table.get(replica_id).entry.born_ms
 
+
+class SameIdTest(SameIdCase):
+    """What is known of a replica, and its next start."""
+
     def test_it_is_served_by_at_once_whatever_was_known(self) -> None:
         engine = self.rig.of_service("engine")[0]
         for name in self.rig.gateways:
@@ -125,3 +132,35 @@
         answer = self.rig.ask("gateway-1", "/stream/crash", "crash-late", tokens=True)
         self.assertEqual(503, answer.status)
         self.assertEqual([], engine.runs)
+
+
+class AtWorkTest(SameIdCase):
+    """What a replica was running when it started again."""
+
+    STORAGE = 3
+
+    def test_an_item_is_done_by_the_next_start(self) -> None:
+        engine = self.rig.of_service("engine")[0]
+        engine.behaviour = ReplicaBehaviour(event_s=0.5)
+        self.assertEqual(202, self.rig.submit("gateway-0", "job", 1).status)
+        item = item_id("job", 0)
+        wait_until(
+            lambda: any(run.events_made for run in engine.runs_of(item)), "an event of the item"
+        )
+        again = self.start_again(engine)
+        results = self.rig.wait_results("gateway-1", "job", 1)
+        self.assertEqual([whole_text(item)], [result["message"] for result in results])
+        self.assertEqual(1, len(again.runs_of(item)))
+
+    def test_a_call_that_may_not_be_repeated_runs_once(self) -> None:
+        first = self.rig.of_service("application")[0]
+        for replica in self.rig.of_service("application")[1:]:
+            self.rig.store.remove("servers", replica.id)
+        wait_until(lambda: len(self.listed("gateway-0")) == 2, "one application is listed")
+        first.behaviour = ReplicaBehaviour(answer_s=60.0)
+        with ThreadPoolExecutor(1) as executor:
+            asked = executor.submit(self.rig.ask, "gateway-0", "/write/x", "once")
+            wait_until(lambda: first.runs_of("once"), "the call runs")
+            again = self.start_again(first)
+            self.assertEqual(502, asked.result().status)
+        self.assertEqual([], again.runs_of("once"))
