Read over: one type for an unreadable object, an item's digest worked out once a run, one builder of a request's headers

UnreadableObject stood beside UnreadObject with the same fields; StoreUnread wrapped a failure of the store that says the same; a generator in store_pages served one loop; the digest of an item was worked out for the run and again for its line; the soak built a request's headers in two places. Behaviour is as it was.

--- a/src/quaymill/platform/configuration.py
+++ b/src/quaymill/platform/configuration.py
@@ -4,11 +4,10 @@
 
 from typing import Annotated, Any, Literal
 
-import attrs
 import msgspec
 
 from quaymill.connection.endpoint import Endpoint
-from quaymill.connection.object_store import StoredObject
+from quaymill.connection.object_store import StoredObject, UnreadObject
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.platform.names import REPLICA_DRAINING, ROUTE_KINDS
 from quaymill.version.request_routes import (
@@ -89,15 +88,7 @@
     born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
-@attrs.frozen
-class UnreadableObject:
-    """An object that is not of the form expected."""
-
-    name: str
-    reason: str
-
-
-def decode_configuration(spec: Any) -> RequestRoutes | UnreadableObject:
+def decode_configuration(spec: Any) -> RequestRoutes | UnreadObject:
     """Return the configuration in an object's ``spec``."""
     try:
         document = msgspec.convert(spec, _Configuration)
@@ -108,16 +99,16 @@
             limits=_limits(document.limits),
         )
     except (msgspec.ValidationError, KeyError, OverflowError) as error:
-        return UnreadableObject("configuration", str(error))
+        return UnreadObject("configuration", str(error))
 
 
-def decode_replica(stored: StoredObject) -> ReplicaEntry | UnreadableObject:
+def decode_replica(stored: StoredObject) -> ReplicaEntry | UnreadObject:
     """Return what a replica says of itself in its entry."""
     try:
         server = msgspec.convert(stored.spec, _Server)
         address = Endpoint.parse_address(server.address)
     except (msgspec.ValidationError, ValueError) as error:
-        return UnreadableObject(stored.name, str(error))
+        return UnreadObject(stored.name, str(error))
     return ReplicaEntry(
         id=stored.name,
         service=server.service,
--- a/src/quaymill/platform/store_pages.py
+++ b/src/quaymill/platform/store_pages.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -31,7 +30,6 @@
 _NAME = re.compile(rb'"name"\s*:\s*"([^"\\]{1,200})"')
 _NUMBER_AT = re.compile(rb'"at"\s*:\s*(\d{1,18})')
 _MORE = re.compile(rb'"more"\s*:\s*true')
-_OPENING = b"{["
 
 
 class _Metadata(msgspec.Struct):
@@ -219,19 +217,14 @@
 
 def _next_entry(body: bytes, at: int) -> int | None:
     """Return where the next entry of the array begins; ``None`` at the array's end."""
-    for position in _positions(body, at):
-        if body[position] in _OPENING:
-            return position
-        if body[position] == ord("]"):
+    for token in _TOKEN.finditer(body, at):
+        if token.group() in (b"{", b"["):
+            return token.start()
+        if token.group() == b"]":
             return None
     return None
 
 
-def _positions(body: bytes, at: int) -> Iterator[int]:
-    for token in _TOKEN.finditer(body, at):
-        yield token.start()
-
-
 def _matching_end(body: bytes, start: int) -> int | None:
     """Return the end of the entry that begins at ``start``; ``None`` if it has none."""
     open_brackets = bytearray()
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -309,23 +309,23 @@
         ).start()
 
     def _run_item(self, job: CoordinatedJob, item: RunningItem, replica: Replica) -> None:
+        content = content_of_item(item, job.job.host)
         replica.begin_item()
         outcome: ItemOutcome = ItemCut("the run failed")
         try:
-            outcome = self._run_unless_barred(job, item, replica)
+            outcome = self._run_unless_barred(job, item, replica, content)
         finally:
             replica.end_item()
             with self._lock:
                 self._running_items -= 1
-            self._settle(job, item, replica, outcome)
+            self._settle(job, item, replica, content, outcome)
             self._wake.set()
 
     def _run_unless_barred(
-        self, job: CoordinatedJob, item: RunningItem, replica: Replica
+        self, job: CoordinatedJob, item: RunningItem, replica: Replica, content: str
     ) -> ItemOutcome:
         """Run an item, and note what that tells of its content."""
         guard = self._parts.guard
-        content = content_of_item(item, job.job.host)
         if (barred_s := guard.barred_for_s(content)) > 0:
             return ItemBarred(barred_s)
         outcome = run_item(
@@ -338,13 +338,18 @@
         return outcome
 
     def _settle(
-        self, job: CoordinatedJob, item: RunningItem, replica: Replica, outcome: ItemOutcome
+        self,
+        job: CoordinatedJob,
+        item: RunningItem,
+        replica: Replica,
+        content: str,
+        outcome: ItemOutcome,
     ) -> None:
         log_message(
             "item:run",
             job=job.id,
             request_id=item.item.id,
-            content=content_of_item(item, job.job.host),
+            content=content,
             replica=replica.id,
             events_until=item.last_event_id,
             took_s=round(boot_clock.now() - item.started_at, 3),
--- a/src/quaymill/process/poison/barred_store.py
+++ b/src/quaymill/process/poison/barred_store.py
@@ -7,7 +7,6 @@
 
 import time
 
-import attrs
 import msgspec
 from eliot import log_message
 
@@ -17,6 +16,7 @@
     ObjectKind,
     ObjectStore,
     StoredObject,
+    StoreFailure,
     StoreRefused,
     StoreUnanswered,
 )
@@ -38,13 +38,6 @@
     crashed_at_ms: int
 
 
-@attrs.frozen
-class StoreUnread:
-    """The store could not be asked."""
-
-    reason: str
-
-
 class BarredStore:
     """Writes and reads barred requests."""
 
@@ -62,11 +55,11 @@
         # It may be there already: the same request is barred by any of the records.
         return True
 
-    def read(self) -> tuple[CrashRecord, ...] | StoreUnread:
+    def read(self) -> tuple[CrashRecord, ...] | StoreFailure:
         """Return the records that still count; objects past their time are removed."""
         listing = self._store.list(ObjectKind.BARRED_REQUESTS)
         if not isinstance(listing, Listing):
-            return StoreUnread(listing.reason)
+            return listing
         records = []
         for stored in listing.objects:
             record = _record(stored)
--- a/src/quaymill/process/poison/sharing.py
+++ b/src/quaymill/process/poison/sharing.py
@@ -25,7 +25,7 @@
 from quaymill.process.jobs.parallel_calls import call_members
 from quaymill.process.membership.membership import Membership
 from quaymill.process.membership.ranking import rank_nodes
-from quaymill.process.poison.barred_store import BarredStore, StoreUnread
+from quaymill.process.poison.barred_store import BarredStore
 from quaymill.request.poison import PoisonRecords
 
 GATHER_S = 0.01
@@ -164,7 +164,7 @@
 
     def _read_store(self) -> bool:
         records = self._store.read()
-        if isinstance(records, StoreUnread):
+        if not isinstance(records, tuple):
             return False
         self._merge(records, "store")
         return True
--- a/src/quaymill_bench/fleet_world.py
+++ b/src/quaymill_bench/fleet_world.py
@@ -85,6 +85,14 @@
     ).encode()
 
 
+def request_headers(kind: str, request_id: str, deadline_ms: int) -> dict[str, str]:
+    """Return the headers of an opaque request of a route's kind; streams ask for tokens."""
+    headers = {"Request-Id": request_id, "Deadline-Ms": str(deadline_ms)}
+    if kind in ("stream", "resumable"):
+        headers["Token-Count"] = "50,10"
+    return headers
+
+
 def item_id(job_id: str, index: int) -> str:
     """Return the id of a job's item."""
     return f"{job_id}-item-{index}"
--- a/src/quaymill_bench/soak_faults.py
+++ b/src/quaymill_bench/soak_faults.py
@@ -14,7 +14,7 @@
 import urllib3
 
 from quaymill_bench.fleet_processes import FleetProcess, LocalFleet
-from quaymill_bench.fleet_world import ROUTES, configuration
+from quaymill_bench.fleet_world import ROUTES, configuration, request_headers
 from quaymill_bench.loopback_proxy import LinkState, LoopbackProxy
 from quaymill_bench.soak_timeline import Timeline
 from quaymill_standins.fleet_replica import ReplicaBehaviour
@@ -43,6 +43,7 @@
 """A request whose path ends so crashes the replica that begins to run it."""
 CRASHING_KINDS = ("read", "write", "stream", "resumable")
 CRASHING_PAUSE_S = (0.05, 0.4)
+CRASHING_DEADLINE_MS = 3000
 FOREIGN_KINDS = (
     "servers",
     "quaymill-nodes",
@@ -379,9 +380,7 @@
         number = 0
         while not stopping.wait(chance.uniform(*CRASHING_PAUSE_S)):
             number += 1
-            headers = {"Request-Id": f"{name}-{number}", "Deadline-Ms": "3000"}
-            if kind in ("stream", "resumable"):
-                headers["Token-Count"] = "50,10"
+            headers = request_headers(kind, f"{name}-{number}", CRASHING_DEADLINE_MS)
             gateway = chance.choice(self._fleet.gateways)
             path = f"/{kind}/{CRASH_SUFFIX}"
             with contextlib.suppress(urllib3.exceptions.HTTPError):
--- a/src/quaymill_bench/soak_load.py
+++ b/src/quaymill_bench/soak_load.py
@@ -15,7 +15,7 @@
 import urllib3
 
 from quaymill_bench.fleet_processes import FleetProcess, LocalFleet
-from quaymill_bench.fleet_world import item_id
+from quaymill_bench.fleet_world import item_id, request_headers
 from quaymill_bench.soak_checks import History, JobCall, JobHistory, Sending
 from quaymill_bench.soak_timeline import Timeline
 
@@ -26,6 +26,7 @@
 RESEND_WITHIN_S = 4.0
 """An accepted job is sent again only while its acceptance is this young."""
 CANCEL_S = 3.0
+DEADLINE_MS = 6000
 REQUEST_KINDS = ("read", "write", "stream", "resumable")
 
 
@@ -75,9 +76,7 @@
             time.sleep(chance.uniform(0.0, 0.05))
 
     def _send(self, kind: str, gateway: FleetProcess, request_id: str) -> None:
-        headers = {"Request-Id": request_id, "Deadline-Ms": "6000"}
-        if kind in ("stream", "resumable"):
-            headers["Token-Count"] = "50,10"
+        headers = request_headers(kind, request_id, DEADLINE_MS)
         answer = self._try_call(gateway, "POST", f"/{kind}/x", b"", headers)
         status, body = (0, b"") if answer is None else (answer.status, answer.data)
         whole = answer is not None
