Tenants' requests: what is granted never exceeds the limit, whoever grants and whatever part of the fleet is seen

Cause: a granter began with a full burst after each change, and a gateway on its own lent itself limit / live gateways while others did the same; with a fleet in two parts both granted the whole limit. On the users' platform the limit holds over all machines, in touch or not, in each window.

Change: a granter takes over from those that granted before (they grant no more), begins with a part of the tolerated overrun where they do not answer, and grants only its part of the rate while gateways have fallen silent. Refused callers are sent back one after the other. Limits are a type of their own, with a burst; one limiter for the operators' table and for the platform.

--- a/src/quaymill/connection/limit_messages.py
+++ b/src/quaymill/connection/limit_messages.py
@@ -1,4 +1,4 @@
-"""Messages between gateways and the node that grants a tenant's credits."""
+"""Messages between gateways and the one that grants a tenant's credits."""
 
 from __future__ import annotations
 
@@ -37,12 +37,16 @@
         no tokens were taken.
     retry_after_s
         When that limit allows a request again, as far as is known.
+    granter
+        Name of the gateway that grants the tenant's credits, if it is not the one that answers;
+        then nothing was lent.
     """
 
     requests: int = 0
     slots: int = 0
     refused_by: str = ""
     retry_after_s: float = 0.0
+    granter: str = ""
 
 
 class ReturnCredits(PeerMessage, frozen=True):
@@ -56,3 +60,22 @@
 
 class ReturnedCredits(PeerMessage, frozen=True):
     """Answer to ``ReturnCredits``."""
+
+
+class TakeOverCredits(PeerMessage, frozen=True):
+    """Tell who granted a tenant's credits that ``gateway`` does from now on."""
+
+    tenant: str
+    gateway: str
+
+
+class HandedCredits(PeerMessage, frozen=True):
+    """Answer to ``TakeOverCredits``; from now on the sender grants none.
+
+    Attributes
+    ----------
+    requests
+        Requests that may still come at once; ``None`` if the sender has granted none.
+    """
+
+    requests: float | None = None
--- a/src/quaymill/process/gateway/authentication.py
+++ b/src/quaymill/process/gateway/authentication.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import threading
 
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.request.outcome import NotRun
 from quaymill.version.configuration import ServingConfiguration
-
-BEARER_PREFIX = "bearer "
+from quaymill.version.tenants import bearer_key, key_digest, tenant_by_digest
 
 
 class Authenticator:
@@ -22,14 +20,14 @@
 
     def tenant_of(self, authorization: str) -> str | NotRun:
         """Return the tenant's name for the value of the header ``Authorization``."""
-        if not authorization.lower().startswith(BEARER_PREFIX):
+        key = bearer_key([authorization])
+        if not key:
             return NotRun(
                 401,
                 "the request has no bearer key",
                 "send the header Authorization: Bearer KEY",
             )
-        key = authorization[len(BEARER_PREFIX) :].strip()
-        digest = hashlib.sha256(key.encode(errors="surrogateescape")).hexdigest()
+        digest = key_digest(key.encode(errors="surrogateescape"))
         tenant = self._tenant_by_hash.get(digest)
         if tenant is None:
             return NotRun(
@@ -40,10 +38,7 @@
         return tenant
 
     def _take_configuration(self, configuration: ServingConfiguration) -> None:
-        tenant_by_hash = {
-            digest.lower(): name
-            for name, tenant in configuration.tenants.items()
-            for digest in tenant.key_hashes
-        }
+        tenants = configuration.tenants.items()
+        tenant_by_hash = tenant_by_digest({name: one.key_hashes for name, one in tenants})
         with self._lock:
             self._tenant_by_hash = tenant_by_hash
--- a/src/quaymill/process/limits/bucket.py
+++ b/src/quaymill/process/limits/bucket.py
@@ -4,20 +4,27 @@
 
 from quaymill import boot_clock
 
-BURST_S = 1.0
-
 
 class Bucket:
     """Credits of one limit. Not locked; its owner's lock guards it.
 
     The balance may go below zero where a whole amount is taken at once (``take_whole``);
     later takers then wait until it is positive again.
+
+    Parameters
+    ----------
+    most
+        Credits that are kept at most; those of one second if ``None``.
+    balance
+        Credits that there are to begin with; ``most`` if ``None``.
     """
 
-    def __init__(self, rate_per_s: float, burst_s: float = BURST_S) -> None:
+    def __init__(
+        self, rate_per_s: float, most: float | None = None, balance: float | None = None
+    ) -> None:
         self._rate_per_s = rate_per_s
-        self._most = max(1.0, rate_per_s * burst_s)
-        self._balance = self._most
+        self._most = max(1.0, rate_per_s if most is None else most)
+        self._balance = self._most if balance is None else min(self._most, balance)
         self._refilled_at = boot_clock.now()
 
     @property
@@ -25,6 +32,19 @@
         """Credits that come in each second."""
         return self._rate_per_s
 
+    @property
+    def balance(self) -> float:
+        """Credits that there are now."""
+        self._refill()
+        return self._balance
+
+    def change(self, rate_per_s: float, most: float) -> None:
+        """Go on with another rate and burst; what is beyond the burst is lost."""
+        self._refill()
+        self._rate_per_s = rate_per_s
+        self._most = max(1.0, most)
+        self._balance = min(self._most, self._balance)
+
     def take_up_to(self, wanted: int) -> int:
         """Take as many whole credits as there are, at most ``wanted``."""
         self._refill()
--- a/src/quaymill/process/limits/limiter.py
+++ b/src/quaymill/process/limits/limiter.py
@@ -1,41 +1,46 @@
-"""Admits a tenant's requests within its limits, by credits borrowed from the granting node.
+"""Admits a tenant's requests within its limits, by credits borrowed from the gateway that grants.
 
-A tenant's limits hold over all gateways of a region: the node that ranks first for the tenant
-in the region lends credits. A gateway that cannot reach it admits limit / live gateways on
-its own (at least one request at once), until the granter answers again.
+A tenant's limits hold over all gateways: the one that ranks first for the tenant lends credits. A
+gateway that cannot reach it admits its own part of the limit (``shares``) until one answers again.
 """
 
 from __future__ import annotations
 
 import queue
 import threading
-from typing import TYPE_CHECKING
+
+import attrs
+from eliot import log_message
 
 from quaymill import boot_clock
 from quaymill.connection.limit_messages import (
     BorrowCredits,
+    HandedCredits,
     LentCredits,
     ReturnCredits,
     ReturnedCredits,
+    TakeOverCredits,
 )
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient
 from quaymill.connection.peer_server import PeerServer
-from quaymill.process.configuration_holder import ConfigurationHolder
-from quaymill.process.limits.granter import SLOT_LEASE_S, CreditGranter
-from quaymill.process.membership.ranking import rank_nodes
-from quaymill.process.settings import NodeSettings
+from quaymill.process.limits.fleet import GatewayFleet
+from quaymill.process.limits.granter import SLOT_LEASE_S, CreditGranter, LimitRules, LimitsOf
+from quaymill.process.limits.shares import Overrun
 from quaymill.request.outcome import NotRun
-from quaymill.version.configuration import Tenant
-
-if TYPE_CHECKING:
-    from quaymill.process.membership.membership import Membership
+from quaymill.version.tenants import TenantLimits
 
-BORROW_TIMEOUT_S = 0.25
+BORROW_TIMEOUT_S = 0.15
+"""Time for a granter's answer: half of the shortest objective known (0.3 s). Answers come within
+some milliseconds from a gateway that lives."""
 RETURN_TIMEOUT_S = 0.5
-FALLBACK_S = 2.0
-STOCK_S = 0.25
-"""A gateway borrows requests for this time ahead; they lapse after as long again."""
+TAKE_OVER_TIMEOUT_S = 0.05
+"""Time for each earlier granter's answer, while the first request of a tenant waits."""
+AVOID_S = 1.0
+"""How long a granter that did not answer is passed over: one request in a while waits for it."""
+STOCK_S = 0.1
+"""A gateway borrows requests for this time ahead; they lapse after as long again, so that what was
+lent in one window is hardly used in the next."""
 RENEW_INTERVAL_S = SLOT_LEASE_S / 3
 
 
@@ -49,8 +54,7 @@
         self.in_service = 0
         self.admitted_since = boot_clock.now()
         self.admitted = 0
-        self.fallback: CreditGranter | None = None
-        self.fallback_until = 0.0
+        self.own_until = 0.0
 
     def wanted_requests(self) -> int:
         """Return the requests to borrow: what the demand of late uses in ``STOCK_S``."""
@@ -61,28 +65,56 @@
         return max(1, int(rate_per_s * STOCK_S))
 
 
+@attrs.frozen
+class _Answer:
+    """What came back for a wish to borrow.
+
+    Attributes
+    ----------
+    by
+        Who lent: the granter's name, or this gateway's own part of the limit.
+    """
+
+    lent: LentCredits
+    by: str
+
+
 class TenantLimiter:
-    """Requests/s, tokens/s and concurrency of each tenant, as seen by one gateway."""
+    """Requests/s, tokens/s and concurrency of each tenant, as seen by one gateway.
+
+    Parameters
+    ----------
+    limits_of
+        Returns a tenant's limits by the configuration in force.
+    fleet
+        The gateways over which the limits hold.
+    """
 
     def __init__(
         self,
-        settings: NodeSettings,
-        holder: ConfigurationHolder,
-        membership: Membership,
+        name: str,
+        limits_of: LimitsOf,
+        fleet: GatewayFleet,
         peer_client: PeerClient,
         peer_server: PeerServer,
+        overrun: Overrun | None = None,
     ) -> None:
-        self._settings = settings
-        self._holder = holder
-        self._membership = membership
+        self._name = name
+        self._limits_of = limits_of
+        self._fleet = fleet
         self._peer_client = peer_client
-        self._granter = CreditGranter(holder)
+        self._overrun = overrun or Overrun()
+        rules = LimitRules(limits_of, self._overrun, fleet.view)
+        self._granter = CreditGranter(rules, self._take_over)
+        self._own_part: CreditGranter | None = None
+        self._avoided_until_by_name: dict[str, float] = {}
         self._lock = threading.Lock()
         self._stocks: dict[str, _TenantStock] = {}
         self._returns: queue.SimpleQueue[ReturnCredits | None] = queue.SimpleQueue()
         self._stopping = threading.Event()
-        peer_server.register(BorrowCredits, self._granter.lend)
+        peer_server.register(BorrowCredits, self._answer_borrow)
         peer_server.register(ReturnCredits, self._granter.take_back)
+        peer_server.register(TakeOverCredits, self._granter.hand_over)
 
     def start(self) -> None:
         """Begin to give credits back and to renew slots in the background."""
@@ -99,8 +131,8 @@
 
         An admitted request must be ended by ``release``.
         """
-        limits = self._holder.current().tenants.get(tenant)
-        if limits is None or not _has_limit(limits):
+        limits = self._limits_of(tenant)
+        if limits is None or not limits.any_set:
             return None
         with self._lock:
             stock = self._stocks.setdefault(tenant, _TenantStock())
@@ -108,15 +140,15 @@
                 return None
             message = BorrowCredits(
                 tenant=tenant,
-                gateway=self._settings.name,
+                gateway=self._name,
                 requests=_wanted_requests(stock, limits),
                 tokens=tokens if limits.tokens_per_s else 0,
                 slots=stock.in_service + 1,
             )
             # The request counts while the granter is asked, so that others ask for more.
             stock.in_service += 1
-        lent = self._borrow(stock, limits, message)
-        return self._take_lent(stock, limits, message, lent)
+        answer = self._borrow(stock, message)
+        return self._take_lent(stock, limits, message, answer)
 
     def release(self, tenant: str, reserved_tokens: int, used_tokens: int) -> None:
         """End a request that was admitted; tokens that it did not use are given back."""
@@ -127,16 +159,16 @@
             stock.in_service -= 1
             stock.slots = min(stock.slots, stock.in_service)
             slots = stock.in_service
-        limits = self._holder.current().tenants.get(tenant)
+        limits = self._limits_of(tenant)
         if limits is None or not (limits.concurrency or limits.tokens_per_s):
             return
         unused = reserved_tokens - used_tokens if limits.tokens_per_s else 0
-        message = ReturnCredits(tenant, self._settings.name, unused, slots)
-        if boot_clock.now() < stock.fallback_until:
-            self._fallback_of(stock).take_back(message)
+        message = ReturnCredits(tenant, self._name, unused, slots)
+        if boot_clock.now() < stock.own_until:
+            self._own().take_back(message)
         self._returns.put(message)
 
-    def _take_from_stock(self, stock: _TenantStock, limits: Tenant) -> bool:
+    def _take_from_stock(self, stock: _TenantStock, limits: TenantLimits) -> bool:
         """Admit without a word to the granter, if what is held suffices."""
         if limits.tokens_per_s or limits.concurrency:
             return False
@@ -148,59 +180,99 @@
         return True
 
     def _take_lent(
-        self, stock: _TenantStock, limits: Tenant, message: BorrowCredits, lent: LentCredits
+        self, stock: _TenantStock, limits: TenantLimits, message: BorrowCredits, answer: _Answer
     ) -> NotRun | None:
+        lent = answer.lent
         with self._lock:
             stock.slots = max(stock.slots, lent.slots)
-            if lent.refused_by:
-                stock.in_service -= 1
-                return _refusal(message.tenant, limits, lent)
-            if limits.requests_per_s:
-                now = boot_clock.now()
-                held = stock.requests if now < stock.requests_lapse_at else 0
-                stock.requests = held + lent.requests - 1
-                stock.requests_lapse_at = now + 2 * STOCK_S
-            stock.admitted += 1
+            if not lent.refused_by:
+                if limits.requests_per_s:
+                    now = boot_clock.now()
+                    held = stock.requests if now < stock.requests_lapse_at else 0
+                    stock.requests = held + lent.requests - 1
+                    stock.requests_lapse_at = now + 2 * STOCK_S
+                stock.admitted += 1
+                return None
+            stock.in_service -= 1
+        log_message(
+            "limit:refused",
+            tenant=message.tenant,
+            limit=lent.refused_by,
+            granter=answer.by,
+            retry_after_s=round(lent.retry_after_s, 2),
+        )
+        return _refusal(message.tenant, limits, lent)
+
+    def _borrow(self, stock: _TenantStock, message: BorrowCredits) -> _Answer:
+        """Ask the granter; without one, lend from this gateway's own part of the limit."""
+        granter = self._first_answering(message.tenant)
+        lent = self._ask(granter, message)
+        if lent is not None and lent.granter:
+            granter = self._fleet.member(lent.granter)
+            lent = self._ask(granter, message)
+        if lent is not None and not lent.granter:
+            return _Answer(lent, granter.name)
+        stock.own_until = boot_clock.now() + AVOID_S
+        return _Answer(self._own().lend(message), "own part")
+
+    def _first_answering(self, tenant: str) -> Member | None:
+        for member in self._fleet.ranked(tenant):
+            if not self._is_avoided(member):
+                return member
         return None
 
-    def _borrow(self, stock: _TenantStock, limits: Tenant, message: BorrowCredits) -> LentCredits:
-        if boot_clock.now() >= stock.fallback_until:
-            lent = self._ask_granter(message)
-            if lent is not None:
-                return lent
-            # Only one request in each FALLBACK_S waits for a granter that does not answer.
-            stock.fallback_until = boot_clock.now() + FALLBACK_S
-        return self._fallback_of(stock).lend(message)
-
-    def _fallback_of(self, stock: _TenantStock) -> CreditGranter:
-        """Return the credits that this gateway lends itself: its part of the limit."""
-        share = 1.0 / max(1, len(self._members_of_region()))
-        if stock.fallback is None or stock.fallback.share != share:
-            stock.fallback = CreditGranter(self._holder, share)
-        return stock.fallback
-
-    def _ask_granter(self, message: BorrowCredits) -> LentCredits | None:
-        granter = self._granter_of(message.tenant)
-        if granter is None or granter.name == self._settings.name:
-            return self._granter.lend(message)
-        reply = self._peer_client.call(granter.peer, message, LentCredits, BORROW_TIMEOUT_S)
-        return reply if isinstance(reply, LentCredits) else None
+    def _is_avoided(self, member: Member) -> bool:
+        return self._avoided_until_by_name.get(member.name, 0.0) > boot_clock.now()
 
-    def _granter_of(self, tenant: str) -> Member | None:
-        ranked = rank_nodes(f"limit/{tenant}", self._members_of_region())
-        return ranked[0] if ranked else None
+    def _ask(self, granter: Member | None, message: BorrowCredits) -> LentCredits | None:
+        if granter is None or self._is_avoided(granter):
+            return None
+        if granter.name == self._name:
+            return self._answer_borrow(message)
+        reply = self._peer_client.call(granter.peer, message, LentCredits, BORROW_TIMEOUT_S)
+        if isinstance(reply, LentCredits):
+            return reply
+        self._avoided_until_by_name[granter.name] = boot_clock.now() + AVOID_S
+        log_message("limit:granter_silent", granter=granter.name, tenant=message.tenant)
+        return None
 
-    def _members_of_region(self) -> list[Member]:
-        region = self._settings.region
-        return [one for one in self._membership.live() if one.region == region]
+    def _answer_borrow(self, message: BorrowCredits) -> LentCredits:
+        """Lend, if it is this gateway that grants; name the one that does otherwise."""
+        granter = self._granter.handed_to(message.tenant)
+        if not granter and not self._fleet.is_first(message.tenant):
+            granter = self._fleet.ranked(message.tenant)[0].name
+        if granter:
+            return LentCredits(granter=granter)
+        return self._granter.lend(message)
+
+    def _own(self) -> CreditGranter:
+        """Return what this gateway lends itself: its part of the limits."""
+        view = self._fleet.view().alone()
+        if self._own_part is None or self._own_part.rules.share != view.part:
+            own = LimitRules(self._limits_of, self._overrun, lambda: view, view.part)
+            if self._own_part is None:
+                self._own_part = CreditGranter(own)
+            else:
+                self._own_part.rules = own
+        return self._own_part
+
+    def _take_over(self, tenant: str) -> float | None:
+        """Ask those that may have granted a tenant's credits before to do so no more."""
+        handed: list[float] = []
+        message = TakeOverCredits(tenant, self._name)
+        for member in self._fleet.earlier_granters(tenant):
+            reply = self._peer_client.call(member.peer, message, HandedCredits, TAKE_OVER_TIMEOUT_S)
+            if isinstance(reply, HandedCredits) and reply.requests is not None:
+                handed.append(reply.requests)
+        return min(handed, default=None)
 
     def _send_returns(self) -> None:
         while True:
             message = self._returns.get()
             if message is None:
                 return
-            granter = self._granter_of(message.tenant)
-            if granter is None or granter.name == self._settings.name:
+            granter = self._first_answering(message.tenant)
+            if granter is None or granter.name == self._name:
                 self._granter.take_back(message)
             else:
                 # A return that is lost costs the tenant its unused tokens; slots lapse.
@@ -209,15 +281,15 @@
     def _renew_slots(self) -> None:
         """Keep the slots of long requests from lapsing at the granter."""
         while not self._stopping.wait(RENEW_INTERVAL_S):
-            tenants = self._holder.current().tenants
             with self._lock:
                 in_service = {name: one.in_service for name, one in self._stocks.items()}
             for name, slots in in_service.items():
-                if slots and name in tenants and tenants[name].concurrency:
-                    self._returns.put(ReturnCredits(name, self._settings.name, 0, slots))
+                limits = self._limits_of(name)
+                if slots and limits is not None and limits.concurrency:
+                    self._returns.put(ReturnCredits(name, self._name, 0, slots))
 
 
-def _wanted_requests(stock: _TenantStock, limits: Tenant) -> int:
+def _wanted_requests(stock: _TenantStock, limits: TenantLimits) -> int:
     if not limits.requests_per_s:
         return 0
     # Tokens and slots are asked for request by request, so that a stock would lapse unused.
@@ -226,11 +298,7 @@
     return stock.wanted_requests()
 
 
-def _has_limit(limits: Tenant) -> bool:
-    return bool(limits.requests_per_s or limits.tokens_per_s or limits.concurrency)
-
-
-def _refusal(tenant: str, limits: Tenant, lent: LentCredits) -> NotRun:
+def _refusal(tenant: str, limits: TenantLimits, lent: LentCredits) -> NotRun:
     limit = lent.refused_by
     return NotRun(
         429,
--- a/src/quaymill/process/node.py
+++ b/src/quaymill/process/node.py
@@ -22,7 +22,7 @@
 from quaymill.process.gateway.http import Request, Response
 from quaymill.process.job_store.client import JobStoreClient
 from quaymill.process.job_store.service import JobStoreService
-from quaymill.process.limits.limiter import TenantLimiter
+from quaymill.process.limits.region import build_region_limiter
 from quaymill.process.logs import start_logs
 from quaymill.process.machine_list import MachineListHolder
 from quaymill.process.membership.membership import Membership
@@ -84,7 +84,7 @@
             self._peer_server,
             self._link_filter,
         )
-        self._limiter = TenantLimiter(
+        self._limiter = build_region_limiter(
             settings, self._holder, self._membership, self._peer_client, self._peer_server
         )
         self._status = StatusService(
--- a/src/quaymill/version/configuration.py
+++ b/src/quaymill/version/configuration.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from quaymill.version.tenants import TenantLimits
+
 CellValue = bool | int | float | str | tuple[str, ...] | None
 
 
@@ -72,6 +74,15 @@
     tokens_per_s: float = 0.0
     concurrency: int = 0
 
+    @property
+    def limits(self) -> TenantLimits:
+        """What it may send."""
+        return TenantLimits(
+            requests_per_s=self.requests_per_s,
+            tokens_per_s=self.tokens_per_s,
+            concurrency=self.concurrency,
+        )
+
 
 class Tuning(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Cells that hold for the whole fleet.
--- a/tests/gateway_rig.py
+++ b/tests/gateway_rig.py
@@ -25,7 +25,7 @@
 from quaymill.connection.peer_server import PeerServer
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.process.gateway.gateway import Gateway
-from quaymill.process.limits.limiter import TenantLimiter
+from quaymill.process.limits.region import build_region_limiter
 from quaymill.process.machine_list import MachineList, MachineListHolder
 from quaymill.process.replicas.load_view import LoadView
 from quaymill.process.replicas.replica import ReplicaView
@@ -197,7 +197,7 @@
             self.links,
         )
         self.router = Router(self.load_view, self.holder, self.settings, seed=1)
-        self.limiter = TenantLimiter(
+        self.limiter = build_region_limiter(
             self.settings, self.holder, self.membership, self.peer_client, self.peer_server
         )
         self.gateway = Gateway(
--- /dev/null
+++ b/tests/limit_player.py
@@ -0,0 +1,492 @@
+"""Plays tenants' requests against ways to keep their limits, in virtual time.
+
+A minute of load of 50 gateways takes some seconds. Gateways are killed, return as new processes,
+or are cut off without knowing it; each hears of the others' fate late. Three ways are played:
+
+``granted``
+    the product's own: the gateway that ranks first for a tenant lends credits.
+``store``
+    credits are taken from one object a tenant in the platform's store, by compare-and-swap.
+``shares``
+    each gateway keeps to a part of the rate, by the demand that all told each other a second ago.
+
+The player decides nothing but when requests come and who hears of whom.
+"""
+
+from __future__ import annotations
+
+import bisect
+import heapq
+import random
+from collections.abc import Callable, Iterator
+from unittest import mock
+
+import attrs
+
+from quaymill import boot_clock
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.member import Member, MemberState
+from quaymill.connection.peer_link import PeerMessage, PeerNoReply, PeerRefusal
+from quaymill.process.limits.bucket import Bucket
+from quaymill.process.limits.fleet import GatewayFleet
+from quaymill.process.limits.limiter import TenantLimiter
+from quaymill.process.limits.shares import Overrun
+from quaymill.version.tenants import TenantLimits
+
+STRONG_CORES = 2.15
+WEAK_CORES = 0.516
+DEATH_HEARD_S = 1.5
+"""Until all others hold a gateway that fell silent for dead: probe, suspicion, spread."""
+RETURN_HEARD_S = 0.5
+TICK_S = 0.5
+"""How often gateways tell each other their demand, and fates are looked at."""
+STORE_CALL_S = 0.004
+PEER_CALL_S = 0.002
+SHORT_S = 1e-6
+
+
+@attrs.frozen
+class Fate:
+    """What happens to some gateways.
+
+    Attributes
+    ----------
+    share
+        Part of all gateways, drawn by the seed.
+    kind
+        ``killed``: their callers go elsewhere; ``cut``: they serve on and reach no other.
+    """
+
+    at: float
+    for_s: float
+    share: float
+    kind: str
+    with_granter: bool = True
+
+
+@attrs.frozen
+class LimitLoad:
+    """A load.
+
+    Attributes
+    ----------
+    usual_per_s
+        Requests of all tenants together, as they usually come; tenants' parts fall as 1/rank.
+    hot_x, hot_from, hot_until
+        By how much the largest tenant exceeds its usual, and when.
+    limit_at
+        When the largest tenant's limit becomes ``limit_x`` of what it was.
+    store_down
+        When the platform's store does not answer, from and until.
+    """
+
+    gateways: int = 50
+    tenants: int = 72
+    usual_per_s: float = 260.0
+    headroom_x: float = 3.3
+    hot_x: float = 1.0
+    hot_from: float = 10.0
+    hot_until: float = 18.0
+    fates: tuple[Fate, ...] = ()
+    limit_at: float = 1e9
+    limit_x: float = 1.0
+    store_down: tuple[float, float] = (1e9, 1e9)
+    length_s: float = 30.0
+
+    def usual_of(self, rank: int) -> float:
+        """Return the usual requests a second of the tenant of a rank."""
+        total = sum(1.0 / (one + 1) ** 0.7 for one in range(self.tenants))
+        return self.usual_per_s / (rank + 1) ** 0.7 / total
+
+    def limit_of(self, rank: int) -> float:
+        """Return the limit of the tenant of a rank, in requests a second and at once."""
+        return max(5.0, round(self.headroom_x * self.usual_of(rank)))
+
+
+@attrs.define
+class LimitOutcome:
+    """What tenants and operators got.
+
+    Attributes
+    ----------
+    overrun
+        Largest excess of a tenant's admitted requests over what is allowed in a window, overrun
+        tolerated included; negative if it was never reached.
+    refused_below
+        Part of the requests within the limit, by one bucket that sees all, that were refused.
+    peer_calls, store_calls
+        A second.
+    longest_wait_s
+        Time that the slowest decision took.
+    """
+
+    overrun: float = float("-inf")
+    refused_below: float = 0.0
+    admitted: int = 0
+    asked: int = 0
+    peer_calls: float = 0.0
+    store_calls: float = 0.0
+    longest_wait_s: float = 0.0
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class _Handlers:
+    """Stands for a gateway's server of peers."""
+
+    def __init__(self) -> None:
+        self.by_type: dict[type, Callable] = {}
+
+    def register(self, message_type: type, handler: Callable) -> None:
+        self.by_type[message_type] = handler
+
+
+@attrs.define(eq=False)
+class _Gateway:
+    """One gateway, and what it holds of the others' fates."""
+
+    index: int
+    member: Member
+    handlers: _Handlers = attrs.field(factory=_Handlers)
+    limiter: object = None
+    alive: bool = True
+    cut: bool = False
+    process: int = 0
+    heard_dead_at: dict[str, float] = attrs.field(factory=dict)
+
+
+class _View:
+    """The membership as one gateway sees it: late."""
+
+    def __init__(self, player: LimitPlayer, own: _Gateway) -> None:
+        self._player = player
+        self._own = own
+
+    def members(self) -> tuple[Member, ...]:
+        states = (self._seen(other) for other in self._player.gateways)
+        return tuple(member for member in states if member is not None)
+
+    def live(self) -> tuple[Member, ...]:
+        return tuple(one for one in self.members() if one.state is MemberState.ALIVE)
+
+    def dead_for_s(self, name: str) -> float:
+        since = self._own.heard_dead_at.get(name)
+        return 0.0 if since is None else self._player.clock.now - since
+
+    def _seen(self, other: _Gateway) -> Member:
+        if other is self._own or not self._player.is_held_for_dead(self._own, other):
+            self._own.heard_dead_at.pop(other.member.name, None)
+            return other.member
+        self._own.heard_dead_at.setdefault(other.member.name, self._player.clock.now)
+        return attrs_dead(other.member)
+
+
+def attrs_dead(member: Member) -> Member:
+    """Return a member's record as one that is held for dead."""
+    return Member(
+        member.name, member.zone, member.region, member.peer, member.http, MemberState.DEAD
+    )
+
+
+class _Peers:
+    """Delivers one gateway's messages to the others' handlers."""
+
+    def __init__(self, player: LimitPlayer, own: _Gateway) -> None:
+        self._player = player
+        self._own = own
+
+    def call(
+        self, endpoint: Endpoint, message: PeerMessage, reply_type: type, timeout_s: float
+    ) -> PeerMessage | PeerNoReply | PeerRefusal:
+        self._player.peer_calls += 1
+        other = self._player.gateways[endpoint.port]
+        if not other.alive or self._own.cut or other.cut:
+            waits = self._own.cut or other.cut
+            self._player.waited_s += timeout_s if waits else PEER_CALL_S
+            return PeerNoReply(endpoint, "cut off or ended")
+        self._player.waited_s += PEER_CALL_S
+        return other.handlers.by_type[type(message)](message)
+
+
+class _StoreCredits:
+    """One object a tenant in the store: its bucket. Gateways take what a second needs."""
+
+    def __init__(self, player: LimitPlayer) -> None:
+        self._player = player
+        self._buckets: dict[str, Bucket] = {}
+
+    def take(self, tenant: str, wanted: int) -> int:
+        player = self._player
+        player.store_calls += 2
+        player.waited_s += 2 * STORE_CALL_S
+        limits = player.limits_of(tenant)
+        bucket = self._buckets.get(tenant)
+        if bucket is None:
+            bucket = self._buckets[tenant] = Bucket(limits.requests_per_s, limits.burst)
+        bucket.change(limits.requests_per_s, limits.burst)
+        return bucket.take_up_to(wanted)
+
+
+class StoreLimiter:
+    """Takes credits from the store as they are needed, a few ahead for busy tenants."""
+
+    AHEAD_S = 0.2
+
+    def __init__(self, player: LimitPlayer, own: _Gateway, credits: _StoreCredits) -> None:
+        self._player = player
+        self._own = own
+        self._credits = credits
+        self._held: dict[str, tuple[int, float]] = {}
+        self._last: dict[str, list[float]] = {}
+
+    def admit(self, tenant: str, tokens: int) -> object | None:
+        now = self._player.clock.now
+        seen = [at for at in self._last.get(tenant, []) if now - at < 1.0] + [now]
+        self._last[tenant] = seen
+        held, until = self._held.get(tenant, (0, 0.0))
+        if held < 1 or now > until:
+            held = 0
+            if not self._own.cut and not self._player.store_is_down():
+                wanted = max(1, round(len(seen) * self.AHEAD_S))
+                held = self._credits.take(tenant, wanted)
+            until = now + 2 * self.AHEAD_S
+        self._held[tenant] = (held - 1, until)
+        return None if held >= 1 else object()
+
+
+class SharesLimiter:
+    """Keeps to a part of each tenant's rate by the demand that gateways told each other."""
+
+    FLOOR = 0.5
+
+    def __init__(self, player: LimitPlayer, own: _Gateway) -> None:
+        self._player = player
+        self._own = own
+        self.demand: dict[str, float] = {}
+        self._counts: dict[str, int] = {}
+        self._told: dict[str, float] = {}
+        self._buckets: dict[str, Bucket] = {}
+
+    def tick(self) -> None:
+        """Tell all others what came, and take what they told."""
+        for tenant in self._counts.keys() | self.demand.keys():
+            newest = self._counts.get(tenant, 0) / TICK_S
+            known = self.demand.get(tenant, 0.0)
+            self.demand[tenant] = known + 0.3 * (newest - known)
+        self._counts.clear()
+        player = self._player
+        reached = [
+            other
+            for other in player.gateways
+            if other is self._own or (other.alive and not other.cut and not self._own.cut)
+        ]
+        player.peer_calls += len(reached) - 1
+        self._told = {}
+        for other in reached:
+            for tenant, per_s in other.limiter.demand.items():
+                self._told[tenant] = self._told.get(tenant, 0.0) + per_s
+
+    def admit(self, tenant: str, tokens: int) -> object | None:
+        self._counts[tenant] = self._counts.get(tenant, 0) + 1
+        limits = self._player.limits_of(tenant)
+        gateways = len(self._player.gateways)
+        told = self._told.get(tenant, 0.0)
+        by_demand = self.demand.get(tenant, 0.0) / told if told else 0.0
+        part = min(1.0, self.FLOOR / gateways + (1 - self.FLOOR) * by_demand)
+        most = max(1.0, limits.burst * part)
+        bucket = self._buckets.get(tenant)
+        if bucket is None:
+            bucket = self._buckets[tenant] = Bucket(limits.requests_per_s * part, most)
+        bucket.change(limits.requests_per_s * part, most)
+        return None if bucket.take_up_to(1) else object()
+
+
+class LimitPlayer:
+    """One play of a load."""
+
+    def __init__(self, load: LimitLoad, way: str, seed: int, overrun: Overrun) -> None:
+        self.load = load
+        self.clock = _Clock()
+        self.peer_calls = 0
+        self.store_calls = 0
+        self.waited_s = 0.0
+        self._way = way
+        self._overrun = overrun
+        self._random = random.Random(seed)
+        self._store = _StoreCredits(self)
+        self._began = self.clock.now
+        self._changed_at: dict[int, float] = {}
+        self.gateways = [self._gateway(index) for index in range(load.gateways)]
+
+    def play(self) -> LimitOutcome:
+        """Play the load; nothing real is waited for."""
+        with mock.patch.object(boot_clock, "now", self.clock):
+            for gateway in self.gateways:
+                self._start(gateway)
+            return self._run()
+
+    def limits_of(self, tenant: str) -> TenantLimits:
+        """Return a tenant's limits now."""
+        rank = int(tenant)
+        rate = self.load.limit_of(rank)
+        if rank == 0 and self._elapsed() >= self.load.limit_at:
+            rate *= self.load.limit_x
+        return TenantLimits(rate, rate)
+
+    def store_is_down(self) -> bool:
+        """Return whether the store answers nobody."""
+        begin, end = self.load.store_down
+        return begin <= self._elapsed() < end
+
+    def is_held_for_dead(self, own: _Gateway, other: _Gateway) -> bool:
+        """Return whether a gateway holds another for dead: some time after that is so."""
+        silent = not other.alive or own.cut or other.cut
+        changed_at = max(
+            self._changed_at.get(own.index, -1e9) if own.cut else -1e9,
+            self._changed_at.get(other.index, -1e9),
+        )
+        heard = DEATH_HEARD_S if silent else RETURN_HEARD_S
+        return silent if self.clock.now - changed_at >= heard else not silent and changed_at > 0
+
+    def _elapsed(self) -> float:
+        return self.clock.now - self._began
+
+    def _gateway(self, index: int) -> _Gateway:
+        cores = STRONG_CORES if index < max(1, self.load.gateways // 8) else WEAK_CORES
+        endpoint = Endpoint("10.0.0.1", index)
+        name = f"edge-{index}"
+        return _Gateway(index, Member(name, "a", "r", endpoint, endpoint, cores=cores))
+
+    def _start(self, gateway: _Gateway) -> None:
+        """Start a process, with nothing of what the one before held."""
+        gateway.handlers = _Handlers()
+        if self._way == "granted":
+            fleet = GatewayFleet(_View(self, gateway), gateway.member.name, lambda one: True)
+            gateway.limiter = TenantLimiter(
+                gateway.member.name,
+                self.limits_of,
+                fleet,
+                _Peers(self, gateway),
+                gateway.handlers,
+                self._overrun,
+            )
+        elif self._way == "store":
+            gateway.limiter = StoreLimiter(self, gateway, self._store)
+        else:
+            gateway.limiter = SharesLimiter(self, gateway)
+
+    def _run(self) -> LimitOutcome:
+        outcome = LimitOutcome()
+        admitted: dict[str, list[float]] = {}
+        ideal: dict[str, Bucket] = {}
+        within = refused_within = 0
+        for at, tenant in self._events():
+            self.clock.now = self._began + at
+            if tenant is None:
+                self._tick()
+                continue
+            candidates = [one for one in self.gateways if one.alive]
+            if not candidates:
+                continue
+            limits = self.limits_of(tenant)
+            one_bucket = ideal.setdefault(tenant, Bucket(limits.requests_per_s, limits.burst))
+            one_bucket.change(limits.requests_per_s, limits.burst)
+            is_within = bool(one_bucket.take_up_to(1))
+            gateway = self._random.choice(candidates)
+            self.waited_s = 0.0
+            refused = gateway.limiter.admit(tenant, 0) is not None
+            outcome.longest_wait_s = max(outcome.longest_wait_s, self.waited_s)
+            outcome.asked += 1
+            within += is_within
+            refused_within += is_within and refused
+            if not refused:
+                outcome.admitted += 1
+                admitted.setdefault(tenant, []).append(at)
+        outcome.refused_below = max(0, refused_within) / max(1, within)
+        outcome.peer_calls = self.peer_calls / self.load.length_s
+        outcome.store_calls = self.store_calls / self.load.length_s
+        for tenant, times in admitted.items():
+            outcome.overrun = max(outcome.overrun, self._worst_excess(int(tenant), times))
+        return outcome
+
+    def _worst_excess(self, rank: int, times: list[float]) -> float:
+        """Return by how much the fullest window exceeds what is allowed there."""
+        worst = float("-inf")
+        window_s = self._overrun.window_s
+        for index, begin in enumerate(times):
+            count = bisect.bisect_right(times, begin + window_s) - index
+            rate = self.load.limit_of(rank)
+            if rank == 0 and begin >= self.load.limit_at + window_s:
+                rate *= self.load.limit_x
+            limits = TenantLimits(rate, rate)
+            allowed = rate * window_s + limits.burst + self._overrun.tolerated(limits)
+            worst = max(worst, count - allowed)
+        return worst
+
+    def _tick(self) -> None:
+        if self._way == "shares":
+            for gateway in self.gateways:
+                if gateway.alive:
+                    gateway.limiter.tick()
+
+    def _events(self) -> Iterator[tuple[float, str | None]]:
+        """Yield all arrivals and ticks in order, as fates strike; a tick's tenant is ``None``."""
+        events: list[tuple[float, str | None]] = []
+        for rank in range(self.load.tenants):
+            events += [(at, str(rank)) for at in self._arrivals(rank)]
+        ticks = int(self.load.length_s / TICK_S)
+        events += [(tick * TICK_S, None) for tick in range(ticks)]
+        events.sort(key=lambda event: event[0])
+        yield from self._with_fates(events)
+
+    def _with_fates(
+        self, events: list[tuple[float, str | None]]
+    ) -> Iterator[tuple[float, str | None]]:
+        changes: list[tuple[float, int, Fate, tuple[_Gateway, ...], bool]] = []
+        for number, fate in enumerate(self.load.fates):
+            struck = self._struck_by(fate)
+            heapq.heappush(changes, (fate.at, number, fate, struck, True))
+            heapq.heappush(changes, (fate.at + fate.for_s, number, fate, struck, False))
+        for at, tenant in events:
+            while changes and changes[0][0] <= at:
+                when, _, fate, struck, begins = heapq.heappop(changes)
+                self.clock.now = self._began + when
+                self._strike(fate, struck, begins)
+            yield at, tenant
+
+    def _struck_by(self, fate: Fate) -> tuple[_Gateway, ...]:
+        drawn = list(self.gateways)
+        self._random.shuffle(drawn)
+        if fate.with_granter:
+            # The strong ones grant; most of those that are struck are drawn from all.
+            drawn.sort(key=lambda one: one.index not in (0, 1))
+        return tuple(drawn[: max(1, round(fate.share * len(drawn)))])
+
+    def _strike(self, fate: Fate, struck: tuple[_Gateway, ...], begins: bool) -> None:
+        for gateway in struck:
+            self._changed_at[gateway.index] = self.clock.now
+            if fate.kind == "cut":
+                gateway.cut = begins
+            else:
+                gateway.alive = not begins
+                if not begins:
+                    self._start(gateway)
+
+    def _arrivals(self, rank: int) -> list[float]:
+        """Return when a tenant's requests come: in bursts, as the users' do."""
+        usual = self.load.usual_of(rank)
+        times = []
+        at = 0.0
+        while at < self.load.length_s:
+            per_s = usual * (1.91 if at % 6.0 >= 3.6 else 0.391)
+            if rank == 0 and self.load.hot_from <= at < self.load.hot_until:
+                per_s *= self.load.hot_x
+            at += max(SHORT_S, self._random.expovariate(per_s))
+            times.append(at)
+        return [at for at in times if at < self.load.length_s]
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 
+import msgspec
 from nose2.tools import params
 
 from quaymill.connection.endpoint import Endpoint, LinkFilter
@@ -12,6 +13,7 @@
 from quaymill.connection.peer_server import PeerServer
 from quaymill.process.configuration_holder import ConfigurationHolder
 from quaymill.process.limits.limiter import TenantLimiter
+from quaymill.process.limits.region import build_region_limiter
 from quaymill.process.membership.ranking import rank_nodes
 from quaymill.process.settings import NodeSettings
 from quaymill.version.configuration import ServingConfiguration, Tenant
@@ -29,6 +31,12 @@
     def live(self) -> tuple[Member, ...]:
         return self.seen
 
+    def members(self) -> tuple[Member, ...]:
+        return self.seen
+
+    def dead_for_s(self, name: str) -> float:
+        return 0.0
+
 
 class Limiters:
     """One limiter for each gateway of a region, over real peer links."""
@@ -56,7 +64,7 @@
 
     def _limiter(self, number: int) -> TenantLimiter:
         settings = NodeSettings(f"node-{number}", "a", "region", "127.0.0.1", 1, 1, "127.0.0.1:1")
-        return TenantLimiter(
+        return build_region_limiter(
             settings,
             self.holder,
             self.memberships[number],
@@ -102,6 +110,13 @@
             worker.join()
         return sum(counts)
 
+    def turn_strong(self, number: int) -> None:
+        """Let one gateway come with more processor time, so that it ranks first from now on."""
+        strong = msgspec.structs.replace(self.members[number], cores=4.0)
+        others = tuple(one for one in self.members if one.name != strong.name)
+        for membership in self.memberships:
+            membership.seen = (*others, strong)
+
     def stop(self) -> None:
         for limiter, server, client in zip(self.limiters, self.servers, self.clients, strict=True):
             limiter.stop()
@@ -205,3 +220,35 @@
             waits.append(time.monotonic() - started_at)
         self.assertLess(max(waits), 1.0)
         self.assertEqual(sum(wait > 0.1 for wait in waits), 1)
+
+    def test_a_granter_that_comes_takes_over_what_is_left(self):
+        limiters = self.start(requests_per_s=10.0)
+        self.assertGreaterEqual(limiters.admitted(range(GATEWAYS), 0.5), 1)
+        limiters.turn_strong(limiters.others[0])
+        admitted = limiters.admitted(range(GATEWAYS), 1.0)
+        # Not another burst of ten, nor two that grant at once.
+        self.assertLessEqual(admitted, 13)
+        self.assertGreaterEqual(admitted, 6)
+
+    def test_the_earlier_granter_sends_askers_on(self):
+        limiters = self.start(requests_per_s=10.0)
+        limiters.admitted(range(GATEWAYS), 0.2)
+        strong = limiters.others[0]
+        late = limiters.others[1]
+        seen_late = limiters.memberships[late].seen
+        limiters.turn_strong(strong)
+        limiters.admitted([strong], 0.1)
+        limiters.memberships[late].seen = seen_late
+        admitted = limiters.admitted([strong, late], 1.0)
+        self.assertLessEqual(admitted, 13)
+        self.assertGreaterEqual(admitted, 6)
+
+    def test_refused_callers_are_sent_back_one_after_the_other(self):
+        limiters = self.start(requests_per_s=10.0)
+        told = []
+        while len(told) < 10:
+            refusal = limiters.limiters[0].admit(TENANT, 0)
+            if refusal is not None:
+                told.append(time.monotonic() + refusal.retry_after_s)
+        gaps = [later - earlier for earlier, later in zip(told, told[1:], strict=False)]
+        self.assertGreater(min(gaps), 0.08)
