--- a/src/quaymill/connection/job_document.py
+++ b/src/quaymill/connection/job_document.py
@@ -41,10 +41,15 @@
 
     Attributes
     ----------
+    id
+        Its name throughout the system; where there are tenants, it begins with its tenant's.
     host, path
         Where it was submitted; they lead to its route.
     age_s
         Time since it was first sent, when this record was made or handed on.
+    tenant
+        Whose it is, as replicas are told; empty for nobody known, ``None`` where there are no
+        tenants. It stays whose it is, whatever becomes of the key by which it came.
     """
 
     id: str
@@ -52,6 +57,7 @@
     path: str
     document: JobDocument
     age_s: float = 0.0
+    tenant: str | None = None
 
 
 class ResultState(enum.StrEnum):
--- a/src/quaymill/platform/caller_calls.py
+++ b/src/quaymill/platform/caller_calls.py
@@ -17,6 +17,7 @@
 )
 from quaymill.process.front.http_server import FrontRequest
 from quaymill.request.prompt import NO_PROMPT, Prompt, PromptPart
+from quaymill.version.tenants import bearer_key
 
 MS_PER_S = 1000.0
 MAX_ITEMS = 200
@@ -52,6 +53,11 @@
     results: list[_Result]
 
 
+def read_key(request: FrontRequest) -> bytes:
+    """Return the bearer key of a request as it was sent."""
+    return bearer_key(request.header_values(names.AUTHORIZATION)).encode("latin-1")
+
+
 def read_request(request: FrontRequest) -> CallerRequest | Malformed:
     """Read the headers that decide how an opaque request is served."""
     request_id = request.header(names.REQUEST_ID) or ""
@@ -158,6 +164,7 @@
 
 
 CALLER_PROTOCOL = CallerProtocol(
+    read_key=read_key,
     read_request=read_request,
     find_job_call=find_job_call,
     read_job=read_job,
--- a/src/quaymill/platform/configuration.py
+++ b/src/quaymill/platform/configuration.py
@@ -18,6 +18,7 @@
     ServiceProperties,
     WeightedService,
 )
+from quaymill.version.tenants import RequestTenant, TenantLimits, key_digest
 
 MS_PER_S = 1000.0
 MAX_SLOTS = 100_000
@@ -50,6 +51,7 @@
     max_queued_tokens: int = 0
     """Of a batch route: tokens of items that wait or run. An engine's field of the same name
     bounds something else (calls that follow its cache), and is not read."""
+    public: bool = False
 
 
 class _Engine(msgspec.Struct):
@@ -64,6 +66,14 @@
     engine: _Engine | None = None
 
 
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
 class _Limits(msgspec.Struct):
     max_header_bytes: int = 16384
     max_body_bytes: int = 4 * 1024 * 1024
@@ -76,6 +86,7 @@
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
 
 
 class _Server(msgspec.Struct):
@@ -97,6 +108,7 @@
             routes=tuple(_route(route) for route in document.routes),
             services={service.name: _service(service) for service in document.services},
             limits=_limits(document.limits),
+            tenants=_tenants(document.tenants),
         )
     except (msgspec.ValidationError, KeyError, OverflowError) as error:
         return UnreadObject("configuration", str(error))
@@ -140,9 +152,24 @@
         due_s=route.due_ms / MS_PER_S,
         max_wait_s=route.max_wait_s,
         max_unfinished_tokens=route.max_queued_tokens,
+        public=route.public,
     )
 
 
+def _tenants(tenants: list[_Tenant] | None) -> dict[str, RequestTenant] | None:
+    if tenants is None:
+        return None
+    return {
+        tenant.name: RequestTenant(
+            tenant.name,
+            tuple(key_digest(key.encode()) for key in tenant.api_keys),
+            TenantLimits(requests_per_s=tenant.rate_per_s, requests_burst=tenant.burst),
+            tenant.priority,
+        )
+        for tenant in tenants
+    }
+
+
 def _service(service: _Service) -> ServiceProperties:
     engine = service.engine
     return ServiceProperties(
--- a/src/quaymill/platform/names.py
+++ b/src/quaymill/platform/names.py
@@ -17,6 +17,8 @@
 MODEL = "Model"
 TOKEN_COUNT = "Token-Count"
 WAIT_MS = "Wait-Ms"
+TENANT = "Tenant"
+AUTHORIZATION = "Authorization"
 
 READY_PATH = "/v1/ready"
 REPORT_PATH = "/v1/report"
--- a/src/quaymill/platform/replica_calls.py
+++ b/src/quaymill/platform/replica_calls.py
@@ -30,6 +30,8 @@
     name.lower()
     for name in (names.DEADLINE_MS, names.EXPECT_INSTANCE, names.LAST_EVENT_ID, "Content-Length")
 )
+IDENTITY_HEADERS = frozenset({names.AUTHORIZATION.lower(), names.TENANT.lower()})
+"""Where there are tenants, a key is kept from replicas, and who sends is told by us alone."""
 LIBRARY_HEADERS = ("User-Agent", "Accept-Encoding")
 """The HTTP library would add these of its own accord."""
 MISDIRECTED_STATUS = 421
@@ -54,9 +56,13 @@
     """Return the request as one replica gets it."""
     headers = HTTPHeaderDict()
     dropped = CONNECTION_HEADERS | OWN_HEADERS | _named_by_connection(request.headers)
+    if request.tenant is not None:
+        dropped |= IDENTITY_HEADERS
     for name, value in request.headers:
         if name.lower() not in dropped:
             headers.add(name, value)
+    if request.tenant:
+        headers[names.TENANT] = request.tenant
     headers[names.DEADLINE_MS] = str(max(1, int(remaining_s * 1000)))
     headers[names.EXPECT_INSTANCE] = replica_id
     if names.REQUEST_ID not in headers:
--- a/src/quaymill/process/front/caller_protocol.py
+++ b/src/quaymill/process/front/caller_protocol.py
@@ -73,6 +73,8 @@
 
     Attributes
     ----------
+    read_key
+        Returns the key that a request carries; empty unless it is exactly one, in the right form.
     read_request
         Reads the headers of an opaque request.
     find_job_call
@@ -83,6 +85,7 @@
         Puts a page of results: number of items, results, position after them.
     """
 
+    read_key: Callable[[FrontRequest], bytes]
     read_request: Callable[[FrontRequest], CallerRequest | Malformed]
     find_job_call: Callable[[FrontRequest], JobCall | Malformed | None]
     read_job: Callable[[bytes], JobDocument | Malformed]
--- a/src/quaymill/process/front/front_service.py
+++ b/src/quaymill/process/front/front_service.py
@@ -10,6 +10,8 @@
 from eliot import log_message
 
 from quaymill import boot_clock
+from quaymill.connection.job_document import Job
+from quaymill.process.front.access import Caller, KeyState, identify, key_state
 from quaymill.process.front.caller_protocol import (
     CallerProtocol,
     JobCall,
@@ -26,10 +28,18 @@
 from quaymill.process.jobs.job_lookup import NoSuchJob, Unsure
 from quaymill.process.jobs.route_quota import OverQuota
 from quaymill.process.jobs.service import Accepted, Ended, JobService, NoSuchItem
+from quaymill.process.limits.limiter import TenantLimiter
 from quaymill.request.deadline import Deadline
 from quaymill.request.forwarded_request import ForwardedRequest, Headers
 from quaymill.request.forwarding import Forwarder
-from quaymill.request.forwarding_result import CallerLeft, Delivered, GivenUp
+from quaymill.request.forwarding_result import (
+    CallerLeft,
+    Delivered,
+    ForwardingResult,
+    GivenUp,
+    KeyChanged,
+)
+from quaymill.request.outcome import NotRun
 from quaymill.version.request_routes import RequestRoute, RequestRoutes, RouteKind
 
 TEXT: Headers = (("Content-Type", "text/plain; charset=utf-8"),)
@@ -43,6 +53,9 @@
 STARTING_CHECK_S = 0.02
 """Time between two looks for it."""
 DEFAULT_PATIENCE_S = 60.0
+MAX_UNREAD_BODY_BYTES = 64 * 1024
+"""A shorter body of a refused request is read, so that its connection can be used on."""
+AUTHENTICATE: Headers = (("WWW-Authenticate", "Bearer"),)
 
 
 @attrs.frozen
@@ -53,11 +66,23 @@
     ----------
     retry_after_s
         When to come back; only where the request has not run.
+    headers
+        Beside those of every refusal.
+    kind
+        What the log tells: ``over-limit`` is an ordinary one, of which there may be very many.
     """
 
     status: int
     message: str
     retry_after_s: float | None = None
+    headers: Headers = ()
+    kind: str = "refused"
+
+
+UNKNOWN_KEY = Refusal(
+    401, "the request needs a key of a tenant as its bearer key", headers=AUTHENTICATE
+)
+KEY_MOVED = Refusal(503, "the key has been given to another tenant; send again", 0.0)
 
 
 class FrontService:
@@ -67,6 +92,8 @@
     ----------
     routes
         Returns the routes in force; version 0 while none is known.
+    limiter
+        Keeps tenants within their limits.
     admission_limit
         Requests in service at once; below the server's threads.
     """
@@ -77,6 +104,7 @@
         routes: Callable[[], RequestRoutes],
         forwarder: Forwarder,
         jobs: JobService,
+        limiter: TenantLimiter,
         metrics: FrontMetrics,
         admission_limit: int,
     ) -> None:
@@ -84,6 +112,7 @@
         self._routes = routes
         self._forwarder = forwarder
         self._jobs = jobs
+        self._limiter = limiter
         self._metrics = metrics
         self._admission_limit = admission_limit
         self._lock = threading.Lock()
@@ -124,26 +153,32 @@
             self._refuse(request, writer, _malformed(call))
             return
         route = routes.find(request.host, request.path)
-        if call is not None and route is None:
-            self._answer_job_call(call, request, writer)
-            return
-        if route is None:
+        if call is None and route is None:
             self._refuse(request, writer, Refusal(404, "no route leads to this path"))
             return
+        is_public = route.public if route else routes.has_public_jobs(request.host)
+        key = self._protocol.read_key(request)
+        caller = identify(routes, key, key_needed=not is_public)
+        if caller is None:
+            self._refuse_early(request, writer, UNKNOWN_KEY)
+        elif route is None:
+            self._answer_job_call(call, caller, request, writer)
+        elif route.kind is RouteKind.BATCH:
+            self._submit(request, route, caller, writer)
+        else:
+            self._forward_within_limits(request, route, caller, writer)
+
+    def _take_body(self, request: FrontRequest, writer: AnswerWriter) -> bytes | None:
+        """Return the whole body; ``None`` if the request was refused for it."""
         try:
-            body = request.read_body(routes.limits.max_body_bytes)
+            return request.read_body(self._routes().limits.max_body_bytes)
         except BodyTooLargeError:
-            writer.close_after()
-            self._refuse(request, writer, Refusal(413, "the body is longer than the limit"))
-            return
+            refusal = Refusal(413, "the body is longer than the limit")
         except BrokenBodyError as error:
-            writer.close_after()
-            self._refuse(request, writer, Refusal(400, f"the body is not whole: {error}"))
-            return
-        if route.kind is RouteKind.BATCH:
-            self._submit(request, route, body, writer)
-        else:
-            self._forward(request, route, body, writer)
+            refusal = Refusal(400, f"the body is not whole: {error}")
+        writer.close_after()
+        self._refuse(request, writer, refusal)
+        return None
 
     def _wait_for_routes(self) -> RequestRoutes:
         """Return the routes in force; a gateway that has just started knows them in a moment.
@@ -157,14 +192,35 @@
 
     # Opaque requests.
 
+    def _forward_within_limits(
+        self, request: FrontRequest, route: RequestRoute, caller: Caller, writer: AnswerWriter
+    ) -> None:
+        """Refuse at once what is beyond the tenant's limits; forward the rest."""
+        tenant = caller.tenant
+        if tenant is None or not tenant.limits.any_set:
+            self._forward(request, route, caller, writer)
+            return
+        over_limit = self._limiter.admit(tenant.name, 0)
+        if over_limit is not None:
+            self._metrics.count_over_limit(tenant.name)
+            self._refuse_early(request, writer, _over_limit(over_limit), tenant.name)
+            return
+        try:
+            self._forward(request, route, caller, writer)
+        finally:
+            self._limiter.release(tenant.name, 0, 0)
+
     def _forward(
-        self, request: FrontRequest, route: RequestRoute, body: bytes, writer: AnswerWriter
+        self, request: FrontRequest, route: RequestRoute, caller: Caller, writer: AnswerWriter
     ) -> None:
         began = boot_clock.now()
         read = self._protocol.read_request(request)
         if isinstance(read, Malformed):
             self._refuse(request, writer, _malformed(read))
             return
+        body = self._take_body(request, writer)
+        if body is None:
+            return
         patience_s = read.patience_s if read.patience_s is not None else DEFAULT_PATIENCE_S
         if route.timeout_s:
             patience_s = min(patience_s, route.timeout_s)
@@ -177,10 +233,14 @@
             deadline=Deadline.after(patience_s),
             prompt=read.prompt,
             last_event_id=read.last_event_id,
+            tenant=caller.told_name,
+            priority=caller.rank(route.priority),
+        )
+        result = self._forwarder.forward(
+            forwarded, route, writer, request.presence, lambda: self._key_change(caller)
         )
-        result = self._forwarder.forward(forwarded, route, writer, request.presence)
-        if isinstance(result, GivenUp) and not writer.started:
-            self._refuse(request, writer, _give_up(result), read.id)
+        if isinstance(result, GivenUp | KeyChanged) and not writer.started:
+            self._refuse(request, writer, _refusal_of(result), read.id, caller)
         elif isinstance(result, GivenUp | CallerLeft):
             writer.break_off()
         took_s = boot_clock.now() - began
@@ -191,6 +251,7 @@
             "request:ended",
             request_id=read.id,
             route=route.name,
+            tenant=caller.told_name or "",
             configuration=self._routes().version,
             outcome=outcome,
             status=writer.status,
@@ -198,12 +259,22 @@
             reason=getattr(result, "reason", ""),
         )
 
+    def _key_change(self, caller: Caller) -> KeyChanged | None:
+        """Return what has become of a caller's key, unless it holds it still."""
+        state = key_state(caller, self._routes())
+        if state is KeyState.HELD:
+            return None
+        return KeyChanged(taken_away=state is KeyState.TAKEN_AWAY)
+
     # Batch jobs.
 
     def _submit(
-        self, request: FrontRequest, route: RequestRoute, body: bytes, writer: AnswerWriter
+        self, request: FrontRequest, route: RequestRoute, caller: Caller, writer: AnswerWriter
     ) -> None:
         began = boot_clock.now()
+        body = self._take_body(request, writer)
+        if body is None:
+            return
         read = self._protocol.read_request(request)
         document = self._protocol.read_job(body)
         if isinstance(read, Malformed):
@@ -215,20 +286,25 @@
         if not read.id:
             self._refuse(request, writer, Refusal(400, "the job has no id"))
             return
-        result = self._jobs.submit(read.id, request.host, request.path, document, route)
+        name = caller.job_name(read.id)
+        job = Job(name, request.host, request.path, document, tenant=caller.told_name)
+        result = self._jobs.submit(job, route)
         outcome = type(result).__name__
         self._metrics.requests.labels(route.name, outcome).inc()
         self._metrics.answer_s.labels(route.name).observe(boot_clock.now() - began)
         if isinstance(result, Accepted):
             writer.answer(202, (), b"")
         elif isinstance(result, OverQuota):
-            self._refuse(request, writer, _over_quota(result), read.id)
+            self._refuse(request, writer, _over_quota(result), read.id, caller)
         elif result.may_run:
             self._refuse(request, writer, Refusal(504, result.reason))
         else:
             self._refuse(request, writer, Refusal(503, result.reason, SHORT_RETRY_AFTER_S))
 
-    def _answer_job_call(self, call: JobCall, request: FrontRequest, writer: AnswerWriter) -> None:
+    def _answer_job_call(
+        self, call: JobCall, caller: Caller, request: FrontRequest, writer: AnswerWriter
+    ) -> None:
+        call = attrs.evolve(call, job_id=caller.job_name(call.job_id))
         answer_of = {
             JobOperation.READ_RESULTS: self._read_results,
             JobOperation.READ_BODY: self._read_body,
@@ -264,21 +340,49 @@
         writer.answer(200, (), b"")
         return None
 
+    def _refuse_early(
+        self, request: FrontRequest, writer: AnswerWriter, refusal: Refusal, tenant: str = ""
+    ) -> None:
+        """Refuse a request whose body was not asked for; a short one is read and dropped."""
+        read = self._protocol.read_request(request)
+        request_id = "" if isinstance(read, Malformed) else read.id
+        request.drop_body(MAX_UNREAD_BODY_BYTES)
+        self._write_refusal(request, writer, refusal, request_id, tenant)
+
     def _refuse(
-        self, request: FrontRequest, writer: AnswerWriter, refusal: Refusal, request_id: str = ""
+        self,
+        request: FrontRequest,
+        writer: AnswerWriter,
+        refusal: Refusal,
+        request_id: str = "",
+        caller: Caller | None = None,
+    ) -> None:
+        tenant = (caller.told_name if caller else None) or ""
+        self._write_refusal(request, writer, refusal, request_id, tenant)
+
+    def _write_refusal(
+        self,
+        request: FrontRequest,
+        writer: AnswerWriter,
+        refusal: Refusal,
+        request_id: str,
+        tenant: str,
     ) -> None:
-        headers = TEXT
+        headers = TEXT + refusal.headers
         if refusal.retry_after_s is not None:
             headers += ((RETRY_AFTER, f"{refusal.retry_after_s:g}"),)
         self._metrics.refusals.labels(str(refusal.status)).inc()
         log_message(
             "request:refused",
             request_id=request_id,
+            tenant=tenant,
             method=request.method,
             path=request.path,
             status=refusal.status,
             reason=refusal.message,
+            retry_after_s=refusal.retry_after_s,
             in_service=self._in_service,
+            outcome=refusal.kind,
         )
         if not request.body_was_read:
             writer.close_after()
@@ -289,6 +393,18 @@
     return Refusal(400, f"{malformed.reason}; {malformed.remedy}")
 
 
+def _refusal_of(result: GivenUp | KeyChanged) -> Refusal:
+    if isinstance(result, KeyChanged):
+        return UNKNOWN_KEY if result.taken_away else KEY_MOVED
+    return _give_up(result)
+
+
+def _over_limit(over_limit: NotRun) -> Refusal:
+    message = f"{over_limit.reason}; {over_limit.remedy}"
+    retry_after_s = round(over_limit.retry_after_s or 0.0, 2)
+    return Refusal(over_limit.status, message, retry_after_s, kind="over-limit")
+
+
 def _give_up(result: GivenUp) -> Refusal:
     if result.may_have_run:
         return Refusal(504 if result.timed_out else 502, result.reason)
@@ -311,9 +427,11 @@
     return Refusal(503, result.reason, SHORT_RETRY_AFTER_S)
 
 
-def _outcome_name(result: Delivered | CallerLeft | GivenUp) -> str:
+def _outcome_name(result: ForwardingResult) -> str:
     if isinstance(result, Delivered):
         return "delivered"
     if isinstance(result, CallerLeft):
         return "caller-left"
+    if isinstance(result, KeyChanged):
+        return "key-changed"
     return "unknown" if result.may_have_run else "not-run"
--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import socket
 import threading
@@ -86,10 +87,15 @@
         """Refuse requests whose end could be read in two ways."""
         if not super().read_request_headers():
             return False
-        lengths = [value for name, value in self.header_pairs() if name.lower() == "content-length"]
+        pairs = self.header_pairs()
+        lengths = [value for name, value in pairs if name.lower() == "content-length"]
         if len(lengths) > 1 or (lengths and self.chunked_read):
             self.simple_response("400 Bad Request", "Ambiguous length of the body")
             return False
+        if any(name != name.strip() for name, _ in pairs):
+            # A replica might read such a name as one that is kept from it.
+            self.simple_response("400 Bad Request", "Space in the name of a header")
+            return False
         return True
 
     def header_pairs(self) -> Headers:
@@ -136,6 +142,11 @@
         """Return a header; the last one if it is repeated."""
         return self._by_name.get(name.lower())
 
+    def header_values(self, name: str) -> list[str]:
+        """Return the values of all headers of a name, as often as it was sent."""
+        wanted = name.lower()
+        return [value for sent, value in self.headers if sent.lower() == wanted]
+
     @property
     def host(self) -> str:
         """The ``Host`` header without a port, in lower case."""
@@ -170,6 +181,13 @@
         self.body_was_read = True
         return b"".join(blocks)
 
+    def drop_body(self, limit_bytes: int) -> None:
+        """Read a body that is not wanted, if it is short; a longer one is left unread."""
+        if self.body_was_read:
+            return
+        with contextlib.suppress(BrokenBodyError, BodyTooLargeError):
+            self.read_body(limit_bytes)
+
 
 class AnswerWriter:
     """Writes one answer.
--- a/src/quaymill/process/front/metrics.py
+++ b/src/quaymill/process/front/metrics.py
@@ -4,6 +4,9 @@
 
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
+MAX_TENANTS_SHOWN = 100
+"""Tenants with a counter of their own: a few are beyond their limits at a time, of thousands."""
+OTHER_TENANTS = "(others)"
 LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
 
 
@@ -24,6 +27,13 @@
             ("status",),
             registry=registry,
         )
+        self._over_limit = Counter(
+            "quaymill_front_over_limit",
+            "Requests refused since their tenant was beyond its limits.",
+            ("tenant",),
+            registry=registry,
+        )
+        self._tenants_shown: set[str] = set()
         self.answer_s = Histogram(
             "quaymill_front_answer_seconds",
             "Time from a request's arrival to the end of its answer.",
@@ -31,3 +41,10 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+
+    def count_over_limit(self, tenant: str) -> None:
+        """Count a refusal; tenants beyond the first hundred share one counter."""
+        if len(self._tenants_shown) < MAX_TENANTS_SHOWN:
+            self._tenants_shown.add(tenant)
+        shown = tenant if tenant in self._tenants_shown else OTHER_TENANTS
+        self._over_limit.labels(shown).inc()
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -42,6 +42,9 @@
 from quaymill.process.jobs.service import JobService
 from quaymill.process.jobs.storage_client import JobStorageClient
 from quaymill.process.jobs.submission_relay import SubmissionRelay
+from quaymill.process.limits.fleet import GatewayFleet
+from quaymill.process.limits.limiter import TenantLimiter
+from quaymill.process.limits.shares import Overrun
 from quaymill.process.membership.ranking import rank_nodes
 from quaymill.process.node_registry import NodeRegistry
 from quaymill.process.peer_network import PeerNetwork
@@ -57,6 +60,7 @@
 from quaymill.request.forwarding import Forwarder, ReplicaProtocol
 from quaymill.request.poison import PoisonRecords
 from quaymill.version.request_routes import NO_ROUTES, RequestRoutes
+from quaymill.version.tenants import TenantLimits
 
 CONNECT_TIMEOUT_S = 0.3
 THREADS = 160
@@ -229,6 +233,7 @@
             self.network.process,
             self.network.other_gateways,
         )
+        self._limiter = self._build_limiter()
         self._registry = NodeRegistry(store, self.network.membership, self._lacks_peers)
         self._metrics = FrontMetrics(CollectorRegistry())
         self._add_gauges()
@@ -248,6 +253,24 @@
             MetricsServer(metrics_endpoint, self._metrics.registry) if metrics_endpoint else None
         )
 
+    def _build_limiter(self) -> TenantLimiter:
+        name = self._settings.name
+        bounds = self._settings.bounds
+        return TenantLimiter(
+            name,
+            self._limits_of,
+            GatewayFleet(self.network.membership, name, lambda member: not member.has_disk),
+            self.network.client,
+            self.network.server,
+            Overrun(
+                bounds.quota_window_s, bounds.quota_overrun_share, bounds.quota_overrun_requests
+            ),
+        )
+
+    def _limits_of(self, tenant: str) -> TenantLimits | None:
+        found = (self.control.routes.tenants or {}).get(tenant)
+        return None if found is None else found.limits
+
     def _build_quota(self, ledgers: QuotaLedgers, lookup: JobLookup) -> BatchQuota:
         sweep = LedgerSweep(ledgers, self._ranks_first_for, lookup.is_over)
         return BatchQuota(
@@ -279,6 +302,7 @@
             lambda: self.control.routes if self.control.ready else NO_ROUTES,
             forwarder,
             self.jobs,
+            self._limiter,
             self._metrics,
             ADMISSION_LIMIT,
         )
@@ -342,6 +366,7 @@
         self.coordinator.start()
         self.quota.start()
         self._notices.start()
+        self._limiter.start()
         self._watch.start()
         self._server.start_serving()
         self._readiness.start_serving()
@@ -421,6 +446,7 @@
         self._warnings.stop()
         self._crash_sharing.stop()
         self._notices.stop()
+        self._limiter.stop()
         self._orders.stop()
         self.network.stop()
 
--- a/src/quaymill/process/job_storage/database.py
+++ b/src/quaymill/process/job_storage/database.py
@@ -33,7 +33,8 @@
     coordinator TEXT NOT NULL,
     sent_at REAL NOT NULL,
     ended INTEGER NOT NULL DEFAULT 0,
-    complete INTEGER NOT NULL DEFAULT 0
+    complete INTEGER NOT NULL DEFAULT 0,
+    tenant TEXT
 ) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS results (
     job_id TEXT NOT NULL,
@@ -56,6 +57,8 @@
 ) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS early_ends (job_id TEXT PRIMARY KEY) WITHOUT ROWID;
 """
+ADDED_JOB_COLUMNS = {"tenant": "TEXT"}
+"""Columns that the table of jobs lacks on disks of earlier versions."""
 PAGE_CACHE_KIB = 2048
 
 
@@ -117,6 +120,7 @@
         self._connection.execute("PRAGMA journal_mode = WAL")
         self._connection.execute("PRAGMA synchronous = FULL")
         self._connection.executescript(SCHEMA)
+        self._add_missing_columns()
         # Reads have a connection of their own: they go on while a write waits for the disk.
         self._read_lock = threading.Lock()
         self._reader = _connect(folder / FILE_NAME)
@@ -139,8 +143,18 @@
                 ).fetchone()
                 ended = ended or early is not None
                 self._connection.execute(
-                    "INSERT INTO jobs VALUES (?, ?, ?, ?, ?, ?, ?, ?, 0)",
-                    (job.id, job.host, job.path, document, total, coordinator, sent_at, ended),
+                    "INSERT INTO jobs VALUES (?, ?, ?, ?, ?, ?, ?, ?, 0, ?)",
+                    (
+                        job.id,
+                        job.host,
+                        job.path,
+                        document,
+                        total,
+                        coordinator,
+                        sent_at,
+                        ended,
+                        job.tenant,
+                    ),
                 )
             record = JobRecord(
                 job.id,
@@ -269,17 +283,18 @@
         record = self.by_id.get(job_id)
         with self._read_lock:
             row = self._reader.execute(
-                "SELECT host, path, document FROM jobs WHERE id = ?", (job_id,)
+                "SELECT host, path, document, tenant FROM jobs WHERE id = ?", (job_id,)
             ).fetchone()
         if row is None or record is None:
             return None
-        host, path, document = row
+        host, path, document, tenant = row
         return Job(
             id=job_id,
             host=host,
             path=path,
             document=msgspec.json.decode(document, type=JobDocument),
             age_s=boot_clock.now() - record.sent_at,
+            tenant=tenant,
         )
 
     def results(self, job_id: str, keys: Iterable[ResultKey]) -> tuple[KeyedResult, ...]:
@@ -328,6 +343,12 @@
             self._connection.close()
             self._reader.close()
 
+    def _add_missing_columns(self) -> None:
+        held = {row[1] for row in self._connection.execute("PRAGMA table_info(jobs)")}
+        for name, kind in ADDED_JOB_COLUMNS.items():
+            if name not in held:
+                self._connection.execute(f"ALTER TABLE jobs ADD COLUMN {name} {kind}")
+
     def _load(self) -> None:
         now = time.time()
         rows = self._connection.execute(
--- a/src/quaymill/process/jobs/coordinator.py
+++ b/src/quaymill/process/jobs/coordinator.py
@@ -8,6 +8,7 @@
 import threading
 from collections.abc import Iterable
 
+import msgspec
 from eliot import log_message
 
 from quaymill import boot_clock
@@ -212,6 +213,4 @@
         for item in job.items
         if item.state in (ItemState.WAITING, ItemState.RUNNING) and (item.texts or item.failures)
     )
-    return HandOverJob(
-        Job(job.id, job.job.host, job.job.path, job.job.document, age_s), progress, job.unlisted()
-    )
+    return HandOverJob(msgspec.structs.replace(job.job, age_s=age_s), progress, job.unlisted())
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -329,7 +329,12 @@
         if (barred_s := guard.barred_for_s(content)) > 0:
             return ItemBarred(barred_s)
         outcome = run_item(
-            item, job.job.host, replica, self._parts.connections, self._parts.protocol
+            item,
+            job.job.host,
+            replica,
+            self._parts.connections,
+            self._parts.protocol,
+            job.job.tenant,
         )
         if isinstance(outcome, ItemDone):
             guard.note_served(content)
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -95,6 +95,7 @@
     replica: Replica,
     connections: ReplicaConnections,
     protocol: ItemProtocol,
+    tenant: str | None = None,
 ) -> ItemOutcome:
     """Run an item once, from the event after the last one that came."""
     request = ForwardedRequest(
@@ -105,6 +106,7 @@
         body=item.item.body,
         deadline=Deadline.after(RUN_TIMEOUT_S),
         last_event_id=item.last_event_id,
+        tenant=tenant,
     )
     message = protocol.replica.build_request(request, replica.id, RUN_TIMEOUT_S, item.last_event_id)
     exchange = connections.send(replica.entry.address, message)
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -7,7 +7,7 @@
 import attrs
 from eliot import log_message
 
-from quaymill.connection.job_document import Job, JobDocument
+from quaymill.connection.job_document import Job
 from quaymill.connection.job_storage_messages import (
     AdoptJob,
     HandedOverJob,
@@ -111,13 +111,10 @@
 
     # Calls of callers.
 
-    def submit(
-        self, job_id: str, host: str, path: str, document: JobDocument, route: RequestRoute
-    ) -> Accepted | NotAccepted | OverQuota:
+    def submit(self, job: Job, route: RequestRoute) -> Accepted | NotAccepted | OverQuota:
         """Keep a job and see that it runs; a job that is known already is accepted again."""
-        if self._coordinator.get(job_id) is not None:
+        if self._coordinator.get(job.id) is not None:
             return Accepted()
-        job = Job(job_id, host, path, document)
         submitted = self._relay.submit(job, lambda: self._count_and_store(job, route))
         if submitted.accepted:
             return Accepted()
--- a/src/quaymill/process/limits/limiter.py
+++ b/src/quaymill/process/limits/limiter.py
@@ -9,7 +9,6 @@
 import queue
 import threading
 
-import attrs
 from eliot import log_message
 
 from quaymill import boot_clock
@@ -65,20 +64,6 @@
         return max(1, int(rate_per_s * STOCK_S))
 
 
-@attrs.frozen
-class _Answer:
-    """What came back for a wish to borrow.
-
-    Attributes
-    ----------
-    by
-        Who lent: the granter's name, or this gateway's own part of the limit.
-    """
-
-    lent: LentCredits
-    by: str
-
-
 class TenantLimiter:
     """Requests/s, tokens/s and concurrency of each tenant, as seen by one gateway.
 
@@ -147,8 +132,8 @@
             )
             # The request counts while the granter is asked, so that others ask for more.
             stock.in_service += 1
-        answer = self._borrow(stock, message)
-        return self._take_lent(stock, limits, message, answer)
+        lent = self._borrow(stock, message)
+        return self._take_lent(stock, limits, message, lent)
 
     def release(self, tenant: str, reserved_tokens: int, used_tokens: int) -> None:
         """End a request that was admitted; tokens that it did not use are given back."""
@@ -180,9 +165,8 @@
         return True
 
     def _take_lent(
-        self, stock: _TenantStock, limits: TenantLimits, message: BorrowCredits, answer: _Answer
+        self, stock: _TenantStock, limits: TenantLimits, message: BorrowCredits, lent: LentCredits
     ) -> NotRun | None:
-        lent = answer.lent
         with self._lock:
             stock.slots = max(stock.slots, lent.slots)
             if not lent.refused_by:
@@ -194,26 +178,17 @@
                 stock.admitted += 1
                 return None
             stock.in_service -= 1
-        log_message(
-            "limit:refused",
-            tenant=message.tenant,
-            limit=lent.refused_by,
-            granter=answer.by,
-            retry_after_s=round(lent.retry_after_s, 2),
-        )
         return _refusal(message.tenant, limits, lent)
 
-    def _borrow(self, stock: _TenantStock, message: BorrowCredits) -> _Answer:
+    def _borrow(self, stock: _TenantStock, message: BorrowCredits) -> LentCredits:
         """Ask the granter; without one, lend from this gateway's own part of the limit."""
-        granter = self._first_answering(message.tenant)
-        lent = self._ask(granter, message)
+        lent = self._ask(self._first_answering(message.tenant), message)
         if lent is not None and lent.granter:
-            granter = self._fleet.member(lent.granter)
-            lent = self._ask(granter, message)
+            lent = self._ask(self._fleet.member(lent.granter), message)
         if lent is not None and not lent.granter:
-            return _Answer(lent, granter.name)
+            return lent
         stock.own_until = boot_clock.now() + AVOID_S
-        return _Answer(self._own().lend(message), "own part")
+        return self._own().lend(message)
 
     def _first_answering(self, tenant: str) -> Member | None:
         for member in self._fleet.ranked(tenant):
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -15,6 +15,7 @@
 JOB = "job: the batch job's id"
 CONTENT = "content: digest of host, method, target and body: the same for each sending"
 CLOSED = "connection_closed: whether the replica's side closed the connection too early"
+TENANT = "tenant: its name; empty for nobody known"
 REPLICA = "replica: the replica's incarnation"
 REASON = "reason: what decided it, for a person"
 TOOK = "took_s: seconds since it began"
@@ -75,8 +76,9 @@
         (
             REQUEST,
             "route: name of the route",
+            TENANT,
             "configuration: version of the configuration in force",
-            "outcome: delivered, caller-left, not-run, unknown",
+            "outcome: delivered, caller-left, not-run, unknown, key-changed",
             "status: status code sent",
             TOOK,
             REASON,
@@ -87,11 +89,28 @@
         "an answer of our own instead of a replica's",
         (
             REQUEST,
+            TENANT,
             "method, path: as sent",
             "status: status code sent",
             REASON,
+            "retry_after_s: when the caller is told to come back, if it is",
             "in_service: requests in service at this gateway",
+            "outcome: over-limit for a tenant beyond its limits, else refused",
         ),
+        ordinary_outcome="over-limit",
+    ),
+    "limit:granting": LogEvent(
+        "this gateway begins to grant a tenant's requests",
+        (
+            TENANT,
+            "rate_per_s, balance: what it grants, and with how many requests it begins",
+            "handed_over: whether an earlier granter told what was left",
+            "gateways, known: those that answer, and those that may serve on unseen",
+        ),
+    ),
+    "limit:granter_silent": LogEvent(
+        "a granter did not answer: this gateway goes by its own part of the limit for a second",
+        (TENANT, "granter: the gateway asked"),
     ),
     "front:handler_error": LogEvent("a request met a bug", ("error: the exception",)),
     "front:heads_given_up": LogEvent(
--- a/src/quaymill/process/serving_settings.py
+++ b/src/quaymill/process/serving_settings.py
@@ -20,6 +20,10 @@
 """Part of the time within which a change must be in force that may pass until it is read."""
 
 
+MAY_BE_ZERO = frozenset({"quota_overrun_requests"})
+"""Bounds that are no times or parts, and may be 0."""
+
+
 class ServingRole(enum.StrEnum):
     """What a process does."""
 
@@ -75,7 +79,12 @@
     leave_s
         Time after which a gateway that is not ready is brought no new connections.
     quota_overrun_share
-        Part of a batch route's quota of tokens by which it may be overrun.
+        Part of a quota, of a batch route's tokens or a tenant's requests, by which it may be
+        overrun.
+    quota_overrun_requests
+        Requests in a window by which a tenant's limit may be overrun beside that; may be 0.
+    quota_window_s
+        Span in which a tenant's requests are counted, wherever it falls.
     settle_ms
         Time after which a result that was read must be there for every reader.
     """
@@ -87,6 +96,8 @@
     job_retention_s: float = 120.0
     leave_s: float = 2.6
     quota_overrun_share: float = 0.1
+    quota_overrun_requests: float = 0.0
+    quota_window_s: float = 5.0
     settle_ms: float = 1000.0
 
 
@@ -179,7 +190,7 @@
         faults.append(("disks_lost_at_once", settings.disks_lost_at_once, "use 0 or more"))
     for key in Bounds.__struct_fields__:
         value = getattr(settings.bounds, key)
-        if value <= 0:
+        if value < 0 or (value == 0 and key not in MAY_BE_ZERO):
             faults.append((f"bounds.{key}", value, "use a number above 0"))
     return faults
 
--- a/src/quaymill/request/forwarded_request.py
+++ b/src/quaymill/request/forwarded_request.py
@@ -26,6 +26,11 @@
         When the caller stops waiting, or the route's timeout ends, whichever comes first.
     last_event_id
         The event after which the answer is to go on; ``None`` from the beginning.
+    tenant
+        Who sends it, as replicas are told in place of its key; empty for nobody known, ``None``
+        where there are no tenants and headers mean nothing of the kind.
+    priority
+        Rank of its tenant, or else of its route; 0 goes first.
     """
 
     id: str
@@ -36,6 +41,8 @@
     deadline: Deadline
     prompt: Prompt = NO_PROMPT
     last_event_id: str | None = None
+    tenant: str | None = None
+    priority: int = 0
 
     @property
     def content(self) -> str:
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -27,6 +27,7 @@
     Delivered,
     ForwardingResult,
     GivenUp,
+    KeyChanged,
     Refused,
 )
 from quaymill.request.outcome import NotRun, OutcomeUnknown
@@ -112,15 +113,21 @@
         route: RequestRoute,
         answer: AnswerWriter,
         presence: CallerPresence,
+        key_change: Callable[[], KeyChanged | None] = lambda: None,
     ) -> ForwardingResult:
         """Forward one request; the caller has its answer, or none was begun, on return.
 
+        Parameters
+        ----------
+        key_change
+            Returns what has become of the request's key if it has changed hands since.
+
         Raises
         ------
         OSError
             The caller's connection broke while the answer was written.
         """
-        return _Forwarding(self, request, route, answer, presence).run()
+        return _Forwarding(self, request, route, answer, presence, key_change).run()
 
 
 @attrs.frozen
@@ -142,6 +149,7 @@
         route: RequestRoute,
         answer: AnswerWriter,
         presence: CallerPresence,
+        key_change: Callable[[], KeyChanged | None],
     ) -> None:
         self._router = forwarder.router
         self._connections = forwarder.connections
@@ -154,6 +162,7 @@
         self._route = route
         self._answer = answer
         self._presence = presence
+        self._key_change = key_change
         self._service = self._router.choose_service(route)
         self._framer = EventFramer(request.last_event_id)
         self._tried: set[str] = set()
@@ -195,7 +204,8 @@
         barred_s = self._guard.barred_for_s(self._content)
         if barred_s > 0:
             return self._given_up("replicas crashed under this request", retry_after_s=barred_s)
-        return None
+        # What has begun to run under a key goes on, whatever becomes of the key.
+        return None if self._runs else self._key_change()
 
     def _given_up(
         self, reason: str, timed_out: bool = False, retry_after_s: float | None = None
--- a/src/quaymill/request/forwarding_result.py
+++ b/src/quaymill/request/forwarding_result.py
@@ -38,7 +38,20 @@
     retry_after_s: float | None = None
 
 
-ForwardingResult = Delivered | CallerLeft | GivenUp
+@attrs.frozen
+class KeyChanged:
+    """The request was not run: its key has another holder now, or none.
+
+    Attributes
+    ----------
+    taken_away
+        Whether the key has no holder any more.
+    """
+
+    taken_away: bool
+
+
+ForwardingResult = Delivered | CallerLeft | GivenUp | KeyChanged
 
 
 @attrs.frozen
--- a/src/quaymill/version/request_routes.py
+++ b/src/quaymill/version/request_routes.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from quaymill.version.tenants import RequestTenant, tenant_by_digest
+
 
 class RouteKind(enum.StrEnum):
     """What may be done with a request of a route."""
@@ -49,8 +51,10 @@
         Of batch routes: when all results are due after the job was first sent, and how long
         after that sending an item may be given up.
     max_unfinished_tokens
-        Of batch routes: tokens that items accepted and not finished may hold, over all gateways;
-        0 for no bound.
+        Of batch routes: tokens that a tenant's items accepted and not finished may hold, over all
+        gateways; 0 for no bound.
+    public
+        Whether requests need no key, where tenants have keys at all.
     """
 
     name: str
@@ -68,6 +72,7 @@
     due_s: float = 0.0
     max_wait_s: float = 0.0
     max_unfinished_tokens: int = 0
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -107,15 +112,24 @@
 
 @attrs.frozen
 class RequestRoutes:
-    """All routes and services of one configuration version."""
+    """All routes and services of one configuration version, and who may use them.
+
+    Attributes
+    ----------
+    tenants
+        Who may send requests, by name; ``None`` where requests need no key at all.
+    """
 
     version: int
     routes: tuple[RequestRoute, ...] = ()
     services: dict[str, ServiceProperties] = attrs.field(factory=dict)
     limits: RequestLimits = RequestLimits()
+    tenants: dict[str, RequestTenant] | None = None
     batch_services: frozenset[str] = attrs.field(init=False, repr=False, eq=False)
     """Services to which batch routes lead."""
     _by_prefix: dict[tuple[str, str], RequestRoute] = attrs.field(init=False, repr=False, eq=False)
+    _tenant_by_digest: dict[str, str] = attrs.field(init=False, repr=False, eq=False)
+    _public_batch_hosts: frozenset[str] = attrs.field(init=False, repr=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
         by_prefix = {(route.host, route.path_prefix): route for route in self.routes}
@@ -127,6 +141,13 @@
             for part in route.services
         )
         object.__setattr__(self, "batch_services", frozenset(batch_services))
+        tenants = (self.tenants or {}).values()
+        by_digest = tenant_by_digest({tenant.name: tenant.key_digests for tenant in tenants})
+        object.__setattr__(self, "_tenant_by_digest", by_digest)
+        public_batch_hosts = (
+            route.host for route in self.routes if route.kind is RouteKind.BATCH and route.public
+        )
+        object.__setattr__(self, "_public_batch_hosts", frozenset(public_batch_hosts))
 
     def find(self, host: str, path: str) -> RequestRoute | None:
         """Return the route of ``host`` with the longest prefix of ``path``.
@@ -145,6 +166,15 @@
         """Return the route of that name."""
         return next((route for route in self.routes if route.name == name), None)
 
+    def holder_of(self, digest: str) -> RequestTenant | None:
+        """Return the tenant that holds the key with this digest."""
+        name = self._tenant_by_digest.get(digest)
+        return None if name is None else self.tenants[name]
+
+    def has_public_jobs(self, host: str) -> bool:
+        """Return whether a host takes batch jobs without a key."""
+        return host in self._public_batch_hosts
+
 
 NO_ROUTES = RequestRoutes(version=0)
 """Stands for: no configuration is known yet."""
--- a/src/quaymill_bench/fleet_world.py
+++ b/src/quaymill_bench/fleet_world.py
@@ -48,10 +48,25 @@
 )
 
 
-def configuration(version: int, routes: tuple[dict[str, Any], ...] = ROUTES) -> dict[str, Any]:
-    """Return an operator's configuration."""
+def tenant(name: str, *keys: str, **fields: Any) -> dict[str, Any]:
+    """Return a tenant of the operator's configuration."""
+    return {"name": name, "api_keys": list(keys)} | fields
+
+
+def key_header(key: str) -> dict[str, str]:
+    """Return the header by which a caller shows a key."""
+    return {"Authorization": f"Bearer {key}"}
+
+
+def configuration(
+    version: int,
+    routes: tuple[dict[str, Any], ...] = ROUTES,
+    tenants: tuple[dict[str, Any], ...] | None = None,
+) -> dict[str, Any]:
+    """Return an operator's configuration; without tenants no request needs a key."""
     engine = {"slots": 4, "kv_capacity_tokens": 100_000}
-    return {
+    with_tenants = {} if tenants is None else {"tenants": list(tenants)}
+    return with_tenants | {
         "version": version,
         "routes": list(routes),
         "services": [
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -61,11 +61,17 @@
         self._planned = (gateways, storage, engines)
         self._pool = urllib3.PoolManager(retries=False, num_pools=50, maxsize=20, block=False)
 
-    def start(self, version: int = 1) -> FleetRig:
-        """Start everything, and wait until the gateways are ready and know each other."""
+    def start(self, version: int = 1, **fields: Any) -> FleetRig:
+        """Start everything, and wait until the gateways are ready and know each other.
+
+        Parameters
+        ----------
+        fields
+            Of the first configuration, beside its version.
+        """
         gateways, storage, engines = self._planned
         self.store.start()
-        self.store.put("config", "main", configuration(version))
+        self.store.put("config", "main", configuration(version, **fields))
         for index in range(engines):
             self.add_replica("engine", ZONES[index % len(ZONES)])
         self.add_replica("application", ZONES[0])
@@ -170,6 +176,14 @@
         self.settings[name] = settings
         return settings
 
+    def configure(self, version: int, **fields: Any) -> None:
+        """Write a configuration, and wait until it is in force at every gateway."""
+        self.store.put("config", "main", configuration(version, **fields))
+        wait_until(
+            lambda: all(one.control.routes.version == version for one in self.gateways.values()),
+            f"configuration {version} is in force",
+        )
+
     # Callers.
 
     def call(
@@ -216,26 +230,36 @@
         return self.call(gateway, "POST", path, body, headers | fields.pop("headers", {}), **fields)
 
     def submit(
-        self, gateway: str, job_id: str, items: int = 3, path_suffix: str = "ok"
+        self,
+        gateway: str,
+        job_id: str,
+        items: int = 3,
+        path_suffix: str = "ok",
+        headers: dict[str, str] | None = None,
     ) -> urllib3.BaseHTTPResponse:
         """Submit a batch job."""
-        return self.call(
-            gateway, "POST", "/jobs/x", job_body(job_id, items, path_suffix), {"Request-Id": job_id}
-        )
+        headers = {"Request-Id": job_id} | (headers or {})
+        return self.call(gateway, "POST", "/jobs/x", job_body(job_id, items, path_suffix), headers)
 
     def read_results(
-        self, gateway: str, job_id: str, since: int = 0, wait_ms: int = 0
+        self,
+        gateway: str,
+        job_id: str,
+        since: int = 0,
+        wait_ms: int = 0,
+        headers: dict[str, str] | None = None,
     ) -> urllib3.BaseHTTPResponse:
         """Read results of a job."""
-        return self.get(
-            gateway, f"/v1/lots/{job_id}?since_rev={since}", headers={"Wait-Ms": str(wait_ms)}
-        )
+        headers = {"Wait-Ms": str(wait_ms)} | (headers or {})
+        return self.get(gateway, f"/v1/lots/{job_id}?since_rev={since}", headers=headers)
 
-    def wait_results(self, gateway: str, job_id: str, count: int) -> list[dict[str, Any]]:
+    def wait_results(
+        self, gateway: str, job_id: str, count: int, headers: dict[str, str] | None = None
+    ) -> list[dict[str, Any]]:
         """Wait until a job has ``count`` results, and return them."""
 
         def results() -> list[dict[str, Any]] | None:
-            answer = self.read_results(gateway, job_id)
+            answer = self.read_results(gateway, job_id, headers=headers)
             if answer.status != 200:
                 return None
             page = json.loads(answer.data)["results"]
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -24,6 +24,7 @@
     "process/replica_set",
     "process/membership",
     "process/poison",
+    "process/limits",
     "process/gateway_node.py",
     "process/storage_node.py",
     "process/node_registry.py",
@@ -31,6 +32,7 @@
 )
 SERVED = {"message_type": "request:ended", "outcome": "delivered"}
 FAILED = {"message_type": "request:ended", "outcome": "not-run"}
+OVER_LIMIT = {"message_type": "request:refused", "outcome": "over-limit"}
 _CALL = re.compile(r"log_message\(\s*\"([a-z_]+:[a-z_]+)\"")
 _EVENT_NAME = re.compile(r"\"((?:replica|request|job):[a-z_]+)\"")
 
@@ -49,8 +51,10 @@
         self.assertGreater(len(written), 30)
         self.assertEqual(set(), written - EVENTS.keys())
 
-    def test_only_what_was_served_is_ordinary(self) -> None:
+    def test_only_what_was_served_or_beyond_a_limit_is_ordinary(self) -> None:
         self.assertTrue(is_ordinary(SERVED))
+        self.assertTrue(is_ordinary(OVER_LIMIT))
+        self.assertFalse(is_ordinary(OVER_LIMIT | {"outcome": "refused"}))
         self.assertFalse(is_ordinary(FAILED))
         self.assertFalse(is_ordinary({"message_type": "job:accepted"}))
 
--- /dev/null
+++ b/tests/test_tenant_keys.py
@@ -0,0 +1,487 @@
+"""Keys of tenants on the users' platform: who is let in, as whom, and what replicas are told."""
+
+from __future__ import annotations
+
+import json
+import random
+import socket
+import threading
+import unittest
+
+import eliot
+from nose2.tools import params
+from prometheus_client import generate_latest
+
+from fleet_rig import FleetRig, wait_until
+from quaymill.platform.configuration import decode_configuration
+from quaymill.process.front.access import Caller, KeyState, identify, key_state
+from quaymill.version.request_routes import NO_ROUTES, RequestRoutes
+from quaymill.version.tenants import RequestTenant, TenantLimits, bearer_key, key_digest
+from quaymill_bench.fleet_world import (
+    HOST,
+    ROUTES,
+    configuration,
+    item_id,
+    job_body,
+    key_header,
+    route,
+    tenant,
+)
+from quaymill_standins.fleet_replica import ReplicaBehaviour
+
+KEY = "k-office-1"
+SECOND_KEY = "k-office-2"
+OTHER_KEY = "k-kiosk-1"
+OFFICE = tenant("office", KEY, SECOND_KEY, priority=1)
+KIOSK = tenant("kiosk", OTHER_KEY)
+PUBLIC = route("public", "/public/", "idempotent", service="application", public=True)
+WITH_PUBLIC = (*ROUTES, PUBLIC)
+ANSWER_LIMIT_BYTES = 65536
+FUZZ_SEED = 20261203
+FUZZ_CASES = 150
+
+REFUSED_FORMS = (
+    (),
+    ("",),
+    (" ",),
+    ("Bearer",),
+    ("Bearer ",),
+    (KEY,),
+    (f"Basic {KEY}",),
+    (f"Token {KEY}",),
+    (f"Bearer{KEY}",),
+    (f"Bearer: {KEY}",),
+    (f"Bearer={KEY}",),
+    (f"Bearer,{KEY}",),
+    ("Bearer unknown",),
+    (f"Bearer {KEY.upper()}",),
+    (f"Bearer {KEY}x",),
+    (f"Bearer {KEY[:-1]}",),
+    (f"Bearer {KEY} {KEY}",),
+    (f"Bearer {KEY},",),
+    (f"Bearer {KEY}, Bearer {OTHER_KEY}",),
+    (f'Bearer "{KEY}"',),
+    (f"Bearer '{KEY}'",),
+    (f"Bearer {KEY}\x00",),
+    (f"\x00Bearer {KEY}",),
+    (f"Bearer\x0b{KEY}",),
+    (f"Bearer \xff{KEY}",),
+    ("Bearer \xc3\xa9",),
+    (f"Bearer {KEY}", f"Bearer {KEY}"),
+    (f"Bearer {KEY}", f"Bearer {OTHER_KEY}"),
+    ("Bearer unknown", f"Bearer {KEY}"),
+    (f"Bearer {KEY}", ""),
+    (f"Bearer {key_digest(KEY.encode())}",),
+    ("Bearer " + "x" * 8000,),
+)
+ACCEPTED_FORMS = (
+    f"Bearer {KEY}",
+    f"bearer {KEY}",
+    f"BEARER {KEY}",
+    f"Bearer  {KEY}",
+    f"  Bearer {KEY}  ",
+    f"Bearer {SECOND_KEY}",
+)
+
+
+def routes_with(*tenants: RequestTenant, version: int = 1) -> RequestRoutes:
+    """Return routes that these tenants may use."""
+    return RequestRoutes(version, tenants={one.name: one for one in tenants})
+
+
+def holder(name: str, *keys: str) -> RequestTenant:
+    """Return a tenant with these keys."""
+    return RequestTenant(name, tuple(key_digest(key.encode()) for key in keys))
+
+
+class DecodeTest(unittest.TestCase):
+    """The operator's tenants, as the adapter reads them."""
+
+    def test_keys_are_kept_as_digests_and_limits_by_name(self) -> None:
+        spec = configuration(3, tenants=(tenant("office", KEY, rate_per_s=100, burst=50),))
+        routes = decode_configuration(spec)
+        self.assertNotIn(KEY, repr(routes))
+        found = routes.holder_of(key_digest(KEY.encode()))
+        self.assertEqual("office", found.name)
+        self.assertEqual(TenantLimits(100.0, 50.0), found.limits)
+        self.assertIsNone(found.priority)
+        self.assertFalse(routes.routes[0].public)
+
+    @params(
+        ("none", {}, None),
+        ("empty", {"tenants": []}, {}),
+    )
+    def test_no_tenants_and_none_yet_are_told_apart(self, _, fields, expected) -> None:
+        self.assertEqual(expected, decode_configuration(configuration(1) | fields).tenants)
+
+    @params(
+        {"name": "a", "api_keys": "text"},
+        {"name": "a", "api_keys": [1]},
+        {"api_keys": []},
+        {"name": "a", "rate_per_s": -1},
+        {"name": "a", "rate_per_s": "many"},
+    )
+    def test_an_unreadable_tenant_leaves_the_version_unread(self, bad) -> None:
+        self.assertTrue(decode_configuration(configuration(1) | {"tenants": [bad]}).reason)
+
+
+class IdentifyTest(unittest.TestCase):
+    """Who holds a key, by which version."""
+
+    def test_without_tenants_nobody_is_asked_for_a_key(self) -> None:
+        caller = identify(NO_ROUTES, b"", key_needed=True)
+        self.assertIsNone(caller.told_name)
+        self.assertEqual("job", caller.job_name("job"))
+
+    def test_names_of_jobs_do_not_meet(self) -> None:
+        names = {
+            Caller(holder(tenant_name), True).job_name(job_id)
+            for tenant_name in ("a", "a~b", "a%7Eb", "a/b", "")
+            for job_id in ("x", "b~x", "~x")
+        }
+        self.assertEqual(15, len(names))
+
+    @params(
+        ("unchanged version", (holder("office", KEY),), 1, KeyState.HELD),
+        ("held still", (holder("office", KEY),), 2, KeyState.HELD),
+        ("taken away", (holder("office", SECOND_KEY),), 2, KeyState.TAKEN_AWAY),
+        ("tenant gone", (), 2, KeyState.TAKEN_AWAY),
+        ("passed on", (holder("office"), holder("kiosk", KEY)), 2, KeyState.GIVEN_TO_ANOTHER),
+    )
+    def test_what_becomes_of_a_key(self, _, tenants, version, expected) -> None:
+        caller = identify(routes_with(holder("office", KEY)), KEY.encode(), key_needed=True)
+        self.assertIs(expected, key_state(caller, routes_with(*tenants, version=version)))
+
+    def test_a_tenants_rank_goes_before_its_routes(self) -> None:
+        ranked = RequestTenant("a", priority=0)
+        self.assertEqual(0, Caller(ranked, True).rank(2))
+        self.assertEqual(2, Caller(RequestTenant("a"), True).rank(2))
+        self.assertEqual(2, Caller(None, True).rank(2))
+
+    def test_fuzzed_headers_hold_no_key_but_the_one_written(self) -> None:
+        draw = random.Random(FUZZ_SEED)
+        letters = "Bearer \tk-office12=,:;\"'\x00\x7f\xff"
+        for _ in range(20_000):
+            text = "".join(draw.choice(letters) for _ in range(draw.randrange(24)))
+            key = bearer_key([text])
+            if key:
+                self.assertEqual(["bearer", key], [text.split()[0].lower(), *text.split()[1:]])
+
+
+class KeyCase(unittest.TestCase):
+    """A calm fleet whose requests need keys."""
+
+    version = 1
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.rig = FleetRig().start(routes=WITH_PUBLIC, tenants=(OFFICE, KIOSK))
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        cls.rig.stop()
+
+    def setUp(self) -> None:
+        for replica in self.rig.replicas.values():
+            replica.behaviour = ReplicaBehaviour()
+            replica.runs.clear()
+
+    def runs(self, request_id: str = "") -> list:
+        found = [run for replica in self.rig.replicas.values() for run in replica.runs]
+        return [run for run in found if not request_id or run.request_id == request_id]
+
+    def configure(self, *tenants: dict, routes=WITH_PUBLIC) -> None:
+        type(self).version += 1
+        self.rig.configure(self.version, routes=routes, tenants=tenants)
+
+    def send_raw(self, headers: list[tuple[str, str]], gateway: str = "gateway-0") -> int:
+        """Send a request with headers just as they are; return the answer's status."""
+        port = self.rig.ports(gateway)[0]
+        lines = ["POST /read/x HTTP/1.1", f"Host: {HOST}", "Content-Length: 0"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        with socket.create_connection((self.rig.settings[gateway].address, port), 5.0) as sent:
+            sent.sendall("\r\n".join([*lines, "", ""]).encode("latin-1"))
+            head = sent.recv(ANSWER_LIMIT_BYTES)
+        return int(head.split()[1]) if head else 0
+
+
+class HeaderTest(KeyCase):
+    """What callers show, and what replicas are shown."""
+
+    def test_forms_that_are_no_key(self) -> None:
+        for number, form in enumerate(REFUSED_FORMS):
+            with self.subTest(form=str(form)[:60]):
+                headers = [("Request-Id", f"bad-{number}")]
+                status = self.send_raw(headers + [("Authorization", value) for value in form])
+                # A head that is no HTTP is refused as such.
+                self.assertIn(status, (400, 401) if "\x00" in "".join(form) else (401,))
+        self.assertEqual([], self.runs())
+
+    def test_forms_of_a_key(self) -> None:
+        for number, form in enumerate(ACCEPTED_FORMS):
+            with self.subTest(form):
+                headers = [("Request-Id", f"good-{number}"), ("Authorization", form)]
+                self.assertEqual(200, self.send_raw(headers))
+                (run,) = self.runs(f"good-{number}")
+                self.assertEqual("office", run.headers["tenant"])
+
+    def test_fuzzed_forms_reach_a_replica_only_as_the_keys_tenant(self) -> None:
+        draw = random.Random(FUZZ_SEED)
+        parts = [
+            "Bearer",
+            "bearer",
+            "Basic",
+            KEY,
+            OTHER_KEY,
+            " ",
+            "  ",
+            "\t",
+            ",",
+            "=",
+            "x",
+            "\xe9",
+        ]
+        for number in range(FUZZ_CASES):
+            form = "".join(draw.choice(parts) for _ in range(draw.randrange(1, 5)))
+            request_id = f"fuzz-{number}"
+            with self.subTest(form):
+                self.send_raw([("Request-Id", request_id), ("Authorization", form)])
+                for run in self.runs(request_id):
+                    self.assertIn(run.headers["tenant"], ("office", "kiosk"))
+                    key = KEY if run.headers["tenant"] == "office" else OTHER_KEY
+                    self.assertEqual(["bearer", key], [form.split()[0].lower(), *form.split()[1:]])
+
+    def test_a_refusal_tells_what_is_needed(self) -> None:
+        answer = self.rig.ask("gateway-0", "/read/x", "r-0")
+        self.assertEqual(401, answer.status)
+        self.assertEqual("Bearer", answer.headers["WWW-Authenticate"])
+        self.assertNotIn("Retry-After", answer.headers)
+
+    def test_a_refusal_does_not_end_the_connection(self) -> None:
+        port = self.rig.ports("gateway-0")[0]
+        address = self.rig.settings["gateway-0"].address
+        with socket.create_connection((address, port), 5.0) as sent:
+            for key, status in (("none", b"401"), (KEY, b"200")):
+                request = (
+                    f"POST /read/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r\r\n"
+                    f"Authorization: Bearer {key}\r\nContent-Length: 4\r\n\r\nbody"
+                )
+                sent.sendall(request.encode())
+                self.assertEqual(status, sent.recv(ANSWER_LIMIT_BYTES).split()[1])
+
+    @params("Tenant", "tenant", "TENANT")
+    def test_replicas_are_told_who_it_is_by_us_alone(self, name) -> None:
+        request_id = f"r-{name}"
+        headers = [
+            ("Request-Id", request_id),
+            (name, "kiosk"),
+            (name, "root"),
+            ("authorization", f"Bearer {KEY}"),
+        ]
+        self.assertEqual(200, self.send_raw(headers))
+        (run,) = self.runs(request_id)
+        self.assertEqual("office", run.headers["tenant"])
+        self.assertNotIn("authorization", run.headers)
+
+    @params("Tenant ", "Authorization\t")
+    def test_a_name_with_a_space_is_no_header(self, name) -> None:
+        headers = [("Request-Id", "r-space"), ("Authorization", f"Bearer {KEY}"), (name, "root")]
+        self.assertEqual(400, self.send_raw(headers))
+        self.assertEqual([], self.runs("r-space"))
+
+    def test_streams_that_go_on_elsewhere_keep_the_key_from_both(self) -> None:
+        self.rig.of_service("engine")[0].behaviour = ReplicaBehaviour(cut_at_event=2)
+
+        def resumed() -> list:
+            request_id = f"r-{random.random()}"
+            path, headers = "/resumable/x", key_header(KEY)
+            self.rig.ask("gateway-0", path, request_id, tokens=True, headers=headers)
+            runs = self.runs(request_id)
+            return runs if len(runs) == 2 else []
+
+        runs = wait_until(resumed, "a stream met the replica that cuts it")
+        for run in runs:
+            self.assertEqual("office", run.headers["tenant"])
+            self.assertNotIn("authorization", run.headers)
+
+    def test_a_public_route_needs_no_key(self) -> None:
+        for number, headers in enumerate(({}, key_header("unknown"), {"Tenant": "office"})):
+            answer = self.rig.ask("gateway-0", "/public/x", f"r-public-{number}", headers=headers)
+            self.assertEqual(200, answer.status)
+            (run,) = self.runs(f"r-public-{number}")
+            self.assertNotIn("tenant", run.headers)
+            self.assertNotIn("authorization", run.headers)
+
+    def test_a_known_key_counts_on_a_public_route_too(self) -> None:
+        self.rig.ask("gateway-0", "/public/x", "r-known", headers=key_header(KEY))
+        self.assertEqual("office", self.runs("r-known")[0].headers["tenant"])
+
+    def test_no_route_is_404_whatever_the_key(self) -> None:
+        for headers in ({}, key_header("unknown"), key_header(KEY)):
+            self.assertEqual(404, self.rig.ask("gateway-0", "/no/", "r", headers=headers).status)
+
+
+class SecrecyTest(KeyCase):
+    """A key stands in no line, no answer and no metric."""
+
+    def test_nothing_that_is_told_holds_a_key(self) -> None:
+        lines: list[dict] = []
+        eliot.add_destinations(lines.append)
+        self.addCleanup(eliot.remove_destination, lines.append)
+        shown = []
+        for number, key in enumerate((KEY, OTHER_KEY, "k-unknown")):
+            for path, tokens in (("/read/x", False), ("/stream/x", True), ("/no/x", False)):
+                answer = self.rig.ask(
+                    "gateway-0", path, f"r-{number}", tokens=tokens, headers=key_header(key)
+                )
+                shown += [answer.data, str(answer.headers).encode()]
+            self.rig.submit("gateway-0", f"job-{number}", 1, headers=key_header(key))
+        self.configure(tenant("office", SECOND_KEY), KIOSK)
+        registry = self.rig.gateways["gateway-0"]._metrics.registry
+        shown.append(generate_latest(registry))
+        told = json.dumps(lines, default=str).encode() + b"".join(shown)
+        self.assertIn(b"request:refused", told)
+        for key in (KEY, SECOND_KEY, OTHER_KEY, "k-unknown"):
+            self.assertNotIn(key.encode(), told)
+
+
+class ChangeTest(KeyCase):
+    """Keys that change hands."""
+
+    def test_a_key_is_taken_away_from_a_connected_caller(self) -> None:
+        headers = key_header(KEY)
+        self.assertEqual(200, self.rig.ask("gateway-0", "/read/x", "r-1", headers=headers).status)
+        self.configure(tenant("office", SECOND_KEY), KIOSK)
+        for gateway in self.rig.gateways:
+            self.assertEqual(401, self.rig.ask(gateway, "/read/x", "r-2", headers=headers).status)
+            kept = self.rig.ask(gateway, "/read/x", "r-3", headers=key_header(SECOND_KEY))
+            self.assertEqual(200, kept.status)
+        self.assertEqual([], self.runs("r-2"))
+
+    def test_a_key_is_passed_on(self) -> None:
+        self.configure(OFFICE, KIOSK)
+        self.configure(tenant("office", SECOND_KEY), tenant("kiosk", OTHER_KEY, KEY))
+        for gateway in self.rig.gateways:
+            self.rig.ask(gateway, "/read/x", f"r-{gateway}", headers=key_header(KEY))
+            self.assertEqual("kiosk", self.runs(f"r-{gateway}")[0].headers["tenant"])
+
+    def test_a_running_stream_goes_on_without_its_key(self) -> None:
+        self.configure(OFFICE, KIOSK)
+        for replica in self.rig.of_service("engine"):
+            replica.behaviour = ReplicaBehaviour(events=30, event_s=0.1)
+        answers: list = []
+        asking = threading.Thread(
+            target=lambda: answers.append(
+                self.rig.ask(
+                    "gateway-0", "/stream/x", "r-run", tokens=True, headers=key_header(KEY)
+                )
+            )
+        )
+        asking.start()
+        wait_until(lambda: self.runs("r-run"), "the stream runs")
+        self.configure(tenant("office", SECOND_KEY), KIOSK)
+        asking.join()
+        self.assertIn(b"r-run-30", answers[0].data)
+
+    def test_a_request_that_waits_runs_only_while_its_key_is_held(self) -> None:
+        for taken, tenants, status in (
+            ("away", (tenant("office", SECOND_KEY), KIOSK), 401),
+            ("by another", (tenant("office", SECOND_KEY), tenant("kiosk", OTHER_KEY, KEY)), 503),
+        ):
+            with self.subTest(taken):
+                self.configure(OFFICE, KIOSK)
+                self.assertEqual(status, self._ask_while_the_key_goes(tenants))
+
+    def _ask_while_the_key_goes(self, tenants: tuple[dict, ...]) -> int:
+        """Send a request whose body comes only after its key has gone."""
+        port = self.rig.ports("gateway-0")[0]
+        address = self.rig.settings["gateway-0"].address
+        with socket.create_connection((address, port), 5.0) as sent:
+            head = (
+                f"POST /read/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r-slow\r\n"
+                f"Authorization: Bearer {KEY}\r\nContent-Length: 4\r\n\r\n"
+            )
+            sent.sendall(head.encode())
+            front = self.rig.gateways["gateway-0"]._front
+            wait_until(lambda: front.in_service, "the request is being read")
+            self.configure(*tenants)
+            sent.sendall(b"body")
+            answer = sent.recv(ANSWER_LIMIT_BYTES)
+        self.assertEqual([], self.runs("r-slow"))
+        return int(answer.split()[1])
+
+
+class StartTest(unittest.TestCase):
+    """A gateway that knows no configuration cannot tell a key."""
+
+    def test_it_answers_503_and_is_not_ready(self) -> None:
+        rig = FleetRig(gateways=1, storage=1, engines=1)
+        self.addCleanup(rig.stop)
+        rig.store.start()
+        rig.start_gateway("gateway-0", "zone-a")
+        self.assertEqual(
+            503, rig.get("gateway-0", "/v1/ready", port=rig.ports("gateway-0")[1]).status
+        )
+        self.assertEqual(503, rig.ask("gateway-0", "/read/x", "r", headers=key_header(KEY)).status)
+
+
+class JobTest(KeyCase):
+    """Batch jobs of tenants."""
+
+    def test_only_its_tenant_sees_a_job(self) -> None:
+        for gateway in self.rig.gateways.values():
+            gateway.jobs._lookup._started_at -= 60.0
+        self.rig.submit("gateway-0", "job-a", 2, headers=key_header(KEY))
+        self.rig.wait_results("gateway-1", "job-a", 2, headers=key_header(SECOND_KEY))
+        for gateway in self.rig.gateways:
+            other = key_header(OTHER_KEY)
+            for answer in (
+                self.rig.read_results(gateway, "job-a", headers=other),
+                self.rig.get(gateway, f"/v1/items/job-a?id={item_id('job-a', 0)}", headers=other),
+                self.rig.call(gateway, "DELETE", "/v1/lots/job-a", headers=other),
+            ):
+                self.assertEqual(404, answer.status)
+                self.assertNotIn(b"office", answer.data)
+            for headers in ({}, key_header("unknown")):
+                self.assertEqual(
+                    401, self.rig.read_results(gateway, "job-a", headers=headers).status
+                )
+        ended = self.rig.call("gateway-1", "DELETE", "/v1/lots/job-a", headers=key_header(KEY))
+        self.assertEqual(200, ended.status)
+
+    def test_two_tenants_may_give_jobs_the_same_id(self) -> None:
+        self.rig.submit("gateway-0", "job-b", 2, headers=key_header(KEY))
+        self.rig.submit("gateway-1", "job-b", 3, headers=key_header(OTHER_KEY))
+        for key, count in ((KEY, 2), (OTHER_KEY, 3)):
+            self.rig.wait_results("gateway-0", "job-b", count, headers=key_header(key))
+            answer = self.rig.read_results("gateway-1", "job-b", headers=key_header(key))
+            self.assertEqual(count, json.loads(answer.data)["total"])
+
+    def test_items_are_told_their_tenant_and_carry_no_key(self) -> None:
+        document = json.loads(job_body("job-c", 2))
+        for item in document["items"]:
+            item["headers"] |= {"Authorization": f"Bearer {KEY}", "tenant": "root"}
+        body = json.dumps(document).encode()
+        headers = {"Request-Id": "job-c"} | key_header(KEY)
+        self.assertEqual(202, self.rig.call("gateway-0", "POST", "/jobs/x", body, headers).status)
+        self.rig.wait_results("gateway-1", "job-c", 2, headers=key_header(KEY))
+        for index in range(2):
+            for run in self.runs(item_id("job-c", index)):
+                self.assertEqual("office", run.headers["tenant"])
+                self.assertNotIn("authorization", run.headers)
+
+
+class MovedJobTest(KeyCase):
+    """A batch job whose key is taken away and whose coordinator leaves."""
+
+    def test_it_goes_on_as_its_tenants(self) -> None:
+        for replica in self.rig.of_service("engine"):
+            replica.behaviour = ReplicaBehaviour(events=20, event_s=0.1)
+        self.rig.submit("gateway-0", "job-d", 6, headers=key_header(KEY))
+        wait_until(lambda: self.runs(item_id("job-d", 0)), "an item runs")
+        self.configure(tenant("office", SECOND_KEY), KIOSK)
+        self.rig.gateways.pop("gateway-0").stop()
+        results = self.rig.wait_results("gateway-1", "job-d", 6, headers=key_header(SECOND_KEY))
+        self.assertEqual({"succeeded"}, {result["state"] for result in results})
+        tenants = {run.headers.get("tenant") for run in self.runs()}
+        self.assertEqual({"office"}, tenants)
--- /dev/null
+++ b/tests/test_tenant_limits.py
@@ -0,0 +1,82 @@
+"""A tenant's limit on the users' platform: over all gateways, and without harm to others."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from fleet_rig import FleetRig
+from quaymill_bench.fleet_world import key_header, tenant
+
+RATE_PER_S = 10.0
+BURST = 5.0
+FLOOD_S = 2.0
+THREADS = 6
+
+
+class LimitTest(unittest.TestCase):
+    """One tenant sends many times its limit at two gateways, another a little."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        tenants = (
+            tenant("flood", "k-flood", rate_per_s=RATE_PER_S, burst=BURST),
+            tenant("calm", "k-calm", rate_per_s=RATE_PER_S, burst=BURST),
+            tenant("free", "k-free", rate_per_s=0),
+        )
+        cls.rig = FleetRig().start(tenants=tenants)
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        cls.rig.stop()
+
+    def setUp(self) -> None:
+        for replica in self.rig.replicas.values():
+            replica.runs.clear()
+
+    def flood(self, key: str, seconds: float, pause_s: float = 0.0) -> list:
+        """Send requests as fast as they are answered; return the answers."""
+        until = time.monotonic() + seconds
+        answers = []
+        number = 0
+        while time.monotonic() < until:
+            gateway = f"gateway-{number % 2}"
+            request_id = f"{key}-{time.monotonic_ns()}"
+            answers.append(self.rig.ask(gateway, "/read/x", request_id, headers=key_header(key)))
+            number += 1
+            time.sleep(pause_s)
+        return answers
+
+    def test_limit_holds_over_all_gateways_and_others_are_served(self) -> None:
+        with ThreadPoolExecutor(THREADS) as executor:
+            floods = [executor.submit(self.flood, "k-flood", FLOOD_S) for _ in range(THREADS - 1)]
+            calm = executor.submit(self.flood, "k-calm", FLOOD_S, 0.2).result()
+            answers = [answer for flood in floods for answer in flood.result()]
+        self.assertEqual({200}, {answer.status for answer in calm})
+        statuses = [answer.status for answer in answers]
+        self.assertEqual({200, 429}, set(statuses))
+        allowed = RATE_PER_S * FLOOD_S + BURST
+        self.assertLessEqual(statuses.count(200), 1.1 * allowed + 2)
+        self.assertGreaterEqual(statuses.count(200), 0.7 * (allowed - BURST))
+        ran = sum(
+            run.headers["tenant"] == "flood"
+            for replica in self.rig.replicas.values()
+            for run in replica.runs
+        )
+        self.assertEqual(statuses.count(200), ran)
+
+    def test_a_refusal_tells_when_to_come_back(self) -> None:
+        refused = next(
+            answer
+            for answer in iter(lambda: self.flood("k-flood", 0.01)[-1], None)
+            if answer.status == 429
+        )
+        self.assertGreater(float(refused.headers["Retry-After"]), 0.0)
+        self.assertIn(b"requests_per_s = 10", refused.data)
+        self.assertNotEqual("close", refused.headers.get("Connection", "").lower())
+
+    def test_a_tenant_without_a_limit_is_never_refused(self) -> None:
+        answers = self.flood("k-free", 0.5)
+        self.assertEqual({200}, {answer.status for answer in answers})
+        self.assertGreater(len(answers), RATE_PER_S)
