Batch quotas are a tenant's and a route's; a tenant's ledger is followed only where its jobs are

Cause: the ledger was a route's, so one tenant's jobs took the room of all (429 for what fits). Without tenants the ledger's name and its calls are as they were.

--- a/src/quaymill/process/jobs/batch_quota.py
+++ b/src/quaymill/process/jobs/batch_quota.py
@@ -1,16 +1,17 @@
 """Keeps batch routes within their quota of tokens that wait, over all gateways.
 
-A new job is counted before it is kept anywhere: under this gateway's allowance if it has one
-with room, else in the route's ledger (``quota_ledger``). A thread enters what was counted under
-the allowance once that is half used or renewed, corrects jobs by what is left of them, and renews
-the allowance; at one gateway for each route it also removes what nobody cares for any more.
+Where there are tenants, each has the quota for itself, and a ledger of its own. A new job is
+counted before it is kept anywhere: under this gateway's allowance if it has one with room, else in
+the ledger (``quota_ledger``). A thread enters what was counted under the allowance once that is
+half used or renewed, corrects jobs by what is left of them, and renews the allowance; at one
+gateway for each route it also removes what nobody cares for any more.
 """
 
 from __future__ import annotations
 
 import random
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from eliot import log_message
 
@@ -23,6 +24,8 @@
     QuotaLedgers,
     allowance_for,
     fits,
+    is_ledger_of,
+    ledger_name,
 )
 from quaymill.process.jobs.quota_sweep import LedgerSweep
 from quaymill.process.jobs.route_quota import (
@@ -61,6 +64,9 @@
 """Bounds of the time after which a caller is told to come back: within a caller's patience."""
 FREED_WINDOW_S = 10.0
 """Time over which the rate at which tokens become free is taken: a few items' runs."""
+UNUSED_AFTER_S = 2 * ALLOWANCE_TERM_S
+"""Time without a job after which a tenant's ledger is followed here no more: its allowance, which
+is renewed no more either, has run out by then."""
 
 
 class BatchQuota:
@@ -104,7 +110,7 @@
         self._overrun_share = overrun_share
         self._sweep = sweep
         self._lock = threading.Lock()
-        self._by_route: dict[str, RouteQuota] = {}
+        self._by_ledger: dict[str, RouteQuota] = {}
         self._stopping = threading.Event()
         self._first_allowance_at = (
             boot_clock.now() + FIRST_ALLOWANCE_S + random.uniform(0.0, FIRST_ALLOWANCE_SPREAD_S)
@@ -118,16 +124,20 @@
         """Enter nothing more."""
         self._stopping.set()
 
-    def admit(self, job_id: str, route: RequestRoute, tokens: int) -> QuotaDecision:
-        """Count a new job; one that was accepted before is counted once."""
+    def admit(
+        self, job_id: str, route: RequestRoute, tokens: int, tenant: str | None = None
+    ) -> QuotaDecision:
+        """Count a new job of a tenant; one that was accepted before is counted once."""
         quota = route.max_unfinished_tokens
         if not quota:
             return Admitted("no-quota")
         began = boot_clock.now()
-        decision = self._charge(job_id, route, tokens) or self._enter(job_id, route, tokens)
+        ledger = ledger_name(route.name, tenant)
+        decision = self._charge(job_id, ledger, quota, tokens)
+        decision = decision or self._enter(job_id, ledger, quota, tokens)
         if isinstance(decision, OverQuota):
             decision = self._unless_known(job_id, decision)
-        held = self._of(route.name).ledger
+        held = self._of(ledger).ledger
         log_message(
             "quota:decided",
             job=job_id,
@@ -144,11 +154,13 @@
         )
         return decision
 
-    def withdraw(self, job_id: str, route: RequestRoute, admitted: Admitted) -> None:
+    def withdraw(
+        self, job_id: str, route: RequestRoute, admitted: Admitted, tenant: str | None = None
+    ) -> None:
         """Take back the count of a job that was certainly not kept."""
         if not route.max_unfinished_tokens:
             return
-        state = self._of(route.name)
+        state = self._of(ledger_name(route.name, tenant))
         with self._lock:
             if admitted.by == "allowance":
                 state.left += state.charged.pop(job_id, 0)
@@ -157,24 +169,23 @@
 
     # Admission.
 
-    def _charge(self, job_id: str, route: RequestRoute, tokens: int) -> Admitted | None:
+    def _charge(self, job_id: str, ledger: str, quota: int, tokens: int) -> Admitted | None:
         """Count a job under the allowance, if that may be used and has room."""
-        state = self._of(route.name)
+        state = self._of(ledger)
         with self._lock:
             if job_id in state.charged:
                 return Admitted("allowance")
             age_s = boot_clock.now() - state.renewed_at
-            usable = state.quota <= route.max_unfinished_tokens and age_s < ALLOWANCE_TERM_S
+            usable = state.quota <= quota and age_s < ALLOWANCE_TERM_S
             if not usable or tokens > state.left:
                 return None
             state.left -= tokens
             state.charged[job_id] = tokens
             return Admitted("allowance")
 
-    def _enter(self, job_id: str, route: RequestRoute, tokens: int) -> QuotaDecision:
+    def _enter(self, job_id: str, ledger: str, quota: int, tokens: int) -> QuotaDecision:
         """Count a job in the ledger, if it fits there."""
-        quota = route.max_unfinished_tokens
-        state = self._of(route.name)
+        state = self._of(ledger)
         is_new = False
 
         def enter(document: LedgerDocument) -> LedgerDocument:
@@ -188,11 +199,11 @@
                 return document
             return document.with_job(job_id, tokens)
 
-        standing: Ledger | LedgerUnknown = self._newer(route.name, state)
+        standing: Ledger | LedgerUnknown = self._newer(ledger, state)
         if not standing.revision or enter(standing.document) is standing.document:
-            standing = self._ledgers.read(route.name)
+            standing = self._ledgers.read(ledger)
         if isinstance(standing, Ledger):
-            standing = self._ledgers.change(route.name, standing, enter)
+            standing = self._ledgers.change(ledger, standing, enter)
         if isinstance(standing, LedgerUnknown):
             return QuotaUnknown(f"the ledger of the quota cannot be changed: {standing.reason}")
         self._take(state, standing)
@@ -232,24 +243,55 @@
                 log_message("quota:settle_error", error=repr(error))
 
     def settle(self) -> None:
-        """Enter what has changed since the last time, for every route with a quota."""
-        jobs_by_route: dict[str, list[CoordinatedJob]] = {}
+        """Enter what has changed since the last time, for every ledger that is followed here."""
+        jobs_by_ledger: dict[str, list[CoordinatedJob]] = {}
         for job in self._coordinated_jobs():
             if job.route is not None:
-                jobs_by_route.setdefault(job.route.name, []).append(job)
-        for route in self._routes().routes:
-            if route.max_unfinished_tokens:
-                self._settle_route(route, jobs_by_route.get(route.name, []))
+                name = ledger_name(job.route.name, job.job.tenant)
+                jobs_by_ledger.setdefault(name, []).append(job)
+        routes = self._routes()
+        for route in routes.routes:
+            quota = route.max_unfinished_tokens
+            if quota:
+                for ledger in self._followed(route.name, routes, jobs_by_ledger):
+                    jobs = jobs_by_ledger.get(ledger, [])
+                    self._settle_ledger(ledger, quota, jobs)
+                    if self._sweep is not None:
+                        own_jobs = frozenset(job.id for job in jobs if not job.handed_away)
+                        self._sweep.look(ledger, route.name, own_jobs)
+
+    def _followed(
+        self, route: str, routes: RequestRoutes, jobs_by_ledger: Mapping[str, object]
+    ) -> frozenset[str]:
+        """Return the ledgers of a route to look at: of tenants only those with jobs here of late.
+
+        Thousands of tenants would else each cost every gateway an allowance to be renewed.
+        """
+        if routes.tenants is None:
+            self._of(route)
+            return frozenset({route})
+        horizon = boot_clock.now() - UNUSED_AFTER_S
+        with self._lock:
+            for name, state in list(self._by_ledger.items()):
+                if state.used_at < horizon and name not in jobs_by_ledger and state.is_settled:
+                    del self._by_ledger[name]
+            followed = {name for name in self._by_ledger if is_ledger_of(name, route)}
+        followed |= {name for name in jobs_by_ledger if is_ledger_of(name, route)}
+        if self._sweep is not None:
+            followed |= {name for name in self._sweep.ledgers(route) if is_ledger_of(name, route)}
+        return frozenset(followed)
 
-    def _settle_route(self, route: RequestRoute, jobs: list[CoordinatedJob]) -> None:
-        state = self._of(route.name)
+    def _settle_ledger(self, ledger: str, quota: int, jobs: list[CoordinatedJob]) -> None:
+        with self._lock:
+            state = self._by_ledger.get(ledger)
         outstanding = {job.id: job.unfinished_tokens() for job in jobs if not job.handed_away}
         handed_away = frozenset(job.id for job in jobs if job.handed_away)
+        if state is None and not outstanding:
+            return  # Another gateway's, which is only swept here.
+        state = state or self._of(ledger)
         self._forget_jobs_over(state, outstanding, handed_away)
-        if self._is_due(state, route, outstanding):
-            self._write(state, route, outstanding)
-        if self._sweep is not None:
-            self._sweep.look(route.name, frozenset(outstanding))
+        if self._is_due(state, quota, outstanding):
+            self._write(ledger, state, quota, outstanding)
 
     def _forget_jobs_over(
         self, state: RouteQuota, outstanding: dict[str, int], handed_away: frozenset[str]
@@ -259,9 +301,8 @@
             for job_id in [one for one in state.entered if one not in outstanding]:
                 del state.entered[job_id]
 
-    def _is_due(self, state: RouteQuota, route: RequestRoute, outstanding: dict[str, int]) -> bool:
+    def _is_due(self, state: RouteQuota, quota: int, outstanding: dict[str, int]) -> bool:
         """Return whether there is something to write that cannot wait."""
-        quota = route.max_unfinished_tokens
         tight = state.ledger.document.job_tokens > TIGHT_SHARE * quota
         least = 1 if tight else SMALL_CHANGE_SHARE * quota
         with self._lock:
@@ -279,9 +320,10 @@
         may_take_first = now >= self._first_allowance_at
         return may_take_first and now - state.renewed_at >= ALLOWANCE_RENEWAL_S
 
-    def _write(self, state: RouteQuota, route: RequestRoute, outstanding: dict[str, int]) -> None:
+    def _write(
+        self, ledger: str, state: RouteQuota, quota: int, outstanding: dict[str, int]
+    ) -> None:
         """Write what this gateway knows of its jobs, and its allowance, in one change."""
-        quota = route.max_unfinished_tokens
         began = boot_clock.now()
         may_take = began >= self._first_allowance_at
         with self._lock:
@@ -294,23 +336,23 @@
             granted = self._next_allowance(state, document, quota) if may_take else 0
             return document.with_allowance(self._name, granted)
 
-        newer = self._newer(route.name, state)
-        known = newer if newer.revision else self._ledgers.read(route.name)
+        newer = self._newer(ledger, state)
+        known = newer if newer.revision else self._ledgers.read(ledger)
         if isinstance(known, Ledger):
-            known = self._ledgers.change(route.name, known, enter_all)
+            known = self._ledgers.change(ledger, known, enter_all)
         if isinstance(known, LedgerUnknown):
-            log_message("quota:not_entered", route=route.name, reason=known.reason)
+            log_message("quota:not_entered", ledger=ledger, reason=known.reason)
             return
         self._take(state, known)
         with self._lock:
             state.note_entered(pending, outstanding)
             state.renew_allowance(granted, quota, began)
 
-    def _newer(self, route: str, state: RouteQuota) -> Ledger:
+    def _newer(self, ledger: str, state: RouteQuota) -> Ledger:
         """Return the ledger to change: the one known if it is fresh, else one from a cheap read."""
         if boot_clock.now() - state.ledger_at < LEDGER_FRESH_S:
             return state.ledger
-        return self._ledgers.newer(route, state.ledger)
+        return self._ledgers.newer(ledger, state.ledger)
 
     def _next_allowance(self, state: RouteQuota, document: LedgerDocument, quota: int) -> int:
         """Return the allowance to write; nothing more is given from one that shrinks.
@@ -338,6 +380,8 @@
             state.ledger = ledger
             state.ledger_at = boot_clock.now()
 
-    def _of(self, route: str) -> RouteQuota:
+    def _of(self, ledger: str) -> RouteQuota:
         with self._lock:
-            return self._by_route.setdefault(route, RouteQuota())
+            state = self._by_ledger.setdefault(ledger, RouteQuota())
+            state.used_at = boot_clock.now()
+            return state
--- a/src/quaymill/process/jobs/quota_ledger.py
+++ b/src/quaymill/process/jobs/quota_ledger.py
@@ -10,6 +10,7 @@
 
 import math
 from collections.abc import Callable
+from urllib.parse import quote
 
 import attrs
 import msgspec
@@ -37,6 +38,23 @@
 """Changes that are tried again on a newer ledger before it is given up as too busy."""
 
 
+TENANT_SEPARATOR = "~"
+"""Between the names of a route and of its tenant; it stands in no route's name as it is quoted."""
+
+
+def ledger_name(route: str, tenant: str | None) -> str:
+    """Return the name of the ledger of a route, or of one tenant's part of it."""
+    if tenant is None:
+        return route
+    quoted = quote(route, safe="").replace(TENANT_SEPARATOR, "%7E")
+    return quoted + TENANT_SEPARATOR + tenant
+
+
+def is_ledger_of(name: str, route: str) -> bool:
+    """Return whether a ledger is a tenant's of that route."""
+    return name.startswith(ledger_name(route, ""))
+
+
 class JobTokens(msgspec.Struct, frozen=True, array_like=True):
     """What one job holds.
 
@@ -158,6 +176,14 @@
             return LedgerUnknown(found.reason)
         return _ledger(found)
 
+    def names(self) -> tuple[str, ...]:
+        """Return the names of all ledgers; none if the store does not tell."""
+        found = self._store.list(ObjectKind.QUOTA_LEDGERS)
+        if isinstance(found, StoreRefused | StoreUnanswered):
+            log_message("quota:ledgers_unknown", reason=found.reason)
+            return ()
+        return tuple(stored.name for stored in found.objects)
+
     def newer(self, route: str, known: Ledger) -> Ledger:
         """Return a newer ledger than the one known, if a cheap read tells of one.
 
--- a/src/quaymill/process/jobs/quota_sweep.py
+++ b/src/quaymill/process/jobs/quota_sweep.py
@@ -54,11 +54,23 @@
         self._ledgers = ledgers
         self._is_mine = is_mine
         self._is_over = is_over
-        self._looked_at_by_route: dict[str, float] = {}
+        self._looked_at_by_ledger: dict[str, float] = {}
+        self._listed_at_by_route: dict[str, float] = {}
+        self._listed: tuple[str, ...] = ()
         self._seen: dict[tuple[str, str], _Seen] = {}
 
-    def look(self, route: str, own_jobs: frozenset[str]) -> None:
-        """Look at a route's ledger, if it is time and this gateway's turn.
+    def ledgers(self, route: str) -> tuple[str, ...]:
+        """Return the ledgers that stand in the store, at the gateway that sweeps this route's."""
+        now = boot_clock.now()
+        if not self._is_mine(route):
+            return ()
+        if now - self._listed_at_by_route.get(route, -SWEEP_INTERVAL_S) >= SWEEP_INTERVAL_S:
+            self._listed_at_by_route[route] = now
+            self._listed = self._ledgers.names()
+        return self._listed
+
+    def look(self, ledger: str, route: str, own_jobs: frozenset[str]) -> None:
+        """Look at a ledger of a route, if it is time and this gateway's turn.
 
         Parameters
         ----------
@@ -67,40 +79,40 @@
         """
         now = boot_clock.now()
         if not self._is_mine(route):
-            self._forget(route)
+            self._forget(ledger)
             return
-        if now - self._looked_at_by_route.get(route, 0.0) < SWEEP_INTERVAL_S:
+        if now - self._looked_at_by_ledger.get(ledger, 0.0) < SWEEP_INTERVAL_S:
             return
-        self._looked_at_by_route[route] = now
-        ledger = self._ledgers.newer(route, Ledger())
-        jobs = self._jobs_to_remove(route, ledger.document, own_jobs, now)
-        allowances = self._allowances_to_remove(route, ledger.document, now)
+        self._looked_at_by_ledger[ledger] = now
+        held = self._ledgers.newer(ledger, Ledger())
+        jobs = self._jobs_to_remove(ledger, held.document, own_jobs, now)
+        allowances = self._allowances_to_remove(ledger, held.document, now)
         if not jobs and not allowances:
             return
 
         def remove(document: LedgerDocument) -> LedgerDocument:
             """Remove only what still stands as it did when it was looked at."""
             for job_id in jobs:
-                if document.jobs.get(job_id) == ledger.document.jobs[job_id]:
+                if document.jobs.get(job_id) == held.document.jobs[job_id]:
                     document = document.with_job(job_id, 0)
             for name in allowances:
-                if document.allowances.get(name) == ledger.document.allowances[name]:
+                if document.allowances.get(name) == held.document.allowances[name]:
                     document = document.with_allowance(name, 0)
             return document
 
-        self._ledgers.change(route, ledger, remove)
-        log_message("quota:swept", route=route, jobs=jobs, allowances=allowances)
+        self._ledgers.change(ledger, held, remove)
+        log_message("quota:swept", ledger=ledger, jobs=jobs, allowances=allowances)
 
-    def _forget(self, route: str) -> None:
+    def _forget(self, ledger: str) -> None:
         """Begin anew when this gateway's turn comes again."""
-        self._seen = {key: seen for key, seen in self._seen.items() if key[0] != route}
+        self._seen = {key: seen for key, seen in self._seen.items() if key[0] != ledger}
 
     def _jobs_to_remove(
-        self, route: str, document: LedgerDocument, own_jobs: frozenset[str], now: float
+        self, ledger: str, document: LedgerDocument, own_jobs: frozenset[str], now: float
     ) -> list[str]:
         found = []
         for job_id, entry in document.jobs.items():
-            seen = self._note(route, f"job/{job_id}", entry.changes, now)
+            seen = self._note(ledger, f"job/{job_id}", entry.changes, now)
             if job_id in own_jobs or now - seen.since < UNCARED_AFTER_S:
                 continue
             if self._is_over(job_id):
@@ -108,16 +120,16 @@
             seen.since = now
         return found
 
-    def _allowances_to_remove(self, route: str, document: LedgerDocument, now: float) -> list[str]:
+    def _allowances_to_remove(self, ledger: str, document: LedgerDocument, now: float) -> list[str]:
         found = []
         for name, allowance in document.allowances.items():
-            seen = self._note(route, f"allowance/{name}", allowance.renewals, now)
+            seen = self._note(ledger, f"allowance/{name}", allowance.renewals, now)
             if now - seen.since >= ALLOWANCE_LOST_AFTER_S:
                 found.append(name)
         return found
 
-    def _note(self, route: str, what: str, changes: int, now: float) -> _Seen:
-        seen = self._seen.get((route, what))
+    def _note(self, ledger: str, what: str, changes: int, now: float) -> _Seen:
+        seen = self._seen.get((ledger, what))
         if seen is None or seen.changes != changes:
-            seen = self._seen[route, what] = _Seen(changes, now)
+            seen = self._seen[ledger, what] = _Seen(changes, now)
         return seen
--- a/src/quaymill/process/jobs/route_quota.py
+++ b/src/quaymill/process/jobs/route_quota.py
@@ -101,6 +101,8 @@
         entry is removed only as it was made: another gateway that has accepted the job changes it.
     freed
         When tokens were seen to become free (monotonic), and how many.
+    used_at
+        Monotonic time when the ledger was last needed.
     """
 
     def __init__(self) -> None:
@@ -115,6 +117,12 @@
         self.entered: dict[str, int] = {}
         self.withdrawn: dict[str, JobTokens] = {}
         self.freed: deque[tuple[float, int]] = deque()
+        self.used_at = 0.0
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether nothing is left to be entered."""
+        return not self.charged and not self.withdrawn and not any(self.entered.values())
 
     def release_jobs_over(self, outstanding: dict[str, int], handed_away: frozenset[str]) -> None:
         """Give the allowance back what was counted under it for jobs that are over.
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -124,14 +124,14 @@
 
     def _count_and_store(self, job: Job, route: RequestRoute) -> Submitted:
         """Count a job against its quota, then keep it: one over the quota must never run."""
-        decision = self._quota.admit(job.id, route, job.document.tokens)
+        decision = self._quota.admit(job.id, route, job.document.tokens, job.tenant)
         if isinstance(decision, QuotaUnknown):
             return Submitted(False, decision.reason)
         if isinstance(decision, OverQuota):
             return Submitted(False, "the job does not fit the quota now", over_quota=decision)
         stored = self._store(job)
         if not stored.accepted and not stored.may_run:
-            self._quota.withdraw(job.id, route, decision)
+            self._quota.withdraw(job.id, route, decision, job.tenant)
         return stored
 
     def _store(self, job: Job) -> Submitted:
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -273,10 +273,12 @@
         ),
     ),
     "quota:not_entered": LogEvent(
-        "the ledger of a quota could not be changed; tried again", ("route", REASON)
+        "the ledger of a quota could not be changed; tried again",
+        ("ledger: the route's name, or with its tenant's", REASON),
     ),
+    "quota:ledgers_unknown": LogEvent("the store did not tell which ledgers there are", (REASON,)),
     "quota:swept": LogEvent(
-        "entries that nobody cares for were removed from a ledger", ("route", "jobs, allowances")
+        "entries that nobody cares for were removed from a ledger", ("ledger", "jobs, allowances")
     ),
     "quota:settle_error": LogEvent("counting against a quota met a bug", ("error",)),
     "item:run": LogEvent(
--- a/tests/test_batch_quota.py
+++ b/tests/test_batch_quota.py
@@ -29,6 +29,8 @@
     QuotaLedgers,
     allowance_for,
     fits,
+    is_ledger_of,
+    ledger_name,
 )
 from quaymill.process.jobs.quota_sweep import (
     ALLOWANCE_LOST_AFTER_S,
@@ -43,6 +45,7 @@
     QuotaUnknown,
 )
 from quaymill.version.request_routes import RequestRoute, RequestRoutes, RouteKind, WeightedService
+from quaymill.version.tenants import RequestTenant
 from quaymill_standins.fleet_store import FleetStore, FleetStoreFaults
 
 ITEM_TOKENS = 100
@@ -57,11 +60,14 @@
     )
 
 
-def coordinated(job_id: str, items: int, route: RequestRoute) -> CoordinatedJob:
+def coordinated(
+    job_id: str, items: int, route: RequestRoute, tenant: str | None = None
+) -> CoordinatedJob:
     document = JobDocument(
         tuple(JobItem(f"{job_id}-{n}", "/x", {}, b"", ITEM_TOKENS) for n in range(items))
     )
-    return CoordinatedJob(Job(job_id, "h", "/jobs/x", document), route, "me")
+    job = Job(job_id, "h", "/jobs/x", document, tenant=tenant)
+    return CoordinatedJob(job, route, "me")
 
 
 class Gateway:
@@ -76,18 +82,18 @@
         self.quota = BatchQuota(
             name,
             ledgers,
-            lambda: RequestRoutes(1, (case.route,)),
+            lambda: RequestRoutes(1, (case.route,), tenants=case.tenants),
             lambda: list(self.jobs.values()),
             lambda: 2,
             lambda job_id: self.known,
             sweep=LedgerSweep(ledgers, lambda route: sweeps, lambda job_id: self.over),
         )
 
-    def admit(self, job_id: str, items: int = 5):
+    def admit(self, job_id: str, items: int = 5, tenant: str | None = None):
         """Count a job; one that is admitted runs here."""
-        decision = self.quota.admit(job_id, self.case.route, items * ITEM_TOKENS)
+        decision = self.quota.admit(job_id, self.case.route, items * ITEM_TOKENS, tenant)
         if isinstance(decision, Admitted):
-            self.jobs[job_id] = coordinated(job_id, items, self.case.route)
+            self.jobs[job_id] = coordinated(job_id, items, self.case.route, tenant)
         return decision
 
     def take_allowance(self) -> None:
@@ -99,6 +105,7 @@
     """Time is the test's own."""
 
     quota = SMALL
+    tenants: dict[str, RequestTenant] | None = None
 
     def setUp(self) -> None:
         self.now = 1000.0
@@ -459,3 +466,48 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class TenantQuotaTest(QuotaCase):
+    """Where there are tenants, each has the quota for itself."""
+
+    tenants = {name: RequestTenant(name) for name in ("office", "kiosk", "idle")}
+
+    def ledgers(self) -> QuotaLedgers:
+        return QuotaLedgers(PlatformObjectStore(Endpoint("127.0.0.1", self.store.port)))
+
+    def held_by(self, tenant: str) -> int:
+        return self.ledgers().read(ledger_name("jobs", tenant)).document.job_tokens
+
+    def test_one_tenants_jobs_take_no_room_from_anothers(self) -> None:
+        self.assertIsInstance(self.one.admit("office~a", 10, "office"), Admitted)
+        self.assertIsInstance(self.two.admit("office~b", 3, "office"), OverQuota)
+        self.assertIsInstance(self.two.admit("kiosk~a", 10, "kiosk"), Admitted)
+
+    def test_what_ends_makes_room_for_its_tenant(self) -> None:
+        self.one.admit("office~a", 10, "office")
+        job = self.one.jobs["office~a"]
+        for item in job.items:
+            job.finish(item, ResultState.SUCCEEDED, "")
+        self.one.quota.settle()
+        self.assertEqual(0, self.held_by("office"))
+        self.assertIsInstance(self.two.admit("office~b", 10, "office"), Admitted)
+
+    def test_tenants_without_jobs_cost_nothing(self) -> None:
+        self.one.admit("office~a", 1, "office")
+        self.one.take_allowance()
+        self.assertEqual((ledger_name("jobs", "office"),), self.ledgers().names())
+
+    def test_a_dead_gateways_entries_of_any_tenant_are_swept(self) -> None:
+        self.one.admit("office~a", 10, "office")
+        sweeper = Gateway(self, "three", sweeps=True)
+        for _ in range(4):
+            sweeper.quota.settle()
+            self.now += max(SWEEP_INTERVAL_S, UNCARED_AFTER_S)
+        self.assertEqual(0, self.held_by("office"))
+
+    def test_names_of_ledgers_do_not_meet(self) -> None:
+        routes = ("jobs", "jobs~a", "jobs/a", "")
+        names = {ledger_name(route, name) for route in routes for name in ("", "a", "a~b")}
+        self.assertEqual(12, len(names))
+        self.assertFalse(is_ledger_of(ledger_name("jobs~a", "x"), "jobs"))
