--- a/src/quaymill_bench/fleet_processes.py
+++ b/src/quaymill_bench/fleet_processes.py
@@ -39,6 +39,8 @@
 """Time between the crash of a replica and its next start."""
 GRACE_S = 6.0
 LEAVE_S = 0.5
+OVERRUN_REQUESTS = 6.0
+"""Requests by which a tenant's limit may be overrun in a window, beside its share."""
 
 
 def wait_until(condition: Callable[[], Any], what: str, timeout_s: float = START_TIMEOUT_S) -> Any:
@@ -165,6 +167,8 @@
     ----------
     linked
         Whether each pair of processes has a proxy in each direction.
+    tenants
+        Of the first configuration; ``None`` if requests need no keys.
     """
 
     def __init__(
@@ -175,6 +179,7 @@
         engines: int = 3,
         *,
         linked: bool = False,
+        tenants: tuple[dict[str, Any], ...] | None = None,
     ) -> None:
         self.folder = folder
         # Disks of an earlier fleet hold jobs of the same names, whose retention has run out.
@@ -186,6 +191,7 @@
         self._peer_port = free_port()
         self._planned = (gateways, storage, engines)
         self._linked = linked
+        self._tenants = tenants
         self.stopping = False
         self.pool = urllib3.PoolManager(retries=False, num_pools=20, maxsize=30)
 
@@ -204,7 +210,7 @@
         gateways, storage, engines = self._planned
         self.folder.mkdir(parents=True, exist_ok=True)
         self.store.start()
-        self.store.put("config", "main", configuration(1))
+        self.store.put("config", "main", configuration(1, tenants=self._tenants))
         for index in range(engines):
             self.add_replica("engine", ZONES[index % len(ZONES)])
         for index in range(2):
@@ -316,10 +322,17 @@
             timeout=REQUEST_TIMEOUT_S,
         )
 
-    def submit(self, gateway: FleetProcess, job_id: str, items: int) -> urllib3.BaseHTTPResponse:
+    def submit(
+        self,
+        gateway: FleetProcess,
+        job_id: str,
+        items: int,
+        headers: dict[str, str] | None = None,
+    ) -> urllib3.BaseHTTPResponse:
         """Submit a batch job."""
         body = job_body(job_id, items)
-        return self.call(gateway, "POST", "/jobs/x", body, {"Request-Id": job_id})
+        headers = {"Request-Id": job_id} | (headers or {})
+        return self.call(gateway, "POST", "/jobs/x", body, headers)
 
     def _is_ready(self, gateway: FleetProcess) -> bool:
         url = f"http://{gateway.address}:{gateway.readiness_port}/v1/ready"
@@ -360,5 +373,6 @@
                 f'readiness = "{address}:{process.readiness_port}"',
             ]
         lines += ["[bounds]", f"grace_s = {GRACE_S}", f"leave_s = {LEAVE_S}"]
+        lines.append(f"quota_overrun_requests = {OVERRUN_REQUESTS}")
         process.settings_file.write_text("\n".join(lines) + "\n")
         self.processes[name] = process
