A tenant's requests are counted by the operator's window, and users of credits tell who granted them

A new granter knew nothing of what others had granted but what the earlier one handed over.

Change: a granter counts the window; who asks tells what it had within it, and of whom, so nothing has to be handed over, and a gateway's own part counts too. No faster than the rate until a window has passed.

--- a/src/quaymill/connection/limit_messages.py
+++ b/src/quaymill/connection/limit_messages.py
@@ -2,8 +2,29 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from quaymill.connection.peer_link import PeerMessage
 
+AGE_PARTS = 5
+"""Parts of the window by which gateways tell how old is what they were granted: one second each
+where the window is 5 s. The coarser, the longer a credit counts after it has left the window."""
+
+
+class GrantedBy(msgspec.Struct, frozen=True, array_like=True):
+    """What one gateway was granted of a tenant's requests within the last window.
+
+    Attributes
+    ----------
+    granter
+        Name of the process that granted it.
+    by_age
+        Requests by their age in parts of the window, newest first.
+    """
+
+    granter: str
+    by_age: tuple[float, ...]
+
 
 class BorrowCredits(PeerMessage, frozen=True):
     """Ask for credits of a tenant.
@@ -18,6 +39,8 @@
         Tokens that the request at hand may generate; lent whole or not at all.
     slots
         Requests in service at once that the gateway needs in all, not in addition.
+    granted
+        What the gateway was granted within the last window, by whomever.
     """
 
     tenant: str
@@ -25,6 +48,7 @@
     requests: int
     tokens: int
     slots: int
+    granted: tuple[GrantedBy, ...] = ()
 
 
 class LentCredits(PeerMessage, frozen=True):
@@ -40,6 +64,8 @@
     granter
         Name of the gateway that grants the tenant's credits, if it is not the one that answers;
         then nothing was lent.
+    by
+        Name of the process that lent.
     """
 
     requests: int = 0
@@ -47,6 +73,7 @@
     refused_by: str = ""
     retry_after_s: float = 0.0
     granter: str = ""
+    by: str = ""
 
 
 class ReturnCredits(PeerMessage, frozen=True):
@@ -69,13 +96,13 @@
     gateway: str
 
 
-class HandedCredits(PeerMessage, frozen=True):
-    """Answer to ``TakeOverCredits``; from now on the sender grants none.
+class CreditsTakenOver(PeerMessage, frozen=True):
+    """Answer to ``TakeOverCredits``: the sender grants none any more.
 
     Attributes
     ----------
-    requests
-        Requests that may still come at once; ``None`` if the sender has granted none.
+    granted
+        Whether it had granted any.
     """
 
-    requests: float | None = None
+    granted: bool
--- a/src/quaymill/platform/configuration.py
+++ b/src/quaymill/platform/configuration.py
@@ -163,7 +163,7 @@
         tenant.name: RequestTenant(
             tenant.name,
             tuple(key_digest(key.encode()) for key in tenant.api_keys),
-            TenantLimits(requests_per_s=tenant.rate_per_s, requests_burst=tenant.burst),
+            TenantLimits(requests_per_s=tenant.rate_per_s, burst=tenant.burst),
             tenant.priority,
         )
         for tenant in tenants
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -258,6 +258,7 @@
         bounds = self._settings.bounds
         return TenantLimiter(
             name,
+            self.network.process_name,
             self._limits_of,
             GatewayFleet(self.network.membership, name, lambda member: not member.has_disk),
             self.network.client,
--- a/src/quaymill/process/limits/granter.py
+++ b/src/quaymill/process/limits/granter.py
@@ -1,43 +1,36 @@
 """Lends credits of the tenants for which this gateway ranks first.
 
-Nothing is kept on disk. A gateway that comes to grant a tenant's credits asks those that may have
-granted them before to hand over what is left; these grant none from then on. Where they do not
-answer, it begins with a small part of the overrun that operators tolerate instead of a full
-burst. Slots in use are learnt again within ``SLOT_LEASE_S`` from the gateways' renewals.
+Nothing is kept on disk. A gateway that comes to grant a tenant's credits tells those that may have
+granted them before, which grant none from then on; what they granted is told by those who use it
+(``request_credits``). Slots in use are learnt again within ``SLOT_LEASE_S`` from the gateways'
+renewals.
 """
 
 from __future__ import annotations
 
-import random
 import threading
 from collections.abc import Callable
 
 import attrs
+import msgspec
 from eliot import log_message
 
 from quaymill import boot_clock
 from quaymill.connection.limit_messages import (
     BorrowCredits,
-    HandedCredits,
+    CreditsTakenOver,
     LentCredits,
     ReturnCredits,
     ReturnedCredits,
     TakeOverCredits,
 )
 from quaymill.process.limits.bucket import Bucket
-from quaymill.process.limits.shares import (
-    FleetView,
-    Overrun,
-    first_balance,
-    granted_burst,
-    granted_per_s,
-)
+from quaymill.process.limits.request_credits import RequestCredits
+from quaymill.process.limits.shares import FleetView, Overrun
 from quaymill.version.tenants import TenantLimits
 
 SLOT_LEASE_S = 5.0
 RETRY_AFTER_SLOTS_S = 1.0
-MAX_RETRY_AFTER_S = 5.0
-"""Longest time to come back that is told: within the patience of the callers known (5 s)."""
 HANDED_OVER_S = 3.0
 """How long a gateway that has handed a tenant over sends askers on, whatever it sees itself: twice
 the time that news of a gateway takes to reach all (0.5 s a probe, 1 s of suspicion)."""
@@ -52,10 +45,13 @@
 
     Attributes
     ----------
+    granter
+        Name of the process that grants.
     share
         Part of the limits on tokens and slots that is lent: 1, or less for a gateway on its own.
     """
 
+    granter: str
     limits_of: LimitsOf
     overrun: Overrun
     view: Callable[[], FleetView]
@@ -82,12 +78,11 @@
     def __init__(self) -> None:
         self.lock = threading.Lock()
         self.limits = TenantLimits()
-        self.requests: Bucket | None = None
+        self.requests: RequestCredits | None = None
         self.tokens: Bucket | None = None
         self.leases: dict[str, _SlotLease] = {}
         self.handed_to = ""
         self.handed_until = 0.0
-        self._promised_at = 0.0
 
     def follow(self, limits: TenantLimits, share: float) -> None:
         """Take the limits as they are now; a changed one on tokens begins with a full bucket."""
@@ -107,30 +102,13 @@
         if self.requests is not None and requests > 0:
             requests = self.requests.take_up_to(requests)
             if requests == 0:
-                return LentCredits(
-                    slots=slots, refused_by="requests_per_s", retry_after_s=self._next_turn_s()
-                )
+                wait_s = self.requests.next_turn_s()
+                return LentCredits(slots=slots, refused_by="requests_per_s", retry_after_s=wait_s)
         if self.tokens is not None and not self.tokens.take_whole(message.tokens):
-            if self.requests is not None:
-                self.requests.give_back(requests)
             wait_s = self.tokens.wait_s()
             return LentCredits(slots=slots, refused_by="tokens_per_s", retry_after_s=wait_s)
         return LentCredits(requests=requests, slots=slots)
 
-    def _next_turn_s(self) -> float:
-        """Return when a refused caller may come back: each a turn after the one before.
-
-        Told the same time, all that were refused would come back at once, for one credit. Those
-        for whom there is no turn soon are spread over the later half of the time.
-        """
-        now = boot_clock.now()
-        turn_s = 1.0 / self.requests.rate_per_s
-        self._promised_at = max(now + self.requests.wait_s(), self._promised_at + turn_s)
-        if self._promised_at > now + MAX_RETRY_AFTER_S:
-            self._promised_at = now + MAX_RETRY_AFTER_S
-            return random.uniform(MAX_RETRY_AFTER_S / 2, MAX_RETRY_AFTER_S)
-        return self._promised_at - now
-
     def _lend_slots(self, gateway: str, wanted: int, share: float) -> int:
         if not self.limits.concurrency:
             return wanted
@@ -156,12 +134,11 @@
     Parameters
     ----------
     take_over
-        Asks those that may have granted a tenant's credits before; returns the requests that are
-        left, ``None`` if nobody tells.
+        Tells those that may have granted a tenant's credits before to do so no more.
     """
 
     def __init__(
-        self, rules: LimitRules, take_over: Callable[[str], float | None] = lambda tenant: None
+        self, rules: LimitRules, take_over: Callable[[str], None] = lambda tenant: None
     ) -> None:
         self.rules = rules
         self._take_over = take_over
@@ -177,7 +154,10 @@
         with credits.lock:
             credits.follow(limits, self.rules.share)
             self._follow_requests(message.tenant, credits)
-            return credits.lend(message, self.rules.share)
+            if credits.requests is not None:
+                credits.requests.learn(message.gateway, message.granted)
+            lent = credits.lend(message, self.rules.share)
+            return msgspec.structs.replace(lent, by=self.rules.granter)
 
     def take_back(self, message: ReturnCredits) -> ReturnedCredits:
         """Add what a gateway did not use."""
@@ -186,17 +166,18 @@
             credits.take_back(message)
         return ReturnedCredits()
 
-    def hand_over(self, message: TakeOverCredits) -> HandedCredits:
-        """Grant a tenant's credits no more; return what is left."""
+    def hand_over(self, message: TakeOverCredits) -> CreditsTakenOver:
+        """Grant a tenant's credits no more."""
         credits = self._credits_of(message.tenant)
         # Two that take over from each other at once would wait for each other.
         if not credits.lock.acquire(blocking=False):
-            return HandedCredits()
+            return CreditsTakenOver(False)
         try:
             credits.handed_to = message.gateway
             credits.handed_until = boot_clock.now() + HANDED_OVER_S
-            held, credits.requests = credits.requests, None
-            return HandedCredits(None if held is None else held.balance)
+            had_granted = credits.requests is not None
+            credits.requests = None
+            return CreditsTakenOver(had_granted)
         finally:
             credits.lock.release()
 
@@ -212,26 +193,22 @@
             return self._by_tenant.setdefault(tenant, _TenantCredits())
 
     def _follow_requests(self, tenant: str, credits: _TenantCredits) -> None:
-        """Let the bucket of requests be as the limits and the view of the fleet have it now."""
+        """Let the requests' count be as the limits and the view of the fleet have it now."""
         limits = credits.limits
         if not limits.requests_per_s:
             credits.requests = None
             return
         view = self.rules.view()
-        rate = granted_per_s(limits, self.rules.overrun, view.part)
-        most = granted_burst(limits, view.part)
         if credits.requests is not None:
-            credits.requests.change(rate, most)
+            credits.requests.follow(limits, view)
             return
-        handed = self._take_over(tenant)
-        balance = first_balance(limits, self.rules.overrun, view) if handed is None else handed
-        credits.requests = Bucket(rate, most, balance)
+        self._take_over(tenant)
+        credits.requests = RequestCredits(self.rules.granter, limits, self.rules.overrun, view)
         log_message(
             "limit:granting",
             tenant=tenant,
-            rate_per_s=round(rate, 3),
-            balance=round(balance, 2),
-            handed_over=handed is not None,
+            allowed=round(credits.requests.allowed, 1),
+            window_s=credits.requests.limits_window_s,
             gateways=view.live,
             known=view.known,
         )
--- a/src/quaymill/process/limits/limiter.py
+++ b/src/quaymill/process/limits/limiter.py
@@ -13,8 +13,10 @@
 
 from quaymill import boot_clock
 from quaymill.connection.limit_messages import (
+    AGE_PARTS,
     BorrowCredits,
-    HandedCredits,
+    CreditsTakenOver,
+    GrantedBy,
     LentCredits,
     ReturnCredits,
     ReturnedCredits,
@@ -25,7 +27,8 @@
 from quaymill.connection.peer_server import PeerServer
 from quaymill.process.limits.fleet import GatewayFleet
 from quaymill.process.limits.granter import SLOT_LEASE_S, CreditGranter, LimitRules, LimitsOf
-from quaymill.process.limits.shares import Overrun
+from quaymill.process.limits.shares import Overrun, window_of
+from quaymill.process.limits.window import WindowCount
 from quaymill.request.outcome import NotRun
 from quaymill.version.tenants import TenantLimits
 
@@ -54,6 +57,26 @@
         self.admitted_since = boot_clock.now()
         self.admitted = 0
         self.own_until = 0.0
+        self._granted_by_granter: dict[str, WindowCount] = {}
+
+    def note_granted(self, lent: LentCredits, window_s: float) -> None:
+        """Remember who granted how much, for as long as a window."""
+        held = self._granted_by_granter.get(lent.by)
+        if held is None or held.window_s != window_s:
+            held = self._granted_by_granter[lent.by] = WindowCount(window_s)
+        held.add(lent.requests, boot_clock.now())
+
+    def granted(self) -> tuple[GrantedBy, ...]:
+        """Return what was granted within the last window, by whomever."""
+        now = boot_clock.now()
+        for granter in [
+            one for one, held in self._granted_by_granter.items() if not held.total(now)
+        ]:
+            del self._granted_by_granter[granter]
+        return tuple(
+            GrantedBy(granter, held.by_age(AGE_PARTS, now))
+            for granter, held in self._granted_by_granter.items()
+        )
 
     def wanted_requests(self) -> int:
         """Return the requests to borrow: what the demand of late uses in ``STOCK_S``."""
@@ -69,6 +92,8 @@
 
     Parameters
     ----------
+    name, process_name
+        Of this gateway, and of its process: another after a restart.
     limits_of
         Returns a tenant's limits by the configuration in force.
     fleet
@@ -78,6 +103,7 @@
     def __init__(
         self,
         name: str,
+        process_name: str,
         limits_of: LimitsOf,
         fleet: GatewayFleet,
         peer_client: PeerClient,
@@ -89,7 +115,8 @@
         self._fleet = fleet
         self._peer_client = peer_client
         self._overrun = overrun or Overrun()
-        rules = LimitRules(limits_of, self._overrun, fleet.view)
+        self._process_name = process_name
+        rules = LimitRules(process_name, limits_of, self._overrun, fleet.view)
         self._granter = CreditGranter(rules, self._take_over)
         self._own_part: CreditGranter | None = None
         self._avoided_until_by_name: dict[str, float] = {}
@@ -129,6 +156,7 @@
                 requests=_wanted_requests(stock, limits),
                 tokens=tokens if limits.tokens_per_s else 0,
                 slots=stock.in_service + 1,
+                granted=stock.granted() if limits.requests_per_s else (),
             )
             # The request counts while the granter is asked, so that others ask for more.
             stock.in_service += 1
@@ -175,6 +203,7 @@
                     held = stock.requests if now < stock.requests_lapse_at else 0
                     stock.requests = held + lent.requests - 1
                     stock.requests_lapse_at = now + 2 * STOCK_S
+                    stock.note_granted(lent, window_of(limits, self._overrun))
                 stock.admitted += 1
                 return None
             stock.in_service -= 1
@@ -224,22 +253,24 @@
         """Return what this gateway lends itself: its part of the limits."""
         view = self._fleet.view().alone()
         if self._own_part is None or self._own_part.rules.share != view.part:
-            own = LimitRules(self._limits_of, self._overrun, lambda: view, view.part)
+            own = LimitRules(
+                f"{self._process_name}/own part",
+                self._limits_of,
+                self._overrun,
+                lambda: view,
+                view.part,
+            )
             if self._own_part is None:
                 self._own_part = CreditGranter(own)
             else:
                 self._own_part.rules = own
         return self._own_part
 
-    def _take_over(self, tenant: str) -> float | None:
-        """Ask those that may have granted a tenant's credits before to do so no more."""
-        handed: list[float] = []
+    def _take_over(self, tenant: str) -> None:
+        """Tell those that may have granted a tenant's credits before to do so no more."""
         message = TakeOverCredits(tenant, self._name)
         for member in self._fleet.earlier_granters(tenant):
-            reply = self._peer_client.call(member.peer, message, HandedCredits, TAKE_OVER_TIMEOUT_S)
-            if isinstance(reply, HandedCredits) and reply.requests is not None:
-                handed.append(reply.requests)
-        return min(handed, default=None)
+            self._peer_client.call(member.peer, message, CreditsTakenOver, TAKE_OVER_TIMEOUT_S)
 
     def _send_returns(self) -> None:
         while True:
--- a/src/quaymill/process/limits/shares.py
+++ b/src/quaymill/process/limits/shares.py
@@ -2,8 +2,8 @@
 
 Nothing that has been given away may be given again before it has run out. A gateway that sees
 only a part of the fleet cannot tell gateways that have ended from gateways that are cut off and
-serve on, so it grants only its part of the rate: whatever parts a fleet falls into, all of them
-together grant the rate once. The overrun that operators tolerate pays for the rest: for granters
+serve on, so it grants only its part of the limit: whatever parts a fleet falls into, all of them
+together grant the limit once. The overrun that operators tolerate pays for the rest: for granters
 that change, and for gateways that do not know yet that they are cut off.
 
 The functions here decide; ``granter`` and ``limiter`` keep the state.
@@ -16,11 +16,11 @@
 from quaymill.version.tenants import TenantLimits
 
 PARTS_SHARE = 0.35
-"""Part of the tolerated overrun that the parts of a divided fleet may grant beyond the rate."""
+"""Part of the tolerated overrun that the parts of a divided fleet may grant beyond the limit."""
 TAKEOVER_SHARE = 0.35
-"""Part of it that a granter begins with that cannot ask the one before it. Two of them may follow
-each other within a window: a gateway that ends, and its return. What is left covers credits that
-were lent a moment before they are used."""
+"""Part of it that a granter may grant at once while it does not know what was granted before. Two
+of them may follow each other within a window: a gateway that ends, and its return. What is left
+covers credits that were lent a moment before they are used."""
 YOUNG_TAKEOVER_SHARE = 0.05
 """The same for a process that may not know all gateways yet: after all were killed several take
 themselves for the granter of one tenant, until they have found each other."""
@@ -81,22 +81,20 @@
         return FleetView(1, max(self.live, self.known), self.young)
 
 
-def granted_per_s(limits: TenantLimits, overrun: Overrun, part: float) -> float:
-    """Return the rate that a part of the fleet may grant."""
-    rate = limits.requests_per_s
-    if part >= 1.0:
-        return rate
-    extra = PARTS_SHARE * overrun.tolerated(limits) / overrun.window_s
-    return min(rate, (rate + extra) * part)
+def window_of(limits: TenantLimits, overrun: Overrun) -> float:
+    """Return the window of a limit, in seconds: at least the time in which one request comes."""
+    return max(overrun.window_s, 1.0 / limits.requests_per_s)
 
 
-def granted_burst(limits: TenantLimits, part: float) -> float:
-    """Return the requests at once that a part of the fleet may grant; one at least."""
-    return max(1.0, limits.burst * part)
+def allowed_in_window(limits: TenantLimits, overrun: Overrun, part: float) -> float:
+    """Return the requests that a part of the fleet may grant within a window; one at least."""
+    whole = limits.requests_per_s * window_of(limits, overrun) + limits.burst
+    if part < 1.0:
+        whole = min(whole, (whole + PARTS_SHARE * overrun.tolerated(limits)) * part)
+    return max(1.0, whole)
 
 
 def first_balance(limits: TenantLimits, overrun: Overrun, view: FleetView) -> float:
-    """Return what a granter begins with that does not know what was granted before it."""
+    """Return the requests that a granter may grant at once before it knows what others granted."""
     share = YOUNG_TAKEOVER_SHARE if view.young else TAKEOVER_SHARE
-    most = granted_burst(limits, view.part)
-    return min(most, max(1.0, share * overrun.tolerated(limits)))
+    return max(1.0, share * overrun.tolerated(limits) * view.part)
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -103,8 +103,7 @@
         "this gateway begins to grant a tenant's requests",
         (
             TENANT,
-            "rate_per_s, balance: what it grants, and with how many requests it begins",
-            "handed_over: whether an earlier granter told what was left",
+            "allowed, window_s: how many requests it grants within a window, and its length",
             "gateways, known: those that answer, and those that may serve on unseen",
         ),
     ),
--- a/src/quaymill/version/tenants.py
+++ b/src/quaymill/version/tenants.py
@@ -20,14 +20,14 @@
 
     Attributes
     ----------
-    requests_burst
-        Requests that may come at once on top of the rate; ``None`` for those of one second.
+    burst
+        Requests that may come within a window on top of those of the rate.
     concurrency
         Requests in service at once.
     """
 
     requests_per_s: float = 0.0
-    requests_burst: float | None = None
+    burst: float = 0.0
     tokens_per_s: float = 0.0
     concurrency: int = 0
 
@@ -36,11 +36,6 @@
         """Whether there is a limit at all."""
         return bool(self.requests_per_s or self.tokens_per_s or self.concurrency)
 
-    @property
-    def burst(self) -> float:
-        """Requests that may come at once."""
-        return self.requests_per_s if self.requests_burst is None else self.requests_burst
-
 
 @attrs.frozen
 class RequestTenant:
