--- a/src/quaymill/process/limits/granter.py
+++ b/src/quaymill/process/limits/granter.py
@@ -134,11 +134,12 @@
     Parameters
     ----------
     take_over
-        Tells those that may have granted a tenant's credits before to do so no more.
+        Tells those that may have granted a tenant's credits before to do so no more; returns
+        whether one of them had.
     """
 
     def __init__(
-        self, rules: LimitRules, take_over: Callable[[str], None] = lambda tenant: None
+        self, rules: LimitRules, take_over: Callable[[str], bool] = lambda tenant: False
     ) -> None:
         self.rules = rules
         self._take_over = take_over
@@ -202,8 +203,14 @@
         if credits.requests is not None:
             credits.requests.follow(limits, view)
             return
-        self._take_over(tenant)
-        credits.requests = RequestCredits(self.rules.granter, limits, self.rules.overrun, view)
+        had_granted = self._take_over(tenant)
+        credits.requests = RequestCredits(
+            self.rules.granter,
+            limits,
+            self.rules.overrun,
+            view,
+            may_follow=had_granted or view.young or view.part < 1.0,
+        )
         log_message(
             "limit:granting",
             tenant=tenant,
--- a/src/quaymill/process/limits/limiter.py
+++ b/src/quaymill/process/limits/limiter.py
@@ -266,11 +266,19 @@
                 self._own_part.rules = own
         return self._own_part
 
-    def _take_over(self, tenant: str) -> None:
-        """Tell those that may have granted a tenant's credits before to do so no more."""
+    def _take_over(self, tenant: str) -> bool:
+        """Tell those that may have granted a tenant's credits before to do so no more.
+
+        Returns whether one of them had granted some, or does not tell.
+        """
         message = TakeOverCredits(tenant, self._name)
+        had_granted = False
         for member in self._fleet.earlier_granters(tenant):
-            self._peer_client.call(member.peer, message, CreditsTakenOver, TAKE_OVER_TIMEOUT_S)
+            reply = self._peer_client.call(
+                member.peer, message, CreditsTakenOver, TAKE_OVER_TIMEOUT_S
+            )
+            had_granted |= not isinstance(reply, CreditsTakenOver) or reply.granted
+        return had_granted
 
     def _send_returns(self) -> None:
         while True:
--- a/src/quaymill/process/limits/request_credits.py
+++ b/src/quaymill/process/limits/request_credits.py
@@ -2,8 +2,8 @@
 
 Within each window of the operator's no more is granted than the limit allows there. What others
 granted before is not handed over but told by those who use it: whoever asks tells what it had
-within the last window, and of whom. Until a window has passed, what nobody has told of yet is
-covered by granting no faster than the limit's rate.
+within the last window, and of whom. Where somebody may have granted before, what nobody has told of
+yet is covered by granting no faster than the limit's rate until a window has passed.
 """
 
 from __future__ import annotations
@@ -44,15 +44,24 @@
     ----------
     granter
         Name of the process that grants.
+    may_follow
+        Whether another may have granted within the last window.
     """
 
     def __init__(
-        self, granter: str, limits: TenantLimits, overrun: Overrun, view: FleetView
+        self,
+        granter: str,
+        limits: TenantLimits,
+        overrun: Overrun,
+        view: FleetView,
+        *,
+        may_follow: bool = True,
     ) -> None:
         self._granter = granter
         self._overrun = overrun
-        self._began_at = boot_clock.now()
         self._granted = WindowCount(window_of(limits, overrun))
+        paced_s = self._granted.window_s if may_follow else 0.0
+        self._paced_until = boot_clock.now() + paced_s
         self._told_by_gateway: dict[str, _Told] = {}
         self._pace = Bucket(
             limits.requests_per_s, limits.burst, first_balance(limits, overrun, view)
@@ -97,7 +106,7 @@
         now = boot_clock.now()
         free = self._allowed - self._granted.total(now) - self._granted_by_others(now)
         taken = max(0, min(wanted, int(free)))
-        if now - self._began_at < self._granted.window_s:
+        if now < self._paced_until:
             taken = self._pace.take_up_to(taken)
         if taken:
             self._granted.add(taken, now)
@@ -112,7 +121,7 @@
         now = boot_clock.now()
         used = self._granted.total(now) + self._granted_by_others(now)
         wait_s = self._granted.wait_s(max(0.0, used + 1.0 - self._allowed), now)
-        if now - self._began_at < self._granted.window_s:
+        if now < self._paced_until:
             wait_s = max(wait_s if used + 1.0 > self._allowed else 0.0, self._pace.wait_s())
         self._promised_at = max(now + wait_s, self._promised_at + self._turn_s)
         if self._promised_at > now + MAX_RETRY_AFTER_S:
