--- a/src/quaymill/process/limits/shares.py
+++ b/src/quaymill/process/limits/shares.py
@@ -21,11 +21,8 @@
 """Part of it that a granter may grant at once while it does not know what was granted before. Two
 of them may follow each other within a window: a gateway that ends, and its return. What is left
 covers credits that were lent a moment before they are used."""
-YOUNG_TAKEOVER_SHARE = 0.05
-"""The same for a process that may not know all gateways yet: after all were killed several take
-themselves for the granter of one tenant, until they have found each other."""
 ASSUMED_GATEWAYS = 10
-"""Gateways that such a process assumes while it has found none beside itself."""
+"""Gateways that a process assumes which has just started and found none beside itself."""
 
 
 @attrs.frozen
@@ -96,5 +93,4 @@
 
 def first_balance(limits: TenantLimits, overrun: Overrun, view: FleetView) -> float:
     """Return the requests that a granter may grant at once before it knows what others granted."""
-    share = YOUNG_TAKEOVER_SHARE if view.young else TAKEOVER_SHARE
-    return max(1.0, share * overrun.tolerated(limits) * view.part)
+    return max(1.0, TAKEOVER_SHARE * overrun.tolerated(limits) * view.part)
