Callers' connections stand while a gateway is still loading

Change: the callers' address is listened at before anything else is loaded; the server takes that socket over. A double of run_role takes the new arguments; its test asks the same.

--- a/src/quaymill/platform/gateway_role.py
+++ b/src/quaymill/platform/gateway_role.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from quaymill.connection.endpoint import Endpoint
 from quaymill.platform import caller_calls, configuration, names, replica_calls
 from quaymill.platform.object_store import PlatformObjectStore
@@ -11,6 +9,7 @@
 from quaymill.process.gateway_node import GatewayNode, GatewayProtocol
 from quaymill.process.jobs.engine_loads import ReportProtocol
 from quaymill.process.jobs.item_run import ItemProtocol
+from quaymill.process.process_context import ProcessContext
 from quaymill.process.serving_settings import ServingSettings
 from quaymill.request.forwarding import ReplicaProtocol
 
@@ -29,10 +28,8 @@
 )
 
 
-def build_gateway(settings: ServingSettings, log_lines_dropped: Callable[[], int]) -> GatewayNode:
+def build_gateway(settings: ServingSettings, context: ProcessContext) -> GatewayNode:
     """Return a gateway's parts, not started yet."""
     store = PlatformObjectStore(settings.store_endpoint)
     metrics = Endpoint(settings.address, METRICS_PORT)
-    return GatewayNode(
-        settings, store, GATEWAY_PROTOCOL, metrics, lambda: store.calls, log_lines_dropped
-    )
+    return GatewayNode(settings, store, GATEWAY_PROTOCOL, metrics, lambda: store.calls, context)
--- a/src/quaymill/platform/main.py
+++ b/src/quaymill/platform/main.py
@@ -5,6 +5,10 @@
 import os
 import signal
 import sys
+from pathlib import Path
+
+from quaymill.platform.environment import SETTINGS_VARIABLE
+from quaymill.process.early_listener import open_listener
 
 
 def main() -> int:
@@ -12,9 +16,11 @@
     # The settings are read later anyway. Before there is a handler the signal ends a process, and
     # loading the role takes 0.1 s to 0.6 s on the users' machines.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    settings_file = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    listener = open_listener(settings_file)
     from quaymill.platform.roles import run_role
 
-    return run_role(sys.argv[1])
+    return run_role(sys.argv[1], settings_file, listener)
 
 
 if __name__ == "__main__":
--- a/src/quaymill/platform/names.py
+++ b/src/quaymill/platform/names.py
@@ -5,8 +5,6 @@
 from quaymill.connection.object_store import ObjectKind
 from quaymill.version.request_routes import RouteKind
 
-SETTINGS_VARIABLE = "QUAYMILL_BOOT"
-
 REQUEST_ID = "Request-Id"
 DEADLINE_MS = "Deadline-Ms"
 EXPECT_INSTANCE = "Expect-Instance"
--- a/src/quaymill/platform/roles.py
+++ b/src/quaymill/platform/roles.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-import os
 import signal
+import socket
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -15,8 +15,8 @@
 
 from eliot import log_message
 
-from quaymill.platform import names
 from quaymill.process.logs import LineBudget, start_logs
+from quaymill.process.process_context import ProcessContext
 from quaymill.process.serving_settings import ServingRole, ServingSettings, load_serving_settings
 from quaymill.process.settings import SettingsError
 from quaymill.process.stop_signal import StopSignal
@@ -32,8 +32,8 @@
         """Leave in order."""
 
 
-BuildNode = Callable[[ServingSettings, Callable[[], int]], Node]
-"""Builds the parts from the settings, and from a count of the log lines left out."""
+BuildNode = Callable[[ServingSettings, ProcessContext], Node]
+"""Builds the parts."""
 
 
 def _load_gateway() -> BuildNode:
@@ -54,10 +54,9 @@
 }
 
 
-def run_role(name: str) -> int:
-    """Run a role until it is told to stop; return the exit code."""
+def run_role(name: str, path: Path, listener: socket.socket | None) -> int:
+    """Run a role by its settings file until it is told to stop; return the exit code."""
     role = ServingRole(name)
-    path = Path(os.environ[names.SETTINGS_VARIABLE])
     settings = load_serving_settings(path, role)
     if isinstance(settings, SettingsError):
         print(settings, file=sys.stderr, flush=True)
@@ -65,7 +64,7 @@
     logs = start_logs(settings.name, stream=sys.stdout.buffer, budget=LineBudget())
     stop_signal = StopSignal()
     signal.signal(signal.SIGHUP, lambda number, frame: _check_again(path, role))
-    node = LOADERS[role]()(settings, lambda: logs.dropped)
+    node = LOADERS[role]()(settings, ProcessContext(lambda: logs.dropped, listener))
     node.start()
     stop_signal.wait()
     node.stop()
--- a/src/quaymill/platform/storage_role.py
+++ b/src/quaymill/platform/storage_role.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from quaymill.platform import names
 from quaymill.platform.object_store import PlatformObjectStore
+from quaymill.process.process_context import ProcessContext
 from quaymill.process.serving_settings import ServingSettings
 from quaymill.process.storage_node import StorageNode, StorageProtocol
 
@@ -14,9 +13,7 @@
 )
 
 
-def build_storage_node(
-    settings: ServingSettings, log_lines_dropped: Callable[[], int]
-) -> StorageNode:
-    """Return a storage node's parts, not started yet; it serves no metrics of its own."""
-    del log_lines_dropped
+def build_storage_node(settings: ServingSettings, context: ProcessContext) -> StorageNode:
+    """Return a storage node's parts, not started yet; it serves no metrics and no callers."""
+    del context
     return StorageNode(settings, PlatformObjectStore(settings.store_endpoint), STORAGE_PROTOCOL)
--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -20,11 +20,11 @@
 from eliot import log_message
 
 from quaymill.connection.endpoint import Endpoint
+from quaymill.process.early_listener import LISTEN_BACKLOG
 from quaymill.process.front.head_watch import HeadWatch
 from quaymill.request.forwarded_request import Headers
 from quaymill.request.presence import CallerPresence
 
-LISTEN_BACKLOG = 512
 SEND_BUFFER_BYTES = 128 * 1024
 STOP_TIMEOUT_S = 0.5
 MIN_THREADS = 4
@@ -278,6 +278,8 @@
         Workers that are kept although there is nothing to do.
     watch
         Returns the presence of the caller on a connection; ``unwatch`` ends that.
+    listener
+        Where connections wait already; the server listens by itself if there is none.
     """
 
     ConnectionClass = _HttpConnection
@@ -290,6 +292,7 @@
         watch: Callable[[socket.socket], CallerPresence] = lambda connection: CallerPresence(),
         unwatch: Callable[[socket.socket], None] = lambda connection: None,
         idle_threads: int = MIN_THREADS,
+        listener: socket.socket | None = None,
     ) -> None:
         super().__init__(
             (endpoint.host, endpoint.port),
@@ -307,6 +310,7 @@
             super().process_conn, lambda: self.header_timeout_s, lambda: self.idle_timeout_s
         )
         self._prepare_error: OSError | None = None
+        self._listener = listener
 
     @property
     def idle_timeout_s(self) -> float:
@@ -336,6 +340,13 @@
         for name, target in (("front", self.serve), ("front-workers", self._end_idle_workers)):
             threading.Thread(target=target, name=name, daemon=True).start()
 
+    def bind(self, family: int, type: int, proto: int = 0) -> socket.socket:
+        """Return the socket to listen at: the one where connections wait already, or a new one."""
+        if self._listener is None:
+            return super().bind(family, type, proto)
+        self.socket = self._listener
+        return self.socket
+
     def process_conn(self, conn: server.HTTPConnection) -> None:
         """Give a connection to a worker, once the head of a request is there."""
         if conn.rfile.has_data():
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -51,6 +51,7 @@
 from quaymill.process.poison.barred_store import BarredStore
 from quaymill.process.poison.guard import CrashGuard
 from quaymill.process.poison.sharing import CrashSharing
+from quaymill.process.process_context import ProcessContext
 from quaymill.process.replica_set.online_queue import OnlineQueue
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.router import Router
@@ -102,11 +103,11 @@
         protocol: GatewayProtocol,
         metrics_endpoint: Endpoint | None,
         store_calls: Callable[[], int] = lambda: 0,
-        log_lines_dropped: Callable[[], int] = lambda: 0,
+        context: ProcessContext | None = None,
     ) -> None:
         self._settings = settings
         self._store_calls = store_calls
-        self._log_lines_dropped = log_lines_dropped
+        self._context = context or ProcessContext()
         self._started_at = boot_clock.now()
         self.network = PeerNetwork.from_settings(settings)
         self._connections = ReplicaConnections(LinkFilter(), CONNECT_TIMEOUT_S)
@@ -245,6 +246,7 @@
             THREADS,
             self._watch.watch,
             self._watch.unwatch,
+            listener=self._context.callers_listener,
         )
         self._readiness = ReadinessServer(
             Endpoint.parse(settings.listen.readiness), protocol.ready_path, self._is_ready
@@ -346,7 +348,10 @@
                 lambda: self._connections.opened,
             ),
             "store_calls": ("Calls of the platform's store since the start.", self._store_calls),
-            "log_lines_dropped": ("Log lines left out since the start.", self._log_lines_dropped),
+            "log_lines_dropped": (
+                "Log lines left out since the start.",
+                self._context.log_lines_dropped,
+            ),
         }
         registry = self._metrics.registry
         for name, (text, read) in gauges.items():
--- a/tests/test_stop_signal.py
+++ b/tests/test_stop_signal.py
@@ -57,7 +57,7 @@
         program = (
             "import os, signal, sys, types\n"
             "roles = types.ModuleType('quaymill.platform.roles')\n"
-            "roles.run_role = lambda name: os.kill(os.getpid(), signal.SIGHUP) or 0\n"
+            "roles.run_role = lambda *_: os.kill(os.getpid(), signal.SIGHUP) or 0\n"
             "sys.modules['quaymill.platform.roles'] = roles\n"
             "sys.argv = ['main', 'gateway']\n"
             "from quaymill.platform.main import main\n"
