--- a/src/quaymill/connection/limit_messages.py
+++ b/src/quaymill/connection/limit_messages.py
@@ -66,6 +66,8 @@
         then nothing was lent.
     by
         Name of the process that lent.
+    paced
+        Whether the refusal is only since the granter does not know yet what others granted.
     """
 
     requests: int = 0
@@ -74,6 +76,7 @@
     retry_after_s: float = 0.0
     granter: str = ""
     by: str = ""
+    paced: bool = False
 
 
 class ReturnCredits(PeerMessage, frozen=True):
--- a/src/quaymill/process/limits/granter.py
+++ b/src/quaymill/process/limits/granter.py
@@ -102,8 +102,12 @@
         if self.requests is not None and requests > 0:
             requests = self.requests.take_up_to(requests)
             if requests == 0:
-                wait_s = self.requests.next_turn_s()
-                return LentCredits(slots=slots, refused_by="requests_per_s", retry_after_s=wait_s)
+                return LentCredits(
+                    slots=slots,
+                    refused_by="requests_per_s",
+                    retry_after_s=self.requests.next_turn_s(),
+                    paced=self.requests.paced,
+                )
         if self.tokens is not None and not self.tokens.take_whole(message.tokens):
             wait_s = self.tokens.wait_s()
             return LentCredits(slots=slots, refused_by="tokens_per_s", retry_after_s=wait_s)
--- a/src/quaymill/process/limits/limiter.py
+++ b/src/quaymill/process/limits/limiter.py
@@ -8,6 +8,7 @@
 
 import queue
 import threading
+import time
 
 from eliot import log_message
 
@@ -43,6 +44,10 @@
 STOCK_S = 0.1
 """A gateway borrows requests for this time ahead; they lapse after as long again, so that what was
 lent in one window is hardly used in the next."""
+PACED_PATIENCE_S = 1.0
+"""How long a request waits for its turn at a granter that has just begun and knows little: after a
+kill of all gateways 145 requests of the backlog were refused for good (of 1,243 in two seconds), as
+callers had used up their tries by then."""
 RENEW_INTERVAL_S = SLOT_LEASE_S / 3
 
 
@@ -98,6 +103,8 @@
         Returns a tenant's limits by the configuration in force.
     fleet
         The gateways over which the limits hold.
+    paced_patience_s
+        How long a request waits at most while its granter has just begun.
     """
 
     def __init__(
@@ -109,12 +116,14 @@
         peer_client: PeerClient,
         peer_server: PeerServer,
         overrun: Overrun | None = None,
+        paced_patience_s: float = PACED_PATIENCE_S,
     ) -> None:
         self._name = name
         self._limits_of = limits_of
         self._fleet = fleet
         self._peer_client = peer_client
         self._overrun = overrun or Overrun()
+        self._paced_patience_s = paced_patience_s
         self._process_name = process_name
         rules = LimitRules(process_name, limits_of, self._overrun, fleet.view)
         self._granter = CreditGranter(rules, self._take_over)
@@ -160,7 +169,7 @@
             )
             # The request counts while the granter is asked, so that others ask for more.
             stock.in_service += 1
-        lent = self._borrow(stock, message)
+        lent = self._borrow_in_turn(stock, message)
         return self._take_lent(stock, limits, message, lent)
 
     def release(self, tenant: str, reserved_tokens: int, used_tokens: int) -> None:
@@ -209,6 +218,15 @@
             stock.in_service -= 1
         return _refusal(message.tenant, limits, lent)
 
+    def _borrow_in_turn(self, stock: _TenantStock, message: BorrowCredits) -> LentCredits:
+        """Borrow; wait for the turn that is told where the granter has just begun."""
+        until = boot_clock.now() + self._paced_patience_s
+        while True:
+            lent = self._borrow(stock, message)
+            if not lent.paced or boot_clock.now() + lent.retry_after_s > until:
+                return lent
+            time.sleep(lent.retry_after_s)
+
     def _borrow(self, stock: _TenantStock, message: BorrowCredits) -> LentCredits:
         """Ask the granter; without one, lend from this gateway's own part of the limit."""
         lent = self._ask(self._first_answering(message.tenant), message)
--- a/src/quaymill/process/limits/request_credits.py
+++ b/src/quaymill/process/limits/request_credits.py
@@ -101,17 +101,26 @@
         by_age = tuple(sum(counts) for counts in zip(*others, strict=True))
         self._told_by_gateway[gateway] = _Told(boot_clock.now(), by_age)
 
+    @property
+    def paced(self) -> bool:
+        """Whether a request would be granted but for what others may have granted before."""
+        now = boot_clock.now()
+        return now < self._paced_until and self._free(now) >= 1.0
+
     def take_up_to(self, wanted: int) -> int:
         """Grant as many requests as are left, at most ``wanted``."""
         now = boot_clock.now()
-        free = self._allowed - self._granted.total(now) - self._granted_by_others(now)
-        taken = max(0, min(wanted, int(free)))
+        taken = max(0, min(wanted, int(self._free(now))))
         if now < self._paced_until:
             taken = self._pace.take_up_to(taken)
         if taken:
             self._granted.add(taken, now)
         return taken
 
+    def _free(self, now: float) -> float:
+        """Return the requests that the window has room for."""
+        return self._allowed - self._granted.total(now) - self._granted_by_others(now)
+
     def next_turn_s(self) -> float:
         """Return when a refused caller may come back: each a turn after the one before.
 
@@ -119,10 +128,10 @@
         for whom there is no turn soon are spread over the later half of the time.
         """
         now = boot_clock.now()
-        used = self._granted.total(now) + self._granted_by_others(now)
-        wait_s = self._granted.wait_s(max(0.0, used + 1.0 - self._allowed), now)
+        missing = max(0.0, 1.0 - self._free(now))
+        wait_s = self._granted.wait_s(missing, now) if missing else 0.0
         if now < self._paced_until:
-            wait_s = max(wait_s if used + 1.0 > self._allowed else 0.0, self._pace.wait_s())
+            wait_s = max(wait_s, self._pace.wait_s())
         self._promised_at = max(now + wait_s, self._promised_at + self._turn_s)
         if self._promised_at > now + MAX_RETRY_AFTER_S:
             self._promised_at = now + MAX_RETRY_AFTER_S
--- a/tests/limit_player.py
+++ b/tests/limit_player.py
@@ -387,6 +387,7 @@
                 _Peers(self, gateway),
                 gateway.handlers,
                 self._overrun,
+                paced_patience_s=0.0,
             )
         elif self._way == "store":
             gateway.limiter = StoreLimiter(self, gateway, self._store)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -252,3 +252,11 @@
                 told.append(time.monotonic() + refusal.retry_after_s)
         gaps = [later - earlier for earlier, later in zip(told, told[1:], strict=False)]
         self.assertGreater(min(gaps), 0.08)
+
+    def test_a_request_waits_for_its_turn_at_a_granter_that_has_just_begun(self):
+        limiters = self.start(requests_per_s=10.0)
+        started_at = time.monotonic()
+        refusals = [limiters.limiters[0].admit(TENANT, 0) for _ in range(4)]
+        # Nobody can tell it what was granted before it started: one at once, then ten a second.
+        self.assertEqual([None] * 4, refusals)
+        self.assertGreater(time.monotonic() - started_at, 0.2)
