Requests are held where a wait for a slot is not surely short enough; turns go by rank

Change: the decision is a function of its own (request/turns.py) and allows for half a time between two ends at an engine; the tenant's rank, else the route's, goes before the age.

--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -20,6 +20,7 @@
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.forwarded_request import ForwardedRequest
 from quaymill.request.presence import CallerPresence
+from quaymill.request.turns import EngineState, may_go, turn_order
 from quaymill.version.request_routes import RequestRoute
 
 PATIENCE_SAMPLES = 256
@@ -56,11 +57,14 @@
         When its first event is late.
     last_call_at
         When it is let go in any case.
+    rank
+        0 goes first.
     """
 
     came_at: float
     aim_at: float
     last_call_at: float
+    rank: int
     released: threading.Event = attrs.field(factory=threading.Event)
 
 
@@ -153,9 +157,12 @@
                     self._release(service, queue, now)
 
     def _release(self, service: str, queue: _ServiceQueue, now: float) -> None:
-        """Let go from one queue: first what can be in time, the oldest first, then the rest."""
-        margin_s = queue.first_byte_s
-        ordered = sorted(queue.held, key=lambda held: (held.aim_at - margin_s <= now, held.came_at))
+        """Let go from one queue whatever may go, in the order of turns."""
+        first_byte_s = queue.first_byte_s
+        ordered = sorted(
+            queue.held,
+            key=lambda held: turn_order(held.aim_at, held.rank, held.came_at, first_byte_s, now),
+        )
         going = 0
         for held in ordered:
             if self._may_go(service, queue, held, now, going):
@@ -172,11 +179,10 @@
         best = self._least_loaded(service)
         if best is None:
             return True
-        load = best.load() + going
-        if load < best.slots:
-            return True
-        wait_s = (load - best.slots + 1) / best.slots * queue.usual_service_s
-        return now + wait_s + queue.first_byte_s <= held.aim_at
+        engine = EngineState(
+            best.load() + going, best.slots, queue.usual_service_s, queue.first_byte_s
+        )
+        return may_go(engine, held.aim_at, now)
 
     def _least_loaded(self, service: str) -> Replica | None:
         """Return the least loaded sound replica; ``None`` unless all loads are known."""
@@ -205,7 +211,8 @@
             fresh_s = sorted(samples)[int(FRESH_QUANTILE * (len(samples) - 1))]
             age_s = max(0.0, fresh_s - left_s)
         needs_s = LAST_CALL_FACTOR * queue.usual_service_s + LAST_CALL_MARGIN_S
-        return _Held(now, now + route.objective_s - age_s, now + left_s - needs_s)
+        aim_at = now + route.objective_s - age_s
+        return _Held(now, aim_at, now + left_s - needs_s, request.priority)
 
 
 def _averaged(average: float, newest: float) -> float:
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,92 @@
+"""Turns of online requests: the decisions by themselves, and what callers get of them in bursts."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from quaymill.request.turns import EngineState, expected_wait_s, may_go, turn_order
+from turn_player import Burst, BurstPlayer
+
+SLOTS = 4
+SERVICE_S = 0.8
+ABOVE = Burst()
+"""1.27 times what 45 engines of 6 slots serve, in its bursts."""
+BELOW = Burst(service_s=0.72)
+CALM = Burst(high_per_s=200.0)
+
+
+def engine(load: float, first_byte_s: float = 0.05) -> EngineState:
+    return EngineState(load, SLOTS, SERVICE_S, first_byte_s)
+
+
+def up_to_the_last_moment(state: EngineState, aim_at: float, now: float) -> bool:
+    """Let go whatever may just be in time."""
+    return state.load < state.slots or now + expected_wait_s(state) + state.first_byte_s <= aim_at
+
+
+class DecisionTest(unittest.TestCase):
+    """One request, one look."""
+
+    @params(
+        ("a slot is free", 3, 0.0, True),
+        ("a slot is free, late already", 3, -5.0, True),
+        ("the next end is soon enough", 4, 0.4, True),
+        ("soon enough, but not surely", 4, 0.34, False),
+        ("too late", 4, 0.2, False),
+        ("two ahead", 5, 0.4, False),
+        ("two ahead, time enough", 5, 0.6, True),
+    )
+    def test_may_go(self, _, load, left_s, expected) -> None:
+        self.assertIs(expected, may_go(engine(load), 100.0 + left_s, 100.0))
+
+    def test_expected_wait_grows_by_the_time_between_two_ends(self) -> None:
+        waits = [expected_wait_s(engine(load)) for load in (3, 4, 5, 6)]
+        for wait_s, expected in zip(waits, (0.0, 0.2, 0.4, 0.6), strict=True):
+            self.assertAlmostEqual(expected, wait_s)
+
+    def test_order_of_turns(self) -> None:
+        now = 10.0
+        requests = {
+            "late, urgent, old": (9.9, 0, 5.0),
+            "late": (9.8, 1, 6.0),
+            "in time, not urgent, old": (10.3, 2, 9.0),
+            "in time, urgent": (10.4, 0, 9.9),
+            "in time, old": (10.3, 1, 9.8),
+            "in time, new": (10.4, 1, 9.95),
+        }
+        ordered = sorted(requests, key=lambda name: turn_order(*requests[name], 0.05, now))
+        expected = [
+            "in time, urgent",
+            "in time, old",
+            "in time, new",
+            "in time, not urgent, old",
+            "late, urgent, old",
+            "late",
+        ]
+        self.assertEqual(expected, ordered)
+
+
+class BurstTest(unittest.TestCase):
+    """What callers get; before is what is let go up to the last moment."""
+
+    @params(
+        ("above what is served", ABOVE, 0.24, 0.18),
+        ("just below it", BELOW, 0.11, 0.095),
+    )
+    def test_more_are_in_time(self, _, burst, before, most) -> None:
+        first = BurstPlayer(burst, 1, up_to_the_last_moment).play().late_share
+        self.assertAlmostEqual(before, first, delta=0.03)
+        self.assertLessEqual(BurstPlayer(burst, 1).play().late_share, most)
+
+    def test_nobody_is_left(self) -> None:
+        before = BurstPlayer(ABOVE, 1, up_to_the_last_moment).play()
+        after = BurstPlayer(ABOVE, 1).play()
+        self.assertEqual(len(before.latencies_s), len(after.latencies_s))
+        self.assertLess(after.quantile_s(0.995), 4.0)
+
+    def test_a_calm_load_is_served_at_once(self) -> None:
+        outcome = BurstPlayer(CALM, 1).play()
+        self.assertEqual(0, outcome.late)
+        self.assertLess(outcome.quantile_s(0.99), 0.05)
