--- a/tests/turn_player.py
+++ b/tests/turn_player.py
@@ -17,6 +17,7 @@
 from quaymill.request.turns import EngineState, may_go, turn_order
 
 MayGo = Callable[[EngineState, float, float], bool]
+Order = Callable[[float, int, float, float, float], tuple[bool, int, float]]
 TOLD_EVERY_S = 0.25
 PLACING_S = 0.003
 FIRST_BYTE_S = 0.02
@@ -70,12 +71,36 @@
     gateway: int
 
 
+def newest_first(
+    aim_at: float, rank: int, came_at: float, first_byte_s: float, now: float
+) -> tuple[bool, int, float]:
+    """Order what can be in time by its age, the newest first: a way that is not in use."""
+    is_late, rank, came_at = turn_order(aim_at, rank, came_at, first_byte_s, now)
+    return is_late, rank, came_at if is_late else -came_at
+
+
 class BurstPlayer:
-    """One play."""
+    """One play.
+
+    Parameters
+    ----------
+    exact
+        Whether gateways see the loads as they are, instead of as they were told.
+    """
 
-    def __init__(self, burst: Burst, seed: int, decide: MayGo = may_go) -> None:
+    def __init__(
+        self,
+        burst: Burst,
+        seed: int,
+        decide: MayGo = may_go,
+        order: Order = turn_order,
+        *,
+        exact: bool = False,
+    ) -> None:
         self._burst = burst
         self._decide = decide
+        self._order = order
+        self._exact = exact
         self._random = random.Random(seed)
         self._events: list[tuple[float, int, str, object]] = []
         self._number = 0
@@ -128,7 +153,8 @@
         if now - request.came_at >= LAST_CALL_S:
             return True
         burst = self._burst
-        load = min(self._views[request.gateway]) + going
+        loads = self._loads() if self._exact else self._views[request.gateway]
+        load = min(loads) + going
         engine = EngineState(load, burst.slots, burst.service_s, FIRST_BYTE_S)
         return self._decide(engine, request.came_at + burst.objective_s, now)
 
@@ -136,7 +162,7 @@
         objective_s = self._burst.objective_s
         ordered = sorted(
             self._held[gateway],
-            key=lambda one: turn_order(
+            key=lambda one: self._order(
                 one.came_at + objective_s, 0, one.came_at, FIRST_BYTE_S, now
             ),
         )
