--- a/src/quaymill/process/limits/limiter.py
+++ b/src/quaymill/process/limits/limiter.py
@@ -14,10 +14,8 @@
 
 from quaymill import boot_clock
 from quaymill.connection.limit_messages import (
-    AGE_PARTS,
     BorrowCredits,
     CreditsTakenOver,
-    GrantedBy,
     LentCredits,
     ReturnCredits,
     ReturnedCredits,
@@ -29,7 +27,7 @@
 from quaymill.process.limits.fleet import GatewayFleet
 from quaymill.process.limits.granter import SLOT_LEASE_S, CreditGranter, LimitRules, LimitsOf
 from quaymill.process.limits.shares import Overrun, window_of
-from quaymill.process.limits.window import WindowCount
+from quaymill.process.limits.stock import TenantStock
 from quaymill.request.outcome import NotRun
 from quaymill.version.tenants import TenantLimits
 
@@ -41,9 +39,6 @@
 """Time for each earlier granter's answer, while the first request of a tenant waits."""
 AVOID_S = 1.0
 """How long a granter that did not answer is passed over: one request in a while waits for it."""
-STOCK_S = 0.1
-"""A gateway borrows requests for this time ahead; they lapse after as long again, so that what was
-lent in one window is hardly used in the next."""
 PACED_PATIENCE_S = 1.0
 """How long a request waits for its turn at a granter that has just begun and knows little: after a
 kill of all gateways 145 requests of the backlog were refused for good (of 1,243 in two seconds), as
@@ -51,47 +46,6 @@
 RENEW_INTERVAL_S = SLOT_LEASE_S / 3
 
 
-class _TenantStock:
-    """What this gateway holds of one tenant's credits."""
-
-    def __init__(self) -> None:
-        self.requests = 0
-        self.requests_lapse_at = 0.0
-        self.slots = 0
-        self.in_service = 0
-        self.admitted_since = boot_clock.now()
-        self.admitted = 0
-        self.own_until = 0.0
-        self._granted_by_granter: dict[str, WindowCount] = {}
-
-    def note_granted(self, lent: LentCredits, window_s: float) -> None:
-        """Remember who granted how much, for as long as a window."""
-        held = self._granted_by_granter.get(lent.by)
-        if held is None or held.window_s != window_s:
-            held = self._granted_by_granter[lent.by] = WindowCount(window_s)
-        held.add(lent.requests, boot_clock.now())
-
-    def granted(self) -> tuple[GrantedBy, ...]:
-        """Return what was granted within the last window, by whomever."""
-        now = boot_clock.now()
-        for granter in [
-            one for one, held in self._granted_by_granter.items() if not held.total(now)
-        ]:
-            del self._granted_by_granter[granter]
-        return tuple(
-            GrantedBy(granter, held.by_age(AGE_PARTS, now))
-            for granter, held in self._granted_by_granter.items()
-        )
-
-    def wanted_requests(self) -> int:
-        """Return the requests to borrow: what the demand of late uses in ``STOCK_S``."""
-        elapsed_s = max(STOCK_S, boot_clock.now() - self.admitted_since)
-        rate_per_s = self.admitted / elapsed_s
-        self.admitted_since = boot_clock.now()
-        self.admitted = 0
-        return max(1, int(rate_per_s * STOCK_S))
-
-
 class TenantLimiter:
     """Requests/s, tokens/s and concurrency of each tenant, as seen by one gateway.
 
@@ -130,7 +84,7 @@
         self._own_part: CreditGranter | None = None
         self._avoided_until_by_name: dict[str, float] = {}
         self._lock = threading.Lock()
-        self._stocks: dict[str, _TenantStock] = {}
+        self._stock_by_tenant: dict[str, TenantStock] = {}
         self._returns: queue.SimpleQueue[ReturnCredits | None] = queue.SimpleQueue()
         self._stopping = threading.Event()
         peer_server.register(BorrowCredits, self._answer_borrow)
@@ -156,13 +110,13 @@
         if limits is None or not limits.any_set:
             return None
         with self._lock:
-            stock = self._stocks.setdefault(tenant, _TenantStock())
-            if self._take_from_stock(stock, limits):
+            stock = self._stock_by_tenant.setdefault(tenant, TenantStock())
+            if stock.take(limits):
                 return None
             message = BorrowCredits(
                 tenant=tenant,
                 gateway=self._name,
-                requests=_wanted_requests(stock, limits),
+                requests=stock.wanted_requests(limits),
                 tokens=tokens if limits.tokens_per_s else 0,
                 slots=stock.in_service + 1,
                 granted=stock.granted() if limits.requests_per_s else (),
@@ -175,7 +129,7 @@
     def release(self, tenant: str, reserved_tokens: int, used_tokens: int) -> None:
         """End a request that was admitted; tokens that it did not use are given back."""
         with self._lock:
-            stock = self._stocks.get(tenant)
+            stock = self._stock_by_tenant.get(tenant)
             if stock is None or stock.in_service == 0:
                 return
             stock.in_service -= 1
@@ -190,35 +144,20 @@
             self._own().take_back(message)
         self._returns.put(message)
 
-    def _take_from_stock(self, stock: _TenantStock, limits: TenantLimits) -> bool:
-        """Admit without a word to the granter, if what is held suffices."""
-        if limits.tokens_per_s or limits.concurrency:
-            return False
-        if stock.requests < 1 or boot_clock.now() > stock.requests_lapse_at:
-            return False
-        stock.requests -= 1
-        stock.admitted += 1
-        stock.in_service += 1
-        return True
-
     def _take_lent(
-        self, stock: _TenantStock, limits: TenantLimits, message: BorrowCredits, lent: LentCredits
+        self, stock: TenantStock, limits: TenantLimits, message: BorrowCredits, lent: LentCredits
     ) -> NotRun | None:
         with self._lock:
             stock.slots = max(stock.slots, lent.slots)
             if not lent.refused_by:
                 if limits.requests_per_s:
-                    now = boot_clock.now()
-                    held = stock.requests if now < stock.requests_lapse_at else 0
-                    stock.requests = held + lent.requests - 1
-                    stock.requests_lapse_at = now + 2 * STOCK_S
-                    stock.note_granted(lent, window_of(limits, self._overrun))
+                    stock.add(lent, window_of(limits, self._overrun))
                 stock.admitted += 1
                 return None
             stock.in_service -= 1
         return _refusal(message.tenant, limits, lent)
 
-    def _borrow_in_turn(self, stock: _TenantStock, message: BorrowCredits) -> LentCredits:
+    def _borrow_in_turn(self, stock: TenantStock, message: BorrowCredits) -> LentCredits:
         """Borrow; wait for the turn that is told where the granter has just begun."""
         until = boot_clock.now() + self._paced_patience_s
         while True:
@@ -227,7 +166,7 @@
                 return lent
             time.sleep(lent.retry_after_s)
 
-    def _borrow(self, stock: _TenantStock, message: BorrowCredits) -> LentCredits:
+    def _borrow(self, stock: TenantStock, message: BorrowCredits) -> LentCredits:
         """Ask the granter; without one, lend from this gateway's own part of the limit."""
         lent = self._ask(self._first_answering(message.tenant), message)
         if lent is not None and lent.granter:
@@ -314,22 +253,13 @@
         """Keep the slots of long requests from lapsing at the granter."""
         while not self._stopping.wait(RENEW_INTERVAL_S):
             with self._lock:
-                in_service = {name: one.in_service for name, one in self._stocks.items()}
+                in_service = {name: one.in_service for name, one in self._stock_by_tenant.items()}
             for name, slots in in_service.items():
                 limits = self._limits_of(name)
                 if slots and limits is not None and limits.concurrency:
                     self._returns.put(ReturnCredits(name, self._name, 0, slots))
 
 
-def _wanted_requests(stock: _TenantStock, limits: TenantLimits) -> int:
-    if not limits.requests_per_s:
-        return 0
-    # Tokens and slots are asked for request by request, so that a stock would lapse unused.
-    if limits.tokens_per_s or limits.concurrency:
-        return 1
-    return stock.wanted_requests()
-
-
 def _refusal(tenant: str, limits: TenantLimits, lent: LentCredits) -> NotRun:
     limit = lent.refused_by
     return NotRun(
--- /dev/null
+++ b/src/quaymill/request/answer_relay.py
@@ -0,0 +1,156 @@
+"""Passes a replica's answer on to the caller: whole, or event by event as it comes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from quaymill.connection.replica_answer import AnswerHead
+from quaymill.connection.replica_connection import Exchange
+from quaymill.request.event_stream import EventFramer
+from quaymill.request.forwarded_request import ForwardedRequest, Headers
+from quaymill.request.forwarding_result import AttemptResult, Broken, Delivered, broken_by
+from quaymill.request.outcome import OutcomeUnknown
+from quaymill.request.replica_choice import ChosenReplica
+from quaymill.version.request_routes import RequestRoute
+
+MAX_BUFFERED_BYTES = 256 * 1024
+EVENT_GAP_PATIENCE_S = 1.0
+EVENT_STREAM = "text/event-stream"
+
+
+class AnswerWriter(Protocol):
+    """Where the answer for the caller goes."""
+
+    started: bool
+
+    def start(self, status: int, reason: str, headers: Headers, length: int | None = None) -> None:
+        """Send the head."""
+
+    def write(self, block: bytes) -> None:
+        """Send a part of the body."""
+
+    def break_off(self) -> None:
+        """End the connection without completing the answer."""
+
+
+class AnswerRelay:
+    """What of one request's answer has reached the caller, over all attempts.
+
+    Parameters
+    ----------
+    may_try_another
+        Returns whether another replica is tried if the answer breaks off.
+    """
+
+    def __init__(
+        self,
+        request: ForwardedRequest,
+        route: RequestRoute,
+        answer: AnswerWriter,
+        may_try_another: Callable[[], bool],
+    ) -> None:
+        self._request = request
+        self._route = route
+        self._answer = answer
+        self._may_try_another = may_try_another
+        self._framer = EventFramer(request.last_event_id)
+
+    @property
+    def last_event_id(self) -> str | None:
+        """Id of the last event that the caller has."""
+        return self._framer.last_id
+
+    def pass_on(
+        self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
+    ) -> AttemptResult:
+        """Pass an answer on from its head.
+
+        Raises
+        ------
+        OSError
+            The caller's connection broke.
+        """
+        is_stream = _is_stream(head)
+        if self._answer.started and not is_stream:
+            exchange.abandon()
+            return Broken(f"the replica answered {head.status} instead of going on")
+        relay = self._relay_events if is_stream else self._relay_whole
+        try:
+            return relay(exchange, replica, head)
+        except OSError:
+            exchange.abandon()
+            raise
+
+    def _relay_whole(
+        self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
+    ) -> AttemptResult:
+        """Read the answer before any of it is sent, unless it is long."""
+        blocks: list[bytes] = []
+        buffered_bytes = 0
+        while True:
+            exchange.set_read_timeout(self._request.deadline.remaining_s())
+            block = exchange.read_block()
+            if isinstance(block, OutcomeUnknown):
+                return broken_by(block)
+            if not block:
+                break
+            blocks.append(block)
+            buffered_bytes += len(block)
+            if buffered_bytes > MAX_BUFFERED_BYTES:
+                if not self._answer.started:
+                    self._answer.start(head.status, head.reason, head.headers, head.length)
+                self._answer.write(b"".join(blocks))
+                blocks.clear()
+                buffered_bytes = 0
+        release(exchange, head)
+        body = b"".join(blocks)
+        if not self._answer.started:
+            self._answer.start(head.status, head.reason, head.headers, len(body))
+        self._answer.write(body)
+        return Delivered(head.status, replica.id)
+
+    def _relay_events(
+        self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
+    ) -> AttemptResult:
+        """Pass events on as they come; of a resumable stream only whole ones."""
+        resumable = self._route.resumable
+        self._framer.rest = b""
+        while True:
+            exchange.set_read_timeout(self._gap_patience_s())
+            block = exchange.read_block()
+            if isinstance(block, OutcomeUnknown):
+                return broken_by(block)
+            replica.hear()
+            if not block:
+                break
+            events = self._framer.take(block) if resumable else block
+            if not self._answer.started:
+                self._answer.start(head.status, head.reason, head.headers)
+            self._answer.write(events)
+        if resumable and self._framer.rest:
+            exchange.abandon()
+            return Broken("the stream ended in the middle of an event", connection_closed=True)
+        release(exchange, head)
+        if not self._answer.started:
+            self._answer.start(head.status, head.reason, head.headers)
+        return Delivered(head.status, replica.id)
+
+    def _gap_patience_s(self) -> float:
+        remaining_s = self._request.deadline.remaining_s()
+        return min(remaining_s, EVENT_GAP_PATIENCE_S) if self._may_try_another() else remaining_s
+
+
+def release(exchange: Exchange, head: AnswerHead) -> None:
+    """Keep the connection of an answer that was read whole, as long as its replica allows."""
+    if head.keep_s > 0:
+        exchange.release(head.keep_s)
+    else:
+        exchange.abandon()
+
+
+def _is_stream(head: AnswerHead) -> bool:
+    if head.status != 200:
+        return False
+    names = {name.lower(): value for name, value in head.headers}
+    return names.get("content-type", "").startswith(EVENT_STREAM)
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
 
 import attrs
 from eliot import log_message
@@ -18,8 +17,8 @@
 from quaymill import boot_clock
 from quaymill.connection.replica_answer import AnswerHead
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
-from quaymill.request.event_stream import EventFramer
-from quaymill.request.forwarded_request import ForwardedRequest, Headers
+from quaymill.request.answer_relay import AnswerRelay, AnswerWriter, release
+from quaymill.request.forwarded_request import ForwardedRequest
 from quaymill.request.forwarding_result import (
     AttemptResult,
     Broken,
@@ -29,6 +28,7 @@
     GivenUp,
     KeyChanged,
     Refused,
+    broken_by,
 )
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 from quaymill.request.poison import NoGuard, PoisonGuard
@@ -46,7 +46,6 @@
 
 MAX_REFUSALS = 8
 """Replicas that may say "not executed" before the caller is told to come back."""
-MAX_BUFFERED_BYTES = 256 * 1024
 MAX_ERROR_BYTES = 64 * 1024
 """Longest answer with an error that is kept while another replica is tried."""
 ERROR_BODY_PATIENCE_S = 0.1
@@ -59,25 +58,10 @@
 SILENCE_PATIENCE_S = 0.6
 """Wait at a replica from which nothing at all comes, if another may be tried."""
 SILENCE_CHECK_S = 0.1
-EVENT_GAP_PATIENCE_S = 1.0
+UNREACHABLE_WEIGHT = 2.0
+"""Failures that a connection which could not be made counts for: no request can be served there."""
 ANSWER_PATIENCE_FACTOR = 8.0
 MIN_ANSWER_PATIENCE_S = 0.5
-EVENT_STREAM = "text/event-stream"
-
-
-class AnswerWriter(Protocol):
-    """Where the answer for the caller goes."""
-
-    started: bool
-
-    def start(self, status: int, reason: str, headers: Headers, length: int | None = None) -> None:
-        """Send the head."""
-
-    def write(self, block: bytes) -> None:
-        """Send a part of the body."""
-
-    def break_off(self) -> None:
-        """End the connection without completing the answer."""
 
 
 @attrs.frozen
@@ -164,7 +148,7 @@
         self._presence = presence
         self._key_change = key_change
         self._service = self._router.choose_service(route)
-        self._framer = EventFramer(request.last_event_id)
+        self._relay = AnswerRelay(request, route, answer, self._may_try_another)
         self._tried: set[str] = set()
         self._refusals = 0
         self._runs = 0
@@ -271,7 +255,7 @@
     def _send(self, replica: ChosenReplica, began: float) -> AttemptResult:
         remaining_s = self._request.deadline.remaining_s()
         message = self._protocol.build_request(
-            self._request, replica.id, remaining_s, self._framer.last_id
+            self._request, replica.id, remaining_s, self._relay.last_event_id
         )
         repeatable = self._route.repeatable
         exchange = self._connections.send(
@@ -280,10 +264,10 @@
             max_idle_s=IDLE_LIMIT_S if repeatable else IDLE_LIMIT_NOT_REPEATABLE_S,
         )
         if isinstance(exchange, NotRun):
-            replica.record_failure(2.0)
+            replica.record_failure(UNREACHABLE_WEIGHT)
             return Refused(exchange.reason)
         if isinstance(exchange, OutcomeUnknown):
-            return _broken(exchange)
+            return broken_by(exchange)
         self._presence.attach(exchange.cancel)
         broken = self._wait_for_answer(exchange, replica, began)
         if broken is not None:
@@ -299,7 +283,7 @@
     ) -> AttemptResult:
         failure = exchange.read_head(max(0.05, self._request.deadline.remaining_s()))
         if failure is not None:
-            return _broken(failure)
+            return broken_by(failure)
         head = self._protocol.read_answer_head(exchange)
         return self._take_answer(exchange, replica, head, began)
 
@@ -344,7 +328,7 @@
             return Broken(f"the replica answered {head.status}")
         if head.status < 500:
             replica.record_success(boot_clock.now() - began)
-        return self._relay(exchange, replica, head)
+        return self._relay.pass_on(exchange, replica, head)
 
     def _keep_error(self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead) -> None:
         """Read an error whole, for the caller, should another replica fail as well."""
@@ -353,7 +337,7 @@
         if isinstance(body, OutcomeUnknown):
             return
         self._error = _ReplicaError(head, body, replica.id)
-        self._release(exchange, head)
+        release(exchange, head)
 
     def _take_refusal(
         self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
@@ -363,89 +347,3 @@
             log_message("replica:misdirected", replica=replica.id)
         exchange.abandon()
         return Refused(f"the replica answered {head.status} and did not run the request")
-
-    def _relay(self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead) -> AttemptResult:
-        is_stream = self._is_stream(head)
-        if self._answer.started and not is_stream:
-            exchange.abandon()
-            return Broken(f"the replica answered {head.status} instead of going on")
-        relay = self._relay_events if is_stream else self._relay_whole
-        try:
-            return relay(exchange, replica, head)
-        except OSError:
-            exchange.abandon()
-            raise
-
-    def _is_stream(self, head: AnswerHead) -> bool:
-        if head.status != 200:
-            return False
-        names = {name.lower(): value for name, value in head.headers}
-        return names.get("content-type", "").startswith(EVENT_STREAM)
-
-    def _relay_whole(
-        self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
-    ) -> AttemptResult:
-        """Read the answer before any of it is sent, unless it is long."""
-        blocks: list[bytes] = []
-        buffered_bytes = 0
-        while True:
-            exchange.set_read_timeout(self._request.deadline.remaining_s())
-            block = exchange.read_block()
-            if isinstance(block, OutcomeUnknown):
-                return _broken(block)
-            if not block:
-                break
-            blocks.append(block)
-            buffered_bytes += len(block)
-            if buffered_bytes > MAX_BUFFERED_BYTES:
-                if not self._answer.started:
-                    self._answer.start(head.status, head.reason, head.headers, head.length)
-                self._answer.write(b"".join(blocks))
-                blocks.clear()
-                buffered_bytes = 0
-        self._release(exchange, head)
-        body = b"".join(blocks)
-        if not self._answer.started:
-            self._answer.start(head.status, head.reason, head.headers, len(body))
-        self._answer.write(body)
-        return Delivered(head.status, replica.id)
-
-    def _relay_events(
-        self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
-    ) -> AttemptResult:
-        """Pass events on as they come; of a resumable stream only whole ones."""
-        resumable = self._route.resumable
-        self._framer.rest = b""
-        while True:
-            exchange.set_read_timeout(self._gap_patience_s())
-            block = exchange.read_block()
-            if isinstance(block, OutcomeUnknown):
-                return _broken(block)
-            replica.hear()
-            if not block:
-                break
-            events = self._framer.take(block) if resumable else block
-            if not self._answer.started:
-                self._answer.start(head.status, head.reason, head.headers)
-            self._answer.write(events)
-        if resumable and self._framer.rest:
-            exchange.abandon()
-            return Broken("the stream ended in the middle of an event", connection_closed=True)
-        self._release(exchange, head)
-        if not self._answer.started:
-            self._answer.start(head.status, head.reason, head.headers)
-        return Delivered(head.status, replica.id)
-
-    def _gap_patience_s(self) -> float:
-        remaining_s = self._request.deadline.remaining_s()
-        return min(remaining_s, EVENT_GAP_PATIENCE_S) if self._may_try_another() else remaining_s
-
-    def _release(self, exchange: Exchange, head: AnswerHead) -> None:
-        if head.keep_s > 0:
-            exchange.release(head.keep_s)
-        else:
-            exchange.abandon()
-
-
-def _broken(failure: OutcomeUnknown) -> Broken:
-    return Broken(failure.reason, failure.connection_closed)
--- a/src/quaymill/request/forwarding_result.py
+++ b/src/quaymill/request/forwarding_result.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from quaymill.request.outcome import OutcomeUnknown
+
 
 @attrs.frozen
 class Delivered:
@@ -76,3 +78,8 @@
 
 
 AttemptResult = Delivered | CallerLeft | Refused | Broken
+
+
+def broken_by(failure: OutcomeUnknown) -> Broken:
+    """Return what a failure of the exchange makes of the attempt."""
+    return Broken(failure.reason, failure.connection_closed)
