--- a/src/quaymill_bench/soak_faults.py
+++ b/src/quaymill_bench/soak_faults.py
@@ -2,21 +2,28 @@
 
 from __future__ import annotations
 
-import contextlib
 import random
 import signal
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 import msgspec
-import urllib3
 
 from quaymill_bench.fleet_processes import FleetProcess, LocalFleet
-from quaymill_bench.fleet_world import ROUTES, configuration, key_header, request_headers
+from quaymill_bench.fleet_world import ROUTES, configuration
 from quaymill_bench.loopback_proxy import LinkState, LoopbackProxy
-from quaymill_bench.soak_tenants import FLOOD, FLOOD_KEY, OFFICE_KEYS, SoakTenants
+from quaymill_bench.soak_senders import (
+    CRASH_SUFFIX,
+    CRASHING_KINDS,
+    FLOODERS,
+    Sender,
+    send_crashing,
+    send_flood,
+)
+from quaymill_bench.soak_tenants import FLOOD, SoakTenants
 from quaymill_bench.soak_timeline import Timeline
 from quaymill_standins.fleet_replica import ReplicaBehaviour
 from quaymill_standins.fleet_store import FleetStoreFaults
@@ -40,14 +47,6 @@
 """Times of an event: an item of three of them is over at once, or outlasts other coordinators."""
 SUSPENDED_S = (1.0, 6.0)
 """Suspensions: shorter and longer than a lease of a job."""
-CRASH_SUFFIX = "crash"
-"""A request whose path ends so crashes the replica that begins to run it."""
-CRASHING_KINDS = ("read", "write", "stream", "resumable")
-CRASHING_PAUSE_S = (0.05, 0.4)
-CRASHING_DEADLINE_MS = 3000
-FLOODERS = 3
-FLOOD_PAUSE_S = 0.03
-"""Three senders of some 25 requests a second each: several times the limit."""
 FOREIGN_KINDS = (
     "servers",
     "quaymill-nodes",
@@ -369,33 +368,25 @@
         kind = self._random.choice(CRASHING_KINDS)
         name = f"{kind}-crash-{self._seed}-{self._random.randrange(1000)}"
         self._note(f"{name} crashes the replicas that run it")
+        return self._send_until_healed([partial(send_crashing, kind, name)])
+
+    def _send_until_healed(self, senders: list[Sender]) -> Heal:
+        """Run each sender in a thread of its own."""
         stopping = threading.Event()
-        chance = random.Random(name)
-        thread = threading.Thread(
-            target=self._send_again_and_again, args=(kind, name, chance, stopping), daemon=True
-        )
-        thread.start()
+        threads = [
+            threading.Thread(target=send, args=(self._fleet, self._timeline, stopping), daemon=True)
+            for send in senders
+        ]
+        for thread in threads:
+            thread.start()
 
         def heal() -> None:
             stopping.set()
-            thread.join()
+            for thread in threads:
+                thread.join()
 
         return heal
 
-    def _send_again_and_again(
-        self, kind: str, name: str, chance: random.Random, stopping: threading.Event
-    ) -> None:
-        number = 0
-        while not stopping.wait(chance.uniform(*CRASHING_PAUSE_S)):
-            number += 1
-            headers = request_headers(kind, f"{name}-{number}", CRASHING_DEADLINE_MS)
-            headers |= key_header(OFFICE_KEYS[0])
-            gateway = chance.choice(self._fleet.gateways)
-            path = f"/{kind}/{CRASH_SUFFIX}"
-            with contextlib.suppress(urllib3.exceptions.HTTPError):
-                answer = self._fleet.call(gateway, "POST", path, name.encode(), headers)
-                self._timeline.note(f"client: {name} at {gateway.name}: {answer.status}")
-
     def _leave_foreign_entries(self) -> Heal:
         """Write objects that no process of ours writes, also over those of replicas."""
         names = [f"foreign-{index}" for index in range(len(FOREIGN_SPECS))]
@@ -426,28 +417,5 @@
     def _flood(self) -> Heal:
         """Have one tenant send many times what it may, at all gateways."""
         self._note(f"{FLOOD} sends far beyond its limit")
-        stopping = threading.Event()
         names = [f"flood-{self._seed}-{self._random.randrange(1000)}-{n}" for n in range(FLOODERS)]
-        threads = [
-            threading.Thread(target=self._send_flood, args=(name, stopping), daemon=True)
-            for name in names
-        ]
-        for thread in threads:
-            thread.start()
-
-        def heal() -> None:
-            stopping.set()
-            for thread in threads:
-                thread.join()
-
-        return heal
-
-    def _send_flood(self, name: str, stopping: threading.Event) -> None:
-        chance = random.Random(name)
-        number = 0
-        while not stopping.wait(FLOOD_PAUSE_S):
-            number += 1
-            headers = request_headers("read", f"{name}-{number}", CRASHING_DEADLINE_MS)
-            gateway = chance.choice(self._fleet.gateways)
-            with contextlib.suppress(urllib3.exceptions.HTTPError):
-                self._fleet.call(gateway, "POST", "/read/x", b"", headers | key_header(FLOOD_KEY))
+        return self._send_until_healed([partial(send_flood, name) for name in names])
