--- /dev/null
+++ b/tests/fleet_case.py
@@ -0,0 +1,39 @@
+"""Cases on one calm fleet that a class of tests shares."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any, ClassVar
+
+from fleet_rig import FleetRig
+from quaymill_standins.fleet_replica import ReplicaBehaviour, ReplicaRun
+
+
+class FleetCase(unittest.TestCase):
+    """Starts the fleet once; replicas forget what they ran before each test.
+
+    Attributes
+    ----------
+    world
+        What the fleet's first configuration holds beside the defaults.
+    """
+
+    world: ClassVar[dict[str, Any]] = {}
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.rig = FleetRig().start(**cls.world)
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        cls.rig.stop()
+
+    def setUp(self) -> None:
+        for replica in self.rig.replicas.values():
+            replica.behaviour = ReplicaBehaviour()
+            replica.runs.clear()
+
+    def runs(self, request_id: str = "") -> list[ReplicaRun]:
+        """Return what replicas ran of a request, or of all."""
+        found = [run for replica in self.rig.replicas.values() for run in replica.runs]
+        return [run for run in found if not request_id or run.request_id == request_id]
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -4,9 +4,9 @@
 
 import json
 import threading
-import unittest
 
-from fleet_rig import FleetRig, wait_until
+from fleet_case import FleetCase
+from fleet_rig import wait_until
 from quaymill_bench.fleet_world import (
     HOST,
     ROUTES,
@@ -19,28 +19,6 @@
 from quaymill_standins.fleet_replica import ReplicaBehaviour, event_bytes
 
 
-class FleetCase(unittest.TestCase):
-    """One calm fleet for a class of tests."""
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        cls.rig = FleetRig().start()
-
-    @classmethod
-    def tearDownClass(cls) -> None:
-        cls.rig.stop()
-
-    def setUp(self) -> None:
-        for replica in self.rig.replicas.values():
-            replica.behaviour = ReplicaBehaviour()
-            replica.runs.clear()
-
-    def runs(self, request_id: str) -> list:
-        return [
-            run for replica in self.rig.replicas.values() for run in replica.runs_of(request_id)
-        ]
-
-
 class RequestTest(FleetCase):
     """Opaque requests."""
 
--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -8,11 +8,13 @@
 import socket
 import threading
 import unittest
+from typing import Any, ClassVar
 
 import eliot
 from nose2.tools import params
 from prometheus_client import generate_latest
 
+from fleet_case import FleetCase
 from fleet_rig import FleetRig, wait_until
 from quaymill.platform.configuration import decode_configuration
 from quaymill.process.front.access import Caller, KeyState, identify, key_state
@@ -169,28 +171,12 @@
                 self.assertEqual(["bearer", key], [text.split()[0].lower(), *text.split()[1:]])
 
 
-class KeyCase(unittest.TestCase):
+class KeyCase(FleetCase):
     """A calm fleet whose requests need keys."""
 
+    world: ClassVar[dict[str, Any]] = {"routes": WITH_PUBLIC, "tenants": (OFFICE, KIOSK)}
     version = 1
 
-    @classmethod
-    def setUpClass(cls) -> None:
-        cls.rig = FleetRig().start(routes=WITH_PUBLIC, tenants=(OFFICE, KIOSK))
-
-    @classmethod
-    def tearDownClass(cls) -> None:
-        cls.rig.stop()
-
-    def setUp(self) -> None:
-        for replica in self.rig.replicas.values():
-            replica.behaviour = ReplicaBehaviour()
-            replica.runs.clear()
-
-    def runs(self, request_id: str = "") -> list:
-        found = [run for replica in self.rig.replicas.values() for run in replica.runs]
-        return [run for run in found if not request_id or run.request_id == request_id]
-
     def configure(self, *tenants: dict, routes=WITH_PUBLIC) -> None:
         type(self).version += 1
         self.rig.configure(self.version, routes=routes, tenants=tenants)
--- a/tests/test_tenant_limits.py
+++ b/tests/test_tenant_limits.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import time
-import unittest
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any, ClassVar
 
-from fleet_rig import FleetRig
+from fleet_case import FleetCase
 from quaymill_bench.fleet_world import key_header, tenant
 
 RATE_PER_S = 10.0
@@ -15,25 +15,16 @@
 THREADS = 6
 
 
-class LimitTest(unittest.TestCase):
+class LimitTest(FleetCase):
     """One tenant sends many times its limit at two gateways, another a little."""
 
-    @classmethod
-    def setUpClass(cls) -> None:
-        tenants = (
+    world: ClassVar[dict[str, Any]] = {
+        "tenants": (
             tenant("flood", "k-flood", rate_per_s=RATE_PER_S, burst=BURST),
             tenant("calm", "k-calm", rate_per_s=RATE_PER_S, burst=BURST),
             tenant("free", "k-free", rate_per_s=0),
         )
-        cls.rig = FleetRig().start(tenants=tenants)
-
-    @classmethod
-    def tearDownClass(cls) -> None:
-        cls.rig.stop()
-
-    def setUp(self) -> None:
-        for replica in self.rig.replicas.values():
-            replica.runs.clear()
+    }
 
     def flood(self, key: str, seconds: float, pause_s: float = 0.0) -> list:
         """Send requests as fast as they are answered; return the answers."""
