Items leave a replica that says nothing more after 2 s, or 1 s amid their events

Online streams that may be resumed wait 2 s and 1 s, and an item can go on anywhere at any moment. Change: the same bounds, by the same constants, and a replica from which nothing comes at all is left sooner. Test: test_item_run, three rows, red before (6.0, 3.0, 3.0 s; 3 s allowed: a sixth of the time until due).

--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -11,14 +11,18 @@
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections
 from quaymill.process.jobs.coordinated_job import RunningItem
 from quaymill.process.replica_set.replica import Replica
+from quaymill.request.answer_relay import EVENT_GAP_PATIENCE_S
 from quaymill.request.deadline import Deadline
 from quaymill.request.event_stream import EventFramer, data_of_events
 from quaymill.request.forwarded_request import ForwardedRequest, Headers, content_of
-from quaymill.request.forwarding import ReplicaProtocol
+from quaymill.request.forwarding import (
+    FIRST_EVENT_PATIENCE_S,
+    SILENCE_CHECK_S,
+    SILENCE_PATIENCE_S,
+    ReplicaProtocol,
+)
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 
-FIRST_EVENT_TIMEOUT_S = 6.0
-EVENT_GAP_TIMEOUT_S = 3.0
 RUN_TIMEOUT_S = 60.0
 METHOD = "POST"
 IMPOSSIBLE_STATUS = 422
@@ -137,7 +141,10 @@
     protocol: ReplicaProtocol,
 ) -> ItemOutcome:
     began = boot_clock.now()
-    failure = exchange.read_head(FIRST_EVENT_TIMEOUT_S)
+    if not _comes_in_time(exchange, replica, began):
+        exchange.give_up()
+        return ItemCut(f"nothing came for {boot_clock.now() - began:.2f} s")
+    failure = exchange.read_head(EVENT_GAP_PATIENCE_S)
     if failure is not None:
         return _cut(failure)
     head = protocol.read_answer_head(exchange)
@@ -162,6 +169,20 @@
         replica.end_answer()
 
 
+def _comes_in_time(exchange: Exchange, replica: Replica, began: float) -> bool:
+    """Return whether the answer begins before the item is better off elsewhere.
+
+    An item goes on from its last event at any replica, so that a replica which took it and says
+    nothing must not use up the time until it is due.
+    """
+    while (waited_s := boot_clock.now() - began) < FIRST_EVENT_PATIENCE_S:
+        if exchange.wait_readable(SILENCE_CHECK_S):
+            return True
+        if replica.silent and waited_s > SILENCE_PATIENCE_S:
+            return False
+    return False
+
+
 def _cut(failure: OutcomeUnknown) -> ItemCut:
     return ItemCut(failure.reason, connection_closed=failure.connection_closed)
 
@@ -178,7 +199,7 @@
     item: RunningItem, replica: Replica, exchange: Exchange, keep_s: float
 ) -> ItemOutcome:
     framer = EventFramer(item.last_event_id)
-    exchange.set_read_timeout(EVENT_GAP_TIMEOUT_S)
+    exchange.set_read_timeout(EVENT_GAP_PATIENCE_S)
     while True:
         block = exchange.read_block()
         if isinstance(block, OutcomeUnknown):
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -8,6 +8,7 @@
 
 from nose2.tools import params
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.job_document import JobItem
 from quaymill.connection.replica_connection import ReplicaConnections
@@ -26,6 +27,9 @@
 )
 HALF_AN_EVENT = HEAD_ONLY + b"8\r\nid: 1\nda\r\n"
 JOIN_TIMEOUT_S = 10.0
+LONGEST_SILENCE_S = 18.0 / 6
+"""A sixth of the 18 s in which a job is due: an item of five seconds that meets two such$
+replicas is still in time."""
 
 
 class ItemRunTest(unittest.TestCase):
@@ -76,3 +80,12 @@
         thread, connection = self.run_until_answered(answer)
         connection.close()
         self.assertTrue(self.outcome_of(thread).blames_replica)
+
+    @params(NO_HEAD, HEAD_ONLY, HALF_AN_EVENT)
+    def test_an_item_leaves_a_replica_that_says_nothing_more(self, answer: bytes) -> None:
+        began = boot_clock.now()
+        thread, connection = self.run_until_answered(answer)
+        outcome = self.outcome_of(thread)
+        self.assertLess(boot_clock.now() - began, LONGEST_SILENCE_S)
+        self.assertTrue(outcome.blames_replica)
+        self.assertEqual(b"", connection.recv(1), "the replica sees that the item has left")
