Settings: how many zones may be cut off at once

Cause: nothing told a process whether a zone may be lost, so nothing could take effect only where one may. Tested: test_settings, with rows for the serving settings' numbers.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,11 @@
 
 from nose2.tools import params
 
+from quaymill.process.serving_settings import (
+    ServingRole,
+    ServingSettings,
+    load_serving_settings,
+)
 from quaymill.process.settings import NodeSettings, SettingsError, load_settings
 
 VALID = """
@@ -19,6 +24,23 @@
 seeds = ["127.0.0.1:7002"]
 """
 
+SERVING = """
+name = "storage-a"
+zone = "a"
+region = "north"
+address = "127.0.0.1"
+peer_ports = "7660,7675"
+store = "127.0.0.1:9000"
+data_folder = "/data"
+"""
+
+
+def _load_serving(text: str) -> ServingSettings | SettingsError:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "node.toml"
+        path.write_text(text)
+        return load_serving_settings(path, ServingRole.JOB_STORAGE)
+
 
 def _load(text: str) -> NodeSettings | SettingsError:
     with tempfile.TemporaryDirectory() as folder:
@@ -59,3 +81,23 @@
         fault = load_settings(Path("/nonexistent/node.toml"))
         self.assertIsInstance(fault, SettingsError)
         self.assertIn("check the path", str(fault))
+
+
+class ServingSettingsTest(unittest.TestCase):
+    """The file that the platform fills."""
+
+    @params(
+        ("left out", "", 0),
+        ("none", "zones_lost_at_once = 0\n", 0),
+        ("one", "zones_lost_at_once = 1\n", 1),
+    )
+    def test_zones_lost_at_once_are_read(self, _name, line, expected):
+        self.assertEqual(expected, _load_serving(SERVING + line).zones_lost_at_once)
+
+    @params(
+        ("zones_lost_at_once", "-1"), ("zones_lost_at_once", '"1"'), ("disks_lost_at_once", "-1")
+    )
+    def test_number_that_is_none_is_refused(self, key, value):
+        fault = _load_serving(f"{SERVING}{key} = {value}\n")
+        self.assertIsInstance(fault, SettingsError)
+        self.assertEqual(key, fault.key)
