--- a/src/quaymill/connection/peer_link.py
+++ b/src/quaymill/connection/peer_link.py
@@ -11,7 +11,7 @@
 
 import socket
 import time
-from typing import ClassVar, TypeVar, Union
+from typing import ClassVar, Protocol, TypeVar, Union
 
 import attrs
 import msgspec
@@ -67,6 +67,19 @@
 Reply = TypeVar("Reply", bound=PeerMessage)
 
 
+class CallObserver(Protocol):
+    """Hears of every call to a peer; must be quick and safe to use from any thread."""
+
+    def refuses(self, endpoint: Endpoint) -> bool:
+        """Return whether a call to this peer is not to be begun now."""
+
+    def began(self, endpoint: Endpoint) -> int:
+        """Take note of a call; returns what ``ended`` is given."""
+
+    def ended(self, token: int, reply: object) -> None:
+        """Take note of what came of a call: a reply, or a ``PeerFailure``."""
+
+
 @attrs.frozen
 class _Received:
     """A line that came, and the connection on which it did."""
@@ -76,10 +89,17 @@
 
 
 class PeerClient:
-    """Sends messages to peers over a small pool of connections for each of them."""
+    """Sends messages to peers over a small pool of connections for each of them.
 
-    def __init__(self, link_filter: LinkFilter) -> None:
+    Parameters
+    ----------
+    observer
+        Hears of every call, and may have calls fail that would only wait for their time-out.
+    """
+
+    def __init__(self, link_filter: LinkFilter, observer: CallObserver | None = None) -> None:
         self._link_filter = link_filter
+        self._observer = observer
         # A readable idle connection holds an end of stream: the peer has closed it.
         self._idle = IdleConnections[socket.socket](
             MAX_IDLE_CONNECTIONS_PER_PEER,
@@ -98,6 +118,26 @@
         The reply, or a failure: ``PeerUnreachable`` if nothing was sent, ``PeerRefusal`` if
         the peer did nothing, ``PeerNoReply`` if the peer may have acted.
         """
+        observer = self._observer
+        if observer is None:
+            return self._call(endpoint, message, reply_type, timeout_s)
+        if observer.refuses(endpoint):
+            return PeerUnreachable(endpoint, "its zone cannot be reached")
+        token = observer.began(endpoint)
+        reply: Reply | PeerFailure | None = None
+        try:
+            reply = self._call(endpoint, message, reply_type, timeout_s)
+            return reply
+        finally:
+            observer.ended(token, reply)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._idle.close()
+
+    def _call(
+        self, endpoint: Endpoint, message: PeerMessage, reply_type: type[Reply], timeout_s: float
+    ) -> Reply | PeerFailure:
         deadline = boot_clock.now() + timeout_s
         if self._link_filter.blocks(endpoint):
             time.sleep(min(timeout_s, CONNECT_TIMEOUT_S))
@@ -107,10 +147,6 @@
             return received
         return self._decode(endpoint, received, reply_type)
 
-    def close(self) -> None:
-        """Close all idle connections."""
-        self._idle.close()
-
     def _exchange(
         self, endpoint: Endpoint, message: PeerMessage, timeout_s: float, deadline: float
     ) -> _Received | PeerFailure:
--- a/src/quaymill/process/gateway_gauges.py
+++ b/src/quaymill/process/gateway_gauges.py
@@ -21,6 +21,7 @@
     "requests_suspected": "Requests under which fewer replicas crashed.",
     "storage_nodes": "Live storage nodes.",
     "gateways": "Live gateways.",
+    "zones_unreachable": "Zones that this process cannot reach.",
     "replica_connections_opened": "Connections opened to replicas since the start.",
     "store_calls": "Calls of the platform's store since the start.",
     "log_lines_dropped": "Log lines left out since the start.",
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -107,7 +107,8 @@
         self._started_at = boot_clock.now()
         self.network = PeerNetwork.from_settings(settings)
         self._connections = ReplicaConnections(LinkFilter(), CONNECT_TIMEOUT_S)
-        self._table = ReplicaTable(self._forget_replica)
+        self._table = ReplicaTable(self._forget_replica, self.network.reach.is_unreachable)
+        self.network.reach.watch_replicas(self._table.replicas)
         self.control = ControlPlaneView(
             store,
             protocol.control,
@@ -182,8 +183,15 @@
             self.network.gateways,
             lambda: self.control.routes.batch_services,
             self._queue.look_again,
+            self.network.reach.reachable,
+        )
+        claims = RoomClaims(
+            settings.name,
+            keeper,
+            self.network.client,
+            self.network.gateways,
+            self.network.reach.reachable,
         )
-        claims = RoomClaims(settings.name, keeper, self.network.client, self.network.gateways)
         self.coordinator = JobCoordinator(
             DispatcherParts(
                 name=self.network.process_name,
@@ -258,7 +266,12 @@
             name,
             self.network.process_name,
             self._limits_of,
-            GatewayFleet(self.network.membership, name, lambda member: not member.has_disk),
+            GatewayFleet(
+                self.network.membership,
+                name,
+                lambda member: not member.has_disk,
+                self.network.reach.is_unreachable,
+            ),
             self.network.client,
             self.network.server,
             Overrun(
@@ -318,6 +331,7 @@
             "requests_suspected": lambda: self._poison_records.count(barred=False),
             "storage_nodes": lambda: len(self.network.storage_nodes()),
             "gateways": lambda: len(self.network.gateways()),
+            "zones_unreachable": lambda: self.network.reach.unreachable_zones,
             "replica_connections_opened": lambda: self._connections.opened,
             "store_calls": self._store_calls,
             "log_lines_dropped": self._context.log_lines_dropped,
--- a/src/quaymill/process/jobs/engine_loads.py
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -152,7 +152,7 @@
             and replica.id in self._wanted
             and replica.departed_at is None
         ):
-            report = self._ask(replica)
+            report = None if replica.unreachable else self._ask(replica)
             with self._lock:
                 poll = self._polls_by_replica.setdefault(replica.id, _Poll())
                 if report is not None:
--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -30,7 +30,7 @@
     ReplicaLoad,
 )
 from quaymill.process.jobs.engine_pool import EnginePool, pool_of, pools_of
-from quaymill.process.jobs.room_claims import KeeperChoice
+from quaymill.process.jobs.room_claims import KeeperChoice, ReachableOf
 from quaymill.process.jobs.room_keeper import RoomKeeper
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.router import PlacementWishes
@@ -68,6 +68,8 @@
         Returns the live gateways, this one included.
     loads_changed
         Called when a keeper has told the loads of a pool.
+    reachable
+        Returns those of some gateways that can be reached.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         gateways: Callable[[], tuple[Member, ...]],
         batch_services: Callable[[], Collection[str]],
         loads_changed: Callable[[], None] = lambda: None,
+        reachable: ReachableOf = tuple,
     ) -> None:
         self._own_name = own_name
         self._zone = zone
@@ -87,7 +90,7 @@
         self._keeper = keeper
         self._client = client
         self._gateways = gateways
-        self._keepers = KeeperChoice(gateways)
+        self._keepers = KeeperChoice(gateways, reachable)
         self._batch_services = batch_services
         self._loads_changed = loads_changed
         self._lock = threading.Lock()
--- a/src/quaymill/process/jobs/room_claims.py
+++ b/src/quaymill/process/jobs/room_claims.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from eliot import log_message
 
@@ -20,6 +20,9 @@
 ClaimRoomCall = Callable[[ClaimRoom], RoomGranted | None]
 """Puts a claim to who keeps room for its pool; ``None`` if that did not answer."""
 
+ReachableOf = Callable[[Iterable[Member]], tuple[Member, ...]]
+"""Returns the members in zones that can be reached; all if there is none such."""
+
 
 class KeeperChoice:
     """Finds who keeps room; safe to use from any thread.
@@ -28,10 +31,15 @@
     ----------
     gateways
         Returns the live gateways, this one included.
+    reachable
+        Returns those of some gateways that can be reached.
     """
 
-    def __init__(self, gateways: Callable[[], tuple[Member, ...]]) -> None:
+    def __init__(
+        self, gateways: Callable[[], tuple[Member, ...]], reachable: ReachableOf = tuple
+    ) -> None:
         self._gateways = gateways
+        self._reachable = reachable
         self._avoided_until_by_name: dict[str, float] = {}
 
     def keeper_of(self, service: str, pool: int) -> Member | None:
@@ -40,7 +48,7 @@
         It is one of the strongest; the others follow while none of these answers.
         """
         now = boot_clock.now()
-        gateways = self._gateways()
+        gateways = self._reachable(self._gateways())
         strong = strongest(gateways)
         for group in (strong, gateways):
             for member in rank_nodes(f"room/{service}/{pool}", group):
@@ -73,11 +81,12 @@
         keeper: RoomKeeper,
         client: PeerClient,
         gateways: Callable[[], tuple[Member, ...]],
+        reachable: ReachableOf = tuple,
     ) -> None:
         self._own_name = own_name
         self._keeper = keeper
         self._client = client
-        self._keepers = KeeperChoice(gateways)
+        self._keepers = KeeperChoice(gateways, reachable)
 
     def claim(self, claim: ClaimRoom) -> RoomGranted | None:
         """Put a claim to the gateway that ranks first for its pool."""
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -137,7 +137,8 @@
             counts.take_online(message.gateway, _by_replica(message.in_flight), boot_clock.now())
             replicas = pool.members(self._table)
             allowed = [one for one in replicas if one.id not in message.excluded]
-            sound = [one for one in allowed if not one.avoided] or allowed
+            reached = [one for one in allowed if not one.unreachable] or allowed
+            sound = [one for one in reached if not one.avoided] or reached
             if not sound:
                 return OnlinePlaced("", counts.loads(replicas))
             offsets = {offset.replica_id: offset.requests for offset in message.offsets}
--- a/src/quaymill/process/limits/fleet.py
+++ b/src/quaymill/process/limits/fleet.py
@@ -43,14 +43,21 @@
     ----------
     belongs
         Whether a member is one of the gateways that share the limits.
+    is_unreachable
+        Returns whether a zone cannot be reached now.
     """
 
     def __init__(
-        self, membership: MembershipView, own_name: str, belongs: Callable[[Member], bool]
+        self,
+        membership: MembershipView,
+        own_name: str,
+        belongs: Callable[[Member], bool],
+        is_unreachable: Callable[[str], bool] = lambda zone: False,
     ) -> None:
         self._membership = membership
         self._own_name = own_name
         self._belongs = belongs
+        self._is_unreachable = is_unreachable
         self._started_at = boot_clock.now()
         self._view = FleetView(1, 1, young=True)
         self._viewed_at = -VIEW_LIFETIME_S
@@ -58,10 +65,15 @@
     def ranked(self, tenant: str) -> tuple[Member, ...]:
         """Return the live gateways, those first that grant the tenant's credits before others.
 
+        Not those in a zone that cannot be reached; the own zone always can.
         Strong ones come first: a weak one would answer the requests of a tenant at its limit
         for all others.
         """
-        gateways = [member for member in self._membership.live() if self._belongs(member)]
+        gateways = [
+            member
+            for member in self._membership.live()
+            if self._belongs(member) and not self._is_unreachable(member.zone)
+        ]
         return _ranked(tenant, gateways)
 
     def is_first(self, tenant: str) -> bool:
@@ -101,7 +113,7 @@
         for member in self._membership.members():
             if not self._belongs(member):
                 continue
-            if member.state is not MemberState.DEAD:
+            if member.state is not MemberState.DEAD and not self._is_unreachable(member.zone):
                 live += 1
             elif self._membership.dead_for_s(member.name) < SILENT_COUNTED_S:
                 silent += 1
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -157,6 +157,21 @@
         ("member, zone: who", "state: alive, suspect, draining, dead", "process: its name"),
     ),
     "membership:dead": LogEvent("this node has found another one dead", ("node, zone: who",)),
+    "zone:unreachable": LogEvent(
+        "this process can reach another zone no more, and passes over what is there",
+        (
+            "lost_zone: which",
+            "silent: the peers there that were asked in vain",
+            "silent_s: for how long",
+            "calls_unanswered, replicas_silent: calls and replicas there that owed an answer",
+            "heard_s_ago: when something was heard from there last",
+        ),
+    ),
+    "zone:reachable": LogEvent(
+        "a zone that could not be reached was heard",
+        ("lost_zone: which", "heard_from: the peer", "lost_for_s: for how long it was not reached"),
+    ),
+    "zone:check_error": LogEvent("a check of the zones met a bug", ("error",)),
     "membership:handler_error": LogEvent("a datagram met a bug", ("error",)),
     "peer:handler_error": LogEvent("a peer's message met a bug", ("kind: the message", "error")),
     "peer:reply_error": LogEvent(
--- a/src/quaymill/process/membership/membership.py
+++ b/src/quaymill/process/membership/membership.py
@@ -58,6 +58,10 @@
 """Takes generation, machine list version, and when they were known to be the newest."""
 CrashListener = Callable[[str, int], None]
 """Takes a node's name and its digest of crashes."""
+WordListener = Callable[[str], None]
+"""Takes the name of a node from which a datagram has come."""
+UNAWAITED_SEQUENCE = 0
+"""Of a probe whose reply nobody waits for; those of the failure detector begin at 1."""
 
 
 class Membership:
@@ -84,6 +88,7 @@
         self._confirmed_at: float | None = None
         self._crash_digest = 0
         self._crash_listener: CrashListener | None = None
+        self._word_listener: WordListener | None = None
         self._corrected_at_by_name: dict[str, float] = {}
         self._told_lock = threading.Lock()
         self._told_states: dict[str, tuple[MemberState, str]] = {}
@@ -148,6 +153,20 @@
         """Call ``listener`` with each digest of crashes that another node tells, and its name."""
         self._crash_listener = listener
 
+    def on_word(self, listener: WordListener) -> None:
+        """Call ``listener`` with the sender's name of each datagram; it must not block."""
+        self._word_listener = listener
+
+    @property
+    def patience(self) -> float:
+        """By how much answers to probes are waited for longer now; 1 in a calm fleet."""
+        return self._detector.patience
+
+    def ask(self, members: Iterable[Member]) -> None:
+        """Probe these members beside the usual probes; a listener hears of their replies."""
+        for member in members:
+            self._send(member.peer, Probe(**self._head(), sequence=UNAWAITED_SEQUENCE))
+
     def tell_crash_digest(self, digest: int) -> None:
         """Tell others with each datagram the digest of the crashes known here."""
         self._crash_digest = digest
@@ -196,6 +215,8 @@
 
     def _handle(self, datagram: Datagram, source: Endpoint) -> None:
         """Take one datagram; runs on the receiving thread."""
+        if self._word_listener is not None:
+            self._word_listener(datagram.sender)
         revision = self._table.revision
         for record in datagram.records:
             news = self._table.merge(record.member())
--- /dev/null
+++ b/src/quaymill/process/membership/zone_reach.py
@@ -0,0 +1,401 @@
+"""Which zones this process can reach, told from what it hears itself.
+
+A zone that is cut off sends nothing and refuses nothing: each call there waits for its time-out.
+One peer that owes an answer, or one replica that is late with the first byte, makes this process
+ask some peers of the zone. If none of these answers, and nothing at all was heard from the zone
+meanwhile, the zone cannot be reached. Any word from there ends that at once.
+"""
+
+from __future__ import annotations
+
+import enum
+import itertools
+import math
+import random
+import threading
+from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import Protocol
+
+import attrs
+from eliot import log_message
+
+from quaymill import boot_clock
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.member import Member, MemberState
+from quaymill.connection.peer_link import PeerNoReply, PeerUnreachable
+
+CHECK_INTERVAL_S = 0.05
+ASK_AFTER_S = 0.03
+"""Silence of a peer that was called after which its zone is asked: several times what an answer
+takes with nothing in its way. To ask for nothing costs a few datagrams."""
+REPLICA_ASK_AFTER_S = 0.1
+"""The same of a replica, where the first byte takes tens of milliseconds with nothing wrong."""
+SILENT_AFTER_S = 0.1
+"""Silence from which on a peer that was asked counts as silent. With the time until it is asked,
+a request that waits in vain goes elsewhere within callers' shortest objective (0.3 s)."""
+MIN_SILENT_PEERS = 3
+"""Different peers that must be silent, all of a smaller zone: two machines may fail at once."""
+LEAST_SILENT_PEERS = 2
+"""A zone with fewer peers is never judged: one silent machine says nothing of its zone."""
+PEERS_ASKED_AT_ONCE = 3
+ASK_UNREACHABLE_S = 0.25
+"""Time between two questions to a zone that cannot be reached."""
+FORGET_S = 2.0
+"""How long a call that ended without an answer counts."""
+FAST_FAILURE_S = 0.02
+"""A call that fails sooner was refused by a machine that is reached, or not sent at all."""
+HELD_UP_S = 0.1
+"""Lateness of a check from which on this process itself was held up: what waited for an answer
+meanwhile may have it unread."""
+
+
+class Verdict(enum.Enum):
+    """What is known of a zone."""
+
+    CALM = enum.auto()
+    ASK = enum.auto()
+    UNREACHABLE = enum.auto()
+
+
+@attrs.frozen
+class Evidence:
+    """What a process knows of one zone; times are of the boot clock.
+
+    Attributes
+    ----------
+    heard_at
+        When something was heard last from there.
+    peers
+        How many peers live there, as far as is known.
+    peers_owe_since, replicas_owe_since
+        Since when peers that were called owe an answer, and since when replicas that were sent
+        requests have been silent. Either may have a good reason, so they lead to questions only.
+    asked_at
+        When peers were asked for a word, by name; they give it at once.
+    """
+
+    heard_at: float
+    peers: int
+    peers_owe_since: Collection[float] = ()
+    replicas_owe_since: Collection[float] = ()
+    asked_at: Mapping[str, float] = attrs.field(factory=dict)
+
+    def silent(self, now: float, silent_after_s: float) -> tuple[str, ...]:
+        """Return the peers that were asked, with nothing heard from the zone since."""
+        return tuple(
+            name
+            for name, at in self.asked_at.items()
+            if at > self.heard_at and now - at >= silent_after_s
+        )
+
+
+def judge(evidence: Evidence, now: float, silent_after_s: float = SILENT_AFTER_S) -> Verdict:
+    """Return what is known of another zone.
+
+    Parameters
+    ----------
+    silent_after_s
+        Silence from which on a peer that was asked counts as silent.
+    """
+    needed = max(LEAST_SILENT_PEERS, min(MIN_SILENT_PEERS, evidence.peers))
+    if len(evidence.silent(now, silent_after_s)) >= needed:
+        return Verdict.UNREACHABLE
+    waiting = (
+        (evidence.peers_owe_since, ASK_AFTER_S),
+        (evidence.replicas_owe_since, REPLICA_ASK_AFTER_S),
+        (evidence.asked_at.values(), 0.0),
+    )
+    late = any(
+        evidence.heard_at < since <= now - patience_s
+        for owe_since, patience_s in waiting
+        for since in owe_since
+    )
+    return Verdict.ASK if late else Verdict.CALM
+
+
+class MembershipLink(Protocol):
+    """What is needed of the membership."""
+
+    @property
+    def patience(self) -> float:
+        """By how much answers are waited for longer now; 1 in a calm fleet."""
+
+    def members(self) -> tuple[Member, ...]:
+        """Return every member known, this node and the dead included."""
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after news of members."""
+
+    def on_word(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener`` with the name of each sender of a datagram."""
+
+    def ask(self, members: Iterable[Member]) -> None:
+        """Ask members for a word."""
+
+
+class WatchedReplica(Protocol):
+    """What is needed of a replica."""
+
+    @property
+    def zone(self) -> str:
+        """Where it runs."""
+
+    @property
+    def heard_at(self) -> float:
+        """When something came from it last."""
+
+    @property
+    def owes_since(self) -> float | None:
+        """Since when it has been silent with a request from here; ``None`` without one."""
+
+
+@attrs.define
+class _Zone:
+    """State of one other zone.
+
+    Attributes
+    ----------
+    asked_at_by_name
+        When peers were asked whether they can be reached, since the zone was last heard.
+    lost_at, asked_at
+        Since when the zone cannot be reached, and when it was asked last.
+    """
+
+    members: tuple[Member, ...] = ()
+    heard_at: float = -math.inf
+    asked_at_by_name: dict[str, float] = attrs.field(factory=dict)
+    lost_at: float = 0.0
+    asked_at: float = -math.inf
+
+    def expected(self) -> list[Member]:
+        """Return the members that should answer; all if they are held for dead together."""
+        alive = [member for member in self.members if member.state is not MemberState.DEAD]
+        return alive or list(self.members)
+
+    def forget_answered(self) -> None:
+        """Forget what was asked before the zone was heard last."""
+        if any(at <= self.heard_at for at in self.asked_at_by_name.values()):
+            self.asked_at_by_name.clear()
+
+
+class ZoneReach:
+    """The zones as this process reaches them; safe to use from any thread.
+
+    It hears of each call to a peer (``began``, ``ended``) and of each datagram; replicas are
+    looked at from time to time. Until ``start`` every zone counts as reachable.
+
+    Parameters
+    ----------
+    own_zone
+        Where this process runs; it is always reachable.
+    """
+
+    def __init__(self, own_zone: str, membership: MembershipLink) -> None:
+        self._own_zone = own_zone
+        self._membership = membership
+        self._replicas: Callable[[], Iterable[WatchedReplica]] = tuple
+        self._random = random.Random()
+        self._lock = threading.Lock()
+        self._zones: dict[str, _Zone] = {}
+        self._members_by_endpoint: dict[Endpoint, Member] = {}
+        self._members_by_name: dict[str, Member] = {}
+        self._members_changed = True
+        self._unreachable: frozenset[str] = frozenset()
+        self._tokens = itertools.count()
+        self._open_calls: dict[int, tuple[Endpoint, float]] = {}
+        self._unanswered: dict[Endpoint, float] = {}
+        self._awake_since = -math.inf
+        self._checked_at = boot_clock.now()
+        self._stopping = threading.Event()
+
+    def watch_replicas(self, replicas: Callable[[], Iterable[WatchedReplica]]) -> None:
+        """Look at these replicas too."""
+        self._replicas = replicas
+
+    def start(self) -> None:
+        """Begin to tell which zones can be reached."""
+        self._membership.subscribe(self._note_members_changed)
+        self._membership.on_word(self._note_word)
+        self._checked_at = boot_clock.now()
+        threading.Thread(target=self._run, name="zone-reach", daemon=True).start()
+
+    def stop(self) -> None:
+        """Tell no more."""
+        self._stopping.set()
+
+    def is_unreachable(self, zone: str) -> bool:
+        """Return whether a zone cannot be reached now."""
+        return zone in self._unreachable
+
+    def reachable(self, members: Iterable[Member]) -> tuple[Member, ...]:
+        """Return the members in zones that can be reached; all if there is none such."""
+        members = tuple(members)
+        if not self._unreachable:
+            return members
+        return tuple(one for one in members if one.zone not in self._unreachable) or members
+
+    @property
+    def unreachable_zones(self) -> int:
+        """How many zones cannot be reached now."""
+        return len(self._unreachable)
+
+    # Calls to peers, as their client tells of them.
+
+    def refuses(self, endpoint: Endpoint) -> bool:
+        """Return whether a call would go to a zone that cannot be reached."""
+        if not self._unreachable:
+            return False
+        member = self._members_by_endpoint.get(endpoint)
+        return member is not None and member.zone in self._unreachable
+
+    def began(self, endpoint: Endpoint) -> int:
+        """Note that a peer is being called; returns what ``ended`` is to be given."""
+        token = next(self._tokens)
+        self._open_calls[token] = (endpoint, boot_clock.now())
+        return token
+
+    def ended(self, token: int, reply: object) -> None:
+        """Note what came of a call."""
+        endpoint, began = self._open_calls.pop(token)
+        if not isinstance(reply, PeerUnreachable | PeerNoReply):
+            self._hear(self._members_by_endpoint.get(endpoint))
+        elif boot_clock.now() - began >= FAST_FAILURE_S:
+            self._unanswered[endpoint] = began
+
+    # What is heard otherwise.
+
+    def _note_word(self, name: str) -> None:
+        self._hear(self._members_by_name.get(name))
+
+    def _hear(self, member: Member | None) -> None:
+        """Note a word of a member: its zone is reached, if it was not until now."""
+        zone = None if member is None else self._zones.get(member.zone)
+        if zone is None:
+            return
+        zone.heard_at = boot_clock.now()
+        if member.zone in self._unreachable:
+            with self._lock:
+                self._set_reachable(member.zone, member.name)
+
+    def _note_members_changed(self) -> None:
+        self._members_changed = True
+
+    # The check, on a thread of its own.
+
+    def _run(self) -> None:
+        while not self._stopping.wait(CHECK_INTERVAL_S):
+            try:
+                self.check()
+            except Exception as error:  # A bug here must not end the checks of this process.
+                log_message("zone:check_error", error=repr(error))
+
+    def check(self) -> None:
+        """Look at all that was heard and is owed, and decide."""
+        now = boot_clock.now()
+        if now - self._checked_at > CHECK_INTERVAL_S + HELD_UP_S:
+            self._awake_since = now
+        self._checked_at = now
+        with self._lock:
+            if self._members_changed:
+                self._take_members()
+            self._hear_replicas()
+            for name, zone in self._zones.items():
+                self._check_zone(name, zone, now)
+
+    def _take_members(self) -> None:
+        self._members_changed = False
+        members = self._membership.members()
+        self._members_by_name = {member.name: member for member in members}
+        self._members_by_endpoint = {member.peer: member for member in members}
+        by_zone: dict[str, list[Member]] = {}
+        for member in members:
+            if member.zone != self._own_zone:
+                by_zone.setdefault(member.zone, []).append(member)
+        for name, found in by_zone.items():
+            self._zones.setdefault(name, _Zone()).members = tuple(found)
+
+    def _hear_replicas(self) -> None:
+        """Note by zone when something came from a replica last."""
+        for replica in self._replicas():
+            zone = self._zones.get(replica.zone)
+            if zone is not None and replica.heard_at > zone.heard_at:
+                zone.heard_at = replica.heard_at
+
+    def _check_zone(self, name: str, zone: _Zone, now: float) -> None:
+        if name in self._unreachable:
+            if zone.heard_at > zone.lost_at:
+                self._set_reachable(name, "a replica")
+            elif now - zone.asked_at >= ASK_UNREACHABLE_S:
+                zone.asked_at = now
+                self._membership.ask([self._random.choice(zone.members)])
+            return
+        zone.forget_answered()
+        evidence = self._evidence(name, zone, now)
+        silent_after_s = SILENT_AFTER_S * self._membership.patience
+        verdict = judge(evidence, now, silent_after_s)
+        if verdict is Verdict.UNREACHABLE:
+            self._set_unreachable(name, zone, evidence, now, silent_after_s)
+        elif verdict is Verdict.ASK:
+            self._ask_some(zone, now)
+
+    def _evidence(self, name: str, zone: _Zone, now: float) -> Evidence:
+        """Return what counts: not what has waited since before this process was held up."""
+        awake = self._awake_since
+        calls = [
+            since
+            for endpoint, since in self._calls(now)
+            if since > awake and self._zone_of(endpoint) == name
+        ]
+        owed = [replica.owes_since for replica in self._replicas() if replica.zone == name]
+        replicas = [since for since in owed if since is not None and since > awake]
+        asked = {one: at for one, at in zone.asked_at_by_name.items() if at > awake}
+        return Evidence(zone.heard_at, len(zone.expected()), calls, replicas, asked)
+
+    def _zone_of(self, endpoint: Endpoint) -> str:
+        member = self._members_by_endpoint.get(endpoint)
+        return "" if member is None else member.zone
+
+    def _calls(self, now: float) -> list[tuple[Endpoint, float]]:
+        """Return the calls that have no answer yet, or had none a moment ago."""
+        for endpoint, began in list(self._unanswered.items()):
+            if now - began > FORGET_S:
+                del self._unanswered[endpoint]
+        return [*list(self._open_calls.values()), *list(self._unanswered.items())]
+
+    def _ask_some(self, zone: _Zone, now: float) -> None:
+        """Ask some peers of a zone that have not been asked since it was heard last."""
+        if any(at <= self._awake_since for at in zone.asked_at_by_name.values()):
+            zone.asked_at_by_name.clear()
+        unasked = [member for member in zone.expected() if member.name not in zone.asked_at_by_name]
+        asked = self._random.sample(unasked, min(PEERS_ASKED_AT_ONCE, len(unasked)))
+        zone.asked_at_by_name.update({member.name: now for member in asked})
+        self._membership.ask(asked)
+
+    def _set_unreachable(
+        self, name: str, zone: _Zone, evidence: Evidence, now: float, silent_after_s: float
+    ) -> None:
+        zone.lost_at = now
+        zone.asked_at = now
+        zone.asked_at_by_name.clear()
+        self._unreachable |= {name}
+        log_message(
+            "zone:unreachable",
+            lost_zone=name,
+            silent=sorted(evidence.silent(now, silent_after_s)),
+            silent_s=round(now - min(evidence.asked_at.values()), 3),
+            calls_unanswered=len(evidence.peers_owe_since),
+            replicas_silent=len(evidence.replicas_owe_since),
+            heard_s_ago=round(min(now - evidence.heard_at, 999.0), 3),
+        )
+
+    def _set_reachable(self, name: str, heard_from: str) -> None:
+        """End the state of a zone; the lock is held."""
+        if name not in self._unreachable:
+            return
+        self._unreachable -= {name}
+        log_message(
+            "zone:reachable",
+            lost_zone=name,
+            heard_from=heard_from,
+            lost_for_s=round(boot_clock.now() - self._zones[name].lost_at, 3),
+        )
--- a/src/quaymill/process/peer_network.py
+++ b/src/quaymill/process/peer_network.py
@@ -9,6 +9,7 @@
 from quaymill.connection.peer_link import PeerClient
 from quaymill.connection.peer_server import PeerServer
 from quaymill.process.membership.membership import Membership
+from quaymill.process.membership.zone_reach import ZoneReach
 from quaymill.process.serving_settings import ServingSettings
 from quaymill.process.settings import MembershipSettings, NodeSettings
 
@@ -27,11 +28,19 @@
 
 @attrs.frozen
 class PeerNetwork:
-    """The peers as one process sees them."""
+    """The peers as one process sees them.
+
+    Attributes
+    ----------
+    zones_may_be_lost
+        Whether it is told which zones can be reached; else all count as reachable.
+    """
 
     membership: Membership
     server: PeerServer
     client: PeerClient
+    reach: ZoneReach
+    zones_may_be_lost: bool
 
     @classmethod
     def from_settings(cls, settings: ServingSettings) -> PeerNetwork:
@@ -50,20 +59,28 @@
             membership=TIMING,
         )
         link_filter = LinkFilter()
+        membership = Membership(node_settings, link_filter)
+        reach = ZoneReach(settings.zone, membership)
+        zones_may_be_lost = settings.zones_lost_at_once > 0
         return cls(
-            Membership(node_settings, link_filter),
+            membership,
             PeerServer(Endpoint(settings.address, settings.peer_port)),
-            PeerClient(link_filter),
+            PeerClient(link_filter, reach if zones_may_be_lost else None),
+            reach,
+            zones_may_be_lost,
         )
 
     def start(self) -> None:
         """Answer peers; every handler must be registered."""
         self.server.start()
         self.membership.start()
+        if self.zones_may_be_lost:
+            self.reach.start()
 
     def stop(self) -> None:
         """Leave without a word; peers find out."""
         self.server.stop()
+        self.reach.stop()
         self.membership.stop()
         self.client.close()
 
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -4,6 +4,7 @@
 
 import math
 import threading
+from collections.abc import Callable
 
 import attrs
 import xxhash
@@ -74,6 +75,11 @@
 class Replica:
     """Load and health of one start of a replica; safe to use from any thread.
 
+    Parameters
+    ----------
+    is_unreachable
+        Returns whether a zone cannot be reached now.
+
     Attributes
     ----------
     in_flight
@@ -84,10 +90,18 @@
         Spreads replicas over parts of a service, alike in every process.
     departed_at
         Monotonic time since when the platform lists the replica no more.
+    heard_at
+        Monotonic time when something came from it last.
     """
 
-    def __init__(self, entry: ReplicaEntry) -> None:
+    def __init__(
+        self,
+        entry: ReplicaEntry,
+        is_unreachable: Callable[[str], bool] = lambda zone: False,
+    ) -> None:
         self.entry = entry
+        self._is_unreachable = is_unreachable
+        self.heard_at = -math.inf
         self.id_hash = xxhash.xxh3_64_intdigest(entry.id.encode())
         self.in_flight = 0
         self.items_in_flight = 0
@@ -131,7 +145,22 @@
 
     def hear(self) -> None:
         """Note that something came from the replica, whatever it was."""
-        self._quiet_since = boot_clock.now()
+        self._quiet_since = self.heard_at = boot_clock.now()
+
+    @property
+    def zone(self) -> str:
+        """Where it runs."""
+        return self.entry.zone
+
+    @property
+    def owes_since(self) -> float | None:
+        """Since when it has been silent with a request from here; ``None`` without one."""
+        return self._quiet_since if self.in_flight else None
+
+    @property
+    def unreachable(self) -> bool:
+        """Whether its zone cannot be reached now."""
+        return self._is_unreachable(self.entry.zone)
 
     def begin_answer(self) -> None:
         """Count a request whose answer has begun to come."""
@@ -235,7 +264,12 @@
             self._first_byte_s += LATENCY_WEIGHT * (first_byte_s - self._first_byte_s)
 
     def record_failure(self, weight: float = 1.0) -> None:
-        """Note a failure; ``weight`` says how much it tells of the replica."""
+        """Note a failure; ``weight`` says how much it tells of the replica.
+
+        Where its whole zone cannot be reached, a failure says nothing of the replica.
+        """
+        if self.unreachable:
+            return
         with self._lock:
             self._failed_at = boot_clock.now()
             self._set_penalty(self._present_penalty() + weight)
@@ -257,7 +291,7 @@
     @property
     def avoided(self) -> bool:
         """Whether it gets nothing new while others are sound."""
-        if self.ejected or self.silent:
+        if self.unreachable or self.ejected or self.silent:
             return True
         if not self._warnings:
             return False
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -113,13 +113,21 @@
             return NoReplica(service, "no replica of the service is listed and untried")
         sound = [replica for replica in candidates if not replica.avoided]
         if not sound:
-            return self._least_costly(candidates, self._offsets(candidates, prompt))
+            reached = [one for one in candidates if not one.unreachable] or candidates
+            return self._least_costly(reached, self._offsets(reached, prompt))
         offsets = self._offsets(sound, prompt)
         first = self._least_costly(sound, offsets)
         unsound = {replica.id for replica in candidates} - {replica.id for replica in sound}
         wishes = PlacementWishes(frozenset(excluded) | unsound, offsets)
         return self._place(first, wishes) or first
 
+    def may_reach_another(self, service: str, excluded: Iterable[str]) -> bool:
+        """Return whether a replica that is not in ``excluded`` lies in a zone that is reached."""
+        return any(
+            not replica.leaving and replica.id not in excluded and not replica.unreachable
+            for replica in self._table.of_service(service)
+        )
+
     def _least_costly(self, candidates: list[Replica], offsets: Mapping[str, float]) -> Replica:
         return least_costly(candidates, Replica.load, self._zone, offsets, self._random)
 
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -21,10 +21,17 @@
     ----------
     on_departed
         Called with each replica that is listed no more.
+    is_unreachable
+        Returns whether a zone cannot be reached now.
     """
 
-    def __init__(self, on_departed: Callable[[Replica], None] = lambda replica: None) -> None:
+    def __init__(
+        self,
+        on_departed: Callable[[Replica], None] = lambda replica: None,
+        is_unreachable: Callable[[str], bool] = lambda zone: False,
+    ) -> None:
         self._on_departed = on_departed
+        self._is_unreachable = is_unreachable
         self._lock = threading.Lock()
         self._by_id: dict[str, Replica] = {}
         self._by_service: dict[str, tuple[Replica, ...]] = {}
@@ -108,7 +115,7 @@
     def _put(self, entry: ReplicaEntry) -> None:
         replica = self._by_id.get(entry.id)
         if replica is None:
-            self._by_id[entry.id] = Replica(entry)
+            self._by_id[entry.id] = Replica(entry, self._is_unreachable)
             log_message("replica:listed", replica=entry.id, service=entry.service, zone=entry.zone)
             return
         if entry.born_ms != replica.entry.born_ms:
@@ -116,7 +123,7 @@
             log_message("replica:started_again", replica=entry.id, service=entry.service)
             replica.departed_at = boot_clock.now()
             self._on_departed(replica)
-            self._by_id[entry.id] = Replica(entry)
+            self._by_id[entry.id] = Replica(entry, self._is_unreachable)
             return
         if entry.draining and not replica.entry.draining:
             log_message("replica:draining", replica=entry.id, service=entry.service)
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -299,11 +299,19 @@
         while (left_s := until - boot_clock.now()) > 0:
             if exchange.wait_readable(min(left_s, SILENCE_CHECK_S)):
                 return None
-            if may_try_another and replica.silent and boot_clock.now() - began > SILENCE_PATIENCE_S:
+            if may_try_another and self._waits_in_vain(replica, began):
                 break
         exchange.give_up()
         return Broken(f"nothing came for {boot_clock.now() - began:.2f} s")
 
+    def _waits_in_vain(self, replica: ChosenReplica, began: float) -> bool:
+        """Return whether another replica would answer sooner than one that sends nothing."""
+        if replica.silent and boot_clock.now() - began > SILENCE_PATIENCE_S:
+            return True
+        if not replica.unreachable:
+            return False
+        return self._router.may_reach_another(self._service, self._tried | {replica.id})
+
     def _may_try_another(self) -> bool:
         return self._route.repeatable and self._runs + 1 < self._route.max_attempts
 
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -43,6 +43,10 @@
     def silent(self) -> bool:
         """Whether the replica owes answers and nothing at all comes from it."""
 
+    @property
+    def unreachable(self) -> bool:
+        """Whether its zone cannot be reached now."""
+
     def hear(self) -> None:
         """Note that something came from the replica."""
 
@@ -85,6 +89,9 @@
     ) -> ChosenReplica | NoReplica:
         """Return the best replica, leaving out those whose identity is in ``excluded``."""
 
+    def may_reach_another(self, service: str, excluded: Iterable[str]) -> bool:
+        """Return whether a replica that is not in ``excluded`` lies in a zone that is reached."""
+
 
 class RequestObserver(Protocol):
     """Hears of every request that goes to a replica."""
