Zones: tests of the decision and of a zone that is cut off; other zones are asked at once

Change: a question to a zone in which something waits goes to quiet other zones too, so that a request which leaves one lost zone doesn't go on to another; its attempt tells why it went on.

--- a/src/quaymill/process/membership/zone_reach.py
+++ b/src/quaymill/process/membership/zone_reach.py
@@ -299,8 +299,11 @@
             if self._members_changed:
                 self._take_members()
             self._hear_replicas()
-            for name, zone in self._zones.items():
-                self._check_zone(name, zone, now)
+            verdicts = {
+                name: self._check_zone(name, zone, now) for name, zone in self._zones.items()
+            }
+            if Verdict.ASK in verdicts.values():
+                self._ask_all(verdicts, now)
 
     def _take_members(self) -> None:
         self._members_changed = False
@@ -321,22 +324,37 @@
             if zone is not None and replica.heard_at > zone.heard_at:
                 zone.heard_at = replica.heard_at
 
-    def _check_zone(self, name: str, zone: _Zone, now: float) -> None:
+    def _check_zone(self, name: str, zone: _Zone, now: float) -> Verdict:
         if name in self._unreachable:
-            if zone.heard_at > zone.lost_at:
-                self._set_reachable(name, "a replica")
-            elif now - zone.asked_at >= ASK_UNREACHABLE_S:
-                zone.asked_at = now
-                self._membership.ask([self._random.choice(zone.members)])
-            return
+            self._look_for(name, zone, now)
+            return Verdict.UNREACHABLE
         zone.forget_answered()
         evidence = self._evidence(name, zone, now)
         silent_after_s = SILENT_AFTER_S * self._membership.patience
         verdict = judge(evidence, now, silent_after_s)
         if verdict is Verdict.UNREACHABLE:
             self._set_unreachable(name, zone, evidence, now, silent_after_s)
-        elif verdict is Verdict.ASK:
-            self._ask_some(zone, now)
+        return verdict
+
+    def _look_for(self, name: str, zone: _Zone, now: float) -> None:
+        """Ask a zone that is not reached for a word, unless there was one."""
+        if zone.heard_at > zone.lost_at:
+            self._set_reachable(name, "a replica")
+        elif now - zone.asked_at >= ASK_UNREACHABLE_S:
+            zone.asked_at = now
+            self._membership.ask([self._random.choice(zone.members)])
+
+    def _ask_all(self, verdicts: Mapping[str, Verdict], now: float) -> None:
+        """Ask the zones of which it is not known whether they are reached.
+
+        One that is calm is asked too, if nothing was heard from it just now: where the own zone
+        is cut off, a request that leaves one zone must not go on to another that is lost as well.
+        """
+        for name, verdict in verdicts.items():
+            zone = self._zones[name]
+            quiet = now - zone.heard_at > CHECK_INTERVAL_S
+            if verdict is Verdict.ASK or (verdict is Verdict.CALM and quiet):
+                self._ask_some(zone, now)
 
     def _evidence(self, name: str, zone: _Zone, now: float) -> Evidence:
         """Return what counts: not what has waited since before this process was held up."""
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -299,15 +299,16 @@
         while (left_s := until - boot_clock.now()) > 0:
             if exchange.wait_readable(min(left_s, SILENCE_CHECK_S)):
                 return None
-            if may_try_another and self._waits_in_vain(replica, began):
+            if may_try_another and self._is_lost(replica):
+                exchange.give_up()
+                return Broken("its zone cannot be reached any more")
+            if may_try_another and replica.silent and boot_clock.now() - began > SILENCE_PATIENCE_S:
                 break
         exchange.give_up()
         return Broken(f"nothing came for {boot_clock.now() - began:.2f} s")
 
-    def _waits_in_vain(self, replica: ChosenReplica, began: float) -> bool:
-        """Return whether another replica would answer sooner than one that sends nothing."""
-        if replica.silent and boot_clock.now() - began > SILENCE_PATIENCE_S:
-            return True
+    def _is_lost(self, replica: ChosenReplica) -> bool:
+        """Return whether a replica is not reached any more, and another one is."""
         if not replica.unreachable:
             return False
         return self._router.may_reach_another(self._service, self._tried | {replica.id})
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -47,9 +47,22 @@
 
 
 class FleetRig:
-    """Builds, disturbs and stops a fleet."""
+    """Builds, disturbs and stops a fleet.
 
-    def __init__(self, gateways: int = 2, storage: int = 3, engines: int = 2) -> None:
+    Parameters
+    ----------
+    zones_lost_at_once
+        What the nodes' settings say of zones.
+    """
+
+    def __init__(
+        self,
+        gateways: int = 2,
+        storage: int = 3,
+        engines: int = 2,
+        zones_lost_at_once: int = 0,
+    ) -> None:
+        self.zones_lost_at_once = zones_lost_at_once
         self.folder = Path(tempfile.mkdtemp(prefix="quaymill-fleet-"))
         self.peer_port = free_port()
         self.store = FleetStore()
@@ -170,6 +183,7 @@
             seeds=",".join(f"{other}:1" for other in others),
             data_folder=data_folder,
             disks_lost_at_once=1,
+            zones_lost_at_once=self.zones_lost_at_once,
             listen=Listeners() if data_folder else listen,
             bounds=Bounds(leave_s=0.3, grace_s=6.0),
         )
--- a/tests/test_job_room.py
+++ b/tests/test_job_room.py
@@ -4,6 +4,7 @@
 
 import unittest
 from collections import Counter
+from collections.abc import Iterable
 from unittest import mock
 
 import msgspec
@@ -99,7 +100,8 @@
         self.addCleanup(patch.stop)
 
     def keeper(self, **free_by_replica: int) -> RoomKeeper:
-        table = ReplicaTable()
+        self.lost_zones: set[str] = set()
+        table = ReplicaTable(is_unreachable=self.lost_zones.__contains__)
         entries = [
             ReplicaEntry(name, SERVICE, Endpoint("127.0.0.1", 1), name[0], self.slots)
             for name in free_by_replica
@@ -197,6 +199,15 @@
         self.tell(keeper, "g", x1=7)
         self.assertEqual(2, len(self.orders))
 
+    def test_nothing_is_placed_in_a_zone_that_is_not_reached(self) -> None:
+        keeper = self.keeper(x1=0, y1=0)
+        self.tell(keeper, "h", x1=5)
+        self.assertEqual("y1", self.place(keeper, "g", in_flight=()).replica_id)
+        self.lost_zones.add("y")
+        self.assertEqual("x1", self.place(keeper, "g", in_flight=()).replica_id)
+        placed = self.place(keeper, "g", in_flight=(), excluded=("x1",))
+        self.assertEqual("y1", placed.replica_id)
+
     def test_only_what_is_new_makes_items_give_way(self) -> None:
         keeper = self.keeper(x1=0)
         keeper.claim(claim("a", running=[("x1", 5)]))
@@ -540,6 +551,21 @@
         keepers = {choice.keeper_of(f"service-{n}", 0).name for n in range(50)}
         self.assertEqual({"b", "c"}, keepers)
 
+    def test_keeper_is_one_that_is_reached(self) -> None:
+        lost: set[str] = set()
+
+        def reachable(members: Iterable[Member]) -> tuple[Member, ...]:
+            members = tuple(members)
+            return tuple(one for one in members if one.name not in lost) or members
+
+        choice = KeeperChoice(lambda: self.members, reachable)
+        first = choice.keeper_of(SERVICE, 0).name
+        lost.add(first)
+        second = choice.keeper_of(SERVICE, 0).name
+        self.assertNotEqual(first, second)
+        lost |= {one.name for one in self.members}
+        self.assertEqual(first, choice.keeper_of(SERVICE, 0).name)
+
     def test_the_others_keep_room_while_no_strong_one_answers(self) -> None:
         members = [msgspec.structs.replace(one, cores=0.5) for one in self.members]
         members[1:] = [msgspec.structs.replace(one, cores=2.0) for one in members[1:]]
--- a/tests/test_replica_choice.py
+++ b/tests/test_replica_choice.py
@@ -28,7 +28,8 @@
     """A router over a table."""
 
     def setUp(self) -> None:
-        self.table = ReplicaTable()
+        self.lost_zones: set[str] = set()
+        self.table = ReplicaTable(is_unreachable=self.lost_zones.__contains__)
         self.router = Router(self.table, "here", "seed")
 
     def list(self, *entries: ReplicaEntry) -> None:
@@ -69,11 +70,17 @@
             replica.begin()
         self.assertNotIn(replica.id, self.choices(prompt=prompt))
 
-    @params("draining", "departed", "misdirected", "ejected", "silent")
+    @params("draining", "departed", "misdirected", "ejected", "silent", "unreachable")
     def test_replica_that_is_avoided(self, how) -> None:
         self.list(entry("bad"), entry("good"))
         bad = self.table.get("bad")
-        if how == "draining":
+        if how == "unreachable":
+            self.list(entry("bad", zone="there"), entry("good"))
+            self.lost_zones.add("there")
+            for _ in range(5):
+                self.table.get("good").begin()
+            self.table.get("good").hear()
+        elif how == "draining":
             self.list(entry("bad", draining=True), entry("good"))
         elif how == "departed":
             self.list(entry("good"))
@@ -105,6 +112,27 @@
             self.table.get(name).record_failure(3.0)
         self.assertLessEqual(self.choices(60), {"a", "b"})
 
+    def test_all_unreachable_is_better_than_none(self) -> None:
+        self.list(entry("a", zone="there"), entry("b", zone="there"))
+        self.lost_zones.add("there")
+        self.assertEqual({"a", "b"}, self.choices(60))
+        self.assertFalse(self.router.may_reach_another(SERVICE, ()))
+
+    def test_one_that_fails_is_better_than_one_that_is_not_reached(self) -> None:
+        self.list(entry("fails"), entry("lost", zone="there"))
+        self.lost_zones.add("there")
+        self.table.get("fails").record_failure(3.0)
+        self.assertEqual({"fails"}, self.choices())
+        self.assertTrue(self.router.may_reach_another(SERVICE, {"lost"}))
+        self.assertFalse(self.router.may_reach_another(SERVICE, {"fails"}))
+
+    def test_failure_while_its_zone_is_not_reached_says_nothing_of_a_replica(self) -> None:
+        self.list(entry("a", zone="there"))
+        self.lost_zones.add("there")
+        self.table.get("a").record_failure(3.0)
+        self.lost_zones.clear()
+        self.assertFalse(self.table.get("a").avoided)
+
     def test_only_leaving_ones_is_none(self) -> None:
         self.list(entry("a", draining=True))
         self.assertIsInstance(self.router.choose(SERVICE), NoReplica)
--- /dev/null
+++ b/tests/test_zone_cut.py
@@ -0,0 +1,193 @@
+"""A zone is cut off without a word: its gateway serves by its own zone's replicas, in time."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any
+
+import attrs
+from eliot import add_destinations, remove_destination
+
+from fleet_rig import FleetRig, wait_until
+from quaymill.connection.endpoint import Endpoint
+from quaymill.process.gateway_node import GatewayNode
+from quaymill.process.storage_node import StorageNode
+from quaymill_bench.fleet_world import ZONES
+from quaymill_bench.loopback_proxy import LinkState, LoopbackProxy
+from quaymill_standins.fleet_replica import FleetReplica, ReplicaBehaviour
+
+CUT = ZONES[0]
+GATEWAY = "gateway-0"
+OBJECTIVE_S = 0.3
+"""The callers' shortest objective."""
+KNOWN_AFTER_S = 2 * OBJECTIVE_S
+"""Time from the cut after which each request must be served as if the other zones were not
+there: who was late when it began may try once more."""
+GONE_ON_WITHIN_S = 1.0
+"""Well below the patience with a whole answer: eight times half of the route's objective."""
+SERVICE_S = 0.2
+SENT_EVERY_S = 0.1
+SENT_FOR_S = 3.0
+WARM_UP_S = 1.0
+QUICK = ReplicaBehaviour(events=2, event_s=SERVICE_S / 2)
+
+
+@attrs.frozen
+class Served:
+    """One request as its caller saw it; times in seconds."""
+
+    sent_at: float
+    took_s: float
+    status: int
+
+
+class CutCase(unittest.TestCase):
+    """Three zones, each with one gateway, two storage nodes and an engine.
+
+    Packets between the zone that is cut off and the others are dropped: nobody is told.
+    """
+
+    ZONES_LOST_AT_ONCE = 1
+
+    def setUp(self) -> None:
+        self.rig = FleetRig(3, 6, 3, self.ZONES_LOST_AT_ONCE)
+        self.addCleanup(self.rig.stop)
+        self.rig.start()
+        self.proxies = [
+            self.put_behind_proxy(one)
+            for one in list(self.rig.replicas.values())
+            if one.zone != CUT
+        ]
+        self.executor = ThreadPoolExecutor(64)
+        self.addCleanup(self.executor.shutdown)
+
+    def put_behind_proxy(self, replica: FleetReplica) -> LoopbackProxy:
+        """Let gateways reach a replica by way of a link that can be cut."""
+        proxy = LoopbackProxy(("127.0.0.1", replica.port))
+        self.addCleanup(proxy.stop)
+        address = f"127.0.0.1:{proxy.port}"
+        self.rig.store.put("servers", replica.id, replica.entry(seq=2) | {"address": address})
+        wait_until(
+            lambda: all(
+                gateway._table.get(replica.id).entry.address.port == proxy.port
+                for gateway in self.rig.gateways.values()
+            ),
+            f"{replica.id} is known behind its proxy",
+        )
+        return proxy
+
+    @property
+    def reach(self) -> Any:
+        """What the gateway of the zone that is cut off knows of zones."""
+        return self.rig.gateways[GATEWAY].network.reach
+
+    def make_quick(self) -> None:
+        for replica in self.rig.of_service("engine"):
+            replica.behaviour = QUICK
+
+    def cut(self) -> None:
+        """Cut the zone off."""
+        for proxy in self.proxies:
+            proxy.set_state(LinkState.SILENT)
+        nodes: dict[str, GatewayNode | StorageNode] = {**self.rig.gateways, **self.rig.storage}
+        peers = {
+            name: Endpoint(settings.address, self.rig.peer_port)
+            for name, settings in self.rig.settings.items()
+        }
+        for name, node in nodes.items():
+            inside = self.rig.settings[name].zone == CUT
+            blocked = {
+                peer
+                for other, peer in peers.items()
+                if (self.rig.settings[other].zone == CUT) != inside
+            }
+            node.network.client._link_filter.set_blocked(frozenset(blocked))
+
+    def heal(self) -> None:
+        """Let packets pass again."""
+        for proxy in self.proxies:
+            proxy.set_state(LinkState.OPEN)
+        for node in (*self.rig.gateways.values(), *self.rig.storage.values()):
+            node.network.client._link_filter.set_blocked(frozenset())
+
+    def send(self, request_id: str, path: str = "/resumable/x") -> Future[Served]:
+        """Send a request to the gateway of the zone that is cut off."""
+
+        def ask() -> Served:
+            began = time.monotonic()
+            answer = self.rig.ask(GATEWAY, path, request_id, tokens="/read" not in path)
+            return Served(began, time.monotonic() - began, answer.status)
+
+        return self.executor.submit(ask)
+
+    def send_for(self, for_s: float, name: str) -> list[Future[Served]]:
+        """Send requests at a steady pace."""
+        until = time.monotonic() + for_s
+        sent: list[Future[Served]] = []
+        while time.monotonic() < until:
+            sent.append(self.send(f"{name}-{len(sent)}"))
+            time.sleep(SENT_EVERY_S)
+        return sent
+
+
+class ZoneCutTest(CutCase):
+    """The gateway of a zone that is cut off."""
+
+    def test_requests_are_served_in_time_by_the_own_zone(self) -> None:
+        self.make_quick()
+        sent = self.send_for(WARM_UP_S, "before")
+        self.cut()
+        cut_at = time.monotonic()
+        sent += self.send_for(SENT_FOR_S, "after")
+        served = [one.result() for one in sent]
+        self.assertEqual({200}, {one.status for one in served})
+        after = [one for one in served if one.sent_at >= cut_at + KNOWN_AFTER_S]
+        self.assertGreater(len(after), 10)
+        late = [one for one in after if one.took_s > SERVICE_S + OBJECTIVE_S]
+        self.assertEqual([], late)
+
+    def test_request_that_waits_there_for_its_first_byte_goes_on_at_once(self) -> None:
+        lines: list[dict[str, Any]] = []
+        add_destinations(lines.append)
+        self.addCleanup(remove_destination, lines.append)
+        own, other = self.applications()
+        own.behaviour = other.behaviour = ReplicaBehaviour(answer_s=4.0)
+        sent = [self.send("first", "/read/x")]
+        wait_until(lambda: own.runs, "a request runs in the own zone")
+        sent.append(self.send("second", "/read/x"))
+        wait_until(lambda: other.runs_of("second"), "another runs elsewhere")
+        own.behaviour = ReplicaBehaviour()
+        self.cut()
+        self.assertEqual(200, sent[1].result().status)
+        attempts = [
+            (line["replica"], line["reason"])
+            for line in lines
+            if line["message_type"] == "request:attempt" and line["request_id"] == "second"
+        ]
+        lost = (other.id, "its zone cannot be reached any more")
+        self.assertEqual([lost, (own.id, "")], attempts)
+        self.assertLess(sent[1].result().took_s, GONE_ON_WITHIN_S)
+
+    def applications(self) -> tuple[FleetReplica, FleetReplica]:
+        """Return the application of the zone that is cut off, and that of another."""
+        own, other = sorted(self.rig.of_service("application"), key=lambda one: one.zone != CUT)
+        return own, other
+
+    def test_healed_cut_is_seen_and_the_others_are_used_again(self) -> None:
+        self.make_quick()
+        self.cut()
+        for index in range(8):  # More than the own zone's engine takes at once.
+            self.send(f"r-{index}")
+        wait_until(
+            lambda: all(self.reach.is_unreachable(zone) for zone in ZONES[1:]), "both are lost"
+        )
+        self.heal()
+        began = time.monotonic()
+        wait_until(
+            lambda: not any(self.reach.is_unreachable(zone) for zone in ZONES), "all are reached"
+        )
+        self.assertLess(time.monotonic() - began, KNOWN_AFTER_S)
+        replicas = self.rig.gateways[GATEWAY]._table.of_service("engine")
+        self.assertFalse(any(replica.unreachable for replica in replicas))
