--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -119,7 +119,7 @@
             settings.read_interval_s,
         )
         shared_store = SharingStore(
-            store, self.network.client, self.network.server, self.network.other_gateways
+            store, self.network.client, self.network.server, self.network.reached_gateways
         )
         listings = JobListings(shared_store)
         storage = JobStorageClient(
@@ -221,7 +221,7 @@
             leases,
             self.quota,
             SubmissionRelay(
-                settings.name, self.network.client, self.network.other_gateways, self._can_store
+                settings.name, self.network.client, self.network.reached_gateways, self._can_store
             ),
             ResultReader(
                 self.coordinator,
--- a/src/quaymill/process/membership/zone_reach.py
+++ b/src/quaymill/process/membership/zone_reach.py
@@ -44,7 +44,7 @@
 """How long a call that ended without an answer counts."""
 FAST_FAILURE_S = 0.02
 """A call that fails sooner was refused by a machine that is reached, or not sent at all."""
-HELD_UP_S = 0.1
+HELD_UP_S = 0.05
 """Lateness of a check from which on this process itself was held up: what waited for an answer
 meanwhile may have it unread."""
 
--- a/src/quaymill/process/peer_network.py
+++ b/src/quaymill/process/peer_network.py
@@ -117,6 +117,10 @@
         name = self.membership.local().name
         return tuple(member for member in self.gateways() if member.name != name)
 
+    def reached_gateways(self) -> tuple[Member, ...]:
+        """Return the live gateways apart from this process, in zones that can be reached."""
+        return self.reach.reachable(self.other_gateways())
+
     def process(self, name: str) -> Member | None:
         """Return the node on which a process of that name runs; ``None`` if it is gone."""
         node_name, _, _ = name.rpartition(COORDINATOR_SEPARATOR)
