--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -140,6 +140,7 @@
     failure = exchange.read_head(FIRST_EVENT_TIMEOUT_S)
     if failure is not None:
         return _cut(failure)
+    replica.hear()
     head = protocol.read_answer_head(exchange)
     if head.load is not None:
         replica.take_report(head.load)
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -163,8 +163,8 @@
         return self._is_unreachable(self.entry.zone)
 
     def begin_answer(self) -> None:
-        """Count a request whose answer has begun to come."""
-        self.hear()
+        """Count a request whose answer has begun to come, or whose connection was closed."""
+        self._quiet_since = boot_clock.now()
         with self._lock:
             self._answering += 1
 
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -284,6 +284,7 @@
         failure = exchange.read_head(max(0.05, self._request.deadline.remaining_s()))
         if failure is not None:
             return broken_by(failure)
+        replica.hear()
         head = self._protocol.read_answer_head(exchange)
         return self._take_answer(exchange, replica, head, began)
 
--- a/tests/test_replica_choice.py
+++ b/tests/test_replica_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 import unittest
 from unittest import mock
@@ -106,6 +107,15 @@
         replica.hear()
         self.assertFalse(replica.silent)
 
+    def test_connection_that_is_closed_is_no_word_of_the_replica(self) -> None:
+        self.list(entry("a"))
+        replica = self.table.get("a")
+        replica.begin()
+        replica.begin_answer()
+        self.assertEqual(-math.inf, replica.heard_at)
+        replica.hear()
+        self.assertGreater(replica.heard_at, 0.0)
+
     def test_all_bad_is_better_than_none(self) -> None:
         self.list(entry("a"), entry("b"))
         for name in ("a", "b"):
