--- a/src/quaymill/connection/peer_link.py
+++ b/src/quaymill/connection/peer_link.py
@@ -77,7 +77,7 @@
         """Take note of a call; returns what ``ended`` is given."""
 
     def ended(self, token: int, reply: object) -> None:
-        """Take note of what came of a call: a reply, or a ``PeerFailure``."""
+        """Take note of what came of a call: a reply, a ``PeerFailure``, ``None`` after a bug."""
 
 
 @attrs.frozen
--- a/src/quaymill/process/membership/zone_reach.py
+++ b/src/quaymill/process/membership/zone_reach.py
@@ -22,7 +22,7 @@
 from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member, MemberState
-from quaymill.connection.peer_link import PeerNoReply, PeerUnreachable
+from quaymill.connection.peer_link import PeerMessage
 
 CHECK_INTERVAL_S = 0.05
 ASK_AFTER_S = 0.03
@@ -256,7 +256,7 @@
     def ended(self, token: int, reply: object) -> None:
         """Note what came of a call."""
         endpoint, began = self._open_calls.pop(token)
-        if not isinstance(reply, PeerUnreachable | PeerNoReply):
+        if isinstance(reply, PeerMessage):
             self._hear(self._members_by_endpoint.get(endpoint))
         elif boot_clock.now() - began >= FAST_FAILURE_S:
             self._unanswered[endpoint] = began
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -39,6 +39,25 @@
     """A message without a handler."""
 
 
+class RecordingObserver:
+    """Notes what it hears of calls."""
+
+    def __init__(self) -> None:
+        self.refused: set[Endpoint] = set()
+        self.calls: list[Endpoint] = []
+        self.replies: dict[int, object] = {}
+
+    def refuses(self, endpoint: Endpoint) -> bool:
+        return endpoint in self.refused
+
+    def began(self, endpoint: Endpoint) -> int:
+        self.calls.append(endpoint)
+        return len(self.calls)
+
+    def ended(self, token: int, reply: object) -> None:
+        self.replies[token] = reply
+
+
 class PeerLinkTest(unittest.TestCase):
     """A server with an echo handler and one client."""
 
@@ -94,6 +113,27 @@
         self.assertIsInstance(self._call("bug"), PeerNoReply)
         self.assertEqual(self._call("next"), Echoed("next"))
 
+    def test_observer_hears_of_every_call_and_its_outcome(self):
+        observer = RecordingObserver()
+        client = PeerClient(self.link_filter, observer)
+        self.addCleanup(client.close)
+        endpoint = self.server.endpoint
+        client.call(endpoint, Echo("a"), Echoed, TIMEOUT_S)
+        client.call(endpoint, Echo("wait"), Echoed, SHORT_TIMEOUT_S)
+        self.assertEqual([endpoint] * 2, observer.calls)
+        self.assertEqual(Echoed("a"), observer.replies[1])
+        self.assertIsInstance(observer.replies[2], PeerNoReply)
+
+    def test_call_that_the_observer_refuses_is_not_sent(self):
+        observer = RecordingObserver()
+        observer.refused = {self.server.endpoint}
+        client = PeerClient(self.link_filter, observer)
+        with mock.patch.object(socket, "create_connection") as connect:
+            reply = client.call(self.server.endpoint, Echo("a"), Echoed, TIMEOUT_S)
+        self.assertIsInstance(reply, PeerUnreachable)
+        connect.assert_not_called()
+        self.assertEqual([], observer.calls)
+
     def test_refusal_says_that_nothing_was_done(self):
         reply = self.client.call(self.server.endpoint, Unhandled(), Echoed, TIMEOUT_S)
         self.assertIsInstance(reply, PeerRefusal)
