Store: a circuit breaker around a gateway's calls of the platform's store

Cause: while the store turns everybody away, each job's coordinator tries twice a second and each try asks two more gateways, which call the store as well.

Change: calls about listings, ledgers and barred requests are held back once two calls in a row have failed, but for probes with a growing, jittered pause. The bound of the pause follows from the bounds in the settings. Reads of the configuration and of replicas, registration and retirements pass, and count as probes. A gateway asks others at most where it isn't known that they hold back too (PeerRefusal.retry_after_s, a new field at the end), and first who helped last. A call that the store will never take (413 and the like) is no sign of an outage (CallRejected).

--- a/src/quaymill/connection/object_store.py
+++ b/src/quaymill/connection/object_store.py
@@ -107,9 +107,21 @@
 
 @attrs.frozen
 class StoreRefused:
-    """Nothing was done: the store was not reached, or it turned the call away."""
+    """Nothing was done: the store was not reached, or it turned the call away.
+
+    Attributes
+    ----------
+    retry_after_s
+        Time after which it is worth trying again; 0 where that is not known.
+    """
 
     reason: str
+    retry_after_s: float = 0.0
+
+
+@attrs.frozen
+class CallRejected(StoreRefused):
+    """The store answers, and will not take this call however often it is made."""
 
 
 @attrs.frozen
--- a/src/quaymill/connection/peer_link.py
+++ b/src/quaymill/connection/peer_link.py
@@ -44,9 +44,16 @@
 
 
 class PeerRefusal(PeerMessage, frozen=True):
-    """The peer understood the request, did nothing, and says why."""
+    """The peer understood the request, did nothing, and says why.
+
+    Attributes
+    ----------
+    retry_after_s
+        Time after which it is worth asking this peer again; 0 where it does not tell.
+    """
 
     reason: str
+    retry_after_s: float = 0.0
 
 
 class PeerUnreachable(msgspec.Struct, frozen=True):
--- a/src/quaymill/platform/object_store.py
+++ b/src/quaymill/platform/object_store.py
@@ -14,6 +14,7 @@
 from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.object_store import (
+    CallRejected,
     Changes,
     HistoryGone,
     Listing,
@@ -60,6 +61,10 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
+AWAY_STATUSES = frozenset({429, 503})
+"""Nothing was done, and the same call may be taken later."""
+
+
 class _Answer(msgspec.Struct):
     status: int
     body: bytes
@@ -212,9 +217,9 @@
     if status in (200, 201, 404, 409, 410):
         return _Answer(status, body)
     reason = f"the store answered {status}: {body[:200].decode(errors='replace')}"
-    if status < 500 or status == 503:
+    if status in AWAY_STATUSES:
         return StoreRefused(reason)
-    return StoreUnanswered(reason)
+    return CallRejected(reason) if status < 500 else StoreUnanswered(reason)
 
 
 def _path(kind: ObjectKind, name: str = "", query: dict[str, Any] | None = None) -> str:
--- a/src/quaymill/process/control/store_sharing.py
+++ b/src/quaymill/process/control/store_sharing.py
@@ -7,20 +7,23 @@
 
 from __future__ import annotations
 
-import random
+import threading
 from collections.abc import Callable
 from typing import Any
 
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.member import Member
 from quaymill.connection.object_store import (
+    CallRejected,
     Changes,
     HistoryGone,
     Listing,
     ObjectKind,
     ObjectMissing,
     ObjectStore,
+    ObjectUnreadable,
     RevisionConflict,
     StoredObject,
     StoreFailure,
@@ -31,12 +34,13 @@
 from quaymill.connection.peer_link import PeerClient, PeerNoReply, PeerRefusal
 from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.store_messages import SharedObject, StoreAnswer, StoreCall
+from quaymill.process.control.store_circuit import HELD_BACK_KINDS
+from quaymill.process.control.store_helpers import StoreHelpers
 
-SHARED_KINDS = frozenset(
-    {ObjectKind.JOB_LISTINGS, ObjectKind.QUOTA_LEDGERS, ObjectKind.BARRED_REQUESTS}
-)
-HELPERS = 2
 HELP_TIMEOUT_S = 2.0
+LOOK_WAIT_S = 0.3
+"""Time that a caller waits for another that looks for a gateway which can help: a peer that is
+held up by nothing has answered by then."""
 
 
 class SharingStore:
@@ -58,6 +62,9 @@
         self._own = own
         self._peer_client = peer_client
         self._helpers = helpers
+        self._lock = threading.Lock()
+        self._looking = threading.Lock()
+        self._choice = StoreHelpers()
         peer_server.register(StoreCall, self._answer)
 
     def list(self, kind: ObjectKind) -> Listing | StoreFailure:
@@ -102,25 +109,47 @@
     def _or_by_others(self, result: Any, call: StoreCall) -> Any:
         if not isinstance(result, StoreRefused | StoreUnanswered):
             return result
-        if ObjectKind[call.object_kind] not in SHARED_KINDS:
+        if isinstance(result, ObjectUnreadable | CallRejected):
+            return result  # It would be so for everybody.
+        if ObjectKind[call.object_kind] not in HELD_BACK_KINDS:
+            return result
+        # While nobody is known to be able to help, one caller looks, and the others with it.
+        looks = not self._choice.served_by
+        if looks and not self._looking.acquire(timeout=LOOK_WAIT_S):
             return result
-        helpers = list(self._helpers())
-        for member in random.sample(helpers, min(HELPERS, len(helpers))):
+        try:
+            return self._ask_helpers(result, call)
+        finally:
+            if looks:
+                self._looking.release()
+
+    def _ask_helpers(self, result: Any, call: StoreCall) -> Any:
+        with self._lock:
+            asked = self._choice.choose(self._helpers(), boot_clock.now())
+        for member in asked:
             reply = self._peer_client.call(member.peer, call, StoreAnswer, HELP_TIMEOUT_S)
-            if isinstance(reply, StoreAnswer) and reply.unanswered:
+            if isinstance(reply, StoreAnswer) and not reply.unanswered:
+                with self._lock:
+                    self._choice.note_served(member.name)
+                log_message("control:store_call_shared", name=call.name, peer=member.name)
+                return _result(reply)
+            if isinstance(reply, StoreAnswer):
                 result = StoreUnanswered(reply.unanswered)
             elif isinstance(reply, PeerNoReply):
                 # The other gateway may have made the call: "refused" would say that nobody did.
                 result = StoreUnanswered(reply.reason)
-            elif isinstance(reply, StoreAnswer):
-                log_message("control:store_call_shared", name=call.name, peer=member.name)
-                return _result(reply)
+            retry_after_s = reply.retry_after_s if isinstance(reply, PeerRefusal) else 0.0
+            with self._lock:
+                self._choice.note_unable(member.name, retry_after_s, boot_clock.now())
+        if asked:
+            with self._lock:
+                self._choice.note_nobody_served(boot_clock.now())
         return result
 
     def _answer(self, call: StoreCall) -> StoreAnswer | PeerRefusal:
         """Make a call for another gateway; with no help of a third one."""
         kind = ObjectKind[call.object_kind]
-        if kind not in SHARED_KINDS:
+        if kind not in HELD_BACK_KINDS:
             return PeerRefusal(f"calls about {call.object_kind} are not made for others")
         if call.spec is None:
             result = self._own.get(kind, call.name)
@@ -129,7 +158,7 @@
         else:
             result = self._own.create(kind, call.name, call.spec)
         if isinstance(result, StoreRefused):
-            return PeerRefusal(result.reason)
+            return PeerRefusal(result.reason, result.retry_after_s)
         if isinstance(result, StoreUnanswered):
             return StoreAnswer(unanswered=result.reason)
         if isinstance(result, ObjectMissing):
--- a/src/quaymill/process/gateway_gauges.py
+++ b/src/quaymill/process/gateway_gauges.py
@@ -23,6 +23,8 @@
     "gateways": "Live gateways.",
     "replica_connections_opened": "Connections opened to replicas since the start.",
     "store_calls": "Calls of the platform's store since the start.",
+    "store_calls_saved": "Calls of the store not made since the start, while it was away.",
+    "store_circuit_open": "1 while calls of the store are held back, since it does not answer.",
     "log_lines_dropped": "Log lines left out since the start.",
 }
 REPLICA_STATES: dict[str, Callable[[Replica], bool]] = {
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -15,6 +15,12 @@
 from quaymill.connection.object_store import ObjectStore
 from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.process.control.state import ControlPlaneView, ControlProtocol
+from quaymill.process.control.store_circuit import (
+    CircuitStore,
+    ReturnRules,
+    StoreCircuit,
+    longest_probe_s,
+)
 from quaymill.process.control.store_sharing import SharingStore
 from quaymill.process.front.caller_protocol import CallerProtocol
 from quaymill.process.front.front_service import FrontService
@@ -108,8 +114,9 @@
         self.network = PeerNetwork.from_settings(settings)
         self._connections = ReplicaConnections(LinkFilter(), CONNECT_TIMEOUT_S)
         self._table = ReplicaTable(self._forget_replica)
+        self._circuit_store = self._build_circuit_store(store)
         self.control = ControlPlaneView(
-            store,
+            self._circuit_store,
             protocol.control,
             self._table,
             self.network.membership,
@@ -118,7 +125,10 @@
             settings.read_interval_s,
         )
         shared_store = SharingStore(
-            store, self.network.client, self.network.server, self.network.other_gateways
+            self._circuit_store,
+            self.network.client,
+            self.network.server,
+            self.network.other_gateways,
         )
         listings = JobListings(shared_store)
         storage = JobStorageClient(
@@ -201,6 +211,7 @@
                 storage=storage,
                 listings=listings,
                 is_live=lambda name: self.network.process(name) is not None,
+                await_store=self._circuit_store.await_turn,
             ),
             leases,
             ORDER_TERM_SHARE * settings.bounds.settle_ms / MS_PER_S,
@@ -231,7 +242,9 @@
             self.network.other_gateways,
         )
         self._limiter = self._build_limiter()
-        self._registry = NodeRegistry(store, self.network.membership, self._lacks_peers)
+        self._registry = NodeRegistry(
+            self._circuit_store, self.network.membership, self._lacks_peers
+        )
         self._metrics = FrontMetrics(CollectorRegistry())
         self._add_gauges()
         self._front = self._build_front(protocol)
@@ -306,6 +319,20 @@
             ADMISSION_LIMIT,
         )
 
+    def _build_circuit_store(self, store: ObjectStore) -> CircuitStore:
+        bounds = self._settings.bounds
+        settle_s = bounds.settle_ms / MS_PER_S
+        longest_s = longest_probe_s(
+            bounds.contact_ms / MS_PER_S, settle_s, bounds.configuration_ms / MS_PER_S
+        )
+        rules = ReturnRules(
+            others_served_age_s=self.network.membership.confirmed_age_s,
+            gateways=lambda: len(self.network.gateways()),
+            writes_per_s=self._settings.store_writes_per_s,
+            longest_spread_s=settle_s,
+        )
+        return CircuitStore(store, StoreCircuit(longest_s), rules)
+
     def _add_gauges(self) -> None:
         gauges = {
             "configuration_version": lambda: self.control.routes.version,
@@ -320,6 +347,8 @@
             "gateways": lambda: len(self.network.gateways()),
             "replica_connections_opened": lambda: self._connections.opened,
             "store_calls": self._store_calls,
+            "store_calls_saved": lambda: self._circuit_store.calls_saved,
+            "store_circuit_open": lambda: self._circuit_store.is_open,
             "log_lines_dropped": self._context.log_lines_dropped,
         }
         add_gauges(self._metrics.registry, gauges)
--- a/src/quaymill/process/jobs/result_publisher.py
+++ b/src/quaymill/process/jobs/result_publisher.py
@@ -20,6 +20,9 @@
 PUBLISH_INTERVAL_S = 0.4
 """Least time between two appends to a listing: results that end close together share one."""
 PUBLISH_RETRY_S = 0.5
+AWAY_RETRY_S = 2.0
+"""Longest time between two tries while the store is away: by another gateway it may be reached
+before this one's circuit closes."""
 
 
 @attrs.frozen
@@ -32,12 +35,16 @@
         Of the coordinator whose results it lists.
     is_live
         Whether a coordinator of that name is known to live.
+    await_store
+        Waits up to a time (seconds) while the store is known to be away, until an append should be
+        tried again; returns at once, and ``False``, while it is not.
     """
 
     name: str
     storage: JobStorageClient
     listings: JobListings
     is_live: Callable[[str], bool]
+    await_store: Callable[[float], bool]
 
 
 class ResultPublisher:
@@ -90,7 +97,7 @@
             results = job.unlisted()
             if results and not job.over:
                 listed = self._list(job, results)
-                self._stopping.wait(PUBLISH_INTERVAL_S if listed else PUBLISH_RETRY_S)
+                self._pause(listed)
         log_message(
             "job:over",
             job=job.id,
@@ -104,6 +111,13 @@
         if job.complete:
             self._complete(job.id)
 
+    def _pause(self, listed: bool) -> None:
+        """Wait until the next append of a job; what ends meanwhile goes with it."""
+        if listed:
+            self._stopping.wait(PUBLISH_INTERVAL_S)
+        elif not self._parts.await_store(AWAY_RETRY_S):
+            self._stopping.wait(PUBLISH_RETRY_S)
+
     def _take_over(self, job: CoordinatedJob) -> None:
         """Enter this coordinator into the listing, so that a former one finds out."""
         began = boot_clock.now()
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -332,6 +332,25 @@
         "a replica has started anew under its id; nothing that was known of it counts",
         ("replica: the replica's id", "service"),
     ),
+    "store:circuit_open": LogEvent(
+        "the store does not answer this gateway: its calls are held back but for probes",
+        (
+            "failures: calls that failed in a row",
+            REASON,
+            "outcome: StoreRefused or StoreUnanswered, of the last call",
+            "probe_in_s: seconds until the next probe",
+            "others_served_s: how long ago the store answered any gateway",
+        ),
+    ),
+    "store:circuit_closed": LogEvent(
+        "the store answers this gateway again",
+        (
+            "open_s: how long calls were held back",
+            "saved: calls that were not made meanwhile",
+            "waiting: jobs that wait to append",
+            "spread_s: seconds over which their appends are spread",
+        ),
+    ),
     "store:unread": LogEvent(
         "an object of the store was left out, since it is of no form known here",
         ("object_kind", "name: empty if not even that can be read", REASON),
--- a/src/quaymill/process/serving_settings.py
+++ b/src/quaymill/process/serving_settings.py
@@ -110,6 +110,8 @@
         First and last port for peers, ``"7660,7675"``; the first one is used.
     store
         ``IP:PORT`` of the platform's object store.
+    store_writes_per_s
+        Writes that the store takes a second from all nodes together.
     seeds
         ``IP:PORT`` of nodes to join through, joined by commas; only their addresses count,
         as every node listens to peers on the same port.
@@ -131,6 +133,7 @@
     listen: Listeners = Listeners()
     machine: Machine = Machine()
     bounds: Bounds = Bounds()
+    store_writes_per_s: float = 400.0
 
     @property
     def peer_port(self) -> int:
@@ -186,6 +189,8 @@
     if role is ServingRole.JOB_STORAGE and not settings.data_folder:
         faults.append(("data_folder", "", "name a folder on the machine's disk"))
     faults += _endpoint_faults(settings, role)
+    if settings.store_writes_per_s <= 0:
+        faults.append(("store_writes_per_s", settings.store_writes_per_s, "use a number above 0"))
     if settings.disks_lost_at_once < 0:
         faults.append(("disks_lost_at_once", settings.disks_lost_at_once, "use 0 or more"))
     for key in Bounds.__struct_fields__:
--- /dev/null
+++ b/tests/test_store_circuit.py
@@ -0,0 +1,319 @@
+"""The circuit breaker before the platform's store: its decisions, and what passes it."""
+
+from __future__ import annotations
+
+import threading
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from nose2.tools import params
+
+from fleet_rig import wait_until
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.member import Member
+from quaymill.connection.object_store import (
+    CallRejected,
+    Listing,
+    ObjectKind,
+    ObjectMissing,
+    ObjectUnreadable,
+    RevisionConflict,
+    StoredObject,
+    StoreRefused,
+    StoreUnanswered,
+)
+from quaymill.process.control.store_circuit import (
+    FIRST_PROBE_S,
+    NEXT_STATES,
+    OPEN_AFTER_FAILURES,
+    PROBE_LOST_AFTER_S,
+    CircuitEvent,
+    CircuitState,
+    CircuitStore,
+    ReturnRules,
+    StoreCircuit,
+    longest_probe_s,
+    return_spread_s,
+)
+from quaymill.process.control.store_helpers import MOST_ASKED, UNABLE_S, StoreHelpers
+
+LONGEST_S = 1.5
+PLACE = Endpoint("127.0.0.1", 1)
+MEMBERS = tuple(Member(name, "zone", "region", PLACE, PLACE) for name in ("a", "b", "c", "d"))
+REFUSED = StoreRefused("503")
+UNANSWERED = StoreUnanswered("nothing came")
+
+
+def circuit() -> StoreCircuit:
+    """Return a circuit whose pauses are the middle of their range."""
+    return StoreCircuit(LONGEST_S, uniform=lambda least, most: (least + most) / 2)
+
+
+def opened(at: float = 10.0) -> StoreCircuit:
+    """Return a circuit that has opened at a time."""
+    held = circuit()
+    for _ in range(OPEN_AFTER_FAILURES):
+        held.note_failed(at, at)
+    return held
+
+
+class CircuitTest(unittest.TestCase):
+    """Decisions, with the time given."""
+
+    def test_every_event_has_its_state(self) -> None:
+        closed_only = {(CircuitState.CLOSED, CircuitEvent.PROBE_BEGUN)}
+        every = {(state, event) for state in CircuitState for event in CircuitEvent}
+        self.assertEqual(every - closed_only, NEXT_STATES.keys())
+
+    @params(
+        ("nothing known", (), True),
+        ("one failure", ((1.0, False),), True),
+        ("two in a row", ((1.0, False), (1.1, False)), False),
+        ("an answer between", ((1.0, False), (1.05, True), (1.1, False)), True),
+        ("an answer after", ((1.0, False), (1.1, False), (1.15, True)), True),
+    )
+    def test_opens_after_failures_in_a_row(self, _, outcomes, may_call) -> None:
+        held = circuit()
+        for at, answered in outcomes:
+            if answered:
+                held.note_answered(at)
+            else:
+                held.note_failed(at, at)
+        self.assertIs(may_call, held.may_call(1.2))
+
+    def test_failure_of_a_call_from_before_the_last_answer_says_nothing(self) -> None:
+        held = circuit()
+        held.note_answered(2.0)
+        for began in (1.0, 1.5, 2.0):
+            held.note_failed(began, 2.5)
+        self.assertIs(CircuitState.CLOSED, held.state)
+
+    def test_calls_under_way_at_the_opening_do_not_lengthen_the_pause(self) -> None:
+        held = opened(10.0)
+        before = held.probe_at
+        for _ in range(8):
+            held.note_failed(9.9, 10.1)
+        self.assertEqual(before, held.probe_at)
+
+    def test_one_probe_at_a_time(self) -> None:
+        held = opened(10.0)
+        self.assertFalse(held.may_call(10.0 + FIRST_PROBE_S - 0.01))
+        due = 10.0 + FIRST_PROBE_S + 0.01
+        self.assertTrue(held.may_call(due))
+        self.assertIs(CircuitState.HALF_OPEN, held.state)
+        self.assertFalse(held.may_call(due))
+        self.assertFalse(held.may_call(due + PROBE_LOST_AFTER_S - 0.01))
+        self.assertTrue(held.may_call(due + PROBE_LOST_AFTER_S))
+
+    def test_pauses_grow_up_to_their_bound(self) -> None:
+        held = opened(10.0)
+        now = 10.0
+        pauses = []
+        for _ in range(5):
+            pauses.append(round(held.probe_at - now, 3))
+            now = held.probe_at
+            self.assertTrue(held.may_call(now))
+            held.note_failed(now, now)
+        self.assertEqual([0.3, 0.6, 1.2, 1.5, 1.5], pauses)
+
+    def test_another_callers_failure_takes_the_place_of_a_probe(self) -> None:
+        held = opened(10.0)
+        held.note_failed(10.2, 10.2)
+        self.assertAlmostEqual(10.8, held.probe_at)
+
+    def test_answer_closes_and_the_next_outage_begins_with_the_first_pause(self) -> None:
+        held = opened(10.0)
+        held.may_call(10.5)
+        held.note_failed(10.5, 10.5)
+        held.note_answered(11.0)
+        self.assertTrue(held.may_call(11.0))
+        for at in (12.0, 12.1):
+            held.note_failed(at, at)
+        self.assertAlmostEqual(FIRST_PROBE_S, held.retry_after_s(12.1))
+
+    def test_word_of_the_return_brings_one_probe_forward(self) -> None:
+        held = opened(10.0)
+        held.may_call(10.4)
+        held.note_failed(10.4, 10.4)
+        self.assertAlmostEqual(11.0, held.probe_at)
+        held.note_others_served(10.2, 10.45, 0.2)
+        self.assertAlmostEqual(11.0, held.probe_at, msg="that was before the last failure")
+        held.note_others_served(10.5, 10.6, 0.2)
+        self.assertAlmostEqual(10.7, held.probe_at)
+        held.may_call(10.7)
+        held.note_failed(10.7, 10.7)
+        due = held.probe_at
+        held.note_others_served(10.8, 10.8, 0.2)
+        self.assertEqual(due, held.probe_at, "the store serves others, and not this one")
+
+    @params(
+        (4.0, 1.0, 3.0, 1.5),
+        (3.0, 1.0, 2.0, 1.0),
+        (4.0, 1.0, 1.0, 0.5),
+        (1.0, 1.0, 2.0, FIRST_PROBE_S),
+    )
+    def test_longest_probe_leaves_time_before_the_bounds_hold(
+        self, contact_s, settle_s, configuration_s, expected
+    ) -> None:
+        self.assertEqual(expected, longest_probe_s(contact_s, settle_s, configuration_s))
+
+    @params((1, 50, 400.0, 0.25), (2, 50, 1200.0, 1 / 6), (40, 100, 400.0, 1.0))
+    def test_return_is_spread_by_what_the_store_takes(
+        self, waiting, gateways, writes_per_s, expected
+    ) -> None:
+        self.assertAlmostEqual(expected, return_spread_s(waiting, gateways, writes_per_s, 1.0))
+
+
+class _Store:
+    """A store whose calls all come to what is set, and are counted."""
+
+    def __init__(self, result: Any = REFUSED) -> None:
+        self.result = result
+        self.calls = 0
+
+    def _call(self, *_: Any, **__: Any) -> Any:
+        self.calls += 1
+        return self.result
+
+    list = get = watch = create = replace = replace_status = delete = _call
+
+
+def circuit_store(store: _Store, others_served_age_s: float = 1000.0) -> CircuitStore:
+    rules = ReturnRules(lambda: others_served_age_s, lambda: 2, 400.0, 1.0)
+    return CircuitStore(store, circuit(), rules)
+
+
+def append(store: Any) -> Any:
+    return store.replace(ObjectKind.JOB_LISTINGS, "name", "spec", 6)
+
+
+class CircuitStoreTest(unittest.TestCase):
+    """The circuit around a store."""
+
+    def setUp(self) -> None:
+        self.own = _Store()
+        self.store = circuit_store(self.own)
+
+    def open_circuit(self) -> None:
+        for _ in range(OPEN_AFTER_FAILURES):
+            append(self.store)
+        self.assertTrue(self.store.is_open)
+        self.own.calls = 0
+
+    def test_call_that_is_held_back_was_not_made(self) -> None:
+        self.open_circuit()
+        result = append(self.store)
+        self.assertIsInstance(result, StoreRefused)
+        self.assertGreater(result.retry_after_s, 0.0)
+        self.assertEqual((0, 1), (self.own.calls, self.store.calls_saved))
+
+    @params(
+        ("refused", REFUSED, True),
+        ("unanswered", UNANSWERED, True),
+        ("done", StoredObject("name", 1, "spec"), False),
+        ("conflict", RevisionConflict(), False),
+        ("missing", ObjectMissing(), False),
+        ("not readable", ObjectUnreadable("torn"), False),
+        ("never taken", CallRejected("413"), False),
+    )
+    def test_what_counts_as_a_failure(self, _, result, opens) -> None:
+        self.own.result = result
+        for _ in range(OPEN_AFTER_FAILURES):
+            self.assertEqual(result, append(self.store))
+        self.assertIs(opens, self.store.is_open)
+
+    @params(
+        ("configuration", lambda store: store.get(ObjectKind.CONFIGURATION, "main")),
+        ("replicas", lambda store: store.list(ObjectKind.REPLICAS)),
+        ("registration", lambda store: store.create(ObjectKind.NODES, "name", "spec")),
+        ("retirement", lambda store: store.replace_status(ObjectKind.RETIREMENTS, "name", "s", 1)),
+        ("a watch", lambda store: store.watch(ObjectKind.JOB_LISTINGS, 1, 1.0)),
+    )
+    def test_never_held_back(self, _, call: Callable[[Any], Any]) -> None:
+        self.open_circuit()
+        for _ in range(3):
+            call(self.store)
+        self.assertEqual(3, self.own.calls)
+
+    def test_watch_says_nothing_of_other_calls(self) -> None:
+        for _ in range(OPEN_AFTER_FAILURES):
+            self.store.watch(ObjectKind.REPLICAS, 1, 1.0)
+        self.assertFalse(self.store.is_open)
+        self.open_circuit()
+        self.own.result = StoredObject("name", 1, "spec")
+        self.store.watch(ObjectKind.REPLICAS, 1, 1.0)
+        self.assertTrue(self.store.is_open)
+
+    def test_reader_of_the_configuration_finds_the_store_back_for_all(self) -> None:
+        self.open_circuit()
+        self.own.result = Listing((), 1)
+        self.store.list(ObjectKind.REPLICAS)
+        self.assertFalse(self.store.is_open)
+
+    def test_waiting_ends_when_the_store_is_back(self) -> None:
+        self.assertFalse(self.store.await_turn(10.0), "nobody waits while it answers")
+        self.open_circuit()
+        turns: list[bool] = []
+        waiting = [
+            threading.Thread(target=lambda: turns.append(self.store.await_turn(10.0)))
+            for _ in range(5)
+        ]
+        for thread in waiting:
+            thread.start()
+        wait_until(lambda: self.store._waiting == len(waiting), "all wait")
+        self.own.result = Listing((), 1)
+        self.store.list(ObjectKind.REPLICAS)
+        for thread in waiting:
+            thread.join(5.0)
+        self.assertEqual([True] * len(waiting), turns)
+
+    def test_one_of_those_that_wait_makes_the_probe(self) -> None:
+        self.open_circuit()
+        went = threading.Semaphore(0)
+
+        def wait() -> None:
+            self.store.await_turn(10 * FIRST_PROBE_S)
+            went.release()
+
+        for _ in range(5):
+            threading.Thread(target=wait, daemon=True).start()
+        self.assertTrue(went.acquire(timeout=5 * FIRST_PROBE_S))
+        self.assertFalse(went.acquire(timeout=2 * FIRST_PROBE_S), "a second one went as well")
+
+
+class HelpersTest(unittest.TestCase):
+    """Whom a gateway asks that the store turns away."""
+
+    def setUp(self) -> None:
+        self.helpers = StoreHelpers(sample=lambda members, count: list(members)[:count])
+
+    def names(self, now: float) -> list[str]:
+        return [member.name for member in self.helpers.choose(MEMBERS, now)]
+
+    def test_who_helped_is_asked_first(self) -> None:
+        self.helpers.note_served("c")
+        self.assertEqual(["c", "a"], self.names(1.0))
+
+    def test_who_could_not_help_is_left_out_for_as_long_as_it_says(self) -> None:
+        self.helpers.note_unable("a", 1.2, 1.0)
+        self.helpers.note_unable("b", 0.0, 1.0)
+        self.assertEqual(["c", "d"], self.names(1.0 + UNABLE_S / 2))
+        self.assertEqual(["b", "c"], self.names(1.0 + UNABLE_S))
+        self.assertEqual(["a", "b"], self.names(2.2))
+
+    def test_who_helped_once_and_cannot_now_is_no_longer_the_first(self) -> None:
+        self.helpers.note_served("c")
+        self.helpers.note_unable("c", 1.0, 1.0)
+        self.assertEqual(["a", "b"], self.names(1.1))
+
+    def test_nobody_is_asked_where_all_who_were_asked_hold_back(self) -> None:
+        for name in self.names(1.0):
+            self.helpers.note_unable(name, 0.8, 1.0)
+        self.helpers.note_nobody_served(1.0)
+        self.assertEqual([], self.names(1.7))
+        self.assertEqual(MOST_ASKED, len(self.names(1.8)))
+
+    def test_few_others(self) -> None:
+        self.assertEqual([], self.helpers.choose((), 1.0))
+        self.assertEqual(1, len(self.helpers.choose(MEMBERS[:1], 1.0)))
