--- /dev/null
+++ b/tests/store_rig.py
@@ -0,0 +1,175 @@
+"""Gateways that list results before one store in memory, without a network.
+
+Each gateway has its circuit, its sharing and its publisher; a job's items end when the test says.
+"""
+
+from __future__ import annotations
+
+import itertools
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from quaymill import boot_clock
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.job_document import Job, JobDocument, JobItem, ResultState
+from quaymill.connection.member import Member
+from quaymill.connection.object_store import (
+    ObjectKind,
+    ObjectMissing,
+    RevisionConflict,
+    StoredObject,
+    StoreRefused,
+)
+from quaymill.connection.peer_link import PeerUnreachable
+from quaymill.process.control.store_circuit import CircuitStore, ReturnRules, StoreCircuit
+from quaymill.process.control.store_sharing import SharingStore
+from quaymill.process.jobs.coordinated_job import CoordinatedJob
+from quaymill.process.jobs.listing import JobListings
+from quaymill.process.jobs.result_publisher import PublisherParts, ResultPublisher
+
+CALL_S = 0.004
+REFUSED = StoreRefused("the store answered 503")
+
+
+class MemoryStore:
+    """Objects under one revision counter, and a count of the calls by their second.
+
+    Attributes
+    ----------
+    refused
+        Names of the gateways that are turned away.
+    calls, served_at
+        How many calls each gateway made; when the store last answered any.
+    """
+
+    def __init__(self) -> None:
+        self.refused: frozenset[str] = frozenset()
+        self.calls: Counter[str] = Counter()
+        self.served_at = boot_clock.now()
+        self._lock = threading.Lock()
+        self._revisions = itertools.count(1)
+        self._objects: dict[str, StoredObject] = {}
+
+    def call(self, gateway: str, do: Callable[[], Any]) -> Any:
+        """Make one call of a gateway."""
+        time.sleep(CALL_S)
+        with self._lock:
+            self.calls[gateway] += 1
+            if gateway in self.refused:
+                return REFUSED
+            self.served_at = boot_clock.now()
+            return do()
+
+    def find(self, name: str) -> StoredObject | ObjectMissing:
+        """Return an object."""
+        return self._objects.get(name, ObjectMissing())
+
+    def write(self, name: str, spec: Any, revision: int) -> StoredObject | RevisionConflict:
+        """Write an object over a revision; 0 to make it."""
+        held = self._objects.get(name)
+        if (held.revision if held else 0) != revision:
+            return RevisionConflict(held)
+        self._objects[name] = StoredObject(name, next(self._revisions), spec)
+        return self._objects[name]
+
+
+class _OwnStore:
+    """The store as one gateway calls it."""
+
+    def __init__(self, store: MemoryStore, gateway: str) -> None:
+        self._store = store
+        self._gateway = gateway
+
+    def get(self, kind: ObjectKind, name: str, *, may_be_old: bool = False) -> Any:
+        return self._store.call(self._gateway, lambda: self._store.find(name))
+
+    def create(self, kind: ObjectKind, name: str, spec: Any) -> Any:
+        return self.replace(kind, name, spec, 0)
+
+    def replace(self, kind: ObjectKind, name: str, spec: Any, revision: int) -> Any:
+        return self._store.call(self._gateway, lambda: self._store.write(name, spec, revision))
+
+
+class _Disks:
+    """Storage nodes that take everything."""
+
+    def store_results(self, job_id: str, results: Any) -> bool:
+        return True
+
+
+class ListingGateway:
+    """One gateway."""
+
+    def __init__(self, name: str, fleet: ListingFleet) -> None:
+        self.name = name
+        self.member = Member(name, "zone", "region", Endpoint(name, 1), Endpoint(name, 1))
+        self.handlers: dict[type, Callable[[Any], Any]] = {}
+        rules = ReturnRules(
+            lambda: boot_clock.now() - fleet.store.served_at,
+            lambda: len(fleet.gateways),
+            fleet.writes_per_s,
+            fleet.settle_s,
+        )
+        own = _OwnStore(fleet.store, name)
+        self.circuit = CircuitStore(own, StoreCircuit(fleet.longest_probe_s), rules)
+        shared = SharingStore(self.circuit, fleet, self, lambda: fleet.others(name))
+        parts = PublisherParts(
+            name, _Disks(), JobListings(shared), lambda other: True, self.circuit.await_turn
+        )
+        self.publisher = ResultPublisher(parts, lambda: None, lambda job_id: None)
+
+    def register(self, message_type: type, handler: Callable[[Any], Any]) -> None:
+        """As ``PeerServer`` does."""
+        self.handlers[message_type] = handler
+
+
+class ListingFleet:
+    """Gateways before one store; calls of peers are made in process."""
+
+    def __init__(
+        self,
+        gateways: int,
+        writes_per_s: float = 400.0,
+        settle_s: float = 1.0,
+        longest_probe_s: float = 1.5,
+    ) -> None:
+        self.store = MemoryStore()
+        self.writes_per_s = writes_per_s
+        self.settle_s = settle_s
+        self.longest_probe_s = longest_probe_s
+        self.gateways: dict[str, ListingGateway] = {}
+        for number in range(gateways):
+            self.gateways[f"g{number}"] = ListingGateway(f"g{number}", self)
+
+    def others(self, name: str) -> tuple[Member, ...]:
+        """Return all gateways but one."""
+        return tuple(one.member for one in self.gateways.values() if one.name != name)
+
+    def call(self, endpoint: Endpoint, message: Any, reply_type: type, timeout_s: float) -> Any:
+        """As ``PeerClient`` does."""
+        peer = self.gateways.get(endpoint.host)
+        if peer is None:
+            return PeerUnreachable(endpoint, "no such gateway")
+        return peer.handlers[type(message)](message)
+
+    def open_job(self, gateway: str, name: str, items: int) -> CoordinatedJob:
+        """Open a job at a gateway; nothing of it is done."""
+        document = JobDocument(
+            tuple(JobItem(f"{name}-{index}", "/x", {}, b"") for index in range(items))
+        )
+        job = CoordinatedJob(Job(name, "host", "/x", document), None, gateway)
+        self.gateways[gateway].publisher.follow(job, adopted=False)
+        return job
+
+    def listed(self, name: str) -> list[int]:
+        """Return which items of a job the store lists, in their order."""
+        found = self.store.find(name)
+        return [] if isinstance(found, ObjectMissing) else [one[0] for one in found.spec["results"]]
+
+
+def finish(job: CoordinatedJob, index: int) -> None:
+    """End an item of a job."""
+    job.finish(job.items[index], ResultState.SUCCEEDED, f"text {index}")
