--- a/tests/test_store_outage.py
+++ b/tests/test_store_outage.py
@@ -5,22 +5,34 @@
 import math
 import time
 import unittest
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from nose2.tools import params
 
 from fleet_rig import wait_until
-from quaymill.connection.object_store import ObjectKind
+from quaymill.connection.object_store import ObjectKind, StoreRefused
+from quaymill.platform.object_store import CALL_TIMEOUT_S
 from quaymill.process.control.store_circuit import (
     FIRST_PROBE_S,
+    HELD_BACK_KINDS,
     OPEN_AFTER_FAILURES,
     PROBE_GROWTH,
     PROBE_JITTER,
 )
 from quaymill.process.control.store_helpers import MOST_ASKED
+from quaymill.process.serving_settings import MS_PER_S, Bounds
+from quaymill_bench.fleet_world import configuration, item_id
+from quaymill_standins.fleet_store import FleetStoreFaults
 from store_rig import ListingFleet, finish
+from test_fleet_faults import FaultCase
 
 GATEWAYS = 50
 JOBS_EACH = 2
 ITEMS = 12
 AWAY_S = 5.0
+CONFIGURATION_S = Bounds().configuration_ms / MS_PER_S
 ITEM_S = 0.5
 """Time between two items of a job that end."""
 
@@ -115,3 +127,128 @@
         most_refused = GATEWAYS / 2 * (OPEN_AFTER_FAILURES + JOBS_EACH + MOST_ASKED + probes)
         self.assertLessEqual(refused, most_refused)
         self.assertLessEqual(self.store.calls.total() - refused, math.ceil(1.1 * appends))
+
+
+class _TurnedAway:
+    """The store as a gateway sees it that is turned away alone: some kinds are refused.
+
+    Attributes
+    ----------
+    calls
+        How many calls were made, by kind.
+    """
+
+    def __init__(self, own: Any, refused_kinds: frozenset[ObjectKind]) -> None:
+        self._own = own
+        self._refused_kinds = refused_kinds
+        self.calls: Counter[ObjectKind] = Counter()
+
+    def held_back_calls(self) -> int:
+        """Return how many calls were made of the kinds that a circuit holds back."""
+        return sum(self.calls[kind] for kind in HELD_BACK_KINDS)
+
+    def __getattr__(self, name: str) -> Callable[..., Any]:
+        def call(kind: ObjectKind, *fields: Any, **named: Any) -> Any:
+            self.calls[kind] += 1
+            if kind not in self._refused_kinds:
+                return getattr(self._own, name)(kind, *fields, **named)
+            return StoreRefused("the store answered 503")
+
+        return call
+
+
+class OutageFleetTest(FaultCase):
+    """Gateways and storage nodes before the stand-in of the store."""
+
+    ITEMS = 12
+    SETTLE_S = 1.0
+    LONGEST_PROBE_S = 1.0
+    """By the bounds of the rig."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.slow_engines(0.05, 10)
+
+    def turn_away(self, gateway: str, kinds: Iterable[ObjectKind] = ObjectKind) -> _TurnedAway:
+        """Turn a gateway away from the store."""
+        store = self.rig.gateways[gateway]._circuit_store
+        store._own = _TurnedAway(store._own, frozenset(kinds))
+        return store._own
+
+    def all_run(self) -> bool:
+        return all(self.runs(item_id("job", index)) for index in range(self.ITEMS))
+
+    def check_results(self, gateway: str) -> None:
+        """Check that every item is listed once, and that none ran twice."""
+        results = self.rig.wait_results(gateway, "job", self.ITEMS)
+        self.assertEqual(self.ITEMS, len({result["id"] for result in results}))
+        self.assertEqual(self.ITEMS, len(results))
+        for index in range(self.ITEMS):
+            self.assertEqual(1, len(self.runs(item_id("job", index))))
+
+    @params(
+        ("refuses", FleetStoreFaults(down=True)),
+        ("silent", FleetStoreFaults(silent=True)),
+        ("late", FleetStoreFaults(late_writes_s=CALL_TIMEOUT_S + 0.5)),
+    )
+    def test_results_are_listed_soon_after_the_return(self, _, faults) -> None:
+        self.rig.submit("gateway-0", "job", self.ITEMS)
+        self.rig.wait_results("gateway-1", "job", 1)
+        self.rig.store.faults = faults
+        wait_until(self.all_run, "all items run")
+        time.sleep(AWAY_S / 2)
+        self.rig.store.faults = FleetStoreFaults()
+        began = time.monotonic()
+        self.check_results("gateway-1")
+        # A probe, a call from before that is given up, and the append.
+        self.assertLess(
+            time.monotonic() - began, self.LONGEST_PROBE_S + 2 * CALL_TIMEOUT_S + self.SETTLE_S
+        )
+        wait_until(
+            lambda: not any(one._circuit_store.is_open for one in self.rig.gateways.values()),
+            "both circuits close",
+            CONFIGURATION_S,
+        )
+
+    def test_calls_while_it_refuses(self) -> None:
+        self.rig.submit("gateway-0", "job", self.ITEMS)
+        self.rig.wait_results("gateway-1", "job", 1)
+        counts = [self.turn_away(gateway, ()) for gateway in self.rig.gateways]
+        self.rig.store.faults = FleetStoreFaults(down=True)
+        until = time.monotonic() + AWAY_S
+        while time.monotonic() < until:
+            for gateway in self.rig.gateways:
+                self.rig.read_results(gateway, "job", self.ITEMS)
+            time.sleep(0.05)
+        calls = [count.held_back_calls() for count in counts]
+        self.rig.store.faults = FleetStoreFaults()
+        self.check_results("gateway-1")
+        # A call of the job, of its ledger and of a reader may be under way at the opening.
+        opening = OPEN_AFTER_FAILURES + 3
+        self.assertLessEqual(max(calls), opening + most_probes(AWAY_S, self.LONGEST_PROBE_S))
+
+    def test_gateway_that_is_turned_away_alone_lists_by_another(self) -> None:
+        turned_away = self.turn_away("gateway-0")
+        began = time.monotonic()
+        self.rig.submit("gateway-0", "job", self.ITEMS)
+        self.check_results("gateway-1")
+        self.check_results("gateway-0")
+        self.assertTrue(self.rig.gateways["gateway-0"]._circuit_store.is_open)
+        self.assertFalse(self.rig.gateways["gateway-1"]._circuit_store.is_open)
+        probes = most_probes(time.monotonic() - began, self.LONGEST_PROBE_S)
+        most = OPEN_AFTER_FAILURES + 3 + probes
+        self.assertLessEqual(turned_away.held_back_calls(), most)
+
+    def test_configuration_comes_into_force_while_appends_are_held_back(self) -> None:
+        for gateway in self.rig.gateways:
+            self.turn_away(gateway, HELD_BACK_KINDS)
+        self.rig.submit("gateway-0", "job", self.ITEMS)
+        wait_until(
+            lambda: self.rig.gateways["gateway-0"]._circuit_store.is_open, "the circuit is open"
+        )
+        self.rig.store.put("config", "main", configuration(2))
+        wait_until(
+            lambda: all(one.control.routes.version == 2 for one in self.rig.gateways.values()),
+            "it is in force",
+            CONFIGURATION_S,
+        )
