--- a/tests/test_store_sharing.py
+++ b/tests/test_store_sharing.py
@@ -4,12 +4,15 @@
 
 import unittest
 
+import msgspec
 from nose2.tools import params
 
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member
 from quaymill.connection.object_store import (
+    CallRejected,
     ObjectKind,
+    ObjectUnreadable,
     RevisionConflict,
     StoredObject,
     StoreRefused,
@@ -20,7 +23,8 @@
 from quaymill.process.control.store_sharing import SharingStore
 
 PLACE = Endpoint("127.0.0.1", 1)
-HELPERS = tuple(Member(name, "zone", "region", PLACE, PLACE) for name in ("a", "b"))
+PLACES = {"a": PLACE, "b": Endpoint("127.0.0.1", 2)}
+HELPERS = tuple(Member(name, "zone", "region", at, at) for name, at in PLACES.items())
 REFUSED = StoreRefused("503")
 UNANSWERED = StoreUnanswered("nothing came")
 STORED = StoredObject("name", 7, "spec")
@@ -45,14 +49,19 @@
     def __init__(self, replies=()) -> None:
         self._replies = list(replies)
         self.handler = None
+        self.asked = []
 
     def register(self, message_type, handler) -> None:
         self.handler = handler
 
     def call(self, endpoint, message, reply_type, timeout_s):
+        self.asked.append(endpoint)
         return self._replies.pop(0)
 
 
+OLD_REFUSAL = msgspec.json.decode(b'{"kind":"PeerRefusal","reason":"503"}', type=PeerRefusal)
+
+
 def helper_says(result):
     """Return what a helper answers when its own write comes to a result."""
     peers = _Peers()
@@ -74,6 +83,7 @@
             StoreUnanswered,
         ),
         ("a helper is refused", REFUSED, (helper_says(REFUSED), PEER_REFUSED), StoreRefused),
+        ("helpers of an old build", REFUSED, (OLD_REFUSAL, OLD_REFUSAL), StoreRefused),
         ("a helper did it", REFUSED, (NO_REPLY, helper_says(STORED)), StoredObject),
         (
             "a helper met another's write",
@@ -87,3 +97,28 @@
         store = SharingStore(_Store(own), peers, peers, lambda: HELPERS)
         result = store.replace(ObjectKind.JOB_LISTINGS, "name", "spec", 6)
         self.assertIsInstance(result, expected)
+
+    def test_helper_that_holds_back_says_for_how_long(self) -> None:
+        refusal = helper_says(StoreRefused("the store is away", 1.2))
+        self.assertEqual(PeerRefusal("the store is away", 1.2), refusal)
+
+    def test_nobody_is_asked_while_all_hold_back(self) -> None:
+        holds_back = PeerRefusal("the store is away", 60.0)
+        peers = _Peers((holds_back, holds_back))
+        store = SharingStore(_Store(REFUSED), peers, peers, lambda: HELPERS)
+        for _ in range(3):
+            result = store.replace(ObjectKind.JOB_LISTINGS, "name", "spec", 6)
+            self.assertEqual(REFUSED, result)
+
+    def test_who_helped_is_asked_first_the_next_time(self) -> None:
+        done = helper_says(STORED)
+        peers = _Peers([PEER_REFUSED] + 5 * [done])
+        store = SharingStore(_Store(REFUSED), peers, peers, lambda: HELPERS)
+        for _ in range(5):
+            store.replace(ObjectKind.JOB_LISTINGS, "name", "spec", 6)
+        self.assertEqual(1, len(set(peers.asked[1:])))
+
+    @params(CallRejected("413"), ObjectUnreadable("torn"))
+    def test_others_are_not_asked_for_what_would_be_so_for_everybody(self, result) -> None:
+        store = SharingStore(_Store(result), _Peers(), _Peers(), lambda: HELPERS)
+        self.assertEqual(result, store.replace(ObjectKind.JOB_LISTINGS, "name", "spec", 6))
