Jobs: who hands a job over tells its listing as well

Cause: a gateway that adopts a job reads the listing first. While the store is away it knows of no listed result and runs all items again; else the read is a call that the one who stops could spare.

Change: HandOverJob carries the listing as it was last known (a new field at the end); it is taken without being counted as the newest, and one that has grown since is in the way of the first write.

Tested: test_job_handed_over_meanwhile_runs_nothing_again_that_is_listed ran listed items twice without the field, test_adoption_reads_no_order_that_was_told read once.

--- a/src/quaymill/connection/job_storage_messages.py
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -8,6 +8,7 @@
 
 from quaymill.connection.job_document import Job, JobResult
 from quaymill.connection.peer_link import PeerMessage
+from quaymill.connection.store_messages import SharedObject
 
 # Gateway to storage node.
 
@@ -284,13 +285,22 @@
 
 
 class HandOverJob(PeerMessage, frozen=True):
-    """Take over a job from a coordinator that stops."""
+    """Take over a job from a coordinator that stops.
+
+    Attributes
+    ----------
+    unlisted
+        Results that are not listed yet.
+    order
+        The listing as the coordinator last knew it; ``None`` if it knew none.
+    """
 
     repeatable: ClassVar[bool] = True
 
     job: Job
     progress: tuple[ItemProgress, ...]
     unlisted: tuple[KeyedResult, ...] = ()
+    order: SharedObject | None = None
 
 
 class SubmitJob(PeerMessage, frozen=True):
--- a/src/quaymill/process/jobs/coordinator.py
+++ b/src/quaymill/process/jobs/coordinator.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Iterable
 
@@ -23,6 +24,7 @@
 from quaymill.process.jobs.coordinated_job import CoordinatedJob, ItemState
 from quaymill.process.jobs.item_dispatcher import DispatcherParts, ItemDispatcher
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
+from quaymill.process.jobs.listing import Listing, told_order
 from quaymill.process.jobs.progress_saver import ProgressSaver
 from quaymill.process.jobs.result_publisher import PublisherParts, ResultPublisher
 from quaymill.version.request_routes import RequestRoute
@@ -100,8 +102,16 @@
         job: Job,
         progress: Iterable[ItemProgress] = (),
         unlisted: Iterable[KeyedResult] = (),
+        listing: Listing | None = None,
     ) -> bool:
-        """Coordinate a job that another ran before; return whether this gateway takes it."""
+        """Coordinate a job that another ran before; return whether this gateway takes it.
+
+        Parameters
+        ----------
+        listing
+            As the coordinator before knew it: what is in it is not run again, also where the
+            store cannot be read now.
+        """
         if self._stopping.is_set():
             return False
         progress = tuple(progress)
@@ -111,7 +121,7 @@
             items=len(job.document.items),
             events=sum(len(one.texts) for one in progress),
         )
-        self._begin(job, adopted=True, progress=progress, unlisted=unlisted)
+        self._begin(job, adopted=True, progress=progress, unlisted=unlisted, listing=listing)
         return True
 
     def end(self, job_id: str) -> bool:
@@ -143,6 +153,7 @@
         adopted: bool,
         progress: Iterable[ItemProgress] = (),
         unlisted: Iterable[KeyedResult] = (),
+        listing: Listing | None = None,
     ) -> None:
         with self._lock:
             held = self._jobs_by_id.get(job.id)
@@ -154,6 +165,9 @@
             for one in progress:
                 coordinated.items[one.index].resume_from(one)
             coordinated.add_finished(unlisted)
+            if listing is not None:
+                # It may have grown since: that it is the newest is not known.
+                coordinated.take_listing(listing, -math.inf)
             self._jobs_by_id[job.id] = coordinated
             self._forget_old_jobs()
         # Its order is confirmed with the first renewal: until then each empty page of it costs a
@@ -213,4 +227,9 @@
         for item in job.items
         if item.state in (ItemState.WAITING, ItemState.RUNNING) and (item.texts or item.failures)
     )
-    return HandOverJob(msgspec.structs.replace(job.job, age_s=age_s), progress, job.unlisted())
+    return HandOverJob(
+        msgspec.structs.replace(job.job, age_s=age_s),
+        progress,
+        job.unlisted(),
+        told_order(job.id, job.listing),
+    )
--- a/src/quaymill/process/jobs/listing.py
+++ b/src/quaymill/process/jobs/listing.py
@@ -24,6 +24,7 @@
     StoreRefused,
     StoreUnanswered,
 )
+from quaymill.connection.store_messages import SharedObject
 
 
 class ListedResult(msgspec.Struct, frozen=True, array_like=True):
@@ -125,6 +126,21 @@
         self._store.delete(ObjectKind.JOB_LISTINGS, job_id)
 
 
+def told_order(job_id: str, listing: Listing) -> SharedObject | None:
+    """Return a listing as another coordinator is told it; ``None`` if it is not known here."""
+    if not listing.revision:
+        return None
+    return SharedObject(job_id, listing.revision, msgspec.to_builtins(listing.document))
+
+
+def read_told_order(told: SharedObject | None) -> Listing | None:
+    """Return a listing that another coordinator told; ``None`` if it told none."""
+    if told is None:
+        return None
+    listing = _listing(StoredObject(told.name, told.revision, told.spec))
+    return listing if isinstance(listing, Listing) else None
+
+
 def _listing(stored: StoredObject) -> Listing | ListingUnknown:
     """Return a stored listing; what another writer left in its place tells nothing of the order."""
     try:
--- a/src/quaymill/process/jobs/result_publisher.py
+++ b/src/quaymill/process/jobs/result_publisher.py
@@ -20,6 +20,8 @@
 PUBLISH_INTERVAL_S = 0.4
 """Least time between two appends to a listing: results that end close together share one."""
 PUBLISH_RETRY_S = 0.5
+ENTRY_TRIES = 2
+"""Tries to enter a coordinator into a listing that another wrote meanwhile; appends try again."""
 AWAY_RETRY_S = 2.0
 """Longest time between two tries while the store is away: by another gateway it may be reached
 before this one's circuit closes."""
@@ -120,18 +122,30 @@
 
     def _take_over(self, job: CoordinatedJob) -> None:
         """Enter this coordinator into the listing, so that a former one finds out."""
+        # One that was told and has grown since is in the way of the write, and known by that.
+        if not job.listing.revision and not self._read_listing(job):
+            return
+        for _ in range(ENTRY_TRIES):
+            began = boot_clock.now()
+            wanted = job.listing.with_results((), job.coordinator)
+            written = self._parts.listings.write(job.id, wanted)
+            if isinstance(written, ListingUnknown):
+                log_message("job:listing_unknown", job=job.id, reason=written.reason)
+                break
+            job.take_listing(written, began)
+            if written.document.coordinator == job.coordinator:
+                break
+        self._fetch_contents(job)
+
+    def _read_listing(self, job: CoordinatedJob) -> bool:
+        """Take the listing that stands, if any; return whether that is known."""
         began = boot_clock.now()
         listing = self._parts.listings.read(job.id)
         if isinstance(listing, ListingUnknown):
             log_message("job:listing_unknown", job=job.id, reason=listing.reason)
-            return
-        standing = listing or Listing(ListingDocument("", job.total))
-        job.take_listing(standing, began)
-        began = boot_clock.now()
-        written = self._parts.listings.write(job.id, standing.with_results((), job.coordinator))
-        if isinstance(written, Listing):
-            job.take_listing(written, began)
-        self._fetch_contents(job)
+            return False
+        job.take_listing(listing or Listing(ListingDocument("", job.total)), began)
+        return True
 
     def _list(self, job: CoordinatedJob, results: tuple[KeyedResult, ...]) -> bool:
         """Put results on disks, then into the listing; return whether they stand there."""
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -27,6 +27,7 @@
 from quaymill.process.jobs.coordinator import JobCoordinator
 from quaymill.process.jobs.job_lookup import JobLookup, NoSuchJob, Unsure
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
+from quaymill.process.jobs.listing import read_told_order
 from quaymill.process.jobs.result_reader import ResultReader
 from quaymill.process.jobs.route_quota import OverQuota, QuotaUnknown
 from quaymill.process.jobs.storage_client import JobStorageClient, NotFound, NotKept
@@ -225,7 +226,8 @@
         return self._adopted(self._coordinator.adopt(message.job, message.progress))
 
     def _answer_hand_over(self, message: HandOverJob) -> JobAdopted | PeerRefusal:
-        taken = self._coordinator.adopt(message.job, message.progress, message.unlisted)
+        listing = read_told_order(message.order)
+        taken = self._coordinator.adopt(message.job, message.progress, message.unlisted, listing)
         return self._adopted(taken)
 
     def _adopted(self, taken: bool) -> JobAdopted | PeerRefusal:
--- a/tests/test_store_outage.py
+++ b/tests/test_store_outage.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any
+from unittest import mock
 
 from nose2.tools import params
 
@@ -22,6 +23,7 @@
     PROBE_JITTER,
 )
 from quaymill.process.control.store_helpers import MOST_ASKED
+from quaymill.process.jobs.result_publisher import ResultPublisher
 from quaymill.process.serving_settings import MS_PER_S, Bounds
 from quaymill_bench.fleet_world import configuration, item_id
 from quaymill_standins.fleet_store import FleetStoreFaults
@@ -252,3 +254,24 @@
             "it is in force",
             CONFIGURATION_S,
         )
+
+    def test_job_handed_over_meanwhile_runs_nothing_again_that_is_listed(self) -> None:
+        self.rig.submit("gateway-0", "job", self.ITEMS)
+        before = self.rig.wait_results("gateway-1", "job", 3)
+        self.rig.store.faults = FleetStoreFaults(down=True)
+        self.rig.gateways.pop("gateway-0").stop()
+        wait_until(self.all_run, "all items run")
+        self.rig.store.faults = FleetStoreFaults()
+        results = self.rig.wait_results("gateway-1", "job", self.ITEMS)
+        self.assertEqual(before, results[: len(before)])
+        self.assertEqual(self.ITEMS, len({result["id"] for result in results}))
+        for result in before:
+            self.assertEqual(1, len(self.runs(result["id"])))
+
+    def test_adoption_reads_no_order_that_was_told(self) -> None:
+        self.rig.submit("gateway-0", "job", self.ITEMS)
+        self.rig.wait_results("gateway-1", "job", 3)
+        with mock.patch.object(ResultPublisher, "_read_listing") as read:
+            self.rig.gateways.pop("gateway-0").stop()
+            self.rig.wait_results("gateway-1", "job", self.ITEMS)
+        read.assert_not_called()
