--- a/src/quaymill/process/control/store_circuit.py
+++ b/src/quaymill/process/control/store_circuit.py
@@ -49,7 +49,7 @@
 """Pause before the first probe: short outages are over soon."""
 PROBE_GROWTH = 2.0
 PROBE_JITTER = 0.3
-"""Share of a pause by which it varies, so that gateways do not probe together."""
+"""Part by which a pause may be shorter, so that gateways do not probe together."""
 PROBE_LOST_AFTER_S = 4.0
 """Time after which another probe is made though one is not over: longer than any call takes."""
 RETURN_SHARE = 0.5
@@ -186,7 +186,7 @@
             return
         if was_closed:
             self.opened_at = now
-        jitter = self.uniform(1.0 - PROBE_JITTER, 1.0 + PROBE_JITTER)
+        jitter = self.uniform(1.0 - PROBE_JITTER, 1.0)
         self.probe_at = now + self._pause_s * jitter
         self._pause_s = min(self.longest_probe_s, PROBE_GROWTH * self._pause_s)
 
