A load with a fourth figure is read

Cause: replicas tell with a fourth figure how long work takes on their machine now; the reader took exactly three figures, so that the whole load was thrown away (read_load('3,1,8,250') gave None). Change: the fourth figure becomes ReportedLoad.slowness, bounded; one that cannot be read leaves the counts in force, and what follows it is passed over. Tested: test_reported_loads, which failed before.

--- a/src/quaymill/connection/replica_entry.py
+++ b/src/quaymill/connection/replica_entry.py
@@ -6,6 +6,11 @@
 
 from quaymill.connection.endpoint import Endpoint
 
+USUAL_SLOWNESS = 1.0
+MIN_SLOWNESS = 0.1
+MAX_SLOWNESS = 10.0
+"""Bounds of what a replica may tell: one that is slower is found by its answers."""
+
 
 @attrs.frozen
 class ReplicaEntry:
@@ -46,8 +51,11 @@
     ----------
     running, waiting
         Requests in its slots, and behind them.
+    slowness
+        How many times as long as usual work takes there now; 1.0 where it is not told.
     """
 
     running: int
     waiting: int
     slots: int
+    slowness: float = USUAL_SLOWNESS
--- a/src/quaymill/platform/replica_calls.py
+++ b/src/quaymill/platform/replica_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 from urllib3._collections import HTTPHeaderDict
 from urllib3.util import SKIP_HEADER
@@ -9,7 +11,12 @@
 from quaymill.connection.engine_report import EngineReport
 from quaymill.connection.replica_answer import AnswerHead
 from quaymill.connection.replica_connection import Exchange, ReplicaRequest
-from quaymill.connection.replica_entry import ReportedLoad
+from quaymill.connection.replica_entry import (
+    MAX_SLOWNESS,
+    MIN_SLOWNESS,
+    USUAL_SLOWNESS,
+    ReportedLoad,
+)
 from quaymill.platform import names
 from quaymill.request.forwarded_request import ForwardedRequest
 
@@ -37,6 +44,10 @@
 MISDIRECTED_STATUS = 421
 DEFAULT_KEEP_S = 4.0
 KEEP_MARGIN_S = 1.0
+LOAD_COUNTS = 3
+"""Figures of a load that are counts of requests."""
+USUAL_WORK = 100.0
+"""What the fourth figure is where work takes as long as usual."""
 
 
 class _Report(msgspec.Struct):
@@ -90,7 +101,7 @@
         request_id=headers.get(names.REQUEST_ID, ""),
         not_executed=names.NOT_EXECUTED in headers or status == MISDIRECTED_STATUS,
         misdirected=status == MISDIRECTED_STATUS,
-        load=_reported_load(headers.get(names.LOAD, "")),
+        load=read_load(headers.get(names.LOAD, "")),
         length=int(length) if length is not None and length.isdigit() else None,
         keep_s=_keep_s(headers),
     )
@@ -112,21 +123,37 @@
     )
 
 
-def _named_by_connection(headers) -> frozenset[str]:
-    """Return the headers that a ``Connection`` header says concern one connection only."""
-    named = [value for name, value in headers if name.lower() == "connection"]
-    return frozenset(token.strip().lower() for value in named for token in value.split(","))
-
+def read_load(text: str) -> ReportedLoad | None:
+    """Return what a replica tells of its load; ``None`` if its three counts are not understood.
 
-def _reported_load(text: str) -> ReportedLoad | None:
+    A fourth figure says how long work takes there now, in hundredths of what is usual. Where it
+    cannot be read the counts hold all the same. What follows it is passed over.
+    """
     parts = text.split(",")
-    if len(parts) != 3:
+    if len(parts) < LOAD_COUNTS:
         return None
     try:
-        running, waiting, slots = (int(part) for part in parts)
+        running, waiting, slots = (int(part) for part in parts[:LOAD_COUNTS])
     except ValueError:
         return None
-    return ReportedLoad(running, waiting, slots)
+    return ReportedLoad(running, waiting, slots, _slowness(parts[LOAD_COUNTS:]))
+
+
+def _slowness(further: list[str]) -> float:
+    """Return how many times as long as usual work takes, from the figures after the counts."""
+    try:
+        hundredths = float(further[0]) if further else USUAL_WORK
+    except ValueError:
+        return USUAL_SLOWNESS
+    if not math.isfinite(hundredths) or hundredths <= 0:
+        return USUAL_SLOWNESS
+    return min(MAX_SLOWNESS, max(MIN_SLOWNESS, hundredths / USUAL_WORK))
+
+
+def _named_by_connection(headers) -> frozenset[str]:
+    """Return the headers that a ``Connection`` header says concern one connection only."""
+    named = [value for name, value in headers if name.lower() == "connection"]
+    return frozenset(token.strip().lower() for value in named for token in value.split(","))
 
 
 def _keep_s(headers: HTTPHeaderDict) -> float:
