Requests go to replicas by how slow those are, and stay in their zone while it has room

Cause: replicas tell how long work takes there; the choice went by counts alone. A replica of another zone counted as busier by .75 of a request only, so that one request at each replica of the own zone sent the next one away though slots were free. Change: SlownessRecord (what is usual of a replica, and by its age what it told last), expected_cost in replica_cost.py, used by router and keeper; gateways pass new words on with notices and questions to the keeper, only where replicas tell them.

--- a/src/quaymill/connection/replica_entry.py
+++ b/src/quaymill/connection/replica_entry.py
@@ -59,3 +59,19 @@
     waiting: int
     slots: int
     slowness: float = USUAL_SLOWNESS
+
+
+@attrs.frozen
+class SlownessReading:
+    """When a replica told how long work takes there.
+
+    Attributes
+    ----------
+    slowness
+        How many times as long as usual.
+    at
+        Monotonic time when it told so.
+    """
+
+    slowness: float
+    at: float
--- a/src/quaymill/connection/room_messages.py
+++ b/src/quaymill/connection/room_messages.py
@@ -108,12 +108,33 @@
     paces: tuple[RoutePace, ...] = ()
 
 
-class OnlineInFlight(PeerMessage, frozen=True):
+class SlownessTold(msgspec.Struct, frozen=True, array_like=True):
+    """What a replica told a gateway of how long work takes there.
+
+    Attributes
+    ----------
+    slowness
+        How many times as long as usual.
+    age_s
+        Seconds since it told so.
+    """
+
+    replica_id: str
+    slowness: float
+    age_s: float
+
+
+class OnlineInFlight(PeerMessage, frozen=True, omit_defaults=True):
     """Tell who keeps room what online requests a gateway has at a pool's engines now.
 
     Answered by ``PoolLoads``. It arrives before an engine's report shows the requests, so that
     batch items give way before an online request has waited. The counts are absolute: one
     that is lost is made good by the next.
+
+    Attributes
+    ----------
+    told
+        New words of replicas that tell how slow they are.
     """
 
     gateway: str
@@ -121,6 +142,7 @@
     in_flight: tuple[ItemsAt, ...]
     pool: int = 0
     pools: int = 1
+    told: tuple[SlownessTold, ...] = ()
 
 
 class ReplicaLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -151,7 +173,7 @@
     requests: float
 
 
-class PlaceOnline(PeerMessage, frozen=True):
+class PlaceOnline(PeerMessage, frozen=True, omit_defaults=True):
     """Ask who keeps room where an online request should go; answered by ``OnlinePlaced``.
 
     Attributes
@@ -162,6 +184,8 @@
         Replicas that have been tried, or fail for this gateway.
     offsets
         Of the replicas for which there are any.
+    told
+        New words of replicas that tell how slow they are.
     """
 
     gateway: str
@@ -172,6 +196,7 @@
     offsets: tuple[LoadOffset, ...] = ()
     pool: int = 0
     pools: int = 1
+    told: tuple[SlownessTold, ...] = ()
 
 
 class OnlinePlaced(PeerMessage, frozen=True):
--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -20,6 +20,7 @@
 from quaymill import boot_clock
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient
+from quaymill.connection.replica_entry import SlownessReading
 from quaymill.connection.room_messages import (
     ItemsAt,
     LoadOffset,
@@ -28,6 +29,7 @@
     PlaceOnline,
     PoolLoads,
     ReplicaLoad,
+    SlownessTold,
 )
 from quaymill.process.jobs.engine_pool import EnginePool, pool_of, pools_of
 from quaymill.process.jobs.room_claims import KeeperChoice
@@ -50,6 +52,8 @@
 ENDS_INTERVAL_PER_GATEWAY_S = 0.002
 """The same where there are many gateways: ends alone bring a keeper 500 notices a second at most.
 At 900 messages a second one gateway of a fleet of 53 was too slow to answer (docs/POLICIES.md)."""
+HEARD_LIFETIME_S = 1.0
+"""How long what replicas tell of their slowness waits for a notice."""
 REPEAT_INTERVAL_S = 0.25
 """Time after which counts are told again though nothing has changed: they are believed for
 four times as long, and the loads that come back for twice as long."""
@@ -93,6 +97,7 @@
         self._lock = threading.Lock()
         self._in_flight: Counter[str] = Counter()
         self._placed: Counter[str] = Counter()
+        self._heard: dict[str, SlownessReading] = {}
         self._place_again_at = 0.0
         self._changed = False
         self._told_at = 0.0
@@ -156,6 +161,7 @@
             tuple(LoadOffset(name, offset) for name, offset in wishes.offsets.items()),
             pool.index,
             pool.pools,
+            self._take_heard(pool),
         )
         member = self._keepers.keeper_of(pool.service, pool.index)
         if member is None or member.name == self._own_name:
@@ -181,9 +187,32 @@
     def ended(self, replica: ChosenReplica) -> None:
         """Note that an online request at a replica has ended."""
         # Counted whatever the service: it may gain or lose its batch routes before the end.
+        heard = replica.told_slowness()
         with self._lock:
             self._in_flight[replica.id] -= 1
             self._changed = True
+            if heard is not None:
+                self._heard[replica.id] = heard
+
+    def _take_heard(self, pool: EnginePool) -> tuple[SlownessTold, ...]:
+        """Take what replicas of a pool have told here of how slow they are, unless it is old."""
+        if not self._heard:
+            return ()
+        now = boot_clock.now()
+        with self._lock:
+            heard = [
+                (name, self._heard.pop(name))
+                for name in list(self._heard)
+                if (replica := self._table.get(name)) is None or pool.holds(replica)
+            ]
+        keeper = self._keepers.keeper_of(pool.service, pool.index)
+        if keeper is None or keeper.name == self._own_name:
+            return ()  # This process's keeper knows already.
+        return tuple(
+            SlownessTold(name, reading.slowness, round(now - reading.at, 3))
+            for name, reading in heard
+            if now - reading.at < HEARD_LIFETIME_S
+        )
 
     def _run(self) -> None:
         while not self._stopping.is_set():
@@ -231,7 +260,12 @@
 
     def _tell_keeper(self, pool: EnginePool, counts: dict[str, int]) -> None:
         message = OnlineInFlight(
-            self._own_name, pool.service, _items_at(counts), pool.index, pool.pools
+            self._own_name,
+            pool.service,
+            _items_at(counts),
+            pool.index,
+            pool.pools,
+            self._take_heard(pool),
         )
         loads = self._call_keeper(message)
         if loads is not None:
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -25,6 +25,7 @@
     PlaceOnline,
     PoolLoads,
     RoomGranted,
+    SlownessTold,
     WantedItems,
 )
 from quaymill.process.jobs.engine_loads import EngineLoads, reserve_of
@@ -110,6 +111,7 @@
 
     def note_online(self, message: OnlineInFlight) -> PoolLoads:
         """Count online requests, let batch items give way to them, and tell the pool's loads."""
+        self._take_told(message.told)
         pool = EnginePool(message.service, message.pool, message.pools)
         with self._lock:
             counts = self._counts(pool)
@@ -131,6 +133,7 @@
         The next request is placed by counts that hold this one, whoever asks: gateways that
         chose by themselves would all take the replica that was least busy a moment ago.
         """
+        self._take_told(message.told)
         pool = EnginePool(message.service, message.pool, message.pools)
         with self._lock:
             counts = self._counts(pool)
@@ -148,6 +151,12 @@
         self._send_orders(orders)
         return OnlinePlaced(chosen.id, counts.loads(replicas))
 
+    def _take_told(self, told: Iterable[SlownessTold]) -> None:
+        for one in told:
+            replica = self._table.get(one.replica_id)
+            if replica is not None:
+                replica.take_slowness(one.slowness, one.age_s)
+
     def _counts(self, pool: EnginePool) -> PoolCounts:
         """Return a pool's counts, without words that are too old; the lock is held."""
         now = boot_clock.now()
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -10,7 +10,8 @@
 from eliot import log_message
 
 from quaymill import boot_clock
-from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad
+from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad, SlownessReading
+from quaymill.process.replica_set.slowness import SlownessRecord
 
 REPORT_HALF_LIFE_S = 1.0
 POOL_VIEW_LIFETIME_S = 0.6
@@ -98,6 +99,7 @@
         self._reported: ReportedLoad | None = None
         self._others = 0.0
         self._reported_at = 0.0
+        self._slowness = SlownessRecord()
         self._penalty = 0.0
         self._penalty_at = 0.0
         self._first_byte_s = 0.0
@@ -203,6 +205,21 @@
             self._reported = load
             self._others = max(0.0, load.running + load.waiting - self.in_flight)
             self._reported_at = boot_clock.now()
+            self._slowness.take(SlownessReading(load.slowness, self._reported_at))
+
+    def take_slowness(self, slowness: float, age_s: float) -> None:
+        """Take what the replica told another gateway so many seconds ago."""
+        with self._lock:
+            self._slowness.take(SlownessReading(slowness, boot_clock.now() - age_s))
+
+    def told_slowness(self) -> SlownessReading | None:
+        """Return the replica's last word of its slowness; ``None`` where it tells nothing of it."""
+        with self._lock:
+            return self._slowness.last if self._slowness.tells else None
+
+    def slowness(self) -> float:
+        """Return how many times as long as usual work is expected to take now."""
+        return self._slowness.at(boot_clock.now())
 
     def load(self) -> float:
         """Return the estimated number of requests at the replica, as an online request counts.
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad
+from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad, SlownessReading
 from quaymill.request.forwarded_request import ForwardedRequest
 from quaymill.request.presence import CallerPresence
 from quaymill.request.prompt import Prompt
@@ -67,6 +67,9 @@
     def take_report(self, load: ReportedLoad) -> None:
         """Take what the replica told of its load."""
 
+    def told_slowness(self) -> SlownessReading | None:
+        """Return its last word of how slow it is; ``None`` where it tells nothing of it."""
+
     def record_success(self, first_byte_s: float) -> None:
         """Note a timely answer."""
 
--- /dev/null
+++ b/tests/test_uneven_replicas.py
@@ -0,0 +1,251 @@
+"""Replicas that are not equally quick: what is believed of them, and what callers get."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from unittest import mock
+
+import attrs
+import msgspec
+from nose2.tools import params
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.member import Member
+from quaymill.connection.peer_link import PeerMessage
+from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad, SlownessReading
+from quaymill.connection.room_messages import (
+    ItemsAt,
+    OnlineInFlight,
+    PlaceOnline,
+    SlownessTold,
+)
+from quaymill.process.jobs.engine_loads import EngineLoads
+from quaymill.process.jobs.online_notices import OnlineNotices
+from quaymill.process.jobs.room_keeper import RoomKeeper
+from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.replica_cost import (
+    OTHER_ZONE_KEPT_LOAD,
+    OTHER_ZONE_LOAD,
+    expected_cost,
+    least_costly,
+)
+from quaymill.process.replica_set.router import PlacementWishes
+from quaymill.process.replica_set.slowness import SlownessRecord
+from quaymill.process.replica_set.table import ReplicaTable
+from uneven_player import UnevenLoad, UnevenOutcome, UnevenPlayer
+
+SERVICE = "s"
+SEEDS = (1, 2, 3)
+THREE_ZONES = ("a", "b", "c")
+UNEVEN_CALLERS = (0.31, 0.28, 0.41)
+PASSING = {"slow_s": 0.09, "period_s": 0.6, "slow_factor": 2.5}
+
+
+def replica(name: str, zone: str = "a") -> Replica:
+    return Replica(ReplicaEntry(name, SERVICE, Endpoint("127.0.0.1", 1), zone, 8))
+
+
+def _loads() -> EngineLoads:
+    """Return reports of engines that say nothing against the counts."""
+    loads = mock.create_autospec(EngineLoads, instance=True)
+    loads.excess.return_value = 0
+    return loads
+
+
+def play(load: UnevenLoad, *, tells: bool = True) -> UnevenOutcome:
+    """Return what callers got over all seeds."""
+    whole = UnevenOutcome()
+    for seed in SEEDS:
+        outcome = UnevenPlayer(load, seed, tells=tells).play()
+        whole.took_s += outcome.took_s
+        whole.waited_s += outcome.waited_s
+        whole.to_other_zone += outcome.to_other_zone
+        whole.needless += outcome.needless
+    return whole
+
+
+class SlownessTest(unittest.TestCase):
+    """What is believed of one replica, by the age of its word."""
+
+    def record(self, *told: float) -> SlownessRecord:
+        record = SlownessRecord()
+        for number, slowness in enumerate(told):
+            record.take(SlownessReading(slowness, number * 0.1))
+        return record
+
+    def test_nothing_is_told(self) -> None:
+        record = self.record(1.0, 1.0, 1.0)
+        self.assertEqual(1.0, record.at(0.25))
+        self.assertFalse(record.tells)
+
+    def test_new_word_counts_whole_and_an_old_one_for_nothing(self) -> None:
+        record = self.record(*[1.0] * 10, 2.5)
+        self.assertAlmostEqual(2.5, record.at(1.0), places=2)
+        self.assertLess(record.at(1.1), 1.5)
+        self.assertAlmostEqual(1.0, record.at(3.0), delta=0.05)
+
+    def test_what_lasts_is_learned(self) -> None:
+        record = self.record(*[1.3] * 200)
+        self.assertAlmostEqual(1.3, record.at(60.0), delta=0.02)
+
+    def test_word_that_it_is_quick_now_draws_no_work(self) -> None:
+        record = self.record(*[1.5] * 200, 1.0)
+        self.assertGreater(record.at(20.0), 1.45)
+
+    def test_older_word_does_not_replace_the_last(self) -> None:
+        record = self.record(1.0, 2.5)
+        record.take(SlownessReading(1.0, 0.05))
+        self.assertEqual(2.5, record.last.slowness)
+
+
+class CostTest(unittest.TestCase):
+    """What a request costs at a replica."""
+
+    def test_choice_is_the_least_load_where_all_take_their_usual_time(self) -> None:
+        rng = random.Random(5)
+        for seed in range(300):
+            self.assertEqual(*self.both_choices(rng, seed))
+
+    def both_choices(self, rng: random.Random, seed: int) -> tuple[str, str]:
+        """Return the choice by load alone, and the product's."""
+        replicas = [replica(f"r{n}", rng.choice("ab")) for n in range(6)]
+        loads = {one.id: rng.choice((0, 1, 2, 4.25, 8, 9, 17.5)) for one in replicas}
+        offsets = {one.id: rng.choice((0.0, -1.0, 2.0)) for one in replicas}
+        for one in replicas:
+            one.take_report(ReportedLoad(1, 0, 8))
+        ties = random.Random(seed)
+
+        def plain(one: Replica) -> tuple[float, float]:
+            offset = offsets[one.id]
+            zone_load = OTHER_ZONE_KEPT_LOAD if offset < 0 else OTHER_ZONE_LOAD
+            own = 0.0 if one.entry.zone == "a" else zone_load
+            return loads[one.id] + offset + own, ties.random()
+
+        seen = least_costly(replicas, lambda one: loads[one.id], "a", offsets, random.Random(seed))
+        return min(replicas, key=plain).id, seen.id
+
+    def test_slow_replica_costs_more_the_more_wait_there(self) -> None:
+        self.assertEqual(3.0, expected_cost(3.0, 8, 1.0))
+        idle = expected_cost(0.0, 8, 1.5)
+        full = expected_cost(8.0, 8, 1.5) - 8.0
+        queued = expected_cost(16.0, 8, 1.5) - 16.0
+        self.assertEqual((4.0, 4.0, 8.0), (idle, full, queued))
+
+
+class KeeperTest(unittest.TestCase):
+    """The keeper of room hears of slow replicas from other gateways."""
+
+    def setUp(self) -> None:
+        self.table = ReplicaTable()
+        entries = [
+            ReplicaEntry(name, SERVICE, Endpoint("127.0.0.1", 1), "a", 8) for name in ("x1", "x2")
+        ]
+        self.table.replace_all(entries, 1)
+        self.keeper = RoomKeeper(self.table, _loads())
+
+    @params("notice", "question")
+    def test_slow_one_is_passed_over(self, how: str) -> None:
+        told = (SlownessTold("x1", 2.5, 0.01), SlownessTold("gone", 2.5, 0.01))
+        if how == "notice":
+            self.keeper.note_online(OnlineInFlight("g", SERVICE, (), told=told))
+            told = ()
+        placed = self.keeper.place_online(
+            PlaceOnline("g", "a", SERVICE, (ItemsAt("x2", 3),), told=told)
+        )
+        self.assertEqual("x2", placed.replica_id)
+
+    def test_word_of_a_replica_goes_with_the_next_message_once(self) -> None:
+        sent: list[PeerMessage] = []
+        client = mock.Mock()
+        client.call.side_effect = lambda peer, message, *rest: sent.append(message)
+        peer = Endpoint("127.0.0.1", 1)
+        other = Member("other", "z", "r", peer, peer)
+        notices = OnlineNotices(
+            "g", "a", self.table, self.keeper, client, lambda: (other,), lambda: (SERVICE,)
+        )
+        slow = self.table.get("x1")
+        notices.began(slow)
+        slow.take_report(ReportedLoad(1, 0, 8, 2.5))
+        notices.ended(slow)
+        notices.place(slow, PlacementWishes(frozenset(), {}))
+        notices._place_again_at = 0.0
+        notices.place(slow, PlacementWishes(frozenset(), {}))
+        (told,), none = (message.told for message in sent)
+        self.assertEqual(("x1", 2.5), (told.replica_id, told.slowness))
+        self.assertEqual((), none)
+
+    def test_message_of_an_earlier_build_is_read(self) -> None:
+        @attrs.frozen
+        class Sent:
+            kind: str
+            gateway: str
+            service: str
+            in_flight: tuple = ()
+
+        sent = msgspec.json.encode(Sent("OnlineInFlight", "g", SERVICE))
+        self.assertEqual((), msgspec.json.decode(sent, type=OnlineInFlight).told)
+        self.assertNotIn(b"told", msgspec.json.encode(OnlineInFlight("g", SERVICE, ())))
+        self.assertTrue(issubclass(OnlineInFlight, PeerMessage))
+
+
+class UnevenPlayTest(unittest.TestCase):
+    """Bursts of requests before replicas that are not equally quick."""
+
+    @params(
+        ("few requests", 300.0, 0.96),
+        ("bursts that fill most slots", 1200.0, 0.99),
+    )
+    def test_what_lasts_is_avoided(self, _name: str, high_per_s: float, part: float) -> None:
+        load = UnevenLoad(
+            paces=(1.0, 1.0, 1.3) * 8, high_per_s=high_per_s, low_per_s=100.0, length_s=12.0
+        )
+        told, untold = play(load), play(load, tells=False)
+        self.assertLess(told.mean_s, part * untold.mean_s)
+        self.assertLess(told.quantile_s(0.95), untold.quantile_s(0.95))
+
+    @params(("few requests", 300.0), ("bursts that fill most slots", 1300.0))
+    def test_passing_slowness_does_no_harm(self, _name: str, high_per_s: float) -> None:
+        load = UnevenLoad(
+            paces=(1.0,) * 24, high_per_s=high_per_s, low_per_s=100.0, length_s=12.0, **PASSING
+        )
+        told, untold = play(load), play(load, tells=False)
+        self.assertLess(told.mean_s, 1.005 * untold.mean_s)
+        self.assertLess(told.quantile_s(0.95), 1.02 * untold.quantile_s(0.95))
+
+    def test_many_gateways_before_few_replicas(self) -> None:
+        load = UnevenLoad(
+            paces=(1.0, 1.0, 1.3),
+            zones=THREE_ZONES,
+            callers=UNEVEN_CALLERS,
+            high_per_s=85.0,
+            low_per_s=18.0,
+            service_s=0.045,
+            slots=6,
+            views=70,
+            **PASSING,
+        )
+        told, untold = play(load), play(load, tells=False)
+        self.assertLess(told.mean_s, 1.02 * untold.mean_s)
+        self.assertLess(told.quantile_s(0.99), 0.3)
+
+    @params(
+        ("few requests", 310.0, 0.01, 0.001),
+        ("bursts that fill most slots", 2500.0, 0.10, 0.02),
+    )
+    def test_work_leaves_its_zone_when_it_would_wait(
+        self, _name: str, high_per_s: float, to_other: float, waiting: float
+    ) -> None:
+        load = UnevenLoad(
+            paces=(1.0,) * 36,
+            zones=THREE_ZONES,
+            callers=UNEVEN_CALLERS,
+            high_per_s=high_per_s,
+            low_per_s=100.0,
+            length_s=7.0,
+        )
+        outcome = play(load)
+        requests = len(outcome.took_s)
+        waited = sum(wait_s > 0.001 for wait_s in outcome.waited_s)
+        self.assertLess(outcome.to_other_zone / requests, to_other)
+        self.assertLess(waited / requests, waiting)
