The bounds of a told slowness stand beside its type

Change: read_slowness in connection/replica_entry.py. Tested: test_reported_loads, test_platform_names.

--- a/src/quaymill/connection/replica_entry.py
+++ b/src/quaymill/connection/replica_entry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from quaymill.connection.endpoint import Endpoint
@@ -61,6 +63,20 @@
     slowness: float = USUAL_SLOWNESS
 
 
+def read_slowness(text: str) -> float:
+    """Return how many times as long as usual work takes, from hundredths of what is usual.
+
+    What cannot be read tells nothing; what is beyond the bounds counts as the bound.
+    """
+    try:
+        slowness = float(text) / 100.0
+    except ValueError:
+        return USUAL_SLOWNESS
+    if not math.isfinite(slowness) or slowness <= 0:
+        return USUAL_SLOWNESS
+    return min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
+
+
 @attrs.frozen
 class SlownessReading:
     """When a replica told how long work takes there.
--- a/src/quaymill/platform/replica_calls.py
+++ b/src/quaymill/platform/replica_calls.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 import msgspec
 from urllib3._collections import HTTPHeaderDict
 from urllib3.util import SKIP_HEADER
@@ -11,12 +9,7 @@
 from quaymill.connection.engine_report import EngineReport
 from quaymill.connection.replica_answer import AnswerHead
 from quaymill.connection.replica_connection import Exchange, ReplicaRequest
-from quaymill.connection.replica_entry import (
-    MAX_SLOWNESS,
-    MIN_SLOWNESS,
-    USUAL_SLOWNESS,
-    ReportedLoad,
-)
+from quaymill.connection.replica_entry import ReportedLoad, read_slowness
 from quaymill.platform import names
 from quaymill.request.forwarded_request import ForwardedRequest
 
@@ -44,10 +37,6 @@
 MISDIRECTED_STATUS = 421
 DEFAULT_KEEP_S = 4.0
 KEEP_MARGIN_S = 1.0
-LOAD_COUNTS = 3
-"""Figures of a load that are counts of requests."""
-USUAL_WORK = 100.0
-"""What the fourth figure is where work takes as long as usual."""
 
 
 class _Report(msgspec.Struct):
@@ -124,30 +113,13 @@
 
 
 def read_load(text: str) -> ReportedLoad | None:
-    """Return what a replica tells of its load; ``None`` if its three counts are not understood.
-
-    A fourth figure says how long work takes there now, in hundredths of what is usual. Where it
-    cannot be read the counts hold all the same. What follows it is passed over.
-    """
+    """Return what a replica tells of its load; ``None`` if its counts are not understood."""
     parts = text.split(",")
-    if len(parts) < LOAD_COUNTS:
-        return None
     try:
-        running, waiting, slots = (int(part) for part in parts[:LOAD_COUNTS])
+        running, waiting, slots = (int(part) for part in parts[:3])
     except ValueError:
         return None
-    return ReportedLoad(running, waiting, slots, _slowness(parts[LOAD_COUNTS:]))
-
-
-def _slowness(further: list[str]) -> float:
-    """Return how many times as long as usual work takes, from the figures after the counts."""
-    try:
-        hundredths = float(further[0]) if further else USUAL_WORK
-    except ValueError:
-        return USUAL_SLOWNESS
-    if not math.isfinite(hundredths) or hundredths <= 0:
-        return USUAL_SLOWNESS
-    return min(MAX_SLOWNESS, max(MIN_SLOWNESS, hundredths / USUAL_WORK))
+    return ReportedLoad(running, waiting, slots, read_slowness("".join(parts[3:4])))
 
 
 def _named_by_connection(headers) -> frozenset[str]:
