Answers are held for callers that read slowly, within a budget

Cause: answers were written to callers with blocking writes. A slow caller stopped the reading from its replica, kept its slot, and the replica cuts off an answer that stays unread for some seconds. A write is tried without waiting; what the caller does not take is held, up to a part of the memory, and the thread that relays sends it on while it reads from the replica. Over the budget the largest answer is ended, visibly incomplete, with a log line. Requests give a replica that does not read them 1 s, and more for large bodies, before another is tried, instead of 5 s; bodies in service are counted. Tested: test_answer_buffer, with real connections.

--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -94,6 +94,25 @@
         """Return whether the replica has sent something, or closed, within the timeout."""
         return is_readable(self._socket, timeout_s)
 
+    @property
+    def descriptor(self) -> int:
+        """Descriptor of the connection; negative once it is closed."""
+        return self._socket.fileno()
+
+    def has_arrived(self) -> bool:
+        """Return whether a read of the body would not wait: there is more, or its end."""
+        if is_readable(self._socket, 0.0):
+            return True
+        # What the library has read ahead is not seen at the socket.
+        ahead = getattr(getattr(self._response, "_fp", None), "fp", None)
+        if ahead is None:
+            return True
+        try:
+            self._socket.setblocking(False)
+            return bool(ahead.peek(1))
+        except (OSError, ValueError):
+            return True
+
     def read_head(self, timeout_s: float) -> OutcomeUnknown | None:
         """Read the status line and the headers of the answer."""
         # The library sets the socket's timeout anew from the connection's.
@@ -225,6 +244,7 @@
         *,
         fresh: bool = False,
         max_idle_s: float = IDLE_CONNECTION_LIFETIME_S,
+        send_timeout_s: float = SEND_TIMEOUT_S,
     ) -> Exchange | NotRun | OutcomeUnknown:
         """Send one request.
 
@@ -235,6 +255,8 @@
             replica may close just as the request goes out.
         max_idle_s
             Use no connection that has been idle for longer.
+        send_timeout_s
+            Longest wait until the replica has taken the request.
 
         Returns
         -------
@@ -253,8 +275,8 @@
                 connection.close()
                 return _unreachable(endpoint, str(error))
             self.opened += 1
-        connection.timeout = SEND_TIMEOUT_S
-        connection.sock.settimeout(SEND_TIMEOUT_S)
+        connection.timeout = send_timeout_s
+        connection.sock.settimeout(send_timeout_s)
         exchange = Exchange(self, endpoint, connection, reused)
         try:
             connection.request(
--- a/src/quaymill/platform/gateway_role.py
+++ b/src/quaymill/platform/gateway_role.py
@@ -6,7 +6,7 @@
 from quaymill.platform import caller_calls, configuration, names, replica_calls
 from quaymill.platform.object_store import PlatformObjectStore
 from quaymill.process.control.state import ControlProtocol
-from quaymill.process.gateway_node import GatewayNode, GatewayProtocol
+from quaymill.process.gateway_node import GatewayFeatures, GatewayNode, GatewayProtocol
 from quaymill.process.jobs.engine_loads import ReportProtocol
 from quaymill.process.jobs.item_run import ItemProtocol
 from quaymill.process.process_context import ProcessContext
@@ -32,4 +32,7 @@
     """Return a gateway's parts, not started yet."""
     store = PlatformObjectStore(settings.store_endpoint)
     metrics = Endpoint(settings.address, METRICS_PORT)
-    return GatewayNode(settings, store, GATEWAY_PROTOCOL, metrics, lambda: store.calls, context)
+    features = GatewayFeatures(names.PRESSURE in settings.contracts.split(","))
+    return GatewayNode(
+        settings, store, GATEWAY_PROTOCOL, metrics, lambda: store.calls, context, features
+    )
--- a/src/quaymill/process/front/front_service.py
+++ b/src/quaymill/process/front/front_service.py
@@ -98,6 +98,8 @@
         self._lock = threading.Lock()
         self._in_service = 0
         self.draining = False
+        self.body_bytes = 0
+        """Size of the bodies of forwarded requests in service."""
 
     @property
     def in_service(self) -> int:
@@ -118,6 +120,8 @@
                 )
             else:
                 self._answer(request, writer)
+            # A caller that is slow to read is in service until it has its answer.
+            writer.finish()
         finally:
             with self._lock:
                 self._in_service -= 1
@@ -216,9 +220,14 @@
             tenant=caller.told_name,
             priority=caller.rank(route.priority),
         )
-        result = self._forwarder.forward(
-            forwarded, route, writer, request.presence, lambda: self._key_change(caller)
-        )
+        writer.name_request(read.id)
+        self._count_body(len(body))
+        try:
+            result = self._forwarder.forward(
+                forwarded, route, writer, request.presence, lambda: self._key_change(caller)
+            )
+        finally:
+            self._count_body(-len(body))
         if isinstance(result, GivenUp | KeyChanged) and not writer.started:
             self._refuse(request, writer, forwarding_refusal(result), read.id, caller)
         elif isinstance(result, GivenUp | CallerLeft):
@@ -239,6 +248,10 @@
             reason=getattr(result, "reason", ""),
         )
 
+    def _count_body(self, size: int) -> None:
+        with self._lock:
+            self.body_bytes += size
+
     def _key_change(self, caller: Caller) -> KeyChanged | None:
         """Return what has become of a caller's key, unless it holds it still."""
         state = key_state(caller, self._routes())
--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -22,6 +22,7 @@
 from quaymill.connection.endpoint import Endpoint
 from quaymill.process.early_listener import LISTEN_BACKLOG
 from quaymill.process.front.head_watch import HeadWatch
+from quaymill.request.answer_buffer import HeldAnswer, HeldAnswers
 from quaymill.request.forwarded_request import Headers
 from quaymill.request.presence import CallerPresence
 
@@ -198,10 +199,16 @@
         Whether the head has been sent.
     status
         Status code sent; 0 before.
+
+    Parameters
+    ----------
+    held
+        Keeps what the caller is slow to take; ``None`` where writing waits for the caller.
     """
 
-    def __init__(self, request: _HttpRequest) -> None:
+    def __init__(self, request: _HttpRequest, held: HeldAnswer | None = None) -> None:
         self._request = request
+        self._held = held
         self.started = False
         self.status = 0
 
@@ -219,8 +226,38 @@
 
     def write(self, block: bytes) -> None:
         """Send a part of the body; raises ``OSError`` when the caller is gone."""
-        if block:
+        if not block:
+            return
+        if self._held is None:
             self._request.write(block)
+        elif self._request.chunked_write:
+            self._held.send(b"%x\r\n%b\r\n" % (len(block), block))
+        else:
+            self._held.send(block)
+
+    def name_request(self, request_id: str) -> None:
+        """Tell how the request is called in log lines."""
+        if self._held is not None:
+            self._held.request_id = request_id
+
+    @property
+    def pending(self) -> bool:
+        """Whether something is held that the caller has not taken yet."""
+        return self._held is not None and self._held.pending
+
+    def send_held(self, timeout_s: float, beside: int = -1) -> bool:
+        """Wait until the caller takes something, or there is something to read ``beside``."""
+        return self._held.send_held(timeout_s, beside)
+
+    def finish(self) -> None:
+        """Return once the caller has taken all; raises ``OSError`` if it does not."""
+        if self._held is not None:
+            self._held.finish()
+
+    def drop_held(self) -> None:
+        """Forget what the caller has not taken."""
+        if self._held is not None:
+            self._held.drop()
 
     def answer(self, status: int, headers: Headers, body: bytes, reason: str = "") -> None:
         """Send a whole answer."""
@@ -280,6 +317,8 @@
         Returns the presence of the caller on a connection; ``unwatch`` ends that.
     listener
         Where connections wait already; the server listens by itself if there is none.
+    held_answers
+        Keeps answers for callers that read slowly; without it writing waits for them.
     """
 
     ConnectionClass = _HttpConnection
@@ -293,10 +332,11 @@
         unwatch: Callable[[socket.socket], None] = lambda connection: None,
         idle_threads: int = MIN_THREADS,
         listener: socket.socket | None = None,
+        held_answers: HeldAnswers | None = None,
     ) -> None:
         super().__init__(
             (endpoint.host, endpoint.port),
-            _gateway(handler, watch, unwatch),
+            _gateway(handler, watch, unwatch, held_answers),
             server_name=SERVER_NAME,
         )
         self.requests = _ElasticThreadPool(self, min=min(idle_threads, threads), max=threads)
@@ -388,22 +428,27 @@
         log_message("front:http_error", message=msg, level=logging.getLevelName(level))
 
 
-def _gateway(handler: Handler, watch, unwatch) -> type[server.Gateway]:
+def _gateway(
+    handler: Handler, watch, unwatch, held_answers: HeldAnswers | None
+) -> type[server.Gateway]:
     """Return the class by which cheroot hands requests to ``handler``."""
 
     class FrontGateway(server.Gateway):
         def respond(self) -> None:
             connection = self.req.conn.socket
             presence = watch(connection)
-            writer = AnswerWriter(self.req)
+            held = held_answers and HeldAnswer(held_answers, connection)
+            writer = AnswerWriter(self.req, held)
             try:
                 handler(FrontRequest(self.req, presence), writer)
+                writer.finish()
             except OSError:
                 writer.break_off()  # The caller is gone, or its connection broke.
             except Exception as error:  # A bug must end one request, not the server's thread.
                 log_message("front:handler_error", error=repr(error))
                 writer.break_off()
             finally:
+                writer.drop_held()
                 unwatch(connection)
 
     return FrontGateway
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -59,6 +59,7 @@
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.process.replica_set.warnings import ReplicaWarnings
 from quaymill.process.serving_settings import MS_PER_S, ServingSettings
+from quaymill.request.answer_buffer import HeldAnswers
 from quaymill.request.forwarding import Forwarder, ReplicaProtocol
 from quaymill.request.poison import PoisonRecords
 from quaymill.version.request_routes import NO_ROUTES, RequestRoutes
@@ -85,6 +86,19 @@
     ready_path: str
 
 
+@attrs.frozen
+class GatewayFeatures:
+    """What an adapter knows of the deployment that switches parts of a gateway on.
+
+    Attributes
+    ----------
+    callers_may_read_slowly
+        Whether answers are held for callers that read slower than replicas send.
+    """
+
+    callers_may_read_slowly: bool = False
+
+
 class GatewayNode:
     """All parts of one gateway.
 
@@ -100,6 +114,7 @@
         metrics_endpoint: Endpoint | None,
         store_calls: Callable[[], int] = lambda: 0,
         context: ProcessContext | None = None,
+        features: GatewayFeatures = GatewayFeatures(),
     ) -> None:
         self._settings = settings
         self._store_calls = store_calls
@@ -232,6 +247,7 @@
         )
         self._limiter = self._build_limiter()
         self._registry = NodeRegistry(store, self.network.membership, self._lacks_peers)
+        self._held_answers = HeldAnswers.within_memory(settings.machine.memory_mb)
         self._metrics = FrontMetrics(CollectorRegistry())
         self._add_gauges()
         self._front = self._build_front(protocol)
@@ -243,6 +259,7 @@
             self._watch.watch,
             self._watch.unwatch,
             listener=self._context.callers_listener,
+            held_answers=self._held_answers if features.callers_may_read_slowly else None,
         )
         self._readiness = ReadinessServer(
             Endpoint.parse(settings.listen.readiness), protocol.ready_path, self._is_ready
@@ -312,6 +329,9 @@
             "control_age_seconds": self.network.membership.confirmed_age_s,
             "requests_in_service": lambda: self._front.in_service,
             "requests_held": lambda: self._queue.held,
+            "request_body_bytes": lambda: self._front.body_bytes,
+            "answer_bytes_held": lambda: self._held_answers.held_bytes,
+            "answers_ended": lambda: self._held_answers.ended,
             "batch_items_running": self.coordinator.running_items,
             "batch_jobs_open": lambda: len(self.coordinator.open_jobs()),
             "requests_barred": lambda: self._poison_records.count(barred=True),
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -71,6 +71,15 @@
         "the keeper of room did not say in time where a request should go; the gateway chooses",
         ("service", "keeper: the gateway that was asked"),
     ),
+    "request:answer_ended": LogEvent(
+        "an answer was ended before its caller had taken it: it took too little of it",
+        (
+            REQUEST,
+            "unread_bytes: what the caller had not taken",
+            "held_bytes, budget_bytes: what was held for all callers, and the most that may be",
+            REASON,
+        ),
+    ),
     "request:ended": LogEvent(
         "a request was answered or given up",
         (
--- a/src/quaymill/process/serving_settings.py
+++ b/src/quaymill/process/serving_settings.py
@@ -115,6 +115,9 @@
         as every node listens to peers on the same port.
     data_folder
         Folder on a disk; empty on a machine that keeps nothing.
+    contracts
+        Parts of the platform's rules in force, by its names, joined by commas; read by the
+        adapter alone.
     disks_lost_at_once
         How many disks may be lost at once without losing anything acknowledged.
     """
@@ -128,6 +131,7 @@
     seeds: str = ""
     data_folder: str = ""
     disks_lost_at_once: int = 1
+    contracts: str = ""
     listen: Listeners = Listeners()
     machine: Machine = Machine()
     bounds: Bounds = Bounds()
--- a/src/quaymill/request/answer_relay.py
+++ b/src/quaymill/request/answer_relay.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from quaymill import boot_clock
 from quaymill.connection.replica_answer import AnswerHead
 from quaymill.connection.replica_connection import Exchange
 from quaymill.request.event_stream import EventFramer
@@ -24,12 +25,19 @@
 
     started: bool
 
+    @property
+    def pending(self) -> bool:
+        """Whether something is held that the caller has not taken yet."""
+
     def start(self, status: int, reason: str, headers: Headers, length: int | None = None) -> None:
         """Send the head."""
 
     def write(self, block: bytes) -> None:
         """Send a part of the body."""
 
+    def send_held(self, timeout_s: float, beside: int = -1) -> bool:
+        """Wait until the caller takes something, or there is something to read ``beside``."""
+
     def break_off(self) -> None:
         """End the connection without completing the answer."""
 
@@ -89,8 +97,7 @@
         blocks: list[bytes] = []
         buffered_bytes = 0
         while True:
-            exchange.set_read_timeout(self._request.deadline.remaining_s())
-            block = exchange.read_block()
+            block = self._read_block(exchange, self._request.deadline.remaining_s())
             if isinstance(block, OutcomeUnknown):
                 return broken_by(block)
             if not block:
@@ -117,8 +124,7 @@
         resumable = self._route.resumable
         self._framer.rest = b""
         while True:
-            exchange.set_read_timeout(self._gap_patience_s())
-            block = exchange.read_block()
+            block = self._read_block(exchange, self._gap_patience_s())
             if isinstance(block, OutcomeUnknown):
                 return broken_by(block)
             replica.hear()
@@ -136,6 +142,15 @@
             self._answer.start(head.status, head.reason, head.headers)
         return Delivered(head.status, replica.id)
 
+    def _read_block(self, exchange: Exchange, patience_s: float) -> bytes | OutcomeUnknown:
+        """Read what comes next; meanwhile the caller takes what is held for it."""
+        until = boot_clock.now() + patience_s
+        while self._answer.pending and not exchange.has_arrived():
+            if not self._answer.send_held(until - boot_clock.now(), exchange.descriptor):
+                break
+        exchange.set_read_timeout(until - boot_clock.now())
+        return exchange.read_block()
+
     def _gap_patience_s(self) -> float:
         remaining_s = self._request.deadline.remaining_s()
         return min(remaining_s, EVENT_GAP_PATIENCE_S) if self._may_try_another() else remaining_s
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -16,7 +16,12 @@
 
 from quaymill import boot_clock
 from quaymill.connection.replica_answer import AnswerHead
-from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
+from quaymill.connection.replica_connection import (
+    SEND_TIMEOUT_S,
+    Exchange,
+    ReplicaConnections,
+    ReplicaRequest,
+)
 from quaymill.request.answer_relay import AnswerRelay, AnswerWriter, release
 from quaymill.request.forwarded_request import ForwardedRequest
 from quaymill.request.forwarding_result import (
@@ -58,6 +63,11 @@
 SILENCE_PATIENCE_S = 0.6
 """Wait at a replica from which nothing at all comes, if another may be tried."""
 SILENCE_CHECK_S = 0.1
+MIN_SEND_PATIENCE_S = 1.0
+"""Wait for a replica that does not read a request, if another may be tried: as long as for an event
+of a stream that has begun."""
+SLOWEST_SEND_BYTES_PER_S = 1024 * 1024
+"""Speed at which a large request is sent over the slowest links of gateways."""
 UNREACHABLE_WEIGHT = 2.0
 """Failures that a connection which could not be made counts for: no request can be served there."""
 ANSWER_PATIENCE_FACTOR = 8.0
@@ -262,6 +272,7 @@
             replica.entry.address,
             message,
             max_idle_s=IDLE_LIMIT_S if repeatable else IDLE_LIMIT_NOT_REPEATABLE_S,
+            send_timeout_s=self._send_patience_s(len(message.body)),
         )
         if isinstance(exchange, NotRun):
             replica.record_failure(UNREACHABLE_WEIGHT)
@@ -278,6 +289,12 @@
         finally:
             replica.end_answer()
 
+    def _send_patience_s(self, size: int) -> float:
+        """Return how long a replica may take to read the request."""
+        if not self._may_try_another():
+            return SEND_TIMEOUT_S
+        return min(SEND_TIMEOUT_S, MIN_SEND_PATIENCE_S + size / SLOWEST_SEND_BYTES_PER_S)
+
     def _read_answer(
         self, exchange: Exchange, replica: ChosenReplica, began: float
     ) -> AttemptResult:
--- /dev/null
+++ b/tests/test_answer_buffer.py
@@ -0,0 +1,266 @@
+"""Callers that read an answer slower than its replica sends it, over real connections."""
+
+from __future__ import annotations
+
+import io
+import socket
+import threading
+import time
+import unittest
+from unittest import mock
+
+from nose2.tools import params
+
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.replica_connection import ReplicaConnections, ReplicaRequest
+from quaymill.platform import gateway_role
+from quaymill.platform.replica_calls import read_answer_head
+from quaymill.process.front.http_server import HttpServer
+from quaymill.process.serving_settings import Machine, ServingSettings
+from quaymill.request import answer_buffer
+from quaymill.request.answer_buffer import HeldAnswers
+from quaymill.request.answer_relay import AnswerRelay
+from quaymill.request.deadline import Deadline
+from quaymill.request.forwarded_request import ForwardedRequest
+from quaymill.version.request_routes import RequestRoute, RouteKind, WeightedService
+from quaymill_bench.ports import free_port
+
+MEGABYTE = 1024 * 1024
+EVENT = b"data: " + b"x" * 506
+ANSWER_BYTES = 1280 * 1024
+SILENCE_S = 3.0
+SOON_S = 2.0
+WAIT_S = 20.0
+END_MARK = b"\r\n0\r\n\r\n"
+ROUTE = RequestRoute("r", "h", "/", RouteKind.STREAMING, (WeightedService("s", 1.0),), 30.0, 1.0)
+
+
+def body_of(answer: bytes) -> bytes:
+    """Return the body of a whole answer that came in chunks."""
+    lines = io.BytesIO(answer.partition(b"\r\n\r\n")[2])
+    parts: list[bytes] = []
+    while size := int(lines.readline(), 16):
+        parts.append(lines.read(size))
+        lines.readline()
+    return b"".join(parts)
+
+
+class StreamingReplica:
+    """Answers each request with a stream of events, as fast as it is read.
+
+    Attributes
+    ----------
+    sent_after_s
+        How long each answer took until all of it was sent.
+    cut_off
+        Answers that were given up on the other side.
+    """
+
+    def __init__(self, answer_bytes: int) -> None:
+        chunk = b"%x\r\n%b\r\n" % (len(EVENT), EVENT)
+        self._body = chunk * (answer_bytes // len(EVENT)) + b"0\r\n\r\n"
+        self.sent_after_s: list[float] = []
+        self.cut_off = 0
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.endpoint = Endpoint(*self._listener.getsockname())
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._answer, args=(connection,), daemon=True).start()
+
+    def _answer(self, connection: socket.socket) -> None:
+        with connection:
+            connection.recv(65536)
+            began = time.monotonic()
+            head = (
+                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                b"Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+            )
+            try:
+                connection.sendall(head + self._body)
+            except OSError:
+                self.cut_off += 1
+                return
+            self.sent_after_s.append(time.monotonic() - began)
+
+
+class SlowReaderCase(unittest.TestCase):
+    """A server whose handler relays the replica's answer."""
+
+    budget_bytes = 16 * MEGABYTE
+    answer_bytes = ANSWER_BYTES
+
+    def setUp(self) -> None:
+        self.replica = StreamingReplica(self.answer_bytes)
+        self.addCleanup(self.replica.close)
+        self.held = HeldAnswers(self.budget_bytes)
+        self.connections = ReplicaConnections(LinkFilter())
+        self.endpoint = Endpoint("127.0.0.1", free_port())
+        self.server = HttpServer(self.endpoint, self.handle, 40, held_answers=self.held)
+        self.server.start_serving()
+        self.addCleanup(self.server.stop)
+
+    def handle(self, request, writer) -> None:
+        exchange = self.connections.send(self.replica.endpoint, ReplicaRequest("GET", "/", {}))
+        exchange.read_head(WAIT_S)
+        forwarded = ForwardedRequest(
+            id="q",
+            method="GET",
+            target="/",
+            headers=(),
+            body=b"",
+            deadline=Deadline.after(WAIT_S),
+        )
+        writer.name_request("q")
+        relay = AnswerRelay(forwarded, ROUTE, writer, lambda: False)
+        relay.pass_on(exchange, mock.Mock(), read_answer_head(exchange))
+
+    def ask(self) -> socket.socket:
+        """Send a request over a connection that takes little by itself."""
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.settimeout(WAIT_S)
+        connection.connect((self.endpoint.host, self.endpoint.port))
+        self.addCleanup(connection.close)
+        connection.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        return connection
+
+    def read_all(self, connection: socket.socket) -> bytes:
+        """Return all that comes until the end of the connection."""
+        received = bytearray()
+        while block := connection.recv(65536):
+            received += block
+        return bytes(received)
+
+    def wait_until(self, condition, what: str, timeout_s: float = WAIT_S) -> None:
+        until = time.monotonic() + timeout_s
+        while not condition():
+            self.assertLess(time.monotonic(), until, what)
+            time.sleep(0.01)
+
+    def assert_whole(self, answer: bytes) -> None:
+        self.assertTrue(answer.endswith(END_MARK))
+        self.assertEqual(EVENT * (self.answer_bytes // len(EVENT)), body_of(answer))
+
+
+class SlowReaderTest(SlowReaderCase):
+    """One caller."""
+
+    def test_caller_that_reads_nothing_for_seconds_gets_the_whole_answer(self) -> None:
+        caller = self.ask()
+        time.sleep(SILENCE_S)  # How long the caller reads nothing is what is tested.
+        self.assertEqual(1, len(self.replica.sent_after_s), "the replica has sent all")
+        self.assertLess(self.replica.sent_after_s[0], SOON_S)
+        self.assertGreater(self.held.held_bytes, self.answer_bytes // 2)
+        self.assert_whole(self.read_all(caller))
+        self.wait_until(lambda: self.held.held_bytes == 0, "nothing is held any more")
+        self.assertEqual(0, self.held.ended)
+
+    def test_caller_that_keeps_up_makes_no_buffer(self) -> None:
+        with mock.patch.object(self.held, "add") as add:
+            connection = socket.create_connection((self.endpoint.host, self.endpoint.port))
+            self.addCleanup(connection.close)
+            connection.settimeout(WAIT_S)
+            self.answer_is_short()
+            connection.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            self.assert_whole(self.read_all(connection))
+        add.assert_not_called()
+
+    def answer_is_short(self) -> None:
+        """Let the replica's answer fit into what connections take by themselves."""
+        self.answer_bytes = 64 * 1024
+        self.replica = StreamingReplica(self.answer_bytes)
+        self.addCleanup(self.replica.close)
+
+    def test_caller_that_leaves_ends_its_answer(self) -> None:
+        caller = self.ask()
+        self.wait_until(lambda: self.held.held_bytes > 0, "something is held")
+        caller.close()
+        self.wait_until(lambda: self.held.held_bytes == 0, "nothing is held any more")
+        self.assertEqual(0, self.held.ended)
+
+    def test_caller_that_takes_nothing_of_a_whole_answer_is_given_up(self) -> None:
+        self.server.timeout = 0.5
+        caller = self.ask()
+        self.wait_until(lambda: self.held.ended == 1, "the answer is ended")
+        self.assertEqual(0, self.held.held_bytes)
+        self.assertFalse(self.read_all(caller).endswith(END_MARK))
+
+
+class LongAnswerTest(SlowReaderCase):
+    """An answer that is longer than what may be held of one."""
+
+    budget_bytes = 4 * MEGABYTE
+    answer_bytes = 24 * MEGABYTE
+
+    def test_it_waits_for_its_caller_for_a_while(self) -> None:
+        caller = self.ask()
+        self.wait_until(
+            lambda: self.held.held_bytes > self.held.one_answer_bytes, "as much as may be is held"
+        )
+        self.assert_whole(self.read_all(caller))
+
+    def test_caller_that_takes_nothing_is_given_up(self) -> None:
+        with mock.patch.object(answer_buffer, "FULL_ANSWER_PATIENCE_S", 0.2):
+            caller = self.ask()
+            self.wait_until(lambda: self.held.ended == 1, "the answer is ended")
+        self.wait_until(lambda: self.replica.cut_off == 1, "the replica is told")
+        self.assertEqual(0, self.held.held_bytes)
+        self.assertFalse(self.read_all(caller).endswith(END_MARK))
+
+
+class CrowdTest(SlowReaderCase):
+    """Many slow callers at once."""
+
+    budget_bytes = 3 * MEGABYTE
+    answer_bytes = 640 * 1024
+    callers = 20
+
+    def test_crowd_stays_within_the_budget(self) -> None:
+        slow = [self.ask() for _ in range(self.callers)]
+        seen = []
+
+        def settled() -> bool:
+            seen.append(self.held.held_bytes)
+            return self.held.ended > 0 and len(self.replica.sent_after_s) >= self.callers - 5
+
+        self.wait_until(settled, "the budget is used up, and replicas have sent")
+        began = time.monotonic()
+        fast = self.ask()
+        self.assert_whole(self.read_all(fast))
+        self.assertLess(time.monotonic() - began, SOON_S)
+        answers = [self.read_all(one) for one in slow]
+        whole = [answer for answer in answers if answer.endswith(END_MARK)]
+        self.assertLessEqual(max(seen), self.budget_bytes)
+        self.assertEqual(self.callers - len(whole), self.held.ended)
+        self.assertGreater(len(whole), 0)
+        for answer in whole:
+            self.assert_whole(answer)
+        self.wait_until(lambda: self.held.held_bytes == 0, "nothing is held any more")
+
+
+class SwitchTest(unittest.TestCase):
+    """What is held is bounded by the memory; it is on where the rules in force say so."""
+
+    @params(("base,pressure,batch", True), ("base,batch", False), ("", False))
+    def test_switch(self, contracts: str, on: bool) -> None:
+        settings = ServingSettings(
+            "n", "z", "r", "127.0.0.1", "1,2", "127.0.0.1:3", contracts=contracts
+        )
+        with mock.patch.object(gateway_role, "GatewayNode") as node:
+            gateway_role.build_gateway(settings, mock.Mock())
+        features = node.call_args.args[-1]
+        self.assertEqual(on, features.callers_may_read_slowly)
+
+    def test_budget(self) -> None:
+        machine = Machine(memory_mb=200)
+        self.assertEqual(12.5 * MEGABYTE, HeldAnswers.within_memory(machine.memory_mb).budget_bytes)
+        self.assertGreater(HeldAnswers.within_memory(0.0).budget_bytes, 0)
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -29,6 +29,7 @@
     "process/storage_node.py",
     "process/node_registry.py",
     "request/forwarding.py",
+    "request/answer_buffer.py",
 )
 SERVED = {"message_type": "request:ended", "outcome": "delivered"}
 FAILED = {"message_type": "request:ended", "outcome": "not-run"}
