--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -49,6 +49,7 @@
             REPLICA,
             "service: the service chosen by the route's weights",
             "load, load_age_s: the load that the choice went by, and the age of its report",
+            "slowness: how many times as long as usual work was expected to take there",
             TOOK,
             "outcome: Delivered, CallerLeft, Refused (not run), Broken (may have run)",
             REASON,
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -218,6 +218,7 @@
 
     def _attempt(self, replica: ChosenReplica) -> AttemptResult:
         load = replica.load()
+        slowness = replica.slowness()
         report_age_s = replica.report_age_s()
         began = boot_clock.now()
         replica.begin()
@@ -240,6 +241,7 @@
             service=self._service,
             load=round(load, 1),
             load_age_s=round(min(report_age_s, 999.0), 2),
+            slowness=round(slowness, 2),
             took_s=round(took_s, 3),
             outcome=type(result).__name__,
             reason=getattr(result, "reason", ""),
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -67,6 +67,9 @@
     def take_report(self, load: ReportedLoad) -> None:
         """Take what the replica told of its load."""
 
+    def slowness(self) -> float:
+        """Return how many times as long as usual work is expected to take there now."""
+
     def told_slowness(self) -> SlownessReading | None:
         """Return its last word of how slow it is; ``None`` where it tells nothing of it."""
 
