--- a/src/quaymill/connection/replica_entry.py
+++ b/src/quaymill/connection/replica_entry.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from quaymill.connection.endpoint import Endpoint
 
+USUAL_SLOWNESS = 1.0
+MIN_SLOWNESS = 0.1
+MAX_SLOWNESS = 10.0
+"""Bounds of what a replica may tell: one that is slower is found by its answers."""
+
 
 @attrs.frozen
 class ReplicaEntry:
@@ -46,8 +53,41 @@
     ----------
     running, waiting
         Requests in its slots, and behind them.
+    slowness
+        How many times as long as usual work takes there now; 1.0 where it is not told.
     """
 
     running: int
     waiting: int
     slots: int
+    slowness: float = USUAL_SLOWNESS
+
+
+def read_slowness(text: str) -> float:
+    """Return how many times as long as usual work takes, from hundredths of what is usual.
+
+    What cannot be read tells nothing; what is beyond the bounds counts as the bound.
+    """
+    try:
+        slowness = float(text) / 100.0
+    except ValueError:
+        return USUAL_SLOWNESS
+    if not math.isfinite(slowness) or slowness <= 0:
+        return USUAL_SLOWNESS
+    return min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
+
+
+@attrs.frozen
+class SlownessReading:
+    """When a replica told how long work takes there.
+
+    Attributes
+    ----------
+    slowness
+        How many times as long as usual.
+    at
+        Monotonic time when it told so.
+    """
+
+    slowness: float
+    at: float
--- a/src/quaymill/platform/replica_calls.py
+++ b/src/quaymill/platform/replica_calls.py
@@ -9,7 +9,7 @@
 from quaymill.connection.engine_report import EngineReport
 from quaymill.connection.replica_answer import AnswerHead
 from quaymill.connection.replica_connection import Exchange, ReplicaRequest
-from quaymill.connection.replica_entry import ReportedLoad
+from quaymill.connection.replica_entry import ReportedLoad, read_slowness
 from quaymill.platform import names
 from quaymill.request.forwarded_request import ForwardedRequest
 
@@ -90,7 +90,7 @@
         request_id=headers.get(names.REQUEST_ID, ""),
         not_executed=names.NOT_EXECUTED in headers or status == MISDIRECTED_STATUS,
         misdirected=status == MISDIRECTED_STATUS,
-        load=_reported_load(headers.get(names.LOAD, "")),
+        load=read_load(headers.get(names.LOAD, "")),
         length=int(length) if length is not None and length.isdigit() else None,
         keep_s=_keep_s(headers),
     )
@@ -112,21 +112,20 @@
     )
 
 
-def _named_by_connection(headers) -> frozenset[str]:
-    """Return the headers that a ``Connection`` header says concern one connection only."""
-    named = [value for name, value in headers if name.lower() == "connection"]
-    return frozenset(token.strip().lower() for value in named for token in value.split(","))
-
-
-def _reported_load(text: str) -> ReportedLoad | None:
+def read_load(text: str) -> ReportedLoad | None:
+    """Return what a replica tells of its load; ``None`` if its counts are not understood."""
     parts = text.split(",")
-    if len(parts) != 3:
-        return None
     try:
-        running, waiting, slots = (int(part) for part in parts)
+        running, waiting, slots = (int(part) for part in parts[:3])
     except ValueError:
         return None
-    return ReportedLoad(running, waiting, slots)
+    return ReportedLoad(running, waiting, slots, read_slowness("".join(parts[3:4])))
+
+
+def _named_by_connection(headers) -> frozenset[str]:
+    """Return the headers that a ``Connection`` header says concern one connection only."""
+    named = [value for name, value in headers if name.lower() == "connection"]
+    return frozenset(token.strip().lower() for value in named for token in value.split(","))
 
 
 def _keep_s(headers: HTTPHeaderDict) -> float:
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -49,6 +49,7 @@
             REPLICA,
             "service: the service chosen by the route's weights",
             "load, load_age_s: the load that the choice went by, and the age of its report",
+            "slowness: how many times as long as usual work was expected to take there",
             TOOK,
             "outcome: Delivered, CallerLeft, Refused (not run), Broken (may have run)",
             REASON,
@@ -71,6 +72,15 @@
         "the keeper of room did not say in time where a request should go; the gateway chooses",
         ("service", "keeper: the gateway that was asked"),
     ),
+    "request:answer_ended": LogEvent(
+        "an answer was ended before its caller had taken it: it took too little of it",
+        (
+            REQUEST,
+            "unread_bytes: what the caller had not taken",
+            "held_bytes, budget_bytes: what was held for all callers, and the most that may be",
+            REASON,
+        ),
+    ),
     "request:ended": LogEvent(
         "a request was answered or given up",
         (
--- a/src/quaymill/process/serving_settings.py
+++ b/src/quaymill/process/serving_settings.py
@@ -121,6 +121,9 @@
         How many disks may be lost at once without losing anything acknowledged.
     zones_lost_at_once
         How many zones may be cut off or lost at once; 0 where none may.
+    contracts
+        Parts of the platform's rules in force, by its names, joined by commas; read by the
+        adapter alone.
     """
 
     name: str
@@ -133,6 +136,7 @@
     data_folder: str = ""
     disks_lost_at_once: int = 1
     zones_lost_at_once: int = 0
+    contracts: str = ""
     listen: Listeners = Listeners()
     machine: Machine = Machine()
     bounds: Bounds = Bounds()
