--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -125,14 +125,14 @@
             self.network.client,
             self.network.storage_nodes,
             self.network.known_storage_nodes,
-            settings.disks_lost_at_once + 1,
+            self.network.rules,
             settings.zone,
         )
         leases = LeaseRenewal(
             self.network.client,
             self.network.storage_nodes,
             self.network.result_holders,
-            settings.disks_lost_at_once + 2,
+            self.network.rules,
         )
         poison_records = PoisonRecords()
         self._crash_sharing = CrashSharing(
--- a/src/quaymill/process/job_storage/orphans.py
+++ b/src/quaymill/process/job_storage/orphans.py
@@ -21,6 +21,7 @@
 from quaymill.connection.job_storage_messages import Leases as LeasesMessage
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient
+from quaymill.process.job_copies import CopyRules
 from quaymill.process.job_storage.database import JobDatabase, JobRecord
 from quaymill.process.job_storage.leases import LEASE_S, Leases
 from quaymill.process.membership.ranking import rank_nodes
@@ -52,6 +53,7 @@
         storage_nodes: Callable[[], tuple[Member, ...]],
         gateways: Callable[[], tuple[Member, ...]],
         is_replaced: Callable[[str], bool],
+        rules: CopyRules,
     ) -> None:
         self._name = name
         self._database = database
@@ -60,6 +62,7 @@
         self._storage_nodes = storage_nodes
         self._gateways = gateways
         self._is_replaced = is_replaced
+        self._rules = rules
         self._replaced_since: dict[str, float] = {}
         self._stopping = threading.Event()
 
@@ -117,7 +120,7 @@
         return boot_clock.now() - since >= REPLACED_FOR_S
 
     def _acts_for(self, job_id: str) -> bool:
-        ranked = rank_nodes(job_id, self._storage_nodes())
+        ranked = self._rules.rank(job_id, self._storage_nodes())
         return bool(ranked) and ranked[0].name == self._name
 
     def _without_lease_elsewhere(self, orphans: list[JobRecord]) -> list[JobRecord]:
--- a/src/quaymill/process/job_storage/repair.py
+++ b/src/quaymill/process/job_storage/repair.py
@@ -30,9 +30,9 @@
 )
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient
+from quaymill.process.job_copies import CopyRules
 from quaymill.process.job_storage.database import JobDatabase
 from quaymill.process.job_storage.leases import Leases
-from quaymill.process.membership.ranking import rank_nodes
 
 COMPARE_INTERVAL_S = 0.5
 """Least time between two comparisons with the same node."""
@@ -52,25 +52,6 @@
 RESULTS_PER_FETCH = 64
 
 
-@attrs.frozen
-class CopyRules:
-    """How many copies there are.
-
-    Attributes
-    ----------
-    needed
-        Copies on disks before anything is acknowledged; repair keeps up one more where there
-        are nodes enough.
-    """
-
-    needed: int
-
-    @property
-    def kept(self) -> int:
-        """Copies that repair keeps up."""
-        return self.needed + 1
-
-
 @attrs.define
 class _Comparison:
     """What this node knows of its comparisons with another one.
@@ -222,8 +203,8 @@
         return True
 
     def _belongs_here(self, job_id: str) -> bool:
-        ranked = rank_nodes(job_id, self._storage_nodes())
-        return self._name in {member.name for member in ranked[: self._rules.kept]}
+        holders = self._rules.holders(job_id, self._storage_nodes())
+        return self._name in {member.name for member in holders}
 
     def _fetch_job(self, member: Member, summary: JobSummary) -> bool:
         reply = self._peer_client.call(
--- a/src/quaymill/process/job_storage/retirement.py
+++ b/src/quaymill/process/job_storage/retirement.py
@@ -18,8 +18,8 @@
     StoreUnanswered,
 )
 from quaymill.connection.peer_link import PeerClient
-from quaymill.process.job_storage.database import JobDatabase
-from quaymill.process.job_storage.repair import CopyRules
+from quaymill.process.job_copies import CopyRules
+from quaymill.process.job_storage.database import JobDatabase, JobRecord
 from quaymill.process.job_storage.service import JobStorageService
 
 CHECK_INTERVAL_S = 0.3
@@ -30,7 +30,8 @@
     """Carries out a request to empty this node; it may be called again for the same request.
 
     States of the request: asked for -> active (``begin``) -> leaving (enough others live: nothing
-    new is taken) -> succeeded (all that is here stands on enough others; told to the platform).
+    new is taken) -> succeeded (all that is here stands on enough others, in enough zones; told to
+    the platform).
     Without enough others the node goes on as before: nothing could be kept without it.
 
     Parameters
@@ -38,6 +39,8 @@
     storage_nodes, known_storage_nodes
         Return the live storage nodes that are not leaving, and all that are not known to have
         left for good.
+    recent_storage_nodes
+        Returns those that live, or have been dead for a short time only.
     announce
         Tells the other nodes that this one is leaving, so that its copies are made elsewhere.
     active_status, succeeded_status
@@ -53,6 +56,7 @@
         peer_client: PeerClient,
         storage_nodes: Callable[[], tuple[Member, ...]],
         known_storage_nodes: Callable[[], tuple[Member, ...]],
+        recent_storage_nodes: Callable[[], tuple[Member, ...]],
         rules: CopyRules,
         announce: Callable[[], None],
         active_status: object,
@@ -65,6 +69,7 @@
         self._peer_client = peer_client
         self._storage_nodes = storage_nodes
         self._known_storage_nodes = known_storage_nodes
+        self._recent_storage_nodes = recent_storage_nodes
         self._rules = rules
         self._announce = announce
         self._active_status = active_status
@@ -98,7 +103,7 @@
 
     def _leave(self) -> bool:
         """Take nothing new from now on, if others enough live; return whether that is so."""
-        others = [member for member in self._storage_nodes() if member.name != self._name]
+        others = self._others(self._storage_nodes())
         if len(others) < self._rules.needed:
             return False
         self._service.retiring.set()
@@ -107,28 +112,36 @@
 
     def _missing_copies(self) -> int | None:
         """Return how many jobs do not stand on enough other nodes; ``None`` if unknown."""
-        others = [member for member in self._storage_nodes() if member.name != self._name]
         # A node that is down for a moment still counts: its absence must not lower the bar.
-        known = [one for one in self._known_storage_nodes() if one.name != self._name]
-        needed = min(self._rules.needed, len(known))
+        needed = min(self._rules.needed, len(self._others(self._known_storage_nodes())))
+        # A zone that has been gone for long does not, nor one that is being emptied: else two
+        # nodes that are each the last one of a zone would wait for one another.
+        staying = [one for one in self._others(self._recent_storage_nodes()) if not one.draining]
+        zones_needed = self._rules.zones_needed(staying)
         if needed == 0:
             return None
-        summaries: list[dict[str, JobSummary]] = []
-        for member in others:
+        summaries = self._summaries_elsewhere()
+        missing = 0
+        for record in list(self._database.by_id.values()):
+            zones = [
+                member.zone for member, by_id in summaries if _has_all(by_id.get(record.id), record)
+            ]
+            missing += len(zones) < needed or len(set(zones)) < zones_needed
+        return missing
+
+    def _others(self, members: tuple[Member, ...]) -> list[Member]:
+        return [member for member in members if member.name != self._name]
+
+    def _summaries_elsewhere(self) -> list[tuple[Member, dict[str, JobSummary]]]:
+        """Return what the other live nodes hold, by the ids of jobs."""
+        summaries = []
+        for member in self._others(self._storage_nodes()):
             reply = self._peer_client.call(
                 member.peer, CompareJobs(""), JobSummaries, CALL_TIMEOUT_S
             )
             if isinstance(reply, JobSummaries):
-                summaries.append({summary.job_id: summary for summary in reply.jobs})
-        missing = 0
-        for record in list(self._database.by_id.values()):
-            copies = 0
-            for by_id in summaries:
-                summary = by_id.get(record.id)
-                if summary is not None and summary.results_digest == record.results.digest:
-                    copies += not record.ended or summary.ended
-            missing += copies < needed
-        return missing
+                summaries.append((member, {summary.job_id: summary for summary in reply.jobs}))
+        return summaries
 
     def _tell(self, status: object) -> bool:
         """Write the status beside the request; return whether it is certain to stand there."""
@@ -148,3 +161,10 @@
                     continue
             self._stopping.wait(CHECK_INTERVAL_S)
         return False
+
+
+def _has_all(summary: JobSummary | None, record: JobRecord) -> bool:
+    """Return whether another node has what this one has of a job."""
+    if summary is None or summary.results_digest != record.results.digest:
+        return False
+    return summary.ended or not record.ended
--- a/src/quaymill/process/jobs/lease_renewal.py
+++ b/src/quaymill/process/jobs/lease_renewal.py
@@ -15,7 +15,7 @@
 from quaymill.connection.job_storage_messages import HandedOverJob, JobsRenewed, RenewJobs
 from quaymill.connection.member import Member, MemberState
 from quaymill.connection.peer_link import PeerClient
-from quaymill.process.membership.ranking import rank_nodes
+from quaymill.process.job_copies import CopyRules
 
 RENEW_TIMEOUT_S = 0.6
 
@@ -62,8 +62,8 @@
     result_holders
         Returns all that may be the only ones to hold a result, also those that are leaving or do
         not answer now.
-    holders
-        How many of the live ones that rank first for a job hold it.
+    rules
+        On which of the live ones the copies of a job lie.
     """
 
     def __init__(
@@ -71,12 +71,12 @@
         peer_client: PeerClient,
         storage_nodes: Callable[[], tuple[Member, ...]],
         result_holders: Callable[[], tuple[Member, ...]],
-        holders: int,
+        rules: CopyRules,
     ) -> None:
         self._peer_client = peer_client
         self._storage_nodes = storage_nodes
         self._result_holders = result_holders
-        self._holders = holders
+        self._rules = rules
 
     def renew(self, message: RenewJobs) -> RenewalOutcome:
         """Renew, complete, release and hand over what a message names."""
@@ -112,7 +112,7 @@
             *message.released_jobs,
             *handed_over,
         }
-        holders_by_job = {job_id: rank_nodes(job_id, live)[: self._holders] for job_id in job_ids}
+        holders_by_job = {job_id: self._rules.holders(job_id, live) for job_id in job_ids}
         for member in asked:
 
             def is_held(job: str | HandedOverJob, member: Member = member) -> bool:
--- a/src/quaymill/process/jobs/storage_client.py
+++ b/src/quaymill/process/jobs/storage_client.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 
 import attrs
+from eliot import log_message
 
 from quaymill.connection.job_document import Job, JobResult
 from quaymill.connection.job_storage_messages import (
@@ -29,9 +30,9 @@
     StoreResults,
 )
 from quaymill.connection.member import Member
-from quaymill.connection.peer_link import PeerClient
-from quaymill.process.jobs.parallel_calls import call_members
-from quaymill.process.membership.ranking import rank_nodes
+from quaymill.connection.peer_link import PeerClient, PeerMessage
+from quaymill.process.job_copies import CopyRules
+from quaymill.process.jobs.parallel_calls import CallOutcome, ZoneRule, call_members
 
 STORE_TIMEOUT_S = 2.5
 FIND_TIMEOUT_S = 1.0
@@ -85,8 +86,10 @@
         Returns the live storage nodes, none that is leaving.
     known_storage_nodes
         Returns all that may hold something, also those that do not answer.
-    copies
-        Disks that must have something before it is acknowledged.
+    rules
+        How many disks must have something before it is acknowledged, and which.
+    zone
+        Where this gateway is.
     """
 
     def __init__(
@@ -94,29 +97,27 @@
         peer_client: PeerClient,
         storage_nodes: Callable[[], tuple[Member, ...]],
         known_storage_nodes: Callable[[], tuple[Member, ...]],
-        copies: int,
+        rules: CopyRules,
         zone: str,
     ) -> None:
         self._peer_client = peer_client
         self._storage_nodes = storage_nodes
         self._known_storage_nodes = known_storage_nodes
-        self._copies = copies
+        self._rules = rules
         self._zone = zone
 
     def store_job(self, job: Job, coordinator: str) -> Kept | NotKept:
         """Put a job on enough disks."""
-        outcome = call_members(
-            self._peer_client,
-            rank_nodes(job.id, self._storage_nodes()),
+        outcome = self._put(
+            job.id,
             StoreJob(job, coordinator),
             JobStored,
-            needed=self._copies,
-            timeout_s=STORE_TIMEOUT_S,
-            at_once=self._copies + 1,
+            STORE_TIMEOUT_S,
+            at_once=self._rules.kept,
         )
-        if len(outcome.replies) < self._copies:
+        if not self._is_kept(outcome):
             return NotKept(
-                f"{len(outcome.replies)} of {self._copies} storage nodes have the job",
+                f"{len(outcome.replies)} of {self._rules.needed} storage nodes have the job",
                 maybe=outcome.maybe_acted or bool(outcome.replies),
             )
         ended = any(reply.ended for _, reply in outcome.replies)
@@ -124,15 +125,8 @@
 
     def store_results(self, job_id: str, results: Iterable[KeyedResult]) -> bool:
         """Put contents of results on enough disks; return whether they are."""
-        outcome = call_members(
-            self._peer_client,
-            rank_nodes(job_id, self._storage_nodes()),
-            StoreResults(job_id, tuple(results)),
-            ResultsStored,
-            needed=self._copies,
-            timeout_s=STORE_TIMEOUT_S,
-        )
-        return len(outcome.replies) >= self._copies
+        message = StoreResults(job_id, tuple(results))
+        return self._is_kept(self._put(job_id, message, ResultsStored, STORE_TIMEOUT_S))
 
     def store_progress(
         self, job_id: str, lineage: str, progress: tuple[ItemProgress, ...], node: str
@@ -152,7 +146,7 @@
 
         It is the one that gives the job away when its coordinator is gone.
         """
-        ranked = rank_nodes(job_id, self._storage_nodes())
+        ranked = self._rules.rank(job_id, self._storage_nodes())
         return ranked[0].name if ranked else ""
 
     def find_job(self, job_id: str, *, whole: bool = False) -> JobFound | NotFound:
@@ -161,7 +155,7 @@
         unsure = not known
         waiting = list(self._nearest_first(job_id, known))
         while waiting:
-            asked, waiting = waiting[: self._copies + 1], waiting[self._copies + 1 :]
+            asked, waiting = waiting[: self._rules.kept], waiting[self._rules.kept :]
             outcome = call_members(
                 self._peer_client,
                 asked,
@@ -178,17 +172,11 @@
 
     def end_job(self, job_id: str) -> tuple[bool, frozenset[str]]:
         """Mark a job as ended on enough disks; return whether it is, and who may run it."""
-        outcome = call_members(
-            self._peer_client,
-            rank_nodes(job_id, self._storage_nodes()),
-            EndJob(job_id),
-            JobEnded,
-            needed=self._copies,
-            timeout_s=END_TIMEOUT_S,
-            at_once=self._copies + 1,
+        outcome = self._put(
+            job_id, EndJob(job_id), JobEnded, END_TIMEOUT_S, at_once=self._rules.kept
         )
         coordinators = frozenset(reply.coordinator for _, reply in outcome.replies)
-        return len(outcome.replies) >= self._copies, coordinators - {""}
+        return self._is_kept(outcome), coordinators - {""}
 
     def fetch_results(self, job_id: str, keys: Iterable[ResultKey]) -> dict[ResultKey, JobResult]:
         """Return contents of results, as many as can be found."""
@@ -221,10 +209,44 @@
             unsure = unsure or not isinstance(reply, JobUnknown)
         return NotFound(certain=bool(known) and not unsure)
 
+    def _put(
+        self,
+        job_id: str,
+        message: PeerMessage,
+        reply_type: type[PeerMessage],
+        timeout_s: float,
+        at_once: int | None = None,
+    ) -> CallOutcome:
+        """Have enough storage nodes, in enough zones where these answer in time, take something."""
+        members = self._rules.rank(job_id, self._storage_nodes())
+        zones = ZoneRule(self._rules.zones_needed(members), self._zone)
+        outcome = call_members(
+            self._peer_client,
+            members,
+            message,
+            reply_type,
+            needed=self._rules.needed,
+            timeout_s=timeout_s,
+            at_once=at_once,
+            zones=zones if self._rules.zones > 1 else None,
+        )
+        if self._is_kept(outcome) and len(outcome.zones) < self._rules.zones:
+            log_message(
+                "job:kept_in_one_zone",
+                job=job_id,
+                message=type(message).__name__,
+                zones=sorted(outcome.zones),
+                known=sorted({member.zone for member in self._known_storage_nodes()}),
+            )
+        return outcome
+
+    def _is_kept(self, outcome: CallOutcome) -> bool:
+        return len(outcome.replies) >= self._rules.needed
+
     def _nearest_first(self, job_id: str, members: tuple[Member, ...]) -> list[Member]:
         """Return members by rank, of those that rank first the ones in this zone first."""
-        ranked = rank_nodes(job_id, members)
-        holders, others = list(ranked[: self._copies + 1]), list(ranked[self._copies + 1 :])
+        ranked = self._rules.rank(job_id, members)
+        holders, others = list(ranked[: self._rules.kept]), list(ranked[self._rules.kept :])
         random.shuffle(holders)
         holders.sort(key=lambda member: member.zone != self._zone)
         return holders + others
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -178,6 +178,15 @@
     "job:not_kept": LogEvent(
         "a job was not accepted", (JOB, REASON, "may_run: whether a part may run all the same")
     ),
+    "job:kept_in_one_zone": LogEvent(
+        "copies enough are on disks, but not in as many zones as may be lost and one more",
+        (
+            JOB,
+            "message: StoreJob, StoreResults or EndJob",
+            "zones: where the copies are",
+            "known: zones of all storage nodes, those that do not answer included",
+        ),
+    ),
     "job:submission_error": LogEvent(
         "a bug ended one way by which a job was to be accepted; its caller is told that it may run",
         ("error: the exception",),
--- a/src/quaymill/process/membership/ranking.py
+++ b/src/quaymill/process/membership/ranking.py
@@ -4,6 +4,7 @@
 
 import math
 import statistics
+from collections import Counter
 from collections.abc import Iterable
 
 import xxhash
@@ -35,6 +36,22 @@
     )
 
 
+def rank_across_zones(key: str, members: Iterable[Member]) -> tuple[Member, ...]:
+    """Return members by rendezvous hashing of ``key``, one of each zone in turn.
+
+    No zone comes a second time before each has come once. The first of all is the one that
+    ``rank_nodes`` puts first; removing a member moves only the keys that it was among the first
+    for.
+    """
+    ranked = rank_nodes(key, members)
+    turn_by_name: dict[str, int] = {}
+    taken_by_zone: Counter[str] = Counter()
+    for member in ranked:
+        turn_by_name[member.name] = taken_by_zone[member.zone]
+        taken_by_zone[member.zone] += 1
+    return tuple(sorted(ranked, key=lambda member: turn_by_name[member.name]))
+
+
 def strongest(members: Iterable[Member]) -> tuple[Member, ...]:
     """Return the members with the most processor time, those that have as much included.
 
--- a/src/quaymill/process/peer_network.py
+++ b/src/quaymill/process/peer_network.py
@@ -8,6 +8,7 @@
 from quaymill.connection.member import Member, MemberState
 from quaymill.connection.peer_link import PeerClient
 from quaymill.connection.peer_server import PeerServer
+from quaymill.process.job_copies import CopyRules
 from quaymill.process.membership.membership import Membership
 from quaymill.process.serving_settings import ServingSettings
 from quaymill.process.settings import MembershipSettings, NodeSettings
@@ -27,11 +28,18 @@
 
 @attrs.frozen
 class PeerNetwork:
-    """The peers as one process sees them."""
+    """The peers as one process sees them.
+
+    Attributes
+    ----------
+    rules
+        On which of the storage nodes the copies of a job lie.
+    """
 
     membership: Membership
     server: PeerServer
     client: PeerClient
+    rules: CopyRules
 
     @classmethod
     def from_settings(cls, settings: ServingSettings) -> PeerNetwork:
@@ -54,6 +62,7 @@
             Membership(node_settings, link_filter),
             PeerServer(Endpoint(settings.address, settings.peer_port)),
             PeerClient(link_filter),
+            CopyRules.from_settings(settings),
         )
 
     def start(self) -> None:
@@ -83,8 +92,18 @@
     def result_holders(self) -> tuple[Member, ...]:
         """Return the storage nodes that may be the only ones to hold a result.
 
-        Not those that have been dead for long: others have made up for what they held.
+        Not those that have been dead for long: others have made up for what they held. Where a
+        zone may be lost, so many that results can be kept on them alone may also be a zone that
+        is cut off, where another coordinator goes on: these still count.
         """
+        known = self.known_storage_nodes()
+        recent = self.recent_storage_nodes()
+        silent = [one for one in known if one not in recent and not one.draining]
+        may_be_cut_off = self.rules.zones > 1 and len(silent) >= self.rules.needed
+        return known if may_be_cut_off else recent
+
+    def recent_storage_nodes(self) -> tuple[Member, ...]:
+        """Return the storage nodes that live, or have been dead for a short time only."""
         return tuple(
             member
             for member in self.known_storage_nodes()
--- a/src/quaymill/process/serving_settings.py
+++ b/src/quaymill/process/serving_settings.py
@@ -117,6 +117,8 @@
         Folder on a disk; empty on a machine that keeps nothing.
     disks_lost_at_once
         How many disks may be lost at once without losing anything acknowledged.
+    zones_lost_at_once
+        How many zones may be lost, or cut off, at once.
     """
 
     name: str
@@ -128,6 +130,7 @@
     seeds: str = ""
     data_folder: str = ""
     disks_lost_at_once: int = 1
+    zones_lost_at_once: int = 0
     listen: Listeners = Listeners()
     machine: Machine = Machine()
     bounds: Bounds = Bounds()
@@ -186,8 +189,9 @@
     if role is ServingRole.JOB_STORAGE and not settings.data_folder:
         faults.append(("data_folder", "", "name a folder on the machine's disk"))
     faults += _endpoint_faults(settings, role)
-    if settings.disks_lost_at_once < 0:
-        faults.append(("disks_lost_at_once", settings.disks_lost_at_once, "use 0 or more"))
+    for key in ("disks_lost_at_once", "zones_lost_at_once"):
+        if getattr(settings, key) < 0:
+            faults.append((key, getattr(settings, key), "use 0 or more"))
     for key in Bounds.__struct_fields__:
         value = getattr(settings.bounds, key)
         if value < 0 or (value == 0 and key not in MAY_BE_ZERO):
--- a/src/quaymill/process/storage_node.py
+++ b/src/quaymill/process/storage_node.py
@@ -13,7 +13,7 @@
 from quaymill.process.job_storage.database import JobDatabase
 from quaymill.process.job_storage.leases import Leases
 from quaymill.process.job_storage.orphans import OrphanWatch
-from quaymill.process.job_storage.repair import CopyRules, Repair
+from quaymill.process.job_storage.repair import Repair
 from quaymill.process.job_storage.retirement import Retirement
 from quaymill.process.job_storage.service import JobStorageService, Retention
 from quaymill.process.node_registry import NodeRegistry
@@ -46,7 +46,7 @@
         self._stopping = threading.Event()
         self.network = PeerNetwork.from_settings(settings)
         network = self.network
-        rules = CopyRules(settings.disks_lost_at_once + 1)
+        rules = network.rules
         self._database = JobDatabase(Path(settings.data_folder) / JOBS_FOLDER)
         leases = Leases()
         self._service = JobStorageService(
@@ -63,6 +63,7 @@
             network.storage_nodes,
             network.gateways,
             network.is_replaced,
+            rules,
         )
         self._retention = Retention(
             self._database, leases, settings.bounds.job_retention_s + RETENTION_MARGIN_S
@@ -75,6 +76,7 @@
             network.client,
             network.storage_nodes,
             network.known_storage_nodes,
+            network.recent_storage_nodes,
             rules,
             network.membership.announce_draining,
             protocol.retirement_active,
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import urllib3
 
 from quaymill.platform.gateway_role import GATEWAY_PROTOCOL
@@ -47,9 +48,24 @@
 
 
 class FleetRig:
-    """Builds, disturbs and stops a fleet."""
+    """Builds, disturbs and stops a fleet.
 
-    def __init__(self, gateways: int = 2, storage: int = 3, engines: int = 2) -> None:
+    Parameters
+    ----------
+    zones
+        Processes and engines are put into them in turn.
+    settings
+        Fields of each process's settings that differ from the defaults.
+    """
+
+    def __init__(
+        self,
+        gateways: int = 2,
+        storage: int = 3,
+        engines: int = 2,
+        zones: tuple[str, ...] = ZONES,
+        **settings: Any,
+    ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="quaymill-fleet-"))
         self.peer_port = free_port()
         self.store = FleetStore()
@@ -59,6 +75,8 @@
         self.settings: dict[str, ServingSettings] = {}
         self._beating = threading.Event()
         self._planned = (gateways, storage, engines)
+        self._zones = zones
+        self._changed_settings = settings
         self._pool = urllib3.PoolManager(retries=False, num_pools=50, maxsize=20, block=False)
 
     def start(self, version: int = 1, **fields: Any) -> FleetRig:
@@ -73,16 +91,19 @@
         self.store.start()
         self.store.put("config", "main", configuration(version, **fields))
         for index in range(engines):
-            self.add_replica("engine", ZONES[index % len(ZONES)])
+            self.add_replica("engine", self._zone_of(index))
         self.add_replica("application", ZONES[0])
         self.add_replica("application", ZONES[1])
         for index in range(storage):
-            self.start_storage(f"storage-{index}", ZONES[index % len(ZONES)])
+            self.start_storage(f"storage-{index}", self._zone_of(index))
         for index in range(gateways):
-            self.start_gateway(f"gateway-{index}", ZONES[index % len(ZONES)])
+            self.start_gateway(f"gateway-{index}", self._zone_of(index))
         self.wait_ready()
         return self
 
+    def _zone_of(self, index: int) -> str:
+        return self._zones[index % len(self._zones)]
+
     def stop(self) -> None:
         """Stop everything at once."""
         stops = [gateway.kill for gateway in self.gateways.values()]
@@ -173,9 +194,23 @@
             listen=Listeners() if data_folder else listen,
             bounds=Bounds(leave_s=0.3, grace_s=6.0),
         )
+        settings = msgspec.structs.replace(settings, **self._changed_settings)
         self.settings[name] = settings
         return settings
 
+    def cut_zone(self, zone: str) -> None:
+        """Cut all links between the processes of a zone and those elsewhere; nobody else's."""
+        nodes = [*self.gateways.values(), *self.storage.values()]
+        members = [node.network.membership.local() for node in nodes]
+        for node, own in zip(nodes, members, strict=True):
+            blocked = [one.peer for one in members if (one.zone == zone) != (own.zone == zone)]
+            node.network.client._link_filter.set_blocked(frozenset(blocked))
+
+    def heal(self) -> None:
+        """Undo all cuts."""
+        for node in [*self.gateways.values(), *self.storage.values()]:
+            node.network.client._link_filter.set_blocked(frozenset())
+
     def configure(self, version: int, **fields: Any) -> None:
         """Write a configuration, and wait until it is in force at every gateway."""
         self.store.put("config", "main", configuration(version, **fields))
--- /dev/null
+++ b/tests/test_job_copies.py
@@ -0,0 +1,238 @@
+"""On which storage nodes copies lie where a zone may be lost, and who acknowledges in time."""
+
+from __future__ import annotations
+
+import threading
+import time
+import unittest
+from collections import Counter
+from unittest import mock
+
+from nose2.tools import params
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.job_document import Job, JobDocument, JobItem
+from quaymill.connection.job_storage_messages import JobStored
+from quaymill.connection.member import Member
+from quaymill.connection.peer_link import PeerNoReply, PeerRefusal
+from quaymill.process.job_copies import CopyRules
+from quaymill.process.jobs import storage_client as storage_client_module
+from quaymill.process.jobs.storage_client import JobStorageClient, Kept, NotKept
+from quaymill.process.membership.ranking import rank_across_zones, rank_nodes
+
+KEYS = [f"job-{number}" for number in range(400)]
+ACCEPTED_WITHIN_S = 0.8
+"""Shortest time within which callers want to know that their job is accepted."""
+
+
+def nodes(**sizes: int) -> list[Member]:
+    """Return storage nodes: as many in each zone as is said."""
+    endpoint = Endpoint("127.0.0.1", 1)
+    return [
+        Member(f"{zone}{index}", zone, "r", Endpoint(f"{zone}{index}", 1), endpoint, has_disk=True)
+        for zone, size in sizes.items()
+        for index in range(size)
+    ]
+
+
+class RankingTest(unittest.TestCase):
+    """Ten nodes in three zones, and other fleets."""
+
+    @params(
+        ("three zones", {"a": 4, "b": 3, "c": 3}),
+        ("one node in a zone", {"a": 1, "b": 5, "c": 2}),
+        ("six zones", {"a": 2, "b": 2, "c": 2, "d": 2, "e": 2, "f": 1}),
+        ("one zone", {"a": 5}),
+        ("nobody", {}),
+    )
+    def test_no_zone_twice_before_each_has_one(self, name, sizes) -> None:
+        members = nodes(**sizes)
+        for key in KEYS:
+            ranked = rank_across_zones(key, members)
+            self.assertEqual(set(members), set(ranked))
+            self.assertEqual(len(members), len(ranked))
+            taken: Counter[str] = Counter()
+            for member in ranked:
+                fullest = [zone for zone, size in sizes.items() if taken[zone] < size]
+                self.assertEqual(min(taken[zone] for zone in fullest), taken[member.zone])
+                taken[member.zone] += 1
+
+    @params({"a": 4, "b": 3, "c": 3}, {"a": 1, "b": 5}, {"a": 5})
+    def test_whoever_sees_the_same_nodes_ranks_them_alike(self, sizes) -> None:
+        members = nodes(**sizes)
+        for key in KEYS:
+            ranked = rank_across_zones(key, reversed(members))
+            self.assertEqual(rank_across_zones(key, members), ranked)
+            # Builds that do not spread agree with those that do on who gives a job away.
+            self.assertEqual(rank_nodes(key, members)[0], ranked[0])
+
+    def test_in_one_zone_it_is_as_without_zones(self) -> None:
+        members = nodes(a=6)
+        for key in KEYS:
+            self.assertEqual(rank_nodes(key, members), rank_across_zones(key, members))
+
+    @params({"a": 4, "b": 3, "c": 3}, {"a": 2, "b": 5, "c": 1}, {"a": 6})
+    def test_one_node_less_moves_only_the_jobs_that_it_held(self, sizes) -> None:
+        members = nodes(**sizes)
+        rules = CopyRules(3, zones=2)
+        for gone in members:
+            staying = [member for member in members if member is not gone]
+            moved = 0
+            for key in KEYS:
+                before = set(rules.holders(key, members))
+                after = set(rules.holders(key, staying))
+                self.assertEqual(before - {gone}, before & after)
+                self.assertEqual(gone in before, before != after)
+                moved += before != after
+            if sizes == {"a": 4, "b": 3, "c": 3}:
+                self.assertLess(moved, 0.6 * len(KEYS))
+
+    def test_each_node_of_equal_zones_has_its_part(self) -> None:
+        members = nodes(a=3, b=3, c=3)
+        held = Counter(one for key in KEYS for one in CopyRules(2, 2).holders(key, members))
+        share = len(KEYS) * 3 / len(members)
+        for member in members:
+            self.assertAlmostEqual(share, held[member], delta=0.25 * share)
+
+    @params((1, False), (2, True))
+    def test_rules_spread_only_where_a_zone_may_be_lost(self, zones, spreads) -> None:
+        members = nodes(a=4, b=3, c=3)
+        rank = rank_across_zones if spreads else rank_nodes
+        for key in KEYS:
+            self.assertEqual(rank(key, members), CopyRules(3, zones).rank(key, members))
+
+    @params(({"a": 1}, 1), ({"a": 1, "b": 1}, 2), ({"a": 1, "b": 1, "c": 1}, 2), ({}, 0))
+    def test_zones_that_are_not_there_are_not_asked_for(self, sizes, zones) -> None:
+        self.assertEqual(zones, CopyRules(3, zones=2).zones_needed(nodes(**sizes)))
+
+
+class SlowPeers:
+    """Storage nodes that take a job after a time, or never.
+
+    Attributes
+    ----------
+    delays_s
+        By zone or node; silent until the end of the test where it is ``None``.
+    """
+
+    def __init__(self) -> None:
+        self.delays_s: dict[str, float | None] = {}
+        self.refusing: set[str] = set()
+        self.release = threading.Event()
+        self.asked: list[str] = []
+
+    def call(self, endpoint, message, reply_type, timeout_s):
+        name = endpoint.host
+        self.asked.append(name)
+        delay_s = self.delays_s.get(name, self.delays_s.get(name[0], 0.0))
+        if delay_s is None or self.release.wait(delay_s):
+            self.release.wait(timeout_s)
+            return PeerNoReply(endpoint, "silent")
+        if name in self.refusing:
+            return PeerRefusal("this node is being emptied")
+        return JobStored("gateway")
+
+
+class AcknowledgementTest(unittest.TestCase):
+    """Three copies are needed, in two zones; the gateway is in zone a."""
+
+    def setUp(self) -> None:
+        self.members = nodes(a=4, b=3, c=3)
+        self.live = self.members
+        self.peers = SlowPeers()
+        self.addCleanup(self.peers.release.set)
+        self.zones: list[list[str]] = []
+        patch = mock.patch.object(storage_client_module, "log_message", self.note)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def note(self, event: str, **fields) -> None:
+        self.assertEqual("job:kept_in_one_zone", event)
+        self.zones.append(fields["zones"])
+
+    def store(self, job_id: str, zones: int = 2, zone: str = "a") -> tuple[Kept | NotKept, float]:
+        client = JobStorageClient(
+            self.peers,
+            lambda: tuple(self.live),
+            lambda: tuple(self.members),
+            CopyRules(3, zones),
+            zone,
+        )
+        document = JobDocument((JobItem("i", "/x", {}, b""),))
+        began = time.monotonic()
+        kept = client.store_job(Job(job_id, "host", "/jobs/x", document), "gateway")
+        return kept, time.monotonic() - began
+
+    @params(
+        ("all answer", {}, 0.1, []),
+        ("another zone is silent", {"b": None}, 0.3, []),
+        ("a slow disk", {"a1": 0.3, "b0": 0.3, "c2": 0.3}, 0.5, []),
+        ("both others are silent", {"b": None, "c": None}, 0.6, [["a"]]),
+        ("both others are late", {"b": 0.3, "c": 0.3}, 0.5, []),
+        ("both others are far too late", {"b": 0.7, "c": 0.7}, 0.6, [["a"]]),
+    )
+    def test_a_caller_hears_in_time(self, name, delays_s, within_s, kept_in_one_zone) -> None:
+        """At most two thirds of a caller's time pass, whatever is silent."""
+        self.assertLess(within_s, ACCEPTED_WITHIN_S)
+        self.peers.delays_s = delays_s
+        for key in KEYS[:4]:
+            self.zones.clear()
+            kept, took_s = self.store(key)
+            self.assertIsInstance(kept, Kept)
+            self.assertLess(took_s, within_s)
+            self.assertEqual(kept_in_one_zone, self.zones)
+
+    def test_silent_own_zone_holds_nothing_up(self) -> None:
+        self.peers.delays_s = {"a": None}
+        for key in KEYS[:4]:
+            kept, took_s = self.store(key)
+            self.assertIsInstance(kept, Kept)
+            self.assertLess(took_s, 0.6)
+        self.assertEqual([], self.zones)
+
+    def test_own_zone_may_come_late_in_the_ranking(self) -> None:
+        """Of six zones the first four are called at first; the own one may not be among them."""
+        self.members = self.live = nodes(a=3, b=2, c=2, d=2, e=2, f=2)
+        self.peers.delays_s = dict.fromkeys("bcdef")
+        for key in KEYS[:4]:
+            self.zones.clear()
+            kept, took_s = self.store(key)
+            self.assertIsInstance(kept, Kept)
+            self.assertLess(took_s, ACCEPTED_WITHIN_S)
+            self.assertEqual([["a"]], self.zones)
+
+    def test_a_zone_known_to_be_gone_is_not_waited_for(self) -> None:
+        self.live = [member for member in self.members if member.zone == "a"]
+        kept, took_s = self.store("job")
+        self.assertIsInstance(kept, Kept)
+        self.assertLess(took_s, 0.1)
+        self.assertEqual([["a"]], self.zones)
+
+    def test_copies_in_one_zone_are_not_enough_while_another_answers(self) -> None:
+        """The nodes of the other zones that are called first refuse; the next ones are called."""
+        for key in KEYS[:4]:
+            ranked = rank_across_zones(key, self.members)
+            self.peers.refusing = {one.name for one in ranked[:4] if one.zone != "a"}
+            kept, _ = self.store(key)
+            self.assertIsInstance(kept, Kept)
+        self.assertEqual([], self.zones)
+
+    def test_too_few_disks_are_too_few_in_any_zone(self) -> None:
+        self.live = [*nodes(a=1), *nodes(b=1)]
+        kept, _ = self.store("job")
+        self.assertIsInstance(kept, NotKept)
+
+    def test_where_no_zone_may_be_lost_calls_are_as_they_were(self) -> None:
+        """Zone b is silent: the next ones in the ranking are called, one after the other."""
+        self.peers.delays_s = {"b": None}
+        for key in KEYS[:4]:
+            self.peers.asked.clear()
+            kept, _ = self.store(key, zones=1)
+            self.assertIsInstance(kept, Kept)
+            ranked = [member.name for member in rank_nodes(key, self.members)]
+            self.assertEqual(set(ranked[: len(self.peers.asked)]), set(self.peers.asked))
+        self.assertEqual([], self.zones)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_job_orders.py
+++ b/tests/test_job_orders.py
@@ -19,6 +19,7 @@
 )
 from quaymill.connection.member import Member, MemberState
 from quaymill.connection.peer_link import PeerNoReply
+from quaymill.process.job_copies import CopyRules
 from quaymill.process.job_storage.database import JobDatabase
 from quaymill.process.jobs.coordinated_job import CoordinatedJob
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
@@ -119,7 +120,7 @@
             for index, reply in enumerate(replies)
         )
         peers = _Answers({f"s{index}": reply for index, reply in enumerate(replies)})
-        renewal = LeaseRenewal(peers, lambda: members[:live], lambda: members, holders=3)
+        renewal = LeaseRenewal(peers, lambda: members[:live], lambda: members, CopyRules(2))
         outcome = renewal.renew(RenewJobs("g#1", ("job",), orders=(KnownOrder("job", "0"),)))
         self.assertEqual({"job"} if confirmed else set(), outcome.confirmed)
 
--- a/tests/test_job_progress.py
+++ b/tests/test_job_progress.py
@@ -23,6 +23,7 @@
     ResultKey,
 )
 from quaymill.connection.member import Member
+from quaymill.process.job_copies import CopyRules
 from quaymill.process.job_storage.database import JobDatabase
 from quaymill.process.job_storage.leases import Leases as LeaseTable
 from quaymill.process.job_storage.orphans import REPLACED_FOR_S, OrphanWatch
@@ -209,6 +210,7 @@
             lambda: (member("storage-0"), member("storage-1")),
             lambda: (member("g"), member("h")),
             lambda name: name in self.replaced,
+            CopyRules(2),
         )
         # Which of the two acts is drawn by the job's id.
         patch = mock.patch.object(self.watch, "_acts_for", lambda job_id: True)
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -13,8 +13,9 @@
 from quaymill.connection.job_storage_messages import CompareJobs, JobSummaries
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerNoReply
+from quaymill.process.job_copies import CopyRules
 from quaymill.process.job_storage import repair as repair_module
-from quaymill.process.job_storage.repair import COMPARE_INTERVAL_S, WORKERS, CopyRules, Repair
+from quaymill.process.job_storage.repair import COMPARE_INTERVAL_S, WORKERS, Repair
 
 TIMEOUT_S = 10.0
 
--- a/tests/test_retirement.py
+++ b/tests/test_retirement.py
@@ -13,10 +13,10 @@
 from quaymill.connection.member import Member
 from quaymill.connection.object_store import ObjectMissing
 from quaymill.connection.peer_server import PeerServer
+from quaymill.process.job_copies import CopyRules
 from quaymill.process.job_storage import retirement as retirement_module
 from quaymill.process.job_storage.database import JobDatabase
 from quaymill.process.job_storage.leases import Leases
-from quaymill.process.job_storage.repair import CopyRules
 from quaymill.process.job_storage.retirement import Retirement
 from quaymill.process.job_storage.service import JobStorageService
 
@@ -49,6 +49,7 @@
             mock.Mock(),
             lambda: tuple(map(member, ["own", *self.others])),
             lambda: tuple(map(member, ["own", *self.others])),
+            lambda: tuple(map(member, ["own", *self.others])),
             CopyRules(2),
             self.announce,
             "active",
--- /dev/null
+++ b/tests/test_zone_copies.py
@@ -0,0 +1,300 @@
+"""A zone's storage nodes are lost or cut off: what was accepted is read, goes on, and ends.
+
+Two zones with three storage nodes each; two copies are needed and three kept, so that by a
+ranking that knows no zones all copies of some jobs lie in one. The jobs here are such ones.
+"""
+
+from __future__ import annotations
+
+import itertools
+import json
+import time
+import unittest
+from unittest import mock
+
+import msgspec
+
+from fleet_rig import FleetRig, wait_until
+from quaymill.process.job_copies import CopyRules
+from quaymill.process.jobs import storage_client as storage_client_module
+from quaymill.process.membership.ranking import rank_nodes
+from quaymill_bench.fleet_world import item_id
+from quaymill_standins.fleet_replica import ReplicaBehaviour
+
+ZONES = ("zone-a", "zone-b")
+LOST = ZONES[0]
+RULES = CopyRules(2, zones=2)
+ACCEPTED_WITHIN_S = 0.8
+"""Shortest time within which callers want to know that their job is accepted."""
+NOTICED_WITHIN_S = 10.0
+"""Until then nodes that are cut off are known as dead, or as alive again."""
+
+
+class ZoneCase(unittest.TestCase):
+    """Gateway 0 and half of the storage nodes are in the zone that is lost."""
+
+    SETTINGS = {"zones_lost_at_once": 1}
+
+    def setUp(self) -> None:
+        self.rig = FleetRig(2, 6, 2, zones=ZONES, **self.SETTINGS).start()
+        self.addCleanup(self.rig.stop)
+
+    def nodes(self, zone: str) -> list[str]:
+        return [name for name in self.rig.storage if self.rig.settings[name].zone == zone]
+
+    def members(self) -> list:
+        return [node.network.membership.local() for node in self.rig.storage.values()]
+
+    def job_in_one_zone(self, zone: str = LOST) -> str:
+        """Return the id of a job whose copies would all lie in one zone if zones did not count."""
+        for number in itertools.count():
+            ranked = rank_nodes(f"job-{number}", self.members())
+            if {member.zone for member in ranked[: RULES.kept]} == {zone}:
+                return f"job-{number}"
+        raise AssertionError("unreachable")
+
+    def slow_engines(self, event_s: float = 0.1, events: int = 10) -> None:
+        for replica in self.rig.of_service("engine"):
+            replica.behaviour = ReplicaBehaviour(event_s=event_s, events=events)
+
+    def runs(self) -> int:
+        return sum(len(replica.runs) for replica in self.rig.replicas.values())
+
+    def holders(self, job_id: str) -> set[str]:
+        return {name for name, node in self.rig.storage.items() if job_id in node._database.by_id}
+
+    def wait_spread(self, job_id: str) -> None:
+        """Wait until a job is whole on each node that it belongs to."""
+
+        def is_spread() -> bool:
+            names = {member.name for member in RULES.holders(job_id, self.members())}
+            if not names <= self.holders(job_id):
+                return False
+            records = [self.rig.storage[name]._database.by_id[job_id] for name in names]
+            everywhere = [self.rig.storage[name] for name in self.holders(job_id)]
+            most = {node._database.by_id[job_id].results.digest for node in everywhere}
+            return {one.results.digest for one in records} == most and len(most) == 1
+
+        wait_until(is_spread, f"copies of {job_id} lie in both zones")
+
+    def wait_apart(self) -> None:
+        """Wait until each side knows the other as dead."""
+        nodes = [*self.rig.gateways.values(), *self.rig.storage.values()]
+        wait_until(
+            lambda: all(len(node.network.storage_nodes()) == 3 for node in nodes),
+            "the cut is known",
+        )
+
+    def wait_together(self) -> None:
+        nodes = [*self.rig.gateways.values(), *self.rig.storage.values()]
+        wait_until(
+            lambda: all(len(node.network.storage_nodes()) == 6 for node in nodes),
+            "the cut is healed",
+        )
+
+
+class ZoneLostTest(ZoneCase):
+    """All processes of a zone die, and its disks are lost."""
+
+    def lose_zone(self) -> None:
+        self.rig.gateways.pop("gateway-0").kill()
+        for name in self.nodes(LOST):
+            self.rig.storage.pop(name).stop()
+            self.rig.wipe(name)
+
+    def test_accepted_jobs_go_on_and_results_stay_at_their_positions(self) -> None:
+        self.slow_engines()
+        job_id = self.job_in_one_zone()
+        self.assertEqual(202, self.rig.submit("gateway-0", job_id, 8).status)
+        before = self.rig.wait_results("gateway-1", job_id, 2)
+        self.lose_zone()
+        after = self.rig.wait_results("gateway-1", job_id, 8)
+        self.assertEqual(before, after[: len(before)])
+        self.assertEqual(8, len({result["id"] for result in after}))
+
+    def test_end_is_honoured(self) -> None:
+        self.slow_engines(0.3)
+        job_id = self.job_in_one_zone()
+        self.assertEqual(202, self.rig.submit("gateway-0", job_id, 8).status)
+        wait_until(self.runs, "an item runs")
+        self.assertEqual(200, self.rig.call("gateway-0", "DELETE", f"/v1/lots/{job_id}").status)
+        self.lose_zone()
+        runs = self.runs()
+        time.sleep(4.0)
+        self.assertEqual(runs, self.runs())
+
+    def test_zone_that_comes_back_empty_gets_its_copies(self) -> None:
+        job_id = self.job_in_one_zone()
+        self.rig.submit("gateway-0", job_id, 3)
+        results = self.rig.wait_results("gateway-1", job_id, 3)
+        lost = self.nodes(LOST)
+        self.lose_zone()
+        for name in lost:
+            self.rig.start_storage(name, LOST)
+        self.rig.start_gateway("gateway-0", LOST)
+        self.wait_together()
+        self.wait_spread(job_id)
+        for name in self.nodes(ZONES[1]):
+            self.rig.storage.pop(name).stop()
+        self.assertEqual(results, self.rig.wait_results("gateway-0", job_id, 3))
+
+
+class ZoneCutTest(ZoneCase):
+    """A zone is cut off from the others; store, engines and callers reach both sides."""
+
+    def test_job_and_its_results_are_there_on_both_sides(self) -> None:
+        self.slow_engines()
+        job_id = self.job_in_one_zone()
+        self.rig.submit("gateway-0", job_id, 8)
+        before = self.rig.wait_results("gateway-1", job_id, 2)
+        self.rig.cut_zone(LOST)
+        for gateway in self.rig.gateways:
+            after = self.rig.wait_results(gateway, job_id, 8)
+            self.assertEqual(before, after[: len(before)])
+        self.rig.heal()
+        self.wait_together()
+        pages = [self.rig.wait_results(gateway, job_id, 8) for gateway in self.rig.gateways]
+        self.assertEqual(pages[0], pages[1])
+        self.assertEqual(8, len({result["id"] for result in pages[0]}))
+        self.wait_spread(job_id)
+
+    def test_read_positions_are_never_told_to_be_empty(self) -> None:
+        """Both sides run the job and list results; each reads what either has listed."""
+        self.slow_engines(0.2)
+        job_id = self.job_in_one_zone()
+        self.rig.submit("gateway-0", job_id, 24)
+        self.rig.wait_results("gateway-1", job_id, 1)
+        self.rig.cut_zone(LOST)
+        read_at: dict[int, float] = {}
+        began = time.monotonic()
+        while time.monotonic() - began < NOTICED_WITHIN_S + 5.0:
+            for gateway in self.rig.gateways:
+                sent_at = time.monotonic()
+                due = [count for count, at in read_at.items() if sent_at - at > 1.0]
+                answer = self.rig.read_results(gateway, job_id)
+                self.assertIn(answer.status, (200, 503))
+                if answer.status == 200:
+                    count = len(json.loads(answer.data)["results"])
+                    self.assertGreaterEqual(count, max(due, default=0), gateway)
+                    read_at.setdefault(count, time.monotonic())
+        self.rig.heal()
+        for gateway in self.rig.gateways:
+            results = self.rig.wait_results(gateway, job_id, 24)
+            self.assertEqual(24, len({result["id"] for result in results}))
+
+    def test_each_side_accepts_in_time_and_copies_are_spread_afterwards(self) -> None:
+        self.rig.submit("gateway-0", "before", 1)
+        self.rig.cut_zone(LOST)
+        with mock.patch.object(storage_client_module, "log_message") as log:
+            for gateway in self.rig.gateways:
+                began = time.monotonic()
+                self.assertEqual(202, self.rig.submit(gateway, f"at-{gateway}", 2).status)
+                self.assertLess(time.monotonic() - began, ACCEPTED_WITHIN_S)
+        kept = [call.kwargs for call in log.call_args_list if call.kwargs["message"] == "StoreJob"]
+        self.assertLessEqual({"at-gateway-0", "at-gateway-1"}, {one["job"] for one in kept})
+        self.assertEqual({1}, {len(one["zones"]) for one in kept})
+        for gateway in self.rig.gateways:
+            self.rig.wait_results(gateway, f"at-{gateway}", 2)
+        self.wait_apart()
+        self.assertEqual(202, self.rig.submit("gateway-0", "later", 2).status)
+        self.rig.heal()
+        self.wait_together()
+        for job_id in ("at-gateway-0", "at-gateway-1", "later"):
+            self.wait_spread(job_id)
+            for gateway in self.rig.gateways:
+                self.rig.wait_results(gateway, job_id, 2)
+
+    def test_end_told_to_one_side_holds_for_both_after_the_cut(self) -> None:
+        self.slow_engines(0.3)
+        job_id = self.job_in_one_zone()
+        self.rig.submit("gateway-0", job_id, 40)
+        wait_until(self.runs, "an item runs")
+        self.rig.cut_zone(LOST)
+        self.wait_apart()
+        self.assertEqual(200, self.rig.call("gateway-1", "DELETE", f"/v1/lots/{job_id}").status)
+        self.rig.heal()
+        self.wait_together()
+        coordinators = [gateway.coordinator for gateway in self.rig.gateways.values()]
+        wait_until(
+            lambda: not any(job_id in map(_id, one.open_jobs()) for one in coordinators),
+            "both sides have stopped",
+        )
+        runs = self.runs()
+        time.sleep(2.0)
+        self.assertEqual(runs, self.runs())
+
+    def test_order_is_not_confirmed_by_one_side_alone_however_long_the_cut(self) -> None:
+        """Nodes that are dead for long count while they may be a zone that is cut off."""
+        self.rig.cut_zone(LOST)
+        self.wait_apart()
+        network = self.rig.gateways["gateway-1"].network
+        with mock.patch.object(type(network.membership), "dead_for_s", return_value=1000.0):
+            self.assertEqual(6, len(network.result_holders()))
+            self.assertEqual(0, len(network.recent_storage_nodes()))
+
+
+class UpgradeTest(ZoneCase):
+    """Builds that do not spread copies run beside those that do.
+
+    The earlier build is one whose settings say that no zone may be lost: it ranks as before.
+    """
+
+    SETTINGS = {"zones_lost_at_once": 0}
+
+    def upgrade(self, *names: str) -> None:
+        """Replace processes by ones that spread copies; disks and addresses stay."""
+        for name in names:
+            settings = self.rig.settings[name]
+            self.rig.settings[name] = msgspec.structs.replace(settings, zones_lost_at_once=1)
+            if name in self.rig.gateways:
+                self.rig.gateways.pop(name).stop()
+                self.rig.start_gateway(name, settings.zone)
+            else:
+                self.rig.storage.pop(name).stop()
+                self.rig.start_storage(name, settings.zone)
+        self.rig.wait_ready()
+
+    def test_jobs_of_either_build_are_found_adopted_ended_and_spread_at_last(self) -> None:
+        self.slow_engines(0.15)
+        by_old = self.job_in_one_zone()
+        by_new = self.job_in_one_zone(ZONES[1])
+        # One storage node in each zone and one gateway are of the later build.
+        self.upgrade("storage-0", "storage-1", "gateway-1")
+        self.assertEqual(202, self.rig.submit("gateway-0", by_old, 8).status)
+        self.assertEqual(202, self.rig.submit("gateway-1", by_new, 8).status)
+        ended = f"ended-{by_old}"
+        self.rig.submit("gateway-0", ended, 60)
+        self.assertEqual(200, self.rig.call("gateway-1", "DELETE", f"/v1/lots/{ended}").status)
+        for gateway, job_id in itertools.product(self.rig.gateways, (by_old, by_new)):
+            self.rig.wait_results(gateway, job_id, 1)
+        # The coordinator of either build is killed; one of the other build goes on.
+        for victim, other, job_id in (
+            ("gateway-0", "gateway-1", by_old),
+            ("gateway-1", "gateway-0", by_new),
+        ):
+            self.rig.gateways.pop(victim).kill()
+            results = self.rig.wait_results(other, job_id, 8)
+            self.assertEqual(8, len({result["id"] for result in results}))
+            self.rig.start_gateway(victim, self.rig.settings[victim].zone)
+            self.rig.wait_ready()
+        # A disk that is lost meanwhile takes nothing with it.
+        self.rig.storage.pop("storage-2").stop()
+        self.rig.wipe("storage-2")
+        self.rig.start_storage("storage-2", LOST)
+        self.upgrade("gateway-0", "storage-2", "storage-3", "storage-4", "storage-5")
+        for job_id in (by_old, by_new):
+            self.wait_spread(job_id)
+        for name in self.nodes(LOST):
+            self.rig.storage.pop(name).stop()
+        for job_id in (by_old, by_new):
+            self.rig.wait_results("gateway-1", job_id, 8)
+        runs = [run for one in self.rig.replicas.values() for run in one.runs]
+        self.assertLess(len([run for run in runs if item_id(ended, 59) == run.request_id]), 1)
+
+
+def _id(job) -> str:
+    return job.id
+
+
+if __name__ == "__main__":
+    unittest.main()
