--- a/tests/test_job_copies.py
+++ b/tests/test_job_copies.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import tempfile
 import threading
 import time
 import unittest
 from collections import Counter
+from pathlib import Path
 from unittest import mock
 
 from nose2.tools import params
@@ -19,6 +21,12 @@
 from quaymill.process.jobs import storage_client as storage_client_module
 from quaymill.process.jobs.storage_client import JobStorageClient, Kept, NotKept
 from quaymill.process.membership.ranking import rank_across_zones, rank_nodes
+from quaymill.process.serving_settings import (
+    ServingRole,
+    ServingSettings,
+    load_serving_settings,
+)
+from quaymill.process.settings import SettingsError
 
 KEYS = [f"job-{number}" for number in range(400)]
 ACCEPTED_WITHIN_S = 0.8
@@ -106,6 +114,42 @@
         self.assertEqual(zones, CopyRules(3, zones=2).zones_needed(nodes(**sizes)))
 
 
+class SettingsTest(unittest.TestCase):
+    """How many zones may be lost is told by the settings file."""
+
+    def load(self, text: str) -> ServingSettings | SettingsError:
+        required = "\n".join(
+            f'{key} = "{value}"'
+            for key, value in {
+                "name": "s",
+                "zone": "a",
+                "region": "r",
+                "address": "127.0.0.1",
+                "peer_ports": "1,2",
+                "store": "127.0.0.1:1",
+                "data_folder": "/tmp",
+            }.items()
+        )
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(f"{required}\n{text}\n")
+            file.flush()
+            return load_serving_settings(Path(file.name), ServingRole.JOB_STORAGE)
+
+    @params(
+        ("", CopyRules(2, 1)),
+        ("disks_lost_at_once = 2", CopyRules(3, 1)),
+        ("disks_lost_at_once = 2\nzones_lost_at_once = 1", CopyRules(3, 2)),
+    )
+    def test_copies_follow_the_losses_to_be_borne(self, text, rules) -> None:
+        self.assertEqual(rules, CopyRules.from_settings(self.load(text)))
+
+    @params("disks_lost_at_once", "zones_lost_at_once")
+    def test_fewer_than_none_is_a_fault(self, key) -> None:
+        fault = self.load(f"{key} = -1")
+        self.assertIsInstance(fault, SettingsError)
+        self.assertEqual(key, fault.key)
+
+
 class SlowPeers:
     """Storage nodes that take a job after a time, or never.
 
--- a/tests/test_retirement.py
+++ b/tests/test_retirement.py
@@ -10,12 +10,13 @@
 from nose2.tools import params
 
 from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.job_storage_messages import JobSummaries, JobSummary
 from quaymill.connection.member import Member
 from quaymill.connection.object_store import ObjectMissing
 from quaymill.connection.peer_server import PeerServer
 from quaymill.process.job_copies import CopyRules
 from quaymill.process.job_storage import retirement as retirement_module
-from quaymill.process.job_storage.database import JobDatabase
+from quaymill.process.job_storage.database import HeldResults, JobDatabase, JobRecord
 from quaymill.process.job_storage.leases import Leases
 from quaymill.process.job_storage.retirement import Retirement
 from quaymill.process.job_storage.service import JobStorageService
@@ -75,5 +76,73 @@
             self.assertTrue(self.service.retiring.wait(5.0))
 
 
+class CopiesElsewhereTest(unittest.TestCase):
+    """A node that leaves holds one job; the others live in zones a and b, and hold what is said.
+
+    Two copies are needed. Names of nodes begin with their zone; what is dead for long is left out
+    of the nodes that are recent.
+    """
+
+    def setUp(self) -> None:
+        self.live: list[str] = []
+        self.recent: list[str] = []
+        self.known: list[str] = []
+        self.holders: set[str] = set()
+        self.draining: set[str] = set()
+        record = JobRecord("job", 1, "", 0.0, False, False, HeldResults(digest=7))
+        peers = mock.Mock()
+        peers.call.side_effect = self.compare
+        self.database = mock.Mock(by_id={"job": record})
+        self.peers = peers
+
+    def member(self, name: str) -> Member:
+        endpoint = Endpoint(name, 1)
+        draining = name in self.draining
+        return Member(name, name[0], "r", endpoint, endpoint, has_disk=True, draining=draining)
+
+    def compare(self, endpoint, message, reply_type, timeout_s) -> JobSummaries:
+        held = (JobSummary("job", 7, False, False, "", 0.0),)
+        return JobSummaries("d", held if endpoint.host in self.holders else ())
+
+    def missing(self, zones: int) -> int | None:
+        def members_of(field: str):
+            return lambda: tuple(map(self.member, ["own", *getattr(self, field)]))
+
+        return Retirement(
+            "own",
+            mock.Mock(),
+            self.database,
+            mock.Mock(),
+            self.peers,
+            members_of("live"),
+            members_of("known"),
+            members_of("recent"),
+            CopyRules(2, zones),
+            lambda: None,
+            "active",
+            "succeeded",
+        )._missing_copies()
+
+    @params(
+        ("in both zones", 2, "a1 a2 b1", "", "", "a1 b1", 0),
+        ("in one zone", 2, "a1 a2 b1", "", "", "a1 a2", 1),
+        ("in one zone, where that does not matter", 1, "a1 a2 b1", "", "", "a1 a2", 0),
+        ("too few, in both zones", 2, "a1 a2 b1", "", "", "a1", 1),
+        ("the other zone has been cut off just now", 2, "a1 a2", "b1", "", "a1 a2", 1),
+        ("the other zone has been gone for long", 2, "a1 a2", "", "b1", "a1 a2", 0),
+        ("there is one zone", 2, "a1 a2 a3", "", "", "a1 a3", 0),
+        ("the other zone is being emptied too", 2, "a1 a2", "B1", "", "a1 a2", 0),
+    )
+    def test_copies_count_by_zone(
+        self, name, zones, live, dead_just_now, dead_for_long, holders, missing
+    ) -> None:
+        self.draining = {one.lower() for one in dead_just_now.split() if one[0].isupper()}
+        self.live = live.split()
+        self.recent = self.live + dead_just_now.lower().split()
+        self.known = self.recent + dead_for_long.split()
+        self.holders = set(holders.split())
+        self.assertEqual(missing, self.missing(zones))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_zone_copies.py
+++ b/tests/test_zone_copies.py
@@ -112,10 +112,13 @@
     """All processes of a zone die, and its disks are lost."""
 
     def lose_zone(self) -> None:
+        # Cut off first: what the nodes say and give away while they stop reaches nobody.
+        self.rig.cut_zone(LOST)
         self.rig.gateways.pop("gateway-0").kill()
         for name in self.nodes(LOST):
             self.rig.storage.pop(name).stop()
             self.rig.wipe(name)
+        self.rig.heal()
 
     def test_accepted_jobs_go_on_and_results_stay_at_their_positions(self) -> None:
         self.slow_engines()
