Soak: a zone is cut off where the settings say that one may be lost

Cause: no fault of the soak struck a whole zone. Without it, each seed draws the same faults as before.

--- a/src/quaymill_bench/fleet_processes.py
+++ b/src/quaymill_bench/fleet_processes.py
@@ -88,6 +88,7 @@
     started_at: float = 0.0
     ended_on_purpose: bool = True
     clock_lead_s: float = 0.0
+    zone: str = ""
 
     @property
     def routes_file(self) -> Path:
@@ -169,6 +170,8 @@
         Whether each pair of processes has a proxy in each direction.
     tenants
         Of the first configuration; ``None`` if requests need no keys.
+    zones_lost_at_once
+        Of the settings of each process.
     """
 
     def __init__(
@@ -180,8 +183,10 @@
         *,
         linked: bool = False,
         tenants: tuple[dict[str, Any], ...] | None = None,
+        zones_lost_at_once: int = 0,
     ) -> None:
         self.folder = folder
+        self.zones_lost_at_once = zones_lost_at_once
         # Disks of an earlier fleet hold jobs of the same names, whose retention has run out.
         shutil.rmtree(folder, ignore_errors=True)
         self.store = FleetStore()
@@ -354,6 +359,7 @@
             free_port(),
             free_port(),
             proxy,
+            zone=zone,
         )
         lines = [
             f'name = "{name}"',
@@ -363,6 +369,7 @@
             f'peer_ports = "{self._peer_port},{self._peer_port}"',
             f'store = "127.0.0.1:{proxy.port}"',
             f'seeds = "{",".join(f"{seed}:1" for seed in seeds)}"',
+            f"zones_lost_at_once = {self.zones_lost_at_once}",
         ]
         if role == "job-storage":
             lines.append(f'data_folder = "{self.folder / name}"')
--- a/src/quaymill_bench/main.py
+++ b/src/quaymill_bench/main.py
@@ -120,6 +120,7 @@
     gateways: int = 3,
     storage: int = 3,
     engines: int = 3,
+    zones_lost: int = 0,
     keep: Path = Path("run/soak"),
 ) -> int:
     """Run gateways and storage nodes as processes under random faults, and check the promises.
@@ -134,12 +135,14 @@
         Play just this round of the seed, counted from 0.
     gateways, storage, engines
         How many there are; up to 12 processes each pair has proxies of its own.
+    zones_lost
+        Zones that may be lost at once, by the settings; above 0 zones are cut off, too.
     keep
         Folder for the processes' files and for the logs of failed rounds.
     """
     from quaymill_bench.soak import SoakPlan, run_soak
 
-    plan = SoakPlan(keep.resolve(), seed, rounds, only, gateways, storage, engines)
+    plan = SoakPlan(keep.resolve(), seed, rounds, only, gateways, storage, engines, zones_lost)
     result = run_soak(plan, lambda text: print(text, flush=True))
     print(f"{result.rounds} rounds, {result.requests} requests, {result.jobs} jobs")
     for number, found in result.findings.items():
--- a/src/quaymill_bench/soak.py
+++ b/src/quaymill_bench/soak.py
@@ -83,6 +83,8 @@
     ----------
     only
         The one round to play, counted from 0; ``None`` for all.
+    zones_lost
+        Zones that may be lost at once; above 0 zones are cut off, too.
     """
 
     folder: Path
@@ -92,6 +94,7 @@
     gateways: int = 3
     storage: int = 3
     engines: int = 3
+    zones_lost: int = 0
 
 
 def run_soak(plan: SoakPlan, tell: Callable[[str], None]) -> SoakResult:
@@ -104,6 +107,7 @@
         plan.engines,
         linked=plan.gateways + plan.storage <= MOST_LINKED_PROCESSES,
         tenants=tenants.table(),
+        zones_lost_at_once=plan.zones_lost,
     ).start()
     findings: dict[int, list[str]] = {}
     requests = jobs = 0
--- a/src/quaymill_bench/soak_faults.py
+++ b/src/quaymill_bench/soak_faults.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from quaymill_bench.fleet_processes import FleetProcess, LocalFleet
-from quaymill_bench.fleet_world import ROUTES, configuration
+from quaymill_bench.fleet_world import ROUTES, ZONES, configuration
 from quaymill_bench.loopback_proxy import LinkState, LoopbackProxy
 from quaymill_bench.soak_senders import (
     CRASH_SUFFIX,
@@ -118,6 +118,8 @@
             "change the configuration": self._change_configuration,
             "have a tenant send far beyond its limit": self._flood,
         }
+        if fleet.zones_lost_at_once:
+            self._faults["cut a zone off"] = self._cut_zone
 
     def plan(self, load_s: float) -> list[PlannedFault]:
         """Draw the faults of a round, by the time when they begin."""
@@ -264,7 +266,10 @@
     def _gives_back(self, process: FleetProcess) -> None:
         """Let the next storage node be lost once this one is whole again."""
         if process.role == "job-storage":
-            threading.Timer(WHOLE_AFTER_S, self._storage_lock.release).start()
+            self._release_storage_later()
+
+    def _release_storage_later(self) -> None:
+        threading.Timer(WHOLE_AFTER_S, self._storage_lock.release).start()
 
     # Links.
 
@@ -304,11 +309,31 @@
         state = self._random.choice(LINK_STATES)
         self._note(f"{path}: {state.name}")
         proxy.set_state(state, DELAY_BY_STATE_S.get(state, 0.0))
+        return partial(_open_again, proxy)
+
+    def _cut_zone(self) -> Heal | None:
+        """Silence all connections between the processes of a zone and those elsewhere.
+
+        Datagrams pass: everybody is known as alive, as in the first moments of a cut. A disk that
+        is lost meanwhile could not be filled again, so no storage node is lost.
+        """
+        if not self._storage_lock.acquire(blocking=False):
+            return None
+        zone = self._random.choice(ZONES)
+        self._note(f"{zone} is cut off")
+        proxies = [
+            proxy
+            for source in self._fleet.processes.values()
+            for target, proxy in source.links_by_target.items()
+            if (source.zone == zone) != (self._fleet.processes[target].zone == zone)
+        ]
+        for proxy in proxies:
+            proxy.set_state(LinkState.SILENT)
 
         def heal() -> None:
-            # What was held back is not let through late: the connections end.
-            proxy.set_state(LinkState.RESET)
-            proxy.set_state(LinkState.OPEN)
+            for proxy in proxies:
+                _open_again(proxy)
+            self._release_storage_later()
 
         return heal
 
@@ -419,3 +444,9 @@
         self._note(f"{FLOOD} sends far beyond its limit")
         names = [f"flood-{self._seed}-{self._random.randrange(1000)}-{n}" for n in range(FLOODERS)]
         return self._send_until_healed([partial(send_flood, name) for name in names])
+
+
+def _open_again(proxy: LoopbackProxy) -> None:
+    """Heal a link. What was held back is not let through late: the connections end."""
+    proxy.set_state(LinkState.RESET)
+    proxy.set_state(LinkState.OPEN)
