--- a/src/quaymill/process/peer_network.py
+++ b/src/quaymill/process/peer_network.py
@@ -8,6 +8,7 @@
 from quaymill.connection.member import Member, MemberState
 from quaymill.connection.peer_link import PeerClient
 from quaymill.connection.peer_server import PeerServer
+from quaymill.process.job_copies import CopyRules
 from quaymill.process.membership.membership import Membership
 from quaymill.process.membership.zone_reach import ZoneReach
 from quaymill.process.serving_settings import ServingSettings
@@ -34,6 +35,8 @@
     ----------
     zones_may_be_lost
         Whether it is told which zones can be reached; else all count as reachable.
+    rules
+        On which of the storage nodes the copies of a job lie.
     """
 
     membership: Membership
@@ -41,6 +44,7 @@
     client: PeerClient
     reach: ZoneReach
     zones_may_be_lost: bool
+    rules: CopyRules
 
     @classmethod
     def from_settings(cls, settings: ServingSettings) -> PeerNetwork:
@@ -68,6 +72,7 @@
             PeerClient(link_filter, reach if zones_may_be_lost else None),
             reach,
             zones_may_be_lost,
+            CopyRules.from_settings(settings),
         )
 
     def start(self) -> None:
@@ -100,8 +105,18 @@
     def result_holders(self) -> tuple[Member, ...]:
         """Return the storage nodes that may be the only ones to hold a result.
 
-        Not those that have been dead for long: others have made up for what they held.
+        Not those that have been dead for long: others have made up for what they held. Where a
+        zone may be lost, so many that results can be kept on them alone may also be a zone that
+        is cut off, where another coordinator goes on: these still count.
         """
+        known = self.known_storage_nodes()
+        recent = self.recent_storage_nodes()
+        silent = [one for one in known if one not in recent and not one.draining]
+        may_be_cut_off = self.rules.zones > 1 and len(silent) >= self.rules.needed
+        return known if may_be_cut_off else recent
+
+    def recent_storage_nodes(self) -> tuple[Member, ...]:
+        """Return the storage nodes that live, or have been dead for a short time only."""
         return tuple(
             member
             for member in self.known_storage_nodes()
