--- a/tests/test_zone_cut.py
+++ b/tests/test_zone_cut.py
@@ -52,7 +52,7 @@
     ZONES_LOST_AT_ONCE = 1
 
     def setUp(self) -> None:
-        self.rig = FleetRig(3, 6, 3, self.ZONES_LOST_AT_ONCE)
+        self.rig = FleetRig(3, 6, 3, zones_lost_at_once=self.ZONES_LOST_AT_ONCE)
         self.addCleanup(self.rig.stop)
         self.rig.start()
         self.proxies = [
