Storage nodes: a zone that is cut off gives away no jobs that run beyond the cut

Change: with more zones out of reach than may be lost at once the own one is cut off; such a node waits. Tested: test_job_progress, test_zone_reach.

--- a/src/quaymill/process/job_storage/orphans.py
+++ b/src/quaymill/process/job_storage/orphans.py
@@ -41,6 +41,8 @@
         Return the live nodes of each kind, none that is leaving.
     is_replaced
         Whether the node of a process is known to run another process now.
+    may_have_ended
+        Whether a process that is not heard may have ended; else its jobs stay its own.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         storage_nodes: Callable[[], tuple[Member, ...]],
         gateways: Callable[[], tuple[Member, ...]],
         is_replaced: Callable[[str], bool],
+        may_have_ended: Callable[[str], bool] = lambda process: True,
     ) -> None:
         self._name = name
         self._database = database
@@ -60,6 +63,7 @@
         self._storage_nodes = storage_nodes
         self._gateways = gateways
         self._is_replaced = is_replaced
+        self._may_have_ended = may_have_ended
         self._replaced_since: dict[str, float] = {}
         self._stopping = threading.Event()
 
@@ -86,7 +90,9 @@
         orphans = [
             record
             for record in open_jobs
-            if self._has_no_lease(record) and self._acts_for(record.id)
+            if self._has_no_lease(record)
+            and self._may_have_ended(self._holder(record))
+            and self._acts_for(record.id)
         ]
         for record in self._without_lease_elsewhere(orphans):
             self._give_away(record)
--- a/src/quaymill/process/peer_network.py
+++ b/src/quaymill/process/peer_network.py
@@ -32,15 +32,15 @@
 
     Attributes
     ----------
-    zones_may_be_lost
-        Whether it is told which zones can be reached; else all count as reachable.
+    zones_lost_at_once
+        How many zones may be cut off at once; 0 where all always count as reachable.
     """
 
     membership: Membership
     server: PeerServer
     client: PeerClient
     reach: ZoneReach
-    zones_may_be_lost: bool
+    zones_lost_at_once: int = 0
 
     @classmethod
     def from_settings(cls, settings: ServingSettings) -> PeerNetwork:
@@ -61,20 +61,19 @@
         link_filter = LinkFilter()
         membership = Membership(node_settings, link_filter)
         reach = ZoneReach(settings.zone, membership)
-        zones_may_be_lost = settings.zones_lost_at_once > 0
         return cls(
             membership,
             PeerServer(Endpoint(settings.address, settings.peer_port)),
-            PeerClient(link_filter, reach if zones_may_be_lost else None),
+            PeerClient(link_filter, reach if settings.zones_lost_at_once else None),
             reach,
-            zones_may_be_lost,
+            settings.zones_lost_at_once,
         )
 
     def start(self) -> None:
         """Answer peers; every handler must be registered."""
         self.server.start()
         self.membership.start()
-        if self.zones_may_be_lost:
+        if self.zones_lost_at_once:
             self.reach.start()
 
     def stop(self) -> None:
@@ -129,6 +128,19 @@
                 return None if member.state is MemberState.DEAD else member
         return None
 
+    def may_have_ended(self, name: str) -> bool:
+        """Return whether a process that is not heard may have ended.
+
+        With more zones out of reach than may be lost at once, it is the own zone that is cut off:
+        the processes of the others go on.
+        """
+        if self.reach.unreachable_zones <= self.zones_lost_at_once:
+            return True
+        node_name, _, _ = name.rpartition(COORDINATOR_SEPARATOR)
+        members = self.membership.members()
+        zone = next((member.zone for member in members if member.name == node_name), "")
+        return not self.reach.is_unreachable(zone)
+
     def is_replaced(self, name: str) -> bool:
         """Return whether the node of a process runs another process now, which is alive."""
         node_name, _, _ = name.rpartition(COORDINATOR_SEPARATOR)
--- a/src/quaymill/process/storage_node.py
+++ b/src/quaymill/process/storage_node.py
@@ -63,6 +63,7 @@
             network.storage_nodes,
             network.gateways,
             network.is_replaced,
+            may_have_ended=network.may_have_ended,
         )
         self._retention = Retention(
             self._database, leases, settings.bounds.job_retention_s + RETENTION_MARGIN_S
--- a/tests/test_job_progress.py
+++ b/tests/test_job_progress.py
@@ -198,6 +198,7 @@
         patch.start()
         self.addCleanup(patch.stop)
         self.replaced: set[str] = set()
+        self.out_of_reach: set[str] = set()
         self.peers = FixedPeers()
         self.leases = LeaseTable()
         self.leases.renew([JOB], "g#1")
@@ -209,6 +210,7 @@
             lambda: (member("storage-0"), member("storage-1")),
             lambda: (member("g"), member("h")),
             lambda name: name in self.replaced,
+            may_have_ended=lambda name: name not in self.out_of_reach,
         )
         # Which of the two acts is drawn by the job's id.
         patch = mock.patch.object(self.watch, "_acts_for", lambda job_id: True)
@@ -224,6 +226,12 @@
         self.assertFalse(self.check_after(LEASE_S - 0.1))
         self.assertTrue(self.check_after(0.2))
 
+    def test_jobs_of_processes_beyond_a_cut_stay_their_own(self) -> None:
+        self.out_of_reach.add("g#1")
+        self.assertFalse(self.check_after(10 * LEASE_S))
+        self.out_of_reach.clear()
+        self.assertTrue(self.check_after(0.1))
+
     def test_a_process_known_to_have_ended_is_not_waited_for(self) -> None:
         self.database.store_progress(JOB, "one", [part(0, "ab")])
         self.replaced.add("g#1")
--- a/tests/test_zone_reach.py
+++ b/tests/test_zone_reach.py
@@ -25,6 +25,7 @@
     ZoneReach,
     judge,
 )
+from quaymill.process.peer_network import PeerNetwork
 
 NOW = 1000.0
 QUIET = -math.inf
@@ -354,6 +355,19 @@
         only_there = play.of_zone(CUT)
         self.assertEqual(tuple(only_there), play.reach.reachable(only_there))
 
+    def test_own_zone_is_cut_off_where_more_is_lost_than_may_be(self) -> None:
+        rows = (({CUT}, {OWN: True, CUT: True}), ({CUT, OTHER}, {OWN: True, CUT: False}))
+        for cut_zones, expected in rows:
+            with self.subTest(cut=sorted(cut_zones)):
+                play = self.play()
+                network = PeerNetwork(play, mock.Mock(), mock.Mock(), play.reach, 1)
+                play.cut_zones = cut_zones
+                play.call(play.of_zone(CUT)[0])
+                play.until_lost(CUT)
+                play.run(0.2)
+                told = {zone: network.may_have_ended(f"{zone}/1#p") for zone in expected}
+                self.assertEqual(expected, told)
+
     def test_granter_is_one_that_is_reached_and_grants_a_part(self) -> None:
         play = self.play()
         fleet = GatewayFleet(play, f"{OWN}/0", lambda one: True, play.reach.is_unreachable)
