--- a/src/quaymill/process/storage_node.py
+++ b/src/quaymill/process/storage_node.py
@@ -64,6 +64,7 @@
             network.gateways,
             network.is_replaced,
             rules,
+            may_have_ended=network.may_have_ended,
         )
         self._retention = Retention(
             self._database, leases, settings.bounds.job_retention_s + RETENTION_MARGIN_S
