--- a/tests/test_zone_reach.py
+++ b/tests/test_zone_reach.py
@@ -360,7 +360,9 @@
         for cut_zones, expected in rows:
             with self.subTest(cut=sorted(cut_zones)):
                 play = self.play()
-                network = PeerNetwork(play, mock.Mock(), mock.Mock(), play.reach, 1)
+                network = PeerNetwork(
+                    play, mock.Mock(), mock.Mock(), play.reach, mock.Mock(), zones_lost_at_once=1
+                )
                 play.cut_zones = cut_zones
                 play.call(play.of_zone(CUT)[0])
                 play.until_lost(CUT)
