--- a/src/quaymill/connection/room_messages.py
+++ b/src/quaymill/connection/room_messages.py
@@ -132,9 +132,16 @@
 
 
 class PoolLoads(PeerMessage, frozen=True):
-    """The replicas of a pool as their keeper knows them now."""
+    """The replicas of a pool as their keeper knows them now.
+
+    Attributes
+    ----------
+    line
+        Requests that wait in the keeper's line; below 0 if it keeps none.
+    """
 
     loads: tuple[ReplicaLoad, ...]
+    line: int = -1
 
 
 class LoadOffset(msgspec.Struct, frozen=True, array_like=True):
@@ -151,6 +158,40 @@
     requests: float
 
 
+class LineTerms(msgspec.Struct, frozen=True, array_like=True):
+    """How a request may wait in the keeper's line.
+
+    Attributes
+    ----------
+    ticket
+        Names the request; the same when its gateway asks again.
+    process
+        The start of the gateway that holds it.
+    tenant
+        ``None`` where there are no tenants.
+    rank
+        0 goes first.
+    waited_s
+        Since it came.
+    aim_in_s, last_call_in_s, left_s
+        Time until its first event is late, until its gateway lets it go in any case, and until
+        its caller's patience ends.
+    service_s, first_byte_s
+        How long its gateway has seen requests be served, and wait for their first byte.
+    """
+
+    ticket: str
+    process: str
+    tenant: str | None
+    rank: int
+    waited_s: float
+    aim_in_s: float
+    last_call_in_s: float
+    left_s: float
+    service_s: float
+    first_byte_s: float
+
+
 class PlaceOnline(PeerMessage, frozen=True):
     """Ask who keeps room where an online request should go; answered by ``OnlinePlaced``.
 
@@ -162,6 +203,8 @@
         Replicas that have been tried, or fail for this gateway.
     offsets
         Of the replicas for which there are any.
+    terms
+        How it may wait; ``None`` if it must be placed at once.
     """
 
     gateway: str
@@ -172,6 +215,7 @@
     offsets: tuple[LoadOffset, ...] = ()
     pool: int = 0
     pools: int = 1
+    terms: LineTerms | None = None
 
 
 class OnlinePlaced(PeerMessage, frozen=True):
@@ -180,13 +224,41 @@
     Attributes
     ----------
     replica_id
-        Empty if every replica of the pool is excluded.
+        Empty if every replica of the pool is excluded, or if the request waits or is refused.
     loads
         As the keeper knows them now, this request included.
+    line
+        Requests that wait in the keeper's line; below 0 if it keeps none.
+    waits
+        Whether the request has its place in the line.
+    retry_after_s
+        Set if the request cannot be served before its caller's patience ends: when to come again.
     """
 
     replica_id: str
     loads: tuple[ReplicaLoad, ...]
+    line: int = -1
+    waits: bool = False
+    retry_after_s: float | None = None
+
+
+class OnlineTurn(msgspec.Struct, frozen=True, array_like=True):
+    """The turn of a request that waits: it is counted at the replica already."""
+
+    ticket: str
+    replica_id: str
+
+
+class OnlineTurns(PeerMessage, frozen=True):
+    """Tell a gateway whose turn it is; answered by ``TurnsTaken``."""
+
+    turns: tuple[OnlineTurn, ...]
+
+
+class TurnsTaken(PeerMessage, frozen=True):
+    """The tickets of the requests that go; the others wait no more."""
+
+    tickets: tuple[str, ...]
 
 
 class GiveBack(PeerMessage, frozen=True):
--- /dev/null
+++ b/src/quaymill/process/jobs/waiting_line.py
@@ -0,0 +1,142 @@
+"""The line of online requests that wait for a slot of one pool of engines, at its keeper.
+
+The load it answers: bursts above what the engines serve. The keeper alone knows when a slot comes
+free, so whoever waits does so here, in one order for all gateways, until one is free: a request
+that queues at an engine stands before everybody who comes later, however urgent. State and
+decisions only; time is a parameter. Guarded by the keeper's lock.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from quaymill.connection.room_messages import PlaceOnline
+from quaymill.request.fair_shares import FairShares
+from quaymill.request.turns import turn_order
+
+TURN_WAY_S = 0.02
+"""From a slot's end to the next request's start there, beyond what an engine takes: three messages
+among peers. Whoever has less time left is late already."""
+SURE_FACTOR = 1.5
+"""A request counts as impossible to serve once its wait, by the usual pace, is so many times what
+its caller waits yet: the pace is an average."""
+
+
+@attrs.frozen(eq=False)
+class Waiter:
+    """A request that waits in the line.
+
+    Attributes
+    ----------
+    asked
+        What its gateway asked with, its terms included.
+    came_at, aim_at, last_call_at, gone_at
+        Monotonic times: when it came, when its first event is late, when its gateway lets it go
+        in any case, and when its caller's patience ends.
+    share
+        Its number among the requests of all tenants.
+    """
+
+    asked: PlaceOnline
+    came_at: float
+    aim_at: float
+    last_call_at: float
+    gone_at: float
+    share: float
+
+    @property
+    def ticket(self) -> str:
+        """Names the request."""
+        return self.asked.terms.ticket
+
+    @property
+    def process(self) -> str:
+        """The start of the gateway that holds the request."""
+        return self.asked.terms.process
+
+
+class WaitingLine:
+    """Who waits for one pool."""
+
+    def __init__(self) -> None:
+        self._shares = FairShares()
+        self._waiter_by_ticket: dict[str, Waiter] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiter_by_ticket)
+
+    @property
+    def tenants(self) -> int:
+        """Tenants that have requests in the line."""
+        return len({one.asked.terms.tenant for one in self._waiter_by_ticket.values()})
+
+    def join(self, asked: PlaceOnline, now: float) -> Waiter:
+        """Put a request into the line; one that asks again keeps its number."""
+        terms = asked.terms
+        before = self._waiter_by_ticket.get(terms.ticket)
+        share = before.share if before else self._shares.number(terms.tenant)
+        waiter = Waiter(
+            asked,
+            now - terms.waited_s,
+            now + terms.aim_in_s,
+            now + terms.last_call_in_s,
+            now + terms.left_s,
+            share,
+        )
+        self._waiter_by_ticket[terms.ticket] = waiter
+        return waiter
+
+    def waiters(self) -> tuple[Waiter, ...]:
+        """Return who waits, in no order."""
+        return tuple(self._waiter_by_ticket.values())
+
+    def ordered(self, now: float) -> list[Waiter]:
+        """Return who waits, whose turn is next first; those past their last call are dropped.
+
+        Their gateways let them go by themselves.
+        """
+        for waiter in self.waiters():
+            if waiter.last_call_at < now:
+                self.leave(waiter)
+        return sorted(self._waiter_by_ticket.values(), key=lambda one: _order(one, now))
+
+    def serve(self, waiter: Waiter) -> None:
+        """Take a request out whose turn has come."""
+        self._waiter_by_ticket.pop(waiter.ticket, None)
+        self._shares.serve(waiter.share)
+
+    def leave(self, waiter: Waiter) -> None:
+        """Take a request out that will not be served from here."""
+        self._waiter_by_ticket.pop(waiter.ticket, None)
+        self._shares.take_back(waiter.asked.terms.tenant, waiter.share)
+
+    def drop_process(self, process: str) -> int:
+        """Take out what a gateway holds that does not answer; return how much that was."""
+        dropped = [one for one in self._waiter_by_ticket.values() if one.process == process]
+        for waiter in dropped:
+            self.leave(waiter)
+        return len(dropped)
+
+    def wait_s(self, waiter: Waiter, slots: int, now: float) -> float:
+        """Return how long a request waits at least, at the pace of ``slots`` slots."""
+        service_s = waiter.asked.terms.service_s
+        mine = _order(waiter, now)
+        ahead = sum(_order(one, now) < mine for one in self._waiter_by_ticket.values())
+        return ahead * service_s / max(1, slots)
+
+    def retry_after_s(self, waiter: Waiter, slots: int, now: float) -> float | None:
+        """Return when a request may come again that cannot be served; ``None`` if it may be.
+
+        By then those before it have been served as far as its caller's patience does not reach.
+        """
+        wait_s = self.wait_s(waiter, slots, now)
+        left_s = waiter.gone_at - now
+        if wait_s <= SURE_FACTOR * left_s:
+            return None
+        return wait_s - left_s
+
+
+def _order(waiter: Waiter, now: float) -> tuple[bool, int, float, float]:
+    terms = waiter.asked.terms
+    needs_s = terms.first_byte_s + TURN_WAY_S
+    return turn_order(waiter.aim_at, terms.rank, waiter.came_at, needs_s, now, waiter.share)
--- a/src/quaymill/request/turns.py
+++ b/src/quaymill/request/turns.py
@@ -55,11 +55,22 @@
 
 
 def turn_order(
-    aim_at: float, rank: int, came_at: float, first_byte_s: float, now: float
-) -> tuple[bool, int, float]:
-    """Return the place of a waiting request: what can be in time, by rank, the oldest first."""
+    aim_at: float,
+    rank: int,
+    came_at: float,
+    first_byte_s: float,
+    now: float,
+    share: float = 0.0,
+) -> tuple[bool, int, float, float]:
+    """Return the place of a waiting request: what can be in time, by rank, the oldest first.
+
+    Parameters
+    ----------
+    share
+        Its number among all tenants' requests (``FairShares``), which goes before its age.
+    """
     is_late = aim_at - first_byte_s <= now
-    return is_late, rank, came_at
+    return is_late, rank, share, came_at
 
 
 def _between_ends_s(engine: EngineState) -> float:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -4,10 +4,11 @@
 
 import unittest
 
+import attrs
 from nose2.tools import params
 
 from quaymill.request.turns import EngineState, expected_wait_s, may_go, turn_order
-from turn_player import Burst, BurstPlayer
+from turn_player import Burst, BurstPlayer, LinePlayer
 
 SLOTS = 4
 SERVICE_S = 0.8
@@ -15,6 +16,11 @@
 """1.27 times what 45 engines of 6 slots serve, in its bursts."""
 BELOW = Burst(service_s=0.72)
 CALM = Burst(high_per_s=200.0)
+TENANTS = Burst(tenants=70, high_per_s=170.0, engines=23, slots=8)
+"""In its bursts 23 engines of 8 slots serve 1.35 times as much."""
+FLOODED = attrs.evolve(TENANTS, flood_per_s=100.0)
+"""1.17 times what they serve, all of what is new from one of 70 tenants."""
+FLOODED_ABOVE = attrs.evolve(FLOODED, high_per_s=260.0)
 
 
 def engine(load: float, first_byte_s: float = 0.05) -> EngineState:
@@ -90,3 +96,39 @@
         outcome = BurstPlayer(CALM, 1).play()
         self.assertEqual(0, outcome.late)
         self.assertLess(outcome.quantile_s(0.99), 0.05)
+
+
+class LineTest(unittest.TestCase):
+    """What callers get where all wait in one line, which knows when a slot comes free."""
+
+    @params(
+        ("above what is served", ABOVE, 0.1),
+        ("just below it", BELOW, 0.05),
+        ("one tenant floods", FLOODED, 0.09),
+        ("one tenant floods, above without it", FLOODED_ABOVE, 0.25),
+    )
+    def test_fewer_are_late_than_by_views(self, _, burst, most) -> None:
+        views = BurstPlayer(burst, 1).play()
+        line = LinePlayer(burst, 1).play()
+        self.assertLess(line.late_share, 0.75 * views.late_share)
+        self.assertLess(line.late_share, most)
+
+    def test_a_tenant_that_floods_makes_nobody_else_late(self) -> None:
+        self.assertGreater(BurstPlayer(FLOODED, 1).play().late_share_of_others, 0.08)
+        self.assertLess(LinePlayer(FLOODED, 1).play().late_share_of_others, 0.01)
+
+    def test_above_what_is_served_a_flood_costs_others_little(self) -> None:
+        without = LinePlayer(attrs.evolve(FLOODED_ABOVE, flood_per_s=0.0), 1).play()
+        flooded = LinePlayer(FLOODED_ABOVE, 1).play()
+        self.assertLess(flooded.late_share_of_others, without.late_share + 0.03)
+
+    def test_nobody_is_left(self) -> None:
+        views = BurstPlayer(FLOODED_ABOVE, 1).play()
+        line = LinePlayer(FLOODED_ABOVE, 1).play()
+        self.assertEqual(len(views.latencies_s), len(line.latencies_s))
+        self.assertLess(max(line.latencies_s), 4.0)
+
+    def test_a_calm_load_is_served_at_once(self) -> None:
+        outcome = LinePlayer(CALM, 1).play()
+        self.assertEqual(0, outcome.late)
+        self.assertLess(outcome.quantile_s(0.99), 0.05)
--- /dev/null
+++ b/tests/test_waiting_line.py
@@ -0,0 +1,141 @@
+"""The keeper's line: its order, shares of tenants, last calls and what cannot be served."""
+
+from __future__ import annotations
+
+import unittest
+
+from nose2.tools import params
+
+from quaymill.connection.room_messages import LineTerms, PlaceOnline
+from quaymill.process.jobs.waiting_line import SURE_FACTOR, TURN_WAY_S, WaitingLine
+from quaymill.request.fair_shares import MAX_TENANTS, FairShares
+
+SERVICE = "engine"
+SERVICE_S = 0.8
+
+
+def asked(ticket: str, tenant: str | None = None, process: str = "g#1", **fields) -> PlaceOnline:
+    """Return how a gateway asks for a request that may wait."""
+    given = {
+        "rank": 0,
+        "waited_s": 0.0,
+        "aim_in_s": 0.3,
+        "last_call_in_s": 3.0,
+        "left_s": 5.0,
+        "service_s": SERVICE_S,
+        "first_byte_s": 0.05,
+    } | fields
+    terms = LineTerms(ticket, process, tenant, **given)
+    return PlaceOnline(process.partition("#")[0], "x", SERVICE, (), terms=terms)
+
+
+class FairSharesTest(unittest.TestCase):
+    """Numbers of requests."""
+
+    def setUp(self) -> None:
+        self.shares = FairShares()
+
+    def number_all(self, *tenants: str) -> list[float]:
+        return [self.shares.number(tenant) for tenant in tenants]
+
+    def test_without_tenants_all_are_alike(self) -> None:
+        self.assertEqual([0.0, 0.0], [self.shares.number(None) for _ in range(2)])
+
+    def test_each_tenant_counts_for_itself(self) -> None:
+        self.assertEqual([0, 1, 2, 0, 3, 1], self.number_all("a", "a", "a", "b", "a", "b"))
+
+    def test_who_was_idle_has_gained_nothing(self) -> None:
+        for number in self.number_all("a", "a", "a", "a"):
+            self.shares.serve(number)
+        self.assertEqual([3, 4, 4], self.number_all("b", "b", "a"))
+
+    def test_what_was_used_without_anybody_waiting_is_soon_forgotten(self) -> None:
+        for _ in range(100):
+            self.shares.serve(self.shares.number("a"))
+        self.assertLessEqual(self.shares.number("a") - self.shares.number("b"), 1)
+
+    def test_what_is_not_served_costs_no_share(self) -> None:
+        first, second = self.number_all("a", "a")
+        self.shares.take_back("a", second)
+        self.assertEqual(second, self.shares.number("a"))
+        self.assertLess(first, second)
+
+    def test_many_tenants_do_not_grow_without_bound(self) -> None:
+        for index in range(3 * MAX_TENANTS):
+            self.shares.serve(self.shares.number("busy"))
+            self.shares.number(f"t{index}")
+        self.assertLessEqual(len(self.shares._next_by_tenant), MAX_TENANTS + 1)
+
+
+class WaitingLineTest(unittest.TestCase):
+    """One line."""
+
+    def setUp(self) -> None:
+        self.line = WaitingLine()
+
+    def tickets(self, now: float) -> list[str]:
+        return [one.ticket for one in self.line.ordered(now)]
+
+    def test_order(self) -> None:
+        now = 10.0
+        given = [
+            asked("late", "c", aim_in_s=-1.0),
+            asked("too near its aim", "d", aim_in_s=0.05 + TURN_WAY_S),
+            asked("first of a", "a"),
+            asked("second of a", "a"),
+            asked("third of a", "a"),
+            asked("first of b", "b"),
+            asked("urgent", "a", rank=-1),
+        ]
+        for index, one in enumerate(given):
+            self.line.join(one, now + 0.001 * index)
+        expected = [
+            "urgent",
+            "first of a",
+            "first of b",
+            "second of a",
+            "third of a",
+            "late",
+            "too near its aim",
+        ]
+        self.assertEqual(expected, self.tickets(now + 0.01))
+
+    def test_without_tenants_the_oldest_goes_first(self) -> None:
+        for ticket, waited_s in (("new", 0.0), ("old", 0.2), ("between", 0.1)):
+            self.line.join(asked(ticket, waited_s=waited_s), 1.0)
+        self.assertEqual(["old", "between", "new"], self.tickets(1.0))
+
+    def test_who_asks_again_keeps_its_place(self) -> None:
+        for ticket in ("first", "second"):
+            self.line.join(asked(ticket, "a"), 1.0)
+        self.line.join(asked("first", "a", waited_s=0.1), 1.1)
+        self.assertEqual(["first", "second"], self.tickets(1.1))
+        self.assertEqual(2, len(self.line))
+
+    def test_past_its_last_call_a_request_is_its_gateways(self) -> None:
+        self.line.join(asked("short", last_call_in_s=0.5), 1.0)
+        self.line.join(asked("long"), 1.0)
+        self.assertEqual(["long"], self.tickets(1.6))
+
+    def test_requests_of_a_gateway_that_is_gone_are_dropped(self) -> None:
+        self.line.join(asked("a"), 1.0)
+        self.line.join(asked("b", process="h#1"), 1.0)
+        self.assertEqual(1, self.line.drop_process("g#1"))
+        self.assertEqual(["b"], self.tickets(1.0))
+
+    @params((4, None), (14, None), (16, 2.4))
+    def test_only_what_can_surely_not_be_served_is_refused(self, ahead, expected) -> None:
+        """Two slots serve 2.5 requests a second; the caller waits four seconds."""
+        self.assertEqual(1.5, SURE_FACTOR)
+        for index in range(ahead):
+            self.line.join(asked(f"before-{index}"), 1.0)
+        last = self.line.join(asked("last", left_s=4.0), 1.1)
+        found = self.line.retry_after_s(last, 2, 1.1)
+        if expected is None:
+            self.assertIsNone(found)
+        else:
+            self.assertAlmostEqual(expected, found)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/turn_player.py
+++ b/tests/turn_player.py
@@ -2,8 +2,9 @@
 
 Engines serve a number of requests at once, the rest in the order of arrival. Gateways see the
 engines' loads as they were when they last placed a request or were told, up to 0.25 s ago; the one
-that places knows them. Half a minute of load takes about a second. Nothing here decides who waits:
-that is the product's own function, or one that is put in its place to be compared.
+that places knows them. With one line for all, requests wait where loads are known as soon as
+gateways have told them. Half a minute of load takes about a second. Nothing here decides
+who waits: that is the product's own function, or one that is put in its place to be compared.
 """
 
 from __future__ import annotations
@@ -14,12 +15,16 @@
 
 import attrs
 
+from quaymill.connection.room_messages import LineTerms, PlaceOnline
+from quaymill.process.jobs.waiting_line import Waiter, WaitingLine
 from quaymill.request.turns import EngineState, may_go, turn_order
 
 MayGo = Callable[[EngineState, float, float], bool]
-Order = Callable[[float, int, float, float, float], tuple[bool, int, float]]
+Order = Callable[[float, int, float, float, float, float], tuple[bool, int, float, float]]
 TOLD_EVERY_S = 0.25
 PLACING_S = 0.003
+END_TOLD_S = 0.003
+TURN_S = 0.003
 FIRST_BYTE_S = 0.02
 LAST_CALL_S = 3.5
 AFTER_S = 8.0
@@ -35,6 +40,10 @@
         Requests a second in and between bursts.
     service_s
         Mean; it spreads by a quarter.
+    tenants
+        Who send it, all alike; 0 for no tenants.
+    flood_per_s
+        What the first of them sends in bursts beside its part.
     """
 
     high_per_s: float = 430.0
@@ -45,6 +54,8 @@
     engines: int = 45
     slots: int = 6
     length_s: float = 30.0
+    tenants: int = 0
+    flood_per_s: float = 0.0
 
 
 @attrs.define
@@ -53,6 +64,14 @@
 
     latencies_s: list[float] = attrs.field(factory=list)
     late: int = 0
+    flood: int = 0
+    late_of_flood: int = 0
+
+    @property
+    def late_share_of_others(self) -> float:
+        """Part of the requests of all but the first tenant that were late."""
+        others = len(self.latencies_s) - self.flood
+        return (self.late - self.late_of_flood) / max(1, others)
 
     @property
     def late_share(self) -> float:
@@ -69,14 +88,15 @@
 class _Request:
     came_at: float
     gateway: int
+    tenant: int = 0
 
 
 def newest_first(
-    aim_at: float, rank: int, came_at: float, first_byte_s: float, now: float
-) -> tuple[bool, int, float]:
+    aim_at: float, rank: int, came_at: float, first_byte_s: float, now: float, share: float
+) -> tuple[bool, int, float, float]:
     """Order what can be in time by its age, the newest first: a way that is not in use."""
-    is_late, rank, came_at = turn_order(aim_at, rank, came_at, first_byte_s, now)
-    return is_late, rank, came_at if is_late else -came_at
+    is_late, rank, share, came_at = turn_order(aim_at, rank, came_at, first_byte_s, now, share)
+    return is_late, rank, share, came_at if is_late else -came_at
 
 
 class BurstPlayer:
@@ -116,7 +136,14 @@
             self._push(request.came_at, "arrive", request)
         for gateway in range(self._burst.gateways):
             self._push(self._random.random() * TOLD_EVERY_S, "told", gateway)
-        handlers = {"arrive": self._arrive, "end": self._end, "told": self._told}
+        handlers = {
+            "arrive": self._arrive,
+            "end": self._end,
+            "end told": self._end_told,
+            "turn": self._start_at,
+            "last call": self._call_last,
+            "told": self._told,
+        }
         while self._events:
             now, _, kind, what = heapq.heappop(self._events)
             if now > self._burst.length_s + AFTER_S:
@@ -129,11 +156,20 @@
         found = []
         at = 0.0
         while at < burst.length_s:
-            per_s = burst.high_per_s if at % 6.0 >= 3.6 else burst.low_per_s
-            at += self._random.expovariate(per_s)
-            found.append(_Request(at, self._random.randrange(burst.gateways)))
+            in_burst = at % 6.0 >= 3.6
+            per_s = burst.high_per_s if in_burst else burst.low_per_s
+            flood_per_s = burst.flood_per_s if in_burst else 0.0
+            at += self._random.expovariate(per_s + flood_per_s)
+            gateway = self._random.randrange(burst.gateways)
+            found.append(_Request(at, gateway, self._sender(flood_per_s / (per_s + flood_per_s))))
         return found
 
+    def _sender(self, flood_share: float) -> int:
+        tenants = self._burst.tenants
+        if not tenants or self._random.random() < flood_share:
+            return 0
+        return self._random.randrange(tenants)
+
     def _push(self, at: float, kind: str, what: object) -> None:
         self._number += 1
         heapq.heappush(self._events, (at, self._number, kind, what))
@@ -163,7 +199,7 @@
         ordered = sorted(
             self._held[gateway],
             key=lambda one: self._order(
-                one.came_at + objective_s, 0, one.came_at, FIRST_BYTE_S, now
+                one.came_at + objective_s, 0, one.came_at, FIRST_BYTE_S, now, 0.0
             ),
         )
         going = 0
@@ -176,9 +212,15 @@
     def _send(self, request: _Request, now: float) -> None:
         """Place a request by what is true now; its gateway sees the loads with the answer."""
         loads = self._loads()
-        least = min(loads)
-        engine = self._random.choice([one for one, load in enumerate(loads) if load == least])
         self._views[request.gateway] = loads
+        self._start_at((request, self._least(loads)), now)
+
+    def _least(self, loads: list[int]) -> int:
+        least = min(loads)
+        return self._random.choice([one for one, load in enumerate(loads) if load == least])
+
+    def _start_at(self, what: tuple[_Request, int], now: float) -> None:
+        request, engine = what
         if self._running[engine] < self._burst.slots:
             self._start(request, engine, now + PLACING_S)
         else:
@@ -188,7 +230,11 @@
         self._running[engine] += 1
         latency_s = now - request.came_at + FIRST_BYTE_S
         self.outcome.latencies_s.append(latency_s)
-        self.outcome.late += latency_s > self._burst.objective_s
+        late = latency_s > self._burst.objective_s
+        self.outcome.late += late
+        if request.tenant == 0:
+            self.outcome.flood += 1
+            self.outcome.late_of_flood += late
         service_s = self._burst.service_s
         served_s = max(0.25 * service_s, self._random.gauss(service_s, 0.25 * service_s))
         self._push(now + served_s, "end", (engine, request.gateway))
@@ -198,9 +244,80 @@
         self._running[engine] -= 1
         if self._queues[engine]:
             self._start(self._queues[engine].pop(0), engine, now)
+        self._note_end(engine, gateway, now)
+
+    def _note_end(self, engine: int, gateway: int, now: float) -> None:
         self._release(gateway, now)
 
+    def _end_told(self, engine: int, now: float) -> None:
+        """Only a line is told of ends by message."""
+
+    def _call_last(self, ticket: str, now: float) -> None:
+        """A gateway alone looks at its last calls itself."""
+
     def _told(self, gateway: int, now: float) -> None:
         self._views[gateway] = self._loads()
         self._push(now + TOLD_EVERY_S, "told", gateway)
         self._release(gateway, now)
+
+
+class LinePlayer(BurstPlayer):
+    """One play in which whatever must wait does so in the keeper's line.
+
+    The keeper hears of the end of a request by a message, and a turn is another one.
+    """
+
+    def __init__(self, burst: Burst, seed: int) -> None:
+        super().__init__(burst, seed)
+        self._line = WaitingLine()
+        self._counted = [0] * burst.engines
+        self._request_by_ticket: dict[str, _Request] = {}
+
+    def _arrive(self, request: _Request, now: float) -> None:
+        burst = self._burst
+        ticket = str(len(self._request_by_ticket))
+        terms = LineTerms(
+            ticket,
+            str(request.gateway),
+            str(request.tenant) if burst.tenants else None,
+            rank=0,
+            waited_s=0.0,
+            aim_in_s=burst.objective_s,
+            last_call_in_s=LAST_CALL_S,
+            left_s=2 * LAST_CALL_S,
+            service_s=burst.service_s,
+            first_byte_s=FIRST_BYTE_S,
+        )
+        self._request_by_ticket[ticket] = request
+        self._line.join(PlaceOnline("", "", "", (), terms=terms), now)
+        self._push(now + LAST_CALL_S, "last call", ticket)
+        self._give(now, 0.0)
+
+    def _give(self, now: float, way_s: float) -> None:
+        while len(self._line) and min(self._counted) < self._burst.slots:
+            waiting = self._line.ordered(now)
+            if not waiting:
+                return
+            self._go(waiting[0], now + way_s)
+
+    def _go(self, waiter: Waiter, at: float) -> None:
+        self._line.serve(waiter)
+        engine = self._least(self._counted)
+        self._counted[engine] += 1
+        self._push(at, "turn", (self._request_by_ticket[waiter.ticket], engine))
+
+    def _note_end(self, engine: int, gateway: int, now: float) -> None:
+        self._push(now + END_TOLD_S, "end told", engine)
+
+    def _end_told(self, engine: int, now: float) -> None:
+        self._counted[engine] -= 1
+        self._give(now, TURN_S)
+
+    def _call_last(self, ticket: str, now: float) -> None:
+        """Let a request go whose time is nearly over, if it waits yet."""
+        for waiter in self._line.waiters():
+            if waiter.ticket == ticket:
+                self._go(waiter, now)
+
+    def _told(self, gateway: int, now: float) -> None:
+        """Nobody goes by a view here."""
