--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -14,6 +14,7 @@
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.object_store import ObjectStore
 from quaymill.connection.replica_connection import ReplicaConnections
+from quaymill.connection.room_messages import LineTerms
 from quaymill.process.control.state import ControlPlaneView, ControlProtocol
 from quaymill.process.control.store_sharing import SharingStore
 from quaymill.process.front.caller_protocol import CallerProtocol
@@ -53,14 +54,16 @@
 from quaymill.process.poison.guard import CrashGuard
 from quaymill.process.poison.sharing import CrashSharing
 from quaymill.process.process_context import ProcessContext
-from quaymill.process.replica_set.online_queue import OnlineQueue
+from quaymill.process.replica_set.online_queue import InLine, OnlineQueue
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.router import Router
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.process.replica_set.warnings import ReplicaWarnings
 from quaymill.process.serving_settings import MS_PER_S, ServingSettings
+from quaymill.request.forwarded_request import ForwardedRequest
 from quaymill.request.forwarding import Forwarder, ReplicaProtocol
 from quaymill.request.poison import PoisonRecords
+from quaymill.request.replica_choice import NoTurn
 from quaymill.version.request_routes import NO_ROUTES, RequestRoutes
 from quaymill.version.tenants import TenantLimits
 
@@ -161,7 +164,12 @@
             lambda first, wishes: self._notices.place(first, wishes),
         )
         self._loads = EngineLoads(self._connections, protocol.reports)
-        self._queue = OnlineQueue(self._table)
+        self._queue = OnlineQueue(
+            self._table,
+            self._ask_turn,
+            self.network.process_name,
+            lambda replica: self._notices.give_back(replica),
+        )
         self._orders = RoomOrders(
             self.network.process_name,
             lambda items: self.coordinator.give_back(items),
@@ -169,21 +177,30 @@
             self.network.client,
             self.network.server,
             self.network.process,
+            lambda turns: self._notices.take_turns(turns),
+            lambda turn, taken: self._keeper.turn_answered(turn, taken),
         )
-        keeper = RoomKeeper(
-            self._table, self._loads, self.network.server, self._orders.send, self._orders.wake
+        self._keeper = RoomKeeper(
+            self._table,
+            self._loads,
+            self.network.server,
+            self._orders.send,
+            self._orders.wake,
+            self._orders.send_turn,
         )
         self._notices = OnlineNotices(
             settings.name,
             settings.zone,
             self._table,
-            keeper,
+            self._keeper,
             self.network.client,
             self.network.gateways,
             lambda: self.control.routes.batch_services,
             self._queue.look_again,
+            self._queue.leave_line,
+            self._queue.take_turn,
         )
-        claims = RoomClaims(settings.name, keeper, self.network.client, self.network.gateways)
+        claims = RoomClaims(settings.name, self._keeper, self.network.client, self.network.gateways)
         self.coordinator = JobCoordinator(
             DispatcherParts(
                 name=self.network.process_name,
@@ -251,6 +268,12 @@
             MetricsServer(metrics_endpoint, self._metrics.registry) if metrics_endpoint else None
         )
 
+    def _ask_turn(
+        self, service: str, request: ForwardedRequest, terms: LineTerms
+    ) -> Replica | InLine | NoTurn | None:
+        found = self._router.wishes_of(service, request.prompt)
+        return None if found is None else self._notices.ask_turn(*found, terms)
+
     def _build_limiter(self) -> TenantLimiter:
         name = self._settings.name
         bounds = self._settings.bounds
@@ -312,6 +335,9 @@
             "control_age_seconds": self.network.membership.confirmed_age_s,
             "requests_in_service": lambda: self._front.in_service,
             "requests_held": lambda: self._queue.held,
+            "line_requests": lambda: self._keeper.turns.waiting,
+            "line_tenants": lambda: self._keeper.turns.tenants,
+            "line_refused": lambda: self._keeper.turns.refused_early,
             "batch_items_running": self.coordinator.running_items,
             "batch_jobs_open": lambda: len(self.coordinator.open_jobs()),
             "requests_barred": lambda: self._poison_records.count(barred=True),
--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -22,9 +22,11 @@
 from quaymill.connection.peer_link import PeerClient
 from quaymill.connection.room_messages import (
     ItemsAt,
+    LineTerms,
     LoadOffset,
     OnlineInFlight,
     OnlinePlaced,
+    OnlineTurn,
     PlaceOnline,
     PoolLoads,
     ReplicaLoad,
@@ -32,10 +34,11 @@
 from quaymill.process.jobs.engine_pool import EnginePool, pool_of, pools_of
 from quaymill.process.jobs.room_claims import KeeperChoice
 from quaymill.process.jobs.room_keeper import RoomKeeper
+from quaymill.process.replica_set.online_queue import IN_LINE, InLine
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.router import PlacementWishes
 from quaymill.process.replica_set.table import ReplicaTable
-from quaymill.request.replica_choice import ChosenReplica
+from quaymill.request.replica_choice import ChosenReplica, NoTurn
 
 NOTICE_TIMEOUT_S = 0.2
 """Later than this the engine's own report has told the keeper."""
@@ -45,6 +48,9 @@
 PLACE_PAUSE_S = 0.25
 """How long this gateway chooses by itself after a keeper did not answer in time: by then a
 notice has told whether it lives, and who is next in rank."""
+LINE_WORD_S = 1.0
+"""How long a keeper's word that requests wait counts: four times what a gateway repeats its own
+word in."""
 ENDS_INTERVAL_S = 0.05
 """Ends of requests may wait so long for a start that they can go out with."""
 ENDS_INTERVAL_PER_GATEWAY_S = 0.002
@@ -68,6 +74,11 @@
         Returns the live gateways, this one included.
     loads_changed
         Called when a keeper has told the loads of a pool.
+    line_lost
+        Called when a keeper did not answer: what waits in its line decides by itself.
+    release
+        Lets a request go whose turn has come, by its ticket and the replica's id; returns whether
+        it goes.
     """
 
     def __init__(
@@ -80,6 +91,8 @@
         gateways: Callable[[], tuple[Member, ...]],
         batch_services: Callable[[], Collection[str]],
         loads_changed: Callable[[], None] = lambda: None,
+        line_lost: Callable[[], None] = lambda: None,
+        release: Callable[[str, str], bool] = lambda ticket, replica_id: False,
     ) -> None:
         self._own_name = own_name
         self._zone = zone
@@ -90,6 +103,10 @@
         self._keepers = KeeperChoice(gateways)
         self._batch_services = batch_services
         self._loads_changed = loads_changed
+        self._line_lost = line_lost
+        self._release = release
+        self._line_keepers: set[str] = set()
+        self._line_until_by_keeper: dict[str, float] = {}
         self._lock = threading.Lock()
         self._in_flight: Counter[str] = Counter()
         self._placed: Counter[str] = Counter()
@@ -114,26 +131,52 @@
 
         The request is counted at the place by the keeper, and by ``began`` here.
         """
+        answer = self._ask(first, wishes, None)
+        return answer if isinstance(answer, Replica) else None
+
+    def ask_turn(
+        self, first: Replica, wishes: PlacementWishes, terms: LineTerms
+    ) -> Replica | InLine | NoTurn | None:
+        """Ask the keeper for a place now, or in its line.
+
+        ``None`` if it does not answer at once, or is not known to keep a line.
+        """
+        pool = pool_of(first, self._table)
+        keeper = self._keepers.keeper_of(pool.service, pool.index)
+        if self._name_of(keeper) not in self._line_keepers:
+            return None
+        return self._ask(first, wishes, terms)
+
+    def _ask(
+        self, first: Replica, wishes: PlacementWishes, terms: LineTerms | None
+    ) -> Replica | InLine | NoTurn | None:
         now = boot_clock.now()
         if now < self._place_again_at or first.entry.service not in self._batch_services():
             return None
         pool = pool_of(first, self._table)
         with self._lock:
-            counts = self._counts_in(pool, self._in_flight)
+            counts = self._counts_in(pool, self._in_flight + self._placed)
             if pool.pools == 1:
                 # The keeper hears of all that has ended by this question.
                 self._changed = False
                 self._told_at = now
-        placed = self._call_to_place(pool, counts, wishes)
+        placed = self._call_to_place(pool, counts, wishes, terms)
         if placed is None:
             self._place_again_at = now + PLACE_PAUSE_S
             with self._lock:
                 self._changed = True
+            self._line_lost()
             return None
         if placed.replica_id:
             counts[placed.replica_id] = counts.get(placed.replica_id, 0) + 1
         self._told_by_pool[pool] = counts
         self._take_loads(placed.loads, counts)
+        if placed.retry_after_s is not None:
+            return NoTurn("more waits than can be served in time", placed.retry_after_s)
+        return IN_LINE if placed.waits else self._take_place(placed)
+
+    def _take_place(self, placed: OnlinePlaced) -> Replica | None:
+        """Count a place until its request begins; ``None`` if it cannot be used."""
         chosen = self._table.get(placed.replica_id)
         usable = chosen is not None and not chosen.leaving
         with self._lock:
@@ -144,8 +187,40 @@
                 self._changed = True
         return chosen if usable else None
 
+    def take_turns(self, turns: Iterable[OnlineTurn]) -> tuple[str, ...]:
+        """Let requests go whose turn has come; returns the tickets of those that still wait."""
+        return tuple(turn.ticket for turn in turns if self._take_turn(turn))
+
+    def _take_turn(self, turn: OnlineTurn) -> bool:
+        # Counted first: the request may begin before this returns.
+        with self._lock:
+            self._placed[turn.replica_id] += 1
+        if self._release(turn.ticket, turn.replica_id):
+            return True
+        with self._lock:
+            self._placed[turn.replica_id] -= 1
+        return False
+
+    def give_back(self, replica: ChosenReplica) -> None:
+        """Note that a request that was placed does not go there."""
+        with self._lock:
+            self._placed[replica.id] -= 1
+            self._changed = True
+        self._news.set()
+
+    def keeper_name(self, service: str) -> str:
+        """Return who keeps room for the first pool of a service."""
+        return self._name_of(self._keepers.keeper_of(service, 0))
+
+    def _name_of(self, member: Member | None) -> str:
+        return self._own_name if member is None else member.name
+
     def _call_to_place(
-        self, pool: EnginePool, counts: dict[str, int], wishes: PlacementWishes
+        self,
+        pool: EnginePool,
+        counts: dict[str, int],
+        wishes: PlacementWishes,
+        terms: LineTerms | None,
     ) -> OnlinePlaced | None:
         message = PlaceOnline(
             self._own_name,
@@ -156,16 +231,36 @@
             tuple(LoadOffset(name, offset) for name, offset in wishes.offsets.items()),
             pool.index,
             pool.pools,
+            terms,
         )
         member = self._keepers.keeper_of(pool.service, pool.index)
         if member is None or member.name == self._own_name:
-            return self._keeper.place_online(message)
-        reply = self._client.call(member.peer, message, OnlinePlaced, PLACE_TIMEOUT_S)
+            reply = self._keeper.place_online(message)
+        else:
+            reply = self._client.call(member.peer, message, OnlinePlaced, PLACE_TIMEOUT_S)
         if isinstance(reply, OnlinePlaced):
+            self._note_line(member, reply.line)
             return reply
         log_message("request:not_placed", service=pool.service, keeper=member.name)
         return None
 
+    def _note_line(self, member: Member | None, length: int) -> None:
+        """Note what a keeper said of its line; ends are told at once while one stands."""
+        name = self._name_of(member)
+        until = boot_clock.now() + LINE_WORD_S if length > 0 else 0.0
+        with self._lock:
+            self._line_until_by_keeper[name] = until
+            if length < 0:
+                self._line_keepers.discard(name)
+            else:
+                self._line_keepers.add(name)
+
+    @property
+    def _line_stands(self) -> bool:
+        now = boot_clock.now()
+        with self._lock:
+            return any(until > now for until in self._line_until_by_keeper.values())
+
     def began(self, replica: ChosenReplica) -> None:
         """Note that an online request is being sent to a replica."""
         with self._lock:
@@ -184,6 +279,8 @@
         with self._lock:
             self._in_flight[replica.id] -= 1
             self._changed = True
+        if self._line_stands:
+            self._news.set()
 
     def _run(self) -> None:
         while not self._stopping.is_set():
@@ -204,12 +301,13 @@
         now = boot_clock.now()
         with self._lock:
             self._in_flight = +self._in_flight
+            self._placed = +self._placed
             repeat = self._in_flight and now - self._told_at >= REPEAT_INTERVAL_S
             if not self._changed and not repeat:
                 return None
             self._changed = False
             self._told_at = now
-            return dict(self._in_flight)
+            return dict(self._in_flight + self._placed)
 
     def _tell(self, in_flight: dict[str, int]) -> None:
         for service in self._batch_services():
@@ -248,11 +346,15 @@
     def _call_keeper(self, message: OnlineInFlight) -> PoolLoads | None:
         member = self._keepers.keeper_of(message.service, message.pool)
         if member is None or member.name == self._own_name:
-            return self._keeper.note_online(message)
-        reply = self._client.call(member.peer, message, PoolLoads, NOTICE_TIMEOUT_S)
+            reply = self._keeper.note_online(message)
+        else:
+            reply = self._client.call(member.peer, message, PoolLoads, NOTICE_TIMEOUT_S)
         if isinstance(reply, PoolLoads):
+            self._note_line(member, reply.line)
             return reply
         self._keepers.avoid(message.service, member)
+        self._note_line(member, -1)
+        self._line_lost()
         return None
 
 
--- a/src/quaymill/process/jobs/pool_counts.py
+++ b/src/quaymill/process/jobs/pool_counts.py
@@ -90,6 +90,8 @@
     ----------
     online, batch
         Requests by replica.
+    promised
+        Turns by replica that have been given and not been answered yet.
     claims
         What each coordinator said last, by its name.
     """
@@ -97,13 +99,14 @@
     def __init__(self) -> None:
         self.online: Counter[str] = Counter()
         self.batch: Counter[str] = Counter()
+        self.promised: Counter[str] = Counter()
         self.claims: dict[str, Claim] = {}
         self._online_by_gateway: dict[str, OnlineCounts] = {}
 
     @property
     def is_empty(self) -> bool:
         """Whether nothing is known of the pool."""
-        return not self.claims and not self._online_by_gateway
+        return not self.claims and not self._online_by_gateway and not any(self.promised.values())
 
     def online_of(self, gateway: str) -> Counter[str]:
         """Return what a gateway has at each replica."""
@@ -118,8 +121,14 @@
 
     def place(self, gateway: str, replica: Replica) -> None:
         """Count one more online request of a gateway that has just given its word."""
-        self._online_by_gateway[gateway].counts[replica.id] += 1
-        self.online[replica.id] += 1
+        self.place_at(gateway, replica.id)
+
+    def place_at(self, gateway: str, replica_id: str) -> None:
+        """Count one more online request, unless the gateway has given no word of late."""
+        known = self._online_by_gateway.get(gateway)
+        if known is not None:
+            known.counts[replica_id] += 1
+            self.online[replica_id] += 1
 
     def take_claim(self, coordinator: str, claim: Claim) -> None:
         """Take a coordinator's claim in place of the one before."""
@@ -160,14 +169,17 @@
 
     def at(self, replica: Replica) -> int:
         """Return all requests at a replica."""
-        return self.online[replica.id] + self.batch[replica.id]
+        return self._online_at(replica) + self.batch[replica.id]
 
     def online_load(self, replica: Replica) -> float:
         """Return how busy a replica is for an online request."""
-        return online_load(self.online[replica.id], self.batch[replica.id])
+        return online_load(self._online_at(replica), self.batch[replica.id])
 
     def loads(self, replicas: Iterable[Replica]) -> tuple[ReplicaLoad, ...]:
         """Return what gateways are told of replicas."""
         return tuple(
-            ReplicaLoad(one.id, self.online[one.id], self.batch[one.id]) for one in replicas
+            ReplicaLoad(one.id, self._online_at(one), self.batch[one.id]) for one in replicas
         )
+
+    def _online_at(self, replica: Replica) -> int:
+        return self.online[replica.id] + self.promised[replica.id]
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -15,6 +15,8 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+from eliot import log_message
+
 from quaymill import boot_clock
 from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.room_messages import (
@@ -31,6 +33,7 @@
 from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.jobs.item_urgency import RoutePaces
 from quaymill.process.jobs.pool_counts import Claim, PoolCounts, RunningItems
+from quaymill.process.jobs.turn_giving import GivenTurn, TurnGiver
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.replica_cost import least_costly
 from quaymill.process.replica_set.table import ReplicaTable
@@ -50,6 +53,8 @@
 
 OrderBack = Callable[[str, tuple[ItemsAt, ...]], None]
 """Asks a coordinator to cut items at once; called without any lock."""
+TurnCall = Callable[[GivenTurn], None]
+"""Has a gateway told whose turn it is; called without any lock, ``turn_answered`` follows."""
 
 
 class RoomKeeper:
@@ -62,6 +67,8 @@
         next claim.
     wake
         Tells a coordinator that there is room for its items.
+    send_turn
+        How gateways are told whose turn it is; without it no request waits here.
     """
 
     def __init__(
@@ -71,6 +78,7 @@
         peer_server: PeerServer | None = None,
         order_back: OrderBack | None = None,
         wake: Callable[[str], None] = lambda coordinator: None,
+        send_turn: TurnCall | None = None,
     ) -> None:
         self._table = table
         self._loads = loads
@@ -78,6 +86,8 @@
         self._wake = wake
         self._woken_at: dict[str, float] = {}
         self._random = random.Random()
+        self._send_turn = send_turn
+        self.turns = TurnGiver(self._random)
         self._lock = threading.Lock()
         self._counts_by_pool: dict[EnginePool, PoolCounts] = {}
         self._owed_by_coordinator: dict[str, Counter[str]] = {}
@@ -101,8 +111,10 @@
             give_back = self._owed_by_coordinator.pop(message.coordinator, Counter())
             reachable = [replica for replica in replicas if replica.id not in message.avoided]
             starts = self._grant(counts, message, reachable)
+            turns = self._give_turns(pool, counts, replicas)
             orders = self._take_orders()
             to_wake = self._first_to_wake(counts, replicas)
+        self._send_turns(turns)
         self._send_orders(orders)
         if to_wake and to_wake != message.coordinator:
             self._wake(to_wake)
@@ -116,14 +128,17 @@
             in_flight = _by_replica(message.in_flight)
             counts.take_online(message.gateway, in_flight, boot_clock.now())
             replicas = pool.members(self._table)
+            turns = self._give_turns(pool, counts, replicas)
             self._share_out_excess(counts, [one for one in replicas if one.id in in_flight])
             orders = self._take_orders()
             loads = counts.loads(replicas)
+            line = self._line_length(pool)
             to_wake = self._first_to_wake(counts, replicas)
+        self._send_turns(turns)
         self._send_orders(orders)
         if to_wake:
             self._wake(to_wake)
-        return PoolLoads(loads)
+        return PoolLoads(loads, line)
 
     def place_online(self, message: PlaceOnline) -> OnlinePlaced:
         """Choose the replica of an online request, and let batch items give way to it there.
@@ -136,17 +151,84 @@
             counts = self._counts(pool)
             counts.take_online(message.gateway, _by_replica(message.in_flight), boot_clock.now())
             replicas = pool.members(self._table)
-            allowed = [one for one in replicas if one.id not in message.excluded]
-            sound = [one for one in allowed if not one.avoided] or allowed
-            if not sound:
-                return OnlinePlaced("", counts.loads(replicas))
-            offsets = {offset.replica_id: offset.requests for offset in message.offsets}
-            chosen = least_costly(sound, counts.online_load, message.zone, offsets, self._random)
-            counts.place(message.gateway, chosen)
-            self._share_out_excess(counts, [chosen])
+            turns: list[GivenTurn] = []
+            if message.terms is None or self._send_turn is None:
+                answer = self._place_now(pool, counts, replicas, message)
+            else:
+                answer, turns = self._place_or_line_up(pool, counts, replicas, message)
             orders = self._take_orders()
+        self._send_turns(turns)
         self._send_orders(orders)
-        return OnlinePlaced(chosen.id, counts.loads(replicas))
+        return answer
+
+    def _place_now(
+        self, pool: EnginePool, counts: PoolCounts, replicas: list[Replica], message: PlaceOnline
+    ) -> OnlinePlaced:
+        """Place a request whether or not a slot is free; the lock is held."""
+        allowed = [one for one in replicas if one.id not in message.excluded]
+        sound = [one for one in allowed if not one.avoided] or allowed
+        if not sound:
+            return OnlinePlaced("", counts.loads(replicas), self._line_length(pool))
+        offsets = {offset.replica_id: offset.requests for offset in message.offsets}
+        chosen = least_costly(sound, counts.online_load, message.zone, offsets, self._random)
+        counts.place(message.gateway, chosen)
+        self._share_out_excess(counts, [chosen])
+        return OnlinePlaced(chosen.id, counts.loads(replicas), self._line_length(pool))
+
+    def _place_or_line_up(
+        self, pool: EnginePool, counts: PoolCounts, replicas: list[Replica], message: PlaceOnline
+    ) -> tuple[OnlinePlaced, list[GivenTurn]]:
+        """Place a request if its turn is now, else let it wait; the lock is held."""
+        now = boot_clock.now()
+        if all(one.id in message.excluded for one in replicas):
+            return self._place_now(pool, counts, replicas, message), []
+        waiter = self.turns.join(pool, message, now)
+        turns = self._give_turns(pool, counts, replicas)
+        own = next((turn for turn in turns if turn.ticket == waiter.ticket), None)
+        if own is not None:
+            self.turns.answered(own, counts, taken=True)
+            turns.remove(own)
+            placed = OnlinePlaced(own.replica.id, counts.loads(replicas), self._line_length(pool))
+            return placed, turns
+        retry_after_s = self.turns.refuse(pool, waiter, replicas, now)
+        waits = retry_after_s is None
+        line = self._line_length(pool)
+        return OnlinePlaced("", counts.loads(replicas), line, waits, retry_after_s), turns
+
+    def turn_answered(self, turn: GivenTurn, taken: bool | None) -> None:
+        """Take a gateway's answer to a turn; ``None`` if there was none.
+
+        The slot of a turn that was not taken goes to the next. A gateway that does not answer
+        loses its places here, and lets its requests go by itself.
+        """
+        with self._lock:
+            counts = self._counts(turn.pool)
+            self.turns.answered(turn, counts, taken=bool(taken))
+            if taken is None:
+                dropped = self.turns.drop_process(turn.process)
+                log_message("line:turn_unanswered", gateway=turn.gateway, dropped=dropped)
+            replicas = turn.pool.members(self._table)
+            turns = [] if taken else self._give_turns(turn.pool, counts, replicas)
+            orders = self._take_orders()
+        self._send_turns(turns)
+        self._send_orders(orders)
+
+    def _give_turns(
+        self, pool: EnginePool, counts: PoolCounts, replicas: list[Replica]
+    ) -> list[GivenTurn]:
+        """Give what is free to who waits, and let batch items give way; the lock is held."""
+        turns = self.turns.give(pool, counts, replicas, boot_clock.now())
+        if turns:
+            self._share_out_excess(counts, [turn.replica for turn in turns])
+        return turns
+
+    def _send_turns(self, turns: list[GivenTurn]) -> None:
+        for turn in turns:
+            self._send_turn(turn)
+
+    def _line_length(self, pool: EnginePool) -> int:
+        """Return what gateways are told of the line: below 0 if none is kept."""
+        return -1 if self._send_turn is None else self.turns.length(pool)
 
     def _counts(self, pool: EnginePool) -> PoolCounts:
         """Return a pool's counts, without words that are too old; the lock is held."""
--- a/src/quaymill/process/jobs/room_orders.py
+++ b/src/quaymill/process/jobs/room_orders.py
@@ -1,4 +1,4 @@
-"""Tells coordinators, for the gateway that keeps room, to cut items or that there is room.
+"""Tells others, for the gateway that keeps room, to cut items, that there is room, or of turns.
 
 Other processes are told by a few threads beside the keeper's answers, so that a coordinator that
 is slow or silent holds up no placement. What is meant for the same coordinator while a call to it
@@ -21,12 +21,19 @@
     GiveBack,
     GivenBack,
     ItemsAt,
+    OnlineTurn,
+    OnlineTurns,
     RoomFreed,
     RoomFreedNoted,
+    TurnsTaken,
 )
+from quaymill.process.jobs.turn_giving import GivenTurn
 
 ORDER_TIMEOUT_S = 0.2
 """A coordinator that takes longer hears of it with its next claim: the engine still shows it."""
+TURN_TIMEOUT_S = 0.1
+"""A gateway that takes longer has its requests decide by themselves, and the slot goes on: a third
+of the shortest objective of a stream on the deployments measured."""
 SENDERS = 8
 """Threads that send, so as many silent coordinators may be waited for at once. With the calls in
 the keeper's own answers a keeper of 165 gateways had up to 127 threads, each at a call, and 193
@@ -37,10 +44,11 @@
 
 @attrs.define
 class _Pending:
-    """What is to be told to one coordinator."""
+    """What is to be told to one process."""
 
     owed: Counter[str] = attrs.field(factory=Counter)
     room_is_free: bool = False
+    turns: list[GivenTurn] = attrs.field(factory=list)
 
 
 class RoomOrders:
@@ -56,6 +64,10 @@
         Makes this process's coordinator claim room at once.
     process
         Returns where a process runs; ``None`` if it is gone.
+    take_turns
+        Lets requests of this process go; returns the tickets of those that do.
+    turn_answered
+        Hears for each turn that was sent whether it was taken; ``None`` without an answer.
     """
 
     def __init__(
@@ -66,12 +78,16 @@
         client: PeerClient,
         server: PeerServer,
         process: Callable[[str], Member | None],
+        take_turns: Callable[[tuple[OnlineTurn, ...]], tuple[str, ...]] = lambda turns: (),
+        turn_answered: Callable[[GivenTurn, bool | None], None] = lambda turn, taken: None,
     ) -> None:
         self._process_name = process_name
         self._give_back = give_back
         self._claim_room = claim_room
         self._client = client
         self._process = process
+        self._take_turns = take_turns
+        self._turn_answered = turn_answered
         self._changed = threading.Condition()
         self._waiting: dict[str, _Pending] = {}
         self._being_told: set[str] = set()
@@ -80,6 +96,7 @@
         self._stopping = False
         server.register(GiveBack, self._answer)
         server.register(RoomFreed, self._answer_room_freed)
+        server.register(OnlineTurns, self._answer_turns)
 
     def stop(self) -> None:
         """Send nothing more."""
@@ -106,6 +123,15 @@
             self._waiting.setdefault(coordinator, _Pending()).room_is_free = True
             self._call_sender()
 
+    def send_turn(self, turn: GivenTurn) -> None:
+        """Have a gateway told whose turn it is; ``turn_answered`` hears what came of it."""
+        if turn.process == self._process_name:
+            self._turn_answered(turn, bool(self._take_turns((turn.message,))))
+            return
+        with self._changed:
+            self._waiting.setdefault(turn.process, _Pending()).turns.append(turn)
+            self._call_sender()
+
     def _call_sender(self) -> None:
         """Have a thread look at what waits; the lock is held."""
         self._changed.notify()
@@ -150,6 +176,8 @@
 
     def _tell(self, coordinator: str, pending: _Pending) -> None:
         member = self._process(coordinator)
+        if pending.turns:
+            self._tell_turns(member, pending.turns)
         if member is None:
             return
         if pending.owed:
@@ -161,6 +189,20 @@
         elif pending.room_is_free:
             self._client.call(member.peer, RoomFreed(), RoomFreedNoted, ORDER_TIMEOUT_S)
 
+    def _tell_turns(self, member: Member | None, turns: list[GivenTurn]) -> None:
+        taken = None if member is None else self._call_for_turns(member, turns)
+        for turn in turns:
+            self._turn_answered(turn, None if taken is None else turn.ticket in taken)
+
+    def _call_for_turns(self, member: Member, turns: list[GivenTurn]) -> tuple[str, ...] | None:
+        """Tell a gateway of turns; ``None`` if it did not answer."""
+        message = OnlineTurns(tuple(turn.message for turn in turns))
+        reply = self._client.call(member.peer, message, TurnsTaken, TURN_TIMEOUT_S)
+        return reply.tickets if isinstance(reply, TurnsTaken) else None
+
+    def _answer_turns(self, message: OnlineTurns) -> TurnsTaken:
+        return TurnsTaken(self._take_turns(message.turns))
+
     def _answer_room_freed(self, message: RoomFreed) -> RoomFreedNoted:
         self._claim_room()
         return RoomFreedNoted()
--- /dev/null
+++ b/src/quaymill/process/jobs/turn_giving.py
@@ -0,0 +1,139 @@
+"""Gives the free slots of engines to the requests that wait, for the gateway that keeps room.
+
+Decisions and state only, guarded by the keeper's lock; who sends the turns is told them.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from quaymill.connection.room_messages import OnlineTurn, PlaceOnline
+from quaymill.process.jobs.engine_pool import EnginePool
+from quaymill.process.jobs.pool_counts import PoolCounts
+from quaymill.process.jobs.waiting_line import Waiter, WaitingLine
+from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.replica_cost import least_costly
+
+
+@attrs.frozen
+class GivenTurn:
+    """A turn that its gateway is told.
+
+    Attributes
+    ----------
+    process
+        The start of the gateway that holds the request.
+    """
+
+    pool: EnginePool
+    gateway: str
+    process: str
+    ticket: str
+    replica: Replica
+
+    @property
+    def message(self) -> OnlineTurn:
+        """What the gateway is told."""
+        return OnlineTurn(self.ticket, self.replica.id)
+
+
+class TurnGiver:
+    """The lines of all pools that one gateway keeps room for."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._random = rng
+        self._line_by_pool: dict[EnginePool, WaitingLine] = {}
+        self._given_by_ticket: dict[str, GivenTurn] = {}
+        self.refused_early = 0
+
+    def length(self, pool: EnginePool) -> int:
+        """Return how many requests wait for a pool."""
+        line = self._line_by_pool.get(pool)
+        return 0 if line is None else len(line)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait in all lines."""
+        return sum(len(line) for line in self._line_by_pool.values())
+
+    @property
+    def tenants(self) -> int:
+        """Tenants with requests that wait, counted by line."""
+        return sum(line.tenants for line in self._line_by_pool.values())
+
+    def join(self, pool: EnginePool, asked: PlaceOnline, now: float) -> Waiter:
+        """Put a request into the line of its pool."""
+        return self._line_by_pool.setdefault(pool, WaitingLine()).join(asked, now)
+
+    def refuse(
+        self, pool: EnginePool, waiter: Waiter, replicas: list[Replica], now: float
+    ) -> float | None:
+        """Take a request out that cannot be served; return when it may come again."""
+        line = self._line_by_pool[pool]
+        slots = sum(one.slots for one in _sound(waiter.asked, replicas))
+        retry_after_s = line.retry_after_s(waiter, slots, now)
+        if retry_after_s is None:
+            return None
+        line.leave(waiter)
+        self.refused_early += 1
+        # Those refused meanwhile would else all come at once.
+        return retry_after_s * (1.0 + self._random.random())
+
+    def give(
+        self, pool: EnginePool, counts: PoolCounts, replicas: list[Replica], now: float
+    ) -> list[GivenTurn]:
+        """Give the free slots of a pool, as far as there are any, in the order of the line."""
+        line = self._line_by_pool.get(pool)
+        if line is None or not len(line):
+            return []
+        free = _free(counts, replicas)
+        given: list[GivenTurn] = []
+        for waiter in line.ordered(now) if free else []:
+            if not free:
+                break
+            able = [one for one in _sound(waiter.asked, replicas) if one in free]
+            if able:
+                given.append(self._give_one(pool, counts, line, waiter, able))
+                free = _free(counts, free)
+        return given
+
+    def _give_one(
+        self,
+        pool: EnginePool,
+        counts: PoolCounts,
+        line: WaitingLine,
+        waiter: Waiter,
+        able: list[Replica],
+    ) -> GivenTurn:
+        asked = waiter.asked
+        offsets = {offset.replica_id: offset.requests for offset in asked.offsets}
+        chosen = least_costly(able, counts.online_load, asked.zone, offsets, self._random)
+        line.serve(waiter)
+        counts.promised[chosen.id] += 1
+        turn = GivenTurn(pool, asked.gateway, waiter.process, waiter.ticket, chosen)
+        self._given_by_ticket[waiter.ticket] = turn
+        return turn
+
+    def answered(self, turn: GivenTurn, counts: PoolCounts, *, taken: bool) -> None:
+        """Count a turn that was taken as its gateway's request; else its slot is free again."""
+        if self._given_by_ticket.get(turn.ticket) is turn:
+            del self._given_by_ticket[turn.ticket]
+            counts.promised[turn.replica.id] -= 1
+            if taken:
+                counts.place_at(turn.gateway, turn.replica.id)
+
+    def drop_process(self, process: str) -> int:
+        """Take out what a gateway holds that does not answer; return how much that was."""
+        return sum(line.drop_process(process) for line in self._line_by_pool.values())
+
+
+def _free(counts: PoolCounts, replicas: list[Replica]) -> list[Replica]:
+    return [one for one in replicas if counts.online_load(one) < one.slots]
+
+
+def _sound(asked: PlaceOnline, replicas: list[Replica]) -> list[Replica]:
+    """Return the replicas that a request may go to: those that fail for nobody if there are any."""
+    allowed = [one for one in replicas if one.id not in asked.excluded]
+    return [one for one in allowed if not one.avoided] or allowed
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -65,8 +65,14 @@
             "late: whether it was past its objective when it was let go",
             "waiting: others that were held then",
             "service_s: how long the service has served a request of late",
+            "decided_by: line (the keeper's), own (this gateway's view), last call, or nobody (the"
+            " caller left)",
         ),
     ),
+    "line:turn_unanswered": LogEvent(
+        "a gateway did not answer when its request's turn came; its places in line are dropped",
+        ("gateway: the gateway that was told", "dropped: requests of it that waited"),
+    ),
     "request:not_placed": LogEvent(
         "the keeper of room did not say in time where a request should go; the gateway chooses",
         ("service", "keeper: the gateway that was asked"),
--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -5,21 +5,30 @@
 while it can still be in time, and those that are late already wait until a slot is free: after an
 outage the backlog does not delay what comes fresh. Nothing is held past the time that it
 needs to be served before its caller gives up.
+
+Where who keeps room for the engines answers, the requests of all gateways wait in its line, which
+knows when a slot comes free; each is held here as well, and goes by what is known here if the
+keeper falls silent, and at its last call in any case.
 """
 
 from __future__ import annotations
 
+import enum
+import itertools
 import threading
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 from eliot import log_message
 
 from quaymill import boot_clock
+from quaymill.connection.room_messages import LineTerms
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.forwarded_request import ForwardedRequest
 from quaymill.request.presence import CallerPresence
+from quaymill.request.replica_choice import ChosenReplica, NoTurn
 from quaymill.request.turns import EngineState, may_go, turn_order
 from quaymill.version.request_routes import RequestRoute
 
@@ -41,10 +50,37 @@
 """Beside that: the way to the caller and back, and a step of the engine."""
 HELD_CHECK_S = 0.25
 """How often a held request looks after itself; whoever lets it go wakes it sooner."""
+ASK_AGAIN_S = 1.0
+"""A request that has waited so long in a line asks again: its keeper may have started anew."""
 TOLD_HELD_S = 0.05
 """Requests held for less are not worth a line in the log."""
 
 
+class InLine(enum.Enum):
+    """The request has its place in the keeper's line."""
+
+    IN_LINE = enum.auto()
+
+
+IN_LINE = InLine.IN_LINE
+
+AskTurn = Callable[[str, ForwardedRequest, LineTerms], Replica | InLine | NoTurn | None]
+"""Asks who keeps room for a place now or in line; ``None`` if it does not answer or has none."""
+
+
+class DecidedBy(enum.Enum):
+    """Who let a held request go."""
+
+    LINE = "line"
+    OWN = "own"
+    LAST_CALL = "last call"
+    NOBODY = "nobody"
+
+
+def _no_line(service: str, request: ForwardedRequest, terms: LineTerms) -> None:
+    """Stand for: there is no line."""
+
+
 @attrs.define(eq=False)
 class _Held:
     """A request that waits for its turn.
@@ -59,14 +95,33 @@
         When it is let go in any case.
     rank
         0 goes first.
+    ticket
+        Names it in the keeper's line.
+    asked_at
+        When it asked the keeper last; monotonic.
+    in_line
+        Whether it waits in the keeper's line: then it goes by itself at its last call only.
+    answer
+        What its turn came with.
     """
 
     came_at: float
     aim_at: float
     last_call_at: float
     rank: int
+    ticket: str = ""
+    asked_at: float = 0.0
+    in_line: bool = False
+    answer: ChosenReplica | NoTurn | None = None
+    decided_by: DecidedBy = DecidedBy.NOBODY
     released: threading.Event = attrs.field(factory=threading.Event)
 
+    def release(self, decided_by: DecidedBy, answer: ChosenReplica | NoTurn | None = None) -> None:
+        """Let it go; the queue's lock is held."""
+        self.decided_by = decided_by
+        self.answer = answer
+        self.released.set()
+
 
 class _ServiceQueue:
     """What waits for one service, and how long it serves a request; guarded by the queue's lock."""
@@ -87,10 +142,30 @@
     """The queues of one gateway; safe to use from any thread.
 
     Services whose engines' loads are not known from their keeper have no queue.
+
+    Parameters
+    ----------
+    ask
+        Puts a request to who keeps room for its engines.
+    process_name
+        Of this start of the gateway.
+    give_back
+        Hears of a place that was given and is not used.
     """
 
-    def __init__(self, table: ReplicaTable) -> None:
+    def __init__(
+        self,
+        table: ReplicaTable,
+        ask: AskTurn = _no_line,
+        process_name: str = "",
+        give_back: Callable[[ChosenReplica], None] = lambda replica: None,
+    ) -> None:
         self._table = table
+        self._ask = ask
+        self._process_name = process_name
+        self._give_back = give_back
+        self._tickets = itertools.count()
+        self._held_by_ticket: dict[str, _Held] = {}
         self._lock = threading.Lock()
         self._by_service: dict[str, _ServiceQueue] = {}
         self._patience_by_route: dict[str, deque[float]] = {}
@@ -107,25 +182,33 @@
         request: ForwardedRequest,
         presence: CallerPresence,
     ) -> None:
-        """Return when a request may go to a replica, or its caller has left."""
+        """Return when a request may go to a replica, or its caller has left.
+
+        Returns the replica that it got from the keeper's line, if it waited there.
+        """
         now = boot_clock.now()
         with self._lock:
             queue = self._by_service.setdefault(service, _ServiceQueue())
             if not queue.service_s:
                 queue.assumed_service_s = UNKNOWN_SERVICE_OBJECTIVES * route.objective_s
             held = self._enter(queue, route, request, now)
-            if not queue.held and self._may_go(service, queue, held, now, 0):
-                return
-            queue.held.append(held)
-            # It may go before those that are held: they may all be late already.
-            self._release(service, queue, now)
-        presence.attach(held.released.set)
+            self._held_by_ticket[held.ticket] = held
         try:
-            while not held.released.wait(HELD_CHECK_S) and not presence.gone:
-                self.look_again()
+            answer = self._ask_line(service, queue, held, request)
+            if answer is not None:
+                return answer
+            with self._lock:
+                if held.released.is_set():
+                    return held.answer
+                if not queue.held and self._may_go(service, queue, held, now, 0):
+                    return None
+                queue.held.append(held)
+                # It may go before those that are held: they may all be late already.
+                self._release(service, queue, now)
+            self._hold(service, queue, held, request, presence)
         finally:
-            presence.detach()
             with self._lock:
+                del self._held_by_ticket[held.ticket]
                 if held in queue.held:
                     queue.held.remove(held)
         held_s = boot_clock.now() - now
@@ -138,7 +221,90 @@
                 late=boot_clock.now() > held.aim_at,
                 waiting=len(queue.held),
                 service_s=round(queue.usual_service_s, 3),
+                decided_by=held.decided_by.value,
             )
+        return held.answer
+
+    def _hold(
+        self,
+        service: str,
+        queue: _ServiceQueue,
+        held: _Held,
+        request: ForwardedRequest,
+        presence: CallerPresence,
+    ) -> None:
+        """Wait until a request is let go, or its caller has left."""
+        presence.attach(held.released.set)
+        try:
+            while not held.released.wait(HELD_CHECK_S) and not presence.gone:
+                if boot_clock.now() - held.asked_at >= ASK_AGAIN_S or not held.in_line:
+                    self._ask_again(service, queue, held, request)
+                self.look_again()
+        finally:
+            presence.detach()
+
+    def _ask_again(
+        self, service: str, queue: _ServiceQueue, held: _Held, request: ForwardedRequest
+    ) -> None:
+        answer = self._ask_line(service, queue, held, request)
+        if answer is None:
+            return
+        with self._lock:
+            was_released = held.released.is_set()
+            if not was_released:
+                held.release(DecidedBy.LINE, answer)
+        if was_released and not isinstance(answer, NoTurn):
+            self._give_back(answer)
+
+    def _ask_line(
+        self, service: str, queue: _ServiceQueue, held: _Held, request: ForwardedRequest
+    ) -> ChosenReplica | NoTurn | None:
+        """Ask the keeper; returns what the request goes with, if it need not wait in line."""
+        now = boot_clock.now()
+        with self._lock:
+            held.asked_at = now
+            # Turns may come before this call returns.
+            held.in_line = True
+            terms = LineTerms(
+                ticket=held.ticket,
+                process=self._process_name,
+                tenant=request.tenant,
+                rank=held.rank,
+                waited_s=now - held.came_at,
+                aim_in_s=held.aim_at - now,
+                last_call_in_s=held.last_call_at - now,
+                left_s=request.deadline.remaining_s(),
+                service_s=queue.usual_service_s,
+                first_byte_s=queue.first_byte_s,
+            )
+        answer = self._ask(service, request, terms)
+        with self._lock:
+            held.in_line = answer is IN_LINE
+        return None if answer is IN_LINE else answer
+
+    def take_turn(self, ticket: str, replica_id: str) -> bool:
+        """Let a request go whose turn in the keeper's line has come; returns whether it goes."""
+        with self._lock:
+            held = self._held_by_ticket.get(ticket)
+            if held is None or held.released.is_set():
+                return False
+            replica = self._table.get(replica_id)
+            if replica is None or replica.leaving:
+                held.in_line = False
+                return False
+            held.release(DecidedBy.LINE, replica)
+            return True
+
+    def leave_line(self) -> None:
+        """Let what waits in the keeper's line go by what is known here: the keeper is silent."""
+        with self._lock:
+            for held in self._held_by_ticket.values():
+                held.in_line = False
+        self.look_again()
+
+    def give_back(self, replica: ChosenReplica) -> None:
+        """Note that a place which came with a turn is not used."""
+        self._give_back(replica)
 
     def record(self, service: str, took_s: float, first_byte_s: float) -> None:
         """Note how long a replica served a request, and look who may go now."""
@@ -160,7 +326,7 @@
         """Let go from one queue whatever may go, in the order of turns."""
         first_byte_s = queue.first_byte_s
         ordered = sorted(
-            queue.held,
+            (held for held in queue.held if not held.released.is_set()),
             key=lambda held: turn_order(held.aim_at, held.rank, held.came_at, first_byte_s, now),
         )
         going = 0
@@ -168,7 +334,8 @@
             if self._may_go(service, queue, held, now, going):
                 going += 1
                 queue.held.remove(held)
-                held.released.set()
+                last_call = now >= held.last_call_at
+                held.release(DecidedBy.LAST_CALL if last_call else DecidedBy.OWN)
 
     def _may_go(
         self, service: str, queue: _ServiceQueue, held: _Held, now: float, going: int
@@ -176,6 +343,8 @@
         """Return whether a request may go, with ``going`` others let go just now."""
         if now >= held.last_call_at:
             return True
+        if held.in_line:
+            return False
         best = self._least_loaded(service)
         if best is None:
             return True
@@ -212,7 +381,8 @@
             age_s = max(0.0, fresh_s - left_s)
         needs_s = LAST_CALL_FACTOR * queue.usual_service_s + LAST_CALL_MARGIN_S
         aim_at = now + route.objective_s - age_s
-        return _Held(now, aim_at, now + left_s - needs_s, request.priority)
+        ticket = f"{self._process_name}/{next(self._tickets)}"
+        return _Held(now, aim_at, now + left_s - needs_s, request.priority, ticket)
 
 
 def _averaged(average: float, newest: float) -> float:
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -114,11 +114,31 @@
         sound = [replica for replica in candidates if not replica.avoided]
         if not sound:
             return self._least_costly(candidates, self._offsets(candidates, prompt))
+        first, wishes = self._first_choice(candidates, sound, prompt, frozenset(excluded))
+        return self._place(first, wishes) or first
+
+    def wishes_of(
+        self, service: str, prompt: Prompt = NO_PROMPT
+    ) -> tuple[Replica, PlacementWishes] | None:
+        """Return what a request that has not been tried would choose, and by what.
+
+        ``None`` if no replica is sound.
+        """
+        candidates = [one for one in self._table.of_service(service) if not one.leaving]
+        sound = [one for one in candidates if not one.avoided]
+        return self._first_choice(candidates, sound, prompt, frozenset()) if sound else None
+
+    def _first_choice(
+        self,
+        candidates: list[Replica],
+        sound: list[Replica],
+        prompt: Prompt,
+        excluded: frozenset[str],
+    ) -> tuple[Replica, PlacementWishes]:
         offsets = self._offsets(sound, prompt)
         first = self._least_costly(sound, offsets)
         unsound = {replica.id for replica in candidates} - {replica.id for replica in sound}
-        wishes = PlacementWishes(frozenset(excluded) | unsound, offsets)
-        return self._place(first, wishes) or first
+        return first, PlacementWishes(excluded | unsound, offsets)
 
     def _least_costly(self, candidates: list[Replica], offsets: Mapping[str, float]) -> Replica:
         return least_costly(candidates, Replica.load, self._zone, offsets, self._random)
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -37,6 +37,7 @@
     ChosenReplica,
     NoObserver,
     NoReplica,
+    NoTurn,
     NoTurns,
     ReplicaChooser,
     RequestObserver,
@@ -157,11 +158,21 @@
     def run(self) -> ForwardingResult:
         if (ended := self._reason_to_end()) is not None:
             return ended
-        self._turns.wait_turn(self._service, self._route, self._request, self._presence)
+        turn = self._turns.wait_turn(self._service, self._route, self._request, self._presence)
+        if isinstance(turn, NoTurn):
+            return self._given_up(turn.reason, retry_after_s=turn.retry_after_s)
+        if turn is not None and (ended := self._reason_to_end()) is not None:
+            self._turns.give_back(turn)
+            return ended
+        return self._try_replicas(turn)
+
+    def _try_replicas(self, first: ChosenReplica | None) -> ForwardingResult:
+        """Try one replica after another; ``first`` came with the request's turn."""
         while True:
-            if (ended := self._reason_to_end()) is not None:
+            if first is None and (ended := self._reason_to_end()) is not None:
                 return ended
-            replica = self._router.choose(self._service, self._request.prompt, self._tried)
+            replica = first or self._router.choose(self._service, self._request.prompt, self._tried)
+            first = None
             if isinstance(replica, NoReplica):
                 return self._given_up(replica.reason)
             result = self._attempt(replica)
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -22,6 +22,20 @@
     reason: str
 
 
+@attrs.frozen
+class NoTurn:
+    """The request cannot be served before its caller's patience ends.
+
+    Attributes
+    ----------
+    retry_after_s
+        Time until it may be served.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
 class ChosenReplica(Protocol):
     """One replica, as a request sees it."""
 
@@ -115,8 +129,15 @@
         route: RequestRoute,
         request: ForwardedRequest,
         presence: CallerPresence,
-    ) -> None:
-        """Return when a request may go, or its caller has left."""
+    ) -> ChosenReplica | NoTurn | None:
+        """Return when a request may go, or its caller has left.
+
+        Returns the replica that it was given a slot of, if its turn came with one: it is counted
+        there, so either it goes there or ``give_back`` is called.
+        """
+
+    def give_back(self, replica: ChosenReplica) -> None:
+        """Note that a request whose turn came with a replica does not go there."""
 
     def record(self, service: str, took_s: float, first_byte_s: float) -> None:
         """Note how long a replica served a request, in seconds."""
@@ -134,5 +155,8 @@
     ) -> None:
         """Return at once."""
 
+    def give_back(self, replica: ChosenReplica) -> None:
+        """Do nothing."""
+
     def record(self, service: str, took_s: float, first_byte_s: float) -> None:
         """Do nothing."""
--- /dev/null
+++ b/tests/test_online_line.py
@@ -0,0 +1,366 @@
+"""One line for all gateways: keeper, gateways and what becomes of requests when either fails.
+
+The parts are the product's own; messages go through JSON by a wire of the test's, on which each
+side may be silent or of an older build.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+import unittest
+
+import msgspec
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.member import Member
+from quaymill.connection.peer_link import PeerNoReply
+from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.connection.room_messages import (
+    OnlineInFlight,
+    OnlineTurns,
+    PlaceOnline,
+    TurnsTaken,
+)
+from quaymill.process.jobs.online_notices import OnlineNotices
+from quaymill.process.jobs.room_claims import KeeperChoice
+from quaymill.process.jobs.room_keeper import RoomKeeper
+from quaymill.process.jobs.room_orders import RoomOrders
+from quaymill.process.replica_set.online_queue import OnlineQueue
+from quaymill.process.replica_set.router import Router
+from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.request.deadline import Deadline
+from quaymill.request.forwarded_request import ForwardedRequest
+from quaymill.request.presence import CallerPresence
+from quaymill.request.replica_choice import NoTurn
+from quaymill.version.request_routes import RequestRoute, RouteKind, WeightedService
+
+SERVICE = "engine"
+SLOTS = 2
+WAIT_S = 5.0
+ROUTE = RequestRoute(
+    "online", "h", "/", RouteKind.STREAMING, (WeightedService(SERVICE, 1.0),), 8.0, 0.4
+)
+PATIENCE_S = 8.0
+
+
+class NoLoads:
+    """Engines without reports."""
+
+    def want(self, replicas) -> None:
+        """Do nothing."""
+
+    def excess(self, replica) -> int:
+        return 0
+
+    def gave_way(self, replica) -> None:
+        """Do nothing."""
+
+
+class Wire:
+    """Carries messages between gateways; each may be silent, or of an older build."""
+
+    def __init__(self) -> None:
+        self.handlers_by_name: dict[str, dict[type, object]] = {}
+        self.silent: set[str] = set()
+        self.old: set[str] = set()
+
+    def register_for(self, name: str):
+        handlers = self.handlers_by_name.setdefault(name, {})
+
+        class _Server:
+            @staticmethod
+            def register(message_type, handler) -> None:
+                handlers[message_type] = handler
+
+        return _Server()
+
+    def call(self, endpoint, message, reply_type, timeout_s):
+        name = endpoint.host
+        handler = self.handlers_by_name.get(name, {}).get(type(message))
+        if name in self.silent or handler is None:
+            return PeerNoReply(endpoint, "silent")
+        line = msgspec.json.encode(message)
+        if name in self.old:
+            line = without(line, "terms")
+        reply = msgspec.json.encode(handler(msgspec.json.decode(line, type=type(message))))
+        if name in self.old:
+            reply = without(reply, "line", "waits", "retry_after_s")
+        return msgspec.json.decode(reply, type=reply_type)
+
+
+def without(line: bytes, *names: str) -> bytes:
+    """Return a message as a build writes or reads it that does not know some of its fields."""
+    fields = msgspec.json.decode(line)
+    return msgspec.json.encode({name: value for name, value in fields.items() if name not in names})
+
+
+class Gateway:
+    """The parts of one gateway that have to do with turns."""
+
+    def __init__(self, name: str, wire: Wire, members) -> None:
+        self.name = name
+        self.process = f"{name}#1"
+        self.table = ReplicaTable()
+        entry = ReplicaEntry("e1", SERVICE, Endpoint("127.0.0.1", 1), "z", SLOTS)
+        self.table.replace_all([entry], 1)
+        self.queue = OnlineQueue(
+            self.table, self.ask, self.process, lambda replica: self.notices.give_back(replica)
+        )
+        self.orders = RoomOrders(
+            self.process,
+            lambda items: None,
+            lambda: None,
+            wire,
+            wire.register_for(name),
+            lambda process: next((one for one in members() if process == f"{one.name}#1"), None),
+            lambda turns: self.notices.take_turns(turns),
+            lambda turn, taken: self.keeper.turn_answered(turn, taken),
+        )
+        self.keeper = RoomKeeper(
+            self.table, NoLoads(), wire.register_for(name), send_turn=self.orders.send_turn
+        )
+        self.notices = OnlineNotices(
+            name,
+            "z",
+            self.table,
+            self.keeper,
+            wire,
+            members,
+            lambda: {SERVICE},
+            self.queue.look_again,
+            self.queue.leave_line,
+            self.queue.take_turn,
+        )
+        self.router = Router(self.table, "z", name, self.notices.place)
+        self.queue.record(SERVICE, 0.8, 0.05)
+        self.notices.start()
+
+    def ask(self, service, request, terms):
+        found = self.router.wishes_of(service, request.prompt)
+        return None if found is None else self.notices.ask_turn(*found, terms)
+
+    def begin(self, replica) -> None:
+        replica.begin()
+        self.notices.began(replica)
+
+    def end(self) -> None:
+        replica = self.table.get("e1")
+        replica.end()
+        self.notices.ended(replica)
+
+    def place_alone(self) -> None:
+        """Send a request as builds without a line do."""
+        self.begin(self.router.choose(SERVICE))
+
+
+class OnlineLineTest(unittest.TestCase):
+    """Two gateways beside the one that keeps room for an engine of two slots."""
+
+    def setUp(self) -> None:
+        self.wire = Wire()
+        self.names = ["a", "b", "c"]
+        self.gateways = {name: Gateway(name, self.wire, self.members) for name in self.names}
+        keeper = KeeperChoice(self.members).keeper_of(SERVICE, 0).name
+        self.keeper = self.gateways[keeper]
+        self.one, self.two = (one for one in self.gateways.values() if one.name != keeper)
+        self.results: dict[str, object] = {}
+        self.presences: dict[str, CallerPresence] = {}
+        self.threads: list[threading.Thread] = []
+        self.addCleanup(self.stop)
+
+    def stop(self) -> None:
+        for presence in self.presences.values():
+            presence.leave()
+        for thread in self.threads:
+            thread.join()
+        for gateway in self.gateways.values():
+            gateway.notices.stop()
+            gateway.orders.stop()
+
+    def members(self) -> tuple[Member, ...]:
+        return tuple(
+            Member(name, "z", "r", Endpoint(name, 1), Endpoint(name, 1)) for name in self.names
+        )
+
+    def send(
+        self,
+        name: str,
+        gateway: Gateway,
+        tenant: str | None = None,
+        patience_s: float = PATIENCE_S,
+    ) -> None:
+        """Send a request that begins at its engine as soon as it may, and does not end."""
+        request = ForwardedRequest(
+            name, "POST", "/x", (), b"", Deadline.after(patience_s), tenant=tenant
+        )
+        presence = self.presences[name] = CallerPresence()
+
+        def run() -> None:
+            turn = gateway.queue.wait_turn(SERVICE, ROUTE, request, presence)
+            if presence.gone:
+                if turn is not None:
+                    gateway.queue.give_back(turn)
+                return
+            if not isinstance(turn, NoTurn):
+                gateway.begin(turn or gateway.router.choose(SERVICE))
+            self.results[name] = turn
+
+        thread = threading.Thread(target=run)
+        self.threads.append(thread)
+        thread.start()
+
+    def wait_for(self, condition, what: str) -> None:
+        deadline = time.monotonic() + WAIT_S
+        while not condition():
+            self.assertLess(time.monotonic(), deadline, f"{what}; gone: {self.results}")
+            time.sleep(0.002)
+
+    def wait_gone(self, *names: str) -> None:
+        self.wait_for(lambda: set(names) <= set(self.results), f"{names} did not go")
+
+    def wait_line(self, length: int) -> None:
+        waiting = self.keeper.keeper.turns
+        self.wait_for(lambda: waiting.waiting == length, f"{waiting.waiting} wait")
+
+    def fill(self) -> None:
+        """Take all slots, by each gateway at least one: so all know of the keeper's line."""
+        self.one.place_alone()
+        self.two.place_alone()
+
+    def test_a_request_that_finds_a_slot_goes_with_its_place_at_once(self) -> None:
+        self.one.place_alone()
+        self.send("r", self.one)
+        self.wait_gone("r")
+        self.assertEqual("e1", self.results["r"].id)
+
+    def test_who_waits_goes_when_a_slot_comes_free_anywhere(self) -> None:
+        self.fill()
+        self.send("first", self.one)
+        self.wait_line(1)
+        self.send("second", self.two)
+        self.wait_line(2)
+        self.two.end()
+        self.wait_gone("first")
+        self.assertEqual("e1", self.results["first"].id)
+        self.assertNotIn("second", self.results)
+        self.one.end()
+        self.wait_gone("second")
+
+    def test_each_tenant_has_its_turn(self) -> None:
+        self.fill()
+        for index in range(3):
+            self.send(f"big-{index}", self.one, "big")
+            self.wait_line(index + 1)
+        self.send("small", self.two, "small")
+        self.wait_line(4)
+        ends = ((self.one, "big-0"), (self.one, "small"), (self.two, "big-1"))
+        for gateway, went in ends:
+            gateway.end()
+            self.wait_gone(went)
+        self.assertNotIn("big-2", self.results)
+
+    def test_the_turn_of_a_caller_that_left_goes_to_the_next(self) -> None:
+        self.fill()
+        self.send("left", self.one)
+        self.wait_line(1)
+        self.send("next", self.two)
+        self.wait_line(2)
+        self.presences["left"].leave()
+        self.threads[0].join()
+        self.two.end()
+        self.wait_gone("next")
+        self.assertNotIn("left", self.results)
+
+    def test_the_turn_of_a_gateway_that_is_gone_goes_to_the_next(self) -> None:
+        self.fill()
+        self.send("lost", self.one)
+        self.wait_line(1)
+        self.send("next", self.two)
+        self.wait_line(2)
+        self.wire.silent.add(self.one.name)
+        self.two.end()
+        self.wait_gone("next")
+
+    def test_requests_decide_by_themselves_while_their_keeper_is_silent(self) -> None:
+        self.fill()
+        self.send("r", self.one)
+        self.wait_line(1)
+        self.wire.silent.add(self.keeper.name)
+        self.wire.silent.add(self.two.name)
+        self.names.remove(self.keeper.name)
+        self.wait_gone("r")
+
+    def test_who_waits_is_taken_up_by_the_next_keeper(self) -> None:
+        self.fill()
+        self.send("r", self.one)
+        self.wait_line(1)
+        self.wire.silent.add(self.keeper.name)
+        self.names.remove(self.keeper.name)
+        self.keeper = self.gateways[KeeperChoice(self.members).keeper_of(SERVICE, 0).name]
+        # Both tell the new keeper what they have, and so learn that it keeps a line.
+        self.wait_line(1)
+        self.two.end()
+        self.wait_gone("r")
+
+    def test_nothing_waits_past_its_last_call(self) -> None:
+        self.fill()
+        began = time.monotonic()
+        self.send("r", self.one, patience_s=2.5)
+        self.wait_gone("r")
+        self.assertIsNone(self.results["r"])
+        self.assertLess(time.monotonic() - began, 1.5)
+
+    def test_what_cannot_be_served_is_refused_at_once(self) -> None:
+        self.fill()
+        for index in range(12):
+            self.send(f"r{index}", self.one)
+            self.wait_line(index + 1)
+        # Twelve before it at two slots of 0.8 s each take more than 1.5 times its patience.
+        self.send("hopeless", self.two, patience_s=2.7)
+        self.wait_gone("hopeless")
+        refusal = self.results["hopeless"]
+        self.assertIsInstance(refusal, NoTurn)
+        self.assertGreater(refusal.retry_after_s, 1.0)
+        self.assertEqual(1, self.keeper.keeper.turns.refused_early)
+
+    def test_a_gateway_that_cannot_wait_is_placed_at_once(self) -> None:
+        self.fill()
+        self.send("waits", self.one)
+        self.wait_line(1)
+        self.assertEqual("e1", self.two.router.choose(SERVICE).id)
+
+    def test_a_keeper_that_keeps_no_line_is_asked_as_before(self) -> None:
+        self.wire.old.add(self.keeper.name)
+        self.fill()
+        self.send("fresh", self.one)
+        self.wait_gone("fresh")
+        self.assertIsNone(self.results["fresh"])
+
+    def test_a_place_that_is_given_back_is_free_for_the_next(self) -> None:
+        self.one.place_alone()
+        self.two.place_alone()
+        self.two.end()
+        self.send("r", self.one)
+        self.wait_gone("r")
+        self.send("waits", self.two)
+        self.wait_line(1)
+        self.one.end()
+        self.wait_gone("waits")
+
+
+class MixedBuildsTest(unittest.TestCase):
+    """Messages of builds that know no line."""
+
+    def test_old_words_are_read(self) -> None:
+        old = b'{"kind":"PlaceOnline","gateway":"g","zone":"z","service":"s","in_flight":[]}'
+        self.assertIsNone(msgspec.json.decode(old, type=PlaceOnline).terms)
+
+    def test_turns_survive_the_wire(self) -> None:
+        for message in (OnlineTurns(()), TurnsTaken(("t",)), OnlineInFlight("g", "s", ())):
+            line = msgspec.json.encode(message)
+            self.assertEqual(message, msgspec.json.decode(line, type=type(message)))
+
+
+if __name__ == "__main__":
+    unittest.main()
