One waiting line: ends are told at once before slots run out; a placement without a line is cheap

Change: ends are told at once from three fifths of a pool's slots on. Who finds nobody waiting and a slot free is placed as before.

Tests: test_online_line and those of the modules: passed.

--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -48,9 +48,12 @@
 PLACE_PAUSE_S = 0.25
 """How long this gateway chooses by itself after a keeper did not answer in time: by then a
 notice has told whether it lives, and who is next in rank."""
-LINE_WORD_S = 1.0
-"""How long a keeper's word that requests wait counts: four times what a gateway repeats its own
-word in."""
+FULL_WORD_S = 1.0
+"""How long a keeper's word that a pool is nearly full counts: four times what a gateway repeats its
+own word in."""
+NEARLY_FULL_SHARE = 0.6
+"""Part of a pool's slots from which on ends are told at once: once requests wait it is too late,
+as the keeper then counts slots as taken that came free up to a repetition ago."""
 ENDS_INTERVAL_S = 0.05
 """Ends of requests may wait so long for a start that they can go out with."""
 ENDS_INTERVAL_PER_GATEWAY_S = 0.002
@@ -106,7 +109,7 @@
         self._line_lost = line_lost
         self._release = release
         self._line_keepers: set[str] = set()
-        self._line_until_by_keeper: dict[str, float] = {}
+        self._full_until_by_pool: dict[EnginePool, float] = {}
         self._lock = threading.Lock()
         self._in_flight: Counter[str] = Counter()
         self._placed: Counter[str] = Counter()
@@ -170,7 +173,7 @@
         if placed.replica_id:
             counts[placed.replica_id] = counts.get(placed.replica_id, 0) + 1
         self._told_by_pool[pool] = counts
-        self._take_loads(placed.loads, counts)
+        self._take_loads(pool, placed.loads, counts)
         if placed.retry_after_s is not None:
             return NoTurn("more waits than can be served in time", placed.retry_after_s)
         return IN_LINE if placed.waits else self._take_place(placed)
@@ -245,21 +248,27 @@
         return None
 
     def _note_line(self, member: Member | None, length: int) -> None:
-        """Note what a keeper said of its line; ends are told at once while one stands."""
-        name = self._name_of(member)
-        until = boot_clock.now() + LINE_WORD_S if length > 0 else 0.0
-        with self._lock:
-            self._line_until_by_keeper[name] = until
-            if length < 0:
-                self._line_keepers.discard(name)
-            else:
-                self._line_keepers.add(name)
+        """Note whether a keeper keeps a line."""
+        if length < 0:
+            self._line_keepers.discard(self._name_of(member))
+        else:
+            self._line_keepers.add(self._name_of(member))
+
+    def _note_fullness(self, pool: EnginePool, loads: Iterable[ReplicaLoad]) -> None:
+        """Note whether ends in a pool are to be told at once."""
+        found = [(load, self._table.get(load.replica_id)) for load in loads]
+        slots = sum(replica.slots for _, replica in found if replica is not None)
+        taken = sum(load.online for load, replica in found if replica is not None)
+        is_nearly_full = taken > NEARLY_FULL_SHARE * slots
+        self._full_until_by_pool[pool] = boot_clock.now() + FULL_WORD_S if is_nearly_full else 0.0
 
     @property
-    def _line_stands(self) -> bool:
+    def _ends_matter(self) -> bool:
+        """Whether others may wait for a slot that comes free."""
         now = boot_clock.now()
-        with self._lock:
-            return any(until > now for until in self._line_until_by_keeper.values())
+        return bool(self._line_keepers) and any(
+            until > now for until in tuple(self._full_until_by_pool.values())
+        )
 
     def began(self, replica: ChosenReplica) -> None:
         """Note that an online request is being sent to a replica."""
@@ -279,7 +288,7 @@
         with self._lock:
             self._in_flight[replica.id] -= 1
             self._changed = True
-        if self._line_stands:
+        if self._ends_matter:
             self._news.set()
 
     def _run(self) -> None:
@@ -333,10 +342,13 @@
         )
         loads = self._call_keeper(message)
         if loads is not None:
-            self._take_loads(loads.loads, counts)
+            self._take_loads(pool, loads.loads, counts)
 
-    def _take_loads(self, loads: Iterable[ReplicaLoad], told: dict[str, int]) -> None:
+    def _take_loads(
+        self, pool: EnginePool, loads: tuple[ReplicaLoad, ...], told: dict[str, int]
+    ) -> None:
         """Take what the keeper knows; ``told`` is the part of it that it has from here."""
+        self._note_fullness(pool, loads)
         for load in loads:
             replica = self._table.get(load.replica_id)
             if replica is not None:
--- a/src/quaymill/process/jobs/pool_counts.py
+++ b/src/quaymill/process/jobs/pool_counts.py
@@ -89,9 +89,9 @@
     Attributes
     ----------
     online, batch
-        Requests by replica.
+        Requests by replica, turns that have been given and not been answered included.
     promised
-        Turns by replica that have been given and not been answered yet.
+        How many of those there are.
     claims
         What each coordinator said last, by its name.
     """
@@ -99,14 +99,14 @@
     def __init__(self) -> None:
         self.online: Counter[str] = Counter()
         self.batch: Counter[str] = Counter()
-        self.promised: Counter[str] = Counter()
+        self.promised = 0
         self.claims: dict[str, Claim] = {}
         self._online_by_gateway: dict[str, OnlineCounts] = {}
 
     @property
     def is_empty(self) -> bool:
         """Whether nothing is known of the pool."""
-        return not self.claims and not self._online_by_gateway and not any(self.promised.values())
+        return not self.claims and not self._online_by_gateway and not self.promised
 
     def online_of(self, gateway: str) -> Counter[str]:
         """Return what a gateway has at each replica."""
@@ -130,6 +130,16 @@
             known.counts[replica_id] += 1
             self.online[replica_id] += 1
 
+    def promise(self, replica_id: str) -> None:
+        """Count a turn at a replica until it is answered."""
+        self.promised += 1
+        self.online[replica_id] += 1
+
+    def end_promise(self, replica_id: str) -> None:
+        """Stop counting a turn that was answered, or that was not."""
+        self.promised -= 1
+        self.online[replica_id] -= 1
+
     def take_claim(self, coordinator: str, claim: Claim) -> None:
         """Take a coordinator's claim in place of the one before."""
         self._drop_claim(coordinator)
@@ -169,17 +179,14 @@
 
     def at(self, replica: Replica) -> int:
         """Return all requests at a replica."""
-        return self._online_at(replica) + self.batch[replica.id]
+        return self.online[replica.id] + self.batch[replica.id]
 
     def online_load(self, replica: Replica) -> float:
         """Return how busy a replica is for an online request."""
-        return online_load(self._online_at(replica), self.batch[replica.id])
+        return online_load(self.online[replica.id], self.batch[replica.id])
 
     def loads(self, replicas: Iterable[Replica]) -> tuple[ReplicaLoad, ...]:
         """Return what gateways are told of replicas."""
         return tuple(
-            ReplicaLoad(one.id, self._online_at(one), self.batch[one.id]) for one in replicas
+            ReplicaLoad(one.id, self.online[one.id], self.batch[one.id]) for one in replicas
         )
-
-    def _online_at(self, replica: Replica) -> int:
-        return self.online[replica.id] + self.promised[replica.id]
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -165,12 +165,29 @@
         self, pool: EnginePool, counts: PoolCounts, replicas: list[Replica], message: PlaceOnline
     ) -> OnlinePlaced:
         """Place a request whether or not a slot is free; the lock is held."""
+        chosen = self._least_costly(counts, replicas, message)
+        if chosen is None:
+            return OnlinePlaced("", counts.loads(replicas), self._line_length(pool))
+        return self._placed_at(chosen, pool, counts, replicas, message)
+
+    def _least_costly(
+        self, counts: PoolCounts, replicas: list[Replica], message: PlaceOnline
+    ) -> Replica | None:
         allowed = [one for one in replicas if one.id not in message.excluded]
         sound = [one for one in allowed if not one.avoided] or allowed
         if not sound:
-            return OnlinePlaced("", counts.loads(replicas), self._line_length(pool))
+            return None
         offsets = {offset.replica_id: offset.requests for offset in message.offsets}
-        chosen = least_costly(sound, counts.online_load, message.zone, offsets, self._random)
+        return least_costly(sound, counts.online_load, message.zone, offsets, self._random)
+
+    def _placed_at(
+        self,
+        chosen: Replica,
+        pool: EnginePool,
+        counts: PoolCounts,
+        replicas: list[Replica],
+        message: PlaceOnline,
+    ) -> OnlinePlaced:
         counts.place(message.gateway, chosen)
         self._share_out_excess(counts, [chosen])
         return OnlinePlaced(chosen.id, counts.loads(replicas), self._line_length(pool))
@@ -180,8 +197,13 @@
     ) -> tuple[OnlinePlaced, list[GivenTurn]]:
         """Place a request if its turn is now, else let it wait; the lock is held."""
         now = boot_clock.now()
-        if all(one.id in message.excluded for one in replicas):
-            return self._place_now(pool, counts, replicas, message), []
+        if not self.turns.length(pool):
+            chosen = self._least_costly(counts, replicas, message)
+            if chosen is None:
+                return OnlinePlaced("", counts.loads(replicas), 0), []
+            if counts.online_load(chosen) < chosen.slots:
+                self.turns.pass_by(pool, message.terms.tenant)
+                return self._placed_at(chosen, pool, counts, replicas, message), []
         waiter = self.turns.join(pool, message, now)
         turns = self._give_turns(pool, counts, replicas)
         own = next((turn for turn in turns if turn.ticket == waiter.ticket), None)
--- a/src/quaymill/process/jobs/turn_giving.py
+++ b/src/quaymill/process/jobs/turn_giving.py
@@ -63,6 +63,10 @@
         """Tenants with requests that wait, counted by line."""
         return sum(line.tenants for line in self._line_by_pool.values())
 
+    def pass_by(self, pool: EnginePool, tenant: str | None) -> None:
+        """Count a request that found nobody waiting and a slot free."""
+        self._line_by_pool.setdefault(pool, WaitingLine()).pass_by(tenant)
+
     def join(self, pool: EnginePool, asked: PlaceOnline, now: float) -> Waiter:
         """Put a request into the line of its pool."""
         return self._line_by_pool.setdefault(pool, WaitingLine()).join(asked, now)
@@ -72,7 +76,7 @@
     ) -> float | None:
         """Take a request out that cannot be served; return when it may come again."""
         line = self._line_by_pool[pool]
-        slots = sum(one.slots for one in _sound(waiter.asked, replicas))
+        slots = sum(one.slots for one in replicas)
         retry_after_s = line.retry_after_s(waiter, slots, now)
         if retry_after_s is None:
             return None
@@ -88,15 +92,17 @@
         line = self._line_by_pool.get(pool)
         if line is None or not len(line):
             return []
-        free = _free(counts, replicas)
+        free = [one for one in replicas if counts.online_load(one) < one.slots]
         given: list[GivenTurn] = []
         for waiter in line.ordered(now) if free else []:
+            able = _able(waiter.asked, free, replicas)
+            if able:
+                turn = self._give_one(pool, counts, line, waiter, able)
+                given.append(turn)
+                if counts.online_load(turn.replica) >= turn.replica.slots:
+                    free.remove(turn.replica)
             if not free:
                 break
-            able = [one for one in _sound(waiter.asked, replicas) if one in free]
-            if able:
-                given.append(self._give_one(pool, counts, line, waiter, able))
-                free = _free(counts, free)
         return given
 
     def _give_one(
@@ -111,7 +117,7 @@
         offsets = {offset.replica_id: offset.requests for offset in asked.offsets}
         chosen = least_costly(able, counts.online_load, asked.zone, offsets, self._random)
         line.serve(waiter)
-        counts.promised[chosen.id] += 1
+        counts.promise(chosen.id)
         turn = GivenTurn(pool, asked.gateway, waiter.process, waiter.ticket, chosen)
         self._given_by_ticket[waiter.ticket] = turn
         return turn
@@ -120,7 +126,7 @@
         """Count a turn that was taken as its gateway's request; else its slot is free again."""
         if self._given_by_ticket.get(turn.ticket) is turn:
             del self._given_by_ticket[turn.ticket]
-            counts.promised[turn.replica.id] -= 1
+            counts.end_promise(turn.replica.id)
             if taken:
                 counts.place_at(turn.gateway, turn.replica.id)
 
@@ -129,11 +135,14 @@
         return sum(line.drop_process(process) for line in self._line_by_pool.values())
 
 
-def _free(counts: PoolCounts, replicas: list[Replica]) -> list[Replica]:
-    return [one for one in replicas if counts.online_load(one) < one.slots]
+def _able(asked: PlaceOnline, free: list[Replica], replicas: list[Replica]) -> list[Replica]:
+    """Return the free replicas that a request may go to.
 
-
-def _sound(asked: PlaceOnline, replicas: list[Replica]) -> list[Replica]:
-    """Return the replicas that a request may go to: those that fail for nobody if there are any."""
-    allowed = [one for one in replicas if one.id not in asked.excluded]
-    return [one for one in allowed if not one.avoided] or allowed
+    One that fails is taken only if all that the request may go to do.
+    """
+    allowed = [one for one in free if one.id not in asked.excluded]
+    sound = [one for one in allowed if not one.avoided]
+    if sound or not allowed:
+        return sound
+    others = (one for one in replicas if one.id not in asked.excluded)
+    return [] if any(not one.avoided for one in others) else allowed
--- a/src/quaymill/process/jobs/waiting_line.py
+++ b/src/quaymill/process/jobs/waiting_line.py
@@ -86,6 +86,10 @@
         self._waiter_by_ticket[terms.ticket] = waiter
         return waiter
 
+    def pass_by(self, tenant: str | None) -> None:
+        """Count a tenant's request that goes without waiting."""
+        self._shares.serve(self._shares.number(tenant))
+
     def waiters(self) -> tuple[Waiter, ...]:
         """Return who waits, in no order."""
         return tuple(self._waiter_by_ticket.values())
@@ -129,11 +133,12 @@
 
         By then those before it have been served as far as its caller's patience does not reach.
         """
-        wait_s = self.wait_s(waiter, slots, now)
         left_s = waiter.gone_at - now
-        if wait_s <= SURE_FACTOR * left_s:
+        most_s = len(self) * waiter.asked.terms.service_s / max(1, slots)
+        if most_s <= SURE_FACTOR * left_s:
             return None
-        return wait_s - left_s
+        wait_s = self.wait_s(waiter, slots, now)
+        return None if wait_s <= SURE_FACTOR * left_s else wait_s - left_s
 
 
 def _order(waiter: Waiter, now: float) -> tuple[bool, int, float, float]:
--- a/tests/test_online_line.py
+++ b/tests/test_online_line.py
@@ -337,6 +337,17 @@
         self.wait_gone("fresh")
         self.assertIsNone(self.results["fresh"])
 
+    def test_ends_are_told_at_once_before_anybody_waits(self) -> None:
+        """Else the keeper counts slots as taken that came free, and lets the first ones wait."""
+        self.one.place_alone()
+        self.assertFalse(self.one.notices._ends_matter)
+        self.two.place_alone()
+        self.wait_for(lambda: self.two.notices._ends_matter, "the second knows of free slots")
+        self.wait_for(lambda: self.one.notices._ends_matter, "the first heard nothing")
+        self.two.end()
+        self.one.end()
+        self.wait_for(lambda: not self.two.notices._ends_matter, "it still tells at once")
+
     def test_a_place_that_is_given_back_is_free_for_the_next(self) -> None:
         self.one.place_alone()
         self.two.place_alone()
