--- a/src/quaymill/process/gateway_gauges.py
+++ b/src/quaymill/process/gateway_gauges.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
+import attrs
 from prometheus_client import CollectorRegistry, Gauge
+from prometheus_client.core import GaugeMetricFamily
 
+from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.table import ReplicaTable
 
@@ -15,7 +18,6 @@
     "control_age_seconds": "How long ago configuration and replicas were known to be the newest.",
     "requests_in_service": "Requests of callers in service.",
     "requests_held": "Requests that wait for a free slot of an engine.",
-    "line_requests": "Requests of all gateways that wait in the lines kept here.",
     "line_tenants": "Tenants that have requests in the lines kept here.",
     "line_refused": "Requests refused since they could not be served in time, since the start.",
     "batch_items_running": "Batch items in service.",
@@ -41,6 +43,28 @@
         Gauge(f"{PREFIX}{name}", MEANINGS[name], registry=registry).set_function(read)
 
 
+@attrs.frozen
+class _LineCollector:
+    """Reads the lines kept here whenever metrics are read."""
+
+    lengths: Callable[[], Mapping[EnginePool, int]]
+
+    def collect(self) -> Iterator[GaugeMetricFamily]:
+        """Return one gauge for all pools."""
+        meaning = "Requests of all gateways that wait in the lines kept here, by pool."
+        family = GaugeMetricFamily(f"{PREFIX}line_requests", meaning, labels=("service", "pool"))
+        for pool, length in self.lengths().items():
+            family.add_metric((pool.service, str(pool.index)), length)
+        yield family
+
+
+def add_line_gauge(
+    registry: CollectorRegistry, lengths: Callable[[], Mapping[EnginePool, int]]
+) -> None:
+    """Add the number of requests that wait in line, by pool."""
+    registry.register(_LineCollector(lengths))
+
+
 def add_replica_gauge(registry: CollectorRegistry, table: ReplicaTable) -> None:
     """Add the number of replicas by state."""
     gauge = Gauge(f"{PREFIX}replicas", "Replicas by state.", ("state",), registry=registry)
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -23,7 +23,7 @@
 from quaymill.process.front.metrics import FrontMetrics
 from quaymill.process.front.plain_pages import MetricsServer, ReadinessServer
 from quaymill.process.gateway.caller_watch import CallerWatch
-from quaymill.process.gateway_gauges import add_gauges, add_replica_gauge
+from quaymill.process.gateway_gauges import add_gauges, add_line_gauge, add_replica_gauge
 from quaymill.process.jobs.batch_quota import BatchQuota
 from quaymill.process.jobs.coordinated_job import ORDER_TERM_SHARE
 from quaymill.process.jobs.coordinator import JobCoordinator
@@ -335,7 +335,6 @@
             "control_age_seconds": self.network.membership.confirmed_age_s,
             "requests_in_service": lambda: self._front.in_service,
             "requests_held": lambda: self._queue.held,
-            "line_requests": lambda: self._keeper.turns.waiting,
             "line_tenants": lambda: self._keeper.turns.tenants,
             "line_refused": lambda: self._keeper.turns.refused_early,
             "batch_items_running": self.coordinator.running_items,
@@ -350,6 +349,7 @@
         }
         add_gauges(self._metrics.registry, gauges)
         add_replica_gauge(self._metrics.registry, self._table)
+        add_line_gauge(self._metrics.registry, self._keeper.turns.lengths)
 
     def start(self) -> None:
         """Start the parts; each finds those it uses already running."""
--- a/src/quaymill/process/jobs/turn_giving.py
+++ b/src/quaymill/process/jobs/turn_giving.py
@@ -53,15 +53,14 @@
         line = self._line_by_pool.get(pool)
         return 0 if line is None else len(line)
 
-    @property
-    def waiting(self) -> int:
-        """Requests that wait in all lines."""
-        return sum(len(line) for line in self._line_by_pool.values())
+    def lengths(self) -> dict[EnginePool, int]:
+        """Return how many requests wait, by pool; safe without the lock."""
+        return {pool: len(line) for pool, line in list(self._line_by_pool.items())}
 
     @property
     def tenants(self) -> int:
-        """Tenants with requests that wait, counted by line."""
-        return sum(line.tenants for line in self._line_by_pool.values())
+        """Tenants with requests that wait, counted by line; safe without the lock."""
+        return sum(line.tenants for line in list(self._line_by_pool.values()))
 
     def pass_by(self, pool: EnginePool, tenant: str | None) -> None:
         """Count a request that found nobody waiting and a slot free."""
--- a/src/quaymill/process/jobs/waiting_line.py
+++ b/src/quaymill/process/jobs/waiting_line.py
@@ -68,7 +68,7 @@
     @property
     def tenants(self) -> int:
         """Tenants that have requests in the line."""
-        return len({one.asked.terms.tenant for one in self._waiter_by_ticket.values()})
+        return len({one.asked.terms.tenant for one in self.waiters()})
 
     def join(self, asked: PlaceOnline, now: float) -> Waiter:
         """Put a request into the line; one that asks again keeps its number."""
--- a/tests/test_online_line.py
+++ b/tests/test_online_line.py
@@ -9,6 +9,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -18,10 +19,12 @@
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.connection.room_messages import (
     OnlineInFlight,
+    OnlineTurn,
     OnlineTurns,
     PlaceOnline,
     TurnsTaken,
 )
+from quaymill.process.front.refusals import forwarding_refusal
 from quaymill.process.jobs.online_notices import OnlineNotices
 from quaymill.process.jobs.room_claims import KeeperChoice
 from quaymill.process.jobs.room_keeper import RoomKeeper
@@ -31,6 +34,9 @@
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.deadline import Deadline
 from quaymill.request.forwarded_request import ForwardedRequest
+from quaymill.request.forwarding import Forwarder
+from quaymill.request.forwarding_result import CallerLeft, KeyChanged
+from quaymill.request.poison import NoGuard
 from quaymill.request.presence import CallerPresence
 from quaymill.request.replica_choice import NoTurn
 from quaymill.version.request_routes import RequestRoute, RouteKind, WeightedService
@@ -220,8 +226,8 @@
         self.wait_for(lambda: set(names) <= set(self.results), f"{names} did not go")
 
     def wait_line(self, length: int) -> None:
-        waiting = self.keeper.keeper.turns
-        self.wait_for(lambda: waiting.waiting == length, f"{waiting.waiting} wait")
+        turns = self.keeper.keeper.turns
+        self.wait_for(lambda: sum(turns.lengths().values()) == length, f"{turns.lengths()} wait")
 
     def fill(self) -> None:
         """Take all slots, by each gateway at least one: so all know of the keeper's line."""
@@ -348,6 +354,18 @@
         self.one.end()
         self.wait_for(lambda: not self.two.notices._ends_matter, "it still tells at once")
 
+    def test_of_two_keepers_turns_one_is_taken(self) -> None:
+        self.fill()
+        self.send("r", self.one)
+        self.wait_line(1)
+        (ticket,) = self.one.queue._held_by_ticket
+        turn = OnlineTurn(ticket, "e1")
+        self.assertEqual((ticket,), self.one.notices.take_turns([turn]))
+        self.assertEqual((), self.one.notices.take_turns([turn]))
+        self.wait_gone("r")
+        self.assertEqual(0, self.one.notices._placed["e1"])
+        self.assertEqual(2, self.one.notices._in_flight["e1"])
+
     def test_a_place_that_is_given_back_is_free_for_the_next(self) -> None:
         self.one.place_alone()
         self.two.place_alone()
@@ -360,6 +378,46 @@
         self.wait_gone("waits")
 
 
+class ForwardingTest(unittest.TestCase):
+    """What becomes of a request whose turn did not lead to an attempt."""
+
+    def setUp(self) -> None:
+        self.turns = mock.Mock()
+        self.router = mock.Mock()
+        self.presence = CallerPresence()
+        self.request = ForwardedRequest("r", "POST", "/x", (), b"", Deadline.after(PATIENCE_S))
+
+    def forward(self, key_change=lambda: None):
+        forwarder = Forwarder(
+            self.router, mock.Mock(), mock.Mock(), mock.Mock(), self.turns, NoGuard()
+        )
+        answer = mock.Mock(started=False)
+        return forwarder.forward(self.request, ROUTE, answer, self.presence, key_change)
+
+    def test_what_cannot_be_served_was_not_run(self) -> None:
+        self.turns.wait_turn.return_value = NoTurn("too many", 3.21)
+        refusal = forwarding_refusal(self.forward())
+        self.assertEqual((503, 3.2), (refusal.status, refusal.retry_after_s))
+        self.router.choose.assert_not_called()
+
+    def test_the_place_of_a_caller_that_left_is_given_back(self) -> None:
+        place = mock.Mock()
+
+        def leave(*_):
+            self.presence.leave()
+            return place
+
+        self.turns.wait_turn.side_effect = leave
+        self.assertIsInstance(self.forward(), CallerLeft)
+        self.turns.give_back.assert_called_once_with(place)
+
+    def test_the_place_of_a_key_that_was_taken_away_is_given_back(self) -> None:
+        place = self.turns.wait_turn.return_value
+        changes = iter((None, KeyChanged(taken_away=True)))
+        self.assertIsInstance(self.forward(lambda: next(changes)), KeyChanged)
+        self.turns.give_back.assert_called_once_with(place)
+
+
 class MixedBuildsTest(unittest.TestCase):
     """Messages of builds that know no line."""
 
