One waiting line: a turn that comes after its request went on its own is not taken

Cause: read again: between the gateway's own decision and the end of the wait a late keeper's turn could be taken, and its place be counted for good.

Change: the request is marked as let go under the same lock. The keeper is looked up once a request.

--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -144,10 +144,6 @@
 
         ``None`` if it does not answer at once, or is not known to keep a line.
         """
-        pool = pool_of(first, self._table)
-        keeper = self._keepers.keeper_of(pool.service, pool.index)
-        if self._name_of(keeper) not in self._line_keepers:
-            return None
         return self._ask(first, wishes, terms)
 
     def _ask(
@@ -157,13 +153,16 @@
         if now < self._place_again_at or first.entry.service not in self._batch_services():
             return None
         pool = pool_of(first, self._table)
+        keeper = self._keepers.keeper_of(pool.service, pool.index)
+        if terms is not None and self._name_of(keeper) not in self._line_keepers:
+            return None
         with self._lock:
             counts = self._counts_in(pool, self._in_flight + self._placed)
             if pool.pools == 1:
                 # The keeper hears of all that has ended by this question.
                 self._changed = False
                 self._told_at = now
-        placed = self._call_to_place(pool, counts, wishes, terms)
+        placed = self._call_to_place(keeper, pool, counts, wishes, terms)
         if placed is None:
             self._place_again_at = now + PLACE_PAUSE_S
             with self._lock:
@@ -211,15 +210,12 @@
             self._changed = True
         self._news.set()
 
-    def keeper_name(self, service: str) -> str:
-        """Return who keeps room for the first pool of a service."""
-        return self._name_of(self._keepers.keeper_of(service, 0))
-
     def _name_of(self, member: Member | None) -> str:
         return self._own_name if member is None else member.name
 
     def _call_to_place(
         self,
+        member: Member | None,
         pool: EnginePool,
         counts: dict[str, int],
         wishes: PlacementWishes,
@@ -236,7 +232,6 @@
             pool.pools,
             terms,
         )
-        member = self._keepers.keeper_of(pool.service, pool.index)
         if member is None or member.name == self._own_name:
             reply = self._keeper.place_online(message)
         else:
--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -181,7 +181,7 @@
         route: RequestRoute,
         request: ForwardedRequest,
         presence: CallerPresence,
-    ) -> None:
+    ) -> ChosenReplica | NoTurn | None:
         """Return when a request may go to a replica, or its caller has left.
 
         Returns the replica that it got from the keeper's line, if it waited there.
@@ -194,13 +194,13 @@
             held = self._enter(queue, route, request, now)
             self._held_by_ticket[held.ticket] = held
         try:
-            answer = self._ask_line(service, queue, held, request)
-            if answer is not None:
-                return answer
+            self._ask_keeper(service, queue, held, request)
             with self._lock:
                 if held.released.is_set():
                     return held.answer
                 if not queue.held and self._may_go(service, queue, held, now, 0):
+                    # A keeper that answered too late may give it a turn yet.
+                    held.release(DecidedBy.OWN)
                     return None
                 queue.held.append(held)
                 # It may go before those that are held: they may all be late already.
@@ -238,14 +238,15 @@
         try:
             while not held.released.wait(HELD_CHECK_S) and not presence.gone:
                 if boot_clock.now() - held.asked_at >= ASK_AGAIN_S or not held.in_line:
-                    self._ask_again(service, queue, held, request)
+                    self._ask_keeper(service, queue, held, request)
                 self.look_again()
         finally:
             presence.detach()
 
-    def _ask_again(
+    def _ask_keeper(
         self, service: str, queue: _ServiceQueue, held: _Held, request: ForwardedRequest
     ) -> None:
+        """Ask the keeper, and let the request go if it need not wait in line."""
         answer = self._ask_line(service, queue, held, request)
         if answer is None:
             return
@@ -259,7 +260,7 @@
     def _ask_line(
         self, service: str, queue: _ServiceQueue, held: _Held, request: ForwardedRequest
     ) -> ChosenReplica | NoTurn | None:
-        """Ask the keeper; returns what the request goes with, if it need not wait in line."""
+        """Ask the keeper; ``None`` if the request waits, in its line or else here."""
         now = boot_clock.now()
         with self._lock:
             held.asked_at = now
--- a/tests/test_online_line.py
+++ b/tests/test_online_line.py
@@ -366,6 +366,24 @@
         self.assertEqual(0, self.one.notices._placed["e1"])
         self.assertEqual(2, self.one.notices._in_flight["e1"])
 
+    def test_a_turn_that_comes_after_its_request_went_is_not_taken(self) -> None:
+        """The keeper took the request into its line, and its word of that was lost."""
+        self.one.place_alone()
+        late: list[str] = []
+        ask = self.one.queue._ask
+
+        def lose_answer(service, request, terms):
+            ask(service, request, terms)
+            late.append(terms.ticket)
+
+        self.two.place_alone()
+        with mock.patch.object(self.one.queue, "_ask", lose_answer):
+            self.one.queue._may_go = lambda *_: True
+            self.send("r", self.one)
+            self.wait_gone("r")
+        self.assertIsNone(self.results["r"])
+        self.assertEqual((), self.one.notices.take_turns([OnlineTurn(late[0], "e1")]))
+
     def test_a_place_that_is_given_back_is_free_for_the_next(self) -> None:
         self.one.place_alone()
         self.two.place_alone()
