--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -67,6 +67,8 @@
             "service_s: how long the service has served a request of late",
             "decided_by: line (the keeper's), own (this gateway's view), last call, or nobody (the"
             " caller left)",
+            "rank: 0 goes first",
+            "age_s: for how long its caller had tried before, by what was left of its patience",
         ),
     ),
     "line:turn_unanswered": LogEvent(
--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -95,6 +95,8 @@
         When it is let go in any case.
     rank
         0 goes first.
+    age_s
+        For how long its caller has tried before.
     ticket
         Names it in the keeper's line.
     asked_at
@@ -109,6 +111,7 @@
     aim_at: float
     last_call_at: float
     rank: int
+    age_s: float = 0.0
     ticket: str = ""
     asked_at: float = 0.0
     in_line: bool = False
@@ -222,6 +225,8 @@
                 waiting=len(queue.held),
                 service_s=round(queue.usual_service_s, 3),
                 decided_by=held.decided_by.value,
+                rank=held.rank,
+                age_s=round(held.age_s, 3),
             )
         return held.answer
 
@@ -383,7 +388,7 @@
         needs_s = LAST_CALL_FACTOR * queue.usual_service_s + LAST_CALL_MARGIN_S
         aim_at = now + route.objective_s - age_s
         ticket = f"{self._process_name}/{next(self._tickets)}"
-        return _Held(now, aim_at, now + left_s - needs_s, request.priority, ticket)
+        return _Held(now, aim_at, now + left_s - needs_s, request.priority, age_s, ticket)
 
 
 def _averaged(average: float, newest: float) -> float:
