Held requests: callers' patience is compared by tenant

Lines request:held of the first show requests that were late after .09 to .23 s of an objective of .3 s, so they counted as having tried before, while those of the tenant that floods were not late at .26 s. A fresh caller's patience is learned by route over all callers; the tenant that sends most decides it. That other tenants' callers have less patience there is inferred from these lines, not seen.

Change: samples by route and tenant, at most 512 of them; with fewer than eight a request counts as fresh.

Tests: test_online_queue (two new; the first failed before, let go at its last call after 1.98 s), test_online_line, test_turns, test_waiting_line, test_job_room, test_fleet_path, test_tenant_limits, test_readable, test_log_rules passed.

--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -16,7 +16,7 @@
 import enum
 import itertools
 import threading
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 
 import attrs
@@ -33,7 +33,9 @@
 from quaymill.version.request_routes import RequestRoute
 
 PATIENCE_SAMPLES = 256
-"""Requests of a route by which the patience of a fresh one is told: some seconds of a peak."""
+"""Requests of a route and tenant by which a fresh one's patience is told: seconds of a peak."""
+MAX_PATIENCE_KINDS = 512
+"""Routes and tenants whose callers' patience is remembered; those seen last."""
 MIN_PATIENCE_SAMPLES = 8
 """With fewer, every request counts as fresh."""
 FRESH_QUANTILE = 0.75
@@ -171,7 +173,7 @@
         self._held_by_ticket: dict[str, _Held] = {}
         self._lock = threading.Lock()
         self._by_service: dict[str, _ServiceQueue] = {}
-        self._patience_by_route: dict[str, deque[float]] = {}
+        self._patience_by_kind: OrderedDict[tuple[str, str | None], deque[float]] = OrderedDict()
 
     @property
     def held(self) -> int:
@@ -376,10 +378,15 @@
         """Tell how old a request is from what is left of its caller's patience.
 
         Callers tell how long they wait yet, and the objective counts from their first attempt:
-        who has less patience than a fresh caller of the route has tried before.
+        who has less patience than a fresh caller of the route has tried before. Tenants' callers
+        are compared among themselves: they need not be alike.
         """
         left_s = request.deadline.remaining_s()
-        samples = self._patience_by_route.setdefault(route.name, deque(maxlen=PATIENCE_SAMPLES))
+        kind = (route.name, request.tenant)
+        samples = self._patience_by_kind.setdefault(kind, deque(maxlen=PATIENCE_SAMPLES))
+        self._patience_by_kind.move_to_end(kind)
+        if len(self._patience_by_kind) > MAX_PATIENCE_KINDS:
+            self._patience_by_kind.popitem(last=False)
         samples.append(left_s)
         age_s = 0.0
         if len(samples) >= MIN_PATIENCE_SAMPLES:
--- a/tests/test_online_queue.py
+++ b/tests/test_online_queue.py
@@ -72,10 +72,16 @@
         self.addCleanup(thread.join)
         self.addCleanup(stop.set)
 
-    def send(self, name: str, age_s: float = 0.0, left_s: float = PATIENCE_S) -> None:
+    def send(
+        self,
+        name: str,
+        age_s: float = 0.0,
+        left_s: float = PATIENCE_S,
+        tenant: str | None = None,
+    ) -> None:
         """Send a request of a caller that has tried for a while."""
         deadline = Deadline.after(left_s - age_s)
-        request = ForwardedRequest(name, "POST", "/x", (), b"", deadline)
+        request = ForwardedRequest(name, "POST", "/x", (), b"", deadline, tenant=tenant)
         presence = self.presences[name] = CallerPresence()
 
         def run() -> None:
@@ -186,6 +192,31 @@
         self.send("late", age_s=3.0)
         self.wait_gone(1)
 
+    def test_callers_of_another_tenant_with_more_patience_make_nobody_late(self) -> None:
+        """A tenant that sends very much would else have all others count as having tried before."""
+        self.load(0)
+        for index in range(2 * MIN_PATIENCE_SAMPLES):
+            self.send(f"patient-{index}", left_s=PATIENCE_S, tenant="large")
+        self.wait_gone(2 * MIN_PATIENCE_SAMPLES)
+        self.gone.clear()
+        self.keep_loaded(SLOTS)
+        self.send("late", age_s=3.0, tenant="large")
+        self.wait_held(1)
+        began = time.monotonic()
+        self.send("fresh", left_s=PATIENCE_S / 2, tenant="small")
+        self.wait_gone(1)
+        self.assertEqual(["fresh"], self.gone)
+        # Its last call would be later.
+        self.assertLess(time.monotonic() - began, 1.0)
+
+    def test_samples_of_many_tenants_do_not_grow_without_bound(self) -> None:
+        self.load(0)
+        with mock.patch.object(online_queue_module, "MAX_PATIENCE_KINDS", 4):
+            for index in range(8):
+                self.send(f"r{index}", tenant=f"t{index}")
+            self.wait_gone(8)
+        self.assertEqual(4, len(self.queue._patience_by_kind))
+
     def test_a_few_callers_with_more_patience_make_nobody_late(self) -> None:
         self.know_patience()
         for index in range(3):
