--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -14,6 +14,7 @@
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.object_store import ObjectStore
 from quaymill.connection.replica_connection import ReplicaConnections
+from quaymill.connection.room_messages import LineTerms
 from quaymill.process.control.state import ControlPlaneView, ControlProtocol
 from quaymill.process.control.store_circuit import (
     CircuitStore,
@@ -28,7 +29,7 @@
 from quaymill.process.front.metrics import FrontMetrics
 from quaymill.process.front.plain_pages import MetricsServer, ReadinessServer
 from quaymill.process.gateway.caller_watch import CallerWatch
-from quaymill.process.gateway_gauges import add_gauges, add_replica_gauge
+from quaymill.process.gateway_gauges import add_gauges, add_line_gauge, add_replica_gauge
 from quaymill.process.jobs.batch_quota import BatchQuota
 from quaymill.process.jobs.coordinated_job import ORDER_TERM_SHARE
 from quaymill.process.jobs.coordinator import JobCoordinator
@@ -59,15 +60,17 @@
 from quaymill.process.poison.guard import CrashGuard
 from quaymill.process.poison.sharing import CrashSharing
 from quaymill.process.process_context import ProcessContext
-from quaymill.process.replica_set.online_queue import OnlineQueue
+from quaymill.process.replica_set.online_queue import InLine, OnlineQueue
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.router import Router
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.process.replica_set.warnings import ReplicaWarnings
 from quaymill.process.serving_settings import MS_PER_S, ServingSettings
 from quaymill.request.answer_buffer import HeldAnswers
+from quaymill.request.forwarded_request import ForwardedRequest
 from quaymill.request.forwarding import Forwarder, ReplicaProtocol
 from quaymill.request.poison import PoisonRecords
+from quaymill.request.replica_choice import NoTurn
 from quaymill.version.request_routes import NO_ROUTES, RequestRoutes
 from quaymill.version.tenants import TenantLimits
 
@@ -193,7 +196,12 @@
             lambda first, wishes: self._notices.place(first, wishes),
         )
         self._loads = EngineLoads(self._connections, protocol.reports)
-        self._queue = OnlineQueue(self._table)
+        self._queue = OnlineQueue(
+            self._table,
+            self._ask_turn,
+            self.network.process_name,
+            lambda replica: self._notices.give_back(replica),
+        )
         self._orders = RoomOrders(
             self.network.process_name,
             lambda items: self.coordinator.give_back(items),
@@ -201,24 +209,33 @@
             self.network.client,
             self.network.server,
             self.network.process,
+            lambda turns: self._notices.take_turns(turns),
+            lambda turn, taken: self._keeper.turn_answered(turn, taken),
         )
-        keeper = RoomKeeper(
-            self._table, self._loads, self.network.server, self._orders.send, self._orders.wake
+        self._keeper = RoomKeeper(
+            self._table,
+            self._loads,
+            self.network.server,
+            self._orders.send,
+            self._orders.wake,
+            self._orders.send_turn,
         )
         self._notices = OnlineNotices(
             settings.name,
             settings.zone,
             self._table,
-            keeper,
+            self._keeper,
             self.network.client,
             self.network.gateways,
             lambda: self.control.routes.batch_services,
             self._queue.look_again,
             self.network.reach.reachable,
+            line_lost=self._queue.leave_line,
+            release=self._queue.take_turn,
         )
         claims = RoomClaims(
             settings.name,
-            keeper,
+            self._keeper,
             self.network.client,
             self.network.gateways,
             self.network.reach.reachable,
@@ -295,6 +312,12 @@
             MetricsServer(metrics_endpoint, self._metrics.registry) if metrics_endpoint else None
         )
 
+    def _ask_turn(
+        self, service: str, request: ForwardedRequest, terms: LineTerms
+    ) -> Replica | InLine | NoTurn | None:
+        found = self._router.wishes_of(service, request.prompt)
+        return None if found is None else self._notices.ask_turn(*found, terms)
+
     def _build_limiter(self) -> TenantLimiter:
         name = self._settings.name
         bounds = self._settings.bounds
@@ -378,6 +401,8 @@
             "request_body_bytes": lambda: self._front.body_bytes,
             "answer_bytes_held": lambda: self._held_answers.held_bytes,
             "answers_ended": lambda: self._held_answers.ended,
+            "line_tenants": lambda: self._keeper.turns.tenants,
+            "line_refused": lambda: self._keeper.turns.refused_early,
             "batch_items_running": self.coordinator.running_items,
             "batch_jobs_open": lambda: len(self.coordinator.open_jobs()),
             "requests_barred": lambda: self._poison_records.count(barred=True),
@@ -393,6 +418,7 @@
         }
         add_gauges(self._metrics.registry, gauges)
         add_replica_gauge(self._metrics.registry, self._table)
+        add_line_gauge(self._metrics.registry, self._keeper.turns.lengths)
 
     def start(self) -> None:
         """Start the parts; each finds those it uses already running."""
--- a/src/quaymill/process/jobs/pool_counts.py
+++ b/src/quaymill/process/jobs/pool_counts.py
@@ -89,7 +89,9 @@
     Attributes
     ----------
     online, batch
-        Requests by replica.
+        Requests by replica, turns that have been given and not been answered included.
+    promised
+        How many of those there are.
     claims
         What each coordinator said last, by its name.
     """
@@ -97,13 +99,14 @@
     def __init__(self) -> None:
         self.online: Counter[str] = Counter()
         self.batch: Counter[str] = Counter()
+        self.promised = 0
         self.claims: dict[str, Claim] = {}
         self._online_by_gateway: dict[str, OnlineCounts] = {}
 
     @property
     def is_empty(self) -> bool:
         """Whether nothing is known of the pool."""
-        return not self.claims and not self._online_by_gateway
+        return not self.claims and not self._online_by_gateway and not self.promised
 
     def online_of(self, gateway: str) -> Counter[str]:
         """Return what a gateway has at each replica."""
@@ -118,8 +121,24 @@
 
     def place(self, gateway: str, replica: Replica) -> None:
         """Count one more online request of a gateway that has just given its word."""
-        self._online_by_gateway[gateway].counts[replica.id] += 1
-        self.online[replica.id] += 1
+        self.place_at(gateway, replica.id)
+
+    def place_at(self, gateway: str, replica_id: str) -> None:
+        """Count one more online request, unless the gateway has given no word of late."""
+        known = self._online_by_gateway.get(gateway)
+        if known is not None:
+            known.counts[replica_id] += 1
+            self.online[replica_id] += 1
+
+    def promise(self, replica_id: str) -> None:
+        """Count a turn at a replica until it is answered."""
+        self.promised += 1
+        self.online[replica_id] += 1
+
+    def end_promise(self, replica_id: str) -> None:
+        """Stop counting a turn that was answered, or that was not."""
+        self.promised -= 1
+        self.online[replica_id] -= 1
 
     def take_claim(self, coordinator: str, claim: Claim) -> None:
         """Take a coordinator's claim in place of the one before."""
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -115,11 +115,31 @@
         if not sound:
             reached = [one for one in candidates if not one.unreachable] or candidates
             return self._least_costly(reached, self._offsets(reached, prompt))
+        first, wishes = self._first_choice(candidates, sound, prompt, frozenset(excluded))
+        return self._place(first, wishes) or first
+
+    def wishes_of(
+        self, service: str, prompt: Prompt = NO_PROMPT
+    ) -> tuple[Replica, PlacementWishes] | None:
+        """Return what a request that has not been tried would choose, and by what.
+
+        ``None`` if no replica is sound.
+        """
+        candidates = [one for one in self._table.of_service(service) if not one.leaving]
+        sound = [one for one in candidates if not one.avoided]
+        return self._first_choice(candidates, sound, prompt, frozenset()) if sound else None
+
+    def _first_choice(
+        self,
+        candidates: list[Replica],
+        sound: list[Replica],
+        prompt: Prompt,
+        excluded: frozenset[str],
+    ) -> tuple[Replica, PlacementWishes]:
         offsets = self._offsets(sound, prompt)
         first = self._least_costly(sound, offsets)
         unsound = {replica.id for replica in candidates} - {replica.id for replica in sound}
-        wishes = PlacementWishes(frozenset(excluded) | unsound, offsets)
-        return self._place(first, wishes) or first
+        return first, PlacementWishes(excluded | unsound, offsets)
 
     def may_reach_another(self, service: str, excluded: Iterable[str]) -> bool:
         """Return whether a replica that is not in ``excluded`` lies in a zone that is reached."""
