Quota: changes of one ledger that meet pause before they try again

Cause: gateways that change one ledger at the same time tried again together, and of each round one got through.

Change: after each second conflict in a row a random pause whose bound doubles; entries of jobs that run, for which nobody waits, begin with a longer one; 12 tries in place of 8.

--- a/src/quaymill/process/jobs/batch_quota.py
+++ b/src/quaymill/process/jobs/batch_quota.py
@@ -40,6 +40,8 @@
 
 SETTLE_INTERVAL_S = 0.4
 """Time between two looks at what has changed; a count is to follow within a second."""
+SETTLE_PAUSE_S = 0.2
+"""Bound of the first pause where others change a ledger as well: no caller waits for this one."""
 ALLOWANCE_RENEWAL_S = 20.0
 """Time between two renewals of an allowance: two thirds of its term, as each costs two calls."""
 ALLOWANCE_TERM_S = 30.0
@@ -339,7 +341,7 @@
         newer = self._newer(ledger, state)
         known = newer if newer.revision else self._ledgers.read(ledger)
         if isinstance(known, Ledger):
-            known = self._ledgers.change(ledger, known, enter_all)
+            known = self._ledgers.change(ledger, known, enter_all, SETTLE_PAUSE_S)
         if isinstance(known, LedgerUnknown):
             log_message("quota:not_entered", ledger=ledger, reason=known.reason)
             return
--- a/src/quaymill/process/jobs/quota_ledger.py
+++ b/src/quaymill/process/jobs/quota_ledger.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 import math
+import random
+import time
 from collections.abc import Callable
 from urllib.parse import quote
 
@@ -34,9 +36,14 @@
 """A smaller allowance holds hardly a job, and is not worth the calls that renew it."""
 OVERRUN_USED_SHARE = 0.8
 """Part of the tolerated overrun that allowances may fill; the rest covers late counts."""
-MAX_CONFLICTS = 8
+MAX_CONFLICTS = 12
 """Changes that are tried again on a newer ledger before it is given up as too busy."""
-
+FIRST_CONFLICT_PAUSE_S = 0.05
+"""Bound of the first pause after a change that was overtaken twice: some calls of others fit in,
+and a caller that waits for its job's answer hardly notices."""
+CONFLICT_PAUSE_GROWTH = 2.0
+MAX_CONFLICT_PAUSE_S = 0.4
+"""Bound of later pauses: with all of them a caller is answered within about a second."""
 
 TENANT_SEPARATOR = "~"
 """Between the names of a route and of its tenant; it stands in no route's name as it is quoted."""
@@ -131,6 +138,23 @@
     reason: str
 
 
+def conflict_pause_s(
+    conflicts: int, first_pause_s: float, uniform: Callable[[float, float], float] = random.uniform
+) -> float:
+    """Return the pause after so many conflicts in a row.
+
+    Load answered: many gateways that change one ledger at once, as after an outage of the store.
+    Without pauses all try again together, and of each round one gets through. A first conflict
+    tells what stands: it is tried on that at once. A second one tells that others are at it as
+    well; after a pause the ledger known is old, so that the try that follows only tells what
+    stands, and the one after that is made at once again.
+    """
+    if conflicts % 2:
+        return 0.0
+    longest_s = first_pause_s * CONFLICT_PAUSE_GROWTH ** (conflicts // 2 - 1)
+    return uniform(0.0, min(MAX_CONFLICT_PAUSE_S, longest_s))
+
+
 def fits(document: LedgerDocument, tokens: int, quota: int, overrun_share: float) -> bool:
     """Return whether a new job's tokens fit beside what is held.
 
@@ -200,6 +224,7 @@
         route: str,
         known: Ledger,
         change: Callable[[LedgerDocument], LedgerDocument],
+        first_pause_s: float = FIRST_CONFLICT_PAUSE_S,
     ) -> Ledger | LedgerUnknown:
         """Change a ledger, on top of whatever others have changed meanwhile.
 
@@ -209,6 +234,8 @@
             The ledger that is tried first.
         change
             Returns the new document; returns the one given if nothing is to be written.
+        first_pause_s
+            Bound of the first pause where others change it at the same time.
 
         Returns
         -------
@@ -216,7 +243,7 @@
         where nothing had to be written, unless ``known`` was given and left as it is.
         """
         standing = known
-        for _ in range(MAX_CONFLICTS):
+        for conflicts in range(1, MAX_CONFLICTS + 1):
             document = change(standing.document)
             if document is standing.document or document == standing.document:
                 return standing
@@ -228,6 +255,7 @@
                 if isinstance(ledger, LedgerUnknown):
                     return ledger
                 standing = ledger
+                time.sleep(conflict_pause_s(conflicts, first_pause_s))
                 continue
             if isinstance(written, StoreRefused):
                 return LedgerUnknown(written.reason)
--- a/tests/store_rig.py
+++ b/tests/store_rig.py
@@ -28,6 +28,7 @@
 from quaymill.process.control.store_sharing import SharingStore
 from quaymill.process.jobs.coordinated_job import CoordinatedJob
 from quaymill.process.jobs.listing import JobListings
+from quaymill.process.jobs.quota_ledger import Ledger, LedgerUnknown, QuotaLedgers
 from quaymill.process.jobs.result_publisher import PublisherParts, ResultPublisher
 
 CALL_S = 0.004
@@ -173,3 +174,17 @@
 def finish(job: CoordinatedJob, index: int) -> None:
     """End an item of a job."""
     job.finish(job.items[index], ResultState.SUCCEEDED, f"text {index}")
+
+
+class LedgerRig:
+    """Gateways that change one ledger of the store in memory."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+
+    def enter(self, gateway: str, tokens: int, first_pause_s: float) -> Ledger | LedgerUnknown:
+        """Enter a job of a gateway that knows nothing of the ledger yet."""
+        ledgers = QuotaLedgers(_OwnStore(self.store, gateway))
+        return ledgers.change(
+            "route", Ledger(), lambda held: held.with_job(f"job-{gateway}", tokens), first_pause_s
+        )
--- /dev/null
+++ b/tests/test_ledger_contention.py
@@ -0,0 +1,51 @@
+"""Many gateways that change one ledger at the same moment, as after an outage of the store."""
+
+from __future__ import annotations
+
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from nose2.tools import params
+
+from quaymill.process.jobs.batch_quota import SETTLE_PAUSE_S
+from quaymill.process.jobs.quota_ledger import (
+    FIRST_CONFLICT_PAUSE_S,
+    MAX_CONFLICTS,
+    Ledger,
+    conflict_pause_s,
+)
+from store_rig import LedgerRig
+
+TOKENS = 100
+
+
+class PauseTest(unittest.TestCase):
+    """The decision by itself."""
+
+    @params((1, 0.0), (2, 0.1), (3, 0.0), (4, 0.2), (5, 0.0), (6, 0.4), (8, 0.4))
+    def test_every_second_conflict_is_followed_by_a_longer_pause(self, conflicts, longest) -> None:
+        pause_s = conflict_pause_s(conflicts, 0.1, lambda least, most: most)
+        self.assertAlmostEqual(longest, pause_s)
+
+
+class ContentionTest(unittest.TestCase):
+    """What becomes of changes that are begun together."""
+
+    @params(
+        ("admissions", 20, FIRST_CONFLICT_PAUSE_S),
+        ("entries of running jobs", 40, SETTLE_PAUSE_S),
+    )
+    def test_changes_begun_together(self, _, gateways, first_pause_s) -> None:
+        rig = LedgerRig()
+        with ThreadPoolExecutor(gateways) as executor:
+            entered = list(
+                executor.map(
+                    lambda number: rig.enter(f"g{number}", TOKENS, first_pause_s), range(gateways)
+                )
+            )
+        done = [ledger for ledger in entered if isinstance(ledger, Ledger)]
+        self.assertEqual(gateways, len(done), "some were told that it is too busy")
+        newest = max(done, key=lambda ledger: ledger.revision)
+        self.assertEqual(gateways * TOKENS, newest.document.job_tokens)
+        # Where all try again together each makes as many calls as it may.
+        self.assertLess(rig.store.calls.total(), gateways * MAX_CONFLICTS * 0.6)
