Store: a call that comes during a probe waits a moment for what it tells

Cause: a circuit that nobody called for a while closes with the next call; one that came beside it was told that the store is away.

Tested: test_call_that_comes_during_a_probe_waits_for_what_it_tells.

--- a/src/quaymill/process/control/store_circuit.py
+++ b/src/quaymill/process/control/store_circuit.py
@@ -52,6 +52,8 @@
 """Part by which a pause may be shorter, so that gateways do not probe together."""
 PROBE_LOST_AFTER_S = 4.0
 """Time after which another probe is made though one is not over: longer than any call takes."""
+PROBE_WAIT_S = 0.1
+"""Time that a call waits for a probe under way: many times what the store takes for an answer."""
 RETURN_SHARE = 0.5
 """Part of the store's writes a second that appends may take which waited for its return."""
 TURN_CHECK_S = 0.1
@@ -331,6 +333,11 @@
     def _held_back(self) -> StoreRefused | None:
         with self._changed:
             self._hear_others()
+            if self._circuit.may_call(boot_clock.now()):
+                return None
+            if self._circuit.state is CircuitState.HALF_OPEN:
+                # Another call tells in a moment whether the store is back.
+                self._changed.wait(PROBE_WAIT_S)
             now = boot_clock.now()
             if self._circuit.may_call(now):
                 return None
@@ -378,6 +385,7 @@
             was_open = self.is_open
             now = boot_clock.now()
             self._circuit.note_failed(began, now)
+            self._changed.notify_all()
             if was_open or not self.is_open:
                 return
             self._saved_at_opening = self.calls_saved
--- a/tests/test_store_circuit.py
+++ b/tests/test_store_circuit.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import threading
+import time
 import unittest
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 from nose2.tools import params
 
@@ -23,6 +25,7 @@
     StoreRefused,
     StoreUnanswered,
 )
+from quaymill.process.control import store_circuit
 from quaymill.process.control.store_circuit import (
     FIRST_PROBE_S,
     NEXT_STATES,
@@ -268,6 +271,33 @@
             thread.join(5.0)
         self.assertEqual([True] * len(waiting), turns)
 
+    @params(("back", StoredObject("name", 1, "spec")), ("away", REFUSED))
+    def test_call_that_comes_during_a_probe_waits_for_what_it_tells(self, _, told) -> None:
+        patience = mock.patch.object(store_circuit, "PROBE_WAIT_S", 5.0)
+        patience.start()
+        self.addCleanup(patience.stop)
+        self.open_circuit()
+        answer = threading.Event()
+        probing = threading.Event()
+
+        def slow_call(*_: Any, **__: Any) -> Any:
+            probing.set()
+            answer.wait()
+            return told
+
+        self.own.replace = slow_call
+        time.sleep(FIRST_PROBE_S)
+        results: list[Any] = []
+        probe = threading.Thread(target=lambda: results.append(append(self.store)))
+        probe.start()
+        probing.wait()
+        second = threading.Thread(target=lambda: results.append(append(self.store)))
+        second.start()
+        answer.set()
+        probe.join()
+        second.join()
+        self.assertEqual([type(told)] * 2, [type(result) for result in results])
+
     def test_one_of_those_that_wait_makes_the_probe(self) -> None:
         self.open_circuit()
         went = threading.Semaphore(0)
