Tests: the path of requests also with answers held for slow callers

Change: FleetRig and FleetCase take what is switched on at gateways; RequestTest runs a second time with it.

--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -6,6 +6,7 @@
 from typing import Any, ClassVar
 
 from fleet_rig import FleetRig
+from quaymill.process.gateway_node import GatewayFeatures
 from quaymill_standins.fleet_replica import ReplicaBehaviour, ReplicaRun
 
 
@@ -16,13 +17,16 @@
     ----------
     world
         What the fleet's first configuration holds beside the defaults.
+    features
+        What is switched on at its gateways.
     """
 
     world: ClassVar[dict[str, Any]] = {}
+    features: ClassVar[GatewayFeatures] = GatewayFeatures()
 
     @classmethod
     def setUpClass(cls) -> None:
-        cls.rig = FleetRig().start(**cls.world)
+        cls.rig = FleetRig(features=cls.features).start(**cls.world)
 
     @classmethod
     def tearDownClass(cls) -> None:
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -21,7 +21,7 @@
 from quaymill.platform.gateway_role import GATEWAY_PROTOCOL
 from quaymill.platform.object_store import PlatformObjectStore
 from quaymill.platform.storage_role import STORAGE_PROTOCOL
-from quaymill.process.gateway_node import GatewayNode
+from quaymill.process.gateway_node import GatewayFeatures, GatewayNode
 from quaymill.process.serving_settings import Bounds, Listeners, ServingSettings
 from quaymill.process.storage_node import StorageNode
 from quaymill_bench.fleet_world import HOST, ZONES, configuration, job_body
@@ -49,7 +49,14 @@
 class FleetRig:
     """Builds, disturbs and stops a fleet."""
 
-    def __init__(self, gateways: int = 2, storage: int = 3, engines: int = 2) -> None:
+    def __init__(
+        self,
+        gateways: int = 2,
+        storage: int = 3,
+        engines: int = 2,
+        features: GatewayFeatures | None = None,
+    ) -> None:
+        self._features = features or GatewayFeatures()
         self.folder = Path(tempfile.mkdtemp(prefix="quaymill-fleet-"))
         self.peer_port = free_port()
         self.store = FleetStore()
@@ -114,7 +121,11 @@
         """Start a gateway; one of the same name takes the address of the former."""
         settings = self._settings_of(name, zone)
         gateway = GatewayNode(
-            settings, PlatformObjectStore(settings.store_endpoint), GATEWAY_PROTOCOL, None
+            settings,
+            PlatformObjectStore(settings.store_endpoint),
+            GATEWAY_PROTOCOL,
+            None,
+            features=self._features,
         )
         gateway.start()
         self.gateways[name] = gateway
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -7,6 +7,7 @@
 
 from fleet_case import FleetCase
 from fleet_rig import wait_until
+from quaymill.process.gateway_node import GatewayFeatures
 from quaymill_bench.fleet_world import (
     HOST,
     ROUTES,
@@ -61,6 +62,12 @@
         wait_until(lambda: all(run.cancelled for run in self.runs("r-5")), "the run is cancelled")
 
 
+class HeldAnswersTest(RequestTest):
+    """The same where answers are held for callers that read slowly."""
+
+    features = GatewayFeatures(callers_may_read_slowly=True)
+
+
 class MalformedTest(FleetCase):
     """What callers send wrongly."""
 
