--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -22,7 +22,7 @@
 from quaymill.platform.gateway_role import GATEWAY_PROTOCOL
 from quaymill.platform.object_store import PlatformObjectStore
 from quaymill.platform.storage_role import STORAGE_PROTOCOL
-from quaymill.process.gateway_node import GatewayNode
+from quaymill.process.gateway_node import GatewayFeatures, GatewayNode
 from quaymill.process.serving_settings import Bounds, Listeners, ServingSettings
 from quaymill.process.storage_node import StorageNode
 from quaymill_bench.fleet_world import HOST, ZONES, configuration, job_body
@@ -54,6 +54,8 @@
     ----------
     zones
         Processes and engines are put into them in turn.
+    features
+        What is switched on at the gateways.
     settings
         Fields of each process's settings that differ from the defaults.
     """
@@ -64,8 +66,10 @@
         storage: int = 3,
         engines: int = 2,
         zones: tuple[str, ...] = ZONES,
+        features: GatewayFeatures | None = None,
         **settings: Any,
     ) -> None:
+        self._features = features or GatewayFeatures()
         self.folder = Path(tempfile.mkdtemp(prefix="quaymill-fleet-"))
         self.peer_port = free_port()
         self.store = FleetStore()
@@ -135,7 +139,11 @@
         """Start a gateway; one of the same name takes the address of the former."""
         settings = self._settings_of(name, zone)
         gateway = GatewayNode(
-            settings, PlatformObjectStore(settings.store_endpoint), GATEWAY_PROTOCOL, None
+            settings,
+            PlatformObjectStore(settings.store_endpoint),
+            GATEWAY_PROTOCOL,
+            None,
+            features=self._features,
         )
         gateway.start()
         self.gateways[name] = gateway
