One waiting line: a turn that cannot be sent is answered for

Cause: an error in the call would have left the turn's slot counted for good.

Change: its gateway counts as silent; the slot goes to the next.

Tests: test_online_line (the new one failed before; 3 runs passed since), test_room_orders passed.

--- a/src/quaymill/process/jobs/room_orders.py
+++ b/src/quaymill/process/jobs/room_orders.py
@@ -147,6 +147,9 @@
                 self._tell(coordinator, pending)
             except Exception as error:  # A bug here must not end the orders of this keeper.
                 log_message("batch:order_error", coordinator=coordinator, error=repr(error))
+                for turn in pending.turns:
+                    # A turn that nobody answers for would keep its slot.
+                    self._turn_answered(turn, None)
             finally:
                 with self._changed:
                     self._being_told.discard(coordinator)
--- a/tests/test_online_line.py
+++ b/tests/test_online_line.py
@@ -70,6 +70,7 @@
         self.handlers_by_name: dict[str, dict[type, object]] = {}
         self.silent: set[str] = set()
         self.old: set[str] = set()
+        self.broken: set[str] = set()
 
     def register_for(self, name: str):
         handlers = self.handlers_by_name.setdefault(name, {})
@@ -84,6 +85,8 @@
     def call(self, endpoint, message, reply_type, timeout_s):
         name = endpoint.host
         handler = self.handlers_by_name.get(name, {}).get(type(message))
+        if name in self.broken:
+            raise ValueError("cannot be sent")
         if name in self.silent or handler is None:
             return PeerNoReply(endpoint, "silent")
         line = msgspec.json.encode(message)
@@ -288,6 +291,16 @@
         self.two.end()
         self.wait_gone("next")
 
+    def test_a_turn_that_cannot_be_sent_goes_to_the_next(self) -> None:
+        self.fill()
+        self.send("lost", self.one)
+        self.wait_line(1)
+        self.send("next", self.two)
+        self.wait_line(2)
+        self.wire.broken.add(self.one.name)
+        self.two.end()
+        self.wait_gone("next")
+
     def test_requests_decide_by_themselves_while_their_keeper_is_silent(self) -> None:
         self.fill()
         self.send("r", self.one)
