--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -16,12 +16,6 @@
 from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.connection.room_messages import LineTerms
 from quaymill.process.control.state import ControlPlaneView, ControlProtocol
-from quaymill.process.control.store_circuit import (
-    CircuitStore,
-    ReturnRules,
-    StoreCircuit,
-    longest_probe_s,
-)
 from quaymill.process.control.store_sharing import SharingStore
 from quaymill.process.front.caller_protocol import CallerProtocol
 from quaymill.process.front.front_service import FrontService
@@ -30,6 +24,7 @@
 from quaymill.process.front.plain_pages import MetricsServer, ReadinessServer
 from quaymill.process.gateway.caller_watch import CallerWatch
 from quaymill.process.gateway_gauges import add_gauges, add_line_gauge, add_replica_gauge
+from quaymill.process.gateway_parts import build_circuit_store, build_limiter
 from quaymill.process.jobs.batch_quota import BatchQuota
 from quaymill.process.jobs.coordinated_job import ORDER_TERM_SHARE
 from quaymill.process.jobs.coordinator import JobCoordinator
@@ -50,9 +45,6 @@
 from quaymill.process.jobs.service import JobService
 from quaymill.process.jobs.storage_client import JobStorageClient
 from quaymill.process.jobs.submission_relay import SubmissionRelay
-from quaymill.process.limits.fleet import GatewayFleet
-from quaymill.process.limits.limiter import TenantLimiter
-from quaymill.process.limits.shares import Overrun
 from quaymill.process.membership.ranking import rank_nodes
 from quaymill.process.node_registry import NodeRegistry
 from quaymill.process.peer_network import PeerNetwork
@@ -139,7 +131,7 @@
         )
         self._table = ReplicaTable(self._forget_replica, self.network.reach.is_unreachable)
         self.network.reach.watch_replicas(self._table.replicas)
-        self._circuit_store = self._build_circuit_store(store)
+        self._circuit_store = build_circuit_store(settings, self.network, store)
         self.control = ControlPlaneView(
             self._circuit_store,
             protocol.control,
@@ -287,7 +279,7 @@
             self.network.process,
             self.network.other_gateways,
         )
-        self._limiter = self._build_limiter()
+        self._limiter = build_limiter(settings, self.network, self._limits_of)
         self._registry = NodeRegistry(
             self._circuit_store, self.network.membership, self._lacks_peers
         )
@@ -318,26 +310,6 @@
         found = self._router.wishes_of(service, request.prompt)
         return None if found is None else self._notices.ask_turn(*found, terms)
 
-    def _build_limiter(self) -> TenantLimiter:
-        name = self._settings.name
-        bounds = self._settings.bounds
-        return TenantLimiter(
-            name,
-            self.network.process_name,
-            self._limits_of,
-            GatewayFleet(
-                self.network.membership,
-                name,
-                lambda member: not member.has_disk,
-                self.network.reach.is_unreachable,
-            ),
-            self.network.client,
-            self.network.server,
-            Overrun(
-                bounds.quota_window_s, bounds.quota_overrun_share, bounds.quota_overrun_requests
-            ),
-        )
-
     def _limits_of(self, tenant: str) -> TenantLimits | None:
         found = (self.control.routes.tenants or {}).get(tenant)
         return None if found is None else found.limits
@@ -378,20 +350,6 @@
             ADMISSION_LIMIT,
         )
 
-    def _build_circuit_store(self, store: ObjectStore) -> CircuitStore:
-        bounds = self._settings.bounds
-        settle_s = bounds.settle_ms / MS_PER_S
-        longest_s = longest_probe_s(
-            bounds.contact_ms / MS_PER_S, settle_s, bounds.configuration_ms / MS_PER_S
-        )
-        rules = ReturnRules(
-            others_served_age_s=self.network.membership.confirmed_age_s,
-            gateways=lambda: len(self.network.gateways()),
-            writes_per_s=self._settings.store_writes_per_s,
-            longest_spread_s=settle_s,
-        )
-        return CircuitStore(store, StoreCircuit(longest_s), rules)
-
     def _add_gauges(self) -> None:
         gauges = {
             "configuration_version": lambda: self.control.routes.version,
--- /dev/null
+++ b/src/quaymill/process/gateway_parts.py
@@ -0,0 +1,60 @@
+"""Parts of a gateway that follow from its settings and its network alone."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from quaymill.connection.object_store import ObjectStore
+from quaymill.process.control.store_circuit import (
+    CircuitStore,
+    ReturnRules,
+    StoreCircuit,
+    longest_probe_s,
+)
+from quaymill.process.limits.fleet import GatewayFleet
+from quaymill.process.limits.limiter import TenantLimiter
+from quaymill.process.limits.shares import Overrun
+from quaymill.process.peer_network import PeerNetwork
+from quaymill.process.serving_settings import MS_PER_S, ServingSettings
+from quaymill.version.tenants import TenantLimits
+
+
+def build_circuit_store(
+    settings: ServingSettings, network: PeerNetwork, store: ObjectStore
+) -> CircuitStore:
+    """Return the platform's store behind a circuit breaker with the operator's bounds."""
+    bounds = settings.bounds
+    settle_s = bounds.settle_ms / MS_PER_S
+    longest_s = longest_probe_s(
+        bounds.contact_ms / MS_PER_S, settle_s, bounds.configuration_ms / MS_PER_S
+    )
+    rules = ReturnRules(
+        others_served_age_s=network.membership.confirmed_age_s,
+        gateways=lambda: len(network.gateways()),
+        writes_per_s=settings.store_writes_per_s,
+        longest_spread_s=settle_s,
+    )
+    return CircuitStore(store, StoreCircuit(longest_s), rules)
+
+
+def build_limiter(
+    settings: ServingSettings,
+    network: PeerNetwork,
+    limits_of: Callable[[str], TenantLimits | None],
+) -> TenantLimiter:
+    """Return what keeps tenants to their limits, counted over all gateways."""
+    bounds = settings.bounds
+    return TenantLimiter(
+        settings.name,
+        network.process_name,
+        limits_of,
+        GatewayFleet(
+            network.membership,
+            settings.name,
+            lambda member: not member.has_disk,
+            network.reach.is_unreachable,
+        ),
+        network.client,
+        network.server,
+        Overrun(bounds.quota_window_s, bounds.quota_overrun_share, bounds.quota_overrun_requests),
+    )
