--- a/src/quaymill/process/membership/zone_reach.py
+++ b/src/quaymill/process/membership/zone_reach.py
@@ -30,6 +30,9 @@
 takes with nothing in its way. To ask for nothing costs a few datagrams."""
 REPLICA_ASK_AFTER_S = 0.1
 """The same of a replica, where the first byte takes tens of milliseconds with nothing wrong."""
+ASK_AGAIN_AFTER_S = 0.25
+"""Silence of a zone after which it is asked while something waits there that had begun before the
+last word: what it waits for may take its time, or the zone was cut off just then."""
 SILENT_AFTER_S = 0.1
 """Silence from which on a peer that was asked counts as silent. With the time until it is asked,
 a request that waits in vain goes elsewhere within callers' shortest objective (0.3 s)."""
@@ -100,17 +103,18 @@
     needed = max(LEAST_SILENT_PEERS, min(MIN_SILENT_PEERS, evidence.peers))
     if len(evidence.silent(now, silent_after_s)) >= needed:
         return Verdict.UNREACHABLE
+    heard_at = evidence.heard_at
     waiting = (
         (evidence.peers_owe_since, ASK_AFTER_S),
         (evidence.replicas_owe_since, REPLICA_ASK_AFTER_S),
-        (evidence.asked_at.values(), 0.0),
     )
     late = any(
-        evidence.heard_at < since <= now - patience_s
+        now - since >= patience_s if since > heard_at else now - heard_at >= ASK_AGAIN_AFTER_S
         for owe_since, patience_s in waiting
         for since in owe_since
     )
-    return Verdict.ASK if late else Verdict.CALM
+    asked = any(at > heard_at for at in evidence.asked_at.values())
+    return Verdict.ASK if late or asked else Verdict.CALM
 
 
 class MembershipLink(Protocol):
@@ -363,7 +367,9 @@
                 self._ask_some(zone, now)
 
     def _evidence(self, name: str, zone: _Zone, now: float) -> Evidence:
-        calls = [since for one, since in self._calls(now) if self._zone_of(one) == name]
+        calls = [
+            since for one, since in self._calls(now, zone.heard_at) if self._zone_of(one) == name
+        ]
         owed = [replica.owes_since for replica in self._replicas() if replica.zone == name]
         return Evidence(
             zone.heard_at,
@@ -377,12 +383,13 @@
         member = self._members_by_endpoint.get(endpoint)
         return "" if member is None else member.zone
 
-    def _calls(self, now: float) -> list[tuple[Endpoint, float]]:
-        """Return the calls that have no answer yet, or had none a moment ago."""
+    def _calls(self, now: float, heard_at: float) -> list[tuple[Endpoint, float]]:
+        """Return the calls that have no answer yet, and those since a word that got none."""
         for endpoint, began in list(self._unanswered.items()):
             if now - began > FORGET_S:
                 del self._unanswered[endpoint]
-        return [*list(self._open_calls.values()), *list(self._unanswered.items())]
+        ended = [call for call in list(self._unanswered.items()) if call[1] > heard_at]
+        return [*list(self._open_calls.values()), *ended]
 
     def _ask_some(self, zone: _Zone, now: float) -> None:
         """Ask some peers of a zone that have not been asked since it was heard last."""
