--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -100,10 +100,14 @@
         return self._socket.fileno()
 
     def has_arrived(self) -> bool:
-        """Return whether a read of the body would not wait: there is more, or its end."""
+        """Return whether a read of the body would not wait: there is more, its end, or an error.
+
+        Leaves the connection without a timeout: ``set_read_timeout`` is to be called before the
+        next read.
+        """
         if is_readable(self._socket, 0.0):
             return True
-        # What the library has read ahead is not seen at the socket.
+        # The library's reader may hold bytes that it has read ahead; the socket does not show them.
         ahead = getattr(getattr(self._response, "_fp", None), "fp", None)
         if ahead is None:
             return True
@@ -111,7 +115,7 @@
             self._socket.setblocking(False)
             return bool(ahead.peek(1))
         except (OSError, ValueError):
-            return True
+            return True  # The read that follows meets the same error, and reports it.
 
     def read_head(self, timeout_s: float) -> OutcomeUnknown | None:
         """Read the status line and the headers of the answer."""
--- a/src/quaymill/connection/replica_entry.py
+++ b/src/quaymill/connection/replica_entry.py
@@ -9,6 +9,7 @@
 from quaymill.connection.endpoint import Endpoint
 
 USUAL_SLOWNESS = 1.0
+"""Where work takes its usual time, and where a replica tells nothing of it."""
 MIN_SLOWNESS = 0.1
 MAX_SLOWNESS = 10.0
 """Bounds of what a replica may tell: one that is slower is found by its answers."""
--- a/src/quaymill/connection/room_messages.py
+++ b/src/quaymill/connection/room_messages.py
@@ -181,14 +181,14 @@
 
 
 class LineTerms(msgspec.Struct, frozen=True, array_like=True):
-    """How a request may wait in the keeper's line.
+    """How a request may wait in the keeper's line; times are in seconds from its sending.
 
     Attributes
     ----------
     ticket
         Names the request; the same when its gateway asks again.
     process
-        The start of the gateway that holds it.
+        Name of its gateway's process; a gateway that starts again has another.
     tenant
         ``None`` where there are no tenants.
     rank
@@ -281,7 +281,7 @@
 
 
 class TurnsTaken(PeerMessage, frozen=True):
-    """The tickets of the requests that go; the others wait no more."""
+    """The tickets of the requests that go now; the others have left their gateway."""
 
     tickets: tuple[str, ...]
 
--- a/src/quaymill/process/control/store_circuit.py
+++ b/src/quaymill/process/control/store_circuit.py
@@ -174,7 +174,10 @@
         self._heard_of_return = False
 
     def note_failed(self, began: float, now: float) -> None:
-        """Note that a call failed; older than what is known since, it says nothing."""
+        """Note that a call failed that began at ``began``.
+
+        It is passed over if the store has answered since, or the circuit opened after it began.
+        """
         if began <= self._answered_at:
             return
         if self.state is not CircuitState.CLOSED and began < self.opened_at:
@@ -244,7 +247,7 @@
         self._rules = rules
         self._changed = threading.Condition()
         self._waiting = 0
-        self._released_probe_at = math.inf
+        self._claimed_probe_at = math.inf  # The probe that a waiting caller was let go for already.
         self._return_spread_s = 0.0
         self._saved_at_opening = 0
         self.calls_saved = 0
@@ -303,22 +306,24 @@
         deadline = boot_clock.now() + timeout_s
         with self._changed:
             self._waiting += 1
-            while not self._has_turn() and boot_clock.now() < deadline:
-                self._changed.wait(TURN_CHECK_S)
-            self._waiting -= 1
+            try:
+                while not self._may_retry() and boot_clock.now() < deadline:
+                    self._changed.wait(TURN_CHECK_S)
+            finally:
+                self._waiting -= 1
             spread_s = 0.0 if self.is_open else self._return_spread_s
         time.sleep(random.uniform(0.0, spread_s))
         return True
 
-    def _has_turn(self) -> bool:
+    def _may_retry(self) -> bool:
         """Return whether a caller that waits may go; of several, one makes the probe."""
         if not self.is_open:
             return True
         self._hear_others()
         due_at = self._circuit.probe_at
-        if self._circuit.retry_after_s(boot_clock.now()) > 0 or due_at == self._released_probe_at:
+        if self._circuit.retry_after_s(boot_clock.now()) > 0 or due_at == self._claimed_probe_at:
             return False
-        self._released_probe_at = due_at
+        self._claimed_probe_at = due_at
         return True
 
     def _call(self, kind: ObjectKind, make: Callable[[], Result]) -> Result | StoreRefused:
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -69,7 +69,7 @@
 CONNECT_TIMEOUT_S = 0.3
 ZONE_LOST_CONNECT_TIMEOUT_S = 0.15
 """The same where a zone may be cut off: half of callers' shortest objective (0.3 s), so that a
-request which meets the cut first is still in time elsewhere; a hundred round trips at least."""
+request which meets the cut first is still in time elsewhere."""
 THREADS = 160
 ADMISSION_LIMIT = 144
 STOP_MARGIN_S = 0.7
@@ -188,6 +188,7 @@
             lambda first, wishes: self._notices.place(first, wishes),
         )
         self._loads = EngineLoads(self._connections, protocol.reports)
+        # Queue, orders, keeper and notices call one another: lambdas wait until all are built.
         self._queue = OnlineQueue(
             self._table,
             self._ask_turn,
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -179,7 +179,7 @@
     while (waited_s := boot_clock.now() - began) < FIRST_EVENT_PATIENCE_S:
         if exchange.wait_readable(SILENCE_CHECK_S):
             return True
-        if replica.silent and waited_s > SILENCE_PATIENCE_S:
+        if replica.unreachable or (replica.silent and waited_s > SILENCE_PATIENCE_S):
             return False
     return False
 
--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -198,7 +198,7 @@
         return chosen if usable else None
 
     def take_turns(self, turns: Iterable[OnlineTurn]) -> tuple[str, ...]:
-        """Let requests go whose turn has come; returns the tickets of those that still wait."""
+        """Let requests go whose turn has come; return the tickets of those that go."""
         return tuple(turn.ticket for turn in turns if self._take_turn(turn))
 
     def _take_turn(self, turn: OnlineTurn) -> bool:
--- a/src/quaymill/process/jobs/quota_ledger.py
+++ b/src/quaymill/process/jobs/quota_ledger.py
@@ -141,13 +141,12 @@
 def conflict_pause_s(
     conflicts: int, first_pause_s: float, uniform: Callable[[float, float], float] = random.uniform
 ) -> float:
-    """Return the pause after so many conflicts in a row.
+    """Return the pause in seconds after so many conflicts in a row.
 
     Load answered: many gateways that change one ledger at once, as after an outage of the store.
-    Without pauses all try again together, and of each round one gets through. A first conflict
-    tells what stands: it is tried on that at once. A second one tells that others are at it as
-    well; after a pause the ledger known is old, so that the try that follows only tells what
-    stands, and the one after that is made at once again.
+    After an odd conflict there is no pause: it brought the current revision, so that a try at once
+    has the best chance. After an even one others are writing too: a random pause, below a bound
+    that grows up to ``MAX_CONFLICT_PAUSE_S``, keeps the gateways from retrying in step.
     """
     if conflicts % 2:
         return 0.0
@@ -255,7 +254,8 @@
                 if isinstance(ledger, LedgerUnknown):
                     return ledger
                 standing = ledger
-                time.sleep(conflict_pause_s(conflicts, first_pause_s))
+                if conflicts < MAX_CONFLICTS:
+                    time.sleep(conflict_pause_s(conflicts, first_pause_s))
                 continue
             if isinstance(written, StoreRefused):
                 return LedgerUnknown(written.reason)
--- a/src/quaymill/process/jobs/room_orders.py
+++ b/src/quaymill/process/jobs/room_orders.py
@@ -32,8 +32,8 @@
 ORDER_TIMEOUT_S = 0.2
 """A coordinator that takes longer hears of it with its next claim: the engine still shows it."""
 TURN_TIMEOUT_S = 0.1
-"""A gateway that takes longer has its requests decide by themselves, and the slot goes on: a third
-of the shortest objective of a stream on the deployments measured."""
+"""A gateway that takes longer has its requests decide by themselves, and the slot goes to the next:
+a third of callers' shortest objective (0.3 s), so that the next is still in time."""
 SENDERS = 8
 """Threads that send, so as many silent coordinators may be waited for at once. With the calls in
 the keeper's own answers a keeper of 165 gateways had up to 127 threads, each at a call, and 193
@@ -147,9 +147,6 @@
                 self._tell(coordinator, pending)
             except Exception as error:  # A bug here must not end the orders of this keeper.
                 log_message("batch:order_error", coordinator=coordinator, error=repr(error))
-                for turn in pending.turns:
-                    # A turn that nobody answers for would keep its slot.
-                    self._turn_answered(turn, None)
             finally:
                 with self._changed:
                     self._being_told.discard(coordinator)
@@ -193,7 +190,11 @@
             self._client.call(member.peer, RoomFreed(), RoomFreedNoted, ORDER_TIMEOUT_S)
 
     def _tell_turns(self, member: Member | None, turns: list[GivenTurn]) -> None:
-        taken = None if member is None else self._call_for_turns(member, turns)
+        taken = None
+        try:
+            taken = None if member is None else self._call_for_turns(member, turns)
+        except Exception as error:  # A turn that nobody answers for would keep its slot.
+            log_message("line:turn_error", gateway=turns[0].gateway, error=repr(error))
         for turn in turns:
             self._turn_answered(turn, None if taken is None else turn.ticket in taken)
 
--- a/src/quaymill/process/jobs/turn_giving.py
+++ b/src/quaymill/process/jobs/turn_giving.py
@@ -17,14 +17,14 @@
 from quaymill.process.replica_set.replica_cost import least_costly
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class GivenTurn:
-    """A turn that its gateway is told.
+    """A turn that its gateway is told; a request that asks again may be given a second one.
 
     Attributes
     ----------
     process
-        The start of the gateway that holds the request.
+        Name of its gateway's process; a gateway that starts again has another.
     """
 
     pool: EnginePool
@@ -45,7 +45,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._random = rng
         self._line_by_pool: dict[EnginePool, WaitingLine] = {}
-        self._given_by_ticket: dict[str, GivenTurn] = {}
+        self._unanswered: set[GivenTurn] = set()
         self.refused_early = 0
 
     def length(self, pool: EnginePool) -> int:
@@ -118,16 +118,17 @@
         line.serve(waiter)
         counts.promise(chosen.id)
         turn = GivenTurn(pool, asked.gateway, waiter.process, waiter.ticket, chosen)
-        self._given_by_ticket[waiter.ticket] = turn
+        self._unanswered.add(turn)
         return turn
 
     def answered(self, turn: GivenTurn, counts: PoolCounts, *, taken: bool) -> None:
         """Count a turn that was taken as its gateway's request; else its slot is free again."""
-        if self._given_by_ticket.get(turn.ticket) is turn:
-            del self._given_by_ticket[turn.ticket]
-            counts.end_promise(turn.replica.id)
-            if taken:
-                counts.place_at(turn.gateway, turn.replica.id)
+        if turn not in self._unanswered:
+            return
+        self._unanswered.discard(turn)
+        counts.end_promise(turn.replica.id)
+        if taken:
+            counts.place_at(turn.gateway, turn.replica.id)
 
     def drop_process(self, process: str) -> int:
         """Take out what a gateway holds that does not answer; return how much that was."""
--- a/src/quaymill/process/jobs/waiting_line.py
+++ b/src/quaymill/process/jobs/waiting_line.py
@@ -51,7 +51,7 @@
 
     @property
     def process(self) -> str:
-        """The start of the gateway that holds the request."""
+        """Name of its gateway's process; a gateway that starts again has another."""
         return self.asked.terms.process
 
 
@@ -129,10 +129,12 @@
         return ahead * service_s / max(1, slots)
 
     def retry_after_s(self, waiter: Waiter, slots: int, now: float) -> float | None:
-        """Return when a request may come again that cannot be served; ``None`` if it may be.
+        """Return after how many seconds a request may come again; ``None`` if it may be served.
 
-        By then those before it have been served as far as its caller's patience does not reach.
+        It cannot be if its expected wait is ``SURE_FACTOR`` times what its caller waits yet; once
+        the excess is over, the line is short enough for a caller that waits as long.
         """
+        # The whole line bounds the wait, which mostly spares a look at who is ahead.
         left_s = waiter.gone_at - now
         most_s = len(self) * waiter.asked.terms.service_s / max(1, slots)
         if most_s <= SURE_FACTOR * left_s:
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -72,6 +72,10 @@
             "age_s: for how long its caller had tried before, by what was left of its patience",
         ),
     ),
+    "line:turn_error": LogEvent(
+        "a bug while a gateway was told of turns; their slots go to others",
+        ("gateway: the gateway that was told", "error: the exception"),
+    ),
     "line:turn_unanswered": LogEvent(
         "a gateway did not answer when its request's turn came; its places in line are dropped",
         ("gateway: the gateway that was told", "dropped: requests of it that waited"),
--- a/src/quaymill/process/membership/zone_reach.py
+++ b/src/quaymill/process/membership/zone_reach.py
@@ -109,7 +109,7 @@
         (evidence.replicas_owe_since, REPLICA_ASK_AFTER_S),
     )
     late = any(
-        now - since >= patience_s if since > heard_at else now - heard_at >= ASK_AGAIN_AFTER_S
+        _is_overdue(since, heard_at, now, patience_s)
         for owe_since, patience_s in waiting
         for since in owe_since
     )
@@ -117,6 +117,14 @@
     return Verdict.ASK if late or asked else Verdict.CALM
 
 
+def _is_overdue(since: float, heard_at: float, now: float, patience_s: float) -> bool:
+    """Return whether what is owed since then is reason to ask the zone for a word."""
+    if since > heard_at:
+        return now - since >= patience_s
+    # The zone has spoken meanwhile: this one answer may just take long.
+    return now - heard_at >= ASK_AGAIN_AFTER_S
+
+
 class MembershipLink(Protocol):
     """What is needed of the membership."""
 
@@ -326,6 +334,9 @@
                 by_zone.setdefault(member.zone, []).append(member)
         for name, found in by_zone.items():
             self._zones.setdefault(name, _Zone()).members = tuple(found)
+        for name in self._zones.keys() - by_zone.keys():  # All its members have been forgotten.
+            del self._zones[name]
+            self._unreachable -= {name}
 
     def _hear_replicas(self) -> None:
         """Note by zone when something came from a replica last."""
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -29,7 +29,7 @@
     Attributes
     ----------
     retry_after_s
-        Time until it may be served.
+        Seconds after which its caller may try again.
     """
 
     reason: str
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 
@@ -17,6 +18,7 @@
 from quaymill.process.jobs.coordinated_job import RunningItem
 from quaymill.process.jobs.item_run import ItemCut, run_item
 from quaymill.process.replica_set.replica import Replica
+from quaymill.request.forwarding import SILENCE_PATIENCE_S
 from standin_support import wait_until
 
 REQUEST_ID = "00000000000000aa"
@@ -81,6 +83,13 @@
         connection.close()
         self.assertTrue(self.outcome_of(thread).blames_replica)
 
+    def test_an_item_leaves_a_zone_that_cannot_be_reached_at_once(self) -> None:
+        thread, _ = self.run_until_answered(NO_HEAD)
+        began = boot_clock.now()
+        with mock.patch.object(Replica, "unreachable", True):
+            self.outcome_of(thread)
+        self.assertLess(boot_clock.now() - began, SILENCE_PATIENCE_S)
+
     @params(NO_HEAD, HEAD_ONLY, HALF_AN_EVENT)
     def test_an_item_leaves_a_replica_that_says_nothing_more(self, answer: bytes) -> None:
         began = boot_clock.now()
--- a/tests/test_room_orders.py
+++ b/tests/test_room_orders.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 from collections import Counter
+from unittest import mock
 
 from fleet_support import eventually
 from quaymill.connection.endpoint import Endpoint
@@ -15,10 +16,14 @@
     GiveBack,
     GivenBack,
     ItemsAt,
+    OnlineTurns,
     RoomFreed,
     RoomFreedNoted,
+    TurnsTaken,
 )
-from quaymill.process.jobs.room_orders import SENDERS, RoomOrders
+from quaymill.process.jobs.engine_pool import EnginePool
+from quaymill.process.jobs.room_orders import SENDERS, RoomOrders, _Pending
+from quaymill.process.jobs.turn_giving import GivenTurn
 
 TIMEOUT_S = 10.0
 
@@ -85,6 +90,34 @@
         self.assertEqual(self.cut, [(ItemsAt("r", 1),)])
         self.assertEqual(self.claimed, 1)
 
+    def test_a_bug_in_an_order_answers_no_turn_twice(self):
+        """A turn that was taken must not cost its gateway its other places in line."""
+        answered: list[tuple[str, bool | None]] = []
+        client = mock.Mock()
+
+        def call(endpoint, message, reply_type, timeout_s):
+            if isinstance(message, OnlineTurns):
+                return TurnsTaken(("t",))
+            raise ValueError("a bug")
+
+        client.call = call
+        orders = RoomOrders(
+            "own",
+            self.cut.append,
+            self._claim,
+            client,
+            NoServer(),
+            member_named,
+            turn_answered=lambda turn, taken: answered.append((turn.ticket, taken)),
+        )
+        self.addCleanup(orders.stop)
+        replica = mock.Mock(id="r")
+        with orders._changed:
+            orders._waiting["peer"] = _Pending(Counter(r=1))
+            orders.send_turn(GivenTurn(EnginePool("s"), "g", "peer", "t", replica))
+        eventually(lambda: not orders._being_told and not orders._waiting, TIMEOUT_S)
+        self.assertEqual([("t", True)], answered)
+
     def test_silent_coordinators_hold_up_neither_the_keeper_nor_others(self):
         """Each such order took the answer to a placement 0.2 s before."""
         began = time.monotonic()
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import random
 import unittest
+from collections import Counter
 
 from nose2.tools import params
 
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.connection.room_messages import LineTerms, PlaceOnline
+from quaymill.process.jobs.engine_pool import EnginePool
+from quaymill.process.jobs.pool_counts import PoolCounts
+from quaymill.process.jobs.turn_giving import GivenTurn, TurnGiver
 from quaymill.process.jobs.waiting_line import SURE_FACTOR, TURN_WAY_S, WaitingLine
+from quaymill.process.replica_set.replica import Replica
 from quaymill.request.fair_shares import MAX_TENANTS, FairShares
 
 SERVICE = "engine"
@@ -137,5 +145,33 @@
             self.assertAlmostEqual(expected, found)
 
 
+class TurnGiverTest(unittest.TestCase):
+    """Turns, and what the counts of a pool hold of them."""
+
+    def setUp(self) -> None:
+        self.pool = EnginePool(SERVICE)
+        address = Endpoint("127.0.0.1", 1)
+        self.replica = Replica(ReplicaEntry("e", SERVICE, address, "x", slots=2))
+        self.counts = PoolCounts()
+        self.counts.take_online("g", Counter(), 1.0)
+        self.giver = TurnGiver(random.Random(1))
+
+    def give(self, ticket: str, now: float) -> GivenTurn:
+        self.giver.join(self.pool, asked(ticket), now)
+        (turn,) = self.giver.give(self.pool, self.counts, [self.replica], now)
+        return turn
+
+    @params((True, False), (False, True), (False, False))
+    def test_a_second_turn_of_one_request_keeps_no_slot(self, *taken: bool) -> None:
+        """It asked again while its first turn was on its way."""
+        turns = [self.give("one", 1.0), self.give("one", 2.0)]
+        self.assertEqual(2, self.counts.promised)
+        for turn, was_taken in zip(turns, taken, strict=True):
+            self.giver.answered(turn, self.counts, taken=was_taken)
+            self.giver.answered(turn, self.counts, taken=was_taken)
+        self.assertEqual(0, self.counts.promised)
+        self.assertEqual(sum(taken), self.counts.online[self.replica.id])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_zone_reach.py
+++ b/tests/test_zone_reach.py
@@ -367,6 +367,17 @@
         only_there = play.of_zone(CUT)
         self.assertEqual(tuple(only_there), play.reach.reachable(only_there))
 
+    def test_a_zone_whose_members_are_forgotten_counts_no_more(self) -> None:
+        play = self.play()
+        play.cut_zones = {CUT}
+        play.call(play.of_zone(CUT)[0])
+        play.until_lost(CUT)
+        play._known = [one for one in play._known if one.zone != CUT]
+        play.reach._note_members_changed()
+        play.run(0.2)
+        self.assertEqual(0, play.reach.unreachable_zones)
+        self.assertFalse(play.reach.is_unreachable(CUT))
+
     def test_own_zone_is_cut_off_where_more_is_lost_than_may_be(self) -> None:
         rows = (({CUT}, {OWN: True, CUT: True}), ({CUT, OTHER}, {OWN: True, CUT: False}))
         for cut_zones, expected in rows:
