--- a/src/quaymill/connection/object_store.py
+++ b/src/quaymill/connection/object_store.py
@@ -140,6 +140,16 @@
 WriteResult = StoredObject | RevisionConflict | ObjectMissing | StoreRefused | StoreUnanswered
 
 
+def store_is_away(result: object) -> bool:
+    """Return whether the store did not serve a call, so that another try may succeed.
+
+    What it rejects, or holds in a form that cannot be read, is so for everybody.
+    """
+    if isinstance(result, CallRejected | ObjectUnreadable):
+        return False
+    return isinstance(result, StoreRefused | StoreUnanswered)
+
+
 class ObjectStore(Protocol):
     """Calls of the store; each is bounded in time by the adapter."""
 
--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -315,6 +315,18 @@
         with contextlib.closing(probe):
             return not is_readable(probe, PROBE_STAYS_OPEN_S)
 
+    def is_reached(self, endpoint: Endpoint) -> bool:
+        """Return whether anything comes back from an endpoint, a refused connection included."""
+        try:
+            socket.create_connection(
+                (endpoint.host, endpoint.port), timeout=PROBE_CONNECT_TIMEOUT_S
+            ).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        return True
+
     def _new_connection(self, endpoint: Endpoint) -> HTTPConnection:
         return HTTPConnection(
             endpoint.host,
--- a/src/quaymill/connection/room_messages.py
+++ b/src/quaymill/connection/room_messages.py
@@ -135,6 +135,8 @@
     ----------
     told
         New words of replicas that tell how slow they are.
+    departed
+        Tickets of requests that wait in the line no more.
     """
 
     gateway: str
@@ -143,6 +145,7 @@
     pool: int = 0
     pools: int = 1
     told: tuple[SlownessTold, ...] = ()
+    departed: tuple[str, ...] = ()
 
 
 class ReplicaLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -153,17 +156,21 @@
     batch: int
 
 
+NO_LINE = -1
+"""In place of a line's length: the keeper keeps none, or is of a build that knows none."""
+
+
 class PoolLoads(PeerMessage, frozen=True):
     """The replicas of a pool as their keeper knows them now.
 
     Attributes
     ----------
     line
-        Requests that wait in the keeper's line; below 0 if it keeps none.
+        Requests that wait in the keeper's line, or ``NO_LINE``.
     """
 
     loads: tuple[ReplicaLoad, ...]
-    line: int = -1
+    line: int = NO_LINE
 
 
 class LoadOffset(msgspec.Struct, frozen=True, array_like=True):
@@ -229,6 +236,8 @@
         New words of replicas that tell how slow they are.
     terms
         How it may wait; ``None`` if it must be placed at once.
+    departed
+        Tickets of other requests that wait in the line no more.
     """
 
     gateway: str
@@ -241,6 +250,7 @@
     pools: int = 1
     told: tuple[SlownessTold, ...] = ()
     terms: LineTerms | None = None
+    departed: tuple[str, ...] = ()
 
 
 class OnlinePlaced(PeerMessage, frozen=True):
@@ -253,7 +263,7 @@
     loads
         As the keeper knows them now, this request included.
     line
-        Requests that wait in the keeper's line; below 0 if it keeps none.
+        Requests that wait in the keeper's line, or ``NO_LINE``.
     waits
         Whether the request has its place in the line.
     retry_after_s
@@ -262,7 +272,7 @@
 
     replica_id: str
     loads: tuple[ReplicaLoad, ...]
-    line: int = -1
+    line: int = NO_LINE
     waits: bool = False
     retry_after_s: float | None = None
 
--- a/src/quaymill/process/control/store_circuit.py
+++ b/src/quaymill/process/control/store_circuit.py
@@ -24,19 +24,17 @@
 
 from quaymill import boot_clock
 from quaymill.connection.object_store import (
-    CallRejected,
     Changes,
     HistoryGone,
     Listing,
     ObjectKind,
     ObjectMissing,
     ObjectStore,
-    ObjectUnreadable,
     StoredObject,
     StoreFailure,
     StoreRefused,
-    StoreUnanswered,
     WriteResult,
+    store_is_away,
 )
 
 HELD_BACK_KINDS = frozenset(
@@ -362,11 +360,10 @@
         )
 
     def _note(self, result: object, began: float) -> None:
-        answered = not isinstance(result, StoreRefused | StoreUnanswered)
-        if answered or isinstance(result, ObjectUnreadable | CallRejected):
-            self._note_answered()
-        else:
+        if store_is_away(result):
             self._note_failed(result, began)
+        else:
+            self._note_answered()
 
     def _note_answered(self) -> None:
         with self._changed:
--- a/src/quaymill/process/control/store_sharing.py
+++ b/src/quaymill/process/control/store_sharing.py
@@ -16,20 +16,19 @@
 from quaymill import boot_clock
 from quaymill.connection.member import Member
 from quaymill.connection.object_store import (
-    CallRejected,
     Changes,
     HistoryGone,
     Listing,
     ObjectKind,
     ObjectMissing,
     ObjectStore,
-    ObjectUnreadable,
     RevisionConflict,
     StoredObject,
     StoreFailure,
     StoreRefused,
     StoreUnanswered,
     WriteResult,
+    store_is_away,
 )
 from quaymill.connection.peer_link import PeerClient, PeerNoReply, PeerRefusal
 from quaymill.connection.peer_server import PeerServer
@@ -107,10 +106,8 @@
         return self._own.delete(kind, name)
 
     def _or_by_others(self, result: Any, call: StoreCall) -> Any:
-        if not isinstance(result, StoreRefused | StoreUnanswered):
+        if not store_is_away(result):
             return result
-        if isinstance(result, ObjectUnreadable | CallRejected):
-            return result  # It would be so for everybody.
         if ObjectKind[call.object_kind] not in HELD_BACK_KINDS:
             return result
         # While nobody is known to be able to help, one caller looks, and the others with it.
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -62,7 +62,7 @@
 from quaymill.request.forwarded_request import ForwardedRequest
 from quaymill.request.forwarding import Forwarder, ReplicaProtocol
 from quaymill.request.poison import PoisonRecords
-from quaymill.request.replica_choice import NoTurn
+from quaymill.request.replica_choice import CannotServeInTime
 from quaymill.version.request_routes import NO_ROUTES, RequestRoutes
 from quaymill.version.tenants import TenantLimits
 
@@ -130,7 +130,7 @@
             ZONE_LOST_CONNECT_TIMEOUT_S if settings.zones_lost_at_once else CONNECT_TIMEOUT_S,
         )
         self._table = ReplicaTable(self._forget_replica, self.network.reach.is_unreachable)
-        self.network.reach.watch_replicas(self._table.replicas)
+        self.network.reach.watch_replicas(self._table.replicas, self._connections.is_reached)
         self._circuit_store = build_circuit_store(settings, self.network, store)
         self.control = ControlPlaneView(
             self._circuit_store,
@@ -194,6 +194,7 @@
             self._ask_turn,
             self.network.process_name,
             lambda replica: self._notices.give_back(replica),
+            lambda service, ticket: self._notices.depart(service, ticket),
         )
         self._orders = RoomOrders(
             self.network.process_name,
@@ -307,7 +308,7 @@
 
     def _ask_turn(
         self, service: str, request: ForwardedRequest, terms: LineTerms
-    ) -> Replica | InLine | NoTurn | None:
+    ) -> Replica | InLine | CannotServeInTime | None:
         found = self._router.wishes_of(service, request.prompt)
         return None if found is None else self._notices.ask_turn(*found, terms)
 
--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -22,6 +22,7 @@
 from quaymill.connection.peer_link import PeerClient
 from quaymill.connection.replica_entry import SlownessReading
 from quaymill.connection.room_messages import (
+    NO_LINE,
     ItemsAt,
     LineTerms,
     LoadOffset,
@@ -40,7 +41,7 @@
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.router import PlacementWishes
 from quaymill.process.replica_set.table import ReplicaTable
-from quaymill.request.replica_choice import ChosenReplica, NoTurn
+from quaymill.request.replica_choice import CannotServeInTime, ChosenReplica
 
 NOTICE_TIMEOUT_S = 0.2
 """Later than this the engine's own report has told the keeper."""
@@ -116,6 +117,7 @@
         self._line_lost = line_lost
         self._release = release
         self._line_keepers: set[str] = set()
+        self._departed_by_service: dict[str, list[str]] = {}
         self._full_until_by_pool: dict[EnginePool, float] = {}
         self._lock = threading.Lock()
         self._in_flight: Counter[str] = Counter()
@@ -147,7 +149,7 @@
 
     def ask_turn(
         self, first: Replica, wishes: PlacementWishes, terms: LineTerms
-    ) -> Replica | InLine | NoTurn | None:
+    ) -> Replica | InLine | CannotServeInTime | None:
         """Ask the keeper for a place now, or in its line.
 
         ``None`` if it does not answer at once, or is not known to keep a line.
@@ -156,7 +158,7 @@
 
     def _ask(
         self, first: Replica, wishes: PlacementWishes, terms: LineTerms | None
-    ) -> Replica | InLine | NoTurn | None:
+    ) -> Replica | InLine | CannotServeInTime | None:
         now = boot_clock.now()
         if now < self._place_again_at or first.entry.service not in self._batch_services():
             return None
@@ -182,7 +184,7 @@
         self._told_by_pool[pool] = counts
         self._take_loads(pool, placed.loads, counts)
         if placed.retry_after_s is not None:
-            return NoTurn("more waits than can be served in time", placed.retry_after_s)
+            return CannotServeInTime("more waits than can be served in time", placed.retry_after_s)
         return IN_LINE if placed.waits else self._take_place(placed)
 
     def _take_place(self, placed: OnlinePlaced) -> Replica | None:
@@ -218,6 +220,18 @@
             self._changed = True
         self._news.set()
 
+    def depart(self, service: str, ticket: str) -> None:
+        """Tell with the next word for a service that a request waits in line no more."""
+        with self._lock:
+            self._departed_by_service.setdefault(service, []).append(ticket)
+            self._changed = True
+
+    def _take_departed(self, service: str) -> tuple[str, ...]:
+        if not self._departed_by_service:
+            return ()
+        with self._lock:
+            return tuple(self._departed_by_service.pop(service, ()))
+
     def _name_of(self, member: Member | None) -> str:
         return self._own_name if member is None else member.name
 
@@ -240,6 +254,7 @@
             pool.pools,
             self._take_heard(pool),
             terms,
+            self._take_departed(pool.service),
         )
         if member is None or member.name == self._own_name:
             reply = self._keeper.place_online(message)
@@ -253,7 +268,7 @@
 
     def _note_line(self, member: Member | None, length: int) -> None:
         """Note whether a keeper keeps a line."""
-        if length < 0:
+        if length == NO_LINE:
             self._line_keepers.discard(self._name_of(member))
         else:
             self._line_keepers.add(self._name_of(member))
@@ -371,6 +386,7 @@
             pool.index,
             pool.pools,
             self._take_heard(pool),
+            self._take_departed(pool.service),
         )
         loads = self._call_keeper(message)
         if loads is not None:
@@ -397,7 +413,7 @@
             self._note_line(member, reply.line)
             return reply
         self._keepers.avoid(message.service, member)
-        self._note_line(member, -1)
+        self._note_line(member, NO_LINE)
         self._line_lost()
         return None
 
--- a/src/quaymill/process/jobs/parallel_calls.py
+++ b/src/quaymill/process/jobs/parallel_calls.py
@@ -127,6 +127,8 @@
                 self._start_next()
             else:
                 replies.append((member, answer))
+            if len(replies) >= needed:
+                self._leave_out(_zones_of(replies))
         return CallOutcome(tuple(replies), maybe_acted or self._in_flight > 0)
 
     def _lacks_answers(self, replies: list[tuple[Member, Any]], needed: int) -> bool:
@@ -151,6 +153,10 @@
         for _ in range(max(1, needed - len(replies))):
             self._start_next()
 
+    def _leave_out(self, zones: set[str]) -> None:
+        """Call no more members of these zones: only one of a further zone is missing, if any."""
+        self._waiting = [member for member in self._waiting if member.zone not in zones]
+
     def _start_next(self) -> bool:
         if not self._waiting:
             return False
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -20,6 +20,7 @@
 from quaymill import boot_clock
 from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.room_messages import (
+    NO_LINE,
     ClaimRoom,
     ItemsAt,
     OnlineInFlight,
@@ -35,7 +36,7 @@
 from quaymill.process.jobs.item_urgency import RoutePaces
 from quaymill.process.jobs.pool_counts import Claim, PoolCounts, RunningItems
 from quaymill.process.jobs.turn_giving import GivenTurn, TurnGiver
-from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.replica import Replica, best_group
 from quaymill.process.replica_set.replica_cost import least_costly
 from quaymill.process.replica_set.table import ReplicaTable
 
@@ -129,6 +130,7 @@
             counts = self._counts(pool)
             in_flight = _by_replica(message.in_flight)
             counts.take_online(message.gateway, in_flight, boot_clock.now())
+            self.turns.depart(pool, message.departed)
             replicas = pool.members(self._table)
             turns = self._give_turns(pool, counts, replicas)
             self._share_out_excess(counts, [one for one in replicas if one.id in in_flight])
@@ -153,6 +155,7 @@
         with self._lock:
             counts = self._counts(pool)
             counts.take_online(message.gateway, _by_replica(message.in_flight), boot_clock.now())
+            self.turns.depart(pool, message.departed)
             replicas = pool.members(self._table)
             turns: list[GivenTurn] = []
             if message.terms is None or self._send_turn is None:
@@ -176,13 +179,11 @@
     def _least_costly(
         self, counts: PoolCounts, replicas: list[Replica], message: PlaceOnline
     ) -> Replica | None:
-        allowed = [one for one in replicas if one.id not in message.excluded]
-        reached = [one for one in allowed if not one.unreachable] or allowed
-        sound = [one for one in reached if not one.avoided] or reached
-        if not sound:
+        allowed = best_group(one for one in replicas if one.id not in message.excluded)
+        if not allowed:
             return None
         offsets = {offset.replica_id: offset.requests for offset in message.offsets}
-        return least_costly(sound, counts.online_load, message.zone, offsets, self._random)
+        return least_costly(allowed, counts.online_load, message.zone, offsets, self._random)
 
     def _placed_at(
         self,
@@ -208,6 +209,8 @@
             if counts.online_load(chosen) < chosen.slots:
                 self.turns.pass_by(pool, message.terms.tenant)
                 return self._placed_at(chosen, pool, counts, replicas, message), []
+        if all(one.id in message.excluded for one in replicas):
+            return OnlinePlaced("", counts.loads(replicas), self._line_length(pool)), []
         waiter = self.turns.join(pool, message, now)
         turns = self._give_turns(pool, counts, replicas)
         own = next((turn for turn in turns if turn.ticket == waiter.ticket), None)
@@ -222,17 +225,17 @@
         return OnlinePlaced("", counts.loads(replicas), line, waits, retry_after_s), turns
 
     def turn_answered(self, turn: GivenTurn, taken: bool | None) -> None:
-        """Take a gateway's answer to a turn; ``None`` if there was none.
+        """Take a gateway's answer to a turn; ``None`` if its process is gone, with all it held.
 
-        The slot of a turn that was not taken goes to the next. A gateway that does not answer
-        loses its places here, and lets its requests go by itself.
+        The slot of a turn that was not taken goes to the next. One that was not answered in time
+        costs its own request the place: it asks again, or goes by its gateway's view.
         """
         with self._lock:
             counts = self._counts(turn.pool)
             self.turns.answered(turn, counts, taken=bool(taken))
             if taken is None:
                 dropped = self.turns.drop_process(turn.process)
-                log_message("line:turn_unanswered", gateway=turn.gateway, dropped=dropped)
+                log_message("line:gateway_gone", gateway=turn.gateway, dropped=dropped)
             replicas = turn.pool.members(self._table)
             turns = [] if taken else self._give_turns(turn.pool, counts, replicas)
             orders = self._take_orders()
@@ -253,8 +256,8 @@
             self._send_turn(turn)
 
     def _line_length(self, pool: EnginePool) -> int:
-        """Return what gateways are told of the line: below 0 if none is kept."""
-        return -1 if self._send_turn is None else self.turns.length(pool)
+        """Return what gateways are told of the line."""
+        return NO_LINE if self._send_turn is None else self.turns.length(pool)
 
     def _take_told(self, told: Iterable[SlownessTold]) -> None:
         for one in told:
--- a/src/quaymill/process/jobs/room_orders.py
+++ b/src/quaymill/process/jobs/room_orders.py
@@ -67,7 +67,8 @@
     take_turns
         Lets requests of this process go; returns the tickets of those that do.
     turn_answered
-        Hears for each turn that was sent whether it was taken; ``None`` without an answer.
+        Hears for each turn that was sent whether it was taken; ``None`` if its gateway's process
+        is gone.
     """
 
     def __init__(
@@ -125,9 +126,6 @@
 
     def send_turn(self, turn: GivenTurn) -> None:
         """Have a gateway told whose turn it is; ``turn_answered`` hears what came of it."""
-        if turn.process == self._process_name:
-            self._turn_answered(turn, bool(self._take_turns((turn.message,))))
-            return
         with self._changed:
             self._waiting.setdefault(turn.process, _Pending()).turns.append(turn)
             self._call_sender()
@@ -190,7 +188,7 @@
             self._client.call(member.peer, RoomFreed(), RoomFreedNoted, ORDER_TIMEOUT_S)
 
     def _tell_turns(self, member: Member | None, turns: list[GivenTurn]) -> None:
-        taken = None
+        taken: tuple[str, ...] | None = ()
         try:
             taken = None if member is None else self._call_for_turns(member, turns)
         except Exception as error:  # A turn that nobody answers for would keep its slot.
@@ -198,11 +196,16 @@
         for turn in turns:
             self._turn_answered(turn, None if taken is None else turn.ticket in taken)
 
-    def _call_for_turns(self, member: Member, turns: list[GivenTurn]) -> tuple[str, ...] | None:
-        """Tell a gateway of turns; ``None`` if it did not answer."""
-        message = OnlineTurns(tuple(turn.message for turn in turns))
-        reply = self._client.call(member.peer, message, TurnsTaken, TURN_TIMEOUT_S)
-        return reply.tickets if isinstance(reply, TurnsTaken) else None
+    def _call_for_turns(self, member: Member, turns: list[GivenTurn]) -> tuple[str, ...]:
+        """Tell a gateway of turns; return the tickets of the requests that go."""
+        messages = tuple(turn.message for turn in turns)
+        if turns[0].process == self._process_name:
+            return self._take_turns(messages)
+        reply = self._client.call(member.peer, OnlineTurns(messages), TurnsTaken, TURN_TIMEOUT_S)
+        if isinstance(reply, TurnsTaken):
+            return reply.tickets
+        log_message("line:turn_unanswered", gateway=turns[0].gateway, turns=len(turns))
+        return ()
 
     def _answer_turns(self, message: OnlineTurns) -> TurnsTaken:
         return TurnsTaken(self._take_turns(message.turns))
--- a/src/quaymill/process/jobs/turn_giving.py
+++ b/src/quaymill/process/jobs/turn_giving.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 
 import attrs
 
@@ -13,7 +14,7 @@
 from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.jobs.pool_counts import PoolCounts
 from quaymill.process.jobs.waiting_line import Waiter, WaitingLine
-from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.replica import Replica, best_group
 from quaymill.process.replica_set.replica_cost import least_costly
 
 
@@ -76,6 +77,8 @@
         """Take a request out that cannot be served; return when it may come again."""
         line = self._line_by_pool[pool]
         slots = sum(one.slots for one in replicas)
+        if not slots:
+            return None
         retry_after_s = line.retry_after_s(waiter, slots, now)
         if retry_after_s is None:
             return None
@@ -130,6 +133,12 @@
         if taken:
             counts.place_at(turn.gateway, turn.replica.id)
 
+    def depart(self, pool: EnginePool, tickets: Iterable[str]) -> None:
+        """Take out requests that wait no more, by the word of their gateway."""
+        line = self._line_by_pool.get(pool)
+        if line is not None:
+            line.depart(tickets)
+
     def drop_process(self, process: str) -> int:
         """Take out what a gateway holds that does not answer; return how much that was."""
         return sum(line.drop_process(process) for line in self._line_by_pool.values())
@@ -145,6 +154,4 @@
     if sound or not allowed:
         return sound
     others = (one for one in replicas if one.id not in asked.excluded)
-    if any(not one.avoided for one in others):
-        return []
-    return [one for one in allowed if not one.unreachable] or allowed
+    return [] if any(not one.avoided for one in others) else best_group(allowed)
--- a/src/quaymill/process/jobs/waiting_line.py
+++ b/src/quaymill/process/jobs/waiting_line.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import attrs
 
 from quaymill.connection.room_messages import PlaceOnline
@@ -33,8 +35,8 @@
     came_at, aim_at, last_call_at, gone_at
         Monotonic times: when it came, when its first event is late, when its gateway lets it go
         in any case, and when its caller's patience ends.
-    share
-        Its number among the requests of all tenants.
+    start_tag
+        By fair queueing over tenants (``FairShares``): the lowest goes first within a rank.
     """
 
     asked: PlaceOnline
@@ -42,7 +44,7 @@
     aim_at: float
     last_call_at: float
     gone_at: float
-    share: float
+    start_tag: float
 
     @property
     def ticket(self) -> str:
@@ -74,21 +76,21 @@
         """Put a request into the line; one that asks again keeps its number."""
         terms = asked.terms
         before = self._waiter_by_ticket.get(terms.ticket)
-        share = before.share if before else self._shares.number(terms.tenant)
+        tag = before.start_tag if before else self._shares.start_tag(terms.tenant)
         waiter = Waiter(
             asked,
             now - terms.waited_s,
             now + terms.aim_in_s,
             now + terms.last_call_in_s,
             now + terms.left_s,
-            share,
+            tag,
         )
         self._waiter_by_ticket[terms.ticket] = waiter
         return waiter
 
     def pass_by(self, tenant: str | None) -> None:
         """Count a tenant's request that goes without waiting."""
-        self._shares.serve(self._shares.number(tenant))
+        self._shares.serve(self._shares.start_tag(tenant))
 
     def waiters(self) -> tuple[Waiter, ...]:
         """Return who waits, in no order."""
@@ -99,20 +101,30 @@
 
         Their gateways let them go by themselves.
         """
+        self._forget_past(now)
+        return sorted(self._waiter_by_ticket.values(), key=lambda one: _order(one, now))
+
+    def _forget_past(self, now: float) -> None:
         for waiter in self.waiters():
             if waiter.last_call_at < now:
                 self.leave(waiter)
-        return sorted(self._waiter_by_ticket.values(), key=lambda one: _order(one, now))
 
     def serve(self, waiter: Waiter) -> None:
         """Take a request out whose turn has come."""
         self._waiter_by_ticket.pop(waiter.ticket, None)
-        self._shares.serve(waiter.share)
+        self._shares.serve(waiter.start_tag)
 
     def leave(self, waiter: Waiter) -> None:
         """Take a request out that will not be served from here."""
         self._waiter_by_ticket.pop(waiter.ticket, None)
-        self._shares.take_back(waiter.asked.terms.tenant, waiter.share)
+        self._shares.take_back(waiter.asked.terms.tenant)
+
+    def depart(self, tickets: Iterable[str]) -> None:
+        """Take out requests that wait no more."""
+        for ticket in tickets:
+            waiter = self._waiter_by_ticket.get(ticket)
+            if waiter is not None:
+                self.leave(waiter)
 
     def drop_process(self, process: str) -> int:
         """Take out what a gateway holds that does not answer; return how much that was."""
@@ -134,6 +146,7 @@
         It cannot be if its expected wait is ``SURE_FACTOR`` times what its caller waits yet; once
         the excess is over, the line is short enough for a caller that waits as long.
         """
+        self._forget_past(now)
         # The whole line bounds the wait, which mostly spares a look at who is ahead.
         left_s = waiter.gone_at - now
         most_s = len(self) * waiter.asked.terms.service_s / max(1, slots)
@@ -146,4 +159,4 @@
 def _order(waiter: Waiter, now: float) -> tuple[bool, int, float, float]:
     terms = waiter.asked.terms
     needs_s = terms.first_byte_s + TURN_WAY_S
-    return turn_order(waiter.aim_at, terms.rank, waiter.came_at, needs_s, now, waiter.share)
+    return turn_order(waiter.aim_at, terms.rank, waiter.came_at, needs_s, now, waiter.start_tag)
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -77,8 +77,12 @@
         ("gateway: the gateway that was told", "error: the exception"),
     ),
     "line:turn_unanswered": LogEvent(
-        "a gateway did not answer when its request's turn came; its places in line are dropped",
-        ("gateway: the gateway that was told", "dropped: requests of it that waited"),
+        "a gateway did not answer when its requests' turns came; their slots go to the next",
+        ("gateway: the gateway that was told", "turns: how many there were"),
+    ),
+    "line:gateway_gone": LogEvent(
+        "a process of a gateway has ended whose requests waited in line; its places are dropped",
+        ("gateway: where it ran", "dropped: requests of it that waited"),
     ),
     "request:not_placed": LogEvent(
         "the keeper of room did not say in time where a request should go; the gateway chooses",
--- a/src/quaymill/process/membership/zone_reach.py
+++ b/src/quaymill/process/membership/zone_reach.py
@@ -23,6 +23,7 @@
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member, MemberState
 from quaymill.connection.peer_link import PeerMessage
+from quaymill.connection.replica_entry import ReplicaEntry
 
 CHECK_INTERVAL_S = 0.05
 ASK_AFTER_S = 0.03
@@ -100,10 +101,12 @@
     silent_after_s
         Silence from which on a peer that was asked counts as silent.
     """
+    heard_at = evidence.heard_at
+    if not evidence.peers:
+        return _judge_by_replicas(evidence, now)
     needed = max(LEAST_SILENT_PEERS, min(MIN_SILENT_PEERS, evidence.peers))
     if len(evidence.silent(now, silent_after_s)) >= needed:
         return Verdict.UNREACHABLE
-    heard_at = evidence.heard_at
     waiting = (
         (evidence.peers_owe_since, ASK_AFTER_S),
         (evidence.replicas_owe_since, REPLICA_ASK_AFTER_S),
@@ -117,6 +120,16 @@
     return Verdict.ASK if late or asked else Verdict.CALM
 
 
+def _judge_by_replicas(evidence: Evidence, now: float) -> Verdict:
+    """Return what is known of a zone all of whose members are dead: its replicas may live."""
+    silent = [
+        since
+        for since in evidence.replicas_owe_since
+        if since > evidence.heard_at and now - since >= REPLICA_ASK_AFTER_S
+    ]
+    return Verdict.UNREACHABLE if len(silent) >= LEAST_SILENT_PEERS else Verdict.CALM
+
+
 def _is_overdue(since: float, heard_at: float, now: float, patience_s: float) -> bool:
     """Return whether what is owed since then is reason to ask the zone for a word."""
     if since > heard_at:
@@ -148,6 +161,10 @@
 class WatchedReplica(Protocol):
     """What is needed of a replica."""
 
+    @property
+    def entry(self) -> ReplicaEntry:
+        """What it says of itself."""
+
     @property
     def zone(self) -> str:
         """Where it runs."""
@@ -180,9 +197,8 @@
     asked_at: float = -math.inf
 
     def expected(self) -> list[Member]:
-        """Return the members that should answer; all if they are held for dead together."""
-        alive = [member for member in self.members if member.state is not MemberState.DEAD]
-        return alive or list(self.members)
+        """Return the members that should answer: those that are not held for dead."""
+        return [member for member in self.members if member.state is not MemberState.DEAD]
 
     def forget_answered(self) -> None:
         """Forget what was asked before the zone was heard last."""
@@ -206,6 +222,7 @@
         self._own_zone = own_zone
         self._membership = membership
         self._replicas: Callable[[], Iterable[WatchedReplica]] = tuple
+        self._is_reached: Callable[[Endpoint], bool] = lambda endpoint: False
         self._random = random.Random()
         self._lock = threading.Lock()
         self._zones: dict[str, _Zone] = {}
@@ -219,9 +236,20 @@
         self._checked_at = boot_clock.now()
         self._stopping = threading.Event()
 
-    def watch_replicas(self, replicas: Callable[[], Iterable[WatchedReplica]]) -> None:
-        """Look at these replicas too."""
+    def watch_replicas(
+        self,
+        replicas: Callable[[], Iterable[WatchedReplica]],
+        is_reached: Callable[[Endpoint], bool] = lambda endpoint: False,
+    ) -> None:
+        """Look at these replicas too.
+
+        Parameters
+        ----------
+        is_reached
+            Tries a connection; tells whether anything came back, a refusal included.
+        """
         self._replicas = replicas
+        self._is_reached = is_reached
 
     def start(self) -> None:
         """Begin to tell which zones can be reached."""
@@ -327,7 +355,9 @@
         self._members_changed = False
         members = self._membership.members()
         self._members_by_name = {member.name: member for member in members}
-        self._members_by_endpoint = {member.peer: member for member in members}
+        # Where an address is used again, the member that lives there counts.
+        dead_first = sorted(members, key=lambda one: one.state is not MemberState.DEAD)
+        self._members_by_endpoint = {member.peer: member for member in dead_first}
         by_zone: dict[str, list[Member]] = {}
         for member in members:
             if member.zone != self._own_zone:
@@ -364,6 +394,24 @@
         elif now - zone.asked_at >= ASK_UNREACHABLE_S:
             zone.asked_at = now
             self._membership.ask([self._random.choice(zone.members)])
+            if not zone.expected():
+                self._try_replica(name)
+
+    def _try_replica(self, zone: str) -> None:
+        """Try a connection to a replica of a zone whose members are dead, and may stay so."""
+        there = [replica for replica in self._replicas() if replica.zone == zone]
+        if there:
+            replica = self._random.choice(there)
+            arguments = (zone, replica)
+            threading.Thread(target=self._connect, args=arguments, daemon=True).start()
+
+    def _connect(self, zone: str, replica: WatchedReplica) -> None:
+        if not self._is_reached(replica.entry.address):
+            return
+        with self._lock:
+            if zone in self._zones:
+                self._zones[zone].heard_at = boot_clock.now()
+            self._set_reachable(zone, "a connection to a replica")
 
     def _ask_all(self, verdicts: Mapping[str, Verdict], now: float) -> None:
         """Ask the zones of which it is not known whether they are reached.
@@ -419,7 +467,7 @@
             "zone:unreachable",
             lost_zone=name,
             silent=sorted(evidence.silent(now, silent_after_s)),
-            silent_s=round(now - min(evidence.asked_at.values()), 3),
+            silent_s=round(now - min(evidence.asked_at.values(), default=now), 3),
             calls_unanswered=len(evidence.peers_owe_since),
             replicas_silent=len(evidence.replicas_owe_since),
             heard_s_ago=round(min(now - evidence.heard_at, 999.0), 3),
--- a/src/quaymill/process/peer_network.py
+++ b/src/quaymill/process/peer_network.py
@@ -104,9 +104,9 @@
     def result_holders(self) -> tuple[Member, ...]:
         """Return the storage nodes that may be the only ones to hold a result.
 
-        Not those that have been dead for long: others have made up for what they held. Where a
-        zone may be lost, so many that results can be kept on them alone may also be a zone that
-        is cut off, where another coordinator goes on: these still count.
+        Not those that have been dead for long: repair has made their copies elsewhere. Where a zone
+        may be lost there is one exception: if as many are silent as a result needs copies, they
+        may live on beyond a cut and take results there, so that all count.
         """
         known = self.known_storage_nodes()
         recent = self.recent_storage_nodes()
--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -28,7 +28,7 @@
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.forwarded_request import ForwardedRequest
 from quaymill.request.presence import CallerPresence
-from quaymill.request.replica_choice import ChosenReplica, NoTurn
+from quaymill.request.replica_choice import CannotServeInTime, ChosenReplica
 from quaymill.request.turns import EngineState, may_go, turn_order
 from quaymill.version.request_routes import RequestRoute
 
@@ -66,7 +66,7 @@
 
 IN_LINE = InLine.IN_LINE
 
-AskTurn = Callable[[str, ForwardedRequest, LineTerms], Replica | InLine | NoTurn | None]
+AskTurn = Callable[[str, ForwardedRequest, LineTerms], Replica | InLine | CannotServeInTime | None]
 """Asks who keeps room for a place now or in line; ``None`` if it does not answer or has none."""
 
 
@@ -105,6 +105,8 @@
         When it asked the keeper last; monotonic.
     in_line
         Whether it waits in the keeper's line: then it goes by itself at its last call only.
+    lined_up
+        Whether it ever had a place there.
     answer
         What its turn came with.
     """
@@ -117,11 +119,14 @@
     ticket: str = ""
     asked_at: float = 0.0
     in_line: bool = False
-    answer: ChosenReplica | NoTurn | None = None
+    lined_up: bool = False
+    answer: ChosenReplica | CannotServeInTime | None = None
     decided_by: DecidedBy = DecidedBy.NOBODY
     released: threading.Event = attrs.field(factory=threading.Event)
 
-    def release(self, decided_by: DecidedBy, answer: ChosenReplica | NoTurn | None = None) -> None:
+    def release(
+        self, decided_by: DecidedBy, answer: ChosenReplica | CannotServeInTime | None = None
+    ) -> None:
         """Let it go; the queue's lock is held."""
         self.decided_by = decided_by
         self.answer = answer
@@ -156,6 +161,8 @@
         Of this start of the gateway.
     give_back
         Hears of a place that was given and is not used.
+    depart
+        Hears of a request, by its service and ticket, that waits in the keeper's line no more.
     """
 
     def __init__(
@@ -164,11 +171,13 @@
         ask: AskTurn = _no_line,
         process_name: str = "",
         give_back: Callable[[ChosenReplica], None] = lambda replica: None,
+        depart: Callable[[str, str], None] = lambda service, ticket: None,
     ) -> None:
         self._table = table
         self._ask = ask
         self._process_name = process_name
         self._give_back = give_back
+        self._depart = depart
         self._tickets = itertools.count()
         self._held_by_ticket: dict[str, _Held] = {}
         self._lock = threading.Lock()
@@ -186,7 +195,7 @@
         route: RequestRoute,
         request: ForwardedRequest,
         presence: CallerPresence,
-    ) -> ChosenReplica | NoTurn | None:
+    ) -> ChosenReplica | CannotServeInTime | None:
         """Return when a request may go to a replica, or its caller has left.
 
         Returns the replica that it got from the keeper's line, if it waited there.
@@ -216,6 +225,8 @@
                 del self._held_by_ticket[held.ticket]
                 if held in queue.held:
                     queue.held.remove(held)
+            if held.lined_up and held.decided_by is not DecidedBy.LINE:
+                self._depart(service, held.ticket)
         held_s = boot_clock.now() - now
         if held_s >= TOLD_HELD_S:
             log_message(
@@ -261,12 +272,12 @@
             was_released = held.released.is_set()
             if not was_released:
                 held.release(DecidedBy.LINE, answer)
-        if was_released and not isinstance(answer, NoTurn):
+        if was_released and not isinstance(answer, CannotServeInTime):
             self._give_back(answer)
 
     def _ask_line(
         self, service: str, queue: _ServiceQueue, held: _Held, request: ForwardedRequest
-    ) -> ChosenReplica | NoTurn | None:
+    ) -> ChosenReplica | CannotServeInTime | None:
         """Ask the keeper; ``None`` if the request waits, in its line or else here."""
         now = boot_clock.now()
         with self._lock:
@@ -288,6 +299,7 @@
         answer = self._ask(service, request, terms)
         with self._lock:
             held.in_line = answer is IN_LINE
+            held.lined_up = held.lined_up or held.in_line
         return None if answer is IN_LINE else answer
 
     def take_turn(self, ticket: str, replica_id: str) -> bool:
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -4,7 +4,7 @@
 
 import math
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import xxhash
@@ -365,6 +365,13 @@
         return self._penalty * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
 
 
+def best_group(replicas: Iterable[Replica]) -> list[Replica]:
+    """Return the sound ones; if there are none, those in zones that are reached; else all."""
+    every = list(replicas)
+    sound = [one for one in every if not one.avoided]
+    return sound or [one for one in every if not one.unreachable] or every
+
+
 def online_load(online: int, batch: int) -> float:
     """Return how many requests a replica's work counts as for an online request."""
     return online + BATCH_ITEM_LOAD * batch
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -16,7 +16,7 @@
 import xxhash
 
 from quaymill import boot_clock
-from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.replica import Replica, best_group
 from quaymill.process.replica_set.replica_cost import least_costly
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.prompt import NO_PROMPT, Prompt
@@ -113,7 +113,7 @@
             return NoReplica(service, "no replica of the service is listed and untried")
         sound = [replica for replica in candidates if not replica.avoided]
         if not sound:
-            reached = [one for one in candidates if not one.unreachable] or candidates
+            reached = best_group(candidates)
             return self._least_costly(reached, self._offsets(reached, prompt))
         first, wishes = self._first_choice(candidates, sound, prompt, frozenset(excluded))
         return self._place(first, wishes) or first
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -39,10 +39,10 @@
 from quaymill.request.poison import NoGuard, PoisonGuard
 from quaymill.request.presence import CallerPresence
 from quaymill.request.replica_choice import (
+    CannotServeInTime,
     ChosenReplica,
     NoObserver,
     NoReplica,
-    NoTurn,
     NoTurns,
     ReplicaChooser,
     RequestObserver,
@@ -169,7 +169,7 @@
         if (ended := self._reason_to_end()) is not None:
             return ended
         turn = self._turns.wait_turn(self._service, self._route, self._request, self._presence)
-        if isinstance(turn, NoTurn):
+        if isinstance(turn, CannotServeInTime):
             return self._given_up(turn.reason, retry_after_s=turn.retry_after_s)
         if turn is not None and (ended := self._reason_to_end()) is not None:
             self._turns.give_back(turn)
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -23,8 +23,8 @@
 
 
 @attrs.frozen
-class NoTurn:
-    """The request cannot be served before its caller's patience ends.
+class CannotServeInTime:
+    """The request is refused: by the line before it, it cannot be served in its caller's time.
 
     Attributes
     ----------
@@ -142,7 +142,7 @@
         route: RequestRoute,
         request: ForwardedRequest,
         presence: CallerPresence,
-    ) -> ChosenReplica | NoTurn | None:
+    ) -> ChosenReplica | CannotServeInTime | None:
         """Return when a request may go, or its caller has left.
 
         Returns the replica that it was given a slot of, if its turn came with one: it is counted
--- a/src/quaymill/request/turns.py
+++ b/src/quaymill/request/turns.py
@@ -60,17 +60,17 @@
     came_at: float,
     first_byte_s: float,
     now: float,
-    share: float = 0.0,
+    start_tag: float = 0.0,
 ) -> tuple[bool, int, float, float]:
-    """Return the place of a waiting request: what can be in time, by rank, the oldest first.
+    """Return the sort key of a waiting request: what can be in time, by rank, tag and age.
 
     Parameters
     ----------
-    share
-        Its number among all tenants' requests (``FairShares``), which goes before its age.
+    start_tag
+        By fair queueing over tenants (``FairShares``); 0 where there are none.
     """
     is_late = aim_at - first_byte_s <= now
-    return is_late, rank, share, came_at
+    return is_late, rank, start_tag, came_at
 
 
 def _between_ends_s(engine: EngineState) -> float:
--- a/tests/test_zone_reach.py
+++ b/tests/test_zone_reach.py
@@ -9,11 +9,12 @@
 from unittest import mock
 
 import attrs
+import msgspec
 from nose2.tools import params
 
 from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
-from quaymill.connection.member import Member
+from quaymill.connection.member import Member, MemberState
 from quaymill.connection.peer_link import PeerNoReply, PeerRefusal, PeerUnreachable
 from quaymill.process.limits.fleet import GatewayFleet
 from quaymill.process.membership.zone_reach import (
@@ -27,6 +28,7 @@
     judge,
 )
 from quaymill.process.peer_network import PeerNetwork
+from standin_support import wait_until
 
 NOW = 1000.0
 QUIET = -math.inf
@@ -96,6 +98,7 @@
     zone: str
     heard_at: float = QUIET
     owes_since: float | None = None
+    entry: object = attrs.field(factory=mock.Mock)
 
 
 class Play:
@@ -378,6 +381,27 @@
         self.assertEqual(0, play.reach.unreachable_zones)
         self.assertFalse(play.reach.is_unreachable(CUT))
 
+    def test_a_zone_whose_nodes_are_dead_is_reached_by_its_replicas(self) -> None:
+        """An upgrade may stop all nodes of a small zone; its replicas go on."""
+        play = self.play()
+        there = {one.name for one in play.of_zone(CUT)}
+        play.down = there
+        play._known = [
+            msgspec.structs.replace(one, state=MemberState.DEAD) if one.name in there else one
+            for one in play._known
+        ]
+        play.reach._note_members_changed()
+        play.call(play.of_zone(OTHER)[0])
+        play.run(1.0)
+        self.assertFalse(play.reach.is_unreachable(CUT))
+        play.replicas = [FakeReplica(CUT, owes_since=play.now) for _ in range(3)]
+        play.run(0.5)
+        self.assertTrue(play.reach.is_unreachable(CUT))
+        play.replicas = [FakeReplica(CUT)]
+        play.reach._is_reached = lambda endpoint: True
+        play.run(0.5)
+        wait_until(lambda: not play.reach.is_unreachable(CUT), "a replica takes a connection")
+
     def test_own_zone_is_cut_off_where_more_is_lost_than_may_be(self) -> None:
         rows = (({CUT}, {OWN: True, CUT: True}), ({CUT, OTHER}, {OWN: True, CUT: False}))
         for cut_zones, expected in rows:
