--- a/src/quaymill/platform/gateway_role.py
+++ b/src/quaymill/platform/gateway_role.py
@@ -32,8 +32,7 @@
     """Return a gateway's parts, not started yet."""
     store = PlatformObjectStore(settings.store_endpoint)
     metrics = Endpoint(settings.address, METRICS_PORT)
-    contracts = {name.strip() for name in settings.contracts.split(",")}
-    features = GatewayFeatures(callers_may_read_slowly=names.PRESSURE in contracts)
+    features = GatewayFeatures(names.PRESSURE in settings.contract_names)
     return GatewayNode(
         settings, store, GATEWAY_PROTOCOL, metrics, lambda: store.calls, context, features
     )
--- a/src/quaymill/process/serving_settings.py
+++ b/src/quaymill/process/serving_settings.py
@@ -142,6 +142,11 @@
     bounds: Bounds = Bounds()
     store_writes_per_s: float = 400.0
 
+    @property
+    def contract_names(self) -> frozenset[str]:
+        """The parts of the platform's rules in force."""
+        return frozenset(name.strip() for name in self.contracts.split(","))
+
     @property
     def peer_port(self) -> int:
         """TCP and UDP port for peers."""
