An end of a job is acknowledged only where it holds in as many zones as the copies need

Since calls to a lost zone fail at once, its own disks are found within the call's time; before, such ends mostly were not kept. Change: too few zones are no acknowledgement (503, the caller asks again); copies of jobs and results stay as they were.

--- a/src/quaymill/process/jobs/storage_client.py
+++ b/src/quaymill/process/jobs/storage_client.py
@@ -176,7 +176,10 @@
             job_id, EndJob(job_id), JobEnded, END_TIMEOUT_S, at_once=self._rules.kept
         )
         coordinators = frozenset(reply.coordinator for _, reply in outcome.replies)
-        return self._is_kept(outcome), coordinators - {""}
+        # Beyond a cut a coordinator goes on: an end that only this side knows is none yet.
+        zones_needed = self._rules.zones_needed(self._known_storage_nodes())
+        is_known = len(outcome.zones) >= zones_needed or self._rules.zones == 1
+        return self._is_kept(outcome) and is_known, coordinators - {""}
 
     def fetch_results(self, job_id: str, keys: Iterable[ResultKey]) -> dict[ResultKey, JobResult]:
         """Return contents of results, as many as can be found."""
