Room keeper: one way to count a placed request, one test for the own keeper

PoolCounts.place only wrapped place_at, and the test whether this process's own keeper is meant stood three times in online_notices. Behaviour is unchanged.

--- a/src/quaymill/process/jobs/online_notices.py
+++ b/src/quaymill/process/jobs/online_notices.py
@@ -235,6 +235,10 @@
     def _name_of(self, member: Member | None) -> str:
         return self._own_name if member is None else member.name
 
+    def _is_own(self, keeper: Member | None) -> bool:
+        """Return whether this process's own keeper is meant: no other is known, or it is chosen."""
+        return keeper is None or keeper.name == self._own_name
+
     def _call_to_place(
         self,
         member: Member | None,
@@ -256,7 +260,7 @@
             terms,
             self._take_departed(pool.service),
         )
-        if member is None or member.name == self._own_name:
+        if self._is_own(member):
             reply = self._keeper.place_online(message)
         else:
             reply = self._client.call(member.peer, message, OnlinePlaced, PLACE_TIMEOUT_S)
@@ -325,7 +329,7 @@
                 if (replica := self._table.get(name)) is None or pool.holds(replica)
             ]
         keeper = self._keepers.keeper_of(pool.service, pool.index)
-        if keeper is None or keeper.name == self._own_name:
+        if self._is_own(keeper):
             return ()  # This process's keeper knows already.
         return tuple(
             SlownessTold(name, reading.slowness, round(now - reading.at, 3))
@@ -405,7 +409,7 @@
 
     def _call_keeper(self, message: OnlineInFlight) -> PoolLoads | None:
         member = self._keepers.keeper_of(message.service, message.pool)
-        if member is None or member.name == self._own_name:
+        if self._is_own(member):
             reply = self._keeper.note_online(message)
         else:
             reply = self._client.call(member.peer, message, PoolLoads, NOTICE_TIMEOUT_S)
--- a/src/quaymill/process/jobs/pool_counts.py
+++ b/src/quaymill/process/jobs/pool_counts.py
@@ -91,7 +91,7 @@
     online, batch
         Requests by replica, turns that have been given and not been answered included.
     promised
-        How many of those there are.
+        Turns that have been given and not been answered yet.
     claims
         What each coordinator said last, by its name.
     """
@@ -119,10 +119,6 @@
         self._online_by_gateway[gateway] = OnlineCounts(counts, now)
         self.online.update(counts)
 
-    def place(self, gateway: str, replica: Replica) -> None:
-        """Count one more online request of a gateway that has just given its word."""
-        self.place_at(gateway, replica.id)
-
     def place_at(self, gateway: str, replica_id: str) -> None:
         """Count one more online request, unless the gateway has given no word of late."""
         known = self._online_by_gateway.get(gateway)
--- a/src/quaymill/process/jobs/room_keeper.py
+++ b/src/quaymill/process/jobs/room_keeper.py
@@ -193,7 +193,7 @@
         replicas: list[Replica],
         message: PlaceOnline,
     ) -> OnlinePlaced:
-        counts.place(message.gateway, chosen)
+        counts.place_at(message.gateway, chosen.id)
         self._share_out_excess(counts, [chosen])
         return OnlinePlaced(chosen.id, counts.loads(replicas), self._line_length(pool))
 
