Add settings and names for zone evacuation, cold replicas and regions

The settings, service properties and the object kind they need come first, so that the parts can be built side by side; nothing reads them yet.

--- a/src/quaymill/connection/object_store.py
+++ b/src/quaymill/connection/object_store.py
@@ -23,6 +23,7 @@
     JOB_LISTINGS = enum.auto()
     QUOTA_LEDGERS = enum.auto()
     BARRED_REQUESTS = enum.auto()
+    EVACUATIONS = enum.auto()
 
 
 @attrs.frozen
--- a/src/quaymill/platform/configuration.py
+++ b/src/quaymill/platform/configuration.py
@@ -64,6 +64,8 @@
     health_path: str = ""
     max_conns: int = 0
     engine: _Engine | None = None
+    cold_start_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cold_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _Tenant(msgspec.Struct):
@@ -177,6 +179,8 @@
         health_path=service.health_path,
         max_connections=service.max_conns,
         engine=engine and EngineProperties(engine.slots, engine.kv_capacity_tokens),
+        warm_up_s=service.cold_start_s,
+        cold_requests_per_s=service.cold_per_s,
     )
 
 
--- a/src/quaymill/platform/names.py
+++ b/src/quaymill/platform/names.py
@@ -34,6 +34,7 @@
     ObjectKind.JOB_LISTINGS: "quaymill-job-listings",
     ObjectKind.QUOTA_LEDGERS: "quaymill-quota-ledgers",
     ObjectKind.BARRED_REQUESTS: "quaymill-barred-requests",
+    ObjectKind.EVACUATIONS: "evacuations",
 }
 
 ROUTE_KINDS = {
--- a/src/quaymill/platform/store_pages.py
+++ b/src/quaymill/platform/store_pages.py
@@ -17,10 +17,9 @@
 import attrs
 import msgspec
 
+from quaymill.connection.json_arrays import array_start, matching_end, next_entry
 from quaymill.connection.object_store import ObjectChange, StoredObject, UnreadableObject
 
-_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]', re.DOTALL)
-"""A string or a bracket: the tokens that determine where an entry ends."""
 _ENTRY_START = re.compile(rb'\{\s*"(?:metadata|object|gone)"\s*:')
 """The text with which the store begins an object or a watch event."""
 _PAGE_END = re.compile(rb'\]\s*(?:,\s*"(?:more|at)"\s*:\s*[a-z0-9]+\s*)*\}\s*$')
@@ -176,13 +175,13 @@
 
 def _split_by_brackets(body: bytes, key: bytes, reason: str) -> _SplitPage | MalformedPage:
     """Split a page that is not valid JSON because of one or more invalid entries."""
-    begin = _array_start(body, key)
+    begin = array_start(body, key)
     if begin is None:
         return MalformedPage(reason)
     entries = []
     at = begin
-    while (start := _next_entry(body, at)) is not None:
-        end = _matching_end(body, start)
+    while (start := next_entry(body, at)) is not None:
+        end = matching_end(body, start)
         if end is None or not _AFTER_ENTRY.match(body, end):
             # The brackets do not match: the entry ends where the next one or the page end begins.
             following = _ENTRY_START.search(body, start + 1) or _PAGE_END.search(body, start)
@@ -196,46 +195,3 @@
         return MalformedPage(f"the page has no end: {reason}")
     more = bool(_MORE.search(body, at) or _MORE.search(body, 0, begin))
     return _SplitPage(tuple(entries), more, int(revision.group(1)))
-
-
-def _array_start(body: bytes, key: bytes) -> int | None:
-    """Return the offset of the first entry in the array under ``key``; ``None`` if missing."""
-    depth = 0
-    key_seen = False
-    for token in _TOKEN.finditer(body):
-        text = token.group()
-        if text in (b"{", b"["):
-            if key_seen and text == b"[":
-                return token.end()
-            depth += 1
-        elif text in (b"}", b"]"):
-            depth -= 1
-        else:
-            key_seen = depth == 1 and text == key
-    return None
-
-
-def _next_entry(body: bytes, at: int) -> int | None:
-    """Return the offset of the array's next entry; ``None`` at the end of the array."""
-    for token in _TOKEN.finditer(body, at):
-        if token.group() in (b"{", b"["):
-            return token.start()
-        if token.group() == b"]":
-            return None
-    return None
-
-
-def _matching_end(body: bytes, start: int) -> int | None:
-    """Return the end of the entry that begins at ``start``; ``None`` if brackets do not match."""
-    open_brackets = bytearray()
-    closing = {ord("{"): ord("}"), ord("["): ord("]")}
-    for token in _TOKEN.finditer(body, start):
-        bracket = token.group()[0]
-        if bracket in closing:
-            open_brackets.append(closing[bracket])
-        elif bracket in (ord("}"), ord("]")):
-            if open_brackets.pop() != bracket:
-                return None
-            if not open_brackets:
-                return token.end()
-    return None
--- a/src/quaymill/process/serving_settings.py
+++ b/src/quaymill/process/serving_settings.py
@@ -21,7 +21,7 @@
 """Share of the time limit for applying a change that may pass until the change is read."""
 
 
-MAY_BE_ZERO = frozenset({"quota_overrun_requests"})
+MAY_BE_ZERO = frozenset({"quota_overrun_requests", "evacuation_ms", "cold_rate_slack"})
 """Bounds that may be 0; times and shares must be positive."""
 
 
@@ -71,8 +71,14 @@
         How long a process must run without disturbance until the other bounds hold for it.
     configuration_ms
         Time within which an accepted configuration must be in force.
+    cold_rate_factor, cold_rate_slack
+        Factor by which, and requests per second by which, the requests of all gateways to a cold
+        replica may exceed the rate that its service declares.
     drain_ms
         Time after which a draining replica must receive no new requests.
+    evacuation_ms
+        Time after which the replicas of an evacuated zone must receive no new requests; 0 if the
+        deployment has no evacuations, which are not read then.
     grace_s
         Time between the stop signal and the end of the process.
     job_retention_s
@@ -90,8 +96,11 @@
     """
 
     contact_ms: float = 3000.0
+    cold_rate_factor: float = 1.0
+    cold_rate_slack: float = 0.0
     configuration_ms: float = 2000.0
     drain_ms: float = 2000.0
+    evacuation_ms: float = 0.0
     grace_s: float = 8.0
     job_retention_s: float = 120.0
     leave_s: float = 2.6
@@ -124,6 +133,8 @@
     contracts
         Names of the platform's contracts in force, separated by commas; used by the adapter
         only.
+    zone_regions
+        Region of each zone of the deployment, by zone; may be empty.
     """
 
     name: str
@@ -141,6 +152,7 @@
     machine: Machine = Machine()
     bounds: Bounds = Bounds()
     store_writes_per_s: float = 400.0
+    zone_regions: dict[str, str] = {}
 
     @property
     def contract_names(self) -> frozenset[str]:
--- a/src/quaymill/version/request_routes.py
+++ b/src/quaymill/version/request_routes.py
@@ -93,12 +93,22 @@
 
 @attrs.frozen
 class ServiceProperties:
-    """Properties of a service's replicas; ``engine`` is ``None`` for applications."""
+    """Properties of a service's replicas; ``engine`` is ``None`` for applications.
+
+    Attributes
+    ----------
+    warm_up_s
+        Time for which a replica is cold after its start, in seconds.
+    cold_requests_per_s
+        Requests per second that a cold replica can serve; 0 if the service declares no limit.
+    """
 
     name: str
     health_path: str = ""
     max_connections: int = 0
     engine: EngineProperties | None = None
+    warm_up_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 @attrs.frozen
