Do not run a job again that was ended while a zone was cut off

A storage node in a zone that was cut off during the end still held the job as open. After the cut it assigned the job to a gateway, since the other nodes reported no lease; that they knew of the end was not part of their answer, and the comparison of jobs came later.

The answer to FetchLeases now says which jobs have ended, and the asking node marks these instead of assigning them. In case it reaches none of them, an adopting gateway starts no item before its first renewal, which tells it of the end.

--- a/src/quaymill/connection/job_storage_messages.py
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -447,6 +447,15 @@
 
 
 class Leases(PeerMessage, frozen=True):
-    """Remaining time of each lease in seconds, in the requested order; 0 without a lease."""
+    """State of the requested jobs at a storage node, in the requested order.
+
+    Attributes
+    ----------
+    left_s
+        Remaining time of each lease in seconds; 0 without a lease.
+    ended
+        Whether each job is known to have been ended by a client; empty from older builds.
+    """
 
     left_s: tuple[float, ...]
+    ended: tuple[bool, ...] = ()
--- a/src/quaymill/process/job_storage/orphans.py
+++ b/src/quaymill/process/job_storage/orphans.py
@@ -1,12 +1,13 @@
 """Finds orphaned jobs, which no coordinator runs, and assigns each to a gateway.
 
 Only the storage node that ranks first for a job does so, and only if no other storage node has a
-valid lease for it. A lease is ignored if the process that holds it is known to have ended because
-its node runs another process now.
+valid lease for it or knows that a client has ended it. A lease is ignored if the process that holds
+it is known to have ended because its node runs another process now.
 """
 
 from __future__ import annotations
 
+import itertools
 import threading
 from collections.abc import Callable
 
@@ -134,20 +135,34 @@
         if not orphans:
             return []
         job_ids = tuple(record.id for record in orphans)
-        ended = tuple(self._holder(record) if self._has_ended(record) else "" for record in orphans)
-        others: set[str] = set()
+        ended_holders = tuple(
+            self._holder(record) if self._has_ended(record) else "" for record in orphans
+        )
+        leased_elsewhere: set[str] = set()
+        ended_elsewhere: set[str] = set()
         for member in self._storage_nodes():
             if member.name == self._name:
                 continue
             reply = self._peer_client.call(
-                member.peer, FetchLeases(job_ids, ended), LeasesMessage, LEASE_QUERY_TIMEOUT_S
+                member.peer,
+                FetchLeases(job_ids, ended_holders),
+                LeasesMessage,
+                LEASE_QUERY_TIMEOUT_S,
             )
             if isinstance(reply, LeasesMessage):
                 for job_id, left_s in zip(job_ids, reply.left_s, strict=True):
                     if left_s > 0:
-                        others.add(job_id)
+                        leased_elsewhere.add(job_id)
                         self._leases.extend(job_id, min(left_s, LEASE_S))
-        return [record for record in orphans if record.id not in others]
+                ended_elsewhere |= set(itertools.compress(job_ids, reply.ended))
+        self._mark_as_ended(ended_elsewhere)
+        return [record for record in orphans if record.id not in leased_elsewhere | ended_elsewhere]
+
+    def _mark_as_ended(self, job_ids: set[str]) -> None:
+        """Mark jobs that ended while this node was cut off; repair may learn of it too late."""
+        for job_id in job_ids:
+            self._database.end_job(job_id)
+            log_message("job:ended_elsewhere", job=job_id)
 
     def _assign(self, record: JobRecord) -> None:
         job = self._database.job(record.id)
--- a/src/quaymill/process/job_storage/service.py
+++ b/src/quaymill/process/job_storage/service.py
@@ -195,7 +195,14 @@
 
     def _fetch_leases(self, message: FetchLeases) -> Leases:
         asked = zip(message.job_ids, message.ended_holders, strict=True)
-        return Leases(tuple(self._leases.left_s(job_id, ended) for job_id, ended in asked))
+        return Leases(
+            tuple(self._leases.left_s(job_id, ended) for job_id, ended in asked),
+            tuple(self._has_ended(job_id) for job_id in message.job_ids),
+        )
+
+    def _has_ended(self, job_id: str) -> bool:
+        record = self._database.by_id.get(job_id)
+        return record is not None and record.ended
 
 
 class Retention:
--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -117,6 +117,9 @@
         Whether this process stopped before the job was complete.
     yielded
         Whether another coordinator took the job over.
+    awaits_renewal
+        Whether no item is started yet, because the storage nodes may know that a client has ended
+        the job.
 
     Parameters
     ----------
@@ -143,6 +146,7 @@
         self.ended = False
         self.abandoned = False
         self.yielded = False
+        self.awaits_renewal = False
         # Even for a new job, another gateway that accepted it too may have listed results.
         self._listing_confirmed_at = -math.inf
         self._listing_valid_s = listing_valid_s
@@ -199,7 +203,7 @@
 
     def waiting(self) -> list[CoordinatedItem]:
         """Return the items that may be started now."""
-        if self.stopped:
+        if self.stopped or self.awaits_renewal:
             return []
         now = boot_clock.now()
         return [
--- a/src/quaymill/process/jobs/coordinator.py
+++ b/src/quaymill/process/jobs/coordinator.py
@@ -111,6 +111,8 @@
         progress: Iterable[ItemProgress] = (),
         unlisted: Iterable[KeyedResult] = (),
         listing: Listing | None = None,
+        *,
+        await_renewal: bool = False,
     ) -> bool:
         """Coordinate a job that another gateway ran before; return whether it is adopted.
 
@@ -123,6 +125,9 @@
         listing
             The listing as the previous coordinator knew it. Its items are not run again, even
             if the store cannot be read now.
+        await_renewal
+            Start no item before the first renewal, which tells whether a client has ended the
+            job. A storage node that was cut off at that time may have assigned it nevertheless.
         """
         if self._stopping.is_set():
             return False
@@ -133,7 +138,14 @@
             items=len(job.document.items),
             events=sum(len(item_progress.texts) for item_progress in progress),
         )
-        self._begin(job, adopted=True, progress=progress, unlisted=unlisted, listing=listing)
+        self._begin(
+            job,
+            adopted=True,
+            progress=progress,
+            unlisted=unlisted,
+            listing=listing,
+            await_renewal=await_renewal,
+        )
         return True
 
     def end(self, job_id: str) -> bool:
@@ -166,6 +178,7 @@
         progress: Iterable[ItemProgress] = (),
         unlisted: Iterable[KeyedResult] = (),
         listing: Listing | None = None,
+        await_renewal: bool = False,
     ) -> None:
         with self._lock:
             known = self._jobs_by_id.get(job.id)
@@ -176,6 +189,7 @@
             )
             for item_progress in progress:
                 coordinated.items[item_progress.index].resume_from(item_progress)
+            coordinated.awaits_renewal = await_renewal
             coordinated.add_finished(unlisted)
             if listing is not None:
                 # It may have grown since, so it is not confirmed as the newest.
@@ -214,6 +228,7 @@
             outcome = self._leases.renew(RenewJobs(self.name, open_jobs, complete, orders=listings))
             for job_id in outcome.ended:
                 self.end(job_id)
+            self._start_renewed(jobs)
             self._confirm(outcome.confirmed, began)
             # A result may be unlisted in one renewal because this process is just appending it,
             # but in two successive renewals another coordinator has probably listed it.
@@ -223,6 +238,14 @@
                     self._publisher.yield_if_taken_over(job)
             unlisted_before = outcome.unlisted
 
+    def _start_renewed(self, jobs: Iterable[CoordinatedJob]) -> None:
+        """Let items of adopted jobs start, also if no storage node answered the renewal."""
+        awaiting = [job for job in jobs if job.awaits_renewal]
+        for job in awaiting:
+            job.awaits_renewal = False
+        if awaiting:
+            self._dispatcher.wake()
+
     def _confirm(self, job_ids: Iterable[str], at: float) -> None:
         for job_id in job_ids:
             job = self.get(job_id)
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -228,7 +228,8 @@
         return JobSubmitted(outcome.accepted, outcome.reason, outcome.may_run)
 
     def _answer_adopt(self, message: AdoptJob) -> JobAdopted | PeerRefusal:
-        return self._adoption_reply(self._coordinator.adopt(message.job, message.progress))
+        adopted = self._coordinator.adopt(message.job, message.progress, await_renewal=True)
+        return self._adoption_reply(adopted)
 
     def _answer_hand_over(self, message: HandOverJob) -> JobAdopted | PeerRefusal:
         listing = read_shared_listing(message.order)
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -334,6 +334,9 @@
         ("source: the other node", "error"),
     ),
     "job:copied": LogEvent("a job was copied to this node", (JOB, "source: from which node")),
+    "job:ended_elsewhere": LogEvent(
+        "another storage node knows that a client ended this job, which is not assigned", (JOB,)
+    ),
     "job:forgotten": LogEvent("a job was removed after its retention time", (JOB,)),
     "quota:decided": LogEvent(
         "a new job was counted against its route's quota, or refused",
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -16,6 +16,7 @@
 from nose2.tools import params
 
 from fleet_rig import FleetRig, wait_until
+from quaymill.connection.job_storage_messages import AdoptJob, JobAdopted
 from quaymill.connection.object_store import StoreRefused
 from quaymill.process.control.state import MISSING_KEPT_S, OUTAGE_S
 from quaymill.process.jobs.listing import Listing
@@ -531,6 +532,24 @@
         self.assertEqual(results[2:], page["results"])
 
 
+class EndedElsewhereTest(FaultCase):
+    """A storage node that was cut off while a job was ended assigns the job to a gateway."""
+
+    def test_adopting_gateway_learns_of_the_end_before_it_runs_an_item(self) -> None:
+        self.slow_engines(0.05)
+        self.rig.submit("gateway-0", "job", 12)
+        job = wait_until(lambda: self.rig.storage["storage-0"]._database.job("job"), "it")
+        status = self.rig.call("gateway-0", "DELETE", "/v1/lots/job").status
+        self.assertEqual(200, status)
+        engines = self.rig.of_service("engine")
+        wait_until(lambda: not any(one.running for one in engines), "the runs have ended")
+        runs = sum(len(one.runs) for one in engines)
+        adopting = self.rig.gateways["gateway-1"]
+        self.assertIsInstance(adopting.jobs._answer_adopt(AdoptJob(job)), JobAdopted)
+        wait_until(lambda: adopting.coordinator.get("job").ended, "it knows of the end")
+        self.assertEqual(runs, sum(len(one.runs) for one in engines))
+
+
 class ListingTest(unittest.TestCase):
     """Two coordinators of one job: nothing is listed twice, nothing moves."""
 
--- a/tests/test_job_progress.py
+++ b/tests/test_job_progress.py
@@ -178,6 +178,7 @@
 
     def __init__(self) -> None:
         self.lease_left_s = 0.0
+        self.ended = False
         self.lease_queries: list[FetchLeases] = []
         self.adopted: list[AdoptJob] = []
 
@@ -186,7 +187,10 @@
             self.adopted.append(message)
             return JobAdopted("g#2")
         self.lease_queries.append(message)
-        return Leases(tuple(self.lease_left_s for _ in message.job_ids))
+        return Leases(
+            tuple(self.lease_left_s for _ in message.job_ids),
+            tuple(self.ended for _ in message.job_ids),
+        )
 
 
 class AdoptionTest(DatabaseCase):
@@ -257,6 +261,13 @@
         self.adopted_after(0.1)
         self.assertFalse(self.adopted_after(REPLACED_FOR_S + 0.05))
 
+    def test_job_that_ended_elsewhere_is_not_adopted(self) -> None:
+        """A node that was cut off while a client ended the job must not have it run again."""
+        self.peers.ended = True
+        self.assertFalse(self.adopted_after(LEASE_S + 0.1))
+        self.assertTrue(self.database.by_id[JOB].ended)
+        self.assertTrue(self.open().by_id[JOB].ended)
+
     def test_coordinator_is_read_from_disk_after_a_restart(self) -> None:
         self.leases.forget(JOB)
         self.replaced_processes.add("g#1")
