Add the set of evacuated zones to the control plane view

Operators want to stop new requests to the replicas of a zone. The set of evacuated zones is read from the store by the gateway whose turn it is, only where bounds.evacuation_ms is set; its revision is the third number in the header of membership datagrams, and peers that are behind pull the set. A gateway that does not know the set yet is not ready. A confirmation without the number, as from an older build, does not confirm the view where evacuations are enabled. Nothing is enforced yet.

--- a/src/quaymill/connection/control_messages.py
+++ b/src/quaymill/connection/control_messages.py
@@ -1,4 +1,4 @@
-"""Messages by which gateways send each other the configuration and the list of replicas."""
+"""Messages by which gateways send each other configuration, replicas and evacuated zones."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class PullControl(PeerMessage, frozen=True):
-    """Request the configuration and the list of replicas if they are newer than the sender's.
+    """Request the configuration and the lists that are newer than the sender's.
 
     Attributes
     ----------
@@ -18,10 +18,13 @@
         Version of the sender's active configuration.
     replicas_revision
         Revision up to which the sender's list of replicas is current.
+    evacuations_revision
+        Revision of the sender's set of evacuated zones; 0 if it has none.
     """
 
     configuration_version: int
     replicas_revision: int
+    evacuations_revision: int = 0
 
 
 class ReplicaRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -46,8 +49,12 @@
         The operator's document as stored by the platform; ``None`` if it is not newer.
     replicas
         All listed replicas; ``None`` if the list is not newer.
+    evacuated_zones
+        All evacuated zones; ``None`` if the set is not newer.
     """
 
     configuration: Any | None = None
     replicas: tuple[ReplicaRecord, ...] | None = None
     replicas_revision: int = 0
+    evacuated_zones: tuple[str, ...] | None = None
+    evacuations_revision: int = 0
--- a/src/quaymill/connection/member.py
+++ b/src/quaymill/connection/member.py
@@ -45,6 +45,8 @@
         Random id of the running process, which changes at each restart.
     cores
         Number of processor cores that the node may use; 0 if unknown.
+    evacuations_revision
+        Revision of the set of evacuated zones that the node holds; 0 if none.
     """
 
     name: str
@@ -60,6 +62,7 @@
     draining: bool = False
     process_id: str = ""
     cores: float = 0.0
+    evacuations_revision: int = 0
 
 
 class MachineRole(enum.StrEnum):
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -1,8 +1,10 @@
-"""The configuration in force and the list of replicas, from the platform's store or from peers.
+"""Configuration, list of replicas and evacuated zones, from the platform's store or from peers.
 
 A configuration is applied as a whole and only if its version is higher than the one in force, so
 the version never decreases while the process runs, whatever the source. Membership datagrams
 publish the versions that this gateway has; a gateway that is behind pulls from one that is ahead.
+The versions are compared individually: the lists are read by separate calls, so a newer list of one
+kind may arrive with an older list of another.
 """
 
 from __future__ import annotations
@@ -13,6 +15,7 @@
 from typing import Any
 
 import attrs
+import msgspec
 import xxhash
 from eliot import log_message
 
@@ -21,17 +24,21 @@
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member, MemberState
 from quaymill.connection.object_store import (
+    CallRejected,
     Listing,
     ObjectKind,
     ObjectMissing,
     ObjectStore,
     ObjectUnreadable,
     StoredObject,
+    StoreFailure,
+    is_store_unavailable,
 )
 from quaymill.connection.peer_link import PeerClient, PeerRefusal
 from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.process.control.entries import EntryReader
+from quaymill.process.control.evacuations import EvacuatedZones, zones_in
 from quaymill.process.control.store_reader import StoreReader
 from quaymill.process.membership.membership import Membership
 from quaymill.process.replica_set.table import ReplicaTable
@@ -72,6 +79,11 @@
 class ControlPlaneView:
     """A gateway's view of the control plane; safe to read from any thread.
 
+    Parameters
+    ----------
+    evacuations
+        Set of evacuated zones to be kept current; ``None`` if the deployment has no evacuations.
+
     Attributes
     ----------
     routes
@@ -87,8 +99,10 @@
         peer_client: PeerClient,
         peer_server: PeerServer,
         read_interval_s: float,
+        evacuations: EvacuatedZones | None = None,
     ) -> None:
         self.routes = NO_ROUTES
+        self._evacuations = evacuations
         self._protocol = protocol
         self._table = table
         self._membership = membership
@@ -110,8 +124,13 @@
 
     @property
     def ready(self) -> bool:
-        """Whether a configuration and a list of replicas are known."""
-        return self.routes.version > 0 and self._table.revision > 0
+        """Whether configuration, replicas and, if there are any, evacuations are known."""
+        evacuations_known = self._evacuations is None or self._evacuations.revision > 0
+        return self.routes.version > 0 and self._table.revision > 0 and evacuations_known
+
+    @property
+    def _evacuations_revision(self) -> int:
+        return 0 if self._evacuations is None else self._evacuations.revision
 
     def subscribe(self, listener: Callable[[RequestRoutes], None]) -> None:
         """Call ``listener`` with each new configuration when it comes into force."""
@@ -133,26 +152,55 @@
     # From the store.
 
     def _read_store(self) -> str:
-        """Read configuration and replicas; return the reason of a failure, or an empty string."""
+        """Read everything from the store; return the reason of a failure, or an empty string.
+
+        Evacuations are read even if there is no valid configuration, and a failure to read them
+        does not hold back the rest. Unless all reads succeed, the view is not confirmed.
+        """
         began = boot_clock.now()
-        unconfirmed_s = self._membership.confirmed_age_s()
+        failure = self._read_routing(self._membership.confirmed_age_s())
+        if self._evacuations is not None and not is_store_unavailable(failure):
+            failure = self._read_evacuations(self._evacuations) or failure
+        self._publish_versions()
+        if failure is not None:
+            return failure.reason
+        self._membership.confirm_versions(began)
+        self._membership.send_notice(self._other_gateways())
+        return ""
+
+    def _read_routing(self, unconfirmed_s: float) -> StoreFailure | None:
+        """Read and apply configuration and replicas; return the failure if there was one."""
         stored = self._store.get(ObjectKind.CONFIGURATION, self._protocol.configuration_name)
         if isinstance(stored, ObjectMissing):
-            return "there is no configuration"
+            return CallRejected("there is no configuration")
         if not isinstance(stored, StoredObject | ObjectUnreadable):
-            return stored.reason
+            return stored
         listing = self._store.list(ObjectKind.REPLICAS)
         if not isinstance(listing, Listing):
-            return listing.reason
+            return listing
         # An unreadable configuration leaves the earlier one in force.
         if isinstance(stored, StoredObject) and stored.revision != self._read_revision:
             self._offer_configuration(stored.spec, "store")
             self._read_revision = stored.revision
         self._apply_replicas(listing, unconfirmed_s)
-        self._publish_versions()
-        self._membership.confirm_versions(began)
-        self._membership.send_notice(self._other_gateways())
-        return ""
+        return None
+
+    def _read_evacuations(self, evacuations: EvacuatedZones) -> StoreFailure | None:
+        """Read and apply the evacuated zones; return the failure if there was one."""
+        listing = self._store.list(ObjectKind.EVACUATIONS)
+        if not isinstance(listing, Listing):
+            return listing
+        if evacuations.apply(zones_in(listing), listing.revision, "store"):
+            self._log_unknown_zones(evacuations)
+        return None
+
+    def _log_unknown_zones(self, evacuations: EvacuatedZones) -> None:
+        """Log evacuated zones without any replica or node; the operator may have misspelt them."""
+        known = {replica.zone for replica in self._table.replicas()}
+        known |= {member.zone for member in self._membership.members()}
+        unknown = evacuations.zones - known
+        if unknown:
+            log_message("control:evacuated_zone_unknown", zones=sorted(unknown))
 
     def _apply_replicas(self, listing: Listing, unconfirmed_s: float) -> None:
         """Apply a list of replicas; right after an outage keep those that are missing from it.
@@ -182,12 +230,20 @@
         live = self._membership.live()
         return [member for member in live if not member.has_disk and member.name != name]
 
-    def _handle_confirmation(self, version: int, revision: int, at: float) -> None:
+    def _handle_confirmation(
+        self, version: int, revision: int, evacuations_revision: int, at: float
+    ) -> None:
         """Handle another gateway's report of the newest versions in the store."""
-        if self.routes.version >= version and self._table.revision >= revision:
-            self._membership.confirm_versions(at)
-        else:
+        if (
+            self.routes.version < version
+            or self._table.revision < revision
+            or self._evacuations_revision < evacuations_revision
+        ):
             self._wake.set()
+        elif evacuations_revision or self._evacuations is None:
+            # A gateway that does not read evacuations, such as one of an older build, cannot
+            # confirm them.
+            self._membership.confirm_versions(at)
 
     def _offer_configuration(self, document: Any, source: str) -> None:
         routes = self._protocol.read_configuration(document)
@@ -213,8 +269,12 @@
 
     def _publish_versions(self) -> None:
         local = self._membership.local()
-        versions = (self.routes.version, self._table.revision)
-        if versions != (local.configuration_generation, local.machine_list_version):
+        versions = (self.routes.version, self._table.revision, self._evacuations_revision)
+        if versions != (
+            local.configuration_generation,
+            local.machine_list_version,
+            local.evacuations_revision,
+        ):
             self._membership.publish(*versions)
 
     # From peers.
@@ -229,7 +289,7 @@
                 self._wake.set()
 
     def _peer_ahead(self) -> Member | None:
-        """Return a random peer with a newer configuration or list of replicas; ``None`` if none."""
+        """Return a random peer with anything newer; ``None`` if there is none."""
         local = self._membership.local()
         ahead = [
             member
@@ -239,13 +299,17 @@
             and (
                 member.configuration_generation > self.routes.version
                 or member.machine_list_version > self._table.revision
+                or (
+                    self._evacuations is not None
+                    and member.evacuations_revision > self._evacuations.revision
+                )
             )
         ]
         return random.choice(ahead) if ahead else None
 
     def _pull_from(self, peer: Member) -> bool:
         """Pull newer data from a peer and apply it; return whether the peer answered."""
-        message = PullControl(self.routes.version, self._table.revision)
+        message = PullControl(self.routes.version, self._table.revision, self._evacuations_revision)
         reply = self._peer_client.call(peer.peer, message, ControlState, PULL_TIMEOUT_S)
         if not isinstance(reply, ControlState):
             return False
@@ -255,7 +319,13 @@
             entries = [_entry(record) for record in reply.replicas]
             self._table.replace_from_peer(entries, reply.replicas_revision)
             log_message("control:replicas_pulled", peer=peer.name, revision=reply.replicas_revision)
-            self._publish_versions()
+        if reply.evacuated_zones is not None and self._evacuations is not None:
+            source = f"peer {peer.name}"
+            if self._evacuations.apply_from_peer(
+                reply.evacuated_zones, reply.evacuations_revision, source
+            ):
+                self._log_unknown_zones(self._evacuations)
+        self._publish_versions()
         return True
 
     def _answer_pull(self, message: PullControl) -> ControlState | PeerRefusal:
@@ -271,11 +341,17 @@
         with self._lock:
             newer = self.routes.version > message.configuration_version
             document = self._document if newer else None
+        state = ControlState(document)
         revision = self._table.revision
-        if revision <= message.replicas_revision:
-            return ControlState(document)
-        records = tuple(_record(entry) for entry in self._table.entries())
-        return ControlState(document, records, revision)
+        if revision > message.replicas_revision:
+            records = tuple(_record(entry) for entry in self._table.entries())
+            state = msgspec.structs.replace(state, replicas=records, replicas_revision=revision)
+        if self._evacuations_revision > message.evacuations_revision:
+            zones, revision = self._evacuations.snapshot()
+            state = msgspec.structs.replace(
+                state, evacuated_zones=tuple(sorted(zones)), evacuations_revision=revision
+            )
+        return state
 
 
 def _reader_rank_key(name: str) -> int:
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -15,6 +15,7 @@
 from quaymill.connection.object_store import ObjectStore
 from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.connection.slot_messages import QueueTerms
+from quaymill.process.control.evacuations import EvacuatedZones
 from quaymill.process.control.state import ControlPlaneView, ControlProtocol
 from quaymill.process.control.store_sharing import SharingStore
 from quaymill.process.front.caller_protocol import CallerProtocol
@@ -132,6 +133,7 @@
             LinkFilter(),
             ZONE_LOST_CONNECT_TIMEOUT_S if settings.zones_lost_at_once else CONNECT_TIMEOUT_S,
         )
+        self.evacuations = EvacuatedZones(self.network.membership.confirmed_age_s)
         self._table = ReplicaTable(
             self._forget_replica, self.network.zone_reachability.is_unreachable
         )
@@ -147,6 +149,7 @@
             self.network.client,
             self.network.server,
             settings.read_interval_s,
+            self.evacuations if settings.bounds.evacuation_ms else None,
         )
         shared_store = SharingStore(
             self._circuit_store,
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -177,6 +177,19 @@
     "control:replicas_pulled": LogEvent(
         "the list of replicas was received from a peer", ("peer", "revision")
     ),
+    "control:evacuations": LogEvent(
+        "the set of evacuated zones has changed, or is known for the first time",
+        (
+            "revision",
+            "zones: all evacuated zones",
+            "begun, ended: zones whose evacuation was requested or withdrawn",
+            "source: store or peer",
+            "age_s: time since the set was last confirmed to be the newest",
+        ),
+    ),
+    "control:evacuated_zone_unknown": LogEvent(
+        "no replica or node is in these evacuated zones; a name may be misspelt", ("zones",)
+    ),
     "control:store_lost": LogEvent("the platform's store does not answer", ("kind", REASON)),
     "control:store_regained": LogEvent(
         "the platform's store answers again", ("kind", "failures: failed attempts in between")
--- a/src/quaymill/process/membership/member_table.py
+++ b/src/quaymill/process/membership/member_table.py
@@ -98,19 +98,21 @@
             self._store(record)
             return record
 
-    def record_versions(self, name: str, incarnation: int, generation: int, machines: int) -> None:
+    def record_versions(
+        self, name: str, incarnation: int, generation: int, machines: int, evacuations: int = 0
+    ) -> None:
         """Record the versions that a member reports in a datagram."""
         with self._lock:
             known = self._members.get(name)
             if known is None or name == self._local_name or known.incarnation != incarnation:
                 return
-            if (generation, machines) == (
-                known.configuration_generation,
-                known.machine_list_version,
-            ):
+            if (generation, machines, evacuations) == _versions(known):
                 return
             reported = msgspec.structs.replace(
-                known, configuration_generation=generation, machine_list_version=machines
+                known,
+                configuration_generation=generation,
+                machine_list_version=machines,
+                evacuations_revision=evacuations,
             )
             self._raise_versions(known, reported)
 
@@ -214,10 +216,22 @@
     """Return ``record`` with the higher versions of two records of one incarnation."""
     generation = max(record.configuration_generation, other.configuration_generation)
     machines = max(record.machine_list_version, other.machine_list_version)
-    if (generation, machines) == (record.configuration_generation, record.machine_list_version):
+    evacuations = max(record.evacuations_revision, other.evacuations_revision)
+    if (generation, machines, evacuations) == _versions(record):
         return record
     return msgspec.structs.replace(
-        record, configuration_generation=generation, machine_list_version=machines
+        record,
+        configuration_generation=generation,
+        machine_list_version=machines,
+        evacuations_revision=evacuations,
+    )
+
+
+def _versions(member: Member) -> tuple[int, int, int]:
+    return (
+        member.configuration_generation,
+        member.machine_list_version,
+        member.evacuations_revision,
     )
 
 
--- a/src/quaymill/process/membership/membership.py
+++ b/src/quaymill/process/membership/membership.py
@@ -55,8 +55,9 @@
 """Shortest suspension that is logged; no timeout that other nodes rely on is shorter."""
 
 Listener = Callable[[], None]
-ConfirmationListener = Callable[[int, int, float], None]
-"""Receives generation, machine list version, and when they were known to be the newest."""
+ConfirmationListener = Callable[[int, int, int, float], None]
+"""Receives generation, machine list version, revision of the evacuated zones, and when they were
+known to be the newest."""
 CrashListener = Callable[[str, int], None]
 """Receives a node's name and its digest of crashes."""
 DatagramListener = Callable[[str], None]
@@ -211,7 +212,10 @@
         self._notify_listeners()
 
     def publish(
-        self, configuration_generation: int | None = None, machine_list_version: int | None = None
+        self,
+        configuration_generation: int | None = None,
+        machine_list_version: int | None = None,
+        evacuations_revision: int | None = None,
     ) -> None:
         """Publish this node's versions: to some peers at once, to all others with the probes."""
         fields = {}
@@ -219,6 +223,8 @@
             fields["configuration_generation"] = configuration_generation
         if machine_list_version is not None:
             fields["machine_list_version"] = machine_list_version
+        if evacuations_revision is not None:
+            fields["evacuations_revision"] = evacuations_revision
         self._table.update_local(**fields)
         self._notify_peers(NOTICE_FANOUT)
 
@@ -236,7 +242,11 @@
             ):
                 self._updates.add(update)
         self._table.record_versions(
-            datagram.sender, datagram.incarnation, datagram.generation, datagram.machines
+            datagram.sender,
+            datagram.incarnation,
+            datagram.generation,
+            datagram.machines,
+            datagram.evacuations,
         )
         self._handle_header(datagram)
         match datagram:
@@ -262,7 +272,9 @@
         """Pass the confirmation and the crash digest of a datagram to the listeners."""
         if datagram.confirmed_ms_ago >= 0 and self._confirmation_listener is not None:
             at = boot_clock.now() - datagram.confirmed_ms_ago / 1000
-            self._confirmation_listener(datagram.generation, datagram.machines, at)
+            self._confirmation_listener(
+                datagram.generation, datagram.machines, datagram.evacuations, at
+            )
         if self._crash_listener is not None and datagram.crashes != self._crash_digest:
             self._crash_listener(datagram.sender, datagram.crashes)
 
@@ -395,6 +407,7 @@
             "machines": local.machine_list_version,
             "confirmed_ms_ago": int(age_s * 1000) if age_s < MAX_CONFIRMED_AGE_S else -1,
             "crashes": self._crash_digest,
+            "evacuations": local.evacuations_revision,
         }
 
     def _send(
--- a/src/quaymill/process/membership/messages.py
+++ b/src/quaymill/process/membership/messages.py
@@ -1,8 +1,8 @@
 """Datagrams of the membership: one JSON line each, at most ``MAX_DATAGRAM_BYTES``.
 
-Every datagram contains its sender's incarnation, generation and machine list version, so that a
-new configuration becomes known without a message of its own. It may also contain records of members
-that have changed recently.
+Every datagram contains its sender's incarnation, generation, machine list version and the revision
+of its set of evacuated zones, so that a new configuration becomes known without a message of its
+own. It may also contain records of members that have changed recently.
 """
 
 from __future__ import annotations
@@ -87,12 +87,14 @@
     Attributes
     ----------
     confirmed_ms_ago
-        How long ago, in milliseconds, ``generation`` and ``machines`` were known to be the
-        platform's newest; -1 if that is not known.
+        How long ago, in milliseconds, ``generation``, ``machines`` and ``evacuations`` were known
+        to be the platform's newest; -1 if that is not known.
     crashes
         Digest of the crashes that the sender knows of; 0 if none.
     records
         Records of members as the sender knows them.
+    evacuations
+        Revision of the sender's set of evacuated zones; 0, and not sent, if it has none.
     """
 
     sender: str
@@ -102,6 +104,7 @@
     confirmed_ms_ago: int = -1
     crashes: int = 0
     records: tuple[MemberRecord, ...] = ()
+    evacuations: int = 0
 
 
 class Probe(Datagram):
--- a/src/quaymill/process/serving_settings.py
+++ b/src/quaymill/process/serving_settings.py
@@ -178,8 +178,11 @@
     @property
     def read_interval_s(self) -> float:
         """Time between two reads of the store for changes."""
-        shortest_ms = min(self.bounds.configuration_ms, self.bounds.drain_ms)
-        return READ_INTERVAL_SHARE * shortest_ms / MS_PER_S
+        bounds = self.bounds
+        limits_ms = [bounds.configuration_ms, bounds.drain_ms]
+        if bounds.evacuation_ms:
+            limits_ms.append(bounds.evacuation_ms)
+        return READ_INTERVAL_SHARE * min(limits_ms) / MS_PER_S
 
 
 def load_serving_settings(path: Path, role: ServingRole) -> ServingSettings | SettingsError:
