Send nothing to replicas in evacuated zones

Replica.leaving includes the evacuation of the replica's zone, so that routing, slot allocation, grants and items respect it; the number of engine pools and the gauge of leaving replicas do not count it. It is checked again right before a request or an item is sent, because a choice or a grant may be older than the set; a failed check is no failure or refusal of the replica. Where all usable replicas of a service are evacuated, requests are refused with 503 and Retry-After, those in a queue as soon as the set is known. Placement requests and claims exclude evacuated replicas, as an allocator with an older set, or of an older build, would choose them always. Items wait for the set after a restart, as online requests do.

--- a/src/quaymill/process/gateway_gauges.py
+++ b/src/quaymill/process/gateway_gauges.py
@@ -29,6 +29,7 @@
     "requests_suspected": "Request contents that crashed replicas, but too few to be blocked.",
     "storage_nodes": "Live storage nodes.",
     "gateways": "Live gateways.",
+    "zones_evacuated": "Zones to whose replicas no new requests may be sent.",
     "zones_unreachable": "Zones that this process cannot reach.",
     "replica_connections_opened": "Connections to replicas opened since the start.",
     "store_calls": "Calls to the platform's store since the start.",
@@ -38,7 +39,8 @@
 }
 REPLICA_STATES: dict[str, Callable[[Replica], bool]] = {
     "listed": lambda replica: replica.departed_at is None,
-    "leaving": lambda replica: replica.departed_at is None and replica.leaving,
+    "leaving": lambda replica: replica.departed_at is None and replica.departing,
+    "evacuated": lambda replica: replica.departed_at is None and replica.evacuated,
     "ejected": lambda replica: replica.departed_at is None and replica.ejected,
 }
 
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -135,7 +135,9 @@
         )
         self.evacuations = EvacuatedZones(self.network.membership.confirmed_age_s)
         self._table = ReplicaTable(
-            self._forget_replica, self.network.zone_reachability.is_unreachable
+            self._forget_replica,
+            self.network.zone_reachability.is_unreachable,
+            self.evacuations.is_evacuated,
         )
         self.network.zone_reachability.watch_replicas(
             self._table.replicas, self._connections.responds
@@ -248,7 +250,7 @@
             DispatcherParts(
                 name=self.network.process_name,
                 zone=settings.zone,
-                routes=lambda: self.control.routes,
+                routes=self._routes_when_ready,
                 choose_service=self._router.choose_service,
                 table=self._table,
                 connections=self._connections,
@@ -343,6 +345,10 @@
         ranked = rank_nodes(f"quota/{route}", self.network.gateways())
         return bool(ranked) and ranked[0].name == self._settings.name
 
+    def _routes_when_ready(self) -> RequestRoutes:
+        """Return the routes in force; none before it is known where requests may be sent."""
+        return self.control.routes if self.control.ready else NO_ROUTES
+
     def _build_front(self, protocol: GatewayProtocol) -> FrontService:
         forwarder = Forwarder(
             self._router,
@@ -354,7 +360,7 @@
         )
         return FrontService(
             protocol.callers,
-            lambda: self.control.routes if self.control.ready else NO_ROUTES,
+            self._routes_when_ready,
             forwarder,
             self.jobs,
             self._limiter,
@@ -379,6 +385,7 @@
             "requests_suspected": lambda: self._poison_records.count(barred=False),
             "storage_nodes": lambda: len(self.network.storage_nodes()),
             "gateways": lambda: len(self.network.gateways()),
+            "zones_evacuated": lambda: len(self.evacuations.zones),
             "zones_unreachable": lambda: self.network.zone_reachability.unreachable_zones,
             "replica_connections_opened": lambda: self._connections.opened_count,
             "store_calls": self._store_calls,
@@ -394,6 +401,8 @@
         """Start the parts, each after those that it uses."""
         self.network.start()
         self.control.subscribe(self._apply_limits)
+        # Requests in a queue are refused at once if no replica is left.
+        self.evacuations.subscribe(lambda begun, ended: self._queue.recheck())
         self.control.start()
         self._warnings.start()
         self._crash_sharing.start()
--- a/src/quaymill/process/jobs/engine_pool.py
+++ b/src/quaymill/process/jobs/engine_pool.py
@@ -59,5 +59,6 @@
 
 
 def _number_of_pools(service: str, table: ReplicaTable) -> int:
-    listed = sum(1 for replica in table.of_service(service) if not replica.leaving)
+    # Evacuated replicas count, so that an evacuation does not move replicas to other pools.
+    listed = sum(1 for replica in table.of_service(service) if not replica.departing)
     return max(1, -(-listed // MAX_POOL_REPLICAS))
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -255,9 +255,12 @@
         )
 
     def _avoided(self, service: str) -> tuple[str, ...]:
-        """Return the replicas that are failing for this process, even if not for others."""
+        """Return the replicas that this process must not use, even if others may.
+
+        They are failing for this process, or it knows of an evacuation before the allocator does.
+        """
         replicas = self._parts.table.of_service(service)
-        return tuple(replica.id for replica in replicas if replica.avoided)
+        return tuple(replica.id for replica in replicas if replica.avoided or replica.evacuated)
 
     def _running_items_in(self, pool: EnginePool) -> list[_Running]:
         return [one for one in self._running() if self._is_in(pool, one.item)]
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -106,6 +106,9 @@
     tenant: str | None = None,
 ) -> ItemOutcome:
     """Run an item once, resuming after the last event that was received."""
+    # Checked again here, as the slot grant may be older than the set of evacuated zones.
+    if replica.evacuated:
+        return ItemCut("the replica's zone is evacuated", blames_replica=False)
     request = ForwardedRequest(
         id=item.item.id,
         method=METHOD,
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -51,7 +51,7 @@
             "load, load_age_s: the load used for the choice, and the age of its report",
             "slowness: expected duration of work there relative to the usual one",
             DURATION,
-            "outcome: Delivered, CallerLeft, Refused (not run), Broken (may have run)",
+            "outcome: Delivered, CallerLeft, Refused or NotSent (not run), Broken (may have run)",
             REASON,
             CONNECTION_CLOSED,
         ),
--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -375,6 +375,10 @@
     def _dispatch_ready(self, service: str, queue: _ServiceQueue, now: float) -> None:
         """Dispatch the requests of one queue that may be dispatched now, in dispatch order."""
         first_byte_s = queue.first_byte_s
+        if self._table.is_evacuated(service):
+            # No slot will be granted, so all are dispatched now and refused by the router.
+            for queued in queue.requests:
+                queued.in_allocator_queue = False
         ordered = sorted(
             (queued for queued in queue.requests if not queued.wait_ended.is_set()),
             key=lambda queued: dispatch_order(
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -86,6 +86,8 @@
     ----------
     is_unreachable
         Returns whether a zone is unreachable now.
+    is_evacuated
+        Returns whether no new request may be sent to replicas in a zone.
 
     Attributes
     ----------
@@ -108,9 +110,11 @@
         self,
         entry: ReplicaEntry,
         is_unreachable: Callable[[str], bool] = lambda zone: False,
+        is_evacuated: Callable[[str], bool] = lambda zone: False,
     ) -> None:
         self.entry = entry
         self._is_unreachable = is_unreachable
+        self._is_evacuated = is_evacuated
         self.last_received_at = -math.inf
         self.id_hash = xxhash.xxh3_64_intdigest(entry.id.encode())
         self.in_flight = 0
@@ -145,8 +149,18 @@
     @property
     def leaving(self) -> bool:
         """Whether the replica must not get new work."""
+        return self.departing or self.evacuated
+
+    @property
+    def departing(self) -> bool:
+        """Whether the replica itself is draining, misdirected or departed."""
         return self.entry.draining or self.misdirected or self.departed_at is not None
 
+    @property
+    def evacuated(self) -> bool:
+        """Whether no new request may be sent to the replicas of its zone."""
+        return self._is_evacuated(self.entry.zone)
+
     def begin(self) -> None:
         """Count a request that is being sent."""
         with self._lock:
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -36,6 +36,9 @@
 LAST_RESORT_DEPARTED_S = 0.5
 """How long after its departure a replica may still be used if there is no other. A leaving replica
 must serve for longer than this time plus the delay until its departure is read."""
+EVACUATED_RETRY_AFTER_S = 2.0
+"""Time after which callers may retry if all replicas are evacuated: about the time in which the end
+of an evacuation reaches the gateways."""
 
 
 @attrs.frozen
@@ -45,7 +48,7 @@
     Attributes
     ----------
     excluded
-        Identities of replicas that have been tried or are unhealthy for this gateway.
+        Identities of replicas that have been tried, or are unhealthy or evacuated for this gateway.
     offsets
         Requests to add to the load, by replica identity.
     """
@@ -116,6 +119,12 @@
                 for replica in replicas
                 if replica.id not in excluded and _has_just_departed(replica)
             ]
+        if not candidates and self._table.is_evacuated(service):
+            return NoReplica(
+                service,
+                "all replicas of the service are in evacuated zones",
+                EVACUATED_RETRY_AFTER_S,
+            )
         if not candidates:
             return NoReplica(service, "no replica of the service is listed and untried")
         healthy = [replica for replica in candidates if not replica.avoided]
@@ -123,7 +132,7 @@
             reachable = best_group(candidates)
             return self._least_costly(reachable, self._offsets(reachable, prompt))
         preferred, constraints = self._local_choice(
-            candidates, healthy, prompt, frozenset(excluded)
+            candidates, healthy, prompt, frozenset(excluded) | _evacuated_ids(replicas)
         )
         return self._place(preferred, constraints) or preferred
 
@@ -134,9 +143,12 @@
 
         Returns ``None`` if no replica is healthy.
         """
-        candidates = [replica for replica in self._table.of_service(service) if not replica.leaving]
+        replicas = self._table.of_service(service)
+        candidates = [replica for replica in replicas if not replica.leaving]
         healthy = [replica for replica in candidates if not replica.avoided]
-        return self._local_choice(candidates, healthy, prompt, frozenset()) if healthy else None
+        if not healthy:
+            return None
+        return self._local_choice(candidates, healthy, prompt, _evacuated_ids(replicas))
 
     def _local_choice(
         self,
@@ -189,9 +201,15 @@
         replica.departed_at is not None
         and not replica.misdirected
         and not replica.entry.draining
+        and not replica.evacuated
         and boot_clock.now() - replica.departed_at < LAST_RESORT_DEPARTED_S
     )
 
 
+def _evacuated_ids(replicas: Iterable[Replica]) -> frozenset[str]:
+    """Return the replicas in evacuated zones, which the allocator may not know as such yet."""
+    return frozenset(replica.id for replica in replicas if replica.evacuated)
+
+
 def _rank(key: str, replica_id: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}\0{replica_id}".encode())
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -24,15 +24,19 @@
         Called with each replica that is no longer listed or has started again.
     is_unreachable
         Returns whether a zone is unreachable now.
+    is_evacuated
+        Returns whether no new request may be sent to replicas in a zone.
     """
 
     def __init__(
         self,
         on_departed: Callable[[Replica], None] = lambda replica: None,
         is_unreachable: Callable[[str], bool] = lambda zone: False,
+        is_evacuated: Callable[[str], bool] = lambda zone: False,
     ) -> None:
         self._on_departed = on_departed
         self._is_unreachable = is_unreachable
+        self._is_evacuated = is_evacuated
         self._lock = threading.Lock()
         self._by_id: dict[str, Replica] = {}
         self._by_service: dict[str, tuple[Replica, ...]] = {}
@@ -44,6 +48,11 @@
         """Return the replicas of a service, departed ones included."""
         return self._by_service.get(service, ())
 
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether a service has replicas, and all usable ones are in evacuated zones."""
+        usable = [replica for replica in self.of_service(service) if not replica.departing]
+        return bool(usable) and all(replica.evacuated for replica in usable)
+
     def get(self, replica_id: str) -> Replica | None:
         """Return a replica by its identity."""
         return self._by_id.get(replica_id)
@@ -121,7 +130,7 @@
     def _update_entry(self, entry: ReplicaEntry) -> None:
         replica = self._by_id.get(entry.id)
         if replica is None:
-            self._by_id[entry.id] = Replica(entry, self._is_unreachable)
+            self._by_id[entry.id] = self._new_replica(entry)
             log_message("replica:listed", replica=entry.id, service=entry.service, zone=entry.zone)
             return
         if entry.started_ms != replica.entry.started_ms:
@@ -129,7 +138,7 @@
             log_message("replica:started_again", replica=entry.id, service=entry.service)
             replica.departed_at = boot_clock.now()
             self._on_departed(replica)
-            self._by_id[entry.id] = Replica(entry, self._is_unreachable)
+            self._by_id[entry.id] = self._new_replica(entry)
             return
         if entry.draining and not replica.entry.draining:
             log_message("replica:draining", replica=entry.id, service=entry.service)
@@ -138,6 +147,9 @@
         replica.entry = entry
         replica.departed_at = None
 
+    def _new_replica(self, entry: ReplicaEntry) -> Replica:
+        return Replica(entry, self._is_unreachable, self._is_evacuated)
+
     def _mark_departed(self, replica: Replica) -> None:
         if replica.departed_at is not None:
             return
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -32,6 +32,7 @@
     ForwardingResult,
     GivenUp,
     KeyChanged,
+    NotSent,
     Refused,
     broken_attempt,
 )
@@ -202,10 +203,12 @@
             )
             granted = None
             if isinstance(replica, NoReplica):
-                return self._give_up(replica.reason)
+                return self._give_up(replica.reason, retry_after_s=replica.retry_after_s)
             result = self._attempt(replica)
             if isinstance(result, Delivered | CallerLeft):
                 return result
+            if isinstance(result, NotSent):
+                continue
             self._tried_ids.add(replica.id)
             if isinstance(result, Refused):
                 self._refusals += 1
@@ -296,6 +299,9 @@
         self._guard.handle_early_close(self._content_digest, entry.incarnation, entry.address)
 
     def _send(self, replica: ChosenReplica, began: float) -> AttemptResult:
+        # Checked again here, as a choice or a slot grant may be older than the set of zones.
+        if replica.evacuated:
+            return NotSent()
         remaining_s = self._request.deadline.remaining_s()
         message = self._protocol.build_request(
             self._request, replica.id, remaining_s, self._relay.last_event_id
--- a/src/quaymill/request/forwarding_result.py
+++ b/src/quaymill/request/forwarding_result.py
@@ -63,6 +63,13 @@
     reason: str
 
 
+@attrs.frozen
+class NotSent:
+    """The request was not sent: the replica's zone was evacuated after the replica was chosen."""
+
+    reason: str = "the replica's zone is evacuated"
+
+
 @attrs.frozen
 class Broken:
     """The attempt may have run, but its answer is missing, incomplete or an error.
@@ -77,7 +84,7 @@
     connection_closed: bool = False
 
 
-AttemptResult = Delivered | CallerLeft | Refused | Broken
+AttemptResult = Delivered | CallerLeft | Refused | NotSent | Broken
 
 
 def broken_attempt(failure: OutcomeUnknown) -> Broken:
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -16,10 +16,17 @@
 
 @attrs.frozen
 class NoReplica:
-    """No replica of the service can currently accept a request."""
+    """No replica of the service can currently accept a request.
+
+    Attributes
+    ----------
+    retry_after_s
+        Seconds after which the caller may retry; ``None`` if unknown.
+    """
 
     service: str
     reason: str
+    retry_after_s: float | None = None
 
 
 @attrs.frozen
@@ -67,6 +74,10 @@
     def unreachable(self) -> bool:
         """Whether the replica's zone is currently unreachable."""
 
+    @property
+    def evacuated(self) -> bool:
+        """Whether no new request may be sent to the replicas of its zone."""
+
     def record_received(self) -> None:
         """Record that data was received from the replica."""
 
