Add regions of zones, the cost of distance and engine pools by region

A deployment may span regions that are 12 ms apart, but replicas of another region cost no more than those of another zone, and one slot allocator serves all of them. RegionMap holds the regions of zones. A replica of another region costs at least twice as much as one of another zone. Pools are split by region where the settings name several; their allocator is a gateway of the region. With one region or an empty table, messages and pool names are as before: the messages are compared with literal ones of the former build.

--- a/src/quaymill/connection/slot_messages.py
+++ b/src/quaymill/connection/slot_messages.py
@@ -78,6 +78,8 @@
         Replicas that are failing for this coordinator; they may be reachable for others.
     done
         Paces of the items that have finished since the last claim.
+    region
+        Region of the pool; unset where there is only one region, and by builds without regions.
     """
 
     coordinator: str
@@ -89,6 +91,7 @@
     pool: int = 0
     pools: int = 1
     done: tuple[RoutePace, ...] = ()
+    region: str | msgspec.UnsetType = msgspec.UNSET
 
 
 class SlotsGranted(PeerMessage, tag="RoomGranted", frozen=True):
@@ -139,6 +142,8 @@
         New slowness readings of replicas.
     withdrawn
         Tickets of requests that no longer wait in the queue.
+    region
+        Region of the pool; unset where there is only one region, and by builds without regions.
     """
 
     gateway: str
@@ -148,6 +153,7 @@
     pools: int = 1
     slowness_reports: tuple[SlownessReport, ...] = msgspec.field(name="told", default=())
     withdrawn: tuple[str, ...] = msgspec.field(name="departed", default=())
+    region: str | msgspec.UnsetType = msgspec.UNSET
 
 
 class ReplicaLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -240,6 +246,8 @@
         Conditions for queueing; ``None`` if the request must be placed immediately.
     withdrawn
         Tickets of other requests that no longer wait in the queue.
+    region
+        Region of the pool; unset where there is only one region, and by builds without regions.
     """
 
     gateway: str
@@ -253,6 +261,7 @@
     slowness_reports: tuple[SlownessReport, ...] = msgspec.field(name="told", default=())
     terms: QueueTerms | None = None
     withdrawn: tuple[str, ...] = msgspec.field(name="departed", default=())
+    region: str | msgspec.UnsetType = msgspec.UNSET
 
 
 class OnlinePlaced(PeerMessage, frozen=True):
--- a/src/quaymill/process/jobs/allocator_calls.py
+++ b/src/quaymill/process/jobs/allocator_calls.py
@@ -71,6 +71,8 @@
     grant_answered
         Called once for each grant that was sent, with whether it was accepted; ``None`` if its
         gateway's process has ended.
+    travel_s
+        Returns the time to add to the timeout of a call to a member, in seconds.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         member_of_process: Callable[[str], Member | None],
         accept_grants: Callable[[tuple[OnlineGrant, ...]], tuple[str, ...]] = lambda grants: (),
         grant_answered: Callable[[SlotGrant, bool | None], None] = lambda grant, accepted: None,
+        travel_s: Callable[[Member], float] = lambda member: 0.0,
     ) -> None:
         self._process_name = process_name
         self._preempt_items = preempt_items
@@ -91,6 +94,7 @@
         self._member_of_process = member_of_process
         self._accept_grants = accept_grants
         self._grant_answered = grant_answered
+        self._travel_s = travel_s
         self._changed = threading.Condition()
         self._pending_by_process: dict[str, _Pending] = {}
         self._being_called: set[str] = set()
@@ -187,13 +191,13 @@
             items = tuple(
                 ItemsAt(replica_id, count) for replica_id, count in pending.to_preempt.items()
             )
-            reply = self._client.call(
-                member.peer, PreemptItems(items), ItemsPreempted, CALL_TIMEOUT_S
-            )
+            timeout_s = CALL_TIMEOUT_S + self._travel_s(member)
+            reply = self._client.call(member.peer, PreemptItems(items), ItemsPreempted, timeout_s)
             if not isinstance(reply, ItemsPreempted):
                 log_message("batch:order_unanswered", coordinator=process_name)
         elif pending.slots_freed:
-            self._client.call(member.peer, SlotsFreed(), SlotsFreedAcknowledged, CALL_TIMEOUT_S)
+            timeout_s = CALL_TIMEOUT_S + self._travel_s(member)
+            self._client.call(member.peer, SlotsFreed(), SlotsFreedAcknowledged, timeout_s)
 
     def _deliver_grants(self, member: Member | None, grants: list[SlotGrant]) -> None:
         accepted: tuple[str, ...] | None = ()
@@ -209,9 +213,8 @@
         messages = tuple(grant.message for grant in grants)
         if grants[0].process == self._process_name:
             return self._accept_grants(messages)
-        reply = self._client.call(
-            member.peer, OnlineGrants(messages), GrantsAccepted, GRANT_TIMEOUT_S
-        )
+        timeout_s = GRANT_TIMEOUT_S + self._travel_s(member)
+        reply = self._client.call(member.peer, OnlineGrants(messages), GrantsAccepted, timeout_s)
         if isinstance(reply, GrantsAccepted):
             return reply.tickets
         log_message("line:turn_unanswered", gateway=grants[0].gateway, turns=len(grants))
--- a/src/quaymill/process/jobs/slot_allocator.py
+++ b/src/quaymill/process/jobs/slot_allocator.py
@@ -108,7 +108,7 @@
 
     def claim(self, message: ClaimSlots) -> SlotsGranted:
         """Record a claim; return the items to start and the items to preempt."""
-        pool = EnginePool(message.service, message.pool, message.pools)
+        pool = EnginePool.from_message(message)
         self._paces.add_all(message.done)
         with self._lock:
             counts = self._counts(pool)
@@ -135,7 +135,7 @@
         requests.
         """
         self._record_slowness(message.slowness_reports)
-        pool = EnginePool(message.service, message.pool, message.pools)
+        pool = EnginePool.from_message(message)
         with self._lock:
             counts = self._counts(pool)
             in_flight = _counts_by_replica(message.in_flight)
@@ -162,7 +162,7 @@
         last load report.
         """
         self._record_slowness(message.slowness_reports)
-        pool = EnginePool(message.service, message.pool, message.pools)
+        pool = EnginePool.from_message(message)
         with self._lock:
             counts = self._counts(pool)
             counts.set_online(
@@ -196,7 +196,10 @@
         if not allowed:
             return None
         offsets = {offset.replica_id: offset.requests for offset in message.offsets}
-        return least_costly(allowed, counts.online_load, message.zone, offsets, self._random)
+        service_s = 0.0 if message.terms is None else message.terms.service_s
+        return least_costly(
+            allowed, counts.online_load, message.zone, offsets, self._random, service_s
+        )
 
     def _place_at(
         self,
--- a/src/quaymill/process/jobs/slot_grants.py
+++ b/src/quaymill/process/jobs/slot_grants.py
@@ -129,7 +129,14 @@
     ) -> SlotGrant:
         message = queued.message
         offsets = {offset.replica_id: offset.requests for offset in message.offsets}
-        chosen = least_costly(usable, counts.online_load, message.zone, offsets, self._random)
+        chosen = least_costly(
+            usable,
+            counts.online_load,
+            message.zone,
+            offsets,
+            self._random,
+            message.terms.service_s,
+        )
         queue.serve(queued)
         counts.add_grant(chosen.id)
         grant = SlotGrant(pool, message.gateway, queued.process, queued.ticket, chosen)
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -12,6 +12,7 @@
 
 from quaymill import boot_clock
 from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad, SlownessReading
+from quaymill.process.regions import ONE_REGION, Distance, RegionMap
 from quaymill.process.replica_set.slowness import SlownessRecord
 
 REPORT_HALF_LIFE_S = 1.0
@@ -86,6 +87,8 @@
     ----------
     is_unreachable
         Returns whether a zone is unreachable now.
+    regions
+        Regions of the deployment's zones.
 
     Attributes
     ----------
@@ -108,9 +111,11 @@
         self,
         entry: ReplicaEntry,
         is_unreachable: Callable[[str], bool] = lambda zone: False,
+        regions: RegionMap = ONE_REGION,
     ) -> None:
         self.entry = entry
         self._is_unreachable = is_unreachable
+        self._regions = regions
         self.last_received_at = -math.inf
         self.id_hash = xxhash.xxh3_64_intdigest(entry.id.encode())
         self.in_flight = 0
@@ -163,6 +168,15 @@
         """Zone in which the replica runs."""
         return self.entry.zone
 
+    @property
+    def region(self) -> str:
+        """Region in which the replica runs; empty if the deployment has only one."""
+        return self._regions.pool_region(self.entry.zone)
+
+    def distance_from(self, zone: str) -> Distance:
+        """Return the distance between a zone and that of the replica."""
+        return self._regions.distance(zone, self.entry.zone)
+
     @property
     def unanswered_since(self) -> float | None:
         """Monotonic time since when nothing was received; ``None`` if no request is in flight.
--- a/src/quaymill/process/replica_set/replica_cost.py
+++ b/src/quaymill/process/replica_set/replica_cost.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from quaymill.connection.replica_entry import USUAL_SLOWNESS
+from quaymill.process.regions import OTHER_REGION_ROUND_TRIP_S, Distance
 from quaymill.process.replica_set.replica import Replica
 
 OTHER_ZONE_LOAD = 1.5
@@ -16,6 +17,8 @@
 between zones is charged. A larger value would let requests wait in the local zone in bursts."""
 OTHER_ZONE_CACHED_LOAD = 0.75
 """The same for a replica that has probably cached a large part of the prompt."""
+MIN_OTHER_REGION_FACTOR = 2.0
+"""Minimum cost of another region, as a multiple of the cost of another zone."""
 
 
 def expected_cost(load: float, slots: int, slowness: float) -> float:
@@ -36,12 +39,35 @@
     return load + (slowness - USUAL_SLOWNESS) * (slots + waiting)
 
 
+def distance_cost(distance: Distance, slots: int, service_s: float, *, cached: bool) -> float:
+    """Return the additional cost of a replica for its distance, in requests.
+
+    The round trip to another region is converted to the number of requests that the replica
+    serves during that time.
+
+    Parameters
+    ----------
+    service_s
+        Usual service time of a request in seconds; 0 if unknown.
+    cached
+        Whether the replica has probably cached a large part of the prompt.
+    """
+    if distance is Distance.SAME_ZONE:
+        return 0.0
+    zone_cost = OTHER_ZONE_CACHED_LOAD if cached else OTHER_ZONE_LOAD
+    if distance is Distance.SAME_REGION:
+        return zone_cost
+    travel_cost = OTHER_REGION_ROUND_TRIP_S * slots / service_s if service_s > 0 else 0.0
+    return max(MIN_OTHER_REGION_FACTOR * zone_cost, travel_cost)
+
+
 def least_costly(
     candidates: Iterable[Replica],
     load_of: Callable[[Replica], float],
     zone: str,
     offsets: Mapping[str, float],
     rng: random.Random,
+    service_s: float = 0.0,
 ) -> Replica:
     """Return the replica with the lowest cost for a request of a gateway in ``zone``.
 
@@ -51,13 +77,15 @@
         Requests to add to the load, by replica identity.
     rng
         Breaks ties.
+    service_s
+        Usual service time of a request in seconds; 0 if unknown.
     """
 
     def cost(replica: Replica) -> tuple[float, float]:
         offset = offsets.get(replica.id, 0.0)
         load = expected_cost(load_of(replica), replica.slots, replica.slowness()) + offset
-        if replica.entry.zone != zone:
-            load += OTHER_ZONE_CACHED_LOAD if offset < 0 else OTHER_ZONE_LOAD
+        distance = replica.distance_from(zone)
+        load += distance_cost(distance, replica.slots, service_s, cached=offset < 0)
         return load, rng.random()
 
     return min(candidates, key=cost)
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -9,6 +9,7 @@
 
 from quaymill import boot_clock
 from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.process.regions import ONE_REGION, RegionMap
 from quaymill.process.replica_set.replica import Replica
 
 DEPARTED_RETENTION_S = 30.0
@@ -24,15 +25,19 @@
         Called with each replica that is no longer listed or has started again.
     is_unreachable
         Returns whether a zone is unreachable now.
+    regions
+        Regions of the deployment's zones.
     """
 
     def __init__(
         self,
         on_departed: Callable[[Replica], None] = lambda replica: None,
         is_unreachable: Callable[[str], bool] = lambda zone: False,
+        regions: RegionMap = ONE_REGION,
     ) -> None:
         self._on_departed = on_departed
         self._is_unreachable = is_unreachable
+        self._regions = regions
         self._lock = threading.Lock()
         self._by_id: dict[str, Replica] = {}
         self._by_service: dict[str, tuple[Replica, ...]] = {}
@@ -121,7 +126,7 @@
     def _update_entry(self, entry: ReplicaEntry) -> None:
         replica = self._by_id.get(entry.id)
         if replica is None:
-            self._by_id[entry.id] = Replica(entry, self._is_unreachable)
+            self._by_id[entry.id] = Replica(entry, self._is_unreachable, self._regions)
             log_message("replica:listed", replica=entry.id, service=entry.service, zone=entry.zone)
             return
         if entry.started_ms != replica.entry.started_ms:
@@ -129,7 +134,7 @@
             log_message("replica:started_again", replica=entry.id, service=entry.service)
             replica.departed_at = boot_clock.now()
             self._on_departed(replica)
-            self._by_id[entry.id] = Replica(entry, self._is_unreachable)
+            self._by_id[entry.id] = Replica(entry, self._is_unreachable, self._regions)
             return
         if entry.draining and not replica.entry.draining:
             log_message("replica:draining", replica=entry.id, service=entry.service)
--- /dev/null
+++ b/tests/test_regions.py
@@ -0,0 +1,263 @@
+"""Regions of zones, the cost of distance, engine pools by region, and their allocators.
+
+Guards against requests that cross regions needlessly, and against gateways that disagree on the
+pool of a replica.
+"""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+
+import msgspec
+from nose2.tools import params
+
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.member import Member
+from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.connection.slot_messages import (
+    ClaimSlots,
+    ItemsAt,
+    OnlineInFlight,
+    PlaceOnline,
+    WantedItems,
+)
+from quaymill.process.jobs.engine_pool import EnginePool, pool_of, pools_of
+from quaymill.process.jobs.slot_claims import AllocatorChoice
+from quaymill.process.regions import ONE_REGION, OTHER_REGION_ROUND_TRIP_S, Distance, RegionMap
+from quaymill.process.replica_set.replica_cost import (
+    OTHER_ZONE_CACHED_LOAD,
+    OTHER_ZONE_LOAD,
+    distance_cost,
+    least_costly,
+)
+from quaymill.process.replica_set.table import ReplicaTable
+
+SERVICE = "engine"
+ENDPOINT = Endpoint("127.0.0.1", 1)
+TWO_REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+
+
+def member(name: str, zone: str, region: str = "") -> Member:
+    return Member(name, zone, region, ENDPOINT, ENDPOINT)
+
+
+def region_map(zone: str = "a1", members: tuple[Member, ...] = ()) -> RegionMap:
+    return RegionMap(zone, TWO_REGIONS.get(zone, ""), TWO_REGIONS, lambda: members)
+
+
+def table(regions: RegionMap, **replicas_by_zone: int) -> ReplicaTable:
+    """Return a table with some replicas in each zone."""
+    found = ReplicaTable(regions=regions)
+    found.replace_all(
+        [
+            ReplicaEntry(f"{zone}-{number}", SERVICE, ENDPOINT, zone, 8)
+            for zone, replicas in replicas_by_zone.items()
+            for number in range(replicas)
+        ],
+        1,
+    )
+    return found
+
+
+class RegionMapTest(unittest.TestCase):
+    """Regions and distances from the settings and from members."""
+
+    @params(
+        ("a1", "a1", Distance.SAME_ZONE),
+        ("a1", "a2", Distance.SAME_REGION),
+        ("a1", "b1", Distance.OTHER_REGION),
+        ("b2", "b1", Distance.SAME_REGION),
+    )
+    def test_distance(self, zone, other, expected) -> None:
+        self.assertIs(expected, region_map().distance(zone, other))
+
+    def test_a_zone_that_the_settings_do_not_name_is_in_the_region_of_its_members(self) -> None:
+        regions = region_map(members=(member("g", "new", "b"), member("h", "a1", "other")))
+        self.assertEqual("b", regions.region_of("new"))
+        self.assertEqual("a", regions.region_of("a1"))
+
+    def test_all_gateways_assign_a_zone_that_nobody_reports_to_the_same_region(self) -> None:
+        """Otherwise two allocators would grant the slots of its replicas for good."""
+        self.assertEqual("a", region_map("a1").region_of("unknown"))
+        self.assertEqual("a", region_map("b1").region_of("unknown"))
+
+    def test_members_of_a_zone_that_disagree_on_its_region(self) -> None:
+        members = (member("g", "new", "b"), member("h", "new", "a"))
+        for order in (members, members[::-1]):
+            self.assertEqual("a", region_map(members=order).region_of("new"))
+
+    def test_without_a_table_there_is_one_region(self) -> None:
+        regions = RegionMap("z", "east", {}, lambda: (member("g", "y", "west"),))
+        self.assertEqual("east", regions.region_of("y"))
+        self.assertFalse(regions.has_several)
+        self.assertIs(Distance.SAME_REGION, regions.distance("z", "y"))
+        self.assertEqual(("", ""), (regions.pool_region("z"), regions.pool_region("y")))
+
+    def test_a_table_with_one_region(self) -> None:
+        regions = RegionMap("a1", "a", {"a1": "a", "a2": "a"})
+        self.assertEqual("a", regions.region_of("a2"))
+        self.assertEqual("", regions.pool_region("a2"))
+        self.assertIs(Distance.SAME_REGION, regions.distance("a1", "a2"))
+
+    def test_only_calls_to_another_region_may_take_longer(self) -> None:
+        regions = region_map()
+        self.assertEqual(0.0, regions.travel_s(member("g", "a2")))
+        self.assertEqual(OTHER_REGION_ROUND_TRIP_S, regions.travel_s(member("g", "b1")))
+        self.assertEqual(0.0, regions.travel_s(None))
+
+
+class DistanceCostTest(unittest.TestCase):
+    """Cost of a replica by its distance."""
+
+    @params(
+        ("own zone", Distance.SAME_ZONE, 0.8, False, 0.0),
+        ("other zone", Distance.SAME_REGION, 0.8, False, OTHER_ZONE_LOAD),
+        ("other zone, cached", Distance.SAME_REGION, 0.8, True, OTHER_ZONE_CACHED_LOAD),
+        ("other region, slow service", Distance.OTHER_REGION, 0.8, False, 2 * OTHER_ZONE_LOAD),
+        ("service time unknown", Distance.OTHER_REGION, 0.0, False, 2 * OTHER_ZONE_LOAD),
+        ("other region, cached", Distance.OTHER_REGION, 0.8, True, 2 * OTHER_ZONE_CACHED_LOAD),
+        # Eight slots serve 9.6 requests of 20 ms during the round trip of 24 ms.
+        ("other region, fast service", Distance.OTHER_REGION, 0.02, False, 9.6),
+    )
+    def test_cost(self, _name, distance, service_s, cached, expected) -> None:
+        self.assertAlmostEqual(expected, distance_cost(distance, 8, service_s, cached=cached))
+
+    def test_the_own_region_is_preferred_to_the_other_one_by_at_least_the_cost_of_two_zones(
+        self,
+    ) -> None:
+        replicas = table(region_map(), a2=1, b1=1).replicas()
+        for difference, expected in ((1, "a2-0"), (2, "b1-0")):
+            loads = {"a2-0": difference, "b1-0": 0}
+            chosen = least_costly(
+                replicas, lambda one, loads=loads: loads[one.id], "a1", {}, random.Random(1)
+            )
+            self.assertEqual(expected, chosen.id)
+
+
+class RegionPoolTest(unittest.TestCase):
+    """Engine pools where there are several regions."""
+
+    def test_pools_are_split_by_region(self) -> None:
+        found = table(region_map(), a1=60, a2=3, b1=40)
+        names = [(pool.region, pool.index, pool.pools) for pool in pools_of(SERVICE, found)]
+        self.assertEqual([("a", 0, 2), ("a", 1, 2), ("b", 0, 1)], names)
+
+    def test_gateways_of_both_regions_agree_on_the_pool_of_every_replica(self) -> None:
+        zones = {"a1": 60, "a2": 3, "b1": 40, "b2": 20, "unknown": 9}
+        one, other = table(region_map("a1"), **zones), table(region_map("b2"), **zones)
+        self.assertEqual(pools_of(SERVICE, one), pools_of(SERVICE, other))
+        for replica in one.replicas():
+            pool = pool_of(replica, one)
+            self.assertEqual(pool, pool_of(other.get(replica.id), other))
+            holders = [each for each in pools_of(SERVICE, one) if each.holds(replica)]
+            self.assertEqual([pool], holders)
+        members = Counter(
+            replica.id for pool in pools_of(SERVICE, one) for replica in pool.members(other)
+        )
+        self.assertEqual({replica.id: 1 for replica in one.replicas()}, members)
+
+    def test_a_region_without_usable_replicas_keeps_its_pool(self) -> None:
+        """Pools that changed their names with the replicas would lose their counts."""
+        found = table(region_map(), a1=2, b1=2)
+        before = pools_of(SERVICE, found)
+        for replica in found.replicas():
+            replica.misdirected = replica.entry.zone == "b1"
+        self.assertEqual(before, pools_of(SERVICE, found))
+        self.assertEqual([], before[1].members(found))
+
+    @params(
+        ("no table", ONE_REGION),
+        ("one region", RegionMap("a1", "a", {"a1": "a", "a2": "a", "b1": "a"})),
+    )
+    def test_pools_of_a_single_region_are_named_as_before(self, _name, regions) -> None:
+        found = table(regions, a1=30, a2=30, b1=3)
+        expected = [EnginePool(SERVICE, index, 2) for index in range(2)]
+        self.assertEqual(expected, pools_of(SERVICE, found))
+
+    def test_a_pool_that_is_named_without_a_region_spans_all_regions(self) -> None:
+        """Gateways of older builds name pools so."""
+        found = table(region_map(), a1=2, b1=2)
+        self.assertEqual(4, len(EnginePool(SERVICE).members(found)))
+
+
+class RegionMessageTest(unittest.TestCase):
+    """Messages that name a pool."""
+
+    def messages(self, region) -> dict[str, ClaimSlots | OnlineInFlight | PlaceOnline]:
+        in_flight = (ItemsAt("r", 1),)
+        return {
+            "claim": ClaimSlots(
+                "c", "z", SERVICE, (), (WantedItems(0.0, 1, 9, 5.0),), region=region
+            ),
+            "report": OnlineInFlight("g", SERVICE, in_flight, region=region),
+            "place": PlaceOnline("g", "z", SERVICE, in_flight, region=region),
+        }
+
+    @params(
+        (
+            "claim",
+            b'{"kind":"ClaimRoom","coordinator":"c","zone":"z","service":"engine","running":[],'
+            b'"wanted":[[0.0,1,9,5.0]],"avoided":[],"pool":0,"pools":1,"done":[]}',
+        ),
+        (
+            "report",
+            b'{"kind":"OnlineInFlight","gateway":"g","service":"engine","in_flight":[["r",1]]}',
+        ),
+        (
+            "place",
+            b'{"kind":"PlaceOnline","gateway":"g","zone":"z","service":"engine",'
+            b'"in_flight":[["r",1]]}',
+        ),
+    )
+    def test_messages_of_a_single_region_are_as_before(self, name, expected) -> None:
+        found = table(RegionMap("a1", "a", {"a1": "a"}), a1=1)
+        (pool,) = pools_of(SERVICE, found)
+        message = self.messages(pool.region_field)[name]
+        self.assertEqual(expected, msgspec.json.encode(message))
+        read = msgspec.json.decode(expected, type=type(message))
+        self.assertEqual(pool, EnginePool.from_message(read))
+
+    @params("claim", "report", "place")
+    def test_the_region_survives_encoding(self, name) -> None:
+        pool = EnginePool(SERVICE, region="b")
+        message = self.messages(pool.region_field)[name]
+        read = msgspec.json.decode(msgspec.json.encode(message), type=type(message))
+        self.assertEqual(pool, EnginePool.from_message(read))
+
+
+class RegionAllocatorTest(unittest.TestCase):
+    """Which gateway allocates the slots of a region's pool."""
+
+    def choice(self, *members: Member, zone: str = "a1") -> AllocatorChoice:
+        return AllocatorChoice(lambda: members, regions=region_map(zone))
+
+    def test_the_allocator_of_a_pool_is_a_gateway_of_its_region(self) -> None:
+        members = [member(f"{zone}-{number}", zone) for zone in TWO_REGIONS for number in range(3)]
+        for region in ("a", "b"):
+            chosen = {
+                self.choice(*members, zone=zone).allocator_of(SERVICE, 0, region).name
+                for zone in TWO_REGIONS
+            }
+            self.assertEqual(1, len(chosen))
+            self.assertEqual(region, chosen.pop()[0])
+
+    def test_a_region_without_gateways_has_an_allocator_in_the_other_one(self) -> None:
+        members = [member(f"a1-{number}", "a1") for number in range(3)]
+        chosen = {
+            self.choice(*members, zone=zone).allocator_of(SERVICE, 0, "b").name
+            for zone in TWO_REGIONS
+        }
+        self.assertEqual(1, len(chosen))
+
+    def test_gateways_of_the_other_region_are_used_while_no_near_one_answers(self) -> None:
+        near, far = member("near", "b1"), member("far", "a1")
+        choice = self.choice(near, far)
+        self.assertEqual("near", choice.allocator_of(SERVICE, 0, "b").name)
+        choice.avoid(SERVICE, near)
+        self.assertEqual("far", choice.allocator_of(SERVICE, 0, "b").name)
+
+
+if __name__ == "__main__":
+    unittest.main()
