Place requests in the own region first, and in the other one if that is sooner

Requests were placed by cost over all regions, and one queue held the requests of all. Now a gateway asks the slot allocator of its own region, and that of another one if the own queue is so long that a pool there would serve the request sooner (region_choice), or if the own region has no healthy replica. Reports to other regions have a thread of their own, so that a slow link delays nothing within the region; they are sent only while requests are queued or run there. An allocator of another region that does not answer is left alone for 2 s, and the own one is asked at once. Batch items claim in the other region what they find no slots for in their own, with a late due time unless they are nearly due.

--- a/src/quaymill/process/gateway_gauges.py
+++ b/src/quaymill/process/gateway_gauges.py
@@ -18,6 +18,8 @@
     "control_age_seconds": "Seconds since the configuration and replicas were last confirmed.",
     "requests_in_service": "Requests of callers in service.",
     "requests_held": "Requests that wait for a free engine slot.",
+    "requests_to_other_region": "Requests sent to replicas of another region since the start.",
+    "batch_items_to_other_region": "Batch items sent to another region since the start.",
     "request_body_bytes": "Bytes in the bodies of forwarded requests in service.",
     "answer_bytes_held": "Bytes of answers that are buffered until callers read them.",
     "answers_ended": "Answers aborted since the start because their callers read too slowly.",
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -52,6 +52,7 @@
 from quaymill.process.poison.guard import CrashGuard
 from quaymill.process.poison.sharing import CrashSharing
 from quaymill.process.process_context import ProcessContext
+from quaymill.process.regions import RegionMap
 from quaymill.process.replica_set.online_queue import OnlineQueue, Queued
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.router import Router
@@ -132,8 +133,14 @@
             LinkFilter(),
             ZONE_LOST_CONNECT_TIMEOUT_S if settings.zones_lost_at_once else CONNECT_TIMEOUT_S,
         )
+        self.regions = RegionMap(
+            settings.zone,
+            settings.region,
+            settings.zone_regions,
+            self.network.membership.members,
+        )
         self._table = ReplicaTable(
-            self._forget_replica, self.network.zone_reachability.is_unreachable
+            self._forget_replica, self.network.zone_reachability.is_unreachable, self.regions
         )
         self.network.zone_reachability.watch_replicas(
             self._table.replicas, self._connections.responds
@@ -193,6 +200,7 @@
             settings.zone,
             settings.name,
             lambda first, constraints: self._online_reporter.place(first, constraints),
+            lambda service: self._queue.service_s(service),
         )
         self._loads = EngineLoads(self._connections, protocol.reports)
         # The next four parts call one another; lambdas look up those that are built later.
@@ -212,6 +220,7 @@
             self.network.process,
             lambda grants: self._online_reporter.accept_grants(grants),
             lambda grant, accepted: self._slot_allocator.grant_answered(grant, accepted),
+            self.regions.travel_s,
         )
         self._slot_allocator = SlotAllocator(
             self._table,
@@ -233,6 +242,7 @@
             self.network.zone_reachability.prefer_reachable,
             allocator_lost=self._queue.leave_allocator_queue,
             dispatch_granted=self._queue.accept_grant,
+            regions=self.regions,
         )
         claims = SlotClaims(
             settings.name,
@@ -240,6 +250,7 @@
             self.network.client,
             self.network.gateways,
             self.network.zone_reachability.prefer_reachable,
+            self.regions,
         )
         self.coordinator = JobCoordinator(
             DispatcherParts(
@@ -252,6 +263,7 @@
                 claim_slots=claims.claim,
                 protocol=protocol.items,
                 guard=self._guard,
+                regions=self.regions,
             ),
             PublisherParts(
                 name=self.network.process_name,
@@ -365,6 +377,8 @@
             "control_age_seconds": self.network.membership.confirmed_age_s,
             "requests_in_service": lambda: self._front.in_service,
             "requests_held": lambda: self._queue.waiting_requests,
+            "requests_to_other_region": lambda: self._online_reporter.sent_to_other_region,
+            "batch_items_to_other_region": lambda: self.coordinator.items_to_other_region,
             "request_body_bytes": lambda: self._front.body_bytes,
             "answer_bytes_held": lambda: self._buffered_answers.held_bytes,
             "answers_ended": lambda: self._buffered_answers.ended,
--- a/src/quaymill/process/jobs/coordinator.py
+++ b/src/quaymill/process/jobs/coordinator.py
@@ -101,6 +101,11 @@
         """Return the number of running items."""
         return self._dispatcher.running_items()
 
+    @property
+    def items_to_other_region(self) -> int:
+        """Number of items sent to replicas of another region since this process started."""
+        return self._dispatcher.items_to_other_region
+
     def accept(self, job: Job) -> None:
         """Coordinate a job that was submitted here."""
         self._begin(job, adopted=False)
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 import attrs
+import msgspec
 import xxhash
 from eliot import log_message
 
@@ -32,7 +33,8 @@
     run_item,
 )
 from quaymill.process.jobs.item_urgency import INFEASIBLE_DUE_S, RoutePaces, time_left_s
-from quaymill.process.jobs.slot_claims import ClaimSlotsCall
+from quaymill.process.jobs.slot_claims import AVOID_ALLOCATOR_S, ClaimSlotsCall
+from quaymill.process.regions import ONE_REGION, RegionMap
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.poison import NoGuard, PoisonGuard
@@ -44,6 +46,9 @@
 RETRY_PAUSE_S = 0.3
 MAX_RUNNING_ITEMS = 96
 """Number of running items from which no more slots are claimed; one claim may exceed it."""
+UNHURRIED_DUE_S = 0.5 * INFEASIBLE_DUE_S
+"""Due time stated in another region for waiting items that are not urgent: they get the slots that
+no item of that region needs."""
 MAX_POOLS_ASKED = 3
 """Maximum number of engine pools in which waiting items claim slots in one round."""
 RESERVE_SHARES = ((0.3, 0.15), (0.0, 0.0))
@@ -74,6 +79,7 @@
     claim_slots: ClaimSlotsCall
     protocol: ItemProtocol
     guard: PoisonGuard = attrs.field(factory=NoGuard)
+    regions: RegionMap = ONE_REGION
 
 
 @attrs.frozen
@@ -111,6 +117,8 @@
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._running_items = 0
+        self._claim_elsewhere_at = 0.0
+        self.items_to_other_region = 0
         self._paces = RoutePaces()
         self._first_pool = xxhash.xxh3_64_intdigest(parts.name.encode())
 
@@ -167,22 +175,59 @@
     def _claim(self, service: str, jobs: list[CoordinatedJob]) -> None:
         """Claim slots for the waiting items of some jobs in one engine pool after another.
 
-        Coordinators begin with different pools, so that all pools are used.
+        Coordinators begin with different pools, so that all pools are used. Pools of other regions
+        come last.
         """
         pools = pools_of(service, self._parts.table)
-        start = self._first_pool % len(pools)
+        own_region = self._parts.regions.own_pool_region
+        nearby = [pool for pool in pools if pool.region == own_region]
         avoided = self._avoided(service)
         pools_asked = 0
-        for pool in pools[start:] + pools[:start]:
+        for pool in self._rotated(nearby):
             running = self._running_items_in(pool)
             wanted = self._wanted_items(jobs) if pools_asked < MAX_POOLS_ASKED else ()
             if not wanted and not running:
                 continue
             pools_asked += bool(wanted)
             self._claim_pool(pool, jobs, running, wanted, avoided)
+        if len(nearby) < len(pools):
+            elsewhere = [pool for pool in pools if pool.region != own_region]
+            has_own_slots = any(pool.members(self._parts.table) for pool in nearby)
+            self._claim_elsewhere(elsewhere, jobs, avoided, has_own_slots)
         if self._wanted_items(jobs):
             self._first_pool += MAX_POOLS_ASKED
 
+    def _rotated(self, pools: list[EnginePool]) -> list[EnginePool]:
+        """Return the pools, beginning with the one that is to be asked first now."""
+        start = self._first_pool % max(1, len(pools))
+        return pools[start:] + pools[:start]
+
+    def _claim_elsewhere(
+        self,
+        pools: list[EnginePool],
+        jobs: list[CoordinatedJob],
+        avoided: tuple[str, ...],
+        has_own_slots: bool,
+    ) -> None:
+        """Claim slots in other regions for items that found none in the own region.
+
+        An allocator that does not answer is not asked again for a while, as claims within the own
+        region wait for its answer.
+        """
+        pools_asked = 0
+        for pool in self._rotated(pools):
+            if boot_clock.now() < self._claim_elsewhere_at:
+                return
+            running = self._running_items_in(pool)
+            wanted = self._wanted_items(jobs) if pools_asked < MAX_POOLS_ASKED else ()
+            if has_own_slots:
+                wanted = tuple(map(_without_hurry, wanted))
+            if not wanted and not running:
+                continue
+            pools_asked += bool(wanted)
+            if not self._claim_pool(pool, jobs, running, wanted, avoided):
+                self._claim_elsewhere_at = boot_clock.now() + AVOID_ALLOCATOR_S
+
     def _wanted_items(self, jobs: list[CoordinatedJob]) -> tuple[WantedItems, ...]:
         """Return the waiting items grouped by due time, the earliest first."""
         if self._running_items >= MAX_RUNNING_ITEMS:
@@ -212,8 +257,11 @@
         running: list[_Running],
         wanted: tuple[WantedItems, ...],
         avoided: tuple[str, ...],
-    ) -> None:
-        """Claim slots in one pool, then preempt and start items as the allocator answers."""
+    ) -> bool:
+        """Claim slots in one pool, then preempt and start items as the allocator answers.
+
+        Returns whether it answered.
+        """
         granted = self._parts.claim_slots(
             ClaimSlots(
                 self._parts.name,
@@ -225,10 +273,11 @@
                 pool.index,
                 pool.pools,
                 self._paces.take_unreported(),
+                pool.region_field,
             )
         )
         if granted is None:
-            return
+            return False
         self._paces.adopt(granted.paces)
         for at in granted.preempt:
             self._preempt(running, at)
@@ -239,6 +288,7 @@
                 continue
             for one in itertools.islice(waiting, at.items):
                 self._start_item(one.job, one.item, replica)
+        return True
 
     def _time_left_s(self, job: CoordinatedJob, item: CoordinatedItem, now: float) -> float:
         """Return the time until an item is due, ``INFEASIBLE_DUE_S`` if it will be late."""
@@ -310,6 +360,7 @@
         item.being_preempted = False
         with self._lock:
             self._running_items += 1
+            self.items_to_other_region += replica.in_other_region
         threading.Thread(
             target=self._run_item, args=(job, item, replica), name="item", daemon=True
         ).start()
@@ -413,6 +464,16 @@
     return job.route.name if job.route else ""
 
 
+def _without_hurry(wanted: WantedItems) -> WantedItems:
+    """Return the claim for items in another region: urgent only if they would be late otherwise.
+
+    These are the items that are nearly due, for which no slots are left free either.
+    """
+    if wanted.reserve_share <= RESERVE_SHARES[-1][1]:
+        return wanted
+    return msgspec.structs.replace(wanted, due_in_s=UNHURRIED_DUE_S)
+
+
 def _wanted_group(left_s: float, waiting: list[_Waiting]) -> WantedItems:
     """Return the message part for waiting items that are due at the same time."""
     route = waiting[0].job.route
--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -35,8 +35,11 @@
     SlownessReport,
 )
 from quaymill.process.jobs.engine_pool import EnginePool, pool_of, pools_of
+from quaymill.process.jobs.queued_tickets import QueuedTickets
+from quaymill.process.jobs.region_choice import PoolState, serves_sooner
 from quaymill.process.jobs.slot_allocator import SlotAllocator
 from quaymill.process.jobs.slot_claims import AllocatorChoice, ReachableOf
+from quaymill.process.regions import ONE_REGION, RegionMap
 from quaymill.process.replica_set.online_queue import QUEUED, Queued
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.router import PlacementConstraints
@@ -69,6 +72,12 @@
 long, and this gateway trusts the loads in the answer for more than twice as long."""
 
 
+OTHER_REGION_PAUSE_S = 2.0
+"""How long an allocator of another region is not contacted after it did not answer. Longer than
+``PLACE_PAUSE_S``: the own region's allocator serves in the meantime, and a request that waits for
+an answer over a slow link in vain may miss its latency target."""
+
+
 class OnlineReporter:
     """Reports the online requests of one gateway, and asks allocators to place them.
 
@@ -89,10 +98,18 @@
     reachable
         Returns those of the given gateways that are in reachable zones; see ``ReachableOf``.
     allocator_lost
-        Called when an allocator does not answer, to dispatch queued requests by local decisions.
+        Called when an allocator does not answer, to dispatch queued requests by local decisions;
+        with the tickets of those requests if it is in another region.
     dispatch_granted
         Dispatches a queued request that was granted a slot, by its ticket and the replica's id;
         returns whether it was dispatched.
+    regions
+        Regions of the deployment's zones.
+
+    Attributes
+    ----------
+    sent_to_other_region
+        Number of requests sent to replicas of another region since this process started.
     """
 
     def __init__(
@@ -106,8 +123,9 @@
         batch_services: Callable[[], Collection[str]],
         loads_changed: Callable[[], None] = lambda: None,
         reachable: ReachableOf = tuple,
-        allocator_lost: Callable[[], None] = lambda: None,
+        allocator_lost: Callable[..., None] = lambda tickets=None: None,
         dispatch_granted: Callable[[str, str], bool] = lambda ticket, replica_id: False,
+        regions: RegionMap = ONE_REGION,
     ) -> None:
         self._own_name = own_name
         self._zone = zone
@@ -115,13 +133,18 @@
         self._local_allocator = allocator
         self._client = client
         self._gateways = gateways
-        self._allocator_choice = AllocatorChoice(gateways, reachable)
+        self._regions = regions
+        self._allocator_choice = AllocatorChoice(gateways, reachable, regions)
         self._batch_services = batch_services
         self._loads_changed = loads_changed
         self._allocator_lost = allocator_lost
         self._dispatch_granted = dispatch_granted
         self._queueing_allocators: set[str] = set()
-        self._withdrawn_by_service: dict[str, list[str]] = {}
+        self._tickets = QueuedTickets()
+        self._queue_length_by_pool: dict[EnginePool, int] = {}
+        self._queued_until_by_service: dict[str, float] = {}
+        self._ask_again_at_by_region: dict[str, float] = {}
+        self.sent_to_other_region = 0
         self._nearly_full_until_by_pool: dict[EnginePool, float] = {}
         self._lock = threading.Lock()
         self._in_flight: Counter[str] = Counter()
@@ -132,16 +155,23 @@
         self._reported_at = 0.0
         self._reported_by_pool: dict[EnginePool, dict[str, int]] = {}
         self._report_now = threading.Event()
+        self._report_elsewhere_now = threading.Event()
         self._stopping = threading.Event()
 
     def start(self) -> None:
         """Start sending load reports."""
         threading.Thread(target=self._run, name="online-reporter", daemon=True).start()
+        if self._regions.has_several:
+            # Calls over a slow link must not delay the reports within the region.
+            threading.Thread(
+                target=self._run_elsewhere, name="other-regions-reporter", daemon=True
+            ).start()
 
     def stop(self) -> None:
         """Stop sending load reports."""
         self._stopping.set()
         self._report_now.set()
+        self._report_elsewhere_now.set()
 
     def place(self, first: Replica, constraints: PlacementConstraints) -> Replica | None:
         """Ask the allocator to place a request in a replica's pool.
@@ -176,36 +206,111 @@
     def _request_placement(
         self, first: Replica, constraints: PlacementConstraints, terms: QueueTerms | None
     ) -> Replica | Queued | CannotServeInTime | None:
-        now = boot_clock.now()
-        if now < self._place_again_at or first.entry.service not in self._batch_services():
+        if first.entry.service not in self._batch_services():
             return None
         pool = pool_of(first, self._table)
-        allocator = self._allocator_choice.allocator_of(pool.service, pool.index)
+        sooner = None if terms is None else self._sooner_elsewhere(pool, terms)
+        if sooner is not None:
+            answer = self._ask_allocator(sooner, constraints, terms)
+            if isinstance(answer, Replica | Queued):
+                return answer
+        return self._ask_allocator(pool, constraints, terms)
+
+    def _sooner_elsewhere(self, pool: EnginePool, terms: QueueTerms) -> EnginePool | None:
+        """Return a pool of another region that would serve a request sooner; ``None`` if none."""
+        if not pool.region or self._queue_length_by_pool.get(pool, NO_QUEUE) <= 0:
+            return None
+        own = self._state_of(pool)
+        if own is None or self._is_elsewhere(pool):
+            return None
+        others = [
+            (state.wait_s(terms.service_s), other)
+            for other in pools_of(pool.service, self._table)
+            if self._is_elsewhere(other) and not self._is_paused(other)
+            if (state := self._state_of(other)) is not None
+            and serves_sooner(state, own, terms.service_s)
+        ]
+        return min(others, key=lambda one: one[0])[1] if others else None
+
+    def _state_of(self, pool: EnginePool) -> PoolState | None:
+        return PoolState.of(pool.members(self._table), self._queue_length_by_pool.get(pool, 0))
+
+    def _is_elsewhere(self, pool: EnginePool) -> bool:
+        """Return whether a pool is in another region than this gateway."""
+        return bool(pool.region) and pool.region != self._regions.own_pool_region
+
+    def _is_paused(self, pool: EnginePool) -> bool:
+        """Return whether the allocator of a pool failed to answer just now."""
+        if self._is_elsewhere(pool):
+            return boot_clock.now() < self._ask_again_at_by_region.get(pool.region, 0.0)
+        return boot_clock.now() < self._place_again_at
+
+    def _ask_allocator(
+        self, pool: EnginePool, constraints: PlacementConstraints, terms: QueueTerms | None
+    ) -> Replica | Queued | CannotServeInTime | None:
+        now = boot_clock.now()
+        if self._is_paused(pool):
+            return None
+        allocator = self._allocator_of(pool)
         if terms is not None and self._name_of(allocator) not in self._queueing_allocators:
             return None
         with self._lock:
             counts = self._counts_in(pool, self._in_flight + self._placed)
-            if pool.pools == 1:
+            if pool.pools == 1 and not self._is_elsewhere(pool):
                 # The placement message contains all current counts, so no report is needed.
                 self._changed = False
                 self._reported_at = now
+        if terms is not None:
+            self._tickets.join(pool.service, terms.ticket, pool.region)
         placed = self._call_place_online(allocator, pool, counts, constraints, terms)
         if placed is None:
-            self._place_again_at = now + PLACE_PAUSE_S
-            with self._lock:
-                self._changed = True
-            self._allocator_lost()
+            self._record_unanswered(pool, terms)
             return None
         if placed.replica_id:
             counts[placed.replica_id] = counts.get(placed.replica_id, 0) + 1
         self._reported_by_pool[pool] = counts
+        self._record_pool_queue(pool, placed.queue_length)
         self._apply_loads(pool, placed.loads, counts)
+        if terms is not None and not placed.queued:
+            self._tickets.leave(terms.ticket)
         if placed.retry_after_s is not None:
             return CannotServeInTime(
                 "the queue is too long to serve the request in time", placed.retry_after_s
             )
         return QUEUED if placed.queued else self._count_placed(placed)
 
+    def _record_unanswered(self, pool: EnginePool, terms: QueueTerms | None) -> None:
+        """Record that the allocator of a pool did not answer a request for a placement."""
+        if self._is_elsewhere(pool):
+            if terms is not None:
+                # It may have queued the request, which is placed in the own region now.
+                self._tickets.withdraw(pool.service, terms.ticket)
+            self._lose_region(pool.region)
+            return
+        if terms is not None:
+            self._tickets.leave(terms.ticket)
+        self._place_again_at = boot_clock.now() + PLACE_PAUSE_S
+        with self._lock:
+            self._changed = True
+        self._allocator_lost()
+
+    def _lose_region(self, region: str) -> None:
+        """Contact another region's allocators no more for a while, and decide locally instead."""
+        self._ask_again_at_by_region[region] = boot_clock.now() + OTHER_REGION_PAUSE_S
+        self._allocator_lost(self._tickets.in_region(region))
+
+    def _record_pool_queue(self, pool: EnginePool, length: int) -> None:
+        """Record the length of a pool's queue; the other regions' loads matter if there is one."""
+        if not pool.region:
+            return
+        self._queue_length_by_pool[pool] = length
+        if length > 0 and not self._is_elsewhere(pool):
+            now = boot_clock.now()
+            was_queued = self._queued_until_by_service.get(pool.service, 0.0) > now
+            self._queued_until_by_service[pool.service] = now + FULLNESS_LIFETIME_S
+            if not was_queued:
+                self._report_elsewhere_now.set()
+
     def _count_placed(self, placed: OnlinePlaced) -> Replica | None:
         """Count a placement until its request begins; return its replica, ``None`` if unusable."""
         chosen = self._table.get(placed.replica_id)
@@ -227,6 +332,7 @@
         with self._lock:
             self._placed[grant.replica_id] += 1
         if self._dispatch_granted(grant.ticket, grant.replica_id):
+            self._tickets.leave(grant.ticket)
             return True
         with self._lock:
             self._placed[grant.replica_id] -= 1
@@ -237,19 +343,17 @@
         with self._lock:
             self._placed[replica.id] -= 1
             self._changed = True
-        self._report_now.set()
+        self._wake_reports(self._regions.is_remote(replica.entry.zone))
 
     def withdraw(self, service: str, ticket: str) -> None:
         """Record that a queued request no longer waits; the service's next message contains it."""
+        self._tickets.withdraw(service, ticket)
         with self._lock:
-            self._withdrawn_by_service.setdefault(service, []).append(ticket)
             self._changed = True
+        self._report_elsewhere_now.set()
 
-    def _take_withdrawn(self, service: str) -> tuple[str, ...]:
-        if not self._withdrawn_by_service:
-            return ()
-        with self._lock:
-            return tuple(self._withdrawn_by_service.pop(service, ()))
+    def _allocator_of(self, pool: EnginePool) -> Member | None:
+        return self._allocator_choice.allocator_of(pool.service, pool.index, pool.region)
 
     def _name_of(self, member: Member | None) -> str:
         return self._own_name if member is None else member.name
@@ -277,12 +381,14 @@
             pool.pools,
             self._take_slowness_reports(pool),
             terms,
-            self._take_withdrawn(pool.service),
+            self._tickets.take_withdrawn(pool.service, pool.region),
+            pool.region_field,
         )
         if self._is_local(member):
             reply = self._local_allocator.place_online(message)
         else:
-            reply = self._client.call(member.peer, message, OnlinePlaced, PLACE_TIMEOUT_S)
+            timeout_s = PLACE_TIMEOUT_S + self._regions.travel_s(member)
+            reply = self._client.call(member.peer, message, OnlinePlaced, timeout_s)
         if isinstance(reply, OnlinePlaced):
             self._record_queue_length(member, reply.queue_length)
             return reply
@@ -316,6 +422,7 @@
 
     def began(self, replica: ChosenReplica) -> None:
         """Record that an online request is being sent to a replica."""
+        is_elsewhere = self._regions.is_remote(replica.entry.zone)
         with self._lock:
             self._in_flight[replica.id] += 1
             reported = self._placed[replica.id] > 0
@@ -323,8 +430,16 @@
                 self._placed[replica.id] -= 1
             else:
                 self._changed = True
+            self.sent_to_other_region += is_elsewhere
+        if is_elsewhere:
+            log_message(
+                "request:to_other_region",
+                replica=replica.id,
+                service=replica.entry.service,
+                region=self._regions.region_of(replica.entry.zone),
+            )
         if not reported:
-            self._report_now.set()
+            self._wake_reports(is_elsewhere)
 
     def ended(self, replica: ChosenReplica) -> None:
         """Record that an online request at a replica has ended."""
@@ -335,8 +450,13 @@
             self._changed = True
             if reading is not None:
                 self._slowness_by_replica[replica.id] = reading
-        if self._reports_ends_at_once:
-            self._report_now.set()
+        is_elsewhere = self._regions.is_remote(replica.entry.zone)
+        if is_elsewhere or self._reports_ends_at_once:
+            self._wake_reports(is_elsewhere)
+
+    def _wake_reports(self, is_elsewhere: bool) -> None:
+        """Report now to the allocators of the own region, or to those of the others."""
+        (self._report_elsewhere_now if is_elsewhere else self._report_now).set()
 
     def _take_slowness_reports(self, pool: EnginePool) -> tuple[SlownessReport, ...]:
         """Return and clear the recent slowness readings of a pool's replicas, for its allocator."""
@@ -349,8 +469,7 @@
                 for name in list(self._slowness_by_replica)
                 if (replica := self._table.get(name)) is None or pool.holds(replica)
             ]
-        allocator = self._allocator_choice.allocator_of(pool.service, pool.index)
-        if self._is_local(allocator):
+        if self._is_local(self._allocator_of(pool)):
             return ()  # This process's allocator uses the same replica table.
         return tuple(
             SlownessReport(name, reading.slowness, round(now - reading.at, 3))
@@ -388,12 +507,45 @@
     def _report(self, in_flight: dict[str, int]) -> None:
         for service in self._batch_services():
             for pool in pools_of(service, self._table):
+                if self._is_elsewhere(pool):
+                    continue
                 counts = self._counts_in(pool, in_flight)
                 # Empty counts are reported once, after the last request in the pool has ended.
                 if counts or self._reported_by_pool.get(pool):
                     self._reported_by_pool[pool] = counts
                     self._report_pool(pool, counts)
 
+    def _run_elsewhere(self) -> None:
+        """Report to the allocators of other regions, as far as this gateway uses their pools."""
+        while not self._stopping.is_set():
+            self._report_elsewhere_now.wait(REPEAT_INTERVAL_S)
+            self._report_elsewhere_now.clear()
+            try:
+                self._report_elsewhere()
+            except Exception as error:  # A bug must not stop the reports of this gateway.
+                log_message("batch:notice_error", error=repr(error))
+            self._stopping.wait(ENDS_INTERVAL_S)
+
+    def _report_elsewhere(self) -> None:
+        """Report to other regions' pools that this gateway uses, or may need soon.
+
+        Without requests queued in the own region and without requests in another one, nothing is
+        sent there: traffic between regions is charged.
+        """
+        with self._lock:
+            in_flight = dict(self._in_flight + self._placed)
+        now = boot_clock.now()
+        for service in self._batch_services():
+            has_queue = self._queued_until_by_service.get(service, 0.0) > now
+            for pool in pools_of(service, self._table):
+                if not self._is_elsewhere(pool) or self._is_paused(pool):
+                    continue
+                counts = self._counts_in(pool, in_flight)
+                is_used = counts or self._reported_by_pool.get(pool)
+                if is_used or has_queue or self._tickets.has_any(pool.region):
+                    self._reported_by_pool[pool] = counts
+                    self._report_pool(pool, counts)
+
     def _counts_in(self, pool: EnginePool, in_flight: Mapping[str, int]) -> dict[str, int]:
         """Return this gateway's requests at the replicas of a pool."""
         replicas = ((self._table.get(name), count) for name, count in in_flight.items() if count)
@@ -411,10 +563,12 @@
             pool.index,
             pool.pools,
             self._take_slowness_reports(pool),
-            self._take_withdrawn(pool.service),
+            self._tickets.take_withdrawn(pool.service, pool.region),
+            pool.region_field,
         )
-        loads = self._call_allocator(message)
+        loads = self._call_allocator(pool, message)
         if loads is not None:
+            self._record_pool_queue(pool, loads.queue_length)
             self._apply_loads(pool, loads.loads, counts)
 
     def _apply_loads(
@@ -434,18 +588,22 @@
                 replica.record_pool_view(load.online - reported.get(replica.id, 0), load.batch)
         self._loads_changed()
 
-    def _call_allocator(self, message: OnlineInFlight) -> PoolLoads | None:
-        member = self._allocator_choice.allocator_of(message.service, message.pool)
+    def _call_allocator(self, pool: EnginePool, message: OnlineInFlight) -> PoolLoads | None:
+        member = self._allocator_of(pool)
         if self._is_local(member):
             reply = self._local_allocator.record_online(message)
         else:
-            reply = self._client.call(member.peer, message, PoolLoads, REPORT_TIMEOUT_S)
+            timeout_s = REPORT_TIMEOUT_S + self._regions.travel_s(member)
+            reply = self._client.call(member.peer, message, PoolLoads, timeout_s)
         if isinstance(reply, PoolLoads):
             self._record_queue_length(member, reply.queue_length)
             return reply
         self._allocator_choice.avoid(message.service, member)
         self._record_queue_length(member, NO_QUEUE)
-        self._allocator_lost()
+        if self._is_elsewhere(pool):
+            self._lose_region(pool.region)
+        else:
+            self._allocator_lost()
         return None
 
 
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -88,6 +88,10 @@
         "the slot allocator did not choose a replica in time; the gateway chooses one itself",
         ("service", "keeper: the gateway of the allocator"),
     ),
+    "request:to_other_region": LogEvent(
+        "a request is sent to a replica in another region",
+        (REPLICA, "service", "region: of the replica"),
+    ),
     "request:answer_ended": LogEvent(
         "an answer was aborted because its caller read it too slowly",
         (
--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -17,14 +17,14 @@
 import itertools
 import threading
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 from eliot import log_message
 
 from quaymill import boot_clock
 from quaymill.connection.slot_messages import QueueTerms
-from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.replica import Replica, own_region_first
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.dispatch_order import EngineState, dispatch_order, may_dispatch
 from quaymill.request.forwarded_request import ForwardedRequest
@@ -345,11 +345,18 @@
             queued.end_wait(DecidedBy.ALLOCATOR, replica)
             return True
 
-    def leave_allocator_queue(self) -> None:
-        """Decide locally on all queued requests from now on: the allocator does not respond."""
+    def leave_allocator_queue(self, tickets: Collection[str] | None = None) -> None:
+        """Decide locally on queued requests from now on: the allocator does not respond.
+
+        Parameters
+        ----------
+        tickets
+            The requests that wait in the queue of that allocator; ``None`` for all.
+        """
         with self._lock:
-            for queued in self._queued_by_ticket.values():
-                queued.in_allocator_queue = False
+            for ticket, queued in self._queued_by_ticket.items():
+                if tickets is None or ticket in tickets:
+                    queued.in_allocator_queue = False
         self.recheck()
 
     def release_slot(self, replica: ChosenReplica) -> None:
@@ -364,6 +371,11 @@
             queue.first_byte_s = first_byte_s
         self.recheck()
 
+    def service_s(self, service: str) -> float:
+        """Return the usual service time of a service in seconds; 0 before the first request."""
+        queue = self._queues_by_service.get(service)
+        return 0.0 if queue is None else queue.usual_service_s
+
     def recheck(self) -> None:
         """Dispatch what may be dispatched now, after loads have changed or time has passed."""
         now = boot_clock.now()
@@ -411,15 +423,19 @@
         return may_dispatch(engine, queued.target_at, now)
 
     def _least_loaded(self, service: str) -> Replica | None:
-        """Return the least loaded healthy replica; ``None`` without one or if a load is unknown."""
+        """Return the least loaded healthy replica; ``None`` without one or if a load is unknown.
+
+        Those of the own region are considered first: the loads of others are rarely known.
+        """
         healthy = [
             replica
             for replica in self._table.of_service(service)
             if not replica.leaving and not replica.avoided
         ]
-        if not healthy or not all(replica.has_pool_view for replica in healthy):
+        nearby = own_region_first(healthy)
+        if not nearby or not all(replica.has_pool_view for replica in nearby):
             return None
-        return min(healthy, key=Replica.load)
+        return min(nearby, key=Replica.load)
 
     def _create_queued_request(
         self, queue: _ServiceQueue, route: RequestRoute, request: ForwardedRequest, now: float
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -173,6 +173,11 @@
         """Region in which the replica runs; empty if the deployment has only one."""
         return self._regions.pool_region(self.entry.zone)
 
+    @property
+    def in_other_region(self) -> bool:
+        """Whether the replica is in another region than this process."""
+        return self._regions.is_remote(self.entry.zone)
+
     def distance_from(self, zone: str) -> Distance:
         """Return the distance between a zone and that of the replica."""
         return self._regions.distance(zone, self.entry.zone)
@@ -400,6 +405,11 @@
     )
 
 
+def own_region_first(replicas: list[Replica]) -> list[Replica]:
+    """Return the replicas in the region of this process; if there are none, all."""
+    return [replica for replica in replicas if not replica.in_other_region] or replicas
+
+
 def online_load(online: int, batch: int) -> float:
     """Return the load of online requests and batch items, in online requests."""
     return online + BATCH_ITEM_LOAD * batch
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -5,6 +5,9 @@
 if it has probably cached a large shared part of the prompt. The loads known here are too old during
 a burst of requests, so the slot allocator of the replica's pool is asked, and its choice takes
 precedence.
+
+Replicas of other regions are chosen only while no replica of the own region has a free slot, or
+if those of the own region are gone or failing.
 """
 
 from __future__ import annotations
@@ -16,7 +19,7 @@
 import xxhash
 
 from quaymill import boot_clock
-from quaymill.process.replica_set.replica import Replica, best_group
+from quaymill.process.replica_set.replica import Replica, best_group, own_region_first
 from quaymill.process.replica_set.replica_cost import least_costly
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.prompt import NO_PROMPT, Prompt
@@ -68,6 +71,8 @@
         Zone of this process.
     place
         Asks the slot allocator, whose choice replaces the local one.
+    service_s
+        Returns the usual service time of a service in seconds; 0 if unknown.
     """
 
     def __init__(
@@ -76,10 +81,12 @@
         zone: str,
         seed: str,
         place: PlaceCall = lambda replica, constraints: None,
+        service_s: Callable[[str], float] = lambda service: 0.0,
     ) -> None:
         self._table = table
         self._zone = zone
         self._place = place
+        self._service_s = service_s
         self._random = random.Random(seed)
         self._choices_by_route: dict[tuple[str, tuple[WeightedService, ...]], dict[str, int]] = {}
 
@@ -122,8 +129,10 @@
         if not healthy:
             reachable = best_group(candidates)
             return self._least_costly(reachable, self._offsets(reachable, prompt))
+        nearby = own_region_first(healthy)
+        has_free_slot = any(replica.load() < replica.slots for replica in nearby)
         preferred, constraints = self._local_choice(
-            candidates, healthy, prompt, frozenset(excluded)
+            candidates, healthy, nearby if has_free_slot else healthy, prompt, frozenset(excluded)
         )
         return self._place(preferred, constraints) or preferred
 
@@ -132,21 +141,27 @@
     ) -> tuple[Replica, PlacementConstraints] | None:
         """Return the local choice for the first attempt of a request, and its constraints.
 
-        Returns ``None`` if no replica is healthy.
+        The choice is in the own region if a replica is healthy there, as the request can be queued
+        for it. Returns ``None`` if no replica is healthy.
         """
         candidates = [replica for replica in self._table.of_service(service) if not replica.leaving]
         healthy = [replica for replica in candidates if not replica.avoided]
-        return self._local_choice(candidates, healthy, prompt, frozenset()) if healthy else None
+        if not healthy:
+            return None
+        nearby = own_region_first(healthy)
+        return self._local_choice(candidates, healthy, nearby, prompt, frozenset())
 
     def _local_choice(
         self,
         candidates: list[Replica],
         healthy: list[Replica],
+        allowed: list[Replica],
         prompt: Prompt,
         excluded: frozenset[str],
     ) -> tuple[Replica, PlacementConstraints]:
+        """Return the least costly of the ``allowed`` replicas, and the request's constraints."""
         offsets = self._offsets(healthy, prompt)
-        preferred = self._least_costly(healthy, offsets)
+        preferred = self._least_costly(allowed, offsets)
         unhealthy = {replica.id for replica in candidates} - {replica.id for replica in healthy}
         return preferred, PlacementConstraints(excluded | unhealthy, offsets)
 
@@ -158,11 +173,16 @@
         )
 
     def _least_costly(self, candidates: list[Replica], offsets: Mapping[str, float]) -> Replica:
-        return least_costly(candidates, Replica.load, self._zone, offsets, self._random)
+        service_s = self._service_s(candidates[0].entry.service)
+        return least_costly(candidates, Replica.load, self._zone, offsets, self._random, service_s)
 
     def _offsets(self, candidates: list[Replica], prompt: Prompt) -> dict[str, float]:
         """Return the load offsets for recent failures and cached prompt parts, by replica id."""
-        bonuses = self._affinity_bonuses(candidates, prompt)
+        # Each region has cached prompts of its own: the link between regions is slow.
+        bonuses: dict[str, float] = {}
+        for region in {replica.region for replica in candidates}:
+            in_region = [replica for replica in candidates if replica.region == region]
+            bonuses |= self._affinity_bonuses(in_region, prompt)
         offsets = {
             replica.id: PENALTY_LOAD * replica.penalty - bonuses.get(replica.id, 0.0)
             for replica in candidates
--- a/tests/test_allocator_queue.py
+++ b/tests/test_allocator_queue.py
@@ -30,6 +30,7 @@
 from quaymill.process.jobs.online_reporter import OnlineReporter
 from quaymill.process.jobs.slot_allocator import SlotAllocator
 from quaymill.process.jobs.slot_claims import AllocatorChoice
+from quaymill.process.regions import ONE_REGION, RegionMap
 from quaymill.process.replica_set.online_queue import OnlineQueue
 from quaymill.process.replica_set.router import Router
 from quaymill.process.replica_set.table import ReplicaTable
@@ -51,6 +52,9 @@
 TIMEOUT_S = 8.0
 
 
+E1 = ReplicaEntry("e1", SERVICE, Endpoint("127.0.0.1", 1), "z", SLOTS)
+
+
 class NoLoads:
     """Engine loads without reports."""
 
@@ -72,6 +76,7 @@
         self.unresponsive: set[str] = set()
         self.old_builds: set[str] = set()
         self.unsendable: set[str] = set()
+        self.unknown_fields_by_name: dict[str, tuple[str, ...]] = {}
 
     def register_for(self, name: str):
         handlers = self.handlers_by_name.setdefault(name, {})
@@ -91,6 +96,7 @@
         if name in self.unresponsive or handler is None:
             return PeerNoReply(endpoint, "unresponsive")
         encoded = msgspec.json.encode(message)
+        encoded = without(encoded, *self.unknown_fields_by_name.get(name, ()))
         if name in self.old_builds:
             encoded = without(encoded, "terms")
         reply = msgspec.json.encode(handler(msgspec.json.decode(encoded, type=type(message))))
@@ -108,12 +114,19 @@
 class Gateway:
     """The components of one gateway that take part in queueing."""
 
-    def __init__(self, name: str, connections: FakeConnections, members) -> None:
+    def __init__(
+        self,
+        name: str,
+        connections: FakeConnections,
+        members,
+        zone: str = "z",
+        regions: RegionMap = ONE_REGION,
+        entries: tuple[ReplicaEntry, ...] = (E1,),
+    ) -> None:
         self.name = name
         self.process = f"{name}#1"
-        self.table = ReplicaTable()
-        entry = ReplicaEntry("e1", SERVICE, Endpoint("127.0.0.1", 1), "z", SLOTS)
-        self.table.replace_all([entry], 1)
+        self.table = ReplicaTable(regions=regions)
+        self.table.replace_all(entries, 1)
         self.queue = OnlineQueue(
             self.table,
             self.ask_allocator,
@@ -136,7 +149,7 @@
         )
         self.reporter = OnlineReporter(
             name,
-            "z",
+            zone,
             self.table,
             self.allocator,
             connections,
@@ -145,8 +158,9 @@
             self.queue.recheck,
             allocator_lost=self.queue.leave_allocator_queue,
             dispatch_granted=self.queue.accept_grant,
+            regions=regions,
         )
-        self.router = Router(self.table, "z", name, self.reporter.place)
+        self.router = Router(self.table, zone, name, self.reporter.place)
         self.queue.record(SERVICE, 0.8, 0.05)
         self.reporter.start()
 
@@ -158,8 +172,8 @@
         replica.begin()
         self.reporter.began(replica)
 
-    def end(self) -> None:
-        replica = self.table.get("e1")
+    def end(self, replica_id: str = "e1") -> None:
+        replica = self.table.get(replica_id)
         replica.end()
         self.reporter.ended(replica)
 
@@ -168,18 +182,12 @@
         self.begin(self.router.choose(SERVICE))
 
 
-class AllocatorQueueTest(unittest.TestCase):
-    """Two gateways and a third one that allocates the two slots of an engine."""
+class QueueCase(unittest.TestCase):
+    """Base of tests that send requests through the queues of gateways."""
 
     def setUp(self) -> None:
         self.connections = FakeConnections()
-        self.names = ["a", "b", "c"]
-        self.gateways = {name: Gateway(name, self.connections, self.members) for name in self.names}
-        allocator = AllocatorChoice(self.members).allocator_of(SERVICE, 0).name
-        self.allocator = self.gateways[allocator]
-        self.first_gateway, self.second_gateway = (
-            one for one in self.gateways.values() if one.name != allocator
-        )
+        self.gateways: dict[str, Gateway] = {}
         self.results: dict[str, object] = {}
         self.presences: dict[str, CallerPresence] = {}
         self.threads: list[threading.Thread] = []
@@ -194,11 +202,6 @@
             gateway.reporter.stop()
             gateway.calls.stop()
 
-    def members(self) -> tuple[Member, ...]:
-        return tuple(
-            Member(name, "z", "r", Endpoint(name, 1), Endpoint(name, 1)) for name in self.names
-        )
-
     def send(
         self,
         name: str,
@@ -235,6 +238,27 @@
     def wait_until_dispatched(self, *names: str) -> None:
         self.wait_for(lambda: set(names) <= set(self.results), f"{names} not dispatched")
 
+
+class AllocatorQueueTest(QueueCase):
+    """Two gateways and a third one that allocates the two slots of an engine."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.names = ["a", "b", "c"]
+        self.gateways.update(
+            (name, Gateway(name, self.connections, self.members)) for name in self.names
+        )
+        allocator = AllocatorChoice(self.members).allocator_of(SERVICE, 0).name
+        self.allocator = self.gateways[allocator]
+        self.first_gateway, self.second_gateway = (
+            one for one in self.gateways.values() if one.name != allocator
+        )
+
+    def members(self) -> tuple[Member, ...]:
+        return tuple(
+            Member(name, "z", "r", Endpoint(name, 1), Endpoint(name, 1)) for name in self.names
+        )
+
     def wait_until_queued(self, length: int) -> None:
         queues = self.allocator.allocator.queues
         self.wait_for(lambda: sum(queues.lengths().values()) == length, f"{queues.lengths()} wait")
