--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -218,10 +218,10 @@
 
     def _sooner_elsewhere(self, pool: EnginePool, terms: QueueTerms) -> EnginePool | None:
         """Return a pool of another region that would serve a request sooner; ``None`` if none."""
-        if not pool.region or self._queue_length_by_pool.get(pool, NO_QUEUE) <= 0:
+        if not pool.region or self._is_elsewhere(pool):
             return None
         own = self._state_of(pool)
-        if own is None or self._is_elsewhere(pool):
+        if own is None or not own.wait_s(terms.service_s):
             return None
         others = [
             (state.wait_s(terms.service_s), other)
--- a/tests/test_region_faults.py
+++ b/tests/test_region_faults.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections import Counter
+from typing import ClassVar
+from unittest import mock
 
 import msgspec
 
@@ -15,9 +18,13 @@
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerNoReply
 from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.connection.slot_messages import QueueTerms
 from quaymill.process.jobs.engine_pool import EnginePool, pools_of
 from quaymill.process.jobs.slot_claims import AllocatorChoice
 from quaymill.process.regions import ONE_REGION, RegionMap
+from quaymill.process.replica_set.online_queue import QUEUED
+from quaymill.request.deadline import Deadline
+from quaymill.request.forwarded_request import ForwardedRequest
 from test_allocator_queue import SERVICE, SLOTS, FakeConnections, Gateway, QueueCase
 
 NAMES = ("a1", "a2", "b1", "b2")
@@ -66,6 +73,7 @@
     """Two gateways and an engine with two slots in each of two regions."""
 
     old_builds: tuple[str, ...] = ()
+    zone_regions = ZONE_REGIONS
 
     def setUp(self) -> None:
         super().setUp()
@@ -74,7 +82,7 @@
         self.sent: Counter[tuple[str, str]] = Counter()
         for name in NAMES:
             zone = name[0]
-            regions = RegionMap(zone, zone, ZONE_REGIONS)
+            regions = RegionMap(zone, zone, self.zone_regions)
             if name in self.old_builds:
                 regions = ONE_REGION
             connections = LinkedConnections(name, self.connections, self.link)
@@ -174,6 +182,7 @@
         self.send("r", self.a1)
         self.wait_until_dispatched("r")
         self.assertEqual("ea", self.replica_of("r"))
+        self.a1.reporter._report_elsewhere()
         self.assertEqual(Counter(), self.link.calls)
 
     def test_a_request_is_sent_to_the_other_region_if_the_own_queue_is_too_long(self) -> None:
@@ -207,6 +216,35 @@
             self.assertEqual([POOL_A, POOL_B], pools_of(SERVICE, gateway.table))
 
 
+class SingleRegionTest(RegionCase):
+    """Two zones of one region, named by the settings."""
+
+    zone_regions: ClassVar = {"a": "region", "b": "region"}
+
+    def test_messages_and_pools_are_as_before(self) -> None:
+        messages: list[bytes] = []
+        call = FakeConnections.call
+
+        def recording(connections, endpoint, message, *rest):
+            messages.append(msgspec.json.encode(message))
+            return call(connections, endpoint, message, *rest)
+
+        with mock.patch.object(FakeConnections, "call", recording):
+            for gateway in self.gateways.values():
+                gateway.place_at_once()
+                self.send(gateway.name, gateway)
+            names = set(NAMES)
+            self.wait_for(lambda: self.end_all() and names <= set(self.results), "lost")
+            for gateway in self.gateways.values():
+                gateway.reporter._report_elsewhere()
+        kinds = {msgspec.json.decode(message)["kind"] for message in messages}
+        self.assertLessEqual({"PlaceOnline", "OnlineInFlight"}, kinds)
+        self.assertEqual([], [message for message in messages if b"region" in message])
+        for gateway in self.gateways.values():
+            self.assertEqual([EnginePool(SERVICE)], pools_of(SERVICE, gateway.table))
+            self.assertEqual(0, gateway.reporter.sent_to_other_region)
+
+
 class LinkFaultTest(RegionCase):
     """The link between the regions is cut or slow."""
 
@@ -221,6 +259,42 @@
         self.wait_until_dispatched("first", "second")
         self.assertEqual({("a1", "ea"): 3, ("a2", "ea"): 1}, self.sent)
 
+    def ask(self, ticket: str) -> object:
+        """Request a slot from ``a1`` without waiting for it."""
+        terms = QueueTerms(ticket, self.a1.process, None, 0, 0.0, 0.4, 6.0, 8.0, 0.8, 0.05)
+        request = ForwardedRequest(ticket, "POST", "/x", (), b"", Deadline.after(8.0))
+        return self.a1.ask_allocator(SERVICE, request, terms)
+
+    def test_a_request_joins_the_own_queue_at_once_if_the_other_region_does_not_answer(
+        self,
+    ) -> None:
+        """The other region may have queued it, and must not keep it."""
+        self.fill("a")
+        self.queue_one()
+        self.link.is_cut = True
+        self.assertIs(QUEUED, self.ask("t"))
+        self.assertEqual(2, self.queue_length(POOL_A))
+        self.assertEqual(("t",), self.a1.reporter._tickets.take_withdrawn(SERVICE, "b"))
+
+    def test_a_request_that_no_allocator_answers_leaves_no_trace(self) -> None:
+        """It may wait at the other region's allocator, which must not keep it."""
+        self.fill("a")
+        self.queue_one()
+        self.link.is_cut = True
+        self.a1.reporter._place_again_at = math.inf
+        self.assertIsNone(self.ask("t"))
+        self.assertEqual(frozenset(), self.a1.reporter._tickets.in_region("b"))
+        self.assertEqual(("t",), self.a1.reporter._tickets.take_withdrawn(SERVICE, "b"))
+
+    def test_requests_queued_in_a_lost_region_are_decided_locally(self) -> None:
+        self.fill("a")
+        self.queue_one()
+        (ticket,) = self.a1.queue._queued_by_ticket
+        self.a1.reporter._tickets.join(SERVICE, ticket, "b")
+        with mock.patch.object(self.a1.reporter, "_allocator_lost") as lost:
+            self.a1.reporter._lose_region("b")
+        lost.assert_called_once_with(frozenset({ticket}))
+
     def test_requests_queued_in_the_other_region_return_when_the_link_is_cut(self) -> None:
         self.fill("a")
         self.fill("b")
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -17,6 +17,7 @@
 from quaymill.connection.member import Member
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.connection.slot_messages import (
+    NO_QUEUE,
     ClaimSlots,
     ItemsAt,
     OnlineInFlight,
@@ -24,15 +25,20 @@
     WantedItems,
 )
 from quaymill.process.jobs.engine_pool import EnginePool, pool_of, pools_of
+from quaymill.process.jobs.queued_tickets import QueuedTickets
+from quaymill.process.jobs.region_choice import PoolState, serves_sooner
 from quaymill.process.jobs.slot_claims import AllocatorChoice
 from quaymill.process.regions import ONE_REGION, OTHER_REGION_ROUND_TRIP_S, Distance, RegionMap
+from quaymill.process.replica_set.online_queue import OnlineQueue
 from quaymill.process.replica_set.replica_cost import (
     OTHER_ZONE_CACHED_LOAD,
     OTHER_ZONE_LOAD,
     distance_cost,
     least_costly,
 )
+from quaymill.process.replica_set.router import Router
 from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.request.prompt import Prompt, PromptPart
 
 SERVICE = "engine"
 ENDPOINT = Endpoint("127.0.0.1", 1)
@@ -259,5 +265,91 @@
         self.assertEqual("far", choice.allocator_of(SERVICE, 0, "b").name)
 
 
+class ChoiceOfRegionTest(unittest.TestCase):
+    """When a request is better served in another region."""
+
+    FREE = PoolState(120, has_free_slot=True, queue_length=0)
+    FULL = PoolState(120, has_free_slot=False, queue_length=0)
+    SHORT_QUEUE = PoolState(120, has_free_slot=False, queue_length=5)
+    LONG_QUEUE = PoolState(120, has_free_slot=False, queue_length=30)
+    LOST = PoolState(0, has_free_slot=False, queue_length=0)
+
+    @params(
+        ("own slot free", FREE, FREE, False),
+        ("own region full", FREE, FULL, False),
+        # Forty milliseconds are less than the detour of 48 ms.
+        ("short queue", FREE, SHORT_QUEUE, False),
+        ("long queue", FREE, LONG_QUEUE, True),
+        ("long queue, other region full", FULL, LONG_QUEUE, True),
+        ("both queues are long", LONG_QUEUE, LONG_QUEUE, False),
+        ("own replicas lost", LONG_QUEUE, LOST, True),
+        ("all replicas lost", LOST, LOST, False),
+    )
+    def test_serves_sooner(self, _name, other, own, expected) -> None:
+        self.assertEqual(expected, serves_sooner(other, own, 0.8))
+
+    def test_a_pool_whose_loads_are_not_known_has_no_state(self) -> None:
+        """A region that seems idle because nothing is known of it may be full."""
+        replicas = table(region_map(), b1=2).replicas()
+        replicas[0].record_pool_view(8, 0)
+        self.assertIsNone(PoolState.of(replicas, 0))
+        replicas[1].record_pool_view(3, 0)
+        self.assertEqual(PoolState(16, True, 2), PoolState.of(replicas, 2))
+        replicas[1].record_failure(3.0)
+        self.assertEqual(PoolState(8, False, 0), PoolState.of(replicas, NO_QUEUE))
+
+    def test_a_request_that_can_be_queued_is_for_the_own_region(self) -> None:
+        found = table(region_map(), a1=1, b1=1)
+        router = Router(found, "a1", "seed")
+        for busy, chosen in ((3, "a1-0"), (20, "b1-0")):
+            found.get("a1-0").record_pool_view(busy, 0)
+            self.assertEqual("a1-0", router.constraints_of(SERVICE)[0].id)
+            self.assertEqual(chosen, router.choose(SERVICE).id)
+
+    def test_cached_prompts_are_used_in_each_region(self) -> None:
+        found = table(region_map(), a1=4, b1=4)
+        prompt = Prompt((PromptPart("shared", 12_000), PromptPart("own", 500)))
+        offsets = Router(found, "a1", "seed").constraints_of(SERVICE, prompt)[1].offsets
+        self.assertEqual(Counter("aabb"), Counter(name[0] for name in offsets))
+
+    def test_local_decisions_are_made_by_the_loads_of_the_own_region(self) -> None:
+        """Without all loads, every queued request would be dispatched at once."""
+        found = table(region_map(), a1=1, b1=1)
+        queue = OnlineQueue(found)
+        self.assertIsNone(queue._least_loaded(SERVICE))
+        found.get("a1-0").record_pool_view(8, 0)
+        self.assertEqual("a1-0", queue._least_loaded(SERVICE).id)
+
+
+class QueuedTicketsTest(unittest.TestCase):
+    """Requests leave the queue of one region when they join that of another."""
+
+    def setUp(self) -> None:
+        self.tickets = QueuedTickets()
+        self.tickets.join(SERVICE, "t", "a")
+
+    def test_a_request_that_moves_is_withdrawn_where_it_was(self) -> None:
+        """Otherwise it would be granted two slots."""
+        self.tickets.join(SERVICE, "t", "a")
+        self.assertEqual((), self.tickets.take_withdrawn(SERVICE, "a"))
+        self.tickets.join(SERVICE, "t", "b")
+        self.assertEqual(("t",), self.tickets.take_withdrawn(SERVICE, "a"))
+        self.assertEqual((), self.tickets.take_withdrawn(SERVICE, "b"))
+        self.assertEqual(frozenset({"t"}), self.tickets.in_region("b"))
+
+    def test_a_request_is_withdrawn_in_its_region_only(self) -> None:
+        self.tickets.withdraw(SERVICE, "t")
+        self.assertEqual((), self.tickets.take_withdrawn(SERVICE, "b"))
+        self.assertTrue(self.tickets.has_any("a"))
+        self.assertEqual(("t",), self.tickets.take_withdrawn(SERVICE, "a"))
+        self.assertFalse(self.tickets.has_any("a"))
+
+    def test_a_request_whose_region_is_unknown_is_withdrawn_with_the_next_message(self) -> None:
+        self.tickets.leave("t")
+        self.tickets.withdraw(SERVICE, "t")
+        self.assertEqual(("t",), self.tickets.take_withdrawn(SERVICE, "b"))
+        self.assertEqual((), self.tickets.take_withdrawn(SERVICE, "a"))
+
+
 if __name__ == "__main__":
     unittest.main()
