--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -12,6 +12,7 @@
 
 from quaymill import boot_clock
 from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad, SlownessReading
+from quaymill.process.regions import ONE_REGION, Distance, RegionMap
 from quaymill.process.replica_set.slowness import SlownessRecord
 
 REPORT_HALF_LIFE_S = 1.0
@@ -88,6 +89,8 @@
         Returns whether a zone is unreachable now.
     is_evacuated
         Returns whether no new request may be sent to replicas in a zone.
+    regions
+        Regions of the deployment's zones.
 
     Attributes
     ----------
@@ -111,10 +114,12 @@
         entry: ReplicaEntry,
         is_unreachable: Callable[[str], bool] = lambda zone: False,
         is_evacuated: Callable[[str], bool] = lambda zone: False,
+        regions: RegionMap = ONE_REGION,
     ) -> None:
         self.entry = entry
         self._is_unreachable = is_unreachable
         self._is_evacuated = is_evacuated
+        self._regions = regions
         self.last_received_at = -math.inf
         self.id_hash = xxhash.xxh3_64_intdigest(entry.id.encode())
         self.in_flight = 0
@@ -177,6 +182,20 @@
         """Zone in which the replica runs."""
         return self.entry.zone
 
+    @property
+    def region(self) -> str:
+        """Region in which the replica runs; empty if the deployment has only one."""
+        return self._regions.pool_region(self.entry.zone)
+
+    @property
+    def in_other_region(self) -> bool:
+        """Whether the replica is in another region than this process."""
+        return self._regions.is_remote(self.entry.zone)
+
+    def distance_from(self, zone: str) -> Distance:
+        """Return the distance between a zone and that of the replica."""
+        return self._regions.distance(zone, self.entry.zone)
+
     @property
     def unanswered_since(self) -> float | None:
         """Monotonic time since when nothing was received; ``None`` if no request is in flight.
@@ -400,6 +419,11 @@
     )
 
 
+def own_region_first(replicas: list[Replica]) -> list[Replica]:
+    """Return the replicas in the region of this process; if there are none, all."""
+    return [replica for replica in replicas if not replica.in_other_region] or replicas
+
+
 def online_load(online: int, batch: int) -> float:
     """Return the load of online requests and batch items, in online requests."""
     return online + BATCH_ITEM_LOAD * batch
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -9,6 +9,7 @@
 
 from quaymill import boot_clock
 from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.process.regions import ONE_REGION, RegionMap
 from quaymill.process.replica_set.replica import Replica
 
 DEPARTED_RETENTION_S = 30.0
@@ -26,6 +27,8 @@
         Returns whether a zone is unreachable now.
     is_evacuated
         Returns whether no new request may be sent to replicas in a zone.
+    regions
+        Regions of the deployment's zones.
     """
 
     def __init__(
@@ -33,10 +36,12 @@
         on_departed: Callable[[Replica], None] = lambda replica: None,
         is_unreachable: Callable[[str], bool] = lambda zone: False,
         is_evacuated: Callable[[str], bool] = lambda zone: False,
+        regions: RegionMap = ONE_REGION,
     ) -> None:
         self._on_departed = on_departed
         self._is_unreachable = is_unreachable
         self._is_evacuated = is_evacuated
+        self._regions = regions
         self._lock = threading.Lock()
         self._by_id: dict[str, Replica] = {}
         self._by_service: dict[str, tuple[Replica, ...]] = {}
@@ -148,7 +153,12 @@
         replica.departed_at = None
 
     def _new_replica(self, entry: ReplicaEntry) -> Replica:
-        return Replica(entry, self._is_unreachable, self._is_evacuated)
+        return Replica(
+            entry,
+            self._is_unreachable,
+            is_evacuated=self._is_evacuated,
+            regions=self._regions,
+        )
 
     def _mark_departed(self, replica: Replica) -> None:
         if replica.departed_at is not None:
