Measure the round trip between regions instead of stating it

The cost of a replica in another region, the timeouts of calls there and the choice of a region used a fixed 24 ms, which is one deployment's figure. The failure detector's answered probes tell the round trip; the minimum of the last 16 is used, so that a loaded link does not count as far away.

--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -141,6 +141,7 @@
             settings.zone_regions,
             self.network.membership.members,
         )
+        self.network.membership.on_round_trip(self.regions.record_round_trip)
         self._table = ReplicaTable(
             self._forget_replica,
             self.network.zone_reachability.is_unreachable,
--- a/src/quaymill/process/jobs/region_choice.py
+++ b/src/quaymill/process/jobs/region_choice.py
@@ -10,11 +10,10 @@
 
 import attrs
 
-from quaymill.process.regions import OTHER_REGION_ROUND_TRIP_S
 from quaymill.process.replica_set.replica import Replica
 
-DETOUR_S = 2 * OTHER_REGION_ROUND_TRIP_S
-"""Time that a request loses by being sent to another region: one round trip to the region's slot
+DETOUR_ROUND_TRIPS = 2
+"""Round trips that a request loses by being sent to another region: one to the region's slot
 allocator and one to the replica."""
 
 
@@ -63,6 +62,7 @@
         return (self.queue_length + 1) * service_s / self.slots
 
 
-def serves_sooner(other: PoolState, own: PoolState, service_s: float) -> bool:
+def serves_sooner(other: PoolState, own: PoolState, service_s: float, round_trip_s: float) -> bool:
     """Return whether a pool of another region would serve a request sooner than one of this."""
-    return other.wait_s(service_s) + DETOUR_S < own.wait_s(service_s)
+    detour_s = DETOUR_ROUND_TRIPS * round_trip_s
+    return other.wait_s(service_s) + detour_s < own.wait_s(service_s)
--- a/src/quaymill/process/membership/failure_detector.py
+++ b/src/quaymill/process/membership/failure_detector.py
@@ -34,6 +34,7 @@
 REMEMBERED_ABANDONED_PROBES = 16
 """Abandoned probes whose replies are still recognised as late."""
 
+RoundTripListener = Callable[[Member, float], None]
 Send = Callable[[Endpoint, Datagram, tuple[Member, ...]], None]
 
 
@@ -61,6 +62,11 @@
         Sends a datagram with the given records first and pending updates after them.
     header_fields
         Returns the fields that every datagram has.
+
+    Attributes
+    ----------
+    on_round_trip
+        Called with each peer that has answered a probe early, and the time it took in seconds.
     """
 
     def __init__(
@@ -84,6 +90,7 @@
         self._sequence = 0
         self._sequence_lock = threading.Lock()
         self._last_round_at = boot_clock.now()
+        self.on_round_trip: RoundTripListener = lambda member, took_s: None
 
     @property
     def timeout_factor(self) -> float:
@@ -151,11 +158,13 @@
         # A suspect receives its own record, so that it can refute the suspicion.
         first_records = (target,) if target.state is MemberState.SUSPECT else ()
         timeout_s = self._timing.probe_timeout_s * self._timeout_factor
+        began = boot_clock.now()
         try:
             self._send(
                 target.peer, Probe(**self._header_fields(), sequence=sequence), first_records
             )
             if answered.wait(EARLY_SHARE * timeout_s):
+                self.on_round_trip(target, boot_clock.now() - began)
                 self._timeout_factor = max(1.0, TIMEOUT_FACTOR_DECAY * self._timeout_factor)
                 return True
             if answered.wait((1.0 - EARLY_SHARE) * timeout_s):
--- a/src/quaymill/process/membership/membership.py
+++ b/src/quaymill/process/membership/membership.py
@@ -23,7 +23,7 @@
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.member import Member, MemberState
 from quaymill.process.membership.dissemination import Dissemination
-from quaymill.process.membership.failure_detector import FailureDetector
+from quaymill.process.membership.failure_detector import FailureDetector, RoundTripListener
 from quaymill.process.membership.member_socket import MemberSocket, Traffic
 from quaymill.process.membership.member_table import MemberTable
 from quaymill.process.membership.messages import (
@@ -160,6 +160,10 @@
         """Call ``listener`` when a node reports a digest of crashes other than the local one."""
         self._crash_listener = listener
 
+    def on_round_trip(self, listener: RoundTripListener) -> None:
+        """Call ``listener`` with each member that answers a probe early, and the time it took."""
+        self._detector.on_round_trip = listener
+
     def on_datagram(self, listener: DatagramListener) -> None:
         """Call ``listener`` with the sender's name of each datagram; it must not block."""
         self._datagram_listener = listener
--- a/src/quaymill/process/regions.py
+++ b/src/quaymill/process/regions.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import enum
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 
 from quaymill import boot_clock
 from quaymill.connection.member import Member
 
-OTHER_REGION_ROUND_TRIP_S = 0.024
-"""Network round trip between two regions: 12 ms each way, as docs/design/placement-limits.md
-states. Timeouts of calls to another region are longer by this time."""
+ASSUMED_ROUND_TRIP_S = 0.02
+"""Network round trip to another region that is assumed until a probe there has been answered."""
+ROUND_TRIP_SAMPLES = 16
+"""Number of recent round trips whose minimum is used: delays by load are not part of the distance."""
 LEARN_INTERVAL_S = 1.0
 """Time between two looks at the members for the regions of zones that the settings do not name."""
 
@@ -54,6 +56,7 @@
         self._reported = {} if not zone or zone in self._named else {zone: own_region}
         self._regions = frozenset(self._named.values()) | frozenset(self._reported.values())
         self._learn_at = 0.0
+        self._round_trips_s: deque[float] = deque(maxlen=ROUND_TRIP_SAMPLES)
 
     @property
     def has_several(self) -> bool:
@@ -96,7 +99,17 @@
     def travel_s(self, member: Member | None) -> float:
         """Return the time to add to the timeout of a call to a member, in seconds."""
         is_remote = member is not None and self.is_remote(member.zone)
-        return OTHER_REGION_ROUND_TRIP_S if is_remote else 0.0
+        return self.round_trip_s if is_remote else 0.0
+
+    @property
+    def round_trip_s(self) -> float:
+        """Network round trip to another region in seconds, as probes have measured it."""
+        return min(tuple(self._round_trips_s), default=ASSUMED_ROUND_TRIP_S)
+
+    def record_round_trip(self, member: Member, took_s: float) -> None:
+        """Record how long a member took to answer a probe; ignored within the own region."""
+        if self.is_remote(member.zone):
+            self._round_trips_s.append(took_s)
 
     def _learn(self) -> None:
         """Take the regions of unnamed zones from the members; known ones are kept."""
--- a/src/quaymill/process/replica_set/replica_cost.py
+++ b/src/quaymill/process/replica_set/replica_cost.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from quaymill.connection.replica_entry import USUAL_SLOWNESS
-from quaymill.process.regions import OTHER_REGION_ROUND_TRIP_S, Distance
+from quaymill.process.regions import Distance
 from quaymill.process.replica_set.replica import Replica
 
 OTHER_ZONE_LOAD = 1.5
@@ -39,7 +39,9 @@
     return load + (slowness - USUAL_SLOWNESS) * (slots + waiting)
 
 
-def distance_cost(distance: Distance, slots: int, service_s: float, *, cached: bool) -> float:
+def distance_cost(
+    distance: Distance, slots: int, service_s: float, round_trip_s: float, *, cached: bool
+) -> float:
     """Return the additional cost of a replica for its distance, in requests.
 
     The round trip to another region is converted to the number of requests that the replica
@@ -49,6 +51,8 @@
     ----------
     service_s
         Usual service time of a request in seconds; 0 if unknown.
+    round_trip_s
+        Network round trip to another region in seconds.
     cached
         Whether the replica has probably cached a large part of the prompt.
     """
@@ -57,7 +61,7 @@
     zone_cost = OTHER_ZONE_CACHED_LOAD if cached else OTHER_ZONE_LOAD
     if distance is Distance.SAME_REGION:
         return zone_cost
-    travel_cost = OTHER_REGION_ROUND_TRIP_S * slots / service_s if service_s > 0 else 0.0
+    travel_cost = round_trip_s * slots / service_s if service_s > 0 else 0.0
     return max(MIN_OTHER_REGION_FACTOR * zone_cost, travel_cost)
 
 
@@ -85,7 +89,9 @@
         offset = offsets.get(replica.id, 0.0)
         load = expected_cost(load_of(replica), replica.slots, replica.slowness()) + offset
         distance = replica.distance_from(zone)
-        load += distance_cost(distance, replica.slots, service_s, cached=offset < 0)
+        load += distance_cost(
+            distance, replica.slots, service_s, replica.region_round_trip_s, cached=offset < 0
+        )
         return load, rng.random()
 
     return min(candidates, key=cost)
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -28,7 +28,7 @@
 from quaymill.process.jobs.queued_tickets import QueuedTickets
 from quaymill.process.jobs.region_choice import PoolState, serves_sooner
 from quaymill.process.jobs.slot_claims import AllocatorChoice
-from quaymill.process.regions import ONE_REGION, OTHER_REGION_ROUND_TRIP_S, Distance, RegionMap
+from quaymill.process.regions import ASSUMED_ROUND_TRIP_S, ONE_REGION, Distance, RegionMap
 from quaymill.process.replica_set.online_queue import OnlineQueue
 from quaymill.process.replica_set.replica_cost import (
     OTHER_ZONE_CACHED_LOAD,
@@ -110,9 +110,18 @@
     def test_only_calls_to_another_region_may_take_longer(self) -> None:
         regions = region_map()
         self.assertEqual(0.0, regions.travel_s(member("g", "a2")))
-        self.assertEqual(OTHER_REGION_ROUND_TRIP_S, regions.travel_s(member("g", "b1")))
+        self.assertEqual(ASSUMED_ROUND_TRIP_S, regions.travel_s(member("g", "b1")))
         self.assertEqual(0.0, regions.travel_s(None))
 
+    def test_the_distance_of_another_region_is_measured(self) -> None:
+        """A fixed figure would be wrong elsewhere; a loaded link must not count as far away."""
+        regions = region_map()
+        for took_s in (0.09, 0.07, 0.3):
+            regions.record_round_trip(member("g", "b1"), took_s)
+            regions.record_round_trip(member("g", "a2"), 0.001)
+        self.assertEqual(0.07, regions.round_trip_s)
+        self.assertEqual(0.07, regions.travel_s(member("g", "b1")))
+
 
 class DistanceCostTest(unittest.TestCase):
     """Cost of a replica by its distance."""
@@ -128,7 +137,9 @@
         ("other region, fast service", Distance.OTHER_REGION, 0.02, False, 9.6),
     )
     def test_cost(self, _name, distance, service_s, cached, expected) -> None:
-        self.assertAlmostEqual(expected, distance_cost(distance, 8, service_s, cached=cached))
+        self.assertAlmostEqual(
+            expected, distance_cost(distance, 8, service_s, 0.024, cached=cached)
+        )
 
     def test_the_own_region_is_preferred_to_the_other_one_by_at_least_the_cost_of_two_zones(
         self,
@@ -286,7 +297,7 @@
         ("all replicas lost", LOST, LOST, False),
     )
     def test_serves_sooner(self, _name, other, own, expected) -> None:
-        self.assertEqual(expected, serves_sooner(other, own, 0.8))
+        self.assertEqual(expected, serves_sooner(other, own, 0.8, 0.024))
 
     def test_a_pool_whose_loads_are_not_known_has_no_state(self) -> None:
         """A region that seems idle because nothing is known of it may be full."""
