--- a/src/quaymill/process/regions.py
+++ b/src/quaymill/process/regions.py
@@ -12,7 +12,7 @@
 ASSUMED_ROUND_TRIP_S = 0.02
 """Network round trip to another region that is assumed until a probe there has been answered."""
 ROUND_TRIP_SAMPLES = 16
-"""Number of recent round trips whose minimum is used: delays by load are not part of the distance."""
+"""Number of recent round trips whose minimum is used, which leaves out delays caused by load."""
 LEARN_INTERVAL_S = 1.0
 """Time between two looks at the members for the regions of zones that the settings do not name."""
 
