--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -72,6 +72,9 @@
 long, and this gateway trusts the loads in the answer for more than twice as long."""
 
 
+OVERFLOW_SHARE = 0.85
+"""Share of a pool's slots above which the loads of other regions are requested, so that they are
+known before requests have to wait."""
 OTHER_REGION_PAUSE_S = 2.0
 """How long an allocator of another region is not contacted after it did not answer. Longer than
 ``PLACE_PAUSE_S``: the own region's allocator serves in the meantime, and a request that waits for
@@ -142,7 +145,7 @@
         self._queueing_allocators: set[str] = set()
         self._tickets = QueuedTickets()
         self._queue_length_by_pool: dict[EnginePool, int] = {}
-        self._queued_until_by_service: dict[str, float] = {}
+        self._overflow_until_by_service: dict[str, float] = {}
         self._ask_again_at_by_region: dict[str, float] = {}
         self.sent_to_other_region = 0
         self._nearly_full_until_by_pool: dict[EnginePool, float] = {}
@@ -210,10 +213,18 @@
             return None
         pool = pool_of(first, self._table)
         sooner = None if terms is None else self._sooner_elsewhere(pool, terms)
-        if sooner is not None:
-            answer = self._ask_allocator(sooner, constraints, terms)
-            if isinstance(answer, Replica | Queued):
+        if sooner is None:
+            answer = self._ask_allocator(pool, constraints, terms)
+            if answer is not QUEUED:
                 return answer
+            # The allocator's answer contains the current length of its queue.
+            sooner = self._sooner_elsewhere(pool, terms)
+            if sooner is None:
+                return answer
+        answer = self._ask_allocator(sooner, constraints, terms)
+        if isinstance(answer, Replica | Queued):
+            return answer
+        # It is being withdrawn from the own region's queue if it was there, and joins it again.
         return self._ask_allocator(pool, constraints, terms)
 
     def _sooner_elsewhere(self, pool: EnginePool, terms: QueueTerms) -> EnginePool | None:
@@ -300,16 +311,21 @@
         self._allocator_lost(self._tickets.in_region(region))
 
     def _record_pool_queue(self, pool: EnginePool, length: int) -> None:
-        """Record the length of a pool's queue; the other regions' loads matter if there is one."""
-        if not pool.region:
+        """Record the length of a pool's queue."""
+        if pool.region:
+            self._queue_length_by_pool[pool] = length
+            if length > 0:
+                self._expect_overflow(pool)
+
+    def _expect_overflow(self, pool: EnginePool) -> None:
+        """Request the loads of other regions, as requests of the own one may have to wait."""
+        if not pool.region or self._is_elsewhere(pool):
             return
-        self._queue_length_by_pool[pool] = length
-        if length > 0 and not self._is_elsewhere(pool):
-            now = boot_clock.now()
-            was_queued = self._queued_until_by_service.get(pool.service, 0.0) > now
-            self._queued_until_by_service[pool.service] = now + FULLNESS_LIFETIME_S
-            if not was_queued:
-                self._report_elsewhere_now.set()
+        now = boot_clock.now()
+        was_expected = self._overflow_until_by_service.get(pool.service, 0.0) > now
+        self._overflow_until_by_service[pool.service] = now + FULLNESS_LIFETIME_S
+        if not was_expected:
+            self._report_elsewhere_now.set()
 
     def _count_placed(self, placed: OnlinePlaced) -> Replica | None:
         """Count a placement until its request begins; return its replica, ``None`` if unusable."""
@@ -407,6 +423,8 @@
         found = [(load, self._table.get(load.replica_id)) for load in loads]
         slots = sum(replica.slots for _, replica in found if replica is not None)
         taken = sum(load.online for load, replica in found if replica is not None)
+        if taken > OVERFLOW_SHARE * slots:
+            self._expect_overflow(pool)
         is_nearly_full = taken > NEARLY_FULL_SHARE * slots
         self._nearly_full_until_by_pool[pool] = (
             boot_clock.now() + FULLNESS_LIFETIME_S if is_nearly_full else 0.0
@@ -529,20 +547,20 @@
     def _report_elsewhere(self) -> None:
         """Report to other regions' pools that this gateway uses, or may need soon.
 
-        Without requests queued in the own region and without requests in another one, nothing is
+        While the own region has enough free slots, and without requests in another one, nothing is
         sent there: traffic between regions is charged.
         """
         with self._lock:
             in_flight = dict(self._in_flight + self._placed)
         now = boot_clock.now()
         for service in self._batch_services():
-            has_queue = self._queued_until_by_service.get(service, 0.0) > now
+            may_overflow = self._overflow_until_by_service.get(service, 0.0) > now
             for pool in pools_of(service, self._table):
                 if not self._is_elsewhere(pool) or self._is_paused(pool):
                     continue
                 counts = self._counts_in(pool, in_flight)
                 is_used = counts or self._reported_by_pool.get(pool)
-                if is_used or has_queue or self._tickets.has_any(pool.region):
+                if is_used or may_overflow or self._tickets.has_any(pool.region):
                     self._reported_by_pool[pool] = counts
                     self._report_pool(pool, counts)
 
--- a/tests/test_region_faults.py
+++ b/tests/test_region_faults.py
@@ -138,6 +138,12 @@
         self.wait_until_queued(POOL_A, 1)
         self.wait_for(lambda: self.a1.reporter._state_of(POOL_B) is not None, "loads unknown")
 
+    def ask(self, ticket: str) -> object:
+        """Request a slot from ``a1`` without waiting for it."""
+        terms = QueueTerms(ticket, self.a1.process, None, 0, 0.0, 0.4, 6.0, 8.0, 0.8, 0.05)
+        request = ForwardedRequest(ticket, "POST", "/x", (), b"", Deadline.after(8.0))
+        return self.a1.ask_allocator(SERVICE, request, terms)
+
     def replica_of(self, name: str) -> str | None:
         result = self.results[name]
         return None if result is None else result.id
@@ -179,11 +185,12 @@
     def test_nothing_crosses_regions_while_the_own_one_has_a_free_slot(self) -> None:
         """Traffic between regions is charged, and slower."""
         self.a1.place_at_once()
+        self.a1.reporter._report_elsewhere()
+        self.assertEqual(Counter(), self.link.calls)
         self.send("r", self.a1)
         self.wait_until_dispatched("r")
         self.assertEqual("ea", self.replica_of("r"))
-        self.a1.reporter._report_elsewhere()
-        self.assertEqual(Counter(), self.link.calls)
+        self.assertEqual(0, self.link.calls["PlaceOnline"])
 
     def test_a_request_is_sent_to_the_other_region_if_the_own_queue_is_too_long(self) -> None:
         self.fill("a")
@@ -211,6 +218,14 @@
         self.wait_until_counts_agree()
         self.assert_sent_once(6)
 
+    def test_a_request_moves_if_the_answer_shows_that_the_own_queue_is_too_long(self) -> None:
+        """The gateway's last report is up to 0.25 s old, in which a burst begins."""
+        self.fill("a")
+        self.queue_one()
+        with mock.patch.object(self.a1.reporter, "_sooner_elsewhere", side_effect=[None, POOL_B]):
+            self.assertEqual("eb", self.ask("t").id)
+        self.assertEqual(("t",), self.a1.reporter._tickets.take_withdrawn(SERVICE, "a"))
+
     def test_gateways_of_both_regions_name_the_same_pools(self) -> None:
         for gateway in self.gateways.values():
             self.assertEqual([POOL_A, POOL_B], pools_of(SERVICE, gateway.table))
@@ -259,12 +274,6 @@
         self.wait_until_dispatched("first", "second")
         self.assertEqual({("a1", "ea"): 3, ("a2", "ea"): 1}, self.sent)
 
-    def ask(self, ticket: str) -> object:
-        """Request a slot from ``a1`` without waiting for it."""
-        terms = QueueTerms(ticket, self.a1.process, None, 0, 0.0, 0.4, 6.0, 8.0, 0.8, 0.05)
-        request = ForwardedRequest(ticket, "POST", "/x", (), b"", Deadline.after(8.0))
-        return self.a1.ask_allocator(SERVICE, request, terms)
-
     def test_a_request_joins_the_own_queue_at_once_if_the_other_region_does_not_answer(
         self,
     ) -> None:
@@ -276,6 +285,16 @@
         self.assertEqual(2, self.queue_length(POOL_A))
         self.assertEqual(("t",), self.a1.reporter._tickets.take_withdrawn(SERVICE, "b"))
 
+    def test_a_queued_request_stays_queued_if_the_other_region_does_not_answer(self) -> None:
+        """It is withdrawn from the own queue before the other region is asked."""
+        self.fill("a")
+        self.queue_one()
+        self.link.is_cut = True
+        with mock.patch.object(self.a1.reporter, "_sooner_elsewhere", side_effect=[None, POOL_B]):
+            self.assertIs(QUEUED, self.ask("t"))
+        self.assertEqual((), self.a1.reporter._tickets.take_withdrawn(SERVICE, "a"))
+        self.assertEqual(2, self.queue_length(POOL_A))
+
     def test_a_request_that_no_allocator_answers_leaves_no_trace(self) -> None:
         """It may wait at the other region's allocator, which must not keep it."""
         self.fill("a")
