--- a/tests/cold_player.py
+++ b/tests/cold_player.py
@@ -187,72 +187,100 @@
 
 def play(scenario: Scenario, make_policy, seed: int) -> ColdOutcome:
     """Play a scenario; requests that begin while replicas are cold are counted."""
-    rng = random.Random(seed)
-    policy = make_policy(scenario, rng)
-    delays = [rng.uniform(0.0, 0.3) for _ in range(GATEWAYS)]
-    outcome = ColdOutcome()
-    events: list[tuple[float, int, str, tuple]] = []
-    waiting: deque[tuple[float, int]] = deque()
-    arrivals: dict[int, deque[float]] = defaultdict(deque)
-    slots = [[0.0] * SLOTS for _ in range(REPLICAS)]
-
-    def push(at: float, kind: str, *target) -> None:
-        heapq.heappush(events, (at, len(events) + rng.getrandbits(32), kind, target))
-
-    def dispatch(arrived_at: float, gateway: int, now: float) -> bool:
-        replica = policy.place(gateway, now)
+    return _Player(scenario, make_policy, random.Random(seed)).play()
+
+
+class _Player:
+    """The simulated fleet: the events of one run, and the slots of its replicas."""
+
+    def __init__(self, scenario: Scenario, make_policy, rng: random.Random) -> None:
+        self._scenario = scenario
+        self._rng = rng
+        self._policy = make_policy(scenario, rng)
+        self._delays = [rng.uniform(0.0, 0.3) for _ in range(GATEWAYS)]
+        self._outcome = ColdOutcome()
+        self._events: list[tuple[float, int, str, tuple]] = []
+        self._number = 0
+        self._waiting: deque[tuple[float, int]] = deque()
+        self._arrivals: dict[int, deque[float]] = defaultdict(deque)
+        self._free_at = [[0.0] * SLOTS for _ in range(REPLICAS)]
+
+    def play(self) -> ColdOutcome:
+        """Simulate the whole run."""
+        self._plan()
+        handlers = {
+            "request": self._request,
+            "arrive": self._arrive,
+            "end": self._end,
+            "tick": self._tick,
+        }
+        while self._events:
+            now, _, kind, target = heapq.heappop(self._events)
+            handlers[kind](*target, now)
+        return self._outcome
+
+    def _plan(self) -> None:
+        scenario, at = self._scenario, 0.0
+        while at < scenario.length_s:
+            in_burst = scenario.cold_from_s <= at < scenario.cold_until_s
+            at += self._rng.expovariate(scenario.burst_per_s if in_burst else scenario.low_per_s)
+            self._push(at, "request", self._rng.randrange(GATEWAYS))
+        for tick in range(int(scenario.length_s / TICK_S)):
+            self._push(tick * TICK_S, "tick")
+
+    def _push(self, at: float, kind: str, *target) -> None:
+        self._number += 1
+        heapq.heappush(self._events, (at, self._number, kind, target))
+
+    def _request(self, gateway: int, now: float) -> None:
+        if not self._dispatch(now, gateway, now):
+            self._waiting.append((now, gateway))
+
+    def _dispatch(self, arrived_at: float, gateway: int, now: float) -> bool:
+        replica = self._policy.place(gateway, now)
         if replica is None:
             return False
-        delay_s = delays[gateway] + rng.uniform(0.0, 0.2)
-        push(now + delay_s, "arrive", gateway, replica, arrived_at + delay_s)
+        delay_s = self._delays[gateway] + self._rng.uniform(0.0, 0.2)
+        self._push(now + delay_s, "arrive", gateway, replica, arrived_at + delay_s)
         return True
 
-    def arrive(gateway: int, replica: int, due_at: float, now: float) -> None:
+    def _arrive(self, gateway: int, replica: int, due_at: float, now: float) -> None:
         """Let a request wait for a slot at its replica, or fail if it is above the bound."""
-        cold = scenario.is_cold(replica, now)
-        counted = scenario.cold_from_s <= due_at < scenario.cold_until_s
-        outcome.requests += counted
-        if cold and not _is_within_bound(arrivals[replica], outcome, now):
-            push(now, "end", gateway, replica)
+        cold = self._scenario.is_cold(replica, now)
+        counted = self._is_counted(due_at)
+        self._outcome.requests += counted
+        if cold and not self._is_within_bound(self._arrivals[replica], now):
+            self._push(now, "end", gateway, replica)
             return
-        outcome.served_cold += cold
-        began_at = max(now, heapq.heappop(slots[replica]))
+        self._outcome.served_cold += cold
+        began_at = max(now, heapq.heappop(self._free_at[replica]))
         ends_at = began_at + (COLD_SERVICE_S if cold else SERVICE_S)
-        heapq.heappush(slots[replica], ends_at)
-        push(ends_at, "end", gateway, replica)
-        outcome.in_time += counted and began_at - due_at <= OBJECTIVE_S
-
-    at = 0.0
-    while at < scenario.length_s:
-        in_burst = scenario.cold_from_s <= at < scenario.cold_until_s
-        at += rng.expovariate(scenario.burst_per_s if in_burst else scenario.low_per_s)
-        push(at, "request", rng.randrange(GATEWAYS))
-    for tick in range(int(scenario.length_s / TICK_S)):
-        push(tick * TICK_S, "tick")
-    while events:
-        now, _, kind, target = heapq.heappop(events)
-        if kind == "request":
-            if not dispatch(now, target[0], now):
-                waiting.append((now, target[0]))
-        elif kind == "end":
-            policy.ended(*target, now)
-        elif kind == "arrive":
-            arrive(*target, now)
-        else:
-            policy.tick(now)
-        if kind in ("tick", "end"):
-            while waiting and now - waiting[0][0] > DISPATCH_DEADLINE_S:
-                outcome.requests += 1
-                waiting.popleft()
-            if waiting and dispatch(*waiting[0], now):
-                waiting.popleft()
-    return outcome
-
-
-def _is_within_bound(recent: deque[float], outcome: ColdOutcome, now: float) -> bool:
-    """Record an arrival at a cold replica; return whether it serves the request."""
-    recent.append(now)
-    while recent[0] <= now - 1.0:
-        recent.popleft()
-    outcome.peak = max(outcome.peak, len(recent))
-    return len(recent) <= BOUND
+        heapq.heappush(self._free_at[replica], ends_at)
+        self._push(ends_at, "end", gateway, replica)
+        self._outcome.in_time += counted and began_at - due_at <= OBJECTIVE_S
+
+    def _is_counted(self, at: float) -> bool:
+        return self._scenario.cold_from_s <= at < self._scenario.cold_until_s
+
+    def _is_within_bound(self, recent: deque[float], now: float) -> bool:
+        """Record an arrival at a cold replica; return whether it serves the request."""
+        recent.append(now)
+        while recent[0] <= now - 1.0:
+            recent.popleft()
+        self._outcome.peak = max(self._outcome.peak, len(recent))
+        return len(recent) <= BOUND
+
+    def _end(self, gateway: int, replica: int, now: float) -> None:
+        self._policy.ended(gateway, replica, now)
+        self._dispatch_waiting(now)
+
+    def _tick(self, now: float) -> None:
+        self._policy.tick(now)
+        self._dispatch_waiting(now)
+
+    def _dispatch_waiting(self, now: float) -> None:
+        while self._waiting and now - self._waiting[0][0] > DISPATCH_DEADLINE_S:
+            arrived_at, _ = self._waiting.popleft()
+            self._outcome.requests += self._is_counted(arrived_at)
+        if self._waiting and self._dispatch(*self._waiting[0], now):
+            self._waiting.popleft()
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -1,4 +1,4 @@
-"""Decisions on cold replicas: when a replica is cold, who may grant requests to it, and how many."""
+"""Decisions on cold replicas: when one is cold, who may grant requests to it, and how many."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 import unittest
 
 import attrs
-from cold_player import BOUND, RULE, ByAllocator, ByLoad, ByShare, Scenario, play
 from nose2.tools import params
 
+from cold_player import BOUND, RULE, ByAllocator, ByLoad, ByShare, Scenario, play
 from quaymill.process.replica_set.cold_start import (
     DELAY_SPREAD_S,
     GRANT_WINDOW_S,
