--- a/tests/cold_player.py
+++ b/tests/cold_player.py
@@ -53,7 +53,7 @@
     cold_until_s: float = 11.0
     length_s: float = 14.0
     low_per_s: float = 200.0
-    burst_per_s: float = 1000.0
+    burst_per_s: float = 1400.0
     handover: bool = False
     partition: bool = False
 
