Keep in every gateway until when a replica is cold

A replica's entry, its answers (also the report that the allocator polls), its listing and the end of its zone's evacuation state when it is warm. The remaining time is sent to peers, and only a changed statement counts as a change of the list: an unchanged entry that is read again is ignored, since it would extend the warm-up with each read. Services that declare no cold rate are not affected.

--- a/src/quaymill/connection/replica_answer.py
+++ b/src/quaymill/connection/replica_answer.py
@@ -25,6 +25,9 @@
         Size of the body in bytes; ``None`` if unknown.
     keep_alive_s
         How long the connection may stay idle afterwards; 0 if it must not be reused.
+    cold_left_s
+        Remaining warm-up time that the replica states; ``None`` if it states none, NaN if it is
+        invalid.
     """
 
     status: int
@@ -36,3 +39,4 @@
     load: ReportedLoad | None = None
     length: int | None = None
     keep_alive_s: float = 0.0
+    cold_left_s: float | None = None
--- a/src/quaymill/connection/replica_entry.py
+++ b/src/quaymill/connection/replica_entry.py
@@ -13,6 +13,8 @@
 MIN_SLOWNESS = 0.1
 MAX_SLOWNESS = 10.0
 """Bounds of the reported slowness; a slower replica is detected by its late answers."""
+MAX_COLD_LEFT_S = 24 * 3600.0
+"""Upper bound of a plausible remaining warm-up time."""
 
 
 @attrs.frozen
@@ -26,7 +28,8 @@
     slots
         Number of requests that the replica runs at once.
     cold_left_s
-        Remaining time during which the replica is slow after its start.
+        Remaining time during which the replica is slow after its start; ``None`` if unknown, NaN if
+        the entry states an invalid time.
     started_ms
         Start time in Unix milliseconds, by the replica's clock; 0 if unknown.
     """
@@ -37,7 +40,7 @@
     zone: str
     slots: int
     draining: bool = False
-    cold_left_s: float = attrs.field(default=0.0, eq=False)
+    cold_left_s: float | None = attrs.field(default=0.0, eq=False)
     started_ms: int = 0
 
     @property
@@ -78,6 +81,25 @@
     return min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
 
 
+def read_cold_left_s(value: object, per_s: float) -> float | None:
+    """Return a stated remaining warm-up time in seconds.
+
+    Returns ``None`` if none is stated, NaN if the value is not a number, negative or longer than
+    ``MAX_COLD_LEFT_S``.
+
+    Parameters
+    ----------
+    per_s
+        Units of the value per second.
+    """
+    if value is None:
+        return None
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return math.nan
+    # Compared before the division, which cannot be done with a very large integer.
+    return value / per_s if 0 <= value <= MAX_COLD_LEFT_S * per_s else math.nan
+
+
 @attrs.frozen
 class SlownessReading:
     """A slowness that a replica reported, and when.
--- a/src/quaymill/platform/configuration.py
+++ b/src/quaymill/platform/configuration.py
@@ -8,7 +8,7 @@
 
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.object_store import StoredObject, UnreadableObject
-from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.connection.replica_entry import ReplicaEntry, read_cold_left_s
 from quaymill.platform.names import REPLICA_DRAINING, ROUTE_KINDS
 from quaymill.version.request_routes import (
     EngineProperties,
@@ -23,8 +23,6 @@
 MS_PER_S = 1000.0
 MAX_SLOTS = 100_000
 """Upper bound of a plausible entry; an entry with more slots is rejected as unreadable."""
-MAX_COLD_LEFT_MS = 24 * 3600 * MS_PER_S
-"""Upper bound of a plausible remaining warm-up time; a longer one is rejected as unreadable."""
 
 
 class _ServiceShare(msgspec.Struct):
@@ -97,7 +95,7 @@
     zone: str
     slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    cold_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_LEFT_MS)] = 0.0
+    cold_left_ms: Any = None
     born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
@@ -130,7 +128,7 @@
         zone=server.zone,
         slots=server.slots,
         draining=server.state == REPLICA_DRAINING,
-        cold_left_s=server.cold_left_ms / MS_PER_S,
+        cold_left_s=read_cold_left_s(server.cold_left_ms, MS_PER_S),
         started_ms=server.born,
     )
 
--- a/src/quaymill/platform/gateway_role.py
+++ b/src/quaymill/platform/gateway_role.py
@@ -19,7 +19,9 @@
 GATEWAY_PROTOCOL = GatewayProtocol(
     callers=caller_calls.CALLER_PROTOCOL,
     replicas=REPLICA_PROTOCOL,
-    reports=ReportProtocol(replica_calls.report_request, replica_calls.read_report),
+    reports=ReportProtocol(
+        replica_calls.report_request, replica_calls.read_report, replica_calls.read_cold_left
+    ),
     items=ItemProtocol(REPLICA_PROTOCOL, caller_calls.item_headers),
     control=ControlProtocol(
         names.CONFIGURATION_NAME, configuration.decode_configuration, configuration.decode_replica
--- a/src/quaymill/platform/replica_calls.py
+++ b/src/quaymill/platform/replica_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 from urllib3._collections import HTTPHeaderDict
 from urllib3.util import SKIP_HEADER
@@ -9,7 +11,11 @@
 from quaymill.connection.engine_report import EngineReport
 from quaymill.connection.replica_answer import AnswerHead
 from quaymill.connection.replica_connection import Exchange, ReplicaRequest
-from quaymill.connection.replica_entry import ReportedLoad, read_slowness
+from quaymill.connection.replica_entry import (
+    ReportedLoad,
+    read_cold_left_s,
+    read_slowness,
+)
 from quaymill.platform import names
 from quaymill.request.forwarded_request import ForwardedRequest
 
@@ -35,6 +41,7 @@
 LIBRARY_HEADERS = ("User-Agent", "Accept-Encoding")
 """Headers that the HTTP library adds by default."""
 MISDIRECTED_STATUS = 421
+MS_PER_S = 1000.0
 DEFAULT_KEEP_ALIVE_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.0
 
@@ -93,6 +100,7 @@
         load=read_load(headers.get(names.LOAD, "")),
         length=int(length) if length is not None and length.isdigit() else None,
         keep_alive_s=_keep_alive_s(headers),
+        cold_left_s=read_cold_left(exchange),
     )
 
 
@@ -122,6 +130,15 @@
     return ReportedLoad(running, waiting, slots, read_slowness("".join(parts[3:4])))
 
 
+def read_cold_left(exchange: Exchange) -> float | None:
+    """Return the remaining warm-up time that an answer states, as ``read_cold_left_s`` does."""
+    text = exchange.headers.get(names.COLD_MS)
+    try:
+        return read_cold_left_s(None if text is None else float(text), MS_PER_S)
+    except ValueError:
+        return math.nan
+
+
 def _hop_by_hop_headers(headers) -> frozenset[str]:
     """Return the names of the hop-by-hop headers that ``Connection`` headers list."""
     named = [value for name, value in headers if name.lower() == "connection"]
--- a/src/quaymill/process/control/entries.py
+++ b/src/quaymill/process/control/entries.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any
 
+import attrs
 from eliot import log_message
 
 from quaymill.connection.object_store import Listing, StoredObject
@@ -38,6 +40,7 @@
         self._last_entry = last_entry
         self._read_at_by_id: dict[str, float] = {}
         self._logged_by_name: dict[str, tuple[int, str]] = {}
+        self._invalid_warm_up: set[str] = set()
 
     def read(self, listing: Listing, now: float) -> list[ReplicaEntry]:
         """Return the entries of a list, with recent valid ones in place of unreadable ones."""
@@ -46,7 +49,7 @@
         for stored in listing.objects:
             entry = self._read_replica(stored)
             if isinstance(entry, ReplicaEntry):
-                entries.append(entry)
+                entries.append(self._without_invalid_warm_up(entry))
             else:
                 unreadable.append(stored.name)
                 self._log_unreadable(stored, entry.reason)
@@ -56,6 +59,16 @@
         self._read_at_by_id |= dict.fromkeys((entry.id for entry in entries), now)
         return entries + self._kept(unreadable, now)
 
+    def _without_invalid_warm_up(self, entry: ReplicaEntry) -> ReplicaEntry:
+        """Return an entry whose warm-up time is unknown if it states an invalid one."""
+        if entry.cold_left_s is None or not math.isnan(entry.cold_left_s):
+            self._invalid_warm_up.discard(entry.id)
+            return entry
+        if entry.id not in self._invalid_warm_up:
+            self._invalid_warm_up.add(entry.id)
+            log_message("control:warm_up_invalid", replica=entry.id)
+        return attrs.evolve(entry, cold_left_s=None)
+
     def _kept(self, unreadable: list[str], now: float) -> list[ReplicaEntry]:
         """Return the last valid entries of unreadable objects that were readable recently."""
         self._read_at_by_id = {
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -274,7 +274,7 @@
         revision = self._table.revision
         if revision <= message.replicas_revision:
             return ControlState(document)
-        records = tuple(_record(entry) for entry in self._table.entries())
+        records = tuple(_record(entry) for entry in self._table.shared_entries())
         return ControlState(document, records, revision)
 
 
@@ -290,7 +290,7 @@
         entry.zone,
         entry.slots,
         entry.draining,
-        entry.cold_left_s,
+        entry.cold_left_s or 0.0,
         entry.started_ms,
     )
 
--- a/src/quaymill/process/jobs/engine_loads.py
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -15,7 +15,7 @@
 
 from quaymill import boot_clock
 from quaymill.connection.engine_report import EngineReport
-from quaymill.connection.replica_connection import ReplicaConnections, ReplicaRequest
+from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
 from quaymill.process.replica_set.replica import Replica
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 
@@ -38,10 +38,17 @@
 
 @attrs.frozen
 class ReportProtocol:
-    """How to request and parse an engine's report."""
+    """How to request and parse an engine's report.
+
+    Attributes
+    ----------
+    read_cold_left
+        Returns the remaining warm-up time that the answer states; ``None`` if it states none.
+    """
 
     request: Callable[[], ReplicaRequest]
     read: Callable[[bytes], EngineReport | None]
+    read_cold_left: Callable[[Exchange], float | None] = lambda exchange: None
 
 
 @attrs.define
@@ -184,7 +191,12 @@
             return None
         exchange.release(KEEP_ALIVE_S)
         report = self._protocol.read(body) if exchange.status == 200 else None
-        return report if report is not None and _is_from_listed_process(report, replica) else None
+        if report is None or not _is_from_listed_process(report, replica):
+            return None
+        cold_left_s = self._protocol.read_cold_left(exchange)
+        if cold_left_s is not None:
+            replica.record_cold_left(cold_left_s)
+        return report
 
 
 def reserved_slots(replica: Replica, share: float) -> int:
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -155,6 +155,8 @@
     head = protocol.read_answer_head(exchange)
     if head.load is not None:
         replica.record_report(head.load)
+    if head.cold_left_s is not None:
+        replica.record_cold_left(head.cold_left_s)
     if head.not_executed:
         if head.misdirected:
             replica.misdirected = True
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -162,6 +162,22 @@
         (REPLICA, "service", "penalty: failures, weighted by age"),
     ),
     "replica:restored": LogEvent("a replica is no longer ejected", (REPLICA, "service")),
+    "replica:cold": LogEvent(
+        "a replica is cold; only requests with a grant of the slot allocator are sent to it",
+        (
+            REPLICA,
+            "service",
+            "left_s: remaining warm-up time",
+            "reason: listed, listed again, entry, answer or evacuation ended",
+        ),
+    ),
+    "replica:warm": LogEvent(
+        "a replica is no longer cold",
+        (REPLICA, "service", "left_s: always 0", "reason: of its last change of state"),
+    ),
+    "control:warm_up_invalid": LogEvent(
+        "a replica states an invalid remaining warm-up time, which counts as unknown", (REPLICA,)
+    ),
     "control:configuration": LogEvent(
         "a new configuration is in force",
         ("version, before: its version and the previous one", "source: store or peer", "routes"),
--- a/src/quaymill/process/replica_set/cold_start.py
+++ b/src/quaymill/process/replica_set/cold_start.py
@@ -11,7 +11,7 @@
 
 import math
 from collections import deque
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 
 import attrs
 
@@ -104,6 +104,14 @@
         return min(slots, self.requests_per_s * service_s)
 
 
+ColdRuleOf = Callable[[str], ColdRule | None]
+"""Returns the rule of a service; ``None`` if the service declares no rate of cold replicas."""
+
+
+def no_cold_rule(service: str) -> None:
+    """Return that a service declares nothing."""
+
+
 @attrs.define
 class ColdState:
     """What is known of the warm-up of one run of a replica; all times are monotonic.
@@ -141,8 +149,8 @@
             until = min(self._stated_until, self._stated_at + rule.max_stated_s)
         return max(until, self._evacuation_ended_at + rule.warm_up_s)
 
-    def is_news(self, left_s: float | None, rule: ColdRule, now: float) -> bool:
-        """Return whether an entry states something else than is known.
+    def record_entry(self, left_s: float | None, rule: ColdRule, now: float) -> bool:
+        """Record the replica's entry; return whether it changes what is known.
 
         An entry with the same remaining time as before is the same statement, read again. An entry
         that is read soon after an answer of the replica may be older than the answer, so it can
@@ -150,19 +158,18 @@
         """
         if left_s is None or left_s == self.entry_left_s:
             return False
+        self.entry_left_s = left_s
         known_left_s = max(0.0, self.cold_until(rule) - now)
-        stated_left_s = min(left_s, rule.max_stated_s)
+        evacuation_left_s = self._evacuation_ended_at + rule.warm_up_s - now
+        stated_left_s = max(min(left_s, rule.max_stated_s), evacuation_left_s)
         if stated_left_s <= known_left_s and now - self._answered_at < ENTRY_AGE_S:
             return False
-        if (stated_left_s > 0) != (known_left_s > 0):
-            return True
-        return abs(stated_left_s - known_left_s) > SAME_TIME_S
-
-    def record_entry(self, left_s: float | None, now: float) -> None:
-        """Record a newer statement in the replica's entry."""
-        self.entry_left_s = left_s
+        same_state = (stated_left_s > 0) == (known_left_s > 0)
+        if same_state and abs(stated_left_s - known_left_s) <= SAME_TIME_S:
+            return False
         self.reason = "entry"
         self._state(left_s, now)
+        return True
 
     def record_listed_again(self, left_s: float | None, now: float) -> None:
         """Record the entry of a replica that is listed again; it replaces earlier statements."""
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -12,6 +12,13 @@
 
 from quaymill import boot_clock
 from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad, SlownessReading
+from quaymill.process.replica_set.cold_start import (
+    ColdPermits,
+    ColdRule,
+    ColdRuleOf,
+    ColdState,
+    no_cold_rule,
+)
 from quaymill.process.replica_set.slowness import SlownessRecord
 
 REPORT_HALF_LIFE_S = 1.0
@@ -86,6 +93,8 @@
     ----------
     is_unreachable
         Returns whether a zone is unreachable now.
+    cold_rule_of
+        Returns how cold replicas of a service are used; ``None`` if the service declares nothing.
 
     Attributes
     ----------
@@ -108,9 +117,15 @@
         self,
         entry: ReplicaEntry,
         is_unreachable: Callable[[str], bool] = lambda zone: False,
+        cold_rule_of: ColdRuleOf = no_cold_rule,
     ) -> None:
         self.entry = entry
         self._is_unreachable = is_unreachable
+        self._cold_rule_of = cold_rule_of
+        self._cold_state = ColdState.from_entry(entry.cold_left_s, boot_clock.now())
+        self._cold_permits = ColdPermits()
+        self._logged_as_cold = False
+        self._logged_invalid_warm_up = False
         self.last_received_at = -math.inf
         self.id_hash = xxhash.xxh3_64_intdigest(entry.id.encode())
         self.in_flight = 0
@@ -147,6 +162,105 @@
         """Whether the replica must not get new work."""
         return self.entry.draining or self.misdirected or self.departed_at is not None
 
+    @property
+    def cold_rule(self) -> ColdRule | None:
+        """How it is used while it is cold; ``None`` if its service declares nothing."""
+        return self._cold_rule_of(self.entry.service)
+
+    @property
+    def cold_until(self) -> float:
+        """Monotonic time when it will be warm; 0 if its service declares nothing."""
+        rule = self.cold_rule
+        return 0.0 if rule is None else self._cold_state.cold_until(rule)
+
+    @property
+    def cold(self) -> bool:
+        """Whether it is cold now, so that only requests with a grant may be sent to it."""
+        until = self.cold_until
+        if not until and not self._logged_as_cold:
+            return False
+        left_s = until - boot_clock.now()
+        if (left_s > 0) != self._logged_as_cold:
+            self._log_cold(left_s)
+        return left_s > 0
+
+    def _log_cold(self, left_s: float) -> None:
+        self._logged_as_cold = left_s > 0
+        log_message(
+            "replica:cold" if left_s > 0 else "replica:warm",
+            replica=self.id,
+            service=self.entry.service,
+            left_s=round(max(0.0, left_s), 2),
+            reason=self._cold_state.reason,
+        )
+
+    def record_entry(self, entry: ReplicaEntry) -> None:
+        """Record a newer entry of the same run."""
+        with self._lock:
+            if self.departed_at is not None:
+                self._cold_state.record_listed_again(entry.cold_left_s, boot_clock.now())
+            self.entry = entry
+
+    def record_warm_up(self, entry: ReplicaEntry) -> bool:
+        """Record the warm-up time in a newer entry of the same run, if it is listed.
+
+        Returns whether this changes what is known of its warm-up.
+        """
+        rule = self.cold_rule
+        if rule is None or self.departed_at is not None:
+            return False
+        with self._lock:
+            if entry == self.entry:
+                self.entry = entry
+            return self._cold_state.record_entry(entry.cold_left_s, rule, boot_clock.now())
+
+    def record_cold_left(self, left_s: float) -> None:
+        """Record the remaining warm-up time that an answer of the replica states.
+
+        An invalid one, which is NaN, is logged once and ignored.
+        """
+        if not math.isnan(left_s):
+            with self._lock:
+                self._cold_state.record_answer(left_s, boot_clock.now())
+        elif not self._logged_invalid_warm_up:
+            self._logged_invalid_warm_up = True
+            log_message("control:warm_up_invalid", replica=self.id)
+
+    def record_evacuation_ended(self) -> None:
+        """Treat it as cold, because it has had no work for some time."""
+        with self._lock:
+            self._cold_state.record_evacuation_ended(boot_clock.now())
+
+    def shared_entry(self) -> ReplicaEntry:
+        """Return its entry for other gateways, with the remaining warm-up time as of now."""
+        until = self.cold_until
+        if not until:
+            return self.entry
+        return attrs.evolve(self.entry, cold_left_s=max(0.0, until - boot_clock.now()))
+
+    def add_cold_permits(self, count: int, at: float) -> None:
+        """Record that the slot allocator granted requests to it, although it is cold.
+
+        Parameters
+        ----------
+        at
+            Monotonic time when the grants were requested, or received without a request.
+        """
+        with self._lock:
+            self._cold_permits.add(count, at)
+
+    @property
+    def lacks_permit(self) -> bool:
+        """Whether it is cold and no grant for it is left, so that nothing may be sent to it."""
+        return self.cold and not self._cold_permits.available(boot_clock.now())
+
+    def take_permit(self) -> bool:
+        """Use a grant if it is cold; return whether a request may be sent to it now."""
+        if not self.cold:
+            return True
+        with self._lock:
+            return self._cold_permits.take(boot_clock.now())
+
     def begin(self) -> None:
         """Count a request that is being sent."""
         with self._lock:
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from eliot import log_message
 
 from quaymill import boot_clock
 from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.process.replica_set.cold_start import ColdRuleOf, no_cold_rule
 from quaymill.process.replica_set.replica import Replica
 
 DEPARTED_RETENTION_S = 30.0
@@ -24,15 +25,19 @@
         Called with each replica that is no longer listed or has started again.
     is_unreachable
         Returns whether a zone is unreachable now.
+    cold_rule_of
+        Returns how cold replicas of a service are used; ``None`` if the service declares nothing.
     """
 
     def __init__(
         self,
         on_departed: Callable[[Replica], None] = lambda replica: None,
         is_unreachable: Callable[[str], bool] = lambda zone: False,
+        cold_rule_of: ColdRuleOf = no_cold_rule,
     ) -> None:
         self._on_departed = on_departed
         self._is_unreachable = is_unreachable
+        self._cold_rule_of = cold_rule_of
         self._lock = threading.Lock()
         self._by_id: dict[str, Replica] = {}
         self._by_service: dict[str, tuple[Replica, ...]] = {}
@@ -67,6 +72,14 @@
             replica.entry for replica in self._by_id.values() if replica.departed_at is None
         )
 
+    def shared_entries(self) -> tuple[ReplicaEntry, ...]:
+        """Return the entries of all listed replicas with the remaining warm-up times as of now."""
+        return tuple(
+            replica.shared_entry()
+            for replica in self._by_id.values()
+            if replica.departed_at is None
+        )
+
     def replace_all(
         self, entries: Iterable[ReplicaEntry], revision: int, *, keep_missing: bool = False
     ) -> int:
@@ -98,7 +111,8 @@
             kept = len(known.keys() - listed.keys()) if keep_missing else 0
             if kept:
                 listed = known | listed
-            if self.revision and listed == known:
+            warm_up_changed = self._record_warm_ups(listed)
+            if self.revision and listed == known and not warm_up_changed:
                 return kept
             for entry in listed.values():
                 self._update_entry(entry)
@@ -121,7 +135,7 @@
     def _update_entry(self, entry: ReplicaEntry) -> None:
         replica = self._by_id.get(entry.id)
         if replica is None:
-            self._by_id[entry.id] = Replica(entry, self._is_unreachable)
+            self._by_id[entry.id] = self._create_replica(entry)
             log_message("replica:listed", replica=entry.id, service=entry.service, zone=entry.zone)
             return
         if entry.started_ms != replica.entry.started_ms:
@@ -129,15 +143,33 @@
             log_message("replica:started_again", replica=entry.id, service=entry.service)
             replica.departed_at = boot_clock.now()
             self._on_departed(replica)
-            self._by_id[entry.id] = Replica(entry, self._is_unreachable)
+            self._by_id[entry.id] = self._create_replica(entry)
             return
         if entry.draining and not replica.entry.draining:
             log_message("replica:draining", replica=entry.id, service=entry.service)
         if replica.departed_at is not None:
             log_message("replica:listed_again", replica=entry.id, service=entry.service)
-        replica.entry = entry
+        replica.record_entry(entry)
         replica.departed_at = None
 
+    def _create_replica(self, entry: ReplicaEntry) -> Replica:
+        return Replica(entry, self._is_unreachable, self._cold_rule_of)
+
+    def _record_warm_ups(self, listed: Mapping[str, ReplicaEntry]) -> bool:
+        """Record the warm-up times of replicas that stay listed; return whether any changes."""
+        changed = False
+        for entry in listed.values():
+            replica = self._by_id.get(entry.id)
+            if replica is not None and entry.started_ms == replica.entry.started_ms:
+                changed |= replica.record_warm_up(entry)
+        return changed
+
+    def mark_zone_cold(self, zone: str) -> None:
+        """Treat the replicas of a zone as cold, because its evacuation has ended."""
+        for replica in self.replicas():
+            if replica.zone == zone and replica.departed_at is None:
+                replica.record_evacuation_ended()
+
     def _mark_departed(self, replica: Replica) -> None:
         if replica.departed_at is not None:
             return
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -382,6 +382,8 @@
     ) -> AttemptResult:
         if head.load is not None:
             replica.record_report(head.load)
+        if head.cold_left_s is not None:
+            replica.record_cold_left(head.cold_left_s)
         if head.not_executed:
             return self._handle_refusal(exchange, replica, head)
         if head.request_id != self._request.id:
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -91,6 +91,9 @@
     def record_report(self, load: ReportedLoad) -> None:
         """Record a load report of the replica."""
 
+    def record_cold_left(self, left_s: float) -> None:
+        """Record the remaining warm-up time that the replica states; NaN if it is invalid."""
+
     def slowness(self) -> float:
         """Return the expected service time as a multiple of the usual one."""
 
--- /dev/null
+++ b/tests/test_cold_replicas.py
@@ -0,0 +1,134 @@
+"""The warm-up of replicas as gateways know it, and what they send to cold replicas."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from nose2.tools import params
+
+from quaymill import boot_clock
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.process.replica_set.cold_start import PERMIT_LIFETIME_S, ColdRule
+from quaymill.process.replica_set.table import ReplicaTable
+
+SERVICE = "engine"
+RULE = ColdRule.from_rate(3.0, 12.0, 1.5, 5.0)
+
+
+def entry(name: str, cold_left_s: float | None = 0.0, started_ms: int = 1, **fields):
+    return ReplicaEntry(
+        name, SERVICE, Endpoint("127.0.0.1", 1), fields.get("zone", "z"), 4, False, cold_left_s,
+        started_ms,
+    )  # fmt: skip
+
+
+class Clock(unittest.TestCase):
+    """Test case with a clock that is moved by hand."""
+
+    def setUp(self) -> None:
+        self.now = 1000.0
+        patch = mock.patch.object(boot_clock, "now", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+
+class WarmUpTest(Clock):
+    """The table of replicas of a service that declares a cold rate."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = ReplicaTable(cold_rule_of=lambda service: RULE)
+        self.table.replace_all([entry("a")], 1)
+
+    def cold_left_s(self) -> float:
+        return max(0.0, self.table.get("a").cold_until - self.now)
+
+    def test_replica_of_another_service_is_never_cold(self) -> None:
+        """Guards against effects on services that declare no cold rate."""
+        table = ReplicaTable()
+        table.replace_all([entry("a", 3.0), entry("b", None)], 1)
+        self.assertEqual([False, False], [one.cold for one in table.replicas()])
+        self.now += 1.0
+        table.replace_all([entry("a", 2.0), entry("b", 9.0)], 2)
+        self.assertEqual(1, table.revision)
+        self.assertEqual([3.0, None], [one.cold_left_s for one in table.shared_entries()])
+
+    @params(
+        ("cold again", 2.0, 0.0, 2.0, True),
+        ("still warm", 0.0, 0.0, 0.0, False),
+        ("unknown", None, 0.0, 0.0, False),
+    )
+    def test_warm_up_of_a_listed_replica(self, _, left_s, age_s, expected_s, changed) -> None:
+        """Guards against peers that never pull that a replica has become cold."""
+        self.now += 100.0
+        self.table.replace_all([entry("a", left_s)], 2)
+        self.now += age_s
+        self.assertAlmostEqual(expected_s, self.cold_left_s())
+        self.assertEqual(2 if changed else 1, self.table.revision)
+
+    def test_passing_time_is_no_change_of_the_list(self) -> None:
+        """Guards against lists that all gateways pull at every read of the store."""
+        self.table.replace_all([entry("a", 3.0)], 2)
+        for number in range(3):
+            self.now += 0.9
+            self.table.replace_all([entry("a", 3.0 - 0.9 * (number + 1))], 3 + number)
+        self.assertEqual(2, self.table.revision)
+        self.assertAlmostEqual(0.3, self.cold_left_s())
+
+    def test_unchanged_entry_that_is_read_again_does_not_extend_the_warm_up(self) -> None:
+        self.table.replace_all([entry("a", 3.0)], 2)
+        for number in range(4):
+            self.now += 0.9
+            self.table.replace_all([entry("a", 3.0)], 3 + number)
+        self.assertFalse(self.table.get("a").cold)
+
+    def test_restarted_replica_is_judged_by_its_new_entry(self) -> None:
+        self.now += 100.0
+        self.table.replace_all([entry("a", 3.0, started_ms=2)], 2)
+        self.assertAlmostEqual(3.0, self.cold_left_s())
+
+    @params((None, 3.0), (1.0, 1.0), (0.0, 0.0))
+    def test_replica_that_is_listed_again_is_judged_by_its_entry(self, left_s, expected_s) -> None:
+        self.now += 100.0
+        self.table.replace_all([entry("b")], 2)
+        self.now += 10.0
+        self.table.replace_all([entry("a", left_s), entry("b")], 3)
+        self.assertAlmostEqual(expected_s, self.cold_left_s())
+
+    def test_answers_state_the_warm_up(self) -> None:
+        replica = self.table.get("a")
+        replica.record_cold_left(2.0)
+        self.assertTrue(replica.cold)
+        replica.record_cold_left(float("nan"))
+        self.assertAlmostEqual(2.0, self.cold_left_s())
+        replica.record_cold_left(0.0)
+        self.assertFalse(replica.cold)
+
+    def test_peers_get_the_remaining_time(self) -> None:
+        """Guards against a gateway that starts the warm-up again when it pulls the list."""
+        self.table.replace_all([entry("a", 3.0)], 2)
+        self.now += 2.0
+        other = ReplicaTable(cold_rule_of=lambda service: RULE)
+        other.replace_from_peer(self.table.shared_entries(), 2)
+        self.assertAlmostEqual(1.0, other.get("a").cold_until - self.now)
+
+    def test_replicas_are_cold_after_the_evacuation_of_their_zone(self) -> None:
+        self.table.replace_all([entry("a"), entry("b", zone="y")], 2)
+        self.now += 60.0
+        self.table.mark_zone_cold("z")
+        self.assertEqual([True, False], [self.table.get(name).cold for name in "ab"])
+        self.now += RULE.warm_up_s + 0.1
+        self.assertFalse(self.table.get("a").cold)
+
+    def test_cold_replica_takes_as_many_requests_as_were_granted(self) -> None:
+        replica = self.table.get("a")
+        self.assertEqual([True, True], [replica.take_permit(), replica.take_permit()])
+        replica.record_cold_left(2.0)
+        self.assertEqual((True, False), (replica.lacks_permit, replica.take_permit()))
+        replica.add_cold_permits(2, self.now)
+        self.assertFalse(replica.lacks_permit)
+        self.assertTrue(replica.take_permit())
+        self.now += PERMIT_LIFETIME_S + 0.01
+        self.assertFalse(replica.take_permit())
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -37,6 +37,7 @@
     "max_conns",
     "QUAYMILL_BOOT",
     "cold_left_ms",
+    "Cold-Ms",
 )
 MAX_ADAPTER_LINES = 1200
 FORBIDDEN_MODULES = {"threading", "random", "select", "queue", "sched", "asyncio"}
