Grant requests to cold replicas by the slot allocator only

Online placements, queue grants, retries and items of batch jobs go to a cold replica only with a grant of the allocator of its pool, which counts each grant in a window; a gateway checks right before it sends that a grant is left that is younger than 0.25 s. An allocator grants only after it has ranked first for 2 s and while it sees more than a third of the gateways. Grants say that the replica is cold, so that an allocator that takes it as warm is not followed, and messages without cold replicas stay as they are. Services that declare a rate use the allocator without batch routes. Requests wait, and are refused at their dispatch deadline, if only cold replicas are left and none was granted.

--- a/src/quaymill/connection/slot_messages.py
+++ b/src/quaymill/connection/slot_messages.py
@@ -103,11 +103,14 @@
         Number of items to preempt, by replica.
     paces
         Recent paces of all coordinators' items.
+    cold
+        Replicas in ``starts`` that are cold; unset if there are none.
     """
 
     starts: tuple[ItemsAt, ...] = ()
     preempt: tuple[ItemsAt, ...] = msgspec.field(name="give_back", default=())
     paces: tuple[RoutePace, ...] = ()
+    cold: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 class SlownessReport(msgspec.Struct, frozen=True, array_like=True):
@@ -271,6 +274,8 @@
     retry_after_s
         Set if the request is refused because it cannot be served before its caller's timeout:
         seconds after which it may be sent again.
+    cold
+        Whether the replica is cold, and the request counted as a grant to it; else unset.
     """
 
     replica_id: str
@@ -278,6 +283,7 @@
     queue_length: int = msgspec.field(name="line", default=NO_QUEUE)
     queued: bool = msgspec.field(name="waits", default=False)
     retry_after_s: float | None = None
+    cold: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 class OnlineGrant(msgspec.Struct, frozen=True, array_like=True):
@@ -287,10 +293,35 @@
     replica_id: str
 
 
+class ColdGrant(OnlineGrant, frozen=True, array_like=True):
+    """A slot of a cold replica granted to a queued request."""
+
+
 class OnlineGrants(PeerMessage, tag="OnlineTurns", frozen=True):
-    """Grants slots to queued requests of a gateway; answered by ``GrantsAccepted``."""
+    """Grants slots to queued requests of a gateway; answered by ``GrantsAccepted``.
+
+    Attributes
+    ----------
+    grants
+        Grants of slots of warm replicas.
+    cold
+        Grants of slots of cold replicas; unset if there are none.
+    """
 
     grants: tuple[OnlineGrant, ...] = msgspec.field(name="turns")
+    cold: tuple[ColdGrant, ...] | msgspec.UnsetType = msgspec.UNSET
+
+    @classmethod
+    def from_grants(cls, grants: tuple[OnlineGrant, ...]) -> OnlineGrants:
+        """Return the message for some grants."""
+        cold = tuple(grant for grant in grants if isinstance(grant, ColdGrant))
+        warm = tuple(grant for grant in grants if not isinstance(grant, ColdGrant))
+        return cls(warm, cold or msgspec.UNSET)
+
+    @property
+    def all(self) -> tuple[OnlineGrant, ...]:
+        """All grants."""
+        return self.grants + (self.cold or ())
 
 
 class GrantsAccepted(PeerMessage, tag="TurnsTaken", frozen=True):
--- a/src/quaymill/process/gateway_gauges.py
+++ b/src/quaymill/process/gateway_gauges.py
@@ -34,12 +34,14 @@
     "store_calls": "Calls to the platform's store since the start.",
     "store_calls_saved": "Calls to the store skipped since the start while it was unavailable.",
     "store_circuit_open": "1 while calls to the store are suspended because it does not answer.",
+    "cold_grants": "Requests granted to cold replicas by this gateway since the start.",
     "log_lines_dropped": "Log lines dropped since the start.",
 }
 REPLICA_STATES: dict[str, Callable[[Replica], bool]] = {
     "listed": lambda replica: replica.departed_at is None,
     "leaving": lambda replica: replica.departed_at is None and replica.leaving,
     "ejected": lambda replica: replica.departed_at is None and replica.ejected,
+    "cold": lambda replica: replica.departed_at is None and replica.cold,
 }
 
 
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -24,9 +24,15 @@
 from quaymill.process.front.monitoring_servers import MetricsServer, ReadinessServer
 from quaymill.process.gateway.caller_watch import CallerWatch
 from quaymill.process.gateway_gauges import add_gauges, add_queue_gauge, add_replica_gauge
-from quaymill.process.gateway_parts import build_circuit_store, build_limiter
+from quaymill.process.gateway_parts import (
+    build_circuit_store,
+    build_limiter,
+    names_no_other_seed,
+)
 from quaymill.process.jobs.allocator_calls import AllocatorCalls
 from quaymill.process.jobs.batch_quota import BatchQuota
+from quaymill.process.jobs.cold_grant_watch import ColdGrantWatch
+from quaymill.process.jobs.cold_grants import ColdGrants, ColdRules
 from quaymill.process.jobs.coordinated_job import LISTING_VALID_SHARE
 from quaymill.process.jobs.coordinator import JobCoordinator
 from quaymill.process.jobs.engine_loads import EngineLoads, ReportProtocol
@@ -133,7 +139,9 @@
             ZONE_LOST_CONNECT_TIMEOUT_S if settings.zones_lost_at_once else CONNECT_TIMEOUT_S,
         )
         self._table = ReplicaTable(
-            self._forget_replica, self.network.zone_reachability.is_unreachable
+            self._forget_replica,
+            self.network.zone_reachability.is_unreachable,
+            ColdRules(lambda: self.control.routes, settings.bounds).of,
         )
         self.network.zone_reachability.watch_replicas(
             self._table.replicas, self._connections.responds
@@ -213,6 +221,7 @@
             lambda grants: self._online_reporter.accept_grants(grants),
             lambda grant, accepted: self._slot_allocator.grant_answered(grant, accepted),
         )
+        self._cold_grants = ColdGrants(lambda pool: self._cold_watch.may_grant(pool))
         self._slot_allocator = SlotAllocator(
             self._table,
             self._loads,
@@ -220,6 +229,17 @@
             self._allocator_calls.send,
             self._allocator_calls.wake,
             self._allocator_calls.send_grant,
+            self._cold_grants,
+        )
+        self._cold_watch = ColdGrantWatch(
+            settings.name,
+            self._table,
+            lambda: self.control.routes.cold_services,
+            self.network.gateways,
+            self.network.known_gateways,
+            self.network.zone_reachability.prefer_reachable,
+            self._slot_allocator.grant_waiting,
+            may_be_alone=names_no_other_seed(settings),
         )
         self._online_reporter = OnlineReporter(
             settings.name,
@@ -228,11 +248,12 @@
             self._slot_allocator,
             self.network.client,
             self.network.gateways,
-            lambda: self.control.routes.batch_services,
+            lambda: self.control.routes.allocated_services,
             self._queue.recheck,
             self.network.zone_reachability.prefer_reachable,
             allocator_lost=self._queue.leave_allocator_queue,
             dispatch_granted=self._queue.accept_grant,
+            paused_recently=self._cold_watch.paused_recently,
         )
         claims = SlotClaims(
             settings.name,
@@ -381,6 +402,7 @@
             "store_calls": self._store_calls,
             "store_calls_saved": lambda: self._circuit_store.rejected_calls,
             "store_circuit_open": lambda: self._circuit_store.is_open,
+            "cold_grants": lambda: self._cold_grants.granted,
             "log_lines_dropped": self._context.log_lines_dropped,
         }
         add_gauges(self._metrics.registry, gauges)
@@ -397,6 +419,7 @@
         self.coordinator.start()
         self.quota.start()
         self._online_reporter.start()
+        self._cold_watch.start()
         self._limiter.start()
         self._watch.start()
         self._server.start_serving()
@@ -476,6 +499,7 @@
         self._warnings.stop()
         self._crash_sharing.stop()
         self._online_reporter.stop()
+        self._cold_watch.stop()
         self._limiter.stop()
         self._allocator_calls.stop()
         self.network.stop()
--- a/src/quaymill/process/gateway_parts.py
+++ b/src/quaymill/process/gateway_parts.py
@@ -37,6 +37,11 @@
     return CircuitStore(store, StoreCircuit(max_delay_s), rules)
 
 
+def names_no_other_seed(settings: ServingSettings) -> bool:
+    """Return whether the settings name no node to join through but this one."""
+    return all(seed.host == settings.address for seed in settings.seed_endpoints)
+
+
 def build_limiter(
     settings: ServingSettings,
     network: PeerNetwork,
--- a/src/quaymill/process/jobs/allocator_calls.py
+++ b/src/quaymill/process/jobs/allocator_calls.py
@@ -210,7 +210,7 @@
         if grants[0].process == self._process_name:
             return self._accept_grants(messages)
         reply = self._client.call(
-            member.peer, OnlineGrants(messages), GrantsAccepted, GRANT_TIMEOUT_S
+            member.peer, OnlineGrants.from_grants(messages), GrantsAccepted, GRANT_TIMEOUT_S
         )
         if isinstance(reply, GrantsAccepted):
             return reply.tickets
@@ -218,7 +218,7 @@
         return ()
 
     def _receive_grants(self, message: OnlineGrants) -> GrantsAccepted:
-        return GrantsAccepted(self._accept_grants(message.grants))
+        return GrantsAccepted(self._accept_grants(message.all))
 
     def _receive_slots_freed(self, message: SlotsFreed) -> SlotsFreedAcknowledged:
         self._claim_slots()
--- /dev/null
+++ b/src/quaymill/process/jobs/cold_grants.py
@@ -0,0 +1,119 @@
+"""Grants of requests to cold replicas by the slot allocators of a gateway.
+
+A replica is cold for some seconds after its start. Where its service declares the rate that a cold
+replica can handle, only requests with a grant of the slot allocator of its pool are sent to it.
+The limits are decided by ``replica_set/cold_start.py``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+
+from quaymill import boot_clock
+from quaymill.process.jobs.engine_pool import EnginePool
+from quaymill.process.replica_set.cold_start import (
+    ColdRule,
+    GrantWindows,
+)
+from quaymill.process.replica_set.replica import Replica
+from quaymill.process.serving_settings import Bounds
+from quaymill.version.request_routes import RequestRoutes
+
+
+class ColdRules:
+    """The rules of the services that declare a rate for cold replicas.
+
+    Parameters
+    ----------
+    routes
+        Returns the configuration in force.
+    """
+
+    def __init__(self, routes: Callable[[], RequestRoutes], bounds: Bounds) -> None:
+        self._routes = routes
+        self._bounds = bounds
+        self._known: tuple[RequestRoutes | None, dict[str, ColdRule]] = (None, {})
+
+    def of(self, service: str) -> ColdRule | None:
+        """Return the rule of a service; ``None`` if it declares nothing."""
+        routes, rules = self._known
+        if routes is not self._routes():
+            routes = self._routes()
+            rules = {name: self._rule(routes, name) for name in routes.cold_services}
+            self._known = (routes, rules)
+        return rules.get(service)
+
+    def _rule(self, routes: RequestRoutes, service: str) -> ColdRule:
+        properties = routes.services[service]
+        return ColdRule.from_rate(
+            properties.warm_up_s,
+            properties.cold_requests_per_s,
+            self._bounds.cold_rate_factor,
+            self._bounds.cold_rate_slack,
+        )
+
+
+class ColdGrants:
+    """The grants of one slot allocator to cold replicas; guarded by the allocator's lock.
+
+    Parameters
+    ----------
+    may_grant
+        Returns whether this gateway may grant requests to the cold replicas of a pool.
+
+    Attributes
+    ----------
+    granted
+        Number of grants since this process started.
+    """
+
+    def __init__(self, may_grant: Callable[[EnginePool], bool] = lambda pool: False) -> None:
+        self._may_grant = may_grant
+        self._windows = GrantWindows()
+        self.granted = 0
+
+    def candidates(self, pool: EnginePool, replicas: Collection[Replica]) -> list[Replica]:
+        """Return the replicas that may get an online request now."""
+        return [one for one in replicas if self.has_room(pool, one)]
+
+    def has_room(self, pool: EnginePool, replica: Replica) -> bool:
+        """Return whether a replica is warm, or one more request may be granted to it."""
+        rule = replica.cold_rule
+        if rule is None or not replica.cold:
+            return True
+        return bool(self._may_grant(pool) and self._windows.room(replica.id, rule, _now()))
+
+    def item_room(self, pool: EnginePool, replica: Replica, queue_length: int) -> int:
+        """Return how many batch items may be started; all slots of a warm replica.
+
+        Parameters
+        ----------
+        queue_length
+            Number of online requests that wait for a slot of the pool.
+        """
+        rule = replica.cold_rule
+        if rule is None or not replica.cold:
+            return replica.slots
+        if queue_length or not self._may_grant(pool):
+            return 0
+        return self._windows.item_room(replica.id, rule, _now())
+
+    def record(self, replica: Replica, *, is_item: bool = False) -> bool:
+        """Count a grant if the replica is cold; return whether it is."""
+        if not replica.cold:
+            return False
+        self._windows.record(replica.id, _now(), is_item=is_item)
+        self.granted += 1
+        return True
+
+
+def usable_slots(replica: Replica, service_s: float) -> float:
+    """Return how many requests a replica serves at once, considering that it may be cold."""
+    rule = replica.cold_rule
+    if rule is None or not replica.cold:
+        return replica.slots
+    return rule.sustainable_slots(replica.slots, service_s)
+
+
+def _now() -> float:
+    return boot_clock.now()
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -214,6 +214,7 @@
         avoided: tuple[str, ...],
     ) -> None:
         """Claim slots in one pool, then preempt and start items as the allocator answers."""
+        claimed_at = boot_clock.now()
         granted = self._parts.claim_slots(
             ClaimSlots(
                 self._parts.name,
@@ -237,6 +238,10 @@
             replica = self._parts.table.get(at.replica_id)
             if replica is None or replica.leaving:
                 continue
+            if replica.id in (granted.cold or ()):
+                replica.add_cold_permits(at.items, claimed_at)
+            if replica.lacks_permit:
+                continue
             for one in itertools.islice(waiting, at.items):
                 self._start_item(one.job, one.item, replica)
 
@@ -334,6 +339,8 @@
         guard = self._parts.guard
         if (barred_s := guard.barred_for_s(content)) > 0:
             return ItemBarred(barred_s)
+        if not replica.take_permit():
+            return ItemCut("the replica is cold and the grant too old", blames_replica=False)
         outcome = run_item(
             item,
             job.job.host,
--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -23,6 +23,7 @@
 from quaymill.connection.replica_entry import SlownessReading
 from quaymill.connection.slot_messages import (
     NO_QUEUE,
+    ColdGrant,
     ItemsAt,
     LoadOffset,
     OnlineGrant,
@@ -81,7 +82,8 @@
     allocator
         This process's own slot allocator.
     batch_services
-        Returns the services that have batch routes in the current configuration.
+        Returns the services whose requests are placed by allocators: those that have batch routes
+        in the current configuration or declare a rate for cold replicas.
     gateways
         Returns the live gateways, including this one.
     loads_changed
@@ -93,6 +95,8 @@
     dispatch_granted
         Dispatches a queued request that was granted a slot, by its ticket and the replica's id;
         returns whether it was dispatched.
+    paused_recently
+        Returns whether this process was paused, so that grants may have waited for it.
     """
 
     def __init__(
@@ -108,6 +112,7 @@
         reachable: ReachableOf = tuple,
         allocator_lost: Callable[[], None] = lambda: None,
         dispatch_granted: Callable[[str, str], bool] = lambda ticket, replica_id: False,
+        paused_recently: Callable[[], bool] = lambda: False,
     ) -> None:
         self._own_name = own_name
         self._zone = zone
@@ -120,6 +125,7 @@
         self._loads_changed = loads_changed
         self._allocator_lost = allocator_lost
         self._dispatch_granted = dispatch_granted
+        self._paused_recently = paused_recently
         self._queueing_allocators: set[str] = set()
         self._withdrawn_by_service: dict[str, list[str]] = {}
         self._nearly_full_until_by_pool: dict[EnginePool, float] = {}
@@ -181,7 +187,9 @@
             return None
         pool = pool_of(first, self._table)
         allocator = self._allocator_choice.allocator_of(pool.service, pool.index)
-        if terms is not None and self._name_of(allocator) not in self._queueing_allocators:
+        has_queue = self._name_of(allocator) in self._queueing_allocators
+        # A request that may have to wait for a cold replica is the first to learn of the queue.
+        if terms is not None and not has_queue and first.cold_rule is None:
             return None
         with self._lock:
             counts = self._counts_in(pool, self._in_flight + self._placed)
@@ -204,12 +212,14 @@
             return CannotServeInTime(
                 "the queue is too long to serve the request in time", placed.retry_after_s
             )
-        return QUEUED if placed.queued else self._count_placed(placed)
+        return QUEUED if placed.queued else self._count_placed(placed, now)
 
-    def _count_placed(self, placed: OnlinePlaced) -> Replica | None:
+    def _count_placed(self, placed: OnlinePlaced, asked_at: float) -> Replica | None:
         """Count a placement until its request begins; return its replica, ``None`` if unusable."""
         chosen = self._table.get(placed.replica_id)
-        usable = chosen is not None and not chosen.leaving
+        if chosen is not None and placed.cold:
+            chosen.add_cold_permits(1, asked_at)
+        usable = chosen is not None and not chosen.leaving and not chosen.lacks_permit
         with self._lock:
             if usable:
                 self._placed[chosen.id] += 1
@@ -223,6 +233,9 @@
         return tuple(grant.ticket for grant in grants if self._accept_grant(grant))
 
     def _accept_grant(self, grant: OnlineGrant) -> bool:
+        replica = self._table.get(grant.replica_id)
+        if replica is not None and isinstance(grant, ColdGrant) and not self._paused_recently():
+            replica.add_cold_permits(1, boot_clock.now())
         # Counted first: the request may begin before this returns.
         with self._lock:
             self._placed[grant.replica_id] += 1
--- a/src/quaymill/process/jobs/slot_allocator.py
+++ b/src/quaymill/process/jobs/slot_allocator.py
@@ -15,8 +15,9 @@
 import random
 import threading
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
+import msgspec
 from eliot import log_message
 
 from quaymill import boot_clock
@@ -33,13 +34,14 @@
     SlownessReport,
     WantedItems,
 )
+from quaymill.process.jobs.cold_grants import ColdGrants
 from quaymill.process.jobs.engine_loads import EngineLoads, reserved_slots
 from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.jobs.item_urgency import RoutePaces
 from quaymill.process.jobs.pool_counts import Claim, PoolCounts, RunningItems
 from quaymill.process.jobs.slot_grants import PoolQueues, SlotGrant
 from quaymill.process.replica_set.replica import Replica, best_group
-from quaymill.process.replica_set.replica_cost import least_costly
+from quaymill.process.replica_set.replica_cost import least_costly, with_cold_load
 from quaymill.process.replica_set.table import ReplicaTable
 
 CLAIM_LIFETIME_S = 1.0
@@ -77,6 +79,8 @@
         Notifies a coordinator that there are free slots for its items.
     send_grant
         Sends a slot grant to a gateway; without it, no request is queued here.
+    cold_grants
+        Limits the grants to cold replicas; by default there are none.
     """
 
     def __init__(
@@ -87,6 +91,7 @@
         preempt_items: PreemptCall | None = None,
         wake: Callable[[str], None] = lambda coordinator: None,
         send_grant: SendGrant | None = None,
+        cold_grants: ColdGrants | None = None,
     ) -> None:
         self._table = table
         self._loads = loads
@@ -95,7 +100,8 @@
         self._woken_at: dict[str, float] = {}
         self._random = random.Random()
         self._send_grant = send_grant
-        self.queues = PoolQueues(self._random)
+        self._cold_grants = cold_grants or ColdGrants()
+        self.queues = PoolQueues(self._random, self._cold_grants)
         self._lock = threading.Lock()
         self._counts_by_pool: dict[EnginePool, PoolCounts] = {}
         self._to_preempt_by_coordinator: dict[str, Counter[str]] = {}
@@ -118,7 +124,8 @@
             self._preempt_excess(counts, replicas)
             to_preempt = self._to_preempt_by_coordinator.pop(message.coordinator, Counter())
             reachable = [replica for replica in replicas if replica.id not in message.avoided]
-            starts = self._grant_slots_to_items(counts, message, reachable)
+            starts = self._grant_slots_to_items(pool, counts, message, reachable)
+            cold = self._record_cold_starts(starts)
             grants = self._grant_slots_to_queue(pool, counts, replicas)
             preemptions = self._take_preemptions()
             to_wake = self._choose_coordinator_to_wake(counts, replicas)
@@ -126,7 +133,7 @@
         self._send_preemptions(preemptions)
         if to_wake and to_wake != message.coordinator:
             self._wake(to_wake)
-        return SlotsGranted(_items_at(starts), _items_at(to_preempt), self._paces.averages())
+        return SlotsGranted(_items_at(starts), _items_at(to_preempt), self._paces.averages(), cold)
 
     def record_online(self, message: OnlineInFlight) -> PoolLoads:
         """Count a gateway's online requests, and return the loads of the pool.
@@ -184,19 +191,21 @@
         self, pool: EnginePool, counts: PoolCounts, replicas: list[Replica], message: PlaceOnline
     ) -> OnlinePlaced:
         """Place a request even if no slot is free; the lock is held."""
-        chosen = self._least_costly(counts, replicas, message)
+        chosen = self._least_costly(pool, counts, replicas, message)
         if chosen is None:
             return OnlinePlaced("", counts.loads(replicas), self._reported_queue_length(pool))
         return self._place_at(chosen, pool, counts, replicas, message)
 
     def _least_costly(
-        self, counts: PoolCounts, replicas: list[Replica], message: PlaceOnline
+        self, pool: EnginePool, counts: PoolCounts, replicas: list[Replica], message: PlaceOnline
     ) -> Replica | None:
-        allowed = best_group(one for one in replicas if one.id not in message.excluded)
+        candidates = self._cold_grants.candidates(pool, replicas)
+        allowed = best_group(one for one in candidates if one.id not in message.excluded)
         if not allowed:
             return None
         offsets = {offset.replica_id: offset.requests for offset in message.offsets}
-        return least_costly(allowed, counts.online_load, message.zone, offsets, self._random)
+        load_of = with_cold_load(counts.online_load)
+        return least_costly(allowed, load_of, message.zone, offsets, self._random)
 
     def _place_at(
         self,
@@ -208,7 +217,12 @@
     ) -> OnlinePlaced:
         counts.add_online(message.gateway, chosen.id)
         self._preempt_excess(counts, [chosen])
-        return OnlinePlaced(chosen.id, counts.loads(replicas), self._reported_queue_length(pool))
+        return OnlinePlaced(
+            chosen.id,
+            counts.loads(replicas),
+            self._reported_queue_length(pool),
+            cold=self._cold_grants.record(chosen) or msgspec.UNSET,
+        )
 
     def _place_or_queue(
         self, pool: EnginePool, counts: PoolCounts, replicas: list[Replica], message: PlaceOnline
@@ -216,10 +230,8 @@
         """Place a request if it is granted a slot now, otherwise queue it; the lock is held."""
         now = boot_clock.now()
         if not self.queues.length(pool):
-            chosen = self._least_costly(counts, replicas, message)
-            if chosen is None:
-                return OnlinePlaced("", counts.loads(replicas), 0), []
-            if counts.online_load(chosen) < chosen.slots:
+            chosen = self._least_costly(pool, counts, replicas, message)
+            if chosen is not None and counts.online_load(chosen) < chosen.slots:
                 self.queues.record_immediate(pool, message.terms.tenant)
                 return self._place_at(chosen, pool, counts, replicas, message), []
         if all(one.id in message.excluded for one in replicas):
@@ -231,7 +243,10 @@
             self.queues.record_answer(own_grant, counts, accepted=True)
             grants.remove(own_grant)
             placed = OnlinePlaced(
-                own_grant.replica.id, counts.loads(replicas), self._reported_queue_length(pool)
+                own_grant.replica.id,
+                counts.loads(replicas),
+                self._reported_queue_length(pool),
+                cold=own_grant.cold or msgspec.UNSET,
             )
             return placed, grants
         retry_after_s = self.queues.refuse_if_infeasible(pool, queued, replicas, now)
@@ -274,6 +289,18 @@
             self._preempt_excess(counts, [grant.replica for grant in grants])
         return grants
 
+    def grant_waiting(self, services: Collection[str]) -> None:
+        """Grant slots to queued requests of some services: cold replicas may have room again."""
+        grants: list[SlotGrant] = []
+        with self._lock:
+            for pool, length in self.queues.lengths().items():
+                if length and pool.service in services:
+                    replicas = pool.members(self._table)
+                    grants += self._grant_slots_to_queue(pool, self._counts(pool), replicas)
+            preemptions = self._take_preemptions()
+        self._send_grants(grants)
+        self._send_preemptions(preemptions)
+
     def _send_grants(self, grants: list[SlotGrant]) -> None:
         for grant in grants:
             self._send_grant(grant)
@@ -360,8 +387,14 @@
                 excess -= preempted
                 self._loads.record_preemption(replica)
 
+    def _record_cold_starts(self, starts: Counter[str]) -> tuple[str, ...] | msgspec.UnsetType:
+        """Return the cold replicas among those at which items are started."""
+        replicas = (self._table.get(name) for name in starts)
+        return tuple(one.id for one in replicas if one is not None and one.cold) or msgspec.UNSET
+
     def _grant_slots_to_items(
         self,
+        pool: EnginePool,
         counts: PoolCounts,
         message: ClaimSlots,
         replicas: list[Replica],
@@ -374,31 +407,39 @@
         now = boot_clock.now()
         for wanted in message.wanted:
             due_at = now + wanted.due_in_s
-            free = sum(self._startable_items(counts, replica, wanted) for replica in replicas)
+            free = sum(self._startable_items(pool, counts, one, wanted) for one in replicas)
             max_items = _fair_share(counts.claims, message.coordinator, free, due_at)
             for _ in range(min(wanted.items, max_items)):
-                replica = self._most_free_replica(counts, message.zone, replicas, wanted)
+                replica = self._most_free_replica(pool, counts, message.zone, replicas, wanted)
                 if replica is None:
                     break
                 self._loads.record_start(replica, wanted.tokens)
                 counts.start_item(message.coordinator, replica, due_at)
+                self._cold_grants.record(replica, is_item=True)
                 starts[replica.id] += 1
         return starts
 
     def _most_free_replica(
-        self, counts: PoolCounts, zone: str, replicas: list[Replica], wanted: WantedItems
+        self,
+        pool: EnginePool,
+        counts: PoolCounts,
+        zone: str,
+        replicas: list[Replica],
+        wanted: WantedItems,
     ) -> Replica | None:
         best: Replica | None = None
         best_free = 0.0
         for replica in replicas:
-            free = float(self._startable_items(counts, replica, wanted))
+            free = float(self._startable_items(pool, counts, replica, wanted))
             if free >= 1 and replica.entry.zone == zone:
                 free += OWN_ZONE_BONUS
             if free > best_free:
                 best, best_free = replica, free
         return best
 
-    def _startable_items(self, counts: PoolCounts, replica: Replica, wanted: WantedItems) -> int:
+    def _startable_items(
+        self, pool: EnginePool, counts: PoolCounts, replica: Replica, wanted: WantedItems
+    ) -> int:
         """Return how many items the counts and the engine's report allow to start at a replica."""
         counted = (
             replica.slots
@@ -407,7 +448,8 @@
         )
         if counted <= 0:
             return 0
-        return min(counted, self._loads.startable_items(replica, wanted.tokens))
+        cold_room = self._cold_grants.item_room(pool, replica, self.queues.length(pool))
+        return min(counted, cold_room, self._loads.startable_items(replica, wanted.tokens))
 
 
 def _fair_share(claims: dict[str, Claim], coordinator: str, free: int, due_at: float) -> int:
@@ -428,7 +470,8 @@
 
 def _has_free_slot(counts: PoolCounts, replica: Replica) -> bool:
     requests = counts.requests_at(replica) + reserved_slots(replica, 0.0)
-    return requests < replica.slots and not replica.avoided
+    # At a cold replica, items are limited by the window and not by the slots.
+    return requests < replica.slots and not replica.avoided and not replica.cold
 
 
 def _least_urgent_first(
--- a/src/quaymill/process/jobs/slot_grants.py
+++ b/src/quaymill/process/jobs/slot_grants.py
@@ -11,12 +11,13 @@
 
 import attrs
 
-from quaymill.connection.slot_messages import OnlineGrant, PlaceOnline
+from quaymill.connection.slot_messages import ColdGrant, OnlineGrant, PlaceOnline
+from quaymill.process.jobs.cold_grants import ColdGrants, usable_slots
 from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.jobs.pool_counts import PoolCounts
 from quaymill.process.jobs.pool_queue import PoolQueue, QueuedRequest
 from quaymill.process.replica_set.replica import Replica, best_group
-from quaymill.process.replica_set.replica_cost import least_costly
+from quaymill.process.replica_set.replica_cost import least_costly, with_cold_load
 
 
 @attrs.frozen(eq=False)
@@ -29,6 +30,8 @@
     ----------
     process
         Name of its gateway's process; a restarted gateway has a different one.
+    cold
+        Whether the replica is cold.
     """
 
     pool: EnginePool
@@ -36,11 +39,12 @@
     process: str
     ticket: str
     replica: Replica
+    cold: bool = False
 
     @property
     def message(self) -> OnlineGrant:
         """The message for the gateway."""
-        return OnlineGrant(self.ticket, self.replica.id)
+        return (ColdGrant if self.cold else OnlineGrant)(self.ticket, self.replica.id)
 
 
 class PoolQueues:
@@ -52,8 +56,9 @@
         Number of requests refused as infeasible since this process started.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, cold_grants: ColdGrants | None = None) -> None:
         self._random = rng
+        self._cold_grants = cold_grants or ColdGrants()
         self._queue_by_pool: dict[EnginePool, PoolQueue] = {}
         self._unanswered: set[SlotGrant] = set()
         self.refused_early = 0
@@ -88,7 +93,8 @@
         Returns the seconds after which it may be retried, ``None`` if it stays in the queue.
         """
         queue = self._queue_by_pool[pool]
-        slots = sum(one.slots for one in replicas)
+        service_s = queued.message.terms.service_s
+        slots = sum(usable_slots(one, service_s) for one in replicas)
         if not slots:
             return None
         retry_after_s = queue.retry_after_s(queued, slots, now)
@@ -106,15 +112,19 @@
         queue = self._queue_by_pool.get(pool)
         if queue is None or not len(queue):
             return []
-        free = [one for one in replicas if counts.online_load(one) < one.slots]
+        free = self._cold_grants.candidates(
+            pool, [one for one in replicas if counts.online_load(one) < one.slots]
+        )
         grants: list[SlotGrant] = []
         for queued in queue.ordered(now) if free else []:
             usable = _usable_replicas(queued.message, free, replicas)
             if usable:
                 grant = self._grant_slot(pool, counts, queue, queued, usable)
                 grants.append(grant)
-                if counts.online_load(grant.replica) >= grant.replica.slots:
-                    free.remove(grant.replica)
+                chosen = grant.replica
+                is_full = counts.online_load(chosen) >= chosen.slots
+                if is_full or not self._cold_grants.has_room(pool, chosen):
+                    free.remove(chosen)
             if not free:
                 break
         return grants
@@ -129,10 +139,12 @@
     ) -> SlotGrant:
         message = queued.message
         offsets = {offset.replica_id: offset.requests for offset in message.offsets}
-        chosen = least_costly(usable, counts.online_load, message.zone, offsets, self._random)
+        load_of = with_cold_load(counts.online_load)
+        chosen = least_costly(usable, load_of, message.zone, offsets, self._random)
         queue.serve(queued)
         counts.add_grant(chosen.id)
-        grant = SlotGrant(pool, message.gateway, queued.process, queued.ticket, chosen)
+        cold = self._cold_grants.record(chosen)
+        grant = SlotGrant(pool, message.gateway, queued.process, queued.ticket, chosen, cold)
         self._unanswered.add(grant)
         return grant
 
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -80,6 +80,19 @@
         "a gateway did not acknowledge slot grants; the slots go to other requests",
         ("gateway: the recipient", "turns: number of grants"),
     ),
+    "cold:grants_started": LogEvent(
+        "this gateway's allocator may grant requests to the cold replicas of a pool",
+        ("service, pool: the engine pool",),
+    ),
+    "cold:grants_stopped": LogEvent(
+        "this gateway's allocator grants no more requests to the cold replicas of a pool, because"
+        " it no longer ranks first or sees too few gateways",
+        ("service, pool: the engine pool",),
+    ),
+    "cold:check_error": LogEvent(
+        "checking whether to grant requests to cold replicas raised an exception",
+        ("error: the exception",),
+    ),
     "line:gateway_gone": LogEvent(
         "a gateway process with queued requests has ended; they are removed from the pool queues",
         ("gateway: the node of the process", "dropped: number of its queued requests"),
--- a/src/quaymill/process/peer_network.py
+++ b/src/quaymill/process/peer_network.py
@@ -127,6 +127,14 @@
         """Return the live gateways that are not draining."""
         return tuple(member for member in self.membership.live() if not member.has_disk)
 
+    def known_gateways(self) -> tuple[Member, ...]:
+        """Return the gateways that are live or unresponsive, but not those that were stopped."""
+        return tuple(
+            member
+            for member in self.membership.members()
+            if not member.has_disk and not member.draining
+        )
+
     def other_gateways(self) -> tuple[Member, ...]:
         """Return the live gateways except this one."""
         name = self.membership.local().name
--- a/src/quaymill/process/replica_set/cold_start.py
+++ b/src/quaymill/process/replica_set/cold_start.py
@@ -38,7 +38,7 @@
 rest is for the connection and the network."""
 MAX_TICK_GAP_S = 0.45
 """Time without a tick after which a process counts as paused; ticks are 0.2 s apart."""
-PAUSE_DISTRUST_S = 1.0
+PAUSE_DISTRUST_S = 0.5
 """How long after a pause grants are declined that may have waited for this process."""
 COLD_LOAD = 2.0
 """Additional load, in requests, of a cold replica when replicas are compared: idle warm ones come
--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -24,7 +24,7 @@
 
 from quaymill import boot_clock
 from quaymill.connection.slot_messages import QueueTerms
-from quaymill.process.replica_set.replica import Replica
+from quaymill.process.replica_set.replica import Replica, best_group
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.dispatch_order import EngineState, dispatch_order, may_dispatch
 from quaymill.request.forwarded_request import ForwardedRequest
@@ -339,7 +339,7 @@
             if queued is None or queued.wait_ended.is_set():
                 return False
             replica = self._table.get(replica_id)
-            if replica is None or replica.leaving:
+            if replica is None or replica.leaving or replica.lacks_permit:
                 queued.in_allocator_queue = False
                 return False
             queued.end_wait(DecidedBy.ALLOCATOR, replica)
@@ -404,23 +404,32 @@
             return False
         best = self._least_loaded(service)
         if best is None:
-            return True
+            return not self._needs_grant(service)
         engine = EngineState(
             best.load() + dispatched, best.slots, queue.usual_service_s, queue.first_byte_s
         )
         return may_dispatch(engine, queued.target_at, now)
 
     def _least_loaded(self, service: str) -> Replica | None:
-        """Return the least loaded healthy replica; ``None`` without one or if a load is unknown."""
+        """Return the least loaded healthy replica; ``None`` without one or if a load is unknown.
+
+        Cold replicas are left out: only the allocator may grant requests to them.
+        """
         healthy = [
             replica
             for replica in self._table.of_service(service)
-            if not replica.leaving and not replica.avoided
+            if not replica.leaving and not replica.avoided and not replica.cold
         ]
         if not healthy or not all(replica.has_pool_view for replica in healthy):
             return None
         return min(healthy, key=Replica.load)
 
+    def _needs_grant(self, service: str) -> bool:
+        """Return whether only cold replicas can be used, for which the allocator must be asked."""
+        replicas = self._table.of_service(service)
+        usable = best_group(replica for replica in replicas if not replica.leaving)
+        return bool(usable) and all(replica.cold for replica in usable)
+
     def _create_queued_request(
         self, queue: _ServiceQueue, route: RequestRoute, request: ForwardedRequest, now: float
     ) -> _QueuedRequest:
--- a/src/quaymill/process/replica_set/replica_cost.py
+++ b/src/quaymill/process/replica_set/replica_cost.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from quaymill.connection.replica_entry import USUAL_SLOWNESS
+from quaymill.process.replica_set.cold_start import COLD_LOAD
 from quaymill.process.replica_set.replica import Replica
 
 OTHER_ZONE_LOAD = 1.5
@@ -36,6 +37,11 @@
     return load + (slowness - USUAL_SLOWNESS) * (slots + waiting)
 
 
+def with_cold_load(load_of: Callable[[Replica], float]) -> Callable[[Replica], float]:
+    """Return a function of a replica's load by which idle warm replicas precede cold ones."""
+    return lambda replica: load_of(replica) + (COLD_LOAD if replica.cold else 0.0)
+
+
 def least_costly(
     candidates: Iterable[Replica],
     load_of: Callable[[Replica], float],
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -17,7 +17,7 @@
 
 from quaymill import boot_clock
 from quaymill.process.replica_set.replica import Replica, best_group
-from quaymill.process.replica_set.replica_cost import least_costly
+from quaymill.process.replica_set.replica_cost import least_costly, with_cold_load
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.prompt import NO_PROMPT, Prompt
 from quaymill.request.replica_choice import NoReplica
@@ -118,6 +118,8 @@
             ]
         if not candidates:
             return NoReplica(service, "no replica of the service is listed and untried")
+        if any(replica.cold for replica in candidates):
+            return self._choose_with_cold(service, candidates, prompt, frozenset(excluded))
         healthy = [replica for replica in candidates if not replica.avoided]
         if not healthy:
             reachable = best_group(candidates)
@@ -127,6 +129,21 @@
         )
         return self._place(preferred, constraints) or preferred
 
+    def _choose_with_cold(
+        self, service: str, candidates: list[Replica], prompt: Prompt, excluded: frozenset[str]
+    ) -> Replica | NoReplica:
+        """Return a replica where some are cold, which only the allocator may choose."""
+        preferred, constraints = self._local_choice(
+            candidates, best_group(candidates), prompt, excluded
+        )
+        placed = self._place(preferred, constraints)
+        if placed is not None:
+            return placed
+        warm = best_group(replica for replica in candidates if not replica.cold)
+        if not warm:
+            return NoReplica(service, "only cold replicas are left, and none was granted")
+        return self._least_costly(warm, self._offsets(warm, prompt))
+
     def constraints_of(
         self, service: str, prompt: Prompt = NO_PROMPT
     ) -> tuple[Replica, PlacementConstraints] | None:
@@ -158,7 +175,8 @@
         )
 
     def _least_costly(self, candidates: list[Replica], offsets: Mapping[str, float]) -> Replica:
-        return least_costly(candidates, Replica.load, self._zone, offsets, self._random)
+        load_of = with_cold_load(Replica.load)
+        return least_costly(candidates, load_of, self._zone, offsets, self._random)
 
     def _offsets(self, candidates: list[Replica], prompt: Prompt) -> dict[str, float]:
         """Return the load offsets for recent failures and cached prompt parts, by replica id."""
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -203,6 +203,10 @@
             granted = None
             if isinstance(replica, NoReplica):
                 return self._give_up(replica.reason)
+            if not replica.take_permit():
+                self._dispatch_queue.release_slot(replica)
+                self._tried_ids.add(replica.id)
+                continue
             result = self._attempt(replica)
             if isinstance(result, Delivered | CallerLeft):
                 return result
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -76,6 +76,9 @@
     def end_answer(self) -> None:
         """Stop counting a request that was counted by ``begin_answer``."""
 
+    def take_permit(self) -> bool:
+        """Return whether a request may be sent now; uses a grant of the allocator if it is cold."""
+
     def begin(self) -> None:
         """Count a request that is being sent."""
 
--- a/src/quaymill/version/request_routes.py
+++ b/src/quaymill/version/request_routes.py
@@ -138,6 +138,10 @@
     tenants: dict[str, RequestTenant] | None = None
     batch_services: frozenset[str] = attrs.field(init=False, repr=False, eq=False)
     """Services of batch routes."""
+    cold_services: frozenset[str] = attrs.field(init=False, repr=False, eq=False)
+    """Services that declare a rate for cold replicas."""
+    allocated_services: frozenset[str] = attrs.field(init=False, repr=False, eq=False)
+    """Services whose requests are placed by slot allocators."""
     _by_prefix: dict[tuple[str, str], RequestRoute] = attrs.field(init=False, repr=False, eq=False)
     _tenant_by_digest: dict[str, str] = attrs.field(init=False, repr=False, eq=False)
     _public_batch_hosts: frozenset[str] = attrs.field(init=False, repr=False, eq=False)
@@ -152,6 +156,11 @@
             for weighted_service in route.services
         )
         object.__setattr__(self, "batch_services", frozenset(batch_services))
+        cold_services = frozenset(
+            name for name, service in self.services.items() if service.cold_requests_per_s > 0
+        )
+        object.__setattr__(self, "cold_services", cold_services)
+        object.__setattr__(self, "allocated_services", self.batch_services | cold_services)
         tenants = (self.tenants or {}).values()
         by_digest = tenant_by_digest({tenant.name: tenant.key_digests for tenant in tenants})
         object.__setattr__(self, "_tenant_by_digest", by_digest)
