--- a/src/quaymill/process/control/evacuations.py
+++ b/src/quaymill/process/control/evacuations.py
@@ -77,13 +77,16 @@
             begun, ended = new_zones - self.zones, self.zones - new_zones
             if self.revision and not begun and not ended:
                 return False
+            # Replicas of an ended evacuation are marked as cold by a listener, so their zones are
+            # released after it has run.
+            self.zones = self.zones | new_zones
+            if begun or ended:
+                for listener in self._listeners:
+                    listener(begun, ended)
             # The zones come first: whoever sees the new revision must see the new zones, too.
             self.zones = new_zones
             self.revision = revision
             self._log(begun, ended, source)
-            if begun or ended:
-                for listener in self._listeners:
-                    listener(begun, ended)
             return bool(begun or ended)
 
     def apply_from_peer(self, zones: Iterable[str], revision: int, source: str) -> bool:
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -344,7 +344,7 @@
         state = ControlState(document)
         revision = self._table.revision
         if revision > message.replicas_revision:
-            records = tuple(_record(entry) for entry in self._table.entries())
+            records = tuple(_record(entry) for entry in self._table.shared_entries())
             state = msgspec.structs.replace(state, replicas=records, replicas_revision=revision)
         if self._evacuations_revision > message.evacuations_revision:
             zones, revision = self._evacuations.snapshot()
@@ -366,7 +366,7 @@
         entry.zone,
         entry.slots,
         entry.draining,
-        entry.cold_left_s,
+        entry.cold_left_s or 0.0,
         entry.started_ms,
     )
 
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -25,9 +25,15 @@
 from quaymill.process.front.monitoring_servers import MetricsServer, ReadinessServer
 from quaymill.process.gateway.caller_watch import CallerWatch
 from quaymill.process.gateway_gauges import add_gauges, add_queue_gauge, add_replica_gauge
-from quaymill.process.gateway_parts import build_circuit_store, build_limiter
+from quaymill.process.gateway_parts import (
+    build_circuit_store,
+    build_limiter,
+    names_no_other_seed,
+)
 from quaymill.process.jobs.allocator_calls import AllocatorCalls
 from quaymill.process.jobs.batch_quota import BatchQuota
+from quaymill.process.jobs.cold_grant_watch import ColdGrantWatch
+from quaymill.process.jobs.cold_grants import ColdGrants, ColdRules
 from quaymill.process.jobs.coordinated_job import LISTING_VALID_SHARE
 from quaymill.process.jobs.coordinator import JobCoordinator
 from quaymill.process.jobs.engine_loads import EngineLoads, ReportProtocol
@@ -147,6 +153,7 @@
             self.network.zone_reachability.is_unreachable,
             is_evacuated=self.evacuations.is_evacuated,
             regions=self.regions,
+            cold_rule_of=ColdRules(lambda: self.control.routes, settings.bounds).of,
         )
         self.network.zone_reachability.watch_replicas(
             self._table.replicas, self._connections.responds
@@ -229,6 +236,7 @@
             lambda grant, accepted: self._slot_allocator.grant_answered(grant, accepted),
             self.regions.travel_s,
         )
+        self._cold_grants = ColdGrants(lambda pool: self._cold_watch.may_grant(pool))
         self._slot_allocator = SlotAllocator(
             self._table,
             self._loads,
@@ -236,6 +244,18 @@
             self._allocator_calls.send,
             self._allocator_calls.wake,
             self._allocator_calls.send_grant,
+            self._cold_grants,
+        )
+        self._cold_watch = ColdGrantWatch(
+            settings.name,
+            self._table,
+            lambda: self.control.routes.cold_services,
+            self.network.gateways,
+            self.network.known_gateways,
+            self.network.zone_reachability.prefer_reachable,
+            self._slot_allocator.grant_waiting,
+            regions=self.regions,
+            may_be_alone=names_no_other_seed(settings),
         )
         self._online_reporter = OnlineReporter(
             settings.name,
@@ -244,12 +264,13 @@
             self._slot_allocator,
             self.network.client,
             self.network.gateways,
-            lambda: self.control.routes.batch_services,
+            lambda: self.control.routes.allocated_services,
             self._queue.recheck,
             self.network.zone_reachability.prefer_reachable,
             allocator_lost=self._queue.leave_allocator_queue,
             dispatch_granted=self._queue.accept_grant,
             regions=self.regions,
+            paused_recently=self._cold_watch.paused_recently,
         )
         claims = SlotClaims(
             settings.name,
@@ -407,6 +428,7 @@
             "store_calls": self._store_calls,
             "store_calls_saved": lambda: self._circuit_store.rejected_calls,
             "store_circuit_open": lambda: self._circuit_store.is_open,
+            "cold_grants": lambda: self._cold_grants.granted,
             "log_lines_dropped": self._context.log_lines_dropped,
         }
         add_gauges(self._metrics.registry, gauges)
@@ -418,13 +440,14 @@
         self.network.start()
         self.control.subscribe(self._apply_limits)
         # Requests in a queue are refused at once if no replica is left.
-        self.evacuations.subscribe(lambda begun, ended: self._queue.recheck())
+        self.evacuations.subscribe(self._handle_evacuations)
         self.control.start()
         self._warnings.start()
         self._crash_sharing.start()
         self.coordinator.start()
         self.quota.start()
         self._online_reporter.start()
+        self._cold_watch.start()
         self._limiter.start()
         self._watch.start()
         self._server.start_serving()
@@ -504,6 +527,7 @@
         self._warnings.stop()
         self._crash_sharing.stop()
         self._online_reporter.stop()
+        self._cold_watch.stop()
         self._limiter.stop()
         self._allocator_calls.stop()
         self.network.stop()
@@ -515,5 +539,10 @@
         self._server.idle_timeout_s = routes.limits.idle_timeout_s
         self._server.header_timeout_s = routes.limits.header_timeout_s
 
+    def _handle_evacuations(self, begun: frozenset[str], ended: frozenset[str]) -> None:
+        for zone in ended:
+            self._table.mark_zone_cold(zone)
+        self._queue.recheck()
+
     def _forget_replica(self, replica: Replica) -> None:
         self._connections.drop_idle(replica.entry.address)
--- a/src/quaymill/process/jobs/allocator_calls.py
+++ b/src/quaymill/process/jobs/allocator_calls.py
@@ -214,14 +214,16 @@
         if grants[0].process == self._process_name:
             return self._accept_grants(messages)
         timeout_s = GRANT_TIMEOUT_S + self._travel_s(member)
-        reply = self._client.call(member.peer, OnlineGrants(messages), GrantsAccepted, timeout_s)
+        reply = self._client.call(
+            member.peer, OnlineGrants.from_grants(messages), GrantsAccepted, timeout_s
+        )
         if isinstance(reply, GrantsAccepted):
             return reply.tickets
         log_message("line:turn_unanswered", gateway=grants[0].gateway, turns=len(grants))
         return ()
 
     def _receive_grants(self, message: OnlineGrants) -> GrantsAccepted:
-        return GrantsAccepted(self._accept_grants(message.grants))
+        return GrantsAccepted(self._accept_grants(message.all))
 
     def _receive_slots_freed(self, message: SlotsFreed) -> SlotsFreedAcknowledged:
         self._claim_slots()
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -80,6 +80,19 @@
         "a gateway did not acknowledge slot grants; the slots go to other requests",
         ("gateway: the recipient", "turns: number of grants"),
     ),
+    "cold:grants_started": LogEvent(
+        "this gateway's allocator may grant requests to the cold replicas of a pool",
+        ("service, pool: the engine pool",),
+    ),
+    "cold:grants_stopped": LogEvent(
+        "this gateway's allocator grants no more requests to the cold replicas of a pool, because"
+        " it no longer ranks first or sees too few gateways",
+        ("service, pool: the engine pool",),
+    ),
+    "cold:check_error": LogEvent(
+        "checking whether to grant requests to cold replicas raised an exception",
+        ("error: the exception",),
+    ),
     "line:gateway_gone": LogEvent(
         "a gateway process with queued requests has ended; they are removed from the pool queues",
         ("gateway: the node of the process", "dropped: number of its queued requests"),
@@ -166,6 +179,22 @@
         (REPLICA, "service", "penalty: failures, weighted by age"),
     ),
     "replica:restored": LogEvent("a replica is no longer ejected", (REPLICA, "service")),
+    "replica:cold": LogEvent(
+        "a replica is cold; only requests with a grant of the slot allocator are sent to it",
+        (
+            REPLICA,
+            "service",
+            "left_s: remaining warm-up time",
+            "reason: listed, listed again, entry, answer or evacuation ended",
+        ),
+    ),
+    "replica:warm": LogEvent(
+        "a replica is no longer cold",
+        (REPLICA, "service", "left_s: always 0", "reason: of its last change of state"),
+    ),
+    "control:warm_up_invalid": LogEvent(
+        "a replica states an invalid remaining warm-up time, which counts as unknown", (REPLICA,)
+    ),
     "control:configuration": LogEvent(
         "a new configuration is in force",
         ("version, before: its version and the previous one", "source: store or peer", "routes"),
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -20,7 +20,7 @@
 
 from quaymill import boot_clock
 from quaymill.process.replica_set.replica import Replica, best_group, own_region_first
-from quaymill.process.replica_set.replica_cost import least_costly
+from quaymill.process.replica_set.replica_cost import least_costly, with_cold_load
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.prompt import NO_PROMPT, Prompt
 from quaymill.request.replica_choice import NoReplica
@@ -134,6 +134,9 @@
             )
         if not candidates:
             return NoReplica(service, "no replica of the service is listed and untried")
+        if any(replica.cold for replica in candidates):
+            unusable = frozenset(excluded) | _evacuated_ids(replicas)
+            return self._choose_with_cold(service, candidates, prompt, unusable)
         healthy = [replica for replica in candidates if not replica.avoided]
         if not healthy:
             reachable = best_group(candidates)
@@ -149,6 +152,22 @@
         )
         return self._place(preferred, constraints) or preferred
 
+    def _choose_with_cold(
+        self, service: str, candidates: list[Replica], prompt: Prompt, excluded: frozenset[str]
+    ) -> Replica | NoReplica:
+        """Return a replica where some are cold, which only the allocator may choose."""
+        usable = best_group(candidates)
+        preferred, constraints = self._local_choice(
+            candidates, usable, own_region_first(usable), prompt, excluded
+        )
+        placed = self._place(preferred, constraints)
+        if placed is not None:
+            return placed
+        warm = best_group(replica for replica in candidates if not replica.cold)
+        if not warm:
+            return NoReplica(service, "only cold replicas are left, and none was granted")
+        return self._least_costly(warm, self._offsets(warm, prompt))
+
     def constraints_of(
         self, service: str, prompt: Prompt = NO_PROMPT
     ) -> tuple[Replica, PlacementConstraints] | None:
@@ -188,7 +207,8 @@
 
     def _least_costly(self, candidates: list[Replica], offsets: Mapping[str, float]) -> Replica:
         service_s = self._service_s(candidates[0].entry.service)
-        return least_costly(candidates, Replica.load, self._zone, offsets, self._random, service_s)
+        load_of = with_cold_load(Replica.load)
+        return least_costly(candidates, load_of, self._zone, offsets, self._random, service_s)
 
     def _offsets(self, candidates: list[Replica], prompt: Prompt) -> dict[str, float]:
         """Return the load offsets for recent failures and cached prompt parts, by replica id."""
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from eliot import log_message
 
 from quaymill import boot_clock
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.process.regions import ONE_REGION, RegionMap
+from quaymill.process.replica_set.cold_start import ColdRuleOf, no_cold_rule
 from quaymill.process.replica_set.replica import Replica
 
 DEPARTED_RETENTION_S = 30.0
@@ -29,6 +30,8 @@
         Returns whether no new request may be sent to replicas in a zone.
     regions
         Regions of the deployment's zones.
+    cold_rule_of
+        Returns how cold replicas of a service are used; ``None`` if the service declares nothing.
     """
 
     def __init__(
@@ -37,11 +40,13 @@
         is_unreachable: Callable[[str], bool] = lambda zone: False,
         is_evacuated: Callable[[str], bool] = lambda zone: False,
         regions: RegionMap = ONE_REGION,
+        cold_rule_of: ColdRuleOf = no_cold_rule,
     ) -> None:
         self._on_departed = on_departed
         self._is_unreachable = is_unreachable
         self._is_evacuated = is_evacuated
         self._regions = regions
+        self._cold_rule_of = cold_rule_of
         self._lock = threading.Lock()
         self._by_id: dict[str, Replica] = {}
         self._by_service: dict[str, tuple[Replica, ...]] = {}
@@ -58,6 +63,10 @@
         usable = [replica for replica in self.of_service(service) if not replica.departing]
         return bool(usable) and all(replica.evacuated for replica in usable)
 
+    def has_cold_rule(self, service: str) -> bool:
+        """Return whether a service declares how many requests its cold replicas can handle."""
+        return self._cold_rule_of(service) is not None
+
     def get(self, replica_id: str) -> Replica | None:
         """Return a replica by its identity."""
         return self._by_id.get(replica_id)
@@ -81,6 +90,14 @@
             replica.entry for replica in self._by_id.values() if replica.departed_at is None
         )
 
+    def shared_entries(self) -> tuple[ReplicaEntry, ...]:
+        """Return the entries of all listed replicas with the remaining warm-up times as of now."""
+        return tuple(
+            replica.shared_entry()
+            for replica in self._by_id.values()
+            if replica.departed_at is None
+        )
+
     def replace_all(
         self, entries: Iterable[ReplicaEntry], revision: int, *, keep_missing: bool = False
     ) -> int:
@@ -112,7 +129,8 @@
             kept = len(known.keys() - listed.keys()) if keep_missing else 0
             if kept:
                 listed = known | listed
-            if self.revision and listed == known:
+            warm_up_changed = self._record_warm_ups(listed)
+            if self.revision and listed == known and not warm_up_changed:
                 return kept
             for entry in listed.values():
                 self._update_entry(entry)
@@ -135,7 +153,7 @@
     def _update_entry(self, entry: ReplicaEntry) -> None:
         replica = self._by_id.get(entry.id)
         if replica is None:
-            self._by_id[entry.id] = self._new_replica(entry)
+            self._by_id[entry.id] = self._create_replica(entry)
             log_message("replica:listed", replica=entry.id, service=entry.service, zone=entry.zone)
             return
         if entry.started_ms != replica.entry.started_ms:
@@ -143,23 +161,39 @@
             log_message("replica:started_again", replica=entry.id, service=entry.service)
             replica.departed_at = boot_clock.now()
             self._on_departed(replica)
-            self._by_id[entry.id] = self._new_replica(entry)
+            self._by_id[entry.id] = self._create_replica(entry)
             return
         if entry.draining and not replica.entry.draining:
             log_message("replica:draining", replica=entry.id, service=entry.service)
         if replica.departed_at is not None:
             log_message("replica:listed_again", replica=entry.id, service=entry.service)
-        replica.entry = entry
+        replica.record_entry(entry)
         replica.departed_at = None
 
-    def _new_replica(self, entry: ReplicaEntry) -> Replica:
+    def _create_replica(self, entry: ReplicaEntry) -> Replica:
         return Replica(
             entry,
             self._is_unreachable,
             is_evacuated=self._is_evacuated,
             regions=self._regions,
+            cold_rule_of=self._cold_rule_of,
         )
 
+    def _record_warm_ups(self, listed: Mapping[str, ReplicaEntry]) -> bool:
+        """Record the warm-up times of replicas that stay listed; return whether any changes."""
+        changed = False
+        for entry in listed.values():
+            replica = self._by_id.get(entry.id)
+            if replica is not None and entry.started_ms == replica.entry.started_ms:
+                changed |= replica.record_warm_up(entry)
+        return changed
+
+    def mark_zone_cold(self, zone: str) -> None:
+        """Treat the replicas of a zone as cold, because its evacuation has ended."""
+        for replica in self.replicas():
+            if replica.zone == zone and replica.departed_at is None:
+                replica.record_evacuation_ended()
+
     def _mark_departed(self, replica: Replica) -> None:
         if replica.departed_at is not None:
             return
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -207,9 +207,9 @@
             result = self._attempt(replica)
             if isinstance(result, Delivered | CallerLeft):
                 return result
+            self._tried_ids.add(replica.id)
             if isinstance(result, NotSent):
                 continue
-            self._tried_ids.add(replica.id)
             if isinstance(result, Refused):
                 self._refusals += 1
                 if self._refusals >= MAX_REFUSALS:
@@ -299,9 +299,11 @@
         self._guard.handle_early_close(self._content_digest, entry.incarnation, entry.address)
 
     def _send(self, replica: ChosenReplica, began: float) -> AttemptResult:
-        # Checked again here, as a choice or a slot grant may be older than the set of zones.
+        # Checked again here, as a choice or a slot grant may be older than the replica's state.
         if replica.evacuated:
-            return NotSent()
+            return NotSent("the replica's zone is evacuated")
+        if not replica.take_permit():
+            return NotSent("the replica is cold, and no grant for it is left")
         remaining_s = self._request.deadline.remaining_s()
         message = self._protocol.build_request(
             self._request, replica.id, remaining_s, self._relay.last_event_id
@@ -388,6 +390,8 @@
     ) -> AttemptResult:
         if head.load is not None:
             replica.record_report(head.load)
+        if head.cold_left_s is not None:
+            replica.record_cold_left(head.cold_left_s)
         if head.not_executed:
             return self._handle_refusal(exchange, replica, head)
         if head.request_id != self._request.id:
--- a/src/quaymill/request/forwarding_result.py
+++ b/src/quaymill/request/forwarding_result.py
@@ -65,9 +65,9 @@
 
 @attrs.frozen
 class NotSent:
-    """The request was not sent: the replica's zone was evacuated after the replica was chosen."""
+    """The request was not sent: the replica must not get it any more since it was chosen."""
 
-    reason: str = "the replica's zone is evacuated"
+    reason: str
 
 
 @attrs.frozen
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -87,6 +87,9 @@
     def end_answer(self) -> None:
         """Stop counting a request that was counted by ``begin_answer``."""
 
+    def take_permit(self) -> bool:
+        """Return whether a request may be sent now; uses a grant of the allocator if it is cold."""
+
     def begin(self) -> None:
         """Count a request that is being sent."""
 
@@ -102,6 +105,9 @@
     def record_report(self, load: ReportedLoad) -> None:
         """Record a load report of the replica."""
 
+    def record_cold_left(self, left_s: float) -> None:
+        """Record the remaining warm-up time that the replica states; NaN if it is invalid."""
+
     def slowness(self) -> float:
         """Return the expected service time as a multiple of the usual one."""
 
