--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -26,12 +26,15 @@
 """Callers of each gateway; each sends its next request when the last one is answered."""
 
 
-def cold_configuration(version: int) -> dict:
-    """Return a configuration without batch routes whose engines declare a rate."""
-    routes = (
-        route("stream", "/stream/", "streaming", max_attempts=1),
-        route("read", "/read/", "idempotent", max_attempts=3, timeout_ms=6000),
-    )
+ROUTES = (
+    route("stream", "/stream/", "streaming", max_attempts=1),
+    route("read", "/read/", "idempotent", max_attempts=3, timeout_ms=6000),
+)
+JOBS = route("jobs", "/jobs/", "batch", due_ms=20000, max_wait_s=60, timeout_ms=30000)
+
+
+def cold_configuration(version: int, routes: tuple[dict, ...]) -> dict:
+    """Return a configuration whose engines declare a rate."""
     found = configuration(version, routes)
     for service in found["services"]:
         if service["name"] == "engine":
@@ -40,15 +43,17 @@
 
 
 class ColdFleetCase(unittest.TestCase):
-    """Four gateways in two zones, an engine in each zone."""
+    """Gateways in two zones, and an engine in each zone."""
 
     GATEWAYS = 4
+    STORAGE = 0
+    ROUTES = ROUTES
 
     def setUp(self) -> None:
         zones = ("zone-a", "zone-b")
-        self.rig = FleetRig(self.GATEWAYS, 0, 2, zones, bounds=BOUNDS).start()
+        self.rig = FleetRig(self.GATEWAYS, self.STORAGE, 2, zones, bounds=BOUNDS).start()
         self.addCleanup(self.rig.stop)
-        self.rig.store.put("config", "main", cold_configuration(2))
+        self.rig.store.put("config", "main", cold_configuration(2, self.ROUTES))
         self.wait_for_gateways(lambda one: one.control.routes.version == 2, "the rate is known")
         self.engines = self.rig.of_service("engine")
         for engine in self.engines:
@@ -115,11 +120,11 @@
     def arrivals(self, engine: FleetReplica, since: float) -> list[float]:
         return sorted(run.started_s for run in tuple(engine.runs) if run.started_s >= since)
 
-    def assert_within_bound(self, engine: FleetReplica, since: float) -> None:
+    def assert_within_bound(self, engine: FleetReplica, since: float, bound: int = BOUND) -> None:
         arrivals = self.arrivals(engine, since)
         for index, at in enumerate(arrivals):
             in_second = sum(one < at + 1.0 for one in arrivals[index:])
-            self.assertLessEqual(in_second, BOUND)
+            self.assertLessEqual(in_second, bound)
 
     def wait_for_arrivals(self, engine: FleetReplica, since: float, count: int = 40) -> None:
         wait_until(lambda: len(self.arrivals(engine, since)) >= count, f"{count} arrivals")
@@ -231,3 +236,22 @@
             self.assertIn("cold", answer.data.decode())
             self.assertEqual([], [run for one in self.engines for run in one.runs_of(request_id)])
             self.wait_until_alone()
+
+
+class ItemTest(ColdFleetCase):
+    """Batch items while all engines are cold."""
+
+    GATEWAYS = 2
+    STORAGE = 3
+    ROUTES = (*ROUTES, JOBS)
+
+    def test_items_run_by_grants(self) -> None:
+        """Guards against items that no window counts, and against items that never run."""
+        self.wait_until_an_allocator_may_grant()
+        cold_at = self.make_cold(*self.engines)
+        self.rig.submit("gateway-0", "job", 30)
+        results = self.rig.wait_results("gateway-1", "job", 30)
+        self.assertEqual({"succeeded"}, {one["state"] for one in results})
+        for engine in self.engines:
+            self.assertGreater(len(self.arrivals(engine, cold_at)), 0)
+            self.assert_within_bound(engine, cold_at, BOUND // 2)
