--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -7,6 +7,7 @@
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
+from unittest import mock
 
 from fleet_rig import FleetRig, wait_until
 from quaymill.process.replica_set.cold_start import DELAY_SPREAD_S, RANKED_FIRST_S
@@ -157,6 +158,22 @@
             self.assertEqual({200}, {answer.result().status for answer in answers})
         self.assertTrue(all(run.finished for run in engine.runs))
 
+    def test_engine_that_becomes_cold_after_the_choice_gets_nothing(self) -> None:
+        """Guards against a choice that is older than what the gateway knows as it sends."""
+        self.make_cold(self.engines[0])
+        gateway = self.rig.gateways["gateway-0"]
+        chosen = [gateway._table.get(engine.id) for engine in self.engines]
+
+        def choose(service, prompt, excluded):
+            return next(replica for replica in chosen if replica.id not in excluded)
+
+        with (
+            mock.patch.object(gateway._router, "choose", choose),
+            mock.patch.object(gateway._queue, "wait_for_slot", lambda *_: None),
+        ):
+            self.assertEqual(200, self.ask("gateway-0", "late").status)
+        self.assertEqual([0, 1], [len(engine.runs_of("late")) for engine in self.engines])
+
     def test_killed_allocator_is_followed_after_its_grants_have_left_the_windows(self) -> None:
         allocator = self.wait_until_an_allocator_may_grant()
         cold_at = self.make_cold(self.engines[0])
