--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -124,6 +124,7 @@
         self._cold_rule_of = cold_rule_of
         self._cold_state = ColdState.from_entry(entry.cold_left_s, boot_clock.now())
         self._cold_permits = ColdPermits()
+        self._known_cold_until: tuple[ColdRule, float] | None = None
         self._logged_as_cold = False
         self._logged_invalid_warm_up = False
         self.last_received_at = -math.inf
@@ -171,14 +172,20 @@
     def cold_until(self) -> float:
         """Monotonic time when it will be warm; 0 if its service declares nothing."""
         rule = self.cold_rule
-        return 0.0 if rule is None else self._cold_state.cold_until(rule)
+        if rule is None:
+            return 0.0
+        known = self._known_cold_until
+        if known is None or known[0] is not rule:
+            with self._lock:
+                known = self._known_cold_until = (rule, self._cold_state.cold_until(rule))
+        return known[1]
 
     @property
     def cold(self) -> bool:
         """Whether it is cold now, so that only requests with a grant may be sent to it."""
         until = self.cold_until
         if not until and not self._logged_as_cold:
-            return False
+            return False  # The usual case, without a look at the clock.
         left_s = until - boot_clock.now()
         if (left_s > 0) != self._logged_as_cold:
             self._log_cold(left_s)
@@ -199,6 +206,7 @@
         with self._lock:
             if self.departed_at is not None:
                 self._cold_state.record_listed_again(entry.cold_left_s, boot_clock.now())
+                self._known_cold_until = None
             self.entry = entry
 
     def record_warm_up(self, entry: ReplicaEntry) -> bool:
@@ -212,6 +220,7 @@
         with self._lock:
             if entry == self.entry:
                 self.entry = entry
+            self._known_cold_until = None
             return self._cold_state.record_entry(entry.cold_left_s, rule, boot_clock.now())
 
     def record_cold_left(self, left_s: float) -> None:
@@ -222,6 +231,7 @@
         if not math.isnan(left_s):
             with self._lock:
                 self._cold_state.record_answer(left_s, boot_clock.now())
+                self._known_cold_until = None
         elif not self._logged_invalid_warm_up:
             self._logged_invalid_warm_up = True
             log_message("control:warm_up_invalid", replica=self.id)
@@ -230,6 +240,7 @@
         """Treat it as cold, because it has had no work for some time."""
         with self._lock:
             self._cold_state.record_evacuation_ended(boot_clock.now())
+            self._known_cold_until = None
 
     def shared_entry(self) -> ReplicaEntry:
         """Return its entry for other gateways, with the remaining warm-up time as of now."""
