Report to the allocator what replicas state of their warm-up in answers

An allocator learnt from the store only that a replica is cold again, up to two seconds later, and placed requests there until then. A gateway that gets a changed statement in an answer adds it to its next message to the pool's allocator (a new optional field, left out where there is nothing to report). Red without the allocator's part: one test of test_cold_grants.

--- a/src/quaymill/connection/slot_messages.py
+++ b/src/quaymill/connection/slot_messages.py
@@ -129,6 +129,19 @@
     age_s: float
 
 
+class ColdReport(msgspec.Struct, frozen=True, array_like=True):
+    """A remaining warm-up time that a gateway has received from a replica.
+
+    Attributes
+    ----------
+    left_s
+        Remaining time as of now; 0 if the replica is warm.
+    """
+
+    replica_id: str
+    left_s: float
+
+
 class OnlineInFlight(PeerMessage, frozen=True, omit_defaults=True):
     """Reports a gateway's online requests at a pool's engines to the slot allocator.
 
@@ -142,6 +155,8 @@
         New slowness readings of replicas.
     withdrawn
         Tickets of requests that no longer wait in the queue.
+    cold_reports
+        New remaining warm-up times of replicas.
     """
 
     gateway: str
@@ -151,6 +166,7 @@
     pools: int = 1
     slowness_reports: tuple[SlownessReport, ...] = msgspec.field(name="told", default=())
     withdrawn: tuple[str, ...] = msgspec.field(name="departed", default=())
+    cold_reports: tuple[ColdReport, ...] = ()
 
 
 class ReplicaLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -243,6 +259,8 @@
         Conditions for queueing; ``None`` if the request must be placed immediately.
     withdrawn
         Tickets of other requests that no longer wait in the queue.
+    cold_reports
+        New remaining warm-up times of replicas.
     """
 
     gateway: str
@@ -256,6 +274,7 @@
     slowness_reports: tuple[SlownessReport, ...] = msgspec.field(name="told", default=())
     terms: QueueTerms | None = None
     withdrawn: tuple[str, ...] = msgspec.field(name="departed", default=())
+    cold_reports: tuple[ColdReport, ...] = ()
 
 
 class OnlinePlaced(PeerMessage, frozen=True):
--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -24,6 +24,7 @@
 from quaymill.connection.slot_messages import (
     NO_QUEUE,
     ColdGrant,
+    ColdReport,
     ItemsAt,
     LoadOffset,
     OnlineGrant,
@@ -291,6 +292,7 @@
             self._take_slowness_reports(pool),
             terms,
             self._take_withdrawn(pool.service),
+            self._take_cold_reports(pool),
         )
         if self._is_local(member):
             reply = self._local_allocator.place_online(message)
@@ -371,6 +373,17 @@
             if now - reading.at < SLOWNESS_LIFETIME_S
         )
 
+    def _take_cold_reports(self, pool: EnginePool) -> tuple[ColdReport, ...]:
+        """Return and clear what a pool's replicas have newly stated of their warm-up.
+
+        The allocator otherwise learns from the store that a replica is cold again.
+        """
+        replicas = self._table.of_service(pool.service)
+        if not replicas or replicas[0].cold_rule is None:
+            return ()
+        reports = ((one.id, one.take_cold_report()) for one in replicas if pool.holds(one))
+        return tuple(ColdReport(name, left_s) for name, left_s in reports if left_s is not None)
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             # Urgent changes end this wait early; all others are reported after it.
@@ -425,6 +438,7 @@
             pool.pools,
             self._take_slowness_reports(pool),
             self._take_withdrawn(pool.service),
+            self._take_cold_reports(pool),
         )
         loads = self._call_allocator(message)
         if loads is not None:
--- a/src/quaymill/process/jobs/slot_allocator.py
+++ b/src/quaymill/process/jobs/slot_allocator.py
@@ -25,6 +25,7 @@
 from quaymill.connection.slot_messages import (
     NO_QUEUE,
     ClaimSlots,
+    ColdReport,
     ItemsAt,
     OnlineInFlight,
     OnlinePlaced,
@@ -142,6 +143,7 @@
         requests.
         """
         self._record_slowness(message.slowness_reports)
+        self._record_warm_ups(message.cold_reports)
         pool = EnginePool(message.service, message.pool, message.pools)
         with self._lock:
             counts = self._counts(pool)
@@ -169,6 +171,7 @@
         last load report.
         """
         self._record_slowness(message.slowness_reports)
+        self._record_warm_ups(message.cold_reports)
         pool = EnginePool(message.service, message.pool, message.pools)
         with self._lock:
             counts = self._counts(pool)
@@ -315,6 +318,12 @@
             if replica is not None:
                 replica.record_slowness(one.slowness, one.age_s)
 
+    def _record_warm_ups(self, reports: Iterable[ColdReport]) -> None:
+        for one in reports:
+            replica = self._table.get(one.replica_id)
+            if replica is not None:
+                replica.record_cold_left(one.left_s)
+
     def _counts(self, pool: EnginePool) -> PoolCounts:
         """Return a pool's counts without expired claims and load reports; the lock is held."""
         now = boot_clock.now()
--- a/src/quaymill/process/replica_set/cold_start.py
+++ b/src/quaymill/process/replica_set/cold_start.py
@@ -164,8 +164,7 @@
         stated_left_s = max(min(left_s, rule.max_stated_s), evacuation_left_s)
         if stated_left_s <= known_left_s and now - self._answered_at < ENTRY_AGE_S:
             return False
-        same_state = (stated_left_s > 0) == (known_left_s > 0)
-        if same_state and abs(stated_left_s - known_left_s) <= SAME_TIME_S:
+        if not _differ(max(0.0, stated_left_s), known_left_s):
             return False
         self.reason = "entry"
         self._state(left_s, now)
@@ -179,11 +178,19 @@
         self._stated_until = None
         self._state(left_s, now)
 
-    def record_answer(self, left_s: float, now: float) -> None:
-        """Record a statement in an answer of the replica, which replaces earlier ones."""
+    def record_answer(self, left_s: float, rule: ColdRule | None, now: float) -> bool:
+        """Record a statement in an answer of the replica, which replaces earlier ones.
+
+        Returns whether it changes what is known.
+        """
+        before = 0.0 if rule is None else self.cold_until(rule)
         self.reason = "answer"
         self._answered_at = now
         self._state(left_s, now)
+        if rule is None:
+            return False
+        known_left_s, left_s = (max(0.0, at - now) for at in (before, self.cold_until(rule)))
+        return _differ(known_left_s, left_s)
 
     def record_evacuation_ended(self, now: float) -> None:
         """Record that the replica was without work until now, as its zone was evacuated."""
@@ -196,6 +203,13 @@
             self._stated_until = now + left_s
 
 
+def _differ(left_s: float, other_left_s: float) -> bool:
+    """Return whether two remaining times differ, in state or by more than ``SAME_TIME_S``."""
+    if (left_s > 0) != (other_left_s > 0):
+        return True
+    return abs(left_s - other_left_s) > SAME_TIME_S
+
+
 class ColdPermits:
     """Grants that a gateway has received for one cold replica and not used yet."""
 
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -125,6 +125,7 @@
         self._cold_state = ColdState.from_entry(entry.cold_left_s, boot_clock.now())
         self._cold_permits = ColdPermits()
         self._known_cold_until: tuple[ColdRule, float] | None = None
+        self._unreported_cold_until: float | None = None
         self._logged_as_cold = False
         self._logged_invalid_warm_up = False
         self.last_received_at = -math.inf
@@ -229,13 +230,21 @@
         An invalid one, which is NaN, is logged once and ignored.
         """
         if not math.isnan(left_s):
+            now = boot_clock.now()
+            rule = self.cold_rule
             with self._lock:
-                self._cold_state.record_answer(left_s, boot_clock.now())
+                if self._cold_state.record_answer(left_s, rule, now):
+                    self._unreported_cold_until = now + left_s
                 self._known_cold_until = None
         elif not self._logged_invalid_warm_up:
             self._logged_invalid_warm_up = True
             log_message("control:warm_up_invalid", replica=self.id)
 
+    def take_cold_report(self) -> float | None:
+        """Return and clear a new remaining warm-up time for the allocator; ``None`` if none."""
+        until, self._unreported_cold_until = self._unreported_cold_until, None
+        return None if until is None else max(0.0, until - boot_clock.now())
+
     def record_evacuation_ended(self) -> None:
         """Treat it as cold, because it has had no work for some time."""
         with self._lock:
--- a/tests/test_cold_grants.py
+++ b/tests/test_cold_grants.py
@@ -316,6 +316,29 @@
         self.assertEqual((), self.reporter.accept_grants([OnlineGrant("t", "x")]))
         self.assertEqual(("t",), self.reporter.accept_grants([ColdGrant("t", "x")]))
 
+    def test_allocator_learns_what_a_replica_states_in_an_answer(self) -> None:
+        """Guards against placements at a replica that is cold again until the store is read."""
+        self.list_replicas(x=0.0, y=0.0)
+        own_table = ReplicaTable(cold_rule_of=lambda service: RULE)
+        own_table.replace_all([entry("x"), entry("y")], 1)
+        self.reporter._table = own_table
+        replica = own_table.get("x")
+        for left_s in (2.0, 1.9, 1.8):
+            replica.record_cold_left(left_s)
+        self.now += 0.3
+        with mock.patch.object(self.allocator, "record_online", wraps=self.allocator.record_online):
+            self.reporter.began(replica)
+            for _ in range(2):
+                self.reporter._report(self.reporter._take_due() or {"x": 1})
+            calls = self.allocator.record_online.call_args_list
+        self.assertEqual([1, 0], [len(call.args[0].cold_reports) for call in calls])
+        self.assertAlmostEqual(1.7, self.table.get("x").cold_until - self.now)
+
+    def test_nothing_is_reported_of_a_service_without_a_rate(self) -> None:
+        replica = ReplicaTable()._create_replica(entry("x"))
+        replica.record_cold_left(2.0)
+        self.assertIsNone(replica.take_cold_report())
+
     def test_grants_that_waited_for_a_paused_process_are_declined(self) -> None:
         """Guards against grants of several windows that a process uses at once as it resumes."""
         self.list_replicas(x=COLD_S, y=0.0)
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -221,7 +221,7 @@
 
     def test_entry_that_may_be_older_than_an_answer_does_not_make_it_warm(self) -> None:
         state = ColdState.from_entry(0.5, 0.0)
-        state.record_answer(3.0, 5.0)
+        state.record_answer(3.0, RULE, 5.0)
         self.assertFalse(state.record_entry(0.0, RULE, 5.5))
         self.assertEqual(8.0, state.cold_until(RULE))
         self.assertTrue(state.record_entry(4.0, RULE, 5.5))
@@ -230,15 +230,15 @@
 
     def test_answer_replaces_an_earlier_statement(self) -> None:
         state = ColdState.from_entry(3.0, 0.0)
-        state.record_answer(0.0, 1.0)
+        state.record_answer(0.0, RULE, 1.0)
         self.assertEqual(1.0, state.cold_until(RULE))
 
     def test_end_of_an_evacuation_outlasts_earlier_statements(self) -> None:
         state = ColdState.from_entry(0.0, 0.0)
         state.record_evacuation_ended(100.0)
-        state.record_answer(0.0, 100.5)
+        state.record_answer(0.0, RULE, 100.5)
         self.assertEqual(103.0, state.cold_until(RULE))
-        state.record_answer(5.0, 101.0)
+        state.record_answer(5.0, RULE, 101.0)
         self.assertEqual(106.0, state.cold_until(RULE))
 
     def test_replica_that_is_listed_again_is_judged_by_its_entry(self) -> None:
