--- a/src/quaymill/process/jobs/engine_pool.py
+++ b/src/quaymill/process/jobs/engine_pool.py
@@ -90,6 +90,6 @@
     listed = sum(
         1
         for replica in table.of_service(service)
-        if not replica.leaving and replica.region == region
+        if not replica.leaving and (not region or replica.region == region)
     )
     return max(1, -(-listed // MAX_POOL_REPLICAS))
--- a/src/quaymill/process/regions.py
+++ b/src/quaymill/process/regions.py
@@ -36,7 +36,7 @@
     zone, own_region
         Zone of this process, and the region in its settings.
     zone_regions
-        Region of each zone that the settings name.
+        Region of each zone that the settings name; a zone with an empty region counts as unnamed.
     members
         Returns all known members, including dead ones.
     """
@@ -49,7 +49,7 @@
         members: Callable[[], Iterable[Member]] = tuple,
     ) -> None:
         self._zone = zone
-        self._named = dict(zone_regions or {})
+        self._named = {name: region for name, region in (zone_regions or {}).items() if region}
         self._members = members
         self._reported = {} if not zone or zone in self._named else {zone: own_region}
         self._regions = frozenset(self._named.values()) | frozenset(self._reported.values())
@@ -80,7 +80,7 @@
         """Return the distance between two zones."""
         if zone == other:
             return Distance.SAME_ZONE
-        if self.pool_region(zone) == self.pool_region(other):
+        if not self._named or self.pool_region(zone) == self.pool_region(other):
             return Distance.SAME_REGION
         return Distance.OTHER_REGION
 
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -115,7 +115,7 @@
     ) -> None:
         self.entry = entry
         self._is_unreachable = is_unreachable
-        self._regions = regions
+        self.regions = regions
         self.last_received_at = -math.inf
         self.id_hash = xxhash.xxh3_64_intdigest(entry.id.encode())
         self.in_flight = 0
@@ -171,16 +171,16 @@
     @property
     def region(self) -> str:
         """Region in which the replica runs; empty if the deployment has only one."""
-        return self._regions.pool_region(self.entry.zone)
+        return self.regions.pool_region(self.entry.zone)
 
     @property
     def in_other_region(self) -> bool:
         """Whether the replica is in another region than this process."""
-        return self._regions.is_remote(self.entry.zone)
+        return self.regions.is_remote(self.entry.zone)
 
     def distance_from(self, zone: str) -> Distance:
         """Return the distance between a zone and that of the replica."""
-        return self._regions.distance(zone, self.entry.zone)
+        return self.regions.distance(zone, self.entry.zone)
 
     @property
     def unanswered_since(self) -> float | None:
@@ -407,6 +407,8 @@
 
 def own_region_first(replicas: list[Replica]) -> list[Replica]:
     """Return the replicas in the region of this process; if there are none, all."""
+    if not replicas or not replicas[0].regions.has_several:
+        return replicas
     return [replica for replica in replicas if not replica.in_other_region] or replicas
 
 
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -179,9 +179,11 @@
     def _offsets(self, candidates: list[Replica], prompt: Prompt) -> dict[str, float]:
         """Return the load offsets for recent failures and cached prompt parts, by replica id."""
         # Each region has cached prompts of its own: the link between regions is slow.
+        by_region: dict[str, list[Replica]] = {}
+        for replica in candidates:
+            by_region.setdefault(replica.region, []).append(replica)
         bonuses: dict[str, float] = {}
-        for region in {replica.region for replica in candidates}:
-            in_region = [replica for replica in candidates if replica.region == region]
+        for in_region in by_region.values():
             bonuses |= self._affinity_bonuses(in_region, prompt)
         offsets = {
             replica.id: PENALTY_LOAD * replica.penalty - bonuses.get(replica.id, 0.0)
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -94,6 +94,11 @@
         for order in (members, members[::-1]):
             self.assertEqual("a", region_map(members=order).region_of("new"))
 
+    def test_an_empty_region_in_the_table_is_no_region(self) -> None:
+        """Pools without a region span all regions."""
+        regions = RegionMap("a1", "a", TWO_REGIONS | {"c1": ""})
+        self.assertEqual("a", regions.pool_region("c1"))
+
     def test_without_a_table_there_is_one_region(self) -> None:
         regions = RegionMap("z", "east", {}, lambda: (member("g", "y", "west"),))
         self.assertEqual("east", regions.region_of("y"))
