Test the timeouts of calls to another region, and label pools by region

A gateway may allocate pools of two regions with the same index, whose queue lengths would have been two samples with the same labels in quaymill_line_requests. The label contains the region where there are several. Each of the four timeouts was red without the travel time.

--- a/src/quaymill/process/gateway_gauges.py
+++ b/src/quaymill/process/gateway_gauges.py
@@ -62,7 +62,7 @@
         help_text = "Requests of all gateways in this gateway's pool queues, by pool."
         family = GaugeMetricFamily(f"{PREFIX}line_requests", help_text, labels=("service", "pool"))
         for pool, length in self.lengths().items():
-            family.add_metric((pool.service, str(pool.index)), length)
+            family.add_metric((pool.service, pool.label), length)
         yield family
 
 
--- a/src/quaymill/process/jobs/engine_pool.py
+++ b/src/quaymill/process/jobs/engine_pool.py
@@ -42,6 +42,11 @@
         """Return the pool that a message names."""
         return cls(message.service, message.pool, message.pools, message.region or "")
 
+    @property
+    def label(self) -> str:
+        """The pool within its service, for metrics."""
+        return f"{self.region}/{self.index}" if self.region else str(self.index)
+
     @property
     def region_field(self) -> str | msgspec.UnsetType:
         """The region as a field of messages, which have none where there is only one region."""
--- a/tests/test_allocator_queue.py
+++ b/tests/test_allocator_queue.py
@@ -143,6 +143,7 @@
             lambda process: next((one for one in members() if process == f"{one.name}#1"), None),
             lambda grants: self.reporter.accept_grants(grants),
             lambda grant, accepted: self.allocator.grant_answered(grant, accepted),
+            regions.travel_s,
         )
         self.allocator = SlotAllocator(
             self.table, NoLoads(), connections.register_for(name), send_grant=self.calls.send_grant
--- a/tests/test_region_faults.py
+++ b/tests/test_region_faults.py
@@ -18,10 +18,12 @@
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerNoReply
 from quaymill.connection.replica_entry import ReplicaEntry
-from quaymill.connection.slot_messages import QueueTerms
+from quaymill.connection.slot_messages import ClaimSlots, QueueTerms
+from quaymill.process.jobs.allocator_calls import GRANT_TIMEOUT_S
 from quaymill.process.jobs.engine_pool import EnginePool, pools_of
-from quaymill.process.jobs.slot_claims import AllocatorChoice
-from quaymill.process.regions import ONE_REGION, RegionMap
+from quaymill.process.jobs.online_reporter import PLACE_TIMEOUT_S, REPORT_TIMEOUT_S
+from quaymill.process.jobs.slot_claims import CLAIM_TIMEOUT_S, AllocatorChoice, SlotClaims
+from quaymill.process.regions import ONE_REGION, OTHER_REGION_ROUND_TRIP_S, RegionMap
 from quaymill.process.replica_set.online_queue import QUEUED
 from quaymill.request.deadline import Deadline
 from quaymill.request.forwarded_request import ForwardedRequest
@@ -43,6 +45,7 @@
         self.is_slow = False
         self.calls: Counter[str] = Counter()
         self.late: list[threading.Thread] = []
+        self.timeouts_s: dict[str, set[float]] = {}
 
 
 class LinkedConnections:
@@ -56,7 +59,10 @@
 
     def call(self, endpoint, message, reply_type, timeout_s):
         call = (endpoint, message, reply_type, timeout_s)
-        if endpoint.host[0] == self._name[0]:
+        is_near = endpoint.host[0] == self._name[0]
+        name = type(message).__name__ + (" near" if is_near else "")
+        self._link.timeouts_s.setdefault(name, set()).add(timeout_s)
+        if is_near:
             return self._connections.call(*call)
         self._link.calls[type(message).__name__] += 1
         if self._link.is_slow:
@@ -226,6 +232,34 @@
             self.assertEqual("eb", self.ask("t").id)
         self.assertEqual(("t",), self.a1.reporter._tickets.take_withdrawn(SERVICE, "a"))
 
+    def test_calls_over_the_link_may_take_longer_by_the_round_trip(self) -> None:
+        """Otherwise answers that are only far away would count as missing."""
+        self.fill("a")
+        self.fill("b")
+        self.queue_one()
+        with mock.patch.object(self.a1.reporter, "_sooner_elsewhere", return_value=POOL_B):
+            self.send("far", self.a1)
+            self.wait_until_queued(POOL_B, 1)
+        self.gateways["b2"].end("eb")
+        self.wait_until_dispatched("far")
+        SlotClaims(
+            "a1",
+            self.a1.allocator,
+            self.a1.reporter._client,
+            self.members_of("a1"),
+            regions=RegionMap("a", "a", ZONE_REGIONS),
+        ).claim(ClaimSlots("a1", "a", SERVICE, (), (), region="b"))
+        for kind, timeout_s in (
+            ("PlaceOnline", PLACE_TIMEOUT_S),
+            ("OnlineInFlight", REPORT_TIMEOUT_S),
+            ("ClaimSlots", CLAIM_TIMEOUT_S),
+            ("OnlineGrants", GRANT_TIMEOUT_S),
+        ):
+            far = self.link.timeouts_s[kind]
+            self.assertEqual({timeout_s + OTHER_REGION_ROUND_TRIP_S}, far, kind)
+            near = self.link.timeouts_s.get(f"{kind} near", {timeout_s})
+            self.assertEqual({timeout_s}, near, kind)
+
     def test_gateways_of_both_regions_name_the_same_pools(self) -> None:
         for gateway in self.gateways.values():
             self.assertEqual([POOL_A, POOL_B], pools_of(SERVICE, gateway.table))
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -187,6 +187,12 @@
         expected = [EnginePool(SERVICE, index, 2) for index in range(2)]
         self.assertEqual(expected, pools_of(SERVICE, found))
 
+    def test_pools_of_two_regions_have_different_labels(self) -> None:
+        """One gateway may allocate both; a metric must not have two samples of one label."""
+        found = table(region_map(), a1=1, b1=1)
+        self.assertEqual(["a/0", "b/0"], [pool.label for pool in pools_of(SERVICE, found)])
+        self.assertEqual("1", EnginePool(SERVICE, 1, 2).label)
+
     def test_a_pool_that_is_named_without_a_region_spans_all_regions(self) -> None:
         """Gateways of older builds name pools so."""
         found = table(region_map(), a1=2, b1=2)
