--- a/tests/test_zone_evacuation.py
+++ b/tests/test_zone_evacuation.py
@@ -240,8 +240,13 @@
             patch.start()
             self.addCleanup(patch.stop)
         with ThreadPoolExecutor(20) as executor:
-            running = [executor.submit(self.ask, f"running-{index}") for index in range(8)]
-            wait_until(lambda: self.started("running") == 8, "all slots are in use")
+            # One after the other: requests that are placed at the same time may share a slot and
+            # leave another one free.
+            running = []
+            for count in range(1, 9):
+                running.append(executor.submit(self.ask, f"running-{count}"))
+                wait_until(lambda count=count: self.started("running") == count, "it runs")
+                wait_until(lambda count=count: self.counted_by_allocators() == count, "counted")
             queued = [executor.submit(self.ask, f"queued-{index}") for index in range(6)]
             wait_until(
                 lambda: sum(one._queue.waiting_requests for one in self.rig.gateways.values()) == 6,
@@ -254,6 +259,14 @@
             self.assertEqual([200] * 8, [one.result().status for one in running])
         self.assertEqual(0, self.started("queued") + self.started("new"))
 
+    def counted_by_allocators(self) -> int:
+        counts = [
+            counts
+            for gateway in self.rig.gateways.values()
+            for counts in list(gateway._slot_allocator._counts_by_pool.values())
+        ]
+        return max((sum(one.online.values()) for one in counts), default=0)
+
     def check_refused(self, *answers: Future) -> None:
         for answer in answers:
             answered = answer.result()
