--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -49,10 +49,13 @@
     GATEWAYS = 4
     STORAGE = 0
     ROUTES = ROUTES
+    SETTINGS_BOUNDS = BOUNDS
 
     def setUp(self) -> None:
         zones = ("zone-a", "zone-b")
-        self.rig = FleetRig(self.GATEWAYS, self.STORAGE, 2, zones, bounds=BOUNDS).start()
+        self.rig = FleetRig(
+            self.GATEWAYS, self.STORAGE, 2, zones, bounds=self.SETTINGS_BOUNDS
+        ).start()
         self.addCleanup(self.rig.stop)
         self.rig.store.put("config", "main", cold_configuration(2, self.ROUTES))
         self.wait_for_gateways(lambda one: one.control.routes.version == 2, "the rate is known")
