Read evacuations although the list of replicas cannot be read

A list of replicas that cannot be decoded counts as an unavailable store, and the evacuations were then not read in that turn: with such a list in the store for long, no evacuation would have taken effect. Only a configuration read that the store does not answer skips the other reads now.

tests/test_evacuations.py: the new test of an unreadable list of replicas was red without the change; the test that a silent store is called once is red without the early return.

--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -154,12 +154,17 @@
     def _read_store(self) -> str:
         """Read everything from the store; return the reason of a failure, or an empty string.
 
-        Evacuations are read even if there is no valid configuration, and a failure to read them
-        does not hold back the rest. Unless all reads succeed, the view is not confirmed.
+        A failure to read replicas or evacuations does not hold back the other list, and evacuations
+        are read even if there is no configuration. Unless all reads succeed, the view is not
+        confirmed. If the store does not answer the first call, no other one is made.
         """
         began = boot_clock.now()
-        failure = self._read_routing(self._membership.confirmed_age_s())
-        if self._evacuations is not None and not is_store_unavailable(failure):
+        unconfirmed_s = self._membership.confirmed_age_s()
+        stored = self._store.get(ObjectKind.CONFIGURATION, self._protocol.configuration_name)
+        if is_store_unavailable(stored):
+            return stored.reason
+        failure = self._read_routing(stored, unconfirmed_s)
+        if self._evacuations is not None:
             failure = self._read_evacuations(self._evacuations) or failure
         self._publish_versions()
         if failure is not None:
@@ -168,9 +173,10 @@
         self._membership.send_notice(self._other_gateways())
         return ""
 
-    def _read_routing(self, unconfirmed_s: float) -> StoreFailure | None:
-        """Read and apply configuration and replicas; return the failure if there was one."""
-        stored = self._store.get(ObjectKind.CONFIGURATION, self._protocol.configuration_name)
+    def _read_routing(
+        self, stored: StoredObject | ObjectMissing | StoreFailure, unconfirmed_s: float
+    ) -> StoreFailure | None:
+        """Read the replicas, and apply them and the configuration; return the failure, if any."""
         if isinstance(stored, ObjectMissing):
             return CallRejected("there is no configuration")
         if not isinstance(stored, StoredObject | ObjectUnreadable):
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -260,6 +260,20 @@
         gateways.views["g0"]._read_store()
         self.assertEqual(A, gateways.zones("g0"))
 
+    def test_unreadable_list_of_replicas_does_not_hide_an_evacuation(self) -> None:
+        gateways = _Gateways("g0")
+        gateways.store.zones = A
+        gateways.store.refused = {ObjectKind.REPLICAS}
+        self.assertNotEqual("", gateways.views["g0"]._read_store())
+        self.assertEqual(A, gateways.zones("g0"))
+
+    def test_store_that_does_not_answer_is_called_once(self) -> None:
+        # Each further call would wait for its timeout, and delay the return of the configuration.
+        gateways = _Gateways("g0")
+        gateways.store.refused = set(ObjectKind)
+        gateways.views["g0"]._read_store()
+        self.assertEqual([], gateways.store.listed)
+
     def test_last_known_set_applies_while_the_store_is_down(self) -> None:
         gateways = _Gateways("g0")
         gateways.store.zones = A
