Let the replica's stand-in be cold, and the store's say when it changed

It is now cold from its start or on command, says so in its entry (cold_left_ms) and in health answers (Cold-Ms), takes longer for each answer and refuses above a rate; arrivals are kept with their sender.

--- a/src/quaymill_standins/fleet_replica.py
+++ b/src/quaymill_standins/fleet_replica.py
@@ -2,12 +2,18 @@
 
 A request for tokens is answered by a stream of numbered events whose data depends on the
 request's id alone, so that a stream taken up by another replica goes on with the same text.
+
+It may be cold for a time: it says so in its entry and in health answers, takes longer for each
+answer, and refuses requests above a rate. The journal holds the arrival of each request, also of
+those that it refuses.
 """
 
 from __future__ import annotations
 
+import math
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
 
 import msgspec
@@ -25,6 +31,10 @@
 )
 
 THREADS = 96
+REPORT_PATH = "/v1/report"
+HEALTH_PATH = "/health"
+COLD_WINDOW_S = 1.0
+"""Time over which the requests to a cold replica are counted."""
 WAIT_STEP_S = 0.005
 
 
@@ -53,6 +63,10 @@
         What the report says of requests that wait, beside the true ones.
     crash_suffix
         The replica ends as it begins to run a request whose path ends so; none if empty.
+    cold_extra_s
+        Additional time of each event and of each whole answer while the replica is cold.
+    cold_most_per_s
+        Requests in any second above which a cold replica refuses; 0 for no bound.
     """
 
     events: int = 3
@@ -66,6 +80,8 @@
     status_by_suffix: dict[str, int] = {}
     waiting: int = 0
     crash_suffix: str = ""
+    cold_extra_s: float = 0.0
+    cold_most_per_s: float = 0.0
 
 
 class ReplicaRun(msgspec.Struct):
@@ -92,6 +108,25 @@
     crashed: bool = False
 
 
+class Arrival(msgspec.Struct, frozen=True):
+    """One request that reached the replica and was meant for it.
+
+    Attributes
+    ----------
+    at_s
+        Monotonic time.
+    sender
+        Address that it came from.
+    cold
+        Whether the replica was cold.
+    """
+
+    request_id: str
+    at_s: float
+    sender: str
+    cold: bool
+
+
 class FleetReplica:
     """A running replica.
 
@@ -99,6 +134,9 @@
     ----------
     runs
         Everything that was run, in order.
+    arrivals
+        Every request that came, in order; health checks and requests for another replica don't
+        count.
     crashed
         Whether a request has ended it.
 
@@ -108,6 +146,8 @@
         Called with the replica once it has ended.
     port
         Where to listen; 0 for any free one.
+    cold_s
+        How long the replica is cold from its start.
     """
 
     def __init__(
@@ -119,6 +159,7 @@
         address: str = "127.0.0.1",
         on_crash: Callable[[FleetReplica], None] = lambda replica: None,
         port: int = 0,
+        cold_s: float = 0.0,
     ) -> None:
         self.id = replica_id
         self.started_ms = time.time_ns() // 1_000_000
@@ -128,9 +169,13 @@
         self.address = address
         self.behaviour = ReplicaBehaviour()
         self.runs: list[ReplicaRun] = []
+        self.arrivals: list[Arrival] = []
         self.probes = 0
         self.crashed = False
         self._on_crash = on_crash
+        self._cold_s = cold_s
+        self._cold_until = 0.0
+        self._recent: deque[float] = deque()
         self._running = 0
         self._lock = threading.Lock()
         self._stopping = False
@@ -155,7 +200,8 @@
         return self._running
 
     def start(self) -> None:
-        """Start to serve."""
+        """Start to serve, cold if so made."""
+        self.become_cold(self._cold_s)
         self._server.start()
 
     def stop(self) -> None:
@@ -163,6 +209,15 @@
         self._stopping = True
         self._server.stop()
 
+    def become_cold(self, for_s: float) -> None:
+        """Be cold from now on for so long; 0 makes the replica warm."""
+        self._cold_until = time.monotonic() + for_s
+
+    @property
+    def cold_left_ms(self) -> int:
+        """How much longer the replica is cold; 0 once it is warm."""
+        return math.ceil(1000 * max(0.0, self._cold_until - time.monotonic()))
+
     def entry(self, state: str = "ready", seq: int = 1) -> dict[str, object]:
         """Return what the replica writes into the platform's store."""
         return {
@@ -172,7 +227,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": state,
-            "cold_left_ms": 0,
+            "cold_left_ms": self.cold_left_ms,
             "seq": seq,
             "born": self.started_ms,
         }
@@ -182,17 +237,37 @@
         return [run for run in self.runs if run.request_id == request_id]
 
     def _handle(self, request: Request, faults: RequestFaults) -> Answer:
-        if request.path == "/v1/report":
+        cold_left = (("Cold-Ms", str(self.cold_left_ms)),)
+        if request.path == HEALTH_PATH:
+            return Response(200, b"", cold_left)
+        if request.path == REPORT_PATH:
             self.probes += 1
             report = {"waiting": self.behaviour.waiting, "running": self._running}
             memory = {"kv_used": 0, "kv_total": 100_000}
-            return json_response(200, report | memory | {"born": self.started_ms})
+            return json_response(200, report | memory | {"born": self.started_ms}, cold_left)
         if request.header("Expect-Instance") not in ("", self.id):
             return Response(421, b"", (("Instance-Id", self.id),))
-        if self.behaviour.shed:
+        if not self._admit(request) or self.behaviour.shed:
             return Response(503, b"", (("Not-Executed", "1"),))
         return self._run(request)
 
+    def _admit(self, request: Request) -> bool:
+        """Note a request's arrival; return false if a cold replica must refuse it."""
+        most = self.behaviour.cold_most_per_s
+        sender = str(request.environ.get("REMOTE_ADDR", ""))
+        with self._lock:
+            now = time.monotonic()
+            cold = now < self._cold_until
+            self.arrivals.append(Arrival(request.header("Request-Id"), now, sender, cold))
+            self._recent.append(now)
+            while self._recent[0] <= now - COLD_WINDOW_S:
+                self._recent.popleft()
+            return not cold or not most or len(self._recent) <= most
+
+    def _cold_extra_s(self) -> float:
+        """Return the time that an answer or an event takes longer now."""
+        return self.behaviour.cold_extra_s if time.monotonic() < self._cold_until else 0.0
+
     def _run(self, request: Request) -> Answer:
         behaviour = self.behaviour
         run = ReplicaRun(
@@ -248,7 +323,8 @@
     def _whole(self, run: ReplicaRun, request: Request) -> Answer:
         self._count(1)
         try:
-            if not self._pause(self.behaviour.answer_s, request.connection.is_closed_by_peer):
+            answer_s = self.behaviour.answer_s + self._cold_extra_s()
+            if not self._pause(answer_s, request.connection.is_closed_by_peer):
                 run.cancelled = True
                 return CLOSED
         finally:
@@ -262,7 +338,7 @@
         self._count(1)
         try:
             for number in range(run.after_event + 1, behaviour.events + 1):
-                pause_s = behaviour.event_s
+                pause_s = behaviour.event_s + self._cold_extra_s()
                 if number == behaviour.stall_at_event:
                     pause_s = 3600.0
                 if not self._pause(pause_s, connection.is_closed_by_peer):
--- a/src/quaymill_standins/fleet_store.py
+++ b/src/quaymill_standins/fleet_store.py
@@ -56,6 +56,23 @@
     refused_clients: frozenset[str] = frozenset()
 
 
+class StoreChange(msgspec.Struct, frozen=True):
+    """One change of an object.
+
+    Attributes
+    ----------
+    at_s
+        Monotonic time when it was done; whoever writes with ``put`` or ``remove`` has its
+        acknowledgement then.
+    gone
+        Whether the object was removed.
+    """
+
+    name: str
+    gone: bool
+    at_s: float
+
+
 class _Change(msgspec.Struct):
     revision: int
     kind: str
@@ -74,6 +91,7 @@
         self._revision = 1
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._history: list[_Change] = []
+        self._changes: dict[str, list[StoreChange]] = {}
         self._forgotten = 0
         self._server = StandinServer(
             address,
@@ -123,6 +141,11 @@
                 self._revision += 1
                 self._note(_Change(self._revision, kind, held, gone=True))
 
+    def changes_of(self, kind: str) -> list[StoreChange]:
+        """Return every change of a kind's objects, in order, also those of forgotten history."""
+        with self._changed:
+            return list(self._changes.get(kind, ()))
+
     def forget_history(self) -> None:
         """Drop the history; watches from before are told so."""
         with self._changed:
@@ -227,6 +250,9 @@
 
     def _note(self, change: _Change) -> None:
         self._history.append(change)
+        name = change.object["metadata"]["name"]
+        done = StoreChange(name, change.gone, time.monotonic())
+        self._changes.setdefault(change.kind, []).append(done)
         self._changed.notify_all()
 
     def _wait_until(self, condition) -> None:
