Soak: evacuate zones and have replicas return cold

The soak played neither evacuations nor cold replicas, so nothing checked them on real processes. These faults are drawn by a generator of their own: a seed's other faults keep their times and draws. Processes connect from their own addresses and proxies keep them, so that replicas know who sent.

--- a/src/quaymill_bench/fleet_processes.py
+++ b/src/quaymill_bench/fleet_processes.py
@@ -23,10 +23,21 @@
 import attrs
 import urllib3
 
-from quaymill_bench.fleet_world import HOST, ZONES, configuration, job_body
+from quaymill_bench.fleet_world import (
+    COLD_REQUESTS_PER_S,
+    HOST,
+    ZONES,
+    configuration,
+    job_body,
+)
 from quaymill_bench.loopback_proxy import LoopbackProxy
 from quaymill_bench.ports import free_port, loopback_address
-from quaymill_bench.routed_process import CLOCK_VARIABLE, ROUTES_VARIABLE, write_clock_lead
+from quaymill_bench.routed_process import (
+    ADDRESS_VARIABLE,
+    CLOCK_VARIABLE,
+    ROUTES_VARIABLE,
+    write_clock_lead,
+)
 from quaymill_standins.fleet_replica import FleetReplica
 from quaymill_standins.fleet_store import FleetStore
 
@@ -41,6 +52,11 @@
 LEAVE_S = 0.5
 OVERRUN_REQUESTS = 6.0
 """Requests by which a tenant's limit may be overrun in a window, beside its share."""
+EVACUATION_S = 5.0
+COLD_RATE_FACTOR = 1.5
+COLD_RATE_SLACK = 3.0
+COLD_MOST_PER_S = COLD_REQUESTS_PER_S * COLD_RATE_FACTOR + COLD_RATE_SLACK
+"""Requests in any second that a cold replica may get."""
 
 
 def wait_until(condition: Callable[[], Any], what: str, timeout_s: float = START_TIMEOUT_S) -> Any:
@@ -73,6 +89,8 @@
         How far its boot clock has moved ahead of the steady one.
     ended_on_purpose
         Whether it was told to end since.
+    shows_address
+        Whether it connects from its own address, so that replicas see who sends.
     """
 
     name: str
@@ -89,6 +107,7 @@
     ended_on_purpose: bool = True
     clock_lead_s: float = 0.0
     zone: str = ""
+    shows_address: bool = False
 
     @property
     def routes_file(self) -> Path:
@@ -117,6 +136,8 @@
             ROUTES_VARIABLE: str(self.routes_file),
             CLOCK_VARIABLE: str(self.clock_file),
         }
+        if self.shows_address:
+            variables[ADDRESS_VARIABLE] = self.address
         write_clock_lead(self.clock_file, self.clock_lead_s)
         with self.log_file.open("ab") as log:
             self.process = subprocess.Popen(
@@ -172,6 +193,9 @@
         Of the first configuration; ``None`` if requests need no keys.
     zones_lost_at_once
         Of the settings of each process.
+    placement_limits
+        Whether zones may be evacuated and replicas be cold: bounds stand in the settings and rates
+        in the configuration, and linked processes connect from their own addresses.
     """
 
     def __init__(
@@ -184,8 +208,10 @@
         linked: bool = False,
         tenants: tuple[dict[str, Any], ...] | None = None,
         zones_lost_at_once: int = 0,
+        placement_limits: bool = False,
     ) -> None:
         self.folder = folder
+        self.placement_limits = placement_limits
         self.zones_lost_at_once = zones_lost_at_once
         # Disks of an earlier fleet hold jobs of the same names, whose retention has run out.
         shutil.rmtree(folder, ignore_errors=True)
@@ -197,6 +223,8 @@
         self._planned = (gateways, storage, engines)
         self._linked = linked
         self._tenants = tenants
+        self._restart_lock = threading.Lock()
+        self._held_down: set[str] = set()
         self.stopping = False
         self.pool = urllib3.PoolManager(retries=False, num_pools=20, maxsize=30)
 
@@ -215,7 +243,8 @@
         gateways, storage, engines = self._planned
         self.folder.mkdir(parents=True, exist_ok=True)
         self.store.start()
-        self.store.put("config", "main", configuration(1, tenants=self._tenants))
+        first = configuration(1, tenants=self._tenants, cold_rates=self.placement_limits)
+        self.store.put("config", "main", first)
         for index in range(engines):
             self.add_replica("engine", ZONES[index % len(ZONES)])
         for index in range(2):
@@ -284,6 +313,27 @@
     def _start_again(self, crashed: FleetReplica) -> None:
         time.sleep(REPLICA_DOWN_S)
         wait_until(crashed.has_ended, f"the port of {crashed.id} is free")
+        with self._restart_lock:
+            # It may be held down, or have returned already.
+            if crashed.id not in self._held_down and self.replicas[crashed.id] is crashed:
+                self._start_anew(crashed)
+
+    def hold_down(self, replica_id: str) -> None:
+        """End a replica and remove its entry, until it is told to return."""
+        with self._restart_lock:
+            self._held_down.add(replica_id)
+        self.replicas[replica_id].crash()
+        self.store.remove("servers", replica_id)
+
+    def return_cold(self, replica_id: str, cold_s: float) -> None:
+        """Start a replica that was held down, cold, under its id and at its address."""
+        held = self.replicas[replica_id]
+        wait_until(held.has_ended, f"the port of {replica_id} is free")
+        with self._restart_lock:
+            self._held_down.discard(replica_id)
+            self._start_anew(held, cold_s)
+
+    def _start_anew(self, crashed: FleetReplica, cold_s: float = 0.0) -> None:
         if self.stopping:
             return
         again = FleetReplica(
@@ -292,16 +342,31 @@
             crashed.zone,
             on_crash=self._start_again_later,
             port=crashed.port,
+            cold_s=cold_s,
         )
         again.behaviour = crashed.behaviour
         # What was run before is still to be checked.
         again.runs = crashed.runs
+        again.arrivals = crashed.arrivals
         again.start()
         self.replicas[again.id] = again
         self.list_replica(again, "ready")
+        if cold_s:
+            timer = threading.Timer(cold_s, self._list_warm, (again,))
+            timer.daemon = True
+            timer.start()
+
+    def _list_warm(self, replica: FleetReplica) -> None:
+        """Write into a replica's entry that it is warm, if the entry is still of this start."""
+        held = self.store.read("servers", replica.id)
+        spec = held["spec"] if held else None
+        if isinstance(spec, dict) and spec.get("born") == replica.started_ms:
+            self.store.put("servers", replica.id, spec | {"cold_left_ms": 0})
 
     def list_replica(self, replica: FleetReplica, state: str) -> None:
-        """Write a replica's entry into the store."""
+        """Write a replica's entry into the store, unless the replica is held down."""
+        if replica.id in self._held_down:
+            return
         port = self.replica_proxies[replica.id].port
         entry = replica.entry(state) | {"address": f"127.0.0.1:{port}"}
         self.store.put("servers", replica.id, entry)
@@ -360,6 +425,7 @@
             free_port(),
             proxy,
             zone=zone,
+            shows_address=self.placement_limits,
         )
         lines = [
             f'name = "{name}"',
@@ -381,5 +447,9 @@
             ]
         lines += ["[bounds]", f"grace_s = {GRACE_S}", f"leave_s = {LEAVE_S}"]
         lines.append(f"quota_overrun_requests = {OVERRUN_REQUESTS}")
+        if self.placement_limits:
+            lines.append(f"evacuation_ms = {1000 * EVACUATION_S}")
+            lines.append(f"cold_rate_factor = {COLD_RATE_FACTOR}")
+            lines.append(f"cold_rate_slack = {COLD_RATE_SLACK}")
         process.settings_file.write_text("\n".join(lines) + "\n")
         self.processes[name] = process
--- a/src/quaymill_bench/fleet_world.py
+++ b/src/quaymill_bench/fleet_world.py
@@ -11,6 +11,9 @@
 HOST = "shop.example"
 ZONES = ("zone-a", "zone-b", "zone-c")
 EVENTS = 3
+WARM_UP_S = 3.0
+COLD_REQUESTS_PER_S = 4.0
+"""Low enough that the load of a soak's few callers exceeds it at one replica."""
 
 
 def route(name: str, prefix: str, kind: str, **fields: Any) -> dict[str, Any]:
@@ -62,16 +65,25 @@
     version: int,
     routes: tuple[dict[str, Any], ...] = ROUTES,
     tenants: tuple[dict[str, Any], ...] | None = None,
+    *,
+    cold_rates: bool = False,
 ) -> dict[str, Any]:
-    """Return an operator's configuration; without tenants no request needs a key."""
+    """Return an operator's configuration; without tenants no request needs a key.
+
+    Parameters
+    ----------
+    cold_rates
+        Whether the services declare how long replicas are cold, and their rate meanwhile.
+    """
+    cold = {"cold_start_s": WARM_UP_S, "cold_per_s": COLD_REQUESTS_PER_S} if cold_rates else {}
     engine = {"slots": 4, "kv_capacity_tokens": 100_000}
     with_tenants = {} if tenants is None else {"tenants": list(tenants)}
     return with_tenants | {
         "version": version,
         "routes": list(routes),
         "services": [
-            {"name": "engine", "health_path": "/health", "max_conns": 100, "engine": engine},
-            {"name": "application", "health_path": "/health", "max_conns": 100},
+            {"name": "engine", "health_path": "/health", "max_conns": 100, "engine": engine} | cold,
+            {"name": "application", "health_path": "/health", "max_conns": 100} | cold,
         ],
         "limits": {
             "max_header_bytes": 16384,
--- a/src/quaymill_bench/loopback_proxy.py
+++ b/src/quaymill_bench/loopback_proxy.py
@@ -25,7 +25,7 @@
 
 
 class LoopbackProxy:
-    """Forwards connections to one target.
+    """Forwards connections to one target, from the loopback address that a client came from.
 
     States may be changed at any time: DELAYED holds each block back, RESET ends all
     connections and new ones at once, SILENT passes nothing on, ANSWERS_LATE holds only answers
@@ -72,17 +72,17 @@
     def _accept(self) -> None:
         while not self._stopping:
             try:
-                client, _ = self._listener.accept()
+                client, (host, _) = self._listener.accept()
             except OSError:
                 return
             if self._state is LinkState.RESET:
                 _reset(client)
                 continue
-            threading.Thread(target=self._serve, args=(client,), daemon=True).start()
+            threading.Thread(target=self._serve, args=(client, host), daemon=True).start()
 
-    def _serve(self, client: socket.socket) -> None:
+    def _serve(self, client: socket.socket, host: str) -> None:
         try:
-            server = socket.create_connection(self._target, timeout=5.0)
+            server = socket.create_connection(self._target, timeout=5.0, source_address=(host, 0))
         except OSError:
             _reset(client)
             return
--- a/src/quaymill_bench/main.py
+++ b/src/quaymill_bench/main.py
@@ -121,6 +121,7 @@
     storage: int = 3,
     engines: int = 3,
     zones_lost: int = 0,
+    placement: bool = False,
     keep: Path = Path("run/soak"),
 ) -> int:
     """Run gateways and storage nodes as processes under random faults, and check the promises.
@@ -137,12 +138,19 @@
         How many there are; up to 12 processes each pair has proxies of its own.
     zones_lost
         Zones that may be lost at once, by the settings; above 0 zones are cut off, too.
+    placement
+        Evacuate zones and have replicas return cold, too: the settings get the bounds and the
+        services declare a cold rate. The seed's other faults stay as they are without it, and the
+        checks of evacuations and cold rates are made. Beyond 12 processes senders are not known
+        one by one: a request counts if all gateways were in working order.
     keep
         Folder for the processes' files and for the logs of failed rounds.
     """
     from quaymill_bench.soak import SoakPlan, run_soak
 
-    plan = SoakPlan(keep.resolve(), seed, rounds, only, gateways, storage, engines, zones_lost)
+    plan = SoakPlan(
+        keep.resolve(), seed, rounds, only, gateways, storage, engines, zones_lost, placement
+    )
     result = run_soak(plan, lambda text: print(text, flush=True))
     print(f"{result.rounds} rounds, {result.requests} requests, {result.jobs} jobs")
     for number, found in result.findings.items():
--- a/src/quaymill_bench/routed_process.py
+++ b/src/quaymill_bench/routed_process.py
@@ -34,6 +34,23 @@
     socket.create_connection = routed
 
 
+ADDRESS_VARIABLE = "QUAYMILL_SOAK_ADDRESS"
+"""The loopback address from which the process connects; any one if not set."""
+
+
+def connect_from(address: str) -> None:
+    """Have TCP connections on loopback come from an address, so that others see who connects."""
+    connect = socket.socket.connect
+
+    def connect_bound(self: socket.socket, target: Any) -> None:
+        is_tcp = self.family == socket.AF_INET and self.type == socket.SOCK_STREAM
+        if is_tcp and target[0].startswith("127.") and not self.getsockname()[1]:
+            self.bind((address, 0))
+        connect(self, target)
+
+    socket.socket.connect = connect_bound
+
+
 CLOCK_VARIABLE = "QUAYMILL_SOAK_CLOCK"
 """Names a file with the seconds by which the boot clock is ahead of the machine's."""
 _LEAD = struct.Struct("d")
@@ -63,6 +80,8 @@
 def run() -> int:
     """Run the role named on the command line with the routes and the clock of its files."""
     lead_clock(Path(os.environ[CLOCK_VARIABLE]))
+    if ADDRESS_VARIABLE in os.environ:
+        connect_from(os.environ[ADDRESS_VARIABLE])
     route_connections(json.loads(Path(os.environ[ROUTES_VARIABLE]).read_text()))
     return main()
 
--- a/src/quaymill_bench/soak.py
+++ b/src/quaymill_bench/soak.py
@@ -1,8 +1,9 @@
 """The fault soak: real processes under random faults from outside, checked while they run.
 
 Each round draws faults and load from its seed, heals everything, waits for the jobs to end, and
-compares what callers and replicas saw with the promises. A round that failed is kept with its
-logs and a timeline of each job or request concerned; ``--only`` plays one again.
+compares what callers and replicas saw with the promises. With ``--placement`` zones are evacuated
+and replicas return cold beside the other faults, which stay those of the seed. A round that failed
+is kept with its logs and a timeline of each job or request concerned; ``--only`` plays one again.
 """
 
 from __future__ import annotations
@@ -16,10 +17,22 @@
 
 import attrs
 
-from quaymill_bench.fleet_processes import LocalFleet, wait_until
+from quaymill_bench.fleet_processes import (
+    COLD_MOST_PER_S,
+    EVACUATION_S,
+    LocalFleet,
+    wait_until,
+)
 from quaymill_bench.soak_checks import History, check_round
 from quaymill_bench.soak_faults import SoakFaults
 from quaymill_bench.soak_load import CANCEL_S, SoakLoad
+from quaymill_bench.soak_placement import (
+    Disturbances,
+    Senders,
+    check_cold,
+    check_evacuations,
+    evacuations_of,
+)
 from quaymill_bench.soak_tenants import SoakTenants
 from quaymill_bench.soak_timeline import Timeline
 
@@ -65,8 +78,18 @@
         load.stop(HEAL_TIMEOUT_S)
         replicas = list(self._fleet.replicas.values())
         found = check_round(self.history, replicas, CANCEL_S, self._tenants)
+        if self._fleet.placement_limits:
+            found += self._check_placement(faults.disturbances)
         return found + self._start_ended()
 
+    def _check_placement(self, disturbances: Disturbances) -> list[str]:
+        replicas = list(self._fleet.replicas.values())
+        names = {one.address: one.name for one in self._fleet.gateways}
+        evacuations = evacuations_of(self._fleet.store.changes_of("evacuations"))
+        senders = Senders(names, disturbances)
+        found = check_evacuations(replicas, evacuations, senders, EVACUATION_S)
+        return found + check_cold(replicas, COLD_MOST_PER_S)
+
     def _start_ended(self) -> list[str]:
         """Start processes that have ended by themselves, and tell of them."""
         ended = [one for one in self._fleet.processes.values() if one.ended_by_itself]
@@ -85,6 +108,8 @@
         The one round to play, counted from 0; ``None`` for all.
     zones_lost
         Zones that may be lost at once; above 0 zones are cut off, too.
+    placement
+        Whether zones are evacuated and replicas return cold.
     """
 
     folder: Path
@@ -95,6 +120,7 @@
     storage: int = 3
     engines: int = 3
     zones_lost: int = 0
+    placement: bool = False
 
 
 def run_soak(plan: SoakPlan, tell: Callable[[str], None]) -> SoakResult:
@@ -108,6 +134,7 @@
         linked=plan.gateways + plan.storage <= MOST_LINKED_PROCESSES,
         tenants=tenants.table(),
         zones_lost_at_once=plan.zones_lost,
+        placement_limits=plan.placement,
     ).start()
     findings: dict[int, list[str]] = {}
     requests = jobs = 0
@@ -136,6 +163,7 @@
     time.sleep(SETTLE_S)
     for replica in fleet.replicas.values():
         replica.runs.clear()
+        replica.arrivals.clear()
 
 
 def _keep(
--- a/src/quaymill_bench/soak_faults.py
+++ b/src/quaymill_bench/soak_faults.py
@@ -12,9 +12,10 @@
 import attrs
 import msgspec
 
-from quaymill_bench.fleet_processes import FleetProcess, LocalFleet
-from quaymill_bench.fleet_world import ROUTES, ZONES, configuration
+from quaymill_bench.fleet_processes import COLD_MOST_PER_S, FleetProcess, LocalFleet
+from quaymill_bench.fleet_world import ROUTES, WARM_UP_S, ZONES, configuration
 from quaymill_bench.loopback_proxy import LinkState, LoopbackProxy
+from quaymill_bench.soak_placement import LINK_DELAY_S, STORE, Disturbances, path_to, stopping
 from quaymill_bench.soak_senders import (
     CRASH_SUFFIX,
     CRASHING_KINDS,
@@ -65,7 +66,17 @@
     {"crashed_at_ms": "x", "incarnations": [1]},
     {"peer": {"host": "nowhere", "port": -1}},
 )
-DELAY_BY_STATE_S = {LinkState.DELAYED: 0.2, LinkState.ANSWERS_LATE: LATE_ANSWER_S}
+DELAY_BY_STATE_S = {LinkState.DELAYED: LINK_DELAY_S, LinkState.ANSWERS_LATE: LATE_ANSWER_S}
+EVACUATE = "evacuate a zone"
+COLD_RETURN = "have a zone's replicas return cold"
+PLACEMENT_ROUNDS = ((EVACUATE,), (COLD_RETURN,), (EVACUATE, COLD_RETURN), (EVACUATE, COLD_RETURN))
+PLACEMENT_AT_S = {EVACUATE: (0.5, 2.5), COLD_RETURN: (0.5, 5.0)}
+PLACEMENT_FOR_S = {EVACUATE: (7.5, 9.0), COLD_RETURN: (3.0, 4.0)}
+"""Evacuations outlast the bound from which on they are checked, and a return leaves gateways time
+to learn that the replicas are gone, and load for the time in which they are cold."""
+FIRST_EVACUATION_S = (0.2, 1.5)
+"""Time after which an evacuation is withdrawn and requested again, if it is."""
+COLD_EXTRA_S = 0.05
 
 Heal = Callable[[], None]
 
@@ -80,7 +91,16 @@
 
 
 class SoakFaults:
-    """Draws the faults of one round, and brings them about."""
+    """Draws the faults of one round, and brings them about.
+
+    Evacuations and cold returns are drawn by a generator of their own, beside the others: those of
+    a seed stay as they are, with their times and what they are done to.
+
+    Attributes
+    ----------
+    disturbances
+        Which gateways and paths the faults disturbed, and when.
+    """
 
     def __init__(
         self, fleet: LocalFleet, tenants: SoakTenants, seed: str, timeline: Timeline
@@ -89,11 +109,16 @@
         self._tenants = tenants
         self._seed = seed
         self._random = random.Random(seed)
+        self._placement_random = random.Random(f"{seed}/placement")
+        self.disturbances = Disturbances()
         self._timeline = timeline
         self._storage_lock = threading.Lock()
         self._version = int(time.time())
         self._sound = ReplicaBehaviour(
-            event_s=self._random.choice(EVENT_TIMES_S), crash_suffix=CRASH_SUFFIX
+            event_s=self._random.choice(EVENT_TIMES_S),
+            crash_suffix=CRASH_SUFFIX,
+            cold_extra_s=COLD_EXTRA_S,
+            cold_most_per_s=COLD_MOST_PER_S,
         )
         for replica in fleet.replicas.values():
             replica.behaviour = self._sound
@@ -120,6 +145,10 @@
         }
         if fleet.zones_lost_at_once:
             self._faults["cut a zone off"] = self._cut_zone
+        self._placement_faults: dict[str, Callable[[], Heal | None]] = {
+            EVACUATE: self._evacuate,
+            COLD_RETURN: self._return_cold,
+        }
 
     def plan(self, load_s: float) -> list[PlannedFault]:
         """Draw the faults of a round, by the time when they begin."""
@@ -132,15 +161,27 @@
             )
             for _ in range(self._random.choice((2, 3, 4, 5, 6)))
         ]
+        if self._fleet.placement_limits:
+            planned += self._plan_placement()
         return sorted(planned, key=lambda one: one.at_s)
 
+    def _plan_placement(self) -> list[PlannedFault]:
+        chance = self._placement_random
+        return [
+            PlannedFault(
+                chance.uniform(*PLACEMENT_AT_S[name]), chance.uniform(*PLACEMENT_FOR_S[name]), name
+            )
+            for name in chance.choice(PLACEMENT_ROUNDS)
+        ]
+
     def play(self, planned: list[PlannedFault], until_s: float) -> None:
         """Bring the faults about at their times, and heal what is left at the end."""
         began = time.monotonic()
+        faults = self._faults | self._placement_faults
         heals: list[tuple[float, str, Heal]] = []
         for fault in planned:
             heals = self._wait(began + fault.at_s, heals)
-            heal = self._faults[fault.name]()
+            heal = faults[fault.name]()
             if heal is not None:
                 heals.append((time.monotonic() + fault.for_s, fault.name, heal))
         heals = self._wait(began + until_s, heals)
@@ -149,11 +190,13 @@
     def end_everything(self) -> None:
         """Kill all processes at the same moment, and start them again."""
         self._timeline.note("fault: every process is killed")
+        end = self.disturbances.begin(*self._fleet.processes)
         for process in self._fleet.processes.values():
             process.send(signal.SIGKILL)
         for process in self._fleet.processes.values():
             process.kill()
             process.start()
+        end()
         self._timeline.note("fault: every process is started again")
 
     def _wait(
@@ -180,17 +223,27 @@
     def _kill_gateway(self) -> Heal:
         process = self._random.choice(self._fleet.gateways)
         self._note(f"SIGKILL to {process.name}")
+        end = self.disturbances.begin(process.name)
         process.kill()
-        return process.start
+
+        def heal() -> None:
+            process.start()
+            end()
+
+        return heal
 
     def _stop_gateway(self) -> Heal:
         process = self._random.choice(self._fleet.gateways)
         self._note(f"SIGTERM to {process.name}")
+        end_stop = self.disturbances.begin(stopping(process.name))
         process.send(signal.SIGTERM)
 
         def heal() -> None:
             process.wait_ended()
+            end = self.disturbances.begin(process.name)
             process.start()
+            end()
+            end_stop()
 
         return heal
 
@@ -199,10 +252,12 @@
         if not self._may_lose(process):
             return None
         self._note(f"SIGSTOP to {process.name}")
+        end = self.disturbances.begin(process.name)
         process.send(signal.SIGSTOP)
 
         def heal() -> None:
             process.send(signal.SIGCONT)
+            end()
             self._gives_back(process)
 
         return heal
@@ -214,11 +269,13 @@
             return None
         lead_s = self._random.uniform(*SUSPENDED_S)
         self._note(f"{process.name} is suspended for {lead_s:.1f} s")
+        end = self.disturbances.begin(process.name)
         process.send(signal.SIGSTOP)
         process.move_boot_clock(lead_s)
 
         def heal() -> None:
             process.send(signal.SIGCONT)
+            end()
             self._gives_back(process)
 
         return heal
@@ -283,33 +340,42 @@
             )
         )
         self._note(f"the store: {name}")
+        # Reads are disturbed by some of these only.
+        end = self.disturbances.begin(*([STORE] if name in ("down", "silent") else []))
         self._fleet.store.faults = FleetStoreFaults(**{name: value})
 
         def heal() -> None:
             self._fleet.store.faults = FleetStoreFaults()
+            end()
 
         return heal
 
     def _disturb_store_link(self) -> Heal:
         process = self._random.choice(self._fleet.gateways)
-        return self._disturb_link(process.store_proxy, f"{process.name} to the store")
+        return self._disturb_link(process.store_proxy, path_to(process.name, STORE))
 
     def _disturb_replica_link(self) -> Heal:
         replica_id, proxy = self._random.choice(list(self._fleet.replica_proxies.items()))
-        return self._disturb_link(proxy, f"all to {replica_id}")
+        return self._disturb_link(proxy, path_to("all", replica_id))
 
     def _disturb_peer_link(self) -> Heal | None:
         source = self._random.choice(list(self._fleet.processes.values()))
         if not source.links_by_target:
             return None
         target, proxy = self._random.choice(list(source.links_by_target.items()))
-        return self._disturb_link(proxy, f"{source.name} to {target}")
+        return self._disturb_link(proxy, path_to(source.name, target))
 
     def _disturb_link(self, proxy: LoopbackProxy, path: str) -> Heal:
         state = self._random.choice(LINK_STATES)
         self._note(f"{path}: {state.name}")
+        end = self.disturbances.begin(path)
         proxy.set_state(state, DELAY_BY_STATE_S.get(state, 0.0))
-        return partial(_open_again, proxy)
+
+        def heal() -> None:
+            _open_again(proxy)
+            end()
+
+        return heal
 
     def _cut_zone(self) -> Heal | None:
         """Silence all connections between the processes of a zone and those elsewhere.
@@ -321,18 +387,20 @@
             return None
         zone = self._random.choice(ZONES)
         self._note(f"{zone} is cut off")
-        proxies = [
-            proxy
+        proxies = {
+            path_to(source.name, target): proxy
             for source in self._fleet.processes.values()
             for target, proxy in source.links_by_target.items()
             if (source.zone == zone) != (self._fleet.processes[target].zone == zone)
-        ]
-        for proxy in proxies:
+        }
+        end = self.disturbances.begin(*proxies)
+        for proxy in proxies.values():
             proxy.set_state(LinkState.SILENT)
 
         def heal() -> None:
-            for proxy in proxies:
+            for proxy in proxies.values():
                 _open_again(proxy)
+            end()
             self._release_storage_later()
 
         return heal
@@ -342,17 +410,26 @@
         if self._random.random() < 0.5:
             self._note("all open connections go silent for good")
             proxies = self._proxies(list(self._fleet.processes.values()))
-            proxies += self._fleet.replica_proxies.values()
+            for replica_id, proxy in self._fleet.replica_proxies.items():
+                proxies[path_to("all", replica_id)] = proxy
         else:
             process = self._random.choice(list(self._fleet.processes.values()))
             self._note(f"the open connections of {process.name} go silent for good")
             proxies = self._proxies([process])
-        for proxy in proxies:
+        end = self.disturbances.begin(*proxies)
+        for proxy in proxies.values():
             proxy.silence_open()
-
-    def _proxies(self, processes: list[FleetProcess]) -> list[LoopbackProxy]:
-        links = [link for one in processes for link in one.links_by_target.values()]
-        return links + [one.store_proxy for one in processes]
+        # New connections work.
+        end()
+
+    def _proxies(self, processes: list[FleetProcess]) -> dict[str, LoopbackProxy]:
+        """Return the proxies of processes by the names of their paths."""
+        links = {
+            path_to(one.name, target): proxy
+            for one in processes
+            for target, proxy in one.links_by_target.items()
+        }
+        return links | {path_to(one.name, STORE): one.store_proxy for one in processes}
 
     # Replicas and the operator.
 
@@ -437,7 +514,48 @@
         done = self._tenants.change(self._random)
         self._note(f"configuration {self._version}: {done}")
         table = self._tenants.table()
-        self._fleet.store.put("config", "main", configuration(self._version, routes, table))
+        cold_rates = self._fleet.placement_limits
+        document = configuration(self._version, routes, table, cold_rates=cold_rates)
+        self._fleet.store.put("config", "main", document)
+
+    def _evacuate(self) -> Heal:
+        """Request the evacuation of a zone, and now and then withdraw and request it again."""
+        zone = self._placement_random.choice(ZONES)
+        first_s = self._placement_random.uniform(*FIRST_EVACUATION_S)
+        again = self._placement_random.random() < 0.3
+        store = self._fleet.store
+        self._note(f"{zone} is evacuated")
+        store.put("evacuations", zone, {})
+
+        def request_again() -> None:
+            store.remove("evacuations", zone)
+            store.put("evacuations", zone, {})
+            self._note(f"the evacuation of {zone} is withdrawn and requested again")
+
+        timer = threading.Timer(first_s, request_again)
+        if again:
+            timer.start()
+
+        def heal() -> None:
+            if again:
+                timer.join()
+            store.remove("evacuations", zone)
+
+        return heal
+
+    def _return_cold(self) -> Heal:
+        """End all replicas of a zone, and have them return together, cold."""
+        zone = self._placement_random.choice(ZONES)
+        names = [one.id for one in self._fleet.replicas.values() if one.zone == zone]
+        self._note(f"the replicas of {zone} stop: {', '.join(names)}")
+        for name in names:
+            self._fleet.hold_down(name)
+
+        def heal() -> None:
+            for name in names:
+                self._fleet.return_cold(name, WARM_UP_S)
+
+        return heal
 
     def _flood(self) -> Heal:
         """Have one tenant send many times what it may, at all gateways."""
--- a/tests/test_loopback_proxy.py
+++ b/tests/test_loopback_proxy.py
@@ -7,8 +7,11 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from quaymill_bench.loopback_proxy import LinkState, LoopbackProxy
+from quaymill_bench.ports import loopback_address
+from quaymill_bench.routed_process import connect_from
 
 SHORT_S = 0.3
 DELAY_S = 0.5
@@ -42,6 +45,25 @@
         self.addCleanup(connection.close)
         return connection
 
+    def test_target_sees_where_a_client_comes_from(self) -> None:
+        """Guards against replicas of the soak that can't tell senders apart."""
+        seen = []
+        self.enterContext(mock.patch.object(self, "_echo", seen.append))
+        address = loopback_address()
+        proxy = ("127.0.0.1", self.proxy.port)
+        socket.create_connection(proxy, 5.0, (address, 0)).close()
+        deadline = time.monotonic() + 5.0
+        while not seen and time.monotonic() < deadline:
+            time.sleep(0.01)
+        self.assertEqual([address], [one.getpeername()[0] for one in seen])
+
+    def test_process_connects_from_its_address(self) -> None:
+        """Guards against gateways of the soak that all show the same address."""
+        self.enterContext(mock.patch.object(socket.socket, "connect", socket.socket.connect))
+        address = loopback_address()
+        connect_from(address)
+        self.assertEqual(address, self.connect().getsockname()[0])
+
     def ask(self, connection: socket.socket, timeout_s: float = 5.0) -> bytes:
         """Send a word and return what comes back; empty if nothing does in time."""
         connection.settimeout(timeout_s)
