--- a/src/quaymill/platform/replica_calls.py
+++ b/src/quaymill/platform/replica_calls.py
@@ -11,11 +11,7 @@
 from quaymill.connection.engine_report import EngineReport
 from quaymill.connection.replica_answer import AnswerHead
 from quaymill.connection.replica_connection import Exchange, ReplicaRequest
-from quaymill.connection.replica_entry import (
-    ReportedLoad,
-    read_cold_left_s,
-    read_slowness,
-)
+from quaymill.connection.replica_entry import ReportedLoad, read_cold_left_s, read_slowness
 from quaymill.platform import names
 from quaymill.request.forwarded_request import ForwardedRequest
 
