Choose again in the own region if another region's allocator has no answer

Cause: while no own replica had a free slot and the other region's allocator was paused or silent, its replicas were used by loads that are no longer reported, so they seemed idle to all gateways. Change: for services whose requests allocators place, the choice is repeated among the own region's healthy replicas. Result: test_without_an_answer_of_the_other_region_the_own_one_is_chosen was red without the change and is green with it.

--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -215,6 +215,7 @@
             settings.name,
             lambda first, constraints: self._online_reporter.place(first, constraints),
             lambda service: self._queue.service_s(service),
+            lambda service: service in self.control.routes.allocated_services,
         )
         self._loads = EngineLoads(self._connections, protocol.reports)
         # The next four parts call one another; lambdas look up those that are built later.
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -76,6 +76,8 @@
         Asks the slot allocator, whose choice replaces the local one.
     service_s
         Returns the usual service time of a service in seconds; 0 if unknown.
+    is_allocated
+        Returns whether slot allocators place the requests of a service.
     """
 
     def __init__(
@@ -85,8 +87,10 @@
         seed: str,
         place: PlaceCall = lambda replica, constraints: None,
         service_s: Callable[[str], float] = lambda service: 0.0,
+        is_allocated: Callable[[str], bool] = lambda service: False,
     ) -> None:
         self._table = table
+        self._is_allocated = is_allocated
         self._zone = zone
         self._place = place
         self._service_s = service_s
@@ -150,7 +154,16 @@
             prompt,
             frozenset(excluded) | _evacuated_ids(replicas),
         )
-        return self._place(preferred, constraints) or preferred
+        placed = self._place(preferred, constraints)
+        if placed is not None:
+            return placed
+        if preferred.in_other_region and preferred not in nearby and self._is_allocated(service):
+            # Without its allocator, the loads of the other region are not known here.
+            preferred, constraints = self._local_choice(
+                candidates, healthy, nearby, prompt, constraints.excluded
+            )
+            return self._place(preferred, constraints) or preferred
+        return preferred
 
     def _choose_with_cold(
         self, service: str, candidates: list[Replica], prompt: Prompt, excluded: frozenset[str]
--- a/tests/test_allocator_queue.py
+++ b/tests/test_allocator_queue.py
@@ -161,7 +161,13 @@
             dispatch_granted=self.queue.accept_grant,
             regions=regions,
         )
-        self.router = Router(self.table, zone, name, self.reporter.place)
+        self.router = Router(
+            self.table,
+            zone,
+            name,
+            self.reporter.place,
+            is_allocated=lambda service: service == SERVICE,
+        )
         self.queue.record(SERVICE, 0.8, 0.05)
         self.reporter.start()
 
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -328,6 +328,23 @@
             self.assertEqual("a1-0", router.constraints_of(SERVICE)[0].id)
             self.assertEqual(chosen, router.choose(SERVICE).id)
 
+    def test_without_an_answer_of_the_other_region_the_own_one_is_chosen(self) -> None:
+        """Loads there are not known then, so that all gateways would send to its full engines."""
+        found = table(region_map(), a1=1, b1=1)
+        found.get("a1-0").record_pool_view(20, 0)
+        asked: list[str] = []
+        router = Router(
+            found,
+            "a1",
+            "seed",
+            lambda first, constraints: asked.append(first.id),
+            is_allocated=lambda service: True,
+        )
+        self.assertEqual("a1-0", router.choose(SERVICE).id)
+        self.assertEqual(["b1-0", "a1-0"], asked)
+        found.get("a1-0").record_failure(3.0)
+        self.assertEqual("b1-0", router.choose(SERVICE).id)
+
     def test_cached_prompts_are_used_in_each_region(self) -> None:
         found = table(region_map(), a1=4, b1=4)
         prompt = Prompt((PromptPart("shared", 12_000), PromptPart("own", 500)))
