Release only requests of the own region when its allocator does not answer

Cause: all queued requests were decided locally then, also those that wait in the other region's queue. Change: the tickets of the allocator's region are passed where there are several. Result: test_requests_queued_in_the_other_region_stay_there_if_the_own_allocator_is_lost was red without the change and is green with it.

--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -105,7 +105,7 @@
         Returns those of the given gateways that are in reachable zones; see ``ReachableOf``.
     allocator_lost
         Called when an allocator does not answer, to dispatch queued requests by local decisions;
-        with the tickets of those requests if it is in another region.
+        with the tickets that wait in its region where there are several, else with ``None``.
     dispatch_granted
         Dispatches a queued request that was granted a slot, by its ticket and the replica's id;
         returns whether it was dispatched.
@@ -312,7 +312,11 @@
         self._place_again_at = boot_clock.now() + PLACE_PAUSE_S
         with self._lock:
             self._changed = True
-        self._allocator_lost()
+        self._lose_allocator(pool)
+
+    def _lose_allocator(self, pool: EnginePool) -> None:
+        """Decide locally on requests that wait in the pool's region."""
+        self._allocator_lost(self._tickets.in_region(pool.region) if pool.region else None)
 
     def _lose_region(self, region: str) -> None:
         """Contact another region's allocators no more for a while, and decide locally instead."""
@@ -651,7 +655,7 @@
         if self._is_elsewhere(pool):
             self._lose_region(pool.region)
         else:
-            self._allocator_lost()
+            self._lose_allocator(pool)
         return None
 
 
--- a/tests/test_region_faults.py
+++ b/tests/test_region_faults.py
@@ -354,6 +354,24 @@
             self.a1.reporter._lose_region("b")
         lost.assert_called_once_with(frozenset({ticket}))
 
+    def test_requests_queued_in_the_other_region_stay_there_if_the_own_allocator_is_lost(
+        self,
+    ) -> None:
+        """Local decisions would send them to engines of the own region that may be full."""
+        reporter = self.a1.reporter
+        reporter._tickets.join(SERVICE, "near", "a")
+        reporter._tickets.join(SERVICE, "far", "b")
+        self.connections.unresponsive |= {"a2"}
+        with (
+            mock.patch.object(reporter, "_allocator_of", return_value=self.members_of("a1")()[1]),
+            mock.patch.object(reporter, "_allocator_lost") as lost,
+        ):
+            reporter._report_pool(POOL_A, {})
+            reporter._record_unanswered(POOL_A, None)
+        # The other region's reporter may have found its allocator lost in the meantime.
+        calls = [call for call in lost.mock_calls if call != mock.call(frozenset({"far"}))]
+        self.assertEqual([mock.call(frozenset({"near"}))] * 2, calls)
+
     def test_requests_queued_in_the_other_region_return_when_the_link_is_cut(self) -> None:
         self.fill("a")
         self.fill("b")
