Withdraw a request from other regions' queues when a late grant is accepted

Cause: a grant of a region that a request had left was accepted, and the queue of the region where it was waiting then kept it. The same happened if a request was queued after the grant. Change: an accepted grant withdraws the ticket from the region in which it waits, and a ticket that is queued after its wait has ended is withdrawn there. Result: test_a_late_grant_of_a_region_that_the_request_has_left and test_a_request_whose_wait_has_ended_leaves_the_queue_that_it_joins_later were red without the change and are green with it.

--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -293,6 +293,8 @@
         self._apply_loads(pool, placed.loads, counts)
         if terms is not None and not placed.queued:
             self._tickets.leave(terms.ticket)
+        elif terms is not None and pool.region:
+            self._tickets.confirm_queued(pool.service, terms.ticket, pool.region)
         if placed.retry_after_s is not None:
             return CannotServeInTime(
                 "the queue is too long to serve the request in time", placed.retry_after_s
@@ -366,12 +368,21 @@
         with self._lock:
             self._placed[grant.replica_id] += 1
         if self._dispatch_granted(grant.ticket, grant.replica_id):
-            self._tickets.leave(grant.ticket)
+            self._leave_queues(grant.ticket, replica)
             return True
         with self._lock:
             self._placed[grant.replica_id] -= 1
         return False
 
+    def _leave_queues(self, ticket: str, replica: Replica | None) -> None:
+        """Withdraw a request from the queues of regions other than that of its replica."""
+        if replica is None or not replica.region:
+            self._tickets.leave(ticket)
+        elif self._tickets.granted(replica.entry.service, ticket, replica.region):
+            with self._lock:
+                self._changed = True
+            self._report_elsewhere_now.set()
+
     def release_slot(self, replica: ChosenReplica) -> None:
         """Record that a placed request is not sent to its replica."""
         with self._lock:
--- a/src/quaymill/process/jobs/queued_tickets.py
+++ b/src/quaymill/process/jobs/queued_tickets.py
@@ -32,6 +32,24 @@
         with self._lock:
             self._region_by_ticket.pop(ticket, None)
 
+    def granted(self, service: str, ticket: str, region: str) -> bool:
+        """Record that a grant of a region was accepted.
+
+        A late grant may come from a region that the request has left: it is withdrawn from the one
+        in whose queue it is now. Returns whether it was.
+        """
+        with self._lock:
+            current = self._region_by_ticket.pop(ticket, region)
+            if current != region:
+                self._withdrawn.setdefault((service, current), []).append(ticket)
+            return current != region
+
+    def confirm_queued(self, service: str, ticket: str, region: str) -> None:
+        """Record that an allocator has queued a request; withdraw it if its wait has ended."""
+        with self._lock:
+            if self._region_by_ticket.get(ticket) != region:
+                self._withdrawn.setdefault((service, region), []).append(ticket)
+
     def withdraw(self, service: str, ticket: str) -> None:
         """Record that a request no longer waits; the allocator learns it with the next message."""
         with self._lock:
--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -115,6 +115,8 @@
         queue then dispatches it only at its dispatch deadline.
     was_in_allocator_queue
         Whether it has ever been there.
+    queued_after_end
+        Whether an allocator queued it after another region's allocator had granted a slot.
     answer
         The replica on which a slot was granted, or the refusal.
     wait_ended
@@ -130,6 +132,7 @@
     slot_requested_at: float = 0.0
     in_allocator_queue: bool = False
     was_in_allocator_queue: bool = False
+    queued_after_end: bool = False
     answer: ChosenReplica | CannotServeInTime | None = None
     decided_by: DecidedBy = DecidedBy.UNDECIDED
     wait_ended: threading.Event = attrs.field(factory=threading.Event)
@@ -250,7 +253,8 @@
                 del self._queued_by_ticket[queued.ticket]
                 if queued in queue.requests:
                     queue.requests.remove(queued)
-            if queued.was_in_allocator_queue and queued.decided_by is not DecidedBy.ALLOCATOR:
+            was_granted = queued.decided_by is DecidedBy.ALLOCATOR
+            if queued.was_in_allocator_queue and (not was_granted or queued.queued_after_end):
                 self._on_left_queue(service, queued.ticket)
         held_s = boot_clock.now() - now
         if held_s >= MIN_LOGGED_WAIT_S:
@@ -327,6 +331,12 @@
         answer = self._request_slot(service, request, terms)
         with self._lock:
             queued.in_allocator_queue = answer is QUEUED
+            # The granting allocator removes it from its own queue, but not from another region's.
+            queued.queued_after_end = (
+                queued.in_allocator_queue
+                and queued.wait_ended.is_set()
+                and self._table.has_several_regions
+            )
             queued.was_in_allocator_queue = (
                 queued.was_in_allocator_queue or queued.in_allocator_queue
             )
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -98,6 +98,11 @@
             if replica.departed_at is None
         )
 
+    @property
+    def has_several_regions(self) -> bool:
+        """Whether the deployment spans several regions."""
+        return self._regions.has_several
+
     def replace_all(
         self, entries: Iterable[ReplicaEntry], revision: int, *, keep_missing: bool = False
     ) -> int:
--- a/tests/test_region_faults.py
+++ b/tests/test_region_faults.py
@@ -18,7 +18,7 @@
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerNoReply
 from quaymill.connection.replica_entry import ReplicaEntry
-from quaymill.connection.slot_messages import ClaimSlots, QueueTerms
+from quaymill.connection.slot_messages import ClaimSlots, OnlineGrant, QueueTerms
 from quaymill.process.jobs.allocator_calls import GRANT_TIMEOUT_S
 from quaymill.process.jobs.engine_pool import EnginePool, pools_of
 from quaymill.process.jobs.online_reporter import PLACE_TIMEOUT_S, REPORT_TIMEOUT_S
@@ -411,6 +411,18 @@
         self.link.is_slow = False
         self.wait_until_counts_agree()
 
+    def test_a_late_grant_of_a_region_that_the_request_has_left(self) -> None:
+        """The other region's queue would keep the request, and grant a slot to it in vain."""
+        self.fill("a")
+        self.fill("b")
+        self.queue_one()
+        with mock.patch.object(self.a1.reporter, "_sooner_elsewhere", return_value=POOL_B):
+            self.wait_until_queued(POOL_B, 1)
+        (ticket,) = self.a1.queue._queued_by_ticket
+        late = OnlineGrant(ticket, "ea")
+        self.assertEqual((ticket,), self.a1.reporter.accept_grants((late,)))
+        self.wait_until_queued(POOL_B, 0)
+
     def test_loads_converge_after_a_cut(self) -> None:
         self.fill("a")
         self.queue_one()
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -29,7 +29,7 @@
 from quaymill.process.jobs.region_choice import PoolState, serves_sooner
 from quaymill.process.jobs.slot_claims import AllocatorChoice
 from quaymill.process.regions import ASSUMED_ROUND_TRIP_S, ONE_REGION, Distance, RegionMap
-from quaymill.process.replica_set.online_queue import OnlineQueue
+from quaymill.process.replica_set.online_queue import QUEUED, OnlineQueue
 from quaymill.process.replica_set.replica_cost import (
     OTHER_ZONE_CACHED_LOAD,
     OTHER_ZONE_LOAD,
@@ -38,9 +38,16 @@
 )
 from quaymill.process.replica_set.router import Router
 from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.request.deadline import Deadline
+from quaymill.request.forwarded_request import ForwardedRequest
+from quaymill.request.presence import CallerPresence
 from quaymill.request.prompt import Prompt, PromptPart
+from quaymill.version.request_routes import RequestRoute, RouteKind, WeightedService
 
 SERVICE = "engine"
+ROUTE = RequestRoute(
+    "online", "h", "/", RouteKind.STREAMING, (WeightedService(SERVICE, 1.0),), 8.0, 0.4
+)
 ENDPOINT = Endpoint("127.0.0.1", 1)
 TWO_REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
 
@@ -383,6 +390,30 @@
         self.assertEqual(("t",), self.tickets.take_withdrawn(SERVICE, "a"))
         self.assertFalse(self.tickets.has_any("a"))
 
+    def test_a_request_is_withdrawn_if_it_is_queued_after_a_grant_elsewhere(self) -> None:
+        """The withdrawal that followed the grant may arrive before the request itself."""
+        self.tickets.join(SERVICE, "t", "b")
+        self.assertTrue(self.tickets.granted(SERVICE, "t", "a"))
+        self.assertEqual(("t",), self.tickets.take_withdrawn(SERVICE, "b"))
+        self.tickets.confirm_queued(SERVICE, "t", "b")
+        self.assertEqual(("t",), self.tickets.take_withdrawn(SERVICE, "b"))
+
+    def test_a_request_whose_wait_has_ended_leaves_the_queue_that_it_joins_later(self) -> None:
+        found = table(region_map(), a1=1, b1=1)
+        left: list[str] = []
+
+        def grant_then_queue(service, request, terms):
+            self.assertTrue(queue.accept_grant(terms.ticket, "a1-0"))
+            return QUEUED
+
+        queue = OnlineQueue(
+            found, grant_then_queue, on_left_queue=lambda service, ticket: left.append(ticket)
+        )
+        request = ForwardedRequest("r", "POST", "/x", (), b"", Deadline.after(8.0))
+        answer = queue.wait_for_slot(SERVICE, ROUTE, request, CallerPresence())
+        self.assertEqual("a1-0", answer.id)
+        self.assertEqual(1, len(left))
+
     def test_a_request_whose_region_is_unknown_is_withdrawn_with_the_next_message(self) -> None:
         self.tickets.leave("t")
         self.tickets.withdraw(SERVICE, "t")
