Withdraw a request where its call was not answered, also without requests there

Cause: after an unanswered call to the own region's allocator the region of the ticket was forgotten, so that a later withdrawal went to any allocator; and a gateway without requests in the pool sent no withdrawals. Change: where there are several regions the ticket is withdrawn in the region that did not answer, as for other regions, and reports are sent for withdrawals alone. Result: test_a_request_that_the_own_allocator_answers_too_late_is_withdrawn_there was red without the change and is green with it.

--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -303,14 +303,14 @@
 
     def _record_unanswered(self, pool: EnginePool, terms: QueueTerms | None) -> None:
         """Record that the allocator of a pool did not answer a request for a placement."""
+        if terms is not None and pool.region:
+            # It may have queued the request: the withdrawal has to name the region.
+            self._tickets.withdraw(pool.service, terms.ticket)
+        elif terms is not None:
+            self._tickets.leave(terms.ticket)
         if self._is_elsewhere(pool):
-            if terms is not None:
-                # It may have queued the request, which is placed in the own region now.
-                self._tickets.withdraw(pool.service, terms.ticket)
             self._lose_region(pool.region)
             return
-        if terms is not None:
-            self._tickets.leave(terms.ticket)
         self._place_again_at = boot_clock.now() + PLACE_PAUSE_S
         with self._lock:
             self._changed = True
@@ -569,8 +569,9 @@
                 if self._is_elsewhere(pool):
                     continue
                 counts = self._counts_in(pool, in_flight)
+                withdraws = bool(pool.region) and self._tickets.has_withdrawn(service, pool.region)
                 # Empty counts are reported once, after the last request in the pool has ended.
-                if counts or self._reported_by_pool.get(pool):
+                if counts or self._reported_by_pool.get(pool) or withdraws:
                     self._reported_by_pool[pool] = counts
                     self._report_pool(pool, counts)
 
--- a/src/quaymill/process/jobs/queued_tickets.py
+++ b/src/quaymill/process/jobs/queued_tickets.py
@@ -67,6 +67,11 @@
             unknown = self._withdrawn.pop((service, ""), ())
             return (*unknown, *self._withdrawn.pop((service, region), ()))
 
+    def has_withdrawn(self, service: str, region: str) -> bool:
+        """Return whether a withdrawal for a service in a region is yet to be sent."""
+        with self._lock:
+            return (service, region) in self._withdrawn
+
     def has_any(self, region: str) -> bool:
         """Return whether a request waits in a region or is yet to be withdrawn there."""
         with self._lock:
--- a/tests/test_region_faults.py
+++ b/tests/test_region_faults.py
@@ -411,6 +411,19 @@
         self.link.is_slow = False
         self.wait_until_counts_agree()
 
+    def test_a_request_that_the_own_allocator_answers_too_late_is_withdrawn_there(self) -> None:
+        """The allocator may have queued it, also if this gateway has no requests in its pool."""
+        reporter = self.a1.reporter
+        with (
+            mock.patch.object(reporter, "_call_place_online", return_value=None),
+            mock.patch.object(reporter, "_call_allocator", return_value=None) as call,
+        ):
+            reporter._queueing_allocators |= set(NAMES)
+            self.assertIsNone(self.ask("t"))
+            self.wait_for(lambda: call.call_args_list, "nothing is reported")
+        pool, message = call.call_args.args
+        self.assertEqual((POOL_A, ("t",)), (pool, message.withdrawn))
+
     def test_a_late_grant_of_a_region_that_the_request_has_left(self) -> None:
         """The other region's queue would keep the request, and grant a slot to it in vain."""
         self.fill("a")
