Claim running items in another region also after an unanswered claim

Cause: after one unanswered claim none was sent to that region for 2 s, but its allocator grants the slots of running items to others after 1 s without a claim. Change: only claims for waiting items pause. Result: test_running_items_are_claimed_also_after_an_unanswered_claim was red without the change and is green with it.

--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -211,15 +211,15 @@
     ) -> None:
         """Claim slots in other regions for items that found none in the own region.
 
-        An allocator that does not answer is not asked again for a while, as claims within the own
-        region wait for its answer.
+        An allocator that does not answer is not asked for more slots for a while, as claims within
+        the own region wait for its answer. Running items are claimed nevertheless: it would grant
+        their slots to others after 1 s.
         """
         pools_asked = 0
         for pool in self._rotated(pools):
-            if boot_clock.now() < self._claim_elsewhere_at:
-                return
             running = self._running_items_in(pool)
-            wanted = self._wanted_items(jobs) if pools_asked < MAX_POOLS_ASKED else ()
+            may_ask = pools_asked < MAX_POOLS_ASKED and boot_clock.now() >= self._claim_elsewhere_at
+            wanted = self._wanted_items(jobs) if may_ask else ()
             if has_own_slots:
                 wanted = tuple(map(_without_hurry, wanted))
             if not wanted and not running:
--- a/tests/test_region_claims.py
+++ b/tests/test_region_claims.py
@@ -128,6 +128,18 @@
         self.claim_again()
         self.assertEqual(["a", "b"], [claim.region for claim in self.claims])
 
+    def test_running_items_are_claimed_also_after_an_unanswered_claim(self) -> None:
+        """Their slots are granted to others after 1 s without a claim."""
+        self.free_by_region["b"] = 2
+        self.claim(self.two_regions())
+        self.unresponsive.add("b")
+        self.claim_again()
+        self.claim_again()
+        claim = self.claims[-1]
+        self.assertEqual("b", claim.region)
+        self.assertEqual([("eb", 2)], [(one.replica_id, one.items) for one in claim.running])
+        self.assertEqual((), claim.wanted)
+
     def test_claims_of_a_single_region_are_as_before(self) -> None:
         claims: list[list[ClaimSlots]] = []
         for regions in (ONE_REGION, RegionMap("a", "a", {"a": "a", "b": "a"})):
