Assign zones that the settings do not name by the settings alone

Cause: regions of unnamed zones were learned from members, so that gateways could assign a zone to different regions for good and two allocators grant its slots; whether there are several regions could change after the reporter's start. Change: such a zone belongs to the first named region by name, and is logged once. The test of log kinds now also covers regions.py.

--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -141,12 +141,7 @@
             ZONE_LOST_CONNECT_TIMEOUT_S if settings.zones_lost_at_once else CONNECT_TIMEOUT_S,
         )
         self.evacuations = EvacuatedZones(self.network.membership.confirmed_age_s)
-        self.regions = RegionMap(
-            settings.zone,
-            settings.region,
-            settings.zone_regions,
-            self.network.membership.members,
-        )
+        self.regions = RegionMap(settings.zone, settings.region, settings.zone_regions)
         self.network.membership.on_round_trip(self.regions.record_round_trip)
         self._table = ReplicaTable(
             self._forget_replica,
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -101,6 +101,10 @@
         "the slot allocator did not choose a replica in time; the gateway chooses one itself",
         ("service", "keeper: the gateway of the allocator"),
     ),
+    "region:zone_not_named": LogEvent(
+        "the settings name several regions, but not that of a zone; written once for each zone",
+        ("zone: the zone", "region: the region to which it is assigned, the first one by name"),
+    ),
     "request:to_other_region": LogEvent(
         "a request is sent to a replica in another region",
         (REPLICA, "service", "region: of the replica"),
--- a/src/quaymill/process/regions.py
+++ b/src/quaymill/process/regions.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import enum
+import threading
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Mapping
+
+from eliot import log_message
 
-from quaymill import boot_clock
 from quaymill.connection.member import Member
 
 ASSUMED_ROUND_TRIP_S = 0.02
 """Network round trip to another region that is assumed until a probe there has been answered."""
 ROUND_TRIP_SAMPLES = 16
 """Number of recent round trips whose minimum is used, which leaves out delays caused by load."""
-LEARN_INTERVAL_S = 1.0
-"""Time between two looks at the members for the regions of zones that the settings do not name."""
 
 
 class Distance(enum.IntEnum):
@@ -28,19 +28,17 @@
 class RegionMap:
     """Regions by zone; safe to use from any thread.
 
-    Without a table of zones in the settings there is one region, whatever members report. The
-    region of a zone that the table does not name is the one that its members report. If it has no
-    members either, it is the first of all known regions by name: every gateway must assign a zone
-    to the same region, as it selects the engine pool of the zone's replicas.
+    Without a table of zones in the settings there is one region, whatever members report. A zone
+    that the table does not name belongs to the first of the named regions by name. This depends on
+    the settings alone, as every gateway must assign a zone to the same region at any time: it
+    selects the engine pool of the zone's replicas.
 
     Parameters
     ----------
     zone, own_region
-        Zone of this process, and the region in its settings.
+        Zone of this process, and the region in its settings, which is used without a table only.
     zone_regions
         Region of each zone that the settings name; a zone with an empty region counts as unnamed.
-    members
-        Returns all known members, including dead ones.
     """
 
     def __init__(
@@ -48,42 +46,39 @@
         zone: str = "",
         own_region: str = "",
         zone_regions: Mapping[str, str] | None = None,
-        members: Callable[[], Iterable[Member]] = tuple,
     ) -> None:
         self._zone = zone
         self._named = {name: region for name, region in (zone_regions or {}).items() if region}
-        self._members = members
-        self._reported = {} if not zone or zone in self._named else {zone: own_region}
-        self._regions = frozenset(self._named.values()) | frozenset(self._reported.values())
-        self._learn_at = 0.0
+        regions = frozenset(self._named.values())
+        self._first_region = min(regions, default=own_region)
+        self._has_several = len(regions) > 1
+        self._lock = threading.Lock()
+        self._unnamed: set[str] = set()
         self._round_trips_s: deque[float] = deque(maxlen=ROUND_TRIP_SAMPLES)
 
     @property
     def has_several(self) -> bool:
         """Whether the deployment spans several regions."""
-        return len(self._regions) > 1
+        return self._has_several
 
     def region_of(self, zone: str) -> str:
         """Return the region of a zone."""
         region = self._named.get(zone)
         if region is not None:
             return region
-        if self._named:
-            self._learn()
-        return self._reported.get(zone) or min(self._regions, default="")
+        if self._has_several:
+            self._log_unnamed(zone)
+        return self._first_region
 
     def pool_region(self, zone: str) -> str:
         """Return the region of a zone for the names of engine pools: empty if there is only one."""
-        if not self._named:
-            return ""
-        region = self.region_of(zone)
-        return region if self.has_several else ""
+        return self.region_of(zone) if self._has_several else ""
 
     def distance(self, zone: str, other: str) -> Distance:
         """Return the distance between two zones."""
         if zone == other:
             return Distance.SAME_ZONE
-        if not self._named or self.pool_region(zone) == self.pool_region(other):
+        if not self._has_several or self.pool_region(zone) == self.pool_region(other):
             return Distance.SAME_REGION
         return Distance.OTHER_REGION
 
@@ -111,20 +106,15 @@
         if self.is_remote(member.zone):
             self._round_trips_s.append(took_s)
 
-    def _learn(self) -> None:
-        """Take the regions of unnamed zones from the members; known ones are kept."""
-        now = boot_clock.now()
-        if now < self._learn_at:
+    def _log_unnamed(self, zone: str) -> None:
+        """Log a zone that the settings do not name, once."""
+        if zone in self._unnamed:
             return
-        self._learn_at = now + LEARN_INTERVAL_S
-        reported: dict[str, str] = {}
-        for member in self._members():
-            if member.zone not in self._named and member.region:
-                # Members of a zone should agree; if not, all gateways choose the same region.
-                known = reported.get(member.zone, member.region)
-                reported[member.zone] = min(known, member.region)
-        self._reported = self._reported | reported
-        self._regions = frozenset(self._named.values()) | frozenset(self._reported.values())
+        with self._lock:
+            is_new = zone not in self._unnamed
+            self._unnamed.add(zone)
+        if is_new:
+            log_message("region:zone_not_named", zone=zone, region=self._first_region)
 
 
 ONE_REGION = RegionMap()
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -28,6 +28,7 @@
     "process/gateway_node.py",
     "process/storage_node.py",
     "process/node_registry.py",
+    "process/regions.py",
     "request/forwarding.py",
     "request/answer_buffer.py",
 )
