--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -141,12 +141,7 @@
             ZONE_LOST_CONNECT_TIMEOUT_S if settings.zones_lost_at_once else CONNECT_TIMEOUT_S,
         )
         self.evacuations = EvacuatedZones(self.network.membership.confirmed_age_s)
-        self.regions = RegionMap(
-            settings.zone,
-            settings.region,
-            settings.zone_regions,
-            self.network.membership.members,
-        )
+        self.regions = RegionMap(settings.zone, settings.region, settings.zone_regions)
         self.network.membership.on_round_trip(self.regions.record_round_trip)
         self._table = ReplicaTable(
             self._forget_replica,
@@ -215,6 +210,7 @@
             settings.name,
             lambda first, constraints: self._online_reporter.place(first, constraints),
             lambda service: self._queue.service_s(service),
+            lambda service: service in self.control.routes.allocated_services,
         )
         self._loads = EngineLoads(self._connections, protocol.reports)
         # The next four parts call one another; lambdas look up those that are built later.
--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -105,7 +105,7 @@
         Returns those of the given gateways that are in reachable zones; see ``ReachableOf``.
     allocator_lost
         Called when an allocator does not answer, to dispatch queued requests by local decisions;
-        with the tickets of those requests if it is in another region.
+        with the tickets that wait in its region where there are several, else with ``None``.
     dispatch_granted
         Dispatches a queued request that was granted a slot, by its ticket and the replica's id;
         returns whether it was dispatched.
@@ -293,6 +293,8 @@
         self._apply_loads(pool, placed.loads, counts)
         if terms is not None and not placed.queued:
             self._tickets.leave(terms.ticket)
+        elif terms is not None and pool.region:
+            self._tickets.confirm_queued(pool.service, terms.ticket, pool.region)
         if placed.retry_after_s is not None:
             return CannotServeInTime(
                 "the queue is too long to serve the request in time", placed.retry_after_s
@@ -301,18 +303,22 @@
 
     def _record_unanswered(self, pool: EnginePool, terms: QueueTerms | None) -> None:
         """Record that the allocator of a pool did not answer a request for a placement."""
+        if terms is not None and pool.region:
+            # It may have queued the request: the withdrawal has to name the region.
+            self._tickets.withdraw(pool.service, terms.ticket)
+        elif terms is not None:
+            self._tickets.leave(terms.ticket)
         if self._is_elsewhere(pool):
-            if terms is not None:
-                # It may have queued the request, which is placed in the own region now.
-                self._tickets.withdraw(pool.service, terms.ticket)
             self._lose_region(pool.region)
             return
-        if terms is not None:
-            self._tickets.leave(terms.ticket)
         self._place_again_at = boot_clock.now() + PLACE_PAUSE_S
         with self._lock:
             self._changed = True
-        self._allocator_lost()
+        self._lose_allocator(pool)
+
+    def _lose_allocator(self, pool: EnginePool) -> None:
+        """Decide locally on requests that wait in the pool's region."""
+        self._allocator_lost(self._tickets.in_region(pool.region) if pool.region else None)
 
     def _lose_region(self, region: str) -> None:
         """Contact another region's allocators no more for a while, and decide locally instead."""
@@ -362,12 +368,21 @@
         with self._lock:
             self._placed[grant.replica_id] += 1
         if self._dispatch_granted(grant.ticket, grant.replica_id):
-            self._tickets.leave(grant.ticket)
+            self._leave_queues(grant.ticket, replica)
             return True
         with self._lock:
             self._placed[grant.replica_id] -= 1
         return False
 
+    def _leave_queues(self, ticket: str, replica: Replica | None) -> None:
+        """Withdraw a request from the queues of regions other than that of its replica."""
+        if replica is None or not replica.region:
+            self._tickets.leave(ticket)
+        elif self._tickets.granted(replica.entry.service, ticket, replica.region):
+            with self._lock:
+                self._changed = True
+            self._report_elsewhere_now.set()
+
     def release_slot(self, replica: ChosenReplica) -> None:
         """Record that a placed request is not sent to its replica."""
         with self._lock:
@@ -554,8 +569,9 @@
                 if self._is_elsewhere(pool):
                     continue
                 counts = self._counts_in(pool, in_flight)
+                withdraws = bool(pool.region) and self._tickets.has_withdrawn(service, pool.region)
                 # Empty counts are reported once, after the last request in the pool has ended.
-                if counts or self._reported_by_pool.get(pool):
+                if counts or self._reported_by_pool.get(pool) or withdraws:
                     self._reported_by_pool[pool] = counts
                     self._report_pool(pool, counts)
 
@@ -582,11 +598,14 @@
         for service in self._batch_services():
             may_overflow = self._overflow_until_by_service.get(service, 0.0) > now
             for pool in pools_of(service, self._table):
-                if not self._is_elsewhere(pool) or self._is_paused(pool):
+                if not self._is_elsewhere(pool):
                     continue
                 counts = self._counts_in(pool, in_flight)
-                is_used = counts or self._reported_by_pool.get(pool)
-                if is_used or may_overflow or self._tickets.has_any(pool.region):
+                is_used = bool(counts or self._reported_by_pool.get(pool)) or self._tickets.has_any(
+                    pool.region
+                )
+                # A pause is for placements only: an allocator drops counts that are not repeated.
+                if is_used or (may_overflow and not self._is_paused(pool)):
                     self._reported_by_pool[pool] = counts
                     self._report_pool(pool, counts)
 
@@ -648,7 +667,7 @@
         if self._is_elsewhere(pool):
             self._lose_region(pool.region)
         else:
-            self._allocator_lost()
+            self._lose_allocator(pool)
         return None
 
 
