Derive the outage from the last read of the replica list

Cause: while only the list of evacuations could not be read, no view was confirmed, so every read of the replicas counted as the first one after an outage, and departed replicas stayed listed. Change: the time of the last successful read of the replica list counts, too. Measured: test_failing_list_of_evacuations_is_no_outage_of_the_list_of_replicas is red without the change and green with it; test_evacuations is green.

--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import threading
 from collections.abc import Callable
@@ -111,6 +112,7 @@
         self._document: Any = None
         self._read_revision = 0
         self._keep_missing_until = 0.0
+        self._replicas_read_at = -math.inf
         self._entries = EntryReader(protocol.read_replica, table.listed_entry)
         self._pulls = threading.Semaphore(MAX_PULLS_AT_ONCE)
         self._wake = threading.Event()
@@ -215,7 +217,10 @@
         Gateways that pull the list from this one also receive the replicas that were kept.
         """
         now = boot_clock.now()
-        if unconfirmed_s > OUTAGE_S:
+        # While only the evacuations cannot be read, nothing is confirmed, but this is no outage.
+        unread_s = min(unconfirmed_s, now - self._replicas_read_at)
+        self._replicas_read_at = now
+        if unread_s > OUTAGE_S:
             self._keep_missing_until = now + MISSING_KEPT_S
         kept = self._table.replace_all(
             self._entries.read(listing, now),
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -8,10 +8,12 @@
 import itertools
 import unittest
 from typing import Any
+from unittest import mock
 
 import msgspec
 from nose2.tools import params
 
+from quaymill import boot_clock
 from quaymill.connection.control_messages import ControlState, PullControl
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member
@@ -26,7 +28,7 @@
 from quaymill.connection.peer_link import PeerUnreachable
 from quaymill.platform.gateway_role import GATEWAY_PROTOCOL
 from quaymill.process.control.evacuations import EvacuatedZones, zones_in
-from quaymill.process.control.state import ControlPlaneView
+from quaymill.process.control.state import OUTAGE_S, ControlPlaneView
 from quaymill.process.membership.member_table import MemberTable
 from quaymill.process.membership.messages import Probe, decode_datagram, encode_datagram
 from quaymill.process.replica_set.table import ReplicaTable
@@ -267,6 +269,29 @@
         self.assertNotEqual("", gateways.views["g0"]._read_store())
         self.assertEqual(A, gateways.zones("g0"))
 
+    def test_failing_list_of_evacuations_is_no_outage_of_the_list_of_replicas(self) -> None:
+        """Guards against departed replicas that stay listed while only evacuations fail."""
+        gateways = _Gateways("g0")
+        view = gateways.views["g0"]
+        gateways.store.refused = {ObjectKind.EVACUATIONS}
+        gateways.memberships["g0"].confirmed_age_s = lambda: 100.0
+        kept = []
+        now = 1000.0
+        with (
+            mock.patch.object(boot_clock, "now", lambda: now),
+            mock.patch.object(
+                view._table,
+                "replace_all",
+                lambda *_, keep_missing: kept.append(keep_missing) or 0,
+            ),
+        ):
+            for _ in range(4):
+                view._read_store()
+                now += 1.5
+            now += OUTAGE_S
+            view._read_store()
+        self.assertEqual([True, True, False, False, True], kept)
+
     def test_store_that_does_not_answer_is_called_once(self) -> None:
         # Each further call would wait for its timeout, and delay the return of the configuration.
         gateways = _Gateways("g0")
