Call listeners of evacuations with the new set of zones in force

Cause: listeners ran while the old and the new zones counted as evacuated, so a change that ended one zone and began another let queued requests be refused that the first zone could serve; a listener that raised left both in force. Change: replicas of ended zones are marked as cold by a callback of its own before the zones are released; the set is in force before listeners run. Measured: the two new tests in test_evacuations are red without the change (three failures) and green with it.

--- a/src/quaymill/process/control/evacuations.py
+++ b/src/quaymill/process/control/evacuations.py
@@ -19,6 +19,8 @@
 
 EvacuationListener = Callable[[frozenset[str], frozenset[str]], None]
 """Receives the zones whose evacuation has begun, and those whose evacuation has ended."""
+ZonesReleased = Callable[[frozenset[str]], None]
+"""Receives the zones whose evacuation has ended, before they are used again."""
 
 
 class EvacuatedZones:
@@ -45,6 +47,7 @@
         self._lock = threading.Lock()
         self._last_list_revision = 0
         self._listeners: list[EvacuationListener] = []
+        self._before_release: list[ZonesReleased] = []
 
     def is_evacuated(self, zone: str) -> bool:
         """Return whether no new request may be sent to replicas in a zone."""
@@ -54,6 +57,10 @@
         """Call ``listener(begun, ended)`` after each change of the zones; it must not block."""
         self._listeners.append(listener)
 
+    def before_release(self, callback: ZonesReleased) -> None:
+        """Call ``callback(ended)`` before zones are used again; it must not block."""
+        self._before_release.append(callback)
+
     def apply(self, zones: Iterable[str], revision: int, source: str) -> bool:
         """Replace the set by the one at a revision of the store; return whether zones changed.
 
@@ -77,16 +84,17 @@
             begun, ended = new_zones - self.zones, self.zones - new_zones
             if self.revision and not begun and not ended:
                 return False
-            # Replicas of an ended evacuation are marked as cold by a listener, so their zones are
-            # released after it has run.
-            self.zones = self.zones | new_zones
-            if begun or ended:
-                for listener in self._listeners:
-                    listener(begun, ended)
-            # The zones come first: whoever sees the new revision must see the new zones, too.
-            self.zones = new_zones
-            self.revision = revision
-            self._log(begun, ended, source)
+            try:
+                for callback in self._before_release if ended else ():
+                    callback(ended)
+            finally:
+                # The zones come first: whoever sees the new revision must see the new zones, too.
+                self.zones = new_zones
+                self.revision = revision
+                self._log(begun, ended, source)
+            # Listeners may refuse requests that no zone can serve, so they see the new zones.
+            for listener in self._listeners if begun or ended else ():
+                listener(begun, ended)
             return bool(begun or ended)
 
     def apply_from_peer(self, zones: Iterable[str], revision: int, source: str) -> bool:
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -440,6 +440,7 @@
         self.network.start()
         self.control.subscribe(self._apply_limits)
         # Requests in a queue are refused at once if no replica is left.
+        self.evacuations.before_release(self._mark_zones_cold)
         self.evacuations.subscribe(self._handle_evacuations)
         self.control.start()
         self._warnings.start()
@@ -539,9 +540,11 @@
         self._server.idle_timeout_s = routes.limits.idle_timeout_s
         self._server.header_timeout_s = routes.limits.header_timeout_s
 
-    def _handle_evacuations(self, begun: frozenset[str], ended: frozenset[str]) -> None:
-        for zone in ended:
+    def _mark_zones_cold(self, zones: frozenset[str]) -> None:
+        for zone in zones:
             self._table.mark_zone_cold(zone)
+
+    def _handle_evacuations(self, begun: frozenset[str], ended: frozenset[str]) -> None:
         self._queue.recheck()
 
     def _forget_replica(self, replica: Replica) -> None:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -63,6 +63,24 @@
         self.assertFalse(self.evacuated.apply(A, 11, "store"))
         self.assertEqual(10, self.evacuated.revision)
 
+    def test_listeners_see_the_new_zones_and_ended_ones_are_released_before(self) -> None:
+        """Guards against requests refused as if both the old and the new zone were evacuated."""
+        seen: list[tuple[str, frozenset[str]]] = []
+        self.evacuated.apply(A, 10, "store")
+        self.evacuated.before_release(lambda ended: seen.append(("release", self.evacuated.zones)))
+        self.evacuated.subscribe(lambda *_: seen.append(("listener", self.evacuated.zones)))
+        self.evacuated.apply(B, 20, "store")
+        self.assertEqual([("release", A), ("listener", B)], seen)
+
+    @params("before_release", "subscribe")
+    def test_callback_that_raises_does_not_hold_back_the_set(self, register) -> None:
+        """Guards against zones that stay evacuated although a later set says otherwise."""
+        self.evacuated.apply(A, 10, "store")
+        getattr(self.evacuated, register)(mock.Mock(side_effect=RuntimeError))
+        with self.assertRaises(RuntimeError):
+            self.evacuated.apply(B, 20, "store")
+        self.assertEqual((B, 20), self.evacuated.snapshot())
+
     def test_empty_set_counts_as_known(self) -> None:
         # Otherwise no gateway would ever be ready while nothing is evacuated.
         self.evacuated.apply((), 7, "store")
