Report the age and the run of a replica's warm-up statement

Cause: a gateway's report to the allocator had neither, and one whose time had passed was sent as 0, which means warm; it replaced a newer entry that said that the replica is cold. Change: reports carry the age and the start of the run; those that are older than a second or have expired are not sent, nor any to the own allocator. A report that is older than the last statement can only extend the warm-up. Measured: the three new tests in test_cold_grants are red without the change and green with it. test_allocator_learns_... now calls an allocator in another process, as the own one gets no reports; it checks the same.

--- a/src/quaymill/connection/slot_messages.py
+++ b/src/quaymill/connection/slot_messages.py
@@ -139,10 +139,16 @@
     ----------
     left_s
         Remaining time as of now; 0 if the replica is warm.
+    age_s
+        Age of the statement.
+    started_ms
+        Start of the replica's run that made the statement; 0 if it is unknown.
     """
 
     replica_id: str
     left_s: float
+    age_s: float = 0.0
+    started_ms: int = msgspec.field(default=0, name="born_ms")
 
 
 class OnlineInFlight(PeerMessage, frozen=True, omit_defaults=True):
--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -518,8 +518,10 @@
         replicas = self._table.of_service(pool.service)
         if not replicas or replicas[0].cold_rule is None:
             return ()
-        reports = ((one.id, one.take_cold_report()) for one in replicas if pool.holds(one))
-        return tuple(ColdReport(name, left_s) for name, left_s in reports if left_s is not None)
+        taken = [one.take_cold_report() for one in replicas if pool.holds(one)]
+        if self._is_local(self._allocator_of(pool)):
+            return ()  # This process's allocator uses the same replica table.
+        return tuple(report for report in taken if report is not None)
 
     def _run(self) -> None:
         while not self._stopping.is_set():
--- a/src/quaymill/process/jobs/slot_allocator.py
+++ b/src/quaymill/process/jobs/slot_allocator.py
@@ -323,7 +323,7 @@
         for one in reports:
             replica = self._table.get(one.replica_id)
             if replica is not None:
-                replica.record_cold_left(one.left_s)
+                replica.record_cold_report(one)
 
     def _counts(self, pool: EnginePool) -> PoolCounts:
         """Return a pool's counts without expired claims and load reports; the lock is held."""
--- a/src/quaymill/process/replica_set/cold_start.py
+++ b/src/quaymill/process/replica_set/cold_start.py
@@ -48,6 +48,8 @@
 ENTRY_AGE_S = 2.5
 """How old a statement in a replica's entry may be when it is read: a heartbeat of about 1.2 s and
 the interval at which the store is read."""
+REPORT_LIFETIME_S = 1.0
+"""Age from which a replica's statement is no longer reported to the allocator."""
 MAX_STATED_FACTOR = 10.0
 """Upper bound of the remaining time that a replica may state, as a multiple of the warm-up time."""
 MAX_STATED_S = 60.0
@@ -178,14 +180,26 @@
         self._stated_until = None
         self._state(left_s, now)
 
-    def record_answer(self, left_s: float, rule: ColdRule | None, now: float) -> bool:
+    def record_answer(
+        self, left_s: float, rule: ColdRule | None, now: float, age_s: float = 0.0
+    ) -> bool:
         """Record a statement in an answer of the replica, which replaces earlier ones.
 
+        One that is older than the last statement that was recorded can only extend the warm-up.
         Returns whether it changes what is known.
+
+        Parameters
+        ----------
+        left_s
+            Remaining warm-up time as of now.
+        age_s
+            Age of the answer.
         """
         before = 0.0 if rule is None else self.cold_until(rule)
+        if now - age_s < self._stated_at and now + left_s <= before:
+            return False
         self.reason = "answer"
-        self._answered_at = now
+        self._answered_at = now - age_s
         self._state(left_s, now)
         if rule is None:
             return False
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -12,8 +12,10 @@
 
 from quaymill import boot_clock
 from quaymill.connection.replica_entry import ReplicaEntry, ReportedLoad, SlownessReading
+from quaymill.connection.slot_messages import ColdReport
 from quaymill.process.regions import ONE_REGION, Distance, RegionMap
 from quaymill.process.replica_set.cold_start import (
+    REPORT_LIFETIME_S,
     ColdPermits,
     ColdRule,
     ColdRuleOf,
@@ -134,7 +136,7 @@
         self._cold_state = ColdState.from_entry(entry.cold_left_s, boot_clock.now())
         self._cold_permits = ColdPermits()
         self._known_cold_until: tuple[ColdRule, float] | None = None
-        self._unreported_cold_until: float | None = None
+        self._unreported_cold: tuple[float, float] | None = None
         self._logged_as_cold = False
         self._logged_invalid_warm_up = False
         self.last_received_at = -math.inf
@@ -253,16 +255,36 @@
             rule = self.cold_rule
             with self._lock:
                 if self._cold_state.record_answer(left_s, rule, now):
-                    self._unreported_cold_until = now + left_s
+                    self._unreported_cold = (left_s, now)
                 self._known_cold_until = None
         elif not self._logged_invalid_warm_up:
             self._logged_invalid_warm_up = True
             log_message("control:warm_up_invalid", replica=self.id)
 
-    def take_cold_report(self) -> float | None:
-        """Return and clear a new remaining warm-up time for the allocator; ``None`` if none."""
-        until, self._unreported_cold_until = self._unreported_cold_until, None
-        return None if until is None else max(0.0, until - boot_clock.now())
+    def take_cold_report(self) -> ColdReport | None:
+        """Return and clear a new statement of the warm-up for the allocator.
+
+        Returns ``None`` if there is none, or if it is old or the time that it states has passed.
+        """
+        with self._lock:
+            unreported, self._unreported_cold = self._unreported_cold, None
+        if unreported is None:
+            return None
+        stated_left_s, stated_at = unreported
+        age_s = boot_clock.now() - stated_at
+        left_s = stated_left_s - age_s if stated_left_s else 0.0
+        if age_s > REPORT_LIFETIME_S or (stated_left_s and left_s <= 0):
+            return None
+        return ColdReport(self.id, left_s, round(age_s, 3), self.entry.started_ms)
+
+    def record_cold_report(self, report: ColdReport) -> None:
+        """Record what another gateway has received from this run of the replica."""
+        if report.started_ms and report.started_ms != self.entry.started_ms:
+            return
+        now = boot_clock.now()
+        with self._lock:
+            self._cold_state.record_answer(report.left_s, self.cold_rule, now, report.age_s)
+            self._known_cold_until = None
 
     def record_evacuation_ended(self) -> None:
         """Treat it as cold, because it has had no work for some time."""
--- a/tests/test_cold_grants.py
+++ b/tests/test_cold_grants.py
@@ -20,6 +20,7 @@
 from quaymill.connection.slot_messages import (
     ClaimSlots,
     ColdGrant,
+    ColdReport,
     ItemsAt,
     OnlineGrant,
     OnlineGrants,
@@ -326,13 +327,57 @@
         for left_s in (2.0, 1.9, 1.8):
             replica.record_cold_left(left_s)
         self.now += 0.3
+        received = self.call_elsewhere()
+        self.reporter.began(replica)
+        for _ in range(2):
+            self.reporter._report(self.reporter._take_due() or {"x": 1})
+        self.assertEqual([1, 0], [len(message.cold_reports) for message in received])
+        self.assertAlmostEqual(1.7, self.table.get("x").cold_until - self.now)
+
+    def call_elsewhere(self) -> list[OnlineInFlight]:
+        """Let the allocator be in another process; return the list of messages that it gets."""
+        received: list[OnlineInFlight] = []
+
+        def call(peer, message, reply_type, timeout_s):
+            received.append(message)
+            return self.allocator.record_online(message)
+
+        self.reporter._client.call = call
+        self.reporter._is_local = lambda allocator: False
+        return received
+
+    def test_nothing_is_reported_to_the_own_allocator(self) -> None:
+        """Guards against an old statement that replaces a newer one in the same table."""
+        self.list_replicas(x=0.0)
+        replica = self.table.get("x")
+        replica.record_cold_left(2.0)
         with mock.patch.object(self.allocator, "record_online", wraps=self.allocator.record_online):
             self.reporter.began(replica)
-            for _ in range(2):
-                self.reporter._report(self.reporter._take_due() or {"x": 1})
-            calls = self.allocator.record_online.call_args_list
-        self.assertEqual([1, 0], [len(call.args[0].cold_reports) for call in calls])
-        self.assertAlmostEqual(1.7, self.table.get("x").cold_until - self.now)
+            self.reporter._report({"x": 1})
+            (call,) = self.allocator.record_online.call_args_list
+        self.assertEqual((), call.args[0].cold_reports)
+
+    @params((2.0, 1.1), (0.4, 0.5), (0.0, 1.1))
+    def test_old_and_expired_statements_are_not_reported(self, left_s, age_s) -> None:
+        """Guards against an expired statement that says "warm" to the allocator."""
+        self.list_replicas(x=5.0)
+        replica = self.table.get("x")
+        replica.record_cold_left(left_s)
+        self.now += age_s
+        self.assertIsNone(replica.take_cold_report())
+
+    def test_report_that_is_older_than_an_entry_or_of_another_run_changes_nothing(self) -> None:
+        """Guards against a report of "warm" that replaces a newer entry that says "cold"."""
+        self.list_replicas(x=0.0)
+        self.table.get("x").record_cold_left(0.0)
+        self.now += 0.5
+        self.table.replace_all([entry("x", 5.0)], 2)
+        for report in (ColdReport("x", 0.0, 0.7, 1), ColdReport("x", 0.0, 0.0, 2)):
+            self.allocator.record_online(OnlineInFlight("h", SERVICE, (), cold_reports=(report,)))
+            self.assertAlmostEqual(5.0, self.table.get("x").cold_until - self.now)
+        report = ColdReport("x", 0.0, 0.0, 1)
+        self.allocator.record_online(OnlineInFlight("h", SERVICE, (), cold_reports=(report,)))
+        self.assertFalse(self.table.get("x").cold)
 
     def test_nothing_is_reported_of_a_service_without_a_rate(self) -> None:
         replica = ReplicaTable()._create_replica(entry("x"))
