Do not send grants for cold replicas that have waited in the allocator

Cause: a grant that waited for a busy sender, or for an earlier call to its gateway, counted as fresh at the gateway, so requests of several windows could arrive at a cold replica in the same second. Change: a grant has its time; one for a cold replica that is older than 0.1 s is not sent and counts as not accepted. Measured: test_cold_grants_that_waited_are_not_sent is red without the change and green with it.

--- a/src/quaymill/process/jobs/allocator_calls.py
+++ b/src/quaymill/process/jobs/allocator_calls.py
@@ -14,6 +14,7 @@
 import attrs
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient
 from quaymill.connection.peer_server import PeerServer
@@ -28,6 +29,7 @@
     SlotsFreedAcknowledged,
 )
 from quaymill.process.jobs.slot_grants import SlotGrant
+from quaymill.process.replica_set.cold_start import MAX_UNSENT_S
 
 CALL_TIMEOUT_S = 0.2
 """A coordinator that does not answer in time is asked again in the answer to its next claim,
@@ -209,8 +211,14 @@
             self._grant_answered(grant, None if accepted is None else grant.ticket in accepted)
 
     def _offer_grants(self, member: Member, grants: list[SlotGrant]) -> tuple[str, ...]:
-        """Send grants to a gateway; return the tickets of the requests that it dispatches."""
-        messages = tuple(grant.message for grant in grants)
+        """Send grants to a gateway; return the tickets of the requests that it dispatches.
+
+        Grants for cold replicas that have waited here are not sent: the gateway would take them as
+        fresh, so that requests of several windows could arrive in the same second.
+        """
+        messages = tuple(grant.message for grant in grants if not _is_late(grant))
+        if not messages:
+            return ()
         if grants[0].process == self._process_name:
             return self._accept_grants(messages)
         timeout_s = GRANT_TIMEOUT_S + self._travel_s(member)
@@ -219,7 +227,7 @@
         )
         if isinstance(reply, GrantsAccepted):
             return reply.tickets
-        log_message("line:turn_unanswered", gateway=grants[0].gateway, turns=len(grants))
+        log_message("line:turn_unanswered", gateway=grants[0].gateway, turns=len(messages))
         return ()
 
     def _receive_grants(self, message: OnlineGrants) -> GrantsAccepted:
@@ -232,3 +240,7 @@
     def _receive_preemption(self, message: PreemptItems) -> ItemsPreempted:
         self._preempt_items(message.items)
         return ItemsPreempted()
+
+
+def _is_late(grant: SlotGrant) -> bool:
+    return grant.cold and boot_clock.now() - grant.granted_at > MAX_UNSENT_S
--- a/src/quaymill/process/jobs/slot_grants.py
+++ b/src/quaymill/process/jobs/slot_grants.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from quaymill import boot_clock
 from quaymill.connection.slot_messages import ColdGrant, OnlineGrant, PlaceOnline
 from quaymill.process.jobs.cold_grants import ColdGrants, usable_slots
 from quaymill.process.jobs.engine_pool import EnginePool
@@ -32,6 +33,8 @@
         Name of its gateway's process; a restarted gateway has a different one.
     cold
         Whether the replica is cold.
+    granted_at
+        Monotonic time of the grant.
     """
 
     pool: EnginePool
@@ -40,6 +43,7 @@
     ticket: str
     replica: Replica
     cold: bool = False
+    granted_at: float = attrs.field(factory=boot_clock.now)
 
     @property
     def message(self) -> OnlineGrant:
--- a/src/quaymill/process/replica_set/cold_start.py
+++ b/src/quaymill/process/replica_set/cold_start.py
@@ -34,8 +34,10 @@
 """A gateway that has not checked its rank for longer may have been paused, so its time of ranking
 first starts again."""
 PERMIT_LIFETIME_S = 0.25
-"""How long a grant may be used by the gateway that received it; half of ``DELAY_SPREAD_S``, the
-rest is for the connection and the network."""
+"""How long a grant may be used by the gateway that received it; half of ``DELAY_SPREAD_S``."""
+MAX_UNSENT_S = 0.1
+"""How long a grant may wait in the allocator until it is sent; the rest of ``DELAY_SPREAD_S``
+beside ``PERMIT_LIFETIME_S`` is for this, the connection and the network."""
 MAX_TICK_GAP_S = 0.45
 """Time without a tick after which a process counts as paused; ticks are 0.2 s apart."""
 PAUSE_DISTRUST_S = 0.5
--- a/tests/test_allocator_calls.py
+++ b/tests/test_allocator_calls.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from fleet_support import eventually
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerNoReply
@@ -90,6 +91,32 @@
         self.assertEqual(self.preempted, [(ItemsAt("r", 1),)])
         self.assertEqual(self.claimed, 1)
 
+    def test_cold_grants_that_waited_are_not_sent(self):
+        """Guards against a busy sender whose old grants count as fresh at the gateway."""
+        now = boot_clock.now()
+        answered: list[tuple[str, bool | None]] = []
+        received: list[str] = []
+        self.client.call = lambda endpoint, message, reply_type, timeout_s: (
+            received.extend(one.ticket for one in message.all),
+            GrantsAccepted(tuple(one.ticket for one in message.all)),
+        )[1]
+        self.sender._grant_answered = lambda grant, accepted: answered.append(
+            (grant.ticket, accepted)
+        )
+        replica = mock.Mock(id="r")
+        for process in ("peer", "own"):
+            self.sender._accept_grants = lambda grants: tuple(one.ticket for one in grants)
+            grants = [
+                SlotGrant(EnginePool("s"), "g", process, ticket, replica, cold, granted_at=at)
+                for ticket, cold, at in (("old", True, now - 1), ("new", True, now + 60))
+            ]
+            grants.append(SlotGrant(EnginePool("s"), "g", process, "warm", replica, granted_at=0.0))
+            self.sender._deliver(process, _Pending(grants=grants))
+            self.sender._deliver(process, _Pending(grants=grants[:1]))
+        expected = [("old", False), ("new", True), ("warm", True), ("old", False)]
+        self.assertEqual(expected * 2, answered)
+        self.assertEqual({"new", "warm"}, set(received))
+
     def test_a_failed_preemption_does_not_answer_a_grant_twice(self):
         """Answering an accepted grant again would drop its gateway's other queued requests."""
         answered: list[tuple[str, bool | None]] = []
