Read once per decision which replicas are cold

Cause: the allocator read again after a decision whether the replica was cold. One that became cold meanwhile was granted as a cold one without a check of eligibility and limit. Change: the replicas that count as cold are read once for each decision.

--- a/src/quaymill/process/jobs/cold_grants.py
+++ b/src/quaymill/process/jobs/cold_grants.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 from quaymill import boot_clock
 from quaymill.process.jobs.engine_pool import EnginePool
@@ -53,9 +53,21 @@
         )
 
 
+def cold_ids_of(replicas: Iterable[Replica]) -> frozenset[str]:
+    """Return the replicas that are cold now; read once for each decision.
+
+    A replica may become cold at any moment. If this were read again after the decision, a grant
+    could be made for which the limit had not been checked.
+    """
+    return frozenset(one.id for one in replicas if one.cold)
+
+
 class ColdGrants:
     """The grants of one slot allocator to cold replicas; guarded by the allocator's lock.
 
+    The identities of the replicas that count as cold in a decision are a parameter of all methods,
+    see ``cold_ids_of``.
+
     Parameters
     ----------
     may_grant
@@ -72,18 +84,28 @@
         self._windows = GrantWindows()
         self.granted = 0
 
-    def candidates(self, pool: EnginePool, replicas: Collection[Replica]) -> list[Replica]:
+    def candidates(
+        self, pool: EnginePool, replicas: Collection[Replica], cold_ids: Collection[str]
+    ) -> list[Replica]:
         """Return the replicas that may get an online request now."""
-        return [one for one in replicas if self.has_room(pool, one)]
+        return [one for one in replicas if self.has_room(pool, one, cold_ids)]
 
-    def has_room(self, pool: EnginePool, replica: Replica) -> bool:
+    def has_room(self, pool: EnginePool, replica: Replica, cold_ids: Collection[str]) -> bool:
         """Return whether a replica is warm, or one more request may be granted to it."""
-        rule = replica.cold_rule
-        if rule is None or not replica.cold:
+        if replica.id not in cold_ids:
             return True
+        rule = replica.cold_rule
+        if rule is None:
+            return False
         return bool(self._may_grant(pool) and self._windows.room(replica.id, rule, _now()))
 
-    def item_room(self, pool: EnginePool, replica: Replica, queue_length: int) -> int:
+    def item_room(
+        self,
+        pool: EnginePool,
+        replica: Replica,
+        queue_length: int,
+        cold_ids: Collection[str],
+    ) -> int:
         """Return how many batch items may be started; all slots of a warm replica.
 
         Parameters
@@ -91,16 +113,16 @@
         queue_length
             Number of online requests that wait for a slot of the pool.
         """
-        rule = replica.cold_rule
-        if rule is None or not replica.cold:
+        if replica.id not in cold_ids:
             return replica.slots
-        if queue_length or not self._may_grant(pool):
+        rule = replica.cold_rule
+        if rule is None or queue_length or not self._may_grant(pool):
             return 0
         return self._windows.item_room(replica.id, rule, _now())
 
-    def record(self, replica: Replica, *, is_item: bool = False) -> bool:
+    def record(self, replica: Replica, cold_ids: Collection[str], *, is_item: bool = False) -> bool:
         """Count a grant if the replica is cold; return whether it is."""
-        if not replica.cold:
+        if replica.id not in cold_ids:
             return False
         self._windows.record(replica.id, _now(), is_item=is_item)
         self.granted += 1
--- a/src/quaymill/process/jobs/slot_allocator.py
+++ b/src/quaymill/process/jobs/slot_allocator.py
@@ -35,7 +35,7 @@
     SlownessReport,
     WantedItems,
 )
-from quaymill.process.jobs.cold_grants import ColdGrants
+from quaymill.process.jobs.cold_grants import ColdGrants, cold_ids_of
 from quaymill.process.jobs.engine_loads import EngineLoads, reserved_slots
 from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.jobs.item_urgency import RoutePaces
@@ -125,8 +125,9 @@
             self._preempt_excess(counts, replicas)
             to_preempt = self._to_preempt_by_coordinator.pop(message.coordinator, Counter())
             reachable = [replica for replica in replicas if replica.id not in message.avoided]
-            starts = self._grant_slots_to_items(pool, counts, message, reachable)
-            cold = self._record_cold_starts(starts)
+            cold_ids = cold_ids_of(reachable)
+            starts = self._grant_slots_to_items(pool, counts, message, reachable, cold_ids)
+            cold = tuple(name for name in starts if name in cold_ids) or msgspec.UNSET
             grants = self._grant_slots_to_queue(pool, counts, replicas)
             preemptions = self._take_preemptions()
             to_wake = self._choose_coordinator_to_wake(counts, replicas)
@@ -194,15 +195,21 @@
         self, pool: EnginePool, counts: PoolCounts, replicas: list[Replica], message: PlaceOnline
     ) -> OnlinePlaced:
         """Place a request even if no slot is free; the lock is held."""
-        chosen = self._least_costly(pool, counts, replicas, message)
+        cold_ids = cold_ids_of(replicas)
+        chosen = self._least_costly(pool, counts, replicas, message, cold_ids)
         if chosen is None:
             return OnlinePlaced("", counts.loads(replicas), self._reported_queue_length(pool))
-        return self._place_at(chosen, pool, counts, replicas, message)
+        return self._place_at(chosen, pool, counts, replicas, message, cold_ids)
 
     def _least_costly(
-        self, pool: EnginePool, counts: PoolCounts, replicas: list[Replica], message: PlaceOnline
+        self,
+        pool: EnginePool,
+        counts: PoolCounts,
+        replicas: list[Replica],
+        message: PlaceOnline,
+        cold_ids: Collection[str],
     ) -> Replica | None:
-        candidates = self._cold_grants.candidates(pool, replicas)
+        candidates = self._cold_grants.candidates(pool, replicas, cold_ids)
         allowed = best_group(one for one in candidates if one.id not in message.excluded)
         if not allowed:
             return None
@@ -218,6 +225,7 @@
         counts: PoolCounts,
         replicas: list[Replica],
         message: PlaceOnline,
+        cold_ids: Collection[str],
     ) -> OnlinePlaced:
         counts.add_online(message.gateway, chosen.id)
         self._preempt_excess(counts, [chosen])
@@ -225,7 +233,7 @@
             chosen.id,
             counts.loads(replicas),
             self._reported_queue_length(pool),
-            cold=self._cold_grants.record(chosen) or msgspec.UNSET,
+            cold=self._cold_grants.record(chosen, cold_ids) or msgspec.UNSET,
         )
 
     def _place_or_queue(
@@ -234,10 +242,11 @@
         """Place a request if it is granted a slot now, otherwise queue it; the lock is held."""
         now = boot_clock.now()
         if not self.queues.length(pool):
-            chosen = self._least_costly(pool, counts, replicas, message)
+            cold_ids = cold_ids_of(replicas)
+            chosen = self._least_costly(pool, counts, replicas, message, cold_ids)
             if chosen is not None and counts.online_load(chosen) < chosen.slots:
                 self.queues.record_immediate(pool, message.terms.tenant)
-                return self._place_at(chosen, pool, counts, replicas, message), []
+                return self._place_at(chosen, pool, counts, replicas, message, cold_ids), []
         if all(one.id in message.excluded for one in replicas):
             return OnlinePlaced("", counts.loads(replicas), self._reported_queue_length(pool)), []
         queued = self.queues.join(pool, message, now)
@@ -397,17 +406,13 @@
                 excess -= preempted
                 self._loads.record_preemption(replica)
 
-    def _record_cold_starts(self, starts: Counter[str]) -> tuple[str, ...] | msgspec.UnsetType:
-        """Return the cold replicas among those at which items are started."""
-        replicas = (self._table.get(name) for name in starts)
-        return tuple(one.id for one in replicas if one is not None and one.cold) or msgspec.UNSET
-
     def _grant_slots_to_items(
         self,
         pool: EnginePool,
         counts: PoolCounts,
         message: ClaimSlots,
         replicas: list[Replica],
+        cold_ids: Collection[str],
     ) -> Counter[str]:
         """Return the items that a claim may start, by replica, and count them as running.
 
@@ -417,15 +422,19 @@
         now = boot_clock.now()
         for wanted in message.wanted:
             due_at = now + wanted.due_in_s
-            free = sum(self._startable_items(pool, counts, one, wanted) for one in replicas)
+            free = sum(
+                self._startable_items(pool, counts, one, wanted, cold_ids) for one in replicas
+            )
             max_items = _fair_share(counts.claims, message.coordinator, free, due_at)
             for _ in range(min(wanted.items, max_items)):
-                replica = self._most_free_replica(pool, counts, message.zone, replicas, wanted)
+                replica = self._most_free_replica(
+                    pool, counts, message.zone, replicas, wanted, cold_ids
+                )
                 if replica is None:
                     break
                 self._loads.record_start(replica, wanted.tokens)
                 counts.start_item(message.coordinator, replica, due_at)
-                self._cold_grants.record(replica, is_item=True)
+                self._cold_grants.record(replica, cold_ids, is_item=True)
                 starts[replica.id] += 1
         return starts
 
@@ -436,11 +445,12 @@
         zone: str,
         replicas: list[Replica],
         wanted: WantedItems,
+        cold_ids: Collection[str],
     ) -> Replica | None:
         best: Replica | None = None
         best_free = 0.0
         for replica in replicas:
-            free = float(self._startable_items(pool, counts, replica, wanted))
+            free = float(self._startable_items(pool, counts, replica, wanted, cold_ids))
             if free >= 1 and replica.entry.zone == zone:
                 free += OWN_ZONE_BONUS
             if free > best_free:
@@ -448,7 +458,12 @@
         return best
 
     def _startable_items(
-        self, pool: EnginePool, counts: PoolCounts, replica: Replica, wanted: WantedItems
+        self,
+        pool: EnginePool,
+        counts: PoolCounts,
+        replica: Replica,
+        wanted: WantedItems,
+        cold_ids: Collection[str],
     ) -> int:
         """Return how many items the counts and the engine's report allow to start at a replica."""
         counted = (
@@ -458,7 +473,8 @@
         )
         if counted <= 0:
             return 0
-        cold_room = self._cold_grants.item_room(pool, replica, self.queues.length(pool))
+        queue_length = self.queues.length(pool)
+        cold_room = self._cold_grants.item_room(pool, replica, queue_length, cold_ids)
         return min(counted, cold_room, self._loads.startable_items(replica, wanted.tokens))
 
 
--- a/src/quaymill/process/jobs/slot_grants.py
+++ b/src/quaymill/process/jobs/slot_grants.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
 from quaymill import boot_clock
 from quaymill.connection.slot_messages import ColdGrant, OnlineGrant, PlaceOnline
-from quaymill.process.jobs.cold_grants import ColdGrants, usable_slots
+from quaymill.process.jobs.cold_grants import ColdGrants, cold_ids_of, usable_slots
 from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.jobs.pool_counts import PoolCounts
 from quaymill.process.jobs.pool_queue import PoolQueue, QueuedRequest
@@ -43,7 +43,7 @@
     ticket: str
     replica: Replica
     cold: bool = False
-    granted_at: float = attrs.field(factory=boot_clock.now)
+    granted_at: float = attrs.field(factory=lambda: boot_clock.now())
 
     @property
     def message(self) -> OnlineGrant:
@@ -116,18 +116,19 @@
         queue = self._queue_by_pool.get(pool)
         if queue is None or not len(queue):
             return []
+        cold_ids = cold_ids_of(replicas)
         free = self._cold_grants.candidates(
-            pool, [one for one in replicas if counts.online_load(one) < one.slots]
+            pool, [one for one in replicas if counts.online_load(one) < one.slots], cold_ids
         )
         grants: list[SlotGrant] = []
         for queued in queue.ordered(now) if free else []:
             usable = _usable_replicas(queued.message, free, replicas)
             if usable:
-                grant = self._grant_slot(pool, counts, queue, queued, usable)
+                grant = self._grant_slot(pool, counts, queue, queued, usable, cold_ids)
                 grants.append(grant)
                 chosen = grant.replica
                 is_full = counts.online_load(chosen) >= chosen.slots
-                if is_full or not self._cold_grants.has_room(pool, chosen):
+                if is_full or not self._cold_grants.has_room(pool, chosen, cold_ids):
                     free.remove(chosen)
             if not free:
                 break
@@ -140,6 +141,7 @@
         queue: PoolQueue,
         queued: QueuedRequest,
         usable: list[Replica],
+        cold_ids: Collection[str],
     ) -> SlotGrant:
         message = queued.message
         offsets = {offset.replica_id: offset.requests for offset in message.offsets}
@@ -148,7 +150,7 @@
         chosen = least_costly(usable, load_of, message.zone, offsets, self._random, service_s)
         queue.serve(queued)
         counts.add_grant(chosen.id)
-        cold = self._cold_grants.record(chosen)
+        cold = self._cold_grants.record(chosen, cold_ids)
         grant = SlotGrant(pool, message.gateway, queued.process, queued.ticket, chosen, cold)
         self._unanswered.add(grant)
         return grant
--- a/tests/test_cold_grants.py
+++ b/tests/test_cold_grants.py
@@ -33,6 +33,7 @@
 )
 from quaymill.process.jobs.cold_grant_watch import TICK_INTERVAL_S, ColdGrantWatch
 from quaymill.process.jobs.cold_grants import ColdGrants, ColdRules
+from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.jobs.online_reporter import OnlineReporter
 from quaymill.process.jobs.slot_allocator import SlotAllocator
 from quaymill.process.replica_set.cold_start import (
@@ -41,6 +42,7 @@
     ColdRule,
 )
 from quaymill.process.replica_set.online_queue import OnlineQueue
+from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.router import Router
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.process.serving_settings import Bounds
@@ -213,6 +215,48 @@
         self.assertEqual(RULE.max_grants, sum(bool(one) for one in placed))
 
 
+class ChangeTest(GrantCase):
+    """A replica that becomes cold or warm while the allocator decides."""
+
+    def change_to(self, *, cold: bool) -> None:
+        """Let replicas change their state after it has been read once."""
+        self.list_replicas(x=0.0)
+        reads = iter([not cold])
+        patch = mock.patch.object(
+            Replica, "cold", mock.PropertyMock(side_effect=lambda: next(reads, cold))
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def decide(self, how: str) -> bool:
+        """Grant something to the only replica; return whether it is told as cold."""
+        if how == "place":
+            return self.place().cold is True
+        if how == "place or queue":
+            return self.place(terms("t")).cold is True
+        if how == "items":
+            return self.claim(items=1).cold == ("x",)
+        pool = EnginePool(SERVICE)
+        self.allocator.queues.join(
+            pool, PlaceOnline("g", "z", SERVICE, (), terms=terms("t")), self.now
+        )
+        self.allocator.grant_waiting({SERVICE})
+        return self.sent[0].cold
+
+    @params("place", "place or queue", "items", "queue")
+    def test_replica_that_becomes_cold_is_granted_as_warm(self, how) -> None:
+        """Guards against a grant to a cold replica that the limit does not allow."""
+        self.may_grant = False
+        self.change_to(cold=True)
+        self.assertEqual((False, 0), (self.decide(how), self.cold_grants.granted))
+
+    @params("place", "place or queue", "items", "queue")
+    def test_replica_that_becomes_warm_is_granted_as_cold(self, how) -> None:
+        """Guards against a grant that is decided as one to a cold replica and told as another."""
+        self.change_to(cold=False)
+        self.assertEqual((True, 1), (self.decide(how), self.cold_grants.granted))
+
+
 class ItemGrantTest(GrantCase):
     """Items of batch jobs at cold replicas."""
 
