--- a/src/quaymill/process/replica_set/cold_start.py
+++ b/src/quaymill/process/replica_set/cold_start.py
@@ -34,8 +34,10 @@
 """A gateway that has not checked its rank for longer may have been paused, so its time of ranking
 first starts again."""
 PERMIT_LIFETIME_S = 0.25
-"""How long a grant may be used by the gateway that received it; half of ``DELAY_SPREAD_S``, the
-rest is for the connection and the network."""
+"""How long a grant may be used by the gateway that received it; half of ``DELAY_SPREAD_S``."""
+MAX_UNSENT_S = 0.1
+"""How long a grant may wait in the allocator until it is sent; the rest of ``DELAY_SPREAD_S``
+beside ``PERMIT_LIFETIME_S`` is for this, the connection and the network."""
 MAX_TICK_GAP_S = 0.45
 """Time without a tick after which a process counts as paused; ticks are 0.2 s apart."""
 PAUSE_DISTRUST_S = 0.5
@@ -48,6 +50,8 @@
 ENTRY_AGE_S = 2.5
 """How old a statement in a replica's entry may be when it is read: a heartbeat of about 1.2 s and
 the interval at which the store is read."""
+REPORT_LIFETIME_S = 1.0
+"""Age from which a replica's statement is no longer reported to the allocator."""
 MAX_STATED_FACTOR = 10.0
 """Upper bound of the remaining time that a replica may state, as a multiple of the warm-up time."""
 MAX_STATED_S = 60.0
@@ -178,14 +182,26 @@
         self._stated_until = None
         self._state(left_s, now)
 
-    def record_answer(self, left_s: float, rule: ColdRule | None, now: float) -> bool:
+    def record_answer(
+        self, left_s: float, rule: ColdRule | None, now: float, age_s: float = 0.0
+    ) -> bool:
         """Record a statement in an answer of the replica, which replaces earlier ones.
 
+        One that is older than the last statement that was recorded can only extend the warm-up.
         Returns whether it changes what is known.
+
+        Parameters
+        ----------
+        left_s
+            Remaining warm-up time as of now.
+        age_s
+            Age of the answer.
         """
         before = 0.0 if rule is None else self.cold_until(rule)
+        if now - age_s < self._stated_at and now + left_s <= before:
+            return False
         self.reason = "answer"
-        self._answered_at = now
+        self._answered_at = now - age_s
         self._state(left_s, now)
         if rule is None:
             return False
