Evaluate regions only where there are several

Cause: the distance was looked up for each candidate of each choice and the round trip for each distance, also in deployments of one region. Change: has_several is tested first, the round trip is taken once for a choice, and replicas are grouped by region only for prompts with a large shared part. Result: test_regions_cost_no_time_where_there_is_one and test_the_round_trip_is_taken_once_for_a_choice were red without the change and are green with it; no time was measured.

--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -321,11 +321,6 @@
         """Region in which the replica runs; empty if the deployment has only one."""
         return self.regions.pool_region(self.entry.zone)
 
-    @property
-    def region_round_trip_s(self) -> float:
-        """Network round trip between this process and another region, in seconds."""
-        return self.regions.round_trip_s
-
     @property
     def in_other_region(self) -> bool:
         """Whether the replica is in another region than this process."""
--- a/src/quaymill/process/replica_set/replica_cost.py
+++ b/src/quaymill/process/replica_set/replica_cost.py
@@ -90,14 +90,22 @@
     service_s
         Usual service time of a request in seconds; 0 if unknown.
     """
+    candidates = tuple(candidates)
+    regions = candidates[0].regions
+    # Most deployments have one region; choices are made for each request.
+    round_trip_s = regions.round_trip_s if regions.has_several else 0.0
+
+    def travel(replica: Replica, *, cached: bool) -> float:
+        if replica.zone == zone:
+            return 0.0
+        if not regions.has_several:
+            return OTHER_ZONE_CACHED_LOAD if cached else OTHER_ZONE_LOAD
+        distance = replica.distance_from(zone)
+        return distance_cost(distance, replica.slots, service_s, round_trip_s, cached=cached)
 
     def cost(replica: Replica) -> tuple[float, float]:
         offset = offsets.get(replica.id, 0.0)
         load = expected_cost(load_of(replica), replica.slots, replica.slowness()) + offset
-        distance = replica.distance_from(zone)
-        load += distance_cost(
-            distance, replica.slots, service_s, replica.region_round_trip_s, cached=offset < 0
-        )
-        return load, rng.random()
+        return load + travel(replica, cached=offset < 0), rng.random()
 
     return min(candidates, key=cost)
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -157,7 +157,7 @@
         placed = self._place(preferred, constraints)
         if placed is not None:
             return placed
-        if preferred.in_other_region and preferred not in nearby and self._is_allocated(service):
+        if preferred not in nearby and self._is_allocated(service):
             # Without its allocator, the loads of the other region are not known here.
             preferred, constraints = self._local_choice(
                 candidates, healthy, nearby, prompt, constraints.excluded
@@ -225,13 +225,7 @@
 
     def _offsets(self, candidates: list[Replica], prompt: Prompt) -> dict[str, float]:
         """Return the load offsets for recent failures and cached prompt parts, by replica id."""
-        # Each region has cached prompts of its own: the link between regions is slow.
-        by_region: dict[str, list[Replica]] = {}
-        for replica in candidates:
-            by_region.setdefault(replica.region, []).append(replica)
-        bonuses: dict[str, float] = {}
-        for in_region in by_region.values():
-            bonuses |= self._affinity_bonuses(in_region, prompt)
+        bonuses = self._affinity_bonuses(candidates, prompt)
         offsets = {
             replica.id: PENALTY_LOAD * replica.penalty - bonuses.get(replica.id, 0.0)
             for replica in candidates
@@ -239,14 +233,25 @@
         return {name: offset for name, offset in offsets.items() if abs(offset) >= MIN_OFFSET}
 
     def _affinity_bonuses(self, candidates: list[Replica], prompt: Prompt) -> dict[str, float]:
-        """Return the bonuses of the two replicas to which a large shared prompt part hashes."""
+        """Return the bonuses of the replicas to which a large shared prompt part hashes.
+
+        These are two in each region, which have cached prompts of their own: the link between
+        regions is slow.
+        """
         part = prompt.largest_shared_part()
         if part is None or part.tokens < AFFINITY_MIN_TOKENS:
             return {}
         bonus = part.tokens / AFFINITY_TOKENS_PER_REQUEST
-        ranked = sorted(candidates, key=lambda replica: _rank(part.id, replica.id))[:2]
         shares = (1.0, SECOND_AFFINITY_SHARE)
-        return {replica.id: bonus * share for replica, share in zip(ranked, shares, strict=False)}
+        by_region: dict[str, list[Replica]] = {}
+        for replica in candidates:
+            by_region.setdefault(replica.region, []).append(replica)
+        bonuses: dict[str, float] = {}
+        for in_region in by_region.values():
+            ranked = sorted(in_region, key=lambda replica: _rank(part.id, replica.id))
+            for replica, share in zip(ranked, shares, strict=False):
+                bonuses[replica.id] = bonus * share
+        return bonuses
 
 
 def _has_just_departed(replica: Replica) -> bool:
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import unittest
 from collections import Counter
@@ -175,6 +176,24 @@
             )
             self.assertEqual(expected, chosen.id)
 
+    def test_regions_cost_no_time_where_there_is_one(self) -> None:
+        """Choices are made for each request, of a service with many replicas."""
+        found = table(RegionMap("a1", "a", {"a1": "a", "a2": "a"}), a1=2, a2=2)
+        router = Router(found, "a1", "seed")
+        names = ("distance", "region_of", "pool_region", "round_trip_s", "is_remote")
+        with contextlib.ExitStack() as stack:
+            mocks = [stack.enter_context(mock.patch.object(RegionMap, name)) for name in names]
+            self.assertEqual("a1", router.choose(SERVICE).zone)
+        self.assertEqual([], [call for one in mocks for call in one.mock_calls])
+
+    def test_the_round_trip_is_taken_once_for_a_choice(self) -> None:
+        replicas = table(region_map(), a2=3, b1=3).replicas()
+        with mock.patch.object(
+            RegionMap, "round_trip_s", new_callable=mock.PropertyMock, return_value=0.024
+        ) as round_trip_s:
+            least_costly(replicas, lambda one: 0.0, "a1", {}, random.Random(1), 0.8)
+        self.assertEqual(1, round_trip_s.call_count)
+
 
 class RegionPoolTest(unittest.TestCase):
     """Engine pools where there are several regions."""
