--- a/src/quaymill/process/replica_set/replica_cost.py
+++ b/src/quaymill/process/replica_set/replica_cost.py
@@ -90,14 +90,31 @@
     service_s
         Usual service time of a request in seconds; 0 if unknown.
     """
+    candidates = tuple(candidates)
+    regions = candidates[0].regions
+    # Most deployments have one region; choices are made for each request.
+    # An allocator also chooses for gateways of other regions, whose distance it knows as its own.
+    round_trip_by_region: dict[str, float] = {}
+
+    def round_trip_s(region: str) -> float:
+        far = regions.region_of(zone) if region == regions.own_pool_region else region
+        if far not in round_trip_by_region:
+            round_trip_by_region[far] = regions.round_trip_s(far)
+        return round_trip_by_region[far]
+
+    def travel(replica: Replica, *, cached: bool) -> float:
+        if replica.zone == zone:
+            return 0.0
+        if not regions.has_several:
+            return OTHER_ZONE_CACHED_LOAD if cached else OTHER_ZONE_LOAD
+        distance = replica.distance_from(zone)
+        is_far = distance is Distance.OTHER_REGION
+        far_s = round_trip_s(replica.region) if is_far else 0.0
+        return distance_cost(distance, replica.slots, service_s, far_s, cached=cached)
 
     def cost(replica: Replica) -> tuple[float, float]:
         offset = offsets.get(replica.id, 0.0)
         load = expected_cost(load_of(replica), replica.slots, replica.slowness()) + offset
-        distance = replica.distance_from(zone)
-        load += distance_cost(
-            distance, replica.slots, service_s, replica.region_round_trip_s, cached=offset < 0
-        )
-        return load, rng.random()
+        return load + travel(replica, cached=offset < 0), rng.random()
 
     return min(candidates, key=cost)
