Wait for a slot again where no grant for a cold replica is left

Cause: a request whose grant was too old when it was sent never tried that replica again, and was refused at once where only cold replicas were left, although its dispatch deadline had not passed. Change: such a replica is left out of the next choice only; where no other one is left, the request waits in the dispatch queue again until its dispatch deadline, at most once in 0.25 s.

--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -165,6 +165,12 @@
         """Average service time of a request; an assumed one before the first answer."""
         return self.service_s or self.assumed_service_s
 
+    @property
+    def reserved_s(self) -> float:
+        """Time from the dispatch deadline of a request to its caller's timeout."""
+        service_times_s = DISPATCH_DEADLINE_SERVICE_TIMES * self.usual_service_s
+        return service_times_s + DISPATCH_DEADLINE_MARGIN_S
+
 
 class OnlineQueue:
     """The queues of one gateway, one for each service; safe to use from any thread.
@@ -268,6 +274,11 @@
             )
         return queued.answer
 
+    def may_wait(self, service: str, request: ForwardedRequest) -> bool:
+        """Return whether a request's dispatch deadline has not passed yet."""
+        queue = self._queues_by_service.get(service)
+        return queue is not None and request.deadline.remaining_s() > queue.reserved_s
+
     def _wait(
         self,
         service: str,
@@ -470,13 +481,10 @@
         if len(samples) >= MIN_REMAINING_TIME_SAMPLES:
             first_attempt_s = sorted(samples)[int(FIRST_ATTEMPT_QUANTILE * (len(samples) - 1))]
             age_s = max(0.0, first_attempt_s - left_s)
-        reserved_s = (
-            DISPATCH_DEADLINE_SERVICE_TIMES * queue.usual_service_s + DISPATCH_DEADLINE_MARGIN_S
-        )
         target_at = now + route.objective_s - age_s
         ticket = f"{self._process_name}/{next(self._tickets)}"
         return _QueuedRequest(
-            now, target_at, now + left_s - reserved_s, request.priority, age_s, ticket
+            now, target_at, now + left_s - queue.reserved_s, request.priority, age_s, ticket
         )
 
 
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -165,7 +165,8 @@
             return placed
         warm = best_group(replica for replica in candidates if not replica.cold)
         if not warm:
-            return NoReplica(service, "only cold replicas are left, and none was granted")
+            reason = "only cold replicas are left, and none was granted"
+            return NoReplica(service, reason, lacks_grant=True)
         return self._least_costly(warm, self._offsets(warm, prompt))
 
     def constraints_of(
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable
 
 import attrs
@@ -63,6 +64,8 @@
 Shorter than ``MAX_IDLE_S``, since the replica may close an idle connection while the request is
 being sent."""
 MAX_IDLE_S = 20.0
+MIN_WAIT_INTERVAL_S = 0.25
+"""Minimum interval at which a request for which only cold replicas are left waits for a slot."""
 FIRST_EVENT_TIMEOUT_S = 2.0
 """Timeout for the first byte of a stream, if another replica may be tried."""
 SILENCE_TIMEOUT_S = 0.6
@@ -176,6 +179,8 @@
         self._service = self._router.choose_service(route)
         self._relay = AnswerRelay(request, route, answer, self._may_try_another)
         self._tried_ids: set[str] = set()
+        self._lacking_grant: set[str] = set()
+        self._waited_at = 0.0
         self._refusals = 0
         self._possible_runs = 0
         self._kept_error: _ReplicaError | None = None
@@ -183,43 +188,83 @@
     def run(self) -> ForwardingResult:
         if (ended := self._result_without_attempt()) is not None:
             return ended
+        granted = self._wait_for_slot()
+        if isinstance(granted, CannotServeInTime):
+            return self._give_up(granted.reason, retry_after_s=granted.retry_after_s)
+        return self._try_replicas(granted)
+
+    def _wait_for_slot(self) -> ChosenReplica | CannotServeInTime | None:
+        """Wait until the request may be dispatched; return the granted replica or the refusal."""
+        self._waited_at = boot_clock.now()
         granted = self._dispatch_queue.wait_for_slot(
             self._service, self._route, self._request, self._presence
         )
-        if isinstance(granted, CannotServeInTime):
-            return self._give_up(granted.reason, retry_after_s=granted.retry_after_s)
-        if granted is not None and (ended := self._result_without_attempt()) is not None:
+        if granted is None or isinstance(granted, CannotServeInTime):
+            return granted
+        if granted.id in self._tried_ids:
             self._dispatch_queue.release_slot(granted)
-            return ended
-        return self._try_replicas(granted)
+            return None
+        return granted
+
+    def _may_wait_again(self, result: NoReplica) -> bool:
+        """Return whether to wait for a grant, as the replicas that are left may be used with one.
+
+        Pauses if the last wait has just begun, as it may have ended at once.
+        """
+        lacks_grant = result.lacks_grant or (self._lacking_grant and result.retry_after_s is None)
+        if not lacks_grant or not self._dispatch_queue.may_wait(self._service, self._request):
+            return False
+        ended = threading.Event()
+        self._presence.attach(ended.set)
+        ended.wait(max(0.0, self._waited_at + MIN_WAIT_INTERVAL_S - boot_clock.now()))
+        self._presence.detach()
+        return not self._presence.interrupted
 
     def _try_replicas(self, granted: ChosenReplica | None) -> ForwardingResult:
         """Try one replica after another, beginning with ``granted`` if the slot grant named one."""
         while True:
-            if granted is None and (ended := self._result_without_attempt()) is not None:
+            if (ended := self._result_without_attempt()) is not None:
+                if granted is not None:
+                    self._dispatch_queue.release_slot(granted)
                 return ended
             replica = granted or self._router.choose(
-                self._service, self._request.prompt, self._tried_ids
+                self._service, self._request.prompt, self._tried_ids | self._lacking_grant
             )
             granted = None
             if isinstance(replica, NoReplica):
-                return self._give_up(replica.reason, retry_after_s=replica.retry_after_s)
-            result = self._attempt(replica)
-            if isinstance(result, Delivered | CallerLeft):
-                return result
-            self._tried_ids.add(replica.id)
-            if isinstance(result, NotSent):
+                if not self._may_wait_again(replica):
+                    return self._give_up(replica.reason, retry_after_s=replica.retry_after_s)
+                self._lacking_grant.clear()
+                waited = self._wait_for_slot()
+                if isinstance(waited, CannotServeInTime):
+                    return self._give_up(waited.reason, retry_after_s=waited.retry_after_s)
+                granted = waited
                 continue
-            if isinstance(result, Refused):
-                self._refusals += 1
-                if self._refusals >= MAX_REFUSALS:
-                    return self._give_up(result.reason)
-                continue
-            self._possible_runs += 1
-            if self._request.deadline.passed():
-                return self._give_up(result.reason, timed_out=True)
-            if not self._route.repeatable or self._possible_runs >= self._route.max_attempts:
-                return self._give_up(result.reason)
+            ended = self._result_of_attempt(replica, self._attempt(replica))
+            if ended is not None:
+                return ended
+
+    def _result_of_attempt(
+        self, replica: ChosenReplica, result: AttemptResult
+    ) -> ForwardingResult | None:
+        """Return the final result if an attempt was the last one, else ``None``."""
+        if isinstance(result, Delivered | CallerLeft):
+            return result
+        if isinstance(result, NotSent) and result.lacks_grant:
+            self._lacking_grant.add(replica.id)
+            return None
+        self._tried_ids.add(replica.id)
+        if isinstance(result, NotSent):
+            return None
+        if isinstance(result, Refused):
+            self._refusals += 1
+            return self._give_up(result.reason) if self._refusals >= MAX_REFUSALS else None
+        self._possible_runs += 1
+        if self._request.deadline.passed():
+            return self._give_up(result.reason, timed_out=True)
+        if not self._route.repeatable or self._possible_runs >= self._route.max_attempts:
+            return self._give_up(result.reason)
+        return None
 
     def _result_without_attempt(self) -> ForwardingResult | None:
         """Return the final result if no further attempt may be made, else ``None``."""
@@ -303,7 +348,7 @@
         if replica.evacuated:
             return NotSent("the replica's zone is evacuated")
         if not replica.take_permit():
-            return NotSent("the replica is cold, and no grant for it is left")
+            return NotSent("the replica is cold, and no grant for it is left", lacks_grant=True)
         remaining_s = self._request.deadline.remaining_s()
         message = self._protocol.build_request(
             self._request, replica.id, remaining_s, self._relay.last_event_id
--- a/src/quaymill/request/forwarding_result.py
+++ b/src/quaymill/request/forwarding_result.py
@@ -65,9 +65,16 @@
 
 @attrs.frozen
 class NotSent:
-    """The request was not sent: the replica must not get it any more since it was chosen."""
+    """The request was not sent: the replica must not get it any more since it was chosen.
+
+    Attributes
+    ----------
+    lacks_grant
+        Whether the replica may get it later, with a new grant of the slot allocator.
+    """
 
     reason: str
+    lacks_grant: bool = False
 
 
 @attrs.frozen
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -22,11 +22,14 @@
     ----------
     retry_after_s
         Seconds after which the caller may retry; ``None`` if unknown.
+    lacks_grant
+        Whether there are replicas that may get the request with a grant of the slot allocator.
     """
 
     service: str
     reason: str
     retry_after_s: float | None = None
+    lacks_grant: bool = False
 
 
 @attrs.frozen
@@ -175,6 +178,9 @@
         sent there or the slot released with ``release_slot``.
         """
 
+    def may_wait(self, service: str, request: ForwardedRequest) -> bool:
+        """Return whether the request's dispatch deadline has not passed yet."""
+
     def release_slot(self, replica: ChosenReplica) -> None:
         """Release the slot of a granted replica to which the request is not sent."""
 
@@ -194,6 +200,10 @@
     ) -> None:
         """Return at once."""
 
+    def may_wait(self, service: str, request: ForwardedRequest) -> bool:
+        """Return that nothing is waited for."""
+        return False
+
     def release_slot(self, replica: ChosenReplica) -> None:
         """Do nothing."""
 
--- a/tests/test_cold_replicas.py
+++ b/tests/test_cold_replicas.py
@@ -10,12 +10,26 @@
 from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.platform.gateway_role import GATEWAY_PROTOCOL
 from quaymill.process.replica_set.cold_start import PERMIT_LIFETIME_S, ColdRule
+from quaymill.process.replica_set.online_queue import OnlineQueue
+from quaymill.process.replica_set.router import Router
 from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.request.deadline import Deadline
+from quaymill.request.forwarded_request import ForwardedRequest
+from quaymill.request.forwarding import Forwarder
+from quaymill.request.forwarding_result import GivenUp
+from quaymill.request.outcome import NotRun
+from quaymill.request.presence import CallerPresence
+from quaymill.version.request_routes import RequestRoute, RouteKind, WeightedService
 
 SERVICE = "engine"
 RULE = ColdRule.from_rate(3.0, 12.0, 1.5, 5.0)
 
+ROUTE = RequestRoute(
+    "online", "h", "/", RouteKind.STREAMING, (WeightedService(SERVICE, 1.0),), 8.0, 0.4
+)
+
 
 def entry(name: str, cold_left_s: float | None = 0.0, started_ms: int = 1, **fields):
     return ReplicaEntry(
@@ -34,6 +48,75 @@
         self.addCleanup(patch.stop)
 
 
+class Connections:
+    """Connections on which every request fails before it is sent; lists the calls."""
+
+    def __init__(self) -> None:
+        self.called: list[str] = []
+
+    def send(self, endpoint: Endpoint, request: object, **options: object) -> NotRun:
+        self.called.append(endpoint.host)
+        return NotRun(503, "no connection", "")
+
+
+class ForwardingTest(unittest.TestCase):
+    """Requests for which no grant is left right before they are sent."""
+
+    def setUp(self) -> None:
+        self.table = ReplicaTable(cold_rule_of=lambda service: RULE)
+        self.table.replace_all([entry("x", 60.0)], 1)
+        self.replica = self.table.get("x")
+        self.connections = Connections()
+        self.queue = mock.Mock()
+
+    def forward(self) -> object:
+        forwarder = Forwarder(
+            Router(self.table, "z", "seed"),
+            self.connections,
+            GATEWAY_PROTOCOL.replicas,
+            mock.Mock(),
+            self.queue,
+        )
+        request = ForwardedRequest("r", "POST", "/x", (), b"", Deadline.after(20.0))
+        return forwarder.forward(request, ROUTE, mock.Mock(started=False), CallerPresence())
+
+    def waits(self, *answers: str) -> None:
+        """Let waits for a slot end: with a fresh grant, a used one or none."""
+        left = list(answers)
+
+        def wait_for_slot(*_: object) -> object:
+            answer = left.pop(0)
+            if answer == "fresh":
+                self.replica.add_cold_permits(1, boot_clock.now())
+            return None if answer == "none" else self.replica
+
+        self.queue.wait_for_slot.side_effect = wait_for_slot
+        self.queue.may_wait.side_effect = lambda *_: bool(left)
+
+    @params("used", "none")
+    def test_request_without_a_grant_waits_for_the_next_one(self, first) -> None:
+        """Guards against a refusal although time is left, and the replica gets a grant soon."""
+        self.waits(first, first, "fresh")
+        self.forward()
+        self.assertEqual(1, len(self.connections.called))
+        self.assertEqual(3, self.queue.wait_for_slot.call_count)
+
+    @params("used", "none")
+    def test_request_without_a_grant_is_refused_at_its_dispatch_deadline(self, answer) -> None:
+        """Guards against a request that waits for ever."""
+        self.waits(answer, answer)
+        self.assertIsInstance(self.forward(), GivenUp)
+        self.assertEqual([], self.connections.called)
+        self.assertEqual(2, self.queue.wait_for_slot.call_count)
+
+    @params((0.1, False), (30.0, True))
+    def test_dispatch_deadline_of_the_queue(self, left_s, expected) -> None:
+        queue = OnlineQueue(self.table)
+        queue.record(SERVICE, 1.0, 0.1)
+        request = ForwardedRequest("r", "POST", "/x", (), b"", Deadline.after(left_s))
+        self.assertEqual(expected, queue.may_wait(SERVICE, request))
+
+
 class WarmUpTest(Clock):
     """The table of replicas of a service that declares a cold rate."""
 
