Count cold replicas whose rate allows no grant as no capacity

Cause: where a service declares a rate so low that no request may be granted in a window, its cold replicas counted as capacity, and requests waited for grants that are never made. Change: such replicas count as no slots; where only those are left, requests are refused at once, to be retried when the first is warm. The rate is logged when its configuration comes into force (cold:rate_too_low).

--- a/src/quaymill/process/jobs/cold_grants.py
+++ b/src/quaymill/process/jobs/cold_grants.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
+
+from eliot import log_message
 
 from quaymill import boot_clock
 from quaymill.process.jobs.engine_pool import EnginePool
@@ -39,8 +41,10 @@
         routes, rules = self._known
         if routes is not self._routes():
             routes = self._routes()
+            before = rules
             rules = {name: self._rule(routes, name) for name in routes.cold_services}
             self._known = (routes, rules)
+            _log_rules_without_grants(rules, before)
         return rules.get(service)
 
     def _rule(self, routes: RequestRoutes, service: str) -> ColdRule:
@@ -53,6 +57,17 @@
         )
 
 
+def _log_rules_without_grants(
+    rules: Mapping[str, ColdRule], before: Mapping[str, ColdRule]
+) -> None:
+    """Log services whose cold replicas get no requests, unless this was so before."""
+    for service, rule in rules.items():
+        if not rule.max_grants and rule != before.get(service):
+            log_message(
+                "cold:rate_too_low", service=service, cold_requests_per_s=rule.requests_per_s
+            )
+
+
 def cold_ids_of(replicas: Iterable[Replica]) -> frozenset[str]:
     """Return the replicas that are cold now; read once for each decision.
 
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -89,6 +89,11 @@
         " it no longer ranks first or sees too few gateways",
         ("service, pool: the engine pool",),
     ),
+    "cold:rate_too_low": LogEvent(
+        "a service declares too low a rate for its cold replicas: none of them gets a request"
+        " until it is warm",
+        ("service", "cold_requests_per_s: the declared rate"),
+    ),
     "cold:check_error": LogEvent(
         "checking whether to grant requests to cold replicas raised an exception",
         ("error: the exception",),
--- a/src/quaymill/process/replica_set/cold_start.py
+++ b/src/quaymill/process/replica_set/cold_start.py
@@ -105,7 +105,7 @@
         service_s
             Usual service time of a request.
         """
-        return min(slots, self.requests_per_s * service_s)
+        return min(slots, self.requests_per_s * service_s) if self.max_grants else 0.0
 
 
 ColdRuleOf = Callable[[str], ColdRule | None]
--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -454,10 +454,15 @@
         return min(nearby, key=Replica.load)
 
     def _needs_grant(self, service: str) -> bool:
-        """Return whether only cold replicas can be used, for which the allocator must be asked."""
+        """Return whether only cold replicas can be used, for which the allocator must be asked.
+
+        Those that get no grants are no reason to wait: the router refuses the request at once.
+        """
         replicas = self._table.of_service(service)
         usable = best_group(replica for replica in replicas if not replica.leaving)
-        return bool(usable) and all(replica.cold for replica in usable)
+        if not usable or all(replica.gets_no_grants for replica in usable):
+            return False
+        return all(replica.cold for replica in usable)
 
     def _create_queued_request(
         self, queue: _ServiceQueue, route: RequestRoute, request: ForwardedRequest, now: float
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -213,6 +213,12 @@
             self._log_cold(left_s)
         return left_s > 0
 
+    @property
+    def gets_no_grants(self) -> bool:
+        """Whether it is cold, and its service declares too low a rate for any grant."""
+        rule = self.cold_rule
+        return rule is not None and not rule.max_grants and self.cold
+
     def _log_cold(self, left_s: float) -> None:
         self._logged_as_cold = left_s > 0
         log_message(
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -43,6 +43,8 @@
 """Time after which callers may retry if all replicas are evacuated: about the time in which the end
 of an evacuation reaches the gateways."""
 
+MIN_RETRY_AFTER_S = 0.1
+
 
 @attrs.frozen
 class PlacementConstraints:
@@ -160,6 +162,10 @@
         preferred, constraints = self._local_choice(
             candidates, usable, own_region_first(usable), prompt, excluded
         )
+        if all(replica.gets_no_grants for replica in candidates):
+            left_s = min(replica.cold_until for replica in candidates) - boot_clock.now()
+            reason = "only cold replicas are left, whose declared rate allows no request"
+            return NoReplica(service, reason, max(MIN_RETRY_AFTER_S, left_s))
         placed = self._place(preferred, constraints)
         if placed is not None:
             return placed
--- a/tests/test_cold_grants.py
+++ b/tests/test_cold_grants.py
@@ -294,6 +294,17 @@
     def test_fields(self, message, names) -> None:
         self.assertEqual(names, set(msgspec.json.decode(msgspec.json.encode(message))))
 
+    def test_rate_without_grants_counts_as_no_capacity_and_is_logged_once(self) -> None:
+        """Guards against queues that count on replicas that get nothing."""
+        properties = ServiceProperties(SERVICE, warm_up_s=3.0, cold_requests_per_s=0.5)
+        routes = [RequestRoutes(1, services={SERVICE: properties})]
+        rules = ColdRules(lambda: routes[-1], Bounds())
+        with mock.patch("quaymill.process.jobs.cold_grants.log_message") as logged:
+            for version in (2, 3):
+                self.assertEqual(0.0, rules.of(SERVICE).sustainable_slots(SLOTS, 8.0))
+                routes.append(RequestRoutes(version, services={SERVICE: properties}))
+        self.assertEqual(["cold:rate_too_low"], [call.args[0] for call in logged.mock_calls])
+
     def test_grants_arrive_as_what_they_are(self) -> None:
         sent = OnlineGrants.from_grants((OnlineGrant("t", "x"), ColdGrant("u", "y")))
         received = msgspec.json.decode(msgspec.json.encode(sent), type=OnlineGrants)
@@ -338,6 +349,26 @@
         self.list_replicas(x=COLD_S)
         self.assertIsInstance(self.router.choose(SERVICE), NoReplica)
 
+    def use_rate_without_grants(self) -> None:
+        rule = ColdRule.from_rate(3.0, 0.5, 1.0, 0.0)
+        self.assertEqual(0, rule.max_grants)
+        self.table._cold_rule_of = lambda service: rule
+
+    def test_request_is_refused_at_once_where_the_rate_allows_no_grant(self) -> None:
+        """Guards against requests that wait for grants that are never made."""
+        self.use_rate_without_grants()
+        self.list_replicas(x=COLD_S, y=COLD_S + 1.0)
+        self.assertFalse(self.queue._needs_grant(SERVICE))
+        refusal = self.router.choose(SERVICE)
+        self.assertIsInstance(refusal, NoReplica)
+        self.assertAlmostEqual(COLD_S, refusal.retry_after_s)
+
+    def test_failing_warm_replica_is_used_where_the_rate_allows_no_grant(self) -> None:
+        self.use_rate_without_grants()
+        self.list_replicas(x=COLD_S, y=0.0)
+        self.table.get("y").record_failure(9.0)
+        self.assertEqual("y", self.router.choose(SERVICE).id)
+
     def test_request_without_a_grant_goes_to_a_warm_replica(self) -> None:
         """Guards against a local choice among cold replicas, whatever their load."""
         self.may_grant = False
