Count cold replicas in queues with what this allocator may grant

Cause: feasibility of queued requests used the declared rate, more than one allocator grants, also while it may not grant at all; less than a slot counted as a whole one. Requests waited in vain until their dispatch deadline. Change: a cold replica counts with max_grants in a window, 0 while this allocator may not grant. Where nothing is left and neither eligibility nor a warm replica comes before its dispatch deadline, a request is refused with Retry-After.

--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -236,7 +236,10 @@
             lambda grant, accepted: self._slot_allocator.grant_answered(grant, accepted),
             self.regions.travel_s,
         )
-        self._cold_grants = ColdGrants(lambda pool: self._cold_watch.may_grant(pool))
+        self._cold_grants = ColdGrants(
+            lambda pool: self._cold_watch.may_grant(pool),
+            lambda pool: self._cold_watch.eligible_in_s(pool),
+        )
         self._slot_allocator = SlotAllocator(
             self._table,
             self._loads,
--- a/src/quaymill/process/jobs/cold_grant_watch.py
+++ b/src/quaymill/process/jobs/cold_grant_watch.py
@@ -79,6 +79,10 @@
         """Return whether this gateway may grant requests to the cold replicas of a pool."""
         return self._eligibility.may_grant(pool, boot_clock.now())
 
+    def eligible_in_s(self, pool: EnginePool) -> float:
+        """Return the shortest time after which this gateway may grant, 0 if it may now."""
+        return self._eligibility.eligible_in_s(pool, boot_clock.now())
+
     def paused_recently(self) -> bool:
         """Return whether this process was paused, so that grants may have waited for it."""
         return self._pauses.paused_recently(boot_clock.now())
--- a/src/quaymill/process/jobs/cold_grants.py
+++ b/src/quaymill/process/jobs/cold_grants.py
@@ -14,6 +14,7 @@
 from quaymill import boot_clock
 from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.replica_set.cold_start import (
+    RANKED_FIRST_S,
     ColdRule,
     GrantWindows,
 )
@@ -87,6 +88,8 @@
     ----------
     may_grant
         Returns whether this gateway may grant requests to the cold replicas of a pool.
+    eligible_in_s
+        Returns the shortest time after which it may, 0 if it may now.
 
     Attributes
     ----------
@@ -94,8 +97,13 @@
         Number of grants since this process started.
     """
 
-    def __init__(self, may_grant: Callable[[EnginePool], bool] = lambda pool: False) -> None:
+    def __init__(
+        self,
+        may_grant: Callable[[EnginePool], bool] = lambda pool: False,
+        eligible_in_s: Callable[[EnginePool], float] = lambda pool: RANKED_FIRST_S,
+    ) -> None:
         self._may_grant = may_grant
+        self._eligible_in_s = eligible_in_s
         self._windows = GrantWindows()
         self.granted = 0
 
@@ -135,6 +143,23 @@
             return 0
         return self._windows.item_room(replica.id, rule, _now())
 
+    def usable_slots(self, pool: EnginePool, replica: Replica, service_s: float) -> float:
+        """Return how many requests a replica serves at once, considering that it may be cold."""
+        rule = replica.cold_rule
+        if rule is None or not replica.cold:
+            return replica.slots
+        return rule.sustainable_slots(replica.slots, service_s) if self._may_grant(pool) else 0.0
+
+    def usable_in_s(self, pool: EnginePool, replicas: Iterable[Replica]) -> float:
+        """Return the shortest time after which one of some cold replicas may get a request."""
+        now = _now()
+        eligible_in_s = self._eligible_in_s(pool)
+        return min(
+            min(left_s, eligible_in_s) if one.cold_rule and one.cold_rule.max_grants else left_s
+            for one in replicas
+            for left_s in (max(0.0, one.cold_until - now),)
+        )
+
     def record(self, replica: Replica, cold_ids: Collection[str], *, is_item: bool = False) -> bool:
         """Count a grant if the replica is cold; return whether it is."""
         if replica.id not in cold_ids:
@@ -144,13 +169,5 @@
         return True
 
 
-def usable_slots(replica: Replica, service_s: float) -> float:
-    """Return how many requests a replica serves at once, considering that it may be cold."""
-    rule = replica.cold_rule
-    if rule is None or not replica.cold:
-        return replica.slots
-    return rule.sustainable_slots(replica.slots, service_s)
-
-
 def _now() -> float:
     return boot_clock.now()
--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -294,11 +294,15 @@
         if terms is not None and not placed.queued:
             self._tickets.leave(terms.ticket)
         if placed.retry_after_s is not None:
-            return CannotServeInTime(
-                "the queue is too long to serve the request in time", placed.retry_after_s
-            )
+            return CannotServeInTime(self._reason_of_refusal(pool), placed.retry_after_s)
         return QUEUED if placed.queued else self._count_placed(placed, now)
 
+    def _reason_of_refusal(self, pool: EnginePool) -> str:
+        replicas = pool.members(self._table)
+        if replicas and all(replica.cold for replica in replicas):
+            return "only cold replicas are left, which cannot serve the request in time"
+        return "the queue is too long to serve the request in time"
+
     def _record_unanswered(self, pool: EnginePool, terms: QueueTerms | None) -> None:
         """Record that the allocator of a pool did not answer a request for a placement."""
         if self._is_elsewhere(pool):
--- a/src/quaymill/process/jobs/pool_queue.py
+++ b/src/quaymill/process/jobs/pool_queue.py
@@ -136,14 +136,17 @@
             self.leave(queued)
         return len(dropped)
 
-    def wait_s(self, queued: QueuedRequest, slots: int, now: float) -> float:
-        """Return the expected wait of a request in seconds, if ``slots`` slots serve the queue."""
+    def wait_s(self, queued: QueuedRequest, slots: float, now: float) -> float:
+        """Return the expected wait of a request in seconds, if ``slots`` slots serve the queue.
+
+        A fraction of a slot is what cold replicas can use of theirs.
+        """
         service_s = queued.message.terms.service_s
         own_key = _sort_key(queued, now)
         ahead = sum(_sort_key(one, now) < own_key for one in self._queued_by_ticket.values())
-        return ahead * service_s / max(1, slots)
+        return ahead * service_s / slots
 
-    def retry_after_s(self, queued: QueuedRequest, slots: int, now: float) -> float | None:
+    def retry_after_s(self, queued: QueuedRequest, slots: float, now: float) -> float | None:
         """Return the seconds after which a request may be retried; ``None`` if it is feasible.
 
         A request is infeasible if its expected wait exceeds ``REFUSAL_FACTOR`` times its caller's
@@ -153,7 +156,7 @@
         self._drop_expired(now)
         # The length of the queue bounds the wait, so the exact position is rarely needed.
         left_s = queued.timeout_at - now
-        longest_wait_s = len(self) * queued.message.terms.service_s / max(1, slots)
+        longest_wait_s = len(self) * queued.message.terms.service_s / slots
         if longest_wait_s <= REFUSAL_FACTOR * left_s:
             return None
         wait_s = self.wait_s(queued, slots, now)
--- a/src/quaymill/process/jobs/slot_grants.py
+++ b/src/quaymill/process/jobs/slot_grants.py
@@ -13,7 +13,7 @@
 
 from quaymill import boot_clock
 from quaymill.connection.slot_messages import ColdGrant, OnlineGrant, PlaceOnline
-from quaymill.process.jobs.cold_grants import ColdGrants, cold_ids_of, usable_slots
+from quaymill.process.jobs.cold_grants import ColdGrants, cold_ids_of
 from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.jobs.pool_counts import PoolCounts
 from quaymill.process.jobs.pool_queue import PoolQueue, QueuedRequest
@@ -98,10 +98,15 @@
         """
         queue = self._queue_by_pool[pool]
         service_s = queued.message.terms.service_s
-        slots = sum(usable_slots(one, service_s) for one in replicas)
-        if not slots:
+        if not replicas:
             return None
-        retry_after_s = queue.retry_after_s(queued, slots, now)
+        slots = sum(self._cold_grants.usable_slots(pool, one, service_s) for one in replicas)
+        if slots:
+            retry_after_s = queue.retry_after_s(queued, slots, now)
+        else:
+            # All are cold, and this allocator may not grant yet: nothing is served until then.
+            usable_in_s = self._cold_grants.usable_in_s(pool, replicas)
+            retry_after_s = usable_in_s if now + usable_in_s > queued.dispatch_by else None
         if retry_after_s is None:
             return None
         queue.leave(queued)
--- a/src/quaymill/process/replica_set/cold_start.py
+++ b/src/quaymill/process/replica_set/cold_start.py
@@ -98,14 +98,14 @@
         return MAX_STATED_FACTOR * self.warm_up_s or MAX_STATED_S
 
     def sustainable_slots(self, slots: int, service_s: float) -> float:
-        """Return how many requests a cold replica serves at once if it gets its declared rate.
+        """Return how many requests a cold replica serves at once if one allocator grants them.
 
         Parameters
         ----------
         service_s
             Usual service time of a request.
         """
-        return min(slots, self.requests_per_s * service_s) if self.max_grants else 0.0
+        return min(slots, self.max_grants / GRANT_WINDOW_S * service_s)
 
 
 ColdRuleOf = Callable[[str], ColdRule | None]
@@ -320,6 +320,11 @@
             return False
         return now - since >= RANKED_FIRST_S
 
+    def eligible_in_s(self, pool: Hashable, now: float) -> float:
+        """Return the shortest time after which this gateway may grant, 0 if it may now."""
+        since = self._first_since_by_pool.get(pool, now)
+        return max(0.0, RANKED_FIRST_S - (now - since))
+
 
 class PauseWatch:
     """Notices that this process was paused, so that messages may have waited for it."""
--- a/tests/test_cold_grants.py
+++ b/tests/test_cold_grants.py
@@ -35,6 +35,7 @@
 from quaymill.process.jobs.cold_grants import ColdGrants, ColdRules
 from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.jobs.online_reporter import OnlineReporter
+from quaymill.process.jobs.pool_queue import REFUSAL_FACTOR
 from quaymill.process.jobs.slot_allocator import SlotAllocator
 from quaymill.process.replica_set.cold_start import (
     GRANT_WINDOW_S,
@@ -207,6 +208,36 @@
         self.assertIsNone(answers[RULE.max_grants + 1].retry_after_s)
         self.assertIsNotNone(answers[-1].retry_after_s)
 
+    def test_short_requests_count_with_what_one_allocator_grants(self) -> None:
+        """Guards against a queue that counts on the declared rate, or on a whole slot."""
+        self.list_replicas(x=COLD_S)
+        queued = 0
+        for number in range(200):
+            self.now += 0.001
+            short = msgspec.structs.replace(terms(f"t{number}", 4.0), service_s=0.05)
+            queued += self.place(short).queued
+        per_s = RULE.max_grants / GRANT_WINDOW_S
+        self.assertAlmostEqual(REFUSAL_FACTOR * 4.0 * per_s, queued, delta=3)
+
+    @params((1.5, True), (4.0, False))
+    def test_request_that_no_grant_can_reach_in_time_is_refused(self, left_s, refused) -> None:
+        """Guards against requests that wait in vain until their dispatch deadline."""
+        self.may_grant = False
+        self.list_replicas(x=COLD_S)
+        answer = self.place(terms("t", left_s))
+        self.assertEqual((refused, not refused), (answer.retry_after_s is not None, answer.queued))
+        if refused:
+            self.assertGreaterEqual(answer.retry_after_s, RANKED_FIRST_S)
+
+    def test_warm_replicas_alone_count_while_no_grants_may_be_made(self) -> None:
+        self.list_replicas(x=COLD_S, y=0.0)
+        pool = EnginePool(SERVICE)
+        replicas = pool.members(self.table)
+        slots = [sum(self.cold_grants.usable_slots(pool, one, 0.3) for one in replicas)]
+        self.may_grant = False
+        slots.append(sum(self.cold_grants.usable_slots(pool, one, 0.3) for one in replicas))
+        self.assertEqual([SLOTS + RULE.max_grants / GRANT_WINDOW_S * 0.3, SLOTS], slots)
+
     def test_replicas_are_cold_when_the_evacuation_of_their_zone_ends(self) -> None:
         self.list_replicas(x=0.0)
         self.now += 100.0
