--- a/src/quaymill/process/jobs/cold_grants.py
+++ b/src/quaymill/process/jobs/cold_grants.py
@@ -7,11 +7,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
+
+from eliot import log_message
 
 from quaymill import boot_clock
 from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.replica_set.cold_start import (
+    RANKED_FIRST_S,
     ColdRule,
     GrantWindows,
 )
@@ -39,8 +42,10 @@
         routes, rules = self._known
         if routes is not self._routes():
             routes = self._routes()
+            before = rules
             rules = {name: self._rule(routes, name) for name in routes.cold_services}
             self._known = (routes, rules)
+            _log_rules_without_grants(rules, before)
         return rules.get(service)
 
     def _rule(self, routes: RequestRoutes, service: str) -> ColdRule:
@@ -53,6 +58,17 @@
         )
 
 
+def _log_rules_without_grants(
+    rules: Mapping[str, ColdRule], before: Mapping[str, ColdRule]
+) -> None:
+    """Log services whose cold replicas get no requests, unless this was so before."""
+    for service, rule in rules.items():
+        if not rule.max_grants and rule != before.get(service):
+            log_message(
+                "cold:rate_too_low", service=service, cold_requests_per_s=rule.requests_per_s
+            )
+
+
 def cold_ids_of(replicas: Iterable[Replica]) -> frozenset[str]:
     """Return the replicas that are cold now; read once for each decision.
 
@@ -72,6 +88,8 @@
     ----------
     may_grant
         Returns whether this gateway may grant requests to the cold replicas of a pool.
+    eligible_in_s
+        Returns the shortest time after which it may, 0 if it may now.
 
     Attributes
     ----------
@@ -79,8 +97,13 @@
         Number of grants since this process started.
     """
 
-    def __init__(self, may_grant: Callable[[EnginePool], bool] = lambda pool: False) -> None:
+    def __init__(
+        self,
+        may_grant: Callable[[EnginePool], bool] = lambda pool: False,
+        eligible_in_s: Callable[[EnginePool], float] = lambda pool: RANKED_FIRST_S,
+    ) -> None:
         self._may_grant = may_grant
+        self._eligible_in_s = eligible_in_s
         self._windows = GrantWindows()
         self.granted = 0
 
@@ -120,6 +143,23 @@
             return 0
         return self._windows.item_room(replica.id, rule, _now())
 
+    def usable_slots(self, pool: EnginePool, replica: Replica, service_s: float) -> float:
+        """Return how many requests a replica serves at once, considering that it may be cold."""
+        rule = replica.cold_rule
+        if rule is None or not replica.cold:
+            return replica.slots
+        return rule.sustainable_slots(replica.slots, service_s) if self._may_grant(pool) else 0.0
+
+    def usable_in_s(self, pool: EnginePool, replicas: Iterable[Replica]) -> float:
+        """Return the shortest time after which one of some cold replicas may get a request."""
+        now = _now()
+        eligible_in_s = self._eligible_in_s(pool)
+        return min(
+            min(left_s, eligible_in_s) if one.cold_rule and one.cold_rule.max_grants else left_s
+            for one in replicas
+            for left_s in (max(0.0, one.cold_until - now),)
+        )
+
     def record(self, replica: Replica, cold_ids: Collection[str], *, is_item: bool = False) -> bool:
         """Count a grant if the replica is cold; return whether it is."""
         if replica.id not in cold_ids:
@@ -129,13 +169,5 @@
         return True
 
 
-def usable_slots(replica: Replica, service_s: float) -> float:
-    """Return how many requests a replica serves at once, considering that it may be cold."""
-    rule = replica.cold_rule
-    if rule is None or not replica.cold:
-        return replica.slots
-    return rule.sustainable_slots(replica.slots, service_s)
-
-
 def _now() -> float:
     return boot_clock.now()
--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -168,6 +168,12 @@
         """Average service time of a request; an assumed one before the first answer."""
         return self.service_s or self.assumed_service_s
 
+    @property
+    def reserved_s(self) -> float:
+        """Time from the dispatch deadline of a request to its caller's timeout."""
+        service_times_s = DISPATCH_DEADLINE_SERVICE_TIMES * self.usual_service_s
+        return service_times_s + DISPATCH_DEADLINE_MARGIN_S
+
 
 class OnlineQueue:
     """The queues of one gateway, one for each service; safe to use from any thread.
@@ -272,6 +278,11 @@
             )
         return queued.answer
 
+    def may_wait(self, service: str, request: ForwardedRequest) -> bool:
+        """Return whether a request's dispatch deadline has not passed yet."""
+        queue = self._queues_by_service.get(service)
+        return queue is not None and request.deadline.remaining_s() > queue.reserved_s
+
     def _wait(
         self,
         service: str,
@@ -453,10 +464,15 @@
         return min(nearby, key=Replica.load)
 
     def _needs_grant(self, service: str) -> bool:
-        """Return whether only cold replicas can be used, for which the allocator must be asked."""
+        """Return whether only cold replicas can be used, for which the allocator must be asked.
+
+        Those that get no grants are no reason to wait: the router refuses the request at once.
+        """
         replicas = self._table.of_service(service)
         usable = best_group(replica for replica in replicas if not replica.leaving)
-        return bool(usable) and all(replica.cold for replica in usable)
+        if not usable or all(replica.gets_no_grants for replica in usable):
+            return False
+        return all(replica.cold for replica in usable)
 
     def _create_queued_request(
         self, queue: _ServiceQueue, route: RequestRoute, request: ForwardedRequest, now: float
@@ -480,13 +496,10 @@
         if len(samples) >= MIN_REMAINING_TIME_SAMPLES:
             first_attempt_s = sorted(samples)[int(FIRST_ATTEMPT_QUANTILE * (len(samples) - 1))]
             age_s = max(0.0, first_attempt_s - left_s)
-        reserved_s = (
-            DISPATCH_DEADLINE_SERVICE_TIMES * queue.usual_service_s + DISPATCH_DEADLINE_MARGIN_S
-        )
         target_at = now + route.objective_s - age_s
         ticket = f"{self._process_name}/{next(self._tickets)}"
         return _QueuedRequest(
-            now, target_at, now + left_s - reserved_s, request.priority, age_s, ticket
+            now, target_at, now + left_s - queue.reserved_s, request.priority, age_s, ticket
         )
 
 
--- a/tests/test_cold_grants.py
+++ b/tests/test_cold_grants.py
@@ -35,6 +35,7 @@
 from quaymill.process.jobs.cold_grants import ColdGrants, ColdRules
 from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.jobs.online_reporter import OnlineReporter
+from quaymill.process.jobs.pool_queue import REFUSAL_FACTOR
 from quaymill.process.jobs.slot_allocator import SlotAllocator
 from quaymill.process.replica_set.cold_start import (
     GRANT_WINDOW_S,
@@ -207,6 +208,36 @@
         self.assertIsNone(answers[RULE.max_grants + 1].retry_after_s)
         self.assertIsNotNone(answers[-1].retry_after_s)
 
+    def test_short_requests_count_with_what_one_allocator_grants(self) -> None:
+        """Guards against a queue that counts on the declared rate, or on a whole slot."""
+        self.list_replicas(x=COLD_S)
+        queued = 0
+        for number in range(200):
+            self.now += 0.001
+            short = msgspec.structs.replace(terms(f"t{number}", 4.0), service_s=0.05)
+            queued += self.place(short).queued
+        per_s = RULE.max_grants / GRANT_WINDOW_S
+        self.assertAlmostEqual(REFUSAL_FACTOR * 4.0 * per_s, queued, delta=3)
+
+    @params((1.5, True), (4.0, False))
+    def test_request_that_no_grant_can_reach_in_time_is_refused(self, left_s, refused) -> None:
+        """Guards against requests that wait in vain until their dispatch deadline."""
+        self.may_grant = False
+        self.list_replicas(x=COLD_S)
+        answer = self.place(terms("t", left_s))
+        self.assertEqual((refused, not refused), (answer.retry_after_s is not None, answer.queued))
+        if refused:
+            self.assertGreaterEqual(answer.retry_after_s, RANKED_FIRST_S)
+
+    def test_warm_replicas_alone_count_while_no_grants_may_be_made(self) -> None:
+        self.list_replicas(x=COLD_S, y=0.0)
+        pool = EnginePool(SERVICE)
+        replicas = pool.members(self.table)
+        slots = [sum(self.cold_grants.usable_slots(pool, one, 0.3) for one in replicas)]
+        self.may_grant = False
+        slots.append(sum(self.cold_grants.usable_slots(pool, one, 0.3) for one in replicas))
+        self.assertEqual([SLOTS + RULE.max_grants / GRANT_WINDOW_S * 0.3, SLOTS], slots)
+
     def test_replicas_are_cold_when_the_evacuation_of_their_zone_ends(self) -> None:
         self.list_replicas(x=0.0)
         self.now += 100.0
@@ -294,6 +325,17 @@
     def test_fields(self, message, names) -> None:
         self.assertEqual(names, set(msgspec.json.decode(msgspec.json.encode(message))))
 
+    def test_rate_without_grants_counts_as_no_capacity_and_is_logged_once(self) -> None:
+        """Guards against queues that count on replicas that get nothing."""
+        properties = ServiceProperties(SERVICE, warm_up_s=3.0, cold_requests_per_s=0.5)
+        routes = [RequestRoutes(1, services={SERVICE: properties})]
+        rules = ColdRules(lambda: routes[-1], Bounds())
+        with mock.patch("quaymill.process.jobs.cold_grants.log_message") as logged:
+            for version in (2, 3):
+                self.assertEqual(0.0, rules.of(SERVICE).sustainable_slots(SLOTS, 8.0))
+                routes.append(RequestRoutes(version, services={SERVICE: properties}))
+        self.assertEqual(["cold:rate_too_low"], [call.args[0] for call in logged.mock_calls])
+
     def test_grants_arrive_as_what_they_are(self) -> None:
         sent = OnlineGrants.from_grants((OnlineGrant("t", "x"), ColdGrant("u", "y")))
         received = msgspec.json.decode(msgspec.json.encode(sent), type=OnlineGrants)
@@ -338,6 +380,26 @@
         self.list_replicas(x=COLD_S)
         self.assertIsInstance(self.router.choose(SERVICE), NoReplica)
 
+    def use_rate_without_grants(self) -> None:
+        rule = ColdRule.from_rate(3.0, 0.5, 1.0, 0.0)
+        self.assertEqual(0, rule.max_grants)
+        self.table._cold_rule_of = lambda service: rule
+
+    def test_request_is_refused_at_once_where_the_rate_allows_no_grant(self) -> None:
+        """Guards against requests that wait for grants that are never made."""
+        self.use_rate_without_grants()
+        self.list_replicas(x=COLD_S, y=COLD_S + 1.0)
+        self.assertFalse(self.queue._needs_grant(SERVICE))
+        refusal = self.router.choose(SERVICE)
+        self.assertIsInstance(refusal, NoReplica)
+        self.assertAlmostEqual(COLD_S, refusal.retry_after_s)
+
+    def test_failing_warm_replica_is_used_where_the_rate_allows_no_grant(self) -> None:
+        self.use_rate_without_grants()
+        self.list_replicas(x=COLD_S, y=0.0)
+        self.table.get("y").record_failure(9.0)
+        self.assertEqual("y", self.router.choose(SERVICE).id)
+
     def test_request_without_a_grant_goes_to_a_warm_replica(self) -> None:
         """Guards against a local choice among cold replicas, whatever their load."""
         self.may_grant = False
