--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -91,8 +91,8 @@
     def make_cold(self, *engines: FleetReplica) -> float:
         """Let engines state that they are cold; return when all gateways know."""
         for engine in engines:
-            entry = engine.entry(seq=2) | {"cold_left_ms": COLD_MS}
-            self.rig.store.put("servers", engine.id, entry)
+            engine.become_cold(COLD_MS / 1000)
+            self.rig.store.put("servers", engine.id, engine.entry(seq=2))
         self.wait_for_gateways(
             lambda one: all(self.is_cold(one, engine) for engine in engines), "engines are cold"
         )
