Offer a request to the other region if the own allocator refuses it

Cause: the second check of the other region was made for queued requests only, not for those that the own allocator refused as its queue was too long. Change: a refusal leads to the check, too; it is returned if the other region's allocator neither places nor queues the request. Result: test_a_request_that_the_own_allocator_refuses_is_offered_to_the_other_region was red without the change and is green with it.

--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -219,18 +219,22 @@
         if first.entry.service not in self._batch_services():
             return None
         pool = pool_of(first, self._table)
+        refusal: CannotServeInTime | None = None
         sooner = None if terms is None else self._sooner_elsewhere(pool, terms)
         if sooner is None:
             answer = self._ask_allocator(pool, constraints, terms)
-            if answer is not QUEUED:
+            if terms is None or not isinstance(answer, Queued | CannotServeInTime):
                 return answer
             # The allocator's answer contains the current length of its queue.
             sooner = self._sooner_elsewhere(pool, terms)
             if sooner is None:
                 return answer
+            refusal = answer if isinstance(answer, CannotServeInTime) else None
         answer = self._ask_allocator(sooner, constraints, terms)
         if isinstance(answer, Replica | Queued):
             return answer
+        if refusal is not None:
+            return refusal
         # It is being withdrawn from the own region's queue if it was there, and joins it again.
         return self._ask_allocator(pool, constraints, terms)
 
--- a/tests/test_region_faults.py
+++ b/tests/test_region_faults.py
@@ -27,6 +27,7 @@
 from quaymill.process.replica_set.online_queue import QUEUED
 from quaymill.request.deadline import Deadline
 from quaymill.request.forwarded_request import ForwardedRequest
+from quaymill.request.replica_choice import CannotServeInTime
 from test_allocator_queue import SERVICE, SLOTS, FakeConnections, Gateway, QueueCase
 
 NAMES = ("a1", "a2", "b1", "b2")
@@ -238,6 +239,27 @@
             self.assertEqual("eb", self.ask("t").id)
         self.assertEqual(("t",), self.a1.reporter._tickets.take_withdrawn(SERVICE, "a"))
 
+    def test_a_request_that_the_own_allocator_refuses_is_offered_to_the_other_region(self) -> None:
+        """The queue that is too long for the request may have grown since the last report."""
+        reporter = self.a1.reporter
+        refusal = CannotServeInTime("the queue is too long", 1.0)
+        replica = self.a1.table.get("eb")
+        asked: list[EnginePool] = []
+        for elsewhere, expected in ((replica, replica), (None, refusal)):
+            answers = {POOL_A: refusal, POOL_B: elsewhere}
+            asked.clear()
+
+            def answer(pool, constraints, terms, answers=answers):
+                asked.append(pool)
+                return answers[pool]
+
+            with (
+                mock.patch.object(reporter, "_sooner_elsewhere", side_effect=[None, POOL_B]),
+                mock.patch.object(reporter, "_ask_allocator", answer),
+            ):
+                self.assertIs(expected, self.ask("t"))
+            self.assertEqual([POOL_A, POOL_B], asked)
+
     def test_calls_over_the_link_may_take_longer_by_the_round_trip(self) -> None:
         """Otherwise answers that are only far away would count as missing."""
         self.fill("a")
