--- a/src/quaymill/process/jobs/engine_pool.py
+++ b/src/quaymill/process/jobs/engine_pool.py
@@ -26,7 +26,7 @@
     index
         Number of this part, from 0.
     pools
-        Number of parts of the service, or of its replicas in the region.
+        Number of parts of the service; where there are several regions, of its part in ``region``.
     region
         Region of its replicas; empty where there is only one, and in the names that builds without
         regions use, whose pools span all regions.
@@ -71,7 +71,7 @@
 def pools_of(service: str, table: ReplicaTable) -> list[EnginePool]:
     """Return the pools of a service for its current number of replicas.
 
-    While gateways disagree on this number or on a region, the same slots may be granted twice.
+    While gateways disagree on this number, or their settings on a region, the same slots may be granted twice.
     Engines then refuse the excess, which waits again.
     """
     regions = sorted({replica.region for replica in table.of_service(service)}) or [""]
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -46,7 +46,7 @@
 RETRY_PAUSE_S = 0.3
 MAX_RUNNING_ITEMS = 96
 """Number of running items from which no more slots are claimed; one claim may exceed it."""
-UNHURRIED_DUE_S = 0.5 * INFEASIBLE_DUE_S
+NOT_URGENT_DUE_S = 0.5 * INFEASIBLE_DUE_S
 """Due time stated in another region for waiting items that are not urgent: they get the slots that
 no item of that region needs."""
 MAX_POOLS_ASKED = 3
@@ -221,7 +221,7 @@
             may_ask = pools_asked < MAX_POOLS_ASKED and boot_clock.now() >= self._claim_elsewhere_at
             wanted = self._wanted_items(jobs) if may_ask else ()
             if has_own_slots:
-                wanted = tuple(map(_without_hurry, wanted))
+                wanted = tuple(map(_not_urgent, wanted))
             if not wanted and not running:
                 continue
             pools_asked += bool(wanted)
@@ -474,14 +474,15 @@
     return job.route.name if job.route else ""
 
 
-def _without_hurry(wanted: WantedItems) -> WantedItems:
-    """Return the claim for items in another region: urgent only if they would be late otherwise.
+def _not_urgent(wanted: WantedItems) -> WantedItems:
+    """Return a claim with the due time of items that are not urgent.
 
-    These are the items that are nearly due, for which no slots are left free either.
+    A claim that leaves no share of an engine's slots free is returned unchanged. Its items have
+    less than 30% of their time left, would be late by the current pace, or have no due time.
     """
     if wanted.reserve_share <= RESERVE_SHARES[-1][1]:
         return wanted
-    return msgspec.structs.replace(wanted, due_in_s=UNHURRIED_DUE_S)
+    return msgspec.structs.replace(wanted, due_in_s=NOT_URGENT_DUE_S)
 
 
 def _wanted_group(left_s: float, waiting: list[_Waiting]) -> WantedItems:
--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -313,7 +313,7 @@
         elif terms is not None:
             self._tickets.leave(terms.ticket)
         if self._is_elsewhere(pool):
-            self._lose_region(pool.region)
+            self._pause_region(pool.region)
             return
         self._place_again_at = boot_clock.now() + PLACE_PAUSE_S
         with self._lock:
@@ -324,7 +324,7 @@
         """Decide locally on requests that wait in the pool's region."""
         self._allocator_lost(self._tickets.in_region(pool.region) if pool.region else None)
 
-    def _lose_region(self, region: str) -> None:
+    def _pause_region(self, region: str) -> None:
         """Contact another region's allocators no more for a while, and decide locally instead."""
         self._ask_again_at_by_region[region] = boot_clock.now() + OTHER_REGION_PAUSE_S
         self._allocator_lost(self._tickets.in_region(region))
@@ -669,7 +669,7 @@
         self._allocator_choice.avoid(message.service, member)
         self._record_queue_length(member, NO_QUEUE)
         if self._is_elsewhere(pool):
-            self._lose_region(pool.region)
+            self._pause_region(pool.region)
         else:
             self._lose_allocator(pool)
         return None
--- a/src/quaymill/process/jobs/region_choice.py
+++ b/src/quaymill/process/jobs/region_choice.py
@@ -17,7 +17,7 @@
 allocator and one to the replica."""
 STALENESS_MARGIN_S = 0.05
 """Further time that another region must gain. What gateways know of its loads is up to 0.25 s old,
-so that together they may send more requests than it has free slots. In the play of
+so that together they may send more requests than it has free slots. In the simulation of
 ``tests/region_player.py`` with 97% of all slots in demand, more requests are late without this
 margin, and also with one of 0.1 s."""
 
--- a/tests/test_region_claims.py
+++ b/tests/test_region_claims.py
@@ -18,7 +18,7 @@
 from quaymill.connection.slot_messages import ClaimSlots, ItemsAt, SlotsGranted
 from quaymill.process.jobs.coordinated_job import CoordinatedJob
 from quaymill.process.jobs.item_dispatcher import (
-    UNHURRIED_DUE_S,
+    NOT_URGENT_DUE_S,
     DispatcherParts,
     ItemDispatcher,
 )
@@ -102,7 +102,7 @@
         self.assertEqual([3], [one.items for one in self.claims[1].wanted])
         self.assertEqual(2, self.dispatcher.items_to_other_region)
 
-    @params((0.0, UNHURRIED_DUE_S), (0.5 * DUE_S, UNHURRIED_DUE_S), (0.8 * DUE_S, 0.2 * DUE_S))
+    @params((0.0, NOT_URGENT_DUE_S), (0.5 * DUE_S, NOT_URGENT_DUE_S), (0.8 * DUE_S, 0.2 * DUE_S))
     def test_only_urgent_items_compete_with_those_of_the_other_region(
         self, after_s, expected
     ) -> None:
--- a/tests/test_region_faults.py
+++ b/tests/test_region_faults.py
@@ -373,7 +373,7 @@
         (ticket,) = self.a1.queue._queued_by_ticket
         self.a1.reporter._tickets.join(SERVICE, ticket, "b")
         with mock.patch.object(self.a1.reporter, "_allocator_lost") as lost:
-            self.a1.reporter._lose_region("b")
+            self.a1.reporter._pause_region("b")
         lost.assert_called_once_with(frozenset({ticket}))
 
     def test_requests_queued_in_the_other_region_stay_there_if_the_own_allocator_is_lost(
@@ -474,7 +474,7 @@
     def test_requests_in_the_other_region_are_reported_while_placements_there_pause(self) -> None:
         """The allocator drops counts after 1 s, and would grant the slots in use again."""
         self.a1.begin(self.a1.table.get("eb"))
-        self.a1.reporter._lose_region("b")
+        self.a1.reporter._pause_region("b")
         with mock.patch.object(self.a1.reporter, "_report_pool") as report:
             self.a1.reporter._report_elsewhere()
         self.assertIn(mock.call(POOL_B, {"eb": 1}), report.mock_calls)
@@ -484,7 +484,7 @@
         self.fill("a")
         self.queue_one()
         self.link.is_cut = True
-        self.a1.reporter._lose_region("b")
+        self.a1.reporter._pause_region("b")
         (queued,) = self.a1.queue._queued_by_ticket.values()
         self.assertTrue(queued.in_allocator_queue)
         self.assertFalse(self.a1.reporter._is_paused(POOL_A))
