--- a/src/quaymill/process/jobs/engine_pool.py
+++ b/src/quaymill/process/jobs/engine_pool.py
@@ -71,8 +71,8 @@
 def pools_of(service: str, table: ReplicaTable) -> list[EnginePool]:
     """Return the pools of a service for its current number of replicas.
 
-    While gateways disagree on this number, or their settings on a region, the same slots may be granted twice.
-    Engines then refuse the excess, which waits again.
+    While gateways disagree on this number, or their settings on a region, the same slots may be
+    granted twice. Engines then refuse the excess, which waits again.
     """
     regions = sorted({replica.region for replica in table.of_service(service)}) or [""]
     return [
--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -78,9 +78,9 @@
 """Share of a pool's slots above which the loads of other regions are requested, so that they are
 known before requests have to wait."""
 OTHER_REGION_PAUSE_S = 2.0
-"""How long an allocator of another region is not contacted after it did not answer. Longer than
-``PLACE_PAUSE_S``: the own region's allocator serves in the meantime, and a request that waits for
-an answer over a slow link in vain may miss its latency target."""
+"""How long no placement is requested in another region after its allocator did not answer. Longer
+than ``PLACE_PAUSE_S``: the own region's allocator serves in the meantime, and a request that waits
+for an answer over a slow link in vain may miss its latency target."""
 
 
 class OnlineReporter:
@@ -325,7 +325,10 @@
         self._allocator_lost(self._tickets.in_region(pool.region) if pool.region else None)
 
     def _pause_region(self, region: str) -> None:
-        """Contact another region's allocators no more for a while, and decide locally instead."""
+        """Request no placements in another region for a while, and decide locally instead.
+
+        Reports continue: its allocator may be alive and drops counts that are not repeated.
+        """
         self._ask_again_at_by_region[region] = boot_clock.now() + OTHER_REGION_PAUSE_S
         self._allocator_lost(self._tickets.in_region(region))
 
