--- a/tests/region_player.py
+++ b/tests/region_player.py
@@ -162,7 +162,9 @@
         own_state = self._view(request.gateway, self._own_pool(request.zone))
         for name in self._pools.keys() - {self._own_pool(request.zone)}:
             state = self._view(request.gateway, name)
-            if own_state and state and serves_sooner(state, own_state, SERVICE_S):
+            if own_state is None or state is None:
+                continue
+            if serves_sooner(state, own_state, SERVICE_S, 2 * BETWEEN_REGIONS_S):
                 return name
         return None
 
