--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -78,9 +78,9 @@
 """Share of a pool's slots above which the loads of other regions are requested, so that they are
 known before requests have to wait."""
 OTHER_REGION_PAUSE_S = 2.0
-"""How long an allocator of another region is not contacted after it did not answer. Longer than
-``PLACE_PAUSE_S``: the own region's allocator serves in the meantime, and a request that waits for
-an answer over a slow link in vain may miss its latency target."""
+"""How long no placement is requested in another region after its allocator did not answer. Longer
+than ``PLACE_PAUSE_S``: the own region's allocator serves in the meantime, and a request that waits
+for an answer over a slow link in vain may miss its latency target."""
 
 
 class OnlineReporter:
@@ -219,18 +219,22 @@
         if first.entry.service not in self._batch_services():
             return None
         pool = pool_of(first, self._table)
+        refusal: CannotServeInTime | None = None
         sooner = None if terms is None else self._sooner_elsewhere(pool, terms)
         if sooner is None:
             answer = self._ask_allocator(pool, constraints, terms)
-            if answer is not QUEUED:
+            if terms is None or not isinstance(answer, Queued | CannotServeInTime):
                 return answer
             # The allocator's answer contains the current length of its queue.
             sooner = self._sooner_elsewhere(pool, terms)
             if sooner is None:
                 return answer
+            refusal = answer if isinstance(answer, CannotServeInTime) else None
         answer = self._ask_allocator(sooner, constraints, terms)
         if isinstance(answer, Replica | Queued):
             return answer
+        if refusal is not None:
+            return refusal
         # It is being withdrawn from the own region's queue if it was there, and joins it again.
         return self._ask_allocator(pool, constraints, terms)
 
@@ -313,7 +317,7 @@
         elif terms is not None:
             self._tickets.leave(terms.ticket)
         if self._is_elsewhere(pool):
-            self._lose_region(pool.region)
+            self._pause_region(pool.region)
             return
         self._place_again_at = boot_clock.now() + PLACE_PAUSE_S
         with self._lock:
@@ -324,8 +328,11 @@
         """Decide locally on requests that wait in the pool's region."""
         self._allocator_lost(self._tickets.in_region(pool.region) if pool.region else None)
 
-    def _lose_region(self, region: str) -> None:
-        """Contact another region's allocators no more for a while, and decide locally instead."""
+    def _pause_region(self, region: str) -> None:
+        """Request no placements in another region for a while, and decide locally instead.
+
+        Reports continue: its allocator may be alive and drops counts that are not repeated.
+        """
         self._ask_again_at_by_region[region] = boot_clock.now() + OTHER_REGION_PAUSE_S
         self._allocator_lost(self._tickets.in_region(region))
 
@@ -671,7 +678,7 @@
         self._allocator_choice.avoid(message.service, member)
         self._record_queue_length(member, NO_QUEUE)
         if self._is_elsewhere(pool):
-            self._lose_region(pool.region)
+            self._pause_region(pool.region)
         else:
             self._lose_allocator(pool)
         return None
