Let peers' warm-up times only extend what a gateway knows

Cause: the time in a list that was pulled from a peer counted as the replica's own statement: it replaced newer ones, an unknown time became 0 (warm), and the unchanged entry in the store looked new and started the warm-up again. Change: a peer's time can only extend the warm-up of a listed replica; unknown is sent as a negative number, which older builds take as warm like the 0 they were sent before; records carry what the store's entry states (last field).

--- a/src/quaymill/connection/control_messages.py
+++ b/src/quaymill/connection/control_messages.py
@@ -28,7 +28,16 @@
 
 
 class ReplicaRecord(msgspec.Struct, frozen=True, array_like=True):
-    """One replica's entry."""
+    """One replica's entry.
+
+    Attributes
+    ----------
+    cold_left_s
+        Remaining warm-up time as known by the sender; negative if unknown, which older builds take
+        as 0.
+    listed_left_s
+        Remaining warm-up time as it stands in the platform's list; ``None`` if unknown.
+    """
 
     id: str
     service: str
@@ -38,6 +47,7 @@
     draining: bool
     cold_left_s: float
     started_ms: int = msgspec.field(default=0, name="born_ms")
+    listed_left_s: float | None = None
 
 
 class ControlState(PeerMessage, frozen=True):
--- a/src/quaymill/connection/replica_entry.py
+++ b/src/quaymill/connection/replica_entry.py
@@ -32,6 +32,9 @@
         the entry states an invalid time.
     started_ms
         Start time in Unix milliseconds, by the replica's clock; 0 if unknown.
+    listed_left_s
+        Remaining time as it stands in the platform's list, if another gateway sent the entry and
+        ``cold_left_s`` is what that gateway knows; ``None`` otherwise.
     """
 
     id: str
@@ -42,6 +45,7 @@
     draining: bool = False
     cold_left_s: float | None = attrs.field(default=0.0, eq=False)
     started_ms: int = 0
+    listed_left_s: float | None = attrs.field(default=None, eq=False)
 
     @property
     def incarnation(self) -> str:
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -48,6 +48,8 @@
 PULL_CHECK_INTERVAL_S = 0.5
 PULL_TIMEOUT_S = 0.8
 PULL_RETRY_S = 0.1
+UNKNOWN_LEFT_S = -1.0
+"""Warm-up time of a replica that states none, in a message: older builds expect a number."""
 MAX_PULLS_AT_ONCE = 4
 """Maximum number of pulls answered at once; other gateways retry, possibly with another peer."""
 
@@ -377,8 +379,9 @@
         entry.zone,
         entry.slots,
         entry.draining,
-        entry.cold_left_s or 0.0,
+        UNKNOWN_LEFT_S if entry.cold_left_s is None else entry.cold_left_s,
         entry.started_ms,
+        entry.listed_left_s,
     )
 
 
@@ -390,6 +393,7 @@
         record.zone,
         record.slots,
         record.draining,
-        record.cold_left_s,
+        None if record.cold_left_s < 0 else record.cold_left_s,
         record.started_ms,
+        record.listed_left_s,
     )
--- a/src/quaymill/process/replica_set/cold_start.py
+++ b/src/quaymill/process/replica_set/cold_start.py
@@ -139,9 +139,17 @@
     _evacuation_ended_at: float = -math.inf
 
     @classmethod
-    def from_entry(cls, left_s: float | None, now: float) -> ColdState:
-        """Return the state of a replica that has just been listed."""
-        state = cls(now, left_s)
+    def from_entry(
+        cls, left_s: float | None, now: float, listed_left_s: float | None = None
+    ) -> ColdState:
+        """Return the state of a replica that has just been listed.
+
+        Parameters
+        ----------
+        listed_left_s
+            Remaining time in the platform's list, if ``left_s`` is what another gateway knows.
+        """
+        state = cls(now, left_s if listed_left_s is None else listed_left_s)
         state._state(left_s, now)
         return state
 
@@ -174,10 +182,24 @@
         self._state(left_s, now)
         return True
 
-    def record_listed_again(self, left_s: float | None, now: float) -> None:
+    def record_peer_time(self, left_s: float | None, rule: ColdRule, now: float) -> bool:
+        """Record what another gateway knows, which can only extend the warm-up.
+
+        Returns whether it changes what is known.
+        """
+        known_left_s = max(0.0, self.cold_until(rule) - now)
+        if left_s is None or left_s <= known_left_s or not _differ(left_s, known_left_s):
+            return False
+        self.reason = "peer"
+        self._state(left_s, now)
+        return True
+
+    def record_listed_again(
+        self, left_s: float | None, now: float, listed_left_s: float | None = None
+    ) -> None:
         """Record the entry of a replica that is listed again; it replaces earlier statements."""
         self.listed_at = now
-        self.entry_left_s = left_s
+        self.entry_left_s = left_s if listed_left_s is None else listed_left_s
         self.reason = "listed again"
         self._stated_until = None
         self._state(left_s, now)
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -133,7 +133,9 @@
         self._is_evacuated = is_evacuated
         self.regions = regions
         self._cold_rule_of = cold_rule_of
-        self._cold_state = ColdState.from_entry(entry.cold_left_s, boot_clock.now())
+        self._cold_state = ColdState.from_entry(
+            entry.cold_left_s, boot_clock.now(), entry.listed_left_s
+        )
         self._cold_permits = ColdPermits()
         self._known_cold_until: tuple[ColdRule, float] | None = None
         self._unreported_cold: tuple[float, float] | None = None
@@ -233,11 +235,13 @@
         """Record a newer entry of the same run."""
         with self._lock:
             if self.departed_at is not None:
-                self._cold_state.record_listed_again(entry.cold_left_s, boot_clock.now())
+                self._cold_state.record_listed_again(
+                    entry.cold_left_s, boot_clock.now(), entry.listed_left_s
+                )
                 self._known_cold_until = None
             self.entry = entry
 
-    def record_warm_up(self, entry: ReplicaEntry) -> bool:
+    def record_warm_up(self, entry: ReplicaEntry, *, from_peer: bool = False) -> bool:
         """Record the warm-up time in a newer entry of the same run, if it is listed.
 
         Returns whether this changes what is known of its warm-up.
@@ -246,9 +250,11 @@
         if rule is None or self.departed_at is not None:
             return False
         with self._lock:
+            self._known_cold_until = None
+            if from_peer:
+                return self._cold_state.record_peer_time(entry.cold_left_s, rule, boot_clock.now())
             if entry == self.entry:
                 self.entry = entry
-            self._known_cold_until = None
             return self._cold_state.record_entry(entry.cold_left_s, rule, boot_clock.now())
 
     def record_cold_left(self, left_s: float) -> None:
@@ -303,7 +309,11 @@
         until = self.cold_until
         if not until:
             return self.entry
-        return attrs.evolve(self.entry, cold_left_s=max(0.0, until - boot_clock.now()))
+        return attrs.evolve(
+            self.entry,
+            cold_left_s=max(0.0, until - boot_clock.now()),
+            listed_left_s=self._cold_state.entry_left_s,
+        )
 
     def add_cold_permits(self, count: int, at: float) -> None:
         """Record that the slot allocator granted requests to it, although it is cold.
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -99,7 +99,12 @@
         )
 
     def replace_all(
-        self, entries: Iterable[ReplicaEntry], revision: int, *, keep_missing: bool = False
+        self,
+        entries: Iterable[ReplicaEntry],
+        revision: int,
+        *,
+        keep_missing: bool = False,
+        from_peer: bool = False,
     ) -> int:
         """Replace the listed replicas by the platform's list at ``revision``.
 
@@ -113,6 +118,8 @@
         keep_missing
             Keep the replicas that are missing in ``entries``, as entries that expired during an
             outage of the store may return.
+        from_peer
+            The remaining warm-up times are what another gateway knows.
 
         Returns
         -------
@@ -129,7 +136,7 @@
             kept = len(known.keys() - listed.keys()) if keep_missing else 0
             if kept:
                 listed = known | listed
-            warm_up_changed = self._record_warm_ups(listed)
+            warm_up_changed = self._record_warm_ups(listed, from_peer=from_peer)
             if self.revision and listed == known and not warm_up_changed:
                 return kept
             for entry in listed.values():
@@ -146,7 +153,7 @@
         The revision is raised even if the content is the same, for example after a replica
         departed and returned. Otherwise the same list would be requested again and again.
         """
-        self.replace_all(entries, revision)
+        self.replace_all(entries, revision, from_peer=True)
         with self._lock:
             self.revision = max(self.revision, revision)
 
@@ -179,13 +186,13 @@
             cold_rule_of=self._cold_rule_of,
         )
 
-    def _record_warm_ups(self, listed: Mapping[str, ReplicaEntry]) -> bool:
+    def _record_warm_ups(self, listed: Mapping[str, ReplicaEntry], *, from_peer: bool) -> bool:
         """Record the warm-up times of replicas that stay listed; return whether any changes."""
         changed = False
         for entry in listed.values():
             replica = self._by_id.get(entry.id)
             if replica is not None and entry.started_ms == replica.entry.started_ms:
-                changed |= replica.record_warm_up(entry)
+                changed |= replica.record_warm_up(entry, from_peer=from_peer)
         return changed
 
     def mark_zone_cold(self, zone: str) -> None:
--- a/tests/test_cold_replicas.py
+++ b/tests/test_cold_replicas.py
@@ -5,12 +5,15 @@
 import unittest
 from unittest import mock
 
+import msgspec
 from nose2.tools import params
 
 from quaymill import boot_clock
+from quaymill.connection.control_messages import ReplicaRecord
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.platform.gateway_role import GATEWAY_PROTOCOL
+from quaymill.process.control.state import _entry, _record
 from quaymill.process.replica_set.cold_start import PERMIT_LIFETIME_S, ColdRule
 from quaymill.process.replica_set.online_queue import OnlineQueue
 from quaymill.process.replica_set.router import Router
@@ -197,6 +200,34 @@
         other.replace_from_peer(self.table.shared_entries(), 2)
         self.assertAlmostEqual(1.0, other.get("a").cold_until - self.now)
 
+    def pull_from(self, *entries: ReplicaEntry, revision: int = 9) -> None:
+        """Let the table get a list as gateways send it."""
+        sent = msgspec.json.encode([_record(one) for one in entries])
+        records = msgspec.json.decode(sent, type=list[ReplicaRecord])
+        self.table.replace_from_peer([_entry(one) for one in records], revision)
+
+    def test_peers_only_extend_the_warm_up(self) -> None:
+        """Guards against a peer's estimate that replaces what the replica has stated."""
+        self.table.get("a").record_cold_left(2.0)
+        for left_s, expected_s in ((0.0, 2.0), (None, 2.0), (5.0, 5.0), (1.0, 5.0)):
+            self.pull_from(entry("a", left_s))
+            self.assertAlmostEqual(expected_s, self.cold_left_s())
+
+    def test_unknown_warm_up_is_sent_as_unknown(self) -> None:
+        """Guards against a replica that counts as warm because a peer knows nothing of it."""
+        self.pull_from(entry("a"), entry("b", None))
+        self.assertAlmostEqual(RULE.warm_up_s, self.table.get("b").cold_until - self.now)
+
+    def test_entry_that_a_peer_has_read_before_is_not_new(self) -> None:
+        """Guards against a warm-up that starts again with the first read after a pull."""
+        self.table.replace_all([entry("a", 3.0)], 2)
+        self.now += 2.5
+        shared = self.table.shared_entries()
+        self.table = ReplicaTable(cold_rule_of=lambda service: RULE)
+        self.pull_from(*shared)
+        self.table.replace_all([entry("a", 3.0)], 10)
+        self.assertAlmostEqual(0.5, self.cold_left_s())
+
     def test_replicas_are_cold_after_the_evacuation_of_their_zone(self) -> None:
         self.table.replace_all([entry("a"), entry("b", zone="y")], 2)
         self.now += 60.0
