Test peers' warm-up times longer after an answer

Cause: test_peers_only_extend_the_warm_up was green without the change that it belongs to, as entries soon after an answer can only extend the warm-up. Change: the peer's list comes 3 s after the answer.

--- a/tests/test_cold_replicas.py
+++ b/tests/test_cold_replicas.py
@@ -208,7 +208,8 @@
 
     def test_peers_only_extend_the_warm_up(self) -> None:
         """Guards against a peer's estimate that replaces what the replica has stated."""
-        self.table.get("a").record_cold_left(2.0)
+        self.table.get("a").record_cold_left(5.0)
+        self.now += 3.0  # Soon after an answer, an entry can only extend the warm-up anyway.
         for left_s, expected_s in ((0.0, 2.0), (None, 2.0), (5.0, 5.0), (1.0, 5.0)):
             self.pull_from(entry("a", left_s))
             self.assertAlmostEqual(expected_s, self.cold_left_s())
