Compare revisions of evacuations only where they are enabled

Cause: a gateway whose settings have no evacuations took a confirmation with a revision of the set as news, and was never confirmed by such a peer. Change: the revision is compared only where evacuations are enabled. Measured: test_gateway_without_evacuations_is_confirmed_by_one_that_reads_them is red without the change and green with it.

--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -247,13 +247,14 @@
         self, version: int, revision: int, evacuations_revision: int, at: float
     ) -> None:
         """Handle another gateway's report of the newest versions in the store."""
+        reads_evacuations = self._evacuations is not None
         if (
             self.routes.version < version
             or self._table.revision < revision
-            or self._evacuations_revision < evacuations_revision
+            or (reads_evacuations and self._evacuations_revision < evacuations_revision)
         ):
             self._wake.set()
-        elif evacuations_revision or self._evacuations is None:
+        elif evacuations_revision or not reads_evacuations:
             # A gateway that does not read evacuations, such as one of an older build, cannot
             # confirm them.
             self._membership.confirm_versions(at)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -366,6 +366,14 @@
         gateways.views["g0"]._handle_confirmation(1, 1, 0, 3.0)
         self.assertEqual(3.0, gateways.memberships["g0"].confirmed_at)
 
+    def test_gateway_without_evacuations_is_confirmed_by_one_that_reads_them(self) -> None:
+        """Guards against a gateway that wakes for a set that it never pulls."""
+        gateways = _Gateways("g0", enabled=False)
+        gateways.views["g0"]._read_store()
+        gateways.memberships["g0"].confirmed_at = None
+        gateways.views["g0"]._handle_confirmation(1, 1, 7, 3.0)
+        self.assertEqual(3.0, gateways.memberships["g0"].confirmed_at)
+
 
 class WireTest(unittest.TestCase):
     """Builds and deployments without evacuations exchange the same bytes as before."""
