Leave evacuations out of messages where there are none

Cause: PullControl and ControlState carried the fields of evacuations in deployments without them. Change: they are left out of the encoded messages there (msgspec.UNSET); what is missing is read as 0 and None as before. Measured: test_messages_of_a_deployment_without_evacuations_have_the_fields_of_before is red without the change and green with it.

--- a/src/quaymill/connection/control_messages.py
+++ b/src/quaymill/connection/control_messages.py
@@ -19,12 +19,13 @@
     replicas_revision
         Revision up to which the sender's list of replicas is current.
     evacuations_revision
-        Revision of the sender's set of evacuated zones; 0 if it has none.
+        Revision of the sender's set of evacuated zones; 0 if it has none. Left out of the encoded
+        message where the deployment has no evacuations.
     """
 
     configuration_version: int
     replicas_revision: int
-    evacuations_revision: int = 0
+    evacuations_revision: int | msgspec.UnsetType = 0
 
 
 class ReplicaRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -60,11 +61,12 @@
     replicas
         All listed replicas; ``None`` if the list is not newer.
     evacuated_zones
-        All evacuated zones; ``None`` if the set is not newer.
+        All evacuated zones; ``None`` if the set is not newer. It and its revision are left out of
+        the encoded message where the deployment has no evacuations.
     """
 
     configuration: Any | None = None
     replicas: tuple[ReplicaRecord, ...] | None = None
     replicas_revision: int = 0
-    evacuated_zones: tuple[str, ...] | None = None
-    evacuations_revision: int = 0
+    evacuated_zones: tuple[str, ...] | msgspec.UnsetType | None = None
+    evacuations_revision: int | msgspec.UnsetType = 0
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -323,7 +323,10 @@
 
     def _pull_from(self, peer: Member) -> bool:
         """Pull newer data from a peer and apply it; return whether the peer answered."""
-        message = PullControl(self.routes.version, self._table.revision, self._evacuations_revision)
+        evacuations_revision = (
+            msgspec.UNSET if self._evacuations is None else self._evacuations.revision
+        )
+        message = PullControl(self.routes.version, self._table.revision, evacuations_revision)
         reply = self._peer_client.call(peer.peer, message, ControlState, PULL_TIMEOUT_S)
         if not isinstance(reply, ControlState):
             return False
@@ -333,7 +336,7 @@
             entries = [_entry(record) for record in reply.replicas]
             self._table.replace_from_peer(entries, reply.replicas_revision)
             log_message("control:replicas_pulled", peer=peer.name, revision=reply.replicas_revision)
-        if reply.evacuated_zones is not None and self._evacuations is not None:
+        if reply.evacuated_zones not in (None, msgspec.UNSET) and self._evacuations is not None:
             source = f"peer {peer.name}"
             if self._evacuations.apply_from_peer(
                 reply.evacuated_zones, reply.evacuations_revision, source
@@ -360,7 +363,11 @@
         if revision > message.replicas_revision:
             records = tuple(_record(entry) for entry in self._table.shared_entries())
             state = msgspec.structs.replace(state, replicas=records, replicas_revision=revision)
-        if self._evacuations_revision > message.evacuations_revision:
+        if self._evacuations is None:
+            return msgspec.structs.replace(
+                state, evacuated_zones=msgspec.UNSET, evacuations_revision=msgspec.UNSET
+            )
+        if self._evacuations.revision > (message.evacuations_revision or 0):
             zones, revision = self._evacuations.snapshot()
             state = msgspec.structs.replace(
                 state, evacuated_zones=tuple(sorted(zones)), evacuations_revision=revision
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -391,6 +391,23 @@
         probe = Probe(sender="a", incarnation=5, evacuations=11)
         self.assertEqual(11, decode_datagram(encode_datagram(probe)).evacuations)
 
+    def test_messages_of_a_deployment_without_evacuations_have_the_fields_of_before(self) -> None:
+        """Guards against bytes that deployments pay for without using the feature."""
+        gateways = _Gateways("g0", "g1", enabled=False)
+        gateways.views["g0"]._read_store()
+        sent: list[Any] = []
+
+        def call(endpoint: Endpoint, message: Any, reply_type: type, timeout_s: float) -> Any:
+            sent.extend((message, gateways.handlers["g0"](message)))
+            return sent[-1]
+
+        gateways.views["g1"]._peer_client = mock.Mock(call=call)
+        self.assertTrue(gateways.pull("g1"))
+        pull, state = (msgspec.json.decode(msgspec.json.encode(one)) for one in sent)
+        self.assertEqual({"kind", "configuration_version", "replicas_revision"}, set(pull))
+        self.assertEqual({"kind", "configuration", "replicas", "replicas_revision"}, set(state))
+        self.assertEqual(1, gateways.views["g1"].routes.version)
+
     def test_messages_of_older_builds_are_understood(self) -> None:
         pull = msgspec.json.decode(
             b'{"kind":"PullControl","configuration_version":1,"replicas_revision":2}',
