--- a/src/quaymill/connection/control_messages.py
+++ b/src/quaymill/connection/control_messages.py
@@ -19,16 +19,26 @@
     replicas_revision
         Revision up to which the sender's list of replicas is current.
     evacuations_revision
-        Revision of the sender's set of evacuated zones; 0 if it has none.
+        Revision of the sender's set of evacuated zones; 0 if it has none. Left out of the encoded
+        message where the deployment has no evacuations.
     """
 
     configuration_version: int
     replicas_revision: int
-    evacuations_revision: int = 0
+    evacuations_revision: int | msgspec.UnsetType = 0
 
 
 class ReplicaRecord(msgspec.Struct, frozen=True, array_like=True):
-    """One replica's entry."""
+    """One replica's entry.
+
+    Attributes
+    ----------
+    cold_left_s
+        Remaining warm-up time as known by the sender; negative if unknown, which older builds take
+        as 0.
+    listed_left_s
+        Remaining warm-up time as it stands in the platform's list; ``None`` if unknown.
+    """
 
     id: str
     service: str
@@ -38,6 +48,7 @@
     draining: bool
     cold_left_s: float
     started_ms: int = msgspec.field(default=0, name="born_ms")
+    listed_left_s: float | None = None
 
 
 class ControlState(PeerMessage, frozen=True):
@@ -50,11 +61,12 @@
     replicas
         All listed replicas; ``None`` if the list is not newer.
     evacuated_zones
-        All evacuated zones; ``None`` if the set is not newer.
+        All evacuated zones; ``None`` if the set is not newer. It and its revision are left out of
+        the encoded message where the deployment has no evacuations.
     """
 
     configuration: Any | None = None
     replicas: tuple[ReplicaRecord, ...] | None = None
     replicas_revision: int = 0
-    evacuated_zones: tuple[str, ...] | None = None
-    evacuations_revision: int = 0
+    evacuated_zones: tuple[str, ...] | msgspec.UnsetType | None = None
+    evacuations_revision: int | msgspec.UnsetType = 0
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -48,6 +48,8 @@
 PULL_CHECK_INTERVAL_S = 0.5
 PULL_TIMEOUT_S = 0.8
 PULL_RETRY_S = 0.1
+UNKNOWN_LEFT_S = -1.0
+"""Warm-up time of a replica that states none, in a message: older builds expect a number."""
 MAX_PULLS_AT_ONCE = 4
 """Maximum number of pulls answered at once; other gateways retry, possibly with another peer."""
 
@@ -245,13 +247,14 @@
         self, version: int, revision: int, evacuations_revision: int, at: float
     ) -> None:
         """Handle another gateway's report of the newest versions in the store."""
+        reads_evacuations = self._evacuations is not None
         if (
             self.routes.version < version
             or self._table.revision < revision
-            or self._evacuations_revision < evacuations_revision
+            or (reads_evacuations and self._evacuations_revision < evacuations_revision)
         ):
             self._wake.set()
-        elif evacuations_revision or self._evacuations is None:
+        elif evacuations_revision or not reads_evacuations:
             # A gateway that does not read evacuations, such as one of an older build, cannot
             # confirm them.
             self._membership.confirm_versions(at)
@@ -320,7 +323,10 @@
 
     def _pull_from(self, peer: Member) -> bool:
         """Pull newer data from a peer and apply it; return whether the peer answered."""
-        message = PullControl(self.routes.version, self._table.revision, self._evacuations_revision)
+        evacuations_revision = (
+            msgspec.UNSET if self._evacuations is None else self._evacuations.revision
+        )
+        message = PullControl(self.routes.version, self._table.revision, evacuations_revision)
         reply = self._peer_client.call(peer.peer, message, ControlState, PULL_TIMEOUT_S)
         if not isinstance(reply, ControlState):
             return False
@@ -330,7 +336,7 @@
             entries = [_entry(record) for record in reply.replicas]
             self._table.replace_from_peer(entries, reply.replicas_revision)
             log_message("control:replicas_pulled", peer=peer.name, revision=reply.replicas_revision)
-        if reply.evacuated_zones is not None and self._evacuations is not None:
+        if reply.evacuated_zones not in (None, msgspec.UNSET) and self._evacuations is not None:
             source = f"peer {peer.name}"
             if self._evacuations.apply_from_peer(
                 reply.evacuated_zones, reply.evacuations_revision, source
@@ -357,7 +363,11 @@
         if revision > message.replicas_revision:
             records = tuple(_record(entry) for entry in self._table.shared_entries())
             state = msgspec.structs.replace(state, replicas=records, replicas_revision=revision)
-        if self._evacuations_revision > message.evacuations_revision:
+        if self._evacuations is None:
+            return msgspec.structs.replace(
+                state, evacuated_zones=msgspec.UNSET, evacuations_revision=msgspec.UNSET
+            )
+        if self._evacuations.revision > (message.evacuations_revision or 0):
             zones, revision = self._evacuations.snapshot()
             state = msgspec.structs.replace(
                 state, evacuated_zones=tuple(sorted(zones)), evacuations_revision=revision
@@ -377,8 +387,9 @@
         entry.zone,
         entry.slots,
         entry.draining,
-        entry.cold_left_s or 0.0,
+        UNKNOWN_LEFT_S if entry.cold_left_s is None else entry.cold_left_s,
         entry.started_ms,
+        entry.listed_left_s,
     )
 
 
@@ -390,6 +401,7 @@
         record.zone,
         record.slots,
         record.draining,
-        record.cold_left_s,
+        None if record.cold_left_s < 0 else record.cold_left_s,
         record.started_ms,
+        record.listed_left_s,
     )
