Use warm-up times of this replica only, and log invalid ones where used

Cause: the time in an answer was recorded before it was known that the answer is this replica's, also from one with 421 or another request id; invalid times were logged for services that declare no cold rate. Change: the time is recorded after these checks; control:warm_up_invalid is logged only for services with a cold rule.

--- a/src/quaymill/process/control/entries.py
+++ b/src/quaymill/process/control/entries.py
@@ -29,13 +29,18 @@
         Returns the entry of an object, or a value with a ``reason`` if it is no replica entry.
     last_entry
         Returns the last valid entry of a replica; ``None`` if the replica is not listed.
+    uses_warm_up
+        Returns whether the warm-up times of a service's replicas are used, so that invalid ones are
+        logged.
     """
 
     def __init__(
         self,
         read_replica: Callable[[StoredObject], ReplicaEntry | Any],
         last_entry: Callable[[str], ReplicaEntry | None],
+        uses_warm_up: Callable[[str], bool] = lambda service: True,
     ) -> None:
+        self._uses_warm_up = uses_warm_up
         self._read_replica = read_replica
         self._last_entry = last_entry
         self._read_at_by_id: dict[str, float] = {}
@@ -64,7 +69,7 @@
         if entry.cold_left_s is None or not math.isnan(entry.cold_left_s):
             self._invalid_warm_up.discard(entry.id)
             return entry
-        if entry.id not in self._invalid_warm_up:
+        if entry.id not in self._invalid_warm_up and self._uses_warm_up(entry.service):
             self._invalid_warm_up.add(entry.id)
             log_message("control:warm_up_invalid", replica=entry.id)
         return attrs.evolve(entry, cold_left_s=None)
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -115,7 +115,7 @@
         self._read_revision = 0
         self._keep_missing_until = 0.0
         self._replicas_read_at = -math.inf
-        self._entries = EntryReader(protocol.read_replica, table.listed_entry)
+        self._entries = EntryReader(protocol.read_replica, table.listed_entry, table.has_cold_rule)
         self._pulls = threading.Semaphore(MAX_PULLS_AT_ONCE)
         self._wake = threading.Event()
         self._stopping = threading.Event()
--- a/src/quaymill/process/jobs/engine_loads.py
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -193,9 +193,7 @@
         report = self._protocol.read(body) if exchange.status == 200 else None
         if report is None or not _is_from_listed_process(report, replica):
             return None
-        cold_left_s = self._protocol.read_cold_left(exchange)
-        if cold_left_s is not None:
-            replica.record_cold_left(cold_left_s)
+        replica.record_cold_left(self._protocol.read_cold_left(exchange))
         return report
 
 
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -158,16 +158,17 @@
     head = protocol.read_answer_head(exchange)
     if head.load is not None:
         replica.record_report(head.load)
-    if head.cold_left_s is not None:
-        replica.record_cold_left(head.cold_left_s)
     if head.not_executed:
         if head.misdirected:
             replica.misdirected = True
+        else:
+            replica.record_cold_left(head.cold_left_s)
         exchange.abandon()
         return ItemCut(f"the replica answered {head.status}, not run", blames_replica=False)
     if head.request_id != request.id:
         exchange.abandon()
         return ItemCut(f"the answer has another request id: {head.request_id or 'none'}")
+    replica.record_cold_left(head.cold_left_s)
     if head.status != 200:
         exchange.abandon()
         return _error_outcome(head.status)
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -257,11 +257,14 @@
                 self.entry = entry
             return self._cold_state.record_entry(entry.cold_left_s, rule, boot_clock.now())
 
-    def record_cold_left(self, left_s: float) -> None:
+    def record_cold_left(self, left_s: float | None) -> None:
         """Record the remaining warm-up time that an answer of the replica states.
 
-        An invalid one, which is NaN, is logged once and ignored.
+        ``None`` if it states none. An invalid one, which is NaN, is ignored, and logged once if its
+        service declares a cold rate.
         """
+        if left_s is None:
+            return
         if not math.isnan(left_s):
             now = boot_clock.now()
             rule = self.cold_rule
@@ -269,7 +272,7 @@
                 if self._cold_state.record_answer(left_s, rule, now):
                     self._unreported_cold = (left_s, now)
                 self._known_cold_until = None
-        elif not self._logged_invalid_warm_up:
+        elif self.cold_rule is not None and not self._logged_invalid_warm_up:
             self._logged_invalid_warm_up = True
             log_message("control:warm_up_invalid", replica=self.id)
 
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -435,13 +435,12 @@
     ) -> AttemptResult:
         if head.load is not None:
             replica.record_report(head.load)
-        if head.cold_left_s is not None:
-            replica.record_cold_left(head.cold_left_s)
         if head.not_executed:
             return self._handle_refusal(exchange, replica, head)
         if head.request_id != self._request.id:
             exchange.abandon()
             return Broken(f"the answer's request id does not match: {head.request_id or 'no id'}")
+        replica.record_cold_left(head.cold_left_s)
         if head.status >= 500 and self._may_try_another():
             self._keep_error(exchange, replica, head)
             return Broken(f"the replica answered {head.status}")
@@ -464,5 +463,7 @@
         if head.misdirected:
             replica.misdirected = True
             log_message("replica:misdirected", replica=replica.id)
+        else:
+            replica.record_cold_left(head.cold_left_s)
         exchange.abandon()
         return Refused(f"the replica answered {head.status} and did not run the request")
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -108,7 +108,7 @@
     def record_report(self, load: ReportedLoad) -> None:
         """Record a load report of the replica."""
 
-    def record_cold_left(self, left_s: float) -> None:
+    def record_cold_left(self, left_s: float | None) -> None:
         """Record the remaining warm-up time that the replica states; NaN if it is invalid."""
 
     def slowness(self) -> float:
--- a/tests/test_cold_replicas.py
+++ b/tests/test_cold_replicas.py
@@ -11,16 +11,20 @@
 from quaymill import boot_clock
 from quaymill.connection.control_messages import ReplicaRecord
 from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.object_store import Listing, StoredObject
+from quaymill.connection.replica_answer import AnswerHead
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.platform.gateway_role import GATEWAY_PROTOCOL
+from quaymill.process.control.entries import EntryReader
 from quaymill.process.control.state import _entry, _record
+from quaymill.process.jobs import item_run
 from quaymill.process.replica_set.cold_start import PERMIT_LIFETIME_S, ColdRule
 from quaymill.process.replica_set.online_queue import OnlineQueue
 from quaymill.process.replica_set.router import Router
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.deadline import Deadline
 from quaymill.request.forwarded_request import ForwardedRequest
-from quaymill.request.forwarding import Forwarder
+from quaymill.request.forwarding import Forwarder, _Forwarding
 from quaymill.request.forwarding_result import GivenUp
 from quaymill.request.outcome import NotRun
 from quaymill.request.presence import CallerPresence
@@ -112,6 +116,32 @@
         self.assertEqual([], self.connections.called)
         self.assertEqual(2, self.queue.wait_for_slot.call_count)
 
+    @params(
+        ("this replica", AnswerHead(500, "", (), "r", cold_left_s=5.0), True),
+        ("refused", AnswerHead(503, "", (), "", not_executed=True, cold_left_s=5.0), True),
+        ("421", AnswerHead(421, "", (), "", True, misdirected=True, cold_left_s=5.0), False),
+        ("another request", AnswerHead(500, "", (), "other", cold_left_s=5.0), False),
+    )
+    def test_answer_of_another_replica_says_nothing_of_the_warm_up(self, _, head, counts) -> None:
+        """Guards against a warm-up time that another process states at the replica's address."""
+        request = ForwardedRequest("r", "POST", "/x", (), b"", Deadline.after(20.0))
+        exchange = mock.Mock(**{"read_head.return_value": None})
+        for run in ("request", "item"):
+            self.table.replace_all([entry("x", 0.0, started_ms=len(run))], len(run))
+            replica = self.table.get("x")
+            if run == "item":
+                protocol = mock.Mock(**{"read_answer_head.return_value": head})
+                item_run._read_answer(mock.Mock(), request, replica, exchange, protocol)
+            else:
+                forwarder = Forwarder(mock.Mock(), mock.Mock(), mock.Mock())
+                answer = mock.Mock(started=False)
+                forwarding = _Forwarding(
+                    forwarder, request, ROUTE, answer, CallerPresence(), lambda: None
+                )
+                forwarding._relay = mock.Mock()
+                forwarding._handle_answer(exchange, replica, head, boot_clock.now())
+            self.assertEqual(counts, replica.cold, run)
+
     @params((0.1, False), (30.0, True))
     def test_dispatch_deadline_of_the_queue(self, left_s, expected) -> None:
         queue = OnlineQueue(self.table)
@@ -183,6 +213,23 @@
         self.table.replace_all([entry("a", left_s), entry("b")], 3)
         self.assertAlmostEqual(expected_s, self.cold_left_s())
 
+    @params((None, 0), (RULE, 2))
+    def test_invalid_times_are_logged_where_a_rate_is_declared(self, rule, expected) -> None:
+        """Guards against log lines on values that nothing uses."""
+        table = ReplicaTable(cold_rule_of=lambda service: rule)
+        reader = EntryReader(lambda stored: stored.spec, table.listed_entry, table.has_cold_rule)
+        table.replace_all([entry("a")], 1)
+        invalid = float("nan")
+        with (
+            mock.patch("quaymill.process.replica_set.replica.log_message") as from_answer,
+            mock.patch("quaymill.process.control.entries.log_message") as from_entry,
+        ):
+            table.get("a").record_cold_left(invalid)
+            reader.read(Listing((StoredObject("a", 1, entry("a", invalid)),), 1), self.now)
+        logged = [*from_answer.mock_calls, *from_entry.mock_calls]
+        invalid_events = [one for one in logged if one.args[0] == "control:warm_up_invalid"]
+        self.assertEqual(expected, len(invalid_events))
+
     def test_answers_state_the_warm_up(self) -> None:
         replica = self.table.get("a")
         replica.record_cold_left(2.0)
