Name statements of the warm-up as such, and take a missing one as unknown

Cause: ColdState._state names no action; an entry that is made without a warm-up time stated that the replica is warm; the documentation of PauseWatch did not say what it misses. Change: _record_statement, default None, documentation. Measured: test_entry_without_a_warm_up_time_states_none is red without the change and green with it.

--- a/src/quaymill/connection/replica_entry.py
+++ b/src/quaymill/connection/replica_entry.py
@@ -43,7 +43,7 @@
     zone: str
     slots: int
     draining: bool = False
-    cold_left_s: float | None = attrs.field(default=0.0, eq=False)
+    cold_left_s: float | None = attrs.field(default=None, eq=False)
     started_ms: int = 0
     listed_left_s: float | None = attrs.field(default=None, eq=False)
 
--- a/src/quaymill/process/replica_set/cold_start.py
+++ b/src/quaymill/process/replica_set/cold_start.py
@@ -150,7 +150,7 @@
             Remaining time in the platform's list, if ``left_s`` is what another gateway knows.
         """
         state = cls(now, left_s if listed_left_s is None else listed_left_s)
-        state._state(left_s, now)
+        state._record_statement(left_s, now)
         return state
 
     def cold_until(self, rule: ColdRule) -> float:
@@ -179,7 +179,7 @@
         if not _differ(max(0.0, stated_left_s), known_left_s):
             return False
         self.reason = "entry"
-        self._state(left_s, now)
+        self._record_statement(left_s, now)
         return True
 
     def record_peer_time(self, left_s: float | None, rule: ColdRule, now: float) -> bool:
@@ -191,7 +191,7 @@
         if left_s is None or left_s <= known_left_s or not _differ(left_s, known_left_s):
             return False
         self.reason = "peer"
-        self._state(left_s, now)
+        self._record_statement(left_s, now)
         return True
 
     def record_listed_again(
@@ -202,7 +202,7 @@
         self.entry_left_s = left_s if listed_left_s is None else listed_left_s
         self.reason = "listed again"
         self._stated_until = None
-        self._state(left_s, now)
+        self._record_statement(left_s, now)
 
     def record_answer(
         self, left_s: float, rule: ColdRule | None, now: float, age_s: float = 0.0
@@ -224,7 +224,7 @@
             return False
         self.reason = "answer"
         self._answered_at = now - age_s
-        self._state(left_s, now)
+        self._record_statement(left_s, now)
         if rule is None:
             return False
         known_left_s, left_s = (max(0.0, at - now) for at in (before, self.cold_until(rule)))
@@ -235,7 +235,7 @@
         self.reason = "evacuation ended"
         self._evacuation_ended_at = now
 
-    def _state(self, left_s: float | None, now: float) -> None:
+    def _record_statement(self, left_s: float | None, now: float) -> None:
         if left_s is not None:
             self._stated_at = now
             self._stated_until = now + left_s
@@ -349,7 +349,11 @@
 
 
 class PauseWatch:
-    """Notices that this process was paused, so that messages may have waited for it."""
+    """Notices that this process was paused, so that messages may have waited for it.
+
+    Pauses shorter than ``MAX_TICK_GAP_S`` are not noticed, nor are threads that wait while the
+    ticking one runs, nor messages that another process or the network has delayed.
+    """
 
     def __init__(self) -> None:
         self._ticked_at = -math.inf
--- a/tests/test_cold_replicas.py
+++ b/tests/test_cold_replicas.py
@@ -126,8 +126,8 @@
         """Guards against a warm-up time that another process states at the replica's address."""
         request = ForwardedRequest("r", "POST", "/x", (), b"", Deadline.after(20.0))
         exchange = mock.Mock(**{"read_head.return_value": None})
-        for run in ("request", "item"):
-            self.table.replace_all([entry("x", 0.0, started_ms=len(run))], len(run))
+        for number, run in enumerate(("request", "item"), 2):
+            self.table.replace_all([entry("x", 0.0, started_ms=number)], number)
             replica = self.table.get("x")
             if run == "item":
                 protocol = mock.Mock(**{"read_answer_head.return_value": head})
@@ -261,6 +261,10 @@
             self.pull_from(entry("a", left_s))
             self.assertAlmostEqual(expected_s, self.cold_left_s())
 
+    def test_entry_without_a_warm_up_time_states_none(self) -> None:
+        """Guards against entries that count as a statement that the replica is warm."""
+        self.assertIsNone(ReplicaEntry("b", SERVICE, Endpoint("h", 1), "z", 4).cold_left_s)
+
     def test_unknown_warm_up_is_sent_as_unknown(self) -> None:
         """Guards against a replica that counts as warm because a peer knows nothing of it."""
         self.pull_from(entry("a"), entry("b", None))
