Ignore events of closed connections in the watch of callers

CallerWatch looked the descriptors of events up after the poll. By then a connection could have been closed and its descriptor reused, so that the next caller counted as gone. Streams beside short health checks on the code before: 64 of 5,152 answered 499; of 2,041 events 140 met a connection that had not ended, each registered 0.06 to 21 ms earlier, none while the gateway stopped. That rules out a shutdown by the stopping server and callers that had really left.

Events are now only a reason to look at the connection that is watched, under the lock that guards the end of a watch, so that its descriptor cannot be reused meanwhile. HeadWatch, PeerServer and the engine stand-in were checked for the same fault; none has it.

--- a/src/quaymill/process/gateway/caller_watch.py
+++ b/src/quaymill/process/gateway/caller_watch.py
@@ -11,10 +11,18 @@
 import socket
 import threading
 
+import attrs
+from eliot import log_message
+
 from quaymill.request.presence import CallerPresence
 
 POLL_TIMEOUT_S = 1.0
-_GONE = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+
+
+@attrs.frozen
+class _WatchedConnection:
+    connection: socket.socket
+    presence: CallerPresence
 
 
 class CallerWatch:
@@ -23,7 +31,7 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._poll = select.epoll()
-        self._watched: dict[int, CallerPresence] = {}
+        self._watched_by_fd: dict[int, _WatchedConnection] = {}
         self._stopping = False
 
     def start(self) -> None:
@@ -34,16 +42,16 @@
         """End the watch; requests still in service are interrupted."""
         self._stopping = True
         with self._lock:
-            watched = list(self._watched.values())
-        for presence in watched:
-            presence.interrupt()
+            watched = list(self._watched_by_fd.values())
+        for entry in watched:
+            entry.presence.interrupt()
 
     def watch(self, connection: socket.socket) -> CallerPresence:
         """Return the presence of the caller at the other end of ``connection``."""
         presence = CallerPresence()
         descriptor = connection.fileno()
         with self._lock, contextlib.suppress(OSError, ValueError):
-            self._watched[descriptor] = presence
+            self._watched_by_fd[descriptor] = _WatchedConnection(connection, presence)
             self._poll.register(descriptor, select.EPOLLRDHUP | select.EPOLLONESHOT)
         # Who left before the request was read has left now, not when the watch gets round to it:
         # the request would else reach a replica.
@@ -55,21 +63,37 @@
         """End the watch of a connection, before it is closed or carries the next request."""
         descriptor = connection.fileno()
         with self._lock:
-            self._watched.pop(descriptor, None)
+            self._watched_by_fd.pop(descriptor, None)
             with contextlib.suppress(OSError, ValueError):
                 self._poll.unregister(descriptor)
 
     def _serve(self) -> None:
         while not self._stopping:
-            for descriptor, event in self._poll.poll(POLL_TIMEOUT_S):
-                with self._lock:
-                    presence = self._watched.get(descriptor)
-                if presence is not None and event & _GONE:
-                    presence.leave()
+            for descriptor, _ in self._poll.poll(POLL_TIMEOUT_S):
+                self._handle_event(descriptor)
         self._poll.close()
 
+    def _handle_event(self, descriptor: int) -> None:
+        """Record that a caller has left, if the connection that is watched now has ended.
+
+        An event names a descriptor only. The connection that it was reported for may have been
+        closed since, and its descriptor reused for another caller.
+        """
+        with self._lock:
+            watched = self._watched_by_fd.get(descriptor)
+            # The lock keeps the connection open, as it is unwatched before it is closed.
+            has_left = watched is not None and _has_left(watched.connection)
+        if has_left:
+            watched.presence.leave()
+        elif watched is not None:
+            log_message("caller:stale_event", descriptor=descriptor)
+
 
 def _has_left(connection: socket.socket) -> bool:
+    """Return whether the connection has been closed, at either end."""
+    descriptor = connection.fileno()
+    if descriptor < 0:
+        return True
     poll = select.poll()
-    poll.register(connection, select.POLLRDHUP)
+    poll.register(descriptor, select.POLLRDHUP)
     return bool(poll.poll(0))
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -167,6 +167,11 @@
     "front:handler_error": LogEvent(
         "handling a request raised an exception", ("error: the exception",)
     ),
+    "caller:stale_event": LogEvent(
+        "the end of a connection was reported after its descriptor had been reused; the caller of"
+        " the new connection is still there",
+        ("descriptor: of both connections",),
+    ),
     "front:heads_given_up": LogEvent(
         "callers' connections were closed because no complete head of a request arrived in time",
         ("connections: how many",),
