Be ready only once each routed service has a replica

Callers of a node that had just become ready got 503 "no replica of drafting can take the request": 3 of 100 runs of test_drain.RollingRestartTest.test_no_request_is_cut at load averages of 11 to 13, at the first requests after the start of the cluster.

Readiness asked whether any machine list was held. With a request to each node as soon as it was ready, 4 of 36 were refused: three after a list of machines without replicas, since the platform lists machines late and one by one, and one between the receipt of a list and its application 2.7 ms later.

A node now waits until each service with routes has a replica in the view from which replicas are chosen; a service without any delays that by 3 s at most.

--- a/src/quaymill/process/gateway/gateway.py
+++ b/src/quaymill/process/gateway/gateway.py
@@ -54,6 +54,8 @@
 REQUEST_ID_BYTES = 8
 DRAIN_GRACE_S = 0.5
 CALLER_GONE_STATUS = 499
+MACHINE_LIST_TIMEOUT_S = 3.0
+"""How long after its start a node waits for machines that the platform lists late."""
 _VALID_REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,100}")
 
 
@@ -96,6 +98,9 @@
         self._application_client = ApplicationClient(links)
         self._notifier = PreemptionNotifier(load_view, peer_client)
         self._watch = CallerWatch()
+        self._holder = holder
+        self._load_view = load_view
+        self._created_at = boot_clock.now()
         self._draining = False
         self.at_most_once = AtMostOnceCalls(
             settings.name, job_store_client, membership, peer_client, peer_server
@@ -125,7 +130,7 @@
             self.metrics,
             lambda: self._draining,
             status_document or dict,
-            lambda: load_view.machines_known,
+            self._machines_known,
         ).register_routes(self.routes)
         self._server = HttpServer(settings.http_endpoint, self._answer, settings.gateway.threads)
         self._thread: threading.Thread | None = None
@@ -143,6 +148,23 @@
         self._thread = threading.Thread(target=self._server.serve, name="gateway", daemon=True)
         self._thread.start()
 
+    def _machines_known(self) -> bool:
+        """Return whether each routed service has a replica in the machine list.
+
+        The platform's list is late, so that the first lists may lack replicas that run already.
+        A service that really has none delays readiness by ``MACHINE_LIST_TIMEOUT_S`` at most.
+        """
+        if not self._load_view.machines_known:
+            return False
+        if boot_clock.now() - self._created_at > MACHINE_LIST_TIMEOUT_S:
+            return True
+        routes = self._holder.current().routes
+        return all(
+            self._load_view.replicas(service)
+            for service, route_by_group in routes.items()
+            if any(route.weight > 0 for route in route_by_group.values())
+        )
+
     def begin_drain(self) -> None:
         """Turn readiness off and ask callers to go elsewhere; requests are still served."""
         self._draining = True
--- a/src/quaymill/process/gateway/health.py
+++ b/src/quaymill/process/gateway/health.py
@@ -27,7 +27,7 @@
     Parameters
     ----------
     machines_known
-        Whether the machine list has been seen: without it no request finds a replica.
+        Whether the machine list has the replicas that requests need.
     """
 
     def __init__(
@@ -68,7 +68,7 @@
             )
         if not self._machines_known():
             return failure_response(
-                NotRun(503, "the node has no machine list yet", "wait, or check the platform")
+                NotRun(503, "the node knows no replicas yet", "wait, or check the platform")
             )
         return Response(headers={"Content-Type": "text/plain"}, body=b"ready\n")
 
