Take an answer of a replica, not its connection, as a sign of a reachable zone

A zone whose nodes are all dead is judged by its replicas. An accepted connection to one of them counted as a message from the zone, also if a proxy on this side of the cut had accepted it.

The replica is now asked for its load report; any answer or a refused connection counts. The new test in test_zone_cut shows four requests of 0.84 s without the change.

--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -16,7 +16,7 @@
 import msgspec
 from urllib3._collections import HTTPHeaderDict
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError, ReadTimeoutError
+from urllib3.exceptions import HTTPError, NewConnectionError, ReadTimeoutError
 from urllib3.response import BaseHTTPResponse
 
 from quaymill import boot_clock
@@ -34,6 +34,7 @@
 PROBE_CONNECT_TIMEOUT_S = 0.1
 """A machine without a listening process refuses the connection within a round trip of some
 milliseconds; no response for this long means a lost packet, a full accept queue or a cut link."""
+PROBE_ANSWER_TIMEOUT_S = 0.25
 PROBE_CLOSE_TIMEOUT_S = 0.02
 """A proxy that accepts connections for a stopped process closes them within this time."""
 
@@ -317,17 +318,25 @@
         with contextlib.closing(probe):
             return not is_readable(probe, PROBE_CLOSE_TIMEOUT_S)
 
-    def responds(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint responds, even if it refuses the connection."""
-        try:
-            socket.create_connection(
-                (endpoint.host, endpoint.port), timeout=PROBE_CONNECT_TIMEOUT_S
-            ).close()
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
-        return True
+    def responds(self, endpoint: Endpoint, request: ReplicaRequest) -> bool:
+        """Return whether an endpoint answers a request, or refuses the connection.
+
+        An accepted connection does not suffice, as a proxy on this side of a network partition may
+        have accepted it. Any answer counts, whatever its status.
+        """
+        connection = HTTPConnection(endpoint.host, endpoint.port, timeout=PROBE_CONNECT_TIMEOUT_S)
+        with contextlib.closing(connection):
+            try:
+                connection.connect()
+                connection.request(
+                    request.method, request.path, body=request.body, headers=request.headers
+                )
+                has_answer = is_readable(connection.sock, PROBE_ANSWER_TIMEOUT_S)
+                return has_answer and bool(connection.sock.recv(1))
+            except NewConnectionError as error:
+                return isinstance(error.__cause__, ConnectionRefusedError)
+            except (HTTPError, OSError):
+                return False
 
     def _new_connection(self, endpoint: Endpoint) -> HTTPConnection:
         return HTTPConnection(
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -151,7 +151,8 @@
             cold_rule_of=ColdRules(lambda: self.control.routes, settings.bounds).of,
         )
         self.network.zone_reachability.watch_replicas(
-            self._table.replicas, self._connections.responds
+            self._table.replicas,
+            lambda endpoint: self._connections.responds(endpoint, protocol.reports.request()),
         )
         self._circuit_store = build_circuit_store(settings, self.network, store)
         self.control = ControlPlaneView(
--- a/src/quaymill/process/membership/zone_reachability.py
+++ b/src/quaymill/process/membership/zone_reachability.py
@@ -258,7 +258,7 @@
         Parameters
         ----------
         responds
-            Tries to connect to an endpoint; returns whether it responds, even by a refusal.
+            Sends a request to an endpoint; returns whether it answers or refuses the connection.
         """
         self._replicas = replicas
         self._responds = responds
@@ -410,20 +410,20 @@
                 self._try_replica(name)
 
     def _try_replica(self, zone: str) -> None:
-        """Try to connect to a replica of a zone whose members are all dead."""
+        """Send a request to a replica of a zone whose members are all dead."""
         in_zone = [replica for replica in self._replicas() if replica.zone == zone]
         if in_zone:
             replica = self._random.choice(in_zone)
             arguments = (zone, replica)
-            threading.Thread(target=self._connect, args=arguments, daemon=True).start()
+            threading.Thread(target=self._probe_replica, args=arguments, daemon=True).start()
 
-    def _connect(self, zone: str, replica: WatchedReplica) -> None:
+    def _probe_replica(self, zone: str, replica: WatchedReplica) -> None:
         if not self._responds(replica.entry.address):
             return
         with self._lock:
             if zone in self._zones:
                 self._zones[zone].last_received_at = boot_clock.now()
-            self._set_reachable(zone, "a connection to a replica")
+            self._set_reachable(zone, "a probe of a replica")
 
     def _probe_zones(self, statuses: Mapping[str, Reachability], now: float) -> None:
         """Probe the uncertain zones, and the reachable ones without a very recent message.
--- a/tests/test_replica_connection.py
+++ b/tests/test_replica_connection.py
@@ -9,6 +9,7 @@
 from quaymill.connection.replica_connection import ReplicaConnections, ReplicaRequest
 from quaymill.process.replicas.notifier import PreemptionNotifier
 from quaymill.request.outcome import OutcomeUnknown
+from quaymill_bench.loopback_proxy import LinkState, LoopbackProxy
 
 
 class ReplicaConnectionTest(unittest.TestCase):
@@ -25,6 +26,37 @@
         self.assertLess(time.monotonic() - started_s, 2.0)
 
 
+class ProbeTest(unittest.TestCase):
+    """Whether a replica responds, behind a proxy that accepts connections in its place."""
+
+    def setUp(self) -> None:
+        rig = GatewayRig()
+        self.replica = rig.add_engine()
+        self.addCleanup(self.replica.stop)
+        self.proxy = LoopbackProxy(("127.0.0.1", self.replica.port))
+        self.addCleanup(self.proxy.stop)
+        self.connections = ReplicaConnections(LinkFilter())
+
+    def responds(self, port: int, path: str = "/load") -> bool:
+        request = ReplicaRequest("GET", path, {})
+        return self.connections.responds(Endpoint("127.0.0.1", port), request)
+
+    def test_any_answer_counts(self) -> None:
+        for path in ("/load", "/no-such-page"):
+            self.assertTrue(self.responds(self.proxy.port, path))
+
+    def test_accepted_connection_alone_does_not_count(self) -> None:
+        """Guards against requests that are sent beyond a partition."""
+        for state in (LinkState.SILENT, LinkState.ANSWERS_LOST, LinkState.RESET):
+            self.proxy.set_state(state)
+            self.assertFalse(self.responds(self.proxy.port))
+
+    def test_refused_connection_counts(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+        self.assertTrue(self.responds(port))
+
+
 class NotifierTest(unittest.TestCase):
     """Preemption notices to the batch scheduler of a replica."""
 
--- a/tests/test_zone_cut.py
+++ b/tests/test_zone_cut.py
@@ -171,6 +171,28 @@
         late = [one for one in after if one.took_s > SERVICE_S + OBJECTIVE_S]
         self.assertEqual([], late)
 
+    def test_zone_stays_unreachable_once_its_nodes_count_as_dead(self) -> None:
+        """Guards against requests that wait for replicas beyond the partition.
+
+        Its replicas are behind proxies that accept connections during the partition.
+        """
+        self.make_quick()
+        self.cut()
+        self.send("first").result()
+        wait_until(
+            lambda: all(self.zone_reachability.is_unreachable(zone) for zone in ZONES[1:]),
+            "both are unreachable",
+        )
+        membership = self.rig.gateways[GATEWAY].network.membership
+        wait_until(
+            lambda: {one.zone for one in membership.live()} == {CUT_ZONE},
+            "all nodes beyond the partition count as dead",
+        )
+        sent = self.send_for(SEND_DURATION_S, "after")
+        served = [one.result() for one in sent]
+        late = [one for one in served if one.status != 200 or one.took_s > SERVICE_S + OBJECTIVE_S]
+        self.assertEqual([], late, [self.lines_of(one.request_id) for one in late])
+
     def test_request_waiting_for_its_first_byte_is_retried_at_once(self) -> None:
         # Keeps the replica's silence from ending the attempt before its zone counts as unreachable.
         patch = mock.patch.object(forwarding, "SILENCE_TIMEOUT_S", WHOLE_ANSWER_TIMEOUT_S)
