Count the detour in another region's queue, and no margin against an idle region

The terms sent to another region's queue now include the round trip, and the margin applies only while at most a fifth of the other region's slots are free.

Its simulated gateway (region_player) sends the new terms and reads the number of free slots, as the real one does; one pool is simulated as before. In test_regions a pool with one free slot stands for the former "free", with the same expectations, and one with many is added.

--- a/src/quaymill/process/jobs/online_reporter.py
+++ b/src/quaymill/process/jobs/online_reporter.py
@@ -38,7 +38,11 @@
 )
 from quaymill.process.jobs.engine_pool import EnginePool, pool_of, pools_of
 from quaymill.process.jobs.queued_tickets import QueuedTickets
-from quaymill.process.jobs.region_choice import PoolState, serves_sooner
+from quaymill.process.jobs.region_choice import (
+    PoolState,
+    serves_sooner,
+    terms_in_other_region,
+)
 from quaymill.process.jobs.slot_allocator import SlotAllocator
 from quaymill.process.jobs.slot_claims import AllocatorChoice, ReachableOf
 from quaymill.process.regions import ONE_REGION, RegionMap
@@ -426,6 +430,8 @@
         constraints: PlacementConstraints,
         terms: QueueTerms | None,
     ) -> OnlinePlaced | None:
+        if terms is not None and self._is_elsewhere(pool):
+            terms = terms_in_other_region(terms, self._regions.round_trip_s(pool.region))
         message = PlaceOnline(
             self._own_name,
             self._zone,
--- a/tests/region_player.py
+++ b/tests/region_player.py
@@ -18,7 +18,11 @@
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.connection.slot_messages import PlaceOnline, QueueTerms
 from quaymill.process.jobs.pool_queue import PoolQueue, QueuedRequest
-from quaymill.process.jobs.region_choice import PoolState, serves_sooner
+from quaymill.process.jobs.region_choice import (
+    PoolState,
+    serves_sooner,
+    terms_in_other_region,
+)
 from quaymill.process.regions import ONE_REGION, RegionMap
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.replica_cost import least_costly
@@ -75,8 +79,8 @@
     queue: PoolQueue = attrs.field(factory=PoolQueue)
 
     def state(self, counted: dict[str, int]) -> PoolState:
-        has_free_slot = any(counted[one.id] < SLOTS for one in self.replicas)
-        return PoolState(SLOTS * len(self.replicas), has_free_slot, len(self.queue))
+        free_slots = sum(max(0, SLOTS - counted[one.id]) for one in self.replicas)
+        return PoolState(SLOTS * len(self.replicas), free_slots, len(self.queue))
 
 
 class RegionPlayer:
@@ -211,6 +215,8 @@
         terms = QueueTerms(
             ticket, "p", None, 0, 0.0, target_in_s, 60.0, 90.0, SERVICE_S, FIRST_BYTE_S
         )
+        if name != self._own_pool(request.zone):
+            terms = terms_in_other_region(terms, 2 * BETWEEN_REGIONS_S)
         queued = pool.queue.join(PlaceOnline("g", request.zone, "s", (), terms=terms), self._now)
         self._grant(pool)
         state = pool.state(self._counted)
--- a/tests/test_region_faults.py
+++ b/tests/test_region_faults.py
@@ -48,6 +48,7 @@
         self.late: list[threading.Thread] = []
         self.timeouts_s: dict[str, set[float]] = {}
         self.withdrawn: set[str] = set()
+        self.first_byte_s: dict[str, float] = {}
 
 
 class LinkedConnections:
@@ -64,6 +65,8 @@
         is_near = endpoint.host[0] == self._name[0]
         name = type(message).__name__ + (" near" if is_near else "")
         self._link.timeouts_s.setdefault(name, set()).add(timeout_s)
+        if getattr(message, "terms", None) is not None:
+            self._link.first_byte_s[name] = message.terms.first_byte_s
         if is_near:
             return self._connections.call(*call)
         self._link.calls[type(message).__name__] += 1
@@ -149,9 +152,13 @@
 
     def ask(self, ticket: str) -> object:
         """Request a slot from ``a1`` without waiting for it."""
-        terms = QueueTerms(ticket, self.a1.process, None, 0, 0.0, 0.4, 6.0, 8.0, 0.8, 0.05)
+        return self.ask_from(self.a1, ticket)
+
+    def ask_from(self, gateway: Gateway, ticket: str) -> object:
+        """Request a slot from a gateway without waiting for it."""
+        terms = QueueTerms(ticket, gateway.process, None, 0, 0.0, 0.4, 6.0, 8.0, 0.8, 0.05)
         request = ForwardedRequest(ticket, "POST", "/x", (), b"", Deadline.after(8.0))
-        return self.a1.ask_allocator(SERVICE, request, terms)
+        return gateway.ask_allocator(SERVICE, request, terms)
 
     def replica_of(self, name: str) -> str | None:
         result = self.results[name]
@@ -239,6 +246,19 @@
             self.assertEqual("eb", self.ask("t").id)
         self.assertEqual(("t",), self.a1.reporter._tickets.take_withdrawn(SERVICE, "a"))
 
+    def test_the_queue_of_the_other_region_knows_of_the_detour(self) -> None:
+        """Otherwise it grants slots to requests that are late once they arrive."""
+        self.fill("a")
+        self.queue_one()
+        reporter = self.gateways["a2"].reporter
+        for pool in (POOL_A, POOL_B):
+            with mock.patch.object(reporter, "_sooner_elsewhere", return_value=pool):
+                self.ask_from(self.gateways["a2"], f"to {pool.region}")
+        detour_s = (
+            self.link.first_byte_s["PlaceOnline"] - self.link.first_byte_s["PlaceOnline near"]
+        )
+        self.assertAlmostEqual(ASSUMED_ROUND_TRIP_S, detour_s)
+
     def test_a_request_that_the_own_allocator_refuses_is_offered_to_the_other_region(self) -> None:
         """The queue that is too long for the request may have grown since the last report."""
         reporter = self.a1.reporter
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -24,12 +24,18 @@
     ItemsAt,
     OnlineInFlight,
     PlaceOnline,
+    QueueTerms,
     WantedItems,
 )
 from quaymill.process import regions as regions_module
 from quaymill.process.jobs.engine_pool import EnginePool, pool_of, pools_of
+from quaymill.process.jobs.pool_queue import GRANT_LATENCY_S, PoolQueue
 from quaymill.process.jobs.queued_tickets import QueuedTickets
-from quaymill.process.jobs.region_choice import PoolState, serves_sooner
+from quaymill.process.jobs.region_choice import (
+    PoolState,
+    serves_sooner,
+    terms_in_other_region,
+)
 from quaymill.process.jobs.slot_claims import AllocatorChoice
 from quaymill.process.regions import ASSUMED_ROUND_TRIP_S, ONE_REGION, Distance, RegionMap
 from quaymill.process.replica_set.online_queue import QUEUED, OnlineQueue
@@ -333,17 +339,20 @@
 class ChoiceOfRegionTest(unittest.TestCase):
     """When a request is better served in another region."""
 
-    FREE = PoolState(120, has_free_slot=True, queue_length=0)
-    FULL = PoolState(120, has_free_slot=False, queue_length=0)
-    SHORT_QUEUE = PoolState(120, has_free_slot=False, queue_length=13)
-    LONG_QUEUE = PoolState(120, has_free_slot=False, queue_length=30)
-    LOST = PoolState(0, has_free_slot=False, queue_length=0)
+    IDLE = PoolState(120, free_slots=60, queue_length=0)
+    FREE = PoolState(120, free_slots=1, queue_length=0)
+    FULL = PoolState(120, free_slots=0, queue_length=0)
+    SHORT_QUEUE = PoolState(120, free_slots=0, queue_length=13)
+    LONG_QUEUE = PoolState(120, free_slots=0, queue_length=30)
+    LOST = PoolState(0, free_slots=0, queue_length=0)
 
     @params(
         ("own slot free", FREE, FREE, False),
         ("own region full", FREE, FULL, False),
         # A wait of 93 ms is less than the detour of 48 ms and the margin of 50 ms.
         ("short queue", FREE, SHORT_QUEUE, False),
+        ("short queue, many free slots elsewhere", IDLE, SHORT_QUEUE, True),
+        ("own region full, many free slots elsewhere", IDLE, FULL, False),
         ("long queue", FREE, LONG_QUEUE, True),
         ("long queue, other region full", FULL, LONG_QUEUE, True),
         ("both queues are long", LONG_QUEUE, LONG_QUEUE, False),
@@ -353,15 +362,28 @@
     def test_serves_sooner(self, _name, other, own, expected) -> None:
         self.assertEqual(expected, serves_sooner(other, own, 0.8, 0.024))
 
+    def test_request_that_would_be_late_in_another_region_is_served_after_others(self) -> None:
+        """Guards against slots granted to requests that the detour makes late."""
+        queue = PoolQueue()
+        first_byte_s, round_trip_s = 0.05, 0.024
+        left_s = first_byte_s + GRANT_LATENCY_S + round_trip_s
+        for ticket, target_in_s in (("late", left_s - 0.001), ("in time", left_s + 0.001)):
+            terms = QueueTerms(
+                ticket, "p", None, 0, 0.0, target_in_s, 60.0, 90.0, 0.8, first_byte_s
+            )
+            terms = terms_in_other_region(terms, round_trip_s)
+            queue.join(PlaceOnline("g", "b1", "s", (), terms=terms), 0.0)
+        self.assertEqual(["in time", "late"], [one.ticket for one in queue.ordered(0.0)])
+
     def test_a_pool_whose_loads_are_not_known_has_no_state(self) -> None:
         """A region that seems idle because nothing is known of it may be full."""
         replicas = table(region_map(), b1=2).replicas()
         replicas[0].record_pool_view(8, 0)
         self.assertIsNone(PoolState.of(replicas, 0))
         replicas[1].record_pool_view(3, 0)
-        self.assertEqual(PoolState(16, True, 2), PoolState.of(replicas, 2))
+        self.assertEqual(PoolState(16, 5, 2), PoolState.of(replicas, 2))
         replicas[1].record_failure(3.0)
-        self.assertEqual(PoolState(8, False, 0), PoolState.of(replicas, NO_QUEUE))
+        self.assertEqual(PoolState(8, 0, 0), PoolState.of(replicas, NO_QUEUE))
 
     def test_a_request_that_can_be_queued_is_for_the_own_region(self) -> None:
         found = table(region_map(), a1=1, b1=1)
