Store fewer results at once after a failure, and call no more nodes meanwhile

All finished results went in one message to two storage nodes, to another one for each 0.2 s without an answer, and twice to each, so that a gateway's link was full for longer than a try may take, and the next try was larger.

After a failure a quarter of the bytes is stored at once, at least 64 KB, and more again after successes.

--- a/src/quaymill/process/jobs/parallel_calls.py
+++ b/src/quaymill/process/jobs/parallel_calls.py
@@ -21,6 +21,9 @@
 
 HEDGE_DELAY_S = 0.2
 """Time without a reply after which more members are called."""
+MIN_LINK_BYTES_PER_S = 1024 * 1024
+"""Assumed throughput of the slowest links. While calls in progress may be sending, further ones
+would only delay them."""
 OTHER_ZONE_WAIT_S = 0.4
 """Time after which ``needed`` replies suffice even if they come from too few zones: half of the
 shortest time within which clients expect their job to be accepted (0.8 s)."""
@@ -72,6 +75,7 @@
     timeout_s: float,
     initial_calls: int | None = None,
     zones: ZoneRule | None = None,
+    message_bytes: int = 0,
 ) -> CallOutcome:
     """Call members in the given order until ``needed`` have replied or none is left.
 
@@ -82,10 +86,13 @@
         failed call, and more if replies are slow.
     zones
         ``None`` if the zones of the replying members do not matter.
+    message_bytes
+        Approximate size of the message, if it may be large.
     """
-    return _ParallelCalls(peer_client, members, message, reply_type, timeout_s, zones).run(
-        needed, initial_calls or needed
+    calls = _ParallelCalls(
+        peer_client, members, message, reply_type, timeout_s, zones, message_bytes
     )
+    return calls.run(needed, initial_calls or needed)
 
 
 class _ParallelCalls:
@@ -99,6 +106,7 @@
         reply_type: Any,
         timeout_s: float,
         zones: ZoneRule | None,
+        message_bytes: int,
     ) -> None:
         self._peer_client = peer_client
         self._uncalled = list(members)
@@ -108,6 +116,7 @@
         self._deadline = began + timeout_s
         self._other_zone_deadline = began + OTHER_ZONE_WAIT_S
         self._zones = zones
+        self._send_s = message_bytes / MIN_LINK_BYTES_PER_S
         self._answer_queue: queue.SimpleQueue[tuple[Member, Any]] = queue.SimpleQueue()
         self._in_flight = 0
 
@@ -122,7 +131,8 @@
             if remaining_s <= 0:
                 break
             try:
-                member, answer = self._answer_queue.get(timeout=min(HEDGE_DELAY_S, remaining_s))
+                hedge_delay_s = HEDGE_DELAY_S + self._in_flight * self._send_s
+                member, answer = self._answer_queue.get(timeout=min(hedge_delay_s, remaining_s))
             except queue.Empty:
                 self._hedge(replies, needed)
                 continue
--- a/src/quaymill/process/jobs/result_publisher.py
+++ b/src/quaymill/process/jobs/result_publisher.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import itertools
+import math
 import threading
 from collections.abc import Callable
 
@@ -21,6 +23,9 @@
 PUBLISH_INTERVAL_S = 0.4
 """Minimum time between two appends to a listing; results that finish within it share one append."""
 PUBLISH_RETRY_S = 0.5
+BATCH_FACTOR = 4
+"""Factor by which fewer results are stored at once after a failure, and more after a success."""
+MIN_BATCH_BYTES = 64 * 1024
 MAX_TAKEOVER_WRITES = 2
 """Attempts to write the new coordinator into a listing that others change at the same time. Later
 appends write it as well."""
@@ -51,6 +56,31 @@
     await_store: Callable[[float], bool]
 
 
+class _BatchSize:
+    """Limits the results of a job that are stored at once.
+
+    Many results, sent to several storage nodes, can occupy a slow link for longer than the calls
+    may take. So a failure is not repeated with as many results, and those that have finished since.
+    """
+
+    def __init__(self) -> None:
+        self._limit_bytes = math.inf
+
+    def first_of(self, results: tuple[KeyedResult, ...]) -> tuple[KeyedResult, ...]:
+        """Return as many results as may be stored at once, at least one."""
+        sizes = itertools.accumulate(len(one.result.text) for one in results)
+        count = sum(size <= self._limit_bytes for size in sizes)
+        return results[: max(1, count)]
+
+    def record(self, results: tuple[KeyedResult, ...], *, stored: bool) -> None:
+        """Record whether results were stored."""
+        size = sum(len(one.result.text) for one in results)
+        if stored:
+            self._limit_bytes *= BATCH_FACTOR
+        else:
+            self._limit_bytes = max(MIN_BATCH_BYTES, size // BATCH_FACTOR)
+
+
 class ResultPublisher:
     """Lists results in the order in which they finish, until a job is over.
 
@@ -95,8 +125,9 @@
         if adopted:
             self._attempt(job, self._take_over)
         self._begin_items()
+        batch_size = _BatchSize()
         while not job.over:
-            self._attempt(job, self._publish_next)
+            self._attempt(job, lambda job: self._publish_next(job, batch_size))
         log_message(
             "job:over",
             job=job.id,
@@ -121,14 +152,16 @@
             log_message("job:publish_error", job=job.id, error=repr(error))
             self._stopping.wait(PUBLISH_RETRY_S)
 
-    def _publish_next(self, job: CoordinatedJob) -> None:
+    def _publish_next(self, job: CoordinatedJob, batch_size: _BatchSize) -> None:
         """List the results that have finished, or wait a while for one."""
         with job.changed:
             job.changed.wait_for(lambda: job.over or job.unlisted(), PUBLISH_RETRY_S)
-        results = job.unlisted()
-        if results and not job.over:
-            listed = self._append(job, results)
-            self._pause(listed)
+        results = batch_size.first_of(job.unlisted())
+        if not results or job.over:
+            return
+        stored = self._store(job, results)
+        batch_size.record(results, stored=stored)
+        self._pause(stored and self._append(job, results))
 
     def _pause(self, listed: bool) -> None:
         """Wait before the next append of a job; results that finish meanwhile are part of it."""
@@ -165,11 +198,16 @@
         job.update_listing(listing or Listing(ListingDocument("", job.total)), began)
         return True
 
+    def _store(self, job: CoordinatedJob, results: tuple[KeyedResult, ...]) -> bool:
+        """Store the contents of results; return whether they are on enough storage nodes."""
+        stored = self._parts.storage.store_results(job.id, results)
+        if not stored:
+            size = sum(len(one.result.text) for one in results)
+            log_message("job:results_not_stored", job=job.id, results=len(results), bytes=size)
+        return stored
+
     def _append(self, job: CoordinatedJob, results: tuple[KeyedResult, ...]) -> bool:
-        """Store results, then append them to the listing; return whether they were appended."""
-        if not self._parts.storage.store_results(job.id, results):
-            log_message("job:results_not_stored", job=job.id, results=len(results))
-            return False
+        """Append stored results to the listing; return whether they were appended."""
         proposed = job.listing.with_results(map(listed_result, results), job.coordinator)
         began = boot_clock.now()
         current = self._parts.listings.write(job.id, proposed)
--- a/src/quaymill/process/jobs/storage_client.py
+++ b/src/quaymill/process/jobs/storage_client.py
@@ -137,7 +137,14 @@
     def store_results(self, job_id: str, results: Iterable[KeyedResult]) -> bool:
         """Store contents of results on enough storage nodes; return whether this succeeded."""
         message = StoreResults(job_id, tuple(results))
-        return self._is_stored(self._replicate(job_id, message, ResultsStored, STORE_TIMEOUT_S))
+        outcome = self._replicate(
+            job_id,
+            message,
+            ResultsStored,
+            STORE_TIMEOUT_S,
+            message_bytes=sum(len(one.result.text) for one in message.results),
+        )
+        return self._is_stored(outcome)
 
     def store_progress(
         self, job_id: str, lineage: str, progress: tuple[ItemProgress, ...], node: str
@@ -242,6 +249,7 @@
         reply_type: type[PeerMessage],
         timeout_s: float,
         initial_calls: int | None = None,
+        message_bytes: int = 0,
     ) -> CallOutcome:
         """Send a message until enough storage nodes, in enough zones if possible, have replied."""
         members = self._rules.rank(job_id, self._storage_nodes())
@@ -255,6 +263,7 @@
             timeout_s=timeout_s,
             initial_calls=initial_calls,
             zones=zones if self._rules.zones > 1 else None,
+            message_bytes=message_bytes,
         )
         if self._is_stored(outcome) and len(outcome.zones) < self._rules.zones:
             log_message(
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -364,7 +364,8 @@
         (JOB, "coordinator", "outcome: NotCoordinator or a failure", REASON),
     ),
     "job:results_not_stored": LogEvent(
-        "too few storage nodes stored results; it is tried again", (JOB, "results")
+        "too few storage nodes stored results; fewer are tried again",
+        (JOB, "results", "bytes: their size"),
     ),
     "job:overtaken": LogEvent(
         "another coordinator wrote the listing",
