Be ready once any replica is known

The first version of the readiness check waited 3 s for replicas of each service with routes, also of services that have none.

--- a/src/quaymill/process/gateway/gateway.py
+++ b/src/quaymill/process/gateway/gateway.py
@@ -98,7 +98,6 @@
         self._application_client = ApplicationClient(links)
         self._notifier = PreemptionNotifier(load_view, peer_client)
         self._watch = CallerWatch()
-        self._holder = holder
         self._load_view = load_view
         self._created_at = boot_clock.now()
         self._draining = False
@@ -149,21 +148,15 @@
         self._thread.start()
 
     def _machines_known(self) -> bool:
-        """Return whether each routed service has a replica in the machine list.
+        """Return whether requests find replicas of the machine list.
 
         The platform's list is late, so that the first lists may lack replicas that run already.
-        A service that really has none delays readiness by ``MACHINE_LIST_TIMEOUT_S`` at most.
+        A list that really has none delays readiness by ``MACHINE_LIST_TIMEOUT_S`` at most.
         """
-        if not self._load_view.machines_known:
-            return False
-        if boot_clock.now() - self._created_at > MACHINE_LIST_TIMEOUT_S:
+        if self._load_view.all_replicas():
             return True
-        routes = self._holder.current().routes
-        return all(
-            self._load_view.replicas(service)
-            for service, route_by_group in routes.items()
-            if any(route.weight > 0 for route in route_by_group.values())
-        )
+        has_waited = boot_clock.now() - self._created_at > MACHINE_LIST_TIMEOUT_S
+        return has_waited and self._load_view.machines_known
 
     def begin_drain(self) -> None:
         """Turn readiness off and ask callers to go elsewhere; requests are still served."""
