Log how an answer is framed and whether a stream ended inside an event

Each attempt now says how the end of its answer is marked (length, chunked or connection close) and whether what was received of a stream ends inside an event. No answer is treated differently.

--- a/src/quaymill/connection/replica_answer.py
+++ b/src/quaymill/connection/replica_answer.py
@@ -2,10 +2,43 @@
 
 from __future__ import annotations
 
+import enum
+
 import attrs
+from urllib3._collections import HTTPHeaderDict
 
 from quaymill.connection.replica_entry import ReportedLoad
 
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+class BodyFraming(enum.Enum):
+    """How the end of an answer's body is marked (RFC 9112, section 6.3).
+
+    ``CONNECTION_CLOSE`` is a body with neither a length nor chunks, which ends with its connection.
+    ``INVALID`` is a length that is not a number, or a transfer coding other than chunks.
+    """
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION_CLOSE = "connection close"
+    INVALID = "invalid"
+
+
+def read_framing(status: int, headers: HTTPHeaderDict) -> BodyFraming:
+    """Return how the body of an answer is framed, from its status and headers."""
+    if status in BODILESS_STATUSES:
+        return BodyFraming.LENGTH
+    coding = headers.get("Transfer-Encoding")
+    if coding is not None:
+        is_chunked = coding.strip().lower() == "chunked"
+        return BodyFraming.CHUNKED if is_chunked else BodyFraming.INVALID
+    length = headers.get("Content-Length")
+    if length is None:
+        return BodyFraming.CONNECTION_CLOSE
+    is_number = length.isascii() and length.isdigit()
+    return BodyFraming.LENGTH if is_number else BodyFraming.INVALID
+
 
 @attrs.frozen
 class AnswerHead:
@@ -23,6 +56,8 @@
         Whether a different replica than the intended one answers at the address.
     length
         Size of the body in bytes; ``None`` if unknown.
+    framing
+        How the end of the body is marked.
     keep_alive_s
         How long the connection may stay idle afterwards; 0 if it must not be reused.
     cold_left_s
@@ -38,5 +73,6 @@
     misdirected: bool = False
     load: ReportedLoad | None = None
     length: int | None = None
+    framing: BodyFraming = BodyFraming.LENGTH
     keep_alive_s: float = 0.0
     cold_left_s: float | None = None
--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -23,6 +23,7 @@
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.idle_connections import IdleConnections
 from quaymill.connection.readable import is_readable
+from quaymill.connection.replica_answer import BodyFraming, read_framing
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 
 CONNECT_TIMEOUT_S = 1.0
@@ -87,6 +88,11 @@
         """Headers of the answer; repeated headers are not merged."""
         return self._response.headers
 
+    @property
+    def framing(self) -> BodyFraming:
+        """How the end of the answer's body is marked."""
+        return read_framing(self._response.status, self._response.headers)
+
     def header(self, name: str) -> str:
         """Return a header of the answer; empty if it is missing."""
         return self._response.headers.get(name, "")
--- a/src/quaymill/platform/replica_calls.py
+++ b/src/quaymill/platform/replica_calls.py
@@ -95,6 +95,7 @@
         misdirected=status == MISDIRECTED_STATUS,
         load=read_load(headers.get(names.LOAD, "")),
         length=int(length) if length is not None and length.isdigit() else None,
+        framing=exchange.framing,
         keep_alive_s=_keep_alive_s(headers),
         cold_left_s=read_cold_left(exchange),
     )
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -54,6 +54,9 @@
             "outcome: Delivered, CallerLeft, Refused or NotSent (not run), Broken (may have run)",
             REASON,
             CONNECTION_CLOSED,
+            "framing: how the end of the answer's body is marked: length, chunked or connection"
+            " close; empty without an answer",
+            "inside_event: whether the last stream that was received ended inside an event",
         ),
         ordinary_outcome="Delivered",
     ),
--- a/src/quaymill/request/answer_relay.py
+++ b/src/quaymill/request/answer_relay.py
@@ -8,7 +8,7 @@
 from quaymill import boot_clock
 from quaymill.connection.replica_answer import AnswerHead
 from quaymill.connection.replica_connection import Exchange
-from quaymill.request.event_stream import EventFramer
+from quaymill.request.event_stream import EventBoundary, EventFramer
 from quaymill.request.forwarded_request import ForwardedRequest, Headers
 from quaymill.request.forwarding_result import AttemptResult, Broken, Delivered, broken_attempt
 from quaymill.request.outcome import OutcomeUnknown
@@ -74,12 +74,18 @@
         self._answer = answer
         self._may_try_another = may_try_another
         self._framer = EventFramer(request.last_event_id)
+        self._boundary = EventBoundary()
 
     @property
     def last_event_id(self) -> str | None:
         """Id of the last event that was sent to the caller."""
         return self._framer.last_id
 
+    @property
+    def inside_event(self) -> bool:
+        """Whether the last stream that was received ended inside an event."""
+        return bool(self._framer.partial) if self._route.resumable else self._boundary.inside_event
+
     def relay_answer(
         self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
     ) -> AttemptResult:
@@ -134,6 +140,7 @@
         """Relay events as they arrive; of a resumable stream, only complete events."""
         resumable = self._route.resumable
         self._framer.partial = b""
+        self._boundary = EventBoundary()
         while True:
             block = self._read_block(exchange, self._gap_timeout_s())
             if isinstance(block, OutcomeUnknown):
@@ -141,6 +148,7 @@
             replica.record_received()
             if not block:
                 break
+            self._boundary.feed(block)
             events = self._framer.feed(block) if resumable else block
             if not self._answer.started:
                 self._answer.start(head.status, head.reason, head.headers)
--- a/src/quaymill/request/event_stream.py
+++ b/src/quaymill/request/event_stream.py
@@ -7,6 +7,8 @@
 EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 1024 * 1024
 _ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+_BLANK_LINE = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)\Z")
+_BLANK_LINE_BYTES = 4
 _DATA_LINE = re.compile(rb"^data:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
@@ -57,6 +59,25 @@
         return b"".join(later)
 
 
+class EventBoundary:
+    """Tracks whether a stream that is passed on block by block is between two events.
+
+    An event ends with a blank line; lines end with LF, CR or CRLF.
+    """
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    def feed(self, block: bytes) -> None:
+        """Add a block."""
+        self._tail = (self._tail + block)[-_BLANK_LINE_BYTES:]
+
+    @property
+    def inside_event(self) -> bool:
+        """Whether the blocks so far end inside an event."""
+        return bool(self._tail) and not _BLANK_LINE.search(self._tail)
+
+
 def is_later(event_id: str, other_id: str) -> bool:
     """Return whether an event id is later than another.
 
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -16,7 +16,7 @@
 from eliot import log_message
 
 from quaymill import boot_clock
-from quaymill.connection.replica_answer import AnswerHead
+from quaymill.connection.replica_answer import AnswerHead, BodyFraming
 from quaymill.connection.replica_connection import (
     SEND_TIMEOUT_S,
     Exchange,
@@ -184,6 +184,7 @@
         self._refusals = 0
         self._possible_runs = 0
         self._kept_error: _ReplicaError | None = None
+        self._framing: BodyFraming | None = None
 
     def run(self) -> ForwardingResult:
         if (ended := self._result_without_attempt()) is not None:
@@ -300,6 +301,7 @@
         slowness = replica.slowness()
         report_age_s = replica.report_age_s()
         began = boot_clock.now()
+        self._framing = None
         replica.begin()
         self._observer.began(replica)
         try:
@@ -325,6 +327,8 @@
             outcome=type(result).__name__,
             reason=getattr(result, "reason", ""),
             connection_closed=getattr(result, "connection_closed", False),
+            framing=self._framing.value if self._framing else "",
+            inside_event=self._relay.inside_event,
         )
         return result
 
@@ -389,6 +393,7 @@
             return broken_attempt(failure)
         replica.record_received()
         head = self._protocol.read_answer_head(exchange)
+        self._framing = head.framing
         return self._handle_answer(exchange, replica, head, began)
 
     def _wait_for_first_byte(
