Failing test: an unframed stream cut inside an event is passed on as complete

The stand-in replica learns answers with neither a length nor chunks, which end with their connection: whole, closed early, or reset.

--- a/src/quaymill_standins/fleet_replica.py
+++ b/src/quaymill_standins/fleet_replica.py
@@ -51,6 +51,14 @@
         Everything is refused as not executed.
     cut_at_event
         The connection is closed in the middle of this event.
+    end_after_event
+        The connection is closed after this event, and further ones are missing; 0 for none.
+    cut_body
+        The connection is closed in the middle of a whole answer.
+    unframed
+        Answers have neither a length nor chunks, and end with their connection.
+    resets
+        An answer that is cut ends with a reset of its connection instead of its close.
     stall_at_event
         Nothing comes from this event on.
     break_off
@@ -74,6 +82,10 @@
     answer_s: float = 0.0
     shed: bool = False
     cut_at_event: int = 0
+    end_after_event: int = 0
+    cut_body: bool = False
+    unframed: bool = False
+    resets: bool = False
     stall_at_event: int = 0
     break_off: bool = False
     foreign_id: bool = False
@@ -270,6 +282,8 @@
 
     def _run(self, request: Request) -> Answer:
         behaviour = self.behaviour
+        if behaviour.unframed:
+            request.connection.omit_framing()
         run = ReplicaRun(
             request.header("Request-Id"),
             request.method,
@@ -329,8 +343,17 @@
                 return CLOSED
         finally:
             self._count(-1)
+        body = b"answer to " + run.request_id.encode()
+        behaviour = self.behaviour
+        if behaviour.cut_body or behaviour.unframed:
+            head = self._head(run)
+            if not behaviour.unframed:
+                head += (("Content-Length", str(len(body))),)
+            return StreamedResponse(
+                200, head, lambda connection: _send_body(run, connection, body, behaviour)
+            )
         run.finished = True
-        return Response(200, b"answer to " + run.request_id.encode(), self._head(run))
+        return Response(200, body, self._head(run))
 
     def _stream(
         self, run: ReplicaRun, connection: ClientConnection, behaviour: ReplicaBehaviour
@@ -348,10 +371,13 @@
                 event = event_bytes(run.request_id, number)
                 if number == behaviour.cut_at_event:
                     connection.send(event[: len(event) // 2])
-                    connection.abort()
+                    _break_off(connection, behaviour)
                     return
                 connection.send(event)
                 run.events_made = number
+                if number == behaviour.end_after_event:
+                    _break_off(connection, behaviour)
+                    return
             run.finished = True
         except OSError:
             run.cancelled = True
@@ -382,6 +408,25 @@
         return False
 
 
+def _send_body(
+    run: ReplicaRun, connection: ClientConnection, body: bytes, behaviour: ReplicaBehaviour
+) -> None:
+    if behaviour.cut_body:
+        connection.send(body[: len(body) // 2])
+        _break_off(connection, behaviour)
+        return
+    connection.send(body)
+    run.finished = True
+
+
+def _break_off(connection: ClientConnection, behaviour: ReplicaBehaviour) -> None:
+    """Close or reset the connection in the middle of an answer."""
+    if behaviour.resets:
+        connection.reset()
+    else:
+        connection.abort()
+
+
 def event_bytes(request_id: str, number: int) -> bytes:
     """Return one event of a request's stream."""
     return f"id: {number}\ndata: {event_data(request_id, number)}\n\n".encode()
--- a/src/quaymill_standins/http_support.py
+++ b/src/quaymill_standins/http_support.py
@@ -9,8 +9,10 @@
 
 import contextlib
 import logging
+import os
 import select
 import socket
+import struct
 import threading
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from http import HTTPStatus
@@ -37,6 +39,7 @@
 CLOSED = Sentinel("CLOSED")
 """Result of a handler that wants the connection closed without an answer."""
 
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 _CONNECTION_KEY = "quaymill_standins.connection"
 
 
@@ -51,6 +54,14 @@
         """Return the file descriptor, which is in non-blocking mode."""
         return self._socket.fileno()
 
+    def omit_framing(self) -> None:
+        """Send neither a length nor chunks: the answer ends with its connection.
+
+        Has no effect on an answer that states its length.
+        """
+        # Cheroot frames a body of unknown length in chunks only for HTTP/1.1.
+        self._http_request.response_protocol = "HTTP/1.0"
+
     def send_headers(self) -> None:
         """Send the status line and the headers, unless they are sent."""
         self._http_request.ensure_headers_sent()
@@ -69,6 +80,17 @@
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
 
+    def reset(self) -> None:
+        """Reset the connection; the client gets an error instead of the end of the answer."""
+        self._http_request.close_connection = True
+        with contextlib.suppress(OSError):
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
+            # Closes the connection while its descriptor stays valid for the server.
+            closed, other_end = socket.socketpair()
+            other_end.close()
+            os.dup2(closed.fileno(), self._socket.fileno())
+            closed.close()
+
     def is_closed_by_peer(self) -> bool:
         """Return whether the client has closed the connection; nothing is read."""
         poller = select.poll()
--- /dev/null
+++ b/tests/test_broken_off_answers.py
@@ -0,0 +1,56 @@
+"""Answers that replicas break off: no caller gets a part as the whole answer."""
+
+from __future__ import annotations
+
+import unittest
+
+import urllib3
+from nose2.tools import params
+
+from fleet_rig import FleetRig
+from quaymill_standins.fleet_replica import ReplicaBehaviour, event_bytes
+
+EVENTS = 6
+REQUEST_ID = "broken-off"
+WHOLE_STREAM = b"".join(event_bytes(REQUEST_ID, number) for number in range(1, EVENTS + 1))
+
+
+class BrokenOffStreamTest(unittest.TestCase):
+    """Streams in chunks, and streams that end with their connection."""
+
+    def setUp(self) -> None:
+        self.rig = FleetRig(gateways=1, storage=0).start()
+        self.addCleanup(self.rig.stop)
+
+    def ask(self, path: str, **behaviour: object) -> bytes:
+        """Return the body of a stream; raises ``ProtocolError`` if it is incomplete."""
+        for replica in self.rig.of_service("engine"):
+            replica.behaviour = ReplicaBehaviour(events=EVENTS, **behaviour)
+        return self.rig.ask("gateway-0", path, REQUEST_ID, tokens=True).data
+
+    def check_incomplete(self, path: str, **behaviour: object) -> None:
+        with self.assertRaises(urllib3.exceptions.ProtocolError):
+            self.ask(path, **behaviour)
+
+    @params("/stream/x", "/resumable/x")
+    def test_stream_without_framing_is_complete_at_its_end(self, path: str) -> None:
+        self.assertEqual(WHOLE_STREAM, self.ask(path, unframed=True))
+
+    def test_stream_without_framing_cut_inside_an_event_is_not_complete(self) -> None:
+        self.check_incomplete("/stream/x", unframed=True, cut_at_event=3)
+
+    def test_resumable_stream_without_framing_cut_inside_an_event_is_not_complete(self) -> None:
+        self.check_incomplete("/resumable/x", unframed=True, cut_at_event=3)
+
+    def test_stream_that_is_reset_between_events_is_not_complete(self) -> None:
+        self.check_incomplete("/stream/x", unframed=True, resets=True, end_after_event=3)
+
+    def test_stream_in_chunks_cut_between_events_is_not_complete(self) -> None:
+        self.check_incomplete("/stream/x", end_after_event=3)
+
+    @params({"unframed": True, "resets": True}, {})
+    def test_resumable_stream_that_breaks_off_between_events_is_resumed(
+        self, behaviour: dict[str, bool]
+    ) -> None:
+        body = self.ask("/resumable/x", end_after_event=3, **behaviour)
+        self.assertEqual(WHOLE_STREAM, body)
--- a/tests/test_standin_fleet.py
+++ b/tests/test_standin_fleet.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import socket
 import time
 import unittest
 
 import msgspec
+from nose2.tools import params
 
-from quaymill_standins.fleet_replica import FleetReplica, ReplicaBehaviour
+from quaymill_standins.fleet_replica import FleetReplica, ReplicaBehaviour, event_bytes
 from quaymill_standins.fleet_store import FleetStore
 from standin_support import StandinClient, wait_until
 
@@ -16,6 +18,52 @@
 EXTRA_S = 0.2
 
 
+class UnframedAnswerTest(unittest.TestCase):
+    """Answers with neither a length nor chunks, whole and cut."""
+
+    WHOLE = b"answer to r"
+    STREAM = b"".join(event_bytes("r", number) for number in (1, 2, 3))
+
+    def receive(self, *, stream: bool, **behaviour: object) -> bytes:
+        """Return all bytes of an answer; raises ``ConnectionResetError`` if it is reset."""
+        replica = FleetReplica("replica", "engine", "zone")
+        replica.behaviour = ReplicaBehaviour(**behaviour)
+        replica.start()
+        self.addCleanup(replica.stop)
+        with socket.create_connection(("127.0.0.1", replica.port), timeout=10.0) as connection:
+            tokens = "Token-Count: 1,1\r\n" if stream else ""
+            head = f"POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n{tokens}"
+            connection.sendall(head.encode() + b"Content-Length: 0\r\n\r\n")
+            received = b""
+            while block := connection.recv(4096):
+                received += block
+        return received
+
+    @params((False, WHOLE), (True, STREAM))
+    def test_ends_with_its_connection(self, stream: bool, body: bytes) -> None:
+        head, _, received = self.receive(stream=stream, unframed=True).partition(b"\r\n\r\n")
+        self.assertEqual(body, received)
+        self.assertIn(b"200 OK", head)
+        for name in (b"content-length", b"transfer-encoding"):
+            self.assertNotIn(name, head.lower())
+
+    @params(
+        (False, {"cut_body": True}, WHOLE[: len(WHOLE) // 2]),
+        (True, {"cut_at_event": 1}, event_bytes("r", 1)[: len(event_bytes("r", 1)) // 2]),
+        (True, {"end_after_event": 1}, event_bytes("r", 1)),
+    )
+    def test_is_cut(self, stream: bool, cut: dict[str, object], body: bytes) -> None:
+        received = self.receive(stream=stream, unframed=True, **cut)
+        self.assertEqual(body, received.partition(b"\r\n\r\n")[2])
+        with self.assertRaises(ConnectionResetError):
+            self.receive(stream=stream, unframed=True, resets=True, **cut)
+
+    def test_cut_answer_with_a_length_is_short(self) -> None:
+        received = self.receive(stream=False, cut_body=True)
+        self.assertIn(f"content-length: {len(self.WHOLE)}".encode(), received.lower())
+        self.assertTrue(received.endswith(self.WHOLE[: len(self.WHOLE) // 2]))
+
+
 class ColdReplicaTest(unittest.TestCase):
     """A replica that says that it is cold, and is."""
 
