Break off a stream that its replica ended inside an event

Callers got a part of a stream with the end mark of a whole one. A stream that cannot be resumed was passed on block by block, and the end of its replica's connection was taken for its regular end if it had neither a length nor chunks; nobody looked at whether the last event was complete, as is done for streams that may be resumed and for items.

Now every stream that ends inside an event counts as broken off: its caller's connection closes without the end mark, and the replica is recorded as having closed early.

--- a/src/quaymill/request/answer_relay.py
+++ b/src/quaymill/request/answer_relay.py
@@ -153,7 +153,7 @@
             if not self._answer.started:
                 self._answer.start(head.status, head.reason, head.headers)
             self._answer.write(events)
-        if resumable and self._framer.partial:
+        if self.inside_event:
             exchange.abandon()
             return Broken("the stream ended in the middle of an event", connection_closed=True)
         release_connection(exchange, head)
