Take no answer whose head or chunk size is cut off

A replica that ended while it sent the head of its answer was taken to have answered: without the lost headers the body has neither a length nor chunks, and the end of the connection is its end. Callers got an empty success, and the platform's client could take a cut 404 for an answer. The same happened to a chunk size of which only leading zeros arrived.

http.client accepts the end of the connection for the end of the head and of a line.

--- a/src/quaymill/connection/platform_client.py
+++ b/src/quaymill/connection/platform_client.py
@@ -29,6 +29,7 @@
     Refused,
     WatchEnded,
 )
+from quaymill.connection.strict_http import StrictHTTPConnection
 
 API_PATH = "/apis/quaymill.io/v1"
 API_VERSION = "quaymill.io/v1"
@@ -115,6 +116,7 @@
         self._pool = urllib3.HTTPConnectionPool(
             endpoint.host, endpoint.port, maxsize=MAX_CONNECTIONS, retries=False
         )
+        self._pool.ConnectionCls = StrictHTTPConnection
 
     def get(self, plural: str, name: str, timeout_s: float = REQUEST_TIMEOUT_S) -> GetResult:
         """Read one object."""
--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -24,6 +24,7 @@
 from quaymill.connection.idle_connections import IdleConnections
 from quaymill.connection.readable import is_readable
 from quaymill.connection.replica_answer import BodyFraming, read_framing
+from quaymill.connection.strict_http import StrictHTTPConnection
 from quaymill.request.outcome import NotRun, OutcomeUnknown
 
 CONNECT_TIMEOUT_S = 1.0
@@ -345,7 +346,7 @@
                 return False
 
     def _new_connection(self, endpoint: Endpoint) -> HTTPConnection:
-        return HTTPConnection(
+        return StrictHTTPConnection(
             endpoint.host,
             endpoint.port,
             timeout=self._connect_timeout_s,
--- /dev/null
+++ b/tests/test_cut_answers.py
@@ -0,0 +1,94 @@
+"""Answers that are cut off below the level of events: heads, chunks, lengths, cancelled reads."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import unittest
+
+from nose2.tools import params
+
+from quaymill import boot_clock
+from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
+from quaymill.request.outcome import OutcomeUnknown
+
+TIMEOUT_S = 5.0
+UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: r\r\n\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
+
+class CutAnswerCase(unittest.TestCase):
+    """An exchange with a replica whose bytes the test sends."""
+
+    def setUp(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        connections = ReplicaConnections(LinkFilter())
+        self.addCleanup(connections.close)
+        endpoint = Endpoint("127.0.0.1", listener.getsockname()[1])
+        exchange = connections.send(endpoint, ReplicaRequest("GET", "/", {}))
+        self.assertIsInstance(exchange, Exchange)
+        self.exchange = exchange
+        self.addCleanup(exchange.abandon)
+        self.replica, _ = listener.accept()
+        self.addCleanup(self.replica.close)
+        self.replica.recv(4096)
+
+    def send_and_close(self, answer: bytes) -> None:
+        self.replica.sendall(answer)
+        self.replica.close()
+
+    def reset(self) -> None:
+        self.replica.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.replica.close()
+
+    def read(self) -> bytes | OutcomeUnknown:
+        """Read the whole answer; return its body."""
+        failure = self.exchange.read_head(TIMEOUT_S)
+        if failure is not None:
+            return failure
+        return self.exchange.read_body(1024, boot_clock.now() + TIMEOUT_S)
+
+
+class CutHeadTest(CutAnswerCase):
+    """The connection ends before the head is complete."""
+
+    @params(
+        b"",
+        b"HTTP/1.1 200",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 404 Not Found\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nRequest-Id: r\r\n",
+        b"HTTP/1.1 200 OK\r\nRequest-Id: r\r\n\r",
+    )
+    def test_cut_head_is_no_answer(self, head: bytes) -> None:
+        self.send_and_close(head)
+        answer = self.read()
+        self.assertIsInstance(answer, OutcomeUnknown)
+        self.assertTrue(answer.connection_closed)
+
+    def test_whole_head_is_an_answer(self) -> None:
+        self.send_and_close(UNFRAMED + b"body")
+        self.assertEqual(b"body", self.read())
+
+
+class CutChunkTest(CutAnswerCase):
+    """The connection ends before the last chunk."""
+
+    @params(
+        b"",
+        b"4\r\nbo",
+        b"4\r\nbody\r\n",
+        b"0004\r\nbody\r\n0",
+        b"0004\r\nbody\r\n00",
+    )
+    def test_cut_chunks_are_no_body(self, chunks: bytes) -> None:
+        self.send_and_close(CHUNKED + chunks)
+        self.assertIsInstance(self.read(), OutcomeUnknown)
+
+    @params(b"4\r\nbody\r\n0\r\n\r\n", b"0004\r\nbody\r\n0000\r\n\r\n", b"4\r\nbody\r\n0\r\n")
+    def test_body_is_whole_with_its_last_chunk(self, chunks: bytes) -> None:
+        self.send_and_close(CHUNKED + chunks)
+        self.assertEqual(b"body", self.read())
