Take no answer whose length or transfer coding is invalid

The HTTP library reads such a body until the connection ends, so that an answer that was cut off counted as complete, and the marks of an unknown coding as content. Such an answer now fails when its head is read.

--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -136,6 +136,9 @@
         except _READ_ERRORS as error:
             self.abandon()
             return self._no_answer(error, connection_closed=True)
+        if self.framing is BodyFraming.INVALID:
+            self.abandon()
+            return self._no_answer("the length or the transfer coding of the answer is invalid")
         return None
 
     def set_read_timeout(self, timeout_s: float) -> None:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -92,3 +92,12 @@
     def test_body_is_whole_with_its_last_chunk(self, chunks: bytes) -> None:
         self.send_and_close(CHUNKED + chunks)
         self.assertEqual(b"body", self.read())
+
+
+class InvalidFramingTest(CutAnswerCase):
+    """The head does not tell how the body ends."""
+
+    @params(b"Content-Length: -1", b"Content-Length: four", b"Transfer-Encoding: gzip, chunked")
+    def test_body_without_a_known_end_is_no_answer(self, header: bytes) -> None:
+        self.send_and_close(b"HTTP/1.1 200 OK\r\n" + header + b"\r\n\r\nbody")
+        self.assertIsInstance(self.read(), OutcomeUnknown)
