Take no answer as complete that this gateway cut off itself

A batch item that was preempted for online requests was listed as succeeded with a part of its text if its replica's stream had neither a length nor chunks and stood between two events: the gateway shuts the connection down to preempt an item, and the read that this wakes returns the end of the body. The same holds for at-most-once calls that are cancelled, whose answers are kept.

An exchange now remembers that it was cancelled or abandoned, and fails a read that finds the end of such a body. Red before: the fourth row of test_a_preempted_item_does_not_blame_the_replica (the outcome was ItemDone), and both tests of CancelledReadTest. Not seen at the users.

--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -73,6 +73,8 @@
         self._connection = connection
         self._socket = connection.sock
         self._response: BaseHTTPResponse | None = None
+        self._cancelled = False
+        self._abandoned = False
 
     @property
     def status(self) -> int:
@@ -153,11 +155,21 @@
             self.abandon()
             return self._no_answer("the link was blocked")
         try:
-            return self._response.read1(READ_BLOCK_BYTES, decode_content=False)
+            block = self._response.read1(READ_BLOCK_BYTES, decode_content=False)
         except _READ_ERRORS as error:
             self.abandon()
             timed_out = isinstance(error, TimeoutError | ReadTimeoutError)
             return self._no_answer(error, connection_closed=not timed_out)
+        if not block and self._was_closed_here():
+            self.abandon()
+            return self._no_answer("this process has closed the connection")
+        return block
+
+    def _was_closed_here(self) -> bool:
+        """Return whether the body may have ended because this process closed the connection."""
+        if self._abandoned:
+            return True
+        return self._cancelled and self.framing is BodyFraming.CONNECTION_CLOSE
 
     def read_body(self, limit_bytes: int, deadline: float) -> bytes | OutcomeUnknown:
         """Read the whole body; a truncated or too long body is an ``OutcomeUnknown``."""
@@ -190,11 +202,13 @@
 
     def cancel(self) -> None:
         """Shut the connection down from another thread; a blocked read fails immediately."""
+        self._cancelled = True
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
 
     def abandon(self) -> None:
         """Close the connection, which lets the replica notice that its answer is not needed."""
+        self._abandoned = True
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         if self._response is not None:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import threading
 import struct
 import unittest
 
@@ -101,3 +102,24 @@
     def test_body_without_a_known_end_is_no_answer(self, header: bytes) -> None:
         self.send_and_close(b"HTTP/1.1 200 OK\r\n" + header + b"\r\n\r\nbody")
         self.assertIsInstance(self.read(), OutcomeUnknown)
+
+
+class CancelledReadTest(CutAnswerCase):
+    """The gateway closes the connection itself while an answer is read."""
+
+    def test_cancelled_answer_is_not_complete(self) -> None:
+        self.replica.sendall(UNFRAMED + b"bo")
+        results: list[bytes | OutcomeUnknown] = []
+        reader = threading.Thread(target=lambda: results.append(self.read()))
+        reader.start()
+        self.exchange.cancel()
+        reader.join(TIMEOUT_S)
+        self.assertIsInstance(results[0], OutcomeUnknown)
+
+    def test_answer_that_failed_once_stays_failed(self) -> None:
+        self.replica.sendall(UNFRAMED + b"bo")
+        self.assertIsNone(self.exchange.read_head(TIMEOUT_S))
+        self.assertEqual(b"bo", self.exchange.read_block())
+        self.reset()
+        for _ in range(2):
+            self.assertIsInstance(self.exchange.read_block(), OutcomeUnknown)
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -27,6 +27,10 @@
     b"HTTP/1.1 200 OK\r\nRequest-Id: " + REQUEST_ID.encode() + b"\r\n"
     b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
+UNFRAMED_EVENT = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: " + REQUEST_ID.encode() + b"\r\n"
+    b"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n"
+)
 HALF_AN_EVENT = HEAD_ONLY + b"8\r\nid: 1\nda\r\n"
 JOIN_TIMEOUT_S = 10.0
 MAX_SILENCE_S = 18.0 / 6
@@ -70,9 +74,11 @@
         self.assertIsInstance(outcome, ItemCut)
         return outcome
 
-    @params(NO_HEAD, HEAD_ONLY, HALF_AN_EVENT)
+    @params(NO_HEAD, HEAD_ONLY, HALF_AN_EVENT, UNFRAMED_EVENT)
     def test_a_preempted_item_does_not_blame_the_replica(self, answer: bytes) -> None:
         thread, _ = self.run_until_answered(answer)
+        if answer is UNFRAMED_EVENT:
+            wait_until(lambda: self.item.texts, "the event was received")
         self.item.being_preempted = True
         self.item.cancel()
         self.assertFalse(self.outcome_of(thread).blames_replica)
