Keep an error of the connection that was found by looking ahead

While an answer's caller reads slowly, the gateway looks ahead for data of the replica. A reset found there was dropped, as the next read was expected to fail too; but the system reports an error once, and the next read finds the end of the body. An answer without framing then counted as complete. The error is now kept for the next read.

--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -73,6 +73,7 @@
         self._connection = connection
         self._socket = connection.sock
         self._response: BaseHTTPResponse | None = None
+        self._lookahead_error: Exception | None = None
         self._cancelled = False
         self._abandoned = False
 
@@ -123,8 +124,10 @@
         try:
             self._socket.setblocking(False)
             return bool(reader.peek(1))
-        except (OSError, ValueError):
-            return True  # The next read reports the same error.
+        except (OSError, ValueError) as error:
+            # The system reports an error only once; the next read would find the end of the body.
+            self._lookahead_error = error
+            return True
 
     def read_head(self, timeout_s: float) -> OutcomeUnknown | None:
         """Read the status line and the headers of the answer."""
@@ -154,6 +157,9 @@
         if self._pool.link_filter.blocks(self.endpoint):
             self.abandon()
             return self._no_answer("the link was blocked")
+        if self._lookahead_error is not None:
+            self.abandon()
+            return self._no_answer(self._lookahead_error, connection_closed=True)
         try:
             block = self._response.read1(READ_BLOCK_BYTES, decode_content=False)
         except _READ_ERRORS as error:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import socket
-import threading
 import struct
+import threading
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 
 from quaymill import boot_clock
+from quaymill.connection import replica_connection
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
 from quaymill.request.outcome import OutcomeUnknown
@@ -123,3 +125,17 @@
         self.reset()
         for _ in range(2):
             self.assertIsInstance(self.exchange.read_block(), OutcomeUnknown)
+
+
+class ResetWhileBufferedTest(CutAnswerCase):
+    """The connection is reset while the gateway waits for its caller to read."""
+
+    def test_reset_found_by_looking_ahead_is_not_the_end(self) -> None:
+        self.replica.sendall(UNFRAMED + b"bo")
+        self.assertIsNone(self.exchange.read_head(TIMEOUT_S))
+        self.assertEqual(b"bo", self.exchange.read_block())
+        self.reset()
+        # The reset arrives after the check of the socket and before the look ahead.
+        with mock.patch.object(replica_connection, "is_readable", return_value=False):
+            self.assertTrue(self.exchange.is_read_ready())
+        self.assertIsInstance(self.exchange.read_block(), OutcomeUnknown)
