Take no stream without framing as complete that ended before its first event

A replica that ends right after the head of its stream left callers with an empty success, and batch items with an empty text. A stream with neither a length nor chunks that ends without any event now counts as broken off, unless it is resumed and may have nothing left.

Red before: the stream test (200 for 502) and the fourth row of the item test (ItemDone for ItemCut). The new tests for whole answers without framing (complete at a close, a failure at a reset) and for streams that end regularly inside an event were green. Not seen at the users.

--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -11,10 +11,15 @@
 
 from quaymill import boot_clock
 from quaymill.connection.job_document import JobItem
+from quaymill.connection.replica_answer import AnswerHead
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections
 from quaymill.process.jobs.coordinated_job import CoordinatedItem
 from quaymill.process.replica_set.replica import Replica
-from quaymill.request.answer_relay import EVENT_GAP_TIMEOUT_S
+from quaymill.request.answer_relay import (
+    EVENT_GAP_TIMEOUT_S,
+    ends_before_first_event,
+    release_connection,
+)
 from quaymill.request.deadline import Deadline
 from quaymill.request.event_stream import EventFramer, data_of_events
 from quaymill.request.forwarded_request import ForwardedRequest, Headers, content_digest_of
@@ -175,7 +180,7 @@
     replica.record_success(boot_clock.now() - began)
     replica.begin_answer()
     try:
-        return _read_events(item, replica, exchange, head.keep_alive_s)
+        return _read_events(item, replica, exchange, head)
     finally:
         replica.end_answer()
 
@@ -206,7 +211,7 @@
 
 
 def _read_events(
-    item: CoordinatedItem, replica: Replica, exchange: Exchange, keep_alive_s: float
+    item: CoordinatedItem, replica: Replica, exchange: Exchange, head: AnswerHead
 ) -> ItemOutcome:
     framer = EventFramer(item.last_event_id)
     exchange.set_read_timeout(EVENT_GAP_TIMEOUT_S)
@@ -223,8 +228,8 @@
     if framer.partial:
         exchange.abandon()
         return ItemCut("the stream ended in the middle of an event", connection_closed=True)
-    if keep_alive_s > 0:
-        exchange.release(keep_alive_s)
-    else:
+    if ends_before_first_event(head, item.last_event_id):
         exchange.abandon()
+        return ItemCut("the stream ended before its first event", connection_closed=True)
+    release_connection(exchange, head)
     return ItemDone()
--- a/src/quaymill/request/answer_relay.py
+++ b/src/quaymill/request/answer_relay.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from quaymill import boot_clock
-from quaymill.connection.replica_answer import AnswerHead
+from quaymill.connection.replica_answer import AnswerHead, BodyFraming
 from quaymill.connection.replica_connection import Exchange
 from quaymill.request.event_stream import EventBoundary, EventFramer
 from quaymill.request.forwarded_request import ForwardedRequest, Headers
@@ -156,6 +156,9 @@
         if self.inside_event:
             exchange.abandon()
             return Broken("the stream ended in the middle of an event", connection_closed=True)
+        if not self._answer.started and ends_before_first_event(head, self.last_event_id):
+            exchange.abandon()
+            return Broken("the stream ended before its first event", connection_closed=True)
         release_connection(exchange, head)
         if not self._answer.started:
             self._answer.start(head.status, head.reason, head.headers)
@@ -175,6 +178,15 @@
         return min(remaining_s, EVENT_GAP_TIMEOUT_S) if self._may_try_another() else remaining_s
 
 
+def ends_before_first_event(head: AnswerHead, last_event_id: str | None) -> bool:
+    """Return whether a stream that has ended without an event has been broken off.
+
+    Nothing but its events tells a whole stream without framing from one that was broken off. One
+    that is resumed may have no events left.
+    """
+    return head.framing is BodyFraming.CONNECTION_CLOSE and last_event_id is None
+
+
 def release_connection(exchange: Exchange, head: AnswerHead) -> None:
     """Keep the connection for reuse as long as the replica allows, after a complete answer."""
     if head.keep_alive_s > 0:
--- a/src/quaymill_standins/fleet_replica.py
+++ b/src/quaymill_standins/fleet_replica.py
@@ -53,6 +53,8 @@
         The connection is closed in the middle of this event.
     end_after_event
         The connection is closed after this event, and further ones are missing; 0 for none.
+    end_inside_event
+        The stream ends in the middle of this event, as if it were complete; 0 for none.
     cut_body
         The connection is closed in the middle of a whole answer.
     unframed
@@ -83,6 +85,7 @@
     shed: bool = False
     cut_at_event: int = 0
     end_after_event: int = 0
+    end_inside_event: int = 0
     cut_body: bool = False
     unframed: bool = False
     resets: bool = False
@@ -373,6 +376,9 @@
                     connection.send(event[: len(event) // 2])
                     _break_off(connection, behaviour)
                     return
+                if number == behaviour.end_inside_event:
+                    connection.send(event[: len(event) // 2])
+                    return
                 connection.send(event)
                 run.events_made = number
                 if number == behaviour.end_after_event:
--- a/tests/test_broken_off_answers.py
+++ b/tests/test_broken_off_answers.py
@@ -48,9 +48,56 @@
     def test_stream_in_chunks_cut_between_events_is_not_complete(self) -> None:
         self.check_incomplete("/stream/x", end_after_event=3)
 
+    def test_stream_that_ends_regularly_inside_an_event_is_not_complete(self) -> None:
+        self.check_incomplete("/stream/x", end_inside_event=3)
+
     @params({"unframed": True, "resets": True}, {})
     def test_resumable_stream_that_breaks_off_between_events_is_resumed(
         self, behaviour: dict[str, bool]
     ) -> None:
         body = self.ask("/resumable/x", end_after_event=3, **behaviour)
         self.assertEqual(WHOLE_STREAM, body)
+
+    def test_stream_without_framing_that_ends_before_its_first_event_is_a_failure(self) -> None:
+        for replica in self.rig.of_service("engine"):
+            replica.behaviour = ReplicaBehaviour(unframed=True, events=0)
+        answer = self.rig.ask("gateway-0", "/stream/x", REQUEST_ID, tokens=True)
+        self.assertEqual(502, answer.status)
+
+    def test_resumed_stream_without_framing_may_have_nothing_left(self) -> None:
+        headers = {"Last-Event-Id": str(EVENTS)}
+        for replica in self.rig.of_service("engine"):
+            replica.behaviour = ReplicaBehaviour(unframed=True, events=EVENTS)
+        answer = self.rig.ask("gateway-0", "/resumable/x", REQUEST_ID, tokens=True, headers=headers)
+        self.assertEqual((200, b""), (answer.status, answer.data))
+
+
+class BrokenOffWholeAnswerTest(unittest.TestCase):
+    """Whole answers that end with their connection."""
+
+    def setUp(self) -> None:
+        self.rig = FleetRig(gateways=1, storage=0, engines=0).start()
+        self.addCleanup(self.rig.stop)
+
+    def ask(self, path: str, behaviour: ReplicaBehaviour) -> tuple[int, bytes]:
+        """Return status and body of an answer."""
+        for replica in self.rig.of_service("application"):
+            replica.behaviour = behaviour
+        answer = self.rig.ask("gateway-0", path, REQUEST_ID)
+        return answer.status, answer.data
+
+    @params("/read/x", "/write/x")
+    def test_answer_without_framing_is_complete_at_its_end(self, path: str) -> None:
+        body = b"answer to " + REQUEST_ID.encode()
+        self.assertEqual((200, body), self.ask(path, ReplicaBehaviour(unframed=True)))
+
+    @params(
+        ("/read/x", {"unframed": True, "resets": True}),
+        ("/write/x", {"unframed": True, "resets": True}),
+        ("/read/x", {}),
+        ("/write/x", {}),
+    )
+    def test_cut_answer_is_a_failure(self, path: str, behaviour: dict[str, bool]) -> None:
+        status, body = self.ask(path, ReplicaBehaviour(cut_body=True, **behaviour))
+        self.assertEqual(502, status)
+        self.assertNotIn(b"answer to", body)
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -16,7 +16,7 @@
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.platform.gateway_role import GATEWAY_PROTOCOL
 from quaymill.process.jobs.coordinated_job import CoordinatedItem
-from quaymill.process.jobs.item_run import ItemCut, run_item
+from quaymill.process.jobs.item_run import ItemCut, ItemDone, run_item
 from quaymill.process.replica_set.replica import Replica
 from quaymill.request.forwarding import SILENCE_TIMEOUT_S
 from standin_support import wait_until
@@ -27,10 +27,12 @@
     b"HTTP/1.1 200 OK\r\nRequest-Id: " + REQUEST_ID.encode() + b"\r\n"
     b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
-UNFRAMED_EVENT = (
+UNFRAMED_HEAD = (
     b"HTTP/1.1 200 OK\r\nRequest-Id: " + REQUEST_ID.encode() + b"\r\n"
-    b"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n"
+    b"Content-Type: text/event-stream\r\n\r\n"
 )
+UNFRAMED_EVENT = UNFRAMED_HEAD + b"id: 1\ndata: a\n\n"
+UNFRAMED_HALF_AN_EVENT = UNFRAMED_EVENT + b"id: 2\nda"
 HALF_AN_EVENT = HEAD_ONLY + b"8\r\nid: 1\nda\r\n"
 JOIN_TIMEOUT_S = 10.0
 MAX_SILENCE_S = 18.0 / 6
@@ -83,12 +85,19 @@
         self.item.cancel()
         self.assertFalse(self.outcome_of(thread).blames_replica)
 
-    @params(NO_HEAD, HEAD_ONLY, HALF_AN_EVENT)
+    @params(NO_HEAD, HEAD_ONLY, HALF_AN_EVENT, UNFRAMED_HEAD, UNFRAMED_HALF_AN_EVENT)
     def test_a_replica_that_closes_the_connection_is_blamed(self, answer: bytes) -> None:
         thread, connection = self.run_until_answered(answer)
         connection.close()
         self.assertTrue(self.outcome_of(thread).blames_replica)
 
+    def test_an_item_is_done_when_a_stream_without_framing_ends_after_an_event(self) -> None:
+        thread, connection = self.run_until_answered(UNFRAMED_EVENT)
+        connection.close()
+        thread.join(JOIN_TIMEOUT_S)
+        self.assertEqual([ItemDone()], self.outcomes)
+        self.assertEqual(["a"], self.item.texts)
+
     def test_an_item_in_an_unreachable_zone_is_given_up_immediately(self) -> None:
         thread, _ = self.run_until_answered(NO_HEAD)
         began = boot_clock.now()
