Reset the connection of an HTTP/1.0 caller whose answer is broken off

An answer to such a caller cannot be sent in chunks and ends with its connection, so a stream that its replica broke off reached the caller as complete: the gateway closed the connection as it does for answers with framing. It now resets it, and answers without framing are not buffered, as a buffered answer is ended with a close by another thread. The caller's test was red before (no reset). The users' callers speak HTTP/1.1; not seen there.

--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -9,7 +9,9 @@
 
 import contextlib
 import logging
+import os
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable
@@ -36,6 +38,8 @@
 margin, a forward jump of the clock could close connections too early."""
 READ_BLOCK_BYTES = 256 * 1024
 SERVER_NAME = "quaymill"
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+"""``SO_LINGER`` with a time of 0 s: closing the connection sends a reset."""
 DEFAULT_HEADER_TIMEOUT_S = 3.0
 """Used until a configuration sets the time that a head may take."""
 
@@ -213,6 +217,7 @@
         self._buffered = buffered
         self.started = False
         self.status = 0
+        self._framed = True
 
     def start(self, status: int, reason: str, headers: Headers, length: int | None = None) -> None:
         """Send the head; without ``length`` the body is sent in chunked encoding."""
@@ -225,6 +230,7 @@
             pairs.append((b"Content-Length", str(length).encode()))
         self._request.outheaders = pairs
         self._request.ensure_headers_sent()
+        self._framed = length is not None or self._request.chunked_write
 
     def write(self, block: bytes) -> None:
         """Send a part of the body; raises ``OSError`` when the caller has disconnected."""
@@ -268,7 +274,13 @@
             self.write(body)
 
     def abort(self) -> None:
-        """Close the connection without completing the answer, so that the caller detects it."""
+        """Close the connection without completing the answer, so that the caller detects it.
+
+        An answer with neither a length nor chunks is complete for its caller when the connection
+        is closed; the connection is then reset.
+        """
+        if not self._framed:
+            _reset(self._request.conn.socket)
         self._request.chunked_write = False
         self._request.sent_headers = True
         self._request.close_connection = True
@@ -440,7 +452,9 @@
         def respond(self) -> None:
             connection = self.req.conn.socket
             presence = watch(connection)
-            buffered = buffered_answers and BufferedAnswer(buffered_answers, connection)
+            # A buffered answer may be ended with a close, which only a framed one survives.
+            buffers = buffered_answers if self.req.response_protocol == "HTTP/1.1" else None
+            buffered = buffers and BufferedAnswer(buffers, connection)
             writer = AnswerWriter(self.req, buffered)
             try:
                 handler(FrontRequest(self.req, presence), writer)
@@ -457,6 +471,16 @@
     return FrontGateway
 
 
+def _reset(connection: socket.socket) -> None:
+    """Reset a connection; its descriptor stays valid for the server, which closes it later."""
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
+        closed, other_end = socket.socketpair()
+        other_end.close()
+        os.dup2(closed.fileno(), connection.fileno())
+        closed.close()
+
+
 def _default_reason(status: int) -> str:
     try:
         return HTTPStatus(status).phrase
--- a/tests/test_broken_off_answers.py
+++ b/tests/test_broken_off_answers.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import socket
 import unittest
 
 import urllib3
 from nose2.tools import params
 
 from fleet_rig import FleetRig
+from quaymill_bench.fleet_world import HOST
 from quaymill_standins.fleet_replica import ReplicaBehaviour, event_bytes
 
 EVENTS = 6
@@ -101,3 +103,31 @@
         status, body = self.ask(path, ReplicaBehaviour(cut_body=True, **behaviour))
         self.assertEqual(502, status)
         self.assertNotIn(b"answer to", body)
+
+
+class CallerWithoutChunksTest(unittest.TestCase):
+    """Callers that speak HTTP/1.0, whose streams end with the connection."""
+
+    def setUp(self) -> None:
+        self.rig = FleetRig(gateways=1, storage=0).start()
+        self.addCleanup(self.rig.stop)
+
+    def receive(self, **behaviour: object) -> bytes:
+        """Return the body of a stream; raises ``ConnectionResetError`` if it is incomplete."""
+        for replica in self.rig.of_service("engine"):
+            replica.behaviour = ReplicaBehaviour(events=EVENTS, **behaviour)
+        address = (self.rig.settings["gateway-0"].address, self.rig.ports("gateway-0")[0])
+        with socket.create_connection(address, timeout=10.0) as connection:
+            head = f"POST /stream/x HTTP/1.0\r\nHost: {HOST}\r\nRequest-Id: {REQUEST_ID}\r\n"
+            connection.sendall(f"{head}Token-Count: 1,1\r\nContent-Length: 0\r\n\r\n".encode())
+            received = b""
+            while block := connection.recv(4096):
+                received += block
+        return received.partition(b"\r\n\r\n")[2]
+
+    def test_whole_stream_ends_with_a_close(self) -> None:
+        self.assertEqual(WHOLE_STREAM, self.receive())
+
+    def test_stream_that_breaks_off_ends_with_a_reset(self) -> None:
+        with self.assertRaises(ConnectionResetError):
+            self.receive(end_after_event=3)
