Proxy of the soak: a reset is seen as a reset, not as an end

It shut connections down before it closed them, so that the other side saw their regular end; an answer without framing was then complete for its reader. Both new tests of the proxy were red before. Stand-ins reset an unframed answer that they end early, for the same reason.

--- a/src/quaymill_bench/loopback_proxy.py
+++ b/src/quaymill_bench/loopback_proxy.py
@@ -41,6 +41,7 @@
         self._lock = threading.Lock()
         self._sockets: set[socket.socket] = set()
         self._silenced: set[socket.socket] = set()
+        self._resetting: set[socket.socket] = set()
         self._stopping = False
         self.port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, name="proxy", daemon=True).start()
@@ -66,6 +67,7 @@
     def _reset_all(self) -> None:
         with self._lock:
             sockets = list(self._sockets)
+            self._resetting |= self._sockets
         for one in sockets:
             _reset(one)
 
@@ -101,7 +103,7 @@
                 if passes and source not in self._silenced:
                     sink.sendall(block)
             # Nobody learns of the end of a connection that is silent.
-            if source not in self._silenced:
+            if source not in self._silenced and source not in self._resetting:
                 with contextlib.suppress(OSError):
                     sink.shutdown(socket.SHUT_WR)
         except OSError:
@@ -111,6 +113,7 @@
             with self._lock:
                 self._sockets.discard(source)
                 self._silenced.discard(source)
+                self._resetting.discard(source)
             if is_answer:
                 source.close()
 
@@ -133,5 +136,6 @@
         linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     with contextlib.suppress(OSError):
-        connection.shutdown(socket.SHUT_RDWR)
+        # Wakes the thread that reads; shutting down the other direction would send an end first.
+        connection.shutdown(socket.SHUT_RD)
     connection.close()
--- a/src/quaymill_standins/fleet_replica.py
+++ b/src/quaymill_standins/fleet_replica.py
@@ -369,7 +369,7 @@
                     pause_s = 3600.0
                 if not self._pause(pause_s, connection.is_closed_by_peer):
                     run.cancelled = True
-                    connection.abort()
+                    connection.break_off()
                     return
                 event = event_bytes(run.request_id, number)
                 if number == behaviour.cut_at_event:
@@ -387,7 +387,7 @@
             run.finished = True
         except OSError:
             run.cancelled = True
-            connection.abort()
+            connection.break_off()
         finally:
             self._count(-1)
 
--- a/src/quaymill_standins/http_support.py
+++ b/src/quaymill_standins/http_support.py
@@ -49,6 +49,7 @@
     def __init__(self, http_request: HTTPRequest) -> None:
         self._http_request = http_request
         self._socket: socket.socket = http_request.conn.socket
+        self._framed = True
 
     def fileno(self) -> int:
         """Return the file descriptor, which is in non-blocking mode."""
@@ -61,6 +62,7 @@
         """
         # Cheroot frames a body of unknown length in chunks only for HTTP/1.1.
         self._http_request.response_protocol = "HTTP/1.0"
+        self._framed = False
 
     def send_headers(self) -> None:
         """Send the status line and the headers, unless they are sent."""
@@ -80,6 +82,13 @@
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
 
+    def break_off(self) -> None:
+        """End the answer early, so that the client notices it whatever it has received."""
+        if self._framed:
+            self.abort()
+        else:
+            self.reset()
+
     def reset(self) -> None:
         """Reset the connection; the client gets an error instead of the end of the answer."""
         self._http_request.close_connection = True
@@ -377,7 +386,7 @@
         with self._in_service_lock:
             connections = tuple(self._in_service)
         for connection in connections:
-            connection.abort()
+            connection.break_off()
 
 
 def _send(request: Request, answer: Answer, start_response: Callable) -> Iterator[bytes]:
--- a/tests/test_loopback_proxy.py
+++ b/tests/test_loopback_proxy.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import struct
 import threading
 import time
 import unittest
@@ -88,3 +89,26 @@
         began = time.monotonic()
         self.assertEqual(b"word", self.ask(connection))
         self.assertGreaterEqual(time.monotonic() - began, DELAY_S)
+
+    def test_reset_is_not_seen_as_an_end(self) -> None:
+        for _ in range(20):
+            connection = self.connect()
+            self.assertEqual(b"word", self.ask(connection))
+            self.proxy.set_state(LinkState.RESET)
+            self.proxy.set_state(LinkState.OPEN)
+            with self.assertRaises(ConnectionResetError):
+                connection.recv(1)
+
+    def test_reset_by_the_target_is_passed_on(self) -> None:
+        def reset(target: socket.socket) -> None:
+            target.sendall(target.recv(1024))
+            target.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            target.close()
+
+        self.enterContext(mock.patch.object(self, "_echo", reset))
+        for _ in range(20):
+            connection = self.connect()
+            with self.assertRaises(ConnectionResetError):
+                connection.sendall(b"word")
+                while connection.recv(1024):
+                    pass
