--- a/src/quaymill_bench/soak_faults.py
+++ b/src/quaymill_bench/soak_faults.py
@@ -93,8 +93,9 @@
 class SoakFaults:
     """Draws the faults of one round, and brings them about.
 
-    Evacuations and cold returns are drawn by a generator of their own, beside the others: those of
-    a seed stay as they are, with their times and what they are done to.
+    Evacuations and cold returns, and how replicas frame their answers, are drawn by generators of
+    their own, beside the others: those of a seed stay as they are, with their times and what they
+    are done to.
 
     Attributes
     ----------
@@ -110,6 +111,7 @@
         self._seed = seed
         self._random = random.Random(seed)
         self._placement_random = random.Random(f"{seed}/placement")
+        self._framing_random = random.Random(f"{seed}/framing")
         self.disturbances = Disturbances()
         self._timeline = timeline
         self._storage_lock = threading.Lock()
@@ -120,8 +122,11 @@
             cold_extra_s=COLD_EXTRA_S,
             cold_most_per_s=COLD_MOST_PER_S,
         )
+        self._unframed_ids = frozenset(
+            replica_id for replica_id in fleet.replicas if self._framing_random.random() < 0.5
+        )
         for replica in fleet.replicas.values():
-            replica.behaviour = self._sound
+            replica.behaviour = self._sound_behaviour(replica.id)
         self._faults: dict[str, Callable[[], Heal | None]] = {
             "kill a gateway": self._kill_gateway,
             "stop a gateway": self._stop_gateway,
@@ -444,15 +449,22 @@
                 ("stall_at_event", 2),
             )
         )
-        self._note(f"{replica.id}: {name}")
-        replica.behaviour = msgspec.structs.replace(self._sound, **{name: value})
+        resets = self._framing_random.random() < 0.5
+        self._note(f"{replica.id}: {name}{', with resets' if resets else ''}")
+        behaviour = self._sound_behaviour(replica.id)
+        replica.behaviour = msgspec.structs.replace(behaviour, resets=resets, **{name: value})
 
         def heal() -> None:
             # It may have started again meanwhile.
-            self._fleet.replicas[replica.id].behaviour = self._sound
+            self._fleet.replicas[replica.id].behaviour = self._sound_behaviour(replica.id)
 
         return heal
 
+    def _sound_behaviour(self, replica_id: str) -> ReplicaBehaviour:
+        """Return how a replica behaves without a fault."""
+        unframed = replica_id in self._unframed_ids
+        return msgspec.structs.replace(self._sound, unframed=unframed)
+
     def _drain_replica(self) -> Heal:
         replica = self._random.choice(list(self._fleet.replicas.values()))
         self._note(f"{replica.id} leaves")
