Read the software version of replicas and the request that a caller takes up, and log both

An entry's version (empty if none is stated, None if invalid) is decoded, passed on between gateways, and logged with each attempt, run and newly listed replica, as are the event after which an attempt resumes and the request that the caller names as the beginning of its stream. No replica is chosen differently.

--- a/src/quaymill/connection/control_messages.py
+++ b/src/quaymill/connection/control_messages.py
@@ -38,6 +38,8 @@
         as 0.
     listed_left_s
         Remaining warm-up time as it stands in the platform's list; ``None`` if unknown.
+    version
+        Software version, as in ``ReplicaEntry``; ``None`` also from an older build.
     """
 
     id: str
@@ -49,6 +51,7 @@
     cold_left_s: float
     started_ms: int = msgspec.field(default=0, name="born_ms")
     listed_left_s: float | None = None
+    version: str | None = None
 
 
 class ControlState(PeerMessage, frozen=True):
--- a/src/quaymill/connection/replica_entry.py
+++ b/src/quaymill/connection/replica_entry.py
@@ -13,6 +13,7 @@
 MIN_SLOWNESS = 0.1
 MAX_SLOWNESS = 10.0
 """Bounds of the reported slowness; a slower replica is detected by its late answers."""
+MAX_VERSION_LENGTH = 200
 MAX_COLD_LEFT_S = 24 * 3600.0
 """Upper bound of a plausible remaining warm-up time."""
 
@@ -35,6 +36,9 @@
     listed_left_s
         Remaining time as it stands in the platform's list, if another gateway sent the entry and
         ``cold_left_s`` is what that gateway knows; ``None`` otherwise.
+    version
+        Version of the replica's software, without an order; empty if its entry states none,
+        ``None`` if the entry states an invalid one.
     """
 
     id: str
@@ -46,6 +50,7 @@
     cold_left_s: float | None = attrs.field(default=None, eq=False)
     started_ms: int = 0
     listed_left_s: float | None = attrs.field(default=None, eq=False)
+    version: str | None = ""
 
     @property
     def incarnation(self) -> str:
@@ -85,6 +90,12 @@
     return min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness))
 
 
+def read_version(value: object) -> str | None:
+    """Return a stated software version, as in ``ReplicaEntry``; ``value`` is ``""`` if none is."""
+    is_valid = isinstance(value, str) and len(value) <= MAX_VERSION_LENGTH
+    return value if is_valid else None
+
+
 def read_cold_left_s(value: object, per_s: float) -> float | None:
     """Return a stated remaining warm-up time in seconds.
 
--- a/src/quaymill/platform/caller_calls.py
+++ b/src/quaymill/platform/caller_calls.py
@@ -63,6 +63,9 @@
     request_id = request.header(names.REQUEST_ID) or ""
     if len(request_id) > MAX_REQUEST_ID_LENGTH:
         return Malformed("the request id is too long", "send a shorter id")
+    began_as = request.header(names.RESUMES) or None
+    if began_as is not None and len(began_as) > MAX_REQUEST_ID_LENGTH:
+        return Malformed(f"the id in {names.RESUMES} is too long", "send a request's id")
     remaining_s = None
     text = request.header(names.DEADLINE_MS)
     if text is not None:
@@ -79,6 +82,7 @@
             request.header(names.PROMPT_PREFIX),
         ),
         last_event_id=request.header(names.LAST_EVENT_ID),
+        began_as=began_as,
     )
 
 
--- a/src/quaymill/platform/configuration.py
+++ b/src/quaymill/platform/configuration.py
@@ -8,7 +8,7 @@
 
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.object_store import StoredObject, UnreadableObject
-from quaymill.connection.replica_entry import ReplicaEntry, read_cold_left_s
+from quaymill.connection.replica_entry import ReplicaEntry, read_cold_left_s, read_version
 from quaymill.platform.names import REPLICA_DRAINING, ROUTE_KINDS
 from quaymill.version.request_routes import (
     EngineProperties,
@@ -96,6 +96,7 @@
     slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     cold_left_ms: Any = None
+    version: Any = ""
     born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
@@ -130,6 +131,7 @@
         draining=server.state == REPLICA_DRAINING,
         cold_left_s=read_cold_left_s(server.cold_left_ms, MS_PER_S),
         started_ms=server.born,
+        version=read_version(server.version),
     )
 
 
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -390,6 +390,7 @@
         UNKNOWN_LEFT_S if entry.cold_left_s is None else entry.cold_left_s,
         entry.started_ms,
         entry.listed_left_s,
+        entry.version,
     )
 
 
@@ -404,4 +405,5 @@
         None if record.cold_left_s < 0 else record.cold_left_s,
         record.started_ms,
         record.listed_left_s,
+        record.version,
     )
--- a/src/quaymill/process/front/caller_protocol.py
+++ b/src/quaymill/process/front/caller_protocol.py
@@ -22,12 +22,18 @@
         The caller's id of the request; empty if it sent none.
     remaining_s
         How long the caller waits for the response; ``None`` if it did not say.
+    last_event_id
+        Id of the event after which the caller resumes a stream; ``None`` for the whole answer.
+    began_as
+        Id of the request whose answer brought the stream's first event, if the caller resumes a
+        stream; ``None`` if it did not say.
     """
 
     id: str
     remaining_s: float | None = None
     prompt: Prompt = NO_PROMPT
     last_event_id: str | None = None
+    began_as: str | None = None
 
 
 class JobOperation(enum.Enum):
--- a/src/quaymill/process/front/front_service.py
+++ b/src/quaymill/process/front/front_service.py
@@ -220,6 +220,7 @@
             deadline=Deadline.after(remaining_s),
             prompt=parsed.prompt,
             last_event_id=parsed.last_event_id,
+            began_as=parsed.began_as,
             tenant=caller.tenant_name,
             priority=caller.rank(route.priority),
         )
--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -53,8 +53,9 @@
         Id of the last complete event, and the data of all events received so far.
     failures
         Number of runs that a replica answered with an error.
-    started_at, events_at_start
-        Monotonic time when the current run began, and the number of events received before it.
+    started_at, events_at_start, resumed_after
+        Monotonic time when the current run began, the number of events received before it, and
+        the id of the last of them.
     not_before
         Monotonic time before which the item is not run again.
     cancel
@@ -73,6 +74,7 @@
         self.not_before = 0.0
         self.started_at = 0.0
         self.events_at_start = 0
+        self.resumed_after: str | None = None
         self.replica_id = ""
         self.cancel: Callable[[], None] | None = None
         self.being_preempted = False
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -365,6 +365,7 @@
         item.replica_id = replica.id
         item.started_at = boot_clock.now()
         item.events_at_start = len(item.texts)
+        item.resumed_after = item.last_event_id
         item.being_preempted = False
         with self._lock:
             self._running_items += 1
@@ -430,6 +431,8 @@
             request_id=item.item.id,
             content=content,
             replica=replica.id,
+            version=replica.entry.version,
+            resumed_after=item.resumed_after,
             events_until=item.last_event_id,
             took_s=round(boot_clock.now() - item.started_at, 3),
             outcome=type(outcome).__name__,
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -16,6 +16,7 @@
 CONTENT = "content: digest of host, method, target and body; the same for each retry"
 CONNECTION_CLOSED = "connection_closed: whether the replica closed the connection prematurely"
 TENANT = "tenant: its name; empty if unknown"
+VERSION = "version: software version of the replica; empty if it states none, null if invalid"
 REPLICA = "replica: the replica's incarnation"
 REASON = "reason: human-readable cause"
 DURATION = "took_s: duration in seconds"
@@ -50,6 +51,11 @@
             "service: the service chosen by the route's weights",
             "load, load_age_s: the load used for the choice, and the age of its report",
             "slowness: expected duration of work there relative to the usual one",
+            VERSION,
+            "resumed_after: id of the event after which the replica was asked to go on; null for"
+            " the whole answer",
+            "began_as: id of the request that began the stream, as its caller names it; null if it"
+            " names none",
             DURATION,
             "outcome: Delivered, CallerLeft, Refused or NotSent (not run), Broken (may have run)",
             REASON,
@@ -183,7 +189,7 @@
         "the HTTP server had an error with a connection", ("message, level: as reported by it",)
     ),
     "replica:listed": LogEvent(
-        "the platform lists a new replica", (REPLICA, "service, zone: of the replica")
+        "the platform lists a new replica", (REPLICA, "service, zone: of the replica", VERSION)
     ),
     "replica:listed_again": LogEvent("a replica is listed again", (REPLICA, "service")),
     "replica:draining": LogEvent(
@@ -450,6 +456,8 @@
             REQUEST,
             CONTENT,
             REPLICA,
+            VERSION,
+            "resumed_after: id of the event after which the run was asked to go on",
             "events_until: number of the last complete event received",
             DURATION,
             "outcome: ItemDone, ItemImpossible, ItemFailed, ItemCut, ItemBarred",
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -166,7 +166,13 @@
         replica = self._by_id.get(entry.id)
         if replica is None:
             self._by_id[entry.id] = self._create_replica(entry)
-            log_message("replica:listed", replica=entry.id, service=entry.service, zone=entry.zone)
+            log_message(
+                "replica:listed",
+                replica=entry.id,
+                service=entry.service,
+                zone=entry.zone,
+                version=entry.version,
+            )
             return
         if entry.started_ms != replica.entry.started_ms:
             # Any different start time is a newer start: the replica's clock may have been set back.
--- a/src/quaymill/request/forwarded_request.py
+++ b/src/quaymill/request/forwarded_request.py
@@ -26,6 +26,9 @@
         The caller's timeout or the route's timeout, whichever ends first.
     last_event_id
         Id of the event after which the answer is resumed; ``None`` for the whole answer.
+    began_as
+        Id of the request whose answer brought the first event of the stream that is resumed;
+        ``None`` if the caller did not say.
     tenant
         Name of the tenant, sent to replicas in place of its API key. Empty if the tenant is
         unknown; ``None`` if tenants are not in use.
@@ -41,6 +44,7 @@
     deadline: Deadline
     prompt: Prompt = NO_PROMPT
     last_event_id: str | None = None
+    began_as: str | None = None
     tenant: str | None = None
     priority: int = 0
 
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -297,6 +297,7 @@
         return GivenUp(reason, self._possible_runs > 0, timed_out, retry_after_s)
 
     def _attempt(self, replica: ChosenReplica) -> AttemptResult:
+        resumed_after = self._relay.last_event_id
         load = replica.load()
         slowness = replica.slowness()
         report_age_s = replica.report_age_s()
@@ -323,6 +324,9 @@
             load=round(load, 1),
             load_age_s=round(min(report_age_s, 999.0), 2),
             slowness=round(slowness, 2),
+            version=replica.entry.version,
+            resumed_after=resumed_after,
+            began_as=self._request.began_as,
             took_s=round(took_s, 3),
             outcome=type(result).__name__,
             reason=getattr(result, "reason", ""),
--- a/tests/test_fleet_path.py
+++ b/tests/test_fleet_path.py
@@ -79,6 +79,7 @@
             ("/jobs/x", job_body("j", 1), {}, 400),
             ("/read/x", b"", {"Request-Id": "r", "Deadline-Ms": "soon"}, 400),
             ("/read/x", b"", {"Request-Id": "r" * 300}, 400),
+            ("/read/x", b"", {"Request-Id": "r", "Resumes": "s" * 300}, 400),
             ("/read/x", b"x" * (4 * 1024 * 1024 + 1), {"Request-Id": "r"}, 413),
         )
         for path, body, headers, status in cases:
--- a/tests/test_store_pages.py
+++ b/tests/test_store_pages.py
@@ -14,7 +14,7 @@
 from nose2.tools import params
 
 from quaymill.connection.object_store import Listing, StoredObject, UnreadableObject
-from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.connection.replica_entry import MAX_VERSION_LENGTH, ReplicaEntry
 from quaymill.platform.configuration import decode_configuration, decode_replica
 from quaymill.platform.store_pages import (
     ListPage,
@@ -197,6 +197,20 @@
         spec = {name: value for name, value in VALID_SPEC.items() if name != "cold_left_ms"}
         self.assertIsNone(decode_replica(StoredObject("x", 1, spec)).cold_left_s)
 
+    @params("v1", "v1.2", "2026-12-03+build.7", "\u00fc", "v" * MAX_VERSION_LENGTH, "")
+    def test_software_version_is_kept_as_stated(self, version: str) -> None:
+        spec = VALID_SPEC | {"version": version}
+        self.assertEqual(version, decode_replica(StoredObject("x", 1, spec)).version)
+
+    @params(1, 1.2, None, True, ["v1"], {"v": 1}, "v" * (MAX_VERSION_LENGTH + 1))
+    def test_invalid_software_version_is_unknown(self, version: object) -> None:
+        spec = VALID_SPEC | {"version": version}
+        self.assertIsNone(decode_replica(StoredObject("x", 1, spec)).version)
+
+    def test_missing_software_version_is_empty(self) -> None:
+        spec = {name: value for name, value in VALID_SPEC.items() if name != "version"}
+        self.assertEqual("", decode_replica(StoredObject("x", 1, spec)).version)
+
     def test_unknown_fields_are_ignored(self) -> None:
         stored = StoredObject("x", 1, VALID_SPEC | {"colour": "red", "models": [{"name": 1}]})
         self.assertIsInstance(decode_replica(stored), ReplicaEntry)
