Failing tests: streams and items go on at another software version

The stand-in replica has a version, on which the data of its events depends. Resumed inside one answer, taken up by a caller at the same or another gateway, and as the rest of an item's text: all go on at either version.

--- a/src/quaymill_standins/fleet_replica.py
+++ b/src/quaymill_standins/fleet_replica.py
@@ -1,7 +1,8 @@
 """Stand-in for one replica of the users' platform: answers opaque requests, keeps a journal.
 
 A request for tokens is answered by a stream of numbered events whose data depends on the
-request's id alone, so that a stream taken up by another replica goes on with the same text.
+request's id and the replica's software version, so that a stream taken up by another replica of
+that version goes on with the same text, and one of another version can be told apart.
 
 It may be cold for a time: it says so in its entry and in health answers, takes longer for each
 answer, and refuses requests above a rate. The journal holds the arrival of each request, also of
@@ -36,6 +37,7 @@
 COLD_WINDOW_S = 1.0
 """Time over which the requests to a cold replica are counted."""
 WAIT_STEP_S = 0.005
+FIRST_VERSION = "v1"
 
 
 class ReplicaBehaviour(msgspec.Struct, frozen=True):
@@ -163,6 +165,8 @@
         Where to listen; 0 for any free one.
     cold_s
         How long the replica is cold from its start.
+    version
+        Version of its software.
     """
 
     def __init__(
@@ -175,8 +179,10 @@
         on_crash: Callable[[FleetReplica], None] = lambda replica: None,
         port: int = 0,
         cold_s: float = 0.0,
+        version: str = FIRST_VERSION,
     ) -> None:
         self.id = replica_id
+        self.version = version
         self.started_ms = time.time_ns() // 1_000_000
         self.service = service
         self.zone = zone
@@ -239,7 +245,7 @@
             "service": self.service,
             "address": f"{self.address}:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "cold_left_ms": self.cold_left_ms,
@@ -371,7 +377,7 @@
                     run.cancelled = True
                     connection.break_off()
                     return
-                event = event_bytes(run.request_id, number)
+                event = event_bytes(run.request_id, number, self.version)
                 if number == behaviour.cut_at_event:
                     connection.send(event[: len(event) // 2])
                     _break_off(connection, behaviour)
@@ -433,14 +439,15 @@
         connection.abort()
 
 
-def event_bytes(request_id: str, number: int) -> bytes:
-    """Return one event of a request's stream."""
-    return f"id: {number}\ndata: {event_data(request_id, number)}\n\n".encode()
+def event_bytes(request_id: str, number: int, version: str = FIRST_VERSION) -> bytes:
+    """Return one event of a request's stream, as replicas of a software version write it."""
+    return f"id: {number}\ndata: {event_data(request_id, number, version)}\n\n".encode()
 
 
-def event_data(request_id: str, number: int) -> str:
+def event_data(request_id: str, number: int, version: str = FIRST_VERSION) -> str:
     """Return the data of one event."""
-    return f"{request_id}-{number}"
+    suffix = "" if version == FIRST_VERSION else f"@{version}"
+    return f"{request_id}-{number}{suffix}"
 
 
 def _target(request: Request) -> str:
--- a/tests/fleet_rig.py
+++ b/tests/fleet_rig.py
@@ -27,7 +27,7 @@
 from quaymill.process.storage_node import StorageNode
 from quaymill_bench.fleet_world import HOST, ZONES, configuration, job_body
 from quaymill_bench.ports import free_port, loopback_address
-from quaymill_standins.fleet_replica import FleetReplica
+from quaymill_standins.fleet_replica import FIRST_VERSION, FleetReplica
 from quaymill_standins.fleet_store import FleetStore
 
 WAIT_TIMEOUT_S = 20.0
@@ -123,9 +123,13 @@
 
     # Nodes and replicas.
 
-    def add_replica(self, service: str, zone: str, slots: int = 4) -> FleetReplica:
+    def add_replica(
+        self, service: str, zone: str, slots: int = 4, version: str = FIRST_VERSION
+    ) -> FleetReplica:
         """Start a replica and list it in the store."""
-        replica = FleetReplica(f"{service}-{len(self.replicas)}", service, zone, slots)
+        replica = FleetReplica(
+            f"{service}-{len(self.replicas)}", service, zone, slots, version=version
+        )
         replica.start()
         self.replicas[replica.id] = replica
         self.store.put("servers", replica.id, replica.entry())
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,153 @@
+"""Replicas of several software versions in one service: no stream holds events of two versions."""
+
+from __future__ import annotations
+
+import time
+import unittest
+
+import urllib3
+
+from fleet_rig import FleetRig, wait_until
+from quaymill_bench.fleet_world import ZONES, item_id
+from quaymill_standins.fleet_replica import (
+    FIRST_VERSION,
+    FleetReplica,
+    ReplicaBehaviour,
+    event_bytes,
+    event_data,
+)
+
+EVENTS = 6
+NEXT_VERSION = "v1.1"
+REQUEST_ID = "began"
+RETURN_ID = "returned"
+AT_ONCE_S = 0.5
+
+
+def stream_of(request_id: str, first: int, version: str = FIRST_VERSION) -> bytes:
+    """Return the events of a stream from number ``first`` on."""
+    return b"".join(event_bytes(request_id, number, version) for number in range(first, EVENTS + 1))
+
+
+class VersionCase(unittest.TestCase):
+    """A service with replicas of two versions, behind two gateways."""
+
+    STORAGE = 0
+
+    def setUp(self) -> None:
+        self.rig = FleetRig(gateways=2, storage=self.STORAGE, engines=0).start()
+        self.addCleanup(self.rig.stop)
+        self.first = self.add_engine(FIRST_VERSION)
+
+    def add_engine(self, version: str, **behaviour: object) -> FleetReplica:
+        """Start an engine, and wait until both gateways list it."""
+        replica = self.rig.add_replica("engine", ZONES[0], version=version)
+        replica.behaviour = ReplicaBehaviour(events=EVENTS, **behaviour)
+        wait_until(
+            lambda: all(
+                any(entry.id == replica.id for entry in gateway._table.entries())
+                for gateway in self.rig.gateways.values()
+            ),
+            f"{replica.id} is listed",
+        )
+        return replica
+
+    def ask(self, gateway: str = "gateway-0", request_id: str = REQUEST_ID) -> bytes:
+        """Return the body of a stream; raises ``ProtocolError`` if it is incomplete."""
+        return self.rig.ask(gateway, "/resumable/x", request_id, tokens=True).data
+
+    def begin(self, gateway: str = "gateway-0", request_id: str = REQUEST_ID) -> None:
+        """Receive the first events of a stream, and close the connection."""
+        answer = self.rig.ask(gateway, "/resumable/x", request_id, tokens=True, preload=False)
+        self.assertIn(b"id: 1", answer.read1())
+        answer.close()
+
+    def take_up(self, gateway: str, request_id: str = RETURN_ID) -> urllib3.BaseHTTPResponse:
+        """Send the request that takes the stream up after its second event."""
+        headers = {"Last-Event-Id": "2", "Resumes": REQUEST_ID}
+        return self.rig.ask(gateway, "/resumable/x", request_id, tokens=True, headers=headers)
+
+
+class ResumedAnswerTest(VersionCase):
+    """The gateway resumes a stream inside one answer."""
+
+    def test_stream_goes_on_at_a_replica_of_its_version(self) -> None:
+        same = self.add_engine(FIRST_VERSION)
+        resumed = 0
+        other = self.add_engine(NEXT_VERSION, shed=True)
+        for number in range(10):
+            request_id = f"{REQUEST_ID}-{number}"
+            cutting, sound = (self.first, same) if number % 2 else (same, self.first)
+            cutting.behaviour = ReplicaBehaviour(events=EVENTS, cut_at_event=3)
+            sound.behaviour = ReplicaBehaviour(events=EVENTS)
+            self.assertEqual(stream_of(request_id, 1), self.ask(request_id=request_id))
+            resumed += bool(cutting.runs_of(request_id))
+        self.assertEqual([], [run for run in other.runs if run.after_event])
+        self.assertGreater(resumed, 0, "no stream was resumed")
+
+    def test_stream_ends_at_once_if_no_replica_of_its_version_is_left(self) -> None:
+        self.first.behaviour = ReplicaBehaviour(events=EVENTS, cut_at_event=3)
+        other = self.add_engine(NEXT_VERSION, shed=True)
+        began = time.monotonic()
+        with self.assertRaises(urllib3.exceptions.ProtocolError):
+            self.ask()
+        self.assertLess(time.monotonic() - began, AT_ONCE_S)
+        self.assertEqual([], other.runs)
+
+    def test_stream_is_not_resumed_at_another_version(self) -> None:
+        self.first.behaviour = ReplicaBehaviour(events=EVENTS, cut_at_event=3)
+        other = self.add_engine(NEXT_VERSION)
+        for number in range(10):
+            request_id = f"{REQUEST_ID}-{number}"
+            try:
+                body = self.ask(request_id=request_id)
+            except urllib3.exceptions.ProtocolError:
+                continue
+            self.assertEqual(stream_of(request_id, 1, NEXT_VERSION), body)
+        self.assertEqual([], [run for run in other.runs if run.after_event])
+
+
+class ReturnTest(VersionCase):
+    """A caller takes its stream up with a new request."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.first.behaviour = ReplicaBehaviour(events=EVENTS, event_s=0.1)
+        self.begin()
+        self.other = self.add_engine(NEXT_VERSION)
+
+    def check_goes_on(self, gateway: str) -> None:
+        for number in range(6):
+            request_id = f"{RETURN_ID}-{number}"
+            answer = self.take_up(gateway, request_id)
+            self.assertEqual(200, answer.status, answer.data)
+            self.assertEqual(stream_of(request_id, 3), answer.data)
+
+    def test_caller_that_returns_to_the_same_gateway_goes_on_at_its_version(self) -> None:
+        self.check_goes_on("gateway-0")
+
+    def test_caller_that_returns_to_another_gateway_goes_on_at_its_version(self) -> None:
+        self.check_goes_on("gateway-1")
+
+    def test_caller_returns_after_the_first_gateway_has_died(self) -> None:
+        self.rig.gateways["gateway-0"].kill()
+        self.check_goes_on("gateway-1")
+
+
+class ItemTest(VersionCase):
+    """Batch items whose run is cut."""
+
+    STORAGE = 3
+
+    def test_text_of_an_item_holds_events_of_one_version(self) -> None:
+        self.first.behaviour = ReplicaBehaviour(events=EVENTS, cut_at_event=4, event_s=0.05)
+        self.assertEqual(202, self.rig.submit("gateway-0", "job", 1).status)
+        wait_until(
+            lambda: any(run.events_made >= 3 for run in self.first.runs_of(item_id("job", 0))),
+            "some events of the item",
+        )
+        self.rig.store.remove("servers", self.first.id)
+        self.add_engine(NEXT_VERSION)
+        result = self.rig.wait_results("gateway-0", "job", 1)[0]
+        expected = [event_data(result["id"], n, NEXT_VERSION) for n in range(1, EVENTS + 1)]
+        self.assertEqual("\n".join(expected), result["message"])
