Resume a stream inside an answer only at its software version

Callers got one whole answer with events of two software versions, which do not fit together. The gateway chose the next replica of a cut stream among all of the service, as it did not know their versions, and replicas do not check them.

A stream now has a version and a service from its first event on. Where no replica of the version is left, the answer ends at once without its end mark; a replica that pauses is then waited for, as there is no other.

--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -24,6 +24,7 @@
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.request.prompt import NO_PROMPT, Prompt
 from quaymill.request.replica_choice import NoReplica
+from quaymill.request.stream_version import StreamVersion
 from quaymill.version.request_routes import RequestRoute, WeightedService
 
 AFFINITY_MIN_TOKENS = 1000
@@ -226,6 +227,14 @@
             for replica in self._table.of_service(service)
         )
 
+    def ids_of_other_versions(self, service: str, version: StreamVersion) -> frozenset[str]:
+        """Return the ids of the replicas that may not go on with a stream of a version."""
+        return frozenset(
+            replica.id
+            for replica in self._table.of_service(service)
+            if not version.may_resume_at(replica.entry)
+        )
+
     def _least_costly(self, candidates: list[Replica], offsets: Mapping[str, float]) -> Replica:
         service_s = self._service_s(candidates[0].entry.service)
         load_of = with_cold_load(Replica.load)
--- a/src/quaymill/request/answer_relay.py
+++ b/src/quaymill/request/answer_relay.py
@@ -13,6 +13,7 @@
 from quaymill.request.forwarding_result import AttemptResult, Broken, Delivered, broken_attempt
 from quaymill.request.outcome import OutcomeUnknown
 from quaymill.request.replica_choice import ChosenReplica
+from quaymill.request.stream_version import StreamVersion
 from quaymill.version.request_routes import RequestRoute
 
 MAX_BUFFERED_BYTES = 256 * 1024
@@ -60,6 +61,11 @@
     ----------
     may_try_another
         Returns whether another replica is tried if this one fails to complete the answer.
+
+    Attributes
+    ----------
+    version
+        Software version that began the stream; ``None`` before the caller has an event.
     """
 
     def __init__(
@@ -73,6 +79,7 @@
         self._route = route
         self._answer = answer
         self._may_try_another = may_try_another
+        self.version: StreamVersion | None = None
         self._framer = EventFramer(request.last_event_id)
         self._boundary = EventBoundary()
 
@@ -150,6 +157,8 @@
                 break
             self._boundary.feed(block)
             events = self._framer.feed(block) if resumable else block
+            if events and self.version is None:
+                self.version = StreamVersion.of_replica(replica.entry)
             if not self._answer.started:
                 self._answer.start(head.status, head.reason, head.headers)
             self._answer.write(events)
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -185,6 +185,8 @@
         self._possible_runs = 0
         self._kept_error: _ReplicaError | None = None
         self._framing: BodyFraming | None = None
+        self._replica_id = ""
+        self._has_alternative: bool | None = None
 
     def run(self) -> ForwardingResult:
         if (ended := self._result_without_attempt()) is not None:
@@ -229,12 +231,14 @@
                     self._dispatch_queue.release_slot(granted)
                 return ended
             replica = granted or self._router.choose(
-                self._service, self._request.prompt, self._tried_ids | self._lacking_grant
+                self._service,
+                self._request.prompt,
+                self._tried_ids | self._lacking_grant | self._other_versions(),
             )
             granted = None
             if isinstance(replica, NoReplica):
                 if not self._may_wait_again(replica):
-                    return self._give_up(replica.reason, retry_after_s=replica.retry_after_s)
+                    return self._give_up_without_replica(replica)
                 self._lacking_grant.clear()
                 waited = self._wait_for_slot()
                 if isinstance(waited, CannotServeInTime):
@@ -245,6 +249,19 @@
             if ended is not None:
                 return ended
 
+    def _other_versions(self) -> frozenset[str]:
+        """Return the ids of the replicas whose software version may not go on with the stream."""
+        version = self._relay.version
+        if version is None:
+            return frozenset()
+        return self._router.ids_of_other_versions(self._service, version)
+
+    def _give_up_without_replica(self, result: NoReplica) -> GivenUp | Delivered:
+        reason = result.reason
+        if self._relay.version is not None:
+            reason += f"; the stream began at software version {self._relay.version.name!r}"
+        return self._give_up(reason, retry_after_s=result.retry_after_s)
+
     def _result_of_attempt(
         self, replica: ChosenReplica, result: AttemptResult
     ) -> ForwardingResult | None:
@@ -303,6 +320,8 @@
         report_age_s = replica.report_age_s()
         began = boot_clock.now()
         self._framing = None
+        self._replica_id = replica.id
+        self._has_alternative = None
         replica.begin()
         self._observer.began(replica)
         try:
@@ -355,6 +374,8 @@
         # Checked again here, as a choice or a slot grant may be older than the replica's state.
         if replica.evacuated:
             return NotSent("the replica's zone is evacuated")
+        if self._relay.version and not self._relay.version.may_resume_at(replica.entry):
+            return NotSent("the replica has another software version than the stream")
         if not replica.take_permit():
             return NotSent("the replica is cold, and no grant for it is left", lacks_grant=True)
         remaining_s = self._request.deadline.remaining_s()
@@ -428,10 +449,19 @@
         """Return whether the replica is unreachable while another replica may be reachable."""
         if not replica.unreachable:
             return False
-        return self._router.may_reach_another(self._service, self._tried_ids | {replica.id})
+        untried = self._tried_ids | {replica.id} | self._other_versions()
+        return self._router.may_reach_another(self._service, untried)
 
     def _may_try_another(self) -> bool:
-        return self._route.repeatable and self._possible_runs + 1 < self._route.max_attempts
+        if not self._route.repeatable or self._possible_runs + 1 >= self._route.max_attempts:
+            return False
+        if self._relay.version is None:
+            return True
+        # Determined once for each attempt, since it is asked for each block of a stream.
+        if self._has_alternative is None:
+            excluded = self._tried_ids | {self._replica_id} | self._other_versions()
+            self._has_alternative = self._router.may_reach_another(self._service, excluded)
+        return self._has_alternative
 
     def _first_byte_timeout_s(self, replica: ChosenReplica) -> float:
         if self._route.kind is RouteKind.STREAMING:
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -11,6 +11,7 @@
 from quaymill.request.forwarded_request import ForwardedRequest
 from quaymill.request.presence import CallerPresence
 from quaymill.request.prompt import Prompt
+from quaymill.request.stream_version import StreamVersion
 from quaymill.version.request_routes import RequestRoute
 
 
@@ -138,6 +139,9 @@
     def may_reach_another(self, service: str, excluded: Iterable[str]) -> bool:
         """Return whether a replica that is not in ``excluded`` is in a reachable zone."""
 
+    def ids_of_other_versions(self, service: str, version: StreamVersion) -> frozenset[str]:
+        """Return the ids of the replicas that may not go on with a stream of a version."""
+
 
 class RequestObserver(Protocol):
     """Is notified of every request that is sent to a replica."""
