Take a caller's stream up only at its software version, at any gateway

A caller that returned with the id of its last event was sent to any replica, and its text held events of two versions over its tries. The version was known to nobody but the first gateway.

To whichever gateway the caller returns, that one knows the record or asks; it goes on only at a replica of the version, also by way of the slot allocator and its queue. Where the version is not known, or no replica of it is left, the caller is refused at once and nothing runs. Without a record the version of the service's replicas counts only if they all have one, the list is fresh, and no other was seen for as long as departed replicas are kept.

--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -67,6 +67,9 @@
 from quaymill.process.replica_set.table import ReplicaTable
 from quaymill.process.replica_set.warnings import ReplicaWarnings
 from quaymill.process.serving_settings import MS_PER_S, ServingSettings
+from quaymill.process.streams.records import StreamRecords
+from quaymill.process.streams.sharing import StreamVersionSharing
+from quaymill.process.streams.versions import StreamVersions
 from quaymill.request.answer_buffer import BufferedAnswers
 from quaymill.request.forwarded_request import ForwardedRequest
 from quaymill.request.forwarding import Forwarder, ReplicaProtocol
@@ -206,6 +209,17 @@
             self.network.server,
             self.network.other_gateways,
         )
+        self._stream_records = StreamRecords()
+        self._stream_sharing = StreamVersionSharing(
+            settings.name,
+            self._stream_records,
+            self.network.client,
+            self.network.server,
+            self.network.gateways,
+        )
+        self._stream_versions = StreamVersions(
+            self._stream_sharing, self._table, self.network.membership.confirmed_age_s
+        )
         self._router = Router(
             self._table,
             settings.zone,
@@ -357,7 +371,7 @@
     def _request_slot(
         self, service: str, request: ForwardedRequest, terms: QueueTerms
     ) -> Replica | Queued | CannotServeInTime | None:
-        found = self._router.constraints_of(service, request.prompt)
+        found = self._router.constraints_of(service, request.prompt, request.stream_version)
         return None if found is None else self._online_reporter.request_slot(*found, terms)
 
     def _limits_of(self, tenant: str) -> TenantLimits | None:
@@ -393,6 +407,7 @@
             self._online_reporter,
             self._queue,
             self._guard,
+            self._stream_versions,
         )
         return FrontService(
             protocol.callers,
@@ -421,6 +436,7 @@
             "batch_jobs_open": lambda: len(self.coordinator.open_jobs()),
             "requests_barred": lambda: self._poison_records.count(barred=True),
             "requests_suspected": lambda: self._poison_records.count(barred=False),
+            "stream_records": lambda: len(self._stream_records),
             "storage_nodes": lambda: len(self.network.storage_nodes()),
             "gateways": lambda: len(self.network.gateways()),
             "zones_evacuated": lambda: len(self.evacuations.zones),
@@ -445,6 +461,7 @@
         self.evacuations.subscribe(self._handle_evacuations)
         self.control.start()
         self._warnings.start()
+        self._stream_sharing.start()
         self._crash_sharing.start()
         self.coordinator.start()
         self.quota.start()
@@ -527,6 +544,7 @@
         self._registry.stop()
         self._loads.stop()
         self._warnings.stop()
+        self._stream_sharing.stop()
         self._crash_sharing.stop()
         self._online_reporter.stop()
         self._cold_watch.stop()
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -132,6 +132,18 @@
             REASON,
         ),
     ),
+    "request:stream_looked_up": LogEvent(
+        "other gateways were asked which software version began a stream that a caller takes up",
+        (
+            "began_as: id of the request that began the stream",
+            "asked, answered: number of gateways",
+            "found: whether one of them knows the version",
+            DURATION,
+        ),
+    ),
+    "request:stream_sharing_error": LogEvent(
+        "sharing the software versions of streams raised an exception", ("error: the exception",)
+    ),
     "request:ended": LogEvent(
         "a request was answered or abandoned",
         (
--- a/src/quaymill/process/replica_set/online_queue.py
+++ b/src/quaymill/process/replica_set/online_queue.py
@@ -30,6 +30,7 @@
 from quaymill.request.forwarded_request import ForwardedRequest
 from quaymill.request.presence import CallerPresence
 from quaymill.request.replica_choice import CannotServeInTime, ChosenReplica
+from quaymill.request.stream_version import StreamVersion
 from quaymill.version.request_routes import RequestRoute
 
 REMAINING_TIME_SAMPLES = 256
@@ -109,6 +110,8 @@
         Estimated time since the first attempt of its caller.
     ticket
         Identifies it in the allocator's queue.
+    version
+        Software version of the stream that it resumes; ``None`` for any.
     slot_requested_at
         When a slot was last requested from the allocator.
     in_allocator_queue
@@ -130,6 +133,7 @@
     rank: int
     age_s: float = 0.0
     ticket: str = ""
+    version: StreamVersion | None = None
     slot_requested_at: float = 0.0
     in_allocator_queue: bool = False
     was_in_allocator_queue: bool = False
@@ -361,7 +365,12 @@
             if queued is None or queued.wait_ended.is_set():
                 return False
             replica = self._table.get(replica_id)
-            if replica is None or replica.leaving or replica.lacks_permit:
+            if (
+                replica is None
+                or replica.leaving
+                or replica.lacks_permit
+                or (queued.version and not queued.version.may_resume_at(replica.entry))
+            ):
                 queued.in_allocator_queue = False
                 return False
             queued.end_wait(DecidedBy.ALLOCATOR, replica)
@@ -438,6 +447,8 @@
         """Return whether a request may be dispatched, after ``dispatched`` others in this pass."""
         if now >= queued.dispatch_by:
             return True
+        if queued.version and not self._table.serves_version(queued.version):
+            return True  # The router refuses it at once.
         if queued.in_allocator_queue:
             return False
         best = self._least_loaded(service)
@@ -500,7 +511,13 @@
         target_at = now + route.objective_s - age_s
         ticket = f"{self._process_name}/{next(self._tickets)}"
         return _QueuedRequest(
-            now, target_at, now + left_s - queue.reserved_s, request.priority, age_s, ticket
+            now,
+            target_at,
+            now + left_s - queue.reserved_s,
+            request.priority,
+            age_s,
+            ticket,
+            request.stream_version,
         )
 
 
--- a/src/quaymill/process/replica_set/router.py
+++ b/src/quaymill/process/replica_set/router.py
@@ -105,13 +105,11 @@
         """Return the service of a route whose share is furthest behind its weight."""
         if len(route.services) == 1:
             return route.services[0].service
-        weighted = [candidate for candidate in route.services if candidate.weight > 0] or list(
-            route.services
-        )
+        serving = route.serving_services
         # The weights are part of the key, so that a change of them resets the counts.
         counts = self._choices_by_route.setdefault((route.name, route.services), {})
         chosen = min(
-            weighted,
+            serving,
             key=lambda candidate: (counts.get(candidate.service, 0) + 1) / (candidate.weight or 1),
         )
         counts[chosen.service] = counts.get(chosen.service, 0) + 1
@@ -191,20 +189,32 @@
         return self._least_costly(warm, self._offsets(warm, prompt))
 
     def constraints_of(
-        self, service: str, prompt: Prompt = NO_PROMPT
+        self,
+        service: str,
+        prompt: Prompt = NO_PROMPT,
+        version: StreamVersion | None = None,
     ) -> tuple[Replica, PlacementConstraints] | None:
         """Return the local choice for the first attempt of a request, and its constraints.
 
         The choice is in the own region if a replica is healthy there, as the request can be queued
         for it. Returns ``None`` if no replica is healthy.
+
+        Parameters
+        ----------
+        version
+            Software version of the stream that the request resumes; ``None`` for any.
         """
         replicas = self._table.of_service(service)
-        candidates = [replica for replica in replicas if not replica.leaving]
+        others = self.ids_of_other_versions(service, version) if version else frozenset()
+        candidates = [
+            replica for replica in replicas if not replica.leaving and replica.id not in others
+        ]
         healthy = [replica for replica in candidates if not replica.avoided]
         if not healthy:
             return None
         nearby = own_region_first(healthy)
-        return self._local_choice(candidates, healthy, nearby, prompt, _evacuated_ids(replicas))
+        excluded = _evacuated_ids(replicas) | others
+        return self._local_choice(candidates, healthy, nearby, prompt, excluded)
 
     def _local_choice(
         self,
@@ -227,6 +237,14 @@
             for replica in self._table.of_service(service)
         )
 
+    def serves_version(self, version: StreamVersion) -> bool:
+        """Return whether a replica that may get requests may go on with a stream of a version."""
+        return any(
+            version.may_resume_at(replica.entry)
+            and (not replica.leaving or _has_just_departed(replica))
+            for replica in self._table.of_service(version.service)
+        )
+
     def ids_of_other_versions(self, service: str, version: StreamVersion) -> frozenset[str]:
         """Return the ids of the replicas that may not go on with a stream of a version."""
         return frozenset(
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -12,6 +12,7 @@
 from quaymill.process.regions import ONE_REGION, RegionMap
 from quaymill.process.replica_set.cold_start import ColdRuleOf, no_cold_rule
 from quaymill.process.replica_set.replica import Replica
+from quaymill.request.stream_version import StreamVersion
 
 DEPARTED_RETENTION_S = 30.0
 """How long a replica stays in the table after the platform has removed it from its list."""
@@ -67,6 +68,13 @@
         """Return whether a service declares how many requests its cold replicas can handle."""
         return self._cold_rule_of(service) is not None
 
+    def serves_version(self, version: StreamVersion) -> bool:
+        """Return whether a replica that gets requests may go on with a stream of a version."""
+        return any(
+            version.may_resume_at(replica.entry) and not replica.leaving
+            for replica in self.of_service(version.service)
+        )
+
     def get(self, replica_id: str) -> Replica | None:
         """Return a replica by its identity."""
         return self._by_id.get(replica_id)
--- a/src/quaymill/request/answer_relay.py
+++ b/src/quaymill/request/answer_relay.py
@@ -61,6 +61,8 @@
     ----------
     may_try_another
         Returns whether another replica is tried if this one fails to complete the answer.
+    on_stream_begun
+        Called with the version of a resumable stream before its first event is sent.
 
     Attributes
     ----------
@@ -74,11 +76,13 @@
         route: RequestRoute,
         answer: AnswerWriter,
         may_try_another: Callable[[], bool],
+        on_stream_begun: Callable[[StreamVersion], None] = lambda version: None,
     ) -> None:
         self._request = request
         self._route = route
         self._answer = answer
         self._may_try_another = may_try_another
+        self._on_stream_begun = on_stream_begun
         self.version: StreamVersion | None = None
         self._framer = EventFramer(request.last_event_id)
         self._boundary = EventBoundary()
@@ -157,8 +161,9 @@
                 break
             self._boundary.feed(block)
             events = self._framer.feed(block) if resumable else block
-            if events and self.version is None:
+            if resumable and events and self.version is None:
                 self.version = StreamVersion.of_replica(replica.entry)
+                self._on_stream_begun(self.version)
             if not self._answer.started:
                 self._answer.start(head.status, head.reason, head.headers)
             self._answer.write(events)
--- a/src/quaymill/request/forwarded_request.py
+++ b/src/quaymill/request/forwarded_request.py
@@ -7,6 +7,7 @@
 
 from quaymill.request.deadline import Deadline
 from quaymill.request.prompt import NO_PROMPT, Prompt
+from quaymill.request.stream_version import StreamVersion
 
 Headers = tuple[tuple[str, str], ...]
 """Names and values in the order received; names may repeat."""
@@ -29,6 +30,9 @@
     began_as
         Id of the request whose answer brought the first event of the stream that is resumed;
         ``None`` if the caller did not say.
+    stream_version
+        Software version that began the stream that is resumed; ``None`` if any version may serve
+        the request.
     tenant
         Name of the tenant, sent to replicas in place of its API key. Empty if the tenant is
         unknown; ``None`` if tenants are not in use.
@@ -45,6 +49,7 @@
     prompt: Prompt = NO_PROMPT
     last_event_id: str | None = None
     began_as: str | None = None
+    stream_version: StreamVersion | None = None
     tenant: str | None = None
     priority: int = 0
 
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -47,8 +47,10 @@
     NoDispatchQueue,
     NoObserver,
     NoReplica,
+    NoVersionLookup,
     ReplicaChooser,
     RequestObserver,
+    StreamVersionLookup,
 )
 from quaymill.version.request_routes import RequestRoute, RouteKind
 
@@ -108,6 +110,7 @@
         observer: RequestObserver | None = None,
         dispatch_queue: DispatchQueue | None = None,
         guard: PoisonGuard | None = None,
+        stream_versions: StreamVersionLookup | None = None,
     ) -> None:
         self.router = router
         self.connections = connections
@@ -115,6 +118,7 @@
         self.observer = observer or NoObserver()
         self.dispatch_queue = dispatch_queue or NoDispatchQueue()
         self.guard = guard or NoGuard()
+        self.stream_versions = stream_versions or NoVersionLookup()
 
     def forward(
         self,
@@ -177,7 +181,14 @@
         self._presence = presence
         self._key_change = key_change
         self._service = self._router.choose_service(route)
-        self._relay = AnswerRelay(request, route, answer, self._may_try_another)
+        self._stream_versions = forwarder.stream_versions
+        self._relay = AnswerRelay(
+            request,
+            route,
+            answer,
+            self._may_try_another,
+            lambda version: self._stream_versions.record_begun(request.id, version),
+        )
         self._tried_ids: set[str] = set()
         self._lacking_grant: set[str] = set()
         self._waited_at = 0.0
@@ -191,11 +202,29 @@
     def run(self) -> ForwardingResult:
         if (ended := self._result_without_attempt()) is not None:
             return ended
+        resumes = self._route.resumable and self._request.last_event_id is not None
+        if resumes and (refusal := self._find_stream_version()) is not None:
+            return refusal
         granted = self._wait_for_slot()
         if isinstance(granted, CannotServeInTime):
             return self._give_up(granted.reason, retry_after_s=granted.retry_after_s)
         return self._try_replicas(granted)
 
+    def _find_stream_version(self) -> GivenUp | None:
+        """Find the version of a stream that the caller takes up, or return why it cannot go on."""
+        version = self._stream_versions.version_of(self._request, self._service)
+        if version is None or version.name is None:
+            return GivenUp("the software version that began the stream is not known", False)
+        serving = {part.service for part in self._route.serving_services}
+        if version.service not in serving:
+            return GivenUp("the service that began the stream no longer serves the route", False)
+        self._service = version.service
+        self._relay.version = version
+        self._request = attrs.evolve(self._request, stream_version=version)
+        if not self._router.serves_version(version):
+            return GivenUp(f"no replica of software version {version.name!r} is left", False)
+        return None
+
     def _wait_for_slot(self) -> ChosenReplica | CannotServeInTime | None:
         """Wait until the request may be dispatched; return the granted replica or the refusal."""
         self._waited_at = boot_clock.now()
--- a/src/quaymill/request/replica_choice.py
+++ b/src/quaymill/request/replica_choice.py
@@ -1,4 +1,4 @@
-"""Interfaces through which a request chooses a replica, waits for a slot and records results."""
+"""Interfaces through which a request finds a replica, waits for a slot and records results."""
 
 from __future__ import annotations
 
@@ -139,6 +139,9 @@
     def may_reach_another(self, service: str, excluded: Iterable[str]) -> bool:
         """Return whether a replica that is not in ``excluded`` is in a reachable zone."""
 
+    def serves_version(self, version: StreamVersion) -> bool:
+        """Return whether a replica that may get requests may go on with a stream of a version."""
+
     def ids_of_other_versions(self, service: str, version: StreamVersion) -> frozenset[str]:
         """Return the ids of the replicas that may not go on with a stream of a version."""
 
@@ -213,3 +216,24 @@
 
     def record(self, service: str, took_s: float, first_byte_s: float) -> None:
         """Do nothing."""
+
+
+class StreamVersionLookup(Protocol):
+    """Records the versions of streams, and finds those of streams that callers take up."""
+
+    def record_begun(self, request_id: str, version: StreamVersion) -> None:
+        """Record a stream whose first event is being sent."""
+
+    def version_of(self, request: ForwardedRequest, service: str) -> StreamVersion | None:
+        """Return the version that began the stream of a request; ``None`` if it is not known."""
+
+
+class NoVersionLookup:
+    """A ``StreamVersionLookup`` where replicas state no versions."""
+
+    def record_begun(self, request_id: str, version: StreamVersion) -> None:
+        """Do nothing."""
+
+    def version_of(self, request: ForwardedRequest, service: str) -> StreamVersion:
+        """Return the version of replicas that state none."""
+        return StreamVersion(service, "")
--- a/src/quaymill/version/request_routes.py
+++ b/src/quaymill/version/request_routes.py
@@ -75,6 +75,12 @@
     max_unfinished_tokens: int = 0
     public: bool = False
 
+    @property
+    def serving_services(self) -> tuple[WeightedService, ...]:
+        """The services that get requests: those with a weight, or all if none has one."""
+        weighted = tuple(part for part in self.services if part.weight > 0)
+        return weighted or self.services
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may be sent again after it may have been executed."""
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -4,10 +4,16 @@
 
 import time
 import unittest
+from unittest import mock
 
 import urllib3
 
 from fleet_rig import FleetRig, wait_until
+from quaymill import boot_clock
+from quaymill.process.replica_set.router import LAST_RESORT_DEPARTED_S
+from quaymill.process.streams import versions
+from quaymill.process.streams.records import MAX_RECORDS, RECORD_LIFETIME_S, StreamRecords
+from quaymill.request.stream_version import StreamVersion
 from quaymill_bench.fleet_world import ZONES, item_id
 from quaymill_standins.fleet_replica import (
     FIRST_VERSION,
@@ -134,6 +140,107 @@
         self.check_goes_on("gateway-1")
 
 
+class RefusedReturnTest(VersionCase):
+    """A stream cannot go on at its version: the caller is told so at once, and nothing runs."""
+
+    def check_refused(self, gateway: str, headers: dict[str, str]) -> None:
+        runs_before = [len(replica.runs) for replica in self.rig.replicas.values()]
+        began = time.monotonic()
+        answer = self.rig.ask(gateway, "/resumable/x", RETURN_ID, tokens=True, headers=headers)
+        self.assertLess(time.monotonic() - began, AT_ONCE_S)
+        self.assertEqual(503, answer.status)
+        self.assertEqual(runs_before, [len(replica.runs) for replica in self.rig.replicas.values()])
+
+    def test_no_replica_of_the_version_is_left(self) -> None:
+        self.begin()
+        self.add_engine(NEXT_VERSION)
+        self.rig.store.remove("servers", self.first.id)
+        wait_until(
+            lambda: (
+                not any(
+                    entry.id == self.first.id
+                    for gateway in self.rig.gateways.values()
+                    for entry in gateway._table.entries()
+                )
+            ),
+            "the first engine is gone",
+        )
+        time.sleep(LAST_RESORT_DEPARTED_S)
+        for gateway in self.rig.gateways:
+            self.check_refused(gateway, {"Last-Event-Id": "2", "Resumes": REQUEST_ID})
+
+    def test_nobody_knows_the_stream(self) -> None:
+        self.add_engine(NEXT_VERSION)
+        self.check_refused("gateway-0", {"Last-Event-Id": "2", "Resumes": "unheard-of"})
+
+    def test_caller_names_no_stream_and_several_versions_serve(self) -> None:
+        self.add_engine(NEXT_VERSION)
+        self.check_refused("gateway-0", {"Last-Event-Id": "2"})
+
+    def test_gateway_that_is_cut_off_from_all_others_cannot_know(self) -> None:
+        self.rig.cut_zone(ZONES[0])
+        self.begin("gateway-0")
+        self.add_engine(NEXT_VERSION)
+        headers = {"Last-Event-Id": "2", "Resumes": REQUEST_ID}
+        self.check_refused("gateway-1", headers)
+
+    def test_stream_of_a_replica_with_an_invalid_version_goes_on_nowhere(self) -> None:
+        self.rig.store.put("servers", self.first.id, self.first.entry() | {"version": 7})
+        wait_until(
+            lambda: all(
+                gateway._table.get(self.first.id).entry.version is None
+                for gateway in self.rig.gateways.values()
+            ),
+            "the version is known to be invalid",
+        )
+        self.begin()
+        self.check_refused("gateway-0", {"Last-Event-Id": "2", "Resumes": REQUEST_ID})
+
+
+class OneVersionTest(VersionCase):
+    """All replicas have the same version."""
+
+    def test_caller_that_names_no_stream_goes_on(self) -> None:
+        headers = {"Last-Event-Id": "2"}
+        answer = self.rig.ask("gateway-1", "/resumable/x", RETURN_ID, tokens=True, headers=headers)
+        self.assertEqual(stream_of(RETURN_ID, 3), answer.data)
+
+    def test_unknown_stream_goes_on_once_earlier_versions_would_have_been_seen(self) -> None:
+        self.assertEqual(503, self.take_up("gateway-0").status)
+        with mock.patch.object(versions, "DEPARTED_RETENTION_S", 0.0):
+            answer = self.take_up("gateway-0")
+        self.assertEqual(stream_of(RETURN_ID, 3), answer.data)
+
+
+class RecordsTest(unittest.TestCase):
+    """Records of streams."""
+
+    def test_the_first_event_decides(self) -> None:
+        records = StreamRecords()
+        first, second = StreamVersion("engine", "v1"), StreamVersion("engine", "v2")
+        records.add("r", first)
+        records.add("r", second)
+        self.assertEqual(first, records.find("r"))
+        self.assertIsNone(records.find("s"))
+
+    def test_old_records_are_dropped(self) -> None:
+        records = StreamRecords()
+        now = boot_clock.now()
+        records.add("old", StreamVersion("engine", "v1"))
+        later = now + RECORD_LIFETIME_S + 1.0
+        with mock.patch.object(boot_clock, "now", return_value=later):
+            self.assertIsNone(records.find("old"))
+            records.add("new", StreamVersion("engine", "v1"))
+        self.assertEqual(1, len(records))
+
+    def test_number_of_records_is_bounded(self) -> None:
+        records = StreamRecords()
+        for number in range(MAX_RECORDS + 10):
+            records.add(str(number), StreamVersion("engine", "v1"))
+        self.assertEqual(MAX_RECORDS, len(records))
+        self.assertIsNone(records.find("0"))
+
+
 class ItemTest(VersionCase):
     """Batch items whose run is cut."""
 
