Keep the events of a batch item to one software version

The text of an item whose run was cut held events of two versions if the next run was at a replica of another one, also after another gateway had adopted the job.

An item's events now have the service and version that produced them, also where they are saved and handed over; progress of an unknown version, as from an older build, counts as of another one. A waiting item goes on at a replica of its version, and replicas at which no waiting item may go on are not asked for. Where no replica of its version serves, or none was granted for a second, it starts from the beginning (item:started_over), under a new lineage of its saved progress, so that parts before and after are never joined. Databases of earlier builds get the two columns.

--- a/src/quaymill/connection/job_storage_messages.py
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -92,6 +92,9 @@
         Number of runs that a replica answered with an error.
     first
         Number of events before ``texts``; 0 if all events are included.
+    service, version
+        Service and software version of the replicas that produced the events; ``version`` is
+        ``None`` if it is not known, as from an older build.
     """
 
     index: int
@@ -99,6 +102,8 @@
     texts: tuple[str, ...]
     failures: int = 0
     first: int = 0
+    service: str = ""
+    version: str | None = None
 
     def extended_by(self, later: ItemProgress) -> ItemProgress:
         """Return this progress extended by ``later``; unchanged if ``later`` does not follow it."""
@@ -106,7 +111,7 @@
             return self
         texts = self.texts + later.texts
         failures = max(self.failures, later.failures)
-        return ItemProgress(self.index, later.last_event_id, texts, failures, self.first)
+        return msgspec.structs.replace(later, texts=texts, failures=failures, first=self.first)
 
 
 class StoreProgress(PeerMessage, frozen=True):
--- a/src/quaymill/process/job_storage/database.py
+++ b/src/quaymill/process/job_storage/database.py
@@ -53,12 +53,17 @@
     last_event_id TEXT,
     texts BLOB NOT NULL,
     failures INTEGER NOT NULL,
+    service TEXT NOT NULL DEFAULT '',
+    version TEXT,
     PRIMARY KEY (job_id, item_index, lineage, first)
 ) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS early_ends (job_id TEXT PRIMARY KEY) WITHOUT ROWID;
 """
-ADDED_JOB_COLUMNS = {"tenant": "TEXT"}
-"""Columns that databases of earlier versions lack in the table of jobs."""
+ADDED_COLUMNS = {
+    "jobs": {"tenant": "TEXT"},
+    "progress": {"service": "TEXT NOT NULL DEFAULT ''", "version": "TEXT"},
+}
+"""Columns that databases of earlier versions lack, by table."""
 PAGE_CACHE_KIB = 2048
 
 
@@ -214,26 +219,28 @@
                 one.last_event_id,
                 msgspec.json.encode(one.texts),
                 one.failures,
+                one.service,
+                one.version,
             )
             for one in progress
         ]
         with self._lock, self._transaction():
             self._connection.executemany(
-                "INSERT OR REPLACE INTO progress VALUES (?, ?, ?, ?, ?, ?, ?)", rows
+                "INSERT OR REPLACE INTO progress VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?)", rows
             )
 
     def progress(self, job_id: str) -> tuple[ItemProgress, ...]:
         """Return the progress of unfinished items, for each the lineage with the most events."""
         with self._read_lock:
             rows = self._reader.execute(
-                "SELECT item_index, lineage, first, last_event_id, texts, failures FROM progress"
-                " WHERE job_id = ? ORDER BY item_index, lineage, first",
+                "SELECT item_index, lineage, first, last_event_id, texts, failures, service,"
+                " version FROM progress WHERE job_id = ? ORDER BY item_index, lineage, first",
                 (job_id,),
             ).fetchall()
         by_lineage: dict[tuple[int, str], ItemProgress] = {}
-        for index, lineage, first, last_event_id, texts, failures in rows:
+        for index, lineage, first, last_event_id, texts, failures, service, version in rows:
             decoded = msgspec.json.decode(texts, type=tuple[str, ...])
-            part = ItemProgress(index, last_event_id, decoded, failures, first)
+            part = ItemProgress(index, last_event_id, decoded, failures, first, service, version)
             known = by_lineage.get((index, lineage), ItemProgress(index, None, ()))
             by_lineage[index, lineage] = known.extended_by(part)
         longest: dict[int, ItemProgress] = {}
@@ -348,10 +355,11 @@
             self._reader.close()
 
     def _add_missing_columns(self) -> None:
-        held = {row[1] for row in self._connection.execute("PRAGMA table_info(jobs)")}
-        for name, kind in ADDED_JOB_COLUMNS.items():
-            if name not in held:
-                self._connection.execute(f"ALTER TABLE jobs ADD COLUMN {name} {kind}")
+        for table, columns in ADDED_COLUMNS.items():
+            held = {row[1] for row in self._connection.execute(f"PRAGMA table_info({table})")}
+            for name, kind in columns.items():
+                if name not in held:
+                    self._connection.execute(f"ALTER TABLE {table} ADD COLUMN {name} {kind}")
 
     def _load(self) -> None:
         now = time.time()
--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Callable, Iterable
 
+import msgspec
 import xxhash
 
 from quaymill import boot_clock
@@ -18,7 +19,9 @@
     ResultKey,
     ResultsPage,
 )
+from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.process.jobs.listing import ListedResult, Listing, ListingDocument
+from quaymill.request.stream_version import StreamVersion
 from quaymill.version.request_routes import RequestRoute
 
 LISTING_VALID_SHARE = 0.9
@@ -51,6 +54,10 @@
     ----------
     last_event_id, texts
         Id of the last complete event, and the data of all events received so far.
+    version
+        Software version that produced these events; ``None`` before the first one.
+    discarded
+        How often the events were discarded to start again at another version.
     failures
         Number of runs that a replica answered with an error.
     started_at, events_at_start, resumed_after
@@ -70,6 +77,8 @@
         self.state = ItemState.WAITING
         self.last_event_id: str | None = None
         self.texts: list[str] = []
+        self.version: StreamVersion | None = None
+        self.discarded = 0
         self.failures = 0
         self.not_before = 0.0
         self.started_at = 0.0
@@ -80,17 +89,37 @@
         self.being_preempted = False
         self._events_lock = threading.Lock()
 
-    def add_events(self, texts: list[str], last_event_id: str | None) -> None:
-        """Append received events; their data and the last id change together."""
+    def may_run_at(self, entry: ReplicaEntry) -> bool:
+        """Return whether a run at a replica may go on after the events received so far."""
+        return self.version is None or self.version.may_resume_at(entry)
+
+    def add_events(
+        self, texts: list[str], last_event_id: str | None, version: StreamVersion
+    ) -> None:
+        """Append received events; their data, the last id and the version change together."""
         with self._events_lock:
             self.texts += texts
             self.last_event_id = last_event_id
+            self.version = version
+
+    def discard_events(self) -> None:
+        """Discard the received events, so that the next run starts from the beginning."""
+        with self._events_lock:
+            self.texts = []
+            self.last_event_id = None
+            self.version = None
+            self.discarded += 1
 
     def progress(self, first: int = 0) -> ItemProgress:
         """Return the progress from event ``first`` on, for another coordinator to resume from."""
         with self._events_lock:
             texts = tuple(self.texts[first:])
-            return ItemProgress(self.index, self.last_event_id, texts, self.failures, first)
+            progress = ItemProgress(self.index, self.last_event_id, texts, self.failures, first)
+            if self.version is None:
+                return progress
+            return msgspec.structs.replace(
+                progress, service=self.version.service, version=self.version.name
+            )
 
     def resume_from(self, progress: ItemProgress) -> None:
         """Resume from the progress of another coordinator."""
@@ -98,6 +127,8 @@
             self.last_event_id = progress.last_event_id
             self.texts = list(progress.texts)
             self.failures = progress.failures
+            has_events = progress.last_event_id is not None or progress.texts
+            self.version = StreamVersion(progress.service, progress.version) if has_events else None
 
 
 class CoordinatedJob:
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -43,6 +43,8 @@
 DISPATCH_INTERVAL_S = 0.2
 CLAIM_PAUSE_S = 0.05
 """Minimum time between two claims, so that items that end close together share one."""
+MAX_VERSION_WAIT_S = 1.0
+"""How long an item waits for a replica of the software version that it began at."""
 RETRY_PAUSE_S = 0.3
 MAX_RUNNING_ITEMS = 96
 """Number of running items from which no more slots are claimed; one claim may exceed it."""
@@ -181,7 +183,7 @@
         pools = pools_of(service, self._parts.table)
         own_region = self._parts.regions.own_pool_region
         nearby = [pool for pool in pools if pool.region == own_region]
-        avoided = self._avoided(service)
+        avoided = self._avoided(service, self._waiting(jobs))
         pools_asked = 0
         for pool in self._rotated(nearby):
             running = self._running_items_in(pool)
@@ -282,7 +284,7 @@
         self._paces.adopt(granted.paces)
         for at in granted.preempt:
             self._preempt(running, at)
-        waiting = iter(self._waiting(jobs))
+        waiting = self._waiting(jobs)
         for at in granted.starts:
             replica = self._parts.table.get(at.replica_id)
             if replica is None or replica.leaving:
@@ -291,10 +293,23 @@
                 replica.add_cold_permits(at.items, claimed_at)
             if replica.lacks_permit:
                 continue
-            for one in itertools.islice(waiting, at.items):
+            may_start = (one for one in waiting if self._may_start_at(one.item, replica))
+            starting = list(itertools.islice(may_start, at.items))
+            for one in starting:
+                waiting.remove(one)
                 self._start_item(one.job, one.item, replica)
         return True
 
+    def _may_start_at(self, item: CoordinatedItem, replica: Replica) -> bool:
+        """Return whether to run an item at a replica.
+
+        An item that has events of another software version would start from the beginning there.
+        It waits a while for a replica of its version, if there is one.
+        """
+        if item.may_run_at(replica.entry) or not self._parts.table.serves_version(item.version):
+            return True
+        return boot_clock.now() - item.not_before > MAX_VERSION_WAIT_S
+
     def _time_left_s(self, job: CoordinatedJob, item: CoordinatedItem, now: float) -> float:
         """Return the time until an item is due, ``INFEASIBLE_DUE_S`` if it will be late."""
         return time_left_s(job, item, now, self._paces.of(_route_name(job)))
@@ -309,13 +324,21 @@
             RunningAt(replica_id, items, left_s) for (replica_id, left_s), items in counts.items()
         )
 
-    def _avoided(self, service: str) -> tuple[str, ...]:
+    def _avoided(self, service: str, waiting: list[_Waiting]) -> tuple[str, ...]:
         """Return the replicas that this process must not use, even if others may.
 
-        They are failing for this process, or it knows of an evacuation before the allocator does.
+        They are failing for this process, it knows of an evacuation before the allocator does, or
+        all waiting items have events of other software versions.
         """
-        replicas = self._parts.table.of_service(service)
-        return tuple(replica.id for replica in replicas if replica.avoided or replica.evacuated)
+
+        def may_start(replica: Replica) -> bool:
+            return not waiting or any(self._may_start_at(one.item, replica) for one in waiting)
+
+        return tuple(
+            replica.id
+            for replica in self._parts.table.of_service(service)
+            if replica.avoided or replica.evacuated or not may_start(replica)
+        )
 
     def _running_items_in(self, pool: EnginePool) -> list[_Running]:
         return [one for one in self._running() if self._is_in(pool, one.item)]
@@ -363,6 +386,17 @@
     def _start_item(self, job: CoordinatedJob, item: CoordinatedItem, replica: Replica) -> None:
         item.state = ItemState.RUNNING
         item.replica_id = replica.id
+        if not item.may_run_at(replica.entry):
+            log_message(
+                "item:started_over",
+                job=job.id,
+                request_id=item.item.id,
+                replica=replica.id,
+                version=replica.entry.version,
+                version_before=item.version.name,
+                events=len(item.texts),
+            )
+            item.discard_events()
         item.started_at = boot_clock.now()
         item.events_at_start = len(item.texts)
         item.resumed_after = item.last_event_id
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -30,6 +30,7 @@
     ReplicaProtocol,
 )
 from quaymill.request.outcome import NotRun, OutcomeUnknown
+from quaymill.request.stream_version import StreamVersion
 
 RUN_TIMEOUT_S = 60.0
 METHOD = "POST"
@@ -110,7 +111,10 @@
     protocol: ItemProtocol,
     tenant: str | None = None,
 ) -> ItemOutcome:
-    """Run an item once, resuming after the last event that was received."""
+    """Run an item once, resuming after the last event that was received.
+
+    The events received so far must be of the replica's software version.
+    """
     # Checked again here, as the slot grant may be older than the set of evacuated zones.
     if replica.evacuated:
         return ItemCut("the replica's zone is evacuated", blames_replica=False)
@@ -214,6 +218,7 @@
     item: CoordinatedItem, replica: Replica, exchange: Exchange, head: AnswerHead
 ) -> ItemOutcome:
     framer = EventFramer(item.last_event_id)
+    version = StreamVersion.of_replica(replica.entry)
     exchange.set_read_timeout(EVENT_GAP_TIMEOUT_S)
     while True:
         block = exchange.read_block()
@@ -224,7 +229,7 @@
             break
         events = framer.feed(block)
         if events:
-            item.add_events(data_of_events(events), framer.last_id)
+            item.add_events(data_of_events(events), framer.last_id, version)
     if framer.partial:
         exchange.abandon()
         return ItemCut("the stream ended in the middle of an event", connection_closed=True)
--- a/src/quaymill/process/jobs/progress_saver.py
+++ b/src/quaymill/process/jobs/progress_saver.py
@@ -68,9 +68,9 @@
     def _save_job(self, job: CoordinatedJob) -> None:
         node = self._storage.progress_node(job.id)
         saved = self._saved_by_job.get(job.id)
-        if saved is None or saved.job is not job or saved.node != node:
-            # Another node is responsible now, or the job was adopted again with other events: all
-            # progress is sent.
+        if saved is None or saved.job is not job or saved.node != node or saved.is_outdated():
+            # Another node is responsible now, the job was adopted again with other events, or an
+            # item has started again: all progress is sent.
             saved = self._saved_by_job[job.id] = _SavedProgress(job, node)
         unsaved = tuple(saved.new_progress())
         if unsaved and node and self._storage.store_progress(job.id, saved.lineage, unsaved, node):
@@ -92,6 +92,14 @@
         self.node = node
         self.lineage = secrets.token_hex(LINEAGE_BYTES)
         self._events_by_index: dict[int, int] = {}
+        self._discarded = self._count_discarded()
+
+    def is_outdated(self) -> bool:
+        """Return whether an item has discarded events that may be saved."""
+        return self._count_discarded() != self._discarded
+
+    def _count_discarded(self) -> int:
+        return sum(item.discarded for item in self.job.items)
 
     def new_progress(self) -> list[ItemProgress]:
         """Return the progress of unfinished items that the node does not have."""
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -461,6 +461,17 @@
         "orphaned entries were removed from a ledger", ("ledger", "jobs, allowances")
     ),
     "quota:settle_error": LogEvent("updating a quota raised an exception", ("error",)),
+    "item:started_over": LogEvent(
+        "an item starts from the beginning, at a replica of another software version than before",
+        (
+            JOB,
+            REQUEST,
+            REPLICA,
+            VERSION,
+            "version_before: software version of the discarded events; null if unknown",
+            "events: number of discarded events",
+        ),
+    ),
     "item:run": LogEvent(
         "a run of an item has ended",
         (
--- a/tests/test_job_progress.py
+++ b/tests/test_job_progress.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import sqlite3
 import tempfile
 import unittest
+from contextlib import closing
 from pathlib import Path
 from unittest import mock
 
@@ -23,14 +25,17 @@
     ResultKey,
 )
 from quaymill.connection.member import Member
+from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.process.job_copies import CopyRules
-from quaymill.process.job_storage.database import JobDatabase
+from quaymill.process.job_storage.database import FILE_NAME, JobDatabase
 from quaymill.process.job_storage.leases import Leases as LeaseTable
 from quaymill.process.job_storage.orphans import REPLACED_FOR_S, OrphanWatch
 from quaymill.process.jobs.coordinated_job import CoordinatedJob, ItemState
 from quaymill.process.jobs.progress_saver import ProgressSaver
+from quaymill.request.stream_version import StreamVersion
 
 JOB = "job"
+V1 = StreamVersion("engine", "v1")
 
 
 def job(items: int = 2) -> Job:
@@ -39,7 +44,7 @@
 
 
 def progress_of(first: int, texts: str, index: int = 0) -> ItemProgress:
-    return ItemProgress(index, str(first + len(texts)), tuple(texts), 0, first)
+    return ItemProgress(index, str(first + len(texts)), tuple(texts), 0, first, V1.service, V1.name)
 
 
 def member(name: str) -> Member:
@@ -92,6 +97,19 @@
         self.database.store_progress(JOB, "one", [progress_of(0, "ab", 1)])
         self.assertEqual((progress_of(0, "ab", 1),), self.open().progress(JOB))
 
+    def test_progress_in_a_database_without_versions_has_an_unknown_one(self) -> None:
+        self.database.store_progress(JOB, "one", [progress_of(0, "ab")])
+        self.database.close()
+        with closing(sqlite3.connect(self.folder / FILE_NAME)) as connection, connection:
+            connection.execute("ALTER TABLE progress DROP COLUMN service")
+            connection.execute("ALTER TABLE progress DROP COLUMN version")
+        (found,) = self.open().progress(JOB)
+        self.assertEqual((("a", "b"), None), (found.texts, found.version))
+        item = CoordinatedJob(job(), None, "g#1").items[0]
+        item.resume_from(found)
+        address = Endpoint("127.0.0.1", 1)
+        self.assertFalse(item.may_run_at(ReplicaEntry("r", "engine", address, "x", 4)))
+
     def test_progress_is_deleted_when_the_result_is_stored(self) -> None:
         self.database.store_progress(JOB, "one", [progress_of(0, "ab"), progress_of(0, "xy", 1)])
         result = JobResult("i0", ResultState.SUCCEEDED, "a\nb")
@@ -139,36 +157,44 @@
         return self.storage.sent
 
     def test_each_event_is_sent_once(self) -> None:
-        self.item.add_events(["a", "b"], "2")
+        self.item.add_events(["a", "b"], "2", V1)
         self.assertEqual([("storage-0", progress_of(0, "ab"))], self.save())
         self.assertEqual([], self.save())
-        self.item.add_events(["c"], "3")
+        self.item.add_events(["c"], "3", V1)
         self.assertEqual([("storage-0", progress_of(2, "c"))], self.save())
 
     def test_progress_that_was_not_stored_is_sent_again(self) -> None:
         self.storage.fails = True
-        self.item.add_events(["a"], "1")
+        self.item.add_events(["a"], "1", V1)
         self.save()
         self.storage.fails = False
-        self.item.add_events(["b"], "2")
+        self.item.add_events(["b"], "2", V1)
         self.assertEqual([("storage-0", progress_of(0, "ab"))], self.save())
 
     def test_all_progress_is_sent_to_a_new_node(self) -> None:
-        self.item.add_events(["a"], "1")
+        self.item.add_events(["a"], "1", V1)
         self.save()
         self.storage.node = "storage-1"
         self.assertEqual([("storage-1", progress_of(0, "a"))], self.save())
 
     def test_a_job_that_is_adopted_again_starts_a_new_lineage(self) -> None:
-        self.item.add_events(["a"], "1")
+        self.item.add_events(["a"], "1", V1)
         self.save()
         self.job = CoordinatedJob(job(), None, "g#1")
         self.job.items[0].resume_from(progress_of(0, "xyz"))
         self.assertEqual([("storage-0", progress_of(0, "xyz"))], self.save())
         self.assertEqual(2, len(self.storage.lineages))
 
+    def test_events_before_and_after_a_fresh_start_are_never_joined(self) -> None:
+        self.item.add_events(["a", "b"], "2", V1)
+        self.save()
+        self.item.discard_events()
+        self.item.add_events(["x", "y", "z"], "3", V1)
+        self.assertEqual([("storage-0", progress_of(0, "xyz"))], self.save())
+        self.assertEqual(2, len(self.storage.lineages))
+
     def test_progress_of_finished_items_is_not_sent(self) -> None:
-        self.item.add_events(["a"], "1")
+        self.item.add_events(["a"], "1", V1)
         self.job.finish(self.item, ResultState.SUCCEEDED, "a")
         self.assertEqual([], self.save())
 
--- a/tests/test_slot_allocator.py
+++ b/tests/test_slot_allocator.py
@@ -48,12 +48,15 @@
 from quaymill.process.membership.ranking import strongest_members
 from quaymill.process.replica_set.router import PlacementConstraints
 from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.request.stream_version import StreamVersion
 from quaymill.version.request_routes import RequestRoute, RouteKind, WeightedService
 
 SERVICE = "engine"
 NO_CONSTRAINTS = PlacementConstraints(frozenset(), {})
 MANY_ITEMS = WantedItems(reserve_share=0.0, items=100, tokens=10)
 
+V1 = StreamVersion("engine", "v1")
+
 
 class FixedLoads:
     """Engine loads with free slots set by a test, reduced by each started item."""
@@ -448,7 +451,7 @@
     ) -> None:
         # Two hundred events at 25 ms: five seconds for a complete item, six with the margin.
         self.record(200, 100, 2.5)
-        self.item.add_events(["x"] * events, str(events))
+        self.item.add_events(["x"] * events, str(events), V1)
         self.assertEqual(expected, self.left_s(after_s) == INFEASIBLE_DUE_S)
 
     def test_averages_follow_recent_items(self) -> None:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -258,3 +258,34 @@
         result = self.rig.wait_results("gateway-0", "job", 1)[0]
         expected = [event_data(result["id"], n, NEXT_VERSION) for n in range(1, EVENTS + 1)]
         self.assertEqual("\n".join(expected), result["message"])
+
+    def test_next_coordinator_does_not_join_events_of_two_versions(self) -> None:
+        self.first.behaviour = ReplicaBehaviour(events=EVENTS, event_s=0.7)
+        self.assertEqual(202, self.rig.submit("gateway-0", "job", 1).status)
+        wait_until(
+            lambda: any(run.events_made >= 3 for run in self.first.runs_of(item_id("job", 0))),
+            "some events of the item",
+        )
+        self.add_engine(NEXT_VERSION)
+        self.rig.gateways.pop("gateway-0").kill()
+        self.rig.store.remove("servers", self.first.id)
+        self.first.stop()
+        result = self.rig.wait_results("gateway-1", "job", 1)[0]
+        expected = [event_data(result["id"], n, NEXT_VERSION) for n in range(1, EVENTS + 1)]
+        self.assertEqual("\n".join(expected), result["message"])
+
+    def test_item_goes_on_at_a_replica_of_its_version(self) -> None:
+        self.first.behaviour = ReplicaBehaviour(events=EVENTS, cut_at_event=4, event_s=0.05)
+        self.assertEqual(202, self.rig.submit("gateway-0", "job", 1).status)
+        wait_until(
+            lambda: any(run.events_made >= 3 for run in self.first.runs_of(item_id("job", 0))),
+            "some events of the item",
+        )
+        same = self.add_engine(FIRST_VERSION)
+        for _ in range(3):
+            self.add_engine(NEXT_VERSION)
+        self.rig.store.remove("servers", self.first.id)
+        result = self.rig.wait_results("gateway-0", "job", 1)[0]
+        expected = [event_data(result["id"], n) for n in range(1, EVENTS + 1)]
+        self.assertEqual("\n".join(expected), result["message"])
+        self.assertEqual([3], [run.after_event for run in same.runs_of(result["id"])])
