Take a replica with another software version as a new run of it

An entry that changed its version under the same id and start time changed the replica in place, so that a stream which it had begun counted as one of the new version. A changed version now counts as a changed start time does: the former run has departed, the new one starts without its state. The new row of RestartTest was red before; not seen at the users, whose replicas get new ids.

--- a/src/quaymill/connection/replica_entry.py
+++ b/src/quaymill/connection/replica_entry.py
@@ -52,6 +52,13 @@
     listed_left_s: float | None = attrs.field(default=None, eq=False)
     version: str | None = ""
 
+    def is_same_start_as(self, earlier: ReplicaEntry) -> bool:
+        """Return whether an earlier entry of the replica is of the same run.
+
+        Any different start time is a newer start, as the replica's clock may have been set back.
+        """
+        return (self.started_ms, self.version) == (earlier.started_ms, earlier.version)
+
     @property
     def incarnation(self) -> str:
         """Id of this run of the replica."""
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -182,8 +182,7 @@
                 version=entry.version,
             )
             return
-        if entry.started_ms != replica.entry.started_ms:
-            # Any different start time is a newer start: the replica's clock may have been set back.
+        if not entry.is_same_start_as(replica.entry):
             log_message("replica:started_again", replica=entry.id, service=entry.service)
             replica.departed_at = boot_clock.now()
             self._on_departed(replica)
@@ -210,7 +209,7 @@
         changed = False
         for entry in listed.values():
             replica = self._by_id.get(entry.id)
-            if replica is not None and entry.started_ms == replica.entry.started_ms:
+            if replica is not None and entry.is_same_start_as(replica.entry):
                 changed |= replica.record_warm_up(entry, from_peer=from_peer)
         return changed
 
--- a/tests/test_store_pages.py
+++ b/tests/test_store_pages.py
@@ -248,6 +248,16 @@
         self.assertEqual([former], self.departed)
         self.assertNotEqual(former.entry.incarnation, present.entry.incarnation)
 
+    def test_replica_of_another_version_is_another_run_of_it(self) -> None:
+        """A replica can change its software only by starting again, whatever its entry says."""
+        self.list(1, born=1000, version="v1")
+        former = self.table.get("x")
+        self.list(2, born=1000, version="v2")
+        present = self.table.get("x")
+        self.assertEqual(("v1", "v2"), (former.entry.version, present.entry.version))
+        self.assertTrue(former.leaving)
+        self.assertEqual([former], self.departed)
+
     def test_an_older_list_changes_nothing(self) -> None:
         self.list(2, born=2000)
         present = self.table.get("x")
