--- a/src/quaymill_bench/fleet_processes.py
+++ b/src/quaymill_bench/fleet_processes.py
@@ -25,6 +25,7 @@
 
 from quaymill_bench.fleet_world import (
     COLD_REQUESTS_PER_S,
+    ENGINE_VERSIONS,
     HOST,
     ZONES,
     configuration,
@@ -297,8 +298,13 @@
 
         One that crashes is started again a moment later, under its id and at its address.
         """
+        engines = sum(one.service == "engine" for one in self.replicas.values())
         replica = FleetReplica(
-            f"{service}-{len(self.replicas)}", service, zone, on_crash=self._start_again_later
+            f"{service}-{len(self.replicas)}",
+            service,
+            zone,
+            on_crash=self._start_again_later,
+            version=ENGINE_VERSIONS[engines % len(ENGINE_VERSIONS)],
         )
         replica.start()
         proxy = LoopbackProxy(("127.0.0.1", replica.port))
@@ -343,6 +349,7 @@
             on_crash=self._start_again_later,
             port=crashed.port,
             cold_s=cold_s,
+            version=crashed.version,
         )
         again.behaviour = crashed.behaviour
         # What was run before is still to be checked.
@@ -382,6 +389,7 @@
         path: str,
         body: bytes = b"",
         headers: dict[str, str] | None = None,
+        preload: bool = True,
     ) -> urllib3.BaseHTTPResponse:
         """Send a request to a gateway; raises ``urllib3.exceptions.HTTPError``."""
         return self.pool.request(
@@ -390,6 +398,7 @@
             body=body,
             headers={"Host": HOST} | (headers or {}),
             timeout=REQUEST_TIMEOUT_S,
+            preload_content=preload,
         )
 
     def submit(
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -7,7 +7,7 @@
 
 from nose2.tools import params
 
-from quaymill_bench.fleet_world import item_id, whole_text
+from quaymill_bench.fleet_world import ENGINE_VERSIONS, item_id, whole_text
 from quaymill_bench.soak_checks import (
     RESEND_REFUSALS,
     SETTLE_S,
@@ -20,6 +20,9 @@
 from quaymill_standins.fleet_replica import FleetReplica, ReplicaRun, event_bytes
 
 CANCEL_S = 3.0
+LATER_STREAM = b"".join(event_bytes("r", number, ENGINE_VERSIONS[1]) for number in (1, 2, 3))
+CUT_MIXED_STREAM = event_bytes("r", 1) + event_bytes("r", 2, ENGINE_VERSIONS[1])
+MIXED_STREAM = CUT_MIXED_STREAM + event_bytes("r", 3)
 WHOLE_STREAM = b"".join(event_bytes("r", number) for number in (1, 2, 3))
 
 
@@ -47,6 +50,9 @@
         ("refused and ran", "write", 503, b"", 1, "answered 503 and ran"),
         ("another's answer", "read", 200, b"answer to s", 1, "not its own"),
         ("a piece is missing", "resumable", 200, WHOLE_STREAM[:20], 1, "not its own"),
+        ("resumable of another version", "resumable", 200, LATER_STREAM, 1, None),
+        ("two versions", "resumable", 200, MIXED_STREAM, 1, "not its own"),
+        ("two versions, cut", "resumable", 503, CUT_MIXED_STREAM, 1, "two software"),
         ("route unknown", "read", 404, b"", 0, "404"),
     )
     def test_sending(self, _, kind, status, body, runs, finding):
