Keep a replica's known version where a later entry of the same run lacks it

A gateway of an older build passes replicas on without their versions: each pull would have made all of them look started again, and their streams go on nowhere.

--- a/src/quaymill/process/gateway_gauges.py
+++ b/src/quaymill/process/gateway_gauges.py
@@ -29,7 +29,7 @@
     "batch_jobs_open": "Batch jobs coordinated by this gateway.",
     "requests_barred": "Request contents blocked after crashing replicas.",
     "requests_suspected": "Request contents that crashed replicas, but too few to be blocked.",
-    "stream_records": "Streams whose software version is recorded here",
+    "stream_records": "Streams whose software version is recorded here.",
     "storage_nodes": "Live storage nodes.",
     "gateways": "Live gateways.",
     "zones_evacuated": "Zones to whose replicas no new requests may be sent.",
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Callable, Iterable, Mapping
 
+import attrs
 from eliot import log_message
 
 from quaymill import boot_clock
@@ -144,7 +145,7 @@
                     self.revision = self._last_list_revision
                 return 0
             self._last_list_revision = revision
-            listed = {entry.id: entry for entry in entries}
+            listed = {entry.id: self._with_known_version(entry) for entry in entries}
             known = {entry.id: entry for entry in self.entries()}
             kept = len(known.keys() - listed.keys()) if keep_missing else 0
             if kept:
@@ -195,6 +196,18 @@
         replica.record_entry(entry)
         replica.departed_at = None
 
+    def _with_known_version(self, entry: ReplicaEntry) -> ReplicaEntry:
+        """Return an entry with the version known before, if it lacks a valid one.
+
+        A gateway of an older build passes entries on without their versions.
+        """
+        replica = self._by_id.get(entry.id)
+        if entry.version is not None or replica is None:
+            return entry
+        if entry.started_ms != replica.entry.started_ms:
+            return entry
+        return attrs.evolve(entry, version=replica.entry.version)
+
     def _create_replica(self, entry: ReplicaEntry) -> Replica:
         return Replica(
             entry,
--- a/tests/test_store_pages.py
+++ b/tests/test_store_pages.py
@@ -258,6 +258,16 @@
         self.assertTrue(former.leaving)
         self.assertEqual([former], self.departed)
 
+    def test_version_is_kept_where_a_later_entry_of_the_same_run_lacks_it(self) -> None:
+        """A gateway of an older build passes entries on without their versions."""
+        self.list(1, born=1000, version="v1")
+        present = self.table.get("x")
+        self.list(2, born=1000, version=None, slots=5)
+        self.assertIs(present, self.table.get("x"))
+        self.assertEqual(("v1", 5), (present.entry.version, present.slots))
+        self.list(3, born=2000, version=None)
+        self.assertIsNone(self.table.get("x").entry.version)
+
     def test_an_older_list_changes_nothing(self) -> None:
         self.list(2, born=2000)
         present = self.table.get("x")
