--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -473,6 +473,7 @@
 
 def _reset(connection: socket.socket) -> None:
     """Reset a connection; its descriptor stays valid for the server, which closes it later."""
+    # An error means that the caller has closed the connection, so nobody takes the answer as whole.
     with contextlib.suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
         closed, other_end = socket.socketpair()
