Log when a configuration was read and compiled, its size, and pulls that fail

A gateway that waited 3 s for a configuration was silent in that time, and no line told whether the transfer or the decoding took long. control:configuration_read gives source, size, duration of the call and of the compilation; control:pull_failed each pull without an answer, also on new connections.

--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -165,9 +165,10 @@
         began = boot_clock.now()
         unconfirmed_s = self._membership.confirmed_age_s()
         stored = self._store.get(ObjectKind.CONFIGURATION, self._protocol.configuration_name)
+        took_s = boot_clock.now() - began
         if is_store_unavailable(stored):
             return stored.reason
-        failure = self._read_routing(stored, unconfirmed_s)
+        failure = self._read_routing(stored, took_s, unconfirmed_s)
         if self._evacuations is not None:
             failure = self._read_evacuations(self._evacuations) or failure
         self._publish_versions()
@@ -178,9 +179,15 @@
         return ""
 
     def _read_routing(
-        self, stored: StoredObject | ObjectMissing | StoreFailure, unconfirmed_s: float
+        self,
+        stored: StoredObject | ObjectMissing | StoreFailure,
+        took_s: float,
+        unconfirmed_s: float,
     ) -> StoreFailure | None:
-        """Read the replicas, and apply them and the configuration; return the failure, if any."""
+        """Read the replicas, and apply them and the configuration; return the failure, if any.
+
+        ``took_s`` is how long the read of the configuration took.
+        """
         if isinstance(stored, ObjectMissing):
             return CallRejected("there is no configuration")
         if not isinstance(stored, StoredObject | ObjectUnreadable):
@@ -190,7 +197,7 @@
             return listing
         # An unreadable configuration leaves the earlier one in force.
         if isinstance(stored, StoredObject) and stored.revision != self._read_revision:
-            self._offer_configuration(stored.spec, "store")
+            self._offer_configuration(stored.spec, "store", took_s)
             self._read_revision = stored.revision
         self._apply_replicas(listing, unconfirmed_s)
         return None
@@ -259,11 +266,22 @@
             # confirm them.
             self._membership.confirm_versions(at)
 
-    def _offer_configuration(self, document: Any, source: str) -> None:
+    def _offer_configuration(self, document: Any, source: str, took_s: float) -> None:
+        """Put a configuration in force if it is newer; ``took_s`` is how long it took to arrive."""
+        began = boot_clock.now()
         routes = self._protocol.read_configuration(document)
         if not isinstance(routes, RequestRoutes):
             log_message("control:configuration_unread", source=source, reason=routes.reason)
             return
+        if routes.version > self.routes.version:
+            log_message(
+                "control:configuration_read",
+                version=routes.version,
+                source=source,
+                bytes=len(msgspec.json.encode(document)),
+                took_s=round(took_s, 3),
+                compile_s=round(boot_clock.now() - began, 3),
+            )
         with self._lock:
             before = self.routes.version
             if routes.version <= before:
@@ -327,11 +345,20 @@
             msgspec.UNSET if self._evacuations is None else self._evacuations.revision
         )
         message = PullControl(self.routes.version, self._table.revision, evacuations_revision)
+        began = boot_clock.now()
         reply = self._peer_client.call(peer.peer, message, ControlState, PULL_TIMEOUT_S)
+        took_s = boot_clock.now() - began
         if not isinstance(reply, ControlState):
+            log_message(
+                "control:pull_failed",
+                peer=peer.name,
+                version=peer.configuration_generation,
+                reason=reply.reason,
+                took_s=round(took_s, 3),
+            )
             return False
         if reply.configuration is not None:
-            self._offer_configuration(reply.configuration, f"peer {peer.name}")
+            self._offer_configuration(reply.configuration, f"peer {peer.name}", took_s)
         if reply.replicas is not None and reply.replicas_revision > self._table.revision:
             entries = [_entry(record) for record in reply.replicas]
             self._table.replace_from_peer(entries, reply.replicas_revision)
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -230,6 +230,20 @@
     "control:warm_up_invalid": LogEvent(
         "a replica states an invalid remaining warm-up time, which counts as unknown", (REPLICA,)
     ),
+    "control:configuration_read": LogEvent(
+        "a newer configuration was received and compiled",
+        (
+            "version",
+            "source: store or peer",
+            "bytes: size of the whole document",
+            "took_s: duration of the call that brought it",
+            "compile_s: duration of decoding and compiling",
+        ),
+    ),
+    "control:pull_failed": LogEvent(
+        "a gateway with newer data did not send it",
+        ("peer", "version: the configuration that the peer has in force", REASON, DURATION),
+    ),
     "control:configuration": LogEvent(
         "a new configuration is in force",
         ("version, before: its version and the previous one", "source: store or peer", "routes"),
