Read each version of the configuration from the store as it is written

Cause: the store was read each 1.8 s, so a version that was followed sooner was read by nobody and reached the gateways only together with the next, large one; and each read transferred the whole document, changed or not.

The periodic read asks for changes since the last one, and lists the document only where the history is gone. An empty answer does not advance the revision, since a watch may hear nothing of a change while the store drops its history.

--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -30,12 +30,9 @@
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.member import Member, MemberState
 from quaymill.connection.object_store import (
-    CallRejected,
     Listing,
     ObjectKind,
-    ObjectMissing,
     ObjectStore,
-    ObjectUnreadable,
     StoredObject,
     StoreFailure,
     is_store_unavailable,
@@ -45,6 +42,7 @@
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.process.control.active_configuration import ActiveConfiguration
 from quaymill.process.control.configuration_compiler import ConfigurationCompiler
+from quaymill.process.control.configuration_feed import ConfigurationFeed
 from quaymill.process.control.configuration_pull import ConfigurationPull
 from quaymill.process.control.entries import EntryReader
 from quaymill.process.control.evacuations import EvacuatedZones, zones_in
@@ -114,7 +112,6 @@
         regions: RegionMap = ONE_REGION,
     ) -> None:
         self._evacuations = evacuations
-        self._read_revision = 0
         self._protocol = protocol
         self._table = table
         self._membership = membership
@@ -129,6 +126,9 @@
         self._active = ActiveConfiguration(
             ConfigurationCompiler(protocol.read_configuration, protocol.routes_key)
         )
+        self._feed = ConfigurationFeed(
+            store, protocol.configuration_name, self._rank, self._offer_stored
+        )
         self._pull = ConfigurationPull(self._active, membership, peer_client, peer_server, regions)
         self._reader = StoreReader(
             self._read_store, membership.confirmed_age_s, self._rank, read_interval_s
@@ -160,6 +160,7 @@
         self._membership.subscribe(self._wake_pulls)
         self._membership.on_confirmation(self._handle_confirmation)
         self._reader.start()
+        self._feed.start()
         self._pull.start()
         threading.Thread(target=self._pull_loop, name="control-pull", daemon=True).start()
 
@@ -168,6 +169,7 @@
         self._stopping.set()
         self._wake.set()
         self._reader.stop()
+        self._feed.stop()
         self._pull.stop()
 
     def _wake_pulls(self) -> None:
@@ -185,10 +187,9 @@
         """
         began = boot_clock.now()
         unconfirmed_s = self._membership.confirmed_age_s()
-        stored = self._store.get(ObjectKind.CONFIGURATION, self._protocol.configuration_name)
-        if is_store_unavailable(stored):
-            return stored.reason
-        failure = self._apply_stored(stored, boot_clock.now() - began)
+        failure = self._feed.check()
+        if is_store_unavailable(failure):
+            return failure.reason
         failure = self._read_replicas(unconfirmed_s) or failure
         if self._evacuations is not None:
             failure = self._read_evacuations(self._evacuations) or failure
@@ -207,19 +208,8 @@
         self._apply_replicas(listing, unconfirmed_s)
         return None
 
-    def _apply_stored(
-        self, stored: StoredObject | ObjectMissing | StoreFailure, took_s: float
-    ) -> StoreFailure | None:
-        """Put the stored configuration in force if it is newer; return the failure, if any."""
-        if isinstance(stored, ObjectMissing):
-            return CallRejected("there is no configuration")
-        if not isinstance(stored, StoredObject | ObjectUnreadable):
-            return stored
-        # An unreadable configuration leaves the earlier one in force.
-        if isinstance(stored, StoredObject) and stored.revision != self._read_revision:
-            self._active.offer_document(stored.spec, "store", took_s)
-            self._read_revision = stored.revision
-        return None
+    def _offer_stored(self, stored: StoredObject, took_s: float) -> None:
+        self._active.offer_document(stored.spec, "store", took_s)
 
     def _read_evacuations(self, evacuations: EvacuatedZones) -> StoreFailure | None:
         """Read and apply the evacuated zones; return the failure if there was one."""
