--- a/src/quaymill/process/control/active_configuration.py
+++ b/src/quaymill/process/control/active_configuration.py
@@ -36,7 +36,7 @@
 
     source: str
     size_bytes: int
-    took_s: float
+    took_s: float | None
     compile_s: float
 
 
@@ -65,13 +65,13 @@
         """Call ``listener`` with each new configuration when it comes into force."""
         self._listeners.append(listener)
 
-    def offer_document(self, document: Any, source: str, took_s: float) -> bool:
+    def offer_document(self, document: Any, source: str, took_s: float | None) -> bool:
         """Put a document in force if it is newer; return whether it is now in force.
 
         Parameters
         ----------
         took_s
-            Duration of the call that brought it.
+            Duration of the call that brought it; ``None`` if it waited for the change.
         """
         with self._lock:
             began = boot_clock.now()
@@ -133,7 +133,7 @@
             version=routes.version,
             source=arrival.source,
             bytes=arrival.size_bytes,
-            took_s=round(arrival.took_s, 3),
+            took_s=None if arrival.took_s is None else round(arrival.took_s, 3),
             compile_s=round(arrival.compile_s, 3),
         )
         before = self.routes.version
--- a/src/quaymill/process/control/configuration_feed.py
+++ b/src/quaymill/process/control/configuration_feed.py
@@ -32,8 +32,9 @@
 FIRST_PAUSE_S = 0.2
 MAX_PAUSE_S = 1.5
 
-Offer = Callable[[StoredObject, float], None]
-"""Receives a stored configuration and the duration of the call that returned it."""
+Offer = Callable[[StoredObject, float | None], None]
+"""Receives a stored configuration, and the duration of the call that returned it; ``None`` if the
+call waited for the change."""
 
 
 class ConfigurationFeed:
@@ -98,7 +99,7 @@
             return self._list()
         if not isinstance(found, Changes):
             return found
-        took_s = boot_clock.now() - began
+        took_s = None if wait_s else boot_clock.now() - began
         for change in found.changes:
             if change.object.name == self._name and not change.deleted:
                 self._offer(change.object, took_s)
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -208,7 +208,7 @@
         self._apply_replicas(listing, unconfirmed_s)
         return None
 
-    def _offer_stored(self, stored: StoredObject, took_s: float) -> None:
+    def _offer_stored(self, stored: StoredObject, took_s: float | None) -> None:
         self._active.offer_document(stored.spec, "store", took_s)
 
     def _read_evacuations(self, evacuations: EvacuatedZones) -> StoreFailure | None:
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -235,8 +235,8 @@
         (
             "version",
             "source: store or peer",
-            "bytes: size of the whole document",
-            "took_s: duration of the call that brought it",
+            "bytes: size of the whole document, or of the step from a peer",
+            "took_s: duration of the calls that brought it; null if the call waited for a change",
             "compile_s: duration of decoding and compiling",
         ),
     ),
--- a/tests/test_configuration_feed.py
+++ b/tests/test_configuration_feed.py
@@ -5,8 +5,9 @@
 import unittest
 from typing import Any
 
-from fleet_support import eventually
 from nose2.tools import params
+
+from fleet_support import eventually
 from quaymill.connection.object_store import (
     Changes,
     HistoryGone,
