--- a/src/quaymill/platform/caller_calls.py
+++ b/src/quaymill/platform/caller_calls.py
@@ -157,6 +157,13 @@
     return (("Host", host), (names.REQUEST_ID, item.id), *other_headers)
 
 
+def item_prompt(item: JobItem) -> Prompt:
+    """Return the prompt of an item's request."""
+    values = {name.lower(): value for name, value in item.headers.items()}
+    wanted = (names.MODEL, names.TOKEN_COUNT, names.PROMPT_PREFIX)
+    return read_prompt(*(values.get(name.lower()) for name in wanted))
+
+
 def _read_results(request: FrontRequest, job_id: str) -> JobCall | Malformed:
     since = parse_qs(request.query).get("since_rev", ["0"])[0]
     wait_ms = request.header(names.WAIT_MS) or "0"
--- a/src/quaymill/platform/gateway_role.py
+++ b/src/quaymill/platform/gateway_role.py
@@ -22,7 +22,7 @@
     reports=ReportProtocol(
         replica_calls.report_request, replica_calls.read_report, replica_calls.read_cold_left
     ),
-    items=ItemProtocol(REPLICA_PROTOCOL, caller_calls.item_headers),
+    items=ItemProtocol(REPLICA_PROTOCOL, caller_calls.item_headers, caller_calls.item_prompt),
     control=ControlProtocol(
         names.CONFIGURATION_NAME,
         names.ROUTES_KEY,
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -29,7 +29,7 @@
     ItemImpossible,
     ItemOutcome,
     ItemProtocol,
-    content_digest_of_item,
+    identity_of_item,
     run_item,
 )
 from quaymill.process.jobs.item_urgency import INFEASIBLE_DUE_S, RoutePaces, time_left_s
@@ -37,7 +37,7 @@
 from quaymill.process.regions import ONE_REGION, RegionMap
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.table import ReplicaTable
-from quaymill.request.poison import NoGuard, PoisonGuard
+from quaymill.request.poison import NoGuard, PoisonGuard, RequestIdentity
 from quaymill.version.request_routes import RequestRoute, RequestRoutes
 
 DISPATCH_INTERVAL_S = 0.2
@@ -416,27 +416,32 @@
             job.put_back(item, RETRY_PAUSE_S)
 
     def _run_item(self, job: CoordinatedJob, item: CoordinatedItem, replica: Replica) -> None:
-        content = content_digest_of_item(item, job.job.host)
+        identity = identity_of_item(item.item, job.job.host, self._parts.protocol)
         replica.begin_item()
         outcome: ItemOutcome = ItemCut("the run failed")
         try:
-            outcome = self._run_unless_barred(job, item, replica, content)
+            outcome = self._run_unless_barred(job, item, replica, identity)
         finally:
             replica.end_item()
             with self._lock:
                 self._running_items -= 1
-            self._record_outcome(job, item, replica, content, outcome)
+            self._record_outcome(job, item, replica, identity.content, outcome)
             self._wake.set()
 
     def _run_unless_barred(
-        self, job: CoordinatedJob, item: CoordinatedItem, replica: Replica, content: str
+        self,
+        job: CoordinatedJob,
+        item: CoordinatedItem,
+        replica: Replica,
+        identity: RequestIdentity,
     ) -> ItemOutcome:
-        """Run an item unless its content is barred, and report the result to the poison guard."""
+        """Run an item unless it is barred, and report the result to the poison guard."""
         guard = self._parts.guard
-        if (barred_s := guard.barred_for_s(content)) > 0:
+        if (barred_s := guard.barred_for_s(identity)) > 0:
             return ItemBarred(barred_s)
         if not replica.take_permit():
             return ItemCut("the replica is cold and the grant too old", blames_replica=False)
+        events_before = len(item.texts)
         outcome = run_item(
             item,
             job.job.host,
@@ -446,9 +451,11 @@
             job.job.tenant,
         )
         if isinstance(outcome, ItemDone):
-            guard.record_served(content)
+            guard.record_served(identity)
         elif isinstance(outcome, ItemCut) and outcome.connection_closed and not job.stopped:
-            guard.handle_early_close(content, replica.entry.incarnation, replica.entry.address)
+            entry = replica.entry
+            begun = len(item.texts) > events_before
+            guard.handle_early_close(identity, entry.incarnation, entry.address, begun=begun)
         return outcome
 
     def _record_outcome(
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -22,7 +22,12 @@
 )
 from quaymill.request.deadline import Deadline
 from quaymill.request.event_stream import EventFramer, data_of_events
-from quaymill.request.forwarded_request import ForwardedRequest, Headers, content_digest_of
+from quaymill.request.forwarded_request import (
+    ForwardedRequest,
+    Headers,
+    content_digest_of,
+    shared_part_keys,
+)
 from quaymill.request.forwarding import (
     FIRST_EVENT_TIMEOUT_S,
     SILENCE_CHECK_INTERVAL_S,
@@ -30,6 +35,8 @@
     ReplicaProtocol,
 )
 from quaymill.request.outcome import NotRun, OutcomeUnknown
+from quaymill.request.poison import RequestIdentity
+from quaymill.request.prompt import Prompt
 from quaymill.request.stream_version import StreamVersion
 
 RUN_TIMEOUT_S = 60.0
@@ -92,15 +99,17 @@
 
 @attrs.frozen
 class ItemProtocol:
-    """The protocol of replicas, and how to get the headers of an item's request."""
+    """The protocol of replicas, and how to get the headers and the prompt of an item's request."""
 
     replica: ReplicaProtocol
     item_headers: Callable[[JobItem, str], Headers]
+    read_prompt: Callable[[JobItem], Prompt]
 
 
-def content_digest_of_item(item: CoordinatedItem, host: str) -> str:
-    """Return the content digest of an item's request."""
-    return content_digest_of(host, METHOD, item.item.path, item.item.body)
+def identity_of_item(item: JobItem, host: str, protocol: ItemProtocol) -> RequestIdentity:
+    """Return by what an item's request is recognized when it, or a similar one, is run again."""
+    content = content_digest_of(host, METHOD, item.path, item.body)
+    return RequestIdentity(content, shared_part_keys(protocol.read_prompt(item)))
 
 
 def run_item(
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -508,6 +508,8 @@
         "a replica has crashed while running a request or batch item with this content",
         (
             CONTENT,
+            "parts: keys of the parts of its prompt that other requests may share",
+            "begun: whether the replica had sent an event of this run",
             REPLICA,
             "crashes: number of replicas known to have crashed with it",
             "barred: whether the content is now blocked",
--- a/src/quaymill/process/poison/guard.py
+++ b/src/quaymill/process/poison/guard.py
@@ -16,7 +16,7 @@
 from quaymill.connection.crash_messages import CrashRecord
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.replica_connection import ReplicaConnections
-from quaymill.request.poison import MAX_CRASHES, PoisonRecords
+from quaymill.request.poison import MAX_CRASHES, PoisonRecords, RequestIdentity
 
 PROBE_LIFETIME_S = 0.25
 """How long the result of a probe is reused. All requests that a crash interrupts need it within
@@ -52,14 +52,17 @@
         self._lock = threading.Lock()
         self._probes_by_endpoint: dict[Endpoint, _Probe] = {}
 
-    def barred_for_s(self, content: str) -> float:
-        """Return for how many seconds a content must not be run; 0 if it may be run."""
-        return self._records.barred_for_s(content, boot_clock.now())
+    def barred_for_s(self, identity: RequestIdentity) -> float:
+        """Return for how many seconds a request must not be run; 0 if it may be run."""
+        return self._records.barred_for_s(identity.content, boot_clock.now())
 
-    def handle_early_close(self, content: str, incarnation: str, address: Endpoint) -> None:
+    def handle_early_close(
+        self, identity: RequestIdentity, incarnation: str, address: Endpoint, *, begun: bool
+    ) -> None:
         """Check for a crash after a replica closed a connection before its answer was complete."""
         if self._is_alive(address):
             return
+        content = identity.content
         record = self._records.add(content, incarnation, boot_clock.now())
         if record is None:
             return
@@ -67,15 +70,17 @@
         log_message(
             "request:crashed_replica",
             content=content,
+            parts=identity.parts,
+            begun=begun,
             replica=incarnation,
             crashes=crashes,
             barred=crashes >= MAX_CRASHES,
         )
         self._on_crash(record)
 
-    def record_served(self, content: str) -> None:
-        """Record that a replica has completely answered a request with this content."""
-        self._records.discount_crashes(content)
+    def record_served(self, identity: RequestIdentity) -> None:
+        """Record that a replica has completely answered a request."""
+        self._records.discount_crashes(identity.content)
 
     def _is_alive(self, address: Endpoint) -> bool:
         now = boot_clock.now()
--- a/src/quaymill/request/forwarded_request.py
+++ b/src/quaymill/request/forwarded_request.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from quaymill.request.deadline import Deadline
+from quaymill.request.poison import RequestIdentity
 from quaymill.request.prompt import NO_PROMPT, Prompt
 from quaymill.request.stream_version import StreamVersion
 
@@ -58,6 +59,11 @@
         """Content digest: the same whenever the same request is sent again, under any id."""
         return content_digest_of(self.host, self.method, self.target, self.body)
 
+    @property
+    def identity(self) -> RequestIdentity:
+        """By what this request is recognized when it, or a similar one, is sent again."""
+        return RequestIdentity(self.content_digest, shared_part_keys(self.prompt))
+
     @property
     def host(self) -> str:
         """Value of the ``Host`` header; empty if there is none."""
@@ -69,3 +75,11 @@
     digest = xxhash.xxh3_128(f"{host.lower()}\0{method}\0{target}\0".encode())
     digest.update(body)
     return digest.hexdigest()
+
+
+def shared_part_keys(prompt: Prompt) -> tuple[str, ...]:
+    """Return keys of the parts that other requests may share: all but the last one."""
+    return tuple(
+        xxhash.xxh3_64_hexdigest(f"{prompt.model}\0{part.id}".encode())
+        for part in prompt.parts[:-1]
+    )
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -175,7 +175,8 @@
         self._dispatch_queue = forwarder.dispatch_queue
         self._guard = forwarder.guard
         self._request = request
-        self._content_digest = request.content_digest
+        self._identity = request.identity
+        self._begun = False
         self._route = route
         self._answer = answer
         self._presence = presence
@@ -319,7 +320,7 @@
             return CallerLeft()
         if self._request.deadline.passed():
             return self._give_up("the request's deadline has passed", timed_out=True)
-        barred_s = self._guard.barred_for_s(self._content_digest)
+        barred_s = self._guard.barred_for_s(self._identity)
         if barred_s > 0:
             return self._give_up(
                 "replicas crashed while running this request", retry_after_s=barred_s
@@ -362,11 +363,12 @@
         if self._presence.gone and not isinstance(result, Delivered):
             result = CallerLeft()
         took_s = boot_clock.now() - began
+        self._begun = self._relay.last_event_id != resumed_after
         self._record_result(replica, result, took_s)
         log_message(
             "request:attempt",
             request_id=self._request.id,
-            content=self._content_digest,
+            content=self._identity.content,
             replica=replica.id,
             service=self._service,
             load=round(load, 1),
@@ -393,11 +395,13 @@
         elif isinstance(result, Delivered):
             self._dispatch_queue.record(self._service, took_s, replica.first_byte_s)
             if result.status < 500:
-                self._guard.record_served(self._content_digest)
+                self._guard.record_served(self._identity)
 
     def _record_connection_closed(self, replica: ChosenReplica) -> None:
         entry = replica.entry
-        self._guard.handle_early_close(self._content_digest, entry.incarnation, entry.address)
+        self._guard.handle_early_close(
+            self._identity, entry.incarnation, entry.address, begun=self._begun
+        )
 
     def _send(self, replica: ChosenReplica, began: float) -> AttemptResult:
         # Checked again here, as a choice or a slot grant may be older than the replica's state.
--- a/src/quaymill/request/poison.py
+++ b/src/quaymill/request/poison.py
@@ -36,33 +36,53 @@
 Every crash adds a record for each request that was running at the replica."""
 
 
-class PoisonGuard(Protocol):
-    """Decides whether a request or batch item may be run, by the crashes of its earlier runs.
+@attrs.frozen
+class RequestIdentity:
+    """By what a request is recognized when it, or a similar one, is sent again.
 
-    ``content`` is a content digest, see ``ForwardedRequest``.
+    Attributes
+    ----------
+    content
+        Content digest, see ``ForwardedRequest``.
+    parts
+        Keys of the parts of its prompt that other requests may share.
     """
 
-    def barred_for_s(self, content: str) -> float:
-        """Return for how many seconds a content must not be run; 0 if it may be run."""
+    content: str
+    parts: tuple[str, ...] = ()
+
+
+class PoisonGuard(Protocol):
+    """Decides whether a request or batch item may be run, by the crashes of earlier runs."""
+
+    def barred_for_s(self, identity: RequestIdentity) -> float:
+        """Return for how many seconds a request must not be run; 0 if it may be run."""
+
+    def handle_early_close(
+        self, identity: RequestIdentity, incarnation: str, address: Endpoint, *, begun: bool
+    ) -> None:
+        """Handle a connection that closed before the answer was complete, maybe by a crash.
 
-    def handle_early_close(self, content: str, incarnation: str, address: Endpoint) -> None:
-        """Handle a connection that closed before the answer was complete, maybe by a crash."""
+        ``begun`` tells whether the replica had sent an event of this run.
+        """
 
-    def record_served(self, content: str) -> None:
-        """Record that a replica has completely answered a request with this content."""
+    def record_served(self, identity: RequestIdentity) -> None:
+        """Record that a replica has completely answered a request."""
 
 
 class NoGuard:
     """A ``PoisonGuard`` that records nothing."""
 
-    def barred_for_s(self, content: str) -> float:
+    def barred_for_s(self, identity: RequestIdentity) -> float:
         """Return 0."""
         return 0.0
 
-    def handle_early_close(self, content: str, incarnation: str, address: Endpoint) -> None:
+    def handle_early_close(
+        self, identity: RequestIdentity, incarnation: str, address: Endpoint, *, begun: bool
+    ) -> None:
         """Do nothing."""
 
-    def record_served(self, content: str) -> None:
+    def record_served(self, identity: RequestIdentity) -> None:
         """Do nothing."""
 
 
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -16,12 +16,13 @@
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.process.poison.guard import CrashGuard
-from quaymill.request.poison import MAX_CRASHES, PoisonRecords
+from quaymill.request.poison import MAX_CRASHES, PoisonRecords, RequestIdentity
 from quaymill_bench.ports import free_port
 from quaymill_standins.fleet_replica import ReplicaBehaviour
 from quaymill_standins.fleet_store import FleetStoreFaults
 
 OLD_CRASH_MS = 1_000_000
+A = RequestIdentity("a")
 
 
 @contextlib.contextmanager
@@ -60,28 +61,28 @@
         self.guard = CrashGuard(self.records, connections, self.reported.append)
 
     def test_a_replica_that_refuses_connections_has_crashed(self) -> None:
-        self.guard.handle_early_close("a", "replica", Endpoint("127.0.0.1", free_port()))
+        self.guard.handle_early_close(A, "replica", Endpoint("127.0.0.1", free_port()), begun=False)
         self.assertEqual(1, self.records.crash_count("a"))
         self.assertEqual(["a"], [record.content for record in self.reported])
 
     def test_a_replica_that_accepts_connections_has_not_crashed(self) -> None:
         with listener(closes=False) as endpoint:
-            self.guard.handle_early_close("a", "replica", endpoint)
+            self.guard.handle_early_close(A, "replica", endpoint, begun=False)
         self.assertEqual(0, self.records.crash_count("a"))
         self.assertEqual([], self.reported)
 
     def test_a_replica_that_closes_new_connections_has_crashed(self) -> None:
         with listener(closes=True) as endpoint:
-            self.guard.handle_early_close("a", "replica", endpoint)
+            self.guard.handle_early_close(A, "replica", endpoint, begun=False)
         self.assertEqual(1, self.records.crash_count("a"))
 
     def test_a_content_is_barred_after_enough_crashes(self) -> None:
         for number in range(MAX_CRASHES):
-            self.assertEqual(0.0, self.guard.barred_for_s("a"))
+            self.assertEqual(0.0, self.guard.barred_for_s(A))
             self.guard.handle_early_close(
-                "a", f"replica-{number}", Endpoint("127.0.0.1", free_port())
+                A, f"replica-{number}", Endpoint("127.0.0.1", free_port()), begun=False
             )
-        self.assertGreater(self.guard.barred_for_s("a"), 0.0)
+        self.assertGreater(self.guard.barred_for_s(A), 0.0)
 
 
 class SharingTest(unittest.TestCase):
@@ -94,10 +95,12 @@
     def crash(self, gateway: str, content: str, crashes: int = MAX_CRASHES) -> None:
         for number in range(crashes):
             endpoint = Endpoint("127.0.0.1", free_port())
-            self.rig.gateways[gateway]._guard.handle_early_close(content, f"r-{number}", endpoint)
+            self.rig.gateways[gateway]._guard.handle_early_close(
+                RequestIdentity(content), f"r-{number}", endpoint, begun=False
+            )
 
     def bars(self, gateway: str, content: str) -> bool:
-        return self.rig.gateways[gateway]._guard.barred_for_s(content) > 0
+        return self.rig.gateways[gateway]._guard.barred_for_s(RequestIdentity(content)) > 0
 
     def partition(self, name: str, active: bool) -> None:
         """Partition a gateway from the others in both directions, or end the partition."""
@@ -117,7 +120,9 @@
     def test_crashes_detected_by_different_gateways_add_up(self) -> None:
         for number, name in enumerate(self.rig.gateways):
             endpoint = Endpoint("127.0.0.1", free_port())
-            self.rig.gateways[name]._guard.handle_early_close("a", f"r-{number}", endpoint)
+            self.rig.gateways[name]._guard.handle_early_close(
+                A, f"r-{number}", endpoint, begun=False
+            )
         for name in self.rig.gateways:
             wait_until(lambda name=name: self.bars(name, "a"), f"{name} bars it", 1.0)
         wait_until(lambda: self.rig.store.read("quaymill-barred-requests", "a"), "the store has it")
