--- a/src/quaymill_bench/fleet_world.py
+++ b/src/quaymill_bench/fleet_world.py
@@ -130,6 +130,11 @@
     return headers
 
 
+def prompt_headers(*part_ids: str) -> dict[str, str]:
+    """Return the headers of a prompt with these parts; the last one is the request's own."""
+    return {"Model": "m", "Prompt-Prefix": ",".join(f"{part_id}:100" for part_id in part_ids)}
+
+
 def item_id(job_id: str, index: int) -> str:
     """Return the id of a job's item."""
     return f"{job_id}-item-{index}"
--- a/src/quaymill_standins/fleet_replica.py
+++ b/src/quaymill_standins/fleet_replica.py
@@ -75,6 +75,9 @@
         What the report says of requests that wait, beside the true ones.
     crash_suffix
         The replica ends as it begins to run a request whose path ends so; none if empty.
+    crash_part
+        The replica ends as it begins to write an answer to a request whose prompt has this part,
+        other than as its last one; none if empty.
     cold_extra_s
         Additional time of each event and of each whole answer while the replica is cold.
     cold_most_per_s
@@ -97,6 +100,7 @@
     status_by_suffix: dict[str, int] = {}
     waiting: int = 0
     crash_suffix: str = ""
+    crash_part: str = ""
     cold_extra_s: float = 0.0
     cold_most_per_s: float = 0.0
 
@@ -306,7 +310,7 @@
             self.runs.append(run)
         if behaviour.break_off:
             return CLOSED
-        if behaviour.crash_suffix and request.path.endswith(behaviour.crash_suffix):
+        if _crashes(behaviour, request):
             return self._crash_at(run, request)
         for suffix, status in behaviour.status_by_suffix.items():
             if request.path.endswith(suffix):
@@ -450,6 +454,13 @@
     return f"{request_id}-{number}{suffix}"
 
 
+def _crashes(behaviour: ReplicaBehaviour, request: Request) -> bool:
+    if behaviour.crash_suffix and request.path.endswith(behaviour.crash_suffix):
+        return True
+    parts = [part.split(":")[0] for part in request.header("Prompt-Prefix").split(",")]
+    return bool(behaviour.crash_part) and behaviour.crash_part in parts[:-1]
+
+
 def _target(request: Request) -> str:
     query = str(request.environ.get("QUERY_STRING", ""))
     return f"{request.path}?{query}" if query else request.path
