Refuse requests with a prompt part that crashes replicas

Cause: crashes were counted by whole content, so requests that are all different and share one part of their prompts were run as if each came for the first time.

Change: crashes are counted by part too, for requests whose answer had not begun. Records of parts are shared and kept as those of contents are; a part that is excused is withdrawn from the store.

--- a/src/quaymill/connection/crash_messages.py
+++ b/src/quaymill/connection/crash_messages.py
@@ -8,21 +8,28 @@
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Crashes of replicas while they ran the same request.
+    """Crashes of replicas while they ran the same request, or requests with the same prompt part.
 
     Attributes
     ----------
-    content
-        Digest of the content of the request.
+    key
+        Digest of the content of the request, or key of the part, see ``RequestIdentity``.
     incarnations
         Incarnations of the replicas that crashed while they ran it.
     age_s
         Time since the last of these crashes.
+    excused
+        Parts only: those of ``incarnations`` that do not count, since the part was served.
+    contrasted
+        Parts only: whether requests of the same model without the part were served since the first
+        crash.
     """
 
-    content: str
+    key: str
     incarnations: tuple[str, ...]
     age_s: float
+    excused: tuple[str, ...] = ()
+    contrasted: bool = False
 
 
 class ShareCrashes(PeerMessage, frozen=True):
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -450,11 +450,13 @@
             self._parts.protocol,
             job.job.tenant,
         )
+        begun = len(item.texts) > events_before
+        if begun:
+            guard.record_begun(identity)
         if isinstance(outcome, ItemDone):
             guard.record_served(identity)
         elif isinstance(outcome, ItemCut) and outcome.connection_closed and not job.stopped:
             entry = replica.entry
-            begun = len(item.texts) > events_before
             guard.handle_early_close(identity, entry.incarnation, entry.address, begun=begun)
         return outcome
 
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -513,6 +513,16 @@
             REPLICA,
             "crashes: number of replicas known to have crashed with it",
             "barred: whether the content is now blocked",
+            "barred_parts: the parts that are now blocked",
+        ),
+    ),
+    "request:part_judged": LogEvent(
+        "an answer has begun that tells something about a prompt part under which replicas crashed",
+        (
+            "part: its key",
+            "crashes: number of replicas that count against it; 0 if the answer was to a request"
+            " with the part",
+            "barred: whether the part is now blocked",
         ),
     ),
     "request:crashes_told": LogEvent(
@@ -532,9 +542,13 @@
         ),
     ),
     "request:not_kept_barred": LogEvent(
-        "a blocked content could not be written to the store; it is tried again",
+        "a blocked content or part could not be written to the store; it is tried again",
         (CONTENT, REASON),
     ),
+    "request:kept_barred": LogEvent(
+        "the record of a part that is no longer blocked could not be deleted; it is tried again",
+        ("content: key of the part", REASON),
+    ),
     "request:barred_unread": LogEvent(
         "an object of the store for a blocked content could not be parsed",
         (CONTENT, REASON),
--- a/src/quaymill/process/poison/barred_store.py
+++ b/src/quaymill/process/poison/barred_store.py
@@ -26,7 +26,7 @@
 
 
 class _Barred(msgspec.Struct, frozen=True):
-    """Stored object; its name is the content digest.
+    """Stored object; its name is the content digest, or the key of a prompt part.
 
     Attributes
     ----------
@@ -49,14 +49,23 @@
     def write(self, record: CrashRecord) -> bool:
         """Write a record; return whether the request is stored as barred now."""
         crashed_at_ms = int((time.time() - record.age_s) * MS_PER_S)
-        spec = msgspec.to_builtins(_Barred(record.incarnations, crashed_at_ms))
-        written = self._store.create(ObjectKind.BARRED_REQUESTS, record.content, spec)
+        counted = tuple(name for name in record.incarnations if name not in record.excused)
+        spec = msgspec.to_builtins(_Barred(counted, crashed_at_ms))
+        written = self._store.create(ObjectKind.BARRED_REQUESTS, record.key, spec)
         if isinstance(written, StoreRefused | StoreUnanswered):
-            log_message("request:not_kept_barred", content=record.content, reason=written.reason)
+            log_message("request:not_kept_barred", content=record.key, reason=written.reason)
             return False
         # An existing object is kept: any record of the request bars it.
         return True
 
+    def withdraw(self, key: str) -> bool:
+        """Delete the record of a part that is no longer barred; return whether it is gone."""
+        deleted = self._store.delete(ObjectKind.BARRED_REQUESTS, key)
+        if isinstance(deleted, StoreRefused | StoreUnanswered):
+            log_message("request:kept_barred", content=key, reason=deleted.reason)
+            return False
+        return True
+
     def read(self) -> tuple[CrashRecord, ...] | StoreFailure:
         """Return the records that are still valid, and delete expired objects."""
         listing = self._store.list(ObjectKind.BARRED_REQUESTS)
@@ -81,4 +90,4 @@
         log_message("request:barred_unread", content=stored.name, reason=str(error))
         return None
     age_s = max(0.0, time.time() - barred.crashed_at_ms / MS_PER_S)
-    return CrashRecord(stored.name, barred.incarnations, age_s)
+    return CrashRecord(stored.name, barred.incarnations, age_s, contrasted=True)
--- a/src/quaymill/process/poison/guard.py
+++ b/src/quaymill/process/poison/guard.py
@@ -36,25 +36,27 @@
 
     Parameters
     ----------
-    on_crash
-        Called with the record of a request after this gateway has detected a crash.
+    on_change
+        Called with each record that has changed, after this gateway has detected a crash or has
+        seen an answer begin.
     """
 
     def __init__(
         self,
         records: PoisonRecords,
         connections: ReplicaConnections,
-        on_crash: Callable[[CrashRecord], None],
+        on_change: Callable[[CrashRecord], None],
     ) -> None:
         self._records = records
         self._connections = connections
-        self._on_crash = on_crash
+        self._on_change = on_change
         self._lock = threading.Lock()
         self._probes_by_endpoint: dict[Endpoint, _Probe] = {}
 
     def barred_for_s(self, identity: RequestIdentity) -> float:
         """Return for how many seconds a request must not be run; 0 if it may be run."""
-        return self._records.barred_for_s(identity.content, boot_clock.now())
+        now = boot_clock.now()
+        return max(self._records.barred_for_s(key, now) for key in identity.keys)
 
     def handle_early_close(
         self, identity: RequestIdentity, incarnation: str, address: Endpoint, *, begun: bool
@@ -62,21 +64,37 @@
         """Check for a crash after a replica closed a connection before its answer was complete."""
         if self._is_alive(address):
             return
-        content = identity.content
-        record = self._records.add(content, incarnation, boot_clock.now())
-        if record is None:
+        # A request whose answer had begun shows that its parts are sound.
+        keys = (identity.content,) if begun else identity.keys
+        now = boot_clock.now()
+        found = (self._records.add(key, incarnation, now) for key in keys)
+        changed = [record for record in found if record is not None]
+        if not changed:
             return
-        crashes = self._records.crash_count(content)
+        crashes = self._records.crash_count(identity.content)
         log_message(
             "request:crashed_replica",
-            content=content,
+            content=identity.content,
             parts=identity.parts,
             begun=begun,
             replica=incarnation,
             crashes=crashes,
             barred=crashes >= MAX_CRASHES,
+            barred_parts=[key for key in identity.parts if self._records.barred_for_s(key, now)],
         )
-        self._on_crash(record)
+        for record in changed:
+            self._on_change(record)
+
+    def record_begun(self, identity: RequestIdentity) -> None:
+        """Record that a replica has begun to answer a request, so that its parts are sound."""
+        for record in self._records.record_parts_served(identity.parts, boot_clock.now()):
+            log_message(
+                "request:part_judged",
+                part=record.key,
+                crashes=len(record.incarnations) - len(record.excused),
+                barred=self._records.barred_for_s(record.key, boot_clock.now()) > 0,
+            )
+            self._on_change(record)
 
     def record_served(self, identity: RequestIdentity) -> None:
         """Record that a replica has completely answered a request."""
--- a/src/quaymill/process/poison/sharing.py
+++ b/src/quaymill/process/poison/sharing.py
@@ -25,7 +25,7 @@
 from quaymill.process.membership.membership import Membership
 from quaymill.process.membership.ranking import rank_nodes
 from quaymill.process.poison.barred_store import BarredStore
-from quaymill.request.poison import PoisonRecords
+from quaymill.request.poison import MAX_CRASHES, PoisonRecords
 
 REPORT_DELAY_S = 0.01
 """Delay before crashes are reported, so that all requests interrupted by one crash go into a single
@@ -77,6 +77,7 @@
         self._lock = threading.Lock()
         self._unreported: dict[str, CrashRecord] = {}
         self._unstored: set[str] = set()
+        self._withdrawn: set[str] = set()
         self._differing: set[str] = set()
         self._next_exchange_at = 0.0
         self._caught_up = False
@@ -96,10 +97,13 @@
         self._wake.set()
 
     def report(self, record: CrashRecord) -> None:
-        """Report a record to all gateways, after a crash detected by this gateway."""
+        """Report a record that this gateway has changed to all gateways."""
         with self._lock:
-            self._unreported[record.content] = record
-            self._mark_if_barred(record.content, detected_here=True)
+            self._unreported[record.key] = record
+            self._mark_if_barred(record.key, detected_here=True)
+            if len(record.excused) >= MAX_CRASHES and not self._is_barred(record.key):
+                self._unstored.discard(record.key)
+                self._withdrawn.add(record.key)
         self._publish_digest()
         self._wake.set()
 
@@ -120,8 +124,8 @@
             return
         with self._lock:
             for record in changed:
-                self._mark_if_barred(record.content, detected_here=False)
-        barred = [one.content for one in changed if self._is_barred(one.content)]
+                self._mark_if_barred(record.key, detected_here=False)
+        barred = [one.key for one in changed if self._is_barred(one.key)]
         log_message("request:crashes_learned", source=source, records=len(changed), barred=barred)
         self._wake.set()
 
@@ -149,7 +153,7 @@
             return CATCH_UP_INTERVAL_S
         if self._differing:
             return EXCHANGE_INTERVAL_S
-        return WRITE_RETRY_S if self._unstored else None
+        return WRITE_RETRY_S if self._unstored or self._withdrawn else None
 
     def _catch_up(self) -> None:
         """Fetch the records from before the start of this gateway, unless that is done."""
@@ -224,29 +228,34 @@
         self._merge(reply.records, member.name)
         return reply.settled
 
-    def _mark_if_barred(self, content: str, *, detected_here: bool) -> None:
-        """Mark a content to be written to the store if it is barred; the lock is held.
+    def _mark_if_barred(self, key: str, *, detected_here: bool) -> None:
+        """Mark a content or part to be written to the store if it is barred; the lock is held.
 
-        If the crashes were detected by another gateway, this one writes the content only if it
-        ranks first for it.
+        If the crashes were detected by another gateway, this one writes it only if it ranks first
+        for it.
         """
-        if not self._is_barred(content):
+        if not self._is_barred(key):
             return
-        first = rank_nodes(content, self._gateways())[:1]
+        first = rank_nodes(key, self._gateways())[:1]
         ranks_first = bool(first) and first[0].name == self._membership.local().name
         if detected_here or ranks_first:
-            self._unstored.add(content)
+            self._unstored.add(key)
 
     def _write_to_store(self) -> None:
+        """Write newly barred contents and parts, and withdraw parts that were excused."""
         with self._lock:
-            unstored = set(self._unstored)
+            unstored, withdrawn = set(self._unstored), set(self._withdrawn)
+        for key in withdrawn:
+            if self._store.withdraw(key):
+                with self._lock:
+                    self._withdrawn.discard(key)
         if not unstored:
             return
-        records = {one.content: one for one in self._records.records(boot_clock.now())}
-        for content in unstored:
-            if content not in records or self._store.write(records[content]):
+        records = {one.key: one for one in self._records.records(boot_clock.now())}
+        for key in unstored:
+            if key not in records or self._store.write(records[key]):
                 with self._lock:
-                    self._unstored.discard(content)
+                    self._unstored.discard(key)
 
-    def _is_barred(self, content: str) -> bool:
-        return self._records.barred_for_s(content, boot_clock.now()) > 0
+    def _is_barred(self, key: str) -> bool:
+        return self._records.barred_for_s(key, boot_clock.now()) > 0
--- a/src/quaymill/request/forwarded_request.py
+++ b/src/quaymill/request/forwarded_request.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from quaymill.request.deadline import Deadline
-from quaymill.request.poison import RequestIdentity
+from quaymill.request.poison import RequestIdentity, part_key
 from quaymill.request.prompt import NO_PROMPT, Prompt
 from quaymill.request.stream_version import StreamVersion
 
@@ -79,7 +79,4 @@
 
 def shared_part_keys(prompt: Prompt) -> tuple[str, ...]:
     """Return keys of the parts that other requests may share: all but the last one."""
-    return tuple(
-        xxhash.xxh3_64_hexdigest(f"{prompt.model}\0{part.id}".encode())
-        for part in prompt.parts[:-1]
-    )
+    return tuple(part_key(prompt.model, part.id) for part in prompt.parts[:-1])
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -388,6 +388,8 @@
 
     def _record_result(self, replica: ChosenReplica, result: AttemptResult, took_s: float) -> None:
         """Record the result of an attempt with the replica, the dispatch queue and the guard."""
+        if self._begun or (isinstance(result, Delivered) and result.status < 500):
+            self._guard.record_begun(self._identity)
         if isinstance(result, Broken):
             replica.record_failure()
             if result.connection_closed:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -63,7 +63,7 @@
     def test_a_replica_that_refuses_connections_has_crashed(self) -> None:
         self.guard.handle_early_close(A, "replica", Endpoint("127.0.0.1", free_port()), begun=False)
         self.assertEqual(1, self.records.crash_count("a"))
-        self.assertEqual(["a"], [record.content for record in self.reported])
+        self.assertEqual(["a"], [record.key for record in self.reported])
 
     def test_a_replica_that_accepts_connections_has_not_crashed(self) -> None:
         with listener(closes=False) as endpoint:
--- a/tests/test_poison_records.py
+++ b/tests/test_poison_records.py
@@ -8,14 +8,20 @@
 from nose2.tools import params
 
 from quaymill.connection.crash_messages import CrashRecord
-from quaymill.request.forwarded_request import content_digest_of
+from quaymill.connection.job_document import JobItem
+from quaymill.platform.caller_calls import item_prompt, read_prompt
+from quaymill.request.forwarded_request import content_digest_of, shared_part_keys
 from quaymill.request.poison import (
     BARRED_S,
     MAX_CRASHES,
     MAX_RECORDS,
+    MAX_SERVED_PARTS,
+    SERVED_S,
     SUSPECT_S,
     PoisonRecords,
+    part_key,
 )
+from quaymill.request.prompt import NO_PROMPT, Prompt, PromptPart
 
 REPLICAS = tuple(f"replica-{number}" for number in range(2 * MAX_CRASHES))
 
@@ -75,7 +81,7 @@
     def test_crashes_of_several_gateways_add_up(self) -> None:
         records = records_with("a", 1)
         changed = records.merge([CrashRecord("a", REPLICAS[1:MAX_CRASHES], 2.0)], 5.0)
-        self.assertEqual(["a"], [record.content for record in changed])
+        self.assertEqual(["a"], [record.key for record in changed])
         self.assertEqual(BARRED_S - 2.0, records.barred_for_s("a", 5.0))
 
     def test_merging_known_records_changes_nothing(self) -> None:
@@ -105,6 +111,107 @@
         self.assertNotEqual({0}, digests)
 
 
+BAD, SOUND = part_key("m", "bad"), part_key("m", "sound")
+OTHER_MODEL = part_key("n", "sound")
+
+
+class PartTest(unittest.TestCase):
+    """When a prompt part is refused: it alone keeps crashing replicas, and is never served."""
+
+    def test_part_is_refused_once_requests_without_it_are_served(self) -> None:
+        records = records_with(BAD, MAX_CRASHES)
+        self.assertEqual(0.0, records.barred_for_s(BAD, 0.0))
+        records.record_parts_served((SOUND,), 1.0)
+        self.assertGreater(records.barred_for_s(BAD, 1.0), 0)
+
+    def test_requests_of_another_model_tell_nothing(self) -> None:
+        records = records_with(BAD, MAX_CRASHES)
+        records.record_parts_served((OTHER_MODEL,), 1.0)
+        self.assertEqual(0.0, records.barred_for_s(BAD, 1.0))
+
+    def test_part_that_was_served_shortly_before_is_not_suspected(self) -> None:
+        records = PoisonRecords()
+        records.record_parts_served((SOUND,), 0.0)
+        for replica_id in REPLICAS:
+            self.assertIsNone(records.add(SOUND, replica_id, SERVED_S - 1.0))
+        self.assertIsNotNone(records.add(SOUND, REPLICAS[0], SERVED_S + 1.0))
+
+    def test_part_that_is_served_afterwards_is_excused_everywhere(self) -> None:
+        records, other = records_with(SOUND, MAX_CRASHES), PoisonRecords()
+        records.record_parts_served((BAD,), 0.5)
+        other.merge(records.records(1.0), 1.0)
+        self.assertGreater(other.barred_for_s(SOUND, 1.0), 0)
+        (changed,) = other.record_parts_served((SOUND,), 2.0)
+        self.assertEqual(0.0, other.barred_for_s(SOUND, 2.0))
+        records.merge([changed], 3.0)
+        self.assertEqual(0.0, records.barred_for_s(SOUND, 3.0))
+        self.assertEqual(records.digest(3.0), other.digest(3.0))
+
+    def test_crashes_that_another_gateway_saw_are_excused_where_the_part_was_served(self) -> None:
+        """Guards against a part that everybody uses being refused as one gateway is new."""
+        records = PoisonRecords()
+        records.record_parts_served((SOUND,), 0.0)
+        records.merge([CrashRecord(SOUND, REPLICAS, 0.0, contrasted=True)], 1.0)
+        self.assertEqual(0.0, records.barred_for_s(SOUND, 1.0))
+        self.assertEqual(REPLICAS, records.records(1.0)[0].excused)
+
+    def test_served_parts_are_bounded(self) -> None:
+        records = PoisonRecords()
+        for number in range(2 * MAX_SERVED_PARTS):
+            records.record_parts_served((part_key("m", str(number)),), 0.0)
+        self.assertEqual(MAX_SERVED_PARTS, len(records._part_served_at))
+
+    @params(1, 2, 3)
+    def test_merging_in_any_order_gives_the_same_verdict(self, seed: int) -> None:
+        rng = random.Random(seed)
+        crash_records = [CrashRecord(BAD, (replica_id,), 0.0) for replica_id in REPLICAS]
+        crash_records.append(CrashRecord(BAD, REPLICAS[:1], 0.0, REPLICAS[:1]))
+        crash_records.append(CrashRecord(BAD, REPLICAS[:1], 0.0, (), True))
+        verdicts = set()
+        for _ in range(4):
+            rng.shuffle(crash_records)
+            records = PoisonRecords()
+            for record in crash_records:
+                records.merge([record], 0.0)
+            verdicts.add((records.digest(0.0), records.barred_for_s(BAD, 0.0)))
+        self.assertEqual(1, len(verdicts))
+
+
+class PartKeysTest(unittest.TestCase):
+    """Which parts of a prompt identify a request."""
+
+    def test_the_last_part_is_not_shared(self) -> None:
+        prompt = Prompt((PromptPart("a", 1), PromptPart("b", 2), PromptPart("c", 3)), "m")
+        self.assertEqual((part_key("m", "a"), part_key("m", "b")), shared_part_keys(prompt))
+        self.assertEqual((), shared_part_keys(Prompt((PromptPart("a", 1),), "m")))
+        self.assertEqual((), shared_part_keys(NO_PROMPT))
+
+    def test_parts_of_different_models_differ(self) -> None:
+        self.assertNotEqual(part_key("m", "a"), part_key("n", "a"))
+
+
+class PromptHeaderTest(unittest.TestCase):
+    """The adapter reads parts of requests and items alike, and ignores invalid ones."""
+
+    @params(
+        ("a:1,b:2,c:3", ("a", "b", "c")),
+        (" a:1 , b:2", ("a", "b")),
+        ("a:1,:2,b:x,c,d:-1,e:5", ("a", "e")),
+        ("", ()),
+        (",,,", ()),
+    )
+    def test_parts_in_the_header(self, text: str, expected: tuple[str, ...]) -> None:
+        prompt = read_prompt("m", "10,20", text)
+        self.assertEqual(expected, tuple(part.id for part in prompt.parts))
+        item = JobItem(
+            "i", "/x", {"model": "m", "Token-Count": "10,20", "PROMPT-PREFIX": text}, b""
+        )
+        self.assertEqual(prompt, item_prompt(item))
+
+    def test_item_without_a_prompt(self) -> None:
+        self.assertEqual(NO_PROMPT, item_prompt(JobItem("i", "/x", {}, b"")))
+
+
 class ContentTest(unittest.TestCase):
     """Which requests have the same content digest."""
 
