Close new connections unread while they cannot be read soon

At times most new connections of a zone reach one gateway. It read all of them, up to 160 at a time, and left the others waiting until their callers gave up.

A gateway observes how long new connections wait for a worker. Above 0.1 s, or while 144 requests are in service, it closes further ones before anything is read, so that callers of any kind try another gateway at once; one each 0.05 s is admitted to find out whether the wait is over. Kept connections are served as before.

test_read_gate: with 4 times more connections than the workers can serve, 90% of the requests that are read are answered within 1 s, 90% of the others are closed within 0.5 s; the test fails without the gate.

--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -21,9 +21,11 @@
 from cheroot.workers.threadpool import ThreadPool
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.process.early_listener import LISTEN_BACKLOG
 from quaymill.process.front.head_watch import HeadWatch
+from quaymill.process.front.read_gate import ReadGate
 from quaymill.request.answer_buffer import BufferedAnswer, BufferedAnswers
 from quaymill.request.forwarded_request import Headers
 from quaymill.request.presence import CallerPresence
@@ -116,7 +118,26 @@
 
 
 class _HttpConnection(server.HTTPConnection):
+    """A caller's connection.
+
+    Attributes
+    ----------
+    is_new
+        Whether no worker has read from it yet.
+    passed_at
+        Time by ``boot_clock`` at which it was last passed to the workers.
+    """
+
     RequestHandlerClass = _HttpRequest
+    is_new = True
+    passed_at = 0.0
+
+    def communicate(self) -> bool:
+        """Read and answer one request; return whether the connection stays open."""
+        if self.is_new:
+            self.is_new = False
+            self.server.read_gate.record_wait(boot_clock.now() - self.passed_at)
+        return super().communicate()
 
 
 class FrontRequest:
@@ -299,6 +320,8 @@
 
     def put(self, obj) -> None:
         """Queue a connection; start a worker for it if none is idle."""
+        if isinstance(obj, _HttpConnection):
+            obj.passed_at = boot_clock.now()
         if self.idle <= self.qsize and len(self._threads) < self.max:
             self._threads.append(self._spawn_worker())
         super().put(obj)
@@ -330,6 +353,14 @@
         A socket that listens already; without it the server opens its own.
     buffered_answers
         Buffers answers for callers that read slowly; without it writing waits for them.
+    has_room
+        Returns whether another request may be taken into service; while it may not, new connections
+        are closed unread.
+
+    Attributes
+    ----------
+    read_gate
+        Decides whether a new connection is read.
     """
 
     ConnectionClass = _HttpConnection
@@ -344,6 +375,7 @@
         idle_threads: int = MIN_THREADS,
         listener: socket.socket | None = None,
         buffered_answers: BufferedAnswers | None = None,
+        has_room: Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__(
             (endpoint.host, endpoint.port),
@@ -360,6 +392,7 @@
         self._heads = HeadWatch(
             super().process_conn, lambda: self.header_timeout_s, lambda: self.idle_timeout_s
         )
+        self.read_gate = ReadGate(has_room)
         self._prepare_error: OSError | None = None
         self._listener = listener
 
@@ -403,7 +436,13 @@
         return self.socket
 
     def process_conn(self, conn: server.HTTPConnection) -> None:
-        """Pass a connection to a worker when the head of a request has arrived."""
+        """Pass a connection to a worker when the head of a request has arrived.
+
+        A new connection that cannot be read soon is closed.
+        """
+        if conn.is_new and not self.read_gate.admits():
+            conn.close()
+            return
         if conn.rfile.has_data():
             super().process_conn(conn)
         else:
--- a/src/quaymill/process/gateway_gauges.py
+++ b/src/quaymill/process/gateway_gauges.py
@@ -22,6 +22,8 @@
     "batch_items_to_other_region": "Batch items sent to another region since the start.",
     "request_body_bytes": "Bytes in the bodies of forwarded requests in service.",
     "answer_bytes_held": "Bytes of answers that are buffered until callers read them.",
+    "connections_closed_unread": "New connections that were closed unread, as they could not be"
+    " read soon.",
     "answers_ended": "Answers aborted since the start because their callers read too slowly.",
     "line_tenants": "Tenants with requests in this gateway's pool queues.",
     "line_refused": "Requests refused since the start because they could not be served in time.",
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -361,6 +361,7 @@
             self._watch.unwatch,
             listener=self._context.callers_listener,
             buffered_answers=self._buffered_answers if features.callers_may_read_slowly else None,
+            has_room=lambda: self._front.in_service < ADMISSION_LIMIT,
         )
         self._readiness = ReadinessServer(
             Endpoint.parse(settings.listen.readiness), protocol.ready_path, self._is_ready
@@ -430,6 +431,7 @@
             "batch_items_to_other_region": lambda: self.coordinator.items_to_other_region,
             "request_body_bytes": lambda: self._front.body_bytes,
             "answer_bytes_held": lambda: self._buffered_answers.held_bytes,
+            "connections_closed_unread": lambda: self._server.read_gate.closed,
             "answers_ended": lambda: self._buffered_answers.ended,
             "line_tenants": lambda: self._slot_allocator.queues.tenants,
             "line_refused": lambda: self._slot_allocator.queues.refused_early,
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -185,6 +185,13 @@
         "a granter did not answer; this gateway uses its local share of the limit for a second",
         (TENANT, "granter: the gateway that was asked"),
     ),
+    "front:closed_unread": LogEvent(
+        "new connections were closed unread, as they could not be read soon; one line a second",
+        (
+            "connections: how many since the last line",
+            "wait_s: average wait of recent connections for a worker",
+        ),
+    ),
     "front:handler_error": LogEvent(
         "handling a request raised an exception", ("error: the exception",)
     ),
