Do not count crashes of a barred part against contents that ran beside it

Crashes of a barred part are explained by it, and count against no content. What is stored as barred and no longer is, is deleted by the gateway that stored it.

--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -553,8 +553,8 @@
         (CONTENT, REASON),
     ),
     "request:kept_barred": LogEvent(
-        "the record of a part that is no longer blocked could not be deleted; it is tried again",
-        ("content: key of the part", REASON),
+        "the stored record of what is no longer blocked could not be deleted; it is tried again",
+        ("content: digest of the content, or key of the part", REASON),
     ),
     "request:barred_unread": LogEvent(
         "an object of the store for a blocked content could not be parsed",
--- a/src/quaymill/process/poison/barred_store.py
+++ b/src/quaymill/process/poison/barred_store.py
@@ -59,7 +59,7 @@
         return True
 
     def withdraw(self, key: str) -> bool:
-        """Delete the record of a part that is no longer barred; return whether it is gone."""
+        """Delete the record of what is no longer barred; return whether it is gone."""
         deleted = self._store.delete(ObjectKind.BARRED_REQUESTS, key)
         if isinstance(deleted, StoreRefused | StoreUnanswered):
             log_message("request:kept_barred", content=key, reason=deleted.reason)
--- a/src/quaymill/process/poison/sharing.py
+++ b/src/quaymill/process/poison/sharing.py
@@ -25,7 +25,7 @@
 from quaymill.process.membership.membership import Membership
 from quaymill.process.membership.ranking import rank_nodes
 from quaymill.process.poison.barred_store import BarredStore
-from quaymill.request.poison import MAX_CRASHES, PoisonRecords
+from quaymill.request.poison import PoisonRecords
 
 REPORT_DELAY_S = 0.01
 """Delay before crashes are reported, so that all requests interrupted by one crash go into a single
@@ -77,7 +77,7 @@
         self._lock = threading.Lock()
         self._unreported: dict[str, CrashRecord] = {}
         self._unstored: set[str] = set()
-        self._withdrawn: set[str] = set()
+        self._stored: set[str] = set()
         self._differing: set[str] = set()
         self._next_exchange_at = 0.0
         self._caught_up = False
@@ -101,9 +101,6 @@
         with self._lock:
             self._unreported[record.key] = record
             self._mark_if_barred(record.key, detected_here=True)
-            if len(record.excused) >= MAX_CRASHES and not self._is_barred(record.key):
-                self._unstored.discard(record.key)
-                self._withdrawn.add(record.key)
         self._publish_digest()
         self._wake.set()
 
@@ -153,7 +150,7 @@
             return CATCH_UP_INTERVAL_S
         if self._differing:
             return EXCHANGE_INTERVAL_S
-        return WRITE_RETRY_S if self._unstored or self._withdrawn else None
+        return WRITE_RETRY_S if self._unstored else None
 
     def _catch_up(self) -> None:
         """Fetch the records from before the start of this gateway, unless that is done."""
@@ -242,20 +239,22 @@
             self._unstored.add(key)
 
     def _write_to_store(self) -> None:
-        """Write newly barred contents and parts, and withdraw parts that were excused."""
+        """Write newly barred contents and parts; delete those that no longer count as barred."""
         with self._lock:
-            unstored, withdrawn = set(self._unstored), set(self._withdrawn)
-        for key in withdrawn:
+            unstored = set(self._unstored)
+        for key in [key for key in self._stored if not self._is_barred(key)]:
             if self._store.withdraw(key):
-                with self._lock:
-                    self._withdrawn.discard(key)
+                self._stored.discard(key)
         if not unstored:
             return
         records = {one.key: one for one in self._records.records(boot_clock.now())}
         for key in unstored:
-            if key not in records or self._store.write(records[key]):
-                with self._lock:
-                    self._unstored.discard(key)
+            if key in records and self._is_barred(key):
+                if not self._store.write(records[key]):
+                    continue
+                self._stored.add(key)
+            with self._lock:
+                self._unstored.discard(key)
 
     def _is_barred(self, key: str) -> bool:
         return self._records.barred_for_s(key, boot_clock.now()) > 0
--- a/src/quaymill/request/poison.py
+++ b/src/quaymill/request/poison.py
@@ -8,7 +8,8 @@
 the requests with it that were waiting for the begin of their answers when a replica crashed. Sound
 parts are among them too, so a crash does not count against a part that was served shortly before,
 or that is served afterwards; and a part is barred only once requests of the same model without it
-have been served since its first crash.
+have been served since its first crash. The crashes of a barred part do not count against contents
+that ran beside it.
 
 This module only decides; the current time is a parameter. ``process/poison`` detects crashes and
 shares the records among gateways.
@@ -150,8 +151,9 @@
     contrasted: bool = False
 
     @property
-    def count(self) -> int:
-        return len(self.replicas - self.unrelated - self.excused)
+    def counted(self) -> frozenset[str]:
+        """The incarnations whose crashes count."""
+        return self.replicas - self.unrelated - self.excused
 
 
 class PoisonRecords:
@@ -172,6 +174,8 @@
         self._lock = threading.Lock()
         self._by_key: dict[str, _Crashes] = {}
         self._suspected_parts: tuple[str, ...] = ()
+        # Incarnations that barred parts crashed.
+        self._explained: frozenset[str] = frozenset()
         self._part_served_at: OrderedDict[str, float] = OrderedDict()
 
     def barred_for_s(self, key: str, now: float) -> float:
@@ -216,6 +220,8 @@
                 for key in self._suspected_parts
                 if _model_of(key) == model and self._weigh(key, was_served=key in parts)
             ]
+            if changed:
+                self._index_parts()
             return [self._record_of(key, now) for key in changed]
 
     def _weigh(self, key: str, *, was_served: bool) -> bool:
@@ -238,7 +244,7 @@
             self._drop_expired(now)
             changed = [record.key for record in records if self._merge_one(record, now)]
             self._drop_excess()
-            self._find_suspected_parts()
+            self._index_parts()
             return [self._record_of(key, now) for key in changed if key in self._by_key]
 
     def records(self, now: float) -> tuple[CrashRecord, ...]:
@@ -268,11 +274,15 @@
     def crash_count(self, key: str) -> int:
         """Return how many crashes count against a content or part."""
         crashes = self._by_key.get(key)
-        return 0 if crashes is None else crashes.count
+        return 0 if crashes is None else self._count(key, crashes)
+
+    def _count(self, key: str, crashes: _Crashes) -> int:
+        explained = frozenset() if _model_of(key) else self._explained
+        return len(crashes.counted - explained)
 
     def _is_barred(self, key: str, crashes: _Crashes) -> bool:
         is_judged = crashes.contrasted or not _model_of(key)
-        return is_judged and crashes.count >= self._max_crashes
+        return is_judged and self._count(key, crashes) >= self._max_crashes
 
     def _remaining_s(self, key: str, crashes: _Crashes, now: float) -> float:
         """Return for how many seconds the record is still kept."""
@@ -318,11 +328,14 @@
             for key, crashes in self._by_key.items()
             if self._remaining_s(key, crashes, now) > 0
         }
-        self._find_suspected_parts()
-
-    def _find_suspected_parts(self) -> None:
-        """Find the parts with records, so that each answer is compared with these alone."""
-        self._suspected_parts = tuple(key for key in self._by_key if _model_of(key))
+        self._index_parts()
+
+    def _index_parts(self) -> None:
+        """Find the parts with records, and the crashes that barred ones explain."""
+        parts = {key: crashes for key, crashes in self._by_key.items() if _model_of(key)}
+        self._suspected_parts = tuple(parts)
+        barred = (crashes for key, crashes in parts.items() if self._is_barred(key, crashes))
+        self._explained = frozenset().union(*(crashes.counted for crashes in barred))
 
     def _drop_excess(self) -> None:
         """Drop the oldest records above ``MAX_RECORDS``; barred ones are dropped last."""
--- a/tests/test_part_load.py
+++ b/tests/test_part_load.py
@@ -100,7 +100,7 @@
 
     def _send(self, now: float, identity: RequestIdentity, tries: int) -> None:
         serving = [index for index in range(REPLICAS) if self._restarted_at[index] <= now]
-        if any(self._records.barred_for_s(key, now) > 0 for key in identity.parts):
+        if any(self._records.barred_for_s(key, now) > 0 for key in identity.keys):
             self.outcome.refused += BAD not in identity.parts
             return
         if not serving:
@@ -122,6 +122,7 @@
     def _end(self, now: float, run: _Run) -> None:
         if run in self._running[run.replica]:
             self._running[run.replica].remove(run)
+            self._records.discount_crashes(run.identity.content)
             self.outcome.served += 1
 
     def _crash_by(self, now: float, culprit: _Run) -> None:
@@ -134,7 +135,7 @@
         self._restarted_at[replica] = now + RESTART_S
         incarnation = f"{replica}/{next(self._numbers)}"
         for run in aborted:
-            for key in () if run.begun else run.identity.parts:
+            for key in (run.identity.content,) if run.begun else run.identity.keys:
                 self._records.add(key, incarnation, now)
             if run.tries_left:
                 self._schedule(now, self._send, run.identity, run.tries_left)
--- a/tests/test_poison_records.py
+++ b/tests/test_poison_records.py
@@ -155,6 +155,18 @@
         self.assertEqual(0.0, records.barred_for_s(SOUND, 1.0))
         self.assertEqual(REPLICAS, records.records(1.0)[0].excused)
 
+    def test_crashes_of_a_barred_part_do_not_count_against_contents_beside_it(self) -> None:
+        """Guards against a sound item that ran beside three requests with a bad part."""
+        records = records_with("beside", MAX_CRASHES)
+        for replica_id in REPLICAS[:MAX_CRASHES]:
+            records.add(BAD, replica_id, 0.0)
+        self.assertGreater(records.barred_for_s("beside", 0.0), 0)
+        records.record_parts_served((SOUND,), 1.0)
+        self.assertEqual(0.0, records.barred_for_s("beside", 1.0))
+        for replica_id in REPLICAS[MAX_CRASHES:]:
+            records.add("beside", replica_id, 2.0)
+        self.assertGreater(records.barred_for_s("beside", 2.0), 0)
+
     def test_served_parts_are_bounded(self) -> None:
         records = PoisonRecords()
         for number in range(2 * MAX_SERVED_PARTS):
