--- a/src/quaymill_bench/soak_checks.py
+++ b/src/quaymill_bench/soak_checks.py
@@ -10,6 +10,7 @@
 import attrs
 
 from quaymill_bench.fleet_world import is_whole_text, item_id, versions_in
+from quaymill_bench.soak_senders import CRASH_PART
 from quaymill_bench.soak_tenants import FLOOD_KEY, OFFICE, OFFICE_KEYS, SoakTenants
 from quaymill_standins.fleet_replica import FleetReplica
 
@@ -33,6 +34,7 @@
 
 
 MAX_CRASHES = 3
+MAX_PART_CRASHES = 5
 CONTACT_S = 3.0
 """Time after the third crash within which gateways may not know of it yet."""
 MAX_LATE_RUNS = 3
@@ -182,6 +184,7 @@
         findings += _check_sending(sending, replicas)
         findings += _check_key(sending, replicas, tenants)
     findings += _check_crashing(replicas)
+    findings += _check_crashing_parts(replicas)
     findings += tenants.check_limit(replicas)
     for job in history.jobs.values():
         findings += [f"job {job.id}: {text}" for text in job.findings]
@@ -206,6 +209,22 @@
     return findings
 
 
+def _check_crashing_parts(replicas: list[FleetReplica]) -> list[str]:
+    """Check that requests with a part that crashes replicas are soon run no more."""
+    starts = sorted(
+        run.started_s
+        for replica in replicas
+        for run in replica.runs
+        if run.crashed and CRASH_PART in run.headers.get("prompt-prefix", "")
+    )
+    if len(starts) <= MAX_PART_CRASHES:
+        return []
+    late = [at for at in starts if at > starts[MAX_PART_CRASHES - 1] + CONTACT_S]
+    if len(late) <= MAX_LATE_RUNS:
+        return []
+    return [f"the part {CRASH_PART}: crashed {len(starts)} replicas, {len(late)} of them late"]
+
+
 def _check_sending(sending: Sending, replicas: list[FleetReplica]) -> list[str]:
     runs = [run for replica in replicas for run in replica.runs_of(sending.request_id)]
     where = f"{sending.kind} {sending.request_id} at {sending.gateway}"
--- a/src/quaymill_bench/soak_faults.py
+++ b/src/quaymill_bench/soak_faults.py
@@ -8,20 +8,31 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from typing import Any
 
 import attrs
 import msgspec
 
 from quaymill_bench.fleet_processes import COLD_MOST_PER_S, FleetProcess, LocalFleet
-from quaymill_bench.fleet_world import ROUTES, WARM_UP_S, ZONES, configuration
+from quaymill_bench.fleet_world import (
+    ROUTES,
+    WARM_UP_S,
+    ZONES,
+    configuration,
+    many_routes,
+    route,
+)
 from quaymill_bench.loopback_proxy import LinkState, LoopbackProxy
 from quaymill_bench.soak_placement import LINK_DELAY_S, STORE, Disturbances, path_to, stopping
 from quaymill_bench.soak_senders import (
+    CRASH_PART,
     CRASH_SUFFIX,
     CRASHING_KINDS,
     FLOODERS,
     Sender,
+    open_connections,
     send_crashing,
+    send_crashing_parts,
     send_flood,
 )
 from quaymill_bench.soak_tenants import FLOOD, SoakTenants
@@ -29,6 +40,11 @@
 from quaymill_standins.fleet_replica import ReplicaBehaviour
 from quaymill_standins.fleet_store import FleetStoreFaults
 
+CROWD = 12
+"""Callers that open new connections at one gateway at the same time."""
+LARGE_CHANGE_ROUTES = 1220
+NEXT_CHANGE_S = 1.0
+"""Maximum time between a small change of the configuration and the large one after it."""
 FIRST_AFTER_S = 0.5
 MOST_FOR_S = 5.0
 LATE_ANSWER_S = 2.0
@@ -93,9 +109,9 @@
 class SoakFaults:
     """Draws the faults of one round, and brings them about.
 
-    Evacuations and cold returns, and how replicas frame their answers, are drawn by generators of
-    their own, beside the others: those of a seed stay as they are, with their times and what they
-    are done to.
+    Evacuations and cold returns, how replicas frame their answers, and overload with large changes
+    are drawn by generators of their own, beside the others: those of a seed stay as they are, with
+    their times and what they are done to.
 
     Attributes
     ----------
@@ -112,6 +128,7 @@
         self._random = random.Random(seed)
         self._placement_random = random.Random(f"{seed}/placement")
         self._framing_random = random.Random(f"{seed}/framing")
+        self._overload_random = random.Random(f"{seed}/overload")
         self.disturbances = Disturbances()
         self._timeline = timeline
         self._storage_lock = threading.Lock()
@@ -119,6 +136,7 @@
         self._sound = ReplicaBehaviour(
             event_s=self._random.choice(EVENT_TIMES_S),
             crash_suffix=CRASH_SUFFIX,
+            crash_part=CRASH_PART,
             cold_extra_s=COLD_EXTRA_S,
             cold_most_per_s=COLD_MOST_PER_S,
         )
@@ -154,6 +172,11 @@
             EVACUATE: self._evacuate,
             COLD_RETURN: self._return_cold,
         }
+        self._overload_faults: dict[str, Callable[[], Heal | None]] = {
+            "send requests with a part that crashes replicas": self._send_crashing_parts,
+            "open most new connections at one gateway": self._crowd_gateway,
+            "make a large change after a small one": self._change_largely,
+        }
 
     def plan(self, load_s: float) -> list[PlannedFault]:
         """Draw the faults of a round, by the time when they begin."""
@@ -168,6 +191,7 @@
         ]
         if self._fleet.placement_limits:
             planned += self._plan_placement()
+        planned += self._plan_overload(latest_s)
         return sorted(planned, key=lambda one: one.at_s)
 
     def _plan_placement(self) -> list[PlannedFault]:
@@ -179,10 +203,20 @@
             for name in chance.choice(PLACEMENT_ROUNDS)
         ]
 
+    def _plan_overload(self, latest_s: float) -> list[PlannedFault]:
+        chance = self._overload_random
+        names = tuple(self._overload_faults)
+        return [
+            PlannedFault(
+                chance.uniform(FIRST_AFTER_S, latest_s), chance.uniform(0.3, MOST_FOR_S), name
+            )
+            for name in chance.sample(names, chance.choice((0, 1, 2)))
+        ]
+
     def play(self, planned: list[PlannedFault], until_s: float) -> None:
         """Bring the faults about at their times, and heal what is left at the end."""
         began = time.monotonic()
-        faults = self._faults | self._placement_faults
+        faults = self._faults | self._placement_faults | self._overload_faults
         heals: list[tuple[float, str, Heal]] = []
         for fault in planned:
             heals = self._wait(began + fault.at_s, heals)
@@ -484,6 +518,20 @@
         self._note(f"{name} crashes the replicas that run it")
         return self._send_until_healed([partial(send_crashing, kind, name)])
 
+    def _send_crashing_parts(self) -> Heal:
+        """Have requests come at any gateway that share a part that crashes their replicas."""
+        name = f"part-crash-{self._seed}-{self._overload_random.randrange(1000)}"
+        self._note(f"{name}: requests with a part that crashes replicas")
+        return self._send_until_healed([partial(send_crashing_parts, name)])
+
+    def _crowd_gateway(self) -> Heal:
+        """Open many new connections at one gateway."""
+        process = self._overload_random.choice(self._fleet.gateways)
+        self._note(f"most new connections go to {process.name}")
+        address = (process.address, process.callers_port)
+        names = [f"crowd-{self._seed}-{number}" for number in range(CROWD)]
+        return self._send_until_healed([partial(open_connections, address, name) for name in names])
+
     def _send_until_healed(self, senders: list[Sender]) -> Heal:
         """Run each sender in a thread of its own."""
         stopping = threading.Event()
@@ -519,11 +567,20 @@
 
         return heal
 
+    def _change_largely(self) -> Heal:
+        """Add a route, and then many more; remove them later."""
+        self._put_configuration((*ROUTES, route("added", "/added/", "idempotent")), "a route more")
+        time.sleep(self._overload_random.uniform(0.0, NEXT_CHANGE_S))
+        self._put_configuration(ROUTES + many_routes(LARGE_CHANGE_ROUTES), "many routes more")
+        return lambda: self._put_configuration(ROUTES, "the first routes")
+
     def _change_configuration(self) -> None:
-        self._version += 1
         timeout_ms = self._random.choice((7000, 8000, 9000))
         routes = tuple(route | {"timeout_ms": timeout_ms} for route in ROUTES)
-        done = self._tenants.change(self._random)
+        self._put_configuration(routes, self._tenants.change(self._random))
+
+    def _put_configuration(self, routes: tuple[dict[str, Any], ...], done: str) -> None:
+        self._version += 1
         self._note(f"configuration {self._version}: {done}")
         table = self._tenants.table()
         cold_rates = self._fleet.placement_limits
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -9,6 +9,7 @@
 
 from quaymill_bench.fleet_world import ENGINE_VERSIONS, item_id, whole_text
 from quaymill_bench.soak_checks import (
+    CONTACT_S,
     RESEND_REFUSALS,
     SETTLE_S,
     History,
@@ -17,6 +18,7 @@
     Sending,
     check_round,
 )
+from quaymill_bench.soak_senders import CRASH_PART
 from quaymill_standins.fleet_replica import FleetReplica, ReplicaRun, event_bytes
 
 CANCEL_S = 3.0
@@ -37,6 +39,24 @@
     return {"id": name, "state": "succeeded", "message": whole_text(name)}
 
 
+class CrashingPartTest(unittest.TestCase):
+    """Requests with a part that crashes replicas, no two alike."""
+
+    @params((5, 3, None), (5, 4, "9 replicas, 4 of them late"), (4, 0, None))
+    def test_late_runs(self, early: int, late: int, finding: str | None) -> None:
+        headers = {"prompt-prefix": f"aa:1,{CRASH_PART}:1,last:1"}
+        replica = replica_with()
+        times = [*range(early), *(early + CONTACT_S + number for number in range(late))]
+        replica.runs += [
+            ReplicaRun(f"r-{at}", "POST", "/", headers, str(at).encode(), at, crashed=True)
+            for at in times
+        ]
+        found = check_round(History(), [replica], CANCEL_S)
+        self.assertEqual(finding is not None, bool(found))
+        if finding is not None:
+            self.assertIn(finding, found[0])
+
+
 class SendingTest(unittest.TestCase):
     """Requests of callers."""
 
