Store the copy of a configuration beside its coming into force

Cause: the copy was written under the lock that puts a configuration in force.

One thread stores the newest configuration; a node that stops waits for it.

--- a/src/quaymill/process/configuration/disk_copy.py
+++ b/src/quaymill/process/configuration/disk_copy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import threading
 from pathlib import Path
 
 import msgspec
@@ -12,6 +13,53 @@
 from quaymill.version.configuration import ServingConfiguration
 
 COPY_NAME = "configuration.json"
+STOP_TIMEOUT_S = 5.0
+"""Maximum time for which a node that stops waits until its copy is on disk."""
+
+
+class CopyWriter:
+    """One thread that stores the newest configuration, so that a slow disk holds up nobody.
+
+    A configuration that is replaced while an earlier one is written is never stored itself.
+    """
+
+    def __init__(self, folder: Path, problems: ProblemLog) -> None:
+        self._folder = folder
+        self._problems = problems
+        self._changed = threading.Condition()
+        self._pending: ServingConfiguration | None = None
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, name="configuration-copy", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Wait until the newest configuration is stored, for ``STOP_TIMEOUT_S`` at most."""
+        with self._changed:
+            self._stopping = True
+            self._changed.notify_all()
+        if self._thread.is_alive():
+            self._thread.join(STOP_TIMEOUT_S)
+
+    def store(self, configuration: ServingConfiguration) -> None:
+        """Store a configuration soon; return at once."""
+        with self._changed:
+            self._pending = configuration
+            self._changed.notify_all()
+
+    def _run(self) -> None:
+        while (configuration := self._next()) is not None:
+            store_copy(self._folder, configuration, self._problems)
+
+    def _next(self) -> ServingConfiguration | None:
+        """Wait for the next configuration to store; return ``None`` at the end."""
+        with self._changed:
+            while self._pending is None and not self._stopping:
+                self._changed.wait()
+            configuration, self._pending = self._pending, None
+            return configuration
 
 
 def store_copy(folder: Path, configuration: ServingConfiguration, problems: ProblemLog) -> None:
--- a/src/quaymill/process/configuration/service.py
+++ b/src/quaymill/process/configuration/service.py
@@ -28,7 +28,7 @@
 from quaymill.connection.peer_link import PeerClient
 from quaymill.connection.peer_server import PeerServer
 from quaymill.connection.platform_client import CONFIGURATIONS, MACHINES, PlatformClient
-from quaymill.process.configuration.disk_copy import load_copy, store_copy
+from quaymill.process.configuration.disk_copy import CopyWriter, load_copy
 from quaymill.process.configuration.platform_watch import PlatformWatch, WatchSettings
 from quaymill.process.configuration.problems import ProblemLog
 from quaymill.process.configuration.reader import ConfigurationFollower, MachineListFollower
@@ -103,6 +103,7 @@
         self._machine_changes = MachineListLog()
         self._last_configuration = EMPTY_CONFIGURATION
         self._pulled_differences: tuple[ConfigurationDifference, ...] = ()
+        self._copies = CopyWriter(Path(settings.data_folder), self._problems)
         self._wake = threading.Event()
         self._stopping = threading.Event()
         follower = ConfigurationFollower(platform_client, holder, self._watch_problems)
@@ -133,6 +134,7 @@
         """Load the copy on disk, then start watching the platform and pulling from peers."""
         if self._settings.data_folder:
             self._load_copy(Path(self._settings.data_folder))
+            self._copies.start()
         self._holder.subscribe(self._on_configuration)
         self._machine_list.subscribe(self._on_machine_list)
         self._membership.subscribe(self._on_members)
@@ -148,6 +150,7 @@
         self._version_check.stop()
         for watch in self._watches:
             watch.stop()
+        self._copies.stop()
 
     def is_reader(self) -> bool:
         """Return whether this node watches the platform for its zone."""
@@ -189,7 +192,7 @@
         self._last_configuration = configuration
         self._membership.publish(configuration_generation=configuration.generation)
         if self._settings.data_folder:
-            store_copy(Path(self._settings.data_folder), configuration, self._problems)
+            self._copies.store(configuration)
 
     def _differences_to(
         self, configuration: ServingConfiguration
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import os
 import tempfile
+import time
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import msgspec
 import urllib3
@@ -27,6 +30,7 @@
 from quaymill.version.configuration import ServingConfiguration
 from quaymill.version.edits import Edit, EditedCell, new_edit_id
 
+SLOW_DISK_S = 2.0
 ZONES = ("a", "a", "a", "b", "b", "b")
 
 
@@ -161,6 +165,40 @@
         self.expect_in_force()
 
 
+class SlowDiskTest(FleetCase):
+    """A disk on which each write of the copy takes longer than a change may take."""
+
+    def setUp(self):
+        super().setUp()
+        fsync = os.fsync
+
+        def slow_fsync(descriptor: int) -> None:
+            time.sleep(SLOW_DISK_S)
+            fsync(descriptor)
+
+        self.enterContext(
+            mock.patch("quaymill.process.configuration.disk_copy.os.fsync", slow_fsync)
+        )
+
+    def test_copy_does_not_hold_up_the_next_configuration(self):
+        """Guards against changes that wait until the copy of an earlier one is on disk."""
+        for _ in range(3):
+            self.edit()
+            began = time.monotonic()
+            self.expect_in_force()
+            self.assertLess(time.monotonic() - began, SLOW_DISK_S)
+
+    def test_node_that_stops_has_stored_what_was_in_force(self):
+        self.edit()
+        self.expect_in_force()
+        set_faults(self.platform, down=True)
+        for node in self.fleet.nodes:
+            node.stop()
+        for index in range(len(ZONES)):
+            self.fleet.restart(index)
+        self.expect_in_force()
+
+
 class SilentWatchTest(FleetCase):
     """Long watches whose connections fail unnoticed."""
 
