--- a/src/quaymill/process/configuration/service.py
+++ b/src/quaymill/process/configuration/service.py
@@ -9,8 +9,10 @@
 
 import random
 import threading
+from collections.abc import Callable
 from pathlib import Path
 
+import attrs
 import msgspec
 
 from quaymill.connection.configuration_messages import (
@@ -68,6 +70,23 @@
 DEFAULT_TIMING = ConfigurationTiming()
 
 
+@attrs.frozen
+class _Pull:
+    """What is pulled from peers by a thread of its own.
+
+    Attributes
+    ----------
+    is_ahead
+        Returns whether a peer has something newer.
+    pull_from
+        Pulls from a peer; returns whether anything was updated.
+    """
+
+    is_ahead: Callable[[Member], bool]
+    pull_from: Callable[[Member], bool]
+    wake: threading.Event = attrs.field(factory=threading.Event)
+
+
 class ConfigurationService:
     """Updates the configuration and machine list of this node, and answers pulls of peers.
 
@@ -104,7 +123,8 @@
         self._last_configuration = EMPTY_CONFIGURATION
         self._pulled_differences: tuple[ConfigurationDifference, ...] = ()
         self._copies = CopyWriter(Path(settings.data_folder), self._problems)
-        self._wake = threading.Event()
+        self._configuration_pull = _Pull(self._has_newer_configuration, self._pull_configuration)
+        self._machines_pull = _Pull(self._has_newer_machines, self._pull_machines)
         self._stopping = threading.Event()
         follower = ConfigurationFollower(platform_client, holder, self._watch_problems)
         self._version_check = VersionCheck(
@@ -138,7 +158,11 @@
         self._holder.subscribe(self._on_configuration)
         self._machine_list.subscribe(self._on_machine_list)
         self._membership.subscribe(self._on_members)
-        threading.Thread(target=self._pull_loop, name="configuration-pull", daemon=True).start()
+        # One thread each, so that neither waits for a peer that does not send the other.
+        for pull in (self._configuration_pull, self._machines_pull):
+            threading.Thread(
+                target=self._pull_loop, args=(pull,), name="control-pull", daemon=True
+            ).start()
         for watch in self._watches:
             watch.start()
         self._version_check.start()
@@ -146,7 +170,8 @@
     def stop(self) -> None:
         """Stop all threads."""
         self._stopping.set()
-        self._wake.set()
+        self._configuration_pull.wake.set()
+        self._machines_pull.wake.set()
         self._version_check.stop()
         for watch in self._watches:
             watch.stop()
@@ -219,45 +244,41 @@
         )
 
     def _on_members(self) -> None:
-        if self._peer_ahead() is not None:
-            self._wake.set()
+        for pull in (self._configuration_pull, self._machines_pull):
+            if self._peer_ahead(pull.is_ahead) is not None:
+                pull.wake.set()
 
     # Pulling.
 
-    def _pull_loop(self) -> None:
+    def _pull_loop(self, pull: _Pull) -> None:
         while not self._stopping.is_set():
-            self._wake.wait(PULL_CHECK_INTERVAL_S)
-            self._wake.clear()
-            while not self._stopping.is_set() and (peer := self._peer_ahead()) is not None:
-                if not self._pull_from(peer):
+            pull.wake.wait(PULL_CHECK_INTERVAL_S)
+            pull.wake.clear()
+            while not self._stopping.is_set():
+                peer = self._peer_ahead(pull.is_ahead)
+                if peer is None:
+                    break
+                if not pull.pull_from(peer):
                     self._stopping.wait(PULL_RETRY_INTERVAL_S)
 
-    def _peer_ahead(self) -> Member | None:
+    def _peer_ahead(self, is_ahead: Callable[[Member], bool]) -> Member | None:
         """Return a random peer that is ahead, preferably in this zone; ``None`` if none is."""
-        generation = self._holder.current().generation
-        version = self._machine_list.current().version
         local = self._membership.local()
         ahead = [
             member
             for member in self._membership.members()
             if member.state is not MemberState.DEAD
             and member.name != local.name
-            and (
-                member.configuration_generation > generation
-                or member.machine_list_version > version
-            )
+            and is_ahead(member)
         ]
         near = [member for member in ahead if member.zone == local.zone]
         return random.choice(near or ahead) if ahead else None
 
-    def _pull_from(self, peer: Member) -> bool:
-        """Pull newer data from a peer; return whether anything was updated."""
-        progressed = False
-        if peer.configuration_generation > self._holder.current().generation:
-            progressed = self._pull_configuration(peer)
-        if peer.machine_list_version > self._machine_list.current().version:
-            progressed = self._pull_machines(peer) or progressed
-        return progressed
+    def _has_newer_configuration(self, member: Member) -> bool:
+        return member.configuration_generation > self._holder.current().generation
+
+    def _has_newer_machines(self, member: Member) -> bool:
+        return member.machine_list_version > self._machine_list.current().version
 
     def _pull_configuration(self, peer: Member) -> bool:
         held = self._holder.current()
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -17,20 +17,21 @@
 from fleet_support import OPTIONS, ControlNode, Fleet, PlatformCase, control, eventually, set_faults
 from quaymill.connection.configuration_messages import ConfigurationProblem
 from quaymill.connection.endpoint import Endpoint
-from quaymill.connection.member import Machine, MachineRole
+from quaymill.connection.member import Machine, MachineRole, Member
 from quaymill.connection.platform_client import CONFIGURATION_NAME, CONFIGURATIONS
 from quaymill.connection.platform_objects import ObjectList, PlatformObject
 from quaymill.process.configuration.disk_copy import COPY_NAME, load_copy
 from quaymill.process.configuration.editor import ConfigurationEditor, EditAccepted
 from quaymill.process.configuration.problems import ProblemLog
 from quaymill.process.configuration.reader import SET_BACK_DELAY_S, MachineListFollower
-from quaymill.process.configuration.service import ConfigurationTiming
+from quaymill.process.configuration.service import ConfigurationService, ConfigurationTiming
 from quaymill.process.machine_list import MachineListHolder
 from quaymill.process.membership.ranking import reader_nodes
 from quaymill.version.configuration import ServingConfiguration
 from quaymill.version.edits import Edit, EditedCell, new_edit_id
 
 SLOW_DISK_S = 2.0
+STALLED_S = 4.0
 ZONES = ("a", "a", "a", "b", "b", "b")
 
 
@@ -199,6 +200,39 @@
         self.expect_in_force()
 
 
+class StalledPullTest(FleetCase):
+    """Peers that do not send the configuration."""
+
+    def setUp(self):
+        self.stalled = False
+        pull = ConfigurationService._pull_configuration
+
+        def stalled_pull(service: ConfigurationService, peer: Member) -> bool:
+            if not self.stalled:
+                return pull(service, peer)
+            time.sleep(STALLED_S)
+            return False
+
+        self.enterContext(
+            mock.patch.object(ConfigurationService, "_pull_configuration", stalled_pull)
+        )
+        super().setUp()
+
+    def test_list_of_machines_is_pulled_meanwhile(self):
+        """Guards against one list of the platform holding up the other."""
+        self.stalled = True
+        self.edit()
+        readers = [*self.readers("a"), *self.readers("b")]
+        self.expect_in_force(readers)
+        machine = Machine("m1", MachineRole.ENGINE, "a", Endpoint("127.0.0.1", 9), "drafting")
+        began = time.monotonic()
+        self.client.create("machines", "m1", machine)
+        eventually(
+            lambda: all(machine in node.machines.current().machines for node in self.fleet.nodes)
+        )
+        self.assertLess(time.monotonic() - began, STALLED_S)
+
+
 class SilentWatchTest(FleetCase):
     """Long watches whose connections fail unnoticed."""
 
