--- a/src/quaymill/process/control/configuration_pull.py
+++ b/src/quaymill/process/control/configuration_pull.py
@@ -15,7 +15,6 @@
 import threading
 
 import attrs
-import xxhash
 from eliot import log_message
 
 from quaymill import boot_clock
@@ -76,6 +75,8 @@
         Version in force here when the transfer began.
     peer
         Name of the peer that sent the last part.
+    began
+        Time by ``boot_clock`` at which the step became known.
     took_s
         Duration of all requests so far.
     """
@@ -93,6 +94,11 @@
         """Whether the step is known to be a large one."""
         return self.total_bytes > SMALL_BYTES
 
+    def begin(self, part: ConfigurationPart) -> None:
+        """Begin to receive the step that a part belongs to."""
+        self.digest, self.total_bytes, self.data = part.digest, part.total_bytes, b""
+        self.began = boot_clock.now()
+
 
 class _SendSlots:
     """Admits a few receivers of large steps at a time; safe to use from any thread."""
@@ -206,26 +212,23 @@
         self._part_bytes = min(MAX_PART_BYTES, 2 * self._part_bytes)
         transfer.peer = peer.name
         if part.digest != transfer.digest:
-            transfer.digest, transfer.total_bytes, transfer.data = (
-                part.digest,
-                part.total_bytes,
-                b"",
-            )
-            transfer.began = boot_clock.now()
+            transfer.begin(part)
         if part.offset == len(transfer.data):
             transfer.data += part.data
-        if len(transfer.data) < part.total_bytes:
-            return _Next.AT_ONCE
-        step = EncodedStep(part.base_version, part.version, transfer.data, part.digest)
-        self._transfer = _Transfer(transfer.from_version)
-        if xxhash.xxh3_64_hexdigest(transfer.data) != part.digest:
+        if len(transfer.data) >= part.total_bytes:
+            self._apply(peer, part)
+        return _Next.AT_ONCE
+
+    def _apply(self, peer: Member, last_part: ConfigurationPart) -> None:
+        """Put the version of a complete transfer in force; avoid the peer if that fails."""
+        transfer, self._transfer = self._transfer, _Transfer(self._transfer.from_version)
+        step = EncodedStep.of(last_part.base_version, last_part.version, transfer.data)
+        if step.digest != last_part.digest:
             log_message("control:configuration_unread", source=peer.name, reason="wrong digest")
+        else:
+            self._active.offer_step(step, f"peer {peer.name}", transfer.took_s)
+        if self._active.routes.version < step.version:
             self._avoid(peer, RETRY_UNANSWERED_S)
-            return _Next.AT_ONCE
-        in_force = self._active.offer_step(step, f"peer {peer.name}", transfer.took_s)
-        if not in_force and self._active.routes.version < part.version:
-            self._avoid(peer, RETRY_UNANSWERED_S)
-        return _Next.AT_ONCE
 
     def _handle_failure(
         self, peer: Member, reply: ConfigurationPart | PeerFailure, took_s: float
