Check a barred item again every 5 s instead of when its bar would run out

A bar may be lifted: as the content was served elsewhere, or as a barred part explains its crashes. The item then waited for the rest of the hour. The new test of test_crashing_parts is red before (no result within 20 s).

--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -96,7 +96,8 @@
     ----------
     evacuations
         Set of evacuated zones to be kept current; ``None`` if the deployment has no evacuations.
-
+    regions
+        Regions of the gateways, by which the nearest one with a newer configuration is found.
     """
 
     def __init__(
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -45,6 +45,8 @@
 """Minimum time between two claims, so that items that end close together share one."""
 MAX_VERSION_WAIT_S = 1.0
 """How long an item waits for a replica of the software version that it began at."""
+BARRED_CHECK_S = 5.0
+"""Time after which it is checked again whether a barred item may be run: a bar may be lifted."""
 RETRY_PAUSE_S = 0.3
 MAX_RUNNING_ITEMS = 96
 """Number of running items from which no more slots are claimed; one claim may exceed it."""
@@ -498,7 +500,7 @@
                 else:
                     job.put_back(item, RETRY_PAUSE_S)
             case ItemBarred(left_s=left_s):
-                job.put_back(item, left_s)
+                job.put_back(item, min(left_s, BARRED_CHECK_S))
             case ItemCut(blames_replica=blames_replica):
                 if blames_replica and not job.stopped:
                     replica.record_failure()
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 import threading
 import time
@@ -14,7 +15,10 @@
 import urllib3
 
 from fleet_rig import wait_until
-from quaymill_bench.fleet_world import job_body, prompt_headers
+from quaymill import boot_clock
+from quaymill.request.forwarded_request import content_digest_of
+from quaymill.request.poison import MAX_CRASHES
+from quaymill_bench.fleet_world import HOST, job_body, prompt_headers
 from quaymill_standins.fleet_replica import ReplicaBehaviour, ReplicaRun
 from test_crashing_requests import CrashRig
 
@@ -214,6 +218,21 @@
         self.rig.wait_results("gateway-1", "job-good", 6)
         self.assertLessEqual(len(self.rig.late_runs()), RETRIES_ALLOWED)
 
+    def test_item_is_run_once_its_content_is_no_longer_barred(self) -> None:
+        """Guards against an item that waits for an hour although its bar was lifted."""
+        item = json.loads(job_body("job", 1))["items"][0]
+        content = content_digest_of(HOST, "POST", item["path"], base64.b64decode(item["body"]))
+        records = [gateway._poison_records for gateway in self.rig.gateways.values()]
+        for one in records:
+            for number in range(MAX_CRASHES):
+                one.add(content, f"replica-{number}", boot_clock.now())
+        self.assertEqual(202, self.rig.submit("gateway-0", "job", 1).status)
+        time.sleep(1.0)
+        self.assertEqual([], json.loads(self.rig.read_results("gateway-0", "job").data)["results"])
+        for one in records:
+            one.discount_crashes(content)
+        self.rig.wait_results("gateway-0", "job", 1)
+
 
 if __name__ == "__main__":
     unittest.main()
