--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -19,7 +19,7 @@
 from quaymill.request.forwarded_request import content_digest_of
 from quaymill.request.poison import MAX_CRASHES
 from quaymill_bench.fleet_world import HOST, job_body, prompt_headers
-from quaymill_standins.fleet_replica import ReplicaBehaviour, ReplicaRun
+from quaymill_standins.fleet_replica import FleetReplica, ReplicaBehaviour, ReplicaRun
 from test_crashing_requests import CrashRig
 
 CRASHES_ALLOWED = 5
@@ -89,6 +89,14 @@
         )
         return self.send(COMMON, BAD, gateway=gateway, path=path)
 
+    def serving_engine(self) -> FleetReplica:
+        """Return an engine that has not crashed; wait for one if there is none."""
+
+        def serving() -> list[FleetReplica]:
+            return [one for one in self.rig.of_service("engine") if not one.crashed]
+
+        return wait_until(serving, "an engine serves")[0]
+
     def start_sound_load(self) -> None:
         """Send sound requests that share the first part with the bad ones, one after another."""
 
@@ -175,8 +183,7 @@
         """All requests share parts with those that run at each replica that crashes."""
         self.start_sound_load()
         for _ in range(3 * CRASHES_ALLOWED):
-            serving = [one for one in self.rig.of_service("engine") if not one.crashed]
-            serving[0].crash()
+            self.serving_engine().crash()
             time.sleep(0.1)
         wait_until(lambda: self.rig.count_running("engine") >= ENGINES, "engines are replaced")
         time.sleep(CRASH_KNOWN_AFTER_S)
