Check a small configuration by listing it, as watches may miss a change

A document is listed at each check again, as long as that transfers at most 20 KB a second; a larger one is listed less often, and asked for changes in between.

--- a/src/quaymill/process/control/configuration_feed.py
+++ b/src/quaymill/process/control/configuration_feed.py
@@ -1,18 +1,21 @@
 """Reads the configuration from the platform's store, with one answer for each change.
 
 Two gateways watch the configuration, so that each version is read as soon as it is stored and
-before the next one replaces it. Whichever gateway reads the store's lists also asks for changes
-since the last one, in case that the watches hear nothing. Without a change the document is not
-transferred, except that the store has forgotten the history since the last change: then it is
-listed again.
+before the next one replaces it. Whichever gateway reads the store's lists also checks the
+configuration, in case that the watches hear nothing. It lists the document, if that is small or
+was not done for a while; otherwise it asks for changes since the last one. The document is also
+listed where the store has forgotten the history since the last change.
 """
 
 from __future__ import annotations
 
+import math
 import random
 import threading
 from collections.abc import Callable
 
+import msgspec
+
 from quaymill import boot_clock
 from quaymill.connection.object_store import (
     CallRejected,
@@ -29,6 +32,8 @@
 WATCH_S = 10.0
 RANK_CHECK_S = 0.5
 """Interval at which a gateway that does not watch checks its rank."""
+MAX_CHECK_BYTES_PER_S = 20e3
+"""Bytes of documents without a change that the checks may transfer per second, on average."""
 FIRST_PAUSE_S = 0.2
 MAX_PAUSE_S = 1.5
 
@@ -59,6 +64,7 @@
         self._offer = offer
         self._lock = threading.Lock()
         self._revision = 0
+        self._list_again_at = -math.inf
         self._stopping = threading.Event()
 
     def start(self) -> None:
@@ -70,7 +76,9 @@
         self._stopping.set()
 
     def check(self) -> StoreFailure | None:
-        """Read what has changed since the last call; return the failure if there was one."""
+        """Read the configuration or what has changed in it; return the failure if there was one."""
+        if boot_clock.now() >= self._list_again_at:
+            return self._list()
         return self._read(0.0)
 
     def _run(self) -> None:
@@ -116,6 +124,8 @@
         took_s = boot_clock.now() - began
         for stored in listing.objects:
             if stored.name == self._name:
+                size_bytes = len(msgspec.json.encode(stored.spec))
+                self._list_again_at = began + size_bytes / MAX_CHECK_BYTES_PER_S
                 self._offer(stored, took_s)
                 break
         else:
--- a/tests/test_configuration_feed.py
+++ b/tests/test_configuration_feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 from typing import Any
 
@@ -23,7 +24,9 @@
 
 TIMEOUT_S = 5.0
 REFUSED = StoreRefused("the store answered 503")
-FIRST = StoredObject("main", 3, {"version": 1})
+LARGE = "x" * 1_000_000
+"""Content with which the document is listed once in these tests."""
+FIRST = StoredObject("main", 3, {"version": 1, "text": LARGE})
 
 
 class _Store:
@@ -62,7 +65,18 @@
         )
         self.addCleanup(self.feed.stop)
 
-    def test_first_read_lists_and_later_ones_ask_for_changes(self) -> None:
+    def test_small_document_is_listed_each_time(self) -> None:
+        """Guards against a change that every watch misses."""
+        self.store.listings = [
+            Listing((StoredObject("main", 3, {"version": 1}),), 10),
+            Listing((StoredObject("main", 11, {"version": 2}),), 11),
+        ]
+        self.feed.check()
+        time.sleep(0.01)
+        self.feed.check()
+        self.assertEqual([1, 2], self.offered)
+
+    def test_first_read_lists_a_large_document_and_later_ones_ask_for_changes(self) -> None:
         self.feed.check()
         self.feed.check()
         self.assertEqual([1], self.offered)
@@ -87,7 +101,9 @@
     def test_list_replaces_a_history_that_is_gone(self) -> None:
         self.feed.check()
         self.store.changes = [HistoryGone(), Changes((), 30)]
-        self.store.listings = [Listing((StoredObject("main", 22, {"version": 4}),), 30)]
+        self.store.listings = [
+            Listing((StoredObject("main", 22, {"version": 4, "text": LARGE}),), 30)
+        ]
         self.feed.check()
         self.feed.check()
         self.assertEqual([1, 4], self.offered)
