--- a/tests/test_configuration_steps.py
+++ b/tests/test_configuration_steps.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import msgspec
-from hypothesis import given
+from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from nose2.tools import params
 
@@ -36,6 +36,7 @@
 class DifferenceTest(unittest.TestCase):
     """A change turns one document into the other, and holds only what differs."""
 
+    @settings(deadline=None, database=None, suppress_health_check=[HealthCheck.too_slow])
     @given(DOCUMENTS, DOCUMENTS)
     def test_change_leads_from_any_document_to_any_other(self, old, new) -> None:
         change = msgspec.json.decode(msgspec.json.encode(difference(old, new)), type=DocumentChange)
