Close new connections unread only after 0.2 s of waiting

At 0.1 s, whole runs of the tests beside load (load average 13 to 25) showed failures that fit connections closed on a busy machine whose other gateways were as busy. test_read_gate keeps its bounds: 4 of 4 runs at once green; at 0.4 s 3 of 3 were red (1.5 s where 1.0 are allowed).

--- a/src/quaymill/process/front/read_gate.py
+++ b/src/quaymill/process/front/read_gate.py
@@ -19,7 +19,7 @@
 
 from quaymill import boot_clock
 
-MAX_WAIT_S = 0.1
+MAX_WAIT_S = 0.2
 """Recent wait for a worker above which new connections are closed unread."""
 SMOOTHING = 0.3
 """Weight of the newest wait in the average."""
