--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -113,7 +113,11 @@
         self._revision = 100
         self._objects: dict[str, dict[str, dict]] = {}
         self._history: list[tuple[int, str, dict, bool]] = []
-        self.on_call = lambda method, kind, name: None
+        self.last_reader: dict[str, str] = {}
+        """The process that last listed the objects of a kind."""
+
+    def listen(self, caller: str) -> str:
+        """Return an address at which one process reaches the store."""
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -123,7 +127,7 @@
             def _serve(self) -> None:
                 length = int(self.headers.get("Content-Length") or 0)
                 body = json.loads(self.rfile.read(length)) if length else None
-                status, answer = store.answer(self.command, self.path, body)
+                status, answer = store.answer(caller, self.command, self.path, body)
                 data = json.dumps(answer).encode()
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
@@ -143,9 +147,9 @@
             def handle_error(self, request, client_address) -> None:
                 pass
 
-        self._server = Server(("127.0.0.1", 0), Handler)
-        self.address = f"127.0.0.1:{self._server.server_address[1]}"
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        server = Server(("127.0.0.1", 0), Handler)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return f"127.0.0.1:{server.server_address[1]}"
 
     def put(self, kind: str, name: str, spec, status=None) -> None:
         """Write an object as the operator or a replica does."""
@@ -166,7 +170,7 @@
         with self._changed:
             return self._objects.get(kind, {}).get(name)
 
-    def answer(self, method: str, target: str, body) -> tuple[int, object]:
+    def answer(self, caller: str, method: str, target: str, body) -> tuple[int, object]:
         """Answer one call."""
         url = urlsplit(target)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
@@ -174,12 +178,12 @@
         kind, _, rest = rest.partition("/")
         name, _, part = rest.partition("/")
         name = unquote(name)
-        self.on_call(method, kind, name)
         if method == "GET" and "watch" in query:
             return self._watch(kind, int(query["watch"]), int(query.get("wait_ms", 0)) / 1000)
         with self._changed:
             objects = self._objects.setdefault(kind, {})
             if method == "GET" and not name:
+                self.last_reader[kind] = caller
                 items = [
                     objects[key] for key in sorted(objects) if key > query.get("since_rev", "")
                 ]
@@ -296,6 +300,7 @@
         self.lock = threading.Lock()
         self.running = 0
         self.runs: list[tuple[float, str]] = []
+        self._connections: set[socket.socket] = set()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -308,6 +313,15 @@
             "seq": seq,
         }  # fmt: skip
 
+    def close(self) -> None:
+        """End: accept no more connections, and close all."""
+        with_suppressed(lambda: self._listener.shutdown(socket.SHUT_RDWR))
+        self._listener.close()
+        with self.lock:
+            connections = list(self._connections)
+        for connection in connections:
+            with_suppressed(lambda one=connection: one.shutdown(socket.SHUT_RDWR))
+
     def begin(self, request: Request) -> None:
         """Note that a request has begun to run."""
         with self.lock:
@@ -326,7 +340,12 @@
 
     def _accept(self) -> None:
         while True:
-            connection, _ = self._listener.accept()
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            with self.lock:
+                self._connections.add(connection)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
 
@@ -343,6 +362,8 @@
             pass
         finally:
             with_suppressed(lambda: connection.shutdown(socket.SHUT_RDWR))
+            with self.lock:
+                self._connections.discard(connection)
             connection.close()
 
     def _answer(self, request: Request) -> bool:
@@ -459,7 +480,7 @@
             "bootstrap": True, "counts_as_loss": not gateway,
             "contracts": "base,drain,config,cost,recover,batch,stream,engine,platform",
             "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0}, "bounds": BOUNDS,
-            "provider": {"address": self.store.address, "writes_per_s": 400, "reads_per_s": 2000},
+            "provider": {"address": self.store.listen(one.name), "writes_per_s": 400, "reads_per_s": 2000},
             "limits": {"cpu_share": 0.537, "cores": 2, "memory_mb": 300, "max_fds": 4100,
                        "disk_mb": 0 if gateway else 480},
         }  # fmt: skip
