Review case 1: two storage nodes emptied at the same time lose accepted jobs

Cause: each counts the copies on the other before it knows that the other is leaving, and both report success; a job on both has one copy left, and the loss of one disk, which is to be borne, loses it. Done: a script that empties two of four storage nodes at once and wipes a third.

--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -31,6 +31,8 @@
 REGION = "region"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+ANSWER_S = 0.004
+"""Time that an answer of the platform's store takes."""
 
 BOUNDS = {
     "seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4.7,
@@ -115,6 +117,8 @@
         self._history: list[tuple[int, str, dict, bool]] = []
         self.last_reader: dict[str, str] = {}
         """The process that last listed the objects of a kind."""
+        self.on_status = lambda kind, name, status: None
+        """Called with each status that the system writes, after it is stored."""
 
     def listen(self, caller: str) -> str:
         """Return an address at which one process reaches the store."""
@@ -128,6 +132,7 @@
                 length = int(self.headers.get("Content-Length") or 0)
                 body = json.loads(self.rfile.read(length)) if length else None
                 status, answer = store.answer(caller, self.command, self.path, body)
+                time.sleep(ANSWER_S)
                 data = json.dumps(answer).encode()
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
@@ -208,6 +213,8 @@
             status = body.get("status") if part == "status" else held["status"]
             if (spec, status) == (held["spec"], held["status"]):
                 return 200, held
+            if part == "status":
+                self.on_status(kind, name, status)
             return 200, self._commit(kind, name, spec, status)
 
     def _watch(self, kind: str, revision: int, wait_s: float) -> tuple[int, object]:
@@ -414,6 +421,7 @@
     def __init__(self, name: str, role: str, zone: str, address: str, ports: dict) -> None:
         self.name, self.role, self.zone, self.address, self.ports = name, role, zone, address, ports
         self.folder = Path()
+        self.disk = Path()
         self.settings = Path()
         self.command: list[str] = []
         self.process: subprocess.Popen | None = None
@@ -441,6 +449,17 @@
             self.signal(signal.SIGKILL)
             self.process.wait()
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def lose_disk(self) -> None:
+        """Kill a storage node and remove what its disk held."""
+        self.kill()
+        shutil.rmtree(self.disk)
+        self.disk.mkdir()
+
 
 class Fleet:
     """Gateways and storage nodes, a store and replicas."""
@@ -450,21 +469,36 @@
         self.store = Store()
         self.gateways: list[Process] = []
         self.storage: list[Process] = []
-        net = f"127.{random.randint(20, 220)}.{random.randint(1, 250)}"
-        port = random.randint(21000, 29000)
+        self._storage_made = 0
+        self._net = f"127.{random.randint(20, 220)}.{random.randint(1, 250)}"
+        self._port = random.randint(21000, 29000)
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self._roles = deploy["roles"]
         self._template = (ROOT / self._roles["gateway"]["template"]).read_text()
-        seeds = ",".join(f"{net}.{number + 1}:{port + 2}" for number in range(min(3, gateways)))
-        for number in range(gateways + storage):
-            is_gateway = number < gateways
-            role = "gateway" if is_gateway else "job-storage"
-            index = number if is_gateway else number - gateways
-            name = f"{'edge' if is_gateway else 'storage'}-{index + 1}"
-            ports = {"front": port, "ready": port + 1, "control": port + 2, "peers": port + 3}
-            one = Process(name, role, ZONES[index % 3], f"{net}.{number + 1}", ports)
-            self._prepare(one, seeds)
-            (self.gateways if is_gateway else self.storage).append(one)
+        seeds = [f"{self._net}.{number + 1}" for number in range(min(3, gateways))]
+        self._seeds = ",".join(f"{address}:{self._port + 2}" for address in seeds)
+        self._started = 0
+        for _ in range(gateways):
+            self.gateways.append(self._new_process("gateway", len(self.gateways)))
+        for _ in range(storage):
+            self.add_storage()
+
+    def add_storage(self) -> Process:
+        """Add a storage node with a new name and address and an empty disk; it is not started."""
+        one = self._new_process("job-storage", self._storage_made)
+        self._storage_made += 1
+        self.storage.append(one)
+        return one
+
+    def _new_process(self, role: str, index: int) -> Process:
+        self._started += 1
+        name = f"{'edge' if role == 'gateway' else 'storage'}-{index + 1}"
+        first = self._port
+        ports = {"front": first, "ready": first + 1, "control": first + 2, "peers": first + 3}
+        address = f"{self._net}.{self._started}"
+        one = Process(name, role, ZONES[index % 3], address, ports)
+        self._prepare(one, self._seeds)
+        return one
 
     @property
     def processes(self) -> list[Process]:
@@ -489,9 +523,9 @@
                 name: f"{one.address}:{one.ports[name]}" for name in ("front", "ready", "control")
             }
         else:
-            disk = self.folder / f"disk-{one.name}"
-            disk.mkdir()
-            fields["data_dir"] = str(disk)
+            one.disk = self.folder / f"disk-{one.name}"
+            one.disk.mkdir()
+            fields["data_dir"] = str(one.disk)
         one.folder = self.folder
         one.settings = self.folder / f"{one.name}.conf"
         one.settings.write_text(fill(self._template, fields))
