Log from whom and at which revision a gateway learns of a replica's state

The lines replica:listed, listed_again, draining, departed and started_again name the source of the list (store, or the peer that sent it) and its revision, so that a stale list that overrides a newer one can be told from one that arrives late. No change of logic. Checked: lint, test_log_events, test_replica_table.

--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -334,7 +334,7 @@
             return False
         if reply.replicas is not None and reply.replicas_revision > self._table.revision:
             entries = [_entry(record) for record in reply.replicas]
-            self._table.replace_from_peer(entries, reply.replicas_revision)
+            self._table.replace_from_peer(entries, reply.replicas_revision, peer.name)
             log_message("control:replicas_pulled", peer=peer.name, revision=reply.replicas_revision)
         if reply.evacuated_zones not in (None, msgspec.UNSET) and self._evacuations is not None:
             source = f"peer {peer.name}"
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -18,6 +18,8 @@
 TENANT = "tenant: its name; empty if unknown"
 VERSION = "version: software version of the replica; empty if it states none, null if invalid"
 REPLICA = "replica: the replica's incarnation"
+LIST_SOURCE = "source: store, or peer and its name; who sent the list of replicas"
+LIST_REVISION = "revision: of that list, in the store"
 REASON = "reason: human-readable cause"
 DURATION = "took_s: duration in seconds"
 
@@ -208,13 +210,19 @@
         "the HTTP server had an error with a connection", ("message, level: as reported by it",)
     ),
     "replica:listed": LogEvent(
-        "the platform lists a new replica", (REPLICA, "service, zone: of the replica", VERSION)
+        "the platform lists a new replica",
+        (REPLICA, "service, zone: of the replica", VERSION, LIST_SOURCE, LIST_REVISION),
+    ),
+    "replica:listed_again": LogEvent(
+        "a replica is listed again", (REPLICA, "service", LIST_SOURCE, LIST_REVISION)
     ),
-    "replica:listed_again": LogEvent("a replica is listed again", (REPLICA, "service")),
     "replica:draining": LogEvent(
-        "a replica is draining; it gets no new requests", (REPLICA, "service")
+        "a replica is draining; it gets no new requests",
+        (REPLICA, "service", LIST_SOURCE, LIST_REVISION),
+    ),
+    "replica:departed": LogEvent(
+        "a replica is no longer listed", (REPLICA, "service", LIST_SOURCE, LIST_REVISION)
     ),
-    "replica:departed": LogEvent("a replica is no longer listed", (REPLICA, "service")),
     "replica:misdirected": LogEvent("another replica answers at a replica's address", (REPLICA,)),
     "replica:ejected": LogEvent(
         "a replica is not chosen while others are healthy, because of its recent failures",
@@ -565,7 +573,7 @@
     ),
     "replica:started_again": LogEvent(
         "a replica has restarted with the same id; its previous records are discarded",
-        ("replica: the replica's id", "service"),
+        ("replica: the replica's id", "service", LIST_SOURCE, LIST_REVISION),
     ),
     "store:circuit_open": LogEvent(
         "the store does not answer this gateway; calls to it are suspended except for probes",
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -4,6 +4,7 @@
 
 import threading
 from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
 import attrs
 from eliot import log_message
@@ -17,6 +18,27 @@
 
 DEPARTED_RETENTION_S = 30.0
 """How long a replica stays in the table after the platform has removed it from its list."""
+STORE_SOURCE = "store"
+"""Source of a list that this gateway has read itself, in the log."""
+
+
+@attrs.frozen
+class _Origin:
+    """Where a list of replicas comes from: its source, and its revision in the platform's store."""
+
+    source: str
+    revision: int
+
+    def log_change(self, event: str, entry: ReplicaEntry, **fields: Any) -> None:
+        """Log a change of a replica that this list makes known."""
+        log_message(
+            event,
+            replica=entry.id,
+            service=entry.service,
+            source=self.source,
+            revision=self.revision,
+            **fields,
+        )
 
 
 class ReplicaTable:
@@ -119,6 +141,7 @@
         *,
         keep_missing: bool = False,
         from_peer: bool = False,
+        source: str = STORE_SOURCE,
     ) -> int:
         """Replace the listed replicas by the platform's list at ``revision``.
 
@@ -134,6 +157,8 @@
             outage of the store may return.
         from_peer
             The remaining warm-up times are what another gateway knows.
+        source
+            Where the list comes from, for the log.
 
         Returns
         -------
@@ -153,46 +178,43 @@
             warm_up_changed = self._record_warm_ups(listed, from_peer=from_peer)
             if self.revision and listed == known and not warm_up_changed:
                 return kept
+            origin = _Origin(source, revision)
             for entry in listed.values():
-                self._update_entry(entry)
+                self._update_entry(entry, origin)
             for replica in list(self._by_id.values()):
                 if replica.id not in listed:
-                    self._mark_departed(replica)
+                    self._mark_departed(replica, origin)
             self._rebuild(revision)
             return kept
 
-    def replace_from_peer(self, entries: Iterable[ReplicaEntry], revision: int) -> None:
-        """Replace the listed replicas by the list of a gateway with a newer revision.
+    def replace_from_peer(
+        self, entries: Iterable[ReplicaEntry], revision: int, peer: str = ""
+    ) -> None:
+        """Replace the listed replicas by the list of the gateway ``peer`` with a newer revision.
 
         The revision is raised even if the content is the same, for example after a replica
         departed and returned. Otherwise the same list would be requested again and again.
         """
-        self.replace_all(entries, revision, from_peer=True)
+        self.replace_all(entries, revision, from_peer=True, source=f"peer {peer}")
         with self._lock:
             self.revision = max(self.revision, revision)
 
-    def _update_entry(self, entry: ReplicaEntry) -> None:
+    def _update_entry(self, entry: ReplicaEntry, origin: _Origin) -> None:
         replica = self._by_id.get(entry.id)
         if replica is None:
             self._by_id[entry.id] = self._create_replica(entry)
-            log_message(
-                "replica:listed",
-                replica=entry.id,
-                service=entry.service,
-                zone=entry.zone,
-                version=entry.version,
-            )
+            origin.log_change("replica:listed", entry, zone=entry.zone, version=entry.version)
             return
         if not entry.is_same_start_as(replica.entry):
-            log_message("replica:started_again", replica=entry.id, service=entry.service)
+            origin.log_change("replica:started_again", entry)
             replica.departed_at = boot_clock.now()
             self._on_departed(replica)
             self._by_id[entry.id] = self._create_replica(entry)
             return
         if entry.draining and not replica.entry.draining:
-            log_message("replica:draining", replica=entry.id, service=entry.service)
+            origin.log_change("replica:draining", entry)
         if replica.departed_at is not None:
-            log_message("replica:listed_again", replica=entry.id, service=entry.service)
+            origin.log_change("replica:listed_again", entry)
         replica.record_entry(entry)
         replica.departed_at = None
 
@@ -232,11 +254,11 @@
             if replica.zone == zone and replica.departed_at is None:
                 replica.record_evacuation_ended()
 
-    def _mark_departed(self, replica: Replica) -> None:
+    def _mark_departed(self, replica: Replica, origin: _Origin) -> None:
         if replica.departed_at is not None:
             return
         replica.departed_at = boot_clock.now()
-        log_message("replica:departed", replica=replica.id, service=replica.entry.service)
+        origin.log_change("replica:departed", replica.entry)
         self._on_departed(replica)
 
     def _rebuild(self, revision: int) -> None:
