Do not hand on replicas that are only presumed to be alive

What callers saw: requests reached a replica seconds after it had left, and were lost when it ended.

Cause: a gateway that knew of no read of the store for 2.5 s took that for an outage, whether the store was away or the gateway itself was frozen, cut off or refused. It kept the replicas missing in the next list as they were before, and its table got the revision of that list; gateways that had seen the replica leave pulled it and used the replica again. The class: an outdated or inferred view overrides a fresh one because only lists had revisions.

Fix: each entry has its own revision. An entry from a peer is taken only if it is newer than the one known, or than the list in which the replica was missing. Replicas that are kept after an outage are not passed on; each gateway decides for itself, gives them up by itself, and asks others first whether they know of reads throughout the time in doubt. Entries that expired in an outage still return: they are written again, at a newer revision.

--- a/src/quaymill/connection/control_messages.py
+++ b/src/quaymill/connection/control_messages.py
@@ -43,6 +43,8 @@
         Remaining warm-up time as it stands in the platform's list; ``None`` if unknown.
     version
         Software version, as in ``ReplicaEntry``; ``None`` also from an older build.
+    revision
+        Revision of the entry, as in ``ReplicaEntry``; 0 also from an older build.
     """
 
     id: str
@@ -55,6 +57,7 @@
     started_ms: int = msgspec.field(default=0, name="born_ms")
     listed_left_s: float | None = None
     version: str | None = None
+    revision: int = 0
 
 
 class ControlState(PeerMessage, frozen=True):
@@ -65,7 +68,8 @@
     configuration
         The operator's document as stored by the platform; ``None`` if it is not newer.
     replicas
-        All listed replicas; ``None`` if the list is not newer.
+        All listed replicas; ``None`` if the list is not newer. Those that the sender only keeps
+        after an outage of the store are not among them.
     evacuated_zones
         All evacuated zones; ``None`` if the set is not newer. It and its revision are left out of
         the encoded message where the deployment has no evacuations.
@@ -78,6 +82,25 @@
     evacuations_revision: int | msgspec.UnsetType = 0
 
 
+class QueryStoreReads(PeerMessage, frozen=True):
+    """Ask for how long a gateway knows that the platform's store was read."""
+
+    repeatable: ClassVar[bool] = True
+
+
+class StoreReads(PeerMessage, frozen=True):
+    """Answer to ``QueryStoreReads``.
+
+    Attributes
+    ----------
+    read_for_s
+        Seconds for which the store was read without a gap in which replica entries may have
+        expired; 0 during such a gap.
+    """
+
+    read_for_s: float
+
+
 class PullConfiguration(PeerMessage, frozen=True):
     """Request a part of the next configuration after the sender's; answered by a part.
 
--- a/src/quaymill/connection/replica_entry.py
+++ b/src/quaymill/connection/replica_entry.py
@@ -39,6 +39,9 @@
     version
         Version of the replica's software, without an order; empty if its entry states none,
         ``None`` if the entry states an invalid one.
+    revision
+        Revision of the platform's store at which the entry was written; 0 if unknown. Of two
+        entries of a replica, the one with the lower revision is outdated.
     """
 
     id: str
@@ -51,6 +54,7 @@
     started_ms: int = 0
     listed_left_s: float | None = attrs.field(default=None, eq=False)
     version: str | None = ""
+    revision: int = attrs.field(default=0, eq=False)
 
     def is_same_start_as(self, earlier: ReplicaEntry) -> bool:
         """Return whether an earlier entry of the replica is of the same run.
--- a/src/quaymill/platform/configuration.py
+++ b/src/quaymill/platform/configuration.py
@@ -132,6 +132,7 @@
         cold_left_s=read_cold_left_s(server.cold_left_ms, MS_PER_S),
         started_ms=server.born,
         version=read_version(server.version),
+        revision=stored.revision,
     )
 
 
--- a/src/quaymill/process/control/state.py
+++ b/src/quaymill/process/control/state.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 import threading
 from collections.abc import Callable
@@ -46,10 +45,11 @@
 from quaymill.process.control.configuration_pull import ConfigurationPull
 from quaymill.process.control.entries import EntryReader
 from quaymill.process.control.evacuations import EvacuatedZones, zones_in
+from quaymill.process.control.outage_check import OutageCheck
 from quaymill.process.control.store_reader import StoreReader
 from quaymill.process.membership.membership import Membership
 from quaymill.process.regions import ONE_REGION, RegionMap
-from quaymill.process.replica_set.table import ReplicaTable
+from quaymill.process.replica_set.table import STORE_SOURCE, ReplicaTable
 from quaymill.version.request_routes import RequestRoutes
 
 PULL_CHECK_INTERVAL_S = 0.5
@@ -81,14 +81,6 @@
     read_replica: Callable[[StoredObject], ReplicaEntry | Any]
 
 
-OUTAGE_S = 2.5
-"""Time without a successful read of the store by any gateway after which replica entries may
-have expired; an entry lasts for three heartbeats of about a second."""
-MISSING_KEPT_S = 2.2
-"""Time for which replicas missing from the list are kept after an outage; according to the
-platform, their entries are back within about two seconds."""
-
-
 class ControlPlaneView:
     """A gateway's view of the control plane; safe to read from any thread.
 
@@ -117,8 +109,7 @@
         self._table = table
         self._membership = membership
         self._peer_client = peer_client
-        self._keep_missing_until = 0.0
-        self._replicas_read_at = -math.inf
+        self._outages = OutageCheck(peer_client, peer_server, self._other_gateways)
         self._entries = EntryReader(protocol.read_replica, table.listed_entry, table.has_cold_rule)
         self._pulls = threading.Semaphore(MAX_PULLS_AT_ONCE)
         self._wake = threading.Event()
@@ -187,11 +178,10 @@
         answer the first call, no other one is made.
         """
         began = boot_clock.now()
-        unconfirmed_s = self._membership.confirmed_age_s()
         failure = self._feed.check()
         if is_store_unavailable(failure):
             return failure.reason
-        failure = self._read_replicas(unconfirmed_s) or failure
+        failure = self._read_replicas() or failure
         if self._evacuations is not None:
             failure = self._read_evacuations(self._evacuations) or failure
         self._publish_versions()
@@ -201,14 +191,31 @@
         self._membership.send_notice(self._other_gateways())
         return ""
 
-    def _read_replicas(self, unconfirmed_s: float) -> StoreFailure | None:
+    def _read_replicas(self) -> StoreFailure | None:
         """Read and apply the replicas; return the failure if there was one."""
         listing = self._store.list(ObjectKind.REPLICAS)
         if not isinstance(listing, Listing):
             return listing
-        self._apply_replicas(listing, unconfirmed_s)
+        now = boot_clock.now()
+        # While only the evacuations cannot be read, nothing is confirmed, but this is no outage.
+        self._outages.record_read(now)
+        entries = self._entries.read(listing, now)
+        kept = self._table.replace_all(
+            entries, listing.revision, keep_missing=self._may_keep_missing(entries)
+        )
+        self._log_kept(kept, STORE_SOURCE, listing.revision)
         return None
 
+    def _may_keep_missing(self, entries: list[ReplicaEntry]) -> bool:
+        """Return whether replicas that are missing in a list are kept, as after an outage."""
+        if self._table.lacks_any(entries):
+            return self._outages.confirm_may_have_expired()
+        return self._outages.may_have_expired()
+
+    def _log_kept(self, kept: int, source: str, revision: int) -> None:
+        if kept:
+            log_message("control:lapsed_kept", replicas=kept, source=source, revision=revision)
+
     def _offer_stored(self, stored: StoredObject, took_s: float | None) -> None:
         self._active.offer_document(stored.spec, "store", took_s)
 
@@ -229,26 +236,6 @@
         if unknown:
             log_message("control:evacuated_zone_unknown", zones=sorted(unknown))
 
-    def _apply_replicas(self, listing: Listing, unconfirmed_s: float) -> None:
-        """Apply a list of replicas; right after an outage keep those that are missing from it.
-
-        Entries expire while replicas cannot write them, and return soon after the store recovers.
-        Gateways that pull the list from this one also receive the replicas that were kept.
-        """
-        now = boot_clock.now()
-        # While only the evacuations cannot be read, nothing is confirmed, but this is no outage.
-        unread_s = min(unconfirmed_s, now - self._replicas_read_at)
-        self._replicas_read_at = now
-        if unread_s > OUTAGE_S:
-            self._keep_missing_until = now + MISSING_KEPT_S
-        kept = self._table.replace_all(
-            self._entries.read(listing, now),
-            listing.revision,
-            keep_missing=now < self._keep_missing_until,
-        )
-        if kept:
-            log_message("control:lapsed_kept", replicas=kept, unconfirmed_s=round(unconfirmed_s, 2))
-
     def _rank(self) -> int:
         """Return this gateway's rank among the live ones."""
         name = self._membership.local().name
@@ -264,6 +251,7 @@
         self, version: int, revision: int, evacuations_revision: int, at: float
     ) -> None:
         """Handle another gateway's report of the newest versions in the store."""
+        self._outages.record_read(at)
         reads_evacuations = self._evacuations is not None
         if (
             self.routes.version < version
@@ -292,11 +280,17 @@
         while not self._stopping.is_set():
             self._wake.wait(PULL_CHECK_INTERVAL_S)
             self._wake.clear()
+            self._drop_presumed()
             peer = self._peer_ahead()
             if peer is not None and not self._pull_from(peer):
                 self._stopping.wait(PULL_RETRY_S)
                 self._wake.set()
 
+    def _drop_presumed(self) -> None:
+        """Give up the replicas whose entries have not returned in time after an outage."""
+        if not self._outages.may_have_expired():
+            self._table.drop_presumed()
+
     def _peer_ahead(self) -> Member | None:
         """Return a random peer with a newer list; ``None`` if there is none."""
         local = self._membership.local()
@@ -334,7 +328,13 @@
             return False
         if reply.replicas is not None and reply.replicas_revision > self._table.revision:
             entries = [_entry(record) for record in reply.replicas]
-            self._table.replace_from_peer(entries, reply.replicas_revision, peer.name)
+            kept = self._table.replace_from_peer(
+                entries,
+                reply.replicas_revision,
+                peer.name,
+                keep_missing=self._may_keep_missing(entries),
+            )
+            self._log_kept(kept, f"peer {peer.name}", reply.replicas_revision)
             log_message("control:replicas_pulled", peer=peer.name, revision=reply.replicas_revision)
         if reply.evacuated_zones not in (None, msgspec.UNSET) and self._evacuations is not None:
             source = f"peer {peer.name}"
@@ -390,6 +390,7 @@
         entry.started_ms,
         entry.listed_left_s,
         entry.version,
+        entry.revision,
     )
 
 
@@ -405,4 +406,5 @@
         record.started_ms,
         record.listed_left_s,
         record.version,
+        record.revision,
     )
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -18,7 +18,7 @@
 TENANT = "tenant: its name; empty if unknown"
 VERSION = "version: software version of the replica; empty if it states none, null if invalid"
 REPLICA = "replica: the replica's incarnation"
-LIST_SOURCE = "source: store, or peer and its name; who sent the list of replicas"
+LIST_SOURCE = "source: store, or peer and its name: who sent the list; expiry: it was in none"
 LIST_REVISION = "revision: of that list, in the store"
 REASON = "reason: human-readable cause"
 DURATION = "took_s: duration in seconds"
@@ -223,6 +223,10 @@
     "replica:departed": LogEvent(
         "a replica is no longer listed", (REPLICA, "service", LIST_SOURCE, LIST_REVISION)
     ),
+    "replica:outdated_entry": LogEvent(
+        "a peer still lists a replica that was missing in a newer list; it is not used again",
+        (REPLICA, "service", LIST_SOURCE, LIST_REVISION),
+    ),
     "replica:misdirected": LogEvent("another replica answers at a replica's address", (REPLICA,)),
     "replica:ejected": LogEvent(
         "a replica is not chosen while others are healthy, because of its recent failures",
@@ -268,8 +272,18 @@
     ),
     "control:replica_unread": LogEvent("a replica's entry could not be parsed", (REPLICA, REASON)),
     "control:lapsed_kept": LogEvent(
-        "after an outage of the store some replicas are not listed; they are kept for a short time",
-        ("replicas: how many", "unconfirmed_s: time since any gateway had read the store"),
+        "after an outage of the store some replicas are not listed; they are kept for a short time,"
+        " and not passed on to other gateways",
+        ("replicas: how many", LIST_SOURCE, LIST_REVISION),
+    ),
+    "control:outage_dismissed": LogEvent(
+        "replicas are not listed after a time in which this gateway knew of no read of the store,"
+        " but another one knows that it was read; they are not kept",
+        (
+            "peer: that gateway",
+            "doubtful_s: how long this gateway knew of no read",
+            "read_for_s: for how long the other one knows that the store was read",
+        ),
     ),
     "control:replicas_pulled": LogEvent(
         "the list of replicas was received from a peer", ("peer", "revision")
--- a/src/quaymill/process/replica_set/replica.py
+++ b/src/quaymill/process/replica_set/replica.py
@@ -114,6 +114,9 @@
     departed_at
         Monotonic time when the platform removed the replica from its list; ``None`` if it is
         listed.
+    presumed
+        Whether it is not listed but still used, as its entry may have expired during an outage of
+        the platform's store. Other gateways are not told of it.
     last_received_at
         Monotonic time when any data was last received from it.
     misdirected
@@ -147,6 +150,7 @@
         self.items_in_flight = 0
         self._answering = 0
         self.departed_at: float | None = None
+        self.presumed = False
         self.misdirected = False
         self._lock = threading.Lock()
         self._reported: ReportedLoad | None = None
@@ -241,6 +245,12 @@
                 self._known_cold_until = None
             self.entry = entry
 
+    def record_revision(self, revision: int) -> None:
+        """Record that an equal entry was written at a later revision of the store."""
+        if revision > self.entry.revision:
+            with self._lock:
+                self.entry = attrs.evolve(self.entry, revision=revision)
+
     def record_warm_up(self, entry: ReplicaEntry, *, from_peer: bool = False) -> bool:
         """Record the warm-up time in a newer entry of the same run, if it is listed.
 
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -1,4 +1,9 @@
-"""Table of the replicas by identity and by service, kept in line with the platform's list."""
+"""Table of the replicas by identity and by service, kept in line with the platform's list.
+
+Lists come from the store and from other gateways, whose knowledge may be older than what is known
+here. Each entry has the revision at which it was written: one that is older than the entry known
+here, or than a list in which the replica was missing, is outdated and does not bring it back.
+"""
 
 from __future__ import annotations
 
@@ -20,6 +25,8 @@
 """How long a replica stays in the table after the platform has removed it from its list."""
 STORE_SOURCE = "store"
 """Source of a list that this gateway has read itself, in the log."""
+EXPIRY_SOURCE = "expiry"
+"""Source of a departure that no list has told: an entry did not return after an outage."""
 
 
 @attrs.frozen
@@ -122,13 +129,19 @@
         )
 
     def shared_entries(self) -> tuple[ReplicaEntry, ...]:
-        """Return the entries of all listed replicas with the remaining warm-up times as of now."""
+        """Return the entries of all listed replicas with the remaining warm-up times as of now.
+
+        Those that are only presumed to be alive are left out: another gateway may know better.
+        """
         return tuple(
-            replica.shared_entry()
-            for replica in self._by_id.values()
-            if replica.departed_at is None
+            replica.shared_entry() for replica in list(self._by_id.values()) if _is_listed(replica)
         )
 
+    def lacks_any(self, entries: Iterable[ReplicaEntry]) -> bool:
+        """Return whether replicas that are used here are missing in ``entries``."""
+        listed = {entry.id for entry in entries}
+        return any(entry.id not in listed for entry in self.entries())
+
     @property
     def has_several_regions(self) -> bool:
         """Whether the deployment spans several regions."""
@@ -156,7 +169,8 @@
             Keep the replicas that are missing in ``entries``, as entries that expired during an
             outage of the store may return.
         from_peer
-            The remaining warm-up times are what another gateway knows.
+            Another gateway sent the list, which may hold outdated entries. The remaining warm-up
+            times are what that gateway knows.
         source
             Where the list comes from, for the log.
 
@@ -169,35 +183,88 @@
                 if revision > self.revision:
                     self.revision = self._last_list_revision
                 return 0
+            origin = _Origin(source, revision)
+            if from_peer:
+                entries = self._without_outdated(entries, origin)
             self._last_list_revision = revision
             listed = {entry.id: self._with_known_version(entry) for entry in entries}
-            known = {entry.id: entry for entry in self.entries()}
-            kept = len(known.keys() - listed.keys()) if keep_missing else 0
-            if kept:
-                listed = known | listed
+            known = {
+                replica.id: replica.entry for replica in self._by_id.values() if _is_listed(replica)
+            }
+            missing = [
+                replica
+                for replica in self._by_id.values()
+                if replica.departed_at is None and replica.id not in listed
+            ]
+            kept = len(missing) if keep_missing else 0
             warm_up_changed = self._record_warm_ups(listed, from_peer=from_peer)
-            if self.revision and listed == known and not warm_up_changed:
+            self._record_revisions(listed.values())
+            some_end = len(missing) > kept
+            if self.revision and listed == known and not warm_up_changed and not some_end:
                 return kept
-            origin = _Origin(source, revision)
             for entry in listed.values():
                 self._update_entry(entry, origin)
-            for replica in list(self._by_id.values()):
-                if replica.id not in listed:
+            for replica in missing:
+                if keep_missing:
+                    replica.presumed = True
+                else:
                     self._mark_departed(replica, origin)
             self._rebuild(revision)
             return kept
 
     def replace_from_peer(
-        self, entries: Iterable[ReplicaEntry], revision: int, peer: str = ""
-    ) -> None:
+        self,
+        entries: Iterable[ReplicaEntry],
+        revision: int,
+        peer: str = "",
+        *,
+        keep_missing: bool = False,
+    ) -> int:
         """Replace the listed replicas by the list of the gateway ``peer`` with a newer revision.
 
         The revision is raised even if the content is the same, for example after a replica
         departed and returned. Otherwise the same list would be requested again and again.
+
+        Returns
+        -------
+        Number of replicas that are missing in ``entries`` and were kept.
         """
-        self.replace_all(entries, revision, from_peer=True, source=f"peer {peer}")
+        kept = self.replace_all(
+            entries, revision, keep_missing=keep_missing, from_peer=True, source=f"peer {peer}"
+        )
         with self._lock:
             self.revision = max(self.revision, revision)
+        return kept
+
+    def drop_presumed(self) -> None:
+        """Mark the replicas as departed whose entries have not returned after an outage."""
+        with self._lock:
+            presumed = [
+                replica
+                for replica in self._by_id.values()
+                if replica.presumed and replica.departed_at is None
+            ]
+            for replica in presumed:
+                self._mark_departed(replica, _Origin(EXPIRY_SOURCE, self._last_list_revision))
+
+    def _without_outdated(
+        self, entries: Iterable[ReplicaEntry], origin: _Origin
+    ) -> list[ReplicaEntry]:
+        """Return the entries of another gateway's list, without what is known to be outdated.
+
+        An entry that is older than the one known here is replaced by that one. One that was
+        written before a list in which its replica was missing is left out.
+        """
+        current = []
+        for entry in entries:
+            replica = self._by_id.get(entry.id)
+            if replica is not None and _is_listed(replica):
+                current.append(replica.entry if _is_outdated(entry, replica.entry) else entry)
+            elif not 0 < entry.revision <= self._last_list_revision:
+                current.append(entry)
+            else:
+                origin.log_change("replica:outdated_entry", entry)
+        return current
 
     def _update_entry(self, entry: ReplicaEntry, origin: _Origin) -> None:
         replica = self._by_id.get(entry.id)
@@ -217,6 +284,7 @@
             origin.log_change("replica:listed_again", entry)
         replica.record_entry(entry)
         replica.departed_at = None
+        replica.presumed = False
 
     def _with_known_version(self, entry: ReplicaEntry) -> ReplicaEntry:
         """Return an entry with the version known before, if it lacks a valid one.
@@ -248,6 +316,12 @@
                 changed |= replica.record_warm_up(entry, from_peer=from_peer)
         return changed
 
+    def _record_revisions(self, listed: Iterable[ReplicaEntry]) -> None:
+        for entry in listed:
+            replica = self._by_id.get(entry.id)
+            if replica is not None and replica.entry == entry:
+                replica.record_revision(entry.revision)
+
     def mark_zone_cold(self, zone: str) -> None:
         """Treat the replicas of a zone as cold, because its evacuation has ended."""
         for replica in self.replicas():
@@ -258,6 +332,7 @@
         if replica.departed_at is not None:
             return
         replica.departed_at = boot_clock.now()
+        replica.presumed = False
         origin.log_change("replica:departed", replica.entry)
         self._on_departed(replica)
 
@@ -273,3 +348,19 @@
         for replica in self._by_id.values():
             by_service.setdefault(replica.entry.service, []).append(replica)
         self._by_service = {service: tuple(found) for service, found in by_service.items()}
+
+
+def _is_listed(replica: Replica) -> bool:
+    """Return whether a replica is in the newest list known here, not only presumed to be alive."""
+    return replica.departed_at is None and not replica.presumed
+
+
+def _is_outdated(entry: ReplicaEntry, known: ReplicaEntry) -> bool:
+    """Return whether an entry is older than the one known.
+
+    Without a revision, as a gateway of an older build sends it, it is taken as newer, except that
+    it does not end the draining of a replica.
+    """
+    if entry.revision and known.revision:
+        return entry.revision < known.revision
+    return known.draining and not entry.draining and entry.is_same_start_as(known)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -28,7 +28,8 @@
 from quaymill.connection.peer_link import PeerUnreachable
 from quaymill.platform.gateway_role import GATEWAY_PROTOCOL
 from quaymill.process.control.evacuations import EvacuatedZones, zones_in
-from quaymill.process.control.state import OUTAGE_S, ControlPlaneView
+from quaymill.process.control.read_history import OUTAGE_S
+from quaymill.process.control.state import ControlPlaneView
 from quaymill.process.membership.member_table import MemberTable
 from quaymill.process.membership.messages import Probe, decode_datagram, encode_datagram
 from quaymill.process.replica_set.table import ReplicaTable
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -18,7 +18,7 @@
 from fleet_rig import FleetRig, wait_until
 from quaymill.connection.job_storage_messages import AdoptJob, JobAdopted
 from quaymill.connection.object_store import StoreRefused
-from quaymill.process.control.state import MISSING_KEPT_S, OUTAGE_S
+from quaymill.process.control.read_history import MISSING_KEPT_S, OUTAGE_S
 from quaymill.process.jobs.listing import Listing
 from quaymill.process.jobs.result_publisher import ResultPublisher
 from quaymill_bench.fleet_world import HOST, ROUTES, configuration, item_id, route, whole_text
