Run items of jobs however many replicas crashed under them

What users saw: a sound item under which several servers had died was never placed again, although all was calm and the servers had room.

Cause: the memory of crashes barred items by content and by part, as it bars requests of callers. What is barred is not run, so nothing could show that it is sound.

Fix: items are not judged. Crashes under items count against neither items nor requests; runs that are cut before any event are repeated after growing pauses.

An accepted item is owed, and a crash while it runs does not show that it is the cause.

--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -60,6 +60,8 @@
         How often the events were discarded to start again at another version.
     failures
         Number of runs that a replica answered with an error.
+    cuts_in_a_row
+        Number of the last runs that the replica's side cut off before any event.
     started_at, events_at_start, resumed_after
         Monotonic time when the current run began, the number of events received before it, and
         the id of the last of them.
@@ -80,6 +82,7 @@
         self.version: StreamVersion | None = None
         self.discarded = 0
         self.failures = 0
+        self.cuts_in_a_row = 0
         self.not_before = 0.0
         self.started_at = 0.0
         self.events_at_start = 0
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -22,7 +22,6 @@
 from quaymill.process.jobs.coordinated_job import CoordinatedItem, CoordinatedJob, ItemState
 from quaymill.process.jobs.engine_pool import EnginePool, pools_of
 from quaymill.process.jobs.item_run import (
-    ItemBarred,
     ItemCut,
     ItemDone,
     ItemFailed,
@@ -45,9 +44,10 @@
 """Minimum time between two claims, so that items that end close together share one."""
 MAX_VERSION_WAIT_S = 1.0
 """How long an item waits for a replica of the software version that it began at."""
-BARRED_CHECK_S = 5.0
-"""Time after which it is checked again whether a barred item may be run: a bar may be lifted."""
 RETRY_PAUSE_S = 0.3
+MAX_RETRY_PAUSE_S = 2.0
+"""Upper bound of the pause of an item whose runs were cut off one after another. The pause doubles
+each time, so that an item is not run again and again while replicas crash."""
 MAX_RUNNING_ITEMS = 96
 """Number of running items from which no more slots are claimed; one claim may exceed it."""
 NOT_URGENT_DUE_S = 0.5 * INFEASIBLE_DUE_S
@@ -72,6 +72,9 @@
     ----------
     name, zone
         Process name and zone of the coordinator whose items it runs.
+    guard
+        Is told of items that replicas serve. Items are run whatever has crashed replicas: an
+        accepted item is owed, and a crash while it runs does not show that it is the cause.
     """
 
     name: str
@@ -422,7 +425,7 @@
         replica.begin_item()
         outcome: ItemOutcome = ItemCut("the run failed")
         try:
-            outcome = self._run_unless_barred(job, item, replica, identity)
+            outcome = self._run_at(job, item, replica, identity)
         finally:
             replica.end_item()
             with self._lock:
@@ -430,17 +433,14 @@
             self._record_outcome(job, item, replica, identity.content, outcome)
             self._wake.set()
 
-    def _run_unless_barred(
+    def _run_at(
         self,
         job: CoordinatedJob,
         item: CoordinatedItem,
         replica: Replica,
         identity: RequestIdentity,
     ) -> ItemOutcome:
-        """Run an item unless it is barred, and report the result to the poison guard."""
-        guard = self._parts.guard
-        if (barred_s := guard.barred_for_s(identity)) > 0:
-            return ItemBarred(barred_s)
+        """Run an item, and tell the poison guard if a replica serves it."""
         if not replica.take_permit():
             return ItemCut("the replica is cold and the grant too old", blames_replica=False)
         events_before = len(item.texts)
@@ -454,12 +454,10 @@
         )
         begun = len(item.texts) > events_before
         if begun:
-            guard.record_begun(identity)
+            item.cuts_in_a_row = 0
+            self._parts.guard.record_begun(identity)
         if isinstance(outcome, ItemDone):
-            guard.record_served(identity)
-        elif isinstance(outcome, ItemCut) and outcome.connection_closed and not job.stopped:
-            entry = replica.entry
-            guard.handle_early_close(identity, entry.incarnation, entry.address, begun=begun)
+            self._parts.guard.record_served(identity)
         return outcome
 
     def _record_outcome(
@@ -499,12 +497,10 @@
                     job.finish(item, ResultState.DEAD, reason)
                 else:
                     job.put_back(item, RETRY_PAUSE_S)
-            case ItemBarred(left_s=left_s):
-                job.put_back(item, min(left_s, BARRED_CHECK_S))
-            case ItemCut(blames_replica=blames_replica):
-                if blames_replica and not job.stopped:
+            case ItemCut():
+                if outcome.blames_replica and not job.stopped:
                     replica.record_failure()
-                job.put_back(item, 0.0 if item.being_preempted else RETRY_PAUSE_S)
+                job.put_back(item, _pause_after_cut(item, outcome))
 
     def _max_attempts(self, job: CoordinatedJob) -> int:
         return max(1, job.route.max_attempts) if job.route else 1
@@ -525,6 +521,16 @@
                 one.item.cancel()
 
 
+def _pause_after_cut(item: CoordinatedItem, outcome: ItemCut) -> float:
+    """Return the time in seconds before an item is run again after a run that was cut."""
+    if item.being_preempted:
+        return 0.0
+    if not outcome.connection_closed:
+        return RETRY_PAUSE_S
+    item.cuts_in_a_row += 1
+    return min(MAX_RETRY_PAUSE_S, RETRY_PAUSE_S * 2 ** (item.cuts_in_a_row - 1))
+
+
 def _route_name(job: CoordinatedJob) -> str:
     return job.route.name if job.route else ""
 
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -81,20 +81,7 @@
     connection_closed: bool = False
 
 
-@attrs.frozen
-class ItemBarred:
-    """The item was not run because its content is blocked after crashing replicas.
-
-    Attributes
-    ----------
-    left_s
-        Seconds until it may be run.
-    """
-
-    left_s: float
-
-
-ItemOutcome = ItemDone | ItemImpossible | ItemFailed | ItemCut | ItemBarred
+ItemOutcome = ItemDone | ItemImpossible | ItemFailed | ItemCut
 
 
 @attrs.frozen
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -526,7 +526,7 @@
             "resumed_after: id of the event after which the run was asked to go on",
             "events_until: number of the last complete event received",
             DURATION,
-            "outcome: ItemDone, ItemImpossible, ItemFailed, ItemCut, ItemBarred",
+            "outcome: ItemDone, ItemImpossible, ItemFailed, ItemCut",
             REASON,
             "giving_way: whether it was preempted by online requests",
             CONNECTION_CLOSED,
--- a/src/quaymill/request/poison.py
+++ b/src/quaymill/request/poison.py
@@ -11,6 +11,9 @@
 have been served since its first crash. The crashes of a barred part do not count against contents
 that ran beside it.
 
+Batch items are not judged: an accepted item is run until it succeeds or its time is over, and a
+crash while it runs counts against nothing. Items that are served are evidence for their parts.
+
 This module only decides; the current time is a parameter. ``process/poison`` detects crashes and
 shares the records among gateways.
 """
@@ -85,7 +88,7 @@
 
 
 class PoisonGuard(Protocol):
-    """Decides whether a request or batch item may be run, by the crashes of earlier runs."""
+    """Decides whether a request may be run, by the crashes of earlier runs."""
 
     def barred_for_s(self, identity: RequestIdentity) -> float:
         """Return for how many seconds a request must not be run; 0 if it may be run."""
