Do not send to a replica that began to drain after it was chosen

A request or item that was placed or granted a slot before the draining was known was checked for evacuation only, and not again once the connection was open, which may take a second. Both are checked now, before the connection and before the first byte, also for evacuations.

The tests (DrainingAfterChoiceTest) use the new parameter and were not run on the code before.

--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -11,6 +11,7 @@
 import contextlib
 import socket
 import time
+from collections.abc import Callable
 from http.client import HTTPException
 
 import msgspec
@@ -280,6 +281,7 @@
         new_connection: bool = False,
         max_idle_s: float = IDLE_CONNECTION_LIFETIME_S,
         send_timeout_s: float = SEND_TIMEOUT_S,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Exchange | NotRun | OutcomeUnknown:
         """Send one request.
 
@@ -292,6 +294,9 @@
             Longest idle time of a connection that is reused.
         send_timeout_s
             Timeout for sending the request.
+        may_send
+            Asked once a new connection is open, as opening it may take long; nothing is sent if it
+            returns ``False``.
 
         Returns
         -------
@@ -311,6 +316,9 @@
                 connection.close()
                 return _unreachable(endpoint, str(error))
             self.opened_count += 1
+            if not may_send():
+                self._idle.put(endpoint, connection, IDLE_CONNECTION_LIFETIME_S)
+                return NotRun(503, f"the request is not sent to {endpoint}", "send it elsewhere")
         connection.timeout = send_timeout_s
         connection.sock.settimeout(send_timeout_s)
         exchange = Exchange(self, endpoint, connection, reused)
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -111,9 +111,9 @@
 
     The events received so far must be of the replica's software version.
     """
-    # Checked again here, as the slot grant may be older than the set of evacuated zones.
-    if replica.evacuated:
-        return ItemCut("the replica's zone is evacuated", blames_replica=False)
+    # Checked again here, as the slot grant may be older than what is known of the replica now.
+    if replica.leaving:
+        return _not_sent(replica)
     request = ForwardedRequest(
         id=item.item.id,
         method=METHOD,
@@ -125,7 +125,11 @@
         tenant=tenant,
     )
     message = protocol.replica.build_request(request, replica.id, RUN_TIMEOUT_S, item.last_event_id)
-    exchange = connections.send(replica.entry.address, message)
+    exchange = connections.send(
+        replica.entry.address, message, may_send=lambda: not replica.leaving
+    )
+    if isinstance(exchange, NotRun) and replica.leaving:
+        return _not_sent(replica)
     if isinstance(exchange, NotRun):
         replica.record_failure(2.0)
         return ItemCut(exchange.reason)
@@ -145,6 +149,11 @@
     return outcome
 
 
+def _not_sent(replica: Replica) -> ItemCut:
+    reason = "the replica's zone is evacuated" if replica.evacuated else "the replica is leaving"
+    return ItemCut(reason, blames_replica=False)
+
+
 def _read_answer(
     item: CoordinatedItem,
     request: ForwardedRequest,
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -407,8 +407,8 @@
 
     def _send(self, replica: ChosenReplica, began: float) -> AttemptResult:
         # Checked again here, as a choice or a slot grant may be older than the replica's state.
-        if replica.evacuated:
-            return NotSent("the replica's zone is evacuated")
+        if reason := _reason_not_to_send(replica):
+            return NotSent(reason)
         if self._relay.version and not self._relay.version.may_resume_at(replica.entry):
             return NotSent("the replica has another software version than the stream")
         if not replica.take_permit():
@@ -423,7 +423,10 @@
             message,
             max_idle_s=MAX_IDLE_S if repeatable else MAX_IDLE_NOT_REPEATABLE_S,
             send_timeout_s=self._send_timeout_s(len(message.body)),
+            may_send=lambda: not _reason_not_to_send(replica),
         )
+        if isinstance(exchange, NotRun) and (reason := _reason_not_to_send(replica)):
+            return NotSent(reason)
         if isinstance(exchange, NotRun):
             replica.record_failure(UNREACHABLE_WEIGHT)
             return Refused(exchange.reason)
@@ -541,3 +544,10 @@
             replica.record_cold_left(head.cold_left_s)
         exchange.abandon()
         return Refused(f"the replica answered {head.status} and did not run the request")
+
+
+def _reason_not_to_send(replica: ChosenReplica) -> str:
+    """Return why nothing may be sent to a chosen replica any more; empty if it may."""
+    if replica.evacuated:
+        return "the replica's zone is evacuated"
+    return "the replica is draining" if replica.entry.draining else ""
--- a/tests/test_departed_replicas.py
+++ b/tests/test_departed_replicas.py
@@ -11,14 +11,28 @@
 import time
 import unittest
 from pathlib import Path
+from unittest import mock
 
+import attrs
 from nose2.tools import params
 
+from quaymill.connection.endpoint import Endpoint
+from quaymill.connection.job_document import JobItem
+from quaymill.platform.gateway_role import GATEWAY_PROTOCOL
+from quaymill.process.jobs.coordinated_job import CoordinatedItem
+from quaymill.process.jobs.item_run import run_item
+from quaymill.process.replica_set.router import Router
 from quaymill.process.serving_settings import MS_PER_S, Bounds
+from quaymill.request.deadline import Deadline
+from quaymill.request.forwarded_request import ForwardedRequest
+from quaymill.request.forwarding import Forwarder
+from quaymill.request.outcome import NotRun
+from quaymill.request.presence import CallerPresence
 from quaymill_bench.fleet_processes import FleetProcess, LocalFleet
 from quaymill_bench.fleet_world import request_headers
 from quaymill_bench.loopback_proxy import LinkState
 from quaymill_standins.fleet_replica import FleetReplica
+from test_evacuated_replicas import ROUTE, Case
 
 OUTDATED_S = 2.8
 """Longer than the time without reads after which the store counts as unavailable."""
@@ -110,3 +124,79 @@
         for gateway in self.others:
             self.assertEqual([], self.logged(gateway, "replica:listed_again"))
         self.assertEqual({200}, set(self.statuses))
+
+
+class _SlowConnections:
+    """Opens connections, during which replicas may begin to drain; every request fails.
+
+    Attributes
+    ----------
+    sent
+        Replicas to which a request was sent, in order.
+    """
+
+    def __init__(self) -> None:
+        self.on_connect = lambda: None
+        self.sent: list[str] = []
+
+    def send(self, endpoint: Endpoint, request: object, *, may_send, **options: object) -> NotRun:
+        self.on_connect()
+        if may_send():
+            self.sent.append(endpoint.host)
+        return NotRun(503, "no connection", "")
+
+
+class DrainingAfterChoiceTest(Case):
+    """A replica begins to drain after it was chosen, and before the request is sent."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.connections = _SlowConnections()
+        self.queue = mock.Mock()
+        self.queue.wait_for_slot.return_value = None
+        self.replica = self.table.get("a1")
+
+    def drain(self, *_: object) -> None:
+        self.replica.entry = attrs.evolve(self.replica.entry, draining=True)
+
+    def forward(self, place=lambda first, constraints: None) -> None:
+        router = Router(self.table, "a", "seed", place)
+        protocol = GATEWAY_PROTOCOL.replicas
+        forwarder = Forwarder(router, self.connections, protocol, mock.Mock(), self.queue)
+        request = ForwardedRequest("r", "POST", "/x", (), b"", Deadline.after(5.0))
+        forwarder.forward(request, ROUTE, mock.Mock(started=False), CallerPresence())
+
+    def check_only_b_got_the_request(self) -> None:
+        self.assertEqual(["b1"], self.connections.sent)
+        self.assertEqual(0.0, self.replica.penalty)
+
+    def test_request_that_was_placed_before(self) -> None:
+        self.forward(self.drain)
+        self.check_only_b_got_the_request()
+
+    def test_request_that_was_granted_a_slot_before(self) -> None:
+        def grant(*_: object) -> object:
+            self.drain()
+            return self.replica
+
+        self.queue.wait_for_slot.side_effect = grant
+        self.forward()
+        self.check_only_b_got_the_request()
+
+    def test_request_whose_connection_is_being_opened(self) -> None:
+        self.connections.on_connect = self.drain
+        self.forward()
+        self.check_only_b_got_the_request()
+
+    @params("before the connection", "during it")
+    def test_item(self, when: str) -> None:
+        if when == "during it":
+            self.connections.on_connect = self.drain
+        else:
+            self.drain()
+        item = CoordinatedItem(0, JobItem("00000000000000aa", "/r/1", {}, b"", 10))
+        protocol = GATEWAY_PROTOCOL.items
+        outcome = run_item(item, "host", self.replica, self.connections, protocol)
+        self.assertEqual([], self.connections.sent)
+        self.assertFalse(outcome.blames_replica)
+        self.assertEqual(0.0, self.replica.penalty)
