Ignore confirmations that waited while the process was paused

A datagram tells how old its sender's confirmation is as it is sent. A gateway that was frozen read old datagrams when it woke, took its outdated list for confirmed a moment ago, and passed that age on, so that it and others read the store later. Until the socket is empty after a pause, confirmations are ignored.

The wrapper of SlowFleetTest passes the receiver's new argument on; its check is unchanged.

--- a/src/quaymill/process/membership/member_socket.py
+++ b/src/quaymill/process/membership/member_socket.py
@@ -10,14 +10,23 @@
 import msgspec
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint, LinkFilter
+from quaymill.connection.readable import is_readable
 from quaymill.process.membership.messages import Datagram, decode_datagram, encode_datagram
 
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 RECEIVE_BYTES = 65536
 STOP_TIMEOUT_S = 5.0
 
-Receiver = Callable[[Datagram, Endpoint], None]
+POLL_INTERVAL_S = 0.2
+MIN_PAUSE_S = 0.2
+"""Delay of the receiving thread from which on this process counts as paused. Shorter pauses make
+what datagrams tell older by less than any timeout that relies on it."""
+
+Receiver = Callable[[Datagram, Endpoint, bool], None]
+"""Receives a datagram, its source, and whether it may have waited while this process was paused, so
+that ages in it are too low."""
 
 
 class Traffic(msgspec.Struct):
@@ -77,7 +86,16 @@
             self.traffic.sent_bytes += len(line)
 
     def _receive(self, receiver: Receiver) -> None:
+        delayed = False
+        polled_at = boot_clock.now()
         while not self._stopping:
+            # Until the socket is empty, its datagrams may be from before the end of a pause.
+            readable = is_readable(self._socket, 0.0 if delayed else POLL_INTERVAL_S)
+            now = boot_clock.now()
+            delayed = readable and (delayed or now - polled_at > POLL_INTERVAL_S + MIN_PAUSE_S)
+            polled_at = now
+            if not readable:
+                continue
             try:
                 line, address = self._socket.recvfrom(RECEIVE_BYTES)
             except OSError:
@@ -88,6 +106,6 @@
             self.traffic.received_datagrams += 1
             self.traffic.received_bytes += len(line)
             try:
-                receiver(datagram, Endpoint(*address))
+                receiver(datagram, Endpoint(*address), delayed)
             except Exception as error:  # One bad datagram must not end the thread.
                 log_message("membership:handler_error", error=repr(error))
--- a/src/quaymill/process/membership/membership.py
+++ b/src/quaymill/process/membership/membership.py
@@ -232,7 +232,7 @@
         self._table.update_local(**fields)
         self._notify_peers(NOTICE_FANOUT)
 
-    def _handle(self, datagram: Datagram, source: Endpoint) -> None:
+    def _handle(self, datagram: Datagram, source: Endpoint, delayed: bool = False) -> None:
         """Handle one datagram; runs on the receiving thread."""
         if self._datagram_listener is not None:
             self._datagram_listener(datagram.sender)
@@ -252,7 +252,7 @@
             datagram.machines,
             datagram.evacuations,
         )
-        self._handle_header(datagram)
+        self._handle_header(datagram, delayed)
         match datagram:
             case Probe():
                 name = self.local().name
@@ -272,9 +272,13 @@
         if self._table.revision != revision:
             self._notify_listeners()
 
-    def _handle_header(self, datagram: Datagram) -> None:
-        """Pass the confirmation and the crash digest of a datagram to the listeners."""
-        if datagram.confirmed_ms_ago >= 0 and self._confirmation_listener is not None:
+    def _handle_header(self, datagram: Datagram, delayed: bool) -> None:
+        """Pass the confirmation and the crash digest of a datagram to the listeners.
+
+        The age of a confirmation counts from when it was sent, so one that waited is not used.
+        """
+        is_confirmation = datagram.confirmed_ms_ago >= 0 and not delayed
+        if is_confirmation and self._confirmation_listener is not None:
             at = boot_clock.now() - datagram.confirmed_ms_ago / 1000
             self._confirmation_listener(
                 datagram.generation, datagram.machines, datagram.evacuations, at
--- a/tests/test_membership_faults.py
+++ b/tests/test_membership_faults.py
@@ -268,9 +268,9 @@
 def _start_with_delay(member_socket: MemberSocket, receiver: Receiver) -> None:
     """Start a socket that takes 10 ms longer for each received datagram."""
 
-    def receive(datagram: Datagram, source: Endpoint) -> None:
+    def receive(datagram: Datagram, source: Endpoint, delayed: bool) -> None:
         time.sleep(0.01)
-        receiver(datagram, source)
+        receiver(datagram, source, delayed)
 
     START_SOCKET(member_socket, receive)
 
