Close the connection to a replica that must not get the request; gauge of presumed replicas; docs

A connection that turns out not to be wanted is closed in place of being kept idle at a replica that drains. The gauge quaymill_replicas tells how many replicas are presumed to be alive.

--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -317,8 +317,8 @@
                 return _unreachable(endpoint, str(error))
             self.opened_count += 1
             if not may_send():
-                self._idle.put(endpoint, connection, IDLE_CONNECTION_LIFETIME_S)
-                return NotRun(503, f"the request is not sent to {endpoint}", "send it elsewhere")
+                connection.close()
+                return NotRun(503, f"{endpoint} must not get the request", "send it elsewhere")
         connection.timeout = send_timeout_s
         connection.sock.settimeout(send_timeout_s)
         exchange = Exchange(self, endpoint, connection, reused)
--- a/src/quaymill/process/gateway_gauges.py
+++ b/src/quaymill/process/gateway_gauges.py
@@ -45,6 +45,7 @@
 }
 REPLICA_STATES: dict[str, Callable[[Replica], bool]] = {
     "listed": lambda replica: replica.departed_at is None,
+    "presumed": lambda replica: replica.departed_at is None and replica.presumed,
     "leaving": lambda replica: replica.departed_at is None and replica.departing,
     "evacuated": lambda replica: replica.departed_at is None and replica.evacuated,
     "ejected": lambda replica: replica.departed_at is None and replica.ejected,
--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -61,7 +61,7 @@
     failures
         Number of runs that a replica answered with an error.
     cuts_in_a_row
-        Number of the last runs that the replica's side cut off before any event.
+        Number of runs in a row that the replica's side cut off; an event begins it anew.
     started_at, events_at_start, resumed_after
         Monotonic time when the current run began, the number of events received before it, and
         the id of the last of them.
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -188,9 +188,6 @@
                 entries = self._without_outdated(entries, origin)
             self._last_list_revision = revision
             listed = {entry.id: self._with_known_version(entry) for entry in entries}
-            known = {
-                replica.id: replica.entry for replica in self._by_id.values() if _is_listed(replica)
-            }
             missing = [
                 replica
                 for replica in self._by_id.values()
@@ -199,8 +196,10 @@
             kept = len(missing) if keep_missing else 0
             warm_up_changed = self._record_warm_ups(listed, from_peer=from_peer)
             self._record_revisions(listed.values())
-            some_end = len(missing) > kept
-            if self.revision and listed == known and not warm_up_changed and not some_end:
+            some_depart = len(missing) > kept
+            if self.revision and not (
+                some_depart or warm_up_changed or listed != self._listed_by_id()
+            ):
                 return kept
             for entry in listed.values():
                 self._update_entry(entry, origin)
@@ -316,6 +315,11 @@
                 changed |= replica.record_warm_up(entry, from_peer=from_peer)
         return changed
 
+    def _listed_by_id(self) -> dict[str, ReplicaEntry]:
+        return {
+            replica.id: replica.entry for replica in self._by_id.values() if _is_listed(replica)
+        }
+
     def _record_revisions(self, listed: Iterable[ReplicaEntry]) -> None:
         for entry in listed:
             replica = self._by_id.get(entry.id)
