Log which exchange of which connection an attempt used, and who cancelled it

The lines did not tell which connection an attempt had, which exchange cancelled it, and whether the connection carried another exchange then. Each connection to a replica has a number now; request:attempt names it and its exchange, and exchange:cancelled is written at each cancel with the state of its exchange.

No decision changes.

--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -15,6 +15,7 @@
 from http.client import HTTPException
 
 import msgspec
+from eliot import log_message
 from urllib3._collections import HTTPHeaderDict
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError, NewConnectionError, ReadTimeoutError
@@ -65,9 +66,12 @@
         self,
         pool: ReplicaConnections,
         endpoint: Endpoint,
-        connection: HTTPConnection,
+        connection: StrictHTTPConnection,
         reused: bool,
     ) -> None:
+        connection.exchange_count += 1
+        self.connection_number = connection.number
+        self.number = connection.exchange_count
         self.endpoint = endpoint
         self.reused = reused
         self._pool = pool
@@ -77,6 +81,7 @@
         self._lookahead_error: Exception | None = None
         self._cancelled = False
         self._abandoned = False
+        self._released = False
 
     @property
     def status(self) -> int:
@@ -204,6 +209,7 @@
             How long the connection may stay idle; the replica may have announced it.
         """
         self._response.close()
+        self._released = True
         if self._connection.sock is not None:
             self._pool.keep_idle(self.endpoint, self._connection, keep_alive_s)
 
@@ -212,6 +218,20 @@
         self._cancelled = True
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
+        log_message(
+            "exchange:cancelled",
+            connection=self.connection_number,
+            exchange=self.number,
+            current_exchange=self._connection.exchange_count,
+            state=self._state(),
+        )
+
+    def _state(self) -> str:
+        if self._abandoned:
+            return "abandoned"
+        if self._released:
+            return "released"
+        return "sent" if self._response is None else "answered"
 
     def abandon(self) -> None:
         """Close the connection, which lets the replica notice that its answer is not needed."""
@@ -267,7 +287,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._socket_options = [*HTTPConnection.default_socket_options, *socket_options]
         # ``is_connected`` is false if the replica has closed the connection.
-        self._idle = IdleConnections[HTTPConnection](
+        self._idle = IdleConnections[StrictHTTPConnection](
             MAX_IDLE_CONNECTIONS_PER_REPLICA,
             lambda connection: connection.is_connected,
             lambda connection: connection.close(),
@@ -376,7 +396,7 @@
             except (HTTPError, OSError):
                 return False
 
-    def _new_connection(self, endpoint: Endpoint) -> HTTPConnection:
+    def _new_connection(self, endpoint: Endpoint) -> StrictHTTPConnection:
         return StrictHTTPConnection(
             endpoint.host,
             endpoint.port,
@@ -385,7 +405,7 @@
         )
 
     def keep_idle(
-        self, endpoint: Endpoint, connection: HTTPConnection, keep_alive_s: float
+        self, endpoint: Endpoint, connection: StrictHTTPConnection, keep_alive_s: float
     ) -> None:
         """Keep an idle connection for the next request."""
         self._idle.put(endpoint, connection, keep_alive_s)
--- a/src/quaymill/connection/strict_http.py
+++ b/src/quaymill/connection/strict_http.py
@@ -10,6 +10,7 @@
 
 import http.client
 import io
+import itertools
 
 from urllib3.connection import HTTPConnection
 
@@ -54,7 +55,23 @@
         self.fp.in_head = False
 
 
+_connection_numbers = itertools.count(1)
+
+
 class StrictHTTPConnection(HTTPConnection):
-    """A connection that returns only answers with a complete head."""
+    """A connection that returns only answers with a complete head.
+
+    Attributes
+    ----------
+    number
+        Identifies the connection in the log lines of this process.
+    exchange_count
+        Number of exchanges that the connection has carried, the current one included.
+    """
 
     response_class = StrictHTTPResponse
+
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)
+        self.number = next(_connection_numbers)
+        self.exchange_count = 0
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -21,6 +21,7 @@
 LIST_SOURCE = "source: store, or peer and its name: who sent the list; expiry: it was in none"
 LIST_REVISION = "revision: of that list, in the store"
 REASON = "reason: human-readable cause"
+EXCHANGE = "connection, exchange: which exchange on which connection of this process; 0 if none"
 DURATION = "took_s: duration in seconds"
 
 
@@ -65,9 +66,18 @@
             "framing: how the end of the answer's body is marked: length, chunked or connection"
             " close; empty without an answer",
             "inside_event: whether the last stream that was received ended inside an event",
+            EXCHANGE,
         ),
         ordinary_outcome="Delivered",
     ),
+    "exchange:cancelled": LogEvent(
+        "an exchange was cancelled, as its caller has left, its item gives way or the node stops",
+        (
+            EXCHANGE,
+            "current_exchange: the exchange that the connection carried last",
+            "state: sent, answered, released or abandoned",
+        ),
+    ),
     "request:held": LogEvent(
         "a request has left the queue in which it waited for a free engine slot",
         (
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -197,6 +197,7 @@
         self._possible_runs = 0
         self._kept_error: _ReplicaError | None = None
         self._framing: BodyFraming | None = None
+        self._exchange: Exchange | None = None
         self._replica_id = ""
         self._has_alternative: bool | None = None
 
@@ -350,6 +351,7 @@
         report_age_s = replica.report_age_s()
         began = boot_clock.now()
         self._framing = None
+        self._exchange = None
         self._replica_id = replica.id
         self._has_alternative = None
         replica.begin()
@@ -382,6 +384,8 @@
             reason=getattr(result, "reason", ""),
             connection_closed=getattr(result, "connection_closed", False),
             framing=self._framing.value if self._framing else "",
+            connection=self._exchange.connection_number if self._exchange else 0,
+            exchange=self._exchange.number if self._exchange else 0,
             inside_event=self._relay.inside_event,
         )
         return result
@@ -432,6 +436,7 @@
             return Refused(exchange.reason)
         if isinstance(exchange, OutcomeUnknown):
             return broken_attempt(exchange)
+        self._exchange = exchange
         self._presence.attach(exchange.cancel)
         broken = self._wait_for_first_byte(exchange, replica, began)
         if broken is not None:
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -30,6 +30,7 @@
     "process/node_registry.py",
     "process/regions.py",
     "request/forwarding.py",
+    "connection/replica_connection.py",
     "request/answer_buffer.py",
 )
 SERVED = {"message_type": "request:ended", "outcome": "delivered"}
