Keep a cancelled exchange from closing the connection of a later one

Cause: an exchange kept its handle on the socket after its connection had gone back to the pool. When its caller left, cancel shut the socket down although another exchange used it. So did abandon, when the write to the caller failed after the release. The victim's own exchange had not been cancelled, so the end of a body without a length, and after an abandon also of one in chunks, counted as regular.

Change: each exchange holds a ConnectionLease. Cancel, release and close change its state under one lock that is held during the shutdown, so a lease that has ended cannot reach the socket. A connection that was cancelled before its release is closed, not pooled.

--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -3,7 +3,8 @@
 ``NotRun`` is returned only if no byte of the request was sent: the link is blocked, or the
 connection could not be opened. Once a byte may have been sent, the failure is
 ``OutcomeUnknown``. A connection that is abandoned in the middle of an answer is closed and never
-reused, so a late answer cannot reach another request.
+reused, so a late answer cannot reach another request. The ``ConnectionLease`` of an exchange keeps
+it from closing the connection of a later one.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 from urllib3.response import BaseHTTPResponse
 
 from quaymill import boot_clock
+from quaymill.connection.connection_lease import ConnectionLease, LeaseState
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.idle_connections import IdleConnections
 from quaymill.connection.readable import is_readable
@@ -58,8 +60,15 @@
     """A request that has been sent, and its answer.
 
     The states are sent -> answered (``read_head``) -> ended (``release`` after the whole
-    body, or ``abandon`` at any time). ``reused`` is true if the connection has carried an
-    earlier request; the replica may then have closed it just before this one was sent.
+    body, or ``abandon`` at any time). After its end, ``cancel`` and ``abandon`` do nothing.
+
+    Attributes
+    ----------
+    lease
+        The right to use the connection, which ends with the exchange.
+    reused
+        Whether the connection has carried an earlier request; the replica may then have closed it
+        just before this one was sent.
     """
 
     def __init__(
@@ -69,9 +78,7 @@
         connection: StrictHTTPConnection,
         reused: bool,
     ) -> None:
-        connection.exchange_count += 1
-        self.connection_number = connection.number
-        self.number = connection.exchange_count
+        self.lease = ConnectionLease(connection)
         self.endpoint = endpoint
         self.reused = reused
         self._pool = pool
@@ -79,9 +86,6 @@
         self._socket = connection.sock
         self._response: BaseHTTPResponse | None = None
         self._lookahead_error: Exception | None = None
-        self._cancelled = False
-        self._abandoned = False
-        self._released = False
 
     @property
     def status(self) -> int:
@@ -179,9 +183,10 @@
 
     def _was_closed_here(self) -> bool:
         """Return whether the body may have ended because this process closed the connection."""
-        if self._abandoned:
-            return True
-        return self._cancelled and self.framing is BodyFraming.CONNECTION_CLOSE
+        state = self.lease.state
+        if state is LeaseState.CANCELLED:
+            return self.framing is BodyFraming.CONNECTION_CLOSE
+        return state is LeaseState.CLOSED
 
     def read_body(self, limit_bytes: int, deadline: float) -> bytes | OutcomeUnknown:
         """Read the whole body; a truncated or too long body is an ``OutcomeUnknown``."""
@@ -209,41 +214,35 @@
             How long the connection may stay idle; the replica may have announced it.
         """
         self._response.close()
-        self._released = True
-        if self._connection.sock is not None:
+        if self.lease.release():
             self._pool.keep_idle(self.endpoint, self._connection, keep_alive_s)
+        else:
+            self.lease.close()
 
     def cancel(self) -> None:
-        """Shut the connection down from another thread; a blocked read fails immediately."""
-        self._cancelled = True
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_RDWR)
+        """Shut the connection down from another thread; a blocked read fails immediately.
+
+        Does nothing once the exchange has ended, as the connection may carry another one by then.
+        """
+        state = self.lease.state.value
+        if self.lease.cancel():
+            state = "sent" if self._response is None else "answered"
         log_message(
             "exchange:cancelled",
-            connection=self.connection_number,
-            exchange=self.number,
-            current_exchange=self._connection.exchange_count,
-            state=self._state(),
+            connection=self.lease.connection_number,
+            exchange=self.lease.number,
+            state=state,
         )
 
-    def _state(self) -> str:
-        if self._abandoned:
-            return "abandoned"
-        if self._released:
-            return "released"
-        return "sent" if self._response is None else "answered"
-
     def abandon(self) -> None:
-        """Close the connection, which lets the replica notice that its answer is not needed."""
-        self._abandoned = True
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_RDWR)
+        """Close the connection, which lets the replica notice that its answer is not needed.
+
+        Does nothing after ``release``, as the connection may carry another exchange by then.
+        """
+        self.lease.close()
         if self._response is not None:
             with contextlib.suppress(*_READ_ERRORS):
                 self._response.close()
-        self._connection.close()
-        with contextlib.suppress(OSError):
-            self._socket.close()
 
     def abandon_unresponsive(self) -> None:
         """Close the connection after a timeout.
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -74,8 +74,8 @@
         "an exchange was cancelled, as its caller has left, its item gives way or the node stops",
         (
             EXCHANGE,
-            "current_exchange: the exchange that the connection carried last",
-            "state: sent, answered, released or abandoned",
+            "state: what the cancel met; sent or answered: the connection was shut down; cancelled,"
+            " released or closed: the exchange had ended, and nothing was done",
         ),
     ),
     "request:held": LogEvent(
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -384,8 +384,8 @@
             reason=getattr(result, "reason", ""),
             connection_closed=getattr(result, "connection_closed", False),
             framing=self._framing.value if self._framing else "",
-            connection=self._exchange.connection_number if self._exchange else 0,
-            exchange=self._exchange.number if self._exchange else 0,
+            connection=self._exchange.lease.connection_number if self._exchange else 0,
+            exchange=self._exchange.lease.number if self._exchange else 0,
             inside_event=self._relay.inside_event,
         )
         return result
