Give each run of a batch item its own handle for cancels

An item had one slot for the function that cancels its run, set to None at the end of a run. Also, a run that was cancelled as its item had been listed elsewhere counted as a failure of the replica.

Each run has a RunHandle now. It remembers a cancel until the request is sent, and does nothing once the run has ended.

--- a/src/quaymill/process/jobs/coordinated_job.py
+++ b/src/quaymill/process/jobs/coordinated_job.py
@@ -5,7 +5,7 @@
 import enum
 import math
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import msgspec
 import xxhash
@@ -21,6 +21,7 @@
 )
 from quaymill.connection.replica_entry import ReplicaEntry
 from quaymill.process.jobs.listing import ListedResult, Listing, ListingDocument
+from quaymill.process.jobs.run_handle import RunHandle
 from quaymill.request.stream_version import StreamVersion
 from quaymill.version.request_routes import RequestRoute
 
@@ -67,10 +68,8 @@
         the id of the last of them.
     not_before
         Monotonic time before which the item is not run again.
-    cancel
-        Ends the current run; ``None`` if there is none.
-    being_preempted
-        Whether the current run is being preempted for online requests.
+    run
+        Cancels the current run; of the last one if none is under way.
     """
 
     def __init__(self, index: int, item: JobItem) -> None:
@@ -88,8 +87,7 @@
         self.events_at_start = 0
         self.resumed_after: str | None = None
         self.replica_id = ""
-        self.cancel: Callable[[], None] | None = None
-        self.being_preempted = False
+        self.run = RunHandle.of_no_run()
         self._events_lock = threading.Lock()
 
     def may_run_at(self, entry: ReplicaEntry) -> bool:
@@ -320,8 +318,7 @@
                 finished = self._finished.pop(listed.index, None)
                 if finished is not None and finished.key == listed.key:
                     self._contents[listed.key] = finished.result
-                if item.cancel is not None:
-                    item.cancel()
+                item.run.cancel()
             self.changed.notify_all()
 
     def confirm_listing(self, at: float) -> None:
@@ -372,16 +369,14 @@
             running = self.running()
             self.changed.notify_all()
         for item in running:
-            if item.cancel is not None:
-                item.cancel()
+            item.run.cancel()
 
     def yield_to(self, coordinator: str) -> None:
         """Leave the job to another coordinator; results finished here are still listed."""
         self.coordinator = coordinator
         self.yielded = True
         for item in self.running():
-            if item.cancel is not None:
-                item.cancel()
+            item.run.cancel()
 
     def page(self, since: int, wait_s: float) -> ResultsPage:
         """Return results from position ``since`` on; wait up to ``wait_s`` seconds for one."""
--- a/src/quaymill/process/jobs/item_dispatcher.py
+++ b/src/quaymill/process/jobs/item_dispatcher.py
@@ -32,6 +32,7 @@
     run_item,
 )
 from quaymill.process.jobs.item_urgency import INFEASIBLE_DUE_S, RoutePaces, time_left_s
+from quaymill.process.jobs.run_handle import RunHandle
 from quaymill.process.jobs.slot_claims import AVOID_ALLOCATOR_S, ClaimSlotsCall
 from quaymill.process.regions import ONE_REGION, RegionMap
 from quaymill.process.replica_set.replica import Replica
@@ -100,10 +101,11 @@
 
 @attrs.frozen
 class _Running:
-    """An item that is running."""
+    """A run of an item that is under way."""
 
     job: CoordinatedJob
     item: CoordinatedItem
+    run: RunHandle
 
 
 class ItemDispatcher:
@@ -351,10 +353,10 @@
     def _running(self) -> list[_Running]:
         """Return the running items, except those that are being preempted."""
         return [
-            _Running(job, item)
+            _Running(job, item, item.run)
             for job in self._open_jobs()
             for item in job.running()
-            if not item.being_preempted
+            if not item.run.preempted
         ]
 
     def _is_in(self, pool: EnginePool, item: CoordinatedItem) -> bool:
@@ -389,8 +391,9 @@
         return ""
 
     def _start_item(self, job: CoordinatedJob, item: CoordinatedItem, replica: Replica) -> None:
-        item.state = ItemState.RUNNING
+        item.run = RunHandle()
         item.replica_id = replica.id
+        item.state = ItemState.RUNNING
         if not item.may_run_at(replica.entry):
             log_message(
                 "item:started_over",
@@ -405,7 +408,6 @@
         item.started_at = boot_clock.now()
         item.events_at_start = len(item.texts)
         item.resumed_after = item.last_event_id
-        item.being_preempted = False
         with self._lock:
             self._running_items += 1
             self.items_to_other_region += replica.in_other_region
@@ -427,6 +429,7 @@
         try:
             outcome = self._run_at(job, item, replica, identity)
         finally:
+            item.run.end()
             replica.end_item()
             with self._lock:
                 self._running_items -= 1
@@ -480,7 +483,7 @@
             took_s=round(boot_clock.now() - item.started_at, 3),
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", ""),
-            giving_way=item.being_preempted,
+            giving_way=item.run.preempted,
             connection_closed=getattr(outcome, "connection_closed", False),
         )
         match outcome:
@@ -516,14 +519,12 @@
             )
         )
         for one in here[: at.items]:
-            one.item.being_preempted = True
-            if one.item.cancel is not None:
-                one.item.cancel()
+            one.run.preempt()
 
 
 def _pause_after_cut(item: CoordinatedItem, outcome: ItemCut) -> float:
     """Return the time in seconds before an item is run again after a run that was cut."""
-    if item.being_preempted:
+    if item.run.preempted:
         return 0.0
     if not outcome.connection_closed:
         return RETRY_PAUSE_S
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -111,6 +111,7 @@
 
     The events received so far must be of the replica's software version.
     """
+    run = item.run
     # Checked again here, as the slot grant may be older than what is known of the replica now.
     if replica.leaving:
         return _not_sent(replica)
@@ -135,16 +136,13 @@
         return ItemCut(exchange.reason)
     if isinstance(exchange, OutcomeUnknown):
         return _cut_outcome(exchange)
-    item.cancel = exchange.cancel
-    try:
-        if item.being_preempted:
-            exchange.abandon()
-            return ItemCut("preempted before the run began", blames_replica=False)
-        outcome = _read_answer(item, request, replica, exchange, protocol.replica)
-    finally:
-        item.cancel = None
-    if isinstance(outcome, ItemCut) and item.being_preempted:
-        # The preemption closed the connection, so the replica is not at fault.
+    run.attach(exchange.cancel)
+    if run.cancelled:
+        exchange.abandon()
+        return ItemCut("cancelled before the run began", blames_replica=False)
+    outcome = _read_answer(item, request, replica, exchange, protocol.replica)
+    if isinstance(outcome, ItemCut) and run.cancelled:
+        # This process closed the connection, so the replica is not at fault.
         return attrs.evolve(outcome, blames_replica=False, connection_closed=False)
     return outcome
 
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -17,6 +17,7 @@
 from quaymill.platform.gateway_role import GATEWAY_PROTOCOL
 from quaymill.process.jobs.coordinated_job import CoordinatedItem
 from quaymill.process.jobs.item_run import ItemCut, ItemDone, run_item
+from quaymill.process.jobs.run_handle import RunHandle
 from quaymill.process.replica_set.replica import Replica
 from quaymill.request.forwarding import SILENCE_TIMEOUT_S
 from standin_support import wait_until
@@ -52,6 +53,7 @@
         self.connections = ReplicaConnections(LinkFilter())
         self.addCleanup(self.connections.close)
         self.item = CoordinatedItem(0, JobItem(REQUEST_ID, "/r/1", {}, b"", 10))
+        self.item.run = RunHandle()
         self.outcomes: list[object] = []
 
     def run_until_answered(self, answer: bytes) -> tuple[threading.Thread, socket.socket]:
@@ -62,7 +64,7 @@
         self.addCleanup(connection.close)
         connection.recv(4096)
         connection.sendall(answer)
-        wait_until(lambda: self.item.cancel is not None, "the item can be cancelled")
+        wait_until(lambda: self.item.run._cancel is not None, "the item can be cancelled")
         return thread, connection
 
     def _run(self) -> None:
@@ -81,8 +83,7 @@
         thread, _ = self.run_until_answered(answer)
         if answer is UNFRAMED_EVENT:
             wait_until(lambda: self.item.texts, "the event was received")
-        self.item.being_preempted = True
-        self.item.cancel()
+        self.item.run.preempt()
         self.assertFalse(self.outcome_of(thread).blames_replica)
 
     @params(NO_HEAD, HEAD_ONLY, HALF_AN_EVENT, UNFRAMED_HEAD, UNFRAMED_HALF_AN_EVENT)
