Bound each part of an answer in time and in bytes

Callers got nothing at their deadline from a replica whose bytes never end, and a thread of the gateway was held, or spun, until they left: the time-out of a socket bounds one read, and such a replica satisfies each read. Unfinished events were kept whole and searched again at each block.

Change: one reader under all answers (bounded_reader) checks a deadline before each read of the socket and counts the bytes of the head with its interim answers, of chunk lines and of trailers. Exchange gives up a body that goes on after its time, an event longer than 1 MiB, and a connection with bytes after a whole answer, also while it is idle. Bytes that have arrived by the deadline are still read, up to 1 MiB, so that a ready answer is delivered. The cost of an event is linear in its size. Such an answer counts as a failure of the replica, is logged as replica:endless_answer and counted by part in quaymill_endless_answers. Replies of peers, messages of peers and answers of the platform are bounded likewise. 1xx answers other than 100 no longer count as final.

--- a/src/quaymill/connection/application_client.py
+++ b/src/quaymill/connection/application_client.py
@@ -56,7 +56,7 @@
             application may close while the call is being sent.
         """
         headers = {**request.headers, "X-Request-Id": attempt_id}
-        request = msgspec.structs.replace(request, headers=headers)
+        request = msgspec.structs.replace(request, headers=headers, id=attempt_id)
         exchange = self._connections.send(endpoint, request, new_connection=not repeatable)
         if not isinstance(exchange, Exchange):
             return exchange
--- /dev/null
+++ b/src/quaymill/connection/bounded_reader.py
@@ -0,0 +1,198 @@
+"""Reads answers from a connection within bounds, however fast or slowly their bytes arrive.
+
+The time-out of a socket bounds a single read, and a sender that never stops satisfies it for ever.
+``BoundedReader`` therefore checks a deadline before each read of the socket, and counts the bytes
+of each part of an answer that consists of lines.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import http.client
+import io
+import math
+import socket
+
+import attrs
+
+from quaymill import boot_clock
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Maximum size of the status line and the headers, together with all interim answers."""
+MAX_CHUNK_LINE_BYTES = 64 * 1024
+"""Maximum size of a line that states the size of a chunk, with its extensions."""
+MAX_TRAILER_BYTES = 64 * 1024
+"""Maximum size of all lines after the last chunk."""
+
+
+class AnswerPart(enum.Enum):
+    """Parts of an answer that are bounded; ``SURPLUS`` is what follows after a whole answer."""
+
+    HEAD = "head"
+    CHUNK_LINE = "chunk line"
+    TRAILERS = "trailers"
+    EVENT = "event"
+    BODY = "body"
+    SURPLUS = "surplus"
+
+
+_MAX_BYTES = {
+    AnswerPart.HEAD: MAX_HEAD_BYTES,
+    AnswerPart.CHUNK_LINE: MAX_CHUNK_LINE_BYTES,
+    AnswerPart.TRAILERS: MAX_TRAILER_BYTES,
+}
+
+
+class PartTooLongError(http.client.HTTPException):
+    """A part of an answer is longer than allowed."""
+
+    def __init__(self, part: AnswerPart, reason: str) -> None:
+        super().__init__(f"the {part.value} of the answer {reason}")
+        self.part = part
+
+
+@attrs.define
+class ReadBounds:
+    """When reads of a connection fail; shared by the connection and the readers of its answers.
+
+    Attributes
+    ----------
+    deadline
+        Time by ``boot_clock``; infinite if only the time-out of the socket applies.
+    strict
+        Whether bytes that have arrived by the deadline cannot be read after it either.
+    part
+        The part to which the lines that are read now belong.
+    received_bytes
+        Number of bytes received on the connection.
+    """
+
+    deadline: float = math.inf
+    strict: bool = False
+    part: AnswerPart = AnswerPart.HEAD
+    received_bytes: int = 0
+
+    def end_after(self, seconds: float) -> None:
+        """Let reads fail once ``seconds`` have passed."""
+        self.deadline = boot_clock.now() + seconds
+
+
+class DeadlineIO(io.RawIOBase):
+    """Reads a socket until a deadline.
+
+    Attributes
+    ----------
+    looking_ahead
+        Whether a read that would have to wait returns ``None`` instead of raising an error.
+    """
+
+    def __init__(self, raw: io.RawIOBase, connection: socket.socket, bounds: ReadBounds) -> None:
+        self._raw = raw
+        self._connection = connection
+        self._bounds = bounds
+        self.looking_ahead = False
+
+    def readable(self) -> bool:
+        """Return ``True``."""
+        return True
+
+    def fileno(self) -> int:
+        """Return the file descriptor of the socket."""
+        return self._raw.fileno()
+
+    def readinto(self, buffer: bytearray) -> int | None:
+        """Receive into a buffer; raises ``TimeoutError`` after the deadline."""
+        if self.looking_ahead:
+            self._connection.settimeout(0.0)
+        elif self._bounds.deadline < math.inf:
+            left_s = self._bounds.deadline - boot_clock.now()
+            if left_s <= 0 and self._bounds.strict:
+                raise TimeoutError("timed out")
+            self._connection.settimeout(max(0.0, left_s))
+        received_bytes = self._raw.readinto(buffer)
+        if received_bytes is not None:
+            self._bounds.received_bytes += received_bytes
+        elif not self.looking_ahead:
+            raise TimeoutError("timed out")
+        return received_bytes
+
+    def close(self) -> None:
+        """Close the file; the socket is closed by its owner."""
+        self._raw.close()
+        super().close()
+
+
+class BoundedReader:
+    """Reads the lines and the body of one answer.
+
+    Parameters
+    ----------
+    raw
+        The unbuffered file of ``connection``.
+
+    Attributes
+    ----------
+    has_surplus
+        Whether more bytes than the answer had arrived when the reader was closed.
+    """
+
+    def __init__(self, raw: io.RawIOBase, connection: socket.socket, bounds: ReadBounds) -> None:
+        self._deadline_io = DeadlineIO(raw, connection, bounds)
+        self._file = io.BufferedReader(self._deadline_io)
+        self._bounds = bounds
+        self._part_bytes = 0
+        self.begin_part(AnswerPart.HEAD)
+        self.has_surplus = False
+        self.read1 = self._file.read1
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._file, name)
+
+    def begin_part(self, part: AnswerPart) -> None:
+        """Count the lines that follow for another part."""
+        self._bounds.part = part
+        self._part_bytes = 0
+
+    def readline(self, limit_bytes: int = -1) -> bytes:
+        """Read a line with its line feed, or ``limit_bytes`` of a longer line.
+
+        Raises
+        ------
+        ConnectionResetError
+            The connection ended within the line or, in the head, between two lines.
+        PartTooLongError
+            The lines of this part are longer than allowed.
+        TimeoutError
+            The deadline has passed.
+        """
+        line = self._file.readline(limit_bytes)
+        part = self._bounds.part
+        self._part_bytes += len(line)
+        if self._part_bytes > _MAX_BYTES[part]:
+            raise PartTooLongError(part, f"is longer than {_MAX_BYTES[part]} bytes")
+        if part is AnswerPart.CHUNK_LINE:
+            self._part_bytes = 0
+        if line.endswith(b"\n") or len(line) == limit_bytes:
+            return line
+        if line or part is AnswerPart.HEAD:
+            raise ConnectionResetError("the connection ended within the head or a line")
+        return line
+
+    def close(self) -> None:
+        """Close the reader, once the whole answer has been read or the connection has failed."""
+        if not self._file.closed:
+            with contextlib.suppress(OSError):
+                self.has_surplus = bool(self.look_ahead())
+        self._file.close()
+
+    def look_ahead(self) -> bytes:
+        """Return some bytes that can be read without waiting, and leave them unread.
+
+        This may leave the socket non-blocking.
+        """
+        self._deadline_io.looking_ahead = True
+        try:
+            return self._file.peek(1)
+        finally:
+            self._deadline_io.looking_ahead = False
--- a/src/quaymill/connection/engine_client.py
+++ b/src/quaymill/connection/engine_client.py
@@ -9,19 +9,24 @@
 import msgspec
 
 from quaymill import boot_clock
+from quaymill.connection.bounded_reader import AnswerPart
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections, ReplicaRequest
+from quaymill.request.event_stream import (
+    EVENT_END,
+    MAX_EVENT_BYTES,
+    TOO_LONG_EVENT,
+    take_events,
+)
 from quaymill.request.outcome import NOT_RUN, OUTCOME_HEADER, Failed, NotRun, OutcomeUnknown
 
 MAX_ERROR_BYTES = 64 * 1024
-MAX_EVENT_BYTES = 1024 * 1024
 ERROR_BODY_TIMEOUT_S = 1.0
 HEAD_TIMEOUT_S = 5.0
 STREAM_STALL_TIMEOUT_S = 5.0
 STREAM_END_TIMEOUT_S = 0.5
 RETRY_AFTER_DRAINING_S = 1.0
 
-EVENT_END = b"\n\n"
 TERMINATOR = b"data: [DONE]" + EVENT_END
 _DATA = b"data: "
 _USAGE = b'"usage":{'
@@ -58,7 +63,7 @@
         self.preempted = False
         self._exchange = exchange
         self._attempt_id_json = f'"{attempt_id}"'.encode()
-        self._partial = b""
+        self._partial = bytearray()
 
     def set_stall_timeout(self, timeout_s: float) -> None:
         """Set the timeout of each following read."""
@@ -72,17 +77,12 @@
                 return block
             if not block:
                 return self._fail("the stream ended without its terminator")
-            if self._partial:
-                block = self._partial + block
-            end = block.rfind(EVENT_END) + len(EVENT_END)
-            if end < len(EVENT_END):
-                if len(block) > MAX_EVENT_BYTES:
-                    return self._fail(f"an event is longer than {MAX_EVENT_BYTES} bytes")
-                self._partial = block
-                continue
-            self._partial = block[end:]
-            events = block[:end] if self._partial else block
-            return self._check_events(events)
+            events = take_events(self._partial, block)
+            if events:
+                return self._check_events(events)
+            if len(self._partial) > MAX_EVENT_BYTES:
+                failure = self._exchange.abandon_endless(AnswerPart.EVENT, TOO_LONG_EVENT)
+                return _invalid_answer(self._exchange.endpoint, failure.reason)
 
     def finish(self) -> None:
         """Release the connection if the body ends after the terminator; close it otherwise."""
@@ -134,7 +134,8 @@
     ) -> Exchange | NotRun | OutcomeUnknown:
         """Send a request; read its answer with ``read_stream``."""
         headers = {"Content-Type": "application/json", "X-Request-Id": attempt_id}
-        return self._connections.send(endpoint, ReplicaRequest("POST", path, headers, body))
+        request = ReplicaRequest("POST", path, headers, body, attempt_id)
+        return self._connections.send(endpoint, request)
 
     def read_stream(
         self, exchange: Exchange, attempt_id: str
--- a/src/quaymill/connection/idle_connections.py
+++ b/src/quaymill/connection/idle_connections.py
@@ -82,6 +82,26 @@
         for closed in closing:
             self._close(closed)
 
+    def remove_unusable(self) -> list[tuple[Endpoint, Connection]]:
+        """Remove and return the connections that are closed, or on which data has arrived.
+
+        The connections are checked under the lock: one that is in use may have data to read.
+        """
+        removed: list[tuple[Endpoint, Connection]] = []
+        with self._lock:
+            for endpoint, connections in list(self._by_endpoint.items()):
+                usable = []
+                for idle in connections:
+                    if self._is_open(idle.connection):
+                        usable.append(idle)
+                    else:
+                        removed.append((endpoint, idle.connection))
+                if usable:
+                    self._by_endpoint[endpoint] = usable
+                else:
+                    del self._by_endpoint[endpoint]
+        return removed
+
     def drop(self, endpoint: Endpoint) -> None:
         """Close the idle connections to an endpoint."""
         with self._lock:
--- a/src/quaymill/connection/peer_link.py
+++ b/src/quaymill/connection/peer_link.py
@@ -235,6 +235,7 @@
 def _read_line(connection: socket.socket, deadline: float) -> bytes:
     """Read until the bytes end with a newline; raises ``OSError`` at the deadline or stream end."""
     chunks: list[bytes] = []
+    received_bytes = 0
     while True:
         remaining_s = deadline - boot_clock.now()
         if remaining_s <= 0:
@@ -246,3 +247,6 @@
         chunks.append(chunk)
         if chunk.endswith(b"\n"):
             return b"".join(chunks)
+        received_bytes += len(chunk)
+        if received_bytes > MAX_LINE_BYTES:
+            raise ConnectionError(f"the reply is longer than {MAX_LINE_BYTES} bytes")
--- a/src/quaymill/connection/peer_server.py
+++ b/src/quaymill/connection/peer_server.py
@@ -77,6 +77,9 @@
             self.received += block
             if len(block) < READ_BLOCK_BYTES:
                 return bool(block)
+            if len(self.received) > MAX_LINE_BYTES:
+                # The sender may be faster than this loop, which would then never end.
+                return True
 
     def next_line(self) -> bytes | None:
         """Remove and return the first complete line; ``None`` if there is none."""
--- a/src/quaymill/connection/platform_client.py
+++ b/src/quaymill/connection/platform_client.py
@@ -37,6 +37,8 @@
 REQUEST_TIMEOUT_S = 3.0
 WATCH_READ_MARGIN_S = 1.0
 MAX_CONNECTIONS = 8
+READ_BLOCK_BYTES = 64 * 1024
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 # A platform that does not support this format returns the whole object, which is also accepted.
 METADATA_ONLY = "application/json;as=PartialObjectMetadata;g=meta.k8s.io;v=v1,application/json"
@@ -99,6 +101,15 @@
     body: bytes
 
 
+class _DeadlineConnection(StrictHTTPConnection):
+    """A connection whose time-out bounds the whole answer, and not only each read of it."""
+
+    def getresponse(self) -> urllib3.BaseHTTPResponse:
+        """Read the head of the answer."""
+        self.read_bounds.end_after(self.timeout)
+        return super().getresponse()
+
+
 class PlatformClient:
     """Reads, writes and watches objects of the platform over a few reused connections.
 
@@ -116,7 +127,7 @@
         self._pool = urllib3.HTTPConnectionPool(
             endpoint.host, endpoint.port, maxsize=MAX_CONNECTIONS, retries=False
         )
-        self._pool.ConnectionCls = StrictHTTPConnection
+        self._pool.ConnectionCls = _DeadlineConnection
 
     def get(self, plural: str, name: str, timeout_s: float = REQUEST_TIMEOUT_S) -> GetResult:
         """Read one object."""
@@ -257,7 +268,9 @@
                 body=body,
                 headers={"Content-Type": "application/json", "Accept": accept},
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+                preload_content=False,
             )
+            content = _read_content(response)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -269,7 +282,7 @@
             return PlatformUnavailable(
                 f"the platform answered {response.status}", may_have_acted=method != "GET"
             )
-        return _Answer(response.status, response.data)
+        return _Answer(response.status, content)
 
 
 def _encode(plural: str, name: str, resource_version: str, spec: Any) -> bytes:
@@ -319,9 +332,32 @@
     return WatchEnded(f"{line.type}: {line.object.message}", silent=True)
 
 
+def _read_content(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Read the whole body; raises ``ProtocolError`` if it is too long."""
+    content = bytearray()
+    while block := response.read1(READ_BLOCK_BYTES):
+        content += block
+        if len(content) > MAX_ANSWER_BYTES:
+            response.close()
+            raise urllib3.exceptions.ProtocolError(
+                f"the body of the answer is longer than {MAX_ANSWER_BYTES} bytes"
+            )
+    response.release_conn()
+    return bytes(content)
+
+
 def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-    """Yield the lines of the body as they arrive."""
-    partial = b""
-    while chunk := response.read1():
-        *lines, partial = (partial + chunk).split(b"\n")
-        yield from (line for line in lines if line.strip())
+    """Yield the lines of the body as they arrive; raises ``ProtocolError`` if one is too long."""
+    partial = bytearray()
+    while block := response.read1(READ_BLOCK_BYTES):
+        searched_bytes = len(partial)
+        partial += block
+        end = partial.rfind(b"\n", searched_bytes) + 1
+        if end:
+            lines = bytes(partial[:end]).split(b"\n")
+            del partial[:end]
+            yield from (line for line in lines if line.strip())
+        if len(partial) > MAX_ANSWER_BYTES:
+            raise urllib3.exceptions.ProtocolError(
+                f"a line of the watch is longer than {MAX_ANSWER_BYTES} bytes"
+            )
--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -10,11 +10,14 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import socket
+import threading
 import time
 from collections.abc import Callable
 from http.client import HTTPException
 
+import attrs
 import msgspec
 from eliot import log_message
 from urllib3._collections import HTTPHeaderDict
@@ -23,6 +26,7 @@
 from urllib3.response import BaseHTTPResponse
 
 from quaymill import boot_clock
+from quaymill.connection.bounded_reader import AnswerPart, BoundedReader, PartTooLongError
 from quaymill.connection.connection_lease import ConnectionLease, LeaseState
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.idle_connections import IdleConnections
@@ -34,8 +38,15 @@
 CONNECT_TIMEOUT_S = 1.0
 SEND_TIMEOUT_S = 5.0
 IDLE_CONNECTION_LIFETIME_S = 20.0
+IDLE_CHECK_INTERVAL_S = 0.5
 MAX_IDLE_CONNECTIONS_PER_REPLICA = 64
 READ_BLOCK_BYTES = 64 * 1024
+MAX_LATE_BYTES = 1024 * 1024
+"""Maximum number of bytes that are read after the time for an answer has passed.
+
+An answer that had arrived by then is complete, although this process has not read it in time."""
+MAX_LATE_READ_S = 0.5
+"""Maximum time for reading them."""
 RETRY_AFTER_UNREACHABLE_S = 1.0
 PROBE_CONNECT_TIMEOUT_S = 0.1
 """A machine without a listening process refuses the connection within a round trip of some
@@ -48,12 +59,38 @@
 
 
 class ReplicaRequest(msgspec.Struct, frozen=True):
-    """An HTTP request to a replica."""
+    """An HTTP request to a replica.
+
+    Attributes
+    ----------
+    id
+        Identifies the request in log lines; empty if it has no id.
+    """
 
     method: str
     path: str
     headers: dict[str, str] | HTTPHeaderDict
     body: bytes = b""
+    id: str = ""
+
+
+@attrs.frozen
+class EndlessAnswer:
+    """An answer of which a part was too long, or did not end in time although bytes kept coming.
+
+    Attributes
+    ----------
+    received_bytes
+        Size of what was received.
+    took_s
+        Time since the request was sent.
+    """
+
+    request_id: str
+    endpoint: Endpoint
+    part: AnswerPart
+    received_bytes: int = 0
+    took_s: float = 0.0
 
 
 class Exchange:
@@ -77,7 +114,9 @@
         endpoint: Endpoint,
         connection: StrictHTTPConnection,
         reused: bool,
+        request_id: str = "",
     ) -> None:
+        self._request_id = request_id
         self.lease = ConnectionLease(connection)
         self.endpoint = endpoint
         self.reused = reused
@@ -85,7 +124,14 @@
         self._connection = connection
         self._socket = connection.sock
         self._response: BaseHTTPResponse | None = None
+        self._reader: BoundedReader | None = None
+        self._bounds = connection.read_bounds
+        self._began = boot_clock.now()
+        self._received_before = self._bounds.received_bytes
         self._lookahead_error: Exception | None = None
+        self._read_timeout_s = 0.0
+        self._late_bytes = 0
+        self._late_since = math.inf
 
     @property
     def status(self) -> int:
@@ -123,17 +169,13 @@
     def is_read_ready(self) -> bool:
         """Return whether a read of the body returns at once, with data, its end or an error.
 
-        This may leave the socket non-blocking: call ``set_read_timeout`` before the next read.
+        This may leave the socket non-blocking until the next read.
         """
         if is_readable(self._socket, 0.0):
             return True
         # urllib3 may have buffered bytes, which polling the socket does not show.
-        reader = getattr(getattr(self._response, "_fp", None), "fp", None)
-        if reader is None:
-            return True
         try:
-            self._socket.setblocking(False)
-            return bool(reader.peek(1))
+            return bool(self._reader.look_ahead())
         except (OSError, ValueError) as error:
             # The system reports an error only once; the next read would find the end of the body.
             self._lookahead_error = error
@@ -141,26 +183,30 @@
 
     def read_head(self, timeout_s: float) -> OutcomeUnknown | None:
         """Read the status line and the headers of the answer."""
-        # urllib3 sets the socket's timeout from that of the connection.
-        self._connection.timeout = max(timeout_s, 0.001)
+        self.set_read_timeout(timeout_s)
+        self._bounds.end_after(timeout_s)
         try:
             self._response = self._connection.getresponse()
         except TimeoutError as error:
+            self._record_unfinished_part(self._received_before)
             self.abandon_unresponsive()
             return self._no_answer(error)
         except _READ_ERRORS as error:
             self.abandon()
-            return self._no_answer(error, connection_closed=True)
+            return self._broken_answer(error)
+        self._reader = self._response._fp.fp
         if self.framing is BodyFraming.INVALID:
             self.abandon()
             return self._no_answer("the length or the transfer coding of the answer is invalid")
         return None
 
     def set_read_timeout(self, timeout_s: float) -> None:
-        """Set the timeout of each following read."""
-        # The socket may be closed if the whole answer has been read.
-        with contextlib.suppress(OSError):
-            self._socket.settimeout(max(timeout_s, 0.001))
+        """Set the time within which each following ``read_block`` must return.
+
+        If it is zero or negative, ``read_block`` returns only what has arrived, up to
+        ``MAX_LATE_BYTES`` in total and for ``MAX_LATE_READ_S``.
+        """
+        self._read_timeout_s = timeout_s
 
     def read_block(self) -> bytes | OutcomeUnknown:
         """Read the next available part of the body; empty at its regular end."""
@@ -170,17 +216,31 @@
         if self._lookahead_error is not None:
             self.abandon()
             return self._no_answer(self._lookahead_error, connection_closed=True)
+        received_before = self._bounds.received_bytes
+        self._bounds.end_after(self._read_timeout_s)
         try:
             block = self._response.read1(READ_BLOCK_BYTES, decode_content=False)
+        except (TimeoutError, ReadTimeoutError) as error:
+            self._record_unfinished_part(received_before)
+            self.abandon()
+            return self._no_answer(error)
         except _READ_ERRORS as error:
             self.abandon()
-            timed_out = isinstance(error, TimeoutError | ReadTimeoutError)
-            return self._no_answer(error, connection_closed=not timed_out)
+            return self._broken_answer(error)
         if not block and self._was_closed_here():
             self.abandon()
             return self._no_answer("this process has closed the connection")
+        if self._read_timeout_s <= 0 and self._is_too_late(len(block)):
+            return self.abandon_endless(AnswerPart.BODY, "went on after its time had passed")
         return block
 
+    def _is_too_late(self, received_bytes: int) -> bool:
+        """Count a block that was read after the time for the answer; return whether to stop."""
+        now = boot_clock.now()
+        self._late_since = min(self._late_since, now)
+        self._late_bytes += received_bytes
+        return self._late_bytes > MAX_LATE_BYTES or now - self._late_since > MAX_LATE_READ_S
+
     def _was_closed_here(self) -> bool:
         """Return whether the body may have ended because this process closed the connection."""
         state = self.lease.state
@@ -202,8 +262,7 @@
             blocks.append(block)
             total_bytes += len(block)
             if total_bytes > limit_bytes:
-                self.abandon()
-                return self._no_answer(f"the answer exceeds the limit of {limit_bytes} bytes")
+                return self.abandon_endless(AnswerPart.BODY, f"is longer than {limit_bytes} bytes")
 
     def release(self, keep_alive_s: float = IDLE_CONNECTION_LIFETIME_S) -> None:
         """Make the connection available for other requests, after the whole body has been read.
@@ -214,7 +273,10 @@
             How long the connection may stay idle; the replica may have announced it.
         """
         self._response.close()
-        if self.lease.release():
+        if self._reader.has_surplus:
+            self._pool.record_endless(self._fault(AnswerPart.SURPLUS))
+            self.lease.close()
+        elif self.lease.release():
             self._pool.keep_idle(self.endpoint, self._connection, keep_alive_s)
         else:
             self.lease.close()
@@ -255,6 +317,37 @@
         if self.reused:
             self._pool.drop_idle(self.endpoint)
 
+    def abandon_endless(self, part: AnswerPart, reason: str) -> OutcomeUnknown:
+        """Close the connection, as a part of the answer is too long or goes on for too long."""
+        self.abandon()
+        self._pool.record_endless(self._fault(part))
+        return self._no_answer(f"the {part.value} of the answer {reason}")
+
+    def _broken_answer(self, error: Exception) -> OutcomeUnknown:
+        cause = error if isinstance(error, PartTooLongError) else error.__cause__
+        if isinstance(cause, PartTooLongError):
+            self._pool.record_endless(self._fault(cause.part))
+            return self._no_answer(cause)
+        return self._no_answer(error, connection_closed=True)
+
+    def _record_unfinished_part(self, received_before: int) -> None:
+        """Record after a timeout that a part did not end although its bytes kept coming."""
+        # A body may be slow: its bytes are read as they come.
+        if self._bounds.received_bytes > received_before and self._is_reading_lines():
+            self._pool.record_endless(self._fault(self._bounds.part))
+
+    def _is_reading_lines(self) -> bool:
+        return self._response is None or self.framing is BodyFraming.CHUNKED
+
+    def _fault(self, part: AnswerPart) -> EndlessAnswer:
+        return EndlessAnswer(
+            self._request_id,
+            self.endpoint,
+            part,
+            self._bounds.received_bytes - self._received_before,
+            boot_clock.now() - self._began,
+        )
+
     def _no_answer(self, error: object, *, connection_closed: bool = False) -> OutcomeUnknown:
         return OutcomeUnknown(
             502,
@@ -283,6 +376,10 @@
     ) -> None:
         self.link_filter = link_filter
         self.opened_count = 0
+        self._closed = threading.Event()
+        self._idle_check: threading.Thread | None = None
+        self._idle_check_lock = threading.Lock()
+        self.endless_by_part: dict[AnswerPart, int] = dict.fromkeys(AnswerPart, 0)
         self._connect_timeout_s = connect_timeout_s
         self._socket_options = [*HTTPConnection.default_socket_options, *socket_options]
         # ``is_connected`` is false if the replica has closed the connection.
@@ -340,7 +437,7 @@
                 return NotRun(503, f"{endpoint} must not get the request", "send it elsewhere")
         connection.timeout = send_timeout_s
         connection.sock.settimeout(send_timeout_s)
-        exchange = Exchange(self, endpoint, connection, reused)
+        exchange = Exchange(self, endpoint, connection, reused, request.id)
         try:
             connection.request(
                 request.method,
@@ -403,11 +500,42 @@
             socket_options=self._socket_options,
         )
 
+    def record_endless(self, answer: EndlessAnswer) -> None:
+        """Count and log an answer that was given up because it did not end."""
+        self.endless_by_part[answer.part] += 1
+        log_message(
+            "replica:endless_answer",
+            request_id=answer.request_id,
+            address=str(answer.endpoint),
+            part=answer.part.value,
+            received_bytes=answer.received_bytes,
+            took_s=round(answer.took_s, 3),
+        )
+
     def keep_idle(
         self, endpoint: Endpoint, connection: StrictHTTPConnection, keep_alive_s: float
     ) -> None:
         """Keep an idle connection for the next request."""
         self._idle.put(endpoint, connection, keep_alive_s)
+        if self._idle_check is None:
+            self._start_idle_check()
+
+    def _start_idle_check(self) -> None:
+        with self._idle_check_lock:
+            if self._idle_check is not None or self._closed.is_set():
+                return
+            self._idle_check = threading.Thread(
+                target=self._check_idle, name="idle-connections", daemon=True
+            )
+            self._idle_check.start()
+
+    def _check_idle(self) -> None:
+        """Close idle connections that their replica has closed, or sends data on."""
+        while not self._closed.wait(IDLE_CHECK_INTERVAL_S):
+            for endpoint, connection in self._idle.remove_unusable():
+                if _has_data(connection):
+                    self.record_endless(EndlessAnswer("", endpoint, AnswerPart.SURPLUS))
+                connection.close()
 
     def drop_idle(self, endpoint: Endpoint) -> None:
         """Close the idle connections to an endpoint that has stopped or no longer responds."""
@@ -415,9 +543,18 @@
 
     def close(self) -> None:
         """Close all idle connections."""
+        self._closed.set()
         self._idle.close()
 
 
+def _has_data(connection: StrictHTTPConnection) -> bool:
+    """Return whether data can be read, as opposed to the end of the connection."""
+    try:
+        return bool(connection.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 def _unreachable(endpoint: Endpoint, reason: str) -> NotRun:
     return NotRun(
         503,
--- a/src/quaymill/connection/strict_http.py
+++ b/src/quaymill/connection/strict_http.py
@@ -1,61 +1,67 @@
-"""HTTP connections whose answers are never cut off unnoticed.
+"""HTTP connections whose answers are bounded, and never cut off unnoticed.
 
 ``http.client`` takes the end of the connection for the end of the head, and for the end of a line
 that states the size of a chunk: the head ``HTTP/1.1 200 OK`` without its headers is an answer
 without a body, and the chunk size ``0`` of a cut ``04f2`` marks a complete body. Here both raise
-``ConnectionResetError``.
+``ConnectionResetError``. It also reads interim answers and trailers without end, which raises
+``PartTooLongError`` here.
 """
 
 from __future__ import annotations
 
+import functools
 import http.client
-import io
 import itertools
+import socket
 
 from urllib3.connection import HTTPConnection
 
+from quaymill.connection.bounded_reader import (
+    AnswerPart,
+    BoundedReader,
+    PartTooLongError,
+    ReadBounds,
+)
 
-class _LineReader:
-    """Reads a connection; ``readline`` fails if the connection ends within a line or the head.
+MAX_INTERIM_ANSWERS = 16
 
-    Attributes
-    ----------
-    in_head
-        Whether the end of the connection between two lines is an error as well.
-    """
-
-    def __init__(self, file: io.BufferedReader) -> None:
-        self._file = file
-        self.in_head = True
-        self.read1 = file.read1
-
-    def __getattr__(self, name: str) -> object:
-        return getattr(self._file, name)
-
-    def readline(self, limit_bytes: int = -1) -> bytes:
-        """Read a line with its line feed, or ``limit_bytes`` of a longer line."""
-        line = self._file.readline(limit_bytes)
-        if line.endswith(b"\n") or len(line) == limit_bytes:
-            return line
-        if line or self.in_head:
-            raise ConnectionResetError("the connection ended within the head or a line")
-        return line
+_connection_numbers = itertools.count(1)
 
 
 class StrictHTTPResponse(http.client.HTTPResponse):
-    """An answer whose head and chunks are complete."""
+    """An answer whose head and chunks are complete.
 
-    def __init__(self, *args: object, **kwargs: object) -> None:
-        super().__init__(*args, **kwargs)
-        self.fp = _LineReader(self.fp)
+    Parameters
+    ----------
+    read_bounds
+        When reads of the answer fail.
+    """
+
+    def __init__(
+        self, sock: socket.socket, *args: object, read_bounds: ReadBounds, **kwargs: object
+    ) -> None:
+        super().__init__(sock, *args, **kwargs)
+        self.fp = BoundedReader(self.fp.detach(), sock, read_bounds)
 
     def begin(self) -> None:
         """Read the status line and the headers."""
         super().begin()
-        self.fp.in_head = False
+        self.fp.begin_part(AnswerPart.CHUNK_LINE)
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the status line of the final answer; skip the interim answers before it."""
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
+            version, status, reason = super()._read_status()
+            if not 100 <= status < 200 or status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+                return version, status, reason
+            http.client.parse_headers(self.fp)
+        raise PartTooLongError(
+            AnswerPart.HEAD, f"follows more than {MAX_INTERIM_ANSWERS} interim answers"
+        )
 
-_connection_numbers = itertools.count(1)
+    def _read_and_discard_trailer(self) -> None:
+        self.fp.begin_part(AnswerPart.TRAILERS)
+        super()._read_and_discard_trailer()
 
 
 class StrictHTTPConnection(HTTPConnection):
@@ -67,11 +73,13 @@
         Identifies the connection in the log lines of this process.
     exchange_count
         Number of exchanges that the connection has carried, the current one included.
+    read_bounds
+        When reads of answers fail.
     """
 
-    response_class = StrictHTTPResponse
-
     def __init__(self, *args: object, **kwargs: object) -> None:
         super().__init__(*args, **kwargs)
         self.number = next(_connection_numbers)
         self.exchange_count = 0
+        self.read_bounds = ReadBounds()
+        self.response_class = functools.partial(StrictHTTPResponse, read_bounds=self.read_bounds)
--- a/src/quaymill/platform/replica_calls.py
+++ b/src/quaymill/platform/replica_calls.py
@@ -75,7 +75,7 @@
     for name in LIBRARY_HEADERS:
         if name not in headers:
             headers[name] = SKIP_HEADER
-    return ReplicaRequest(request.method, request.target, headers, request.body)
+    return ReplicaRequest(request.method, request.target, headers, request.body, request.id)
 
 
 def read_answer_head(exchange: Exchange) -> AnswerHead:
--- a/src/quaymill/process/batch/application_item.py
+++ b/src/quaymill/process/batch/application_item.py
@@ -113,7 +113,9 @@
 
         return self._parts.application_client.call(
             self._endpoint,
-            ReplicaRequest(METHOD, _application_path(item.url), headers, bytes(item.body)),
+            ReplicaRequest(
+                METHOD, _application_path(item.url), headers, bytes(item.body), self._key
+            ),
             f"{self._key}/{secrets.token_hex(ATTEMPT_ID_BYTES)}",
             deadline,
             wait,
--- a/src/quaymill/process/gateway_gauges.py
+++ b/src/quaymill/process/gateway_gauges.py
@@ -8,6 +8,8 @@
 from prometheus_client import CollectorRegistry, Gauge
 from prometheus_client.core import GaugeMetricFamily
 
+from quaymill.connection.bounded_reader import AnswerPart
+from quaymill.connection.replica_connection import ReplicaConnections
 from quaymill.process.jobs.engine_pool import EnginePool
 from quaymill.process.replica_set.replica import Replica
 from quaymill.process.replica_set.table import ReplicaTable
@@ -81,6 +83,18 @@
     registry.register(_QueueCollector(lengths))
 
 
+def add_endless_gauge(registry: CollectorRegistry, connections: ReplicaConnections) -> None:
+    """Add the number of answers of replicas that did not end, by the part that did not."""
+    gauge = Gauge(
+        f"{PREFIX}endless_answers",
+        "Answers of replicas given up since the start because a part of them did not end.",
+        ("part",),
+        registry=registry,
+    )
+    for part in AnswerPart:
+        gauge.labels(part.value).set_function(lambda p=part: connections.endless_by_part[p])
+
+
 def add_replica_gauge(registry: CollectorRegistry, table: ReplicaTable) -> None:
     """Add the number of replicas by state."""
     gauge = Gauge(f"{PREFIX}replicas", "Replicas by state.", ("state",), registry=registry)
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -24,7 +24,12 @@
 from quaymill.process.front.metrics import FrontMetrics
 from quaymill.process.front.monitoring_servers import MetricsServer, ReadinessServer
 from quaymill.process.gateway.caller_watch import CallerWatch
-from quaymill.process.gateway_gauges import add_gauges, add_queue_gauge, add_replica_gauge
+from quaymill.process.gateway_gauges import (
+    add_endless_gauge,
+    add_gauges,
+    add_queue_gauge,
+    add_replica_gauge,
+)
 from quaymill.process.gateway_parts import (
     build_circuit_store,
     build_limiter,
@@ -453,6 +458,7 @@
         }
         add_gauges(self._metrics.registry, gauges)
         add_replica_gauge(self._metrics.registry, self._table)
+        add_endless_gauge(self._metrics.registry, self._connections)
         add_queue_gauge(self._metrics.registry, self._slot_allocator.queues.lengths)
 
     def start(self) -> None:
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -10,6 +10,7 @@
 import attrs
 
 from quaymill import boot_clock
+from quaymill.connection.bounded_reader import AnswerPart
 from quaymill.connection.job_document import JobItem
 from quaymill.connection.replica_answer import AnswerHead
 from quaymill.connection.replica_connection import Exchange, ReplicaConnections
@@ -21,7 +22,7 @@
     release_connection,
 )
 from quaymill.request.deadline import Deadline
-from quaymill.request.event_stream import EventFramer, data_of_events
+from quaymill.request.event_stream import TOO_LONG_EVENT, EventFramer, data_of_events
 from quaymill.request.forwarded_request import (
     ForwardedRequest,
     Headers,
@@ -187,7 +188,7 @@
     replica.record_success(boot_clock.now() - began)
     replica.begin_answer()
     try:
-        return _read_events(item, replica, exchange, head)
+        return _read_events(item, request.deadline, replica, exchange, head)
     finally:
         replica.end_answer()
 
@@ -218,12 +219,16 @@
 
 
 def _read_events(
-    item: CoordinatedItem, replica: Replica, exchange: Exchange, head: AnswerHead
+    item: CoordinatedItem,
+    deadline: Deadline,
+    replica: Replica,
+    exchange: Exchange,
+    head: AnswerHead,
 ) -> ItemOutcome:
     framer = EventFramer(item.last_event_id)
     version = StreamVersion.of_replica(replica.entry)
-    exchange.set_read_timeout(EVENT_GAP_TIMEOUT_S)
     while True:
+        exchange.set_read_timeout(min(EVENT_GAP_TIMEOUT_S, deadline.remaining_s()))
         block = exchange.read_block()
         if isinstance(block, OutcomeUnknown):
             return _cut_outcome(block)
@@ -231,6 +236,8 @@
         if not block:
             break
         events = framer.feed(block)
+        if framer.is_too_long:
+            return _cut_outcome(exchange.abandon_endless(AnswerPart.EVENT, TOO_LONG_EVENT))
         if events:
             item.add_events(data_of_events(events), framer.last_id, version)
     if framer.partial:
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -70,6 +70,17 @@
         ),
         ordinary_outcome="Delivered",
     ),
+    "replica:endless_answer": LogEvent(
+        "an answer was given up, as a part of it is too long or did not end in time although bytes"
+        " kept coming; of a part 'surplus' the answer itself was whole",
+        (
+            "request_id: the caller's id; of batch items, the item's id; empty for other requests",
+            "address: the replica's, or that of the platform's store",
+            "part: head, chunk line, trailers, event, body, or surplus: bytes after a whole answer",
+            "received_bytes: size of what was received",
+            "took_s: time since the request was sent, in seconds",
+        ),
+    ),
     "exchange:cancelled": LogEvent(
         "an exchange was cancelled, as its caller has left, its item gives way or the node stops",
         (
--- a/src/quaymill/request/answer_relay.py
+++ b/src/quaymill/request/answer_relay.py
@@ -6,9 +6,10 @@
 from typing import Protocol
 
 from quaymill import boot_clock
+from quaymill.connection.bounded_reader import AnswerPart
 from quaymill.connection.replica_answer import AnswerHead, BodyFraming
 from quaymill.connection.replica_connection import Exchange
-from quaymill.request.event_stream import EventBoundary, EventFramer
+from quaymill.request.event_stream import TOO_LONG_EVENT, EventBoundary, EventFramer
 from quaymill.request.forwarded_request import ForwardedRequest, Headers
 from quaymill.request.forwarding_result import AttemptResult, Broken, Delivered, broken_attempt
 from quaymill.request.outcome import OutcomeUnknown
@@ -150,7 +151,7 @@
     ) -> AttemptResult:
         """Relay events as they arrive; of a resumable stream, only complete events."""
         resumable = self._route.resumable
-        self._framer.partial = b""
+        self._framer.partial.clear()
         self._boundary = EventBoundary()
         while True:
             block = self._read_block(exchange, self._gap_timeout_s())
@@ -161,6 +162,9 @@
                 break
             self._boundary.feed(block)
             events = self._framer.feed(block) if resumable else block
+            if self._framer.is_too_long:
+                failure = exchange.abandon_endless(AnswerPart.EVENT, TOO_LONG_EVENT)
+                return broken_attempt(failure)
             if resumable and events and self.version is None:
                 self.version = StreamVersion.of_replica(replica.entry)
                 self._on_stream_begun(self.version)
--- a/src/quaymill/request/event_stream.py
+++ b/src/quaymill/request/event_stream.py
@@ -6,12 +6,31 @@
 
 EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 1024 * 1024
+TOO_LONG_EVENT = f"is longer than {MAX_EVENT_BYTES} bytes"
 _ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 _BLANK_LINE = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)\Z")
 _BLANK_LINE_BYTES = 4
 _DATA_LINE = re.compile(rb"^data:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
+def take_events(partial: bytearray, block: bytes) -> bytes:
+    """Add a block to an incomplete event; remove and return the complete events.
+
+    The cost of an event that comes in many blocks is linear in its size.
+    """
+    if not partial and block.endswith(EVENT_END):
+        return block
+    # The end of an event may be split over two blocks.
+    searched_bytes = max(0, len(partial) - len(EVENT_END) + 1)
+    partial += block
+    end = partial.rfind(EVENT_END, searched_bytes) + len(EVENT_END)
+    if end < len(EVENT_END):
+        return b""
+    events = bytes(partial[:end])
+    del partial[:end]
+    return events
+
+
 class EventFramer:
     """Splits a stream of bytes into complete events, and leaves out repeated ones.
 
@@ -27,17 +46,17 @@
 
     def __init__(self, last_id: str | None = None) -> None:
         self.last_id = last_id
-        self.partial = b""
+        self.partial = bytearray()
+
+    @property
+    def is_too_long(self) -> bool:
+        """Whether the incomplete event is longer than ``MAX_EVENT_BYTES``."""
+        return len(self.partial) > MAX_EVENT_BYTES
 
     def feed(self, block: bytes) -> bytes:
         """Add a block; return the events that it completes, without repeated ones."""
-        data = self.partial + block if self.partial else block
-        end = data.rfind(EVENT_END) + len(EVENT_END)
-        if end < len(EVENT_END):
-            self.partial = data
-            return b""
-        self.partial = data[end:]
-        return self._without_repeated(data[:end])
+        events = take_events(self.partial, block)
+        return self._without_repeated(events) if events else b""
 
     def _without_repeated(self, events: bytes) -> bytes:
         ids = _ID_LINE.findall(events)
--- a/tests/raw_replica.py
+++ b/tests/raw_replica.py
@@ -96,6 +96,7 @@
                 connection, _ = self._listener.accept()
             except OSError:
                 return
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.accepted += 1
             with self._lock:
                 self._open.add(connection)
--- a/tests/test_connection_lease.py
+++ b/tests/test_connection_lease.py
@@ -46,6 +46,8 @@
         if request.path == "/whole":
             request.send_whole(b"whole")
             return True
+        if request.path == "/silent":
+            return self.go_on.wait(TIMEOUT_S)
         head = request.head(*FRAMINGS[request.path])
         request.connection.sendall(head + in_framing(request.path, FIRST_HALF))
         self.go_on.wait(TIMEOUT_S)
@@ -98,7 +100,7 @@
     """A cancel reaches its own exchange in each of its states."""
 
     def test_cancel_before_the_answer(self) -> None:
-        exchange = self.send("/close")
+        exchange = self.send("/silent")
         exchange.cancel()
         self.assertIsInstance(exchange.read_head(TIMEOUT_S), OutcomeUnknown)
 
--- a/tests/test_engine_stream.py
+++ b/tests/test_engine_stream.py
@@ -4,6 +4,7 @@
 
 from nose2.tools import params
 
+from quaymill.connection.bounded_reader import AnswerPart
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.engine_client import EngineStream, token_ids, with_resumed_usage
 from quaymill.request.outcome import OutcomeUnknown
@@ -41,6 +42,10 @@
     def abandon(self) -> None:
         self.ended_by = "abandon"
 
+    def abandon_endless(self, part: AnswerPart, reason: str) -> OutcomeUnknown:
+        self.abandon()
+        return OutcomeUnknown(502, reason, "")
+
 
 def read_all(blocks: list[bytes]) -> tuple[bytes, OutcomeUnknown | None, FakeExchange]:
     """Read a stream; return the events relayed, the failure if any, and the exchange."""
