Bound the bodies of callers' requests in time and in bytes

A caller could hold a worker, and the memory of the gateway, for as long as it sent: chunk extensions and trailers were read without a bound, a chunk was read whole whatever size it announced, and a body of a byte each 0.1 s kept each read within its time-out.

Change: body_reader reads chunks, extensions and trailers within bounds, and the whole body must arrive by the request's deadline, within 60 s if it has none, or within 1 s if the request is refused; 408 otherwise. cheroot still reads heads and frames answers.

--- a/src/quaymill/process/front/front_service.py
+++ b/src/quaymill/process/front/front_service.py
@@ -12,6 +12,11 @@
 from quaymill import boot_clock
 from quaymill.connection.job_document import Job
 from quaymill.process.front.access import Caller, KeyState, identify, key_state
+from quaymill.process.front.body_reader import (
+    BodyTooLargeError,
+    BodyTooSlowError,
+    BrokenBodyError,
+)
 from quaymill.process.front.caller_protocol import (
     CallerProtocol,
     JobCall,
@@ -19,9 +24,8 @@
     Malformed,
 )
 from quaymill.process.front.http_server import (
+    DEFAULT_BODY_TIMEOUT_S,
     AnswerWriter,
-    BodyTooLargeError,
-    BrokenBodyError,
     FrontRequest,
 )
 from quaymill.process.front.metrics import FrontMetrics
@@ -155,12 +159,19 @@
         else:
             self._forward_within_limits(request, route, caller, writer)
 
-    def _read_body_or_refuse(self, request: FrontRequest, writer: AnswerWriter) -> bytes | None:
+    def _read_body_or_refuse(
+        self,
+        request: FrontRequest,
+        writer: AnswerWriter,
+        timeout_s: float = DEFAULT_BODY_TIMEOUT_S,
+    ) -> bytes | None:
         """Return the whole body; ``None`` if the request was refused because of its body."""
         try:
-            return request.read_body(self._routes().limits.max_body_bytes)
+            return request.read_body(self._routes().limits.max_body_bytes, timeout_s)
         except BodyTooLargeError:
             refusal = Refusal(413, "the body is longer than the limit")
+        except BodyTooSlowError as error:
+            refusal = Refusal(408, f"the body is too slow: {error}")
         except BrokenBodyError as error:
             refusal = Refusal(400, f"the body is incomplete or malformed: {error}")
         writer.close_after()
@@ -205,12 +216,12 @@
         if isinstance(parsed, Malformed):
             self._refuse(request, writer, malformed_refusal(parsed))
             return
-        body = self._read_body_or_refuse(request, writer)
-        if body is None:
-            return
         remaining_s = parsed.remaining_s if parsed.remaining_s is not None else DEFAULT_TIMEOUT_S
         if route.timeout_s:
             remaining_s = min(remaining_s, route.timeout_s)
+        body = self._read_body_or_refuse(request, writer, remaining_s)
+        if body is None:
+            return
         forwarded = ForwardedRequest(
             id=parsed.id,
             method=request.method,
--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -9,6 +9,7 @@
 
 import contextlib
 import logging
+import math
 import os
 import socket
 import struct
@@ -17,13 +18,21 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from cheroot import errors, server
+from cheroot import server
 from cheroot.workers.threadpool import ThreadPool
 from eliot import log_message
 
 from quaymill import boot_clock
 from quaymill.connection.endpoint import Endpoint
 from quaymill.process.early_listener import LISTEN_BACKLOG
+from quaymill.process.front.body_reader import (
+    BodyTooLargeError,
+    BodyTooSlowError,
+    BoundedStreamReader,
+    BrokenBodyError,
+    read_chunked,
+    read_with_length,
+)
 from quaymill.process.front.head_watch import HeadWatch
 from quaymill.process.front.read_gate import ReadGate
 from quaymill.request.answer_buffer import BufferedAnswer, BufferedAnswers
@@ -38,7 +47,10 @@
 IDLE_CHECK_MARGIN_S = 10.0
 """Added to the idle timeout given to cheroot, which measures it with the wall clock: without the
 margin, a forward jump of the clock could close connections too early."""
-READ_BLOCK_BYTES = 256 * 1024
+DEFAULT_BODY_TIMEOUT_S = 60.0
+"""How long the body of a request may take whose caller states no deadline."""
+DISCARDED_BODY_TIMEOUT_S = 1.0
+"""How long the body of a request may take that is refused."""
 SERVER_NAME = "quaymill"
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 """``SO_LINGER`` with a time of 0 s: closing the connection sends a reset."""
@@ -46,14 +58,6 @@
 """Used until a configuration sets the time that a head may take."""
 
 
-class BrokenBodyError(Exception):
-    """The caller's body ended early or is malformed."""
-
-
-class BodyTooLargeError(Exception):
-    """The caller's body is longer than the limit."""
-
-
 class _LineRecorder:
     """Records the lines that are read through it."""
 
@@ -132,6 +136,10 @@
     is_new = True
     passed_at = 0.0
 
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)
+        self.rfile = BoundedStreamReader(self.socket, self.rbufsize)
+
     def communicate(self) -> bool:
         """Read and answer one request; return whether the connection stays open."""
         if self.is_new:
@@ -180,41 +188,44 @@
         """The ``Host`` header without a port, in lower case."""
         return (self.header("Host") or "").partition(":")[0].lower()
 
-    def read_body(self, limit_bytes: int) -> bytes:
+    def read_body(self, limit_bytes: int, timeout_s: float = DEFAULT_BODY_TIMEOUT_S) -> bytes:
         """Read the whole body.
 
         Raises
         ------
-        BrokenBodyError, BodyTooLargeError
-            It is incomplete or longer than the limit; the connection must be closed.
+        BrokenBodyError, BodyTooLargeError, BodyTooSlowError
+            It is incomplete, longer than the limit, or not there in time; the connection must be
+            closed.
         """
-        content_length = self.header("Content-Length")
-        if content_length is not None and int(content_length) > limit_bytes:
+        length = int(self.header("Content-Length") or 0)
+        if length > limit_bytes:
             raise BodyTooLargeError
-        blocks: list[bytes] = []
-        total_bytes = 0
+        connection = self._request.conn
+        file = connection.rfile
+        file.bounds.end_after(timeout_s)
         try:
-            while block := self._request.rfile.read(READ_BLOCK_BYTES):
-                total_bytes += len(block)
-                if total_bytes > limit_bytes:
-                    raise BodyTooLargeError
-                blocks.append(block)
             if self._request.chunked_read:
-                # Trailers after the last chunk belong to this request, not to the next one.
-                list(self._request.rfile.read_trailer_lines())
-        except (OSError, ValueError, errors.MaxSizeExceeded) as error:
+                body = read_chunked(file, limit_bytes)
+            else:
+                body = read_with_length(file, length)
+        except TimeoutError as error:
+            raise BodyTooSlowError(f"it did not arrive within {timeout_s:.1f} s") from error
+        except OSError as error:
             raise BrokenBodyError(str(error)) from error
-        if content_length is not None and total_bytes != int(content_length):
-            raise BrokenBodyError(f"received {total_bytes} of {content_length} bytes")
+        finally:
+            file.bounds.deadline = math.inf
+            connection.socket.settimeout(connection.server.timeout)
+        if not self._request.chunked_read:
+            self._request.rfile.remaining = 0
         self.body_was_read = True
-        return b"".join(blocks)
+        return body
 
     def discard_body(self, limit_bytes: int) -> None:
-        """Read and discard a body up to ``limit_bytes``; a longer one is left unread."""
+        """Read and discard a body up to ``limit_bytes``; a longer or slow one is left unread."""
         if self.body_was_read:
             return
-        with contextlib.suppress(BrokenBodyError, BodyTooLargeError):
-            self.read_body(limit_bytes)
+        with contextlib.suppress(BrokenBodyError, BodyTooLargeError, BodyTooSlowError):
+            self.read_body(limit_bytes, DISCARDED_BODY_TIMEOUT_S)
 
 
 class AnswerWriter:
--- a/src/quaymill_bench/soak_faults.py
+++ b/src/quaymill_bench/soak_faults.py
@@ -37,7 +37,7 @@
 )
 from quaymill_bench.soak_tenants import FLOOD, SoakTenants
 from quaymill_bench.soak_timeline import Timeline
-from quaymill_standins.fleet_replica import ReplicaBehaviour
+from quaymill_standins.fleet_replica import ENDLESS_FORMS, ReplicaBehaviour
 from quaymill_standins.fleet_store import FleetStoreFaults
 
 CROWD = 12
@@ -83,6 +83,10 @@
     {"peer": {"host": "nowhere", "port": -1}},
 )
 DELAY_BY_STATE_S = {LinkState.DELAYED: LINK_DELAY_S, LinkState.ANSWERS_LATE: LATE_ANSWER_S}
+ENDLESS = "have a replica send without end"
+ENDLESS_INTERVALS_S = (0.0, 0.1)
+PAUSE_IN_BODY_S = 0.05
+"""Time in which an answer without framing can be cut midway."""
 EVACUATE = "evacuate a zone"
 COLD_RETURN = "have a zone's replicas return cold"
 PLACEMENT_ROUNDS = ((EVACUATE,), (COLD_RETURN,), (EVACUATE, COLD_RETURN), (EVACUATE, COLD_RETURN))
@@ -109,9 +113,9 @@
 class SoakFaults:
     """Draws the faults of one round, and brings them about.
 
-    Evacuations and cold returns, how replicas frame their answers, and overload with large changes
-    are drawn by generators of their own, beside the others: those of a seed stay as they are, with
-    their times and what they are done to.
+    Evacuations and cold returns, how replicas frame their answers, overload with large changes, and
+    answers without end are drawn by generators of their own, beside the others: those of a seed
+    stay as they are, with their times and what they are done to.
 
     Attributes
     ----------
@@ -129,6 +133,7 @@
         self._placement_random = random.Random(f"{seed}/placement")
         self._framing_random = random.Random(f"{seed}/framing")
         self._overload_random = random.Random(f"{seed}/overload")
+        self._endless_random = random.Random(f"{seed}/endless")
         self.disturbances = Disturbances()
         self._timeline = timeline
         self._storage_lock = threading.Lock()
@@ -172,6 +177,9 @@
             EVACUATE: self._evacuate,
             COLD_RETURN: self._return_cold,
         }
+        self._endless_faults: dict[str, Callable[[], Heal | None]] = {
+            ENDLESS: self._send_without_end,
+        }
         self._overload_faults: dict[str, Callable[[], Heal | None]] = {
             "send requests with a part that crashes replicas": self._send_crashing_parts,
             "open most new connections at one gateway": self._crowd_gateway,
@@ -192,6 +200,7 @@
         if self._fleet.placement_limits:
             planned += self._plan_placement()
         planned += self._plan_overload(latest_s)
+        planned += self._plan_endless(latest_s)
         return sorted(planned, key=lambda one: one.at_s)
 
     def _plan_placement(self) -> list[PlannedFault]:
@@ -213,10 +222,21 @@
             for name in chance.sample(names, chance.choice((0, 1, 2)))
         ]
 
+    def _plan_endless(self, latest_s: float) -> list[PlannedFault]:
+        chance = self._endless_random
+        return [
+            PlannedFault(
+                chance.uniform(FIRST_AFTER_S, latest_s), chance.uniform(0.3, MOST_FOR_S), ENDLESS
+            )
+            for _ in range(chance.choice((0, 1, 2)))
+        ]
+
     def play(self, planned: list[PlannedFault], until_s: float) -> None:
         """Bring the faults about at their times, and heal what is left at the end."""
         began = time.monotonic()
-        faults = self._faults | self._placement_faults | self._overload_faults
+        faults = (
+            self._faults | self._placement_faults | self._overload_faults | self._endless_faults
+        )
         heals: list[tuple[float, str, Heal]] = []
         for fault in planned:
             heals = self._wait(began + fault.at_s, heals)
@@ -494,10 +514,28 @@
 
         return heal
 
+    def _send_without_end(self) -> Heal:
+        """Have a replica send answers whose bytes never end."""
+        chance = self._endless_random
+        replica = chance.choice(list(self._fleet.replicas.values()))
+        form = chance.choice(tuple(ENDLESS_FORMS))
+        interval_s = chance.choice(ENDLESS_INTERVALS_S)
+        self._note(f"{replica.id}: {form} without end, every {interval_s} s")
+        replica.behaviour = msgspec.structs.replace(
+            self._sound_behaviour(replica.id), endless=form, endless_interval_s=interval_s
+        )
+
+        def heal() -> None:
+            self._fleet.replicas[replica.id].behaviour = self._sound_behaviour(replica.id)
+
+        return heal
+
     def _sound_behaviour(self, replica_id: str) -> ReplicaBehaviour:
         """Return how a replica behaves without a fault."""
         unframed = replica_id in self._unframed_ids
-        return msgspec.structs.replace(self._sound, unframed=unframed)
+        return msgspec.structs.replace(
+            self._sound, unframed=unframed, pause_in_body_s=PAUSE_IN_BODY_S
+        )
 
     def _drain_replica(self) -> Heal:
         replica = self._random.choice(list(self._fleet.replicas.values()))
--- a/src/quaymill_bench/soak_load.py
+++ b/src/quaymill_bench/soak_load.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import http.client
 import json
 import random
 import threading
@@ -14,8 +16,8 @@
 
 import urllib3
 
-from quaymill_bench.fleet_processes import FleetProcess, LocalFleet
-from quaymill_bench.fleet_world import item_id, key_header, request_headers
+from quaymill_bench.fleet_processes import REQUEST_TIMEOUT_S, FleetProcess, LocalFleet
+from quaymill_bench.fleet_world import HOST, item_id, key_header, request_headers
 from quaymill_bench.soak_checks import History, JobCall, JobHistory, Sending
 from quaymill_bench.soak_tenants import (
     FLOOD_KEY,
@@ -26,6 +28,8 @@
 from quaymill_bench.soak_timeline import Timeline
 
 CALLERS = 4
+SHORT_CALLERS = 6
+"""Callers that open a connection for each request, and close it right after the answer."""
 JOBS = 4
 JOB_ITEMS = 10
 READ_PAUSE_S = 0.15
@@ -36,6 +40,7 @@
 MAX_TRIES = 3
 """Tries of a caller for one stream."""
 REQUEST_KINDS = ("read", "write", "stream", "resumable")
+SHORT_KINDS = ("read", "read", "read", "write")
 KEYS = (*OFFICE_KEYS * 4, ROAMING_KEY, ROAMING_KEY, FLOOD_KEY, UNKNOWN_KEY, "")
 """Drawn for each request: mostly a key that is held, now and then one that is not, or none."""
 
@@ -58,6 +63,8 @@
         """Begin to send."""
         for index in range(CALLERS):
             self._start(self._call, index)
+        for index in range(SHORT_CALLERS):
+            self._start(self._call_and_close, index)
         for index in range(JOBS):
             self._start(self._follow_job, index)
 
@@ -99,6 +106,22 @@
         whole = answer is not None
         self._history.add(Sending(request_id, kind, gateway.name, status, body, whole, key))
 
+    def _call_and_close(self, index: int) -> None:
+        """Send requests on connections of their own, one after the other."""
+        chance = random.Random(f"{self._name}/short/{index}")
+        number = 0
+        while not self._stopping.is_set():
+            number += 1
+            kind = chance.choice(SHORT_KINDS)
+            gateway = chance.choice(self._fleet.gateways)
+            request_id = f"{kind}-{self._name}-short-{index}-{number}"
+            headers = {"Host": HOST} | request_headers(kind, request_id, DEADLINE_MS)
+            headers |= key_header(OFFICE_KEYS[0])
+            status, body = _ask_once(gateway, f"/{kind}/x", headers)
+            sending = Sending(request_id, kind, gateway.name, status, body, status != 0)
+            self._history.add(sending)
+            time.sleep(chance.uniform(0.0, 0.05))
+
     def _send_resumable(self, gateway: FleetProcess, request_id: str, key: str) -> None:
         """Send a stream, and take it up at other gateways if it breaks off."""
         chance = random.Random(request_id)
@@ -280,3 +303,16 @@
 def _job_key(chance: random.Random) -> dict[str, str]:
     """Return the header with any of the keys of the jobs' tenant."""
     return key_header(chance.choice(OFFICE_KEYS))
+
+
+def _ask_once(gateway: FleetProcess, path: str, headers: dict[str, str]) -> tuple[int, bytes]:
+    """Send a request on a new connection; return status and body, status 0 if none came whole."""
+    address = (gateway.address, gateway.callers_port)
+    caller = http.client.HTTPConnection(*address, timeout=REQUEST_TIMEOUT_S)
+    with contextlib.closing(caller):
+        try:
+            caller.request("POST", path, headers=headers)
+            answer = caller.getresponse()
+            return answer.status, answer.read()
+        except (OSError, http.client.HTTPException):
+            return 0, b""
--- a/src/quaymill_standins/fleet_replica.py
+++ b/src/quaymill_standins/fleet_replica.py
@@ -40,6 +40,37 @@
 FIRST_VERSION = "v1"
 
 
+class EndlessForm(msgspec.Struct, frozen=True):
+    """An answer that never ends: ``repeated`` follows again and again.
+
+    Attributes
+    ----------
+    headers
+        Header lines of a complete head before ``start``; ``None`` if the head never ends.
+    """
+
+    repeated: bytes
+    start: bytes = b""
+    headers: bytes | None = None
+
+
+_CHUNKED_HEADER = b"Transfer-Encoding: chunked\r\n"
+_EVENTS_HEADER = b"Content-Type: text/event-stream\r\n"
+SURPLUS = "bytes after the answer"
+ENDLESS_FORMS = {
+    "interim answers": EndlessForm(b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "status line": EndlessForm(b"x", b"HTTP/1.1 200 "),
+    "header": EndlessForm(b"x", b"HTTP/1.1 200 OK\r\nX: "),
+    "chunk extension": EndlessForm(b"x", b"4\r\nbody\r\n4;x=", _CHUNKED_HEADER),
+    "trailers": EndlessForm(b"X: x\r\n", b"4\r\nbody\r\n0\r\n", _CHUNKED_HEADER),
+    "event": EndlessForm(b"data: x\n", b"", _EVENTS_HEADER),
+    "comments": EndlessForm(b": x\n", b"", _EVENTS_HEADER),
+    SURPLUS: EndlessForm(b"x"),
+}
+ENDLESS_BLOCK_BYTES = 8192
+ENDLESS_BLOCK_INTERVAL_S = 0.001
+
+
 class ReplicaBehaviour(msgspec.Struct, frozen=True):
     """How the replica serves.
 
@@ -82,6 +113,12 @@
         Additional time of each event and of each whole answer while the replica is cold.
     cold_most_per_s
         Requests in any second above which a cold replica refuses; 0 for no bound.
+    pause_in_body_s
+        Time between the two halves of a whole answer without framing.
+    endless
+        Form of ``ENDLESS_FORMS`` in which an answer never ends; none if empty.
+    endless_interval_s
+        Time between two bytes of such an answer; 0 for some megabytes a second.
     """
 
     events: int = 3
@@ -103,6 +140,9 @@
     crash_part: str = ""
     cold_extra_s: float = 0.0
     cold_most_per_s: float = 0.0
+    pause_in_body_s: float = 0.0
+    endless: str = ""
+    endless_interval_s: float = 0.0
 
 
 class ReplicaRun(msgspec.Struct):
@@ -310,13 +350,16 @@
             self.runs.append(run)
         if behaviour.break_off:
             return CLOSED
+        is_stream = bool(request.header("Token-Count"))
+        if behaviour.endless and not (is_stream and behaviour.endless == SURPLUS):
+            return self._send_endless(run, request.connection, behaviour)
         if _crashes(behaviour, request):
             return self._crash_at(run, request)
         for suffix, status in behaviour.status_by_suffix.items():
             if request.path.endswith(suffix):
                 run.finished = True
                 return Response(status, b"no", self._head(run))
-        if not request.header("Token-Count"):
+        if not is_stream:
             return self._whole(run, request)
         return StreamedResponse(
             200,
@@ -347,6 +390,33 @@
         """Return whether a crash has freed the port."""
         return self._server.has_ended()
 
+    def _send_endless(
+        self, run: ReplicaRun, connection: ClientConnection, behaviour: ReplicaBehaviour
+    ) -> Answer:
+        """Send an answer without end, until the gateway closes the connection."""
+        form = ENDLESS_FORMS[behaviour.endless]
+        start = form.start
+        if behaviour.endless == SURPLUS:
+            body = b"answer to " + run.request_id.encode()
+            start = self._raw_head(run, f"Content-Length: {len(body)}\r\n".encode()) + body
+        elif form.headers is not None:
+            start = self._raw_head(run, form.headers) + start
+        block, interval_s = form.repeated[:1], behaviour.endless_interval_s
+        if not interval_s:
+            block = form.repeated * (ENDLESS_BLOCK_BYTES // len(form.repeated))
+            interval_s = ENDLESS_BLOCK_INTERVAL_S
+        self._count(1)
+        try:
+            connection.send_raw(start)
+            while self._pause(interval_s, connection.is_closed_by_peer):
+                connection.send_raw(block)
+        except OSError:
+            pass  # The gateway has closed the connection.
+        finally:
+            self._count(-1)
+        run.cancelled = True
+        return CLOSED
+
     def _whole(self, run: ReplicaRun, request: Request) -> Answer:
         self._count(1)
         try:
@@ -409,6 +479,11 @@
             ("Server-Load", f"{self._running},0,{self.slots}"),
         )
 
+    def _raw_head(self, run: ReplicaRun, framing: bytes) -> bytes:
+        """Return the head of an answer as it is sent."""
+        own = "".join(f"{name}: {value}\r\n" for name, value in self._head(run))
+        return b"HTTP/1.1 200 OK\r\n" + own.encode() + framing + b"\r\n"
+
     def _count(self, change: int) -> None:
         with self._lock:
             self._running += change
@@ -431,6 +506,10 @@
         connection.send(body[: len(body) // 2])
         _break_off(connection, behaviour)
         return
+    if behaviour.pause_in_body_s:
+        connection.send(body[: len(body) // 2])
+        time.sleep(behaviour.pause_in_body_s)
+        body = body[len(body) // 2 :]
     connection.send(body)
     run.finished = True
 
