Bound the time of one event; bytes after an answer count as a failure of the replica

The gap now runs from the end of one event to the end of the next.

Bytes after a whole answer closed the connection but did not count against the replica; they do now.

--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -264,22 +264,28 @@
             if total_bytes > limit_bytes:
                 return self.abandon_endless(AnswerPart.BODY, f"is longer than {limit_bytes} bytes")
 
-    def release(self, keep_alive_s: float = IDLE_CONNECTION_LIFETIME_S) -> None:
+    def release(self, keep_alive_s: float = IDLE_CONNECTION_LIFETIME_S) -> bool:
         """Make the connection available for other requests, after the whole body has been read.
 
         Parameters
         ----------
         keep_alive_s
             How long the connection may stay idle; the replica may have announced it.
+
+        Returns
+        -------
+        Whether nothing came after the answer; otherwise the connection is closed.
         """
         self._response.close()
         if self._reader.has_surplus:
             self._pool.record_endless(self._fault(AnswerPart.SURPLUS))
             self.lease.close()
-        elif self.lease.release():
+            return False
+        if self.lease.release():
             self._pool.keep_idle(self.endpoint, self._connection, keep_alive_s)
         else:
             self.lease.close()
+        return True
 
     def cancel(self) -> None:
         """Shut the connection down from another thread; a blocked read fails immediately.
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -22,7 +22,7 @@
     release_connection,
 )
 from quaymill.request.deadline import Deadline
-from quaymill.request.event_stream import TOO_LONG_EVENT, EventFramer, data_of_events
+from quaymill.request.event_stream import LATE_EVENT, TOO_LONG_EVENT, EventFramer, data_of_events
 from quaymill.request.forwarded_request import (
     ForwardedRequest,
     Headers,
@@ -227,8 +227,10 @@
 ) -> ItemOutcome:
     framer = EventFramer(item.last_event_id)
     version = StreamVersion.of_replica(replica.entry)
+    event_began = boot_clock.now()
     while True:
-        exchange.set_read_timeout(min(EVENT_GAP_TIMEOUT_S, deadline.remaining_s()))
+        gap_s = event_began + EVENT_GAP_TIMEOUT_S - boot_clock.now()
+        exchange.set_read_timeout(min(gap_s, deadline.remaining_s()))
         block = exchange.read_block()
         if isinstance(block, OutcomeUnknown):
             return _cut_outcome(block)
@@ -238,13 +240,17 @@
         events = framer.feed(block)
         if framer.is_too_long:
             return _cut_outcome(exchange.abandon_endless(AnswerPart.EVENT, TOO_LONG_EVENT))
+        if framer.has_completed:
+            event_began = boot_clock.now()
         if events:
             item.add_events(data_of_events(events), framer.last_id, version)
+        if boot_clock.now() > event_began + EVENT_GAP_TIMEOUT_S:
+            return _cut_outcome(exchange.abandon_endless(AnswerPart.EVENT, LATE_EVENT))
     if framer.partial:
         exchange.abandon()
         return ItemCut("the stream ended in the middle of an event", connection_closed=True)
     if ends_before_first_event(head, item.last_event_id):
         exchange.abandon()
         return ItemCut("the stream ended before its first event", connection_closed=True)
-    release_connection(exchange, head)
+    release_connection(exchange, replica, head)
     return ItemDone()
--- a/src/quaymill/request/answer_relay.py
+++ b/src/quaymill/request/answer_relay.py
@@ -9,7 +9,7 @@
 from quaymill.connection.bounded_reader import AnswerPart
 from quaymill.connection.replica_answer import AnswerHead, BodyFraming
 from quaymill.connection.replica_connection import Exchange
-from quaymill.request.event_stream import TOO_LONG_EVENT, EventBoundary, EventFramer
+from quaymill.request.event_stream import LATE_EVENT, TOO_LONG_EVENT, EventBoundary, EventFramer
 from quaymill.request.forwarded_request import ForwardedRequest, Headers
 from quaymill.request.forwarding_result import AttemptResult, Broken, Delivered, broken_attempt
 from quaymill.request.outcome import OutcomeUnknown
@@ -20,7 +20,7 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 """Larger answers are sent to the caller while they are still being read."""
 EVENT_GAP_TIMEOUT_S = 1.0
-"""Maximum time between two blocks of a stream, if another replica may be tried."""
+"""Maximum time from the end of an event to that of the next, if another replica may be tried."""
 EVENT_STREAM = "text/event-stream"
 
 
@@ -55,6 +55,13 @@
         """Close the connection without completing the answer."""
 
 
+class FaultyReplica(Protocol):
+    """The part of a replica's interface that records its failures."""
+
+    def record_failure(self) -> None:
+        """Count a failure; too many of them eject the replica."""
+
+
 class AnswerRelay:
     """Relays the answer of one request over all its attempts.
 
@@ -139,7 +146,7 @@
                 self._answer.write(b"".join(blocks))
                 blocks.clear()
                 buffered_bytes = 0
-        release_connection(exchange, head)
+        release_connection(exchange, replica, head)
         body = b"".join(blocks)
         if not self._answer.started:
             self._answer.start(head.status, head.reason, head.headers, len(body))
@@ -153,8 +160,9 @@
         resumable = self._route.resumable
         self._framer.partial.clear()
         self._boundary = EventBoundary()
+        event_began = boot_clock.now()
         while True:
-            block = self._read_block(exchange, self._gap_timeout_s())
+            block = self._read_block(exchange, self._gap_timeout_s(event_began))
             if isinstance(block, OutcomeUnknown):
                 return broken_attempt(block)
             replica.record_received()
@@ -162,26 +170,40 @@
                 break
             self._boundary.feed(block)
             events = self._framer.feed(block) if resumable else block
-            if self._framer.is_too_long:
-                failure = exchange.abandon_endless(AnswerPart.EVENT, TOO_LONG_EVENT)
-                return broken_attempt(failure)
+            if events or self._framer.has_completed:
+                event_began = boot_clock.now()
+            if fault := self._event_fault(event_began):
+                return broken_attempt(exchange.abandon_endless(AnswerPart.EVENT, fault))
             if resumable and events and self.version is None:
                 self.version = StreamVersion.of_replica(replica.entry)
                 self._on_stream_begun(self.version)
             if not self._answer.started:
                 self._answer.start(head.status, head.reason, head.headers)
             self._answer.write(events)
+        return self._end_events(exchange, replica, head)
+
+    def _end_events(
+        self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
+    ) -> AttemptResult:
+        """Return the result of a stream whose body has ended regularly."""
         if self.inside_event:
             exchange.abandon()
             return Broken("the stream ended in the middle of an event", connection_closed=True)
         if not self._answer.started and ends_before_first_event(head, self.last_event_id):
             exchange.abandon()
             return Broken("the stream ended before its first event", connection_closed=True)
-        release_connection(exchange, head)
+        release_connection(exchange, replica, head)
         if not self._answer.started:
             self._answer.start(head.status, head.reason, head.headers)
         return Delivered(head.status, replica.id)
 
+    def _event_fault(self, event_began: float) -> str:
+        """Return why the incomplete event is given up; empty if it is not."""
+        if self._framer.is_too_long:
+            return TOO_LONG_EVENT
+        is_late = boot_clock.now() > event_began + EVENT_GAP_TIMEOUT_S
+        return LATE_EVENT if is_late and self._may_try_another() else ""
+
     def _read_block(self, exchange: Exchange, timeout_s: float) -> bytes | OutcomeUnknown:
         """Read the next block; while waiting for it, send buffered data to the caller."""
         give_up_at = boot_clock.now() + timeout_s
@@ -191,9 +213,12 @@
         exchange.set_read_timeout(give_up_at - boot_clock.now())
         return exchange.read_block()
 
-    def _gap_timeout_s(self) -> float:
+    def _gap_timeout_s(self, event_began: float) -> float:
+        """Return how long to wait for the rest of an event, of which the last one ended then."""
         remaining_s = self._request.deadline.remaining_s()
-        return min(remaining_s, EVENT_GAP_TIMEOUT_S) if self._may_try_another() else remaining_s
+        if not self._may_try_another():
+            return remaining_s
+        return min(remaining_s, event_began + EVENT_GAP_TIMEOUT_S - boot_clock.now())
 
 
 def ends_before_first_event(head: AnswerHead, last_event_id: str | None) -> bool:
@@ -205,12 +230,15 @@
     return head.framing is BodyFraming.CONNECTION_CLOSE and last_event_id is None
 
 
-def release_connection(exchange: Exchange, head: AnswerHead) -> None:
-    """Keep the connection for reuse as long as the replica allows, after a complete answer."""
-    if head.keep_alive_s > 0:
-        exchange.release(head.keep_alive_s)
-    else:
+def release_connection(exchange: Exchange, replica: FaultyReplica, head: AnswerHead) -> None:
+    """Keep the connection for reuse as long as the replica allows, after a complete answer.
+
+    Bytes after the answer count as a failure of the replica.
+    """
+    if head.keep_alive_s <= 0:
         exchange.abandon()
+    elif not exchange.release(head.keep_alive_s):
+        replica.record_failure()
 
 
 def _is_stream(head: AnswerHead) -> bool:
--- a/src/quaymill/request/event_stream.py
+++ b/src/quaymill/request/event_stream.py
@@ -6,6 +6,7 @@
 
 EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 1024 * 1024
+LATE_EVENT = "did not end in time"
 TOO_LONG_EVENT = f"is longer than {MAX_EVENT_BYTES} bytes"
 _ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 _BLANK_LINE = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)\Z")
@@ -42,11 +43,14 @@
         Id of the last complete event returned; ``None`` before the first event with an id.
     partial
         Bytes of the event that is still incomplete.
+    has_completed
+        Whether the last block completed an event, even if it was a repeated one.
     """
 
     def __init__(self, last_id: str | None = None) -> None:
         self.last_id = last_id
         self.partial = bytearray()
+        self.has_completed = False
 
     @property
     def is_too_long(self) -> bool:
@@ -56,6 +60,7 @@
     def feed(self, block: bytes) -> bytes:
         """Add a block; return the events that it completes, without repeated ones."""
         events = take_events(self.partial, block)
+        self.has_completed = bool(events)
         return self._without_repeated(events) if events else b""
 
     def _without_repeated(self, events: bytes) -> bytes:
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -537,7 +537,7 @@
         if isinstance(body, OutcomeUnknown):
             return
         self._kept_error = _ReplicaError(head, body, replica.id)
-        release_connection(exchange, head)
+        release_connection(exchange, replica, head)
 
     def _handle_refusal(
         self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead
--- a/tests/test_bounded_reader.py
+++ b/tests/test_bounded_reader.py
@@ -6,10 +6,13 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from nose2.tools import params
+from prometheus_client import CollectorRegistry
 
 from quaymill import boot_clock
+from quaymill.connection import replica_connection
 from quaymill.connection.bounded_reader import MAX_HEAD_BYTES, MAX_TRAILER_BYTES, AnswerPart
 from quaymill.connection.endpoint import Endpoint, LinkFilter
 from quaymill.connection.replica_connection import (
@@ -19,6 +22,7 @@
     ReplicaRequest,
 )
 from quaymill.connection.strict_http import MAX_INTERIM_ANSWERS
+from quaymill.process.gateway_gauges import add_endless_gauge
 from quaymill.request.event_stream import MAX_EVENT_BYTES, EventFramer
 from quaymill.request.outcome import OutcomeUnknown
 from raw_replica import RawReplica, RawRequest
@@ -107,6 +111,19 @@
         self.assertEqual(1, self.connections.endless_by_part[part])
         self.check_closed()
 
+    def test_endless_answer_is_counted_and_logged(self) -> None:
+        part, self.sent, self.endless = ENDLESS["header"]
+        registry = CollectorRegistry()
+        add_endless_gauge(registry, self.connections)
+        with mock.patch.object(replica_connection, "log_message") as logged:
+            self.read(self.send())
+        labels = {"part": part.value}
+        self.assertEqual(1, registry.get_sample_value("quaymill_endless_answers", labels))
+        (call,) = logged.call_args_list
+        self.assertEqual(("replica:endless_answer",), call.args)
+        self.assertEqual(("request", "head"), (call.kwargs["request_id"], call.kwargs["part"]))
+        self.assertGreater(call.kwargs["received_bytes"], MAX_HEAD_BYTES)
+
     @params(UNFRAMED, CHUNKED)
     def test_body_that_goes_on_after_its_time_is_given_up(self, head: bytes) -> None:
         self.sent = head
