Do not count a body that stalls within a chunk as an answer without end

The line of a chunk that had arrived before its data stalled was taken for a line that never ends. The bounds now tell whether the end of a line is being waited for; test_bounded_reader asks it of three stalled bodies.

--- a/src/quaymill/connection/bounded_reader.py
+++ b/src/quaymill/connection/bounded_reader.py
@@ -66,12 +66,15 @@
         The part to which the lines that are read now belong.
     received_bytes
         Number of bytes received on the connection.
+    inside_line
+        Whether the end of a line is being waited for.
     """
 
     deadline: float = math.inf
     strict: bool = False
     part: AnswerPart = AnswerPart.HEAD
     received_bytes: int = 0
+    inside_line: bool = False
 
     def end_after(self, seconds: float) -> None:
         """Let reads fail once ``seconds`` have passed."""
@@ -166,7 +169,9 @@
         TimeoutError
             The deadline has passed.
         """
+        self._bounds.inside_line = True
         line = self._file.readline(limit_bytes)
+        self._bounds.inside_line = False
         part = self._bounds.part
         self._part_bytes += len(line)
         if self._part_bytes > _MAX_BYTES[part]:
--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -339,12 +339,9 @@
     def _record_unfinished_part(self, received_before: int) -> None:
         """Record after a timeout that a part did not end although its bytes kept coming."""
         # A body may be slow: its bytes are read as they come.
-        if self._bounds.received_bytes > received_before and self._is_reading_lines():
+        if self._bounds.inside_line and self._bounds.received_bytes > received_before:
             self._pool.record_endless(self._fault(self._bounds.part))
 
-    def _is_reading_lines(self) -> bool:
-        return self._response is None or self.framing is BodyFraming.CHUNKED
-
     def _fault(self, part: AnswerPart) -> EndlessAnswer:
         return EndlessAnswer(
             self._request_id,
--- a/tests/test_bounded_reader.py
+++ b/tests/test_bounded_reader.py
@@ -111,6 +111,12 @@
         self.assertEqual(1, self.connections.endless_by_part[part])
         self.check_closed()
 
+    @params(UNFRAMED + b"bo", CHUNKED + b"4\r\nbo", CHUNKED)
+    def test_body_that_stalls_does_not_count_as_endless(self, answer: bytes) -> None:
+        self.sent = answer
+        self.assertIsInstance(self.read(self.send(), DEADLINE_S), OutcomeUnknown)
+        self.assertEqual({0}, set(self.connections.endless_by_part.values()))
+
     def test_endless_answer_is_counted_and_logged(self) -> None:
         part, self.sent, self.endless = ENDLESS["header"]
         registry = CollectorRegistry()
