--- a/src/quaymill/connection/bounded_reader.py
+++ b/src/quaymill/connection/bounded_reader.py
@@ -48,7 +48,7 @@
     """A part of an answer is longer than allowed."""
 
     def __init__(self, part: AnswerPart, reason: str) -> None:
-        super().__init__(f"the {part.value} of the answer {reason}")
+        super().__init__(f"part '{part.value}' of the answer {reason}")
         self.part = part
 
 
--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -327,7 +327,7 @@
         """Close the connection, as a part of the answer is too long or goes on for too long."""
         self.abandon()
         self._pool.record_endless(self._fault(part))
-        return self._no_answer(f"the {part.value} of the answer {reason}")
+        return self._no_answer(f"part '{part.value}' of the answer {reason}")
 
     def _broken_answer(self, error: Exception) -> OutcomeUnknown:
         cause = error if isinstance(error, PartTooLongError) else error.__cause__
