--- a/tests/test_standin_fleet.py
+++ b/tests/test_standin_fleet.py
@@ -9,7 +9,13 @@
 import msgspec
 from nose2.tools import params
 
-from quaymill_standins.fleet_replica import FleetReplica, ReplicaBehaviour, event_bytes
+from quaymill_standins.fleet_replica import (
+    ENDLESS_FORMS,
+    SURPLUS,
+    FleetReplica,
+    ReplicaBehaviour,
+    event_bytes,
+)
 from quaymill_standins.fleet_store import FleetStore
 from standin_support import StandinClient, wait_until
 
@@ -18,6 +24,27 @@
 EXTRA_S = 0.2
 
 
+class EndlessAnswerTest(unittest.TestCase):
+    """Answers whose bytes go on until the connection is closed."""
+
+    @params(*((form, interval_s) for form in ENDLESS_FORMS for interval_s in (0.0, 0.01)))
+    def test_goes_on_until_the_connection_is_closed(self, form: str, interval_s: float) -> None:
+        replica = FleetReplica("replica", "engine", "zone")
+        replica.behaviour = ReplicaBehaviour(endless=form, endless_interval_s=interval_s)
+        replica.start()
+        self.addCleanup(replica.stop)
+        with socket.create_connection(("127.0.0.1", replica.port), timeout=10.0) as connection:
+            head = b"POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 0\r\n\r\n"
+            connection.sendall(head)
+            start = ENDLESS_FORMS[form].start
+            received = b""
+            while len(received) < len(start) + 500:
+                received += connection.recv(4096)
+            self.assertIn(start, received)
+            self.assertEqual(form == SURPLUS, b"answer to r" in received)
+        wait_until(lambda: replica.runs_of("r")[0].cancelled, "the replica has noticed the close")
+
+
 class UnframedAnswerTest(unittest.TestCase):
     """Answers with neither a length nor chunks, whole and cut."""
 
