Cut the cost of bounded reads

Readers look for bytes after an answer in their buffer and by one poll, in place of a read that fails; lines are counted without looking up their bound; a body that is empty or read already costs no calls.

--- a/src/quaymill/connection/bounded_reader.py
+++ b/src/quaymill/connection/bounded_reader.py
@@ -17,6 +17,7 @@
 import attrs
 
 from quaymill import boot_clock
+from quaymill.connection.readable import is_readable
 
 MAX_HEAD_BYTES = 64 * 1024
 """Maximum size of the status line and the headers, together with all interim answers."""
@@ -81,20 +82,32 @@
         self.deadline = boot_clock.now() + seconds
 
 
+class _LookAhead(enum.Enum):
+    """Where bytes are looked for that can be read without waiting."""
+
+    BUFFER = "buffer"
+    SOCKET = "socket"
+
+
 class DeadlineIO(io.RawIOBase):
     """Reads a socket until a deadline.
 
+    Parameters
+    ----------
+    raw
+        The unbuffered file of the socket, which is closed with this one.
+
     Attributes
     ----------
-    looking_ahead
-        Whether a read that would have to wait returns ``None`` instead of raising an error.
+    look_ahead
+        If set, a read that would have to wait returns ``None`` instead of raising an error.
     """
 
     def __init__(self, raw: io.RawIOBase, connection: socket.socket, bounds: ReadBounds) -> None:
         self._raw = raw
         self._connection = connection
         self._bounds = bounds
-        self.looking_ahead = False
+        self.look_ahead: _LookAhead | None = None
 
     def readable(self) -> bool:
         """Return ``True``."""
@@ -106,20 +119,30 @@
 
     def readinto(self, buffer: bytearray) -> int | None:
         """Receive into a buffer; raises ``TimeoutError`` after the deadline."""
-        if self.looking_ahead:
-            self._connection.settimeout(0.0)
-        elif self._bounds.deadline < math.inf:
-            left_s = self._bounds.deadline - boot_clock.now()
-            if left_s <= 0 and self._bounds.strict:
+        if self.look_ahead is not None:
+            return self._read_ahead(buffer)
+        bounds = self._bounds
+        if bounds.deadline < math.inf:
+            left_s = bounds.deadline - boot_clock.now()
+            if left_s <= 0 and bounds.strict:
                 raise TimeoutError("timed out")
-            self._connection.settimeout(max(0.0, left_s))
-        received_bytes = self._raw.readinto(buffer)
-        if received_bytes is not None:
-            self._bounds.received_bytes += received_bytes
-        elif not self.looking_ahead:
-            raise TimeoutError("timed out")
+            self._connection.settimeout(left_s if left_s > 0 else 0.0)
+        try:
+            received_bytes = self._connection.recv_into(buffer)
+        except BlockingIOError as error:
+            raise TimeoutError("timed out") from error
+        bounds.received_bytes += received_bytes
         return received_bytes
 
+    def _read_ahead(self, buffer: bytearray) -> int | None:
+        if self.look_ahead is _LookAhead.BUFFER:
+            return None
+        self._connection.settimeout(0.0)
+        try:
+            return self._connection.recv_into(buffer)
+        except BlockingIOError:
+            return None
+
     def close(self) -> None:
         """Close the file; the socket is closed by its owner."""
         self._raw.close()
@@ -141,13 +164,13 @@
     """
 
     def __init__(self, raw: io.RawIOBase, connection: socket.socket, bounds: ReadBounds) -> None:
-        self._deadline_io = DeadlineIO(raw, connection, bounds)
-        self._file = io.BufferedReader(self._deadline_io)
+        self._io = DeadlineIO(raw, connection, bounds)
+        self._file = io.BufferedReader(self._io)
+        self._connection = connection
         self._bounds = bounds
-        self._part_bytes = 0
-        self.begin_part(AnswerPart.HEAD)
         self.has_surplus = False
         self.read1 = self._file.read1
+        self.begin_part(AnswerPart.HEAD)
 
     def __getattr__(self, name: str) -> object:
         return getattr(self._file, name)
@@ -155,7 +178,8 @@
     def begin_part(self, part: AnswerPart) -> None:
         """Count the lines that follow for another part."""
         self._bounds.part = part
-        self._part_bytes = 0
+        self._max_bytes = _MAX_BYTES[part]
+        self._left_bytes = self._max_bytes
 
     def readline(self, limit_bytes: int = -1) -> bytes:
         """Read a line with its line feed, or ``limit_bytes`` of a longer line.
@@ -169,18 +193,18 @@
         TimeoutError
             The deadline has passed.
         """
-        self._bounds.inside_line = True
+        bounds = self._bounds
+        bounds.inside_line = True
         line = self._file.readline(limit_bytes)
-        self._bounds.inside_line = False
-        part = self._bounds.part
-        self._part_bytes += len(line)
-        if self._part_bytes > _MAX_BYTES[part]:
-            raise PartTooLongError(part, f"is longer than {_MAX_BYTES[part]} bytes")
-        if part is AnswerPart.CHUNK_LINE:
-            self._part_bytes = 0
+        bounds.inside_line = False
+        self._left_bytes -= len(line)
+        if self._left_bytes < 0:
+            raise PartTooLongError(bounds.part, f"is longer than {self._max_bytes} bytes")
+        if bounds.part is AnswerPart.CHUNK_LINE:
+            self._left_bytes = self._max_bytes
         if line.endswith(b"\n") or len(line) == limit_bytes:
             return line
-        if line or part is AnswerPart.HEAD:
+        if line or bounds.part is AnswerPart.HEAD:
             raise ConnectionResetError("the connection ended within the head or a line")
         return line
 
@@ -188,16 +212,24 @@
         """Close the reader, once the whole answer has been read or the connection has failed."""
         if not self._file.closed:
             with contextlib.suppress(OSError):
-                self.has_surplus = bool(self.look_ahead())
+                self.has_surplus = self._finds_surplus()
         self._file.close()
 
+    def _finds_surplus(self) -> bool:
+        if self._peek(_LookAhead.BUFFER):
+            return True
+        return is_readable(self._connection, 0.0) and bool(self.look_ahead())
+
     def look_ahead(self) -> bytes:
         """Return some bytes that can be read without waiting, and leave them unread.
 
         This may leave the socket non-blocking.
         """
-        self._deadline_io.looking_ahead = True
+        return self._peek(_LookAhead.SOCKET)
+
+    def _peek(self, where: _LookAhead) -> bytes:
+        self._io.look_ahead = where
         try:
             return self._file.peek(1)
         finally:
-            self._deadline_io.looking_ahead = False
+            self._io.look_ahead = None
--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -197,6 +197,8 @@
             It is incomplete, longer than the limit, or not there in time; the connection must be
             closed.
         """
+        if self.body_was_read:
+            return b""
         length = int(self.header("Content-Length") or 0)
         if length > limit_bytes:
             raise BodyTooLargeError
