Keep a slow caller's time out of the gap between events; one poll for all idle connections

The gap between two events counted the time for which the write to a slow caller blocked, so that a sound replica could be given up for it. It begins after the write now, and a late read counts only together with late reads right before it. Found by reading the diff.

The check of idle connections polled each of them; it polls all at once now.

--- a/src/quaymill/connection/idle_connections.py
+++ b/src/quaymill/connection/idle_connections.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import select
 import threading
 from collections.abc import Callable
 from typing import Generic, TypeVar
@@ -82,24 +83,39 @@
         for closed in closing:
             self._close(closed)
 
-    def remove_unusable(self) -> list[tuple[Endpoint, Connection]]:
-        """Remove and return the connections that are closed, or on which data has arrived.
+    def remove_readable(
+        self, descriptor_of: Callable[[Connection], int]
+    ) -> list[tuple[Endpoint, Connection]]:
+        """Remove and return the connections that have ended, or on which data has arrived.
 
-        The connections are checked under the lock: one that is in use may have data to read.
+        The connections are polled under the lock: one that is in use may have data to read.
         """
-        removed: list[tuple[Endpoint, Connection]] = []
         with self._lock:
-            for endpoint, connections in list(self._by_endpoint.items()):
-                usable = []
+            poll = select.poll()
+            for connections in self._by_endpoint.values():
                 for idle in connections:
-                    if self._is_open(idle.connection):
-                        usable.append(idle)
-                    else:
-                        removed.append((endpoint, idle.connection))
-                if usable:
-                    self._by_endpoint[endpoint] = usable
+                    poll.register(descriptor_of(idle.connection), select.POLLIN)
+            readable = {descriptor for descriptor, _ in poll.poll(0)}
+            if not readable:
+                return []
+            return self._remove(lambda connection: descriptor_of(connection) in readable)
+
+    def _remove(
+        self, is_unusable: Callable[[Connection], bool]
+    ) -> list[tuple[Endpoint, Connection]]:
+        """Remove and return the connections that fulfil a condition; the caller holds the lock."""
+        removed: list[tuple[Endpoint, Connection]] = []
+        for endpoint, connections in list(self._by_endpoint.items()):
+            kept = []
+            for idle in connections:
+                if is_unusable(idle.connection):
+                    removed.append((endpoint, idle.connection))
                 else:
-                    del self._by_endpoint[endpoint]
+                    kept.append(idle)
+            if kept:
+                self._by_endpoint[endpoint] = kept
+            else:
+                del self._by_endpoint[endpoint]
         return removed
 
     def drop(self, endpoint: Endpoint) -> None:
--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -230,12 +230,16 @@
         if not block and self._was_closed_here():
             self.abandon()
             return self._no_answer("this process has closed the connection")
-        if self._read_timeout_s <= 0 and self._is_too_late(len(block)):
+        if self._is_too_late(len(block)):
             return self.abandon_endless(AnswerPart.BODY, "went on after its time had passed")
         return block
 
     def _is_too_late(self, received_bytes: int) -> bool:
-        """Count a block that was read after the time for the answer; return whether to stop."""
+        """Count a block that was read after its time; return whether to stop."""
+        if self._read_timeout_s > 0:
+            self._late_bytes = 0
+            self._late_since = math.inf
+            return False
         now = boot_clock.now()
         self._late_since = min(self._late_since, now)
         self._late_bytes += received_bytes
@@ -535,7 +539,7 @@
     def _check_idle(self) -> None:
         """Close idle connections that their replica has closed, or sends data on."""
         while not self._closed.wait(IDLE_CHECK_INTERVAL_S):
-            for endpoint, connection in self._idle.remove_unusable():
+            for endpoint, connection in self._idle.remove_readable(_descriptor_of):
                 if _has_data(connection):
                     self.record_endless(EndlessAnswer("", endpoint, AnswerPart.SURPLUS))
                 connection.close()
@@ -550,6 +554,10 @@
         self._idle.close()
 
 
+def _descriptor_of(connection: StrictHTTPConnection) -> int:
+    return connection.sock.fileno()
+
+
 def _has_data(connection: StrictHTTPConnection) -> bool:
     """Return whether data can be read, as opposed to the end of the connection."""
     try:
--- a/src/quaymill/request/answer_relay.py
+++ b/src/quaymill/request/answer_relay.py
@@ -170,9 +170,8 @@
                 break
             self._boundary.feed(block)
             events = self._framer.feed(block) if resumable else block
-            if events or self._framer.has_completed:
-                event_began = boot_clock.now()
-            if fault := self._event_fault(event_began):
+            has_completed = bool(events) or self._framer.has_completed
+            if not has_completed and (fault := self._event_fault(event_began)):
                 return broken_attempt(exchange.abandon_endless(AnswerPart.EVENT, fault))
             if resumable and events and self.version is None:
                 self.version = StreamVersion.of_replica(replica.entry)
@@ -180,6 +179,9 @@
             if not self._answer.started:
                 self._answer.start(head.status, head.reason, head.headers)
             self._answer.write(events)
+            if has_completed:
+                # A slow caller may have blocked the write, for which the replica is not to blame.
+                event_began = boot_clock.now()
         return self._end_events(exchange, replica, head)
 
     def _end_events(
--- a/tests/test_bounded_reader.py
+++ b/tests/test_bounded_reader.py
@@ -226,7 +226,9 @@
         for _ in range(50):
             exchange = self.send()
             self.assertTrue(exchange.wait_readable(TIMEOUT_S))
-            self.assertEqual([], self.connections._idle.remove_unusable())
+            self.assertEqual(
+                [], self.connections._idle.remove_readable(replica_connection._descriptor_of)
+            )
             self.assertEqual(b"body", self.read(exchange))
             exchange.release()
         self.assertEqual(1, self.replica.accepted)
