--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -377,13 +377,13 @@
             raise CannotRun("target/deps is missing: run the build of the deploy file")
         self.store = Store()
         self.processes = {}
-        self._peer_port = free_port()
+        self.peer_port = free_port()
         self._addresses = iter(f"127.77.{os.getpid() % 250}.{number}" for number in range(10, 250))
 
     def add(self, role, name, zone):
         """Add a process; it is not started."""
         address = next(self._addresses)
-        ports = f"{self._peer_port},{self._peer_port + 15}"
+        ports = f"{self.peer_port},{self.peer_port + 15}"
         gateways = [one for one in self.processes.values() if one.role == "gateway"]
         seeds = [f"{one.address}:9" for one in gateways[:3]] or [f"{address}:9"]
         values = {"node_id": name, "zone": zone, "region": "north", "ip": address}
