--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # they are just compiled, which shows that they can be read. Run it after the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
-PYTHONPYCACHEPREFIX=target/review-2 python3 -m compileall -q review/rig-2 review/4
+PYTHONPYCACHEPREFIX=target/review-2 python3 -m compileall -q review/rig-2 review/4 review/5
