Ask the members that respond first, and bound a whole read by its caller's time

Cause: dead members stay known for half an hour and were ranked with the others; no step of a read knew how long its caller still waits.

--- a/src/quaymill/process/jobs/job_lookup.py
+++ b/src/quaymill/process/jobs/job_lookup.py
@@ -32,17 +32,27 @@
         self._listings = listings
         self._started_at = boot_clock.now()
 
-    def check_absence(self, job_id: str, not_found: NotFound) -> NoSuchJob | Unsure:
+    def check_absence(
+        self, job_id: str, not_found: NotFound, deadline: float | None = None
+    ) -> NoSuchJob | Unsure:
         """Return ``NoSuchJob`` only if it is certain that the job does not exist.
 
         A new gateway may not know all storage nodes yet, and a known node may just have lost
         its disk. A job with results also has a listing in the platform's store.
+
+        Parameters
+        ----------
+        deadline
+            Time by ``boot_clock`` until which an answer is useful.
         """
         if not not_found.certain:
             return Unsure("not all storage nodes answered")
         if boot_clock.now() - self._started_at < DISCOVERY_TIME_S:
             return Unsure("this gateway may not know all storage nodes yet")
-        listing = self._listings.read(job_id)
+        if deadline is None:
+            listing = self._listings.read(job_id)
+        else:
+            listing = self._listings.read_until(job_id, deadline)
         if listing is not None:
             return Unsure("no storage node has the job, but it has or may have a listing")
         return NoSuchJob()
--- a/src/quaymill/process/jobs/listing.py
+++ b/src/quaymill/process/jobs/listing.py
@@ -8,12 +8,15 @@
 
 from __future__ import annotations
 
+import queue
+import threading
 from collections.abc import Iterable
 
 import attrs
 import msgspec
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.job_document import ResultState
 from quaymill.connection.job_storage_messages import ResultKey
 from quaymill.connection.object_store import (
@@ -99,6 +102,22 @@
             return ListingUnknown(found.reason)
         return _decode_listing(found)
 
+    def read_until(self, job_id: str, deadline: float) -> Listing | None | ListingUnknown:
+        """Return the stored listing as ``read`` does, at the latest at ``deadline``.
+
+        Calls to the store have timeouts of their own, which may be longer than a caller waits.
+        """
+        answers: queue.SimpleQueue[Listing | None | ListingUnknown] = queue.SimpleQueue()
+
+        def read() -> None:
+            answers.put(self.read(job_id))
+
+        threading.Thread(target=read, name="read-listing", daemon=True).start()
+        try:
+            return answers.get(timeout=max(0.0, deadline - boot_clock.now()))
+        except queue.Empty:
+            return ListingUnknown("the store did not answer in time")
+
     def write(self, job_id: str, listing: Listing) -> Listing | ListingUnknown:
         """Write a listing on top of the revision at which it was read.
 
--- a/src/quaymill/process/jobs/result_reader.py
+++ b/src/quaymill/process/jobs/result_reader.py
@@ -23,7 +23,13 @@
 )
 from quaymill.process.jobs.storage_client import JobStorageClient, NotFound
 
-READ_TIMEOUT_S = 1.0
+MAX_WAIT_S = 1.0
+"""Longest time that a read waits for a result."""
+READ_TIME_S = 1.2
+"""Time for a read in addition to that wait. It bounds all its steps together, so that callers get
+an answer while they still wait for it."""
+COORDINATOR_TIME_S = 0.8
+"""Part of it that a coordinator may take; the rest is for reading without it."""
 MAX_WAITING_READS = 24
 """Maximum number of reads that wait for a result at the same time; each occupies a thread."""
 MAX_KNOWN_COORDINATORS = 2000
@@ -61,33 +67,37 @@
 
     def read(self, job_id: str, since: int, wait_s: float) -> ResultsPage | NoSuchJob | Unsure:
         """Return results from position ``since`` on, wherever the job is coordinated."""
-        page, source = self._read(job_id, since, min(wait_s, READ_TIMEOUT_S))
+        wait_s = min(wait_s, MAX_WAIT_S)
+        deadline = boot_clock.now() + wait_s + READ_TIME_S
+        page, source = self._read(job_id, since, wait_s, deadline)
         if isinstance(page, ResultsPage) and not page.results:
             log_message("job:read_empty", job=job_id, since=since, source=source, outcome="empty")
         return page
 
     def _read(
-        self, job_id: str, since: int, wait_s: float
+        self, job_id: str, since: int, wait_s: float, deadline: float
     ) -> tuple[ResultsPage | NoSuchJob | Unsure, str]:
         """Return results and the name of their coordinator; empty if read from the store."""
         coordinated = self._coordinator.get(job_id)
         if coordinated is not None:
-            return self._page(job_id, since, wait_s), self._coordinator.name
+            return self._page(job_id, since, wait_s, deadline), self._coordinator.name
         coordinator = self._coordinators_by_job.get(job_id)
-        page = self._read_from_coordinator(job_id, since, wait_s, coordinator)
+        page = self._read_from_coordinator(job_id, since, deadline, coordinator)
         if page is not None:
             return page, coordinator or ""
-        found = self._storage.find_job(job_id)
+        found = self._storage.find_job(job_id, deadline=deadline)
         if isinstance(found, NotFound):
-            return self._lookup.check_absence(job_id, found), ""
+            return self._lookup.check_absence(job_id, found, deadline), ""
         if found.coordinator != coordinator:
-            page = self._read_from_coordinator(job_id, since, wait_s, found.coordinator)
+            page = self._read_from_coordinator(job_id, since, deadline, found.coordinator)
             if page is not None:
                 self._remember_coordinator(job_id, found.coordinator)
                 return page, found.coordinator
-        return self._read_directly(job_id, since, found.total), ""
+        return self._read_directly(job_id, since, found.total, deadline), ""
 
-    def _page(self, job_id: str, since: int, wait_s: float) -> ResultsPage | Unsure:
+    def _page(
+        self, job_id: str, since: int, wait_s: float, deadline: float
+    ) -> ResultsPage | Unsure:
         coordinated = self._coordinator.get(job_id)
         if coordinated is None:
             return Unsure("the job has just moved to another gateway")
@@ -98,10 +108,12 @@
         finally:
             if may_wait:
                 self._waiting_reads.release()
-        return page if page.results else self._page_from_current_listing(coordinated, since)
+        if page.results:
+            return page
+        return self._page_from_current_listing(coordinated, since, deadline)
 
     def _page_from_current_listing(
-        self, coordinated: CoordinatedJob, since: int
+        self, coordinated: CoordinatedJob, since: int, deadline: float
     ) -> ResultsPage | Unsure:
         """Return the page again, from a listing that is known to be recent enough.
 
@@ -112,22 +124,26 @@
         """
         if not coordinated.listing_is_current():
             began = boot_clock.now()
-            listing = self._listings.read(coordinated.id)
+            listing = self._listings.read_until(coordinated.id, deadline)
             if isinstance(listing, ListingUnknown):
                 return Unsure(f"the listing of the job cannot be read: {listing.reason}")
             coordinated.update_listing(
                 listing or Listing(ListingDocument("", coordinated.total)), began
             )
-        return self._page_with_contents(coordinated, since)
+        return self._page_with_contents(coordinated, since, deadline)
 
-    def _page_with_contents(self, coordinated: CoordinatedJob, since: int) -> ResultsPage | Unsure:
+    def _page_with_contents(
+        self, coordinated: CoordinatedJob, since: int, deadline: float
+    ) -> ResultsPage | Unsure:
         """Return the page again, after fetching contents that an adopted job may lack.
 
         A listed position may have been read already, so it is never reported as empty.
         """
         missing = coordinated.missing_contents(since)
         if missing:
-            coordinated.add_contents(self._storage.fetch_results(coordinated.id, missing))
+            coordinated.add_contents(
+                self._storage.fetch_results(coordinated.id, missing, deadline=deadline)
+            )
         page = coordinated.page(since, 0.0)
         if page.results:
             return page
@@ -146,8 +162,12 @@
         return page
 
     def _read_from_coordinator(
-        self, job_id: str, since: int, wait_s: float, coordinator: str | None
+        self, job_id: str, since: int, deadline: float, coordinator: str | None
     ) -> ResultsPage | None:
+        """Return the page of another gateway; ``None`` if it has none or no time is left."""
+        remaining_s = deadline - boot_clock.now() - (READ_TIME_S - COORDINATOR_TIME_S)
+        if remaining_s <= 0:
+            return None
         if not coordinator:
             return None
         if coordinator == self._coordinator.name:
@@ -157,9 +177,9 @@
             return None
         reply = self._peer_client.call(
             member.peer,
-            ReadResults(job_id, since, wait_s),
+            ReadResults(job_id, since, max(0.0, remaining_s - COORDINATOR_TIME_S)),
             ResultsPage | NotCoordinator,
-            wait_s + READ_TIMEOUT_S,
+            remaining_s,
         )
         if isinstance(reply, ResultsPage):
             return reply
@@ -177,14 +197,16 @@
             self._coordinators_by_job.clear()
         self._coordinators_by_job[job_id] = coordinator
 
-    def _read_directly(self, job_id: str, since: int, total: int) -> ResultsPage | Unsure:
+    def _read_directly(
+        self, job_id: str, since: int, total: int, deadline: float
+    ) -> ResultsPage | Unsure:
         """Read the listing from the platform's store and the contents from storage nodes."""
-        listing = self._listings.read(job_id)
+        listing = self._listings.read_until(job_id, deadline)
         if isinstance(listing, ListingUnknown):
             return Unsure(f"the listing of the job cannot be read: {listing.reason}")
         document = ListingDocument("", total) if listing is None else listing.document
         keys = tuple(listed.key for listed in document.results[since:])
-        contents = self._storage.fetch_results(job_id, keys) if keys else {}
+        contents = self._storage.fetch_results(job_id, keys, deadline=deadline)
         page = make_page(document, contents, since)
         if keys and not page.results:
             return Unsure("a listed result cannot be read now")
@@ -193,5 +215,6 @@
     def _answer_read(self, message: ReadResults) -> ResultsPage | NotCoordinator:
         if self._coordinator.get(message.job_id) is None:
             return NotCoordinator("this gateway does not coordinate the job")
-        page = self._page(message.job_id, message.since, message.wait_s)
+        deadline = boot_clock.now() + message.wait_s + COORDINATOR_TIME_S
+        page = self._page(message.job_id, message.since, message.wait_s, deadline)
         return page if isinstance(page, ResultsPage) else NotCoordinator(page.reason)
--- a/src/quaymill/process/jobs/service.py
+++ b/src/quaymill/process/jobs/service.py
@@ -7,6 +7,7 @@
 import attrs
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.job_document import Job
 from quaymill.connection.job_storage_messages import (
     AdoptJob,
@@ -28,7 +29,7 @@
 from quaymill.process.jobs.job_lookup import JobLookup, NoSuchJob, Unsure
 from quaymill.process.jobs.lease_renewal import LeaseRenewal
 from quaymill.process.jobs.listing import read_shared_listing
-from quaymill.process.jobs.result_reader import ResultReader
+from quaymill.process.jobs.result_reader import READ_TIME_S, ResultReader
 from quaymill.process.jobs.route_quota import OverQuota, QuotaUnknown
 from quaymill.process.jobs.storage_client import JobStorageClient, NotFound, NotStored
 from quaymill.process.jobs.submission_relay import SubmissionOutcome, SubmissionRelay
@@ -168,9 +169,10 @@
             body = next(bodies, None)
             # An empty body is valid.
             return NoSuchItem() if body is None else body
-        body = self._storage.fetch_body(job_id, item_id)
+        deadline = boot_clock.now() + READ_TIME_S
+        body = self._storage.fetch_body(job_id, item_id, deadline=deadline)
         if isinstance(body, NotFound):
-            return self._lookup.check_absence(job_id, body)
+            return self._lookup.check_absence(job_id, body, deadline)
         return NoSuchItem() if body is None else body
 
     def end(self, job_id: str) -> Ended | NoSuchJob | Unsure:
--- a/src/quaymill/process/jobs/storage_client.py
+++ b/src/quaymill/process/jobs/storage_client.py
@@ -8,6 +8,7 @@
 import attrs
 from eliot import log_message
 
+from quaymill import boot_clock
 from quaymill.connection.job_document import Job, JobResult
 from quaymill.connection.job_storage_messages import (
     EndJob,
@@ -32,12 +33,17 @@
 from quaymill.connection.member import Member
 from quaymill.connection.peer_link import PeerClient, PeerMessage
 from quaymill.process.job_copies import CopyRules
+from quaymill.process.jobs.member_search import responsive_first, search_members
 from quaymill.process.jobs.parallel_calls import CallOutcome, ZoneRule, call_members
 
 STORE_TIMEOUT_S = 2.5
 FIND_TIMEOUT_S = 1.0
+FIND_SETTLE_S = 0.1
+"""How long to wait for the other holders once one has reported a job: they may know that it has
+ended."""
 END_TIMEOUT_S = 2.5
-FETCH_TIMEOUT_S = 1.5
+FETCH_TIMEOUT_S = 2.5
+"""Time for finding contents at any number of storage nodes."""
 PROGRESS_TIMEOUT_S = 0.5
 """Progress that is not stored in time is sent again with the next save."""
 
@@ -167,32 +173,32 @@
         ranked = self._rules.rank(job_id, self._storage_nodes())
         return ranked[0].name if ranked else ""
 
-    def find_job(self, job_id: str, *, whole: bool = False) -> JobFound | NotFound:
+    def find_job(
+        self, job_id: str, *, whole: bool = False, deadline: float | None = None
+    ) -> JobFound | NotFound:
         """Look a job up at the storage nodes.
 
         Parameters
         ----------
         whole
             Whether to return the job itself as well; fewer storage nodes are then asked.
+        deadline
+            Time by ``boot_clock`` until which an answer is useful.
         """
-        known = self._known_storage_nodes()
-        uncertain = not known
-        remaining = list(self._nearest_first(job_id, known))
-        while remaining:
-            asked, remaining = remaining[: self._rules.kept], remaining[self._rules.kept :]
-            outcome = call_members(
-                self._peer_client,
-                asked,
-                FindJob(job_id, whole),
-                JobFound | JobUnknown,
-                needed=len(asked) if not whole else 1,
-                timeout_s=FIND_TIMEOUT_S,
-            )
-            found = [reply for _, reply in outcome.replies if isinstance(reply, JobFound)]
-            if found:
-                return _merge_found(found)
-            uncertain = uncertain or len(outcome.replies) < len(asked)
-        return NotFound(certain=not uncertain)
+        outcome = search_members(
+            self._peer_client,
+            self._nearest_first(job_id, self._known_storage_nodes()),
+            lambda: FindJob(job_id, whole),
+            JobFound | JobUnknown,
+            lambda reply: isinstance(reply, JobFound),
+            _earlier(deadline, FIND_TIMEOUT_S),
+            initial_calls=1 if whole else self._rules.kept,
+            settle_s=0.0 if whole else FIND_SETTLE_S,
+        )
+        found = [reply for reply in outcome.replies if isinstance(reply, JobFound)]
+        if found:
+            return _merge_found(found)
+        return NotFound(certain=bool(outcome.replies) and outcome.all_replied)
 
     def end_job(self, job_id: str) -> tuple[bool, frozenset[str]]:
         """Mark a job as ended on enough storage nodes.
@@ -211,36 +217,48 @@
         is_known = len(outcome.zones) >= zones_needed or self._rules.zones == 1
         return self._is_stored(outcome) and is_known, coordinators - {""}
 
-    def fetch_results(self, job_id: str, keys: Iterable[ResultKey]) -> dict[ResultKey, JobResult]:
-        """Return the contents of results that can be found."""
+    def fetch_results(
+        self, job_id: str, keys: Iterable[ResultKey], *, deadline: float | None = None
+    ) -> dict[ResultKey, JobResult]:
+        """Return the contents of results that can be found until ``deadline``."""
         found: dict[ResultKey, JobResult] = {}
         wanted = tuple(keys)
-        for member in self._nearest_first(job_id, self._known_storage_nodes()):
-            missing = tuple(key for key in wanted if key not in found)
-            if not missing:
-                break
-            reply = self._peer_client.call(
-                member.peer, FetchResults(job_id, missing), FetchedResults, FETCH_TIMEOUT_S
-            )
-            if isinstance(reply, FetchedResults):
-                found |= {one.key: one.result for one in reply.results}
+        if not wanted:
+            return found
+
+        def missing() -> tuple[ResultKey, ...]:
+            return tuple(key for key in wanted if key not in found)
+
+        def add(reply: FetchedResults) -> bool:
+            found.update({one.key: one.result for one in reply.results})
+            return not missing()
+
+        search_members(
+            self._peer_client,
+            self._nearest_first(job_id, self._known_storage_nodes()),
+            lambda: FetchResults(job_id, missing()),
+            FetchedResults,
+            add,
+            _earlier(deadline, FETCH_TIMEOUT_S),
+        )
         return found
 
-    def fetch_body(self, job_id: str, item_id: str) -> bytes | None | NotFound:
+    def fetch_body(
+        self, job_id: str, item_id: str, *, deadline: float | None = None
+    ) -> bytes | None | NotFound:
         """Return the request body of an item; ``None`` if the job has no such item."""
-        uncertain = False
-        known = self._known_storage_nodes()
-        for member in self._nearest_first(job_id, known):
-            reply = self._peer_client.call(
-                member.peer,
-                FetchBody(job_id, item_id),
-                FetchedBody | JobUnknown,
-                FETCH_TIMEOUT_S,
-            )
+        outcome = search_members(
+            self._peer_client,
+            self._nearest_first(job_id, self._known_storage_nodes()),
+            lambda: FetchBody(job_id, item_id),
+            FetchedBody | JobUnknown,
+            lambda reply: isinstance(reply, FetchedBody),
+            _earlier(deadline, FETCH_TIMEOUT_S),
+        )
+        for reply in outcome.replies:
             if isinstance(reply, FetchedBody):
                 return reply.body
-            uncertain = uncertain or not isinstance(reply, JobUnknown)
-        return NotFound(certain=bool(known) and not uncertain)
+        return NotFound(certain=bool(outcome.replies) and outcome.all_replied)
 
     def _replicate(
         self,
@@ -279,14 +297,24 @@
         return len(outcome.replies) >= self._rules.needed
 
     def _nearest_first(self, job_id: str, members: tuple[Member, ...]) -> list[Member]:
-        """Return the holders of the copies, those in this zone first, then the others by rank."""
-        ranked = self._rules.rank(job_id, members)
-        holders, others = list(ranked[: self._rules.kept]), list(ranked[self._rules.kept :])
+        """Return storage nodes in the order in which they are asked for a job.
+
+        The holders of its copies come first, those in this zone before the others. Nodes that are
+        marked as dead are no holders, since repair has copied the job to those that are left.
+        """
+        ranked = responsive_first(self._rules.rank(job_id, members))
+        holders, others = ranked[: self._rules.kept], ranked[self._rules.kept :]
         random.shuffle(holders)
         holders.sort(key=lambda member: member.zone != self._zone)
         return holders + others
 
 
+def _earlier(deadline: float | None, timeout_s: float) -> float:
+    """Return the earlier of a caller's deadline, if it has one, and the end of a timeout."""
+    limit = boot_clock.now() + timeout_s
+    return limit if deadline is None else min(deadline, limit)
+
+
 def _agreed_coordinator(names: list[str]) -> str:
     """Return the coordinator that most storage nodes name; among equals, the first by name.
 
