Accept only status lines that RFC 9112 allows

Callers got answers with the statuses 600, 700 and 999, and `+200` and `0200` of a faulty replica counted as 200, whole or streamed.

Cause: http.client parses the code with int(), splits at any white space and accepts 100 to 999. The same held for items, load reports, the store and the command line; the probe of reachability took any byte for an answer.

--- a/src/quaymill/connection/replica_connection.py
+++ b/src/quaymill/connection/replica_connection.py
@@ -483,20 +483,27 @@
         """Return whether an endpoint answers a request, or refuses the connection.
 
         An accepted connection does not suffice, as a proxy on this side of a network partition may
-        have accepted it. Any answer counts, whatever its status.
+        have accepted it. Any answer with a complete head counts, whatever its status.
         """
-        connection = HTTPConnection(endpoint.host, endpoint.port, timeout=PROBE_CONNECT_TIMEOUT_S)
+        connection = StrictHTTPConnection(
+            endpoint.host, endpoint.port, timeout=PROBE_CONNECT_TIMEOUT_S
+        )
         with contextlib.closing(connection):
             try:
                 connection.connect()
                 connection.request(
-                    request.method, request.path, body=request.body, headers=request.headers
+                    request.method,
+                    request.path,
+                    body=request.body,
+                    headers=request.headers,
+                    preload_content=False,
                 )
-                has_answer = is_readable(connection.sock, PROBE_ANSWER_TIMEOUT_S)
-                return has_answer and bool(connection.sock.recv(1))
+                connection.read_bounds.end_after(PROBE_ANSWER_TIMEOUT_S)
+                connection.getresponse().close()
+                return True
             except NewConnectionError as error:
                 return isinstance(error.__cause__, ConnectionRefusedError)
-            except (HTTPError, OSError):
+            except _READ_ERRORS:
                 return False
 
     def _new_connection(self, endpoint: Endpoint) -> StrictHTTPConnection:
--- a/src/quaymill/process/commands/gateway_client.py
+++ b/src/quaymill/process/commands/gateway_client.py
@@ -13,6 +13,7 @@
 import urllib3
 from urllib3.fields import RequestField
 
+from quaymill.connection.strict_http import StrictHTTPConnection
 from quaymill.process.gateway.batches import BatchObject
 from quaymill.process.gateway.files import FileObject
 
@@ -43,6 +44,12 @@
     error: _ErrorBody = _ErrorBody()
 
 
+class _StrictPool(urllib3.HTTPConnectionPool):
+    """Connections that return only well-formed answers."""
+
+    ConnectionCls = StrictHTTPConnection
+
+
 class GatewayClient:
     """Sends a tenant's requests; those with an idempotency key are repeated when in doubt."""
 
@@ -51,6 +58,7 @@
         self._headers = {"Authorization": f"Bearer {key}"}
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
         self._http = urllib3.PoolManager(timeout=timeout, retries=False)
+        self._http.pool_classes_by_scheme = {"http": _StrictPool}
 
     def upload(
         self, path: Path, idempotency_key: str, progress: Progress
