Keep what decides about take-ups of streams also at storage nodes

Callers whose streams had broken off took them up after all gateways had restarted at once.

Cause: the records of streams and of the versions that have served lived in the memory of gateways only, and a gateway that had just started took the replicas that it saw for all that had ever served.

Records go to two storage nodes as well, and the storage nodes keep, also on disk, which versions have served in the last 30 s. A gateway asks after its start; what is not known is refused at once.

--- a/src/quaymill/connection/stream_messages.py
+++ b/src/quaymill/connection/stream_messages.py
@@ -1,4 +1,4 @@
-"""Messages by which gateways share which software version began a stream."""
+"""Messages about the software versions that began streams, and that serve."""
 
 from __future__ import annotations
 
@@ -49,3 +49,33 @@
     """The record of a stream; ``None`` if the peer has none."""
 
     record: StreamRecord | None = None
+
+
+class ServiceVersion(msgspec.Struct, frozen=True, array_like=True):
+    """A software version of a service's replicas.
+
+    Attributes
+    ----------
+    version
+        ``None`` if the version that a replica states is invalid.
+    age_s
+        How long ago a replica of this version was last known to serve.
+    """
+
+    service: str
+    version: str | None
+    age_s: float = 0.0
+
+
+class ExchangeVersions(PeerMessage, frozen=True):
+    """Send the versions that serve now; answered by ``KnownVersions``."""
+
+    repeatable: ClassVar[bool] = True
+
+    versions: tuple[ServiceVersion, ...]
+
+
+class KnownVersions(PeerMessage, frozen=True):
+    """The versions that have served lately, as far as the sender knows."""
+
+    versions: tuple[ServiceVersion, ...]
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -73,6 +73,7 @@
 from quaymill.process.replica_set.warnings import ReplicaWarnings
 from quaymill.process.serving_settings import MS_PER_S, ServingSettings
 from quaymill.process.streams.records import StreamRecords
+from quaymill.process.streams.served_versions import ServedVersions
 from quaymill.process.streams.sharing import StreamVersionSharing
 from quaymill.process.streams.versions import StreamVersions
 from quaymill.request.answer_buffer import BufferedAnswers
@@ -222,9 +223,18 @@
             self.network.client,
             self.network.server,
             self.network.gateways,
+            self.network.storage_nodes,
+        )
+        self._served_versions = ServedVersions(
+            settings.name,
+            self.network.client,
+            self._table.served_versions,
+            self.network.gateways,
+            self.network.storage_nodes,
+            self.network.rules.needed,
         )
         self._stream_versions = StreamVersions(
-            self._stream_sharing, self._table, self.network.membership.confirmed_age_s
+            self._stream_sharing, self._served_versions, self.network.membership.confirmed_age_s
         )
         self._router = Router(
             self._table,
@@ -471,6 +481,7 @@
         self.control.start()
         self._warnings.start()
         self._stream_sharing.start()
+        self._served_versions.start()
         self._crash_sharing.start()
         self.coordinator.start()
         self.quota.start()
@@ -554,6 +565,7 @@
         self._loads.stop()
         self._warnings.stop()
         self._stream_sharing.stop()
+        self._served_versions.stop()
         self._crash_sharing.stop()
         self._online_reporter.stop()
         self._cold_watch.stop()
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -164,6 +164,22 @@
             DURATION,
         ),
     ),
+    "stream:history_known": LogEvent(
+        "the gateway knows which software versions served before it started",
+        ("versions: service and version of each", "replies: storage nodes that have replied"),
+    ),
+    "stream:history_unreadable": LogEvent(
+        "the file of served versions on the disk of a storage node cannot be read; it starts empty",
+        ("file: its path", "error: the exception"),
+    ),
+    "stream:history_not_saved": LogEvent(
+        "the served versions could not be written to the disk of a storage node",
+        ("file: its path", "error: the exception"),
+    ),
+    "stream:exchange_error": LogEvent(
+        "served versions were not exchanged because of an unexpected error; tried again",
+        ("error: the exception",),
+    ),
     "request:stream_sharing_error": LogEvent(
         "sharing the software versions of streams raised an exception", ("error: the exception",)
     ),
--- a/src/quaymill/process/replica_set/table.py
+++ b/src/quaymill/process/replica_set/table.py
@@ -16,6 +16,7 @@
 
 from quaymill import boot_clock
 from quaymill.connection.replica_entry import ReplicaEntry
+from quaymill.connection.stream_messages import ServiceVersion
 from quaymill.process.regions import ONE_REGION, RegionMap
 from quaymill.process.replica_set.cold_start import ColdRuleOf, no_cold_rule
 from quaymill.process.replica_set.replica import Replica
@@ -105,6 +106,16 @@
             for replica in self.of_service(version.service)
         )
 
+    def served_versions(self) -> tuple[ServiceVersion, ...]:
+        """Return the software versions of each service, those of departed replicas included."""
+        now = boot_clock.now()
+        age_by_version: dict[tuple[str, str | None], float] = {}
+        for replica in list(self._by_id.values()):
+            key = (replica.entry.service, replica.entry.version)
+            age_s = 0.0 if replica.departed_at is None else now - replica.departed_at
+            age_by_version[key] = min(age_s, age_by_version.get(key, age_s))
+        return tuple(ServiceVersion(*key, age_s) for key, age_s in age_by_version.items())
+
     def get(self, replica_id: str) -> Replica | None:
         """Return a replica by its identity."""
         return self._by_id.get(replica_id)
--- a/src/quaymill/process/storage_node.py
+++ b/src/quaymill/process/storage_node.py
@@ -19,6 +19,7 @@
 from quaymill.process.node_registry import NodeRegistry
 from quaymill.process.peer_network import PeerNetwork
 from quaymill.process.serving_settings import ServingSettings
+from quaymill.process.streams.archive import StreamArchive
 
 SWEEP_INTERVAL_S = 5.0
 RETENTION_MARGIN_S = 30.0
@@ -90,6 +91,7 @@
             self._handle_retirements,
             self._handle_retirement_changes,
         )
+        self._streams = StreamArchive(Path(settings.data_folder), network.server)
         self._registry = NodeRegistry(store, network.membership, self._lacks_peers)
 
     def start(self) -> None:
--- a/src/quaymill/process/streams/sharing.py
+++ b/src/quaymill/process/streams/sharing.py
@@ -2,8 +2,9 @@
 
 A caller whose stream was cut may return to any gateway, also after the first one has died or cannot
 be reached. The gateway that sends the first event of a stream therefore sends a record of it to a
-few others, in different zones, which every gateway finds by hashing the request's id. A gateway to
-which a caller returns asks these.
+few others, in different zones, which every gateway finds by hashing the request's id, and to
+storage nodes, since all gateways may restart at once. A gateway to which a caller returns asks
+these nodes.
 """
 
 from __future__ import annotations
@@ -26,6 +27,7 @@
     StreamsShared,
 )
 from quaymill.process.membership.ranking import rank_across_zones
+from quaymill.process.streams.archive import register_records
 from quaymill.process.streams.records import StreamRecords
 from quaymill.request.stream_version import StreamVersion
 
@@ -33,6 +35,9 @@
 """Gateways that get a record, beside the one that sent the first event."""
 GATEWAYS_ASKED = 6
 """More than hold a copy, since gateways that have left or joined change the ranking."""
+STORAGE_COPIES = 2
+"""Storage nodes that get a record."""
+STORAGE_NODES_ASKED = 4
 GATHER_S = 0.005
 """Time in which records are gathered into one message; shorter than a caller takes to return."""
 SHARE_TIMEOUT_S = 0.5
@@ -48,6 +53,8 @@
     ----------
     gateways
         Returns the live gateways, with this one.
+    storage_nodes
+        Returns the live storage nodes.
     """
 
     def __init__(
@@ -57,18 +64,19 @@
         client: PeerClient,
         server: PeerServer,
         gateways: Callable[[], tuple[Member, ...]],
+        storage_nodes: Callable[[], tuple[Member, ...]] = lambda: (),
     ) -> None:
         self._name = name
         self._records = records
         self._client = client
         self._gateways = gateways
+        self._storage_nodes = storage_nodes
         self._lock = threading.Lock()
         self._unshared: list[StreamRecord] = []
         self._sending = threading.BoundedSemaphore(MAX_SENDING_THREADS)
         self._wake = threading.Event()
         self._stopping = threading.Event()
-        server.register(ShareStreams, self._handle_share)
-        server.register(FindStream, self._handle_find)
+        register_records(records, server)
 
     def start(self) -> None:
         """Start the thread that sends new records."""
@@ -97,20 +105,9 @@
 
     # Records of others.
 
-    def _handle_share(self, message: ShareStreams) -> StreamsShared:
-        for record in message.records:
-            self._records.add(record.request_id, StreamVersion(record.service, record.version))
-        return StreamsShared()
-
-    def _handle_find(self, message: FindStream) -> StreamFound:
-        version = self._records.find(message.request_id)
-        if version is None:
-            return StreamFound()
-        return StreamFound(StreamRecord(message.request_id, version.service, version.name))
-
     def _find_elsewhere(self, request_id: str) -> StreamVersion | None:
         began = boot_clock.now()
-        members = self._others(request_id, GATEWAYS_ASKED)
+        members = self._keepers(request_id, GATEWAYS_ASKED, STORAGE_NODES_ASKED)
         replies: queue.SimpleQueue[object] = queue.SimpleQueue()
 
         def ask(member: Member) -> None:
@@ -142,10 +139,12 @@
         )
         return None if record is None else StreamVersion(record.service, record.version)
 
-    def _others(self, request_id: str, count: int) -> list[Member]:
-        """Return the first gateways for a stream except this one, each in another zone at first."""
+    def _keepers(self, request_id: str, gateways: int, storage_nodes: int) -> list[Member]:
+        """Return the first nodes of each kind for a stream, each in another zone at first."""
         ranked = rank_across_zones(request_id, self._gateways())
-        return [member for member in ranked if member.name != self._name][:count]
+        others = [member for member in ranked if member.name != self._name]
+        ranked_nodes = rank_across_zones(request_id, self._storage_nodes())
+        return [*others[:gateways], *ranked_nodes[:storage_nodes]]
 
     # Background thread.
 
@@ -164,7 +163,7 @@
             records, self._unshared = self._unshared, []
         records_by_member: dict[str, tuple[Member, list[StreamRecord]]] = {}
         for record in records:
-            for member in self._others(record.request_id, COPIES):
+            for member in self._keepers(record.request_id, COPIES, STORAGE_COPIES):
                 records_by_member.setdefault(member.name, (member, []))[1].append(record)
         for member, shared in records_by_member.values():
             self._send(member, ShareStreams(tuple(shared)))
--- a/src/quaymill/process/streams/versions.py
+++ b/src/quaymill/process/streams/versions.py
@@ -4,8 +4,7 @@
 
 from collections.abc import Callable
 
-from quaymill import boot_clock
-from quaymill.process.replica_set.table import DEPARTED_RETENTION_S, ReplicaTable
+from quaymill.process.streams.served_versions import ServedVersions
 from quaymill.process.streams.sharing import StreamVersionSharing
 from quaymill.request.forwarded_request import ForwardedRequest
 from quaymill.request.stream_version import StreamVersion
@@ -18,7 +17,8 @@
     """The versions of the streams that callers take up at this gateway.
 
     Without a record of the stream, the version of the service's replicas is used if they all have
-    the same one, and none had another one while streams that may still be taken up began.
+    the same one, and none had another one while streams that may still be taken up began. That must
+    be known also of the time before this gateway has started.
 
     Parameters
     ----------
@@ -27,12 +27,11 @@
     """
 
     def __init__(
-        self, sharing: StreamVersionSharing, table: ReplicaTable, view_age_s: Callable[[], float]
+        self, sharing: StreamVersionSharing, served: ServedVersions, view_age_s: Callable[[], float]
     ) -> None:
         self._sharing = sharing
-        self._table = table
+        self._served = served
         self._view_age_s = view_age_s
-        self._started_at = boot_clock.now()
 
     def record_begun(self, request_id: str, version: StreamVersion) -> None:
         """Record a stream whose first event is being sent."""
@@ -40,18 +39,14 @@
 
     def version_of(self, request: ForwardedRequest, service: str) -> StreamVersion | None:
         """Return the version that began the stream of a request; ``None`` if it is not known."""
-        if request.began_as is None:
-            # This caller cannot say which stream it takes up.
-            return self._only_version(service)
-        found = self._sharing.find(request.began_as)
-        if found is not None:
-            return found
-        has_seen_all = boot_clock.now() - self._started_at > DEPARTED_RETENTION_S
-        return self._only_version(service) if has_seen_all else None
+        # A caller that names no stream cannot say which one it takes up.
+        found = None if request.began_as is None else self._sharing.find(request.began_as)
+        return self._only_version(service) if found is None else found
 
     def _only_version(self, service: str) -> StreamVersion | None:
-        """Return the version of all replicas, those that departed lately included."""
-        versions = {replica.entry.version for replica in self._table.of_service(service)}
-        if len(versions) != 1 or self._view_age_s() > MAX_VIEW_AGE_S:
+        """Return the version of all replicas that have served lately, if there is only one."""
+        versions = self._served.of_service(service)
+        is_known = self._served.complete and self._view_age_s() <= MAX_VIEW_AGE_S
+        if len(versions) != 1 or not is_known:
             return None
-        return StreamVersion(service, versions.pop())
+        return StreamVersion(service, *versions)
