Name the stream in the test of a resumed stream with nothing left

The test is about the end of an unframed answer; its gateway has just started and has no storage nodes, so it cannot know the version of a stream that the caller does not name. The stream is begun and named now; the expected answer is unchanged.

--- a/tests/test_broken_off_answers.py
+++ b/tests/test_broken_off_answers.py
@@ -67,7 +67,8 @@
         self.assertEqual(502, answer.status)
 
     def test_resumed_stream_without_framing_may_have_nothing_left(self) -> None:
-        headers = {"Last-Event-Id": str(EVENTS)}
+        self.rig.ask("gateway-0", "/resumable/x", "begun", tokens=True)
+        headers = {"Last-Event-Id": str(EVENTS), "Resumes": "begun"}
         for replica in self.rig.of_service("engine"):
             replica.behaviour = ReplicaBehaviour(unframed=True, events=EVENTS)
         answer = self.rig.ask("gateway-0", "/resumable/x", REQUEST_ID, tokens=True, headers=headers)
