Refuse what cannot end within the grace period, and answer what is left at its end

Cause: a stopping gateway took every request, and ended with requests in service.

A request is taken only if it will end in time, judged by its deadline and by how long requests of its route took lately; others are refused at once as not run. What is left 0.5 s before the end is interrupted and answered.

--- a/src/quaymill/process/front/front_service.py
+++ b/src/quaymill/process/front/front_service.py
@@ -23,6 +23,7 @@
     JobOperation,
     Malformed,
 )
+from quaymill.process.front.drain import Drain
 from quaymill.process.front.http_server import (
     DEFAULT_BODY_TIMEOUT_S,
     AnswerWriter,
@@ -31,6 +32,7 @@
 from quaymill.process.front.metrics import FrontMetrics
 from quaymill.process.front.refusals import (
     SHORT_RETRY_AFTER_S,
+    STOPPING,
     UNKNOWN_KEY,
     Refusal,
     forwarding_refusal,
@@ -66,6 +68,8 @@
 """Time between two checks whether there is a configuration."""
 DEFAULT_TIMEOUT_S = 60.0
 """Timeout of a request whose caller sends none."""
+JOB_CALL_TIME_S = 3.0
+"""Time that a call about a job may take."""
 MAX_UNREAD_BODY_BYTES = 64 * 1024
 """A body of a refused request up to this size is read, so that its connection can be reused."""
 
@@ -102,7 +106,7 @@
         self._admission_limit = admission_limit
         self._lock = threading.Lock()
         self._in_service = 0
-        self.draining = False
+        self.drain = Drain()
         self.body_bytes = 0
         """Size of the bodies of forwarded requests in service."""
 
@@ -117,16 +121,17 @@
             self._in_service += 1
             full = self._in_service > self._admission_limit
         try:
-            if self.draining:
+            if self.drain.begun:
                 writer.close_after()
-            if full:
-                self._refuse(
-                    request,
-                    writer,
-                    Refusal(503, "this gateway is at capacity", SHORT_RETRY_AFTER_S),
-                )
-            else:
-                self._answer(request, writer)
+            with self.drain.in_service(request.presence):
+                if full:
+                    self._refuse(
+                        request,
+                        writer,
+                        Refusal(503, "this gateway is at capacity", SHORT_RETRY_AFTER_S),
+                    )
+                else:
+                    self._answer(request, writer)
             # A request stays in service until its caller has read the whole answer.
             writer.finish()
         finally:
@@ -152,6 +157,8 @@
         caller = identify(routes, key, key_needed=not is_public)
         if caller is None:
             self._refuse_early(request, writer, UNKNOWN_KEY)
+        elif (route is None or route.kind is RouteKind.BATCH) and self._is_too_late_for_jobs():
+            self._refuse_early(request, writer, STOPPING)
         elif route is None:
             self._answer_job_call(call, caller, request, writer)
         elif route.kind is RouteKind.BATCH:
@@ -159,6 +166,9 @@
         else:
             self._forward_within_limits(request, route, caller, writer)
 
+    def _is_too_late_for_jobs(self) -> bool:
+        return self.drain.remaining_s < JOB_CALL_TIME_S
+
     def _read_body_or_refuse(
         self,
         request: FrontRequest,
@@ -166,6 +176,8 @@
         timeout_s: float = DEFAULT_BODY_TIMEOUT_S,
     ) -> bytes | None:
         """Return the whole body; ``None`` if the request was refused because of its body."""
+        presence = request.presence
+        presence.attach(request.end_reading)
         try:
             return request.read_body(self._routes().limits.max_body_bytes, timeout_s)
         except BodyTooLargeError:
@@ -174,6 +186,10 @@
             refusal = Refusal(408, f"the body is too slow: {error}")
         except BrokenBodyError as error:
             refusal = Refusal(400, f"the body is incomplete or malformed: {error}")
+        finally:
+            presence.detach()
+        if presence.interrupted:
+            refusal = STOPPING
         writer.close_after()
         self._refuse(request, writer, refusal)
         return None
@@ -219,9 +235,16 @@
         remaining_s = parsed.remaining_s if parsed.remaining_s is not None else DEFAULT_TIMEOUT_S
         if route.timeout_s:
             remaining_s = min(remaining_s, route.timeout_s)
+        if not self.drain.may_take(route, remaining_s):
+            self._refuse_early(request, writer, STOPPING, caller.tenant_name or "")
+            return
         body = self._read_body_or_refuse(request, writer, remaining_s)
         if body is None:
             return
+        # The gateway may have begun to stop while the body was read.
+        if not self.drain.may_take(route, remaining_s - (boot_clock.now() - began)):
+            self._refuse(request, writer, STOPPING, parsed.id, caller)
+            return
         forwarded = ForwardedRequest(
             id=parsed.id,
             method=request.method,
@@ -248,6 +271,8 @@
         elif isinstance(result, GivenUp | CallerLeft):
             writer.abort()
         took_s = boot_clock.now() - began
+        if isinstance(result, Delivered):
+            self.drain.record_duration(route, took_s)
         outcome = _outcome_name(result)
         self._metrics.requests.labels(route.name, outcome).inc()
         self._metrics.answer_s.labels(route.name).observe(took_s)
--- a/src/quaymill/process/front/http_server.py
+++ b/src/quaymill/process/front/http_server.py
@@ -222,6 +222,11 @@
         self.body_was_read = True
         return body
 
+    def end_reading(self) -> None:
+        """Let a body that is being read by another thread end, as if its sender had left."""
+        with contextlib.suppress(OSError):
+            self._request.conn.socket.shutdown(socket.SHUT_RD)
+
     def discard_body(self, limit_bytes: int) -> None:
         """Read and discard a body up to ``limit_bytes``; a longer or slow one is left unread."""
         if self.body_was_read:
--- a/src/quaymill/process/front/refusals.py
+++ b/src/quaymill/process/front/refusals.py
@@ -39,6 +39,7 @@
 UNKNOWN_KEY = Refusal(
     401, "the request needs a valid tenant key as its bearer token", headers=AUTHENTICATE
 )
+STOPPING = Refusal(503, "this gateway is stopping; send the request again, to another one", 0.0)
 KEY_REASSIGNED = Refusal(503, "the key now belongs to another tenant; send the request again", 0.0)
 
 
--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -92,6 +92,8 @@
 ADMISSION_LIMIT = 144
 STOP_MARGIN_S = 0.7
 """Part of the grace period that is reserved for stopping after the drain."""
+FINAL_ANSWER_TIME_S = 0.5
+"""Time before the end of the drain at which requests in service are interrupted and answered."""
 IDLE_BEFORE_EXIT_S = 0.4
 """How long a draining gateway must be idle before it stops."""
 IDLE_CHECK_INTERVAL_S = 0.05
@@ -506,14 +508,18 @@
         began = boot_clock.now()
         deadline = began + self._settings.bounds.grace_s - STOP_MARGIN_S
         log_message("node:draining", in_service=self._front.in_service)
-        self._front.draining = True
+        self._front.drain.begin(deadline - FINAL_ANSWER_TIME_S)
         self.network.membership.announce_draining()
         handing_over = threading.Thread(target=self.jobs.hand_over_all, daemon=True)
         handing_over.start()
         # New connections still arrive until the platform notices that this gateway is not ready.
         time.sleep(self._settings.bounds.leave_s)
         self._server.stop_accepting()
-        idle = self._wait_until_idle(deadline)
+        idle = self._wait_until_idle(deadline - FINAL_ANSWER_TIME_S)
+        if not idle:
+            interrupted = self._front.drain.interrupt_all()
+            log_message("node:requests_interrupted", requests=interrupted)
+            self._wait_until_idle(deadline)
         handing_over.join(max(0.0, deadline - boot_clock.now()))
         self.quota.stop()
         log_message("node:stopped", idle=idle, took_s=round(boot_clock.now() - began, 2))
@@ -534,7 +540,7 @@
         return False
 
     def _is_ready(self) -> bool:
-        return self.control.ready and self._has_joined() and not self._front.draining
+        return self.control.ready and self._has_joined() and not self._front.drain.begun
 
     def _can_store(self) -> bool:
         return len(self.network.storage_nodes()) > self._settings.disks_lost_at_once
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -680,6 +680,10 @@
         ("for_s: for how long",),
     ),
     "node:draining": LogEvent("a stop signal was received; the process drains", ("in_service",)),
+    "node:requests_interrupted": LogEvent(
+        "requests were still in service when the time for the stop was over; they get an error",
+        ("requests: their number",),
+    ),
     "node:stopped": LogEvent(
         "the process ends", ("idle: whether all requests were completed", "took_s")
     ),
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -54,6 +54,7 @@
 )
 from quaymill.version.request_routes import RequestRoute, RouteKind
 
+STOPPING_REASON = "this gateway is stopping"
 MAX_REFUSALS = 8
 """Number of "not executed" answers and failed connections after which the request is given up."""
 MAX_ERROR_BYTES = 64 * 1024
@@ -319,6 +320,8 @@
         """Return the final result if no further attempt may be made, else ``None``."""
         if self._presence.gone:
             return CallerLeft()
+        if self._presence.interrupted:
+            return self._give_up(STOPPING_REASON, retry_after_s=0.0)
         if self._request.deadline.passed():
             return self._give_up("the request's deadline has passed", timed_out=True)
         barred_s = self._guard.barred_for_s(self._identity)
@@ -366,7 +369,11 @@
             result = CallerLeft()
         took_s = boot_clock.now() - began
         self._begun = self._relay.last_event_id != resumed_after
-        self._record_result(replica, result, took_s)
+        if self._presence.interrupted and isinstance(result, Broken):
+            # This process has cancelled the attempt; the replica is not to blame.
+            result = Broken(STOPPING_REASON)
+        else:
+            self._record_result(replica, result, took_s)
         log_message(
             "request:attempt",
             request_id=self._request.id,
