Bound the output of a batch item

Output of more than 16 Mi characters is discarded, and the run counts as cut. test_item_output: its first test is red without the bound (ItemDone with 11 events).

--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -42,6 +42,9 @@
 
 RUN_TIMEOUT_S = 60.0
 METHOD = "POST"
+MAX_TEXT_LENGTH = 16 * 1024 * 1024
+"""Maximum number of characters of an item's output, which is kept in memory."""
+TOO_LONG_TEXT = f"has more than {MAX_TEXT_LENGTH} characters"
 IMPOSSIBLE_STATUS = 422
 """Status with which a replica rejects an item that can never succeed."""
 
@@ -218,6 +221,28 @@
     return ItemCut(f"the replica answered {status}")
 
 
+def _event_adder(
+    item: CoordinatedItem, framer: EventFramer, version: StreamVersion
+) -> Callable[[bytes], bool]:
+    """Return a function that appends events to an item's output.
+
+    If the output gets too long, the function discards it and returns ``False``.
+    """
+    length = sum(map(len, item.texts))
+
+    def add(events: bytes) -> bool:
+        nonlocal length
+        texts = data_of_events(events)
+        length += sum(map(len, texts))
+        if length > MAX_TEXT_LENGTH:
+            item.discard_events()
+            return False
+        item.add_events(texts, framer.last_id, version)
+        return True
+
+    return add
+
+
 def _read_events(
     item: CoordinatedItem,
     deadline: Deadline,
@@ -226,7 +251,7 @@
     head: AnswerHead,
 ) -> ItemOutcome:
     framer = EventFramer(item.last_event_id)
-    version = StreamVersion.of_replica(replica.entry)
+    add_events = _event_adder(item, framer, StreamVersion.of_replica(replica.entry))
     event_began = boot_clock.now()
     while True:
         gap_s = event_began + EVENT_GAP_TIMEOUT_S - boot_clock.now()
@@ -242,8 +267,8 @@
             return _cut_outcome(exchange.abandon_endless(AnswerPart.EVENT, TOO_LONG_EVENT))
         if framer.has_completed:
             event_began = boot_clock.now()
-        if events:
-            item.add_events(data_of_events(events), framer.last_id, version)
+        if events and not add_events(events):
+            return _cut_outcome(exchange.abandon_endless(AnswerPart.BODY, TOO_LONG_TEXT))
         if boot_clock.now() > event_began + EVENT_GAP_TIMEOUT_S:
             return _cut_outcome(exchange.abandon_endless(AnswerPart.EVENT, LATE_EVENT))
     if framer.partial:
