Match an answer to its request before its meaning counts

Cause: "not executed" was looked at before the ids were compared, for requests and for items; a late answer could also pass for a load report.

--- a/src/quaymill/connection/replica_answer.py
+++ b/src/quaymill/connection/replica_answer.py
@@ -76,3 +76,12 @@
     framing: BodyFraming = BodyFraming.LENGTH
     keep_alive_s: float = 0.0
     cold_left_s: float | None = None
+
+    def is_answer_to(self, request_id: str) -> bool:
+        """Return whether the answer is the one to a request.
+
+        An earlier request's answer may come late, in its place. Only refusals may state no id.
+        """
+        if not self.request_id:
+            return self.not_executed
+        return self.request_id == request_id
--- a/src/quaymill/platform/gateway_role.py
+++ b/src/quaymill/platform/gateway_role.py
@@ -20,7 +20,10 @@
     callers=caller_calls.CALLER_PROTOCOL,
     replicas=REPLICA_PROTOCOL,
     reports=ReportProtocol(
-        replica_calls.report_request, replica_calls.read_report, replica_calls.read_cold_left
+        replica_calls.report_request,
+        replica_calls.read_report,
+        replica_calls.read_cold_left,
+        replica_calls.answers_request,
     ),
     items=ItemProtocol(REPLICA_PROTOCOL, caller_calls.item_headers, caller_calls.item_prompt),
     control=ControlProtocol(
--- a/src/quaymill/platform/replica_calls.py
+++ b/src/quaymill/platform/replica_calls.py
@@ -106,6 +106,11 @@
     return ReplicaRequest("GET", names.REPORT_PATH, {})
 
 
+def answers_request(exchange: Exchange) -> bool:
+    """Return whether an answer belongs to a caller's request; reports state no request id."""
+    return bool(exchange.header(names.REQUEST_ID))
+
+
 def read_report(body: bytes) -> EngineReport | None:
     """Decode an engine's report; return ``None`` if it is invalid."""
     try:
--- a/src/quaymill/process/jobs/engine_loads.py
+++ b/src/quaymill/process/jobs/engine_loads.py
@@ -45,11 +45,14 @@
     ----------
     read_cold_left
         Returns the remaining warm-up time that the answer states; ``None`` if it states none.
+    answers_request
+        Returns whether an answer belongs to a caller's request, and has come in place of a report.
     """
 
     request: Callable[[], ReplicaRequest]
     read: Callable[[bytes], EngineReport | None]
     read_cold_left: Callable[[Exchange], float | None] = lambda exchange: None
+    answers_request: Callable[[Exchange], bool] = lambda exchange: False
 
 
 @attrs.define
@@ -187,6 +190,9 @@
             return None
         if exchange.read_head(POLL_TIMEOUT_S) is not None:
             return None
+        if self._protocol.answers_request(exchange):
+            exchange.abandon()
+            return None
         body = exchange.read_body(MAX_REPORT_BYTES, deadline)
         if isinstance(body, OutcomeUnknown):
             return None
--- a/src/quaymill/process/jobs/item_run.py
+++ b/src/quaymill/process/jobs/item_run.py
@@ -172,6 +172,9 @@
         return _cut_outcome(failure)
     replica.record_received()
     head = protocol.read_answer_head(exchange)
+    if not head.is_answer_to(request.id):
+        exchange.abandon()
+        return ItemCut(f"the answer has another request id: {head.request_id or 'none'}")
     if head.load is not None:
         replica.record_report(head.load)
     if head.not_executed:
@@ -181,9 +184,6 @@
             replica.record_cold_left(head.cold_left_s)
         exchange.abandon()
         return ItemCut(f"the replica answered {head.status}, not run", blames_replica=False)
-    if head.request_id != request.id:
-        exchange.abandon()
-        return ItemCut(f"the answer has another request id: {head.request_id or 'none'}")
     replica.record_cold_left(head.cold_left_s)
     if head.status != 200:
         exchange.abandon()
--- a/src/quaymill/request/forwarding.py
+++ b/src/quaymill/request/forwarding.py
@@ -522,13 +522,13 @@
     def _handle_answer(
         self, exchange: Exchange, replica: ChosenReplica, head: AnswerHead, began: float
     ) -> AttemptResult:
+        if not head.is_answer_to(self._request.id):
+            exchange.abandon()
+            return Broken(f"the answer's request id does not match: {head.request_id or 'no id'}")
         if head.load is not None:
             replica.record_report(head.load)
         if head.not_executed:
             return self._handle_refusal(exchange, replica, head)
-        if head.request_id != self._request.id:
-            exchange.abandon()
-            return Broken(f"the answer's request id does not match: {head.request_id or 'no id'}")
         replica.record_cold_left(head.cold_left_s)
         if head.status >= 500 and self._may_try_another():
             self._keep_error(exchange, replica, head)
