Agree on which storage nodes leave, and use leaving nodes as sources

Cause: each node decided alone, from a membership in which the others' announcements had not arrived; and leaving nodes were left out as sources of repair and by the watch for orphans.

The set of leaving nodes is one object in the platform's store, changed by compare-and-swap. Copies count on nodes that stay only, again at each try to write success; a leaving node that is needed returns to service. Repair reads from leaving nodes; the first node that has a job assigns it, leaving nodes last.

test_job_progress patched the method by which one node was responsible; it patches its successor now. The store of test_retirement has compare-and-swap, as the code needs it.

--- a/src/quaymill/connection/job_storage_messages.py
+++ b/src/quaymill/connection/job_storage_messages.py
@@ -460,7 +460,10 @@
         Remaining time of each lease in seconds; 0 without a lease.
     ended
         Whether each job is known to have been ended by a client; empty from older builds.
+    held
+        Whether the node has each job; empty from older builds.
     """
 
     left_s: tuple[float, ...]
     ended: tuple[bool, ...] = ()
+    held: tuple[bool, ...] = ()
--- a/src/quaymill/connection/object_store.py
+++ b/src/quaymill/connection/object_store.py
@@ -24,6 +24,7 @@
     QUOTA_LEDGERS = enum.auto()
     BARRED_REQUESTS = enum.auto()
     EVACUATIONS = enum.auto()
+    DEPARTURES = enum.auto()
 
 
 @attrs.frozen
--- a/src/quaymill/platform/names.py
+++ b/src/quaymill/platform/names.py
@@ -38,6 +38,7 @@
     ObjectKind.QUOTA_LEDGERS: "quaymill-quota-ledgers",
     ObjectKind.BARRED_REQUESTS: "quaymill-barred-requests",
     ObjectKind.EVACUATIONS: "evacuations",
+    ObjectKind.DEPARTURES: "quaymill-departures",
 }
 
 ROUTE_KINDS = {
--- a/src/quaymill/platform/object_store.py
+++ b/src/quaymill/platform/object_store.py
@@ -59,8 +59,6 @@
 STALE_READ_QUERY = {"stale": 1}
 """Query of a read that may return an older state, which costs a tenth of a current read."""
 JSON_HEADERS = {"Content-Type": "application/json"}
-
-
 RETRYABLE_STATUSES = frozenset({429, 503})
 """The store has not executed the call; it may be repeated later."""
 
@@ -187,7 +185,9 @@
         if answer.status == 404:
             return ObjectMissing()
         written = _decode_written(answer)
-        return RevisionConflict(written) if answer.status == 409 else _written_or_failure(written)
+        if answer.status == 409:
+            return RevisionConflict(written)
+        return written or StoreUnanswered("the store's answer to a write cannot be decoded")
 
     def _call(
         self, request: ReplicaRequest, timeout_s: float, *, new_connection: bool = False
@@ -232,7 +232,3 @@
 def _decode_written(answer: _Answer) -> StoredObject | None:
     found = read_object(answer.body)
     return found if isinstance(found, StoredObject) else None
-
-
-def _written_or_failure(written: StoredObject | None) -> StoredObject | StoreUnanswered:
-    return written or StoreUnanswered("the store's answer to a write cannot be decoded")
--- a/src/quaymill/process/job_storage/orphans.py
+++ b/src/quaymill/process/job_storage/orphans.py
@@ -1,8 +1,9 @@
 """Finds orphaned jobs, which no coordinator runs, and assigns each to a gateway.
 
-Only the storage node that ranks first for a job does so, and only if no other storage node has a
-valid lease for it or knows that a client has ended it. A lease is ignored if the process that holds
-it is known to have ended because its node runs another process now.
+Only the storage node that ranks first among those that have the job does so, and only if no other
+storage node has a valid lease for it or knows that a client has ended it. Nodes that are leaving
+rank last: they do so while no other node has the job yet. A lease is ignored if the process that
+holds it is known to have ended because its node runs another process now.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
 from quaymill.process.job_copies import CopyRules
 from quaymill.process.job_storage.database import JobDatabase, JobRecord
 from quaymill.process.job_storage.leases import LEASE_S, Leases
+from quaymill.process.jobs.parallel_calls import call_members
 from quaymill.process.membership.ranking import rank_nodes
 
 CHECK_INTERVAL_S = 0.2
@@ -39,8 +41,10 @@
 
     Parameters
     ----------
-    storage_nodes, gateways
-        Return the live nodes of each kind, except those that are leaving.
+    storage_nodes
+        Returns the live storage nodes, with the leaving ones.
+    gateways
+        Returns the live gateways, except those that are leaving.
     is_replaced
         Returns whether the node of a process is known to run another process now.
     may_have_ended
@@ -97,9 +101,7 @@
         orphans = [
             record
             for record in open_jobs
-            if self._has_no_lease(record)
-            and self._may_have_ended(self._holder(record))
-            and self._is_responsible_for(record.id)
+            if self._has_no_lease(record) and self._may_have_ended(self._holder(record))
         ]
         for record in self._without_lease_elsewhere(orphans):
             self._assign(record)
@@ -130,36 +132,62 @@
             return False
         return boot_clock.now() - since >= REPLACED_FOR_S
 
-    def _is_responsible_for(self, job_id: str) -> bool:
-        ranked = self._rules.rank(job_id, self._storage_nodes())
-        return bool(ranked) and ranked[0].name == self._name
-
     def _without_lease_elsewhere(self, orphans: list[JobRecord]) -> list[JobRecord]:
+        """Return those that no other node has a lease for and that this node is to assign."""
         if not orphans:
             return []
         job_ids = tuple(record.id for record in orphans)
         ended_holders = tuple(
             self._holder(record) if self._has_ended(record) else "" for record in orphans
         )
+        members = self._storage_nodes()
+        replies = self._ask_others(members, FetchLeases(job_ids, ended_holders))
         leased_elsewhere: set[str] = set()
         ended_elsewhere: set[str] = set()
-        for member in self._storage_nodes():
-            if member.name == self._name:
-                continue
-            reply = self._peer_client.call(
-                member.peer,
-                FetchLeases(job_ids, ended_holders),
-                LeasesMessage,
-                LEASE_QUERY_TIMEOUT_S,
-            )
-            if isinstance(reply, LeasesMessage):
-                for job_id, left_s in zip(job_ids, reply.left_s, strict=True):
-                    if left_s > 0:
-                        leased_elsewhere.add(job_id)
-                        self._leases.extend(job_id, min(left_s, LEASE_S))
-                ended_elsewhere |= set(itertools.compress(job_ids, reply.ended))
+        lacking_by_node: dict[str, frozenset[str]] = {}
+        for name, reply in replies.items():
+            for job_id, left_s in zip(job_ids, reply.left_s, strict=True):
+                if left_s > 0:
+                    leased_elsewhere.add(job_id)
+                    self._leases.extend(job_id, min(left_s, LEASE_S))
+            ended_elsewhere |= set(itertools.compress(job_ids, reply.ended))
+            held = frozenset(itertools.compress(job_ids, reply.held))
+            lacking_by_node[name] = frozenset(job_ids) - held if reply.held else frozenset()
         self._mark_as_ended(ended_elsewhere)
-        return [record for record in orphans if record.id not in leased_elsewhere | ended_elsewhere]
+        return [
+            record
+            for record in orphans
+            if record.id not in leased_elsewhere | ended_elsewhere
+            and self._is_first_holder(record.id, members, lacking_by_node)
+        ]
+
+    def _ask_others(
+        self, members: tuple[Member, ...], message: FetchLeases
+    ) -> dict[str, LeasesMessage]:
+        """Ask all other nodes at once; return the replies by the node's name."""
+        others = [member for member in members if member.name != self._name]
+        if not others:
+            return {}
+        outcome = call_members(
+            self._peer_client,
+            others,
+            message,
+            LeasesMessage,
+            needed=len(others),
+            timeout_s=LEASE_QUERY_TIMEOUT_S,
+        )
+        return {member.name: reply for member, reply in outcome.replies}
+
+    def _is_first_holder(
+        self,
+        job_id: str,
+        members: tuple[Member, ...],
+        lacking_by_node: dict[str, frozenset[str]],
+    ) -> bool:
+        """Return whether all nodes that rank before this one have said that they lack the job."""
+        ranked = sorted(self._rules.rank(job_id, members), key=lambda member: member.draining)
+        before = itertools.takewhile(lambda member: member.name != self._name, ranked)
+        return all(job_id in lacking_by_node.get(member.name, ()) for member in before)
 
     def _mark_as_ended(self, job_ids: set[str]) -> None:
         """Mark jobs that ended while this node was cut off; repair may learn of it too late."""
--- a/src/quaymill/process/job_storage/repair.py
+++ b/src/quaymill/process/job_storage/repair.py
@@ -81,6 +81,8 @@
     ----------
     storage_nodes
         Returns the live storage nodes including this one, except those that are leaving.
+    sources
+        Returns the live storage nodes from which data is fetched, with the leaving ones.
     """
 
     def __init__(
@@ -91,12 +93,15 @@
         peer_client: PeerClient,
         storage_nodes: Callable[[], tuple[Member, ...]],
         rules: CopyRules,
+        sources: Callable[[], tuple[Member, ...]] | None = None,
     ) -> None:
         self._name = name
         self._database = database
         self._leases = leases
         self._peer_client = peer_client
         self._storage_nodes = storage_nodes
+        self._sources = sources or storage_nodes
+        self._ranked_names: frozenset[str] = frozenset()
         self._rules = rules
         self._stopping = threading.Event()
         self._lock = threading.Lock()
@@ -153,18 +158,21 @@
         return sorted(due, key=lambda one: one.due_at)
 
     def _update_nodes(self) -> None:
-        """Reset all comparisons if a node joined, left or changed its address.
+        """Reset all comparisons if a node joined, is leaving, left or changed its address.
 
         The ranking may then have changed, so other jobs may belong on this node. The caller holds
         the lock.
         """
-        others = {node.name: node for node in self._storage_nodes() if node.name != self._name}
+        others = {node.name: node for node in self._sources() if node.name != self._name}
+        ranked_names = frozenset(node.name for node in self._storage_nodes())
         for name, comparison in self._by_node.items():
             if name in others and comparison.member.peer == others[name].peer:
                 comparison.member = others[name]
         known = {name: one.member.peer for name, one in self._by_node.items()}
-        if known != {name: node.peer for name, node in others.items()}:
+        listed = {name: node.peer for name, node in others.items()}
+        if (known, self._ranked_names) != (listed, ranked_names):
             self._by_node = {name: _Comparison(node) for name, node in others.items()}
+            self._ranked_names = ranked_names
 
     def _reschedule(self, comparison: _Comparison) -> None:
         with self._lock:
--- a/src/quaymill/process/job_storage/retirement.py
+++ b/src/quaymill/process/job_storage/retirement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from eliot import log_message
 
@@ -14,12 +14,11 @@
     ObjectMissing,
     ObjectStore,
     StoredObject,
-    StoreRefused,
-    StoreUnanswered,
 )
 from quaymill.connection.peer_link import PeerClient
 from quaymill.process.job_copies import CopyRules
 from quaymill.process.job_storage.database import JobDatabase, JobRecord
+from quaymill.process.job_storage.departures import Departures
 from quaymill.process.job_storage.service import JobStorageService
 
 CHECK_INTERVAL_S = 0.3
@@ -29,10 +28,10 @@
 class Retirement:
     """Carries out a request to empty this node.
 
-    States of the request: requested -> active (``begin``) -> leaving (enough other nodes are live;
-    new data is refused) -> succeeded (all data is stored on enough other nodes in enough zones; the
-    status is written to the platform).
-    Without enough other live nodes the node continues to serve, because it is still needed.
+    States of the request: requested -> active (``begin``) -> leaving (all nodes agree that this one
+    leaves; new data is refused) -> succeeded (all data is stored on enough nodes that stay, in
+    enough zones; the status is written to the platform).
+    leaving -> active if too few nodes are left to store data, so that this one is still needed.
 
     Parameters
     ----------
@@ -41,8 +40,9 @@
         left permanently.
     recent_storage_nodes
         Returns those that are live or have been dead for a short time only.
-    announce
-        Notifies the other nodes that this one is leaving, so that they copy its data.
+    announce, withdraw
+        Notify the other nodes that this one is leaving, so that they copy its data, and that it
+        is not leaving any more.
     active_status, succeeded_status
         Statuses that are written to the platform.
     """
@@ -61,6 +61,7 @@
         announce: Callable[[], None],
         active_status: object,
         succeeded_status: object,
+        withdraw: Callable[[], None] = lambda: None,
     ) -> None:
         self._name = name
         self._store = store
@@ -74,6 +75,9 @@
         self._announce = announce
         self._active_status = active_status
         self._succeeded_status = succeeded_status
+        self._withdraw = withdraw
+        self._departures = Departures(name, store)
+        self._leaving: frozenset[str] = frozenset()
         self._stopping = threading.Event()
         self._thread: threading.Thread | None = None
 
@@ -92,31 +96,62 @@
     def _run(self) -> None:
         self._write_status(self._active_status)
         while not self._stopping.wait(CHECK_INTERVAL_S):
-            if not self._service.retiring.is_set() and not self._begin_leaving():
-                continue
-            missing = self._missing_copies()
-            if missing is None or missing:
-                continue
-            if self._write_status(self._succeeded_status):
+            if self._advance():
                 log_message("retirement:succeeded", node=self._name)
                 return
 
+    def _advance(self) -> bool:
+        """Take the next step; return whether the request has succeeded."""
+        if not self._service.retiring.is_set():
+            return self._begin_leaving() and False
+        if not self._enough_stay(self._leaving):
+            self._return_to_service()
+            return False
+        if self._missing_copies() != 0:
+            return False
+        # Others may have agreed to leave since; what only they hold does not count.
+        leaving = self._departures.leaving()
+        if leaving is None or self._name not in leaving:
+            return False
+        self._leaving = leaving
+        return self._missing_copies() == 0 and self._try_write_status(self._succeeded_status)
+
     def _begin_leaving(self) -> bool:
-        """Refuse new data if enough other nodes are live; return whether it is refused."""
-        others = self._others(self._storage_nodes())
-        if len(others) < self._rules.needed:
+        """Refuse new data if all agree that this node may leave; return whether it is refused."""
+        if not self._enough_stay(frozenset()):
+            return False
+        leaving = self._departures.join(self._enough_stay)
+        if leaving is None:
             return False
+        self._leaving = leaving
         self._service.retiring.set()
         self._announce()
         return True
 
+    def _return_to_service(self) -> None:
+        if not self._departures.withdraw():
+            return
+        log_message("retirement:still_needed", node=self._name, leaving=sorted(self._leaving))
+        self._service.retiring.clear()
+        self._withdraw()
+
+    def _enough_stay(self, leaving: frozenset[str]) -> bool:
+        """Return whether enough other live nodes stay if these leave."""
+        return len(self._staying(self._storage_nodes(), leaving)) >= self._rules.needed
+
+    def _staying(self, members: Iterable[Member], leaving: frozenset[str]) -> list[Member]:
+        """Return the other nodes that are not leaving."""
+        gone = leaving | {self._name}
+        return [one for one in members if one.name not in gone and not one.draining]
+
     def _missing_copies(self) -> int | None:
         """Return the number of jobs without enough copies on other nodes; ``None`` if unknown."""
         # A node that is down briefly still counts, so that its absence does not lower the number.
-        needed = min(self._rules.needed, len(self._others(self._known_storage_nodes())))
+        known = [one for one in self._known_storage_nodes() if one.name not in self._leaving]
+        needed = min(self._rules.needed, len(self._others(known)))
         # Zones that have been unreachable for long or are being emptied do not count: otherwise
         # two nodes that are each the last one of their zone would wait for each other.
-        staying = [one for one in self._others(self._recent_storage_nodes()) if not one.draining]
+        staying = self._staying(self._recent_storage_nodes(), self._leaving)
         zones_needed = self._rules.zones_needed(staying)
         if needed == 0:
             return None
@@ -133,9 +168,9 @@
         return [member for member in members if member.name != self._name]
 
     def _summaries_elsewhere(self) -> list[tuple[Member, dict[str, JobSummary]]]:
-        """Return the summaries of the other live nodes, by job id."""
+        """Return the summaries of the live nodes that stay, by job id."""
         summaries = []
-        for member in self._others(self._storage_nodes()):
+        for member in self._staying(self._storage_nodes(), self._leaving):
             reply = self._peer_client.call(
                 member.peer, CompareJobs(""), JobSummaries, CALL_TIMEOUT_S
             )
@@ -143,27 +178,24 @@
                 summaries.append((member, {summary.job_id: summary for summary in reply.jobs}))
         return summaries
 
-    def _write_status(self, status: object) -> bool:
-        """Write the status of the request; return whether it is stored or the request is gone.
-
-        Repeated until it succeeds or the process ends.
-        """
-        while not self._stopping.is_set():
-            held = self._store.get(ObjectKind.RETIREMENTS, self._name)
-            if isinstance(held, ObjectMissing):
-                return True
-            if isinstance(held, StoredObject):
-                if held.status == status:
-                    return True
-                written = self._store.replace_status(
-                    ObjectKind.RETIREMENTS, self._name, status, held.revision
-                )
-                if isinstance(written, StoredObject):
-                    return True
-                if not isinstance(written, StoreRefused | StoreUnanswered):
-                    continue
+    def _write_status(self, status: object) -> None:
+        """Write the status of the request; repeated until it succeeds or the process ends."""
+        while not self._stopping.is_set() and not self._try_write_status(status):
             self._stopping.wait(CHECK_INTERVAL_S)
-        return False
+
+    def _try_write_status(self, status: object) -> bool:
+        """Write the status of the request; return whether it is stored or the request is gone."""
+        held = self._store.get(ObjectKind.RETIREMENTS, self._name)
+        if isinstance(held, ObjectMissing):
+            return True
+        if not isinstance(held, StoredObject):
+            return False
+        if held.status == status:
+            return True
+        written = self._store.replace_status(
+            ObjectKind.RETIREMENTS, self._name, status, held.revision
+        )
+        return isinstance(written, StoredObject)
 
 
 def _has_all(summary: JobSummary | None, record: JobRecord) -> bool:
--- a/src/quaymill/process/job_storage/service.py
+++ b/src/quaymill/process/job_storage/service.py
@@ -198,6 +198,7 @@
         return Leases(
             tuple(self._leases.left_s(job_id, ended) for job_id, ended in asked),
             tuple(self._has_ended(job_id) for job_id in message.job_ids),
+            tuple(job_id in self._database.by_id for job_id in message.job_ids),
         )
 
     def _has_ended(self, job_id: str) -> bool:
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -669,6 +669,14 @@
     ),
     "batch:dispatch_error": LogEvent("starting items raised an exception", ("error",)),
     "retirement:begun": LogEvent("this node is being emptied", ("node", "jobs: number stored now")),
+    "retirement:agreed": LogEvent(
+        "the set of leaving storage nodes in the platform's store was changed by this node",
+        ("node: its name", "leaving: names of the leaving nodes from now on"),
+    ),
+    "retirement:still_needed": LogEvent(
+        "a leaving storage node returned to service, as too few others are left to store data",
+        ("node: its name", "leaving: names of the leaving nodes as it last knew them"),
+    ),
     "retirement:succeeded": LogEvent(
         "all data of this node has been copied to other nodes", ("node",)
     ),
--- a/src/quaymill/process/membership/membership.py
+++ b/src/quaymill/process/membership/membership.py
@@ -215,6 +215,15 @@
         self._notify_peers(DRAINING_FANOUT)
         self._notify_listeners()
 
+    def withdraw_draining(self) -> None:
+        """Announce that this node does not stop after all."""
+        local = self._table.update_local(
+            state=MemberState.ALIVE, draining=False, incarnation=self.local().incarnation + 1
+        )
+        self._updates.add(local)
+        self._notify_peers(DRAINING_FANOUT)
+        self._notify_listeners()
+
     def publish(
         self,
         configuration_generation: int | None = None,
--- a/src/quaymill/process/peer_network.py
+++ b/src/quaymill/process/peer_network.py
@@ -97,6 +97,12 @@
         """Return the live storage nodes that are not draining."""
         return tuple(member for member in self.membership.live() if member.has_disk)
 
+    def holding_storage_nodes(self) -> tuple[Member, ...]:
+        """Return the live storage nodes, with the draining ones, which still hold their data."""
+        return tuple(
+            member for member in self.known_storage_nodes() if member.state is not MemberState.DEAD
+        )
+
     def known_storage_nodes(self) -> tuple[Member, ...]:
         """Return the storage nodes that may hold data, including unresponsive ones."""
         return tuple(member for member in self.membership.members() if member.has_disk)
--- a/src/quaymill/process/storage_node.py
+++ b/src/quaymill/process/storage_node.py
@@ -54,14 +54,20 @@
             self._database, leases, network.server, settings.machine.disk_mb * BYTES_PER_MB
         )
         self._repair = Repair(
-            settings.name, self._database, leases, network.client, network.storage_nodes, rules
+            settings.name,
+            self._database,
+            leases,
+            network.client,
+            network.storage_nodes,
+            rules,
+            network.holding_storage_nodes,
         )
         self._orphans = OrphanWatch(
             settings.name,
             self._database,
             leases,
             network.client,
-            network.storage_nodes,
+            network.holding_storage_nodes,
             network.gateways,
             network.is_replaced,
             rules,
@@ -83,6 +89,7 @@
             network.membership.announce_draining,
             protocol.retirement_active,
             protocol.retirement_succeeded,
+            network.membership.withdraw_draining,
         )
         self._retirement_follower = Follower(
             store,
--- a/tests/test_job_progress.py
+++ b/tests/test_job_progress.py
@@ -245,7 +245,7 @@
             may_have_ended=lambda name: name not in self.unreachable_processes,
         )
         # Otherwise the job's id decides which of the two storage nodes acts.
-        patch = mock.patch.object(self.watch, "_is_responsible_for", lambda job_id: True)
+        patch = mock.patch.object(self.watch, "_is_first_holder", lambda *_: True)
         patch.start()
         self.addCleanup(patch.stop)
 
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -85,6 +85,22 @@
         eventually(lambda: self.peers.digests["node-1"][1:].count("") == 1, TIMEOUT_S)
         eventually(lambda: self.peers.asked["node-4"] >= 1, TIMEOUT_S)
 
+    def test_leaving_node_is_still_a_source(self):
+        """Guards against a job that only leaving nodes hold and that nobody copies."""
+        self.repair._sources = lambda: (*self.nodes, node(4))
+        self.repair.start()
+        eventually(lambda: self.peers.asked["node-4"] >= 2, TIMEOUT_S)
+        holders = self.repair._rules.holders("job", self.repair._storage_nodes())
+        self.assertNotIn("node-4", {member.name for member in holders})
+
+    def test_node_that_begins_to_leave_resets_all_comparisons(self):
+        """Jobs that belonged there belong on other nodes from then on."""
+        self.repair._sources = lambda: tuple(node(number) for number in range(4))
+        self.repair.start()
+        eventually(lambda: self.peers.asked["node-1"] >= 2, TIMEOUT_S)
+        self.nodes = self.nodes[:3]
+        eventually(lambda: self.peers.digests["node-1"][1:].count("") == 1, TIMEOUT_S)
+
     def test_exceptions_do_not_end_the_comparisons(self):
         self.peers.broken = {"node-1"}
         self.repair.start()
--- a/tests/test_retirement.py
+++ b/tests/test_retirement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tempfile
+import threading
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -12,7 +13,14 @@
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.job_storage_messages import JobSummaries, JobSummary
 from quaymill.connection.member import Member
-from quaymill.connection.object_store import ObjectMissing
+from quaymill.connection.object_store import (
+    Listing,
+    ObjectKind,
+    ObjectMissing,
+    RevisionConflict,
+    StoredObject,
+    StoreUnanswered,
+)
 from quaymill.connection.peer_server import PeerServer
 from quaymill.process.job_copies import CopyRules
 from quaymill.process.job_storage import retirement as retirement_module
@@ -22,6 +30,64 @@
 from quaymill.process.job_storage.service import JobStorageService
 
 
+class ObjectsInMemory:
+    """The platform's store: objects by kind and name, changed by compare-and-swap.
+
+    Attributes
+    ----------
+    down
+        Whether calls get no answer.
+    before_write
+        Called before each write to the set of leaving nodes, to let another node be faster.
+    """
+
+    def __init__(self) -> None:
+        self._objects: dict[tuple[ObjectKind, str], StoredObject] = {}
+        self._lock = threading.RLock()
+        self._revision = 0
+        self.down = False
+        self.before_write = lambda: None
+
+    def put(self, kind: ObjectKind, name: str, spec: object, status: object = None) -> StoredObject:
+        with self._lock:
+            self._revision += 1
+            stored = StoredObject(name, self._revision, spec, status)
+            self._objects[kind, name] = stored
+            return stored
+
+    def list(self, kind: ObjectKind) -> object:
+        if self.down:
+            return StoreUnanswered("down")
+        found = tuple(one for (of, _), one in self._objects.items() if of is kind)
+        return Listing(found, self._revision)
+
+    def get(self, kind: ObjectKind, name: str) -> object:
+        if self.down:
+            return StoreUnanswered("down")
+        return self._objects.get((kind, name)) or ObjectMissing()
+
+    def create(self, kind: ObjectKind, name: str, spec: object) -> object:
+        return self.replace(kind, name, spec, 0)
+
+    def replace(self, kind: ObjectKind, name: str, spec: object, revision: int) -> object:
+        before_write, self.before_write = self.before_write, lambda: None
+        before_write()
+        with self._lock:
+            held = self._objects.get((kind, name))
+            if (held.revision if held else 0) != revision:
+                return RevisionConflict(held)
+            return self.put(kind, name, spec)
+
+    def replace_status(self, kind: ObjectKind, name: str, status: object, revision: int) -> object:
+        if self.down:
+            return StoreUnanswered("down")
+        return self.put(kind, name, self._objects[kind, name].spec, status)
+
+    def leaving(self) -> set[str]:
+        held = self._objects.get((ObjectKind.DEPARTURES, "storage"))
+        return set(held.spec["leaving"]) if held else set()
+
+
 def member(name: str) -> Member:
     endpoint = Endpoint("127.0.0.1", 1)
     return Member(name, "z", "r", endpoint, endpoint, has_disk=True)
@@ -40,8 +106,8 @@
         self.service = JobStorageService(database, Leases(), server)
         self.others: list[str] = []
         self.announced = 0
-        store = mock.Mock()
-        store.get.return_value = ObjectMissing()
+        store = ObjectsInMemory()
+        store.put(ObjectKind.RETIREMENTS, "own", {})
         self.retirement = Retirement(
             "own",
             store,
@@ -75,6 +141,127 @@
             self.others = ["a", "b"]
             self.assertTrue(self.service.retiring.wait(5.0))
 
+    def test_node_does_not_leave_while_the_store_is_down(self) -> None:
+        self.others = ["a", "b", "c"]
+        self.retirement._store.down = True
+        self.assertFalse(self.retirement._begin_leaving())
+        self.assertFalse(self.service.retiring.is_set())
+
+    def test_node_that_is_needed_again_returns_to_service(self) -> None:
+        self.others = ["a", "b"]
+        self.assertTrue(self.retirement._begin_leaving())
+        self.others = ["a"]
+        self.assertFalse(self.retirement._advance())
+        self.assertFalse(self.service.retiring.is_set())
+        self.assertEqual(set(), self.retirement._store.leaving())
+
+
+class Node:
+    """One of several storage nodes that share a store, and a job that some of them hold."""
+
+    def __init__(self, name: str, store: ObjectsInMemory, names: list[str], holders: set[str]):
+        self.service = mock.Mock(retiring=threading.Event())
+        self.announced = False
+        record = JobRecord("job", 1, "", 0.0, False, False, HeldResults(digest=7))
+        peers = mock.Mock()
+        peers.call.side_effect = lambda endpoint, *_: JobSummaries(
+            "d",
+            (JobSummary("job", 7, False, False, "", 0.0),) if endpoint.host in holders else (),
+        )
+
+        def members() -> tuple[Member, ...]:
+            endpoint = Endpoint("h", 1)
+            return tuple(
+                Member(one, "z", "r", Endpoint(one, 1), endpoint, has_disk=True) for one in names
+            )
+
+        store.put(ObjectKind.RETIREMENTS, name, {})
+        self.retirement = Retirement(
+            name,
+            store,
+            mock.Mock(by_id={"job": record}),
+            self.service,
+            peers,
+            members,
+            members,
+            members,
+            CopyRules(2),
+            lambda: None,
+            "active",
+            "succeeded",
+        )
+
+
+class AgreementTest(unittest.TestCase):
+    """Nodes that are to be emptied at the same moment; none has heard of the others' leaving.
+
+    Guards against nodes that each rely on the other to stay: too few are left to store data, or
+    copies on leaving nodes count as copies.
+    """
+
+    def setUp(self) -> None:
+        self.store = ObjectsInMemory()
+        self.names = ["a", "b", "c", "d"]
+        self.holders: set[str] = set()
+
+    def node(self, name: str) -> Node:
+        return Node(name, self.store, self.names, self.holders)
+
+    def test_enough_nodes_stay(self) -> None:
+        nodes = [self.node(name) for name in self.names]
+        left = [node.retirement._begin_leaving() for node in nodes]
+        self.assertEqual([True, True, False, False], left)
+        self.assertEqual({"a", "b"}, self.store.leaving())
+        self.assertEqual(left, [node.service.retiring.is_set() for node in nodes])
+
+    def test_nodes_that_write_at_the_same_time_agree(self) -> None:
+        first, second, third = (self.node(name) for name in "abc")
+        self.assertTrue(first.retirement._begin_leaving())
+        self.store.before_write = second.retirement._begin_leaving
+        self.assertFalse(third.retirement._begin_leaving())
+        self.assertEqual({"a", "b"}, self.store.leaving())
+
+    def test_copies_on_leaving_nodes_do_not_count(self) -> None:
+        self.holders |= {"a", "b", "c"}
+        first, second = self.node("a"), self.node("b")
+        for node in (first, second):
+            self.assertTrue(node.retirement._begin_leaving())
+        for node in (first, second):
+            self.assertFalse(node.retirement._advance())
+        self.holders.add("d")
+        for node in (first, second):
+            self.assertTrue(node.retirement._advance())
+
+    def test_node_that_agreed_last_is_noticed_before_success(self) -> None:
+        self.holders |= {"a", "b", "c"}
+        first, second = self.node("a"), self.node("b")
+        self.assertTrue(first.retirement._begin_leaving())
+        self.assertTrue(second.retirement._begin_leaving())
+        self.assertFalse(first.retirement._advance())
+        self.assertIsNone(self.store.get(ObjectKind.RETIREMENTS, "a").status)
+
+    def test_copies_are_counted_again_if_the_status_was_not_written(self) -> None:
+        self.holders |= {"a", "c", "d"}
+        node = self.node("a")
+        self.assertTrue(node.retirement._begin_leaving())
+        self.store.down = True
+        self.assertFalse(node.retirement._advance())
+        self.store.down = False
+        self.holders.discard("c")
+        self.assertFalse(node.retirement._advance())
+        self.assertIsNone(self.store.get(ObjectKind.RETIREMENTS, "a").status)
+
+    def test_node_that_was_added_again_counts_as_staying(self) -> None:
+        self.store.put(ObjectKind.DEPARTURES, "storage", {"leaving": ["c", "d"]})
+        self.assertTrue(self.node("a").retirement._begin_leaving())
+        self.assertEqual({"a"}, self.store.leaving())
+
+    def test_restarted_node_goes_on(self) -> None:
+        self.assertTrue(self.node("a").retirement._begin_leaving())
+        again = self.node("a")
+        self.assertTrue(again.retirement._begin_leaving())
+        self.assertTrue(again.service.retiring.is_set())
+
 
 class CopiesElsewhereTest(unittest.TestCase):
     """A node that leaves holds one job, and two copies on other nodes are needed.
