Return a storage node to service when the request to empty it is withdrawn; soak of planned work

A request to empty a node that was removed from the store counted as succeeded, and the node went on refusing data until its next start. The follower of requests reports the removal now.

The soak learns: all gateways are killed as a version leaves, slow requests go on coming to a gateway that stops, storage nodes are emptied at once and taken away; some callers do not name the stream that they take up.

--- a/src/quaymill/process/job_storage/retirement.py
+++ b/src/quaymill/process/job_storage/retirement.py
@@ -32,6 +32,7 @@
     leaves; new data is refused) -> succeeded (all data is stored on enough nodes that stay, in
     enough zones; the status is written to the platform).
     leaving -> active if too few nodes are left to store data, so that this one is still needed.
+    any -> in service when the request is withdrawn (``cancel``).
 
     Parameters
     ----------
@@ -78,24 +79,49 @@
         self._withdraw = withdraw
         self._departures = Departures(name, store)
         self._leaving: frozenset[str] = frozenset()
+        self._requested = threading.Event()
         self._stopping = threading.Event()
+        self._wake = threading.Event()
         self._thread: threading.Thread | None = None
 
     def begin(self) -> None:
         """Start emptying the node; further calls have no effect."""
-        if self._thread is not None:
+        if self._requested.is_set():
             return
+        self._requested.set()
         log_message("retirement:begun", node=self._name, jobs=len(self._database.by_id))
-        self._thread = threading.Thread(target=self._run, name="retirement", daemon=True)
-        self._thread.start()
+        self._wake.set()
+        if self._thread is None:
+            self._thread = threading.Thread(target=self._run, name="retirement", daemon=True)
+            self._thread.start()
+
+    def cancel(self) -> None:
+        """Return the node to service, since the operator has withdrawn the request."""
+        if self._requested.is_set():
+            self._requested.clear()
+            log_message("retirement:withdrawn", node=self._name)
+            self._wake.set()
 
     def stop(self) -> None:
         """Stop the thread when the process ends."""
         self._stopping.set()
+        self._wake.set()
 
     def _run(self) -> None:
+        while not self._stopping.is_set():
+            self._wake.wait()
+            self._wake.clear()
+            if self._requested.is_set():
+                self._carry_out()
+            while not self._requested.is_set() and self._service.retiring.is_set():
+                self._return_to_service()
+                if self._stopping.wait(CHECK_INTERVAL_S):
+                    return
+
+    def _carry_out(self) -> None:
+        """Empty the node; return once that is done, or the request was withdrawn."""
         self._write_status(self._active_status)
-        while not self._stopping.wait(CHECK_INTERVAL_S):
+        while self._requested.is_set() and not self._stopping.wait(CHECK_INTERVAL_S):
             if self._advance():
                 log_message("retirement:succeeded", node=self._name)
                 return
@@ -179,9 +205,10 @@
         return summaries
 
     def _write_status(self, status: object) -> None:
-        """Write the status of the request; repeated until it succeeds or the process ends."""
-        while not self._stopping.is_set() and not self._try_write_status(status):
-            self._stopping.wait(CHECK_INTERVAL_S)
+        """Write the status of the request; repeated until it is stored or no longer needed."""
+        while self._requested.is_set() and not self._try_write_status(status):
+            if self._stopping.wait(CHECK_INTERVAL_S):
+                return
 
     def _try_write_status(self, status: object) -> bool:
         """Write the status of the request; return whether it is stored or the request is gone."""
--- a/src/quaymill/process/log_events.py
+++ b/src/quaymill/process/log_events.py
@@ -677,6 +677,9 @@
         "a leaving storage node returned to service, as too few others are left to store data",
         ("node: its name", "leaving: names of the leaving nodes as it last knew them"),
     ),
+    "retirement:withdrawn": LogEvent(
+        "the operator no longer wants this storage node to be emptied", ("node: its name",)
+    ),
     "retirement:succeeded": LogEvent(
         "all data of this node has been copied to other nodes", ("node",)
     ),
--- a/src/quaymill/process/storage_node.py
+++ b/src/quaymill/process/storage_node.py
@@ -137,10 +137,16 @@
     def _handle_retirements(self, listing: Listing) -> None:
         if any(stored.name == self._settings.name for stored in listing.objects):
             self._retirement.begin()
+        else:
+            self._retirement.cancel()
 
     def _handle_retirement_changes(self, changes: Changes) -> None:
         for change in changes.changes:
-            if change.object.name == self._settings.name and not change.deleted:
+            if change.object.name != self._settings.name:
+                continue
+            if change.deleted:
+                self._retirement.cancel()
+            else:
                 self._retirement.begin()
 
     def _lacks_peers(self) -> bool:
--- a/src/quaymill_bench/soak.py
+++ b/src/quaymill_bench/soak.py
@@ -78,6 +78,7 @@
         load.stop(HEAL_TIMEOUT_S)
         replicas = list(self._fleet.replicas.values())
         found = check_round(self.history, replicas, CANCEL_S, self._tenants)
+        found += faults.turnover.findings
         if self._fleet.placement_limits:
             found += self._check_placement(faults.disturbances)
         return found + self._start_ended()
--- a/src/quaymill_bench/soak_faults.py
+++ b/src/quaymill_bench/soak_faults.py
@@ -37,6 +37,7 @@
 )
 from quaymill_bench.soak_tenants import FLOOD, SoakTenants
 from quaymill_bench.soak_timeline import Timeline
+from quaymill_bench.soak_turnover import TurnoverFaults
 from quaymill_standins.fleet_replica import ENDLESS_FORMS, ReplicaBehaviour
 from quaymill_standins.fleet_store import FleetStoreFaults
 
@@ -113,9 +114,9 @@
 class SoakFaults:
     """Draws the faults of one round, and brings them about.
 
-    Evacuations and cold returns, how replicas frame their answers, overload with large changes, and
-    answers without end are drawn by generators of their own, beside the others: those of a seed
-    stay as they are, with their times and what they are done to.
+    Evacuations and cold returns, how replicas frame their answers, overload with large changes,
+    answers without end and planned work are drawn by generators of their own, beside the others:
+    those of a seed stay as they are, with their times and what they are done to.
 
     Attributes
     ----------
@@ -136,6 +137,10 @@
         self._endless_random = random.Random(f"{seed}/endless")
         self.disturbances = Disturbances()
         self._timeline = timeline
+        self._turnover_random = random.Random(f"{seed}/turnover-times")
+        self.turnover = TurnoverFaults(
+            fleet, seed, self.disturbances, self._note, self._sound_behaviour
+        )
         self._storage_lock = threading.Lock()
         self._version = int(time.time())
         self._sound = ReplicaBehaviour(
@@ -201,6 +206,7 @@
             planned += self._plan_placement()
         planned += self._plan_overload(latest_s)
         planned += self._plan_endless(latest_s)
+        planned += self._plan_turnover(latest_s)
         return sorted(planned, key=lambda one: one.at_s)
 
     def _plan_placement(self) -> list[PlannedFault]:
@@ -231,11 +237,25 @@
             for _ in range(chance.choice((0, 1, 2)))
         ]
 
+    def _plan_turnover(self, latest_s: float) -> list[PlannedFault]:
+        chance = self._turnover_random
+        names = tuple(self.turnover.faults)
+        return [
+            PlannedFault(
+                chance.uniform(FIRST_AFTER_S, latest_s), chance.uniform(0.3, MOST_FOR_S), name
+            )
+            for name in chance.sample(names, chance.choice((0, 1, 2)))
+        ]
+
     def play(self, planned: list[PlannedFault], until_s: float) -> None:
         """Bring the faults about at their times, and heal what is left at the end."""
         began = time.monotonic()
         faults = (
-            self._faults | self._placement_faults | self._overload_faults | self._endless_faults
+            self._faults
+            | self._placement_faults
+            | self._overload_faults
+            | self._endless_faults
+            | self.turnover.faults
         )
         heals: list[tuple[float, str, Heal]] = []
         for fault in planned:
--- a/src/quaymill_bench/soak_load.py
+++ b/src/quaymill_bench/soak_load.py
@@ -37,6 +37,8 @@
 """An accepted job is sent again only while its acceptance is this young."""
 CANCEL_S = 3.0
 DEADLINE_MS = 6000
+NAMED_SHARE = 0.7
+"""Share of the callers that name the stream that they take up."""
 MAX_TRIES = 3
 """Tries of a caller for one stream."""
 REQUEST_KINDS = ("read", "write", "stream", "resumable")
@@ -123,8 +125,12 @@
             time.sleep(chance.uniform(0.0, 0.05))
 
     def _send_resumable(self, gateway: FleetProcess, request_id: str, key: str) -> None:
-        """Send a stream, and take it up at other gateways if it breaks off."""
+        """Send a stream, and take it up at other gateways if it breaks off.
+
+        Some callers do not say which stream they take up.
+        """
         chance = random.Random(request_id)
+        names_stream = random.Random(f"{request_id}/named").random() < NAMED_SHARE
         events: list[bytes] = []
         first_id = ""
         status = 0
@@ -134,7 +140,9 @@
             if key:
                 headers |= key_header(key)
             if events:
-                headers |= {"Last-Event-Id": str(len(events)), "Resumes": first_id}
+                headers |= {"Last-Event-Id": str(len(events))}
+                if names_stream:
+                    headers |= {"Resumes": first_id}
             status, received, whole = self._receive_events(gateway, headers)
             # The stand-ins write the id of the request into their events.
             events += [
--- a/tests/test_retirement.py
+++ b/tests/test_retirement.py
@@ -10,6 +10,7 @@
 
 from nose2.tools import params
 
+from fleet_support import eventually
 from quaymill.connection.endpoint import Endpoint
 from quaymill.connection.job_storage_messages import JobSummaries, JobSummary
 from quaymill.connection.member import Member
@@ -147,6 +148,17 @@
         self.assertFalse(self.retirement._begin_leaving())
         self.assertFalse(self.service.retiring.is_set())
 
+    def test_withdrawn_request_returns_the_node_to_service(self) -> None:
+        self.others = ["a", "b", "c"]
+        with mock.patch.object(retirement_module, "CHECK_INTERVAL_S", 0.01):
+            self.addCleanup(self.retirement.stop)
+            for _ in range(2):
+                self.retirement.begin()
+                self.assertTrue(self.service.retiring.wait(5.0))
+                self.retirement.cancel()
+                eventually(lambda: not self.service.retiring.is_set(), 5.0)
+                self.assertEqual(set(), self.retirement._store.leaving())
+
     def test_node_that_is_needed_again_returns_to_service(self) -> None:
         self.others = ["a", "b"]
         self.assertTrue(self.retirement._begin_leaving())
