--- a/src/quaymill/process/job_storage/retirement.py
+++ b/src/quaymill/process/job_storage/retirement.py
@@ -129,7 +129,8 @@
     def _advance(self) -> bool:
         """Take the next step; return whether the request has succeeded."""
         if not self._service.retiring.is_set():
-            return self._begin_leaving() and False
+            self._begin_leaving()
+            return False
         if not self._enough_stay(self._leaving):
             self._return_to_service()
             return False
--- a/src/quaymill/process/streams/archive.py
+++ b/src/quaymill/process/streams/archive.py
@@ -65,14 +65,17 @@
     def __init__(self, folder: Path, server: PeerServer) -> None:
         self._file = folder / HISTORY_FILE
         self._history = VersionHistory()
-        self._history.record(self._load())
+        self._saved = self._load()
+        self._history.record(self._saved)
         register_records(StreamRecords(), server)
         server.register(ExchangeVersions, self._exchange)
 
     def _exchange(self, message: ExchangeVersions) -> KnownVersions:
-        if self._history.record(message.versions):
-            self._save()
-        return KnownVersions(self._history.all())
+        self._history.record(message.versions)
+        known = self._history.all()
+        if _without_ages(known) != _without_ages(self._saved):
+            self._save(known)
+        return KnownVersions(known)
 
     def _load(self) -> tuple[ServiceVersion, ...]:
         """Return the versions on disk; they may have served until now."""
@@ -85,14 +88,19 @@
             return ()
         return tuple(msgspec.structs.replace(one, age_s=0.0) for one in saved)
 
-    def _save(self) -> None:
+    def _save(self, versions: tuple[ServiceVersion, ...]) -> None:
         """Write the versions; a crash leaves either the old file or the new one."""
         new_file = self._file.with_suffix(".new")
         try:
             with new_file.open("wb") as file:
-                file.write(msgspec.json.encode(self._history.all()))
+                file.write(msgspec.json.encode(versions))
                 file.flush()
                 os.fsync(file.fileno())
             new_file.replace(self._file)
+            self._saved = versions
         except OSError as error:
             log_message("stream:history_not_saved", file=str(self._file), error=str(error))
+
+
+def _without_ages(versions: tuple[ServiceVersion, ...]) -> frozenset[tuple[str, str | None]]:
+    return frozenset((one.service, one.version) for one in versions)
--- a/src/quaymill/process/streams/history.py
+++ b/src/quaymill/process/streams/history.py
@@ -19,18 +19,16 @@
         self._lock = threading.Lock()
         self._seen_at: dict[tuple[str, str | None], float] = {}
 
-    def record(self, served: Iterable[ServiceVersion]) -> bool:
-        """Record versions; return whether one of them was not known."""
+    def record(self, served: Iterable[ServiceVersion]) -> None:
+        """Record versions, each with how long ago it was last known to serve."""
         now = boot_clock.now()
         with self._lock:
-            self._drop_old(now)
-            known = len(self._seen_at)
             for one in served:
                 key = (one.service, one.version)
                 seen_at = now - one.age_s
                 if seen_at > now - VERSION_RETENTION_S:
                     self._seen_at[key] = max(seen_at, self._seen_at.get(key, seen_at))
-            return len(self._seen_at) > known
+            self._drop_old(now)
 
     def all(self) -> tuple[ServiceVersion, ...]:
         """Return the versions of all services."""
