--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -12,7 +12,7 @@
 from fleet_rig import FleetRig, wait_until
 from quaymill import boot_clock
 from quaymill.process.replica_set.router import LAST_RESORT_DEPARTED_S
-from quaymill.process.streams import served_versions
+from quaymill.process.streams import served_versions, versions
 from quaymill.process.streams.records import MAX_RECORDS, RECORD_LIFETIME_S, StreamRecords
 from quaymill.request.stream_version import StreamVersion
 from quaymill_bench.fleet_world import ZONES, item_id
@@ -59,6 +59,17 @@
         )
         return replica
 
+    def wait_until_known(self, gateway: str) -> None:
+        """Wait until a gateway that has just started knows which versions have served until now."""
+        node = self.rig.gateways[gateway]
+        wait_until(
+            lambda: (
+                node._served_versions.complete
+                and node.network.membership.confirmed_age_s() < versions.MAX_VIEW_AGE_S
+            ),
+            f"{gateway} knows the versions",
+        )
+
     def ask(self, gateway: str = "gateway-0", request_id: str = REQUEST_ID) -> bytes:
         """Return the body of a stream; raises ``ProtocolError`` if it is incomplete."""
         return self.rig.ask(gateway, "/resumable/x", request_id, tokens=True).data
@@ -228,7 +239,7 @@
 
     @params({"Last-Event-Id": "2"}, {"Last-Event-Id": "2", "Resumes": "unheard-of"})
     def test_caller_goes_on_soon_after_the_start(self, headers: dict[str, str]) -> None:
-        wait_until(lambda: self.rig.gateways["gateway-1"]._served_versions.complete, "it asked")
+        self.wait_until_known("gateway-1")
         answer = self.rig.ask("gateway-1", "/resumable/x", RETURN_ID, tokens=True, headers=headers)
         self.assertEqual(stream_of(RETURN_ID, 3), answer.data)
 
@@ -315,7 +326,7 @@
     def test_stream_goes_on_if_only_one_version_ever_served(self, headers: dict[str, str]) -> None:
         self.restart_all()
         for gateway in self.rig.gateways:
-            wait_until(lambda name=gateway: self.rig.gateways[name]._served_versions.complete, "")
+            self.wait_until_known(gateway)
             self.assertEqual(stream_of(RETURN_ID, 3), self.resume(gateway, headers).data)
 
     def test_nothing_goes_on_before_storage_nodes_are_asked(self) -> None:
