--- a/src/quaymill/process/gateway_node.py
+++ b/src/quaymill/process/gateway_node.py
@@ -92,8 +92,9 @@
 ADMISSION_LIMIT = 144
 STOP_MARGIN_S = 0.7
 """Part of the grace period that is reserved for stopping after the drain."""
-FINAL_ANSWER_TIME_S = 0.5
-"""Time before the end of the drain at which requests in service are interrupted and answered."""
+FINAL_ANSWER_TIME_S = 0.2
+"""Time before the end of the drain at which requests in service are interrupted; their answers may
+take as long again after it."""
 IDLE_BEFORE_EXIT_S = 0.4
 """How long a draining gateway must be idle before it stops."""
 IDLE_CHECK_INTERVAL_S = 0.05
@@ -519,7 +520,7 @@
         if not idle:
             interrupted = self._front.drain.interrupt_all()
             log_message("node:requests_interrupted", requests=interrupted)
-            self._wait_until_idle(deadline)
+            self._wait_until_answered(deadline + FINAL_ANSWER_TIME_S)
         handing_over.join(max(0.0, deadline - boot_clock.now()))
         self.quota.stop()
         log_message("node:stopped", idle=idle, took_s=round(boot_clock.now() - began, 2))
@@ -539,6 +540,11 @@
             time.sleep(IDLE_CHECK_INTERVAL_S)
         return False
 
+    def _wait_until_answered(self, deadline: float) -> None:
+        """Wait until no request is in service, at most until ``deadline``."""
+        while self._front.in_service and boot_clock.now() < deadline:
+            time.sleep(IDLE_CHECK_INTERVAL_S)
+
     def _is_ready(self) -> bool:
         return self.control.ready and self._has_joined() and not self._front.drain.begun
 
