Fetch the contents of a read in parts

Suspected: a read of a long job fetched all contents from its position on in one message, and the deadline of the read, shorter than the time-out before, ended that with nothing; asking a second node after 0.2 s slowed the first transfer down. Contents are fetched in parts now, the first of four results, until 0.4 s have passed; callers ask for the rest.

test_member_search: LargeContentsTest.

--- a/src/quaymill/process/jobs/member_search.py
+++ b/src/quaymill/process/jobs/member_search.py
@@ -66,6 +66,7 @@
     deadline: float,
     initial_calls: int = 1,
     settle_s: float = 0.0,
+    hedge_delay_s: float = HEDGE_DELAY_S,
 ) -> SearchOutcome:
     """Ask members in the given order until the data is found or the deadline has passed.
 
@@ -82,9 +83,19 @@
         the search, for each failed call, and whenever replies are slow.
     settle_s
         How long to wait for the other calls in progress once the data is found.
+    hedge_delay_s
+        Time without a reply after which one more member is asked.
     """
     return _Search(
-        peer_client, members, message, reply_type, is_found, deadline, initial_calls, settle_s
+        peer_client,
+        members,
+        message,
+        reply_type,
+        is_found,
+        deadline,
+        initial_calls,
+        settle_s,
+        hedge_delay_s,
     ).run()
 
 
@@ -101,6 +112,7 @@
         deadline: float,
         initial_calls: int,
         settle_s: float,
+        hedge_delay_s: float,
     ) -> None:
         ordered = responsive_first(members)
         self._unasked = [one for one in ordered if one.state is not MemberState.DEAD]
@@ -113,6 +125,7 @@
         self._deadline = deadline
         self._initial_calls = initial_calls
         self._settle_s = settle_s
+        self._hedge_delay_s = hedge_delay_s
         self._answers: queue.SimpleQueue[tuple[Member, Any]] = queue.SimpleQueue()
         self._in_flight = 0
         self._in_flight_dead = 0
@@ -127,7 +140,7 @@
             if remaining_s <= 0:
                 break
             try:
-                pause_s = remaining_s if found else min(HEDGE_DELAY_S, remaining_s)
+                pause_s = remaining_s if found else min(self._hedge_delay_s, remaining_s)
                 member, answer = self._answers.get(timeout=pause_s)
             except queue.Empty:
                 if not found:
--- a/src/quaymill/process/jobs/storage_client.py
+++ b/src/quaymill/process/jobs/storage_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 from eliot import log_message
@@ -43,7 +43,14 @@
 ended."""
 END_TIMEOUT_S = 2.5
 FETCH_TIMEOUT_S = 2.5
-"""Time for finding contents at any number of storage nodes."""
+"""Time for finding a body, or one part of the contents, at any number of storage nodes."""
+FETCH_HEDGE_DELAY_S = 0.4
+"""Longer than for small replies, as a second transfer delays the first one on a slow link."""
+FIRST_RESULTS = 4
+RESULTS_PER_FETCH = 16
+"""Contents are fetched in parts, the first one small, so that a read gets some of them in time."""
+READ_FETCH_TIME_S = 0.4
+"""Time after which a read fetches no further part; its caller asks for the rest."""
 PROGRESS_TIMEOUT_S = 0.5
 """Progress that is not stored in time is sent again with the next save."""
 
@@ -220,14 +227,31 @@
     def fetch_results(
         self, job_id: str, keys: Iterable[ResultKey], *, deadline: float | None = None
     ) -> dict[ResultKey, JobResult]:
-        """Return the contents of results that can be found until ``deadline``."""
+        """Return the contents of results that can be found.
+
+        Parameters
+        ----------
+        deadline
+            Time by ``boot_clock`` until which an answer to a read is useful. The contents are then
+            found up to a key that depends on how long they take.
+        """
+        found: dict[ResultKey, JobResult] = {}
+        fetch_until = boot_clock.now() + READ_FETCH_TIME_S
+        for part in _parts(tuple(keys)):
+            found |= self._fetch_part(job_id, part, deadline)
+            if deadline is None:
+                continue
+            if boot_clock.now() >= fetch_until or any(key not in found for key in part):
+                break
+        return found
+
+    def _fetch_part(
+        self, job_id: str, keys: tuple[ResultKey, ...], deadline: float | None
+    ) -> dict[ResultKey, JobResult]:
         found: dict[ResultKey, JobResult] = {}
-        wanted = tuple(keys)
-        if not wanted:
-            return found
 
         def missing() -> tuple[ResultKey, ...]:
-            return tuple(key for key in wanted if key not in found)
+            return tuple(key for key in keys if key not in found)
 
         def add(reply: FetchedResults) -> bool:
             found.update({one.key: one.result for one in reply.results})
@@ -240,6 +264,7 @@
             FetchedResults,
             add,
             _earlier(deadline, FETCH_TIMEOUT_S),
+            hedge_delay_s=FETCH_HEDGE_DELAY_S,
         )
         return found
 
@@ -309,6 +334,14 @@
         return holders + others
 
 
+def _parts(keys: tuple[ResultKey, ...]) -> Iterator[tuple[ResultKey, ...]]:
+    """Yield the keys in the parts in which their contents are fetched."""
+    if keys:
+        yield keys[:FIRST_RESULTS]
+    for begin in range(FIRST_RESULTS, len(keys), RESULTS_PER_FETCH):
+        yield keys[begin : begin + RESULTS_PER_FETCH]
+
+
 def _earlier(deadline: float | None, timeout_s: float) -> float:
     """Return the earlier of a caller's deadline, if it has one, and the end of a timeout."""
     limit = boot_clock.now() + timeout_s
--- a/tests/test_member_search.py
+++ b/tests/test_member_search.py
@@ -167,6 +167,40 @@
             self.assertLess(took_s, CLIENT_WAITS_S)
 
 
+class LargeContentsTest(unittest.TestCase):
+    """Contents that take long to transfer, such as those of a long job on a slow link.
+
+    Guards against a read that fetches everything, and gets nothing in time.
+    """
+
+    RESULT_S = 0.02
+
+    def setUp(self) -> None:
+        self.keys = [ResultKey(number, "digest") for number in range(150)]
+        self.storage = JobStorageClient(
+            self, lambda: (), lambda: tuple(ranked_members(1)), CopyRules(2), "a"
+        )
+
+    def call(self, endpoint, message, reply_type, timeout_s):
+        """Answer after the time that the requested contents take, if that is within the timeout."""
+        took_s = self.RESULT_S * len(message.keys)
+        time.sleep(min(took_s, timeout_s))
+        if took_s > timeout_s:
+            return PeerNoReply(endpoint, "too slow")
+        return FetchedResults(tuple(KeyedResult(key, RESULT) for key in message.keys))
+
+    def test_read_gets_the_first_results_in_time(self) -> None:
+        began = time.monotonic()
+        deadline = boot_clock.now() + READ_TIME_S
+        found = self.storage.fetch_results(JOB, self.keys, deadline=deadline)
+        self.assertLess(time.monotonic() - began, READ_TIME_S)
+        self.assertEqual(self.keys[: len(found)], list(found))
+        self.assertGreater(len(found), 4)
+
+    def test_coordinator_gets_all_results(self) -> None:
+        self.assertEqual(self.keys, list(self.storage.fetch_results(JOB, self.keys)))
+
+
 class _Store:
     """The platform's store, which may take long."""
 
