Accept an answer without an id to a request without one

Matching ids first had made such an answer a broken attempt (502); found by reading. Red before: test_request_without_an_id_is_answered_without_one.

--- a/src/quaymill/connection/replica_answer.py
+++ b/src/quaymill/connection/replica_answer.py
@@ -80,8 +80,9 @@
     def is_answer_to(self, request_id: str) -> bool:
         """Return whether the answer is the one to a request.
 
-        An earlier request's answer may come late, in its place. Only refusals may state no id.
+        An earlier request's answer may come late, in its place. Only refusals, and answers to
+        requests without an id, may state none.
         """
-        if not self.request_id:
-            return self.not_executed
+        if self.not_executed and not self.request_id:
+            return True
         return self.request_id == request_id
--- a/tests/test_answer_matching.py
+++ b/tests/test_answer_matching.py
@@ -52,6 +52,10 @@
 class MatchTest(unittest.TestCase):
     """Which answers belong to a request."""
 
+    def test_request_without_an_id_is_answered_without_one(self) -> None:
+        self.assertTrue(AnswerHead(200, "", (), "").is_answer_to(""))
+        self.assertFalse(AnswerHead(200, "", (), "s").is_answer_to(""))
+
     @params(
         ("own", "r", False, True),
         ("own refusal", "r", True, True),
