--- a/src/quaymill/process/job_storage/retirement.py
+++ b/src/quaymill/process/job_storage/retirement.py
@@ -132,7 +132,9 @@
             self._begin_leaving()
             return False
         if not self._enough_stay(self._leaving):
-            self._return_to_service()
+            if self._return_to_service():
+                leaving = sorted(self._leaving)
+                log_message("retirement:still_needed", node=self._name, leaving=leaving)
             return False
         if self._missing_copies() != 0:
             return False
@@ -155,12 +157,13 @@
         self._announce()
         return True
 
-    def _return_to_service(self) -> None:
+    def _return_to_service(self) -> bool:
+        """Take new data again; return whether the other nodes can know of it."""
         if not self._departures.withdraw():
-            return
-        log_message("retirement:still_needed", node=self._name, leaving=sorted(self._leaving))
+            return False
         self._service.retiring.clear()
         self._withdraw()
+        return True
 
     def _enough_stay(self, leaving: frozenset[str]) -> bool:
         """Return whether enough other live nodes stay if these leave."""
--- a/src/quaymill/process/streams/archive.py
+++ b/src/quaymill/process/streams/archive.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -34,25 +33,21 @@
 def register_records(records: StreamRecords, server: PeerServer) -> None:
     """Answer peers that share records of streams or ask for them."""
 
+    def share(message: ShareStreams) -> StreamsShared:
+        for record in message.records:
+            records.add(record.request_id, StreamVersion(record.service, record.version))
+        return StreamsShared()
+
     def find(message: FindStream) -> StreamFound:
         version = records.find(message.request_id)
         if version is None:
             return StreamFound()
         return StreamFound(StreamRecord(message.request_id, version.service, version.name))
 
-    server.register(ShareStreams, _share_handler(records))
+    server.register(ShareStreams, share)
     server.register(FindStream, find)
 
 
-def _share_handler(records: StreamRecords) -> Callable[[ShareStreams], StreamsShared]:
-    def share(message: ShareStreams) -> StreamsShared:
-        for record in message.records:
-            records.add(record.request_id, StreamVersion(record.service, record.version))
-        return StreamsShared()
-
-    return share
-
-
 class StreamArchive:
     """Records of streams and served versions at a storage node.
 
