Round retry times of limits and quotas up

Cause: times below 5 ms were rounded to 0.0, and others to up to 5 ms too little. They are rounded up now, to a hundredth of a second at least.

--- a/src/quaymill/process/front/refusals.py
+++ b/src/quaymill/process/front/refusals.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from quaymill.process.front.caller_protocol import Malformed
@@ -12,6 +14,8 @@
 from quaymill.request.outcome import NotRun
 
 SHORT_RETRY_AFTER_S = 0.3
+RETRY_UNITS_PER_S = 100
+"""Retry times of limits and quotas are stated in hundredths of a second."""
 AUTHENTICATE: Headers = (("WWW-Authenticate", "Bearer"),)
 
 
@@ -58,7 +62,7 @@
 def over_limit_refusal(over_limit: NotRun) -> Refusal:
     """Return the refusal of a request over its tenant's limits."""
     message = f"{over_limit.reason}; {over_limit.remedy}"
-    retry_after_s = round(over_limit.retry_after_s or 0.0, 2)
+    retry_after_s = _round_up(over_limit.retry_after_s or 0.0)
     return Refusal(over_limit.status, message, retry_after_s, kind="over-limit")
 
 
@@ -77,7 +81,12 @@
         f"the route's batch jobs hold {result.held_tokens} of {result.quota} tokens;"
         " send the job again when items have ended"
     )
-    return Refusal(429, message, round(result.retry_after_s, 2))
+    return Refusal(429, message, _round_up(result.retry_after_s))
+
+
+def _round_up(retry_after_s: float) -> float:
+    """Return a retry time as stated: none is too short, as that would lead to another refusal."""
+    return max(1, math.ceil(retry_after_s * RETRY_UNITS_PER_S)) / RETRY_UNITS_PER_S
 
 
 def job_refusal(result: NoSuchJob | Unsure) -> Refusal:
--- a/tests/test_tenant_limits.py
+++ b/tests/test_tenant_limits.py
@@ -6,10 +6,14 @@
 from __future__ import annotations
 
 import time
+import unittest
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, ClassVar
 
 from fleet_case import FleetCase
+from quaymill.process.front.refusals import over_limit_refusal, over_quota_refusal
+from quaymill.process.jobs.route_quota import OverQuota
+from quaymill.request.outcome import NotRun
 from quaymill_bench.fleet_world import key_header, tenant
 
 RATE_PER_S = 10.0
@@ -77,3 +81,21 @@
         answers = self.send_requests("k-free", 0.5)
         self.assertEqual({200}, {answer.status for answer in answers})
         self.assertGreater(len(answers), RATE_PER_S)
+
+
+class RetryTimeTest(unittest.TestCase):
+    """Guards against refusals that let callers return at once, to be refused again."""
+
+    RETRY_TIMES_S = (0.0, 0.001, 0.004, 0.0149, 0.3)
+
+    def test_limit_states_no_time_that_is_too_short(self) -> None:
+        for retry_after_s in self.RETRY_TIMES_S:
+            refusal = over_limit_refusal(NotRun(429, "over the limit", "wait", retry_after_s))
+            self.assertGreater(refusal.retry_after_s, 0.0)
+            self.assertGreaterEqual(refusal.retry_after_s, retry_after_s)
+
+    def test_quota_states_no_time_that_is_too_short(self) -> None:
+        for retry_after_s in self.RETRY_TIMES_S:
+            refusal = over_quota_refusal(OverQuota(10, 10, retry_after_s))
+            self.assertGreater(refusal.retry_after_s, 0.0)
+            self.assertGreaterEqual(refusal.retry_after_s, retry_after_s)
